--- /dev/null
+++ b/src/main/java/org/micabarrow/command/RunCommand.java
@@ -0,0 +1,83 @@
+package org.micabarrow.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.micabarrow.process.AgentProcess;
+import org.micabarrow.process.EntryProcess;
+import org.micabarrow.settings.AgentSettings;
+import org.micabarrow.settings.EntrySettings;
+import org.micabarrow.settings.SettingsReader;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Result;
+
+/** Runs a process until it is told to stop. SIGTERM makes it take no new work and finish what it has. */
+abstract class RunCommand extends Command {
+
+    @Parameter(names = "--settings", required = true, description = "The settings file")
+    private String settings;
+
+    Path settingsFile() {
+        return Path.of(settings);
+    }
+
+    /** Waits for SIGTERM, then closes the process before the virtual machine ends. */
+    static ExitCode serve(AutoCloseable process) throws InterruptedException {
+        CountDownLatch never = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> close(process), "stop"));
+        never.await();
+        return ExitCode.OK;
+    }
+
+    private static void close(AutoCloseable process) {
+        try {
+            process.close();
+        } catch (Exception e) {
+            System.err.println("micabarrow: stopped uncleanly: " + e);
+        }
+    }
+
+    /** Runs an entry. */
+    @Parameters(commandDescription = "Run an entry")
+    static final class Entry extends RunCommand {
+
+        @Override
+        String example() {
+            return "micabarrow entry --settings entry.jsonc";
+        }
+
+        @Override
+        ExitCode run(Console console) throws IOException, InterruptedException {
+            return switch (SettingsReader.entry(settingsFile())) {
+                case Result.Failure<EntrySettings>(Fault fault) -> console.show(fault);
+                case Result.Success<EntrySettings>(EntrySettings checked) -> {
+                    Logs.setUp(checked.log());
+                    yield serve(EntryProcess.start(checked));
+                }
+            };
+        }
+    }
+
+    /** Runs an agent. */
+    @Parameters(commandDescription = "Run an agent beside an endpoint")
+    static final class Agent extends RunCommand {
+
+        @Override
+        String example() {
+            return "micabarrow agent --settings agent.jsonc";
+        }
+
+        @Override
+        ExitCode run(Console console) throws IOException, InterruptedException {
+            return switch (SettingsReader.agent(settingsFile())) {
+                case Result.Failure<AgentSettings>(Fault fault) -> console.show(fault);
+                case Result.Success<AgentSettings>(AgentSettings checked) -> {
+                    Logs.setUp(checked.log());
+                    yield serve(AgentProcess.start(checked));
+                }
+            };
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/coordination/ClaimBook.java
@@ -0,0 +1,91 @@
+package org.micabarrow.coordination;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * The claims of one stream, folded in the order of the log. Every reader of the same records holds the same claims.
+ *
+ * <p>A key stays held for as long as the claim is kept; claims are let go by the time at which the log took them, so
+ * that readers agree on this too.
+ *
+ * <p>Used by one thread.
+ *
+ * <pre>{@code
+ * book.fold(atMillis, claim);
+ * Optional<Claim> holder = book.holder(key);
+ * }</pre>
+ */
+public final class ClaimBook {
+
+    private final long keptMillis;
+    private final LinkedHashMap<String, Held> inOrder = new LinkedHashMap<>();
+    private final Map<String, Claim> holders = new HashMap<>();
+    private long newestMillis;
+
+    /**
+     * Makes an empty book.
+     *
+     * @param keptMillis how long a claim is kept
+     */
+    public ClaimBook(long keptMillis) {
+        this.keptMillis = keptMillis;
+    }
+
+    /** A claim with the time at which the log took it. */
+    private record Held(Claim claim, long atMillis) {}
+
+    /**
+     * Folds one claim.
+     *
+     * @param atMillis when the log took it
+     * @param claim the claim
+     * @return true if the claim holds its key now
+     */
+    public boolean fold(long atMillis, Claim claim) {
+        Objects.requireNonNull(claim, "claim is null");
+        newestMillis = Math.max(newestMillis, atMillis);
+        letGo();
+        Claim holder = holders.get(claim.key());
+        boolean takes = holder == null || claim.after().equals(Optional.of(holder.attempt()));
+        if (takes) {
+            holders.put(claim.key(), claim);
+            inOrder.put(claim.attempt(), new Held(claim, atMillis));
+        }
+        return takes || holder.attempt().equals(claim.attempt());
+    }
+
+    private void letGo() {
+        var oldest = inOrder.values().iterator();
+        while (oldest.hasNext()) {
+            Held held = oldest.next();
+            if (held.atMillis() > newestMillis - keptMillis) {
+                return;
+            }
+            oldest.remove();
+            holders.remove(held.claim().key(), held.claim());
+        }
+    }
+
+    /**
+     * The claim that holds a key.
+     *
+     * @param key the key
+     * @return the claim, if the key is held
+     */
+    public Optional<Claim> holder(String key) {
+        return Optional.ofNullable(holders.get(key));
+    }
+
+    /**
+     * The number of keys held.
+     *
+     * @return the size
+     */
+    public int size() {
+        return holders.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/coordination/Claims.java
@@ -0,0 +1,263 @@
+package org.micabarrow.coordination;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import java.io.IOException;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.micabarrow.state.CanonicalJson;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.state.Result;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes claims to one stream of the log and tells who holds a key. Claims that wait go together in one append, so that
+ * a few hundred appends a second carry many claims.
+ *
+ * <pre>{@code
+ * claims.claim(claim, Duration.ofSeconds(1)).thenAccept(verdict -> ...);
+ * }</pre>
+ */
+public final class Claims implements AutoCloseable {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Claims.class);
+    private static final int MOST_IN_BATCH = 256;
+    private static final Duration READ_WAIT = Duration.ofSeconds(2);
+    private static final long PAUSE_MILLIS = 100;
+
+    private final PlatformLog log;
+    private final String stream;
+    private final InstantSource clock;
+    private final LinkedBlockingQueue<Waiting> queue = new LinkedBlockingQueue<>();
+    private final Object lock = new Object();
+    private final ClaimBook book;
+    private final Map<String, Waiting> waiting = new HashMap<>();
+    private final List<Thread> threads;
+    private long nextOffset;
+    private volatile boolean caughtUp;
+    private volatile boolean closed;
+
+    private Claims(PlatformLog log, String stream, Duration kept, InstantSource clock) {
+        this.log = Objects.requireNonNull(log, "log is null");
+        this.stream = Objects.requireNonNull(stream, "stream is null");
+        this.clock = Objects.requireNonNull(clock, "clock is null");
+        this.book = new ClaimBook(kept.toMillis());
+        this.threads = List.of(thread(this::writeAll, stream + "-writer"), thread(this::readAll, stream + "-reader"));
+    }
+
+    /** A claim that waits for its verdict. */
+    private record Waiting(Claim claim, long untilMillis, CompletableFuture<Verdict> verdict) {}
+
+    /** Who holds a key after a claim. */
+    public sealed interface Verdict {
+
+        /** The claim holds its key; the named process may run the request. */
+        record Won() implements Verdict {}
+
+        /**
+         * Another claim holds the key.
+         *
+         * @param holder that claim
+         */
+        record Held(Claim holder) implements Verdict {}
+
+        /**
+         * The claim was not seen in the log in time; nothing may be run under it.
+         *
+         * @param fault why
+         */
+        record Failed(Fault fault) implements Verdict {}
+    }
+
+    /**
+     * Starts reading and writing a stream.
+     *
+     * @param log the platform's log
+     * @param stream the stream
+     * @param kept how long a claim is kept
+     * @param clock measures the time given
+     * @return the running claims
+     */
+    public static Claims start(PlatformLog log, String stream, Duration kept, InstantSource clock) {
+        Claims claims = new Claims(log, stream, kept, clock);
+        claims.threads.forEach(Thread::start);
+        return claims;
+    }
+
+    private static Thread thread(Runnable work, String name) {
+        Thread thread = new Thread(work, name);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /**
+     * Claims a key.
+     *
+     * @param claim the claim
+     * @param within how long to wait for the log
+     * @return who holds the key
+     */
+    public CompletableFuture<Verdict> claim(Claim claim, Duration within) {
+        Objects.requireNonNull(claim, "claim is null");
+        Optional<Claim> holder = caughtUp ? holder(claim.key()) : Optional.empty();
+        boolean heldByOther = holder.isPresent()
+                && !claim.after().equals(Optional.of(holder.get().attempt()));
+        if (heldByOther) {
+            return CompletableFuture.completedFuture(new Verdict.Held(holder.get()));
+        }
+        Waiting one = new Waiting(claim, clock.millis() + within.toMillis(), new CompletableFuture<>());
+        synchronized (lock) {
+            waiting.put(claim.attempt(), one);
+        }
+        queue.add(one);
+        return one.verdict()
+                .completeOnTimeout(
+                        new Verdict.Failed(fault(Reason.TIMEOUT, "the claim was not seen in the log in time")),
+                        within.toMillis(),
+                        TimeUnit.MILLISECONDS)
+                .whenComplete((verdict, thrown) -> forget(claim.attempt()));
+    }
+
+    private void forget(String attempt) {
+        synchronized (lock) {
+            waiting.remove(attempt);
+        }
+    }
+
+    /**
+     * The claim that holds a key, as far as the log has been read.
+     *
+     * @param key the key
+     * @return the claim, if the key is held
+     */
+    public Optional<Claim> holder(String key) {
+        synchronized (lock) {
+            return book.holder(key);
+        }
+    }
+
+    /**
+     * The number of keys held.
+     *
+     * @return the size of the book
+     */
+    public int size() {
+        synchronized (lock) {
+            return book.size();
+        }
+    }
+
+    // -- writing
+
+    private void writeAll() {
+        while (!closed) {
+            try {
+                List<Waiting> batch = new ArrayList<>();
+                batch.add(queue.take());
+                queue.drainTo(batch, MOST_IN_BATCH - 1);
+                write(batch);
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    /** Appends until an append is acknowledged or nobody waits; the same claim twice counts once. */
+    private void write(List<Waiting> batch) throws InterruptedException {
+        List<Waiting> left = new ArrayList<>(batch);
+        while (!closed) {
+            left.removeIf(one -> one.verdict().isDone() || one.untilMillis() <= clock.millis());
+            if (left.isEmpty()) {
+                return;
+            }
+            byte[] body = CanonicalJson.write(left.stream().map(Waiting::claim).toList());
+            Result<Long> appended = log.append(stream, body);
+            if (appended instanceof Result.Success) {
+                return;
+            }
+            LOG.warn(
+                    "claims={} not acknowledged: {}",
+                    left.size(),
+                    appended.cause().orElseThrow());
+            Thread.sleep(PAUSE_MILLIS);
+        }
+    }
+
+    // -- reading
+
+    private void readAll() {
+        while (!closed) {
+            Result<PlatformLog.Page> page = log.read(stream, nextOffset, caughtUp ? READ_WAIT : Duration.ZERO);
+            switch (page) {
+                case Result.Success<PlatformLog.Page>(PlatformLog.Page read) -> foldPage(read);
+                case Result.Failure<PlatformLog.Page>(Fault fault) -> {
+                    LOG.warn("claims not read: {}", fault);
+                    pause();
+                }
+            }
+        }
+    }
+
+    private void pause() {
+        try {
+            Thread.sleep(PAUSE_MILLIS);
+        } catch (InterruptedException e) {
+            closed = true;
+        }
+    }
+
+    private void foldPage(PlatformLog.Page page) {
+        for (PlatformLog.Entry entry : page.records()) {
+            foldEntry(entry);
+            nextOffset = entry.offset() + 1;
+        }
+        if (page.records().isEmpty()) {
+            caughtUp = true;
+        }
+    }
+
+    private void foldEntry(PlatformLog.Entry entry) {
+        try {
+            List<Claim> claims = CanonicalJson.mapper().readValue(entry.body(), new TypeReference<>() {});
+            claims.forEach(claim -> foldClaim(entry.atMillis(), claim));
+        } catch (IOException e) {
+            LOG.error("claims stream={} offset={} cannot be read: {}", stream, entry.offset(), e.getMessage());
+        }
+    }
+
+    private void foldClaim(long atMillis, Claim claim) {
+        Verdict verdict;
+        Waiting one;
+        synchronized (lock) {
+            boolean holds = book.fold(atMillis, claim);
+            verdict = holds
+                    ? new Verdict.Won()
+                    : new Verdict.Held(book.holder(claim.key()).orElseThrow());
+            one = waiting.get(claim.attempt());
+        }
+        if (one != null) {
+            one.verdict().complete(verdict);
+        }
+    }
+
+    private Fault fault(Reason reason, String message) {
+        return Fault.of(Step.CLAIM, "log/" + stream, reason, message);
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        threads.forEach(Thread::interrupt);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/coordination/ConcurrencyLimit.java
@@ -0,0 +1,99 @@
+package org.micabarrow.coordination;
+
+/**
+ * Learns how many requests an endpoint can run at once: it rises while answers begin as quickly as they do without
+ * load, and falls when they begin more slowly.
+ *
+ * <p>Safe for any number of threads.
+ *
+ * <pre>{@code
+ * if (limit.tryOpen(true)) { ... limit.close(firstByteMillis); }
+ * }</pre>
+ */
+public final class ConcurrencyLimit {
+
+    private static final double SLOWER_BORNE = 2.0;
+    private static final double FALL = 0.9;
+    private static final double SLACK_MILLIS = 5;
+    private static final double FLOOR_DRIFT = 1.001;
+
+    private final int least;
+    private final int most;
+    private double limit;
+    private double quickestMillis = Double.MAX_VALUE;
+    private int open;
+    private int openLong;
+
+    /**
+     * Makes a limit.
+     *
+     * @param least it never falls below this
+     * @param most it never rises above this
+     * @param initial where it starts
+     */
+    public ConcurrencyLimit(int least, int most, int initial) {
+        this.least = least;
+        this.most = most;
+        this.limit = initial;
+    }
+
+    /**
+     * Takes a place, if there is one.
+     *
+     * @param shortRequest whether the request may use the room reserved for short ones
+     * @return whether it may run
+     */
+    public synchronized boolean tryOpen(boolean shortRequest) {
+        int now = limit();
+        boolean full = open >= now || !shortRequest && openLong >= Math.max(1, now - Room.reservedForShort(now));
+        if (full) {
+            return false;
+        }
+        open++;
+        openLong += shortRequest ? 0 : 1;
+        return true;
+    }
+
+    /**
+     * Gives a place back.
+     *
+     * @param shortRequest as it was taken
+     */
+    public synchronized void close(boolean shortRequest) {
+        open--;
+        openLong -= shortRequest ? 0 : 1;
+    }
+
+    /**
+     * Learns from an answer that has begun.
+     *
+     * @param millis the time until it began
+     */
+    public synchronized void began(double millis) {
+        quickestMillis = Math.min(quickestMillis * FLOOR_DRIFT, millis);
+        boolean slow = millis > quickestMillis * SLOWER_BORNE + SLACK_MILLIS;
+        if (slow) {
+            limit = Math.max(least, limit * FALL);
+        } else if (open >= limit - 1) {
+            limit = Math.min(most, limit + 1 / limit);
+        }
+    }
+
+    /**
+     * The limit now.
+     *
+     * @return how many requests may run at once
+     */
+    public synchronized int limit() {
+        return (int) limit;
+    }
+
+    /**
+     * The requests that run.
+     *
+     * @return their number
+     */
+    public synchronized int open() {
+        return open;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/coordination/ConfigurationReader.java
@@ -0,0 +1,171 @@
+package org.micabarrow.coordination;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.function.Supplier;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.FoldedState;
+import org.micabarrow.state.Result;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The thread that brings configuration records in. In each data hall a few instances read the platform's log; the
+ * others read from those, and from the log only when none of them answers. While the log is out, a process that knows
+ * nothing yet takes the folded state of a peer.
+ */
+public final class ConfigurationReader implements AutoCloseable {
+
+    private static final Logger LOG = LoggerFactory.getLogger(ConfigurationReader.class);
+    private static final Duration WAIT = Duration.ofSeconds(4);
+    private static final Duration PAUSE = Duration.ofMillis(200);
+    private static final Duration LONGEST_PAUSE = Duration.ofSeconds(2);
+
+    private final Configuration configuration;
+    private final PlatformLog log;
+    private final Peers peers;
+    private final Supplier<List<String>> relays;
+    private final Thread thread;
+    private volatile boolean closed;
+
+    private ConfigurationReader(
+            Configuration configuration, PlatformLog log, Peers peers, Supplier<List<String>> relays) {
+        this.configuration = Objects.requireNonNull(configuration, "configuration is null");
+        this.log = Objects.requireNonNull(log, "log is null");
+        this.peers = Objects.requireNonNull(peers, "peers is null");
+        this.relays = Objects.requireNonNull(relays, "relays is null");
+        this.thread = new Thread(this::run, "configuration-reader");
+        thread.setDaemon(true);
+    }
+
+    /** Reads records and state from other processes of the system. */
+    public interface Peers {
+
+        /**
+         * Reads the records that a peer holds.
+         *
+         * @param address the peer
+         * @param from the first offset wanted
+         * @param wait how long the peer may wait for a record
+         * @return the records; the page begins later than asked where the peer no longer has them
+         */
+        Result<PlatformLog.Page> records(String address, long from, Duration wait);
+
+        /**
+         * Reads a peer's folded state.
+         *
+         * @param address the peer
+         * @return the state and its digest
+         */
+        Result<StateCopy> state(String address);
+
+        /**
+         * The peers to ask for a state, in order.
+         *
+         * @return their addresses
+         */
+        List<String> known();
+    }
+
+    /**
+     * A folded state on its way between processes.
+     *
+     * @param state the state
+     * @param digest the digest that its holder gives
+     */
+    public record StateCopy(FoldedState state, String digest) {}
+
+    /**
+     * Starts reading.
+     *
+     * @param configuration receives the records
+     * @param log the platform's log
+     * @param peers reaches other processes
+     * @param relays the peers from which this process reads instead of the log; empty to read the log itself
+     * @return the running reader
+     */
+    public static ConfigurationReader start(
+            Configuration configuration, PlatformLog log, Peers peers, Supplier<List<String>> relays) {
+        ConfigurationReader reader = new ConfigurationReader(configuration, log, peers, relays);
+        reader.thread.start();
+        return reader;
+    }
+
+    private void run() {
+        Duration pause = PAUSE;
+        while (!closed) {
+            Result<FoldedState> step = readOnce();
+            pause = step instanceof Result.Success ? PAUSE : longer(pause);
+            if (step instanceof Result.Failure<FoldedState>(Fault fault)) {
+                LOG.warn("configuration not read: {}", fault);
+                sleep(pause);
+            }
+        }
+    }
+
+    /**
+     * Reads once, from a relay or the log, else from any peer if nothing is known yet.
+     *
+     * @return the state afterwards
+     */
+    Result<FoldedState> readOnce() {
+        for (String relay : relays.get()) {
+            Result<FoldedState> viaRelay = readFrom(relay);
+            if (viaRelay instanceof Result.Success) {
+                return viaRelay;
+            }
+        }
+        Result<FoldedState> direct = log.read(PlatformLog.CONFIGURATION, configuration.generation() + 1, WAIT)
+                .flatMap(page -> configuration.offer(page).join());
+        if (direct instanceof Result.Failure && !configuration.known()) {
+            return adoptFromPeer(direct);
+        }
+        return direct;
+    }
+
+    private Result<FoldedState> readFrom(String relay) {
+        long from = configuration.generation() + 1;
+        return peers.records(relay, from, WAIT).flatMap(page -> {
+            boolean gap = !page.records().isEmpty() && page.records().getFirst().offset() > from;
+            return gap || page.first() > from
+                    ? peers.state(relay)
+                            .flatMap(copy -> configuration
+                                    .adopt(copy.state(), copy.digest())
+                                    .join())
+                    : configuration.offer(page).join();
+        });
+    }
+
+    private Result<FoldedState> adoptFromPeer(Result<FoldedState> otherwise) {
+        for (String peer : peers.known()) {
+            Result<FoldedState> adopted = peers.state(peer)
+                    .flatMap(copy ->
+                            configuration.adopt(copy.state(), copy.digest()).join());
+            if (adopted instanceof Result.Success) {
+                LOG.info("configuration taken from peer={} generation={}", peer, configuration.generation());
+                return adopted;
+            }
+        }
+        return otherwise;
+    }
+
+    private static Duration longer(Duration pause) {
+        Duration doubled = pause.multipliedBy(2);
+        return doubled.compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : doubled;
+    }
+
+    private void sleep(Duration pause) {
+        try {
+            Thread.sleep(pause);
+        } catch (InterruptedException e) {
+            closed = true;
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        thread.interrupt();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/coordination/Exclusion.java
@@ -0,0 +1,35 @@
+package org.micabarrow.coordination;
+
+import java.util.Objects;
+import org.micabarrow.state.Replica;
+
+/**
+ * A replica that may not take a request, and why.
+ *
+ * @param replica the replica
+ * @param reason the reason
+ */
+public record Exclusion(Replica replica, Reason reason) {
+
+    /** Checks the parts. */
+    public Exclusion {
+        Objects.requireNonNull(replica, "replica is null");
+        Objects.requireNonNull(reason, "reason is null");
+    }
+
+    /** Why a replica is left out. */
+    public enum Reason {
+        OUTSIDE_PLACEMENT,
+        NOT_HEARD,
+        NOT_READY,
+        LEAVING,
+        TRIED,
+        EJECTED,
+        FULL
+    }
+
+    @Override
+    public String toString() {
+        return replica.instance() + ":" + reason;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/coordination/RequestFlow.java
@@ -0,0 +1,251 @@
+package org.micabarrow.coordination;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.micabarrow.state.Digest;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.state.FoldedState;
+import org.micabarrow.state.FoldedState.Placed;
+import org.micabarrow.state.Workload;
+
+/**
+ * Takes callers' requests through admission, routing, claims and attempts to one final outcome each. What belongs to a
+ * single request is in {@link RequestRun}.
+ */
+public final class RequestFlow {
+
+    /** The longest that a request waits for room. */
+    static final Duration LONGEST_QUEUE = Duration.ofSeconds(2);
+
+    private static final int MOST_WAITING = 256;
+    private static final double WEIGHT_OF_NEWEST = 0.1;
+    private static final double MOST_GAP_MILLIS = 1_000;
+    private static final Duration SOON = Duration.ofMillis(500);
+
+    private final Supplier<FoldedState> state;
+    private final Supplier<Map<String, PeerView>> peers;
+    private final Parts parts;
+    private final Map<String, Lane> lanes = new ConcurrentHashMap<>();
+
+    /**
+     * Makes a flow.
+     *
+     * @param state the configuration in force
+     * @param peers what is known of the agents
+     * @param parts what requests pass through
+     */
+    public RequestFlow(Supplier<FoldedState> state, Supplier<Map<String, PeerView>> peers, Parts parts) {
+        this.state = Objects.requireNonNull(state, "state is null");
+        this.peers = Objects.requireNonNull(peers, "peers is null");
+        this.parts = Objects.requireNonNull(parts, "parts is null");
+    }
+
+    /**
+     * What requests pass through.
+     *
+     * @param router decides where they go
+     * @param traffic holds the entry's own figures
+     * @param prefixes learns where prompts went
+     * @param calls reaches agents
+     * @param claims the claims that a key belongs to
+     * @param budget limits retries
+     * @param attempts gives ids to attempts
+     * @param clock tells the time
+     * @param claimWithin how long the log may take for a claim
+     */
+    public record Parts(
+            Router router,
+            Traffic traffic,
+            PrefixIndex prefixes,
+            AgentCalls calls,
+            Function<String, Claims> claims,
+            RetryBudget budget,
+            Supplier<String> attempts,
+            InstantSource clock,
+            Duration claimWithin) {}
+
+    /**
+     * Begins a request. The sink receives exactly one end.
+     *
+     * @param request the request
+     * @param sink receives the answer
+     * @return cancels the request when run, for a caller that has gone
+     */
+    public Runnable begin(CallerRequest request, AnswerListener sink) {
+        Objects.requireNonNull(request, "request is null");
+        Objects.requireNonNull(sink, "sink is null");
+        Optional<Placed> placed = placementFor(state.get(), request);
+        if (placed.isEmpty()) {
+            sink.onEnd(Outcome.notRun(unplaced(request), SOON));
+            return () -> {};
+        }
+        RequestRun run = new RequestRun(this, parts, request, sink);
+        if (run.unrepeatable(placed.get()) && request.key().isEmpty()) {
+            sink.onEnd(Outcome.notRun(
+                    Fault.of(
+                            Step.READ,
+                            "caller",
+                            Reason.INVALID,
+                            request.workload() + " is not repeatable: the request needs an Idempotency-Key header"),
+                    SOON));
+            return () -> {};
+        }
+        parts.budget().sent();
+        run.next();
+        return run::cancel;
+    }
+
+    /**
+     * The placement under which an organisation's request runs.
+     *
+     * @param state the configuration
+     * @param request the request
+     * @return the first placement by name that has the workload and allows the organisation
+     */
+    static Optional<Placed> placementFor(FoldedState state, CallerRequest request) {
+        return state.placements().values().stream()
+                .filter(placed -> places(placed, request))
+                .filter(placed -> placed.placement()
+                        .organisations()
+                        .contains(request.organisation().name()))
+                .findFirst();
+    }
+
+    private static boolean places(Placed placed, CallerRequest request) {
+        Workload workload = placed.placement().workload();
+        boolean sameKind = workload instanceof Workload.Model == request.model();
+        return sameKind && workload.name().equals(request.workload());
+    }
+
+    private Fault unplaced(CallerRequest request) {
+        boolean known = state.get().placements().values().stream().anyMatch(placed -> places(placed, request));
+        String what = (request.model() ? "model " : "service ") + request.workload();
+        return known
+                ? Fault.of(
+                        Step.ROUTE,
+                        "entry",
+                        Reason.OUTSIDE_PLACEMENT,
+                        "no placement of " + what + " is for "
+                                + request.organisation().name())
+                : Fault.of(Step.ROUTE, "entry", Reason.NOT_FOUND, "no placement has " + what);
+    }
+
+    // -- for runs
+
+    Optional<Placed> placementOf(CallerRequest request) {
+        return placementFor(state.get(), request);
+    }
+
+    long generation() {
+        return state.get().offset();
+    }
+
+    Router.Decision route(Placed placed, Router.Wish wish) {
+        return parts.router().route(placed, peers.get(), wish);
+    }
+
+    Optional<PeerView> peer(String instance) {
+        return Optional.ofNullable(peers.get().get(instance));
+    }
+
+    /** Where requests of one kind wait for one placement; short and long ones never block each other. */
+    private Lane lane(RequestRun run, Placed placed) {
+        String name = placed.placement().name() + (run.request().shortRequest() ? "/short" : "/long");
+        return lanes.computeIfAbsent(name, key -> new Lane());
+    }
+
+    boolean mustQueue(RequestRun run, Placed placed) {
+        return lane(run, placed).queue.size() > 0;
+    }
+
+    /** Lets a request wait, unless its turn would come too late. */
+    Optional<Outcome.NotRun> enqueue(RequestRun run, Placed placed) {
+        Lane lane = lane(run, placed);
+        long wait = lane.expectedWaitMillis();
+        long most = Math.min(
+                LONGEST_QUEUE.toMillis(),
+                run.request().deadlineMillis() - parts.clock().millis());
+        boolean taken = wait <= most
+                && lane.queue.offer(
+                        run.request().organisation().name(),
+                        run.request().organisation().weight(),
+                        run);
+        return taken
+                ? Optional.empty()
+                : Optional.of(new Outcome.NotRun(
+                        Fault.of(Step.ROUTE, "entry", Reason.OVERLOADED, "too many requests wait for room"),
+                        Duration.ofMillis(Math.max(SOON.toMillis(), wait))));
+    }
+
+    /** Requests that wait, with how fast they get their turn. */
+    private final class Lane {
+
+        private final FairQueue<RequestRun> queue = new FairQueue<>(MOST_WAITING);
+        private double gapMillis;
+        private long lastMillis;
+
+        synchronized long expectedWaitMillis() {
+            return Math.round(queue.size() * gapMillis);
+        }
+
+        synchronized void left() {
+            long now = parts.clock().millis();
+            if (lastMillis > 0) {
+                double gap = Math.min(MOST_GAP_MILLIS, now - lastMillis);
+                gapMillis = gapMillis * (1 - WEIGHT_OF_NEWEST) + gap * WEIGHT_OF_NEWEST;
+            }
+            lastMillis = now;
+        }
+    }
+
+    // -- waking those that wait
+
+    /** Lets waiting requests try again; to be called when room may have come free, and now and then. */
+    public void wake() {
+        lanes.values().forEach(this::wake);
+    }
+
+    private void wake(Lane lane) {
+        lane.queue.removeIf(RequestRun::waitedEnough).forEach(RequestRun::tryAgain);
+        int most = lane.queue.size();
+        for (int i = 0; i < most; i++) {
+            Optional<FairQueue.Waiting<RequestRun>> next = lane.queue.poll();
+            if (next.isEmpty()) {
+                return;
+            }
+            if (!next.get().item().tryAgain()) {
+                lane.queue.putBack(next.get());
+                return;
+            }
+            lane.left();
+        }
+    }
+
+    /**
+     * The requests that wait for room.
+     *
+     * @return their number
+     */
+    public int waiting() {
+        return lanes.values().stream().mapToInt(lane -> lane.queue.size()).sum();
+    }
+
+    /**
+     * The key under which a caller's idempotency key is claimed.
+     *
+     * @param organisation the organisation
+     * @param key the caller's key
+     * @return a digest of both
+     */
+    public static String claimKey(String organisation, String key) {
+        return Digest.of(organisation + "\n" + key);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/coordination/RequestRun.java
@@ -0,0 +1,370 @@
+package org.micabarrow.coordination;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.micabarrow.state.Digest;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.state.FoldedState.Placed;
+import org.micabarrow.state.Replica;
+import org.micabarrow.state.Result;
+import org.micabarrow.state.Workload;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One request from its arrival to its one outcome: it waits for room, is claimed if it may not be repeated, and is sent
+ * to one agent after another for as long as that is safe.
+ */
+final class RequestRun {
+
+    private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.decision.route");
+    private static final int MOST_ATTEMPTS = 3;
+    private static final Duration SOON = Duration.ofMillis(500);
+    private static final Duration LATER = Duration.ofSeconds(2);
+
+    private final RequestFlow flow;
+    private final RequestFlow.Parts parts;
+    private final CallerRequest request;
+    private final AnswerListener sink;
+    private final AtomicBoolean ended = new AtomicBoolean();
+    private final Set<String> tried = new HashSet<>();
+    private final long queuedUntil;
+    private int attempts;
+    private boolean begun;
+    private volatile Optional<Claim> lastClaim = Optional.empty();
+    private Optional<Outcome> mayHaveRun = Optional.empty();
+    private Optional<String> after = Optional.empty();
+    private Optional<Outcome.NotRun> lastRefusal = Optional.empty();
+    private volatile Runnable cancelAttempt = () -> {};
+    private volatile boolean cancelled;
+
+    RequestRun(RequestFlow flow, RequestFlow.Parts parts, CallerRequest request, AnswerListener sink) {
+        this.flow = Objects.requireNonNull(flow, "flow is null");
+        this.parts = Objects.requireNonNull(parts, "parts is null");
+        this.request = Objects.requireNonNull(request, "request is null");
+        this.sink = Objects.requireNonNull(sink, "sink is null");
+        this.queuedUntil = now() + RequestFlow.LONGEST_QUEUE.toMillis();
+    }
+
+    CallerRequest request() {
+        return request;
+    }
+
+    private long now() {
+        return parts.clock().millis();
+    }
+
+    /** Whether the request may run at most once. The caller may be stricter than the configuration, never laxer. */
+    boolean unrepeatable(Placed placed) {
+        boolean byConfiguration =
+                placed.placement().workload() instanceof Workload.Service(String ignored, boolean repeatable)
+                        && !repeatable;
+        return byConfiguration || request.strict();
+    }
+
+    // -- choosing
+
+    /** Tries to send the request, or lets it wait for room. */
+    void next() {
+        Optional<Placed> placed = flow.placementOf(request);
+        boolean othersWait = placed.isPresent() && flow.mustQueue(this, placed.get());
+        if (othersWait || !tryAgain()) {
+            placed.flatMap(one -> flow.enqueue(this, one)).ifPresent(this::end);
+        }
+        if (othersWait) {
+            flow.wake();
+        }
+    }
+
+    /** Whether there is no more use in waiting for room. */
+    boolean waitedEnough() {
+        return cancelled || now() >= Math.min(queuedUntil, request.deadlineMillis());
+    }
+
+    /**
+     * Tries to send the request.
+     *
+     * @return false if it was left waiting because there is no room, true if it was sent or has ended
+     */
+    boolean tryAgain() {
+        if (cancelled) {
+            end(Outcome.notRun(fault(Reason.CANCELLED, "the caller has gone"), SOON));
+            return true;
+        }
+        if (now() >= request.deadlineMillis()) {
+            end(Outcome.notRun(fault(Reason.TOO_LATE, "the deadline has passed"), SOON));
+            return true;
+        }
+        Optional<Placed> placed = flow.placementOf(request);
+        if (placed.isEmpty()) {
+            end(Outcome.notRun(fault(Reason.OUTSIDE_PLACEMENT, "the placement was narrowed"), SOON));
+            return true;
+        }
+        Router.Decision decision = flow.route(placed.get(), wish());
+        if (decision.chosen().isPresent()) {
+            send(placed.get(), decision);
+            return true;
+        }
+        return !mayWait(placed.get(), decision);
+    }
+
+    private Router.Wish wish() {
+        return new Router.Wish(request.prefix(), request.shortRequest(), tried, now());
+    }
+
+    /** Waiting helps only where room is what is missing; everything else is told to the caller at once. */
+    private boolean mayWait(Placed placed, Router.Decision decision) {
+        boolean full = decision.exclusions().stream().anyMatch(one -> one.reason() == Exclusion.Reason.FULL);
+        if (full && !waitedEnough()) {
+            return true;
+        }
+        log(placed, decision, "none");
+        Outcome.NotRun refusal = lastRefusal.orElseGet(() -> new Outcome.NotRun(
+                fault(
+                        full ? Reason.OVERLOADED : Reason.NOT_READY,
+                        "no instance of " + placed.placement().name() + " can take it: " + decision.exclusions()),
+                full ? LATER : SOON));
+        end(refusal);
+        return false;
+    }
+
+    private void send(Placed placed, Router.Decision decision) {
+        Replica replica = decision.chosen().orElseThrow();
+        if (now() + decision.expectedWaitMillis() > request.deadlineMillis()) {
+            end(Outcome.notRun(fault(Reason.TOO_LATE, "the answer would begin after the deadline"), LATER));
+            return;
+        }
+        attempts++;
+        String attempt = parts.attempts().get();
+        log(placed, decision, attempt);
+        if (unrepeatable(placed)) {
+            claimThenDispatch(placed, replica, attempt);
+        } else {
+            dispatch(placed, replica, attempt, Optional.empty());
+        }
+    }
+
+    private void log(Placed placed, Router.Decision decision, String attempt) {
+        LOG.info(
+                "route request={} attempt={} organisation={} placement={} chosen={} wait={} excluded={}",
+                request.id(),
+                attempt,
+                request.organisation().name(),
+                placed.placement().name(),
+                decision.chosen().map(Replica::instance).orElse("-"),
+                Math.round(decision.expectedWaitMillis()),
+                decision.exclusions());
+    }
+
+    // -- claiming
+
+    private void claimThenDispatch(Placed placed, Replica replica, String attempt) {
+        String epoch = flow.peer(replica.instance()).map(PeerView::epoch).orElse("");
+        String key = RequestFlow.claimKey(
+                request.organisation().name(), request.key().orElseThrow());
+        Claim claim = new Claim(
+                key, Digest.of(request.body()), replica.instance(), epoch, request.deadlineMillis(), attempt, after);
+        parts.claims().apply(key).claim(claim, parts.claimWithin()).thenAccept(verdict -> {
+            switch (verdict) {
+                case Claims.Verdict.Won ignored -> dispatch(placed, replica, attempt, Optional.of(claim));
+                case Claims.Verdict.Held(Claim holder) -> heldBy(placed, claim, holder);
+                case Claims.Verdict.Failed(Fault fault) -> end(Outcome.notRun(fault, LATER));
+            }
+        });
+    }
+
+    private void heldBy(Placed placed, Claim mine, Claim holder) {
+        if (!holder.bodyDigest().equals(mine.bodyDigest())) {
+            end(Outcome.notRun(
+                    Fault.of(
+                            Step.CLAIM,
+                            holder.instance(),
+                            Reason.CONFLICT,
+                            "the Idempotency-Key was used before with another body"),
+                    LATER));
+            return;
+        }
+        settle(placed, holder);
+    }
+
+    /** Finds out what became of a claimed key, and goes on only if it has been refused for good. */
+    private void settle(Placed placed, Claim holder) {
+        Optional<Replica> replica = placed.replicaOn(holder.instance());
+        if (replica.isEmpty()) {
+            end(Outcome.unknown(
+                    Fault.of(Step.CLAIM, holder.instance(), Reason.GONE, "the instance that holds the key is gone")));
+            return;
+        }
+        parts.calls().settle(replica.get(), holder).thenAccept(result -> {
+            LOG.info("settle request={} holder={} result={}", request.id(), holder.attempt(), result);
+            switch (result) {
+                case Result.Failure<Optional<Ledger.Settled>>(Fault fault) -> end(Outcome.unknown(fault));
+                case Result.Success<Optional<Ledger.Settled>>(Optional<Ledger.Settled> settled) ->
+                    settled.ifPresentOrElse(
+                            one -> settled(replica.get(), holder, one),
+                            () -> end(Outcome.unknown(Fault.of(
+                                    Step.CLAIM,
+                                    holder.instance(),
+                                    Reason.GONE,
+                                    "the process that held the key has been replaced"))));
+            }
+        });
+    }
+
+    private void settled(Replica replica, Claim holder, Ledger.Settled settled) {
+        switch (settled.fate()) {
+            case REFUSED -> {
+                after = Optional.of(holder.attempt());
+                retry(new Outcome.NotRun(fault(Reason.NOT_READY, "the attempt was refused for good"), SOON));
+            }
+            case RUNNING ->
+                end(Outcome.unknown(
+                        Fault.of(Step.CLAIM, replica.instance(), Reason.CONFLICT, "the request is in progress")));
+            case DONE -> giveKept(replica, holder, settled.answer());
+        }
+    }
+
+    private void giveKept(Replica replica, Claim holder, Optional<Ledger.Answer> answer) {
+        if (answer.isEmpty()) {
+            end(Outcome.unknown(Fault.of(
+                    Step.CLAIM, replica.instance(), Reason.GONE, "the request ran; its answer is not kept any more")));
+            return;
+        }
+        sink.onHead(new AnswerHead(
+                holder.attempt(),
+                answer.get().status(),
+                answer.get().contentType(),
+                "",
+                replica.instance(),
+                replica.region(),
+                replica.hall(),
+                flow.generation()));
+        sink.onData(answer.get().body(), () -> end(Outcome.answered()));
+    }
+
+    // -- sending
+
+    private void dispatch(Placed placed, Replica replica, String attempt, Optional<Claim> claim) {
+        lastClaim = claim;
+        tried.add(replica.instance());
+        parts.traffic().opened(replica.instance());
+        parts.prefixes().seen(request.prefix(), replica.instance(), now());
+        AgentRequest sent = new AgentRequest(
+                attempt,
+                flow.generation(),
+                placed.placement().name(),
+                request.organisation().name(),
+                request.deadlineMillis() - now(),
+                request.priority(),
+                request.stream(),
+                request.method(),
+                request.path(),
+                request.contentType(),
+                request.body(),
+                claim);
+        cancelAttempt = parts.calls().handle(replica, sent, new Attempt(placed, replica, attempt, now()));
+        if (cancelled) {
+            cancel();
+        }
+    }
+
+    /** Receives the answer of one attempt. */
+    private final class Attempt implements AnswerListener {
+
+        private final Placed placed;
+        private final Replica replica;
+        private final String attempt;
+        private final long sentMillis;
+
+        private Attempt(Placed placed, Replica replica, String attempt, long sentMillis) {
+            this.placed = placed;
+            this.replica = replica;
+            this.attempt = attempt;
+            this.sentMillis = sentMillis;
+        }
+
+        @Override
+        public void onHead(AnswerHead head) {
+            begun = true;
+            parts.traffic().began(replica.instance(), now() - sentMillis);
+            sink.onHead(head);
+        }
+
+        @Override
+        public void onData(byte[] data, Runnable more) {
+            sink.onData(data, more);
+        }
+
+        @Override
+        public void onEnd(Outcome outcome) {
+            parts.traffic().closed(replica.instance());
+            LOG.info(
+                    "end request={} attempt={} instance={} outcome={}",
+                    request.id(),
+                    attempt,
+                    replica.instance(),
+                    outcome);
+            switch (outcome) {
+                case Outcome.Answered answered -> end(answered);
+                case Outcome.NotRun notRun -> {
+                    after = lastClaim.map(Claim::attempt);
+                    retry(notRun);
+                }
+                case Outcome.Unknown unknown -> broken(placed, replica, unknown);
+            }
+            flow.wake();
+        }
+    }
+
+    /** After an attempt whose fate is not known: settle a claimed one, repeat a repeatable one, else say so. */
+    private void broken(Placed placed, Replica replica, Outcome.Unknown unknown) {
+        parts.traffic().failed(replica.instance(), now());
+        if (begun || cancelled) {
+            end(unknown);
+        } else if (lastClaim.isPresent()) {
+            settle(placed, lastClaim.get());
+        } else {
+            mayHaveRun = Optional.of(unknown);
+            retry(new Outcome.NotRun(unknown.fault(), SOON));
+        }
+    }
+
+    private void retry(Outcome.NotRun refusal) {
+        lastRefusal = Optional.of(refusal);
+        boolean mayRetry = attempts < MOST_ATTEMPTS
+                && now() < request.deadlineMillis()
+                && parts.budget().tryRetry();
+        if (mayRetry) {
+            next();
+        } else {
+            end(refusal);
+        }
+    }
+
+    // -- ending
+
+    /** Ends the attempt in progress because the caller has gone. */
+    void cancel() {
+        cancelled = true;
+        if (lastClaim.isEmpty()) {
+            cancelAttempt.run();
+        }
+    }
+
+    /** Tells the outcome once. A request of which an earlier attempt may have run is never called "not run". */
+    private void end(Outcome outcome) {
+        if (ended.compareAndSet(false, true)) {
+            sink.onEnd(outcome instanceof Outcome.NotRun && mayHaveRun.isPresent() ? mayHaveRun.get() : outcome);
+        }
+    }
+
+    private Fault fault(Reason reason, String message) {
+        return Fault.of(Step.ROUTE, "entry", reason, message);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/coordination/Room.java
@@ -0,0 +1,19 @@
+package org.micabarrow.coordination;
+
+/** How an instance's room is divided between short and long requests. */
+public final class Room {
+
+    private static final int RESERVED_ONE_IN = 5;
+
+    private Room() {}
+
+    /**
+     * The places that only short requests may take.
+     *
+     * @param limit the places in all
+     * @return a fifth of them, none where there is only one
+     */
+    public static int reservedForShort(int limit) {
+        return limit <= 1 ? 0 : Math.max(1, limit / RESERVED_ONE_IN);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/coordination/Transfer.java
@@ -0,0 +1,282 @@
+package org.micabarrow.coordination;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.state.Manifest;
+import org.micabarrow.state.Result;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Brings one artifact to this instance: chunk by chunk from the best source that works, each chunk checked before it is
+ * passed on to readers or handed to the endpoint. Runs on a thread of its own until done or cancelled.
+ */
+public final class Transfer implements Runnable {
+
+    /** How much more than one copy the head of a chain may draw without asking, for chunks that came corrupted. */
+    public static final double FEED_SLACK = 1.015;
+
+    private static final Logger LOG = LoggerFactory.getLogger(Transfer.class);
+    private static final int MANIFEST_TRIES_MILLIS = 300;
+    private static final int BAD_CHUNKS_BORNE = 2;
+
+    private final Task task;
+    private final Weights weights;
+    private final Endpoint endpoint;
+    private final OriginBudget budget;
+    private final TransferMetrics metrics;
+    private final InstantSource clock;
+    private final SourceChoice choice;
+    private final AtomicReference<Progress> progress = new AtomicReference<>(Progress.none());
+    private volatile ChunkWindow window;
+    private volatile boolean cancelled;
+    private long originAllowance;
+    private int badChunks;
+
+    /**
+     * Makes a transfer; {@link #run} does the work.
+     *
+     * @param task what to bring
+     * @param weights reads from sources
+     * @param endpoint takes the chunks
+     * @param budget grants bytes from the origin
+     * @param metrics counts
+     * @param clock tells the time
+     */
+    public Transfer(
+            Task task,
+            Weights weights,
+            Endpoint endpoint,
+            OriginBudget budget,
+            TransferMetrics metrics,
+            InstantSource clock) {
+        this.task = Objects.requireNonNull(task, "task is null");
+        this.weights = Objects.requireNonNull(weights, "weights is null");
+        this.endpoint = Objects.requireNonNull(endpoint, "endpoint is null");
+        this.budget = Objects.requireNonNull(budget, "budget is null");
+        this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+        this.clock = Objects.requireNonNull(clock, "clock is null");
+        this.choice = SourceChoice.of(task.sources());
+        this.originAllowance = task.fed() ? (long) (task.bytes() * FEED_SLACK) : 0;
+    }
+
+    /**
+     * What a transfer brings, and how.
+     *
+     * @param artifact the manifest's digest
+     * @param bytes the artifact's size
+     * @param sources the sources, the best first
+     * @param fed whether the plan feeds this instance one copy from the origin
+     * @param follower the instance that is likely to read from this one
+     * @param windowBytes how many bytes of chunks to hold
+     * @param patience the longest wait for a chunk before the source counts as stalled
+     */
+    public record Task(
+            String artifact,
+            long bytes,
+            List<Source> sources,
+            boolean fed,
+            Optional<String> follower,
+            long windowBytes,
+            Duration patience) {
+
+        /** Copies the list. */
+        public Task {
+            Objects.requireNonNull(artifact, "artifact is null");
+            sources = List.copyOf(sources);
+        }
+    }
+
+    /**
+     * How far a transfer has come.
+     *
+     * @param chunks the chunks verified and staged
+     * @param total the chunks in all, 0 while the manifest is not known
+     * @param fault the latest failure, if nothing has gone well since
+     */
+    public record Progress(int chunks, int total, Optional<Fault> fault) {
+
+        /**
+         * The progress at the start.
+         *
+         * @return no chunks of an unknown number
+         */
+        static Progress none() {
+            return new Progress(0, 0, Optional.empty());
+        }
+
+        /**
+         * Whether all chunks have been staged.
+         *
+         * @return true when done
+         */
+        public boolean complete() {
+            return total > 0 && chunks == total;
+        }
+    }
+
+    // -- reading
+
+    /**
+     * How far the transfer has come.
+     *
+     * @return the progress
+     */
+    public Progress progress() {
+        return progress.get();
+    }
+
+    /**
+     * The chunks that may be passed on.
+     *
+     * @return the window, empty until the manifest is known
+     */
+    public Optional<ChunkWindow> window() {
+        return Optional.ofNullable(window);
+    }
+
+    /** Stops the transfer and frees its chunks. */
+    public void cancel() {
+        cancelled = true;
+        if (window != null) {
+            window.close();
+        }
+    }
+
+    // -- working
+
+    @Override
+    public void run() {
+        try {
+            Optional<Manifest> manifest = awaitManifest();
+            if (manifest.isPresent()) {
+                receiveAll(manifest.get());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private Optional<Manifest> awaitManifest() throws InterruptedException {
+        while (!cancelled) {
+            Result<Manifest> manifest = weights.manifest(task.artifact());
+            if (manifest instanceof Result.Success<Manifest>(Manifest found)) {
+                return Optional.of(found);
+            }
+            manifest.cause().ifPresent(this::note);
+            Thread.sleep(MANIFEST_TRIES_MILLIS);
+        }
+        return Optional.empty();
+    }
+
+    private void receiveAll(Manifest manifest) throws InterruptedException {
+        int total = manifest.chunks().size();
+        int capacity = (int) Math.max(2, Math.min(total, task.windowBytes() / manifest.chunkBytes()));
+        window = new ChunkWindow(capacity, total, task.patience().multipliedBy(2));
+        task.follower().ifPresent(window::expect);
+        progress.set(new Progress(0, total, Optional.empty()));
+        while (!cancelled && window.next() < total) {
+            long pause = choice.waitMillis(clock.millis());
+            if (pause > 0) {
+                Thread.sleep(Math.min(pause, MANIFEST_TRIES_MILLIS));
+                continue;
+            }
+            Source source = choice.next(clock.millis());
+            Result<Integer> received = receiveFrom(source, manifest);
+            received.cause().ifPresent(fault -> blame(source, fault));
+        }
+    }
+
+    /** Reads until the source fails or nothing is left. */
+    private Result<Integer> receiveFrom(Source source, Manifest manifest) throws InterruptedException {
+        long missing = missingBytes(manifest);
+        if (source instanceof Source.Origin && originAllowance <= 0) {
+            Result<Long> granted = budget.draw(missing);
+            if (granted instanceof Result.Failure<Long>(Fault fault)) {
+                return Result.failure(fault);
+            }
+            originAllowance += granted.toOptional().orElse(0L);
+        }
+        LOG.info(
+                "transfer artifact={} source={} from={} of={}",
+                shortName(task.artifact()),
+                source,
+                window.next(),
+                manifest.chunks().size());
+        try (Weights.Feed feed = weights.open(source, task.artifact(), window.next())) {
+            while (!cancelled && window.next() < manifest.chunks().size()) {
+                Result<byte[]> next = feed.next(task.patience());
+                if (next instanceof Result.Failure<byte[]>(Fault fault)) {
+                    return Result.failure(fault);
+                }
+                Optional<Fault> fault = take(source, manifest, next.toOptional().orElseThrow());
+                if (fault.isPresent()) {
+                    return Result.failure(fault.get());
+                }
+            }
+        }
+        return Result.success(window.next());
+    }
+
+    private long missingBytes(Manifest manifest) {
+        return manifest.bytes() - (long) window.next() * manifest.chunkBytes();
+    }
+
+    private Optional<Fault> take(Source source, Manifest manifest, byte[] data) throws InterruptedException {
+        int index = window.next();
+        metrics.received(source, data.length);
+        if (source instanceof Source.Origin) {
+            originAllowance -= data.length;
+        }
+        if (!manifest.matches(index, data)) {
+            metrics.corrupted(source);
+            return Optional.of(Fault.of(
+                    Step.FETCH, source.toString(), Reason.CORRUPT, "chunk " + index + " does not have its digest"));
+        }
+        badChunks = 0;
+        choice.delivered(source);
+        window.add(data);
+        return stage(index, manifest.chunks().size(), data);
+    }
+
+    private Optional<Fault> stage(int index, int total, byte[] data) throws InterruptedException {
+        while (!cancelled) {
+            Result<Integer> staged = endpoint.stage(task.artifact(), index, data);
+            if (staged instanceof Result.Success) {
+                progress.set(new Progress(index + 1, total, Optional.empty()));
+                return Optional.empty();
+            }
+            staged.cause().ifPresent(this::note);
+            Thread.sleep(MANIFEST_TRIES_MILLIS);
+        }
+        return Optional.of(Fault.of(Step.STAGE, "endpoint", Reason.CANCELLED, "the transfer was cancelled"));
+    }
+
+    /** One bad chunk may be the link's fault and is asked for again at once; more are held against the source. */
+    private void blame(Source source, Fault fault) {
+        note(fault);
+        LOG.warn("transfer artifact={} source={} failed: {}", shortName(task.artifact()), source, fault);
+        if (fault.reason() == Reason.CORRUPT && ++badChunks < BAD_CHUNKS_BORNE) {
+            return;
+        }
+        if (fault.reason() != Reason.CANCELLED) {
+            choice.failed(source, clock.millis());
+            metrics.abandoned(source);
+        }
+    }
+
+    private void note(Fault fault) {
+        progress.updateAndGet(now -> new Progress(now.chunks(), now.total(), Optional.of(fault)));
+    }
+
+    private static String shortName(String digest) {
+        return digest.substring(0, Math.min(12, digest.length()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/process/AgentProcess.java
@@ -0,0 +1,262 @@
+package org.micabarrow.process;
+
+import io.grpc.Server;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.micabarrow.coordination.AgentFlow;
+import org.micabarrow.coordination.AgentView;
+import org.micabarrow.coordination.ConcurrencyLimit;
+import org.micabarrow.coordination.Endpoint;
+import org.micabarrow.coordination.Ledger;
+import org.micabarrow.coordination.OriginBudget;
+import org.micabarrow.coordination.ReplicaControl;
+import org.micabarrow.coordination.StartCheck;
+import org.micabarrow.coordination.Transfer;
+import org.micabarrow.coordination.TransferMetrics;
+import org.micabarrow.coordination.WeightShare;
+import org.micabarrow.protocol.Wire;
+import org.micabarrow.protocol.wire.Load;
+import org.micabarrow.protocol.wire.StatusReply;
+import org.micabarrow.settings.AgentSettings;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.FoldedState;
+import org.micabarrow.state.Record;
+import org.micabarrow.state.Result;
+import org.micabarrow.state.Verdict;
+import org.micabarrow.transport.EndpointClient;
+import org.micabarrow.transport.HttpListener;
+import org.micabarrow.transport.LinkPacer;
+import org.micabarrow.transport.OperatorServer;
+import org.micabarrow.transport.PeerService;
+import org.micabarrow.transport.WeightsClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** An agent: the process beside an endpoint. */
+public final class AgentProcess implements AutoCloseable {
+
+    private static final Logger LOG = LoggerFactory.getLogger(AgentProcess.class);
+    private static final long LIST_MILLIS = 30_000;
+    private static final long STOP_LOOK_MILLIS = 50;
+
+    private final AgentSettings settings;
+    private final Node node;
+    private final EndpointClient endpoint;
+    private final ReplicaControl replicas;
+    private final AgentFlow flow;
+    private final WeightShare share;
+    private final LinkPacer linkIn;
+    private final LinkPacer linkOut;
+    private final WeightsClient weights;
+    private final ExecutorService threads = Executors.newCachedThreadPool(AgentProcess::daemon);
+    private Server server;
+    private HttpListener operators;
+    private volatile boolean closed;
+
+    private AgentProcess(AgentSettings settings) {
+        this.settings = Objects.requireNonNull(settings, "settings is null");
+        this.node = new Node(settings.instance(), settings.platform(), LIST_MILLIS);
+        this.endpoint = new EndpointClient(node.http(), settings.endpoint().url());
+        AgentSettings.Limits limits = settings.limits();
+        ConcurrencyLimit concurrency = new ConcurrencyLimit(
+                limits.leastConcurrency(),
+                limits.mostConcurrency(),
+                Math.min(limits.mostConcurrency(), 2 * limits.leastConcurrency()));
+        this.share = new WeightShare();
+        this.linkIn = new LinkPacer(settings.links().instanceBytesPerSecond(), share::share);
+        this.linkOut = new LinkPacer(settings.links().instanceBytesPerSecond(), share::share);
+        this.weights = new WeightsClient(
+                node.http(), settings.platform(), node.peers(), linkIn, node.configuration()::generation);
+        this.replicas = new ReplicaControl(
+                node.identity(),
+                new ReplicaControl.Options(
+                        settings.weights().windowBytes(),
+                        Duration.ofMillis(settings.weights().patienceMillis()),
+                        Duration.ofMillis(settings.weights().lingerMillis())),
+                endpoint,
+                this::startTransfer,
+                this::runningOn,
+                node.clock());
+        this.flow = new AgentFlow(
+                node.identity(),
+                node.configuration(),
+                replicas::view,
+                new StartCheck(node.identity(), limits.cutOffMillis()),
+                concurrency,
+                new Ledger(
+                        node.identity().epochText(),
+                        limits.ledgerKeys(),
+                        limits.ledgerBytes(),
+                        limits.ledgerKeptMillis()),
+                endpoint,
+                share,
+                node.clock(),
+                limits.ledgerBytes());
+    }
+
+    /**
+     * Starts an agent.
+     *
+     * @param settings its settings
+     * @return the running agent
+     * @throws IOException if one of its addresses cannot be used
+     */
+    public static AgentProcess start(AgentSettings settings) throws IOException {
+        AgentProcess agent = new AgentProcess(settings);
+        agent.begin();
+        return agent;
+    }
+
+    private static Thread daemon(Runnable work) {
+        Thread thread = new Thread(work, "agent-work");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    private int runningOn(String version) {
+        return flow.running(version);
+    }
+
+    private void begin() throws IOException {
+        node.gauge("requests.open", flow::open);
+        node.gauge("requests.limit", flow::mostOpen);
+        node.gauge("weights.share", share::share);
+        PeerService.AgentParts parts =
+                new PeerService.AgentParts(flow, replicas::holding, this::load, linkOut, threads);
+        server = node.channels()
+                .serve(
+                        settings.listen().peers(),
+                        new PeerService(node.configuration(), this::status, Optional.of(parts)));
+        operators = HttpListener.start(
+                settings.listen().operators(),
+                HttpListener.Bounds.usual(),
+                1,
+                Optional.empty(),
+                OperatorServer.watching(node.metrics(), this::healthy));
+        node.configuration()
+                .onStep(step -> replicas.configured(node.configuration().current()));
+        node.start();
+        threads.execute(this::reportAgainAndAgain);
+        LOG.info(
+                "agent instance={} epoch={} listens",
+                node.identity().instance(),
+                node.identity().epoch());
+    }
+
+    private boolean healthy() {
+        return node.configuration().known()
+                && node.configuration().view().stopped().isEmpty();
+    }
+
+    // -- what others are told
+
+    private Load load() {
+        AgentView view = replicas.view();
+        return Load.newBuilder()
+                .setInFlight(flow.open())
+                .setQueued(view.report().map(Endpoint.Report::queued).orElse(0))
+                .setLimit(flow.mostOpen())
+                .setLeaving(view.leaving())
+                .build();
+    }
+
+    private StatusReply status() {
+        FoldedState state = node.configuration().current();
+        StatusReply.Builder reply = StatusReply.newBuilder()
+                .setGeneration(state.offset())
+                .setInstance(node.identity().instance())
+                .setRegion(node.identity().region())
+                .setHall(node.identity().hall())
+                .setEpoch(node.identity().epochText())
+                .setLoad(load());
+        replicas.view().replicas().values().forEach(replica -> reply.addReplicas(Wire.toWire(replica)));
+        return reply.build();
+    }
+
+    // -- the endpoint
+
+    /** Asks for reports and gives the orders that follow, on a thread of its own. */
+    private void reportAgainAndAgain() {
+        while (!closed) {
+            Result<Endpoint.Report> report = endpoint.report();
+            node.control().execute(() -> {
+                List<Endpoint.Order> orders = replicas.reported(report.toOptional());
+                orders.forEach(order -> threads.execute(() -> give(order)));
+            });
+            try {
+                Thread.sleep(settings.endpoint().reportMillis());
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private void give(Endpoint.Order order) {
+        Result<Boolean> result = endpoint.order(order);
+        node.control().execute(() -> replicas.ordered(order, result));
+    }
+
+    // -- weights
+
+    private Transfer startTransfer(Transfer.Task task, FoldedState.Placed placed) {
+        OriginBudget budget = bytes -> draw(placed.placement().name(), bytes);
+        Transfer transfer =
+                new Transfer(task, weights, endpoint, budget, new TransferMetrics(node.metrics()), node.clock());
+        threads.execute(transfer);
+        return transfer;
+    }
+
+    /** Asks the log for bytes from the origin, within the placement's envelope. */
+    private Result<Long> draw(String placement, long bytes) {
+        Record record = new Record.OriginDrawn(
+                Node.newId(),
+                node.configuration().generation(),
+                placement,
+                node.identity().instance(),
+                bytes);
+        Duration within = Duration.ofMillis(settings.weights().budgetMillis());
+        return node.writer().write(record, within).flatMap(seen -> switch (seen.verdict()) {
+            case Verdict.Accepted ignored -> Result.success(bytes);
+            case Verdict.Refused(String reason) -> refused(reason);
+            default -> refused(seen.verdict().toString());
+        });
+    }
+
+    private static Result<Long> refused(String why) {
+        return Result.failure(Fault.of(Fault.Step.FETCH, "origin", Fault.Reason.OVERLOADED, why));
+    }
+
+    // -- stopping
+
+    /** Takes no new work, waits for what runs, and stops. */
+    @Override
+    public void close() {
+        LOG.info("agent instance={} leaves, open={}", node.identity().instance(), flow.open());
+        node.control().execute(replicas::leave);
+        long end = node.clock().millis() + settings.limits().stopMillis();
+        while (flow.open() > 0 && node.clock().millis() < end) {
+            try {
+                Thread.sleep(STOP_LOOK_MILLIS);
+            } catch (InterruptedException e) {
+                break;
+            }
+        }
+        closed = true;
+        server.shutdown();
+        try {
+            server.awaitTermination(STOP_LOOK_MILLIS * 10, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        operators.close();
+        threads.shutdownNow();
+        node.close();
+        LOG.info("agent instance={} has stopped", node.identity().instance());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/process/EntryProcess.java
@@ -0,0 +1,290 @@
+package org.micabarrow.process;
+
+import io.grpc.Server;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import java.util.zip.CRC32C;
+import org.micabarrow.coordination.Claims;
+import org.micabarrow.coordination.Duties;
+import org.micabarrow.coordination.PeerTable;
+import org.micabarrow.coordination.PeerView;
+import org.micabarrow.coordination.PrefixIndex;
+import org.micabarrow.coordination.ReplicaView;
+import org.micabarrow.coordination.RequestFlow;
+import org.micabarrow.coordination.RetryBudget;
+import org.micabarrow.coordination.Router;
+import org.micabarrow.coordination.Traffic;
+import org.micabarrow.protocol.Wire;
+import org.micabarrow.protocol.wire.StatusReply;
+import org.micabarrow.settings.EntrySettings;
+import org.micabarrow.state.FoldedState;
+import org.micabarrow.state.Links;
+import org.micabarrow.state.Record;
+import org.micabarrow.state.Replica;
+import org.micabarrow.transport.CallerServer;
+import org.micabarrow.transport.HttpListener;
+import org.micabarrow.transport.LinkPacer;
+import org.micabarrow.transport.OperatorDesk;
+import org.micabarrow.transport.OperatorServer;
+import org.micabarrow.transport.PeerService;
+import org.micabarrow.transport.WeightsClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** An entry: the process that callers and operators talk to. */
+public final class EntryProcess implements AutoCloseable {
+
+    private static final Logger LOG = LoggerFactory.getLogger(EntryProcess.class);
+    private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration WRITE_WITHIN = Duration.ofSeconds(5);
+    private static final long STOP_LOOK_MILLIS = 50;
+    private static final int CALLER_THREADS = 2;
+    private static final int PREFIXES = 50_000;
+    private static final double RETRIES_SAVED = 20;
+
+    private final EntrySettings settings;
+    private final Node node;
+    private final PeerTable table;
+    private final Traffic traffic = new Traffic();
+    private final PrefixIndex prefixes = new PrefixIndex(PREFIXES);
+    private final Router router;
+    private final Duties duties;
+    private final List<Claims> claims = new ArrayList<>();
+    private final RequestFlow flow;
+    private final CallerServer callers;
+    private final ExecutorService threads = Executors.newCachedThreadPool(EntryProcess::daemon);
+    private Server server;
+    private HttpListener callerListener;
+    private HttpListener operatorListener;
+
+    private EntryProcess(EntrySettings settings) {
+        this.settings = Objects.requireNonNull(settings, "settings is null");
+        EntrySettings.Peers timing = settings.peers();
+        this.node = new Node(settings.instance(), settings.platform(), timing.listMillis());
+        this.table = new PeerTable(
+                settings.instance().id(), timing.agentsPerPlacement(), timing.unreachableMillis(), node.clock());
+        this.router = new Router(
+                settings.instance().region(),
+                settings.instance().hall(),
+                traffic,
+                prefixes,
+                RandomGenerator.of("L64X128MixRandom"));
+        this.duties = new Duties(
+                settings.instance().id(), timing.repairMillis(), timing.checkpointMillis(), Node::newId, node.clock());
+        EntrySettings.Limits limits = settings.limits();
+        for (int i = 0; i < limits.claimStreams(); i++) {
+            claims.add(Claims.start(
+                    node.platform(), "claims-" + i, Duration.ofMillis(limits.claimKeptMillis()), node.clock()));
+        }
+        this.flow = new RequestFlow(
+                node.configuration()::current,
+                table::peers,
+                new RequestFlow.Parts(
+                        router,
+                        traffic,
+                        prefixes,
+                        node.peers(),
+                        claimsByKey(),
+                        new RetryBudget(limits.retryShare(), RETRIES_SAVED),
+                        Node::newId,
+                        node.clock(),
+                        Duration.ofMillis(limits.claimMillis())));
+        this.callers = new CallerServer(
+                node.configuration()::current, flow, Node::newId, node.clock(), limits.deadlineMillis());
+    }
+
+    private Function<String, Claims> claimsByKey() {
+        return key -> {
+            CRC32C checksum = new CRC32C();
+            checksum.update(key.getBytes(StandardCharsets.UTF_8));
+            return claims.get((int) (checksum.getValue() % claims.size()));
+        };
+    }
+
+    /**
+     * Starts an entry.
+     *
+     * @param settings its settings
+     * @return the running entry
+     * @throws IOException if one of its addresses cannot be used
+     */
+    public static EntryProcess start(EntrySettings settings) throws IOException {
+        EntryProcess entry = new EntryProcess(settings);
+        entry.begin();
+        return entry;
+    }
+
+    private static Thread daemon(Runnable work) {
+        Thread thread = new Thread(work, "entry-work");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    private void begin() throws IOException {
+        node.gauge("requests.open", callers::open);
+        node.gauge("requests.waiting", flow::waiting);
+        node.gauge("claims.held", () -> claims.stream().mapToInt(Claims::size).sum());
+        node.gauge("instances.listed", () -> table.instances().size());
+        node.gauge("agents.known", () -> table.peers().size());
+        server = node.channels()
+                .serve(
+                        settings.listen().peers(),
+                        new PeerService(node.configuration(), this::status, Optional.empty()));
+        node.peers().onLoad((instance, load) -> node.control().execute(() -> table.loaded(instance, load)));
+        node.start();
+        node.control().every(Duration.ofMillis(settings.peers().statusMillis()), this::askAgents);
+        node.control().every(TICK, this::tick);
+        node.control().every(Duration.ofMillis(settings.peers().listMillis()), this::doDuties);
+        listen();
+        LOG.info("entry instance={} listens", node.identity().instance());
+    }
+
+    private void listen() {
+        EntrySettings.Limits limits = settings.limits();
+        callerListener = HttpListener.start(
+                settings.listen().callers(),
+                new HttpListener.Bounds(
+                        limits.bodyBytes(), limits.headerBytes(), limits.connections(), limits.idleMillis()),
+                CALLER_THREADS,
+                Optional.empty(),
+                callers);
+        operatorListener = HttpListener.start(
+                settings.listen().operators(),
+                HttpListener.Bounds.usual(),
+                1,
+                Optional.empty(),
+                OperatorServer.desk(
+                        desk(), settings.operators(), OperatorServer.watching(node.metrics(), this::healthy)));
+    }
+
+    private OperatorDesk desk() {
+        Links links = new Links(
+                settings.links().originBytesPerSecond(), settings.links().instanceBytesPerSecond());
+        LinkPacer unpaced = new LinkPacer(settings.links().instanceBytesPerSecond(), () -> 1);
+        WeightsClient weights = new WeightsClient(
+                node.http(), settings.platform(), node.peers(), unpaced, node.configuration()::generation);
+        return new OperatorDesk(
+                new OperatorDesk.Parts(
+                        settings.instance().id(),
+                        links,
+                        node.configuration(),
+                        node.writer(),
+                        node.platform(),
+                        table,
+                        weights,
+                        node.peers(),
+                        router,
+                        flow::waiting),
+                Node::newId,
+                node.clock());
+    }
+
+    private boolean healthy() {
+        return node.configuration().known()
+                && node.configuration().view().stopped().isEmpty()
+                && !callers.leaving();
+    }
+
+    private StatusReply status() {
+        FoldedState state = node.configuration().current();
+        return StatusReply.newBuilder()
+                .setGeneration(state.offset())
+                .setInstance(node.identity().instance())
+                .setRegion(node.identity().region())
+                .setHall(node.identity().hall())
+                .setEpoch(node.identity().epochText())
+                .build();
+    }
+
+    // -- on the control thread
+
+    private void askAgents() {
+        FoldedState state = node.configuration().current();
+        for (Replica replica : table.wanted(state)) {
+            node.peers()
+                    .status(replica.address(), state.offset())
+                    .thenAccept(result -> result.toOptional()
+                            .filter(reply -> reply.getInstance().equals(replica.instance()))
+                            .map(this::view)
+                            .ifPresent(view -> node.control().execute(() -> heard(view))));
+        }
+    }
+
+    private PeerView view(StatusReply reply) {
+        return new PeerView(
+                reply.getInstance(),
+                reply.getEpoch(),
+                reply.getGeneration(),
+                reply.getDigest(),
+                true,
+                reply.getLoad().getLeaving(),
+                reply.getReplicasList().stream()
+                        .map(one -> Wire.fromWire(reply.getInstance(), one))
+                        .collect(Collectors.toMap(ReplicaView::placement, Function.identity())),
+                Wire.fromWire(reply.getLoad(), node.clock().millis()));
+    }
+
+    private void heard(PeerView view) {
+        table.heard(view);
+        threads.execute(flow::wake);
+    }
+
+    private void tick() {
+        table.publish();
+        if (flow.waiting() > 0) {
+            threads.execute(flow::wake);
+        }
+    }
+
+    private void doDuties() {
+        table.listed(node.instances());
+        duties.repairs(node.configuration().current(), node.instances(), this::silent)
+                .forEach(this::write);
+        duties.checkpoint(node.configuration().view(), node.instances()).ifPresent(this::write);
+    }
+
+    private boolean silent(String instance) {
+        PeerView peer = table.peers().get(instance);
+        return peer == null || !peer.reachable();
+    }
+
+    private void write(Record record) {
+        threads.execute(() -> LOG.info(
+                "duty record={} result={}",
+                record.getClass().getSimpleName(),
+                node.writer().write(record, WRITE_WITHIN)));
+    }
+
+    // -- stopping
+
+    /** Takes no new requests, waits for those that are open, and stops. */
+    @Override
+    public void close() {
+        LOG.info("entry instance={} leaves, open={}", node.identity().instance(), callers.open());
+        callers.leave();
+        while (callers.open() > 0) {
+            try {
+                Thread.sleep(STOP_LOOK_MILLIS);
+            } catch (InterruptedException e) {
+                break;
+            }
+        }
+        callerListener.close();
+        operatorListener.close();
+        server.shutdownNow();
+        claims.forEach(Claims::close);
+        threads.shutdownNow();
+        node.close();
+        LOG.info("entry instance={} has stopped", node.identity().instance());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/process/Node.java
@@ -0,0 +1,178 @@
+package org.micabarrow.process;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Objects;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Stream;
+import org.micabarrow.coordination.Configuration;
+import org.micabarrow.coordination.ConfigurationReader;
+import org.micabarrow.coordination.ControlThread;
+import org.micabarrow.coordination.HallRelays;
+import org.micabarrow.coordination.Identity;
+import org.micabarrow.coordination.RecordWriter;
+import org.micabarrow.settings.Common;
+import org.micabarrow.state.Instance;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.PeerChannels;
+import org.micabarrow.transport.PeerClient;
+import org.micabarrow.transport.PlatformClient;
+
+/** The parts that an entry and an agent have alike. */
+final class Node implements AutoCloseable {
+
+    private static final int HTTP_THREADS = 2;
+    private static final Duration LIST_AT_START = Duration.ofSeconds(2);
+
+    private final Identity identity;
+    private final InstantSource clock = InstantSource.system();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final ControlThread control = ControlThread.start("control");
+    private final Configuration configuration = new Configuration(control, clock);
+    private final HttpCaller http = HttpCaller.start("http-client", HTTP_THREADS);
+    private final AtomicReference<List<Instance>> instances = new AtomicReference<>(List.of());
+    private final PlatformClient platform;
+    private final PeerChannels channels = new PeerChannels(metrics);
+    private final PeerClient peers;
+    private final RecordWriter writer;
+    private final long listMillis;
+    private ConfigurationReader reader;
+
+    Node(Common.Place place, Common.Platform services, long listMillis) {
+        Objects.requireNonNull(place, "place is null");
+        this.identity = new Identity(place.id(), place.region(), place.hall(), clock.millis());
+        this.platform = new PlatformClient(http, services);
+        this.peers = new PeerClient(place.id(), clock, channels::connect, this::knownPeers, metrics);
+        this.writer = new RecordWriter(platform, configuration, clock);
+        this.listMillis = listMillis;
+        registerFigures();
+    }
+
+    private void registerFigures() {
+        gauge(
+                "process.cpuMillis",
+                () -> ProcessHandle.current()
+                        .info()
+                        .totalCpuDuration()
+                        .map(Duration::toMillis)
+                        .orElse(0L));
+        gauge(
+                "process.heapBytes",
+                () -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
+        gauge("configuration.generation", configuration::generation);
+        gauge("configuration.silentMillis", configuration::silentMillis);
+        gauge("configuration.stopped", () -> configuration.view().stopped().isPresent() ? 1 : 0);
+        gauge("http.sentBytes", http::sentBytes);
+        gauge("http.receivedBytes", http::receivedBytes);
+    }
+
+    <T> void gauge(String name, Gauge<T> gauge) {
+        metrics.registerGauge(name, gauge);
+    }
+
+    // -- parts
+
+    Identity identity() {
+        return identity;
+    }
+
+    InstantSource clock() {
+        return clock;
+    }
+
+    MetricRegistry metrics() {
+        return metrics;
+    }
+
+    ControlThread control() {
+        return control;
+    }
+
+    Configuration configuration() {
+        return configuration;
+    }
+
+    HttpCaller http() {
+        return http;
+    }
+
+    PlatformClient platform() {
+        return platform;
+    }
+
+    PeerChannels channels() {
+        return channels;
+    }
+
+    PeerClient peers() {
+        return peers;
+    }
+
+    RecordWriter writer() {
+        return writer;
+    }
+
+    List<Instance> instances() {
+        return instances.get();
+    }
+
+    static String newId() {
+        return UUID.randomUUID().toString();
+    }
+
+    // -- running
+
+    /** Begins to read the list of instances and the configuration. */
+    void start() {
+        readList();
+        Thread list = new Thread(this::readListAgainAndAgain, "instance-list");
+        list.setDaemon(true);
+        list.start();
+        reader = ConfigurationReader.start(configuration, platform, peers, this::relays);
+    }
+
+    private void readListAgainAndAgain() {
+        while (true) {
+            try {
+                Thread.sleep(instances().isEmpty() ? Math.min(listMillis, LIST_AT_START.toMillis()) : listMillis);
+            } catch (InterruptedException e) {
+                return;
+            }
+            readList();
+        }
+    }
+
+    private void readList() {
+        platform.read().toOptional().ifPresent(instances::set);
+    }
+
+    private List<String> relays() {
+        return HallRelays.of(identity.instance(), identity.hall(), instances());
+    }
+
+    /** Other processes, the nearest first. */
+    private List<String> knownPeers() {
+        Stream<Instance> near = instances().stream().filter(one -> one.hall().equals(identity.hall()));
+        Stream<Instance> far = instances().stream().filter(one -> !one.hall().equals(identity.hall()));
+        return Stream.concat(near, far)
+                .filter(one -> !one.id().equals(identity.instance()))
+                .map(Instance::address)
+                .toList();
+    }
+
+    @Override
+    public void close() {
+        if (reader != null) {
+            reader.close();
+        }
+        peers.close();
+        channels.close();
+        control.close();
+        http.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/settings/IntentReader.java
@@ -0,0 +1,141 @@
+package org.micabarrow.settings;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+import java.util.Optional;
+import org.micabarrow.settings.JsonDocument.Rule;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Intent;
+import org.micabarrow.state.Organisation;
+import org.micabarrow.state.Placement;
+import org.micabarrow.state.Result;
+
+/**
+ * Reads operators' intents.
+ *
+ * <pre>{@code
+ * Result<Intent> intent = IntentReader.read("intent.jsonc", bytes);
+ * }</pre>
+ */
+public final class IntentReader {
+
+    private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
+    private static final String A_NAME = "1 to 63 letters, digits, '.', '_' or '-'";
+    private static final String DIGEST = "[0-9a-f]{64}";
+    private static final String A_DIGEST = "a SHA-256 of 64 hexadecimal digits";
+
+    private static final List<Rule> RULES = List.of(
+            Rule.pattern("/organisations/*/name", NAME, A_NAME),
+            Rule.pattern("/organisations/*/tokenDigest", DIGEST, A_DIGEST),
+            Rule.range("/organisations/*/weight", 1, 1000),
+            Rule.pattern("/placements/*/name", NAME, A_NAME),
+            Rule.pattern("/placements/*/target/type", "model|service", "model or service"),
+            Rule.pattern("/placements/*/target/name", NAME, A_NAME),
+            Rule.pattern("/placements/*/target/version", DIGEST, A_DIGEST),
+            Rule.pattern("/placements/*/target/adapters/*", DIGEST, A_DIGEST),
+            Rule.range("/placements/*/replicas", 0, 100_000),
+            Rule.pattern("/placements/*/prefer", "time|originBytes", "time or originBytes"),
+            Rule.pattern("/placements/*/whenCutOff", "serve|refuse", "serve or refuse"),
+            Rule.range("/placements/*/envelope/replacements", 0, 100_000),
+            Rule.range("/placements/*/envelope/originBytes", 0, Long.MAX_VALUE));
+
+    private IntentReader() {}
+
+    /**
+     * Reads an intent.
+     *
+     * @param file the file's name, for errors
+     * @param bytes the text
+     * @return the intent, or everything that is wrong with it
+     */
+    public static Result<Intent> read(String file, byte[] bytes) {
+        return JsonDocument.parse(file, bytes, Fault.Step.INTENT)
+                .flatMap(document -> document.bind(Form.class, RULES))
+                .map(Form::intent);
+    }
+
+    /** The form in which an intent is written. */
+    record Form(Optional<List<OrganisationForm>> organisations, Optional<List<PlacementForm>> placements) {
+
+        Intent intent() {
+            return new Intent(
+                    organisations.orElse(List.of()).stream()
+                            .map(OrganisationForm::organisation)
+                            .toList(),
+                    placements.orElse(List.of()).stream()
+                            .map(PlacementForm::declared)
+                            .toList());
+        }
+    }
+
+    /** An organisation as written. */
+    record OrganisationForm(String name, String tokenDigest, Optional<Integer> weight) {
+
+        Organisation organisation() {
+            return new Organisation(name, tokenDigest, weight.orElse(1));
+        }
+    }
+
+    /** A placement as written. */
+    record PlacementForm(
+            String name,
+            TargetForm target,
+            Optional<List<String>> regions,
+            Optional<List<String>> halls,
+            List<String> organisations,
+            int replicas,
+            Optional<String> prefer,
+            Optional<String> whenCutOff,
+            Optional<EnvelopeForm> envelope) {
+
+        Intent.Declared declared() {
+            EnvelopeForm allowed = envelope.orElse(new EnvelopeForm(Optional.empty(), Optional.empty()));
+            return new Intent.Declared(
+                    name,
+                    target.target(),
+                    regions.orElse(List.of()),
+                    halls.orElse(List.of()),
+                    organisations,
+                    replicas,
+                    prefer.orElse("time").equals("time") ? Placement.Prefer.TIME : Placement.Prefer.ORIGIN_BYTES,
+                    whenCutOff.orElse("serve").equals("serve") ? Placement.CutOff.SERVE : Placement.CutOff.REFUSE,
+                    new Placement.Envelope(
+                            allowed.replacements().orElse(0),
+                            allowed.originBytes().orElse(0L)));
+        }
+    }
+
+    /** An envelope as written. */
+    record EnvelopeForm(Optional<Integer> replacements, Optional<Long> originBytes) {}
+
+    /** What is placed, as written. */
+    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+    @JsonSubTypes({
+        @JsonSubTypes.Type(value = ModelForm.class, name = "model"),
+        @JsonSubTypes.Type(value = ServiceForm.class, name = "service")
+    })
+    sealed interface TargetForm {
+
+        /** The target as the planner takes it. */
+        Intent.Target target();
+    }
+
+    /** A model as written. */
+    record ModelForm(String name, String version, Optional<List<String>> adapters) implements TargetForm {
+
+        @Override
+        public Intent.Target target() {
+            return new Intent.Target.Model(name, version, adapters.orElse(List.of()));
+        }
+    }
+
+    /** A service as written. */
+    record ServiceForm(String name, Optional<Boolean> repeatable) implements TargetForm {
+
+        @Override
+        public Intent.Target target() {
+            return new Intent.Target.Service(name, repeatable.orElse(false));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/settings/JsonDocument.java
@@ -0,0 +1,235 @@
+package org.micabarrow.settings;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.exc.PropertyBindingException;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.Result;
+
+/**
+ * A JSON text with comments that knows on which line each field stands.
+ *
+ * <pre>{@code
+ * Result<AgentSettings> settings = JsonDocument.parse("agent.jsonc", bytes, Fault.Step.SETTINGS)
+ *         .flatMap(document -> document.bind(AgentSettings.class, rules));
+ * }</pre>
+ */
+public final class JsonDocument {
+
+    private static final ObjectMapper MAPPER = JsonMapper.builder(JsonFactory.builder()
+                    .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+                    .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+                    .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                    .build())
+            .addModule(new Jdk8Module())
+            .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+            .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+            .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+            .build();
+
+    private final String file;
+    private final Fault.Step step;
+    private final JsonNode root;
+    private final Map<String, Integer> lines;
+
+    private JsonDocument(String file, Fault.Step step, JsonNode root, Map<String, Integer> lines) {
+        this.file = file;
+        this.step = step;
+        this.root = root;
+        this.lines = lines;
+    }
+
+    /**
+     * Parses a text.
+     *
+     * @param file the file's name, for errors
+     * @param bytes the text in UTF-8
+     * @param step the step to name in faults
+     * @return the document, or where it is broken
+     */
+    public static Result<JsonDocument> parse(String file, byte[] bytes, Fault.Step step) {
+        Objects.requireNonNull(file, "file is null");
+        try {
+            JsonNode root = MAPPER.readTree(bytes);
+            if (root == null || !root.isObject()) {
+                return Result.failure(Fault.of(step, file, Reason.INVALID, file + ": the text is not a JSON object"));
+            }
+            return Result.success(new JsonDocument(file, step, root, linesOf(bytes)));
+        } catch (JsonProcessingException e) {
+            int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
+            return Result.failure(
+                    Fault.of(step, file, Reason.INVALID, file + ":" + line + ": " + e.getOriginalMessage()));
+        } catch (IOException e) {
+            return Result.failure(Fault.of(step, file, Reason.INVALID, file + ": " + e.getMessage()));
+        }
+    }
+
+    private static Map<String, Integer> linesOf(byte[] bytes) throws IOException {
+        Map<String, Integer> lines = new HashMap<>();
+        try (JsonParser parser = MAPPER.createParser(bytes)) {
+            for (JsonToken token = parser.nextToken(); token != null; token = parser.nextToken()) {
+                String pointer = parser.getParsingContext().pathAsPointer().toString();
+                lines.putIfAbsent(pointer, parser.currentTokenLocation().getLineNr());
+            }
+        }
+        return lines;
+    }
+
+    /**
+     * A condition on a field.
+     *
+     * @param pointer the field, as in {@code /limits/bodyBytes}; {@code *} stands for each element of a list
+     * @param test the condition
+     * @param allowed what is allowed, for the error
+     */
+    public record Rule(String pointer, Predicate<JsonNode> test, String allowed) {
+
+        /**
+         * A whole number between two bounds.
+         *
+         * @param pointer the field
+         * @param least the least value
+         * @param most the greatest value
+         * @return the rule
+         */
+        public static Rule range(String pointer, long least, long most) {
+            return new Rule(
+                    pointer,
+                    node -> node.isIntegralNumber() && node.asLong() >= least && node.asLong() <= most,
+                    "a whole number from " + least + " to " + most);
+        }
+
+        /**
+         * A text of a form.
+         *
+         * @param pointer the field
+         * @param pattern the regular expression
+         * @param allowed what it stands for
+         * @return the rule
+         */
+        public static Rule pattern(String pointer, String pattern, String allowed) {
+            return new Rule(pointer, node -> node.isTextual() && node.asText().matches(pattern), allowed);
+        }
+    }
+
+    /**
+     * Puts defaults under the document: fields that it lacks are taken from them.
+     *
+     * @param defaults the defaults
+     * @return the completed document
+     */
+    public JsonDocument withDefaults(JsonDocument defaults) {
+        return new JsonDocument(file, step, merged(defaults.root, root), lines);
+    }
+
+    private static JsonNode merged(JsonNode below, JsonNode above) {
+        if (!below.isObject() || !above.isObject()) {
+            return above;
+        }
+        ObjectNode result = below.deepCopy();
+        above.properties().forEach(field -> {
+            JsonNode under = below.get(field.getKey());
+            result.set(field.getKey(), under == null ? field.getValue() : merged(under, field.getValue()));
+        });
+        return result;
+    }
+
+    /**
+     * Binds the document to a type and checks it.
+     *
+     * @param type the type
+     * @param rules the conditions
+     * @param <T> the type
+     * @return the value, or everything that is wrong
+     */
+    public <T> Result<T> bind(Class<T> type, List<Rule> rules) {
+        List<String> errors = new ArrayList<>();
+        rules.forEach(rule -> check(rule, errors));
+        Optional<T> value = Optional.empty();
+        try {
+            value = Optional.of(MAPPER.treeToValue(root, type));
+        } catch (PropertyBindingException e) {
+            errors.add(place(pointerOf(e)) + ": unknown field; allowed here: " + e.getKnownPropertyIds());
+        } catch (JsonMappingException e) {
+            errors.add(place(pointerOf(e)) + ": " + firstLine(e.getOriginalMessage()));
+        } catch (JsonProcessingException e) {
+            errors.add(file + ": " + firstLine(e.getOriginalMessage()));
+        }
+        return errors.isEmpty() && value.isPresent()
+                ? Result.success(value.get())
+                : Result.failure(Fault.of(step, file, Reason.INVALID, String.join("\n", errors)));
+    }
+
+    private static String firstLine(String message) {
+        return message.lines().findFirst().orElse(message);
+    }
+
+    private static String pointerOf(JsonMappingException e) {
+        StringBuilder pointer = new StringBuilder();
+        e.getPath()
+                .forEach(part -> pointer.append('/')
+                        .append(part.getFieldName() == null ? String.valueOf(part.getIndex()) : part.getFieldName()));
+        return pointer.toString();
+    }
+
+    private void check(Rule rule, List<String> errors) {
+        for (String pointer : expand(rule.pointer())) {
+            JsonNode node = root.at(pointer);
+            if (!node.isMissingNode() && !rule.test().test(node)) {
+                errors.add(place(pointer) + ": " + node + " is not allowed; allowed: " + rule.allowed());
+            }
+        }
+    }
+
+    /** Replaces each star by the indices that there are. */
+    private List<String> expand(String pointer) {
+        int star = pointer.indexOf("/*");
+        if (star < 0) {
+            return List.of(pointer);
+        }
+        List<String> expanded = new ArrayList<>();
+        JsonNode list = root.at(pointer.substring(0, star));
+        for (int i = 0; i < list.size(); i++) {
+            expanded.addAll(expand(pointer.substring(0, star) + "/" + i + pointer.substring(star + 2)));
+        }
+        return expanded;
+    }
+
+    private String place(String pointer) {
+        return file + ":" + lineOf(pointer) + ": " + (pointer.isEmpty() ? "/" : pointer);
+    }
+
+    /** The line of a field, or of the nearest thing around it that stands in the file. */
+    private int lineOf(String pointer) {
+        for (String at = pointer; !at.isEmpty(); at = at.substring(0, at.lastIndexOf('/'))) {
+            Integer line = lines.get(at);
+            if (line != null) {
+                return line;
+            }
+        }
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/settings/SettingsReader.java
@@ -0,0 +1,143 @@
+package org.micabarrow.settings;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Objects;
+import java.util.stream.Stream;
+import org.micabarrow.settings.JsonDocument.Rule;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.Result;
+
+/**
+ * Reads and checks settings files.
+ *
+ * <pre>{@code
+ * Result<EntrySettings> settings = SettingsReader.entry(Path.of("entry.jsonc"));
+ * }</pre>
+ */
+public final class SettingsReader {
+
+    private static final String ADDRESS = "[0-9A-Za-z.:\\[\\]-]+:[0-9]{1,5}";
+    private static final String URL = "https?://[0-9A-Za-z.:\\[\\]-]+:[0-9]{1,5}(/[^\\s]*)?";
+    private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
+    private static final String A_NAME = "1 to 63 letters, digits, '.', '_' or '-'";
+    private static final String AN_ADDRESS = "host:port";
+    private static final String A_URL = "http://host:port, with or without a path";
+    private static final long HOUR = 3_600_000;
+    private static final long TERABYTE = 1_000_000_000_000L;
+
+    private static final List<Rule> COMMON = List.of(
+            Rule.pattern("/instance/id", NAME, A_NAME),
+            Rule.pattern("/instance/region", NAME, A_NAME),
+            Rule.pattern("/instance/hall", NAME, A_NAME),
+            Rule.pattern("/listen/operators", ADDRESS, AN_ADDRESS),
+            Rule.pattern("/listen/peers", ADDRESS, AN_ADDRESS),
+            Rule.pattern("/platform/log", URL, A_URL),
+            Rule.pattern("/platform/instances", URL, A_URL),
+            Rule.pattern("/platform/store", URL, A_URL),
+            Rule.pattern("/platform/origin", URL, A_URL),
+            Rule.range("/links/originBytesPerSecond", 1, TERABYTE),
+            Rule.range("/links/instanceBytesPerSecond", 1, TERABYTE),
+            Rule.pattern("/log/format", "text|json", "text or json"),
+            Rule.pattern("/log/level", "error|warn|info|debug|trace", "error, warn, info, debug or trace"));
+
+    private static final List<Rule> ENTRY = List.of(
+            Rule.pattern("/listen/callers", ADDRESS, AN_ADDRESS),
+            Rule.pattern("/operators/*/name", NAME, A_NAME),
+            Rule.pattern("/operators/*/tokenDigest", "[0-9a-f]{64}", "the SHA-256 of a token, 64 hexadecimal digits"),
+            Rule.range("/limits/bodyBytes", 1, 64 << 20),
+            Rule.range("/limits/headerBytes", 1024, 1 << 20),
+            Rule.range("/limits/connections", 1, 1_000_000),
+            Rule.range("/limits/idleMillis", 100, HOUR),
+            Rule.range("/limits/deadlineMillis", 1, HOUR),
+            Rule.range("/limits/claimMillis", 10, 60_000),
+            Rule.range("/limits/claimKeptMillis", 1_000, 7 * 24 * HOUR),
+            Rule.range("/limits/claimStreams", 1, 64),
+            new Rule(
+                    "/limits/retryShare",
+                    node -> node.isNumber() && node.asDouble() >= 0 && node.asDouble() <= 1,
+                    "0 to 1"),
+            Rule.range("/peers/statusMillis", 50, 60_000),
+            Rule.range("/peers/unreachableMillis", 100, 600_000),
+            Rule.range("/peers/listMillis", 50, 600_000),
+            Rule.range("/peers/repairMillis", 100, HOUR),
+            Rule.range("/peers/checkpointMillis", 100, 24 * HOUR),
+            Rule.range("/peers/agentsPerPlacement", 1, 10_000));
+
+    private static final List<Rule> AGENT = List.of(
+            Rule.pattern("/endpoint/kind", "engine|service", "engine or service"),
+            Rule.pattern("/endpoint/url", URL, A_URL),
+            Rule.range("/endpoint/reportMillis", 20, 60_000),
+            Rule.range("/weights/windowBytes", 1, 1L << 30),
+            Rule.range("/weights/patienceMillis", 10, 600_000),
+            Rule.range("/weights/lingerMillis", 0, HOUR),
+            Rule.range("/weights/budgetMillis", 10, 60_000),
+            Rule.range("/limits/leastConcurrency", 1, 10_000),
+            Rule.range("/limits/mostConcurrency", 1, 10_000),
+            Rule.range("/limits/ledgerKeys", 1, 1_000_000),
+            Rule.range("/limits/ledgerBytes", 0, 1L << 30),
+            Rule.range("/limits/ledgerKeptMillis", 0, 24 * HOUR),
+            Rule.range("/limits/cutOffMillis", 100, 24 * HOUR),
+            Rule.range("/limits/stopMillis", 0, 24 * HOUR));
+
+    private SettingsReader() {}
+
+    /**
+     * Reads an entry's settings.
+     *
+     * @param file the file
+     * @return the settings, or everything that is wrong with them
+     */
+    public static Result<EntrySettings> entry(Path file) {
+        return read(file, "entry-defaults.jsonc", EntrySettings.class, ENTRY);
+    }
+
+    /**
+     * Reads an agent's settings.
+     *
+     * @param file the file
+     * @return the settings, or everything that is wrong with them
+     */
+    public static Result<AgentSettings> agent(Path file) {
+        return read(file, "agent-defaults.jsonc", AgentSettings.class, AGENT);
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @param file the file
+     * @param step the step to name in faults
+     * @return its bytes, or why it cannot be read
+     */
+    public static Result<byte[]> bytes(Path file, Fault.Step step) {
+        Objects.requireNonNull(file, "file is null");
+        try {
+            return Result.success(Files.readAllBytes(file));
+        } catch (IOException e) {
+            return Result.failure(
+                    Fault.of(step, file.toString(), Reason.NOT_FOUND, file + ": cannot be read (" + e + ")"));
+        }
+    }
+
+    private static <T> Result<T> read(Path file, String defaults, Class<T> type, List<Rule> rules) {
+        List<Rule> all = Stream.concat(COMMON.stream(), rules.stream()).toList();
+        return bytes(file, Fault.Step.SETTINGS)
+                .flatMap(bytes -> JsonDocument.parse(file.toString(), bytes, Fault.Step.SETTINGS))
+                .flatMap(document -> defaults(defaults)
+                        .flatMap(below -> document.withDefaults(below).bind(type, all)));
+    }
+
+    private static Result<JsonDocument> defaults(String name) {
+        try (InputStream in = SettingsReader.class.getResourceAsStream(name)) {
+            Objects.requireNonNull(in, "the program lacks " + name);
+            return JsonDocument.parse(name, in.readAllBytes(), Fault.Step.SETTINGS);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/standin/ServiceStandin.java
@@ -0,0 +1,78 @@
+package org.micabarrow.standin;
+
+import io.undertow.Handlers;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.BlockingHandler;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.micabarrow.coordination.Endpoint;
+import org.micabarrow.state.Digest;
+import org.micabarrow.transport.HttpListener;
+
+/** A plain service that counts how often each body has been run, as a billing service would charge it. */
+public final class ServiceStandin implements AutoCloseable {
+
+    private static final int THREADS = 4;
+    private static final int SLOTS = 32;
+
+    private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+    private final AtomicInteger running = new AtomicInteger();
+    private final long millis;
+    private final HttpListener listener;
+
+    private ServiceStandin(String address, long millis) {
+        this.millis = millis;
+        this.listener = HttpListener.start(
+                address,
+                HttpListener.Bounds.usual(),
+                THREADS,
+                Optional.empty(),
+                new BlockingHandler(Handlers.path(this::run)
+                        .addExactPath(
+                                "/report",
+                                exchange ->
+                                        Replies.json(exchange, new Endpoint.Report(List.of(), running.get(), 0, SLOTS)))
+                        .addExactPath("/runs", exchange -> Replies.json(exchange, runs))));
+    }
+
+    /**
+     * Starts a service.
+     *
+     * @param address the host and port
+     * @param millis how long each call takes
+     * @return the running service
+     */
+    public static ServiceStandin start(String address, long millis) {
+        return new ServiceStandin(address, millis);
+    }
+
+    /**
+     * How often each body has been run.
+     *
+     * @return the counts by the body's digest
+     */
+    public Map<String, Integer> runs() {
+        return Map.copyOf(runs);
+    }
+
+    private void run(HttpServerExchange exchange) throws IOException, InterruptedException {
+        byte[] body = exchange.getInputStream().readAllBytes();
+        running.incrementAndGet();
+        try {
+            int count = runs.merge(Digest.of(body), 1, Integer::sum);
+            Thread.sleep(millis);
+            Replies.json(exchange, Map.of("done", Digest.of(body), "count", count));
+        } finally {
+            running.decrementAndGet();
+        }
+    }
+
+    @Override
+    public void close() {
+        listener.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/state/Digest.java
@@ -0,0 +1,75 @@
+package org.micabarrow.state;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * SHA-256 digests, written as lower-case hexadecimal.
+ *
+ * <pre>{@code
+ * String tokenDigest = Digest.of("secret");
+ * }</pre>
+ */
+public final class Digest {
+
+    /** The number of characters of a digest. */
+    public static final int LENGTH = 64;
+
+    private Digest() {}
+
+    /**
+     * The digest of a text in UTF-8.
+     *
+     * @param text the text
+     * @return its digest
+     */
+    public static String of(String text) {
+        return of(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * The digest of bytes.
+     *
+     * @param bytes the bytes
+     * @return their digest
+     */
+    public static String of(byte[] bytes) {
+        return HexFormat.of().formatHex(start().digest(bytes));
+    }
+
+    /**
+     * A digest to be fed piece by piece.
+     *
+     * @return a fresh SHA-256
+     */
+    public static MessageDigest start() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+
+    /**
+     * Whether a text has the form of a digest.
+     *
+     * @param text the text
+     * @return true for 64 lower-case hexadecimal characters
+     */
+    public static boolean isDigest(String text) {
+        return text.length() == LENGTH && text.chars().allMatch(c -> c >= '0' && c <= '9' || c >= 'a' && c <= 'f');
+    }
+
+    /**
+     * A number for rendezvous hashing, the same on every node.
+     *
+     * @param parts the texts to hash together
+     * @return the first eight bytes of their digest
+     */
+    public static long rank(String... parts) {
+        byte[] digest = start().digest(String.join("\n", parts).getBytes(StandardCharsets.UTF_8));
+        return java.nio.ByteBuffer.wrap(digest).getLong();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/transport/ChunkSender.java
@@ -0,0 +1,123 @@
+package org.micabarrow.transport;
+
+import com.google.protobuf.UnsafeByteOperations;
+import io.grpc.Status;
+import io.grpc.stub.ServerCallStreamObserver;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Function;
+import org.micabarrow.coordination.ChunkWindow;
+import org.micabarrow.coordination.ReplicaControl;
+import org.micabarrow.protocol.wire.Chunk;
+import org.micabarrow.protocol.wire.ChunksRequest;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Result;
+
+/** Sends an artifact's chunks to one receiver, each as soon as it is here and the receiver asks for it. */
+final class ChunkSender {
+
+    private static final Duration LOOK = Duration.ofMillis(500);
+    private static final long COMING_LOOK_MILLIS = 10;
+
+    private final ChunksRequest request;
+    private final ServerCallStreamObserver<Chunk> replies;
+    private final LinkPacer link;
+    private final Object ready = new Object();
+
+    ChunkSender(ChunksRequest request, ServerCallStreamObserver<Chunk> replies, LinkPacer link) {
+        this.request = request;
+        this.replies = replies;
+        this.link = link;
+        replies.setOnReadyHandler(this::wake);
+        replies.setOnCancelHandler(this::wake);
+    }
+
+    private void wake() {
+        synchronized (ready) {
+            ready.notifyAll();
+        }
+    }
+
+    /** Ends the stream before it has begun. */
+    void refuse(Status status) {
+        replies.onError(status.asRuntimeException());
+    }
+
+    /** Sends until the receiver has all, or leaves, or falls out of the window. */
+    void run(Function<String, ReplicaControl.Holding> windows) {
+        try {
+            Optional<ChunkWindow> window = awaitWindow(windows);
+            if (window.isPresent()) {
+                sendAll(window.get());
+            } else if (!replies.isCancelled()) {
+                refuse(Status.NOT_FOUND.withDescription("nothing of " + request.getVersion() + " is held here"));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** A receiver may be quicker than this instance to hear of a plan; it waits here and not at the origin. */
+    private Optional<ChunkWindow> awaitWindow(Function<String, ReplicaControl.Holding> windows)
+            throws InterruptedException {
+        ReplicaControl.Holding holding = windows.apply(request.getVersion());
+        while (holding instanceof ReplicaControl.Holding.Coming && !replies.isCancelled()) {
+            synchronized (ready) {
+                ready.wait(COMING_LOOK_MILLIS);
+            }
+            holding = windows.apply(request.getVersion());
+        }
+        return holding instanceof ReplicaControl.Holding.Held(ChunkWindow window)
+                ? Optional.of(window)
+                : Optional.empty();
+    }
+
+    private void sendAll(ChunkWindow window) throws InterruptedException {
+        try {
+            sendFrom(window, request.getFrom());
+        } finally {
+            window.leave(request.getReceiver());
+        }
+    }
+
+    private void sendFrom(ChunkWindow window, int from) throws InterruptedException {
+        int index = from;
+        while (index < window.total()) {
+            awaitReady();
+            if (replies.isCancelled()) {
+                return;
+            }
+            Result<Optional<byte[]>> chunk = window.read(request.getReceiver(), index, LOOK);
+            if (chunk instanceof Result.Failure<Optional<byte[]>>(Fault fault)) {
+                refuse(Status.OUT_OF_RANGE.withDescription(fault.message()));
+                return;
+            }
+            Optional<byte[]> data = chunk.toOptional().orElseThrow();
+            if (data.isPresent()) {
+                send(index, data.get());
+                index++;
+            }
+        }
+        if (!replies.isCancelled()) {
+            replies.onCompleted();
+        }
+    }
+
+    private void awaitReady() throws InterruptedException {
+        synchronized (ready) {
+            while (!replies.isReady() && !replies.isCancelled()) {
+                ready.wait(LOOK.toMillis());
+            }
+        }
+    }
+
+    private void send(int index, byte[] data) {
+        link.take(data.length);
+        if (!replies.isCancelled()) {
+            replies.onNext(Chunk.newBuilder()
+                    .setIndex(index)
+                    .setData(UnsafeByteOperations.unsafeWrap(data))
+                    .build());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/transport/HttpCall.java
@@ -0,0 +1,84 @@
+package org.micabarrow.transport;
+
+import java.net.URI;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import org.micabarrow.state.Fault;
+
+/**
+ * A request to be sent by {@link HttpCaller}.
+ *
+ * <pre>{@code
+ * HttpCall call = HttpCall.post(Fault.Step.LOG, uri, body).withHeader("Authorization", "Bearer " + token);
+ * }</pre>
+ *
+ * @param step the step to name in faults
+ * @param method the HTTP method
+ * @param uri where to
+ * @param headers the headers
+ * @param body the body, empty for none
+ */
+public record HttpCall(Fault.Step step, String method, URI uri, Map<String, String> headers, byte[] body) {
+
+    private static final byte[] NOTHING = {};
+
+    /** Copies the headers. */
+    public HttpCall {
+        Objects.requireNonNull(step, "step is null");
+        Objects.requireNonNull(uri, "uri is null");
+        headers = Map.copyOf(headers);
+    }
+
+    /**
+     * A request without a body.
+     *
+     * @param step the step to name in faults
+     * @param uri where to
+     * @return the request
+     */
+    public static HttpCall get(Fault.Step step, URI uri) {
+        return new HttpCall(step, "GET", uri, Map.of(), NOTHING);
+    }
+
+    /**
+     * A request with a body.
+     *
+     * @param step the step to name in faults
+     * @param uri where to
+     * @param body the body
+     * @return the request
+     */
+    public static HttpCall post(Fault.Step step, URI uri, byte[] body) {
+        return new HttpCall(step, "POST", uri, Map.of(), body);
+    }
+
+    /**
+     * The same request with one more header.
+     *
+     * @param name the header
+     * @param value its value
+     * @return the request
+     */
+    public HttpCall withHeader(String name, String value) {
+        Map<String, String> more = new HashMap<>(headers);
+        more.put(name, value);
+        return new HttpCall(step, method, uri, more, body);
+    }
+
+    /** The host and port. */
+    String authority() {
+        return uri.getAuthority();
+    }
+
+    /** The peer's name in faults. */
+    String peer() {
+        return uri.getAuthority();
+    }
+
+    /** What stands in the request line. */
+    String pathAndQuery() {
+        String path = uri.getRawPath().isEmpty() ? "/" : uri.getRawPath();
+        return uri.getRawQuery() == null ? path : path + "?" + uri.getRawQuery();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/transport/HttpCaller.java
@@ -0,0 +1,431 @@
+package org.micabarrow.transport;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.LongAdder;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.Result;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * Sends HTTP requests by Undertow's client, and keeps connections for the next request to the same place.
+ *
+ * <pre>{@code
+ * Result<HttpAnswer> answer = caller.call(HttpCall.get(Fault.Step.INSTANCES, uri), Duration.ofSeconds(2));
+ * }</pre>
+ */
+public final class HttpCaller implements AutoCloseable {
+
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int MOST_IDLE = 64;
+
+    private final XnioWorker worker;
+    private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, 256, 4);
+    private final Map<String, ConcurrentLinkedDeque<ClientConnection>> idle = new ConcurrentHashMap<>();
+    private final LongAdder sentBytes = new LongAdder();
+    private final LongAdder receivedBytes = new LongAdder();
+
+    private HttpCaller(XnioWorker worker) {
+        this.worker = worker;
+    }
+
+    /**
+     * Starts a caller.
+     *
+     * @param name the name of its threads
+     * @param threads how many threads do its input and output
+     * @return the running caller
+     */
+    public static HttpCaller start(String name, int threads) {
+        try {
+            return new HttpCaller(Xnio.getInstance()
+                    .createWorker(OptionMap.builder()
+                            .set(Options.WORKER_NAME, name)
+                            .set(Options.WORKER_IO_THREADS, threads)
+                            .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                            .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                            .set(Options.THREAD_DAEMON, true)
+                            .set(Options.TCP_NODELAY, true)
+                            .getMap()));
+        } catch (IOException e) {
+            throw new IllegalStateException("no threads for HTTP", e);
+        }
+    }
+
+    /**
+     * An answer read whole.
+     *
+     * @param status the HTTP status
+     * @param headers the headers, each by its name as sent
+     * @param body the body
+     */
+    public record HttpAnswer(int status, Map<String, String> headers, byte[] body) {}
+
+    /** Receives an answer part by part, on a thread that must not block. */
+    interface Listener {
+
+        void onHead(int status, Map<String, String> headers);
+
+        /** The next part; {@code more} is to be run when the next may come, on any thread. */
+        void onData(byte[] data, Runnable more);
+
+        void onComplete();
+
+        void onFailed(Fault fault, boolean sent);
+    }
+
+    /**
+     * The bytes of bodies sent so far.
+     *
+     * @return their number
+     */
+    public long sentBytes() {
+        return sentBytes.sum();
+    }
+
+    /**
+     * The bytes of bodies received so far.
+     *
+     * @return their number
+     */
+    public long receivedBytes() {
+        return receivedBytes.sum();
+    }
+
+    // -- whole answers
+
+    /**
+     * Sends a request and waits for the whole answer.
+     *
+     * @param call the request
+     * @param within how long to wait
+     * @return the answer, whatever its status
+     */
+    public Result<HttpAnswer> call(HttpCall call, Duration within) {
+        CompletableFuture<Result<HttpAnswer>> done = new CompletableFuture<>();
+        Runnable cancel = send(call, new Whole(done));
+        try {
+            return done.get(within.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            cancel.run();
+            Thread.currentThread().interrupt();
+            return failed(call, Reason.CANCELLED, "interrupted");
+        } catch (TimeoutException e) {
+            cancel.run();
+            return failed(call, Reason.TIMEOUT, "no answer within " + within.toMillis() + " ms");
+        } catch (ExecutionException e) {
+            return failed(call, Reason.UNREACHABLE, String.valueOf(e.getCause()));
+        }
+    }
+
+    private static <T> Result<T> failed(HttpCall call, Reason reason, String message) {
+        return Result.failure(Fault.of(call.step(), call.peer(), reason, message));
+    }
+
+    /** Collects an answer. */
+    private static final class Whole implements Listener {
+
+        private final CompletableFuture<Result<HttpAnswer>> done;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private int status;
+        private Map<String, String> headers = Map.of();
+
+        private Whole(CompletableFuture<Result<HttpAnswer>> done) {
+            this.done = done;
+        }
+
+        @Override
+        public void onHead(int received, Map<String, String> receivedHeaders) {
+            status = received;
+            headers = receivedHeaders;
+        }
+
+        @Override
+        public void onData(byte[] data, Runnable more) {
+            body.writeBytes(data);
+            more.run();
+        }
+
+        @Override
+        public void onComplete() {
+            done.complete(Result.success(new HttpAnswer(status, headers, body.toByteArray())));
+        }
+
+        @Override
+        public void onFailed(Fault fault, boolean sent) {
+            done.complete(Result.failure(fault));
+        }
+    }
+
+    // -- answers part by part
+
+    /**
+     * Sends a request.
+     *
+     * @param call the request
+     * @param listener receives the answer
+     * @return cancels the request when run
+     */
+    Runnable send(HttpCall call, Listener listener) {
+        Objects.requireNonNull(call, "call is null");
+        Exchange exchange = new Exchange(call, listener);
+        Optional<ClientConnection> kept = takeIdle(call.authority());
+        if (kept.isPresent()) {
+            exchange.begin(kept.get());
+        } else {
+            connect(call, exchange);
+        }
+        return exchange::cancel;
+    }
+
+    private void connect(HttpCall call, Exchange exchange) {
+        URI target = URI.create(call.uri().getScheme() + "://" + call.authority());
+        UndertowClient.getInstance()
+                .connect(
+                        new ClientCallback<>() {
+                            @Override
+                            public void completed(ClientConnection connection) {
+                                exchange.begin(connection);
+                            }
+
+                            @Override
+                            public void failed(IOException e) {
+                                exchange.fail(Reason.UNREACHABLE, "cannot connect: " + e.getMessage());
+                            }
+                        },
+                        target,
+                        worker,
+                        buffers,
+                        OptionMap.create(Options.TCP_NODELAY, true));
+    }
+
+    private Optional<ClientConnection> takeIdle(String authority) {
+        ConcurrentLinkedDeque<ClientConnection> kept = idle.get(authority);
+        if (kept == null) {
+            return Optional.empty();
+        }
+        for (ClientConnection one = kept.pollFirst(); one != null; one = kept.pollFirst()) {
+            if (one.isOpen()) {
+                return Optional.of(one);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void keep(String authority, ClientConnection connection) {
+        ConcurrentLinkedDeque<ClientConnection> kept =
+                idle.computeIfAbsent(authority, key -> new ConcurrentLinkedDeque<>());
+        if (connection.isOpen() && !connection.isUpgraded() && kept.size() < MOST_IDLE) {
+            kept.addFirst(connection);
+        } else {
+            IoUtils.safeClose(connection);
+        }
+    }
+
+    /** One request and its answer. */
+    private final class Exchange {
+
+        private final HttpCall call;
+        private final Listener listener;
+        private final AtomicBoolean ended = new AtomicBoolean();
+        private volatile ClientConnection connection;
+        private volatile boolean sent;
+        private volatile boolean cancelled;
+        private StreamSourceChannel source;
+        private boolean mayRead = true;
+        private boolean delivering;
+
+        private Exchange(HttpCall call, Listener listener) {
+            this.call = call;
+            this.listener = listener;
+        }
+
+        // -- request
+
+        private void begin(ClientConnection opened) {
+            connection = opened;
+            if (cancelled) {
+                fail(Reason.CANCELLED, "cancelled");
+                return;
+            }
+            opened.getIoThread().execute(this::sendRequest);
+        }
+
+        private void sendRequest() {
+            ClientRequest request =
+                    new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.pathAndQuery());
+            request.getRequestHeaders().put(Headers.HOST, call.authority());
+            request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
+            call.headers().forEach((name, value) -> request.getRequestHeaders().put(new HttpString(name), value));
+            sent = true;
+            sentBytes.add(call.body().length);
+            connection.sendRequest(request, new ClientCallback<>() {
+                @Override
+                public void completed(ClientExchange exchange) {
+                    exchange.setResponseListener(responseListener());
+                    write(exchange.getRequestChannel(), ByteBuffer.wrap(call.body()));
+                }
+
+                @Override
+                public void failed(IOException e) {
+                    fail(Reason.UNREACHABLE, "the request was not sent: " + e.getMessage());
+                }
+            });
+        }
+
+        private void write(StreamSinkChannel sink, ByteBuffer body) {
+            try {
+                while (body.hasRemaining()) {
+                    if (sink.write(body) == 0) {
+                        sink.getWriteSetter().set(channel -> write(sink, body));
+                        sink.resumeWrites();
+                        return;
+                    }
+                }
+                sink.shutdownWrites();
+                if (!sink.flush()) {
+                    sink.getWriteSetter()
+                            .set(ChannelListeners.flushingChannelListener(
+                                    null,
+                                    (channel, e) ->
+                                            fail(Reason.UNREACHABLE, "the request broke off: " + e.getMessage())));
+                    sink.resumeWrites();
+                }
+            } catch (IOException e) {
+                fail(Reason.UNREACHABLE, "the request broke off: " + e.getMessage());
+            }
+        }
+
+        // -- answer
+
+        private ClientCallback<ClientExchange> responseListener() {
+            return new ClientCallback<>() {
+                @Override
+                public void completed(ClientExchange exchange) {
+                    Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+                    exchange.getResponse()
+                            .getResponseHeaders()
+                            .forEach(
+                                    values -> headers.put(values.getHeaderName().toString(), values.getFirst()));
+                    listener.onHead(exchange.getResponse().getResponseCode(), headers);
+                    source = exchange.getResponseChannel();
+                    source.getReadSetter().set(channel -> read());
+                    read();
+                }
+
+                @Override
+                public void failed(IOException e) {
+                    fail(Reason.UNREACHABLE, "no answer: " + e.getMessage());
+                }
+            };
+        }
+
+        private void read() {
+            try (PooledByteBuffer pooled = buffers.allocate()) {
+                ByteBuffer buffer = pooled.getBuffer();
+                while (mayRead && !ended.get()) {
+                    buffer.clear();
+                    int count = source.read(buffer);
+                    if (count < 0) {
+                        complete();
+                        return;
+                    }
+                    if (count == 0) {
+                        source.resumeReads();
+                        return;
+                    }
+                    buffer.flip();
+                    byte[] data = new byte[buffer.remaining()];
+                    buffer.get(data);
+                    receivedBytes.add(count);
+                    deliver(data);
+                }
+                source.suspendReads();
+            } catch (IOException e) {
+                fail(Reason.UNREACHABLE, "the answer broke off: " + e.getMessage());
+            }
+        }
+
+        /** Hands a part over; reading goes on when the listener asks for more, at once or later. */
+        private void deliver(byte[] data) {
+            mayRead = false;
+            delivering = true;
+            listener.onData(data, this::more);
+            delivering = false;
+        }
+
+        private void more() {
+            if (Thread.currentThread() == source.getIoThread() && delivering) {
+                mayRead = true;
+            } else {
+                source.getIoThread().execute(this::readOn);
+            }
+        }
+
+        private void readOn() {
+            mayRead = true;
+            read();
+        }
+
+        private void complete() {
+            if (ended.compareAndSet(false, true)) {
+                keep(call.authority(), connection);
+                listener.onComplete();
+            }
+        }
+
+        // -- failing
+
+        private void fail(Reason reason, String message) {
+            if (ended.compareAndSet(false, true)) {
+                IoUtils.safeClose(connection);
+                listener.onFailed(Fault.of(call.step(), call.peer(), reason, message), sent);
+            }
+        }
+
+        private void cancel() {
+            cancelled = true;
+            if (connection != null) {
+                fail(Reason.CANCELLED, "cancelled");
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        idle.values().forEach(kept -> kept.forEach(IoUtils::safeClose));
+        worker.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/transport/WeightsClient.java
@@ -0,0 +1,125 @@
+package org.micabarrow.transport;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.function.LongSupplier;
+import org.micabarrow.coordination.Source;
+import org.micabarrow.coordination.Weights;
+import org.micabarrow.settings.Common;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.state.Manifest;
+import org.micabarrow.state.Result;
+
+/** Reads weights: from the store and the origin over HTTP, from other agents over gRPC. */
+public final class WeightsClient implements Weights {
+
+    private static final Duration MANIFEST_WITHIN = Duration.ofSeconds(5);
+    private static final int OK = 200;
+
+    private final HttpCaller caller;
+    private final Common.Platform platform;
+    private final PeerClient peers;
+    private final LinkPacer link;
+    private final LongSupplier generation;
+
+    /**
+     * Makes a client.
+     *
+     * @param caller sends HTTP requests
+     * @param platform where store and origin are
+     * @param peers reaches other agents
+     * @param link holds what is received to the link's rate
+     * @param generation the generation in force here
+     */
+    public WeightsClient(
+            HttpCaller caller, Common.Platform platform, PeerClient peers, LinkPacer link, LongSupplier generation) {
+        this.caller = Objects.requireNonNull(caller, "caller is null");
+        this.platform = Objects.requireNonNull(platform, "platform is null");
+        this.peers = Objects.requireNonNull(peers, "peers is null");
+        this.link = Objects.requireNonNull(link, "link is null");
+        this.generation = Objects.requireNonNull(generation, "generation is null");
+    }
+
+    @Override
+    public Result<Manifest> manifest(String artifact) {
+        Result<Manifest> stored = manifestFrom(platform.store(), artifact);
+        return stored instanceof Result.Success ? stored : manifestFrom(platform.origin(), artifact);
+    }
+
+    private Result<Manifest> manifestFrom(String base, String artifact) {
+        HttpCall call = HttpCall.get(Step.FETCH, URI.create(base + "/weights/" + artifact + "/manifest"));
+        return caller.call(call, MANIFEST_WITHIN)
+                .flatMap(answer -> PlatformClient.read(call, answer, Manifest.class))
+                .flatMap(manifest -> manifest.version().equals(artifact)
+                        ? Result.success(manifest)
+                        : Result.failure(Fault.of(
+                                Step.FETCH,
+                                base,
+                                Reason.CORRUPT,
+                                "the manifest of " + artifact + " has another digest")));
+    }
+
+    @Override
+    public Feed open(Source source, String artifact, int from) {
+        Feed feed = switch (source) {
+            case Source.Peer peer -> peers.chunks(peer.replica().address(), artifact, from, generation.getAsLong());
+            case Source.Store ignored -> new HttpFeed(platform.store(), artifact, from);
+            case Source.Origin ignored -> new HttpFeed(platform.origin(), artifact, from);
+        };
+        return new PacedFeed(feed);
+    }
+
+    /** Holds a feed to the rate of this instance's link. */
+    private final class PacedFeed implements Feed {
+
+        private final Feed feed;
+
+        private PacedFeed(Feed feed) {
+            this.feed = feed;
+        }
+
+        @Override
+        public Result<byte[]> next(Duration patience) {
+            Result<byte[]> data = feed.next(patience);
+            data.toOptional().ifPresent(bytes -> link.take(bytes.length));
+            return data;
+        }
+
+        @Override
+        public void close() {
+            feed.close();
+        }
+    }
+
+    /** Reads chunk by chunk over HTTP. */
+    private final class HttpFeed implements Feed {
+
+        private final String base;
+        private final String artifact;
+        private int index;
+
+        private HttpFeed(String base, String artifact, int from) {
+            this.base = base;
+            this.artifact = artifact;
+            this.index = from;
+        }
+
+        @Override
+        public Result<byte[]> next(Duration patience) {
+            HttpCall call = HttpCall.get(Step.FETCH, URI.create(base + "/weights/" + artifact + "/chunks/" + index++));
+            return caller.call(call, patience)
+                    .flatMap(answer -> answer.status() == OK
+                            ? Result.success(answer.body())
+                            : Result.failure(Fault.of(
+                                    Step.FETCH, base, Reason.UNREACHABLE, "a chunk gave status " + answer.status())));
+        }
+
+        @Override
+        public void close() {
+            // Every chunk is a request of its own; nothing stays open between them.
+        }
+    }
+}
