--- a/src/main/java/org/micabarrow/coordination/Claims.java
+++ b/src/main/java/org/micabarrow/coordination/Claims.java
@@ -26,10 +26,10 @@
  * a few hundred appends a second carry many claims.
  *
  * <pre>{@code
- * claims.claim(claim, Duration.ofSeconds(1)).thenAccept(verdict -> ...);
+ * Claims claims = Claims.start(log, "claims-0", Duration.ofHours(1), clock);
  * }</pre>
  */
-public final class Claims implements AutoCloseable {
+public final class Claims implements ClaimWriter, AutoCloseable {
 
     private static final Logger LOG = LoggerFactory.getLogger(Claims.class);
     private static final int MOST_IN_BATCH = 256;
@@ -57,28 +57,7 @@
     }
 
     /** A claim that waits for its verdict. */
-    private record Waiting(Claim claim, long untilMillis, CompletableFuture<Verdict> verdict) {}
-
-    /** Who holds a key after a claim. */
-    public sealed interface Verdict {
-
-        /** The claim holds its key; the named process may run the request. */
-        record Won() implements Verdict {}
-
-        /**
-         * Another claim holds the key.
-         *
-         * @param holder that claim
-         */
-        record Held(Claim holder) implements Verdict {}
-
-        /**
-         * The claim was not seen in the log in time; nothing may be run under it.
-         *
-         * @param fault why
-         */
-        record Failed(Fault fault) implements Verdict {}
-    }
+    private record Waiting(Claim claim, long untilMillis, CompletableFuture<ClaimVerdict> verdict) {}
 
     /**
      * Starts reading and writing a stream.
@@ -101,20 +80,14 @@
         return thread;
     }
 
-    /**
-     * Claims a key.
-     *
-     * @param claim the claim
-     * @param within how long to wait for the log
-     * @return who holds the key
-     */
-    public CompletableFuture<Verdict> claim(Claim claim, Duration within) {
+    @Override
+    public CompletableFuture<ClaimVerdict> claim(Claim claim, Duration within) {
         Objects.requireNonNull(claim, "claim is null");
         Optional<Claim> holder = caughtUp ? holder(claim.key()) : Optional.empty();
         boolean heldByOther = holder.isPresent()
                 && !claim.after().equals(Optional.of(holder.get().attempt()));
         if (heldByOther) {
-            return CompletableFuture.completedFuture(new Verdict.Held(holder.get()));
+            return CompletableFuture.completedFuture(new ClaimVerdict.Held(holder.get()));
         }
         Waiting one = new Waiting(claim, clock.millis() + within.toMillis(), new CompletableFuture<>());
         synchronized (lock) {
@@ -123,7 +96,7 @@
         queue.add(one);
         return one.verdict()
                 .completeOnTimeout(
-                        new Verdict.Failed(fault(Reason.TIMEOUT, "the claim was not seen in the log in time")),
+                        new ClaimVerdict.Failed(fault(Reason.TIMEOUT, "the claim was not seen in the log in time")),
                         within.toMillis(),
                         TimeUnit.MILLISECONDS)
                 .whenComplete((verdict, thrown) -> forget(claim.attempt()));
@@ -237,13 +210,13 @@
     }
 
     private void foldClaim(long atMillis, Claim claim) {
-        Verdict verdict;
+        ClaimVerdict verdict;
         Waiting one;
         synchronized (lock) {
             boolean holds = book.fold(atMillis, claim);
             verdict = holds
-                    ? new Verdict.Won()
-                    : new Verdict.Held(book.holder(claim.key()).orElseThrow());
+                    ? new ClaimVerdict.Won()
+                    : new ClaimVerdict.Held(book.holder(claim.key()).orElseThrow());
             one = waiting.get(claim.attempt());
         }
         if (one != null) {
--- a/src/main/java/org/micabarrow/coordination/ConcurrencyLimit.java
+++ b/src/main/java/org/micabarrow/coordination/ConcurrencyLimit.java
@@ -23,6 +23,7 @@
     private double quickestMillis = Double.MAX_VALUE;
     private int open;
     private int openLong;
+    private boolean suggested;
 
     /**
      * Makes a limit.
@@ -79,6 +80,18 @@
         }
     }
 
+    /**
+     * Begins at what the endpoint says of itself; what is learned later counts for more.
+     *
+     * @param slots how many requests the endpoint says it can run at once
+     */
+    public synchronized void suggest(int slots) {
+        if (!suggested) {
+            suggested = true;
+            limit = Math.clamp(slots, least, most);
+        }
+    }
+
     /**
      * The limit now.
      *
--- a/src/main/java/org/micabarrow/coordination/ConfigurationReader.java
+++ b/src/main/java/org/micabarrow/coordination/ConfigurationReader.java
@@ -87,11 +87,17 @@
      */
     public static ConfigurationReader start(
             Configuration configuration, PlatformLog log, Peers peers, Supplier<List<String>> relays) {
-        ConfigurationReader reader = new ConfigurationReader(configuration, log, peers, relays);
+        ConfigurationReader reader = unstarted(configuration, log, peers, relays);
         reader.thread.start();
         return reader;
     }
 
+    /** A reader whose thread does not run, so that a test can read step by step. */
+    static ConfigurationReader unstarted(
+            Configuration configuration, PlatformLog log, Peers peers, Supplier<List<String>> relays) {
+        return new ConfigurationReader(configuration, log, peers, relays);
+    }
+
     private void run() {
         Duration pause = PAUSE;
         while (!closed) {
--- a/src/main/java/org/micabarrow/coordination/RequestFlow.java
+++ b/src/main/java/org/micabarrow/coordination/RequestFlow.java
@@ -66,7 +66,7 @@
             Traffic traffic,
             PrefixIndex prefixes,
             AgentCalls calls,
-            Function<String, Claims> claims,
+            Function<String, ClaimWriter> claims,
             RetryBudget budget,
             Supplier<String> attempts,
             InstantSource clock,
--- a/src/main/java/org/micabarrow/coordination/RequestRun.java
+++ b/src/main/java/org/micabarrow/coordination/RequestRun.java
@@ -169,16 +169,22 @@
         String key = RequestFlow.claimKey(
                 request.organisation().name(), request.key().orElseThrow());
         Claim claim = new Claim(
-                key, Digest.of(request.body()), replica.instance(), epoch, request.deadlineMillis(), attempt, after);
+                key, digestOfWhatIsAsked(), replica.instance(), epoch, request.deadlineMillis(), attempt, after);
         parts.claims().apply(key).claim(claim, parts.claimWithin()).thenAccept(verdict -> {
             switch (verdict) {
-                case Claims.Verdict.Won ignored -> dispatch(placed, replica, attempt, Optional.of(claim));
-                case Claims.Verdict.Held(Claim holder) -> heldBy(placed, claim, holder);
-                case Claims.Verdict.Failed(Fault fault) -> end(Outcome.notRun(fault, LATER));
+                case ClaimVerdict.Won ignored -> dispatch(placed, replica, attempt, Optional.of(claim));
+                case ClaimVerdict.Held(Claim holder) -> heldBy(placed, claim, holder);
+                case ClaimVerdict.Failed(Fault fault) -> end(Outcome.notRun(fault, LATER));
             }
         });
     }
 
+    /** The same key stands for the same call with the same body. */
+    private String digestOfWhatIsAsked() {
+        return Digest.of(
+                String.join("\n", request.workload(), request.method(), request.path(), Digest.of(request.body())));
+    }
+
     private void heldBy(Placed placed, Claim mine, Claim holder) {
         if (!holder.bodyDigest().equals(mine.bodyDigest())) {
             end(Outcome.notRun(
@@ -312,16 +318,30 @@
                     outcome);
             switch (outcome) {
                 case Outcome.Answered answered -> end(answered);
-                case Outcome.NotRun notRun -> {
-                    after = lastClaim.map(Claim::attempt);
-                    retry(notRun);
-                }
+                case Outcome.NotRun notRun -> refused(replica, notRun);
                 case Outcome.Unknown unknown -> broken(placed, replica, unknown);
             }
             flow.wake();
         }
     }
 
+    /** After a refusal: a full instance is worth waiting for, any other is left out from now on. */
+    private void refused(Replica replica, Outcome.NotRun refusal) {
+        after = lastClaim.map(Claim::attempt).or(() -> after);
+        boolean full = refusal.fault().reason() == Reason.OVERLOADED;
+        if (full) {
+            parts.traffic().full(replica.instance(), now());
+        }
+        if (full && lastClaim.isEmpty() && !waitedEnough()) {
+            lastRefusal = Optional.of(refusal);
+            tried.remove(replica.instance());
+            attempts--;
+            next();
+        } else {
+            retry(refusal);
+        }
+    }
+
     /** After an attempt whose fate is not known: settle a claimed one, repeat a repeatable one, else say so. */
     private void broken(Placed placed, Replica replica, Outcome.Unknown unknown) {
         parts.traffic().failed(replica.instance(), now());
--- a/src/main/java/org/micabarrow/coordination/Router.java
+++ b/src/main/java/org/micabarrow/coordination/Router.java
@@ -134,7 +134,9 @@
         if (!ready) {
             return Optional.of(Exclusion.Reason.NOT_READY);
         }
-        if (load(peer, wish.nowMillis()) >= room(peer, wish)) {
+        boolean full = traffic.isFull(replica.instance(), wish.nowMillis())
+                || load(peer, wish.nowMillis()) >= room(peer, wish);
+        if (full) {
             return Optional.of(Exclusion.Reason.FULL);
         }
         return traffic.ejected(replica.instance(), wish.nowMillis())
--- a/src/main/java/org/micabarrow/coordination/Traffic.java
+++ b/src/main/java/org/micabarrow/coordination/Traffic.java
@@ -11,6 +11,7 @@
 public final class Traffic {
 
     private static final double WEIGHT_OF_NEWEST = 0.2;
+    private static final long FULL_MILLIS = 25;
     private static final int FAILURES_TO_EJECT = 3;
     private static final long FIRST_EJECTION_MILLIS = 2_000;
     private static final long LONGEST_EJECTION_MILLIS = 30_000;
@@ -24,6 +25,7 @@
         private int failures;
         private int ejections;
         private volatile long ejectedUntil;
+        private volatile long fullUntil;
     }
 
     private Record record(String instance) {
@@ -116,4 +118,26 @@
         Record record = records.get(instance);
         return record != null && record.ejectedUntil > nowMillis;
     }
+
+    /**
+     * Notes that an instance refused a request because it is full.
+     *
+     * @param instance the instance
+     * @param nowMillis the time
+     */
+    public void full(String instance, long nowMillis) {
+        record(instance).fullUntil = nowMillis + FULL_MILLIS;
+    }
+
+    /**
+     * Whether an instance has just said that it is full.
+     *
+     * @param instance the instance
+     * @param nowMillis the time
+     * @return true for a short while after {@link #full}
+     */
+    public boolean isFull(String instance, long nowMillis) {
+        Record record = records.get(instance);
+        return record != null && record.fullUntil > nowMillis;
+    }
 }
--- a/src/main/java/org/micabarrow/process/AgentProcess.java
+++ b/src/main/java/org/micabarrow/process/AgentProcess.java
@@ -50,6 +50,7 @@
     private final EndpointClient endpoint;
     private final ReplicaControl replicas;
     private final AgentFlow flow;
+    private final ConcurrencyLimit concurrency;
     private final WeightShare share;
     private final LinkPacer linkIn;
     private final LinkPacer linkOut;
@@ -64,7 +65,7 @@
         this.node = new Node(settings.instance(), settings.platform(), LIST_MILLIS);
         this.endpoint = new EndpointClient(node.http(), settings.endpoint().url());
         AgentSettings.Limits limits = settings.limits();
-        ConcurrencyLimit concurrency = new ConcurrencyLimit(
+        this.concurrency = new ConcurrencyLimit(
                 limits.leastConcurrency(),
                 limits.mostConcurrency(),
                 Math.min(limits.mostConcurrency(), 2 * limits.leastConcurrency()));
@@ -185,6 +186,7 @@
     private void reportAgainAndAgain() {
         while (!closed) {
             Result<Endpoint.Report> report = endpoint.report();
+            report.toOptional().ifPresent(told -> concurrency.suggest(told.slots()));
             node.control().execute(() -> {
                 List<Endpoint.Order> orders = replicas.reported(report.toOptional());
                 orders.forEach(order -> threads.execute(() -> give(order)));
--- a/src/main/java/org/micabarrow/process/EntryProcess.java
+++ b/src/main/java/org/micabarrow/process/EntryProcess.java
@@ -14,6 +14,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import java.util.zip.CRC32C;
+import org.micabarrow.coordination.ClaimWriter;
 import org.micabarrow.coordination.Claims;
 import org.micabarrow.coordination.Duties;
 import org.micabarrow.coordination.PeerTable;
@@ -103,7 +104,7 @@
                 node.configuration()::current, flow, Node::newId, node.clock(), limits.deadlineMillis());
     }
 
-    private Function<String, Claims> claimsByKey() {
+    private Function<String, ClaimWriter> claimsByKey() {
         return key -> {
             CRC32C checksum = new CRC32C();
             checksum.update(key.getBytes(StandardCharsets.UTF_8));
