--- /dev/null
+++ b/src/main/java/org/micabarrow/bench/RolloutBench.java
@@ -0,0 +1,351 @@
+package org.micabarrow.bench;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.micabarrow.coordination.ReplicaView;
+import org.micabarrow.protocol.OperatorMessages;
+import org.micabarrow.standin.EngineStandin;
+import org.micabarrow.standin.Faults;
+import org.micabarrow.standin.WeightsStandin;
+import org.micabarrow.state.CanonicalJson;
+import org.micabarrow.state.Digest;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Placement;
+import org.micabarrow.transport.HttpCall;
+import org.micabarrow.transport.HttpCaller;
+
+/**
+ * Measures how long new weights take to N replicas and how much the origin gives, on real sockets with paced links: the
+ * origin carries four copies in the time W, each instance two. Times are given over the lower bound of the same run.
+ */
+public final class RolloutBench {
+
+    private static final List<String> HALLS = List.of("norte-a", "centro-a", "sur-a");
+    private static final long LIMIT_MILLIS = 180_000;
+
+    @Parameter(names = "--replicas", description = "The numbers of replicas to measure")
+    private List<Integer> replicas = new ArrayList<>(List.of(8, 16, 32, 64));
+
+    @Parameter(names = "--bytes", description = "The size of the weights")
+    private long bytes = 16L << 20;
+
+    @Parameter(names = "--chunk-bytes", description = "The size of a chunk")
+    private int chunkBytes = 64 << 10;
+
+    @Parameter(names = "--window-seconds", description = "The time in which the origin's link carries four copies")
+    private double windowSeconds = 8;
+
+    @Parameter(names = "--faults", description = "Measure the rows with faults too", arity = 1)
+    private boolean withFaults = true;
+
+    @Parameter(names = "--image", description = "Where to draw the figure")
+    private String image = "docs/img/rollout.svg";
+
+    private final List<Row> rows = new ArrayList<>();
+    private final HttpCaller http = HttpCaller.start("bench", 2);
+    private long seed = 100;
+
+    /** One measured rollout. */
+    record Row(String name, int replicas, String prefer, double seconds, double bound, double originCopies) {
+
+        double ratio() {
+            return seconds / bound;
+        }
+
+        String json() {
+            return String.format(
+                    Locale.ROOT,
+                    "{\"row\":\"%s\",\"replicas\":%d,\"prefer\":\"%s\",\"seconds\":%.3f,\"bound\":%.3f,"
+                            + "\"ratio\":%.3f,\"origin_copies\":%.3f}",
+                    name,
+                    replicas,
+                    prefer,
+                    seconds,
+                    bound,
+                    ratio(),
+                    originCopies);
+        }
+    }
+
+    /**
+     * Runs the benchmark.
+     *
+     * @param arguments the command line
+     * @throws Exception if a rollout does not end
+     */
+    public static void main(String[] arguments) throws Exception {
+        RolloutBench bench = new RolloutBench();
+        JCommander.newBuilder().addObject(bench).build().parse(arguments);
+        bench.run();
+        System.exit(0);
+    }
+
+    private long originRate() {
+        return (long) (4 * bytes / windowSeconds);
+    }
+
+    private long instanceRate() {
+        return (long) (2 * bytes / windowSeconds);
+    }
+
+    private double bound() {
+        return (double) bytes / instanceRate();
+    }
+
+    private void run() throws Exception {
+        System.out.println(String.format(
+                Locale.ROOT,
+                "%-34s %8s %-12s %9s %7s %7s %7s",
+                "row",
+                "replicas",
+                "prefer",
+                "seconds",
+                "bound",
+                "ratio",
+                "copies"));
+        for (int count : replicas) {
+            measure(count);
+        }
+        baselines();
+        Files.createDirectories(Path.of(image).toAbsolutePath().getParent());
+        Files.writeString(Path.of(image), RolloutFigure.draw(rows));
+        rows.forEach(row -> System.out.println(row.json()));
+    }
+
+    private void add(Row row) {
+        rows.add(row);
+        System.out.println(String.format(
+                Locale.ROOT,
+                "%-34s %8d %-12s %9.2f %7.2f %7.2f %7.2f",
+                row.name(),
+                row.replicas(),
+                row.prefer(),
+                row.seconds(),
+                row.bound(),
+                row.ratio(),
+                row.originCopies()));
+    }
+
+    // -- rollouts
+
+    private LocalSystem.Options options() {
+        return new LocalSystem.Options(
+                originRate(),
+                originRate(),
+                instanceRate(),
+                new EngineStandin.Timing(8, 5, 2),
+                1_000,
+                2 << 20,
+                5_000,
+                600_000,
+                600_000,
+                600_000);
+    }
+
+    private void measure(int count) throws Exception {
+        FaultyWeights faulty = new FaultyWeights();
+        try (LocalSystem system = LocalSystem.start(options())) {
+            system.tamper(faulty::around);
+            system.addEntry("entry-1", "centro", "centro-a");
+            for (int i = 0; i < count; i++) {
+                String hall = HALLS.get(i % HALLS.size());
+                system.addEngine(hall + "-" + i, hall.substring(0, hall.indexOf('-')), hall);
+            }
+            system.listAll();
+            awaitListed(system, count + 1);
+            rollOut(system, count, "warm-up", Placement.Prefer.TIME, () -> {}, Set.of());
+            rows.removeLast();
+            rollOut(system, count, "no fault", Placement.Prefer.TIME, () -> {}, Set.of());
+            rollOut(system, count, "no fault", Placement.Prefer.ORIGIN_BYTES, () -> {}, Set.of());
+            if (withFaults) {
+                measureFaults(system, faulty, count);
+            }
+        }
+    }
+
+    private void measureFaults(LocalSystem system, FaultyWeights faulty, int count) throws Exception {
+        List<String> ids = system.engineIds();
+        for (Placement.Prefer prefer : Placement.Prefer.values()) {
+            rollOut(system, count, "1% of chunks corrupted", prefer, () -> faulty.corruptOneIn(100), Set.of());
+            faulty.none();
+            rollOut(system, count, "one link stalled", prefer, () -> faulty.stall(ids.get(1)), Set.of());
+            faulty.none();
+            rollOut(system, count, "store slow", prefer, () -> slowStore(system, false), Set.of());
+            rollOut(system, count, "log out after the confirmation", prefer, () -> slowStore(system, true), Set.of());
+            system.platform().fail(Faults.none());
+            Set<String> dead = everyEighth(ids);
+            rollOut(system, count, "one death in eight", prefer, () -> killSoon(system, dead), dead);
+            revive(system, dead);
+            rollOut(
+                    system,
+                    count,
+                    "all faults together",
+                    prefer,
+                    () -> {
+                        faulty.corruptOneIn(100);
+                        faulty.stall(ids.get(1));
+                        slowStore(system, true);
+                        killSoon(system, dead);
+                    },
+                    dead);
+            faulty.none();
+            system.platform().fail(Faults.none());
+            revive(system, dead);
+        }
+    }
+
+    private static void slowStore(LocalSystem system, boolean logDown) {
+        system.platform().fail(new Faults(logDown, 0, false, false, 200, 0, false));
+    }
+
+    private static Set<String> everyEighth(List<String> ids) {
+        Set<String> chosen = new HashSet<>();
+        for (int i = 3; i < ids.size(); i += 8) {
+            chosen.add(ids.get(i));
+        }
+        return chosen;
+    }
+
+    /** Kills instances a third of the way through the transfer. */
+    private void killSoon(LocalSystem system, Set<String> dead) {
+        Thread killer = new Thread(() -> {
+            try {
+                Thread.sleep((long) (bound() * 1000 / 3));
+                dead.forEach(id -> system.agent(id).kill());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        killer.setDaemon(true);
+        killer.start();
+    }
+
+    private static void revive(LocalSystem system, Set<String> dead) throws InterruptedException {
+        dead.forEach(system::startAgent);
+        for (String id : dead) {
+            while (system.agent(id).view().report().isEmpty()) {
+                Thread.sleep(20);
+            }
+        }
+    }
+
+    /** One rollout: the time runs from the confirmation until every replica that lives is ready. */
+    private void rollOut(
+            LocalSystem system,
+            int count,
+            String name,
+            Placement.Prefer prefer,
+            Runnable afterConfirmation,
+            Set<String> dead)
+            throws Exception {
+        WeightsStandin.Done weights =
+                system.platform().weights().make(new WeightsStandin.Wish("bench", bytes, chunkBytes, seed++));
+        String plan = plan(system, weights.version(), count, prefer);
+        long originBefore = system.platform().originBytes();
+        long start = System.nanoTime();
+        Thread confirmation = Thread.ofPlatform().start(() -> confirm(system, plan));
+        awaitGeneration(system, weights.version());
+        afterConfirmation.run();
+        awaitReady(system, weights.version(), dead);
+        double seconds = (System.nanoTime() - start) / 1e9;
+        confirmation.join(LIMIT_MILLIS);
+        double copies = (double) (system.platform().originBytes() - originBefore) / bytes;
+        add(new Row(name, count, prefer == Placement.Prefer.TIME ? "time" : "originBytes", seconds, bound(), copies));
+    }
+
+    private void awaitListed(LocalSystem system, int count) throws Exception {
+        HttpCall call = HttpCall.get(Fault.Step.READ, URI.create(system.operators("entry-1") + "/metrics"));
+        while (true) {
+            byte[] body = http.call(call, Duration.ofSeconds(5))
+                    .toOptional()
+                    .orElseThrow()
+                    .body();
+            Object listed = CanonicalJson.read(body, Map.class).get("instances.listed");
+            if (listed instanceof Number number && number.intValue() == count) {
+                return;
+            }
+            Thread.sleep(50);
+        }
+    }
+
+    private static void awaitGeneration(LocalSystem system, String version) throws InterruptedException {
+        String first = system.engineIds().getFirst();
+        while (system.agent(first).view().replicas().values().stream()
+                .noneMatch(replica -> replica.version().equals(version))) {
+            Thread.sleep(1);
+        }
+    }
+
+    private static void awaitReady(LocalSystem system, String version, Set<String> dead) throws InterruptedException {
+        long end = System.currentTimeMillis() + LIMIT_MILLIS;
+        List<String> waiting = new ArrayList<>(system.engineIds());
+        waiting.removeAll(dead);
+        while (!waiting.isEmpty()) {
+            waiting.removeIf(id -> system.agent(id).view().replicas().values().stream()
+                    .anyMatch(replica ->
+                            replica.version().equals(version) && replica.state() == ReplicaView.State.READY));
+            if (System.currentTimeMillis() > end) {
+                waiting.forEach(id ->
+                        System.err.println(id + " " + system.agent(id).view().replicas()));
+                throw new IllegalStateException(waiting.size() + " replicas are not ready");
+            }
+            Thread.sleep(2);
+        }
+    }
+
+    private HttpCaller.HttpAnswer operator(LocalSystem system, String path, String body) {
+        HttpCall call = HttpCall.post(
+                        Fault.Step.READ,
+                        URI.create(system.operators("entry-1") + path),
+                        body.getBytes(StandardCharsets.UTF_8))
+                .withHeader("Authorization", "Bearer " + LocalSystem.OPERATOR_TOKEN);
+        HttpCaller.HttpAnswer answer =
+                http.call(call, Duration.ofSeconds(60)).toOptional().orElseThrow();
+        if (answer.status() != 200) {
+            throw new IllegalStateException(new String(answer.body(), StandardCharsets.UTF_8));
+        }
+        return answer;
+    }
+
+    private String plan(LocalSystem system, String version, int count, Placement.Prefer prefer) throws IOException {
+        String intent = """
+                { "organisations": [ { "name": "riders", "tokenDigest": "%s" } ],
+                  "placements": [ { "name": "bench",
+                    "target": { "type": "model", "name": "bench", "version": "%s" },
+                    "organisations": ["riders"], "replicas": %d, "prefer": "%s",
+                    "envelope": { "replacements": 0, "originBytes": %d } } ] }
+                """.formatted(
+                        Digest.of("riders"),
+                        version,
+                        count,
+                        prefer == Placement.Prefer.TIME ? "time" : "originBytes",
+                        bytes / 2);
+        byte[] body = operator(system, "/plan", intent).body();
+        return CanonicalJson.read(body, OperatorMessages.Planned.class).id();
+    }
+
+    private void confirm(LocalSystem system, String plan) {
+        operator(system, "/confirm", "{\"id\":\"" + plan + "\"}");
+    }
+
+    // -- baselines
+
+    private void baselines() throws InterruptedException {
+        for (int count : replicas) {
+            add(new Baselines(bytes, chunkBytes, originRate(), instanceRate()).fromOrigin(count));
+            add(new Baselines(bytes, chunkBytes, originRate(), instanceRate()).storeAndForward(count));
+        }
+    }
+}
--- a/src/main/java/org/micabarrow/process/AgentProcess.java
+++ b/src/main/java/org/micabarrow/process/AgentProcess.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.micabarrow.coordination.AgentFlow;
 import org.micabarrow.coordination.AgentView;
 import org.micabarrow.coordination.ConcurrencyLimit;
@@ -20,6 +21,7 @@
 import org.micabarrow.coordination.Transfer;
 import org.micabarrow.coordination.TransferMetrics;
 import org.micabarrow.coordination.WeightShare;
+import org.micabarrow.coordination.Weights;
 import org.micabarrow.protocol.Wire;
 import org.micabarrow.protocol.wire.Load;
 import org.micabarrow.protocol.wire.StatusReply;
@@ -54,13 +56,13 @@
     private final WeightShare share;
     private final LinkPacer linkIn;
     private final LinkPacer linkOut;
-    private final WeightsClient weights;
+    private final Weights weights;
     private final ExecutorService threads = Executors.newCachedThreadPool(AgentProcess::daemon);
     private Server server;
     private HttpListener operators;
     private volatile boolean closed;
 
-    private AgentProcess(AgentSettings settings) {
+    private AgentProcess(AgentSettings settings, UnaryOperator<Weights> faults) {
         this.settings = Objects.requireNonNull(settings, "settings is null");
         this.node = new Node(settings.instance(), settings.platform(), LIST_MILLIS);
         this.endpoint = new EndpointClient(node.http(), settings.endpoint().url());
@@ -72,8 +74,8 @@
         this.share = new WeightShare();
         this.linkIn = new LinkPacer(settings.links().instanceBytesPerSecond(), share::share);
         this.linkOut = new LinkPacer(settings.links().instanceBytesPerSecond(), share::share);
-        this.weights = new WeightsClient(
-                node.http(), settings.platform(), node.peers(), linkIn, node.configuration()::generation);
+        this.weights = faults.apply(new WeightsClient(
+                node.http(), settings.platform(), node.peers(), linkIn, node.configuration()::generation));
         this.replicas = new ReplicaControl(
                 node.identity(),
                 new ReplicaControl.Options(
@@ -109,11 +111,32 @@
      * @throws IOException if one of its addresses cannot be used
      */
     public static AgentProcess start(AgentSettings settings) throws IOException {
-        AgentProcess agent = new AgentProcess(settings);
+        return start(settings, UnaryOperator.identity());
+    }
+
+    /**
+     * Starts an agent whose reading of weights is tampered with, to see how it bears faults.
+     *
+     * @param settings its settings
+     * @param faults put between the agent and its sources
+     * @return the running agent
+     * @throws IOException if one of its addresses cannot be used
+     */
+    public static AgentProcess start(AgentSettings settings, UnaryOperator<Weights> faults) throws IOException {
+        AgentProcess agent = new AgentProcess(settings, faults);
         agent.begin();
         return agent;
     }
 
+    /**
+     * What the agent's control thread publishes.
+     *
+     * @return the view
+     */
+    public AgentView view() {
+        return replicas.view();
+    }
+
     private static Thread daemon(Runnable work) {
         Thread thread = new Thread(work, "agent-work");
         thread.setDaemon(true);
@@ -249,16 +272,22 @@
                 break;
             }
         }
-        closed = true;
         server.shutdown();
         try {
             server.awaitTermination(STOP_LOOK_MILLIS * 10, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        kill();
+        LOG.info("agent instance={} has stopped", node.identity().instance());
+    }
+
+    /** Stops at once, as if the instance had died. */
+    public void kill() {
+        closed = true;
+        server.shutdownNow();
         operators.close();
         threads.shutdownNow();
         node.close();
-        LOG.info("agent instance={} has stopped", node.identity().instance());
     }
 }
--- a/src/main/java/org/micabarrow/process/EntryProcess.java
+++ b/src/main/java/org/micabarrow/process/EntryProcess.java
@@ -280,12 +280,17 @@
                 break;
             }
         }
+        kill();
+        LOG.info("entry instance={} has stopped", node.identity().instance());
+    }
+
+    /** Stops at once, as if the instance had died. */
+    public void kill() {
         callerListener.close();
         operatorListener.close();
         server.shutdownNow();
         claims.forEach(Claims::close);
         threads.shutdownNow();
         node.close();
-        LOG.info("entry instance={} has stopped", node.identity().instance());
     }
 }
--- a/src/main/java/org/micabarrow/standin/Replies.java
+++ b/src/main/java/org/micabarrow/standin/Replies.java
@@ -17,6 +17,9 @@
     }
 
     static void json(HttpServerExchange exchange, int status, Object value) {
+        if (exchange.isResponseStarted()) {
+            return;
+        }
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
         exchange.getResponseSender().send(ByteBuffer.wrap(CanonicalJson.write(value)));
