Relay: whoever waits for a generation finds everything acting on it; back to the better source

A receiver that was quicker than its source asked it before it had heard of the plan; the source answered from the moment its folded state was published, but before its own control had been told, and said that it held nothing. The receiver then shared another instance's link, and the chains below both ran at half rate to the end. Ruled out: garbage collection (pauses of 35 ms), staging (0.6 to 1.4 s in all, hidden behind the link), missed readiness of the streams. Mended: listeners run before waiters; a receiver goes back to a better source once nothing is held against it; a sender that only waits for its own source says so, and is not left for that.

--- /dev/null
+++ b/src/main/java/org/micabarrow/bench/Quiet.java
@@ -0,0 +1,17 @@
+package org.micabarrow.bench;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Keeps the log of processes under test out of a benchmark's output. */
+final class Quiet {
+
+    private Quiet() {}
+
+    static void logs() {
+        if (LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) instanceof Logger root) {
+            root.setLevel(Level.OFF);
+        }
+    }
+}
--- a/src/main/java/org/micabarrow/coordination/Configuration.java
+++ b/src/main/java/org/micabarrow/coordination/Configuration.java
@@ -223,10 +223,11 @@
                     judged.record().getClass().getSimpleName(),
                     judged.verdict());
         }
+        // Whoever waits for a generation finds everything already acting on it.
+        listeners.forEach(listener -> listener.accept(step));
         waiting.headMap(step.state().offset(), true)
                 .values()
                 .forEach(list -> list.forEach(future -> future.complete(step.state())));
         waiting.headMap(step.state().offset(), true).clear();
-        listeners.forEach(listener -> listener.accept(step));
     }
 }
--- a/src/main/java/org/micabarrow/coordination/SourceChoice.java
+++ b/src/main/java/org/micabarrow/coordination/SourceChoice.java
@@ -62,6 +62,22 @@
         return sources.get(best);
     }
 
+    /**
+     * Whether a better source than the one in use may be asked again.
+     *
+     * @param used the source in use
+     * @param nowMillis the time
+     * @return true if one that stands before it in the plan's order has nothing held against it any more
+     */
+    public boolean betterThan(Source used, long nowMillis) {
+        for (int i = 0; i < sources.indexOf(used); i++) {
+            if (until[i] <= nowMillis) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * How long until the source that {@link #next} gives may be asked.
      *
--- a/src/main/java/org/micabarrow/coordination/Transfer.java
+++ b/src/main/java/org/micabarrow/coordination/Transfer.java
@@ -194,7 +194,7 @@
         }
     }
 
-    /** Reads until the source fails or nothing is left. */
+    /** Reads until the source fails, a better one may be asked again, or nothing is left. */
     private Result<Integer> receiveFrom(Source source, Manifest manifest) throws InterruptedException {
         long missing = missingBytes(manifest);
         if (source instanceof Source.Origin && originAllowance <= 0) {
@@ -211,7 +211,9 @@
                 window.next(),
                 manifest.chunks().size());
         try (Weights.Feed feed = weights.open(source, task.artifact(), window.next())) {
-            while (!cancelled && window.next() < manifest.chunks().size()) {
+            while (!cancelled
+                    && window.next() < manifest.chunks().size()
+                    && !choice.betterThan(source, clock.millis())) {
                 Result<byte[]> next = feed.next(task.patience());
                 if (next instanceof Result.Failure<byte[]>(Fault fault)) {
                     return Result.failure(fault);
--- a/src/main/java/org/micabarrow/transport/ChunkSender.java
+++ b/src/main/java/org/micabarrow/transport/ChunkSender.java
@@ -16,7 +16,7 @@
 /** Sends an artifact's chunks to one receiver, each as soon as it is here and the receiver asks for it. */
 final class ChunkSender {
 
-    private static final Duration LOOK = Duration.ofMillis(500);
+    private static final Duration LOOK = Duration.ofMillis(50);
     private static final long COMING_LOOK_MILLIS = 10;
 
     private final ChunksRequest request;
@@ -96,6 +96,8 @@
             if (data.isPresent()) {
                 send(index, data.get());
                 index++;
+            } else {
+                tellWaiting(index);
             }
         }
         if (!replies.isCancelled()) {
@@ -111,6 +113,13 @@
         }
     }
 
+    /** Keeps a receiver from leaving a sender that is only waiting itself. */
+    private void tellWaiting(int index) {
+        if (!replies.isCancelled() && replies.isReady()) {
+            replies.onNext(Chunk.newBuilder().setIndex(index).setWaiting(true).build());
+        }
+    }
+
     private void send(int index, byte[] data) {
         link.take(data.length);
         if (!replies.isCancelled()) {
--- a/src/main/java/org/micabarrow/transport/PeerFeed.java
+++ b/src/main/java/org/micabarrow/transport/PeerFeed.java
@@ -18,10 +18,13 @@
 final class PeerFeed implements Weights.Feed, ClientResponseObserver<ChunksRequest, Chunk> {
 
     private static final int AHEAD = 2;
+    private static final int WAITING_BORNE = 8;
+    private static final Chunk END = Chunk.newBuilder().setIndex(-1).build();
 
     private final String address;
-    private final LinkedBlockingQueue<Result<byte[]>> arrived = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<Chunk> arrived = new LinkedBlockingQueue<>();
     private volatile ClientCallStreamObserver<ChunksRequest> call;
+    private volatile Fault failure;
 
     PeerFeed(String address) {
         this.address = address;
@@ -29,20 +32,38 @@
 
     // -- reading
 
+    /**
+     * Waits for the next chunk. A sender that tells that it waits for its own source is given more time, since that
+     * source's receiver is the one to go elsewhere.
+     */
     @Override
     public Result<byte[]> next(Duration patience) {
+        long end = System.nanoTime() + patience.toNanos() * WAITING_BORNE;
         try {
-            Optional<Result<byte[]>> next =
-                    Optional.ofNullable(arrived.poll(patience.toMillis(), TimeUnit.MILLISECONDS));
-            next.ifPresent(ignored -> call.request(1));
-            return next.orElseGet(() -> Result.failure(
-                    Fault.of(Step.FETCH, address, Reason.STALLED, "no chunk within " + patience.toMillis() + " ms")));
+            while (System.nanoTime() < end) {
+                Optional<Chunk> next = Optional.ofNullable(arrived.poll(patience.toMillis(), TimeUnit.MILLISECONDS));
+                if (next.isEmpty()) {
+                    return failed(Reason.STALLED, "nothing within " + patience.toMillis() + " ms");
+                }
+                if (next.get() == END) {
+                    return Result.failure(failure);
+                }
+                call.request(1);
+                if (!next.get().getWaiting()) {
+                    return Result.success(next.get().getData().toByteArray());
+                }
+            }
+            return failed(Reason.STALLED, "it has waited for its own source for too long");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            return Result.failure(Fault.of(Step.FETCH, address, Reason.CANCELLED, "interrupted"));
+            return failed(Reason.CANCELLED, "interrupted");
         }
     }
 
+    private Result<byte[]> failed(Reason reason, String message) {
+        return Result.failure(Fault.of(Step.FETCH, address, reason, message));
+    }
+
     @Override
     public void close() {
         call.cancel("no further chunks wanted", null);
@@ -58,16 +79,21 @@
 
     @Override
     public void onNext(Chunk chunk) {
-        arrived.add(Result.success(chunk.getData().toByteArray()));
+        arrived.add(chunk);
     }
 
     @Override
     public void onError(Throwable error) {
-        arrived.add(Result.failure(PeerClient.chunkFault(address, error)));
+        end(PeerClient.chunkFault(address, error));
     }
 
     @Override
     public void onCompleted() {
-        arrived.add(Result.failure(Fault.of(Step.FETCH, address, Reason.GONE, "the peer has no further chunks")));
+        end(Fault.of(Step.FETCH, address, Reason.GONE, "the peer has no further chunks"));
+    }
+
+    private void end(Fault fault) {
+        failure = fault;
+        arrived.add(END);
     }
 }
--- /dev/null
+++ b/src/test/java/org/micabarrow/coordination/AgentFlowTest.java
@@ -0,0 +1,193 @@
+package org.micabarrow.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.micabarrow.Samples.WEIGHTS;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.micabarrow.Samples;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.FoldedState;
+import org.micabarrow.state.Replica;
+
+/** What an agent lets start, and what it passes on. */
+class AgentFlowTest {
+
+    private final ManualClock clock = new ManualClock();
+    private final FoldedState state = Samples.assistantOn(2);
+    private final Replica here =
+            state.placed("assistant").orElseThrow().replicas().getFirst();
+    private final Identity identity = new Identity(here.instance(), here.region(), here.hall(), 7);
+    private final ConcurrencyLimit limit = new ConcurrencyLimit(1, 4, 4);
+    private final Ledger ledger = new Ledger("7", 10, 1000, 1000);
+    private final List<EndpointCalls.Listener> running = new ArrayList<>();
+    private final List<Outcome> ends = new ArrayList<>();
+    private final List<AnswerHead> heads = new ArrayList<>();
+    private boolean endpointCancelled;
+    private boolean leaving;
+    private Optional<String> serving = Optional.of(WEIGHTS.digest());
+    private ControlThread control;
+    private AgentFlow flow;
+
+    @BeforeEach
+    void start() {
+        control = ControlThread.start("test");
+        Configuration configuration = new Configuration(control, clock);
+        configuration.adopt(state, state.digest()).join();
+        flow = new AgentFlow(
+                identity,
+                configuration,
+                this::view,
+                new StartCheck(identity, 1000),
+                limit,
+                ledger,
+                (call, listener) -> {
+                    running.add(listener);
+                    return () -> endpointCancelled = true;
+                },
+                new WeightShare(),
+                clock,
+                1000);
+    }
+
+    @AfterEach
+    void stop() {
+        control.close();
+    }
+
+    private AgentView view() {
+        ReplicaView replica = new ReplicaView(
+                "assistant", WEIGHTS.digest(), ReplicaView.State.READY, 1, 1, serving, Optional.empty());
+        return new AgentView(Map.of("assistant", replica), leaving, Optional.empty());
+    }
+
+    private Runnable begin(String placement, String organisation, Optional<Claim> claim) {
+        AgentRequest request = new AgentRequest(
+                "attempt", -1, placement, organisation, 1000, 0, false, "POST", "/", "text/plain", new byte[0], claim);
+        return flow.begin(request, new AnswerListener() {
+            @Override
+            public void onHead(AnswerHead head) {
+                heads.add(head);
+            }
+
+            @Override
+            public void onData(byte[] data, Runnable more) {
+                more.run();
+            }
+
+            @Override
+            public void onEnd(Outcome outcome) {
+                ends.add(outcome);
+            }
+        });
+    }
+
+    private void begin() {
+        begin("assistant", "riders", Optional.empty());
+    }
+
+    private static Claim claim(String epoch) {
+        return new Claim("key", "body", "here", epoch, Long.MAX_VALUE / 2, "attempt", Optional.empty());
+    }
+
+    private Reason refusal() {
+        assertTrue(running.isEmpty(), "nothing reached the endpoint");
+        return assertInstanceOf(Outcome.NotRun.class, ends.getFirst()).fault().reason();
+    }
+
+    // -- refusing
+
+    @ParameterizedTest
+    @CsvSource({
+        "other, riders, false, true, OUTSIDE_PLACEMENT",
+        "assistant, vans, false, true, OUTSIDE_PLACEMENT",
+        "assistant, riders, true, true, LEAVING",
+        "assistant, riders, false, false, NOT_READY",
+    })
+    void shouldRefuseByItsOwnConfiguration(
+            String placement, String organisation, boolean nowLeaving, boolean ready, Reason reason) {
+        leaving = nowLeaving;
+        serving = ready ? serving : Optional.empty();
+        begin(placement, organisation, Optional.empty());
+        assertEquals(reason, refusal());
+    }
+
+    @Test
+    void shouldRefuseBeyondLimit() {
+        for (int i = 0; i < 5; i++) {
+            begin();
+        }
+        assertEquals(4, running.size());
+        assertEquals(
+                Reason.OVERLOADED,
+                assertInstanceOf(Outcome.NotRun.class, ends.getFirst()).fault().reason());
+    }
+
+    @Test
+    void shouldRefuseClaimOfEarlierProcess() {
+        begin("assistant", "riders", Optional.of(claim("6")));
+        assertEquals(Reason.TOO_LATE, refusal());
+        assertEquals(0, flow.open());
+    }
+
+    @Test
+    void shouldRefuseClaimedKeyForGoodWhenItIsLeaving() {
+        leaving = true;
+        begin("assistant", "riders", Optional.of(claim("7")));
+        assertEquals(Reason.LEAVING, refusal());
+        assertEquals(Ledger.Fate.REFUSED, flow.settle(claim("7")).orElseThrow().fate());
+    }
+
+    // -- answers
+
+    @ParameterizedTest
+    @CsvSource({"other-attempt, true", "attempt, false"})
+    void shouldPassNothingOnFromAnotherAttemptOrVersion(String attempt, boolean rightVersion) {
+        begin();
+        running.getFirst()
+                .onHead(200, "text/plain", Optional.of(attempt), Optional.of(rightVersion ? WEIGHTS.digest() : "old"));
+        assertTrue(heads.isEmpty());
+        assertInstanceOf(Outcome.Unknown.class, ends.getFirst());
+        assertTrue(endpointCancelled);
+        assertEquals(0, flow.open());
+    }
+
+    @Test
+    void shouldCallCutAnswerUnknownAndNeverAnswered() {
+        begin();
+        running.getFirst().onHead(200, "text/plain", Optional.of("attempt"), Optional.of(WEIGHTS.digest()));
+        running.getFirst().onFailed(Fault.of(Fault.Step.RUN, "engine", Reason.UNREACHABLE, "cut"), true);
+        assertInstanceOf(Outcome.Unknown.class, ends.getFirst());
+    }
+
+    @Test
+    void shouldCallRequestNotRunOnlyWhenItNeverLeft() {
+        begin("assistant", "riders", Optional.of(claim("7")));
+        running.getFirst().onFailed(Fault.of(Fault.Step.RUN, "engine", Reason.UNREACHABLE, "refused"), false);
+        assertInstanceOf(Outcome.NotRun.class, ends.getFirst());
+        assertEquals(Ledger.Fate.REFUSED, flow.settle(claim("7")).orElseThrow().fate());
+    }
+
+    @Test
+    void shouldCancelEndpointWhenCallerGoesButNotForClaimedRequest() {
+        begin("assistant", "riders", Optional.of(claim("7"))).run();
+        assertEquals(false, endpointCancelled);
+        begin("assistant", "riders", Optional.empty()).run();
+        assertTrue(endpointCancelled);
+    }
+
+    @Test
+    void shouldNotKnowClaimOfAnotherProcess() {
+        assertEquals(Optional.empty(), flow.settle(claim("6")));
+    }
+}
