--- a/src/main/java/org/micabarrow/bench/FaultyWeights.java
+++ b/src/main/java/org/micabarrow/bench/FaultyWeights.java
@@ -41,8 +41,8 @@
             }
 
             @Override
-            public Feed open(Source source, String artifact, int from) {
-                return new Tampered(weights.open(source, artifact, from), source);
+            public Feed open(Source source, String artifact, int from, int to) {
+                return new Tampered(weights.open(source, artifact, from, to), source);
             }
         };
     }
--- a/src/main/java/org/micabarrow/bench/RolloutBench.java
+++ b/src/main/java/org/micabarrow/bench/RolloutBench.java
@@ -149,7 +149,7 @@
                 instanceRate(),
                 new EngineStandin.Timing(8, 5, 2),
                 1_000,
-                2 << 20,
+                5 << 20,
                 5_000,
                 600_000,
                 600_000,
--- a/src/main/java/org/micabarrow/coordination/ChunkWindow.java
+++ b/src/main/java/org/micabarrow/coordination/ChunkWindow.java
@@ -61,6 +61,15 @@
         }
     }
 
+    /**
+     * Tells that an expected reader has come; from now on its streams count, each for itself.
+     *
+     * @param reader the reader
+     */
+    public synchronized void arrived(String reader) {
+        readers.remove(reader);
+    }
+
     /**
      * Adds the next chunk, and waits while the window is full and its readers make progress.
      *
--- a/src/main/java/org/micabarrow/coordination/ReplicaControl.java
+++ b/src/main/java/org/micabarrow/coordination/ReplicaControl.java
@@ -226,6 +226,7 @@
                     digest,
                     artifact.bytes(),
                     Source.order(placed, identity.instance()),
+                    Source.orderAfterStall(placed, identity.instance()),
                     fed,
                     follower(placed),
                     options.windowBytes(),
--- a/src/main/java/org/micabarrow/coordination/Source.java
+++ b/src/main/java/org/micabarrow/coordination/Source.java
@@ -35,6 +35,27 @@
         return List.of();
     }
 
+    /**
+     * The sources that an instance tries once its source has stalled, in order. A stalled instance may be alive and
+     * still draw on the one before it, so that one's link is busy; the last of another chain has a link that nothing
+     * else uses.
+     *
+     * @param placed the placement
+     * @param instance the instance
+     * @return the same sources as in {@link #order}, with the last of the other chains and the store in front
+     */
+    static List<Source> orderAfterStall(FoldedState.Placed placed, String instance) {
+        List<Source> idle = new ArrayList<>();
+        placed.chains().stream()
+                .filter(chain -> positionIn(chain, instance) < 0)
+                .forEach(chain -> idle.add(new Peer(chain.getLast())));
+        idle.add(new Store());
+        order(placed, instance).stream()
+                .filter(source -> !idle.contains(source))
+                .forEach(idle::add);
+        return idle;
+    }
+
     /**
      * Whether an instance is the head of a chain.
      *
--- a/src/main/java/org/micabarrow/coordination/SourceChoice.java
+++ b/src/main/java/org/micabarrow/coordination/SourceChoice.java
@@ -1,8 +1,11 @@
 package org.micabarrow.coordination;
 
-import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * Decides from which source to ask next. Sources come in the plan's order; one that failed is held against for a while,
@@ -13,24 +16,27 @@
  * <pre>{@code
  * SourceChoice choice = SourceChoice.of(Source.order(placed, "norte-a-1"));
  * Source source = choice.next(now);
- * choice.failed(source, now);
+ * choice.failed(source, false, now);
  * }</pre>
  */
 public final class SourceChoice {
 
     private static final long FIRST_PENALTY_MILLIS = 400;
     private static final long LONGEST_PENALTY_MILLIS = 12_800;
+    private static final long LONGEST_WAIT_MILLIS = 100;
 
     private final List<Source> sources;
-    private final long[] until;
-    private final int[] failures;
+    private final List<Source> afterStall;
+    private final Map<Source, Held> held = new HashMap<>();
 
-    private SourceChoice(List<Source> sources) {
+    private SourceChoice(List<Source> sources, List<Source> afterStall) {
         this.sources = List.copyOf(sources);
-        this.until = new long[sources.size()];
-        this.failures = new int[sources.size()];
+        this.afterStall = List.copyOf(afterStall);
     }
 
+    /** What is held against a source. */
+    private record Held(long untilMillis, int failures, boolean stalled) {}
+
     /**
      * Starts with sources that nothing is held against.
      *
@@ -38,11 +44,38 @@
      * @return the choice
      */
     public static SourceChoice of(List<Source> sources) {
+        return of(sources, sources);
+    }
+
+    /**
+     * Starts with sources that nothing is held against.
+     *
+     * @param sources the sources, the best first
+     * @param afterStall the sources in the order that holds while a stall is held against one of them
+     * @return the choice
+     */
+    public static SourceChoice of(List<Source> sources, List<Source> afterStall) {
         Objects.requireNonNull(sources, "sources is null");
+        Objects.requireNonNull(afterStall, "afterStall is null");
         if (sources.isEmpty()) {
             throw new IllegalArgumentException("there must be a source");
         }
-        return new SourceChoice(sources);
+        return new SourceChoice(sources, afterStall);
+    }
+
+    private boolean free(Source source, long nowMillis) {
+        return untilMillis(source) <= nowMillis;
+    }
+
+    private long untilMillis(Source source) {
+        Held one = held.get(source);
+        return one == null ? 0 : one.untilMillis();
+    }
+
+    /** The order that holds now. */
+    private List<Source> order(long nowMillis) {
+        boolean stalled = held.values().stream().anyMatch(one -> one.stalled() && one.untilMillis() > nowMillis);
+        return stalled ? afterStall : sources;
     }
 
     /**
@@ -52,14 +85,13 @@
      * @return the first that nothing is held against, else the one that is free soonest
      */
     public Source next(long nowMillis) {
-        int best = 0;
-        for (int i = 0; i < until.length; i++) {
-            if (until[i] <= nowMillis) {
-                return sources.get(i);
-            }
-            best = until[i] < until[best] ? i : best;
-        }
-        return sources.get(best);
+        List<Source> order = order(nowMillis);
+        return order.stream()
+                .filter(source -> free(source, nowMillis))
+                .findFirst()
+                .orElseGet(() -> order.stream()
+                        .min(Comparator.comparingLong(this::untilMillis))
+                        .orElseThrow());
     }
 
     /**
@@ -70,36 +102,37 @@
      * @return true if one that stands before it in the plan's order has nothing held against it any more
      */
     public boolean betterThan(Source used, long nowMillis) {
-        for (int i = 0; i < sources.indexOf(used); i++) {
-            if (until[i] <= nowMillis) {
-                return true;
-            }
-        }
-        return false;
+        return order(nowMillis).stream()
+                .takeWhile(source -> !source.equals(used))
+                .anyMatch(source -> free(source, nowMillis));
     }
 
     /**
-     * How long until the source that {@link #next} gives may be asked.
+     * How long to wait before the source that {@link #next} gives is asked. Where something is held against all of
+     * them, waiting for long helps nobody.
      *
      * @param nowMillis the time
      * @return milliseconds, 0 for at once
      */
     public long waitMillis(long nowMillis) {
-        long soonest = Arrays.stream(until).min().orElse(0);
-        return Math.max(0, soonest - nowMillis);
+        long soonest = sources.stream().mapToLong(this::untilMillis).min().orElse(0);
+        return Math.clamp(soonest - nowMillis, 0, LONGEST_WAIT_MILLIS);
     }
 
     /**
-     * Holds a failure against a source.
+     * Holds a failure against a source. A stall is held against it for long, since finding out that it stalls still
+     * costs as much as the wait for a chunk.
      *
      * @param source the source
+     * @param stalled whether it went silent, and did not say that it cannot serve
      * @param nowMillis the time
      */
-    public void failed(Source source, long nowMillis) {
-        int i = sources.indexOf(source);
-        long penalty = Math.min(LONGEST_PENALTY_MILLIS, FIRST_PENALTY_MILLIS << Math.min(failures[i], 10));
-        failures[i]++;
-        until[i] = nowMillis + penalty;
+    public void failed(Source source, boolean stalled, long nowMillis) {
+        int failures = Optional.ofNullable(held.get(source)).map(Held::failures).orElse(0);
+        long penalty = stalled
+                ? LONGEST_PENALTY_MILLIS
+                : Math.min(LONGEST_PENALTY_MILLIS, FIRST_PENALTY_MILLIS << Math.min(failures, 10));
+        held.put(source, new Held(nowMillis + penalty, failures + 1, stalled));
     }
 
     /**
@@ -108,6 +141,6 @@
      * @param source the source
      */
     public void delivered(Source source) {
-        failures[sources.indexOf(source)] = 0;
+        held.remove(source);
     }
 }
--- a/src/main/java/org/micabarrow/coordination/Transfer.java
+++ b/src/main/java/org/micabarrow/coordination/Transfer.java
@@ -25,7 +25,9 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Transfer.class);
     private static final int MANIFEST_TRIES_MILLIS = 300;
-    private static final int BAD_CHUNKS_BORNE = 2;
+
+    /** The first chunk of a stream takes longer: a connection may have to be opened. */
+    private static final int FIRST_CHUNK = 3;
 
     private final Task task;
     private final Weights weights;
@@ -38,7 +40,6 @@
     private volatile ChunkWindow window;
     private volatile boolean cancelled;
     private long originAllowance;
-    private int badChunks;
 
     /**
      * Makes a transfer; {@link #run} does the work.
@@ -63,7 +64,7 @@
         this.budget = Objects.requireNonNull(budget, "budget is null");
         this.metrics = Objects.requireNonNull(metrics, "metrics is null");
         this.clock = Objects.requireNonNull(clock, "clock is null");
-        this.choice = SourceChoice.of(task.sources());
+        this.choice = SourceChoice.of(task.sources(), task.afterStall());
         this.originAllowance = task.fed() ? (long) (task.bytes() * FEED_SLACK) : 0;
     }
 
@@ -73,6 +74,7 @@
      * @param artifact the manifest's digest
      * @param bytes the artifact's size
      * @param sources the sources, the best first
+     * @param afterStall the sources in the order that holds after a stall
      * @param fed whether the plan feeds this instance one copy from the origin
      * @param follower the instance that is likely to read from this one
      * @param windowBytes how many bytes of chunks to hold
@@ -82,6 +84,7 @@
             String artifact,
             long bytes,
             List<Source> sources,
+            List<Source> afterStall,
             boolean fed,
             Optional<String> follower,
             long windowBytes,
@@ -91,6 +94,7 @@
         public Task {
             Objects.requireNonNull(artifact, "artifact is null");
             sources = List.copyOf(sources);
+            afterStall = List.copyOf(afterStall);
         }
     }
 
@@ -185,8 +189,7 @@
         while (!cancelled && window.next() < total) {
             long pause = choice.waitMillis(clock.millis());
             if (pause > 0) {
-                Thread.sleep(Math.min(pause, MANIFEST_TRIES_MILLIS));
-                continue;
+                Thread.sleep(pause);
             }
             Source source = choice.next(clock.millis());
             Result<Integer> received = receiveFrom(source, manifest);
@@ -210,11 +213,14 @@
                 source,
                 window.next(),
                 manifest.chunks().size());
-        try (Weights.Feed feed = weights.open(source, task.artifact(), window.next())) {
+        boolean first = true;
+        try (Weights.Feed feed = weights.open(
+                source, task.artifact(), window.next(), manifest.chunks().size())) {
             while (!cancelled
                     && window.next() < manifest.chunks().size()
                     && !choice.betterThan(source, clock.millis())) {
-                Result<byte[]> next = feed.next(task.patience());
+                Result<byte[]> next = feed.next(first ? task.patience().multipliedBy(FIRST_CHUNK) : task.patience());
+                first = false;
                 if (next instanceof Result.Failure<byte[]>(Fault fault)) {
                     return Result.failure(fault);
                 }
@@ -233,19 +239,42 @@
 
     private Optional<Fault> take(Source source, Manifest manifest, byte[] data) throws InterruptedException {
         int index = window.next();
+        Result<byte[]> good =
+                received(source, manifest, index, data) ? Result.success(data) : again(source, manifest, index);
+        if (good instanceof Result.Failure<byte[]>(Fault fault)) {
+            return Optional.of(fault);
+        }
+        choice.delivered(source);
+        window.add(good.toOptional().orElseThrow());
+        return stage(index, manifest.chunks().size(), good.toOptional().orElseThrow());
+    }
+
+    /** Counts a chunk, and checks it. */
+    private boolean received(Source source, Manifest manifest, int index, byte[] data) {
         metrics.received(source, data.length);
         if (source instanceof Source.Origin) {
             originAllowance -= data.length;
         }
-        if (!manifest.matches(index, data)) {
+        boolean good = manifest.matches(index, data);
+        if (!good) {
             metrics.corrupted(source);
-            return Optional.of(Fault.of(
-                    Step.FETCH, source.toString(), Reason.CORRUPT, "chunk " + index + " does not have its digest"));
         }
-        badChunks = 0;
-        choice.delivered(source);
-        window.add(data);
-        return stage(index, manifest.chunks().size(), data);
+        return good;
+    }
+
+    /** One bad chunk may be the link's fault: it alone is asked for again, while the stream stays open behind it. */
+    private Result<byte[]> again(Source source, Manifest manifest, int index) {
+        LOG.warn("transfer artifact={} source={} chunk={} corrupted", shortName(task.artifact()), source, index);
+        try (Weights.Feed feed = weights.open(source, task.artifact(), index, index + 1)) {
+            return feed.next(task.patience())
+                    .flatMap(data -> received(source, manifest, index, data)
+                            ? Result.success(data)
+                            : Result.failure(Fault.of(
+                                    Step.FETCH,
+                                    source.toString(),
+                                    Reason.CORRUPT,
+                                    "chunk " + index + " does not have its digest, twice")));
+        }
     }
 
     private Optional<Fault> stage(int index, int total, byte[] data) throws InterruptedException {
@@ -261,15 +290,11 @@
         return Optional.of(Fault.of(Step.STAGE, "endpoint", Reason.CANCELLED, "the transfer was cancelled"));
     }
 
-    /** One bad chunk may be the link's fault and is asked for again at once; more are held against the source. */
     private void blame(Source source, Fault fault) {
         note(fault);
         LOG.warn("transfer artifact={} source={} failed: {}", shortName(task.artifact()), source, fault);
-        if (fault.reason() == Reason.CORRUPT && ++badChunks < BAD_CHUNKS_BORNE) {
-            return;
-        }
         if (fault.reason() != Reason.CANCELLED) {
-            choice.failed(source, clock.millis());
+            choice.failed(source, fault.reason() == Reason.STALLED, clock.millis());
             metrics.abandoned(source);
         }
     }
--- a/src/main/java/org/micabarrow/coordination/Weights.java
+++ b/src/main/java/org/micabarrow/coordination/Weights.java
@@ -21,9 +21,10 @@
      * @param source where from
      * @param artifact the manifest's digest
      * @param from the first chunk wanted
+     * @param to the index after the last chunk wanted
      * @return the stream; a source that cannot be reached shows at the first read
      */
-    Feed open(Source source, String artifact, int from);
+    Feed open(Source source, String artifact, int from, int to);
 
     /** A stream of chunks in order. */
     interface Feed extends AutoCloseable {
--- a/src/main/java/org/micabarrow/process/AgentProcess.java
+++ b/src/main/java/org/micabarrow/process/AgentProcess.java
@@ -45,6 +45,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(AgentProcess.class);
     private static final long LIST_MILLIS = 30_000;
+    private static final long LEAST_PATIENCE_MILLIS = 100;
     private static final long STOP_LOOK_MILLIS = 50;
 
     private final AgentSettings settings;
@@ -80,7 +81,7 @@
                 node.identity(),
                 new ReplicaControl.Options(
                         settings.weights().windowBytes(),
-                        Duration.ofMillis(settings.weights().patienceMillis()),
+                        patience(settings),
                         Duration.ofMillis(settings.weights().lingerMillis())),
                 endpoint,
                 this::startTransfer,
@@ -137,6 +138,14 @@
         return replicas.view();
     }
 
+    /** A source must be left while others still hold the chunk that is missing, so half a window's time is the most. */
+    private static Duration patience(AgentSettings settings) {
+        long halfWindow =
+                500 * settings.weights().windowBytes() / settings.links().instanceBytesPerSecond();
+        return Duration.ofMillis(
+                Math.clamp(halfWindow, LEAST_PATIENCE_MILLIS, settings.weights().patienceMillis()));
+    }
+
     private static Thread daemon(Runnable work) {
         Thread thread = new Thread(work, "agent-work");
         thread.setDaemon(true);
--- a/src/main/java/org/micabarrow/transport/ChunkSender.java
+++ b/src/main/java/org/micabarrow/transport/ChunkSender.java
@@ -5,6 +5,7 @@
 import io.grpc.stub.ServerCallStreamObserver;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import org.micabarrow.coordination.ChunkWindow;
 import org.micabarrow.coordination.ReplicaControl;
@@ -17,17 +18,20 @@
 final class ChunkSender {
 
     private static final Duration LOOK = Duration.ofMillis(50);
-    private static final long COMING_LOOK_MILLIS = 10;
+    private static final long COMING_LOOK_MILLIS = 20;
+    private static final AtomicLong STREAMS = new AtomicLong();
 
     private final ChunksRequest request;
     private final ServerCallStreamObserver<Chunk> replies;
     private final LinkPacer link;
     private final Object ready = new Object();
+    private final String reader;
 
     ChunkSender(ChunksRequest request, ServerCallStreamObserver<Chunk> replies, LinkPacer link) {
         this.request = request;
         this.replies = replies;
         this.link = link;
+        this.reader = request.getReceiver() + "#" + STREAMS.incrementAndGet();
         replies.setOnReadyHandler(this::wake);
         replies.setOnCancelHandler(this::wake);
     }
@@ -62,9 +66,7 @@
             throws InterruptedException {
         ReplicaControl.Holding holding = windows.apply(request.getVersion());
         while (holding instanceof ReplicaControl.Holding.Coming && !replies.isCancelled()) {
-            synchronized (ready) {
-                ready.wait(COMING_LOOK_MILLIS);
-            }
+            pauseUntilItMayHaveCome();
             holding = windows.apply(request.getVersion());
         }
         return holding instanceof ReplicaControl.Holding.Held(ChunkWindow window)
@@ -72,22 +74,30 @@
                 : Optional.empty();
     }
 
+    private void pauseUntilItMayHaveCome() throws InterruptedException {
+        synchronized (ready) {
+            ready.wait(COMING_LOOK_MILLIS);
+        }
+        tellWaiting(request.getFrom());
+    }
+
     private void sendAll(ChunkWindow window) throws InterruptedException {
+        window.arrived(request.getReceiver());
         try {
             sendFrom(window, request.getFrom());
         } finally {
-            window.leave(request.getReceiver());
+            window.leave(reader);
         }
     }
 
     private void sendFrom(ChunkWindow window, int from) throws InterruptedException {
         int index = from;
-        while (index < window.total()) {
+        while (index < Math.min(window.total(), request.getTo())) {
             awaitReady();
             if (replies.isCancelled()) {
                 return;
             }
-            Result<Optional<byte[]>> chunk = window.read(request.getReceiver(), index, LOOK);
+            Result<Optional<byte[]>> chunk = window.read(reader, index, LOOK);
             if (chunk instanceof Result.Failure<Optional<byte[]>>(Fault fault)) {
                 refuse(Status.OUT_OF_RANGE.withDescription(fault.message()));
                 return;
--- a/src/main/java/org/micabarrow/transport/HttpCaller.java
+++ b/src/main/java/org/micabarrow/transport/HttpCaller.java
@@ -134,8 +134,30 @@
      * @return the answer, whatever its status
      */
     public Result<HttpAnswer> call(HttpCall call, Duration within) {
+        return begin(call).await(within);
+    }
+
+    /**
+     * Sends a request, to wait for its answer later.
+     *
+     * @param call the request
+     * @return the call in progress
+     */
+    Pending begin(HttpCall call) {
         CompletableFuture<Result<HttpAnswer>> done = new CompletableFuture<>();
-        Runnable cancel = send(call, new Whole(done));
+        return new Pending(call, done, send(call, new Whole(done)));
+    }
+
+    /** A request whose whole answer is waited for. */
+    record Pending(HttpCall call, CompletableFuture<Result<HttpAnswer>> done, Runnable cancel) {
+
+        Result<HttpAnswer> await(Duration within) {
+            return awaitAnswer(call, done, cancel, within);
+        }
+    }
+
+    private static Result<HttpAnswer> awaitAnswer(
+            HttpCall call, CompletableFuture<Result<HttpAnswer>> done, Runnable cancel, Duration within) {
         try {
             return done.get(within.toMillis(), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
--- a/src/main/java/org/micabarrow/transport/PeerClient.java
+++ b/src/main/java/org/micabarrow/transport/PeerClient.java
@@ -1,6 +1,7 @@
 package org.micabarrow.transport;
 
 import com.codahale.metrics.MetricRegistry;
+import io.grpc.ConnectivityState;
 import io.grpc.ManagedChannel;
 import io.grpc.Status;
 import io.grpc.stub.ClientCallStreamObserver;
@@ -89,7 +90,12 @@
     }
 
     private PeerGrpc.PeerStub stub(String address) {
-        return PeerGrpc.newStub(channels.computeIfAbsent(address, connect));
+        ManagedChannel channel = channels.computeIfAbsent(address, connect);
+        if (channel.getState(false) == ConnectivityState.TRANSIENT_FAILURE) {
+            // An instance that comes back at its old address is not to wait until a long back-off has passed.
+            channel.resetConnectBackoff();
+        }
+        return PeerGrpc.newStub(channel);
     }
 
     /**
@@ -322,14 +328,16 @@
      * @param address the agent
      * @param artifact the manifest's digest
      * @param from the first chunk wanted
+     * @param to the index after the last chunk wanted
      * @param generation this process's generation
      * @return the stream
      */
-    public Weights.Feed chunks(String address, String artifact, int from, long generation) {
+    public Weights.Feed chunks(String address, String artifact, int from, int to, long generation) {
         PeerFeed feed = new PeerFeed(address);
         ChunksRequest request = ChunksRequest.newBuilder()
                 .setVersion(artifact)
                 .setFrom(from)
+                .setTo(to)
                 .setReceiver(self)
                 .setGeneration(generation)
                 .build();
--- a/src/main/java/org/micabarrow/transport/WeightsClient.java
+++ b/src/main/java/org/micabarrow/transport/WeightsClient.java
@@ -2,6 +2,8 @@
 
 import java.net.URI;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Objects;
 import java.util.function.LongSupplier;
 import org.micabarrow.coordination.Source;
@@ -18,6 +20,8 @@
 
     private static final Duration MANIFEST_WITHIN = Duration.ofSeconds(5);
     private static final int OK = 200;
+    private static final int STORE_AHEAD = 8;
+    private static final int ORIGIN_AHEAD = 2;
 
     private final HttpCaller caller;
     private final Common.Platform platform;
@@ -63,11 +67,11 @@
     }
 
     @Override
-    public Feed open(Source source, String artifact, int from) {
+    public Feed open(Source source, String artifact, int from, int to) {
         Feed feed = switch (source) {
-            case Source.Peer peer -> peers.chunks(peer.replica().address(), artifact, from, generation.getAsLong());
-            case Source.Store ignored -> new HttpFeed(platform.store(), artifact, from);
-            case Source.Origin ignored -> new HttpFeed(platform.origin(), artifact, from);
+            case Source.Peer peer -> peers.chunks(peer.replica().address(), artifact, from, to, generation.getAsLong());
+            case Source.Store ignored -> new HttpFeed(platform.store(), artifact, from, to, STORE_AHEAD);
+            case Source.Origin ignored -> new HttpFeed(platform.origin(), artifact, from, to, ORIGIN_AHEAD);
         };
         return new PacedFeed(feed);
     }
@@ -94,23 +98,33 @@
         }
     }
 
-    /** Reads chunk by chunk over HTTP. */
+    /** Reads chunk by chunk over HTTP, with a few requests on their way at once. */
     private final class HttpFeed implements Feed {
 
         private final String base;
         private final String artifact;
-        private int index;
+        private final int ahead;
+        private final Deque<HttpCaller.Pending> pending = new ArrayDeque<>();
+        private int nextToAsk;
+        private int left;
 
-        private HttpFeed(String base, String artifact, int from) {
+        private HttpFeed(String base, String artifact, int from, int to, int ahead) {
             this.base = base;
             this.artifact = artifact;
-            this.index = from;
+            this.ahead = ahead;
+            this.nextToAsk = from;
+            this.left = to - from;
         }
 
         @Override
         public Result<byte[]> next(Duration patience) {
-            HttpCall call = HttpCall.get(Step.FETCH, URI.create(base + "/weights/" + artifact + "/chunks/" + index++));
-            return caller.call(call, patience)
+            while (pending.size() < ahead && left > 0) {
+                URI uri = URI.create(base + "/weights/" + artifact + "/chunks/" + nextToAsk++);
+                pending.addLast(caller.begin(HttpCall.get(Step.FETCH, uri)));
+                left--;
+            }
+            return pending.removeFirst()
+                    .await(patience)
                     .flatMap(answer -> answer.status() == OK
                             ? Result.success(answer.body())
                             : Result.failure(Fault.of(
@@ -119,7 +133,7 @@
 
         @Override
         public void close() {
-            // Every chunk is a request of its own; nothing stays open between them.
+            pending.forEach(one -> one.cancel().run());
         }
     }
 }
--- a/src/test/java/org/micabarrow/coordination/ChunkWindowTest.java
+++ b/src/test/java/org/micabarrow/coordination/ChunkWindowTest.java
@@ -71,6 +71,28 @@
         assertArrayEquals(chunk(3), read(window, "late", 3));
     }
 
+    @Test
+    void shouldKeepChunkForNewStreamWhenOldStreamOfSameReceiverEnds() throws InterruptedException {
+        ChunkWindow window = new ChunkWindow(2, 10, Duration.ofMillis(50));
+        window.expect("child");
+        window.add(chunk(0));
+        window.arrived("child");
+        read(window, "child#1", 0);
+        read(window, "child#2", 0);
+        window.leave("child#1");
+        window.add(chunk(1));
+        CompletableFuture<Void> adding = CompletableFuture.runAsync(() -> {
+            try {
+                window.add(chunk(2));
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        assertArrayEquals(chunk(0), read(window, "child#2", 0));
+        assertArrayEquals(chunk(1), read(window, "child#2", 1));
+        adding.join();
+    }
+
     @Test
     void shouldEndReadersWhenClosed() throws InterruptedException {
         ChunkWindow window = new ChunkWindow(2, 10, LONG);
--- a/src/test/java/org/micabarrow/coordination/TransferTest.java
+++ b/src/test/java/org/micabarrow/coordination/TransferTest.java
@@ -88,7 +88,7 @@
             }
 
             @Override
-            public Feed open(Source from, String artifact, int first) {
+            public Feed open(Source from, String artifact, int first, int to) {
                 return new Feed() {
                     private int next = first;
 
@@ -136,6 +136,7 @@
                 manifest.version(),
                 manifest.bytes(),
                 List.of(order),
+                List.of(order),
                 fed,
                 Optional.empty(),
                 1000,
