Relay: a source that waits is borne only where the plan names it first

Cause: with a stalled head in one chain and deaths in the other, each chain's orphans waited at the other's tail, and the tails for them, 2.5 s at a time.

--- a/src/main/java/org/micabarrow/bench/FaultyWeights.java
+++ b/src/main/java/org/micabarrow/bench/FaultyWeights.java
@@ -59,10 +59,10 @@
         }
 
         @Override
-        public Result<byte[]> next(Duration patience) {
+        public Result<byte[]> next(Weights.Patience patience) {
             if (source instanceof Source.Peer peer
                     && stalled.contains(peer.replica().instance())) {
-                return stall(patience);
+                return stall(patience.silence());
             }
             return feed.next(patience).map(this::perhapsCorrupted);
         }
--- a/src/main/java/org/micabarrow/coordination/Source.java
+++ b/src/main/java/org/micabarrow/coordination/Source.java
@@ -42,14 +42,13 @@
      *
      * @param placed the placement
      * @param instance the instance
-     * @return the same sources as in {@link #order}, with the last of the other chains and the store in front
+     * @return the same sources as in {@link #order}, with the last of the other chains in front
      */
     static List<Source> orderAfterStall(FoldedState.Placed placed, String instance) {
         List<Source> idle = new ArrayList<>();
         placed.chains().stream()
                 .filter(chain -> positionIn(chain, instance) < 0)
                 .forEach(chain -> idle.add(new Peer(chain.getLast())));
-        idle.add(new Store());
         order(placed, instance).stream()
                 .filter(source -> !idle.contains(source))
                 .forEach(idle::add);
--- a/src/main/java/org/micabarrow/coordination/Transfer.java
+++ b/src/main/java/org/micabarrow/coordination/Transfer.java
@@ -29,6 +29,8 @@
     /** The first chunk of a stream takes longer: a connection may have to be opened. */
     private static final int FIRST_CHUNK = 3;
 
+    private static final int WAITING_BORNE = 8;
+
     private final Task task;
     private final Weights weights;
     private final Endpoint endpoint;
@@ -219,7 +221,7 @@
             while (!cancelled
                     && window.next() < manifest.chunks().size()
                     && !choice.betterThan(source, clock.millis())) {
-                Result<byte[]> next = feed.next(first ? task.patience().multipliedBy(FIRST_CHUNK) : task.patience());
+                Result<byte[]> next = feed.next(patience(source, first));
                 first = false;
                 if (next instanceof Result.Failure<byte[]>(Fault fault)) {
                     return Result.failure(fault);
@@ -233,6 +235,19 @@
         return Result.success(window.next());
     }
 
+    /**
+     * A source that waits for its own is worth waiting for where the plan names it first: its troubles are its own to
+     * mend. Any other source is left soon, since one that waits may be waiting for this very instance.
+     */
+    private Weights.Patience patience(Source source, boolean first) {
+        Duration silence = first ? task.patience().multipliedBy(FIRST_CHUNK) : task.patience();
+        boolean named = source.equals(task.sources().getFirst());
+        Duration waiting = named
+                ? task.patience().multipliedBy(WAITING_BORNE)
+                : task.patience().dividedBy(2);
+        return new Weights.Patience(silence, waiting);
+    }
+
     private long missingBytes(Manifest manifest) {
         return manifest.bytes() - (long) window.next() * manifest.chunkBytes();
     }
@@ -266,7 +281,7 @@
     private Result<byte[]> again(Source source, Manifest manifest, int index) {
         LOG.warn("transfer artifact={} source={} chunk={} corrupted", shortName(task.artifact()), source, index);
         try (Weights.Feed feed = weights.open(source, task.artifact(), index, index + 1)) {
-            return feed.next(task.patience())
+            return feed.next(patience(source, true))
                     .flatMap(data -> received(source, manifest, index, data)
                             ? Result.success(data)
                             : Result.failure(Fault.of(
--- a/src/main/java/org/micabarrow/coordination/Weights.java
+++ b/src/main/java/org/micabarrow/coordination/Weights.java
@@ -26,6 +26,14 @@
      */
     Feed open(Source source, String artifact, int from, int to);
 
+    /**
+     * How long a receiver waits for a chunk.
+     *
+     * @param silence how long it bears to hear nothing
+     * @param waiting how long it bears to hear that the source waits for its own source
+     */
+    record Patience(Duration silence, Duration waiting) {}
+
     /** A stream of chunks in order. */
     interface Feed extends AutoCloseable {
 
@@ -35,7 +43,7 @@
          * @param patience how long to wait for it
          * @return the bytes, unchecked
          */
-        Result<byte[]> next(Duration patience);
+        Result<byte[]> next(Patience patience);
 
         @Override
         void close();
--- a/src/main/java/org/micabarrow/transport/PeerFeed.java
+++ b/src/main/java/org/micabarrow/transport/PeerFeed.java
@@ -2,7 +2,6 @@
 
 import io.grpc.stub.ClientCallStreamObserver;
 import io.grpc.stub.ClientResponseObserver;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -18,7 +17,6 @@
 final class PeerFeed implements Weights.Feed, ClientResponseObserver<ChunksRequest, Chunk> {
 
     private static final int AHEAD = 2;
-    private static final int WAITING_BORNE = 8;
     private static final Chunk END = Chunk.newBuilder().setIndex(-1).build();
 
     private final String address;
@@ -37,13 +35,16 @@
      * source's receiver is the one to go elsewhere.
      */
     @Override
-    public Result<byte[]> next(Duration patience) {
-        long end = System.nanoTime() + patience.toNanos() * WAITING_BORNE;
+    public Result<byte[]> next(Weights.Patience patience) {
+        long end = System.nanoTime() + patience.waiting().toNanos();
         try {
-            while (System.nanoTime() < end) {
-                Optional<Chunk> next = Optional.ofNullable(arrived.poll(patience.toMillis(), TimeUnit.MILLISECONDS));
+            while (true) {
+                Optional<Chunk> next =
+                        Optional.ofNullable(arrived.poll(patience.silence().toMillis(), TimeUnit.MILLISECONDS));
                 if (next.isEmpty()) {
-                    return failed(Reason.STALLED, "nothing within " + patience.toMillis() + " ms");
+                    return failed(
+                            Reason.STALLED,
+                            "nothing within " + patience.silence().toMillis() + " ms");
                 }
                 if (next.get() == END) {
                     return Result.failure(failure);
@@ -52,8 +53,10 @@
                 if (!next.get().getWaiting()) {
                     return Result.success(next.get().getData().toByteArray());
                 }
+                if (System.nanoTime() > end) {
+                    return failed(Reason.NOT_READY, "it waits for its own source");
+                }
             }
-            return failed(Reason.STALLED, "it has waited for its own source for too long");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return failed(Reason.CANCELLED, "interrupted");
--- a/src/main/java/org/micabarrow/transport/WeightsClient.java
+++ b/src/main/java/org/micabarrow/transport/WeightsClient.java
@@ -86,7 +86,7 @@
         }
 
         @Override
-        public Result<byte[]> next(Duration patience) {
+        public Result<byte[]> next(Patience patience) {
             Result<byte[]> data = feed.next(patience);
             data.toOptional().ifPresent(bytes -> link.take(bytes.length));
             return data;
@@ -117,14 +117,14 @@
         }
 
         @Override
-        public Result<byte[]> next(Duration patience) {
+        public Result<byte[]> next(Patience patience) {
             while (pending.size() < ahead && left > 0) {
                 URI uri = URI.create(base + "/weights/" + artifact + "/chunks/" + nextToAsk++);
                 pending.addLast(caller.begin(HttpCall.get(Step.FETCH, uri)));
                 left--;
             }
             return pending.removeFirst()
-                    .await(patience)
+                    .await(patience.silence())
                     .flatMap(answer -> answer.status() == OK
                             ? Result.success(answer.body())
                             : Result.failure(Fault.of(
