--- a/src/main/java/org/micabarrow/bench/LocalSystem.java
+++ b/src/main/java/org/micabarrow/bench/LocalSystem.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -19,6 +21,7 @@
 import org.micabarrow.standin.EngineStandin;
 import org.micabarrow.standin.PlatformStandin;
 import org.micabarrow.standin.ServiceStandin;
+import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Digest;
 import org.micabarrow.state.Instance;
 
@@ -41,6 +44,8 @@
     private final Map<String, EngineStandin> engines = new LinkedHashMap<>();
     private final Map<String, ServiceStandin> services = new LinkedHashMap<>();
     private final Map<String, Instance> instances = new LinkedHashMap<>();
+    private final Map<String, Process> processes = new LinkedHashMap<>();
+    private Optional<Path> binary = Optional.empty();
     private UnaryOperator<Weights> faults = UnaryOperator.identity();
 
     private LocalSystem(Options options) {
@@ -117,6 +122,35 @@
         }
     }
 
+    /**
+     * Lets entries and agents that are added from now on run as processes of their own.
+     *
+     * @param program the product's binary
+     */
+    public void separate(Path program) {
+        binary = Optional.of(program);
+    }
+
+    private Process launch(String command, String id, Object settings) throws IOException {
+        Path file = Files.createTempFile(id, ".jsonc");
+        file.toFile().deleteOnExit();
+        Files.writeString(file, CanonicalJson.pretty(settings));
+        return new ProcessBuilder(binary.orElseThrow().toString(), command, "--settings", file.toString())
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .start();
+    }
+
+    /**
+     * A process of its own.
+     *
+     * @param id its instance
+     * @return the process
+     */
+    public Process process(String id) {
+        return processes.get(id);
+    }
+
     /**
      * Tampers with the weights that agents started from now on read.
      *
@@ -177,7 +211,11 @@
      */
     public void startEntry(String id) {
         try {
-            entries.put(id, EntryProcess.start(entrySettings.get(id)));
+            if (binary.isPresent()) {
+                processes.put(id, launch("entry", id, entrySettings.get(id)));
+            } else {
+                entries.put(id, EntryProcess.start(entrySettings.get(id)));
+            }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -244,7 +282,11 @@
      */
     public void startAgent(String id) {
         try {
-            agents.put(id, AgentProcess.start(agentSettings.get(id), faults));
+            if (binary.isPresent()) {
+                processes.put(id, launch("agent", id, agentSettings.get(id)));
+            } else {
+                agents.put(id, AgentProcess.start(agentSettings.get(id), faults));
+            }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -291,6 +333,16 @@
         return engines.get(id);
     }
 
+    /**
+     * An engine's address.
+     *
+     * @param id its instance
+     * @return the base address
+     */
+    public String engineAddress(String id) {
+        return agentSettings.get(id).endpoint().url();
+    }
+
     /**
      * The names of the engines' instances.
      *
@@ -362,6 +414,7 @@
 
     @Override
     public void close() {
+        processes.values().forEach(Process::destroyForcibly);
         entries.values().forEach(EntryProcess::kill);
         agents.values().forEach(AgentProcess::kill);
         engines.values().forEach(EngineStandin::close);
--- /dev/null
+++ b/src/main/java/org/micabarrow/bench/OperatorCalls.java
@@ -0,0 +1,99 @@
+package org.micabarrow.bench;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import org.micabarrow.protocol.OperatorMessages;
+import org.micabarrow.state.CanonicalJson;
+import org.micabarrow.state.Fault;
+import org.micabarrow.transport.HttpCall;
+import org.micabarrow.transport.HttpCaller;
+
+/** What a benchmark asks of an entry as an operator. */
+final class OperatorCalls implements AutoCloseable {
+
+    private static final Duration WITHIN = Duration.ofSeconds(60);
+    private static final long LOOK_MILLIS = 20;
+
+    private final HttpCaller http = HttpCaller.start("operator", 1);
+    private final String base;
+
+    OperatorCalls(String base) {
+        this.base = base;
+    }
+
+    OperatorMessages.Planned plan(String intent) {
+        return ask("POST", "/plan", intent, OperatorMessages.Planned.class);
+    }
+
+    OperatorMessages.Confirmed confirm(String id) {
+        return ask("POST", "/confirm", "{\"id\":\"" + id + "\"}", OperatorMessages.Confirmed.class);
+    }
+
+    OperatorMessages.Status status() {
+        return ask("GET", "/status", "", OperatorMessages.Status.class);
+    }
+
+    private <T> T ask(String method, String path, String body, Class<T> type) {
+        HttpCall call = new HttpCall(
+                        Fault.Step.READ,
+                        method,
+                        URI.create(base + path),
+                        Map.of(),
+                        body.getBytes(StandardCharsets.UTF_8))
+                .withHeader("Authorization", "Bearer " + LocalSystem.OPERATOR_TOKEN);
+        HttpCaller.HttpAnswer answer = http.call(call, WITHIN).toOptional().orElseThrow();
+        if (answer.status() != 200) {
+            throw new IllegalStateException(new String(answer.body(), StandardCharsets.UTF_8));
+        }
+        return read(answer.body(), type);
+    }
+
+    /** A process's metrics, empty while it does not answer. */
+    Map<?, ?> metrics(String process) {
+        HttpCall call = HttpCall.get(Fault.Step.READ, URI.create(process + "/metrics"));
+        return http.call(call, Duration.ofSeconds(5))
+                .toOptional()
+                .<Map<?, ?>>map(answer -> read(answer.body(), Map.class))
+                .orElse(Map.of());
+    }
+
+    static double number(Map<?, ?> metrics, String name) {
+        return metrics.get(name) instanceof Number number ? number.doubleValue() : 0.0;
+    }
+
+    void awaitListed(int instances) throws InterruptedException {
+        while (number(metrics(base), "instances.listed") != instances) {
+            Thread.sleep(LOOK_MILLIS);
+        }
+    }
+
+    /** Waits until every replica of the configuration is ready. */
+    void awaitReady(int replicas) throws InterruptedException {
+        while (true) {
+            OperatorMessages.Status status = status();
+            boolean ready = status.replicas().size() == replicas
+                    && status.replicas().stream()
+                            .allMatch(replica -> replica.state().equals("ready"));
+            if (ready) {
+                return;
+            }
+            Thread.sleep(LOOK_MILLIS);
+        }
+    }
+
+    private static <T> T read(byte[] body, Class<T> type) {
+        try {
+            return CanonicalJson.read(body, type);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        http.close();
+    }
+}
--- a/src/main/java/org/micabarrow/coordination/RequestFlow.java
+++ b/src/main/java/org/micabarrow/coordination/RequestFlow.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.micabarrow.state.Digest;
@@ -33,6 +34,8 @@
     private final Supplier<FoldedState> state;
     private final Supplier<Map<String, PeerView>> peers;
     private final Parts parts;
+    private final LongAdder requests = new LongAdder();
+    private final LongAdder attempts = new LongAdder();
     private final Map<String, Lane> lanes = new ConcurrentHashMap<>();
 
     /**
@@ -99,6 +102,7 @@
             return () -> {};
         }
         parts.budget().sent();
+        requests.increment();
         run.next();
         return run::cancel;
     }
@@ -229,6 +233,28 @@
         }
     }
 
+    /**
+     * The requests that were taken on.
+     *
+     * @return their number since the start
+     */
+    public long requests() {
+        return requests.sum();
+    }
+
+    /**
+     * The attempts that were sent to agents.
+     *
+     * @return their number since the start
+     */
+    public long attempts() {
+        return attempts.sum();
+    }
+
+    void attempted() {
+        attempts.increment();
+    }
+
     /**
      * The requests that wait for room.
      *
--- a/src/main/java/org/micabarrow/coordination/RequestRun.java
+++ b/src/main/java/org/micabarrow/coordination/RequestRun.java
@@ -257,6 +257,7 @@
     // -- sending
 
     private void dispatch(Placed placed, Replica replica, String attempt, Optional<Claim> claim) {
+        flow.attempted();
         lastClaim = claim;
         tried.add(replica.instance());
         parts.traffic().opened(replica.instance());
--- a/src/main/java/org/micabarrow/coordination/Transfer.java
+++ b/src/main/java/org/micabarrow/coordination/Transfer.java
@@ -27,7 +27,7 @@
     private static final int MANIFEST_TRIES_MILLIS = 300;
 
     /** The first chunk of a stream takes longer: a connection may have to be opened. */
-    private static final int FIRST_CHUNK = 3;
+    private static final int FIRST_CHUNK = 2;
 
     private static final int WAITING_BORNE = 8;
 
--- a/src/main/java/org/micabarrow/process/AgentProcess.java
+++ b/src/main/java/org/micabarrow/process/AgentProcess.java
@@ -45,6 +45,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(AgentProcess.class);
     private static final long LIST_MILLIS = 30_000;
+    private static final int AHEAD_PART = 4;
     private static final long LEAST_PATIENCE_MILLIS = 100;
     private static final long STOP_LOOK_MILLIS = 50;
 
@@ -63,9 +64,9 @@
     private HttpListener operators;
     private volatile boolean closed;
 
-    private AgentProcess(AgentSettings settings, UnaryOperator<Weights> faults) {
+    private AgentProcess(AgentSettings settings, UnaryOperator<Weights> faults) throws IOException {
         this.settings = Objects.requireNonNull(settings, "settings is null");
-        this.node = new Node(settings.instance(), settings.platform(), LIST_MILLIS);
+        this.node = new Node(settings.instance(), settings.platform(), settings.tls(), LIST_MILLIS);
         this.endpoint = new EndpointClient(node.http(), settings.endpoint().url());
         AgentSettings.Limits limits = settings.limits();
         this.concurrency = new ConcurrencyLimit(
@@ -76,7 +77,12 @@
         this.linkIn = new LinkPacer(settings.links().instanceBytesPerSecond(), share::share);
         this.linkOut = new LinkPacer(settings.links().instanceBytesPerSecond(), share::share);
         this.weights = faults.apply(new WeightsClient(
-                node.http(), settings.platform(), node.peers(), linkIn, node.configuration()::generation));
+                node.http(),
+                settings.platform(),
+                node.peers(),
+                linkIn,
+                node.configuration()::generation,
+                settings.weights().windowBytes() / AHEAD_PART));
         this.replicas = new ReplicaControl(
                 node.identity(),
                 new ReplicaControl.Options(
--- a/src/main/java/org/micabarrow/process/EntryProcess.java
+++ b/src/main/java/org/micabarrow/process/EntryProcess.java
@@ -14,6 +14,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import java.util.zip.CRC32C;
+import javax.net.ssl.SSLContext;
 import org.micabarrow.coordination.ClaimWriter;
 import org.micabarrow.coordination.Claims;
 import org.micabarrow.coordination.Duties;
@@ -38,6 +39,7 @@
 import org.micabarrow.transport.OperatorDesk;
 import org.micabarrow.transport.OperatorServer;
 import org.micabarrow.transport.PeerService;
+import org.micabarrow.transport.TlsFiles;
 import org.micabarrow.transport.WeightsClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -68,10 +70,10 @@
     private HttpListener callerListener;
     private HttpListener operatorListener;
 
-    private EntryProcess(EntrySettings settings) {
+    private EntryProcess(EntrySettings settings) throws IOException {
         this.settings = Objects.requireNonNull(settings, "settings is null");
         EntrySettings.Peers timing = settings.peers();
-        this.node = new Node(settings.instance(), settings.platform(), timing.listMillis());
+        this.node = new Node(settings.instance(), settings.platform(), settings.tls(), timing.listMillis());
         this.table = new PeerTable(
                 settings.instance().id(), timing.agentsPerPlacement(), timing.unreachableMillis(), node.clock());
         this.router = new Router(
@@ -134,6 +136,8 @@
     private void begin() throws IOException {
         node.gauge("requests.open", callers::open);
         node.gauge("requests.waiting", flow::waiting);
+        node.gauge("requests.taken", flow::requests);
+        node.gauge("requests.attempts", flow::attempts);
         node.gauge("claims.held", () -> claims.stream().mapToInt(Claims::size).sum());
         node.gauge("instances.listed", () -> table.instances().size());
         node.gauge("agents.known", () -> table.peers().size());
@@ -150,14 +154,14 @@
         LOG.info("entry instance={} listens", node.identity().instance());
     }
 
-    private void listen() {
+    private void listen() throws IOException {
         EntrySettings.Limits limits = settings.limits();
         callerListener = HttpListener.start(
                 settings.listen().callers(),
                 new HttpListener.Bounds(
                         limits.bodyBytes(), limits.headerBytes(), limits.connections(), limits.idleMillis()),
                 CALLER_THREADS,
-                Optional.empty(),
+                callerContext(),
                 callers);
         operatorListener = HttpListener.start(
                 settings.listen().operators(),
@@ -168,12 +172,17 @@
                         desk(), settings.operators(), OperatorServer.watching(node.metrics(), this::healthy)));
     }
 
+    private Optional<SSLContext> callerContext() throws IOException {
+        Optional<TlsFiles> files = Node.open(settings.tls().callers());
+        return files.isPresent() ? Optional.of(files.get().context()) : Optional.empty();
+    }
+
     private OperatorDesk desk() {
         Links links = new Links(
                 settings.links().originBytesPerSecond(), settings.links().instanceBytesPerSecond());
         LinkPacer unpaced = new LinkPacer(settings.links().instanceBytesPerSecond(), () -> 1);
         WeightsClient weights = new WeightsClient(
-                node.http(), settings.platform(), node.peers(), unpaced, node.configuration()::generation);
+                node.http(), settings.platform(), node.peers(), unpaced, node.configuration()::generation, 0);
         return new OperatorDesk(
                 new OperatorDesk.Parts(
                         settings.instance().id(),
--- a/src/main/java/org/micabarrow/process/Node.java
+++ b/src/main/java/org/micabarrow/process/Node.java
@@ -2,11 +2,13 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Stream;
@@ -22,6 +24,7 @@
 import org.micabarrow.transport.PeerChannels;
 import org.micabarrow.transport.PeerClient;
 import org.micabarrow.transport.PlatformClient;
+import org.micabarrow.transport.TlsFiles;
 
 /** The parts that an entry and an agent have alike. */
 final class Node implements AutoCloseable {
@@ -37,22 +40,27 @@
     private final HttpCaller http = HttpCaller.start("http-client", HTTP_THREADS);
     private final AtomicReference<List<Instance>> instances = new AtomicReference<>(List.of());
     private final PlatformClient platform;
-    private final PeerChannels channels = new PeerChannels(metrics);
+    private final PeerChannels channels;
     private final PeerClient peers;
     private final RecordWriter writer;
     private final long listMillis;
     private ConfigurationReader reader;
 
-    Node(Common.Place place, Common.Platform services, long listMillis) {
+    Node(Common.Place place, Common.Platform services, Common.Security security, long listMillis) throws IOException {
         Objects.requireNonNull(place, "place is null");
         this.identity = new Identity(place.id(), place.region(), place.hall(), clock.millis());
         this.platform = new PlatformClient(http, services);
+        this.channels = new PeerChannels(metrics, open(security.peers()));
         this.peers = new PeerClient(place.id(), clock, channels::connect, this::knownPeers, metrics);
         this.writer = new RecordWriter(platform, configuration, clock);
         this.listMillis = listMillis;
         registerFigures();
     }
 
+    static Optional<TlsFiles> open(Optional<Common.Tls> files) throws IOException {
+        return files.isPresent() ? Optional.of(TlsFiles.open(files.get())) : Optional.empty();
+    }
+
     private void registerFigures() {
         gauge(
                 "process.cpuMillis",
--- a/src/main/java/org/micabarrow/settings/Common.java
+++ b/src/main/java/org/micabarrow/settings/Common.java
@@ -47,9 +47,9 @@
      *
      * @param certificate the certificate chain
      * @param key the private key in PKCS#8
-     * @param authorities the certificates that others' certificates must descend from
+     * @param authorities the certificates that other processes' certificates must descend from; needed between processes
      */
-    public record Tls(String certificate, String key, String authorities) {}
+    public record Tls(String certificate, String key, Optional<String> authorities) {}
 
     /**
      * Transport security between the system's processes and towards callers.
--- a/src/main/java/org/micabarrow/settings/JsonDocument.java
+++ b/src/main/java/org/micabarrow/settings/JsonDocument.java
@@ -174,7 +174,7 @@
         } catch (PropertyBindingException e) {
             errors.add(place(pointerOf(e)) + ": unknown field; allowed here: " + e.getKnownPropertyIds());
         } catch (JsonMappingException e) {
-            errors.add(place(pointerOf(e)) + ": " + firstLine(e.getOriginalMessage()));
+            errors.add(place(pointerOf(e)) + ": " + reason(e.getOriginalMessage()));
         } catch (JsonProcessingException e) {
             errors.add(file + ": " + firstLine(e.getOriginalMessage()));
         }
@@ -183,6 +183,11 @@
                 : Result.failure(Fault.of(step, file, Reason.INVALID, String.join("\n", errors)));
     }
 
+    private static String reason(String message) {
+        boolean missing = message.startsWith("Null value for creator property") || message.contains("map `null`");
+        return missing ? "is missing" : firstLine(message);
+    }
+
     private static String firstLine(String message) {
         return message.lines().findFirst().orElse(message);
     }
--- a/src/main/java/org/micabarrow/settings/SettingsReader.java
+++ b/src/main/java/org/micabarrow/settings/SettingsReader.java
@@ -43,6 +43,11 @@
             Rule.pattern("/platform/origin", URL, A_URL),
             Rule.range("/links/originBytesPerSecond", 1, TERABYTE),
             Rule.range("/links/instanceBytesPerSecond", 1, TERABYTE),
+            Rule.pattern("/tls/peers/authorities", "(?s).+", "a PEM file"),
+            new Rule(
+                    "/tls/peers",
+                    node -> node.has("authorities"),
+                    "certificate, key and authorities: processes check each other"),
             Rule.pattern("/log/format", "text|json", "text or json"),
             Rule.pattern("/log/level", "error|warn|info|debug|trace", "error, warn, info, debug or trace"));
 
--- a/src/main/java/org/micabarrow/standin/EngineStandin.java
+++ b/src/main/java/org/micabarrow/standin/EngineStandin.java
@@ -38,6 +38,7 @@
     private final AtomicInteger refusedOrders = new AtomicInteger();
     private final HttpListener listener;
     private Endpoint.Fence highest = new Endpoint.Fence(0, -1);
+    private volatile int slowness = 1;
 
     private EngineStandin(String address, Timing timing) {
         this.timing = timing;
@@ -84,6 +85,15 @@
         return Map.copyOf(runs);
     }
 
+    /**
+     * Makes the engine slower.
+     *
+     * @param times how many times slower than its timing
+     */
+    public void slow(int times) {
+        slowness = times;
+    }
+
     /**
      * The versions loaded, with their fingerprints.
      *
@@ -159,7 +169,7 @@
         try {
             exchange.getResponseHeaders().put(new HttpString(EndpointClient.ATTEMPT), attempt);
             exchange.getResponseHeaders().put(new HttpString(EndpointClient.VERSION), version);
-            Thread.sleep(timing.prefillMillis());
+            Thread.sleep(timing.prefillMillis() * slowness);
             String last = String.valueOf(body.get("messages"));
             if (stream) {
                 streamed(exchange, attempt, fingerprint.get(), tokens, last);
@@ -173,7 +183,7 @@
 
     private void whole(HttpServerExchange exchange, String attempt, String fingerprint, int tokens, String asked)
             throws InterruptedException {
-        Thread.sleep(timing.tokenMillis() * tokens);
+        Thread.sleep(timing.tokenMillis() * tokens * slowness);
         StringBuilder text = new StringBuilder();
         for (int i = 0; i < tokens; i++) {
             text.append(token(fingerprint, i));
@@ -200,7 +210,7 @@
                                     "echo", Digest.of(asked),
                                     "choices", List.of(Map.of("delta", Map.of("content", token(fingerprint, i)))))),
                             StandardCharsets.UTF_8));
-            Thread.sleep(timing.tokenMillis());
+            Thread.sleep(timing.tokenMillis() * slowness);
         }
         event(out, "[DONE]");
         out.close();
--- a/src/main/java/org/micabarrow/standin/PlatformStandin.java
+++ b/src/main/java/org/micabarrow/standin/PlatformStandin.java
@@ -124,6 +124,15 @@
         return originBytes.get();
     }
 
+    /**
+     * Appends to the log so far, of all streams.
+     *
+     * @return their number
+     */
+    public long appends() {
+        return appends.get();
+    }
+
     // -- answering
 
     private void log(HttpServerExchange exchange) throws IOException, InterruptedException {
--- a/src/main/java/org/micabarrow/transport/PeerChannels.java
+++ b/src/main/java/org/micabarrow/transport/PeerChannels.java
@@ -6,8 +6,6 @@
 import io.grpc.Channel;
 import io.grpc.ClientCall;
 import io.grpc.ClientInterceptor;
-import io.grpc.InsecureChannelCredentials;
-import io.grpc.InsecureServerCredentials;
 import io.grpc.ManagedChannel;
 import io.grpc.MethodDescriptor;
 import io.grpc.Server;
@@ -20,6 +18,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -34,6 +33,7 @@
     private static final long KEEP_ALIVE_SECONDS = 20;
 
     private final WireMeter meter;
+    private final Optional<TlsFiles> tls;
     private final EventLoopGroup events = new NioEventLoopGroup(IO_THREADS);
     private final ExecutorService work = Executors.newFixedThreadPool(WORK_THREADS, runnable -> {
         Thread thread = new Thread(runnable, "peer-work");
@@ -45,8 +45,10 @@
      * Makes the threads.
      *
      * @param metrics counts what goes over the wire
+     * @param tls the certificates, empty for plain connections
      */
-    public PeerChannels(MetricRegistry metrics) {
+    public PeerChannels(MetricRegistry metrics, Optional<TlsFiles> tls) {
+        this.tls = Objects.requireNonNull(tls, "tls is null");
         this.meter = new WireMeter(Objects.requireNonNull(metrics, "metrics is null"));
     }
 
@@ -59,7 +61,7 @@
      * @throws IOException if the address cannot be used
      */
     public Server serve(String address, BindableService service) throws IOException {
-        return NettyServerBuilder.forAddress(Addresses.parse(address), InsecureServerCredentials.create())
+        return NettyServerBuilder.forAddress(Addresses.parse(address), TlsFiles.server(tls))
                 .channelType(NioServerSocketChannel.class)
                 .bossEventLoopGroup(events)
                 .workerEventLoopGroup(events)
@@ -81,7 +83,7 @@
      */
     public ManagedChannel connect(String address) {
         InetSocketAddress at = Addresses.parse(address);
-        return NettyChannelBuilder.forAddress(at, InsecureChannelCredentials.create())
+        return NettyChannelBuilder.forAddress(at, TlsFiles.client(tls))
                 .channelType(NioSocketChannel.class)
                 .eventLoopGroup(events)
                 .executor(work)
--- a/src/main/java/org/micabarrow/transport/WeightsClient.java
+++ b/src/main/java/org/micabarrow/transport/WeightsClient.java
@@ -20,14 +20,15 @@
 
     private static final Duration MANIFEST_WITHIN = Duration.ofSeconds(5);
     private static final int OK = 200;
-    private static final int STORE_AHEAD = 8;
-    private static final int ORIGIN_AHEAD = 2;
+    private static final int LEAST_AHEAD = 2;
+    private static final int MOST_AHEAD = 32;
 
     private final HttpCaller caller;
     private final Common.Platform platform;
     private final PeerClient peers;
     private final LinkPacer link;
     private final LongSupplier generation;
+    private final long aheadBytes;
 
     /**
      * Makes a client.
@@ -37,9 +38,16 @@
      * @param peers reaches other agents
      * @param link holds what is received to the link's rate
      * @param generation the generation in force here
+     * @param aheadBytes how many bytes may be on their way from the store at once
      */
     public WeightsClient(
-            HttpCaller caller, Common.Platform platform, PeerClient peers, LinkPacer link, LongSupplier generation) {
+            HttpCaller caller,
+            Common.Platform platform,
+            PeerClient peers,
+            LinkPacer link,
+            LongSupplier generation,
+            long aheadBytes) {
+        this.aheadBytes = aheadBytes;
         this.caller = Objects.requireNonNull(caller, "caller is null");
         this.platform = Objects.requireNonNull(platform, "platform is null");
         this.peers = Objects.requireNonNull(peers, "peers is null");
@@ -70,8 +78,8 @@
     public Feed open(Source source, String artifact, int from, int to) {
         Feed feed = switch (source) {
             case Source.Peer peer -> peers.chunks(peer.replica().address(), artifact, from, to, generation.getAsLong());
-            case Source.Store ignored -> new HttpFeed(platform.store(), artifact, from, to, STORE_AHEAD);
-            case Source.Origin ignored -> new HttpFeed(platform.origin(), artifact, from, to, ORIGIN_AHEAD);
+            case Source.Store ignored -> new HttpFeed(platform.store(), artifact, from, to, aheadBytes);
+            case Source.Origin ignored -> new HttpFeed(platform.origin(), artifact, from, to, 0);
         };
         return new PacedFeed(feed);
     }
@@ -98,20 +106,24 @@
         }
     }
 
-    /** Reads chunk by chunk over HTTP, with a few requests on their way at once. */
+    /**
+     * Reads chunk by chunk over HTTP, with some requests on their way at once: two at the origin, whose bytes are
+     * counted, and at the store as many as a part of the window allows, since a slow store is slow at each request.
+     */
     private final class HttpFeed implements Feed {
 
         private final String base;
         private final String artifact;
-        private final int ahead;
+        private final long bytesAhead;
+        private int ahead = LEAST_AHEAD;
         private final Deque<HttpCaller.Pending> pending = new ArrayDeque<>();
         private int nextToAsk;
         private int left;
 
-        private HttpFeed(String base, String artifact, int from, int to, int ahead) {
+        private HttpFeed(String base, String artifact, int from, int to, long bytesAhead) {
             this.base = base;
             this.artifact = artifact;
-            this.ahead = ahead;
+            this.bytesAhead = bytesAhead;
             this.nextToAsk = from;
             this.left = to - from;
         }
@@ -123,8 +135,16 @@
                 pending.addLast(caller.begin(HttpCall.get(Step.FETCH, uri)));
                 left--;
             }
+            Result<byte[]> chunk = await(patience.silence());
+            chunk.toOptional()
+                    .filter(data -> data.length > 0)
+                    .ifPresent(data -> ahead = (int) Math.clamp(bytesAhead / data.length, LEAST_AHEAD, MOST_AHEAD));
+            return chunk;
+        }
+
+        private Result<byte[]> await(Duration silence) {
             return pending.removeFirst()
-                    .await(patience.silence())
+                    .await(silence)
                     .flatMap(answer -> answer.status() == OK
                             ? Result.success(answer.body())
                             : Result.failure(Fault.of(
--- /dev/null
+++ b/src/test/java/org/micabarrow/ArchitectureTest.java
@@ -0,0 +1,68 @@
+package org.micabarrow;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** Holds the layers apart. */
+@AnalyzeClasses(packages = "org.micabarrow", importOptions = ImportOption.DoNotIncludeTests.class)
+class ArchitectureTest {
+
+    @ArchTest
+    static final ArchRule LOWER_LAYERS_DO_NOT_KNOW_HIGHER_ONES = layeredArchitecture()
+            .consideringOnlyDependenciesInLayers()
+            .layer("state")
+            .definedBy("org.micabarrow.state..")
+            .layer("settings")
+            .definedBy("org.micabarrow.settings..")
+            .layer("coordination")
+            .definedBy("org.micabarrow.coordination..")
+            .layer("protocol")
+            .definedBy("org.micabarrow.protocol..")
+            .layer("transport")
+            .definedBy("org.micabarrow.transport..")
+            .layer("process")
+            .definedBy("org.micabarrow.process..")
+            .layer("command")
+            .definedBy("org.micabarrow.command..")
+            .layer("standin")
+            .definedBy("org.micabarrow.standin..")
+            .layer("bench")
+            .definedBy("org.micabarrow.bench..")
+            .whereLayer("settings")
+            .mayOnlyBeAccessedByLayers("transport", "process", "command", "bench")
+            .whereLayer("coordination")
+            .mayOnlyBeAccessedByLayers("protocol", "transport", "process", "standin", "bench")
+            .whereLayer("protocol")
+            .mayOnlyBeAccessedByLayers("transport", "process", "command", "standin", "bench")
+            .whereLayer("transport")
+            .mayOnlyBeAccessedByLayers("process", "command", "standin", "bench")
+            .whereLayer("process")
+            .mayOnlyBeAccessedByLayers("command", "bench")
+            .whereLayer("command")
+            .mayOnlyBeAccessedByLayers("bench")
+            .whereLayer("standin")
+            .mayOnlyBeAccessedByLayers("command", "bench")
+            .whereLayer("bench")
+            .mayNotBeAccessedByAnyLayer();
+
+    @ArchTest
+    static final ArchRule STATE_HAS_NO_CLOCK_AND_NO_SOCKET = noClasses()
+            .that()
+            .resideInAPackage("org.micabarrow.state..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage("java.net..", "java.time..", "java.util.concurrent..", "io..", "java.nio.file..");
+
+    @ArchTest
+    static final ArchRule DECISIONS_HAVE_NO_SOCKET = noClasses()
+            .that()
+            .resideInAPackage("org.micabarrow.coordination..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage("java.net..", "io.grpc..", "io.undertow..", "org.xnio..");
+}
--- /dev/null
+++ b/src/test/java/org/micabarrow/transport/TlsTest.java
@@ -0,0 +1,148 @@
+package org.micabarrow.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import io.grpc.Server;
+import io.grpc.stub.StreamObserver;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.security.KeyStore;
+import java.time.InstantSource;
+import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.micabarrow.Await;
+import org.micabarrow.protocol.wire.PeerGrpc;
+import org.micabarrow.protocol.wire.StatusReply;
+import org.micabarrow.protocol.wire.StatusRequest;
+import org.micabarrow.settings.Common;
+import org.micabarrow.state.Result;
+
+/** Processes talk only to those that show a certificate of the authorities, and take new files without a restart. */
+class TlsTest {
+
+    @TempDir
+    private Path directory;
+
+    @BeforeEach
+    void makeCertificates() throws Exception {
+        for (String name : List.of("one", "other", "stranger")) {
+            make(name);
+        }
+        Files.writeString(authorities(), Files.readString(pem("one", "crt")) + Files.readString(pem("other", "crt")));
+    }
+
+    private Path authorities() {
+        return directory.resolve("authorities.pem");
+    }
+
+    private Path pem(String name, String kind) {
+        return directory.resolve(name + "." + kind);
+    }
+
+    private void make(String name) throws Exception {
+        Path store = directory.resolve(name + ".p12");
+        String keytool =
+                Path.of(System.getProperty("java.home"), "bin", "keytool").toString();
+        Process process = new ProcessBuilder(
+                        keytool,
+                        "-genkeypair",
+                        "-alias",
+                        "k",
+                        "-keyalg",
+                        "EC",
+                        "-dname",
+                        "CN=" + name,
+                        "-validity",
+                        "3650",
+                        "-storetype",
+                        "PKCS12",
+                        "-storepass",
+                        "password",
+                        "-keystore",
+                        store.toString())
+                .inheritIO()
+                .start();
+        assertEquals(0, process.waitFor());
+        KeyStore keys = KeyStore.getInstance(store.toFile(), "password".toCharArray());
+        write(
+                pem(name, "key"),
+                "PRIVATE KEY",
+                keys.getKey("k", "password".toCharArray()).getEncoded());
+        write(pem(name, "crt"), "CERTIFICATE", keys.getCertificate("k").getEncoded());
+    }
+
+    private static void write(Path file, String kind, byte[] bytes) throws IOException {
+        String body = Base64.getMimeEncoder(64, new byte[] {'\n'}).encodeToString(bytes);
+        Files.writeString(file, "-----BEGIN " + kind + "-----\n" + body + "\n-----END " + kind + "-----\n");
+    }
+
+    private Optional<TlsFiles> files(String name) throws IOException {
+        return Optional.of(TlsFiles.open(new Common.Tls(
+                pem(name, "crt").toString(),
+                pem(name, "key").toString(),
+                Optional.of(authorities().toString()))));
+    }
+
+    private static String freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+    }
+
+    private static Server serve(PeerChannels channels, String address) throws IOException {
+        return channels.serve(address, new PeerGrpc.PeerImplBase() {
+            @Override
+            public void status(StatusRequest request, StreamObserver<StatusReply> replies) {
+                replies.onNext(StatusReply.newBuilder().setInstance("one").build());
+                replies.onCompleted();
+            }
+        });
+    }
+
+    private static Result<StatusReply> ask(PeerChannels channels, String address) {
+        try (PeerClient client =
+                new PeerClient("test", InstantSource.system(), channels::connect, List::of, new MetricRegistry())) {
+            return client.status(address, 0).join();
+        }
+    }
+
+    @Test
+    void shouldTalkOnlyToHoldersOfKnownCertificates() throws IOException {
+        String address = freeAddress();
+        try (PeerChannels one = new PeerChannels(new MetricRegistry(), files("one"));
+                PeerChannels other = new PeerChannels(new MetricRegistry(), files("other"));
+                PeerChannels stranger = new PeerChannels(new MetricRegistry(), files("stranger"));
+                PeerChannels plain = new PeerChannels(new MetricRegistry(), Optional.empty())) {
+            Server server = serve(one, address);
+            assertEquals("one", ask(other, address).toOptional().orElseThrow().getInstance());
+            assertTrue(ask(stranger, address).cause().isPresent());
+            assertTrue(ask(plain, address).cause().isPresent());
+            server.shutdownNow();
+        }
+    }
+
+    @Test
+    void shouldTakeNewCertificateWithoutRestart() throws IOException {
+        String address = freeAddress();
+        try (PeerChannels one = new PeerChannels(new MetricRegistry(), files("one"));
+                PeerChannels stranger = new PeerChannels(new MetricRegistry(), files("stranger"))) {
+            Server server = serve(one, address);
+            assertTrue(ask(stranger, address).cause().isPresent());
+            Files.copy(pem("other", "key"), pem("stranger", "key"), StandardCopyOption.REPLACE_EXISTING);
+            Files.copy(pem("other", "crt"), pem("stranger", "crt"), StandardCopyOption.REPLACE_EXISTING);
+            Await.until(
+                    "the new certificate",
+                    () -> ask(stranger, address).toOptional().isPresent());
+            server.shutdownNow();
+        }
+    }
+}
