--- a/src/main/java/org/micabarrow/bench/Demo.java
+++ b/src/main/java/org/micabarrow/bench/Demo.java
@@ -180,11 +180,16 @@
                 }
                 """.formatted(Digest.of(RIDERS), Digest.of(VANS), assistant.version(), notes.version()));
         command(0, "plan", "-f", file.toString());
+        return answer(OperatorMessages.Planned.class, "plan", "-f", file.toString(), "--json")
+                .id();
+    }
+
+    /** What a command gives as JSON. */
+    private <T> T answer(Class<T> type, String... words) throws IOException {
         ByteArrayOutputStream json = new ByteArrayOutputStream();
         Console quiet = new Console(new PrintStream(json, true, StandardCharsets.UTF_8), System.err);
-        Main.run(quiet, words(0, "plan", "-f", file.toString(), "--json"));
-        return CanonicalJson.read(json.toByteArray(), OperatorMessages.Planned.class)
-                .id();
+        Main.run(quiet, words(0, words));
+        return CanonicalJson.read(json.toByteArray(), type);
     }
 
     private String[] words(int entry, String... words) {
@@ -202,10 +207,7 @@
     }
 
     private OperatorMessages.Status status() throws IOException {
-        ByteArrayOutputStream json = new ByteArrayOutputStream();
-        Console quiet = new Console(new PrintStream(json, true, StandardCharsets.UTF_8), System.err);
-        Main.run(quiet, words(0, "status", "--json"));
-        return CanonicalJson.read(json.toByteArray(), OperatorMessages.Status.class);
+        return answer(OperatorMessages.Status.class, "status", "--json");
     }
 
     private static long ready(OperatorMessages.Status status) {
--- a/src/main/java/org/micabarrow/bench/RolloutBench.java
+++ b/src/main/java/org/micabarrow/bench/RolloutBench.java
@@ -2,30 +2,20 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
-import java.io.IOException;
-import java.net.URI;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.micabarrow.coordination.ReplicaView;
-import org.micabarrow.protocol.OperatorMessages;
 import org.micabarrow.standin.EngineStandin;
 import org.micabarrow.standin.Faults;
 import org.micabarrow.standin.WeightsStandin;
-import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Digest;
-import org.micabarrow.state.Fault;
 import org.micabarrow.state.Placement;
-import org.micabarrow.transport.HttpCall;
-import org.micabarrow.transport.HttpCaller;
 
 /**
  * Measures how long new weights take to N replicas and how much the origin gives, on real sockets with paced links: the
@@ -55,7 +45,7 @@
     private String image = "docs/img/rollout.svg";
 
     private final List<Row> rows = new ArrayList<>();
-    private final HttpCaller http = HttpCaller.start("bench", 2);
+    private OperatorCalls operator;
     private long seed = 100;
 
     /** One measured rollout. */
@@ -166,7 +156,8 @@
                 system.addEngine(hall + "-" + i, hall.substring(0, hall.indexOf('-')), hall);
             }
             system.listAll();
-            awaitListed(system, count + 1);
+            operator = new OperatorCalls(system.operators("entry-1"));
+            operator.awaitListed(count + 1);
             rollOut(system, count, "warm-up", Placement.Prefer.TIME, () -> {}, Set.of());
             rows.removeLast();
             rollOut(system, count, "no fault", Placement.Prefer.TIME, () -> {}, Set.of());
@@ -254,32 +245,17 @@
             throws Exception {
         WeightsStandin.Done weights =
                 system.platform().weights().make(new WeightsStandin.Wish("bench", bytes, chunkBytes, seed++));
-        String plan = plan(system, weights.version(), count, prefer);
+        String plan = operator.plan(intent(weights.version(), count, prefer)).id();
         long originBefore = system.platform().originBytes();
         long start = System.nanoTime();
-        Thread confirmation = Thread.ofPlatform().start(() -> confirm(system, plan));
+        Thread confirmation = Thread.ofPlatform().start(() -> operator.confirm(plan));
         awaitGeneration(system, weights.version());
         afterConfirmation.run();
         awaitReady(system, weights.version(), dead);
         double seconds = (System.nanoTime() - start) / 1e9;
         confirmation.join(LIMIT_MILLIS);
         double copies = (double) (system.platform().originBytes() - originBefore) / bytes;
-        add(new Row(name, count, prefer == Placement.Prefer.TIME ? "time" : "originBytes", seconds, bound(), copies));
-    }
-
-    private void awaitListed(LocalSystem system, int count) throws Exception {
-        HttpCall call = HttpCall.get(Fault.Step.READ, URI.create(system.operators("entry-1") + "/metrics"));
-        while (true) {
-            byte[] body = http.call(call, Duration.ofSeconds(5))
-                    .toOptional()
-                    .orElseThrow()
-                    .body();
-            Object listed = CanonicalJson.read(body, Map.class).get("instances.listed");
-            if (listed instanceof Number number && number.intValue() == count) {
-                return;
-            }
-            Thread.sleep(50);
-        }
+        add(new Row(name, count, name(prefer), seconds, bound(), copies));
     }
 
     private static void awaitGeneration(LocalSystem system, String version) throws InterruptedException {
@@ -307,39 +283,18 @@
         }
     }
 
-    private HttpCaller.HttpAnswer operator(LocalSystem system, String path, String body) {
-        HttpCall call = HttpCall.post(
-                        Fault.Step.READ,
-                        URI.create(system.operators("entry-1") + path),
-                        body.getBytes(StandardCharsets.UTF_8))
-                .withHeader("Authorization", "Bearer " + LocalSystem.OPERATOR_TOKEN);
-        HttpCaller.HttpAnswer answer =
-                http.call(call, Duration.ofSeconds(60)).toOptional().orElseThrow();
-        if (answer.status() != 200) {
-            throw new IllegalStateException(new String(answer.body(), StandardCharsets.UTF_8));
-        }
-        return answer;
-    }
-
-    private String plan(LocalSystem system, String version, int count, Placement.Prefer prefer) throws IOException {
-        String intent = """
+    private String intent(String version, int count, Placement.Prefer prefer) {
+        return """
                 { "organisations": [ { "name": "riders", "tokenDigest": "%s" } ],
                   "placements": [ { "name": "bench",
                     "target": { "type": "model", "name": "bench", "version": "%s" },
                     "organisations": ["riders"], "replicas": %d, "prefer": "%s",
                     "envelope": { "replacements": 0, "originBytes": %d } } ] }
-                """.formatted(
-                        Digest.of("riders"),
-                        version,
-                        count,
-                        prefer == Placement.Prefer.TIME ? "time" : "originBytes",
-                        bytes / 2);
-        byte[] body = operator(system, "/plan", intent).body();
-        return CanonicalJson.read(body, OperatorMessages.Planned.class).id();
+                """.formatted(Digest.of("riders"), version, count, name(prefer), bytes / 2);
     }
 
-    private void confirm(LocalSystem system, String plan) {
-        operator(system, "/confirm", "{\"id\":\"" + plan + "\"}");
+    private static String name(Placement.Prefer prefer) {
+        return prefer == Placement.Prefer.TIME ? "time" : "originBytes";
     }
 
     // -- baselines
--- a/src/main/java/org/micabarrow/coordination/PeerTable.java
+++ b/src/main/java/org/micabarrow/coordination/PeerTable.java
@@ -125,19 +125,7 @@
      * @param load its load
      */
     public void loaded(String instance, PeerView.Load load) {
-        PeerView before = peers.get(instance);
-        if (before != null) {
-            peers.put(
-                    instance,
-                    new PeerView(
-                            before.instance(),
-                            before.epoch(),
-                            before.generation(),
-                            before.digest(),
-                            before.reachable(),
-                            before.leaving(),
-                            before.replicas(),
-                            load));
+        if (peers.computeIfPresent(instance, (same, before) -> before.withLoad(load)) != null) {
             publish();
         }
     }
@@ -148,17 +136,7 @@
         Map<String, PeerView> next = new HashMap<>();
         peers.forEach((instance, peer) -> {
             boolean silent = now - heard.getOrDefault(instance, 0L) > unreachableMillis;
-            next.put(
-                    instance,
-                    new PeerView(
-                            peer.instance(),
-                            peer.epoch(),
-                            peer.generation(),
-                            peer.digest(),
-                            !silent,
-                            peer.leaving() || leaving.contains(instance),
-                            peer.replicas(),
-                            peer.load()));
+            next.put(instance, peer.seenAs(!silent, peer.leaving() || leaving.contains(instance)));
         });
         published = Map.copyOf(next);
     }
--- a/src/main/java/org/micabarrow/coordination/PeerView.java
+++ b/src/main/java/org/micabarrow/coordination/PeerView.java
@@ -33,6 +33,27 @@
         replicas = Map.copyOf(replicas);
     }
 
+    /**
+     * The same agent with a newer word on its load.
+     *
+     * @param newer its load
+     * @return the view
+     */
+    public PeerView withLoad(Load newer) {
+        return new PeerView(instance, epoch, generation, digest, reachable, leaving, replicas, newer);
+    }
+
+    /**
+     * The same agent as others see it.
+     *
+     * @param isReachable whether it has answered lately
+     * @param isLeaving whether anybody says that it leaves
+     * @return the view
+     */
+    public PeerView seenAs(boolean isReachable, boolean isLeaving) {
+        return new PeerView(instance, epoch, generation, digest, isReachable, isLeaving, replicas, load);
+    }
+
     /**
      * An agent's load.
      *
--- a/src/main/java/org/micabarrow/coordination/SourceChoice.java
+++ b/src/main/java/org/micabarrow/coordination/SourceChoice.java
@@ -22,6 +22,7 @@
 public final class SourceChoice {
 
     private static final long FIRST_PENALTY_MILLIS = 400;
+    private static final long FIRST_STALL_PENALTY_MILLIS = 6_400;
     private static final long LONGEST_PENALTY_MILLIS = 12_800;
     private static final long LONGEST_WAIT_MILLIS = 100;
 
@@ -129,9 +130,8 @@
      */
     public void failed(Source source, boolean stalled, long nowMillis) {
         int failures = Optional.ofNullable(held.get(source)).map(Held::failures).orElse(0);
-        long penalty = stalled
-                ? LONGEST_PENALTY_MILLIS
-                : Math.min(LONGEST_PENALTY_MILLIS, FIRST_PENALTY_MILLIS << Math.min(failures, 10));
+        long first = stalled ? FIRST_STALL_PENALTY_MILLIS : FIRST_PENALTY_MILLIS;
+        long penalty = Math.min(LONGEST_PENALTY_MILLIS, first << Math.min(failures, 10));
         held.put(source, new Held(nowMillis + penalty, failures + 1, stalled));
     }
 
--- a/src/main/java/org/micabarrow/coordination/Transfer.java
+++ b/src/main/java/org/micabarrow/coordination/Transfer.java
@@ -26,9 +26,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(Transfer.class);
     private static final int MANIFEST_TRIES_MILLIS = 300;
 
-    /** The first chunk of a stream takes longer: a connection may have to be opened. */
-    private static final int FIRST_CHUNK = 2;
-
     private static final int WAITING_BORNE = 8;
 
     private final Task task;
@@ -215,14 +212,12 @@
                 source,
                 window.next(),
                 manifest.chunks().size());
-        boolean first = true;
         try (Weights.Feed feed = weights.open(
                 source, task.artifact(), window.next(), manifest.chunks().size())) {
             while (!cancelled
                     && window.next() < manifest.chunks().size()
                     && !choice.betterThan(source, clock.millis())) {
-                Result<byte[]> next = feed.next(patience(source, first));
-                first = false;
+                Result<byte[]> next = feed.next(patience(source));
                 if (next instanceof Result.Failure<byte[]>(Fault fault)) {
                     return Result.failure(fault);
                 }
@@ -239,13 +234,12 @@
      * A source that waits for its own is worth waiting for where the plan names it first: its troubles are its own to
      * mend. Any other source is left soon, since one that waits may be waiting for this very instance.
      */
-    private Weights.Patience patience(Source source, boolean first) {
-        Duration silence = first ? task.patience().multipliedBy(FIRST_CHUNK) : task.patience();
+    private Weights.Patience patience(Source source) {
         boolean named = source.equals(task.sources().getFirst());
         Duration waiting = named
                 ? task.patience().multipliedBy(WAITING_BORNE)
                 : task.patience().dividedBy(2);
-        return new Weights.Patience(silence, waiting);
+        return new Weights.Patience(task.patience(), waiting);
     }
 
     private long missingBytes(Manifest manifest) {
@@ -281,7 +275,7 @@
     private Result<byte[]> again(Source source, Manifest manifest, int index) {
         LOG.warn("transfer artifact={} source={} chunk={} corrupted", shortName(task.artifact()), source, index);
         try (Weights.Feed feed = weights.open(source, task.artifact(), index, index + 1)) {
-            return feed.next(patience(source, true))
+            return feed.next(patience(source))
                     .flatMap(data -> received(source, manifest, index, data)
                             ? Result.success(data)
                             : Result.failure(Fault.of(
--- a/src/main/java/org/micabarrow/settings/SettingsReader.java
+++ b/src/main/java/org/micabarrow/settings/SettingsReader.java
@@ -129,6 +129,19 @@
         }
     }
 
+    /**
+     * The fields that have a rule.
+     *
+     * @return their pointers
+     */
+    public static List<String> checkedFields() {
+        return Stream.of(COMMON, ENTRY, AGENT)
+                .flatMap(List::stream)
+                .map(Rule::pointer)
+                .distinct()
+                .toList();
+    }
+
     private static <T> Result<T> read(Path file, String defaults, Class<T> type, List<Rule> rules) {
         List<Rule> all = Stream.concat(COMMON.stream(), rules.stream()).toList();
         return bytes(file, Fault.Step.SETTINGS)
--- a/src/main/java/org/micabarrow/standin/ServiceStandin.java
+++ b/src/main/java/org/micabarrow/standin/ServiceStandin.java
@@ -18,10 +18,11 @@
 
     private static final int THREADS = 4;
     private static final int SLOTS = 32;
+    private static final long LOOK_MILLIS = 20;
 
     private final Map<String, Integer> runs = new ConcurrentHashMap<>();
     private final AtomicInteger running = new AtomicInteger();
-    private final long millis;
+    private volatile long millis;
     private final HttpListener listener;
 
     private ServiceStandin(String address, long millis) {
@@ -59,20 +60,38 @@
         return Map.copyOf(runs);
     }
 
+    /**
+     * Makes calls take another time from now on.
+     *
+     * @param callMillis how long each call takes
+     */
+    public void slow(long callMillis) {
+        millis = callMillis;
+    }
+
     private void run(HttpServerExchange exchange) throws IOException, InterruptedException {
         byte[] body = exchange.getInputStream().readAllBytes();
         running.incrementAndGet();
         try {
             int count = runs.merge(Digest.of(body), 1, Integer::sum);
-            Thread.sleep(millis);
+            waitForAsLongAsCallsTake();
             Replies.json(exchange, Map.of("done", Digest.of(body), "count", count));
         } finally {
             running.decrementAndGet();
         }
     }
 
+    /** Looks at the time again and again, so that a slow call ends when calls are made quick again. */
+    private void waitForAsLongAsCallsTake() throws InterruptedException {
+        long start = System.currentTimeMillis();
+        while (System.currentTimeMillis() - start < millis) {
+            Thread.sleep(Math.min(millis, LOOK_MILLIS));
+        }
+    }
+
     @Override
     public void close() {
+        millis = 0;
         listener.close();
     }
 }
--- a/src/main/java/org/micabarrow/state/FoldedState.java
+++ b/src/main/java/org/micabarrow/state/FoldedState.java
@@ -110,6 +110,26 @@
             chains = chains.stream().map(List::copyOf).toList();
         }
 
+        /**
+         * The same placement after one more replacement.
+         *
+         * @param next the replicas with the replacement
+         * @return the placement
+         */
+        Placed withReplacement(List<List<Replica>> next) {
+            return new Placed(placement, planId, since, next, replaced + 1, drawn, previous);
+        }
+
+        /**
+         * The same placement after a further draw on the origin.
+         *
+         * @param bytes all bytes granted so far
+         * @return the placement
+         */
+        Placed withDrawn(long bytes) {
+            return new Placed(placement, planId, since, chains, replaced, bytes, previous);
+        }
+
         /**
          * All replicas, chain by chain.
          *
--- a/src/main/java/org/micabarrow/state/Reducer.java
+++ b/src/main/java/org/micabarrow/state/Reducer.java
@@ -147,16 +147,7 @@
             List<List<Replica>> chains = placed.chains().stream()
                     .map(chain -> swap(chain, record.lost(), record.replacement()))
                     .toList();
-            placements.put(
-                    record.placement(),
-                    new FoldedState.Placed(
-                            placed.placement(),
-                            placed.planId(),
-                            placed.since(),
-                            chains,
-                            placed.replaced() + 1,
-                            placed.drawn(),
-                            placed.previous()));
+            placements.put(record.placement(), placed.withReplacement(chains));
             keys.forEach(key -> touched.put(key, offset));
             return new Verdict.Accepted();
         }
@@ -194,16 +185,7 @@
                 return new Verdict.Refused("the envelope of " + record.placement() + " has "
                         + (placed.placement().envelope().originBytes() - placed.drawn()) + " origin bytes left");
             }
-            placements.put(
-                    record.placement(),
-                    new FoldedState.Placed(
-                            placed.placement(),
-                            placed.planId(),
-                            placed.since(),
-                            placed.chains(),
-                            placed.replaced(),
-                            drawn,
-                            placed.previous()));
+            placements.put(record.placement(), placed.withDrawn(drawn));
             return new Verdict.Accepted();
         }
 
--- a/src/test/java/org/micabarrow/process/SystemFixture.java
+++ b/src/test/java/org/micabarrow/process/SystemFixture.java
@@ -150,14 +150,13 @@
     }
 
     OperatorMessages.Explained explain(String entry) {
+        return explain(entry, "model=assistant");
+    }
+
+    private OperatorMessages.Explained explain(String entry, String workload) {
         try {
             return CanonicalJson.read(
-                    operator(
-                                    entry,
-                                    LocalSystem.OPERATOR_TOKEN,
-                                    "GET",
-                                    "/explain?organisation=riders&model=assistant",
-                                    "")
+                    operator(entry, LocalSystem.OPERATOR_TOKEN, "GET", "/explain?organisation=riders&" + workload, "")
                             .body(),
                     OperatorMessages.Explained.class);
         } catch (IOException e) {
