--- /dev/null
+++ b/src/main/java/org/micabarrow/bench/Ports.java
@@ -0,0 +1,39 @@
+package org.micabarrow.bench;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Free addresses on loopback. They lie below the range from which the operating system takes the ports of outgoing
+ * connections, so that none of those takes one before its server has begun to listen.
+ */
+public final class Ports {
+
+    private static final int FIRST = 15_000;
+    private static final int COUNT = 16_000;
+    private static final int BACKLOG = 1;
+    private static final AtomicInteger NEXT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 397 % COUNT));
+
+    private Ports() {}
+
+    /**
+     * An address that nobody listens on, and that this process gives out only once.
+     *
+     * @return the host and port
+     */
+    public static String freeAddress() {
+        for (int i = 0; i < COUNT; i++) {
+            int port = FIRST + Math.floorMod(NEXT.getAndIncrement(), COUNT);
+            try (ServerSocket socket = new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress())) {
+                return "127.0.0.1:" + socket.getLocalPort();
+            } catch (IOException e) {
+                // Somebody listens there; the next one may be free.
+                continue;
+            }
+        }
+        throw new IllegalStateException("no port is free on loopback");
+    }
+}
--- a/src/main/java/org/micabarrow/coordination/PeerTable.java
+++ b/src/main/java/org/micabarrow/coordination/PeerTable.java
@@ -29,6 +29,7 @@
     private Set<String> leaving = Set.of();
     private volatile Map<String, PeerView> published = Map.of();
     private volatile List<Instance> instances = List.of();
+    private long rotationMillis;
     private volatile long listedMillis;
 
     /**
@@ -93,6 +94,15 @@
         return List.copyOf(wanted.values());
     }
 
+    /**
+     * Takes note of how often each agent is asked; nobody counts as silent before twice that time.
+     *
+     * @param millis the time between two questions to one agent
+     */
+    public void askedEvery(long millis) {
+        rotationMillis = millis;
+    }
+
     /**
      * Takes the platform's list.
      *
@@ -126,6 +136,7 @@
      */
     public void loaded(String instance, PeerView.Load load) {
         if (peers.computeIfPresent(instance, (same, before) -> before.withLoad(load)) != null) {
+            heard.put(instance, clock.millis());
             publish();
         }
     }
@@ -135,7 +146,7 @@
         long now = clock.millis();
         Map<String, PeerView> next = new HashMap<>();
         peers.forEach((instance, peer) -> {
-            boolean silent = now - heard.getOrDefault(instance, 0L) > unreachableMillis;
+            boolean silent = now - heard.getOrDefault(instance, 0L) > Math.max(unreachableMillis, 2 * rotationMillis);
             next.put(instance, peer.seenAs(!silent, peer.leaving() || leaving.contains(instance)));
         });
         published = Map.copyOf(next);
--- a/src/main/java/org/micabarrow/process/EntryProcess.java
+++ b/src/main/java/org/micabarrow/process/EntryProcess.java
@@ -25,6 +25,7 @@
 import org.micabarrow.coordination.RequestFlow;
 import org.micabarrow.coordination.RetryBudget;
 import org.micabarrow.coordination.Router;
+import org.micabarrow.coordination.StatusRotation;
 import org.micabarrow.coordination.Traffic;
 import org.micabarrow.protocol.Wire;
 import org.micabarrow.protocol.wire.StatusReply;
@@ -62,6 +63,7 @@
     private final PrefixIndex prefixes = new PrefixIndex(PREFIXES);
     private final Router router;
     private final Duties duties;
+    private final StatusRotation rotation;
     private final List<Claims> claims = new ArrayList<>();
     private final RequestFlow flow;
     private final CallerServer callers;
@@ -82,6 +84,7 @@
                 traffic,
                 prefixes,
                 RandomGenerator.of("L64X128MixRandom"));
+        this.rotation = new StatusRotation(timing.statusMillis());
         this.duties = new Duties(
                 settings.instance().id(), timing.repairMillis(), timing.checkpointMillis(), Node::newId, node.clock());
         EntrySettings.Limits limits = settings.limits();
@@ -220,7 +223,9 @@
 
     private void askAgents() {
         FoldedState state = node.configuration().current();
-        for (Replica replica : table.wanted(state)) {
+        List<Replica> wanted = table.wanted(state);
+        table.askedEvery(rotation.rotationMillis(wanted.size()));
+        for (Replica replica : rotation.due(wanted, node.clock().millis())) {
             node.peers()
                     .status(replica.address(), state.offset())
                     .thenAccept(result -> result.toOptional()
