Limits learn only from answers that begin about as soon as others do

Cause: at 0.7 of capacity long requests took 2,037 ms (95th percentile) against 660 ms by round robin. The agent's learned limit took the time to an answer's head for a sign of load, but a long answer that is not streamed begins only when it ends. Ruled out: retries (1.03 attempts a request) and the entry's queue at that load.

--- a/src/main/java/org/micabarrow/coordination/AgentFlow.java
+++ b/src/main/java/org/micabarrow/coordination/AgentFlow.java
@@ -230,8 +230,7 @@
                                 + answered.orElse("-"))));
                 return;
             }
-            limit.began(clock.millis() - startedMillis);
-            share.began(clock.millis() - startedMillis);
+            learn(clock.millis() - startedMillis);
             head = Optional.of(new AnswerHead(
                     request.attempt(),
                     status,
@@ -244,6 +243,14 @@
             listener.onHead(head.get());
         }
 
+        /** Only what begins about as soon as others do tells of load: an unstreamed long answer begins when it ends. */
+        private void learn(long millis) {
+            if (request.shortRequest() || request.stream()) {
+                limit.began(millis);
+                share.began(millis);
+            }
+        }
+
         @Override
         public void onData(byte[] data, Runnable more) {
             if (request.claim().isPresent() && kept.size() <= answerBytes) {
--- a/src/test/java/org/micabarrow/Await.java
+++ b/src/test/java/org/micabarrow/Await.java
@@ -7,7 +7,7 @@
 /** Waits for a condition that other threads bring about. How long it takes decides nothing but a hang. */
 public final class Await {
 
-    private static final Duration LONGEST = Duration.ofSeconds(60);
+    private static final Duration LONGEST = Duration.ofSeconds(40);
 
     private Await() {}
 
--- a/src/test/java/org/micabarrow/coordination/AgentFlowTest.java
+++ b/src/test/java/org/micabarrow/coordination/AgentFlowTest.java
@@ -150,6 +150,47 @@
 
     // -- answers
 
+    @Test
+    void shouldNotTakeLongUnstreamedAnswersForSlowOnes() {
+        for (int i = 0; i < 50; i++) {
+            int priority = i % 2;
+            flow.begin(
+                    new AgentRequest(
+                            "attempt",
+                            -1,
+                            "assistant",
+                            "riders",
+                            1000,
+                            priority,
+                            false,
+                            "POST",
+                            "/",
+                            "text/plain",
+                            new byte[0],
+                            Optional.empty()),
+                    ignoring());
+            clock.advance(priority == 0 ? 50 : 900);
+            running.getLast().onHead(200, "text/plain", Optional.of("attempt"), Optional.of(WEIGHTS.digest()));
+            running.getLast().onComplete();
+        }
+        assertEquals(4, flow.mostOpen());
+    }
+
+    private static AnswerListener ignoring() {
+        return new AnswerListener() {
+            @Override
+            public void onHead(AnswerHead head) {}
+
+            @Override
+            public void onData(byte[] data, Runnable more) {
+                more.run();
+            }
+
+            @Override
+            public void onEnd(Outcome outcome) {}
+        };
+    }
+
     @ParameterizedTest
     @CsvSource({"other-attempt, true", "attempt, false"})
     void shouldPassNothingOnFromAnotherAttemptOrVersion(String attempt, boolean rightVersion) {
--- a/src/test/java/org/micabarrow/coordination/TransferTest.java
+++ b/src/test/java/org/micabarrow/coordination/TransferTest.java
@@ -12,7 +12,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.Await;
 import org.micabarrow.state.Digest;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
@@ -32,7 +34,7 @@
     private final Map<Source, FakeSource> sources = new HashMap<>();
     private final Map<Integer, byte[]> staged = new HashMap<>();
     private final MetricRegistry metrics = new MetricRegistry();
-    private final List<Long> drawn = new ArrayList<>();
+    private final List<Long> drawn = new CopyOnWriteArrayList<>();
     private long budget;
 
     private static byte[] content(String name, int index) {
@@ -239,9 +241,7 @@
         source(ORIGIN);
         Thread transfer = new Thread(() -> run(false, PARENT, STORE, ORIGIN));
         transfer.start();
-        while (drawn.size() < 1) {
-            Thread.onSpinWait();
-        }
+        Await.until("a question for bytes", () -> !drawn.isEmpty());
         transfer.interrupt();
         assertEquals(0, source(ORIGIN).given);
     }
