A key that was claimed less than a second ago is not settled

Every "not run" was true, but nobody got through. A key seen less than a second ago is now answered with 409, in progress.

--- a/src/main/java/org/micabarrow/bench/Demo.java
+++ b/src/main/java/org/micabarrow/bench/Demo.java
@@ -38,6 +38,7 @@
     private static final int CHATS = 40;
     private static final int CHARGES = 10;
     private static final int LONG_TOKENS = 300;
+    private static final long AFTER_LOST_ANSWER_MILLIS = 1_500;
     private static final long READY_WITHIN_MILLIS = 60_000;
 
     private final Setup setup;
@@ -265,9 +266,18 @@
     private void charge(int n, byte[] body) {
         Set<String> anywhere = Set.of("norte-a", "centro-a", "sur-a");
         tally.count(caller.charge(entry(n), RIDERS, "billing", "charge-" + n, body), anywhere);
+        pause(AFTER_LOST_ANSWER_MILLIS);
         tally.count(caller.charge(entry(n + 1), RIDERS, "billing", "charge-" + n, body), anywhere);
     }
 
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void countRuns(Map<String, Integer> charges) {
         Map<String, Integer> runs = new HashMap<>();
         setup.endpoints().forEach((instance, address) -> {
--- a/src/main/java/org/micabarrow/coordination/ClaimBook.java
+++ b/src/main/java/org/micabarrow/coordination/ClaimBook.java
@@ -24,6 +24,7 @@
     private final long keptMillis;
     private final LinkedHashMap<String, Held> inOrder = new LinkedHashMap<>();
     private final Map<String, Claim> holders = new HashMap<>();
+    private final Map<String, Long> seen = new HashMap<>();
     private long newestMillis;
 
     /**
@@ -46,6 +47,18 @@
      * @return true if the claim holds its key now
      */
     public boolean fold(long atMillis, Claim claim) {
+        return fold(atMillis, 0, claim);
+    }
+
+    /**
+     * Folds one claim.
+     *
+     * @param atMillis when the log took it
+     * @param seenMillis when this process saw it, by its own clock
+     * @param claim the claim
+     * @return true if the claim holds its key now
+     */
+    public boolean fold(long atMillis, long seenMillis, Claim claim) {
         Objects.requireNonNull(claim, "claim is null");
         newestMillis = Math.max(newestMillis, atMillis);
         letGo();
@@ -53,6 +66,7 @@
         boolean takes = holder == null || claim.after().equals(Optional.of(holder.attempt()));
         if (takes) {
             holders.put(claim.key(), claim);
+            seen.put(claim.key(), seenMillis);
             inOrder.put(claim.attempt(), new Held(claim, atMillis));
         }
         return takes || holder.attempt().equals(claim.attempt());
@@ -66,7 +80,9 @@
                 return;
             }
             oldest.remove();
-            holders.remove(held.claim().key(), held.claim());
+            if (holders.remove(held.claim().key(), held.claim())) {
+                seen.remove(held.claim().key());
+            }
         }
     }
 
@@ -80,6 +96,16 @@
         return Optional.ofNullable(holders.get(key));
     }
 
+    /**
+     * When this process saw the claim that holds a key.
+     *
+     * @param key the key
+     * @return milliseconds by its own clock, 0 if the key is not held
+     */
+    public long seenMillis(String key) {
+        return seen.getOrDefault(key, 0L);
+    }
+
     /**
      * The number of keys held.
      *
--- a/src/main/java/org/micabarrow/coordination/ClaimVerdict.java
+++ b/src/main/java/org/micabarrow/coordination/ClaimVerdict.java
@@ -13,8 +13,9 @@
      * Another claim holds the key.
      *
      * @param holder that claim
+     * @param ageMillis how long ago this process saw it
      */
-    record Held(Claim holder) implements ClaimVerdict {
+    record Held(Claim holder, long ageMillis) implements ClaimVerdict {
 
         /** Checks the part. */
         public Held {
--- a/src/main/java/org/micabarrow/coordination/Claims.java
+++ b/src/main/java/org/micabarrow/coordination/Claims.java
@@ -87,7 +87,7 @@
         boolean heldByOther = holder.isPresent()
                 && !claim.after().equals(Optional.of(holder.get().attempt()));
         if (heldByOther) {
-            return CompletableFuture.completedFuture(new ClaimVerdict.Held(holder.get()));
+            return CompletableFuture.completedFuture(held(holder.get()));
         }
         Waiting one = new Waiting(claim, clock.millis() + within.toMillis(), new CompletableFuture<>());
         synchronized (lock) {
@@ -102,6 +102,12 @@
                 .whenComplete((verdict, thrown) -> forget(claim.attempt()));
     }
 
+    private ClaimVerdict held(Claim holder) {
+        synchronized (lock) {
+            return new ClaimVerdict.Held(holder, clock.millis() - book.seenMillis(holder.key()));
+        }
+    }
+
     private void forget(String attempt) {
         synchronized (lock) {
             waiting.remove(attempt);
@@ -213,10 +219,10 @@
         ClaimVerdict verdict;
         Waiting one;
         synchronized (lock) {
-            boolean holds = book.fold(atMillis, claim);
+            boolean holds = book.fold(atMillis, clock.millis(), claim);
             verdict = holds
                     ? new ClaimVerdict.Won()
-                    : new ClaimVerdict.Held(book.holder(claim.key()).orElseThrow());
+                    : held(book.holder(claim.key()).orElseThrow());
             one = waiting.get(claim.attempt());
         }
         if (one != null) {
--- a/src/main/java/org/micabarrow/coordination/RequestRun.java
+++ b/src/main/java/org/micabarrow/coordination/RequestRun.java
@@ -25,6 +25,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.decision.route");
     private static final int MOST_ATTEMPTS = 3;
+    private static final long ON_ITS_WAY_MILLIS = 1_000;
     private static final Duration SOON = Duration.ofMillis(500);
     private static final Duration LATER = Duration.ofSeconds(2);
 
@@ -173,7 +174,7 @@
         parts.claims().apply(key).claim(claim, parts.claimWithin()).thenAccept(verdict -> {
             switch (verdict) {
                 case ClaimVerdict.Won ignored -> dispatch(placed, replica, attempt, Optional.of(claim));
-                case ClaimVerdict.Held(Claim holder) -> heldBy(placed, claim, holder);
+                case ClaimVerdict.Held(Claim holder, long ageMillis) -> heldBy(placed, claim, holder, ageMillis);
                 case ClaimVerdict.Failed(Fault fault) -> end(Outcome.notRun(fault, LATER));
             }
         });
@@ -185,7 +186,7 @@
                 String.join("\n", request.workload(), request.method(), request.path(), Digest.of(request.body())));
     }
 
-    private void heldBy(Placed placed, Claim mine, Claim holder) {
+    private void heldBy(Placed placed, Claim mine, Claim holder, long ageMillis) {
         if (!holder.bodyDigest().equals(mine.bodyDigest())) {
             end(Outcome.notRun(
                     Fault.of(
@@ -196,6 +197,12 @@
                     LATER));
             return;
         }
+        if (ageMillis < ON_ITS_WAY_MILLIS) {
+            // Settling now would refuse a request that is just being sent, and so would its own retry be refused.
+            end(Outcome.unknown(Fault.of(
+                    Step.CLAIM, holder.instance(), Reason.CONFLICT, "a request with this key has just been sent")));
+            return;
+        }
         settle(placed, holder);
     }
 
--- a/src/test/java/org/micabarrow/process/SystemFixture.java
+++ b/src/test/java/org/micabarrow/process/SystemFixture.java
@@ -188,6 +188,16 @@
         return call(entry, "/services/billing/charges", RIDERS, body, Map.of("Idempotency-Key", key));
     }
 
+    /** Asks again while the key counts as just sent. */
+    HttpCaller.HttpAnswer chargeUntilSettled(String entry, String key, String body) {
+        HttpCaller.HttpAnswer[] answer = new HttpCaller.HttpAnswer[1];
+        Await.until("the key to be settled", () -> {
+            answer[0] = charge(entry, key, body);
+            return !text(answer[0]).contains("has just been sent");
+        });
+        return answer[0];
+    }
+
     int runsOf(String body) {
         String digest = Digest.of(body);
         return system.service("billing-1").runs().getOrDefault(digest, 0)
