One rule for a request's placement; one map for the holders of keys

explain looked for a request's placement by a filter of its own beside that of the request flow; both call the same method now, so that what is explained is what is done. The claim book kept the time at which it saw a holder in a second map beside the holders; it is part of the held claim now.

--- a/src/main/java/org/micabarrow/coordination/ClaimBook.java
+++ b/src/main/java/org/micabarrow/coordination/ClaimBook.java
@@ -23,8 +23,7 @@
 
     private final long keptMillis;
     private final LinkedHashMap<String, Held> inOrder = new LinkedHashMap<>();
-    private final Map<String, Claim> holders = new HashMap<>();
-    private final Map<String, Long> seen = new HashMap<>();
+    private final Map<String, Held> holders = new HashMap<>();
     private long newestMillis;
 
     /**
@@ -36,8 +35,8 @@
         this.keptMillis = keptMillis;
     }
 
-    /** A claim with the time at which the log took it. */
-    private record Held(Claim claim, long atMillis) {}
+    /** A claim with the time at which the log took it, and the time at which this process saw it. */
+    private record Held(Claim claim, long atMillis, long seenMillis) {}
 
     /**
      * Folds one claim.
@@ -62,12 +61,12 @@
         Objects.requireNonNull(claim, "claim is null");
         newestMillis = Math.max(newestMillis, atMillis);
         letGo();
-        Claim holder = holders.get(claim.key());
+        Claim holder = holder(claim.key()).orElse(null);
         boolean takes = holder == null || claim.after().equals(Optional.of(holder.attempt()));
         if (takes) {
-            holders.put(claim.key(), claim);
-            seen.put(claim.key(), seenMillis);
-            inOrder.put(claim.attempt(), new Held(claim, atMillis));
+            Held held = new Held(claim, atMillis, seenMillis);
+            holders.put(claim.key(), held);
+            inOrder.put(claim.attempt(), held);
         }
         return takes || holder.attempt().equals(claim.attempt());
     }
@@ -80,9 +79,7 @@
                 return;
             }
             oldest.remove();
-            if (holders.remove(held.claim().key(), held.claim())) {
-                seen.remove(held.claim().key());
-            }
+            holders.remove(held.claim().key(), held);
         }
     }
 
@@ -93,7 +90,7 @@
      * @return the claim, if the key is held
      */
     public Optional<Claim> holder(String key) {
-        return Optional.ofNullable(holders.get(key));
+        return Optional.ofNullable(holders.get(key)).map(Held::claim);
     }
 
     /**
@@ -103,7 +100,7 @@
      * @return milliseconds by its own clock, 0 if the key is not held
      */
     public long seenMillis(String key) {
-        return seen.getOrDefault(key, 0L);
+        return Optional.ofNullable(holders.get(key)).map(Held::seenMillis).orElse(0L);
     }
 
     /**
--- a/src/main/java/org/micabarrow/coordination/RequestFlow.java
+++ b/src/main/java/org/micabarrow/coordination/RequestFlow.java
@@ -107,30 +107,36 @@
         return run::cancel;
     }
 
+    private static Optional<Placed> placementFor(FoldedState state, CallerRequest request) {
+        return placementFor(state, request.organisation().name(), request.workload(), request.model());
+    }
+
     /**
      * The placement under which an organisation's request runs.
      *
      * @param state the configuration
-     * @param request the request
+     * @param organisation who asks
+     * @param workload the model or service asked for
+     * @param model whether it is a model
      * @return the first placement by name that has the workload and allows the organisation
      */
-    static Optional<Placed> placementFor(FoldedState state, CallerRequest request) {
+    public static Optional<Placed> placementFor(
+            FoldedState state, String organisation, String workload, boolean model) {
         return state.placements().values().stream()
-                .filter(placed -> places(placed, request))
-                .filter(placed -> placed.placement()
-                        .organisations()
-                        .contains(request.organisation().name()))
+                .filter(placed -> places(placed, workload, model))
+                .filter(placed -> placed.placement().organisations().contains(organisation))
                 .findFirst();
     }
 
-    private static boolean places(Placed placed, CallerRequest request) {
+    private static boolean places(Placed placed, String name, boolean model) {
         Workload workload = placed.placement().workload();
-        boolean sameKind = workload instanceof Workload.Model == request.model();
-        return sameKind && workload.name().equals(request.workload());
+        boolean sameKind = workload instanceof Workload.Model == model;
+        return sameKind && workload.name().equals(name);
     }
 
     private Fault unplaced(CallerRequest request) {
-        boolean known = state.get().placements().values().stream().anyMatch(placed -> places(placed, request));
+        boolean known = state.get().placements().values().stream()
+                .anyMatch(placed -> places(placed, request.workload(), request.model()));
         String what = (request.model() ? "model " : "service ") + request.workload();
         return known
                 ? Fault.of(
--- a/src/main/java/org/micabarrow/transport/OperatorDesk.java
+++ b/src/main/java/org/micabarrow/transport/OperatorDesk.java
@@ -21,6 +21,7 @@
 import org.micabarrow.coordination.PeerTable;
 import org.micabarrow.coordination.RecordWriter;
 import org.micabarrow.coordination.ReplicaView;
+import org.micabarrow.coordination.RequestFlow;
 import org.micabarrow.coordination.Router;
 import org.micabarrow.coordination.Weights;
 import org.micabarrow.protocol.OperatorMessages;
@@ -44,7 +45,6 @@
 import org.micabarrow.state.Replica;
 import org.micabarrow.state.Result;
 import org.micabarrow.state.Verdict;
-import org.micabarrow.state.Workload;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -311,11 +311,7 @@
                     "unknown organisation \"" + organisationName + "\"; known: "
                             + String.join(", ", state.organisations().keySet())));
         }
-        Optional<Placed> placed = state.placements().values().stream()
-                .filter(one -> one.placement().workload().name().equals(workload))
-                .filter(one -> one.placement().workload() instanceof Workload.Model == model)
-                .filter(one -> one.placement().organisations().contains(organisationName))
-                .findFirst();
+        Optional<Placed> placed = RequestFlow.placementFor(state, organisationName, workload, model);
         return Result.success(placed.map(one -> explained(organisationName, workload, one))
                 .orElseGet(() -> new OperatorMessages.Explained(
                         organisationName,
