--- /dev/null
+++ b/src/main/java/org/micabarrow/attempts/ClientRequest.java
@@ -0,0 +1,46 @@
+package org.micabarrow.attempts;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.micabarrow.routing.Route;
+
+/**
+ * A client's request, understood and allowed.
+ *
+ * @param id the client's id of this attempt
+ * @param method the HTTP method
+ * @param target the path and query exactly as received
+ * @param host the host asked for
+ * @param headers the headers to pass on
+ * @param body the body
+ * @param route the route it takes
+ * @param service the service that is to answer
+ * @param organisation the holder of the client's key; empty on open routes
+ * @param priority its rank, 0 first
+ * @param deadlineMillis when the client stops waiting, on the process's steady clock
+ * @param promptTokens the tokens of its prompt; 0 for plain services
+ * @param answerTokens the tokens that it is expected to generate; 0 for plain services
+ */
+public record ClientRequest(
+        String id,
+        String method,
+        String target,
+        String host,
+        Map<String, String> headers,
+        byte[] body,
+        Route route,
+        String service,
+        Optional<String> organisation,
+        int priority,
+        long deadlineMillis,
+        int promptTokens,
+        int answerTokens) {
+
+    /** Copies the headers. */
+    public ClientRequest {
+        Objects.requireNonNull(id, "id is null");
+        Objects.requireNonNull(route, "route is null");
+        headers = Map.copyOf(headers);
+    }
+}
--- a/src/main/java/org/micabarrow/command/Main.java
+++ b/src/main/java/org/micabarrow/command/Main.java
@@ -29,6 +29,9 @@
         Map<String, Command> commands = new LinkedHashMap<>();
         commands.put("entry", new RunCommand.Entry());
         commands.put("agent", new RunCommand.Agent());
+        commands.put("hosted-entry", new HostedCommand.Entry());
+        commands.put("hosted-agent", new HostedCommand.Agent());
+        commands.put("rehearse", new RehearseCommand());
         commands.put("plan", new OperatorCommand.PlanCommand());
         commands.put("confirm", new OperatorCommand.ConfirmCommand());
         commands.put("status", new StatusCommand());
--- /dev/null
+++ b/src/main/java/org/micabarrow/command/RehearseCommand.java
@@ -0,0 +1,96 @@
+package org.micabarrow.command;
+
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.micabarrow.process.HostedAgentProcess;
+import org.micabarrow.process.HostedEntryProcess;
+import org.micabarrow.settings.Common;
+import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.settings.SettingsReader;
+import org.micabarrow.standin.HostedSystem;
+import org.micabarrow.state.CanonicalJson;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.state.Result;
+import org.micabarrow.transport.HttpCall;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.HttpCaller.HttpAnswer;
+
+/**
+ * Runs an entry and an agent against stand-ins on loopback and sends a few requests, so that the build can archive the
+ * classes that processes load.
+ */
+@Parameters(commandDescription = "Run an entry and an agent against stand-ins for a moment; the build archives classes")
+final class RehearseCommand extends Command {
+
+    private static final Duration WITHIN = Duration.ofSeconds(5);
+    private static final int TRIES = 100;
+    private static final long AGAIN_MILLIS = 100;
+    private static final int OK = 200;
+
+    @Override
+    String example() {
+        return "micabarrow rehearse";
+    }
+
+    @Override
+    ExitCode run(Console console) throws Exception {
+        Logs.setUp(new Common.Logging("text", "info"));
+        try (HostedSystem platform = HostedSystem.start();
+                HttpCaller caller = HttpCaller.start("rehearsal", 1)) {
+            platform.add("plain-1", "plain", 0);
+            platform.add("model-1", "models", 1);
+            HostedSettings settings = throughFile(platform.entry());
+            HostedEntryProcess entry = HostedEntryProcess.start(settings);
+            HostedAgentProcess agent = HostedAgentProcess.start(platform.agent("model-1"));
+            platform.store().append("keyed.op", "version/model-a", "{\"model\":\"model-a\",\"version\":2}");
+            String clients = settings.listen().clients().orElseThrow();
+            boolean served = true;
+            for (String path : List.of("/once/1", "/again/2", "/stream/3")) {
+                served &= served(caller, clients, path);
+            }
+            entry.close();
+            agent.close();
+            console.out().println(served ? "rehearsed" : "not served");
+            return served ? ExitCode.OK : ExitCode.REFUSED;
+        }
+    }
+
+    /** Writes the settings to a file and reads them as a process does. */
+    private static HostedSettings throughFile(HostedSettings settings) throws IOException {
+        Path file = Files.createTempFile("rehearsal", ".jsonc");
+        try {
+            Files.write(file, CanonicalJson.write(settings));
+            return SettingsReader.hosted(file)
+                    .toOptional()
+                    .orElseThrow(() -> new IllegalStateException("the settings do not read back"));
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    private static boolean served(HttpCaller caller, String clients, String path) throws InterruptedException {
+        Map<String, String> headers = new java.util.HashMap<>(
+                Map.of("Host", "h.example", "Key", "key-a", "Attempt-Id", "a" + path.length(), "Deadline-Ms", "3000"));
+        if (path.startsWith("/stream/")) {
+            headers.put("Model", "model-a");
+            headers.put("Token-Count", "100,20");
+        }
+        URI uri = URI.create("http://" + clients + path);
+        for (int i = 0; i < TRIES; i++) {
+            HttpCall call = new HttpCall(Step.READ, "POST", uri, headers, "a body".getBytes(StandardCharsets.UTF_8));
+            Result<HttpAnswer> answer = caller.call(call, WITHIN);
+            if (answer.toOptional().filter(one -> one.status() == OK).isPresent()) {
+                return true;
+            }
+            Thread.sleep(AGAIN_MILLIS);
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/platform/EndpointCalls.java
@@ -0,0 +1,128 @@
+package org.micabarrow.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.micabarrow.state.CanonicalJson;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.state.Result;
+import org.micabarrow.transport.HttpCall;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.HttpCaller.HttpAnswer;
+import org.micabarrow.weights.ModelEndpoint;
+
+/** The platform's calls to the endpoint on the agent's own instance. */
+public final class EndpointCalls implements ModelEndpoint {
+
+    /** How long a call within the instance may take; the endpoint answers in a millisecond or so. */
+    private static final Duration WITHIN = Duration.ofMillis(1_000);
+
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+
+    private final HttpCaller caller;
+    private final String base;
+
+    /**
+     * Makes a client.
+     *
+     * @param caller sends its requests
+     * @param address the endpoint's host and port
+     */
+    public EndpointCalls(HttpCaller caller, String address) {
+        this.caller = Objects.requireNonNull(caller, "caller is null");
+        this.base = "http://" + Objects.requireNonNull(address, "address is null");
+    }
+
+    @Override
+    public Result<Report> report() {
+        HttpCall call = HttpCall.get(Step.STATUS, URI.create(base + WireNames.REPORT));
+        return caller.call(call, WITHIN).flatMap(answer -> {
+            if (answer.status() != OK) {
+                return refused(call, answer);
+            }
+            try {
+                return Result.success(report(CanonicalJson.mapper().readTree(answer.body())));
+            } catch (IOException e) {
+                return Result.failure(Fault.of(Step.STATUS, base, Reason.CORRUPT, "not JSON: " + e.getMessage()));
+            }
+        });
+    }
+
+    private static Report report(JsonNode json) {
+        Map<String, Long> models = new HashMap<>();
+        json.path("models")
+                .forEach(model -> models.put(
+                        model.path("name").asText(), model.path("version").asLong()));
+        // "sequence" counts the orders taken.
+        return new Report(
+                models,
+                json.path("busy").asBoolean(false),
+                json.path("sequence").asLong(0),
+                json.path("queued").asInt(0),
+                json.path("running").asInt(0));
+    }
+
+    private static <T> Result<T> refused(HttpCall call, HttpAnswer answer) {
+        return Result.failure(Fault.of(
+                call.step(), call.peer(), Reason.UNKNOWN, call.uri().getPath() + " answered " + answer.status()));
+    }
+
+    // -- staged chunks; the index of a chunk is called "sample_count" on the wire
+
+    @Override
+    public Result<Boolean> stage(String model, int index, byte[] bytes) {
+        HttpCall call = new HttpCall(
+                Step.STAGE,
+                "PUT",
+                URI.create(base + WireNames.STAGE_PUT + model + "?sample_count=" + index),
+                Map.of("Content-Type", "application/octet-stream"),
+                bytes);
+        return caller.call(call, WITHIN)
+                .flatMap(answer -> answer.status() == OK || answer.status() == NO_CONTENT || answer.status() == 201
+                        ? Result.success(true)
+                        : refused(call, answer));
+    }
+
+    @Override
+    public Result<Optional<byte[]>> staged(String model, int index) {
+        HttpCall call =
+                HttpCall.get(Step.STAGE, URI.create(base + WireNames.STAGE_GET + model + "?sample_count=" + index));
+        return caller.call(call, WITHIN).flatMap(answer -> switch (answer.status()) {
+            case OK -> Result.success(Optional.of(answer.body()));
+            case NOT_FOUND -> Result.success(Optional.empty());
+            default -> refused(call, answer);
+        });
+    }
+
+    // -- orders
+
+    @Override
+    public Result<OrderEnd> start(String model, long version, long ordersSeen) {
+        ObjectNode order = CanonicalJson.mapper().createObjectNode();
+        order.put("operation", "start");
+        order.put("model", model);
+        order.put("version", version);
+        order.put("mode", "queue");
+        order.put("expected_revision", ordersSeen);
+        HttpCall call = HttpCall.post(Step.ORDER, URI.create(base + WireNames.ORDER), CanonicalJson.write(order))
+                .withHeader("Content-Type", "application/json");
+        return caller.call(call, WITHIN).flatMap(answer -> switch (answer.status()) {
+            case ACCEPTED -> Result.success(OrderEnd.BEGUN);
+            case OK -> Result.success(OrderEnd.HELD);
+            case CONFLICT -> Result.success(OrderEnd.CONFLICT);
+            default -> refused(call, answer);
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/platform/EndpointHeaders.java
@@ -0,0 +1,65 @@
+package org.micabarrow.platform;
+
+import java.net.URI;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.serving.EndpointProtocol;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.transport.HttpCall;
+
+/** Writes requests to endpoints, and reads the beginning of their answers, as the platform has them. */
+public final class EndpointHeaders implements EndpointProtocol {
+
+    private static final int MISDIRECTED = 421;
+    private static final int MOST_PRIORITY = 9;
+
+    private static final Set<String> NOT_PASSED_ON =
+            Set.of("connection", "keep-alive", "transfer-encoding", "content-length", "trailer", "upgrade");
+
+    @Override
+    public HttpCall call(ClientRequest request, Sending sending) {
+        Map<String, String> headers = new LinkedHashMap<>(request.headers());
+        headers.put("Host", request.host());
+        headers.put(WireNames.DEADLINE, Long.toString(sending.millisLeft()));
+        headers.put(WireNames.EXPECTED_ENDPOINT, sending.endpoint().id());
+        request.organisation().ifPresent(name -> headers.put(WireNames.ORGANISATION, name));
+        sending.version().ifPresent(version -> headers.put(WireNames.EXPECTED_VERSION, Long.toString(version)));
+        sending.lastEvent().ifPresent(id -> headers.put(WireNames.LAST_EVENT, id));
+        if (request.promptTokens() > 0) {
+            headers.put(WireNames.PRIORITY, Integer.toString(Math.clamp(request.priority(), 0, MOST_PRIORITY)));
+        }
+        URI uri = URI.create("http://" + sending.endpoint().address());
+        return new HttpCall(Step.RUN, request.method(), uri, Optional.of(request.target()), headers, request.body());
+    }
+
+    @Override
+    public AnswerHead head(ClientRequest request, int status, Map<String, String> headers) {
+        Map<String, String> passedOn = new HashMap<>();
+        headers.forEach((name, value) -> {
+            if (!NOT_PASSED_ON.contains(name.toLowerCase(Locale.ROOT))) {
+                passedOn.put(name, value);
+            }
+        });
+        return new AnswerHead(
+                status,
+                request.id().equals(headers.get(WireNames.ATTEMPT)),
+                headers.containsKey(WireNames.SIGNATURE),
+                headers.containsKey(WireNames.NOT_RUN),
+                status == MISDIRECTED,
+                number(headers.get(WireNames.WEIGHT_VERSION)),
+                number(headers.get("Content-Length")),
+                passedOn);
+    }
+
+    private static Optional<Long> number(String text) {
+        if (text == null || text.isEmpty() || !text.chars().allMatch(Character::isDigit)) {
+            return Optional.empty();
+        }
+        return Optional.of(Long.parseLong(text));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/platform/OriginCalls.java
@@ -0,0 +1,70 @@
+package org.micabarrow.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import org.micabarrow.state.CanonicalJson;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.state.Result;
+import org.micabarrow.transport.HttpCall;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.weights.WeightOrigin;
+
+/** The platform's calls to the origin of weights. */
+public final class OriginCalls implements WeightOrigin {
+
+    /** How long a chunk may take: some dozens at once share the origin's link, on which one takes a few tens of ms. */
+    private static final Duration WITHIN = Duration.ofMillis(2_500);
+
+    private static final int OK = 200;
+
+    private final HttpCaller caller;
+
+    /**
+     * Makes a client.
+     *
+     * @param caller sends its requests
+     */
+    public OriginCalls(HttpCaller caller) {
+        this.caller = Objects.requireNonNull(caller, "caller is null");
+    }
+
+    private Result<byte[]> get(String address, String pathAndQuery) {
+        HttpCall call = HttpCall.get(Step.FETCH, URI.create("http://" + address + pathAndQuery));
+        return caller.call(call, WITHIN)
+                .flatMap(answer -> answer.status() == OK
+                        ? Result.success(answer.body())
+                        : Result.failure(Fault.of(
+                                Step.FETCH, address, Reason.NOT_FOUND, "the origin answered " + answer.status())));
+    }
+
+    @Override
+    public Result<List<String>> digests(String address, String model, long version) {
+        return get(address, WireNames.DIGESTS + model + "?version=" + version).flatMap(body -> {
+            try {
+                List<String> digests = new ArrayList<>();
+                JsonNode json = CanonicalJson.mapper().readTree(body);
+                json.path("digests").forEach(one -> digests.add(one.asText()));
+                return digests.isEmpty() ? broken(address, "it lists no digest") : Result.success(digests);
+            } catch (IOException e) {
+                return broken(address, "it is not JSON: " + e.getMessage());
+            }
+        });
+    }
+
+    private static <T> Result<T> broken(String address, String why) {
+        return Result.failure(Fault.of(Step.FETCH, address, Reason.CORRUPT, "the list of digests: " + why));
+    }
+
+    @Override
+    public Result<byte[]> chunk(String address, String model, long version, int index) {
+        // The index of a chunk is called "sample_count" on the wire.
+        return get(address, WireNames.CHUNK + model + "?sample_count=" + index + "&version=" + version);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -0,0 +1,166 @@
+package org.micabarrow.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Objects;
+import org.micabarrow.state.CanonicalJson;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.state.Result;
+import org.micabarrow.transport.HttpCall;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.HttpCaller.HttpAnswer;
+import org.micabarrow.views.StoredRecord;
+import org.micabarrow.views.TopicReader;
+import org.micabarrow.views.ViewKeeper.Topic;
+
+/** The one client of the platform's store: reads keyed topics. */
+public final class StoreClient implements TopicReader {
+
+    /**
+     * How long an answer may take beyond the wait that was asked for. The store answers in a few milliseconds; a slow one
+     * takes some fifty times as long, and beyond this it counts as silent.
+     */
+    private static final Duration ANSWER_WITHIN = Duration.ofMillis(700);
+
+    private static final int OK = 200;
+    private static final int GONE = 410;
+    private static final int MOST_PAGES = 1_000;
+
+    private final HttpCaller caller;
+    private final String base;
+
+    /**
+     * Makes a client.
+     *
+     * @param caller sends its requests
+     * @param address the store's host and port
+     */
+    public StoreClient(HttpCaller caller, String address) {
+        this.caller = Objects.requireNonNull(caller, "caller is null");
+        this.base = "http://" + Objects.requireNonNull(address, "address is null");
+    }
+
+    private static String topicName(Topic topic) {
+        return switch (topic) {
+            case OPERATOR -> "keyed.op";
+            case ENDPOINTS -> "keyed.servers";
+        };
+    }
+
+    // -- the newest of each key
+
+    @Override
+    public Result<Batch> newest(Topic topic) {
+        List<StoredRecord> records = new ArrayList<>();
+        String after = "";
+        long end = -1;
+        for (int page = 0; page < MOST_PAGES; page++) {
+            Result<JsonNode> answer = newestPage(topic, after);
+            if (answer instanceof Result.Failure<JsonNode>(Fault fault)) {
+                return Result.failure(fault);
+            }
+            JsonNode json = answer.toOptional().orElseThrow();
+            end = end < 0 ? json.path("end").asLong() : end;
+            // The name suggests a secret; it is the record's key.
+            json.path("items").forEach(item -> records.add(record(item)));
+            if (!json.path("has_more").asBoolean(false) || records.isEmpty()) {
+                return Result.success(new Batch(records, end));
+            }
+            after = records.getLast().key();
+        }
+        return Result.failure(Fault.of(Step.LOG, base, Reason.TOO_LARGE, "the newest records have no last page"));
+    }
+
+    private Result<JsonNode> newestPage(Topic topic, String after) {
+        String more = after.isEmpty() ? "" : "&after_revision=" + URLEncoder.encode(after, StandardCharsets.UTF_8);
+        HttpCall call = HttpCall.get(
+                Step.LOG, URI.create(base + WireNames.LOG_NEWEST + "?topic=" + topicName(topic) + "&part=0" + more));
+        return caller.call(call, ANSWER_WITHIN).flatMap(answer -> json(call, answer));
+    }
+
+    private static StoredRecord record(JsonNode item) {
+        byte[] value = Base64.getDecoder().decode(item.path("value").asText(""));
+        return new StoredRecord(
+                item.path("private_key").asText(), item.path("offset").asLong(), value);
+    }
+
+    private static Result<JsonNode> json(HttpCall call, HttpAnswer answer) {
+        if (answer.status() != OK) {
+            return refused(call, answer);
+        }
+        try {
+            return Result.success(CanonicalJson.mapper().readTree(answer.body()));
+        } catch (IOException e) {
+            return Result.failure(
+                    Fault.of(call.step(), call.peer(), Reason.CORRUPT, "the answer is not JSON: " + e.getMessage()));
+        }
+    }
+
+    private static <T> Result<T> refused(HttpCall call, HttpAnswer answer) {
+        return Result.failure(
+                Fault.of(call.step(), call.peer(), Reason.OVERLOADED, "the store answered " + answer.status()));
+    }
+
+    // -- reading on
+
+    @Override
+    public Result<Read> read(Topic topic, long from, Duration wait) {
+        HttpCall call = HttpCall.get(
+                Step.LOG,
+                URI.create(base + WireNames.LOG_READ + "?topic=" + topicName(topic) + "&part=0&from=" + from
+                        + "&wait_ms=" + wait.toMillis()));
+        return caller.call(call, wait.plus(ANSWER_WITHIN)).flatMap(answer -> switch (answer.status()) {
+            case OK -> parse(call, from, answer.body());
+            case GONE -> Result.success(new Read.Expired());
+            default -> refused(call, answer);
+        });
+    }
+
+    private static Result<Read> parse(HttpCall call, long from, byte[] body) {
+        try {
+            ByteBuffer bytes = ByteBuffer.wrap(body);
+            long end = bytes.getLong();
+            long first = bytes.getLong();
+            if (first > from) {
+                return Result.success(new Read.Expired());
+            }
+            List<StoredRecord> records = new ArrayList<>();
+            long offset = from;
+            while (bytes.hasRemaining()) {
+                records.add(keyed(bytes, offset));
+                offset++;
+            }
+            if (end < from) {
+                return Result.failure(Fault.of(
+                        call.step(), call.peer(), Reason.CORRUPT, "the topic ends at " + end + ", before " + from));
+            }
+            return Result.success(new Read.Records(new Batch(records, offset)));
+        } catch (BufferUnderflowException | IllegalArgumentException e) {
+            return Result.failure(
+                    Fault.of(call.step(), call.peer(), Reason.CORRUPT, "the answer breaks off within a record"));
+        }
+    }
+
+    /** A keyed record: the length of all that follows, the length of the key, the key, the value. */
+    private static StoredRecord keyed(ByteBuffer bytes, long offset) {
+        int length = bytes.getInt();
+        byte[] record = new byte[length];
+        bytes.get(record);
+        int keyLength = record[0] & 0xFF;
+        String key = new String(record, 1, keyLength, StandardCharsets.UTF_8);
+        byte[] value = new byte[length - 1 - keyLength];
+        System.arraycopy(record, 1 + keyLength, value, 0, value.length);
+        return new StoredRecord(key, offset, value);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/platform/WireNames.java
@@ -0,0 +1,77 @@
+package org.micabarrow.platform;
+
+/** The names of headers and paths on the platform's wire. */
+final class WireNames {
+
+    // -- headers of requests
+
+    /** The id of one client attempt, passed on and echoed in answers. */
+    static final String ATTEMPT = "Attempt-Id";
+
+    /** How many milliseconds the sender will wait. */
+    static final String DEADLINE = "Deadline-Ms";
+
+    /** The id of the last event received, from which a resumed stream goes on. */
+    static final String LAST_EVENT = "Last-Event-Id";
+
+    static final String MODEL = "Model";
+
+    /** The prompt's tokens and the most tokens to generate, joined by a comma. */
+    static final String TOKENS = "Token-Count";
+
+    /** The client's guess of the tokens that will be generated. */
+    static final String LENGTH_HINT = "Length-Hint";
+
+    /** The client's key; never shown to endpoints. */
+    static final String KEY = "Key";
+
+    // -- headers that the system sets
+
+    /** The organisation that holds the client's key. */
+    static final String ORGANISATION = "Tenant";
+
+    /** The id of the only endpoint that may run the request. */
+    static final String EXPECTED_ENDPOINT = "Expect-Instance";
+
+    /** The only weight version that may answer. */
+    static final String EXPECTED_VERSION = "Expect-Version";
+
+    /** How urgent the request is for the endpoint's queue, 0 first. */
+    static final String PRIORITY = "Request-Priority";
+
+    // -- headers of answers
+
+    /** Present if the endpoint states that it has not run the request. */
+    static final String NOT_RUN = "Not-Executed";
+
+    /** The endpoint's signature; an answer of ours never carries one. */
+    static final String SIGNATURE = "Server-Seal";
+
+    static final String RETRY_AFTER = "Retry-After";
+
+    /** The weight version that answers. */
+    static final String WEIGHT_VERSION = "Weight-Versions";
+
+    // -- calls to endpoints
+
+    static final String REPORT = "/api/report";
+    static final String ORDER = "/api/order";
+    static final String STAGE_PUT = "/api/stage-put/";
+    static final String STAGE_GET = "/api/stage-get/";
+
+    // -- calls to the origin of weights
+
+    static final String DIGESTS = "/api/manifest/";
+    static final String CHUNK = "/api/piece/";
+
+    // -- calls to the store
+
+    static final String LOG_NEWEST = "/api/log-newest";
+    static final String LOG_READ = "/api/log-read";
+
+    // -- calls to an entry
+
+    static final String READY = "/api/ready";
+
+    private WireNames() {}
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -0,0 +1,146 @@
+package org.micabarrow.process;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.micabarrow.platform.EndpointCalls;
+import org.micabarrow.platform.OriginCalls;
+import org.micabarrow.routing.EndpointEntry;
+import org.micabarrow.routing.ModelService;
+import org.micabarrow.routing.RouteManifest;
+import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.transport.HostedPeerServer;
+import org.micabarrow.transport.HttpListener;
+import org.micabarrow.transport.PeerChunks;
+import org.micabarrow.views.View;
+import org.micabarrow.weights.ChunkFetcher;
+import org.micabarrow.weights.ChunkSources;
+import org.micabarrow.weights.ChunkSources.Agent;
+import org.micabarrow.weights.ReplicaKeeper;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** An agent on the users' platform: keeps the endpoint beside it at the weight version that is wanted. */
+public final class HostedAgentProcess implements AutoCloseable {
+
+    private static final Logger LOG = LoggerFactory.getLogger(HostedAgentProcess.class);
+
+    /** The pause between reads of endpoints' entries: agents only need them to know each other. */
+    private static final Duration ENDPOINTS_REST = Duration.ofSeconds(3);
+
+    /** How often the endpoint beside the agent is asked for its report, in milliseconds; it answers its own for free. */
+    private static final long REPORT_MILLIS = 200;
+
+    private final HostedSettings settings;
+    private final HostedNode node;
+    private final ReplicaKeeper keeper;
+    private final Agent self;
+
+    private HostedAgentProcess(HostedSettings settings) throws IOException {
+        this.settings = settings;
+        this.node = new HostedNode(settings);
+        this.self = new Agent(settings.listen().peers(), settings.instance().region());
+        ChunkFetcher fetcher = new ChunkFetcher(
+                new PeerChunks(node.kept()),
+                new OriginCalls(node.kept()),
+                () -> view().manifest().flatMap(RouteManifest::origin),
+                () -> new ChunkSources(self, agents()),
+                HostedNode::steadyMillis);
+        this.keeper = new ReplicaKeeper(new ReplicaKeeper.Parts(
+                this::model,
+                new EndpointCalls(node.kept(), settings.endpoint().orElseThrow()),
+                fetcher,
+                this::view,
+                this::place,
+                settings.bounds().versionMillis(),
+                HostedNode::steadyMillis));
+    }
+
+    /**
+     * Starts an agent.
+     *
+     * @param settings its settings
+     * @return the running agent
+     * @throws IOException if one of its addresses cannot be used
+     */
+    public static HostedAgentProcess start(HostedSettings settings) throws IOException {
+        HostedAgentProcess agent = new HostedAgentProcess(settings);
+        agent.begin();
+        return agent;
+    }
+
+    private void begin() {
+        node.follow(ENDPOINTS_REST, () -> settings.seeds());
+        HostedPeerServer peers = new HostedPeerServer(node.views(), keeper::set, node.metrics());
+        HttpListener.Bounds usual = HttpListener.Bounds.usual();
+        HttpListener.on(settings.listen().peers(), usual, node.worker(), peers);
+        HttpListener.on(settings.listen().metrics(), usual, node.worker(), peers);
+        run("report", keeper::refresh);
+        run("replica", keeper::step);
+        LOG.info("event=started role=agent instance={}", settings.instance().id());
+    }
+
+    /** A step of the agent's work. */
+    private interface Step {
+        void take() throws InterruptedException;
+    }
+
+    private static void run(String name, Step step) {
+        Thread thread = new Thread(
+                () -> {
+                    try {
+                        while (true) {
+                            step.take();
+                            Thread.sleep(REPORT_MILLIS);
+                        }
+                    } catch (InterruptedException e) {
+                        LOG.info("event=thread_stopped thread={}", name);
+                    }
+                },
+                name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private View view() {
+        return node.views().view();
+    }
+
+    private Optional<String> model() {
+        return view().manifest()
+                .flatMap(manifest -> manifest.service(settings.service().orElse("")))
+                .flatMap(RouteManifest.Service::model)
+                .map(ModelService::model);
+    }
+
+    /** The agents beside all endpoints of this agent's service; they listen at the same port on every instance. */
+    private List<Agent> agents() {
+        return view().endpointsOf(settings.service().orElse("")).stream()
+                .map(this::agentOf)
+                .distinct()
+                .toList();
+    }
+
+    private Agent agentOf(EndpointEntry endpoint) {
+        return new Agent(
+                endpoint.instanceHost() + ":" + settings.peerPort(),
+                settings.regions().getOrDefault(endpoint.dataHall(), ""));
+    }
+
+    private ReplicaKeeper.Place place() {
+        List<String> region = Stream.concat(agents().stream(), Stream.of(self))
+                .filter(agent -> agent.region().equals(self.region()))
+                .map(Agent::address)
+                .distinct()
+                .sorted()
+                .toList();
+        return new ReplicaKeeper.Place(region.indexOf(self.address()), region.size());
+    }
+
+    @Override
+    public void close() {
+        LOG.info("event=stopped");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -0,0 +1,116 @@
+package org.micabarrow.process;
+
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.micabarrow.coordination.RetryBudget;
+import org.micabarrow.platform.EndpointHeaders;
+import org.micabarrow.platform.RequestHeaders;
+import org.micabarrow.routing.EndpointChoice;
+import org.micabarrow.serving.ServingHandler;
+import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.transport.HostedPeerServer;
+import org.micabarrow.transport.HttpListener;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** An entry on the users' platform: takes clients' requests and passes each straight to an endpoint. */
+public final class HostedEntryProcess implements AutoCloseable {
+
+    private static final Logger LOG = LoggerFactory.getLogger(HostedEntryProcess.class);
+
+    /** The pause between reads of endpoints' entries: a quarter of the two seconds in which a leaving one must be left. */
+    private static final Duration ENDPOINTS_REST = Duration.ofMillis(500);
+
+    /** Among how many entries the users' slack for repeats is divided: more than there are, spares and restarts included. */
+    private static final int ENTRIES_AT_MOST = 16;
+
+    /** The part of {@code version_ms} after which entries demand the named weight version themselves. */
+    private static final double VERSION_PART = 0.88;
+
+    /** How long after SIGTERM new connections may still come, in milliseconds: two questions, a second apart. */
+    private static final long STILL_CHOSEN_MILLIS = 2_500;
+
+    /** What is left of the grace when the process ends by itself, in milliseconds. */
+    private static final long GRACE_LEFT_MILLIS = 700;
+
+    private static final long LOOK_MILLIS = 50;
+    private static final int UNAVAILABLE = 503;
+    private static final int OK = 200;
+
+    private final HostedSettings settings;
+    private final HostedNode node;
+    private final ServingHandler handler;
+    private volatile boolean leaving;
+
+    private HostedEntryProcess(HostedSettings settings) throws IOException {
+        this.settings = settings;
+        this.node = new HostedNode(settings);
+        HostedSettings.Bounds bounds = settings.bounds();
+        this.handler = ServingHandler.of(new ServingHandler.Parts(
+                node.views()::view,
+                new EndpointChoice(settings.instance().region(), settings.regions()),
+                node.fresh(),
+                new EndpointHeaders(),
+                new RequestHeaders(RandomGenerator.of("L64X128MixRandom")),
+                new RetryBudget(bounds.retryShare(), bounds.retrySlack() / ENTRIES_AT_MOST),
+                node.metrics(),
+                HostedNode::steadyMillis,
+                Math.round(bounds.versionMillis() * VERSION_PART)));
+    }
+
+    /**
+     * Starts an entry.
+     *
+     * @param settings its settings
+     * @return the running entry
+     * @throws IOException if one of its addresses cannot be used
+     */
+    public static HostedEntryProcess start(HostedSettings settings) throws IOException {
+        HostedEntryProcess entry = new HostedEntryProcess(settings);
+        entry.begin();
+        return entry;
+    }
+
+    private void begin() {
+        node.follow(ENDPOINTS_REST, this::peers);
+        HttpListener.Bounds usual = HttpListener.Bounds.usual();
+        HostedPeerServer peers =
+                new HostedPeerServer(node.views(), (model, version) -> Optional.empty(), node.metrics());
+        HttpListener.on(settings.listen().peers(), usual, node.worker(), peers);
+        HttpListener.on(settings.listen().metrics(), usual, node.worker(), peers);
+        HttpListener.on(settings.listen().ready().orElseThrow(), usual, node.worker(), this::ready);
+        HttpListener.on(settings.listen().clients().orElseThrow(), usual, node.worker(), handler);
+        LOG.info("event=started role=entry instance={}", settings.instance().id());
+    }
+
+    private List<String> peers() {
+        return settings.seeds().stream()
+                .filter(seed -> !seed.equals(settings.listen().peers()))
+                .toList();
+    }
+
+    private void ready(HttpServerExchange exchange) {
+        boolean takes = !leaving && node.views().view().manifest().isPresent();
+        exchange.setStatusCode(takes ? OK : UNAVAILABLE);
+        exchange.endExchange();
+    }
+
+    /** Takes no new connections once the platform has noticed, and ends when no request is open. */
+    @Override
+    public void close() throws InterruptedException {
+        long began = HostedNode.steadyMillis();
+        leaving = true;
+        handler.leave();
+        LOG.info("event=leaving open={}", handler.open());
+        long latest = began + settings.bounds().graceMillis() - GRACE_LEFT_MILLIS;
+        while (HostedNode.steadyMillis() < latest
+                && (handler.open() > 0 || HostedNode.steadyMillis() < began + STILL_CHOSEN_MILLIS)) {
+            Thread.sleep(LOOK_MILLIS);
+        }
+        LOG.info("event=stopped open={}", handler.open());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -0,0 +1,125 @@
+package org.micabarrow.process;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import org.micabarrow.platform.StoreClient;
+import org.micabarrow.platform.StoreRecords;
+import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Result;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.PeerRecords;
+import org.micabarrow.views.StoreFollower;
+import org.micabarrow.views.StoreFollower.Pace;
+import org.micabarrow.views.TopicReader.Batch;
+import org.micabarrow.views.ViewKeeper;
+import org.micabarrow.views.ViewKeeper.Topic;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.XnioWorker;
+
+/** What entries and agents on the users' platform have alike: the view of the store, and the threads. */
+final class HostedNode {
+
+    private static final Logger LOG = LoggerFactory.getLogger(HostedNode.class);
+
+    /** How many connections to one place are kept: one each for the two topics and a few for peers. */
+    private static final int KEPT_CONNECTIONS = 8;
+
+    /**
+     * How long the store may hold a read of what operators write. A lost answer shows after this and the answer's own
+     * time, which together stay well under the three seconds in which the users expect a process to be in touch again.
+     */
+    private static final Duration OPERATOR_WAIT = Duration.ofMillis(1_500);
+
+    /** How long the store may hold a read of endpoints' entries; as for operators. */
+    private static final Duration ENDPOINTS_WAIT = Duration.ofMillis(1_500);
+
+    private final HostedSettings settings;
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final XnioWorker worker;
+    private final HttpCaller kept;
+    private final HttpCaller fresh;
+    private final ViewKeeper views;
+    private final PeerRecords peerRecords;
+    private final AtomicInteger turn = new AtomicInteger();
+
+    HostedNode(HostedSettings settings) throws IOException {
+        this.settings = settings;
+        this.worker = HttpCaller.worker("traffic", 1);
+        this.kept = HttpCaller.on(worker, KEPT_CONNECTIONS);
+        this.fresh = HttpCaller.on(worker, 0);
+        this.views = new ViewKeeper(new StoreRecords(), HostedNode::steadyMillis);
+        this.peerRecords = new PeerRecords(kept);
+        metrics.registerGauge(
+                "process.heapBytes",
+                () -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
+        metrics.registerGauge(
+                "view.manifest",
+                () -> views.view().manifest().map(one -> one.version()).orElse(-1L));
+        metrics.registerGauge("view.endpoints", () -> views.view().endpoints().size());
+    }
+
+    static long steadyMillis() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    MetricRegistry metrics() {
+        return metrics;
+    }
+
+    XnioWorker worker() {
+        return worker;
+    }
+
+    /** Keeps connections for later requests. */
+    HttpCaller kept() {
+        return kept;
+    }
+
+    /** Opens a connection for each request. */
+    HttpCaller fresh() {
+        return fresh;
+    }
+
+    ViewKeeper views() {
+        return views;
+    }
+
+    /** Begins to follow the store; peers are asked while it does not answer. */
+    void follow(Duration endpointsRest, Supplier<List<String>> peers) {
+        StoreClient store = new StoreClient(kept, settings.store());
+        new StoreFollower(
+                        Topic.OPERATOR,
+                        store,
+                        views,
+                        topic -> askPeer(topic, peers.get()),
+                        new Pace(OPERATOR_WAIT, Duration.ZERO))
+                .start();
+        new StoreFollower(
+                        Topic.ENDPOINTS,
+                        store,
+                        views,
+                        topic -> askPeer(topic, peers.get()),
+                        new Pace(ENDPOINTS_WAIT, endpointsRest))
+                .start();
+    }
+
+    /** Asks the next peer in turn for what it knows of a topic. */
+    private void askPeer(Topic topic, List<String> peers) {
+        if (peers.isEmpty()) {
+            return;
+        }
+        String peer = peers.get(Math.floorMod(turn.getAndIncrement(), peers.size()));
+        switch (peerRecords.ask(peer, topic, views.end(topic))) {
+            case Result.Success<Batch>(Batch batch) -> views.apply(topic, batch.records(), batch.end());
+            case Result.Failure<Batch>(Fault fault) ->
+                LOG.info("event=peer_silent topic={} peer={} why=\"{}\"", topic, peer, fault);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -0,0 +1,179 @@
+package org.micabarrow.routing;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Chooses the endpoint for a request: the one that is expected to answer first, with a preference for the entry's own
+ * region, and none at all if the objective could not be met. Used by one thread.
+ */
+public final class EndpointChoice {
+
+    /**
+     * What sending to another region counts as, in milliseconds of delay. Bytes between regions are paid for; in relation
+     * to a request's worth the price is that of a few hundredths of its objective.
+     */
+    private static final double OTHER_REGION_MILLIS = 60;
+
+    /** The part of the objective that a predicted first event may take; the rest is for what the prediction misses. */
+    private static final double OBJECTIVE_PART = 0.8;
+
+    /** How many times its slots a plain endpoint may hold, its queue included, before requests are refused. */
+    private static final double PLAIN_SLOTS = 2;
+
+    /** What a full plain endpoint's queue is expected to cost for each slot's worth of requests, in milliseconds. */
+    private static final double PLAIN_ROUND_MILLIS = 80;
+
+    /** How many requests an endpoint of a model may hold in relation to its slots. */
+    private static final double MODEL_SLOTS = 1;
+
+    private final Map<String, EndpointLoad> loads = new HashMap<>();
+    private final Map<String, String> regions;
+    private final String region;
+
+    /**
+     * Makes a choice that knows nothing of any load.
+     *
+     * @param region the entry's region
+     * @param regions the region of each data hall
+     */
+    public EndpointChoice(String region, Map<String, String> regions) {
+        this.region = Objects.requireNonNull(region, "region is null");
+        this.regions = Map.copyOf(regions);
+    }
+
+    /**
+     * What is to be sent.
+     *
+     * @param promptTokens the tokens of its prompt, 0 for plain services
+     * @param objectiveMillis the time within which it should begin to be answered
+     * @param model the figures of the service's model, empty for plain services
+     * @param leastVersion the weight version that must answer; 0 for any
+     * @param tried the endpoints that it was sent to already
+     */
+    public record Wanted(
+            int promptTokens,
+            long objectiveMillis,
+            Optional<ModelService> model,
+            long leastVersion,
+            Set<String> tried) {}
+
+    /** What was chosen. */
+    public sealed interface Choice {
+
+        /**
+         * An endpoint.
+         *
+         * @param endpoint where to send the request
+         * @param predictedMillis when its first event is expected
+         */
+        record Send(EndpointEntry endpoint, double predictedMillis) implements Choice {}
+
+        /**
+         * All endpoints that could serve are full.
+         *
+         * @param endpoints how many there are
+         */
+        record Full(int endpoints) implements Choice {}
+
+        /** No endpoint can serve at all. */
+        record None() implements Choice {}
+    }
+
+    /**
+     * What is known of an endpoint's load.
+     *
+     * @param id the endpoint's id
+     * @return its load, to be updated
+     */
+    public EndpointLoad load(String id) {
+        return loads.computeIfAbsent(id, key -> new EndpointLoad());
+    }
+
+    /**
+     * Forgets endpoints that are gone.
+     *
+     * @param present the ids of those that are listed
+     */
+    public void keepOnly(Set<String> present) {
+        loads.keySet().retainAll(present);
+    }
+
+    // -- choosing
+
+    /**
+     * Chooses.
+     *
+     * @param candidates the service's endpoints
+     * @param wanted what is to be sent
+     * @param nowMillis the time on the steady clock
+     * @return the choice
+     */
+    public Choice choose(List<EndpointEntry> candidates, Wanted wanted, long nowMillis) {
+        List<EndpointEntry> able =
+                candidates.stream().filter(one -> able(one, wanted, nowMillis)).toList();
+        List<EndpointEntry> well =
+                able.stream().filter(one -> !load(one.id()).excluded(nowMillis)).toList();
+        List<EndpointEntry> pool = well.isEmpty() ? able : well;
+        if (pool.isEmpty()) {
+            return new Choice.None();
+        }
+        return pool.stream()
+                .filter(one -> hasRoom(one, wanted, nowMillis))
+                .map(one -> new Choice.Send(one, predicted(one, wanted, nowMillis)))
+                .min(Comparator.comparingDouble(send -> send.predictedMillis() + distance(send.endpoint())))
+                .map(Choice.class::cast)
+                .orElse(new Choice.Full(pool.size()));
+    }
+
+    private boolean able(EndpointEntry endpoint, Wanted wanted, long nowMillis) {
+        if (endpoint.leaving() || wanted.tried().contains(endpoint.id())) {
+            return false;
+        }
+        if (wanted.model().isEmpty()) {
+            return true;
+        }
+        long held = version(endpoint, wanted.model().get());
+        return held > 0 && held >= wanted.leastVersion() && !load(endpoint.id()).loading(nowMillis);
+    }
+
+    private long version(EndpointEntry endpoint, ModelService model) {
+        return Math.max(
+                endpoint.models().getOrDefault(model.model(), 0L),
+                load(endpoint.id()).version());
+    }
+
+    private boolean hasRoom(EndpointEntry endpoint, Wanted wanted, long nowMillis) {
+        int requests = load(endpoint.id()).requests(nowMillis);
+        if (wanted.model().isEmpty()) {
+            return requests < endpoint.slots() * PLAIN_SLOTS;
+        }
+        return requests < endpoint.slots() * MODEL_SLOTS
+                && predicted(endpoint, wanted, nowMillis) < wanted.objectiveMillis() * OBJECTIVE_PART;
+    }
+
+    private double predicted(EndpointEntry endpoint, Wanted wanted, long nowMillis) {
+        EndpointLoad load = load(endpoint.id());
+        if (wanted.model().isEmpty()) {
+            return load.requests(nowMillis) * PLAIN_ROUND_MILLIS / endpoint.slots();
+        }
+        return firstEvent(wanted.model().get(), load, wanted.promptTokens(), nowMillis);
+    }
+
+    /** When the first event is expected: after the steps under way, the prompts ahead, its own, and its first steps. */
+    private static double firstEvent(ModelService model, EndpointLoad load, int promptTokens, long nowMillis) {
+        double step = model.stepMillis() + model.stepMillisPerSequence() * load.requests(nowMillis);
+        double steps = model.stride() * step;
+        double prompts = (load.waitingPromptTokens() + promptTokens) / model.prefillTokensPerMilli();
+        return 2 * steps + prompts;
+    }
+
+    private double distance(EndpointEntry endpoint) {
+        return region.equals(regions.get(endpoint.dataHall())) ? 0 : OTHER_REGION_MILLIS;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/serving/ClientAnswer.java
@@ -0,0 +1,100 @@
+package org.micabarrow.serving;
+
+import io.undertow.io.IoCallback;
+import io.undertow.io.Sender;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import org.micabarrow.serving.EndpointProtocol.AnswerHead;
+import org.xnio.IoUtils;
+
+/** Writes one answer to a client. What breaks off ends in a closed connection, never in what looks like a whole answer. */
+final class ClientAnswer {
+
+    private static final double MILLIS_A_SECOND = 1_000;
+
+    private final HttpServerExchange exchange;
+    private boolean begun;
+    private boolean over;
+
+    ClientAnswer(HttpServerExchange exchange) {
+        this.exchange = exchange;
+    }
+
+    /** Whether the client has been sent a head already. */
+    boolean begun() {
+        return begun;
+    }
+
+    /** Whether nothing more can be written. */
+    boolean over() {
+        return over;
+    }
+
+    /** The client's connection is gone. */
+    void gone() {
+        over = true;
+        IoUtils.safeClose(exchange.getConnection());
+    }
+
+    // -- answers of endpoints
+
+    void head(AnswerHead head) {
+        begun = true;
+        exchange.setStatusCode(head.status());
+        head.passedOn().forEach((name, value) -> exchange.getResponseHeaders().put(new HttpString(name), value));
+    }
+
+    /** Writes a part; {@code then} runs when the next may come, {@code gone} if the client is no longer there. */
+    void part(byte[] data, Runnable then, Runnable gone) {
+        exchange.getResponseSender().send(ByteBuffer.wrap(data), new IoCallback() {
+            @Override
+            public void onComplete(HttpServerExchange same, Sender sender) {
+                then.run();
+            }
+
+            @Override
+            public void onException(HttpServerExchange same, Sender sender, IOException e) {
+                gone.run();
+            }
+        });
+    }
+
+    void end() {
+        over = true;
+        exchange.endExchange();
+    }
+
+    void whole(AnswerHead head, byte[] body) {
+        head(head);
+        over = true;
+        exchange.setResponseContentLength(body.length);
+        exchange.getResponseSender().send(ByteBuffer.wrap(body), IoCallback.END_EXCHANGE);
+    }
+
+    /** Closes the connection in the middle of the answer, so that the client sees that it is not whole. */
+    void breakOff() {
+        over = true;
+        IoUtils.safeClose(exchange.getConnection());
+    }
+
+    // -- own answers
+
+    /** An answer of the entry's own, with when to come back if that is known to help. */
+    void own(int status, String why, long retryAfterMillis) {
+        over = true;
+        begun = true;
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
+        if (retryAfterMillis > 0) {
+            exchange.getResponseHeaders()
+                    .put(Headers.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterMillis / MILLIS_A_SECOND));
+        }
+        byte[] body = (why + "\n").getBytes(StandardCharsets.UTF_8);
+        exchange.getResponseSender().send(ByteBuffer.wrap(body), IoCallback.END_EXCHANGE);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/serving/EndpointProtocol.java
@@ -0,0 +1,62 @@
+package org.micabarrow.serving;
+
+import java.util.Map;
+import java.util.Optional;
+import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.routing.EndpointEntry;
+import org.micabarrow.transport.HttpCall;
+
+/** How requests and answers are written on the wire between an entry and an endpoint. */
+public interface EndpointProtocol {
+
+    /**
+     * What accompanies one sending of a request.
+     *
+     * @param endpoint where to
+     * @param millisLeft how long the client will still wait
+     * @param version the only weight version that may answer, empty for any
+     * @param lastEvent the last event received, if a stream is to go on after it
+     */
+    record Sending(EndpointEntry endpoint, long millisLeft, Optional<Long> version, Optional<String> lastEvent) {}
+
+    /**
+     * The beginning of an endpoint's answer.
+     *
+     * @param status its HTTP status
+     * @param own whether it answers the request that was sent, and not an earlier one
+     * @param signed whether it carries the endpoint's signature
+     * @param notRun whether it states that the request has not run
+     * @param misdirected whether it states that another endpoint or version was meant
+     * @param weightVersion the weight version that answers
+     * @param length the length of the body, empty if it is not told
+     * @param passedOn the headers for the client
+     */
+    record AnswerHead(
+            int status,
+            boolean own,
+            boolean signed,
+            boolean notRun,
+            boolean misdirected,
+            Optional<Long> weightVersion,
+            Optional<Long> length,
+            Map<String, String> passedOn) {}
+
+    /**
+     * Writes a request.
+     *
+     * @param request the request
+     * @param sending what accompanies it
+     * @return the request as it is to be sent
+     */
+    HttpCall call(ClientRequest request, Sending sending);
+
+    /**
+     * Reads the beginning of an answer.
+     *
+     * @param request the request
+     * @param status the HTTP status
+     * @param headers the headers as received
+     * @return what they say
+     */
+    AnswerHead head(ClientRequest request, int status, Map<String, String> headers);
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/serving/RequestReader.java
@@ -0,0 +1,47 @@
+package org.micabarrow.serving;
+
+import io.undertow.server.HttpServerExchange;
+import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.routing.RouteManifest;
+
+/** Reads clients' requests from the wire. */
+public interface RequestReader {
+
+    /** What a request is. */
+    sealed interface Reading {
+
+        /**
+         * A request that is allowed.
+         *
+         * @param request the request
+         */
+        record Understood(ClientRequest request) implements Reading {}
+
+        /**
+         * A request that is refused.
+         *
+         * @param status the HTTP status to answer with
+         * @param why the reason, for the client and the log
+         */
+        record Refused(int status, String why) implements Reading {}
+    }
+
+    /**
+     * Reads a request.
+     *
+     * @param exchange the exchange, its body received
+     * @param body the body
+     * @param manifest the manifest in force
+     * @param nowMillis the time on the steady clock
+     * @return the request, or why it is refused
+     */
+    Reading read(HttpServerExchange exchange, byte[] body, RouteManifest manifest, long nowMillis);
+
+    /**
+     * The client's id of a request, for logs.
+     *
+     * @param exchange the exchange
+     * @return the id, or a dash if there is none
+     */
+    String id(HttpServerExchange exchange);
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -0,0 +1,159 @@
+package org.micabarrow.serving;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.coordination.RetryBudget;
+import org.micabarrow.routing.EndpointChoice;
+import org.micabarrow.routing.RouteManifest;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.views.View;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Takes clients' requests and passes each straight to an endpoint. */
+public final class ServingHandler implements HttpHandler {
+
+    private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.request");
+
+    private static final int BAD_REQUEST = 400;
+    private static final int TOO_LARGE = 413;
+    private static final int UNAVAILABLE = 503;
+
+    /** When to come back to a process that has no manifest yet, in milliseconds: it reads one as its first act. */
+    private static final long STARTING_MILLIS = 500;
+
+    private final ServingParts parts;
+    private final RequestReader reader;
+    private final AtomicInteger open = new AtomicInteger();
+    private volatile boolean leaving;
+
+    private ServingHandler(ServingParts parts, RequestReader reader) {
+        this.parts = parts;
+        this.reader = reader;
+    }
+
+    /**
+     * What a handler works with.
+     *
+     * @param view the view in force
+     * @param choice chooses endpoints
+     * @param caller sends requests, on the thread for traffic
+     * @param protocol writes requests to endpoints and reads their answers
+     * @param reader reads clients' requests
+     * @param budget bounds repeats
+     * @param registry where it counts
+     * @param steadyMillis a clock that never steps, in milliseconds
+     * @param versionBoundMillis how long after a weight version was named older ones may still answer
+     */
+    public record Parts(
+            Supplier<View> view,
+            EndpointChoice choice,
+            HttpCaller caller,
+            EndpointProtocol protocol,
+            RequestReader reader,
+            RetryBudget budget,
+            MetricRegistry registry,
+            LongSupplier steadyMillis,
+            long versionBoundMillis) {}
+
+    /**
+     * Makes a handler.
+     *
+     * @param parts what it works with
+     * @return the handler
+     */
+    public static ServingHandler of(Parts parts) {
+        Objects.requireNonNull(parts, "parts is null");
+        ServingParts shared = new ServingParts(
+                parts.view(),
+                parts.choice(),
+                parts.caller(),
+                parts.protocol(),
+                parts.budget(),
+                new ServingMetrics(parts.registry()),
+                parts.steadyMillis(),
+                parts.versionBoundMillis());
+        return new ServingHandler(shared, parts.reader());
+    }
+
+    /** Asks clients to leave from now on: connections are closed after the answer under way. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /**
+     * The requests that are open.
+     *
+     * @return their number
+     */
+    public int open() {
+        return open.get();
+    }
+
+    // -- requests
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        parts.metrics().received.inc();
+        open.incrementAndGet();
+        exchange.addExchangeCompleteListener((same, next) -> {
+            open.decrementAndGet();
+            next.proceed();
+        });
+        if (leaving) {
+            exchange.setPersistent(false);
+            exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+        }
+        parts.view().manifest().ifPresent(manifest -> exchange.setMaxEntitySize(manifest.maxBodyBytes()));
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (same, body) -> same.dispatch(SameThreadExecutor.INSTANCE, () -> begin(exchange, body)),
+                        (same, error) -> same.dispatch(SameThreadExecutor.INSTANCE, () -> notRead(exchange, error)));
+    }
+
+    private void notRead(HttpServerExchange exchange, IOException error) {
+        boolean large = error instanceof RequestTooBigException;
+        refuse(exchange, large ? TOO_LARGE : BAD_REQUEST, "the body cannot be read: " + error.getMessage(), 0);
+    }
+
+    private void begin(HttpServerExchange exchange, byte[] body) {
+        Optional<RouteManifest> manifest = parts.view().manifest();
+        if (manifest.isEmpty()) {
+            refuse(exchange, UNAVAILABLE, "this entry has not read the manifest yet", STARTING_MILLIS);
+            return;
+        }
+        switch (reader.read(exchange, body, manifest.get(), parts.nowMillis())) {
+            case RequestReader.Reading.Refused(int status, String why) -> refuse(exchange, status, why, 0);
+            case RequestReader.Reading.Understood(ClientRequest request) -> run(exchange, request);
+        }
+    }
+
+    private void run(HttpServerExchange exchange, ClientRequest request) {
+        RequestRun run = new RequestRun(parts, request, new ClientAnswer(exchange), exchange.getIoThread());
+        ClientWatch.start(exchange, run::clientGone);
+        run.begin();
+    }
+
+    private void refuse(HttpServerExchange exchange, int status, String why, long retryAfterMillis) {
+        LOG.info(
+                "event=refused request={} host={} path={} status={} {} why=\"{}\"",
+                reader.id(exchange),
+                exchange.getRequestHeaders().getFirst(Headers.HOST),
+                exchange.getRequestPath(),
+                status,
+                parts.viewAge(),
+                why);
+        new ClientAnswer(exchange).own(status, why, retryAfterMillis);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -0,0 +1,153 @@
+package org.micabarrow.serving;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.coordination.RetryBudget;
+import org.micabarrow.routing.EndpointChoice;
+import org.micabarrow.routing.EndpointChoice.Choice;
+import org.micabarrow.routing.EndpointChoice.Wanted;
+import org.micabarrow.routing.EndpointEntry;
+import org.micabarrow.routing.EndpointLoad;
+import org.micabarrow.routing.ModelService;
+import org.micabarrow.routing.RouteManifest;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.views.View;
+
+/** What all requests of an entry share. Used by the one thread for traffic, but for the view and the metrics. */
+final class ServingParts {
+
+    /**
+     * When a client that was refused for want of room is told to come back, in milliseconds. An endpoint frees a slot
+     * within a second or so; sooner would find the same queue, later would miss the objective.
+     */
+    private static final long COME_BACK_MILLIS = 700;
+
+    private final Supplier<View> view;
+    private final EndpointChoice choice;
+    private final HttpCaller caller;
+    private final EndpointProtocol protocol;
+    private final RetryBudget budget;
+    private final ServingMetrics metrics;
+    private final LongSupplier steadyMillis;
+    private final long versionBoundMillis;
+
+    /**
+     * Collects the parts.
+     *
+     * @param view the view in force
+     * @param choice chooses endpoints
+     * @param caller sends requests, on the thread for traffic
+     * @param protocol writes requests and reads answers
+     * @param budget bounds repeats
+     * @param metrics counts
+     * @param steadyMillis a clock that never steps, in milliseconds
+     * @param versionBoundMillis how long after a weight version was named older ones may still answer
+     */
+    ServingParts(
+            Supplier<View> view,
+            EndpointChoice choice,
+            HttpCaller caller,
+            EndpointProtocol protocol,
+            RetryBudget budget,
+            ServingMetrics metrics,
+            LongSupplier steadyMillis,
+            long versionBoundMillis) {
+        this.view = Objects.requireNonNull(view, "view is null");
+        this.choice = Objects.requireNonNull(choice, "choice is null");
+        this.caller = Objects.requireNonNull(caller, "caller is null");
+        this.protocol = Objects.requireNonNull(protocol, "protocol is null");
+        this.budget = Objects.requireNonNull(budget, "budget is null");
+        this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+        this.steadyMillis = Objects.requireNonNull(steadyMillis, "steadyMillis is null");
+        this.versionBoundMillis = versionBoundMillis;
+    }
+
+    // -- parts
+
+    View view() {
+        return view.get();
+    }
+
+    HttpCaller caller() {
+        return caller;
+    }
+
+    EndpointProtocol protocol() {
+        return protocol;
+    }
+
+    RetryBudget budget() {
+        return budget;
+    }
+
+    ServingMetrics metrics() {
+        return metrics;
+    }
+
+    long nowMillis() {
+        return steadyMillis.getAsLong();
+    }
+
+    // -- choosing
+
+    EndpointLoad load(String endpoint) {
+        return choice.load(endpoint);
+    }
+
+    Choice choose(ClientRequest request, Set<String> tried) {
+        List<EndpointEntry> endpoints = view().endpointsOf(request.service());
+        Wanted wanted = new Wanted(
+                request.promptTokens(),
+                request.route().objectiveMillis(),
+                model(request),
+                leastVersion(request),
+                tried);
+        return choice.choose(endpoints, wanted, nowMillis());
+    }
+
+    /** Whether an endpoint that was not tried yet could take the request. */
+    boolean otherEndpoint(ClientRequest request, Set<String> tried) {
+        return choose(request, new HashSet<>(tried)) instanceof Choice.Send;
+    }
+
+    private Optional<ModelService> model(ClientRequest request) {
+        return view().manifest()
+                .flatMap(manifest -> manifest.service(request.service()))
+                .flatMap(RouteManifest.Service::model);
+    }
+
+    /** The least weight version that may still answer; 0 for any. */
+    private long leastVersion(ClientRequest request) {
+        return model(request)
+                .map(model -> view().leastVersion(model.model(), versionBoundMillis, nowMillis()))
+                .orElse(0L);
+    }
+
+    /** The only version that may answer at an endpoint, once the time for older ones is over. */
+    Optional<Long> expectedVersion(ClientRequest request, EndpointEntry endpoint) {
+        long least = leastVersion(request);
+        if (least == 0) {
+            return Optional.empty();
+        }
+        long held = model(request)
+                .map(model -> endpoint.models().getOrDefault(model.model(), 0L))
+                .orElse(0L);
+        return Optional.of(Math.max(least, Math.max(held, load(endpoint.id()).version())));
+    }
+
+    long comeBackMillis(ClientRequest request) {
+        return Math.min(COME_BACK_MILLIS, Math.max(1, (request.deadlineMillis() - nowMillis()) / 4));
+    }
+
+    /** The view that decisions are made on, for the log. */
+    String viewAge() {
+        View now = view();
+        return "manifest=" + now.manifest().map(RouteManifest::version).orElse(-1L) + " offset=" + now.manifestOffset();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/serving/package-info.java
@@ -0,0 +1,2 @@
+/** Takes clients' requests and passes them straight to endpoints. */
+package org.micabarrow.serving;
--- /dev/null
+++ b/src/main/java/org/micabarrow/settings/HostedSettings.java
@@ -0,0 +1,52 @@
+package org.micabarrow.settings;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The settings of a process on the users' platform, which fills them into a template of ours.
+ *
+ * @param instance where the process runs
+ * @param regions the region of each data hall
+ * @param listen where it listens
+ * @param peerPort the port at which agents listen for other processes, the same on every instance
+ * @param seeds addresses of entries that may be stale
+ * @param store the host and port of the platform's store
+ * @param endpoint the host and port of the endpoint beside an agent
+ * @param service the service of that endpoint
+ * @param bounds what the users allow
+ * @param log how it logs
+ */
+public record HostedSettings(
+        Common.Place instance,
+        Map<String, String> regions,
+        Listen listen,
+        int peerPort,
+        List<String> seeds,
+        String store,
+        Optional<String> endpoint,
+        Optional<String> service,
+        Bounds bounds,
+        Common.Logging log) {
+
+    /**
+     * Where a process listens.
+     *
+     * @param clients for clients' requests; entries only
+     * @param ready for the question whether it takes requests; entries only
+     * @param peers for other processes of the system
+     * @param metrics for figures
+     */
+    public record Listen(Optional<String> clients, Optional<String> ready, String peers, String metrics) {}
+
+    /**
+     * What the users allow.
+     *
+     * @param versionMillis how long after a weight version was named older ones may answer
+     * @param graceMillis how long after SIGTERM a process is killed
+     * @param retryShare repeats allowed for each request
+     * @param retrySlack repeats that all entries together may save up
+     */
+    public record Bounds(long versionMillis, long graceMillis, double retryShare, double retrySlack) {}
+}
--- a/src/main/java/org/micabarrow/settings/SettingsReader.java
+++ b/src/main/java/org/micabarrow/settings/SettingsReader.java
@@ -74,6 +74,23 @@
             Rule.range("/peers/checkpointMillis", 100, 24 * HOUR),
             Rule.range("/peers/agentsPerPlacement", 1, 10_000));
 
+    private static final List<Rule> HOSTED = List.of(
+            Rule.pattern("/instance/id", NAME, A_NAME),
+            Rule.pattern("/instance/region", NAME, A_NAME),
+            Rule.pattern("/instance/hall", NAME, A_NAME),
+            Rule.pattern("/listen/clients", ADDRESS, AN_ADDRESS),
+            Rule.pattern("/listen/ready", ADDRESS, AN_ADDRESS),
+            Rule.pattern("/listen/peers", ADDRESS, AN_ADDRESS),
+            Rule.pattern("/listen/metrics", ADDRESS, AN_ADDRESS),
+            Rule.range("/peerPort", 1, 65_535),
+            Rule.pattern("/seeds/*", ADDRESS, AN_ADDRESS),
+            Rule.pattern("/store", ADDRESS, AN_ADDRESS),
+            Rule.pattern("/endpoint", ADDRESS, AN_ADDRESS),
+            Rule.range("/bounds/versionMillis", 100, HOUR),
+            Rule.range("/bounds/graceMillis", 100, HOUR),
+            Rule.pattern("/log/format", "text|json", "text or json"),
+            Rule.pattern("/log/level", "error|warn|info|debug|trace", "error, warn, info, debug or trace"));
+
     private static final List<Rule> AGENT = List.of(
             Rule.pattern("/endpoint/kind", "engine|service", "engine or service"),
             Rule.pattern("/endpoint/url", URL, A_URL),
@@ -112,6 +129,18 @@
         return read(file, "agent-defaults.jsonc", AgentSettings.class, AGENT);
     }
 
+    /**
+     * Reads the settings of a process on the users' platform.
+     *
+     * @param file the file
+     * @return the settings, or everything that is wrong with them
+     */
+    public static Result<HostedSettings> hosted(Path file) {
+        return bytes(file, Fault.Step.SETTINGS)
+                .flatMap(bytes -> JsonDocument.parse(file.toString(), bytes, Fault.Step.SETTINGS))
+                .flatMap(document -> document.bind(HostedSettings.class, HOSTED));
+    }
+
     /**
      * Reads a file.
      *
@@ -135,7 +164,7 @@
      * @return their pointers
      */
     public static List<String> checkedFields() {
-        return Stream.of(COMMON, ENTRY, AGENT)
+        return Stream.of(COMMON, ENTRY, AGENT, HOSTED)
                 .flatMap(List::stream)
                 .map(Rule::pointer)
                 .distinct()
--- /dev/null
+++ b/src/main/java/org/micabarrow/standin/HostedStoreStandin.java
@@ -0,0 +1,180 @@
+package org.micabarrow.standin;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.io.IoCallback;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.micabarrow.state.CanonicalJson;
+
+/**
+ * Stands in for the users' store: keyed topics that can be read on and whose newest records can be listed. Faults are set
+ * from outside. Safe for any number of threads.
+ */
+public final class HostedStoreStandin implements HttpHandler {
+
+    private static final int OK = 200;
+    private static final int GONE = 410;
+    private static final long LOOK_MILLIS = 5;
+
+    private final Map<String, List<Entry>> topics = new HashMap<>();
+    private final Map<String, Integer> firstKept = new HashMap<>();
+    private int pageSize = 500;
+    private Optional<Integer> refusal = Optional.empty();
+    private boolean silent;
+
+    private record Entry(String key, byte[] value) {}
+
+    // -- what tests do
+
+    /**
+     * Appends a record.
+     *
+     * @param topic the topic
+     * @param key the key
+     * @param value the value; an empty one drops the key
+     * @return the record's offset
+     */
+    public synchronized long append(String topic, String key, String value) {
+        List<Entry> entries = topics.computeIfAbsent(topic, name -> new ArrayList<>());
+        entries.add(new Entry(key, value.getBytes(StandardCharsets.UTF_8)));
+        return entries.size() - 1L;
+    }
+
+    /**
+     * Drops the history of a topic; the newest record of each key stays.
+     *
+     * @param topic the topic
+     */
+    public synchronized void forgetHistory(String topic) {
+        firstKept.put(topic, topics.getOrDefault(topic, List.of()).size());
+    }
+
+    /**
+     * Answers every call with a status, until told otherwise.
+     *
+     * @param status the status; empty to answer as usual
+     */
+    public synchronized void refuse(Optional<Integer> status) {
+        refusal = status;
+    }
+
+    /**
+     * Answers nothing, until told otherwise.
+     *
+     * @param on whether to be silent
+     */
+    public synchronized void silent(boolean on) {
+        silent = on;
+    }
+
+    /**
+     * How many records a page of newest records holds.
+     *
+     * @param size the number
+     */
+    public synchronized void pageSize(int size) {
+        pageSize = size;
+    }
+
+    // -- answers
+
+    @Override
+    public synchronized void handleRequest(HttpServerExchange exchange) {
+        if (silent) {
+            exchange.dispatch(() -> {});
+            return;
+        }
+        if (refusal.isPresent()) {
+            answer(exchange, refusal.get(), new byte[0]);
+            return;
+        }
+        String topic = parameter(exchange, "topic").orElse("");
+        switch (exchange.getRequestPath()) {
+            case "/api/log-newest" -> newest(exchange, topic);
+            case "/api/log-read" -> {
+                int from = Integer.parseInt(parameter(exchange, "from").orElse("0"));
+                long hold = Long.parseLong(parameter(exchange, "wait_ms").orElse("0"));
+                read(exchange, topic, from, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(hold));
+            }
+            default -> answer(exchange, 404, new byte[0]);
+        }
+    }
+
+    private static Optional<String> parameter(HttpServerExchange exchange, String name) {
+        return Optional.ofNullable(exchange.getQueryParameters().get(name)).map(Deque::getFirst);
+    }
+
+    private static void answer(HttpServerExchange exchange, int status, byte[] body) {
+        exchange.setStatusCode(status);
+        exchange.getResponseSender().send(ByteBuffer.wrap(body), IoCallback.END_EXCHANGE);
+    }
+
+    private void newest(HttpServerExchange exchange, String topic) {
+        String after = parameter(exchange, "after_revision").orElse("");
+        List<Entry> entries = topics.getOrDefault(topic, List.of());
+        Map<String, Integer> offsets = new LinkedHashMap<>();
+        for (int i = 0; i < entries.size(); i++) {
+            offsets.put(entries.get(i).key(), i);
+        }
+        List<String> keys = offsets.keySet().stream()
+                .filter(key -> entries.get(offsets.get(key)).value().length > 0)
+                .filter(key -> key.compareTo(after) > 0)
+                .sorted()
+                .toList();
+        ObjectNode json = CanonicalJson.mapper().createObjectNode();
+        ArrayNode items = json.putArray("items");
+        keys.stream().limit(pageSize).forEach(key -> {
+            ObjectNode item = items.addObject();
+            item.put("private_key", key);
+            item.put("value", entries.get(offsets.get(key)).value());
+            item.put("offset", offsets.get(key));
+        });
+        json.put("has_more", keys.size() > pageSize);
+        json.put("end", entries.size());
+        answer(exchange, OK, CanonicalJson.write(json));
+    }
+
+    private synchronized void read(HttpServerExchange exchange, String topic, int from, long until) {
+        List<Entry> entries = topics.getOrDefault(topic, List.of());
+        if (from < firstKept.getOrDefault(topic, 0)) {
+            answer(exchange, GONE, new byte[0]);
+        } else if (from < entries.size() || System.nanoTime() - until >= 0) {
+            answer(exchange, OK, raw(entries, from, firstKept.getOrDefault(topic, 0)));
+        } else {
+            exchange.dispatch(
+                    io.undertow.util.SameThreadExecutor.INSTANCE,
+                    () -> exchange.getIoThread()
+                            .executeAfter(
+                                    () -> read(exchange, topic, from, until), LOOK_MILLIS, TimeUnit.MILLISECONDS));
+        }
+    }
+
+    private static byte[] raw(List<Entry> entries, int from, int first) {
+        int size = 2 * Long.BYTES;
+        for (Entry entry : entries.subList(Math.min(from, entries.size()), entries.size())) {
+            size += Integer.BYTES + 1 + entry.key().length() + entry.value().length;
+        }
+        ByteBuffer bytes = ByteBuffer.allocate(size);
+        bytes.putLong(entries.size());
+        bytes.putLong(first);
+        for (Entry entry : entries.subList(Math.min(from, entries.size()), entries.size())) {
+            byte[] key = entry.key().getBytes(StandardCharsets.UTF_8);
+            bytes.putInt(1 + key.length + entry.value().length);
+            bytes.put((byte) key.length);
+            bytes.put(key);
+            bytes.put(entry.value());
+        }
+        return bytes.array();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/standin/HostedSystem.java
@@ -0,0 +1,220 @@
+package org.micabarrow.standin;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.micabarrow.settings.Common;
+import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.transport.HttpListener;
+
+/** The users' platform in small, on loopback: a store, an origin and endpoints, with the settings that fit them. */
+public final class HostedSystem implements AutoCloseable {
+
+    private static final String MODEL = "model-a";
+
+    private final HostedStoreStandin store = new HostedStoreStandin();
+    private final String storeAddress;
+    private final String originAddress;
+    private final Map<String, HostedEndpointStandin> endpoints = new java.util.HashMap<>();
+    private final Map<String, String> addresses = new java.util.HashMap<>();
+    private final List<AutoCloseable> running = new ArrayList<>();
+
+    private HostedSystem() throws IOException {
+        this.storeAddress = serve(store);
+        this.originAddress = serve(new HostedEndpointStandin("origin", MODEL, 0));
+    }
+
+    /**
+     * Starts a platform with a manifest and no endpoints.
+     *
+     * @return the running platform
+     * @throws IOException if no port is free
+     */
+    public static HostedSystem start() throws IOException {
+        HostedSystem system = new HostedSystem();
+        system.manifest(1, "key-a", 2_000);
+        return system;
+    }
+
+    private String serve(io.undertow.server.HttpHandler handler) throws IOException {
+        String address = freeAddress();
+        running.add(HttpListener.start(address, HttpListener.Bounds.usual(), 1, Optional.empty(), handler));
+        return address;
+    }
+
+    /**
+     * An address that is free just now.
+     *
+     * @return the host and port
+     * @throws IOException if no port is free
+     */
+    public static String freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+    }
+
+    // -- what the platform holds
+
+    /**
+     * The store.
+     *
+     * @return the stand-in
+     */
+    public HostedStoreStandin store() {
+        return store;
+    }
+
+    /**
+     * An endpoint.
+     *
+     * @param id its id
+     * @return the stand-in
+     */
+    public HostedEndpointStandin endpoint(String id) {
+        return endpoints.get(id);
+    }
+
+    /**
+     * Where an endpoint is.
+     *
+     * @param id its id
+     * @return its host and port
+     */
+    public String address(String id) {
+        return addresses.get(id);
+    }
+
+    /**
+     * Writes a manifest with one route of each kind: {@code /once/}, {@code /again/} and {@code /stream/}.
+     *
+     * @param version its version
+     * @param key the one key
+     * @param timeoutMillis the time-out of all routes
+     */
+    public void manifest(long version, String key, long timeoutMillis) {
+        store.append(
+                "keyed.op",
+                "config",
+                String.format(
+                        Locale.ROOT,
+                        """
+                        {"version":%d,"routes":[%s,%s,%s],"services":[
+                        {"name":"plain","health_path":"/healthz","max_connections":100},
+                        {"name":"models","max_connections":100,"engine":{"slots":16,"stride":5,"read_per_s":19100.0,
+                        "step_ms":8.9,"per_seq_ms":0.04,"layers":16,"chunks":4,"chunk_bytes":1024,
+                        "models":[{"name":"%s"}]}},
+                        {"name":"weights","origin":"%s"}],
+                        "limits":{"max_body_bytes":1000},"tenants":[{"name":"org-a","api_keys":["%s"]}]}""",
+                        version,
+                        route("/once/", "non_idempotent", "plain", timeoutMillis),
+                        route("/again/", "idempotent", "plain", timeoutMillis),
+                        route("/stream/", "streaming", "models", timeoutMillis),
+                        MODEL,
+                        originAddress,
+                        key));
+    }
+
+    private static String route(String prefix, String kind, String service, long timeoutMillis) {
+        return String.format(
+                Locale.ROOT,
+                """
+                {"name":"r%s","host":"h.example","path_prefix":"%s","kind":"%s","timeout_ms":%d,
+                "target_latency_ms":500,"priority":1,"service":"%s","max_attempts":2,"public":false,
+                "resumable":%b}""",
+                prefix.replace('/', '-'),
+                prefix,
+                kind,
+                timeoutMillis,
+                service,
+                kind.equals("streaming"));
+    }
+
+    /**
+     * Starts an endpoint and enters it in the store.
+     *
+     * @param id its id
+     * @param service its service
+     * @param version the weight version that it holds; 0 for none
+     * @throws IOException if no port is free
+     */
+    public void add(String id, String service, long version) throws IOException {
+        HostedEndpointStandin endpoint = new HostedEndpointStandin(id, MODEL, version);
+        endpoints.put(id, endpoint);
+        addresses.put(id, serve(endpoint));
+        enter(id, service, version, "ready");
+    }
+
+    /**
+     * Writes an endpoint's entry.
+     *
+     * @param id its id
+     * @param service its service
+     * @param version the weight version that it holds; 0 for none
+     * @param state {@code ready} or {@code draining}
+     */
+    public void enter(String id, String service, long version, String state) {
+        String models = version == 0 ? "" : "{\"name\":\"" + MODEL + "\",\"version\":" + version + "}";
+        store.append(
+                "keyed.servers",
+                id,
+                String.format(
+                        Locale.ROOT,
+                        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"hall-a\",\"slots\":16,\"state\":\"%s\","
+                                + "\"models\":[%s]}",
+                        service,
+                        addresses.get(id),
+                        state,
+                        models));
+    }
+
+    // -- settings that fit
+
+    /**
+     * The settings of an entry.
+     *
+     * @return the settings, with free addresses
+     * @throws IOException if no port is free
+     */
+    public HostedSettings entry() throws IOException {
+        return settings(Optional.of(freeAddress()), Optional.of(freeAddress()), Optional.empty());
+    }
+
+    /**
+     * The settings of an agent.
+     *
+     * @param endpoint the id of the endpoint beside it
+     * @return the settings, with free addresses
+     * @throws IOException if no port is free
+     */
+    public HostedSettings agent(String endpoint) throws IOException {
+        return settings(Optional.empty(), Optional.empty(), Optional.of(addresses.get(endpoint)));
+    }
+
+    private HostedSettings settings(Optional<String> clients, Optional<String> ready, Optional<String> endpoint)
+            throws IOException {
+        String peers = freeAddress();
+        return new HostedSettings(
+                new Common.Place("instance-a", "region-a", "hall-a"),
+                Map.of("hall-a", "region-a"),
+                new HostedSettings.Listen(clients, ready, peers, freeAddress()),
+                Integer.parseInt(peers.substring(peers.lastIndexOf(':') + 1)),
+                List.of(),
+                storeAddress,
+                endpoint,
+                endpoint.map(address -> "models"),
+                new HostedSettings.Bounds(2_000, 1_000, 0.2, 160),
+                new Common.Logging("text", "info"));
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (AutoCloseable one : running) {
+            one.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/transport/HostedPeerServer.java
@@ -0,0 +1,146 @@
+package org.micabarrow.transport;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.io.IoCallback;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import java.nio.ByteBuffer;
+import java.util.Deque;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.micabarrow.state.CanonicalJson;
+import org.micabarrow.views.TopicReader.Batch;
+import org.micabarrow.views.ViewKeeper;
+import org.micabarrow.views.ViewKeeper.Topic;
+import org.micabarrow.weights.ChunkSet;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Answers other processes: records of the store, chunks of weights, and figures. */
+public final class HostedPeerServer implements HttpHandler {
+
+    private static final Logger LOG = LoggerFactory.getLogger(HostedPeerServer.class);
+
+    /** How long a request is held for a chunk that is still on its way, in milliseconds; under the asker's patience. */
+    private static final long HELD_MILLIS = 2_400;
+
+    /** How often a held request is looked at, in milliseconds: small beside the 50 ms that a chunk takes on a link. */
+    private static final long LOOK_MILLIS = 25;
+
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+
+    private final ViewKeeper views;
+    private final Sets sets;
+    private final MetricRegistry registry;
+
+    /** Finds the chunks that an agent has. */
+    public interface Sets {
+
+        /**
+         * The chunks of a version.
+         *
+         * @param model the model
+         * @param version the version
+         * @return the set, empty if there is none
+         */
+        Optional<ChunkSet> set(String model, long version);
+    }
+
+    /**
+     * Makes a server's handler.
+     *
+     * @param views what is known of the store
+     * @param sets the chunks at hand
+     * @param registry the figures
+     */
+    public HostedPeerServer(ViewKeeper views, Sets sets, MetricRegistry registry) {
+        this.views = Objects.requireNonNull(views, "views is null");
+        this.sets = Objects.requireNonNull(sets, "sets is null");
+        this.registry = Objects.requireNonNull(registry, "registry is null");
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        String path = exchange.getRequestPath();
+        try {
+            if (path.equals(PeerRecords.PATH)) {
+                records(exchange);
+            } else if (path.startsWith(PeerChunks.CHUNKS)) {
+                chunk(exchange, path.substring(PeerChunks.CHUNKS.length()).split("/"));
+            } else if (path.startsWith(PeerChunks.DIGESTS)) {
+                digests(exchange, path.substring(PeerChunks.DIGESTS.length()).split("/"));
+            } else if (path.equals("/metrics")) {
+                send(exchange, Metrics.snapshot(registry));
+            } else {
+                fail(exchange, NOT_FOUND);
+            }
+        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+            LOG.warn("event=peer_request_refused path={} why=\"{}\"", path, e.toString());
+            fail(exchange, BAD_REQUEST);
+        }
+    }
+
+    private static void send(HttpServerExchange exchange, byte[] body) {
+        exchange.getResponseSender().send(ByteBuffer.wrap(body), IoCallback.END_EXCHANGE);
+    }
+
+    private static void fail(HttpServerExchange exchange, int status) {
+        exchange.setStatusCode(status);
+        exchange.endExchange();
+    }
+
+    // -- records
+
+    private void records(HttpServerExchange exchange) {
+        Topic topic = Topic.valueOf(parameter(exchange, "topic"));
+        long from = Long.parseLong(parameter(exchange, "from"));
+        send(exchange, PeerRecords.write(new Batch(views.since(topic, from), views.end(topic))));
+    }
+
+    private static String parameter(HttpServerExchange exchange, String name) {
+        Deque<String> values = exchange.getQueryParameters().get(name);
+        if (values == null) {
+            throw new IllegalArgumentException("parameter " + name + " is missing");
+        }
+        return values.getFirst();
+    }
+
+    // -- chunks
+
+    private void digests(HttpServerExchange exchange, String[] parts) {
+        Optional<ChunkSet> set = sets.set(parts[0], Long.parseLong(parts[1]));
+        if (set.isEmpty()) {
+            fail(exchange, NOT_FOUND);
+        } else {
+            send(exchange, CanonicalJson.write(set.get().digests()));
+        }
+    }
+
+    private void chunk(HttpServerExchange exchange, String[] parts) {
+        String model = parts[0];
+        long version = Long.parseLong(parts[1]);
+        int index = Integer.parseInt(parts[2]);
+        // Whoever asks for a version has heard that it is wanted; this agent may not have.
+        views.want(model, version);
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HELD_MILLIS);
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> look(exchange, model, version, index, until));
+    }
+
+    private void look(HttpServerExchange exchange, String model, long version, int index, long until) {
+        Optional<byte[]> bytes = sets.set(model, version)
+                .filter(set -> index < set.digests().size())
+                .flatMap(set -> set.chunk(index));
+        if (bytes.isPresent()) {
+            send(exchange, bytes.get());
+        } else if (System.nanoTime() - until > 0) {
+            fail(exchange, NOT_FOUND);
+        } else {
+            exchange.getIoThread()
+                    .executeAfter(
+                            () -> look(exchange, model, version, index, until), LOOK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- a/src/main/java/org/micabarrow/transport/HttpCall.java
+++ b/src/main/java/org/micabarrow/transport/HttpCall.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import org.micabarrow.state.Fault;
 
 /**
@@ -16,10 +17,12 @@
  * @param step the step to name in faults
  * @param method the HTTP method
  * @param uri where to
+ * @param rawTarget what stands in the request line, if it must be passed on as received; else it follows from the URI
  * @param headers the headers
  * @param body the body, empty for none
  */
-public record HttpCall(Fault.Step step, String method, URI uri, Map<String, String> headers, byte[] body) {
+public record HttpCall(
+        Fault.Step step, String method, URI uri, Optional<String> rawTarget, Map<String, String> headers, byte[] body) {
 
     private static final byte[] NOTHING = {};
 
@@ -30,6 +33,19 @@
         headers = Map.copyOf(headers);
     }
 
+    /**
+     * A request whose request line follows from its URI.
+     *
+     * @param step the step to name in faults
+     * @param method the HTTP method
+     * @param uri where to
+     * @param headers the headers
+     * @param body the body, empty for none
+     */
+    public HttpCall(Fault.Step step, String method, URI uri, Map<String, String> headers, byte[] body) {
+        this(step, method, uri, Optional.empty(), headers, body);
+    }
+
     /**
      * A request without a body.
      *
@@ -63,7 +79,7 @@
     public HttpCall withHeader(String name, String value) {
         Map<String, String> more = new HashMap<>(headers);
         more.put(name, value);
-        return new HttpCall(step, method, uri, more, body);
+        return new HttpCall(step, method, uri, rawTarget, more, body);
     }
 
     /** The host and port. */
@@ -71,13 +87,20 @@
         return uri.getAuthority();
     }
 
-    /** The peer's name in faults. */
-    String peer() {
+    /**
+     * The peer's name in faults.
+     *
+     * @return the host and port
+     */
+    public String peer() {
         return uri.getAuthority();
     }
 
     /** What stands in the request line. */
     String pathAndQuery() {
+        if (rawTarget.isPresent()) {
+            return rawTarget.get();
+        }
         String path = uri.getRawPath().isEmpty() ? "/" : uri.getRawPath();
         return uri.getRawQuery() == null ? path : path + "?" + uri.getRawQuery();
     }
--- a/src/main/java/org/micabarrow/transport/HttpCaller.java
+++ b/src/main/java/org/micabarrow/transport/HttpCaller.java
@@ -52,13 +52,17 @@
     private static final int MOST_IDLE = 64;
 
     private final XnioWorker worker;
+    private final boolean ownWorker;
+    private final int mostIdle;
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, 256, 4);
     private final Map<String, ConcurrentLinkedDeque<ClientConnection>> idle = new ConcurrentHashMap<>();
     private final LongAdder sentBytes = new LongAdder();
     private final LongAdder receivedBytes = new LongAdder();
 
-    private HttpCaller(XnioWorker worker) {
+    private HttpCaller(XnioWorker worker, boolean ownWorker, int mostIdle) {
         this.worker = worker;
+        this.ownWorker = ownWorker;
+        this.mostIdle = mostIdle;
     }
 
     /**
@@ -70,20 +74,43 @@
      */
     public static HttpCaller start(String name, int threads) {
         try {
-            return new HttpCaller(Xnio.getInstance()
-                    .createWorker(OptionMap.builder()
-                            .set(Options.WORKER_NAME, name)
-                            .set(Options.WORKER_IO_THREADS, threads)
-                            .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                            .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                            .set(Options.THREAD_DAEMON, true)
-                            .set(Options.TCP_NODELAY, true)
-                            .getMap()));
+            return new HttpCaller(worker(name, threads), true, MOST_IDLE);
         } catch (IOException e) {
             throw new IllegalStateException("no threads for HTTP", e);
         }
     }
 
+    /**
+     * Makes a caller that shares the threads of a server, so that an exchange between the two needs no locks.
+     *
+     * @param worker the threads
+     * @param mostIdle how many connections to one place are kept for later requests; 0 opens one for each request
+     * @return the caller
+     */
+    public static HttpCaller on(XnioWorker worker, int mostIdle) {
+        return new HttpCaller(Objects.requireNonNull(worker, "worker is null"), false, mostIdle);
+    }
+
+    /**
+     * Starts threads for input and output.
+     *
+     * @param name their name
+     * @param threads how many
+     * @return the running threads
+     * @throws IOException if the system grants no selector
+     */
+    public static XnioWorker worker(String name, int threads) throws IOException {
+        return Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_NAME, name)
+                        .set(Options.WORKER_IO_THREADS, threads)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.THREAD_DAEMON, true)
+                        .set(Options.TCP_NODELAY, true)
+                        .getMap());
+    }
+
     /**
      * An answer read whole.
      *
@@ -94,15 +121,36 @@
     public record HttpAnswer(int status, Map<String, String> headers, byte[] body) {}
 
     /** Receives an answer part by part, on a thread that must not block. */
-    interface Listener {
+    public interface Listener {
+
+        /** The connection is up and the request is about to leave. */
+        default void onSending() {}
 
+        /**
+         * The answer has begun.
+         *
+         * @param status the HTTP status
+         * @param headers the headers, each by its name as sent
+         */
         void onHead(int status, Map<String, String> headers);
 
-        /** The next part; {@code more} is to be run when the next may come, on any thread. */
+        /**
+         * The next part of the body has arrived.
+         *
+         * @param data the part
+         * @param more to be run when the next may come, on any thread
+         */
         void onData(byte[] data, Runnable more);
 
+        /** The answer has ended as it should. */
         void onComplete();
 
+        /**
+         * The answer has not come, or has broken off.
+         *
+         * @param fault why
+         * @param sent whether any byte of the request may have left
+         */
         void onFailed(Fault fault, boolean sent);
     }
 
@@ -220,7 +268,7 @@
      * @param listener receives the answer
      * @return cancels the request when run
      */
-    Runnable send(HttpCall call, Listener listener) {
+    public Runnable send(HttpCall call, Listener listener) {
         Objects.requireNonNull(call, "call is null");
         Exchange exchange = new Exchange(call, listener);
         Optional<ClientConnection> kept = takeIdle(call.authority());
@@ -269,7 +317,7 @@
     private void keep(String authority, ClientConnection connection) {
         ConcurrentLinkedDeque<ClientConnection> kept =
                 idle.computeIfAbsent(authority, key -> new ConcurrentLinkedDeque<>());
-        if (connection.isOpen() && !connection.isUpgraded() && kept.size() < MOST_IDLE) {
+        if (connection.isOpen() && !connection.isUpgraded() && kept.size() < mostIdle) {
             kept.addFirst(connection);
         } else {
             IoUtils.safeClose(connection);
@@ -312,6 +360,7 @@
             request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
             call.headers().forEach((name, value) -> request.getRequestHeaders().put(new HttpString(name), value));
             sent = true;
+            listener.onSending();
             sentBytes.add(call.body().length);
             connection.sendRequest(request, new ClientCallback<>() {
                 @Override
@@ -448,6 +497,8 @@
     @Override
     public void close() {
         idle.values().forEach(kept -> kept.forEach(IoUtils::safeClose));
-        worker.shutdownNow();
+        if (ownWorker) {
+            worker.shutdownNow();
+        }
     }
 }
--- a/src/main/java/org/micabarrow/transport/HttpListener.java
+++ b/src/main/java/org/micabarrow/transport/HttpListener.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import javax.net.ssl.SSLContext;
 import org.xnio.Options;
+import org.xnio.XnioWorker;
 
 /** An HTTP server on one address, with bounds on what it bears. */
 public final class HttpListener implements AutoCloseable {
@@ -52,17 +53,7 @@
     public static HttpListener start(
             String address, Bounds bounds, int threads, Optional<SSLContext> tls, HttpHandler handler) {
         InetSocketAddress at = Addresses.parse(address);
-        Undertow.Builder builder = Undertow.builder()
-                .setIoThreads(threads)
-                .setWorkerThreads(threads * 8)
-                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, bounds.bodyBytes())
-                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, bounds.headerBytes())
-                .setServerOption(UndertowOptions.IDLE_TIMEOUT, bounds.idleMillis())
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, bounds.idleMillis())
-                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_MILLIS)
-                .setSocketOption(Options.CONNECTION_HIGH_WATER, bounds.connections())
-                .setSocketOption(Options.CONNECTION_LOW_WATER, bounds.connections())
-                .setSocketOption(Options.TCP_NODELAY, true);
+        Undertow.Builder builder = bounded(bounds).setIoThreads(threads).setWorkerThreads(threads * 8);
         if (tls.isPresent()) {
             builder.addHttpsListener(at.getPort(), at.getHostString(), tls.get());
         } else {
@@ -73,6 +64,38 @@
         return new HttpListener(server);
     }
 
+    /**
+     * Starts a server on threads that something else owns, without TLS.
+     *
+     * @param address the host and port
+     * @param bounds what it bears
+     * @param worker the threads
+     * @param handler answers
+     * @return the running server
+     */
+    public static HttpListener on(String address, Bounds bounds, XnioWorker worker, HttpHandler handler) {
+        InetSocketAddress at = Addresses.parse(address);
+        Undertow server = bounded(bounds)
+                .setWorker(worker)
+                .addHttpListener(at.getPort(), at.getHostString())
+                .setHandler(handler)
+                .build();
+        server.start();
+        return new HttpListener(server);
+    }
+
+    private static Undertow.Builder bounded(Bounds bounds) {
+        return Undertow.builder()
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, bounds.bodyBytes())
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, bounds.headerBytes())
+                .setServerOption(UndertowOptions.IDLE_TIMEOUT, bounds.idleMillis())
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, bounds.idleMillis())
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_MILLIS)
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, bounds.connections())
+                .setSocketOption(Options.CONNECTION_LOW_WATER, bounds.connections())
+                .setSocketOption(Options.TCP_NODELAY, true);
+    }
+
     @Override
     public void close() {
         server.stop();
--- /dev/null
+++ b/src/main/java/org/micabarrow/transport/PeerRecords.java
@@ -0,0 +1,89 @@
+package org.micabarrow.transport;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import org.micabarrow.state.CanonicalJson;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.state.Result;
+import org.micabarrow.views.StoredRecord;
+import org.micabarrow.views.TopicReader.Batch;
+import org.micabarrow.views.ViewKeeper.Topic;
+
+/** The messages by which processes tell each other records of the store. */
+public final class PeerRecords {
+
+    static final String PATH = "/records";
+
+    /** How long a peer may take: one round trip between regions and a few milliseconds of work. */
+    private static final Duration WITHIN = Duration.ofMillis(400);
+
+    private static final int OK = 200;
+
+    private final HttpCaller caller;
+
+    /**
+     * Makes a client.
+     *
+     * @param caller sends its requests
+     */
+    public PeerRecords(HttpCaller caller) {
+        this.caller = Objects.requireNonNull(caller, "caller is null");
+    }
+
+    /**
+     * Asks a peer for the newest records of a topic at or after an offset.
+     *
+     * @param peer the peer's host and port
+     * @param topic the topic
+     * @param from the offset
+     * @return the records
+     */
+    public Result<Batch> ask(String peer, Topic topic, long from) {
+        URI uri = URI.create("http://" + peer + PATH + "?topic=" + topic + "&from=" + from);
+        HttpCall call = HttpCall.get(Step.READ, uri);
+        return caller.call(call, WITHIN)
+                .flatMap(answer -> answer.status() == OK
+                        ? read(peer, answer.body())
+                        : Result.failure(
+                                Fault.of(Step.READ, peer, Reason.NOT_READY, "it answered " + answer.status())));
+    }
+
+    private static Result<Batch> read(String peer, byte[] body) {
+        try {
+            JsonNode json = CanonicalJson.mapper().readTree(body);
+            List<StoredRecord> records = new ArrayList<>();
+            for (JsonNode one : json.path("records")) {
+                records.add(new StoredRecord(
+                        one.path("key").asText(),
+                        one.path("offset").asLong(),
+                        one.path("value").binaryValue()));
+            }
+            return Result.success(new Batch(records, json.path("end").asLong()));
+        } catch (IOException e) {
+            return Result.failure(Fault.of(Step.READ, peer, Reason.CORRUPT, "not JSON: " + e.getMessage()));
+        }
+    }
+
+    /** Writes the answer to {@link #ask}. */
+    static byte[] write(Batch batch) {
+        ObjectNode json = CanonicalJson.mapper().createObjectNode();
+        json.put("end", batch.end());
+        ArrayNode records = json.putArray("records");
+        for (StoredRecord record : batch.records()) {
+            ObjectNode one = records.addObject();
+            one.put("key", record.key());
+            one.put("offset", record.offset());
+            one.put("value", record.value());
+        }
+        return CanonicalJson.write(json);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/views/RecordDecoder.java
@@ -0,0 +1,47 @@
+package org.micabarrow.views;
+
+import org.micabarrow.routing.EndpointEntry;
+import org.micabarrow.routing.RouteManifest;
+import org.micabarrow.state.Result;
+
+/** Turns the store's records into the project's types. */
+public interface RecordDecoder {
+
+    /** What an operator's record says. */
+    sealed interface OperatorRecord {
+
+        /**
+         * A manifest.
+         *
+         * @param manifest the manifest
+         */
+        record ManifestSet(RouteManifest manifest) implements OperatorRecord {}
+
+        /**
+         * The weight version that a model's endpoints are to hold.
+         *
+         * @param model the model
+         * @param version the version
+         */
+        record WeightsNamed(String model, long version) implements OperatorRecord {}
+
+        /** Something that this system does not use. */
+        record Unused() implements OperatorRecord {}
+    }
+
+    /**
+     * Reads an operator's record.
+     *
+     * @param record the record, not dropped
+     * @return what it says, or why it cannot be read
+     */
+    Result<OperatorRecord> operator(StoredRecord record);
+
+    /**
+     * Reads an endpoint's entry.
+     *
+     * @param record the record, not dropped
+     * @return the entry, or why it cannot be read
+     */
+    Result<EndpointEntry> endpoint(StoredRecord record);
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/views/StoreFollower.java
@@ -0,0 +1,131 @@
+package org.micabarrow.views;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.function.Consumer;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Result;
+import org.micabarrow.views.ViewKeeper.Topic;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps one topic of the view up to date from the store, and from peers while the store does not answer this process.
+ */
+public final class StoreFollower {
+
+    private static final Logger LOG = LoggerFactory.getLogger(StoreFollower.class);
+
+    /**
+     * How long to wait after a failed read, in milliseconds: with a question to a peer in between, a change reaches this
+     * process well within the two seconds that the platform allows by default.
+     */
+    private static final long AGAIN_MILLIS = 300;
+
+    private final Topic topic;
+    private final TopicReader reader;
+    private final ViewKeeper keeper;
+    private final Consumer<Topic> askPeer;
+    private final Pace pace;
+    private boolean loaded;
+    private boolean reachable = true;
+
+    /**
+     * How often to read.
+     *
+     * @param hold how long the store may hold a read that finds nothing
+     * @param rest the pause after a read that found something, so that chatty topics are read in batches
+     */
+    public record Pace(Duration hold, Duration rest) {}
+
+    /**
+     * Makes a follower.
+     *
+     * @param topic the topic
+     * @param reader reads the store
+     * @param keeper takes what was read
+     * @param askPeer asks a peer for what it knows, when the store cannot be read
+     * @param pace how often to read
+     */
+    public StoreFollower(Topic topic, TopicReader reader, ViewKeeper keeper, Consumer<Topic> askPeer, Pace pace) {
+        this.topic = Objects.requireNonNull(topic, "topic is null");
+        this.reader = Objects.requireNonNull(reader, "reader is null");
+        this.keeper = Objects.requireNonNull(keeper, "keeper is null");
+        this.askPeer = Objects.requireNonNull(askPeer, "askPeer is null");
+        this.pace = Objects.requireNonNull(pace, "pace is null");
+    }
+
+    /** Follows the topic on a thread of its own, for as long as the process runs. */
+    public void start() {
+        Thread thread = new Thread(this::follow, "follow-" + topic);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void follow() {
+        try {
+            while (true) {
+                Thread.sleep(once());
+            }
+        } catch (InterruptedException e) {
+            LOG.info("event=follower_stopped topic={}", topic);
+        }
+    }
+
+    /**
+     * Reads once.
+     *
+     * @return how long to wait before the next read, in milliseconds
+     */
+    public long once() {
+        Result<Long> rest = loaded ? readOn() : load();
+        return switch (rest) {
+            case Result.Success<Long>(Long millis) -> {
+                regained();
+                yield millis;
+            }
+            case Result.Failure<Long>(Fault fault) -> {
+                lost(fault);
+                askPeer.accept(topic);
+                yield AGAIN_MILLIS;
+            }
+        };
+    }
+
+    private Result<Long> load() {
+        return reader.newest(topic).map(batch -> {
+            keeper.replace(topic, batch.records(), batch.end());
+            loaded = true;
+            return 0L;
+        });
+    }
+
+    private Result<Long> readOn() {
+        Duration wait = reachable ? pace.hold() : Duration.ZERO;
+        return reader.read(topic, keeper.end(topic), wait).map(read -> switch (read) {
+            case TopicReader.Read.Records(TopicReader.Batch batch) -> {
+                keeper.apply(topic, batch.records(), batch.end());
+                yield batch.records().isEmpty() ? 0L : pace.rest().toMillis();
+            }
+            case TopicReader.Read.Expired ignored -> {
+                LOG.info("event=history_expired topic={} from={}", topic, keeper.end(topic));
+                loaded = false;
+                yield 0L;
+            }
+        });
+    }
+
+    private void lost(Fault fault) {
+        if (reachable) {
+            LOG.warn("event=store_lost topic={} why=\"{}\"", topic, fault);
+        }
+        reachable = false;
+    }
+
+    private void regained() {
+        if (!reachable) {
+            LOG.info("event=store_regained topic={} end={}", topic, keeper.end(topic));
+        }
+        reachable = true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -0,0 +1,193 @@
+package org.micabarrow.views;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.micabarrow.routing.EndpointEntry;
+import org.micabarrow.routing.RouteManifest;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Result;
+import org.micabarrow.views.RecordDecoder.OperatorRecord;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps copies of the store's two topics and publishes the view that follows from them. Records may come from the store
+ * or from peers, in any order; changes are made under one lock and readers see immutable views.
+ */
+public final class ViewKeeper {
+
+    private static final Logger LOG = LoggerFactory.getLogger(ViewKeeper.class);
+
+    private final RecordDecoder decoder;
+    private final LongSupplier steadyMillis;
+    private final Map<Topic, TopicCopy> copies = new HashMap<>();
+    private volatile View view = View.empty();
+
+    /**
+     * Makes a keeper that knows nothing yet.
+     *
+     * @param decoder reads records
+     * @param steadyMillis a clock that never steps, in milliseconds
+     */
+    public ViewKeeper(RecordDecoder decoder, LongSupplier steadyMillis) {
+        this.decoder = Objects.requireNonNull(decoder, "decoder is null");
+        this.steadyMillis = Objects.requireNonNull(steadyMillis, "steadyMillis is null");
+        for (Topic topic : Topic.values()) {
+            copies.put(topic, new TopicCopy());
+        }
+    }
+
+    /** The topics that views are made of. */
+    public enum Topic {
+        /** What operators wrote: the manifest and named weight versions. */
+        OPERATOR,
+        /** What endpoints wrote about themselves. */
+        ENDPOINTS
+    }
+
+    /**
+     * The view now.
+     *
+     * @return an immutable view
+     */
+    public View view() {
+        return view;
+    }
+
+    // -- records
+
+    /**
+     * Takes records of a topic.
+     *
+     * @param topic the topic
+     * @param records the records
+     * @param readTo the offset up to which the topic is now known
+     */
+    public synchronized void apply(Topic topic, Collection<StoredRecord> records, long readTo) {
+        publish(topic, copies.get(topic).apply(records, readTo));
+    }
+
+    /**
+     * Takes the newest records of all keys of a topic.
+     *
+     * @param topic the topic
+     * @param records the records
+     * @param takenAt the topic's end before the first of them was read
+     */
+    public synchronized void replace(Topic topic, Collection<StoredRecord> records, long takenAt) {
+        publish(topic, copies.get(topic).replace(records, takenAt));
+    }
+
+    /**
+     * The offset from which a topic is to be read next.
+     *
+     * @param topic the topic
+     * @return the offset
+     */
+    public synchronized long end(Topic topic) {
+        return copies.get(topic).end();
+    }
+
+    /**
+     * The newest records of a topic at or after an offset.
+     *
+     * @param topic the topic
+     * @param offset the offset
+     * @return the records
+     */
+    public synchronized List<StoredRecord> since(Topic topic, long offset) {
+        return copies.get(topic).since(offset);
+    }
+
+    // -- views
+
+    private void publish(Topic topic, List<StoredRecord> news) {
+        if (news.isEmpty()) {
+            return;
+        }
+        switch (topic) {
+            case OPERATOR -> news.forEach(this::operatorSaid);
+            case ENDPOINTS -> endpointsSaid(news);
+        }
+    }
+
+    private void operatorSaid(StoredRecord record) {
+        if (record.dropped()) {
+            LOG.warn("event=operator_record_dropped key={} offset={} kept=last", record.key(), record.offset());
+            return;
+        }
+        switch (decoder.operator(record)) {
+            case Result.Failure<OperatorRecord>(Fault fault) ->
+                LOG.error("event=record_refused key={} offset={} why=\"{}\"", record.key(), record.offset(), fault);
+            case Result.Success<OperatorRecord>(OperatorRecord.ManifestSet(RouteManifest manifest)) ->
+                manifestSet(record, manifest);
+            case Result.Success<OperatorRecord>(OperatorRecord.WeightsNamed(String model, long version)) ->
+                want(model, version);
+            case Result.Success<OperatorRecord>(OperatorRecord.Unused ignored) ->
+                LOG.debug("event=record_unused key={}", record.key());
+        }
+    }
+
+    private void manifestSet(StoredRecord record, RouteManifest manifest) {
+        View before = view;
+        view = new View(Optional.of(manifest), record.offset(), before.endpoints(), before.targets());
+        LOG.info(
+                "event=manifest_in_force version={} offset={} before={}",
+                manifest.version(),
+                record.offset(),
+                before.manifest().map(RouteManifest::version).orElse(-1L));
+    }
+
+    /**
+     * Takes note of a weight version that is wanted, from the store or from a peer that has heard of it.
+     *
+     * @param model the model
+     * @param version the version; an older one than is known changes nothing
+     */
+    public synchronized void want(String model, long version) {
+        View after = view.withTarget(model, new View.Target(version, steadyMillis.getAsLong()));
+        if (after == view) {
+            return;
+        }
+        view = after;
+        LOG.info("event=weights_named model={} version={}", model, version);
+    }
+
+    private void endpointsSaid(List<StoredRecord> news) {
+        View before = view;
+        Map<String, EndpointEntry> endpoints = new HashMap<>(before.endpoints());
+        List<String> changed = new ArrayList<>();
+        for (StoredRecord record : news) {
+            endpointSaid(record, endpoints, changed);
+        }
+        view = new View(before.manifest(), before.manifestOffset(), endpoints, before.targets());
+        changed.forEach(LOG::info);
+    }
+
+    private void endpointSaid(StoredRecord record, Map<String, EndpointEntry> endpoints, List<String> changed) {
+        if (record.dropped()) {
+            if (endpoints.remove(record.key()) != null) {
+                changed.add("event=endpoint_gone endpoint=" + record.key() + " offset=" + record.offset());
+            }
+            return;
+        }
+        switch (decoder.endpoint(record)) {
+            case Result.Failure<EndpointEntry>(Fault fault) ->
+                LOG.error("event=record_refused key={} offset={} why=\"{}\"", record.key(), record.offset(), fault);
+            case Result.Success<EndpointEntry>(EndpointEntry entry) -> {
+                EndpointEntry was = endpoints.put(entry.id(), entry);
+                if (!entry.equals(was)) {
+                    changed.add("event=endpoint_changed endpoint=" + entry.id() + " address=" + entry.address()
+                            + " leaving=" + entry.leaving() + " models=" + entry.models() + " offset="
+                            + record.offset());
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/weights/ChunkSet.java
@@ -0,0 +1,137 @@
+package org.micabarrow.weights;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.micabarrow.state.Digest;
+
+/**
+ * The chunks of one weight version that an agent has, each checked against its digest. Safe for any number of threads.
+ */
+public final class ChunkSet {
+
+    private final String model;
+    private final long version;
+    private final List<String> digests;
+    private final List<CompletableFuture<byte[]>> chunks = new ArrayList<>();
+
+    /**
+     * Makes an empty set.
+     *
+     * @param model the model
+     * @param version the weight version
+     * @param digests the SHA-256 digest of each chunk, in hexadecimal
+     */
+    public ChunkSet(String model, long version, List<String> digests) {
+        this.model = Objects.requireNonNull(model, "model is null");
+        this.version = version;
+        this.digests = List.copyOf(digests);
+        this.digests.forEach(digest -> chunks.add(new CompletableFuture<>()));
+    }
+
+    /**
+     * The model.
+     *
+     * @return its name
+     */
+    public String model() {
+        return model;
+    }
+
+    /**
+     * The weight version.
+     *
+     * @return its number
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * The digests of all chunks.
+     *
+     * @return the digests, in order
+     */
+    public List<String> digests() {
+        return digests;
+    }
+
+    // -- chunks
+
+    /**
+     * Takes a chunk, if its bytes have the right digest.
+     *
+     * @param index which chunk
+     * @param bytes its bytes
+     * @return whether they are right
+     */
+    public boolean put(int index, byte[] bytes) {
+        if (!right(index, bytes)) {
+            return false;
+        }
+        chunks.get(index).complete(bytes);
+        return true;
+    }
+
+    /**
+     * Whether bytes are those of a chunk.
+     *
+     * @param index which chunk
+     * @param bytes the bytes
+     * @return whether their digest is the chunk's
+     */
+    public boolean right(int index, byte[] bytes) {
+        return digests.get(index).equals(Digest.of(bytes));
+    }
+
+    /**
+     * A chunk.
+     *
+     * @param index which one
+     * @return its bytes, empty if it is not here yet
+     */
+    public Optional<byte[]> chunk(int index) {
+        return Optional.ofNullable(chunks.get(index).getNow(null));
+    }
+
+    /**
+     * Waits for a chunk.
+     *
+     * @param index which one
+     * @param millis the longest wait
+     * @return its bytes, empty if it did not come in time
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public Optional<byte[]> await(int index, long millis) throws InterruptedException {
+        try {
+            return Optional.of(chunks.get(index).get(millis, TimeUnit.MILLISECONDS));
+        } catch (TimeoutException e) {
+            return Optional.empty();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("a chunk never fails", e);
+        }
+    }
+
+    /**
+     * Whether all chunks are here.
+     *
+     * @return true once the last has come
+     */
+    public boolean complete() {
+        return chunks.stream().allMatch(CompletableFuture::isDone);
+    }
+
+    /**
+     * How many chunks are here.
+     *
+     * @return their number
+     */
+    public int present() {
+        return (int) chunks.stream().filter(CompletableFuture::isDone).count();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -0,0 +1,276 @@
+package org.micabarrow.weights;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Result;
+import org.micabarrow.views.View;
+import org.micabarrow.weights.ModelEndpoint.OrderEnd;
+import org.micabarrow.weights.ModelEndpoint.Report;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Brings the endpoint beside an agent to the weight version that is wanted: fetches its chunks, lays them beside the
+ * endpoint, reads all of them back, and orders the endpoint to take them up.
+ */
+public final class ReplicaKeeper {
+
+    private static final Logger LOG = LoggerFactory.getLogger(ReplicaKeeper.class);
+
+    /** The version that a model has before any was named. */
+    private static final long FIRST_VERSION = 1;
+
+    /** How many versions are kept to be handed to other agents: the newest and the one that it replaces. */
+    private static final int SETS_KEPT = 2;
+
+    private final Parts parts;
+    private final Deque<ChunkSet> sets = new ArrayDeque<>();
+    private final AtomicReference<Optional<Report>> report = new AtomicReference<>(Optional.empty());
+    private Optional<ChunkSet> laid = Optional.empty();
+
+    /**
+     * What a keeper works with.
+     *
+     * @param model the model that the endpoint runs, once the manifest is known
+     * @param endpoint the endpoint
+     * @param fetcher fetches chunks
+     * @param view what is believed of the store
+     * @param place the agent's place among those of its region
+     * @param boundMillis how long after a version was named older ones may answer
+     * @param steadyMillis a clock that never steps, in milliseconds
+     */
+    public record Parts(
+            Supplier<Optional<String>> model,
+            ModelEndpoint endpoint,
+            ChunkFetcher fetcher,
+            Supplier<View> view,
+            Supplier<Place> place,
+            long boundMillis,
+            LongSupplier steadyMillis) {}
+
+    /**
+     * A place among the agents of a region.
+     *
+     * @param position from 0
+     * @param count how many there are
+     */
+    public record Place(int position, int count) {}
+
+    /**
+     * Makes a keeper.
+     *
+     * @param parts what it works with
+     */
+    public ReplicaKeeper(Parts parts) {
+        this.parts = Objects.requireNonNull(parts, "parts is null");
+    }
+
+    /**
+     * The endpoint's last report.
+     *
+     * @return the report, empty while the endpoint does not answer
+     */
+    public Optional<Report> report() {
+        return report.get();
+    }
+
+    /** Asks the endpoint for a fresh report. */
+    public void refresh() {
+        Optional<Report> before = report.get();
+        switch (parts.endpoint().report()) {
+            case Result.Success<Report>(Report now) -> {
+                report.set(Optional.of(now));
+                if (before.isEmpty() || !before.get().models().equals(now.models())) {
+                    LOG.info(
+                            "event=endpoint_holds models={} orders={} busy={}", now.models(), now.orders(), now.busy());
+                }
+            }
+            case Result.Failure<Report>(Fault fault) -> {
+                report.set(Optional.empty());
+                if (before.isPresent()) {
+                    LOG.warn("event=endpoint_lost why=\"{}\"", fault);
+                }
+            }
+        }
+    }
+
+    // -- chunks for other agents
+
+    /**
+     * The chunks of a version, complete or not.
+     *
+     * @param model the model
+     * @param version the version
+     * @return the set, empty if this agent has none
+     */
+    public Optional<ChunkSet> set(String model, long version) {
+        synchronized (sets) {
+            return sets.stream()
+                    .filter(one -> one.model().equals(model) && one.version() == version)
+                    .findFirst();
+        }
+    }
+
+    private Result<ChunkSet> setFor(String model, long version) {
+        Optional<ChunkSet> known = set(model, version);
+        if (known.isPresent()) {
+            return Result.success(known.get());
+        }
+        return parts.fetcher().begin(model, version).map(fresh -> {
+            synchronized (sets) {
+                sets.addFirst(fresh);
+                while (sets.size() > SETS_KEPT) {
+                    sets.removeLast();
+                }
+            }
+            return fresh;
+        });
+    }
+
+    // -- bringing the endpoint up to date
+
+    /**
+     * Takes the next step towards the wanted version, if there is one to take.
+     *
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void step() throws InterruptedException {
+        Optional<String> model = parts.model().get();
+        Optional<Report> now = report.get();
+        if (model.isEmpty() || now.isEmpty()) {
+            return;
+        }
+        long wanted = wanted(model.get());
+        long held = now.get().models().getOrDefault(model.get(), 0L);
+        if (held >= wanted) {
+            readBack(model.get(), held);
+            return;
+        }
+        switch (setFor(model.get(), wanted)) {
+            case Result.Failure<ChunkSet>(Fault fault) ->
+                LOG.warn("event=digests_missed model={} version={} why=\"{}\"", model.get(), wanted, fault);
+            case Result.Success<ChunkSet>(ChunkSet set) -> advance(set, held, now.get());
+        }
+    }
+
+    private long wanted(String model) {
+        return parts.view().get().newestTarget(model).map(View.Target::version).orElse(FIRST_VERSION);
+    }
+
+    private void advance(ChunkSet set, long held, Report now) throws InterruptedException {
+        if (!set.complete()) {
+            parts.fetcher().fetch(set, () -> wanted(set.model()) == set.version());
+            return;
+        }
+        if (laid.filter(set::equals).isEmpty()) {
+            layAll(set);
+        } else if (!now.busy() && parts.steadyMillis().getAsLong() >= orderAt(set.model(), held)) {
+            verifyAndOrder(set, now);
+        }
+    }
+
+    /** When to order: at once if the endpoint serves nothing, else at this agent's turn. */
+    private long orderAt(String model, long held) {
+        if (held == 0) {
+            return Long.MIN_VALUE;
+        }
+        Place place = parts.place().get();
+        return parts.view().get().targets().getOrDefault(model, List.of()).stream()
+                .filter(target -> target.version() > held)
+                .mapToLong(View.Target::learnedMillis)
+                .min()
+                .stream()
+                .map(named -> OrderTimes.at(named, parts.boundMillis(), place.position(), place.count()))
+                .findFirst()
+                .orElse(Long.MIN_VALUE);
+    }
+
+    private void layAll(ChunkSet set) {
+        laid = Optional.empty();
+        for (int i = 0; i < set.digests().size(); i++) {
+            if (!lay(set, i)) {
+                return;
+            }
+        }
+        laid = Optional.of(set);
+        LOG.info("event=staged model={} version={}", set.model(), set.version());
+    }
+
+    private boolean lay(ChunkSet set, int index) {
+        Result<Boolean> done =
+                parts.endpoint().stage(set.model(), index, set.chunk(index).orElseThrow());
+        done.cause()
+                .ifPresent(fault -> LOG.warn(
+                        "event=stage_failed model={} version={} chunk={} why=\"{}\"",
+                        set.model(),
+                        set.version(),
+                        index,
+                        fault));
+        return done.toOptional().isPresent();
+    }
+
+    /** Reads every chunk back, mends those that turned bad, and orders only if all were right in one pass. */
+    private void verifyAndOrder(ChunkSet set, Report now) {
+        int mended = 0;
+        for (int i = 0; i < set.digests().size(); i++) {
+            Result<Optional<byte[]>> lies = parts.endpoint().staged(set.model(), i);
+            if (lies instanceof Result.Failure<Optional<byte[]>>(Fault fault)) {
+                LOG.warn("event=read_back_failed chunk={} why=\"{}\"", i, fault);
+                return;
+            }
+            int index = i;
+            boolean right = lies.toOptional()
+                    .flatMap(one -> one)
+                    .filter(bytes -> set.right(index, bytes))
+                    .isPresent();
+            if (!right) {
+                mended++;
+                lay(set, i);
+            }
+        }
+        if (mended > 0) {
+            LOG.info("event=chunks_mended model={} version={} chunks={}", set.model(), set.version(), mended);
+            return;
+        }
+        order(set, now);
+    }
+
+    private void order(ChunkSet set, Report now) {
+        Result<OrderEnd> end = parts.endpoint().start(set.model(), set.version(), now.orders());
+        LOG.info("event=ordered model={} version={} end={}", set.model(), set.version(), end);
+        refresh();
+    }
+
+    // -- handing out what the endpoint holds since before this agent started
+
+    /** Reads the version that the endpoint holds back from where it lies, so that other agents can have it. */
+    private void readBack(String model, long held) {
+        if (set(model, held).isPresent()) {
+            return;
+        }
+        Result<ChunkSet> begun = setFor(model, held);
+        if (begun instanceof Result.Success<ChunkSet>(ChunkSet set)) {
+            for (int i = 0; i < set.digests().size(); i++) {
+                int index = i;
+                parts.endpoint()
+                        .staged(model, i)
+                        .toOptional()
+                        .flatMap(bytes -> bytes)
+                        .ifPresent(bytes -> set.put(index, bytes));
+            }
+            LOG.info(
+                    "event=read_back model={} version={} chunks={} of={}",
+                    model,
+                    held,
+                    set.present(),
+                    set.digests().size());
+        }
+    }
+}
