--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -8,11 +8,13 @@
 import org.micabarrow.platform.EndpointCalls;
 import org.micabarrow.platform.OriginCalls;
 import org.micabarrow.routing.EndpointEntry;
+import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.ModelService;
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.transport.HostedPeerServer;
 import org.micabarrow.transport.HttpListener;
+import org.micabarrow.transport.LoadServer;
 import org.micabarrow.transport.PeerChunks;
 import org.micabarrow.views.View;
 import org.micabarrow.weights.ChunkFetcher;
@@ -47,6 +49,7 @@
                 new OriginCalls(node.kept()),
                 () -> view().manifest().flatMap(RouteManifest::origin),
                 () -> new ChunkSources(self, agents()),
+                node.weightPacer()::take,
                 HostedNode::steadyMillis);
         this.keeper = new ReplicaKeeper(new ReplicaKeeper.Parts(
                 this::model,
@@ -71,14 +74,16 @@
         return agent;
     }
 
-    private void begin() {
+    private void begin() throws IOException {
         node.follow(ENDPOINTS_REST, () -> settings.seeds());
-        HostedPeerServer peers = new HostedPeerServer(node.views(), keeper::set, node.metrics());
+        HostedPeerServer peers = new HostedPeerServer(node.views(), keeper::set, node.metrics(), node.weightPacer());
         HttpListener.Bounds usual = HttpListener.Bounds.usual();
         HttpListener.on(settings.listen().peers(), usual, node.worker(), peers);
         HttpListener.on(settings.listen().metrics(), usual, node.worker(), peers);
         run("report", keeper::refresh);
+        run("fetch", keeper::fetch);
         run("replica", keeper::step);
+        LoadServer.start(settings.listen().peers(), this::told, HostedNode::steadyMillis);
         LOG.info("event=started role=agent instance={}", settings.instance().id());
     }
 
@@ -104,6 +109,17 @@
         thread.start();
     }
 
+    /** What entries are told of the endpoint; while it does not answer, nothing is said. */
+    private Optional<EndpointLoad.Told> told() {
+        return keeper.report()
+                .map(report -> new EndpointLoad.Told(
+                        report.running() + report.queued(),
+                        0,
+                        report.busy(),
+                        model().map(model -> report.models().getOrDefault(model, 0L))
+                                .orElse(0L)));
+    }
+
     private View view() {
         return node.views().view();
     }
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -14,6 +14,7 @@
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.transport.HostedPeerServer;
 import org.micabarrow.transport.HttpListener;
+import org.micabarrow.transport.LoadFeed;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -43,16 +44,18 @@
 
     private final HostedSettings settings;
     private final HostedNode node;
+    private final EndpointChoice choice;
     private final ServingHandler handler;
     private volatile boolean leaving;
 
     private HostedEntryProcess(HostedSettings settings) throws IOException {
         this.settings = settings;
         this.node = new HostedNode(settings);
+        this.choice = new EndpointChoice(settings.instance().region(), settings.regions());
         HostedSettings.Bounds bounds = settings.bounds();
         this.handler = ServingHandler.of(new ServingHandler.Parts(
                 node.views()::view,
-                new EndpointChoice(settings.instance().region(), settings.regions()),
+                choice,
                 node.fresh(),
                 new EndpointHeaders(),
                 new RequestHeaders(RandomGenerator.of("L64X128MixRandom")),
@@ -75,15 +78,23 @@
         return entry;
     }
 
-    private void begin() {
+    private void begin() throws IOException {
         node.follow(ENDPOINTS_REST, this::peers);
         HttpListener.Bounds usual = HttpListener.Bounds.usual();
-        HostedPeerServer peers =
-                new HostedPeerServer(node.views(), (model, version) -> Optional.empty(), node.metrics());
+        HostedPeerServer peers = new HostedPeerServer(
+                node.views(), (model, version) -> Optional.empty(), node.metrics(), node.weightPacer());
         HttpListener.on(settings.listen().peers(), usual, node.worker(), peers);
         HttpListener.on(settings.listen().metrics(), usual, node.worker(), peers);
         HttpListener.on(settings.listen().ready().orElseThrow(), usual, node.worker(), this::ready);
         HttpListener.on(settings.listen().clients().orElseThrow(), usual, node.worker(), handler);
+        LoadFeed.start(new LoadFeed.Parts(
+                settings.instance(),
+                settings.regions(),
+                settings.peerPort(),
+                node.views()::view,
+                choice,
+                node.worker().getIoThread(),
+                HostedNode::steadyMillis));
         LOG.info("event=started role=entry instance={}", settings.instance().id());
     }
 
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -13,6 +13,7 @@
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
 import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.LinkPacer;
 import org.micabarrow.transport.PeerRecords;
 import org.micabarrow.views.StoreFollower;
 import org.micabarrow.views.StoreFollower.Pace;
@@ -40,6 +41,12 @@
     /** How long the store may hold a read of endpoints' entries; as for operators. */
     private static final Duration ENDPOINTS_WAIT = Duration.ofMillis(1_500);
 
+    /**
+     * The part of the link that weights may take. Requests and answers need a few hundredths of it, but wait behind every
+     * chunk that is on its way.
+     */
+    private static final double WEIGHTS_SHARE = 0.8;
+
     private final HostedSettings settings;
     private final MetricRegistry metrics = new MetricRegistry();
     private final XnioWorker worker;
@@ -65,6 +72,11 @@
         metrics.registerGauge("view.endpoints", () -> views.view().endpoints().size());
     }
 
+    /** What weights may take of the instance's link, in either direction. */
+    LinkPacer weightPacer() {
+        return new LinkPacer(settings.linkBitsPerSecond() / Byte.SIZE, () -> WEIGHTS_SHARE);
+    }
+
     static long steadyMillis() {
         return System.nanoTime() / 1_000_000;
     }
--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -169,7 +169,7 @@
     private static double firstEvent(ModelService model, EndpointLoad load, int promptTokens, long nowMillis) {
         double step = model.stepMillis() + model.stepMillisPerSequence() * load.requests(nowMillis);
         double steps = model.stride() * step;
-        double prompts = (load.waitingPromptTokens() + promptTokens) / model.prefillTokensPerMilli();
+        double prompts = (load.waitingPromptTokens(nowMillis) + promptTokens) / model.prefillTokensPerMilli();
         return 2 * steps + prompts;
     }
 
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -23,10 +23,9 @@
 
     private int requests;
     private int waitingPromptTokens;
-    private int told;
+    private Told told = new Told(0, 0, false, 0);
     private int requestsWhenTold;
     private long toldAtMillis = Long.MIN_VALUE / 2;
-    private boolean loading;
     private long version;
     private int failuresInARow;
     private double failureShare;
@@ -58,31 +57,61 @@
         requests--;
     }
 
+    /**
+     * The requests that this entry has there.
+     *
+     * @return their number
+     */
+    public int ownRequests() {
+        return requests;
+    }
+
     /**
      * The prompt tokens of own requests whose answers have not begun.
      *
      * @return their number
      */
-    public int waitingPromptTokens() {
+    public int ownPromptTokens() {
         return waitingPromptTokens;
     }
 
+    /**
+     * The prompt tokens of all requests whose answers have not begun, as far as known.
+     *
+     * @param nowMillis the time on the steady clock
+     * @return their number
+     */
+    public int waitingPromptTokens(long nowMillis) {
+        return waitingPromptTokens + (fresh(nowMillis) ? told.othersPromptTokens() : 0);
+    }
+
+    private boolean fresh(long nowMillis) {
+        return nowMillis - toldAtMillis <= TOLD_MILLIS;
+    }
+
     // -- what the agent told
 
+    /**
+     * What an endpoint's agent told.
+     *
+     * @param requests the requests at the endpoint, those in its queue too
+     * @param othersPromptTokens prompt tokens that other entries have waiting there
+     * @param loading whether the endpoint is taking up weights
+     * @param version the weight version it holds; 0 for none
+     */
+    public record Told(int requests, int othersPromptTokens, boolean loading, long version) {}
+
     /**
      * The endpoint's agent told what it does.
      *
-     * @param running its requests, those in its queue too
-     * @param busyLoading whether it is taking up weights
-     * @param holds the weight version it holds; 0 for none
+     * @param news what it told
      * @param nowMillis the time on the steady clock
      */
-    public void told(int running, boolean busyLoading, long holds, long nowMillis) {
-        told = running;
+    public void told(Told news, long nowMillis) {
+        told = news;
         requestsWhenTold = requests;
         toldAtMillis = nowMillis;
-        loading = busyLoading;
-        version = Math.max(version, holds);
+        version = Math.max(version, news.version());
     }
 
     /**
@@ -110,7 +139,7 @@
      * @return true if its agent said so lately
      */
     public boolean loading(long nowMillis) {
-        return loading && nowMillis - toldAtMillis < TOLD_MILLIS;
+        return told.loading() && fresh(nowMillis);
     }
 
     /**
@@ -120,10 +149,7 @@
      * @return their number, at least the entry's own
      */
     public int requests(long nowMillis) {
-        if (nowMillis - toldAtMillis > TOLD_MILLIS) {
-            return requests;
-        }
-        return Math.max(requests, told + requests - requestsWhenTold);
+        return fresh(nowMillis) ? Math.max(requests, told.requests() + requests - requestsWhenTold) : requests;
     }
 
     // -- failures
--- a/src/main/java/org/micabarrow/settings/HostedSettings.java
+++ b/src/main/java/org/micabarrow/settings/HostedSettings.java
@@ -15,6 +15,7 @@
  * @param store the host and port of the platform's store
  * @param endpoint the host and port of the endpoint beside an agent
  * @param service the service of that endpoint
+ * @param linkBitsPerSecond what the instance's link carries, in either direction
  * @param bounds what the users allow
  * @param log how it logs
  */
@@ -27,6 +28,7 @@
         String store,
         Optional<String> endpoint,
         Optional<String> service,
+        double linkBitsPerSecond,
         Bounds bounds,
         Common.Logging log) {
 
--- a/src/main/java/org/micabarrow/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/standin/HostedSystem.java
@@ -15,6 +15,7 @@
 public final class HostedSystem implements AutoCloseable {
 
     private static final String MODEL = "model-a";
+    private static final double LINK_BITS_PER_SECOND = 1e9;
 
     private final HostedStoreStandin store = new HostedStoreStandin();
     private final String storeAddress;
@@ -207,6 +208,7 @@
                 storeAddress,
                 endpoint,
                 endpoint.map(address -> "models"),
+                LINK_BITS_PER_SECOND,
                 new HostedSettings.Bounds(2_000, 1_000, 0.2, 160),
                 new Common.Logging("text", "info"));
     }
--- a/src/main/java/org/micabarrow/transport/HostedPeerServer.java
+++ b/src/main/java/org/micabarrow/transport/HostedPeerServer.java
@@ -35,6 +35,7 @@
     private final ViewKeeper views;
     private final Sets sets;
     private final MetricRegistry registry;
+    private final LinkPacer uplink;
 
     /** Finds the chunks that an agent has. */
     public interface Sets {
@@ -55,11 +56,13 @@
      * @param views what is known of the store
      * @param sets the chunks at hand
      * @param registry the figures
+     * @param uplink holds chunks to what the instance's link can spare
      */
-    public HostedPeerServer(ViewKeeper views, Sets sets, MetricRegistry registry) {
+    public HostedPeerServer(ViewKeeper views, Sets sets, MetricRegistry registry, LinkPacer uplink) {
         this.views = Objects.requireNonNull(views, "views is null");
         this.sets = Objects.requireNonNull(sets, "sets is null");
         this.registry = Objects.requireNonNull(registry, "registry is null");
+        this.uplink = Objects.requireNonNull(uplink, "uplink is null");
     }
 
     @Override
@@ -134,7 +137,8 @@
                 .filter(set -> index < set.digests().size())
                 .flatMap(set -> set.chunk(index));
         if (bytes.isPresent()) {
-            send(exchange, bytes.get());
+            long delay = uplink.delayMillis(bytes.get().length);
+            exchange.getIoThread().executeAfter(() -> send(exchange, bytes.get()), delay, TimeUnit.MILLISECONDS);
         } else if (System.nanoTime() - until > 0) {
             fail(exchange, NOT_FOUND);
         } else {
--- a/src/main/java/org/micabarrow/transport/LinkPacer.java
+++ b/src/main/java/org/micabarrow/transport/LinkPacer.java
@@ -44,6 +44,16 @@
         }
     }
 
+    /**
+     * Books the link for some bytes without waiting.
+     *
+     * @param bytes how many
+     * @return how long to wait before they may pass, in milliseconds
+     */
+    public long delayMillis(int bytes) {
+        return Math.max(0, (reserve(bytes) - System.nanoTime()) / 1_000_000);
+    }
+
     /** Books the link for some bytes, and tells until when they take it. */
     private synchronized long reserve(int bytes) {
         long now = System.nanoTime();
--- /dev/null
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -0,0 +1,86 @@
+package org.micabarrow.transport;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.micabarrow.routing.EndpointLoad.Told;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Tells entries how the endpoint beside an agent is, and what other entries have waiting there. */
+public final class LoadServer {
+
+    private static final Logger LOG = LoggerFactory.getLogger(LoadServer.class);
+
+    /** How long what an entry said counts, in milliseconds: the longest pause between its questions, and some more. */
+    private static final long SAID_MILLIS = 1_000;
+
+    private final DatagramChannel channel;
+    private final Supplier<Optional<Told>> endpoint;
+    private final LongSupplier steadyMillis;
+    private final Map<String, Said> entries = new HashMap<>();
+
+    private record Said(int promptTokens, long atMillis) {}
+
+    private LoadServer(DatagramChannel channel, Supplier<Optional<Told>> endpoint, LongSupplier steadyMillis) {
+        this.channel = channel;
+        this.endpoint = endpoint;
+        this.steadyMillis = steadyMillis;
+    }
+
+    /**
+     * Answers questions on a thread of its own.
+     *
+     * @param address the host and port
+     * @param endpoint what is known of the endpoint; empty while it does not answer
+     * @param steadyMillis a clock that never steps, in milliseconds
+     * @throws IOException if the address cannot be used
+     */
+    public static void start(String address, Supplier<Optional<Told>> endpoint, LongSupplier steadyMillis)
+            throws IOException {
+        DatagramChannel channel = DatagramChannel.open().bind(Addresses.parse(address));
+        LoadServer server = new LoadServer(channel, endpoint, steadyMillis);
+        Thread thread = new Thread(server::serve, "load-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void serve() {
+        ByteBuffer buffer = ByteBuffer.allocate(LoadMessages.MOST_BYTES);
+        while (channel.isOpen()) {
+            try {
+                buffer.clear();
+                InetSocketAddress from = (InetSocketAddress) channel.receive(buffer);
+                buffer.flip();
+                byte[] bytes = new byte[buffer.remaining()];
+                buffer.get(bytes);
+                answer(from, LoadMessages.question(bytes));
+            } catch (IOException e) {
+                LOG.warn("event=load_question_lost why=\"{}\"", e.toString());
+            }
+        }
+    }
+
+    private void answer(InetSocketAddress from, LoadMessages.Question question) throws IOException {
+        long now = steadyMillis.getAsLong();
+        entries.put(question.entry(), new Said(question.promptTokens(), now));
+        entries.values().removeIf(said -> now - said.atMillis() > SAID_MILLIS);
+        Optional<Told> told = endpoint.get();
+        if (told.isEmpty()) {
+            return;
+        }
+        int others = entries.entrySet().stream()
+                .filter(one -> !one.getKey().equals(question.entry()))
+                .mapToInt(one -> one.getValue().promptTokens())
+                .sum();
+        Told all = new Told(
+                told.get().requests(), others, told.get().loading(), told.get().version());
+        channel.send(LoadMessages.write(all), from);
+    }
+}
--- a/src/main/java/org/micabarrow/weights/ChunkFetcher.java
+++ b/src/main/java/org/micabarrow/weights/ChunkFetcher.java
@@ -8,6 +8,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.micabarrow.state.Fault;
@@ -20,8 +21,11 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(ChunkFetcher.class);
 
-    /** How many chunks are fetched at once: enough to hide a round trip and a wait for a chunk that is on its way. */
-    private static final int AT_ONCE = 6;
+    /**
+     * How many chunks are fetched at once: enough to hide a round trip and a wait for a chunk that is on its way, and few
+     * enough that those which arrive together hold up the endpoint's requests by two chunks' time at most.
+     */
+    private static final int AT_ONCE = 4;
 
     /** How long an agent that did not answer is passed over, in milliseconds. */
     private static final long PASSED_OVER_MILLIS = 3_000;
@@ -33,6 +37,7 @@
     private final WeightOrigin origin;
     private final Supplier<Optional<String>> originAddress;
     private final Supplier<ChunkSources> sources;
+    private final Consumer<Integer> downlink;
     private final LongSupplier steadyMillis;
     private final Map<String, Long> silentUntil = new ConcurrentHashMap<>();
 
@@ -43,6 +48,7 @@
      * @param origin asks the origin
      * @param originAddress where the origin is, if it is known
      * @param sources whom to ask for which chunk, as seen now
+     * @param downlink waits until the link can spare some bytes
      * @param steadyMillis a clock that never steps, in milliseconds
      */
     public ChunkFetcher(
@@ -50,11 +56,13 @@
             WeightOrigin origin,
             Supplier<Optional<String>> originAddress,
             Supplier<ChunkSources> sources,
+            Consumer<Integer> downlink,
             LongSupplier steadyMillis) {
         this.peers = Objects.requireNonNull(peers, "peers is null");
         this.origin = Objects.requireNonNull(origin, "origin is null");
         this.originAddress = Objects.requireNonNull(originAddress, "originAddress is null");
         this.sources = Objects.requireNonNull(sources, "sources is null");
+        this.downlink = Objects.requireNonNull(downlink, "downlink is null");
         this.steadyMillis = Objects.requireNonNull(steadyMillis, "steadyMillis is null");
     }
 
@@ -136,6 +144,7 @@
                 silentUntil.put(agent, steadyMillis.getAsLong() + PASSED_OVER_MILLIS);
             }
             if (taken(set, index, agent, got)) {
+                downlink.accept(set.chunk(index).orElseThrow().length);
                 return true;
             }
         }
--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -1,6 +1,7 @@
 package org.micabarrow.weights;
 
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import java.util.Objects;
@@ -27,8 +28,8 @@
     /** The version that a model has before any was named. */
     private static final long FIRST_VERSION = 1;
 
-    /** How many versions are kept to be handed to other agents: the newest and the one that it replaces. */
-    private static final int SETS_KEPT = 2;
+    /** How many versions are kept: the one that the endpoint holds, and two that were named soon after one another. */
+    private static final int SETS_KEPT = 3;
 
     private final Parts parts;
     private final Deque<ChunkSet> sets = new ArrayDeque<>();
@@ -137,38 +138,63 @@
     // -- bringing the endpoint up to date
 
     /**
-     * Takes the next step towards the wanted version, if there is one to take.
+     * Fetches what is missing of the wanted version.
      *
      * @throws InterruptedException if the thread is interrupted
      */
-    public void step() throws InterruptedException {
+    public void fetch() throws InterruptedException {
         Optional<String> model = parts.model().get();
         Optional<Report> now = report.get();
         if (model.isEmpty() || now.isEmpty()) {
             return;
         }
         long wanted = wanted(model.get());
-        long held = now.get().models().getOrDefault(model.get(), 0L);
-        if (held >= wanted) {
-            readBack(model.get(), held);
+        if (now.get().models().getOrDefault(model.get(), 0L) >= wanted) {
             return;
         }
         switch (setFor(model.get(), wanted)) {
             case Result.Failure<ChunkSet>(Fault fault) ->
                 LOG.warn("event=digests_missed model={} version={} why=\"{}\"", model.get(), wanted, fault);
-            case Result.Success<ChunkSet>(ChunkSet set) -> advance(set, held, now.get());
+            case Result.Success<ChunkSet>(ChunkSet set) -> {
+                if (!set.complete()) {
+                    parts.fetcher().fetch(set, () -> wanted(model.get()) == wanted || worthFinishing(set));
+                }
+            }
         }
     }
 
+    /** Whether so much of a version is here that finishing it beats leaving the endpoint with the one before. */
+    private static boolean worthFinishing(ChunkSet set) {
+        return set.present() * 2 >= set.digests().size();
+    }
+
     private long wanted(String model) {
         return parts.view().get().newestTarget(model).map(View.Target::version).orElse(FIRST_VERSION);
     }
 
-    private void advance(ChunkSet set, long held, Report now) throws InterruptedException {
-        if (!set.complete()) {
-            parts.fetcher().fetch(set, () -> wanted(set.model()) == set.version());
+    /** Takes the next step towards the newest version that is here whole, if there is one to take. */
+    public void step() {
+        Optional<String> model = parts.model().get();
+        Optional<Report> now = report.get();
+        if (model.isEmpty() || now.isEmpty()) {
             return;
         }
+        long held = now.get().models().getOrDefault(model.get(), 0L);
+        if (held > 0) {
+            readBack(model.get(), held);
+        }
+        newestWhole(model.get(), held).ifPresent(set -> advance(set, held, now.get()));
+    }
+
+    private Optional<ChunkSet> newestWhole(String model, long held) {
+        synchronized (sets) {
+            return sets.stream()
+                    .filter(set -> set.model().equals(model) && set.version() > held && set.complete())
+                    .max(Comparator.comparingLong(ChunkSet::version));
+        }
+    }
+
+    private void advance(ChunkSet set, long held, Report now) {
         if (laid.filter(set::equals).isEmpty()) {
             layAll(set);
         } else if (!now.busy() && parts.steadyMillis().getAsLong() >= orderAt(set.model(), held)) {
