A client's leaving shows while its answer is awaited; a stopping entry closes idle connections

Undertow's client throwing from a reset connection counts as a failed call. Tests of the entry against stand-ins over sockets.

--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -98,6 +98,33 @@
         LOG.info("event=started role=entry instance={}", settings.instance().id());
     }
 
+    /**
+     * The requests that are open.
+     *
+     * @return their number
+     */
+    public int open() {
+        return handler.connections().busy();
+    }
+
+    /**
+     * Whether the entry takes requests.
+     *
+     * @return true once it knows a manifest, until it stops
+     */
+    public boolean takesRequests() {
+        return !leaving && node.views().view().manifest().isPresent();
+    }
+
+    /**
+     * The endpoints that the entry knows.
+     *
+     * @return their number
+     */
+    public int endpoints() {
+        return node.views().view().endpoints().size();
+    }
+
     private List<String> peers() {
         return settings.seeds().stream()
                 .filter(seed -> !seed.equals(settings.listen().peers()))
@@ -105,8 +132,7 @@
     }
 
     private void ready(HttpServerExchange exchange) {
-        boolean takes = !leaving && node.views().view().manifest().isPresent();
-        exchange.setStatusCode(takes ? OK : UNAVAILABLE);
+        exchange.setStatusCode(takesRequests() ? OK : UNAVAILABLE);
         exchange.endExchange();
     }
 
@@ -115,13 +141,14 @@
     public void close() throws InterruptedException {
         long began = HostedNode.steadyMillis();
         leaving = true;
-        handler.leave();
-        LOG.info("event=leaving open={}", handler.open());
+        handler.connections().leave();
+        LOG.info("event=leaving open={}", handler.connections().busy());
         long latest = began + settings.bounds().graceMillis() - GRACE_LEFT_MILLIS;
-        while (HostedNode.steadyMillis() < latest
-                && (handler.open() > 0 || HostedNode.steadyMillis() < began + STILL_CHOSEN_MILLIS)) {
+        Thread.sleep(Math.min(STILL_CHOSEN_MILLIS, settings.bounds().graceMillis() / 2));
+        handler.connections().closeIdle();
+        while (HostedNode.steadyMillis() < latest && handler.connections().busy() > 0) {
             Thread.sleep(LOOK_MILLIS);
         }
-        LOG.info("event=stopped open={}", handler.open());
+        LOG.info("event=stopped open={}", handler.connections().busy());
     }
 }
--- a/src/main/java/org/micabarrow/serving/ClientWatch.java
+++ b/src/main/java/org/micabarrow/serving/ClientWatch.java
@@ -35,6 +35,8 @@
         if (exchange.getConnection() instanceof HttpServerConnection connection && connection.getExtraBytes() == null) {
             ClientWatch watch = new ClientWatch(connection, gone);
             ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
+            // The request has been read whole, so what is left of its own conduit is an end that always shows.
+            source.setConduit(connection.getOriginalSourceConduit());
             source.setReadListener(watch::readable);
             source.resumeReads();
         }
--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -9,7 +9,6 @@
 import java.io.IOException;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.micabarrow.attempts.ClientRequest;
@@ -33,10 +32,12 @@
     /** When to come back to a process that has no manifest yet, in milliseconds: it reads one as its first act. */
     private static final long STARTING_MILLIS = 500;
 
+    /** When to come back if this process stops, in milliseconds: at once, since the client then meets another entry. */
+    private static final long STOPPING_MILLIS = 1;
+
     private final ServingParts parts;
     private final RequestReader reader;
-    private final AtomicInteger open = new AtomicInteger();
-    private volatile boolean leaving;
+    private final ClientConnections connections = new ClientConnections();
 
     private ServingHandler(ServingParts parts, RequestReader reader) {
         this.parts = parts;
@@ -87,18 +88,13 @@
         return new ServingHandler(shared, parts.reader());
     }
 
-    /** Asks clients to leave from now on: connections are closed after the answer under way. */
-    public void leave() {
-        leaving = true;
-    }
-
     /**
-     * The requests that are open.
+     * The connections of clients.
      *
-     * @return their number
+     * @return the connections, to be closed when the process stops
      */
-    public int open() {
-        return open.get();
+    public ClientConnections connections() {
+        return connections;
     }
 
     // -- requests
@@ -106,15 +102,7 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         parts.metrics().received.inc();
-        open.incrementAndGet();
-        exchange.addExchangeCompleteListener((same, next) -> {
-            open.decrementAndGet();
-            next.proceed();
-        });
-        if (leaving) {
-            exchange.setPersistent(false);
-            exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-        }
+        connections.begun(exchange);
         parts.view().manifest().ifPresent(manifest -> exchange.setMaxEntitySize(manifest.maxBodyBytes()));
         exchange.getRequestReceiver()
                 .receiveFullBytes(
@@ -129,10 +117,18 @@
 
     private void begin(HttpServerExchange exchange, byte[] body) {
         Optional<RouteManifest> manifest = parts.view().manifest();
+        if (connections.closing()) {
+            refuse(exchange, UNAVAILABLE, "this entry is stopping", STOPPING_MILLIS);
+            return;
+        }
         if (manifest.isEmpty()) {
             refuse(exchange, UNAVAILABLE, "this entry has not read the manifest yet", STARTING_MILLIS);
             return;
         }
+        if (body.length > manifest.get().maxBodyBytes()) {
+            refuse(exchange, TOO_LARGE, "the body is larger than the manifest allows", 0);
+            return;
+        }
         switch (reader.read(exchange, body, manifest.get(), parts.nowMillis())) {
             case RequestReader.Reading.Refused(int status, String why) -> refuse(exchange, status, why, 0);
             case RequestReader.Reading.Understood(ClientRequest request) -> run(exchange, request);
--- a/src/main/java/org/micabarrow/standin/HostedEndpointStandin.java
+++ b/src/main/java/org/micabarrow/standin/HostedEndpointStandin.java
@@ -5,21 +5,24 @@
 import io.undertow.io.Sender;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Digest;
 import org.xnio.IoUtils;
+import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
  * Stands in for an endpoint on the users' platform, for its model's weights, and for their origin. What it does with the
@@ -39,10 +42,11 @@
 
     private final String id;
     private final String model;
-    private final Deque<Behaviour> behaviours = new java.util.concurrent.ConcurrentLinkedDeque<>();
+    private final Queue<Behaviour> behaviours;
     private final ConcurrentLinkedQueue<Received> received = new ConcurrentLinkedQueue<>();
     private final Map<Integer, byte[]> staged = new HashMap<>();
     private final List<String> orders = new ArrayList<>();
+    private final AtomicInteger hanging = new AtomicInteger();
     private long version;
     private int events = 3;
 
@@ -65,7 +69,9 @@
         /** Gives an answer without its signature. */
         UNSIGNED,
         /** Says that another endpoint is here. */
-        MISDIRECT
+        MISDIRECT,
+        /** Never answers. */
+        HANG
     }
 
     /**
@@ -84,20 +90,13 @@
      * @param id the endpoint's id
      * @param model its model
      * @param version the weight version that it holds; 0 for none
+     * @param behaviours what to do with the next requests; once empty, requests are answered as they should be
      */
-    public HostedEndpointStandin(String id, String model, long version) {
+    public HostedEndpointStandin(String id, String model, long version, Queue<Behaviour> behaviours) {
         this.id = id;
         this.model = model;
         this.version = version;
-    }
-
-    /**
-     * What to do with the next request that has no behaviour yet.
-     *
-     * @param next the behaviour
-     */
-    public void next(Behaviour next) {
-        behaviours.add(next);
+        this.behaviours = behaviours;
     }
 
     /**
@@ -263,9 +262,46 @@
             }
             case UNSIGNED -> send(exchange, 200, "plain".getBytes(StandardCharsets.UTF_8));
             case MISDIRECT -> send(exchange, MISDIRECTED, new byte[0]);
+            case HANG -> hang(exchange);
         }
     }
 
+    /** Holds a request until its connection is closed, which shows by an attempt to read on. */
+    private void hang(HttpServerExchange exchange) {
+        hanging.incrementAndGet();
+        exchange.getConnection().addCloseListener(closed -> hanging.decrementAndGet());
+        exchange.dispatch(() -> {});
+        look(exchange);
+    }
+
+    private static void look(HttpServerExchange exchange) {
+        if (exchange.getConnection() instanceof HttpServerConnection connection) {
+            ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
+            source.setConduit(connection.getOriginalSourceConduit());
+            source.setReadListener(channel -> closeAtEnd(channel, connection));
+            source.resumeReads();
+        }
+    }
+
+    private static void closeAtEnd(ConduitStreamSourceChannel source, HttpServerConnection connection) {
+        try {
+            if (source.read(ByteBuffer.allocate(1)) < 0) {
+                IoUtils.safeClose(connection);
+            }
+        } catch (IOException e) {
+            IoUtils.safeClose(connection);
+        }
+    }
+
+    /**
+     * The requests that are held without an answer.
+     *
+     * @return their number
+     */
+    public int hanging() {
+        return hanging.get();
+    }
+
     private void good(HttpServerExchange exchange, boolean cut) {
         exchange.getResponseHeaders().put(SIGNATURE, id);
         boolean stream = exchange.getRequestHeaders().contains("Model");
--- a/src/main/java/org/micabarrow/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/standin/HostedSystem.java
@@ -7,8 +7,11 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import org.micabarrow.settings.Common;
 import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.transport.HttpListener;
 
 /** The users' platform in small, on loopback: a store, an origin and endpoints, with the settings that fit them. */
@@ -17,6 +20,7 @@
     private static final String MODEL = "model-a";
     private static final double LINK_BITS_PER_SECOND = 1e9;
 
+    private final Queue<Behaviour> behaviours = new ConcurrentLinkedQueue<>();
     private final HostedStoreStandin store = new HostedStoreStandin();
     private final String storeAddress;
     private final String originAddress;
@@ -26,7 +30,7 @@
 
     private HostedSystem() throws IOException {
         this.storeAddress = serve(store);
-        this.originAddress = serve(new HostedEndpointStandin("origin", MODEL, 0));
+        this.originAddress = serve(new HostedEndpointStandin("origin", MODEL, 0, behaviours));
     }
 
     /**
@@ -70,6 +74,15 @@
         return store;
     }
 
+    /**
+     * What the next endpoint that receives a request does with it, whichever that is.
+     *
+     * @param next the behaviour
+     */
+    public void next(Behaviour next) {
+        behaviours.add(next);
+    }
+
     /**
      * An endpoint.
      *
@@ -144,7 +157,7 @@
      * @throws IOException if no port is free
      */
     public void add(String id, String service, long version) throws IOException {
-        HostedEndpointStandin endpoint = new HostedEndpointStandin(id, MODEL, version);
+        HostedEndpointStandin endpoint = new HostedEndpointStandin(id, MODEL, version, behaviours);
         endpoints.put(id, endpoint);
         addresses.put(id, serve(endpoint));
         enter(id, service, version, "ready");
--- a/src/main/java/org/micabarrow/transport/HttpCaller.java
+++ b/src/main/java/org/micabarrow/transport/HttpCaller.java
@@ -362,6 +362,15 @@
             sent = true;
             listener.onSending();
             sentBytes.add(call.body().length);
+            try {
+                hand(request);
+            } catch (RuntimeException e) {
+                // Undertow's client throws from a kept connection whose peer reset it just before.
+                fail(Reason.UNREACHABLE, "the request was not sent: " + e);
+            }
+        }
+
+        private void hand(ClientRequest request) {
             connection.sendRequest(request, new ClientCallback<>() {
                 @Override
                 public void completed(ClientExchange exchange) {
--- a/src/main/java/org/micabarrow/weights/ChunkFetcher.java
+++ b/src/main/java/org/micabarrow/weights/ChunkFetcher.java
@@ -76,15 +76,16 @@
      * @return an empty set of its chunks
      */
     public Result<ChunkSet> begin(String model, long version) {
-        Result<List<String>> last = originAddress
-                .get()
-                .map(address -> origin.digests(address, model, version))
-                .orElseGet(() -> Result.failure(
-                        Fault.of(Fault.Step.FETCH, "origin", Fault.Reason.NOT_FOUND, "the manifest names no origin")));
+        Optional<String> from = originAddress.get();
+        Result<List<String>> last = from.isPresent()
+                ? origin.digests(from.get(), model, version)
+                : Result.failure(
+                        Fault.of(Fault.Step.FETCH, "origin", Fault.Reason.NOT_FOUND, "the manifest names no origin"));
         for (String agent : sources.get().of(0)) {
-            if (last instanceof Result.Success<List<String>>) {
+            if (!(last instanceof Result.Failure<List<String>>(Fault fault))) {
                 break;
             }
+            LOG.info("event=digests_missed model={} version={} next={} why=\"{}\"", model, version, agent, fault);
             last = peers.digests(agent, model, version);
         }
         return last.map(digests -> new ChunkSet(model, version, digests));
--- /dev/null
+++ b/src/test/java/org/micabarrow/serving/HostedEntryTest.java
@@ -0,0 +1,255 @@
+package org.micabarrow.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.micabarrow.process.HostedEntryProcess;
+import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.standin.HostedEndpointStandin.Behaviour;
+import org.micabarrow.standin.HostedEndpointStandin.Received;
+import org.micabarrow.standin.HostedSystem;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.transport.HttpCall;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.HttpCaller.HttpAnswer;
+
+/** The whole path of an entry on the users' platform, against stand-ins over real sockets. */
+class HostedEntryTest {
+
+    private static final Duration WITHIN = Duration.ofSeconds(10);
+
+    private HostedSystem platform;
+    private HttpCaller caller;
+    private HostedSettings settings;
+
+    @BeforeEach
+    void start() throws IOException {
+        platform = HostedSystem.start();
+        caller = HttpCaller.start("test", 1);
+        settings = platform.entry();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        caller.close();
+        platform.close();
+    }
+
+    // -- what endpoints do
+
+    @ParameterizedTest
+    @CsvSource({
+        "ANSWER,        /once/x,  200, 1",
+        "REFUSE,        /once/x,  200, 2",
+        "MISDIRECT,     /once/x,  200, 2",
+        "SILENT_REFUSE, /once/x,  502, 1",
+        "FAIL,          /once/x,  500, 1",
+        "RESET,         /once/x,  502, 1",
+        "CUT,           /once/x,  502, 1",
+        "OTHER_ANSWER,  /once/x,  502, 1",
+        "UNSIGNED,      /once/x,  502, 1",
+        "FAIL,          /again/x, 200, 2",
+        "RESET,         /again/x, 200, 2",
+        "CUT,           /again/x, 200, 2",
+        "OTHER_ANSWER,  /again/x, 200, 2",
+        "UNSIGNED,      /again/x, 200, 2"
+    })
+    void shouldSendAgainOnlyWhatMayRunAgain(Behaviour first, String path, int status, int sendings) throws Exception {
+        platform.add("plain-1", "plain", 0);
+        platform.add("plain-2", "plain", 0);
+        begin(2);
+        platform.next(first);
+        HttpAnswer answer = ask(path, Map.of());
+        assertEquals(status, answer.status(), () -> "received: " + received());
+        assertEquals(sendings, received().size());
+    }
+
+    @Test
+    void shouldNotSendUnrepeatableRequestTwiceWhenItsConnectionBreaks() throws Exception {
+        platform.add("plain-1", "plain", 0);
+        platform.add("plain-2", "plain", 0);
+        begin(2);
+        platform.next(Behaviour.RESET);
+        assertEquals(502, ask("/once/x", Map.of()).status());
+        assertEquals(1, received().size());
+    }
+
+    @Test
+    void shouldPassRequestOnUnchangedWhenAnswering() throws Exception {
+        platform.add("plain-1", "plain", 0);
+        begin(1);
+        ask("/once/a%20b//c?q=%2F&q=2", Map.of("X-Other", "kept", "Tenant", "forged", "Expect-Instance", "forged"));
+        Received received = received().getFirst();
+        assertEquals("/once/a%20b//c?q=%2F&q=2", received.target());
+        assertEquals("a body", received.body());
+        assertEquals("kept", received.headers().get("X-Other"));
+        assertEquals("org-a", received.headers().get("Tenant"));
+        assertEquals("plain-1", received.headers().get("Expect-Instance"));
+        assertFalse(received.headers().containsKey("Key"));
+    }
+
+    @Test
+    void shouldGoOnAfterLastWholeEventWhenStreamBreaks() throws Exception {
+        platform.add("model-1", "models", 1);
+        platform.add("model-2", "models", 1);
+        begin(2);
+        platform.next(Behaviour.CUT);
+        HttpAnswer answer = ask("/stream/x", Map.of("Model", "model-a", "Token-Count", "100,20"));
+        String body = new String(answer.body(), StandardCharsets.UTF_8);
+        assertEquals(
+                List.of("id: 1", "id: 2", "id: 3"),
+                body.lines().filter(line -> line.startsWith("id:")).toList());
+    }
+
+    @Test
+    void shouldLookBrokenWhenStreamBreaksTooOften() throws Exception {
+        platform.add("model-1", "models", 1);
+        platform.add("model-2", "models", 1);
+        begin(2);
+        platform.next(Behaviour.CUT);
+        platform.next(Behaviour.CUT);
+        assertEquals(
+                0,
+                ask("/stream/x", Map.of("Model", "model-a", "Token-Count", "100,20"))
+                        .status());
+    }
+
+    // -- what clients do
+
+    @ParameterizedTest
+    @CsvSource({
+        "h.example, /none/x, key-a, 404",
+        "other.example, /once/x, key-a, 404",
+        "h.example, /once/x, key-b, 401",
+        "h.example, /once/x, '', 401"
+    })
+    void shouldRefuseWhatNoManifestAllows(String host, String path, String key, int status) throws Exception {
+        platform.add("plain-1", "plain", 0);
+        begin(1);
+        Map<String, String> headers = new HashMap<>(Map.of("Host", host, "Key", key));
+        assertEquals(status, ask(path, headers).status());
+        assertEquals(0, received().size());
+    }
+
+    @Test
+    void shouldRefuseBodyAboveManifestsLimitWhenReading() throws Exception {
+        platform.add("plain-1", "plain", 0);
+        begin(1);
+        assertEquals(413, ask("/once/x", Map.of(), "x".repeat(1_001)).status());
+        assertEquals(0, received().size());
+    }
+
+    @Test
+    void shouldCancelAtEndpointWhenClientLeaves() throws Exception {
+        platform.add("plain-1", "plain", 0);
+        HostedEntryProcess entry = begin(1);
+        platform.next(Behaviour.HANG);
+        HttpCaller leaving = HttpCaller.start("leaving", 1);
+        assertTrue(leaving.call(call("/again/x", Map.of(), "a body"), Duration.ofMillis(300))
+                .cause()
+                .isPresent());
+        leaving.close();
+        waitUntil(() -> entry.open() == 0);
+        waitUntil(() -> platform.endpoint("plain-1").hanging() == 0);
+    }
+
+    // -- what operators do
+
+    @Test
+    void shouldRefuseKeyWhenManifestTakesItAway() throws Exception {
+        platform.add("plain-1", "plain", 0);
+        begin(1);
+        assertEquals(200, ask("/once/x", Map.of()).status());
+        platform.manifest(2, "key-b", 2_000);
+        waitUntil(() -> ask("/once/x", Map.of()).status() == 401);
+    }
+
+    @Test
+    void shouldKeepLastManifestWhenNewOneCannotBeRead() throws Exception {
+        platform.add("plain-1", "plain", 0);
+        begin(1);
+        platform.store().append("keyed.op", "config", "{\"version\":3}");
+        platform.add("plain-2", "plain", 0);
+        assertEquals(200, ask("/once/x", Map.of()).status());
+    }
+
+    @Test
+    void shouldSendNothingToEndpointThatLeaves() throws Exception {
+        platform.add("plain-1", "plain", 0);
+        begin(1);
+        platform.enter("plain-1", "plain", 0, "draining");
+        waitUntil(() -> ask("/once/x", Map.of()).status() == 503);
+        int before = received().size();
+        HttpAnswer refused = ask("/once/x", Map.of());
+        assertEquals(503, refused.status());
+        assertTrue(Optional.ofNullable(refused.headers().get("Retry-After")).isPresent());
+        assertEquals(before, received().size());
+    }
+
+    @Test
+    void shouldGoOnServingWhenStoreRefuses() throws Exception {
+        platform.add("plain-1", "plain", 0);
+        begin(1);
+        platform.store().refuse(Optional.of(503));
+        assertEquals(200, ask("/once/x", Map.of()).status());
+    }
+
+    // -- parts
+
+    private HostedEntryProcess begin(int endpoints) throws Exception {
+        HostedEntryProcess entry = HostedEntryProcess.start(settings);
+        waitUntil(() -> entry.takesRequests() && entry.endpoints() == endpoints);
+        return entry;
+    }
+
+    private List<Received> received() {
+        return java.util.stream.Stream.of("plain-1", "plain-2")
+                .map(platform::endpoint)
+                .filter(java.util.Objects::nonNull)
+                .flatMap(one -> one.received().stream())
+                .toList();
+    }
+
+    private HttpCall call(String path, Map<String, String> more, String body) {
+        Map<String, String> headers = new HashMap<>(
+                Map.of("Host", "h.example", "Key", "key-a", "Attempt-Id", "attempt-1", "Deadline-Ms", "3000"));
+        headers.putAll(more);
+        URI uri = URI.create("http://" + settings.listen().clients().orElseThrow());
+        return new HttpCall(Step.READ, "POST", uri, Optional.of(path), headers, body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private HttpAnswer ask(String path, Map<String, String> more) {
+        return ask(path, more, "a body");
+    }
+
+    private HttpAnswer ask(String path, Map<String, String> more, String body) {
+        return caller.call(call(path, more, body), WITHIN)
+                .toOptional()
+                .orElse(new HttpAnswer(0, Map.of(), new byte[0]));
+    }
+
+    private static void waitUntil(BooleanSupplier condition) {
+        long until = System.nanoTime() + WITHIN.toNanos();
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < until, "the condition did not come true");
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(20));
+        }
+    }
+}
