--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -46,7 +46,7 @@
         this.self = new Agent(settings.listen().peers(), settings.instance().region());
         ChunkFetcher fetcher = new ChunkFetcher(
                 new PeerChunks(node.kept()),
-                new OriginCalls(node.kept()),
+                new OriginCalls(node.fresh()),
                 () -> view().manifest().flatMap(RouteManifest::origin),
                 () -> new ChunkSources(self, agents()),
                 node.weightPacer()::take,
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -42,10 +42,10 @@
     private static final Duration ENDPOINTS_WAIT = Duration.ofMillis(1_500);
 
     /**
-     * The part of the link that weights may take. Requests and answers need a few hundredths of it, but wait behind every
-     * chunk that is on its way.
+     * The part of the link that weights may take. Requests and answers need a few hundredths of it; what is paced below the
+     * link's rate leaves them a queue of one or two chunks.
      */
-    private static final double WEIGHTS_SHARE = 0.8;
+    private static final double WEIGHTS_SHARE = 0.92;
 
     private final HostedSettings settings;
     private final MetricRegistry metrics = new MetricRegistry();
--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -29,6 +29,12 @@
     /** What a full plain endpoint's queue is expected to cost for each slot's worth of requests, in milliseconds. */
     private static final double PLAIN_ROUND_MILLIS = 80;
 
+    /** How long an agent of the entry's region may be silent before its endpoint is passed over: two questions lost. */
+    private static final long NEAR_SILENCE_MILLIS = 500;
+
+    /** As above for agents of other regions, which are asked less often. */
+    private static final long FAR_SILENCE_MILLIS = 1_400;
+
     /** How many requests an endpoint of a model may hold in relation to its slots. */
     private static final double MODEL_SLOTS = 1;
 
@@ -174,6 +180,10 @@
     }
 
     private double distance(EndpointEntry endpoint) {
-        return region.equals(regions.get(endpoint.dataHall())) ? 0 : OTHER_REGION_MILLIS;
+        return near(endpoint) ? 0 : OTHER_REGION_MILLIS;
+    }
+
+    private boolean near(EndpointEntry endpoint) {
+        return region.equals(regions.get(endpoint.dataHall()));
     }
 }
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -25,7 +25,7 @@
     private int waitingPromptTokens;
     private Told told = new Told(0, 0, false, 0);
     private int requestsWhenTold;
-    private long toldAtMillis = Long.MIN_VALUE / 2;
+    private long toldAtMillis = -TOLD_MILLIS - 1;
     private long version;
     private int failuresInARow;
     private double failureShare;
@@ -85,6 +85,17 @@
         return waitingPromptTokens + (fresh(nowMillis) ? told.othersPromptTokens() : 0);
     }
 
+    /**
+     * Whether the endpoint's agent used to tell and has fallen silent: its instance may stand still or be cut off.
+     *
+     * @param patienceMillis how long its silence is borne
+     * @param nowMillis the time on the steady clock
+     * @return true if what it told last is older
+     */
+    public boolean silent(long patienceMillis, long nowMillis) {
+        return toldAtMillis >= 0 && nowMillis - toldAtMillis > patienceMillis;
+    }
+
     private boolean fresh(long nowMillis) {
         return nowMillis - toldAtMillis <= TOLD_MILLIS;
     }
--- a/src/main/java/org/micabarrow/transport/HostedPeerServer.java
+++ b/src/main/java/org/micabarrow/transport/HostedPeerServer.java
@@ -23,8 +23,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(HostedPeerServer.class);
 
-    /** How long a request is held for a chunk that is still on its way, in milliseconds; under the asker's patience. */
-    private static final long HELD_MILLIS = 2_400;
+    /** How long a request is held for a chunk that is still on its way, in milliseconds: a few chunks' time on a link. */
+    private static final long HELD_MILLIS = 150;
 
     /** How often a held request is looked at, in milliseconds: small beside the 50 ms that a chunk takes on a link. */
     private static final long LOOK_MILLIS = 25;
@@ -140,7 +140,7 @@
             long delay = uplink.delayMillis(bytes.get().length);
             exchange.getIoThread().executeAfter(() -> send(exchange, bytes.get()), delay, TimeUnit.MILLISECONDS);
         } else if (System.nanoTime() - until > 0) {
-            fail(exchange, NOT_FOUND);
+            fail(exchange, sets.set(model, version).isPresent() ? PeerChunks.FETCHING : NOT_FOUND);
         } else {
             exchange.getIoThread()
                     .executeAfter(
--- a/src/main/java/org/micabarrow/transport/HttpCaller.java
+++ b/src/main/java/org/micabarrow/transport/HttpCaller.java
@@ -30,6 +30,8 @@
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Result;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -48,6 +50,7 @@
  */
 public final class HttpCaller implements AutoCloseable {
 
+    private static final Logger LOG = LoggerFactory.getLogger(HttpCaller.class);
     private static final int BUFFER_BYTES = 16 * 1024;
     private static final int MOST_IDLE = 64;
 
@@ -490,11 +493,24 @@
 
         private void fail(Reason reason, String message) {
             if (ended.compareAndSet(false, true)) {
-                IoUtils.safeClose(connection);
+                abort(connection);
                 listener.onFailed(Fault.of(call.step(), call.peer(), reason, message), sent);
             }
         }
 
+        /** Resets the connection, so that a peer that has not read the request yet never will. */
+        private static void abort(ClientConnection broken) {
+            if (broken == null) {
+                return;
+            }
+            try {
+                broken.setOption(Options.CLOSE_ABORT, true);
+            } catch (IOException | RuntimeException e) {
+                LOG.debug("event=abort_unsupported why=\"{}\"", e.toString());
+            }
+            IoUtils.safeClose(broken);
+        }
+
         private void cancel() {
             cancelled = true;
             if (connection != null) {
--- a/src/main/java/org/micabarrow/transport/PeerChunks.java
+++ b/src/main/java/org/micabarrow/transport/PeerChunks.java
@@ -21,7 +21,10 @@
     static final String DIGESTS = "/digests/";
 
     /** How long a peer may take: it holds a request for a chunk that it is still fetching itself. */
-    private static final Duration WITHIN = Duration.ofMillis(3_000);
+    private static final Duration WITHIN = Duration.ofMillis(1_500);
+
+    /** The status that says that the agent is fetching the chunk itself. */
+    static final int FETCHING = 503;
 
     private static final int OK = 200;
 
@@ -38,11 +41,11 @@
 
     private Result<byte[]> get(String peer, String path) {
         HttpCall call = HttpCall.get(Step.FETCH, URI.create("http://" + peer + path));
-        return caller.call(call, WITHIN)
-                .flatMap(answer -> answer.status() == OK
-                        ? Result.success(answer.body())
-                        : Result.failure(
-                                Fault.of(Step.FETCH, peer, Reason.NOT_FOUND, "it answered " + answer.status())));
+        return caller.call(call, WITHIN).flatMap(answer -> switch (answer.status()) {
+            case OK -> Result.success(answer.body());
+            case FETCHING -> Result.failure(Fault.of(Step.FETCH, peer, Reason.NOT_READY, "it is still fetching that"));
+            default -> Result.failure(Fault.of(Step.FETCH, peer, Reason.NOT_FOUND, "it answered " + answer.status()));
+        });
     }
 
     @Override
--- a/src/main/java/org/micabarrow/weights/ChunkFetcher.java
+++ b/src/main/java/org/micabarrow/weights/ChunkFetcher.java
@@ -8,6 +8,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Semaphore;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -22,16 +23,31 @@
     private static final Logger LOG = LoggerFactory.getLogger(ChunkFetcher.class);
 
     /**
-     * How many chunks are fetched at once: enough to hide a round trip and a wait for a chunk that is on its way, and few
-     * enough that those which arrive together hold up the endpoint's requests by two chunks' time at most.
+     * How many questions for chunks are open at once. Most wait at agents that do not have the chunk yet; what arrives is
+     * paced, so that the endpoint's own requests wait behind few chunks.
      */
-    private static final int AT_ONCE = 4;
+    private static final int AT_ONCE = 8;
 
     /** How long an agent that did not answer is passed over, in milliseconds. */
     private static final long PASSED_OVER_MILLIS = 3_000;
 
-    /** The pause before a chunk that nobody gave is asked for again, in milliseconds. */
-    private static final long AGAIN_MILLIS = 200;
+    /**
+     * How long to wait for an agent that is fetching a chunk itself, in milliseconds: a version takes some three seconds
+     * on an agent's link, and another copy from the origin costs more than the wait.
+     */
+    private static final long FETCHING_MILLIS = 3_000;
+
+    /** How long to wait for an agent that has not begun to fetch, in milliseconds: it may just hear later. */
+    private static final long UNAWARE_MILLIS = 700;
+
+    /** The pause after a question that brought no chunk, in milliseconds; agents hold questions themselves. */
+    private static final long AGAIN_MILLIS = 10;
+
+    /**
+     * How many questions an agent has at the origin at once. The origin resets connections beyond a few dozens, those of
+     * processes that lost their power included; all agents together still fill its link.
+     */
+    private static final int AT_ORIGIN = 1;
 
     private final WeightOrigin peers;
     private final WeightOrigin origin;
@@ -39,6 +55,7 @@
     private final Supplier<ChunkSources> sources;
     private final Consumer<Integer> downlink;
     private final LongSupplier steadyMillis;
+    private final Semaphore originTurn = new Semaphore(AT_ORIGIN);
     private final Map<String, Long> silentUntil = new ConcurrentHashMap<>();
 
     /**
@@ -102,8 +119,10 @@
      */
     public void fetch(ChunkSet set, Supplier<Boolean> wanted) throws InterruptedException {
         long began = steadyMillis.getAsLong();
-        Queue<Integer> missing =
-                new ConcurrentLinkedQueue<>(sources.get().order(set.digests().size()));
+        Queue<Missing> missing = new ConcurrentLinkedQueue<>();
+        sources.get().order(set.digests().size()).stream()
+                .filter(index -> set.chunk(index).isEmpty())
+                .forEach(index -> missing.add(new Missing(index)));
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < AT_ONCE; i++) {
             Thread thread = new Thread(() -> fetchSome(set, missing, wanted), "fetch-" + i);
@@ -123,10 +142,11 @@
                 steadyMillis.getAsLong() - began);
     }
 
-    private void fetchSome(ChunkSet set, Queue<Integer> missing, Supplier<Boolean> wanted) {
+    private void fetchSome(ChunkSet set, Queue<Missing> missing, Supplier<Boolean> wanted) {
         try {
-            for (Integer index = missing.poll(); index != null && wanted.get(); index = missing.poll()) {
-                while (set.chunk(index).isEmpty() && wanted.get() && !fetchOne(set, index)) {
+            for (Missing one = missing.poll(); one != null && wanted.get(); one = missing.poll()) {
+                if (!fetchOne(set, one)) {
+                    missing.add(one);
                     Thread.sleep(AGAIN_MILLIS);
                 }
             }
@@ -135,41 +155,105 @@
         }
     }
 
-    private boolean fetchOne(ChunkSet set, int index) {
-        for (String agent : sources.get().of(index)) {
-            if (silentUntil.getOrDefault(agent, Long.MIN_VALUE) > steadyMillis.getAsLong()) {
-                continue;
-            }
-            Result<byte[]> got = peers.chunk(agent, set.model(), set.version(), index);
-            if (got instanceof Result.Failure<byte[]>(Fault fault) && fault.reason() != Fault.Reason.NOT_FOUND) {
-                silentUntil.put(agent, steadyMillis.getAsLong() + PASSED_OVER_MILLIS);
+    /** A chunk that is not here yet, and how far the search for it has come. Held by one thread at a time. */
+    private static final class Missing {
+
+        private final int index;
+        private int source;
+        private long askedSinceMillis = -1;
+
+        private Missing(int index) {
+            this.index = index;
+        }
+
+        /** Goes on to the next source. */
+        private void next() {
+            source++;
+            askedSinceMillis = -1;
+        }
+
+        private boolean waitedFor(long millis, long nowMillis) {
+            return askedSinceMillis >= 0 && nowMillis - askedSinceMillis > millis;
+        }
+    }
+
+    /** Asks the chunk's present source once. */
+    private boolean fetchOne(ChunkSet set, Missing one) {
+        List<String> agents = sources.get().of(one.index);
+        if (one.source >= agents.size()) {
+            return fromOrigin(set, one);
+        }
+        String agent = agents.get(one.source);
+        long now = steadyMillis.getAsLong();
+        if (silentUntil.getOrDefault(agent, Long.MIN_VALUE) > now) {
+            one.next();
+            return false;
+        }
+        one.askedSinceMillis = one.askedSinceMillis < 0 ? now : one.askedSinceMillis;
+        return switch (peers.chunk(agent, set.model(), set.version(), one.index)) {
+            case Result.Success<byte[]>(byte[] bytes) -> taken(set, one, agent, bytes);
+            case Result.Failure<byte[]>(Fault fault) -> {
+                notGiven(set, one, agent, fault);
+                yield false;
             }
-            if (taken(set, index, agent, got)) {
-                downlink.accept(set.chunk(index).orElseThrow().length);
-                return true;
+        };
+    }
+
+    private void notGiven(ChunkSet set, Missing one, String agent, Fault fault) {
+        long now = steadyMillis.getAsLong();
+        boolean goOn = switch (fault.reason()) {
+            case NOT_READY -> one.waitedFor(FETCHING_MILLIS, now);
+            case NOT_FOUND -> one.waitedFor(UNAWARE_MILLIS, now);
+            default -> {
+                silentUntil.put(agent, now + PASSED_OVER_MILLIS);
+                yield true;
             }
+        };
+        if (goOn) {
+            missed(set, one, agent, fault.toString());
+            one.next();
         }
-        return originAddress
-                .get()
-                .map(address -> taken(set, index, "origin", origin.chunk(address, set.model(), set.version(), index)))
-                .orElse(false);
     }
 
-    private static boolean taken(ChunkSet set, int index, String from, Result<byte[]> got) {
-        String why = switch (got) {
-            case Result.Success<byte[]>(byte[] bytes) when set.put(index, bytes) -> "";
-            case Result.Success<byte[]> ignored -> "the digest is wrong";
-            case Result.Failure<byte[]>(Fault fault) -> fault.toString();
-        };
-        if (!why.isEmpty()) {
-            LOG.info(
-                    "event=chunk_missed model={} version={} chunk={} from={} why=\"{}\"",
-                    set.model(),
-                    set.version(),
-                    index,
-                    from,
-                    why);
+    private boolean fromOrigin(ChunkSet set, Missing one) {
+        Optional<String> address = originAddress.get();
+        if (address.isEmpty()) {
+            one.source = 0;
+            return false;
+        }
+        if (!originTurn.tryAcquire()) {
+            return false;
+        }
+        Result<byte[]> got;
+        try {
+            got = origin.chunk(address.get(), set.model(), set.version(), one.index);
+        } finally {
+            originTurn.release();
         }
-        return why.isEmpty();
+        if (got instanceof Result.Failure<byte[]>(Fault fault)) {
+            missed(set, one, "origin", fault.toString());
+            one.source = 0;
+        }
+        return got instanceof Result.Success<byte[]>(byte[] bytes) && taken(set, one, "origin", bytes);
+    }
+
+    private boolean taken(ChunkSet set, Missing one, String from, byte[] bytes) {
+        downlink.accept(bytes.length);
+        if (set.put(one.index, bytes)) {
+            return true;
+        }
+        missed(set, one, from, "the digest is wrong");
+        one.next();
+        return false;
+    }
+
+    private static void missed(ChunkSet set, Missing one, String from, String why) {
+        LOG.info(
+                "event=chunk_missed model={} version={} chunk={} from={} why=\"{}\"",
+                set.model(),
+                set.version(),
+                one.index,
+                from,
+                why);
     }
 }
--- a/src/main/java/org/micabarrow/weights/ChunkSources.java
+++ b/src/main/java/org/micabarrow/weights/ChunkSources.java
@@ -1,20 +1,23 @@
 package org.micabarrow.weights;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.stream.IntStream;
 
 /**
- * From whom an agent asks each chunk. For each chunk the agents are ranked by a hash, so that all of them agree without a
+ * From whom an agent asks each chunk. For each chunk the agents are ranked by turns, so that all of them agree without a
  * word: the first of all fetches it from the origin, the first of each region fetches it from that one, and the others
  * of a region from the first there. So each chunk leaves the origin once and crosses into each region once, and every
  * agent's link carries an even part. An agent whose better-ranked sources fail falls back towards the origin.
  */
 public final class ChunkSources {
 
+    /** By how many chunks the beginnings of two agents differ: any number that shares no factor with usual counts. */
+    private static final int SPREAD = 7;
+
     private final Agent self;
     private final List<Agent> agents;
 
@@ -41,18 +44,27 @@
         this.agents = List.copyOf(all);
     }
 
-    private static int rank(int index, Agent agent) {
-        // Murmur's finalizer over both parts: neighbouring indexes must give unrelated orders.
-        int mixed = agent.address().hashCode() * 31 + index * 0x9E3779B9;
-        mixed = (mixed ^ mixed >>> 16) * 0x85EBCA6B;
-        mixed = (mixed ^ mixed >>> 13) * 0xC2B2AE35;
-        return mixed ^ mixed >>> 16;
+    private List<Agent> of(String region) {
+        return agents.stream()
+                .filter(agent -> agent.region().equals(region))
+                .sorted(Comparator.comparing(Agent::address))
+                .toList();
     }
 
-    private List<Agent> ranked(int index, List<Agent> some) {
-        return some.stream()
-                .sorted(Comparator.<Agent>comparingInt(one -> rank(index, one)).thenComparing(Agent::address))
-                .toList();
+    /** A region's agents in the order in which they take up a chunk. */
+    private List<Agent> ranked(int index, String region) {
+        List<Agent> all = new ArrayList<>(of(region));
+        Collections.rotate(all, -(index % all.size()));
+        return all;
+    }
+
+    /** The agent that fetches a chunk from the origin. */
+    private Agent first(int index) {
+        List<String> regions =
+                agents.stream().map(Agent::region).distinct().sorted().toList();
+        // The second part shifts the pairing after each round of a region's agents, so that all of them get their turn.
+        int turn = index + index / of(self.region()).size();
+        return ranked(index, regions.get(turn % regions.size())).getFirst();
     }
 
     /**
@@ -62,28 +74,20 @@
      * @return the agents, possibly none
      */
     public List<String> of(int index) {
-        List<Agent> region = ranked(
-                index,
-                agents.stream()
-                        .filter(one -> one.region().equals(self.region()))
-                        .toList());
         List<String> sources = new ArrayList<>();
-        for (Agent agent : region) {
+        for (Agent agent : ranked(index, self.region())) {
             if (agent.address().equals(self.address())) {
                 break;
             }
             sources.add(agent.address());
         }
-        first(index)
-                .filter(agent -> !agent.equals(self) && !sources.contains(agent.address()))
-                .ifPresent(agent -> sources.add(agent.address()));
+        Agent first = first(index);
+        if (!first.region().equals(self.region())) {
+            sources.add(first.address());
+        }
         return sources;
     }
 
-    private Optional<Agent> first(int index) {
-        return ranked(index, agents).stream().findFirst();
-    }
-
     /**
      * The order in which this agent fetches chunks: first those for which others wait.
      *
@@ -91,23 +95,20 @@
      * @return their indexes
      */
     public List<Integer> order(int count) {
+        int position = agents.stream().map(Agent::address).sorted().toList().indexOf(self.address());
         return IntStream.range(0, count)
                 .boxed()
-                .sorted(Comparator.comparingInt(this::depth))
+                .sorted(Comparator.comparingInt(this::depth)
+                        // Each agent begins elsewhere, so that not all ask the same one at the same time.
+                        .thenComparingInt(index -> Math.floorMod(index + position * SPREAD, count)))
                 .toList();
     }
 
     /** 0 if all wait for this agent's chunk, 1 if its region does, 2 if at most lower-ranked agents do. */
     private int depth(int index) {
-        if (first(index).filter(self::equals).isPresent()) {
+        if (first(index).address().equals(self.address())) {
             return 0;
         }
-        List<String> sources = of(index);
-        return sources.size() == 1
-                        && agents.stream()
-                                .noneMatch(one -> one.address().equals(sources.getFirst())
-                                        && one.region().equals(self.region()))
-                ? 1
-                : 2;
+        return ranked(index, self.region()).getFirst().address().equals(self.address()) ? 1 : 2;
     }
 }
--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -1,6 +1,7 @@
 package org.micabarrow.weights;
 
 import java.util.ArrayDeque;
+import java.util.BitSet;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
@@ -34,6 +35,7 @@
     private final Parts parts;
     private final Deque<ChunkSet> sets = new ArrayDeque<>();
     private final AtomicReference<Optional<Report>> report = new AtomicReference<>(Optional.empty());
+    private final BitSet laidChunks = new BitSet();
     private Optional<ChunkSet> laid = Optional.empty();
 
     /**
@@ -183,7 +185,20 @@
         if (held > 0) {
             readBack(model.get(), held);
         }
-        newestWhole(model.get(), held).ifPresent(set -> advance(set, held, now.get()));
+        if (!now.get().busy()) {
+            newestWhole(model.get(), held)
+                    .or(() -> newestBegun(model.get(), held))
+                    .ifPresent(set -> advance(set, held, now.get()));
+        }
+    }
+
+    /** The version that is being fetched, of which chunks are laid as they come. */
+    private Optional<ChunkSet> newestBegun(String model, long held) {
+        synchronized (sets) {
+            return sets.stream()
+                    .filter(set -> set.model().equals(model) && set.version() > held)
+                    .max(Comparator.comparingLong(ChunkSet::version));
+        }
     }
 
     private Optional<ChunkSet> newestWhole(String model, long held) {
@@ -195,9 +210,9 @@
     }
 
     private void advance(ChunkSet set, long held, Report now) {
-        if (laid.filter(set::equals).isEmpty()) {
-            layAll(set);
-        } else if (!now.busy() && parts.steadyMillis().getAsLong() >= orderAt(set.model(), held)) {
+        layNew(set);
+        boolean allLaid = laidChunks.cardinality() == set.digests().size();
+        if (allLaid && parts.steadyMillis().getAsLong() >= orderAt(set.model(), held)) {
             verifyAndOrder(set, now);
         }
     }
@@ -218,15 +233,20 @@
                 .orElse(Long.MIN_VALUE);
     }
 
-    private void layAll(ChunkSet set) {
-        laid = Optional.empty();
+    /** Lays the chunks that have come since the last step. */
+    private void layNew(ChunkSet set) {
+        if (laid.filter(set::equals).isEmpty()) {
+            laid = Optional.of(set);
+            laidChunks.clear();
+        }
         for (int i = 0; i < set.digests().size(); i++) {
-            if (!lay(set, i)) {
-                return;
+            if (!laidChunks.get(i) && set.chunk(i).isPresent() && lay(set, i)) {
+                laidChunks.set(i);
+                if (laidChunks.cardinality() == set.digests().size()) {
+                    LOG.info("event=staged model={} version={}", set.model(), set.version());
+                }
             }
         }
-        laid = Optional.of(set);
-        LOG.info("event=staged model={} version={}", set.model(), set.version());
     }
 
     private boolean lay(ChunkSet set, int index) {
