--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -44,13 +44,13 @@
         this.settings = settings;
         this.node = new HostedNode(settings);
         this.self = new Agent(settings.listen().peers(), settings.instance().region());
-        ChunkFetcher fetcher = new ChunkFetcher(
+        ChunkFetcher fetcher = new ChunkFetcher(new ChunkFetcher.Parts(
                 new PeerChunks(node.kept()),
                 new OriginCalls(node.fresh()),
                 () -> view().manifest().flatMap(RouteManifest::origin),
                 () -> new ChunkSources(self, agents()),
                 node.weightPacer()::take,
-                HostedNode::steadyMillis);
+                HostedNode::steadyMillis));
         this.keeper = new ReplicaKeeper(new ReplicaKeeper.Parts(
                 this::model,
                 new EndpointCalls(node.kept(), settings.endpoint().orElseThrow()),
--- a/src/main/java/org/micabarrow/transport/HostedPeerServer.java
+++ b/src/main/java/org/micabarrow/transport/HostedPeerServer.java
@@ -4,11 +4,14 @@
 import io.undertow.io.IoCallback;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
 import java.nio.ByteBuffer;
+import java.util.BitSet;
 import java.util.Deque;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.views.TopicReader.Batch;
@@ -24,10 +27,10 @@
     private static final Logger LOG = LoggerFactory.getLogger(HostedPeerServer.class);
 
     /** How long a request is held for a chunk that is still on its way, in milliseconds: a few chunks' time on a link. */
-    private static final long HELD_MILLIS = 150;
+    private static final long HELD_MILLIS = 500;
 
     /** How often a held request is looked at, in milliseconds: small beside the 50 ms that a chunk takes on a link. */
-    private static final long LOOK_MILLIS = 25;
+    private static final long LOOK_MILLIS = 15;
 
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
@@ -123,28 +126,35 @@
     }
 
     private void chunk(HttpServerExchange exchange, String[] parts) {
-        String model = parts[0];
-        long version = Long.parseLong(parts[1]);
-        int index = Integer.parseInt(parts[2]);
+        Asked asked = new Asked(parts[0], Long.parseLong(parts[1]), PeerChunks.read(parts[2]));
         // Whoever asks for a version has heard that it is wanted; this agent may not have.
-        views.want(model, version);
+        views.want(asked.model(), asked.version());
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HELD_MILLIS);
-        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> look(exchange, model, version, index, until));
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> look(exchange, asked, until));
     }
 
-    private void look(HttpServerExchange exchange, String model, long version, int index, long until) {
-        Optional<byte[]> bytes = sets.set(model, version)
-                .filter(set -> index < set.digests().size())
-                .flatMap(set -> set.chunk(index));
-        if (bytes.isPresent()) {
-            long delay = uplink.delayMillis(bytes.get().length);
-            exchange.getIoThread().executeAfter(() -> send(exchange, bytes.get()), delay, TimeUnit.MILLISECONDS);
+    private record Asked(String model, long version, BitSet indexes) {}
+
+    private void look(HttpServerExchange exchange, Asked asked, long until) {
+        Optional<ChunkSet> set = sets.set(asked.model(), asked.version());
+        OptionalInt index = set.isEmpty()
+                ? OptionalInt.empty()
+                : asked.indexes().stream()
+                        .filter(one -> one < set.get().digests().size())
+                        .filter(one -> set.get().chunk(one).isPresent())
+                        .findFirst();
+        if (index.isPresent()) {
+            give(exchange, index.getAsInt(), set.get().chunk(index.getAsInt()).orElseThrow());
         } else if (System.nanoTime() - until > 0) {
-            fail(exchange, sets.set(model, version).isPresent() ? PeerChunks.FETCHING : NOT_FOUND);
+            fail(exchange, set.isPresent() ? PeerChunks.FETCHING : NOT_FOUND);
         } else {
-            exchange.getIoThread()
-                    .executeAfter(
-                            () -> look(exchange, model, version, index, until), LOOK_MILLIS, TimeUnit.MILLISECONDS);
+            exchange.getIoThread().executeAfter(() -> look(exchange, asked, until), LOOK_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
+
+    private void give(HttpServerExchange exchange, int index, byte[] bytes) {
+        exchange.getResponseHeaders().put(new HttpString(PeerChunks.INDEX), index);
+        long delay = uplink.delayMillis(bytes.length);
+        exchange.getIoThread().executeAfter(() -> send(exchange, bytes), delay, TimeUnit.MILLISECONDS);
+    }
 }
--- a/src/main/java/org/micabarrow/weights/ChunkSources.java
+++ b/src/main/java/org/micabarrow/weights/ChunkSources.java
@@ -5,7 +5,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
-import java.util.stream.IntStream;
 
 /**
  * From whom an agent asks each chunk. For each chunk the agents are ranked by turns, so that all of them agree without a
@@ -15,9 +14,6 @@
  */
 public final class ChunkSources {
 
-    /** By how many chunks the beginnings of two agents differ: any number that shares no factor with usual counts. */
-    private static final int SPREAD = 7;
-
     private final Agent self;
     private final List<Agent> agents;
 
@@ -87,28 +83,4 @@
         }
         return sources;
     }
-
-    /**
-     * The order in which this agent fetches chunks: first those for which others wait.
-     *
-     * @param count how many chunks there are
-     * @return their indexes
-     */
-    public List<Integer> order(int count) {
-        int position = agents.stream().map(Agent::address).sorted().toList().indexOf(self.address());
-        return IntStream.range(0, count)
-                .boxed()
-                .sorted(Comparator.comparingInt(this::depth)
-                        // Each agent begins elsewhere, so that not all ask the same one at the same time.
-                        .thenComparingInt(index -> Math.floorMod(index + position * SPREAD, count)))
-                .toList();
-    }
-
-    /** 0 if all wait for this agent's chunk, 1 if its region does, 2 if at most lower-ranked agents do. */
-    private int depth(int index) {
-        if (first(index).address().equals(self.address())) {
-            return 0;
-        }
-        return ranked(index, self.region()).getFirst().address().equals(self.address()) ? 1 : 2;
-    }
 }
--- a/src/main/java/org/micabarrow/weights/WeightOrigin.java
+++ b/src/main/java/org/micabarrow/weights/WeightOrigin.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import org.micabarrow.state.Result;
 
-/** Where weights come from: the origin, or another agent. */
+/** Where weights come from at first. */
 public interface WeightOrigin {
 
     /**
