--- a/src/main/java/org/micabarrow/transport/HostedPeerServer.java
+++ b/src/main/java/org/micabarrow/transport/HostedPeerServer.java
@@ -137,12 +137,7 @@
 
     private void look(HttpServerExchange exchange, Asked asked, long until) {
         Optional<ChunkSet> set = sets.set(asked.model(), asked.version());
-        OptionalInt index = set.isEmpty()
-                ? OptionalInt.empty()
-                : asked.indexes().stream()
-                        .filter(one -> one < set.get().digests().size())
-                        .filter(one -> set.get().chunk(one).isPresent())
-                        .findFirst();
+        OptionalInt index = set.isEmpty() ? OptionalInt.empty() : set.get().give(asked.indexes());
         if (index.isPresent()) {
             give(exchange, index.getAsInt(), set.get().chunk(index.getAsInt()).orElseThrow());
         } else if (System.nanoTime() - until > 0) {
--- a/src/main/java/org/micabarrow/transport/PeerChunks.java
+++ b/src/main/java/org/micabarrow/transport/PeerChunks.java
@@ -30,7 +30,7 @@
     static final int FETCHING = 503;
 
     /** How long a peer may take: it holds a question for a while, and its link serves several askers in turn. */
-    private static final Duration WITHIN = Duration.ofMillis(2_500);
+    private static final Duration WITHIN = Duration.ofMillis(1_500);
 
     private static final int OK = 200;
 
--- a/src/main/java/org/micabarrow/weights/ChunkSet.java
+++ b/src/main/java/org/micabarrow/weights/ChunkSet.java
@@ -1,13 +1,14 @@
 package org.micabarrow.weights;
 
 import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicIntegerArray;
 import org.micabarrow.state.Digest;
 
 /**
@@ -19,6 +20,7 @@
     private final long version;
     private final List<String> digests;
     private final List<CompletableFuture<byte[]>> chunks = new ArrayList<>();
+    private final AtomicIntegerArray given;
 
     /**
      * Makes an empty set.
@@ -31,6 +33,7 @@
         this.model = Objects.requireNonNull(model, "model is null");
         this.version = version;
         this.digests = List.copyOf(digests);
+        this.given = new AtomicIntegerArray(this.digests.size());
         this.digests.forEach(digest -> chunks.add(new CompletableFuture<>()));
     }
 
@@ -100,21 +103,21 @@
     }
 
     /**
-     * Waits for a chunk.
+     * Takes, of some chunks, the one that was given away least often, so that askers get different ones and can exchange
+     * them.
      *
-     * @param index which one
-     * @param millis the longest wait
-     * @return its bytes, empty if it did not come in time
-     * @throws InterruptedException if the thread is interrupted
+     * @param wanted which chunks would do
+     * @return the chunk's index, empty if none of them is here
      */
-    public Optional<byte[]> await(int index, long millis) throws InterruptedException {
-        try {
-            return Optional.of(chunks.get(index).get(millis, TimeUnit.MILLISECONDS));
-        } catch (TimeoutException e) {
-            return Optional.empty();
-        } catch (ExecutionException e) {
-            throw new IllegalStateException("a chunk never fails", e);
-        }
+    public OptionalInt give(BitSet wanted) {
+        OptionalInt index = wanted.stream()
+                .filter(one -> one < chunks.size() && chunk(one).isPresent())
+                .boxed()
+                .min(Comparator.comparingInt(given::get))
+                .map(OptionalInt::of)
+                .orElse(OptionalInt.empty());
+        index.ifPresent(given::incrementAndGet);
+        return index;
     }
 
     /**
--- a/src/main/java/org/micabarrow/weights/ChunkSources.java
+++ b/src/main/java/org/micabarrow/weights/ChunkSources.java
@@ -47,20 +47,24 @@
                 .toList();
     }
 
-    /** A region's agents in the order in which they take up a chunk. */
-    private List<Agent> ranked(int index, String region) {
-        List<Agent> all = new ArrayList<>(of(region));
-        Collections.rotate(all, -(index % all.size()));
+    /** This region's agents in the order in which they take up a chunk; the agent that fetches it from the origin leads. */
+    private List<Agent> ranked(int index) {
+        List<Agent> all = new ArrayList<>(of(self.region()));
+        int lead = all.indexOf(first(index));
+        Collections.rotate(all, lead >= 0 ? -lead : -(index % all.size()));
         return all;
     }
 
-    /** The agent that fetches a chunk from the origin. */
+    /**
+     * The agent that fetches a chunk from the origin: all agents are gone through region by region in turn, so that each
+     * gets its part. This must not depend on which agent asks.
+     */
     private Agent first(int index) {
         List<String> regions =
                 agents.stream().map(Agent::region).distinct().sorted().toList();
-        // The second part shifts the pairing after each round of a region's agents, so that all of them get their turn.
-        int turn = index + index / of(self.region()).size();
-        return ranked(index, regions.get(turn % regions.size())).getFirst();
+        String region = regions.get(index % regions.size());
+        List<Agent> all = of(region);
+        return all.get(index / regions.size() % all.size());
     }
 
     /**
@@ -71,7 +75,7 @@
      */
     public List<String> of(int index) {
         List<String> sources = new ArrayList<>();
-        for (Agent agent : ranked(index, self.region())) {
+        for (Agent agent : ranked(index)) {
             if (agent.address().equals(self.address())) {
                 break;
             }
@@ -83,4 +87,16 @@
         }
         return sources;
     }
+
+    /**
+     * The other agents of this one's region.
+     *
+     * @return their addresses
+     */
+    public List<String> near() {
+        return of(self.region()).stream()
+                .map(Agent::address)
+                .filter(address -> !address.equals(self.address()))
+                .toList();
+    }
 }
--- a/src/main/java/org/micabarrow/weights/FetchRun.java
+++ b/src/main/java/org/micabarrow/weights/FetchRun.java
@@ -22,13 +22,13 @@
     private static final Logger LOG = LoggerFactory.getLogger(FetchRun.class);
 
     /** How long an agent that did not answer is passed over, in milliseconds. */
-    private static final long PASSED_OVER_MILLIS = 3_000;
+    private static final long PASSED_OVER_MILLIS = 8_000;
 
     /**
      * How long to wait for an agent that is fetching itself, in milliseconds: a version takes some three seconds on an
      * agent's link, and another copy from the origin costs more than the wait.
      */
-    private static final long FETCHING_MILLIS = 2_500;
+    private static final long FETCHING_MILLIS = 3_500;
 
     /** How long to wait for an agent that has not begun to fetch, in milliseconds: it may just hear later. */
     private static final long UNAWARE_MILLIS = 700;
@@ -58,6 +58,7 @@
     void run() throws InterruptedException {
         while (!set.complete() && wanted.get()) {
             ChunkSources sources = parts.sources().get();
+            sources.near().stream().filter(agent -> !silent(agent)).forEach(this::ask);
             for (int i = 0; i < positions.length(); i++) {
                 if (set.chunk(i).isEmpty()) {
                     ask(source(sources, i));
@@ -92,13 +93,16 @@
 
     private BitSet wantedFrom(String source) {
         ChunkSources sources = parts.sources().get();
-        BitSet indexes = new BitSet();
+        BitSet own = new BitSet();
+        BitSet missing = new BitSet();
         for (int i = 0; i < positions.length(); i++) {
-            if (set.chunk(i).isEmpty() && source(sources, i).equals(source)) {
-                indexes.set(i);
+            if (set.chunk(i).isEmpty()) {
+                missing.set(i);
+                own.set(i, source(sources, i).equals(source));
             }
         }
-        return indexes;
+        // An agent nearby that has given all that is wanted from it may have what a slower one still owes.
+        return own.isEmpty() && sources.near().contains(source) && !silent(source) ? missing : own;
     }
 
     private long now() {
@@ -178,10 +182,17 @@
         };
         if (goOn) {
             missed(source, indexes.cardinality(), fault.toString());
-            indexes.stream().forEach(positions::incrementAndGet);
+            ChunkSources sources = parts.sources().get();
+            indexes.stream().filter(i -> isPresent(sources, i, source)).forEach(positions::incrementAndGet);
         }
     }
 
+    private boolean isPresent(ChunkSources sources, int index, String source) {
+        List<String> agents = sources.of(index);
+        int position = positions.get(index);
+        return position < agents.size() && agents.get(position).equals(source);
+    }
+
     private void missed(String source, int chunks, String why) {
         LOG.info(
                 "event=chunks_missed model={} version={} chunks={} from={} why=\"{}\"",
