--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -33,7 +33,10 @@
     private static final Duration ENDPOINTS_REST = Duration.ofSeconds(3);
 
     /** How often the endpoint beside the agent is asked for its report, in milliseconds; it answers its own for free. */
-    private static final long REPORT_MILLIS = 200;
+    private static final long REPORT_MILLIS = 150;
+
+    /** How often the agent looks whether there is something to fetch or to order, in milliseconds: a chunk's time. */
+    private static final long LOOK_MILLIS = 50;
 
     private final HostedSettings settings;
     private final HostedNode node;
@@ -80,9 +83,9 @@
         HttpListener.Bounds usual = HttpListener.Bounds.usual();
         HttpListener.on(settings.listen().peers(), usual, node.worker(), peers);
         HttpListener.on(settings.listen().metrics(), usual, node.worker(), peers);
-        run("report", keeper::refresh);
-        run("fetch", keeper::fetch);
-        run("replica", keeper::step);
+        run("report", REPORT_MILLIS, keeper::refresh);
+        run("fetch", LOOK_MILLIS, keeper::fetch);
+        run("replica", LOOK_MILLIS, keeper::step);
         LoadServer.start(settings.listen().peers(), this::told, HostedNode::steadyMillis);
         LOG.info("event=started role=agent instance={}", settings.instance().id());
     }
@@ -92,13 +95,13 @@
         void take() throws InterruptedException;
     }
 
-    private static void run(String name, Step step) {
+    private static void run(String name, long restMillis, Step step) {
         Thread thread = new Thread(
                 () -> {
                     try {
                         while (true) {
                             step.take();
-                            Thread.sleep(REPORT_MILLIS);
+                            Thread.sleep(restMillis);
                         }
                     } catch (InterruptedException e) {
                         LOG.info("event=thread_stopped thread={}", name);
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -45,7 +45,7 @@
      * The part of the link that weights may take. Requests and answers need a few hundredths of it; what is paced below the
      * link's rate leaves them a queue of one or two chunks.
      */
-    private static final double WEIGHTS_SHARE = 0.92;
+    private static final double WEIGHTS_SHARE = 0.96;
 
     private final HostedSettings settings;
     private final MetricRegistry metrics = new MetricRegistry();
--- a/src/main/java/org/micabarrow/weights/OrderTimes.java
+++ b/src/main/java/org/micabarrow/weights/OrderTimes.java
@@ -7,10 +7,10 @@
 public final class OrderTimes {
 
     /** The part of the bound before which no order is given: until then chunks are still on their way. */
-    private static final double FIRST_PART = 0.55;
+    private static final double FIRST_PART = 0.45;
 
     /** The part of the bound by which the last order must have been given. */
-    private static final double LAST_PART = 0.85;
+    private static final double LAST_PART = 0.8;
 
     private OrderTimes() {}
 
--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -32,6 +32,9 @@
     /** How many versions are kept: the one that the endpoint holds, and two that were named soon after one another. */
     private static final int SETS_KEPT = 3;
 
+    /** The pause after nobody could tell a version's digests, in milliseconds; the origin may be down for seconds. */
+    private static final long DIGESTS_AGAIN_MILLIS = 300;
+
     private final Parts parts;
     private final Deque<ChunkSet> sets = new ArrayDeque<>();
     private final AtomicReference<Optional<Report>> report = new AtomicReference<>(Optional.empty());
@@ -155,8 +158,10 @@
             return;
         }
         switch (setFor(model.get(), wanted)) {
-            case Result.Failure<ChunkSet>(Fault fault) ->
+            case Result.Failure<ChunkSet>(Fault fault) -> {
                 LOG.warn("event=digests_missed model={} version={} why=\"{}\"", model.get(), wanted, fault);
+                Thread.sleep(DIGESTS_AGAIN_MILLIS);
+            }
             case Result.Success<ChunkSet>(ChunkSet set) -> {
                 if (!set.complete()) {
                     parts.fetcher().fetch(set, () -> wanted(model.get()) == wanted || worthFinishing(set));
