Silent endpoints are really passed over; an endpoint too late for a version stops serving the older; tests

The filter for silent agents had not been in force (its test was red: chosen a, expected b), which is why requests went to a frozen machine for seconds. Broken bodies of the store are faults (two table rows were red: they ended the follower's thread). Dropped entries are doubted for 2.3 s after the store was away.

--- a/src/main/java/org/micabarrow/platform/EndpointCalls.java
+++ b/src/main/java/org/micabarrow/platform/EndpointCalls.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.IntSupplier;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
@@ -33,16 +34,19 @@
 
     private final HttpCaller caller;
     private final String base;
+    private final IntSupplier totalLayers;
 
     /**
      * Makes a client.
      *
      * @param caller sends its requests
      * @param address the endpoint's host and port
+     * @param totalLayers how many layers the model has, 0 while that is not known
      */
-    public EndpointCalls(HttpCaller caller, String address) {
+    public EndpointCalls(HttpCaller caller, String address, IntSupplier totalLayers) {
         this.caller = Objects.requireNonNull(caller, "caller is null");
         this.base = "http://" + Objects.requireNonNull(address, "address is null");
+        this.totalLayers = Objects.requireNonNull(totalLayers, "totalLayers is null");
     }
 
     @Override
@@ -60,14 +64,22 @@
         });
     }
 
-    private static Report report(JsonNode json) {
+    /** The range of layers held ends before "target_version", which is no version. */
+    private Report report(JsonNode json) {
         Map<String, Long> models = new HashMap<>();
         json.path("models")
                 .forEach(model -> models.put(
                         model.path("name").asText(), model.path("version").asLong()));
+        int layers = json.path("layers").path("target_version").asInt(0);
+        long partial = 0;
+        if (json.has("layers") && layers < totalLayers.getAsInt()) {
+            partial = json.path("layers").path("version").asLong();
+            models.clear();
+        }
         // "sequence" counts the orders taken.
         return new Report(
                 models,
+                partial,
                 json.path("busy").asBoolean(false),
                 json.path("sequence").asLong(0),
                 json.path("queued").asInt(0),
@@ -110,12 +122,29 @@
 
     @Override
     public Result<OrderEnd> start(String model, long version, long ordersSeen) {
+        return order(startOrder(model, version, ordersSeen));
+    }
+
+    @Override
+    public Result<OrderEnd> startLayers(String model, long version, int layers, long ordersSeen) {
+        ObjectNode order = startOrder(model, version, ordersSeen);
+        order.put("from", 0);
+        // The end of the range of layers, not a version.
+        order.put("target_version", layers);
+        return order(order);
+    }
+
+    private static ObjectNode startOrder(String model, long version, long ordersSeen) {
         ObjectNode order = CanonicalJson.mapper().createObjectNode();
         order.put("operation", "start");
         order.put("model", model);
         order.put("version", version);
         order.put("mode", "queue");
         order.put("expected_revision", ordersSeen);
+        return order;
+    }
+
+    private Result<OrderEnd> order(ObjectNode order) {
         HttpCall call = HttpCall.post(Step.ORDER, URI.create(base + WireNames.ORDER), CanonicalJson.write(order))
                 .withHeader("Content-Type", "application/json");
         return caller.call(call, WITHIN).flatMap(answer -> switch (answer.status()) {
--- a/src/main/java/org/micabarrow/platform/StoreClient.java
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -146,7 +146,7 @@
                         call.step(), call.peer(), Reason.CORRUPT, "the topic ends at " + end + ", before " + from));
             }
             return Result.success(new Read.Records(new Batch(records, offset)));
-        } catch (BufferUnderflowException | IllegalArgumentException e) {
+        } catch (BufferUnderflowException | IllegalArgumentException | IndexOutOfBoundsException e) {
             return Result.failure(
                     Fault.of(call.step(), call.peer(), Reason.CORRUPT, "the answer breaks off within a record"));
         }
@@ -155,6 +155,9 @@
     /** A keyed record: the length of all that follows, the length of the key, the key, the value. */
     private static StoredRecord keyed(ByteBuffer bytes, long offset) {
         int length = bytes.getInt();
+        if (length > bytes.remaining()) {
+            throw new BufferUnderflowException();
+        }
         byte[] record = new byte[length];
         bytes.get(record);
         int keyLength = record[0] & 0xFF;
--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -182,7 +182,9 @@
                     json.path("zone").asText(""),
                     json.path("slots").asInt(1),
                     json.path("state").asText("").equals("draining"),
-                    models);
+                    models,
+                    // The end of the range of layers held, not a version.
+                    json.path("layers").path("target_version").asInt(Integer.MAX_VALUE));
         });
     }
 }
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -56,7 +56,8 @@
                 HostedNode::steadyMillis));
         this.keeper = new ReplicaKeeper(new ReplicaKeeper.Parts(
                 this::model,
-                new EndpointCalls(node.kept(), settings.endpoint().orElseThrow()),
+                this::layers,
+                new EndpointCalls(node.kept(), settings.endpoint().orElseThrow(), this::layers),
                 fetcher,
                 this::view,
                 this::place,
@@ -127,11 +128,18 @@
         return node.views().view();
     }
 
-    private Optional<String> model() {
+    private Optional<ModelService> modelService() {
         return view().manifest()
                 .flatMap(manifest -> manifest.service(settings.service().orElse("")))
-                .flatMap(RouteManifest.Service::model)
-                .map(ModelService::model);
+                .flatMap(RouteManifest.Service::model);
+    }
+
+    private Optional<String> model() {
+        return modelService().map(ModelService::model);
+    }
+
+    private int layers() {
+        return modelService().map(ModelService::layers).orElse(0);
     }
 
     /** The agents beside all endpoints of this agent's service; they listen at the same port on every instance. */
--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -124,7 +124,7 @@
         List<EndpointEntry> able =
                 candidates.stream().filter(one -> able(one, wanted, nowMillis)).toList();
         List<EndpointEntry> well =
-                able.stream().filter(one -> !load(one.id()).excluded(nowMillis)).toList();
+                able.stream().filter(one -> well(one, nowMillis)).toList();
         List<EndpointEntry> pool = well.isEmpty() ? able : well;
         if (pool.isEmpty()) {
             return new Choice.None();
@@ -148,10 +148,16 @@
         return held > 0 && held >= wanted.leastVersion() && !load(endpoint.id()).loading(nowMillis);
     }
 
+    private boolean well(EndpointEntry endpoint, long nowMillis) {
+        EndpointLoad load = load(endpoint.id());
+        long patience = near(endpoint) ? NEAR_SILENCE_MILLIS : FAR_SILENCE_MILLIS;
+        return !load.excluded(nowMillis) && !load.silent(patience, nowMillis);
+    }
+
     private long version(EndpointEntry endpoint, ModelService model) {
-        return Math.max(
-                endpoint.models().getOrDefault(model.model(), 0L),
-                load(endpoint.id()).version());
+        long entered =
+                endpoint.layers() < model.layers() ? 0 : endpoint.models().getOrDefault(model.model(), 0L);
+        return Math.max(entered, load(endpoint.id()).version());
     }
 
     private boolean hasRoom(EndpointEntry endpoint, Wanted wanted, long nowMillis) {
--- a/src/main/java/org/micabarrow/routing/EndpointEntry.java
+++ b/src/main/java/org/micabarrow/routing/EndpointEntry.java
@@ -13,6 +13,7 @@
  * @param slots how many requests it runs at once
  * @param leaving whether it takes no new requests
  * @param models the weight version it held of each model when it wrote the entry
+ * @param layers how many layers it held then; the greatest number if it does not tell
  */
 public record EndpointEntry(
         String id,
@@ -21,7 +22,8 @@
         String dataHall,
         int slots,
         boolean leaving,
-        Map<String, Long> models) {
+        Map<String, Long> models,
+        int layers) {
 
     /** Copies the models. */
     public EndpointEntry {
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -23,10 +23,11 @@
 final class ServingParts {
 
     /**
-     * When a client that was refused for want of room is told to come back, in milliseconds. An endpoint frees a slot
-     * within a second or so; sooner would find the same queue, later would miss the objective.
+     * The part of its remaining time after which a refused client is told to come back. Its objective counts anew from
+     * then, so late is as good as soon, and a queue or a weight version that is being taken up needs a second or two; clients
+     * heed up to a third.
      */
-    private static final long COME_BACK_MILLIS = 700;
+    private static final double COME_BACK_PART = 0.3;
 
     private final Supplier<View> view;
     private final EndpointChoice choice;
@@ -142,7 +143,7 @@
     }
 
     long comeBackMillis(ClientRequest request) {
-        return Math.min(COME_BACK_MILLIS, Math.max(1, (request.deadlineMillis() - nowMillis()) / 4));
+        return Math.max(1, Math.round((request.deadlineMillis() - nowMillis()) * COME_BACK_PART));
     }
 
     /** The view that decisions are made on, for the log. */
--- a/src/main/java/org/micabarrow/views/StoreFollower.java
+++ b/src/main/java/org/micabarrow/views/StoreFollower.java
@@ -78,12 +78,10 @@
      * @return how long to wait before the next read, in milliseconds
      */
     public long once() {
+        keeper.settleDoubts();
         Result<Long> rest = loaded ? readOn() : load();
         return switch (rest) {
-            case Result.Success<Long>(Long millis) -> {
-                regained();
-                yield millis;
-            }
+            case Result.Success<Long>(Long millis) -> millis;
             case Result.Failure<Long>(Fault fault) -> {
                 lost(fault);
                 askPeer.accept(topic);
@@ -94,6 +92,7 @@
 
     private Result<Long> load() {
         return reader.newest(topic).map(batch -> {
+            regained();
             keeper.replace(topic, batch.records(), batch.end());
             loaded = true;
             return 0L;
@@ -102,7 +101,14 @@
 
     private Result<Long> readOn() {
         Duration wait = reachable ? pace.hold() : Duration.ZERO;
-        return reader.read(topic, keeper.end(topic), wait).map(read -> switch (read) {
+        return reader.read(topic, keeper.end(topic), wait).map(read -> {
+            regained();
+            return take(read);
+        });
+    }
+
+    private long take(TopicReader.Read read) {
+        return switch (read) {
             case TopicReader.Read.Records(TopicReader.Batch batch) -> {
                 keeper.apply(topic, batch.records(), batch.end());
                 yield batch.records().isEmpty() ? 0L : pace.rest().toMillis();
@@ -112,7 +118,7 @@
                 loaded = false;
                 yield 0L;
             }
-        });
+        };
     }
 
     private void lost(Fault fault) {
@@ -125,6 +131,7 @@
     private void regained() {
         if (!reachable) {
             LOG.info("event=store_regained topic={} end={}", topic, keeper.end(topic));
+            keeper.regained(topic);
         }
         reachable = true;
     }
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -24,9 +24,17 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(ViewKeeper.class);
 
+    /**
+     * How long after the store was away a dropped entry is doubted, in milliseconds. Entries lapse while endpoints cannot
+     * write; one whose endpoint lives is written again within two seconds of the store's return.
+     */
+    private static final long DOUBT_MILLIS = 2_300;
+
     private final RecordDecoder decoder;
     private final LongSupplier steadyMillis;
     private final Map<Topic, TopicCopy> copies = new HashMap<>();
+    private final Map<String, Long> doubted = new HashMap<>();
+    private long endpointsRegainedMillis = Long.MIN_VALUE / 2;
     private volatile View view = View.empty();
 
     /**
@@ -105,6 +113,34 @@
         return copies.get(topic).since(offset);
     }
 
+    /**
+     * The store answers again after it did not.
+     *
+     * @param topic the topic that can be read again
+     */
+    public synchronized void regained(Topic topic) {
+        if (topic == Topic.ENDPOINTS) {
+            endpointsRegainedMillis = steadyMillis.getAsLong();
+        }
+    }
+
+    /** Removes endpoints whose entries were doubted and have not come back in time. */
+    public synchronized void settleDoubts() {
+        long now = steadyMillis.getAsLong();
+        Map<String, EndpointEntry> endpoints = new HashMap<>(view.endpoints());
+        boolean removed = doubted.entrySet().removeIf(one -> {
+            if (now < one.getValue()) {
+                return false;
+            }
+            endpoints.remove(one.getKey());
+            LOG.info("event=endpoint_gone endpoint={} after=doubt", one.getKey());
+            return true;
+        });
+        if (removed) {
+            view = new View(view.manifest(), view.manifestOffset(), endpoints, view.targets());
+        }
+    }
+
     // -- views
 
     private void publish(Topic topic, List<StoredRecord> news) {
@@ -170,7 +206,22 @@
         changed.forEach(LOG::info);
     }
 
+    private boolean doubtful(String id, Map<String, EndpointEntry> endpoints) {
+        EndpointEntry known = endpoints.get(id);
+        long until = endpointsRegainedMillis + DOUBT_MILLIS;
+        if (known == null || known.leaving() || steadyMillis.getAsLong() >= until) {
+            return false;
+        }
+        doubted.put(id, until);
+        return true;
+    }
+
     private void endpointSaid(StoredRecord record, Map<String, EndpointEntry> endpoints, List<String> changed) {
+        if (record.dropped() && doubtful(record.key(), endpoints)) {
+            changed.add("event=endpoint_doubted endpoint=" + record.key() + " offset=" + record.offset());
+            return;
+        }
+        doubted.remove(record.key());
         if (record.dropped()) {
             if (endpoints.remove(record.key()) != null) {
                 changed.add("event=endpoint_gone endpoint=" + record.key() + " offset=" + record.offset());
--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.micabarrow.state.Fault;
@@ -32,6 +33,9 @@
     /** How many versions are kept: the one that the endpoint holds, and two that were named soon after one another. */
     private static final int SETS_KEPT = 3;
 
+    /** The part of the bound after which an endpoint whose newer version is not here whole must stop serving the older. */
+    private static final double RETIRE_PART = 0.92;
+
     /** The pause after nobody could tell a version's digests, in milliseconds; the origin may be down for seconds. */
     private static final long DIGESTS_AGAIN_MILLIS = 300;
 
@@ -45,6 +49,7 @@
      * What a keeper works with.
      *
      * @param model the model that the endpoint runs, once the manifest is known
+     * @param layers how many layers the model has, 0 while that is not known
      * @param endpoint the endpoint
      * @param fetcher fetches chunks
      * @param view what is believed of the store
@@ -54,6 +59,7 @@
      */
     public record Parts(
             Supplier<Optional<String>> model,
+            IntSupplier layers,
             ModelEndpoint endpoint,
             ChunkFetcher fetcher,
             Supplier<View> view,
@@ -217,11 +223,39 @@
     private void advance(ChunkSet set, long held, Report now) {
         layNew(set);
         boolean allLaid = laidChunks.cardinality() == set.digests().size();
-        if (allLaid && parts.steadyMillis().getAsLong() >= orderAt(set.model(), held)) {
+        if (!allLaid && held > 0 && tooLate(set.model(), held)) {
+            retire(set, now);
+        } else if (allLaid && parts.steadyMillis().getAsLong() >= orderAt(set.model(), held)) {
             verifyAndOrder(set, now);
         }
     }
 
+    /** Whether the endpoint must stop serving the version that it holds, although a newer one is not here whole. */
+    private boolean tooLate(String model, long held) {
+        long margin = Math.round(parts.boundMillis() * RETIRE_PART);
+        return parts.view()
+                        .get()
+                        .leastVersion(model, margin, parts.steadyMillis().getAsLong())
+                > held;
+    }
+
+    /** Makes the endpoint take up the first layers of the newer version, so that it serves the older one no more. */
+    private void retire(ChunkSet set, Report now) {
+        int complete = laidChunks.nextClearBit(0);
+        for (int i = 0; i < complete; i++) {
+            if (!lay(set, i)) {
+                return;
+            }
+        }
+        int layers = complete * parts.layers().getAsInt() / set.digests().size();
+        if (layers == 0) {
+            return;
+        }
+        Result<OrderEnd> end = parts.endpoint().startLayers(set.model(), set.version(), layers, now.orders());
+        LOG.warn("event=retired model={} towards={} layers={} end={}", set.model(), set.version(), layers, end);
+        refresh();
+    }
+
     /** When to order: at once if the endpoint serves nothing, else at this agent's turn. */
     private long orderAt(String model, long held) {
         if (held == 0) {
--- /dev/null
+++ b/src/test/java/org/micabarrow/attempts/AttemptPolicyTest.java
@@ -0,0 +1,49 @@
+package org.micabarrow.attempts;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.micabarrow.routing.RequestKind;
+import org.micabarrow.routing.Route;
+
+/** Which requests are sent again. */
+class AttemptPolicyTest {
+
+    private static Route route(RequestKind kind, int attempts) {
+        return new Route("r", "h", "/", List.of(new Route.Share("s", 1)), kind, 1_000, 500, 0, attempts, false);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "AT_MOST_ONCE,     false, 1, 1000, true",
+        "AT_MOST_ONCE,     true,  1, 1000, false",
+        "STREAM,           true,  1, 1000, false",
+        "STREAM,           false, 1, 1000, true",
+        "RESUMABLE_STREAM, true,  1, 1000, true",
+        "IDEMPOTENT,       true,  1, 1000, true",
+        "IDEMPOTENT,       true,  2, 1000, false",
+        "IDEMPOTENT,       false, 1, 10,   false"
+    })
+    void shouldDecideByKindAndTime(RequestKind kind, boolean mayHaveRun, int sendings, long left, boolean again) {
+        AttemptPolicy.Progress progress = new AttemptPolicy.Progress(sendings, mayHaveRun, left);
+        assertEquals(again, AttemptPolicy.again(route(kind, 2), progress, () -> true));
+    }
+
+    @Test
+    void shouldTakeNothingFromBudgetWhenRequestMayNotRunAgain() {
+        AtomicInteger taken = new AtomicInteger();
+        AttemptPolicy.Progress progress = new AttemptPolicy.Progress(1, true, 1_000);
+        AttemptPolicy.again(route(RequestKind.AT_MOST_ONCE, 2), progress, () -> taken.incrementAndGet() > 0);
+        assertEquals(0, taken.get());
+    }
+
+    @Test
+    void shouldStopWhenBudgetIsSpent() {
+        AttemptPolicy.Progress progress = new AttemptPolicy.Progress(1, false, 1_000);
+        assertEquals(false, AttemptPolicy.again(route(RequestKind.IDEMPOTENT, 2), progress, () -> false));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/micabarrow/attempts/EventSplitterTest.java
@@ -0,0 +1,67 @@
+package org.micabarrow.attempts;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** Streams are passed on event by event. */
+class EventSplitterTest {
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void shouldHoldBackEventThatIsNotWhole() {
+        EventSplitter splitter = new EventSplitter();
+        assertEquals("id: 1\ndata: a\n\n", new String(splitter.whole(bytes("id: 1\ndata: a\n\nid: 2\nda"))));
+        assertEquals(Optional.of("1"), splitter.lastId());
+        assertEquals("id: 2\nda", new String(splitter.remainder()));
+    }
+
+    @Test
+    void shouldKnowCarriageReturns() {
+        EventSplitter splitter = new EventSplitter();
+        assertEquals(15, splitter.whole(bytes("id:7\r\ndata:\r\n\r\nx")).length);
+        assertEquals(Optional.of("7"), splitter.lastId());
+    }
+
+    @Test
+    void shouldForgetRemainderWhenItsConnectionBroke() {
+        EventSplitter splitter = new EventSplitter();
+        splitter.whole(bytes("id: 1\n\nid: 2\nbroken"));
+        splitter.dropRemainder();
+        assertEquals("id: 2\nwhole\n\n", new String(splitter.whole(bytes("id: 2\nwhole\n\n"))));
+    }
+
+    /** However the bytes are cut, what comes out is what went in, and every part ends at an event's end. */
+    @Property(seed = "11", tries = 300)
+    void shouldPassEverythingOnHoweverItIsCut(
+            @ForAll @IntRange(min = 1, max = 6) int events, @ForAll @IntRange(min = 1, max = 9) int cut) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 1; i <= events; i++) {
+            text.append("id: ")
+                    .append(i)
+                    .append("\ndata: ")
+                    .append("x".repeat(i))
+                    .append("\n\n");
+        }
+        byte[] all = bytes(text.toString());
+        EventSplitter splitter = new EventSplitter();
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        for (int at = 0; at < all.length; at += cut) {
+            byte[] part = splitter.whole(Arrays.copyOfRange(all, at, Math.min(all.length, at + cut)));
+            assertEquals(true, part.length == 0 || new String(part).endsWith("\n\n"));
+            out.writeBytes(part);
+        }
+        assertEquals(text.toString(), out.toString());
+        assertEquals(Optional.of(Integer.toString(events)), splitter.lastId());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/micabarrow/platform/StoreClientTest.java
@@ -0,0 +1,167 @@
+package org.micabarrow.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.undertow.io.IoCallback;
+import io.undertow.server.HttpHandler;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.micabarrow.standin.HostedStoreStandin;
+import org.micabarrow.standin.HostedSystem;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Result;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.HttpListener;
+import org.micabarrow.views.StoredRecord;
+import org.micabarrow.views.TopicReader.Batch;
+import org.micabarrow.views.TopicReader.Read;
+import org.micabarrow.views.ViewKeeper.Topic;
+
+/** The contract with the platform's store, in its good and its bad answers. */
+class StoreClientTest {
+
+    private static final String OPERATOR = "keyed.op";
+
+    private final HostedStoreStandin store = new HostedStoreStandin();
+    private HttpCaller caller;
+    private HttpListener listener;
+    private StoreClient client;
+
+    @BeforeEach
+    void start() throws Exception {
+        caller = HttpCaller.start("test", 1);
+        client = serve(store);
+    }
+
+    private StoreClient serve(HttpHandler handler) throws Exception {
+        String address = HostedSystem.freeAddress();
+        listener = HttpListener.start(address, HttpListener.Bounds.usual(), 1, Optional.empty(), handler);
+        return new StoreClient(caller, address);
+    }
+
+    @AfterEach
+    void stop() {
+        caller.close();
+        listener.close();
+    }
+
+    private static List<String> keys(Batch batch) {
+        return batch.records().stream().map(StoredRecord::key).toList();
+    }
+
+    private Batch newest() {
+        return client.newest(Topic.OPERATOR).toOptional().orElseThrow();
+    }
+
+    @Test
+    void shouldReadNewestRecordOfEachKeyOverAllPages() {
+        store.pageSize(2);
+        for (String key : List.of("a", "b", "c", "d", "e", "a")) {
+            store.append(OPERATOR, key, "value of " + key);
+        }
+        store.append(OPERATOR, "b", "");
+        Batch batch = newest();
+        assertEquals(List.of("a", "c", "d", "e"), keys(batch));
+        assertEquals(5, batch.records().getFirst().offset());
+        assertEquals(7, batch.end());
+    }
+
+    @Test
+    void shouldReadOnFromAnOffset() {
+        store.append(OPERATOR, "a", "1");
+        store.append(OPERATOR, "b", "2");
+        Read read = client.read(Topic.OPERATOR, 1, Duration.ZERO).toOptional().orElseThrow();
+        Batch batch = assertInstanceOf(Read.Records.class, read).batch();
+        assertEquals(List.of("b"), keys(batch));
+        assertEquals(1, batch.records().getFirst().offset());
+        assertEquals(2, batch.end());
+    }
+
+    @Test
+    void shouldReadDroppedKeyAsRecordWithoutValue() {
+        store.append(OPERATOR, "a", "");
+        Read read = client.read(Topic.OPERATOR, 0, Duration.ZERO).toOptional().orElseThrow();
+        assertTrue(assertInstanceOf(Read.Records.class, read)
+                .batch()
+                .records()
+                .getFirst()
+                .dropped());
+    }
+
+    @Test
+    void shouldAnswerEmptyWhenNothingComesInTime() {
+        Read read = client.read(Topic.OPERATOR, 0, Duration.ofMillis(50))
+                .toOptional()
+                .orElseThrow();
+        assertEquals(
+                List.of(), assertInstanceOf(Read.Records.class, read).batch().records());
+    }
+
+    @Test
+    void shouldSayExpiredWhenHistoryIsGone() {
+        store.append(OPERATOR, "a", "1");
+        store.append(OPERATOR, "a", "2");
+        store.forgetHistory(OPERATOR);
+        Read read = client.read(Topic.OPERATOR, 0, Duration.ZERO).toOptional().orElseThrow();
+        assertInstanceOf(Read.Expired.class, read);
+        assertEquals(List.of("a"), keys(newest()));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {429, 503, 500, 400})
+    void shouldFailWhenStoreRefuses(int status) {
+        store.refuse(Optional.of(status));
+        assertTrue(client.newest(Topic.OPERATOR).cause().isPresent());
+        assertTrue(client.read(Topic.OPERATOR, 0, Duration.ZERO).cause().isPresent());
+    }
+
+    @Test
+    void shouldFailInTimeWhenStoreIsSilent() {
+        store.silent(true);
+        assertEquals(
+                Fault.Reason.TIMEOUT,
+                client.read(Topic.OPERATOR, 0, Duration.ZERO)
+                        .cause()
+                        .orElseThrow()
+                        .reason());
+    }
+
+    /** Broken bodies: a head that is too short, a record that is cut, a key longer than its record, an end too early. */
+    @ParameterizedTest
+    @CsvSource({
+        "00000000",
+        "00000000000000010000000000000000000000ff0161",
+        "00000000000000010000000000000000000000010561",
+        "0000000000000001000000000000000000000000"
+    })
+    void shouldFailWhenBodyIsBroken(String hex) throws Exception {
+        stop();
+        caller = HttpCaller.start("test", 1);
+        client = serve(exchange -> exchange.getResponseSender()
+                .send(ByteBuffer.wrap(HexFormat.of().parseHex(hex)), IoCallback.END_EXCHANGE));
+        Result<Read> read = client.read(Topic.OPERATOR, 0, Duration.ZERO);
+        assertEquals(Fault.Reason.CORRUPT, read.cause().orElseThrow().reason());
+    }
+
+    @Test
+    void shouldFailWhenTopicEndsBeforeWhatIsKnown() {
+        store.append(OPERATOR, "a", "1");
+        assertEquals(
+                Fault.Reason.CORRUPT,
+                client.read(Topic.OPERATOR, 9, Duration.ZERO)
+                        .cause()
+                        .orElseThrow()
+                        .reason());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
@@ -0,0 +1,121 @@
+package org.micabarrow.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.micabarrow.routing.EndpointChoice.Choice;
+import org.micabarrow.routing.EndpointChoice.Wanted;
+import org.micabarrow.routing.EndpointLoad.Told;
+
+/** Where requests are sent. */
+class EndpointChoiceTest {
+
+    private static final ModelService MODEL = new ModelService("m", 4, 20, 10, 0, 5, 16, 64, 32_768);
+    private static final long NOW = 100_000;
+
+    private final EndpointChoice choice = new EndpointChoice("r1", Map.of("h1", "r1", "h2", "r2"));
+
+    private static EndpointEntry endpoint(String id, String hall, boolean leaving, long version, int layers) {
+        Map<String, Long> models = version == 0 ? Map.of() : Map.of("m", version);
+        return new EndpointEntry(id, "s", "10.0.0.1:80", hall, 4, leaving, models, layers);
+    }
+
+    private static EndpointEntry endpoint(String id) {
+        return endpoint(id, "h1", false, 1, 16);
+    }
+
+    private static Wanted wanted(long leastVersion, Set<String> tried) {
+        return new Wanted(1_000, 500, Optional.of(MODEL), leastVersion, tried);
+    }
+
+    private Choice choose(EndpointEntry... endpoints) {
+        return choice.choose(List.of(endpoints), wanted(0, Set.of()), NOW);
+    }
+
+    private static String chosen(Choice made) {
+        return assertInstanceOf(Choice.Send.class, made).endpoint().id();
+    }
+
+    @Test
+    void shouldPassOverEndpointsThatCannotServe() {
+        EndpointEntry leaving = endpoint("a", "h1", true, 1, 16);
+        EndpointEntry empty = endpoint("b", "h1", false, 0, 16);
+        EndpointEntry partial = endpoint("c", "h1", false, 1, 3);
+        assertInstanceOf(Choice.None.class, choose(leaving, empty, partial));
+        assertEquals("d", chosen(choose(leaving, empty, partial, endpoint("d"))));
+    }
+
+    @Test
+    void shouldDemandNewestVersionOnceOlderOnesMayNotAnswer() {
+        EndpointEntry old = endpoint("a", "h1", false, 1, 16);
+        EndpointEntry renewed = endpoint("b", "h2", false, 2, 16);
+        assertEquals("b", chosen(choice.choose(List.of(old, renewed), wanted(2, Set.of()), NOW)));
+    }
+
+    @Test
+    void shouldPreferOwnRegionUntilItsQueueCostsMore() {
+        EndpointEntry near = endpoint("a", "h1", false, 1, 16);
+        EndpointEntry far = endpoint("b", "h2", false, 1, 16);
+        assertEquals("a", chosen(choose(near, far)));
+        choice.load("a").began(3_000);
+        assertEquals("b", chosen(choose(near, far)));
+    }
+
+    @Test
+    void shouldSayFullWhenObjectiveCannotBeMet() {
+        choice.load("a").began(8_000);
+        assertInstanceOf(Choice.Full.class, choose(endpoint("a")));
+    }
+
+    @Test
+    void shouldCountWhatOtherEntriesHaveThere() {
+        choice.load("a").told(new Told(4, 0, false, 1), NOW);
+        assertInstanceOf(Choice.Full.class, choose(endpoint("a")));
+        choice.load("b").told(new Told(1, 9_000, false, 1), NOW);
+        assertInstanceOf(Choice.Full.class, choose(endpoint("b")));
+    }
+
+    @Test
+    void shouldNotChooseEndpointThatTakesUpWeights() {
+        choice.load("a").told(new Told(0, 0, true, 1), NOW);
+        assertEquals("b", chosen(choose(endpoint("a"), endpoint("b"))));
+    }
+
+    @Test
+    void shouldPassOverEndpointWhoseAgentFellSilent() {
+        choice.load("a").told(new Told(0, 0, false, 1), NOW - 1_000);
+        choice.load("b").told(new Told(2, 0, false, 1), NOW - 100);
+        assertEquals("b", chosen(choose(endpoint("a"), endpoint("b"))));
+    }
+
+    @Test
+    void shouldUseSilentEndpointWhenAllAreSilent() {
+        choice.load("a").told(new Told(0, 0, false, 1), NOW - 5_000);
+        assertEquals("a", chosen(choose(endpoint("a"))));
+    }
+
+    @Test
+    void shouldLeaveOutEndpointAfterItBroke() {
+        choice.load("a").broke(NOW);
+        assertEquals("b", chosen(choose(endpoint("a"), endpoint("b"))));
+        choice.load("b").broke(NOW);
+        assertInstanceOf(Choice.Send.class, choose(endpoint("a"), endpoint("b")), "all are out, so one must do");
+    }
+
+    @Test
+    void shouldTakeEndpointBackWhenItsExclusionEnds() {
+        choice.load("a").broke(NOW - 1_001);
+        choice.load("b").began(1_000);
+        assertEquals("a", chosen(choose(endpoint("a"), endpoint("b"))));
+    }
+
+    @Test
+    void shouldNotSendTwiceToTheSameEndpoint() {
+        assertInstanceOf(Choice.None.class, choice.choose(List.of(endpoint("a")), wanted(0, Set.of("a")), NOW));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/micabarrow/views/TopicCopyTest.java
@@ -0,0 +1,80 @@
+package org.micabarrow.views;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** Copies of topics never go back. */
+class TopicCopyTest {
+
+    private static StoredRecord record(String key, long offset, String value) {
+        return new StoredRecord(key, offset, value.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void shouldKeepNewerRecordWhenOlderOneComesLater() {
+        TopicCopy copy = new TopicCopy();
+        copy.apply(List.of(record("a", 5, "new")), 6);
+        assertEquals(List.of(), copy.apply(List.of(record("a", 3, "old")), 4));
+        assertArrayEquals("new".getBytes(), copy.record("a").orElseThrow().value());
+        assertEquals(6, copy.end());
+    }
+
+    @Test
+    void shouldDropKeysThatAreMissingFromListOfNewest() {
+        TopicCopy copy = new TopicCopy();
+        copy.apply(List.of(record("a", 1, "x"), record("b", 2, "x")), 3);
+        copy.replace(List.of(record("b", 2, "x")), 9);
+        assertTrue(copy.record("a").isEmpty());
+        assertTrue(copy.record("b").isPresent());
+    }
+
+    @Test
+    void shouldKeepKeyWrittenAfterListOfNewestWasTaken() {
+        TopicCopy copy = new TopicCopy();
+        copy.apply(List.of(record("a", 12, "x")), 13);
+        copy.replace(List.of(), 9);
+        assertTrue(copy.record("a").isPresent());
+    }
+
+    @Test
+    void shouldTellPeersOfDroppedKeys() {
+        TopicCopy copy = new TopicCopy();
+        copy.apply(List.of(record("a", 1, "x")), 2);
+        copy.apply(List.of(record("a", 4, "")), 5);
+        assertEquals(1, copy.since(3).size());
+        assertTrue(copy.since(3).getFirst().dropped());
+    }
+
+    /** Whatever the order and the repeats, the copy ends with the newest record of each key: a map is the oracle. */
+    @Property(seed = "7", tries = 300)
+    void shouldEndWithNewestWhateverTheOrder(
+            @ForAll @Size(min = 1, max = 40) List<@IntRange(min = 0, max = 5) Integer> keys, @ForAll int shuffle) {
+        List<StoredRecord> records = new ArrayList<>();
+        Map<String, Long> newest = new HashMap<>();
+        for (int offset = 0; offset < keys.size(); offset++) {
+            String key = "k" + keys.get(offset);
+            records.add(record(key, offset, "v" + offset));
+            newest.put(key, (long) offset);
+        }
+        records.addAll(records);
+        Collections.shuffle(records, new Random(shuffle));
+        TopicCopy copy = new TopicCopy();
+        records.forEach(one -> copy.apply(List.of(one), one.offset() + 1));
+        newest.forEach((key, offset) ->
+                assertEquals(offset, copy.record(key).orElseThrow().offset()));
+        assertEquals(keys.size(), copy.end());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/micabarrow/views/ViewKeeperTest.java
@@ -0,0 +1,191 @@
+package org.micabarrow.views;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+import org.micabarrow.platform.StoreRecords;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Result;
+import org.micabarrow.views.TopicReader.Batch;
+import org.micabarrow.views.TopicReader.Read;
+import org.micabarrow.views.ViewKeeper.Topic;
+
+/** What is believed of the store, through outages, expired history and peers. */
+class ViewKeeperTest {
+
+    private final AtomicLong now = new AtomicLong(1_000_000);
+    private final ViewKeeper keeper = new ViewKeeper(new StoreRecords(), now::get);
+
+    private static StoredRecord record(String key, long offset, String value) {
+        return new StoredRecord(key, offset, value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static StoredRecord endpoint(String id, long offset) {
+        return record(id, offset, "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\"}");
+    }
+
+    private static StoredRecord manifest(long version, long offset) {
+        return record("config", offset, "{\"version\":" + version + ",\"routes\":[],\"services\":[]}");
+    }
+
+    private void endpoints(long end, StoredRecord... records) {
+        keeper.apply(Topic.ENDPOINTS, List.of(records), end);
+    }
+
+    private boolean known(String id) {
+        return keeper.view().endpoints().containsKey(id);
+    }
+
+    private long version() {
+        return keeper.view().manifest().orElseThrow().version();
+    }
+
+    // -- manifests
+
+    @Test
+    void shouldNotGoBackWhenPeerTellsOlderManifest() {
+        keeper.apply(Topic.OPERATOR, List.of(manifest(7, 3)), 4);
+        keeper.apply(Topic.OPERATOR, List.of(manifest(5, 2)), 3);
+        assertEquals(7, version());
+    }
+
+    @Test
+    void shouldKeepManifestWhenItsRecordDisappears() {
+        keeper.apply(Topic.OPERATOR, List.of(manifest(7, 3)), 4);
+        keeper.replace(Topic.OPERATOR, List.of(), 9);
+        assertEquals(7, version());
+    }
+
+    @Test
+    void shouldKeepManifestWhenNewOneIsBroken() {
+        keeper.apply(Topic.OPERATOR, List.of(manifest(7, 3)), 4);
+        keeper.apply(Topic.OPERATOR, List.of(record("config", 4, "{")), 5);
+        assertEquals(7, version());
+    }
+
+    // -- weights
+
+    @Test
+    void shouldDemandVersionOnceItsTimeIsOver() {
+        keeper.want("m", 2);
+        now.addAndGet(3_000);
+        keeper.want("m", 3);
+        now.addAndGet(5_500);
+        assertEquals(2, keeper.view().leastVersion("m", 8_000, now.get()));
+        now.addAndGet(3_000);
+        assertEquals(3, keeper.view().leastVersion("m", 8_000, now.get()));
+    }
+
+    @Test
+    void shouldNotForgetWhenVersionWasNamedIfItIsToldAgain() {
+        keeper.want("m", 2);
+        now.addAndGet(9_000);
+        keeper.want("m", 2);
+        keeper.want("m", 1);
+        assertEquals(2, keeper.view().leastVersion("m", 8_000, now.get()));
+    }
+
+    // -- endpoints
+
+    @Test
+    void shouldRemoveEndpointAtOnceWhenStoreIsWell() {
+        endpoints(1, endpoint("a", 0));
+        endpoints(2, record("a", 1, ""));
+        assertFalse(known("a"));
+    }
+
+    @Test
+    void shouldDoubtDropRightAfterStoreWasAway() {
+        endpoints(1, endpoint("a", 0));
+        keeper.regained(Topic.ENDPOINTS);
+        endpoints(2, record("a", 1, ""));
+        assertTrue(known("a"));
+        endpoints(3, endpoint("a", 2));
+        now.addAndGet(5_000);
+        keeper.settleDoubts();
+        assertTrue(known("a"), "it came back");
+    }
+
+    @Test
+    void shouldRemoveDoubtedEndpointThatDoesNotComeBack() {
+        endpoints(1, endpoint("a", 0));
+        keeper.regained(Topic.ENDPOINTS);
+        endpoints(2, record("a", 1, ""));
+        now.addAndGet(2_400);
+        keeper.settleDoubts();
+        assertFalse(known("a"));
+    }
+
+    // -- following the store
+
+    private final class FakeReader implements TopicReader {
+
+        private boolean down;
+        private boolean expired;
+        private final List<Long> readFrom = new ArrayList<>();
+
+        @Override
+        public Result<Batch> newest(Topic topic) {
+            return down ? failed() : Result.success(new Batch(List.of(manifest(4, 6)), 10));
+        }
+
+        @Override
+        public Result<Read> read(Topic topic, long from, Duration hold) {
+            readFrom.add(from);
+            if (down) {
+                return failed();
+            }
+            return Result.success(expired ? new Read.Expired() : new Read.Records(new Batch(List.of(), from)));
+        }
+
+        private static <T> Result<T> failed() {
+            return Result.failure(Fault.of(Fault.Step.LOG, "store", Fault.Reason.TIMEOUT, "down"));
+        }
+    }
+
+    private final FakeReader reader = new FakeReader();
+    private final List<Topic> asked = new ArrayList<>();
+    private final StoreFollower follower = new StoreFollower(
+            Topic.OPERATOR,
+            reader,
+            keeper,
+            asked::add,
+            new StoreFollower.Pace(Duration.ofMillis(10), Duration.ofMillis(5)));
+
+    @Test
+    void shouldReadOnFromEndOfNewest() {
+        follower.once();
+        assertEquals(4, version());
+        follower.once();
+        assertEquals(List.of(10L), reader.readFrom);
+    }
+
+    @Test
+    void shouldAskPeerWhileStoreIsDown() {
+        reader.down = true;
+        assertTrue(follower.once() > 0, "it pauses before the next try");
+        assertEquals(List.of(Topic.OPERATOR), asked);
+        reader.down = false;
+        follower.once();
+        assertEquals(4, version());
+        assertEquals(1, asked.size());
+    }
+
+    @Test
+    void shouldReadNewestAgainWhenHistoryExpired() {
+        follower.once();
+        reader.expired = true;
+        follower.once();
+        reader.expired = false;
+        follower.once();
+        follower.once();
+        assertEquals(List.of(10L, 10L), reader.readFrom, "the third turn reads the newest again");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
@@ -0,0 +1,248 @@
+package org.micabarrow.weights;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+import org.micabarrow.state.Digest;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Result;
+import org.micabarrow.views.RecordDecoder;
+import org.micabarrow.views.StoredRecord;
+import org.micabarrow.views.ViewKeeper;
+import org.micabarrow.weights.ChunkSources.Agent;
+
+/** An endpoint is brought to the wanted version, and never takes up what is not whole and right. */
+class ReplicaKeeperTest {
+
+    private static final long BOUND = 8_000;
+    private static final int CHUNKS = 8;
+    private static final int LAYERS = 4;
+
+    private final AtomicLong now = new AtomicLong(1_000_000);
+    private final FakeEndpoint endpoint = new FakeEndpoint();
+    private final FakeOrigin origin = new FakeOrigin();
+    private final ViewKeeper views = new ViewKeeper(new NoDecoder(), now::get);
+    private final ReplicaKeeper keeper = new ReplicaKeeper(new ReplicaKeeper.Parts(
+            () -> Optional.of("m"),
+            () -> LAYERS,
+            endpoint,
+            new ChunkFetcher(new ChunkFetcher.Parts(
+                    new NoPeers(),
+                    origin,
+                    () -> Optional.of("origin:80"),
+                    () -> new ChunkSources(new Agent("a", "r"), List.of()),
+                    bytes -> {},
+                    now::get)),
+            views::view,
+            () -> new ReplicaKeeper.Place(0, 3),
+            BOUND,
+            now::get));
+
+    private static byte[] chunk(long version, int index) {
+        return new byte[] {(byte) version, (byte) index};
+    }
+
+    private static final class NoDecoder implements RecordDecoder {
+
+        @Override
+        public Result<OperatorRecord> operator(StoredRecord record) {
+            return Result.success(new OperatorRecord.Unused());
+        }
+
+        @Override
+        public Result<org.micabarrow.routing.EndpointEntry> endpoint(StoredRecord record) {
+            return Result.failure(Fault.of(Fault.Step.READ, "test", Fault.Reason.INVALID, "none"));
+        }
+    }
+
+    private static final class NoPeers implements ChunkPeers {
+
+        @Override
+        public Result<List<String>> digests(String agent, String model, long version) {
+            return Result.failure(Fault.of(Fault.Step.FETCH, agent, Fault.Reason.NOT_FOUND, "none"));
+        }
+
+        @Override
+        public Result<Numbered> anyOf(String agent, String model, long version, BitSet wanted) {
+            return Result.failure(Fault.of(Fault.Step.FETCH, agent, Fault.Reason.NOT_FOUND, "none"));
+        }
+    }
+
+    private static final class FakeOrigin implements WeightOrigin {
+
+        private int given;
+        private int spoilFirst;
+        private int gives = Integer.MAX_VALUE;
+
+        @Override
+        public Result<List<String>> digests(String address, String model, long version) {
+            List<String> all = new ArrayList<>();
+            for (int i = 0; i < CHUNKS; i++) {
+                all.add(Digest.of(ReplicaKeeperTest.chunk(version, i)));
+            }
+            return Result.success(all);
+        }
+
+        @Override
+        public synchronized Result<byte[]> chunk(String address, String model, long version, int index) {
+            if (index >= gives) {
+                return Result.failure(Fault.of(Fault.Step.FETCH, address, Fault.Reason.NOT_FOUND, "not given"));
+            }
+            given++;
+            return Result.success(spoilFirst-- > 0 ? new byte[] {9, 9} : ReplicaKeeperTest.chunk(version, index));
+        }
+    }
+
+    private static final class FakeEndpoint implements ModelEndpoint {
+
+        private final Map<Integer, byte[]> staged = new HashMap<>();
+        private final List<String> orders = new ArrayList<>();
+        private long held;
+        private boolean busy;
+
+        @Override
+        public Result<Report> report() {
+            Map<String, Long> models = held == 0 ? Map.of() : Map.of("m", held);
+            return Result.success(new Report(models, 0, busy, orders.size(), 0, 0));
+        }
+
+        @Override
+        public synchronized Result<Boolean> stage(String model, int index, byte[] bytes) {
+            staged.put(index, bytes);
+            return Result.success(true);
+        }
+
+        @Override
+        public Result<Optional<byte[]>> staged(String model, int index) {
+            return Result.success(Optional.ofNullable(staged.get(index)));
+        }
+
+        @Override
+        public Result<OrderEnd> start(String model, long version, long ordersSeen) {
+            orders.add("start " + version);
+            held = version;
+            return Result.success(OrderEnd.BEGUN);
+        }
+
+        @Override
+        public Result<OrderEnd> startLayers(String model, long version, int layers, long ordersSeen) {
+            orders.add("start " + version + " layers " + layers);
+            held = 0;
+            return Result.success(OrderEnd.BEGUN);
+        }
+    }
+
+    private void fetch() throws InterruptedException {
+        keeper.refresh();
+        keeper.fetch();
+    }
+
+    @Test
+    void shouldStartEmptyEndpointAtOnceWithFirstVersion() throws Exception {
+        fetch();
+        keeper.step();
+        assertEquals(List.of("start 1"), endpoint.orders);
+    }
+
+    @Test
+    void shouldWaitForItsTurnWhenEndpointServesOlderVersion() throws Exception {
+        endpoint.held = 1;
+        views.want("m", 2);
+        fetch();
+        keeper.step();
+        assertEquals(List.of(), endpoint.orders);
+        now.addAndGet(BOUND / 2);
+        keeper.step();
+        assertEquals(List.of("start 2"), endpoint.orders);
+    }
+
+    @Test
+    void shouldMendChunkThatTurnedBadBeforeOrdering() throws Exception {
+        endpoint.held = 1;
+        views.want("m", 2);
+        fetch();
+        keeper.step();
+        endpoint.staged.put(3, new byte[] {0});
+        now.addAndGet(BOUND / 2);
+        keeper.step();
+        assertEquals(List.of(), endpoint.orders, "the pass that mends does not order");
+        keeper.step();
+        assertEquals(List.of("start 2"), endpoint.orders);
+        assertEquals(chunk(2, 3)[1], endpoint.staged.get(3)[1]);
+    }
+
+    @Test
+    void shouldNotTakeChunkWithWrongDigest() throws Exception {
+        origin.spoilFirst = 3;
+        fetch();
+        keeper.step();
+        assertEquals(CHUNKS + 3, origin.given);
+        for (int i = 0; i < CHUNKS; i++) {
+            assertEquals(i, endpoint.staged.get(i)[1]);
+        }
+    }
+
+    @Test
+    void shouldGoToNewestVersionWhenTwoWereNamed() throws Exception {
+        endpoint.held = 1;
+        views.want("m", 2);
+        views.want("m", 3);
+        fetch();
+        now.addAndGet(BOUND / 2);
+        keeper.step();
+        assertEquals(List.of("start 3"), endpoint.orders);
+    }
+
+    @Test
+    void shouldOrderNothingWhileEndpointIsBusy() throws Exception {
+        endpoint.busy = true;
+        fetch();
+        keeper.step();
+        assertEquals(List.of(), endpoint.orders);
+    }
+
+    @Test
+    void shouldStopServingOlderVersionWhenNewerOneIsNotWholeInTime() throws Exception {
+        endpoint.held = 1;
+        origin.gives = 5;
+        views.want("m", 2);
+        Thread fetching = new Thread(() -> {
+            try {
+                fetch();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        fetching.start();
+        while (keeper.set("m", 2).map(ChunkSet::present).orElse(0) < 5) {
+            Thread.onSpinWait();
+        }
+        keeper.refresh();
+        keeper.step();
+        assertEquals(List.of(), endpoint.orders);
+        now.addAndGet(BOUND);
+        keeper.step();
+        fetching.interrupt();
+        // Five of eight chunks are two whole layers of four.
+        assertEquals(List.of("start 2 layers 2"), endpoint.orders);
+    }
+
+    @Test
+    void shouldHandOutWhatEndpointHeldBeforeAgentStarted() throws Exception {
+        endpoint.held = 1;
+        for (int i = 0; i < CHUNKS; i++) {
+            endpoint.staged.put(i, chunk(1, i));
+        }
+        keeper.refresh();
+        keeper.step();
+        assertEquals(CHUNKS, keeper.set("m", 1).orElseThrow().present());
+        assertEquals(0, origin.given);
+    }
+}
