--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -30,10 +30,10 @@
     private static final double PLAIN_ROUND_MILLIS = 80;
 
     /** How long an agent of the entry's region may be silent before its endpoint is passed over: two questions lost. */
-    private static final long NEAR_SILENCE_MILLIS = 500;
+    private static final long NEAR_SILENCE_MILLIS = 400;
 
     /** As above for agents of other regions, which are asked less often. */
-    private static final long FAR_SILENCE_MILLIS = 1_400;
+    private static final long FAR_SILENCE_MILLIS = 1_000;
 
     /** How many requests an endpoint of a model may hold in relation to its slots. */
     private static final double MODEL_SLOTS = 1;
--- a/src/main/java/org/micabarrow/transport/LoadFeed.java
+++ b/src/main/java/org/micabarrow/transport/LoadFeed.java
@@ -26,7 +26,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(LoadFeed.class);
 
     /** How often agents of the entry's region are asked, in milliseconds: about as often as they look themselves. */
-    private static final long NEAR_MILLIS = 200;
+    private static final long NEAR_MILLIS = 150;
 
     /** Every how many rounds agents of other regions are asked: bytes between regions are paid for. */
     private static final int FAR_ROUNDS = 3;
--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -213,9 +213,11 @@
     }
 
     private Optional<ChunkSet> newestWhole(String model, long held) {
+        long least = leastAllowed(model);
         synchronized (sets) {
             return sets.stream()
-                    .filter(set -> set.model().equals(model) && set.version() > held && set.complete())
+                    .filter(set -> set.model().equals(model) && set.version() > held && set.version() >= least)
+                    .filter(ChunkSet::complete)
                     .max(Comparator.comparingLong(ChunkSet::version));
         }
     }
@@ -232,11 +234,15 @@
 
     /** Whether the endpoint must stop serving the version that it holds, although a newer one is not here whole. */
     private boolean tooLate(String model, long held) {
+        return leastAllowed(model) > held;
+    }
+
+    /** The least version that the endpoint may still serve or take up. */
+    private long leastAllowed(String model) {
         long margin = Math.round(parts.boundMillis() * RETIRE_PART);
         return parts.view()
-                        .get()
-                        .leastVersion(model, margin, parts.steadyMillis().getAsLong())
-                > held;
+                .get()
+                .leastVersion(model, margin, parts.steadyMillis().getAsLong());
     }
 
     /** Makes the endpoint take up the first layers of the newer version, so that it serves the older one no more. */
--- a/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
+++ b/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
@@ -211,6 +211,11 @@
     @Test
     void shouldStopServingOlderVersionWhenNewerOneIsNotWholeInTime() throws Exception {
         endpoint.held = 1;
+        for (int i = 0; i < CHUNKS; i++) {
+            endpoint.staged.put(i, chunk(1, i));
+        }
+        keeper.refresh();
+        keeper.step();
         origin.gives = 5;
         views.want("m", 2);
         Thread fetching = new Thread(() -> {
@@ -229,8 +234,9 @@
         assertEquals(List.of(), endpoint.orders);
         now.addAndGet(BOUND);
         keeper.step();
+        keeper.step();
         fetching.interrupt();
-        // Five of eight chunks are two whole layers of four.
+        // Five of eight chunks are two whole layers of four; the older version, here whole, is not taken up again.
         assertEquals(List.of("start 2 layers 2"), endpoint.orders);
     }
 
