A request that ran is never told that it has not; a timer due at its removal does nothing

The timers now look whether they still count. No test of its own yet: the race needs a timer under the test's control.

--- a/src/main/java/org/micabarrow/command/HostedCommand.java
+++ b/src/main/java/org/micabarrow/command/HostedCommand.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Optional;
+import org.micabarrow.platform.SettingsFile;
 import org.micabarrow.process.HostedAgentProcess;
 import org.micabarrow.process.HostedEntryProcess;
 import org.micabarrow.settings.HostedSettings;
@@ -18,12 +19,9 @@
 /** Runs a process on the users' platform, which fills its settings into a template and names the file in a variable. */
 abstract class HostedCommand extends Command {
 
-    /** The variable by which the platform names the settings file. */
-    private static final String SETTINGS_VARIABLE = "MICABARROW_BOOT";
-
     private static final Logger LOG = LoggerFactory.getLogger(HostedCommand.class);
 
-    @Parameter(names = "--settings", description = "The settings file; else the variable " + SETTINGS_VARIABLE)
+    @Parameter(names = "--settings", description = "The settings file; else the variable " + SettingsFile.VARIABLE)
     private String settings;
 
     /** Starts the process. */
@@ -31,17 +29,16 @@
 
     @Override
     ExitCode run(Console console) throws IOException, InterruptedException {
-        Optional<String> file =
-                Optional.ofNullable(settings).or(() -> Optional.ofNullable(System.getenv(SETTINGS_VARIABLE)));
+        Optional<Path> file = Optional.ofNullable(settings).map(Path::of).or(SettingsFile::named);
         if (file.isEmpty()) {
-            console.err().println("micabarrow: give --settings or set " + SETTINGS_VARIABLE);
+            console.err().println("micabarrow: give --settings or set " + SettingsFile.VARIABLE);
             return ExitCode.USAGE;
         }
-        return switch (SettingsReader.hosted(Path.of(file.get()))) {
+        return switch (SettingsReader.hosted(file.get())) {
             case Result.Failure<HostedSettings>(Fault fault) -> console.show(fault);
             case Result.Success<HostedSettings>(HostedSettings checked) -> {
                 Logs.setUp(checked.log());
-                Signal.handle(new Signal("HUP"), signal -> reload(Path.of(file.get()), checked));
+                Signal.handle(new Signal("HUP"), signal -> reload(file.get(), checked));
                 yield RunCommand.serve(start(checked));
             }
         };
--- a/src/main/java/org/micabarrow/command/RehearseCommand.java
+++ b/src/main/java/org/micabarrow/command/RehearseCommand.java
@@ -2,21 +2,17 @@
 
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
-import java.net.URI;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
+import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.process.HostedAgentProcess;
 import org.micabarrow.process.HostedEntryProcess;
 import org.micabarrow.settings.Common;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.settings.SettingsReader;
-import org.micabarrow.standin.HostedSystem;
 import org.micabarrow.state.CanonicalJson;
-import org.micabarrow.state.Fault.Step;
 import org.micabarrow.state.Result;
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpCaller;
@@ -76,15 +72,8 @@
     }
 
     private static boolean served(HttpCaller caller, String clients, String path) throws InterruptedException {
-        Map<String, String> headers = new java.util.HashMap<>(
-                Map.of("Host", "h.example", "Key", "key-a", "Attempt-Id", "a" + path.length(), "Deadline-Ms", "3000"));
-        if (path.startsWith("/stream/")) {
-            headers.put("Model", "model-a");
-            headers.put("Token-Count", "100,20");
-        }
-        URI uri = URI.create("http://" + clients + path);
         for (int i = 0; i < TRIES; i++) {
-            HttpCall call = new HttpCall(Step.READ, "POST", uri, headers, "a body".getBytes(StandardCharsets.UTF_8));
+            HttpCall call = HostedSystem.request(clients, path, "attempt-" + i);
             Result<HttpAnswer> answer = caller.call(call, WITHIN);
             if (answer.toOptional().filter(one -> one.status() == OK).isPresent()) {
                 return true;
--- a/src/main/java/org/micabarrow/standin/HostedStoreStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
@@ -1,4 +1,4 @@
-package org.micabarrow.standin;
+package org.micabarrow.platform.standin;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
--- a/src/main/java/org/micabarrow/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -1,17 +1,22 @@
-package org.micabarrow.standin;
+package org.micabarrow.platform.standin;
 
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.settings.Common;
 import org.micabarrow.settings.HostedSettings;
-import org.micabarrow.standin.HostedEndpointStandin.Behaviour;
+import org.micabarrow.state.Fault;
+import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpListener;
 
 /** The users' platform in small, on loopback: a store, an origin and endpoints, with the settings that fit them. */
@@ -24,8 +29,8 @@
     private final HostedStoreStandin store = new HostedStoreStandin();
     private final String storeAddress;
     private final String originAddress;
-    private final Map<String, HostedEndpointStandin> endpoints = new java.util.HashMap<>();
-    private final Map<String, String> addresses = new java.util.HashMap<>();
+    private final Map<String, HostedEndpointStandin> endpoints = new HashMap<>();
+    private final Map<String, String> addresses = new HashMap<>();
     private final List<AutoCloseable> running = new ArrayList<>();
 
     private HostedSystem() throws IOException {
@@ -186,6 +191,25 @@
                         models));
     }
 
+    /**
+     * A client's request, with the one key and the headers that its path needs.
+     *
+     * @param clients where the entry listens for clients
+     * @param path the path and query
+     * @param id the client's id of the attempt
+     * @return the request
+     */
+    public static HttpCall request(String clients, String path, String id) {
+        Map<String, String> headers =
+                new HashMap<>(Map.of("Host", "h.example", "Key", "key-a", "Attempt-Id", id, "Deadline-Ms", "3000"));
+        if (path.startsWith("/stream/")) {
+            headers.put("Model", MODEL);
+            headers.put("Token-Count", "100,20");
+        }
+        byte[] body = "a body".getBytes(StandardCharsets.UTF_8);
+        return new HttpCall(Fault.Step.READ, "POST", URI.create("http://" + clients), Optional.of(path), headers, body);
+    }
+
     // -- settings that fit
 
     /**
--- a/src/main/java/org/micabarrow/serving/RequestRun.java
+++ b/src/main/java/org/micabarrow/serving/RequestRun.java
@@ -90,7 +90,7 @@
     private void cannotSend(String why) {
         if (answer.begun()) {
             broken(why);
-        } else if (mayHaveRun && !request.route().kind().repeatable()) {
+        } else if (mayHaveRun) {
             unknown(why);
         } else {
             notRun(why);
@@ -140,6 +140,9 @@
     // -- endings
 
     private void expired() {
+        if (finished) {
+            return;
+        }
         current.ifPresent(Attempt::abandon);
         if (answer.begun()) {
             broken("time is up");
@@ -206,6 +209,7 @@
         private Optional<XnioExecutor.Key> connectTimer = Optional.empty();
         private Runnable cancel = () -> {};
         private boolean over;
+        private boolean sending;
         private boolean promptRead;
         private boolean passing;
 
@@ -246,16 +250,24 @@
 
         private void failed(AttemptEnd end, String why) {
             abandon();
+            logFailed(end, why);
+            again(end, why);
+        }
+
+        private void logFailed(AttemptEnd end, String why) {
             LOG.info(
                     "event=attempt_failed request={} endpoint={} end={} why=\"{}\"",
                     request.id(),
                     endpoint.id(),
                     end,
                     why);
-            again(end, why);
         }
 
+        /** A timer that was due when it was removed runs all the same, so it must look whether it still counts. */
         private void notConnected() {
+            if (over || sending) {
+                return;
+            }
             load.broke(parts.nowMillis());
             failed(AttemptEnd.NOT_RUN, "no connection within " + CONNECT_MILLIS + " ms");
         }
@@ -264,6 +276,7 @@
 
         @Override
         public void onSending() {
+            sending = true;
             connectTimer.ifPresent(XnioExecutor.Key::remove);
         }
 
@@ -299,8 +312,11 @@
                     && !request.route().kind().repeatable();
             if (mustNotPass || answer.begun() && error) {
                 failed(AttemptEnd.UNKNOWN, "the endpoint answered " + read.status() + " without saying it has not run");
-            } else if (error && mayRepeatError()) {
-                failed(AttemptEnd.FAILED, "the endpoint failed with " + read.status());
+            } else if (error && repeatsError()) {
+                abandon();
+                mayHaveRun = true;
+                logFailed(AttemptEnd.FAILED, "the endpoint failed with " + read.status());
+                next("the endpoint failed with " + read.status());
             } else {
                 head = Optional.of(read);
                 passing = request.route().kind().stream() && !error;
@@ -310,11 +326,12 @@
             }
         }
 
-        private boolean mayRepeatError() {
+        /** Whether another endpoint is asked instead; what the budget does not allow is passed on as it is. */
+        private boolean repeatsError() {
+            AttemptPolicy.Progress progress = new AttemptPolicy.Progress(tried.size(), true, millisLeft());
             return request.route().kind().repeatable()
-                    && tried.size() < request.route().maxAttempts()
-                    && millisLeft() > AttemptPolicy.LEAST_MILLIS_LEFT
-                    && parts.otherEndpoint(request, tried);
+                    && parts.otherEndpoint(request, tried)
+                    && AttemptPolicy.again(request.route(), progress, parts.budget()::tryRetry);
         }
 
         @Override
--- a/src/main/java/org/micabarrow/transport/HttpCaller.java
+++ b/src/main/java/org/micabarrow/transport/HttpCaller.java
@@ -10,7 +10,6 @@
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.URI;
 import java.nio.ByteBuffer;
@@ -20,8 +19,6 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -56,16 +53,15 @@
 
     private final XnioWorker worker;
     private final boolean ownWorker;
-    private final int mostIdle;
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, 256, 4);
-    private final Map<String, ConcurrentLinkedDeque<ClientConnection>> idle = new ConcurrentHashMap<>();
+    private final KeptConnections kept;
     private final LongAdder sentBytes = new LongAdder();
     private final LongAdder receivedBytes = new LongAdder();
 
     private HttpCaller(XnioWorker worker, boolean ownWorker, int mostIdle) {
         this.worker = worker;
         this.ownWorker = ownWorker;
-        this.mostIdle = mostIdle;
+        this.kept = new KeptConnections(mostIdle);
     }
 
     /**
@@ -196,7 +192,7 @@
      */
     Pending begin(HttpCall call) {
         CompletableFuture<Result<HttpAnswer>> done = new CompletableFuture<>();
-        return new Pending(call, done, send(call, new Whole(done)));
+        return new Pending(call, done, send(call, new WholeAnswer(done)));
     }
 
     /** A request whose whole answer is waited for. */
@@ -227,41 +223,6 @@
         return Result.failure(Fault.of(call.step(), call.peer(), reason, message));
     }
 
-    /** Collects an answer. */
-    private static final class Whole implements Listener {
-
-        private final CompletableFuture<Result<HttpAnswer>> done;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private int status;
-        private Map<String, String> headers = Map.of();
-
-        private Whole(CompletableFuture<Result<HttpAnswer>> done) {
-            this.done = done;
-        }
-
-        @Override
-        public void onHead(int received, Map<String, String> receivedHeaders) {
-            status = received;
-            headers = receivedHeaders;
-        }
-
-        @Override
-        public void onData(byte[] data, Runnable more) {
-            body.writeBytes(data);
-            more.run();
-        }
-
-        @Override
-        public void onComplete() {
-            done.complete(Result.success(new HttpAnswer(status, headers, body.toByteArray())));
-        }
-
-        @Override
-        public void onFailed(Fault fault, boolean sent) {
-            done.complete(Result.failure(fault));
-        }
-    }
-
     // -- answers part by part
 
     /**
@@ -274,9 +235,9 @@
     public Runnable send(HttpCall call, Listener listener) {
         Objects.requireNonNull(call, "call is null");
         Exchange exchange = new Exchange(call, listener);
-        Optional<ClientConnection> kept = takeIdle(call.authority());
-        if (kept.isPresent()) {
-            exchange.begin(kept.get());
+        Optional<ClientConnection> idle = kept.take(call.authority());
+        if (idle.isPresent()) {
+            exchange.begin(idle.get());
         } else {
             connect(call, exchange);
         }
@@ -304,29 +265,6 @@
                         OptionMap.create(Options.TCP_NODELAY, true));
     }
 
-    private Optional<ClientConnection> takeIdle(String authority) {
-        ConcurrentLinkedDeque<ClientConnection> kept = idle.get(authority);
-        if (kept == null) {
-            return Optional.empty();
-        }
-        for (ClientConnection one = kept.pollFirst(); one != null; one = kept.pollFirst()) {
-            if (one.isOpen()) {
-                return Optional.of(one);
-            }
-        }
-        return Optional.empty();
-    }
-
-    private void keep(String authority, ClientConnection connection) {
-        ConcurrentLinkedDeque<ClientConnection> kept =
-                idle.computeIfAbsent(authority, key -> new ConcurrentLinkedDeque<>());
-        if (connection.isOpen() && !connection.isUpgraded() && kept.size() < mostIdle) {
-            kept.addFirst(connection);
-        } else {
-            IoUtils.safeClose(connection);
-        }
-    }
-
     /** One request and its answer. */
     private final class Exchange {
 
@@ -484,7 +422,7 @@
 
         private void complete() {
             if (ended.compareAndSet(false, true)) {
-                keep(call.authority(), connection);
+                kept.give(call.authority(), connection);
                 listener.onComplete();
             }
         }
@@ -521,7 +459,7 @@
 
     @Override
     public void close() {
-        idle.values().forEach(kept -> kept.forEach(IoUtils::safeClose));
+        kept.close();
         if (ownWorker) {
             worker.shutdownNow();
         }
--- a/src/test/java/org/micabarrow/ArchitectureTest.java
+++ b/src/test/java/org/micabarrow/ArchitectureTest.java
@@ -65,4 +65,41 @@
             .should()
             .dependOnClassesThat()
             .resideInAnyPackage("java.net..", "io.grpc..", "io.undertow..", "org.xnio..");
+
+    @ArchTest
+    static final ArchRule ONLY_PROCESSES_KNOW_THE_USERS_PLATFORM = noClasses()
+            .that()
+            .resideOutsideOfPackages(
+                    "org.micabarrow.platform..", "org.micabarrow.process..", "org.micabarrow.command..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAPackage("org.micabarrow.platform..");
+
+    @ArchTest
+    static final ArchRule CONCEPTS_HAVE_NO_SOCKET = noClasses()
+            .that()
+            .resideInAnyPackage(
+                    "org.micabarrow.routing..",
+                    "org.micabarrow.views..",
+                    "org.micabarrow.attempts..",
+                    "org.micabarrow.weights..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage(
+                    "java.net..",
+                    "java.nio.channels..",
+                    "io.grpc..",
+                    "io.undertow..",
+                    "org.xnio..",
+                    "org.micabarrow.transport..",
+                    "org.micabarrow.serving..",
+                    "org.micabarrow.process..");
+
+    @ArchTest
+    static final ArchRule SERVING_IS_BELOW_PROCESSES = noClasses()
+            .that()
+            .resideInAnyPackage("org.micabarrow.serving..", "org.micabarrow.transport..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage("org.micabarrow.process..", "org.micabarrow.command..");
 }
--- a/src/test/java/org/micabarrow/serving/HostedEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/HostedEntryTest.java
@@ -20,11 +20,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
+import org.micabarrow.platform.standin.HostedEndpointStandin.Received;
+import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.process.HostedEntryProcess;
 import org.micabarrow.settings.HostedSettings;
-import org.micabarrow.standin.HostedEndpointStandin.Behaviour;
-import org.micabarrow.standin.HostedEndpointStandin.Received;
-import org.micabarrow.standin.HostedSystem;
 import org.micabarrow.state.Fault.Step;
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpCaller;
@@ -91,6 +91,16 @@
         assertEquals(1, received().size());
     }
 
+    @Test
+    void shouldNotSayNotRunWhenRequestRanAndFailed() throws Exception {
+        platform.add("plain-1", "plain", 0);
+        begin(1);
+        platform.next(Behaviour.FAIL);
+        assertEquals(500, ask("/again/x", Map.of()).status(), "no other endpoint: the answer is passed on");
+        platform.next(Behaviour.RESET);
+        assertEquals(502, ask("/again/x", Map.of()).status(), "no other endpoint, and it may have run");
+    }
+
     @Test
     void shouldPassRequestOnUnchangedWhenAnswering() throws Exception {
         platform.add("plain-1", "plain", 0);
