--- a/src/main/java/org/micabarrow/serving/RequestRun.java
+++ b/src/main/java/org/micabarrow/serving/RequestRun.java
@@ -287,7 +287,6 @@
             }
             AnswerHead read = parts.protocol().head(request, status, headers);
             read.weightVersion().ifPresent(load::answeredBy);
-            promptDone();
             if (read.notRun()) {
                 failed(AttemptEnd.NOT_RUN, "the endpoint refused with " + status);
             } else if (read.misdirected()) {
@@ -339,6 +338,8 @@
             if (over) {
                 return;
             }
+            // The head may come as soon as the endpoint has taken the request; its prompt is read with the first event.
+            promptDone();
             if (!passing) {
                 hold(data, more);
                 return;
