--- a/src/main/java/org/micabarrow/platform/EndpointCalls.java
+++ b/src/main/java/org/micabarrow/platform/EndpointCalls.java
@@ -70,10 +70,11 @@
         json.path("models")
                 .forEach(model -> models.put(
                         model.path("name").asText(), model.path("version").asLong()));
-        int layers = json.path("layers").path("target_version").asInt(0);
+        JsonNode layers = json.path("layers");
         long partial = 0;
-        if (json.has("layers") && layers < totalLayers.getAsInt()) {
-            partial = json.path("layers").path("version").asLong();
+        if (layers.isObject()
+                && layers.path("target_version").asInt() - layers.path("from").asInt() < totalLayers.getAsInt()) {
+            partial = layers.path("version").asLong();
             models.clear();
         }
         // "sequence" counts the orders taken.
@@ -126,11 +127,11 @@
     }
 
     @Override
-    public Result<OrderEnd> startLayers(String model, long version, int layers, long ordersSeen) {
+    public Result<OrderEnd> startLayer(String model, long version, int layer, long ordersSeen) {
         ObjectNode order = startOrder(model, version, ordersSeen);
-        order.put("from", 0);
+        order.put("from", layer);
         // The end of the range of layers, not a version.
-        order.put("target_version", layers);
+        order.put("target_version", layer + 1);
         return order(order);
     }
 
--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -168,6 +168,13 @@
 
     // -- what endpoints write
 
+    /** How many layers an endpoint holds; "target_version" is the end of their range, not a version. */
+    private static int layers(JsonNode range) {
+        return range.isObject()
+                ? range.path("target_version").asInt() - range.path("from").asInt()
+                : Integer.MAX_VALUE;
+    }
+
     @Override
     public Result<EndpointEntry> endpoint(StoredRecord record) {
         return decode(record, json -> {
@@ -183,8 +190,7 @@
                     json.path("slots").asInt(1),
                     json.path("state").asText("").equals("draining"),
                     models,
-                    // The end of the range of layers held, not a version.
-                    json.path("layers").path("target_version").asInt(Integer.MAX_VALUE));
+                    layers(json.path("layers")));
         });
     }
 }
--- a/src/main/java/org/micabarrow/weights/FetchRun.java
+++ b/src/main/java/org/micabarrow/weights/FetchRun.java
@@ -45,6 +45,7 @@
     private final Supplier<Boolean> wanted;
     private final AtomicIntegerArray positions;
     private final Set<String> asked = ConcurrentHashMap.newKeySet();
+    private volatile int originCursor;
 
     FetchRun(ChunkFetcher.Parts parts, Map<String, Long> silentUntil, ChunkSet set, Supplier<Boolean> wanted) {
         this.parts = parts;
@@ -132,7 +133,7 @@
 
     private boolean askOnce(String source, BitSet indexes, long waitedMillis) {
         if (source.equals(ORIGIN)) {
-            return askOrigin(indexes.nextSetBit(0));
+            return askOrigin(nextForOrigin(indexes));
         }
         return switch (parts.peers().anyOf(source, set.model(), set.version(), indexes)) {
             case Result.Success<ChunkPeers.Numbered>(ChunkPeers.Numbered(int index, byte[] bytes)) ->
@@ -144,6 +145,14 @@
         };
     }
 
+    /** Goes round the chunks, so that one which the origin does not give holds up no other. */
+    private int nextForOrigin(BitSet indexes) {
+        int next = indexes.nextSetBit(originCursor);
+        int index = next >= 0 ? next : indexes.nextSetBit(0);
+        originCursor = index + 1;
+        return index;
+    }
+
     private boolean askOrigin(int index) {
         Optional<String> address = parts.originAddress().get();
         if (address.isEmpty()) {
--- a/src/main/java/org/micabarrow/weights/ModelEndpoint.java
+++ b/src/main/java/org/micabarrow/weights/ModelEndpoint.java
@@ -66,13 +66,13 @@
     Result<OrderEnd> start(String model, long version, long ordersSeen);
 
     /**
-     * Orders the endpoint to take up the first layers only, after which it serves no other version any more.
+     * Orders the endpoint to take up one layer only, after which it serves no other version any more.
      *
      * @param model the model
      * @param version the weight version
-     * @param layers how many layers
+     * @param layer which layer, from 0
      * @param ordersSeen as for {@link #start}
      * @return what became of the order
      */
-    Result<OrderEnd> startLayers(String model, long version, int layers, long ordersSeen);
+    Result<OrderEnd> startLayer(String model, long version, int layer, long ordersSeen);
 }
--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -34,7 +34,7 @@
     private static final int SETS_KEPT = 3;
 
     /** The part of the bound after which an endpoint whose newer version is not here whole must stop serving the older. */
-    private static final double RETIRE_PART = 0.92;
+    private static final double RETIRE_PART = 0.84;
 
     /** The pause after nobody could tell a version's digests, in milliseconds; the origin may be down for seconds. */
     private static final long DIGESTS_AGAIN_MILLIS = 300;
@@ -245,23 +245,33 @@
                 .leastVersion(model, margin, parts.steadyMillis().getAsLong());
     }
 
-    /** Makes the endpoint take up the first layers of the newer version, so that it serves the older one no more. */
+    /** Makes the endpoint take up one layer of the newer version, so that it serves the older one no more. */
     private void retire(ChunkSet set, Report now) {
-        int complete = laidChunks.nextClearBit(0);
-        for (int i = 0; i < complete; i++) {
-            if (!lay(set, i)) {
-                return;
+        int count = set.digests().size();
+        int layers = parts.layers().getAsInt();
+        for (int layer = 0; layer < layers; layer++) {
+            // A layer needs the chunks that overlap with its part of the version.
+            int first = layer * count / layers;
+            int end = ((layer + 1) * count + layers - 1) / layers;
+            if (laidChunks.nextClearBit(first) >= end && layAgain(set, first, end)) {
+                Result<OrderEnd> done = parts.endpoint().startLayer(set.model(), set.version(), layer, now.orders());
+                LOG.warn("event=retired model={} towards={} layer={} end={}", set.model(), set.version(), layer, done);
+                break;
             }
         }
-        int layers = complete * parts.layers().getAsInt() / set.digests().size();
-        if (layers == 0) {
-            return;
-        }
-        Result<OrderEnd> end = parts.endpoint().startLayers(set.model(), set.version(), layers, now.orders());
-        LOG.warn("event=retired model={} towards={} layers={} end={}", set.model(), set.version(), layers, end);
         refresh();
     }
 
+    /** Lays chunks once more, since they may have turned bad. */
+    private boolean layAgain(ChunkSet set, int first, int end) {
+        for (int i = first; i < end; i++) {
+            if (!lay(set, i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** When to order: at once if the endpoint serves nothing, else at this agent's turn. */
     private long orderAt(String model, long held) {
         if (held == 0) {
