--- a/src/main/java/org/micabarrow/platform/RequestHeaders.java
+++ b/src/main/java/org/micabarrow/platform/RequestHeaders.java
@@ -8,8 +8,10 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.routing.Route;
 import org.micabarrow.routing.RouteManifest;
@@ -43,15 +45,15 @@
             WireNames.EXPECTED_VERSION.toLowerCase(Locale.ROOT),
             WireNames.PRIORITY.toLowerCase(Locale.ROOT));
 
-    private final java.util.random.RandomGenerator random;
+    private final RandomGenerator random;
 
     /**
      * Makes a reader.
      *
      * @param random divides the requests of split routes
      */
-    public RequestHeaders(java.util.random.RandomGenerator random) {
-        this.random = java.util.Objects.requireNonNull(random, "random is null");
+    public RequestHeaders(RandomGenerator random) {
+        this.random = Objects.requireNonNull(random, "random is null");
     }
 
     @Override
--- a/src/test/java/org/micabarrow/serving/HostedEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/HostedEntryTest.java
@@ -11,10 +11,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -230,9 +232,9 @@
     }
 
     private List<Received> received() {
-        return java.util.stream.Stream.of("plain-1", "plain-2")
+        return Stream.of("plain-1", "plain-2")
                 .map(platform::endpoint)
-                .filter(java.util.Objects::nonNull)
+                .filter(Objects::nonNull)
                 .flatMap(one -> one.received().stream())
                 .toList();
     }
--- a/src/test/java/org/micabarrow/views/TopicCopyTest.java
+++ b/src/test/java/org/micabarrow/views/TopicCopyTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -20,7 +21,7 @@
 class TopicCopyTest {
 
     private static StoredRecord record(String key, long offset, String value) {
-        return new StoredRecord(key, offset, value.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        return new StoredRecord(key, offset, value.getBytes(StandardCharsets.UTF_8));
     }
 
     @Test
--- a/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
+++ b/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.state.Digest;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
@@ -57,7 +58,7 @@
         }
 
         @Override
-        public Result<org.micabarrow.routing.EndpointEntry> endpoint(StoredRecord record) {
+        public Result<EndpointEntry> endpoint(StoredRecord record) {
             return Result.failure(Fault.of(Fault.Step.READ, "test", Fault.Reason.INVALID, "none"));
         }
     }
