--- a/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
@@ -2,13 +2,12 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.undertow.io.IoCallback;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -24,7 +23,10 @@
 public final class HostedStoreStandin implements HttpHandler {
 
     private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
     private static final int GONE = 410;
+
+    /** How often a held read looks for records, in milliseconds: little beside the second or so that it is held. */
     private static final long LOOK_MILLIS = 5;
 
     private final Map<String, List<Entry>> topics = new HashMap<>();
@@ -96,32 +98,25 @@
             return;
         }
         if (refusal.isPresent()) {
-            answer(exchange, refusal.get(), new byte[0]);
+            StandinCalls.answer(exchange, refusal.get(), new byte[0]);
             return;
         }
-        String topic = parameter(exchange, "topic").orElse("");
+        String topic = StandinCalls.parameter(exchange, "topic").orElse("");
         switch (exchange.getRequestPath()) {
             case "/api/log-newest" -> newest(exchange, topic);
             case "/api/log-read" -> {
-                int from = Integer.parseInt(parameter(exchange, "from").orElse("0"));
-                long hold = Long.parseLong(parameter(exchange, "wait_ms").orElse("0"));
+                int from = Integer.parseInt(
+                        StandinCalls.parameter(exchange, "from").orElse("0"));
+                long hold = Long.parseLong(
+                        StandinCalls.parameter(exchange, "wait_ms").orElse("0"));
                 read(exchange, topic, from, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(hold));
             }
-            default -> answer(exchange, 404, new byte[0]);
+            default -> StandinCalls.answer(exchange, NOT_FOUND, new byte[0]);
         }
     }
 
-    private static Optional<String> parameter(HttpServerExchange exchange, String name) {
-        return Optional.ofNullable(exchange.getQueryParameters().get(name)).map(Deque::getFirst);
-    }
-
-    private static void answer(HttpServerExchange exchange, int status, byte[] body) {
-        exchange.setStatusCode(status);
-        exchange.getResponseSender().send(ByteBuffer.wrap(body), IoCallback.END_EXCHANGE);
-    }
-
     private void newest(HttpServerExchange exchange, String topic) {
-        String after = parameter(exchange, "after_revision").orElse("");
+        String after = StandinCalls.parameter(exchange, "after_revision").orElse("");
         List<Entry> entries = topics.getOrDefault(topic, List.of());
         Map<String, Integer> offsets = new LinkedHashMap<>();
         for (int i = 0; i < entries.size(); i++) {
@@ -142,18 +137,18 @@
         });
         json.put("has_more", keys.size() > pageSize);
         json.put("end", entries.size());
-        answer(exchange, OK, CanonicalJson.write(json));
+        StandinCalls.answer(exchange, OK, CanonicalJson.write(json));
     }
 
     private synchronized void read(HttpServerExchange exchange, String topic, int from, long until) {
         List<Entry> entries = topics.getOrDefault(topic, List.of());
         if (from < firstKept.getOrDefault(topic, 0)) {
-            answer(exchange, GONE, new byte[0]);
+            StandinCalls.answer(exchange, GONE, new byte[0]);
         } else if (from < entries.size() || System.nanoTime() - until >= 0) {
-            answer(exchange, OK, raw(entries, from, firstKept.getOrDefault(topic, 0)));
+            StandinCalls.answer(exchange, OK, raw(entries, from, firstKept.getOrDefault(topic, 0)));
         } else {
             exchange.dispatch(
-                    io.undertow.util.SameThreadExecutor.INSTANCE,
+                    SameThreadExecutor.INSTANCE,
                     () -> exchange.getIoThread()
                             .executeAfter(
                                     () -> read(exchange, topic, from, until), LOOK_MILLIS, TimeUnit.MILLISECONDS));
--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -1,5 +1,6 @@
 package org.micabarrow.platform.standin;
 
+import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -35,7 +36,7 @@
 
     private HostedSystem() throws IOException {
         this.storeAddress = serve(store);
-        this.originAddress = serve(new HostedEndpointStandin("origin", MODEL, 0, behaviours));
+        this.originAddress = serve(new HostedOriginStandin());
     }
 
     /**
@@ -50,7 +51,7 @@
         return system;
     }
 
-    private String serve(io.undertow.server.HttpHandler handler) throws IOException {
+    private String serve(HttpHandler handler) throws IOException {
         String address = freeAddress();
         running.add(HttpListener.start(address, HttpListener.Bounds.usual(), 1, Optional.empty(), handler));
         return address;
@@ -116,41 +117,7 @@
      * @param timeoutMillis the time-out of all routes
      */
     public void manifest(long version, String key, long timeoutMillis) {
-        store.append(
-                "keyed.op",
-                "config",
-                String.format(
-                        Locale.ROOT,
-                        """
-                        {"version":%d,"routes":[%s,%s,%s],"services":[
-                        {"name":"plain","health_path":"/healthz","max_connections":100},
-                        {"name":"models","max_connections":100,"engine":{"slots":16,"stride":5,"read_per_s":19100.0,
-                        "step_ms":8.9,"per_seq_ms":0.04,"layers":16,"chunks":4,"chunk_bytes":1024,
-                        "models":[{"name":"%s"}]}},
-                        {"name":"weights","origin":"%s"}],
-                        "limits":{"max_body_bytes":1000},"tenants":[{"name":"org-a","api_keys":["%s"]}]}""",
-                        version,
-                        route("/once/", "non_idempotent", "plain", timeoutMillis),
-                        route("/again/", "idempotent", "plain", timeoutMillis),
-                        route("/stream/", "streaming", "models", timeoutMillis),
-                        MODEL,
-                        originAddress,
-                        key));
-    }
-
-    private static String route(String prefix, String kind, String service, long timeoutMillis) {
-        return String.format(
-                Locale.ROOT,
-                """
-                {"name":"r%s","host":"h.example","path_prefix":"%s","kind":"%s","timeout_ms":%d,
-                "target_latency_ms":500,"priority":1,"service":"%s","max_attempts":2,"public":false,
-                "resumable":%b}""",
-                prefix.replace('/', '-'),
-                prefix,
-                kind,
-                timeoutMillis,
-                service,
-                kind.equals("streaming"));
+        store.append("keyed.op", "config", StandinManifest.text(version, MODEL, originAddress, key, timeoutMillis));
     }
 
     /**
