--- a/src/main/java/org/micabarrow/views/View.java
+++ b/src/main/java/org/micabarrow/views/View.java
@@ -50,6 +50,8 @@
         return new View(Optional.empty(), -1, Map.of(), Map.of());
     }
 
+    // -- questions
+
     /**
      * The newest weight version that was named for a model.
      *
@@ -77,6 +79,28 @@
                 .orElse(0);
     }
 
+    /**
+     * The endpoints of a service.
+     *
+     * @param service the service
+     * @return its endpoints, those that leave too
+     */
+    public List<EndpointEntry> endpointsOf(String service) {
+        return endpoints.values().stream()
+                .filter(entry -> entry.service().equals(service))
+                .toList();
+    }
+
+    // -- views that follow from this one
+
+    View withManifest(RouteManifest newManifest, long offset) {
+        return new View(Optional.of(newManifest), offset, endpoints, targets);
+    }
+
+    View withEndpoints(Map<String, EndpointEntry> newEndpoints) {
+        return new View(manifest, manifestOffset, newEndpoints, targets);
+    }
+
     /**
      * The same view with one more weight version wanted.
      *
@@ -95,16 +119,4 @@
         all.put(model, List.copyOf(more.subList(Math.max(0, more.size() - TARGETS_KEPT), more.size())));
         return new View(manifest, manifestOffset, endpoints, all);
     }
-
-    /**
-     * The endpoints of a service.
-     *
-     * @param service the service
-     * @return its endpoints, those that leave too
-     */
-    public List<EndpointEntry> endpointsOf(String service) {
-        return endpoints.values().stream()
-                .filter(entry -> entry.service().equals(service))
-                .toList();
-    }
 }
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -24,17 +24,10 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(ViewKeeper.class);
 
-    /**
-     * How long after the store was away a dropped entry is doubted, in milliseconds. Entries lapse while endpoints cannot
-     * write; one whose endpoint lives is written again within two seconds of the store's return.
-     */
-    private static final long DOUBT_MILLIS = 2_300;
-
     private final RecordDecoder decoder;
     private final LongSupplier steadyMillis;
     private final Map<Topic, TopicCopy> copies = new HashMap<>();
-    private final Map<String, Long> doubted = new HashMap<>();
-    private long endpointsRegainedMillis = Long.MIN_VALUE / 2;
+    private final DropDoubts doubts = new DropDoubts();
     private volatile View view = View.empty();
 
     /**
@@ -120,25 +113,22 @@
      */
     public synchronized void regained(Topic topic) {
         if (topic == Topic.ENDPOINTS) {
-            endpointsRegainedMillis = steadyMillis.getAsLong();
+            doubts.regained(steadyMillis.getAsLong());
         }
     }
 
     /** Removes endpoints whose entries were doubted and have not come back in time. */
     public synchronized void settleDoubts() {
-        long now = steadyMillis.getAsLong();
+        List<String> overdue = doubts.takeOverdue(steadyMillis.getAsLong());
+        if (overdue.isEmpty()) {
+            return;
+        }
         Map<String, EndpointEntry> endpoints = new HashMap<>(view.endpoints());
-        boolean removed = doubted.entrySet().removeIf(one -> {
-            if (now < one.getValue()) {
-                return false;
-            }
-            endpoints.remove(one.getKey());
-            LOG.info("event=endpoint_gone endpoint={} after=doubt", one.getKey());
-            return true;
+        overdue.forEach(id -> {
+            endpoints.remove(id);
+            LOG.info("event=endpoint_gone endpoint={} after=doubt", id);
         });
-        if (removed) {
-            view = new View(view.manifest(), view.manifestOffset(), endpoints, view.targets());
-        }
+        view = view.withEndpoints(endpoints);
     }
 
     // -- views
@@ -159,8 +149,7 @@
             return;
         }
         switch (decoder.operator(record)) {
-            case Result.Failure<OperatorRecord>(Fault fault) ->
-                LOG.error("event=record_refused key={} offset={} why=\"{}\"", record.key(), record.offset(), fault);
+            case Result.Failure<OperatorRecord>(Fault fault) -> refused(record, fault);
             case Result.Success<OperatorRecord>(OperatorRecord.ManifestSet(RouteManifest manifest)) ->
                 manifestSet(record, manifest);
             case Result.Success<OperatorRecord>(OperatorRecord.WeightsNamed(String model, long version)) ->
@@ -172,7 +161,7 @@
 
     private void manifestSet(StoredRecord record, RouteManifest manifest) {
         View before = view;
-        view = new View(Optional.of(manifest), record.offset(), before.endpoints(), before.targets());
+        view = before.withManifest(manifest, record.offset());
         LOG.info(
                 "event=manifest_in_force version={} offset={} before={}",
                 manifest.version(),
@@ -196,49 +185,49 @@
     }
 
     private void endpointsSaid(List<StoredRecord> news) {
-        View before = view;
-        Map<String, EndpointEntry> endpoints = new HashMap<>(before.endpoints());
-        List<String> changed = new ArrayList<>();
+        Map<String, EndpointEntry> endpoints = new HashMap<>(view.endpoints());
+        List<String> changes = new ArrayList<>();
         for (StoredRecord record : news) {
-            endpointSaid(record, endpoints, changed);
+            (record.dropped() ? entryDropped(record, endpoints) : entryWritten(record, endpoints))
+                    .ifPresent(changes::add);
         }
-        view = new View(before.manifest(), before.manifestOffset(), endpoints, before.targets());
-        changed.forEach(LOG::info);
+        view = view.withEndpoints(endpoints);
+        changes.forEach(LOG::info);
     }
 
-    private boolean doubtful(String id, Map<String, EndpointEntry> endpoints) {
+    /** Takes a dropped entry into account; returns what to log, if anything changes. */
+    private Optional<String> entryDropped(StoredRecord record, Map<String, EndpointEntry> endpoints) {
+        String id = record.key();
         EndpointEntry known = endpoints.get(id);
-        long until = endpointsRegainedMillis + DOUBT_MILLIS;
-        if (known == null || known.leaving() || steadyMillis.getAsLong() >= until) {
-            return false;
+        if (known != null && doubts.doubt(known, steadyMillis.getAsLong())) {
+            return Optional.of("event=endpoint_doubted endpoint=" + id + " offset=" + record.offset());
         }
-        doubted.put(id, until);
-        return true;
-    }
-
-    private void endpointSaid(StoredRecord record, Map<String, EndpointEntry> endpoints, List<String> changed) {
-        if (record.dropped() && doubtful(record.key(), endpoints)) {
-            changed.add("event=endpoint_doubted endpoint=" + record.key() + " offset=" + record.offset());
-            return;
-        }
-        doubted.remove(record.key());
-        if (record.dropped()) {
-            if (endpoints.remove(record.key()) != null) {
-                changed.add("event=endpoint_gone endpoint=" + record.key() + " offset=" + record.offset());
+        doubts.forget(id);
+        return endpoints.remove(id) == null
+                ? Optional.empty()
+                : Optional.of("event=endpoint_gone endpoint=" + id + " offset=" + record.offset());
+    }
+
+    /** Takes a written entry into account; returns what to log, if anything changes. */
+    private Optional<String> entryWritten(StoredRecord record, Map<String, EndpointEntry> endpoints) {
+        doubts.forget(record.key());
+        return switch (decoder.endpoint(record)) {
+            case Result.Failure<EndpointEntry>(Fault fault) -> {
+                refused(record, fault);
+                yield Optional.empty();
             }
-            return;
-        }
-        switch (decoder.endpoint(record)) {
-            case Result.Failure<EndpointEntry>(Fault fault) ->
-                LOG.error("event=record_refused key={} offset={} why=\"{}\"", record.key(), record.offset(), fault);
             case Result.Success<EndpointEntry>(EndpointEntry entry) -> {
-                EndpointEntry was = endpoints.put(entry.id(), entry);
-                if (!entry.equals(was)) {
-                    changed.add("event=endpoint_changed endpoint=" + entry.id() + " address=" + entry.address()
-                            + " leaving=" + entry.leaving() + " models=" + entry.models() + " offset="
-                            + record.offset());
-                }
+                EndpointEntry before = endpoints.put(entry.id(), entry);
+                yield entry.equals(before)
+                        ? Optional.empty()
+                        : Optional.of("event=endpoint_changed endpoint=" + entry.id() + " address=" + entry.address()
+                                + " leaving=" + entry.leaving() + " models=" + entry.models() + " offset="
+                                + record.offset());
             }
-        }
+        };
+    }
+
+    private static void refused(StoredRecord record, Fault fault) {
+        LOG.error("event=record_refused key={} offset={} why=\"{}\"", record.key(), record.offset(), fault);
     }
 }
