--- a/src/main/java/org/micabarrow/platform/EndpointHeaders.java
+++ b/src/main/java/org/micabarrow/platform/EndpointHeaders.java
@@ -52,7 +52,6 @@
                 headers.containsKey(WireNames.NOT_RUN),
                 status == MISDIRECTED,
                 number(headers.get(WireNames.WEIGHT_VERSION)),
-                number(headers.get("Content-Length")),
                 passedOn);
     }
 
--- a/src/main/java/org/micabarrow/serving/EndpointProtocol.java
+++ b/src/main/java/org/micabarrow/serving/EndpointProtocol.java
@@ -28,7 +28,6 @@
      * @param notRun whether it states that the request has not run
      * @param misdirected whether it states that another endpoint or version was meant
      * @param weightVersion the weight version that answers
-     * @param length the length of the body, empty if it is not told
      * @param passedOn the headers for the client
      */
     record AnswerHead(
@@ -38,7 +37,6 @@
             boolean notRun,
             boolean misdirected,
             Optional<Long> weightVersion,
-            Optional<Long> length,
             Map<String, String> passedOn) {}
 
     /**
