--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.micabarrow.platform.StoreClient;
 import org.micabarrow.platform.StoreRecords;
@@ -33,13 +34,10 @@
     private static final int KEPT_CONNECTIONS = 8;
 
     /**
-     * How long the store may hold a read of what operators write. A lost answer shows after this and the answer's own
+     * How long the store may hold a read that finds nothing. A lost answer shows after this and the answer's own
      * time, which together stay well under the three seconds in which the users expect a process to be in touch again.
      */
-    private static final Duration OPERATOR_WAIT = Duration.ofMillis(1_500);
-
-    /** How long the store may hold a read of endpoints' entries; as for operators. */
-    private static final Duration ENDPOINTS_WAIT = Duration.ofMillis(1_500);
+    private static final Duration STORE_WAIT = Duration.ofMillis(1_500);
 
     /**
      * The part of the link that weights may take. Requests and answers need a few hundredths of it; what is paced below the
@@ -72,11 +70,7 @@
         metrics.registerGauge("view.endpoints", () -> views.view().endpoints().size());
     }
 
-    /** What weights may take of the instance's link, in either direction. */
-    LinkPacer weightPacer() {
-        return new LinkPacer(settings.linkBitsPerSecond() / Byte.SIZE, () -> WEIGHTS_SHARE);
-    }
-
+    /** A clock that never steps, in milliseconds. */
     static long steadyMillis() {
         return System.nanoTime() / 1_000_000;
     }
@@ -103,23 +97,19 @@
         return views;
     }
 
+    /** What weights may take of the instance's link, in either direction. */
+    LinkPacer weightPacer() {
+        return new LinkPacer(settings.linkBitsPerSecond() / Byte.SIZE, () -> WEIGHTS_SHARE);
+    }
+
+    // -- the store
+
     /** Begins to follow the store; peers are asked while it does not answer. */
     void follow(Duration endpointsRest, Supplier<List<String>> peers) {
         StoreClient store = new StoreClient(kept, settings.store());
-        new StoreFollower(
-                        Topic.OPERATOR,
-                        store,
-                        views,
-                        topic -> askPeer(topic, peers.get()),
-                        new Pace(OPERATOR_WAIT, Duration.ZERO))
-                .start();
-        new StoreFollower(
-                        Topic.ENDPOINTS,
-                        store,
-                        views,
-                        topic -> askPeer(topic, peers.get()),
-                        new Pace(ENDPOINTS_WAIT, endpointsRest))
-                .start();
+        Consumer<Topic> askPeer = topic -> askPeer(topic, peers.get());
+        new StoreFollower(Topic.OPERATOR, store, views, askPeer, new Pace(STORE_WAIT, Duration.ZERO)).start();
+        new StoreFollower(Topic.ENDPOINTS, store, views, askPeer, new Pace(STORE_WAIT, endpointsRest)).start();
     }
 
     /** Asks the next peer in turn for what it knows of a topic. */
