--- a/src/main/java/org/micabarrow/transport/LoadFeed.java
+++ b/src/main/java/org/micabarrow/transport/LoadFeed.java
@@ -126,15 +126,11 @@
     // -- answers, on a thread of their own
 
     private void receive() {
-        ByteBuffer buffer = ByteBuffer.allocate(LoadMessages.MOST_BYTES);
         while (channel.isOpen()) {
             try {
-                buffer.clear();
-                InetSocketAddress from = (InetSocketAddress) channel.receive(buffer);
-                buffer.flip();
-                byte[] bytes = new byte[buffer.remaining()];
-                buffer.get(bytes);
-                take(from.getAddress().getHostAddress(), LoadMessages.told(bytes));
+                LoadMessages.Received received = LoadMessages.receive(channel);
+                String host = received.from().getAddress().getHostAddress();
+                take(host, LoadMessages.told(received.bytes()));
             } catch (IOException e) {
                 LOG.warn("event=load_answer_lost why=\"{}\"", e.toString());
             }
--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
 import org.micabarrow.routing.EndpointLoad.Told;
 import org.micabarrow.state.CanonicalJson;
 
@@ -11,7 +13,7 @@
 final class LoadMessages {
 
     /** The greatest datagram, in bytes; they are well under a hundred. */
-    static final int MOST_BYTES = 512;
+    private static final int MOST_BYTES = 512;
 
     private LoadMessages() {}
 
@@ -23,6 +25,24 @@
      */
     record Question(String entry, int promptTokens) {}
 
+    /**
+     * A datagram as it came in.
+     *
+     * @param from whence
+     * @param bytes what it says
+     */
+    record Received(InetSocketAddress from, byte[] bytes) {}
+
+    /** Waits for the next datagram. */
+    static Received receive(DatagramChannel channel) throws IOException {
+        ByteBuffer buffer = ByteBuffer.allocate(MOST_BYTES);
+        InetSocketAddress from = (InetSocketAddress) channel.receive(buffer);
+        buffer.flip();
+        byte[] bytes = new byte[buffer.remaining()];
+        buffer.get(bytes);
+        return new Received(from, bytes);
+    }
+
     static ByteBuffer write(Question question) {
         ObjectNode json = CanonicalJson.mapper().createObjectNode();
         json.put("e", question.entry());
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
 import java.util.HashMap;
 import java.util.Map;
@@ -52,15 +51,10 @@
     }
 
     private void serve() {
-        ByteBuffer buffer = ByteBuffer.allocate(LoadMessages.MOST_BYTES);
         while (channel.isOpen()) {
             try {
-                buffer.clear();
-                InetSocketAddress from = (InetSocketAddress) channel.receive(buffer);
-                buffer.flip();
-                byte[] bytes = new byte[buffer.remaining()];
-                buffer.get(bytes);
-                answer(from, LoadMessages.question(bytes));
+                LoadMessages.Received received = LoadMessages.receive(channel);
+                answer(received.from(), LoadMessages.question(received.bytes()));
             } catch (IOException e) {
                 LOG.warn("event=load_question_lost why=\"{}\"", e.toString());
             }
--- /dev/null
+++ b/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
@@ -0,0 +1,53 @@
+package org.micabarrow.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.micabarrow.routing.EndpointLoad.Told;
+import org.micabarrow.transport.LoadMessages.Question;
+import org.micabarrow.transport.LoadMessages.Received;
+
+class LoadMessagesTest {
+
+    private static byte[] bytes(ByteBuffer buffer) {
+        byte[] bytes = new byte[buffer.remaining()];
+        buffer.get(bytes);
+        return bytes;
+    }
+
+    @Test
+    void shouldReadQuestionWhenWritten() throws IOException {
+        Question question = new Question("entry-a", 1_200);
+        assertEquals(question, LoadMessages.question(bytes(LoadMessages.write(question))));
+    }
+
+    @Test
+    void shouldReadAnswerWhenWritten() throws IOException {
+        Told told = new Told(3, 800, true, 7);
+        assertEquals(told, LoadMessages.told(bytes(LoadMessages.write(told))));
+    }
+
+    @Test
+    @Timeout(5)
+    void shouldTellSenderAndBytesWhenDatagramsComeOneAfterAnother() throws IOException {
+        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        try (DatagramChannel here = DatagramChannel.open().bind(anyPort);
+                DatagramChannel there = DatagramChannel.open().bind(anyPort)) {
+            Question longer = new Question("entry-with-a-longer-name", 1_200);
+            Question shorter = new Question("e", 0);
+            there.send(LoadMessages.write(longer), here.getLocalAddress());
+            there.send(LoadMessages.write(shorter), here.getLocalAddress());
+            Received first = LoadMessages.receive(here);
+            Received second = LoadMessages.receive(here);
+            assertEquals(there.getLocalAddress(), first.from());
+            assertEquals(longer, LoadMessages.question(first.bytes()));
+            assertEquals(shorter, LoadMessages.question(second.bytes()));
+        }
+    }
+}
