--- a/src/main/java/org/micabarrow/weights/ChunkFetcher.java
+++ b/src/main/java/org/micabarrow/weights/ChunkFetcher.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntConsumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -19,6 +20,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(ChunkFetcher.class);
 
     private final Parts parts;
+
+    /** Until when agents that did not answer are passed over, whichever version is fetched. */
     private final Map<String, Long> silentUntil = new ConcurrentHashMap<>();
 
     /**
@@ -78,9 +81,10 @@
      * @param wanted whether the version is still wanted; fetching ends when it is not
      * @throws InterruptedException if the thread is interrupted
      */
-    public void fetch(ChunkSet set, Supplier<Boolean> wanted) throws InterruptedException {
+    public void fetch(ChunkSet set, BooleanSupplier wanted) throws InterruptedException {
         long began = parts.steadyMillis().getAsLong();
-        new FetchRun(parts, silentUntil, set, wanted).run();
+        CurrentSources current = new CurrentSources(parts.sources(), set, silentUntil, parts.steadyMillis());
+        new FetchRun(parts, current, set, wanted).run();
         LOG.info(
                 "event=fetched model={} version={} chunks={} of={} ms={}",
                 set.model(),
