--- a/src/main/java/org/micabarrow/settings/SettingsReader.java
+++ b/src/main/java/org/micabarrow/settings/SettingsReader.java
@@ -31,26 +31,33 @@
     private static final long HOUR = 3_600_000;
     private static final long TERABYTE = 1_000_000_000_000L;
 
-    private static final List<Rule> COMMON = List.of(
+    private static final List<Rule> PLACE = List.of(
             Rule.pattern("/instance/id", NAME, A_NAME),
             Rule.pattern("/instance/region", NAME, A_NAME),
-            Rule.pattern("/instance/hall", NAME, A_NAME),
-            Rule.pattern("/listen/operators", ADDRESS, AN_ADDRESS),
-            Rule.pattern("/listen/peers", ADDRESS, AN_ADDRESS),
-            Rule.pattern("/platform/log", URL, A_URL),
-            Rule.pattern("/platform/instances", URL, A_URL),
-            Rule.pattern("/platform/store", URL, A_URL),
-            Rule.pattern("/platform/origin", URL, A_URL),
-            Rule.range("/links/originBytesPerSecond", 1, TERABYTE),
-            Rule.range("/links/instanceBytesPerSecond", 1, TERABYTE),
-            Rule.pattern("/tls/peers/authorities", "(?s).+", "a PEM file"),
-            new Rule(
-                    "/tls/peers",
-                    node -> node.has("authorities"),
-                    "certificate, key and authorities: processes check each other"),
+            Rule.pattern("/instance/hall", NAME, A_NAME));
+
+    private static final List<Rule> LOG = List.of(
             Rule.pattern("/log/format", "text|json", "text or json"),
             Rule.pattern("/log/level", "error|warn|info|debug|trace", "error, warn, info, debug or trace"));
 
+    private static final List<Rule> COMMON = rules(
+            PLACE,
+            List.of(
+                    Rule.pattern("/listen/operators", ADDRESS, AN_ADDRESS),
+                    Rule.pattern("/listen/peers", ADDRESS, AN_ADDRESS),
+                    Rule.pattern("/platform/log", URL, A_URL),
+                    Rule.pattern("/platform/instances", URL, A_URL),
+                    Rule.pattern("/platform/store", URL, A_URL),
+                    Rule.pattern("/platform/origin", URL, A_URL),
+                    Rule.range("/links/originBytesPerSecond", 1, TERABYTE),
+                    Rule.range("/links/instanceBytesPerSecond", 1, TERABYTE),
+                    Rule.pattern("/tls/peers/authorities", "(?s).+", "a PEM file"),
+                    new Rule(
+                            "/tls/peers",
+                            node -> node.has("authorities"),
+                            "certificate, key and authorities: processes check each other")),
+            LOG);
+
     private static final List<Rule> ENTRY = List.of(
             Rule.pattern("/listen/callers", ADDRESS, AN_ADDRESS),
             Rule.pattern("/operators/*/name", NAME, A_NAME),
@@ -74,22 +81,20 @@
             Rule.range("/peers/checkpointMillis", 100, 24 * HOUR),
             Rule.range("/peers/agentsPerPlacement", 1, 10_000));
 
-    private static final List<Rule> HOSTED = List.of(
-            Rule.pattern("/instance/id", NAME, A_NAME),
-            Rule.pattern("/instance/region", NAME, A_NAME),
-            Rule.pattern("/instance/hall", NAME, A_NAME),
-            Rule.pattern("/listen/clients", ADDRESS, AN_ADDRESS),
-            Rule.pattern("/listen/ready", ADDRESS, AN_ADDRESS),
-            Rule.pattern("/listen/peers", ADDRESS, AN_ADDRESS),
-            Rule.pattern("/listen/metrics", ADDRESS, AN_ADDRESS),
-            Rule.range("/peerPort", 1, 65_535),
-            Rule.pattern("/seeds/*", ADDRESS, AN_ADDRESS),
-            Rule.pattern("/store", ADDRESS, AN_ADDRESS),
-            Rule.pattern("/endpoint", ADDRESS, AN_ADDRESS),
-            Rule.range("/bounds/versionMillis", 100, HOUR),
-            Rule.range("/bounds/graceMillis", 100, HOUR),
-            Rule.pattern("/log/format", "text|json", "text or json"),
-            Rule.pattern("/log/level", "error|warn|info|debug|trace", "error, warn, info, debug or trace"));
+    private static final List<Rule> HOSTED = rules(
+            PLACE,
+            List.of(
+                    Rule.pattern("/listen/clients", ADDRESS, AN_ADDRESS),
+                    Rule.pattern("/listen/ready", ADDRESS, AN_ADDRESS),
+                    Rule.pattern("/listen/peers", ADDRESS, AN_ADDRESS),
+                    Rule.pattern("/listen/metrics", ADDRESS, AN_ADDRESS),
+                    Rule.range("/peerPort", 1, 65_535),
+                    Rule.pattern("/seeds/*", ADDRESS, AN_ADDRESS),
+                    Rule.pattern("/store", ADDRESS, AN_ADDRESS),
+                    Rule.pattern("/endpoint", ADDRESS, AN_ADDRESS),
+                    Rule.range("/bounds/versionMillis", 100, HOUR),
+                    Rule.range("/bounds/graceMillis", 100, HOUR)),
+            LOG);
 
     private static final List<Rule> AGENT = List.of(
             Rule.pattern("/endpoint/kind", "engine|service", "engine or service"),
@@ -109,6 +114,11 @@
 
     private SettingsReader() {}
 
+    @SafeVarargs
+    private static List<Rule> rules(List<Rule>... parts) {
+        return Stream.of(parts).flatMap(List::stream).toList();
+    }
+
     /**
      * Reads an entry's settings.
      *
@@ -164,19 +174,17 @@
      * @return their pointers
      */
     public static List<String> checkedFields() {
-        return Stream.of(COMMON, ENTRY, AGENT, HOSTED)
-                .flatMap(List::stream)
+        return rules(COMMON, ENTRY, AGENT, HOSTED).stream()
                 .map(Rule::pointer)
                 .distinct()
                 .toList();
     }
 
     private static <T> Result<T> read(Path file, String defaults, Class<T> type, List<Rule> rules) {
-        List<Rule> all = Stream.concat(COMMON.stream(), rules.stream()).toList();
         return bytes(file, Fault.Step.SETTINGS)
                 .flatMap(bytes -> JsonDocument.parse(file.toString(), bytes, Fault.Step.SETTINGS))
                 .flatMap(document -> defaults(defaults)
-                        .flatMap(below -> document.withDefaults(below).bind(type, all)));
+                        .flatMap(below -> document.withDefaults(below).bind(type, rules(COMMON, rules))));
     }
 
     private static Result<JsonDocument> defaults(String name) {
