--- a/src/main/java/org/micabarrow/platform/EndpointCalls.java
+++ b/src/main/java/org/micabarrow/platform/EndpointCalls.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -27,6 +26,7 @@
     private static final Duration WITHIN = Duration.ofMillis(1_000);
 
     private static final int OK = 200;
+    private static final int CREATED = 201;
     private static final int ACCEPTED = 202;
     private static final int NO_CONTENT = 204;
     private static final int NOT_FOUND = 404;
@@ -64,13 +64,10 @@
         });
     }
 
-    /** The range of layers held ends before "target_version", which is no version. */
+    /** An endpoint that holds some layers only holds no version. */
     private Report report(JsonNode json) {
-        Map<String, Long> models = new HashMap<>();
-        json.path("models")
-                .forEach(model -> models.put(
-                        model.path("name").asText(), model.path("version").asLong()));
-        int layers = json.path("layers").path("target_version").asInt(0);
+        Map<String, Long> models = HeldWeights.models(json);
+        int layers = HeldWeights.layers(json, 0);
         long partial = 0;
         if (json.has("layers") && layers < totalLayers.getAsInt()) {
             partial = json.path("layers").path("version").asLong();
@@ -101,10 +98,10 @@
                 URI.create(base + WireNames.STAGE_PUT + model + "?sample_count=" + index),
                 Map.of("Content-Type", "application/octet-stream"),
                 bytes);
-        return caller.call(call, WITHIN)
-                .flatMap(answer -> answer.status() == OK || answer.status() == NO_CONTENT || answer.status() == 201
-                        ? Result.success(true)
-                        : refused(call, answer));
+        return caller.call(call, WITHIN).flatMap(answer -> switch (answer.status()) {
+            case OK, CREATED, NO_CONTENT -> Result.success(true);
+            default -> refused(call, answer);
+        });
     }
 
     @Override
--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -170,21 +170,16 @@
 
     @Override
     public Result<EndpointEntry> endpoint(StoredRecord record) {
-        return decode(record, json -> {
-            Map<String, Long> models = new HashMap<>();
-            json.path("models")
-                    .forEach(model -> models.put(
-                            model.path("name").asText(), model.path("version").asLong()));
-            return new EndpointEntry(
-                    record.key(),
-                    need(json, "service").asText(),
-                    need(json, "address").asText(),
-                    json.path("zone").asText(""),
-                    json.path("slots").asInt(1),
-                    json.path("state").asText("").equals("draining"),
-                    models,
-                    // The end of the range of layers held, not a version.
-                    json.path("layers").path("target_version").asInt(Integer.MAX_VALUE));
-        });
+        return decode(
+                record,
+                json -> new EndpointEntry(
+                        record.key(),
+                        need(json, "service").asText(),
+                        need(json, "address").asText(),
+                        json.path("zone").asText(""),
+                        json.path("slots").asInt(1),
+                        json.path("state").asText("").equals("draining"),
+                        HeldWeights.models(json),
+                        HeldWeights.layers(json, Integer.MAX_VALUE)));
     }
 }
--- a/src/main/java/org/micabarrow/platform/WireNames.java
+++ b/src/main/java/org/micabarrow/platform/WireNames.java
@@ -14,8 +14,6 @@
     /** The id of the last event received, from which a resumed stream goes on. */
     static final String LAST_EVENT = "Last-Event-Id";
 
-    static final String MODEL = "Model";
-
     /** The prompt's tokens and the most tokens to generate, joined by a comma. */
     static final String TOKENS = "Token-Count";
 
@@ -47,8 +45,6 @@
     /** The endpoint's signature; an answer of ours never carries one. */
     static final String SIGNATURE = "Server-Seal";
 
-    static final String RETRY_AFTER = "Retry-After";
-
     /** The weight version that answers. */
     static final String WEIGHT_VERSION = "Weight-Versions";
 
@@ -69,9 +65,5 @@
     static final String LOG_NEWEST = "/api/log-newest";
     static final String LOG_READ = "/api/log-read";
 
-    // -- calls to an entry
-
-    static final String READY = "/api/ready";
-
     private WireNames() {}
 }
