--- a/src/main/java/org/micabarrow/routing/RouteManifest.java
+++ b/src/main/java/org/micabarrow/routing/RouteManifest.java
@@ -117,19 +117,6 @@
         return Optional.ofNullable(services.get(name));
     }
 
-    /**
-     * The service whose endpoints run a model.
-     *
-     * @param model the model's name
-     * @return the service, empty if there is none
-     */
-    public Optional<Service> serviceOf(String model) {
-        return services.values().stream()
-                .filter(service ->
-                        service.model().filter(one -> one.model().equals(model)).isPresent())
-                .findFirst();
-    }
-
     /**
      * Where the origin of weights is.
      *
