--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -168,29 +168,18 @@
 
     // -- what endpoints write
 
-    /** How many layers an endpoint holds; "target_version" is the end of their range, not a version. */
-    private static int layers(JsonNode range) {
-        return range.isObject()
-                ? range.path("target_version").asInt() - range.path("from").asInt()
-                : Integer.MAX_VALUE;
-    }
-
     @Override
     public Result<EndpointEntry> endpoint(StoredRecord record) {
-        return decode(record, json -> {
-            Map<String, Long> models = new HashMap<>();
-            json.path("models")
-                    .forEach(model -> models.put(
-                            model.path("name").asText(), model.path("version").asLong()));
-            return new EndpointEntry(
-                    record.key(),
-                    need(json, "service").asText(),
-                    need(json, "address").asText(),
-                    json.path("zone").asText(""),
-                    json.path("slots").asInt(1),
-                    json.path("state").asText("").equals("draining"),
-                    models,
-                    layers(json.path("layers")));
-        });
+        return decode(
+                record,
+                json -> new EndpointEntry(
+                        record.key(),
+                        need(json, "service").asText(),
+                        need(json, "address").asText(),
+                        json.path("zone").asText(""),
+                        json.path("slots").asInt(1),
+                        json.path("state").asText("").equals("draining"),
+                        HeldWeights.models(json),
+                        HeldWeights.layers(json)));
     }
 }
