--- a/src/test/java/org/micabarrow/serving/HostedEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/HostedEntryTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -28,6 +30,7 @@
 import org.micabarrow.process.HostedEntryProcess;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.state.Fault.Step;
+import org.micabarrow.transport.Addresses;
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.transport.HttpCaller.HttpAnswer;
@@ -182,6 +185,33 @@
         waitUntil(() -> platform.endpoint("plain-1").hanging() == 0);
     }
 
+    // -- stopping
+
+    @Test
+    void shouldCloseRestingConnectionsWhenStopping() throws Exception {
+        platform.add("plain-1", "plain", 0);
+        HostedEntryProcess entry = begin(1);
+        InetSocketAddress clients = Addresses.parse(settings.listen().clients().orElseThrow());
+        try (Socket resting = new Socket(clients.getAddress(), clients.getPort())) {
+            resting.setSoTimeout((int) WITHIN.toMillis());
+            resting.getOutputStream().write("GET /none HTTP/1.1\r\nHost: h.example\r\n\r\n".getBytes());
+            assertTrue(resting.getInputStream().read() >= 0, "an answer, after which the connection rests");
+            Thread stopping = new Thread(() -> {
+                try {
+                    entry.close();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            stopping.start();
+            waitUntil(() -> !entry.takesRequests());
+            assertEquals(200, ask("/once/x", Map.of()).status(), "requests are still served at first");
+            resting.getInputStream().readAllBytes();
+            stopping.join();
+        }
+        assertEquals(503, ask("/once/x", Map.of()).status(), "then they are told that they have not run");
+    }
+
     // -- what operators do
 
     @Test
--- /dev/null
+++ b/src/test/java/org/micabarrow/serving/RawAnswersTest.java
@@ -0,0 +1,126 @@
+package org.micabarrow.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.micabarrow.Await;
+import org.micabarrow.platform.standin.HostedSystem;
+import org.micabarrow.process.HostedEntryProcess;
+import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.HttpCaller.HttpAnswer;
+
+/** What an entry makes of an endpoint's answer, byte by byte. */
+class RawAnswersTest {
+
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nAttempt-Id: attempt-1\r\nServer-Seal: s\r\n";
+    private static final String OTHER = HEAD.replace("attempt-1", "attempt-0");
+
+    private HostedSystem platform;
+    private HttpCaller caller;
+    private ServerSocket endpoint;
+    private HostedSettings settings;
+
+    @BeforeEach
+    void start() throws IOException {
+        platform = HostedSystem.start();
+        caller = HttpCaller.start("test", 1);
+        endpoint = new ServerSocket(0);
+        settings = platform.entry();
+        platform.store()
+                .append(
+                        "keyed.servers",
+                        "raw-1",
+                        "{\"service\":\"plain\",\"address\":\"127.0.0.1:" + endpoint.getLocalPort()
+                                + "\",\"zone\":\"hall-a\",\"slots\":4,\"state\":\"ready\",\"models\":[]}");
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        endpoint.close();
+        caller.close();
+        platform.close();
+    }
+
+    /** Reads one request, writes the bytes, and closes or resets the connection. */
+    private void answerOnce(String bytes, boolean reset) {
+        Thread thread = new Thread(() -> {
+            try (Socket socket = endpoint.accept()) {
+                byte[] request = new byte[4_096];
+                int read = 0;
+                while (!new String(request, 0, read, StandardCharsets.US_ASCII).endsWith("a body")) {
+                    int count = socket.getInputStream().read(request, read, request.length - read);
+                    if (count < 0) {
+                        return;
+                    }
+                    read += count;
+                }
+                socket.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
+                socket.getOutputStream().flush();
+                if (reset) {
+                    socket.setSoLinger(true, 0);
+                }
+            } catch (IOException e) {
+                // The entry went first; what it told its client is what the test looks at.
+                assertTrue(endpoint.isClosed() || reset || e.getMessage() != null);
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static String bytes(String form) {
+        return switch (form) {
+            case "length" -> HEAD + "Content-Length: 5\r\n\r\nwhole";
+            case "chunked" -> HEAD + "Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n2\r\nle\r\n0\r\n\r\n";
+            case "ended by close", "reset" -> HEAD + "\r\nwhole";
+            case "cut" -> HEAD + "Content-Length: 50\r\n\r\nwhole";
+            case "cut chunked" -> HEAD + "Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n2\r\nl";
+            case "surplus" -> HEAD + "Content-Length: 5\r\n\r\nwhole" + OTHER + "Content-Length: 5\r\n\r\nother";
+            case "late" -> OTHER + "Content-Length: 5\r\n\r\nother";
+            case "no signature" -> "HTTP/1.1 200 OK\r\nAttempt-Id: attempt-1\r\nContent-Length: 5\r\n\r\nwhole";
+            case "broken head" -> "HTTP/9 huh\r\n\r\n";
+            case "no bytes" -> "";
+            default -> throw new IllegalArgumentException(form);
+        };
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "length,         false, 200",
+        "chunked,        false, 200",
+        "ended by close, false, 200",
+        "surplus,        false, 200",
+        "cut,            false, 502",
+        "cut chunked,    false, 502",
+        "reset,          true,  502",
+        "late,           false, 502",
+        "no signature,   false, 502",
+        "broken head,    false, 502",
+        "no bytes,       false, 502"
+    })
+    void shouldPassOnOnlyWholeAnswersToTheRequest(String form, boolean reset, int status) throws Exception {
+        HostedEntryProcess entry = HostedEntryProcess.start(settings);
+        Await.until("a manifest and the endpoint", () -> entry.takesRequests() && entry.endpoints() == 1);
+        answerOnce(bytes(form), reset);
+        HttpAnswer answer = caller.call(
+                        HostedSystem.request(settings.listen().clients().orElseThrow(), "/once/x", "attempt-1"),
+                        Duration.ofSeconds(5))
+                .toOptional()
+                .orElse(new HttpAnswer(0, Map.of(), new byte[0]));
+        assertEquals(status, answer.status());
+        if (status == 200) {
+            assertEquals("whole", new String(answer.body(), StandardCharsets.US_ASCII));
+        }
+    }
+}
