--- a/src/test/java/org/micabarrow/serving/HostedEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/HostedEntryTest.java
@@ -185,6 +185,24 @@
         waitUntil(() -> platform.endpoint("plain-1").hanging() == 0);
     }
 
+    @Test
+    void shouldCancelAtEndpointWhenClientLeavesAfterBodyThatCameLater() throws Exception {
+        platform.add("plain-1", "plain", 0);
+        HostedEntryProcess entry = begin(1);
+        platform.next(Behaviour.HANG);
+        InetSocketAddress clients = Addresses.parse(settings.listen().clients().orElseThrow());
+        try (Socket client = new Socket(clients.getAddress(), clients.getPort())) {
+            String head = "POST /again/x HTTP/1.1\r\nHost: h.example\r\nKey: key-a\r\nAttempt-Id: a\r\n"
+                    + "Deadline-Ms: 60000\r\nContent-Length: 6\r\n\r\n";
+            client.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            waitUntil(() -> entry.open() == 1);
+            client.getOutputStream().write("a body".getBytes(StandardCharsets.US_ASCII));
+            waitUntil(() -> platform.endpoint("plain-1").hanging() == 1);
+        }
+        waitUntil(() -> entry.open() == 0);
+        waitUntil(() -> platform.endpoint("plain-1").hanging() == 0);
+    }
+
     // -- stopping
 
     @Test
