--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -15,8 +15,17 @@
     /** The greatest datagram, in bytes; they are well under a hundred. */
     private static final int MOST_BYTES = 512;
 
+    // Names in the messages; they are single letters, since bytes between regions are paid for.
+    private static final String ENTRY = "e";
+    private static final String PROMPT_TOKENS = "p";
+    private static final String REQUESTS = "r";
+    private static final String LOADING = "l";
+    private static final String VERSION = "v";
+
     private LoadMessages() {}
 
+    // -- questions
+
     /**
      * An entry's question, which tells what the entry itself has waiting there.
      *
@@ -25,51 +34,55 @@
      */
     record Question(String entry, int promptTokens) {}
 
-    /**
-     * A datagram as it came in.
-     *
-     * @param from whence
-     * @param bytes what it says
-     */
-    record Received(InetSocketAddress from, byte[] bytes) {}
-
-    /** Waits for the next datagram. */
-    static Received receive(DatagramChannel channel) throws IOException {
-        ByteBuffer buffer = ByteBuffer.allocate(MOST_BYTES);
-        InetSocketAddress from = (InetSocketAddress) channel.receive(buffer);
-        buffer.flip();
-        byte[] bytes = new byte[buffer.remaining()];
-        buffer.get(bytes);
-        return new Received(from, bytes);
-    }
-
     static ByteBuffer write(Question question) {
         ObjectNode json = CanonicalJson.mapper().createObjectNode();
-        json.put("e", question.entry());
-        json.put("p", question.promptTokens());
+        json.put(ENTRY, question.entry());
+        json.put(PROMPT_TOKENS, question.promptTokens());
         return ByteBuffer.wrap(CanonicalJson.write(json));
     }
 
     static Question question(byte[] bytes) throws IOException {
         JsonNode json = CanonicalJson.mapper().readTree(bytes);
-        return new Question(json.path("e").asText(), json.path("p").asInt());
+        return new Question(json.path(ENTRY).asText(), json.path(PROMPT_TOKENS).asInt());
     }
 
+    // -- answers
+
     static ByteBuffer write(Told told) {
         ObjectNode json = CanonicalJson.mapper().createObjectNode();
-        json.put("r", told.requests());
-        json.put("p", told.othersPromptTokens());
-        json.put("l", told.loading());
-        json.put("v", told.version());
+        json.put(REQUESTS, told.requests());
+        json.put(PROMPT_TOKENS, told.othersPromptTokens());
+        json.put(LOADING, told.loading());
+        json.put(VERSION, told.version());
         return ByteBuffer.wrap(CanonicalJson.write(json));
     }
 
     static Told told(byte[] bytes) throws IOException {
         JsonNode json = CanonicalJson.mapper().readTree(bytes);
         return new Told(
-                json.path("r").asInt(),
-                json.path("p").asInt(),
-                json.path("l").asBoolean(),
-                json.path("v").asLong());
+                json.path(REQUESTS).asInt(),
+                json.path(PROMPT_TOKENS).asInt(),
+                json.path(LOADING).asBoolean(),
+                json.path(VERSION).asLong());
+    }
+
+    // -- either
+
+    /**
+     * A datagram as it came in.
+     *
+     * @param from whence
+     * @param bytes what it says
+     */
+    record Received(InetSocketAddress from, byte[] bytes) {}
+
+    /** Waits for the next datagram. */
+    static Received receive(DatagramChannel channel) throws IOException {
+        ByteBuffer buffer = ByteBuffer.allocate(MOST_BYTES);
+        InetSocketAddress from = (InetSocketAddress) channel.receive(buffer);
+        buffer.flip();
+        byte[] bytes = new byte[buffer.remaining()];
+        buffer.get(bytes);
+        return new Received(from, bytes);
     }
 }
