--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -96,21 +96,18 @@
         void take() throws InterruptedException;
     }
 
+    /** Takes a step again and again on a thread of its own, with a rest after each. */
     private static void run(String name, long restMillis, Step step) {
-        Thread thread = new Thread(
-                () -> {
-                    try {
-                        while (true) {
-                            step.take();
-                            Thread.sleep(restMillis);
-                        }
-                    } catch (InterruptedException e) {
-                        LOG.info("event=thread_stopped thread={}", name);
-                    }
-                },
-                name);
-        thread.setDaemon(true);
-        thread.start();
+        Thread.ofPlatform().name(name).daemon().start(() -> {
+            try {
+                while (true) {
+                    step.take();
+                    Thread.sleep(restMillis);
+                }
+            } catch (InterruptedException e) {
+                LOG.info("event=thread_stopped thread={}", name);
+            }
+        });
     }
 
     /** What entries are told of the endpoint; while it does not answer, nothing is said. */
--- a/src/main/java/org/micabarrow/transport/LoadFeed.java
+++ b/src/main/java/org/micabarrow/transport/LoadFeed.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -53,7 +52,7 @@
             int peerPort,
             Supplier<View> view,
             EndpointChoice choice,
-            Executor traffic,
+            XnioIoThread traffic,
             LongSupplier steadyMillis) {}
 
     private LoadFeed(Parts parts, DatagramChannel channel) {
@@ -69,18 +68,12 @@
      */
     public static void start(Parts parts) throws IOException {
         LoadFeed feed = new LoadFeed(parts, DatagramChannel.open().bind(null));
-        Thread thread = new Thread(feed::receive, "load-feed");
-        thread.setDaemon(true);
-        thread.start();
-        feed.ask();
+        Thread.ofPlatform().name("load-feed").daemon().start(feed::receive);
+        parts.traffic().execute(feed::askAll);
     }
 
     // -- questions, on the thread for traffic
 
-    private void ask() {
-        parts.traffic().execute(this::askAll);
-    }
-
     private void askAll() {
         View view = parts.view().get();
         Map<String, String> hosts = new HashMap<>();
@@ -96,9 +89,7 @@
         endpointsByHost.putAll(hosts);
         parts.choice().keepOnly(view.endpoints().keySet());
         round++;
-        if (parts.traffic() instanceof XnioIoThread thread) {
-            thread.executeAfter(this::askAll, NEAR_MILLIS, TimeUnit.MILLISECONDS);
-        }
+        parts.traffic().executeAfter(this::askAll, NEAR_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private static boolean isModel(View view, EndpointEntry endpoint) {
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -45,9 +45,7 @@
             throws IOException {
         DatagramChannel channel = DatagramChannel.open().bind(Addresses.parse(address));
         LoadServer server = new LoadServer(channel, endpoint, steadyMillis);
-        Thread thread = new Thread(server::serve, "load-server");
-        thread.setDaemon(true);
-        thread.start();
+        Thread.ofPlatform().name("load-server").daemon().start(server::serve);
     }
 
     private void serve() {
--- a/src/main/java/org/micabarrow/views/StoreFollower.java
+++ b/src/main/java/org/micabarrow/views/StoreFollower.java
@@ -57,9 +57,7 @@
 
     /** Follows the topic on a thread of its own, for as long as the process runs. */
     public void start() {
-        Thread thread = new Thread(this::follow, "follow-" + topic);
-        thread.setDaemon(true);
-        thread.start();
+        Thread.ofPlatform().name("follow-" + topic).daemon().start(this::follow);
     }
 
     private void follow() {
--- a/src/main/java/org/micabarrow/weights/FetchRun.java
+++ b/src/main/java/org/micabarrow/weights/FetchRun.java
@@ -53,9 +53,7 @@
 
     private void ask(String source) {
         if (asked.add(source)) {
-            Thread thread = new Thread(() -> askUntilDone(source), "fetch-" + source);
-            thread.setDaemon(true);
-            thread.start();
+            Thread.ofPlatform().name("fetch-" + source).daemon().start(() -> askUntilDone(source));
         }
     }
 
