--- a/src/main/java/org/micabarrow/command/RehearseCommand.java
+++ b/src/main/java/org/micabarrow/command/RehearseCommand.java
@@ -25,9 +25,15 @@
 @Parameters(commandDescription = "Run an entry and an agent against stand-ins for a moment; the build archives classes")
 final class RehearseCommand extends Command {
 
+    /** How long an answer may take: more than the time-out of the stand-ins' routes, also on a busy machine. */
     private static final Duration WITHIN = Duration.ofSeconds(5);
+
+    /** How often a request is sent until it is answered well: the entry first has to find the endpoints. */
     private static final int TRIES = 100;
+
+    /** The pause between these, in milliseconds; all together they take ten seconds. */
     private static final long AGAIN_MILLIS = 100;
+
     private static final int OK = 200;
 
     @Override
--- a/src/main/java/org/micabarrow/platform/EndpointHeaders.java
+++ b/src/main/java/org/micabarrow/platform/EndpointHeaders.java
@@ -16,8 +16,11 @@
 public final class EndpointHeaders implements EndpointProtocol {
 
     private static final int MISDIRECTED = 421;
+
+    /** The last rank that endpoints are told; what ranks behind it is told as this. */
     private static final int MOST_PRIORITY = 9;
 
+    /** Headers that belong to the endpoint's connection only. */
     private static final Set<String> NOT_PASSED_ON =
             Set.of("connection", "keep-alive", "transfer-encoding", "content-length", "trailer", "upgrade");
 
--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -27,7 +27,7 @@
 
     private static final String MANIFEST_KEY = "config";
     private static final String VERSION_KEYS = "version/";
-    private static final double TOKENS_PER_SECOND_TO_MILLI = 1_000;
+    private static final double MILLIS_A_SECOND = 1_000;
 
     /** What a route's timeout and objective are if the manifest names none: longer than any client waits. */
     private static final long NO_TIMEOUT_MILLIS = 60_000;
@@ -157,7 +157,7 @@
         return new ModelService(
                 engine.path("models").path(0).path("name").asText(),
                 engine.path("slots").asInt(1),
-                engine.path("read_per_s").asDouble(1) / TOKENS_PER_SECOND_TO_MILLI,
+                engine.path("read_per_s").asDouble(1) / MILLIS_A_SECOND,
                 engine.path("step_ms").asDouble(0),
                 engine.path("per_seq_ms").asDouble(0),
                 engine.path("stride").asInt(1),
--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -24,6 +24,8 @@
 public final class HostedSystem implements AutoCloseable {
 
     private static final String MODEL = "model-a";
+
+    /** What an instance's link carries, in bits a second: so much that the small chunks here are not held up. */
     private static final double LINK_BITS_PER_SECOND = 1e9;
 
     private final Queue<Behaviour> behaviours = new ConcurrentLinkedQueue<>();
--- a/src/main/java/org/micabarrow/serving/ClientAnswer.java
+++ b/src/main/java/org/micabarrow/serving/ClientAnswer.java
@@ -37,12 +37,12 @@
 
     /** The client's connection is gone. */
     void gone() {
-        over = true;
-        IoUtils.safeClose(exchange.getConnection());
+        breakOff();
     }
 
     // -- answers of endpoints
 
+    /** Begins an answer; its parts follow. */
     void head(AnswerHead head) {
         begun = true;
         exchange.setStatusCode(head.status());
@@ -64,11 +64,13 @@
         });
     }
 
+    /** Ends an answer whose parts have all been written. */
     void end() {
         over = true;
         exchange.endExchange();
     }
 
+    /** Writes an answer that is here whole. */
     void whole(AnswerHead head, byte[] body) {
         head(head);
         over = true;
--- a/src/main/java/org/micabarrow/transport/HttpCaller.java
+++ b/src/main/java/org/micabarrow/transport/HttpCaller.java
@@ -32,8 +32,15 @@
  */
 public final class HttpCaller implements AutoCloseable {
 
+    /** The size of a buffer, in bytes: about what Undertow's servers take by default. */
     private static final int BUFFER_BYTES = 16 * 1024;
 
+    /** How many buffers all threads together keep for later use: 4 MiB; chosen, not measured. */
+    private static final int BUFFERS_KEPT = 256;
+
+    /** How many of them a thread keeps for itself: as in Undertow's servers by default. */
+    private static final int BUFFERS_KEPT_BY_THREAD = 4;
+
     /** How many connections to one place are kept by a caller that is told no number. */
     private static final int MOST_IDLE = 64;
 
@@ -45,7 +52,7 @@
         this.worker = worker;
         this.ownWorker = ownWorker;
         this.shared = new HttpExchange.Shared(
-                new DefaultByteBufferPool(true, BUFFER_BYTES, 256, 4),
+                new DefaultByteBufferPool(true, BUFFER_BYTES, BUFFERS_KEPT, BUFFERS_KEPT_BY_THREAD),
                 new KeptConnections(mostIdle),
                 new LongAdder(),
                 new LongAdder());
--- a/src/main/java/org/micabarrow/transport/HttpListener.java
+++ b/src/main/java/org/micabarrow/transport/HttpListener.java
@@ -12,6 +12,7 @@
 /** An HTTP server on one address, with bounds on what it bears. */
 public final class HttpListener implements AutoCloseable {
 
+    /** How long a client may take to send the head of a request, in milliseconds; chosen, not measured. */
     private static final int PARSE_MILLIS = 10_000;
 
     private final Undertow server;
