--- a/src/main/java/org/micabarrow/platform/StoreClient.java
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -74,7 +74,6 @@
             }
             JsonNode json = answer.toOptional().orElseThrow();
             end = end < 0 ? json.path("end").asLong() : end;
-            // The name suggests a secret; it is the record's key.
             json.path("items").forEach(item -> records.add(record(item)));
             if (!json.path("has_more").asBoolean(false) || records.isEmpty()) {
                 return Result.success(new Batch(records, end));
@@ -91,6 +90,7 @@
         return caller.call(call, ANSWER_WITHIN).flatMap(answer -> json(call, answer));
     }
 
+    /** A record of a page. The name "private_key" suggests a secret; it is the record's key. */
     private static StoredRecord record(JsonNode item) {
         byte[] value = Base64.getDecoder().decode(item.path("value").asText(""));
         return new StoredRecord(
@@ -104,8 +104,7 @@
         try {
             return Result.success(CanonicalJson.mapper().readTree(answer.body()));
         } catch (IOException e) {
-            return Result.failure(
-                    Fault.of(call.step(), call.peer(), Reason.CORRUPT, "the answer is not JSON: " + e.getMessage()));
+            return corrupt(call, "the answer is not JSON: " + e.getMessage());
         }
     }
 
@@ -129,6 +128,7 @@
         });
     }
 
+    /** An answer to a read: the topic's end, the first offset that is kept, and the records from the offset asked for. */
     private static Result<Read> parse(HttpCall call, long from, byte[] body) {
         try {
             ByteBuffer bytes = ByteBuffer.wrap(body);
@@ -137,21 +137,25 @@
             if (first > from) {
                 return Result.success(new Read.Expired());
             }
-            List<StoredRecord> records = new ArrayList<>();
-            long offset = from;
-            while (bytes.hasRemaining()) {
-                records.add(keyed(bytes, offset));
-                offset++;
-            }
-            if (end < from) {
-                return Result.failure(Fault.of(
-                        call.step(), call.peer(), Reason.CORRUPT, "the topic ends at " + end + ", before " + from));
-            }
-            return Result.success(new Read.Records(new Batch(records, offset)));
+            List<StoredRecord> records = keyedRecords(bytes, from);
+            return end < from
+                    ? corrupt(call, "the topic ends at " + end + ", before " + from)
+                    : Result.success(new Read.Records(new Batch(records, from + records.size())));
         } catch (BufferUnderflowException | IllegalArgumentException | IndexOutOfBoundsException e) {
-            return Result.failure(
-                    Fault.of(call.step(), call.peer(), Reason.CORRUPT, "the answer breaks off within a record"));
+            return corrupt(call, "the answer breaks off within a record");
+        }
+    }
+
+    private static <T> Result<T> corrupt(HttpCall call, String why) {
+        return Result.failure(Fault.of(call.step(), call.peer(), Reason.CORRUPT, why));
+    }
+
+    private static List<StoredRecord> keyedRecords(ByteBuffer bytes, long from) {
+        List<StoredRecord> records = new ArrayList<>();
+        while (bytes.hasRemaining()) {
+            records.add(keyed(bytes, from + records.size()));
         }
+        return records;
     }
 
     /** A keyed record: the length of all that follows, the length of the key, the key, the value. */
--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -35,6 +35,8 @@
     /** The platform's usual bound on bodies, taken if a manifest names none. */
     private static final long USUAL_BODY_BYTES = 4L << 20;
 
+    // -- decoding
+
     /** A field that must be there is not. */
     private static final class MissingField extends RuntimeException {
 
--- a/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
@@ -155,15 +155,17 @@
         }
     }
 
+    /** The answer to a read: the topic's end, the first offset that is kept, and the records asked for. */
     private static byte[] raw(List<Entry> entries, int from, int first) {
+        List<Entry> asked = entries.subList(Math.min(from, entries.size()), entries.size());
         int size = 2 * Long.BYTES;
-        for (Entry entry : entries.subList(Math.min(from, entries.size()), entries.size())) {
+        for (Entry entry : asked) {
             size += Integer.BYTES + 1 + entry.key().length() + entry.value().length;
         }
         ByteBuffer bytes = ByteBuffer.allocate(size);
         bytes.putLong(entries.size());
         bytes.putLong(first);
-        for (Entry entry : entries.subList(Math.min(from, entries.size()), entries.size())) {
+        for (Entry entry : asked) {
             byte[] key = entry.key().getBytes(StandardCharsets.UTF_8);
             bytes.putInt(1 + key.length + entry.value().length);
             bytes.put((byte) key.length);
