--- a/src/main/java/org/micabarrow/coordination/ChunkWindow.java
+++ b/src/main/java/org/micabarrow/coordination/ChunkWindow.java
@@ -18,7 +18,7 @@
  *
  * <pre>{@code
  * window.add(chunk);
- * Result<byte[]> next = window.read("norte-a-2", 0, Duration.ofSeconds(1));
+ * Result<byte[]> next = window.read("hall-a-2", 0, Duration.ofSeconds(1));
  * }</pre>
  */
 public final class ChunkWindow {
--- a/src/main/java/org/micabarrow/coordination/PrefixIndex.java
+++ b/src/main/java/org/micabarrow/coordination/PrefixIndex.java
@@ -15,7 +15,7 @@
  *
  * <pre>{@code
  * List<Long> prefix = PrefixIndex.blocks(prompt);
- * index.seen(prefix, "norte-a-1", now);
+ * index.seen(prefix, "hall-a-1", now);
  * }</pre>
  */
 public final class PrefixIndex {
--- a/src/main/java/org/micabarrow/coordination/SourceChoice.java
+++ b/src/main/java/org/micabarrow/coordination/SourceChoice.java
@@ -14,7 +14,7 @@
  * <p>Used by one thread.
  *
  * <pre>{@code
- * SourceChoice choice = SourceChoice.of(Source.order(placed, "norte-a-1"));
+ * SourceChoice choice = SourceChoice.of(Source.order(placed, "hall-a-1"));
  * Source source = choice.next(now);
  * choice.failed(source, false, now);
  * }</pre>
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -57,15 +57,6 @@
         requests--;
     }
 
-    /**
-     * The requests that this entry has there.
-     *
-     * @return their number
-     */
-    public int ownRequests() {
-        return requests;
-    }
-
     /**
      * The prompt tokens of own requests whose answers have not begun.
      *
