--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -2,6 +2,7 @@
 
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
@@ -13,16 +14,27 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.settings.Common;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.state.Fault;
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpListener;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The users' platform in small, on loopback: a store, an origin and endpoints, with the settings that fit them. */
 public final class HostedSystem implements AutoCloseable {
 
+    private static final Logger LOG = LoggerFactory.getLogger(HostedSystem.class);
+
+    /** Linux takes the ports of outgoing connections from here on; an address below it stays free until it is used. */
+    private static final int FIRST_OUTGOING_PORT = 32_768;
+
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger(20_000 + (int) (ProcessHandle.current().pid() % 10_000));
+
     private static final String MODEL = "model-a";
 
     /** What an instance's link carries, in bits a second: so much that the small chunks here are not held up. */
@@ -66,9 +78,14 @@
      * @throws IOException if no port is free
      */
     public static String freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return "127.0.0.1:" + socket.getLocalPort();
+        for (int port = NEXT_PORT.getAndIncrement(); port < FIRST_OUTGOING_PORT; port = NEXT_PORT.getAndIncrement()) {
+            try (ServerSocket socket = new ServerSocket(port)) {
+                return "127.0.0.1:" + socket.getLocalPort();
+            } catch (BindException e) {
+                LOG.debug("event=port_taken port={}", port);
+            }
         }
+        throw new IOException("no port is free below " + FIRST_OUTGOING_PORT);
     }
 
     // -- what the platform holds
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -123,11 +123,25 @@
                 .flatMap(RouteManifest.Service::model);
     }
 
-    /** The least weight version that may still answer; 0 for any. */
+    /**
+     * The least weight version that may still answer; 0 for any. A process that found a version named at its start does not
+     * know for how long, nor which came before: it demands the newest that any endpoint of the service holds.
+     */
     private long leastVersion(ClientRequest request) {
-        return model(request)
-                .map(model -> view().leastVersion(model.model(), versionBoundMillis, nowMillis()))
-                .orElse(0L);
+        return model(request).map(model -> leastVersion(request, model.model())).orElse(0L);
+    }
+
+    private long leastVersion(ClientRequest request, String model) {
+        long due = view().leastVersion(model, versionBoundMillis, nowMillis());
+        boolean found =
+                view().newestTarget(model).filter(target -> !target.seenNamed()).isPresent();
+        long held = found
+                ? view().endpointsOf(request.service()).stream()
+                        .mapToLong(endpoint -> endpoint.models().getOrDefault(model, 0L))
+                        .max()
+                        .orElse(0)
+                : 0;
+        return Math.max(due, held);
     }
 
     /** The only version that may answer at an endpoint, once the time for older ones is over. */
--- a/src/main/java/org/micabarrow/views/View.java
+++ b/src/main/java/org/micabarrow/views/View.java
@@ -31,8 +31,9 @@
      *
      * @param version the version
      * @param learnedMillis when this process learned of it, on its steady clock
+     * @param seenNamed whether this process saw it being named, rather than finding it named at its start
      */
-    public record Target(long version, long learnedMillis) {}
+    public record Target(long version, long learnedMillis, boolean seenNamed) {}
 
     /** Copies the maps. */
     public View {
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -28,6 +28,7 @@
     private final LongSupplier steadyMillis;
     private final Map<Topic, TopicCopy> copies = new HashMap<>();
     private final DropDoubts doubts = new DropDoubts();
+    private boolean loaded;
     private volatile View view = View.empty();
 
     /**
@@ -83,6 +84,7 @@
      */
     public synchronized void replace(Topic topic, Collection<StoredRecord> records, long takenAt) {
         publish(topic, copies.get(topic).replace(records, takenAt));
+        loaded |= topic == Topic.OPERATOR;
     }
 
     /**
@@ -176,7 +178,7 @@
      * @param version the version; an older one than is known changes nothing
      */
     public synchronized void want(String model, long version) {
-        View after = view.withTarget(model, new View.Target(version, steadyMillis.getAsLong()));
+        View after = view.withTarget(model, new View.Target(version, steadyMillis.getAsLong(), loaded));
         if (after == view) {
             return;
         }
--- a/src/test/java/org/micabarrow/views/ViewKeeperTest.java
+++ b/src/test/java/org/micabarrow/views/ViewKeeperTest.java
@@ -92,6 +92,16 @@
         assertEquals(2, keeper.view().leastVersion("m", 8_000, now.get()));
     }
 
+    @Test
+    void shouldKnowWhetherItSawVersionBeingNamed() {
+        StoredRecord found = record("version/m", 1, "{\"model\":\"m\",\"version\":2}");
+        keeper.replace(Topic.OPERATOR, List.of(found), 2);
+        assertFalse(keeper.view().newestTarget("m").orElseThrow().seenNamed());
+        StoredRecord named = record("version/m", 2, "{\"model\":\"m\",\"version\":3}");
+        keeper.apply(Topic.OPERATOR, List.of(named), 3);
+        assertTrue(keeper.view().newestTarget("m").orElseThrow().seenNamed());
+    }
+
     // -- endpoints
 
     @Test
