Entries are told to send nothing before an endpoint gets its order

Ruled out: cancelling (the endpoint reads the request before the reset), shorter deadlines (it begins first, then ends).

--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -42,6 +42,7 @@
     private final HostedNode node;
     private final ReplicaKeeper keeper;
     private final Agent self;
+    private volatile Optional<LoadServer> loadServer = Optional.empty();
 
     private HostedAgentProcess(HostedSettings settings) throws IOException {
         this.settings = settings;
@@ -61,6 +62,7 @@
                 fetcher,
                 this::view,
                 this::place,
+                this::tellEntries,
                 settings.bounds().versionMillis(),
                 HostedNode::steadyMillis));
     }
@@ -83,7 +85,7 @@
         HttpListener.Bounds usual = HttpListener.Bounds.usual();
         HttpListener.on(settings.listen().peers(), usual, node.worker(), peers);
         HttpListener.on(settings.listen().metrics(), usual, node.worker(), peers);
-        LoadServer.start(settings.listen().peers(), this::told, HostedNode::steadyMillis);
+        loadServer = Optional.of(LoadServer.start(settings.listen().peers(), this::told, HostedNode::steadyMillis));
         // After the listeners, so that no connection of our own takes one of their ports.
         node.follow(ENDPOINTS_REST, settings::seeds);
         run("report", REPORT_MILLIS, keeper::refresh);
@@ -117,11 +119,15 @@
                 .map(report -> new EndpointLoad.Told(
                         report.running() + report.queued(),
                         0,
-                        report.busy(),
+                        report.busy() || keeper.closing(),
                         model().map(model -> report.models().getOrDefault(model, 0L))
                                 .orElse(0L)));
     }
 
+    private void tellEntries() {
+        loadServer.ifPresent(LoadServer::tellAll);
+    }
+
     private View view() {
         return node.views().view();
     }
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -3,9 +3,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.DatagramChannel;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.micabarrow.routing.EndpointLoad.Told;
@@ -23,9 +23,9 @@
     private final DatagramChannel channel;
     private final Supplier<Optional<Told>> endpoint;
     private final LongSupplier steadyMillis;
-    private final Map<String, Said> entries = new HashMap<>();
+    private final Map<String, Said> entries = new ConcurrentHashMap<>();
 
-    private record Said(int promptTokens, long atMillis) {}
+    private record Said(InetSocketAddress from, int promptTokens, long atMillis) {}
 
     private LoadServer(DatagramChannel channel, Supplier<Optional<Told>> endpoint, LongSupplier steadyMillis) {
         this.channel = channel;
@@ -39,13 +39,26 @@
      * @param address the host and port
      * @param endpoint what is known of the endpoint; empty while it does not answer
      * @param steadyMillis a clock that never steps, in milliseconds
+     * @return the running server
      * @throws IOException if the address cannot be used
      */
-    public static void start(String address, Supplier<Optional<Told>> endpoint, LongSupplier steadyMillis)
+    public static LoadServer start(String address, Supplier<Optional<Told>> endpoint, LongSupplier steadyMillis)
             throws IOException {
         DatagramChannel channel = DatagramChannel.open().bind(Addresses.parse(address));
         LoadServer server = new LoadServer(channel, endpoint, steadyMillis);
         Thread.ofPlatform().name("load-server").daemon().start(server::serve);
+        return server;
+    }
+
+    /** Tells all entries that asked lately how the endpoint is, before they ask again. */
+    public void tellAll() {
+        entries.forEach((entry, said) -> {
+            try {
+                tell(entry, said.from());
+            } catch (IOException e) {
+                LOG.warn("event=load_not_told entry={} why=\"{}\"", entry, e.toString());
+            }
+        });
     }
 
     private void serve() {
@@ -61,18 +74,22 @@
 
     private void answer(InetSocketAddress from, LoadMessages.Question question) throws IOException {
         long now = steadyMillis.getAsLong();
-        entries.put(question.entry(), new Said(question.promptTokens(), now));
+        entries.put(question.entry(), new Said(from, question.promptTokens(), now));
         entries.values().removeIf(said -> now - said.atMillis() > SAID_MILLIS);
+        tell(question.entry(), from);
+    }
+
+    private void tell(String entry, InetSocketAddress to) throws IOException {
         Optional<Told> told = endpoint.get();
         if (told.isEmpty()) {
             return;
         }
         int others = entries.entrySet().stream()
-                .filter(one -> !one.getKey().equals(question.entry()))
+                .filter(one -> !one.getKey().equals(entry))
                 .mapToInt(one -> one.getValue().promptTokens())
                 .sum();
         Told all = new Told(
                 told.get().requests(), others, told.get().loading(), told.get().version());
-        channel.send(LoadMessages.write(all), from);
+        channel.send(LoadMessages.write(all), to);
     }
 }
--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -40,6 +40,7 @@
     private static final long DIGESTS_AGAIN_MILLIS = 300;
 
     private final Parts parts;
+    private final Cordon cordon;
     private final Deque<ChunkSet> sets = new ArrayDeque<>();
     private final AtomicReference<Optional<Report>> report = new AtomicReference<>(Optional.empty());
     private final BitSet laidChunks = new BitSet();
@@ -54,6 +55,7 @@
      * @param fetcher fetches chunks
      * @param view what is believed of the store
      * @param place the agent's place among those of its region
+     * @param tellEntries tells entries at once how the endpoint is
      * @param boundMillis how long after a version was named older ones may answer
      * @param steadyMillis a clock that never steps, in milliseconds
      */
@@ -64,6 +66,7 @@
             ChunkFetcher fetcher,
             Supplier<View> view,
             Supplier<Place> place,
+            Runnable tellEntries,
             long boundMillis,
             LongSupplier steadyMillis) {}
 
@@ -82,6 +85,7 @@
      */
     public ReplicaKeeper(Parts parts) {
         this.parts = Objects.requireNonNull(parts, "parts is null");
+        this.cordon = new Cordon(parts.tellEntries());
     }
 
     /**
@@ -93,6 +97,15 @@
         return report.get();
     }
 
+    /**
+     * Whether entries are to send the endpoint nothing, because it is about to change versions.
+     *
+     * @return true from shortly before an order until the endpoint has taken the order or it is no longer wanted
+     */
+    public boolean closing() {
+        return cordon.closed();
+    }
+
     /** Asks the endpoint for a fresh report. */
     public void refresh() {
         Optional<Report> before = report.get();
@@ -199,7 +212,7 @@
         if (!now.get().busy()) {
             newestWhole(model.get(), held)
                     .or(() -> newestBegun(model.get(), held))
-                    .ifPresent(set -> advance(set, held, now.get()));
+                    .ifPresentOrElse(set -> advance(set, held, now.get()), cordon::lift);
         }
     }
 
@@ -213,7 +226,7 @@
     }
 
     private Optional<ChunkSet> newestWhole(String model, long held) {
-        long least = leastAllowed(model);
+        long least = leastAllowed(model, 0);
         synchronized (sets) {
             return sets.stream()
                     .filter(set -> set.model().equals(model) && set.version() > held && set.version() >= least)
@@ -225,24 +238,33 @@
     private void advance(ChunkSet set, long held, Report now) {
         layNew(set);
         boolean allLaid = laidChunks.cardinality() == set.digests().size();
-        if (!allLaid && held > 0 && tooLate(set.model(), held)) {
+        boolean retires = !allLaid && held > 0 && tooLate(set.model(), held);
+        boolean orders = allLaid && parts.steadyMillis().getAsLong() + Cordon.MILLIS >= orderAt(set.model(), held);
+        if (!retires && !orders) {
+            cordon.lift();
+            return;
+        }
+        // An endpoint that serves nothing gets no requests, so there is nothing to wait for.
+        boolean quiet =
+                held == 0 || cordon.closedLongEnough(parts.steadyMillis().getAsLong());
+        if (quiet && retires) {
             retire(set, now);
-        } else if (allLaid && parts.steadyMillis().getAsLong() >= orderAt(set.model(), held)) {
+        } else if (quiet) {
             verifyAndOrder(set, now);
         }
     }
 
     /** Whether the endpoint must stop serving the version that it holds, although a newer one is not here whole. */
     private boolean tooLate(String model, long held) {
-        return leastAllowed(model) > held;
+        return leastAllowed(model, Cordon.MILLIS) > held;
     }
 
-    /** The least version that the endpoint may still serve or take up. */
-    private long leastAllowed(String model) {
+    /** The least version that the endpoint may still serve or take up, or has to in a while. */
+    private long leastAllowed(String model, long aheadMillis) {
         long margin = Math.round(parts.boundMillis() * RETIRE_PART);
         return parts.view()
                 .get()
-                .leastVersion(model, margin, parts.steadyMillis().getAsLong());
+                .leastVersion(model, margin, parts.steadyMillis().getAsLong() + aheadMillis);
     }
 
     /** Makes the endpoint take up one layer of the newer version, so that it serves the older one no more. */
--- a/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
+++ b/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
@@ -1,6 +1,8 @@
 package org.micabarrow.weights;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.BitSet;
@@ -28,6 +30,7 @@
 
     private final AtomicLong now = new AtomicLong(1_000_000);
     private final FakeEndpoint endpoint = new FakeEndpoint();
+    private int toldClosing;
     private final FakeOrigin origin = new FakeOrigin();
     private final ViewKeeper views = new ViewKeeper(new NoDecoder(), now::get);
     private final ReplicaKeeper keeper = new ReplicaKeeper(new ReplicaKeeper.Parts(
@@ -43,6 +46,7 @@
                     now::get)),
             views::view,
             () -> new ReplicaKeeper.Place(0, 3),
+            () -> toldClosing++,
             BOUND,
             now::get));
 
@@ -141,6 +145,13 @@
         }
     }
 
+    /** Steps as if entries had been told to send nothing, and again when all of them know. */
+    private void stepTwice() {
+        keeper.step();
+        now.addAndGet(Cordon.MILLIS);
+        keeper.step();
+    }
+
     private void fetch() throws InterruptedException {
         keeper.refresh();
         keeper.fetch();
@@ -161,8 +172,43 @@
         keeper.step();
         assertEquals(List.of(), endpoint.orders);
         now.addAndGet(BOUND / 2);
+        stepTwice();
+        assertEquals(List.of("start 2"), endpoint.orders);
+    }
+
+    @Test
+    void shouldKeepNewRequestsAwayBeforeOrder() throws Exception {
+        endpoint.held = 1;
+        views.want("m", 2);
+        fetch();
+        now.addAndGet(BOUND / 2);
+        keeper.step();
+        assertTrue(keeper.closing());
+        assertEquals(1, toldClosing);
+        now.addAndGet(Cordon.MILLIS - 1);
+        keeper.step();
+        assertEquals(List.of(), endpoint.orders, "an entry may not have heard yet");
+        now.addAndGet(1);
         keeper.step();
         assertEquals(List.of("start 2"), endpoint.orders);
+        assertEquals(1, toldClosing);
+        keeper.step();
+        assertFalse(keeper.closing(), "the endpoint holds the version");
+    }
+
+    @Test
+    void shouldTakeRequestsAgainWhenVersionIsOvertakenBeforeOrder() throws Exception {
+        endpoint.held = 1;
+        views.want("m", 2);
+        fetch();
+        now.addAndGet(BOUND / 2);
+        keeper.step();
+        assertTrue(keeper.closing());
+        endpoint.held = 2;
+        keeper.refresh();
+        keeper.step();
+        assertFalse(keeper.closing());
+        assertEquals(List.of(), endpoint.orders);
     }
 
     @Test
@@ -173,7 +219,7 @@
         keeper.step();
         endpoint.staged.put(3, new byte[] {0});
         now.addAndGet(BOUND / 2);
-        keeper.step();
+        stepTwice();
         assertEquals(List.of(), endpoint.orders, "the pass that mends does not order");
         keeper.step();
         assertEquals(List.of("start 2"), endpoint.orders);
@@ -198,7 +244,7 @@
         views.want("m", 3);
         fetch();
         now.addAndGet(BOUND / 2);
-        keeper.step();
+        stepTwice();
         assertEquals(List.of("start 3"), endpoint.orders);
     }
 
@@ -236,7 +282,7 @@
         keeper.step();
         assertEquals(List.of(), endpoint.orders);
         now.addAndGet(BOUND);
-        keeper.step();
+        stepTwice();
         keeper.step();
         fetching.interrupt();
         // Without chunk 0 the first whole layer is the second; the older version, here whole, is not taken up again.
