Nothing is sent to a silent endpoint while others are heard; requests that may run twice move off it

Ruled out: the connection's own time-out (a standing instance accepts connections). An endpoint whose answers still come counts as heard although its agent is gone, so a killed agent moves no request.

--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -94,6 +94,7 @@
                 settings.peerPort(),
                 node.views()::view,
                 choice,
+                handler::moveFromSilentEndpoints,
                 node.worker().getIoThread(),
                 HostedNode::steadyMillis));
         LOG.info("event=started role=entry instance={}", settings.instance().id());
--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -123,9 +123,7 @@
     public Choice choose(List<EndpointEntry> candidates, Wanted wanted, long nowMillis) {
         List<EndpointEntry> able =
                 candidates.stream().filter(one -> able(one, wanted, nowMillis)).toList();
-        List<EndpointEntry> well =
-                able.stream().filter(one -> well(one, nowMillis)).toList();
-        List<EndpointEntry> pool = well.isEmpty() ? able : well;
+        List<EndpointEntry> pool = pool(candidates, able, nowMillis);
         if (pool.isEmpty()) {
             return new Choice.None();
         }
@@ -137,6 +135,34 @@
                 .orElse(new Choice.Full(pool.size()));
     }
 
+    /**
+     * The endpoints to choose among. Those with failures do if there are no others. Those that fell silent do only if no
+     * endpoint of the service is heard of at all: then it is more likely that this entry does not hear.
+     */
+    private List<EndpointEntry> pool(List<EndpointEntry> candidates, List<EndpointEntry> able, long nowMillis) {
+        List<EndpointEntry> heard =
+                able.stream().filter(one -> !silent(one, nowMillis)).toList();
+        List<EndpointEntry> well = heard.stream()
+                .filter(one -> !load(one.id()).excluded(nowMillis))
+                .toList();
+        if (!well.isEmpty()) {
+            return well;
+        }
+        boolean hearing = candidates.stream().anyMatch(one -> load(one.id()).toldLately(nowMillis));
+        return hearing || !heard.isEmpty() ? heard : able;
+    }
+
+    /**
+     * Whether nothing is heard of an endpoint any more.
+     *
+     * @param endpoint the endpoint
+     * @param nowMillis the time on the steady clock
+     * @return true if its agent used to tell, and it and its agent have been silent for too long
+     */
+    public boolean silent(EndpointEntry endpoint, long nowMillis) {
+        return load(endpoint.id()).silent(near(endpoint) ? NEAR_SILENCE_MILLIS : FAR_SILENCE_MILLIS, nowMillis);
+    }
+
     private boolean able(EndpointEntry endpoint, Wanted wanted, long nowMillis) {
         if (endpoint.leaving() || wanted.tried().contains(endpoint.id())) {
             return false;
@@ -148,12 +174,6 @@
         return held > 0 && held >= wanted.leastVersion() && !load(endpoint.id()).loading(nowMillis);
     }
 
-    private boolean well(EndpointEntry endpoint, long nowMillis) {
-        EndpointLoad load = load(endpoint.id());
-        long patience = near(endpoint) ? NEAR_SILENCE_MILLIS : FAR_SILENCE_MILLIS;
-        return !load.excluded(nowMillis) && !load.silent(patience, nowMillis);
-    }
-
     private long version(EndpointEntry endpoint, ModelService model) {
         long entered =
                 endpoint.layers() < model.layers() ? 0 : endpoint.models().getOrDefault(model.model(), 0L);
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -26,6 +26,7 @@
     private Told told = new Told(0, 0, false, 0);
     private int requestsWhenTold;
     private long toldAtMillis = -TOLD_MILLIS - 1;
+    private long heardAtMillis;
     private long version;
     private int failuresInARow;
     private double failureShare;
@@ -77,14 +78,34 @@
     }
 
     /**
-     * Whether the endpoint's agent used to tell and has fallen silent: its instance may stand still or be cut off.
+     * Whether the endpoint's agent used to tell, and neither it nor the endpoint is heard any more: their instance may
+     * stand still or be cut off.
      *
-     * @param patienceMillis how long its silence is borne
+     * @param patienceMillis how long their silence is borne
      * @param nowMillis the time on the steady clock
-     * @return true if what it told last is older
+     * @return true if what was heard last is older
      */
     public boolean silent(long patienceMillis, long nowMillis) {
-        return toldAtMillis >= 0 && nowMillis - toldAtMillis > patienceMillis;
+        return toldAtMillis >= 0 && nowMillis - Math.max(toldAtMillis, heardAtMillis) > patienceMillis;
+    }
+
+    /**
+     * Whether the endpoint's agent told anything lately.
+     *
+     * @param nowMillis the time on the steady clock
+     * @return true if what it told still counts
+     */
+    public boolean toldLately(long nowMillis) {
+        return fresh(nowMillis);
+    }
+
+    /**
+     * A part of an answer came from the endpoint.
+     *
+     * @param nowMillis the time on the steady clock
+     */
+    public void heard(long nowMillis) {
+        heardAtMillis = nowMillis;
     }
 
     private boolean fresh(long nowMillis) {
--- a/src/main/java/org/micabarrow/serving/RequestRun.java
+++ b/src/main/java/org/micabarrow/serving/RequestRun.java
@@ -24,7 +24,7 @@
 import org.xnio.XnioIoThread;
 
 /** One request from its arrival to its answer. All of it runs on the one thread for traffic. */
-final class RequestRun {
+final class RequestRun implements OpenRequests.Open {
 
     private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.request");
 
@@ -68,6 +68,7 @@
         long held =
                 Math.min(request.deadlineMillis() - beganMillis, request.route().timeoutMillis());
         deadline = Optional.of(thread.executeAfter(this::expired, Math.max(1, held), TimeUnit.MILLISECONDS));
+        parts.open().add(this);
         next("first");
     }
 
@@ -137,6 +138,11 @@
                 && (!eventsPassed || events.lastId().isPresent());
     }
 
+    @Override
+    public void moveIfSilent() {
+        current.ifPresent(Attempt::moveIfSilent);
+    }
+
     // -- endings
 
     private void expired() {
@@ -186,6 +192,7 @@
 
     private void finish(String outcome, String why) {
         finished = true;
+        parts.open().remove(this);
         current = Optional.empty();
         deadline.ifPresent(XnioExecutor.Key::remove);
         LOG.info(
@@ -263,6 +270,25 @@
                     why);
         }
 
+        /**
+         * Goes on at another endpoint if nothing is heard of this one any more and the request may run twice. Otherwise it
+         * stays, since the answer may still come.
+         */
+        private void moveIfSilent() {
+            boolean stays = over || !parts.silent(endpoint) || answer.begun() && !mayGoOn();
+            if (!stays && mayTakeAnother()) {
+                events.dropRemainder();
+                moveOn(AttemptEnd.UNKNOWN, "nothing is heard of the endpoint or its agent");
+            }
+        }
+
+        private void moveOn(AttemptEnd end, String why) {
+            abandon();
+            mayHaveRun = true;
+            logFailed(end, why);
+            next(why);
+        }
+
         /** A timer that was due when it was removed runs all the same, so it must look whether it still counts. */
         private void notConnected() {
             if (over || sending) {
@@ -285,6 +311,7 @@
             if (over) {
                 return;
             }
+            load.heard(parts.nowMillis());
             AnswerHead read = parts.protocol().head(request, status, headers);
             read.weightVersion().ifPresent(load::answeredBy);
             if (read.notRun()) {
@@ -311,11 +338,8 @@
                     && !request.route().kind().repeatable();
             if (mustNotPass || answer.begun() && error) {
                 failed(AttemptEnd.UNKNOWN, "the endpoint answered " + read.status() + " without saying it has not run");
-            } else if (error && repeatsError()) {
-                abandon();
-                mayHaveRun = true;
-                logFailed(AttemptEnd.FAILED, "the endpoint failed with " + read.status());
-                next("the endpoint failed with " + read.status());
+            } else if (error && mayTakeAnother()) {
+                moveOn(AttemptEnd.FAILED, "the endpoint failed with " + read.status());
             } else {
                 head = Optional.of(read);
                 passing = request.route().kind().stream() && !error;
@@ -325,8 +349,8 @@
             }
         }
 
-        /** Whether another endpoint is asked instead; what the budget does not allow is passed on as it is. */
-        private boolean repeatsError() {
+        /** Whether another endpoint may run the request although this one has, and is there; takes one repeat if so. */
+        private boolean mayTakeAnother() {
             AttemptPolicy.Progress progress = new AttemptPolicy.Progress(tried.size(), true, millisLeft());
             return request.route().kind().repeatable()
                     && parts.otherEndpoint(request, tried)
@@ -338,6 +362,7 @@
             if (over) {
                 return;
             }
+            load.heard(parts.nowMillis());
             // The head may come as soon as the endpoint has taken the request; its prompt is read with the first event.
             promptDone();
             if (!passing) {
--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -97,6 +97,11 @@
         return connections;
     }
 
+    /** Moves requests that may run twice away from endpoints of which nothing is heard; on the thread for traffic. */
+    public void moveFromSilentEndpoints() {
+        parts.open().moveFromSilentEndpoints();
+    }
+
     // -- requests
 
     @Override
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -37,6 +37,7 @@
     private final ServingMetrics metrics;
     private final LongSupplier steadyMillis;
     private final long versionBoundMillis;
+    private final OpenRequests open = new OpenRequests();
 
     /**
      * Collects the parts.
@@ -91,6 +92,10 @@
         return metrics;
     }
 
+    OpenRequests open() {
+        return open;
+    }
+
     long nowMillis() {
         return steadyMillis.getAsLong();
     }
@@ -101,6 +106,10 @@
         return choice.load(endpoint);
     }
 
+    boolean silent(EndpointEntry endpoint) {
+        return choice.silent(endpoint, nowMillis());
+    }
+
     Choice choose(ClientRequest request, Set<String> tried) {
         List<EndpointEntry> endpoints = view().endpointsOf(request.service());
         Wanted wanted = new Wanted(
--- a/src/main/java/org/micabarrow/transport/LoadFeed.java
+++ b/src/main/java/org/micabarrow/transport/LoadFeed.java
@@ -43,6 +43,7 @@
      * @param peerPort the port at which agents are asked
      * @param view what is believed of the store
      * @param choice takes what agents tell
+     * @param afterRound what to do after each round of questions, on the same thread
      * @param traffic the thread that owns the choice
      * @param steadyMillis a clock that never steps, in milliseconds
      */
@@ -52,6 +53,7 @@
             int peerPort,
             Supplier<View> view,
             EndpointChoice choice,
+            Runnable afterRound,
             XnioIoThread traffic,
             LongSupplier steadyMillis) {}
 
@@ -89,6 +91,7 @@
         endpointsByHost.putAll(hosts);
         parts.choice().keepOnly(view.endpoints().keySet());
         round++;
+        parts.afterRound().run();
         parts.traffic().executeAfter(this::askAll, NEAR_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
+++ b/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
@@ -99,6 +99,21 @@
         assertEquals("a", chosen(choose(endpoint("a"))));
     }
 
+    @Test
+    void shouldNotUseSilentEndpointWhileOthersAreHeard() {
+        choice.load("a").told(new Told(0, 0, false, 1), NOW - 1_000);
+        choice.load("b").told(new Told(0, 0, true, 1), NOW - 100);
+        assertInstanceOf(Choice.None.class, choose(endpoint("a"), endpoint("b")), "b takes up weights, a stands still");
+    }
+
+    @Test
+    void shouldUseEndpointThatAnswersWhileItsAgentIsGone() {
+        choice.load("a").told(new Told(0, 0, false, 1), NOW - 1_000);
+        choice.load("a").heard(NOW - 50);
+        choice.load("b").told(new Told(0, 0, true, 1), NOW - 100);
+        assertEquals("a", chosen(choose(endpoint("a"), endpoint("b"))));
+    }
+
     @Test
     void shouldLeaveOutEndpointAfterItBroke() {
         choice.load("a").broke(NOW);
--- a/src/test/java/org/micabarrow/serving/HostedEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/HostedEntryTest.java
@@ -5,6 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.URI;
@@ -15,6 +18,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
@@ -146,6 +150,33 @@
                         .status());
     }
 
+    @Test
+    void shouldGoOnAtAnotherEndpointWhenInstanceFallsSilent() throws Exception {
+        platform.manifest(2, "key-a", WITHIN.toMillis());
+        platform.add("model-1", "models", 1);
+        platform.next(Behaviour.HANG);
+        try (DatagramSocket agent = new DatagramSocket(settings.peerPort(), InetAddress.getLoopbackAddress())) {
+            begin(1);
+            tellLoad(agent);
+            Map<String, String> headers = Map.of("Model", "model-a", "Token-Count", "100,20", "Deadline-Ms", "9000");
+            CompletableFuture<HttpAnswer> answer = CompletableFuture.supplyAsync(() -> ask("/stream/x", headers));
+            waitUntil(() -> platform.endpoint("model-1").hanging() == 1);
+            platform.add("model-2", "models", 1);
+            // The agent answers no more questions, and the endpoint sends nothing.
+            assertEquals(
+                    200, answer.get(WITHIN.toMillis(), TimeUnit.MILLISECONDS).status());
+            waitUntil(() -> platform.endpoint("model-1").hanging() == 0);
+        }
+    }
+
+    /** Answers one question as an agent would whose endpoint rests. */
+    private static void tellLoad(DatagramSocket agent) throws IOException {
+        DatagramPacket question = new DatagramPacket(new byte[512], 512);
+        agent.receive(question);
+        byte[] told = "{\"r\":0,\"p\":0,\"l\":false,\"v\":1}".getBytes(StandardCharsets.US_ASCII);
+        agent.send(new DatagramPacket(told, told.length, question.getSocketAddress()));
+    }
+
     // -- what clients do
 
     @ParameterizedTest
