An endpoint that says that another is at its address is left out for a second; agents tell all entries of their host

Cause: after a restart the store lists two endpoints at one address until the old entry lapses (3.6 s). Ruled out: choosing by the offset of the entry, since heartbeats of the old endpoint may be written late.

--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -206,6 +206,16 @@
         }
     }
 
+    /**
+     * At the endpoint's address is another one, or it holds another weight version than is wanted: its entry is older than
+     * what it tells of itself.
+     *
+     * @param nowMillis the time on the steady clock
+     */
+    public void misdirected(long nowMillis) {
+        excludedUntilMillis = Math.max(excludedUntilMillis, nowMillis + FIRST_EXCLUSION_MILLIS);
+    }
+
     /**
      * Whether the endpoint is left out because of failures.
      *
--- a/src/main/java/org/micabarrow/serving/RequestRun.java
+++ b/src/main/java/org/micabarrow/serving/RequestRun.java
@@ -317,6 +317,7 @@
             if (read.notRun()) {
                 failed(AttemptEnd.NOT_RUN, "the endpoint refused with " + status);
             } else if (read.misdirected()) {
+                load.misdirected(parts.nowMillis());
                 failed(AttemptEnd.MISDIRECTED, "another endpoint or version is at " + endpoint.address());
             } else if (!read.own() || !read.signed()) {
                 load.broke(parts.nowMillis());
--- a/src/main/java/org/micabarrow/transport/LoadFeed.java
+++ b/src/main/java/org/micabarrow/transport/LoadFeed.java
@@ -4,12 +4,12 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
-import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.micabarrow.routing.EndpointChoice;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.EndpointLoad;
@@ -32,7 +32,10 @@
 
     private final Parts parts;
     private final DatagramChannel channel;
-    private final Map<String, String> endpointsByHost = new ConcurrentHashMap<>();
+
+    /** The ids at each host; after a restart there are two for a while, until the old entry lapses. */
+    private volatile Map<String, List<String>> endpointsByHost = Map.of();
+
     private int round;
 
     /**
@@ -78,23 +81,28 @@
 
     private void askAll() {
         View view = parts.view().get();
-        Map<String, String> hosts = new HashMap<>();
-        for (EndpointEntry endpoint : view.endpoints().values()) {
-            if (isModel(view, endpoint)) {
-                hosts.put(endpoint.instanceHost(), endpoint.id());
-                if (round % FAR_ROUNDS == 0 || near(endpoint)) {
-                    ask(endpoint);
-                }
+        Map<String, List<EndpointEntry>> hosts = view.endpoints().values().stream()
+                .filter(endpoint -> isModel(view, endpoint))
+                .collect(Collectors.groupingBy(EndpointEntry::instanceHost));
+        hosts.forEach((host, endpoints) -> {
+            if (round % FAR_ROUNDS == 0 || near(endpoints.getFirst())) {
+                ask(host, endpoints);
             }
-        }
-        endpointsByHost.keySet().retainAll(hosts.keySet());
-        endpointsByHost.putAll(hosts);
+        });
+        endpointsByHost = idsOf(hosts);
         parts.choice().keepOnly(view.endpoints().keySet());
         round++;
         parts.afterRound().run();
         parts.traffic().executeAfter(this::askAll, NEAR_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private static Map<String, List<String>> idsOf(Map<String, List<EndpointEntry>> hosts) {
+        return hosts.entrySet().stream()
+                .collect(Collectors.toUnmodifiableMap(
+                        Map.Entry::getKey,
+                        host -> host.getValue().stream().map(EndpointEntry::id).toList()));
+    }
+
     private static boolean isModel(View view, EndpointEntry endpoint) {
         return view.manifest()
                 .flatMap(manifest -> manifest.service(endpoint.service()))
@@ -106,14 +114,16 @@
         return parts.place().region().equals(parts.regions().get(endpoint.dataHall()));
     }
 
-    private void ask(EndpointEntry endpoint) {
-        EndpointLoad load = parts.choice().load(endpoint.id());
+    private void ask(String host, List<EndpointEntry> endpoints) {
+        int ownPromptTokens = endpoints.stream()
+                .mapToInt(endpoint -> parts.choice().load(endpoint.id()).ownPromptTokens())
+                .sum();
         ByteBuffer question =
-                LoadMessages.write(new LoadMessages.Question(parts.place().id(), load.ownPromptTokens()));
+                LoadMessages.write(new LoadMessages.Question(parts.place().id(), ownPromptTokens));
         try {
-            channel.send(question, new InetSocketAddress(endpoint.instanceHost(), parts.peerPort()));
+            channel.send(question, new InetSocketAddress(host, parts.peerPort()));
         } catch (IOException e) {
-            LOG.debug("event=load_question_not_sent endpoint={} why=\"{}\"", endpoint.id(), e.toString());
+            LOG.debug("event=load_question_not_sent host={} why=\"{}\"", host, e.toString());
         }
     }
 
@@ -132,12 +142,10 @@
     }
 
     private void take(String host, EndpointLoad.Told told) {
-        String endpoint = endpointsByHost.get(host);
-        if (endpoint != null) {
-            parts.traffic()
-                    .execute(() -> parts.choice()
-                            .load(endpoint)
-                            .told(told, parts.steadyMillis().getAsLong()));
-        }
+        List<String> endpoints = endpointsByHost.getOrDefault(host, List.of());
+        parts.traffic().execute(() -> {
+            long now = parts.steadyMillis().getAsLong();
+            endpoints.forEach(id -> parts.choice().load(id).told(told, now));
+        });
     }
 }
--- a/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
+++ b/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
@@ -122,6 +122,12 @@
         assertInstanceOf(Choice.Send.class, choose(endpoint("a"), endpoint("b")), "all are out, so one must do");
     }
 
+    @Test
+    void shouldLeaveOutEndpointWhoseAddressIsAnothers() {
+        choice.load("a").misdirected(NOW);
+        assertEquals("b", chosen(choose(endpoint("a"), endpoint("b", "h2", false, 1, 16))));
+    }
+
     @Test
     void shouldTakeEndpointBackWhenItsExclusionEnds() {
         choice.load("a").broke(NOW - 1_001);
--- a/src/test/java/org/micabarrow/serving/HostedEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/HostedEntryTest.java
@@ -90,6 +90,21 @@
         assertEquals(sendings, received().size());
     }
 
+    @Test
+    void shouldAskEndpointNoMoreWhenAnotherIsAtItsAddress() throws Exception {
+        platform.add("plain-1", "plain", 0);
+        platform.add("plain-2", "plain", 0);
+        begin(2);
+        platform.next(Behaviour.MISDIRECT);
+        assertEquals(200, ask("/once/x", Map.of()).status());
+        assertEquals(200, ask("/once/x", Map.of()).status());
+        List<Integer> receivedByEach = Stream.of("plain-1", "plain-2")
+                .map(id -> platform.endpoint(id).received().size())
+                .sorted()
+                .toList();
+        assertEquals(List.of(1, 2), receivedByEach, "the one that was not there is left out for the second request");
+    }
+
     @Test
     void shouldNotSendUnrepeatableRequestTwiceWhenItsConnectionBreaks() throws Exception {
         platform.add("plain-1", "plain", 0);
