Orders of a version are spread until 0.93 of its bound

An endpoint that changes is away for 2.2 s on average (it finishes what runs), and fifteen changed within 2.7 s, so that more than half were away at once. Since the cordon, what an endpoint still finishes may go beyond the bound, so the last order may come later.

--- a/src/main/java/org/micabarrow/weights/OrderTimes.java
+++ b/src/main/java/org/micabarrow/weights/OrderTimes.java
@@ -9,8 +9,11 @@
     /** The part of the bound before which no order is given: until then chunks are still on their way. */
     private static final double FIRST_PART = 0.45;
 
-    /** The part of the bound by which the last order must have been given. */
-    private static final double LAST_PART = 0.8;
+    /**
+     * The part of the bound by which the last order is given. The endpoint begins nothing from the cordon before the order
+     * on, so what it still has to finish may go beyond the bound.
+     */
+    private static final double LAST_PART = 0.93;
 
     private OrderTimes() {}
 
