Logging never blocks: lines go through a bounded queue, and what is dropped is told

Seen: the test hangs for as long as the output is not read when lines are written directly. Logback's own asynchronous appender drops silently, so a small subclass counts and tells.

--- a/src/main/java/org/micabarrow/command/Logs.java
+++ b/src/main/java/org/micabarrow/command/Logs.java
@@ -27,11 +27,16 @@
         appender.setEncoder(encoder);
         appender.start();
         ch.qos.logback.classic.Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
-        root.addAppender(appender);
+        root.addAppender(DroppingAppender.start(context, appender));
         root.setLevel(Level.WARN);
         context.getLogger("org.micabarrow").setLevel(Level.toLevel(logging.level()));
     }
 
+    /** Writes what still waits; nothing is logged after this. */
+    static void finish() {
+        ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+    }
+
     private static Encoder<ILoggingEvent> text(LoggerContext context) {
         PatternLayoutEncoder encoder = new PatternLayoutEncoder();
         encoder.setContext(context);
--- a/src/main/java/org/micabarrow/command/RunCommand.java
+++ b/src/main/java/org/micabarrow/command/RunCommand.java
@@ -37,6 +37,7 @@
         } catch (Exception e) {
             System.err.println("micabarrow: stopped uncleanly: " + e);
         }
+        Logs.finish();
     }
 
     /** Runs an entry. */
