An endpoint behind a slow link is passed over: an agent's answer names its question

Requests sent 6.4 s after a version was named spent 1.27 s in the squeezed link of one instance and began 8.001 s after the naming. What its agent told still came, 1.3 s old, but its age was counted from its coming, so the endpoint looked fresh. Ruled out: the order (the endpoint was not whole and would have been retired in time for what was sent then). Now questions carry their round, answers return it, and endpoints whose agent takes over 0.4 s are passed over while others can serve. A test of logging that hangs now fails instead: seen with the queue taken out, where two runs of it did not end in 100 s.

--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -35,6 +35,12 @@
     /** As above for agents of other regions, which are asked less often. */
     private static final long FAR_SILENCE_MILLIS = 1_000;
 
+    /**
+     * How long a question may take to an agent and back before its endpoint is passed over, in milliseconds: about an
+     * objective, so that no answer could come in time; links that weights pass through take up to a fifth of a second.
+     */
+    private static final long DELAY_MILLIS = 400;
+
     /** How many requests an endpoint of a model may hold in relation to its slots. */
     private static final double MODEL_SLOTS = 1;
 
@@ -136,7 +142,7 @@
     }
 
     /**
-     * The endpoints to choose among. Those with failures do if there are no others. Those that fell silent do only if no
+     * The endpoints to choose among. Those with failures or a slow link do if there are no others. Those that fell silent do only if no
      * endpoint of the service is heard of at all: then it is more likely that this entry does not hear.
      */
     private List<EndpointEntry> pool(List<EndpointEntry> candidates, List<EndpointEntry> able, long nowMillis) {
@@ -144,6 +150,7 @@
                 able.stream().filter(one -> !silent(one, nowMillis)).toList();
         List<EndpointEntry> well = heard.stream()
                 .filter(one -> !load(one.id()).excluded(nowMillis))
+                .filter(one -> !load(one.id()).delayed(DELAY_MILLIS, nowMillis))
                 .toList();
         if (!well.isEmpty()) {
             return well;
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -27,6 +27,7 @@
     private int requestsWhenTold;
     private long toldAtMillis = -TOLD_MILLIS - 1;
     private long heardAtMillis;
+    private long delayMillis;
     private long version;
     private int failuresInARow;
     private double failureShare;
@@ -99,6 +100,17 @@
         return fresh(nowMillis);
     }
 
+    /**
+     * Whether the way to the endpoint and back takes long, because its instance's link is narrow or full.
+     *
+     * @param limitMillis what counts as long
+     * @param nowMillis the time on the steady clock
+     * @return true if its agent's last answer, if it still counts, came as late
+     */
+    public boolean delayed(long limitMillis, long nowMillis) {
+        return fresh(nowMillis) && delayMillis > limitMillis;
+    }
+
     /**
      * A part of an answer came from the endpoint.
      *
@@ -128,10 +140,12 @@
      * The endpoint's agent told what it does.
      *
      * @param news what it told
+     * @param delay how long ago it was asked, in milliseconds
      * @param nowMillis the time on the steady clock
      */
-    public void told(Told news, long nowMillis) {
+    public void told(Told news, long delay, long nowMillis) {
         told = news;
+        delayMillis = delay;
         requestsWhenTold = requests;
         toldAtMillis = nowMillis;
         version = Math.max(version, news.version());
--- a/src/main/java/org/micabarrow/transport/LoadFeed.java
+++ b/src/main/java/org/micabarrow/transport/LoadFeed.java
@@ -12,7 +12,6 @@
 import java.util.stream.Collectors;
 import org.micabarrow.routing.EndpointChoice;
 import org.micabarrow.routing.EndpointEntry;
-import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.settings.Common;
 import org.micabarrow.views.View;
 import org.slf4j.Logger;
@@ -30,12 +29,16 @@
     /** Every how many rounds agents of other regions are asked: bytes between regions are paid for. */
     private static final int FAR_ROUNDS = 3;
 
+    /** Of how many rounds it is remembered when they were asked: an answer that is older, ten seconds, tells nothing. */
+    private static final int ROUNDS_KEPT = 64;
+
     private final Parts parts;
     private final DatagramChannel channel;
 
     /** The ids at each host; after a restart there are two for a while, until the old entry lapses. */
     private volatile Map<String, List<String>> endpointsByHost = Map.of();
 
+    private final long[] askedMillis = new long[ROUNDS_KEPT];
     private int round;
 
     /**
@@ -80,16 +83,18 @@
     // -- questions, on the thread for traffic
 
     private void askAll() {
+        askedMillis[round % ROUNDS_KEPT] = parts.steadyMillis().getAsLong();
         View view = parts.view().get();
         Map<String, List<EndpointEntry>> hosts = view.endpoints().values().stream()
                 .filter(endpoint -> isModel(view, endpoint))
                 .collect(Collectors.groupingBy(EndpointEntry::instanceHost));
+        // Before the questions: an answer may come at once.
+        endpointsByHost = idsOf(hosts);
         hosts.forEach((host, endpoints) -> {
             if (round % FAR_ROUNDS == 0 || near(endpoints.getFirst())) {
                 ask(host, endpoints);
             }
         });
-        endpointsByHost = idsOf(hosts);
         parts.choice().keepOnly(view.endpoints().keySet());
         round++;
         parts.afterRound().run();
@@ -119,7 +124,7 @@
                 .mapToInt(endpoint -> parts.choice().load(endpoint.id()).ownPromptTokens())
                 .sum();
         ByteBuffer question =
-                LoadMessages.write(new LoadMessages.Question(parts.place().id(), ownPromptTokens));
+                LoadMessages.write(new LoadMessages.Question(parts.place().id(), ownPromptTokens, round));
         try {
             channel.send(question, new InetSocketAddress(host, parts.peerPort()));
         } catch (IOException e) {
@@ -134,18 +139,22 @@
             try {
                 LoadMessages.Received received = LoadMessages.receive(channel);
                 String host = received.from().getAddress().getHostAddress();
-                take(host, LoadMessages.told(received.bytes()));
+                take(host, LoadMessages.answer(received.bytes()));
             } catch (IOException e) {
                 LOG.warn("event=load_answer_lost why=\"{}\"", e.toString());
             }
         }
     }
 
-    private void take(String host, EndpointLoad.Told told) {
+    private void take(String host, LoadMessages.Answer answer) {
         List<String> endpoints = endpointsByHost.getOrDefault(host, List.of());
         parts.traffic().execute(() -> {
-            long now = parts.steadyMillis().getAsLong();
-            endpoints.forEach(id -> parts.choice().load(id).told(told, now));
+            boolean known = answer.round() <= round && answer.round() > round - ROUNDS_KEPT && answer.round() >= 0;
+            if (known) {
+                long now = parts.steadyMillis().getAsLong();
+                long delay = now - askedMillis[answer.round() % ROUNDS_KEPT];
+                endpoints.forEach(id -> parts.choice().load(id).told(answer.told(), delay, now));
+            }
         });
     }
 }
--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -21,6 +21,7 @@
     private static final String REQUESTS = "r";
     private static final String LOADING = "l";
     private static final String VERSION = "v";
+    private static final String ROUND = "n";
 
     private LoadMessages() {}
 
@@ -31,39 +32,55 @@
      *
      * @param entry the entry's name
      * @param promptTokens the prompt tokens of its requests whose answers have not begun
+     * @param round the round of questions that it belongs to
      */
-    record Question(String entry, int promptTokens) {}
+    record Question(String entry, int promptTokens, int round) {}
 
     static ByteBuffer write(Question question) {
         ObjectNode json = CanonicalJson.mapper().createObjectNode();
         json.put(ENTRY, question.entry());
         json.put(PROMPT_TOKENS, question.promptTokens());
+        json.put(ROUND, question.round());
         return ByteBuffer.wrap(CanonicalJson.write(json));
     }
 
     static Question question(byte[] bytes) throws IOException {
         JsonNode json = CanonicalJson.mapper().readTree(bytes);
-        return new Question(json.path(ENTRY).asText(), json.path(PROMPT_TOKENS).asInt());
+        return new Question(
+                json.path(ENTRY).asText(),
+                json.path(PROMPT_TOKENS).asInt(),
+                json.path(ROUND).asInt());
     }
 
     // -- answers
 
-    static ByteBuffer write(Told told) {
+    /**
+     * An agent's answer.
+     *
+     * @param round the round of the question that it heard last from the entry
+     * @param told how the endpoint is
+     */
+    record Answer(int round, Told told) {}
+
+    static ByteBuffer write(Answer answer) {
+        Told told = answer.told();
         ObjectNode json = CanonicalJson.mapper().createObjectNode();
         json.put(REQUESTS, told.requests());
         json.put(PROMPT_TOKENS, told.othersPromptTokens());
         json.put(LOADING, told.loading());
         json.put(VERSION, told.version());
+        json.put(ROUND, answer.round());
         return ByteBuffer.wrap(CanonicalJson.write(json));
     }
 
-    static Told told(byte[] bytes) throws IOException {
+    static Answer answer(byte[] bytes) throws IOException {
         JsonNode json = CanonicalJson.mapper().readTree(bytes);
-        return new Told(
+        Told told = new Told(
                 json.path(REQUESTS).asInt(),
                 json.path(PROMPT_TOKENS).asInt(),
                 json.path(LOADING).asBoolean(),
                 json.path(VERSION).asLong());
+        return new Answer(json.path(ROUND).asInt(), told);
     }
 
     // -- either
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -25,7 +25,7 @@
     private final LongSupplier steadyMillis;
     private final Map<String, Said> entries = new ConcurrentHashMap<>();
 
-    private record Said(InetSocketAddress from, int promptTokens, long atMillis) {}
+    private record Said(InetSocketAddress from, LoadMessages.Question question, long atMillis) {}
 
     private LoadServer(DatagramChannel channel, Supplier<Optional<Told>> endpoint, LongSupplier steadyMillis) {
         this.channel = channel;
@@ -54,7 +54,7 @@
     public void tellAll() {
         entries.forEach((entry, said) -> {
             try {
-                tell(entry, said.from());
+                tell(said);
             } catch (IOException e) {
                 LOG.warn("event=load_not_told entry={} why=\"{}\"", entry, e.toString());
             }
@@ -74,22 +74,23 @@
 
     private void answer(InetSocketAddress from, LoadMessages.Question question) throws IOException {
         long now = steadyMillis.getAsLong();
-        entries.put(question.entry(), new Said(from, question.promptTokens(), now));
-        entries.values().removeIf(said -> now - said.atMillis() > SAID_MILLIS);
-        tell(question.entry(), from);
+        Said said = new Said(from, question, now);
+        entries.put(question.entry(), said);
+        entries.values().removeIf(one -> now - one.atMillis() > SAID_MILLIS);
+        tell(said);
     }
 
-    private void tell(String entry, InetSocketAddress to) throws IOException {
+    private void tell(Said said) throws IOException {
         Optional<Told> told = endpoint.get();
         if (told.isEmpty()) {
             return;
         }
         int others = entries.entrySet().stream()
-                .filter(one -> !one.getKey().equals(entry))
-                .mapToInt(one -> one.getValue().promptTokens())
+                .filter(one -> !one.getKey().equals(said.question().entry()))
+                .mapToInt(one -> one.getValue().question().promptTokens())
                 .sum();
         Told all = new Told(
                 told.get().requests(), others, told.get().loading(), told.get().version());
-        channel.send(LoadMessages.write(all), to);
+        channel.send(LoadMessages.write(new LoadMessages.Answer(said.question().round(), all)), said.from());
     }
 }
--- a/src/test/java/org/micabarrow/command/DroppingAppenderTest.java
+++ b/src/test/java/org/micabarrow/command/DroppingAppenderTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.api.Timeout;
 
 /** Whoever logs never waits, and what is dropped is told. */
-@Timeout(60)
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class DroppingAppenderTest {
 
     /** More lines than may wait. */
--- a/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
+++ b/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
@@ -74,43 +74,51 @@
 
     @Test
     void shouldCountWhatOtherEntriesHaveThere() {
-        choice.load("a").told(new Told(4, 0, false, 1), NOW);
+        choice.load("a").told(new Told(4, 0, false, 1), 10, NOW);
         assertInstanceOf(Choice.Full.class, choose(endpoint("a")));
-        choice.load("b").told(new Told(1, 9_000, false, 1), NOW);
+        choice.load("b").told(new Told(1, 9_000, false, 1), 10, NOW);
         assertInstanceOf(Choice.Full.class, choose(endpoint("b")));
     }
 
     @Test
     void shouldNotChooseEndpointThatTakesUpWeights() {
-        choice.load("a").told(new Told(0, 0, true, 1), NOW);
+        choice.load("a").told(new Told(0, 0, true, 1), 10, NOW);
         assertEquals("b", chosen(choose(endpoint("a"), endpoint("b"))));
     }
 
     @Test
     void shouldPassOverEndpointWhoseAgentFellSilent() {
-        choice.load("a").told(new Told(0, 0, false, 1), NOW - 1_000);
-        choice.load("b").told(new Told(2, 0, false, 1), NOW - 100);
+        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW - 1_000);
+        choice.load("b").told(new Told(2, 0, false, 1), 10, NOW - 100);
         assertEquals("b", chosen(choose(endpoint("a"), endpoint("b"))));
     }
 
     @Test
     void shouldUseSilentEndpointWhenAllAreSilent() {
-        choice.load("a").told(new Told(0, 0, false, 1), NOW - 5_000);
+        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW - 5_000);
         assertEquals("a", chosen(choose(endpoint("a"))));
     }
 
+    @Test
+    void shouldPassOverEndpointBehindSlowLink() {
+        choice.load("a").told(new Told(0, 0, false, 1), 2_200, NOW);
+        choice.load("b").told(new Told(2, 0, false, 1), 100, NOW);
+        assertEquals("b", chosen(choose(endpoint("a"), endpoint("b"))));
+        assertEquals("a", chosen(choose(endpoint("a"))), "no other can serve");
+    }
+
     @Test
     void shouldNotUseSilentEndpointWhileOthersAreHeard() {
-        choice.load("a").told(new Told(0, 0, false, 1), NOW - 1_000);
-        choice.load("b").told(new Told(0, 0, true, 1), NOW - 100);
+        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW - 1_000);
+        choice.load("b").told(new Told(0, 0, true, 1), 10, NOW - 100);
         assertInstanceOf(Choice.None.class, choose(endpoint("a"), endpoint("b")), "b takes up weights, a stands still");
     }
 
     @Test
     void shouldUseEndpointThatAnswersWhileItsAgentIsGone() {
-        choice.load("a").told(new Told(0, 0, false, 1), NOW - 1_000);
+        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW - 1_000);
         choice.load("a").heard(NOW - 50);
-        choice.load("b").told(new Told(0, 0, true, 1), NOW - 100);
+        choice.load("b").told(new Told(0, 0, true, 1), 10, NOW - 100);
         assertEquals("a", chosen(choose(endpoint("a"), endpoint("b"))));
     }
 
--- a/src/test/java/org/micabarrow/serving/HostedEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/HostedEntryTest.java
@@ -189,7 +189,9 @@
     private static void tellLoad(DatagramSocket agent) throws IOException {
         DatagramPacket question = new DatagramPacket(new byte[512], 512);
         agent.receive(question);
-        byte[] told = "{\"r\":0,\"p\":0,\"l\":false,\"v\":1}".getBytes(StandardCharsets.US_ASCII);
+        String asked = new String(question.getData(), 0, question.getLength(), StandardCharsets.US_ASCII);
+        String round = asked.replaceAll(".*\"n\":(\\d+).*", "$1");
+        byte[] told = ("{\"r\":0,\"p\":0,\"l\":false,\"v\":1,\"n\":" + round + "}").getBytes(StandardCharsets.US_ASCII);
         agent.send(new DatagramPacket(told, told.length, question.getSocketAddress()));
     }
 
--- a/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.micabarrow.routing.EndpointLoad.Told;
+import org.micabarrow.transport.LoadMessages.Answer;
 import org.micabarrow.transport.LoadMessages.Question;
 import org.micabarrow.transport.LoadMessages.Received;
 
@@ -23,14 +24,14 @@
 
     @Test
     void shouldReadQuestionWhenWritten() throws IOException {
-        Question question = new Question("entry-a", 1_200);
+        Question question = new Question("entry-a", 1_200, 17);
         assertEquals(question, LoadMessages.question(bytes(LoadMessages.write(question))));
     }
 
     @Test
     void shouldReadAnswerWhenWritten() throws IOException {
-        Told told = new Told(3, 800, true, 7);
-        assertEquals(told, LoadMessages.told(bytes(LoadMessages.write(told))));
+        Answer answer = new Answer(17, new Told(3, 800, true, 7));
+        assertEquals(answer, LoadMessages.answer(bytes(LoadMessages.write(answer))));
     }
 
     @Test
@@ -39,8 +40,8 @@
         InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         try (DatagramChannel here = DatagramChannel.open().bind(anyPort);
                 DatagramChannel there = DatagramChannel.open().bind(anyPort)) {
-            Question longer = new Question("entry-with-a-longer-name", 1_200);
-            Question shorter = new Question("e", 0);
+            Question longer = new Question("entry-with-a-longer-name", 1_200, 17);
+            Question shorter = new Question("e", 0, 0);
             there.send(LoadMessages.write(longer), here.getLocalAddress());
             there.send(LoadMessages.write(shorter), here.getLocalAddress());
             Received first = LoadMessages.receive(here);
