--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -66,6 +66,7 @@
      * @param objectiveMillis the time within which it should begin to be answered
      * @param model the figures of the service's model, empty for plain services
      * @param leastVersion the weight version that must answer; 0 for any
+     * @param newestVersion the newest weight version that was named; 0 if none was
      * @param tried the endpoints that it was sent to already
      */
     public record Wanted(
@@ -73,6 +74,7 @@
             long objectiveMillis,
             Optional<ModelService> model,
             long leastVersion,
+            long newestVersion,
             Set<String> tried) {}
 
     /** What was chosen. */
@@ -178,7 +180,10 @@
             return true;
         }
         long held = version(endpoint, wanted.model().get());
-        return held > 0 && held >= wanted.leastVersion() && !load(endpoint.id()).loading(nowMillis);
+        EndpointLoad load = load(endpoint.id());
+        // What waits in a slow link may arrive when the older version may answer no more.
+        boolean mayComeTooLate = held < wanted.newestVersion() && load.delayed(DELAY_MILLIS, nowMillis);
+        return held > 0 && held >= wanted.leastVersion() && !mayComeTooLate && !load.loading(nowMillis);
     }
 
     private long version(EndpointEntry endpoint, ModelService model) {
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -117,6 +117,7 @@
                 request.route().objectiveMillis(),
                 model(request),
                 leastVersion(request),
+                newestVersion(request),
                 tried);
         return choice.choose(endpoints, wanted, nowMillis());
     }
@@ -132,6 +133,13 @@
                 .flatMap(RouteManifest.Service::model);
     }
 
+    private long newestVersion(ClientRequest request) {
+        return model(request)
+                .flatMap(model -> view().newestTarget(model.model()))
+                .map(View.Target::version)
+                .orElse(0L);
+    }
+
     /**
      * The least weight version that may still answer; 0 for any. A process that found a version named at its start does not
      * know for how long, nor which came before: it demands the newest that any endpoint of the service holds.
--- a/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
+++ b/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
@@ -30,7 +30,7 @@
     }
 
     private static Wanted wanted(long leastVersion, Set<String> tried) {
-        return new Wanted(1_000, 500, Optional.of(MODEL), leastVersion, tried);
+        return new Wanted(1_000, 500, Optional.of(MODEL), leastVersion, 0, tried);
     }
 
     private Choice choose(EndpointEntry... endpoints) {
@@ -107,6 +107,15 @@
         assertEquals("a", chosen(choose(endpoint("a"))), "no other can serve");
     }
 
+    @Test
+    void shouldSendNothingThroughSlowLinkWhenNewerVersionIsNamed() {
+        choice.load("a").told(new Told(0, 0, false, 1), 2_200, NOW);
+        Wanted wanted = new Wanted(1_000, 500, Optional.of(MODEL), 0, 2, Set.of());
+        assertInstanceOf(Choice.None.class, choice.choose(List.of(endpoint("a")), wanted, NOW));
+        EndpointEntry renewed = endpoint("a", "h1", false, 2, 16);
+        assertInstanceOf(Choice.Send.class, choice.choose(List.of(renewed), wanted, NOW));
+    }
+
     @Test
     void shouldNotUseSilentEndpointWhileOthersAreHeard() {
         choice.load("a").told(new Told(0, 0, false, 1), 10, NOW - 1_000);
