--- /dev/null
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -0,0 +1,259 @@
+package org.micabarrow.serving;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.micabarrow.attempts.AttemptEnd;
+import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.attempts.EventSplitter;
+import org.micabarrow.routing.EndpointEntry;
+import org.micabarrow.routing.EndpointLoad;
+import org.micabarrow.serving.EndpointProtocol.AnswerHead;
+import org.micabarrow.serving.EndpointProtocol.Sending;
+import org.micabarrow.state.Fault;
+import org.micabarrow.transport.HttpCaller;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.XnioExecutor;
+
+/**
+ * One sending of a request to one endpoint: what comes back is counted, judged, and held or passed on. What follows from an
+ * attempt that ends without an answer is for the run to decide. All of it runs on the one thread for traffic.
+ */
+final class Attempt implements HttpCaller.Listener {
+
+    private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.request");
+
+    /**
+     * How long an endpoint may take to accept a connection, in milliseconds. The longest way between regions takes a few;
+     * an opening packet that was dropped is sent again only after a second.
+     */
+    private static final long CONNECT_MILLIS = 250;
+
+    /** Answers up to this size are held until they are whole, so that one that breaks off can be asked for again. */
+    private static final int HELD_BYTES = 256 * 1024;
+
+    private static final int SERVER_ERROR = 500;
+
+    /** By these a client may take a request for not run; from an endpoint that does not say so itself they prove nothing. */
+    private static final Set<Integer> PROMISES_NOT_RUN = Set.of(408, 421, 429, 503);
+
+    private final RequestRun run;
+    private final ServingParts parts;
+    private final ClientRequest request;
+    private final ClientAnswer answer;
+    private final EventSplitter events;
+    private final EndpointEntry endpoint;
+    private final EndpointLoad load;
+    private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+    private Optional<AnswerHead> head = Optional.empty();
+    private Optional<XnioExecutor.Key> connectTimer = Optional.empty();
+    private Runnable cancel = () -> {};
+    private boolean over;
+    private boolean sending;
+    private boolean promptRead;
+    private boolean passing;
+
+    Attempt(RequestRun run, EndpointEntry endpoint) {
+        this.run = run;
+        this.parts = run.parts();
+        this.request = run.request();
+        this.answer = run.answer();
+        this.events = run.events();
+        this.endpoint = endpoint;
+        this.load = parts.load(endpoint.id());
+    }
+
+    void begin() {
+        load.began(request.promptTokens());
+        Sending sending = new Sending(
+                endpoint, Math.max(1, run.millisLeft()), parts.expectedVersion(request, endpoint), events.lastId());
+        connectTimer =
+                Optional.of(run.thread().executeAfter(this::notConnected, CONNECT_MILLIS, TimeUnit.MILLISECONDS));
+        cancel = parts.caller().send(parts.protocol().call(request, sending), this);
+    }
+
+    private void release() {
+        over = true;
+        connectTimer.ifPresent(XnioExecutor.Key::remove);
+        promptDone();
+        load.ended();
+    }
+
+    private void promptDone() {
+        if (!promptRead) {
+            promptRead = true;
+            load.promptRead(request.promptTokens());
+        }
+    }
+
+    /** Stops the attempt for good; nothing that its connection does counts any more. */
+    void abandon() {
+        if (!over) {
+            release();
+            cancel.run();
+        }
+    }
+
+    private void failed(AttemptEnd end, String why) {
+        abandon();
+        logFailed(end, why);
+        run.again(end, why);
+    }
+
+    private void logFailed(AttemptEnd end, String why) {
+        LOG.info(
+                "event=attempt_failed request={} endpoint={} end={} why=\"{}\"", request.id(), endpoint.id(), end, why);
+    }
+
+    /**
+     * Goes on at another endpoint if nothing is heard of this one any more and the request may run twice. Otherwise it
+     * stays, since the answer may still come.
+     */
+    void moveIfSilent() {
+        boolean stays = over || !parts.silent(endpoint) || answer.begun() && !run.mayGoOn();
+        if (!stays && run.mayTakeAnother()) {
+            events.dropRemainder();
+            moveOn(AttemptEnd.UNKNOWN, "nothing is heard of the endpoint or its agent");
+        }
+    }
+
+    private void moveOn(AttemptEnd end, String why) {
+        abandon();
+        logFailed(end, why);
+        run.moveOn(why);
+    }
+
+    /** A timer that was due when it was removed runs all the same, so it must look whether it still counts. */
+    private void notConnected() {
+        if (over || sending) {
+            return;
+        }
+        load.broke(parts.nowMillis());
+        failed(AttemptEnd.NOT_RUN, "no connection within " + CONNECT_MILLIS + " ms");
+    }
+
+    // -- the answer
+
+    @Override
+    public void onSending() {
+        sending = true;
+        connectTimer.ifPresent(XnioExecutor.Key::remove);
+    }
+
+    @Override
+    public void onHead(int status, Map<String, String> headers) {
+        if (over) {
+            return;
+        }
+        load.heard(parts.nowMillis());
+        AnswerHead read = parts.protocol().head(request, status, headers);
+        read.weightVersion().ifPresent(load::answeredBy);
+        if (read.notRun()) {
+            failed(AttemptEnd.NOT_RUN, "the endpoint refused with " + status);
+        } else if (read.misdirected()) {
+            load.misdirected(parts.nowMillis());
+            failed(AttemptEnd.MISDIRECTED, "another endpoint or version is at " + endpoint.address());
+        } else if (!read.own() || !read.signed()) {
+            load.broke(parts.nowMillis());
+            failed(AttemptEnd.UNKNOWN, "what came is no answer to this request");
+        } else {
+            answered(read);
+        }
+    }
+
+    private void answered(AnswerHead read) {
+        boolean error = read.status() >= SERVER_ERROR;
+        if (error) {
+            load.failed(parts.nowMillis());
+        } else {
+            load.succeeded();
+            parts.metrics().firstByte.update(run.millisTaken(), TimeUnit.MILLISECONDS);
+        }
+        boolean mustNotPass = PROMISES_NOT_RUN.contains(read.status())
+                && !request.route().kind().repeatable();
+        if (mustNotPass || answer.begun() && error) {
+            failed(AttemptEnd.UNKNOWN, "the endpoint answered " + read.status() + " without saying it has not run");
+        } else if (error && run.mayTakeAnother()) {
+            moveOn(AttemptEnd.FAILED, "the endpoint failed with " + read.status());
+        } else {
+            head = Optional.of(read);
+            passing = request.route().kind().stream() && !error;
+            if (passing && !answer.begun()) {
+                answer.head(read);
+            }
+        }
+    }
+
+    @Override
+    public void onData(byte[] data, Runnable more) {
+        if (over) {
+            return;
+        }
+        load.heard(parts.nowMillis());
+        // The head may come as soon as the endpoint has taken the request; its prompt is read with the first event.
+        promptDone();
+        if (!passing) {
+            hold(data, more);
+            return;
+        }
+        byte[] whole = request.route().kind().stream() ? events.whole(data) : data;
+        if (whole.length == 0) {
+            more.run();
+        } else {
+            run.eventsPassed();
+            answer.part(whole, more, run::clientGone);
+        }
+    }
+
+    private void hold(byte[] data, Runnable more) {
+        held.writeBytes(data);
+        if (held.size() <= HELD_BYTES) {
+            more.run();
+            return;
+        }
+        passing = true;
+        answer.head(head.orElseThrow());
+        byte[] sofar = held.toByteArray();
+        held.reset();
+        answer.part(sofar, more, run::clientGone);
+    }
+
+    @Override
+    public void onComplete() {
+        if (over) {
+            return;
+        }
+        release();
+        if (!passing) {
+            finishAnswered();
+            answer.whole(head.orElseThrow(), held.toByteArray());
+            return;
+        }
+        byte[] rest = events.remainder();
+        finishAnswered();
+        if (rest.length == 0) {
+            answer.end();
+        } else {
+            answer.part(rest, answer::end, answer::gone);
+        }
+    }
+
+    private void finishAnswered() {
+        run.answered("endpoint=" + endpoint.id() + " hall=" + endpoint.dataHall() + " status="
+                + head.map(AnswerHead::status).orElse(0) + " weights="
+                + head.flatMap(AnswerHead::weightVersion).map(String::valueOf).orElse("-"));
+    }
+
+    @Override
+    public void onFailed(Fault fault, boolean sent) {
+        if (over) {
+            return;
+        }
+        load.broke(parts.nowMillis());
+        events.dropRemainder();
+        failed(sent ? AttemptEnd.UNKNOWN : AttemptEnd.NOT_RUN, fault.message());
+    }
+}
