--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -36,12 +36,10 @@
     private static final long STOPPING_MILLIS = 1;
 
     private final ServingParts parts;
-    private final RequestReader reader;
     private final ClientConnections connections = new ClientConnections();
 
-    private ServingHandler(ServingParts parts, RequestReader reader) {
+    private ServingHandler(ServingParts parts) {
         this.parts = parts;
-        this.reader = reader;
     }
 
     /**
@@ -66,7 +64,20 @@
             RetryBudget budget,
             MetricRegistry registry,
             LongSupplier steadyMillis,
-            long versionBoundMillis) {}
+            long versionBoundMillis) {
+
+        /** Checks that nothing is missing. */
+        public Parts {
+            Objects.requireNonNull(view, "view is null");
+            Objects.requireNonNull(choice, "choice is null");
+            Objects.requireNonNull(caller, "caller is null");
+            Objects.requireNonNull(protocol, "protocol is null");
+            Objects.requireNonNull(reader, "reader is null");
+            Objects.requireNonNull(budget, "budget is null");
+            Objects.requireNonNull(registry, "registry is null");
+            Objects.requireNonNull(steadyMillis, "steadyMillis is null");
+        }
+    }
 
     /**
      * Makes a handler.
@@ -75,17 +86,7 @@
      * @return the handler
      */
     public static ServingHandler of(Parts parts) {
-        Objects.requireNonNull(parts, "parts is null");
-        ServingParts shared = new ServingParts(
-                parts.view(),
-                parts.choice(),
-                parts.caller(),
-                parts.protocol(),
-                parts.budget(),
-                new ServingMetrics(parts.registry()),
-                parts.steadyMillis(),
-                parts.versionBoundMillis());
-        return new ServingHandler(shared, parts.reader());
+        return new ServingHandler(new ServingParts(parts));
     }
 
     /**
@@ -134,7 +135,7 @@
             refuse(exchange, TOO_LARGE, "the body is larger than the manifest allows", 0);
             return;
         }
-        switch (reader.read(exchange, body, manifest.get(), parts.nowMillis())) {
+        switch (parts.reader().read(exchange, body, manifest.get(), parts.nowMillis())) {
             case RequestReader.Reading.Refused(int status, String why) -> refuse(exchange, status, why, 0);
             case RequestReader.Reading.Understood(ClientRequest request) -> run(exchange, request);
         }
@@ -149,7 +150,7 @@
     private void refuse(HttpServerExchange exchange, int status, String why, long retryAfterMillis) {
         LOG.info(
                 "event=refused request={} host={} path={} status={} {} why=\"{}\"",
-                reader.id(exchange),
+                parts.reader().id(exchange),
                 exchange.getRequestHeaders().getFirst(Headers.HOST),
                 exchange.getRequestPath(),
                 status,
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -5,11 +5,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.RetryBudget;
-import org.micabarrow.routing.EndpointChoice;
 import org.micabarrow.routing.EndpointChoice.Choice;
 import org.micabarrow.routing.EndpointChoice.Wanted;
 import org.micabarrow.routing.EndpointEntry;
@@ -29,63 +26,40 @@
      */
     private static final double COME_BACK_PART = 0.3;
 
-    private final Supplier<View> view;
-    private final EndpointChoice choice;
-    private final HttpCaller caller;
-    private final EndpointProtocol protocol;
-    private final RetryBudget budget;
+    private final ServingHandler.Parts given;
     private final ServingMetrics metrics;
-    private final LongSupplier steadyMillis;
-    private final long versionBoundMillis;
     private final OpenRequests open = new OpenRequests();
 
     /**
-     * Collects the parts.
+     * Adds to what a handler works with what its requests share.
      *
-     * @param view the view in force
-     * @param choice chooses endpoints
-     * @param caller sends requests, on the thread for traffic
-     * @param protocol writes requests and reads answers
-     * @param budget bounds repeats
-     * @param metrics counts
-     * @param steadyMillis a clock that never steps, in milliseconds
-     * @param versionBoundMillis how long after a weight version was named older ones may still answer
+     * @param given what the handler works with
      */
-    ServingParts(
-            Supplier<View> view,
-            EndpointChoice choice,
-            HttpCaller caller,
-            EndpointProtocol protocol,
-            RetryBudget budget,
-            ServingMetrics metrics,
-            LongSupplier steadyMillis,
-            long versionBoundMillis) {
-        this.view = Objects.requireNonNull(view, "view is null");
-        this.choice = Objects.requireNonNull(choice, "choice is null");
-        this.caller = Objects.requireNonNull(caller, "caller is null");
-        this.protocol = Objects.requireNonNull(protocol, "protocol is null");
-        this.budget = Objects.requireNonNull(budget, "budget is null");
-        this.metrics = Objects.requireNonNull(metrics, "metrics is null");
-        this.steadyMillis = Objects.requireNonNull(steadyMillis, "steadyMillis is null");
-        this.versionBoundMillis = versionBoundMillis;
+    ServingParts(ServingHandler.Parts given) {
+        this.given = Objects.requireNonNull(given, "given is null");
+        this.metrics = new ServingMetrics(given.registry());
     }
 
     // -- parts
 
     View view() {
-        return view.get();
+        return given.view().get();
+    }
+
+    RequestReader reader() {
+        return given.reader();
     }
 
     HttpCaller caller() {
-        return caller;
+        return given.caller();
     }
 
     EndpointProtocol protocol() {
-        return protocol;
+        return given.protocol();
     }
 
     RetryBudget budget() {
-        return budget;
+        return given.budget();
     }
 
     ServingMetrics metrics() {
@@ -97,17 +71,17 @@
     }
 
     long nowMillis() {
-        return steadyMillis.getAsLong();
+        return given.steadyMillis().getAsLong();
     }
 
     // -- choosing
 
     EndpointLoad load(String endpoint) {
-        return choice.load(endpoint);
+        return given.choice().load(endpoint);
     }
 
     boolean silent(EndpointEntry endpoint) {
-        return choice.silent(endpoint, nowMillis());
+        return given.choice().silent(endpoint, nowMillis());
     }
 
     Choice choose(ClientRequest request, Set<String> tried) {
@@ -118,7 +92,7 @@
                 model(request),
                 leastVersion(request),
                 tried);
-        return choice.choose(endpoints, wanted, nowMillis());
+        return given.choice().choose(endpoints, wanted, nowMillis());
     }
 
     /** Whether an endpoint that was not tried yet could take the request. */
@@ -141,7 +115,7 @@
     }
 
     private long leastVersion(ClientRequest request, String model) {
-        long due = view().leastVersion(model, versionBoundMillis, nowMillis());
+        long due = view().leastVersion(model, given.versionBoundMillis(), nowMillis());
         boolean found =
                 view().newestTarget(model).filter(target -> !target.seenNamed()).isPresent();
         long held = found
