--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -1,7 +1,6 @@
 package org.micabarrow.weights;
 
 import java.util.ArrayDeque;
-import java.util.BitSet;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
@@ -41,11 +40,9 @@
 
     private final Parts parts;
     private final Cordon cordon;
+    private final LaidChunks laid;
     private final Deque<ChunkSet> sets = new ArrayDeque<>();
     private final AtomicReference<Optional<Report>> report = new AtomicReference<>(Optional.empty());
-    private final BitSet laidChunks = new BitSet();
-    private Optional<ChunkSet> laid = Optional.empty();
-    private long firstLaidMillis;
 
     /**
      * What a keeper works with.
@@ -87,6 +84,7 @@
     public ReplicaKeeper(Parts parts) {
         this.parts = Objects.requireNonNull(parts, "parts is null");
         this.cordon = new Cordon(parts.tellEntries());
+        this.laid = new LaidChunks(parts.endpoint(), parts.steadyMillis());
     }
 
     /**
@@ -237,12 +235,12 @@
     }
 
     private void advance(ChunkSet set, long held, Report now) {
-        layNew(set);
-        boolean allLaid = laidChunks.cardinality() == set.digests().size();
+        laid.layNew(set);
+        boolean allLaid = laid.all(set);
         boolean retires = !allLaid && held > 0 && tooLate(set.model(), held);
         // Once it is closed it bears a chunk that comes late.
         long soonMillis = cordon.closed() ? 2 * Cordon.MILLIS : Cordon.MILLIS;
-        boolean orders = (allLaid || missingMillis(set) <= soonMillis)
+        boolean orders = (allLaid || laid.missingMillis(set) <= soonMillis)
                 && parts.steadyMillis().getAsLong() + Cordon.MILLIS >= orderAt(set.model(), held);
         if (!retires && !orders) {
             cordon.lift();
@@ -253,19 +251,11 @@
                 held == 0 || cordon.closedLongEnough(parts.steadyMillis().getAsLong());
         if (quiet && retires) {
             retire(set, now);
-        } else if (quiet && allLaid) {
-            verifyAndOrder(set, now);
+        } else if (quiet && allLaid && laid.verify(set)) {
+            order(set, now);
         }
     }
 
-    /** How long the missing chunks are expected to take if they come as fast as those before. */
-    private long missingMillis(ChunkSet set) {
-        int here = laidChunks.cardinality();
-        int missing = set.digests().size() - here;
-        long took = parts.steadyMillis().getAsLong() - firstLaidMillis;
-        return here == 0 ? Long.MAX_VALUE : took * missing / here;
-    }
-
     /** Whether the endpoint must stop serving the version that it holds, although a newer one is not here whole. */
     private boolean tooLate(String model, long held) {
         return leastAllowed(model, Cordon.MILLIS) > held;
@@ -287,7 +277,7 @@
             // A layer needs the chunks that overlap with its part of the version.
             int first = layer * count / layers;
             int end = ((layer + 1) * count + layers - 1) / layers;
-            if (laidChunks.nextClearBit(first) >= end && layAgain(set, first, end)) {
+            if (laid.allBetween(first, end) && laid.layAgain(set, first, end)) {
                 Result<OrderEnd> done = parts.endpoint().startLayer(set.model(), set.version(), layer, now.orders());
                 LOG.warn("event=retired model={} towards={} layer={} end={}", set.model(), set.version(), layer, done);
                 break;
@@ -296,16 +286,6 @@
         refresh();
     }
 
-    /** Lays chunks once more, since they may have turned bad. */
-    private boolean layAgain(ChunkSet set, int first, int end) {
-        for (int i = first; i < end; i++) {
-            if (!lay(set, i)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     /** When to order: at once if the endpoint serves nothing, else at this agent's turn. */
     private long orderAt(String model, long held) {
         if (held == 0) {
@@ -322,62 +302,6 @@
                 .orElse(Long.MIN_VALUE);
     }
 
-    /** Lays the chunks that have come since the last step. */
-    private void layNew(ChunkSet set) {
-        if (laid.filter(set::equals).isEmpty()) {
-            laid = Optional.of(set);
-            firstLaidMillis = parts.steadyMillis().getAsLong();
-            laidChunks.clear();
-        }
-        for (int i = 0; i < set.digests().size(); i++) {
-            if (!laidChunks.get(i) && set.chunk(i).isPresent() && lay(set, i)) {
-                laidChunks.set(i);
-                if (laidChunks.cardinality() == set.digests().size()) {
-                    LOG.info("event=staged model={} version={}", set.model(), set.version());
-                }
-            }
-        }
-    }
-
-    private boolean lay(ChunkSet set, int index) {
-        Result<Boolean> done =
-                parts.endpoint().stage(set.model(), index, set.chunk(index).orElseThrow());
-        done.cause()
-                .ifPresent(fault -> LOG.warn(
-                        "event=stage_failed model={} version={} chunk={} why=\"{}\"",
-                        set.model(),
-                        set.version(),
-                        index,
-                        fault));
-        return done.toOptional().isPresent();
-    }
-
-    /** Reads every chunk back, mends those that turned bad, and orders only if all were right in one pass. */
-    private void verifyAndOrder(ChunkSet set, Report now) {
-        int mended = 0;
-        for (int i = 0; i < set.digests().size(); i++) {
-            Result<Optional<byte[]>> lies = parts.endpoint().staged(set.model(), i);
-            if (lies instanceof Result.Failure<Optional<byte[]>>(Fault fault)) {
-                LOG.warn("event=read_back_failed chunk={} why=\"{}\"", i, fault);
-                return;
-            }
-            int index = i;
-            boolean right = lies.toOptional()
-                    .flatMap(one -> one)
-                    .filter(bytes -> set.right(index, bytes))
-                    .isPresent();
-            if (!right) {
-                mended++;
-                lay(set, i);
-            }
-        }
-        if (mended > 0) {
-            LOG.info("event=chunks_mended model={} version={} chunks={}", set.model(), set.version(), mended);
-            return;
-        }
-        order(set, now);
-    }
-
     private void order(ChunkSet set, Report now) {
         Result<OrderEnd> end = parts.endpoint().start(set.model(), set.version(), now.orders());
         LOG.info("event=ordered model={} version={} end={}", set.model(), set.version(), end);
@@ -391,22 +315,6 @@
         if (set(model, held).isPresent()) {
             return;
         }
-        Result<ChunkSet> begun = setFor(model, held);
-        if (begun instanceof Result.Success<ChunkSet>(ChunkSet set)) {
-            for (int i = 0; i < set.digests().size(); i++) {
-                int index = i;
-                parts.endpoint()
-                        .staged(model, i)
-                        .toOptional()
-                        .flatMap(bytes -> bytes)
-                        .ifPresent(bytes -> set.put(index, bytes));
-            }
-            LOG.info(
-                    "event=read_back model={} version={} chunks={} of={}",
-                    model,
-                    held,
-                    set.present(),
-                    set.digests().size());
-        }
+        setFor(model, held).toOptional().ifPresent(laid::readInto);
     }
 }
