Remove what was read by nothing: the expected answer tokens and the partial version

ClientRequest.answerTokens (with Length-Hint, which is still passed on to the endpoint) and ModelEndpoint.Report.partial were filled only. In ReplicaKeeperTest only the constructor call of a report changes.

--- a/src/main/java/org/micabarrow/attempts/ClientRequest.java
+++ b/src/main/java/org/micabarrow/attempts/ClientRequest.java
@@ -20,7 +20,6 @@
  * @param priority its rank, 0 first
  * @param deadlineMillis when the client stops waiting, on the process's steady clock
  * @param promptTokens the tokens of its prompt; 0 for plain services
- * @param answerTokens the tokens that it is expected to generate; 0 for plain services
  */
 public record ClientRequest(
         String id,
@@ -34,8 +33,7 @@
         Optional<String> organisation,
         int priority,
         long deadlineMillis,
-        int promptTokens,
-        int answerTokens) {
+        int promptTokens) {
 
     /** Copies the headers. */
     public ClientRequest {
--- a/src/main/java/org/micabarrow/platform/EndpointCalls.java
+++ b/src/main/java/org/micabarrow/platform/EndpointCalls.java
@@ -67,16 +67,12 @@
     /** An endpoint that holds some layers only holds no version. */
     private Report report(JsonNode json) {
         Map<String, Long> models = HeldWeights.models(json);
-        int layers = HeldWeights.layers(json);
-        long partial = 0;
-        if (layers < totalLayers.getAsInt()) {
-            partial = json.path("layers").path("version").asLong();
+        if (HeldWeights.layers(json) < totalLayers.getAsInt()) {
             models.clear();
         }
         // "sequence" counts the orders taken.
         return new Report(
                 models,
-                partial,
                 json.path("busy").asBoolean(false),
                 json.path("sequence").asLong(0),
                 json.path("queued").asInt(0),
--- a/src/main/java/org/micabarrow/platform/RequestHeaders.java
+++ b/src/main/java/org/micabarrow/platform/RequestHeaders.java
@@ -103,8 +103,7 @@
                 owner.map(KeyOwner::organisation),
                 owner.flatMap(KeyOwner::priority).orElse(route.priority()),
                 nowMillis + deadline(headers, route),
-                tokens(headers, 0),
-                answerTokens(headers));
+                promptTokens(headers));
     }
 
     /** The path as the client wrote it; what an absolute request line holds before the path is left out. */
@@ -142,19 +141,12 @@
                 .orElse(route.timeoutMillis());
     }
 
-    private static int tokens(HeaderMap headers, int part) {
-        String header = headers.getFirst(WireNames.TOKENS);
-        if (header == null) {
-            return 0;
-        }
-        String[] both = header.split(",");
-        return part < both.length ? number(both[part]).orElse(0L).intValue() : 0;
-    }
-
-    private static int answerTokens(HeaderMap headers) {
-        return number(headers.getFirst(WireNames.LENGTH_HINT))
+    /** The first of the two numbers; the most tokens to generate, which follow, are for the endpoint. */
+    private static int promptTokens(HeaderMap headers) {
+        return Optional.ofNullable(headers.getFirst(WireNames.TOKENS))
+                .flatMap(both -> number(both.split(",", 2)[0]))
                 .map(Long::intValue)
-                .orElse(tokens(headers, 1));
+                .orElse(0);
     }
 
     private static Optional<Long> number(String text) {
--- a/src/main/java/org/micabarrow/platform/WireNames.java
+++ b/src/main/java/org/micabarrow/platform/WireNames.java
@@ -17,9 +17,6 @@
     /** The prompt's tokens and the most tokens to generate, joined by a comma. */
     static final String TOKENS = "Token-Count";
 
-    /** The client's guess of the tokens that will be generated. */
-    static final String LENGTH_HINT = "Length-Hint";
-
     /** The client's key; never shown to endpoints. */
     static final String KEY = "Key";
 
--- a/src/main/java/org/micabarrow/weights/ModelEndpoint.java
+++ b/src/main/java/org/micabarrow/weights/ModelEndpoint.java
@@ -11,13 +11,12 @@
      * What the endpoint says of itself.
      *
      * @param models the weight version that it holds of each model, with all layers
-     * @param partial the weight version of which it holds some layers only; 0 if there is none
      * @param busy whether it is taking up weights
      * @param orders how many orders it has taken since its start
      * @param queued the requests that wait
      * @param running the requests that run
      */
-    record Report(Map<String, Long> models, long partial, boolean busy, long orders, int queued, int running) {}
+    record Report(Map<String, Long> models, boolean busy, long orders, int queued, int running) {}
 
     /** What became of an order. */
     enum OrderEnd {
--- a/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
+++ b/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
@@ -116,7 +116,7 @@
         @Override
         public Result<Report> report() {
             Map<String, Long> models = held == 0 ? Map.of() : Map.of("m", held);
-            return Result.success(new Report(models, 0, busy, orders.size(), 0, 0));
+            return Result.success(new Report(models, busy, orders.size(), 0, 0));
         }
 
         @Override
