--- a/src/main/java/org/micabarrow/command/DroppingAppender.java
+++ b/src/main/java/org/micabarrow/command/DroppingAppender.java
@@ -52,12 +52,13 @@
         }
         long lost = dropped.getAndSet(0);
         if (lost > 0) {
-            super.append(lines(lost));
+            super.append(droppedLines(lost));
         }
         super.append(event);
     }
 
-    private ILoggingEvent lines(long lost) {
+    /** The line that tells how many others were dropped. */
+    private ILoggingEvent droppedLines(long lost) {
         ch.qos.logback.classic.Logger root = ((LoggerContext) getContext()).getLogger(Logger.ROOT_LOGGER_NAME);
         String message = "event=log_lines_dropped lines={} why=\"the output was not read fast enough\"";
         return new LoggingEvent(DroppingAppender.class.getName(), root, Level.WARN, message, null, new Object[] {lost});
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -75,7 +75,7 @@
      * @return their number
      */
     public int waitingPromptTokens(long nowMillis) {
-        return waitingPromptTokens + (fresh(nowMillis) ? told.othersPromptTokens() : 0);
+        return waitingPromptTokens + (toldLately(nowMillis) ? told.othersPromptTokens() : 0);
     }
 
     /**
@@ -90,27 +90,6 @@
         return toldAtMillis >= 0 && nowMillis - Math.max(toldAtMillis, heardAtMillis) > patienceMillis;
     }
 
-    /**
-     * Whether the endpoint's agent told anything lately.
-     *
-     * @param nowMillis the time on the steady clock
-     * @return true if what it told still counts
-     */
-    public boolean toldLately(long nowMillis) {
-        return fresh(nowMillis);
-    }
-
-    /**
-     * Whether the way to the endpoint and back takes long, because its instance's link is narrow or full.
-     *
-     * @param limitMillis what counts as long
-     * @param nowMillis the time on the steady clock
-     * @return true if its agent's last answer, if it still counts, came as late
-     */
-    public boolean delayed(long limitMillis, long nowMillis) {
-        return fresh(nowMillis) && delayMillis > limitMillis;
-    }
-
     /**
      * A part of an answer came from the endpoint.
      *
@@ -120,10 +99,6 @@
         heardAtMillis = nowMillis;
     }
 
-    private boolean fresh(long nowMillis) {
-        return nowMillis - toldAtMillis <= TOLD_MILLIS;
-    }
-
     // -- what the agent told
 
     /**
@@ -151,6 +126,27 @@
         version = Math.max(version, news.version());
     }
 
+    /**
+     * Whether the endpoint's agent told anything lately.
+     *
+     * @param nowMillis the time on the steady clock
+     * @return true if what it told still counts
+     */
+    public boolean toldLately(long nowMillis) {
+        return nowMillis - toldAtMillis <= TOLD_MILLIS;
+    }
+
+    /**
+     * Whether the way to the endpoint and back takes long, because its instance's link is narrow or full.
+     *
+     * @param limitMillis what counts as long
+     * @param nowMillis the time on the steady clock
+     * @return true if its agent's last answer, if it still counts, came as late
+     */
+    public boolean delayed(long limitMillis, long nowMillis) {
+        return toldLately(nowMillis) && delayMillis > limitMillis;
+    }
+
     /**
      * An answer told which weight version it comes from.
      *
@@ -176,7 +172,7 @@
      * @return true if its agent said so lately
      */
     public boolean loading(long nowMillis) {
-        return told.loading() && fresh(nowMillis);
+        return told.loading() && toldLately(nowMillis);
     }
 
     /**
@@ -186,7 +182,7 @@
      * @return their number, at least the entry's own
      */
     public int requests(long nowMillis) {
-        return fresh(nowMillis) ? Math.max(requests, told.requests() + requests - requestsWhenTold) : requests;
+        return toldLately(nowMillis) ? Math.max(requests, told.requests() + requests - requestsWhenTold) : requests;
     }
 
     // -- failures
