While a newer version is named, an endpoint whose agent is silent gets nothing, though it is heard itself

Datagrams are lost in a full link, so no answer told of the delay, and since today answers of the endpoint itself kept it from counting as silent. Ruled out: an order that came late (cordons close 6.2 s after a naming at the latest, requests left in between).

--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -169,7 +169,11 @@
      * @return true if its agent used to tell, and it and its agent have been silent for too long
      */
     public boolean silent(EndpointEntry endpoint, long nowMillis) {
-        return load(endpoint.id()).silent(near(endpoint) ? NEAR_SILENCE_MILLIS : FAR_SILENCE_MILLIS, nowMillis);
+        return load(endpoint.id()).silent(patienceMillis(endpoint), nowMillis);
+    }
+
+    private long patienceMillis(EndpointEntry endpoint) {
+        return near(endpoint) ? NEAR_SILENCE_MILLIS : FAR_SILENCE_MILLIS;
     }
 
     private boolean able(EndpointEntry endpoint, Wanted wanted, long nowMillis) {
@@ -182,7 +186,9 @@
         long held = version(endpoint, wanted.model().get());
         EndpointLoad load = load(endpoint.id());
         // What waits in a slow link may arrive when the older version may answer no more.
-        boolean mayComeTooLate = held < wanted.newestVersion() && load.delayed(DELAY_MILLIS, nowMillis);
+        boolean linkInDoubt =
+                load.delayed(DELAY_MILLIS, nowMillis) || load.agentSilent(patienceMillis(endpoint), nowMillis);
+        boolean mayComeTooLate = held < wanted.newestVersion() && linkInDoubt;
         return held > 0 && held >= wanted.leastVersion() && !mayComeTooLate && !load.loading(nowMillis);
     }
 
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -136,6 +136,18 @@
         return nowMillis - toldAtMillis <= TOLD_MILLIS;
     }
 
+    /**
+     * Whether the endpoint's agent used to tell and tells no more, be the endpoint heard or not: questions or answers may be
+     * lost in a link that is full.
+     *
+     * @param patienceMillis how long its silence is borne
+     * @param nowMillis the time on the steady clock
+     * @return true if what it told last is older
+     */
+    public boolean agentSilent(long patienceMillis, long nowMillis) {
+        return toldAtMillis >= 0 && nowMillis - toldAtMillis > patienceMillis;
+    }
+
     /**
      * Whether the way to the endpoint and back takes long, because its instance's link is narrow or full.
      *
--- a/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
+++ b/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
@@ -116,6 +116,15 @@
         assertInstanceOf(Choice.Send.class, choice.choose(List.of(renewed), wanted, NOW));
     }
 
+    @Test
+    void shouldSendNothingWhileAgentIsSilentWhenNewerVersionIsNamed() {
+        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW - 1_000);
+        choice.load("a").heard(NOW - 50);
+        Wanted wanted = new Wanted(1_000, 500, Optional.of(MODEL), 0, 2, Set.of());
+        assertInstanceOf(Choice.None.class, choice.choose(List.of(endpoint("a")), wanted, NOW));
+        assertEquals("a", chosen(choose(endpoint("a"))), "no newer version is named");
+    }
+
     @Test
     void shouldNotUseSilentEndpointWhileOthersAreHeard() {
         choice.load("a").told(new Told(0, 0, false, 1), 10, NOW - 1_000);
