Agents of endpoints that leave are not counted on for chunks

Ruled out with each chunk logged: the naming, the origin's link. Now agents beside endpoints that leave are left out of the sources, as of the order's turns (ChunkSourcesTest, which does not compile on the code before: the list was private to the process).

--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -7,7 +7,6 @@
 import java.util.stream.Stream;
 import org.micabarrow.platform.EndpointCalls;
 import org.micabarrow.platform.OriginCalls;
-import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.ModelService;
 import org.micabarrow.routing.RouteManifest;
@@ -148,16 +147,7 @@
 
     /** The agents beside all endpoints of this agent's service; they listen at the same port on every instance. */
     private List<Agent> agents() {
-        return view().endpointsOf(settings.service().orElse("")).stream()
-                .map(this::agentOf)
-                .distinct()
-                .toList();
-    }
-
-    private Agent agentOf(EndpointEntry endpoint) {
-        return new Agent(
-                endpoint.instanceHost() + ":" + settings.peerPort(),
-                settings.regions().getOrDefault(endpoint.dataHall(), ""));
+        return Agent.beside(view().endpointsOf(settings.service().orElse("")), settings.peerPort(), settings.regions());
     }
 
     private ReplicaKeeper.Place place() {
--- a/src/main/java/org/micabarrow/weights/ChunkSources.java
+++ b/src/main/java/org/micabarrow/weights/ChunkSources.java
@@ -10,6 +10,7 @@
 import java.util.function.IntFunction;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
+import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.state.Digest;
 
 /**
@@ -31,7 +32,26 @@
      * @param address the host and port where it hands out chunks
      * @param region its region
      */
-    public record Agent(String address, String region) {}
+    public record Agent(String address, String region) {
+
+        /**
+         * The agents beside the endpoints of a service. Those of endpoints that leave are left out: their instances may go
+         * at any moment, with chunks that nobody else has.
+         *
+         * @param endpoints the service's endpoints
+         * @param port the port at which all agents listen
+         * @param regions the region of each data hall
+         * @return the agents, each once
+         */
+        public static List<Agent> beside(List<EndpointEntry> endpoints, int port, Map<String, String> regions) {
+            return endpoints.stream()
+                    .filter(endpoint -> !endpoint.leaving())
+                    .map(endpoint -> new Agent(
+                            endpoint.instanceHost() + ":" + port, regions.getOrDefault(endpoint.dataHall(), "")))
+                    .distinct()
+                    .toList();
+        }
+    }
 
     private ChunkSources(Agent self, List<Agent> region, List<List<String>> sources) {
         this.self = self;
--- a/src/test/java/org/micabarrow/weights/ChunkSourcesTest.java
+++ b/src/test/java/org/micabarrow/weights/ChunkSourcesTest.java
@@ -11,6 +11,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.weights.ChunkSources.Agent;
 
 /** Who fetches which chunk from whom. */
@@ -88,6 +90,16 @@
         assertTrue(moved <= CHUNKS / 4, moved + " chunks of agents that stayed are fetched by others");
     }
 
+    @Test
+    void shouldNotCountOnAgentWhoseEndpointLeaves() {
+        EndpointEntry stays = new EndpointEntry("a", "s", "10.0.0.1:80", "hall-a", 4, false, Map.of(), 16);
+        EndpointEntry leaves = new EndpointEntry("b", "s", "10.0.0.2:80", "hall-a", 4, true, Map.of(), 16);
+        EndpointEntry again = new EndpointEntry("c", "s", "10.0.0.1:81", "hall-a", 4, false, Map.of(), 16);
+        assertEquals(
+                List.of(new Agent("10.0.0.1:7000", "region-a")),
+                Agent.beside(List.of(stays, leaves, again), 7_000, Map.of("hall-a", "region-a")));
+    }
+
     /** The agent that fetches each chunk from the origin. */
     private static Map<Integer, String> firsts(List<Agent> all) {
         Map<Integer, String> firsts = new HashMap<>();
