Tests of each process use a loopback host of their own

Two builds beside each other took addresses from one range at 127.0.0.1, checked free and used a moment later; a stand-in of one could get requests of the other under the same id. Listed as the likely cause of a test that failed once. The host now follows from the process's id; the second copy of the search for a free address is gone.

--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -2,8 +2,6 @@
 
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
-import java.net.BindException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -14,27 +12,17 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.atomic.AtomicInteger;
+import org.micabarrow.bench.Ports;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.settings.Common;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.state.Fault;
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpListener;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** The users' platform in small, on loopback: a store, an origin and endpoints, with the settings that fit them. */
 public final class HostedSystem implements AutoCloseable {
 
-    private static final Logger LOG = LoggerFactory.getLogger(HostedSystem.class);
-
-    /** Linux takes the ports of outgoing connections from here on; an address below it stays free until it is used. */
-    private static final int FIRST_OUTGOING_PORT = 32_768;
-
-    private static final AtomicInteger NEXT_PORT =
-            new AtomicInteger(20_000 + (int) (ProcessHandle.current().pid() % 10_000));
-
     private static final String MODEL = "model-a";
 
     /** What an instance's link carries, in bits a second: so much that the small chunks here are not held up. */
@@ -66,28 +54,11 @@
     }
 
     private String serve(HttpHandler handler) throws IOException {
-        String address = freeAddress();
+        String address = Ports.freeAddress();
         running.add(HttpListener.start(address, HttpListener.Bounds.usual(), 1, Optional.empty(), handler));
         return address;
     }
 
-    /**
-     * An address that is free just now.
-     *
-     * @return the host and port
-     * @throws IOException if no port is free
-     */
-    public static String freeAddress() throws IOException {
-        for (int port = NEXT_PORT.getAndIncrement(); port < FIRST_OUTGOING_PORT; port = NEXT_PORT.getAndIncrement()) {
-            try (ServerSocket socket = new ServerSocket(port)) {
-                return "127.0.0.1:" + socket.getLocalPort();
-            } catch (BindException e) {
-                LOG.debug("event=port_taken port={}", port);
-            }
-        }
-        throw new IOException("no port is free below " + FIRST_OUTGOING_PORT);
-    }
-
     // -- what the platform holds
 
     /**
@@ -205,7 +176,7 @@
      * @throws IOException if no port is free
      */
     public HostedSettings entry() throws IOException {
-        return settings(Optional.of(freeAddress()), Optional.of(freeAddress()), Optional.empty());
+        return settings(Optional.of(Ports.freeAddress()), Optional.of(Ports.freeAddress()), Optional.empty());
     }
 
     /**
@@ -221,11 +192,11 @@
 
     private HostedSettings settings(Optional<String> clients, Optional<String> ready, Optional<String> endpoint)
             throws IOException {
-        String peers = freeAddress();
+        String peers = Ports.freeAddress();
         return new HostedSettings(
                 new Common.Place("instance-a", "region-a", "hall-a"),
                 Map.of("hall-a", "region-a"),
-                new HostedSettings.Listen(clients, ready, peers, freeAddress()),
+                new HostedSettings.Listen(clients, ready, peers, Ports.freeAddress()),
                 Integer.parseInt(peers.substring(peers.lastIndexOf(':') + 1)),
                 List.of(),
                 storeAddress,
--- a/src/test/java/org/micabarrow/platform/StoreClientTest.java
+++ b/src/test/java/org/micabarrow/platform/StoreClientTest.java
@@ -17,8 +17,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.micabarrow.bench.Ports;
 import org.micabarrow.platform.standin.HostedStoreStandin;
-import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
 import org.micabarrow.transport.HttpCaller;
@@ -45,7 +45,7 @@
     }
 
     private StoreClient serve(HttpHandler handler) throws Exception {
-        String address = HostedSystem.freeAddress();
+        String address = Ports.freeAddress();
         listener = HttpListener.start(address, HttpListener.Bounds.usual(), 1, Optional.empty(), handler);
         return new StoreClient(caller, address);
     }
--- a/src/test/java/org/micabarrow/serving/HostedEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/HostedEntryTest.java
@@ -171,7 +171,8 @@
         platform.manifest(2, "key-a", WITHIN.toMillis());
         platform.add("model-1", "models", 1);
         platform.next(Behaviour.HANG);
-        try (DatagramSocket agent = new DatagramSocket(settings.peerPort(), InetAddress.getLoopbackAddress())) {
+        InetAddress instance = Addresses.parse(platform.address("model-1")).getAddress();
+        try (DatagramSocket agent = new DatagramSocket(settings.peerPort(), instance)) {
             begin(1);
             tellLoad(agent);
             Map<String, String> headers = Map.of("Model", "model-a", "Token-Count", "100,20", "Deadline-Ms", "9000");
