While a version is due, an agent is asked before each sending; what an older version has not begun is cancelled

Ruled out before: cancelling there, shorter deadlines. Ruled out now: asking agents more often; at six requests a second even 0.15 s lets one through. Now from 0.45 of the bound on an agent is asked before a request is sent to an endpoint that holds an older version, and only its answer lets it go; at 0.97 of the bound an entry cancels what such an endpoint has not begun, and goes on elsewhere. EndpointLoad.silent says its condition once.

--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -29,8 +29,21 @@
     /** Among how many entries the users' slack for repeats is divided: more than there are, spares and restarts included. */
     private static final int ENTRIES_AT_MOST = 16;
 
+    /**
+     * The part of {@code version_ms} after which agents are asked before requests are sent to an older version. Until then the
+     * chunks fill the links, so that a question would take as long as the request itself; an instance that stands still from
+     * then on must do so for over half of the bound to begin something too late.
+     */
+    private static final double ASK_PART = 0.45;
+
     /** The part of {@code version_ms} after which entries demand the named weight version themselves. */
-    private static final double VERSION_PART = 0.88;
+    private static final double DEMAND_PART = 0.88;
+
+    /**
+     * The part of {@code version_ms} after which requests that an older weight version has not begun are cancelled there. The
+     * rest is for what the entry heard late of the naming, and for the way to the endpoint.
+     */
+    private static final double CANCEL_PART = 0.97;
 
     /** How long after SIGTERM new connections may still come, in milliseconds: two questions, a second apart. */
     private static final long STILL_CHOSEN_MILLIS = 2_500;
@@ -45,6 +58,7 @@
     private final HostedSettings settings;
     private final HostedNode node;
     private final EndpointChoice choice;
+    private final LoadFeed loadFeed;
     private final ServingHandler handler;
     private volatile boolean leaving;
 
@@ -53,6 +67,14 @@
         this.node = new HostedNode(settings);
         this.choice = new EndpointChoice(settings.instance().region(), settings.regions());
         HostedSettings.Bounds bounds = settings.bounds();
+        this.loadFeed = LoadFeed.open(new LoadFeed.Parts(
+                settings.instance(),
+                settings.regions(),
+                settings.peerPort(),
+                node.views()::view,
+                choice,
+                node.worker().getIoThread(),
+                HostedNode::steadyMillis));
         this.handler = ServingHandler.of(new ServingHandler.Parts(
                 node.views()::view,
                 choice,
@@ -62,7 +84,11 @@
                 new RetryBudget(bounds.retryShare(), bounds.retrySlack() / ENTRIES_AT_MOST),
                 node.metrics(),
                 HostedNode::steadyMillis,
-                Math.round(bounds.versionMillis() * VERSION_PART)));
+                loadFeed::ask,
+                new ServingHandler.VersionTimes(
+                        Math.round(bounds.versionMillis() * ASK_PART),
+                        Math.round(bounds.versionMillis() * DEMAND_PART),
+                        Math.round(bounds.versionMillis() * CANCEL_PART))));
     }
 
     /**
@@ -88,15 +114,7 @@
         HttpListener.on(settings.listen().clients().orElseThrow(), usual, node.worker(), handler);
         // After the listeners, so that no connection of our own takes one of their ports.
         node.follow(ENDPOINTS_REST, this::peers);
-        LoadFeed.start(new LoadFeed.Parts(
-                settings.instance(),
-                settings.regions(),
-                settings.peerPort(),
-                node.views()::view,
-                choice,
-                handler::moveFromSilentEndpoints,
-                node.worker().getIoThread(),
-                HostedNode::steadyMillis));
+        loadFeed.start(handler::moveFromSilentEndpoints);
         LOG.info("event=started role=entry instance={}", settings.instance().id());
     }
 
--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -176,7 +176,31 @@
         return near(endpoint) ? NEAR_SILENCE_MILLIS : FAR_SILENCE_MILLIS;
     }
 
-    private boolean able(EndpointEntry endpoint, Wanted wanted, long nowMillis) {
+    /**
+     * Whether an endpoint's agent is to be asked before a request is sent there. An endpoint that still holds an older
+     * version than was named must not get what it may begin after the version's bound: while its instance stands still,
+     * requests wait in front of it, and cancelling them there does not help.
+     *
+     * @param endpoint the endpoint
+     * @param wanted what is to be sent
+     * @return whether the endpoint holds an older version and has an agent
+     */
+    public boolean mustAsk(EndpointEntry endpoint, Wanted wanted) {
+        return load(endpoint.id()).hasAgent()
+                && wanted.model()
+                        .filter(model -> version(endpoint, model) < wanted.newestVersion())
+                        .isPresent();
+    }
+
+    /**
+     * Whether an endpoint may get a request at all, however full it is.
+     *
+     * @param endpoint the endpoint
+     * @param wanted what is to be sent
+     * @param nowMillis the time on the steady clock
+     * @return false if it leaves, was tried, or does not hold a version that may answer
+     */
+    public boolean able(EndpointEntry endpoint, Wanted wanted, long nowMillis) {
         if (endpoint.leaving() || wanted.tried().contains(endpoint.id())) {
             return false;
         }
@@ -186,8 +210,9 @@
         long held = version(endpoint, wanted.model().get());
         EndpointLoad load = load(endpoint.id());
         // What waits in a slow link may arrive when the older version may answer no more.
-        boolean linkInDoubt =
-                load.delayed(DELAY_MILLIS, nowMillis) || load.agentSilent(patienceMillis(endpoint), nowMillis);
+        boolean linkInDoubt = load.unanswered()
+                || load.delayed(DELAY_MILLIS, nowMillis)
+                || load.agentSilent(patienceMillis(endpoint), nowMillis);
         boolean mayComeTooLate = held < wanted.newestVersion() && linkInDoubt;
         return held > 0 && held >= wanted.leastVersion() && !mayComeTooLate && !load.loading(nowMillis);
     }
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -28,6 +28,7 @@
     private long toldAtMillis = -TOLD_MILLIS - 1;
     private long heardAtMillis;
     private long delayMillis;
+    private boolean unanswered;
     private long version;
     private int failuresInARow;
     private double failureShare;
@@ -87,7 +88,7 @@
      * @return true if what was heard last is older
      */
     public boolean silent(long patienceMillis, long nowMillis) {
-        return toldAtMillis >= 0 && nowMillis - Math.max(toldAtMillis, heardAtMillis) > patienceMillis;
+        return agentSilent(patienceMillis, nowMillis) && nowMillis - heardAtMillis > patienceMillis;
     }
 
     /**
@@ -123,9 +124,33 @@
         delayMillis = delay;
         requestsWhenTold = requests;
         toldAtMillis = nowMillis;
+        unanswered = false;
         version = Math.max(version, news.version());
     }
 
+    /** The agent did not answer a question in time. */
+    public void notAnswered() {
+        unanswered = true;
+    }
+
+    /**
+     * Whether the agent left a question unanswered and has told nothing since.
+     *
+     * @return true until it tells something again
+     */
+    public boolean unanswered() {
+        return unanswered;
+    }
+
+    /**
+     * Whether the endpoint's agent ever told anything.
+     *
+     * @return false for an endpoint without an agent
+     */
+    public boolean hasAgent() {
+        return toldAtMillis >= 0;
+    }
+
     /**
      * Whether the endpoint's agent told anything lately.
      *
@@ -145,7 +170,7 @@
      * @return true if what it told last is older
      */
     public boolean agentSilent(long patienceMillis, long nowMillis) {
-        return toldAtMillis >= 0 && nowMillis - toldAtMillis > patienceMillis;
+        return hasAgent() && nowMillis - toldAtMillis > patienceMillis;
     }
 
     /**
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -50,6 +50,7 @@
     private final ByteArrayOutputStream held = new ByteArrayOutputStream();
     private Optional<AnswerHead> head = Optional.empty();
     private Optional<XnioExecutor.Key> connectTimer = Optional.empty();
+    private Optional<XnioExecutor.Key> beginTimer = Optional.empty();
     private Runnable cancel = () -> {};
     private boolean over;
     private boolean sending;
@@ -72,12 +73,16 @@
                 endpoint, Math.max(1, run.millisLeft()), parts.expectedVersion(request, endpoint), events.lastId());
         connectTimer =
                 Optional.of(run.thread().executeAfter(this::notConnected, CONNECT_MILLIS, TimeUnit.MILLISECONDS));
+        parts.millisToBegin(request, endpoint)
+                .ifPresent(millis -> beginTimer = Optional.of(
+                        run.thread().executeAfter(this::notBegun, Math.max(1, millis), TimeUnit.MILLISECONDS)));
         cancel = parts.caller().send(parts.protocol().call(request, sending), this);
     }
 
     private void release() {
         over = true;
         connectTimer.ifPresent(XnioExecutor.Key::remove);
+        beginTimer.ifPresent(XnioExecutor.Key::remove);
         promptDone();
         load.ended();
     }
@@ -135,6 +140,14 @@
         failed(AttemptEnd.NOT_RUN, "no connection within " + CONNECT_MILLIS + " ms");
     }
 
+    /** Cancels a request that an older weight version has not begun when it may begin nothing any more. */
+    private void notBegun() {
+        boolean stillOlder = parts.millisToBegin(request, endpoint).isPresent();
+        if (!over && !promptRead && stillOlder) {
+            failed(AttemptEnd.UNKNOWN, "a newer weight version is due, and the endpoint has not begun");
+        }
+    }
+
     // -- the answer
 
     @Override
--- a/src/main/java/org/micabarrow/serving/RequestRun.java
+++ b/src/main/java/org/micabarrow/serving/RequestRun.java
@@ -25,6 +25,9 @@
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
 
+    /** How many agents are asked in vain for one request: each may take a part of the objective. */
+    private static final int MOST_QUESTIONS = 2;
+
     private final ServingParts parts;
     private final ClientRequest request;
     private final ClientAnswer answer;
@@ -32,6 +35,7 @@
     private final long beganMillis;
     private final Set<String> tried = new HashSet<>();
     private final EventSplitter events = new EventSplitter();
+    private int questions;
     private boolean mayHaveRun;
     private boolean finished;
     private boolean eventsPassed;
@@ -90,12 +94,39 @@
 
     private void next(String why) {
         switch (parts.choose(request, tried)) {
-            case Choice.Send(EndpointEntry endpoint, double predicted) -> send(endpoint, predicted, why);
+            case Choice.Send(EndpointEntry endpoint, double predicted) -> sendOrAsk(endpoint, predicted, why);
             case Choice.Full(int endpoints) -> cannotSend("all " + endpoints + " endpoints are full");
             case Choice.None ignored -> cannotSend("no endpoint can serve");
         }
     }
 
+    /** Sends at once, or once the endpoint's agent has answered. */
+    private void sendOrAsk(EndpointEntry endpoint, double predicted, String why) {
+        if (!parts.mustAsk(request, endpoint)) {
+            send(endpoint, predicted, why);
+        } else if (questions == MOST_QUESTIONS) {
+            cannotSend("no agent answers beside an endpoint that could serve");
+        } else {
+            questions++;
+            parts.ask(request, endpoint, may -> agentAnswered(endpoint, predicted, why, may));
+        }
+    }
+
+    private void agentAnswered(EndpointEntry endpoint, double predicted, String why, boolean maySend) {
+        if (finished) {
+            return;
+        }
+        if (maySend) {
+            send(endpoint, predicted, why);
+        } else {
+            LOG.info(
+                    "event=not_sent request={} endpoint={} why=\"its agent did not answer in time, or it closes\"",
+                    request.id(),
+                    endpoint.id());
+            next(why);
+        }
+    }
+
     private void cannotSend(String why) {
         if (answer.begun()) {
             broken(why);
@@ -107,6 +138,7 @@
     }
 
     private void send(EndpointEntry endpoint, double predicted, String why) {
+        questions = 0;
         tried.add(endpoint.id());
         if (tried.size() > 1) {
             parts.metrics().repeats.inc();
--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -9,11 +9,13 @@
 import java.io.IOException;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.RetryBudget;
 import org.micabarrow.routing.EndpointChoice;
+import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.views.View;
@@ -53,7 +55,8 @@
      * @param budget bounds repeats
      * @param registry where it counts
      * @param steadyMillis a clock that never steps, in milliseconds
-     * @param versionBoundMillis how long after a weight version was named older ones may still answer
+     * @param questions asks endpoints' agents
+     * @param versionTimes when older weight versions may answer no more
      */
     public record Parts(
             Supplier<View> view,
@@ -64,7 +67,8 @@
             RetryBudget budget,
             MetricRegistry registry,
             LongSupplier steadyMillis,
-            long versionBoundMillis) {
+            AgentQuestions questions,
+            VersionTimes versionTimes) {
 
         /** Checks that nothing is missing. */
         public Parts {
@@ -76,9 +80,33 @@
             Objects.requireNonNull(budget, "budget is null");
             Objects.requireNonNull(registry, "registry is null");
             Objects.requireNonNull(steadyMillis, "steadyMillis is null");
+            Objects.requireNonNull(questions, "questions is null");
+            Objects.requireNonNull(versionTimes, "versionTimes is null");
         }
     }
 
+    /** Asks the agent beside an endpoint whether it is there. */
+    @FunctionalInterface
+    public interface AgentQuestions {
+
+        /**
+         * Asks now; on the thread for traffic.
+         *
+         * @param endpoint the endpoint
+         * @param then learns on the same thread, once, whether the agent answered in time
+         */
+        void ask(EndpointEntry endpoint, Consumer<Boolean> then);
+    }
+
+    /**
+     * When a weight version that is older than the one named may answer no more.
+     *
+     * @param askMillis how long after the naming agents are asked before a request is sent to an older version
+     * @param demandMillis how long after the naming nothing is sent to older versions any more
+     * @param cancelMillis how long after the naming requests that an older version has not begun are cancelled there
+     */
+    public record VersionTimes(long askMillis, long demandMillis, long cancelMillis) {}
+
     /**
      * Makes a handler.
      *
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.RetryBudget;
 import org.micabarrow.routing.EndpointChoice.Choice;
@@ -86,14 +88,55 @@
 
     Choice choose(ClientRequest request, Set<String> tried) {
         List<EndpointEntry> endpoints = view().endpointsOf(request.service());
-        Wanted wanted = new Wanted(
+        return given.choice().choose(endpoints, wanted(request, tried), nowMillis());
+    }
+
+    private Wanted wanted(ClientRequest request, Set<String> tried) {
+        return new Wanted(
                 request.promptTokens(),
                 request.route().objectiveMillis(),
                 model(request),
                 leastVersion(request),
                 newestVersion(request),
                 tried);
-        return given.choice().choose(endpoints, wanted, nowMillis());
+    }
+
+    /** Whether an endpoint's agent is to be asked before the request is sent there. */
+    boolean mustAsk(ClientRequest request, EndpointEntry endpoint) {
+        OptionalLong named = newerNamedMillis(request, endpoint);
+        return named.isPresent()
+                && nowMillis() - named.getAsLong() >= given.versionTimes().askMillis()
+                && given.choice().mustAsk(endpoint, wanted(request, Set.of()));
+    }
+
+    /** Asks an endpoint's agent, and tells then whether the request may be sent there. */
+    void ask(ClientRequest request, EndpointEntry endpoint, Consumer<Boolean> then) {
+        given.questions().ask(endpoint, inTime -> {
+            if (!inTime) {
+                load(endpoint.id()).notAnswered();
+            }
+            then.accept(inTime && given.choice().able(endpoint, wanted(request, Set.of()), nowMillis()));
+        });
+    }
+
+    /** How long a request may still wait at an endpoint that holds an older version than was named; empty at any other. */
+    OptionalLong millisToBegin(ClientRequest request, EndpointEntry endpoint) {
+        OptionalLong named = newerNamedMillis(request, endpoint);
+        return named.isPresent()
+                ? OptionalLong.of(named.getAsLong() + given.versionTimes().cancelMillis() - nowMillis())
+                : OptionalLong.empty();
+    }
+
+    /** When the oldest version that is newer than an endpoint's was named; empty if it holds the newest. */
+    private OptionalLong newerNamedMillis(ClientRequest request, EndpointEntry endpoint) {
+        return model(request)
+                .map(model -> view().newerNamedMillis(model.model(), heldVersion(endpoint, model)))
+                .orElse(OptionalLong.empty());
+    }
+
+    private long heldVersion(EndpointEntry endpoint, ModelService model) {
+        long entered = endpoint.models().getOrDefault(model.model(), 0L);
+        return Math.max(entered, load(endpoint.id()).version());
     }
 
     /** Whether an endpoint that was not tried yet could take the request. */
@@ -123,7 +166,7 @@
     }
 
     private long leastVersion(ClientRequest request, String model) {
-        long due = view().leastVersion(model, given.versionBoundMillis(), nowMillis());
+        long due = view().leastVersion(model, given.versionTimes().demandMillis(), nowMillis());
         boolean found =
                 view().newestTarget(model).filter(target -> !target.seenNamed()).isPresent();
         long held = found
@@ -141,10 +184,8 @@
         if (least == 0) {
             return Optional.empty();
         }
-        long held = model(request)
-                .map(model -> endpoint.models().getOrDefault(model.model(), 0L))
-                .orElse(0L);
-        return Optional.of(Math.max(least, Math.max(held, load(endpoint.id()).version())));
+        long held = model(request).map(model -> heldVersion(endpoint, model)).orElse(0L);
+        return Optional.of(Math.max(least, held));
     }
 
     long comeBackMillis(ClientRequest request) {
--- a/src/main/java/org/micabarrow/transport/LoadFeed.java
+++ b/src/main/java/org/micabarrow/transport/LoadFeed.java
@@ -4,9 +4,11 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -16,6 +18,7 @@
 import org.micabarrow.views.View;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
 /** Asks agents again and again how their endpoints are, and gives the answers to the choice of endpoints. */
@@ -29,8 +32,17 @@
     /** Every how many rounds agents of other regions are asked: bytes between regions are paid for. */
     private static final int FAR_ROUNDS = 3;
 
-    /** Of how many rounds it is remembered when they were asked: an answer that is older, ten seconds, tells nothing. */
-    private static final int ROUNDS_KEPT = 64;
+    /**
+     * Of how many questions it is remembered when they were asked: an answer to one before tells nothing. A few seconds' worth
+     * if one is asked for each of a few hundred requests a second.
+     */
+    private static final int QUESTIONS_KEPT = 1_024;
+
+    /**
+     * How long an agent may take to answer a question on which a request waits, in milliseconds: the way to another region and
+     * back, behind two or three chunks of weights in its instance's link.
+     */
+    private static final long ANSWER_MILLIS = 150;
 
     private final Parts parts;
     private final DatagramChannel channel;
@@ -38,9 +50,14 @@
     /** The ids at each host; after a restart there are two for a while, until the old entry lapses. */
     private volatile Map<String, List<String>> endpointsByHost = Map.of();
 
-    private final long[] askedMillis = new long[ROUNDS_KEPT];
+    private final long[] askedMillis = new long[QUESTIONS_KEPT];
+    private final Map<Integer, Waiting> waiting = new HashMap<>();
+    private int questions;
     private int round;
 
+    /** What waits for the answer to a question. */
+    private record Waiting(Consumer<Boolean> then, XnioExecutor.Key timer) {}
+
     /**
      * What a feed works with.
      *
@@ -49,7 +66,6 @@
      * @param peerPort the port at which agents are asked
      * @param view what is believed of the store
      * @param choice takes what agents tell
-     * @param afterRound what to do after each round of questions, on the same thread
      * @param traffic the thread that owns the choice
      * @param steadyMillis a clock that never steps, in milliseconds
      */
@@ -59,7 +75,6 @@
             int peerPort,
             Supplier<View> view,
             EndpointChoice choice,
-            Runnable afterRound,
             XnioIoThread traffic,
             LongSupplier steadyMillis) {}
 
@@ -69,21 +84,29 @@
     }
 
     /**
-     * Starts a feed.
+     * Makes a feed that asks nothing yet.
      *
      * @param parts what it works with
+     * @return the feed
      * @throws IOException if no port is free
      */
-    public static void start(Parts parts) throws IOException {
-        LoadFeed feed = new LoadFeed(parts, DatagramChannel.open().bind(null));
-        Thread.ofPlatform().name("load-feed").daemon().start(feed::receive);
-        parts.traffic().execute(feed::askAll);
+    public static LoadFeed open(Parts parts) throws IOException {
+        return new LoadFeed(parts, DatagramChannel.open().bind(null));
+    }
+
+    /**
+     * Begins to ask.
+     *
+     * @param afterRound what to do after each round of questions, on the thread for traffic
+     */
+    public void start(Runnable afterRound) {
+        Thread.ofPlatform().name("load-feed").daemon().start(this::receive);
+        parts.traffic().execute(() -> askAll(afterRound));
     }
 
     // -- questions, on the thread for traffic
 
-    private void askAll() {
-        askedMillis[round % ROUNDS_KEPT] = parts.steadyMillis().getAsLong();
+    private void askAll(Runnable afterRound) {
         View view = parts.view().get();
         Map<String, List<EndpointEntry>> hosts = view.endpoints().values().stream()
                 .filter(endpoint -> isModel(view, endpoint))
@@ -97,8 +120,8 @@
         });
         parts.choice().keepOnly(view.endpoints().keySet());
         round++;
-        parts.afterRound().run();
-        parts.traffic().executeAfter(this::askAll, NEAR_MILLIS, TimeUnit.MILLISECONDS);
+        parts.traffic().executeAfter(() -> askAll(afterRound), NEAR_MILLIS, TimeUnit.MILLISECONDS);
+        afterRound.run();
     }
 
     private static Map<String, List<String>> idsOf(Map<String, List<EndpointEntry>> hosts) {
@@ -119,17 +142,43 @@
         return parts.place().region().equals(parts.regions().get(endpoint.dataHall()));
     }
 
-    private void ask(String host, List<EndpointEntry> endpoints) {
+    /**
+     * Asks an endpoint's agent now; on the thread for traffic.
+     *
+     * @param endpoint the endpoint
+     * @param then learns on the same thread, once, whether the agent answered in time
+     */
+    public void ask(EndpointEntry endpoint, Consumer<Boolean> then) {
+        int number = ask(endpoint.instanceHost(), List.of(endpoint));
+        XnioExecutor.Key timer =
+                parts.traffic().executeAfter(() -> answered(number, false), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+        waiting.put(number, new Waiting(then, timer));
+    }
+
+    private void answered(int number, boolean inTime) {
+        Waiting one = waiting.remove(number);
+        if (one != null) {
+            one.timer().remove();
+            one.then().accept(inTime);
+        }
+    }
+
+    /** Sends the next question, and tells its number. */
+    private int ask(String host, List<EndpointEntry> endpoints) {
+        int number = questions;
+        questions++;
+        askedMillis[number % QUESTIONS_KEPT] = parts.steadyMillis().getAsLong();
         int ownPromptTokens = endpoints.stream()
                 .mapToInt(endpoint -> parts.choice().load(endpoint.id()).ownPromptTokens())
                 .sum();
         ByteBuffer question =
-                LoadMessages.write(new LoadMessages.Question(parts.place().id(), ownPromptTokens, round));
+                LoadMessages.write(new LoadMessages.Question(parts.place().id(), ownPromptTokens, number));
         try {
             channel.send(question, new InetSocketAddress(host, parts.peerPort()));
         } catch (IOException e) {
             LOG.debug("event=load_question_not_sent host={} why=\"{}\"", host, e.toString());
         }
+        return number;
     }
 
     // -- answers, on a thread of their own
@@ -149,11 +198,13 @@
     private void take(String host, LoadMessages.Answer answer) {
         List<String> endpoints = endpointsByHost.getOrDefault(host, List.of());
         parts.traffic().execute(() -> {
-            boolean known = answer.round() <= round && answer.round() > round - ROUNDS_KEPT && answer.round() >= 0;
+            int number = answer.number();
+            boolean known = number < questions && number >= questions - QUESTIONS_KEPT && number >= 0;
             if (known) {
                 long now = parts.steadyMillis().getAsLong();
-                long delay = now - askedMillis[answer.round() % ROUNDS_KEPT];
+                long delay = now - askedMillis[number % QUESTIONS_KEPT];
                 endpoints.forEach(id -> parts.choice().load(id).told(answer.told(), delay, now));
+                answered(number, true);
             }
         });
     }
--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -21,7 +21,7 @@
     private static final String REQUESTS = "r";
     private static final String LOADING = "l";
     private static final String VERSION = "v";
-    private static final String ROUND = "n";
+    private static final String NUMBER = "n";
 
     private LoadMessages() {}
 
@@ -32,15 +32,15 @@
      *
      * @param entry the entry's name
      * @param promptTokens the prompt tokens of its requests whose answers have not begun
-     * @param round the round of questions that it belongs to
+     * @param number tells it from the entry's other questions
      */
-    record Question(String entry, int promptTokens, int round) {}
+    record Question(String entry, int promptTokens, int number) {}
 
     static ByteBuffer write(Question question) {
         ObjectNode json = CanonicalJson.mapper().createObjectNode();
         json.put(ENTRY, question.entry());
         json.put(PROMPT_TOKENS, question.promptTokens());
-        json.put(ROUND, question.round());
+        json.put(NUMBER, question.number());
         return ByteBuffer.wrap(CanonicalJson.write(json));
     }
 
@@ -49,7 +49,7 @@
         return new Question(
                 json.path(ENTRY).asText(),
                 json.path(PROMPT_TOKENS).asInt(),
-                json.path(ROUND).asInt());
+                json.path(NUMBER).asInt());
     }
 
     // -- answers
@@ -57,10 +57,10 @@
     /**
      * An agent's answer.
      *
-     * @param round the round of the question that it heard last from the entry
+     * @param number the number of the entry's question; if nothing was asked, that of the last
      * @param told how the endpoint is
      */
-    record Answer(int round, Told told) {}
+    record Answer(int number, Told told) {}
 
     static ByteBuffer write(Answer answer) {
         Told told = answer.told();
@@ -69,7 +69,7 @@
         json.put(PROMPT_TOKENS, told.othersPromptTokens());
         json.put(LOADING, told.loading());
         json.put(VERSION, told.version());
-        json.put(ROUND, answer.round());
+        json.put(NUMBER, answer.number());
         return ByteBuffer.wrap(CanonicalJson.write(json));
     }
 
@@ -80,7 +80,7 @@
                 json.path(PROMPT_TOKENS).asInt(),
                 json.path(LOADING).asBoolean(),
                 json.path(VERSION).asLong());
-        return new Answer(json.path(ROUND).asInt(), told);
+        return new Answer(json.path(NUMBER).asInt(), told);
     }
 
     // -- either
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -91,6 +91,6 @@
                 .sum();
         Told all = new Told(
                 told.get().requests(), others, told.get().loading(), told.get().version());
-        channel.send(LoadMessages.write(new LoadMessages.Answer(said.question().round(), all)), said.from());
+        channel.send(LoadMessages.write(new LoadMessages.Answer(said.question().number(), all)), said.from());
     }
 }
--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -3,9 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.Deque;
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
@@ -292,14 +292,10 @@
             return Long.MIN_VALUE;
         }
         Place place = parts.place().get();
-        return parts.view().get().targets().getOrDefault(model, List.of()).stream()
-                .filter(target -> target.version() > held)
-                .mapToLong(View.Target::learnedMillis)
-                .min()
-                .stream()
-                .map(named -> OrderTimes.at(named, parts.boundMillis(), place.position(), place.count()))
-                .findFirst()
-                .orElse(Long.MIN_VALUE);
+        OptionalLong named = parts.view().get().newerNamedMillis(model, held);
+        return named.isPresent()
+                ? OrderTimes.at(named.getAsLong(), parts.boundMillis(), place.position(), place.count())
+                : Long.MIN_VALUE;
     }
 
     private void order(ChunkSet set, Report now) {
--- a/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
+++ b/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
@@ -1,7 +1,9 @@
 package org.micabarrow.routing;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.Map;
@@ -165,4 +167,28 @@
     void shouldNotSendTwiceToTheSameEndpoint() {
         assertInstanceOf(Choice.None.class, choice.choose(List.of(endpoint("a")), wanted(0, Set.of("a")), NOW));
     }
+
+    @Test
+    void shouldAskAgentFirstOnlyWhenItsEndpointHoldsOlderVersionThanWasNamed() {
+        Wanted newer = new Wanted(1_000, 500, Optional.of(MODEL), 0, 2, Set.of());
+        EndpointEntry old = endpoint("a", "h1", false, 1, 16);
+        assertFalse(choice.mustAsk(old, newer), "no agent was ever heard beside it");
+        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW);
+        assertTrue(choice.mustAsk(old, newer));
+        assertFalse(choice.mustAsk(old, wanted(0, Set.of())), "nothing newer was named");
+        choice.load("a").told(new Told(0, 0, false, 2), 10, NOW);
+        assertFalse(choice.mustAsk(old, newer), "it has changed versions since its entry was written");
+    }
+
+    @Test
+    void shouldSendNothingWhereAgentLeftQuestionUnansweredWhenNewerVersionIsNamed() {
+        Wanted newer = new Wanted(1_000, 500, Optional.of(MODEL), 0, 2, Set.of());
+        EndpointEntry old = endpoint("a", "h1", false, 1, 16);
+        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW);
+        choice.load("a").notAnswered();
+        assertFalse(choice.able(old, newer, NOW));
+        assertTrue(choice.able(old, wanted(0, Set.of()), NOW), "any version may answer");
+        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW);
+        assertTrue(choice.able(old, newer, NOW));
+    }
 }
