The time limit of the store's client is handed to it, so that tests do not depend on it

Cause of a test that failed once ('no answer within 700 ms') on a busy machine: it ran under the limit that a process has in service.

--- a/src/main/java/org/micabarrow/platform/StoreClient.java
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -27,12 +27,6 @@
 /** The one client of the platform's store: reads keyed topics. */
 public final class StoreClient implements TopicReader {
 
-    /**
-     * How long an answer may take beyond the wait that was asked for. The store answers in a few milliseconds; a slow one
-     * takes some fifty times as long, and beyond this it counts as silent.
-     */
-    private static final Duration ANSWER_WITHIN = Duration.ofMillis(700);
-
     private static final int OK = 200;
     private static final int GONE = 410;
 
@@ -41,16 +35,19 @@
 
     private final HttpCaller caller;
     private final String base;
+    private final Duration within;
 
     /**
      * Makes a client.
      *
      * @param caller sends its requests
      * @param address the store's host and port
+     * @param within how long an answer may take beyond the wait that was asked for
      */
-    public StoreClient(HttpCaller caller, String address) {
+    public StoreClient(HttpCaller caller, String address, Duration within) {
         this.caller = Objects.requireNonNull(caller, "caller is null");
         this.base = "http://" + Objects.requireNonNull(address, "address is null");
+        this.within = Objects.requireNonNull(within, "within is null");
     }
 
     private static String topicName(Topic topic) {
@@ -87,7 +84,7 @@
         String more = after.isEmpty() ? "" : "&after_revision=" + URLEncoder.encode(after, StandardCharsets.UTF_8);
         HttpCall call = HttpCall.get(
                 Step.LOG, URI.create(base + WireNames.LOG_NEWEST + "?topic=" + topicName(topic) + "&part=0" + more));
-        return caller.call(call, ANSWER_WITHIN).flatMap(answer -> json(call, answer));
+        return caller.call(call, within).flatMap(answer -> json(call, answer));
     }
 
     /** A record of a page. The name "private_key" suggests a secret; it is the record's key. */
@@ -121,7 +118,7 @@
                 Step.LOG,
                 URI.create(base + WireNames.LOG_READ + "?topic=" + topicName(topic) + "&part=0&from=" + from
                         + "&wait_ms=" + wait.toMillis()));
-        return caller.call(call, wait.plus(ANSWER_WITHIN)).flatMap(answer -> switch (answer.status()) {
+        return caller.call(call, wait.plus(within)).flatMap(answer -> switch (answer.status()) {
             case OK -> parse(call, from, answer.body());
             case GONE -> Result.success(new Read.Expired());
             default -> refused(call, answer);
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -39,6 +39,12 @@
      */
     private static final Duration STORE_WAIT = Duration.ofMillis(1_500);
 
+    /**
+     * How long the store's answer may take beyond that. It answers in a few milliseconds; a slow one takes some fifty times as
+     * long, and beyond this it counts as silent.
+     */
+    private static final Duration STORE_ANSWER = Duration.ofMillis(700);
+
     /**
      * The part of the link that weights may take. Requests and answers need a few hundredths of it; what is paced below the
      * link's rate leaves them a queue of one or two chunks.
@@ -106,7 +112,7 @@
 
     /** Begins to follow the store; peers are asked while it does not answer. */
     void follow(Duration endpointsRest, Supplier<List<String>> peers) {
-        StoreClient store = new StoreClient(kept, settings.store());
+        StoreClient store = new StoreClient(kept, settings.store(), STORE_ANSWER);
         Consumer<Topic> askPeer = topic -> askPeer(topic, peers.get());
         new StoreFollower(Topic.OPERATOR, store, views, askPeer, new Pace(STORE_WAIT, Duration.ZERO)).start();
         new StoreFollower(Topic.ENDPOINTS, store, views, askPeer, new Pace(STORE_WAIT, endpointsRest)).start();
--- a/src/test/java/org/micabarrow/platform/StoreClientTest.java
+++ b/src/test/java/org/micabarrow/platform/StoreClientTest.java
@@ -33,6 +33,9 @@
 
     private static final String OPERATOR = "keyed.op";
 
+    /** So long that a busy machine is never taken for a silent store. */
+    private static final Duration WITHIN = Duration.ofSeconds(30);
+
     private final HostedStoreStandin store = new HostedStoreStandin();
     private HttpCaller caller;
     private HttpListener listener;
@@ -47,7 +50,7 @@
     private StoreClient serve(HttpHandler handler) throws Exception {
         String address = Ports.freeAddress();
         listener = HttpListener.start(address, HttpListener.Bounds.usual(), 1, Optional.empty(), handler);
-        return new StoreClient(caller, address);
+        return new StoreClient(caller, address, WITHIN);
     }
 
     @AfterEach
--- a/src/test/java/org/micabarrow/serving/OlderVersionTest.java
+++ b/src/test/java/org/micabarrow/serving/OlderVersionTest.java
@@ -91,7 +91,7 @@
                 new ServingHandler.VersionTimes(askMillis, NEVER_MILLIS, cancelMillis)));
         String clients = settings.listen().clients().orElseThrow();
         HttpListener.on(clients, HttpListener.Bounds.usual(), worker, handler);
-        StoreClient store = new StoreClient(client, settings.store());
+        StoreClient store = new StoreClient(client, settings.store(), WITHIN);
         StoreFollower.Pace pace = new StoreFollower.Pace(Duration.ofMillis(200), Duration.ZERO);
         new StoreFollower(Topic.OPERATOR, store, views, topic -> {}, pace).start();
         new StoreFollower(Topic.ENDPOINTS, store, views, topic -> {}, pace).start();
