A link that was slow lately counts as slow while a newer version is named

The agent's answer to the question came within its 150 ms, the request sent right after it took 1.8 and 3.0 s: a narrow link is quick between two chunks of weights and each of them fills it for a second. Cancelling at 0.97 of the bound came too late, since the bytes were still in the link. Now an endpoint that holds an older version than was named gets nothing for 3 s after each answer that took over 0.4 s (EndpointChoiceTest.shouldSendNothingThroughLinkThatWasSlowLatelyWhenNewerVersionIsNamed, red before).

--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -35,12 +35,6 @@
     /** As above for agents of other regions, which are asked less often. */
     private static final long FAR_SILENCE_MILLIS = 1_000;
 
-    /**
-     * How long a question may take to an agent and back before its endpoint is passed over, in milliseconds: about an
-     * objective, so that no answer could come in time; links that weights pass through take up to a fifth of a second.
-     */
-    private static final long DELAY_MILLIS = 400;
-
     /** How many requests an endpoint of a model may hold in relation to its slots. */
     private static final double MODEL_SLOTS = 1;
 
@@ -152,7 +146,7 @@
                 able.stream().filter(one -> !silent(one, nowMillis)).toList();
         List<EndpointEntry> well = heard.stream()
                 .filter(one -> !load(one.id()).excluded(nowMillis))
-                .filter(one -> !load(one.id()).delayed(DELAY_MILLIS, nowMillis))
+                .filter(one -> !load(one.id()).delayed(nowMillis))
                 .toList();
         if (!well.isEmpty()) {
             return well;
@@ -211,7 +205,7 @@
         EndpointLoad load = load(endpoint.id());
         // What waits in a slow link may arrive when the older version may answer no more.
         boolean linkInDoubt = load.unanswered()
-                || load.delayed(DELAY_MILLIS, nowMillis)
+                || load.delayedLately(nowMillis)
                 || load.agentSilent(patienceMillis(endpoint), nowMillis);
         boolean mayComeTooLate = held < wanted.newestVersion() && linkInDoubt;
         return held > 0 && held >= wanted.leastVersion() && !mayComeTooLate && !load.loading(nowMillis);
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -18,6 +18,18 @@
     /** The share of failed answers from which an endpoint is left out: well above the errors that healthy services give. */
     private static final double FAILURE_SHARE = 0.5;
 
+    /**
+     * From when on the way to an endpoint and back counts as slow, in milliseconds: about an objective, so that no answer could
+     * come in time; links that weights pass through take up to a fifth of a second.
+     */
+    private static final long SLOW_MILLIS = 400;
+
+    /**
+     * For how long after a slow answer a link may be slow again, in milliseconds. A narrow link is quick between two chunks of
+     * weights, and each of them fills it for a second.
+     */
+    private static final long SLOW_AGAIN_MILLIS = 3_000;
+
     /** How old what an agent told may be before it is no longer counted, in milliseconds. */
     private static final long TOLD_MILLIS = 2_000;
 
@@ -29,6 +41,7 @@
     private long heardAtMillis;
     private long delayMillis;
     private boolean unanswered;
+    private long lastDelayedMillis = -TOLD_MILLIS - 1;
     private long version;
     private int failuresInARow;
     private double failureShare;
@@ -125,6 +138,9 @@
         requestsWhenTold = requests;
         toldAtMillis = nowMillis;
         unanswered = false;
+        if (delay > SLOW_MILLIS) {
+            lastDelayedMillis = nowMillis;
+        }
         version = Math.max(version, news.version());
     }
 
@@ -176,12 +192,21 @@
     /**
      * Whether the way to the endpoint and back takes long, because its instance's link is narrow or full.
      *
-     * @param limitMillis what counts as long
      * @param nowMillis the time on the steady clock
-     * @return true if its agent's last answer, if it still counts, came as late
+     * @return true if its agent's last answer, if it still counts, came late
+     */
+    public boolean delayed(long nowMillis) {
+        return toldLately(nowMillis) && delayMillis > SLOW_MILLIS;
+    }
+
+    /**
+     * Whether the way to the endpoint and back took long lately, so that it may do so again.
+     *
+     * @param nowMillis the time on the steady clock
+     * @return true for a while after each late answer of its agent
      */
-    public boolean delayed(long limitMillis, long nowMillis) {
-        return toldLately(nowMillis) && delayMillis > limitMillis;
+    public boolean delayedLately(long nowMillis) {
+        return nowMillis - lastDelayedMillis <= SLOW_AGAIN_MILLIS;
     }
 
     /**
--- a/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
+++ b/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
@@ -118,6 +118,17 @@
         assertInstanceOf(Choice.Send.class, choice.choose(List.of(renewed), wanted, NOW));
     }
 
+    @Test
+    void shouldSendNothingThroughLinkThatWasSlowLatelyWhenNewerVersionIsNamed() {
+        choice.load("a").told(new Told(0, 0, false, 1), 900, NOW - 500);
+        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW);
+        Wanted newer = new Wanted(1_000, 500, Optional.of(MODEL), 0, 2, Set.of());
+        assertInstanceOf(Choice.None.class, choice.choose(List.of(endpoint("a")), newer, NOW));
+        assertEquals("a", chosen(choose(endpoint("a"))), "no newer version is named");
+        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW + 5_000);
+        assertInstanceOf(Choice.Send.class, choice.choose(List.of(endpoint("a")), newer, NOW + 5_000));
+    }
+
     @Test
     void shouldSendNothingWhileAgentIsSilentWhenNewerVersionIsNamed() {
         choice.load("a").told(new Told(0, 0, false, 1), 10, NOW - 1_000);
