Weights leave requests more room in the links of instances that serve

Weights took 0.96 of a link and requests some 0.04, so the queue in which both wait grew while the copy lasted. Now weights take 0.85 of a link while the endpoint beside the agent serves, and 0.96 when it does not, as after a loss of power.

--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -52,7 +52,7 @@
                 new OriginCalls(node.fresh()),
                 () -> view().manifest().flatMap(RouteManifest::origin),
                 ChunkSources.following(self, this::agents),
-                node.weightPacer()::take,
+                node.weightPacer(this::serves)::take,
                 HostedNode::steadyMillis));
         this.keeper = new ReplicaKeeper(new ReplicaKeeper.Parts(
                 this::model,
@@ -80,7 +80,8 @@
     }
 
     private void begin() throws IOException {
-        HostedPeerServer peers = new HostedPeerServer(node.views(), keeper::set, node.metrics(), node.weightPacer());
+        HostedPeerServer peers =
+                new HostedPeerServer(node.views(), keeper::set, node.metrics(), node.weightPacer(this::serves));
         HttpListener.Bounds usual = HttpListener.Bounds.usual();
         HttpListener.on(settings.listen().peers(), usual, node.worker(), peers);
         HttpListener.on(settings.listen().metrics(), usual, node.worker(), peers);
@@ -123,6 +124,10 @@
                                 .orElse(0L)));
     }
 
+    private boolean serves() {
+        return keeper.serves();
+    }
+
     private void tellEntries() {
         loadServer.ifPresent(LoadServer::tellAll);
     }
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -107,7 +107,10 @@
     private void begin() throws IOException {
         HttpListener.Bounds usual = HttpListener.Bounds.usual();
         HostedPeerServer peers = new HostedPeerServer(
-                node.views(), (model, version) -> Optional.empty(), node.metrics(), node.weightPacer());
+                node.views(),
+                (model, version) -> Optional.empty(),
+                node.metrics(),
+                node.weightPacer(this::takesRequests));
         HttpListener.on(settings.listen().peers(), usual, node.worker(), peers);
         HttpListener.on(settings.listen().metrics(), usual, node.worker(), peers);
         HttpListener.on(settings.listen().ready().orElseThrow(), usual, node.worker(), this::ready);
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.micabarrow.platform.StoreClient;
@@ -45,11 +46,14 @@
      */
     private static final Duration STORE_ANSWER = Duration.ofMillis(700);
 
+    /** The part of the link that weights may take where nothing else uses it; the heads of packets take the rest. */
+    private static final double SHARE_ALONE = 0.96;
+
     /**
-     * The part of the link that weights may take. Requests and answers need a few hundredths of it; what is paced below the
-     * link's rate leaves them a queue of one or two chunks.
+     * The part of the link that weights may take beside requests. These and their answers take some four hundredths of it (six
+     * a second of some 3 KB each); with as much again and more to spare, the queue in which they wait does not grow.
      */
-    private static final double WEIGHTS_SHARE = 0.96;
+    private static final double SHARE_BESIDE_REQUESTS = 0.85;
 
     private final HostedSettings settings;
     private final MetricRegistry metrics = new MetricRegistry();
@@ -103,9 +107,15 @@
         return views;
     }
 
-    /** What weights may take of the instance's link, in either direction. */
-    LinkPacer weightPacer() {
-        return new LinkPacer(settings.linkBitsPerSecond() / Byte.SIZE, () -> WEIGHTS_SHARE);
+    /**
+     * What weights may take of the instance's link, in either direction.
+     *
+     * @param requests whether requests use the link too just now
+     */
+    LinkPacer weightPacer(BooleanSupplier requests) {
+        return new LinkPacer(
+                settings.linkBitsPerSecond() / Byte.SIZE,
+                () -> requests.getAsBoolean() ? SHARE_BESIDE_REQUESTS : SHARE_ALONE);
     }
 
     // -- the store
--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -105,6 +105,17 @@
         return cordon.closed();
     }
 
+    /**
+     * Whether the endpoint gets requests, which use its instance's link too.
+     *
+     * @return true if it holds a weight version or still works
+     */
+    public boolean serves() {
+        return report.get()
+                .filter(now -> !now.models().isEmpty() || now.running() + now.queued() > 0)
+                .isPresent();
+    }
+
     /** Asks the endpoint for a fresh report. */
     public void refresh() {
         Optional<Report> before = report.get();
--- a/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
+++ b/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
@@ -334,4 +334,13 @@
         assertEquals(CHUNKS, keeper.set("m", 1).orElseThrow().present());
         assertEquals(0, origin.given);
     }
+
+    @Test
+    void shouldLeaveLinkToRequestsOnlyWhenEndpointGetsSome() {
+        keeper.refresh();
+        assertFalse(keeper.serves(), "it holds nothing, so the link is free for weights");
+        endpoint.held = 1;
+        keeper.refresh();
+        assertTrue(keeper.serves());
+    }
 }
