--- a/src/main/java/org/micabarrow/transport/LoadFeed.java
+++ b/src/main/java/org/micabarrow/transport/LoadFeed.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -18,7 +17,6 @@
 import org.micabarrow.views.View;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
 /** Asks agents again and again how their endpoints are, and gives the answers to the choice of endpoints. */
@@ -32,32 +30,15 @@
     /** Every how many rounds agents of other regions are asked: bytes between regions are paid for. */
     private static final int FAR_ROUNDS = 3;
 
-    /**
-     * Of how many questions it is remembered when they were asked: an answer to one before tells nothing. A few seconds' worth
-     * if one is asked for each of a few hundred requests a second.
-     */
-    private static final int QUESTIONS_KEPT = 1_024;
-
-    /**
-     * How long an agent may take to answer a question on which a request waits, in milliseconds: the way to another region and
-     * back, behind two or three chunks of weights in its instance's link.
-     */
-    private static final long ANSWER_MILLIS = 150;
-
     private final Parts parts;
     private final DatagramChannel channel;
+    private final LoadQuestions questions;
 
     /** The ids at each host; after a restart there are two for a while, until the old entry lapses. */
     private volatile Map<String, List<String>> endpointsByHost = Map.of();
 
-    private final long[] askedMillis = new long[QUESTIONS_KEPT];
-    private final Map<Integer, Waiting> waiting = new HashMap<>();
-    private int questions;
     private int round;
 
-    /** What waits for the answer to a question. */
-    private record Waiting(Consumer<Boolean> then, XnioExecutor.Key timer) {}
-
     /**
      * What a feed works with.
      *
@@ -81,6 +62,7 @@
     private LoadFeed(Parts parts, DatagramChannel channel) {
         this.parts = parts;
         this.channel = channel;
+        this.questions = new LoadQuestions(parts.traffic(), parts.steadyMillis());
     }
 
     /**
@@ -150,24 +132,12 @@
      */
     public void ask(EndpointEntry endpoint, Consumer<Boolean> then) {
         int number = ask(endpoint.instanceHost(), List.of(endpoint));
-        XnioExecutor.Key timer =
-                parts.traffic().executeAfter(() -> answered(number, false), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
-        waiting.put(number, new Waiting(then, timer));
-    }
-
-    private void answered(int number, boolean inTime) {
-        Waiting one = waiting.remove(number);
-        if (one != null) {
-            one.timer().remove();
-            one.then().accept(inTime);
-        }
+        questions.await(number, then);
     }
 
     /** Sends the next question, and tells its number. */
     private int ask(String host, List<EndpointEntry> endpoints) {
-        int number = questions;
-        questions++;
-        askedMillis[number % QUESTIONS_KEPT] = parts.steadyMillis().getAsLong();
+        int number = questions.next();
         int ownPromptTokens = endpoints.stream()
                 .mapToInt(endpoint -> parts.choice().load(endpoint.id()).ownPromptTokens())
                 .sum();
@@ -197,15 +167,15 @@
 
     private void take(String host, LoadMessages.Answer answer) {
         List<String> endpoints = endpointsByHost.getOrDefault(host, List.of());
-        parts.traffic().execute(() -> {
-            int number = answer.number();
-            boolean known = number < questions && number >= questions - QUESTIONS_KEPT && number >= 0;
-            if (known) {
-                long now = parts.steadyMillis().getAsLong();
-                long delay = now - askedMillis[number % QUESTIONS_KEPT];
-                endpoints.forEach(id -> parts.choice().load(id).told(answer.told(), delay, now));
-                answered(number, true);
-            }
-        });
+        parts.traffic()
+                .execute(() ->
+                        questions.askedMillis(answer.number()).ifPresent(asked -> tell(endpoints, answer, asked)));
+    }
+
+    /** Gives an answer to the choice first, so that what waits for it is decided on what it says. */
+    private void tell(List<String> endpoints, LoadMessages.Answer answer, long askedMillis) {
+        long now = parts.steadyMillis().getAsLong();
+        endpoints.forEach(id -> parts.choice().load(id).told(answer.told(), now - askedMillis, now));
+        questions.answered(answer.number());
     }
 }
