--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -70,15 +70,18 @@
     void begin() {
         load.began(request.promptTokens());
         Sending sending = new Sending(
-                endpoint, Math.max(1, run.millisLeft()), parts.expectedVersion(request, endpoint), events.lastId());
-        connectTimer =
-                Optional.of(run.thread().executeAfter(this::notConnected, CONNECT_MILLIS, TimeUnit.MILLISECONDS));
-        parts.millisToBegin(request, endpoint)
-                .ifPresent(millis -> beginTimer = Optional.of(
-                        run.thread().executeAfter(this::notBegun, Math.max(1, millis), TimeUnit.MILLISECONDS)));
+                endpoint, Math.max(1, run.millisLeft()), parts.versions().expected(request, endpoint), events.lastId());
+        connectTimer = Optional.of(after(CONNECT_MILLIS, this::notConnected));
+        parts.versions()
+                .millisToBegin(request, endpoint)
+                .ifPresent(millis -> beginTimer = Optional.of(after(Math.max(1, millis), this::notBegun)));
         cancel = parts.caller().send(parts.protocol().call(request, sending), this);
     }
 
+    private XnioExecutor.Key after(long millis, Runnable step) {
+        return run.thread().executeAfter(step, millis, TimeUnit.MILLISECONDS);
+    }
+
     private void release() {
         over = true;
         connectTimer.ifPresent(XnioExecutor.Key::remove);
@@ -142,8 +145,8 @@
 
     /** Cancels a request that an older weight version has not begun when it may begin nothing any more. */
     private void notBegun() {
-        boolean stillOlder = parts.millisToBegin(request, endpoint).isPresent();
-        if (!over && !promptRead && stillOlder) {
+        boolean waits = !over && !promptRead;
+        if (waits && parts.versions().older(request, endpoint)) {
             failed(AttemptEnd.UNKNOWN, "a newer weight version is due, and the endpoint has not begun");
         }
     }
--- /dev/null
+++ b/src/main/java/org/micabarrow/serving/WeightVersions.java
@@ -0,0 +1,122 @@
+package org.micabarrow.serving;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.routing.EndpointChoice;
+import org.micabarrow.routing.EndpointEntry;
+import org.micabarrow.routing.ModelService;
+import org.micabarrow.routing.RouteManifest;
+import org.micabarrow.serving.ServingHandler.VersionTimes;
+import org.micabarrow.views.View;
+
+/**
+ * Which weight versions may answer a request, and until when an older one than was named may. Used by the one thread for
+ * traffic.
+ */
+final class WeightVersions {
+
+    private final Supplier<View> view;
+    private final EndpointChoice choice;
+    private final VersionTimes times;
+    private final LongSupplier steadyMillis;
+
+    /**
+     * Takes what a handler works with.
+     *
+     * @param given the handler's parts
+     */
+    WeightVersions(ServingHandler.Parts given) {
+        this.view = given.view();
+        this.choice = given.choice();
+        this.times = given.versionTimes();
+        this.steadyMillis = given.steadyMillis();
+    }
+
+    /** The model of a request's service; empty for plain services. */
+    Optional<ModelService> model(ClientRequest request) {
+        return view.get()
+                .manifest()
+                .flatMap(manifest -> manifest.service(request.service()))
+                .flatMap(RouteManifest.Service::model);
+    }
+
+    // -- of a request
+
+    /** The newest version that was named; 0 if none was. */
+    long newest(ClientRequest request) {
+        return model(request)
+                .flatMap(model -> view.get().newestTarget(model.model()))
+                .map(View.Target::version)
+                .orElse(0L);
+    }
+
+    /**
+     * The least version that may still answer; 0 for any. A process that found a version named at its start does not know
+     * for how long, nor which came before: it demands the newest that any endpoint of the service holds.
+     */
+    long least(ClientRequest request) {
+        return model(request).map(model -> least(request, model.model())).orElse(0L);
+    }
+
+    private long least(ClientRequest request, String model) {
+        View now = view.get();
+        long due = now.leastVersion(model, times.demandMillis(), steadyMillis.getAsLong());
+        boolean foundAtStart =
+                now.newestTarget(model).filter(target -> !target.seenNamed()).isPresent();
+        return foundAtStart ? Math.max(due, newestHeld(now, request, model)) : due;
+    }
+
+    private static long newestHeld(View view, ClientRequest request, String model) {
+        return view.endpointsOf(request.service()).stream()
+                .mapToLong(endpoint -> endpoint.models().getOrDefault(model, 0L))
+                .max()
+                .orElse(0);
+    }
+
+    // -- of a request at an endpoint
+
+    /** The only version that may answer at an endpoint, once the time for older ones is over. */
+    Optional<Long> expected(ClientRequest request, EndpointEntry endpoint) {
+        long least = least(request);
+        if (least == 0) {
+            return Optional.empty();
+        }
+        long held = model(request).map(model -> held(endpoint, model)).orElse(0L);
+        return Optional.of(Math.max(least, held));
+    }
+
+    /** Whether an endpoint holds an older version than was named, for so long that its agent is to be asked first. */
+    boolean askDue(ClientRequest request, EndpointEntry endpoint) {
+        OptionalLong named = newerNamedMillis(request, endpoint);
+        return named.isPresent() && steadyMillis.getAsLong() - named.getAsLong() >= times.askMillis();
+    }
+
+    /** Whether an endpoint holds an older version than was named. */
+    boolean older(ClientRequest request, EndpointEntry endpoint) {
+        return newerNamedMillis(request, endpoint).isPresent();
+    }
+
+    /** How long a request may still wait at an endpoint that holds an older version than was named; empty at any other. */
+    OptionalLong millisToBegin(ClientRequest request, EndpointEntry endpoint) {
+        OptionalLong named = newerNamedMillis(request, endpoint);
+        return named.isPresent()
+                ? OptionalLong.of(named.getAsLong() + times.cancelMillis() - steadyMillis.getAsLong())
+                : OptionalLong.empty();
+    }
+
+    /** When the oldest version that is newer than an endpoint's was named; empty if it holds the newest. */
+    private OptionalLong newerNamedMillis(ClientRequest request, EndpointEntry endpoint) {
+        return model(request)
+                .map(model -> view.get().newerNamedMillis(model.model(), held(endpoint, model)))
+                .orElse(OptionalLong.empty());
+    }
+
+    /** The version that an endpoint's entry names, or a newer one by which it has answered or of which its agent told. */
+    private long held(EndpointEntry endpoint, ModelService model) {
+        long entered = endpoint.models().getOrDefault(model.model(), 0L);
+        return Math.max(entered, choice.load(endpoint.id()).version());
+    }
+}
