--- a/src/main/java/org/micabarrow/serving/RequestRun.java
+++ b/src/main/java/org/micabarrow/serving/RequestRun.java
@@ -25,7 +25,7 @@
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
 
-    /** How many agents are asked in vain for one request: each may take a part of the objective. */
+    /** How many agents are asked in vain before one sending: each may take a part of the objective. */
     private static final int MOST_QUESTIONS = 2;
 
     private final ServingParts parts;
@@ -35,7 +35,7 @@
     private final long beganMillis;
     private final Set<String> tried = new HashSet<>();
     private final EventSplitter events = new EventSplitter();
-    private int questions;
+    private int askedInVain;
     private boolean mayHaveRun;
     private boolean finished;
     private boolean eventsPassed;
@@ -94,39 +94,43 @@
 
     private void next(String why) {
         switch (parts.choose(request, tried)) {
-            case Choice.Send(EndpointEntry endpoint, double predicted) -> sendOrAsk(endpoint, predicted, why);
+            case Choice.Send chosen -> sendOrAsk(chosen, why);
             case Choice.Full(int endpoints) -> cannotSend("all " + endpoints + " endpoints are full");
             case Choice.None ignored -> cannotSend("no endpoint can serve");
         }
     }
 
     /** Sends at once, or once the endpoint's agent has answered. */
-    private void sendOrAsk(EndpointEntry endpoint, double predicted, String why) {
-        if (!parts.mustAsk(request, endpoint)) {
-            send(endpoint, predicted, why);
-        } else if (questions == MOST_QUESTIONS) {
+    private void sendOrAsk(Choice.Send chosen, String why) {
+        if (!parts.mustAsk(request, chosen.endpoint())) {
+            send(chosen, why);
+        } else if (askedInVain == MOST_QUESTIONS) {
             cannotSend("no agent answers beside an endpoint that could serve");
         } else {
-            questions++;
-            parts.ask(request, endpoint, may -> agentAnswered(endpoint, predicted, why, may));
+            askedInVain++;
+            parts.ask(request, chosen.endpoint(), maySend -> agentAnswered(chosen, why, maySend));
         }
     }
 
-    private void agentAnswered(EndpointEntry endpoint, double predicted, String why, boolean maySend) {
+    private void agentAnswered(Choice.Send chosen, String why, boolean maySend) {
         if (finished) {
             return;
         }
         if (maySend) {
-            send(endpoint, predicted, why);
+            send(chosen, why);
         } else {
-            LOG.info(
-                    "event=not_sent request={} endpoint={} why=\"its agent did not answer in time, or it closes\"",
-                    request.id(),
-                    endpoint.id());
+            logNotSent(chosen.endpoint());
             next(why);
         }
     }
 
+    private void logNotSent(EndpointEntry endpoint) {
+        LOG.info(
+                "event=not_sent request={} endpoint={} why=\"its agent did not answer in time, or it closes\"",
+                request.id(),
+                endpoint.id());
+    }
+
     private void cannotSend(String why) {
         if (answer.begun()) {
             broken(why);
@@ -137,25 +141,30 @@
         }
     }
 
-    private void send(EndpointEntry endpoint, double predicted, String why) {
-        questions = 0;
+    private void send(Choice.Send chosen, String why) {
+        EndpointEntry endpoint = chosen.endpoint();
+        askedInVain = 0;
         tried.add(endpoint.id());
         if (tried.size() > 1) {
             parts.metrics().repeats.inc();
         }
+        logSent(chosen, why);
+        Attempt attempt = new Attempt(this, endpoint);
+        current = Optional.of(attempt);
+        attempt.begin();
+    }
+
+    private void logSent(Choice.Send chosen, String why) {
         LOG.info(
                 "event=sent request={} endpoint={} hall={} attempt={} why=\"{}\" predictedMs={} leftMs={} {}",
                 request.id(),
-                endpoint.id(),
-                endpoint.dataHall(),
+                chosen.endpoint().id(),
+                chosen.endpoint().dataHall(),
                 tried.size(),
                 why,
-                Math.round(predicted),
+                Math.round(chosen.predictedMillis()),
                 millisLeft(),
                 parts.viewAge());
-        Attempt attempt = new Attempt(this, endpoint);
-        current = Optional.of(attempt);
-        attempt.begin();
     }
 
     /** Decides what follows when an attempt has ended without an answer: another one, or the end of the request. */
