--- a/src/main/java/org/micabarrow/views/View.java
+++ b/src/main/java/org/micabarrow/views/View.java
@@ -61,7 +61,7 @@
      * @return the version, empty if none was named
      */
     public Optional<Target> newestTarget(String model) {
-        List<Target> named = targets.getOrDefault(model, List.of());
+        List<Target> named = named(model);
         return named.isEmpty() ? Optional.empty() : Optional.of(named.getLast());
     }
 
@@ -74,7 +74,7 @@
      * @return the version, 0 if any may answer
      */
     public long leastVersion(String model, long boundMillis, long nowMillis) {
-        return targets.getOrDefault(model, List.of()).stream()
+        return named(model).stream()
                 .filter(target -> nowMillis - target.learnedMillis() > boundMillis)
                 .mapToLong(Target::version)
                 .max()
@@ -89,7 +89,7 @@
      * @return when this process learned of it, on its steady clock; empty if none is newer
      */
     public OptionalLong newerNamedMillis(String model, long version) {
-        return targets.getOrDefault(model, List.of()).stream()
+        return named(model).stream()
                 .filter(target -> target.version() > version)
                 .mapToLong(Target::learnedMillis)
                 .min();
@@ -107,6 +107,10 @@
                 .toList();
     }
 
+    private List<Target> named(String model) {
+        return targets.getOrDefault(model, List.of());
+    }
+
     // -- views that follow from this one
 
     View withManifest(RouteManifest newManifest, long offset) {
@@ -125,7 +129,7 @@
      * @return the new view; this one if the version is not newer than those known
      */
     View withTarget(String model, Target target) {
-        List<Target> named = targets.getOrDefault(model, List.of());
+        List<Target> named = named(model);
         if (!named.isEmpty() && named.getLast().version() >= target.version()) {
             return this;
         }
