--- a/src/main/java/org/micabarrow/weights/ChunkSources.java
+++ b/src/main/java/org/micabarrow/weights/ChunkSources.java
@@ -1,7 +1,6 @@
 package org.micabarrow.weights;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,7 +10,6 @@
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import org.micabarrow.routing.EndpointEntry;
-import org.micabarrow.state.Digest;
 
 /**
  * From whom an agent asks each chunk of a version. All agents work the same out without a word: one agent of all fetches a
@@ -71,26 +69,57 @@
      */
     public static ChunkSources of(Agent self, List<Agent> agents, int chunks) {
         Objects.requireNonNull(self, "self is null");
-        List<Agent> all = new ArrayList<>(agents);
-        if (all.stream().noneMatch(one -> one.address().equals(self.address()))) {
-            all.add(self);
-        }
+        Objects.requireNonNull(agents, "agents is null");
+        List<Agent> all = with(self, agents);
         List<Agent> region = all.stream()
                 .filter(agent -> agent.region().equals(self.region()))
                 .toList();
         List<Integer> every = IntStream.range(0, chunks).boxed().toList();
-        Map<Integer, Agent> firsts = spread(all, every);
-        List<Integer> foreign = every.stream()
-                .filter(index -> !firsts.get(index).region().equals(self.region()))
-                .toList();
-        Map<Integer, Agent> leads = new HashMap<>(firsts);
-        leads.putAll(spread(region, foreign));
+        Map<Integer, Agent> originLeads = ChunkLeads.spread(all, every);
+        Map<Integer, Agent> regionLeads = regionLeads(self, region, originLeads, every);
         List<List<String>> sources = every.stream()
-                .map(index -> sources(self, ranked(region, leads.get(index), index), firsts.get(index)))
+                .map(index -> {
+                    List<Agent> order = ChunkLeads.leadFirst(region, regionLeads.get(index), index);
+                    return sources(self, order, originLeads.get(index));
+                })
                 .toList();
         return new ChunkSources(self, region, sources);
     }
 
+    private static List<Agent> with(Agent self, List<Agent> agents) {
+        List<Agent> all = new ArrayList<>(agents);
+        if (all.stream().noneMatch(one -> one.address().equals(self.address()))) {
+            all.add(self);
+        }
+        return all;
+    }
+
+    /** Who leads for each chunk in a region: whoever leads for all if it is there; the other chunks are spread anew. */
+    private static Map<Integer, Agent> regionLeads(
+            Agent self, List<Agent> region, Map<Integer, Agent> originLeads, List<Integer> chunks) {
+        List<Integer> foreign = chunks.stream()
+                .filter(index -> !originLeads.get(index).region().equals(self.region()))
+                .toList();
+        Map<Integer, Agent> leads = new HashMap<>(originLeads);
+        leads.putAll(ChunkLeads.spread(region, foreign));
+        return leads;
+    }
+
+    /** The agents that take up a chunk before this one, and the one that fetches it for all if that is elsewhere. */
+    private static List<String> sources(Agent self, List<Agent> order, Agent originLead) {
+        List<String> sources = new ArrayList<>();
+        order.stream()
+                .map(Agent::address)
+                .takeWhile(address -> !address.equals(self.address()))
+                .forEach(sources::add);
+        if (!originLead.region().equals(self.region())) {
+            sources.add(originLead.address());
+        }
+        return List.copyOf(sources);
+    }
+
+    // -- following the agents that are seen
+
     /**
      * Works out the sources of one agent, and keeps them for as long as the agents stay the same.
      *
@@ -118,9 +147,9 @@
         @Override
         public synchronized ChunkSources apply(int chunks) {
             List<Agent> now = List.copyOf(agents.get());
-            boolean holds = now.equals(seen)
+            boolean same = now.equals(seen)
                     && last.filter(one -> one.sources.size() == chunks).isPresent();
-            if (!holds) {
+            if (!same) {
                 seen = now;
                 last = Optional.of(of(self, now, chunks));
             }
@@ -128,53 +157,6 @@
         }
     }
 
-    // -- who leads for which chunk
-
-    /**
-     * Gives each chunk to the agent that ranks highest for it and has not got its even part yet (rendezvous hashing with
-     * bounded loads). The result depends on the agents alone, not on who works it out.
-     */
-    private static Map<Integer, Agent> spread(List<Agent> agents, List<Integer> chunks) {
-        int part = Math.ceilDiv(chunks.size(), agents.size());
-        Map<Agent, Integer> loads = new HashMap<>();
-        Map<Integer, Agent> leads = new HashMap<>();
-        for (int index : chunks) {
-            Agent lead = byRank(agents, index).stream()
-                    .filter(agent -> loads.getOrDefault(agent, 0) < part)
-                    .findFirst()
-                    .orElseThrow();
-            loads.merge(lead, 1, Integer::sum);
-            leads.put(index, lead);
-        }
-        return leads;
-    }
-
-    private static List<Agent> byRank(List<Agent> agents, int index) {
-        Map<Agent, String> ranks = new HashMap<>();
-        agents.forEach(agent -> ranks.put(agent, Digest.of(agent.address() + "/" + index)));
-        return agents.stream().sorted(Comparator.comparing(ranks::get)).toList();
-    }
-
-    /** A region's agents in the order in which they take up a chunk. */
-    private static List<Agent> ranked(List<Agent> region, Agent lead, int index) {
-        List<Agent> all = new ArrayList<>(byRank(region, index));
-        all.remove(lead);
-        all.addFirst(lead);
-        return all;
-    }
-
-    private static List<String> sources(Agent self, List<Agent> ranked, Agent first) {
-        List<String> sources = new ArrayList<>();
-        ranked.stream()
-                .map(Agent::address)
-                .takeWhile(address -> !address.equals(self.address()))
-                .forEach(sources::add);
-        if (!first.region().equals(self.region())) {
-            sources.add(first.address());
-        }
-        return List.copyOf(sources);
-    }
-
     // -- questions
 
     /**
--- a/src/main/java/org/micabarrow/weights/CurrentSources.java
+++ b/src/main/java/org/micabarrow/weights/CurrentSources.java
@@ -48,7 +48,7 @@
 
     /** The sources to ask: the agents nearby, and the current source of each missing chunk. */
     Set<String> toAsk() {
-        ChunkSources now = sources.apply(positions.length());
+        ChunkSources now = now();
         Set<String> all = new LinkedHashSet<>();
         now.near().stream().filter(agent -> !silent(agent)).forEach(all::add);
         for (int i = 0; i < positions.length(); i++) {
@@ -61,7 +61,7 @@
 
     /** The chunks to ask a source for. */
     BitSet wantedFrom(String source) {
-        ChunkSources now = sources.apply(positions.length());
+        ChunkSources now = now();
         BitSet own = new BitSet();
         BitSet missing = new BitSet();
         for (int i = 0; i < positions.length(); i++) {
@@ -74,6 +74,10 @@
         return own.isEmpty() && now.near().contains(source) && !silent(source) ? missing : own;
     }
 
+    private ChunkSources now() {
+        return sources.apply(positions.length());
+    }
+
     private String source(ChunkSources now, int index) {
         List<String> agents = now.of(index);
         int position = positions.get(index);
@@ -101,7 +105,7 @@
 
     /** Asks for those of some chunks that come from a source from the next one. */
     void leave(String source, BitSet indexes) {
-        ChunkSources now = sources.apply(positions.length());
+        ChunkSources now = now();
         indexes.stream().filter(i -> isCurrent(now, i, source)).forEach(this::askNext);
     }
 
