--- a/src/test/java/org/micabarrow/serving/OlderVersionTest.java
+++ b/src/test/java/org/micabarrow/serving/OlderVersionTest.java
@@ -74,11 +74,20 @@
 
     /** Starts to serve; agents are asked, and requests that are not begun cancelled, some time after the naming. */
     private void serve(long askMillis, long cancelMillis) throws IOException {
-        HttpCaller caller = HttpCaller.on(worker, 0);
-        ServingHandler handler = ServingHandler.of(new ServingHandler.Parts(
+        String clients = settings.listen().clients().orElseThrow();
+        HttpListener.on(clients, HttpListener.Bounds.usual(), worker, handler(askMillis, cancelMillis));
+        followStore();
+        Await.until(
+                "the view",
+                () -> views.view().manifest().isPresent()
+                        && !views.view().endpoints().isEmpty());
+    }
+
+    private ServingHandler handler(long askMillis, long cancelMillis) {
+        return ServingHandler.of(new ServingHandler.Parts(
                 views::view,
                 choice,
-                caller,
+                HttpCaller.on(worker, 0),
                 new EndpointHeaders(),
                 new RequestHeaders(RandomGenerator.of("L64X128MixRandom")),
                 new RetryBudget(0.2, 10),
@@ -89,16 +98,13 @@
                     then.accept(agentAnswers.get());
                 },
                 new ServingHandler.VersionTimes(askMillis, NEVER_MILLIS, cancelMillis)));
-        String clients = settings.listen().clients().orElseThrow();
-        HttpListener.on(clients, HttpListener.Bounds.usual(), worker, handler);
+    }
+
+    private void followStore() {
         StoreClient store = new StoreClient(client, settings.store(), WITHIN);
         StoreFollower.Pace pace = new StoreFollower.Pace(Duration.ofMillis(200), Duration.ZERO);
         new StoreFollower(Topic.OPERATOR, store, views, topic -> {}, pace).start();
         new StoreFollower(Topic.ENDPOINTS, store, views, topic -> {}, pace).start();
-        Await.until(
-                "the view",
-                () -> views.view().manifest().isPresent()
-                        && !views.view().endpoints().isEmpty());
     }
 
     private HttpAnswer ask() {
