--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -1,7 +1,6 @@
 package org.micabarrow.platform.standin;
 
 import io.undertow.server.HttpHandler;
-import java.io.IOException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -36,7 +35,7 @@
     private final Map<String, String> addresses = new HashMap<>();
     private final List<AutoCloseable> running = new ArrayList<>();
 
-    private HostedSystem() throws IOException {
+    private HostedSystem() {
         this.storeAddress = serve(store);
         this.originAddress = serve(new HostedOriginStandin());
     }
@@ -45,15 +44,14 @@
      * Starts a platform with a manifest and no endpoints.
      *
      * @return the running platform
-     * @throws IOException if no port is free
      */
-    public static HostedSystem start() throws IOException {
+    public static HostedSystem start() {
         HostedSystem system = new HostedSystem();
         system.manifest(1, "key-a", 2_000);
         return system;
     }
 
-    private String serve(HttpHandler handler) throws IOException {
+    private String serve(HttpHandler handler) {
         String address = Ports.freeAddress();
         running.add(HttpListener.start(address, HttpListener.Bounds.usual(), 1, Optional.empty(), handler));
         return address;
@@ -116,9 +114,8 @@
      * @param id its id
      * @param service its service
      * @param version the weight version that it holds; 0 for none
-     * @throws IOException if no port is free
      */
-    public void add(String id, String service, long version) throws IOException {
+    public void add(String id, String service, long version) {
         HostedEndpointStandin endpoint = new HostedEndpointStandin(id, MODEL, version, behaviours);
         endpoints.put(id, endpoint);
         addresses.put(id, serve(endpoint));
@@ -173,9 +170,8 @@
      * The settings of an entry.
      *
      * @return the settings, with free addresses
-     * @throws IOException if no port is free
      */
-    public HostedSettings entry() throws IOException {
+    public HostedSettings entry() {
         return settings(Optional.of(Ports.freeAddress()), Optional.of(Ports.freeAddress()), Optional.empty());
     }
 
@@ -184,14 +180,12 @@
      *
      * @param endpoint the id of the endpoint beside it
      * @return the settings, with free addresses
-     * @throws IOException if no port is free
      */
-    public HostedSettings agent(String endpoint) throws IOException {
+    public HostedSettings agent(String endpoint) {
         return settings(Optional.empty(), Optional.empty(), Optional.of(addresses.get(endpoint)));
     }
 
-    private HostedSettings settings(Optional<String> clients, Optional<String> ready, Optional<String> endpoint)
-            throws IOException {
+    private HostedSettings settings(Optional<String> clients, Optional<String> ready, Optional<String> endpoint) {
         String peers = Ports.freeAddress();
         return new HostedSettings(
                 new Common.Place("instance-a", "region-a", "hall-a"),
