--- a/src/main/java/org/micabarrow/bench/Ports.java
+++ b/src/main/java/org/micabarrow/bench/Ports.java
@@ -7,14 +7,17 @@
 
 /**
  * Free addresses on loopback. Each process has a host of its own there, so that two which test the same at the same time
- * never meet. The ports lie below the range from which the operating system takes those of outgoing connections, so that none
- * of those takes one before its server has begun to listen.
+ * never meet. The ports lie below the range from which the operating system takes those of outgoing connections, so that
+ * none of those takes one before its server has begun to listen.
  */
 public final class Ports {
 
-    /** A host in 127.64.0.0/10 that follows from the process's id; all of 127.0.0.0/8 is loopback. */
+    /** The host of this process; all of 127.0.0.0/8 is loopback. */
     private static final String HOST = host(ProcessHandle.current().pid());
 
+    /** The least second byte of a host: away from 127.0.0.1, which others use. */
+    private static final int LEAST_SECOND_BYTE = 64;
+
     private static final int FIRST = 15_000;
     private static final int COUNT = 16_000;
     private static final int BACKLOG = 1;
@@ -23,8 +26,12 @@
 
     private Ports() {}
 
+    /** The host that follows from a process's id, which has 22 bits at most on Linux. */
     private static String host(long pid) {
-        return "127." + (64 + (pid >> 16 & 63)) + "." + (pid >> 8 & 255) + "." + (pid & 255);
+        long second = LEAST_SECOND_BYTE + (pid >> 16 & 0x3f);
+        long third = pid >> 8 & 0xff;
+        long fourth = pid & 0xff;
+        return "127." + second + "." + third + "." + fourth;
     }
 
     /**
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -19,8 +19,8 @@
 import org.xnio.XnioExecutor;
 
 /**
- * One sending of a request to one endpoint: what comes back is counted, judged, and held or passed on. What follows from an
- * attempt that ends without an answer is for the run to decide. All of it runs on the one thread for traffic.
+ * One sending of a request to one endpoint: what comes back is counted, judged, and held or passed on. What follows from
+ * an attempt that ends without an answer is for the run to decide. All of it runs on the one thread for traffic.
  */
 final class Attempt implements HttpCaller.Listener {
 
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -19,8 +19,8 @@
 
     /**
      * The part of its remaining time after which a refused client is told to come back. Its objective counts anew from
-     * then, so late is as good as soon, and a queue or a weight version that is being taken up needs a second or two; clients
-     * heed up to a third.
+     * then, so late is as good as soon, and a queue or a weight version that is being taken up needs a second or two;
+     * clients heed up to a third.
      */
     private static final double COME_BACK_PART = 0.3;
 
--- a/src/main/java/org/micabarrow/serving/WeightVersions.java
+++ b/src/main/java/org/micabarrow/serving/WeightVersions.java
@@ -99,7 +99,10 @@
         return newerNamedMillis(request, endpoint).isPresent();
     }
 
-    /** How long a request may still wait at an endpoint that holds an older version than was named; empty at any other. */
+    /**
+     * How long a request may still wait at an endpoint that holds an older version than was named, in milliseconds; empty
+     * at any other, and not above 0 once its time is up.
+     */
     OptionalLong millisToBegin(ClientRequest request, EndpointEntry endpoint) {
         OptionalLong named = newerNamedMillis(request, endpoint);
         return named.isPresent()
--- a/src/main/java/org/micabarrow/weights/ChunkSources.java
+++ b/src/main/java/org/micabarrow/weights/ChunkSources.java
@@ -12,11 +12,11 @@
 import org.micabarrow.routing.EndpointEntry;
 
 /**
- * From whom an agent asks each chunk of a version. All agents work the same out without a word: one agent of all fetches a
- * chunk from the origin, one of each other region fetches it from that one, and the others of a region from the one there.
- * So each chunk leaves the origin once and crosses into each region once. Every agent leads for an even part of the chunks,
- * however uneven the regions are, and an agent that comes or goes changes little for the chunks of the others. An agent
- * whose better-ranked sources fail falls back towards the origin.
+ * From whom an agent asks each chunk of a version. All agents work the same out without a word: one agent of all fetches
+ * a chunk from the origin, one of each other region fetches it from that one, and the others of a region from the one
+ * there. So each chunk leaves the origin once and crosses into each region once. Every agent leads for an even part of the
+ * chunks, however uneven the regions are, and an agent that comes or goes changes little for the chunks of the others
+ * ({@link ChunkLeads}). An agent whose better-ranked sources fail falls back towards the origin.
  */
 public final class ChunkSources {
 
@@ -33,8 +33,8 @@
     public record Agent(String address, String region) {
 
         /**
-         * The agents beside the endpoints of a service. Those of endpoints that leave are left out: their instances may go
-         * at any moment, with chunks that nobody else has.
+         * The agents beside the endpoints of a service. Those of endpoints that leave are left out: their instances may
+         * go at any moment, with chunks that nobody else has.
          *
          * @param endpoints the service's endpoints
          * @param port the port at which all agents listen
