--- a/src/main/java/org/micabarrow/transport/LoadFeed.java
+++ b/src/main/java/org/micabarrow/transport/LoadFeed.java
@@ -6,6 +6,8 @@
 import java.nio.channels.DatagramChannel;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -57,7 +59,18 @@
             Supplier<View> view,
             EndpointChoice choice,
             XnioIoThread traffic,
-            LongSupplier steadyMillis) {}
+            LongSupplier steadyMillis) {
+
+        /** Checks that nothing is missing. */
+        public Parts {
+            Objects.requireNonNull(place, "place is null");
+            Objects.requireNonNull(regions, "regions is null");
+            Objects.requireNonNull(view, "view is null");
+            Objects.requireNonNull(choice, "choice is null");
+            Objects.requireNonNull(traffic, "traffic is null");
+            Objects.requireNonNull(steadyMillis, "steadyMillis is null");
+        }
+    }
 
     private LoadFeed(Parts parts, DatagramChannel channel) {
         this.parts = parts;
@@ -90,9 +103,7 @@
 
     private void askAll(Runnable afterRound) {
         View view = parts.view().get();
-        Map<String, List<EndpointEntry>> hosts = view.endpoints().values().stream()
-                .filter(endpoint -> isModel(view, endpoint))
-                .collect(Collectors.groupingBy(EndpointEntry::instanceHost));
+        Map<String, List<EndpointEntry>> hosts = modelsByHost(view);
         // Before the questions: an answer may come at once.
         endpointsByHost = idsOf(hosts);
         hosts.forEach((host, endpoints) -> {
@@ -106,6 +117,12 @@
         afterRound.run();
     }
 
+    private static Map<String, List<EndpointEntry>> modelsByHost(View view) {
+        return view.endpoints().values().stream()
+                .filter(endpoint -> isModel(view, endpoint))
+                .collect(Collectors.groupingBy(EndpointEntry::instanceHost));
+    }
+
     private static Map<String, List<String>> idsOf(Map<String, List<EndpointEntry>> hosts) {
         return hosts.entrySet().stream()
                 .collect(Collectors.toUnmodifiableMap(
@@ -167,15 +184,18 @@
 
     private void take(String host, LoadMessages.Answer answer) {
         List<String> endpoints = endpointsByHost.getOrDefault(host, List.of());
-        parts.traffic()
-                .execute(() ->
-                        questions.askedMillis(answer.number()).ifPresent(asked -> tell(endpoints, answer, asked)));
+        parts.traffic().execute(() -> tell(endpoints, answer));
     }
 
     /** Gives an answer to the choice first, so that what waits for it is decided on what it says. */
-    private void tell(List<String> endpoints, LoadMessages.Answer answer, long askedMillis) {
+    private void tell(List<String> endpoints, LoadMessages.Answer answer) {
+        OptionalLong asked = questions.askedMillis(answer.number());
+        if (asked.isEmpty()) {
+            return;
+        }
         long now = parts.steadyMillis().getAsLong();
-        endpoints.forEach(id -> parts.choice().load(id).told(answer.told(), now - askedMillis, now));
+        long delay = now - asked.getAsLong();
+        endpoints.forEach(id -> parts.choice().load(id).told(answer.told(), delay, now));
         questions.answered(answer.number());
     }
 }
