Chunks of the origin are not held back by an agent's own link

Ruled out: the leads (even), endpoints that leave. Now only chunks of other agents are held back; the origin's own link, which all agents share, holds back its own. Test red before (ReplicaKeeperTest.shouldNotHoldBackChunksOfOrigin).

--- a/src/main/java/org/micabarrow/weights/FetchRun.java
+++ b/src/main/java/org/micabarrow/weights/FetchRun.java
@@ -129,7 +129,10 @@
             return false;
         }
         LOG.debug("event=chunk_here model={} version={} chunk={} from={}", set.model(), set.version(), index, source);
-        parts.downlink().accept(bytes.length);
+        // The origin's own link, which all agents share, holds its chunks back; they are few here, and it may go away.
+        if (!source.equals(CurrentSources.ORIGIN)) {
+            parts.downlink().accept(bytes.length);
+        }
         return true;
     }
 
--- a/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
+++ b/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
@@ -30,6 +30,7 @@
 
     private final AtomicLong now = new AtomicLong(1_000_000);
     private final FakeEndpoint endpoint = new FakeEndpoint();
+    private volatile int pacedBytes;
     private int toldClosing;
     private final FakeOrigin origin = new FakeOrigin();
     private final ViewKeeper views = new ViewKeeper(new NoDecoder(), now::get);
@@ -42,7 +43,7 @@
                     origin,
                     () -> Optional.of("origin:80"),
                     ChunkSources.following(new Agent("a", "r"), List::of),
-                    bytes -> {},
+                    bytes -> pacedBytes += bytes,
                     now::get)),
             views::view,
             () -> new ReplicaKeeper.Place(0, 3),
@@ -184,6 +185,13 @@
         assertEquals(List.of("start 1"), endpoint.orders);
     }
 
+    @Test
+    void shouldNotHoldBackChunksOfOrigin() throws Exception {
+        fetch();
+        assertEquals(CHUNKS, keeper.set("m", 1).map(ChunkSet::present).orElse(0));
+        assertEquals(0, pacedBytes);
+    }
+
     @Test
     void shouldWaitForItsTurnWhenEndpointServesOlderVersion() throws Exception {
         endpoint.held = 1;
