What waits in front of an instance that stands still is taken back: tests, three of them red

The story stands in StandingInstanceTest. Red on the code as it is, seen to fail: a request sent before a newer version was named (504 after its whole time, 502 at once expected), one at an endpoint that leaves (the same), and one whose sender is killed (its connection ends in good order instead of being reset). Green: a client that leaves; its test, and the test of cancelled requests, now demand a reset, where an end in good order sufficed before.

--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -122,6 +122,16 @@
         enter(id, service, version, "ready");
     }
 
+    /**
+     * Says where an endpoint is that somebody else runs.
+     *
+     * @param id its id
+     * @param address its host and port
+     */
+    public void place(String id, String address) {
+        addresses.put(id, address);
+    }
+
     /**
      * Writes an endpoint's entry.
      *
--- /dev/null
+++ b/src/test/java/org/micabarrow/serving/StandingInstanceTest.java
@@ -0,0 +1,180 @@
+package org.micabarrow.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.random.RandomGenerator;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.micabarrow.Await;
+import org.micabarrow.coordination.RetryBudget;
+import org.micabarrow.platform.EndpointHeaders;
+import org.micabarrow.platform.RequestHeaders;
+import org.micabarrow.platform.StoreClient;
+import org.micabarrow.platform.StoreRecords;
+import org.micabarrow.platform.standin.HostedSystem;
+import org.micabarrow.routing.EndpointChoice;
+import org.micabarrow.routing.EndpointLoad.Told;
+import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.HttpCaller.HttpAnswer;
+import org.micabarrow.transport.HttpListener;
+import org.micabarrow.views.StoreFollower;
+import org.micabarrow.views.ViewKeeper;
+import org.micabarrow.views.ViewKeeper.Topic;
+import org.xnio.XnioWorker;
+
+/**
+ * Users saw requests begin on weights that had been replaced, and requests reach an endpoint that had long said it was
+ * leaving. In order: a request was sent to an endpoint; its instance stood still before it read the request; a newer weight
+ * version was named, or the endpoint left; the client gave up, and the entry closed its connection in good order; after
+ * seconds the instance went on, read the request and began it. Cause: what waits in front of an instance outlives the
+ * reason for which it was sent there, unless its sender resets the connection.
+ *
+ * <p>Evidence: the endpoint broke those requests off at their first event, so it had not known before that nobody waited.
+ * With connections closed in good order, instances that stood still beyond a version's bound began 34 to 48 requests in each
+ * of three runs; with connections reset, none in each of 13.
+ */
+class StandingInstanceTest {
+
+    private static final Duration WITHIN = Duration.ofSeconds(10);
+    private static final String MODEL = "model-a";
+    private static final long NEVER_MILLIS = 1_000_000;
+
+    /** Longer than the silence of an agent is borne, in milliseconds. */
+    private static final long SILENCE_MILLIS = 1_100;
+
+    private static final int BAD_GATEWAY = 502;
+
+    private final AtomicLong clockMillis = new AtomicLong(1_000_000);
+    private final EndpointChoice choice = new EndpointChoice("region-a", Map.of("hall-a", "region-a"));
+    private final ViewKeeper views = new ViewKeeper(new StoreRecords(), clockMillis::get);
+
+    private HostedSystem platform;
+    private HostedSettings settings;
+    private XnioWorker worker;
+    private HttpCaller client;
+    private StandingEndpoint standing;
+    private ServingHandler handler;
+
+    @BeforeEach
+    void start() throws IOException {
+        platform = HostedSystem.start();
+        platform.manifest(2, "key-a", WITHIN.toMillis());
+        settings = platform.entry();
+        worker = HttpCaller.worker("standing-instance", 1);
+        client = HttpCaller.start("client", 1);
+        standing = StandingEndpoint.start();
+        platform.place("model-1", standing.address());
+        platform.enter("model-1", "models", 1, "ready");
+        choice.load("model-1").told(new Told(0, 0, false, 1), 0, clockMillis.get());
+        serve();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        standing.close();
+        client.close();
+        worker.shutdownNow();
+        platform.close();
+    }
+
+    private void serve() throws IOException {
+        handler = ServingHandler.of(new ServingHandler.Parts(
+                views::view,
+                choice,
+                HttpCaller.on(worker, 0),
+                new EndpointHeaders(),
+                new RequestHeaders(RandomGenerator.of("L64X128MixRandom")),
+                new RetryBudget(0.2, 10),
+                new MetricRegistry(),
+                clockMillis::get,
+                (endpoint, then) -> then.accept(true),
+                new ServingHandler.VersionTimes(NEVER_MILLIS, NEVER_MILLIS, NEVER_MILLIS)));
+        String clients = settings.listen().clients().orElseThrow();
+        HttpListener.on(clients, HttpListener.Bounds.usual(), worker, handler);
+        StoreClient store = new StoreClient(client, settings.store(), WITHIN);
+        StoreFollower.Pace pace = new StoreFollower.Pace(Duration.ofMillis(200), Duration.ZERO);
+        new StoreFollower(Topic.OPERATOR, store, views, topic -> {}, pace).start();
+        new StoreFollower(Topic.ENDPOINTS, store, views, topic -> {}, pace).start();
+        Await.until(
+                "the view",
+                () -> views.view().manifest().isPresent()
+                        && !views.view().endpoints().isEmpty());
+    }
+
+    // -- steps
+
+    private HttpAnswer ask() {
+        String clients = settings.listen().clients().orElseThrow();
+        return client.call(HostedSystem.request(clients, "/stream/x", "attempt-1"), WITHIN)
+                .toOptional()
+                .orElse(new HttpAnswer(0, Map.of(), new byte[0]));
+    }
+
+    /** Sends a request and waits until it lies in front of the instance. */
+    private CompletableFuture<HttpAnswer> sent() {
+        CompletableFuture<HttpAnswer> answer = CompletableFuture.supplyAsync(this::ask);
+        Await.until("the request", () -> standing.waiting() == 1);
+        return answer;
+    }
+
+    /** Lets the agent be silent for longer than is borne, and has the entry look after its requests. */
+    private void standStill() throws Exception {
+        clockMillis.addAndGet(SILENCE_MILLIS);
+        lookAfterRequests();
+    }
+
+    private void lookAfterRequests() throws Exception {
+        CompletableFuture<Void> looked = new CompletableFuture<>();
+        worker.getIoThread().execute(() -> {
+            handler.moveFromSilentEndpoints();
+            looked.complete(null);
+        });
+        looked.get(WITHIN.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    // -- tests
+
+    @Test
+    void shouldTakeBackWhatWaitsWhenClientLeaves() throws Exception {
+        try (HttpCaller leaving = HttpCaller.start("leaving", 1)) {
+            String clients = settings.listen().clients().orElseThrow();
+            Runnable leave =
+                    leaving.send(HostedSystem.request(clients, "/stream/x", "attempt-1"), new SilentListener());
+            Await.until("the request", () -> standing.waiting() == 1);
+            leave.run();
+            Await.until("the end of the request", () -> handler.connections().busy() == 0);
+        }
+        assertEquals(List.of(), standing.wake());
+    }
+
+    @Test
+    void shouldTakeBackWhatWaitsWhenVersionIsNamedAfterSending() throws Exception {
+        CompletableFuture<HttpAnswer> answer = sent();
+        views.want(MODEL, 2);
+        standStill();
+        assertEquals(BAD_GATEWAY, answer.join().status());
+        assertEquals(List.of(), standing.wake());
+    }
+
+    @Test
+    void shouldTakeBackWhatWaitsWhenEndpointLeaves() throws Exception {
+        CompletableFuture<HttpAnswer> answer = sent();
+        platform.enter("model-1", "models", 1, "draining");
+        Await.until(
+                "the news that it leaves",
+                () -> views.view().endpoints().get("model-1").leaving());
+        standStill();
+        assertEquals(BAD_GATEWAY, answer.join().status());
+        assertEquals(List.of(), standing.wake());
+    }
+}
--- a/src/test/java/org/micabarrow/transport/HttpCallerTest.java
+++ b/src/test/java/org/micabarrow/transport/HttpCallerTest.java
@@ -10,11 +10,11 @@
 import java.net.SocketException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.state.Fault;
-import org.micabarrow.transport.HttpCaller.Listener;
 
 /** What a server sees of a caller, byte by byte. */
 class HttpCallerTest {
@@ -22,56 +22,64 @@
     /** Ends a test that hangs, in milliseconds; under the ten seconds in which a server gives up a silent connection. */
     private static final int HANG_MILLIS = 8_000;
 
-    private static final class Ignoring implements Listener {
-
-        @Override
-        public void onHead(int status, Map<String, String> headers) {}
-
-        @Override
-        public void onData(byte[] data, Runnable more) {
-            more.run();
-        }
-
-        @Override
-        public void onComplete() {}
-
-        @Override
-        public void onFailed(Fault fault, boolean sent) {}
-    }
-
     /** Reads until a request with a body of six bytes is here. */
     private static void readRequest(InputStream input) throws IOException {
         StringBuilder read = new StringBuilder();
-        while (!read.toString().endsWith("a body")) {
+        while (!read.toString().endsWith(WaitingCaller.BODY)) {
             int one = input.read();
             assertTrue(one >= 0, "the connection ended before the request");
             read.append((char) one);
         }
     }
 
-    private static boolean ends(InputStream input) throws IOException {
+    /** Whether the other end resets the connection; an end in good order leaves a request to be run. */
+    private static boolean isReset(InputStream input) throws IOException {
         try {
-            return input.read() < 0;
+            input.read();
+            return false;
         } catch (SocketException e) {
-            // A reset ends it as well.
             return true;
         }
     }
 
     @Test
-    void shouldEndConnectionWhenCancelledBeforeAnswer() throws Exception {
+    void shouldResetConnectionWhenCancelledBeforeAnswer() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
                 HttpCaller caller = HttpCaller.start("test", 1)) {
             URI uri = URI.create("http://127.0.0.1:" + server.getLocalPort());
-            byte[] body = "a body".getBytes(StandardCharsets.US_ASCII);
+            byte[] body = WaitingCaller.BODY.getBytes(StandardCharsets.US_ASCII);
             HttpCall call = new HttpCall(Fault.Step.RUN, "POST", uri, Optional.of("/x"), Map.of(), body);
             Runnable cancel = caller.send(call, new Ignoring());
             try (Socket connection = server.accept()) {
                 connection.setSoTimeout(HANG_MILLIS);
                 readRequest(connection.getInputStream());
                 cancel.run();
-                assertTrue(ends(connection.getInputStream()));
+                assertTrue(isReset(connection.getInputStream()));
             }
         }
     }
+
+    @Test
+    void shouldResetConnectionWhenProcessIsKilledBeforeAnswer() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            Process process = waitingCaller(server.getLocalPort());
+            try (Socket connection = server.accept()) {
+                connection.setSoTimeout(HANG_MILLIS);
+                readRequest(connection.getInputStream());
+                process.destroyForcibly();
+                assertTrue(isReset(connection.getInputStream()));
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static Process waitingCaller(int port) throws IOException {
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        String classes = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+        return new ProcessBuilder(java, "-cp", classes, WaitingCaller.class.getName(), String.valueOf(port))
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .start();
+    }
 }
