Sight: what is taken back, whether it had begun, and an instance that stood still are in the logs

Now attempt_failed and taken_back tell the time since the sending and whether the endpoint had taken and begun the request, connection_not_reset is a warning, and an agent tells how long it stood still.

--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -37,6 +37,12 @@
     /** How often the agent looks whether there is something to fetch or to order, in milliseconds: a chunk's time. */
     private static final long LOOK_MILLIS = 50;
 
+    /**
+     * From when on a pause counts as a standstill, in milliseconds: the shortest for which entries bear an agent's silence. A
+     * process that only waits for its turn pauses for less.
+     */
+    private static final long STANDSTILL_MILLIS = 400;
+
     private final HostedSettings settings;
     private final HostedNode node;
     private final ReplicaKeeper keeper;
@@ -91,9 +97,29 @@
         run("report", REPORT_MILLIS, keeper::refresh);
         run("fetch", LOOK_MILLIS, keeper::fetch);
         run("replica", LOOK_MILLIS, keeper::step);
+        run("standstill", LOOK_MILLIS, new StandstillWatch());
         LOG.info("event=started role=agent instance={}", settings.instance().id());
     }
 
+    /** Says that the instance stood still, so that what entries and endpoints tell of that time can be explained. */
+    private final class StandstillWatch implements Step {
+
+        private long lastMillis = HostedNode.steadyMillis();
+
+        @Override
+        public void take() {
+            long now = HostedNode.steadyMillis();
+            long stood = now - lastMillis - LOOK_MILLIS;
+            lastMillis = now;
+            if (stood >= STANDSTILL_MILLIS) {
+                LOG.warn(
+                        "event=stood_still ms={} endpoint={}",
+                        stood,
+                        settings.endpoint().orElse("-"));
+            }
+        }
+    }
+
     /** A step of the agent's work. */
     private interface Step {
         void take() throws InterruptedException;
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -56,6 +56,7 @@
     private boolean sending;
     private boolean promptRead;
     private boolean passing;
+    private long beganMillis;
 
     Attempt(RequestRun run, EndpointEntry endpoint) {
         this.run = run;
@@ -68,6 +69,7 @@
     }
 
     void begin() {
+        beganMillis = parts.nowMillis();
         load.began(request.promptTokens());
         Sending sending = new Sending(
                 endpoint, Math.max(1, run.millisLeft()), parts.versions().expected(request, endpoint), events.lastId());
@@ -97,23 +99,43 @@
         }
     }
 
-    /** Stops the attempt for good; nothing that its connection does counts any more. */
-    void abandon() {
+    /** Stops the attempt for good, because nobody wants its answer any more. */
+    void abandon(String why) {
         if (!over) {
-            release();
-            cancel.run();
+            LOG.info(
+                    "event=taken_back request={} endpoint={} afterMs={} taken={} begun={} why=\"{}\"",
+                    request.id(),
+                    endpoint.id(),
+                    parts.nowMillis() - beganMillis,
+                    head.isPresent(),
+                    promptRead,
+                    why);
+            stop();
         }
     }
 
+    /** Nothing that the attempt's connection does counts any more. */
+    private void stop() {
+        release();
+        cancel.run();
+    }
+
     private void failed(AttemptEnd end, String why) {
-        abandon();
         logFailed(end, why);
+        stop();
         run.again(end, why);
     }
 
     private void logFailed(AttemptEnd end, String why) {
         LOG.info(
-                "event=attempt_failed request={} endpoint={} end={} why=\"{}\"", request.id(), endpoint.id(), end, why);
+                "event=attempt_failed request={} endpoint={} end={} afterMs={} taken={} begun={} why=\"{}\"",
+                request.id(),
+                endpoint.id(),
+                end,
+                parts.nowMillis() - beganMillis,
+                head.isPresent(),
+                promptRead,
+                why);
     }
 
     /**
@@ -129,8 +151,8 @@
     }
 
     private void moveOn(AttemptEnd end, String why) {
-        abandon();
         logFailed(end, why);
+        stop();
         run.moveOn(why);
     }
 
--- a/src/main/java/org/micabarrow/serving/RequestRun.java
+++ b/src/main/java/org/micabarrow/serving/RequestRun.java
@@ -218,7 +218,7 @@
         if (finished) {
             return;
         }
-        current.ifPresent(Attempt::abandon);
+        current.ifPresent(attempt -> attempt.abandon("time is up"));
         if (answer.begun()) {
             broken("time is up");
         } else if (tried.isEmpty()) {
@@ -232,7 +232,7 @@
         if (finished) {
             return;
         }
-        current.ifPresent(Attempt::abandon);
+        current.ifPresent(attempt -> attempt.abandon("the client left"));
         parts.metrics().clientGone.inc();
         finish("client_gone", "the client closed its connection");
         answer.gone();
--- a/src/main/java/org/micabarrow/transport/HttpExchange.java
+++ b/src/main/java/org/micabarrow/transport/HttpExchange.java
@@ -227,7 +227,7 @@
             below.setOption(Options.CLOSE_ABORT, true);
             IoUtils.safeClose(below);
         } catch (IOException | RuntimeException e) {
-            LOG.debug("event=abort_unsupported why=\"{}\"", e.toString());
+            LOG.warn("event=connection_not_reset why=\"{}\"", e.toString());
         }
         IoUtils.safeClose(broken);
         // A channel that a selector knows is closed in full only when the selector runs next, so it is woken.
