Routing: no link counts as slow lately before its agent told anything

Cause: the first value of lastDelayedMillis was taken from TOLD_MILLIS, but it is compared with SLOW_AGAIN_MILLIS. On a steady clock that begins near 0 every link counted as slow lately for the first second.

Seen: EndpointLoadTest.shouldNotCallLinkSlowLatelyWhenAgentHasToldNothing at 0, 1 and 999 ms red before (3 of 6 cases), green after. Ruled out: the first value of toldAtMillis, which is compared with TOLD_MILLIS and was right.

--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -41,7 +41,7 @@
     private long heardAtMillis;
     private long delayMillis;
     private boolean unanswered;
-    private long lastDelayedMillis = -TOLD_MILLIS - 1;
+    private long lastDelayedMillis = -SLOW_AGAIN_MILLIS - 1;
     private long version;
     private int failuresInARow;
     private double failureShare;
