Transport: one silent connection no longer leads to the next

Cause: open connections may go silent for good while new ones work. A call that timed out closed its own connection, but the next one took another of those kept to the same place, which is as likely silent, and waited its whole time limit again; connections that had waited long were used without a doubt.

Seen: HttpCallerTest.shouldUseNewConnectionWhenOneOfThoseKeptFellSilent over a relay that swallows the bytes of three kept connections: before, the call after the timed-out one went without an answer for its 8 s; after, it is answered on a fourth connection.

Ruled out: exchanges that are cancelled by their sender (a client that left, a request that moved on) tell nothing of the connections beside; they drop none.

--- a/src/main/java/org/micabarrow/transport/HttpCaller.java
+++ b/src/main/java/org/micabarrow/transport/HttpCaller.java
@@ -53,7 +53,7 @@
         this.ownWorker = ownWorker;
         this.shared = new HttpExchange.Shared(
                 new DefaultByteBufferPool(true, BUFFER_BYTES, BUFFERS_KEPT, BUFFERS_KEPT_BY_THREAD),
-                new KeptConnections(mostIdle),
+                new KeptConnections(mostIdle, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime())),
                 new LongAdder(),
                 new LongAdder());
     }
@@ -186,11 +186,19 @@
      */
     Pending begin(HttpCall call) {
         CompletableFuture<Result<HttpAnswer>> done = new CompletableFuture<>();
-        return new Pending(call, done, send(call, new WholeAnswer(done)));
+        Runnable cancel = send(call, new WholeAnswer(done));
+        return new Pending(call, done, cancel, () -> shared.kept().drop(call.authority()));
     }
 
-    /** A request whose whole answer is waited for. */
-    record Pending(HttpCall call, CompletableFuture<Result<HttpAnswer>> done, Runnable cancel) {
+    /**
+     * A request whose whole answer is waited for.
+     *
+     * @param call the request
+     * @param done completes with the answer
+     * @param cancel cancels the request
+     * @param dropKept closes the connections that are kept to the same place
+     */
+    record Pending(HttpCall call, CompletableFuture<Result<HttpAnswer>> done, Runnable cancel, Runnable dropKept) {
 
         Result<HttpAnswer> await(Duration within) {
             try {
@@ -201,6 +209,8 @@
                 return failed(Reason.CANCELLED, "interrupted");
             } catch (TimeoutException e) {
                 cancel.run();
+                // What made this connection silent may have made the others so, each for the next request's whole time.
+                dropKept.run();
                 return failed(Reason.TIMEOUT, "no answer within " + within.toMillis() + " ms");
             } catch (ExecutionException e) {
                 return failed(Reason.UNREACHABLE, String.valueOf(e.getCause()));
--- a/src/test/java/org/micabarrow/transport/HttpCallerTest.java
+++ b/src/test/java/org/micabarrow/transport/HttpCallerTest.java
@@ -1,5 +1,6 @@
 package org.micabarrow.transport;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -10,9 +11,15 @@
 import java.net.SocketException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.SilentRelay;
+import org.micabarrow.bench.Ports;
 import org.micabarrow.state.Fault;
 import org.micabarrow.transport.HttpCaller.Listener;
 
@@ -22,6 +29,14 @@
     /** Ends a test that hangs, in milliseconds; under the ten seconds in which a server gives up a silent connection. */
     private static final int HANG_MILLIS = 8_000;
 
+    private static final Duration HANG = Duration.ofMillis(HANG_MILLIS);
+
+    /** How long a test waits on a connection that is silent for good. */
+    private static final Duration SILENT = Duration.ofMillis(200);
+
+    /** How many connections are kept when they fall silent. */
+    private static final int KEPT = 3;
+
     private static final class Ignoring implements Listener {
 
         @Override
@@ -74,4 +89,49 @@
             }
         }
     }
+
+    // -- connections that fall silent
+
+    /** Answers once as many requests are here as are to come at the same time, so that each has a connection. */
+    private static HttpListener answering(String address, CountDownLatch together) {
+        return HttpListener.start(
+                address,
+                HttpListener.Bounds.usual(),
+                1,
+                Optional.empty(),
+                exchange -> exchange.dispatch(() -> {
+                    arrive(together);
+                    exchange.getResponseSender().send("answered");
+                }));
+    }
+
+    private static void arrive(CountDownLatch together) {
+        together.countDown();
+        try {
+            together.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException("the test has ended", e);
+        }
+    }
+
+    @Test
+    void shouldUseNewConnectionWhenOneOfThoseKeptFellSilent() throws Exception {
+        String address = Ports.freeAddress();
+        try (HttpListener server = answering(address, new CountDownLatch(KEPT));
+                SilentRelay relay = SilentRelay.to(address);
+                HttpCaller caller = HttpCaller.start("test", 1)) {
+            HttpCall call = HttpCall.get(Fault.Step.READ, URI.create("http://" + relay.address() + "/x"));
+            List<HttpCaller.Pending> together =
+                    Stream.generate(() -> caller.begin(call)).limit(KEPT).toList();
+            together.forEach(
+                    one -> assertTrue(one.await(HANG).toOptional().isPresent(), "each is answered on its connection"));
+            assertEquals(KEPT, relay.accepted());
+            relay.silence();
+            assertEquals(
+                    Fault.Reason.TIMEOUT,
+                    caller.call(call, SILENT).cause().orElseThrow().reason());
+            assertTrue(caller.call(call, HANG).toOptional().isPresent(), "the others kept may be silent as well");
+            assertEquals(KEPT + 1, relay.accepted());
+        }
+    }
 }
