Views: a read of the store that stays without an answer is made again at once

Cause: a connection to the store that goes silent while the store is well counted as the store's loss: after the read's 2.2 s (and up to 0.5 s in which endpoints' entries rest) came a question to a peer, 0.4 s if its connection is silent too, and a pause of 0.3 s before a new connection was tried; up to 3.4 s for endpoints that leave, by the limits in the code, with 3 s until the users hold an entry to its 2 s again. Drops of endpoints' entries were then doubted for 2.3 s more, as after an outage.

Now a held read that times out is made again at once without a hold; only if that fails too is the store lost. Entries let the store hold a read of endpoints' entries for 0.5 s instead of 1.5 s. By the limits a silent connection shows after 2.2 s for manifests and 1.7 s for endpoints, plus one round trip. A store that is really away is told from peers 0.7 s later than before, once an outage.

ViewKeeperTest.shouldReadAgainAtOnceWhenOneReadStaysWithoutAnswer and shouldReadOnlyOnceATurnWhileStoreStaysAway red before.

Ruled out: a shorter hold for manifests: 2.2 s is within the 3 s, and each read more is a call that is paid for. Reading endpoints with 0.5 s adds hardly any, since some endpoint writes within that. Ending the other topic's read on the news of one: a store that is slow once would break both. A refusal by the store is not asked again at once.

--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -15,6 +15,7 @@
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.LoadServer;
 import org.micabarrow.transport.PeerChunks;
+import org.micabarrow.views.StoreFollower.Pace;
 import org.micabarrow.views.View;
 import org.micabarrow.weights.ChunkFetcher;
 import org.micabarrow.weights.ChunkSources;
@@ -87,7 +88,7 @@
         HttpListener.on(settings.listen().metrics(), usual, node.worker(), peers);
         loadServer = Optional.of(LoadServer.start(settings.listen().peers(), this::told, HostedNode::steadyMillis));
         // After the listeners, so that no connection of our own takes one of their ports.
-        node.follow(ENDPOINTS_REST, settings::seeds);
+        node.follow(new Pace(HostedNode.STORE_WAIT, ENDPOINTS_REST), settings::seeds);
         run("report", REPORT_MILLIS, keeper::refresh);
         run("fetch", LOOK_MILLIS, keeper::fetch);
         run("replica", LOOK_MILLIS, keeper::step);
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -15,6 +15,7 @@
 import org.micabarrow.transport.HostedPeerServer;
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.LoadFeed;
+import org.micabarrow.views.StoreFollower.Pace;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,6 +27,13 @@
     /** The pause between reads of endpoints' entries: a quarter of the two seconds in which a leaving one must be left. */
     private static final Duration ENDPOINTS_REST = Duration.ofMillis(500);
 
+    /**
+     * How long the store may hold a read of endpoints' entries. A connection that fell silent shows after the rest, this and
+     * the answer's own time, which together stay under two seconds. Each endpoint writes about once a second, so that with a
+     * few of them hardly any read finds nothing for so long, and none is added by it.
+     */
+    private static final Duration ENDPOINTS_HOLD = Duration.ofMillis(500);
+
     /** Among how many entries the users' slack for repeats is divided: more than there are, spares and restarts included. */
     private static final int ENTRIES_AT_MOST = 16;
 
@@ -116,7 +124,7 @@
         HttpListener.on(settings.listen().ready().orElseThrow(), usual, node.worker(), this::ready);
         HttpListener.on(settings.listen().clients().orElseThrow(), usual, node.worker(), handler);
         // After the listeners, so that no connection of our own takes one of their ports.
-        node.follow(ENDPOINTS_REST, this::peers);
+        node.follow(new Pace(ENDPOINTS_HOLD, ENDPOINTS_REST), this::peers);
         loadFeed.start(handler::moveFromSilentEndpoints);
         LOG.info("event=started role=entry instance={}", settings.instance().id());
     }
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -38,7 +38,7 @@
      * How long the store may hold a read that finds nothing. A lost answer shows after this and the answer's own
      * time, which together stay well under the three seconds in which the users expect a process to be in touch again.
      */
-    private static final Duration STORE_WAIT = Duration.ofMillis(1_500);
+    static final Duration STORE_WAIT = Duration.ofMillis(1_500);
 
     /**
      * How long the store's answer may take beyond that. It answers in a few milliseconds; a slow one takes some fifty times as
@@ -120,12 +120,17 @@
 
     // -- the store
 
-    /** Begins to follow the store; peers are asked while it does not answer. */
-    void follow(Duration endpointsRest, Supplier<List<String>> peers) {
+    /**
+     * Begins to follow the store; peers are asked while it does not answer.
+     *
+     * @param endpoints how often endpoints' entries are read
+     * @param peers whom to ask
+     */
+    void follow(Pace endpoints, Supplier<List<String>> peers) {
         StoreClient store = new StoreClient(kept, settings.store(), STORE_ANSWER);
         Consumer<Topic> askPeer = topic -> askPeer(topic, peers.get());
         new StoreFollower(Topic.OPERATOR, store, views, askPeer, new Pace(STORE_WAIT, Duration.ZERO)).start();
-        new StoreFollower(Topic.ENDPOINTS, store, views, askPeer, new Pace(STORE_WAIT, endpointsRest)).start();
+        new StoreFollower(Topic.ENDPOINTS, store, views, askPeer, endpoints).start();
     }
 
     /** Asks the next peer in turn for what it knows of a topic. */
--- a/src/main/java/org/micabarrow/views/StoreFollower.java
+++ b/src/main/java/org/micabarrow/views/StoreFollower.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.function.Consumer;
 import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Result;
 import org.micabarrow.views.ViewKeeper.Topic;
 import org.slf4j.Logger;
@@ -98,13 +99,29 @@
     }
 
     private Result<Long> readOn() {
-        Duration wait = reachable ? pace.hold() : Duration.ZERO;
-        return reader.read(topic, keeper.end(topic), wait).map(read -> {
+        return (reachable ? readHeld() : read(Duration.ZERO)).map(read -> {
             regained();
             return take(read);
         });
     }
 
+    private Result<TopicReader.Read> read(Duration wait) {
+        return reader.read(topic, keeper.end(topic), wait);
+    }
+
+    /**
+     * Reads once more at once if no answer came: an open connection may fall silent for good while the store is well, and
+     * answers on a new one. Neither a peer nor a pause is in the way then, and no dropped entry is doubted.
+     */
+    private Result<TopicReader.Read> readHeld() {
+        Result<TopicReader.Read> held = read(pace.hold());
+        if (held instanceof Result.Failure<TopicReader.Read>(Fault fault) && fault.reason() == Reason.TIMEOUT) {
+            LOG.info("event=store_read_again topic={} why=\"{}\"", topic, fault);
+            return read(Duration.ZERO);
+        }
+        return held;
+    }
+
     private long take(TopicReader.Read read) {
         return switch (read) {
             case TopicReader.Read.Records(TopicReader.Batch batch) -> {
--- a/src/test/java/org/micabarrow/views/ViewKeeperTest.java
+++ b/src/test/java/org/micabarrow/views/ViewKeeperTest.java
@@ -139,7 +139,10 @@
 
         private boolean down;
         private boolean expired;
+        private boolean silentOnce;
+        private Fault.Reason reason = Fault.Reason.TIMEOUT;
         private final List<Long> readFrom = new ArrayList<>();
+        private final List<Duration> holds = new ArrayList<>();
 
         @Override
         public Result<Batch> newest(Topic topic) {
@@ -149,14 +152,19 @@
         @Override
         public Result<Read> read(Topic topic, long from, Duration hold) {
             readFrom.add(from);
+            holds.add(hold);
             if (down) {
                 return failed();
             }
+            if (silentOnce) {
+                silentOnce = false;
+                return failed();
+            }
             return Result.success(expired ? new Read.Expired() : new Read.Records(new Batch(List.of(), from)));
         }
 
-        private static <T> Result<T> failed() {
-            return Result.failure(Fault.of(Fault.Step.LOG, "store", Fault.Reason.TIMEOUT, "down"));
+        private <T> Result<T> failed() {
+            return Result.failure(Fault.of(Fault.Step.LOG, "store", reason, "down"));
         }
     }
 
@@ -188,6 +196,37 @@
         assertEquals(1, asked.size());
     }
 
+    @Test
+    void shouldReadAgainAtOnceWhenOneReadStaysWithoutAnswer() {
+        follower.once();
+        reader.silentOnce = true;
+        follower.once();
+        assertEquals(List.of(10L, 10L), reader.readFrom, "the store may answer on a new connection");
+        assertEquals(List.of(Duration.ofMillis(10), Duration.ZERO), reader.holds);
+        assertEquals(List.of(), asked);
+    }
+
+    @Test
+    void shouldReadOnlyOnceATurnWhileStoreStaysAway() {
+        follower.once();
+        reader.down = true;
+        assertTrue(follower.once() > 0, "it pauses before the next try");
+        assertEquals(List.of(10L, 10L), reader.readFrom);
+        follower.once();
+        assertEquals(List.of(10L, 10L, 10L), reader.readFrom);
+        assertEquals(List.of(Topic.OPERATOR, Topic.OPERATOR), asked);
+    }
+
+    @Test
+    void shouldNotReadAgainAtOnceWhenStoreRefuses() {
+        follower.once();
+        reader.down = true;
+        reader.reason = Fault.Reason.OVERLOADED;
+        follower.once();
+        assertEquals(List.of(10L), reader.readFrom);
+        assertEquals(List.of(Topic.OPERATOR), asked);
+    }
+
     @Test
     void shouldReadNewestAgainWhenHistoryExpired() {
         follower.once();
