Weights: an agent whose connection alone fell silent is asked on

Cause: a question for chunks that stayed without an answer had its agent passed over for 8 s, the whole time in which a version has to be taken up. If open connections go silent, or are reset, while new ones work, that is so for all agents at once, and all that is missing falls to the origin.

--- a/src/main/java/org/micabarrow/weights/ChunkPeers.java
+++ b/src/main/java/org/micabarrow/weights/ChunkPeers.java
@@ -32,7 +32,8 @@
      * @param model the model
      * @param version the version
      * @param wanted which chunks are wanted
-     * @return a chunk; {@code NOT_READY} if the agent is still fetching them, {@code NOT_FOUND} if it has not begun to
+     * @return a chunk; {@code NOT_READY} if the agent is still fetching them or only its connection broke, {@code NOT_FOUND}
+     *     if it has not begun to
      */
     Result<Numbered> anyOf(String agent, String model, long version, BitSet wanted);
 }
