Serving: an answer that its client does not take is given up after 10 s

Cause: once an answer of up to 256 KB is whole, its request is over and its timer removed; if the client's connection has gone silent, what its kernel does not take stayed in memory, and the request open, until the listener's idle limit of 600 s. A stop waits for open requests up to the grace.

Now ClientAnswer looks 10 s after it has handed over a whole answer that was not written at once, and closes the connection if it is still not written. Answers that are written at once, which nearly all are, cost nothing.

Ruled out: a stream or long answer that is not taken.

--- a/src/main/java/org/micabarrow/serving/ClientAnswer.java
+++ b/src/main/java/org/micabarrow/serving/ClientAnswer.java
@@ -9,14 +9,26 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 import org.micabarrow.serving.EndpointProtocol.AnswerHead;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
 
 /** Writes one answer to a client. What breaks off ends in a closed connection, never in what looks like a whole answer. */
 final class ClientAnswer {
 
+    private static final Logger LOG = LoggerFactory.getLogger(ClientAnswer.class);
+
     private static final double MILLIS_A_SECOND = 1_000;
 
+    /**
+     * How long a client may take over an answer that was handed to its connection whole, in milliseconds: as long as a client
+     * may take to send a request's head. A connection that fell silent never takes it, and without a limit would keep the
+     * answer and its place among the open requests, for which a stop waits.
+     */
+    private static final long UNREAD_MILLIS = 10_000;
+
     private final HttpServerExchange exchange;
     private boolean begun;
     private boolean over;
@@ -75,7 +87,22 @@
         head(head);
         over = true;
         exchange.setResponseContentLength(body.length);
+        last(body);
+    }
+
+    /** Writes all that is left to write, and closes the connection if the client does not take it. */
+    private void last(byte[] body) {
         exchange.getResponseSender().send(ByteBuffer.wrap(body), IoCallback.END_EXCHANGE);
+        if (!exchange.isResponseComplete()) {
+            exchange.getIoThread().executeAfter(this::closeUnread, UNREAD_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void closeUnread() {
+        if (!exchange.isResponseComplete()) {
+            LOG.info("event=answer_not_taken path={}", exchange.getRequestPath());
+            breakOff();
+        }
     }
 
     /** Closes the connection in the middle of the answer, so that the client sees that it is not whole. */
@@ -96,7 +123,6 @@
             exchange.getResponseHeaders()
                     .put(Headers.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterMillis / MILLIS_A_SECOND));
         }
-        byte[] body = (why + "\n").getBytes(StandardCharsets.UTF_8);
-        exchange.getResponseSender().send(ByteBuffer.wrap(body), IoCallback.END_EXCHANGE);
+        last((why + "\n").getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/src/test/java/org/micabarrow/transport/HttpCallerTest.java
+++ b/src/test/java/org/micabarrow/transport/HttpCallerTest.java
@@ -117,8 +117,8 @@
     @Test
     void shouldUseNewConnectionWhenOneOfThoseKeptFellSilent() throws Exception {
         String address = Ports.freeAddress();
-        try (HttpListener server = answering(address, new CountDownLatch(KEPT));
-                SilentRelay relay = SilentRelay.to(address);
+        HttpListener server = answering(address, new CountDownLatch(KEPT));
+        try (SilentRelay relay = SilentRelay.to(address);
                 HttpCaller caller = HttpCaller.start("test", 1)) {
             HttpCall call = HttpCall.get(Fault.Step.READ, URI.create("http://" + relay.address() + "/x"));
             List<HttpCaller.Pending> together =
@@ -132,6 +132,8 @@
                     caller.call(call, SILENT).cause().orElseThrow().reason());
             assertTrue(caller.call(call, HANG).toOptional().isPresent(), "the others kept may be silent as well");
             assertEquals(KEPT + 1, relay.accepted());
+        } finally {
+            server.close();
         }
     }
 }
