An answer of the store that keeps coming is waited for

Cause: on a grown deployment an operator added 1,480 routes; the manifest is some hundred KB large then, all processes of two regions read it over links of 21 to 25 Mbit/s at the same time, and each gave its read up after 2.2 s and began again. Ruled out: that the record was not read (the entries beside the store had it), that it was refused (no record_refused). Now the store, and a peer that is asked instead, must not be silent for longer than before, but an answer may take up to 10 s as long as its parts come. Seen red: StoreClientTest.shouldWaitForLargeAnswerWhenItKeepsComing (no answer within 2 s of 4).

--- a/src/main/java/org/micabarrow/platform/StoreClient.java
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -17,6 +17,7 @@
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Fault.Step;
 import org.micabarrow.state.Result;
+import org.micabarrow.transport.AnswerLimits;
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.transport.HttpCaller.HttpAnswer;
@@ -33,6 +34,12 @@
     /** The most pages of newest records that are read: a bound against a store without a last page; chosen, not measured. */
     private static final int MOST_PAGES = 1_000;
 
+    /**
+     * How long an answer that keeps coming may take, in milliseconds: the largest manifest (4 MiB, the store takes no larger one) takes 6.3 s over a link of
+     * 5.3 Mbit/s.
+     */
+    private static final Duration WHOLE = Duration.ofMillis(10_000);
+
     private final HttpCaller caller;
     private final String base;
     private final Duration within;
@@ -42,7 +49,7 @@
      *
      * @param caller sends its requests
      * @param address the store's host and port
-     * @param within how long an answer may take beyond the wait that was asked for
+     * @param within how long the store may be silent beyond the wait that was asked for
      */
     public StoreClient(HttpCaller caller, String address, Duration within) {
         this.caller = Objects.requireNonNull(caller, "caller is null");
@@ -57,6 +64,10 @@
         };
     }
 
+    private AnswerLimits limits(Duration wait) {
+        return new AnswerLimits(wait.plus(within), within, wait.plus(WHOLE.compareTo(within) > 0 ? WHOLE : within));
+    }
+
     // -- the newest of each key
 
     @Override
@@ -84,7 +95,7 @@
         String more = after.isEmpty() ? "" : "&after_revision=" + URLEncoder.encode(after, StandardCharsets.UTF_8);
         HttpCall call = HttpCall.get(
                 Step.LOG, URI.create(base + WireNames.LOG_NEWEST + "?topic=" + topicName(topic) + "&part=0" + more));
-        return caller.call(call, within).flatMap(answer -> json(call, answer));
+        return caller.call(call, limits(Duration.ZERO)).flatMap(answer -> json(call, answer));
     }
 
     /** A record of a page. The name "private_key" suggests a secret; it is the record's key. */
@@ -118,7 +129,7 @@
                 Step.LOG,
                 URI.create(base + WireNames.LOG_READ + "?topic=" + topicName(topic) + "&part=0&from=" + from
                         + "&wait_ms=" + wait.toMillis()));
-        return caller.call(call, wait.plus(within)).flatMap(answer -> switch (answer.status()) {
+        return caller.call(call, limits(wait)).flatMap(answer -> switch (answer.status()) {
             case OK -> parse(call, from, answer.body());
             case GONE -> Result.success(new Read.Expired());
             default -> refused(call, answer);
--- a/src/main/java/org/micabarrow/transport/HttpCaller.java
+++ b/src/main/java/org/micabarrow/transport/HttpCaller.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -175,7 +174,18 @@
      * @return the answer, whatever its status
      */
     public Result<HttpAnswer> call(HttpCall call, Duration within) {
-        return begin(call).await(within);
+        return call(call, AnswerLimits.whole(within));
+    }
+
+    /**
+     * Sends a request and waits for the whole answer, for as long as it keeps coming.
+     *
+     * @param call the request
+     * @param limits how long to wait
+     * @return the answer, whatever its status
+     */
+    public Result<HttpAnswer> call(HttpCall call, AnswerLimits limits) {
+        return begin(call).await(limits);
     }
 
     /**
@@ -185,24 +195,29 @@
      * @return the call in progress
      */
     Pending begin(HttpCall call) {
-        CompletableFuture<Result<HttpAnswer>> done = new CompletableFuture<>();
-        Runnable cancel = send(call, new WholeAnswer(done));
-        return new Pending(call, done, cancel, () -> shared.kept().drop(call.authority()));
+        WholeAnswer answer = new WholeAnswer();
+        Runnable cancel = send(call, answer);
+        return new Pending(call, answer, cancel, () -> shared.kept().drop(call.authority()));
     }
 
     /**
      * A request whose whole answer is waited for.
      *
      * @param call the request
-     * @param done completes with the answer
+     * @param answer collects the answer
      * @param cancel cancels the request
      * @param dropKept closes the connections that are kept to the same place
      */
-    record Pending(HttpCall call, CompletableFuture<Result<HttpAnswer>> done, Runnable cancel, Runnable dropKept) {
+    record Pending(HttpCall call, WholeAnswer answer, Runnable cancel, Runnable dropKept) {
 
         Result<HttpAnswer> await(Duration within) {
+            return await(AnswerLimits.whole(within));
+        }
+
+        Result<HttpAnswer> await(AnswerLimits limits) {
+            long waitedFrom = System.nanoTime();
             try {
-                return done.get(within.toMillis(), TimeUnit.MILLISECONDS);
+                return answer.await(limits);
             } catch (InterruptedException e) {
                 cancel.run();
                 Thread.currentThread().interrupt();
@@ -211,7 +226,9 @@
                 cancel.run();
                 // What made this connection silent may have made the others so, each for the next request's whole time.
                 dropKept.run();
-                return failed(Reason.TIMEOUT, "no answer within " + within.toMillis() + " ms");
+                long waited = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - waitedFrom);
+                String what = answer.begun() ? "the answer stopped after " : "no answer within ";
+                return failed(Reason.TIMEOUT, what + waited + " ms");
             } catch (ExecutionException e) {
                 return failed(Reason.UNREACHABLE, String.valueOf(e.getCause()));
             }
--- a/src/main/java/org/micabarrow/transport/PeerRecords.java
+++ b/src/main/java/org/micabarrow/transport/PeerRecords.java
@@ -26,6 +26,9 @@
     /** How long a peer may take: one round trip between regions and a few milliseconds of work. */
     private static final Duration WITHIN = Duration.ofMillis(400);
 
+    /** How long an answer that keeps coming may take: a large manifest over a narrow link, as from the store. */
+    private static final AnswerLimits LIMITS = new AnswerLimits(WITHIN, WITHIN, Duration.ofSeconds(10));
+
     private static final int OK = 200;
 
     private final HttpCaller caller;
@@ -50,7 +53,7 @@
     public Result<Batch> ask(String peer, Topic topic, long from) {
         URI uri = URI.create("http://" + peer + PATH + "?topic=" + topic + "&from=" + from);
         HttpCall call = HttpCall.get(Step.READ, uri);
-        return caller.call(call, WITHIN)
+        return caller.call(call, LIMITS)
                 .flatMap(answer -> answer.status() == OK
                         ? read(peer, answer.body())
                         : Result.failure(
--- a/src/test/java/org/micabarrow/platform/StoreClientTest.java
+++ b/src/test/java/org/micabarrow/platform/StoreClientTest.java
@@ -5,12 +5,18 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.undertow.io.IoCallback;
+import io.undertow.io.Sender;
 import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -38,7 +44,7 @@
 
     private final HostedStoreStandin store = new HostedStoreStandin();
     private HttpCaller caller;
-    private HttpListener listener;
+    private final List<HttpListener> listeners = new ArrayList<>();
     private StoreClient client;
 
     @BeforeEach
@@ -47,16 +53,59 @@
         client = serve(store);
     }
 
-    private StoreClient serve(HttpHandler handler) throws Exception {
+    private StoreClient serve(HttpHandler handler) {
+        return serve(handler, WITHIN);
+    }
+
+    private StoreClient serve(HttpHandler handler, Duration within) {
         String address = Ports.freeAddress();
-        listener = HttpListener.start(address, HttpListener.Bounds.usual(), 1, Optional.empty(), handler);
-        return new StoreClient(caller, address, WITHIN);
+        listeners.add(HttpListener.start(address, HttpListener.Bounds.usual(), 1, Optional.empty(), handler));
+        return new StoreClient(caller, address, within);
     }
 
     @AfterEach
     void stop() {
         caller.close();
-        listener.close();
+        listeners.forEach(HttpListener::close);
+    }
+
+    // -- large answers
+
+    /** How long the store may be silent here, in milliseconds. */
+    private static final long SILENCE_MILLIS = 2_000;
+
+    /** The pause between two of the 16 bytes of a slow answer, in milliseconds: twice the silence altogether. */
+    private static final long PART_MILLIS = 250;
+
+    /** Sends an answer without records, one part after the other. */
+    private static void sendSlowly(HttpServerExchange exchange, ByteBuffer left) {
+        ByteBuffer part = left.slice(left.position(), 1);
+        left.position(left.position() + part.remaining());
+        if (!left.hasRemaining()) {
+            exchange.getResponseSender().send(part, IoCallback.END_EXCHANGE);
+            return;
+        }
+        exchange.getResponseSender().send(part, new IoCallback() {
+            @Override
+            public void onComplete(HttpServerExchange same, Sender sender) {
+                same.getIoThread().executeAfter(() -> sendSlowly(same, left), PART_MILLIS, TimeUnit.MILLISECONDS);
+            }
+
+            @Override
+            public void onException(HttpServerExchange same, Sender sender, IOException e) {
+                same.endExchange();
+            }
+        });
+    }
+
+    @Test
+    void shouldWaitForLargeAnswerWhenItKeepsComing() throws Exception {
+        StoreClient narrow = serve(
+                exchange -> exchange.dispatch(
+                        SameThreadExecutor.INSTANCE, () -> sendSlowly(exchange, ByteBuffer.allocate(2 * Long.BYTES))),
+                Duration.ofMillis(SILENCE_MILLIS));
+        Result<Read> read = narrow.read(Topic.OPERATOR, 0, Duration.ZERO);
+        assertInstanceOf(Read.Records.class, read.toOptional().orElseThrow());
     }
 
     private static List<String> keys(Batch batch) {
