Who leads for chunks: one ranking for all agents and for the region

Cause: ChunkLeads ranked the agents of the region for each chunk twice more, after all agents had been ranked for it; each ranking takes a digest of every agent and chunk. A region's ranking is that of all without the others.

Ruled out: another order.

--- a/src/main/java/org/micabarrow/weights/ChunkSources.java
+++ b/src/main/java/org/micabarrow/weights/ChunkSources.java
@@ -70,20 +70,18 @@
     public static ChunkSources of(Agent self, List<Agent> agents, int chunks) {
         Objects.requireNonNull(self, "self is null");
         Objects.requireNonNull(agents, "agents is null");
-        List<Agent> all = with(self, agents);
-        List<Agent> region = all.stream()
-                .filter(agent -> agent.region().equals(self.region()))
-                .toList();
         List<Integer> every = IntStream.range(0, chunks).boxed().toList();
-        Map<Integer, Agent> originLeads = ChunkLeads.spread(all, every);
+        ChunkLeads all = ChunkLeads.of(with(self, agents), chunks);
+        ChunkLeads region = all.within(self.region());
+        Map<Integer, Agent> originLeads = all.spread(every);
         Map<Integer, Agent> regionLeads = regionLeads(self, region, originLeads, every);
         List<List<String>> sources = every.stream()
                 .map(index -> {
-                    List<Agent> order = ChunkLeads.leadFirst(region, regionLeads.get(index), index);
+                    List<Agent> order = region.leadFirst(regionLeads.get(index), index);
                     return sources(self, order, originLeads.get(index));
                 })
                 .toList();
-        return new ChunkSources(self, region, sources);
+        return new ChunkSources(self, region.agents(), sources);
     }
 
     private static List<Agent> with(Agent self, List<Agent> agents) {
@@ -96,12 +94,12 @@
 
     /** Who leads for each chunk in a region: whoever leads for all if it is there; the other chunks are spread anew. */
     private static Map<Integer, Agent> regionLeads(
-            Agent self, List<Agent> region, Map<Integer, Agent> originLeads, List<Integer> chunks) {
+            Agent self, ChunkLeads region, Map<Integer, Agent> originLeads, List<Integer> chunks) {
         List<Integer> foreign = chunks.stream()
                 .filter(index -> !originLeads.get(index).region().equals(self.region()))
                 .toList();
         Map<Integer, Agent> leads = new HashMap<>(originLeads);
-        leads.putAll(ChunkLeads.spread(region, foreign));
+        leads.putAll(region.spread(foreign));
         return leads;
     }
 
--- a/src/test/java/org/micabarrow/weights/ChunkSourcesTest.java
+++ b/src/test/java/org/micabarrow/weights/ChunkSourcesTest.java
@@ -4,15 +4,19 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.routing.EndpointEntry;
+import org.micabarrow.state.Digest;
 import org.micabarrow.weights.ChunkSources.Agent;
 
 /** Who fetches which chunk from whom. */
@@ -98,6 +102,70 @@
         assertTrue(moved <= CHUNKS / 4, moved + " chunks of agents that stayed are fetched by others");
     }
 
+    /** Who leads, worked out the plain way: of the agents with room, the one whose digest with the chunk is least. */
+    private static Map<Integer, Agent> plainLeads(List<Agent> agents, List<Integer> chunks) {
+        Map<Integer, Agent> leads = new HashMap<>();
+        for (int index : chunks) {
+            Agent least = null;
+            for (Agent agent : agents) {
+                boolean room = Collections.frequency(leads.values(), agent) * agents.size() < chunks.size();
+                if (room && (least == null || plainRank(agent, index).compareTo(plainRank(least, index)) < 0)) {
+                    least = agent;
+                }
+            }
+            leads.put(index, least);
+        }
+        return leads;
+    }
+
+    private static String plainRank(Agent agent, int index) {
+        return Digest.of(agent.address() + "/" + index);
+    }
+
+    /** The sources of one agent, worked out the plain way from who leads. */
+    private static List<String> plainSources(Agent self, List<Agent> region, Agent originLead, Agent lead, int index) {
+        List<String> sources = new ArrayList<>();
+        if (!lead.equals(self)) {
+            sources.add(lead.address());
+            region.stream()
+                    .filter(agent -> !agent.equals(lead))
+                    .filter(agent -> plainRank(agent, index).compareTo(plainRank(self, index)) < 0)
+                    .sorted(Comparator.comparing(agent -> plainRank(agent, index)))
+                    .forEach(agent -> sources.add(agent.address()));
+        }
+        if (!originLead.region().equals(self.region())) {
+            sources.add(originLead.address());
+        }
+        return sources;
+    }
+
+    @Property(seed = "42", tries = 30)
+    void shouldAskLeadsFirstAndThenOthersAsTheyRank(
+            @ForAll @Size(min = 1, max = 4) List<@IntRange(min = 1, max = 9) Integer> sizes,
+            @ForAll @IntRange(max = CHUNKS) int chunks) {
+        List<Agent> all = agents(sizes);
+        List<Integer> every = IntStream.range(0, chunks).boxed().toList();
+        Map<Integer, Agent> originLeads = plainLeads(all, every);
+        for (Agent self : all) {
+            List<Agent> region = all.stream()
+                    .filter(one -> one.region().equals(self.region()))
+                    .toList();
+            Map<Integer, Agent> leads = new HashMap<>(originLeads);
+            leads.putAll(plainLeads(
+                    region,
+                    every.stream()
+                            .filter(index -> !region.contains(originLeads.get(index)))
+                            .toList()));
+            ChunkSources sources = ChunkSources.of(self, all, chunks);
+            for (int index : every) {
+                assertEquals(
+                        plainSources(self, region, originLeads.get(index), leads.get(index), index),
+                        sources.of(index),
+                        self + ", chunk " + index);
+            }
+        }
+    }
+
     @Test
     void shouldNotCountOnAgentWhoseEndpointLeaves() {
         EndpointEntry stays = new EndpointEntry("a", "s", "10.0.0.1:80", "hall-a", 4, false, Map.of(), 16);
