Sources of chunks: kept when only the order of agents changes, right when the own address is listed elsewhere

Cause: FollowedSources, taken out of ChunkSources, compared lists, so the same agents in another order were worked out again; the question for digests asked for the sources of one chunk, which threw those of the version away. And an own address that was listed under another region stood in for the agent itself: its region had one agent less, or none, which divided by zero.

The digests are now asked for from all agents nearby and then from one of each other region. Before, they were asked for from those that rank before this one for chunk 0: the agent that ranks first asked nobody while the origin was away. Asking nearby agents alone was ruled out: a region that is new as a whole would wait for the origin.

--- a/src/main/java/org/micabarrow/weights/ChunkFetcher.java
+++ b/src/main/java/org/micabarrow/weights/ChunkFetcher.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntConsumer;
-import java.util.function.IntFunction;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.micabarrow.state.Fault;
@@ -31,7 +30,7 @@
      * @param peers asks other agents
      * @param origin asks the origin
      * @param originAddress where the origin is, if it is known
-     * @param sources whom to ask for which chunk of so many, as seen now
+     * @param sources whom to ask, as seen now
      * @param downlink waits until the link can spare some bytes
      * @param steadyMillis a clock that never steps, in milliseconds
      */
@@ -39,7 +38,7 @@
             ChunkPeers peers,
             WeightOrigin origin,
             Supplier<Optional<String>> originAddress,
-            IntFunction<ChunkSources> sources,
+            FollowedSources sources,
             IntConsumer downlink,
             LongSupplier steadyMillis) {}
 
@@ -65,7 +64,7 @@
                 ? parts.origin().digests(from.get(), model, version)
                 : Result.failure(
                         Fault.of(Fault.Step.FETCH, "origin", Fault.Reason.NOT_FOUND, "the manifest names no origin"));
-        for (String agent : parts.sources().apply(1).of(0)) {
+        for (String agent : parts.sources().nearFirst()) {
             if (!(last instanceof Result.Failure<List<String>>(Fault fault))) {
                 break;
             }
--- a/src/main/java/org/micabarrow/weights/ChunkSources.java
+++ b/src/main/java/org/micabarrow/weights/ChunkSources.java
@@ -5,10 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Optional;
-import java.util.function.IntFunction;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.micabarrow.routing.EndpointEntry;
 
 /**
@@ -84,12 +83,10 @@
         return new ChunkSources(self, region.agents(), sources);
     }
 
+    /** All agents, with this one in its own region, wherever it is listed. */
     private static List<Agent> with(Agent self, List<Agent> agents) {
-        List<Agent> all = new ArrayList<>(agents);
-        if (all.stream().noneMatch(one -> one.address().equals(self.address()))) {
-            all.add(self);
-        }
-        return all;
+        Stream<Agent> others = agents.stream().filter(agent -> !agent.address().equals(self.address()));
+        return Stream.concat(others, Stream.of(self)).toList();
     }
 
     /** Who leads for each chunk in a region: whoever leads for all if it is there; the other chunks are spread anew. */
@@ -122,41 +119,20 @@
      * Works out the sources of one agent, and keeps them for as long as the agents stay the same.
      *
      * @param self the agent
-     * @param agents tells all agents as seen now
-     * @return gives the sources for a number of chunks; safe for any number of threads
+     * @param agents tells all agents as seen now, in any order
+     * @return gives the sources for a number of chunks
      */
-    public static IntFunction<ChunkSources> following(Agent self, Supplier<List<Agent>> agents) {
-        return new Following(self, agents);
+    public static FollowedSources following(Agent self, Supplier<List<Agent>> agents) {
+        return new FollowedSources(self, agents);
     }
 
-    /** Keeps the sources that were worked out last. */
-    private static final class Following implements IntFunction<ChunkSources> {
-
-        private final Agent self;
-        private final Supplier<List<Agent>> agents;
-        private List<Agent> seen = List.of();
-        private Optional<ChunkSources> last = Optional.empty();
-
-        private Following(Agent self, Supplier<List<Agent>> agents) {
-            this.self = Objects.requireNonNull(self, "self is null");
-            this.agents = Objects.requireNonNull(agents, "agents is null");
-        }
+    // -- questions
 
-        @Override
-        public synchronized ChunkSources apply(int chunks) {
-            List<Agent> now = List.copyOf(agents.get());
-            boolean same = now.equals(seen)
-                    && last.filter(one -> one.sources.size() == chunks).isPresent();
-            if (!same) {
-                seen = now;
-                last = Optional.of(of(self, now, chunks));
-            }
-            return last.orElseThrow();
-        }
+    /** How many chunks a version has. */
+    int chunks() {
+        return sources.size();
     }
 
-    // -- questions
-
     /**
      * The agents to ask for a chunk, best first; after the last comes the origin.
      *
--- a/src/test/java/org/micabarrow/weights/ChunkSourcesTest.java
+++ b/src/test/java/org/micabarrow/weights/ChunkSourcesTest.java
@@ -1,6 +1,7 @@
 package org.micabarrow.weights;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -9,6 +10,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.IntFunction;
 import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -166,6 +169,52 @@
         }
     }
 
+    @Test
+    void shouldStayInItsRegionWhenItsAddressIsListedUnderAnother() {
+        Agent self = new Agent("10.0.0.1:7000", "region-a");
+        Agent near = new Agent("10.0.0.2:7000", "region-a");
+        Agent far = new Agent("10.1.0.1:7000", "region-b");
+        Agent misplaced = new Agent(self.address(), "region-b");
+        ChunkSources right = ChunkSources.of(self, List.of(near, far, self), CHUNKS);
+        ChunkSources misled = ChunkSources.of(self, List.of(near, far, misplaced), CHUNKS);
+        assertEquals(List.of(near.address()), misled.near());
+        for (int index = 0; index < CHUNKS; index++) {
+            assertEquals(right.of(index), misled.of(index), "chunk " + index);
+        }
+    }
+
+    @Test
+    void shouldHaveSourcesWhenItsAddressIsListedUnderAnotherRegionAndNobodyIsNear() {
+        Agent self = new Agent("10.0.0.1:7000", "region-a");
+        Agent far = new Agent("10.1.0.1:7000", "region-b");
+        Agent misplaced = new Agent(self.address(), "region-b");
+        ChunkSources misled = ChunkSources.of(self, List.of(far, misplaced), CHUNKS);
+        ChunkSources right = ChunkSources.of(self, List.of(far, self), CHUNKS);
+        for (int index = 0; index < CHUNKS; index++) {
+            assertEquals(right.of(index), misled.of(index), "chunk " + index);
+        }
+    }
+
+    @Test
+    void shouldKeepSourcesWhenOnlyTheOrderOfAgentsChanges() {
+        List<Agent> all = agents(List.of(2, 2));
+        AtomicReference<List<Agent>> seen = new AtomicReference<>(all);
+        IntFunction<ChunkSources> sources = ChunkSources.following(all.getFirst(), seen::get);
+        ChunkSources first = sources.apply(CHUNKS);
+        seen.set(all.reversed());
+        assertSame(first, sources.apply(CHUNKS));
+    }
+
+    @Test
+    void shouldWorkSourcesOutAgainWhenAgentGoes() {
+        List<Agent> all = agents(List.of(2, 2));
+        AtomicReference<List<Agent>> seen = new AtomicReference<>(all);
+        IntFunction<ChunkSources> sources = ChunkSources.following(all.getFirst(), seen::get);
+        assertEquals(List.of(all.get(1).address()), sources.apply(CHUNKS).near());
+        seen.set(List.of(all.get(0), all.get(2), all.get(3)));
+        assertEquals(List.of(), sources.apply(CHUNKS).near());
+    }
+
     @Test
     void shouldNotCountOnAgentWhoseEndpointLeaves() {
         EndpointEntry stays = new EndpointEntry("a", "s", "10.0.0.1:80", "hall-a", 4, false, Map.of(), 16);
