A question on which a request waits tells the prompt tokens of all endpoints at the host

Cause: LoadFeed.ask(endpoint, then) summed over the one endpoint, rounds over all at the host. An agent keeps what an entry said last, so for a while after a restart, when two entries stand for one host, it told other entries too little.

An endpoint that no round has seen yet is told of by itself, as before.

Seen to fail before: LoadFeedTest.shouldTellPromptTokensOfAllEndpointsAtHostWhenOneIsAskedFor (100 instead of 120).

--- a/src/main/java/org/micabarrow/transport/LoadFeed.java
+++ b/src/main/java/org/micabarrow/transport/LoadFeed.java
@@ -108,7 +108,7 @@
         endpointsByHost = idsOf(hosts);
         hosts.forEach((host, endpoints) -> {
             if (round % FAR_ROUNDS == 0 || near(endpoints.getFirst())) {
-                ask(host, endpoints);
+                ask(host, endpointsByHost.get(host));
             }
         });
         parts.choice().keepOnly(view.endpoints().keySet());
@@ -148,15 +148,16 @@
      * @param then learns on the same thread, once, whether the agent answered in time
      */
     public void ask(EndpointEntry endpoint, Consumer<Boolean> then) {
-        int number = ask(endpoint.instanceHost(), List.of(endpoint));
+        String host = endpoint.instanceHost();
+        int number = ask(host, endpointsByHost.getOrDefault(host, List.of(endpoint.id())));
         questions.await(number, then);
     }
 
-    /** Sends the next question, and tells its number. */
-    private int ask(String host, List<EndpointEntry> endpoints) {
+    /** Asks the agent of some endpoints, which are all those at its host, and tells the question's number. */
+    private int ask(String host, List<String> endpoints) {
         int number = questions.next();
         int ownPromptTokens = endpoints.stream()
-                .mapToInt(endpoint -> parts.choice().load(endpoint.id()).ownPromptTokens())
+                .mapToInt(id -> parts.choice().load(id).ownPromptTokens())
                 .sum();
         ByteBuffer question =
                 LoadMessages.write(new LoadMessages.Question(parts.place().id(), ownPromptTokens, number));
--- a/src/test/java/org/micabarrow/transport/LoadFeedTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadFeedTest.java
@@ -1,5 +1,6 @@
 package org.micabarrow.transport;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -9,7 +10,9 @@
 import java.net.InetAddress;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -18,6 +21,8 @@
 import org.micabarrow.routing.EndpointChoice;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.EndpointLoad.Told;
+import org.micabarrow.routing.ModelService;
+import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.settings.Common;
 import org.micabarrow.views.View;
 import org.xnio.XnioWorker;
@@ -39,15 +44,19 @@
     void start() throws IOException {
         agent = new DatagramSocket(0, InetAddress.getLoopbackAddress());
         worker = HttpCaller.worker("load-feed-test", 1);
-        feed = LoadFeed.open(new LoadFeed.Parts(
+        feed = feed(View.empty(), choice);
+        feed.start(() -> {});
+    }
+
+    private LoadFeed feed(View view, EndpointChoice choice) throws IOException {
+        return LoadFeed.open(new LoadFeed.Parts(
                 new Common.Place("entry-a", "region-a", "hall-a"),
                 Map.of("hall-a", "region-a"),
                 agent.getLocalPort(),
-                View::empty,
+                () -> view,
                 choice,
                 worker.getIoThread(),
                 () -> System.nanoTime() / 1_000_000));
-        feed.start(() -> {});
     }
 
     @AfterEach
@@ -62,6 +71,16 @@
         return inTime;
     }
 
+    /** A view of two endpoints at one host, as there are for a while after a restart. */
+    private View twoAtOneHost() {
+        ModelService model = new ModelService("m", 16, 1, 1, 1, 1, 4, 8, 1_000);
+        RouteManifest.Service service = new RouteManifest.Service("models", 100, Optional.of(model), Optional.empty());
+        RouteManifest manifest =
+                RouteManifest.of(new RouteManifest.Parts(1, List.of(), Map.of("models", service), Map.of(), false, 1));
+        EndpointEntry other = new EndpointEntry("b", "models", "127.0.0.1:81", "hall-a", 4, false, Map.of("m", 1L), 16);
+        return new View(Optional.of(manifest), 0, Map.of("a", endpoint, "b", other), Map.of());
+    }
+
     private DatagramPacket question() throws IOException {
         DatagramPacket packet = new DatagramPacket(new byte[512], 512);
         agent.receive(packet);
@@ -100,4 +119,31 @@
         answer(question(), 1);
         assertFalse(inTime.get(LONGEST_SECONDS, TimeUnit.SECONDS));
     }
+
+    @Test
+    void shouldTellPromptTokensOfAllEndpointsAtHostWhenOneIsAskedFor() throws Exception {
+        EndpointChoice ofTwo = new EndpointChoice("region-a", Map.of("hall-a", "region-a"));
+        ofTwo.load("a").began(100);
+        ofTwo.load("b").began(20);
+        LoadFeed withTwo = feed(twoAtOneHost(), ofTwo);
+        withTwo.start(() -> withTwo.ask(endpoint, inTime -> {}));
+        for (int number = 0; number < 2; number++) {
+            DatagramPacket packet = question();
+            LoadMessages.Question question = LoadMessages.question(Arrays.copyOf(packet.getData(), packet.getLength()));
+            assertEquals(new LoadMessages.Question("entry-a", 120, number), question);
+        }
+    }
+
+    @Test
+    void shouldTellPromptTokensOfEndpointWhenNoRoundHasSeenItYet() throws Exception {
+        worker.getIoThread().execute(() -> {
+            choice.load("a").began(100);
+            feed.ask(endpoint, inTime -> {});
+        });
+        DatagramPacket packet = question();
+        assertEquals(
+                100,
+                LoadMessages.question(Arrays.copyOf(packet.getData(), packet.getLength()))
+                        .promptTokens());
+    }
 }
