Tests of clients that leave: no time-out of a route ends the request in their place

The routes of these tests have 60 s now.

Undertow's conduit for a body with a length ignores resumeReads once it has told its end; that is why nothing was noticed.

shouldCancelAtEndpointWhenClientLeavesAfterBodyThatCameLater is the row LATER, CLOSE of shouldCancelAtEndpointWhenClientLeavesWhateverItsBody, which asks for the same and waits longer than any time-out.

--- a/src/test/java/org/micabarrow/serving/HostedEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/HostedEntryTest.java
@@ -44,6 +44,12 @@
 
     private static final Duration WITHIN = Duration.ofSeconds(10);
 
+    /** The key of the manifest with patient routes, so that an answer to it shows that this manifest is in force. */
+    private static final String PATIENT_KEY = "key-b";
+
+    /** Six times as long as a test waits: no time-out ends a request in its place. */
+    private static final String PATIENT_MILLIS = "60000";
+
     private HostedSystem platform;
     private HttpCaller caller;
     private HostedSettings settings;
@@ -224,33 +230,83 @@
     @Test
     void shouldCancelAtEndpointWhenClientLeaves() throws Exception {
         platform.add("plain-1", "plain", 0);
-        HostedEntryProcess entry = begin(1);
+        HostedEntryProcess entry = beginPatient();
         platform.next(Behaviour.HANG);
         HttpCaller leaving = HttpCaller.start("leaving", 1);
-        assertTrue(leaving.call(call("/again/x", Map.of(), "a body"), Duration.ofMillis(300))
-                .cause()
-                .isPresent());
+        HttpCall call = call("/again/x", Map.of("Key", PATIENT_KEY, "Deadline-Ms", PATIENT_MILLIS), "a body");
+        assertTrue(leaving.call(call, Duration.ofMillis(300)).cause().isPresent());
         leaving.close();
         waitUntil(() -> entry.open() == 0);
         waitUntil(() -> platform.endpoint("plain-1").hanging() == 0);
     }
 
-    @Test
-    void shouldCancelAtEndpointWhenClientLeavesAfterBodyThatCameLater() throws Exception {
+    /** How a client sends its request, and how it leaves. */
+    @ParameterizedTest
+    @CsvSource({
+        "NONE,    CLOSE",
+        "NONE,    HALF_CLOSE",
+        "NONE,    RESET",
+        "AT_ONCE, CLOSE",
+        "AT_ONCE, HALF_CLOSE",
+        "AT_ONCE, RESET",
+        "LATER,   CLOSE",
+        "LATER,   HALF_CLOSE",
+        "LATER,   RESET",
+        "CHUNKED, CLOSE",
+        "CHUNKED, HALF_CLOSE",
+        "CHUNKED, RESET"
+    })
+    void shouldCancelAtEndpointWhenClientLeavesWhateverItsBody(Body body, Leaving leaving) throws Exception {
         platform.add("plain-1", "plain", 0);
-        HostedEntryProcess entry = begin(1);
+        HostedEntryProcess entry = beginPatient();
         platform.next(Behaviour.HANG);
         InetSocketAddress clients = Addresses.parse(settings.listen().clients().orElseThrow());
         try (Socket client = new Socket(clients.getAddress(), clients.getPort())) {
-            String head = "POST /again/x HTTP/1.1\r\nHost: h.example\r\nKey: key-a\r\nAttempt-Id: a\r\n"
-                    + "Deadline-Ms: 60000\r\nContent-Length: 6\r\n\r\n";
-            client.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            String head = "POST /again/x HTTP/1.1\r\nHost: h.example\r\nKey: " + PATIENT_KEY
+                    + "\r\nAttempt-Id: a\r\nDeadline-Ms: " + PATIENT_MILLIS + "\r\n";
+            client.getOutputStream().write((head + body.first).getBytes(StandardCharsets.US_ASCII));
             waitUntil(() -> entry.open() == 1);
-            client.getOutputStream().write("a body".getBytes(StandardCharsets.US_ASCII));
+            client.getOutputStream().write(body.rest.getBytes(StandardCharsets.US_ASCII));
             waitUntil(() -> platform.endpoint("plain-1").hanging() == 1);
+            leaving.leave(client);
+            waitUntil(() -> entry.open() == 0);
+            waitUntil(() -> platform.endpoint("plain-1").hanging() == 0);
+        }
+    }
+
+    /** The end of a request's head and its body, and what of it is sent only when the entry has seen the first part. */
+    private enum Body {
+        NONE("\r\n", ""),
+        AT_ONCE("Content-Length: 6\r\n\r\na body", ""),
+        LATER("Content-Length: 6\r\n\r\n", "a body"),
+        CHUNKED("Transfer-Encoding: chunked\r\n\r\n2\r\na \r\n", "4\r\nbody\r\n0\r\n\r\n");
+
+        private final String first;
+        private final String rest;
+
+        Body(String first, String rest) {
+            this.first = first;
+            this.rest = rest;
+        }
+    }
+
+    /** How a client leaves. */
+    private enum Leaving {
+        CLOSE,
+        HALF_CLOSE,
+        RESET;
+
+        private void leave(Socket client) throws IOException {
+            switch (this) {
+                case CLOSE -> client.close();
+                case HALF_CLOSE -> client.shutdownOutput();
+                case RESET -> {
+                    // Without lingering a close resets the connection.
+                    client.setSoLinger(true, 0);
+                    client.close();
+                }
+            }
         }
-        waitUntil(() -> entry.open() == 0);
-        waitUntil(() -> platform.endpoint("plain-1").hanging() == 0);
     }
 
     // -- stopping
@@ -329,6 +385,15 @@
         return entry;
     }
 
+    /** Begins with one endpoint and routes whose time-out is far longer than any wait of a test. */
+    private HostedEntryProcess beginPatient() throws Exception {
+        platform.manifest(2, PATIENT_KEY, Long.parseLong(PATIENT_MILLIS));
+        HostedEntryProcess entry = begin(1);
+        waitUntil(() -> ask("/again/x", Map.of("Key", PATIENT_KEY)).status() == 200);
+        waitUntil(() -> entry.open() == 0);
+        return entry;
+    }
+
     private List<Received> received() {
         return Stream.of("plain-1", "plain-2")
                 .map(platform::endpoint)
