Hosted command: the settings are read in one place

Cause: the start and SIGHUP each called the reader of settings and switched on what it gave. SIGHUP now asks the same supplier and only tells whether anything differs. What is logged, and the exit codes, are as before; nothing else was tried.

--- a/src/main/java/org/micabarrow/command/HostedCommand.java
+++ b/src/main/java/org/micabarrow/command/HostedCommand.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.micabarrow.platform.SettingsFile;
 import org.micabarrow.process.HostedAgentProcess;
 import org.micabarrow.process.HostedEntryProcess;
@@ -34,24 +35,25 @@
             console.err().println("micabarrow: give --settings or set " + SettingsFile.VARIABLE);
             return ExitCode.USAGE;
         }
-        return switch (SettingsReader.hosted(file.get())) {
+        return run(console, () -> SettingsReader.hosted(file.get()));
+    }
+
+    private ExitCode run(Console console, Supplier<Result<HostedSettings>> read)
+            throws IOException, InterruptedException {
+        return switch (read.get()) {
             case Result.Failure<HostedSettings>(Fault fault) -> console.show(fault);
             case Result.Success<HostedSettings>(HostedSettings checked) -> {
                 Logs.setUp(checked.log());
-                Signal.handle(new Signal("HUP"), signal -> reload(file.get(), checked));
+                Signal.handle(new Signal("HUP"), signal -> tell(read.get().map(now -> !now.equals(checked))));
                 yield RunCommand.serve(start(checked));
             }
         };
     }
 
-    /** Reads the settings again. Addresses and limits hold for the life of a process, so a change is only reported. */
-    private static void reload(Path file, HostedSettings before) {
-        switch (SettingsReader.hosted(file)) {
-            case Result.Failure<HostedSettings>(Fault fault) ->
-                LOG.error("event=reload_refused kept=last why=\"{}\"", fault);
-            case Result.Success<HostedSettings>(HostedSettings now) ->
-                LOG.info("event=reloaded changed={}", !now.equals(before));
-        }
+    /** Tells whether settings that were read again differ. Addresses and limits hold for the life of a process. */
+    private static void tell(Result<Boolean> changed) {
+        changed.cause().ifPresent(fault -> LOG.error("event=reload_refused kept=last why=\"{}\"", fault));
+        changed.toOptional().ifPresent(differs -> LOG.info("event=reloaded changed={}", differs));
     }
 
     /** Runs an entry. */
