Free addresses on loopback belong to the stand-ins, and nothing may use the bench

Cause: micabarrow rehearse, which the build runs on the product's classes, reached bench.Ports through HostedSystem. The layers' rule did not notice: it looks at dependencies between layers only, and org.micabarrow.platform is none. Making it one was ruled out, since it lies beside several; two rules of their own say what was meant.

Seen before and after: ArchitectureTest.BENCH_IS_USED_BY_NOTHING was violated 5 times, all in HostedSystem's calls of Ports; no more. STANDINS_ARE_USED_BY_COMMANDS_AND_BENCH_ALONE was kept already.

--- a/src/main/java/org/micabarrow/bench/DemoSettings.java
+++ b/src/main/java/org/micabarrow/bench/DemoSettings.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.micabarrow.standin.Ports;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Digest;
 import org.micabarrow.state.Instance;
--- a/src/main/java/org/micabarrow/bench/LocalSystem.java
+++ b/src/main/java/org/micabarrow/bench/LocalSystem.java
@@ -19,6 +19,7 @@
 import org.micabarrow.settings.EntrySettings;
 import org.micabarrow.standin.EngineStandin;
 import org.micabarrow.standin.PlatformStandin;
+import org.micabarrow.standin.Ports;
 import org.micabarrow.standin.ServiceStandin;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Digest;
--- a/src/main/java/org/micabarrow/bench/Ports.java
+++ b/src/main/java/org/micabarrow/standin/Ports.java
@@ -1,4 +1,4 @@
-package org.micabarrow.bench;
+package org.micabarrow.standin;
 
 import java.io.IOException;
 import java.net.InetAddress;
--- a/src/test/java/org/micabarrow/ArchitectureTest.java
+++ b/src/test/java/org/micabarrow/ArchitectureTest.java
@@ -102,4 +102,24 @@
             .should()
             .dependOnClassesThat()
             .resideInAnyPackage("org.micabarrow.process..", "org.micabarrow.command..");
+
+    @ArchTest
+    static final ArchRule BENCH_IS_USED_BY_NOTHING = noClasses()
+            .that()
+            .resideOutsideOfPackage("org.micabarrow.bench..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAPackage("org.micabarrow.bench..");
+
+    @ArchTest
+    static final ArchRule STANDINS_ARE_USED_BY_COMMANDS_AND_BENCH_ALONE = noClasses()
+            .that()
+            .resideOutsideOfPackages(
+                    "org.micabarrow.standin..",
+                    "org.micabarrow.platform.standin..",
+                    "org.micabarrow.command..",
+                    "org.micabarrow.bench..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage("org.micabarrow.standin..", "org.micabarrow.platform.standin..");
 }
--- a/src/test/java/org/micabarrow/coordination/FenceTest.java
+++ b/src/test/java/org/micabarrow/coordination/FenceTest.java
@@ -5,8 +5,8 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.micabarrow.bench.Ports;
 import org.micabarrow.standin.EngineStandin;
+import org.micabarrow.standin.Ports;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
 import org.micabarrow.transport.EndpointClient;
--- a/src/test/java/org/micabarrow/transport/TlsTest.java
+++ b/src/test/java/org/micabarrow/transport/TlsTest.java
@@ -19,11 +19,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.micabarrow.Await;
-import org.micabarrow.bench.Ports;
 import org.micabarrow.protocol.wire.PeerGrpc;
 import org.micabarrow.protocol.wire.StatusReply;
 import org.micabarrow.protocol.wire.StatusRequest;
 import org.micabarrow.settings.Common;
+import org.micabarrow.standin.Ports;
 import org.micabarrow.state.Result;
 
 /** Processes talk only to those that show a certificate of the authorities, and take new files without a restart. */
