--- a/src/main/java/org/micabarrow/coordination/Claims.java
+++ b/src/main/java/org/micabarrow/coordination/Claims.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.micabarrow.coordination.log.PlatformLog;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
--- a/src/main/java/org/micabarrow/coordination/Configuration.java
+++ b/src/main/java/org/micabarrow/coordination/Configuration.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.micabarrow.coordination.log.PlatformLog;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.FoldedState;
 import org.micabarrow.state.Record;
--- a/src/main/java/org/micabarrow/coordination/ConfigurationFold.java
+++ b/src/main/java/org/micabarrow/coordination/ConfigurationFold.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import org.micabarrow.coordination.log.PlatformLog;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
--- a/src/main/java/org/micabarrow/coordination/ConfigurationReader.java
+++ b/src/main/java/org/micabarrow/coordination/ConfigurationReader.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.function.Supplier;
+import org.micabarrow.coordination.log.PlatformLog;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.FoldedState;
 import org.micabarrow.state.Result;
--- a/src/main/java/org/micabarrow/coordination/RecordWriter.java
+++ b/src/main/java/org/micabarrow/coordination/RecordWriter.java
@@ -4,6 +4,7 @@
 import java.time.InstantSource;
 import java.util.Objects;
 import java.util.concurrent.CompletionException;
+import org.micabarrow.coordination.log.PlatformLog;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
--- a/src/main/java/org/micabarrow/protocol/PlatformMessages.java
+++ b/src/main/java/org/micabarrow/protocol/PlatformMessages.java
@@ -1,7 +1,7 @@
 package org.micabarrow.protocol;
 
 import java.util.List;
-import org.micabarrow.coordination.PlatformLog;
+import org.micabarrow.coordination.log.PlatformLog;
 
 /** The JSON messages of the platform's services and of endpoints, as docs/PLATFORM.md describes them. */
 public final class PlatformMessages {
--- a/src/main/java/org/micabarrow/transport/PlatformClient.java
+++ b/src/main/java/org/micabarrow/transport/PlatformClient.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Objects;
 import org.micabarrow.coordination.InstanceList;
-import org.micabarrow.coordination.PlatformLog;
+import org.micabarrow.coordination.log.PlatformLog;
 import org.micabarrow.protocol.PlatformMessages;
 import org.micabarrow.settings.Common;
 import org.micabarrow.state.CanonicalJson;
--- a/src/test/java/org/micabarrow/coordination/ManualClock.java
+++ b/src/test/java/org/micabarrow/ManualClock.java
@@ -1,10 +1,10 @@
-package org.micabarrow.coordination;
+package org.micabarrow;
 
 import java.time.Instant;
 import java.time.InstantSource;
 
 /** A clock that moves only when told. */
-final class ManualClock implements InstantSource {
+public final class ManualClock implements InstantSource {
 
     private volatile long millis = 1_000_000;
 
@@ -13,7 +13,8 @@
         return Instant.ofEpochMilli(millis);
     }
 
-    void advance(long by) {
+    /** Moves the clock by so many milliseconds. */
+    public void advance(long by) {
         millis += by;
     }
 }
--- a/src/test/java/org/micabarrow/coordination/AgentFlowTest.java
+++ b/src/test/java/org/micabarrow/coordination/AgentFlowTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.micabarrow.ManualClock;
 import org.micabarrow.Samples;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
--- a/src/test/java/org/micabarrow/coordination/ClaimsTest.java
+++ b/src/test/java/org/micabarrow/coordination/ClaimsTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.coordination.log.FakeLog;
 
 class ClaimsTest {
 
--- a/src/test/java/org/micabarrow/coordination/ConfigurationFoldTest.java
+++ b/src/test/java/org/micabarrow/coordination/ConfigurationFoldTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.coordination.log.PlatformLog;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.FoldedState;
--- a/src/test/java/org/micabarrow/coordination/ConfigurationTest.java
+++ b/src/test/java/org/micabarrow/coordination/ConfigurationTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.ManualClock;
 import org.micabarrow.Samples;
 import org.micabarrow.state.FoldedState;
 
--- a/src/test/java/org/micabarrow/coordination/DutiesTest.java
+++ b/src/test/java/org/micabarrow/coordination/DutiesTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.ManualClock;
 import org.micabarrow.Samples;
 import org.micabarrow.state.FoldedState;
 import org.micabarrow.state.Instance;
--- a/src/test/java/org/micabarrow/coordination/RecordWriterTest.java
+++ b/src/test/java/org/micabarrow/coordination/RecordWriterTest.java
@@ -11,6 +11,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.coordination.log.FakeLog;
+import org.micabarrow.coordination.log.PlatformLog;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.FoldedState;
 import org.micabarrow.state.Record;
--- a/src/test/java/org/micabarrow/coordination/RequestProperties.java
+++ b/src/test/java/org/micabarrow/coordination/RequestProperties.java
@@ -18,6 +18,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import org.micabarrow.ManualClock;
 import org.micabarrow.Samples;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.FoldedState;
--- a/src/test/java/org/micabarrow/coordination/FakeLog.java
+++ b/src/test/java/org/micabarrow/coordination/log/FakeLog.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.log;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -9,7 +9,7 @@
 import org.micabarrow.state.Result;
 
 /** A log in memory with the platform's faults. It never waits. */
-final class FakeLog implements PlatformLog {
+public final class FakeLog implements PlatformLog {
 
     private final Map<String, List<Entry>> streams = new HashMap<>();
     private int firstKept;
@@ -17,23 +17,23 @@
     private int answersToLose;
     private int appends;
 
-    synchronized void down(boolean now) {
+    public synchronized void down(boolean now) {
         down = now;
     }
 
-    synchronized void loseAnswers(int count) {
+    public synchronized void loseAnswers(int count) {
         answersToLose = count;
     }
 
-    synchronized void keepFrom(int offset) {
+    public synchronized void keepFrom(int offset) {
         firstKept = offset;
     }
 
-    synchronized int appends() {
+    public synchronized int appends() {
         return appends;
     }
 
-    synchronized List<Entry> entries(String stream) {
+    public synchronized List<Entry> entries(String stream) {
         return new ArrayList<>(streams.getOrDefault(stream, List.of()));
     }
 
--- a/src/test/java/org/micabarrow/state/ReducerProperties.java
+++ b/src/test/java/org/micabarrow/state/ReducerProperties.java
@@ -22,7 +22,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import org.micabarrow.coordination.ConfigurationFold;
-import org.micabarrow.coordination.PlatformLog;
+import org.micabarrow.coordination.log.PlatformLog;
 
 /** Operators plan and confirm in any interleaving, on views of any age; some records come twice. */
 class ReducerProperties {
