--- a/src/main/java/org/micabarrow/coordination/AgentCalls.java
+++ b/src/main/java/org/micabarrow/coordination/AgentCalls.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.micabarrow.coordination.claims.Claim;
+import org.micabarrow.coordination.claims.Ledger;
 import org.micabarrow.state.Replica;
 import org.micabarrow.state.Result;
 
--- a/src/main/java/org/micabarrow/coordination/AgentFlow.java
+++ b/src/main/java/org/micabarrow/coordination/AgentFlow.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
+import org.micabarrow.coordination.claims.Claim;
+import org.micabarrow.coordination.claims.Ledger;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Fault.Step;
--- a/src/main/java/org/micabarrow/coordination/AgentRequest.java
+++ b/src/main/java/org/micabarrow/coordination/AgentRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import org.micabarrow.coordination.claims.Claim;
 
 /**
  * A request on its way from an entry to an agent.
--- a/src/main/java/org/micabarrow/coordination/ClaimBook.java
+++ b/src/main/java/org/micabarrow/coordination/claims/ClaimBook.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.claims;
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
--- a/src/main/java/org/micabarrow/coordination/Claims.java
+++ b/src/main/java/org/micabarrow/coordination/claims/Claims.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.claims;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import java.io.IOException;
--- a/src/test/java/org/micabarrow/coordination/AgentFlowTest.java
+++ b/src/test/java/org/micabarrow/coordination/AgentFlowTest.java
@@ -16,6 +16,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.ManualClock;
 import org.micabarrow.Samples;
+import org.micabarrow.coordination.claims.Claim;
+import org.micabarrow.coordination.claims.Ledger;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.FoldedState;
