--- a/src/main/java/org/micabarrow/bench/RolloutBench.java
+++ b/src/main/java/org/micabarrow/bench/RolloutBench.java
@@ -10,7 +10,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import org.micabarrow.coordination.ReplicaView;
+import org.micabarrow.coordination.membership.ReplicaView;
 import org.micabarrow.standin.EngineStandin;
 import org.micabarrow.standin.Faults;
 import org.micabarrow.standin.WeightsStandin;
--- a/src/main/java/org/micabarrow/coordination/RequestFlow.java
+++ b/src/main/java/org/micabarrow/coordination/RequestFlow.java
@@ -10,6 +10,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.micabarrow.coordination.claims.ClaimWriter;
+import org.micabarrow.coordination.membership.PeerView;
 import org.micabarrow.state.Digest;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
--- a/src/main/java/org/micabarrow/coordination/RequestRun.java
+++ b/src/main/java/org/micabarrow/coordination/RequestRun.java
@@ -9,6 +9,7 @@
 import org.micabarrow.coordination.claims.Claim;
 import org.micabarrow.coordination.claims.ClaimVerdict;
 import org.micabarrow.coordination.claims.Ledger;
+import org.micabarrow.coordination.membership.PeerView;
 import org.micabarrow.state.Digest;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
--- a/src/main/java/org/micabarrow/coordination/Router.java
+++ b/src/main/java/org/micabarrow/coordination/Router.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.micabarrow.coordination.membership.PeerView;
+import org.micabarrow.coordination.membership.ReplicaView;
 import org.micabarrow.state.FoldedState;
 import org.micabarrow.state.Replica;
 
--- a/src/test/java/org/micabarrow/coordination/PolicyTest.java
+++ b/src/test/java/org/micabarrow/coordination/PolicyTest.java
@@ -4,17 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
-import org.micabarrow.Samples;
-import org.micabarrow.state.Instance;
-import org.micabarrow.state.Replica;
 
 /** The small policies: fairness, retry budget, learned limit, subsets, relays, the share of the link. */
 class PolicyTest {
@@ -144,66 +137,4 @@
         }
         assertEquals(1, share.share(), 0.01);
     }
-
-    // -- Subset
-
-    @Test
-    void shouldDrawSubsetEvenlyOverHallsAndDifferentlyForEntries() {
-        List<Replica> replicas = new ArrayList<>();
-        for (int i = 0; i < 90; i++) {
-            String hall = "hall-" + i % 3;
-            replicas.add(new Replica("i" + i, "r", hall, "a" + i));
-        }
-        Set<Replica> all = new HashSet<>();
-        for (int entry = 0; entry < 20; entry++) {
-            List<Replica> subset = Subset.of("entry-" + entry, replicas, 12);
-            all.addAll(subset);
-            Map<String, Long> perHall =
-                    subset.stream().collect(Collectors.groupingBy(Replica::hall, Collectors.counting()));
-            assertEquals(Map.of("hall-0", 4L, "hall-1", 4L, "hall-2", 4L), perHall);
-        }
-        assertTrue(all.size() > 80, "drawn by somebody: " + all.size());
-    }
-
-    // -- StatusRotation
-
-    @Test
-    void shouldAskEveryAgentInTurnButNeverMoreThanSoManyASecond() {
-        StatusRotation rotation = new StatusRotation(1000);
-        List<Replica> many = new ArrayList<>();
-        for (int i = 0; i < 420; i++) {
-            many.add(new Replica("i" + i, "r", "h", "a" + i));
-        }
-        Set<Replica> asked = new HashSet<>();
-        for (int tick = 0; tick < 9; tick++) {
-            List<Replica> due = rotation.due(many, 1000 * tick + 1);
-            assertTrue(due.size() <= StatusRotation.MOST_A_SECOND);
-            asked.addAll(due);
-        }
-        assertEquals(420, asked.size());
-        assertEquals(8400, rotation.rotationMillis(420));
-        assertEquals(10, new StatusRotation(1000).due(many.subList(0, 10), 1).size());
-    }
-
-    // -- HallRelays
-
-    @Test
-    void shouldLetTwoOfEachHallReadTheLogAndTheOthersReadFromThem() {
-        List<Instance> instances = Samples.instances(10);
-        Set<String> readers = instances.stream()
-                .filter(one -> HallRelays.of(one.id(), one.hall(), instances).isEmpty())
-                .map(Instance::id)
-                .collect(Collectors.toSet());
-        assertEquals(6, readers.size());
-        Instance other = instances.stream()
-                .filter(one -> !readers.contains(one.id()))
-                .findFirst()
-                .orElseThrow();
-        assertEquals(2, HallRelays.of(other.id(), other.hall(), instances).size());
-    }
-
-    @Test
-    void shouldReadTheLogItselfWhenNothingIsListed() {
-        assertTrue(HallRelays.of("a", "hall", List.of()).isEmpty());
-    }
 }
--- a/src/test/java/org/micabarrow/coordination/RequestFlowTest.java
+++ b/src/test/java/org/micabarrow/coordination/RequestFlowTest.java
@@ -20,6 +20,8 @@
 import org.micabarrow.coordination.claims.Claim;
 import org.micabarrow.coordination.claims.ClaimVerdict;
 import org.micabarrow.coordination.claims.Ledger;
+import org.micabarrow.coordination.membership.PeerView;
+import org.micabarrow.coordination.membership.ReplicaView;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.FoldedState;
--- a/src/test/java/org/micabarrow/coordination/RequestProperties.java
+++ b/src/test/java/org/micabarrow/coordination/RequestProperties.java
@@ -25,6 +25,8 @@
 import org.micabarrow.coordination.claims.ClaimVerdict;
 import org.micabarrow.coordination.claims.ClaimWriter;
 import org.micabarrow.coordination.claims.Ledger;
+import org.micabarrow.coordination.membership.PeerView;
+import org.micabarrow.coordination.membership.ReplicaView;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.FoldedState;
 import org.micabarrow.state.Replica;
--- a/src/test/java/org/micabarrow/coordination/RouterTest.java
+++ b/src/test/java/org/micabarrow/coordination/RouterTest.java
@@ -16,6 +16,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.micabarrow.coordination.membership.PeerView;
+import org.micabarrow.coordination.membership.ReplicaView;
 import org.micabarrow.state.FoldedState.Placed;
 import org.micabarrow.state.Placement;
 import org.micabarrow.state.Replica;
