--- a/src/main/java/org/micabarrow/coordination/AgentFlow.java
+++ b/src/main/java/org/micabarrow/coordination/AgentFlow.java
@@ -11,6 +11,7 @@
 import java.util.function.Supplier;
 import org.micabarrow.coordination.claims.Claim;
 import org.micabarrow.coordination.claims.Ledger;
+import org.micabarrow.coordination.endpoint.EndpointCalls;
 import org.micabarrow.coordination.membership.Identity;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
--- a/src/main/java/org/micabarrow/coordination/AgentView.java
+++ b/src/main/java/org/micabarrow/coordination/AgentView.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import org.micabarrow.coordination.endpoint.Endpoint;
 import org.micabarrow.coordination.membership.ReplicaView;
 
 /**
--- a/src/main/java/org/micabarrow/coordination/Transfer.java
+++ b/src/main/java/org/micabarrow/coordination/Transfer.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import org.micabarrow.coordination.endpoint.Endpoint;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Fault.Step;
--- a/src/main/java/org/micabarrow/standin/EngineStandin.java
+++ b/src/main/java/org/micabarrow/standin/EngineStandin.java
@@ -15,7 +15,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.micabarrow.coordination.Endpoint;
+import org.micabarrow.coordination.endpoint.Endpoint;
 import org.micabarrow.protocol.PlatformMessages;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Digest;
--- a/src/main/java/org/micabarrow/standin/ServiceStandin.java
+++ b/src/main/java/org/micabarrow/standin/ServiceStandin.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.micabarrow.coordination.Endpoint;
+import org.micabarrow.coordination.endpoint.Endpoint;
 import org.micabarrow.state.Digest;
 import org.micabarrow.transport.HttpListener;
 
--- a/src/test/java/org/micabarrow/coordination/AgentFlowTest.java
+++ b/src/test/java/org/micabarrow/coordination/AgentFlowTest.java
@@ -18,6 +18,7 @@
 import org.micabarrow.Samples;
 import org.micabarrow.coordination.claims.Claim;
 import org.micabarrow.coordination.claims.Ledger;
+import org.micabarrow.coordination.endpoint.EndpointCalls;
 import org.micabarrow.coordination.membership.Identity;
 import org.micabarrow.coordination.membership.ReplicaView;
 import org.micabarrow.state.Fault;
--- a/src/test/java/org/micabarrow/coordination/TransferTest.java
+++ b/src/test/java/org/micabarrow/coordination/TransferTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.micabarrow.Await;
 import org.micabarrow.ManualClock;
+import org.micabarrow.coordination.endpoint.Endpoint;
 import org.micabarrow.state.Digest;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
