--- a/src/main/java/org/micabarrow/bench/LocalSystem.java
+++ b/src/main/java/org/micabarrow/bench/LocalSystem.java
@@ -11,7 +11,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.UnaryOperator;
-import org.micabarrow.coordination.Weights;
+import org.micabarrow.coordination.weights.Weights;
 import org.micabarrow.process.AgentProcess;
 import org.micabarrow.process.EntryProcess;
 import org.micabarrow.settings.AgentSettings;
--- a/src/main/java/org/micabarrow/coordination/AgentFlow.java
+++ b/src/main/java/org/micabarrow/coordination/AgentFlow.java
@@ -13,6 +13,7 @@
 import org.micabarrow.coordination.claims.Ledger;
 import org.micabarrow.coordination.endpoint.EndpointCalls;
 import org.micabarrow.coordination.membership.Identity;
+import org.micabarrow.coordination.weights.WeightShare;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Fault.Step;
--- a/src/main/java/org/micabarrow/coordination/OriginBudget.java
+++ b/src/main/java/org/micabarrow/coordination/weights/OriginBudget.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.weights;
 
 import org.micabarrow.state.Result;
 
--- a/src/main/java/org/micabarrow/coordination/TransferMetrics.java
+++ b/src/main/java/org/micabarrow/coordination/weights/TransferMetrics.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.weights;
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.Locale;
--- a/src/main/java/org/micabarrow/coordination/WeightShare.java
+++ b/src/main/java/org/micabarrow/coordination/weights/WeightShare.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.weights;
 
 /**
  * How much of its link an instance gives to weights. Live requests go first: when their answers begin clearly later than
--- a/src/main/java/org/micabarrow/coordination/Weights.java
+++ b/src/main/java/org/micabarrow/coordination/weights/Weights.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.weights;
 
 import java.time.Duration;
 import org.micabarrow.state.Manifest;
--- a/src/main/java/org/micabarrow/transport/PeerFeed.java
+++ b/src/main/java/org/micabarrow/transport/PeerFeed.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.micabarrow.coordination.Weights;
+import org.micabarrow.coordination.weights.Weights;
 import org.micabarrow.protocol.wire.Chunk;
 import org.micabarrow.protocol.wire.ChunksRequest;
 import org.micabarrow.state.Fault;
