--- a/src/main/java/org/micabarrow/coordination/AgentFlow.java
+++ b/src/main/java/org/micabarrow/coordination/AgentFlow.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
+import org.micabarrow.coordination.admission.ConcurrencyLimit;
 import org.micabarrow.coordination.claims.Claim;
 import org.micabarrow.coordination.claims.Ledger;
 import org.micabarrow.coordination.endpoint.EndpointCalls;
--- a/src/main/java/org/micabarrow/coordination/RequestFlow.java
+++ b/src/main/java/org/micabarrow/coordination/RequestFlow.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.micabarrow.coordination.admission.FairQueue;
+import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.coordination.claims.ClaimWriter;
 import org.micabarrow.coordination.membership.PeerView;
 import org.micabarrow.state.Digest;
--- a/src/main/java/org/micabarrow/coordination/Router.java
+++ b/src/main/java/org/micabarrow/coordination/Router.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.micabarrow.coordination.admission.Room;
 import org.micabarrow.coordination.membership.PeerView;
 import org.micabarrow.coordination.membership.ReplicaView;
 import org.micabarrow.state.FoldedState;
--- a/src/main/java/org/micabarrow/coordination/ConcurrencyLimit.java
+++ b/src/main/java/org/micabarrow/coordination/admission/ConcurrencyLimit.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.admission;
 
 /**
  * Learns how many requests an endpoint can run at once: it rises while answers begin as quickly as they do without
--- a/src/main/java/org/micabarrow/coordination/FairQueue.java
+++ b/src/main/java/org/micabarrow/coordination/admission/FairQueue.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.admission;
 
 import java.util.Comparator;
 import java.util.HashMap;
--- a/src/main/java/org/micabarrow/coordination/RetryBudget.java
+++ b/src/main/java/org/micabarrow/coordination/admission/RetryBudget.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.admission;
 
 /**
  * Allows retries only as a share of the traffic, so that they cannot multiply it.
--- a/src/main/java/org/micabarrow/coordination/Room.java
+++ b/src/main/java/org/micabarrow/coordination/admission/Room.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.admission;
 
 /** How an instance's room is divided between short and long requests. */
 public final class Room {
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
-import org.micabarrow.coordination.RetryBudget;
+import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.RequestHeaders;
 import org.micabarrow.routing.EndpointChoice;
--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -13,7 +13,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.micabarrow.attempts.ClientRequest;
-import org.micabarrow.coordination.RetryBudget;
+import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.routing.EndpointChoice;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.RouteManifest;
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -5,7 +5,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.micabarrow.attempts.ClientRequest;
-import org.micabarrow.coordination.RetryBudget;
+import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.routing.EndpointChoice.Choice;
 import org.micabarrow.routing.EndpointChoice.Wanted;
 import org.micabarrow.routing.EndpointEntry;
--- a/src/test/java/org/micabarrow/coordination/AgentFlowTest.java
+++ b/src/test/java/org/micabarrow/coordination/AgentFlowTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.ManualClock;
 import org.micabarrow.Samples;
+import org.micabarrow.coordination.admission.ConcurrencyLimit;
 import org.micabarrow.coordination.claims.Claim;
 import org.micabarrow.coordination.claims.Ledger;
 import org.micabarrow.coordination.endpoint.EndpointCalls;
--- a/src/test/java/org/micabarrow/coordination/RequestFlowTest.java
+++ b/src/test/java/org/micabarrow/coordination/RequestFlowTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.ManualClock;
 import org.micabarrow.Samples;
+import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.coordination.claims.Claim;
 import org.micabarrow.coordination.claims.ClaimVerdict;
 import org.micabarrow.coordination.claims.Ledger;
--- a/src/test/java/org/micabarrow/coordination/RequestProperties.java
+++ b/src/test/java/org/micabarrow/coordination/RequestProperties.java
@@ -20,6 +20,7 @@
 import net.jqwik.api.Provide;
 import org.micabarrow.ManualClock;
 import org.micabarrow.Samples;
+import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.coordination.claims.Claim;
 import org.micabarrow.coordination.claims.ClaimBook;
 import org.micabarrow.coordination.claims.ClaimVerdict;
--- a/src/test/java/org/micabarrow/coordination/LincheckTest.java
+++ b/src/test/java/org/micabarrow/coordination/admission/AdmissionLincheckTest.java
@@ -1,11 +1,11 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.admission;
 
 import org.jetbrains.lincheck.datastructures.ModelCheckingOptions;
 import org.jetbrains.lincheck.datastructures.Operation;
 import org.junit.jupiter.api.Test;
 
-/** The structures that several traffic threads change at once, checked for linearizability. */
-class LincheckTest {
+/** The limit and the budget, which several traffic threads change at once, checked for linearizability. */
+class AdmissionLincheckTest {
 
     /** Places are taken and given back by any threads. */
     public static class LimitModel {
--- a/src/test/java/org/micabarrow/coordination/PolicyTest.java
+++ b/src/test/java/org/micabarrow/coordination/admission/FairQueueTest.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.admission;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,10 +9,8 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
-/** The small policies: fairness, retry budget, learned limit, subsets, relays, the share of the link. */
-class PolicyTest {
-
-    // -- FairQueue
+/** Who waits for room is served by weight. */
+class FairQueueTest {
 
     @Test
     void shouldShareByWeightWhenAllWait() {
@@ -61,61 +59,4 @@
         queue.putBack(queue.poll().orElseThrow());
         assertEquals("first", queue.poll().orElseThrow().item());
     }
-
-    // -- RetryBudget
-
-    @Test
-    void shouldAllowRetriesOnlyAsShareOfTraffic() {
-        RetryBudget budget = new RetryBudget(0.1, 5);
-        int retries = 0;
-        for (int i = 0; i < 1000; i++) {
-            budget.sent();
-            retries += budget.tryRetry() ? 1 : 0;
-        }
-        assertTrue(retries <= 106, "retries: " + retries);
-        assertTrue(retries >= 95, "retries: " + retries);
-    }
-
-    // -- ConcurrencyLimit
-
-    @Test
-    void shouldFallWhenAnswersBeginLateAndRiseWhenTheyDoNot() {
-        ConcurrencyLimit limit = new ConcurrencyLimit(2, 64, 16);
-        for (int i = 0; i < 50; i++) {
-            limit.began(10);
-        }
-        for (int i = 0; i < 30; i++) {
-            limit.began(200);
-        }
-        int fallen = limit.limit();
-        assertTrue(fallen < 8, "limit: " + fallen);
-        for (int i = 0; i < 500; i++) {
-            fill(limit);
-            limit.began(10);
-        }
-        assertTrue(limit.limit() > fallen);
-    }
-
-    /** The limit rises only under load. */
-    private static void fill(ConcurrencyLimit limit) {
-        boolean opened = true;
-        while (opened) {
-            opened = limit.tryOpen(true);
-        }
-    }
-
-    @Test
-    void shouldNeverOpenMoreThanLimitAndKeepRoomForShort() {
-        ConcurrencyLimit limit = new ConcurrencyLimit(2, 64, 10);
-        int longOnes = 0;
-        while (limit.tryOpen(false)) {
-            longOnes++;
-        }
-        int shortOnes = 0;
-        while (limit.tryOpen(true)) {
-            shortOnes++;
-        }
-        assertEquals(8, longOnes);
-        assertEquals(2, shortOnes);
-    }
 }
