--- a/src/main/java/org/micabarrow/coordination/AgentFlow.java
+++ b/src/main/java/org/micabarrow/coordination/AgentFlow.java
@@ -12,6 +12,7 @@
 import org.micabarrow.coordination.admission.ConcurrencyLimit;
 import org.micabarrow.coordination.claims.Claim;
 import org.micabarrow.coordination.claims.Ledger;
+import org.micabarrow.coordination.configuration.Configuration;
 import org.micabarrow.coordination.endpoint.EndpointCalls;
 import org.micabarrow.coordination.membership.Identity;
 import org.micabarrow.coordination.weights.WeightShare;
--- a/src/main/java/org/micabarrow/coordination/ConfigurationFold.java
+++ b/src/main/java/org/micabarrow/coordination/configuration/ConfigurationFold.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.configuration;
 
 import java.io.IOException;
 import java.util.ArrayList;
--- a/src/main/java/org/micabarrow/coordination/Duties.java
+++ b/src/main/java/org/micabarrow/coordination/configuration/Duties.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.configuration;
 
 import java.time.InstantSource;
 import java.util.Comparator;
--- a/src/test/java/org/micabarrow/coordination/AgentFlowTest.java
+++ b/src/test/java/org/micabarrow/coordination/AgentFlowTest.java
@@ -19,6 +19,8 @@
 import org.micabarrow.coordination.admission.ConcurrencyLimit;
 import org.micabarrow.coordination.claims.Claim;
 import org.micabarrow.coordination.claims.Ledger;
+import org.micabarrow.coordination.configuration.Configuration;
+import org.micabarrow.coordination.configuration.ControlThread;
 import org.micabarrow.coordination.endpoint.EndpointCalls;
 import org.micabarrow.coordination.membership.Identity;
 import org.micabarrow.coordination.membership.ReplicaView;
--- a/src/test/java/org/micabarrow/state/ReducerProperties.java
+++ b/src/test/java/org/micabarrow/state/ReducerProperties.java
@@ -21,7 +21,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
-import org.micabarrow.coordination.ConfigurationFold;
+import org.micabarrow.coordination.configuration.ConfigurationFold;
 import org.micabarrow.coordination.log.PlatformLog;
 
 /** Operators plan and confirm in any interleaving, on views of any age; some records come twice. */
