--- a/src/main/java/org/micabarrow/coordination/StartCheck.java
+++ b/src/main/java/org/micabarrow/coordination/StartCheck.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
+import org.micabarrow.coordination.calls.AgentRequest;
+import org.micabarrow.coordination.calls.Outcome;
 import org.micabarrow.coordination.membership.Identity;
 import org.micabarrow.coordination.membership.ReplicaView;
 import org.micabarrow.state.Fault;
--- a/src/main/java/org/micabarrow/coordination/AgentCalls.java
+++ b/src/main/java/org/micabarrow/coordination/calls/AgentCalls.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.calls;
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
--- a/src/main/java/org/micabarrow/coordination/AnswerListener.java
+++ b/src/main/java/org/micabarrow/coordination/calls/AnswerListener.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.calls;
 
 /** Receives the parts of one attempt's answer, in order, one call at a time. */
 public interface AnswerListener {
