--- a/src/main/java/org/micabarrow/coordination/RequestRun.java
+++ b/src/main/java/org/micabarrow/coordination/RequestRun.java
@@ -14,6 +14,8 @@
 import org.micabarrow.coordination.claims.ClaimVerdict;
 import org.micabarrow.coordination.claims.Ledger;
 import org.micabarrow.coordination.membership.PeerView;
+import org.micabarrow.coordination.routing.Exclusion;
+import org.micabarrow.coordination.routing.Router;
 import org.micabarrow.state.Digest;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
--- a/src/main/java/org/micabarrow/coordination/Exclusion.java
+++ b/src/main/java/org/micabarrow/coordination/routing/Exclusion.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.routing;
 
 import java.util.Objects;
 import org.micabarrow.state.Replica;
--- a/src/main/java/org/micabarrow/coordination/PrefixIndex.java
+++ b/src/main/java/org/micabarrow/coordination/routing/PrefixIndex.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.routing;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
--- a/src/main/java/org/micabarrow/coordination/Traffic.java
+++ b/src/main/java/org/micabarrow/coordination/routing/Traffic.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.routing;
 
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
