--- a/src/main/java/org/micabarrow/coordination/AgentView.java
+++ b/src/main/java/org/micabarrow/coordination/agents/AgentView.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.agents;
 
 import java.util.Map;
 import java.util.Objects;
--- a/src/main/java/org/micabarrow/coordination/StartCheck.java
+++ b/src/main/java/org/micabarrow/coordination/agents/StartCheck.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.agents;
 
 import java.time.Duration;
 import java.util.Objects;
--- a/src/main/java/org/micabarrow/transport/ChunkSender.java
+++ b/src/main/java/org/micabarrow/transport/ChunkSender.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
-import org.micabarrow.coordination.ReplicaControl;
+import org.micabarrow.coordination.agents.ReplicaControl;
 import org.micabarrow.coordination.weights.ChunkWindow;
 import org.micabarrow.protocol.wire.Chunk;
 import org.micabarrow.protocol.wire.ChunksRequest;
--- a/src/test/java/org/micabarrow/coordination/AgentFlowTest.java
+++ b/src/test/java/org/micabarrow/coordination/agents/AgentFlowTest.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.agents;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
