--- a/src/main/java/org/micabarrow/coordination/AgentFlow.java
+++ b/src/main/java/org/micabarrow/coordination/agents/AgentFlow.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.agents;
 
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
@@ -9,6 +9,17 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
+import org.micabarrow.coordination.admission.ConcurrencyLimit;
+import org.micabarrow.coordination.calls.AgentRequest;
+import org.micabarrow.coordination.calls.AnswerHead;
+import org.micabarrow.coordination.calls.AnswerListener;
+import org.micabarrow.coordination.calls.Outcome;
+import org.micabarrow.coordination.claims.Claim;
+import org.micabarrow.coordination.claims.Ledger;
+import org.micabarrow.coordination.configuration.Configuration;
+import org.micabarrow.coordination.endpoint.EndpointCalls;
+import org.micabarrow.coordination.membership.Identity;
+import org.micabarrow.coordination.weights.WeightShare;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Fault.Step;
--- a/src/main/java/org/micabarrow/coordination/AgentView.java
+++ b/src/main/java/org/micabarrow/coordination/agents/AgentView.java
@@ -1,8 +1,10 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.agents;
 
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import org.micabarrow.coordination.endpoint.Endpoint;
+import org.micabarrow.coordination.membership.ReplicaView;
 
 /**
  * What an agent's control thread publishes.
--- a/src/main/java/org/micabarrow/coordination/ReplicaControl.java
+++ b/src/main/java/org/micabarrow/coordination/agents/ReplicaControl.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.agents;
 
 import java.time.Duration;
 import java.time.InstantSource;
@@ -14,8 +14,14 @@
 import java.util.function.BiFunction;
 import java.util.function.Function;
 import java.util.stream.Collectors;
-import org.micabarrow.coordination.Endpoint.Action;
-import org.micabarrow.coordination.ReplicaView.State;
+import org.micabarrow.coordination.endpoint.Endpoint;
+import org.micabarrow.coordination.endpoint.Endpoint.Action;
+import org.micabarrow.coordination.membership.Identity;
+import org.micabarrow.coordination.membership.ReplicaView;
+import org.micabarrow.coordination.membership.ReplicaView.State;
+import org.micabarrow.coordination.weights.ChunkWindow;
+import org.micabarrow.coordination.weights.Source;
+import org.micabarrow.coordination.weights.Transfer;
 import org.micabarrow.state.Artifact;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.FoldedState;
--- a/src/main/java/org/micabarrow/coordination/StartCheck.java
+++ b/src/main/java/org/micabarrow/coordination/agents/StartCheck.java
@@ -1,8 +1,12 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.agents;
 
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
+import org.micabarrow.coordination.calls.AgentRequest;
+import org.micabarrow.coordination.calls.Outcome;
+import org.micabarrow.coordination.membership.Identity;
+import org.micabarrow.coordination.membership.ReplicaView;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.FoldedState;
--- a/src/main/java/org/micabarrow/coordination/AgentCalls.java
+++ b/src/main/java/org/micabarrow/coordination/calls/AgentCalls.java
@@ -1,7 +1,9 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.calls;
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.micabarrow.coordination.claims.Claim;
+import org.micabarrow.coordination.claims.Ledger;
 import org.micabarrow.state.Replica;
 import org.micabarrow.state.Result;
 
--- a/src/main/java/org/micabarrow/coordination/AgentRequest.java
+++ b/src/main/java/org/micabarrow/coordination/calls/AgentRequest.java
@@ -1,7 +1,8 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.calls;
 
 import java.util.Objects;
 import java.util.Optional;
+import org.micabarrow.coordination.claims.Claim;
 
 /**
  * A request on its way from an entry to an agent.
--- a/src/main/java/org/micabarrow/coordination/RequestFlow.java
+++ b/src/main/java/org/micabarrow/coordination/requests/RequestFlow.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.requests;
 
 import java.time.Duration;
 import java.time.InstantSource;
@@ -9,6 +9,16 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.micabarrow.coordination.admission.FairQueue;
+import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.coordination.calls.AgentCalls;
+import org.micabarrow.coordination.calls.AnswerListener;
+import org.micabarrow.coordination.calls.Outcome;
+import org.micabarrow.coordination.claims.ClaimWriter;
+import org.micabarrow.coordination.membership.PeerView;
+import org.micabarrow.coordination.routing.PrefixIndex;
+import org.micabarrow.coordination.routing.Router;
+import org.micabarrow.coordination.routing.Traffic;
 import org.micabarrow.state.Digest;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
--- a/src/main/java/org/micabarrow/coordination/RequestRun.java
+++ b/src/main/java/org/micabarrow/coordination/requests/RequestRun.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.requests;
 
 import java.time.Duration;
 import java.util.HashSet;
@@ -6,6 +6,16 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.micabarrow.coordination.calls.AgentRequest;
+import org.micabarrow.coordination.calls.AnswerHead;
+import org.micabarrow.coordination.calls.AnswerListener;
+import org.micabarrow.coordination.calls.Outcome;
+import org.micabarrow.coordination.claims.Claim;
+import org.micabarrow.coordination.claims.ClaimVerdict;
+import org.micabarrow.coordination.claims.Ledger;
+import org.micabarrow.coordination.membership.PeerView;
+import org.micabarrow.coordination.routing.Exclusion;
+import org.micabarrow.coordination.routing.Router;
 import org.micabarrow.state.Digest;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
--- a/src/main/java/org/micabarrow/coordination/Router.java
+++ b/src/main/java/org/micabarrow/coordination/routing/Router.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.routing;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -8,6 +8,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.micabarrow.coordination.admission.Room;
+import org.micabarrow.coordination.membership.PeerView;
+import org.micabarrow.coordination.membership.ReplicaView;
 import org.micabarrow.state.FoldedState;
 import org.micabarrow.state.Replica;
 
--- a/src/main/java/org/micabarrow/coordination/Transfer.java
+++ b/src/main/java/org/micabarrow/coordination/weights/Transfer.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.weights;
 
 import java.time.Duration;
 import java.time.InstantSource;
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import org.micabarrow.coordination.endpoint.Endpoint;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Fault.Step;
--- a/src/test/java/org/micabarrow/coordination/AgentFlowTest.java
+++ b/src/test/java/org/micabarrow/coordination/agents/AgentFlowTest.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.agents;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
@@ -14,7 +14,21 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.micabarrow.ManualClock;
 import org.micabarrow.Samples;
+import org.micabarrow.coordination.admission.ConcurrencyLimit;
+import org.micabarrow.coordination.calls.AgentRequest;
+import org.micabarrow.coordination.calls.AnswerHead;
+import org.micabarrow.coordination.calls.AnswerListener;
+import org.micabarrow.coordination.calls.Outcome;
+import org.micabarrow.coordination.claims.Claim;
+import org.micabarrow.coordination.claims.Ledger;
+import org.micabarrow.coordination.configuration.Configuration;
+import org.micabarrow.coordination.configuration.ControlThread;
+import org.micabarrow.coordination.endpoint.EndpointCalls;
+import org.micabarrow.coordination.membership.Identity;
+import org.micabarrow.coordination.membership.ReplicaView;
+import org.micabarrow.coordination.weights.WeightShare;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.FoldedState;
--- a/src/test/java/org/micabarrow/coordination/ClaimsTest.java
+++ b/src/test/java/org/micabarrow/coordination/claims/ClaimsTest.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.claims;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.coordination.log.FakeLog;
 
 class ClaimsTest {
 
--- a/src/test/java/org/micabarrow/coordination/LincheckTest.java
+++ b/src/test/java/org/micabarrow/coordination/claims/LedgerLincheckTest.java
@@ -1,15 +1,14 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.claims;
 
 import java.util.Optional;
 import org.jetbrains.lincheck.datastructures.IntGen;
-import org.jetbrains.lincheck.datastructures.ModelCheckingOptions;
 import org.jetbrains.lincheck.datastructures.Operation;
 import org.jetbrains.lincheck.datastructures.Param;
 import org.jetbrains.lincheck.datastructures.StressOptions;
 import org.junit.jupiter.api.Test;
 
-/** The structures that several traffic threads change at once, checked for linearizability. */
-class LincheckTest {
+/** The ledger, which several traffic threads change at once, checked for linearizability. */
+class LedgerLincheckTest {
 
     /** Keys are started once, settled and ended by any threads. */
     @Param(name = "key", gen = IntGen.class, conf = "1:2")
@@ -34,38 +33,6 @@
         }
     }
 
-    /** Places are taken and given back by any threads. */
-    public static class LimitModel {
-
-        private final ConcurrencyLimit limit = new ConcurrencyLimit(1, 3, 2);
-
-        @Operation
-        public boolean open() {
-            return limit.tryOpen(true);
-        }
-
-        @Operation
-        public int openNow() {
-            return limit.open();
-        }
-    }
-
-    /** Retries are taken by any threads. */
-    public static class BudgetModel {
-
-        private final RetryBudget budget = new RetryBudget(0.5, 2);
-
-        @Operation
-        public void sent() {
-            budget.sent();
-        }
-
-        @Operation
-        public boolean tryRetry() {
-            return budget.tryRetry();
-        }
-    }
-
     private static StressOptions stress() {
         return new StressOptions()
                 .iterations(10)
@@ -74,26 +41,8 @@
                 .actorsPerThread(3);
     }
 
-    private static ModelCheckingOptions model() {
-        return new ModelCheckingOptions()
-                .iterations(10)
-                .invocationsPerIteration(300)
-                .threads(2)
-                .actorsPerThread(3);
-    }
-
     @Test
     void shouldKeepLedgerLinearizable() {
         stress().check(LedgerModel.class);
     }
-
-    @Test
-    void shouldKeepLimitLinearizable() {
-        model().check(LimitModel.class);
-    }
-
-    @Test
-    void shouldKeepBudgetLinearizable() {
-        model().check(BudgetModel.class);
-    }
 }
--- a/src/test/java/org/micabarrow/coordination/ConfigurationFoldTest.java
+++ b/src/test/java/org/micabarrow/coordination/configuration/ConfigurationFoldTest.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.configuration;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.coordination.log.PlatformLog;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.FoldedState;
--- a/src/test/java/org/micabarrow/coordination/ConfigurationTest.java
+++ b/src/test/java/org/micabarrow/coordination/configuration/ConfigurationTest.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.configuration;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.ManualClock;
 import org.micabarrow.Samples;
 import org.micabarrow.state.FoldedState;
 
--- a/src/test/java/org/micabarrow/coordination/RequestFlowTest.java
+++ b/src/test/java/org/micabarrow/coordination/requests/RequestFlowTest.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.requests;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
@@ -15,7 +15,22 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.micabarrow.ManualClock;
 import org.micabarrow.Samples;
+import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.coordination.calls.AgentCalls;
+import org.micabarrow.coordination.calls.AgentRequest;
+import org.micabarrow.coordination.calls.AnswerHead;
+import org.micabarrow.coordination.calls.AnswerListener;
+import org.micabarrow.coordination.calls.Outcome;
+import org.micabarrow.coordination.claims.Claim;
+import org.micabarrow.coordination.claims.ClaimVerdict;
+import org.micabarrow.coordination.claims.Ledger;
+import org.micabarrow.coordination.membership.PeerView;
+import org.micabarrow.coordination.membership.ReplicaView;
+import org.micabarrow.coordination.routing.PrefixIndex;
+import org.micabarrow.coordination.routing.Router;
+import org.micabarrow.coordination.routing.Traffic;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.FoldedState;
--- a/src/test/java/org/micabarrow/coordination/TransferTest.java
+++ b/src/test/java/org/micabarrow/coordination/weights/TransferTest.java
@@ -1,4 +1,4 @@
-package org.micabarrow.coordination;
+package org.micabarrow.coordination.weights;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -15,6 +15,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.Await;
+import org.micabarrow.ManualClock;
+import org.micabarrow.coordination.endpoint.Endpoint;
 import org.micabarrow.state.Digest;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
