--- a/src/test/java/org/micabarrow/SilentRelay.java
+++ b/src/test/java/org/micabarrow/SilentRelay.java
@@ -7,7 +7,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.micabarrow.bench.Ports;
+import org.micabarrow.standin.Ports;
 import org.micabarrow.transport.Addresses;
 
 /**
--- a/src/test/java/org/micabarrow/serving/StandingEndpoint.java
+++ b/src/test/java/org/micabarrow/serving/StandingEndpoint.java
@@ -11,7 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
-import org.micabarrow.bench.Ports;
+import org.micabarrow.standin.Ports;
 import org.micabarrow.transport.Addresses;
 
 /**
--- a/src/test/java/org/micabarrow/serving/StandingInstanceTest.java
+++ b/src/test/java/org/micabarrow/serving/StandingInstanceTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.Await;
-import org.micabarrow.coordination.RetryBudget;
+import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.RequestHeaders;
 import org.micabarrow.platform.StoreClient;
--- a/src/test/java/org/micabarrow/transport/HttpCallerTest.java
+++ b/src/test/java/org/micabarrow/transport/HttpCallerTest.java
@@ -20,7 +20,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.SilentRelay;
-import org.micabarrow.bench.Ports;
+import org.micabarrow.standin.Ports;
 import org.micabarrow.state.Fault;
 
 /** What a server sees of a caller, byte by byte. */
--- a/src/test/java/org/micabarrow/transport/PeerChunksTest.java
+++ b/src/test/java/org/micabarrow/transport/PeerChunksTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.SilentRelay;
-import org.micabarrow.bench.Ports;
+import org.micabarrow.standin.Ports;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Result;
 import org.micabarrow.weights.ChunkPeers.Numbered;
