--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -103,6 +103,17 @@
         return loads.computeIfAbsent(id, key -> new EndpointLoad());
     }
 
+    /**
+     * Whether own requests wait at an endpoint.
+     *
+     * @param id the endpoint's id
+     * @return false if none does, or nothing is known of it
+     */
+    public boolean awaits(String id) {
+        EndpointLoad load = loads.get(id);
+        return load != null && !load.idle();
+    }
+
     /**
      * Forgets endpoints that are gone, once no request waits there any more: what still does must be seen to have fallen silent.
      *
@@ -175,7 +186,7 @@
     /**
      * Whether an endpoint's agent is to be asked before a request is sent there. An endpoint that still holds an older
      * version than was named must not get what it may begin after the version's bound: while its instance stands still,
-     * requests wait in front of it, and cancelling them there does not help.
+     * requests wait in front of it, where only a reset of their connections takes them back.
      *
      * @param endpoint the endpoint
      * @param wanted what is to be sent
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -10,10 +10,12 @@
 import org.micabarrow.attempts.EventSplitter;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.EndpointLoad;
+import org.micabarrow.routing.RequestKind;
 import org.micabarrow.serving.EndpointProtocol.AnswerHead;
 import org.micabarrow.serving.EndpointProtocol.Sending;
 import org.micabarrow.state.Fault;
 import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.views.View;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioExecutor;
@@ -80,9 +82,10 @@
 
     /** Sees to it that the request is taken back when an older weight version may begin nothing any more. */
     private void limitWaiting() {
-        parts.versions()
-                .millisToBegin(request, endpoint)
-                .ifPresent(millis -> beginTimer = Optional.of(after(Math.max(1, millis), this::notBegun)));
+        parts.versions().newerNamed(request, endpoint).ifPresent(newer -> {
+            long millis = Math.max(1, parts.versions().millisToBegin(newer));
+            beginTimer = Optional.of(after(millis, () -> notBegun(newer)));
+        });
     }
 
     private XnioExecutor.Key after(long millis, Runnable step) {
@@ -167,12 +170,14 @@
     }
 
     /**
-     * Whether it serves nobody that an instance that stands still begins the request when it goes on: it would do so on weights
-     * that were replaced, after its endpoint left, or after the objective, when another try of the client does better. Before,
-     * clients waited 3.2 s there, until they gave up, whenever all other endpoints were full.
+     * Whether nobody is served if an instance that stands still begins the request when it goes on: that would be on weights
+     * that were replaced, after its endpoint left, or, of a stream that may run twice, after the objective, when another try of
+     * the client does better.
      */
     private boolean waitsInVain() {
-        boolean late = request.route().kind().repeatable()
+        RequestKind kind = request.route().kind();
+        boolean late = kind.stream()
+                && kind.repeatable()
                 && run.millisTaken() > request.route().objectiveMillis();
         return late || parts.leaves(endpoint) || parts.versions().older(request, endpoint);
     }
@@ -192,10 +197,12 @@
         failed(AttemptEnd.NOT_RUN, "no connection within " + CONNECT_MILLIS + " ms");
     }
 
-    /** Cancels a request that an older weight version has not begun when it may begin nothing any more. */
-    private void notBegun() {
+    /** Takes a request back that an older weight version has not begun when it may begin nothing any more. */
+    private void notBegun(View.Target newer) {
+        // A still newer version may be named, or may have been, for which there is to be a time of its own.
+        beginTimer = Optional.empty();
         boolean waits = !over && !promptRead;
-        if (waits && parts.versions().older(request, endpoint)) {
+        if (waits && parts.versions().holdsOlder(request, endpoint, newer)) {
             failed(AttemptEnd.UNKNOWN, "a newer weight version is due, and the endpoint has not begun");
         }
     }
--- a/src/main/java/org/micabarrow/serving/WeightVersions.java
+++ b/src/main/java/org/micabarrow/serving/WeightVersions.java
@@ -1,7 +1,6 @@
 package org.micabarrow.serving;
 
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.micabarrow.attempts.ClientRequest;
@@ -90,31 +89,31 @@
 
     /** Whether an endpoint holds an older version than was named, for so long that its agent is to be asked first. */
     boolean askDue(ClientRequest request, EndpointEntry endpoint) {
-        OptionalLong named = newerNamedMillis(request, endpoint);
-        return named.isPresent() && steadyMillis.getAsLong() - named.getAsLong() >= times.askMillis();
+        return newerNamed(request, endpoint)
+                .filter(newer -> steadyMillis.getAsLong() - newer.learnedMillis() >= times.askMillis())
+                .isPresent();
     }
 
     /** Whether an endpoint holds an older version than was named. */
     boolean older(ClientRequest request, EndpointEntry endpoint) {
-        return newerNamedMillis(request, endpoint).isPresent();
+        return newerNamed(request, endpoint).isPresent();
     }
 
-    /**
-     * How long a request may still wait at an endpoint that holds an older version than was named, in milliseconds; empty
-     * at any other, and not above 0 once its time is up.
-     */
-    OptionalLong millisToBegin(ClientRequest request, EndpointEntry endpoint) {
-        OptionalLong named = newerNamedMillis(request, endpoint);
-        return named.isPresent()
-                ? OptionalLong.of(named.getAsLong() + times.cancelMillis() - steadyMillis.getAsLong())
-                : OptionalLong.empty();
+    /** The oldest version that is newer than an endpoint's; empty if it holds the newest. */
+    Optional<View.Target> newerNamed(ClientRequest request, EndpointEntry endpoint) {
+        return model(request).flatMap(model -> view.get().newerNamed(model.model(), held(endpoint, model)));
     }
 
-    /** When the oldest version that is newer than an endpoint's was named; empty if it holds the newest. */
-    private OptionalLong newerNamedMillis(ClientRequest request, EndpointEntry endpoint) {
+    /** Whether an endpoint holds an older version than one. */
+    boolean holdsOlder(ClientRequest request, EndpointEntry endpoint, View.Target than) {
         return model(request)
-                .map(model -> view.get().newerNamedMillis(model.model(), held(endpoint, model)))
-                .orElse(OptionalLong.empty());
+                .filter(model -> held(endpoint, model) < than.version())
+                .isPresent();
+    }
+
+    /** How long a request may still wait at an endpoint that holds an older version, in milliseconds; not above 0 if no more. */
+    long millisToBegin(View.Target newer) {
+        return newer.learnedMillis() + times.cancelMillis() - steadyMillis.getAsLong();
     }
 
     /** The version that an endpoint's entry names, or a newer one by which it has answered or of which its agent told. */
--- a/src/main/java/org/micabarrow/transport/LoadFeed.java
+++ b/src/main/java/org/micabarrow/transport/LoadFeed.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -39,6 +40,8 @@
     /** The ids at each host; after a restart there are two for a while, until the old entry lapses. */
     private volatile Map<String, List<String>> endpointsByHost = Map.of();
 
+    private final Map<String, EndpointEntry> asked = new HashMap<>();
+    private final Rounds rounds = new Rounds(NEAR_MILLIS);
     private int round;
 
     /**
@@ -92,7 +95,7 @@
     /**
      * Begins to ask.
      *
-     * @param afterRound what to do after each round of questions, on the thread for traffic
+     * @param afterRound what to do after each round of questions that is on time, on the thread for traffic
      */
     public void start(Runnable afterRound) {
         Thread.ofPlatform().name("load-feed").daemon().start(this::receive);
@@ -102,8 +105,9 @@
     // -- questions, on the thread for traffic
 
     private void askAll(Runnable afterRound) {
+        boolean onTime = rounds.onTime(parts.steadyMillis().getAsLong());
         View view = parts.view().get();
-        Map<String, List<EndpointEntry>> hosts = modelsByHost(view);
+        Map<String, List<EndpointEntry>> hosts = askedByHost(view);
         // Before the questions: an answer may come at once.
         endpointsByHost = idsOf(hosts);
         hosts.forEach((host, endpoints) -> {
@@ -114,13 +118,21 @@
         parts.choice().keepOnly(view.endpoints().keySet());
         round++;
         parts.traffic().executeAfter(() -> askAll(afterRound), NEAR_MILLIS, TimeUnit.MILLISECONDS);
-        afterRound.run();
+        if (onTime) {
+            afterRound.run();
+        }
     }
 
-    private static Map<String, List<EndpointEntry>> modelsByHost(View view) {
-        return view.endpoints().values().stream()
+    /**
+     * The endpoints to ask about: those of models that are listed, and those listed no more at which requests still wait, since
+     * an endpoint that is not asked about would seem to have fallen silent.
+     */
+    private Map<String, List<EndpointEntry>> askedByHost(View view) {
+        asked.keySet().removeIf(id -> !parts.choice().awaits(id));
+        view.endpoints().values().stream()
                 .filter(endpoint -> isModel(view, endpoint))
-                .collect(Collectors.groupingBy(EndpointEntry::instanceHost));
+                .forEach(endpoint -> asked.put(endpoint.id(), endpoint));
+        return asked.values().stream().collect(Collectors.groupingBy(EndpointEntry::instanceHost));
     }
 
     private static Map<String, List<String>> idsOf(Map<String, List<EndpointEntry>> hosts) {
--- a/src/main/java/org/micabarrow/views/View.java
+++ b/src/main/java/org/micabarrow/views/View.java
@@ -89,10 +89,22 @@
      * @return when this process learned of it, on its steady clock; empty if none is newer
      */
     public OptionalLong newerNamedMillis(String model, long version) {
+        return newerNamed(model, version).stream()
+                .mapToLong(Target::learnedMillis)
+                .findFirst();
+    }
+
+    /**
+     * The oldest of the versions that are newer than one.
+     *
+     * @param model the model
+     * @param version the version that is held
+     * @return the version named first after it; empty if none is newer
+     */
+    public Optional<Target> newerNamed(String model, long version) {
         return named(model).stream()
                 .filter(target -> target.version() > version)
-                .mapToLong(Target::learnedMillis)
-                .min();
+                .findFirst();
     }
 
     /**
--- a/src/test/java/org/micabarrow/views/ViewKeeperTest.java
+++ b/src/test/java/org/micabarrow/views/ViewKeeperTest.java
@@ -220,6 +220,16 @@
         assertEquals(List.of(), asked);
     }
 
+    @Test
+    void shouldReadAgainAtOnceWhenConnectionOfOneReadWasReset() {
+        follower.once();
+        reader.reason = Fault.Reason.UNREACHABLE;
+        reader.silentOnce = true;
+        follower.once();
+        assertEquals(List.of(Duration.ofMillis(10), Duration.ZERO), reader.holds);
+        assertEquals(List.of(), asked);
+    }
+
     @Test
     void shouldReadOnlyOnceATurnWhileStoreStaysAway() {
         follower.once();
