Written once: how far a request came, the oldest newer version, the store that tests follow, a listener that does nothing

Left as it is: EndpointChoice.mustAsk compares versions that WeightVersions.askDue has compared, so for its one caller only hasAgent adds something; its own test asserts the comparison.

--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -111,12 +111,10 @@
     void abandon(String why) {
         if (!over) {
             LOG.info(
-                    "event=taken_back request={} endpoint={} afterMs={} taken={} begun={} why=\"{}\"",
+                    "event=taken_back request={} endpoint={} {} why=\"{}\"",
                     request.id(),
                     endpoint.id(),
-                    parts.nowMillis() - beganMillis,
-                    head.isPresent(),
-                    promptRead,
+                    progress(),
                     why);
             stop();
         }
@@ -136,16 +134,19 @@
 
     private void logFailed(AttemptEnd end, String why) {
         LOG.info(
-                "event=attempt_failed request={} endpoint={} end={} afterMs={} taken={} begun={} why=\"{}\"",
+                "event=attempt_failed request={} endpoint={} end={} {} why=\"{}\"",
                 request.id(),
                 endpoint.id(),
                 end,
-                parts.nowMillis() - beganMillis,
-                head.isPresent(),
-                promptRead,
+                progress(),
                 why);
     }
 
+    /** How far the request came at the endpoint, for the log: whether a head of an answer came, and a part of it. */
+    private String progress() {
+        return "afterMs=" + (parts.nowMillis() - beganMillis) + " taken=" + head.isPresent() + " begun=" + promptRead;
+    }
+
     /**
      * Looks whether the request is still well where it was sent, by what is known now. A version may have been named since; and
      * while nothing is heard of the endpoint, the request is taken back if it waits there in vain, and goes on at another
--- a/src/main/java/org/micabarrow/views/View.java
+++ b/src/main/java/org/micabarrow/views/View.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.RouteManifest;
 
@@ -81,19 +80,6 @@
                 .orElse(0);
     }
 
-    /**
-     * When the oldest of the versions that are newer than one was named.
-     *
-     * @param model the model
-     * @param version the version that is held
-     * @return when this process learned of it, on its steady clock; empty if none is newer
-     */
-    public OptionalLong newerNamedMillis(String model, long version) {
-        return newerNamed(model, version).stream()
-                .mapToLong(Target::learnedMillis)
-                .findFirst();
-    }
-
     /**
      * The oldest of the versions that are newer than one.
      *
--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -5,7 +5,6 @@
 import java.util.Deque;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
@@ -303,10 +302,12 @@
             return Long.MIN_VALUE;
         }
         Place place = parts.place().get();
-        OptionalLong named = parts.view().get().newerNamedMillis(model, held);
-        return named.isPresent()
-                ? OrderTimes.at(named.getAsLong(), parts.boundMillis(), place.position(), place.count())
-                : Long.MIN_VALUE;
+        return parts.view()
+                .get()
+                .newerNamed(model, held)
+                .map(newer ->
+                        OrderTimes.at(newer.learnedMillis(), parts.boundMillis(), place.position(), place.count()))
+                .orElse(Long.MIN_VALUE);
     }
 
     private void order(ChunkSet set, Report now) {
--- a/src/test/java/org/micabarrow/serving/OlderVersionTest.java
+++ b/src/test/java/org/micabarrow/serving/OlderVersionTest.java
@@ -18,7 +18,6 @@
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.RequestHeaders;
-import org.micabarrow.platform.StoreClient;
 import org.micabarrow.platform.StoreRecords;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.platform.standin.HostedSystem;
@@ -28,9 +27,7 @@
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.transport.HttpCaller.HttpAnswer;
 import org.micabarrow.transport.HttpListener;
-import org.micabarrow.views.StoreFollower;
 import org.micabarrow.views.ViewKeeper;
-import org.micabarrow.views.ViewKeeper.Topic;
 import org.xnio.XnioWorker;
 
 /** What is sent to an endpoint that still holds an older weight version than was named. */
@@ -76,11 +73,7 @@
     private void serve(long askMillis, long cancelMillis) throws IOException {
         String clients = settings.listen().clients().orElseThrow();
         HttpListener.on(clients, HttpListener.Bounds.usual(), worker, handler(askMillis, cancelMillis));
-        followStore();
-        Await.until(
-                "the view",
-                () -> views.view().manifest().isPresent()
-                        && !views.view().endpoints().isEmpty());
+        FollowedStore.follow(client, settings, WITHIN, views);
     }
 
     private ServingHandler handler(long askMillis, long cancelMillis) {
@@ -100,13 +93,6 @@
                 new ServingHandler.VersionTimes(askMillis, NEVER_MILLIS, cancelMillis)));
     }
 
-    private void followStore() {
-        StoreClient store = new StoreClient(client, settings.store(), WITHIN);
-        StoreFollower.Pace pace = new StoreFollower.Pace(Duration.ofMillis(200), Duration.ZERO);
-        new StoreFollower(Topic.OPERATOR, store, views, topic -> {}, pace).start();
-        new StoreFollower(Topic.ENDPOINTS, store, views, topic -> {}, pace).start();
-    }
-
     private HttpAnswer ask() {
         String clients = settings.listen().clients().orElseThrow();
         return client.call(HostedSystem.request(clients, "/stream/x", "attempt-1"), WITHIN)
--- a/src/test/java/org/micabarrow/serving/StandingInstanceTest.java
+++ b/src/test/java/org/micabarrow/serving/StandingInstanceTest.java
@@ -18,7 +18,6 @@
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.RequestHeaders;
-import org.micabarrow.platform.StoreClient;
 import org.micabarrow.platform.StoreRecords;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.routing.EndpointChoice;
@@ -27,9 +26,8 @@
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.transport.HttpCaller.HttpAnswer;
 import org.micabarrow.transport.HttpListener;
-import org.micabarrow.views.StoreFollower;
+import org.micabarrow.transport.Ignoring;
 import org.micabarrow.views.ViewKeeper;
-import org.micabarrow.views.ViewKeeper.Topic;
 import org.xnio.XnioWorker;
 
 /**
@@ -108,14 +106,7 @@
                 new ServingHandler.VersionTimes(NEVER_MILLIS, NEVER_MILLIS, cancelMillis)));
         String clients = settings.listen().clients().orElseThrow();
         HttpListener.on(clients, HttpListener.Bounds.usual(), worker, handler);
-        StoreClient store = new StoreClient(client, settings.store(), WITHIN);
-        StoreFollower.Pace pace = new StoreFollower.Pace(Duration.ofMillis(200), Duration.ZERO);
-        new StoreFollower(Topic.OPERATOR, store, views, topic -> {}, pace).start();
-        new StoreFollower(Topic.ENDPOINTS, store, views, topic -> {}, pace).start();
-        Await.until(
-                "the view",
-                () -> views.view().manifest().isPresent()
-                        && !views.view().endpoints().isEmpty());
+        FollowedStore.follow(client, settings, WITHIN, views);
     }
 
     // -- steps
@@ -156,8 +147,7 @@
         serve(NEVER_MILLIS);
         try (HttpCaller leaving = HttpCaller.start("leaving", 1)) {
             String clients = settings.listen().clients().orElseThrow();
-            Runnable leave =
-                    leaving.send(HostedSystem.request(clients, "/stream/x", "attempt-1"), new SilentListener());
+            Runnable leave = leaving.send(HostedSystem.request(clients, "/stream/x", "attempt-1"), new Ignoring());
             Await.until("the request", () -> standing.waiting() == 1);
             leave.run();
             Await.until("the end of the request", () -> handler.connections().busy() == 0);
