--- a/src/main/java/org/micabarrow/platform/EndpointHeaders.java
+++ b/src/main/java/org/micabarrow/platform/EndpointHeaders.java
@@ -17,7 +17,7 @@
 
     private static final int MISDIRECTED = 421;
 
-    /** The last rank that endpoints are told; what ranks behind it is told as this. */
+    /** The last rank that endpoints are told: what ranks behind it, or comes too late for its objective, is told as this. */
     private static final int MOST_PRIORITY = 9;
 
     /** The most digits of a number that surely fits. */
@@ -37,7 +37,8 @@
         sending.version().ifPresent(version -> headers.put(WireNames.EXPECTED_VERSION, Long.toString(version)));
         sending.lastEvent().ifPresent(id -> headers.put(WireNames.LAST_EVENT, id));
         if (request.promptTokens() > 0) {
-            headers.put(WireNames.PRIORITY, Integer.toString(Math.clamp(request.priority(), 0, MOST_PRIORITY)));
+            int rank = sending.late() ? MOST_PRIORITY : Math.clamp(request.priority(), 0, MOST_PRIORITY);
+            headers.put(WireNames.PRIORITY, Integer.toString(rank));
         }
         URI uri = URI.create("http://" + sending.endpoint().address());
         return new HttpCall(Step.RUN, request.method(), uri, Optional.of(request.target()), headers, request.body());
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -20,6 +20,7 @@
 import org.micabarrow.weights.ChunkFetcher;
 import org.micabarrow.weights.ChunkSources;
 import org.micabarrow.weights.ChunkSources.Agent;
+import org.micabarrow.weights.ModelEndpoint;
 import org.micabarrow.weights.ReplicaKeeper;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -95,13 +96,34 @@
         loadServer = Optional.of(LoadServer.start(settings.listen().peers(), this::told, HostedNode::steadyMillis));
         // After the listeners, so that no connection of our own takes one of their ports.
         node.follow(new Pace(HostedNode.STORE_WAIT, ENDPOINTS_REST), settings::seeds);
-        run("report", REPORT_MILLIS, keeper::refresh);
+        run("report", REPORT_MILLIS, new Reports());
         run("fetch", LOOK_MILLIS, keeper::fetch);
         run("replica", LOOK_MILLIS, keeper::step);
         run("standstill", LOOK_MILLIS, new StandstillWatch());
         LOG.info("event=started role=agent instance={}", settings.instance().id());
     }
 
+    /**
+     * Asks the endpoint how it is, and tells entries at once when it takes requests again, or no more. Asked by an entry of
+     * another region only every 450 ms, it would stand idle for half of that after each change of versions.
+     */
+    private final class Reports implements Step {
+
+        private Optional<Serving> toldLast = Optional.empty();
+
+        private record Serving(boolean loading, long version) {}
+
+        @Override
+        public void take() {
+            keeper.refresh();
+            Optional<Serving> now = told().map(told -> new Serving(told.loading(), told.version()));
+            if (!now.equals(toldLast)) {
+                toldLast = now;
+                tellEntries();
+            }
+        }
+    }
+
     /** Says that the instance stood still, so that what entries and endpoints tell of that time can be explained. */
     private final class StandstillWatch implements Step {
 
@@ -148,7 +170,15 @@
                         0,
                         report.busy() || keeper.closing(),
                         model().map(model -> report.models().getOrDefault(model, 0L))
-                                .orElse(0L)));
+                                .orElse(0L),
+                        freePlaces(report)));
+    }
+
+    /** The endpoint's places that no request has; any number while the manifest, which says how many there are, is not known. */
+    private int freePlaces(ModelEndpoint.Report report) {
+        return modelService()
+                .map(service -> Math.max(0, service.slots() - report.running() - report.queued()))
+                .orElse(EndpointLoad.Told.ANY_PLACES);
     }
 
     private boolean serves() {
--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -20,8 +20,17 @@
      */
     private static final double OTHER_REGION_MILLIS = 60;
 
-    /** The part of the objective that a predicted first event may take; the rest is for what the prediction misses. */
-    private static final double OBJECTIVE_PART = 0.8;
+    /** The part of the objective that is kept for what the prediction of the first event misses. */
+    private static final double OBJECTIVE_KEPT = 0.2;
+
+    /**
+     * The part of an endpoint's slots that is kept from requests whose objective is over: at full load their answers, worth a
+     * quarter, would take the places of answers that can still be in time.
+     */
+    private static final double SLOTS_KEPT_FROM_LATE = 0.25;
+
+    /** The part of the objective that a late request may have to wait for its first event, so that it delays few others. */
+    private static final double LATE_OBJECTIVE_PART = 0.5;
 
     /** How many times its slots a plain endpoint may hold, its queue included, before requests are refused. */
     private static final double PLAIN_SLOTS = 2;
@@ -39,6 +48,7 @@
     private static final double MODEL_SLOTS = 1;
 
     private final Map<String, EndpointLoad> loads = new HashMap<>();
+    private final UnmetDemand unmet = new UnmetDemand();
     private final Map<String, String> regions;
     private final String region;
 
@@ -58,6 +68,7 @@
      *
      * @param promptTokens the tokens of its prompt, 0 for plain services
      * @param objectiveMillis the time within which it should begin to be answered
+     * @param millisToObjective what is left of that time since its client first tried; 0 or less if it is over
      * @param model the figures of the service's model, empty for plain services
      * @param leastVersion the weight version that must answer; 0 for any
      * @param newestVersion the newest weight version that was named; 0 if none was
@@ -66,10 +77,27 @@
     public record Wanted(
             int promptTokens,
             long objectiveMillis,
+            long millisToObjective,
             Optional<ModelService> model,
             long leastVersion,
             long newestVersion,
-            Set<String> tried) {}
+            Set<String> tried) {
+
+        /** A request whose client tries for the first time. */
+        Wanted(
+                int promptTokens,
+                long objectiveMillis,
+                Optional<ModelService> model,
+                long leastVersion,
+                long newestVersion,
+                Set<String> tried) {
+            this(promptTokens, objectiveMillis, objectiveMillis, model, leastVersion, newestVersion, tried);
+        }
+
+        private boolean late() {
+            return millisToObjective <= 0;
+        }
+    }
 
     /** What was chosen. */
     public sealed interface Choice {
@@ -125,6 +153,15 @@
                         one -> !present.contains(one.getKey()) && one.getValue().idle());
     }
 
+    /**
+     * How many requests for models this entry lately had to turn away for want of room.
+     *
+     * @return the count, to be kept
+     */
+    public UnmetDemand unmet() {
+        return unmet;
+    }
+
     // -- choosing
 
     /**
@@ -158,7 +195,7 @@
         List<EndpointEntry> heard =
                 able.stream().filter(one -> !silent(one, nowMillis)).toList();
         List<EndpointEntry> well = heard.stream()
-                .filter(one -> !load(one.id()).excluded(nowMillis))
+                .filter(one -> !load(one.id()).failures().excluded(nowMillis))
                 .filter(one -> !load(one.id()).delayed(nowMillis))
                 .toList();
         if (!well.isEmpty()) {
@@ -230,13 +267,39 @@
         return Math.max(entered, load(endpoint.id()).version());
     }
 
+    /**
+     * How long a request may wait for room and still be in time, if it then finds an endpoint that has nothing else to read.
+     *
+     * @param wanted what is to be sent
+     * @return milliseconds; not above 0 if it may not wait, as those for plain services, whose requests are short
+     */
+    public long spareMillis(Wanted wanted) {
+        return wanted.model()
+                .map(model -> firstEvent(model, new EndpointLoad(), wanted.promptTokens(), 0))
+                .map(least -> Math.round(millisToBegin(wanted) - least))
+                .orElse(0L);
+    }
+
+    /** Within which the first event must be predicted to come. */
+    private static double millisToBegin(Wanted wanted) {
+        return wanted.millisToObjective() - wanted.objectiveMillis() * OBJECTIVE_KEPT;
+    }
+
     private boolean hasRoom(EndpointEntry endpoint, Wanted wanted, long nowMillis) {
         int requests = load(endpoint.id()).requests(nowMillis);
         if (wanted.model().isEmpty()) {
             return requests < endpoint.slots() * PLAIN_SLOTS;
         }
-        return requests < endpoint.slots() * MODEL_SLOTS
-                && predicted(endpoint, wanted, nowMillis) < wanted.objectiveMillis() * OBJECTIVE_PART;
+        if (!load(endpoint.id()).ownsPlace(nowMillis)) {
+            return false;
+        }
+        double slots = endpoint.slots() * MODEL_SLOTS;
+        double predicted = predicted(endpoint, wanted, nowMillis);
+        if (wanted.late()) {
+            return requests < slots * (1 - SLOTS_KEPT_FROM_LATE)
+                    && predicted < wanted.objectiveMillis() * LATE_OBJECTIVE_PART;
+        }
+        return requests < slots && predicted < millisToBegin(wanted);
     }
 
     private double predicted(EndpointEntry endpoint, Wanted wanted, long nowMillis) {
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -6,18 +6,6 @@
  */
 public final class EndpointLoad {
 
-    /** How long an endpoint is left out after the first failure in a row, in milliseconds; doubled by each further one. */
-    private static final long FIRST_EXCLUSION_MILLIS = 1_000;
-
-    /** The longest exclusion, in milliseconds: an endpoint that is back gets traffic again within this. */
-    private static final long LONGEST_EXCLUSION_MILLIS = 8_000;
-
-    /** The weight of the newest answer in the share of failures. */
-    private static final double FAILURE_SMOOTHING = 0.15;
-
-    /** The share of failed answers from which an endpoint is left out: well above the errors that healthy services give. */
-    private static final double FAILURE_SHARE = 0.5;
-
     /**
      * From when on the way to an endpoint and back counts as slow, in milliseconds: about an objective, so that no answer could
      * come in time; links that weights pass through take up to a fifth of a second.
@@ -43,9 +31,7 @@
     private boolean unanswered;
     private long lastDelayedMillis = -SLOW_AGAIN_MILLIS - 1;
     private long version;
-    private int failuresInARow;
-    private double failureShare;
-    private long excludedUntilMillis = Long.MIN_VALUE;
+    private final Failures failures = new Failures();
 
     // -- own requests
 
@@ -131,8 +117,25 @@
      * @param othersPromptTokens prompt tokens that other entries have waiting there
      * @param loading whether the endpoint is taking up weights
      * @param version the weight version it holds; 0 for none
+     * @param places how many of the endpoint's free places are this entry's, until it is told again
      */
-    public record Told(int requests, int othersPromptTokens, boolean loading, long version) {}
+    public record Told(int requests, int othersPromptTokens, boolean loading, long version, int places) {
+
+        /** What {@link #places} is where an agent deals none out: all that are free may be taken. */
+        public static final int ANY_PLACES = Integer.MAX_VALUE;
+
+        /**
+         * What an agent tells that deals no places out.
+         *
+         * @param requests the requests at the endpoint, those in its queue too
+         * @param othersPromptTokens prompt tokens that other entries have waiting there
+         * @param loading whether the endpoint is taking up weights
+         * @param version the weight version it holds; 0 for none
+         */
+        public Told(int requests, int othersPromptTokens, boolean loading, long version) {
+            this(requests, othersPromptTokens, loading, version, ANY_PLACES);
+        }
+    }
 
     /**
      * The endpoint's agent told what it does.
@@ -186,6 +189,16 @@
         return nowMillis - toldAtMillis <= TOLD_MILLIS;
     }
 
+    /**
+     * How old what the endpoint's agent told last is.
+     *
+     * @param nowMillis the time on the steady clock
+     * @return milliseconds
+     */
+    public long millisSinceTold(long nowMillis) {
+        return nowMillis - toldAtMillis;
+    }
+
     /**
      * Whether the endpoint's agent used to tell and tells no more, be the endpoint heard or not: questions or answers may be
      * lost in a link that is full.
@@ -256,54 +269,26 @@
         return toldLately(nowMillis) ? Math.max(requests, told.requests() + requests - requestsWhenTold) : requests;
     }
 
-    // -- failures
-
-    /** The endpoint gave an answer that may be passed on. */
-    public void succeeded() {
-        failuresInARow = 0;
-        failureShare *= 1 - FAILURE_SMOOTHING;
-    }
-
-    /**
-     * A connection failed, broke, or gave what is no answer.
-     *
-     * @param nowMillis the time on the steady clock
-     */
-    public void broke(long nowMillis) {
-        long exclusion = FIRST_EXCLUSION_MILLIS << Math.min(failuresInARow, 3);
-        failuresInARow++;
-        excludedUntilMillis = nowMillis + Math.min(exclusion, LONGEST_EXCLUSION_MILLIS);
-    }
-
     /**
-     * The endpoint answered with an error of its own.
+     * Whether one more of the entry's requests fits into the places that are its own: those that its requests have, which it may
+     * fill again when they end, and those that the agent dealt to it. Without that, all entries would take a place that one
+     * of them reads of, and the requests that come last wait inside the endpoint.
      *
      * @param nowMillis the time on the steady clock
+     * @return true also if the agent dealt none out, or has not told anything lately
      */
-    public void failed(long nowMillis) {
-        failureShare += (1 - failureShare) * FAILURE_SMOOTHING;
-        if (failureShare > FAILURE_SHARE) {
-            excludedUntilMillis = nowMillis + FIRST_EXCLUSION_MILLIS;
-        }
+    public boolean ownsPlace(long nowMillis) {
+        return !toldLately(nowMillis) || requests - requestsWhenTold < told.places();
     }
 
-    /**
-     * At the endpoint's address is another one, or it holds another weight version than is wanted: its entry is older than
-     * what it tells of itself.
-     *
-     * @param nowMillis the time on the steady clock
-     */
-    public void misdirected(long nowMillis) {
-        excludedUntilMillis = Math.max(excludedUntilMillis, nowMillis + FIRST_EXCLUSION_MILLIS);
-    }
+    // -- failures
 
     /**
-     * Whether the endpoint is left out because of failures.
+     * How the endpoint's last requests ended.
      *
-     * @param nowMillis the time on the steady clock
-     * @return true until the exclusion ends
+     * @return the record, to be kept
      */
-    public boolean excluded(long nowMillis) {
-        return nowMillis < excludedUntilMillis;
+    public Failures failures() {
+        return failures;
     }
 }
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -74,7 +74,11 @@
         beganMillis = parts.nowMillis();
         load.began(request.promptTokens());
         Sending sending = new Sending(
-                endpoint, Math.max(1, run.millisLeft()), parts.versions().expected(request, endpoint), events.lastId());
+                endpoint,
+                Math.max(1, run.millisLeft()),
+                parts.versions().expected(request, endpoint),
+                events.lastId(),
+                run.late());
         connectTimer = Optional.of(after(CONNECT_MILLIS, this::notConnected));
         limitWaiting();
         cancel = parts.caller().send(parts.protocol().call(request, sending), this);
@@ -98,12 +102,14 @@
         beginTimer.ifPresent(XnioExecutor.Key::remove);
         promptDone();
         load.ended();
+        parts.line().roomMayBe();
     }
 
     private void promptDone() {
         if (!promptRead) {
             promptRead = true;
             load.promptRead(request.promptTokens());
+            parts.line().roomMayBe();
         }
     }
 
@@ -194,7 +200,7 @@
         if (over || sending) {
             return;
         }
-        load.broke(parts.nowMillis());
+        load.failures().broke(parts.nowMillis());
         failed(AttemptEnd.NOT_RUN, "no connection within " + CONNECT_MILLIS + " ms");
     }
 
@@ -227,10 +233,10 @@
         if (read.notRun()) {
             failed(AttemptEnd.NOT_RUN, "the endpoint refused with " + status);
         } else if (read.misdirected()) {
-            load.misdirected(parts.nowMillis());
+            load.failures().misdirected(parts.nowMillis());
             failed(AttemptEnd.MISDIRECTED, "another endpoint or version is at " + endpoint.address());
         } else if (!read.own() || !read.signed()) {
-            load.broke(parts.nowMillis());
+            load.failures().broke(parts.nowMillis());
             failed(AttemptEnd.UNKNOWN, "what came is no answer to this request");
         } else {
             answered(read);
@@ -240,9 +246,9 @@
     private void answered(AnswerHead read) {
         boolean error = read.status() >= SERVER_ERROR;
         if (error) {
-            load.failed(parts.nowMillis());
+            load.failures().failed(parts.nowMillis());
         } else {
-            load.succeeded();
+            load.failures().succeeded();
             parts.metrics().firstByte.update(run.millisTaken(), TimeUnit.MILLISECONDS);
         }
         boolean mustNotPass = PROMISES_NOT_RUN.contains(read.status())
@@ -325,7 +331,7 @@
         if (over) {
             return;
         }
-        load.broke(parts.nowMillis());
+        load.failures().broke(parts.nowMillis());
         events.dropRemainder();
         failed(sent ? AttemptEnd.UNKNOWN : AttemptEnd.NOT_RUN, fault.message());
     }
--- a/src/main/java/org/micabarrow/serving/EndpointProtocol.java
+++ b/src/main/java/org/micabarrow/serving/EndpointProtocol.java
@@ -16,8 +16,14 @@
      * @param millisLeft how long the client will still wait
      * @param version the only weight version that may answer, empty for any
      * @param lastEvent the last event received, if a stream is to go on after it
+     * @param late whether its objective is over, so that all others go before it
      */
-    record Sending(EndpointEntry endpoint, long millisLeft, Optional<Long> version, Optional<String> lastEvent) {}
+    record Sending(
+            EndpointEntry endpoint,
+            long millisLeft,
+            Optional<Long> version,
+            Optional<String> lastEvent,
+            boolean late) {}
 
     /**
      * The beginning of an endpoint's answer.
--- /dev/null
+++ b/src/main/java/org/micabarrow/serving/RequestLog.java
@@ -0,0 +1,79 @@
+package org.micabarrow.serving;
+
+import org.micabarrow.admission.Admission.Decision;
+import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.routing.EndpointChoice.Choice;
+import org.micabarrow.routing.EndpointEntry;
+import org.micabarrow.routing.EndpointLoad;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Writes a line for each decision on one request, with what decided it and how old that was. */
+final class RequestLog {
+
+    private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.request");
+
+    private final ServingParts parts;
+    private final ClientRequest request;
+    private final long sinceFirstTryMillis;
+    private final EventTimes eventTimes;
+
+    RequestLog(ServingParts parts, ClientRequest request, long sinceFirstTryMillis, EventTimes eventTimes) {
+        this.parts = parts;
+        this.request = request;
+        this.sinceFirstTryMillis = sinceFirstTryMillis;
+        this.eventTimes = eventTimes;
+    }
+
+    void waits(Decision.Wait wait, long millisToObjective) {
+        LOG.info(
+                "event=waits request={} endpoints={} toObjectiveMs={} spareMs={} ahead={}",
+                request.id(),
+                wait.endpoints(),
+                millisToObjective,
+                wait.millis(),
+                parts.line().size());
+    }
+
+    void sent(Choice.Send chosen, String why, int attempt, long millisToObjective, long millisLeft) {
+        EndpointLoad load = parts.load(chosen.endpoint().id());
+        long now = parts.nowMillis();
+        LOG.info(
+                "event=sent request={} endpoint={} hall={} attempt={} why=\"{}\" predictedMs={} requestsThere={}"
+                        + " toldMsAgo={} toObjectiveMs={} leftMs={} {}",
+                request.id(),
+                chosen.endpoint().id(),
+                chosen.endpoint().dataHall(),
+                attempt,
+                why,
+                Math.round(chosen.predictedMillis()),
+                load.requests(now),
+                load.hasAgent() ? load.millisSinceTold(now) : "-",
+                millisToObjective,
+                millisLeft,
+                parts.viewAge());
+    }
+
+    void notSent(EndpointEntry endpoint) {
+        LOG.info(
+                "event=not_sent request={} endpoint={} why=\"its agent did not answer in time, or it closes\"",
+                request.id(),
+                endpoint.id());
+    }
+
+    void finished(String outcome, String why, int attempts, long millis) {
+        LOG.info(
+                "event=finished request={} route={} organisation={} outcome={} attempts={} sinceFirstTryMs={} firstMs={}"
+                        + " pauseMs={} ms={} why=\"{}\"",
+                request.id(),
+                request.route().name(),
+                request.organisation().orElse("-"),
+                outcome,
+                attempts,
+                sinceFirstTryMillis,
+                eventTimes.firstMillis(),
+                eventTimes.longestPauseMillis(),
+                millis,
+                why);
+    }
+}
--- a/src/main/java/org/micabarrow/serving/RequestRun.java
+++ b/src/main/java/org/micabarrow/serving/RequestRun.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.micabarrow.admission.Admission.Decision;
+import org.micabarrow.admission.WaitingLine;
 import org.micabarrow.attempts.AttemptEnd;
 import org.micabarrow.attempts.AttemptPolicy;
 import org.micabarrow.attempts.ClientRequest;
@@ -11,16 +13,12 @@
 import org.micabarrow.routing.EndpointChoice.Choice;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.RequestKind;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
 /** One request from its arrival to its answer. All of it runs on the one thread for traffic. */
 final class RequestRun implements OpenRequests.Open {
 
-    private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.request");
-
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -33,13 +31,16 @@
     private final ClientAnswer answer;
     private final XnioIoThread thread;
     private final long beganMillis;
+    private final long sinceFirstTryMillis;
     private final Set<String> tried = new HashSet<>();
     private final EventSplitter events = new EventSplitter();
+    private final EventTimes eventTimes = new EventTimes();
+    private final RequestLog log;
     private int askedInVain;
     private boolean mayHaveRun;
     private boolean finished;
-    private boolean eventsPassed;
     private Optional<Attempt> current = Optional.empty();
+    private Optional<WaitingLine.Place> place = Optional.empty();
     private Optional<XnioExecutor.Key> deadline = Optional.empty();
 
     RequestRun(ServingParts parts, ClientRequest request, ClientAnswer answer, XnioIoThread thread) {
@@ -48,6 +49,9 @@
         this.answer = answer;
         this.thread = thread;
         this.beganMillis = parts.nowMillis();
+        this.sinceFirstTryMillis =
+                parts.firstTries().millisSince(request.route().name(), request.deadlineMillis() - beganMillis);
+        this.log = new RequestLog(parts, request, sinceFirstTryMillis, eventTimes);
     }
 
     void begin() {
@@ -90,16 +94,72 @@
                 request.deadlineMillis() - now, beganMillis + request.route().timeoutMillis() - now);
     }
 
-    // -- sending
+    /** What is left of the objective since the client first tried; the rest of an answer that has begun is always urgent. */
+    private long millisToObjective() {
+        long objective = request.route().objectiveMillis();
+        return answer.begun() ? objective : objective - sinceFirstTryMillis - millisTaken();
+    }
+
+    /** Whether an answer can no longer be in time. */
+    boolean late() {
+        return millisToObjective() <= 0;
+    }
+
+    // -- deciding
+
+    private Decision decide() {
+        return parts.decide(request, millisToObjective(), tried);
+    }
 
     private void next(String why) {
-        switch (parts.choose(request, tried)) {
-            case Choice.Send chosen -> sendOrAsk(chosen, why);
-            case Choice.Full(int endpoints) -> cannotSend("all " + endpoints + " endpoints are full");
-            case Choice.None ignored -> cannotSend("no endpoint can serve");
+        switch (decide()) {
+            case Decision.Send(Choice.Send chosen) -> sendOrAsk(chosen, why);
+            case Decision.Wait wait when !answer.begun() -> waitForRoom(wait, why);
+            case Decision.Wait(long ignored, int endpoints) -> noRoom("all " + endpoints + " endpoints are full");
+            case Decision.Full(int endpoints) -> noRoom("all " + endpoints + " endpoints are full");
+            case Decision.Unable ignored -> cannotSend("no endpoint can serve");
+        }
+    }
+
+    private void noRoom(String why) {
+        parts.turnedAway(request);
+        cannotSend(why);
+    }
+
+    private void waitForRoom(Decision.Wait wait, String why) {
+        log.waits(wait, millisToObjective());
+        long latest = parts.nowMillis() + wait.millis();
+        place = Optional.of(parts.line().join(request.priority(), latest, new ForRoom(why), thread));
+    }
+
+    /** Waits until an endpoint has room. */
+    private final class ForRoom implements WaitingLine.Waiter {
+
+        private final String why;
+
+        private ForRoom(String why) {
+            this.why = why;
+        }
+
+        @Override
+        public boolean tryStart() {
+            if (decide() instanceof Decision.Wait) {
+                return false;
+            }
+            place = Optional.empty();
+            next(why);
+            return true;
+        }
+
+        @Override
+        public void tooLate() {
+            place = Optional.empty();
+            noRoom("no endpoint had room in time");
         }
     }
 
+    // -- sending
+
     /** Sends at once, or once the endpoint's agent has answered. */
     private void sendOrAsk(Choice.Send chosen, String why) {
         if (!parts.mustAsk(request, chosen.endpoint())) {
@@ -119,18 +179,11 @@
         if (maySend) {
             send(chosen, why);
         } else {
-            logNotSent(chosen.endpoint());
+            log.notSent(chosen.endpoint());
             next(why);
         }
     }
 
-    private void logNotSent(EndpointEntry endpoint) {
-        LOG.info(
-                "event=not_sent request={} endpoint={} why=\"its agent did not answer in time, or it closes\"",
-                request.id(),
-                endpoint.id());
-    }
-
     private void cannotSend(String why) {
         if (answer.begun()) {
             broken(why);
@@ -148,25 +201,12 @@
         if (tried.size() > 1) {
             parts.metrics().repeats.inc();
         }
-        logSent(chosen, why);
+        log.sent(chosen, why, tried.size(), millisToObjective(), millisLeft());
         Attempt attempt = new Attempt(this, endpoint);
         current = Optional.of(attempt);
         attempt.begin();
     }
 
-    private void logSent(Choice.Send chosen, String why) {
-        LOG.info(
-                "event=sent request={} endpoint={} hall={} attempt={} why=\"{}\" predictedMs={} leftMs={} {}",
-                request.id(),
-                chosen.endpoint().id(),
-                chosen.endpoint().dataHall(),
-                tried.size(),
-                why,
-                Math.round(chosen.predictedMillis()),
-                millisLeft(),
-                parts.viewAge());
-    }
-
     /** Decides what follows when an attempt has ended without an answer: another one, or the end of the request. */
     void again(AttemptEnd end, String why) {
         mayHaveRun |= !end.surelyNotRun();
@@ -192,19 +232,19 @@
     boolean mayTakeAnother() {
         AttemptPolicy.Progress progress = new AttemptPolicy.Progress(tried.size(), true, millisLeft());
         return request.route().kind().repeatable()
-                && parts.otherEndpoint(request, tried)
+                && decide() instanceof Decision.Send
                 && AttemptPolicy.again(request.route(), progress, parts.budget()::tryRetry);
     }
 
     /** Whether an answer that has begun can go on at another endpoint. */
     boolean mayGoOn() {
         return request.route().kind() == RequestKind.RESUMABLE_STREAM
-                && (!eventsPassed || events.lastId().isPresent());
+                && (!eventTimes.any() || events.lastId().isPresent());
     }
 
-    /** Remembers that the client has got events, so that another endpoint must go on after the last of them. */
+    /** Remembers that the client has got events. */
     void eventsPassed() {
-        eventsPassed = true;
+        eventTimes.passed(millisTaken());
     }
 
     @Override
@@ -268,15 +308,8 @@
         finished = true;
         parts.open().remove(this);
         current = Optional.empty();
+        place.ifPresent(parts.line()::leave);
         deadline.ifPresent(XnioExecutor.Key::remove);
-        LOG.info(
-                "event=finished request={} route={} organisation={} outcome={} attempts={} ms={} why=\"{}\"",
-                request.id(),
-                request.route().name(),
-                request.organisation().orElse("-"),
-                outcome,
-                tried.size(),
-                millisTaken(),
-                why);
+        log.finished(outcome, why, tried.size(), millisTaken());
     }
 }
--- /dev/null
+++ b/src/main/java/org/micabarrow/serving/RoomLine.java
@@ -0,0 +1,57 @@
+package org.micabarrow.serving;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.micabarrow.admission.WaitingLine;
+import org.micabarrow.admission.WaitingLine.Place;
+import org.micabarrow.admission.WaitingLine.Waiter;
+import org.xnio.XnioIoThread;
+
+/** The entry's requests that wait for room, looked through whenever a place may have fallen free. */
+final class RoomLine {
+
+    /**
+     * How often the line is looked through while requests wait, in milliseconds, besides when one of the entry's own requests
+     * frees its place: what agents tell may show room, and the time of those that wait runs out. A tenth of the shortest wait.
+     */
+    private static final long LOOK_MILLIS = 10;
+
+    private final WaitingLine line = new WaitingLine();
+    private final LongSupplier steadyMillis;
+    private boolean looking;
+
+    RoomLine(LongSupplier steadyMillis) {
+        this.steadyMillis = steadyMillis;
+    }
+
+    Place join(int rank, long latestStartMillis, Waiter waiter, XnioIoThread thread) {
+        Place place = line.join(rank, latestStartMillis, waiter);
+        if (!looking) {
+            looking = true;
+            thread.executeAfter(() -> look(thread), LOOK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        return place;
+    }
+
+    void leave(Place place) {
+        line.leave(place);
+    }
+
+    int size() {
+        return line.size();
+    }
+
+    /** One of the entry's requests has begun to be answered, or has left its endpoint. */
+    void roomMayBe() {
+        line.serve();
+    }
+
+    private void look(XnioIoThread thread) {
+        line.expire(steadyMillis.getAsLong());
+        line.serve();
+        looking = line.size() > 0;
+        if (looking) {
+            thread.executeAfter(() -> look(thread), LOOK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -4,9 +4,11 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.micabarrow.admission.Admission;
+import org.micabarrow.admission.Admission.Decision;
+import org.micabarrow.admission.FirstTries;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.admission.RetryBudget;
-import org.micabarrow.routing.EndpointChoice.Choice;
 import org.micabarrow.routing.EndpointChoice.Wanted;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.EndpointLoad;
@@ -18,9 +20,10 @@
 final class ServingParts {
 
     /**
-     * The part of its remaining time after which a refused client is told to come back. Its objective counts anew from
-     * then, so late is as good as soon, and a queue or a weight version that is being taken up needs a second or two;
-     * clients heed up to a third.
+     * The part of its remaining time after which a refused client is told to come back. A request is refused when its answer
+     * cannot be in time any more, so that coming back sooner gains nothing: with 0.005 to 0.3 callers got the same at 0.8 to 1.4
+     * times the engines' rate (emulated, within 0.01 of the mean worth). Later leaves more time for what is wrong to pass: an
+     * endpoint that starts anew, or a weight version that is taken up, needs a second or two. Clients heed up to a third.
      */
     private static final double COME_BACK_PART = 0.3;
 
@@ -28,6 +31,9 @@
     private final WeightVersions versions;
     private final ServingMetrics metrics;
     private final OpenRequests open = new OpenRequests();
+    private final FirstTries firstTries = new FirstTries();
+    private final Admission admission;
+    private final RoomLine line;
 
     /**
      * Adds to what a handler works with what its requests share.
@@ -38,6 +44,8 @@
         this.given = Objects.requireNonNull(given, "given is null");
         this.versions = new WeightVersions(given);
         this.metrics = new ServingMetrics(given.registry());
+        this.admission = new Admission(given.choice());
+        this.line = new RoomLine(given.steadyMillis());
     }
 
     // -- parts
@@ -74,6 +82,14 @@
         return open;
     }
 
+    FirstTries firstTries() {
+        return firstTries;
+    }
+
+    RoomLine line() {
+        return line;
+    }
+
     long nowMillis() {
         return given.steadyMillis().getAsLong();
     }
@@ -94,29 +110,33 @@
         return now == null || now.leaving();
     }
 
-    Choice choose(ClientRequest request, Set<String> tried) {
+    /** Counts a request that is turned away for want of room; agents divide their endpoints' places by it. */
+    void turnedAway(ClientRequest request) {
+        if (versions.model(request).isPresent()) {
+            given.choice().unmet().turnedAway(nowMillis());
+        }
+    }
+
+    /** What happens to a request of which so much of the objective is left. */
+    Decision decide(ClientRequest request, long millisToObjective, Set<String> tried) {
         List<EndpointEntry> endpoints = view().endpointsOf(request.service());
-        return given.choice().choose(endpoints, wanted(request, tried), nowMillis());
+        return admission.decide(endpoints, wanted(request, millisToObjective, tried), nowMillis());
     }
 
-    private Wanted wanted(ClientRequest request, Set<String> tried) {
+    private Wanted wanted(ClientRequest request, long millisToObjective, Set<String> tried) {
         return new Wanted(
                 request.promptTokens(),
                 request.route().objectiveMillis(),
+                millisToObjective,
                 versions.model(request),
                 versions.least(request),
                 versions.newest(request),
                 tried);
     }
 
-    /** Whether an endpoint that was not tried yet could take the request. */
-    boolean otherEndpoint(ClientRequest request, Set<String> tried) {
-        return choose(request, tried) instanceof Choice.Send;
-    }
-
     /** Whether an endpoint's agent is to be asked before the request is sent there. */
     boolean mustAsk(ClientRequest request, EndpointEntry endpoint) {
-        return versions.askDue(request, endpoint) && given.choice().mustAsk(endpoint, wanted(request, Set.of()));
+        return versions.askDue(request, endpoint) && given.choice().mustAsk(endpoint, wanted(request, 0, Set.of()));
     }
 
     /** Asks an endpoint's agent, and tells then whether the request may be sent there. */
@@ -130,7 +150,7 @@
     }
 
     private boolean able(ClientRequest request, EndpointEntry endpoint) {
-        return given.choice().able(endpoint, wanted(request, Set.of()), nowMillis());
+        return given.choice().able(endpoint, wanted(request, 0, Set.of()), nowMillis());
     }
 
     // -- for the client and the log
--- a/src/main/java/org/micabarrow/transport/LoadFeed.java
+++ b/src/main/java/org/micabarrow/transport/LoadFeed.java
@@ -171,8 +171,9 @@
         int ownPromptTokens = endpoints.stream()
                 .mapToInt(id -> parts.choice().load(id).ownPromptTokens())
                 .sum();
+        int unmet = parts.choice().unmet().lately(parts.steadyMillis().getAsLong());
         ByteBuffer question =
-                LoadMessages.write(new LoadMessages.Question(parts.place().id(), ownPromptTokens, number));
+                LoadMessages.write(new LoadMessages.Question(parts.place().id(), ownPromptTokens, number, unmet));
         try {
             channel.send(question, new InetSocketAddress(host, parts.peerPort()));
         } catch (IOException e) {
--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -22,6 +22,8 @@
     private static final String LOADING = "l";
     private static final String VERSION = "v";
     private static final String NUMBER = "n";
+    private static final String UNMET = "u";
+    private static final String PLACES = "f";
 
     private LoadMessages() {}
 
@@ -33,14 +35,16 @@
      * @param entry the entry's name
      * @param promptTokens the prompt tokens of its requests whose answers have not begun
      * @param number tells it from the entry's other questions
+     * @param unmet the requests for models that the entry turned away for want of room in about the last second
      */
-    record Question(String entry, int promptTokens, int number) {}
+    record Question(String entry, int promptTokens, int number, int unmet) {}
 
     static ByteBuffer write(Question question) {
         ObjectNode json = CanonicalJson.mapper().createObjectNode();
         json.put(ENTRY, question.entry());
         json.put(PROMPT_TOKENS, question.promptTokens());
         json.put(NUMBER, question.number());
+        json.put(UNMET, question.unmet());
         return ByteBuffer.wrap(CanonicalJson.write(json));
     }
 
@@ -49,7 +53,8 @@
         return new Question(
                 json.path(ENTRY).asText(),
                 json.path(PROMPT_TOKENS).asInt(),
-                json.path(NUMBER).asInt());
+                json.path(NUMBER).asInt(),
+                json.path(UNMET).asInt());
     }
 
     // -- answers
@@ -70,6 +75,7 @@
         json.put(LOADING, told.loading());
         json.put(VERSION, told.version());
         json.put(NUMBER, answer.number());
+        json.put(PLACES, told.places());
         return ByteBuffer.wrap(CanonicalJson.write(json));
     }
 
@@ -79,7 +85,8 @@
                 json.path(REQUESTS).asInt(),
                 json.path(PROMPT_TOKENS).asInt(),
                 json.path(LOADING).asBoolean(),
-                json.path(VERSION).asLong());
+                json.path(VERSION).asLong(),
+                json.path(PLACES).asInt(Told.ANY_PLACES));
         return new Answer(json.path(NUMBER).asInt(), told);
     }
 
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.micabarrow.admission.PlaceShares;
 import org.micabarrow.routing.EndpointLoad.Told;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -24,6 +26,7 @@
     private final Supplier<Optional<Told>> endpoint;
     private final LongSupplier steadyMillis;
     private final Map<String, Said> entries = new ConcurrentHashMap<>();
+    private final PlaceShares shares = new PlaceShares(RandomGenerator.of("L64X128MixRandom"));
 
     private record Said(InetSocketAddress from, LoadMessages.Question question, long atMillis) {}
 
@@ -37,7 +40,7 @@
      * Answers questions on a thread of its own.
      *
      * @param address the host and port
-     * @param endpoint what is known of the endpoint; empty while it does not answer
+     * @param endpoint what is known of the endpoint, with all its free places; empty while it does not answer
      * @param steadyMillis a clock that never steps, in milliseconds
      * @return the running server
      * @throws IOException if the address cannot be used
@@ -82,15 +85,26 @@
 
     private void tell(Said said) throws IOException {
         Optional<Told> told = endpoint.get();
-        if (told.isEmpty()) {
-            return;
+        if (told.isPresent()) {
+            tell(said, told.get(), share(said.question(), told.get()));
         }
+    }
+
+    private int share(LoadMessages.Question question, Told told) {
+        if (told.places() == Told.ANY_PLACES) {
+            return Told.ANY_PLACES;
+        }
+        synchronized (shares) {
+            return shares.deal(question.entry(), question.unmet(), told.places(), steadyMillis.getAsLong());
+        }
+    }
+
+    private void tell(Said said, Told told, int places) throws IOException {
         int others = entries.entrySet().stream()
                 .filter(one -> !one.getKey().equals(said.question().entry()))
                 .mapToInt(one -> one.getValue().question().promptTokens())
                 .sum();
-        Told all = new Told(
-                told.get().requests(), others, told.get().loading(), told.get().version());
+        Told all = new Told(told.requests(), others, told.loading(), told.version(), places);
         channel.send(LoadMessages.write(new LoadMessages.Answer(said.question().number(), all)), said.from());
     }
 }
--- /dev/null
+++ b/src/test/java/org/micabarrow/play/LoadPlay.java
@@ -0,0 +1,363 @@
+package org.micabarrow.play;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.micabarrow.admission.Admission;
+import org.micabarrow.admission.Admission.Decision;
+import org.micabarrow.admission.FirstTries;
+import org.micabarrow.admission.PlaceShares;
+import org.micabarrow.admission.WaitingLine;
+import org.micabarrow.routing.EndpointChoice;
+import org.micabarrow.routing.EndpointChoice.Wanted;
+import org.micabarrow.routing.EndpointEntry;
+import org.micabarrow.routing.EndpointLoad;
+import org.micabarrow.routing.EndpointLoad.Told;
+import org.micabarrow.routing.ModelService;
+
+/**
+ * Plays a load on some entries before some emulated engines, with the decisions that entries and agents make in earnest, and
+ * tells what callers get. Seeded, without a network, a minute of it in about a second.
+ */
+final class LoadPlay {
+
+    /** How long a caller waits in all, in milliseconds. */
+    private static final double BUDGET_MILLIS = 6_000;
+
+    /** The way from an entry to an engine's agent, and back, in milliseconds: once over to another region. */
+    private static final double WAY_MILLIS = 3;
+
+    /** The most prompt tokens and answer tokens that a request has. */
+    private static final int MOST_TOKENS = 4_000;
+
+    private final Events events = new Events();
+    private final Random random;
+    private final Setting setting;
+    private final List<Engine> engines = new ArrayList<>();
+    private final List<Entry> entries = new ArrayList<>();
+    private final Tally tally = new Tally();
+
+    /**
+     * What is played.
+     *
+     * @param entryShares the part of the callers that each entry gets
+     * @param engines how many engines there are
+     * @param model their figures
+     * @param perSecond requests a second
+     * @param askMillis how often an entry asks an agent
+     * @param lookMillis how often an agent looks at its engine
+     * @param dealt whether agents deal places out
+     * @param retryAfterPart the part of its time after which a refused caller comes back
+     * @param seed decides all that is random
+     */
+    record Setting(
+            List<Double> entryShares,
+            int engines,
+            ModelService model,
+            double perSecond,
+            long askMillis,
+            long lookMillis,
+            boolean dealt,
+            double retryAfterPart,
+            long seed) {}
+
+    /** What callers got. */
+    static final class Tally {
+
+        int asked;
+        int inTime;
+        int late;
+        int refusedOnce;
+        int refusedForGood;
+        int lateAtFirstTry;
+        final Map<String, Integer> askedAt = new HashMap<>();
+        final Map<String, Integer> inTimeAt = new HashMap<>();
+
+        double inTimePart() {
+            return (double) inTime / asked;
+        }
+
+        /** The part of the first tries at the worst-served entry that were answered in time. */
+        double worstEntry() {
+            return askedAt.keySet().stream()
+                    .mapToDouble(this::inTimePartAt)
+                    .min()
+                    .orElse(1);
+        }
+
+        /** As above at the best-served entry. */
+        double bestEntry() {
+            return askedAt.keySet().stream()
+                    .mapToDouble(this::inTimePartAt)
+                    .max()
+                    .orElse(1);
+        }
+
+        private double inTimePartAt(String entry) {
+            return (double) inTimeAt.getOrDefault(entry, 0) / askedAt.get(entry);
+        }
+
+        /** The mean worth of a request: 1 in time, a quarter late, and a loss if its caller was called back in vain. */
+        double worth() {
+            return (inTime + 0.25 * late - 0.3 * refusedForGood) / asked;
+        }
+
+        @Override
+        public String toString() {
+            return "asked=%d inTime=%.3f late=%.3f (first tries %.3f) refusedForGood=%.3f worth=%.3f entries %.2f to %.2f"
+                    .formatted(
+                            asked,
+                            inTimePart(),
+                            (double) late / asked,
+                            (double) lateAtFirstTry / asked,
+                            (double) refusedForGood / asked,
+                            worth(),
+                            worstEntry(),
+                            bestEntry());
+        }
+    }
+
+    private LoadPlay(Setting setting) {
+        this.setting = setting;
+        this.random = new Random(setting.seed());
+        for (int i = 0; i < setting.engines(); i++) {
+            engines.add(new Engine("e" + i));
+        }
+        setting.entryShares().forEach(share -> entries.add(new Entry("entry-" + entries.size())));
+    }
+
+    static Tally play(Setting setting, double seconds) {
+        LoadPlay play = new LoadPlay(setting);
+        play.engines.forEach(Engine::look);
+        play.entries.forEach(Entry::askAll);
+        play.arrive();
+        play.events.playUntil(seconds * 1_000);
+        return play.tally;
+    }
+
+    // -- callers
+
+    private void arrive() {
+        events.after(-Math.log(1 - random.nextDouble()) * 1_000 / setting.perSecond(), this::arrive);
+        Entry entry = entryFor(random.nextDouble());
+        tally.asked++;
+        tally.askedAt.merge(entry.name, 1, Integer::sum);
+        entry.take(new Caller(entry));
+    }
+
+    private Entry entryFor(double draw) {
+        double left = draw;
+        for (int i = 0; i < entries.size(); i++) {
+            left -= setting.entryShares().get(i);
+            if (left < 0) {
+                return entries.get(i);
+            }
+        }
+        return entries.getLast();
+    }
+
+    /** A caller, which comes back once if it is refused. */
+    private final class Caller {
+
+        private final Entry home;
+        private final double firstTry = events.now();
+        private final int kind = random.nextInt(3);
+        private final long objective = kind == 2 ? 300 : 400;
+        private final int promptTokens = tokens(kind == 0 ? 1_290 : kind == 1 ? 787 : 607, 1.0);
+        private final int answerTokens = tokens(kind == 2 ? 70 : 144, 0.8);
+        private boolean refused;
+
+        private Caller(Entry home) {
+            this.home = home;
+        }
+
+        private int tokens(double mean, double spread) {
+            double drawn = mean * Math.exp(spread * random.nextGaussian() - spread * spread / 2);
+            return (int) Math.clamp(drawn, 6, MOST_TOKENS);
+        }
+
+        private long millisGiven() {
+            return Math.round(BUDGET_MILLIS - (events.now() - firstTry));
+        }
+
+        private void refused() {
+            if (refused) {
+                tally.refusedForGood++;
+                return;
+            }
+            refused = true;
+            tally.refusedOnce++;
+            events.after(millisGiven() * setting.retryAfterPart(), () -> home.take(this));
+        }
+
+        private void began() {
+            if (events.now() - firstTry <= objective) {
+                tally.inTime++;
+                tally.inTimeAt.merge(home.name, 1, Integer::sum);
+            } else {
+                tally.late++;
+                tally.lateAtFirstTry += refused ? 0 : 1;
+            }
+        }
+    }
+
+    // -- engines, each with its agent
+
+    private final class Engine {
+
+        private final EngineEmulator emulator = new EngineEmulator(events, setting.model());
+        private final PlaceShares shares = new PlaceShares(new Random(random.nextLong()));
+        private final EndpointEntry listed;
+        private final Map<String, Integer> said = new HashMap<>();
+        private int reported;
+
+        private Engine(String id) {
+            this.listed = new EndpointEntry(
+                    id,
+                    "s",
+                    "10.0.0.1:80",
+                    "hall",
+                    setting.model().slots(),
+                    false,
+                    Map.of("m", 1L),
+                    setting.model().layers());
+        }
+
+        private void look() {
+            reported = emulator.requests();
+            events.after(setting.lookMillis(), this::look);
+        }
+
+        private Told asked(Entry entry, int ownPromptTokens, int unmet) {
+            said.put(entry.name, ownPromptTokens);
+            int others = said.entrySet().stream()
+                    .filter(one -> !one.getKey().equals(entry.name))
+                    .mapToInt(Map.Entry::getValue)
+                    .sum();
+            int free = setting.model().slots() - reported;
+            int places = setting.dealt() ? shares.deal(entry.name, unmet, free, events.nowMillis()) : Told.ANY_PLACES;
+            return new Told(reported, others, false, 1, places);
+        }
+    }
+
+    // -- entries
+
+    private final class Entry {
+
+        private final String name;
+        private final EndpointChoice choice = new EndpointChoice("region", Map.of("hall", "region"));
+        private final Admission admission = new Admission(choice);
+        private final WaitingLine line = new WaitingLine();
+        private final FirstTries firstTries = new FirstTries();
+        private final List<EndpointEntry> candidates =
+                engines.stream().map(engine -> engine.listed).toList();
+
+        private Entry(String name) {
+            this.name = name;
+        }
+
+        private void askAll() {
+            engines.forEach(engine -> {
+                int own = choice.load(engine.listed.id()).ownPromptTokens();
+                int unmet = choice.unmet().lately(events.nowMillis());
+                events.after(WAY_MILLIS, () -> {
+                    Told told = engine.asked(this, own, unmet);
+                    events.after(WAY_MILLIS, () -> {
+                        choice.load(engine.listed.id()).told(told, 2 * (long) WAY_MILLIS, events.nowMillis());
+                        line.serve();
+                    });
+                });
+            });
+            line.expire(events.nowMillis());
+            events.after(setting.askMillis() * (0.9 + 0.2 * random.nextDouble()), this::askAll);
+        }
+
+        private void take(Caller caller) {
+            new Run(this, caller, firstTries.millisSince("r", caller.millisGiven())).next();
+        }
+    }
+
+    /** A request at an entry. */
+    private final class Run implements WaitingLine.Waiter {
+
+        private final Entry entry;
+        private final Caller caller;
+        private final long firstTryMillis;
+
+        private Run(Entry entry, Caller caller, long sinceFirstTry) {
+            this.entry = entry;
+            this.caller = caller;
+            this.firstTryMillis = events.nowMillis() - sinceFirstTry;
+        }
+
+        private long millisToObjective() {
+            return caller.objective - (events.nowMillis() - firstTryMillis);
+        }
+
+        private Decision decide() {
+            Wanted wanted = new Wanted(
+                    caller.promptTokens,
+                    caller.objective,
+                    millisToObjective(),
+                    Optional.of(setting.model()),
+                    0,
+                    0,
+                    Set.of());
+            return entry.admission.decide(entry.candidates, wanted, events.nowMillis());
+        }
+
+        private void next() {
+            switch (decide()) {
+                case Decision.Send(EndpointChoice.Choice.Send chosen) -> send(chosen.endpoint());
+                case Decision.Wait(long millis, int ignored) -> {
+                    entry.line.join(1, events.nowMillis() + millis, this);
+                    events.after(millis + 1, () -> entry.line.expire(events.nowMillis()));
+                }
+                case Decision.Full ignored -> tooLate();
+                case Decision.Unable ignored -> throw new AssertionError("every engine can serve");
+            }
+        }
+
+        private void send(EndpointEntry endpoint) {
+            Engine engine = engines.stream()
+                    .filter(one -> one.listed.id().equals(endpoint.id()))
+                    .findFirst()
+                    .orElseThrow();
+            EndpointLoad load = entry.choice.load(endpoint.id());
+            load.began(caller.promptTokens);
+            int rank = millisToObjective() <= 0 ? 9 : 1;
+            Runnable began = () -> events.after(WAY_MILLIS, () -> {
+                load.promptRead(caller.promptTokens);
+                caller.began();
+                entry.line.serve();
+            });
+            Runnable ended = () -> events.after(WAY_MILLIS, () -> {
+                load.ended();
+                entry.line.serve();
+            });
+            events.after(
+                    WAY_MILLIS,
+                    () -> engine.emulator.take(
+                            new EngineEmulator.Work(rank, caller.promptTokens, caller.answerTokens, began, ended)));
+        }
+
+        @Override
+        public boolean tryStart() {
+            if (decide() instanceof Decision.Wait) {
+                return false;
+            }
+            next();
+            return true;
+        }
+
+        @Override
+        public void tooLate() {
+            entry.choice.unmet().turnedAway(events.nowMillis());
+            caller.refused();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/micabarrow/play/LoadPlayTest.java
@@ -0,0 +1,69 @@
+package org.micabarrow.play;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.micabarrow.play.LoadPlay.Setting;
+import org.micabarrow.play.LoadPlay.Tally;
+import org.micabarrow.routing.ModelService;
+
+/**
+ * What callers get when loads are played on the decisions of entries and agents. Eight engines of these figures can begin
+ * about 95 requests of this kind a second, whoever decides.
+ */
+class LoadPlayTest {
+
+    private static final ModelService MODEL = new ModelService("m", 16, 30.6, 6.73, 0.03, 6, 16, 64, 32_768);
+    private static final List<Double> UNEVEN_ENTRIES = List.of(0.165, 0.165, 0.38, 0.145, 0.145);
+    private static final double CAPACITY_PER_SECOND = 95;
+    private static final double SECONDS = 30;
+
+    private static Tally play(double perSecond, boolean dealt, long seed) {
+        return LoadPlay.play(new Setting(UNEVEN_ENTRIES, 8, MODEL, perSecond, 150, 150, dealt, 0.3, seed), SECONDS);
+    }
+
+    @Test
+    void shouldAnswerNearlyAllInTimeWhenThereIsRoom() {
+        for (long seed = 0; seed < 3; seed++) {
+            Tally tally = play(70, true, seed);
+            assertTrue(tally.inTimePart() > 0.97, tally::toString);
+            assertTrue(tally.refusedForGood < 0.01 * tally.asked, tally::toString);
+        }
+    }
+
+    /** Sent as each entry alone sees fit: 0.51 in time and a worth of 0.49 at this load; dealt out 0.69 and 0.61. */
+    @Test
+    void shouldAnswerInTimeWhatEnginesCanBearWhenFarMoreComes() {
+        double perSecond = 134;
+        double best = CAPACITY_PER_SECOND / perSecond;
+        for (long seed = 0; seed < 3; seed++) {
+            Tally tally = play(perSecond, true, seed);
+            assertTrue(tally.inTimePart() > 0.9 * best, tally::toString);
+            assertTrue(tally.lateAtFirstTry < 0.06 * tally.asked, tally::toString);
+        }
+    }
+
+    @Test
+    void shouldServeCallersBetterWhenAgentsDealPlacesOut() {
+        for (long seed = 0; seed < 3; seed++) {
+            Tally alone = play(134, false, seed);
+            Tally dealt = play(134, true, seed);
+            assertTrue(dealt.worth() > alone.worth() + 0.05, () -> alone + " against " + dealt);
+        }
+    }
+
+    @Test
+    void shouldServeEntriesAlikeWhenOneHasMostOfTheClients() {
+        for (long seed = 0; seed < 3; seed++) {
+            Tally tally = play(134, true, seed);
+            assertTrue(tally.bestEntry() - tally.worstEntry() < 0.2, tally::toString);
+        }
+    }
+
+    @Test
+    void shouldPlayTheSameWhenSeedIsTheSame() {
+        assertEquals(play(110, true, 5).toString(), play(110, true, 5).toString());
+    }
+}
--- a/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
+++ b/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
@@ -155,21 +155,21 @@
 
     @Test
     void shouldLeaveOutEndpointAfterItBroke() {
-        choice.load("a").broke(NOW);
+        choice.load("a").failures().broke(NOW);
         assertEquals("b", chosen(choose(endpoint("a"), endpoint("b"))));
-        choice.load("b").broke(NOW);
+        choice.load("b").failures().broke(NOW);
         assertInstanceOf(Choice.Send.class, choose(endpoint("a"), endpoint("b")), "all are out, so one must do");
     }
 
     @Test
     void shouldLeaveOutEndpointWhoseAddressIsAnothers() {
-        choice.load("a").misdirected(NOW);
+        choice.load("a").failures().misdirected(NOW);
         assertEquals("b", chosen(choose(endpoint("a"), endpoint("b", "h2", false, 1, 16))));
     }
 
     @Test
     void shouldTakeEndpointBackWhenItsExclusionEnds() {
-        choice.load("a").broke(NOW - 1_001);
+        choice.load("a").failures().broke(NOW - 1_001);
         choice.load("b").began(1_000);
         assertEquals("a", chosen(choose(endpoint("a"), endpoint("b"))));
     }
--- a/src/test/java/org/micabarrow/transport/LoadFeedTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadFeedTest.java
@@ -136,7 +136,7 @@
         for (int number = 0; number < 2; number++) {
             DatagramPacket packet = question();
             LoadMessages.Question question = LoadMessages.question(Arrays.copyOf(packet.getData(), packet.getLength()));
-            assertEquals(new LoadMessages.Question("entry-a", 120, number), question);
+            assertEquals(new LoadMessages.Question("entry-a", 120, number, 0), question);
         }
     }
 
--- a/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
@@ -24,13 +24,13 @@
 
     @Test
     void shouldReadQuestionWhenWritten() throws IOException {
-        Question question = new Question("entry-a", 1_200, 17);
+        Question question = new Question("entry-a", 1_200, 17, 30);
         assertEquals(question, LoadMessages.question(bytes(LoadMessages.write(question))));
     }
 
     @Test
     void shouldReadAnswerWhenWritten() throws IOException {
-        Answer answer = new Answer(17, new Told(3, 800, true, 7));
+        Answer answer = new Answer(17, new Told(3, 800, true, 7, 5));
         assertEquals(answer, LoadMessages.answer(bytes(LoadMessages.write(answer))));
     }
 
@@ -40,8 +40,8 @@
         InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         try (DatagramChannel here = DatagramChannel.open().bind(anyPort);
                 DatagramChannel there = DatagramChannel.open().bind(anyPort)) {
-            Question longer = new Question("entry-with-a-longer-name", 1_200, 17);
-            Question shorter = new Question("e", 0, 0);
+            Question longer = new Question("entry-with-a-longer-name", 1_200, 17, 30);
+            Question shorter = new Question("e", 0, 0, 0);
             there.send(LoadMessages.write(longer), here.getLocalAddress());
             there.send(LoadMessages.write(shorter), here.getLocalAddress());
             Received first = LoadMessages.receive(here);
