Chunks are sent in pieces, evenly over the time that the link is booked for them

Cause: a chunk of 32 KB sent at once fills a link of 5 Mbit/s for 50 ms, and several agents' chunks meet in one link, where users' requests and answers wait behind them.

--- a/src/main/java/org/micabarrow/transport/HostedPeerServer.java
+++ b/src/main/java/org/micabarrow/transport/HostedPeerServer.java
@@ -149,7 +149,6 @@
 
     private void give(HttpServerExchange exchange, int index, byte[] bytes) {
         exchange.getResponseHeaders().put(new HttpString(PeerChunks.INDEX), index);
-        long delay = uplink.delayMillis(bytes.length);
-        exchange.getIoThread().executeAfter(() -> send(exchange, bytes), delay, TimeUnit.MILLISECONDS);
+        PacedBody.send(exchange, bytes, uplink.book(bytes.length));
     }
 }
--- a/src/main/java/org/micabarrow/transport/LinkPacer.java
+++ b/src/main/java/org/micabarrow/transport/LinkPacer.java
@@ -18,7 +18,6 @@
     private static final double BURST_SECONDS = 0.02;
 
     private static final double NANOS_A_SECOND = 1e9;
-    private static final long NANOS_A_MILLI = 1_000_000;
 
     private final double bytesPerSecond;
     private final DoubleSupplier share;
@@ -41,7 +40,7 @@
      * @param bytes how many
      */
     public void take(int bytes) {
-        long until = reserve(bytes);
+        long until = book(bytes).untilNanos();
         for (long left = until - System.nanoTime(); left > 0; left = until - System.nanoTime()) {
             LockSupport.parkNanos(left);
             if (Thread.currentThread().isInterrupted()) {
@@ -51,21 +50,34 @@
     }
 
     /**
-     * Books the link for some bytes without waiting.
+     * A time for which the link is booked.
      *
-     * @param bytes how many
-     * @return how long to wait before they may pass, in milliseconds
+     * @param fromNanos when it begins, as {@link System#nanoTime} tells it
+     * @param nanos how long it lasts, in nanoseconds
      */
-    public long delayMillis(int bytes) {
-        return Math.max(0, (reserve(bytes) - System.nanoTime()) / NANOS_A_MILLI);
+    public record Booking(long fromNanos, long nanos) {
+
+        /**
+         * When it is over.
+         *
+         * @return the time, as {@link System#nanoTime} tells it
+         */
+        public long untilNanos() {
+            return fromNanos + nanos;
+        }
     }
 
-    /** Books the link for some bytes, and tells until when they take it. */
-    private synchronized long reserve(int bytes) {
-        long now = System.nanoTime();
-        long earliest = now - (long) (BURST_SECONDS * NANOS_A_SECOND);
-        freeAtNanos = Math.max(freeAtNanos, earliest)
-                + (long) (bytes * NANOS_A_SECOND / (bytesPerSecond * share.getAsDouble()));
-        return freeAtNanos;
+    /**
+     * Books the link for some bytes without waiting.
+     *
+     * @param bytes how many
+     * @return when they may pass
+     */
+    public synchronized Booking book(int bytes) {
+        long earliest = System.nanoTime() - (long) (BURST_SECONDS * NANOS_A_SECOND);
+        long from = Math.max(freeAtNanos, earliest);
+        long nanos = (long) (bytes * NANOS_A_SECOND / (bytesPerSecond * share.getAsDouble()));
+        freeAtNanos = from + nanos;
+        return new Booking(from, nanos);
     }
 }
