--- a/src/main/java/org/micabarrow/views/StoreFollower.java
+++ b/src/main/java/org/micabarrow/views/StoreFollower.java
@@ -23,6 +23,13 @@
      */
     private static final long AGAIN_MILLIS = 300;
 
+    /**
+     * Every how many rounds the store is read while it cannot be: every 0.9 s. Peers are asked in each round. A store that
+     * comes back is noticed within a third of the three seconds after which a process must be in touch again; read in every
+     * round, 20 processes ask a store that refuses them 130 times a second.
+     */
+    private static final int ROUNDS_A_READ = 3;
+
     private final Topic topic;
     private final TopicReader reader;
     private final ViewKeeper keeper;
@@ -30,6 +37,7 @@
     private final Pace pace;
     private boolean loaded;
     private boolean reachable = true;
+    private int roundsWithoutRead;
 
     /**
      * How often to read.
@@ -88,6 +96,11 @@
      */
     public long once() {
         keeper.settleDoubts();
+        if (!reachable && loaded && ++roundsWithoutRead < ROUNDS_A_READ) {
+            askPeer.accept(topic);
+            return AGAIN_MILLIS;
+        }
+        roundsWithoutRead = 0;
         Result<Long> rest = loaded ? readOn() : load();
         return switch (rest) {
             case Result.Success<Long>(Long millis) -> millis;
