--- a/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
+++ b/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
@@ -295,6 +295,19 @@
         assertEquals(List.of("start 2"), endpoint.orders);
     }
 
+    @Test
+    void shouldNotKeepRequestsAwayEarlyWhenManyChunksAreLaidInAnInstant() throws Exception {
+        endpoint.held = 1;
+        origin.gives = CHUNKS - 2;
+        views.want("m", 2);
+        Thread fetching = fetchBeside(CHUNKS - 2);
+        now.addAndGet(BOUND / 2);
+        keeper.step();
+        assertFalse(keeper.closing(), "six chunks took four seconds to come, so that two more take longer than the cordon");
+        origin.gives = CHUNKS;
+        fetching.join();
+    }
+
     @Test
     void shouldTakeRequestsAgainWhenVersionIsOvertakenBeforeOrder() throws Exception {
         endpoint.held = 1;
