--- a/src/main/java/org/micabarrow/weights/FetchProgress.java
+++ b/src/main/java/org/micabarrow/weights/FetchProgress.java
@@ -32,11 +32,6 @@
         return set.equals(other);
     }
 
-    /** How long the missing chunks are expected to take until all are here. */
-    long missingMillis() {
-        return expectedMillis(set.digests().size() - set.present());
-    }
-
     /** How long some chunks are expected to take if they come as fast as those before; the greatest number if none has come. */
     synchronized long expectedMillis(int chunks) {
         int came = set.present() - presentAtFirst;
--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -1,13 +1,8 @@
 package org.micabarrow.weights;
 
-import java.util.ArrayDeque;
-import java.util.Comparator;
-import java.util.Deque;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -27,18 +22,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(ReplicaKeeper.class);
 
-    /** The version that a model has before any was named. */
-    private static final long FIRST_VERSION = 1;
-
-    /** How many versions are kept: the one that the endpoint holds, and two that were named soon after one another. */
-    private static final int SETS_KEPT = 3;
-
-    /** The part of the bound after which an endpoint whose newer version is not here whole must stop serving the older. */
-    private static final double RETIRE_PART = 0.84;
-
-    /** The pause after nothing could be had of any version, in milliseconds; the origin may be down for seconds. */
-    private static final long AGAIN_MILLIS = 300;
-
     /** The part of a region's endpoints that take every version, also when a newer one is expected soon. */
     private static final double TAKING_EVERY_VERSION = 1.0 / 3;
 
@@ -51,11 +34,8 @@
     private final Parts parts;
     private final Cordon cordon;
     private final LaidChunks laid;
-
-    /** What is being fetched, or was last. */
-    private volatile Optional<FetchProgress> fetching = Optional.empty();
-
-    private final Deque<ChunkSet> sets = new ArrayDeque<>();
+    private final VersionDeadlines deadlines;
+    private final VersionFetches fetches;
     private final AtomicReference<Optional<Report>> report = new AtomicReference<>(Optional.empty());
 
     /**
@@ -99,6 +79,8 @@
         this.parts = Objects.requireNonNull(parts, "parts is null");
         this.cordon = new Cordon(parts.tellEntries());
         this.laid = new LaidChunks(parts.endpoint());
+        this.deadlines = new VersionDeadlines(parts.view(), parts.boundMillis(), parts.steadyMillis());
+        this.fetches = new VersionFetches(parts.fetcher(), deadlines, parts.steadyMillis());
     }
 
     /**
@@ -160,27 +142,7 @@
      * @return the set, empty if this agent has none
      */
     public Optional<ChunkSet> set(String model, long version) {
-        synchronized (sets) {
-            return sets.stream()
-                    .filter(one -> one.model().equals(model) && one.version() == version)
-                    .findFirst();
-        }
-    }
-
-    private Result<ChunkSet> setFor(String model, long version) {
-        Optional<ChunkSet> known = set(model, version);
-        if (known.isPresent()) {
-            return Result.success(known.get());
-        }
-        return parts.fetcher().begin(model, version).map(fresh -> {
-            synchronized (sets) {
-                sets.addFirst(fresh);
-                while (sets.size() > SETS_KEPT) {
-                    sets.removeLast();
-                }
-            }
-            return fresh;
-        });
+        return fetches.set(model, version);
     }
 
     // -- bringing the endpoint up to date
@@ -196,80 +158,7 @@
         if (model.isEmpty() || now.isEmpty()) {
             return;
         }
-        long held = now.get().models().getOrDefault(model.get(), 0L);
-        if (held >= wanted(model.get())) {
-            return;
-        }
-        boolean moves = fetchNewest(model.get(), held) || fetchOlder(model.get(), held);
-        if (!moves) {
-            Thread.sleep(AGAIN_MILLIS);
-        }
-    }
-
-    /** Fetches the newest version, until it is here or its chunks come no more; tells whether any came. */
-    private boolean fetchNewest(String model, long held) throws InterruptedException {
-        long newest = wanted(model);
-        Optional<ChunkSet> set = begun(model, newest);
-        if (set.isEmpty() || set.get().complete()) {
-            return set.isPresent();
-        }
-        return fetch(
-                set.get(),
-                () -> wanted(model) == newest || worthFinishing(set.get()),
-                () -> olderNeeded(model, held).isPresent());
-    }
-
-    /**
-     * Fetches a version that was named before the newest, while the newest cannot be had: the origin may be away for seconds,
-     * and other agents have the chunks of the version before. Without it, endpoints that were past half of neither answered
-     * nothing for 8.8 s of a day of 47 s on which the origin went away 0.5 s after the second of two versions was named.
-     */
-    private boolean fetchOlder(String model, long held) throws InterruptedException {
-        OptionalLong older = olderNeeded(model, held);
-        Optional<ChunkSet> set = older.isPresent() ? begun(model, older.getAsLong()) : Optional.empty();
-        return set.isPresent()
-                && fetch(set.get(), () -> olderNeeded(model, held).equals(older), () -> true);
-    }
-
-    private boolean fetch(ChunkSet set, BooleanSupplier wanted, BooleanSupplier endsWithoutProgress)
-            throws InterruptedException {
-        int before = set.present();
-        FetchProgress progress = new FetchProgress(set, parts.steadyMillis());
-        fetching = Optional.of(progress);
-        parts.fetcher()
-                .fetch(set, () -> wanted.getAsBoolean() && !(progress.stalled() && endsWithoutProgress.getAsBoolean()));
-        return set.present() > before;
-    }
-
-    /** The version to fetch while the newest cannot be had: newer than the one held, not here whole, and good to answer. */
-    private OptionalLong olderNeeded(String model, long held) {
-        View view = parts.view().get();
-        long newest = wanted(model);
-        long least = view.leastVersion(
-                model, parts.boundMillis(), parts.steadyMillis().getAsLong());
-        return view.newerNamed(model, held).stream()
-                .mapToLong(View.Target::version)
-                .filter(version -> version < newest && version >= least)
-                .filter(version ->
-                        set(model, version).filter(ChunkSet::complete).isEmpty())
-                .findFirst();
-    }
-
-    private Optional<ChunkSet> begun(String model, long version) {
-        Result<ChunkSet> set = setFor(model, version);
-        set.cause()
-                .ifPresent(fault ->
-                        LOG.warn("event=digests_missed model={} version={} why=\"{}\"", model, version, fault));
-        return set.toOptional();
-    }
-
-    /** Whether so much of a version is here that finishing it beats leaving the endpoint with the one before. */
-    private static boolean worthFinishing(ChunkSet set) {
-        return set.present() * 2 >= set.digests().size();
-    }
-
-    private long wanted(String model) {
-        return parts.view().get().newestTarget(model).map(View.Target::version).orElse(FIRST_VERSION);
+        fetches.fetchFor(model.get(), now.get().models().getOrDefault(model.get(), 0L));
     }
 
     /** Takes the next step towards the newest version that is here whole, if there is one to take. */
@@ -284,9 +173,9 @@
             readBack(model.get(), held);
         }
         if (!now.get().busy()) {
-            newestWhole(model.get(), held)
+            fetches.newestWhole(model.get(), held, deadlines.leastAllowed(model.get(), 0))
                     .filter(whole -> !skips(whole, held))
-                    .or(() -> newestBegun(model.get(), held))
+                    .or(() -> fetches.newestBegun(model.get(), held))
                     .ifPresentOrElse(set -> advance(set, held, now.get()), cordon::lift);
         }
     }
@@ -297,16 +186,13 @@
      * Some take every version, so that there is always one that may answer.
      */
     private boolean skips(ChunkSet whole, long held) {
-        long newest = wanted(whole.model());
+        long newest = deadlines.newest(whole.model());
         if (whole.version() == newest || held > 0 && takesEveryVersion()) {
             return false;
         }
         long now = parts.steadyMillis().getAsLong();
-        long servesUntil = held == 0 ? now : Math.max(now, retireAt(whole));
-        return set(whole.model(), newest)
-                .flatMap(coming -> fetching.filter(progress -> progress.isOf(coming)))
-                .filter(progress -> progress.missingMillis() <= servesUntil - now + WORTH_WAITING_MILLIS)
-                .isPresent();
+        long servesUntil = held == 0 ? now : Math.max(now, deadlines.retireAt(whole.model(), whole.version()));
+        return fetches.missingMillis(whole.model(), newest) <= servesUntil - now + WORTH_WAITING_MILLIS;
     }
 
     private boolean takesEveryVersion() {
@@ -314,34 +200,6 @@
         return place.position() < place.count() * TAKING_EVERY_VERSION;
     }
 
-    /** When an endpoint must stop serving versions that are older than one. */
-    private long retireAt(ChunkSet version) {
-        return parts.view()
-                .get()
-                .newerNamed(version.model(), version.version() - 1)
-                .map(named -> named.learnedMillis() + Math.round(parts.boundMillis() * RETIRE_PART))
-                .orElse(Long.MIN_VALUE);
-    }
-
-    /** The version that is being fetched, of which chunks are laid as they come. */
-    private Optional<ChunkSet> newestBegun(String model, long held) {
-        synchronized (sets) {
-            return sets.stream()
-                    .filter(set -> set.model().equals(model) && set.version() > held)
-                    .max(Comparator.comparingLong(ChunkSet::version));
-        }
-    }
-
-    private Optional<ChunkSet> newestWhole(String model, long held) {
-        long least = leastAllowed(model, 0);
-        synchronized (sets) {
-            return sets.stream()
-                    .filter(set -> set.model().equals(model) && set.version() > held && set.version() >= least)
-                    .filter(ChunkSet::complete)
-                    .max(Comparator.comparingLong(ChunkSet::version));
-        }
-    }
-
     private void advance(ChunkSet set, long held, Report now) {
         laid.layNew(set);
         boolean allLaid = laid.all(set);
@@ -369,22 +227,12 @@
      * one before it was laid is laid in an instant so far, and requests were kept away for up to 2.2 s before its last chunks.
      */
     private long missingMillis(ChunkSet set) {
-        return fetching.filter(progress -> progress.isOf(set))
-                .map(progress -> progress.expectedMillis(laid.missing(set)))
-                .orElse(Long.MAX_VALUE);
+        return fetches.expectedMillis(set, laid.missing(set));
     }
 
     /** Whether the endpoint must stop serving the version that it holds, although a newer one is not here whole. */
     private boolean tooLate(String model, long held) {
-        return leastAllowed(model, Cordon.MILLIS) > held;
-    }
-
-    /** The least version that the endpoint may still serve or take up, or has to in a while. */
-    private long leastAllowed(String model, long aheadMillis) {
-        long margin = Math.round(parts.boundMillis() * RETIRE_PART);
-        return parts.view()
-                .get()
-                .leastVersion(model, margin, parts.steadyMillis().getAsLong() + aheadMillis);
+        return deadlines.leastAllowed(model, Cordon.MILLIS) > held;
     }
 
     /** Makes the endpoint take up one layer of the newer version, so that it serves the older one no more. */
@@ -406,16 +254,9 @@
 
     /** When to order: at once if the endpoint serves nothing, else at this agent's turn. */
     private long orderAt(String model, long held) {
-        if (held == 0) {
-            return Long.MIN_VALUE;
-        }
-        Place place = parts.place().get();
-        return parts.view()
-                .get()
-                .newerNamed(model, held)
-                .map(newer ->
-                        OrderTimes.at(newer.learnedMillis(), parts.boundMillis(), place.position(), place.count()))
-                .orElse(Long.MIN_VALUE);
+        return held == 0
+                ? Long.MIN_VALUE
+                : deadlines.orderAt(model, held, parts.place().get());
     }
 
     private void order(ChunkSet set, Report now) {
@@ -431,6 +272,6 @@
         if (set(model, held).isPresent()) {
             return;
         }
-        setFor(model, held).toOptional().ifPresent(laid::readInto);
+        fetches.setFor(model, held).toOptional().ifPresent(laid::readInto);
     }
 }
--- /dev/null
+++ b/src/main/java/org/micabarrow/weights/VersionFetches.java
@@ -0,0 +1,173 @@
+package org.micabarrow.weights;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import org.micabarrow.state.Result;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The weight versions that an agent has or fetches, and which of them is fetched now. One thread fetches; any may ask what is
+ * here.
+ */
+final class VersionFetches {
+
+    private static final Logger LOG = LoggerFactory.getLogger(VersionFetches.class);
+
+    /** How many versions are kept: the one that the endpoint holds, and two that were named soon after one another. */
+    private static final int SETS_KEPT = 3;
+
+    /** The pause after nothing could be had of any version, in milliseconds; the origin may be down for seconds. */
+    private static final long AGAIN_MILLIS = 300;
+
+    private final ChunkFetcher fetcher;
+    private final VersionDeadlines deadlines;
+    private final LongSupplier steadyMillis;
+    private final Deque<ChunkSet> sets = new ArrayDeque<>();
+
+    /** What is being fetched, or was last. */
+    private volatile Optional<FetchProgress> fetching = Optional.empty();
+
+    VersionFetches(ChunkFetcher fetcher, VersionDeadlines deadlines, LongSupplier steadyMillis) {
+        this.fetcher = fetcher;
+        this.deadlines = deadlines;
+        this.steadyMillis = steadyMillis;
+    }
+
+    // -- what is here
+
+    /** The chunks of a version, complete or not; empty if this agent has none. */
+    Optional<ChunkSet> set(String model, long version) {
+        synchronized (sets) {
+            return sets.stream()
+                    .filter(one -> one.model().equals(model) && one.version() == version)
+                    .findFirst();
+        }
+    }
+
+    private Optional<ChunkSet> begun(String model, long version) {
+        Result<ChunkSet> set = setFor(model, version);
+        set.cause()
+                .ifPresent(fault ->
+                        LOG.warn("event=digests_missed model={} version={} why=\"{}\"", model, version, fault));
+        return set.toOptional();
+    }
+
+    /** The set of a version, begun if it was not; a failure if nobody tells the version's digests. */
+    Result<ChunkSet> setFor(String model, long version) {
+        Optional<ChunkSet> known = set(model, version);
+        if (known.isPresent()) {
+            return Result.success(known.get());
+        }
+        return fetcher.begin(model, version).map(this::kept);
+    }
+
+    private ChunkSet kept(ChunkSet fresh) {
+        synchronized (sets) {
+            sets.addFirst(fresh);
+            while (sets.size() > SETS_KEPT) {
+                sets.removeLast();
+            }
+        }
+        return fresh;
+    }
+
+    /** The newest version that is being fetched, of which chunks are laid as they come. */
+    Optional<ChunkSet> newestBegun(String model, long held) {
+        synchronized (sets) {
+            return sets.stream()
+                    .filter(set -> set.model().equals(model) && set.version() > held)
+                    .max(Comparator.comparingLong(ChunkSet::version));
+        }
+    }
+
+    /** The newest version that is here whole, newer than the one held and not older than one that must be served. */
+    Optional<ChunkSet> newestWhole(String model, long held, long least) {
+        synchronized (sets) {
+            return sets.stream()
+                    .filter(set -> set.model().equals(model) && set.version() > held && set.version() >= least)
+                    .filter(ChunkSet::complete)
+                    .max(Comparator.comparingLong(ChunkSet::version));
+        }
+    }
+
+    // -- how long it takes
+
+    /** How long some chunks of a version are expected to take; the greatest number if it is not the one being fetched. */
+    long expectedMillis(ChunkSet set, int chunks) {
+        return fetching.filter(progress -> progress.isOf(set))
+                .map(progress -> progress.expectedMillis(chunks))
+                .orElse(Long.MAX_VALUE);
+    }
+
+    /** How long a version is expected to take until it is here whole; the greatest number if it is not being fetched. */
+    long missingMillis(String model, long version) {
+        return set(model, version)
+                .map(set -> expectedMillis(set, set.digests().size() - set.present()))
+                .orElse(Long.MAX_VALUE);
+    }
+
+    // -- fetching
+
+    /** Fetches what is missing of the version that is wanted instead of the one held. */
+    void fetchFor(String model, long held) throws InterruptedException {
+        if (held >= deadlines.newest(model)) {
+            return;
+        }
+        boolean moves = fetchNewest(model, held) || fetchOlder(model, held);
+        if (!moves) {
+            Thread.sleep(AGAIN_MILLIS);
+        }
+    }
+
+    /** Fetches the newest version, until it is here or its chunks come no more; tells whether any came. */
+    private boolean fetchNewest(String model, long held) throws InterruptedException {
+        long newest = deadlines.newest(model);
+        Optional<ChunkSet> set = begun(model, newest);
+        if (set.isEmpty() || set.get().complete()) {
+            return set.isPresent();
+        }
+        return fetch(
+                set.get(),
+                () -> deadlines.newest(model) == newest || worthFinishing(set.get()),
+                () -> olderNeeded(model, held).isPresent());
+    }
+
+    /** Whether so much of a version is here that finishing it beats leaving the endpoint with the one before. */
+    private static boolean worthFinishing(ChunkSet set) {
+        return set.present() * 2 >= set.digests().size();
+    }
+
+    /**
+     * Fetches a version that was named before the newest, while the newest cannot be had: the origin may be away for seconds,
+     * and other agents have the chunks of the version before. Without it, endpoints that were past half of neither answered
+     * nothing for 8.8 s of a day of 47 s on which the origin went away 0.5 s after the second of two versions was named.
+     */
+    private boolean fetchOlder(String model, long held) throws InterruptedException {
+        OptionalLong older = olderNeeded(model, held);
+        Optional<ChunkSet> set = older.isPresent() ? begun(model, older.getAsLong()) : Optional.empty();
+        return set.isPresent()
+                && fetch(set.get(), () -> olderNeeded(model, held).equals(older), () -> true);
+    }
+
+    private OptionalLong olderNeeded(String model, long held) {
+        OptionalLong older = deadlines.olderThanNewest(model, held);
+        boolean here = older.isPresent()
+                && set(model, older.getAsLong()).filter(ChunkSet::complete).isPresent();
+        return here ? OptionalLong.empty() : older;
+    }
+
+    private boolean fetch(ChunkSet set, BooleanSupplier wanted, BooleanSupplier endsWithoutProgress)
+            throws InterruptedException {
+        int before = set.present();
+        FetchProgress progress = new FetchProgress(set, steadyMillis);
+        fetching = Optional.of(progress);
+        fetcher.fetch(set, () -> wanted.getAsBoolean() && !(progress.stalled() && endsWithoutProgress.getAsBoolean()));
+        return set.present() > before;
+    }
+}
