Room at an endpoint has a class of its own; absurd token counts and deadlines are bounded

EndpointRoom takes from EndpointChoice when there is room and when a first event is expected; no change of what it does. A deadline near the greatest number overflowed the clock and ended the request at once; a token count beyond an int was read as another.

--- a/src/main/java/org/micabarrow/platform/RequestHeaders.java
+++ b/src/main/java/org/micabarrow/platform/RequestHeaders.java
@@ -45,6 +45,12 @@
             WireNames.EXPECTED_VERSION.toLowerCase(Locale.ROOT),
             WireNames.PRIORITY.toLowerCase(Locale.ROOT));
 
+    /** The longest time that a client is believed to wait, in milliseconds: a day; more would overflow a clock. */
+    private static final long MOST_DEADLINE_MILLIS = 24 * 3_600_000L;
+
+    /** The most prompt tokens that a client is believed to send: far beyond any context, and safe to add up. */
+    private static final int MOST_PROMPT_TOKENS = 10_000_000;
+
     private final RandomGenerator random;
 
     /**
@@ -138,6 +144,7 @@
     private static long deadline(HeaderMap headers, Route route) {
         return number(headers.getFirst(WireNames.DEADLINE))
                 .filter(millis -> millis > 0)
+                .map(millis -> Math.min(millis, MOST_DEADLINE_MILLIS))
                 .orElse(route.timeoutMillis());
     }
 
@@ -145,7 +152,7 @@
     private static int promptTokens(HeaderMap headers) {
         return Optional.ofNullable(headers.getFirst(WireNames.TOKENS))
                 .flatMap(both -> number(both.split(",", 2)[0]))
-                .map(Long::intValue)
+                .map(tokens -> Math.clamp(tokens, 0, MOST_PROMPT_TOKENS))
                 .orElse(0);
     }
 
--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -20,33 +20,12 @@
      */
     private static final double OTHER_REGION_MILLIS = 60;
 
-    /** The part of the objective that is kept for what the prediction of the first event misses. */
-    private static final double OBJECTIVE_KEPT = 0.2;
-
-    /**
-     * The part of an endpoint's slots that is kept from requests whose objective is over: at full load their answers, worth a
-     * quarter, would take the places of answers that can still be in time.
-     */
-    private static final double SLOTS_KEPT_FROM_LATE = 0.25;
-
-    /** The part of the objective that a late request may have to wait for its first event, so that it delays few others. */
-    private static final double LATE_OBJECTIVE_PART = 0.5;
-
-    /** How many times its slots a plain endpoint may hold, its queue included, before requests are refused. */
-    private static final double PLAIN_SLOTS = 2;
-
-    /** What a full plain endpoint's queue is expected to cost for each slot's worth of requests, in milliseconds. */
-    private static final double PLAIN_ROUND_MILLIS = 80;
-
     /** How long an agent of the entry's region may be silent before its endpoint is passed over: two questions lost. */
     private static final long NEAR_SILENCE_MILLIS = 400;
 
     /** As above for agents of other regions, which are asked less often. */
     private static final long FAR_SILENCE_MILLIS = 1_000;
 
-    /** How many requests an endpoint of a model may hold in relation to its slots. */
-    private static final double MODEL_SLOTS = 1;
-
     private final Map<String, EndpointLoad> loads = new HashMap<>();
     private final UnmetDemand unmet = new UnmetDemand();
     private final Map<String, String> regions;
@@ -94,7 +73,7 @@
             this(promptTokens, objectiveMillis, objectiveMillis, model, leastVersion, newestVersion, tried);
         }
 
-        private boolean late() {
+        boolean late() {
             return millisToObjective <= 0;
         }
     }
@@ -180,8 +159,8 @@
             return new Choice.None();
         }
         return pool.stream()
-                .filter(one -> hasRoom(one, wanted, nowMillis))
-                .map(one -> new Choice.Send(one, predicted(one, wanted, nowMillis)))
+                .filter(one -> EndpointRoom.isFor(wanted, one, load(one.id()), nowMillis))
+                .map(one -> new Choice.Send(one, EndpointRoom.predictedMillis(wanted, one, load(one.id()), nowMillis)))
                 .min(Comparator.comparingDouble(send -> send.predictedMillis() + distance(send.endpoint())))
                 .map(Choice.class::cast)
                 .orElse(new Choice.Full(pool.size()));
@@ -268,54 +247,13 @@
     }
 
     /**
-     * How long a request may wait for room and still be in time, if it then finds an endpoint that has nothing else to read.
+     * How long a request may wait for room and still be in time.
      *
      * @param wanted what is to be sent
-     * @return milliseconds; not above 0 if it may not wait, as those for plain services, whose requests are short
+     * @return milliseconds; not above 0 if it may not wait
      */
     public long spareMillis(Wanted wanted) {
-        return wanted.model()
-                .map(model -> firstEvent(model, new EndpointLoad(), wanted.promptTokens(), 0))
-                .map(least -> Math.round(millisToBegin(wanted) - least))
-                .orElse(0L);
-    }
-
-    /** Within which the first event must be predicted to come. */
-    private static double millisToBegin(Wanted wanted) {
-        return wanted.millisToObjective() - wanted.objectiveMillis() * OBJECTIVE_KEPT;
-    }
-
-    private boolean hasRoom(EndpointEntry endpoint, Wanted wanted, long nowMillis) {
-        int requests = load(endpoint.id()).requests(nowMillis);
-        if (wanted.model().isEmpty()) {
-            return requests < endpoint.slots() * PLAIN_SLOTS;
-        }
-        if (!load(endpoint.id()).ownsPlace(nowMillis)) {
-            return false;
-        }
-        double slots = endpoint.slots() * MODEL_SLOTS;
-        double predicted = predicted(endpoint, wanted, nowMillis);
-        if (wanted.late()) {
-            return requests < slots * (1 - SLOTS_KEPT_FROM_LATE)
-                    && predicted < wanted.objectiveMillis() * LATE_OBJECTIVE_PART;
-        }
-        return requests < slots && predicted < millisToBegin(wanted);
-    }
-
-    private double predicted(EndpointEntry endpoint, Wanted wanted, long nowMillis) {
-        EndpointLoad load = load(endpoint.id());
-        if (wanted.model().isEmpty()) {
-            return load.requests(nowMillis) * PLAIN_ROUND_MILLIS / endpoint.slots();
-        }
-        return firstEvent(wanted.model().get(), load, wanted.promptTokens(), nowMillis);
-    }
-
-    /** When the first event is expected: after the steps under way, the prompts ahead, its own, and its first steps. */
-    private static double firstEvent(ModelService model, EndpointLoad load, int promptTokens, long nowMillis) {
-        double step = model.stepMillis() + model.stepMillisPerSequence() * load.requests(nowMillis);
-        double steps = model.stride() * step;
-        double prompts = (load.waitingPromptTokens(nowMillis) + promptTokens) / model.prefillTokensPerMilli();
-        return 2 * steps + prompts;
+        return EndpointRoom.spareMillis(wanted);
     }
 
     private double distance(EndpointEntry endpoint) {
--- /dev/null
+++ b/src/main/java/org/micabarrow/routing/EndpointRoom.java
@@ -0,0 +1,82 @@
+package org.micabarrow.routing;
+
+import org.micabarrow.routing.EndpointChoice.Wanted;
+
+/** Whether an endpoint has room for a request, which is so while its first event is expected within the objective. */
+final class EndpointRoom {
+
+    /** The part of the objective that is kept for what the prediction of the first event misses. */
+    private static final double OBJECTIVE_KEPT = 0.2;
+
+    /**
+     * The part of an endpoint's slots that is kept from requests whose objective is over: at full load their answers, worth a
+     * quarter, would take the places of answers that can still be in time.
+     */
+    private static final double SLOTS_KEPT_FROM_LATE = 0.25;
+
+    /** The part of the objective that a late request may have to wait for its first event, so that it delays few others. */
+    private static final double LATE_OBJECTIVE_PART = 0.5;
+
+    /** How many times its slots a plain endpoint may hold, its queue included, before requests are refused. */
+    private static final double PLAIN_SLOTS = 2;
+
+    /** What a full plain endpoint's queue is expected to cost for each slot's worth of requests, in milliseconds. */
+    private static final double PLAIN_ROUND_MILLIS = 80;
+
+    /** How many requests an endpoint of a model may hold in relation to its slots. */
+    private static final double MODEL_SLOTS = 1;
+
+    private EndpointRoom() {}
+
+    /**
+     * How long a request may wait for room and still be in time, if it then finds an endpoint that has nothing else to read.
+     *
+     * @param wanted what is to be sent
+     * @return milliseconds; not above 0 if it may not wait, as those for plain services, whose requests are short
+     */
+    static long spareMillis(Wanted wanted) {
+        return wanted.model()
+                .map(model -> firstEvent(model, new EndpointLoad(), wanted.promptTokens(), 0))
+                .map(least -> Math.round(millisToBegin(wanted) - least))
+                .orElse(0L);
+    }
+
+    /** Within which the first event must be predicted to come. */
+    private static double millisToBegin(Wanted wanted) {
+        return wanted.millisToObjective() - wanted.objectiveMillis() * OBJECTIVE_KEPT;
+    }
+
+    /** Whether an endpoint that may get a request has room for it. */
+    static boolean isFor(Wanted wanted, EndpointEntry endpoint, EndpointLoad load, long nowMillis) {
+        int requests = load.requests(nowMillis);
+        if (wanted.model().isEmpty()) {
+            return requests < endpoint.slots() * PLAIN_SLOTS;
+        }
+        if (!load.ownsPlace(nowMillis)) {
+            return false;
+        }
+        double slots = endpoint.slots() * MODEL_SLOTS;
+        double predicted = predictedMillis(wanted, endpoint, load, nowMillis);
+        if (wanted.late()) {
+            return requests < slots * (1 - SLOTS_KEPT_FROM_LATE)
+                    && predicted < wanted.objectiveMillis() * LATE_OBJECTIVE_PART;
+        }
+        return requests < slots && predicted < millisToBegin(wanted);
+    }
+
+    /** When the first event of a request's answer is expected, in milliseconds from now. */
+    static double predictedMillis(Wanted wanted, EndpointEntry endpoint, EndpointLoad load, long nowMillis) {
+        if (wanted.model().isEmpty()) {
+            return load.requests(nowMillis) * PLAIN_ROUND_MILLIS / endpoint.slots();
+        }
+        return firstEvent(wanted.model().get(), load, wanted.promptTokens(), nowMillis);
+    }
+
+    /** When the first event is expected: after the steps under way, the prompts ahead, its own, and its first steps. */
+    private static double firstEvent(ModelService model, EndpointLoad load, int promptTokens, long nowMillis) {
+        double step = model.stepMillis() + model.stepMillisPerSequence() * load.requests(nowMillis);
+        double steps = model.stride() * step;
+        double prompts = (load.waitingPromptTokens(nowMillis) + promptTokens) / model.prefillTokensPerMilli();
+        return 2 * steps + prompts;
+    }
+}
