--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -42,7 +42,7 @@
     /** By these a client may take a request for not run; from an endpoint that does not say so itself they prove nothing. */
     private static final Set<Integer> PROMISES_NOT_RUN = Set.of(408, 421, 429, 503);
 
-    private final RequestRun run;
+    private final ServedRequest run;
     private final ServingParts parts;
     private final ClientRequest request;
     private final ClientAnswer answer;
@@ -60,7 +60,7 @@
     private boolean passing;
     private long beganMillis;
 
-    Attempt(RequestRun run, EndpointEntry endpoint) {
+    Attempt(ServedRequest run, EndpointEntry endpoint) {
         this.run = run;
         this.parts = run.parts();
         this.request = run.request();
--- a/src/main/java/org/micabarrow/serving/RequestRun.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -17,7 +17,7 @@
 import org.xnio.XnioIoThread;
 
 /** One request from its arrival to its answer. All of it runs on the one thread for traffic. */
-final class RequestRun implements OpenRequests.Open {
+final class ServedRequest implements OpenRequests.Open {
 
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
@@ -43,7 +43,7 @@
     private Optional<WaitingLine.Place> place = Optional.empty();
     private Optional<XnioExecutor.Key> deadline = Optional.empty();
 
-    RequestRun(ServingParts parts, ClientRequest request, ClientAnswer answer, XnioIoThread thread) {
+    ServedRequest(ServingParts parts, ClientRequest request, ClientAnswer answer, XnioIoThread thread) {
         this.parts = parts;
         this.request = request;
         this.answer = answer;
--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -170,7 +170,7 @@
     }
 
     private void run(HttpServerExchange exchange, ClientRequest request) {
-        RequestRun run = new RequestRun(parts, request, new ClientAnswer(exchange), exchange.getIoThread());
+        ServedRequest run = new ServedRequest(parts, request, new ClientAnswer(exchange), exchange.getIoThread());
         ClientWatch.start(exchange, run::clientGone);
         run.begin();
     }
