--- a/src/test/java/org/micabarrow/play/LoadPlayTest.java
+++ b/src/test/java/org/micabarrow/play/LoadPlayTest.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.play.LoadPlay.Setting;
-import org.micabarrow.play.LoadPlay.Tally;
 import org.micabarrow.routing.ModelService;
 
 /**
