Read once more: one decision a waiting request, one search of versions, when to come back beside the other decisions

No change of what is decided. When a refused client is to come back stands in Admission, where the package's description has it. FirstTries' count of requests would have gone below zero after 2^31 requests of a route.

--- a/src/main/java/org/micabarrow/admission/Admission.java
+++ b/src/main/java/org/micabarrow/admission/Admission.java
@@ -13,6 +13,14 @@
  */
 public final class Admission {
 
+    /**
+     * The part of its remaining time after which a refused client is told to come back. A request is refused when its answer
+     * cannot be in time any more, so that coming back sooner gains nothing: with 0.005 to 0.3 callers got the same at 0.8 to 1.4
+     * times the engines' rate (emulated, within 0.01 of the mean worth). Later leaves more time for what is wrong to pass: an
+     * endpoint that starts anew, or a weight version that is taken up, needs a second or two. Clients heed up to a third.
+     */
+    private static final double COME_BACK_PART = 0.3;
+
     private final EndpointChoice choice;
 
     /**
@@ -73,4 +81,14 @@
         long spare = choice.spareMillis(wanted);
         return spare > 0 ? new Decision.Wait(spare, full) : new Decision.Full(full);
     }
+
+    /**
+     * When a refused client is told to come back.
+     *
+     * @param millisLeft how long the client will still wait, in milliseconds
+     * @return milliseconds from now, at least 1
+     */
+    public static long comeBackMillis(long millisLeft) {
+        return Math.max(1, Math.round(millisLeft * COME_BACK_PART));
+    }
 }
--- a/src/main/java/org/micabarrow/admission/FirstTries.java
+++ b/src/main/java/org/micabarrow/admission/FirstTries.java
@@ -26,15 +26,15 @@
     private static final class Recent {
 
         private final long[] millis = new long[REMEMBERED];
-        private int count;
+        private long count;
 
         private void add(long given) {
-            millis[count % REMEMBERED] = given;
+            millis[(int) (count % REMEMBERED)] = given;
             count++;
         }
 
         private long usual() {
-            long[] sorted = Arrays.copyOf(millis, Math.min(count, REMEMBERED));
+            long[] sorted = Arrays.copyOf(millis, (int) Math.min(count, REMEMBERED));
             Arrays.sort(sorted);
             return sorted[(int) (SHORTER_PART * (sorted.length - 1))];
         }
--- a/src/main/java/org/micabarrow/admission/PlaceShares.java
+++ b/src/main/java/org/micabarrow/admission/PlaceShares.java
@@ -73,8 +73,8 @@
         askers.values().removeIf(one -> nowMillis - one.atMillis() > COUNTED_MILLIS);
         int weight = unmet + LEAST_WEIGHT;
         double before = askers.containsKey(entry) ? askers.get(entry).owed() : random.nextDouble();
-        askers.put(entry, new Asker(weight, before, nowMillis));
-        long all = askers.values().stream().mapToLong(Asker::weight).sum();
+        askers.remove(entry);
+        long all = weight + askers.values().stream().mapToLong(Asker::weight).sum();
         double owed = before + (double) Math.max(0, free) * weight / all;
         int places = (int) owed;
         askers.put(entry, new Asker(weight, owed - places, nowMillis));
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -112,7 +112,11 @@
     }
 
     private void next(String why) {
-        switch (decide()) {
+        follow(decide(), why);
+    }
+
+    private void follow(Decision decision, String why) {
+        switch (decision) {
             case Decision.Send(Choice.Send chosen) -> sendOrAsk(chosen, why);
             case Decision.Wait wait when !answer.begun() -> waitForRoom(wait, why);
             case Decision.Wait(long ignored, int endpoints) -> noRoom("all " + endpoints + " endpoints are full");
@@ -143,11 +147,12 @@
 
         @Override
         public boolean tryStart() {
-            if (decide() instanceof Decision.Wait) {
+            Decision decision = decide();
+            if (decision instanceof Decision.Wait) {
                 return false;
             }
             place = Optional.empty();
-            next(why);
+            follow(decision, why);
             return true;
         }
 
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -19,14 +19,6 @@
 /** What all requests of an entry share. Used by the one thread for traffic, but for the view and the metrics. */
 final class ServingParts {
 
-    /**
-     * The part of its remaining time after which a refused client is told to come back. A request is refused when its answer
-     * cannot be in time any more, so that coming back sooner gains nothing: with 0.005 to 0.3 callers got the same at 0.8 to 1.4
-     * times the engines' rate (emulated, within 0.01 of the mean worth). Later leaves more time for what is wrong to pass: an
-     * endpoint that starts anew, or a weight version that is taken up, needs a second or two. Clients heed up to a third.
-     */
-    private static final double COME_BACK_PART = 0.3;
-
     private final ServingHandler.Parts given;
     private final WeightVersions versions;
     private final ServingMetrics metrics;
@@ -157,7 +149,7 @@
 
     /** When a refused client is told to come back, in milliseconds from now. */
     long comeBackMillis(ClientRequest request) {
-        return Math.max(1, Math.round((request.deadlineMillis() - nowMillis()) * COME_BACK_PART));
+        return Admission.comeBackMillis(request.deadlineMillis() - nowMillis());
     }
 
     /** The view that decisions are made on, for the log. */
--- a/src/main/java/org/micabarrow/weights/VersionFetches.java
+++ b/src/main/java/org/micabarrow/weights/VersionFetches.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.micabarrow.state.Result;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -79,19 +80,19 @@
 
     /** The newest version that is being fetched, of which chunks are laid as they come. */
     Optional<ChunkSet> newestBegun(String model, long held) {
-        synchronized (sets) {
-            return sets.stream()
-                    .filter(set -> set.model().equals(model) && set.version() > held)
-                    .max(Comparator.comparingLong(ChunkSet::version));
-        }
+        return newest(model, set -> set.version() > held);
     }
 
     /** The newest version that is here whole, newer than the one held and not older than one that must be served. */
     Optional<ChunkSet> newestWhole(String model, long held, long least) {
+        return newest(model, set -> set.version() > held && set.version() >= least && set.complete());
+    }
+
+    private Optional<ChunkSet> newest(String model, Predicate<ChunkSet> which) {
         synchronized (sets) {
             return sets.stream()
-                    .filter(set -> set.model().equals(model) && set.version() > held && set.version() >= least)
-                    .filter(ChunkSet::complete)
+                    .filter(set -> set.model().equals(model))
+                    .filter(which)
                     .max(Comparator.comparingLong(ChunkSet::version));
         }
     }
--- a/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
+++ b/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
@@ -166,8 +166,8 @@
         keeper.step();
     }
 
-    /** Fetches version 2 on a thread of its own; returns once some chunks are here. */
-    private Thread fetchBeside(int chunks) {
+    /** Fetches a version on a thread of its own; returns once some chunks are here. */
+    private Thread fetchBeside(long version, int chunks) {
         Thread fetching = new Thread(() -> {
             try {
                 fetch();
@@ -176,7 +176,7 @@
             }
         });
         fetching.start();
-        awaitPresent(2, chunks);
+        awaitPresent(version, chunks);
         return fetching;
     }
 
@@ -230,15 +230,7 @@
         now.addAndGet(BOUND / 2);
         views.want("m", 3);
         origin.gives = CHUNKS - 2;
-        Thread fetching = new Thread(() -> {
-            try {
-                keeper.fetch();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        fetching.start();
-        awaitPresent(3, CHUNKS - 2);
+        Thread fetching = fetchBeside(3, CHUNKS - 2);
         now.addAndGet(1_000);
         return fetching;
     }
@@ -335,7 +327,7 @@
         endpoint.held = 1;
         origin.gives = CHUNKS - 2;
         views.want("m", 2);
-        Thread fetching = fetchBeside(CHUNKS - 2);
+        Thread fetching = fetchBeside(2, CHUNKS - 2);
         keeper.step();
         now.addAndGet(BOUND / 2);
         keeper.step();
@@ -359,7 +351,7 @@
         endpoint.held = 1;
         origin.gives = CHUNKS - 2;
         views.want("m", 2);
-        Thread fetching = fetchBeside(CHUNKS - 2);
+        Thread fetching = fetchBeside(2, CHUNKS - 2);
         now.addAndGet(BOUND / 2);
         keeper.step();
         assertFalse(
@@ -439,7 +431,7 @@
         origin.gives = 5;
         origin.givesFrom = 1;
         views.want("m", 2);
-        Thread fetching = fetchBeside(4);
+        Thread fetching = fetchBeside(2, 4);
         keeper.refresh();
         keeper.step();
         assertEquals(List.of(), endpoint.orders);
