--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -108,6 +108,15 @@
         store.append("keyed.op", "config", StandinManifest.text(version, MODEL, originAddress, key, timeoutMillis));
     }
 
+    /**
+     * Names a weight version of the model that is wanted.
+     *
+     * @param version the version
+     */
+    public void nameWeights(long version) {
+        store.append("keyed.op", "version/" + MODEL, "{\"model\":\"" + MODEL + "\",\"version\":" + version + "}");
+    }
+
     /**
      * Starts an endpoint and enters it in the store.
      *
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -155,7 +155,7 @@
             case Result.Success<OperatorRecord>(OperatorRecord.ManifestSet(RouteManifest manifest)) ->
                 manifestSet(record, manifest);
             case Result.Success<OperatorRecord>(OperatorRecord.WeightsNamed(String model, long version)) ->
-                want(model, version);
+                weightsNamed(record, model, version);
             case Result.Success<OperatorRecord>(OperatorRecord.Unused ignored) ->
                 LOG.debug("event=record_unused key={}", record.key());
         }
@@ -171,19 +171,36 @@
                 before.manifest().map(RouteManifest::version).orElse(-1L));
     }
 
+    private void weightsNamed(StoredRecord record, String model, long version) {
+        if (!want(model, version, "store offset=" + record.offset())) {
+            LOG.warn(
+                    "event=weights_named_late model={} version={} offset={} newest={}",
+                    model,
+                    version,
+                    record.offset(),
+                    view.newestTarget(model).map(View.Target::version).orElse(0L));
+        }
+    }
+
     /**
-     * Takes note of a weight version that is wanted, from the store or from a peer that has heard of it.
+     * Takes note of a weight version that is wanted, from a peer that has heard of it.
      *
      * @param model the model
      * @param version the version; an older one than is known changes nothing
      */
     public synchronized void want(String model, long version) {
+        want(model, version, "peer");
+    }
+
+    /** Takes note of a version and tells whether it is newer than those known; the source is for the log. */
+    private boolean want(String model, long version, String source) {
         View after = view.withTarget(model, new View.Target(version, steadyMillis.getAsLong(), loaded));
         if (after == view) {
-            return;
+            return false;
         }
         view = after;
-        LOG.info("event=weights_named model={} version={}", model, version);
+        LOG.info("event=weights_named model={} version={} atStart={} from={}", model, version, !loaded, source);
+        return true;
     }
 
     private void endpointsSaid(List<StoredRecord> news) {
--- /dev/null
+++ b/src/test/java/org/micabarrow/process/LateWriteTest.java
@@ -0,0 +1,106 @@
+package org.micabarrow.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.micabarrow.Await;
+import org.micabarrow.platform.standin.HostedSystem;
+import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.state.CanonicalJson;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.transport.HttpCall;
+import org.micabarrow.transport.HttpCaller;
+
+/**
+ * Users saw requests answered by weight version 2 although version 3 had been named 26 s before.
+ *
+ * <p>Version 2 was named, and the store left the operator's write without an answer; the operator wrote it again, and named
+ * version 3 two seconds later. Then the store did the first write of version 2, which it may for seconds. Processes that ran
+ * knew version 3 by then and passed the record over. When everything lost its power, all of them started from the newest
+ * record of the key, which named version 2: agents fetched it, and entries demanded nothing newer.
+ *
+ * <p>Evidence: the first request was sent without delay and without a demand for version 3, to endpoints that had lost what
+ * they held and so had been given version 2 after the start; a third of the writes had stayed without an answer while both
+ * versions were named.
+ */
+class LateWriteTest {
+
+    private static final Duration WITHIN = Duration.ofSeconds(10);
+    private static final int UNAVAILABLE = 503;
+
+    private HostedSystem platform;
+    private HttpCaller caller;
+
+    @BeforeEach
+    void start() {
+        platform = HostedSystem.start();
+        caller = HttpCaller.start("test", 1);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        caller.close();
+        platform.close();
+    }
+
+    @Test
+    void shouldTakeUpNewestVersionWhenOlderOneWasWrittenLate() throws Exception {
+        nameVersionsAndWriteOlderOneLate();
+        platform.add("b", "models", 0);
+        HostedAgentProcess.start(platform.agent("b"));
+        Await.until("the endpoint holds a version", () -> held("b").isPresent());
+        assertEquals(Optional.of(3L), held("b"));
+    }
+
+    @Test
+    void shouldDemandNewestVersionWhenOlderOneWasWrittenLate() throws Exception {
+        nameVersionsAndWriteOlderOneLate();
+        platform.add("b", "models", 2);
+        platform.enter("a", "models", 2, "draining");
+        HostedSettings entry = platform.entry();
+        try (HostedEntryProcess running = HostedEntryProcess.start(entry)) {
+            Await.until("the entry knows the endpoints", () -> running.endpoints() == 2);
+            Await.until("the older version answers no more", () -> status(entry) == UNAVAILABLE);
+        }
+    }
+
+    /** A process that runs sees versions 2 and 3 being named, and the write of version 2 that comes after. */
+    private void nameVersionsAndWriteOlderOneLate() throws IOException {
+        platform.add("a", "models", 1);
+        HostedAgentProcess.start(platform.agent("a"));
+        platform.nameWeights(2);
+        platform.nameWeights(3);
+        Await.until("the endpoint holds version 3", () -> held("a").equals(Optional.of(3L)));
+        platform.nameWeights(2);
+    }
+
+    /** The weight version that an endpoint says it holds. */
+    private Optional<Long> held(String endpoint) {
+        HttpCall call = HttpCall.get(Step.STATUS, URI.create("http://" + platform.address(endpoint) + "/api/report"));
+        return caller.call(call, WITHIN).toOptional().flatMap(answer -> {
+            try {
+                return Optional.of(CanonicalJson.mapper()
+                                .readTree(answer.body())
+                                .path("models")
+                                .path(0)
+                                .path("version")
+                                .asLong())
+                        .filter(version -> version > 0);
+            } catch (IOException e) {
+                return Optional.empty();
+            }
+        });
+    }
+
+    private int status(HostedSettings entry) {
+        HttpCall request =
+                HostedSystem.request(entry.listen().clients().orElseThrow(), "/stream/x", "id-" + System.nanoTime());
+        return caller.call(request, WITHIN).toOptional().orElseThrow().status();
+    }
+}
