Which weight versions were named is kept in the store, one key a version

Cause: the newest record of a model was taken for its newest version. A write that got no answer may be done seconds later, also after that of a newer version; whoever starts then believes in the older one. With one version between, as users saw, the older one is served. Ruled out: a peer's word (agents that ask for chunks read the store first) and a record passed over. Mend: two agents a region write each version under a key of its own, which no later write can hide, and every process reads these keys before the newest records. A manifest older than the one in force is passed over. Weighed: reading the history (it may be gone), asking the origin for the newest (it may be away), more waiting at the start (helps nobody).

--- a/src/main/java/org/micabarrow/platform/StoreClient.java
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -59,8 +59,9 @@
 
     private static String topicName(Topic topic) {
         return switch (topic) {
-            case OPERATOR -> "keyed.op";
-            case ENDPOINTS -> "keyed.servers";
+            case OPERATOR -> WireNames.OPERATOR_TOPIC;
+            case ENDPOINTS -> WireNames.ENDPOINTS_TOPIC;
+            case NAMED -> WireNames.NAMED_TOPIC;
         };
     }
 
--- /dev/null
+++ b/src/main/java/org/micabarrow/platform/VersionRecords.java
@@ -0,0 +1,105 @@
+package org.micabarrow.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import org.micabarrow.state.CanonicalJson;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.state.Result;
+import org.micabarrow.transport.HttpCall;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.HttpCaller.HttpAnswer;
+import org.micabarrow.views.NamedVersions;
+import org.micabarrow.views.StoredRecord;
+import org.micabarrow.views.VersionKeys;
+
+/** Writes named weight versions into the system's own topic of the platform's store, as operators write them into theirs. */
+public final class VersionRecords implements NamedVersions.VersionWriter {
+
+    private static final int OK = 200;
+    private static final byte[] DROPPED = {};
+
+    private final HttpCaller caller;
+    private final URI uri;
+    private final Duration within;
+
+    /**
+     * Makes a writer.
+     *
+     * @param caller sends its requests
+     * @param address the store's host and port
+     * @param within how long the store may take
+     */
+    public VersionRecords(HttpCaller caller, String address, Duration within) {
+        this.caller = Objects.requireNonNull(caller, "caller is null");
+        this.uri = URI.create("http://" + Objects.requireNonNull(address, "address is null") + WireNames.LOG_APPEND
+                + "?topic=" + WireNames.NAMED_TOPIC + "&part=0");
+        this.within = Objects.requireNonNull(within, "within is null");
+    }
+
+    @Override
+    public Result<List<StoredRecord>> write(String model, long version, List<String> outdated) {
+        List<StoredRecord> records = new ArrayList<>();
+        records.add(new StoredRecord(VersionKeys.of(model, version), 0, value(model, version)));
+        outdated.forEach(key -> records.add(new StoredRecord(key, 0, DROPPED)));
+        HttpCall call = HttpCall.post(Step.LOG, uri, body(records));
+        return caller.call(call, within).flatMap(answer -> offset(call, answer)).map(first -> at(first, records));
+    }
+
+    private static byte[] value(String model, long version) {
+        ObjectNode json = CanonicalJson.mapper().createObjectNode();
+        json.put("model", model);
+        json.put("version", version);
+        return CanonicalJson.write(json);
+    }
+
+    /** Keyed records: the length of all that follows, the length of the key, the key, the value. */
+    private static byte[] body(List<StoredRecord> records) {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        for (StoredRecord record : records) {
+            byte[] key = record.key().getBytes(StandardCharsets.UTF_8);
+            ByteBuffer bytes = ByteBuffer.allocate(Integer.BYTES + 1 + key.length + record.value().length);
+            bytes.putInt(1 + key.length + record.value().length);
+            bytes.put((byte) key.length);
+            bytes.put(key);
+            bytes.put(record.value());
+            body.writeBytes(bytes.array());
+        }
+        return body.toByteArray();
+    }
+
+    private static Result<Long> offset(HttpCall call, HttpAnswer answer) {
+        if (answer.status() != OK) {
+            return Result.failure(
+                    Fault.of(call.step(), call.peer(), Reason.OVERLOADED, "the store answered " + answer.status()));
+        }
+        try {
+            JsonNode json = CanonicalJson.mapper().readTree(answer.body());
+            return json.path("offset").isIntegralNumber()
+                    ? Result.success(json.path("offset").asLong())
+                    : Result.failure(Fault.of(call.step(), call.peer(), Reason.CORRUPT, "the answer has no offset"));
+        } catch (IOException e) {
+            return Result.failure(
+                    Fault.of(call.step(), call.peer(), Reason.CORRUPT, "the answer is not JSON: " + e.getMessage()));
+        }
+    }
+
+    /** The records where they lie: all or none are written, one after the other. */
+    private static List<StoredRecord> at(long first, List<StoredRecord> records) {
+        List<StoredRecord> lying = new ArrayList<>();
+        for (StoredRecord record : records) {
+            lying.add(new StoredRecord(record.key(), first + lying.size(), record.value()));
+        }
+        return lying;
+    }
+}
--- a/src/main/java/org/micabarrow/platform/WireNames.java
+++ b/src/main/java/org/micabarrow/platform/WireNames.java
@@ -61,6 +61,15 @@
 
     static final String LOG_NEWEST = "/api/log-newest";
     static final String LOG_READ = "/api/log-read";
+    static final String LOG_APPEND = "/api/log-append";
+
+    // -- topics of the store
+
+    static final String OPERATOR_TOPIC = "keyed.op";
+    static final String ENDPOINTS_TOPIC = "keyed.servers";
+
+    /** The system's own: the weight versions that its processes saw being named. */
+    static final String NAMED_TOPIC = "keyed.micabarrow.versions";
 
     private WireNames() {}
 }
--- a/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
@@ -8,6 +8,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -53,6 +54,18 @@
         return entries.size() - 1L;
     }
 
+    /**
+     * Whether a key was written to a topic.
+     *
+     * @param topic the topic
+     * @param key the key
+     * @return true if a record of the key is there, dropped or not
+     */
+    public synchronized boolean written(String topic, String key) {
+        return topics.getOrDefault(topic, List.of()).stream()
+                .anyMatch(entry -> entry.key().equals(key));
+    }
+
     /**
      * Drops the history of a topic; the newest record of each key stays.
      *
@@ -111,10 +124,27 @@
                         StandinCalls.parameter(exchange, "wait_ms").orElse("0"));
                 read(exchange, topic, from, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(hold));
             }
+            case "/api/log-append" ->
+                exchange.getRequestReceiver().receiveFullBytes((same, body) -> append(same, topic, body));
             default -> StandinCalls.answer(exchange, NOT_FOUND, new byte[0]);
         }
     }
 
+    private synchronized void append(HttpServerExchange exchange, String topic, byte[] body) {
+        List<Entry> entries = topics.computeIfAbsent(topic, name -> new ArrayList<>());
+        int offset = entries.size();
+        ByteBuffer bytes = ByteBuffer.wrap(body);
+        while (bytes.hasRemaining()) {
+            byte[] record = new byte[bytes.getInt()];
+            bytes.get(record);
+            int key = record[0] & 0xFF;
+            entries.add(new Entry(
+                    new String(record, 1, key, StandardCharsets.UTF_8),
+                    Arrays.copyOfRange(record, 1 + key, record.length)));
+        }
+        StandinCalls.answer(exchange, OK, CanonicalJson.write(Map.of("offset", offset, "end", entries.size())));
+    }
+
     private void newest(HttpServerExchange exchange, String topic) {
         String after = StandinCalls.parameter(exchange, "after_revision").orElse("");
         List<Entry> entries = topics.getOrDefault(topic, List.of());
--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -18,6 +18,7 @@
 import org.micabarrow.state.Fault;
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpListener;
+import org.micabarrow.views.VersionKeys;
 
 /** The users' platform in small, on loopback: a store, an origin and endpoints, with the settings that fit them. */
 public final class HostedSystem implements AutoCloseable {
@@ -117,6 +118,16 @@
         store.append("keyed.op", "version/" + MODEL, "{\"model\":\"" + MODEL + "\",\"version\":" + version + "}");
     }
 
+    /**
+     * Whether a process has kept in the store that a weight version was named.
+     *
+     * @param version the version
+     * @return true once it is kept
+     */
+    public boolean keepsWeights(long version) {
+        return store.written("keyed.micabarrow.versions", VersionKeys.of(MODEL, version));
+    }
+
     /**
      * Starts an endpoint and enters it in the store.
      *
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -46,6 +46,9 @@
      */
     private static final long STANDSTILL_MILLIS = 400;
 
+    /** How many agents of each region keep named weight versions in the store: one may be cut off from it. */
+    private static final int VERSION_KEEPERS = 2;
+
     private final HostedSettings settings;
     private final HostedNode node;
     private final ReplicaKeeper keeper;
@@ -96,7 +99,7 @@
         HttpListener.on(settings.listen().metrics(), usual, node.worker(), peers);
         loadServer = Optional.of(LoadServer.start(settings.listen().peers(), this::told, HostedNode::steadyMillis));
         // After the listeners, so that no connection of our own takes one of their ports.
-        node.follow(new Pace(HostedNode.STORE_WAIT, ENDPOINTS_REST), settings::seeds);
+        node.follow(new Pace(HostedNode.STORE_WAIT, ENDPOINTS_REST), settings::seeds, this::keepsVersions);
         run("report", REPORT_MILLIS, new Reports());
         run("fetch", LOOK_MILLIS, keeper::fetch);
         run("replica", LOOK_MILLIS, keeper::step);
@@ -223,6 +226,10 @@
         return new ReplicaKeeper.Place(region.indexOf(self.address()), region.size());
     }
 
+    private boolean keepsVersions() {
+        return place().position() < VERSION_KEEPERS;
+    }
+
     @Override
     public void close() {
         LOG.info("event=stopped");
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -124,7 +124,8 @@
         HttpListener.on(settings.listen().ready().orElseThrow(), usual, node.worker(), this::ready);
         HttpListener.on(settings.listen().clients().orElseThrow(), usual, node.worker(), handler);
         // After the listeners, so that no connection of our own takes one of their ports.
-        node.follow(new Pace(ENDPOINTS_HOLD, ENDPOINTS_REST), this::peers);
+        // Agents keep the versions: an entry would write what they know as well.
+        node.follow(new Pace(ENDPOINTS_HOLD, ENDPOINTS_REST), this::peers, () -> false);
         loadFeed.start(handler::lookAfterRequests);
         LOG.info("event=started role=entry instance={}", settings.instance().id());
     }
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -11,12 +11,14 @@
 import java.util.function.Supplier;
 import org.micabarrow.platform.StoreClient;
 import org.micabarrow.platform.StoreRecords;
+import org.micabarrow.platform.VersionRecords;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.transport.LinkPacer;
 import org.micabarrow.transport.PeerRecords;
+import org.micabarrow.views.NamedVersions;
 import org.micabarrow.views.StoreFollower;
 import org.micabarrow.views.StoreFollower.Pace;
 import org.micabarrow.views.TopicReader.Batch;
@@ -125,12 +127,16 @@
      *
      * @param endpoints how often endpoints' entries are read
      * @param peers whom to ask
+     * @param keepsVersions whether this process is to keep named weight versions in the store
      */
-    void follow(Pace endpoints, Supplier<List<String>> peers) {
+    void follow(Pace endpoints, Supplier<List<String>> peers, BooleanSupplier keepsVersions) {
         StoreClient store = new StoreClient(kept, settings.store(), STORE_ANSWER);
+        VersionRecords records = new VersionRecords(kept, settings.store(), STORE_ANSWER);
+        NamedVersions operator = new NamedVersions(store, records, views, keepsVersions);
         Consumer<Topic> askPeer = topic -> askPeer(topic, peers.get());
-        new StoreFollower(Topic.OPERATOR, store, views, askPeer, new Pace(STORE_WAIT, Duration.ZERO)).start();
+        new StoreFollower(Topic.OPERATOR, operator, views, askPeer, new Pace(STORE_WAIT, Duration.ZERO)).start();
         new StoreFollower(Topic.ENDPOINTS, store, views, askPeer, endpoints).start();
+        operator.start();
     }
 
     /** Asks the next peer in turn for what it knows of a topic. */
--- a/src/main/java/org/micabarrow/views/TopicCopy.java
+++ b/src/main/java/org/micabarrow/views/TopicCopy.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * A copy of the newest record of each key of a topic. It never goes back: a record counts only if its offset is above the
@@ -87,6 +88,18 @@
         return Optional.ofNullable(newest.get(key)).filter(held -> !held.dropped());
     }
 
+    /**
+     * The keys that were not dropped.
+     *
+     * @return the keys
+     */
+    public Set<String> keys() {
+        return newest.values().stream()
+                .filter(held -> !held.dropped())
+                .map(StoredRecord::key)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     /**
      * The newest records at or after an offset, of dropped keys too.
      *
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -50,9 +50,20 @@
         /** What operators wrote: the manifest and named weight versions. */
         OPERATOR,
         /** What endpoints wrote about themselves. */
-        ENDPOINTS
+        ENDPOINTS,
+        /** The weight versions that processes of this system saw being named, each under a key of its own. */
+        NAMED
     }
 
+    /**
+     * A named weight version that is not known to lie in {@link Topic#NAMED}.
+     *
+     * @param model the model
+     * @param version the version
+     * @param outdated keys of the model's versions there that are of use no more
+     */
+    record Unkept(String model, long version, List<String> outdated) {}
+
     /**
      * The view now.
      *
@@ -142,6 +153,7 @@
         switch (topic) {
             case OPERATOR -> news.forEach(this::operatorSaid);
             case ENDPOINTS -> endpointsSaid(news);
+            case NAMED -> versionsKept(news);
         }
     }
 
@@ -161,14 +173,21 @@
         }
     }
 
+    /** Manifests only go up: a write that got no answer may be done seconds later, after that of a newer manifest. */
     private void manifestSet(StoredRecord record, RouteManifest manifest) {
         View before = view;
+        long inForce = before.manifest().map(RouteManifest::version).orElse(-1L);
+        if (manifest.version() < inForce) {
+            LOG.warn(
+                    "event=manifest_written_late version={} offset={} kept={}",
+                    manifest.version(),
+                    record.offset(),
+                    inForce);
+            return;
+        }
         view = before.withManifest(manifest, record.offset());
         LOG.info(
-                "event=manifest_in_force version={} offset={} before={}",
-                manifest.version(),
-                record.offset(),
-                before.manifest().map(RouteManifest::version).orElse(-1L));
+                "event=manifest_in_force version={} offset={} before={}", manifest.version(), record.offset(), inForce);
     }
 
     private void weightsNamed(StoredRecord record, String model, long version) {
@@ -203,6 +222,46 @@
         return true;
     }
 
+    // -- weight versions that processes keep in the store
+
+    /**
+     * Takes note of the newest version of each model alone: when the others were named is not known, so that they must not seem
+     * to be good to answer for a while.
+     */
+    private void versionsKept(List<StoredRecord> news) {
+        Map<String, Long> newest = new HashMap<>();
+        news.stream()
+                .filter(record -> !record.dropped())
+                .map(decoder::operator)
+                .flatMap(said -> said.toOptional().stream())
+                .forEach(said -> {
+                    if (said instanceof OperatorRecord.WeightsNamed(String model, long version)) {
+                        newest.merge(model, version, Math::max);
+                    }
+                });
+        newest.forEach((model, version) -> want(model, version, "kept"));
+    }
+
+    /** Whether what operators wrote has been read. */
+    synchronized boolean knowsOperator() {
+        return loaded;
+    }
+
+    /** The newest versions that are not known to lie in the store under a key of their own. */
+    synchronized List<Unkept> unkept() {
+        TopicCopy kept = copies.get(Topic.NAMED);
+        List<Unkept> all = new ArrayList<>();
+        view.targets().forEach((model, named) -> {
+            long version = named.getLast().version();
+            if (kept.record(VersionKeys.of(model, version)).isEmpty()) {
+                all.add(new Unkept(model, version, VersionKeys.outdated(kept.keys(), model, version)));
+            }
+        });
+        return all;
+    }
+
+    // -- endpoints
+
     private void endpointsSaid(List<StoredRecord> news) {
         Map<String, EndpointEntry> endpoints = new HashMap<>(view.endpoints());
         List<String> changes = new ArrayList<>();
--- a/src/test/java/org/micabarrow/process/LateWriteTest.java
+++ b/src/test/java/org/micabarrow/process/LateWriteTest.java
@@ -77,6 +77,7 @@
         platform.nameWeights(2);
         platform.nameWeights(3);
         Await.until("the endpoint holds version 3", () -> held("a").equals(Optional.of(3L)));
+        Await.until("the agent has kept that version 3 was named", () -> platform.keepsWeights(3));
         platform.nameWeights(2);
     }
 
--- a/src/test/java/org/micabarrow/views/ViewKeeperTest.java
+++ b/src/test/java/org/micabarrow/views/ViewKeeperTest.java
@@ -58,6 +58,15 @@
         assertEquals(7, version());
     }
 
+    @Test
+    void shouldNotGoBackWhenOlderManifestIsWrittenLate() {
+        keeper.apply(Topic.OPERATOR, List.of(manifest(7, 3)), 4);
+        keeper.apply(Topic.OPERATOR, List.of(manifest(5, 4)), 5);
+        assertEquals(7, version());
+        keeper.replace(Topic.OPERATOR, List.of(manifest(5, 4)), 5);
+        assertEquals(7, version());
+    }
+
     @Test
     void shouldKeepManifestWhenItsRecordDisappears() {
         keeper.apply(Topic.OPERATOR, List.of(manifest(7, 3)), 4);
