--- a/src/main/java/org/micabarrow/process/AgentProcess.java
+++ b/src/main/java/org/micabarrow/process/AgentProcess.java
@@ -22,7 +22,7 @@
 import org.micabarrow.coordination.weights.TransferMetrics;
 import org.micabarrow.coordination.weights.WeightShare;
 import org.micabarrow.coordination.weights.Weights;
-import org.micabarrow.protocol.Wire;
+import org.micabarrow.protocol.StatusMessages;
 import org.micabarrow.protocol.wire.Load;
 import org.micabarrow.protocol.wire.StatusReply;
 import org.micabarrow.settings.AgentSettings;
@@ -214,7 +214,7 @@
                 .setHall(node.identity().hall())
                 .setEpoch(node.identity().epochText())
                 .setLoad(load());
-        replicas.view().replicas().values().forEach(replica -> reply.addReplicas(Wire.toWire(replica)));
+        replicas.view().replicas().values().forEach(replica -> reply.addReplicas(StatusMessages.toWire(replica)));
         return reply.build();
     }
 
--- a/src/main/java/org/micabarrow/process/EntryProcess.java
+++ b/src/main/java/org/micabarrow/process/EntryProcess.java
@@ -27,7 +27,7 @@
 import org.micabarrow.coordination.routing.PrefixIndex;
 import org.micabarrow.coordination.routing.Router;
 import org.micabarrow.coordination.routing.Traffic;
-import org.micabarrow.protocol.Wire;
+import org.micabarrow.protocol.StatusMessages;
 import org.micabarrow.protocol.wire.StatusReply;
 import org.micabarrow.settings.EntrySettings;
 import org.micabarrow.state.FoldedState;
@@ -244,9 +244,9 @@
                 true,
                 reply.getLoad().getLeaving(),
                 reply.getReplicasList().stream()
-                        .map(one -> Wire.fromWire(reply.getInstance(), one))
+                        .map(one -> StatusMessages.fromWire(reply.getInstance(), one))
                         .collect(Collectors.toMap(ReplicaView::placement, Function.identity())),
-                Wire.fromWire(reply.getLoad(), node.clock().millis()));
+                StatusMessages.fromWire(reply.getLoad(), node.clock().millis()));
     }
 
     private void heard(PeerView view) {
--- /dev/null
+++ b/src/main/java/org/micabarrow/protocol/StatusMessages.java
@@ -0,0 +1,67 @@
+package org.micabarrow.protocol;
+
+import java.util.Locale;
+import java.util.Optional;
+import org.micabarrow.coordination.membership.PeerView;
+import org.micabarrow.coordination.membership.ReplicaView;
+import org.micabarrow.protocol.wire.Load;
+import org.micabarrow.protocol.wire.ReplicaStatus;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.Fault.Step;
+
+/** Maps the status of replicas and loads to the messages between processes, and back. */
+public final class StatusMessages {
+
+    private StatusMessages() {}
+
+    /**
+     * A replica for the wire.
+     *
+     * @param replica the replica
+     * @return the message
+     */
+    public static ReplicaStatus toWire(ReplicaView replica) {
+        return ReplicaStatus.newBuilder()
+                .setPlacement(replica.placement())
+                .setVersion(replica.version())
+                .setState(replica.state().name().toLowerCase(Locale.ROOT))
+                .setChunks(replica.chunks())
+                .setTotal(replica.total())
+                .setFault(replica.fault().map(Fault::toString).orElse(""))
+                .setServes(replica.serving().isPresent())
+                .setServing(replica.serving().orElse(""))
+                .build();
+    }
+
+    /**
+     * A replica from the wire.
+     *
+     * @param peer who sent it
+     * @param message the message
+     * @return the replica
+     */
+    public static ReplicaView fromWire(String peer, ReplicaStatus message) {
+        return new ReplicaView(
+                message.getPlacement(),
+                message.getVersion(),
+                ReplicaView.State.valueOf(message.getState().toUpperCase(Locale.ROOT)),
+                message.getChunks(),
+                message.getTotal(),
+                message.getServes() ? Optional.of(message.getServing()) : Optional.empty(),
+                message.getFault().isEmpty()
+                        ? Optional.empty()
+                        : Optional.of(Fault.of(Step.STATUS, peer, Reason.UNKNOWN, message.getFault())));
+    }
+
+    /**
+     * A load from the wire.
+     *
+     * @param load the message
+     * @param nowMillis when it came
+     * @return the load
+     */
+    public static PeerView.Load fromWire(Load load, long nowMillis) {
+        return new PeerView.Load(load.getInFlight(), load.getQueued(), load.getLimit(), nowMillis);
+    }
+}
--- a/src/main/java/org/micabarrow/transport/OperatorDesk.java
+++ b/src/main/java/org/micabarrow/transport/OperatorDesk.java
@@ -25,7 +25,7 @@
 import org.micabarrow.coordination.routing.Router;
 import org.micabarrow.coordination.weights.Weights;
 import org.micabarrow.protocol.OperatorMessages;
-import org.micabarrow.protocol.Wire;
+import org.micabarrow.protocol.StatusMessages;
 import org.micabarrow.protocol.wire.StatusReply;
 import org.micabarrow.settings.IntentReader;
 import org.micabarrow.state.Artifact;
@@ -270,7 +270,7 @@
                 .flatMap(status -> status.getReplicasList().stream()
                         .filter(one ->
                                 one.getPlacement().equals(placed.placement().name()))
-                        .map(one -> Wire.fromWire(replica.instance(), one))
+                        .map(one -> StatusMessages.fromWire(replica.instance(), one))
                         .findFirst());
         String fault = reply.cause()
                 .map(Fault::toString)
--- a/src/main/java/org/micabarrow/transport/PeerClient.java
+++ b/src/main/java/org/micabarrow/transport/PeerClient.java
@@ -33,7 +33,9 @@
 import org.micabarrow.coordination.log.PlatformLog;
 import org.micabarrow.coordination.membership.PeerView;
 import org.micabarrow.coordination.weights.Weights;
-import org.micabarrow.protocol.Wire;
+import org.micabarrow.protocol.AnswerMessages;
+import org.micabarrow.protocol.RequestMessages;
+import org.micabarrow.protocol.StatusMessages;
 import org.micabarrow.protocol.wire.ChunksRequest;
 import org.micabarrow.protocol.wire.HandleReply;
 import org.micabarrow.protocol.wire.HandleRequest;
@@ -113,7 +115,9 @@
     public Runnable handle(Replica to, AgentRequest request, AnswerListener listener) {
         HandleObserver observer = new HandleObserver(to, request.attempt(), listener);
         long millis = Math.max(1, request.remainingMillis()) + ANSWER_SLACK.toMillis();
-        stub(to.address()).withDeadlineAfter(millis, TimeUnit.MILLISECONDS).handle(Wire.toWire(request), observer);
+        stub(to.address())
+                .withDeadlineAfter(millis, TimeUnit.MILLISECONDS)
+                .handle(RequestMessages.toWire(request), observer);
         return observer::cancel;
     }
 
@@ -147,13 +151,13 @@
             }
             switch (reply.getPartCase()) {
                 case HEAD -> {
-                    listener.onHead(Wire.headOf(reply));
+                    listener.onHead(AnswerMessages.headOf(reply));
                     call.request(1);
                 }
                 case DATA -> listener.onData(reply.getData().toByteArray(), () -> call.request(1));
                 case END -> {
-                    loads.accept(to.instance(), Wire.fromWire(reply.getLoad(), clock.millis()));
-                    end(Wire.fromWire(to.instance(), reply.getEnd()));
+                    loads.accept(to.instance(), StatusMessages.fromWire(reply.getLoad(), clock.millis()));
+                    end(AnswerMessages.fromWire(to.instance(), reply.getEnd()));
                     call.request(1);
                 }
                 default -> call.request(1);
@@ -205,11 +209,12 @@
 
     @Override
     public CompletableFuture<Result<Optional<Ledger.Settled>>> settle(Replica to, Claim claim) {
-        SettleRequest request =
-                SettleRequest.newBuilder().setClaim(Wire.toWire(claim)).build();
+        SettleRequest request = SettleRequest.newBuilder()
+                .setClaim(RequestMessages.toWire(claim))
+                .build();
         Single<SettleReply> reply = new Single<>(Step.CLAIM, to.instance());
         within(to.address(), SHORT).settle(request, reply);
-        return reply.result.thenApply(result -> result.map(Wire::fromWire));
+        return reply.result.thenApply(result -> result.map(AnswerMessages::fromWire));
     }
 
     // -- status and records
--- a/src/main/java/org/micabarrow/transport/PeerService.java
+++ b/src/main/java/org/micabarrow/transport/PeerService.java
@@ -19,7 +19,8 @@
 import org.micabarrow.coordination.calls.Outcome;
 import org.micabarrow.coordination.configuration.Configuration;
 import org.micabarrow.coordination.log.PlatformLog;
-import org.micabarrow.protocol.Wire;
+import org.micabarrow.protocol.AnswerMessages;
+import org.micabarrow.protocol.RequestMessages;
 import org.micabarrow.protocol.wire.Chunk;
 import org.micabarrow.protocol.wire.ChunksRequest;
 import org.micabarrow.protocol.wire.HandleReply;
@@ -86,7 +87,7 @@
             return;
         }
         Answering answering = new Answering(request.getAttempt(), (ServerCallStreamObserver<HandleReply>) replies);
-        Runnable cancel = agent.get().flow().begin(Wire.fromWire(request), answering);
+        Runnable cancel = agent.get().flow().begin(RequestMessages.fromWire(request), answering);
         answering.cancelWith(cancel);
     }
 
@@ -128,7 +129,7 @@
 
         @Override
         public void onHead(AnswerHead head) {
-            send(Wire.toWire(head));
+            send(AnswerMessages.toWire(head));
         }
 
         @Override
@@ -151,7 +152,7 @@
         public void onEnd(Outcome outcome) {
             send(HandleReply.newBuilder()
                     .setAttempt(attempt)
-                    .setEnd(Wire.toWire(outcome))
+                    .setEnd(AnswerMessages.toWire(outcome))
                     .setLoad(agent.orElseThrow().load().get())
                     .build());
             if (!gone) {
@@ -168,7 +169,8 @@
 
     @Override
     public void settle(SettleRequest request, StreamObserver<SettleReply> replies) {
-        SettleReply reply = agent.map(parts -> Wire.toWire(parts.flow().settle(Wire.fromWire(request.getClaim()))))
+        SettleReply reply = agent.map(parts ->
+                        AnswerMessages.toWire(parts.flow().settle(RequestMessages.fromWire(request.getClaim()))))
                 .orElse(SettleReply.newBuilder()
                         .setState(SettleReply.State.LOST)
                         .build());
