gRPC between processes and answers to operators are packages of their own

WeightsClient takes the one call it needs of other agents instead of the whole PeerClient, so that transport does not know its own sub-packages. No behaviour changes. Run: process, peer chunk, TLS and both architecture tests, green.

--- a/src/main/java/org/micabarrow/process/AgentProcess.java
+++ b/src/main/java/org/micabarrow/process/AgentProcess.java
@@ -34,9 +34,9 @@
 import org.micabarrow.transport.EndpointClient;
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.LinkPacer;
-import org.micabarrow.transport.OperatorServer;
-import org.micabarrow.transport.PeerService;
 import org.micabarrow.transport.WeightsClient;
+import org.micabarrow.transport.grpc.PeerService;
+import org.micabarrow.transport.operators.OperatorServer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -79,7 +79,7 @@
         this.weights = faults.apply(new WeightsClient(
                 node.http(),
                 settings.platform(),
-                node.peers(),
+                node.peers()::chunks,
                 linkIn,
                 node.configuration()::generation,
                 settings.weights().windowBytes() / AHEAD_PART));
--- a/src/main/java/org/micabarrow/process/EntryProcess.java
+++ b/src/main/java/org/micabarrow/process/EntryProcess.java
@@ -37,11 +37,11 @@
 import org.micabarrow.transport.CallerServer;
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.LinkPacer;
-import org.micabarrow.transport.OperatorDesk;
-import org.micabarrow.transport.OperatorServer;
-import org.micabarrow.transport.PeerService;
 import org.micabarrow.transport.TlsFiles;
 import org.micabarrow.transport.WeightsClient;
+import org.micabarrow.transport.grpc.PeerService;
+import org.micabarrow.transport.operators.OperatorDesk;
+import org.micabarrow.transport.operators.OperatorServer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -185,7 +185,7 @@
                 settings.links().originBytesPerSecond(), settings.links().instanceBytesPerSecond());
         LinkPacer unpaced = new LinkPacer(settings.links().instanceBytesPerSecond(), () -> 1);
         WeightsClient weights = new WeightsClient(
-                node.http(), settings.platform(), node.peers(), unpaced, node.configuration()::generation, 0);
+                node.http(), settings.platform(), node.peers()::chunks, unpaced, node.configuration()::generation, 0);
         return new OperatorDesk(
                 new OperatorDesk.Parts(
                         settings.instance().id(),
--- a/src/main/java/org/micabarrow/process/Node.java
+++ b/src/main/java/org/micabarrow/process/Node.java
@@ -21,10 +21,10 @@
 import org.micabarrow.settings.Common;
 import org.micabarrow.state.Instance;
 import org.micabarrow.transport.HttpCaller;
-import org.micabarrow.transport.PeerChannels;
-import org.micabarrow.transport.PeerClient;
 import org.micabarrow.transport.PlatformClient;
 import org.micabarrow.transport.TlsFiles;
+import org.micabarrow.transport.grpc.PeerChannels;
+import org.micabarrow.transport.grpc.PeerClient;
 
 /** The parts that an entry and an agent have alike. */
 final class Node implements AutoCloseable {
--- a/src/main/java/org/micabarrow/transport/Metrics.java
+++ b/src/main/java/org/micabarrow/transport/Metrics.java
@@ -7,14 +7,19 @@
 import org.micabarrow.state.CanonicalJson;
 
 /** Shows metrics as one flat JSON object. */
-final class Metrics {
+public final class Metrics {
 
     private static final double NANOS_A_MILLI = 1e6;
 
     private Metrics() {}
 
-    /** All metrics by name; timers in milliseconds. */
-    static byte[] snapshot(MetricRegistry registry) {
+    /**
+     * All metrics by name; timers in milliseconds.
+     *
+     * @param registry holds the metrics
+     * @return a JSON object
+     */
+    public static byte[] snapshot(MetricRegistry registry) {
         Map<String, Object> all = new TreeMap<>();
         registry.getGauges().forEach((name, gauge) -> all.put(name, gauge.getValue()));
         registry.getCounters().forEach((name, counter) -> all.put(name, counter.getCount()));
--- a/src/main/java/org/micabarrow/transport/TlsFiles.java
+++ b/src/main/java/org/micabarrow/transport/TlsFiles.java
@@ -111,7 +111,7 @@
      * @param files the certificates, empty for plain connections
      * @return credentials that ask every client for a certificate
      */
-    static ServerCredentials server(Optional<TlsFiles> files) {
+    public static ServerCredentials server(Optional<TlsFiles> files) {
         return files.<ServerCredentials>map(one -> TlsServerCredentials.newBuilder()
                         .keyManager(one.keys)
                         .trustManager(one.trust)
@@ -126,7 +126,7 @@
      * @param files the certificates, empty for plain connections
      * @return the credentials
      */
-    static ChannelCredentials client(Optional<TlsFiles> files) {
+    public static ChannelCredentials client(Optional<TlsFiles> files) {
         return files.<ChannelCredentials>map(one -> TlsChannelCredentials.newBuilder()
                         .keyManager(one.keys)
                         .trustManager(one.trust)
--- a/src/main/java/org/micabarrow/transport/WeightsClient.java
+++ b/src/main/java/org/micabarrow/transport/WeightsClient.java
@@ -15,7 +15,7 @@
 import org.micabarrow.state.Manifest;
 import org.micabarrow.state.Result;
 
-/** Reads weights: from the store and the origin over HTTP, from other agents over gRPC. */
+/** Reads weights: from the store and the origin over HTTP, from other agents as it is handed in. */
 public final class WeightsClient implements Weights {
 
     private static final Duration MANIFEST_WITHIN = Duration.ofSeconds(5);
@@ -25,7 +25,7 @@
 
     private final HttpCaller caller;
     private final Common.Platform platform;
-    private final PeerClient peers;
+    private final AgentChunks agents;
     private final LinkPacer link;
     private final LongSupplier generation;
     private final long aheadBytes;
@@ -35,7 +35,7 @@
      *
      * @param caller sends HTTP requests
      * @param platform where store and origin are
-     * @param peers reaches other agents
+     * @param agents opens streams from other agents
      * @param link holds what is received to the link's rate
      * @param generation the generation in force here
      * @param aheadBytes how many bytes may be on their way from the store at once
@@ -43,18 +43,35 @@
     public WeightsClient(
             HttpCaller caller,
             Common.Platform platform,
-            PeerClient peers,
+            AgentChunks agents,
             LinkPacer link,
             LongSupplier generation,
             long aheadBytes) {
         this.aheadBytes = aheadBytes;
         this.caller = Objects.requireNonNull(caller, "caller is null");
         this.platform = Objects.requireNonNull(platform, "platform is null");
-        this.peers = Objects.requireNonNull(peers, "peers is null");
+        this.agents = Objects.requireNonNull(agents, "agents is null");
         this.link = Objects.requireNonNull(link, "link is null");
         this.generation = Objects.requireNonNull(generation, "generation is null");
     }
 
+    /** Opens streams of chunks from other agents. */
+    @FunctionalInterface
+    public interface AgentChunks {
+
+        /**
+         * Opens a stream of chunks from another agent.
+         *
+         * @param address the agent
+         * @param artifact the manifest's digest
+         * @param from the first chunk wanted
+         * @param to the index after the last chunk wanted
+         * @param generation this process's generation
+         * @return the stream
+         */
+        Feed open(String address, String artifact, int from, int to, long generation);
+    }
+
     @Override
     public Result<Manifest> manifest(String artifact) {
         Result<Manifest> stored = manifestFrom(platform.store(), artifact);
@@ -77,7 +94,7 @@
     @Override
     public Feed open(Source source, String artifact, int from, int to) {
         Feed feed = switch (source) {
-            case Source.Peer peer -> peers.chunks(peer.replica().address(), artifact, from, to, generation.getAsLong());
+            case Source.Peer peer -> agents.open(peer.replica().address(), artifact, from, to, generation.getAsLong());
             case Source.Store ignored -> new HttpFeed(platform.store(), artifact, from, to, aheadBytes);
             case Source.Origin ignored -> new HttpFeed(platform.origin(), artifact, from, to, 0);
         };
--- a/src/main/java/org/micabarrow/transport/ChunkSender.java
+++ b/src/main/java/org/micabarrow/transport/grpc/ChunkSender.java
@@ -1,4 +1,4 @@
-package org.micabarrow.transport;
+package org.micabarrow.transport.grpc;
 
 import com.google.protobuf.UnsafeByteOperations;
 import io.grpc.Status;
@@ -13,6 +13,7 @@
 import org.micabarrow.protocol.wire.ChunksRequest;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
+import org.micabarrow.transport.LinkPacer;
 
 /** Sends an artifact's chunks to one receiver, each as soon as it is here and the receiver asks for it. */
 final class ChunkSender {
--- a/src/main/java/org/micabarrow/transport/PeerChannels.java
+++ b/src/main/java/org/micabarrow/transport/grpc/PeerChannels.java
@@ -1,4 +1,4 @@
-package org.micabarrow.transport;
+package org.micabarrow.transport.grpc;
 
 import com.codahale.metrics.MetricRegistry;
 import io.grpc.BindableService;
@@ -22,6 +22,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import org.micabarrow.transport.Addresses;
+import org.micabarrow.transport.TlsFiles;
 
 /** The gRPC server of a process and its channels to others, on one small set of threads. */
 public final class PeerChannels implements AutoCloseable {
--- a/src/main/java/org/micabarrow/transport/PeerFeed.java
+++ b/src/main/java/org/micabarrow/transport/grpc/PeerFeed.java
@@ -1,4 +1,4 @@
-package org.micabarrow.transport;
+package org.micabarrow.transport.grpc;
 
 import io.grpc.stub.ClientCallStreamObserver;
 import io.grpc.stub.ClientResponseObserver;
--- a/src/main/java/org/micabarrow/transport/PeerService.java
+++ b/src/main/java/org/micabarrow/transport/grpc/PeerService.java
@@ -1,4 +1,4 @@
-package org.micabarrow.transport;
+package org.micabarrow.transport.grpc;
 
 import com.google.protobuf.ByteString;
 import io.grpc.Status;
@@ -36,6 +36,7 @@
 import org.micabarrow.protocol.wire.StatusRequest;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.FoldedState;
+import org.micabarrow.transport.LinkPacer;
 
 /** Answers other processes of the system. An entry has no flow and no chunks; it says so to whoever asks. */
 public final class PeerService extends PeerGrpc.PeerImplBase {
--- a/src/main/java/org/micabarrow/transport/WireMeter.java
+++ b/src/main/java/org/micabarrow/transport/grpc/WireMeter.java
@@ -1,4 +1,4 @@
-package org.micabarrow.transport;
+package org.micabarrow.transport.grpc;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
--- a/src/main/java/org/micabarrow/transport/OperatorDesk.java
+++ b/src/main/java/org/micabarrow/transport/operators/OperatorDesk.java
@@ -1,4 +1,4 @@
-package org.micabarrow.transport;
+package org.micabarrow.transport.operators;
 
 import java.time.Duration;
 import java.time.InstantSource;
@@ -45,6 +45,7 @@
 import org.micabarrow.state.Replica;
 import org.micabarrow.state.Result;
 import org.micabarrow.state.Verdict;
+import org.micabarrow.transport.grpc.PeerClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/src/main/java/org/micabarrow/transport/OperatorServer.java
+++ b/src/main/java/org/micabarrow/transport/operators/OperatorServer.java
@@ -1,4 +1,4 @@
-package org.micabarrow.transport;
+package org.micabarrow.transport.operators;
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -24,6 +24,7 @@
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Fault.Step;
 import org.micabarrow.state.Result;
+import org.micabarrow.transport.Metrics;
 
 /**
  * Answers operators over HTTP: {@code POST /plan}, {@code POST /confirm}, {@code GET /status}, {@code GET /explain}; and
--- a/src/test/java/org/micabarrow/transport/TlsTest.java
+++ b/src/test/java/org/micabarrow/transport/TlsTest.java
@@ -25,6 +25,8 @@
 import org.micabarrow.settings.Common;
 import org.micabarrow.standin.Ports;
 import org.micabarrow.state.Result;
+import org.micabarrow.transport.grpc.PeerChannels;
+import org.micabarrow.transport.grpc.PeerClient;
 
 /** Processes talk only to those that show a certificate of the authorities, and take new files without a restart. */
 class TlsTest {
