--- a/src/main/java/org/micabarrow/transport/CallerAnswer.java
+++ b/src/main/java/org/micabarrow/transport/callers/CallerAnswer.java
@@ -1,4 +1,4 @@
-package org.micabarrow.transport;
+package org.micabarrow.transport.callers;
 
 import io.undertow.io.IoCallback;
 import io.undertow.io.Sender;
--- a/src/main/java/org/micabarrow/transport/CallerServer.java
+++ b/src/main/java/org/micabarrow/transport/callers/CallerServer.java
@@ -1,4 +1,4 @@
-package org.micabarrow.transport;
+package org.micabarrow.transport.callers;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.undertow.server.HttpHandler;
--- a/src/main/java/org/micabarrow/transport/grpc/PeerClient.java
+++ b/src/main/java/org/micabarrow/transport/grpc/PeerClient.java
@@ -3,12 +3,6 @@
 import com.codahale.metrics.MetricRegistry;
 import io.grpc.ConnectivityState;
 import io.grpc.ManagedChannel;
-import io.grpc.Status;
-import io.grpc.stub.ClientCallStreamObserver;
-import io.grpc.stub.ClientResponseObserver;
-import io.grpc.stub.StreamObserver;
-import java.io.IOException;
-import java.net.ConnectException;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
@@ -19,14 +13,12 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.micabarrow.coordination.calls.AgentCalls;
 import org.micabarrow.coordination.calls.AgentRequest;
 import org.micabarrow.coordination.calls.AnswerListener;
-import org.micabarrow.coordination.calls.Outcome;
 import org.micabarrow.coordination.claims.Claim;
 import org.micabarrow.coordination.claims.Ledger;
 import org.micabarrow.coordination.configuration.ConfigurationReader;
@@ -35,10 +27,7 @@
 import org.micabarrow.coordination.weights.Weights;
 import org.micabarrow.protocol.AnswerMessages;
 import org.micabarrow.protocol.RequestMessages;
-import org.micabarrow.protocol.StatusMessages;
 import org.micabarrow.protocol.wire.ChunksRequest;
-import org.micabarrow.protocol.wire.HandleReply;
-import org.micabarrow.protocol.wire.HandleRequest;
 import org.micabarrow.protocol.wire.PeerGrpc;
 import org.micabarrow.protocol.wire.RecordsReply;
 import org.micabarrow.protocol.wire.RecordsRequest;
@@ -46,11 +35,7 @@
 import org.micabarrow.protocol.wire.SettleRequest;
 import org.micabarrow.protocol.wire.StatusReply;
 import org.micabarrow.protocol.wire.StatusRequest;
-import org.micabarrow.state.CanonicalJson;
-import org.micabarrow.state.Fault;
-import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Fault.Step;
-import org.micabarrow.state.FoldedState;
 import org.micabarrow.state.Replica;
 import org.micabarrow.state.Result;
 
@@ -59,7 +44,6 @@
 
     private static final Duration SHORT = Duration.ofSeconds(1);
     private static final Duration ANSWER_SLACK = Duration.ofSeconds(1);
-    private static final Duration SOON = Duration.ofMillis(200);
 
     private final String self;
     private final InstantSource clock;
@@ -113,98 +97,13 @@
 
     @Override
     public Runnable handle(Replica to, AgentRequest request, AnswerListener listener) {
-        HandleObserver observer = new HandleObserver(to, request.attempt(), listener);
+        AnswerReceiver receiver = new AnswerReceiver(
+                to, request.attempt(), listener, load -> loads.accept(to.instance(), load), clock, metrics);
         long millis = Math.max(1, request.remainingMillis()) + ANSWER_SLACK.toMillis();
         stub(to.address())
                 .withDeadlineAfter(millis, TimeUnit.MILLISECONDS)
-                .handle(RequestMessages.toWire(request), observer);
-        return observer::cancel;
-    }
-
-    /** Receives one attempt's answer, one part at a time. */
-    private final class HandleObserver implements ClientResponseObserver<HandleRequest, HandleReply> {
-
-        private final Replica to;
-        private final String attempt;
-        private final AnswerListener listener;
-        private final AtomicBoolean ended = new AtomicBoolean();
-        private volatile ClientCallStreamObserver<HandleRequest> call;
-
-        private HandleObserver(Replica to, String attempt, AnswerListener listener) {
-            this.to = to;
-            this.attempt = attempt;
-            this.listener = listener;
-        }
-
-        @Override
-        public void beforeStart(ClientCallStreamObserver<HandleRequest> stream) {
-            call = stream;
-            stream.disableAutoRequestWithInitial(1);
-        }
-
-        @Override
-        public void onNext(HandleReply reply) {
-            if (!reply.getAttempt().equals(attempt)) {
-                metrics.counter("answers.foreign").inc();
-                call.request(1);
-                return;
-            }
-            switch (reply.getPartCase()) {
-                case HEAD -> {
-                    listener.onHead(AnswerMessages.headOf(reply));
-                    call.request(1);
-                }
-                case DATA -> listener.onData(reply.getData().toByteArray(), () -> call.request(1));
-                case END -> {
-                    loads.accept(to.instance(), StatusMessages.fromWire(reply.getLoad(), clock.millis()));
-                    end(AnswerMessages.fromWire(to.instance(), reply.getEnd()));
-                    call.request(1);
-                }
-                default -> call.request(1);
-            }
-        }
-
-        @Override
-        public void onError(Throwable error) {
-            end(outcomeOf(to.instance(), error));
-        }
-
-        @Override
-        public void onCompleted() {
-            end(Outcome.unknown(
-                    Fault.of(Step.ANSWER, to.instance(), Reason.UNREACHABLE, "the answer ended without its end")));
-        }
-
-        private void end(Outcome outcome) {
-            if (ended.compareAndSet(false, true)) {
-                listener.onEnd(outcome);
-            }
-        }
-
-        private void cancel() {
-            call.cancel("the caller has gone", null);
-        }
-    }
-
-    /** Only a connection that could not be opened proves that nothing was sent. */
-    private static Outcome outcomeOf(String peer, Throwable error) {
-        Fault fault = fault(Step.DISPATCH, peer, error);
-        boolean neverSent = Status.fromThrowable(error).getCause() instanceof ConnectException;
-        return neverSent ? Outcome.notRun(fault, SOON) : Outcome.unknown(fault);
-    }
-
-    private static Fault fault(Step step, String peer, Throwable error) {
-        Status status = Status.fromThrowable(error);
-        Reason reason = switch (status.getCode()) {
-            case DEADLINE_EXCEEDED -> Reason.TIMEOUT;
-            case CANCELLED -> Reason.CANCELLED;
-            case OUT_OF_RANGE -> Reason.GONE;
-            case NOT_FOUND -> Reason.NOT_READY;
-            case PERMISSION_DENIED -> Reason.OUTSIDE_PLACEMENT;
-            default -> Reason.UNREACHABLE;
-        };
-        String message = status.getDescription() == null ? status.getCode().name() : status.getDescription();
-        return Fault.of(step, peer, reason, message);
+                .handle(RequestMessages.toWire(request), receiver);
+        return receiver::cancel;
     }
 
     @Override
@@ -212,9 +111,9 @@
         SettleRequest request = SettleRequest.newBuilder()
                 .setClaim(RequestMessages.toWire(claim))
                 .build();
-        Single<SettleReply> reply = new Single<>(Step.CLAIM, to.instance());
+        SingleReply<SettleReply> reply = new SingleReply<>(Step.CLAIM, to.instance());
         within(to.address(), SHORT).settle(request, reply);
-        return reply.result.thenApply(result -> result.map(AnswerMessages::fromWire));
+        return reply.result().thenApply(result -> result.map(AnswerMessages::fromWire));
     }
 
     // -- status and records
@@ -231,9 +130,9 @@
                 .setGeneration(generation)
                 .setSender(self)
                 .build();
-        Single<StatusReply> reply = new Single<>(Step.STATUS, address);
+        SingleReply<StatusReply> reply = new SingleReply<>(Step.STATUS, address);
         within(address, SHORT).status(request, reply);
-        return reply.result;
+        return reply.result();
     }
 
     @Override
@@ -243,47 +142,23 @@
                 .setSender(self)
                 .setWaitMillis(wait.toMillis())
                 .build();
-        return askRecords(address, request, wait.plus(SHORT)).map(PeerClient::page);
-    }
-
-    private static PlatformLog.Page page(RecordsReply reply) {
-        return new PlatformLog.Page(
-                reply.getFirst(),
-                reply.getRecordsList().stream()
-                        .map(one -> new PlatformLog.Entry(
-                                one.getOffset(),
-                                one.getAtMillis(),
-                                one.getBody().toByteArray()))
-                        .toList());
+        return askRecords(address, request, wait.plus(SHORT)).map(RecordReplies::page);
     }
 
     @Override
     public Result<ConfigurationReader.StateCopy> state(String address) {
         RecordsRequest request =
                 RecordsRequest.newBuilder().setState(true).setSender(self).build();
-        return askRecords(address, request, SHORT).flatMap(reply -> stateCopy(address, reply));
+        return askRecords(address, request, SHORT).flatMap(reply -> RecordReplies.stateCopy(address, reply));
     }
 
     private Result<RecordsReply> askRecords(String address, RecordsRequest request, Duration within) {
-        Single<RecordsReply> reply = new Single<>(Step.LOG, address);
+        SingleReply<RecordsReply> reply = new SingleReply<>(Step.LOG, address);
         within(address, within).records(request, reply);
         try {
-            return reply.result.join();
+            return reply.result().join();
         } catch (CompletionException e) {
-            return Result.failure(fault(Step.LOG, address, e.getCause()));
-        }
-    }
-
-    private static Result<ConfigurationReader.StateCopy> stateCopy(String address, RecordsReply reply) {
-        if (reply.getCheckpoint().isEmpty()) {
-            return Result.failure(Fault.of(Step.LOG, address, Reason.NOT_READY, "the peer knows no configuration"));
-        }
-        try {
-            FoldedState state = CanonicalJson.read(reply.getCheckpoint().toByteArray(), FoldedState.class);
-            return Result.success(new ConfigurationReader.StateCopy(state, reply.getCheckpointDigest()));
-        } catch (IOException e) {
-            return Result.failure(
-                    Fault.of(Step.LOG, address, Reason.CORRUPT, "the state cannot be read: " + e.getMessage()));
+            return Result.failure(CallFaults.of(Step.LOG, address, e.getCause()));
         }
     }
 
@@ -296,35 +171,6 @@
         return stub(address).withDeadlineAfter(limit.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    /** Receives the only answer to a call. */
-    private static final class Single<T> implements StreamObserver<T> {
-
-        private final Step step;
-        private final String peer;
-        private final CompletableFuture<Result<T>> result = new CompletableFuture<>();
-
-        private Single(Step step, String peer) {
-            this.step = step;
-            this.peer = peer;
-        }
-
-        @Override
-        public void onNext(T value) {
-            result.complete(Result.success(value));
-        }
-
-        @Override
-        public void onError(Throwable error) {
-            result.complete(Result.failure(fault(step, peer, error)));
-        }
-
-        @Override
-        public void onCompleted() {
-            result.complete(
-                    Result.failure(Fault.of(step, peer, Reason.UNREACHABLE, "the call ended without an answer")));
-        }
-    }
-
     // -- weights
 
     /**
@@ -350,10 +196,6 @@
         return feed;
     }
 
-    static Fault chunkFault(String peer, Throwable error) {
-        return fault(Step.FETCH, peer, error);
-    }
-
     @Override
     public void close() {
         channels.values().forEach(ManagedChannel::shutdownNow);
--- a/src/main/java/org/micabarrow/transport/grpc/PeerFeed.java
+++ b/src/main/java/org/micabarrow/transport/grpc/PeerFeed.java
@@ -87,7 +87,7 @@
 
     @Override
     public void onError(Throwable error) {
-        end(PeerClient.chunkFault(address, error));
+        end(CallFaults.of(Step.FETCH, address, error));
     }
 
     @Override
