--- a/src/main/java/org/micabarrow/process/EntryProcess.java
+++ b/src/main/java/org/micabarrow/process/EntryProcess.java
@@ -40,7 +40,7 @@
 import org.micabarrow.transport.WeightsClient;
 import org.micabarrow.transport.callers.CallerServer;
 import org.micabarrow.transport.grpc.PeerService;
-import org.micabarrow.transport.operators.OperatorDesk;
+import org.micabarrow.transport.operators.OperatorApi;
 import org.micabarrow.transport.operators.OperatorServer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -171,8 +171,8 @@
                 HttpListener.Bounds.usual(),
                 1,
                 Optional.empty(),
-                OperatorServer.desk(
-                        desk(), settings.operators(), OperatorServer.watching(node.metrics(), this::healthy)));
+                OperatorServer.api(
+                        operatorApi(), settings.operators(), OperatorServer.watching(node.metrics(), this::healthy)));
     }
 
     private Optional<SSLContext> callerContext() throws IOException {
@@ -180,14 +180,14 @@
         return files.isPresent() ? Optional.of(files.get().context()) : Optional.empty();
     }
 
-    private OperatorDesk desk() {
+    private OperatorApi operatorApi() {
         Links links = new Links(
                 settings.links().originBytesPerSecond(), settings.links().instanceBytesPerSecond());
         LinkPacer unpaced = new LinkPacer(settings.links().instanceBytesPerSecond(), () -> 1);
         WeightsClient weights = new WeightsClient(
                 node.http(), settings.platform(), node.peers()::chunks, unpaced, node.configuration()::generation, 0);
-        return new OperatorDesk(
-                new OperatorDesk.Parts(
+        return new OperatorApi(
+                new OperatorApi.Parts(
                         settings.instance().id(),
                         links,
                         node.configuration(),
--- a/src/main/java/org/micabarrow/transport/operators/OperatorServer.java
+++ b/src/main/java/org/micabarrow/transport/operators/OperatorServer.java
@@ -57,24 +57,23 @@
     /**
      * What an entry shows besides.
      *
-     * @param desk answers operators
+     * @param api answers operators
      * @param operators who may ask
      * @param otherwise answers everything else
      * @return the handler
      */
-    public static HttpHandler desk(OperatorDesk desk, List<EntrySettings.Operator> operators, HttpHandler otherwise) {
-        Objects.requireNonNull(desk, "desk is null");
+    public static HttpHandler api(OperatorApi api, List<EntrySettings.Operator> operators, HttpHandler otherwise) {
+        Objects.requireNonNull(api, "api is null");
         return Handlers.path(otherwise)
                 .addExactPath(
-                        "/plan",
-                        new Asked(operators, (operator, exchange) -> desk.plan(file(exchange), body(exchange))))
+                        "/plan", new Asked(operators, (operator, exchange) -> api.plan(file(exchange), body(exchange))))
                 .addExactPath(
                         "/confirm",
                         new Asked(
                                 operators,
-                                (operator, exchange) -> confirmId(exchange).flatMap(id -> desk.confirm(id, operator))))
-                .addExactPath("/status", new Asked(operators, (operator, exchange) -> Result.success(desk.status())))
-                .addExactPath("/explain", new Asked(operators, (operator, exchange) -> explain(desk, exchange)));
+                                (operator, exchange) -> confirmId(exchange).flatMap(id -> api.confirm(id, operator))))
+                .addExactPath("/status", new Asked(operators, (operator, exchange) -> Result.success(api.status())))
+                .addExactPath("/explain", new Asked(operators, (operator, exchange) -> explain(api, exchange)));
     }
 
     private static String file(HttpServerExchange exchange) {
@@ -95,7 +94,7 @@
         }
     }
 
-    private static Result<OperatorMessages.Explained> explain(OperatorDesk desk, HttpServerExchange exchange) {
+    private static Result<OperatorMessages.Explained> explain(OperatorApi api, HttpServerExchange exchange) {
         Optional<String> model = query(exchange, "model");
         Optional<String> workload = model.or(() -> query(exchange, "service"));
         Optional<String> organisation = query(exchange, "organisation");
@@ -103,7 +102,7 @@
             return Result.failure(Fault.of(
                     Step.READ, "operator", Reason.INVALID, "explain needs an organisation and a model or service"));
         }
-        return desk.explain(organisation.get(), workload.get(), model.isPresent());
+        return api.explain(organisation.get(), workload.get(), model.isPresent());
     }
 
     private static Optional<String> query(HttpServerExchange exchange, String name) {
