Planner: candidates and chains are classes of their own

Duties asks Candidates for a replacement directly and needs no planner with made-up links. No behaviour changes.

--- a/src/main/java/org/micabarrow/coordination/configuration/Duties.java
+++ b/src/main/java/org/micabarrow/coordination/configuration/Duties.java
@@ -9,11 +9,10 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import org.micabarrow.state.Candidates;
 import org.micabarrow.state.Digest;
 import org.micabarrow.state.FoldedState;
 import org.micabarrow.state.Instance;
-import org.micabarrow.state.Links;
-import org.micabarrow.state.Planner;
 import org.micabarrow.state.Record;
 import org.micabarrow.state.Replica;
 
@@ -82,12 +81,12 @@
         if (listed.isEmpty() || !first(instances, now / Math.max(1, repairMillis))) {
             return List.of();
         }
-        Planner planner = new Planner(new Links(1, 1), state, instances, Map.of());
+        Candidates candidates = new Candidates(state, instances);
         return state.placements().values().stream()
                 .flatMap(placed -> placed.replicas().stream()
                         .filter(replica -> lost(replica, listed, silent, now))
                         .findFirst()
-                        .flatMap(replica -> replacement(planner, state, placed, replica))
+                        .flatMap(replica -> replacement(candidates, state, placed, replica))
                         .stream())
                 .toList();
     }
@@ -101,11 +100,13 @@
         return now - lostSince.computeIfAbsent(replica.instance(), key -> now) >= repairMillis;
     }
 
-    private Optional<Record> replacement(Planner planner, FoldedState state, FoldedState.Placed placed, Replica lost) {
+    private Optional<Record> replacement(
+            Candidates candidates, FoldedState state, FoldedState.Placed placed, Replica lost) {
         if (placed.replaced() >= placed.placement().envelope().replacements()) {
             return Optional.empty();
         }
-        return planner.replacement(placed, lost)
+        return candidates
+                .replacement(placed, lost)
                 .map(instance -> new Record.ReplicaReplaced(
                         ids.get(), state.offset(), placed.placement().name(), lost.instance(), instance.replica()));
     }
