--- a/src/main/java/org/micabarrow/coordination/agents/ReplicaControl.java
+++ b/src/main/java/org/micabarrow/coordination/agents/ReplicaControl.java
@@ -10,23 +10,17 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiFunction;
 import java.util.function.Function;
-import java.util.stream.Collectors;
 import org.micabarrow.coordination.endpoint.Endpoint;
 import org.micabarrow.coordination.endpoint.Endpoint.Action;
 import org.micabarrow.coordination.membership.Identity;
 import org.micabarrow.coordination.membership.ReplicaView;
-import org.micabarrow.coordination.membership.ReplicaView.State;
-import org.micabarrow.coordination.weights.ChunkWindow;
-import org.micabarrow.coordination.weights.Source;
 import org.micabarrow.coordination.weights.Transfer;
 import org.micabarrow.state.Artifact;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.FoldedState;
 import org.micabarrow.state.FoldedState.Placed;
-import org.micabarrow.state.Replica;
 import org.micabarrow.state.Result;
 import org.micabarrow.state.Workload;
 import org.slf4j.Logger;
@@ -42,18 +36,12 @@
     private static final Logger LOG = LoggerFactory.getLogger(ReplicaControl.class);
 
     private final Identity identity;
-    private final Options options;
-    private final Endpoint endpoint;
-    private final BiFunction<Transfer.Task, Placed, Transfer> starter;
+    private final ReplicaTransfers transfers;
     private final Function<String, Integer> running;
-    private final InstantSource clock;
-    private final Map<String, Transfer> transfers = new ConcurrentHashMap<>();
-    private final Map<String, Long> finished = new HashMap<>();
     private final Set<String> everLoaded = new HashSet<>();
     private FoldedState state = FoldedState.empty();
     private long knownFrom = Long.MAX_VALUE;
     private Optional<Fault> orderFault = Optional.empty();
-    private volatile Set<String> awaited = Set.of();
     private volatile AgentView view = AgentView.empty();
 
     /**
@@ -61,7 +49,6 @@
      *
      * @param identity which instance this is
      * @param options the memory and patience that a transfer may use
-     * @param endpoint takes orders
      * @param starter starts a transfer
      * @param running how many requests run on a version
      * @param clock tells the time
@@ -69,16 +56,12 @@
     public ReplicaControl(
             Identity identity,
             Options options,
-            Endpoint endpoint,
             BiFunction<Transfer.Task, Placed, Transfer> starter,
             Function<String, Integer> running,
             InstantSource clock) {
         this.identity = Objects.requireNonNull(identity, "identity is null");
-        this.options = Objects.requireNonNull(options, "options is null");
-        this.endpoint = Objects.requireNonNull(endpoint, "endpoint is null");
-        this.starter = Objects.requireNonNull(starter, "starter is null");
         this.running = Objects.requireNonNull(running, "running is null");
-        this.clock = Objects.requireNonNull(clock, "clock is null");
+        this.transfers = new ReplicaTransfers(identity, options, starter, clock);
     }
 
     /**
@@ -108,28 +91,7 @@
      * @return what this instance holds of it
      */
     public Holding holding(String artifact) {
-        Transfer transfer = transfers.get(artifact);
-        if (transfer != null) {
-            return transfer.window().<Holding>map(Holding.Held::new).orElseGet(Holding.Coming::new);
-        }
-        return awaited.contains(artifact) ? new Holding.Coming() : new Holding.Nothing();
-    }
-
-    /** What an instance holds of an artifact for others. */
-    public sealed interface Holding {
-
-        /**
-         * Chunks that can be read.
-         *
-         * @param window the chunks
-         */
-        record Held(ChunkWindow window) implements Holding {}
-
-        /** Nothing yet, but a transfer is about to begin. */
-        record Coming() implements Holding {}
-
-        /** Nothing, and nothing will come. */
-        record Nothing() implements Holding {}
+        return transfers.holding(artifact);
     }
 
     // -- deciding, on the control thread
@@ -144,8 +106,7 @@
             knownFrom = next.offset();
         }
         state = next;
-        startTransfers();
-        endTransfers();
+        updateTransfers();
         publish(view.report(), view.leaving());
     }
 
@@ -163,8 +124,7 @@
     public List<Endpoint.Order> reported(Optional<Endpoint.Report> report) {
         report.ifPresent(this::forgetLost);
         publish(report, view.leaving());
-        startTransfers();
-        endTransfers();
+        updateTransfers();
         return report.map(this::orders).orElse(List.of());
     }
 
@@ -190,108 +150,23 @@
                         placed.placement().name(),
                         version);
                 everLoaded.remove(version);
-                placed.placement().workload().artifacts().forEach(artifact -> drop(artifact.digest()));
+                placed.placement().workload().artifacts().forEach(artifact -> transfers.drop(artifact.digest()));
             }
         }
         everLoaded.addAll(report.loaded());
     }
 
+    private void updateTransfers() {
+        transfers.start(mine(), view.report(), knownFrom);
+        transfers.end(mine(), view.report());
+    }
+
     private List<Placed> mine() {
         return state.placements().values().stream()
                 .filter(placed -> placed.replicaOn(identity.instance()).isPresent())
                 .toList();
     }
 
-    private void startTransfers() {
-        awaited = awaitedNow();
-        if (view.report().isEmpty()) {
-            return;
-        }
-        for (Placed placed : mine()) {
-            Workload workload = placed.placement().workload();
-            if (!view.report().get().loaded().contains(workload.version())) {
-                workload.artifacts().forEach(artifact -> startTransfer(placed, artifact));
-            }
-        }
-    }
-
-    private Set<String> awaitedNow() {
-        List<String> loaded = view.report().map(Endpoint.Report::loaded).orElse(List.of());
-        return mine().stream()
-                .map(placed -> placed.placement().workload())
-                .filter(workload -> !loaded.contains(workload.version()))
-                .flatMap(workload -> workload.artifacts().stream())
-                .map(Artifact::digest)
-                .collect(Collectors.toUnmodifiableSet());
-    }
-
-    private void startTransfer(Placed placed, Artifact artifact) {
-        transfers.computeIfAbsent(artifact.digest(), digest -> {
-            boolean fed = Source.isHead(placed, identity.instance()) && placed.since() > knownFrom;
-            Transfer.Task task = new Transfer.Task(
-                    digest,
-                    artifact.bytes(),
-                    Source.order(placed, identity.instance()),
-                    Source.orderAfterStall(placed, identity.instance()),
-                    fed,
-                    follower(placed),
-                    options.windowBytes(),
-                    options.patience());
-            LOG.info(
-                    "transfer starts placement={} artifact={} fed={} sources={}",
-                    placed.placement().name(),
-                    digest,
-                    fed,
-                    task.sources());
-            return starter.apply(task, placed);
-        });
-    }
-
-    private Optional<String> follower(Placed placed) {
-        for (List<Replica> chain : placed.chains()) {
-            for (int i = 0; i + 1 < chain.size(); i++) {
-                if (chain.get(i).instance().equals(identity.instance())) {
-                    return Optional.of(chain.get(i + 1).instance());
-                }
-            }
-        }
-        return Optional.empty();
-    }
-
-    /** Ends transfers that nothing asks for any more, and frees those that ended a while ago. */
-    private void endTransfers() {
-        Set<String> wanted = new HashSet<>();
-        mine().forEach(placed ->
-                placed.placement().workload().artifacts().forEach(artifact -> wanted.add(artifact.digest())));
-        for (Map.Entry<String, Transfer> entry : List.copyOf(transfers.entrySet())) {
-            if (!wanted.contains(entry.getKey())) {
-                drop(entry.getKey());
-            } else if (entry.getValue().progress().complete() && isLoaded(entry.getKey())) {
-                long since = finished.computeIfAbsent(entry.getKey(), key -> clock.millis());
-                if (clock.millis() - since > options.linger().toMillis()) {
-                    drop(entry.getKey());
-                }
-            }
-        }
-    }
-
-    private boolean isLoaded(String artifact) {
-        List<String> loaded = view.report().map(Endpoint.Report::loaded).orElse(List.of());
-        return mine().stream()
-                .map(placed -> placed.placement().workload())
-                .filter(workload -> workload.artifacts().stream()
-                        .anyMatch(one -> one.digest().equals(artifact)))
-                .allMatch(workload -> loaded.contains(workload.version()));
-    }
-
-    private void drop(String artifact) {
-        finished.remove(artifact);
-        Transfer transfer = transfers.remove(artifact);
-        if (transfer != null) {
-            transfer.cancel();
-        }
-    }
-
     // -- orders
 
     private List<Endpoint.Order> orders(Endpoint.Report report) {
@@ -305,7 +180,7 @@
             if (!loaded) {
                 placed.previous().map(Workload::version).ifPresent(wanted::add);
             }
-            if (!workload.artifacts().isEmpty() && !loaded && complete(workload)) {
+            if (!workload.artifacts().isEmpty() && !loaded && transfers.complete(workload)) {
                 orders.add(new Endpoint.Order(
                         fence,
                         Action.LOAD,
@@ -319,54 +194,19 @@
         return state.offset() < 0 ? List.of() : orders;
     }
 
-    private boolean complete(Workload workload) {
-        return workload.artifacts().stream()
-                .map(artifact -> transfers.get(artifact.digest()))
-                .allMatch(transfer -> transfer != null && transfer.progress().complete());
-    }
-
     // -- publishing
 
     private void publish(Optional<Endpoint.Report> report, boolean leaving) {
         Map<String, ReplicaView> replicas = new HashMap<>();
         for (Placed placed : mine()) {
-            replicas.put(placed.placement().name(), replicaView(placed, report));
+            List<Transfer.Progress> progress =
+                    transfers.progress(placed.placement().workload());
+            replicas.put(placed.placement().name(), ReplicaProgress.of(placed, report, progress, orderFault));
         }
         logChanges(replicas);
         view = new AgentView(replicas, leaving, report);
     }
 
-    private ReplicaView replicaView(Placed placed, Optional<Endpoint.Report> report) {
-        Workload workload = placed.placement().workload();
-        List<String> loaded = report.map(Endpoint.Report::loaded).orElse(List.of());
-        List<Transfer.Progress> progress = workload.artifacts().stream()
-                .map(artifact -> Optional.ofNullable(transfers.get(artifact.digest())))
-                .flatMap(Optional::stream)
-                .map(Transfer::progress)
-                .toList();
-        int total = workload.artifacts().stream().mapToInt(Artifact::chunks).sum();
-        boolean ready = report.isPresent() && (workload.artifacts().isEmpty() || loaded.contains(workload.version()));
-        int chunks = ready
-                ? total
-                : progress.stream().mapToInt(Transfer.Progress::chunks).sum();
-        Optional<String> serving = ready
-                ? Optional.of(workload.version())
-                : placed.previous().map(Workload::version).filter(loaded::contains);
-        Optional<Fault> fault = ready
-                ? Optional.empty()
-                : orderFault.or(() ->
-                        progress.stream().flatMap(one -> one.fault().stream()).findFirst());
-        State reached = ready ? State.READY : reached(chunks, total);
-        return new ReplicaView(placed.placement().name(), workload.version(), reached, chunks, total, serving, fault);
-    }
-
-    private static State reached(int chunks, int total) {
-        if (chunks == 0) {
-            return State.ABSENT;
-        }
-        return chunks < total ? State.RECEIVING : State.VERIFIED;
-    }
-
     private void logChanges(Map<String, ReplicaView> replicas) {
         replicas.forEach((name, replica) -> {
             ReplicaView before = view.replicas().get(name);
--- a/src/main/java/org/micabarrow/process/AgentProcess.java
+++ b/src/main/java/org/micabarrow/process/AgentProcess.java
@@ -89,11 +89,10 @@
                         settings.weights().windowBytes(),
                         patience(settings),
                         Duration.ofMillis(settings.weights().lingerMillis())),
-                endpoint,
                 this::startTransfer,
                 this::runningOn,
                 node.clock());
-        this.flow = new AgentFlow(
+        this.flow = new AgentFlow(new AgentFlow.Parts(
                 node.identity(),
                 node.configuration(),
                 replicas::view,
@@ -107,7 +106,7 @@
                 endpoint,
                 share,
                 node.clock(),
-                limits.ledgerBytes());
+                limits.ledgerBytes()));
     }
 
     /**
--- a/src/main/java/org/micabarrow/transport/grpc/ChunkSender.java
+++ b/src/main/java/org/micabarrow/transport/grpc/ChunkSender.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
-import org.micabarrow.coordination.agents.ReplicaControl;
+import org.micabarrow.coordination.agents.Holding;
 import org.micabarrow.coordination.weights.ChunkWindow;
 import org.micabarrow.protocol.wire.Chunk;
 import org.micabarrow.protocol.wire.ChunksRequest;
@@ -49,7 +49,7 @@
     }
 
     /** Sends until the receiver has all, or leaves, or falls out of the window. */
-    void run(Function<String, ReplicaControl.Holding> windows) {
+    void run(Function<String, Holding> windows) {
         try {
             Optional<ChunkWindow> window = awaitWindow(windows);
             if (window.isPresent()) {
@@ -63,16 +63,13 @@
     }
 
     /** A receiver may be quicker than this instance to hear of a plan; it waits here and not at the origin. */
-    private Optional<ChunkWindow> awaitWindow(Function<String, ReplicaControl.Holding> windows)
-            throws InterruptedException {
-        ReplicaControl.Holding holding = windows.apply(request.getVersion());
-        while (holding instanceof ReplicaControl.Holding.Coming && !replies.isCancelled()) {
+    private Optional<ChunkWindow> awaitWindow(Function<String, Holding> windows) throws InterruptedException {
+        Holding holding = windows.apply(request.getVersion());
+        while (holding instanceof Holding.Coming && !replies.isCancelled()) {
             pauseUntilItMayHaveCome();
             holding = windows.apply(request.getVersion());
         }
-        return holding instanceof ReplicaControl.Holding.Held(ChunkWindow window)
-                ? Optional.of(window)
-                : Optional.empty();
+        return holding instanceof Holding.Held(ChunkWindow window) ? Optional.of(window) : Optional.empty();
     }
 
     private void pauseUntilItMayHaveCome() throws InterruptedException {
--- a/src/main/java/org/micabarrow/transport/grpc/PeerService.java
+++ b/src/main/java/org/micabarrow/transport/grpc/PeerService.java
@@ -13,7 +13,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.micabarrow.coordination.agents.AgentFlow;
-import org.micabarrow.coordination.agents.ReplicaControl;
+import org.micabarrow.coordination.agents.Holding;
 import org.micabarrow.coordination.calls.AnswerHead;
 import org.micabarrow.coordination.calls.AnswerListener;
 import org.micabarrow.coordination.calls.Outcome;
@@ -72,7 +72,7 @@
      */
     public record AgentParts(
             AgentFlow flow,
-            Function<String, ReplicaControl.Holding> windows,
+            Function<String, Holding> windows,
             Supplier<Load> load,
             LinkPacer link,
             ExecutorService senders) {}
--- a/src/test/java/org/micabarrow/coordination/agents/AgentFlowTest.java
+++ b/src/test/java/org/micabarrow/coordination/agents/AgentFlowTest.java
@@ -58,7 +58,7 @@
         control = ControlThread.start("test");
         Configuration configuration = new Configuration(control, clock);
         configuration.adopt(state, state.digest()).join();
-        flow = new AgentFlow(
+        flow = new AgentFlow(new AgentFlow.Parts(
                 identity,
                 configuration,
                 this::view,
@@ -71,7 +71,7 @@
                 },
                 new WeightShare(),
                 clock,
-                1000);
+                1000));
     }
 
     @AfterEach
