--- a/src/main/java/org/micabarrow/coordination/requests/RequestRun.java
+++ b/src/main/java/org/micabarrow/coordination/requests/RequestRun.java
@@ -7,22 +7,16 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.micabarrow.coordination.calls.AgentRequest;
-import org.micabarrow.coordination.calls.AnswerHead;
 import org.micabarrow.coordination.calls.AnswerListener;
 import org.micabarrow.coordination.calls.Outcome;
 import org.micabarrow.coordination.claims.Claim;
-import org.micabarrow.coordination.claims.ClaimVerdict;
-import org.micabarrow.coordination.claims.Ledger;
-import org.micabarrow.coordination.membership.PeerView;
 import org.micabarrow.coordination.routing.Exclusion;
 import org.micabarrow.coordination.routing.Router;
-import org.micabarrow.state.Digest;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Fault.Step;
 import org.micabarrow.state.FoldedState.Placed;
 import org.micabarrow.state.Replica;
-import org.micabarrow.state.Result;
 import org.micabarrow.state.Workload;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -35,7 +29,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.decision.route");
     private static final int MOST_ATTEMPTS = 3;
-    private static final long ON_ITS_WAY_MILLIS = 1_000;
     private static final Duration SOON = Duration.ofMillis(500);
     private static final Duration LATER = Duration.ofSeconds(2);
 
@@ -45,6 +38,7 @@
     private final AnswerListener sink;
     private final AtomicBoolean ended = new AtomicBoolean();
     private final Set<String> tried = new HashSet<>();
+    private final KeyClaim keyClaim;
     private final long queuedUntil;
     private int attempts;
     private boolean begun;
@@ -60,6 +54,7 @@
         this.parts = Objects.requireNonNull(parts, "parts is null");
         this.request = Objects.requireNonNull(request, "request is null");
         this.sink = Objects.requireNonNull(sink, "sink is null");
+        this.keyClaim = new KeyClaim(flow, parts, request, sink, new AfterClaim());
         this.queuedUntil = now() + RequestFlow.LONGEST_QUEUE.toMillis();
     }
 
@@ -155,7 +150,7 @@
         String attempt = parts.attempts().get();
         log(placed, decision, attempt);
         if (unrepeatable(placed)) {
-            claimThenDispatch(placed, replica, attempt);
+            keyClaim.claim(placed, replica, attempt, after);
         } else {
             dispatch(placed, replica, attempt, Optional.empty());
         }
@@ -173,106 +168,28 @@
                 decision.exclusions());
     }
 
-    // -- claiming
-
-    private void claimThenDispatch(Placed placed, Replica replica, String attempt) {
-        String epoch = flow.peer(replica.instance()).map(PeerView::epoch).orElse("");
-        String key = RequestFlow.claimKey(
-                request.organisation().name(), request.key().orElseThrow());
-        Claim claim = new Claim(
-                key, digestOfWhatIsAsked(), replica.instance(), epoch, request.deadlineMillis(), attempt, after);
-        parts.claims().apply(key).claim(claim, parts.claimWithin()).thenAccept(verdict -> {
-            switch (verdict) {
-                case ClaimVerdict.Won ignored -> dispatch(placed, replica, attempt, Optional.of(claim));
-                case ClaimVerdict.Held(Claim holder, long ageMillis) -> heldBy(placed, claim, holder, ageMillis);
-                case ClaimVerdict.Failed(Fault fault) -> end(Outcome.notRun(fault, LATER));
-            }
-        });
-    }
-
-    /** The same key stands for the same call with the same body. */
-    private String digestOfWhatIsAsked() {
-        return Digest.of(
-                String.join("\n", request.workload(), request.method(), request.path(), Digest.of(request.body())));
-    }
+    // -- sending
 
-    private void heldBy(Placed placed, Claim mine, Claim holder, long ageMillis) {
-        if (!holder.bodyDigest().equals(mine.bodyDigest())) {
-            end(Outcome.notRun(
-                    Fault.of(
-                            Step.CLAIM,
-                            holder.instance(),
-                            Reason.CONFLICT,
-                            "the Idempotency-Key was used before with another body"),
-                    LATER));
-            return;
-        }
-        if (ageMillis < ON_ITS_WAY_MILLIS) {
-            // Settling now would refuse a request that is just being sent, and so would its own retry be refused.
-            end(Outcome.unknown(Fault.of(
-                    Step.CLAIM, holder.instance(), Reason.CONFLICT, "a request with this key has just been sent")));
-            return;
-        }
-        settle(placed, holder);
-    }
+    /** Goes on once the request's key has been claimed or settled. */
+    private final class AfterClaim implements KeyClaim.Next {
 
-    /** Finds out what became of a claimed key, and goes on only if it has been refused for good. */
-    private void settle(Placed placed, Claim holder) {
-        Optional<Replica> replica = placed.replicaOn(holder.instance());
-        if (replica.isEmpty()) {
-            end(Outcome.unknown(
-                    Fault.of(Step.CLAIM, holder.instance(), Reason.GONE, "the instance that holds the key is gone")));
-            return;
+        @Override
+        public void won(Placed placed, Replica replica, String attempt, Claim claim) {
+            dispatch(placed, replica, attempt, Optional.of(claim));
         }
-        parts.calls().settle(replica.get(), holder).thenAccept(result -> {
-            LOG.info("settle request={} holder={} result={}", request.id(), holder.attempt(), result);
-            switch (result) {
-                case Result.Failure<Optional<Ledger.Settled>>(Fault fault) -> end(Outcome.unknown(fault));
-                case Result.Success<Optional<Ledger.Settled>>(Optional<Ledger.Settled> settled) ->
-                    settled.ifPresentOrElse(
-                            one -> settled(replica.get(), holder, one),
-                            () -> end(Outcome.unknown(Fault.of(
-                                    Step.CLAIM,
-                                    holder.instance(),
-                                    Reason.GONE,
-                                    "the process that held the key has been replaced"))));
-            }
-        });
-    }
 
-    private void settled(Replica replica, Claim holder, Ledger.Settled settled) {
-        switch (settled.fate()) {
-            case REFUSED -> {
-                after = Optional.of(holder.attempt());
-                retry(new Outcome.NotRun(fault(Reason.NOT_READY, "the attempt was refused for good"), SOON));
-            }
-            case RUNNING ->
-                end(Outcome.unknown(
-                        Fault.of(Step.CLAIM, replica.instance(), Reason.CONFLICT, "the request is in progress")));
-            case DONE -> giveKept(replica, holder, settled.answer());
+        @Override
+        public void refused(Claim holder) {
+            after = Optional.of(holder.attempt());
+            retry(new Outcome.NotRun(fault(Reason.NOT_READY, "the attempt was refused for good"), SOON));
         }
-    }
 
-    private void giveKept(Replica replica, Claim holder, Optional<Ledger.Answer> answer) {
-        if (answer.isEmpty()) {
-            end(Outcome.unknown(Fault.of(
-                    Step.CLAIM, replica.instance(), Reason.GONE, "the request ran; its answer is not kept any more")));
-            return;
+        @Override
+        public void end(Outcome outcome) {
+            RequestRun.this.end(outcome);
         }
-        sink.onHead(new AnswerHead(
-                holder.attempt(),
-                answer.get().status(),
-                answer.get().contentType(),
-                "",
-                replica.instance(),
-                replica.region(),
-                replica.hall(),
-                flow.generation()));
-        sink.onData(answer.get().body(), () -> end(Outcome.answered()));
     }
 
-    // -- sending
-
     private void dispatch(Placed placed, Replica replica, String attempt, Optional<Claim> claim) {
         flow.attempted();
         lastClaim = claim;
@@ -292,55 +209,21 @@
                 request.contentType(),
                 request.body(),
                 claim);
-        cancelAttempt = parts.calls().handle(replica, sent, new Attempt(placed, replica, attempt, now()));
+        AttemptAnswer answer = new AttemptAnswer(
+                parts, request, sink, replica, attempt, () -> begun = true, outcome -> ended(placed, replica, outcome));
+        cancelAttempt = parts.calls().handle(replica, sent, answer);
         if (cancelled) {
             cancel();
         }
     }
 
-    /** Receives the answer of one attempt. */
-    private final class Attempt implements AnswerListener {
-
-        private final Placed placed;
-        private final Replica replica;
-        private final String attempt;
-        private final long sentMillis;
-
-        private Attempt(Placed placed, Replica replica, String attempt, long sentMillis) {
-            this.placed = placed;
-            this.replica = replica;
-            this.attempt = attempt;
-            this.sentMillis = sentMillis;
-        }
-
-        @Override
-        public void onHead(AnswerHead head) {
-            begun = true;
-            parts.traffic().began(replica.instance(), now() - sentMillis);
-            sink.onHead(head);
-        }
-
-        @Override
-        public void onData(byte[] data, Runnable more) {
-            sink.onData(data, more);
-        }
-
-        @Override
-        public void onEnd(Outcome outcome) {
-            parts.traffic().closed(replica.instance());
-            LOG.info(
-                    "end request={} attempt={} instance={} outcome={}",
-                    request.id(),
-                    attempt,
-                    replica.instance(),
-                    outcome);
-            switch (outcome) {
-                case Outcome.Answered answered -> end(answered);
-                case Outcome.NotRun notRun -> refused(replica, notRun);
-                case Outcome.Unknown unknown -> broken(placed, replica, unknown);
-            }
-            flow.wake();
+    private void ended(Placed placed, Replica replica, Outcome outcome) {
+        switch (outcome) {
+            case Outcome.Answered answered -> end(answered);
+            case Outcome.NotRun notRun -> refused(replica, notRun);
+            case Outcome.Unknown unknown -> broken(placed, replica, unknown);
         }
+        flow.wake();
     }
 
     /** After a refusal: a full instance is worth waiting for, any other is left out from now on. */
@@ -366,7 +249,7 @@
         if (begun || cancelled) {
             end(unknown);
         } else if (lastClaim.isPresent()) {
-            settle(placed, lastClaim.get());
+            keyClaim.settle(placed, lastClaim.get());
         } else {
             mayHaveRun = Optional.of(unknown);
             retry(new Outcome.NotRun(unknown.fault(), SOON));
