--- a/src/main/java/org/micabarrow/coordination/agents/ReplicaControl.java
+++ b/src/main/java/org/micabarrow/coordination/agents/ReplicaControl.java
@@ -17,6 +17,7 @@
 import org.micabarrow.coordination.membership.Identity;
 import org.micabarrow.coordination.membership.ReplicaView;
 import org.micabarrow.coordination.weights.Transfer;
+import org.micabarrow.coordination.weights.TransferTask;
 import org.micabarrow.state.Artifact;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.FoldedState;
@@ -56,7 +57,7 @@
     public ReplicaControl(
             Identity identity,
             Options options,
-            BiFunction<Transfer.Task, Placed, Transfer> starter,
+            BiFunction<TransferTask, Placed, Transfer> starter,
             Function<String, Integer> running,
             InstantSource clock) {
         this.identity = Objects.requireNonNull(identity, "identity is null");
--- a/src/main/java/org/micabarrow/coordination/agents/ReplicaTransfers.java
+++ b/src/main/java/org/micabarrow/coordination/agents/ReplicaTransfers.java
@@ -15,6 +15,7 @@
 import org.micabarrow.coordination.membership.Identity;
 import org.micabarrow.coordination.weights.Source;
 import org.micabarrow.coordination.weights.Transfer;
+import org.micabarrow.coordination.weights.TransferTask;
 import org.micabarrow.state.Artifact;
 import org.micabarrow.state.FoldedState.Placed;
 import org.micabarrow.state.Replica;
@@ -33,7 +34,7 @@
 
     private final Identity identity;
     private final ReplicaControl.Options options;
-    private final BiFunction<Transfer.Task, Placed, Transfer> starter;
+    private final BiFunction<TransferTask, Placed, Transfer> starter;
     private final InstantSource clock;
     private final Map<String, Transfer> transfers = new ConcurrentHashMap<>();
     private final Map<String, Long> finished = new HashMap<>();
@@ -42,7 +43,7 @@
     ReplicaTransfers(
             Identity identity,
             ReplicaControl.Options options,
-            BiFunction<Transfer.Task, Placed, Transfer> starter,
+            BiFunction<TransferTask, Placed, Transfer> starter,
             InstantSource clock) {
         this.identity = Objects.requireNonNull(identity, "identity is null");
         this.options = Objects.requireNonNull(options, "options is null");
@@ -115,7 +116,7 @@
     private void startTransfer(Placed placed, Artifact artifact, long knownFrom) {
         transfers.computeIfAbsent(artifact.digest(), digest -> {
             boolean fed = Source.isHead(placed, identity.instance()) && placed.since() > knownFrom;
-            Transfer.Task task = new Transfer.Task(
+            TransferTask task = new TransferTask(
                     digest,
                     artifact.bytes(),
                     Source.order(placed, identity.instance()),
--- a/src/main/java/org/micabarrow/coordination/weights/Transfer.java
+++ b/src/main/java/org/micabarrow/coordination/weights/Transfer.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
@@ -21,25 +20,21 @@
  */
 public final class Transfer implements Runnable {
 
-    /** How much more than one copy the head of a chain may draw without asking, for chunks that came corrupted. */
-    public static final double FEED_SLACK = 1.015;
-
     private static final Logger LOG = LoggerFactory.getLogger(Transfer.class);
     private static final int MANIFEST_TRIES_MILLIS = 300;
 
     private static final int WAITING_BORNE = 8;
 
-    private final Task task;
+    private final TransferTask task;
     private final Weights weights;
     private final Endpoint endpoint;
-    private final OriginBudget budget;
     private final TransferMetrics metrics;
     private final InstantSource clock;
     private final SourceChoice choice;
+    private final OriginAllowance allowance;
     private final AtomicReference<Progress> progress = new AtomicReference<>(Progress.none());
     private volatile ChunkWindow window;
     private volatile boolean cancelled;
-    private long originAllowance;
 
     /**
      * Makes a transfer; {@link #run} does the work.
@@ -52,7 +47,7 @@
      * @param clock tells the time
      */
     public Transfer(
-            Task task,
+            TransferTask task,
             Weights weights,
             Endpoint endpoint,
             OriginBudget budget,
@@ -61,41 +56,10 @@
         this.task = Objects.requireNonNull(task, "task is null");
         this.weights = Objects.requireNonNull(weights, "weights is null");
         this.endpoint = Objects.requireNonNull(endpoint, "endpoint is null");
-        this.budget = Objects.requireNonNull(budget, "budget is null");
         this.metrics = Objects.requireNonNull(metrics, "metrics is null");
         this.clock = Objects.requireNonNull(clock, "clock is null");
         this.choice = SourceChoice.of(task.sources(), task.afterStall());
-        this.originAllowance = task.fed() ? (long) (task.bytes() * FEED_SLACK) : 0;
-    }
-
-    /**
-     * What a transfer brings, and how.
-     *
-     * @param artifact the manifest's digest
-     * @param bytes the artifact's size
-     * @param sources the sources, the best first
-     * @param afterStall the sources in the order that holds after a stall
-     * @param fed whether the plan feeds this instance one copy from the origin
-     * @param follower the instance that is likely to read from this one
-     * @param windowBytes how many bytes of chunks to hold
-     * @param patience the longest wait for a chunk before the source counts as stalled
-     */
-    public record Task(
-            String artifact,
-            long bytes,
-            List<Source> sources,
-            List<Source> afterStall,
-            boolean fed,
-            Optional<String> follower,
-            long windowBytes,
-            Duration patience) {
-
-        /** Copies the list. */
-        public Task {
-            Objects.requireNonNull(artifact, "artifact is null");
-            sources = List.copyOf(sources);
-            afterStall = List.copyOf(afterStall);
-        }
+        this.allowance = OriginAllowance.of(task, budget);
     }
 
     /**
@@ -199,13 +163,11 @@
 
     /** Reads until the source fails, a better one may be asked again, or nothing is left. */
     private Result<Integer> receiveFrom(Source source, Manifest manifest) throws InterruptedException {
-        long missing = missingBytes(manifest);
-        if (source instanceof Source.Origin && originAllowance <= 0) {
-            Result<Long> granted = budget.draw(missing);
-            if (granted instanceof Result.Failure<Long>(Fault fault)) {
-                return Result.failure(fault);
+        if (source instanceof Source.Origin) {
+            Optional<Fault> refused = allowance.ask(missingBytes(manifest));
+            if (refused.isPresent()) {
+                return Result.failure(refused.get());
             }
-            originAllowance += granted.toOptional().orElse(0L);
         }
         LOG.info(
                 "transfer artifact={} source={} from={} of={}",
@@ -263,7 +225,7 @@
     private boolean received(Source source, Manifest manifest, int index, byte[] data) {
         metrics.received(source, data.length);
         if (source instanceof Source.Origin) {
-            originAllowance -= data.length;
+            allowance.use(data.length);
         }
         boolean good = manifest.matches(index, data);
         if (!good) {
--- a/src/main/java/org/micabarrow/process/AgentProcess.java
+++ b/src/main/java/org/micabarrow/process/AgentProcess.java
@@ -20,6 +20,7 @@
 import org.micabarrow.coordination.weights.OriginBudget;
 import org.micabarrow.coordination.weights.Transfer;
 import org.micabarrow.coordination.weights.TransferMetrics;
+import org.micabarrow.coordination.weights.TransferTask;
 import org.micabarrow.coordination.weights.WeightShare;
 import org.micabarrow.coordination.weights.Weights;
 import org.micabarrow.protocol.StatusMessages;
@@ -243,7 +244,7 @@
 
     // -- weights
 
-    private Transfer startTransfer(Transfer.Task task, FoldedState.Placed placed) {
+    private Transfer startTransfer(TransferTask task, FoldedState.Placed placed) {
         OriginBudget budget = bytes -> draw(placed.placement().name(), bytes);
         Transfer transfer =
                 new Transfer(task, weights, endpoint, budget, new TransferMetrics(node.metrics()), node.clock());
--- a/src/test/java/org/micabarrow/coordination/weights/TransferTest.java
+++ b/src/test/java/org/micabarrow/coordination/weights/TransferTest.java
@@ -136,7 +136,7 @@
     }
 
     private Transfer run(InstantSource clock, boolean fed, Source... order) {
-        Transfer.Task task = new Transfer.Task(
+        TransferTask task = new TransferTask(
                 manifest.version(),
                 manifest.bytes(),
                 List.of(order),
