--- a/src/main/java/org/micabarrow/process/AgentProcess.java
+++ b/src/main/java/org/micabarrow/process/AgentProcess.java
@@ -20,9 +20,10 @@
 import org.micabarrow.coordination.weights.OriginBudget;
 import org.micabarrow.coordination.weights.Transfer;
 import org.micabarrow.coordination.weights.TransferMetrics;
+import org.micabarrow.coordination.weights.TransferTask;
 import org.micabarrow.coordination.weights.WeightShare;
 import org.micabarrow.coordination.weights.Weights;
-import org.micabarrow.protocol.Wire;
+import org.micabarrow.protocol.StatusMessages;
 import org.micabarrow.protocol.wire.Load;
 import org.micabarrow.protocol.wire.StatusReply;
 import org.micabarrow.settings.AgentSettings;
@@ -34,9 +35,9 @@
 import org.micabarrow.transport.EndpointClient;
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.LinkPacer;
-import org.micabarrow.transport.OperatorServer;
-import org.micabarrow.transport.PeerService;
 import org.micabarrow.transport.WeightsClient;
+import org.micabarrow.transport.grpc.PeerService;
+import org.micabarrow.transport.operators.OperatorServer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -79,7 +80,7 @@
         this.weights = faults.apply(new WeightsClient(
                 node.http(),
                 settings.platform(),
-                node.peers(),
+                node.peers()::chunks,
                 linkIn,
                 node.configuration()::generation,
                 settings.weights().windowBytes() / AHEAD_PART));
@@ -89,11 +90,10 @@
                         settings.weights().windowBytes(),
                         patience(settings),
                         Duration.ofMillis(settings.weights().lingerMillis())),
-                endpoint,
                 this::startTransfer,
                 this::runningOn,
                 node.clock());
-        this.flow = new AgentFlow(
+        this.flow = new AgentFlow(new AgentFlow.Parts(
                 node.identity(),
                 node.configuration(),
                 replicas::view,
@@ -107,7 +107,7 @@
                 endpoint,
                 share,
                 node.clock(),
-                limits.ledgerBytes());
+                limits.ledgerBytes()));
     }
 
     /**
@@ -214,7 +214,7 @@
                 .setHall(node.identity().hall())
                 .setEpoch(node.identity().epochText())
                 .setLoad(load());
-        replicas.view().replicas().values().forEach(replica -> reply.addReplicas(Wire.toWire(replica)));
+        replicas.view().replicas().values().forEach(replica -> reply.addReplicas(StatusMessages.toWire(replica)));
         return reply.build();
     }
 
@@ -244,7 +244,7 @@
 
     // -- weights
 
-    private Transfer startTransfer(Transfer.Task task, FoldedState.Placed placed) {
+    private Transfer startTransfer(TransferTask task, FoldedState.Placed placed) {
         OriginBudget budget = bytes -> draw(placed.placement().name(), bytes);
         Transfer transfer =
                 new Transfer(task, weights, endpoint, budget, new TransferMetrics(node.metrics()), node.clock());
--- a/src/main/java/org/micabarrow/process/EntryProcess.java
+++ b/src/main/java/org/micabarrow/process/EntryProcess.java
@@ -27,21 +27,21 @@
 import org.micabarrow.coordination.routing.PrefixIndex;
 import org.micabarrow.coordination.routing.Router;
 import org.micabarrow.coordination.routing.Traffic;
-import org.micabarrow.protocol.Wire;
+import org.micabarrow.protocol.StatusMessages;
 import org.micabarrow.protocol.wire.StatusReply;
 import org.micabarrow.settings.EntrySettings;
 import org.micabarrow.state.FoldedState;
 import org.micabarrow.state.Links;
 import org.micabarrow.state.Record;
 import org.micabarrow.state.Replica;
-import org.micabarrow.transport.CallerServer;
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.LinkPacer;
-import org.micabarrow.transport.OperatorDesk;
-import org.micabarrow.transport.OperatorServer;
-import org.micabarrow.transport.PeerService;
 import org.micabarrow.transport.TlsFiles;
 import org.micabarrow.transport.WeightsClient;
+import org.micabarrow.transport.callers.CallerServer;
+import org.micabarrow.transport.grpc.PeerService;
+import org.micabarrow.transport.operators.OperatorApi;
+import org.micabarrow.transport.operators.OperatorServer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -171,8 +171,8 @@
                 HttpListener.Bounds.usual(),
                 1,
                 Optional.empty(),
-                OperatorServer.desk(
-                        desk(), settings.operators(), OperatorServer.watching(node.metrics(), this::healthy)));
+                OperatorServer.api(
+                        operatorApi(), settings.operators(), OperatorServer.watching(node.metrics(), this::healthy)));
     }
 
     private Optional<SSLContext> callerContext() throws IOException {
@@ -180,14 +180,14 @@
         return files.isPresent() ? Optional.of(files.get().context()) : Optional.empty();
     }
 
-    private OperatorDesk desk() {
+    private OperatorApi operatorApi() {
         Links links = new Links(
                 settings.links().originBytesPerSecond(), settings.links().instanceBytesPerSecond());
         LinkPacer unpaced = new LinkPacer(settings.links().instanceBytesPerSecond(), () -> 1);
         WeightsClient weights = new WeightsClient(
-                node.http(), settings.platform(), node.peers(), unpaced, node.configuration()::generation, 0);
-        return new OperatorDesk(
-                new OperatorDesk.Parts(
+                node.http(), settings.platform(), node.peers()::chunks, unpaced, node.configuration()::generation, 0);
+        return new OperatorApi(
+                new OperatorApi.Parts(
                         settings.instance().id(),
                         links,
                         node.configuration(),
@@ -244,9 +244,9 @@
                 true,
                 reply.getLoad().getLeaving(),
                 reply.getReplicasList().stream()
-                        .map(one -> Wire.fromWire(reply.getInstance(), one))
+                        .map(one -> StatusMessages.fromWire(reply.getInstance(), one))
                         .collect(Collectors.toMap(ReplicaView::placement, Function.identity())),
-                Wire.fromWire(reply.getLoad(), node.clock().millis()));
+                StatusMessages.fromWire(reply.getLoad(), node.clock().millis()));
     }
 
     private void heard(PeerView view) {
--- a/src/main/java/org/micabarrow/transport/PeerService.java
+++ b/src/main/java/org/micabarrow/transport/grpc/PeerService.java
@@ -1,4 +1,4 @@
-package org.micabarrow.transport;
+package org.micabarrow.transport.grpc;
 
 import com.google.protobuf.ByteString;
 import io.grpc.Status;
@@ -13,13 +13,14 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.micabarrow.coordination.agents.AgentFlow;
-import org.micabarrow.coordination.agents.ReplicaControl;
+import org.micabarrow.coordination.agents.Holding;
 import org.micabarrow.coordination.calls.AnswerHead;
 import org.micabarrow.coordination.calls.AnswerListener;
 import org.micabarrow.coordination.calls.Outcome;
 import org.micabarrow.coordination.configuration.Configuration;
 import org.micabarrow.coordination.log.PlatformLog;
-import org.micabarrow.protocol.Wire;
+import org.micabarrow.protocol.AnswerMessages;
+import org.micabarrow.protocol.RequestMessages;
 import org.micabarrow.protocol.wire.Chunk;
 import org.micabarrow.protocol.wire.ChunksRequest;
 import org.micabarrow.protocol.wire.HandleReply;
@@ -35,6 +36,7 @@
 import org.micabarrow.protocol.wire.StatusRequest;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.FoldedState;
+import org.micabarrow.transport.LinkPacer;
 
 /** Answers other processes of the system. An entry has no flow and no chunks; it says so to whoever asks. */
 public final class PeerService extends PeerGrpc.PeerImplBase {
@@ -70,7 +72,7 @@
      */
     public record AgentParts(
             AgentFlow flow,
-            Function<String, ReplicaControl.Holding> windows,
+            Function<String, Holding> windows,
             Supplier<Load> load,
             LinkPacer link,
             ExecutorService senders) {}
@@ -86,7 +88,7 @@
             return;
         }
         Answering answering = new Answering(request.getAttempt(), (ServerCallStreamObserver<HandleReply>) replies);
-        Runnable cancel = agent.get().flow().begin(Wire.fromWire(request), answering);
+        Runnable cancel = agent.get().flow().begin(RequestMessages.fromWire(request), answering);
         answering.cancelWith(cancel);
     }
 
@@ -128,7 +130,7 @@
 
         @Override
         public void onHead(AnswerHead head) {
-            send(Wire.toWire(head));
+            send(AnswerMessages.toWire(head));
         }
 
         @Override
@@ -151,7 +153,7 @@
         public void onEnd(Outcome outcome) {
             send(HandleReply.newBuilder()
                     .setAttempt(attempt)
-                    .setEnd(Wire.toWire(outcome))
+                    .setEnd(AnswerMessages.toWire(outcome))
                     .setLoad(agent.orElseThrow().load().get())
                     .build());
             if (!gone) {
@@ -168,7 +170,8 @@
 
     @Override
     public void settle(SettleRequest request, StreamObserver<SettleReply> replies) {
-        SettleReply reply = agent.map(parts -> Wire.toWire(parts.flow().settle(Wire.fromWire(request.getClaim()))))
+        SettleReply reply = agent.map(parts ->
+                        AnswerMessages.toWire(parts.flow().settle(RequestMessages.fromWire(request.getClaim()))))
                 .orElse(SettleReply.newBuilder()
                         .setState(SettleReply.State.LOST)
                         .build());
