--- a/src/main/java/org/micabarrow/platform/EndpointCalls.java
+++ b/src/main/java/org/micabarrow/platform/EndpointCalls.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.IntSupplier;
+import org.micabarrow.platform.JsonFields.MalformedField;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
@@ -60,23 +61,27 @@
                 return Result.success(report(CanonicalJson.mapper().readTree(answer.body())));
             } catch (IOException e) {
                 return Result.failure(Fault.of(Step.STATUS, base, Reason.CORRUPT, "not JSON: " + e.getMessage()));
+            } catch (MalformedField e) {
+                return Result.failure(Fault.of(Step.STATUS, base, Reason.CORRUPT, e.getMessage()));
             }
         });
     }
 
     /** An endpoint that holds some layers only holds no version. */
     private Report report(JsonNode json) {
-        Map<String, Long> models = HeldWeights.models(json);
-        if (HeldWeights.layers(json) < totalLayers.getAsInt()) {
+        JsonFields.object(json, "the report");
+        Map<String, Long> models = EndpointFields.models(json);
+        if (EndpointFields.layers(json) < totalLayers.getAsInt()) {
             models.clear();
         }
         // "sequence" counts the orders taken.
         return new Report(
                 models,
-                json.path("busy").asBoolean(false),
-                json.path("sequence").asLong(0),
-                json.path("queued").asInt(0),
-                json.path("running").asInt(0));
+                JsonFields.flag(json, "busy"),
+                JsonFields.longOr(json, "sequence", 0),
+                JsonFields.intOr(json, "queued", 0),
+                JsonFields.intOr(json, "running", 0),
+                EndpointFields.startedMillis(json));
     }
 
     private static <T> Result<T> refused(HttpCall call, HttpAnswer answer) {
--- /dev/null
+++ b/src/main/java/org/micabarrow/platform/EndpointFields.java
@@ -0,0 +1,54 @@
+package org.micabarrow.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.micabarrow.platform.JsonFields.MalformedField;
+
+/** Reads what endpoints write alike in their entries and in their reports. */
+final class EndpointFields {
+
+    private static final String STARTED = "born";
+
+    private EndpointFields() {}
+
+    /** The weight version of each model; to be changed by whoever asked. */
+    static Map<String, Long> models(JsonNode json) {
+        Map<String, Long> models = new HashMap<>();
+        for (JsonNode model : JsonFields.objectsIfPresent(json, "models")) {
+            models.put(JsonFields.text(model, "name"), JsonFields.whole(model, "version", 0));
+        }
+        return models;
+    }
+
+    /** How many layers are held, the greatest number if that is not told. They are told as one range, or as a list of them. */
+    static int layers(JsonNode json) {
+        JsonNode told = json.path("layers");
+        if (told.isMissingNode() || told.isNull()) {
+            return Integer.MAX_VALUE;
+        }
+        List<JsonNode> ranges = told.isArray() ? JsonFields.objects(json, "layers") : List.of(told);
+        long all = ranges.stream().mapToLong(EndpointFields::width).sum();
+        return (int) Math.min(all, Integer.MAX_VALUE);
+    }
+
+    /** The range ends before "target_version", which is no version. */
+    private static int width(JsonNode range) {
+        JsonFields.object(range, "a range of layers");
+        int from = JsonFields.wholeInt(range, "from", 0);
+        return JsonFields.wholeInt(range, "target_version", from) - from;
+    }
+
+    /** The Unix millisecond at which the endpoint was started; empty on platforms where endpoints do not tell it. */
+    static OptionalLong startedMillis(JsonNode json) {
+        if (!json.has(STARTED)) {
+            return OptionalLong.empty();
+        }
+        if (json.path(STARTED).isNull()) {
+            throw new MalformedField("field " + STARTED + " is null");
+        }
+        return OptionalLong.of(JsonFields.whole(json, STARTED, 1));
+    }
+}
--- a/src/main/java/org/micabarrow/platform/StoreClient.java
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -6,12 +6,14 @@
 import java.net.URLEncoder;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Base64;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
@@ -24,10 +26,14 @@
 import org.micabarrow.views.StoredRecord;
 import org.micabarrow.views.TopicReader;
 import org.micabarrow.views.ViewKeeper.Topic;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The one client of the platform's store: reads keyed topics. */
 public final class StoreClient implements TopicReader {
 
+    private static final Logger LOG = LoggerFactory.getLogger(StoreClient.class);
+
     private static final int OK = 200;
     private static final int GONE = 410;
 
@@ -40,9 +46,13 @@
      */
     private static final Duration WHOLE = Duration.ofMillis(10_000);
 
+    /** The name suggests a secret; it is a record's key. */
+    private static final String KEY = "private_key";
+
     private final HttpCaller caller;
     private final String base;
     private final Duration within;
+    private final AtomicLong passedOver = new AtomicLong();
 
     /**
      * Makes a client.
@@ -82,15 +92,22 @@
             }
             JsonNode json = answer.toOptional().orElseThrow();
             end = end < 0 ? json.path("end").asLong() : end;
-            json.path("items").forEach(item -> records.add(record(item)));
-            if (!json.path("has_more").asBoolean(false) || records.isEmpty()) {
+            json.path("items").forEach(item -> record(topic, item).ifPresent(records::add));
+            String last = lastKey(json);
+            if (!json.path("has_more").asBoolean(false) || last.isEmpty()) {
                 return Result.success(new Batch(records, end));
             }
-            after = records.getLast().key();
+            after = last;
         }
         return Result.failure(Fault.of(Step.LOG, base, Reason.TOO_LARGE, "the newest records have no last page"));
     }
 
+    /** The last key of a page, after which the next one begins; empty if there is none. */
+    private static String lastKey(JsonNode page) {
+        JsonNode items = page.path("items");
+        return items.path(items.size() - 1).path(KEY).asText("");
+    }
+
     private Result<JsonNode> newestPage(Topic topic, String after) {
         String more = after.isEmpty() ? "" : "&after_revision=" + URLEncoder.encode(after, StandardCharsets.UTF_8);
         HttpCall call = HttpCall.get(
@@ -98,11 +115,37 @@
         return caller.call(call, limits(Duration.ZERO)).flatMap(answer -> json(call, answer));
     }
 
-    /** A record of a page. The name "private_key" suggests a secret; it is the record's key. */
-    private static StoredRecord record(JsonNode item) {
-        byte[] value = Base64.getDecoder().decode(item.path("value").asText(""));
-        return new StoredRecord(
-                item.path("private_key").asText(), item.path("offset").asLong(), value);
+    /** A record of a page; empty if it cannot be read, which costs no other record. */
+    private Optional<StoredRecord> record(Topic topic, JsonNode item) {
+        JsonNode offset = item.path("offset");
+        try {
+            if (item.path(KEY).isTextual()
+                    && offset.isIntegralNumber()
+                    && item.path("value").isTextual()) {
+                byte[] value = item.path("value").binaryValue();
+                return Optional.of(new StoredRecord(item.path(KEY).textValue(), offset.longValue(), value));
+            }
+            passOver(topic, offset.asLong(-1), "a field is missing or of another type");
+        } catch (IOException e) {
+            passOver(topic, offset.asLong(-1), e.getMessage());
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Says that a record cannot be read. One that is written again and again must not fill the log: the first is told, then the
+     * second, the fourth, and so on.
+     */
+    private void passOver(Topic topic, long offset, String why) {
+        long count = passedOver.incrementAndGet();
+        if (Long.bitCount(count) == 1) {
+            LOG.error(
+                    "event=record_passed_over topic={} offset={} sofar={} why=\"{}\"",
+                    topic,
+                    offset,
+                    count,
+                    StoredRecord.shown(String.valueOf(why)));
+        }
     }
 
     private static Result<JsonNode> json(HttpCall call, HttpAnswer answer) {
@@ -130,14 +173,14 @@
                 URI.create(base + WireNames.LOG_READ + "?topic=" + topicName(topic) + "&part=0&from=" + from
                         + "&wait_ms=" + wait.toMillis()));
         return caller.call(call, limits(wait)).flatMap(answer -> switch (answer.status()) {
-            case OK -> parse(call, from, answer.body());
+            case OK -> parse(topic, call, from, answer.body());
             case GONE -> Result.success(new Read.Expired());
             default -> refused(call, answer);
         });
     }
 
     /** An answer to a read: the topic's end, the first offset that is kept, and the records from the offset asked for. */
-    private static Result<Read> parse(HttpCall call, long from, byte[] body) {
+    private Result<Read> parse(Topic topic, HttpCall call, long from, byte[] body) {
         try {
             ByteBuffer bytes = ByteBuffer.wrap(body);
             long end = bytes.getLong();
@@ -145,11 +188,11 @@
             if (first > from) {
                 return Result.success(new Read.Expired());
             }
-            List<StoredRecord> records = keyedRecords(bytes, from);
+            Batch batch = batch(topic, bytes, from);
             return end < from
                     ? corrupt(call, "the topic ends at " + end + ", before " + from)
-                    : Result.success(new Read.Records(new Batch(records, from + records.size())));
-        } catch (BufferUnderflowException | IllegalArgumentException | IndexOutOfBoundsException e) {
+                    : Result.success(new Read.Records(batch));
+        } catch (BufferUnderflowException e) {
             return corrupt(call, "the answer breaks off within a record");
         }
     }
@@ -158,26 +201,52 @@
         return Result.failure(Fault.of(call.step(), call.peer(), Reason.CORRUPT, why));
     }
 
-    private static List<StoredRecord> keyedRecords(ByteBuffer bytes, long from) {
+    /** Every record counts as an offset, one that cannot be read too: without that it would be asked for again for ever. */
+    private Batch batch(Topic topic, ByteBuffer bytes, long from) {
         List<StoredRecord> records = new ArrayList<>();
+        long offset = from;
         while (bytes.hasRemaining()) {
-            records.add(keyed(bytes, from + records.size()));
+            try {
+                records.add(keyed(record(bytes), offset));
+            } catch (CharacterCodingException | NoKeyException e) {
+                passOver(topic, offset, e.toString());
+            }
+            offset++;
         }
-        return records;
+        return new Batch(records, offset);
     }
 
-    /** A keyed record: the length of all that follows, the length of the key, the key, the value. */
-    private static StoredRecord keyed(ByteBuffer bytes, long offset) {
+    /** A record: the length of all that follows, and that much. */
+    private static ByteBuffer record(ByteBuffer bytes) {
         int length = bytes.getInt();
-        if (length > bytes.remaining()) {
+        if (length < 0 || length > bytes.remaining()) {
             throw new BufferUnderflowException();
         }
-        byte[] record = new byte[length];
-        bytes.get(record);
-        int keyLength = record[0] & 0xFF;
-        String key = new String(record, 1, keyLength, StandardCharsets.UTF_8);
-        byte[] value = new byte[length - 1 - keyLength];
-        System.arraycopy(record, 1 + keyLength, value, 0, value.length);
-        return new StoredRecord(key, offset, value);
+        ByteBuffer record = bytes.slice(bytes.position(), length);
+        bytes.position(bytes.position() + length);
+        return record;
+    }
+
+    /** A record is shorter than its key. */
+    private static final class NoKeyException extends Exception {
+
+        private static final long serialVersionUID = 1;
+
+        private NoKeyException() {
+            super("the record is shorter than its key");
+        }
+    }
+
+    /** A keyed record: the length of the key, the key, the value. */
+    private static StoredRecord keyed(ByteBuffer record, long offset) throws CharacterCodingException, NoKeyException {
+        int keyLength = record.hasRemaining() ? record.get() & 0xFF : 0;
+        if (keyLength == 0 || keyLength > record.remaining()) {
+            throw new NoKeyException();
+        }
+        ByteBuffer key = record.slice(record.position(), keyLength);
+        byte[] value = new byte[record.remaining() - keyLength];
+        record.get(record.position() + keyLength, value);
+        // Reports a key that is no text; a replaced character would make one key of two.
+        return new StoredRecord(StandardCharsets.UTF_8.newDecoder().decode(key).toString(), offset, value);
     }
 }
--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -1,12 +1,19 @@
 package org.micabarrow.platform;
 
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectReader;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.micabarrow.platform.JsonFields.MalformedField;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.ModelService;
 import org.micabarrow.routing.RequestKind;
@@ -35,42 +42,46 @@
     /** The platform's usual bound on bodies, taken if a manifest names none. */
     private static final long USUAL_BODY_BYTES = 4L << 20;
 
-    // -- decoding
+    /** Reads the whole of a record as one value, in which no field stands twice. */
+    private static final ObjectReader WHOLE = CanonicalJson.mapper()
+            .reader()
+            .with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .with(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
 
-    /** A field that must be there is not. */
-    private static final class MissingField extends RuntimeException {
+    /** An endpoint's id: it goes into a header of requests, and into lines of the log. */
+    private static final Pattern ID = Pattern.compile("[!-~]+");
 
-        private static final long serialVersionUID = 1;
+    private static final String OCTET = "(?:0|[1-9]\\d{0,2})";
 
-        private MissingField(String message) {
-            super(message);
-        }
-    }
+    /** An address, whose parts may still be too great. */
+    private static final Pattern ADDRESS = Pattern.compile("(" + OCTET + "(?:\\." + OCTET + "){3}):([1-9]\\d{0,4})");
+
+    private static final int MOST_OCTET = 255;
+    private static final int MOST_PORT = 65_535;
+
+    // -- decoding
 
     private interface Reading<T> {
         T read(JsonNode json);
     }
 
+    /** Whatever another writer left in the store is refused here, with a reason; it never ends the thread that reads on. */
     private static <T> Result<T> decode(StoredRecord record, Reading<T> reading) {
         try {
-            return Result.success(reading.read(CanonicalJson.mapper().readTree(record.value())));
+            return Result.success(reading.read(JsonFields.object(WHOLE.readTree(record.value()), "the record")));
+        } catch (JsonProcessingException e) {
+            return refused(record, "not JSON: " + e.getOriginalMessage());
         } catch (IOException e) {
             return refused(record, "not JSON: " + e.getMessage());
-        } catch (MissingField e) {
+        } catch (MalformedField e) {
             return refused(record, e.getMessage());
+        } catch (RuntimeException e) {
+            return refused(record, "it cannot be read: " + e);
         }
     }
 
     private static <T> Result<T> refused(StoredRecord record, String why) {
-        return Result.failure(Fault.of(Step.READ, record.key(), Reason.INVALID, why));
-    }
-
-    private static JsonNode need(JsonNode json, String field) {
-        JsonNode value = json.path(field);
-        if (value.isMissingNode() || value.isNull()) {
-            throw new MissingField("field " + field + " is missing");
-        }
-        return value;
+        return Result.failure(Fault.of(Step.READ, record.shownKey(), Reason.INVALID, StoredRecord.shown(why)));
     }
 
     // -- what operators write
@@ -84,58 +95,59 @@
             return decode(
                     record,
                     json -> new OperatorRecord.WeightsNamed(
-                            need(json, "model").asText(), need(json, "version").asLong()));
+                            JsonFields.text(json, "model"), JsonFields.whole(json, "version", 1)));
         }
         return Result.success(new OperatorRecord.Unused());
     }
 
     private static RouteManifest manifest(JsonNode json) {
         List<Route> routes = new ArrayList<>();
-        need(json, "routes").forEach(route -> routes.add(route(route)));
+        JsonFields.objects(json, "routes").forEach(route -> routes.add(route(route)));
         Map<String, Service> services = new HashMap<>();
-        need(json, "services").forEach(one -> {
+        JsonFields.objects(json, "services").forEach(one -> {
             Service service = service(one);
             services.put(service.name(), service);
         });
-        Map<String, KeyOwner> owners = new HashMap<>();
         // The platform's tenants are the project's organisations.
-        json.path("tenants").forEach(one -> {
-            KeyOwner owner = new KeyOwner(need(one, "name").asText(), number(one, "priority"));
-            one.path("api_keys").forEach(key -> owners.put(key.asText(), owner));
+        List<JsonNode> tenants = JsonFields.objectsIfPresent(json, "tenants");
+        Map<String, KeyOwner> owners = new HashMap<>();
+        tenants.forEach(one -> {
+            KeyOwner owner = new KeyOwner(
+                    JsonFields.text(one, "name"),
+                    JsonFields.numberIfPresent(one, "priority").map(Double::intValue));
+            JsonFields.texts(one, "api_keys").forEach(key -> owners.put(key, owner));
         });
         return RouteManifest.of(new RouteManifest.Parts(
-                need(json, "version").asLong(),
+                JsonFields.whole(json, "version", 0),
                 routes,
                 services,
                 owners,
-                json.path("tenants").size() > 0,
-                json.path("limits").path("max_body_bytes").asLong(USUAL_BODY_BYTES)));
-    }
-
-    private static Optional<Integer> number(JsonNode json, String field) {
-        return json.path(field).isNumber() ? Optional.of(json.path(field).asInt()) : Optional.empty();
+                !tenants.isEmpty(),
+                JsonFields.objectIfPresent(json, "limits")
+                        .map(limits -> JsonFields.longOr(limits, "max_body_bytes", USUAL_BODY_BYTES))
+                        .orElse(USUAL_BODY_BYTES)));
     }
 
     private static Route route(JsonNode json) {
         List<Route.Share> shares = new ArrayList<>();
-        json.path("traffic_split")
-                .forEach(part -> shares.add(new Route.Share(
-                        need(part, "service").asText(), need(part, "weight").asDouble())));
+        JsonFields.objectsIfPresent(json, "traffic_split")
+                .forEach(part -> shares.add(
+                        new Route.Share(JsonFields.text(part, "service"), JsonFields.number(part, "weight"))));
         if (shares.isEmpty()) {
-            shares.add(new Route.Share(need(json, "service").asText(), 1));
+            shares.add(new Route.Share(JsonFields.text(json, "service"), 1));
         }
-        long timeout = json.path("timeout_ms").asLong(NO_TIMEOUT_MILLIS);
+        long timeout = JsonFields.longOr(json, "timeout_ms", NO_TIMEOUT_MILLIS);
         return new Route(
-                json.path("name").asText(""),
-                need(json, "host").asText(),
-                need(json, "path_prefix").asText(),
+                JsonFields.textIfPresent(json, "name").orElse(""),
+                JsonFields.text(json, "host"),
+                JsonFields.text(json, "path_prefix"),
                 shares,
-                kind(need(json, "kind").asText(), json.path("resumable").asBoolean(false)),
+                kind(JsonFields.text(json, "kind"), JsonFields.flag(json, "resumable")),
                 timeout,
-                json.path("target_latency_ms").asLong(timeout),
-                json.path("priority").asInt(0),
-                json.path("max_attempts").asInt(1),
-                json.path("public").asBoolean(false));
+                JsonFields.longOr(json, "target_latency_ms", timeout),
+                JsonFields.intOr(json, "priority", 0),
+                JsonFields.intOr(json, "max_attempts", 1),
+                JsonFields.flag(json, "public"));
     }
 
     private static RequestKind kind(String word, boolean resumable) {
@@ -149,39 +161,71 @@
 
     private static Service service(JsonNode json) {
         return new Service(
-                need(json, "name").asText(),
-                json.path("max_connections").asInt(Integer.MAX_VALUE),
-                json.has("engine") ? Optional.of(model(json.path("engine"))) : Optional.empty(),
-                json.has("origin") ? Optional.of(json.path("origin").asText()) : Optional.empty());
+                JsonFields.text(json, "name"),
+                JsonFields.intOr(json, "max_connections", Integer.MAX_VALUE),
+                JsonFields.objectIfPresent(json, "engine").map(StoreRecords::model),
+                JsonFields.textIfPresent(json, "origin"));
     }
 
     private static ModelService model(JsonNode engine) {
+        List<JsonNode> models = JsonFields.objectsIfPresent(engine, "models");
         return new ModelService(
-                engine.path("models").path(0).path("name").asText(),
-                engine.path("slots").asInt(1),
-                engine.path("read_per_s").asDouble(1) / MILLIS_A_SECOND,
-                engine.path("step_ms").asDouble(0),
-                engine.path("per_seq_ms").asDouble(0),
-                engine.path("stride").asInt(1),
-                engine.path("layers").asInt(1),
-                engine.path("chunks").asInt(0),
-                engine.path("chunk_bytes").asInt(0));
+                models.isEmpty() ? "" : JsonFields.text(models.getFirst(), "name"),
+                JsonFields.intOr(engine, "slots", 1),
+                JsonFields.numberOr(engine, "read_per_s", 1) / MILLIS_A_SECOND,
+                JsonFields.numberOr(engine, "step_ms", 0),
+                JsonFields.numberOr(engine, "per_seq_ms", 0),
+                JsonFields.intOr(engine, "stride", 1),
+                JsonFields.intOr(engine, "layers", 1),
+                JsonFields.intOr(engine, "chunks", 0),
+                JsonFields.intOr(engine, "chunk_bytes", 0));
     }
 
     // -- what endpoints write
 
+    /**
+     * Every endpoint writes all of these fields; an entry that lacks one comes from another writer. A field that is not used is
+     * not looked at, so that one that changes its type costs no endpoint.
+     */
     @Override
     public Result<EndpointEntry> endpoint(StoredRecord record) {
         return decode(
                 record,
                 json -> new EndpointEntry(
-                        record.key(),
-                        need(json, "service").asText(),
-                        need(json, "address").asText(),
-                        json.path("zone").asText(""),
-                        json.path("slots").asInt(1),
-                        json.path("state").asText("").equals("draining"),
-                        HeldWeights.models(json),
-                        HeldWeights.layers(json)));
+                        id(record.key()),
+                        JsonFields.text(json, "service"),
+                        address(JsonFields.text(json, "address")),
+                        JsonFields.text(json, "zone"),
+                        JsonFields.wholeInt(json, "slots", 1),
+                        leaving(JsonFields.text(json, "state")),
+                        EndpointFields.models(json),
+                        EndpointFields.layers(json),
+                        EndpointFields.startedMillis(json)));
+    }
+
+    private static String id(String key) {
+        if (!ID.matcher(key).matches()) {
+            throw new MalformedField("the key is no id of an endpoint");
+        }
+        return key;
+    }
+
+    private static String address(String text) {
+        Matcher parts = ADDRESS.matcher(text);
+        boolean right = parts.matches()
+                && Stream.of(parts.group(1).split("\\.")).allMatch(octet -> Integer.parseInt(octet) <= MOST_OCTET)
+                && Integer.parseInt(parts.group(2)) <= MOST_PORT;
+        if (!right) {
+            throw new MalformedField("field address is not of the form IPv4:port");
+        }
+        return text;
+    }
+
+    private static boolean leaving(String state) {
+        return switch (state) {
+            case "ready" -> false;
+            case "draining" -> true;
+            default -> throw new MalformedField("field state is neither ready nor draining");
+        };
     }
 }
--- a/src/main/java/org/micabarrow/routing/EndpointEntry.java
+++ b/src/main/java/org/micabarrow/routing/EndpointEntry.java
@@ -2,11 +2,12 @@
 
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalLong;
 
 /**
  * An endpoint as it entered itself in the platform's store.
  *
- * @param id the id of this start of the endpoint; a restarted endpoint has another
+ * @param id its id, which it keeps when it starts again
  * @param service its service
  * @param address its host and port
  * @param dataHall its data hall
@@ -14,6 +15,7 @@
  * @param leaving whether it takes no new requests
  * @param models the weight version it held of each model when it wrote the entry
  * @param layers how many layers it held then; the greatest number if it does not tell
+ * @param startedMillis the Unix millisecond of its start; empty if it does not tell
  */
 public record EndpointEntry(
         String id,
@@ -23,16 +25,51 @@
         int slots,
         boolean leaving,
         Map<String, Long> models,
-        int layers) {
+        int layers,
+        OptionalLong startedMillis) {
 
     /** Copies the models. */
     public EndpointEntry {
         Objects.requireNonNull(id, "id is null");
         Objects.requireNonNull(service, "service is null");
         Objects.requireNonNull(address, "address is null");
+        Objects.requireNonNull(startedMillis, "startedMillis is null");
         models = Map.copyOf(models);
     }
 
+    /**
+     * An endpoint that does not tell when it was started.
+     *
+     * @param id its id
+     * @param service its service
+     * @param address its host and port
+     * @param dataHall its data hall
+     * @param slots how many requests it runs at once
+     * @param leaving whether it takes no new requests
+     * @param models the weight version it held of each model when it wrote the entry
+     * @param layers how many layers it held then; the greatest number if it does not tell
+     */
+    public EndpointEntry(
+            String id,
+            String service,
+            String address,
+            String dataHall,
+            int slots,
+            boolean leaving,
+            Map<String, Long> models,
+            int layers) {
+        this(id, service, address, dataHall, slots, leaving, models, layers, OptionalLong.empty());
+    }
+
+    /**
+     * The start of the endpoint that the entry is of.
+     *
+     * @return the start, by which beliefs of the endpoint are kept
+     */
+    public EndpointStart start() {
+        return new EndpointStart(id, startedMillis);
+    }
+
     /**
      * The instance that it runs on.
      *
--- a/src/main/java/org/micabarrow/weights/ModelEndpoint.java
+++ b/src/main/java/org/micabarrow/weights/ModelEndpoint.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.micabarrow.state.Result;
 
 /** The endpoint beside an agent, as far as weights go. */
@@ -15,8 +16,24 @@
      * @param orders how many orders it has taken since its start
      * @param queued the requests that wait
      * @param running the requests that run
+     * @param startedMillis the Unix millisecond of its start; empty if it does not tell
      */
-    record Report(Map<String, Long> models, boolean busy, long orders, int queued, int running) {}
+    record Report(
+            Map<String, Long> models, boolean busy, long orders, int queued, int running, OptionalLong startedMillis) {
+
+        /**
+         * What an endpoint says that does not tell when it was started.
+         *
+         * @param models the weight version that it holds of each model, with all layers
+         * @param busy whether it is taking up weights
+         * @param orders how many orders it has taken since its start
+         * @param queued the requests that wait
+         * @param running the requests that run
+         */
+        public Report(Map<String, Long> models, boolean busy, long orders, int queued, int running) {
+            this(models, busy, orders, queued, running, OptionalLong.empty());
+        }
+    }
 
     /** What became of an order. */
     enum OrderEnd {
--- a/src/test/java/org/micabarrow/platform/StoreRecordsTest.java
+++ b/src/test/java/org/micabarrow/platform/StoreRecordsTest.java
@@ -1,17 +1,23 @@
 package org.micabarrow.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.RequestKind;
 import org.micabarrow.routing.RouteManifest;
+import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Result;
 import org.micabarrow.views.RecordDecoder.OperatorRecord;
 import org.micabarrow.views.StoredRecord;
@@ -97,6 +103,199 @@
         assertEquals(new OperatorRecord.WeightsNamed("m", 3), read);
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "{\"version\":3}",
+                "{\"model\":\"m\"}",
+                "{\"model\":\"m\",\"version\":\"3\"}",
+                "{\"model\":\"m\",\"version\":3.5}",
+                "{\"model\":\"m\",\"version\":true}",
+                "{\"model\":\"m\",\"version\":0}",
+                "{\"model\":\"m\",\"version\":99999999999999999999}",
+                "{\"model\":7,\"version\":3}",
+                "{\"model\":null,\"version\":3}",
+                "{\"model\":\"m\",\"version\":3} 4",
+                "[]",
+                "null",
+                "3"
+            })
+    void shouldRefuseNamedWeightsWhenFieldIsMissingOrOfAnotherType(String json) {
+        assertTrue(records.operator(record("version/m", json)).cause().isPresent());
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "{\"version\":\"9\",\"routes\":[],\"services\":[]}",
+                "{\"version\":9.5,\"routes\":[],\"services\":[]}",
+                "{\"version\":9,\"routes\":{},\"services\":[]}",
+                "{\"version\":9,\"routes\":[7],\"services\":[]}",
+                "{\"version\":9,\"routes\":[],\"services\":\"s\"}",
+                "{\"version\":9,\"routes\":[],\"services\":[{\"name\":5}]}",
+                "{\"version\":9,\"routes\":[],\"services\":[{\"name\":\"s\",\"engine\":[]}]}",
+                "{\"version\":9,\"routes\":[],\"services\":[],\"tenants\":[{\"name\":\"o\",\"api_keys\":[4]}]}",
+                "{\"version\":9,\"routes\":[],\"services\":[],\"tenants\":\"none\"}",
+                "{\"version\":9,\"routes\":[{\"host\":\"h\",\"path_prefix\":\"/\",\"kind\":\"idempotent\",\"service\":1}],"
+                        + "\"services\":[]}"
+            })
+    void shouldRefuseManifestWhenFieldIsOfAnotherType(String json) {
+        assertTrue(records.operator(record("config", json)).cause().isPresent());
+    }
+
+    // -- what endpoints write
+
+    private static final String ENTRY =
+            "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":16,\"state\":\"ready\"}";
+
+    private boolean refused(StoredRecord record) {
+        return records.endpoint(record).cause().isPresent();
+    }
+
+    /** One field of a good entry is put in place of another; a value of "-" leaves it out. */
+    @ParameterizedTest
+    @CsvSource({
+        "service, -",
+        "service, 7",
+        "service, null",
+        "service, '\"\"'",
+        "service, '[\"s\"]'",
+        "address, -",
+        "address, 80",
+        "address, '{}'",
+        "address, '\"\"'",
+        "address, '\"10.0.0.1\"'",
+        "address, '\"10.0.0.1:\"'",
+        "address, '\"10.0.0.1:0\"'",
+        "address, '\"10.0.0.1:080\"'",
+        "address, '\"10.0.0.1:65536\"'",
+        "address, '\"10.0.0.1:99999999999\"'",
+        "address, '\"10.0.0.256:80\"'",
+        "address, '\"10.0.0.01:80\"'",
+        "address, '\"10.0.0:80\"'",
+        "address, '\"host:80\"'",
+        "address, '\" 10.0.0.1:80\"'",
+        "address, '\"10.0.0.1:80/x\"'",
+        "zone, -",
+        "zone, 3",
+        "slots, -",
+        "slots, '\"16\"'",
+        "slots, 0",
+        "slots, -1",
+        "slots, 1.5",
+        "slots, 1e3",
+        "slots, 2147483648",
+        "slots, 99999999999999999999999",
+        "state, -",
+        "state, true",
+        "state, null",
+        "state, '\"gone\"'",
+        "state, '\"READY\"'",
+        "models, '{}'",
+        "models, '\"m\"'",
+        "models, '[\"m\"]'",
+        "models, '[{\"version\":1}]'",
+        "models, '[{\"name\":1,\"version\":1}]'",
+        "models, '[{\"name\":\"m\",\"version\":\"1\"}]'",
+        "models, '[{\"name\":\"m\",\"version\":1.5}]'",
+        "models, '[{\"name\":\"m\"}]'",
+        "layers, 16",
+        "layers, '\"all\"'",
+        "layers, '[16]'",
+        "layers, '{}'",
+        "layers, '{\"from\":0}'",
+        "layers, '{\"from\":\"0\",\"target_version\":5}'",
+        "layers, '{\"from\":6,\"target_version\":5}'",
+        "layers, '{\"from\":-1,\"target_version\":5}'",
+        "born, null",
+        "born, '\"1764718674123\"'",
+        "born, 1764718674123.5",
+        "born, -3",
+        "born, 0",
+        "born, 99999999999999999999999"
+    })
+    void shouldRefuseEntryWhenFieldIsMissingOrOfAnotherKind(String field, String value) throws IOException {
+        ObjectNode entry = (ObjectNode) CanonicalJson.mapper().readTree(ENTRY);
+        if (value.equals("-")) {
+            entry.remove(field);
+        } else {
+            entry.set(field, CanonicalJson.mapper().readTree(value));
+        }
+        assertTrue(refused(record("i-1", entry.toString())), entry::toString);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                " ",
+                "{",
+                "null",
+                "true",
+                "7",
+                "\"ready\"",
+                "[]",
+                "[" + ENTRY + "]",
+                ENTRY + ENTRY,
+                ENTRY + "]",
+                "{\"state\":\"ready\",\"state\":\"draining\",\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+                        + "\"slots\":16}"
+            })
+    void shouldRefuseEntryThatIsNoObject(String json) {
+        assertTrue(refused(record("i-1", json)));
+    }
+
+    @Test
+    void shouldRefuseEntryOfBytesThatAreNoText() {
+        byte[] bytes = ENTRY.getBytes(StandardCharsets.UTF_8);
+        bytes[ENTRY.indexOf("\"s\"") + 1] = (byte) 0xFF;
+        assertTrue(refused(new StoredRecord("i-1", 4, bytes)));
+        assertTrue(refused(new StoredRecord("i-1", 4, new byte[] {(byte) 0x80, 0, 1, 2})));
+    }
+
+    @Test
+    void shouldRefuseEntryThatIsNestedWithoutEnd() {
+        String deep = "[".repeat(100_000);
+        assertTrue(refused(record("i-1", deep)));
+        assertTrue(refused(record("i-1", ENTRY.replace("}", ",\"models\":" + deep))));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"a b", "a\r\nForged: 1", "\u00e9", "\ufffd", ""})
+    void shouldRefuseEntryWhenItsKeyCanStandInNoHeader(String key) {
+        assertTrue(refused(record(key, ENTRY)));
+    }
+
+    @Test
+    void shouldSayOnOneShortLineWhyEntryIsRefused() {
+        String state = "x\\n\\\"".repeat(1_000);
+        String why = records.endpoint(record("i\n1", ENTRY.replace("}", state)))
+                .cause()
+                .orElseThrow()
+                .toString();
+        assertTrue(why.length() < 400, why);
+        assertFalse(why.contains("\n"), why);
+    }
+
+    @Test
+    void shouldReadWhenEndpointWasStarted() {
+        String json = ENTRY.replace("}", ",\"born\":1764718674123}");
+        EndpointEntry entry = records.endpoint(record("i-1", json)).toOptional().orElseThrow();
+        assertEquals(OptionalLong.of(1_764_718_674_123L), entry.startedMillis());
+        EndpointEntry older =
+                records.endpoint(record("i-1", ENTRY)).toOptional().orElseThrow();
+        assertEquals(OptionalLong.empty(), older.startedMillis());
+    }
+
+    @Test
+    void shouldReadLayersThatAreHeldInSeveralRanges() {
+        String json = ENTRY.replace(
+                "}", ",\"layers\":[{\"from\":0,\"target_version\":5},{\"from\":8,\"target_version\":10}]}");
+        assertEquals(
+                7,
+                records.endpoint(record("i-1", json)).toOptional().orElseThrow().layers());
+    }
+
     @Test
     void shouldReadEntryOfEndpoint() {
         EndpointEntry entry = records.endpoint(record("i-1", """
--- a/src/test/java/org/micabarrow/serving/HostedEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/HostedEntryTest.java
@@ -30,6 +30,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Received;
+import org.micabarrow.platform.standin.HostedStoreStandin;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.process.HostedEntryProcess;
 import org.micabarrow.settings.HostedSettings;
@@ -369,6 +370,25 @@
         assertEquals(before, received().size());
     }
 
+    @Test
+    void shouldServeWithTheOthersWhenAnotherWriterSpoilsEntries() throws Exception {
+        platform.add("plain-1", "plain", 0);
+        platform.add("plain-2", "plain", 0);
+        HostedEntryProcess entry = begin(2);
+        HostedStoreStandin store = platform.store();
+        store.appendRaw("keyed.servers", new byte[0]);
+        store.appendRaw("keyed.servers", new byte[] {9, 'a'});
+        store.append("keyed.servers", "plain-1", new byte[] {'{', (byte) 0xFF});
+        store.append("keyed.servers", "other-1", "{\"service\":\"plain\",\"address\":\"nowhere\",\"state\":\"ready\"}");
+        waitUntil(() -> entry.endpoints() == 1);
+        for (int request = 0; request < 4; request++) {
+            assertEquals(200, ask("/once/x", Map.of()).status());
+        }
+        assertEquals(List.of(), platform.endpoint("plain-1").received());
+        platform.enter("plain-1", "plain", 0, "ready");
+        waitUntil(() -> entry.endpoints() == 2);
+    }
+
     @Test
     void shouldGoOnServingWhenStoreRefuses() throws Exception {
         platform.add("plain-1", "plain", 0);
