weights: an endpoint's report tells which version it holds in part; fakes of ReplicaKeeperTest stand by themselves

The fake endpoint now keeps layers that it has of a version when all of that version are ordered: the worst that an endpoint may do. Reading back what lies beside the endpoint has a door of its own (readBack), so that it can leave the step that orders. No change of behaviour; ReplicaKeeperTest's cases are as strict as before (two call readBack instead of a step).

--- a/src/main/java/org/micabarrow/platform/EndpointCalls.java
+++ b/src/main/java/org/micabarrow/platform/EndpointCalls.java
@@ -67,12 +67,11 @@
     /** An endpoint that holds some layers only holds no version. */
     private Report report(JsonNode json) {
         Map<String, Long> models = HeldWeights.models(json);
-        if (HeldWeights.layers(json) < totalLayers.getAsInt()) {
-            models.clear();
-        }
+        boolean whole = HeldWeights.layers(json) >= totalLayers.getAsInt();
         // "sequence" counts the orders taken.
         return new Report(
-                models,
+                whole ? models : Map.of(),
+                whole ? Map.of() : models,
                 json.path("busy").asBoolean(false),
                 json.path("sequence").asLong(0),
                 json.path("queued").asInt(0),
--- a/src/main/java/org/micabarrow/weights/ModelEndpoint.java
+++ b/src/main/java/org/micabarrow/weights/ModelEndpoint.java
@@ -11,12 +11,14 @@
      * What the endpoint says of itself.
      *
      * @param models the weight version that it holds of each model, with all layers
+     * @param parts the weight version of which it holds some layers only, of each model
      * @param busy whether it is taking up weights
      * @param orders how many orders it has taken since its start
      * @param queued the requests that wait
      * @param running the requests that run
      */
-    record Report(Map<String, Long> models, boolean busy, long orders, int queued, int running) {}
+    record Report(
+            Map<String, Long> models, Map<String, Long> parts, boolean busy, long orders, int queued, int running) {}
 
     /** What became of an order. */
     enum OrderEnd {
--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -268,6 +268,17 @@
     // -- handing out what the endpoint holds since before this agent started
 
     /** Reads the version that the endpoint holds back from where it lies, so that other agents can have it. */
+    public void readBack() {
+        parts.model().get().ifPresent(model -> {
+            long held = report.get()
+                    .map(now -> now.models().getOrDefault(model, 0L))
+                    .orElse(0L);
+            if (held > 0) {
+                readBack(model, held);
+            }
+        });
+    }
+
     private void readBack(String model, long held) {
         if (set(model, held).isPresent()) {
             return;
--- /dev/null
+++ b/src/test/java/org/micabarrow/weights/FakeEndpoint.java
@@ -0,0 +1,124 @@
+package org.micabarrow.weights;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Result;
+
+/**
+ * An endpoint that takes layers unchecked, and keeps those that it has of a version when it is ordered to take up all of it:
+ * the worst that an endpoint may do with a layer that was not whole.
+ */
+final class FakeEndpoint implements ModelEndpoint {
+
+    static final int LAYERS = 4;
+
+    private static final int CHUNKS_A_LAYER = FakeOrigin.CHUNKS / LAYERS;
+
+    final Map<Integer, byte[]> staged = new HashMap<>();
+    final List<String> orders = new ArrayList<>();
+
+    /** The version of which it holds all layers, 0 for none. */
+    long held;
+
+    /** The version of which it holds some layers only, 0 for none. */
+    long part;
+
+    boolean busy;
+    boolean silent;
+    boolean readsBack = true;
+
+    /** The next orders that are refused, and those of which the answer is lost. */
+    int refuses;
+
+    int losesAnswers;
+    Runnable onStage = () -> {};
+
+    private final BitSet layers = new BitSet();
+    private final BitSet wrong = new BitSet();
+
+    /** Whether it serves with a layer that was taken while one of its chunks was not the version's. */
+    boolean servesWrongLayer() {
+        return held != 0 && !wrong.isEmpty();
+    }
+
+    @Override
+    public Result<Report> report() {
+        if (silent) {
+            return lost(Fault.Step.STATUS);
+        }
+        return Result.success(new Report(holding(held), holding(part), busy, orders.size(), 0, 0));
+    }
+
+    private static Map<String, Long> holding(long version) {
+        return version == 0 ? Map.of() : Map.of("m", version);
+    }
+
+    private static <T> Result<T> lost(Fault.Step step) {
+        return Result.failure(Fault.of(step, "endpoint", Fault.Reason.UNREACHABLE, "no answer"));
+    }
+
+    @Override
+    public synchronized Result<Boolean> stage(String model, int index, byte[] bytes) {
+        onStage.run();
+        staged.put(index, bytes);
+        return Result.success(true);
+    }
+
+    @Override
+    public Result<Optional<byte[]>> staged(String model, int index) {
+        return readsBack ? Result.success(Optional.ofNullable(staged.get(index))) : lost(Fault.Step.STAGE);
+    }
+
+    @Override
+    public Result<OrderEnd> start(String model, long version, long ordersSeen) {
+        return order("start " + version, version, 0, LAYERS, ordersSeen);
+    }
+
+    @Override
+    public Result<OrderEnd> startLayer(String model, long version, int layer, long ordersSeen) {
+        return order("start " + version + " layer " + layer, version, layer, layer + 1, ordersSeen);
+    }
+
+    private Result<OrderEnd> order(String text, long version, int from, int end, long ordersSeen) {
+        if (silent) {
+            return lost(Fault.Step.ORDER);
+        }
+        if (refuses > 0 || ordersSeen != orders.size()) {
+            refuses--;
+            return Result.success(OrderEnd.CONFLICT);
+        }
+        orders.add(text);
+        take(version, from, end);
+        return losesAnswers-- > 0 ? lost(Fault.Step.ORDER) : Result.success(OrderEnd.BEGUN);
+    }
+
+    private void take(long version, int from, int end) {
+        if (version != Math.max(held, part)) {
+            layers.clear();
+            wrong.clear();
+        }
+        for (int layer = from; layer < end; layer++) {
+            if (!layers.get(layer) && !isWhole(version, layer)) {
+                wrong.set(layer);
+            }
+            layers.set(layer);
+        }
+        held = layers.cardinality() == LAYERS ? version : 0;
+        part = held == 0 ? version : 0;
+    }
+
+    private boolean isWhole(long version, int layer) {
+        for (int i = layer * CHUNKS_A_LAYER; i < (layer + 1) * CHUNKS_A_LAYER; i++) {
+            if (!Arrays.equals(staged.get(i), FakeOrigin.chunk(version, i))) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- a/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
+++ b/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
@@ -4,192 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.BitSet;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
-import org.micabarrow.routing.EndpointEntry;
-import org.micabarrow.state.Digest;
-import org.micabarrow.state.Fault;
-import org.micabarrow.state.Result;
-import org.micabarrow.views.RecordDecoder;
-import org.micabarrow.views.StoredRecord;
-import org.micabarrow.views.ViewKeeper;
-import org.micabarrow.weights.ChunkSources.Agent;
 
 /** An endpoint is brought to the wanted version, and never takes up what is not whole and right. */
-class ReplicaKeeperTest {
-
-    private static final long BOUND = 8_000;
-    private static final int CHUNKS = 8;
-    private static final int LAYERS = 4;
-
-    private final AtomicLong now = new AtomicLong(1_000_000);
-    private final FakeEndpoint endpoint = new FakeEndpoint();
-    private volatile int pacedBytes;
-    private int toldClosing;
-    private final FakeOrigin origin = new FakeOrigin();
-    private volatile ReplicaKeeper.Place place = new ReplicaKeeper.Place(0, 3);
-    private final ViewKeeper views = new ViewKeeper(new NoDecoder(), now::get);
-    private final ReplicaKeeper keeper = new ReplicaKeeper(new ReplicaKeeper.Parts(
-            () -> Optional.of("m"),
-            () -> LAYERS,
-            endpoint,
-            new ChunkFetcher(new ChunkFetcher.Parts(
-                    new NoPeers(),
-                    origin,
-                    () -> Optional.of("origin:80"),
-                    ChunkSources.following(new Agent("a", "r"), List::of),
-                    bytes -> pacedBytes += bytes,
-                    now::get)),
-            views::view,
-            () -> place,
-            () -> toldClosing++,
-            BOUND,
-            now::get));
-
-    private static byte[] chunk(long version, int index) {
-        return new byte[] {(byte) version, (byte) index};
-    }
-
-    private static final class NoDecoder implements RecordDecoder {
-
-        @Override
-        public Result<OperatorRecord> operator(StoredRecord record) {
-            return Result.success(new OperatorRecord.Unused());
-        }
-
-        @Override
-        public Result<EndpointEntry> endpoint(StoredRecord record) {
-            return Result.failure(Fault.of(Fault.Step.READ, "test", Fault.Reason.INVALID, "none"));
-        }
-    }
-
-    private static final class NoPeers implements ChunkPeers {
-
-        @Override
-        public Result<List<String>> digests(String agent, String model, long version) {
-            return Result.failure(Fault.of(Fault.Step.FETCH, agent, Fault.Reason.NOT_FOUND, "none"));
-        }
-
-        @Override
-        public Result<Numbered> anyOf(String agent, String model, long version, BitSet wanted) {
-            return Result.failure(Fault.of(Fault.Step.FETCH, agent, Fault.Reason.NOT_FOUND, "none"));
-        }
-    }
-
-    private final class FakeOrigin implements WeightOrigin {
-
-        /** How far the clock goes on with each question for a chunk that is withheld. */
-        private static final long QUESTION_MILLIS = 200;
-
-        private int given;
-        private long knowsUpTo = Long.MAX_VALUE;
-        private long givesUpTo = Long.MAX_VALUE;
-        private int spoilFirst;
-        private volatile int gives = Integer.MAX_VALUE;
-        private int givesFrom;
-
-        @Override
-        public Result<List<String>> digests(String address, String model, long version) {
-            if (version > knowsUpTo) {
-                return Result.failure(Fault.of(Fault.Step.FETCH, address, Fault.Reason.UNREACHABLE, "away"));
-            }
-            List<String> all = new ArrayList<>();
-            for (int i = 0; i < CHUNKS; i++) {
-                all.add(Digest.of(ReplicaKeeperTest.chunk(version, i)));
-            }
-            return Result.success(all);
-        }
-
-        @Override
-        public synchronized Result<byte[]> chunk(String address, String model, long version, int index) {
-            if (version > givesUpTo) {
-                now.addAndGet(QUESTION_MILLIS);
-                return Result.failure(Fault.of(Fault.Step.FETCH, address, Fault.Reason.UNREACHABLE, "away"));
-            }
-            if (index >= gives || index < givesFrom) {
-                return Result.failure(Fault.of(Fault.Step.FETCH, address, Fault.Reason.NOT_FOUND, "not given"));
-            }
-            given++;
-            return Result.success(spoilFirst-- > 0 ? new byte[] {9, 9} : ReplicaKeeperTest.chunk(version, index));
-        }
-    }
-
-    private static final class FakeEndpoint implements ModelEndpoint {
-
-        private final Map<Integer, byte[]> staged = new HashMap<>();
-        private final List<String> orders = new ArrayList<>();
-        private long held;
-        private boolean busy;
-
-        @Override
-        public Result<Report> report() {
-            Map<String, Long> models = held == 0 ? Map.of() : Map.of("m", held);
-            return Result.success(new Report(models, busy, orders.size(), 0, 0));
-        }
-
-        @Override
-        public synchronized Result<Boolean> stage(String model, int index, byte[] bytes) {
-            staged.put(index, bytes);
-            return Result.success(true);
-        }
-
-        @Override
-        public Result<Optional<byte[]>> staged(String model, int index) {
-            return Result.success(Optional.ofNullable(staged.get(index)));
-        }
-
-        @Override
-        public Result<OrderEnd> start(String model, long version, long ordersSeen) {
-            orders.add("start " + version);
-            held = version;
-            return Result.success(OrderEnd.BEGUN);
-        }
-
-        @Override
-        public Result<OrderEnd> startLayer(String model, long version, int layer, long ordersSeen) {
-            orders.add("start " + version + " layer " + layer);
-            held = 0;
-            return Result.success(OrderEnd.BEGUN);
-        }
-    }
-
-    /** Steps as if entries had been told to send nothing, and again when all of them know. */
-    private void stepTwice() {
-        keeper.step();
-        now.addAndGet(Cordon.MILLIS);
-        keeper.step();
-    }
-
-    /** Fetches a version on a thread of its own; returns once some chunks are here. */
-    private Thread fetchBeside(long version, int chunks) {
-        Thread fetching = new Thread(() -> {
-            try {
-                fetch();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        fetching.start();
-        awaitPresent(version, chunks);
-        return fetching;
-    }
-
-    private void awaitPresent(long version, int chunks) {
-        while (keeper.set("m", version).map(ChunkSet::present).orElse(0) < chunks) {
-            Thread.onSpinWait();
-        }
-    }
-
-    private void fetch() throws InterruptedException {
-        keeper.refresh();
-        keeper.fetch();
-    }
+class ReplicaKeeperTest extends KeeperFixture {
 
     @Test
     void shouldStartEmptyEndpointAtOnceWithFirstVersion() throws Exception {
@@ -205,7 +24,8 @@
         views.want("m", 3);
         origin.knowsUpTo = 2;
         fetch();
-        assertEquals(CHUNKS, keeper.set("m", 2).map(ChunkSet::present).orElse(0));
+        assertEquals(
+                FakeOrigin.CHUNKS, keeper.set("m", 2).map(ChunkSet::present).orElse(0));
     }
 
     @Test
@@ -216,10 +36,12 @@
         origin.givesUpTo = 2;
         fetch();
         assertEquals(0, keeper.set("m", 3).map(ChunkSet::present).orElse(-1));
-        assertEquals(CHUNKS, keeper.set("m", 2).map(ChunkSet::present).orElse(0));
+        assertEquals(
+                FakeOrigin.CHUNKS, keeper.set("m", 2).map(ChunkSet::present).orElse(0));
         origin.givesUpTo = 3;
         fetch();
-        assertEquals(CHUNKS, keeper.set("m", 3).map(ChunkSet::present).orElse(0), "then the newest again");
+        assertEquals(
+                FakeOrigin.CHUNKS, keeper.set("m", 3).map(ChunkSet::present).orElse(0), "then the newest again");
     }
 
     /** Version 2 whole, and six of eight chunks of version 3 here a second after the fetching of it began. */
@@ -229,8 +51,8 @@
         fetch();
         now.addAndGet(BOUND / 2);
         views.want("m", 3);
-        origin.gives = CHUNKS - 2;
-        Thread fetching = fetchBeside(3, CHUNKS - 2);
+        origin.gives = FakeOrigin.CHUNKS - 2;
+        Thread fetching = fetchBeside(3, FakeOrigin.CHUNKS - 2);
         now.addAndGet(1_000);
         return fetching;
     }
@@ -242,7 +64,7 @@
         now.addAndGet(1_600);
         stepTwice();
         assertEquals(List.of("start 3 layer 0"), endpoint.orders, "it stops serving, and does not take up version 2");
-        origin.gives = CHUNKS;
+        origin.gives = FakeOrigin.CHUNKS;
         fetching.join();
         keeper.refresh();
         keeper.step();
@@ -259,7 +81,7 @@
         keeper.refresh();
         keeper.step();
         assertEquals(List.of("start 3 layer 0", "start 2"), endpoint.orders);
-        origin.gives = CHUNKS;
+        origin.gives = FakeOrigin.CHUNKS;
         fetching.join();
     }
 
@@ -268,7 +90,7 @@
         Thread fetching = fetchMostOfThird();
         stepTwice();
         assertEquals(List.of("start 2"), endpoint.orders);
-        origin.gives = CHUNKS;
+        origin.gives = FakeOrigin.CHUNKS;
         fetching.join();
     }
 
@@ -286,7 +108,8 @@
     @Test
     void shouldNotHoldBackChunksOfOrigin() throws Exception {
         fetch();
-        assertEquals(CHUNKS, keeper.set("m", 1).map(ChunkSet::present).orElse(0));
+        assertEquals(
+                FakeOrigin.CHUNKS, keeper.set("m", 1).map(ChunkSet::present).orElse(0));
         assertEquals(0, pacedBytes);
     }
 
@@ -325,22 +148,22 @@
     @Test
     void shouldKeepNewRequestsAwayWhileLastChunksCome() throws Exception {
         endpoint.held = 1;
-        origin.gives = CHUNKS - 2;
+        origin.gives = FakeOrigin.CHUNKS - 2;
         views.want("m", 2);
-        Thread fetching = fetchBeside(2, CHUNKS - 2);
+        Thread fetching = fetchBeside(2, FakeOrigin.CHUNKS - 2);
         keeper.step();
         now.addAndGet(BOUND / 2);
         keeper.step();
         assertFalse(keeper.closing(), "two of eight chunks at this pace take longer than the cordon");
-        origin.gives = CHUNKS - 1;
-        awaitPresent(2, CHUNKS - 1);
+        origin.gives = FakeOrigin.CHUNKS - 1;
+        awaitPresent(2, FakeOrigin.CHUNKS - 1);
         now.addAndGet(-BOUND / 2 + 3_400);
         keeper.step();
         assertTrue(keeper.closing());
         now.addAndGet(Cordon.MILLIS);
         keeper.step();
         assertEquals(List.of(), endpoint.orders, "a chunk is missing");
-        origin.gives = CHUNKS;
+        origin.gives = FakeOrigin.CHUNKS;
         fetching.join();
         keeper.step();
         assertEquals(List.of("start 2"), endpoint.orders);
@@ -349,14 +172,14 @@
     @Test
     void shouldNotKeepRequestsAwayEarlyWhenManyChunksAreLaidInAnInstant() throws Exception {
         endpoint.held = 1;
-        origin.gives = CHUNKS - 2;
+        origin.gives = FakeOrigin.CHUNKS - 2;
         views.want("m", 2);
-        Thread fetching = fetchBeside(2, CHUNKS - 2);
+        Thread fetching = fetchBeside(2, FakeOrigin.CHUNKS - 2);
         now.addAndGet(BOUND / 2);
         keeper.step();
         assertFalse(
                 keeper.closing(), "six chunks took four seconds to come, so that two more take longer than the cordon");
-        origin.gives = CHUNKS;
+        origin.gives = FakeOrigin.CHUNKS;
         fetching.join();
     }
 
@@ -387,7 +210,7 @@
         assertEquals(List.of(), endpoint.orders, "the pass that mends does not order");
         keeper.step();
         assertEquals(List.of("start 2"), endpoint.orders);
-        assertEquals(chunk(2, 3)[1], endpoint.staged.get(3)[1]);
+        assertEquals(FakeOrigin.chunk(2, 3)[1], endpoint.staged.get(3)[1]);
     }
 
     @Test
@@ -395,8 +218,8 @@
         origin.spoilFirst = 3;
         fetch();
         keeper.step();
-        assertEquals(CHUNKS + 3, origin.given);
-        for (int i = 0; i < CHUNKS; i++) {
+        assertEquals(FakeOrigin.CHUNKS + 3, origin.given);
+        for (int i = 0; i < FakeOrigin.CHUNKS; i++) {
             assertEquals(i, endpoint.staged.get(i)[1]);
         }
     }
@@ -423,11 +246,11 @@
     @Test
     void shouldStopServingOlderVersionWhenNewerOneIsNotWholeInTime() throws Exception {
         endpoint.held = 1;
-        for (int i = 0; i < CHUNKS; i++) {
-            endpoint.staged.put(i, chunk(1, i));
+        for (int i = 0; i < FakeOrigin.CHUNKS; i++) {
+            endpoint.staged.put(i, FakeOrigin.chunk(1, i));
         }
         keeper.refresh();
-        keeper.step();
+        keeper.readBack();
         origin.gives = 5;
         origin.givesFrom = 1;
         views.want("m", 2);
@@ -446,12 +269,12 @@
     @Test
     void shouldHandOutWhatEndpointHeldBeforeAgentStarted() throws Exception {
         endpoint.held = 1;
-        for (int i = 0; i < CHUNKS; i++) {
-            endpoint.staged.put(i, chunk(1, i));
+        for (int i = 0; i < FakeOrigin.CHUNKS; i++) {
+            endpoint.staged.put(i, FakeOrigin.chunk(1, i));
         }
         keeper.refresh();
-        keeper.step();
-        assertEquals(CHUNKS, keeper.set("m", 1).orElseThrow().present());
+        keeper.readBack();
+        assertEquals(FakeOrigin.CHUNKS, keeper.set("m", 1).orElseThrow().present());
         assertEquals(0, origin.given);
     }
 
