weights: an endpoint stops serving an old version in time whatever has come over the network

Cause: ReplicaKeeper.retire looked for a whole layer in the newest begun version only; with none it did nothing and logged nothing. Now Retirement stops it by a layer of any newer version of which one is here whole, else by a layer taken from whatever lies there. A layer that was not whole never serves: before all layers of its version are ordered, the endpoint is made to give it up by an order for a layer of a third version. That holds across a restart of the agent, which trusts no layers that it did not order itself (the report tells which version is held in part).

Found beside it and mended: - a version that may no longer answer was taken up when the newest one's digests were not to be had (newestBegun); - the step that stops the endpoint asked the origin and all agents for digests, with their timeouts (readBack has its own thread now), laid all chunks that had come, however slowly, and waited for a reading back that failed for good; - an agent that had just started let an old version serve for its whole bound, also if others held a newer one. event=retire_impossible says why nothing could be ordered, once a second at most.

Ruled out: fetching one layer first. A link that carries two chunks in 8 s brings none whole; and the duty would still wait for the network.

--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -40,6 +40,12 @@
     /** How often the agent looks whether there is something to fetch or to order, in milliseconds: a chunk's time. */
     private static final long LOOK_MILLIS = 50;
 
+    /**
+     * How often the agent looks whether the endpoint holds a version that other agents cannot have from it, in milliseconds. It
+     * asks the origin and other agents for the version's digests then, which takes seconds if they do not answer.
+     */
+    private static final long READ_BACK_MILLIS = 300;
+
     /**
      * From when on a pause counts as a standstill, in milliseconds: the shortest for which entries bear an agent's silence. A
      * process that only waits for its turn pauses for less.
@@ -100,6 +106,7 @@
         run("report", REPORT_MILLIS, new Reports());
         run("fetch", LOOK_MILLIS, keeper::fetch);
         run("replica", LOOK_MILLIS, keeper::step);
+        run("read-back", READ_BACK_MILLIS, keeper::readBack);
         run("standstill", LOOK_MILLIS, new StandstillWatch());
         LOG.info("event=started role=agent instance={}", settings.instance().id());
     }
--- a/src/main/java/org/micabarrow/weights/ChunkSet.java
+++ b/src/main/java/org/micabarrow/weights/ChunkSet.java
@@ -120,6 +120,11 @@
         return index;
     }
 
+    /** Whether the chunks from one index up to another, the latter not included, are here. */
+    boolean hasAll(int first, int end) {
+        return chunks.subList(first, end).stream().allMatch(CompletableFuture::isDone);
+    }
+
     /**
      * Whether all chunks are here.
      *
--- a/src/main/java/org/micabarrow/weights/LaidChunks.java
+++ b/src/main/java/org/micabarrow/weights/LaidChunks.java
@@ -3,6 +3,7 @@
 import java.util.BitSet;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
 import org.slf4j.Logger;
@@ -10,7 +11,7 @@
 
 /**
  * The chunks that lie beside an endpoint, where it takes up weights from: lays those of the version that is being fetched
- * as they come, and reads them back, since what lies there may turn bad. Used by one thread.
+ * as they come, and reads them back, since what lies there may turn bad. Used by one thread, but for {@link #readInto}.
  */
 final class LaidChunks {
 
@@ -31,13 +32,13 @@
 
     // -- laying
 
-    /** Lays the chunks of a version that have come since the last time; those of another version count no more. */
-    void layNew(ChunkSet set) {
+    /** Lays the chunks of a version that have come since the last time, while it may; those of another version count no more. */
+    void layNew(ChunkSet set, BooleanSupplier goesOn) {
         if (from.filter(set::equals).isEmpty()) {
             from = Optional.of(set);
             laid.clear();
         }
-        for (int i = 0; i < set.digests().size(); i++) {
+        for (int i = 0; i < set.digests().size() && goesOn.getAsBoolean(); i++) {
             if (!laid.get(i) && set.chunk(i).isPresent() && lay(set, i)) {
                 laid.set(i);
                 if (all(set)) {
@@ -47,8 +48,11 @@
         }
     }
 
-    /** Lays chunks that were laid before once more, since they may have turned bad; tells whether all of them lie there. */
+    /** Lays chunks once more, since what was laid may have turned bad; tells whether all of them lie there. */
     boolean layAgain(ChunkSet set, int first, int end) {
+        if (from.filter(set::equals).isEmpty()) {
+            laid.clear(first, end);
+        }
         for (int i = first; i < end; i++) {
             if (!lay(set, i)) {
                 return false;
@@ -77,11 +81,6 @@
         return laid.cardinality() == set.digests().size();
     }
 
-    /** Whether the chunks from one index up to another, the latter not included, were laid. */
-    boolean allBetween(int first, int end) {
-        return laid.nextClearBit(first) >= end;
-    }
-
     /** How many of the version's chunks were not laid yet. */
     int missing(ChunkSet set) {
         return set.digests().size() - laid.cardinality();
--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -31,11 +31,15 @@
      */
     private static final long WORTH_WAITING_MILLIS = 1_500;
 
+    /** How long chunks are laid in one step, in milliseconds: some two hundred at a usual endpoint, which takes one in a millisecond. */
+    private static final long LAYING_MILLIS = 250;
+
     private final Parts parts;
     private final Cordon cordon;
     private final LaidChunks laid;
     private final VersionDeadlines deadlines;
     private final VersionFetches fetches;
+    private final Retirement retirement;
     private final AtomicReference<Optional<Report>> report = new AtomicReference<>(Optional.empty());
 
     /**
@@ -81,6 +85,8 @@
         this.laid = new LaidChunks(parts.endpoint());
         this.deadlines = new VersionDeadlines(parts.view(), parts.boundMillis(), parts.steadyMillis());
         this.fetches = new VersionFetches(parts.fetcher(), deadlines, parts.steadyMillis());
+        this.retirement =
+                new Retirement(parts.endpoint(), parts.layers(), laid, fetches, deadlines, parts.steadyMillis());
     }
 
     /**
@@ -161,25 +167,33 @@
         fetches.fetchFor(model.get(), now.get().models().getOrDefault(model.get(), 0L));
     }
 
-    /** Takes the next step towards the newest version that is here whole, if there is one to take. */
+    /**
+     * Takes the next step towards the newest version that is here whole, if there is one to take, and stops the endpoint when
+     * its version may no longer answer. Waits for nothing but the endpoint beside it.
+     */
     public void step() {
         Optional<String> model = parts.model().get();
         Optional<Report> now = report.get();
         if (model.isEmpty() || now.isEmpty()) {
+            retirement.hindered(now.isEmpty() ? "the endpoint does not answer" : "no manifest is known");
             return;
         }
-        long held = now.get().models().getOrDefault(model.get(), 0L);
-        if (held > 0) {
-            readBack(model.get(), held);
-        }
+        retirement.holds(now.get().models());
+        // A busy endpoint takes no requests on the version before.
         if (!now.get().busy()) {
-            fetches.newestWhole(model.get(), held, deadlines.leastAllowed(model.get(), 0))
-                    .filter(whole -> !skips(whole, held))
-                    .or(() -> fetches.newestBegun(model.get(), held))
-                    .ifPresentOrElse(set -> advance(set, held, now.get()), cordon::lift);
+            long held = now.get().models().getOrDefault(model.get(), 0L);
+            advance(model.get(), target(model.get(), held), held, now.get());
         }
     }
 
+    /** The version to bring the endpoint to, none of those that it would soon have to give up again. */
+    private Optional<ChunkSet> target(String model, long held) {
+        long least = deadlines.leastAllowed(model, Cordon.MILLIS);
+        return fetches.newestWhole(model, held, least)
+                .filter(whole -> !skips(whole, held))
+                .or(() -> fetches.newestBegun(model, held, least));
+    }
+
     /**
      * Whether the endpoint goes past a whole version to the newest, which is expected soon. Each change of versions takes an
      * endpoint out for some 2.6 s; with two versions named 4 s apart, more than half of fifteen endpoints were out at a time.
@@ -200,14 +214,11 @@
         return place.position() < place.count() * TAKING_EVERY_VERSION;
     }
 
-    private void advance(ChunkSet set, long held, Report now) {
-        laid.layNew(set);
-        boolean allLaid = laid.all(set);
-        boolean retires = !allLaid && held > 0 && tooLate(set.model(), held);
-        // Once it is closed it bears a chunk that comes late.
-        long soonMillis = cordon.closed() ? 2 * Cordon.MILLIS : Cordon.MILLIS;
-        boolean orders = (allLaid || missingMillis(set) <= soonMillis)
-                && parts.steadyMillis().getAsLong() + Cordon.MILLIS >= orderAt(set.model(), held);
+    private void advance(String model, Optional<ChunkSet> target, long held, Report now) {
+        target.ifPresent(this::lay);
+        Optional<ChunkSet> whole = target.filter(laid::all);
+        boolean retires = retirement.due(model, held) && (whole.isEmpty() || deadlines.lastOrderPassed(model, held));
+        boolean orders = target.filter(set -> ordersSoon(set, held)).isPresent();
         if (!retires && !orders) {
             cordon.lift();
             return;
@@ -215,13 +226,27 @@
         // An endpoint that serves nothing gets no requests, so there is nothing to wait for.
         boolean quiet =
                 held == 0 || cordon.closedLongEnough(parts.steadyMillis().getAsLong());
-        if (quiet && retires) {
-            retire(set, now);
-        } else if (quiet && allLaid && laid.verify(set)) {
-            order(set, now);
+        if (quiet && whole.filter(laid::verify).isPresent()) {
+            order(whole.get(), now);
+        } else if (quiet && retires) {
+            retirement.retire(model, held, now);
+            refresh();
         }
     }
 
+    /** Lays what has come, for a while: an endpoint that takes chunks slowly must not hold up what is due. */
+    private void lay(ChunkSet set) {
+        long until = parts.steadyMillis().getAsLong() + LAYING_MILLIS;
+        laid.layNew(set, () -> parts.steadyMillis().getAsLong() < until);
+    }
+
+    private boolean ordersSoon(ChunkSet set, long held) {
+        // Once it is closed it bears a chunk that comes late.
+        long soonMillis = cordon.closed() ? 2 * Cordon.MILLIS : Cordon.MILLIS;
+        return (laid.all(set) || missingMillis(set) <= soonMillis)
+                && parts.steadyMillis().getAsLong() + Cordon.MILLIS >= orderAt(set.model(), held);
+    }
+
     /**
      * How long it takes until a version is laid. Counted from the fetching, not from the laying: a version that came while the
      * one before it was laid is laid in an instant so far, and requests were kept away for up to 2.2 s before its last chunks.
@@ -230,28 +255,6 @@
         return fetches.expectedMillis(set, laid.missing(set));
     }
 
-    /** Whether the endpoint must stop serving the version that it holds, although a newer one is not here whole. */
-    private boolean tooLate(String model, long held) {
-        return deadlines.leastAllowed(model, Cordon.MILLIS) > held;
-    }
-
-    /** Makes the endpoint take up one layer of the newer version, so that it serves the older one no more. */
-    private void retire(ChunkSet set, Report now) {
-        int count = set.digests().size();
-        int layers = parts.layers().getAsInt();
-        for (int layer = 0; layer < layers; layer++) {
-            // A layer needs the chunks that overlap with its part of the version.
-            int first = layer * count / layers;
-            int end = ((layer + 1) * count + layers - 1) / layers;
-            if (laid.allBetween(first, end) && laid.layAgain(set, first, end)) {
-                Result<OrderEnd> done = parts.endpoint().startLayer(set.model(), set.version(), layer, now.orders());
-                LOG.warn("event=retired model={} towards={} layer={} end={}", set.model(), set.version(), layer, done);
-                break;
-            }
-        }
-        refresh();
-    }
-
     /** When to order: at once if the endpoint serves nothing, else at this agent's turn. */
     private long orderAt(String model, long held) {
         return held == 0
@@ -260,6 +263,11 @@
     }
 
     private void order(ChunkSet set, Report now) {
+        if (retirement.distrusts(set, now)) {
+            retirement.giveUp(set, now);
+            refresh();
+            return;
+        }
         Result<OrderEnd> end = parts.endpoint().start(set.model(), set.version(), now.orders());
         LOG.info("event=ordered model={} version={} end={}", set.model(), set.version(), end);
         refresh();
--- a/src/main/java/org/micabarrow/weights/VersionDeadlines.java
+++ b/src/main/java/org/micabarrow/weights/VersionDeadlines.java
@@ -3,6 +3,7 @@
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.stream.LongStream;
 import org.micabarrow.views.View;
 
 /** Which weight version is wanted, and until when endpoints may serve the ones before. Safe for any number of threads. */
@@ -14,6 +15,12 @@
     /** The part of the bound after which an endpoint whose newer version is not here whole must stop serving the older. */
     private static final double RETIRE_PART = 0.84;
 
+    /** The place of the agent that orders last. */
+    private static final ReplicaKeeper.Place LAST = new ReplicaKeeper.Place(1, 2);
+
+    /** How long after its turn an agent whose chunks had turned bad may still order, in milliseconds: two passes over them. */
+    private static final long READING_BACK_MILLIS = 200;
+
     private final Supplier<View> view;
     private final long boundMillis;
     private final LongSupplier steadyMillis;
@@ -38,7 +45,39 @@
 
     /** The least version that an endpoint may still serve or take up, or has to in a while. */
     long leastAllowed(String model, long aheadMillis) {
-        return view.get().leastVersion(model, retireMillis(), steadyMillis.getAsLong() + aheadMillis);
+        View now = view.get();
+        long due = now.leastVersion(model, retireMillis(), steadyMillis.getAsLong() + aheadMillis);
+        return sawNewestNamed(now, model) ? due : Math.max(due, newestInUse(now, model));
+    }
+
+    private static boolean sawNewestNamed(View now, String model) {
+        return now.newestTarget(model).filter(View.Target::seenNamed).isPresent();
+    }
+
+    /**
+     * The newest version that any endpoint has taken up. A process that found versions named at its start, or has read of
+     * none yet, cannot know for how long they have been; an endpoint takes at least 0.45 of the bound until it has a new one.
+     */
+    private static long newestInUse(View now, String model) {
+        return now.endpoints().values().stream()
+                .mapToLong(endpoint -> endpoint.models().getOrDefault(model, 0L))
+                .max()
+                .orElse(0);
+    }
+
+    /** The version that was named first after one that may no longer answer, or else another that is known to be in use. */
+    long oldestNewer(String model, long version) {
+        return view.get()
+                .newerNamed(model, version)
+                .map(View.Target::version)
+                .orElseGet(() -> leastAllowed(model, Cordon.MILLIS));
+    }
+
+    /** A version that is not a certain one: the newest that was named, else the first of all; empty if that is the one. */
+    OptionalLong otherThan(String model, long version) {
+        return LongStream.of(newest(model), FIRST_VERSION)
+                .filter(other -> other != version)
+                .findFirst();
     }
 
     /** When an endpoint must stop serving versions that are older than one. */
@@ -64,6 +103,11 @@
                 .findFirst();
     }
 
+    /** Whether even the last agent's turn to order a newer version than the one held has passed, and a pass of reading back. */
+    boolean lastOrderPassed(String model, long held) {
+        return steadyMillis.getAsLong() >= orderAt(model, held, LAST) + READING_BACK_MILLIS;
+    }
+
     /** When an agent's turn is to order its endpoint to take up a newer version than the one held. */
     long orderAt(String model, long held, ReplicaKeeper.Place place) {
         return view.get()
--- a/src/main/java/org/micabarrow/weights/VersionFetches.java
+++ b/src/main/java/org/micabarrow/weights/VersionFetches.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
@@ -68,8 +69,13 @@
         return fetcher.begin(model, version).map(this::kept);
     }
 
+    /** Keeps a set, unless another thread has begun the same version meanwhile. */
     private ChunkSet kept(ChunkSet fresh) {
         synchronized (sets) {
+            Optional<ChunkSet> known = set(fresh.model(), fresh.version());
+            if (known.isPresent()) {
+                return known.get();
+            }
             sets.addFirst(fresh);
             while (sets.size() > SETS_KEPT) {
                 sets.removeLast();
@@ -78,9 +84,19 @@
         return fresh;
     }
 
-    /** The newest version that is being fetched, of which chunks are laid as they come. */
-    Optional<ChunkSet> newestBegun(String model, long held) {
-        return newest(model, set -> set.version() > held);
+    /** The newest version that is being fetched, of which chunks are laid as they come, and that may be served. */
+    Optional<ChunkSet> newestBegun(String model, long held, long least) {
+        return newest(model, set -> set.version() > held && set.version() >= least);
+    }
+
+    /** The versions that are newer than one and here, complete or not, newest first. */
+    List<ChunkSet> newerThan(String model, long version) {
+        synchronized (sets) {
+            return sets.stream()
+                    .filter(set -> set.model().equals(model) && set.version() > version)
+                    .sorted(Comparator.comparingLong(ChunkSet::version).reversed())
+                    .toList();
+        }
     }
 
     /** The newest version that is here whole, newer than the one held and not older than one that must be served. */
