--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -217,15 +217,17 @@
     private void advance(String model, Optional<ChunkSet> target, long held, Report now) {
         target.ifPresent(this::lay);
         Optional<ChunkSet> whole = target.filter(laid::all);
-        boolean retires = retirement.due(model, held) && (whole.isEmpty() || deadlines.lastOrderPassed(model, held));
+        boolean late = deadlines.lastOrderPassed(model, held);
+        boolean retires = retirement.due(model, held) && (whole.isEmpty() || late);
         boolean orders = target.filter(set -> ordersSoon(set, held)).isPresent();
         if (!retires && !orders) {
             cordon.lift();
             return;
         }
-        // An endpoint that serves nothing gets no requests, so there is nothing to wait for.
+        // An endpoint that serves nothing gets no requests, so there is nothing to wait for; and an agent that has just
+        // started may have no time to wait.
         boolean quiet =
-                held == 0 || cordon.closedLongEnough(parts.steadyMillis().getAsLong());
+                held == 0 || cordon.closedLongEnough(parts.steadyMillis().getAsLong()) || retires && late;
         if (quiet && whole.filter(laid::verify).isPresent()) {
             order(whole.get(), now);
         } else if (quiet && retires) {
