--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -22,15 +22,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(ReplicaKeeper.class);
 
-    /** The part of a region's endpoints that take every version, also when a newer one is expected soon. */
-    private static final double TAKING_EVERY_VERSION = 1.0 / 3;
-
-    /**
-     * How long an endpoint may stand idle for a newer version instead of taking up the one before, in milliseconds: less than the
-     * change that it saves takes.
-     */
-    private static final long WORTH_WAITING_MILLIS = 1_500;
-
     /** How long chunks are laid in one step, in milliseconds: some two hundred at a usual endpoint, which takes one in a millisecond. */
     private static final long LAYING_MILLIS = 250;
 
@@ -40,6 +31,7 @@
     private final VersionDeadlines deadlines;
     private final VersionFetches fetches;
     private final Retirement retirement;
+    private final VersionChoice choice;
     private final AtomicReference<Optional<Report>> report = new AtomicReference<>(Optional.empty());
 
     /**
@@ -85,6 +77,7 @@
         this.laid = new LaidChunks(parts.endpoint());
         this.deadlines = new VersionDeadlines(parts.view(), parts.boundMillis(), parts.steadyMillis());
         this.fetches = new VersionFetches(parts.fetcher(), deadlines, parts.steadyMillis());
+        this.choice = new VersionChoice(fetches, deadlines, parts.place(), parts.steadyMillis());
         this.retirement =
                 new Retirement(parts.endpoint(), parts.layers(), laid, fetches, deadlines, parts.steadyMillis());
     }
@@ -182,38 +175,10 @@
         // A busy endpoint takes no requests on the version before.
         if (!now.get().busy()) {
             long held = now.get().models().getOrDefault(model.get(), 0L);
-            advance(model.get(), target(model.get(), held), held, now.get());
+            advance(model.get(), choice.target(model.get(), held), held, now.get());
         }
     }
 
-    /** The version to bring the endpoint to, none of those that it would soon have to give up again. */
-    private Optional<ChunkSet> target(String model, long held) {
-        long least = deadlines.leastAllowed(model, Cordon.MILLIS);
-        return fetches.newestWhole(model, held, least)
-                .filter(whole -> !skips(whole, held))
-                .or(() -> fetches.newestBegun(model, held, least));
-    }
-
-    /**
-     * Whether the endpoint goes past a whole version to the newest, which is expected soon. Each change of versions takes an
-     * endpoint out for some 2.6 s; with two versions named 4 s apart, more than half of fifteen endpoints were out at a time.
-     * Some take every version, so that there is always one that may answer.
-     */
-    private boolean skips(ChunkSet whole, long held) {
-        long newest = deadlines.newest(whole.model());
-        if (whole.version() == newest || held > 0 && takesEveryVersion()) {
-            return false;
-        }
-        long now = parts.steadyMillis().getAsLong();
-        long servesUntil = held == 0 ? now : Math.max(now, deadlines.retireAt(whole.model(), whole.version()));
-        return fetches.missingMillis(whole.model(), newest) <= servesUntil - now + WORTH_WAITING_MILLIS;
-    }
-
-    private boolean takesEveryVersion() {
-        Place place = parts.place().get();
-        return place.position() < place.count() * TAKING_EVERY_VERSION;
-    }
-
     private void advance(String model, Optional<ChunkSet> target, long held, Report now) {
         target.ifPresent(this::lay);
         Optional<ChunkSet> whole = target.filter(laid::all);
