--- /dev/null
+++ b/src/test/java/org/micabarrow/platform/EndpointCallsTest.java
@@ -0,0 +1,71 @@
+package org.micabarrow.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.micabarrow.standin.Ports;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.HttpListener;
+import org.micabarrow.weights.ModelEndpoint.Report;
+
+/** What is read from an endpoint's report. */
+class EndpointCallsTest {
+
+    private static final int LAYERS = 16;
+
+    private volatile String report = "";
+    private String address;
+    private HttpListener listener;
+    private HttpCaller caller;
+
+    @BeforeEach
+    void start() throws Exception {
+        address = Ports.freeAddress();
+        listener = HttpListener.start(
+                address,
+                HttpListener.Bounds.usual(),
+                1,
+                Optional.empty(),
+                exchange -> exchange.getResponseSender().send(report, StandardCharsets.UTF_8));
+        caller = HttpCaller.start("test", 1);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        caller.close();
+        listener.close();
+    }
+
+    private Report read(String layers) {
+        report = "{\"models\":[{\"name\":\"m\",\"version\":2}]," + layers + "\"sequence\":3}";
+        return new EndpointCalls(caller, address, () -> LAYERS)
+                .report()
+                .toOptional()
+                .orElseThrow();
+    }
+
+    @Test
+    void shouldHoldVersionWhenAllLayersAreThere() {
+        Report whole = read("\"layers\":{\"from\":0,\"target_version\":16,\"version\":2},");
+        assertEquals(Map.of("m", 2L), whole.models());
+        assertEquals(Map.of(), whole.parts());
+    }
+
+    @Test
+    void shouldHoldVersionInPartWhenLayersAreMissing() {
+        Report part = read("\"layers\":{\"from\":3,\"target_version\":4,\"version\":2},");
+        assertEquals(Map.of(), part.models());
+        assertEquals(Map.of("m", 2L), part.parts());
+        assertEquals(3, part.orders());
+    }
+
+    @Test
+    void shouldHoldVersionWhenLayersAreNotTold() {
+        assertEquals(Map.of("m", 2L), read("").models());
+    }
+}
