--- a/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
@@ -174,7 +174,7 @@
             byte[] record = new byte[bytes.getInt()];
             bytes.get(record);
             int key = record[0] & 0xFF;
-            entries.add(new Entry(
+            entries.add(Entry.of(
                     new String(record, 1, key, StandardCharsets.UTF_8),
                     Arrays.copyOfRange(record, 1 + key, record.length)));
         }
--- a/src/main/java/org/micabarrow/weights/ModelEndpoint.java
+++ b/src/main/java/org/micabarrow/weights/ModelEndpoint.java
@@ -12,6 +12,7 @@
      * What the endpoint says of itself.
      *
      * @param models the weight version that it holds of each model, with all layers
+     * @param parts the weight version of which it holds some layers only, of each model
      * @param busy whether it is taking up weights
      * @param orders how many orders it has taken since its start
      * @param queued the requests that wait
@@ -19,19 +20,27 @@
      * @param startedMillis the Unix millisecond of its start; empty if it does not tell
      */
     record Report(
-            Map<String, Long> models, boolean busy, long orders, int queued, int running, OptionalLong startedMillis) {
+            Map<String, Long> models,
+            Map<String, Long> parts,
+            boolean busy,
+            long orders,
+            int queued,
+            int running,
+            OptionalLong startedMillis) {
 
         /**
          * What an endpoint says that does not tell when it was started.
          *
          * @param models the weight version that it holds of each model, with all layers
+         * @param parts the weight version of each model of which it holds some layers only
          * @param busy whether it is taking up weights
          * @param orders how many orders it has taken since its start
          * @param queued the requests that wait
          * @param running the requests that run
          */
-        public Report(Map<String, Long> models, boolean busy, long orders, int queued, int running) {
-            this(models, busy, orders, queued, running, OptionalLong.empty());
+        public Report(
+                Map<String, Long> models, Map<String, Long> parts, boolean busy, long orders, int queued, int running) {
+            this(models, parts, busy, orders, queued, running, OptionalLong.empty());
         }
     }
 
