--- a/src/main/java/org/micabarrow/process/AgentProcess.java
+++ b/src/main/java/org/micabarrow/process/AgentProcess.java
@@ -7,7 +7,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 import org.micabarrow.coordination.admission.ConcurrencyLimit;
@@ -48,7 +47,6 @@
     private static final long LIST_MILLIS = 30_000;
     private static final int AHEAD_PART = 4;
     private static final long LEAST_PATIENCE_MILLIS = 100;
-    private static final long STOP_LOOK_MILLIS = 50;
 
     private final AgentSettings settings;
     private final Node node;
@@ -60,7 +58,7 @@
     private final LinkPacer linkIn;
     private final LinkPacer linkOut;
     private final Weights weights;
-    private final ExecutorService threads = Executors.newCachedThreadPool(AgentProcess::daemon);
+    private final ExecutorService threads = Node.workers("agent-work");
     private Server server;
     private HttpListener operators;
     private volatile boolean closed;
@@ -152,12 +150,6 @@
                 Math.clamp(halfWindow, LEAST_PATIENCE_MILLIS, settings.weights().patienceMillis()));
     }
 
-    private static Thread daemon(Runnable work) {
-        Thread thread = new Thread(work, "agent-work");
-        thread.setDaemon(true);
-        return thread;
-    }
-
     private int runningOn(String version) {
         return flow.running(version);
     }
@@ -177,7 +169,7 @@
                 HttpListener.Bounds.usual(),
                 1,
                 Optional.empty(),
-                OperatorServer.watching(node.metrics(), this::healthy));
+                OperatorServer.watching(node.metrics(), node::healthy));
         node.configuration()
                 .onStep(step -> replicas.configured(node.configuration().current()));
         node.start();
@@ -188,11 +180,6 @@
                 node.identity().epoch());
     }
 
-    private boolean healthy() {
-        return node.configuration().known()
-                && node.configuration().view().stopped().isEmpty();
-    }
-
     // -- what others are told
 
     private Load load() {
@@ -206,14 +193,7 @@
     }
 
     private StatusReply status() {
-        FoldedState state = node.configuration().current();
-        StatusReply.Builder reply = StatusReply.newBuilder()
-                .setGeneration(state.offset())
-                .setInstance(node.identity().instance())
-                .setRegion(node.identity().region())
-                .setHall(node.identity().hall())
-                .setEpoch(node.identity().epochText())
-                .setLoad(load());
+        StatusReply.Builder reply = node.status().setLoad(load());
         replicas.view().replicas().values().forEach(replica -> reply.addReplicas(StatusMessages.toWire(replica)));
         return reply.build();
     }
@@ -280,16 +260,10 @@
         LOG.info("agent instance={} leaves, open={}", node.identity().instance(), flow.open());
         node.control().execute(replicas::leave);
         long end = node.clock().millis() + settings.limits().stopMillis();
-        while (flow.open() > 0 && node.clock().millis() < end) {
-            try {
-                Thread.sleep(STOP_LOOK_MILLIS);
-            } catch (InterruptedException e) {
-                break;
-            }
-        }
+        Node.awaitIdle(() -> flow.open() > 0 && node.clock().millis() < end);
         server.shutdown();
         try {
-            server.awaitTermination(STOP_LOOK_MILLIS * 10, TimeUnit.MILLISECONDS);
+            server.awaitTermination(Node.STOP_LOOK_MILLIS * 10, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/org/micabarrow/process/EntryProcess.java
+++ b/src/main/java/org/micabarrow/process/EntryProcess.java
@@ -9,10 +9,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 import java.util.zip.CRC32C;
 import javax.net.ssl.SSLContext;
 import org.micabarrow.coordination.admission.RetryBudget;
@@ -21,19 +19,14 @@
 import org.micabarrow.coordination.configuration.Duties;
 import org.micabarrow.coordination.membership.PeerTable;
 import org.micabarrow.coordination.membership.PeerView;
-import org.micabarrow.coordination.membership.ReplicaView;
-import org.micabarrow.coordination.membership.StatusRotation;
 import org.micabarrow.coordination.requests.RequestFlow;
 import org.micabarrow.coordination.routing.PrefixIndex;
 import org.micabarrow.coordination.routing.Router;
 import org.micabarrow.coordination.routing.Traffic;
-import org.micabarrow.protocol.StatusMessages;
 import org.micabarrow.protocol.wire.StatusReply;
 import org.micabarrow.settings.EntrySettings;
-import org.micabarrow.state.FoldedState;
 import org.micabarrow.state.Links;
 import org.micabarrow.state.Record;
-import org.micabarrow.state.Replica;
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.LinkPacer;
 import org.micabarrow.transport.TlsFiles;
@@ -51,7 +44,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(EntryProcess.class);
     private static final Duration TICK = Duration.ofMillis(50);
     private static final Duration WRITE_WITHIN = Duration.ofSeconds(5);
-    private static final long STOP_LOOK_MILLIS = 50;
     private static final int CALLER_THREADS = 2;
     private static final int PREFIXES = 50_000;
     private static final double RETRIES_SAVED = 20;
@@ -63,11 +55,11 @@
     private final PrefixIndex prefixes = new PrefixIndex(PREFIXES);
     private final Router router;
     private final Duties duties;
-    private final StatusRotation rotation;
+    private final AgentStatuses statuses;
     private final List<Claims> claims = new ArrayList<>();
     private final RequestFlow flow;
     private final CallerServer callers;
-    private final ExecutorService threads = Executors.newCachedThreadPool(EntryProcess::daemon);
+    private final ExecutorService threads = Node.workers("entry-work");
     private Server server;
     private HttpListener callerListener;
     private HttpListener operatorListener;
@@ -84,7 +76,7 @@
                 traffic,
                 prefixes,
                 RandomGenerator.of("L64X128MixRandom"));
-        this.rotation = new StatusRotation(timing.statusMillis());
+        this.statuses = new AgentStatuses(node, table, timing.statusMillis(), this::heard);
         this.duties = new Duties(
                 settings.instance().id(), timing.repairMillis(), timing.checkpointMillis(), Node::newId, node.clock());
         EntrySettings.Limits limits = settings.limits();
@@ -130,12 +122,6 @@
         return entry;
     }
 
-    private static Thread daemon(Runnable work) {
-        Thread thread = new Thread(work, "entry-work");
-        thread.setDaemon(true);
-        return thread;
-    }
-
     private void begin() throws IOException {
         node.gauge("requests.open", callers::open);
         node.gauge("requests.waiting", flow::waiting);
@@ -150,7 +136,7 @@
                         new PeerService(node.configuration(), this::status, Optional.empty()));
         node.peers().onLoad((instance, load) -> node.control().execute(() -> table.loaded(instance, load)));
         node.start();
-        node.control().every(Duration.ofMillis(settings.peers().statusMillis()), this::askAgents);
+        node.control().every(Duration.ofMillis(settings.peers().statusMillis()), statuses::ask);
         node.control().every(TICK, this::tick);
         node.control().every(Duration.ofMillis(settings.peers().listMillis()), this::doDuties);
         listen();
@@ -203,52 +189,15 @@
     }
 
     private boolean healthy() {
-        return node.configuration().known()
-                && node.configuration().view().stopped().isEmpty()
-                && !callers.leaving();
+        return node.healthy() && !callers.leaving();
     }
 
     private StatusReply status() {
-        FoldedState state = node.configuration().current();
-        return StatusReply.newBuilder()
-                .setGeneration(state.offset())
-                .setInstance(node.identity().instance())
-                .setRegion(node.identity().region())
-                .setHall(node.identity().hall())
-                .setEpoch(node.identity().epochText())
-                .build();
+        return node.status().build();
     }
 
     // -- on the control thread
 
-    private void askAgents() {
-        FoldedState state = node.configuration().current();
-        List<Replica> wanted = table.wanted(state);
-        table.askedEvery(rotation.rotationMillis(wanted.size()));
-        for (Replica replica : rotation.due(wanted, node.clock().millis())) {
-            node.peers()
-                    .status(replica.address(), state.offset())
-                    .thenAccept(result -> result.toOptional()
-                            .filter(reply -> reply.getInstance().equals(replica.instance()))
-                            .map(this::view)
-                            .ifPresent(view -> node.control().execute(() -> heard(view))));
-        }
-    }
-
-    private PeerView view(StatusReply reply) {
-        return new PeerView(
-                reply.getInstance(),
-                reply.getEpoch(),
-                reply.getGeneration(),
-                reply.getDigest(),
-                true,
-                reply.getLoad().getLeaving(),
-                reply.getReplicasList().stream()
-                        .map(one -> StatusMessages.fromWire(reply.getInstance(), one))
-                        .collect(Collectors.toMap(ReplicaView::placement, Function.identity())),
-                StatusMessages.fromWire(reply.getLoad(), node.clock().millis()));
-    }
-
     private void heard(PeerView view) {
         table.heard(view);
         threads.execute(flow::wake);
@@ -287,13 +236,7 @@
     public void close() {
         LOG.info("entry instance={} leaves, open={}", node.identity().instance(), callers.open());
         callers.leave();
-        while (callers.open() > 0) {
-            try {
-                Thread.sleep(STOP_LOOK_MILLIS);
-            } catch (InterruptedException e) {
-                break;
-            }
-        }
+        Node.awaitIdle(() -> callers.open() > 0);
         kill();
         LOG.info("entry instance={} has stopped", node.identity().instance());
     }
--- a/src/main/java/org/micabarrow/process/Node.java
+++ b/src/main/java/org/micabarrow/process/Node.java
@@ -10,7 +10,10 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import org.micabarrow.coordination.configuration.Configuration;
 import org.micabarrow.coordination.configuration.ConfigurationReader;
@@ -18,6 +21,7 @@
 import org.micabarrow.coordination.configuration.RecordWriter;
 import org.micabarrow.coordination.membership.HallRelays;
 import org.micabarrow.coordination.membership.Identity;
+import org.micabarrow.protocol.wire.StatusReply;
 import org.micabarrow.settings.Common;
 import org.micabarrow.state.Instance;
 import org.micabarrow.transport.HttpCaller;
@@ -29,6 +33,9 @@
 /** The parts that an entry and an agent have alike. */
 final class Node implements AutoCloseable {
 
+    /** How often a process that stops looks whether its work has ended, in milliseconds. */
+    static final long STOP_LOOK_MILLIS = 50;
+
     private static final int HTTP_THREADS = 2;
     private static final Duration LIST_AT_START = Duration.ofSeconds(2);
 
@@ -133,6 +140,32 @@
         return UUID.randomUUID().toString();
     }
 
+    /** Threads for work that may block; none of them keeps the process alive. */
+    static ExecutorService workers(String name) {
+        return Executors.newCachedThreadPool(work -> {
+            Thread thread = new Thread(work, name);
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
+    // -- what others are told
+
+    /** Whether the configuration is known and followed. */
+    boolean healthy() {
+        return configuration.known() && configuration.view().stopped().isEmpty();
+    }
+
+    /** The part of the status that every process tells. */
+    StatusReply.Builder status() {
+        return StatusReply.newBuilder()
+                .setGeneration(configuration.current().offset())
+                .setInstance(identity.instance())
+                .setRegion(identity.region())
+                .setHall(identity.hall())
+                .setEpoch(identity.epochText());
+    }
+
     // -- running
 
     /** Begins to read the list of instances and the configuration. */
@@ -173,6 +206,19 @@
                 .toList();
     }
 
+    // -- stopping
+
+    /** Waits while there is still work, unless the thread is interrupted. */
+    static void awaitIdle(BooleanSupplier busy) {
+        while (busy.getAsBoolean()) {
+            try {
+                Thread.sleep(STOP_LOOK_MILLIS);
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
     @Override
     public void close() {
         if (reader != null) {
