--- a/src/main/java/org/micabarrow/bench/Baselines.java
+++ b/src/main/java/org/micabarrow/bench/Baselines.java
@@ -39,7 +39,7 @@
         return (double) bytes / instanceRate;
     }
 
-    RolloutBench.Row fromOrigin(int replicas) {
+    RolloutRow fromOrigin(int replicas) {
         long start = System.nanoTime();
         List<CompletableFuture<Void>> copies = new ArrayList<>();
         for (int i = 0; i < replicas; i++) {
@@ -49,7 +49,7 @@
         return row("baseline: each from the origin", replicas, start, replicas);
     }
 
-    RolloutBench.Row storeAndForward(int replicas) {
+    RolloutRow storeAndForward(int replicas) {
         long start = System.nanoTime();
         List<CountDownLatch> whole = new ArrayList<>();
         List<LinkPacer> out = new ArrayList<>();
@@ -90,7 +90,7 @@
         return done;
     }
 
-    private RolloutBench.Row row(String name, int replicas, long start, double copies) {
-        return new RolloutBench.Row(name, replicas, "-", (System.nanoTime() - start) / 1e9, bound(), copies);
+    private RolloutRow row(String name, int replicas, long start, double copies) {
+        return new RolloutRow(name, replicas, "-", (System.nanoTime() - start) / 1e9, bound(), copies);
     }
 }
--- a/src/main/java/org/micabarrow/bench/ControlBench.java
+++ b/src/main/java/org/micabarrow/bench/ControlBench.java
@@ -64,7 +64,7 @@
     // -- processes
 
     private void measure(int count) throws Exception {
-        try (LocalSystem system = LocalSystem.start(LocalSystem.Options.quick())) {
+        try (LocalSystem system = LocalSystem.start(LocalOptions.quick())) {
             system.statusEvery(STATUS_MILLIS);
             system.separate(Path.of(System.getenv("MICABARROW_BINARY")));
             system.addEntry("entry-1", "centro", "centro-a");
--- /dev/null
+++ b/src/main/java/org/micabarrow/bench/LocalSettings.java
@@ -0,0 +1,57 @@
+package org.micabarrow.bench;
+
+import java.util.List;
+import java.util.Optional;
+import org.micabarrow.settings.AgentSettings;
+import org.micabarrow.settings.Common;
+import org.micabarrow.settings.EntrySettings;
+import org.micabarrow.standin.Ports;
+import org.micabarrow.state.Digest;
+import org.micabarrow.state.Instance;
+
+/**
+ * The settings of a local system's entries and agents, on ports that are free.
+ *
+ * @param options how the system is set up
+ * @param platformAddress the host and port of the platform's stand-in
+ * @param statusMillis how often entries ask for status; reports are asked for twice as often
+ */
+record LocalSettings(LocalOptions options, String platformAddress, long statusMillis) {
+
+    /** The settings of an entry. */
+    EntrySettings entry(Common.Place place) {
+        return new EntrySettings(
+                place,
+                new EntrySettings.Listen(Ports.freeAddress(), Ports.freeAddress(), Ports.freeAddress()),
+                platformServices(),
+                List.of(new EntrySettings.Operator("ana", Digest.of(LocalSystem.OPERATOR_TOKEN))),
+                new Common.LinkRates(options.originRate(), options.instanceRate()),
+                new EntrySettings.Limits(
+                        1 << 20, 16 << 10, 1000, 60_000, 60_000, options.claimMillis(), 3_600_000, 2, 0.1),
+                new EntrySettings.Peers(
+                        statusMillis, 15 * statusMillis, 200, options.repairMillis(), options.checkpointMillis(), 64),
+                new Common.Logging("text", "info"),
+                new Common.Security(Optional.empty(), Optional.empty()));
+    }
+
+    /** The settings of an agent beside an endpoint of a kind. */
+    AgentSettings agent(Common.Place place, String kind, String endpoint) {
+        boolean engine = kind.equals(Instance.ENGINE);
+        return new AgentSettings(
+                place,
+                new AgentSettings.Listen(Ports.freeAddress(), Ports.freeAddress()),
+                platformServices(),
+                new AgentSettings.EndpointAddress(
+                        engine ? "engine" : "service", "http://" + endpoint, statusMillis / 2),
+                new Common.LinkRates(options.originRate(), options.instanceRate()),
+                new AgentSettings.Weights(options.windowBytes(), options.patienceMillis(), 5_000, 3_000),
+                new AgentSettings.Limits(2, 64, 1000, 1 << 20, 60_000, options.cutOffMillis(), 30_000),
+                new Common.Logging("text", "info"),
+                new Common.Security(Optional.empty(), Optional.empty()));
+    }
+
+    private Common.Platform platformServices() {
+        String base = "http://" + platformAddress;
+        return new Common.Platform(base + "/log", base + "/list", base + "/store", base + "/origin");
+    }
+}
--- a/src/main/java/org/micabarrow/bench/RequestsBench.java
+++ b/src/main/java/org/micabarrow/bench/RequestsBench.java
@@ -104,8 +104,8 @@
     }
 
     private void start() throws InterruptedException {
-        LocalSystem.Options quick = LocalSystem.Options.quick();
-        system = LocalSystem.start(new LocalSystem.Options(
+        LocalOptions quick = LocalOptions.quick();
+        system = LocalSystem.start(new LocalOptions(
                 quick.originRate(),
                 quick.storeRate(),
                 quick.instanceRate(),
--- a/src/main/java/org/micabarrow/bench/RolloutBench.java
+++ b/src/main/java/org/micabarrow/bench/RolloutBench.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.micabarrow.coordination.membership.ReplicaView;
@@ -44,32 +43,10 @@
     @Parameter(names = "--image", description = "Where to draw the figure")
     private String image = "docs/img/rollout.svg";
 
-    private final List<Row> rows = new ArrayList<>();
+    private final List<RolloutRow> rows = new ArrayList<>();
     private OperatorCalls operator;
     private long seed = 100;
 
-    /** One measured rollout. */
-    record Row(String name, int replicas, String prefer, double seconds, double bound, double originCopies) {
-
-        double ratio() {
-            return seconds / bound;
-        }
-
-        String json() {
-            return String.format(
-                    Locale.ROOT,
-                    "{\"row\":\"%s\",\"replicas\":%d,\"prefer\":\"%s\",\"seconds\":%.3f,\"bound\":%.3f,"
-                            + "\"ratio\":%.3f,\"origin_copies\":%.3f}",
-                    name,
-                    replicas,
-                    prefer,
-                    seconds,
-                    bound,
-                    ratio(),
-                    originCopies);
-        }
-    }
-
     /**
      * Runs the benchmark.
      *
@@ -97,16 +74,7 @@
     }
 
     private void run() throws Exception {
-        System.out.println(String.format(
-                Locale.ROOT,
-                "%-34s %8s %-12s %9s %7s %7s %7s",
-                "row",
-                "replicas",
-                "prefer",
-                "seconds",
-                "bound",
-                "ratio",
-                "copies"));
+        System.out.println(RolloutRow.header());
         for (int count : replicas) {
             measure(count);
         }
@@ -116,24 +84,15 @@
         rows.forEach(row -> System.out.println(row.json()));
     }
 
-    private void add(Row row) {
+    private void add(RolloutRow row) {
         rows.add(row);
-        System.out.println(String.format(
-                Locale.ROOT,
-                "%-34s %8d %-12s %9.2f %7.2f %7.2f %7.2f",
-                row.name(),
-                row.replicas(),
-                row.prefer(),
-                row.seconds(),
-                row.bound(),
-                row.ratio(),
-                row.originCopies()));
+        System.out.println(row.line());
     }
 
     // -- rollouts
 
-    private LocalSystem.Options options() {
-        return new LocalSystem.Options(
+    private LocalOptions options() {
+        return new LocalOptions(
                 originRate(),
                 originRate(),
                 instanceRate(),
@@ -255,7 +214,7 @@
         double seconds = (System.nanoTime() - start) / 1e9;
         confirmation.join(LIMIT_MILLIS);
         double copies = (double) (system.platform().originBytes() - originBefore) / bytes;
-        add(new Row(name, count, name(prefer), seconds, bound(), copies));
+        add(new RolloutRow(name, count, name(prefer), seconds, bound(), copies));
     }
 
     private static void awaitGeneration(LocalSystem system, String version) throws InterruptedException {
@@ -301,7 +260,7 @@
 
     /** They are paced and cost nothing else, so all of them run at once. */
     private void baselines() {
-        List<CompletableFuture<Row>> measured = new ArrayList<>();
+        List<CompletableFuture<RolloutRow>> measured = new ArrayList<>();
         for (int count : replicas) {
             measured.add(CompletableFuture.supplyAsync(() -> baseline().fromOrigin(count), Thread::startVirtualThread));
             measured.add(
--- a/src/main/java/org/micabarrow/bench/RolloutFigure.java
+++ b/src/main/java/org/micabarrow/bench/RolloutFigure.java
@@ -22,10 +22,10 @@
 
     private RolloutFigure() {}
 
-    static String draw(List<RolloutBench.Row> rows) {
+    static String draw(List<RolloutRow> rows) {
         Map<String, TreeMap<Integer, Double>> times = new LinkedHashMap<>();
         Map<String, TreeMap<Integer, Double>> copies = new LinkedHashMap<>();
-        for (RolloutBench.Row row : rows) {
+        for (RolloutRow row : rows) {
             String name = row.prefer().equals("-") ? row.name() : row.name() + ", " + row.prefer();
             if (COLOURS.containsKey(name)) {
                 times.computeIfAbsent(name, key -> new TreeMap<>()).put(row.replicas(), row.ratio());
--- a/src/test/java/org/micabarrow/process/RecoveryTest.java
+++ b/src/test/java/org/micabarrow/process/RecoveryTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestMethodOrder;
 import org.micabarrow.Await;
-import org.micabarrow.bench.LocalSystem;
+import org.micabarrow.bench.LocalOptions;
 import org.micabarrow.protocol.OperatorMessages;
 import org.micabarrow.standin.EngineStandin;
 import org.micabarrow.standin.Faults;
@@ -34,8 +34,8 @@
 
     @BeforeAll
     static void start() throws IOException {
-        LocalSystem.Options quick = LocalSystem.Options.quick();
-        fixture = new SystemFixture(new LocalSystem.Options(
+        LocalOptions quick = LocalOptions.quick();
+        fixture = new SystemFixture(new LocalOptions(
                 quick.originRate(),
                 quick.storeRate(),
                 quick.instanceRate(),
--- a/src/test/java/org/micabarrow/process/SystemFixture.java
+++ b/src/test/java/org/micabarrow/process/SystemFixture.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import org.micabarrow.Await;
+import org.micabarrow.bench.LocalOptions;
 import org.micabarrow.bench.LocalSystem;
 import org.micabarrow.protocol.OperatorMessages;
 import org.micabarrow.standin.WeightsStandin;
@@ -30,7 +31,7 @@
     final HttpCaller http = HttpCaller.start("test-caller", 2);
     final WeightsStandin.Done weights;
 
-    SystemFixture(LocalSystem.Options options) {
+    SystemFixture(LocalOptions options) {
         system = LocalSystem.start(options);
         weights = make("assistant", 1);
         system.addEntry("entry-1", "norte", "norte-a");
--- a/src/test/java/org/micabarrow/process/WholePathTest.java
+++ b/src/test/java/org/micabarrow/process/WholePathTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.Await;
+import org.micabarrow.bench.LocalOptions;
 import org.micabarrow.bench.LocalSystem;
 import org.micabarrow.protocol.OperatorMessages;
 import org.micabarrow.standin.Faults;
@@ -36,7 +37,7 @@
 
     @BeforeAll
     static void start() {
-        fixture = new SystemFixture(LocalSystem.Options.quick());
+        fixture = new SystemFixture(LocalOptions.quick());
     }
 
     @AfterAll
