--- a/src/main/java/org/micabarrow/bench/RequestsBench.java
+++ b/src/main/java/org/micabarrow/bench/RequestsBench.java
@@ -4,26 +4,20 @@
 import com.beust.jcommander.Parameter;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.function.IntFunction;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.micabarrow.protocol.OperatorMessages;
 import org.micabarrow.standin.EngineStandin;
 import org.micabarrow.standin.WeightsStandin;
-import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Digest;
 
 /**
@@ -47,11 +41,10 @@
 
     private final Caller caller = new Caller("bench");
     private final Tally tally = new Tally();
-    private final List<String> json = new ArrayList<>();
-    private final Map<String, TreeMap<Integer, Double>> shortLines = new LinkedHashMap<>();
-    private final Map<String, TreeMap<Integer, Double>> goodLines = new LinkedHashMap<>();
+    private final RequestRows rows = new RequestRows();
     private LocalSystem system;
     private OperatorCalls operator;
+    private DirectCalls engineCalls;
     private WeightsStandin.Done weights;
 
     /**
@@ -79,23 +72,12 @@
         start();
         System.out.println(String.format(
                 Locale.ROOT, "capacity %.0f requests a second; times in ms from when a request was due", capacity()));
-        System.out.println(String.format(
-                Locale.ROOT,
-                "%-34s %6s %8s %8s %8s %8s %9s %7s %7s",
-                "row",
-                "sent",
-                "answered",
-                "short95",
-                "long95",
-                "tokens/s",
-                "attempts",
-                "large",
-                "small"));
+        rows.header();
         through("warm-up", 0.5, 1);
         for (double load : new double[] {0.3, 0.7, 0.9, 0.95, 1.3}) {
             through("system at " + load, load, 2);
-            direct("round robin at " + load, load, roundRobin());
-            direct("least in flight at " + load, load, leastInFlight());
+            direct("round robin at " + load, load, engineCalls.roundRobin());
+            direct("least in flight at " + load, load, engineCalls.leastInFlight());
         }
         faults();
         overhead();
@@ -127,6 +109,7 @@
         operator = new OperatorCalls(system.operators("entry-1"));
         operator.awaitListed(ENGINES + 2);
         OperatorMessages.Planned planned = operator.plan(intent());
+        engineCalls = new DirectCalls(caller, system, weights.version(), ENGINES);
         operator.confirm(planned.id());
         operator.awaitReady(ENGINES + 1);
         Thread.sleep(500);
@@ -169,9 +152,9 @@
         double attemptsBefore = metric("requests.attempts");
         OpenLoop loop = new OpenLoop(this::chat).run(load * capacity(), lasting, seed);
         double attempts = (metric("requests.attempts") - attemptsBefore) / (metric("requests.taken") - requestsBefore);
-        row(name, loop, attempts);
+        rows.row(name, loop, attempts);
         if (name.startsWith("system at")) {
-            point("system", load, loop);
+            rows.point("system", load, loop);
         }
         return loop;
     }
@@ -182,73 +165,8 @@
 
     private void direct(String name, double load, OpenLoop.Target target) {
         OpenLoop loop = new OpenLoop(target).run(load * capacity(), lasting, 2);
-        row(name, loop, 1);
-        point(name.substring(0, name.indexOf(" at")), load, loop);
-    }
-
-    private void point(String name, double load, OpenLoop loop) {
-        int percent = (int) Math.round(load * 100);
-        shortLines.computeIfAbsent(name, key -> new TreeMap<>()).put(percent, loop.shortMillis(95));
-        goodLines.computeIfAbsent(name, key -> new TreeMap<>()).put(percent, loop.goodput());
-    }
-
-    private Caller.Seen straight(int engine, int number, int tokens) {
-        return caller.send(
-                system.engineAddress("engine-" + engine) + "/v1/chat/completions",
-                "-",
-                CanonicalJson.write(Caller.chatBody("bench", "request " + number, tokens, false)),
-                Map.of("X-Weights-Version", weights.version(), "X-Attempt", "direct-" + System.nanoTime()));
-    }
-
-    private OpenLoop.Target roundRobin() {
-        AtomicInteger next = new AtomicInteger();
-        return (number, organisation, tokens) -> straight(next.getAndIncrement() % ENGINES, number, tokens);
-    }
-
-    private OpenLoop.Target leastInFlight() {
-        AtomicIntegerArray open = new AtomicIntegerArray(ENGINES);
-        return (number, organisation, tokens) -> {
-            int least = IntStream.range(0, ENGINES)
-                    .reduce((a, b) -> open.get(b) < open.get(a) ? b : a)
-                    .orElse(0);
-            open.incrementAndGet(least);
-            try {
-                return straight(least, number, tokens);
-            } finally {
-                open.decrementAndGet(least);
-            }
-        };
-    }
-
-    private void row(String name, OpenLoop loop, double attempts) {
-        System.out.println(String.format(
-                Locale.ROOT,
-                "%-34s %6d %8d %8.0f %8.0f %8.0f %9.2f %7.3f %7.3f",
-                name,
-                loop.sent(),
-                loop.count(Caller.Ending.ANSWERED),
-                loop.shortMillis(95),
-                loop.longMillis(95),
-                loop.goodput(),
-                attempts,
-                loop.answeredShare("large"),
-                loop.answeredShare("small")));
-        json.add(String.format(
-                Locale.ROOT,
-                "{\"row\":\"%s\",\"sent\":%d,\"answered\":%d,\"not_run\":%d,\"unknown\":%d,\"lost\":%d,"
-                        + "\"short_p50_ms\":%.1f,\"short_p95_ms\":%.1f,\"long_p95_ms\":%.1f,\"tokens_per_s\":%.0f,"
-                        + "\"attempts_per_request\":%.3f}",
-                name,
-                loop.sent(),
-                loop.count(Caller.Ending.ANSWERED),
-                loop.count(Caller.Ending.NOT_RUN),
-                loop.count(Caller.Ending.UNKNOWN),
-                loop.count(Caller.Ending.LOST),
-                loop.shortMillis(50),
-                loop.shortMillis(95),
-                loop.longMillis(95),
-                loop.goodput(),
-                attempts));
+        rows.row(name, loop, 1);
+        rows.point(name.substring(0, name.indexOf(" at")), load, loop);
     }
 
     // -- rows with faults
@@ -294,9 +212,9 @@
     // -- costs of the path
 
     private void overhead() {
-        double[] direct = oneAfterAnother(i -> straight(0, i, 1));
+        double[] direct = oneAfterAnother(i -> engineCalls.send(0, i, 1));
         double[] through = oneAfterAnother(i -> chat(i, 0, 1));
-        say(
+        rows.say(
                 "added by entry and agent over a direct call: p50 %.2f ms, p99 %.2f ms",
                 "added_p50_ms", "added_p99_ms", through[0] - direct[0], through[1] - direct[1]);
     }
@@ -321,7 +239,7 @@
         open.forEach(CompletableFuture::join);
         double seconds = (System.nanoTime() - start) / 1e9;
         double appends = system.platform().appends() - appendsBefore;
-        say(
+        rows.say(
                 "claims: %.0f a second in %.0f appends a second",
                 "claims_per_s", "appends_per_s", CHARGES / seconds, appends / seconds);
         system.service("billing-1").runs().values().forEach(tally::runs);
@@ -334,24 +252,10 @@
         }
     }
 
-    private void say(String words, String first, String second, double one, double other) {
-        System.out.println(String.format(Locale.ROOT, words, one, other));
-        json.add(String.format(Locale.ROOT, "{\"%s\":%.3f,\"%s\":%.3f}", first, one, second, other));
-    }
-
     private void finish() throws IOException {
         system.engineIds().forEach(id -> system.engine(id).runs().forEach((attempt, count) -> tally.runs(count)));
-        json.add("{" + tally.json() + "}");
-        json.forEach(System.out::println);
-        Map<String, String> colours =
-                Map.of("system", "#1b6ca8", "round robin", "#888888", "least in flight", "#d98c00");
-        Files.createDirectories(Path.of(image).toAbsolutePath().getParent());
-        Files.writeString(
-                Path.of(image),
-                LineFigure.draw(List.of(
-                        new LineFigure.Panel(
-                                "95th percentile of short requests (ms)", "load, % of capacity", shortLines, colours),
-                        new LineFigure.Panel("answered tokens a second", "load, % of capacity", goodLines, colours))));
+        rows.json("{" + tally.json() + "}");
+        rows.finish(Path.of(image));
         operator.close();
         caller.close();
         system.close();
