--- a/src/main/java/org/micabarrow/bench/Demo.java
+++ b/src/main/java/org/micabarrow/bench/Demo.java
@@ -1,6 +1,5 @@
 package org.micabarrow.bench;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
@@ -13,9 +12,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import org.micabarrow.command.Console;
-import org.micabarrow.command.ExitCode;
-import org.micabarrow.command.Main;
 import org.micabarrow.protocol.OperatorMessages;
 import org.micabarrow.standin.WeightsStandin;
 import org.micabarrow.state.CanonicalJson;
@@ -33,8 +29,13 @@
     private static final int CHUNK_BYTES = 256 << 10;
     private static final Set<String> ASSISTANT_HALLS = Set.of("norte-a", "centro-a");
     private static final Set<String> NOTES_HALLS = Set.of("sur-a");
-    private static final String RIDERS = "token-of-riders";
-    private static final String VANS = "token-of-vans";
+
+    /** The token of an organisation's callers. */
+    static final String RIDERS = "token-of-riders";
+
+    /** The token of another organisation's callers. */
+    static final String VANS = "token-of-vans";
+
     private static final int CHATS = 40;
     private static final int CHARGES = 10;
     private static final int LONG_TOKENS = 300;
@@ -43,6 +44,7 @@
 
     private final Setup setup;
     private final Map<String, Long> processes;
+    private final DemoOperator operator;
     private final Caller caller = new Caller("demo");
     private final Tally tally = new Tally();
     private final PrintStream out = System.out;
@@ -51,6 +53,7 @@
     private Demo(Setup setup, Map<String, Long> processes) {
         this.setup = setup;
         this.processes = processes;
+        this.operator = new DemoOperator(setup, out);
     }
 
     /**
@@ -106,7 +109,7 @@
         WeightsStandin.Done notes = make("notes", NOTES_BYTES, 2);
 
         say("2. an operator asks for a plan; nothing moves until it is confirmed");
-        String planId = plan(assistant, notes);
+        String planId = operator.plan(assistant, notes);
         Thread.sleep(500);
         if (originBytes() != 0) {
             throw new IllegalStateException("weights moved before the confirmation");
@@ -114,9 +117,9 @@
 
         say("3. the operator confirms it through the other entry");
         long start = System.nanoTime();
-        command(1, "confirm", planId);
+        operator.command(1, "confirm", planId);
         double seconds = awaitReady(start);
-        command(0, "status");
+        operator.command(0, "status");
 
         say("4. callers ask through both entries");
         Map<String, Integer> charges = traffic(assistant.fingerprint(), notes.fingerprint());
@@ -159,76 +162,18 @@
         }
     }
 
-    private String plan(WeightsStandin.Done assistant, WeightsStandin.Done notes) throws IOException {
-        Path file = Path.of(setup.directory(), "intent.jsonc");
-        Files.writeString(
-                file, """
-                // The placements of the demonstration.
-                {
-                  "organisations": [
-                    { "name": "riders", "tokenDigest": "%s", "weight": 2 },
-                    { "name": "vans", "tokenDigest": "%s" }
-                  ],
-                  "placements": [
-                    { "name": "assistant", "target": { "type": "model", "name": "assistant", "version": "%s" },
-                      "halls": ["norte-a", "centro-a"], "organisations": ["riders", "vans"], "replicas": 4,
-                      "prefer": "time", "envelope": { "replacements": 1, "originBytes": 40000000 } },
-                    { "name": "notes", "target": { "type": "model", "name": "notes", "version": "%s" },
-                      "regions": ["sur"], "organisations": ["vans"], "replicas": 2, "prefer": "originBytes" },
-                    { "name": "billing", "target": { "type": "service", "name": "billing", "repeatable": false },
-                      "organisations": ["riders"], "replicas": 2 }
-                  ]
-                }
-                """.formatted(Digest.of(RIDERS), Digest.of(VANS), assistant.version(), notes.version()));
-        command(0, "plan", "-f", file.toString());
-        return answer(OperatorMessages.Planned.class, "plan", "-f", file.toString(), "--json")
-                .id();
-    }
-
-    /** What a command gives as JSON. */
-    private <T> T answer(Class<T> type, String... words) throws IOException {
-        ByteArrayOutputStream json = new ByteArrayOutputStream();
-        Console quiet = new Console(new PrintStream(json, true, StandardCharsets.UTF_8), System.err);
-        Main.run(quiet, words(0, words));
-        return CanonicalJson.read(json.toByteArray(), type);
-    }
-
-    private String[] words(int entry, String... words) {
-        List<String> all = new ArrayList<>(List.of(words));
-        all.addAll(List.of("--entry", setup.operators().get(entry), "--token", setup.operatorToken()));
-        return all.toArray(String[]::new);
-    }
-
-    private void command(int entry, String... words) {
-        out.println("$ micabarrow " + String.join(" ", words));
-        ExitCode code = Main.run(new Console(out, out), words(entry, words));
-        if (code != ExitCode.OK) {
-            throw new IllegalStateException("the command ended with " + code);
-        }
-    }
-
-    private OperatorMessages.Status status() throws IOException {
-        return answer(OperatorMessages.Status.class, "status", "--json");
-    }
-
-    private static long ready(OperatorMessages.Status status) {
-        return status.replicas().stream()
-                .filter(replica -> replica.state().equals("ready"))
-                .count();
-    }
-
     private double awaitReady(long start) throws IOException, InterruptedException {
         long end = System.currentTimeMillis() + READY_WITHIN_MILLIS;
         while (System.currentTimeMillis() < end) {
-            OperatorMessages.Status status = status();
-            readyReplicas = ready(status);
+            OperatorMessages.Status status = operator.status();
+            readyReplicas = DemoOperator.ready(status);
             if (!status.replicas().isEmpty()
                     && readyReplicas == status.replicas().size()) {
                 return (System.nanoTime() - start) / 1e9;
             }
             Thread.sleep(50);
         }
-        throw new IllegalStateException("not ready within " + READY_WITHIN_MILLIS + " ms: " + status());
+        throw new IllegalStateException("not ready within " + READY_WITHIN_MILLIS + " ms: " + operator.status());
     }
 
     // -- requests
