--- /dev/null
+++ b/src/test/java/org/micabarrow/coordination/requests/SentRequest.java
@@ -0,0 +1,38 @@
+package org.micabarrow.coordination.requests;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.micabarrow.coordination.calls.AnswerHead;
+import org.micabarrow.coordination.calls.AnswerListener;
+import org.micabarrow.coordination.calls.Outcome;
+
+/** A request with what its caller saw. */
+final class SentRequest implements AnswerListener {
+
+    final String key;
+    final StringBuilder body = new StringBuilder();
+    final List<Outcome> ends = new ArrayList<>();
+
+    SentRequest(String key) {
+        this.key = key;
+    }
+
+    @Override
+    public void onHead(AnswerHead head) {
+        assertEquals(0, body.length());
+    }
+
+    @Override
+    public void onData(byte[] data, Runnable more) {
+        body.append(new String(data, StandardCharsets.UTF_8));
+        more.run();
+    }
+
+    @Override
+    public void onEnd(Outcome outcome) {
+        ends.add(outcome);
+    }
+}
