--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -125,13 +125,13 @@
     }
 
     /**
-     * Has an endpoint tell when it was started, in its report and its entries from now on.
+     * Has an endpoint tell when it was started, in its entries from now on, and in its report if it runs here.
      *
      * @param id its id
      * @param startedMillis the Unix millisecond of its start
      */
     public void startedAt(String id, long startedMillis) {
-        endpoints.get(id).startedAt(startedMillis);
+        Optional.ofNullable(endpoints.get(id)).ifPresent(endpoint -> endpoint.startedAt(startedMillis));
         starts.put(id, startedMillis);
     }
 
--- a/src/test/java/org/micabarrow/serving/StandingInstanceTest.java
+++ b/src/test/java/org/micabarrow/serving/StandingInstanceTest.java
@@ -190,6 +190,20 @@
         assertEquals(List.of(), standing.wake());
     }
 
+    @Test
+    void shouldTakeBackWhatWaitsWhenEndpointStartedAgain() throws Exception {
+        serve(NEVER_MILLIS);
+        CompletableFuture<HttpAnswer> answer = sent();
+        platform.startedAt("model-1", 1_764_718_674_123L);
+        platform.enter("model-1", "models", 1, "ready");
+        Await.until(
+                "the news of its start",
+                () -> views.view().endpoints().get("model-1").startedMillis().isPresent());
+        standStill(SILENCE_MILLIS);
+        assertEquals(BAD_GATEWAY, answer.join().status());
+        assertEquals(List.of(), standing.wake());
+    }
+
     @Test
     void shouldTakeBackWhatWaitsWhenObjectiveIsOver() throws Exception {
         serve(NEVER_MILLIS);
