agent: telling entries holds up neither the step that stops the endpoint nor its reports

A blocking datagram channel waits while the socket's buffer is full, which a narrow link may bring about. Read, not seen; the step and the reports told entries on their own threads. NudgedThreadTest: whoever nudges does not wait.

--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -58,6 +58,9 @@
     private final Agent self;
     private volatile Optional<LoadServer> loadServer = Optional.empty();
 
+    /** Tells entries: a datagram waits while a narrow link is full, and what stops the endpoint in time must not. */
+    private final NudgedThread teller = NudgedThread.start("teller", () -> loadServer.ifPresent(LoadServer::tellAll));
+
     private HostedAgentProcess(HostedSettings settings) throws IOException {
         this.settings = settings;
         this.node = new HostedNode(settings);
@@ -194,7 +197,7 @@
     }
 
     private void tellEntries() {
-        loadServer.ifPresent(LoadServer::tellAll);
+        teller.nudge();
     }
 
     private View view() {
