--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -106,6 +106,7 @@
         loadServer = Optional.of(LoadServer.start(settings.listen().peers(), this::told, HostedNode::steadyMillis));
         // After the listeners, so that no connection of our own takes one of their ports.
         node.follow(new Pace(HostedNode.STORE_WAIT, ENDPOINTS_REST), settings::seeds);
+        node.metrics().registerGauge("weights.secondsNotRetired", keeper::secondsNotRetired);
         run("report", REPORT_MILLIS, new Reports());
         run("fetch", LOOK_MILLIS, keeper::fetch);
         run("replica", LOOK_MILLIS, keeper::step);
--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -111,6 +111,15 @@
                 .isPresent();
     }
 
+    /**
+     * For how long the endpoint was to be stopped and could not be.
+     *
+     * @return the seconds since this agent's start, begun ones counted whole
+     */
+    public long secondsNotRetired() {
+        return retirement.timesImpossible();
+    }
+
     /** Asks the endpoint for a fresh report. */
     public void refresh() {
         Optional<Report> before = report.get();
--- a/src/main/java/org/micabarrow/weights/Retirement.java
+++ b/src/main/java/org/micabarrow/weights/Retirement.java
@@ -5,6 +5,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import org.micabarrow.state.Fault;
@@ -46,6 +47,7 @@
     private Map<String, Long> lastHeld = Map.of();
 
     private long loggedMillis = Long.MIN_VALUE / 2;
+    private final AtomicLong logged = new AtomicLong();
 
     Retirement(
             ModelEndpoint endpoint,
@@ -87,10 +89,16 @@
         long now = steadyMillis.getAsLong();
         if (now - loggedMillis >= LOG_AGAIN_MILLIS) {
             loggedMillis = now;
+            logged.incrementAndGet();
             LOG.warn("event=retire_impossible model={} held={} why=\"{}\"", model, held, why);
         }
     }
 
+    /** How often it was logged that the endpoint could not be stopped; any thread may ask. */
+    long timesImpossible() {
+        return logged.get();
+    }
+
     // -- stopping
 
     /** Orders one layer of a newer version: of the newest of which one is here whole, else from whatever lies there. */
--- a/src/test/java/org/micabarrow/weights/RetirementTest.java
+++ b/src/test/java/org/micabarrow/weights/RetirementTest.java
@@ -156,6 +156,20 @@
         assertEquals(List.of("start 2 layer 0"), endpoint.orders);
     }
 
+    @Test
+    void shouldSayOnceASecondThatItCannotStopEndpoint() {
+        holdsFirstVersion();
+        views.want("m", 2);
+        stepFor(BOUND - 500);
+        assertEquals(0, keeper.secondsNotRetired());
+        endpoint.held = 1;
+        keeper.refresh();
+        keeper.step();
+        endpoint.silent = true;
+        stepFor(2_500);
+        assertEquals(3, keeper.secondsNotRetired());
+    }
+
     @Test
     void shouldServeNoWrongLayerWhenAnswersToOrdersAreLost() throws Exception {
         holdsFirstVersion();
