--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -63,6 +63,9 @@
     private final Agent self;
     private volatile Optional<LoadServer> loadServer = Optional.empty();
 
+    /** Tells entries: a datagram waits while a narrow link is full, and what stops the endpoint in time must not. */
+    private final NudgedThread teller = NudgedThread.start("teller", () -> loadServer.ifPresent(LoadServer::tellAll));
+
     private HostedAgentProcess(HostedSettings settings) throws IOException {
         this.settings = settings;
         this.node = new HostedNode(settings);
@@ -108,6 +111,7 @@
         loadServer = Optional.of(LoadServer.start(settings.listen().peers(), this::told, HostedNode::steadyMillis));
         // After the listeners, so that no connection of our own takes one of their ports.
         node.follow(new Pace(HostedNode.STORE_WAIT, ENDPOINTS_REST), settings::seeds, this::keepsVersions);
+        node.metrics().registerGauge("weights.secondsNotRetired", keeper::secondsNotRetired);
         run("report", REPORT_MILLIS, new Reports());
         run("fetch", LOOK_MILLIS, keeper::fetch);
         run("replica", LOOK_MILLIS, keeper::step);
@@ -200,7 +204,7 @@
     }
 
     private void tellEntries() {
-        loadServer.ifPresent(LoadServer::tellAll);
+        teller.nudge();
     }
 
     private View view() {
