Tests, red: what leaves an entry that stood still between its decision and the first byte

Class: a decision that holds at one time is carried out at another. The limit for connecting is a timer, and runs late with the rest of the process; so a request is written on a connection that came long after the decision, with the time budget of the decision, to an endpoint that may have left or may begin it no more. The same with an agent's answer that is read before the timer that should have given it up.

Seen on the code before: 9 of the 10 cases of LateSendingTest fail (200 instead of 503, one request received instead of none, Deadline-Ms 3000 instead of 2800 and 2300), and LoadQuestionsTest tells "in time" after 300 ms. That the client left during the standstill was noticed already (green before).

--- /dev/null
+++ b/src/test/java/org/micabarrow/serving/LateSendingTest.java
@@ -0,0 +1,269 @@
+package org.micabarrow.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.micabarrow.Await;
+import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.platform.EndpointHeaders;
+import org.micabarrow.platform.RequestHeaders;
+import org.micabarrow.platform.StoreRecords;
+import org.micabarrow.platform.standin.HostedSystem;
+import org.micabarrow.routing.EndpointChoice;
+import org.micabarrow.routing.EndpointLoad.Told;
+import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.transport.HttpCall;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.HttpCaller.HttpAnswer;
+import org.micabarrow.transport.HttpListener;
+import org.micabarrow.transport.Ignoring;
+import org.micabarrow.views.ViewKeeper;
+import org.xnio.XnioWorker;
+
+/**
+ * What leaves an entry that stood still between its decision and the first byte of the request. The standstill is played on
+ * the entry's clock, right after it has decided and before its connection is up.
+ */
+class LateSendingTest {
+
+    private static final Duration WITHIN = Duration.ofSeconds(10);
+    private static final String MODEL = "model-a";
+    private static final long NEVER_MILLIS = 1_000_000;
+
+    /** Longer than an endpoint may take to accept a connection, and well within the client's time. */
+    private static final long STANDSTILL_MILLIS = 700;
+
+    /** A pause that no connect limit shows. */
+    private static final long SHORT_MILLIS = 200;
+
+    private static final int MANY_REQUESTS = 100;
+
+    /** How long the client of {@link HostedSystem#request} waits. */
+    private static final long CLIENT_MILLIS = 3_000;
+
+    private final AtomicLong clockMillis = new AtomicLong(1_000_000);
+    private final AtomicReference<Runnable> afterDecision = new AtomicReference<>(() -> {});
+    private final EndpointChoice choice = new EndpointChoice("region-a", Map.of("hall-a", "region-a"));
+    private final ViewKeeper views = new ViewKeeper(new StoreRecords(), clockMillis::get);
+
+    private HostedSystem platform;
+    private HostedSettings settings;
+    private XnioWorker worker;
+    private HttpCaller client;
+    private ServingHandler handler;
+
+    @BeforeEach
+    void start() throws IOException {
+        platform = HostedSystem.start();
+        platform.manifest(2, "key-a", WITHIN.toMillis());
+        settings = platform.entry();
+        worker = HttpCaller.worker("late-sending", 1);
+        client = HttpCaller.start("client", 1);
+        platform.add("model-1", "models", 1);
+        choice.load("model-1").told(new Told(0, 0, false, 1), 0, clockMillis.get());
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        client.close();
+        worker.shutdownNow();
+        platform.close();
+    }
+
+    /** Writes requests as the platform has them; what is to happen once after a decision does so when the first is written. */
+    private final class StandingStill implements EndpointProtocol {
+
+        private final EndpointHeaders headers = new EndpointHeaders();
+
+        @Override
+        public HttpCall call(ClientRequest request, Sending sending) {
+            HttpCall call = headers.call(request, sending);
+            afterDecision.getAndSet(() -> {}).run();
+            return call;
+        }
+
+        @Override
+        public AnswerHead head(ClientRequest request, int status, Map<String, String> received) {
+            return headers.head(request, status, received);
+        }
+    }
+
+    /** Starts to serve; older versions get nothing, and what they have not begun is cancelled, some time after the naming. */
+    private void serve(long demandMillis, long cancelMillis) throws IOException {
+        handler = ServingHandler.of(new ServingHandler.Parts(
+                views::view,
+                choice,
+                HttpCaller.on(worker, 0),
+                new StandingStill(),
+                new RequestHeaders(RandomGenerator.of("L64X128MixRandom")),
+                new RetryBudget(0, 0),
+                new MetricRegistry(),
+                clockMillis::get,
+                (endpoint, then) -> then.accept(true),
+                new ServingHandler.VersionTimes(NEVER_MILLIS, demandMillis, cancelMillis)));
+        String clients = settings.listen().clients().orElseThrow();
+        HttpListener.on(clients, HttpListener.Bounds.usual(), worker, handler);
+        FollowedStore.follow(client, settings, WITHIN, views);
+    }
+
+    private HttpAnswer ask(String path) {
+        String clients = settings.listen().clients().orElseThrow();
+        return client.call(HostedSystem.request(clients, path, "attempt-1"), WITHIN)
+                .toOptional()
+                .orElse(new HttpAnswer(0, Map.of(), new byte[0]));
+    }
+
+    private void standStill(long millis) {
+        afterDecision.set(() -> clockMillis.addAndGet(millis));
+    }
+
+    private int received(String endpoint) {
+        return platform.endpoint(endpoint).received().size();
+    }
+
+    private long told(String endpoint) {
+        return Long.parseLong(
+                platform.endpoint(endpoint).received().getFirst().headers().get("Deadline-Ms"));
+    }
+
+    // -- tests
+
+    @Test
+    void shouldTellWhatIsLeftWhenRequestIsWritten() throws IOException {
+        serve(NEVER_MILLIS, NEVER_MILLIS);
+        standStill(SHORT_MILLIS);
+        assertEquals(200, ask("/stream/x").status());
+        assertEquals(CLIENT_MILLIS - SHORT_MILLIS, told("model-1"));
+    }
+
+    @Test
+    void shouldSendToSameEndpointWhenConnectionCameTooLateAndItIsStillTheOne() throws IOException {
+        serve(NEVER_MILLIS, NEVER_MILLIS);
+        standStill(STANDSTILL_MILLIS);
+        assertEquals(200, ask("/stream/x").status());
+        assertEquals(1, received("model-1"));
+        assertEquals(CLIENT_MILLIS - STANDSTILL_MILLIS, told("model-1"));
+    }
+
+    @Test
+    void shouldDecideAnewWithoutRepeatWhenConnectionCameTooLate() throws IOException {
+        serve(NEVER_MILLIS, NEVER_MILLIS);
+        platform.add("plain-1", "plain", 0);
+        platform.add("plain-2", "plain", 0);
+        Await.until("the endpoints", () -> views.view().endpoints().size() == 3);
+        afterDecision.set(() -> {
+            clockMillis.addAndGet(STANDSTILL_MILLIS);
+            fill(choice.load("plain-1").idle() ? "plain-2" : "plain-1");
+        });
+        // There is no budget for repeats, and what may not be repeated goes on as well, since no byte of it has left.
+        assertEquals(200, ask("/once/x").status());
+        List<String> filled =
+                Stream.of("plain-1", "plain-2").filter(id -> received(id) == 0).toList();
+        assertEquals(1, filled.size());
+        assertFalse(choice.load(filled.getFirst()).idle(), "the one that was decided on first");
+    }
+
+    /** More requests than an endpoint has room for. */
+    private void fill(String endpoint) {
+        for (int i = 0; i < MANY_REQUESTS; i++) {
+            choice.load(endpoint).began(0);
+        }
+    }
+
+    @Test
+    void shouldSendNothingWhenOlderVersionMayAnswerNoMore() throws IOException {
+        serve(STANDSTILL_MILLIS / 2, NEVER_MILLIS);
+        views.want(MODEL, 2);
+        standStill(STANDSTILL_MILLIS);
+        assertEquals(503, ask("/stream/x").status());
+        assertEquals(0, received("model-1"));
+    }
+
+    @Test
+    void shouldSendNothingWhenOlderVersionMayBeginNoMore() throws IOException {
+        serve(NEVER_MILLIS, SHORT_MILLIS);
+        views.want(MODEL, 2);
+        standStill(SHORT_MILLIS);
+        assertEquals(503, ask("/stream/x").status());
+        assertEquals(0, received("model-1"));
+    }
+
+    @Test
+    void shouldGoOnElsewhereWhenOlderVersionMayBeginNoMore() throws IOException {
+        serve(NEVER_MILLIS, SHORT_MILLIS);
+        views.want(MODEL, 2);
+        afterDecision.set(() -> {
+            clockMillis.addAndGet(SHORT_MILLIS);
+            platform.add("model-2", "models", 2);
+            Await.until("the other", () -> views.view().endpoints().containsKey("model-2"));
+        });
+        assertEquals(200, ask("/stream/x").status());
+        assertEquals(0, received("model-1"));
+        assertEquals(1, received("model-2"));
+    }
+
+    @Test
+    void shouldSendNothingWhenEndpointHasLeftMeanwhile() throws IOException {
+        serve(NEVER_MILLIS, NEVER_MILLIS);
+        afterDecision.set(() -> {
+            platform.enter("model-1", "models", 1, "draining");
+            Await.until(
+                    "the news that it leaves",
+                    () -> views.view().endpoints().get("model-1").leaving());
+        });
+        assertEquals(503, ask("/stream/x").status());
+        assertEquals(0, received("model-1"));
+    }
+
+    @Test
+    void shouldSendNothingWhenEndpointIsListedNoMore() throws IOException {
+        serve(NEVER_MILLIS, NEVER_MILLIS);
+        afterDecision.set(() -> {
+            platform.store().append("keyed.servers", "model-1", "");
+            Await.until("the end of its entry", () -> views.view().endpoints().isEmpty());
+        });
+        assertEquals(503, ask("/stream/x").status());
+        assertEquals(0, received("model-1"));
+    }
+
+    @Test
+    void shouldSendNothingWhenTimeIsUp() throws IOException {
+        serve(NEVER_MILLIS, NEVER_MILLIS);
+        standStill(CLIENT_MILLIS);
+        HttpAnswer refused = ask("/stream/x");
+        assertEquals(503, refused.status());
+        assertTrue(refused.headers().containsKey("Retry-After"));
+        assertEquals(0, received("model-1"));
+    }
+
+    @Test
+    void shouldSendNothingWhenClientLeftDuringStandstill() throws Exception {
+        serve(NEVER_MILLIS, NEVER_MILLIS);
+        try (HttpCaller leaving = HttpCaller.start("leaving", 1)) {
+            String clients = settings.listen().clients().orElseThrow();
+            AtomicReference<Runnable> leave = new AtomicReference<>(() -> {});
+            afterDecision.set(() -> {
+                leave.get().run();
+                clockMillis.addAndGet(STANDSTILL_MILLIS);
+            });
+            leave.set(leaving.send(HostedSystem.request(clients, "/stream/x", "attempt-1"), new Ignoring()));
+            Await.until("the decision", () -> clockMillis.get() > 1_000_000);
+            Await.until("the end of the request", () -> handler.connections().busy() == 0);
+        }
+        assertEquals(0, received("model-1"));
+    }
+}
--- a/src/test/java/org/micabarrow/transport/LoadQuestionsTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadQuestionsTest.java
@@ -18,6 +18,9 @@
 /** What an entry remembers of the questions that it asks agents. */
 class LoadQuestionsTest {
 
+    /** Longer than an agent may take to answer, and shorter than what shows a slow link by itself, in milliseconds. */
+    private static final long LATE_MILLIS = 300;
+
     /** As many as are remembered. */
     private static final int KEPT = 1_024;
 
@@ -60,6 +63,19 @@
         assertFalse(inTime.join());
     }
 
+    @Test
+    void shouldTellLossWhenAnswerIsReadOnlyAfterItsTime() {
+        CompletableFuture<Boolean> inTime = new CompletableFuture<>();
+        traffic.execute(() -> {
+            int number = questions.next();
+            questions.await(number, inTime::complete);
+            // The process stood still, and reads the answer before it looks at its timers.
+            now.addAndGet(LATE_MILLIS);
+            questions.answered(number);
+        });
+        assertFalse(inTime.join());
+    }
+
     @Test
     void shouldForgetQuestionWhenManyMoreWereAsked() {
         int first = questions.next();
