Look at a decision again before the first byte of its request leaves

Class: a decision that holds at one time is carried out at another. An entry's process that stood still between the two wrote on a connection that was made only then: its limit for connecting is a timer, and runs late with the rest.

Now the caller asks its listener when the connection is up (Listener.onSending), which tells the request as it is to be written then, or nothing. An attempt looks again at the client's time, at whether the endpoint may still get the request (its entry, its version, its agent: the same condition as in the decision), at whether an older version may still begin, and at how long the connection took. What is withheld is not run, takes no repeat of the budget, and is decided anew; if only the connection was late, the endpoint's agent is heard first, since nothing was asked during a standstill and all agents nearby would seem silent. Deadline-Ms and the version demanded are those of the moment of writing.

The same cause: an agent's answer that is read before the timer that should have given it up counted as in time (LoadQuestions.answered), and a sending that was cancelled while its connection came up was still written (HttpExchange). Ruled out: that the client's leaving goes unnoticed (the selector reads it in the same round).

--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -14,6 +14,7 @@
 import org.micabarrow.serving.EndpointProtocol.AnswerHead;
 import org.micabarrow.serving.EndpointProtocol.Sending;
 import org.micabarrow.state.Fault;
+import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.views.View;
 import org.slf4j.Logger;
@@ -28,12 +29,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.request");
 
-    /**
-     * How long an endpoint may take to accept a connection, in milliseconds. The longest way between regions takes a few;
-     * an opening packet that was dropped is sent again only after a second.
-     */
-    private static final long CONNECT_MILLIS = 250;
-
     /** Answers up to this size are held until they are whole, so that one that breaks off can be asked for again. */
     private static final int HELD_BYTES = 256 * 1024;
 
@@ -73,15 +68,20 @@
     void begin() {
         beganMillis = parts.nowMillis();
         load.began(request.promptTokens());
+        connectTimer = Optional.of(after(LastLook.CONNECT_MILLIS, this::notConnected));
+        limitWaiting();
+        cancel = parts.caller().send(call(), this);
+    }
+
+    /** The request as it is to be sent now. */
+    private HttpCall call() {
         Sending sending = new Sending(
                 endpoint,
                 Math.max(1, run.millisLeft()),
                 parts.versions().expected(request, endpoint),
                 events.lastId(),
                 run.late());
-        connectTimer = Optional.of(after(CONNECT_MILLIS, this::notConnected));
-        limitWaiting();
-        cancel = parts.caller().send(parts.protocol().call(request, sending), this);
+        return parts.protocol().call(request, sending);
     }
 
     /** Sees to it that the request is taken back when an older weight version may begin nothing any more. */
@@ -201,7 +201,7 @@
             return;
         }
         load.failures().broke(parts.nowMillis());
-        failed(AttemptEnd.NOT_RUN, "no connection within " + CONNECT_MILLIS + " ms");
+        failed(AttemptEnd.NOT_RUN, "no connection within " + LastLook.CONNECT_MILLIS + " ms");
     }
 
     /** Takes a request back that an older weight version has not begun when it may begin nothing any more. */
@@ -214,14 +214,36 @@
         }
     }
 
-    // -- the answer
+    // -- the sending
 
+    /** Lets the request leave if the decision still holds, with what is left of the client's time now. */
     @Override
-    public void onSending() {
-        sending = true;
-        connectTimer.ifPresent(XnioExecutor.Key::remove);
+    public Optional<HttpCall> onSending(HttpCall decided) {
+        if (over) {
+            return Optional.empty();
+        }
+        return switch (LastLook.at(run, endpoint, beganMillis)) {
+            case LastLook.Verdict.Holds ignored -> {
+                sending = true;
+                run.leaves();
+                connectTimer.ifPresent(XnioExecutor.Key::remove);
+                yield Optional.of(call());
+            }
+            case LastLook.Verdict.Outdated outdated -> {
+                withhold(outdated);
+                yield Optional.empty();
+            }
+        };
     }
 
+    private void withhold(LastLook.Verdict.Outdated outdated) {
+        logFailed(AttemptEnd.NOT_RUN, outdated.why());
+        stop();
+        run.withheld(endpoint, outdated);
+    }
+
+    // -- the answer
+
     @Override
     public void onHead(int status, Map<String, String> headers) {
         if (over) {
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -37,6 +37,7 @@
     private final EventTimes eventTimes = new EventTimes();
     private final RequestLog log;
     private int askedInVain;
+    private int sendings;
     private boolean mayHaveRun;
     private boolean finished;
     private Optional<Attempt> current = Optional.empty();
@@ -203,15 +204,43 @@
         EndpointEntry endpoint = chosen.endpoint();
         askedInVain = 0;
         tried.add(endpoint.id());
-        if (tried.size() > 1) {
-            parts.metrics().repeats.inc();
-        }
-        log.sent(chosen, why, tried.size(), millisToObjective(), millisLeft());
+        sendings++;
+        log.sent(chosen, why, sendings, millisToObjective(), millisLeft());
         Attempt attempt = new Attempt(this, endpoint);
         current = Optional.of(attempt);
         attempt.begin();
     }
 
+    /**
+     * Decides anew after a decision was outdated before any byte of the request left. What has not left is no repeat, so it
+     * takes nothing of the budget for repeats, and what may run only once goes on too.
+     */
+    void withheld(EndpointEntry endpoint, LastLook.Verdict.Outdated outdated) {
+        sendings--;
+        if (millisLeft() < AttemptPolicy.LEAST_MILLIS_LEFT) {
+            cannotSend(outdated.why());
+        } else if (outdated.able()) {
+            tried.remove(endpoint.id());
+            // Nothing was asked during a standstill, so that every agent seems silent until one has answered again.
+            parts.hear(request, endpoint, () -> decideAgain(outdated.why()));
+        } else {
+            next(outdated.why());
+        }
+    }
+
+    private void decideAgain(String why) {
+        if (!finished) {
+            next(why);
+        }
+    }
+
+    /** Counts a repeat, once its first byte is about to leave. */
+    void leaves() {
+        if (sendings > 1) {
+            parts.metrics().repeats.inc();
+        }
+    }
+
     /** Decides what follows when an attempt has ended without an answer: another one, or the end of the request. */
     void again(AttemptEnd end, String why) {
         mayHaveRun |= !end.surelyNotRun();
@@ -219,7 +248,7 @@
             broken(why);
             return;
         }
-        AttemptPolicy.Progress progress = new AttemptPolicy.Progress(tried.size(), mayHaveRun, millisLeft());
+        AttemptPolicy.Progress progress = new AttemptPolicy.Progress(sendings, mayHaveRun, millisLeft());
         if (AttemptPolicy.again(request.route(), progress, parts.budget()::tryRetry)) {
             next(why);
         } else {
@@ -235,7 +264,7 @@
 
     /** Whether another endpoint may run the request although the present one has, and is there; takes one repeat if so. */
     boolean mayTakeAnother() {
-        AttemptPolicy.Progress progress = new AttemptPolicy.Progress(tried.size(), true, millisLeft());
+        AttemptPolicy.Progress progress = new AttemptPolicy.Progress(sendings, true, millisLeft());
         return request.route().kind().repeatable()
                 && decide() instanceof Decision.Send
                 && AttemptPolicy.again(request.route(), progress, parts.budget()::tryRetry);
@@ -266,7 +295,7 @@
         current.ifPresent(attempt -> attempt.abandon("time is up"));
         if (answer.begun()) {
             broken("time is up");
-        } else if (tried.isEmpty()) {
+        } else if (sendings == 0) {
             notRun("time is up");
         } else {
             own(GATEWAY_TIMEOUT, "unknown", "time is up", 0);
@@ -315,6 +344,6 @@
         current = Optional.empty();
         place.ifPresent(parts.line()::leave);
         deadline.ifPresent(XnioExecutor.Key::remove);
-        log.finished(outcome, why, tried.size(), millisTaken());
+        log.finished(outcome, why, sendings, millisTaken());
     }
 }
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -141,7 +141,17 @@
         });
     }
 
-    private boolean able(ClientRequest request, EndpointEntry endpoint) {
+    /** Goes on once an endpoint's agent has answered or was given up; at once if there is none. */
+    void hear(ClientRequest request, EndpointEntry endpoint, Runnable then) {
+        if (load(endpoint.id()).hasAgent()) {
+            ask(request, endpoint, ignored -> then.run());
+        } else {
+            then.run();
+        }
+    }
+
+    /** Whether an endpoint may get a request at all, by what is known now. */
+    boolean able(ClientRequest request, EndpointEntry endpoint) {
         return given.choice().able(endpoint, wanted(request, 0, Set.of()), nowMillis());
     }
 
--- a/src/main/java/org/micabarrow/serving/WeightVersions.java
+++ b/src/main/java/org/micabarrow/serving/WeightVersions.java
@@ -111,6 +111,13 @@
                 .isPresent();
     }
 
+    /** Whether an endpoint may still begin a request now, by the version that it holds. */
+    boolean mayBegin(ClientRequest request, EndpointEntry endpoint) {
+        return newerNamed(request, endpoint)
+                .filter(newer -> millisToBegin(newer) <= 0)
+                .isEmpty();
+    }
+
     /** How long a request may still wait at an endpoint that holds an older version, in milliseconds; not above 0 if no more. */
     long millisToBegin(View.Target newer) {
         return newer.learnedMillis() + times.cancelMillis() - steadyMillis.getAsLong();
--- a/src/main/java/org/micabarrow/transport/HttpCaller.java
+++ b/src/main/java/org/micabarrow/transport/HttpCaller.java
@@ -115,8 +115,16 @@
     /** Receives an answer part by part, on a thread that must not block. */
     public interface Listener {
 
-        /** The connection is up and the request is about to leave. */
-        default void onSending() {}
+        /**
+         * The connection is up and the request is about to leave. Between this and the decision to send it the process may
+         * have stood still, so this is the moment to look at the decision again.
+         *
+         * @param call the request as it was handed over
+         * @return the request as it is to be written now, to the same place; empty to send nothing, after which nothing is told
+         */
+        default Optional<HttpCall> onSending(HttpCall call) {
+            return Optional.of(call);
+        }
 
         /**
          * The answer has begun.
--- a/src/main/java/org/micabarrow/transport/HttpExchange.java
+++ b/src/main/java/org/micabarrow/transport/HttpExchange.java
@@ -74,29 +74,45 @@
     }
 
     private void sendRequest() {
-        ClientRequest request =
-                new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.pathAndQuery());
-        request.getRequestHeaders().put(Headers.HOST, call.authority());
-        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
-        call.headers().forEach((name, value) -> request.getRequestHeaders().put(new HttpString(name), value));
+        if (!ended.get()) {
+            listener.onSending(call).ifPresentOrElse(this::send, this::withhold);
+        }
+    }
+
+    /** Ends the exchange with nothing sent. */
+    private void withhold() {
+        if (ended.compareAndSet(false, true)) {
+            shared.kept().give(call.authority(), connection);
+        }
+    }
+
+    private void send(HttpCall now) {
         resetIfClosed(true);
         sent = true;
-        listener.onSending();
-        shared.sentBytes().add(call.body().length);
+        shared.sentBytes().add(now.body().length);
         try {
-            hand(request);
+            hand(request(now), now.body());
         } catch (RuntimeException e) {
             // Undertow's client throws from a kept connection whose peer reset it just before.
             fail(Reason.UNREACHABLE, "the request was not sent: " + e);
         }
     }
 
-    private void hand(ClientRequest request) {
+    private static ClientRequest request(HttpCall call) {
+        ClientRequest request =
+                new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.pathAndQuery());
+        request.getRequestHeaders().put(Headers.HOST, call.authority());
+        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
+        call.headers().forEach((name, value) -> request.getRequestHeaders().put(new HttpString(name), value));
+        return request;
+    }
+
+    private void hand(ClientRequest request, byte[] body) {
         connection.sendRequest(request, new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
                 exchange.setResponseListener(responseListener());
-                write(exchange.getRequestChannel(), ByteBuffer.wrap(call.body()));
+                write(exchange.getRequestChannel(), ByteBuffer.wrap(body));
             }
 
             @Override
--- a/src/main/java/org/micabarrow/transport/LoadQuestions.java
+++ b/src/main/java/org/micabarrow/transport/LoadQuestions.java
@@ -68,9 +68,13 @@
         return kept ? OptionalLong.of(askedMillis[number % QUESTIONS_KEPT]) : OptionalLong.empty();
     }
 
-    /** Takes note that a question was answered. */
+    /**
+     * Takes note that a question was answered. Whether in time is told by the clock: a process that stood still reads the answer
+     * before it looks at its timers.
+     */
     void answered(int number) {
-        settle(number, true);
+        long latest = steadyMillis.getAsLong() - ANSWER_MILLIS;
+        settle(number, askedMillis(number).orElse(Long.MIN_VALUE) >= latest);
     }
 
     private void settle(int number, boolean inTime) {
--- a/src/test/java/org/micabarrow/serving/LateSendingTest.java
+++ b/src/test/java/org/micabarrow/serving/LateSendingTest.java
@@ -113,7 +113,10 @@
                 new RetryBudget(0, 0),
                 new MetricRegistry(),
                 clockMillis::get,
-                (endpoint, then) -> then.accept(true),
+                (endpoint, then) -> {
+                    choice.load(endpoint.id()).told(new Told(0, 0, false, 1), 0, clockMillis.get());
+                    then.accept(true);
+                },
                 new ServingHandler.VersionTimes(NEVER_MILLIS, demandMillis, cancelMillis)));
         String clients = settings.listen().clients().orElseThrow();
         HttpListener.on(clients, HttpListener.Bounds.usual(), worker, handler);
--- a/src/test/java/org/micabarrow/transport/HttpCallerTest.java
+++ b/src/test/java/org/micabarrow/transport/HttpCallerTest.java
@@ -89,6 +89,34 @@
         }
     }
 
+    /** Sends nothing after all, since its request was overtaken while the connection came up. */
+    private static final class Withholding extends Ignoring {
+
+        private final CountDownLatch asked = new CountDownLatch(1);
+
+        @Override
+        public Optional<HttpCall> onSending(HttpCall call) {
+            asked.countDown();
+            return Optional.empty();
+        }
+    }
+
+    @Test
+    void shouldSendNothingWhenListenerWithholdsRequest() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                HttpCaller caller = HttpCaller.start("test", 1)) {
+            URI uri = URI.create("http://127.0.0.1:" + server.getLocalPort());
+            Withholding listener = new Withholding();
+            caller.send(HttpCall.get(Fault.Step.RUN, uri), listener);
+            try (Socket connection = server.accept()) {
+                listener.asked.await();
+                caller.close();
+                connection.setSoTimeout(HANG_MILLIS);
+                assertEquals(-1, connection.getInputStream().read(), "the end, and no byte before it");
+            }
+        }
+    }
+
     private static Process waitingCaller(int port) throws IOException {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         String classes = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
--- a/src/test/java/org/micabarrow/transport/Ignoring.java
+++ b/src/test/java/org/micabarrow/transport/Ignoring.java
@@ -5,7 +5,7 @@
 import org.micabarrow.transport.HttpCaller.Listener;
 
 /** Does nothing with an answer. */
-public final class Ignoring implements Listener {
+public class Ignoring implements Listener {
 
     @Override
     public void onHead(int status, Map<String, String> headers) {}
