A stopping entry answers what it has read, and reads nothing after its last look

Class: something is looked at and acted on in two steps, and what comes in between is lost.

- The last look for open requests ran on the thread that stops, while the thread for traffic read on until the process was gone.
Now it runs on that thread, and closes the listener and every connection in the same step, those too on which no request ever came.
- Whether a client is asked to leave was decided when its request began; now when its answer does, so that an answer under way at SIGTERM asks already, and the next request does not cross the close.
- A connection that closes after its answer drops what was read beyond it.
A client whose next request was read already is asked to leave with the last one only; closeIdle leaves such a connection too (by reading: between two answers, no test drives that moment).

Seen on the way: with buffers of 1 KB, as a process with a heap below 128 MB has them, SilentClientTest reads a reset after the answers when the entry closes a connection on which more requests wait unread than a buffer holds.

--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -5,6 +5,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.platform.EndpointHeaders;
@@ -18,6 +22,7 @@
 import org.micabarrow.views.StoreFollower.Pace;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.XnioIoThread;
 
 /** An entry on the users' platform: takes clients' requests and passes each straight to an endpoint. */
 public final class HostedEntryProcess implements AutoCloseable {
@@ -68,6 +73,7 @@
     private final EndpointChoice choice;
     private final LoadFeed loadFeed;
     private final ServingHandler handler;
+    private volatile Optional<HttpListener> clients = Optional.empty();
     private volatile boolean leaving;
 
     private HostedEntryProcess(HostedSettings settings) throws IOException {
@@ -122,7 +128,8 @@
         HttpListener.on(settings.listen().peers(), usual, node.worker(), peers);
         HttpListener.on(settings.listen().metrics(), usual, node.worker(), peers);
         HttpListener.on(settings.listen().ready().orElseThrow(), usual, node.worker(), this::ready);
-        HttpListener.on(settings.listen().clients().orElseThrow(), usual, node.worker(), handler);
+        clients =
+                Optional.of(HttpListener.on(settings.listen().clients().orElseThrow(), usual, node.worker(), handler));
         // After the listeners, so that no connection of our own takes one of their ports.
         node.follow(new Pace(ENDPOINTS_HOLD, ENDPOINTS_REST), this::peers);
         loadFeed.start(handler::lookAfterRequests);
@@ -177,9 +184,32 @@
         long latest = began + settings.bounds().graceMillis() - GRACE_LEFT_MILLIS;
         Thread.sleep(Math.min(STILL_CHOSEN_MILLIS, settings.bounds().graceMillis() / 2));
         handler.connections().closeIdle();
-        while (HostedNode.steadyMillis() < latest && handler.connections().busy() > 0) {
+        while (!closedAtRest() && HostedNode.steadyMillis() < latest) {
             Thread.sleep(LOOK_MILLIS);
         }
         LOG.info("event=stopped open={}", handler.connections().busy());
     }
+
+    /**
+     * Closes all connections of clients if no request is open. It looks on the thread on which alone they are read: what is read
+     * between a look and the end of the process would have its connection closed without an answer.
+     */
+    private boolean closedAtRest() throws InterruptedException {
+        CompletableFuture<Boolean> closed = new CompletableFuture<>();
+        XnioIoThread traffic = node.worker().getIoThread();
+        traffic.execute(() -> {
+            boolean rests = handler.connections().busy() == 0;
+            if (rests) {
+                clients.ifPresent(HttpListener::close);
+            }
+            // Each connection is closed by a step of its own on this thread, and those come before this one.
+            traffic.execute(() -> closed.complete(rests));
+        });
+        try {
+            return closed.get(GRACE_LEFT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.warn("event=not_closed why=\"{}\"", e.toString());
+            return false;
+        }
+    }
 }
--- a/src/main/java/org/micabarrow/serving/ClientConnections.java
+++ b/src/main/java/org/micabarrow/serving/ClientConnections.java
@@ -2,6 +2,7 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -23,16 +24,28 @@
         if (open.put(connection, true) == null) {
             connection.addCloseListener(open::remove);
         }
-        if (leaving) {
-            exchange.setPersistent(false);
-            exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-        }
+        exchange.addResponseCommitListener(this::askToLeave);
         exchange.addExchangeCompleteListener((same, next) -> {
             open.computeIfPresent(connection, (key, busy) -> false);
             next.proceed();
         });
     }
 
+    /**
+     * Asks a client to leave when its answer begins, unless its next request has been read already: with a connection that
+     * closes after an answer, what was read beyond is dropped.
+     */
+    private void askToLeave(HttpServerExchange exchange) {
+        if (leaving && !hasReadOn(exchange.getConnection())) {
+            exchange.setPersistent(false);
+            exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+        }
+    }
+
+    private static boolean hasReadOn(ServerConnection connection) {
+        return connection instanceof HttpServerConnection read && read.getExtraBytes() != null;
+    }
+
     /** Asks clients to leave from now on: a connection is closed after the answer that is under way on it. */
     public void leave() {
         leaving = true;
@@ -49,7 +62,7 @@
     }
 
     private void closeIfIdle(ServerConnection connection) {
-        if (Boolean.FALSE.equals(open.get(connection))) {
+        if (Boolean.FALSE.equals(open.get(connection)) && !hasReadOn(connection)) {
             IoUtils.safeClose(connection);
         }
     }
