Tests, red: one fault of the program costs one step

Class: work that goes on for as long as the process runs ends at its first fault. The agent's loop moves to Steps as it was, so that a test can drive it.

--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -12,6 +12,7 @@
 import org.micabarrow.routing.ModelService;
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.steps.Steps;
 import org.micabarrow.transport.HostedPeerServer;
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.LoadServer;
@@ -97,10 +98,10 @@
         loadServer = Optional.of(LoadServer.start(settings.listen().peers(), this::told, HostedNode::steadyMillis));
         // After the listeners, so that no connection of our own takes one of their ports.
         node.follow(new Pace(HostedNode.STORE_WAIT, ENDPOINTS_REST), settings::seeds);
-        run("report", REPORT_MILLIS, new Reports());
-        run("fetch", LOOK_MILLIS, keeper::fetch);
-        run("replica", LOOK_MILLIS, keeper::step);
-        run("standstill", LOOK_MILLIS, new StandstillWatch());
+        Steps.start("report", REPORT_MILLIS, new Reports());
+        Steps.start("fetch", LOOK_MILLIS, keeper::fetch);
+        Steps.start("replica", LOOK_MILLIS, keeper::step);
+        Steps.start("standstill", LOOK_MILLIS, new StandstillWatch());
         LOG.info("event=started role=agent instance={}", settings.instance().id());
     }
 
@@ -108,7 +109,7 @@
      * Asks the endpoint how it is, and tells entries at once when it takes requests again, or no more. Asked by an entry of
      * another region only every 450 ms, it would stand idle for half of that after each change of versions.
      */
-    private final class Reports implements Step {
+    private final class Reports implements Steps.Step {
 
         private Optional<Serving> toldLast = Optional.empty();
 
@@ -126,7 +127,7 @@
     }
 
     /** Says that the instance stood still, so that what entries and endpoints tell of that time can be explained. */
-    private final class StandstillWatch implements Step {
+    private final class StandstillWatch implements Steps.Step {
 
         private long lastMillis = HostedNode.steadyMillis();
 
@@ -144,25 +145,6 @@
         }
     }
 
-    /** A step of the agent's work. */
-    private interface Step {
-        void take() throws InterruptedException;
-    }
-
-    /** Takes a step again and again on a thread of its own, with a rest after each. */
-    private static void run(String name, long restMillis, Step step) {
-        Thread.ofPlatform().name(name).daemon().start(() -> {
-            try {
-                while (true) {
-                    step.take();
-                    Thread.sleep(restMillis);
-                }
-            } catch (InterruptedException e) {
-                LOG.info("event=thread_stopped thread={}", name);
-            }
-        });
-    }
-
     /** What entries are told of the endpoint; while it does not answer, nothing is said. */
     private Optional<EndpointLoad.Told> told() {
         return keeper.report()
--- a/src/test/java/org/micabarrow/transport/LoadFeedTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadFeedTest.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
@@ -35,6 +36,9 @@
     /** Decides nothing but a hang. */
     private static final long LONGEST_SECONDS = 30;
 
+    /** As above, for what a socket waits, in milliseconds. */
+    private static final int HANG_MILLIS = 10_000;
+
     private final EndpointChoice choice = new EndpointChoice("region-a", Map.of("hall-a", "region-a"));
     private final EndpointEntry endpoint =
             new EndpointEntry("a", "models", "127.0.0.1:80", "hall-a", 4, false, Map.of("m", 1L), 16);
@@ -168,4 +172,19 @@
                 LoadMessages.question(Arrays.copyOf(packet.getData(), packet.getLength()))
                         .promptTokens());
     }
+
+    @Test
+    void shouldAskOnWhenOneRoundFails() throws Exception {
+        agent.setSoTimeout(HANG_MILLIS);
+        AtomicBoolean failed = new AtomicBoolean();
+        Supplier<View> view = () -> {
+            if (failed.compareAndSet(false, true)) {
+                throw new IllegalStateException("a fault of the program");
+            }
+            return twoAtOneHost();
+        };
+        feed(view, choice).start(() -> {});
+        question();
+        assertTrue(failed.get());
+    }
 }
