One fault of the program costs one step of work that goes on

Class: work that goes on for as long as the process runs ends at its first fault, or one request's fault ends what was done for another. Looked at and left: the follower of the store has its own guard, which also chooses its rest; doubts of dropped entries are settled inside it; a fetch's thread for a source is started again by its run; ControlThread guards its own.

--- a/src/main/java/org/micabarrow/serving/OpenRequests.java
+++ b/src/main/java/org/micabarrow/serving/OpenRequests.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import org.micabarrow.steps.Steps;
 
 /** The requests that wait for an answer. Used by the one thread for traffic. */
 final class OpenRequests {
@@ -24,8 +25,8 @@
         open.remove(request);
     }
 
-    /** Has every request looked after; those that end meanwhile leave the set. */
+    /** Has every request looked after, whatever happens to one of them; those that end meanwhile leave the set. */
     void lookAfterAll() {
-        List.copyOf(open).forEach(Open::lookAfter);
+        List.copyOf(open).forEach(one -> Steps.guarded("look-after", one::lookAfter));
     }
 }
--- a/src/main/java/org/micabarrow/serving/RoomLine.java
+++ b/src/main/java/org/micabarrow/serving/RoomLine.java
@@ -5,6 +5,7 @@
 import org.micabarrow.admission.WaitingLine;
 import org.micabarrow.admission.WaitingLine.Place;
 import org.micabarrow.admission.WaitingLine.Waiter;
+import org.micabarrow.steps.Steps;
 import org.xnio.XnioIoThread;
 
 /** The entry's requests that wait for room, looked through whenever a place may have fallen free. */
@@ -41,14 +42,14 @@
         return line.size();
     }
 
-    /** One of the entry's requests has begun to be answered, or has left its endpoint. */
+    /** One of the entry's requests has begun to be answered, or has left its endpoint. A fault in who waits is not its own. */
     void roomMayBe() {
-        line.serve();
+        Steps.guarded("room", line::serve);
     }
 
     private void look(XnioIoThread thread) {
-        line.expire(steadyMillis.getAsLong());
-        line.serve();
+        Steps.guarded("expire", () -> line.expire(steadyMillis.getAsLong()));
+        roomMayBe();
         looking = line.size() > 0;
         if (looking) {
             thread.executeAfter(() -> look(thread), LOOK_MILLIS, TimeUnit.MILLISECONDS);
--- a/src/main/java/org/micabarrow/steps/Steps.java
+++ b/src/main/java/org/micabarrow/steps/Steps.java
@@ -5,7 +5,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Work that goes on for as long as the process runs, step by step.
+ * Work that goes on for as long as the process runs, step by step: a fault of the program costs one step and a line of the
+ * log, not all steps that were to follow.
  *
  * <pre>{@code
  * Steps.start("report", 150, endpoint::refresh);
@@ -42,14 +43,36 @@
         return Thread.ofPlatform().name(name).daemon().start(() -> run(name, restMillis, step));
     }
 
+    /**
+     * Takes one step of work that something else repeats.
+     *
+     * @param name the work's name, for the log
+     * @param step the step
+     */
+    public static void guarded(String name, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            LOG.error("event=step_failed work={}", name, e);
+        }
+    }
+
     private static void run(String name, long restMillis, Step step) {
         try {
             while (true) {
-                step.take();
+                guarded(name, step);
                 Thread.sleep(restMillis);
             }
         } catch (InterruptedException e) {
             LOG.info("event=thread_stopped thread={}", name);
         }
     }
+
+    private static void guarded(String name, Step step) throws InterruptedException {
+        try {
+            step.take();
+        } catch (RuntimeException | Error e) {
+            LOG.error("event=step_failed work={}", name, e);
+        }
+    }
 }
--- a/src/main/java/org/micabarrow/transport/LoadFeed.java
+++ b/src/main/java/org/micabarrow/transport/LoadFeed.java
@@ -17,6 +17,7 @@
 import org.micabarrow.routing.EndpointChoice;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.settings.Common;
+import org.micabarrow.steps.Steps;
 import org.micabarrow.views.View;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -105,6 +106,11 @@
     // -- questions, on the thread for traffic
 
     private void askAll(Runnable afterRound) {
+        Steps.guarded("load-feed", () -> round(afterRound));
+        parts.traffic().executeAfter(() -> askAll(afterRound), NEAR_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void round(Runnable afterRound) {
         boolean onTime = rounds.onTime(parts.steadyMillis().getAsLong());
         View view = parts.view().get();
         Map<String, List<EndpointEntry>> hosts = askedByHost(view);
@@ -117,7 +123,6 @@
         });
         parts.choice().keepOnly(view.endpoints().keySet());
         round++;
-        parts.traffic().executeAfter(() -> askAll(afterRound), NEAR_MILLIS, TimeUnit.MILLISECONDS);
         if (onTime) {
             afterRound.run();
         }
@@ -186,13 +191,17 @@
 
     private void receive() {
         while (channel.isOpen()) {
-            try {
-                LoadMessages.Received received = LoadMessages.receive(channel);
-                String host = received.from().getAddress().getHostAddress();
-                take(host, LoadMessages.answer(received.bytes()));
-            } catch (IOException e) {
-                LOG.warn("event=load_answer_lost why=\"{}\"", e.toString());
-            }
+            Steps.guarded("load-feed", this::receiveOne);
+        }
+    }
+
+    private void receiveOne() {
+        try {
+            LoadMessages.Received received = LoadMessages.receive(channel);
+            String host = received.from().getAddress().getHostAddress();
+            take(host, LoadMessages.answer(received.bytes()));
+        } catch (IOException e) {
+            LOG.warn("event=load_answer_lost why=\"{}\"", e.toString());
         }
     }
 
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -11,6 +11,7 @@
 import java.util.random.RandomGenerator;
 import org.micabarrow.admission.PlaceShares;
 import org.micabarrow.routing.EndpointLoad.Told;
+import org.micabarrow.steps.Steps;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -66,12 +67,16 @@
 
     private void serve() {
         while (channel.isOpen()) {
-            try {
-                LoadMessages.Received received = LoadMessages.receive(channel);
-                answer(received.from(), LoadMessages.question(received.bytes()));
-            } catch (IOException e) {
-                LOG.warn("event=load_question_lost why=\"{}\"", e.toString());
-            }
+            Steps.guarded("load-server", this::serveOne);
+        }
+    }
+
+    private void serveOne() {
+        try {
+            LoadMessages.Received received = LoadMessages.receive(channel);
+            answer(received.from(), LoadMessages.question(received.bytes()));
+        } catch (IOException e) {
+            LOG.warn("event=load_question_lost why=\"{}\"", e.toString());
         }
     }
 
