Test, red: an entry that is slow all the time still sends

Class: a guard against a rare state holds off everything when the state lasts. Each connection of a process that is slow all the time comes after its limit, so that each decision is withheld until the client's time is up: 503 instead of 200.

--- a/src/test/java/org/micabarrow/serving/LateSendingTest.java
+++ b/src/test/java/org/micabarrow/serving/LateSendingTest.java
@@ -47,6 +47,9 @@
     /** Longer than an endpoint may take to accept a connection, and well within the client's time. */
     private static final long STANDSTILL_MILLIS = 700;
 
+    /** Longer than an endpoint may take to accept a connection, as in a process that is slow all the time. */
+    private static final long SLOW_MILLIS = 300;
+
     /** A pause that no connect limit shows. */
     private static final long SHORT_MILLIS = 200;
 
@@ -57,6 +60,7 @@
 
     private final AtomicLong clockMillis = new AtomicLong(1_000_000);
     private final AtomicReference<Runnable> afterDecision = new AtomicReference<>(() -> {});
+    private final AtomicReference<Runnable> everyDecision = new AtomicReference<>(() -> {});
     private final EndpointChoice choice = new EndpointChoice("region-a", Map.of("hall-a", "region-a"));
     private final ViewKeeper views = new ViewKeeper(new StoreRecords(), clockMillis::get);
 
@@ -93,6 +97,7 @@
         public HttpCall call(ClientRequest request, Sending sending) {
             HttpCall call = headers.call(request, sending);
             afterDecision.getAndSet(() -> {}).run();
+            everyDecision.get().run();
             return call;
         }
 
@@ -180,6 +185,16 @@
         assertFalse(choice.load(filled.getFirst()).idle(), "the one that was decided on first");
     }
 
+    @Test
+    void shouldSendAllTheSameWhenEveryConnectionComesTooLate() throws IOException {
+        serve(NEVER_MILLIS, NEVER_MILLIS);
+        platform.add("plain-1", "plain", 0);
+        Await.until("the endpoints", () -> views.view().endpoints().size() == 2);
+        everyDecision.set(() -> clockMillis.addAndGet(SLOW_MILLIS));
+        assertEquals(200, ask("/again/x").status());
+        assertEquals(1, received("plain-1"));
+    }
+
     /** More requests than an endpoint has room for. */
     private void fill(String endpoint) {
         for (int i = 0; i < MANY_REQUESTS; i++) {
