--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -38,6 +38,7 @@
     private final RequestLog log;
     private int askedInVain;
     private int sendings;
+    private boolean cameLate;
     private boolean mayHaveRun;
     private boolean finished;
     private Optional<Attempt> current = Optional.empty();
@@ -220,6 +221,7 @@
         if (millisLeft() < AttemptPolicy.LEAST_MILLIS_LEFT) {
             cannotSend(outdated.why());
         } else if (outdated.able()) {
+            cameLate = true;
             tried.remove(endpoint.id());
             // Nothing was asked during a standstill, so that every agent seems silent until one has answered again.
             parts.hear(request, endpoint, () -> decideAgain(outdated.why()));
@@ -228,6 +230,11 @@
         }
     }
 
+    /** Whether a connection came too late once already. */
+    boolean cameLate() {
+        return cameLate;
+    }
+
     private void decideAgain(String why) {
         if (!finished) {
             next(why);
