--- a/src/main/java/org/micabarrow/views/NamedVersions.java
+++ b/src/main/java/org/micabarrow/views/NamedVersions.java
@@ -7,6 +7,7 @@
 import java.util.function.BooleanSupplier;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
+import org.micabarrow.steps.Steps;
 import org.micabarrow.views.ViewKeeper.Topic;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -95,25 +96,7 @@
 
     /** Looks again and again, on a thread of its own, for as long as the process runs. */
     public void start() {
-        Thread.ofPlatform().name("named-versions").daemon().start(() -> {
-            try {
-                while (true) {
-                    Thread.sleep(LOOK_MILLIS);
-                    lookWhatever();
-                }
-            } catch (InterruptedException e) {
-                LOG.info("event=thread_stopped thread=named-versions");
-            }
-        });
-    }
-
-    /** Looks once; a fault of this program costs one look, not all that follow. */
-    private void lookWhatever() {
-        try {
-            look();
-        } catch (RuntimeException e) {
-            LOG.error("event=versions_look_failed", e);
-        }
+        Steps.start("named-versions", LOOK_MILLIS, this::look);
     }
 
     /** Recalls the versions if that failed, and writes those that are not known to lie in the store. */
