An endpoint's entry that is written late does not hide a newer one

A write of an endpoint that got no answer may be done seconds after those that followed, so that one which had said that it leaves seemed to stay, and one that went seemed to be there. Entries count their writes: within a start the count decides, and is remembered for 7 s (a write is up to 6 s late) also when the entry went.

--- a/src/main/java/org/micabarrow/platform/EndpointFields.java
+++ b/src/main/java/org/micabarrow/platform/EndpointFields.java
@@ -51,4 +51,12 @@
         }
         return OptionalLong.of(JsonFields.whole(json, STARTED, 1));
     }
+
+    /** The count that rises with each write of an entry; empty where there is none, or it is no whole number. */
+    static OptionalLong writes(JsonNode json) {
+        JsonNode count = json.path("sequence");
+        return count.isIntegralNumber() && count.canConvertToLong()
+                ? OptionalLong.of(count.longValue())
+                : OptionalLong.empty();
+    }
 }
--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -200,7 +200,8 @@
                         leaving(JsonFields.text(json, "state")),
                         EndpointFields.models(json),
                         EndpointFields.layers(json),
-                        EndpointFields.startedMillis(json)));
+                        EndpointFields.startedMillis(json),
+                        EndpointFields.writes(json)));
     }
 
     private static String id(String key) {
--- a/src/main/java/org/micabarrow/routing/EndpointEntry.java
+++ b/src/main/java/org/micabarrow/routing/EndpointEntry.java
@@ -16,6 +16,7 @@
  * @param models the weight version it held of each model when it wrote the entry
  * @param layers how many layers it held then; the greatest number if it does not tell
  * @param startedMillis the Unix millisecond of its start; empty if it does not tell
+ * @param writes a count that rises with each write of the entry since then; empty if it does not tell
  */
 public record EndpointEntry(
         String id,
@@ -26,7 +27,8 @@
         boolean leaving,
         Map<String, Long> models,
         int layers,
-        OptionalLong startedMillis) {
+        OptionalLong startedMillis,
+        OptionalLong writes) {
 
     /** Copies the models. */
     public EndpointEntry {
@@ -34,9 +36,36 @@
         Objects.requireNonNull(service, "service is null");
         Objects.requireNonNull(address, "address is null");
         Objects.requireNonNull(startedMillis, "startedMillis is null");
+        Objects.requireNonNull(writes, "writes is null");
         models = Map.copyOf(models);
     }
 
+    /**
+     * An endpoint that does not tell how often it has written its entry.
+     *
+     * @param id its id
+     * @param service its service
+     * @param address its host and port
+     * @param dataHall its data hall
+     * @param slots how many requests it runs at once
+     * @param leaving whether it takes no new requests
+     * @param models the weight version it held of each model when it wrote the entry
+     * @param layers how many layers it held then; the greatest number if it does not tell
+     * @param startedMillis the Unix millisecond of its start; empty if it does not tell
+     */
+    public EndpointEntry(
+            String id,
+            String service,
+            String address,
+            String dataHall,
+            int slots,
+            boolean leaving,
+            Map<String, Long> models,
+            int layers,
+            OptionalLong startedMillis) {
+        this(id, service, address, dataHall, slots, leaving, models, layers, startedMillis, OptionalLong.empty());
+    }
+
     /**
      * An endpoint that does not tell when it was started.
      *
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -30,7 +30,7 @@
     private final LongSupplier steadyMillis;
     private final Map<Topic, TopicCopy> copies = new HashMap<>();
     private final DropDoubts doubts = new DropDoubts();
-    private final EndpointStarts starts = new EndpointStarts();
+    private final NewestEntries newestEntries = new NewestEntries();
 
     /** The keys whose entry cannot be used: that is said once, however often it is written. */
     private final Set<String> refusedEntries = new HashSet<>();
@@ -198,13 +198,14 @@
     }
 
     private void weightsNamed(StoredRecord record, String model, long version) {
-        if (!want(model, version, "store offset=" + record.offset())) {
+        long newest = view.newestTarget(model).map(View.Target::version).orElse(0L);
+        if (!want(model, version, "store offset=" + record.offset()) && version < newest) {
             LOG.warn(
                     "event=weights_named_late model={} version={} offset={} newest={}",
                     model,
                     version,
                     record.offset(),
-                    view.newestTarget(model).map(View.Target::version).orElse(0L));
+                    newest);
         }
     }
 
@@ -299,11 +300,12 @@
         return switch (decoder.endpoint(record)) {
             case Result.Failure<EndpointEntry>(Fault fault) -> entryRefused(record, fault.message(), endpoints);
             case Result.Success<EndpointEntry>(EndpointEntry entry)
-            when starts.lacking(entry) -> entryRefused(record, "it does not tell the endpoint's start", endpoints);
+            when newestEntries.lacking(entry) ->
+                entryRefused(record, "it does not tell the endpoint's start", endpoints);
             case Result.Success<EndpointEntry>(EndpointEntry entry)
-            when starts.over(entry, steadyMillis.getAsLong()) ->
-                Optional.of("event=entry_of_older_start endpoint=" + entry.id() + " started=" + started(entry)
-                        + " offset=" + record.offset());
+            when newestEntries.over(entry, steadyMillis.getAsLong()) ->
+                Optional.of("event=entry_written_late endpoint=" + entry.id() + " started=" + started(entry)
+                        + " leaving=" + entry.leaving() + " offset=" + record.offset());
             case Result.Success<EndpointEntry>(EndpointEntry entry) -> entryTaken(record, entry, endpoints);
         };
     }
