An answer that is no page of newest records drops no key; layers of two versions make no whole model

Cause: keys that a list of newest records lacks count as dropped, and an answer without a list, or a page after which nobody knows where the next begins, was taken for the whole list.

--- a/src/main/java/org/micabarrow/platform/EndpointFields.java
+++ b/src/main/java/org/micabarrow/platform/EndpointFields.java
@@ -23,24 +23,37 @@
         return models;
     }
 
-    /** How many layers are held, the greatest number if that is not told. They are told as one range, or as a list of them. */
+    /**
+     * How many layers are held of one version, the greatest number if that is not told. They are told as one range, or as a
+     * list of them; layers of two versions make no whole model.
+     */
     static int layers(JsonNode json) {
         JsonNode told = json.path("layers");
         if (told.isMissingNode() || told.isNull()) {
             return Integer.MAX_VALUE;
         }
-        List<JsonNode> ranges = told.isArray() ? JsonFields.objects(json, "layers") : List.of(told);
-        long all = ranges.stream().mapToLong(EndpointFields::width).sum();
-        return (int) Math.min(all, Integer.MAX_VALUE);
+        Map<Long, Integer> ofVersion = new HashMap<>();
+        for (JsonNode range : told.isArray() ? JsonFields.objects(json, "layers") : List.of(told)) {
+            ofVersion.merge(version(range), width(range), EndpointFields::sum);
+        }
+        return ofVersion.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+    }
+
+    private static long version(JsonNode range) {
+        JsonFields.object(range, "a range of layers");
+        return range.has("version") ? JsonFields.whole(range, "version", 0) : 0;
     }
 
     /** The range ends before "target_version", which is no version. */
     private static int width(JsonNode range) {
-        JsonFields.object(range, "a range of layers");
         int from = JsonFields.wholeInt(range, "from", 0);
         return JsonFields.wholeInt(range, "target_version", from) - from;
     }
 
+    private static int sum(int one, int other) {
+        return (int) Math.min((long) one + other, Integer.MAX_VALUE);
+    }
+
     /** The Unix millisecond at which the endpoint was started; empty on platforms where endpoints do not tell it. */
     static OptionalLong startedMillis(JsonNode json) {
         if (!json.has(STARTED)) {
--- a/src/main/java/org/micabarrow/platform/StoreClient.java
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -91,28 +91,41 @@
                 return Result.failure(fault);
             }
             JsonNode json = answer.toOptional().orElseThrow();
-            end = end < 0 ? json.path("end").asLong() : end;
+            end = end < 0 ? json.path("end").longValue() : end;
             json.path("items").forEach(item -> record(topic, item).ifPresent(records::add));
-            String last = lastKey(json);
-            if (!json.path("has_more").asBoolean(false) || last.isEmpty()) {
+            if (!json.path("has_more").asBoolean(false)) {
                 return Result.success(new Batch(records, end));
             }
-            after = last;
+            after = lastKey(json);
+            if (after.isEmpty()) {
+                return Result.failure(Fault.of(Step.LOG, base, Reason.CORRUPT, "a page of records names no key"));
+            }
         }
         return Result.failure(Fault.of(Step.LOG, base, Reason.TOO_LARGE, "the newest records have no last page"));
     }
 
-    /** The last key of a page, after which the next one begins; empty if there is none. */
+    /** The last key that a page names, after which the next one begins; empty if there is none. */
     private static String lastKey(JsonNode page) {
-        JsonNode items = page.path("items");
-        return items.path(items.size() - 1).path(KEY).asText("");
+        String last = "";
+        for (JsonNode item : page.path("items")) {
+            last = item.path(KEY).isTextual() ? item.path(KEY).textValue() : last;
+        }
+        return last;
     }
 
     private Result<JsonNode> newestPage(Topic topic, String after) {
         String more = after.isEmpty() ? "" : "&after_revision=" + URLEncoder.encode(after, StandardCharsets.UTF_8);
         HttpCall call = HttpCall.get(
                 Step.LOG, URI.create(base + WireNames.LOG_NEWEST + "?topic=" + topicName(topic) + "&part=0" + more));
-        return caller.call(call, limits(Duration.ZERO)).flatMap(answer -> json(call, answer));
+        return caller.call(call, limits(Duration.ZERO))
+                .flatMap(answer -> json(call, answer))
+                .flatMap(page ->
+                        isPage(page) ? Result.success(page) : corrupt(call, "the answer is no page of records"));
+    }
+
+    /** Keys that are not listed count as dropped, so that what lists none by mistake must not be taken for a page. */
+    private static boolean isPage(JsonNode json) {
+        return json.path("items").isArray() && json.path("end").isIntegralNumber();
     }
 
     /** A record of a page; empty if it cannot be read, which costs no other record. */
--- a/src/test/java/org/micabarrow/platform/StoreClientTest.java
+++ b/src/test/java/org/micabarrow/platform/StoreClientTest.java
@@ -246,6 +246,25 @@
         assertEquals(3, batch.end());
     }
 
+    /** What is no page of newest records, or leaves open where the next one begins: taken for one, it would drop every key. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "null",
+                "[]",
+                "{}",
+                "{\"items\":{},\"has_more\":false,\"end\":3}",
+                "{\"items\":[],\"has_more\":false}",
+                "{\"items\":[],\"has_more\":false,\"end\":\"3\"}",
+                "{\"items\":[7],\"has_more\":true,\"end\":3}"
+            })
+    void shouldFailWhenAnswerIsNoPageOfNewestRecords(String body) {
+        StoreClient odd = serve(exchange -> exchange.getResponseSender().send(body, IoCallback.END_EXCHANGE));
+        assertEquals(
+                Fault.Reason.CORRUPT,
+                odd.newest(Topic.OPERATOR).cause().orElseThrow().reason());
+    }
+
     @Test
     void shouldFailWhenTopicEndsBeforeWhatIsKnown() {
         store.append(OPERATOR, "a", "1");
--- a/src/test/java/org/micabarrow/platform/StoreRecordsTest.java
+++ b/src/test/java/org/micabarrow/platform/StoreRecordsTest.java
@@ -296,6 +296,17 @@
                 records.endpoint(record("i-1", json)).toOptional().orElseThrow().layers());
     }
 
+    @Test
+    void shouldNotAddUpLayersOfTwoVersions() {
+        String json = ENTRY.replace(
+                "}",
+                ",\"layers\":[{\"from\":0,\"target_version\":7,\"version\":1},"
+                        + "{\"from\":7,\"target_version\":16,\"version\":2}]}");
+        assertEquals(
+                9,
+                records.endpoint(record("i-1", json)).toOptional().orElseThrow().layers());
+    }
+
     @Test
     void shouldReadEntryOfEndpoint() {
         EndpointEntry entry = records.endpoint(record("i-1", """
