--- a/src/main/java/org/micabarrow/platform/EndpointCalls.java
+++ b/src/main/java/org/micabarrow/platform/EndpointCalls.java
@@ -71,12 +71,11 @@
     private Report report(JsonNode json) {
         JsonFields.object(json, "the report");
         Map<String, Long> models = EndpointFields.models(json);
-        if (EndpointFields.layers(json) < totalLayers.getAsInt()) {
-            models.clear();
-        }
+        boolean whole = EndpointFields.layers(json) >= totalLayers.getAsInt();
         // "sequence" counts the orders taken.
         return new Report(
-                models,
+                whole ? models : Map.of(),
+                whole ? Map.of() : models,
                 JsonFields.flag(json, "busy"),
                 JsonFields.longOr(json, "sequence", 0),
                 JsonFields.intOr(json, "queued", 0),
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -42,12 +42,21 @@
     /** How often the agent looks whether there is something to fetch or to order, in milliseconds: a chunk's time. */
     private static final long LOOK_MILLIS = 50;
 
+    /**
+     * How often the agent looks whether the endpoint holds a version that other agents cannot have from it, in milliseconds. It
+     * asks the origin and other agents for the version's digests then, which takes seconds if they do not answer.
+     */
+    private static final long READ_BACK_MILLIS = 300;
+
     /**
      * From when on a pause counts as a standstill, in milliseconds: the shortest for which entries bear an agent's silence. A
      * process that only waits for its turn pauses for less.
      */
     private static final long STANDSTILL_MILLIS = 400;
 
+    /** How many agents of each region keep named weight versions in the store: one may be cut off from it. */
+    private static final int VERSION_KEEPERS = 2;
+
     private final HostedSettings settings;
     private final HostedNode node;
     private final ReplicaKeeper keeper;
@@ -98,10 +107,11 @@
         HttpListener.on(settings.listen().metrics(), usual, node.worker(), peers);
         loadServer = Optional.of(LoadServer.start(settings.listen().peers(), this::told, HostedNode::steadyMillis));
         // After the listeners, so that no connection of our own takes one of their ports.
-        node.follow(new Pace(HostedNode.STORE_WAIT, ENDPOINTS_REST), settings::seeds);
+        node.follow(new Pace(HostedNode.STORE_WAIT, ENDPOINTS_REST), settings::seeds, this::keepsVersions);
         run("report", REPORT_MILLIS, new Reports());
         run("fetch", LOOK_MILLIS, keeper::fetch);
         run("replica", LOOK_MILLIS, keeper::step);
+        run("read-back", READ_BACK_MILLIS, keeper::readBack);
         run("standstill", LOOK_MILLIS, new StandstillWatch());
         LOG.info("event=started role=agent instance={}", settings.instance().id());
     }
@@ -226,6 +236,10 @@
         return new ReplicaKeeper.Place(region.indexOf(self.address()), region.size());
     }
 
+    private boolean keepsVersions() {
+        return place().position() < VERSION_KEEPERS;
+    }
+
     @Override
     public void close() {
         LOG.info("event=stopped");
--- a/src/test/java/org/micabarrow/weights/LaidChunksTest.java
+++ b/src/test/java/org/micabarrow/weights/LaidChunksTest.java
@@ -38,7 +38,7 @@
 
         @Override
         public Result<Report> report() {
-            return Result.success(new Report(Map.of(), false, 0, 0, 0));
+            return Result.success(new Report(Map.of(), Map.of(), false, 0, 0, 0));
         }
 
         @Override
@@ -67,7 +67,7 @@
     void layAll() {
         IntStream.range(0, CHUNKS).forEach(i -> set.put(i, chunk(i)));
         laid.startedAgain(FIRST);
-        laid.layNew(set);
+        laid.layNew(set, () -> true);
         assertTrue(laid.all(set));
     }
 
@@ -76,8 +76,8 @@
         staged.clear();
         assertTrue(laid.startedAgain(SECOND));
         assertEquals(CHUNKS, laid.missing(set));
-        assertFalse(laid.allBetween(0, 1));
-        laid.layNew(set);
+        assertFalse(laid.all(set));
+        laid.layNew(set, () -> true);
         assertTrue(laid.verify(set));
     }
 
@@ -85,7 +85,7 @@
     void shouldLayNothingAgainWhileStartIsTheSame() {
         staged.clear();
         List.of(FIRST, OptionalLong.empty(), FIRST).forEach(start -> assertFalse(laid.startedAgain(start)));
-        laid.layNew(set);
+        laid.layNew(set, () -> true);
         assertEquals(0, staged.size());
     }
 
