What was ordered of an endpoint's former start is no reason to distrust what the new one holds

Cause: the retirement remembers the versions of which it ordered a layer that was not whole; an endpoint that started again holds none of these layers. Without the reset the endpoint is made to give up a whole layer, one order of a third version more. Ruled out: a wrong trust; what the new start holds and this agent did not order whole is distrusted as before. Seen before: RetirementTest.shouldNotDistrustWholeLayerBecauseOfOrderToFormerStart [start 2 layer 0, start 1 layer 0, start 2] instead of [start 2 layer 0, start 2]. After: as it should be.

--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -174,6 +174,7 @@
         if (laid.startedAgain(now.get().startedMillis())) {
             // The order that it was closed for, if any, was for the endpoint's former start.
             cordon.lift();
+            retirement.startedAgain();
         }
         retirement.holds(now.get().models());
         // A busy endpoint takes no requests on the version before.
--- a/src/main/java/org/micabarrow/weights/Retirement.java
+++ b/src/main/java/org/micabarrow/weights/Retirement.java
@@ -69,6 +69,12 @@
         return held > 0 && deadlines.leastAllowed(model, Cordon.MILLIS) > held;
     }
 
+    /** The endpoint has started again: it holds no layer that was ordered before, be it whole or not. */
+    void startedAgain() {
+        orderedWhole.clear();
+        orderedAnyhow.clear();
+    }
+
     /** Takes note of what the endpoint holds. */
     void holds(Map<String, Long> models) {
         lastHeld = models;
--- a/src/test/java/org/micabarrow/weights/FakeEndpoint.java
+++ b/src/test/java/org/micabarrow/weights/FakeEndpoint.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
 
@@ -39,6 +40,8 @@
     int losesAnswers;
     Runnable onStage = () -> {};
 
+    private OptionalLong startedMillis = OptionalLong.of(5_000);
+
     private final BitSet layers = new BitSet();
     private final BitSet wrong = new BitSet();
 
@@ -47,12 +50,22 @@
         return held != 0 && !wrong.isEmpty();
     }
 
+    /** Starts again, with nothing of before but what was staged. */
+    void startAgain(long atMillis) {
+        startedMillis = OptionalLong.of(atMillis);
+        held = 0;
+        part = 0;
+        orders.clear();
+        layers.clear();
+        wrong.clear();
+    }
+
     @Override
     public Result<Report> report() {
         if (silent) {
             return lost(Fault.Step.STATUS);
         }
-        return Result.success(new Report(holding(held), holding(part), busy, orders.size(), 0, 0));
+        return Result.success(new Report(holding(held), holding(part), busy, orders.size(), 0, 0, startedMillis));
     }
 
     private static Map<String, Long> holding(long version) {
--- a/src/test/java/org/micabarrow/weights/RetirementTest.java
+++ b/src/test/java/org/micabarrow/weights/RetirementTest.java
@@ -145,6 +145,40 @@
         assertFalse(endpoint.servesWrongLayer());
     }
 
+    @Test
+    void shouldNotDistrustWholeLayerBecauseOfOrderToFormerStart() throws Exception {
+        holdsFirstVersion();
+        views.want("m", 2);
+        stepFor(STOPPED_MILLIS);
+        assertEquals(List.of("start 2 layer 0"), endpoint.orders, "of chunks that were not whole");
+        endpoint.startAgain(9_000);
+        endpoint.held = 1;
+        origin.gives = 2;
+        fetchBeside(2, 2);
+        stepFor(1_000);
+        origin.gives = FakeOrigin.CHUNKS;
+        fetchAll();
+        stepFor(1_000);
+        assertEquals(List.of("start 2 layer 0", "start 2"), endpoint.orders);
+        assertFalse(endpoint.servesWrongLayer());
+    }
+
+    @Test
+    void shouldOpenToEntriesWhenEndpointThatWasToBeOrderedStartsAgain() throws Exception {
+        holdsFirstVersion();
+        views.want("m", 2);
+        origin.gives = FakeOrigin.CHUNKS - 1;
+        fetchBeside(2, FakeOrigin.CHUNKS - 1);
+        now.addAndGet(3_400);
+        keeper.step();
+        assertTrue(keeper.closing());
+        endpoint.startAgain(9_000);
+        origin.gives = 0;
+        keeper.refresh();
+        keeper.step();
+        assertFalse(keeper.closing());
+    }
+
     // -- orders that go wrong
 
     @Test
