ViewKeeperTest: the follower on a thread of its own rests between reads

The reader now holds a read that finds nothing, as the store does; what the test demands is the same.

--- a/src/test/java/org/micabarrow/views/ViewKeeperTest.java
+++ b/src/test/java/org/micabarrow/views/ViewKeeperTest.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -274,6 +275,10 @@
         private boolean expired;
         private boolean silentOnce;
         private boolean brokenOnce;
+
+        /** Whether to hold a read that finds nothing, as a store does; else a follower on a thread of its own never rests. */
+        private boolean holding;
+
         private Fault.Reason reason = Fault.Reason.TIMEOUT;
         private final List<Long> readFrom = new ArrayList<>();
         private final List<Duration> holds = new ArrayList<>();
@@ -291,6 +296,9 @@
         public Result<Read> read(Topic topic, long from, Duration hold) {
             readFrom.add(from);
             holds.add(hold);
+            if (holding) {
+                LockSupport.parkNanos(hold.toNanos());
+            }
             if (down) {
                 return failed();
             }
@@ -326,6 +334,7 @@
     @Test
     void shouldGoOnFollowingWhenOneReadFailsByFaultOfProgram() {
         reader.brokenOnce = true;
+        reader.holding = true;
         follower.start();
         Await.until("the next read", () -> keeper.view().manifest().isPresent());
         assertEquals(4, version());
