weights: an agent that has just started takes no layers of a version elsewhere for its use

Such layers may be those of an endpoint that was stopped early for an older version's sake. RetirementTest. shouldNotStopAtOnceWhenNewerVersionIsHeldElsewhereInPartOnly stopped it before.

--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -75,7 +75,7 @@
         this.parts = Objects.requireNonNull(parts, "parts is null");
         this.cordon = new Cordon(parts.tellEntries());
         this.laid = new LaidChunks(parts.endpoint());
-        this.deadlines = new VersionDeadlines(parts.view(), parts.boundMillis(), parts.steadyMillis());
+        this.deadlines = new VersionDeadlines(parts.view(), parts.layers(), parts.boundMillis(), parts.steadyMillis());
         this.fetches = new VersionFetches(parts.fetcher(), deadlines, parts.steadyMillis());
         this.choice = new VersionChoice(fetches, deadlines, parts.place(), parts.steadyMillis());
         this.retirement =
@@ -176,11 +176,11 @@
     public void step() {
         Optional<String> model = parts.model().get();
         Optional<Report> now = report.get();
+        now.ifPresent(told -> retirement.holds(told.models()));
         if (model.isEmpty() || now.isEmpty()) {
             retirement.hindered(now.isEmpty() ? "the endpoint does not answer" : "no manifest is known");
             return;
         }
-        retirement.holds(now.get().models());
         // A busy endpoint takes no requests on the version before.
         if (!now.get().busy()) {
             long held = now.get().models().getOrDefault(model.get(), 0L);
--- a/src/main/java/org/micabarrow/weights/VersionDeadlines.java
+++ b/src/main/java/org/micabarrow/weights/VersionDeadlines.java
@@ -1,6 +1,7 @@
 package org.micabarrow.weights;
 
 import java.util.OptionalLong;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.stream.LongStream;
@@ -22,6 +23,7 @@
     private static final long READING_BACK_MILLIS = 200;
 
     private final Supplier<View> view;
+    private final IntSupplier layers;
     private final long boundMillis;
     private final LongSupplier steadyMillis;
 
@@ -29,11 +31,13 @@
      * Makes the deadlines of an agent.
      *
      * @param view what is believed of the store
+     * @param layers how many layers the model has, 0 while that is not known
      * @param boundMillis how long after a version was named older ones may answer
      * @param steadyMillis a clock that never steps, in milliseconds
      */
-    VersionDeadlines(Supplier<View> view, long boundMillis, LongSupplier steadyMillis) {
+    VersionDeadlines(Supplier<View> view, IntSupplier layers, long boundMillis, LongSupplier steadyMillis) {
         this.view = view;
+        this.layers = layers;
         this.boundMillis = boundMillis;
         this.steadyMillis = steadyMillis;
     }
@@ -55,11 +59,12 @@
     }
 
     /**
-     * The newest version that any endpoint has taken up. A process that found versions named at its start, or has read of
+     * The newest version that any endpoint holds with all layers. A process that found versions named at its start, or has read of
      * none yet, cannot know for how long they have been; an endpoint takes at least 0.45 of the bound until it has a new one.
      */
-    private static long newestInUse(View now, String model) {
+    private long newestInUse(View now, String model) {
         return now.endpoints().values().stream()
+                .filter(endpoint -> endpoint.layers() >= layers.getAsInt())
                 .mapToLong(endpoint -> endpoint.models().getOrDefault(model, 0L))
                 .max()
                 .orElse(0);
--- a/src/test/java/org/micabarrow/weights/KeeperFixture.java
+++ b/src/test/java/org/micabarrow/weights/KeeperFixture.java
@@ -50,7 +50,7 @@
                 now::get));
     }
 
-    /** Reads the offset of a record as the version that an endpoint holds. */
+    /** Reads the offset of a record as the version that an endpoint holds, and its value as the number of layers. */
     private static final class EndpointsOnly implements RecordDecoder {
 
         @Override
@@ -61,14 +61,7 @@
         @Override
         public Result<EndpointEntry> endpoint(StoredRecord record) {
             return Result.success(new EndpointEntry(
-                    record.key(),
-                    "s",
-                    "10.0.0.1:80",
-                    "h",
-                    1,
-                    false,
-                    Map.of("m", record.offset()),
-                    FakeEndpoint.LAYERS));
+                    record.key(), "s", "10.0.0.1:80", "h", 1, false, Map.of("m", record.offset()), record.value()[0]));
         }
     }
 
@@ -85,10 +78,12 @@
         }
     }
 
-    /** Another endpoint enters itself with a version. */
-    void anotherHolds(long version) {
+    /** Another endpoint enters itself with layers of a version. */
+    void anotherHolds(long version, int layers) {
         views.apply(
-                ViewKeeper.Topic.ENDPOINTS, List.of(new StoredRecord("i-other", version, new byte[] {1})), version + 1);
+                ViewKeeper.Topic.ENDPOINTS,
+                List.of(new StoredRecord("i-other", version, new byte[] {(byte) layers})),
+                version + 1);
     }
 
     /** Steps as if entries had been told to send nothing, and again when all of them know. */
--- a/src/test/java/org/micabarrow/weights/RetirementTest.java
+++ b/src/test/java/org/micabarrow/weights/RetirementTest.java
@@ -224,17 +224,26 @@
     void shouldStopAtOnceWhenNewerVersionIsInUseElsewhereAndAgentFoundItNamed() {
         holdsFirstVersion();
         views.want("m", 2);
-        anotherHolds(2);
+        anotherHolds(2, FakeEndpoint.LAYERS);
         stepFor(1_000);
         assertEquals(List.of("start 2 layer 0"), endpoint.orders);
     }
 
+    @Test
+    void shouldNotStopAtOnceWhenNewerVersionIsHeldElsewhereInPartOnly() {
+        holdsFirstVersion();
+        views.want("m", 2);
+        anotherHolds(2, 1);
+        stepFor(1_000);
+        assertEquals(List.of(), endpoint.orders);
+    }
+
     @Test
     void shouldNotStopAtOnceWhenAgentSawNewerVersionBeingNamed() {
         holdsFirstVersion();
         views.replace(ViewKeeper.Topic.OPERATOR, List.of(), 0);
         views.want("m", 2);
-        anotherHolds(2);
+        anotherHolds(2, FakeEndpoint.LAYERS);
         stepFor(1_000);
         assertEquals(List.of(), endpoint.orders);
     }
@@ -242,7 +251,7 @@
     @Test
     void shouldTakeUpNoVersionThatIsOlderThanOneInUseElsewhereWhenNothingIsKnownToBeNamed() throws Exception {
         fetch();
-        anotherHolds(2);
+        anotherHolds(2, FakeEndpoint.LAYERS);
         stepFor(1_000);
         assertEquals(List.of(), endpoint.orders);
     }
