--- a/src/main/java/org/micabarrow/process/AgentProcess.java
+++ b/src/main/java/org/micabarrow/process/AgentProcess.java
@@ -7,7 +7,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 import org.micabarrow.coordination.admission.ConcurrencyLimit;
@@ -20,9 +19,10 @@
 import org.micabarrow.coordination.weights.OriginBudget;
 import org.micabarrow.coordination.weights.Transfer;
 import org.micabarrow.coordination.weights.TransferMetrics;
+import org.micabarrow.coordination.weights.TransferTask;
 import org.micabarrow.coordination.weights.WeightShare;
 import org.micabarrow.coordination.weights.Weights;
-import org.micabarrow.protocol.Wire;
+import org.micabarrow.protocol.StatusMessages;
 import org.micabarrow.protocol.wire.Load;
 import org.micabarrow.protocol.wire.StatusReply;
 import org.micabarrow.settings.AgentSettings;
@@ -34,9 +34,9 @@
 import org.micabarrow.transport.EndpointClient;
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.LinkPacer;
-import org.micabarrow.transport.OperatorServer;
-import org.micabarrow.transport.PeerService;
 import org.micabarrow.transport.WeightsClient;
+import org.micabarrow.transport.grpc.PeerService;
+import org.micabarrow.transport.operators.OperatorServer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -47,7 +47,6 @@
     private static final long LIST_MILLIS = 30_000;
     private static final int AHEAD_PART = 4;
     private static final long LEAST_PATIENCE_MILLIS = 100;
-    private static final long STOP_LOOK_MILLIS = 50;
 
     private final AgentSettings settings;
     private final Node node;
@@ -59,7 +58,7 @@
     private final LinkPacer linkIn;
     private final LinkPacer linkOut;
     private final Weights weights;
-    private final ExecutorService threads = Executors.newCachedThreadPool(AgentProcess::daemon);
+    private final ExecutorService threads = Node.workers("agent-work");
     private Server server;
     private HttpListener operators;
     private volatile boolean closed;
@@ -79,7 +78,7 @@
         this.weights = faults.apply(new WeightsClient(
                 node.http(),
                 settings.platform(),
-                node.peers(),
+                node.peers()::chunks,
                 linkIn,
                 node.configuration()::generation,
                 settings.weights().windowBytes() / AHEAD_PART));
@@ -89,11 +88,10 @@
                         settings.weights().windowBytes(),
                         patience(settings),
                         Duration.ofMillis(settings.weights().lingerMillis())),
-                endpoint,
                 this::startTransfer,
                 this::runningOn,
                 node.clock());
-        this.flow = new AgentFlow(
+        this.flow = new AgentFlow(new AgentFlow.Parts(
                 node.identity(),
                 node.configuration(),
                 replicas::view,
@@ -107,7 +105,7 @@
                 endpoint,
                 share,
                 node.clock(),
-                limits.ledgerBytes());
+                limits.ledgerBytes()));
     }
 
     /**
@@ -152,12 +150,6 @@
                 Math.clamp(halfWindow, LEAST_PATIENCE_MILLIS, settings.weights().patienceMillis()));
     }
 
-    private static Thread daemon(Runnable work) {
-        Thread thread = new Thread(work, "agent-work");
-        thread.setDaemon(true);
-        return thread;
-    }
-
     private int runningOn(String version) {
         return flow.running(version);
     }
@@ -177,7 +169,7 @@
                 HttpListener.Bounds.usual(),
                 1,
                 Optional.empty(),
-                OperatorServer.watching(node.metrics(), this::healthy));
+                OperatorServer.watching(node.metrics(), node::healthy));
         node.configuration()
                 .onStep(step -> replicas.configured(node.configuration().current()));
         node.start();
@@ -188,11 +180,6 @@
                 node.identity().epoch());
     }
 
-    private boolean healthy() {
-        return node.configuration().known()
-                && node.configuration().view().stopped().isEmpty();
-    }
-
     // -- what others are told
 
     private Load load() {
@@ -206,15 +193,8 @@
     }
 
     private StatusReply status() {
-        FoldedState state = node.configuration().current();
-        StatusReply.Builder reply = StatusReply.newBuilder()
-                .setGeneration(state.offset())
-                .setInstance(node.identity().instance())
-                .setRegion(node.identity().region())
-                .setHall(node.identity().hall())
-                .setEpoch(node.identity().epochText())
-                .setLoad(load());
-        replicas.view().replicas().values().forEach(replica -> reply.addReplicas(Wire.toWire(replica)));
+        StatusReply.Builder reply = node.status().setLoad(load());
+        replicas.view().replicas().values().forEach(replica -> reply.addReplicas(StatusMessages.toWire(replica)));
         return reply.build();
     }
 
@@ -244,7 +224,7 @@
 
     // -- weights
 
-    private Transfer startTransfer(Transfer.Task task, FoldedState.Placed placed) {
+    private Transfer startTransfer(TransferTask task, FoldedState.Placed placed) {
         OriginBudget budget = bytes -> draw(placed.placement().name(), bytes);
         Transfer transfer =
                 new Transfer(task, weights, endpoint, budget, new TransferMetrics(node.metrics()), node.clock());
@@ -280,16 +260,10 @@
         LOG.info("agent instance={} leaves, open={}", node.identity().instance(), flow.open());
         node.control().execute(replicas::leave);
         long end = node.clock().millis() + settings.limits().stopMillis();
-        while (flow.open() > 0 && node.clock().millis() < end) {
-            try {
-                Thread.sleep(STOP_LOOK_MILLIS);
-            } catch (InterruptedException e) {
-                break;
-            }
-        }
+        Node.awaitIdle(() -> flow.open() > 0 && node.clock().millis() < end);
         server.shutdown();
         try {
-            server.awaitTermination(STOP_LOOK_MILLIS * 10, TimeUnit.MILLISECONDS);
+            server.awaitTermination(Node.STOP_LOOK_MILLIS * 10, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -4,14 +4,17 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.stream.Stream;
 import org.micabarrow.admission.PlaceShares;
 import org.micabarrow.platform.EndpointCalls;
 import org.micabarrow.platform.OriginCalls;
 import org.micabarrow.routing.EndpointLoad;
+import org.micabarrow.routing.EndpointStart;
 import org.micabarrow.routing.ModelService;
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.steps.Steps;
 import org.micabarrow.transport.HostedPeerServer;
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.LoadServer;
@@ -52,6 +55,9 @@
      */
     private static final long STANDSTILL_MILLIS = 400;
 
+    /** How many agents of each region keep named weight versions in the store: one may be cut off from it. */
+    private static final int VERSION_KEEPERS = 2;
+
     private final HostedSettings settings;
     private final HostedNode node;
     private final ReplicaKeeper keeper;
@@ -105,13 +111,13 @@
         HttpListener.on(settings.listen().metrics(), usual, node.worker(), peers);
         loadServer = Optional.of(LoadServer.start(settings.listen().peers(), this::told, HostedNode::steadyMillis));
         // After the listeners, so that no connection of our own takes one of their ports.
-        node.follow(new Pace(HostedNode.STORE_WAIT, ENDPOINTS_REST), settings::seeds);
+        node.follow(new Pace(HostedNode.STORE_WAIT, ENDPOINTS_REST), settings::seeds, this::keepsVersions);
         node.metrics().registerGauge("weights.secondsNotRetired", keeper::secondsNotRetired);
-        run("report", REPORT_MILLIS, new Reports());
-        run("fetch", LOOK_MILLIS, keeper::fetch);
-        run("replica", LOOK_MILLIS, keeper::step);
-        run("read-back", READ_BACK_MILLIS, keeper::readBack);
-        run("standstill", LOOK_MILLIS, new StandstillWatch());
+        Steps.start("report", REPORT_MILLIS, new Reports());
+        Steps.start("fetch", LOOK_MILLIS, keeper::fetch);
+        Steps.start("replica", LOOK_MILLIS, keeper::step);
+        Steps.start("read-back", READ_BACK_MILLIS, keeper::readBack);
+        Steps.start("standstill", LOOK_MILLIS, new StandstillWatch());
         LOG.info("event=started role=agent instance={}", settings.instance().id());
     }
 
@@ -119,16 +125,16 @@
      * Asks the endpoint how it is, and tells entries at once when it takes requests again, or no more. Asked by an entry of
      * another region only every 450 ms, it would stand idle for half of that after each change of versions.
      */
-    private final class Reports implements Step {
+    private final class Reports implements Steps.Step {
 
         private Optional<Serving> toldLast = Optional.empty();
 
-        private record Serving(boolean loading, long version) {}
+        private record Serving(boolean loading, long version, OptionalInt start) {}
 
         @Override
         public void take() {
             keeper.refresh();
-            Optional<Serving> now = told().map(told -> new Serving(told.loading(), told.version()));
+            Optional<Serving> now = told().map(told -> new Serving(told.loading(), told.version(), told.start()));
             if (!now.equals(toldLast)) {
                 toldLast = now;
                 tellEntries();
@@ -137,7 +143,7 @@
     }
 
     /** Says that the instance stood still, so that what entries and endpoints tell of that time can be explained. */
-    private final class StandstillWatch implements Step {
+    private final class StandstillWatch implements Steps.Step {
 
         private long lastMillis = HostedNode.steadyMillis();
 
@@ -155,25 +161,6 @@
         }
     }
 
-    /** A step of the agent's work. */
-    private interface Step {
-        void take() throws InterruptedException;
-    }
-
-    /** Takes a step again and again on a thread of its own, with a rest after each. */
-    private static void run(String name, long restMillis, Step step) {
-        Thread.ofPlatform().name(name).daemon().start(() -> {
-            try {
-                while (true) {
-                    step.take();
-                    Thread.sleep(restMillis);
-                }
-            } catch (InterruptedException e) {
-                LOG.info("event=thread_stopped thread={}", name);
-            }
-        });
-    }
-
     /** What entries are told of the endpoint; while it does not answer, nothing is said. */
     private Optional<EndpointLoad.Told> told() {
         return keeper.report()
@@ -183,7 +170,8 @@
                         report.busy() || keeper.closing(),
                         model().map(model -> report.models().getOrDefault(model, 0L))
                                 .orElse(0L),
-                        freePlaces(report)));
+                        freePlaces(report),
+                        EndpointStart.token(report.startedMillis())));
     }
 
     /** The places that may be dealt out; any number while the manifest, which says how many there are, is not known. */
@@ -234,6 +222,10 @@
         return new ReplicaKeeper.Place(region.indexOf(self.address()), region.size());
     }
 
+    private boolean keepsVersions() {
+        return place().position() < VERSION_KEEPERS;
+    }
+
     @Override
     public void close() {
         LOG.info("event=stopped");
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -11,6 +11,7 @@
 import java.util.random.RandomGenerator;
 import org.micabarrow.admission.PlaceShares;
 import org.micabarrow.routing.EndpointLoad.Told;
+import org.micabarrow.steps.Steps;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -66,12 +67,16 @@
 
     private void serve() {
         while (channel.isOpen()) {
-            try {
-                LoadMessages.Received received = LoadMessages.receive(channel);
-                answer(received.from(), LoadMessages.question(received.bytes()));
-            } catch (IOException e) {
-                LOG.warn("event=load_question_lost why=\"{}\"", e.toString());
-            }
+            Steps.guarded("load-server", this::serveOne);
+        }
+    }
+
+    private void serveOne() {
+        try {
+            LoadMessages.Received received = LoadMessages.receive(channel);
+            answer(received.from(), LoadMessages.question(received.bytes()));
+        } catch (IOException e) {
+            LOG.warn("event=load_question_lost why=\"{}\"", e.toString());
         }
     }
 
@@ -104,7 +109,7 @@
                 .filter(one -> !one.getKey().equals(said.question().entry()))
                 .mapToInt(one -> one.getValue().question().promptTokens())
                 .sum();
-        Told all = new Told(told.requests(), others, told.loading(), told.version(), places);
-        channel.send(LoadMessages.write(new LoadMessages.Answer(said.question().number(), all)), said.from());
+        LoadMessages.Answer answer = new LoadMessages.Answer(said.question().number(), told.to(others, places));
+        channel.send(LoadMessages.write(answer), said.from());
     }
 }
--- a/src/main/java/org/micabarrow/transport/PeerFeed.java
+++ b/src/main/java/org/micabarrow/transport/grpc/PeerFeed.java
@@ -1,4 +1,4 @@
-package org.micabarrow.transport;
+package org.micabarrow.transport.grpc;
 
 import io.grpc.stub.ClientCallStreamObserver;
 import io.grpc.stub.ClientResponseObserver;
@@ -87,7 +87,7 @@
 
     @Override
     public void onError(Throwable error) {
-        end(PeerClient.chunkFault(address, error));
+        end(CallFaults.of(Step.FETCH, address, error));
     }
 
     @Override
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.RouteManifest;
@@ -28,6 +30,11 @@
     private final LongSupplier steadyMillis;
     private final Map<Topic, TopicCopy> copies = new HashMap<>();
     private final DropDoubts doubts = new DropDoubts();
+    private final EndpointStarts starts = new EndpointStarts();
+
+    /** The keys whose entry cannot be used: that is said once, however often it is written. */
+    private final Set<String> refusedEntries = new HashSet<>();
+
     private boolean loaded;
     private volatile View view = View.empty();
 
@@ -50,9 +57,20 @@
         /** What operators wrote: the manifest and named weight versions. */
         OPERATOR,
         /** What endpoints wrote about themselves. */
-        ENDPOINTS
+        ENDPOINTS,
+        /** The weight versions that processes of this system saw being named, each under a key of its own. */
+        NAMED
     }
 
+    /**
+     * A named weight version that is not known to lie in {@link Topic#NAMED}.
+     *
+     * @param model the model
+     * @param version the version
+     * @param outdated keys of the model's versions there that are of use no more
+     */
+    record Unkept(String model, long version, List<String> outdated) {}
+
     /**
      * The view now.
      *
@@ -142,6 +160,7 @@
         switch (topic) {
             case OPERATOR -> news.forEach(this::operatorSaid);
             case ENDPOINTS -> endpointsSaid(news);
+            case NAMED -> versionsKept(news);
         }
     }
 
@@ -155,37 +174,101 @@
             case Result.Success<OperatorRecord>(OperatorRecord.ManifestSet(RouteManifest manifest)) ->
                 manifestSet(record, manifest);
             case Result.Success<OperatorRecord>(OperatorRecord.WeightsNamed(String model, long version)) ->
-                want(model, version);
+                weightsNamed(record, model, version);
             case Result.Success<OperatorRecord>(OperatorRecord.Unused ignored) ->
                 LOG.debug("event=record_unused key={}", record.key());
         }
     }
 
+    /** Manifests only go up: a write that got no answer may be done seconds later, after that of a newer manifest. */
     private void manifestSet(StoredRecord record, RouteManifest manifest) {
         View before = view;
+        long inForce = before.manifest().map(RouteManifest::version).orElse(-1L);
+        if (manifest.version() < inForce) {
+            LOG.warn(
+                    "event=manifest_written_late version={} offset={} kept={}",
+                    manifest.version(),
+                    record.offset(),
+                    inForce);
+            return;
+        }
         view = before.withManifest(manifest, record.offset());
         LOG.info(
-                "event=manifest_in_force version={} offset={} before={}",
-                manifest.version(),
-                record.offset(),
-                before.manifest().map(RouteManifest::version).orElse(-1L));
+                "event=manifest_in_force version={} offset={} before={}", manifest.version(), record.offset(), inForce);
+    }
+
+    private void weightsNamed(StoredRecord record, String model, long version) {
+        if (!want(model, version, "store offset=" + record.offset())) {
+            LOG.warn(
+                    "event=weights_named_late model={} version={} offset={} newest={}",
+                    model,
+                    version,
+                    record.offset(),
+                    view.newestTarget(model).map(View.Target::version).orElse(0L));
+        }
     }
 
     /**
-     * Takes note of a weight version that is wanted, from the store or from a peer that has heard of it.
+     * Takes note of a weight version that is wanted, from a peer that has heard of it.
      *
      * @param model the model
      * @param version the version; an older one than is known changes nothing
      */
     public synchronized void want(String model, long version) {
+        want(model, version, "peer");
+    }
+
+    /** Takes note of a version and tells whether it is newer than those known; the source is for the log. */
+    private boolean want(String model, long version, String source) {
         View after = view.withTarget(model, new View.Target(version, steadyMillis.getAsLong(), loaded));
         if (after == view) {
-            return;
+            return false;
         }
         view = after;
-        LOG.info("event=weights_named model={} version={}", model, version);
+        LOG.info("event=weights_named model={} version={} atStart={} from={}", model, version, !loaded, source);
+        return true;
+    }
+
+    // -- weight versions that processes keep in the store
+
+    /**
+     * Takes note of the newest version of each model alone: when the others were named is not known, so that they must not seem
+     * to be good to answer for a while.
+     */
+    private void versionsKept(List<StoredRecord> news) {
+        Map<String, Long> newest = new HashMap<>();
+        news.stream()
+                .filter(record -> !record.dropped())
+                .map(decoder::operator)
+                .flatMap(said -> said.toOptional().stream())
+                .forEach(said -> {
+                    if (said instanceof OperatorRecord.WeightsNamed(String model, long version)) {
+                        newest.merge(model, version, Math::max);
+                    }
+                });
+        newest.forEach((model, version) -> want(model, version, "kept"));
     }
 
+    /** Whether what operators wrote has been read. */
+    synchronized boolean knowsOperator() {
+        return loaded;
+    }
+
+    /** The newest versions that are not known to lie in the store under a key of their own. */
+    synchronized List<Unkept> unkept() {
+        TopicCopy kept = copies.get(Topic.NAMED);
+        List<Unkept> all = new ArrayList<>();
+        view.targets().forEach((model, named) -> {
+            long version = named.getLast().version();
+            if (kept.record(VersionKeys.of(model, version)).isEmpty()) {
+                all.add(new Unkept(model, version, VersionKeys.outdated(kept.keys(), model, version)));
+            }
+        });
+        return all;
+    }
+
+    // -- endpoints
+
     private void endpointsSaid(List<StoredRecord> news) {
         Map<String, EndpointEntry> endpoints = new HashMap<>(view.endpoints());
         List<String> changes = new ArrayList<>();
@@ -205,6 +288,7 @@
             return Optional.of("event=endpoint_doubted endpoint=" + id + " offset=" + record.offset());
         }
         doubts.forget(id);
+        refusedEntries.remove(id);
         return endpoints.remove(id) == null
                 ? Optional.empty()
                 : Optional.of("event=endpoint_gone endpoint=" + id + " offset=" + record.offset());
@@ -212,24 +296,56 @@
 
     /** Takes a written entry into account; returns what to log, if anything changes. */
     private Optional<String> entryWritten(StoredRecord record, Map<String, EndpointEntry> endpoints) {
-        doubts.forget(record.key());
         return switch (decoder.endpoint(record)) {
-            case Result.Failure<EndpointEntry>(Fault fault) -> {
-                refused(record, fault);
-                yield Optional.empty();
-            }
-            case Result.Success<EndpointEntry>(EndpointEntry entry) -> {
-                EndpointEntry before = endpoints.put(entry.id(), entry);
-                yield entry.equals(before)
-                        ? Optional.empty()
-                        : Optional.of("event=endpoint_changed endpoint=" + entry.id() + " address=" + entry.address()
-                                + " leaving=" + entry.leaving() + " models=" + entry.models() + " offset="
-                                + record.offset());
-            }
+            case Result.Failure<EndpointEntry>(Fault fault) -> entryRefused(record, fault.message(), endpoints);
+            case Result.Success<EndpointEntry>(EndpointEntry entry)
+            when starts.lacking(entry) -> entryRefused(record, "it does not tell the endpoint's start", endpoints);
+            case Result.Success<EndpointEntry>(EndpointEntry entry)
+            when starts.over(entry, steadyMillis.getAsLong()) ->
+                Optional.of("event=entry_of_older_start endpoint=" + entry.id() + " started=" + started(entry)
+                        + " offset=" + record.offset());
+            case Result.Success<EndpointEntry>(EndpointEntry entry) -> entryTaken(record, entry, endpoints);
         };
     }
 
+    /**
+     * An entry that cannot be used takes the place of the one before: that says what was, and nobody knows of what the endpoint
+     * does now, whether it leaves or is gone.
+     */
+    private Optional<String> entryRefused(StoredRecord record, String why, Map<String, EndpointEntry> endpoints) {
+        String id = record.key();
+        doubts.forget(id);
+        boolean first = refusedEntries.add(id);
+        boolean known = endpoints.remove(id) != null;
+        return first || known
+                ? Optional.of("event=entry_refused endpoint=" + record.shownKey() + " known=" + known + " offset="
+                        + record.offset() + " why=\"" + why + "\"")
+                : Optional.empty();
+    }
+
+    private Optional<String> entryTaken(
+            StoredRecord record, EndpointEntry entry, Map<String, EndpointEntry> endpoints) {
+        doubts.forget(entry.id());
+        refusedEntries.remove(entry.id());
+        EndpointEntry before = endpoints.put(entry.id(), entry);
+        if (entry.equals(before)) {
+            return Optional.empty();
+        }
+        boolean again = before != null && !before.start().equals(entry.start());
+        String event = again ? "endpoint_restarted" : "endpoint_changed";
+        return Optional.of("event=" + event + " endpoint=" + entry.id() + " address=" + entry.address() + " leaving="
+                + entry.leaving() + " models="
+                + StoredRecord.shown(entry.models().toString()) + " started=" + started(entry) + " offset="
+                + record.offset());
+    }
+
+    private static String started(EndpointEntry entry) {
+        return entry.startedMillis().isEmpty()
+                ? "-"
+                : String.valueOf(entry.startedMillis().getAsLong());
+    }
+
     private static void refused(StoredRecord record, Fault fault) {
-        LOG.error("event=record_refused key={} offset={} why=\"{}\"", record.key(), record.offset(), fault);
+        LOG.error("event=record_refused key={} offset={} why=\"{}\"", record.shownKey(), record.offset(), fault);
     }
 }
--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -181,6 +181,10 @@
             retirement.hindered(now.isEmpty() ? "the endpoint does not answer" : "no manifest is known");
             return;
         }
+        if (laid.startedAgain(now.get().startedMillis())) {
+            // The order that it was closed for, if any, was for the endpoint's former start.
+            cordon.lift();
+        }
         // A busy endpoint takes no requests on the version before.
         if (!now.get().busy()) {
             long held = now.get().models().getOrDefault(model.get(), 0L);
