--- a/src/main/java/org/micabarrow/command/RunCommand.java
+++ b/src/main/java/org/micabarrow/command/RunCommand.java
@@ -5,12 +5,13 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Function;
 import org.micabarrow.process.AgentProcess;
 import org.micabarrow.process.EntryProcess;
 import org.micabarrow.settings.AgentSettings;
+import org.micabarrow.settings.Common;
 import org.micabarrow.settings.EntrySettings;
 import org.micabarrow.settings.SettingsReader;
-import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
 
 /** Runs a process until it is told to stop. SIGTERM makes it take no new work and finish what it has. */
@@ -23,6 +24,23 @@
         return Path.of(settings);
     }
 
+    /** Starts a process from its settings. */
+    @FunctionalInterface
+    interface Start<S> {
+
+        AutoCloseable from(S settings) throws IOException;
+    }
+
+    /** Runs a process with the settings that were read, or shows what is wrong with them. */
+    static <S> ExitCode serve(Console console, Result<S> read, Function<S, Common.Logging> logging, Start<S> process)
+            throws IOException, InterruptedException {
+        if (read instanceof Result.Success<S>(S checked)) {
+            Logs.setUp(logging.apply(checked));
+            return serve(process.from(checked));
+        }
+        return console.show(read.cause().orElseThrow());
+    }
+
     /** Waits for SIGTERM, then closes the process before the virtual machine ends. */
     static ExitCode serve(AutoCloseable process) throws InterruptedException {
         CountDownLatch never = new CountDownLatch(1);
@@ -51,13 +69,7 @@
 
         @Override
         ExitCode run(Console console) throws IOException, InterruptedException {
-            return switch (SettingsReader.entry(settingsFile())) {
-                case Result.Failure<EntrySettings>(Fault fault) -> console.show(fault);
-                case Result.Success<EntrySettings>(EntrySettings checked) -> {
-                    Logs.setUp(checked.log());
-                    yield serve(EntryProcess.start(checked));
-                }
-            };
+            return serve(console, SettingsReader.entry(settingsFile()), EntrySettings::log, EntryProcess::start);
         }
     }
 
@@ -72,13 +84,7 @@
 
         @Override
         ExitCode run(Console console) throws IOException, InterruptedException {
-            return switch (SettingsReader.agent(settingsFile())) {
-                case Result.Failure<AgentSettings>(Fault fault) -> console.show(fault);
-                case Result.Success<AgentSettings>(AgentSettings checked) -> {
-                    Logs.setUp(checked.log());
-                    yield serve(AgentProcess.start(checked));
-                }
-            };
+            return serve(console, SettingsReader.agent(settingsFile()), AgentSettings::log, AgentProcess::start);
         }
     }
 }
