--- a/src/main/java/org/micabarrow/command/OperatorCommand.java
+++ b/src/main/java/org/micabarrow/command/OperatorCommand.java
@@ -28,7 +28,9 @@
 /** A command that asks an entry. */
 abstract class OperatorCommand extends Command {
 
+    /** How long an entry may take for an answer; a confirmation waits until the plan is in force. */
     private static final Duration WITHIN = Duration.ofSeconds(30);
+
     private static final String TOKEN_VARIABLE = "MICABARROW_TOKEN";
 
     @Parameter(names = "--entry", description = "The operators' address of any entry")
--- a/src/main/java/org/micabarrow/command/StatusCommand.java
+++ b/src/main/java/org/micabarrow/command/StatusCommand.java
@@ -11,9 +11,14 @@
 @Parameters(commandDescription = "Show each replica's state and progress")
 final class StatusCommand extends OperatorCommand {
 
-    private static final int BAR = 24;
+    /** The length of the bar that shows progress, in characters. */
+    private static final int BAR_CHARACTERS = 24;
+
+    /** How often status is asked for while it is watched, in milliseconds. */
     private static final long WATCH_MILLIS = 500;
-    private static final int SHORT_VERSION = 12;
+
+    /** How many characters of a version are shown. */
+    private static final int SHORT_VERSION_CHARACTERS = 12;
 
     @Parameter(names = "--watch", description = "Show it again and again until every replica is ready")
     private boolean watch;
@@ -50,10 +55,11 @@
 
     private static String line(OperatorMessages.Replica replica) {
         int filled = replica.total() == 0
-                ? (replica.state().equals("ready") ? BAR : 0)
-                : replica.chunks() * BAR / replica.total();
+                ? (replica.state().equals("ready") ? BAR_CHARACTERS : 0)
+                : replica.chunks() * BAR_CHARACTERS / replica.total();
         String version = replica.version()
-                .substring(0, Math.min(SHORT_VERSION, replica.version().length()));
+                .substring(
+                        0, Math.min(SHORT_VERSION_CHARACTERS, replica.version().length()));
         return String.format(
                 Locale.ROOT,
                 "  %-14s %-16s %-14s [%s%s] %-11s %s%s",
@@ -61,7 +67,7 @@
                 replica.instance(),
                 replica.hall(),
                 "#".repeat(filled),
-                ".".repeat(BAR - filled),
+                ".".repeat(BAR_CHARACTERS - filled),
                 replica.state(),
                 version,
                 replica.fault().isEmpty() ? "" : " (" + replica.fault() + ")");
--- a/src/main/java/org/micabarrow/coordination/admission/ConcurrencyLimit.java
+++ b/src/main/java/org/micabarrow/coordination/admission/ConcurrencyLimit.java
@@ -12,9 +12,19 @@
  */
 public final class ConcurrencyLimit {
 
-    private static final double SLOWER_BORNE = 2.0;
+    /** How many times the quickest beginning an answer may take before the limit falls. */
+    private static final double SLOWER_ALLOWED = 2.0;
+
+    /** What a slow beginning multiplies the limit by. */
     private static final double FALL = 0.9;
+
+    /**
+     * How much later, in milliseconds, an answer may begin besides, so that quick endpoints do not count as slow by
+     * chance.
+     */
     private static final double SLACK_MILLIS = 5;
+
+    /** What each answer multiplies the quickest beginning by, so that one lucky answer does not hold for ever. */
     private static final double FLOOR_DRIFT = 1.001;
 
     private final int least;
@@ -72,7 +82,7 @@
      */
     public synchronized void began(double millis) {
         quickestMillis = Math.min(quickestMillis * FLOOR_DRIFT, millis);
-        boolean slow = millis > quickestMillis * SLOWER_BORNE + SLACK_MILLIS;
+        boolean slow = millis > quickestMillis * SLOWER_ALLOWED + SLACK_MILLIS;
         if (slow) {
             limit = Math.max(least, limit * FALL);
         } else if (open >= limit - 1) {
--- a/src/main/java/org/micabarrow/coordination/admission/Room.java
+++ b/src/main/java/org/micabarrow/coordination/admission/Room.java
@@ -3,6 +3,7 @@
 /** How an instance's room is divided between short and long requests. */
 public final class Room {
 
+    /** One place in how many only short requests may take. */
     private static final int RESERVED_ONE_IN = 5;
 
     private Room() {}
--- a/src/main/java/org/micabarrow/coordination/agents/AgentFlow.java
+++ b/src/main/java/org/micabarrow/coordination/agents/AgentFlow.java
@@ -23,6 +23,7 @@
  */
 public final class AgentFlow {
 
+    /** How long a request waits for the configuration that its entry had, before it is decided on the one in force. */
     private static final Duration CATCH_UP = Duration.ofSeconds(1);
 
     private final Parts parts;
--- a/src/main/java/org/micabarrow/coordination/agents/AgentRun.java
+++ b/src/main/java/org/micabarrow/coordination/agents/AgentRun.java
@@ -23,7 +23,9 @@
 final class AgentRun implements EndpointCalls.Listener {
 
     private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.decision.start");
-    private static final Duration SOON = Duration.ofMillis(200);
+
+    /** When a request that did not run may be tried again: another agent may have room at once. */
+    private static final Duration RETRY_AFTER = Duration.ofMillis(200);
 
     private final AgentFlow flow;
     private final AgentFlow.Parts parts;
@@ -175,7 +177,7 @@
             finish(Outcome.unknown(fault));
         } else {
             request.claim().ifPresent(claim -> parts.ledger().neverRan(claim.key()));
-            finish(Outcome.notRun(fault, SOON));
+            finish(Outcome.notRun(fault, RETRY_AFTER));
         }
     }
 
@@ -217,7 +219,7 @@
     }
 
     private Outcome.NotRun notRun(Reason reason, String message) {
-        return new Outcome.NotRun(fault(reason, message), SOON);
+        return new Outcome.NotRun(fault(reason, message), RETRY_AFTER);
     }
 
     private Fault fault(Reason reason, String message) {
--- a/src/main/java/org/micabarrow/coordination/agents/StartCheck.java
+++ b/src/main/java/org/micabarrow/coordination/agents/StartCheck.java
@@ -25,7 +25,8 @@
  */
 public record StartCheck(Identity identity, long cutOffMillis) {
 
-    private static final Duration SOON = Duration.ofMillis(500);
+    /** When a refused request may be tried again. */
+    private static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
     /** Checks the parts. */
     public StartCheck {
@@ -93,6 +94,6 @@
 
     private Decision.Refuse refuse(Reason reason, String message) {
         Fault fault = Fault.of(Fault.Step.START, identity.instance(), reason, message);
-        return new Decision.Refuse(new Outcome.NotRun(fault, SOON));
+        return new Decision.Refuse(new Outcome.NotRun(fault, RETRY_AFTER));
     }
 }
--- a/src/main/java/org/micabarrow/coordination/configuration/RecordWriter.java
+++ b/src/main/java/org/micabarrow/coordination/configuration/RecordWriter.java
@@ -25,7 +25,9 @@
 public final class RecordWriter {
 
     private static final Logger LOG = LoggerFactory.getLogger(RecordWriter.class);
-    private static final Duration LOOK = Duration.ofMillis(500);
+
+    /** How long a record that was appended is waited for before it is appended again under the same id. */
+    private static final Duration POLL = Duration.ofMillis(500);
 
     private final PlatformLog log;
     private final Configuration configuration;
@@ -61,7 +63,7 @@
             long target = appended.toOptional().orElse(configuration.generation() + 1);
             awaitGeneration(
                     target,
-                    Math.min(LOOK.toMillis(), end - clock.millis()),
+                    Math.min(POLL.toMillis(), end - clock.millis()),
                     appended.cause().isPresent());
             FoldedState.Seen seen = configuration.current().seen().get(record.id());
             if (seen != null) {
--- a/src/main/java/org/micabarrow/coordination/requests/KeyClaim.java
+++ b/src/main/java/org/micabarrow/coordination/requests/KeyClaim.java
@@ -26,8 +26,12 @@
 final class KeyClaim {
 
     private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.decision.route");
+
+    /** For how long a claim counts as just being sent, in milliseconds. */
     private static final long ON_ITS_WAY_MILLIS = 1_000;
-    private static final Duration LATER = Duration.ofSeconds(2);
+
+    /** When a request whose key could not be claimed may be tried again. */
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(2);
 
     private final RequestFlow flow;
     private final RequestFlow.Parts parts;
@@ -74,7 +78,7 @@
             switch (verdict) {
                 case ClaimVerdict.Won ignored -> next.won(placed, replica, attempt, claim);
                 case ClaimVerdict.Held(Claim holder, long ageMillis) -> heldBy(placed, claim, holder, ageMillis);
-                case ClaimVerdict.Failed(Fault fault) -> next.end(Outcome.notRun(fault, LATER));
+                case ClaimVerdict.Failed(Fault fault) -> next.end(Outcome.notRun(fault, RETRY_AFTER));
             }
         });
     }
@@ -93,7 +97,7 @@
                             holder.instance(),
                             Reason.CONFLICT,
                             "the Idempotency-Key was used before with another body"),
-                    LATER));
+                    RETRY_AFTER));
             return;
         }
         if (ageMillis < ON_ITS_WAY_MILLIS) {
--- a/src/main/java/org/micabarrow/coordination/requests/RequestFlow.java
+++ b/src/main/java/org/micabarrow/coordination/requests/RequestFlow.java
@@ -36,10 +36,17 @@
     /** The longest that a request waits for room. */
     static final Duration LONGEST_QUEUE = Duration.ofSeconds(2);
 
+    /** The most requests that wait in one lane; further ones are refused, so that memory is bounded. */
     private static final int MOST_WAITING = 256;
+
+    /** The weight of the newest gap between two turns in their moving average. */
     private static final double WEIGHT_OF_NEWEST = 0.1;
+
+    /** The longest gap that counts, in milliseconds, so that an idle time does not look like a slow queue. */
     private static final double MOST_GAP_MILLIS = 1_000;
-    private static final Duration SOON = Duration.ofMillis(500);
+
+    /** When a refused request may be tried again, at the soonest. */
+    private static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
     private final Supplier<FoldedState> state;
     private final Supplier<Map<String, PeerView>> peers;
@@ -97,7 +104,7 @@
         Objects.requireNonNull(sink, "sink is null");
         Optional<Placed> placed = placementFor(state.get(), request);
         if (placed.isEmpty()) {
-            sink.onEnd(Outcome.notRun(unplaced(request), SOON));
+            sink.onEnd(Outcome.notRun(unplaced(request), RETRY_AFTER));
             return () -> {};
         }
         RequestRun run = new RequestRun(this, parts, request, sink);
@@ -108,7 +115,7 @@
                             "caller",
                             Reason.INVALID,
                             request.workload() + " is not repeatable: the request needs an Idempotency-Key header"),
-                    SOON));
+                    RETRY_AFTER));
             return () -> {};
         }
         parts.budget().sent();
@@ -202,7 +209,7 @@
                 ? Optional.empty()
                 : Optional.of(new Outcome.NotRun(
                         Fault.of(Step.ROUTE, "entry", Reason.OVERLOADED, "too many requests wait for room"),
-                        Duration.ofMillis(Math.max(SOON.toMillis(), wait))));
+                        Duration.ofMillis(Math.max(RETRY_AFTER.toMillis(), wait))));
     }
 
     /** Requests that wait, with how fast they get their turn. */
--- a/src/main/java/org/micabarrow/coordination/requests/RequestRun.java
+++ b/src/main/java/org/micabarrow/coordination/requests/RequestRun.java
@@ -28,9 +28,15 @@
 final class RequestRun {
 
     private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.decision.route");
+
+    /** The most attempts of one request. */
     private static final int MOST_ATTEMPTS = 3;
-    private static final Duration SOON = Duration.ofMillis(500);
-    private static final Duration LATER = Duration.ofSeconds(2);
+
+    /** When a request may be tried again after what passes quickly. */
+    private static final Duration RETRY_SOON = Duration.ofMillis(500);
+
+    /** When a request may be tried again where room is missing. */
+    private static final Duration RETRY_LATER = Duration.ofSeconds(2);
 
     private final RequestFlow flow;
     private final RequestFlow.Parts parts;
@@ -100,16 +106,16 @@
      */
     boolean tryAgain() {
         if (cancelled) {
-            end(Outcome.notRun(fault(Reason.CANCELLED, "the caller has gone"), SOON));
+            end(Outcome.notRun(fault(Reason.CANCELLED, "the caller has gone"), RETRY_SOON));
             return true;
         }
         if (now() >= request.deadlineMillis()) {
-            end(Outcome.notRun(fault(Reason.TOO_LATE, "the deadline has passed"), SOON));
+            end(Outcome.notRun(fault(Reason.TOO_LATE, "the deadline has passed"), RETRY_SOON));
             return true;
         }
         Optional<Placed> placed = flow.placementOf(request);
         if (placed.isEmpty()) {
-            end(Outcome.notRun(fault(Reason.OUTSIDE_PLACEMENT, "the placement was narrowed"), SOON));
+            end(Outcome.notRun(fault(Reason.OUTSIDE_PLACEMENT, "the placement was narrowed"), RETRY_SOON));
             return true;
         }
         Router.Decision decision = flow.route(placed.get(), wish());
@@ -135,7 +141,7 @@
                 fault(
                         full ? Reason.OVERLOADED : Reason.NOT_READY,
                         "no instance of " + placed.placement().name() + " can take it: " + decision.exclusions()),
-                full ? LATER : SOON));
+                full ? RETRY_LATER : RETRY_SOON));
         end(refusal);
         return false;
     }
@@ -143,7 +149,7 @@
     private void send(Placed placed, Router.Decision decision) {
         Replica replica = decision.chosen().orElseThrow();
         if (now() + decision.expectedWaitMillis() > request.deadlineMillis()) {
-            end(Outcome.notRun(fault(Reason.TOO_LATE, "the answer would begin after the deadline"), LATER));
+            end(Outcome.notRun(fault(Reason.TOO_LATE, "the answer would begin after the deadline"), RETRY_LATER));
             return;
         }
         attempts++;
@@ -181,7 +187,7 @@
         @Override
         public void refused(Claim holder) {
             after = Optional.of(holder.attempt());
-            retry(new Outcome.NotRun(fault(Reason.NOT_READY, "the attempt was refused for good"), SOON));
+            retry(new Outcome.NotRun(fault(Reason.NOT_READY, "the attempt was refused for good"), RETRY_SOON));
         }
 
         @Override
@@ -252,7 +258,7 @@
             keyClaim.settle(placed, lastClaim.get());
         } else {
             mayHaveRun = Optional.of(unknown);
-            retry(new Outcome.NotRun(unknown.fault(), SOON));
+            retry(new Outcome.NotRun(unknown.fault(), RETRY_SOON));
         }
     }
 
--- a/src/main/java/org/micabarrow/coordination/weights/Transfer.java
+++ b/src/main/java/org/micabarrow/coordination/weights/Transfer.java
@@ -21,9 +21,12 @@
 public final class Transfer implements Runnable {
 
     private static final Logger LOG = LoggerFactory.getLogger(Transfer.class);
-    private static final int MANIFEST_TRIES_MILLIS = 300;
 
-    private static final int WAITING_BORNE = 8;
+    /** The pause before a manifest is asked for, or a chunk staged, again, in milliseconds. */
+    private static final int RETRY_MILLIS = 300;
+
+    /** How many times the patience the first source of the plan may wait for its own source. */
+    private static final int WAITING_FACTOR = 8;
 
     private final TransferTask task;
     private final Weights weights;
@@ -139,7 +142,7 @@
                 return Optional.of(found);
             }
             manifest.cause().ifPresent(this::note);
-            Thread.sleep(MANIFEST_TRIES_MILLIS);
+            Thread.sleep(RETRY_MILLIS);
         }
         return Optional.empty();
     }
@@ -200,7 +203,7 @@
     private Weights.Patience patience(Source source) {
         boolean named = source.equals(task.sources().getFirst());
         Duration waiting = named
-                ? task.patience().multipliedBy(WAITING_BORNE)
+                ? task.patience().multipliedBy(WAITING_FACTOR)
                 : task.patience().dividedBy(2);
         return new Weights.Patience(task.patience(), waiting);
     }
@@ -257,7 +260,7 @@
                 return Optional.empty();
             }
             staged.cause().ifPresent(this::note);
-            Thread.sleep(MANIFEST_TRIES_MILLIS);
+            Thread.sleep(RETRY_MILLIS);
         }
         return Optional.of(Fault.of(Step.STAGE, "endpoint", Reason.CANCELLED, "the transfer was cancelled"));
     }
--- a/src/main/java/org/micabarrow/coordination/weights/WeightShare.java
+++ b/src/main/java/org/micabarrow/coordination/weights/WeightShare.java
@@ -13,12 +13,25 @@
  */
 public final class WeightShare {
 
+    /** The least part of the link that weights get, so that a transfer always ends. */
     private static final double LEAST = 0.3;
+
+    /** What a slower beginning of an answer multiplies the share by. */
     private static final double FALL = 0.9;
+
+    /** What any other beginning adds to the share. */
     private static final double RISE = 0.01;
-    private static final double SLOWER_BORNE = 1.25;
+
+    /** How many times the usual beginning recent ones may take before weights give way. */
+    private static final double SLOWER_ALLOWED = 1.25;
+
+    /** How much later, in milliseconds, answers may begin besides, so that chance does not count. */
     private static final double SLACK_MILLIS = 10;
+
+    /** The weight of the newest answer in the usual beginning. */
     private static final double USUAL_WEIGHT = 0.01;
+
+    /** The weight of the newest answer in the recent beginning. */
     private static final double RECENT_WEIGHT = 0.1;
 
     private volatile double share = 1;
@@ -37,7 +50,7 @@
         }
         usualMillis += (millis - usualMillis) * USUAL_WEIGHT;
         recentMillis += (millis - recentMillis) * RECENT_WEIGHT;
-        boolean slower = recentMillis > usualMillis * SLOWER_BORNE + SLACK_MILLIS;
+        boolean slower = recentMillis > usualMillis * SLOWER_ALLOWED + SLACK_MILLIS;
         share = slower ? Math.max(LEAST, share * FALL) : Math.min(1, share + RISE);
     }
 
--- a/src/main/java/org/micabarrow/process/AgentProcess.java
+++ b/src/main/java/org/micabarrow/process/AgentProcess.java
@@ -44,8 +44,14 @@
 public final class AgentProcess implements AutoCloseable {
 
     private static final Logger LOG = LoggerFactory.getLogger(AgentProcess.class);
+
+    /** How often an agent reads the platform's list of instances, in milliseconds. */
     private static final long LIST_MILLIS = 30_000;
+
+    /** Which part of the window of chunks may be on its way from the store at once: one in this many. */
     private static final int AHEAD_PART = 4;
+
+    /** The least time after which a source counts as stalled, in milliseconds, however quick the link is. */
     private static final long LEAST_PATIENCE_MILLIS = 100;
 
     private final AgentSettings settings;
@@ -173,7 +179,7 @@
         node.configuration()
                 .onStep(step -> replicas.configured(node.configuration().current()));
         node.start();
-        threads.execute(this::reportAgainAndAgain);
+        threads.execute(this::pollReports);
         LOG.info(
                 "agent instance={} epoch={} listens",
                 node.identity().instance(),
@@ -201,7 +207,7 @@
     // -- the endpoint
 
     /** Asks for reports and gives the orders that follow, on a thread of its own. */
-    private void reportAgainAndAgain() {
+    private void pollReports() {
         while (!closed) {
             Result<Endpoint.Report> report = endpoint.report();
             report.toOptional().ifPresent(told -> concurrency.suggest(told.slots()));
@@ -263,7 +269,7 @@
         Node.awaitIdle(() -> flow.open() > 0 && node.clock().millis() < end);
         server.shutdown();
         try {
-            server.awaitTermination(Node.STOP_LOOK_MILLIS * 10, TimeUnit.MILLISECONDS);
+            server.awaitTermination(Node.STOP_POLL_MILLIS * 10, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/org/micabarrow/process/EntryProcess.java
+++ b/src/main/java/org/micabarrow/process/EntryProcess.java
@@ -42,10 +42,20 @@
 public final class EntryProcess implements AutoCloseable {
 
     private static final Logger LOG = LoggerFactory.getLogger(EntryProcess.class);
+
+    /** How often the table of agents is published and waiting requests are tried again. */
     private static final Duration TICK = Duration.ofMillis(50);
+
+    /** How long the log may take for a record that an entry writes on its own. */
     private static final Duration WRITE_WITHIN = Duration.ofSeconds(5);
+
+    /** The threads that read callers' requests. */
     private static final int CALLER_THREADS = 2;
+
+    /** How many beginnings of prompts are remembered, which bounds the memory. */
     private static final int PREFIXES = 50_000;
+
+    /** How many retries may be saved up while there is little traffic. */
     private static final double RETRIES_SAVED = 20;
 
     private final EntrySettings settings;
--- a/src/main/java/org/micabarrow/process/Node.java
+++ b/src/main/java/org/micabarrow/process/Node.java
@@ -34,9 +34,12 @@
 final class Node implements AutoCloseable {
 
     /** How often a process that stops looks whether its work has ended, in milliseconds. */
-    static final long STOP_LOOK_MILLIS = 50;
+    static final long STOP_POLL_MILLIS = 50;
 
+    /** The threads of the HTTP client, which never block. */
     private static final int HTTP_THREADS = 2;
+
+    /** How often the list of instances is read while it is still empty, at the most. */
     private static final Duration LIST_AT_START = Duration.ofSeconds(2);
 
     private final Identity identity;
@@ -171,13 +174,13 @@
     /** Begins to read the list of instances and the configuration. */
     void start() {
         readList();
-        Thread list = new Thread(this::readListAgainAndAgain, "instance-list");
+        Thread list = new Thread(this::pollList, "instance-list");
         list.setDaemon(true);
         list.start();
         reader = ConfigurationReader.start(configuration, platform, peers, this::relays);
     }
 
-    private void readListAgainAndAgain() {
+    private void pollList() {
         while (true) {
             try {
                 Thread.sleep(instances().isEmpty() ? Math.min(listMillis, LIST_AT_START.toMillis()) : listMillis);
@@ -212,7 +215,7 @@
     static void awaitIdle(BooleanSupplier busy) {
         while (busy.getAsBoolean()) {
             try {
-                Thread.sleep(STOP_LOOK_MILLIS);
+                Thread.sleep(STOP_POLL_MILLIS);
             } catch (InterruptedException e) {
                 return;
             }
--- a/src/main/java/org/micabarrow/state/Chains.java
+++ b/src/main/java/org/micabarrow/state/Chains.java
@@ -9,6 +9,7 @@
 /** The chains along which a placement's weights pass from instance to instance, and what that is estimated to take. */
 final class Chains {
 
+    /** The most chains of one placement that the origin feeds at once. */
     private static final int MOST_FEEDS = 3;
 
     private final Links links;
--- a/src/main/java/org/micabarrow/transport/EndpointClient.java
+++ b/src/main/java/org/micabarrow/transport/EndpointClient.java
@@ -29,9 +29,15 @@
     /** In an answer of status 503: the request has truly not run. */
     public static final String NOT_RUN = "X-Not-Run";
 
+    /** How long an endpoint may take for a report. */
     private static final Duration REPORT_WITHIN = Duration.ofSeconds(1);
+
+    /** How long an endpoint may take for a chunk. */
     private static final Duration STAGE_WITHIN = Duration.ofSeconds(10);
+
+    /** How long an endpoint may take for an order, which may load a whole version. */
     private static final Duration ORDER_WITHIN = Duration.ofSeconds(30);
+
     private static final int UNAVAILABLE = 503;
 
     private final HttpCaller caller;
--- a/src/main/java/org/micabarrow/transport/PlatformClient.java
+++ b/src/main/java/org/micabarrow/transport/PlatformClient.java
@@ -20,9 +20,15 @@
 /** The platform's log and list of instances, over HTTP. */
 public final class PlatformClient implements PlatformLog, InstanceList {
 
+    /** How long the log may take for an append. */
     private static final Duration APPEND_WITHIN = Duration.ofSeconds(2);
+
+    /** How much longer than the wait that was asked for the log may take for a read. */
     private static final Duration READ_SLACK = Duration.ofSeconds(2);
+
+    /** How long the platform may take for the list of instances. */
     private static final Duration LIST_WITHIN = Duration.ofSeconds(2);
+
     private static final int OK = 200;
 
     private final HttpCaller caller;
--- a/src/main/java/org/micabarrow/transport/WeightsClient.java
+++ b/src/main/java/org/micabarrow/transport/WeightsClient.java
@@ -18,9 +18,15 @@
 /** Reads weights: from the store and the origin over HTTP, from other agents as it is handed in. */
 public final class WeightsClient implements Weights {
 
+    /** How long store or origin may take for a manifest. */
     private static final Duration MANIFEST_WITHIN = Duration.ofSeconds(5);
+
     private static final int OK = 200;
+
+    /** The fewest chunks that are on their way at once, so that the next is there when one has come. */
     private static final int LEAST_AHEAD = 2;
+
+    /** The most chunks that are on their way at once, which bounds the connections to the store. */
     private static final int MOST_AHEAD = 32;
 
     private final HttpCaller caller;
--- a/src/main/java/org/micabarrow/transport/callers/CallerServer.java
+++ b/src/main/java/org/micabarrow/transport/callers/CallerServer.java
@@ -45,9 +45,15 @@
     private static final HttpString DEADLINE = new HttpString("X-Deadline-Millis");
     private static final HttpString PRIORITY = new HttpString("X-Priority");
     private static final AttachmentKey<CallerAnswer> PRESENT = AttachmentKey.create(CallerAnswer.class);
+
+    /** Up to how many tokens an answer counts as short. */
     private static final int SHORT_TOKENS = 64;
+
+    /** The longest key, in characters; longer ones are refused. */
     private static final int MOST_KEY_CHARACTERS = 256;
-    private static final Duration SOON = Duration.ofMillis(500);
+
+    /** When a refused request may be tried again. */
+    private static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
     private final Supplier<FoldedState> state;
     private final RequestFlow flow;
@@ -137,11 +143,12 @@
 
     private void begin(HttpServerExchange exchange, byte[] body, CallerAnswer answer) {
         if (leaving) {
-            answer.onEnd(Outcome.notRun(Fault.of(Step.READ, "entry", Reason.LEAVING, "the entry is leaving"), SOON));
+            answer.onEnd(
+                    Outcome.notRun(Fault.of(Step.READ, "entry", Reason.LEAVING, "the entry is leaving"), RETRY_AFTER));
             return;
         }
         switch (request(exchange, body, answer)) {
-            case Result.Failure<CallerRequest>(Fault fault) -> answer.onEnd(Outcome.notRun(fault, SOON));
+            case Result.Failure<CallerRequest>(Fault fault) -> answer.onEnd(Outcome.notRun(fault, RETRY_AFTER));
             case Result.Success<CallerRequest>(CallerRequest request) -> {
                 answer.about(request);
                 answer.cancelWith(flow.begin(request, answer));
@@ -278,6 +285,6 @@
     }
 
     private static Outcome refused(Step step, Reason reason, String message) {
-        return Outcome.notRun(Fault.of(step, "caller", reason, message), SOON);
+        return Outcome.notRun(Fault.of(step, "caller", reason, message), RETRY_AFTER);
     }
 }
--- a/src/main/java/org/micabarrow/transport/grpc/CallFaults.java
+++ b/src/main/java/org/micabarrow/transport/grpc/CallFaults.java
@@ -11,7 +11,8 @@
 /** What failed calls between processes mean. */
 final class CallFaults {
 
-    private static final Duration SOON = Duration.ofMillis(200);
+    /** When a request that never left may be tried again: another instance may take it at once. */
+    private static final Duration RETRY_AFTER = Duration.ofMillis(200);
 
     private CallFaults() {}
 
@@ -19,7 +20,7 @@
     static Outcome outcomeOf(String peer, Throwable error) {
         Fault fault = of(Step.DISPATCH, peer, error);
         boolean neverSent = Status.fromThrowable(error).getCause() instanceof ConnectException;
-        return neverSent ? Outcome.notRun(fault, SOON) : Outcome.unknown(fault);
+        return neverSent ? Outcome.notRun(fault, RETRY_AFTER) : Outcome.unknown(fault);
     }
 
     /** The fault that a call's error stands for, with the server's own description where it gave one. */
--- a/src/main/java/org/micabarrow/transport/grpc/ChunkSender.java
+++ b/src/main/java/org/micabarrow/transport/grpc/ChunkSender.java
@@ -18,8 +18,12 @@
 /** Sends an artifact's chunks to one receiver, each as soon as it is here and the receiver asks for it. */
 final class ChunkSender {
 
-    private static final Duration LOOK = Duration.ofMillis(50);
-    private static final long COMING_LOOK_MILLIS = 20;
+    /** How long a stream waits for a chunk or for its receiver before it looks again. */
+    private static final Duration POLL = Duration.ofMillis(50);
+
+    /** How often it looks whether a transfer that is about to begin has begun, in milliseconds. */
+    private static final long COMING_POLL_MILLIS = 20;
+
     private static final AtomicLong STREAMS = new AtomicLong();
 
     private final ChunksRequest request;
@@ -74,7 +78,7 @@
 
     private void pauseUntilItMayHaveCome() throws InterruptedException {
         synchronized (ready) {
-            ready.wait(COMING_LOOK_MILLIS);
+            ready.wait(COMING_POLL_MILLIS);
         }
         tellWaiting(request.getFrom());
     }
@@ -95,7 +99,7 @@
             if (replies.isCancelled()) {
                 return;
             }
-            Result<Optional<byte[]>> chunk = window.read(reader, index, LOOK);
+            Result<Optional<byte[]>> chunk = window.read(reader, index, POLL);
             if (chunk instanceof Result.Failure<Optional<byte[]>>(Fault fault)) {
                 refuse(Status.OUT_OF_RANGE.withDescription(fault.message()));
                 return;
@@ -116,7 +120,7 @@
     private void awaitReady() throws InterruptedException {
         synchronized (ready) {
             while (!replies.isReady() && !replies.isCancelled()) {
-                ready.wait(LOOK.toMillis());
+                ready.wait(POLL.toMillis());
             }
         }
     }
--- a/src/main/java/org/micabarrow/transport/grpc/PeerChannels.java
+++ b/src/main/java/org/micabarrow/transport/grpc/PeerChannels.java
@@ -28,10 +28,19 @@
 /** The gRPC server of a process and its channels to others, on one small set of threads. */
 public final class PeerChannels implements AutoCloseable {
 
+    /** The threads that read and write sockets. */
     private static final int IO_THREADS = 2;
+
+    /** The threads that answer calls and receive replies. */
     private static final int WORK_THREADS = 4;
+
+    /** The greatest message, in bytes: above the 64 MiB that a body may have by the settings. */
     private static final int MOST_MESSAGE_BYTES = 72 << 20;
+
+    /** The flow-control window of a stream, in bytes. */
     private static final int WINDOW_BYTES = 1 << 20;
+
+    /** How often an idle connection is probed, in seconds, so that one that is gone is noticed. */
     private static final long KEEP_ALIVE_SECONDS = 20;
 
     private final WireMeter meter;
--- a/src/main/java/org/micabarrow/transport/grpc/PeerClient.java
+++ b/src/main/java/org/micabarrow/transport/grpc/PeerClient.java
@@ -42,7 +42,10 @@
 /** Calls other processes of the system over gRPC, and keeps one connection to each. */
 public final class PeerClient implements AgentCalls, ConfigurationReader.Peers, AutoCloseable {
 
-    private static final Duration SHORT = Duration.ofSeconds(1);
+    /** How long a peer may take for a call that it answers from memory. */
+    private static final Duration CALL_WITHIN = Duration.ofSeconds(1);
+
+    /** How much longer than the request's deadline an attempt may take, so that the agent's own answer arrives. */
     private static final Duration ANSWER_SLACK = Duration.ofSeconds(1);
 
     private final String self;
@@ -112,7 +115,7 @@
                 .setClaim(RequestMessages.toWire(claim))
                 .build();
         SingleReply<SettleReply> reply = new SingleReply<>(Step.CLAIM, to.instance());
-        within(to.address(), SHORT).settle(request, reply);
+        within(to.address(), CALL_WITHIN).settle(request, reply);
         return reply.result().thenApply(result -> result.map(AnswerMessages::fromWire));
     }
 
@@ -131,7 +134,7 @@
                 .setSender(self)
                 .build();
         SingleReply<StatusReply> reply = new SingleReply<>(Step.STATUS, address);
-        within(address, SHORT).status(request, reply);
+        within(address, CALL_WITHIN).status(request, reply);
         return reply.result();
     }
 
@@ -142,14 +145,14 @@
                 .setSender(self)
                 .setWaitMillis(wait.toMillis())
                 .build();
-        return askRecords(address, request, wait.plus(SHORT)).map(RecordReplies::page);
+        return askRecords(address, request, wait.plus(CALL_WITHIN)).map(RecordReplies::page);
     }
 
     @Override
     public Result<ConfigurationReader.StateCopy> state(String address) {
         RecordsRequest request =
                 RecordsRequest.newBuilder().setState(true).setSender(self).build();
-        return askRecords(address, request, SHORT).flatMap(reply -> RecordReplies.stateCopy(address, reply));
+        return askRecords(address, request, CALL_WITHIN).flatMap(reply -> RecordReplies.stateCopy(address, reply));
     }
 
     private Result<RecordsReply> askRecords(String address, RecordsRequest request, Duration within) {
--- a/src/main/java/org/micabarrow/transport/grpc/PeerFeed.java
+++ b/src/main/java/org/micabarrow/transport/grpc/PeerFeed.java
@@ -16,7 +16,9 @@
 /** Chunks from another agent, asked for a few at a time so that little waits in memory. */
 final class PeerFeed implements Weights.Feed, ClientResponseObserver<ChunksRequest, Chunk> {
 
+    /** How many chunks are asked for before they are read, which bounds the memory. */
     private static final int AHEAD = 2;
+
     private static final Chunk END = Chunk.newBuilder().setIndex(-1).build();
 
     private final String address;
--- a/src/main/java/org/micabarrow/transport/grpc/PeerService.java
+++ b/src/main/java/org/micabarrow/transport/grpc/PeerService.java
@@ -41,7 +41,10 @@
 /** Answers other processes of the system. An entry has no flow and no chunks; it says so to whoever asks. */
 public final class PeerService extends PeerGrpc.PeerImplBase {
 
+    /** The most records in one reply, which bounds its size. */
     private static final int MOST_RECORDS = 256;
+
+    /** How long a call waits for its sender's configuration, before it is decided on the one in force. */
     private static final Duration CATCH_UP = Duration.ofSeconds(1);
 
     private final Configuration configuration;
--- a/src/main/java/org/micabarrow/transport/operators/PlanConfirmations.java
+++ b/src/main/java/org/micabarrow/transport/operators/PlanConfirmations.java
@@ -25,6 +25,8 @@
 final class PlanConfirmations {
 
     private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.decision.plan");
+
+    /** The pause before processes that are behind are asked again, in milliseconds. */
     private static final long ASK_AGAIN_MILLIS = 50;
 
     private final OperatorApi.Parts parts;
