--- a/src/main/java/org/micabarrow/coordination/requests/RequestFlow.java
+++ b/src/main/java/org/micabarrow/coordination/requests/RequestFlow.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Function;
 import java.util.function.Supplier;
-import org.micabarrow.coordination.admission.FairQueue;
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.coordination.calls.AgentCalls;
 import org.micabarrow.coordination.calls.AnswerListener;
@@ -36,15 +35,6 @@
     /** The longest that a request waits for room. */
     static final Duration LONGEST_QUEUE = Duration.ofSeconds(2);
 
-    /** The most requests that wait in one lane; further ones are refused, so that memory is bounded. */
-    private static final int MOST_WAITING = 256;
-
-    /** The weight of the newest gap between two turns in their moving average. */
-    private static final double WEIGHT_OF_NEWEST = 0.1;
-
-    /** The longest gap that counts, in milliseconds, so that an idle time does not look like a slow queue. */
-    private static final double MOST_GAP_MILLIS = 1_000;
-
     /** When a refused request may be tried again, at the soonest. */
     private static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
@@ -53,7 +43,7 @@
     private final Parts parts;
     private final LongAdder requests = new LongAdder();
     private final LongAdder attempts = new LongAdder();
-    private final Map<String, Lane> lanes = new ConcurrentHashMap<>();
+    private final Map<String, PlacementQueue> queues = new ConcurrentHashMap<>();
 
     /**
      * Makes a flow.
@@ -184,27 +174,23 @@
     }
 
     /** Where requests of one kind wait for one placement; short and long ones never block each other. */
-    private Lane lane(RequestRun run, Placed placed) {
+    private PlacementQueue queue(RequestRun run, Placed placed) {
         String name = placed.placement().name() + (run.request().shortRequest() ? "/short" : "/long");
-        return lanes.computeIfAbsent(name, key -> new Lane());
+        return queues.computeIfAbsent(name, key -> new PlacementQueue(parts.clock()));
     }
 
     boolean mustQueue(RequestRun run, Placed placed) {
-        return lane(run, placed).queue.size() > 0;
+        return queue(run, placed).size() > 0;
     }
 
     /** Lets a request wait, unless its turn would come too late. */
     Optional<Outcome.NotRun> enqueue(RequestRun run, Placed placed) {
-        Lane lane = lane(run, placed);
-        long wait = lane.expectedWaitMillis();
+        PlacementQueue queue = queue(run, placed);
+        long wait = queue.expectedWaitMillis();
         long most = Math.min(
                 LONGEST_QUEUE.toMillis(),
                 run.request().deadlineMillis() - parts.clock().millis());
-        boolean taken = wait <= most
-                && lane.queue.offer(
-                        run.request().organisation().name(),
-                        run.request().organisation().weight(),
-                        run);
+        boolean taken = wait <= most && queue.offer(run);
         return taken
                 ? Optional.empty()
                 : Optional.of(new Outcome.NotRun(
@@ -212,48 +198,11 @@
                         Duration.ofMillis(Math.max(RETRY_AFTER.toMillis(), wait))));
     }
 
-    /** Requests that wait, with how fast they get their turn. */
-    private final class Lane {
-
-        private final FairQueue<RequestRun> queue = new FairQueue<>(MOST_WAITING);
-        private double gapMillis;
-        private long lastMillis;
-
-        synchronized long expectedWaitMillis() {
-            return Math.round(queue.size() * gapMillis);
-        }
-
-        synchronized void left() {
-            long now = parts.clock().millis();
-            if (lastMillis > 0) {
-                double gap = Math.min(MOST_GAP_MILLIS, now - lastMillis);
-                gapMillis = gapMillis * (1 - WEIGHT_OF_NEWEST) + gap * WEIGHT_OF_NEWEST;
-            }
-            lastMillis = now;
-        }
-    }
-
     // -- waking those that wait
 
     /** Lets waiting requests try again; to be called when room may have come free, and now and then. */
     public void wake() {
-        lanes.values().forEach(this::wake);
-    }
-
-    private void wake(Lane lane) {
-        lane.queue.removeIf(RequestRun::waitedEnough).forEach(RequestRun::tryAgain);
-        int most = lane.queue.size();
-        for (int i = 0; i < most; i++) {
-            Optional<FairQueue.Waiting<RequestRun>> next = lane.queue.poll();
-            if (next.isEmpty()) {
-                return;
-            }
-            if (!next.get().item().tryAgain()) {
-                lane.queue.putBack(next.get());
-                return;
-            }
-            lane.left();
-        }
+        queues.values().forEach(PlacementQueue::wake);
     }
 
     /**
@@ -284,7 +233,7 @@
      * @return their number
      */
     public int waiting() {
-        return lanes.values().stream().mapToInt(lane -> lane.queue.size()).sum();
+        return queues.values().stream().mapToInt(PlacementQueue::size).sum();
     }
 
     /**
