--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -1,6 +1,5 @@
 package org.micabarrow.serving;
 
-import java.io.ByteArrayOutputStream;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -29,9 +28,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.request");
 
-    /** Answers up to this size are held until they are whole, so that one that breaks off can be asked for again. */
-    private static final int HELD_BYTES = 256 * 1024;
-
     private static final int SERVER_ERROR = 500;
 
     /** By these a client may take a request for not run; from an endpoint that does not say so itself they prove nothing. */
@@ -44,15 +40,13 @@
     private final EventSplitter events;
     private final EndpointEntry endpoint;
     private final EndpointLoad load;
-    private final ByteArrayOutputStream held = new ByteArrayOutputStream();
-    private Optional<AnswerHead> head = Optional.empty();
+    private final AnswerRelay relay;
     private Optional<XnioExecutor.Key> connectTimer = Optional.empty();
     private Optional<XnioExecutor.Key> beginTimer = Optional.empty();
     private Runnable cancel = () -> {};
     private boolean over;
     private boolean sending;
     private boolean promptRead;
-    private boolean passing;
     private long beganMillis;
 
     Attempt(ServedRequest run, EndpointEntry endpoint) {
@@ -62,6 +56,7 @@
         this.answer = run.answer();
         this.events = run.events();
         this.endpoint = endpoint;
+        this.relay = new AnswerRelay(run);
         this.load = parts.load(endpoint.id());
     }
 
@@ -150,7 +145,7 @@
 
     /** How far the request came at the endpoint, for the log: whether a head of an answer came, and a part of it. */
     private String progress() {
-        return "afterMs=" + (parts.nowMillis() - beganMillis) + " taken=" + head.isPresent() + " begun=" + promptRead;
+        return "afterMs=" + (parts.nowMillis() - beganMillis) + " taken=" + relay.begun() + " begun=" + promptRead;
     }
 
     /**
@@ -280,11 +275,7 @@
         } else if (error && run.mayTakeAnother()) {
             moveOn(AttemptEnd.FAILED, "the endpoint failed with " + read.status());
         } else {
-            head = Optional.of(read);
-            passing = request.route().kind().stream() && !error;
-            if (passing && !answer.begun()) {
-                answer.head(read);
-            }
+            relay.begin(read, error);
         }
     }
 
@@ -296,30 +287,7 @@
         load.heard(parts.nowMillis());
         // The head may come as soon as the endpoint has taken the request; its prompt is read with the first event.
         promptDone();
-        if (!passing) {
-            hold(data, more);
-            return;
-        }
-        byte[] whole = request.route().kind().stream() ? events.whole(data) : data;
-        if (whole.length == 0) {
-            more.run();
-        } else {
-            run.eventsPassed();
-            answer.part(whole, more, run::clientGone);
-        }
-    }
-
-    private void hold(byte[] data, Runnable more) {
-        held.writeBytes(data);
-        if (held.size() <= HELD_BYTES) {
-            more.run();
-            return;
-        }
-        passing = true;
-        answer.head(head.orElseThrow());
-        byte[] sofar = held.toByteArray();
-        held.reset();
-        answer.part(sofar, more, run::clientGone);
+        relay.part(data, more);
     }
 
     @Override
@@ -328,24 +296,7 @@
             return;
         }
         release();
-        if (!passing) {
-            finishAnswered();
-            answer.whole(head.orElseThrow(), held.toByteArray());
-            return;
-        }
-        byte[] rest = events.remainder();
-        finishAnswered();
-        if (rest.length == 0) {
-            answer.end();
-        } else {
-            answer.part(rest, answer::end, answer::gone);
-        }
-    }
-
-    private void finishAnswered() {
-        run.answered("endpoint=" + endpoint.id() + " hall=" + endpoint.dataHall() + " status="
-                + head.map(AnswerHead::status).orElse(0) + " weights="
-                + head.flatMap(AnswerHead::weightVersion).map(String::valueOf).orElse("-"));
+        relay.complete(endpoint);
     }
 
     @Override
