--- a/src/test/java/org/micabarrow/serving/OlderVersionTest.java
+++ b/src/test/java/org/micabarrow/serving/OlderVersionTest.java
@@ -37,7 +37,14 @@
     private static final String MODEL = "model-a";
     private static final long NEVER_MILLIS = 1_000_000;
 
+    /** The route's time-out of a test that waits for it. */
+    private static final long TIMEOUT_MILLIS = 500;
+
+    /** So few that an endpoint has room for more, and so many that another is chosen first. */
+    private static final int FEW_REQUESTS = 2;
+
     private final AtomicBoolean agentAnswers = new AtomicBoolean(true);
+    private final AtomicBoolean agentTells = new AtomicBoolean(true);
     private final AtomicInteger questions = new AtomicInteger();
     private final EndpointChoice choice = new EndpointChoice("region-a", Map.of("hall-a", "region-a"));
     private final ViewKeeper views = new ViewKeeper(new StoreRecords(), OlderVersionTest::steadyMillis);
@@ -88,7 +95,9 @@
                 OlderVersionTest::steadyMillis,
                 (endpoint, then) -> {
                     questions.incrementAndGet();
-                    then.accept(agentAnswers.get());
+                    if (agentTells.get()) {
+                        then.accept(agentAnswers.get());
+                    }
                 },
                 new ServingHandler.VersionTimes(askMillis, NEVER_MILLIS, cancelMillis)));
     }
@@ -147,4 +156,24 @@
         assertEquals(200, answer.join().status());
         Await.until("the end of the first", () -> platform.endpoint("model-1").hanging() == 0);
     }
+
+    @Test
+    void shouldSayNotRunWhenTimeIsUpAndEverySendingWasRefused() throws Exception {
+        platform.manifest(2, "key-a", TIMEOUT_MILLIS);
+        platform.add("model-2", "models", 2);
+        serve(0, NEVER_MILLIS);
+        Await.until("both", () -> views.view().endpoints().size() == 2);
+        choice.load("model-2").told(new Told(0, 0, false, 2), 0, steadyMillis());
+        views.want(MODEL, 2);
+        // The endpoint with the newest version refuses, and the question that the other is asked about is never
+        // settled.
+        agentTells.set(false);
+        for (int i = 0; i < FEW_REQUESTS; i++) {
+            choice.load("model-1").began(0);
+        }
+        platform.next(Behaviour.REFUSE);
+        assertEquals(503, ask().status());
+        assertEquals(1, platform.endpoint("model-2").received().size());
+        assertEquals(1, questions.get());
+    }
 }
