"Not run" is said when time is up and every sending was proven not run

Whether the request may run is asked of the attempt under way (has it left, and is it not over), not of how many there were. OlderVersionTest.shouldSayNotRunWhenTimeIsUpAndEverySendingWasRefused: 504 before, 503 after.

--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -108,6 +108,11 @@
         }
     }
 
+    /** Whether the endpoint may run the request, now or later: it has left, and nothing has ended the attempt. */
+    boolean mayRun() {
+        return sending && !over;
+    }
+
     /** Stops the attempt for good, because nobody wants its answer any more. */
     void abandon(String why) {
         if (!over) {
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -299,10 +299,11 @@
         if (finished) {
             return;
         }
+        boolean mayRun = mayHaveRun || current.filter(Attempt::mayRun).isPresent();
         current.ifPresent(attempt -> attempt.abandon("time is up"));
         if (answer.begun()) {
             broken("time is up");
-        } else if (sendings == 0) {
+        } else if (!mayRun) {
             notRun("time is up");
         } else {
             own(GATEWAY_TIMEOUT, "unknown", "time is up", 0);
