--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -95,7 +95,9 @@
             return decode(
                     record,
                     json -> new OperatorRecord.WeightsNamed(
-                            JsonFields.text(json, "model"), JsonFields.whole(json, "version", 1)));
+                            JsonFields.text(json, "model"),
+                            JsonFields.whole(json, "version", 1),
+                            VersionRecords.namedMillis(json)));
         }
         return Result.success(new OperatorRecord.Unused());
     }
--- a/src/main/java/org/micabarrow/platform/VersionRecords.java
+++ b/src/main/java/org/micabarrow/platform/VersionRecords.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.OptionalLong;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
@@ -20,12 +21,16 @@
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.transport.HttpCaller.HttpAnswer;
 import org.micabarrow.views.NamedVersions;
+import org.micabarrow.views.NamedVersions.Unkept;
 import org.micabarrow.views.StoredRecord;
 import org.micabarrow.views.VersionKeys;
 
 /** Writes named weight versions into the system's own topic of the platform's store, as operators write them into theirs. */
 public final class VersionRecords implements NamedVersions.VersionWriter {
 
+    /** Operators' records have no such field. */
+    private static final String NAMED = "namedMillis";
+
     private static final int OK = 200;
     private static final byte[] DROPPED = {};
 
@@ -48,21 +53,27 @@
     }
 
     @Override
-    public Result<List<StoredRecord>> write(String model, long version, List<String> outdated) {
+    public Result<List<StoredRecord>> write(Unkept unkept) {
         List<StoredRecord> records = new ArrayList<>();
-        records.add(new StoredRecord(VersionKeys.of(model, version), 0, value(model, version)));
-        outdated.forEach(key -> records.add(new StoredRecord(key, 0, DROPPED)));
+        records.add(new StoredRecord(VersionKeys.of(unkept.model(), unkept.version()), 0, value(unkept)));
+        unkept.outdated().forEach(key -> records.add(new StoredRecord(key, 0, DROPPED)));
         HttpCall call = HttpCall.post(Step.LOG, uri, body(records));
         return caller.call(call, within).flatMap(answer -> offset(call, answer)).map(first -> at(first, records));
     }
 
-    private static byte[] value(String model, long version) {
+    private static byte[] value(Unkept unkept) {
         ObjectNode json = CanonicalJson.mapper().createObjectNode();
-        json.put("model", model);
-        json.put("version", version);
+        json.put("model", unkept.model());
+        json.put("version", unkept.version());
+        unkept.namedMillis().ifPresent(at -> json.put(NAMED, at));
         return CanonicalJson.write(json);
     }
 
+    /** The Unix millisecond at which the writer of a record learned of its version; empty if it does not tell. */
+    static OptionalLong namedMillis(JsonNode json) {
+        return json.has(NAMED) ? OptionalLong.of(JsonFields.whole(json, NAMED, 0)) : OptionalLong.empty();
+    }
+
     /** Keyed records: the length of all that follows, the length of the key, the key, the value. */
     private static byte[] body(List<StoredRecord> records) {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
--- a/src/main/java/org/micabarrow/views/NamedVersions.java
+++ b/src/main/java/org/micabarrow/views/NamedVersions.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import org.micabarrow.state.Fault;
@@ -13,7 +14,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Keeps in the store which weight versions were named, one key a version, and recalls them at the start. The operator's own
+ * Keeps in the store which weight versions were named and when, one key a version, and recalls them at the start. The operator's own
  * record of a model does not tell this: a write that got no answer may be done seconds later, after the write of a newer
  * version, so that the newest record names an older version. A set of keys is the same in whatever order and however often its
  * members are written. Guards against endpoints that take up, and go on answering by, an older version after every process has
@@ -42,12 +43,28 @@
         /**
          * Writes that a version was named, and drops keys that are of use no more. May be done any number of times.
          *
-         * @param model the model
-         * @param version the version
-         * @param outdated the keys to drop
+         * @param unkept the version
          * @return the records as they lie in the topic, or why they may not lie there
          */
-        Result<List<StoredRecord>> write(String model, long version, List<String> outdated);
+        Result<List<StoredRecord>> write(Unkept unkept);
+    }
+
+    /**
+     * A named weight version that is not known to lie in {@link Topic#NAMED}.
+     *
+     * @param model the model
+     * @param version the version
+     * @param namedMillis the Unix millisecond at which this process learned that it was named; empty if it found it so
+     * @param outdated keys of the model's versions there that are of use no more
+     */
+    public record Unkept(String model, long version, OptionalLong namedMillis, List<String> outdated) {
+
+        /** Copies the keys. */
+        public Unkept {
+            Objects.requireNonNull(model, "model is null");
+            Objects.requireNonNull(namedMillis, "namedMillis is null");
+            outdated = List.copyOf(outdated);
+        }
     }
 
     /**
@@ -107,14 +124,14 @@
         if (!recalled.get()) {
             recall();
         }
-        List<ViewKeeper.Unkept> unkept = keeper.unkept();
+        List<Unkept> unkept = keeper.unkept();
         if (recalled.get() && !unkept.isEmpty() && writes.getAsBoolean()) {
             unkept.forEach(this::write);
         }
     }
 
-    private void write(ViewKeeper.Unkept unkept) {
-        switch (writer.write(unkept.model(), unkept.version(), unkept.outdated())) {
+    private void write(Unkept unkept) {
+        switch (writer.write(unkept)) {
             case Result.Success<List<StoredRecord>>(List<StoredRecord> records) -> {
                 keeper.apply(Topic.NAMED, records, 0);
                 LOG.info("event=version_kept model={} version={}", unkept.model(), unkept.version());
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -8,12 +8,14 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
+import org.micabarrow.views.NamedVersions.Unkept;
 import org.micabarrow.views.RecordDecoder.OperatorRecord;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -28,6 +30,7 @@
 
     private final RecordDecoder decoder;
     private final LongSupplier steadyMillis;
+    private final LongSupplier unixMillis;
     private final Map<Topic, TopicCopy> copies = new HashMap<>();
     private final DropDoubts doubts = new DropDoubts();
     private final NewestEntries newestEntries = new NewestEntries();
@@ -45,8 +48,20 @@
      * @param steadyMillis a clock that never steps, in milliseconds
      */
     public ViewKeeper(RecordDecoder decoder, LongSupplier steadyMillis) {
+        this(decoder, steadyMillis, System::currentTimeMillis);
+    }
+
+    /**
+     * Makes a keeper that knows nothing yet, with a time of day of its own.
+     *
+     * @param decoder reads records
+     * @param steadyMillis a clock that never steps, in milliseconds
+     * @param unixMillis the time of day, in milliseconds, which may be some seconds off
+     */
+    ViewKeeper(RecordDecoder decoder, LongSupplier steadyMillis, LongSupplier unixMillis) {
         this.decoder = Objects.requireNonNull(decoder, "decoder is null");
         this.steadyMillis = Objects.requireNonNull(steadyMillis, "steadyMillis is null");
+        this.unixMillis = Objects.requireNonNull(unixMillis, "unixMillis is null");
         for (Topic topic : Topic.values()) {
             copies.put(topic, new TopicCopy());
         }
@@ -62,15 +77,6 @@
         NAMED
     }
 
-    /**
-     * A named weight version that is not known to lie in {@link Topic#NAMED}.
-     *
-     * @param model the model
-     * @param version the version
-     * @param outdated keys of the model's versions there that are of use no more
-     */
-    record Unkept(String model, long version, List<String> outdated) {}
-
     /**
      * The view now.
      *
@@ -173,7 +179,8 @@
             case Result.Failure<OperatorRecord>(Fault fault) -> refused(record, fault);
             case Result.Success<OperatorRecord>(OperatorRecord.ManifestSet(RouteManifest manifest)) ->
                 manifestSet(record, manifest);
-            case Result.Success<OperatorRecord>(OperatorRecord.WeightsNamed(String model, long version)) ->
+            case Result.Success<OperatorRecord>(
+                    OperatorRecord.WeightsNamed(String model, long version, OptionalLong ignored)) ->
                 weightsNamed(record, model, version);
             case Result.Success<OperatorRecord>(OperatorRecord.Unused ignored) ->
                 LOG.debug("event=record_unused key={}", record.key());
@@ -199,7 +206,8 @@
 
     private void weightsNamed(StoredRecord record, String model, long version) {
         long newest = view.newestTarget(model).map(View.Target::version).orElse(0L);
-        if (!want(model, version, "store offset=" + record.offset()) && version < newest) {
+        long now = steadyMillis.getAsLong();
+        if (!want(model, version, now, "store offset=" + record.offset()) && version < newest) {
             LOG.warn(
                     "event=weights_named_late model={} version={} offset={} newest={}",
                     model,
@@ -216,17 +224,23 @@
      * @param version the version; an older one than is known changes nothing
      */
     public synchronized void want(String model, long version) {
-        want(model, version, "peer");
+        want(model, version, steadyMillis.getAsLong(), "peer");
     }
 
     /** Takes note of a version and tells whether it is newer than those known; the source is for the log. */
-    private boolean want(String model, long version, String source) {
-        View after = view.withTarget(model, new View.Target(version, steadyMillis.getAsLong(), loaded));
+    private boolean want(String model, long version, long sinceMillis, String source) {
+        View after = view.withTarget(model, new View.Target(version, sinceMillis, loaded));
         if (after == view) {
             return false;
         }
         view = after;
-        LOG.info("event=weights_named model={} version={} atStart={} from={}", model, version, !loaded, source);
+        LOG.info(
+                "event=weights_named model={} version={} atStart={} msAgo={} from={}",
+                model,
+                version,
+                !loaded,
+                steadyMillis.getAsLong() - sinceMillis,
+                source);
         return true;
     }
 
@@ -237,17 +251,27 @@
      * to be good to answer for a while.
      */
     private void versionsKept(List<StoredRecord> news) {
-        Map<String, Long> newest = new HashMap<>();
+        Map<String, OperatorRecord.WeightsNamed> newest = new HashMap<>();
         news.stream()
                 .filter(record -> !record.dropped())
                 .map(decoder::operator)
                 .flatMap(said -> said.toOptional().stream())
                 .forEach(said -> {
-                    if (said instanceof OperatorRecord.WeightsNamed(String model, long version)) {
-                        newest.merge(model, version, Math::max);
+                    if (said instanceof OperatorRecord.WeightsNamed named) {
+                        newest.merge(named.model(), named, (a, b) -> a.version() >= b.version() ? a : b);
                     }
                 });
-        newest.forEach((model, version) -> want(model, version, "kept"));
+        newest.values().forEach(named -> want(named.model(), named.version(), learnedMillis(named), "kept"));
+    }
+
+    /**
+     * When a version was named, on the steady clock. A process that starts while a version is due would give older ones the
+     * whole bound once more: with an agent and its entries started again 5 s after the naming, up to 13 s instead of 8.
+     */
+    private long learnedMillis(OperatorRecord.WeightsNamed named) {
+        long unixNow = unixMillis.getAsLong();
+        long ago = unixNow - named.namedMillis().orElse(unixNow);
+        return steadyMillis.getAsLong() - Math.max(0, ago);
     }
 
     /** Whether what operators wrote has been read. */
@@ -260,14 +284,20 @@
         TopicCopy kept = copies.get(Topic.NAMED);
         List<Unkept> all = new ArrayList<>();
         view.targets().forEach((model, named) -> {
-            long version = named.getLast().version();
-            if (kept.record(VersionKeys.of(model, version)).isEmpty()) {
-                all.add(new Unkept(model, version, VersionKeys.outdated(kept.keys(), model, version)));
+            View.Target newest = named.getLast();
+            if (kept.record(VersionKeys.of(model, newest.version())).isEmpty()) {
+                List<String> outdated = VersionKeys.outdated(kept.keys(), model, newest.version());
+                all.add(new Unkept(model, newest.version(), namedMillis(newest), outdated));
             }
         });
         return all;
     }
 
+    private OptionalLong namedMillis(View.Target target) {
+        long ago = steadyMillis.getAsLong() - target.learnedMillis();
+        return target.seenNamed() ? OptionalLong.of(unixMillis.getAsLong() - ago) : OptionalLong.empty();
+    }
+
     // -- endpoints
 
     private void endpointsSaid(List<StoredRecord> news) {
--- a/src/test/java/org/micabarrow/platform/StoreRecordsTest.java
+++ b/src/test/java/org/micabarrow/platform/StoreRecordsTest.java
@@ -100,7 +100,7 @@
         OperatorRecord read = records.operator(record("version/m", "{\"model\":\"m\",\"version\":3}"))
                 .toOptional()
                 .orElseThrow();
-        assertEquals(new OperatorRecord.WeightsNamed("m", 3), read);
+        assertEquals(new OperatorRecord.WeightsNamed("m", 3, OptionalLong.empty()), read);
     }
 
     @ParameterizedTest
--- a/src/test/java/org/micabarrow/views/NamedVersionsTest.java
+++ b/src/test/java/org/micabarrow/views/NamedVersionsTest.java
@@ -11,10 +11,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.platform.StoreRecords;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
+import org.micabarrow.views.NamedVersions.Unkept;
 import org.micabarrow.views.ViewKeeper.Topic;
 
 /** Which weight versions were named, through writes that come late, lost answers and processes that start again. */
@@ -22,6 +24,8 @@
 
     private final FakeStore store = new FakeStore();
     private final AtomicBoolean writes = new AtomicBoolean(true);
+    private final AtomicLong steady = new AtomicLong(1_000_000);
+    private final AtomicLong unix = new AtomicLong(1_764_718_674_123L);
 
     /** A store of keyed topics, whose answers may fail. */
     private static final class FakeStore implements TopicReader, NamedVersions.VersionWriter {
@@ -57,16 +61,17 @@
         }
 
         @Override
-        public Result<List<StoredRecord>> write(String model, long version, List<String> outdated) {
+        public Result<List<StoredRecord>> write(Unkept unkept) {
             writes++;
             if (down) {
                 return failed();
             }
             List<StoredRecord> written = new ArrayList<>();
-            long offset = append(Topic.NAMED, VersionKeys.of(model, version), named(model, version));
+            String key = VersionKeys.of(unkept.model(), unkept.version());
+            long offset = append(Topic.NAMED, key, kept(unkept));
             written.add(topics.get(Topic.NAMED).get((int) offset));
-            for (String key : outdated) {
-                written.add(topics.get(Topic.NAMED).get((int) append(Topic.NAMED, key, "")));
+            for (String outdated : unkept.outdated()) {
+                written.add(topics.get(Topic.NAMED).get((int) append(Topic.NAMED, outdated, "")));
             }
             return losesAnswers ? failed() : Result.success(written);
         }
@@ -76,6 +81,13 @@
         }
     }
 
+    private static String kept(Unkept unkept) {
+        String named = unkept.namedMillis().isPresent()
+                ? ",\"namedMillis\":" + unkept.namedMillis().getAsLong()
+                : "";
+        return named(unkept.model(), unkept.version()).replace("}", named + "}");
+    }
+
     private static String named(String model, long version) {
         return "{\"model\":\"" + model + "\",\"version\":" + version + "}";
     }
@@ -87,7 +99,7 @@
     /** A process that has read what operators wrote. */
     private final class Node {
 
-        private final ViewKeeper keeper = new ViewKeeper(new StoreRecords(), () -> 1_000_000);
+        private final ViewKeeper keeper = new ViewKeeper(new StoreRecords(), steady::get, unix::get);
         private final NamedVersions versions = new NamedVersions(store, store, keeper, writes::get);
         private final StoreFollower follower = new StoreFollower(
                 Topic.OPERATOR,
@@ -219,4 +231,57 @@
                 8);
         assertTrue(fresh.keeper.view().newestTarget("m").orElseThrow().seenNamed());
     }
+
+    // -- when a version was named
+
+    private void pass(long millis) {
+        steady.addAndGet(millis);
+        unix.addAndGet(millis);
+    }
+
+    private long least(Node node) {
+        return node.keeper.view().leastVersion("m", 8_000, steady.get());
+    }
+
+    /** A process that runs sees version 2 being named and keeps it. */
+    private void nameVersionTwo() {
+        Node running = new Node();
+        running.keeper.apply(
+                Topic.OPERATOR,
+                List.of(new StoredRecord("version/m", 3, named("m", 2).getBytes(StandardCharsets.UTF_8))),
+                4);
+        pass(400);
+        running.versions.look();
+    }
+
+    @Test
+    void shouldCountTimeSinceNamingWhenProcessStartsWhileVersionIsDue() {
+        nameVersionTwo();
+        pass(5_000);
+        steady.set(70);
+        Node fresh = new Node();
+        assertEquals(0, least(fresh));
+        pass(2_700);
+        assertEquals(2, least(fresh), "8.1 s after the naming");
+    }
+
+    @Test
+    void shouldCountFromStartWhenClockIsBehind() {
+        nameVersionTwo();
+        unix.addAndGet(-9_000);
+        Node fresh = new Node();
+        pass(7_900);
+        assertEquals(0, least(fresh));
+        pass(200);
+        assertEquals(2, least(fresh));
+    }
+
+    @Test
+    void shouldNotSayWhenVersionWasNamedIfItWasFoundNamed() {
+        operatorNames(2);
+        new Node().versions.look();
+        pass(60_000);
+        assertEquals(
+                0, least(new Node()), "a process that started late would have made the version look newer or older");
+    }
 }
