--- a/src/test/java/org/micabarrow/weights/FakeEndpoint.java
+++ b/src/test/java/org/micabarrow/weights/FakeEndpoint.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
 
@@ -39,6 +40,7 @@
     int losesAnswers;
     Runnable onStage = () -> {};
 
+    private long startedMillis = 1;
     private final BitSet layers = new BitSet();
     private final BitSet wrong = new BitSet();
 
@@ -52,7 +54,21 @@
         if (silent) {
             return lost(Fault.Step.STATUS);
         }
-        return Result.success(new Report(holding(held), holding(part), busy, orders.size(), 0, 0));
+        return Result.success(
+                new Report(holding(held), holding(part), busy, orders.size(), 0, 0, OptionalLong.of(startedMillis)));
+    }
+
+    /** Starts again, after a crash or a loss of power, which takes what was laid too. */
+    void startAgain(boolean lostPower) {
+        startedMillis++;
+        orders.clear();
+        layers.clear();
+        wrong.clear();
+        held = 0;
+        part = 0;
+        if (lostPower) {
+            staged.clear();
+        }
     }
 
     private static Map<String, Long> holding(long version) {
--- a/src/test/java/org/micabarrow/weights/RetirementSeedsTest.java
+++ b/src/test/java/org/micabarrow/weights/RetirementSeedsTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * However chunks come, orders go wrong and agents start again: no old version is served past its bound, no layer serves that
+ * However chunks come, orders go wrong, endpoints and agents start again: no old version is served past its bound, no layer serves that
  * was not whole, and the newest version is served once all is well.
  */
 class RetirementSeedsTest extends KeeperFixture {
@@ -70,15 +70,16 @@
         assertTrue(endpoint.held != 2 || now.get() - thirdNamedMillis <= BOUND, () -> "too late: " + endpoint.orders);
     }
 
-    /** A refused order, a lost answer, a chunk that turns bad where it lies, or an agent that starts again. */
+    /** A refused order, a lost answer, a chunk that turns bad where it lies, an endpoint or an agent that starts again. */
     private void trouble(Random random) {
         if (random.nextDouble() >= TROUBLE) {
             return;
         }
-        switch (random.nextInt(4)) {
+        switch (random.nextInt(5)) {
             case 0 -> endpoint.refuses = 1 + random.nextInt(2);
             case 1 -> endpoint.losesAnswers = 1 + random.nextInt(2);
             case 2 -> endpoint.staged.put(random.nextInt(FakeOrigin.CHUNKS), new byte[] {0});
+            case 3 -> endpoint.startAgain(random.nextBoolean());
             default -> agent = newKeeper();
         }
     }
