A peer's records and where to read on after them are taken at one moment, and only from where the peer read on

Somebody who asks a peer while the store is away took the peer's end for its own: a record that came between the peer's records and its end was passed over for good, and so was the drop of an entry before the peer's own start (ViewKeeperTest.shouldLearnOfDroppedEntryWhenPeerStartedAfterIt, red before).

--- a/src/main/java/org/micabarrow/transport/HostedPeerServer.java
+++ b/src/main/java/org/micabarrow/transport/HostedPeerServer.java
@@ -14,7 +14,6 @@
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.micabarrow.state.CanonicalJson;
-import org.micabarrow.views.TopicReader.Batch;
 import org.micabarrow.views.ViewKeeper;
 import org.micabarrow.views.ViewKeeper.Topic;
 import org.micabarrow.weights.ChunkSet;
@@ -103,7 +102,7 @@
     private void records(HttpServerExchange exchange) {
         Topic topic = Topic.valueOf(parameter(exchange, "topic"));
         long from = Long.parseLong(parameter(exchange, "from"));
-        send(exchange, PeerRecords.write(new Batch(views.since(topic, from), views.end(topic))));
+        send(exchange, PeerRecords.write(views.since(topic, from)));
     }
 
     private static String parameter(HttpServerExchange exchange, String name) {
--- a/src/main/java/org/micabarrow/views/TopicCopy.java
+++ b/src/main/java/org/micabarrow/views/TopicCopy.java
@@ -22,6 +22,9 @@
     private final Map<String, StoredRecord> newest = new HashMap<>();
     private long end;
 
+    /** From this offset on every record was read, or told by somebody who had read it. */
+    private long gaplessFrom;
+
     /**
      * Takes records as read from the topic, or from a peer.
      *
@@ -58,6 +61,9 @@
                 all.add(new StoredRecord(held.key(), takenAt - 1, NOTHING));
             }
         }
+        if (takenAt > end) {
+            gaplessFrom = takenAt;
+        }
         return apply(all, takenAt);
     }
 
@@ -78,6 +84,17 @@
         return end;
     }
 
+    /**
+     * Where somebody may read on who knows all records before an offset and takes the newest ones from here. What was dropped
+     * before the first record that was read here is not among these.
+     *
+     * @param offset the offset
+     * @return this copy's end, or the offset if records between the two were not read here
+     */
+    public long endFor(long offset) {
+        return offset >= gaplessFrom ? end : offset;
+    }
+
     /**
      * The newest record of a key.
      *
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -122,14 +122,16 @@
     }
 
     /**
-     * The newest records of a topic at or after an offset.
+     * The newest records of a topic at or after an offset, and where to read on after them, both at one moment: with an end that
+     * was taken after the records, whoever reads on from there would never get one that came in between.
      *
      * @param topic the topic
-     * @param offset the offset
-     * @return the records
+     * @param offset the offset, before which the asker knows all records
+     * @return the records, and the offset before which the asker then knows all
      */
-    public synchronized List<StoredRecord> since(Topic topic, long offset) {
-        return copies.get(topic).since(offset);
+    public synchronized TopicReader.Batch since(Topic topic, long offset) {
+        TopicCopy copy = copies.get(topic);
+        return new TopicReader.Batch(copy.since(offset), copy.endFor(offset));
     }
 
     /**
--- a/src/test/java/org/micabarrow/views/ViewKeeperTest.java
+++ b/src/test/java/org/micabarrow/views/ViewKeeperTest.java
@@ -216,6 +216,35 @@
         assertTrue(known("a"));
     }
 
+    // -- what peers tell
+
+    /**
+     * A peer that started after an endpoint went knows nothing of its going. Whoever took the peer's word for where to read on
+     * would never learn of it either.
+     */
+    @Test
+    void shouldLearnOfDroppedEntryWhenPeerStartedAfterIt() {
+        endpoints(6, endpoint("a", 5));
+        ViewKeeper peer = new ViewKeeper(new StoreRecords(), now::get);
+        peer.replace(Topic.ENDPOINTS, List.of(endpoint("b", 7)), 8);
+        Batch told = peer.since(Topic.ENDPOINTS, keeper.end(Topic.ENDPOINTS));
+        keeper.apply(Topic.ENDPOINTS, told.records(), told.end());
+        assertTrue(known("b"));
+        assertEquals(6, keeper.end(Topic.ENDPOINTS), "the record that drops it lies before the peer's first");
+    }
+
+    @Test
+    void shouldReadOnWherePeerStandsWhenPeerHasFollowedSinceBefore() {
+        endpoints(6, endpoint("a", 5));
+        ViewKeeper peer = new ViewKeeper(new StoreRecords(), now::get);
+        peer.replace(Topic.ENDPOINTS, List.of(endpoint("a", 5)), 6);
+        peer.apply(Topic.ENDPOINTS, List.of(record("a", 6, ""), endpoint("b", 7)), 8);
+        Batch told = peer.since(Topic.ENDPOINTS, keeper.end(Topic.ENDPOINTS));
+        keeper.apply(Topic.ENDPOINTS, told.records(), told.end());
+        assertFalse(known("a"));
+        assertEquals(8, keeper.end(Topic.ENDPOINTS));
+    }
+
     // -- entries that are written late
 
     private static StoredRecord written(String id, long offset, long writes, String state) {
