--- /dev/null
+++ b/src/test/java/org/micabarrow/platform/VersionRecordsTest.java
@@ -0,0 +1,33 @@
+package org.micabarrow.platform;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.micabarrow.platform.standin.HostedSystem;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.views.VersionKeys;
+
+/** How weight versions that were named are written into the store. */
+class VersionRecordsTest {
+
+    private static final Duration WITHIN = Duration.ofSeconds(10);
+
+    /** An operator's key {@code version/MODEL} is good to 255 bytes, for the length of a key is one byte. */
+    private static final String LONGEST_MODEL = "m".repeat(255 - "version/".length());
+
+    @Test
+    void shouldNotTakeVersionForKeptWhenKeyIsTooLong() throws Exception {
+        try (HostedSystem platform = HostedSystem.start();
+                HttpCaller caller = HttpCaller.start("test", 1)) {
+            String store = platform.entry().store();
+            boolean written = new VersionRecords(caller, store, WITHIN)
+                    .write(LONGEST_MODEL, 2, List.of())
+                    .toOptional()
+                    .isPresent();
+            boolean there = platform.store().written("keyed.micabarrow.versions", VersionKeys.of(LONGEST_MODEL, 2));
+            assertTrue(!written || there, "said to be written, and not there under its key");
+        }
+    }
+}
