Test, red: a process that starts cut off from the store takes up the older version

Cause: peers are asked for the operator's records only, and tell the newest record, which was written late, while they know a newer version. Kept versions are read from the store alone.

--- a/src/test/java/org/micabarrow/process/LateWriteTest.java
+++ b/src/test/java/org/micabarrow/process/LateWriteTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -70,15 +71,43 @@
         }
     }
 
+    /** A process that cannot reach the store has all it knows from peers, which know the newest version. */
+    @Test
+    void shouldTakeUpNewestVersionWhenOnlyPeerTellsOfVersions() throws Exception {
+        HostedSettings peer = nameVersionsAndWriteOlderOneLate();
+        platform.add("b", "models", 0);
+        platform.store().refuse(Optional.of(UNAVAILABLE));
+        HostedAgentProcess.start(asking(platform.agent("b"), peer));
+        Await.until("the endpoint holds a version", () -> held("b").isPresent());
+        assertEquals(Optional.of(3L), held("b"));
+    }
+
+    private static HostedSettings asking(HostedSettings own, HostedSettings peer) {
+        return new HostedSettings(
+                own.instance(),
+                own.regions(),
+                own.listen(),
+                own.peerPort(),
+                List.of(peer.listen().peers()),
+                own.store(),
+                own.endpoint(),
+                own.service(),
+                own.linkBitsPerSecond(),
+                own.bounds(),
+                own.log());
+    }
+
     /** A process that runs sees versions 2 and 3 being named, and the write of version 2 that comes after. */
-    private void nameVersionsAndWriteOlderOneLate() throws IOException {
+    private HostedSettings nameVersionsAndWriteOlderOneLate() throws IOException {
         platform.add("a", "models", 1);
-        HostedAgentProcess.start(platform.agent("a"));
+        HostedSettings agent = platform.agent("a");
+        HostedAgentProcess.start(agent);
         platform.nameWeights(2);
         platform.nameWeights(3);
         Await.until("the endpoint holds version 3", () -> held("a").equals(Optional.of(3L)));
         Await.until("the agent has kept that version 3 was named", () -> platform.keepsWeights(3));
         platform.nameWeights(2);
+        return agent;
     }
 
     /** The weight version that an endpoint says it holds. */
