Test, red: a version that is kept after a process started stays unknown to it

Cause: kept versions are read once, before the operator's records, and not followed. A version is kept half a second after its naming at the soonest, later if writes fail. Before: expected 3, was 2.

--- a/src/test/java/org/micabarrow/views/NamedVersionsTest.java
+++ b/src/test/java/org/micabarrow/views/NamedVersionsTest.java
@@ -219,4 +219,16 @@
                 8);
         assertTrue(fresh.keeper.view().newestTarget("m").orElseThrow().seenNamed());
     }
+
+    /** A version is kept half a second after it was named at the soonest, and a process may start before. */
+    @Test
+    void shouldLearnNewestVersionWhenItIsKeptAfterStart() {
+        operatorNames(3);
+        Node running = new Node();
+        operatorNames(2);
+        Node fresh = new Node();
+        running.versions.look();
+        fresh.versions.look();
+        assertEquals(3, fresh.newest());
+    }
 }
