Test, red: a version that is recalled late counts as seen being named

Cause: by then the operator's records are loaded, and want takes that for having seen the naming. Older versions are then good to answer for a whole bound more, and the newest in use is not asked for.

--- a/src/test/java/org/micabarrow/views/NamedVersionsTest.java
+++ b/src/test/java/org/micabarrow/views/NamedVersionsTest.java
@@ -231,4 +231,17 @@
         fresh.versions.look();
         assertEquals(3, fresh.newest());
     }
+
+    /** Nobody knows for how long it had been named, so that no older version may answer for another bound. */
+    @Test
+    void shouldTakeVersionRecalledLaterForFoundAtStart() {
+        operatorNames(3);
+        new Node().versions.look();
+        operatorNames(2);
+        store.down = true;
+        Node fresh = new Node();
+        store.down = false;
+        fresh.versions.look();
+        assertFalse(fresh.keeper.view().newestTarget("m").orElseThrow().seenNamed());
+    }
 }
