Test, red: a version that only a peer told is kept for good

Cause: unkept takes the newest target whoever told it. One wrong request for chunks names a version that was never named, and no start of any process cures it. Before: expected 2, was 999.

--- a/src/test/java/org/micabarrow/views/NamedVersionsTest.java
+++ b/src/test/java/org/micabarrow/views/NamedVersionsTest.java
@@ -244,4 +244,14 @@
         fresh.versions.look();
         assertFalse(fresh.keeper.view().newestTarget("m").orElseThrow().seenNamed());
     }
+
+    /** Whoever asks an agent for chunks names a version; that word must not outlast every process. */
+    @Test
+    void shouldNotKeepVersionThatOnlyPeerTold() {
+        operatorNames(2);
+        Node node = new Node();
+        node.keeper.want("m", 999);
+        node.versions.look();
+        assertEquals(2, new Node().newest());
+    }
 }
