--- a/src/test/java/org/micabarrow/views/NamedVersionsTest.java
+++ b/src/test/java/org/micabarrow/views/NamedVersionsTest.java
@@ -254,4 +254,18 @@
         node.versions.look();
         assertEquals(2, new Node().newest());
     }
+
+    /** A kept version that is older than the operator's newest was named nobody knows when. */
+    @Test
+    void shouldNotTakeKeptVersionForNamedNowWhenOperatorNamesNewerOne() {
+        operatorNames(3);
+        new Node().versions.look();
+        operatorNames(4);
+        assertEquals(
+                List.of(4L),
+                new Node()
+                        .keeper.view().targets().get("m").stream()
+                                .map(View.Target::version)
+                                .toList());
+    }
 }
