--- a/src/test/java/org/micabarrow/views/NamedVersionsTest.java
+++ b/src/test/java/org/micabarrow/views/NamedVersionsTest.java
@@ -268,4 +268,14 @@
                                 .map(View.Target::version)
                                 .toList());
     }
+
+    /** Manifests are written by the same operator through the same store as weight versions. */
+    @Test
+    void shouldKnowNewestManifestWhenOlderOneIsWrittenAfterIt() {
+        store.append(Topic.OPERATOR, "config", "{\"version\":2,\"routes\":[],\"services\":[]}");
+        Node running = new Node();
+        running.versions.look();
+        store.append(Topic.OPERATOR, "config", "{\"version\":1,\"routes\":[],\"services\":[]}");
+        assertEquals(2, new Node().keeper.view().manifest().orElseThrow().version());
+    }
 }
