--- a/src/main/java/org/micabarrow/platform/VersionRecords.java
+++ b/src/main/java/org/micabarrow/platform/VersionRecords.java
@@ -31,6 +31,9 @@
     /** Operators' records have no such field. */
     private static final String NAMED = "namedMillis";
 
+    /** The length of a key is one byte on the wire. */
+    private static final int MOST_KEY_BYTES = 255;
+
     private static final int OK = 200;
     private static final byte[] DROPPED = {};
 
@@ -57,6 +60,10 @@
         List<StoredRecord> records = new ArrayList<>();
         records.add(new StoredRecord(VersionKeys.of(unkept.model(), unkept.version()), 0, value(unkept)));
         unkept.outdated().forEach(key -> records.add(new StoredRecord(key, 0, DROPPED)));
+        if (records.stream().anyMatch(record -> bytes(record.key()).length > MOST_KEY_BYTES)) {
+            return Result.failure(Fault.of(
+                    Step.LOG, uri.getAuthority(), Reason.INVALID, "the key is over " + MOST_KEY_BYTES + " bytes"));
+        }
         HttpCall call = HttpCall.post(Step.LOG, uri, body(records));
         return caller.call(call, within).flatMap(answer -> offset(call, answer)).map(first -> at(first, records));
     }
@@ -74,11 +81,15 @@
         return json.has(NAMED) ? OptionalLong.of(JsonFields.whole(json, NAMED, 0)) : OptionalLong.empty();
     }
 
+    private static byte[] bytes(String key) {
+        return key.getBytes(StandardCharsets.UTF_8);
+    }
+
     /** Keyed records: the length of all that follows, the length of the key, the key, the value. */
     private static byte[] body(List<StoredRecord> records) {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         for (StoredRecord record : records) {
-            byte[] key = record.key().getBytes(StandardCharsets.UTF_8);
+            byte[] key = bytes(record.key());
             ByteBuffer bytes = ByteBuffer.allocate(Integer.BYTES + 1 + key.length + record.value().length);
             bytes.putInt(1 + key.length + record.value().length);
             bytes.put((byte) key.length);
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -145,6 +145,14 @@
             return;
         }
         String peer = peers.get(Math.floorMod(turn.getAndIncrement(), peers.size()));
+        if (topic == Topic.OPERATOR) {
+            // What is kept tells more than the newest record of a model.
+            askPeer(peer, Topic.NAMED);
+        }
+        askPeer(peer, topic);
+    }
+
+    private void askPeer(String peer, Topic topic) {
         switch (peerRecords.ask(peer, topic, views.end(topic))) {
             case Result.Success<Batch>(Batch batch) -> views.apply(topic, batch.records(), batch.end());
             case Result.Failure<Batch>(Fault fault) ->
--- a/src/main/java/org/micabarrow/views/NamedVersions.java
+++ b/src/main/java/org/micabarrow/views/NamedVersions.java
@@ -30,11 +30,19 @@
      */
     private static final long LOOK_MILLIS = 500;
 
+    /** The last look after the start at which the versions are read again: a write comes up to 6 s late. */
+    private static final long LAST_LOOK_AFTER_START = 32;
+
+    /** How many looks a process waits for those that are to write: 5 s. They may be cut off or gone, and still be listed. */
+    private static final long LOOKS_FOR_OTHERS = 10;
+
     private final TopicReader reader;
     private final VersionWriter writer;
     private final ViewKeeper keeper;
     private final BooleanSupplier writes;
     private final AtomicBoolean recalled = new AtomicBoolean();
+    private long looks;
+    private long looksMissing;
 
     /** Writes a version where {@link Topic#NAMED} is read from. */
     @FunctionalInterface
@@ -116,20 +124,30 @@
         Steps.start("named-versions", LOOK_MILLIS, this::look);
     }
 
-    /** Recalls the versions if that failed, and writes those that are not known to lie in the store. */
+    /** Recalls the versions when it is time to, and writes those that are not known to lie in the store. */
     void look() {
         if (!keeper.knowsOperator()) {
             return;
         }
-        if (!recalled.get()) {
+        looks++;
+        boolean missing = !keeper.unkept().isEmpty();
+        looksMissing = missing ? looksMissing + 1 : 0;
+        if (!recalled.get() || soonAfterStart() || looksMissing == LOOKS_FOR_OTHERS) {
             recall();
         }
-        List<Unkept> unkept = keeper.unkept();
-        if (recalled.get() && !unkept.isEmpty() && writes.getAsBoolean()) {
-            unkept.forEach(this::write);
+        if (recalled.get() && missing && (looksMissing > LOOKS_FOR_OTHERS || writes.getAsBoolean())) {
+            keeper.unkept().forEach(this::write);
         }
     }
 
+    /**
+     * A version may be kept after a process that starts has read what is kept, and before it reads the operator's record, which a
+     * late write replaced meanwhile. So it is read again 0.5, 1, 2, 4, 8 and 16 s after the start.
+     */
+    private boolean soonAfterStart() {
+        return looks <= LAST_LOOK_AFTER_START && Long.bitCount(looks) == 1;
+    }
+
     private void write(Unkept unkept) {
         switch (writer.write(unkept)) {
             case Result.Success<List<StoredRecord>>(List<StoredRecord> records) -> {
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -38,6 +38,9 @@
     /** The keys whose entry cannot be used: that is said once, however often it is written. */
     private final Set<String> refusedEntries = new HashSet<>();
 
+    /** The newest version of each model that was read from what operators wrote. */
+    private final Map<String, View.Target> namedByOperator = new HashMap<>();
+
     private boolean loaded;
     private volatile View view = View.empty();
 
@@ -208,8 +211,9 @@
 
     private void weightsNamed(StoredRecord record, String model, long version) {
         long newest = view.newestTarget(model).map(View.Target::version).orElse(0L);
-        long now = steadyMillis.getAsLong();
-        if (!want(model, version, now, "store offset=" + record.offset()) && version < newest) {
+        View.Target target = new View.Target(version, steadyMillis.getAsLong(), loaded);
+        namedByOperator.merge(model, target, (a, b) -> a.version() >= b.version() ? a : b);
+        if (!want(model, target, "store offset=" + record.offset()) && version < newest) {
             LOG.warn(
                     "event=weights_named_late model={} version={} offset={} newest={}",
                     model,
@@ -226,22 +230,22 @@
      * @param version the version; an older one than is known changes nothing
      */
     public synchronized void want(String model, long version) {
-        want(model, version, steadyMillis.getAsLong(), "peer");
+        want(model, new View.Target(version, steadyMillis.getAsLong(), loaded), "peer");
     }
 
     /** Takes note of a version and tells whether it is newer than those known; the source is for the log. */
-    private boolean want(String model, long version, long sinceMillis, String source) {
-        View after = view.withTarget(model, new View.Target(version, sinceMillis, loaded));
+    private boolean want(String model, View.Target target, String source) {
+        View after = view.withTarget(model, target);
         if (after == view) {
             return false;
         }
         view = after;
         LOG.info(
-                "event=weights_named model={} version={} atStart={} msAgo={} from={}",
+                "event=weights_named model={} version={} seen={} msAgo={} from={}",
                 model,
-                version,
-                !loaded,
-                steadyMillis.getAsLong() - sinceMillis,
+                target.version(),
+                target.seenNamed(),
+                steadyMillis.getAsLong() - target.learnedMillis(),
                 source);
         return true;
     }
@@ -263,7 +267,9 @@
                         newest.merge(named.model(), named, (a, b) -> a.version() >= b.version() ? a : b);
                     }
                 });
-        newest.values().forEach(named -> want(named.model(), named.version(), learnedMillis(named), "kept"));
+        newest.values()
+                .forEach(named ->
+                        want(named.model(), new View.Target(named.version(), learnedMillis(named), false), "kept"));
     }
 
     /**
@@ -281,12 +287,14 @@
         return loaded;
     }
 
-    /** The newest versions that are not known to lie in the store under a key of their own. */
+    /**
+     * The newest versions that are not known to lie in the store under a key of their own. What only a peer told is none of them:
+     * a wrong word would outlast every process.
+     */
     synchronized List<Unkept> unkept() {
         TopicCopy kept = copies.get(Topic.NAMED);
         List<Unkept> all = new ArrayList<>();
-        view.targets().forEach((model, named) -> {
-            View.Target newest = named.getLast();
+        namedByOperator.forEach((model, newest) -> {
             if (kept.record(VersionKeys.of(model, newest.version())).isEmpty()) {
                 List<String> outdated = VersionKeys.outdated(kept.keys(), model, newest.version());
                 all.add(new Unkept(model, newest.version(), namedMillis(newest), outdated));
--- a/src/test/java/org/micabarrow/views/NamedVersionsTest.java
+++ b/src/test/java/org/micabarrow/views/NamedVersionsTest.java
@@ -34,6 +34,7 @@
         private final List<Topic> readNewest = new ArrayList<>();
         private boolean down;
         private boolean losesAnswers;
+        private boolean refusesWrites;
         private int writes;
 
         private synchronized long append(Topic topic, String key, String value) {
@@ -63,7 +64,7 @@
         @Override
         public Result<List<StoredRecord>> write(Unkept unkept) {
             writes++;
-            if (down) {
+            if (down || refusesWrites) {
                 return failed();
             }
             List<StoredRecord> written = new ArrayList<>();
@@ -112,6 +113,20 @@
             follower.once();
         }
 
+        /** What is kept is read again for a while after the start. */
+        private void lookUntilReadNoMore() {
+            for (int i = 0; i < 40; i++) {
+                versions.look();
+            }
+        }
+
+        /** Reads the record of a version that is named now. */
+        private void learns(long version) {
+            operatorNames(version);
+            StoredRecord record = store.topics.get(Topic.OPERATOR).getLast();
+            keeper.apply(Topic.OPERATOR, List.of(record), record.offset() + 1);
+        }
+
         private long newest() {
             return keeper.view().newestTarget("m").map(View.Target::version).orElse(0L);
         }
@@ -151,9 +166,23 @@
     }
 
     @Test
-    void shouldWriteAgainWhenAnswerIsLost() {
+    void shouldWriteAgainWhenStoreDidNothing() {
         operatorNames(2);
         Node node = new Node();
+        store.refusesWrites = true;
+        node.versions.look();
+        store.refusesWrites = false;
+        node.versions.look();
+        node.versions.look();
+        assertEquals(2, store.writes);
+        assertEquals(2, new Node().newest());
+    }
+
+    @Test
+    void shouldWriteAgainWhenAnswerIsLost() {
+        Node node = new Node();
+        node.lookUntilReadNoMore();
+        node.learns(2);
         store.losesAnswers = true;
         node.versions.look();
         store.losesAnswers = false;
@@ -284,4 +313,65 @@
         assertEquals(
                 0, least(new Node()), "a process that started late would have made the version look newer or older");
     }
+
+    // -- what the kept versions must not make believe
+
+    /** A version is kept half a second after it was named at the soonest, and a process may start before. */
+    @Test
+    void shouldLearnNewestVersionWhenItIsKeptAfterStart() {
+        operatorNames(3);
+        Node running = new Node();
+        operatorNames(2);
+        Node fresh = new Node();
+        running.versions.look();
+        fresh.versions.look();
+        assertEquals(3, fresh.newest());
+    }
+
+    /** Nobody knows for how long it had been named, so that no older version may answer for another bound. */
+    @Test
+    void shouldTakeVersionRecalledLaterForFoundAtStart() {
+        operatorNames(3);
+        new Node().versions.look();
+        operatorNames(2);
+        store.down = true;
+        Node fresh = new Node();
+        store.down = false;
+        fresh.versions.look();
+        assertFalse(fresh.keeper.view().newestTarget("m").orElseThrow().seenNamed());
+    }
+
+    /** Whoever asks an agent for chunks names a version; that word must not outlast every process. */
+    @Test
+    void shouldNotKeepVersionThatOnlyPeerTold() {
+        operatorNames(2);
+        Node node = new Node();
+        node.keeper.want("m", 999);
+        node.versions.look();
+        assertEquals(2, new Node().newest());
+    }
+
+    /** A kept version that is older than the operator's newest was named nobody knows when. */
+    @Test
+    void shouldNotTakeKeptVersionForNamedNowWhenOperatorNamesNewerOne() {
+        operatorNames(3);
+        new Node().versions.look();
+        operatorNames(4);
+        assertEquals(
+                List.of(4L),
+                new Node()
+                        .keeper.view().targets().get("m").stream()
+                                .map(View.Target::version)
+                                .toList());
+    }
+
+    /** Manifests are written by the same operator through the same store as weight versions. */
+    @Test
+    void shouldKnowNewestManifestWhenOlderOneIsWrittenAfterIt() {
+        store.append(Topic.OPERATOR, "config", "{\"version\":2,\"routes\":[],\"services\":[]}");
+        Node running = new Node();
+        running.versions.look();
+        store.append(Topic.OPERATOR, "config", "{\"version\":1,\"routes\":[],\"services\":[]}");
+        assertEquals(2, new Node().keeper.view().manifest().orElseThrow().version());
+    }
 }
