--- a/src/main/java/org/micabarrow/command/TokenCommand.java
+++ b/src/main/java/org/micabarrow/command/TokenCommand.java
@@ -9,7 +9,7 @@
 @Parameters(commandDescription = "Make a token and its digest")
 final class TokenCommand extends Command {
 
-    /** The random bytes of a token, which nobody can guess. */
+    /** The random bytes of a token: 192 bits cannot be guessed. */
     private static final int TOKEN_BYTES = 24;
 
     @Override
--- a/src/main/java/org/micabarrow/coordination/admission/ConcurrencyLimit.java
+++ b/src/main/java/org/micabarrow/coordination/admission/ConcurrencyLimit.java
@@ -24,7 +24,7 @@
      */
     private static final double SLACK_MILLIS = 5;
 
-    /** What each answer multiplies the quickest beginning by, so that one lucky answer does not hold for ever. */
+    /** What each answer multiplies the quickest beginning by, so that one unusually quick answer is forgotten in time. */
     private static final double FLOOR_DRIFT = 1.001;
 
     private final int least;
--- a/src/main/java/org/micabarrow/coordination/admission/FairQueue.java
+++ b/src/main/java/org/micabarrow/coordination/admission/FairQueue.java
@@ -10,7 +10,7 @@
 
 /**
  * Requests that wait for room, in an order that shares the room between organisations by weight. A request that comes
- * while its organisation has nothing waiting starts level with the others, so nobody saves up a claim on the future.
+ * while its organisation has nothing waiting starts level with the others, so that an idle organisation gains no later precedence.
  *
  * <p>Safe for any number of threads.
  *
--- a/src/main/java/org/micabarrow/coordination/configuration/Configuration.java
+++ b/src/main/java/org/micabarrow/coordination/configuration/Configuration.java
@@ -226,7 +226,7 @@
                     judged.record().getClass().getSimpleName(),
                     judged.verdict());
         }
-        // Whoever waits for a generation finds everything already acting on it.
+        // Listeners first: all of them act on a generation before those that wait for it go on.
         listeners.forEach(listener -> listener.accept(step));
         waiting.headMap(step.state().offset(), true)
                 .values()
--- a/src/main/java/org/micabarrow/coordination/membership/PeerTable.java
+++ b/src/main/java/org/micabarrow/coordination/membership/PeerTable.java
@@ -13,7 +13,7 @@
 import org.micabarrow.state.Replica;
 
 /**
- * What an entry knows of the agents that it uses: their own word, and the platform's list. An agent that has been silent
+ * What an entry knows of the agents that it uses, from their own status and from the platform's list. An agent that has been silent
  * for too long gets no requests; one that either source calls leaving gets none either.
  *
  * <p>Changed on the control thread only; what it publishes may be read by any thread.
@@ -95,7 +95,7 @@
     }
 
     /**
-     * Takes note of how often each agent is asked; nobody counts as silent before twice that time.
+     * Takes note of how often each agent is asked; no agent counts as silent before twice that time.
      *
      * @param millis the time between two questions to one agent
      */
--- a/src/main/java/org/micabarrow/coordination/routing/Traffic.java
+++ b/src/main/java/org/micabarrow/coordination/routing/Traffic.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * What an entry's own traffic tells of each instance: open requests, time to the first byte, failures in a row. Written
+ * An entry's own measurements of each instance: open requests, time to the first byte, failures in a row. Written
  * by traffic threads, read by the router.
  */
 public final class Traffic {
--- a/src/main/java/org/micabarrow/coordination/weights/SourceChoice.java
+++ b/src/main/java/org/micabarrow/coordination/weights/SourceChoice.java
@@ -8,7 +8,7 @@
 import java.util.Optional;
 
 /**
- * Decides from which source to ask next. Sources come in the plan's order; one that failed is held against for a while,
+ * Decides from which source to ask next. Sources come in the plan's order; one that failed is left out for a while,
  * longer each time, so that a receiver goes back to the better source when that has recovered.
  *
  * <p>Used by one thread.
@@ -35,18 +35,18 @@
 
     private final List<Source> sources;
     private final List<Source> afterStall;
-    private final Map<Source, Held> held = new HashMap<>();
+    private final Map<Source, Penalty> penalties = new HashMap<>();
 
     private SourceChoice(List<Source> sources, List<Source> afterStall) {
         this.sources = List.copyOf(sources);
         this.afterStall = List.copyOf(afterStall);
     }
 
-    /** What is held against a source. */
-    private record Held(long untilMillis, int failures, boolean stalled) {}
+    /** The time until which a source is left out, and why. */
+    private record Penalty(long untilMillis, int failures, boolean stalled) {}
 
     /**
-     * Starts with sources that nothing is held against.
+     * Starts with sources of which none is left out.
      *
      * @param sources the sources, the best first
      * @return the choice
@@ -56,10 +56,10 @@
     }
 
     /**
-     * Starts with sources that nothing is held against.
+     * Starts with sources of which none is left out.
      *
      * @param sources the sources, the best first
-     * @param afterStall the sources in the order that holds while a stall is held against one of them
+     * @param afterStall the sources in the order that holds while one of them is left out for a stall
      * @return the choice
      */
     public static SourceChoice of(List<Source> sources, List<Source> afterStall) {
@@ -76,13 +76,13 @@
     }
 
     private long untilMillis(Source source) {
-        Held one = held.get(source);
+        Penalty one = penalties.get(source);
         return one == null ? 0 : one.untilMillis();
     }
 
     /** The order that holds now. */
     private List<Source> order(long nowMillis) {
-        boolean stalled = held.values().stream().anyMatch(one -> one.stalled() && one.untilMillis() > nowMillis);
+        boolean stalled = penalties.values().stream().anyMatch(one -> one.stalled() && one.untilMillis() > nowMillis);
         return stalled ? afterStall : sources;
     }
 
@@ -90,7 +90,7 @@
      * The source to ask.
      *
      * @param nowMillis the time
-     * @return the first that nothing is held against, else the one that is free soonest
+     * @return the first that is not left out, else the one that is free soonest
      */
     public Source next(long nowMillis) {
         List<Source> order = order(nowMillis);
@@ -107,7 +107,7 @@
      *
      * @param used the source in use
      * @param nowMillis the time
-     * @return true if one that stands before it in the plan's order has nothing held against it any more
+     * @return true if one that stands before it in the plan's order is not left out any more
      */
     public boolean betterThan(Source used, long nowMillis) {
         return order(nowMillis).stream()
@@ -116,8 +116,8 @@
     }
 
     /**
-     * How long to wait before the source that {@link #next} gives is asked. Where something is held against all of
-     * them, waiting for long helps nobody.
+     * How long to wait before the source that {@link #next} gives is asked. Where all of them are
+     * left out, a long wait is of no use.
      *
      * @param nowMillis the time
      * @return milliseconds, 0 for at once
@@ -128,7 +128,7 @@
     }
 
     /**
-     * Holds a failure against a source. A stall is held against it for long, since finding out that it stalls still
+     * Leaves a source out after a failure. After a stall it is left out for long, since finding out that it stalls still
      * costs as much as the wait for a chunk.
      *
      * @param source the source
@@ -136,10 +136,12 @@
      * @param nowMillis the time
      */
     public void failed(Source source, boolean stalled, long nowMillis) {
-        int failures = Optional.ofNullable(held.get(source)).map(Held::failures).orElse(0);
+        int failures = Optional.ofNullable(penalties.get(source))
+                .map(Penalty::failures)
+                .orElse(0);
         long first = stalled ? FIRST_STALL_PENALTY_MILLIS : FIRST_PENALTY_MILLIS;
         long penalty = Math.min(LONGEST_PENALTY_MILLIS, first << Math.min(failures, 10));
-        held.put(source, new Held(nowMillis + penalty, failures + 1, stalled));
+        penalties.put(source, new Penalty(nowMillis + penalty, failures + 1, stalled));
     }
 
     /**
@@ -148,6 +150,6 @@
      * @param source the source
      */
     public void delivered(Source source) {
-        held.remove(source);
+        penalties.remove(source);
     }
 }
--- a/src/main/java/org/micabarrow/coordination/weights/Transfer.java
+++ b/src/main/java/org/micabarrow/coordination/weights/Transfer.java
@@ -141,7 +141,7 @@
             if (manifest instanceof Result.Success<Manifest>(Manifest found)) {
                 return Optional.of(found);
             }
-            manifest.cause().ifPresent(this::note);
+            manifest.cause().ifPresent(this::recordFault);
             Thread.sleep(RETRY_MILLIS);
         }
         return Optional.empty();
@@ -160,7 +160,7 @@
             }
             Source source = choice.next(clock.millis());
             Result<Integer> received = receiveFrom(source, manifest);
-            received.cause().ifPresent(fault -> blame(source, fault));
+            received.cause().ifPresent(fault -> recordFailure(source, fault));
         }
     }
 
@@ -197,8 +197,8 @@
     }
 
     /**
-     * A source that waits for its own is worth waiting for where the plan names it first: its troubles are its own to
-     * mend. Any other source is left soon, since one that waits may be waiting for this very instance.
+     * A source that waits for its own source is waited for where the plan names it first, since it will choose another one
+     * itself. Any other source is left soon, since one that waits may be waiting for this very instance.
      */
     private Weights.Patience patience(Source source) {
         boolean named = source.equals(task.sources().getFirst());
@@ -237,7 +237,7 @@
         return good;
     }
 
-    /** One bad chunk may be the link's fault: it alone is asked for again, while the stream stays open behind it. */
+    /** One corrupted chunk may come from the link: it alone is asked for again, while the stream stays open. */
     private Result<byte[]> again(Source source, Manifest manifest, int index) {
         LOG.warn("transfer artifact={} source={} chunk={} corrupted", shortName(task.artifact()), source, index);
         try (Weights.Feed feed = weights.open(source, task.artifact(), index, index + 1)) {
@@ -259,14 +259,14 @@
                 progress.set(new Progress(index + 1, total, Optional.empty()));
                 return Optional.empty();
             }
-            staged.cause().ifPresent(this::note);
+            staged.cause().ifPresent(this::recordFault);
             Thread.sleep(RETRY_MILLIS);
         }
         return Optional.of(Fault.of(Step.STAGE, "endpoint", Reason.CANCELLED, "the transfer was cancelled"));
     }
 
-    private void blame(Source source, Fault fault) {
-        note(fault);
+    private void recordFailure(Source source, Fault fault) {
+        recordFault(fault);
         LOG.warn("transfer artifact={} source={} failed: {}", shortName(task.artifact()), source, fault);
         if (fault.reason() != Reason.CANCELLED) {
             choice.failed(source, fault.reason() == Reason.STALLED, clock.millis());
@@ -274,7 +274,7 @@
         }
     }
 
-    private void note(Fault fault) {
+    private void recordFault(Fault fault) {
         progress.updateAndGet(now -> new Progress(now.chunks(), now.total(), Optional.of(fault)));
     }
 
--- a/src/main/java/org/micabarrow/coordination/weights/WeightShare.java
+++ b/src/main/java/org/micabarrow/coordination/weights/WeightShare.java
@@ -1,8 +1,8 @@
 package org.micabarrow.coordination.weights;
 
 /**
- * How much of its link an instance gives to weights. Live requests go first: when their answers begin clearly later than
- * they do without a transfer, weights give way; when they do not, weights take more again.
+ * How much of its link an instance gives to weights. Requests take precedence: when their answers begin clearly later
+ * than they do without a transfer, the share falls; when they do not, it rises again.
  *
  * <p>Safe for any number of threads.
  *
@@ -22,7 +22,7 @@
     /** What any other beginning adds to the share. */
     private static final double RISE = 0.01;
 
-    /** How many times the usual beginning recent ones may take before weights give way. */
+    /** How many times the usual beginning recent ones may take before the share falls. */
     private static final double SLOWER_ALLOWED = 1.25;
 
     /** How much later, in milliseconds, answers may begin besides, so that chance does not count. */
--- a/src/main/java/org/micabarrow/transport/TlsFiles.java
+++ b/src/main/java/org/micabarrow/transport/TlsFiles.java
@@ -49,7 +49,7 @@
     private final AdvancedTlsX509TrustManager trust;
     private String read = "";
 
-    /** Whoever shows a certificate of the authorities is of the system; host names say nothing, addresses change. */
+    /** Trusts every certificate of the authorities, whatever its host name, since the addresses of processes change. */
     private TlsFiles(Common.Tls files) throws GeneralSecurityException {
         this.files = files;
         this.trust = AdvancedTlsX509TrustManager.newBuilder()
--- a/src/main/java/org/micabarrow/transport/grpc/AnswerReceiver.java
+++ b/src/main/java/org/micabarrow/transport/grpc/AnswerReceiver.java
@@ -90,7 +90,7 @@
         }
     }
 
-    /** Cancels the call; its listener still hears of one end. */
+    /** Cancels the call; its listener still receives one end. */
     void cancel() {
         call.cancel("the caller has gone", null);
     }
--- a/src/main/java/org/micabarrow/transport/grpc/PeerFeed.java
+++ b/src/main/java/org/micabarrow/transport/grpc/PeerFeed.java
@@ -33,8 +33,8 @@
     // -- reading
 
     /**
-     * Waits for the next chunk. A sender that tells that it waits for its own source is given more time, since that
-     * source's receiver is the one to go elsewhere.
+     * Waits for the next chunk. A sender that reports that it waits for its own source is given more time, since
+     * it will change to another source itself.
      */
     @Override
     public Result<byte[]> next(Weights.Patience patience) {
--- a/src/main/java/org/micabarrow/transport/grpc/PeerService.java
+++ b/src/main/java/org/micabarrow/transport/grpc/PeerService.java
@@ -38,7 +38,7 @@
 import org.micabarrow.state.FoldedState;
 import org.micabarrow.transport.LinkPacer;
 
-/** Answers other processes of the system. An entry has no flow and no chunks; it says so to whoever asks. */
+/** Answers other processes of the system. An entry runs no requests and holds no chunks, and answers such calls so. */
 public final class PeerService extends PeerGrpc.PeerImplBase {
 
     /** The most records in one reply, which bounds its size. */
