--- a/src/main/java/org/micabarrow/coordination/routing/PrefixIndex.java
+++ b/src/main/java/org/micabarrow/coordination/routing/PrefixIndex.java
@@ -20,9 +20,16 @@
  */
 public final class PrefixIndex {
 
-    private static final int BLOCK_CHARACTERS = 256;
+    /** The length of a block of a prompt, in bytes of UTF-8. */
+    private static final int BLOCK_BYTES = 256;
+
+    /** The most blocks of one prompt, which bounds the work and the memory of a long one. */
     private static final int MOST_BLOCKS = 32;
+
+    /** The time that a cached block saves, in milliseconds. */
     private static final double MILLIS_A_BLOCK = 12;
+
+    /** After how long a hint counts for half, in milliseconds. */
     private static final double HALF_LIFE_MILLIS = 60_000;
 
     private final int capacity;
@@ -56,8 +63,8 @@
         byte[] bytes = prompt.getBytes(StandardCharsets.UTF_8);
         List<Long> blocks = new ArrayList<>();
         CRC32C checksum = new CRC32C();
-        for (int at = 0; at + BLOCK_CHARACTERS <= bytes.length && blocks.size() < MOST_BLOCKS; at += BLOCK_CHARACTERS) {
-            checksum.update(bytes, at, BLOCK_CHARACTERS);
+        for (int at = 0; at + BLOCK_BYTES <= bytes.length && blocks.size() < MOST_BLOCKS; at += BLOCK_BYTES) {
+            checksum.update(bytes, at, BLOCK_BYTES);
             blocks.add(checksum.getValue() << 8 | blocks.size());
         }
         return blocks;
