Test, red: what is open when the grace is over is told so

Class: something that is owed has a time limit of its own, and another limit comes first. At the end of the grace what was still open had its connection closed without an answer, although it was read.

--- a/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
@@ -177,6 +177,22 @@
         assertTrue(client.call(other, WITHIN).cause().isPresent(), "nothing is there any more");
     }
 
+    @Test
+    void shouldTellClientThatItsOutcomeIsUnknownWhenGraceIsOver() throws Exception {
+        HostedEntryProcess entry = begin();
+        platform.next(Behaviour.HANG);
+        String clients = settings.listen().clients().orElseThrow();
+        HttpCall open = HostedSystem.request(clients, "/once/x", "attempt-1").withHeader("Deadline-Ms", "9000");
+        CompletableFuture<Integer> status = CompletableFuture.supplyAsync(
+                () -> client.call(open, WITHIN).toOptional().orElseThrow().status());
+        Await.until("the open request", () -> platform.endpoint("plain-1").hanging() == 1);
+        entry.close();
+        assertEquals(0, entry.open(), "nothing ends with the process without an answer");
+        assertEquals(504, status.get(WITHIN.toSeconds(), TimeUnit.SECONDS));
+        Await.until(
+                "the end at the endpoint", () -> platform.endpoint("plain-1").hanging() == 0);
+    }
+
     // -- connections
 
     /** Tells when the first answer of an endpoint is here, and not yet on its way to the client. */
