What is open when the grace is over is told so, instead of ending with the process

503 if it surely did not run, 504 otherwise; an answer that has begun is broken off as before. StoppingEntryTest: the fifth case red before (one request open after close()), green after. Each look is bounded to 0.25 s, so that two fit into the 0.7 s that are left of the grace.

--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -65,6 +65,10 @@
     private static final long GRACE_LEFT_MILLIS = 700;
 
     private static final long LOOK_MILLIS = 50;
+
+    /** How long a look for open requests may take, in milliseconds: two must fit into what is left of the grace. */
+    private static final long LOOK_LIMIT_MILLIS = 250;
+
     private static final int UNAVAILABLE = 503;
     private static final int OK = 200;
 
@@ -184,8 +188,15 @@
         long latest = began + settings.bounds().graceMillis() - GRACE_LEFT_MILLIS;
         Thread.sleep(Math.min(STILL_CHOSEN_MILLIS, settings.bounds().graceMillis() / 2));
         handler.connections().closeIdle();
-        while (!closedAtRest() && HostedNode.steadyMillis() < latest) {
+        boolean closed = closedAtRest();
+        while (!closed && HostedNode.steadyMillis() < latest) {
             Thread.sleep(LOOK_MILLIS);
+            closed = closedAtRest();
+        }
+        if (!closed) {
+            // What was read and is still open is told so, instead of ending with the process.
+            node.worker().getIoThread().execute(handler::endRequests);
+            closedAtRest();
         }
         LOG.info("event=stopped open={}", handler.connections().busy());
     }
@@ -206,7 +217,7 @@
             traffic.execute(() -> closed.complete(rests));
         });
         try {
-            return closed.get(GRACE_LEFT_MILLIS, TimeUnit.MILLISECONDS);
+            return closed.get(LOOK_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
         } catch (ExecutionException | TimeoutException e) {
             LOG.warn("event=not_closed why=\"{}\"", e.toString());
             return false;
--- a/src/main/java/org/micabarrow/serving/OpenRequests.java
+++ b/src/main/java/org/micabarrow/serving/OpenRequests.java
@@ -15,6 +15,9 @@
 
         /** Looks whether the request is still well at its present endpoint. */
         void lookAfter();
+
+        /** Answers the request by what is known of it, since it can be waited for no longer. */
+        void end(String why);
     }
 
     void add(Open request) {
@@ -25,6 +28,11 @@
         open.remove(request);
     }
 
+    /** Has every request end, whatever happens to one of them. */
+    void endAll(String why) {
+        List.copyOf(open).forEach(one -> Steps.guarded("end", () -> one.end(why)));
+    }
+
     /** Has every request looked after, whatever happens to one of them; those that end meanwhile leave the set. */
     void lookAfterAll() {
         List.copyOf(open).forEach(one -> Steps.guarded("look-after", one::lookAfter));
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -296,17 +296,22 @@
     // -- endings
 
     private void expired() {
+        end("time is up");
+    }
+
+    @Override
+    public void end(String why) {
         if (finished) {
             return;
         }
         boolean mayRun = mayHaveRun || current.filter(Attempt::mayRun).isPresent();
-        current.ifPresent(attempt -> attempt.abandon("time is up"));
+        current.ifPresent(attempt -> attempt.abandon(why));
         if (answer.begun()) {
-            broken("time is up");
+            broken(why);
         } else if (!mayRun) {
-            notRun("time is up");
+            notRun(why);
         } else {
-            own(GATEWAY_TIMEOUT, "unknown", "time is up", 0);
+            own(GATEWAY_TIMEOUT, "unknown", why, 0);
         }
     }
 
--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -131,6 +131,11 @@
         parts.open().lookAfterAll();
     }
 
+    /** Answers all open requests by what is known of them, because the process ends; on the thread for traffic. */
+    public void endRequests() {
+        parts.open().endAll("this entry stops");
+    }
+
     // -- requests
 
     @Override
