--- a/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
@@ -8,6 +8,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -35,7 +36,16 @@
     private Optional<Integer> refusal = Optional.empty();
     private boolean silent;
 
-    private record Entry(String key, byte[] value) {}
+    /** A record: its key, its value, and its bytes in an answer to a read. */
+    private record Entry(String key, byte[] value, byte[] raw) {
+
+        private static Entry of(String key, byte[] value) {
+            byte[] name = key.getBytes(StandardCharsets.UTF_8);
+            ByteBuffer raw = ByteBuffer.allocate(1 + name.length + value.length);
+            raw.put((byte) name.length).put(name).put(value);
+            return new Entry(key, value, raw.array());
+        }
+    }
 
     // -- what tests do
 
@@ -48,11 +58,50 @@
      * @return the record's offset
      */
     public synchronized long append(String topic, String key, String value) {
+        return append(topic, key, value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Appends a record, as any writer may.
+     *
+     * @param topic the topic
+     * @param key the key
+     * @param value the value's bytes
+     * @return the record's offset
+     */
+    public synchronized long append(String topic, String key, byte[] value) {
+        return append(topic, Entry.of(key, value));
+    }
+
+    /**
+     * Appends a record of any bytes, which are no key and value perhaps.
+     *
+     * @param topic the topic
+     * @param raw the bytes of the record
+     * @return the record's offset
+     */
+    public synchronized long appendRaw(String topic, byte[] raw) {
+        return append(topic, new Entry("", new byte[0], raw));
+    }
+
+    private long append(String topic, Entry entry) {
         List<Entry> entries = topics.computeIfAbsent(topic, name -> new ArrayList<>());
-        entries.add(new Entry(key, value.getBytes(StandardCharsets.UTF_8)));
+        entries.add(entry);
         return entries.size() - 1L;
     }
 
+    /**
+     * Whether a key was written to a topic.
+     *
+     * @param topic the topic
+     * @param key the key
+     * @return true if a record of the key is there, dropped or not
+     */
+    public synchronized boolean written(String topic, String key) {
+        return topics.getOrDefault(topic, List.of()).stream()
+                .anyMatch(entry -> entry.key().equals(key));
+    }
+
     /**
      * Drops the history of a topic; the newest record of each key stays.
      *
@@ -111,10 +160,27 @@
                         StandinCalls.parameter(exchange, "wait_ms").orElse("0"));
                 read(exchange, topic, from, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(hold));
             }
+            case "/api/log-append" ->
+                exchange.getRequestReceiver().receiveFullBytes((same, body) -> append(same, topic, body));
             default -> StandinCalls.answer(exchange, NOT_FOUND, new byte[0]);
         }
     }
 
+    private synchronized void append(HttpServerExchange exchange, String topic, byte[] body) {
+        List<Entry> entries = topics.computeIfAbsent(topic, name -> new ArrayList<>());
+        int offset = entries.size();
+        ByteBuffer bytes = ByteBuffer.wrap(body);
+        while (bytes.hasRemaining()) {
+            byte[] record = new byte[bytes.getInt()];
+            bytes.get(record);
+            int key = record[0] & 0xFF;
+            entries.add(Entry.of(
+                    new String(record, 1, key, StandardCharsets.UTF_8),
+                    Arrays.copyOfRange(record, 1 + key, record.length)));
+        }
+        StandinCalls.answer(exchange, OK, CanonicalJson.write(Map.of("offset", offset, "end", entries.size())));
+    }
+
     private void newest(HttpServerExchange exchange, String topic) {
         String after = StandinCalls.parameter(exchange, "after_revision").orElse("");
         List<Entry> entries = topics.getOrDefault(topic, List.of());
@@ -160,17 +226,14 @@
         List<Entry> asked = entries.subList(Math.min(from, entries.size()), entries.size());
         int size = 2 * Long.BYTES;
         for (Entry entry : asked) {
-            size += Integer.BYTES + 1 + entry.key().length() + entry.value().length;
+            size += Integer.BYTES + entry.raw().length;
         }
         ByteBuffer bytes = ByteBuffer.allocate(size);
         bytes.putLong(entries.size());
         bytes.putLong(first);
         for (Entry entry : asked) {
-            byte[] key = entry.key().getBytes(StandardCharsets.UTF_8);
-            bytes.putInt(1 + key.length + entry.value().length);
-            bytes.put((byte) key.length);
-            bytes.put(key);
-            bytes.put(entry.value());
+            bytes.putInt(entry.raw().length);
+            bytes.put(entry.raw());
         }
         return bytes.array();
     }
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -4,11 +4,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.stream.Stream;
 import org.micabarrow.admission.PlaceShares;
 import org.micabarrow.platform.EndpointCalls;
 import org.micabarrow.platform.OriginCalls;
 import org.micabarrow.routing.EndpointLoad;
+import org.micabarrow.routing.EndpointStart;
 import org.micabarrow.routing.ModelService;
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.settings.HostedSettings;
@@ -41,18 +43,30 @@
     /** How often the agent looks whether there is something to fetch or to order, in milliseconds: a chunk's time. */
     private static final long LOOK_MILLIS = 50;
 
+    /**
+     * How often the agent looks whether the endpoint holds a version that other agents cannot have from it, in milliseconds. It
+     * asks the origin and other agents for the version's digests then, which takes seconds if they do not answer.
+     */
+    private static final long READ_BACK_MILLIS = 300;
+
     /**
      * From when on a pause counts as a standstill, in milliseconds: the shortest for which entries bear an agent's silence. A
      * process that only waits for its turn pauses for less.
      */
     private static final long STANDSTILL_MILLIS = 400;
 
+    /** How many agents of each region keep named weight versions in the store: one may be cut off from it. */
+    private static final int VERSION_KEEPERS = 2;
+
     private final HostedSettings settings;
     private final HostedNode node;
     private final ReplicaKeeper keeper;
     private final Agent self;
     private volatile Optional<LoadServer> loadServer = Optional.empty();
 
+    /** Tells entries: a datagram waits while a narrow link is full, and what stops the endpoint in time must not. */
+    private final NudgedThread teller = NudgedThread.start("teller", () -> loadServer.ifPresent(LoadServer::tellAll));
+
     private HostedAgentProcess(HostedSettings settings) throws IOException {
         this.settings = settings;
         this.node = new HostedNode(settings);
@@ -97,10 +111,12 @@
         HttpListener.on(settings.listen().metrics(), usual, node.worker(), peers);
         loadServer = Optional.of(LoadServer.start(settings.listen().peers(), this::told, HostedNode::steadyMillis));
         // After the listeners, so that no connection of our own takes one of their ports.
-        node.follow(new Pace(HostedNode.STORE_WAIT, ENDPOINTS_REST), settings::seeds);
+        node.follow(new Pace(HostedNode.STORE_WAIT, ENDPOINTS_REST), settings::seeds, this::keepsVersions);
+        node.metrics().registerGauge("weights.secondsNotRetired", keeper::secondsNotRetired);
         Steps.start("report", REPORT_MILLIS, new Reports());
         Steps.start("fetch", LOOK_MILLIS, keeper::fetch);
         Steps.start("replica", LOOK_MILLIS, keeper::step);
+        Steps.start("read-back", READ_BACK_MILLIS, keeper::readBack);
         Steps.start("standstill", LOOK_MILLIS, new StandstillWatch());
         LOG.info("event=started role=agent instance={}", settings.instance().id());
     }
@@ -113,12 +129,12 @@
 
         private Optional<Serving> toldLast = Optional.empty();
 
-        private record Serving(boolean loading, long version) {}
+        private record Serving(boolean loading, long version, OptionalInt start) {}
 
         @Override
         public void take() {
             keeper.refresh();
-            Optional<Serving> now = told().map(told -> new Serving(told.loading(), told.version()));
+            Optional<Serving> now = told().map(told -> new Serving(told.loading(), told.version(), told.start()));
             if (!now.equals(toldLast)) {
                 toldLast = now;
                 tellEntries();
@@ -154,7 +170,8 @@
                         report.busy() || keeper.closing(),
                         model().map(model -> report.models().getOrDefault(model, 0L))
                                 .orElse(0L),
-                        freePlaces(report)));
+                        freePlaces(report),
+                        EndpointStart.token(report.startedMillis())));
     }
 
     /** The places that may be dealt out; any number while the manifest, which says how many there are, is not known. */
@@ -169,7 +186,7 @@
     }
 
     private void tellEntries() {
-        loadServer.ifPresent(LoadServer::tellAll);
+        teller.nudge();
     }
 
     private View view() {
@@ -205,6 +222,10 @@
         return new ReplicaKeeper.Place(region.indexOf(self.address()), region.size());
     }
 
+    private boolean keepsVersions() {
+        return place().position() < VERSION_KEEPERS;
+    }
+
     @Override
     public void close() {
         LOG.info("event=stopped");
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -135,7 +135,8 @@
         clients =
                 Optional.of(HttpListener.on(settings.listen().clients().orElseThrow(), usual, node.worker(), handler));
         // After the listeners, so that no connection of our own takes one of their ports.
-        node.follow(new Pace(ENDPOINTS_HOLD, ENDPOINTS_REST), this::peers);
+        // Agents keep the versions: an entry would write what they know as well.
+        node.follow(new Pace(ENDPOINTS_HOLD, ENDPOINTS_REST), this::peers, () -> false);
         loadFeed.start(handler::lookAfterRequests);
         LOG.info("event=started role=entry instance={}", settings.instance().id());
     }
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -57,7 +57,7 @@
         this.events = run.events();
         this.endpoint = endpoint;
         this.relay = new AnswerRelay(run);
-        this.load = parts.load(endpoint.id());
+        this.load = parts.load(endpoint);
     }
 
     void begin() {
--- a/src/main/java/org/micabarrow/transport/ChunkSender.java
+++ b/src/main/java/org/micabarrow/transport/grpc/ChunkSender.java
@@ -1,4 +1,4 @@
-package org.micabarrow.transport;
+package org.micabarrow.transport.grpc;
 
 import com.google.protobuf.UnsafeByteOperations;
 import io.grpc.Status;
@@ -7,18 +7,23 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
-import org.micabarrow.coordination.agents.ReplicaControl;
+import org.micabarrow.coordination.agents.Holding;
 import org.micabarrow.coordination.weights.ChunkWindow;
 import org.micabarrow.protocol.wire.Chunk;
 import org.micabarrow.protocol.wire.ChunksRequest;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
+import org.micabarrow.transport.LinkPacer;
 
 /** Sends an artifact's chunks to one receiver, each as soon as it is here and the receiver asks for it. */
 final class ChunkSender {
 
-    private static final Duration LOOK = Duration.ofMillis(50);
-    private static final long COMING_LOOK_MILLIS = 20;
+    /** How long a stream waits for a chunk or for its receiver before it looks again. */
+    private static final Duration POLL = Duration.ofMillis(50);
+
+    /** How often it looks whether a transfer that is about to begin has begun, in milliseconds. */
+    private static final long COMING_POLL_MILLIS = 20;
+
     private static final AtomicLong STREAMS = new AtomicLong();
 
     private final ChunksRequest request;
@@ -48,7 +53,7 @@
     }
 
     /** Sends until the receiver has all, or leaves, or falls out of the window. */
-    void run(Function<String, ReplicaControl.Holding> windows) {
+    void run(Function<String, Holding> windows) {
         try {
             Optional<ChunkWindow> window = awaitWindow(windows);
             if (window.isPresent()) {
@@ -62,21 +67,18 @@
     }
 
     /** A receiver may be quicker than this instance to hear of a plan; it waits here and not at the origin. */
-    private Optional<ChunkWindow> awaitWindow(Function<String, ReplicaControl.Holding> windows)
-            throws InterruptedException {
-        ReplicaControl.Holding holding = windows.apply(request.getVersion());
-        while (holding instanceof ReplicaControl.Holding.Coming && !replies.isCancelled()) {
+    private Optional<ChunkWindow> awaitWindow(Function<String, Holding> windows) throws InterruptedException {
+        Holding holding = windows.apply(request.getVersion());
+        while (holding instanceof Holding.Coming && !replies.isCancelled()) {
             pauseUntilItMayHaveCome();
             holding = windows.apply(request.getVersion());
         }
-        return holding instanceof ReplicaControl.Holding.Held(ChunkWindow window)
-                ? Optional.of(window)
-                : Optional.empty();
+        return holding instanceof Holding.Held(ChunkWindow window) ? Optional.of(window) : Optional.empty();
     }
 
     private void pauseUntilItMayHaveCome() throws InterruptedException {
         synchronized (ready) {
-            ready.wait(COMING_LOOK_MILLIS);
+            ready.wait(COMING_POLL_MILLIS);
         }
         tellWaiting(request.getFrom());
     }
@@ -97,7 +99,7 @@
             if (replies.isCancelled()) {
                 return;
             }
-            Result<Optional<byte[]>> chunk = window.read(reader, index, LOOK);
+            Result<Optional<byte[]>> chunk = window.read(reader, index, POLL);
             if (chunk instanceof Result.Failure<Optional<byte[]>>(Fault fault)) {
                 refuse(Status.OUT_OF_RANGE.withDescription(fault.message()));
                 return;
@@ -118,7 +120,7 @@
     private void awaitReady() throws InterruptedException {
         synchronized (ready) {
             while (!replies.isReady() && !replies.isCancelled()) {
-                ready.wait(LOOK.toMillis());
+                ready.wait(POLL.toMillis());
             }
         }
     }
--- a/src/main/java/org/micabarrow/transport/PeerFeed.java
+++ b/src/main/java/org/micabarrow/transport/grpc/PeerFeed.java
@@ -1,4 +1,4 @@
-package org.micabarrow.transport;
+package org.micabarrow.transport.grpc;
 
 import io.grpc.stub.ClientCallStreamObserver;
 import io.grpc.stub.ClientResponseObserver;
@@ -16,7 +16,9 @@
 /** Chunks from another agent, asked for a few at a time so that little waits in memory. */
 final class PeerFeed implements Weights.Feed, ClientResponseObserver<ChunksRequest, Chunk> {
 
+    /** How many chunks are asked for before they are read, which bounds the memory. */
     private static final int AHEAD = 2;
+
     private static final Chunk END = Chunk.newBuilder().setIndex(-1).build();
 
     private final String address;
@@ -87,7 +89,7 @@
 
     @Override
     public void onError(Throwable error) {
-        end(PeerClient.chunkFault(address, error));
+        end(CallFaults.of(Step.FETCH, address, error));
     }
 
     @Override
--- a/src/main/java/org/micabarrow/views/RecordDecoder.java
+++ b/src/main/java/org/micabarrow/views/RecordDecoder.java
@@ -1,5 +1,6 @@
 package org.micabarrow.views;
 
+import java.util.OptionalLong;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.state.Result;
@@ -22,8 +23,9 @@
          *
          * @param model the model
          * @param version the version
+         * @param namedMillis the Unix millisecond at which a process learned of it; empty in what operators write
          */
-        record WeightsNamed(String model, long version) implements OperatorRecord {}
+        record WeightsNamed(String model, long version, OptionalLong namedMillis) implements OperatorRecord {}
 
         /** Something that this system does not use. */
         record Unused() implements OperatorRecord {}
--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -22,20 +22,16 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(ReplicaKeeper.class);
 
-    /** The part of a region's endpoints that take every version, also when a newer one is expected soon. */
-    private static final double TAKING_EVERY_VERSION = 1.0 / 3;
-
-    /**
-     * How long an endpoint may stand idle for a newer version instead of taking up the one before, in milliseconds: less than the
-     * change that it saves takes.
-     */
-    private static final long WORTH_WAITING_MILLIS = 1_500;
+    /** How long chunks are laid in one step, in milliseconds: some two hundred at a usual endpoint, which takes one in a millisecond. */
+    private static final long LAYING_MILLIS = 250;
 
     private final Parts parts;
     private final Cordon cordon;
     private final LaidChunks laid;
     private final VersionDeadlines deadlines;
     private final VersionFetches fetches;
+    private final Retirement retirement;
+    private final VersionChoice choice;
     private final AtomicReference<Optional<Report>> report = new AtomicReference<>(Optional.empty());
 
     /**
@@ -79,8 +75,11 @@
         this.parts = Objects.requireNonNull(parts, "parts is null");
         this.cordon = new Cordon(parts.tellEntries());
         this.laid = new LaidChunks(parts.endpoint());
-        this.deadlines = new VersionDeadlines(parts.view(), parts.boundMillis(), parts.steadyMillis());
+        this.deadlines = new VersionDeadlines(parts.view(), parts.layers(), parts.boundMillis(), parts.steadyMillis());
         this.fetches = new VersionFetches(parts.fetcher(), deadlines, parts.steadyMillis());
+        this.choice = new VersionChoice(fetches, deadlines, parts.place(), parts.steadyMillis());
+        this.retirement =
+                new Retirement(parts.endpoint(), parts.layers(), laid, fetches, deadlines, parts.steadyMillis());
     }
 
     /**
@@ -112,6 +111,15 @@
                 .isPresent();
     }
 
+    /**
+     * For how long the endpoint was to be stopped and could not be.
+     *
+     * @return the seconds since this agent's start, begun ones counted whole
+     */
+    public long secondsNotRetired() {
+        return retirement.timesImpossible();
+    }
+
     /** Asks the endpoint for a fresh report. */
     public void refresh() {
         Optional<Report> before = report.get();
@@ -161,65 +169,63 @@
         fetches.fetchFor(model.get(), now.get().models().getOrDefault(model.get(), 0L));
     }
 
-    /** Takes the next step towards the newest version that is here whole, if there is one to take. */
+    /**
+     * Takes the next step towards the newest version that is here whole, if there is one to take, and stops the endpoint when
+     * its version may no longer answer. Waits for nothing but the endpoint beside it.
+     */
     public void step() {
         Optional<String> model = parts.model().get();
         Optional<Report> now = report.get();
+        now.ifPresent(told -> retirement.holds(told.models()));
         if (model.isEmpty() || now.isEmpty()) {
+            retirement.hindered(now.isEmpty() ? "the endpoint does not answer" : "no manifest is known");
             return;
         }
-        long held = now.get().models().getOrDefault(model.get(), 0L);
-        if (held > 0) {
-            readBack(model.get(), held);
+        if (laid.startedAgain(now.get().startedMillis())) {
+            // The order that it was closed for, if any, was for the endpoint's former start.
+            cordon.lift();
+            retirement.startedAgain();
         }
+        // A busy endpoint takes no requests on the version before.
         if (!now.get().busy()) {
-            fetches.newestWhole(model.get(), held, deadlines.leastAllowed(model.get(), 0))
-                    .filter(whole -> !skips(whole, held))
-                    .or(() -> fetches.newestBegun(model.get(), held))
-                    .ifPresentOrElse(set -> advance(set, held, now.get()), cordon::lift);
+            long held = now.get().models().getOrDefault(model.get(), 0L);
+            advance(model.get(), choice.target(model.get(), held), held, now.get());
         }
     }
 
-    /**
-     * Whether the endpoint goes past a whole version to the newest, which is expected soon. Each change of versions takes an
-     * endpoint out for some 2.6 s; with two versions named 4 s apart, more than half of fifteen endpoints were out at a time.
-     * Some take every version, so that there is always one that may answer.
-     */
-    private boolean skips(ChunkSet whole, long held) {
-        long newest = deadlines.newest(whole.model());
-        if (whole.version() == newest || held > 0 && takesEveryVersion()) {
-            return false;
+    private void advance(String model, Optional<ChunkSet> target, long held, Report now) {
+        target.ifPresent(this::lay);
+        Optional<ChunkSet> whole = target.filter(laid::all);
+        boolean late = deadlines.lastOrderPassed(model, held);
+        boolean retires = retirement.due(model, held) && (whole.isEmpty() || late);
+        boolean orders = target.filter(set -> ordersSoon(set, held)).isPresent();
+        if (!retires && !orders) {
+            cordon.lift();
+            return;
+        }
+        // An endpoint that serves nothing gets no requests, so there is nothing to wait for; and an agent that has just
+        // started may have no time to wait.
+        boolean quiet =
+                held == 0 || cordon.closedLongEnough(parts.steadyMillis().getAsLong()) || retires && late;
+        if (quiet && whole.filter(laid::verify).isPresent()) {
+            order(whole.get(), now);
+        } else if (quiet && retires) {
+            retirement.retire(model, held, now);
+            refresh();
         }
-        long now = parts.steadyMillis().getAsLong();
-        long servesUntil = held == 0 ? now : Math.max(now, deadlines.retireAt(whole.model(), whole.version()));
-        return fetches.missingMillis(whole.model(), newest) <= servesUntil - now + WORTH_WAITING_MILLIS;
     }
 
-    private boolean takesEveryVersion() {
-        Place place = parts.place().get();
-        return place.position() < place.count() * TAKING_EVERY_VERSION;
+    /** Lays what has come, for a while: an endpoint that takes chunks slowly must not hold up what is due. */
+    private void lay(ChunkSet set) {
+        long until = parts.steadyMillis().getAsLong() + LAYING_MILLIS;
+        laid.layNew(set, () -> parts.steadyMillis().getAsLong() < until);
     }
 
-    private void advance(ChunkSet set, long held, Report now) {
-        laid.layNew(set);
-        boolean allLaid = laid.all(set);
-        boolean retires = !allLaid && held > 0 && tooLate(set.model(), held);
+    private boolean ordersSoon(ChunkSet set, long held) {
         // Once it is closed it bears a chunk that comes late.
         long soonMillis = cordon.closed() ? 2 * Cordon.MILLIS : Cordon.MILLIS;
-        boolean orders = (allLaid || missingMillis(set) <= soonMillis)
+        return (laid.all(set) || missingMillis(set) <= soonMillis)
                 && parts.steadyMillis().getAsLong() + Cordon.MILLIS >= orderAt(set.model(), held);
-        if (!retires && !orders) {
-            cordon.lift();
-            return;
-        }
-        // An endpoint that serves nothing gets no requests, so there is nothing to wait for.
-        boolean quiet =
-                held == 0 || cordon.closedLongEnough(parts.steadyMillis().getAsLong());
-        if (quiet && retires) {
-            retire(set, now);
-        } else if (quiet && allLaid && laid.verify(set)) {
-            order(set, now);
-        }
     }
 
     /**
@@ -230,28 +236,6 @@
         return fetches.expectedMillis(set, laid.missing(set));
     }
 
-    /** Whether the endpoint must stop serving the version that it holds, although a newer one is not here whole. */
-    private boolean tooLate(String model, long held) {
-        return deadlines.leastAllowed(model, Cordon.MILLIS) > held;
-    }
-
-    /** Makes the endpoint take up one layer of the newer version, so that it serves the older one no more. */
-    private void retire(ChunkSet set, Report now) {
-        int count = set.digests().size();
-        int layers = parts.layers().getAsInt();
-        for (int layer = 0; layer < layers; layer++) {
-            // A layer needs the chunks that overlap with its part of the version.
-            int first = layer * count / layers;
-            int end = ((layer + 1) * count + layers - 1) / layers;
-            if (laid.allBetween(first, end) && laid.layAgain(set, first, end)) {
-                Result<OrderEnd> done = parts.endpoint().startLayer(set.model(), set.version(), layer, now.orders());
-                LOG.warn("event=retired model={} towards={} layer={} end={}", set.model(), set.version(), layer, done);
-                break;
-            }
-        }
-        refresh();
-    }
-
     /** When to order: at once if the endpoint serves nothing, else at this agent's turn. */
     private long orderAt(String model, long held) {
         return held == 0
@@ -260,6 +244,11 @@
     }
 
     private void order(ChunkSet set, Report now) {
+        if (retirement.distrusts(set, now)) {
+            retirement.giveUp(set, now);
+            refresh();
+            return;
+        }
         Result<OrderEnd> end = parts.endpoint().start(set.model(), set.version(), now.orders());
         LOG.info("event=ordered model={} version={} end={}", set.model(), set.version(), end);
         refresh();
@@ -268,6 +257,17 @@
     // -- handing out what the endpoint holds since before this agent started
 
     /** Reads the version that the endpoint holds back from where it lies, so that other agents can have it. */
+    public void readBack() {
+        parts.model().get().ifPresent(model -> {
+            long held = report.get()
+                    .map(now -> now.models().getOrDefault(model, 0L))
+                    .orElse(0L);
+            if (held > 0) {
+                readBack(model, held);
+            }
+        });
+    }
+
     private void readBack(String model, long held) {
         if (set(model, held).isPresent()) {
             return;
--- a/src/test/java/org/micabarrow/serving/StandingInstanceTest.java
+++ b/src/test/java/org/micabarrow/serving/StandingInstanceTest.java
@@ -184,7 +184,21 @@
         CompletableFuture<HttpAnswer> answer = sent();
         platform.store().append("keyed.servers", "model-1", "");
         Await.until("the end of its entry", () -> views.view().endpoints().isEmpty());
-        choice.keepOnly(views.view().endpoints().keySet());
+        choice.keepOnly(views.view().endpoints().values());
+        standStill(SILENCE_MILLIS);
+        assertEquals(BAD_GATEWAY, answer.join().status());
+        assertEquals(List.of(), standing.wake());
+    }
+
+    @Test
+    void shouldTakeBackWhatWaitsWhenEndpointStartedAgain() throws Exception {
+        serve(NEVER_MILLIS);
+        CompletableFuture<HttpAnswer> answer = sent();
+        platform.startedAt("model-1", 1_764_718_674_123L);
+        platform.enter("model-1", "models", 1, "ready");
+        Await.until(
+                "the news of its start",
+                () -> views.view().endpoints().get("model-1").startedMillis().isPresent());
         standStill(SILENCE_MILLIS);
         assertEquals(BAD_GATEWAY, answer.join().status());
         assertEquals(List.of(), standing.wake());
