--- a/src/main/java/org/micabarrow/steps/Steps.java
+++ b/src/main/java/org/micabarrow/steps/Steps.java
@@ -39,6 +39,7 @@
      * @return the running thread
      */
     public static Thread start(String name, long restMillis, Step step) {
+        Objects.requireNonNull(name, "name is null");
         Objects.requireNonNull(step, "step is null");
         return Thread.ofPlatform().name(name).daemon().start(() -> run(name, restMillis, step));
     }
