RestartedEndpointTest waits for a refusal without a sending

What it asserts after that is the same; code that sends every request never refuses without one, so it stays red there.

--- a/src/test/java/org/micabarrow/serving/RestartedEndpointTest.java
+++ b/src/test/java/org/micabarrow/serving/RestartedEndpointTest.java
@@ -61,6 +61,12 @@
                 .orElse(0);
     }
 
+    /** A refusal alone does not show that the entry knows: it also follows a sending that the endpoint turned away. */
+    private boolean refusesWithoutSending() {
+        int before = endpoint.misdirected();
+        return ask() == 503 && endpoint.misdirected() == before;
+    }
+
     private void nameVersion(long version) {
         platform.store().append("keyed.op", "version/model-a", "{\"model\":\"model-a\",\"version\":" + version + "}");
     }
@@ -73,7 +79,7 @@
     @Test
     void shouldSendNothingToEndpointThatHoldsNothingAnyMore() {
         startAgain(Ending.CRASH);
-        Await.until("nothing to send to", () -> ask() == 503);
+        Await.until("nothing to send to", this::refusesWithoutSending);
         int before = endpoint.misdirected();
         for (int request = 0; request < 5; request++) {
             assertEquals(503, ask());
