--- /dev/null
+++ b/src/main/java/org/micabarrow/views/EndpointEntries.java
@@ -0,0 +1,109 @@
+package org.micabarrow.views;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.micabarrow.routing.EndpointEntry;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Result;
+
+/**
+ * What endpoints' entries change in the list of endpoints: entries that come late, cannot be used, or lapsed while the store was
+ * away. Not safe for several threads at once.
+ */
+final class EndpointEntries {
+
+    private final RecordDecoder decoder;
+    private final DropDoubts doubts = new DropDoubts();
+    private final NewestEntries newestEntries = new NewestEntries();
+
+    /** The keys whose entry cannot be used: that is said once, however often it is written. */
+    private final Set<String> unusable = new HashSet<>();
+
+    EndpointEntries(RecordDecoder decoder) {
+        this.decoder = decoder;
+    }
+
+    // -- the store
+
+    /** The store answers again after it did not. */
+    void regained(long nowMillis) {
+        doubts.regained(nowMillis);
+    }
+
+    /** Takes out the endpoints whose entries were doubted and have not come back in time. */
+    List<String> takeOverdue(long nowMillis) {
+        return doubts.takeOverdue(nowMillis);
+    }
+
+    // -- records
+
+    /** Takes a record into account, in the list that is given; returns what to log, if anything changes. */
+    Optional<String> take(StoredRecord record, Map<String, EndpointEntry> endpoints, long nowMillis) {
+        return record.dropped() ? dropped(record, endpoints, nowMillis) : written(record, endpoints, nowMillis);
+    }
+
+    private Optional<String> dropped(StoredRecord record, Map<String, EndpointEntry> endpoints, long nowMillis) {
+        String id = record.key();
+        EndpointEntry known = endpoints.get(id);
+        if (known != null && doubts.doubt(known, nowMillis)) {
+            return Optional.of("event=endpoint_doubted endpoint=" + id + " offset=" + record.offset());
+        }
+        doubts.forget(id);
+        unusable.remove(id);
+        return endpoints.remove(id) == null
+                ? Optional.empty()
+                : Optional.of("event=endpoint_gone endpoint=" + id + " offset=" + record.offset());
+    }
+
+    private Optional<String> written(StoredRecord record, Map<String, EndpointEntry> endpoints, long nowMillis) {
+        return switch (decoder.endpoint(record)) {
+            case Result.Failure<EndpointEntry>(Fault fault) -> refused(record, fault.message(), endpoints);
+            case Result.Success<EndpointEntry>(EndpointEntry entry)
+            when newestEntries.lacking(entry) -> refused(record, "it does not tell the endpoint's start", endpoints);
+            case Result.Success<EndpointEntry>(EndpointEntry entry)
+            when newestEntries.over(entry, nowMillis) ->
+                Optional.of("event=entry_written_late endpoint=" + entry.id() + " started=" + started(entry)
+                        + " leaving=" + entry.leaving() + " offset=" + record.offset());
+            case Result.Success<EndpointEntry>(EndpointEntry entry) -> taken(record, entry, endpoints);
+        };
+    }
+
+    /**
+     * An entry that cannot be used takes the place of the one before: that says what was, and nobody knows of what the endpoint
+     * does now, whether it leaves or is gone.
+     */
+    private Optional<String> refused(StoredRecord record, String why, Map<String, EndpointEntry> endpoints) {
+        String id = record.key();
+        doubts.forget(id);
+        boolean first = unusable.add(id);
+        boolean known = endpoints.remove(id) != null;
+        return first || known
+                ? Optional.of("event=entry_refused endpoint=" + record.shownKey() + " known=" + known + " offset="
+                        + record.offset() + " why=\"" + why + "\"")
+                : Optional.empty();
+    }
+
+    private Optional<String> taken(StoredRecord record, EndpointEntry entry, Map<String, EndpointEntry> endpoints) {
+        doubts.forget(entry.id());
+        unusable.remove(entry.id());
+        EndpointEntry before = endpoints.put(entry.id(), entry);
+        if (entry.equals(before)) {
+            return Optional.empty();
+        }
+        boolean again = before != null && !before.start().equals(entry.start());
+        String event = again ? "endpoint_restarted" : "endpoint_changed";
+        return Optional.of("event=" + event + " endpoint=" + entry.id() + " address=" + entry.address() + " leaving="
+                + entry.leaving() + " models="
+                + StoredRecord.shown(entry.models().toString()) + " started=" + started(entry) + " offset="
+                + record.offset());
+    }
+
+    private static String started(EndpointEntry entry) {
+        return entry.startedMillis().isEmpty()
+                ? "-"
+                : String.valueOf(entry.startedMillis().getAsLong());
+    }
+}
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -3,13 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.LongSupplier;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.RouteManifest;
@@ -32,11 +29,7 @@
     private final LongSupplier steadyMillis;
     private final LongSupplier unixMillis;
     private final Map<Topic, TopicCopy> copies = new HashMap<>();
-    private final DropDoubts doubts = new DropDoubts();
-    private final NewestEntries newestEntries = new NewestEntries();
-
-    /** The keys whose entry cannot be used: that is said once, however often it is written. */
-    private final Set<String> refusedEntries = new HashSet<>();
+    private final EndpointEntries entries;
 
     /** The newest version of each model that was read from what operators wrote. */
     private final Map<String, View.Target> namedByOperator = new HashMap<>();
@@ -65,6 +58,7 @@
         this.decoder = Objects.requireNonNull(decoder, "decoder is null");
         this.steadyMillis = Objects.requireNonNull(steadyMillis, "steadyMillis is null");
         this.unixMillis = Objects.requireNonNull(unixMillis, "unixMillis is null");
+        this.entries = new EndpointEntries(decoder);
         for (Topic topic : Topic.values()) {
             copies.put(topic, new TopicCopy());
         }
@@ -144,13 +138,13 @@
      */
     public synchronized void regained(Topic topic) {
         if (topic == Topic.ENDPOINTS) {
-            doubts.regained(steadyMillis.getAsLong());
+            entries.regained(steadyMillis.getAsLong());
         }
     }
 
     /** Removes endpoints whose entries were doubted and have not come back in time. */
     public synchronized void settleDoubts() {
-        List<String> overdue = doubts.takeOverdue(steadyMillis.getAsLong());
+        List<String> overdue = entries.takeOverdue(steadyMillis.getAsLong());
         if (overdue.isEmpty()) {
             return;
         }
@@ -313,80 +307,12 @@
     private void endpointsSaid(List<StoredRecord> news) {
         Map<String, EndpointEntry> endpoints = new HashMap<>(view.endpoints());
         List<String> changes = new ArrayList<>();
-        for (StoredRecord record : news) {
-            (record.dropped() ? entryDropped(record, endpoints) : entryWritten(record, endpoints))
-                    .ifPresent(changes::add);
-        }
+        long now = steadyMillis.getAsLong();
+        news.forEach(record -> entries.take(record, endpoints, now).ifPresent(changes::add));
         view = view.withEndpoints(endpoints);
         changes.forEach(LOG::info);
     }
 
-    /** Takes a dropped entry into account; returns what to log, if anything changes. */
-    private Optional<String> entryDropped(StoredRecord record, Map<String, EndpointEntry> endpoints) {
-        String id = record.key();
-        EndpointEntry known = endpoints.get(id);
-        if (known != null && doubts.doubt(known, steadyMillis.getAsLong())) {
-            return Optional.of("event=endpoint_doubted endpoint=" + id + " offset=" + record.offset());
-        }
-        doubts.forget(id);
-        refusedEntries.remove(id);
-        return endpoints.remove(id) == null
-                ? Optional.empty()
-                : Optional.of("event=endpoint_gone endpoint=" + id + " offset=" + record.offset());
-    }
-
-    /** Takes a written entry into account; returns what to log, if anything changes. */
-    private Optional<String> entryWritten(StoredRecord record, Map<String, EndpointEntry> endpoints) {
-        return switch (decoder.endpoint(record)) {
-            case Result.Failure<EndpointEntry>(Fault fault) -> entryRefused(record, fault.message(), endpoints);
-            case Result.Success<EndpointEntry>(EndpointEntry entry)
-            when newestEntries.lacking(entry) ->
-                entryRefused(record, "it does not tell the endpoint's start", endpoints);
-            case Result.Success<EndpointEntry>(EndpointEntry entry)
-            when newestEntries.over(entry, steadyMillis.getAsLong()) ->
-                Optional.of("event=entry_written_late endpoint=" + entry.id() + " started=" + started(entry)
-                        + " leaving=" + entry.leaving() + " offset=" + record.offset());
-            case Result.Success<EndpointEntry>(EndpointEntry entry) -> entryTaken(record, entry, endpoints);
-        };
-    }
-
-    /**
-     * An entry that cannot be used takes the place of the one before: that says what was, and nobody knows of what the endpoint
-     * does now, whether it leaves or is gone.
-     */
-    private Optional<String> entryRefused(StoredRecord record, String why, Map<String, EndpointEntry> endpoints) {
-        String id = record.key();
-        doubts.forget(id);
-        boolean first = refusedEntries.add(id);
-        boolean known = endpoints.remove(id) != null;
-        return first || known
-                ? Optional.of("event=entry_refused endpoint=" + record.shownKey() + " known=" + known + " offset="
-                        + record.offset() + " why=\"" + why + "\"")
-                : Optional.empty();
-    }
-
-    private Optional<String> entryTaken(
-            StoredRecord record, EndpointEntry entry, Map<String, EndpointEntry> endpoints) {
-        doubts.forget(entry.id());
-        refusedEntries.remove(entry.id());
-        EndpointEntry before = endpoints.put(entry.id(), entry);
-        if (entry.equals(before)) {
-            return Optional.empty();
-        }
-        boolean again = before != null && !before.start().equals(entry.start());
-        String event = again ? "endpoint_restarted" : "endpoint_changed";
-        return Optional.of("event=" + event + " endpoint=" + entry.id() + " address=" + entry.address() + " leaving="
-                + entry.leaving() + " models="
-                + StoredRecord.shown(entry.models().toString()) + " started=" + started(entry) + " offset="
-                + record.offset());
-    }
-
-    private static String started(EndpointEntry entry) {
-        return entry.startedMillis().isEmpty()
-                ? "-"
-                : String.valueOf(entry.startedMillis().getAsLong());
-    }
-
     private static void refused(StoredRecord record, Fault fault) {
         LOG.error("event=record_refused key={} offset={} why=\"{}\"", record.shownKey(), record.offset(), fault);
     }
