--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -9,8 +9,8 @@
 import org.micabarrow.admission.PlaceShares;
 import org.micabarrow.platform.EndpointCalls;
 import org.micabarrow.platform.OriginCalls;
-import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointStart;
+import org.micabarrow.routing.LoadReport;
 import org.micabarrow.routing.ModelService;
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.settings.HostedSettings;
@@ -162,9 +162,9 @@
     }
 
     /** What entries are told of the endpoint; while it does not answer, nothing is said. */
-    private Optional<EndpointLoad.Told> told() {
+    private Optional<LoadReport> told() {
         return keeper.report()
-                .map(report -> new EndpointLoad.Told(
+                .map(report -> new LoadReport(
                         report.running() + report.queued(),
                         0,
                         report.busy() || keeper.closing(),
@@ -178,7 +178,7 @@
     private int freePlaces(ModelEndpoint.Report report) {
         return modelService()
                 .map(service -> PlaceShares.dealable(service.slots(), report.running() + report.queued()))
-                .orElse(EndpointLoad.Told.ANY_PLACES);
+                .orElse(LoadReport.ANY_PLACES);
     }
 
     private boolean serves() {
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -1,7 +1,5 @@
 package org.micabarrow.routing;
 
-import java.util.OptionalInt;
-
 /**
  * What an entry knows of the work at one start of an endpoint: its own requests there, what the endpoint's agent told, and
  * how its last requests ended. Used by one thread.
@@ -13,7 +11,7 @@
 
     private int requests;
     private int waitingPromptTokens;
-    private Told told = new Told(0, 0, false, 0);
+    private LoadReport told = new LoadReport(0, 0, false, 0);
     private int requestsWhenTold;
     private long toldAtMillis = -TOLD_MILLIS - 1;
     private long heardAtMillis;
@@ -100,59 +98,6 @@
 
     // -- what the agent told
 
-    /**
-     * What an endpoint's agent told.
-     *
-     * @param requests the requests at the endpoint, those in its queue too
-     * @param othersPromptTokens prompt tokens that other entries have waiting there
-     * @param loading whether the endpoint is taking up weights
-     * @param version the weight version it holds; 0 for none
-     * @param places how many of the endpoint's free places are this entry's, until it is told again
-     * @param start names the endpoint's start, see {@link EndpointStart#token}
-     */
-    public record Told(
-            int requests, int othersPromptTokens, boolean loading, long version, int places, OptionalInt start) {
-
-        /** What {@link #places} is where an agent deals none out: all that are free may be taken. */
-        public static final int ANY_PLACES = Integer.MAX_VALUE;
-
-        /**
-         * What an agent tells that deals no places out.
-         *
-         * @param requests the requests at the endpoint, those in its queue too
-         * @param othersPromptTokens prompt tokens that other entries have waiting there
-         * @param loading whether the endpoint is taking up weights
-         * @param version the weight version it holds; 0 for none
-         */
-        public Told(int requests, int othersPromptTokens, boolean loading, long version) {
-            this(requests, othersPromptTokens, loading, version, ANY_PLACES);
-        }
-
-        /**
-         * What the agent of an endpoint tells that does not tell when it was started.
-         *
-         * @param requests the requests at the endpoint, those in its queue too
-         * @param othersPromptTokens prompt tokens that other entries have waiting there
-         * @param loading whether the endpoint is taking up weights
-         * @param version the weight version it holds; 0 for none
-         * @param places how many of the endpoint's free places are this entry's, until it is told again
-         */
-        public Told(int requests, int othersPromptTokens, boolean loading, long version, int places) {
-            this(requests, othersPromptTokens, loading, version, places, OptionalInt.empty());
-        }
-
-        /**
-         * The same, told to one entry.
-         *
-         * @param others prompt tokens that other entries have waiting there
-         * @param dealt how many of the free places are the entry's
-         * @return what the entry is told
-         */
-        public Told to(int others, int dealt) {
-            return new Told(requests, others, loading, version, dealt, start);
-        }
-    }
-
     /**
      * The endpoint's agent told what it does.
      *
@@ -160,7 +105,7 @@
      * @param delay how long ago it was asked, in milliseconds
      * @param nowMillis the time on the steady clock
      */
-    public void told(Told news, long delay, long nowMillis) {
+    public void told(LoadReport news, long delay, long nowMillis) {
         told = news;
         link.measured(delay, nowMillis);
         requestsWhenTold = requests;
--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -7,7 +7,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
 import java.util.OptionalInt;
-import org.micabarrow.routing.EndpointLoad.Told;
+import org.micabarrow.routing.LoadReport;
 import org.micabarrow.state.CanonicalJson;
 
 /** The datagrams by which entries ask agents how their endpoints are. One that is lost is made up for by the next. */
@@ -67,10 +67,10 @@
      * @param number the number of the entry's question; if nothing was asked, that of the last
      * @param told how the endpoint is
      */
-    record Answer(int number, Told told) {}
+    record Answer(int number, LoadReport told) {}
 
     static ByteBuffer write(Answer answer) {
-        Told told = answer.told();
+        LoadReport told = answer.told();
         ObjectNode json = CanonicalJson.mapper().createObjectNode();
         json.put(REQUESTS, told.requests());
         json.put(PROMPT_TOKENS, told.othersPromptTokens());
@@ -84,12 +84,12 @@
 
     static Answer answer(byte[] bytes) throws IOException {
         JsonNode json = CanonicalJson.mapper().readTree(bytes);
-        Told told = new Told(
+        LoadReport told = new LoadReport(
                 json.path(REQUESTS).asInt(),
                 json.path(PROMPT_TOKENS).asInt(),
                 json.path(LOADING).asBoolean(),
                 json.path(VERSION).asLong(),
-                json.path(PLACES).asInt(Told.ANY_PLACES),
+                json.path(PLACES).asInt(LoadReport.ANY_PLACES),
                 json.has(START) ? OptionalInt.of(json.path(START).asInt()) : OptionalInt.empty());
         return new Answer(json.path(NUMBER).asInt(), told);
     }
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -10,7 +10,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.micabarrow.admission.PlaceShares;
-import org.micabarrow.routing.EndpointLoad.Told;
+import org.micabarrow.routing.LoadReport;
 import org.micabarrow.steps.Steps;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -24,14 +24,14 @@
     private static final long SAID_MILLIS = 1_000;
 
     private final DatagramChannel channel;
-    private final Supplier<Optional<Told>> endpoint;
+    private final Supplier<Optional<LoadReport>> endpoint;
     private final LongSupplier steadyMillis;
     private final Map<String, Said> entries = new ConcurrentHashMap<>();
     private final PlaceShares shares = new PlaceShares(RandomGenerator.of("L64X128MixRandom"));
 
     private record Said(InetSocketAddress from, LoadMessages.Question question, long atMillis) {}
 
-    private LoadServer(DatagramChannel channel, Supplier<Optional<Told>> endpoint, LongSupplier steadyMillis) {
+    private LoadServer(DatagramChannel channel, Supplier<Optional<LoadReport>> endpoint, LongSupplier steadyMillis) {
         this.channel = channel;
         this.endpoint = endpoint;
         this.steadyMillis = steadyMillis;
@@ -46,7 +46,7 @@
      * @return the running server
      * @throws IOException if the address cannot be used
      */
-    public static LoadServer start(String address, Supplier<Optional<Told>> endpoint, LongSupplier steadyMillis)
+    public static LoadServer start(String address, Supplier<Optional<LoadReport>> endpoint, LongSupplier steadyMillis)
             throws IOException {
         DatagramChannel channel = DatagramChannel.open().bind(Addresses.parse(address));
         LoadServer server = new LoadServer(channel, endpoint, steadyMillis);
@@ -89,22 +89,22 @@
     }
 
     private void tell(Said said) throws IOException {
-        Optional<Told> told = endpoint.get();
+        Optional<LoadReport> told = endpoint.get();
         if (told.isPresent()) {
             tell(said, told.get(), share(said.question(), told.get()));
         }
     }
 
-    private int share(LoadMessages.Question question, Told told) {
-        if (told.places() == Told.ANY_PLACES) {
-            return Told.ANY_PLACES;
+    private int share(LoadMessages.Question question, LoadReport told) {
+        if (told.places() == LoadReport.ANY_PLACES) {
+            return LoadReport.ANY_PLACES;
         }
         synchronized (shares) {
             return shares.deal(question.entry(), question.unmet(), told.places(), steadyMillis.getAsLong());
         }
     }
 
-    private void tell(Said said, Told told, int places) throws IOException {
+    private void tell(Said said, LoadReport told, int places) throws IOException {
         int others = entries.entrySet().stream()
                 .filter(one -> !one.getKey().equals(said.question().entry()))
                 .mapToInt(one -> one.getValue().question().promptTokens())
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -27,13 +27,10 @@
 
     private final RecordDecoder decoder;
     private final LongSupplier steadyMillis;
-    private final LongSupplier unixMillis;
     private final Map<Topic, TopicCopy> copies = new HashMap<>();
     private final EndpointEntries entries;
 
-    /** The newest version of each model that was read from what operators wrote. */
-    private final Map<String, View.Target> namedByOperator = new HashMap<>();
-
+    private final NamedTargets targets;
     private boolean loaded;
     private volatile View view = View.empty();
 
@@ -57,7 +54,7 @@
     ViewKeeper(RecordDecoder decoder, LongSupplier steadyMillis, LongSupplier unixMillis) {
         this.decoder = Objects.requireNonNull(decoder, "decoder is null");
         this.steadyMillis = Objects.requireNonNull(steadyMillis, "steadyMillis is null");
-        this.unixMillis = Objects.requireNonNull(unixMillis, "unixMillis is null");
+        this.targets = new NamedTargets(steadyMillis, Objects.requireNonNull(unixMillis, "unixMillis is null"));
         this.entries = new EndpointEntries(decoder);
         for (Topic topic : Topic.values()) {
             copies.put(topic, new TopicCopy());
@@ -205,8 +202,7 @@
 
     private void weightsNamed(StoredRecord record, String model, long version) {
         long newest = view.newestTarget(model).map(View.Target::version).orElse(0L);
-        View.Target target = new View.Target(version, steadyMillis.getAsLong(), loaded);
-        namedByOperator.merge(model, target, (a, b) -> a.version() >= b.version() ? a : b);
+        View.Target target = targets.byOperator(model, version, loaded);
         if (!want(model, target, "store offset=" + record.offset()) && version < newest) {
             LOG.warn(
                     "event=weights_named_late model={} version={} offset={} newest={}",
@@ -246,34 +242,8 @@
 
     // -- weight versions that processes keep in the store
 
-    /**
-     * Takes note of the newest version of each model alone: when the others were named is not known, so that they must not seem
-     * to be good to answer for a while.
-     */
     private void versionsKept(List<StoredRecord> news) {
-        Map<String, OperatorRecord.WeightsNamed> newest = new HashMap<>();
-        news.stream()
-                .filter(record -> !record.dropped())
-                .map(decoder::operator)
-                .flatMap(said -> said.toOptional().stream())
-                .forEach(said -> {
-                    if (said instanceof OperatorRecord.WeightsNamed named) {
-                        newest.merge(named.model(), named, (a, b) -> a.version() >= b.version() ? a : b);
-                    }
-                });
-        newest.values()
-                .forEach(named ->
-                        want(named.model(), new View.Target(named.version(), learnedMillis(named), false), "kept"));
-    }
-
-    /**
-     * When a version was named, on the steady clock. A process that starts while a version is due would give older ones the
-     * whole bound once more: with an agent and its entries started again 5 s after the naming, up to 13 s instead of 8.
-     */
-    private long learnedMillis(OperatorRecord.WeightsNamed named) {
-        long unixNow = unixMillis.getAsLong();
-        long ago = unixNow - named.namedMillis().orElse(unixNow);
-        return steadyMillis.getAsLong() - Math.max(0, ago);
+        targets.kept(decoder, news).forEach((model, target) -> want(model, target, "kept"));
     }
 
     /** Whether what operators wrote has been read. */
@@ -281,25 +251,9 @@
         return loaded;
     }
 
-    /**
-     * The newest versions that are not known to lie in the store under a key of their own. What only a peer told is none of them:
-     * a wrong word would outlast every process.
-     */
+    /** The newest versions that are not known to lie in the store under a key of their own. */
     synchronized List<Unkept> unkept() {
-        TopicCopy kept = copies.get(Topic.NAMED);
-        List<Unkept> all = new ArrayList<>();
-        namedByOperator.forEach((model, newest) -> {
-            if (kept.record(VersionKeys.of(model, newest.version())).isEmpty()) {
-                List<String> outdated = VersionKeys.outdated(kept.keys(), model, newest.version());
-                all.add(new Unkept(model, newest.version(), namedMillis(newest), outdated));
-            }
-        });
-        return all;
-    }
-
-    private OptionalLong namedMillis(View.Target target) {
-        long ago = steadyMillis.getAsLong() - target.learnedMillis();
-        return target.seenNamed() ? OptionalLong.of(unixMillis.getAsLong() - ago) : OptionalLong.empty();
+        return targets.unkept(copies.get(Topic.NAMED));
     }
 
     // -- endpoints
--- a/src/test/java/org/micabarrow/admission/AdmissionTest.java
+++ b/src/test/java/org/micabarrow/admission/AdmissionTest.java
@@ -12,7 +12,7 @@
 import org.micabarrow.routing.EndpointChoice;
 import org.micabarrow.routing.EndpointChoice.Wanted;
 import org.micabarrow.routing.EndpointEntry;
-import org.micabarrow.routing.EndpointLoad.Told;
+import org.micabarrow.routing.LoadReport;
 import org.micabarrow.routing.ModelService;
 
 /** What happens to a request now. */
@@ -39,7 +39,7 @@
     }
 
     private void requestsThere(int requests, int places) {
-        choice.load("a").told(new Told(requests, 0, false, 1, places), 1, NOW);
+        choice.load("a").told(new LoadReport(requests, 0, false, 1, places), 1, NOW);
     }
 
     @Test
--- a/src/test/java/org/micabarrow/play/LoadPlay.java
+++ b/src/test/java/org/micabarrow/play/LoadPlay.java
@@ -16,7 +16,7 @@
 import org.micabarrow.routing.EndpointChoice.Wanted;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.EndpointLoad;
-import org.micabarrow.routing.EndpointLoad.Told;
+import org.micabarrow.routing.LoadReport;
 import org.micabarrow.routing.ModelService;
 
 /**
@@ -176,15 +176,16 @@
             events.after(setting.lookMillis(), this::look);
         }
 
-        private Told asked(Entry entry, int ownPromptTokens, int unmet) {
+        private LoadReport asked(Entry entry, int ownPromptTokens, int unmet) {
             said.put(entry.name, ownPromptTokens);
             int others = said.entrySet().stream()
                     .filter(one -> !one.getKey().equals(entry.name))
                     .mapToInt(Map.Entry::getValue)
                     .sum();
             int free = PlaceShares.dealable(setting.model().slots(), reported);
-            int places = setting.dealt() ? shares.deal(entry.name, unmet, free, events.nowMillis()) : Told.ANY_PLACES;
-            return new Told(reported, others, false, 1, places);
+            int places =
+                    setting.dealt() ? shares.deal(entry.name, unmet, free, events.nowMillis()) : LoadReport.ANY_PLACES;
+            return new LoadReport(reported, others, false, 1, places);
         }
     }
 
@@ -209,7 +210,7 @@
                 int own = choice.load(engine.listed.id()).ownPromptTokens();
                 int unmet = choice.unmet().lately(events.nowMillis());
                 events.after(WAY_MILLIS, () -> {
-                    Told told = engine.asked(this, own, unmet);
+                    LoadReport told = engine.asked(this, own, unmet);
                     events.after(WAY_MILLIS, () -> {
                         choice.load(engine.listed.id()).told(told, 2 * (long) WAY_MILLIS, events.nowMillis());
                         line.serve();
--- a/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
+++ b/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
@@ -13,7 +13,6 @@
 import org.junit.jupiter.api.Test;
 import org.micabarrow.routing.EndpointChoice.Choice;
 import org.micabarrow.routing.EndpointChoice.Wanted;
-import org.micabarrow.routing.EndpointLoad.Told;
 
 /** Where requests are sent. */
 class EndpointChoiceTest {
@@ -82,42 +81,42 @@
 
     @Test
     void shouldCountWhatOtherEntriesHaveThere() {
-        choice.load("a").told(new Told(4, 0, false, 1), 10, NOW);
+        choice.load("a").told(new LoadReport(4, 0, false, 1), 10, NOW);
         assertInstanceOf(Choice.Full.class, choose(endpoint("a")));
-        choice.load("b").told(new Told(1, 9_000, false, 1), 10, NOW);
+        choice.load("b").told(new LoadReport(1, 9_000, false, 1), 10, NOW);
         assertInstanceOf(Choice.Full.class, choose(endpoint("b")));
     }
 
     @Test
     void shouldNotChooseEndpointThatTakesUpWeights() {
-        choice.load("a").told(new Told(0, 0, true, 1), 10, NOW);
+        choice.load("a").told(new LoadReport(0, 0, true, 1), 10, NOW);
         assertEquals("b", chosen(choose(endpoint("a"), endpoint("b"))));
     }
 
     @Test
     void shouldPassOverEndpointWhoseAgentFellSilent() {
-        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW - 1_000);
-        choice.load("b").told(new Told(2, 0, false, 1), 10, NOW - 100);
+        choice.load("a").told(new LoadReport(0, 0, false, 1), 10, NOW - 1_000);
+        choice.load("b").told(new LoadReport(2, 0, false, 1), 10, NOW - 100);
         assertEquals("b", chosen(choose(endpoint("a"), endpoint("b"))));
     }
 
     @Test
     void shouldUseSilentEndpointWhenAllAreSilent() {
-        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW - 5_000);
+        choice.load("a").told(new LoadReport(0, 0, false, 1), 10, NOW - 5_000);
         assertEquals("a", chosen(choose(endpoint("a"))));
     }
 
     @Test
     void shouldPassOverEndpointBehindSlowLink() {
-        choice.load("a").told(new Told(0, 0, false, 1), 2_200, NOW);
-        choice.load("b").told(new Told(2, 0, false, 1), 100, NOW);
+        choice.load("a").told(new LoadReport(0, 0, false, 1), 2_200, NOW);
+        choice.load("b").told(new LoadReport(2, 0, false, 1), 100, NOW);
         assertEquals("b", chosen(choose(endpoint("a"), endpoint("b"))));
         assertEquals("a", chosen(choose(endpoint("a"))), "no other can serve");
     }
 
     @Test
     void shouldSendNothingThroughSlowLinkWhenNewerVersionIsNamed() {
-        choice.load("a").told(new Told(0, 0, false, 1), 2_200, NOW);
+        choice.load("a").told(new LoadReport(0, 0, false, 1), 2_200, NOW);
         Wanted wanted = new Wanted(1_000, 500, Optional.of(MODEL), 0, 2, Set.of());
         assertInstanceOf(Choice.None.class, choice.choose(List.of(endpoint("a")), wanted, NOW));
         EndpointEntry renewed = endpoint("a", "h1", false, 2, 16);
@@ -126,18 +125,18 @@
 
     @Test
     void shouldSendNothingThroughLinkThatWasSlowLatelyWhenNewerVersionIsNamed() {
-        choice.load("a").told(new Told(0, 0, false, 1), 900, NOW - 500);
-        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW);
+        choice.load("a").told(new LoadReport(0, 0, false, 1), 900, NOW - 500);
+        choice.load("a").told(new LoadReport(0, 0, false, 1), 10, NOW);
         Wanted newer = new Wanted(1_000, 500, Optional.of(MODEL), 0, 2, Set.of());
         assertInstanceOf(Choice.None.class, choice.choose(List.of(endpoint("a")), newer, NOW));
         assertEquals("a", chosen(choose(endpoint("a"))), "no newer version is named");
-        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW + 5_000);
+        choice.load("a").told(new LoadReport(0, 0, false, 1), 10, NOW + 5_000);
         assertInstanceOf(Choice.Send.class, choice.choose(List.of(endpoint("a")), newer, NOW + 5_000));
     }
 
     @Test
     void shouldSendNothingWhileAgentIsSilentWhenNewerVersionIsNamed() {
-        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW - 1_000);
+        choice.load("a").told(new LoadReport(0, 0, false, 1), 10, NOW - 1_000);
         choice.load("a").heard(NOW - 50);
         Wanted wanted = new Wanted(1_000, 500, Optional.of(MODEL), 0, 2, Set.of());
         assertInstanceOf(Choice.None.class, choice.choose(List.of(endpoint("a")), wanted, NOW));
@@ -146,16 +145,16 @@
 
     @Test
     void shouldNotUseSilentEndpointWhileOthersAreHeard() {
-        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW - 1_000);
-        choice.load("b").told(new Told(0, 0, true, 1), 10, NOW - 100);
+        choice.load("a").told(new LoadReport(0, 0, false, 1), 10, NOW - 1_000);
+        choice.load("b").told(new LoadReport(0, 0, true, 1), 10, NOW - 100);
         assertInstanceOf(Choice.None.class, choose(endpoint("a"), endpoint("b")), "b takes up weights, a stands still");
     }
 
     @Test
     void shouldUseEndpointThatAnswersWhileItsAgentIsGone() {
-        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW - 1_000);
+        choice.load("a").told(new LoadReport(0, 0, false, 1), 10, NOW - 1_000);
         choice.load("a").heard(NOW - 50);
-        choice.load("b").told(new Told(0, 0, true, 1), 10, NOW - 100);
+        choice.load("b").told(new LoadReport(0, 0, true, 1), 10, NOW - 100);
         assertEquals("a", chosen(choose(endpoint("a"), endpoint("b"))));
     }
 
@@ -190,10 +189,10 @@
         Wanted newer = new Wanted(1_000, 500, Optional.of(MODEL), 0, 2, Set.of());
         EndpointEntry old = endpoint("a", "h1", false, 1, 16);
         assertFalse(choice.mustAsk(old, newer), "no agent was ever heard beside it");
-        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW);
+        choice.load("a").told(new LoadReport(0, 0, false, 1), 10, NOW);
         assertTrue(choice.mustAsk(old, newer));
         assertFalse(choice.mustAsk(old, wanted(0, Set.of())), "nothing newer was named");
-        choice.load("a").told(new Told(0, 0, false, 2), 10, NOW);
+        choice.load("a").told(new LoadReport(0, 0, false, 2), 10, NOW);
         assertFalse(choice.mustAsk(old, newer), "it has changed versions since its entry was written");
     }
 
@@ -201,11 +200,11 @@
     void shouldSendNothingWhereAgentLeftQuestionUnansweredWhenNewerVersionIsNamed() {
         Wanted newer = new Wanted(1_000, 500, Optional.of(MODEL), 0, 2, Set.of());
         EndpointEntry old = endpoint("a", "h1", false, 1, 16);
-        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW);
+        choice.load("a").told(new LoadReport(0, 0, false, 1), 10, NOW);
         choice.load("a").notAnswered();
         assertFalse(choice.able(old, newer, NOW));
         assertTrue(choice.able(old, wanted(0, Set.of()), NOW), "any version may answer");
-        choice.load("a").told(new Told(0, 0, false, 1), 10, NOW);
+        choice.load("a").told(new LoadReport(0, 0, false, 1), 10, NOW);
         assertTrue(choice.able(old, newer, NOW));
     }
 
@@ -213,10 +212,10 @@
 
     @Test
     void shouldNotBelieveThatEndpointHoldsWhatItsFormerStartHeld() {
-        choice.load(started(5_000, 1).start()).told(new Told(0, 0, false, 3), 10, NOW);
+        choice.load(started(5_000, 1).start()).told(new LoadReport(0, 0, false, 3), 10, NOW);
         choice.load(started(5_000, 1).start()).answeredBy(3);
         assertInstanceOf(Choice.None.class, choose(started(9_000, 0)));
-        choice.load(started(9_000, 0).start()).told(new Told(0, 0, false, 1), 10, NOW);
+        choice.load(started(9_000, 0).start()).told(new LoadReport(0, 0, false, 1), 10, NOW);
         assertEquals("a", chosen(choose(started(9_000, 0))));
     }
 
@@ -242,10 +241,10 @@
     @Test
     void shouldSendNothingToStartThatIsOverByItsAgent() {
         EndpointLoad load = choice.load(started(5_000, 1).start());
-        load.told(new Told(0, 0, false, 1), 10, NOW);
+        load.told(new LoadReport(0, 0, false, 1), 10, NOW);
         load.toldOfAnotherStart();
         assertInstanceOf(Choice.None.class, choose(started(5_000, 1)));
-        load.told(new Told(0, 0, false, 1), 10, NOW);
+        load.told(new LoadReport(0, 0, false, 1), 10, NOW);
         assertEquals("a", chosen(choose(started(5_000, 1))), "the agent was behind the entry for a moment");
     }
 
--- a/src/test/java/org/micabarrow/routing/EndpointLoadTest.java
+++ b/src/test/java/org/micabarrow/routing/EndpointLoadTest.java
@@ -6,7 +6,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.micabarrow.routing.EndpointLoad.Told;
 
 /** What is known of an endpoint whose agent has told nothing, or told late. */
 class EndpointLoadTest {
@@ -22,7 +21,7 @@
 
     @Test
     void shouldCallLinkSlowLatelyForAWhileAfterLateAnswer() {
-        load.told(new Told(0, 0, false, 1), 401, 10);
+        load.told(new LoadReport(0, 0, false, 1), 401, 10);
         assertTrue(load.delayedLately(3_010));
         assertFalse(load.delayedLately(3_011));
     }
--- a/src/test/java/org/micabarrow/serving/LateSendingTest.java
+++ b/src/test/java/org/micabarrow/serving/LateSendingTest.java
@@ -24,7 +24,7 @@
 import org.micabarrow.platform.StoreRecords;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.routing.EndpointChoice;
-import org.micabarrow.routing.EndpointLoad.Told;
+import org.micabarrow.routing.LoadReport;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpCaller;
@@ -78,7 +78,7 @@
         worker = HttpCaller.worker("late-sending", 1);
         client = HttpCaller.start("client", 1);
         platform.add("model-1", "models", 1);
-        choice.load("model-1").told(new Told(0, 0, false, 1), 0, clockMillis.get());
+        choice.load("model-1").told(new LoadReport(0, 0, false, 1), 0, clockMillis.get());
     }
 
     @AfterEach
@@ -119,7 +119,7 @@
                 new MetricRegistry(),
                 clockMillis::get,
                 (endpoint, then) -> {
-                    choice.load(endpoint.id()).told(new Told(0, 0, false, 1), 0, clockMillis.get());
+                    choice.load(endpoint.id()).told(new LoadReport(0, 0, false, 1), 0, clockMillis.get());
                     then.accept(true);
                 },
                 new ServingHandler.VersionTimes(NEVER_MILLIS, demandMillis, cancelMillis)));
--- a/src/test/java/org/micabarrow/serving/OlderVersionTest.java
+++ b/src/test/java/org/micabarrow/serving/OlderVersionTest.java
@@ -22,7 +22,7 @@
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.routing.EndpointChoice;
-import org.micabarrow.routing.EndpointLoad.Told;
+import org.micabarrow.routing.LoadReport;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.transport.HttpCaller.HttpAnswer;
@@ -66,7 +66,7 @@
         worker = HttpCaller.worker("older-version", 1);
         client = HttpCaller.start("client", 1);
         platform.add("model-1", "models", 1);
-        choice.load("model-1").told(new Told(0, 0, false, 1), 0, steadyMillis());
+        choice.load("model-1").told(new LoadReport(0, 0, false, 1), 0, steadyMillis());
     }
 
     @AfterEach
@@ -163,7 +163,7 @@
         platform.add("model-2", "models", 2);
         serve(0, NEVER_MILLIS);
         Await.until("both", () -> views.view().endpoints().size() == 2);
-        choice.load("model-2").told(new Told(0, 0, false, 2), 0, steadyMillis());
+        choice.load("model-2").told(new LoadReport(0, 0, false, 2), 0, steadyMillis());
         views.want(MODEL, 2);
         // The endpoint with the newest version refuses, and the question that the other is asked about is never
         // settled.
--- a/src/test/java/org/micabarrow/serving/StandingInstanceTest.java
+++ b/src/test/java/org/micabarrow/serving/StandingInstanceTest.java
@@ -21,7 +21,7 @@
 import org.micabarrow.platform.StoreRecords;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.routing.EndpointChoice;
-import org.micabarrow.routing.EndpointLoad.Told;
+import org.micabarrow.routing.LoadReport;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.transport.HttpCaller.HttpAnswer;
@@ -80,7 +80,7 @@
         standing = StandingEndpoint.start();
         platform.place("model-1", standing.address());
         platform.enter("model-1", "models", 1, "ready");
-        choice.load("model-1").told(new Told(0, 0, false, 1), 0, clockMillis.get());
+        choice.load("model-1").told(new LoadReport(0, 0, false, 1), 0, clockMillis.get());
     }
 
     @AfterEach
@@ -219,7 +219,7 @@
         CompletableFuture<HttpAnswer> answer = sent();
         views.want(MODEL, 2);
         clockMillis.addAndGet(SILENCE_MILLIS);
-        choice.load("model-1").told(new Told(1, 0, false, 1), 0, clockMillis.get());
+        choice.load("model-1").told(new LoadReport(1, 0, false, 1), 0, clockMillis.get());
         lookAfterRequests();
         assertEquals(1, standing.wake().size());
         answer.cancel(true);
@@ -251,7 +251,7 @@
         views.want(MODEL, 2);
         CompletableFuture<HttpAnswer> answer = sent();
         // The time for the first version passes while the endpoint holds it already; then another is named.
-        choice.load("model-1").told(new Told(1, 0, false, 2), 0, clockMillis.get());
+        choice.load("model-1").told(new LoadReport(1, 0, false, 2), 0, clockMillis.get());
         CompletableFuture<Void> passed = new CompletableFuture<>();
         worker.getIoThread().executeAfter(() -> passed.complete(null), 2 * CANCEL_MILLIS, TimeUnit.MILLISECONDS);
         passed.get(WITHIN.toMillis(), TimeUnit.MILLISECONDS);
--- a/src/test/java/org/micabarrow/transport/LoadFeedTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadFeedTest.java
@@ -28,8 +28,8 @@
 import org.micabarrow.routing.EndpointChoice;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.EndpointLoad;
-import org.micabarrow.routing.EndpointLoad.Told;
 import org.micabarrow.routing.EndpointStart;
+import org.micabarrow.routing.LoadReport;
 import org.micabarrow.routing.ModelService;
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.settings.Common;
@@ -106,7 +106,7 @@
     private void answer(DatagramPacket question, int numberOff) throws IOException {
         byte[] bytes = Arrays.copyOf(question.getData(), question.getLength());
         int number = LoadMessages.question(bytes).number() + numberOff;
-        ByteBuffer answer = LoadMessages.write(new LoadMessages.Answer(number, new Told(1, 0, false, 1)));
+        ByteBuffer answer = LoadMessages.write(new LoadMessages.Answer(number, new LoadReport(1, 0, false, 1)));
         agent.send(new DatagramPacket(answer.array(), answer.limit(), question.getSocketAddress()));
     }
 
@@ -198,7 +198,7 @@
 
     private static final EndpointStart LISTED = new EndpointStart("a", OptionalLong.of(1_764_718_674_123L));
 
-    private void answer(DatagramPacket question, Told told) throws IOException {
+    private void answer(DatagramPacket question, LoadReport told) throws IOException {
         byte[] bytes = Arrays.copyOf(question.getData(), question.getLength());
         ByteBuffer answer = LoadMessages.write(
                 new LoadMessages.Answer(LoadMessages.question(bytes).number(), told));
@@ -206,7 +206,7 @@
     }
 
     /** Answers one question after the other with the same until a belief about the listed start is held. */
-    private void answerUntil(EndpointChoice choice, Told told, Predicate<EndpointLoad> belief) throws Exception {
+    private void answerUntil(EndpointChoice choice, LoadReport told, Predicate<EndpointLoad> belief) throws Exception {
         agent.setSoTimeout((int) TimeUnit.SECONDS.toMillis(LONGEST_SECONDS));
         boolean held = false;
         while (!held) {
@@ -226,8 +226,8 @@
         // The feed of all tests, which lists no endpoint, makes its own choice forget them.
         EndpointChoice own = new EndpointChoice("region-a", Map.of("hall-a", "region-a"));
         feed(new View(both.manifest(), 0, Map.of("a", listed), Map.of()), own).start(() -> {});
-        answerUntil(own, new Told(0, 0, false, 5, 1, OptionalInt.of(123_456)), EndpointLoad::startedAgain);
-        answerUntil(own, new Told(0, 0, false, 2, 1, OptionalInt.of(674_123)), load -> !load.startedAgain());
+        answerUntil(own, new LoadReport(0, 0, false, 5, 1, OptionalInt.of(123_456)), EndpointLoad::startedAgain);
+        answerUntil(own, new LoadReport(0, 0, false, 2, 1, OptionalInt.of(674_123)), load -> !load.startedAgain());
         CompletableFuture<Long> version = new CompletableFuture<>();
         worker.getIoThread().execute(() -> version.complete(own.load(LISTED).version()));
         assertEquals(2L, version.get(LONGEST_SECONDS, TimeUnit.SECONDS));
--- a/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
@@ -10,7 +10,7 @@
 import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.micabarrow.routing.EndpointLoad.Told;
+import org.micabarrow.routing.LoadReport;
 import org.micabarrow.transport.LoadMessages.Answer;
 import org.micabarrow.transport.LoadMessages.Question;
 import org.micabarrow.transport.LoadMessages.Received;
@@ -31,13 +31,13 @@
 
     @Test
     void shouldReadAnswerWhenWritten() throws IOException {
-        Answer answer = new Answer(17, new Told(3, 800, true, 7, 5));
+        Answer answer = new Answer(17, new LoadReport(3, 800, true, 7, 5));
         assertEquals(answer, LoadMessages.answer(bytes(LoadMessages.write(answer))));
     }
 
     @Test
     void shouldReadStartOfEndpointWhenAnswerNamesIt() throws IOException {
-        Answer answer = new Answer(17, new Told(3, 800, true, 7, 5, OptionalInt.of(674_123)));
+        Answer answer = new Answer(17, new LoadReport(3, 800, true, 7, 5, OptionalInt.of(674_123)));
         assertEquals(answer, LoadMessages.answer(bytes(LoadMessages.write(answer))));
     }
 
--- a/src/test/java/org/micabarrow/transport/LoadServerTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadServerTest.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
-import org.micabarrow.routing.EndpointLoad.Told;
+import org.micabarrow.routing.LoadReport;
 
 /** What an agent answers to entries, over real sockets. */
 class LoadServerTest {
@@ -21,7 +21,7 @@
     /** Decides nothing but a hang. */
     private static final int HANG_MILLIS = 10_000;
 
-    private static final Told RESTING = new Told(0, 0, false, 1);
+    private static final LoadReport RESTING = new LoadReport(0, 0, false, 1);
 
     private static void ask(DatagramSocket entry, InetSocketAddress agent, int number) throws IOException {
         ByteBuffer question = LoadMessages.write(new LoadMessages.Question("entry-a", 0, number, 0));
@@ -31,7 +31,7 @@
     @Test
     void shouldAnswerOnWhenOneAnswerFails() throws Exception {
         AtomicBoolean failed = new AtomicBoolean();
-        Supplier<Optional<Told>> endpoint = () -> {
+        Supplier<Optional<LoadReport>> endpoint = () -> {
             if (failed.compareAndSet(false, true)) {
                 throw new IllegalStateException("a fault of the program");
             }
