--- a/src/main/java/org/micabarrow/command/RehearseCommand.java
+++ b/src/main/java/org/micabarrow/command/RehearseCommand.java
@@ -51,7 +51,7 @@
             HostedSettings settings = throughFile(platform.entry());
             HostedEntryProcess entry = HostedEntryProcess.start(settings);
             HostedAgentProcess agent = HostedAgentProcess.start(platform.agent("model-1"));
-            platform.store().append("keyed.op", "version/model-a", "{\"model\":\"model-a\",\"version\":2}");
+            platform.nameWeights(2);
             String clients = settings.listen().clients().orElseThrow();
             boolean served = true;
             for (String path : List.of("/once/1", "/again/2", "/stream/3")) {
--- a/src/main/java/org/micabarrow/serving/LastLook.java
+++ b/src/main/java/org/micabarrow/serving/LastLook.java
@@ -56,8 +56,8 @@
         long tookMillis = parts.nowMillis() - decidedMillis;
         if (tookMillis > CONNECT_MILLIS && !run.cameLate()) {
             // What came in meanwhile has not been read yet, so that even what looks well rests on an old view. Once a
-            // request: in
-            // a process that is slow all the time each connection comes late, and nothing would leave it.
+            // request only: in a process that is slow all the time each connection comes late, and nothing would leave
+            // it.
             return new Verdict.Outdated("the connection came only after " + tookMillis + " ms", true);
         }
         return new Verdict.Holds();
