A process that starts knows the newest manifest also when an older one was written late; a found version replaces the one found before it

Cause: a process that starts takes the newest record of operators' key for their newest manifest. A write without an answer may be done seconds later, after that of a newer manifest. Kept now, beside named weight versions: where the newest manifest stands, by its version (one small write by each keeper at a change, none by others). The record comes from the store's history, or from a peer, which keeps the record of the manifest in force although an older one replaced it.

A version that was kept without the time of its naming, beside a newer one of the operator, seemed good to be fetched and to answer until the newer one was due. A found version now replaces one found before it, which goes on telling by when still older ones must stop.

Ruled out: keeping manifests whole (a second copy of up to 300 KB a change, for each keeper); taking a record's rank in the copy of a topic (every manifest would be decoded twice).

The fake store of NamedVersionsTest now has a history, as the store does.

--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -28,12 +28,12 @@
 import org.micabarrow.state.Result;
 import org.micabarrow.views.RecordDecoder;
 import org.micabarrow.views.StoredRecord;
+import org.micabarrow.views.VersionKeys;
 
 /** Decodes what operators and endpoints write into the store. Fields that are not known are passed over. */
 public final class StoreRecords implements RecordDecoder {
 
     private static final String MANIFEST_KEY = "config";
-    private static final String VERSION_KEYS = "version/";
     private static final double MILLIS_A_SECOND = 1_000;
 
     /** What a route's timeout and objective are if the manifest names none: longer than any client waits. */
@@ -91,7 +91,7 @@
         if (record.key().equals(MANIFEST_KEY)) {
             return decode(record, json -> new OperatorRecord.ManifestSet(manifest(json)));
         }
-        if (record.key().startsWith(VERSION_KEYS)) {
+        if (record.key().startsWith(VersionKeys.VERSIONS)) {
             return decode(
                     record,
                     json -> new OperatorRecord.WeightsNamed(
@@ -99,6 +99,9 @@
                             JsonFields.whole(json, "version", 1),
                             VersionRecords.namedMillis(json)));
         }
+        if (record.key().startsWith(VersionKeys.MANIFESTS)) {
+            return decode(record, VersionRecords::manifestKept);
+        }
         return Result.success(new OperatorRecord.Unused());
     }
 
--- a/src/main/java/org/micabarrow/platform/VersionRecords.java
+++ b/src/main/java/org/micabarrow/platform/VersionRecords.java
@@ -21,16 +21,22 @@
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.transport.HttpCaller.HttpAnswer;
 import org.micabarrow.views.NamedVersions;
-import org.micabarrow.views.NamedVersions.Unkept;
+import org.micabarrow.views.RecordDecoder.OperatorRecord;
 import org.micabarrow.views.StoredRecord;
-import org.micabarrow.views.VersionKeys;
+import org.micabarrow.views.Unkept;
 
-/** Writes named weight versions into the system's own topic of the platform's store, as operators write them into theirs. */
+/**
+ * Writes named weight versions into the system's own topic of the platform's store, as operators write them into theirs, and
+ * where the newest manifest stands.
+ */
 public final class VersionRecords implements NamedVersions.VersionWriter {
 
     /** Operators' records have no such field. */
     private static final String NAMED = "namedMillis";
 
+    private static final String VERSION = "version";
+    private static final String OFFSET = "offset";
+
     /** The length of a key is one byte on the wire. */
     private static final int MOST_KEY_BYTES = 255;
 
@@ -58,7 +64,7 @@
     @Override
     public Result<List<StoredRecord>> write(Unkept unkept) {
         List<StoredRecord> records = new ArrayList<>();
-        records.add(new StoredRecord(VersionKeys.of(unkept.model(), unkept.version()), 0, value(unkept)));
+        records.add(new StoredRecord(unkept.key(), 0, value(unkept)));
         unkept.outdated().forEach(key -> records.add(new StoredRecord(key, 0, DROPPED)));
         if (records.stream().anyMatch(record -> bytes(record.key()).length > MOST_KEY_BYTES)) {
             return Result.failure(Fault.of(
@@ -70,12 +76,25 @@
 
     private static byte[] value(Unkept unkept) {
         ObjectNode json = CanonicalJson.mapper().createObjectNode();
-        json.put("model", unkept.model());
-        json.put("version", unkept.version());
-        unkept.namedMillis().ifPresent(at -> json.put(NAMED, at));
+        switch (unkept) {
+            case Unkept.Weights weights -> {
+                json.put("model", weights.model());
+                json.put(VERSION, weights.version());
+                weights.namedMillis().ifPresent(at -> json.put(NAMED, at));
+            }
+            case Unkept.Manifest manifest -> {
+                json.put(VERSION, manifest.version());
+                json.put(OFFSET, manifest.offset());
+            }
+        }
         return CanonicalJson.write(json);
     }
 
+    /** Reads what says where a manifest stands. */
+    static OperatorRecord manifestKept(JsonNode json) {
+        return new OperatorRecord.ManifestKept(JsonFields.whole(json, VERSION, 0), JsonFields.whole(json, OFFSET, 0));
+    }
+
     /** The Unix millisecond at which the writer of a record learned of its version; empty if it does not tell. */
     static OptionalLong namedMillis(JsonNode json) {
         return json.has(NAMED) ? OptionalLong.of(JsonFields.whole(json, NAMED, 0)) : OptionalLong.empty();
@@ -107,8 +126,8 @@
         }
         try {
             JsonNode json = CanonicalJson.mapper().readTree(answer.body());
-            return json.path("offset").isIntegralNumber()
-                    ? Result.success(json.path("offset").asLong())
+            return json.path(OFFSET).isIntegralNumber()
+                    ? Result.success(json.path(OFFSET).asLong())
                     : Result.failure(Fault.of(call.step(), call.peer(), Reason.CORRUPT, "the answer has no offset"));
         } catch (IOException e) {
             return Result.failure(
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -132,8 +132,9 @@
     void follow(Pace endpoints, Supplier<List<String>> peers, BooleanSupplier keepsVersions) {
         StoreClient store = new StoreClient(kept, settings.store(), STORE_ANSWER);
         VersionRecords records = new VersionRecords(kept, settings.store(), STORE_ANSWER);
-        NamedVersions operator = new NamedVersions(store, records, views, keepsVersions);
         Consumer<Topic> askPeer = topic -> askPeer(topic, peers.get());
+        NamedVersions operator =
+                new NamedVersions(store, records, views, keepsVersions, () -> askPeer.accept(Topic.OPERATOR));
         new StoreFollower(Topic.OPERATOR, operator, views, askPeer, new Pace(STORE_WAIT, Duration.ZERO)).start();
         new StoreFollower(Topic.ENDPOINTS, store, views, askPeer, endpoints).start();
         operator.start();
@@ -153,7 +154,7 @@
     }
 
     private void askPeer(String peer, Topic topic) {
-        switch (peerRecords.ask(peer, topic, views.end(topic))) {
+        switch (peerRecords.ask(peer, topic, views.askFrom(topic))) {
             case Result.Success<Batch>(Batch batch) -> views.apply(topic, batch.records(), batch.end());
             case Result.Failure<Batch>(Fault fault) ->
                 LOG.info("event=peer_silent topic={} peer={} why=\"{}\"", topic, peer, fault);
--- a/src/main/java/org/micabarrow/views/NamedTargets.java
+++ b/src/main/java/org/micabarrow/views/NamedTargets.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
-import org.micabarrow.views.NamedVersions.Unkept;
 import org.micabarrow.views.RecordDecoder.OperatorRecord;
+import org.micabarrow.views.View.Learned;
 
 /**
  * Weight versions as operators named them, and as processes kept them in the store with the time of day at which they learned
@@ -28,7 +28,8 @@
 
     /** Takes note of a version that was read from what operators wrote. */
     View.Target byOperator(String model, long version, boolean seenNamed) {
-        View.Target target = new View.Target(version, steadyMillis.getAsLong(), seenNamed);
+        Learned learned = seenNamed ? Learned.SEEN_NAMED : Learned.FOUND;
+        View.Target target = new View.Target(version, steadyMillis.getAsLong(), learned);
         byOperator.merge(model, target, (a, b) -> a.version() >= b.version() ? a : b);
         return target;
     }
@@ -39,21 +40,21 @@
      * The newest kept version of each model alone: when the others were named is not known, so that they must not seem to be good
      * to answer for a while.
      */
-    Map<String, View.Target> kept(RecordDecoder decoder, List<StoredRecord> news) {
+    Map<String, View.Target> kept(List<OperatorRecord> said) {
         Map<String, View.Target> newest = new HashMap<>();
-        news.stream()
-                .filter(record -> !record.dropped())
-                .map(decoder::operator)
-                .flatMap(said -> said.toOptional().stream())
-                .forEach(said -> {
-                    if (said instanceof OperatorRecord.WeightsNamed named) {
-                        View.Target target = new View.Target(named.version(), learnedMillis(named), false);
-                        newest.merge(named.model(), target, (a, b) -> a.version() >= b.version() ? a : b);
-                    }
-                });
+        for (OperatorRecord one : said) {
+            if (one instanceof OperatorRecord.WeightsNamed named) {
+                newest.merge(named.model(), target(named), (a, b) -> a.version() >= b.version() ? a : b);
+            }
+        }
         return newest;
     }
 
+    private View.Target target(OperatorRecord.WeightsNamed named) {
+        Learned learned = named.namedMillis().isPresent() ? Learned.TOLD_WHEN : Learned.FOUND;
+        return new View.Target(named.version(), learnedMillis(named), learned);
+    }
+
     /**
      * When a version was named, on the steady clock. A process that starts while a version is due would give older ones the
      * whole bound once more: with an agent and its entries started again 5 s after the naming, up to 13 s instead of 8.
@@ -73,7 +74,7 @@
         byOperator.forEach((model, newest) -> {
             if (kept.record(VersionKeys.of(model, newest.version())).isEmpty()) {
                 List<String> outdated = VersionKeys.outdated(kept.keys(), model, newest.version());
-                all.add(new Unkept(model, newest.version(), namedMillis(newest), outdated));
+                all.add(new Unkept.Weights(model, newest.version(), namedMillis(newest), outdated));
             }
         });
         return all;
--- a/src/main/java/org/micabarrow/views/NamedVersions.java
+++ b/src/main/java/org/micabarrow/views/NamedVersions.java
@@ -1,6 +1,7 @@
 package org.micabarrow.views;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.OptionalLong;
@@ -14,11 +15,12 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Keeps in the store which weight versions were named and when, one key a version, and recalls them at the start. The operator's own
+ * Keeps in the store which weight versions were named and when, one key a version, and where the newest manifest stands, and
+ * recalls them at the start. The operator's own
  * record of a model does not tell this: a write that got no answer may be done seconds later, after the write of a newer
  * version, so that the newest record names an older version. A set of keys is the same in whatever order and however often its
  * members are written. Guards against endpoints that take up, and go on answering by, an older version after every process has
- * started again.
+ * started again, and against processes that start with an older manifest than the others go by.
  */
 public final class NamedVersions implements TopicReader {
 
@@ -40,9 +42,11 @@
     private final VersionWriter writer;
     private final ViewKeeper keeper;
     private final BooleanSupplier writes;
+    private final Runnable askPeer;
     private final AtomicBoolean recalled = new AtomicBoolean();
     private long looks;
     private long looksMissing;
+    private long looksLacking;
 
     /** Writes a version where {@link Topic#NAMED} is read from. */
     @FunctionalInterface
@@ -58,21 +62,15 @@
     }
 
     /**
-     * A named weight version that is not known to lie in {@link Topic#NAMED}.
+     * Keeps the named versions of a process that has no peers.
      *
-     * @param model the model
-     * @param version the version
-     * @param namedMillis the Unix millisecond at which this process learned that it was named; empty if it found it so
-     * @param outdated keys of the model's versions there that are of use no more
+     * @param reader reads the store
+     * @param writer writes versions
+     * @param keeper knows which versions were named
+     * @param writes whether this process is to write; a few processes are enough
      */
-    public record Unkept(String model, long version, OptionalLong namedMillis, List<String> outdated) {
-
-        /** Copies the keys. */
-        public Unkept {
-            Objects.requireNonNull(model, "model is null");
-            Objects.requireNonNull(namedMillis, "namedMillis is null");
-            outdated = List.copyOf(outdated);
-        }
+    public NamedVersions(TopicReader reader, VersionWriter writer, ViewKeeper keeper, BooleanSupplier writes) {
+        this(reader, writer, keeper, writes, () -> {});
     }
 
     /**
@@ -82,12 +80,15 @@
      * @param writer writes versions
      * @param keeper knows which versions were named
      * @param writes whether this process is to write; a few processes are enough
+     * @param askPeer asks a peer for what operators wrote, from {@link ViewKeeper#askFrom} on
      */
-    public NamedVersions(TopicReader reader, VersionWriter writer, ViewKeeper keeper, BooleanSupplier writes) {
+    public NamedVersions(
+            TopicReader reader, VersionWriter writer, ViewKeeper keeper, BooleanSupplier writes, Runnable askPeer) {
         this.reader = Objects.requireNonNull(reader, "reader is null");
         this.writer = Objects.requireNonNull(writer, "writer is null");
         this.keeper = Objects.requireNonNull(keeper, "keeper is null");
         this.writes = Objects.requireNonNull(writes, "writes is null");
+        this.askPeer = Objects.requireNonNull(askPeer, "askPeer is null");
     }
 
     // -- reading
@@ -95,11 +96,46 @@
     /** Reads the newest records; before those of operators, which may name an older version, the versions are recalled. */
     @Override
     public Result<Batch> newest(Topic topic) {
-        if (topic == Topic.OPERATOR) {
-            recalled.set(false);
-            recall();
+        if (topic != Topic.OPERATOR) {
+            return reader.newest(topic);
+        }
+        recalled.set(false);
+        recall();
+        return reader.newest(topic).map(this::withHiddenManifest);
+    }
+
+    /** Adds the newest manifest if it is not among the newest records, since an older one was written after it. */
+    private Batch withHiddenManifest(Batch batch) {
+        OptionalLong kept = keeper.lackingManifest();
+        if (kept.isEmpty() || batch.records().stream().anyMatch(record -> record.offset() == kept.getAsLong())) {
+            return batch;
         }
-        return reader.newest(topic);
+        List<StoredRecord> records = new ArrayList<>(batch.records());
+        records.addAll(hidden(kept.getAsLong()));
+        return new Batch(records, batch.end());
+    }
+
+    /** The manifest at an offset, from the store's history; a peer is asked for it if the history is gone. */
+    private List<StoredRecord> hidden(long offset) {
+        List<StoredRecord> found = history(offset);
+        if (found.isEmpty()) {
+            askPeer.run();
+        }
+        return found;
+    }
+
+    private List<StoredRecord> history(long offset) {
+        return switch (reader.read(Topic.OPERATOR, offset, Duration.ZERO)) {
+            case Result.Success<Read>(Read.Records(Batch batch)) ->
+                batch.records().stream()
+                        .filter(record -> record.offset() == offset)
+                        .toList();
+            case Result.Success<Read>(Read.Expired ignored) -> List.of();
+            case Result.Failure<Read>(Fault fault) -> {
+                LOG.info("event=manifest_not_in_history offset={} why=\"{}\"", offset, fault);
+                yield List.of();
+            }
+        };
     }
 
     @Override
@@ -138,6 +174,23 @@
         if (recalled.get() && missing && (looksMissing > LOOKS_FOR_OTHERS || writes.getAsBoolean())) {
             keeper.unkept().forEach(this::write);
         }
+        if (recalled.get() && writes.getAsBoolean()) {
+            keeper.unkeptManifest().ifPresent(this::write);
+        }
+        regainManifest();
+    }
+
+    /**
+     * Looks for a manifest that is known to be newer than the one in force: at the first look that lacks it, then at the second,
+     * the fourth and so on, since it may be gone with all that knew it.
+     */
+    private void regainManifest() {
+        OptionalLong lacking = keeper.lackingManifest();
+        looksLacking = lacking.isPresent() ? looksLacking + 1 : 0;
+        if (lacking.isPresent() && Long.bitCount(looksLacking) == 1) {
+            LOG.warn("event=manifest_lacking offset={} looks={}", lacking.getAsLong(), looksLacking);
+            keeper.apply(Topic.OPERATOR, hidden(lacking.getAsLong()), 0);
+        }
     }
 
     /**
@@ -152,14 +205,10 @@
         switch (writer.write(unkept)) {
             case Result.Success<List<StoredRecord>>(List<StoredRecord> records) -> {
                 keeper.apply(Topic.NAMED, records, 0);
-                LOG.info("event=version_kept model={} version={}", unkept.model(), unkept.version());
+                LOG.info("event=version_kept key={}", unkept.key());
             }
             case Result.Failure<List<StoredRecord>>(Fault fault) ->
-                LOG.warn(
-                        "event=version_not_kept model={} version={} why=\"{}\"",
-                        unkept.model(),
-                        unkept.version(),
-                        fault);
+                LOG.warn("event=version_not_kept key={} why=\"{}\"", unkept.key(), fault);
         }
     }
 }
--- a/src/main/java/org/micabarrow/views/RecordDecoder.java
+++ b/src/main/java/org/micabarrow/views/RecordDecoder.java
@@ -27,12 +27,20 @@
          */
         record WeightsNamed(String model, long version, OptionalLong namedMillis) implements OperatorRecord {}
 
+        /**
+         * A manifest that was in force, in what processes of this system keep.
+         *
+         * @param version its version
+         * @param offset its offset among what operators wrote
+         */
+        record ManifestKept(long version, long offset) implements OperatorRecord {}
+
         /** Something that this system does not use. */
         record Unused() implements OperatorRecord {}
     }
 
     /**
-     * Reads an operator's record.
+     * Reads an operator's record, or one that processes of this system keep.
      *
      * @param record the record, not dropped
      * @return what it says, or why it cannot be read
--- a/src/main/java/org/micabarrow/views/VersionKeys.java
+++ b/src/main/java/org/micabarrow/views/VersionKeys.java
@@ -4,10 +4,15 @@
 import java.util.List;
 import java.util.OptionalLong;
 
-/** The keys under which named weight versions are kept: one a version, so that no write can hide another. */
+/** The keys under which named weight versions and manifests are kept: one a version, so that no write can hide another. */
 public final class VersionKeys {
 
-    private static final String PREFIX = "version/";
+    /** Begins the keys of weight versions, as it does where operators write them. */
+    public static final String VERSIONS = "version/";
+
+    /** Begins the keys of manifests. */
+    public static final String MANIFESTS = "manifest/";
+
     private static final char BEFORE_VERSION = '/';
 
     /**
@@ -26,7 +31,26 @@
      * @return the key
      */
     public static String of(String model, long version) {
-        return PREFIX + model + BEFORE_VERSION + version;
+        return VERSIONS + model + BEFORE_VERSION + version;
+    }
+
+    /**
+     * The key of a manifest.
+     *
+     * @param version its version
+     * @return the key
+     */
+    public static String ofManifest(long version) {
+        return MANIFESTS + version;
+    }
+
+    /** The keys of manifests that are older than one: whoever looks for the newest needs no other. */
+    static List<String> outdatedManifests(Collection<String> keys, long newest) {
+        return keys.stream()
+                .filter(key -> key.startsWith(MANIFESTS))
+                .filter(key -> version(key.substring(MANIFESTS.length())).orElse(newest) < newest)
+                .sorted()
+                .toList();
     }
 
     /**
@@ -38,7 +62,7 @@
      * @return those of versions that are older by more than are kept
      */
     static List<String> outdated(Collection<String> keys, String model, long newest) {
-        String prefix = PREFIX + model + BEFORE_VERSION;
+        String prefix = VERSIONS + model + BEFORE_VERSION;
         return keys.stream()
                 .filter(key -> key.startsWith(prefix))
                 .filter(key -> version(key.substring(prefix.length())).orElse(newest) < newest - KEPT)
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -6,14 +6,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
-import org.micabarrow.views.NamedVersions.Unkept;
 import org.micabarrow.views.RecordDecoder.OperatorRecord;
+import org.micabarrow.views.View.Learned;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -31,6 +32,11 @@
     private final EndpointEntries entries;
 
     private final NamedTargets targets;
+    private final KeptManifests keptManifests = new KeptManifests();
+
+    /** The record of the manifest in force: an older one that is written late takes its place in the copy. */
+    private Optional<StoredRecord> manifest = Optional.empty();
+
     private boolean loaded;
     private volatile View view = View.empty();
 
@@ -91,6 +97,7 @@
      */
     public synchronized void apply(Topic topic, Collection<StoredRecord> records, long readTo) {
         publish(topic, copies.get(topic).apply(records, readTo));
+        takeLacking(topic, records);
     }
 
     /**
@@ -102,6 +109,7 @@
      */
     public synchronized void replace(Topic topic, Collection<StoredRecord> records, long takenAt) {
         publish(topic, copies.get(topic).replace(records, takenAt));
+        takeLacking(topic, records);
         loaded |= topic == Topic.OPERATOR;
     }
 
@@ -125,7 +133,23 @@
      */
     public synchronized TopicReader.Batch since(Topic topic, long offset) {
         TopicCopy copy = copies.get(topic);
-        return new TopicReader.Batch(copy.since(offset), copy.endFor(offset));
+        List<StoredRecord> records = new ArrayList<>(copy.since(offset));
+        if (topic == Topic.OPERATOR) {
+            manifest.filter(record -> record.offset() >= offset && !records.contains(record))
+                    .ifPresent(records::add);
+        }
+        return new TopicReader.Batch(records, copy.endFor(offset));
+    }
+
+    /**
+     * From where on a peer is to be asked for a topic: from where it is to be read next, or from a manifest on that is lacking.
+     *
+     * @param topic the topic
+     * @return the offset
+     */
+    public synchronized long askFrom(Topic topic) {
+        long end = end(topic);
+        return topic == Topic.OPERATOR ? Math.min(end, lackingManifest().orElse(end)) : end;
     }
 
     /**
@@ -178,15 +202,19 @@
             case Result.Success<OperatorRecord>(
                     OperatorRecord.WeightsNamed(String model, long version, OptionalLong ignored)) ->
                 weightsNamed(record, model, version);
-            case Result.Success<OperatorRecord>(OperatorRecord.Unused ignored) ->
-                LOG.debug("event=record_unused key={}", record.key());
+            case Result.Success<OperatorRecord>(OperatorRecord.ManifestKept ignored) -> unused(record);
+            case Result.Success<OperatorRecord>(OperatorRecord.Unused ignored) -> unused(record);
         }
     }
 
+    private static void unused(StoredRecord record) {
+        LOG.debug("event=record_unused key={}", record.key());
+    }
+
     /** Manifests only go up: a write that got no answer may be done seconds later, after that of a newer manifest. */
     private void manifestSet(StoredRecord record, RouteManifest manifest) {
         View before = view;
-        long inForce = before.manifest().map(RouteManifest::version).orElse(-1L);
+        long inForce = inForce();
         if (manifest.version() < inForce) {
             LOG.warn(
                     "event=manifest_written_late version={} offset={} kept={}",
@@ -196,10 +224,18 @@
             return;
         }
         view = before.withManifest(manifest, record.offset());
+        this.manifest = Optional.of(record);
         LOG.info(
                 "event=manifest_in_force version={} offset={} before={}", manifest.version(), record.offset(), inForce);
     }
 
+    /** Takes the manifest that is lacking: the copy passes it over, since an older one stands after it. */
+    private void takeLacking(Topic topic, Collection<StoredRecord> records) {
+        OptionalLong lacking = topic == Topic.OPERATOR ? lackingManifest() : OptionalLong.empty();
+        lacking.ifPresent(offset ->
+                records.stream().filter(record -> record.offset() == offset).forEach(this::operatorSaid));
+    }
+
     private void weightsNamed(StoredRecord record, String model, long version) {
         long newest = view.newestTarget(model).map(View.Target::version).orElse(0L);
         View.Target target = targets.byOperator(model, version, loaded);
@@ -220,7 +256,10 @@
      * @param version the version; an older one than is known changes nothing
      */
     public synchronized void want(String model, long version) {
-        want(model, new View.Target(version, steadyMillis.getAsLong(), loaded), "peer");
+        want(
+                model,
+                new View.Target(version, steadyMillis.getAsLong(), loaded ? Learned.SEEN_NAMED : Learned.FOUND),
+                "peer");
     }
 
     /** Takes note of a version and tells whether it is newer than those known; the source is for the log. */
@@ -240,10 +279,35 @@
         return true;
     }
 
-    // -- weight versions that processes keep in the store
+    // -- what processes keep in the store
 
     private void versionsKept(List<StoredRecord> news) {
-        targets.kept(decoder, news).forEach((model, target) -> want(model, target, "kept"));
+        List<OperatorRecord> said = news.stream()
+                .filter(record -> !record.dropped())
+                .map(decoder::operator)
+                .flatMap(one -> one.toOptional().stream())
+                .toList();
+        keptManifests.take(said);
+        targets.kept(said).forEach((model, target) -> want(model, target, "kept"));
+    }
+
+    /** Where a manifest stands that is known to be newer than the one in force; empty if none is. */
+    synchronized OptionalLong lackingManifest() {
+        return keptManifests.offsetOfNewerThan(inForce());
+    }
+
+    /** The manifest in force, if it is not known to be kept. */
+    synchronized Optional<Unkept> unkeptManifest() {
+        TopicCopy kept = copies.get(Topic.NAMED);
+        long version = inForce();
+        return manifest.filter(
+                        record -> kept.record(VersionKeys.ofManifest(version)).isEmpty())
+                .map(record -> new Unkept.Manifest(
+                        version, record.offset(), VersionKeys.outdatedManifests(kept.keys(), version)));
+    }
+
+    private long inForce() {
+        return view.manifest().map(RouteManifest::version).orElse(-1L);
     }
 
     /** Whether what operators wrote has been read. */
--- a/src/test/java/org/micabarrow/views/NamedVersionsTest.java
+++ b/src/test/java/org/micabarrow/views/NamedVersionsTest.java
@@ -16,7 +16,6 @@
 import org.micabarrow.platform.StoreRecords;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
-import org.micabarrow.views.NamedVersions.Unkept;
 import org.micabarrow.views.ViewKeeper.Topic;
 
 /** Which weight versions were named, through writes that come late, lost answers and processes that start again. */
@@ -35,6 +34,7 @@
         private boolean down;
         private boolean losesAnswers;
         private boolean refusesWrites;
+        private boolean historyGone;
         private int writes;
 
         private synchronized long append(Topic topic, String key, String value) {
@@ -58,7 +58,12 @@
 
         @Override
         public Result<Read> read(Topic topic, long from, Duration wait) {
-            return Result.success(new Read.Records(new Batch(List.of(), from)));
+            if (historyGone) {
+                return Result.success(new Read.Expired());
+            }
+            List<StoredRecord> all = topics.getOrDefault(topic, List.of());
+            return Result.success(new Read.Records(new Batch(
+                    all.subList((int) Math.min(from, all.size()), all.size()), all.size())));
         }
 
         @Override
@@ -68,8 +73,7 @@
                 return failed();
             }
             List<StoredRecord> written = new ArrayList<>();
-            String key = VersionKeys.of(unkept.model(), unkept.version());
-            long offset = append(Topic.NAMED, key, kept(unkept));
+            long offset = append(Topic.NAMED, unkept.key(), kept(unkept));
             written.add(topics.get(Topic.NAMED).get((int) offset));
             for (String outdated : unkept.outdated()) {
                 written.add(topics.get(Topic.NAMED).get((int) append(Topic.NAMED, outdated, "")));
@@ -83,10 +87,16 @@
     }
 
     private static String kept(Unkept unkept) {
-        String named = unkept.namedMillis().isPresent()
-                ? ",\"namedMillis\":" + unkept.namedMillis().getAsLong()
-                : "";
-        return named(unkept.model(), unkept.version()).replace("}", named + "}");
+        return switch (unkept) {
+            case Unkept.Weights weights -> {
+                String named = weights.namedMillis().isPresent()
+                        ? ",\"namedMillis\":" + weights.namedMillis().getAsLong()
+                        : "";
+                yield named(weights.model(), weights.version()).replace("}", named + "}");
+            }
+            case Unkept.Manifest manifest ->
+                "{\"version\":" + manifest.version() + ",\"offset\":" + manifest.offset() + "}";
+        };
     }
 
     private static String named(String model, long version) {
@@ -374,4 +384,106 @@
         store.append(Topic.OPERATOR, "config", "{\"version\":1,\"routes\":[],\"services\":[]}");
         assertEquals(2, new Node().keeper.view().manifest().orElseThrow().version());
     }
+
+    // -- manifests that an older one hides
+
+    private void operatorSets(long version) {
+        store.append(Topic.OPERATOR, "config", "{\"version\":" + version + ",\"routes\":[],\"services\":[]}");
+    }
+
+    private static long manifest(ViewKeeper keeper) {
+        return keeper.view().manifest().orElseThrow().version();
+    }
+
+    /** The store drops its history after a while; the processes that ran know the record all the same. */
+    @Test
+    void shouldKnowNewestManifestFromPeerWhenHistoryIsGone() {
+        operatorSets(2);
+        Node running = new Node();
+        running.versions.look();
+        operatorSets(1);
+        running.follower.once();
+        store.historyGone = true;
+        ViewKeeper fresh = new ViewKeeper(new StoreRecords(), steady::get, unix::get);
+        Runnable askPeer = () -> {
+            TopicReader.Batch told = running.keeper.since(Topic.OPERATOR, fresh.askFrom(Topic.OPERATOR));
+            fresh.apply(Topic.OPERATOR, told.records(), told.end());
+        };
+        NamedVersions versions = new NamedVersions(store, store, fresh, writes::get, askPeer);
+        fresh.replace(
+                Topic.OPERATOR,
+                versions.newest(Topic.OPERATOR).toOptional().orElseThrow().records(),
+                2);
+        assertEquals(2, manifest(fresh));
+    }
+
+    /** The kept versions may not be readable at the start. */
+    @Test
+    void shouldRegainNewestManifestWhenItsVersionIsRecalledLater() {
+        operatorSets(2);
+        new Node().versions.look();
+        operatorSets(1);
+        store.down = true;
+        Node fresh = new Node();
+        assertEquals(1, manifest(fresh.keeper));
+        store.down = false;
+        fresh.versions.look();
+        assertEquals(2, manifest(fresh.keeper));
+    }
+
+    /** All processes may have ended, and the history be gone: then the older manifest is all that is left. */
+    @Test
+    void shouldGoOnWithOlderManifestWhenNobodyHasNewest() {
+        operatorSets(2);
+        new Node().versions.look();
+        operatorSets(1);
+        store.historyGone = true;
+        Node fresh = new Node();
+        fresh.lookUntilReadNoMore();
+        assertEquals(1, manifest(fresh.keeper));
+    }
+
+    @Test
+    void shouldKeepOnlyWhereNewestManifestStands() {
+        Node running = new Node();
+        for (long version = 3; version <= 9; version += 3) {
+            operatorSets(version);
+            running.keeper.apply(
+                    Topic.OPERATOR, List.of(store.topics.get(Topic.OPERATOR).getLast()), version);
+            running.versions.look();
+        }
+        assertEquals(
+                List.of("manifest/9"),
+                store.newest(Topic.NAMED).toOptional().orElseThrow().records().stream()
+                        .map(StoredRecord::key)
+                        .toList());
+    }
+
+    @Test
+    void shouldNotKeepManifestWhenOthersDo() {
+        writes.set(false);
+        operatorSets(2);
+        Node node = new Node();
+        node.lookUntilReadNoMore();
+        assertEquals(0, store.writes, "every process would write at each change of the manifest");
+    }
+
+    // -- what still must stop when a found version replaces another
+
+    @Test
+    void shouldStillStopVersionsBeforeReplacedOneInTime() {
+        ViewKeeper fresh = new ViewKeeper(new StoreRecords(), steady::get, unix::get);
+        fresh.replace(Topic.NAMED, List.of(record("version/m/3", 0, named("m", 3))), 1);
+        pass(5_000);
+        fresh.replace(Topic.OPERATOR, List.of(record("version/m", 0, named("m", 4))), 1);
+        assertEquals(4, fresh.view().newerNamed("m", 2).orElseThrow().version(), "version 3 is not to be fetched");
+        pass(3_001);
+        assertEquals(3, fresh.view().leastVersion("m", 8_000, steady.get()), "8 s after version 3 was found");
+        pass(5_000);
+        assertEquals(4, fresh.view().leastVersion("m", 8_000, steady.get()));
+    }
+
+    private static StoredRecord record(String key, long offset, String value) {
+        return new StoredRecord(key, offset, value.getBytes(StandardCharsets.UTF_8));
+    }
 }
