--- a/src/main/java/org/micabarrow/command/Main.java
+++ b/src/main/java/org/micabarrow/command/Main.java
@@ -44,8 +44,8 @@
     }
 
     /**
-     * The command that is called by its name alone, else all. Reading the parameters of every command took 0.1 s of a core at
-     * each start of a process, a tenth of what the start of an agent takes.
+     * The command that is called by its name alone, else all. Reading the parameters of every command took 0.18 of the 0.83 s
+     * until an agent had started, by its log of loaded classes.
      */
     private static Map<String, Command> asked(Map<String, Command> commands, String... arguments) {
         return arguments.length > 0 && commands.containsKey(arguments[0])
--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -13,8 +13,8 @@
 
 /**
  * The datagrams by which entries ask agents how their endpoints are. One that is lost is made up for by the next. Numbers are
- * binary: as JSON, which an agent of 84 endpoints and 18 entries reads and writes 56 times a second, they took a sixth of its
- * processor time, and half as many bytes again.
+ * binary: the thread that answers 56 questions a second, as an agent of 84 endpoints and 18 entries gets, took 0.011 of a core
+ * with JSON and takes 0.008 (one run each on loopback), and a question of 46 bytes takes 32 (counted).
  */
 final class LoadMessages {
 
