--- a/src/test/java/org/micabarrow/views/NamedVersionsTest.java
+++ b/src/test/java/org/micabarrow/views/NamedVersionsTest.java
@@ -6,102 +6,24 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.platform.StoreRecords;
-import org.micabarrow.state.Fault;
-import org.micabarrow.state.Result;
 
 /** Which weight versions were named, through writes that come late, lost answers and processes that start again. */
 class NamedVersionsTest {
 
-    private final FakeStore store = new FakeStore();
+    private final FakeKeyedStore store = new FakeKeyedStore();
     private final AtomicBoolean writes = new AtomicBoolean(true);
     private final AtomicLong steady = new AtomicLong(1_000_000);
     private final AtomicLong unix = new AtomicLong(1_764_718_674_123L);
 
-    /** A store of keyed topics, whose answers may fail. */
-    private static final class FakeStore implements TopicReader, NamedVersions.VersionWriter {
-
-        private final Map<Topic, List<StoredRecord>> topics = new LinkedHashMap<>();
-        private final List<Topic> readNewest = new ArrayList<>();
-        private boolean down;
-        private boolean losesAnswers;
-        private boolean refusesWrites;
-        private boolean historyGone;
-        private int writes;
-
-        private synchronized long append(Topic topic, String key, String value) {
-            List<StoredRecord> records = topics.computeIfAbsent(topic, name -> new ArrayList<>());
-            records.add(new StoredRecord(key, records.size(), value.getBytes(StandardCharsets.UTF_8)));
-            return records.size() - 1L;
-        }
-
-        @Override
-        public Result<Batch> newest(Topic topic) {
-            readNewest.add(topic);
-            if (down && topic == Topic.NAMED) {
-                return failed();
-            }
-            List<StoredRecord> all = topics.getOrDefault(topic, List.of());
-            Map<String, StoredRecord> newest = new LinkedHashMap<>();
-            all.forEach(record -> newest.put(record.key(), record));
-            newest.values().removeIf(StoredRecord::dropped);
-            return Result.success(new Batch(List.copyOf(newest.values()), all.size()));
-        }
-
-        @Override
-        public Result<Read> read(Topic topic, long from, Duration wait) {
-            if (historyGone) {
-                return Result.success(new Read.Expired());
-            }
-            List<StoredRecord> all = topics.getOrDefault(topic, List.of());
-            return Result.success(new Read.Records(new Batch(
-                    all.subList((int) Math.min(from, all.size()), all.size()), all.size())));
-        }
-
-        @Override
-        public Result<List<StoredRecord>> write(Unkept unkept) {
-            writes++;
-            if (down || refusesWrites) {
-                return failed();
-            }
-            List<StoredRecord> written = new ArrayList<>();
-            long offset = append(Topic.NAMED, unkept.key(), kept(unkept));
-            written.add(topics.get(Topic.NAMED).get((int) offset));
-            for (String outdated : unkept.outdated()) {
-                written.add(topics.get(Topic.NAMED).get((int) append(Topic.NAMED, outdated, "")));
-            }
-            return losesAnswers ? failed() : Result.success(written);
-        }
-
-        private static <T> Result<T> failed() {
-            return Result.failure(Fault.of(Fault.Step.LOG, "store", Fault.Reason.TIMEOUT, "no answer"));
-        }
-    }
-
-    private static String kept(Unkept unkept) {
-        return switch (unkept) {
-            case Unkept.Weights weights -> {
-                String named = weights.namedMillis().isPresent()
-                        ? ",\"namedMillis\":" + weights.namedMillis().getAsLong()
-                        : "";
-                yield named(weights.model(), weights.version()).replace("}", named + "}");
-            }
-            case Unkept.Manifest manifest ->
-                "{\"version\":" + manifest.version() + ",\"offset\":" + manifest.offset() + "}";
-        };
-    }
-
     private static String named(String model, long version) {
-        return "{\"model\":\"" + model + "\",\"version\":" + version + "}";
+        return FakeKeyedStore.named(model, version);
     }
 
     private void operatorNames(long version) {
