Test, red: every process of a region reads each manifest over the region's link to the store

Three entries and an agent of one region, one manifest after the other: read 3 times and more each ('never came: a manifest is read by one entry for all'). The stand-in of the store counts the records that reads are given.

--- a/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
@@ -32,6 +32,7 @@
 
     private final Map<String, List<Entry>> topics = new HashMap<>();
     private final Map<String, Integer> firstKept = new HashMap<>();
+    private final Map<String, Integer> given = new HashMap<>();
     private int pageSize = 500;
     private Optional<Integer> refusal = Optional.empty();
     private boolean silent;
@@ -102,6 +103,16 @@
                 .anyMatch(entry -> entry.key().equals(key));
     }
 
+    /**
+     * How many records reads of a topic have been given, each as often as it was given.
+     *
+     * @param topic the topic
+     * @return the number
+     */
+    public synchronized int given(String topic) {
+        return given.getOrDefault(topic, 0);
+    }
+
     /**
      * Drops the history of a topic; the newest record of each key stays.
      *
@@ -211,6 +222,7 @@
         if (from < firstKept.getOrDefault(topic, 0)) {
             StandinCalls.answer(exchange, GONE, new byte[0]);
         } else if (from < entries.size() || System.nanoTime() - until >= 0) {
+            given.merge(topic, Math.max(0, entries.size() - from), Integer::sum);
             StandinCalls.answer(exchange, OK, raw(entries, from, firstKept.getOrDefault(topic, 0)));
         } else {
             exchange.dispatch(
