--- a/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
@@ -112,7 +112,7 @@
     }
 
     /**
-     * Answers every call with a status, until told otherwise.
+     * Answers every call with a status, until told otherwise; reads that are held too.
      *
      * @param status the status; empty to answer as usual
      */
@@ -121,7 +121,7 @@
     }
 
     /**
-     * Answers nothing, until told otherwise.
+     * Answers nothing, until told otherwise; reads that are held neither.
      *
      * @param on whether to be silent
      */
@@ -142,12 +142,7 @@
 
     @Override
     public synchronized void handleRequest(HttpServerExchange exchange) {
-        if (silent) {
-            exchange.dispatch(() -> {});
-            return;
-        }
-        if (refusal.isPresent()) {
-            StandinCalls.answer(exchange, refusal.get(), new byte[0]);
+        if (unwell(exchange)) {
             return;
         }
         String topic = StandinCalls.parameter(exchange, "topic").orElse("");
@@ -166,6 +161,16 @@
         }
     }
 
+    /** Leaves a call without an answer or refuses it, if told to; a read that is held already too. */
+    private boolean unwell(HttpServerExchange exchange) {
+        if (silent) {
+            exchange.dispatch(() -> {});
+        } else if (refusal.isPresent()) {
+            StandinCalls.answer(exchange, refusal.get(), new byte[0]);
+        }
+        return silent || refusal.isPresent();
+    }
+
     private synchronized void append(HttpServerExchange exchange, String topic, byte[] body) {
         List<Entry> entries = topics.computeIfAbsent(topic, name -> new ArrayList<>());
         int offset = entries.size();
@@ -207,6 +212,9 @@
     }
 
     private synchronized void read(HttpServerExchange exchange, String topic, int from, long until) {
+        if (unwell(exchange)) {
+            return;
+        }
         List<Entry> entries = topics.getOrDefault(topic, List.of());
         if (from < firstKept.getOrDefault(topic, 0)) {
             StandinCalls.answer(exchange, GONE, new byte[0]);
