A process knows up to which moment it has all that operators wrote

An answer of the store that reaches the topic's end tells all until the question was sent; an empty one that was held for the whole wait, until the wait's end; one that breaks off, nothing. A peer tells how old its knowledge is when it answers. While a newer manifest is known to be lacking no moment is known. After records of operators one more read is made at once without a wait, so that the moment lies back at most a hold and a round trip in quiet times. Nothing decides by it yet.

--- a/src/main/java/org/micabarrow/platform/StoreClient.java
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -13,7 +13,10 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
@@ -52,6 +55,7 @@
     private final HttpCaller caller;
     private final String base;
     private final Duration within;
+    private final LongSupplier steadyMillis;
     private final AtomicLong passedOver = new AtomicLong();
 
     /**
@@ -62,9 +66,22 @@
      * @param within how long the store may be silent beyond the wait that was asked for
      */
     public StoreClient(HttpCaller caller, String address, Duration within) {
+        this(caller, address, within, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    }
+
+    /**
+     * Makes a client that has a clock of its own.
+     *
+     * @param caller sends its requests
+     * @param address the store's host and port
+     * @param within how long the store may be silent beyond the wait that was asked for
+     * @param steadyMillis a clock that never steps, in milliseconds
+     */
+    public StoreClient(HttpCaller caller, String address, Duration within, LongSupplier steadyMillis) {
         this.caller = Objects.requireNonNull(caller, "caller is null");
         this.base = "http://" + Objects.requireNonNull(address, "address is null");
         this.within = Objects.requireNonNull(within, "within is null");
+        this.steadyMillis = Objects.requireNonNull(steadyMillis, "steadyMillis is null");
     }
 
     private static String topicName(Topic topic) {
@@ -86,6 +103,8 @@
         List<StoredRecord> records = new ArrayList<>();
         String after = "";
         long end = -1;
+        // The pages are no snapshot: what is written after the first was asked for may be missing from all.
+        OptionalLong asOf = OptionalLong.of(steadyMillis.getAsLong());
         for (int page = 0; page < MOST_PAGES; page++) {
             Result<JsonNode> answer = newestPage(topic, after);
             if (answer instanceof Result.Failure<JsonNode>(Fault fault)) {
@@ -95,7 +114,7 @@
             end = end < 0 ? json.path("end").longValue() : end;
             json.path("items").forEach(item -> record(topic, item).ifPresent(records::add));
             if (!json.path("has_more").asBoolean(false)) {
-                return Result.success(new Batch(records, end));
+                return Result.success(new Batch(records, end, asOf));
             }
             after = lastKey(json);
             if (after.isEmpty()) {
@@ -186,26 +205,28 @@
                 Step.LOG,
                 URI.create(base + WireNames.LOG_READ + "?topic=" + topicName(topic) + "&part=0&from=" + from
                         + "&wait_ms=" + wait.toMillis()));
+        AskedRead asked = new AskedRead(from, steadyMillis.getAsLong(), wait.toMillis());
         return caller.call(call, limits(wait)).flatMap(answer -> switch (answer.status()) {
-            case OK -> parse(topic, call, from, answer.body());
+            case OK -> parse(topic, call, asked, answer.body());
             case GONE -> Result.success(new Read.Expired());
             default -> refused(call, answer);
         });
     }
 
     /** An answer to a read: the topic's end, the first offset that is kept, and the records from the offset asked for. */
-    private Result<Read> parse(Topic topic, HttpCall call, long from, byte[] body) {
+    private Result<Read> parse(Topic topic, HttpCall call, AskedRead asked, byte[] body) {
         try {
             ByteBuffer bytes = ByteBuffer.wrap(body);
             long end = bytes.getLong();
             long first = bytes.getLong();
-            if (first > from) {
+            if (first > asked.from()) {
                 return Result.success(new Read.Expired());
             }
-            Batch batch = batch(topic, bytes, from);
-            return end < from
-                    ? corrupt(call, "the topic ends at " + end + ", before " + from)
-                    : Result.success(new Read.Records(batch));
+            Batch batch = batch(topic, bytes, asked.from());
+            OptionalLong asOf = asked.asOf(batch.end(), end, steadyMillis.getAsLong());
+            return end < asked.from()
+                    ? corrupt(call, "the topic ends at " + end + ", before " + asked.from())
+                    : Result.success(new Read.Records(new Batch(batch.records(), batch.end(), asOf)));
         } catch (BufferUnderflowException e) {
             return corrupt(call, "the answer breaks off within a record");
         }
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -82,8 +82,8 @@
         this.kept = HttpCaller.on(worker, KEPT_CONNECTIONS);
         this.fresh = HttpCaller.on(worker, 0);
         this.views = new ViewKeeper(new StoreRecords(), HostedNode::steadyMillis);
-        this.peerRecords = new PeerRecords(kept);
-        this.store = new StoreClient(kept, settings.store(), STORE_ANSWER);
+        this.peerRecords = new PeerRecords(kept, HostedNode::steadyMillis);
+        this.store = new StoreClient(kept, settings.store(), STORE_ANSWER, HostedNode::steadyMillis);
         metrics.registerGauge(
                 "process.heapBytes",
                 () -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
@@ -184,7 +184,12 @@
 
     private void askPeer(String peer, Topic topic) {
         switch (peerRecords.ask(peer, topic, views.askFrom(topic))) {
-            case Result.Success<Batch>(Batch batch) -> views.apply(topic, batch.records(), batch.end());
+            case Result.Success<Batch>(Batch batch) -> {
+                views.apply(topic, batch.records(), batch.end());
+                if (topic == Topic.OPERATOR) {
+                    batch.asOfMillis().ifPresent(views::confirmOperator);
+                }
+            }
             case Result.Failure<Batch>(Fault fault) ->
                 LOG.info("event=peer_silent topic={} peer={} why=\"{}\"", topic, peer, fault);
         }
--- a/src/main/java/org/micabarrow/transport/HostedPeerServer.java
+++ b/src/main/java/org/micabarrow/transport/HostedPeerServer.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.views.Topic;
 import org.micabarrow.views.ViewKeeper;
@@ -38,6 +39,7 @@
     private final Sets sets;
     private final MetricRegistry registry;
     private final LinkPacer uplink;
+    private final LongSupplier steadyMillis;
 
     /** Finds the chunks that an agent has. */
     public interface Sets {
@@ -61,10 +63,25 @@
      * @param uplink holds chunks to what the instance's link can spare
      */
     public HostedPeerServer(ViewKeeper views, Sets sets, MetricRegistry registry, LinkPacer uplink) {
+        this(views, sets, registry, uplink, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    }
+
+    /**
+     * Makes a server's handler that has a clock of its own.
+     *
+     * @param views what is known of the store
+     * @param sets the chunks at hand
+     * @param registry the figures
+     * @param uplink holds chunks to what the instance's link can spare
+     * @param steadyMillis the clock of the views, in milliseconds
+     */
+    HostedPeerServer(
+            ViewKeeper views, Sets sets, MetricRegistry registry, LinkPacer uplink, LongSupplier steadyMillis) {
         this.views = Objects.requireNonNull(views, "views is null");
         this.sets = Objects.requireNonNull(sets, "sets is null");
         this.registry = Objects.requireNonNull(registry, "registry is null");
         this.uplink = Objects.requireNonNull(uplink, "uplink is null");
+        this.steadyMillis = Objects.requireNonNull(steadyMillis, "steadyMillis is null");
     }
 
     @Override
@@ -102,7 +119,7 @@
     private void records(HttpServerExchange exchange) {
         Topic topic = Topic.valueOf(parameter(exchange, "topic"));
         long from = Long.parseLong(parameter(exchange, "from"));
-        send(exchange, PeerRecords.write(views.since(topic, from)));
+        send(exchange, PeerRecords.write(views.since(topic, from), steadyMillis.getAsLong()));
     }
 
     private static String parameter(HttpServerExchange exchange, String name) {
--- a/src/main/java/org/micabarrow/transport/PeerRecords.java
+++ b/src/main/java/org/micabarrow/transport/PeerRecords.java
@@ -9,6 +9,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
@@ -31,7 +34,11 @@
 
     private static final int OK = 200;
 
+    /** How long ago everything that was written was known to the peer, in milliseconds; a clock of its own tells nothing here. */
+    private static final String KNOWN_MILLIS_AGO = "knownMsAgo";
+
     private final HttpCaller caller;
+    private final LongSupplier steadyMillis;
 
     /**
      * Makes a client.
@@ -39,7 +46,18 @@
      * @param caller sends its requests
      */
     public PeerRecords(HttpCaller caller) {
+        this(caller, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    }
+
+    /**
+     * Makes a client that has a clock of its own.
+     *
+     * @param caller sends its requests
+     * @param steadyMillis a clock that never steps, in milliseconds
+     */
+    public PeerRecords(HttpCaller caller, LongSupplier steadyMillis) {
         this.caller = Objects.requireNonNull(caller, "caller is null");
+        this.steadyMillis = Objects.requireNonNull(steadyMillis, "steadyMillis is null");
     }
 
     /**
@@ -48,19 +66,20 @@
      * @param peer the peer's host and port
      * @param topic the topic
      * @param from the offset
-     * @return the records
+     * @return the records, as of the moment before the question minus the age of what the peer knows
      */
     public Result<Batch> ask(String peer, Topic topic, long from) {
         URI uri = URI.create("http://" + peer + PATH + "?topic=" + topic + "&from=" + from);
         HttpCall call = HttpCall.get(Step.READ, uri);
+        long sent = steadyMillis.getAsLong();
         return caller.call(call, LIMITS)
                 .flatMap(answer -> answer.status() == OK
-                        ? read(peer, answer.body())
+                        ? read(peer, answer.body(), sent)
                         : Result.failure(
                                 Fault.of(Step.READ, peer, Reason.NOT_READY, "it answered " + answer.status())));
     }
 
-    private static Result<Batch> read(String peer, byte[] body) {
+    private static Result<Batch> read(String peer, byte[] body, long sentMillis) {
         try {
             JsonNode json = CanonicalJson.mapper().readTree(body);
             List<StoredRecord> records = new ArrayList<>();
@@ -70,16 +89,25 @@
                         one.path("offset").asLong(),
                         one.path("value").binaryValue()));
             }
-            return Result.success(new Batch(records, json.path("end").asLong()));
+            return Result.success(new Batch(records, json.path("end").asLong(), asOf(json, sentMillis)));
         } catch (IOException e) {
             return Result.failure(Fault.of(Step.READ, peer, Reason.CORRUPT, "not JSON: " + e.getMessage()));
         }
     }
 
-    /** Writes the answer to {@link #ask}. */
-    static byte[] write(Batch batch) {
+    /** The peer knew of the time before its answer, which came after the question; empty if it does not say, or absurdly. */
+    private static OptionalLong asOf(JsonNode json, long sentMillis) {
+        JsonNode age = json.path(KNOWN_MILLIS_AGO);
+        return age.isIntegralNumber() && age.canConvertToLong() && age.longValue() >= 0
+                ? OptionalLong.of(sentMillis - age.longValue())
+                : OptionalLong.empty();
+    }
+
+    /** Writes the answer to {@link #ask}; the moment is the time on the clock by which the records' own was taken. */
+    static byte[] write(Batch batch, long nowMillis) {
         ObjectNode json = CanonicalJson.mapper().createObjectNode();
         json.put("end", batch.end());
+        batch.asOfMillis().ifPresent(asOf -> json.put(KNOWN_MILLIS_AGO, Math.max(0, nowMillis - asOf)));
         ArrayNode records = json.putArray("records");
         for (StoredRecord record : batch.records()) {
             ObjectNode one = records.addObject();
--- a/src/main/java/org/micabarrow/views/EndpointEntries.java
+++ b/src/main/java/org/micabarrow/views/EndpointEntries.java
@@ -1,5 +1,6 @@
 package org.micabarrow.views;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +9,8 @@
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * What endpoints' entries change in the list of endpoints: entries that come late, cannot be used, or lapsed while the store was
@@ -15,6 +18,8 @@
  */
 final class EndpointEntries {
 
+    private static final Logger LOG = LoggerFactory.getLogger(EndpointEntries.class);
+
     private final RecordDecoder decoder;
     private final DropDoubts doubts = new DropDoubts();
     private final NewestEntries newestEntries = new NewestEntries();
@@ -33,9 +38,18 @@
         doubts.regained(nowMillis);
     }
 
-    /** Takes out the endpoints whose entries were doubted and have not come back in time. */
-    List<String> takeOverdue(long nowMillis) {
-        return doubts.takeOverdue(nowMillis);
+    /** A list without the endpoints whose entries were doubted and have not come back in time; empty if there are none. */
+    Optional<Map<String, EndpointEntry>> withoutOverdue(Map<String, EndpointEntry> endpoints, long nowMillis) {
+        List<String> overdue = doubts.takeOverdue(nowMillis);
+        if (overdue.isEmpty()) {
+            return Optional.empty();
+        }
+        Map<String, EndpointEntry> left = new HashMap<>(endpoints);
+        overdue.forEach(id -> {
+            left.remove(id);
+            LOG.info("event=endpoint_gone endpoint={} after=doubt", id);
+        });
+        return Optional.of(left);
     }
 
     // -- records
--- a/src/main/java/org/micabarrow/views/NamedVersions.java
+++ b/src/main/java/org/micabarrow/views/NamedVersions.java
@@ -122,7 +122,7 @@
         }
         List<StoredRecord> records = new ArrayList<>(batch.records());
         records.addAll(hidden(kept.getAsLong()));
-        return new Batch(records, batch.end());
+        return new Batch(records, batch.end(), batch.asOfMillis());
     }
 
     /** The manifest at an offset, from the store's history; a peer is asked for it if the history is gone. */
--- /dev/null
+++ b/src/main/java/org/micabarrow/views/OperatorLines.java
@@ -0,0 +1,44 @@
+package org.micabarrow.views;
+
+import org.micabarrow.state.Fault;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Writes the lines of what operators' records change, and of why others change nothing. */
+final class OperatorLines {
+
+    private static final Logger LOG = LoggerFactory.getLogger(OperatorLines.class);
+
+    private OperatorLines() {}
+
+    static void ofOthers(StoredRecord record) {
+        LOG.debug("event=record_unused key={}", record.key());
+    }
+
+    static void dropped(StoredRecord record) {
+        LOG.warn("event=operator_record_dropped key={} offset={} kept=last", record.key(), record.offset());
+    }
+
+    static void refused(StoredRecord record, Fault fault) {
+        LOG.error("event=record_refused key={} offset={} why=\"{}\"", record.shownKey(), record.offset(), fault);
+    }
+
+    static void named(String model, View.Target target, long millisAgo, String source) {
+        LOG.info(
+                "event=weights_named model={} version={} seen={} msAgo={} from={}",
+                model,
+                target.version(),
+                target.seenNamed(),
+                millisAgo,
+                source);
+    }
+
+    static void namedLate(StoredRecord record, String model, long version, long newest) {
+        LOG.warn(
+                "event=weights_named_late model={} version={} offset={} newest={}",
+                model,
+                version,
+                record.offset(),
+                newest);
+    }
+}
--- a/src/main/java/org/micabarrow/views/StoreFollower.java
+++ b/src/main/java/org/micabarrow/views/StoreFollower.java
@@ -38,6 +38,12 @@
     private volatile boolean reachable = true;
     private int roundsWithoutRead;
 
+    /**
+     * Whether the last read was held and found what operators wrote. It proves that all is known only up to the moment it was sent,
+     * a whole hold ago perhaps; so the next is not held, or the proof would get as old as two holds in quiet times.
+     */
+    private boolean foundWhileHeld;
+
     /**
      * How often to read.
      *
@@ -124,15 +130,17 @@
         return reader.newest(topic).map(batch -> {
             regained();
             keeper.replace(topic, batch.records(), batch.end());
+            confirm(batch);
             loaded = true;
             return 0L;
         });
     }
 
     private Result<Long> readOn() {
-        return (reachable ? readHeld() : read(Duration.ZERO)).map(read -> {
+        boolean held = reachable && !foundWhileHeld;
+        return (reachable ? readAgainIfLost(held ? pace.hold() : Duration.ZERO) : read(Duration.ZERO)).map(read -> {
             regained();
-            return take(read);
+            return take(read, held);
         });
     }
 
@@ -144,13 +152,13 @@
      * Reads once more at once if no answer came: an open connection may be reset or fall silent for good while the store is
      * well, and answers on a new one. Neither a peer nor a pause is in the way then, and no dropped entry is doubted.
      */
-    private Result<TopicReader.Read> readHeld() {
-        Result<TopicReader.Read> held = read(pace.hold());
-        if (held instanceof Result.Failure<TopicReader.Read>(Fault fault) && ofConnection(fault)) {
+    private Result<TopicReader.Read> readAgainIfLost(Duration wait) {
+        Result<TopicReader.Read> first = read(wait);
+        if (first instanceof Result.Failure<TopicReader.Read>(Fault fault) && ofConnection(fault)) {
             LOG.info("event=store_read_again topic={} why=\"{}\"", topic, fault);
             return read(Duration.ZERO);
         }
-        return held;
+        return first;
     }
 
     /** Whether a fault may lie in the connection alone, which was reset or fell silent. */
@@ -158,11 +166,17 @@
         return fault.reason() == Reason.TIMEOUT || fault.reason() == Reason.UNREACHABLE;
     }
 
-    private long take(TopicReader.Read read) {
+    private long take(TopicReader.Read read, boolean held) {
+        foundWhileHeld = false;
         return switch (read) {
             case TopicReader.Read.Records(TopicReader.Batch batch) -> {
                 keeper.apply(topic, batch.records(), batch.end());
-                yield batch.records().isEmpty() ? 0L : pace.rest().toMillis();
+                confirm(batch);
+                foundWhileHeld =
+                        topic == Topic.OPERATOR && held && !batch.records().isEmpty();
+                yield batch.records().isEmpty() || foundWhileHeld
+                        ? 0L
+                        : pace.rest().toMillis();
             }
             case TopicReader.Read.Expired ignored -> {
                 LOG.info("event=history_expired topic={} from={}", topic, keeper.end(topic));
@@ -172,6 +186,12 @@
         };
     }
 
+    private void confirm(TopicReader.Batch batch) {
+        if (topic == Topic.OPERATOR) {
+            batch.asOfMillis().ifPresent(keeper::confirmOperator);
+        }
+    }
+
     private void lost(Fault fault) {
         if (reachable) {
             LOG.warn("event=store_lost topic={} why=\"{}\"", topic, fault);
--- a/src/main/java/org/micabarrow/views/TopicReader.java
+++ b/src/main/java/org/micabarrow/views/TopicReader.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Objects;
+import java.util.OptionalLong;
 import org.micabarrow.state.Result;
 
 /** Reads the store's topics. */
@@ -12,8 +14,27 @@
      *
      * @param records the records
      * @param end the offset after the last record known to the store
+     * @param asOfMillis the moment on this process's steady clock up to which everything that was written is among the records or
+     *     before them; empty if not known
      */
-    record Batch(List<StoredRecord> records, long end) {}
+    record Batch(List<StoredRecord> records, long end, OptionalLong asOfMillis) {
+
+        /** Checks that nothing is missing. */
+        public Batch {
+            Objects.requireNonNull(records, "records is null");
+            Objects.requireNonNull(asOfMillis, "asOfMillis is null");
+        }
+
+        /**
+         * Records of which it is not known up to which moment they reach.
+         *
+         * @param records the records
+         * @param end the offset after the last record known to the store
+         */
+        public Batch(List<StoredRecord> records, long end) {
+            this(records, end, OptionalLong.empty());
+        }
+    }
 
     /** What a read gave. */
     sealed interface Read {
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -33,6 +33,7 @@
 
     private final NamedTargets targets;
     private final Manifests manifests = new Manifests();
+    private final OperatorKnowledge knowledge = new OperatorKnowledge();
     private boolean loaded;
     private volatile LastChanges changes = new LastChanges(0, 0);
     private volatile View view = View.empty();
@@ -94,6 +95,7 @@
     public synchronized void apply(Topic topic, Collection<StoredRecord> records, long readTo) {
         takeLacking(topic, records);
         publish(topic, copies.get(topic).apply(records, readTo));
+        knowledge.manifestLacking(manifests.lacking().isPresent());
     }
 
     /**
@@ -107,6 +109,25 @@
         takeLacking(topic, records);
         publish(topic, copies.get(topic).replace(records, takenAt));
         loaded |= topic == Topic.OPERATOR;
+        knowledge.manifestLacking(manifests.lacking().isPresent());
+    }
+
+    /**
+     * Takes note that all that operators wrote up to a moment has been taken; to be called after the records were.
+     *
+     * @param asOfMillis the moment on the steady clock; an earlier one than is known changes nothing
+     */
+    public void confirmOperator(long asOfMillis) {
+        knowledge.confirm(asOfMillis);
+    }
+
+    /**
+     * Up to which moment all that operators wrote is known. A view that is taken after this holds it.
+     *
+     * @return the moment on the steady clock; empty if there is none, and while a manifest is known to be lacking
+     */
+    public OptionalLong operatorAsOfMillis() {
+        return knowledge.asOf();
     }
 
     /**
@@ -121,7 +142,8 @@
 
     /**
      * The newest records of a topic at or after an offset, and where to read on after them, both at one moment: with an end that
-     * was taken after the records, whoever reads on from there would never get one that came in between.
+     * was taken after the records, whoever reads on from there would never get one that came in between. Of operators' records it
+     * is told, too, up to which moment they reach.
      *
      * @param topic the topic
      * @param offset the offset, before which the asker knows all records
@@ -130,8 +152,10 @@
     public synchronized TopicReader.Batch since(Topic topic, long offset) {
         TopicCopy copy = copies.get(topic);
         List<StoredRecord> records = copy.since(offset);
-        return new TopicReader.Batch(
-                topic == Topic.OPERATOR ? manifests.withHidden(records, offset) : records, copy.endFor(offset));
+        return topic == Topic.OPERATOR
+                ? new TopicReader.Batch(
+                        manifests.withHidden(records, offset), copy.endFor(offset), operatorAsOfMillis())
+                : new TopicReader.Batch(records, copy.endFor(offset));
     }
 
     /**
@@ -158,16 +182,8 @@
 
     /** Removes endpoints whose entries were doubted and have not come back in time. */
     public synchronized void settleDoubts() {
-        List<String> overdue = entries.takeOverdue(steadyMillis.getAsLong());
-        if (overdue.isEmpty()) {
-            return;
-        }
-        Map<String, EndpointEntry> endpoints = new HashMap<>(view.endpoints());
-        overdue.forEach(id -> {
-            endpoints.remove(id);
-            LOG.info("event=endpoint_gone endpoint={} after=doubt", id);
-        });
-        view = view.withEndpoints(endpoints);
+        entries.withoutOverdue(view.endpoints(), steadyMillis.getAsLong())
+                .ifPresent(left -> view = view.withEndpoints(left));
     }
 
     // -- views
@@ -188,25 +204,21 @@
 
     private void operatorSaid(StoredRecord record) {
         if (record.dropped()) {
-            LOG.warn("event=operator_record_dropped key={} offset={} kept=last", record.key(), record.offset());
+            OperatorLines.dropped(record);
             return;
         }
         switch (decoder.operator(record)) {
-            case Result.Failure<OperatorRecord>(Fault fault) -> refused(record, fault);
+            case Result.Failure<OperatorRecord>(Fault fault) -> OperatorLines.refused(record, fault);
             case Result.Success<OperatorRecord>(OperatorRecord.ManifestSet(RouteManifest manifest)) ->
                 manifestSet(record, manifest);
             case Result.Success<OperatorRecord>(
                     OperatorRecord.WeightsNamed(String model, long version, OptionalLong ignored)) ->
                 weightsNamed(record, model, version);
-            case Result.Success<OperatorRecord>(OperatorRecord.ManifestKept ignored) -> unused(record);
-            case Result.Success<OperatorRecord>(OperatorRecord.Unused ignored) -> unused(record);
+            case Result.Success<OperatorRecord>(OperatorRecord.ManifestKept ignored) -> OperatorLines.ofOthers(record);
+            case Result.Success<OperatorRecord>(OperatorRecord.Unused ignored) -> OperatorLines.ofOthers(record);
         }
     }
 
-    private static void unused(StoredRecord record) {
-        LOG.debug("event=record_unused key={}", record.key());
-    }
-
     private void manifestSet(StoredRecord record, RouteManifest manifest) {
         if (manifests.take(record, manifest)) {
             view = view.withManifest(manifest, record.offset());
@@ -227,12 +239,7 @@
         long newest = view.newestTarget(model).map(View.Target::version).orElse(0L);
         View.Target target = targets.byOperator(model, version, loaded);
         if (!want(model, target, "store offset=" + record.offset()) && version < newest) {
-            LOG.warn(
-                    "event=weights_named_late model={} version={} offset={} newest={}",
-                    model,
-                    version,
-                    record.offset(),
-                    newest);
+            OperatorLines.namedLate(record, model, version, newest);
         }
     }
 
@@ -256,13 +263,7 @@
             return false;
         }
         view = after;
-        LOG.info(
-                "event=weights_named model={} version={} seen={} msAgo={} from={}",
-                model,
-                target.version(),
-                target.seenNamed(),
-                steadyMillis.getAsLong() - target.learnedMillis(),
-                source);
+        OperatorLines.named(model, target, steadyMillis.getAsLong() - target.learnedMillis(), source);
         return true;
     }
 
@@ -315,8 +316,4 @@
             lines.forEach(LOG::info);
         }
     }
-
-    private static void refused(StoredRecord record, Fault fault) {
-        LOG.error("event=record_refused key={} offset={} why=\"{}\"", record.shownKey(), record.offset(), fault);
-    }
 }
