--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -15,6 +15,7 @@
 import org.micabarrow.platform.RequestHeaders;
 import org.micabarrow.process.HostedNode.Paces;
 import org.micabarrow.routing.EndpointChoice;
+import org.micabarrow.serving.ManifestAge;
 import org.micabarrow.serving.ServingHandler;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.transport.HostedPeerServer;
@@ -117,7 +118,8 @@
                 new ServingHandler.VersionTimes(
                         Math.round(bounds.versionMillis() * ASK_PART),
                         Math.round(bounds.versionMillis() * DEMAND_PART),
-                        Math.round(bounds.versionMillis() * CANCEL_PART))));
+                        Math.round(bounds.versionMillis() * CANCEL_PART)),
+                new ManifestAge(node.views()::operatorAsOfMillis, bounds.configurationMillis())));
     }
 
     /**
--- a/src/main/java/org/micabarrow/serving/RequestLog.java
+++ b/src/main/java/org/micabarrow/serving/RequestLog.java
@@ -27,12 +27,13 @@
 
     void waits(Decision.Wait wait, long millisToObjective) {
         LOG.info(
-                "event=waits request={} endpoints={} toObjectiveMs={} spareMs={} ahead={}",
+                "event=waits request={} endpoints={} toObjectiveMs={} spareMs={} ahead={} {}",
                 request.id(),
                 wait.endpoints(),
                 millisToObjective,
                 wait.millis(),
-                parts.line().size());
+                parts.line().size(),
+                parts.viewAge());
     }
 
     void sent(Choice.Send chosen, String why, int attempt, long millisToObjective, long millisLeft) {
--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -57,6 +57,7 @@
      * @param steadyMillis a clock that never steps, in milliseconds
      * @param questions asks endpoints' agents
      * @param versionTimes when older weight versions may answer no more
+     * @param manifestAge how long ago all that operators wrote was known
      */
     public record Parts(
             Supplier<View> view,
@@ -68,7 +69,8 @@
             MetricRegistry registry,
             LongSupplier steadyMillis,
             AgentQuestions questions,
-            VersionTimes versionTimes) {
+            VersionTimes versionTimes,
+            ManifestAge manifestAge) {
 
         /** Checks that nothing is missing. */
         public Parts {
@@ -82,6 +84,7 @@
             Objects.requireNonNull(steadyMillis, "steadyMillis is null");
             Objects.requireNonNull(questions, "questions is null");
             Objects.requireNonNull(versionTimes, "versionTimes is null");
+            Objects.requireNonNull(manifestAge, "manifestAge is null");
         }
     }
 
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -162,9 +162,10 @@
         return Admission.comeBackMillis(request.deadlineMillis() - nowMillis());
     }
 
-    /** The view that decisions are made on, for the log. */
+    /** The view that decisions are made on, and how long ago all that operators wrote was known, for the log. */
     String viewAge() {
         View now = view();
-        return "manifest=" + now.manifest().map(RouteManifest::version).orElse(-1L) + " offset=" + now.manifestOffset();
+        return "manifest=" + now.manifest().map(RouteManifest::version).orElse(-1L) + " offset=" + now.manifestOffset()
+                + " knownMsAgo=" + given.manifestAge().shownMillis(nowMillis());
     }
 }
--- a/src/test/java/org/micabarrow/serving/LateSendingTest.java
+++ b/src/test/java/org/micabarrow/serving/LateSendingTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
@@ -122,7 +123,8 @@
                     choice.load(endpoint.id()).told(new LoadReport(0, 0, false, 1), 0, clockMillis.get());
                     then.accept(true);
                 },
-                new ServingHandler.VersionTimes(NEVER_MILLIS, demandMillis, cancelMillis)));
+                new ServingHandler.VersionTimes(NEVER_MILLIS, demandMillis, cancelMillis),
+                new ManifestAge(OptionalLong::empty, 0)));
         String clients = settings.listen().clients().orElseThrow();
         HttpListener.on(clients, HttpListener.Bounds.usual(), worker, handler);
         FollowedStore.follow(client, settings, WITHIN, views);
--- a/src/test/java/org/micabarrow/serving/OlderVersionTest.java
+++ b/src/test/java/org/micabarrow/serving/OlderVersionTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -99,7 +100,8 @@
                         then.accept(agentAnswers.get());
                     }
                 },
-                new ServingHandler.VersionTimes(askMillis, NEVER_MILLIS, cancelMillis)));
+                new ServingHandler.VersionTimes(askMillis, NEVER_MILLIS, cancelMillis),
+                new ManifestAge(OptionalLong::empty, 0)));
     }
 
     private HttpAnswer ask() {
--- a/src/test/java/org/micabarrow/serving/StandingInstanceTest.java
+++ b/src/test/java/org/micabarrow/serving/StandingInstanceTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -103,7 +104,8 @@
                 new MetricRegistry(),
                 clockMillis::get,
                 (endpoint, then) -> then.accept(true),
-                new ServingHandler.VersionTimes(NEVER_MILLIS, NEVER_MILLIS, cancelMillis)));
+                new ServingHandler.VersionTimes(NEVER_MILLIS, NEVER_MILLIS, cancelMillis),
+                new ManifestAge(OptionalLong::empty, 0)));
         String clients = settings.listen().clients().orElseThrow();
         HttpListener.on(clients, HttpListener.Bounds.usual(), worker, handler);
         FollowedStore.follow(client, settings, WITHIN, views);
--- a/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -234,7 +235,8 @@
                 new MetricRegistry(),
                 StoppingEntryTest::steadyMillis,
                 (endpoint, then) -> then.accept(true),
-                new ServingHandler.VersionTimes(GRACE_MILLIS, GRACE_MILLIS, GRACE_MILLIS)));
+                new ServingHandler.VersionTimes(GRACE_MILLIS, GRACE_MILLIS, GRACE_MILLIS),
+                new ManifestAge(OptionalLong::empty, 0)));
         protocol.first.set(handler.connections()::leave);
         String clients = settings.listen().clients().orElseThrow();
         HttpListener.on(clients, HttpListener.Bounds.usual(), worker, handler);
