--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Ending;
 import org.micabarrow.settings.Common;
@@ -37,6 +38,7 @@
     private final Map<String, String> addresses = new HashMap<>();
     private final Map<String, Long> starts = new HashMap<>();
     private final List<AutoCloseable> running = new ArrayList<>();
+    private final AtomicInteger instances = new AtomicInteger();
 
     private HostedSystem() {
         this.storeAddress = serve(store);
@@ -277,7 +279,7 @@
     private HostedSettings settings(Optional<String> clients, Optional<String> ready, Optional<String> endpoint) {
         String peers = Ports.freeAddress();
         return new HostedSettings(
-                new Common.Place("instance-a", "region-a", "hall-a"),
+                new Common.Place("instance-" + instances.incrementAndGet(), "region-a", "hall-a"),
                 Map.of("hall-a", "region-a"),
                 new HostedSettings.Listen(clients, ready, peers, Ports.freeAddress()),
                 Integer.parseInt(peers.substring(peers.lastIndexOf(':') + 1)),
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -20,6 +20,7 @@
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.LoadServer;
 import org.micabarrow.transport.PeerChunks;
+import org.micabarrow.transport.StoreNews;
 import org.micabarrow.views.NamedVersions.Duty;
 import org.micabarrow.views.NewsReader;
 import org.micabarrow.views.StoreFollower.Pace;
@@ -77,7 +78,8 @@
     private HostedAgentProcess(HostedSettings settings) throws IOException {
         this.settings = settings;
         this.node = new HostedNode(settings);
-        this.news = new NewsReader(node.store(), node.peerRecords(), HostedNode::steadyMillis);
+        this.news =
+                new NewsReader(node.store(), node.peerRecords(), new NewsReader.Role.Agent(), HostedNode::steadyMillis);
         this.self = new Agent(settings.listen().peers(), settings.instance().region());
         ChunkFetcher fetcher = new ChunkFetcher(new ChunkFetcher.Parts(
                 new PeerChunks(node.kept()),
@@ -118,11 +120,11 @@
         HttpListener.on(settings.listen().peers(), usual, node.worker(), peers);
         HttpListener.on(settings.listen().metrics(), usual, node.worker(), peers);
         loadServer = Optional.of(
-                LoadServer.start(settings.listen().peers(), this::told, HostedNode::steadyMillis, news::told));
+                LoadServer.start(settings.listen().peers(), this::told, HostedNode::steadyMillis, this::heard));
         // After the listeners, so that no connection of our own takes one of their ports.
         Paces paces = new Paces(
                 new Pace(HostedNode.STORE_WAIT, Duration.ZERO), new Pace(HostedNode.STORE_WAIT, ENDPOINTS_REST));
-        node.follow(news, paces, settings::seeds, this::duty);
+        node.follow(news, news, paces, settings::seeds, this::duty);
         node.metrics().registerGauge("weights.secondsNotRetired", keeper::secondsNotRetired);
         Steps.start("report", REPORT_MILLIS, new Reports());
         Steps.start("fetch", LOOK_MILLIS, keeper::fetch);
@@ -172,6 +174,12 @@
         }
     }
 
+    /** An entry told where the last changes in the store stand. */
+    private void heard(String entry, StoreNews told) {
+        news.told(entry, told.changes(), HostedNode.steadyMillis() - told.knownMillisAgo());
+        told.manifest().ifPresent(node.views()::manifestStands);
+    }
+
     /** What entries are told of the endpoint; while it does not answer, nothing is said. */
     private Optional<LoadReport> told() {
         return keeper.report()
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -21,9 +22,13 @@
 import org.micabarrow.transport.HostedPeerServer;
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.LoadFeed;
+import org.micabarrow.transport.LoadFeed.HeardNews;
 import org.micabarrow.transport.StoreNews;
+import org.micabarrow.views.LastChanges;
 import org.micabarrow.views.NamedVersions.Duty;
+import org.micabarrow.views.NewsReader;
 import org.micabarrow.views.StoreFollower.Pace;
+import org.micabarrow.views.Topic;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioIoThread;
@@ -45,10 +50,17 @@
     private static final double ENDPOINTS_HOLD_PART = 0.5;
 
     /**
-     * How long the store may hold a read of what operators wrote, as a part of the time in which a manifest must be in force: with
-     * the answer's own time, a connection that fell silent costs that time and a little.
+     * How long the store may hold a read of what operators wrote, as a part of the time in which a manifest must be in force: what
+     * the entry that reads for its region knows is as old as that at most, and the others must still have time to read the store
+     * themselves when it falls silent.
      */
-    private static final double OPERATOR_HOLD_PART = 0.75;
+    private static final double OPERATOR_HOLD_PART = 0.5;
+
+    /**
+     * How old what the region's reader knows may be before an entry reads the store itself, as a part of the same time: the hold,
+     * two questions to agents (0.3 s) and a round trip. The rest is for the entry's own read.
+     */
+    private static final double TRUST_PART = 0.75;
 
     /** Among how many entries the users' slack for repeats is divided: more than there are, spares and restarts included. */
     private static final int ENTRIES_AT_MOST = 16;
@@ -86,6 +98,7 @@
     private final HostedSettings settings;
     private final HostedNode node;
     private final EndpointChoice choice;
+    private final NewsReader reader;
     private final LoadFeed loadFeed;
     private final ServingHandler handler;
     private volatile Optional<HttpListener> clients = Optional.empty();
@@ -96,15 +109,23 @@
         this.node = new HostedNode(settings);
         this.choice = new EndpointChoice(settings.instance().region(), settings.regions());
         HostedSettings.Bounds bounds = settings.bounds();
+        this.reader = new NewsReader(
+                node.store(),
+                node.peerRecords(),
+                new NewsReader.Role.Entry(
+                        settings.listen().peers(), Math.round(bounds.configurationMillis() * TRUST_PART)),
+                HostedNode::steadyMillis);
         this.loadFeed = LoadFeed.open(new LoadFeed.Parts(
                 settings.instance(),
+                settings.listen().peers(),
                 settings.regions(),
                 settings.peerPort(),
                 node.views()::view,
                 choice,
                 node.worker().getIoThread(),
                 HostedNode::steadyMillis,
-                this::news));
+                this::news,
+                this::heard));
         this.handler = ServingHandler.of(new ServingHandler.Parts(
                 node.views()::view,
                 choice,
@@ -149,7 +170,7 @@
                 Optional.of(HttpListener.on(settings.listen().clients().orElseThrow(), usual, node.worker(), handler));
         // After the listeners, so that no connection of our own takes one of their ports.
         // Agents keep the versions: an entry would write what they know as well.
-        node.follow(node.store(), paces(settings.bounds()), this::peers, () -> Duty.NONE);
+        node.follow(reader, node.store(), paces(settings.bounds()), this::peers, () -> Duty.NONE);
         loadFeed.start(handler::lookAfterRequests);
         LOG.info("event=started role=entry instance={}", settings.instance().id());
     }
@@ -169,7 +190,23 @@
     private Optional<StoreNews> news() {
         String control = settings.listen().peers();
         int port = Integer.parseInt(control.substring(control.lastIndexOf(':') + 1));
-        return node.changesInTouch().map(changes -> new StoreNews(port, changes));
+        OptionalLong asOf = node.views().operatorAsOfMillis();
+        if (asOf.isEmpty()) {
+            return Optional.empty();
+        }
+        long knownMillisAgo = HostedNode.steadyMillis() - asOf.getAsLong();
+        return node.changesInTouch()
+                .map(changes ->
+                        new StoreNews(port, changes, node.views().newestManifest(), knownMillisAgo, reader.direct()));
+    }
+
+    /** An agent told of the entry that reads the store for the region. */
+    private void heard(HeardNews told) {
+        reader.told(told.peer(), new LastChanges(told.operator(), 0), told.asOfMillis());
+        if (node.views().end(Topic.OPERATOR) >= told.operator()) {
+            // It knows of nothing that is not known here.
+            node.views().confirmOperator(told.asOfMillis());
+        }
     }
 
     /**
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -153,18 +153,25 @@
     /**
      * Begins to follow the store; peers are asked while it does not answer.
      *
-     * @param reader reads the store, or those that tell what is new there
+     * @param operatorReader reads what operators wrote from the store, or from those that tell what is new there
+     * @param endpointsReader likewise, endpoints' entries
      * @param paces how often each topic is read
      * @param peers whom to ask
      * @param duty what this process does for named weight versions
      */
-    void follow(TopicReader reader, Paces paces, Supplier<List<String>> peers, Supplier<Duty> duty) {
+    void follow(
+            TopicReader operatorReader,
+            TopicReader endpointsReader,
+            Paces paces,
+            Supplier<List<String>> peers,
+            Supplier<Duty> duty) {
         VersionRecords records = new VersionRecords(kept, settings.store(), STORE_ANSWER);
         Consumer<Topic> askPeer = topic -> askPeer(topic, peers.get());
-        NamedVersions operator = new NamedVersions(reader, records, views, duty, () -> askPeer.accept(Topic.OPERATOR));
+        NamedVersions operator =
+                new NamedVersions(operatorReader, records, views, duty, () -> askPeer.accept(Topic.OPERATOR));
         followers = List.of(
                 new StoreFollower(Topic.OPERATOR, operator, views, askPeer, paces.operator()),
-                new StoreFollower(Topic.ENDPOINTS, reader, views, askPeer, paces.endpoints()));
+                new StoreFollower(Topic.ENDPOINTS, endpointsReader, views, askPeer, paces.endpoints()));
         followers.forEach(StoreFollower::start);
         operator.start();
     }
--- a/src/main/java/org/micabarrow/routing/RouteManifest.java
+++ b/src/main/java/org/micabarrow/routing/RouteManifest.java
@@ -117,6 +117,16 @@
         return Optional.ofNullable(services.get(name));
     }
 
+    /**
+     * Whether another manifest has the same services: all that agents act on.
+     *
+     * @param other the other
+     * @return true if no service differs in anything
+     */
+    public boolean sameServices(RouteManifest other) {
+        return services.equals(other.services);
+    }
+
     /**
      * Where the origin of weights is.
      *
--- a/src/main/java/org/micabarrow/transport/LoadFeed.java
+++ b/src/main/java/org/micabarrow/transport/LoadFeed.java
@@ -52,6 +52,8 @@
      * What a feed works with.
      *
      * @param place where the entry runs
+     * @param self the host and port at which this entry is asked for records; its questions leave from this host, by which agents
+     *     know it
      * @param regions the region of each data hall
      * @param peerPort the port at which agents are asked
      * @param view what is believed of the store
@@ -59,29 +61,43 @@
      * @param traffic the thread that owns the choice
      * @param steadyMillis a clock that never steps, in milliseconds
      * @param news what agents of the region are told of the store; empty while this entry is out of touch with it
+     * @param heard learns what agents tell of the entry that reads the store for the region
      */
     public record Parts(
             Common.Place place,
+            String self,
             Map<String, String> regions,
             int peerPort,
             Supplier<View> view,
             EndpointChoice choice,
             XnioIoThread traffic,
             LongSupplier steadyMillis,
-            Supplier<Optional<StoreNews>> news) {
+            Supplier<Optional<StoreNews>> news,
+            Consumer<HeardNews> heard) {
 
         /** Checks that nothing is missing. */
         public Parts {
             Objects.requireNonNull(place, "place is null");
+            Objects.requireNonNull(self, "self is null");
             Objects.requireNonNull(regions, "regions is null");
             Objects.requireNonNull(view, "view is null");
             Objects.requireNonNull(choice, "choice is null");
             Objects.requireNonNull(traffic, "traffic is null");
             Objects.requireNonNull(steadyMillis, "steadyMillis is null");
             Objects.requireNonNull(news, "news is null");
+            Objects.requireNonNull(heard, "heard is null");
         }
     }
 
+    /**
+     * What an agent told of the entry that reads the store for the region.
+     *
+     * @param peer the host and port at which that one can be asked for records
+     * @param operator the offset after the last change of operators that it knows of
+     * @param asOfMillis the moment on the steady clock up to which it knows all that operators wrote
+     */
+    public record HeardNews(String peer, long operator, long asOfMillis) {}
+
     private LoadFeed(Parts parts, DatagramChannel channel) {
         this.parts = parts;
         this.channel = channel;
@@ -96,7 +112,9 @@
      * @throws IOException if no port is free
      */
     public static LoadFeed open(Parts parts) throws IOException {
-        return new LoadFeed(parts, DatagramChannel.open().bind(null));
+        InetSocketAddress anyPort =
+                new InetSocketAddress(Addresses.parse(parts.self()).getAddress(), 0);
+        return new LoadFeed(parts, DatagramChannel.open().bind(anyPort));
     }
 
     /**
@@ -127,7 +145,7 @@
             boolean near = near(endpoints.getFirst());
             if (near || round % FAR_ROUNDS == 0) {
                 // Agents elsewhere hear it from entries of their region: bytes between regions are paid for.
-                ask(host, endpointsByHost.get(host), near ? news : Optional.empty());
+                ask(host, endpointsByHost.get(host), near, near ? news : Optional.empty());
             }
         });
         parts.choice().keepOnly(view.endpoints().values());
@@ -177,12 +195,14 @@
      */
     public void ask(EndpointEntry endpoint, Consumer<Boolean> then) {
         String host = endpoint.instanceHost();
-        int number = ask(host, endpointsByHost.getOrDefault(host, List.of(endpoint.start())), Optional.empty());
+        boolean near = near(endpoint);
+        Optional<StoreNews> news = near ? parts.news().get() : Optional.empty();
+        int number = ask(host, endpointsByHost.getOrDefault(host, List.of(endpoint.start())), near, news);
         questions.await(number, then);
     }
 
     /** Asks the agent of some endpoints, which are all those at its host, and tells the question's number. */
-    private int ask(String host, List<EndpointStart> endpoints, Optional<StoreNews> news) {
+    private int ask(String host, List<EndpointStart> endpoints, boolean near, Optional<StoreNews> news) {
         int number = questions.next();
         // What waits at a start that is over is read by nobody.
         int ownPromptTokens = endpoints.stream()
@@ -191,8 +211,8 @@
                 .mapToInt(EndpointLoad::ownPromptTokens)
                 .sum();
         int unmet = parts.choice().unmet().lately(parts.steadyMillis().getAsLong());
-        ByteBuffer question =
-                LoadMessages.write(new LoadMessages.Question(parts.place().id(), ownPromptTokens, number, unmet, news));
+        ByteBuffer question = LoadMessages.write(
+                new LoadMessages.Question(parts.place().id(), ownPromptTokens, number, unmet, near, news));
         try {
             channel.send(question, new InetSocketAddress(host, parts.peerPort()));
         } catch (IOException e) {
@@ -241,6 +261,11 @@
             }
         }
         questions.answered(answer.number());
+        // Counted from the question: the agent's word is at most that much older than it says.
+        answer.reader()
+                .ifPresent(reader -> parts.heard()
+                        .accept(new HeardNews(
+                                reader.peer(), reader.operator(), asked.getAsLong() - reader.knownMillisAgo())));
     }
 
     /**
--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -10,6 +10,7 @@
 import java.util.OptionalInt;
 import org.micabarrow.routing.LoadReport;
 import org.micabarrow.views.LastChanges;
+import org.micabarrow.views.ManifestPlace;
 
 /**
  * The datagrams by which entries ask agents how their endpoints are. One that is lost is made up for by the next. Numbers are
@@ -22,12 +23,18 @@
     private static final int MOST_BYTES = 512;
 
     /** What a question takes without its news and the entry's name, in bytes. */
-    private static final int QUESTION_BYTES = 4 * Integer.BYTES + 1;
+    private static final int QUESTION_BYTES = 4 * Integer.BYTES + 2;
 
-    private static final int NEWS_BYTES = Integer.BYTES + 2 * Long.BYTES;
+    /** What news take without the place of the manifest, in bytes. */
+    private static final int NEWS_BYTES = Integer.BYTES + 4 * Long.BYTES + 2;
 
-    /** What an answer takes without the start of the endpoint, in bytes. */
-    private static final int ANSWER_BYTES = 4 * Integer.BYTES + Long.BYTES + 2;
+    private static final int PLACE_BYTES = 2 * Long.BYTES;
+
+    /** What an answer takes without the start of the endpoint and the reader of the region, in bytes. */
+    private static final int ANSWER_BYTES = 4 * Integer.BYTES + Long.BYTES + 3;
+
+    /** What the reader of the region takes without its address, in bytes. */
+    private static final int READER_BYTES = Integer.BYTES + 2 * Long.BYTES;
 
     private static final byte NO = 0;
     private static final byte YES = 1;
@@ -69,29 +76,27 @@
      * @param promptTokens the prompt tokens of its requests whose answers have not begun
      * @param number tells it from the entry's other questions
      * @param unmet the requests for models that the entry turned away for want of room in about the last second
+     * @param near whether the agent is of the entry's region
      * @param news what it tells of the store; empty to agents of other regions, and while it is out of touch
      */
-    record Question(String entry, int promptTokens, int number, int unmet, Optional<StoreNews> news) {
+    record Question(String entry, int promptTokens, int number, int unmet, boolean near, Optional<StoreNews> news) {
 
-        /** A question that tells nothing of the store. */
+        /** A question to an agent of another region, which is told nothing of the store. */
         Question(String entry, int promptTokens, int number, int unmet) {
-            this(entry, promptTokens, number, unmet, Optional.empty());
+            this(entry, promptTokens, number, unmet, false, Optional.empty());
         }
     }
 
     static ByteBuffer write(Question question) {
         byte[] entry = question.entry().getBytes(StandardCharsets.UTF_8);
-        int newsBytes = question.news().isPresent() ? NEWS_BYTES : 0;
+        int newsBytes = question.news().map(LoadMessages::size).orElse(0);
         ByteBuffer datagram = ByteBuffer.allocate(QUESTION_BYTES + newsBytes + entry.length);
         datagram.putInt(question.number());
         datagram.putInt(question.promptTokens());
         datagram.putInt(question.unmet());
+        datagram.put(flag(question.near()));
         datagram.put(flag(question.news().isPresent()));
-        question.news().ifPresent(news -> {
-            datagram.putInt(news.port());
-            datagram.putLong(news.changes().operator());
-            datagram.putLong(news.changes().endpoints());
-        });
+        question.news().ifPresent(news -> write(datagram, news));
         datagram.putInt(entry.length);
         datagram.put(entry);
         return datagram.flip();
@@ -102,15 +107,46 @@
             int number = datagram.getInt();
             int promptTokens = datagram.getInt();
             int unmet = datagram.getInt();
+            boolean near = flag(datagram);
             Optional<StoreNews> news = flag(datagram) ? Optional.of(news(datagram)) : Optional.empty();
-            byte[] entry = new byte[Math.clamp(datagram.getInt(), 0, MOST_BYTES)];
-            datagram.get(entry);
-            return new Question(new String(entry, StandardCharsets.UTF_8), promptTokens, number, unmet, news);
+            String entry = text(datagram);
+            return new Question(entry, promptTokens, number, unmet, near, news);
+        });
+    }
+
+    private static String text(ByteBuffer datagram) {
+        byte[] bytes = new byte[Math.clamp(datagram.getInt(), 0, MOST_BYTES)];
+        datagram.get(bytes);
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    private static int size(StoreNews news) {
+        return NEWS_BYTES + (news.manifest().isPresent() ? PLACE_BYTES : 0);
+    }
+
+    private static void write(ByteBuffer datagram, StoreNews news) {
+        datagram.putInt(news.port());
+        datagram.putLong(news.changes().operator());
+        datagram.putLong(news.changes().endpoints());
+        datagram.putLong(news.changes().weights());
+        datagram.putLong(news.knownMillisAgo());
+        datagram.put(flag(news.direct()));
+        datagram.put(flag(news.manifest().isPresent()));
+        news.manifest().ifPresent(place -> {
+            datagram.putLong(place.version());
+            datagram.putLong(place.offset());
         });
     }
 
     private static StoreNews news(ByteBuffer datagram) {
-        return new StoreNews(datagram.getInt(), new LastChanges(datagram.getLong(), datagram.getLong()));
+        int port = datagram.getInt();
+        LastChanges changes = new LastChanges(datagram.getLong(), datagram.getLong(), datagram.getLong());
+        long knownMillisAgo = datagram.getLong();
+        boolean direct = flag(datagram);
+        Optional<ManifestPlace> manifest = flag(datagram)
+                ? Optional.of(new ManifestPlace(datagram.getLong(), datagram.getLong()))
+                : Optional.empty();
+        return new StoreNews(port, changes, manifest, knownMillisAgo, direct);
     }
 
     // -- answers
@@ -120,13 +156,22 @@
      *
      * @param number the number of the entry's question; if nothing was asked, that of the last
      * @param told how the endpoint is
+     * @param reader the entry that reads the store for the region; empty to that one, to entries of other regions, and if none does
      */
-    record Answer(int number, LoadReport told) {}
+    record Answer(int number, LoadReport told, Optional<ReaderNews> reader) {
+
+        /** An answer that tells of no reader. */
+        Answer(int number, LoadReport told) {
+            this(number, told, Optional.empty());
+        }
+    }
 
     static ByteBuffer write(Answer answer) {
         LoadReport told = answer.told();
         int startBytes = told.start().isPresent() ? Integer.BYTES : 0;
-        ByteBuffer datagram = ByteBuffer.allocate(ANSWER_BYTES + startBytes);
+        byte[] peer = answer.reader().map(ReaderNews::peer).orElse("").getBytes(StandardCharsets.UTF_8);
+        int readerBytes = answer.reader().isPresent() ? READER_BYTES + peer.length : 0;
+        ByteBuffer datagram = ByteBuffer.allocate(ANSWER_BYTES + startBytes + readerBytes);
         datagram.putInt(answer.number());
         datagram.putInt(told.requests());
         datagram.putInt(told.othersPromptTokens());
@@ -135,6 +180,13 @@
         datagram.put(flag(told.loading()));
         datagram.put(flag(told.start().isPresent()));
         told.start().ifPresent(datagram::putInt);
+        datagram.put(flag(answer.reader().isPresent()));
+        answer.reader().ifPresent(reader -> {
+            datagram.putLong(reader.operator());
+            datagram.putLong(reader.knownMillisAgo());
+            datagram.putInt(peer.length);
+            datagram.put(peer);
+        });
         return datagram.flip();
     }
 
@@ -147,10 +199,18 @@
             long version = datagram.getLong();
             boolean loading = flag(datagram);
             OptionalInt start = flag(datagram) ? OptionalInt.of(datagram.getInt()) : OptionalInt.empty();
-            return new Answer(number, new LoadReport(requests, othersPromptTokens, loading, version, places, start));
+            LoadReport told = new LoadReport(requests, othersPromptTokens, loading, version, places, start);
+            Optional<ReaderNews> reader = flag(datagram) ? Optional.of(reader(datagram)) : Optional.empty();
+            return new Answer(number, told, reader);
         });
     }
 
+    private static ReaderNews reader(ByteBuffer datagram) {
+        long operator = datagram.getLong();
+        long knownMillisAgo = datagram.getLong();
+        return new ReaderNews(text(datagram), operator, knownMillisAgo);
+    }
+
     // -- either
 
     /**
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.DatagramChannel;
+import java.util.Comparator;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -14,7 +15,6 @@
 import org.micabarrow.admission.PlaceShares;
 import org.micabarrow.routing.LoadReport;
 import org.micabarrow.steps.Steps;
-import org.micabarrow.views.LastChanges;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -29,17 +29,38 @@
     private final DatagramChannel channel;
     private final Supplier<Optional<LoadReport>> endpoint;
     private final LongSupplier steadyMillis;
-    private final BiConsumer<String, LastChanges> news;
+    private final BiConsumer<String, StoreNews> news;
     private final Map<String, Said> entries = new ConcurrentHashMap<>();
     private final PlaceShares shares = new PlaceShares(RandomGenerator.of("L64X128MixRandom"));
 
-    private record Said(InetSocketAddress from, LoadMessages.Question question, long atMillis) {}
+    private record Said(InetSocketAddress from, LoadMessages.Question question, long atMillis) {
+
+        private String host() {
+            return from.getAddress().getHostAddress();
+        }
+
+        private boolean isAt(String peer) {
+            return question.news().filter(news -> peer.equals(peer(news))).isPresent();
+        }
+
+        private String peer(StoreNews news) {
+            return host() + ":" + news.port();
+        }
+
+        /** What it knows of the store, if it reads that itself. */
+        private Optional<ReaderNews> reads(long nowMillis) {
+            return question.news()
+                    .filter(StoreNews::direct)
+                    .map(news -> new ReaderNews(
+                            peer(news), news.changes().operator(), news.knownMillisAgo() + nowMillis - atMillis));
+        }
+    }
 
     private LoadServer(
             DatagramChannel channel,
             Supplier<Optional<LoadReport>> endpoint,
             LongSupplier steadyMillis,
-            BiConsumer<String, LastChanges> news) {
+            BiConsumer<String, StoreNews> news) {
         this.channel = channel;
         this.endpoint = endpoint;
         this.steadyMillis = steadyMillis;
@@ -60,7 +81,7 @@
             String address,
             Supplier<Optional<LoadReport>> endpoint,
             LongSupplier steadyMillis,
-            BiConsumer<String, LastChanges> news)
+            BiConsumer<String, StoreNews> news)
             throws IOException {
         Objects.requireNonNull(endpoint, "endpoint is null");
         Objects.requireNonNull(steadyMillis, "steadyMillis is null");
@@ -93,7 +114,7 @@
             LoadMessages.Received received = LoadMessages.receive(channel);
             LoadMessages.Question question = LoadMessages.question(received.bytes());
             String host = received.from().getAddress().getHostAddress();
-            question.news().ifPresent(told -> news.accept(host + ":" + told.port(), told.changes()));
+            question.news().ifPresent(told -> news.accept(host + ":" + told.port(), told));
             answer(received.from(), question);
         } catch (IOException e) {
             LOG.warn("event=load_question_lost why=\"{}\"", e.toString());
@@ -129,7 +150,27 @@
                 .filter(one -> !one.getKey().equals(said.question().entry()))
                 .mapToInt(one -> one.getValue().question().promptTokens())
                 .sum();
-        LoadMessages.Answer answer = new LoadMessages.Answer(said.question().number(), told.to(others, places));
+        LoadMessages.Answer answer =
+                new LoadMessages.Answer(said.question().number(), told.to(others, places), readerFor(said));
         channel.send(LoadMessages.write(answer), said.from());
     }
+
+    // -- the reader of the region
+
+    /**
+     * The entry by which another entry nearby is to go, instead of reading the store: the first by its address of those that read
+     * it themselves. All agents name the same one while they hear of the same entries; where they differ for a moment, one more
+     * reads the store, since an entry goes only by one whose address comes before its own.
+     */
+    private Optional<ReaderNews> readerFor(Said asker) {
+        if (!asker.question().near()) {
+            return Optional.empty();
+        }
+        long now = steadyMillis.getAsLong();
+        return entries.values().stream()
+                .filter(one -> now - one.atMillis() <= SAID_MILLIS)
+                .flatMap(one -> one.reads(now).stream())
+                .min(Comparator.comparing(ReaderNews::peer))
+                .filter(reader -> !asker.isAt(reader.peer()));
+    }
 }
--- a/src/main/java/org/micabarrow/transport/StoreNews.java
+++ b/src/main/java/org/micabarrow/transport/StoreNews.java
@@ -1,18 +1,25 @@
 package org.micabarrow.transport;
 
 import java.util.Objects;
+import java.util.Optional;
 import org.micabarrow.views.LastChanges;
+import org.micabarrow.views.ManifestPlace;
 
 /**
  * What an entry that is in touch with the store tells agents nearby, so that they need not ask the store whether there is news.
  *
  * @param port the port at which the entry can be asked for records
  * @param changes where the last changes stand that it knows of
+ * @param manifest where the newest manifest stands; empty if none is known
+ * @param knownMillisAgo how long ago it knew all that operators wrote, in milliseconds
+ * @param direct whether it reads the store itself, so that other entries may go by it
  */
-public record StoreNews(int port, LastChanges changes) {
+public record StoreNews(
+        int port, LastChanges changes, Optional<ManifestPlace> manifest, long knownMillisAgo, boolean direct) {
 
     /** Checks that nothing is missing. */
     public StoreNews {
         Objects.requireNonNull(changes, "changes is null");
+        Objects.requireNonNull(manifest, "manifest is null");
     }
 }
--- a/src/main/java/org/micabarrow/views/LastChanges.java
+++ b/src/main/java/org/micabarrow/views/LastChanges.java
@@ -4,12 +4,24 @@
 
 /**
  * Up to where a process knows the records that changed what it believes. Endpoints write their entries again and again, mostly
- * without a change.
+ * without a change; and most manifests change nothing that agents act on.
  *
  * @param operator the offset after the last such record of operators
  * @param endpoints the offset after the last such record of endpoints
+ * @param weights the offset after the last record of operators that agents act on: a named weight version, or a manifest with
+ *     other services than the one before
  */
-public record LastChanges(long operator, long endpoints) {
+public record LastChanges(long operator, long endpoints, long weights) {
+
+    /**
+     * Changes of which the last one of operators is one that agents act on.
+     *
+     * @param operator the offset after the last record of operators
+     * @param endpoints the offset after the last record of endpoints that changed anything
+     */
+    public LastChanges(long operator, long endpoints) {
+        this(operator, endpoints, operator);
+    }
 
     /**
      * Of one topic.
@@ -25,12 +37,12 @@
         };
     }
 
-    LastChanges withOperator(List<StoredRecord> changing) {
-        return new LastChanges(after(operator, changing), endpoints);
+    LastChanges withOperator(List<StoredRecord> changing, List<StoredRecord> changingWeights) {
+        return new LastChanges(after(operator, changing), endpoints, after(weights, changingWeights));
     }
 
     LastChanges withEndpoints(List<StoredRecord> changing) {
-        return new LastChanges(operator, after(endpoints, changing));
+        return new LastChanges(operator, after(endpoints, changing), weights);
     }
 
     private static long after(long known, List<StoredRecord> changing) {
--- /dev/null
+++ b/src/main/java/org/micabarrow/views/ManifestPlace.java
@@ -0,0 +1,9 @@
+package org.micabarrow.views;
+
+/**
+ * Where a manifest stands among what operators wrote.
+ *
+ * @param version its version
+ * @param offset its offset
+ */
+public record ManifestPlace(long version, long offset) {}
--- a/src/main/java/org/micabarrow/views/Manifests.java
+++ b/src/main/java/org/micabarrow/views/Manifests.java
@@ -26,6 +26,9 @@
     /** The record of the manifest in force: an older one that is written late takes its place in the copy of the topic. */
     private Optional<StoredRecord> record = Optional.empty();
 
+    /** Where the newest manifest stands that is known of, be it here or not. */
+    private Optional<ManifestPlace> newest = Optional.empty();
+
     private long kept = NONE;
     private long keptOffset = NONE;
 
@@ -44,9 +47,26 @@
         LOG.info("event=manifest_in_force version={} offset={} before={}", version, from.offset(), inForce);
         inForce = version;
         record = Optional.of(from);
+        stands(new ManifestPlace(version, from.offset()));
         return true;
     }
 
+    /** Takes note of where a manifest stands. */
+    void stands(ManifestPlace place) {
+        if (newestVersion() <= place.version()) {
+            newest = Optional.of(place);
+        }
+    }
+
+    /** Where the newest manifest stands that is known of; empty if none is. */
+    Optional<ManifestPlace> newest() {
+        return newest;
+    }
+
+    private long newestVersion() {
+        return newest.map(ManifestPlace::version).orElse(NONE);
+    }
+
     /** Some records of operators, and the manifest in force if it is hidden from whoever reads on from an offset. */
     List<StoredRecord> withHidden(Collection<StoredRecord> records, long offset) {
         List<StoredRecord> all = new ArrayList<>(records);
@@ -66,16 +86,16 @@
         }
     }
 
-    /** Where a manifest stands that is known to be newer than the one in force; empty if none is. */
+    /** Where a manifest stands that is known to be newer than those that were seen or told of; empty if none is. */
     OptionalLong lacking() {
-        return kept > inForce ? OptionalLong.of(keptOffset) : OptionalLong.empty();
+        return kept > newestVersion() ? OptionalLong.of(keptOffset) : OptionalLong.empty();
     }
 
-    /** The manifest in force, if it is not known to lie in the store under a key of its own. */
+    /** The newest manifest, if it is not known to lie in the store under a key of its own. */
     Optional<Unkept> unkept(TopicCopy lying) {
-        return record.filter(
-                        one -> lying.record(VersionKeys.ofManifest(inForce)).isEmpty())
-                .map(one -> new Unkept.Manifest(
-                        inForce, one.offset(), VersionKeys.outdatedManifests(lying.keys(), inForce)));
+        return newest.filter(place ->
+                        lying.record(VersionKeys.ofManifest(place.version())).isEmpty())
+                .map(place -> new Unkept.Manifest(
+                        place.version(), place.offset(), VersionKeys.outdatedManifests(lying.keys(), place.version())));
     }
 }
--- a/src/main/java/org/micabarrow/views/NewsReader.java
+++ b/src/main/java/org/micabarrow/views/NewsReader.java
@@ -13,9 +13,11 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Reads topics only when others tell that there is news, and then from them; the store itself while nobody tells. Most processes
- * of a large fleet are agents, and each that followed the store by itself made a call of it every second, and decoded every
- * entry of every endpoint.
+ * Reads topics only when others tell that there is news, and then from them; the store itself while nobody tells. Each process
+ * that read the store by itself made a call of it every second, and each manifest crossed the link of its region once a process:
+ * 30 processes, 40 KB and four changes a second are twice what a link of 18.9 Mbit/s carries, and entries fell behind by more than
+ * the time in which a manifest must be in force. Now one entry of a region reads the store for the other entries; agents are told
+ * by all entries nearby, and of what they act on only.
  */
 public final class NewsReader implements TopicReader {
 
@@ -29,10 +31,20 @@
 
     private final TopicReader store;
     private final Peers peers;
+    private final Role role;
     private final LongSupplier steadyMillis;
     private final Map<String, Told> told = new HashMap<>();
 
-    private record Told(LastChanges changes, long atMillis) {}
+    /** Up to where peers told of changes of operators that agents do not act on. */
+    private long passedOverTo;
+
+    /** Whether the store answered this process when it was last asked. */
+    private boolean storeAnswers = true;
+
+    /** Whether what this process knows of operators' records comes from the store itself. */
+    private boolean direct;
+
+    private record Told(LastChanges changes, long asOfMillis, long atMillis) {}
 
     /** Asks peers for records. */
     @FunctionalInterface
@@ -49,6 +61,28 @@
         Result<Batch> ask(String peer, Topic topic, long from);
     }
 
+    /** Whose word a process goes by, and for what. */
+    public sealed interface Role {
+
+        /** Agents need what they act on alone, and any entry nearby may tell. */
+        record Agent() implements Role {}
+
+        /**
+         * Entries need all that operators wrote. One goes by an entry whose address comes before its own, so that no two wait for
+         * each other; by any if the store does not answer it.
+         *
+         * @param self the address at which this entry is asked for records
+         * @param trustMillis how old what a peer knows may be, in milliseconds; the store is read by this process beyond that
+         */
+        record Entry(String self, long trustMillis) implements Role {
+
+            /** Checks that the address is there. */
+            public Entry {
+                Objects.requireNonNull(self, "self is null");
+            }
+        }
+    }
+
     /** What there is to read. */
     private sealed interface News {
 
@@ -67,11 +101,13 @@
      *
      * @param store reads the store
      * @param peers asks those that tell
+     * @param role whose word counts
      * @param steadyMillis a clock that never steps, in milliseconds
      */
-    public NewsReader(TopicReader store, Peers peers, LongSupplier steadyMillis) {
+    public NewsReader(TopicReader store, Peers peers, Role role, LongSupplier steadyMillis) {
         this.store = Objects.requireNonNull(store, "store is null");
         this.peers = Objects.requireNonNull(peers, "peers is null");
+        this.role = Objects.requireNonNull(role, "role is null");
         this.steadyMillis = Objects.requireNonNull(steadyMillis, "steadyMillis is null");
     }
 
@@ -82,40 +118,80 @@
      *
      * @param peer the host and port at which it can be asked for records
      * @param changes where the last changes stand that it knows of
+     * @param asOfMillis the moment on the steady clock up to which it knows all that operators wrote
      */
-    public synchronized void told(String peer, LastChanges changes) {
-        Told before = told.put(peer, new Told(changes, steadyMillis.getAsLong()));
+    public synchronized void told(String peer, LastChanges changes, long asOfMillis) {
+        Told before = told.put(peer, new Told(changes, asOfMillis, steadyMillis.getAsLong()));
+        if (changes.operator() > changes.weights()) {
+            passedOverTo = Math.max(passedOverTo, changes.operator());
+        }
         if (before == null || !before.changes().equals(changes)) {
             notifyAll();
         }
     }
 
+    /**
+     * Whether what this process knows of operators' records comes from the store itself, so that others may go by it.
+     *
+     * @return false before the first read, while it goes by a peer, and while the store does not answer
+     */
+    public synchronized boolean direct() {
+        return direct;
+    }
+
     private synchronized News await(Topic topic, long from, long untilMillis) throws InterruptedException {
         while (true) {
             long now = steadyMillis.getAsLong();
             told.values().removeIf(one -> now - one.atMillis() >= TOLD_MILLIS);
-            if (told.isEmpty()) {
+            if (told.entrySet().stream().noneMatch(one -> counts(one.getKey(), one.getValue(), now))) {
                 return new News.Unknown();
             }
-            Optional<String> ahead = ahead(topic, from);
+            Optional<String> ahead = ahead(topic, from, now);
             if (ahead.isPresent()) {
                 return new News.At(ahead.get());
             }
             if (now >= untilMillis) {
                 return new News.Nothing();
             }
-            long newest = told.values().stream().mapToLong(Told::atMillis).max().orElse(now);
-            wait(Math.min(untilMillis - now, TOLD_MILLIS - (now - newest)));
+            wait(Math.clamp(endOfTrust(now) - now, 1, untilMillis - now));
         }
     }
 
-    private Optional<String> ahead(Topic topic, long from) {
+    private boolean counts(String peer, Told one, long now) {
+        return switch (role) {
+            case Role.Agent ignored -> true;
+            case Role.Entry(String self, long trustMillis) ->
+                now - one.asOfMillis() < trustMillis && (peer.compareTo(self) < 0 || !storeAnswers);
+        };
+    }
+
+    /** When nobody's word counts any more, unless somebody tells again. */
+    private long endOfTrust(long now) {
         return told.entrySet().stream()
-                .filter(one -> one.getValue().changes().of(topic) > from)
-                .max(Comparator.comparingLong(one -> one.getValue().changes().of(topic)))
+                .filter(one -> counts(one.getKey(), one.getValue(), now))
+                .mapToLong(one -> endOfTrust(one.getValue()))
+                .max()
+                .orElse(now);
+    }
+
+    private long endOfTrust(Told one) {
+        long told = one.atMillis() + TOLD_MILLIS;
+        return role instanceof Role.Entry entry ? Math.min(told, one.asOfMillis() + entry.trustMillis()) : told;
+    }
+
+    private Optional<String> ahead(Topic topic, long from, long now) {
+        return told.entrySet().stream()
+                .filter(one -> counts(one.getKey(), one.getValue(), now))
+                .filter(one -> news(one.getValue().changes(), topic) > from)
+                .max(Comparator.comparingLong(one -> news(one.getValue().changes(), topic)))
                 .map(Map.Entry::getKey);
     }
 
+    /** Where the last change stands that this process needs. */
+    private long news(LastChanges changes, Topic topic) {
+        return topic == Topic.OPERATOR && role instanceof Role.Agent ? changes.weights() : changes.of(topic);
+    }
+
     private synchronized void distrust(String peer) {
         told.remove(peer);
     }
@@ -124,15 +200,16 @@
 
     @Override
     public Result<Batch> newest(Topic topic) {
-        return store.newest(topic);
+        return fromStore(topic, store.newest(topic));
     }
 
     @Override
     public Result<Read> read(Topic topic, long from, Duration wait) {
         try {
             return switch (await(topic, from, steadyMillis.getAsLong() + wait.toMillis())) {
-                case News.Unknown ignored -> store.read(topic, from, wait);
-                case News.Nothing ignored -> Result.success(new Read.Records(new Batch(List.of(), from)));
+                case News.Unknown ignored -> readStore(topic, from, wait);
+                case News.Nothing ignored ->
+                    byPeer(topic, Result.success(new Read.Records(new Batch(List.of(), from))));
                 case News.At(String peer) -> fromPeer(peer, topic, from);
             };
         } catch (InterruptedException e) {
@@ -145,10 +222,45 @@
     private Result<Read> fromPeer(String peer, Topic topic, long from) {
         Result<Batch> batch = peers.ask(peer, topic, from);
         if (batch.toOptional().filter(one -> one.end() > from).isPresent()) {
-            return batch.map(Read.Records::new);
+            return byPeer(topic, batch.map(Read.Records::new));
         }
         LOG.info("event=news_not_given topic={} from={} peer={} next=store", topic, from, peer);
         distrust(peer);
-        return store.read(topic, from, Duration.ZERO);
+        return readStore(topic, from, Duration.ZERO);
+    }
+
+    private Result<Read> readStore(Topic topic, long from, Duration wait) {
+        if (passedOver(topic, from)) {
+            // One copy of the manifest instead of one of each version that was passed over.
+            return fromStore(topic, store.newest(topic)).map(Read.Records::new);
+        }
+        return fromStore(topic, store.read(topic, from, wait));
+    }
+
+    /** Whether an agent was told of changes that it had no use for, and would read all of them now. */
+    private synchronized boolean passedOver(Topic topic, long from) {
+        return topic == Topic.OPERATOR && role instanceof Role.Agent && passedOverTo > from;
+    }
+
+    private synchronized <T> Result<T> fromStore(Topic topic, Result<T> answer) {
+        if (topic == Topic.OPERATOR) {
+            storeAnswers = answer instanceof Result.Success<T>;
+            learnedFrom(storeAnswers);
+        }
+        return answer;
+    }
+
+    private synchronized Result<Read> byPeer(Topic topic, Result<Read> answer) {
+        if (topic == Topic.OPERATOR) {
+            learnedFrom(false);
+        }
+        return answer;
+    }
+
+    private void learnedFrom(boolean store) {
+        if (direct != store) {
+            LOG.info("event=operator_news_from source={} storeAnswers={}", store ? "store" : "peers", storeAnswers);
+        }
+        direct = store;
     }
 }
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -35,7 +35,7 @@
     private final Manifests manifests = new Manifests();
     private final OperatorKnowledge knowledge = new OperatorKnowledge();
     private boolean loaded;
-    private volatile LastChanges changes = new LastChanges(0, 0);
+    private volatile LastChanges changes = new LastChanges(0, 0, 0);
     private volatile View view = View.empty();
 
     /**
@@ -194,35 +194,48 @@
         }
         switch (topic) {
             case OPERATOR -> {
-                news.forEach(this::operatorSaid);
-                changes = changes.withOperator(news);
+                List<StoredRecord> forAgents =
+                        news.stream().filter(this::operatorSaid).toList();
+                changes = changes.withOperator(news, forAgents);
             }
             case ENDPOINTS -> endpointsSaid(news);
             case NAMED -> versionsKept(news);
         }
     }
 
-    private void operatorSaid(StoredRecord record) {
+    /** Takes what operators wrote, and tells whether agents act on it. */
+    private boolean operatorSaid(StoredRecord record) {
         if (record.dropped()) {
             OperatorLines.dropped(record);
-            return;
+            return false;
         }
-        switch (decoder.operator(record)) {
-            case Result.Failure<OperatorRecord>(Fault fault) -> OperatorLines.refused(record, fault);
+        return switch (decoder.operator(record)) {
+            case Result.Failure<OperatorRecord>(Fault fault) -> {
+                OperatorLines.refused(record, fault);
+                yield false;
+            }
             case Result.Success<OperatorRecord>(OperatorRecord.ManifestSet(RouteManifest manifest)) ->
                 manifestSet(record, manifest);
             case Result.Success<OperatorRecord>(
                     OperatorRecord.WeightsNamed(String model, long version, OptionalLong ignored)) ->
                 weightsNamed(record, model, version);
-            case Result.Success<OperatorRecord>(OperatorRecord.ManifestKept ignored) -> OperatorLines.ofOthers(record);
-            case Result.Success<OperatorRecord>(OperatorRecord.Unused ignored) -> OperatorLines.ofOthers(record);
-        }
+            case Result.Success<OperatorRecord>(OperatorRecord.ManifestKept ignored) -> unused(record);
+            case Result.Success<OperatorRecord>(OperatorRecord.Unused ignored) -> unused(record);
+        };
     }
 
-    private void manifestSet(StoredRecord record, RouteManifest manifest) {
-        if (manifests.take(record, manifest)) {
-            view = view.withManifest(manifest, record.offset());
+    private static boolean unused(StoredRecord record) {
+        OperatorLines.ofOthers(record);
+        return false;
+    }
+
+    private boolean manifestSet(StoredRecord record, RouteManifest manifest) {
+        if (!manifests.take(record, manifest)) {
+            return false;
         }
+        boolean sameServices = view.manifest().filter(manifest::sameServices).isPresent();
+        view = view.withManifest(manifest, record.offset());
+        return !sameServices;
     }
 
     /**
@@ -235,12 +248,13 @@
                 records.stream().filter(record -> record.offset() == offset).forEach(this::operatorSaid));
     }
 
-    private void weightsNamed(StoredRecord record, String model, long version) {
+    private boolean weightsNamed(StoredRecord record, String model, long version) {
         long newest = view.newestTarget(model).map(View.Target::version).orElse(0L);
         View.Target target = targets.byOperator(model, version, loaded);
         if (!want(model, target, "store offset=" + record.offset()) && version < newest) {
             OperatorLines.namedLate(record, model, version, newest);
         }
+        return true;
     }
 
     /**
@@ -284,7 +298,26 @@
         return manifests.lacking();
     }
 
-    /** The manifest in force, if it is not known to be kept. */
+    /**
+     * Takes note of where the newest manifest stands, from a peer that has it: this process may do without the manifest, and still
+     * keep its place for others.
+     *
+     * @param place where it stands
+     */
+    public synchronized void manifestStands(ManifestPlace place) {
+        manifests.stands(place);
+    }
+
+    /**
+     * Where the newest manifest stands that is known of.
+     *
+     * @return the place, empty if none is known
+     */
+    public synchronized Optional<ManifestPlace> newestManifest() {
+        return manifests.newest();
+    }
+
+    /** The newest manifest, if it is not known to be kept. */
     synchronized Optional<Unkept> unkeptManifest() {
         return manifests.unkept(copies.get(Topic.NAMED));
     }
--- a/src/test/java/org/micabarrow/process/RegionalReadingTest.java
+++ b/src/test/java/org/micabarrow/process/RegionalReadingTest.java
@@ -71,6 +71,17 @@
         }
     }
 
+    /** The one that reads for all is replaced like any other instance. */
+    @Test
+    void shouldGoOnWhenEntryThatReadsForRegionEnds() throws Exception {
+        Await.until("a manifest is read by one entry for all", () -> copiesOfNextManifest() == 1);
+        // Addresses are dealt in rising order, and the first reads for the others.
+        settings.removeFirst();
+        entries.removeFirst().close();
+        copiesOfNextManifest();
+        Await.until("another entry reads for those that are left", () -> copiesOfNextManifest() == 1);
+    }
+
     /** Writes the next manifest, which takes the key of the one before away, and tells how often it was read. */
     private int copiesOfNextManifest() {
         version++;
--- a/src/test/java/org/micabarrow/transport/LoadFeedTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadFeedTest.java
@@ -16,6 +16,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
@@ -48,6 +49,7 @@
     private final EndpointChoice choice = new EndpointChoice("region-a", Map.of("hall-a", "region-a"));
     private final EndpointEntry endpoint =
             new EndpointEntry("a", "models", "127.0.0.1:80", "hall-a", 4, false, Map.of("m", 1L), 16);
+    private final List<LoadFeed.HeardNews> heard = new CopyOnWriteArrayList<>();
     private DatagramSocket agent;
     private XnioWorker worker;
     private LoadFeed feed;
@@ -67,13 +69,15 @@
     private LoadFeed feed(Supplier<View> view, EndpointChoice choice) throws IOException {
         return LoadFeed.open(new LoadFeed.Parts(
                 new Common.Place("entry-a", "region-a", "hall-a"),
+                "127.0.0.1:8000",
                 Map.of("hall-a", "region-a"),
                 agent.getLocalPort(),
                 view,
                 choice,
                 worker.getIoThread(),
                 () -> System.nanoTime() / 1_000_000,
-                Optional::empty));
+                Optional::empty,
+                heard::add));
     }
 
     @AfterEach
@@ -147,7 +151,7 @@
         for (int number = 0; number < 2; number++) {
             DatagramPacket packet = question();
             LoadMessages.Question question = LoadMessages.question(Arrays.copyOf(packet.getData(), packet.getLength()));
-            assertEquals(new LoadMessages.Question("entry-a", 120, number, 0), question);
+            assertEquals(new LoadMessages.Question("entry-a", 120, number, 0, true, Optional.empty()), question);
         }
     }
 
--- a/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
@@ -18,6 +18,7 @@
 import org.micabarrow.transport.LoadMessages.Question;
 import org.micabarrow.transport.LoadMessages.Received;
 import org.micabarrow.views.LastChanges;
+import org.micabarrow.views.ManifestPlace;
 
 class LoadMessagesTest {
 
@@ -35,17 +36,21 @@
 
     @Test
     void shouldReadNewsOfStoreWhenQuestionTellsThem() throws IOException {
-        StoreNews news = new StoreNews(8_000, new LastChanges(17, 1L << 40));
-        Question question = new Question("entry-a", 1_200, 17, 30, Optional.of(news));
+        StoreNews news = new StoreNews(
+                8_000, new LastChanges(17, 1L << 40, 16), Optional.of(new ManifestPlace(7, 16)), 30, true);
+        Question question = new Question("entry-a", 1_200, 17, 30, true, Optional.of(news));
         assertEquals(question, LoadMessages.question(bytes(LoadMessages.write(question))));
     }
 
     /** Anything may be sent to the port; it must not end the thread that reads, nor be taken for a message. */
     @Test
     void shouldRefuseDatagramsThatBreakOffOrGoOn() {
-        StoreNews news = new StoreNews(8_000, new LastChanges(17, 18));
-        byte[] question = bytes(LoadMessages.write(new Question("entry-a", 1, 2, 3, Optional.of(news))));
-        byte[] answer = bytes(LoadMessages.write(new Answer(17, new LoadReport(3, 8, true, 7, 5, OptionalInt.of(9)))));
+        StoreNews news =
+                new StoreNews(8_000, new LastChanges(17, 18), Optional.of(new ManifestPlace(7, 16)), 30, false);
+        ReaderNews reader = new ReaderNews("10.0.0.1:8000", 17, 40);
+        byte[] question = bytes(LoadMessages.write(new Question("entry-a", 1, 2, 3, true, Optional.of(news))));
+        byte[] answer = bytes(LoadMessages.write(
+                new Answer(17, new LoadReport(3, 8, true, 7, 5, OptionalInt.of(9)), Optional.of(reader))));
         for (int length = 0; length < question.length; length++) {
             byte[] part = Arrays.copyOf(question, length);
             assertThrows(IOException.class, () -> LoadMessages.question(part));
@@ -79,6 +84,13 @@
         assertEquals(answer, LoadMessages.answer(bytes(LoadMessages.write(answer))));
     }
 
+    @Test
+    void shouldReadReaderOfRegionWhenAnswerNamesIt() throws IOException {
+        ReaderNews reader = new ReaderNews("10.0.0.1:8000", 1L << 40, 250);
+        Answer answer = new Answer(17, new LoadReport(3, 800, true, 7, 5), Optional.of(reader));
+        assertEquals(answer, LoadMessages.answer(bytes(LoadMessages.write(answer))));
+    }
+
     @Test
     @Timeout(5)
     void shouldTellSenderAndBytesWhenDatagramsComeOneAfterAnother() throws IOException {
--- a/src/test/java/org/micabarrow/transport/LoadServerTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadServerTest.java
@@ -11,9 +11,11 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.routing.LoadReport;
+import org.micabarrow.views.LastChanges;
 
 /** What an agent answers to entries, over real sockets. */
 class LoadServerTest {
@@ -52,6 +54,67 @@
         }
     }
 
+    // -- the reader of the region
+
+    /** An entry that asks, with a socket of its own. */
+    private record Entry(String name, int port, boolean near, boolean direct, DatagramSocket socket) {
+
+        private static Entry of(String name, int port, boolean near, boolean direct) throws IOException {
+            DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+            socket.setSoTimeout(HANG_MILLIS);
+            return new Entry(name, port, near, direct, socket);
+        }
+
+        /** Asks, and tells which entry the agent names as the one that reads the store. */
+        private Optional<String> reader(InetSocketAddress agent) throws IOException {
+            StoreNews news = new StoreNews(port, new LastChanges(17, 0), Optional.empty(), 30, direct);
+            ByteBuffer question = LoadMessages.write(
+                    new LoadMessages.Question(name, 0, 0, 0, near, near ? Optional.of(news) : Optional.empty()));
+            socket.send(new DatagramPacket(question.array(), question.limit(), agent));
+            DatagramPacket answer = new DatagramPacket(new byte[512], 512);
+            socket.receive(answer);
+            return LoadMessages.answer(Arrays.copyOf(answer.getData(), answer.getLength()))
+                    .reader()
+                    .map(ReaderNews::peer);
+        }
+    }
+
+    private final AtomicLong now = new AtomicLong();
+
+    private InetSocketAddress agent() throws IOException {
+        InetSocketAddress agent = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
+        LoadServer.start("127.0.0.1:" + agent.getPort(), () -> Optional.of(RESTING), now::get, (peer, news) -> {});
+        return agent;
+    }
+
+    @Test
+    void shouldNameFirstEntryThatReadsStoreItselfToOthersOfRegion() throws Exception {
+        InetSocketAddress agent = agent();
+        Entry second = Entry.of("b", 8_002, true, true);
+        Entry first = Entry.of("a", 8_001, true, true);
+        Entry led = Entry.of("c", 8_000, true, false);
+        Entry far = Entry.of("d", 8_003, false, false);
+        assertEquals(Optional.empty(), second.reader(agent));
+        assertEquals(Optional.empty(), first.reader(agent));
+        assertEquals(Optional.of("127.0.0.1:8001"), second.reader(agent));
+        assertEquals(Optional.of("127.0.0.1:8001"), led.reader(agent));
+        assertEquals(Optional.empty(), far.reader(agent));
+    }
+
+    @Test
+    void shouldNameNextEntryWhenFirstFellSilent() throws Exception {
+        InetSocketAddress agent = agent();
+        Entry first = Entry.of("a", 8_001, true, true);
+        Entry second = Entry.of("b", 8_002, true, true);
+        Entry led = Entry.of("c", 8_003, true, false);
+        first.reader(agent);
+        now.addAndGet(600);
+        second.reader(agent);
+        assertEquals(Optional.of("127.0.0.1:8001"), led.reader(agent));
+        now.addAndGet(600);
+        assertEquals(Optional.of("127.0.0.1:8002"), led.reader(agent));
+    }
+
     private static int freePort() throws IOException {
         try (DatagramSocket free = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
             return free.getLocalPort();
--- a/src/test/java/org/micabarrow/views/LastChangesTest.java
+++ b/src/test/java/org/micabarrow/views/LastChangesTest.java
@@ -5,6 +5,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.platform.StoreRecords;
 
@@ -42,4 +44,37 @@
         keeper.apply(Topic.ENDPOINTS, List.of(record("a", 8, "")), 9);
         assertEquals(new LastChanges(4, 9), keeper.changes());
     }
+
+    private static StoredRecord manifest(long offset, long version, String route, int slots) {
+        return record(
+                "config",
+                offset,
+                "{\"version\":" + version + ",\"routes\":[" + route
+                        + "],\"services\":[{\"name\":\"s\",\"engine\":{\"slots\":" + slots + "}}]}");
+    }
+
+    /** Agents act on services and weight versions; routes, keys and limits are for entries. */
+    @Test
+    void shouldTellAgentsOfManifestOnlyWhenItChangesServices() {
+        String route = "{\"host\":\"h\",\"path_prefix\":\"/\",\"kind\":\"idempotent\",\"service\":\"s\"}";
+        keeper.apply(Topic.OPERATOR, List.of(manifest(0, 1, "", 4)), 1);
+        assertEquals(new LastChanges(1, 0, 1), keeper.changes());
+        keeper.apply(Topic.OPERATOR, List.of(manifest(1, 2, route, 4)), 2);
+        assertEquals(new LastChanges(2, 0, 1), keeper.changes());
+        keeper.apply(Topic.OPERATOR, List.of(manifest(2, 3, route, 5)), 3);
+        assertEquals(new LastChanges(3, 0, 3), keeper.changes());
+        keeper.apply(Topic.OPERATOR, List.of(record("version/m", 3, "{\"model\":\"m\",\"version\":2}")), 4);
+        assertEquals(new LastChanges(4, 0, 4), keeper.changes());
+    }
+
+    /** An agent that passed a manifest over still keeps its place for processes that start. */
+    @Test
+    void shouldKeepPlaceOfManifestThatOnlyPeerHas() {
+        keeper.apply(Topic.OPERATOR, List.of(manifest(0, 1, "", 4)), 1);
+        keeper.manifestStands(new ManifestPlace(7, 9));
+        assertEquals(Optional.of(new Unkept.Manifest(7, 9, List.of())), keeper.unkeptManifest());
+        keeper.manifestStands(new ManifestPlace(6, 8));
+        assertEquals(Optional.of(new ManifestPlace(7, 9)), keeper.newestManifest());
+        assertEquals(OptionalLong.empty(), keeper.lackingManifest());
+    }
 }
--- a/src/test/java/org/micabarrow/views/NewsReaderTest.java
+++ b/src/test/java/org/micabarrow/views/NewsReaderTest.java
@@ -1,6 +1,8 @@
 package org.micabarrow.views;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -32,6 +34,8 @@
     private final List<String> asked = new ArrayList<>();
     private Result<Batch> told = Result.success(new Batch(List.of(RECORD), 8));
 
+    private boolean storeDown;
+
     private final TopicReader store = new TopicReader() {
         @Override
         public Result<Batch> newest(Topic topic) {
@@ -42,6 +46,9 @@
         @Override
         public Result<Read> read(Topic topic, long from, Duration wait) {
             asked.add("store");
+            if (storeDown) {
+                return Result.failure(Fault.of(Fault.Step.LOG, "store", Fault.Reason.TIMEOUT, "no answer"));
+            }
             return Result.success(new Read.Records(new Batch(List.of(), from)));
         }
     };
@@ -52,6 +59,7 @@
                 asked.add(peer);
                 return told;
             },
+            new NewsReader.Role.Agent(),
             now::get);
 
     private Batch read(long from) {
@@ -71,22 +79,22 @@
 
     @Test
     void shouldAskNobodyWhenThereIsNoNews() {
-        reader.told(PEER, new LastChanges(7, 90));
+        reader.told(PEER, new LastChanges(7, 90), now.get());
         assertEquals(new Batch(List.of(), 7), read(7));
         assertEquals(List.of(), asked);
     }
 
     @Test
     void shouldAskPeerThatKnowsMost() {
-        reader.told(OTHER, new LastChanges(8, 0));
-        reader.told(PEER, new LastChanges(9, 0));
+        reader.told(OTHER, new LastChanges(8, 0), now.get());
+        reader.told(PEER, new LastChanges(9, 0), now.get());
         assertEquals(new Batch(List.of(RECORD), 8), read(7));
         assertEquals(List.of(PEER), asked);
     }
 
     @Test
     void shouldReadStoreWhenPeersFellSilent() {
-        reader.told(PEER, new LastChanges(7, 0));
+        reader.told(PEER, new LastChanges(7, 0), now.get());
         now.addAndGet(1_000);
         read(7);
         assertEquals(List.of("store"), asked);
@@ -95,7 +103,7 @@
     @Test
     void shouldReadStoreWhenPeerDoesNotAnswer() {
         told = Result.failure(Fault.of(Fault.Step.READ, PEER, Fault.Reason.TIMEOUT, "no answer"));
-        reader.told(PEER, new LastChanges(8, 0));
+        reader.told(PEER, new LastChanges(8, 0), now.get());
         read(7);
         assertEquals(List.of(PEER, "store"), asked);
     }
@@ -104,7 +112,7 @@
     @Test
     void shouldReadStoreWhenPeerKnowsOnlyPart() {
         told = Result.success(new Batch(List.of(), 7));
-        reader.told(PEER, new LastChanges(8, 0));
+        reader.told(PEER, new LastChanges(8, 0), now.get());
         read(7);
         assertEquals(List.of(PEER, "store"), asked);
     }
@@ -112,8 +120,8 @@
     @Test
     void shouldNotAskPeerAgainWhenItDidNotGiveWhatItTold() {
         told = Result.success(new Batch(List.of(), 7));
-        reader.told(PEER, new LastChanges(8, 0));
-        reader.told(OTHER, new LastChanges(7, 0));
+        reader.told(PEER, new LastChanges(8, 0), now.get());
+        reader.told(OTHER, new LastChanges(7, 0), now.get());
         read(7);
         read(7);
         assertEquals(List.of(PEER, "store"), asked);
@@ -122,8 +130,8 @@
     /** The last a peer told counts, also if it is less: a peer that started again knows less at first. */
     @Test
     void shouldGoByWhatPeerToldLast() {
-        reader.told(PEER, new LastChanges(8, 0));
-        reader.told(PEER, new LastChanges(0, 0));
+        reader.told(PEER, new LastChanges(8, 0), now.get());
+        reader.told(PEER, new LastChanges(0, 0), now.get());
         assertEquals(new Batch(List.of(), 7), read(7));
         assertEquals(List.of(), asked);
     }
@@ -131,14 +139,14 @@
     @Test
     void shouldTellTopicsApart() {
         told = Result.success(new Batch(List.of(), 90));
-        reader.told(PEER, new LastChanges(7, 90));
+        reader.told(PEER, new LastChanges(7, 90), now.get());
         reader.read(Topic.ENDPOINTS, 80, Duration.ZERO);
         assertEquals(List.of(PEER), asked);
     }
 
     @Test
     void shouldReadStoreAtStartAndForVersionsThatAreKept() {
-        reader.told(PEER, new LastChanges(8, 8));
+        reader.told(PEER, new LastChanges(8, 8), now.get());
         reader.newest(Topic.OPERATOR);
         reader.newest(Topic.NAMED);
         assertEquals(List.of("newest", "newest"), asked);
@@ -146,19 +154,102 @@
 
     @Test
     void shouldReadAtOnceWhenNewsIsToldWhileItWaits() throws Exception {
-        reader.told(PEER, new LastChanges(7, 0));
+        reader.told(PEER, new LastChanges(7, 0), now.get());
         CompletableFuture<Read> waiting = CompletableFuture.supplyAsync(() ->
                 reader.read(Topic.OPERATOR, 7, Duration.ofDays(1)).toOptional().orElseThrow());
-        reader.told(PEER, new LastChanges(8, 0));
+        reader.told(PEER, new LastChanges(8, 0), now.get());
         assertEquals(new Read.Records(new Batch(List.of(RECORD), 8)), waiting.get(20, TimeUnit.SECONDS));
     }
 
     @Test
     void shouldEndWaitWhenItsTimeIsOver() {
-        NewsReader onRealTime = new NewsReader(store, (peer, topic, from) -> told, () -> System.nanoTime() / 1_000_000);
-        onRealTime.told(PEER, new LastChanges(7, 0));
+        NewsReader onRealTime = new NewsReader(
+                store, (peer, topic, from) -> told, new NewsReader.Role.Agent(), () -> System.nanoTime() / 1_000_000);
+        onRealTime.told(PEER, new LastChanges(7, 0), now.get());
         assertEquals(
                 new Read.Records(new Batch(List.of(), 7)),
                 onRealTime.read(Topic.OPERATOR, 7, HOLD).toOptional().orElseThrow());
     }
+
+    // -- agents
+
+    /** A change of routes or keys is no news to an agent; each was a copy of the manifest for each of 30 agents of a region. */
+    @Test
+    void shouldNotReadManifestWhenItChangesNothingThatAgentsActOn() {
+        reader.told(PEER, new LastChanges(9, 0, 7), now.get());
+        assertEquals(new Batch(List.of(), 7), read(7));
+        assertEquals(List.of(), asked);
+    }
+
+    @Test
+    void shouldReadNewestOnceInsteadOfAllThatWasPassedOverWhenNobodyTells() {
+        reader.told(PEER, new LastChanges(9, 0, 7), now.get());
+        now.addAndGet(1_000);
+        read(7);
+        read(9);
+        assertEquals(List.of("newest", "store"), asked);
+    }
+
+    // -- entries
+
+    private static final String SELF = "10.0.0.1:9000";
+    private static final long TRUST_MILLIS = 1_500;
+
+    private final NewsReader entry = new NewsReader(
+            store,
+            (peer, topic, from) -> {
+                asked.add(peer);
+                return told;
+            },
+            new NewsReader.Role.Entry(SELF, TRUST_MILLIS),
+            now::get);
+
+    private Read readByEntry(long from) {
+        return entry.read(Topic.OPERATOR, from, Duration.ZERO).toOptional().orElseThrow();
+    }
+
+    @Test
+    void shouldGoByReaderOfRegionWhenItComesBefore() {
+        entry.told(PEER, new LastChanges(8, 0, 0), now.get());
+        assertEquals(new Read.Records(new Batch(List.of(RECORD), 8)), readByEntry(7));
+        assertEquals(List.of(PEER), asked);
+        assertFalse(entry.direct());
+    }
+
+    /** Two entries that went by each other would both learn nothing. */
+    @Test
+    void shouldReadStoreWhenReaderOfRegionComesAfter() {
+        entry.told("10.0.0.2:8000", new LastChanges(8, 0), now.get());
+        readByEntry(7);
+        assertEquals(List.of("store"), asked);
+        assertTrue(entry.direct());
+    }
+
+    /** The reader still tells, but has not heard of the store for long: its connection may have fallen silent. */
+    @Test
+    void shouldReadStoreWhenWhatReaderKnowsIsOld() {
+        entry.told(PEER, new LastChanges(7, 0), now.get() - TRUST_MILLIS);
+        readByEntry(7);
+        assertEquals(List.of("store"), asked);
+    }
+
+    @Test
+    void shouldReadStoreWhenReaderTellsNoMore() {
+        entry.told(PEER, new LastChanges(7, 0), now.get());
+        readByEntry(7);
+        now.addAndGet(1_000);
+        readByEntry(7);
+        assertEquals(List.of("store"), asked);
+    }
+
+    /** An entry that the store turns away hears of changes from any entry that it does not. */
+    @Test
+    void shouldGoByAnyReaderWhenStoreDoesNotAnswer() {
+        storeDown = true;
+        entry.read(Topic.OPERATOR, 7, Duration.ZERO);
+        entry.told("10.0.0.2:8000", new LastChanges(8, 0), now.get());
+        assertEquals(new Read.Records(new Batch(List.of(RECORD), 8)), readByEntry(7));
+        assertEquals(List.of("store", "10.0.0.2:8000"), asked);
+        assertFalse(entry.direct());
+    }
 }
