An entry that was cut off reads at once when others tell again, not in one of three rounds

ViewKeeperTest.shouldReadInNextTurnWhenPeersTellAgain: without the condition the read is not made in the next turn.

--- a/src/main/java/org/micabarrow/views/NamedVersions.java
+++ b/src/main/java/org/micabarrow/views/NamedVersions.java
@@ -153,6 +153,11 @@
         return reader.read(topic, from, wait);
     }
 
+    @Override
+    public boolean peersTell(Topic topic) {
+        return reader.peersTell(topic);
+    }
+
     private void recall() {
         switch (reader.newest(Topic.NAMED)) {
             case Result.Success<Batch>(Batch batch) -> {
--- a/src/main/java/org/micabarrow/views/NewsReader.java
+++ b/src/main/java/org/micabarrow/views/NewsReader.java
@@ -139,11 +139,20 @@
         return direct;
     }
 
+    @Override
+    public synchronized boolean peersTell(Topic topic) {
+        return peersTell(steadyMillis.getAsLong());
+    }
+
+    private boolean peersTell(long now) {
+        told.values().removeIf(one -> now - one.atMillis() >= TOLD_MILLIS);
+        return told.entrySet().stream().anyMatch(one -> counts(one.getKey(), one.getValue(), now));
+    }
+
     private synchronized News await(Topic topic, long from, long untilMillis) throws InterruptedException {
         while (true) {
             long now = steadyMillis.getAsLong();
-            told.values().removeIf(one -> now - one.atMillis() >= TOLD_MILLIS);
-            if (told.entrySet().stream().noneMatch(one -> counts(one.getKey(), one.getValue(), now))) {
+            if (!peersTell(now)) {
                 return new News.Unknown();
             }
             Optional<String> ahead = ahead(topic, from, now);
--- a/src/main/java/org/micabarrow/views/TopicReader.java
+++ b/src/main/java/org/micabarrow/views/TopicReader.java
@@ -67,4 +67,14 @@
      * @return the records
      */
     Result<Read> read(Topic topic, long from, Duration wait);
+
+    /**
+     * Whether a read needs no answer of the store now, since others tell what is new there.
+     *
+     * @param topic the topic
+     * @return false for whoever reads the store alone
+     */
+    default boolean peersTell(Topic topic) {
+        return false;
+    }
 }
--- a/src/test/java/org/micabarrow/views/ViewKeeperTest.java
+++ b/src/test/java/org/micabarrow/views/ViewKeeperTest.java
@@ -345,6 +345,7 @@
         private boolean expired;
         private boolean silentOnce;
         private boolean brokenOnce;
+        private boolean peersTell;
 
         /** Whether to hold a read that finds nothing, as a store does; else a follower on a thread of its own never rests. */
         private boolean holding;
@@ -379,6 +380,11 @@
             return Result.success(expired ? new Read.Expired() : new Read.Records(new Batch(List.of(), from)));
         }
 
+        @Override
+        public boolean peersTell(Topic topic) {
+            return peersTell;
+        }
+
         private <T> Result<T> failed() {
             return Result.failure(Fault.of(Fault.Step.LOG, "store", reason, "down"));
         }
@@ -455,6 +461,19 @@
         assertEquals(Collections.nCopies(4, Topic.OPERATOR), asked, "a peer is asked in each turn");
     }
 
+    /** An entry that comes back from being cut off hears from agents before its next read of the store is due. */
+    @Test
+    void shouldReadInNextTurnWhenPeersTellAgain() {
+        follower.once();
+        reader.down = true;
+        follower.once();
+        reader.peersTell = true;
+        reader.down = false;
+        follower.once();
+        assertEquals(List.of(10L, 10L, 10L), reader.readFrom);
+        assertTrue(follower.inTouch());
+    }
+
     @Test
     void shouldNotReadAgainAtOnceWhenStoreRefuses() {
         follower.once();
