An entry says 401 and 404 only while it can prove that it knows every manifest that must be in force

Otherwise it says at once that the request was not run, with Retry-After 0.3 s: when more than the time in which a manifest must be in force has passed since all that operators wrote was known, when that was never known, and while a newer manifest is known to be lacking. 400 and 413 stay, and what the manifest allows is served whatever its age. The moment is taken before the view, which so holds at least what was known at it.

--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -28,6 +29,8 @@
     private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.request");
 
     private static final int BAD_REQUEST = 400;
+    private static final int UNAUTHORIZED = 401;
+    private static final int NOT_FOUND = 404;
     private static final int TOO_LARGE = 413;
     private static final int UNAVAILABLE = 503;
 
@@ -37,6 +40,12 @@
     /** When to come back if this process stops, in milliseconds: at once, since the client then meets another entry. */
     private static final long STOPPING_MILLIS = 1;
 
+    /**
+     * When to come back to a process that may not know the newest manifest, in milliseconds: while it does not hear from the store
+     * it asks a peer every 0.3 s.
+     */
+    private static final long MAY_NOT_KNOW_MILLIS = 300;
+
     private final ServingParts parts;
     private final ClientConnections connections = new ClientConnections();
 
@@ -158,6 +167,8 @@
     }
 
     private void begin(HttpServerExchange exchange, byte[] body) {
+        // Taken before the view, which then holds all that was known at this moment, and perhaps more.
+        OptionalLong knownAsOf = parts.manifestAge().asOfMillis().get();
         Optional<RouteManifest> manifest = parts.view().manifest();
         if (connections.closing()) {
             refuse(exchange, UNAVAILABLE, "this entry is stopping", STOPPING_MILLIS);
@@ -172,11 +183,23 @@
             return;
         }
         switch (parts.reader().read(exchange, body, manifest.get(), parts.nowMillis())) {
+            case RequestReader.Reading.Refused refused
+            when ofManifest(refused.status()) && !parts.manifestAge().provesAllInForce(knownAsOf, parts.nowMillis()) ->
+                refuse(
+                        exchange,
+                        UNAVAILABLE,
+                        "this entry may not know the newest manifest; by its own, " + refused.why(),
+                        MAY_NOT_KNOW_MILLIS);
             case RequestReader.Reading.Refused(int status, String why) -> refuse(exchange, status, why, 0);
             case RequestReader.Reading.Understood(ClientRequest request) -> run(exchange, request);
         }
     }
 
+    /** Whether a newer manifest may take that request: one that cannot be read is wrong by each. */
+    private static boolean ofManifest(int status) {
+        return status == UNAUTHORIZED || status == NOT_FOUND;
+    }
+
     private void run(HttpServerExchange exchange, ClientRequest request) {
         ServedRequest run = new ServedRequest(parts, request, new ClientAnswer(exchange), exchange.getIoThread());
         ClientWatch.start(exchange, run::clientGone);
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -82,6 +82,10 @@
         return line;
     }
 
+    ManifestAge manifestAge() {
+        return given.manifestAge();
+    }
+
     long nowMillis() {
         return given.steadyMillis().getAsLong();
     }
--- a/src/test/java/org/micabarrow/process/OldManifestTest.java
+++ b/src/test/java/org/micabarrow/process/OldManifestTest.java
@@ -21,6 +21,7 @@
 import org.micabarrow.platform.standin.HostedStoreStandin;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.standin.Ports;
 import org.micabarrow.state.Fault.Step;
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpCaller;
@@ -129,6 +130,47 @@
         }
     }
 
+    // -- peers
+
+    /** An entry that never reads the store knows what its peer knew, and as of when; the peer is cut off from it later. */
+    @Test
+    void shouldGoByAgeOfPeersKnowledgeWhenEntryCannotReachTheStore() throws Exception {
+        try (HostedEntryProcess peer = HostedEntryProcess.start(settings)) {
+            Await.until("the peer serves", () -> peer.endpoints() == 1 && status("/once/x", "key-a") == OK);
+            settings = withoutStore(platform.entry(), settings.listen().peers());
+            try (HostedEntryProcess running = HostedEntryProcess.start(settings)) {
+                Await.until("the entry serves", () -> running.endpoints() == 1 && status("/once/x", "key-a") == OK);
+                awaitStatus(UNAUTHORIZED, "/once/x", "key-b");
+                awaitStatus(NOT_FOUND, "/new/x", "key-a");
+                platform.store().silent(true);
+                addKeyAndRoute();
+                awaitStatus(UNAVAILABLE, "/once/x", "key-b");
+                for (int i = 0; i < TIMES; i++) {
+                    assertEquals(UNAVAILABLE, status("/once/x", "key-b"));
+                    assertEquals(UNAVAILABLE, status("/new/x", "key-a"));
+                }
+                platform.store().silent(false);
+                awaitStatus(OK, "/once/x", "key-b");
+                awaitStatus(UNAUTHORIZED, "/once/x", "key-c");
+            }
+        }
+    }
+
+    private static HostedSettings withoutStore(HostedSettings own, String peer) {
+        return new HostedSettings(
+                own.instance(),
+                own.regions(),
+                own.listen(),
+                own.peerPort(),
+                List.of(peer),
+                Ports.freeAddress(),
+                own.endpoint(),
+                own.service(),
+                own.linkBitsPerSecond(),
+                own.bounds(),
+                own.log());
+    }
+
     /** Asks until the answer has a status; the others that came show if it never does. */
     private void awaitStatus(int status, String path, String key) {
         Set<Integer> seen = new TreeSet<>();
--- /dev/null
+++ b/src/test/java/org/micabarrow/serving/UnknownManifestTest.java
@@ -0,0 +1,218 @@
+package org.micabarrow.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.random.RandomGenerator;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.platform.EndpointHeaders;
+import org.micabarrow.platform.RequestHeaders;
+import org.micabarrow.platform.StoreRecords;
+import org.micabarrow.routing.EndpointChoice;
+import org.micabarrow.standin.Ports;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.transport.HttpCall;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.HttpCaller.HttpAnswer;
+import org.micabarrow.transport.HttpListener;
+import org.micabarrow.views.StoredRecord;
+import org.micabarrow.views.Topic;
+import org.micabarrow.views.VersionKeys;
+import org.micabarrow.views.ViewKeeper;
+import org.xnio.XnioWorker;
+
+/** What an entry calls wrong by a manifest of which it knows how old it is, or does not. */
+class UnknownManifestTest {
+
+    private static final Duration WITHIN = Duration.ofSeconds(10);
+    private static final long MOST_MILLIS = 2_000;
+    private static final int BAD_REQUEST = 400;
+    private static final int UNAUTHORIZED = 401;
+    private static final int NOT_FOUND = 404;
+    private static final int TOO_LARGE = 413;
+    private static final int UNAVAILABLE = 503;
+
+    /** Where the older manifest stands, which was written late. */
+    private static final long LATE = 6;
+
+    private final AtomicLong clock = new AtomicLong(1_000_000);
+    private final ViewKeeper views = new ViewKeeper(new StoreRecords(), clock::get);
+    private final String clients = Ports.freeAddress();
+    private XnioWorker worker;
+    private HttpCaller caller;
+    private HttpListener listener;
+
+    @BeforeEach
+    void start() throws IOException {
+        worker = HttpCaller.worker("traffic", 1);
+        caller = HttpCaller.start("test", 1);
+        listener = HttpListener.on(
+                clients,
+                HttpListener.Bounds.usual(),
+                worker,
+                ServingHandler.of(new ServingHandler.Parts(
+                        views::view,
+                        new EndpointChoice("region-a", Map.of()),
+                        HttpCaller.on(worker, 0),
+                        new EndpointHeaders(),
+                        new RequestHeaders(RandomGenerator.of("L64X128MixRandom")),
+                        new RetryBudget(0, 0),
+                        new MetricRegistry(),
+                        clock::get,
+                        (endpoint, then) -> then.accept(true),
+                        new ServingHandler.VersionTimes(WITHIN.toMillis(), WITHIN.toMillis(), WITHIN.toMillis()),
+                        new ManifestAge(views::operatorAsOfMillis, MOST_MILLIS))));
+        views.apply(Topic.OPERATOR, List.of(manifest(1, LATE)), LATE + 1);
+    }
+
+    @AfterEach
+    void stop() {
+        caller.close();
+        listener.close();
+        worker.shutdownNow();
+    }
+
+    private static StoredRecord manifest(long version, long offset) {
+        String json = """
+                {"version":%d,"routes":[{"name":"r","host":"h.example","path_prefix":"/once/","kind":"non_idempotent",
+                "timeout_ms":2000,"target_latency_ms":500,"priority":1,"service":"plain","max_attempts":2,"public":false}],
+                "services":[{"name":"plain","health_path":"/healthz","max_connections":100}],
+                "limits":{"max_body_bytes":10},"tenants":[{"name":"org-a","api_keys":["key-a"]}]}""".formatted(version);
+        return new StoredRecord("config", offset, json.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private HttpAnswer ask(String path, String key, Optional<String> id, String body) {
+        Map<String, String> headers = new HashMap<>(Map.of("Host", "h.example", "Key", key, "Deadline-Ms", "3000"));
+        id.ifPresent(one -> headers.put("Attempt-Id", one));
+        HttpCall call = new HttpCall(
+                Step.READ,
+                "POST",
+                URI.create("http://" + clients),
+                Optional.of(path),
+                headers,
+                body.getBytes(StandardCharsets.UTF_8));
+        return caller.call(call, WITHIN).toOptional().orElseThrow();
+    }
+
+    private HttpAnswer ask(String path, String key) {
+        return ask(path, key, Optional.of("id-1"), "a body");
+    }
+
+    /** Asks with an unknown key and for an unknown path. */
+    private void assertCalledWrong() {
+        assertEquals(UNAUTHORIZED, ask("/once/x", "key-b").status());
+        assertEquals(NOT_FOUND, ask("/new/x", "key-a").status());
+    }
+
+    private void assertNotKnown() {
+        for (HttpAnswer answer : List.of(ask("/once/x", "key-b"), ask("/new/x", "key-a"))) {
+            assertEquals(UNAVAILABLE, answer.status());
+            assertEquals("0.300", answer.headers().get("Retry-After"));
+            String why = new String(answer.body(), StandardCharsets.UTF_8);
+            assertEquals("this entry may not know the newest manifest", why.substring(0, why.indexOf(';')));
+        }
+    }
+
+    private long ago(long millis) {
+        return clock.get() - millis;
+    }
+
+    // -- the store
+
+    @ParameterizedTest
+    @CsvSource({"0", "1", "1999", "2000"})
+    void shouldCallWrongWhenAllWasKnownWithinTheBound(long millis) {
+        views.confirmOperator(ago(millis));
+        assertCalledWrong();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"2001", "60000"})
+    void shouldSayThatItMayNotKnowWhenStoreIsSilentForLonger(long millis) {
+        views.confirmOperator(ago(0));
+        clock.addAndGet(millis);
+        assertNotKnown();
+    }
+
+    @Test
+    void shouldCallWrongAgainWhenStoreIsBack() {
+        views.confirmOperator(ago(60_000));
+        assertNotKnown();
+        views.confirmOperator(ago(10));
+        assertCalledWrong();
+    }
+
+    // -- peers
+
+    @Test
+    void shouldNotCallWrongWhenPeersWordIsOld() {
+        views.confirmOperator(ago(2_500));
+        clock.addAndGet(100);
+        views.confirmOperator(ago(2_200));
+        assertNotKnown();
+    }
+
+    @Test
+    void shouldCallWrongWhenPeersWordIsYoungAndNotWhenOlderOneComesAfterIt() {
+        views.confirmOperator(ago(1_200));
+        views.confirmOperator(ago(9_000));
+        assertCalledWrong();
+    }
+
+    /** An entry that has just started from a peer has a manifest before it knows its age, if the peer does not say. */
+    @Test
+    void shouldSayThatItMayNotKnowWhenNoMomentWasEverKnown() {
+        assertNotKnown();
+        assertEquals(OptionalLong.empty(), views.operatorAsOfMillis());
+    }
+
+    // -- a manifest that is lacking
+
+    @Test
+    void shouldSayThatItMayNotKnowWhileManifestIsKnownToBeLacking() {
+        views.confirmOperator(ago(0));
+        views.apply(
+                Topic.NAMED,
+                List.of(new StoredRecord(
+                        VersionKeys.ofManifest(2), 0, "{\"version\":2,\"offset\":5}".getBytes(StandardCharsets.UTF_8))),
+                1);
+        assertNotKnown();
+        views.apply(Topic.OPERATOR, List.of(manifest(2, 5)), 0);
+        assertCalledWrong();
+    }
+
+    // -- what does not hang on the age
+
+    @Test
+    void shouldCallMalformedWrongWhateverTheAge() {
+        assertEquals(
+                BAD_REQUEST, ask("/once/x", "key-a", Optional.empty(), "a body").status());
+        assertEquals(
+                TOO_LARGE,
+                ask("/once/x", "key-a", Optional.of("id-1"), "a body of 20 bytes..")
+                        .status());
+    }
+
+    /** Nothing serves here: the request was understood, and its answer names that. */
+    @Test
+    void shouldTakeWhatManifestAllowsWhateverItsAge() {
+        HttpAnswer answer = ask("/once/x", "key-a");
+        assertEquals(UNAVAILABLE, answer.status());
+        assertEquals("no endpoint can serve\n", new String(answer.body(), StandardCharsets.UTF_8));
+    }
+}
