--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -154,21 +154,31 @@
     public void handleRequest(HttpServerExchange exchange) {
         parts.metrics().received.inc();
         connections.begun(exchange);
+        OptionalLong knownAsOf = knownAsOf();
         parts.view().manifest().ifPresent(manifest -> exchange.setMaxEntitySize(manifest.maxBodyBytes()));
         exchange.getRequestReceiver()
                 .receiveFullBytes(
                         (same, body) -> same.dispatch(SameThreadExecutor.INSTANCE, () -> begin(exchange, body)),
-                        (same, error) -> same.dispatch(SameThreadExecutor.INSTANCE, () -> notRead(exchange, error)));
+                        (same, error) ->
+                                same.dispatch(SameThreadExecutor.INSTANCE, () -> notRead(exchange, error, knownAsOf)));
     }
 
-    private void notRead(HttpServerExchange exchange, IOException error) {
-        boolean large = error instanceof RequestTooBigException;
-        refuse(exchange, large ? TOO_LARGE : BAD_REQUEST, "the body cannot be read: " + error.getMessage(), 0);
+    /** To be taken before the view, which then holds all that was known at this moment, and perhaps more. */
+    private OptionalLong knownAsOf() {
+        return parts.manifestAge().asOfMillis().get();
+    }
+
+    private void notRead(HttpServerExchange exchange, IOException error, OptionalLong knownAsOf) {
+        String why = "the body cannot be read: " + error.getMessage();
+        if (error instanceof RequestTooBigException) {
+            refuseByManifest(exchange, TOO_LARGE, why, knownAsOf);
+        } else {
+            refuse(exchange, BAD_REQUEST, why, 0);
+        }
     }
 
     private void begin(HttpServerExchange exchange, byte[] body) {
-        // Taken before the view, which then holds all that was known at this moment, and perhaps more.
-        OptionalLong knownAsOf = parts.manifestAge().asOfMillis().get();
+        OptionalLong knownAsOf = knownAsOf();
         Optional<RouteManifest> manifest = parts.view().manifest();
         if (connections.closing()) {
             refuse(exchange, UNAVAILABLE, "this entry is stopping", STOPPING_MILLIS);
@@ -179,17 +189,12 @@
             return;
         }
         if (body.length > manifest.get().maxBodyBytes()) {
-            refuse(exchange, TOO_LARGE, "the body is larger than the manifest allows", 0);
+            refuseByManifest(exchange, TOO_LARGE, "the body is larger than the manifest allows", knownAsOf);
             return;
         }
         switch (parts.reader().read(exchange, body, manifest.get(), parts.nowMillis())) {
-            case RequestReader.Reading.Refused refused
-            when ofManifest(refused.status()) && !parts.manifestAge().provesAllInForce(knownAsOf, parts.nowMillis()) ->
-                refuse(
-                        exchange,
-                        UNAVAILABLE,
-                        "this entry may not know the newest manifest; by its own, " + refused.why(),
-                        MAY_NOT_KNOW_MILLIS);
+            case RequestReader.Reading.Refused(int status, String why)
+            when ofManifest(status) -> refuseByManifest(exchange, status, why, knownAsOf);
             case RequestReader.Reading.Refused(int status, String why) -> refuse(exchange, status, why, 0);
             case RequestReader.Reading.Understood(ClientRequest request) -> run(exchange, request);
         }
@@ -200,6 +205,19 @@
         return status == UNAUTHORIZED || status == NOT_FOUND;
     }
 
+    /** Refuses what the manifest does not allow, if it is known to be one that must be in force. */
+    private void refuseByManifest(HttpServerExchange exchange, int status, String why, OptionalLong knownAsOf) {
+        if (parts.manifestAge().provesAllInForce(knownAsOf, parts.nowMillis())) {
+            refuse(exchange, status, why, 0);
+        } else {
+            refuse(
+                    exchange,
+                    UNAVAILABLE,
+                    "this entry may not know the newest manifest; by its own, " + why,
+                    MAY_NOT_KNOW_MILLIS);
+        }
+    }
+
     private void run(HttpServerExchange exchange, ClientRequest request) {
         ServedRequest run = new ServedRequest(parts, request, new ClientAnswer(exchange), exchange.getIoThread());
         ClientWatch.start(exchange, run::clientGone);
