The readers of a process end before what they read by is closed

Configuration, claims and the list of instances were told to end and not waited for, and the list never ended: they began calls on executors that had stopped, and their threads ended by exceptions. A question to a peer can be interrupted now.

--- a/src/main/java/org/micabarrow/coordination/claims/Claims.java
+++ b/src/main/java/org/micabarrow/coordination/claims/Claims.java
@@ -19,6 +19,7 @@
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Fault.Step;
 import org.micabarrow.state.Result;
+import org.micabarrow.steps.OwnedThread;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -40,8 +41,8 @@
     /** How long a read of the log waits for a record once all that it has was read. */
     private static final Duration READ_WAIT = Duration.ofSeconds(2);
 
-    /** The pause before the log is asked again after a failure, in milliseconds. */
-    private static final long PAUSE_MILLIS = 100;
+    /** The pause before the log is asked again after a failure. */
+    private static final Duration PAUSE = Duration.ofMillis(100);
 
     private final PlatformLog log;
     private final String stream;
@@ -50,17 +51,18 @@
     private final Object lock = new Object();
     private final ClaimBook book;
     private final Map<String, Waiting> waiting = new HashMap<>();
-    private final List<Thread> threads;
+    private final OwnedThread writer;
+    private final OwnedThread reader;
     private long nextOffset;
     private volatile boolean caughtUp;
-    private volatile boolean closed;
 
     private Claims(PlatformLog log, String stream, Duration kept, InstantSource clock) {
         this.log = Objects.requireNonNull(log, "log is null");
         this.stream = Objects.requireNonNull(stream, "stream is null");
         this.clock = Objects.requireNonNull(clock, "clock is null");
         this.book = new ClaimBook(kept.toMillis());
-        this.threads = List.of(thread(this::writeAll, stream + "-writer"), thread(this::readAll, stream + "-reader"));
+        this.writer = new OwnedThread(stream + "-writer", this::writeAll);
+        this.reader = new OwnedThread(stream + "-reader", this::readAll);
     }
 
     /** A claim that waits for its verdict. */
@@ -77,16 +79,11 @@
      */
     public static Claims start(PlatformLog log, String stream, Duration kept, InstantSource clock) {
         Claims claims = new Claims(log, stream, kept, clock);
-        claims.threads.forEach(Thread::start);
+        claims.writer.start();
+        claims.reader.start();
         return claims;
     }
 
-    private static Thread thread(Runnable work, String name) {
-        Thread thread = new Thread(work, name);
-        thread.setDaemon(true);
-        return thread;
-    }
-
     @Override
     public CompletableFuture<ClaimVerdict> claim(Claim claim, Duration within) {
         Objects.requireNonNull(claim, "claim is null");
@@ -147,7 +144,7 @@
     // -- writing
 
     private void writeAll() {
-        while (!closed) {
+        while (!writer.closing()) {
             try {
                 List<Waiting> batch = new ArrayList<>();
                 batch.add(queue.take());
@@ -160,9 +157,9 @@
     }
 
     /** Appends until an append is acknowledged or nobody waits; the same claim twice counts once. */
-    private void write(List<Waiting> batch) throws InterruptedException {
+    private void write(List<Waiting> batch) {
         List<Waiting> left = new ArrayList<>(batch);
-        while (!closed) {
+        while (!writer.closing()) {
             left.removeIf(one -> one.verdict().isDone() || one.untilMillis() <= clock.millis());
             if (left.isEmpty()) {
                 return;
@@ -176,33 +173,27 @@
                     "claims={} not acknowledged: {}",
                     left.size(),
                     appended.cause().orElseThrow());
-            Thread.sleep(PAUSE_MILLIS);
+            writer.rest(PAUSE);
         }
     }
 
     // -- reading
 
     private void readAll() {
-        while (!closed) {
+        while (!reader.closing()) {
             Result<PlatformLog.Page> page = log.read(stream, nextOffset, caughtUp ? READ_WAIT : Duration.ZERO);
             switch (page) {
                 case Result.Success<PlatformLog.Page>(PlatformLog.Page read) -> foldPage(read);
                 case Result.Failure<PlatformLog.Page>(Fault fault) -> {
-                    LOG.warn("claims not read: {}", fault);
-                    pause();
+                    if (!reader.closing()) {
+                        LOG.warn("claims not read: {}", fault);
+                        reader.rest(PAUSE);
+                    }
                 }
             }
         }
     }
 
-    private void pause() {
-        try {
-            Thread.sleep(PAUSE_MILLIS);
-        } catch (InterruptedException e) {
-            closed = true;
-        }
-    }
-
     private void foldPage(PlatformLog.Page page) {
         for (PlatformLog.Entry entry : page.records()) {
             foldEntry(entry);
@@ -241,9 +232,10 @@
         return Fault.of(Step.CLAIM, "log/" + stream, reason, message);
     }
 
+    /** Ends reading and writing; when it returns, no call goes on and none begins. */
     @Override
     public void close() {
-        closed = true;
-        threads.forEach(Thread::interrupt);
+        reader.close();
+        writer.close();
     }
 }
--- a/src/main/java/org/micabarrow/coordination/configuration/ConfigurationReader.java
+++ b/src/main/java/org/micabarrow/coordination/configuration/ConfigurationReader.java
@@ -8,6 +8,7 @@
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.FoldedState;
 import org.micabarrow.state.Result;
+import org.micabarrow.steps.OwnedThread;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -33,8 +34,7 @@
     private final PlatformLog log;
     private final Peers peers;
     private final Supplier<List<String>> relays;
-    private final Thread thread;
-    private volatile boolean closed;
+    private final OwnedThread thread;
 
     private ConfigurationReader(
             Configuration configuration, PlatformLog log, Peers peers, Supplier<List<String>> relays) {
@@ -42,8 +42,7 @@
         this.log = Objects.requireNonNull(log, "log is null");
         this.peers = Objects.requireNonNull(peers, "peers is null");
         this.relays = Objects.requireNonNull(relays, "relays is null");
-        this.thread = new Thread(this::run, "configuration-reader");
-        thread.setDaemon(true);
+        this.thread = new OwnedThread("configuration-reader", this::run);
     }
 
     /** Reads records and state from other processes of the system. */
@@ -107,12 +106,12 @@
 
     private void run() {
         Duration pause = PAUSE;
-        while (!closed) {
+        while (!thread.closing()) {
             Result<FoldedState> step = readOnce();
             pause = step instanceof Result.Success ? PAUSE : longer(pause);
-            if (step instanceof Result.Failure<FoldedState>(Fault fault)) {
+            if (step instanceof Result.Failure<FoldedState>(Fault fault) && !thread.closing()) {
                 LOG.warn("configuration not read: {}", fault);
-                sleep(pause);
+                thread.rest(pause);
             }
         }
     }
@@ -125,13 +124,13 @@
     Result<FoldedState> readOnce() {
         for (String relay : relays.get()) {
             Result<FoldedState> viaRelay = readFrom(relay);
-            if (viaRelay instanceof Result.Success) {
+            if (viaRelay instanceof Result.Success || thread.closing()) {
                 return viaRelay;
             }
         }
         Result<FoldedState> direct = log.read(PlatformLog.CONFIGURATION, configuration.generation() + 1, WAIT)
                 .flatMap(page -> configuration.offer(page).join());
-        if (direct instanceof Result.Failure && !configuration.known()) {
+        if (direct instanceof Result.Failure && !configuration.known() && !thread.closing()) {
             return adoptFromPeer(direct);
         }
         return direct;
@@ -159,6 +158,9 @@
                 LOG.info("configuration taken from peer={} generation={}", peer, configuration.generation());
                 return adopted;
             }
+            if (thread.closing()) {
+                return otherwise;
+            }
         }
         return otherwise;
     }
@@ -168,17 +170,9 @@
         return doubled.compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : doubled;
     }
 
-    private void sleep(Duration pause) {
-        try {
-            Thread.sleep(pause);
-        } catch (InterruptedException e) {
-            closed = true;
-        }
-    }
-
+    /** Ends the reading; when it returns, no call goes on and none begins. */
     @Override
     public void close() {
-        closed = true;
-        thread.interrupt();
+        thread.close();
     }
 }
--- a/src/main/java/org/micabarrow/process/Node.java
+++ b/src/main/java/org/micabarrow/process/Node.java
@@ -24,6 +24,7 @@
 import org.micabarrow.protocol.wire.StatusReply;
 import org.micabarrow.settings.Common;
 import org.micabarrow.state.Instance;
+import org.micabarrow.steps.OwnedThread;
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.transport.PlatformClient;
 import org.micabarrow.transport.TlsFiles;
@@ -54,6 +55,7 @@
     private final PeerClient peers;
     private final RecordWriter writer;
     private final long listMillis;
+    private final OwnedThread list = new OwnedThread("instance-list", this::pollList);
     private ConfigurationReader reader;
 
     Node(Common.Place place, Common.Platform services, Common.Security security, long listMillis) throws IOException {
@@ -174,20 +176,17 @@
     /** Begins to read the list of instances and the configuration. */
     void start() {
         readList();
-        Thread list = new Thread(this::pollList, "instance-list");
-        list.setDaemon(true);
         list.start();
         reader = ConfigurationReader.start(configuration, platform, peers, this::relays);
     }
 
     private void pollList() {
-        while (true) {
-            try {
-                Thread.sleep(instances().isEmpty() ? Math.min(listMillis, LIST_AT_START.toMillis()) : listMillis);
-            } catch (InterruptedException e) {
-                return;
+        while (!list.closing()) {
+            list.rest(Duration.ofMillis(
+                    instances().isEmpty() ? Math.min(listMillis, LIST_AT_START.toMillis()) : listMillis));
+            if (!list.closing()) {
+                readList();
             }
-            readList();
         }
     }
 
@@ -222,14 +221,16 @@
         }
     }
 
+    /** The readers end first, so that none begins a call on connections or executors that are closed. */
     @Override
     public void close() {
+        list.close();
         if (reader != null) {
             reader.close();
         }
+        control.close();
         peers.close();
         channels.close();
-        control.close();
         http.close();
     }
 }
--- a/src/main/java/org/micabarrow/transport/grpc/PeerClient.java
+++ b/src/main/java/org/micabarrow/transport/grpc/PeerClient.java
@@ -10,7 +10,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -114,7 +113,7 @@
         SettleRequest request = SettleRequest.newBuilder()
                 .setClaim(RequestMessages.toWire(claim))
                 .build();
-        SingleReply<SettleReply> reply = new SingleReply<>(Step.CLAIM, to.instance());
+        SingleReply<SettleRequest, SettleReply> reply = new SingleReply<>(Step.CLAIM, to.instance());
         within(to.address(), CALL_WITHIN).settle(request, reply);
         return reply.result().thenApply(result -> result.map(AnswerMessages::fromWire));
     }
@@ -133,7 +132,7 @@
                 .setGeneration(generation)
                 .setSender(self)
                 .build();
-        SingleReply<StatusReply> reply = new SingleReply<>(Step.STATUS, address);
+        SingleReply<StatusRequest, StatusReply> reply = new SingleReply<>(Step.STATUS, address);
         within(address, CALL_WITHIN).status(request, reply);
         return reply.result();
     }
@@ -156,13 +155,9 @@
     }
 
     private Result<RecordsReply> askRecords(String address, RecordsRequest request, Duration within) {
-        SingleReply<RecordsReply> reply = new SingleReply<>(Step.LOG, address);
+        SingleReply<RecordsRequest, RecordsReply> reply = new SingleReply<>(Step.LOG, address);
         within(address, within).records(request, reply);
-        try {
-            return reply.result().join();
-        } catch (CompletionException e) {
-            return Result.failure(CallFaults.of(Step.LOG, address, e.getCause()));
-        }
+        return reply.await();
     }
 
     @Override
--- a/src/test/java/org/micabarrow/coordination/claims/ClaimsTest.java
+++ b/src/test/java/org/micabarrow/coordination/claims/ClaimsTest.java
@@ -12,7 +12,11 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.coordination.HeldUp;
 import org.micabarrow.coordination.log.FakeLog;
+import org.micabarrow.coordination.log.PlatformLog;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Result;
 
 class ClaimsTest {
 
@@ -76,4 +80,45 @@
         verdicts.forEach(verdict -> assertInstanceOf(ClaimVerdict.Won.class, verdict.join()));
         assertTrue(log.appends() <= 4, "appends: " + log.appends());
     }
+
+    @Test
+    void shouldHaveEndedAndBeginNoReadWhenClosed() throws InterruptedException {
+        HeldUp held = new HeldUp();
+        Claims reading = Claims.start(heldUpLog(held), "claims-held", KEPT, InstantSource.system());
+        held.awaitBegun();
+        List<Thread> threads = threadsOf("claims-held");
+        assertEquals(2, threads.size());
+        reading.close();
+        List<String> left =
+                threads.stream().filter(Thread::isAlive).map(Thread::getName).toList();
+        held.ownerHasClosed();
+        assertEquals(List.of(), left, "threads that run on");
+        assertEquals(1, held.calls(), "reads begun");
+        assertEquals(0, held.callsAfterClose(), "reads begun after the close");
+    }
+
+    private static List<Thread> threadsOf(String stream) {
+        return Thread.getAllStackTraces().keySet().stream()
+                .filter(thread -> thread.getName().startsWith(stream))
+                .toList();
+    }
+
+    private static PlatformLog heldUpLog(HeldUp held) {
+        return new PlatformLog() {
+            @Override
+            public Result<Long> append(String stream, byte[] body) {
+                return none();
+            }
+
+            @Override
+            public Result<Page> read(String stream, long from, Duration wait) {
+                held.call();
+                return none();
+            }
+
+            private <T> Result<T> none() {
+                return Result.failure(Fault.of(Fault.Step.LOG, "log", Fault.Reason.CANCELLED, "interrupted"));
+            }
+        };
+    }
 }
