The form of a keyed record stands in one place (KeyedRecords)

It was written out in VersionRecords, StoreClient and the store's stand-in. The stand-in refuses a write that is no key and value by 400 instead of ending in an exception.

--- a/src/main/java/org/micabarrow/platform/StoreClient.java
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -6,7 +6,6 @@
 import java.net.URLEncoder;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
-import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -221,46 +220,12 @@
         long offset = from;
         while (bytes.hasRemaining()) {
             try {
-                records.add(keyed(record(bytes), offset));
-            } catch (CharacterCodingException | NoKeyException e) {
-                passOver(topic, offset, e.toString());
+                records.add(KeyedRecords.read(KeyedRecords.next(bytes), offset));
+            } catch (KeyedRecords.MalformedRecordException e) {
+                passOver(topic, offset, e.getMessage());
             }
             offset++;
         }
         return new Batch(records, offset);
     }
-
-    /** A record: the length of all that follows, and that much. */
-    private static ByteBuffer record(ByteBuffer bytes) {
-        int length = bytes.getInt();
-        if (length < 0 || length > bytes.remaining()) {
-            throw new BufferUnderflowException();
-        }
-        ByteBuffer record = bytes.slice(bytes.position(), length);
-        bytes.position(bytes.position() + length);
-        return record;
-    }
-
-    /** A record is shorter than its key. */
-    private static final class NoKeyException extends Exception {
-
-        private static final long serialVersionUID = 1;
-
-        private NoKeyException() {
-            super("the record is shorter than its key");
-        }
-    }
-
-    /** A keyed record: the length of the key, the key, the value. */
-    private static StoredRecord keyed(ByteBuffer record, long offset) throws CharacterCodingException, NoKeyException {
-        int keyLength = record.hasRemaining() ? record.get() & 0xFF : 0;
-        if (keyLength == 0 || keyLength > record.remaining()) {
-            throw new NoKeyException();
-        }
-        ByteBuffer key = record.slice(record.position(), keyLength);
-        byte[] value = new byte[record.remaining() - keyLength];
-        record.get(record.position() + keyLength, value);
-        // Reports a key that is no text; a replaced character would make one key of two.
-        return new StoredRecord(StandardCharsets.UTF_8.newDecoder().decode(key).toString(), offset, value);
-    }
 }
--- a/src/main/java/org/micabarrow/platform/VersionRecords.java
+++ b/src/main/java/org/micabarrow/platform/VersionRecords.java
@@ -5,8 +5,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.URI;
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -37,9 +35,6 @@
     private static final String VERSION = "version";
     private static final String OFFSET = "offset";
 
-    /** The length of a key is one byte on the wire. */
-    private static final int MOST_KEY_BYTES = 255;
-
     private static final int OK = 200;
     private static final byte[] DROPPED = {};
 
@@ -66,9 +61,12 @@
         List<StoredRecord> records = new ArrayList<>();
         records.add(new StoredRecord(unkept.key(), 0, value(unkept)));
         unkept.outdated().forEach(key -> records.add(new StoredRecord(key, 0, DROPPED)));
-        if (records.stream().anyMatch(record -> bytes(record.key()).length > MOST_KEY_BYTES)) {
+        if (!records.stream().map(StoredRecord::key).allMatch(KeyedRecords::fits)) {
             return Result.failure(Fault.of(
-                    Step.LOG, uri.getAuthority(), Reason.INVALID, "the key is over " + MOST_KEY_BYTES + " bytes"));
+                    Step.LOG,
+                    uri.getAuthority(),
+                    Reason.INVALID,
+                    "the key is over " + KeyedRecords.MOST_KEY_BYTES + " bytes"));
         }
         HttpCall call = HttpCall.post(Step.LOG, uri, body(records));
         return caller.call(call, within).flatMap(answer -> offset(call, answer)).map(first -> at(first, records));
@@ -100,22 +98,10 @@
         return json.has(NAMED) ? OptionalLong.of(JsonFields.whole(json, NAMED, 0)) : OptionalLong.empty();
     }
 
-    private static byte[] bytes(String key) {
-        return key.getBytes(StandardCharsets.UTF_8);
-    }
-
-    /** Keyed records: the length of all that follows, the length of the key, the key, the value. */
     private static byte[] body(List<StoredRecord> records) {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
-        for (StoredRecord record : records) {
-            byte[] key = bytes(record.key());
-            ByteBuffer bytes = ByteBuffer.allocate(Integer.BYTES + 1 + key.length + record.value().length);
-            bytes.putInt(1 + key.length + record.value().length);
-            bytes.put((byte) key.length);
-            bytes.put(key);
-            bytes.put(record.value());
-            body.writeBytes(bytes.array());
-        }
+        records.forEach(
+                record -> body.writeBytes(KeyedRecords.framed(KeyedRecords.record(record.key(), record.value()))));
         return body.toByteArray();
     }
 
--- a/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
@@ -5,17 +5,20 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.SameThreadExecutor;
+import java.io.ByteArrayOutputStream;
+import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.micabarrow.platform.KeyedRecords;
 import org.micabarrow.state.CanonicalJson;
+import org.micabarrow.views.StoredRecord;
 
 /**
  * Stands in for the users' store: keyed topics that can be read on and whose newest records can be listed. Faults are set
@@ -24,6 +27,7 @@
 public final class HostedStoreStandin implements HttpHandler {
 
     private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
     private static final int GONE = 410;
 
@@ -40,10 +44,7 @@
     private record Entry(String key, byte[] value, byte[] raw) {
 
         private static Entry of(String key, byte[] value) {
-            byte[] name = key.getBytes(StandardCharsets.UTF_8);
-            ByteBuffer raw = ByteBuffer.allocate(1 + name.length + value.length);
-            raw.put((byte) name.length).put(name).put(value);
-            return new Entry(key, value, raw.array());
+            return new Entry(key, value, KeyedRecords.record(key, value));
         }
     }
 
@@ -169,16 +170,22 @@
     private synchronized void append(HttpServerExchange exchange, String topic, byte[] body) {
         List<Entry> entries = topics.computeIfAbsent(topic, name -> new ArrayList<>());
         int offset = entries.size();
+        try {
+            entries.addAll(entries(body));
+            StandinCalls.answer(exchange, OK, CanonicalJson.write(Map.of("offset", offset, "end", entries.size())));
+        } catch (KeyedRecords.MalformedRecordException | BufferUnderflowException e) {
+            StandinCalls.answer(exchange, BAD_REQUEST, new byte[0]);
+        }
+    }
+
+    private static List<Entry> entries(byte[] body) throws KeyedRecords.MalformedRecordException {
+        List<Entry> entries = new ArrayList<>();
         ByteBuffer bytes = ByteBuffer.wrap(body);
         while (bytes.hasRemaining()) {
-            byte[] record = new byte[bytes.getInt()];
-            bytes.get(record);
-            int key = record[0] & 0xFF;
-            entries.add(Entry.of(
-                    new String(record, 1, key, StandardCharsets.UTF_8),
-                    Arrays.copyOfRange(record, 1 + key, record.length)));
+            StoredRecord record = KeyedRecords.read(KeyedRecords.next(bytes), entries.size());
+            entries.add(Entry.of(record.key(), record.value()));
         }
-        StandinCalls.answer(exchange, OK, CanonicalJson.write(Map.of("offset", offset, "end", entries.size())));
+        return entries;
     }
 
     private void newest(HttpServerExchange exchange, String topic) {
@@ -224,17 +231,12 @@
     /** The answer to a read: the topic's end, the first offset that is kept, and the records asked for. */
     private static byte[] raw(List<Entry> entries, int from, int first) {
         List<Entry> asked = entries.subList(Math.min(from, entries.size()), entries.size());
-        int size = 2 * Long.BYTES;
-        for (Entry entry : asked) {
-            size += Integer.BYTES + entry.raw().length;
-        }
-        ByteBuffer bytes = ByteBuffer.allocate(size);
-        bytes.putLong(entries.size());
-        bytes.putLong(first);
-        for (Entry entry : asked) {
-            bytes.putInt(entry.raw().length);
-            bytes.put(entry.raw());
-        }
-        return bytes.array();
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        bytes.writeBytes(ByteBuffer.allocate(2 * Long.BYTES)
+                .putLong(entries.size())
+                .putLong(first)
+                .array());
+        asked.forEach(entry -> bytes.writeBytes(KeyedRecords.framed(entry.raw())));
+        return bytes.toByteArray();
     }
 }
