--- a/src/test/java/org/micabarrow/serving/LateSendingTest.java
+++ b/src/test/java/org/micabarrow/serving/LateSendingTest.java
@@ -4,45 +4,30 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
-import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.Await;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.platform.EndpointHeaders;
-import org.micabarrow.platform.RequestHeaders;
-import org.micabarrow.platform.StoreRecords;
 import org.micabarrow.platform.standin.HostedSystem;
-import org.micabarrow.routing.EndpointChoice;
-import org.micabarrow.routing.LoadReport;
-import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.serving.ServingHandler.AgentQuestions;
+import org.micabarrow.serving.ServingHandler.VersionTimes;
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.transport.HttpCaller.HttpAnswer;
-import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.Ignoring;
-import org.micabarrow.views.ViewKeeper;
-import org.xnio.XnioWorker;
 
 /**
  * What leaves an entry that stood still between its decision and the first byte of the request. The standstill is played on
  * the entry's clock, right after it has decided and before its connection is up.
  */
-class LateSendingTest {
-
-    private static final Duration WITHIN = Duration.ofSeconds(10);
-    private static final String MODEL = "model-a";
-    private static final long NEVER_MILLIS = 1_000_000;
+class LateSendingTest extends ServingFixture {
 
     /** Longer than an endpoint may take to accept a connection, and well within the client's time. */
     private static final long STANDSTILL_MILLIS = 700;
@@ -58,34 +43,14 @@
     /** How long the client of {@link HostedSystem#request} waits. */
     private static final long CLIENT_MILLIS = 3_000;
 
-    private final AtomicLong clockMillis = new AtomicLong(1_000_000);
     private final AtomicReference<Runnable> afterDecision = new AtomicReference<>(() -> {});
     private final AtomicReference<Runnable> everyDecision = new AtomicReference<>(() -> {});
-    private final EndpointChoice choice = new EndpointChoice("region-a", Map.of("hall-a", "region-a"));
-    private final ViewKeeper views = new ViewKeeper(new StoreRecords(), clockMillis::get);
-
-    private HostedSystem platform;
-    private HostedSettings settings;
-    private XnioWorker worker;
-    private HttpCaller client;
-    private ServingHandler handler;
 
     @BeforeEach
-    void start() throws IOException {
-        platform = HostedSystem.start();
+    void start() {
         platform.manifest(2, "key-a", WITHIN.toMillis());
-        settings = platform.entry();
-        worker = HttpCaller.worker("late-sending", 1);
-        client = HttpCaller.start("client", 1);
         platform.add("model-1", "models", 1);
-        choice.load("model-1").told(new LoadReport(0, 0, false, 1), 0, clockMillis.get());
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        client.close();
-        worker.shutdownNow();
-        platform.close();
+        idleWith("model-1", 1);
     }
 
     /** Writes requests as the platform has them; what is to happen once after a decision does so when the first is written. */
@@ -109,30 +74,15 @@
 
     /** Starts to serve; older versions get nothing, and what they have not begun is cancelled, some time after the naming. */
     private void serve(long demandMillis, long cancelMillis) throws IOException {
-        handler = ServingHandler.of(new ServingHandler.Parts(
-                views::view,
-                choice,
-                HttpCaller.on(worker, 0),
+        AgentQuestions questions = (endpoint, then) -> {
+            idleWith(endpoint.id(), 1);
+            then.accept(true);
+        };
+        serve(
                 new StandingStill(),
-                new RequestHeaders(RandomGenerator.of("L64X128MixRandom")),
                 new RetryBudget(0, 0),
-                new MetricRegistry(),
-                clockMillis::get,
-                (endpoint, then) -> {
-                    choice.load(endpoint.id()).told(new LoadReport(0, 0, false, 1), 0, clockMillis.get());
-                    then.accept(true);
-                },
-                new ServingHandler.VersionTimes(NEVER_MILLIS, demandMillis, cancelMillis)));
-        String clients = settings.listen().clients().orElseThrow();
-        HttpListener.on(clients, HttpListener.Bounds.usual(), worker, handler);
-        FollowedStore.follow(client, settings, WITHIN, views);
-    }
-
-    private HttpAnswer ask(String path) {
-        String clients = settings.listen().clients().orElseThrow();
-        return client.call(HostedSystem.request(clients, path, "attempt-1"), WITHIN)
-                .toOptional()
-                .orElse(new HttpAnswer(0, Map.of(), new byte[0]));
+                questions,
+                new VersionTimes(NEVER_MILLIS, demandMillis, cancelMillis));
     }
 
     private void standStill(long millis) {
@@ -272,13 +222,12 @@
     void shouldSendNothingWhenClientLeftDuringStandstill() throws Exception {
         serve(NEVER_MILLIS, NEVER_MILLIS);
         try (HttpCaller leaving = HttpCaller.start("leaving", 1)) {
-            String clients = settings.listen().clients().orElseThrow();
             AtomicReference<Runnable> leave = new AtomicReference<>(() -> {});
             afterDecision.set(() -> {
                 leave.get().run();
                 clockMillis.addAndGet(STANDSTILL_MILLIS);
             });
-            leave.set(leaving.send(HostedSystem.request(clients, "/stream/x", "attempt-1"), new Ignoring()));
+            leave.set(leaving.send(HostedSystem.request(clients(), "/stream/x", "attempt-1"), new Ignoring()));
             Await.until("the decision", () -> clockMillis.get() > 1_000_000);
             Await.until("the end of the request", () -> handler.connections().busy() == 0);
         }
--- a/src/test/java/org/micabarrow/serving/OlderVersionTest.java
+++ b/src/test/java/org/micabarrow/serving/OlderVersionTest.java
@@ -3,39 +3,22 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
-import java.time.Duration;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.random.RandomGenerator;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.Await;
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.platform.EndpointHeaders;
-import org.micabarrow.platform.RequestHeaders;
-import org.micabarrow.platform.StoreRecords;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
-import org.micabarrow.platform.standin.HostedSystem;
-import org.micabarrow.routing.EndpointChoice;
-import org.micabarrow.routing.LoadReport;
-import org.micabarrow.settings.HostedSettings;
-import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.serving.ServingHandler.AgentQuestions;
+import org.micabarrow.serving.ServingHandler.VersionTimes;
 import org.micabarrow.transport.HttpCaller.HttpAnswer;
-import org.micabarrow.transport.HttpListener;
-import org.micabarrow.views.ViewKeeper;
-import org.xnio.XnioWorker;
 
 /** What is sent to an endpoint that still holds an older weight version than was named. */
-class OlderVersionTest {
-
-    private static final Duration WITHIN = Duration.ofSeconds(10);
-    private static final String MODEL = "model-a";
-    private static final long NEVER_MILLIS = 1_000_000;
+class OlderVersionTest extends ServingFixture {
 
     /** The route's time-out of a test that waits for it. */
     private static final long TIMEOUT_MILLIS = 500;
@@ -46,67 +29,30 @@
     private final AtomicBoolean agentAnswers = new AtomicBoolean(true);
     private final AtomicBoolean agentTells = new AtomicBoolean(true);
     private final AtomicInteger questions = new AtomicInteger();
-    private final EndpointChoice choice = new EndpointChoice("region-a", Map.of("hall-a", "region-a"));
-    private final ViewKeeper views = new ViewKeeper(new StoreRecords(), OlderVersionTest::steadyMillis);
-
-    private HostedSystem platform;
-    private HostedSettings settings;
-    private XnioWorker worker;
-    private HttpCaller client;
-
-    /** The clock stands still, so that nothing that was told grows old however long a step takes. */
-    private static long steadyMillis() {
-        return 1_000_000;
-    }
 
     @BeforeEach
-    void start() throws IOException {
-        platform = HostedSystem.start();
-        settings = platform.entry();
-        worker = HttpCaller.worker("older-version", 1);
-        client = HttpCaller.start("client", 1);
+    void start() {
         platform.add("model-1", "models", 1);
-        choice.load("model-1").told(new LoadReport(0, 0, false, 1), 0, steadyMillis());
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        client.close();
-        worker.shutdownNow();
-        platform.close();
+        idleWith("model-1", 1);
     }
 
     /** Starts to serve; agents are asked, and requests that are not begun cancelled, some time after the naming. */
     private void serve(long askMillis, long cancelMillis) throws IOException {
-        String clients = settings.listen().clients().orElseThrow();
-        HttpListener.on(clients, HttpListener.Bounds.usual(), worker, handler(askMillis, cancelMillis));
-        FollowedStore.follow(client, settings, WITHIN, views);
-    }
-
-    private ServingHandler handler(long askMillis, long cancelMillis) {
-        return ServingHandler.of(new ServingHandler.Parts(
-                views::view,
-                choice,
-                HttpCaller.on(worker, 0),
+        AgentQuestions asked = (endpoint, then) -> {
+            questions.incrementAndGet();
+            if (agentTells.get()) {
+                then.accept(agentAnswers.get());
+            }
+        };
+        serve(
                 new EndpointHeaders(),
-                new RequestHeaders(RandomGenerator.of("L64X128MixRandom")),
                 new RetryBudget(0.2, 10),
-                new MetricRegistry(),
-                OlderVersionTest::steadyMillis,
-                (endpoint, then) -> {
-                    questions.incrementAndGet();
-                    if (agentTells.get()) {
-                        then.accept(agentAnswers.get());
-                    }
-                },
-                new ServingHandler.VersionTimes(askMillis, NEVER_MILLIS, cancelMillis)));
+                asked,
+                new VersionTimes(askMillis, NEVER_MILLIS, cancelMillis));
     }
 
     private HttpAnswer ask() {
-        String clients = settings.listen().clients().orElseThrow();
-        return client.call(HostedSystem.request(clients, "/stream/x", "attempt-1"), WITHIN)
-                .toOptional()
-                .orElse(new HttpAnswer(0, Map.of(), new byte[0]));
+        return ask("/stream/x");
     }
 
     @Test
@@ -163,7 +109,7 @@
         platform.add("model-2", "models", 2);
         serve(0, NEVER_MILLIS);
         Await.until("both", () -> views.view().endpoints().size() == 2);
-        choice.load("model-2").told(new LoadReport(0, 0, false, 2), 0, steadyMillis());
+        idleWith("model-2", 2);
         views.want(MODEL, 2);
         // The endpoint with the newest version refuses, and the question that the other is asked about is never
         // settled.
--- /dev/null
+++ b/src/test/java/org/micabarrow/serving/ServingFixture.java
@@ -0,0 +1,97 @@
+package org.micabarrow.serving;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.random.RandomGenerator;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.platform.RequestHeaders;
+import org.micabarrow.platform.StoreRecords;
+import org.micabarrow.platform.standin.HostedSystem;
+import org.micabarrow.routing.EndpointChoice;
+import org.micabarrow.routing.LoadReport;
+import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.HttpCaller.HttpAnswer;
+import org.micabarrow.transport.HttpListener;
+import org.micabarrow.views.ViewKeeper;
+import org.xnio.XnioWorker;
+
+/**
+ * The serving part of an entry over the platform in small. Its clock moves only when a test moves it, so that nothing that was
+ * told grows old however long a step takes.
+ */
+abstract class ServingFixture {
+
+    static final Duration WITHIN = Duration.ofSeconds(10);
+    static final String MODEL = "model-a";
+    static final long NEVER_MILLIS = 1_000_000;
+
+    final AtomicLong clockMillis = new AtomicLong(1_000_000);
+    final EndpointChoice choice = new EndpointChoice("region-a", Map.of("hall-a", "region-a"));
+    final ViewKeeper views = new ViewKeeper(new StoreRecords(), clockMillis::get);
+
+    HostedSystem platform;
+    HostedSettings settings;
+    XnioWorker worker;
+    HttpCaller client;
+    ServingHandler handler;
+
+    @BeforeEach
+    final void startPlatform() throws IOException {
+        platform = HostedSystem.start();
+        settings = platform.entry();
+        worker = HttpCaller.worker("serving", 1);
+        client = HttpCaller.start("client", 1);
+    }
+
+    @AfterEach
+    final void stopPlatform() throws Exception {
+        client.close();
+        worker.shutdownNow();
+        platform.close();
+    }
+
+    /** The agent beside an endpoint tells that this is idle and which weight version it holds. */
+    final void idleWith(String endpoint, long version) {
+        choice.load(endpoint).told(new LoadReport(0, 0, false, version), 0, clockMillis.get());
+    }
+
+    /** Starts to serve, and waits until a manifest and an endpoint are known. */
+    final void serve(
+            EndpointProtocol protocol,
+            RetryBudget budget,
+            ServingHandler.AgentQuestions questions,
+            ServingHandler.VersionTimes times)
+            throws IOException {
+        handler = ServingHandler.of(new ServingHandler.Parts(
+                views::view,
+                choice,
+                HttpCaller.on(worker, 0),
+                protocol,
+                new RequestHeaders(RandomGenerator.of("L64X128MixRandom")),
+                budget,
+                new MetricRegistry(),
+                clockMillis::get,
+                questions,
+                times));
+        HttpListener.on(clients(), HttpListener.Bounds.usual(), worker, handler);
+        FollowedStore.follow(client, settings, WITHIN, views);
+    }
+
+    /** Where clients reach the entry. */
+    final String clients() {
+        return settings.listen().clients().orElseThrow();
+    }
+
+    /** Sends a request and waits for its answer; status 0 if there is none. */
+    final HttpAnswer ask(String path) {
+        return client.call(HostedSystem.request(clients(), path, "attempt-1"), WITHIN)
+                .toOptional()
+                .orElse(new HttpAnswer(0, Map.of(), new byte[0]));
+    }
+}
--- a/src/test/java/org/micabarrow/serving/StandingInstanceTest.java
+++ b/src/test/java/org/micabarrow/serving/StandingInstanceTest.java
@@ -2,33 +2,21 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
-import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.random.RandomGenerator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.Await;
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.platform.EndpointHeaders;
-import org.micabarrow.platform.RequestHeaders;
-import org.micabarrow.platform.StoreRecords;
 import org.micabarrow.platform.standin.HostedSystem;
-import org.micabarrow.routing.EndpointChoice;
 import org.micabarrow.routing.LoadReport;
-import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.transport.HttpCaller.HttpAnswer;
-import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.Ignoring;
-import org.micabarrow.views.ViewKeeper;
-import org.xnio.XnioWorker;
 
 /**
  * Users saw requests begin on weights that had been replaced, and requests reach an endpoint that had long said it was
@@ -42,11 +30,7 @@
  * runs; with connections closed at once, or reset, none in 3 and 16 runs. The endpoint here is stricter than those: it begins
  * whatever was not reset.
  */
-class StandingInstanceTest {
-
-    private static final Duration WITHIN = Duration.ofSeconds(10);
-    private static final String MODEL = "model-a";
-    private static final long NEVER_MILLIS = 1_000_000;
+class StandingInstanceTest extends ServingFixture {
 
     /** Longer than the silence of an agent nearby is borne, and shorter than the objective, in milliseconds. */
     private static final long SILENCE_MILLIS = 450;
@@ -59,68 +43,36 @@
 
     private static final int BAD_GATEWAY = 502;
 
-    private final AtomicLong clockMillis = new AtomicLong(1_000_000);
-    private final EndpointChoice choice = new EndpointChoice("region-a", Map.of("hall-a", "region-a"));
-    private final ViewKeeper views = new ViewKeeper(new StoreRecords(), clockMillis::get);
-
-    private HostedSystem platform;
-    private HostedSettings settings;
-    private XnioWorker worker;
-    private HttpCaller client;
     private StandingEndpoint standing;
-    private ServingHandler handler;
 
     @BeforeEach
     void start() throws IOException {
-        platform = HostedSystem.start();
         platform.manifest(2, "key-a", WITHIN.toMillis());
-        settings = platform.entry();
-        worker = HttpCaller.worker("standing-instance", 1);
-        client = HttpCaller.start("client", 1);
         standing = StandingEndpoint.start();
         platform.place("model-1", standing.address());
         platform.enter("model-1", "models", 1, "ready");
-        choice.load("model-1").told(new LoadReport(0, 0, false, 1), 0, clockMillis.get());
+        idleWith("model-1", 1);
     }
 
     @AfterEach
     void stop() throws Exception {
         standing.close();
-        client.close();
-        worker.shutdownNow();
-        platform.close();
     }
 
     /** Starts to serve; what an older version has not begun is taken back some time after the naming. */
     private void serve(long cancelMillis) throws IOException {
-        handler = ServingHandler.of(new ServingHandler.Parts(
-                views::view,
-                choice,
-                HttpCaller.on(worker, 0),
+        serve(
                 new EndpointHeaders(),
-                new RequestHeaders(RandomGenerator.of("L64X128MixRandom")),
                 new RetryBudget(0.2, 10),
-                new MetricRegistry(),
-                clockMillis::get,
                 (endpoint, then) -> then.accept(true),
-                new ServingHandler.VersionTimes(NEVER_MILLIS, NEVER_MILLIS, cancelMillis)));
-        String clients = settings.listen().clients().orElseThrow();
-        HttpListener.on(clients, HttpListener.Bounds.usual(), worker, handler);
-        FollowedStore.follow(client, settings, WITHIN, views);
+                new ServingHandler.VersionTimes(NEVER_MILLIS, NEVER_MILLIS, cancelMillis));
     }
 
     // -- steps
 
-    private HttpAnswer ask() {
-        String clients = settings.listen().clients().orElseThrow();
-        return client.call(HostedSystem.request(clients, "/stream/x", "attempt-1"), WITHIN)
-                .toOptional()
-                .orElse(new HttpAnswer(0, Map.of(), new byte[0]));
-    }
-
     /** Sends a request and waits until it lies in front of the instance. */
     private CompletableFuture<HttpAnswer> sent() {
-        CompletableFuture<HttpAnswer> answer = CompletableFuture.supplyAsync(this::ask);
+        CompletableFuture<HttpAnswer> answer = CompletableFuture.supplyAsync(() -> ask("/stream/x"));
         Await.until("the request", () -> standing.waiting() == 1);
         return answer;
     }
@@ -146,8 +98,7 @@
     void shouldTakeBackWhatWaitsWhenClientLeaves() throws Exception {
         serve(NEVER_MILLIS);
         try (HttpCaller leaving = HttpCaller.start("leaving", 1)) {
-            String clients = settings.listen().clients().orElseThrow();
-            Runnable leave = leaving.send(HostedSystem.request(clients, "/stream/x", "attempt-1"), new Ignoring());
+            Runnable leave = leaving.send(HostedSystem.request(clients(), "/stream/x", "attempt-1"), new Ignoring());
             Await.until("the request", () -> standing.waiting() == 1);
             leave.run();
             Await.until("the end of the request", () -> handler.connections().busy() == 0);
