--- a/src/test/java/org/micabarrow/weights/RetirementTest.java
+++ b/src/test/java/org/micabarrow/weights/RetirementTest.java
@@ -32,11 +32,6 @@
         }
     }
 
-    /** All chunks of the named versions come. */
-    private void fetchAll() throws InterruptedException {
-        fetch();
-    }
-
     private void holdsFirstVersion() {
         endpoint.held = 1;
         for (int i = 0; i < FakeOrigin.CHUNKS; i++) {
@@ -46,6 +41,32 @@
         keeper.readBack();
     }
 
+    /** What most cases begin with: the endpoint holds version 1, and version 2 is named. */
+    private void secondIsNamedWhileFirstIsHeld() {
+        holdsFirstVersion();
+        views.want("m", 2);
+    }
+
+    /** All chunks of version 2 come but the last. */
+    private void lastChunkIsMissing() {
+        origin.gives = FakeOrigin.CHUNKS - 1;
+        fetchBeside(2, FakeOrigin.CHUNKS - 1);
+    }
+
+    /** Requests are kept away, since the last chunk is expected soon. */
+    private void lastChunkIsExpectedSoon() {
+        lastChunkIsMissing();
+        now.addAndGet(3_400);
+        keeper.step();
+        assertTrue(keeper.closing(), "the last chunk is expected soon");
+    }
+
+    /** All chunks of the named versions come, and what follows is done. */
+    private void allComes() throws InterruptedException {
+        fetch();
+        stepFor(1_000);
+    }
+
     // -- what has come over the network
 
     @Test
@@ -99,13 +120,8 @@
 
     @Test
     void shouldNotGoBackToOldVersionWhenRequestsWereKeptAwayForAnotherReason() throws Exception {
-        holdsFirstVersion();
-        views.want("m", 2);
-        origin.gives = FakeOrigin.CHUNKS - 1;
-        fetchBeside(2, FakeOrigin.CHUNKS - 1);
-        now.addAndGet(3_400);
-        keeper.step();
-        assertTrue(keeper.closing(), "the last chunk is expected soon");
+        secondIsNamedWhileFirstIsHeld();
+        lastChunkIsExpectedSoon();
         stepFor(4_000);
         assertEquals(List.of("start 2 layer 0"), endpoint.orders);
     }
@@ -114,23 +130,19 @@
 
     @Test
     void shouldServeNoLayerThatWasNotWhole() throws Exception {
-        holdsFirstVersion();
-        views.want("m", 2);
+        secondIsNamedWhileFirstIsHeld();
         stepFor(STOPPED_MILLIS);
-        fetchAll();
-        stepFor(1_000);
+        allComes();
         assertEquals(List.of("start 2 layer 0", "start 1 layer 0", "start 2"), endpoint.orders);
         assertFalse(endpoint.servesWrongLayer());
     }
 
     @Test
     void shouldGoStraightToNewestVersionWhenLayerIsOfAnother() throws Exception {
-        holdsFirstVersion();
-        views.want("m", 2);
+        secondIsNamedWhileFirstIsHeld();
         views.want("m", 3);
         stepFor(STOPPED_MILLIS);
-        fetchAll();
-        stepFor(1_000);
+        allComes();
         assertEquals(List.of("start 2 layer 0", "start 3"), endpoint.orders);
         assertFalse(endpoint.servesWrongLayer());
     }
@@ -139,16 +151,14 @@
     void shouldNotTrustLayersThatWereTakenBeforeAgentStarted() throws Exception {
         endpoint.startLayer("m", 2, 0, 0);
         views.want("m", 2);
-        fetchAll();
-        stepFor(1_000);
+        allComes();
         assertEquals(List.of("start 2 layer 0", "start 1 layer 0", "start 2"), endpoint.orders);
         assertFalse(endpoint.servesWrongLayer());
     }
 
     @Test
     void shouldNotDistrustWholeLayerBecauseOfOrderToFormerStart() throws Exception {
-        holdsFirstVersion();
-        views.want("m", 2);
+        secondIsNamedWhileFirstIsHeld();
         stepFor(STOPPED_MILLIS);
         assertEquals(List.of("start 2 layer 0"), endpoint.orders, "of chunks that were not whole");
         endpoint.startAgain(false);
@@ -157,21 +167,15 @@
         fetchBeside(2, 2);
         stepFor(1_000);
         origin.gives = FakeOrigin.CHUNKS;
-        fetchAll();
-        stepFor(1_000);
+        allComes();
         assertEquals(List.of("start 2 layer 0", "start 2"), endpoint.orders);
         assertFalse(endpoint.servesWrongLayer());
     }
 
     @Test
     void shouldOpenToEntriesWhenEndpointThatWasToBeOrderedStartsAgain() throws Exception {
-        holdsFirstVersion();
-        views.want("m", 2);
-        origin.gives = FakeOrigin.CHUNKS - 1;
-        fetchBeside(2, FakeOrigin.CHUNKS - 1);
-        now.addAndGet(3_400);
-        keeper.step();
-        assertTrue(keeper.closing());
+        secondIsNamedWhileFirstIsHeld();
+        lastChunkIsExpectedSoon();
         endpoint.startAgain(false);
         origin.gives = 0;
         keeper.refresh();
@@ -192,8 +196,7 @@
 
     @Test
     void shouldSayOnceASecondThatItCannotStopEndpoint() {
-        holdsFirstVersion();
-        views.want("m", 2);
+        secondIsNamedWhileFirstIsHeld();
         stepFor(BOUND - 500);
         assertEquals(0, keeper.secondsNotRetired());
         endpoint.held = 1;
@@ -211,17 +214,15 @@
         views.want("m", 2);
         stepFor(STOPPED_MILLIS);
         assertEquals(0, endpoint.held);
-        fetchAll();
-        stepFor(1_000);
+        allComes();
         assertEquals(2, endpoint.held);
         assertFalse(endpoint.servesWrongLayer());
     }
 
     @Test
     void shouldStopInTimeWhenChunksCannotBeReadBack() throws Exception {
-        holdsFirstVersion();
-        views.want("m", 2);
-        fetchAll();
+        secondIsNamedWhileFirstIsHeld();
+        fetch();
         endpoint.readsBack = false;
         place = new ReplicaKeeper.Place(2, 3);
         stepFor(BOUND);
@@ -239,10 +240,8 @@
 
     @Test
     void shouldStopInTimeWhenChunksAreLaidSlowly() throws Exception {
-        holdsFirstVersion();
-        views.want("m", 2);
-        origin.gives = FakeOrigin.CHUNKS - 1;
-        fetchBeside(2, FakeOrigin.CHUNKS - 1);
+        secondIsNamedWhileFirstIsHeld();
+        lastChunkIsMissing();
         long named = now.get();
         now.addAndGet(6_000);
         endpoint.onStage = () -> now.addAndGet(300);
@@ -256,8 +255,7 @@
 
     @Test
     void shouldStopAtOnceWhenNewerVersionIsInUseElsewhereAndAgentFoundItNamed() {
-        holdsFirstVersion();
-        views.want("m", 2);
+        secondIsNamedWhileFirstIsHeld();
         anotherHolds(2, FakeEndpoint.LAYERS);
         stepFor(1_000);
         assertEquals(List.of("start 2 layer 0"), endpoint.orders);
@@ -265,8 +263,7 @@
 
     @Test
     void shouldNotStopAtOnceWhenNewerVersionIsHeldElsewhereInPartOnly() {
-        holdsFirstVersion();
-        views.want("m", 2);
+        secondIsNamedWhileFirstIsHeld();
         anotherHolds(2, 1);
         stepFor(1_000);
         assertEquals(List.of(), endpoint.orders);
