--- a/src/main/java/org/micabarrow/routing/EndpointEntry.java
+++ b/src/main/java/org/micabarrow/routing/EndpointEntry.java
@@ -41,7 +41,7 @@
     }
 
     /**
-     * An endpoint that does not tell how often it has written its entry.
+     * An endpoint that tells neither when it was started nor how often it has written its entry.
      *
      * @param id its id
      * @param service its service
@@ -51,9 +51,9 @@
      * @param leaving whether it takes no new requests
      * @param models the weight version it held of each model when it wrote the entry
      * @param layers how many layers it held then; the greatest number if it does not tell
-     * @param startedMillis the Unix millisecond of its start; empty if it does not tell
+     * @return its entry
      */
-    public EndpointEntry(
+    public static EndpointEntry of(
             String id,
             String service,
             String address,
@@ -61,33 +61,23 @@
             int slots,
             boolean leaving,
             Map<String, Long> models,
-            int layers,
-            OptionalLong startedMillis) {
-        this(id, service, address, dataHall, slots, leaving, models, layers, startedMillis, OptionalLong.empty());
+            int layers) {
+        OptionalLong untold = OptionalLong.empty();
+        return new EndpointEntry(id, service, address, dataHall, slots, leaving, models, layers, untold, untold);
     }
 
     /**
-     * An endpoint that does not tell when it was started.
+     * The entry as it would be if the endpoint told its start so.
      *
-     * @param id its id
-     * @param service its service
-     * @param address its host and port
-     * @param dataHall its data hall
-     * @param slots how many requests it runs at once
-     * @param leaving whether it takes no new requests
-     * @param models the weight version it held of each model when it wrote the entry
-     * @param layers how many layers it held then; the greatest number if it does not tell
+     * @param millis the Unix millisecond of its start; empty if it does not tell
+     * @return an entry that differs by this at most
      */
-    public EndpointEntry(
-            String id,
-            String service,
-            String address,
-            String dataHall,
-            int slots,
-            boolean leaving,
-            Map<String, Long> models,
-            int layers) {
-        this(id, service, address, dataHall, slots, leaving, models, layers, OptionalLong.empty());
+    public EndpointEntry withStart(OptionalLong millis) {
+        return new EndpointEntry(id, service, address, dataHall, slots, leaving, models, layers, millis, writes);
+    }
+
+    private EndpointEntry withWrites(OptionalLong count) {
+        return new EndpointEntry(id, service, address, dataHall, slots, leaving, models, layers, startedMillis, count);
     }
 
     /**
@@ -97,17 +87,7 @@
      * @return true if they differ by the count of writes at most
      */
     public boolean saysTheSameAs(EndpointEntry other) {
-        return equals(new EndpointEntry(
-                other.id,
-                other.service,
-                other.address,
-                other.dataHall,
-                other.slots,
-                other.leaving,
-                other.models,
-                other.layers,
-                other.startedMillis,
-                writes));
+        return equals(other.withWrites(writes));
     }
 
     /**
--- a/src/test/java/org/micabarrow/admission/AdmissionTest.java
+++ b/src/test/java/org/micabarrow/admission/AdmissionTest.java
@@ -28,7 +28,7 @@
     private final EndpointChoice choice = new EndpointChoice("r", Map.of("h", "r"));
     private final Admission admission = new Admission(choice);
     private final EndpointEntry endpoint =
-            new EndpointEntry("a", "s", "10.0.0.1:80", "h", 4, false, Map.of("m", 1L), 16);
+            EndpointEntry.of("a", "s", "10.0.0.1:80", "h", 4, false, Map.of("m", 1L), 16);
 
     private static Wanted wanted(long millisToObjective, Optional<ModelService> model) {
         return new Wanted(model.isPresent() ? 1_000 : 0, OBJECTIVE, millisToObjective, model, 0, 0, Set.of());
--- a/src/test/java/org/micabarrow/play/LoadPlay.java
+++ b/src/test/java/org/micabarrow/play/LoadPlay.java
@@ -160,7 +160,7 @@
         private int reported;
 
         private Engine(String id) {
-            this.listed = new EndpointEntry(
+            this.listed = EndpointEntry.of(
                     id,
                     "s",
                     "10.0.0.1:80",
--- a/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
+++ b/src/test/java/org/micabarrow/routing/EndpointChoiceTest.java
@@ -24,7 +24,7 @@
 
     private static EndpointEntry endpoint(String id, String hall, boolean leaving, long version, int layers) {
         Map<String, Long> models = version == 0 ? Map.of() : Map.of("m", version);
-        return new EndpointEntry(id, "s", "10.0.0.1:80", hall, 4, leaving, models, layers);
+        return EndpointEntry.of(id, "s", "10.0.0.1:80", hall, 4, leaving, models, layers);
     }
 
     private static EndpointEntry endpoint(String id) {
@@ -33,7 +33,8 @@
 
     private static EndpointEntry started(long startedMillis, long version) {
         Map<String, Long> models = version == 0 ? Map.of() : Map.of("m", version);
-        return new EndpointEntry("a", "s", "10.0.0.1:80", "h1", 4, false, models, 16, OptionalLong.of(startedMillis));
+        return EndpointEntry.of("a", "s", "10.0.0.1:80", "h1", 4, false, models, 16)
+                .withStart(OptionalLong.of(startedMillis));
     }
 
     private static Wanted wanted(long leastVersion, Set<String> tried) {
--- a/src/test/java/org/micabarrow/transport/LoadFeedTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadFeedTest.java
@@ -47,7 +47,7 @@
 
     private final EndpointChoice choice = new EndpointChoice("region-a", Map.of("hall-a", "region-a"));
     private final EndpointEntry endpoint =
-            new EndpointEntry("a", "models", "127.0.0.1:80", "hall-a", 4, false, Map.of("m", 1L), 16);
+            EndpointEntry.of("a", "models", "127.0.0.1:80", "hall-a", 4, false, Map.of("m", 1L), 16);
     private DatagramSocket agent;
     private XnioWorker worker;
     private LoadFeed feed;
@@ -94,7 +94,7 @@
         RouteManifest.Service service = new RouteManifest.Service("models", 100, Optional.of(model), Optional.empty());
         RouteManifest manifest =
                 RouteManifest.of(new RouteManifest.Parts(1, List.of(), Map.of("models", service), Map.of(), false, 1));
-        EndpointEntry other = new EndpointEntry("b", "models", "127.0.0.1:81", "hall-a", 4, false, Map.of("m", 1L), 16);
+        EndpointEntry other = EndpointEntry.of("b", "models", "127.0.0.1:81", "hall-a", 4, false, Map.of("m", 1L), 16);
         return new View(Optional.of(manifest), 0, Map.of("a", endpoint, "b", other), Map.of());
     }
 
@@ -221,8 +221,8 @@
     @Test
     @Timeout(LONGEST_SECONDS)
     void shouldCountNothingThatAgentTellsOfAnotherStart() throws Exception {
-        EndpointEntry listed = new EndpointEntry(
-                "a", "models", "127.0.0.1:80", "hall-a", 4, false, Map.of(), 16, LISTED.startedMillis());
+        EndpointEntry listed = EndpointEntry.of("a", "models", "127.0.0.1:80", "hall-a", 4, false, Map.of(), 16)
+                .withStart(LISTED.startedMillis());
         View both = twoAtOneHost();
         // The feed of all tests, which lists no endpoint, makes its own choice forget them.
         EndpointChoice own = new EndpointChoice("region-a", Map.of("hall-a", "region-a"));
--- a/src/test/java/org/micabarrow/weights/ChunkSourcesTest.java
+++ b/src/test/java/org/micabarrow/weights/ChunkSourcesTest.java
@@ -217,9 +217,9 @@
 
     @Test
     void shouldNotCountOnAgentWhoseEndpointLeaves() {
-        EndpointEntry stays = new EndpointEntry("a", "s", "10.0.0.1:80", "hall-a", 4, false, Map.of(), 16);
-        EndpointEntry leaves = new EndpointEntry("b", "s", "10.0.0.2:80", "hall-a", 4, true, Map.of(), 16);
-        EndpointEntry again = new EndpointEntry("c", "s", "10.0.0.1:81", "hall-a", 4, false, Map.of(), 16);
+        EndpointEntry stays = EndpointEntry.of("a", "s", "10.0.0.1:80", "hall-a", 4, false, Map.of(), 16);
+        EndpointEntry leaves = EndpointEntry.of("b", "s", "10.0.0.2:80", "hall-a", 4, true, Map.of(), 16);
+        EndpointEntry again = EndpointEntry.of("c", "s", "10.0.0.1:81", "hall-a", 4, false, Map.of(), 16);
         assertEquals(
                 List.of(new Agent("10.0.0.1:7000", "region-a")),
                 Agent.beside(List.of(stays, leaves, again), 7_000, Map.of("hall-a", "region-a")));
--- a/src/test/java/org/micabarrow/weights/KeeperFixture.java
+++ b/src/test/java/org/micabarrow/weights/KeeperFixture.java
@@ -61,7 +61,7 @@
 
         @Override
         public Result<EndpointEntry> endpoint(StoredRecord record) {
-            return Result.success(new EndpointEntry(
+            return Result.success(EndpointEntry.of(
                     record.key(), "s", "10.0.0.1:80", "h", 1, false, Map.of("m", record.offset()), record.value()[0]));
         }
     }
