--- a/src/test/java/org/micabarrow/serving/LateSendingTest.java
+++ b/src/test/java/org/micabarrow/serving/LateSendingTest.java
@@ -5,9 +5,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -18,10 +24,9 @@
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.serving.ServingHandler.AgentQuestions;
 import org.micabarrow.serving.ServingHandler.VersionTimes;
+import org.micabarrow.transport.Addresses;
 import org.micabarrow.transport.HttpCall;
-import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.transport.HttpCaller.HttpAnswer;
-import org.micabarrow.transport.Ignoring;
 
 /**
  * What leaves an entry that stood still between its decision and the first byte of the request. The standstill is played on
@@ -40,12 +45,20 @@
 
     private static final int MANY_REQUESTS = 100;
 
+    /** What {@link HostedSystem#request} sends, for a client whose socket a test closes itself. */
+    private static final String REQUEST =
+            "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nKey: key-a\r\nAttempt-Id: a\r\n"
+                    + "Deadline-Ms: 3000\r\nModel: model-a\r\nToken-Count: 100,20\r\nContent-Length: 6\r\n\r\na body";
+
     /** How long the client of {@link HostedSystem#request} waits. */
     private static final long CLIENT_MILLIS = 3_000;
 
     private final AtomicReference<Runnable> afterDecision = new AtomicReference<>(() -> {});
     private final AtomicReference<Runnable> everyDecision = new AtomicReference<>(() -> {});
 
+    /** How an agent's answer, which is to be run, comes. */
+    private final AtomicReference<Consumer<Runnable>> agent = new AtomicReference<>(Runnable::run);
+
     @BeforeEach
     void start() {
         platform.manifest(2, "key-a", WITHIN.toMillis());
@@ -76,7 +89,7 @@
     private void serve(long demandMillis, long cancelMillis) throws IOException {
         AgentQuestions questions = (endpoint, then) -> {
             idleWith(endpoint.id(), 1);
-            then.accept(true);
+            agent.get().accept(() -> then.accept(true));
         };
         serve(
                 new StandingStill(),
@@ -221,16 +234,56 @@
     @Test
     void shouldSendNothingWhenClientLeftDuringStandstill() throws Exception {
         serve(NEVER_MILLIS, NEVER_MILLIS);
-        try (HttpCaller leaving = HttpCaller.start("leaving", 1)) {
-            AtomicReference<Runnable> leave = new AtomicReference<>(() -> {});
+        try (Socket leaving = client()) {
             afterDecision.set(() -> {
-                leave.get().run();
+                close(leaving);
                 clockMillis.addAndGet(STANDSTILL_MILLIS);
             });
-            leave.set(leaving.send(HostedSystem.request(clients(), "/stream/x", "attempt-1"), new Ignoring()));
-            Await.until("the decision", () -> clockMillis.get() > 1_000_000);
-            Await.until("the end of the request", () -> handler.connections().busy() == 0);
+            awaitEndOf(leaving);
+        }
+        assertEquals(0, received("model-1"));
+    }
+
+    @Test
+    void shouldSendNothingWhenItReadsOnlyAfterStandstillThatClientLeft() throws Exception {
+        serve(NEVER_MILLIS, NEVER_MILLIS);
+        try (Socket leaving = client()) {
+            standStill(STANDSTILL_MILLIS);
+            agent.set(then -> {
+                close(leaving);
+                onceNothingIsOpen(then);
+            });
+            awaitEndOf(leaving);
         }
         assertEquals(0, received("model-1"));
     }
+
+    /** A client that resets its connection when it leaves, at once and not when another thread gets round to it. */
+    private Socket client() throws IOException {
+        InetSocketAddress at = Addresses.parse(clients());
+        Socket leaving = new Socket(at.getAddress(), at.getPort());
+        leaving.setSoLinger(true, 0);
+        return leaving;
+    }
+
+    private void awaitEndOf(Socket leaving) throws IOException {
+        leaving.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+        Await.until("the decision", () -> clockMillis.get() > 1_000_000);
+        Await.until("the end of the request", () -> handler.connections().busy() == 0);
+    }
+
+    /** Runs a step on the thread for traffic once it has read that the client left. */
+    private void onceNothingIsOpen(Runnable step) {
+        boolean over = handler.connections().busy() == 0;
+        Runnable next = over ? step : () -> onceNothingIsOpen(step);
+        worker.getIoThread().executeAfter(next, 1, TimeUnit.MILLISECONDS);
+    }
+
+    private static void close(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
 }
