--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -192,7 +192,7 @@
     private void moveOn(AttemptEnd end, String why) {
         logFailed(end, why);
         stop();
-        run.moveOn(why);
+        run.moveOn(end, why);
     }
 
     /** A timer that was due when it was removed runs all the same, so it must look whether it still counts. */
--- a/src/main/java/org/micabarrow/serving/RoomLine.java
+++ b/src/main/java/org/micabarrow/serving/RoomLine.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.micabarrow.admission.RoomWait;
 import org.micabarrow.admission.WaitingLine;
 import org.micabarrow.admission.WaitingLine.Place;
 import org.micabarrow.admission.WaitingLine.Waiter;
@@ -34,6 +35,21 @@
         return place;
     }
 
+    /** The line for the requests of a thread. */
+    RoomWait.Line on(XnioIoThread thread) {
+        return new RoomWait.Line() {
+            @Override
+            public Place join(int rank, long latestStartMillis, Waiter waiter) {
+                return RoomLine.this.join(rank, latestStartMillis, waiter, thread);
+            }
+
+            @Override
+            public void leave(Place place) {
+                RoomLine.this.leave(place);
+            }
+        };
+    }
+
     void leave(Place place) {
         line.leave(place);
     }
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -1,15 +1,15 @@
 package org.micabarrow.serving;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.micabarrow.admission.Admission.Decision;
-import org.micabarrow.admission.WaitingLine;
+import org.micabarrow.admission.RoomWait;
 import org.micabarrow.attempts.AttemptEnd;
 import org.micabarrow.attempts.AttemptPolicy;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.attempts.EventSplitter;
+import org.micabarrow.attempts.RequestTimes;
+import org.micabarrow.attempts.Sendings;
 import org.micabarrow.routing.EndpointChoice.Choice;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.RequestKind;
@@ -17,35 +17,24 @@
 import org.xnio.XnioIoThread;
 
 /** One request from its arrival to its answer. All of it runs on the one thread for traffic. */
-final class ServedRequest implements OpenRequests.Open {
+final class ServedRequest implements OpenRequests.Open, RoomWait.Request {
 
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
 
-    /** How many agents are asked in vain before one sending: each may take a part of the objective. */
-    private static final int MOST_QUESTIONS = 2;
-
     private final ServingParts parts;
     private final ClientRequest request;
     private final ClientAnswer answer;
     private final XnioIoThread thread;
-    private final long beganMillis;
-    private final long sinceFirstTryMillis;
-
-    /** The ids of the endpoints that it was sent to. One that started again did not run it, but is not tried a second time. */
-    private final Set<String> tried = new HashSet<>();
-
+    private final RequestTimes times;
+    private final Sendings sendings = new Sendings();
+    private final RoomWait room;
     private final EventSplitter events = new EventSplitter();
     private final EventTimes eventTimes = new EventTimes();
     private final RequestLog log;
-    private int askedInVain;
-    private int sendings;
-    private boolean cameLate;
-    private boolean mayHaveRun;
     private boolean finished;
     private Optional<Attempt> current = Optional.empty();
-    private Optional<WaitingLine.Place> place = Optional.empty();
     private Optional<XnioExecutor.Key> deadline = Optional.empty();
 
     ServedRequest(ServingParts parts, ClientRequest request, ClientAnswer answer, XnioIoThread thread) {
@@ -53,16 +42,15 @@
         this.request = request;
         this.answer = answer;
         this.thread = thread;
-        this.beganMillis = parts.nowMillis();
-        this.sinceFirstTryMillis =
-                parts.firstTries().millisSince(request.route().name(), request.deadlineMillis() - beganMillis);
-        this.log = new RequestLog(parts, request, sinceFirstTryMillis, eventTimes);
+        long now = parts.nowMillis();
+        long sinceFirstTry = parts.firstTries().millisSince(request.route().name(), request.deadlineMillis() - now);
+        this.times = RequestTimes.of(request, now, sinceFirstTry);
+        this.room = new RoomWait(parts.line().on(thread), this);
+        this.log = new RequestLog(parts, request, sinceFirstTry, eventTimes);
     }
 
     void begin() {
-        long held =
-                Math.min(request.deadlineMillis() - beganMillis, request.route().timeoutMillis());
-        deadline = Optional.of(thread.executeAfter(this::expired, Math.max(1, held), TimeUnit.MILLISECONDS));
+        deadline = Optional.of(thread.executeAfter(this::expired, times.heldMillis(), TimeUnit.MILLISECONDS));
         parts.open().add(this);
         next("first");
     }
@@ -90,19 +78,15 @@
     }
 
     long millisTaken() {
-        return parts.nowMillis() - beganMillis;
+        return times.takenMillis(parts.nowMillis());
     }
 
     long millisLeft() {
-        long now = parts.nowMillis();
-        return Math.min(
-                request.deadlineMillis() - now, beganMillis + request.route().timeoutMillis() - now);
+        return times.leftMillis(parts.nowMillis());
     }
 
-    /** What is left of the objective since the client first tried; the rest of an answer that has begun is always urgent. */
     private long millisToObjective() {
-        long objective = request.route().objectiveMillis();
-        return answer.begun() ? objective : objective - sinceFirstTryMillis - millisTaken();
+        return times.toObjectiveMillis(parts.nowMillis(), answer.begun());
     }
 
     /** Whether an answer can no longer be in time. */
@@ -112,15 +96,17 @@
 
     // -- deciding
 
-    private Decision decide() {
-        return parts.decide(request, millisToObjective(), tried);
+    @Override
+    public Decision decide() {
+        return parts.decide(request, millisToObjective(), sendings.tried());
     }
 
     private void next(String why) {
-        follow(decide(), why);
+        decided(decide(), why);
     }
 
-    private void follow(Decision decision, String why) {
+    @Override
+    public void decided(Decision decision, String why) {
         switch (decision) {
             case Decision.Send(Choice.Send chosen) -> sendOrAsk(chosen, why);
             case Decision.Wait wait when !answer.begun() -> waitForRoom(wait, why);
@@ -137,35 +123,12 @@
 
     private void waitForRoom(Decision.Wait wait, String why) {
         log.waits(wait, millisToObjective());
-        long latest = parts.nowMillis() + wait.millis();
-        place = Optional.of(parts.line().join(request.priority(), latest, new ForRoom(why), thread));
+        room.begin(request.priority(), parts.nowMillis() + wait.millis(), why);
     }
 
-    /** Waits until an endpoint has room. */
-    private final class ForRoom implements WaitingLine.Waiter {
-
-        private final String why;
-
-        private ForRoom(String why) {
-            this.why = why;
-        }
-
-        @Override
-        public boolean tryStart() {
-            Decision decision = decide();
-            if (decision instanceof Decision.Wait) {
-                return false;
-            }
-            place = Optional.empty();
-            follow(decision, why);
-            return true;
-        }
-
-        @Override
-        public void tooLate() {
-            place = Optional.empty();
-            noRoom("no endpoint had room in time");
-        }
+    @Override
+    public void outOfTime() {
+        noRoom("no endpoint had room in time");
     }
 
     // -- sending
@@ -174,11 +137,10 @@
     private void sendOrAsk(Choice.Send chosen, String why) {
         if (!parts.mustAsk(request, chosen.endpoint())) {
             send(chosen, why);
-        } else if (askedInVain == MOST_QUESTIONS) {
-            cannotSend("no agent answers beside an endpoint that could serve");
-        } else {
-            askedInVain++;
+        } else if (sendings.ask()) {
             parts.ask(request, chosen.endpoint(), maySend -> agentAnswered(chosen, why, maySend));
+        } else {
+            cannotSend("no agent answers beside an endpoint that could serve");
         }
     }
 
@@ -197,7 +159,7 @@
     private void cannotSend(String why) {
         if (answer.begun()) {
             broken(why);
-        } else if (mayHaveRun) {
+        } else if (sendings.mayHaveRun()) {
             unknown(why);
         } else {
             notRun(why);
@@ -206,10 +168,8 @@
 
     private void send(Choice.Send chosen, String why) {
         EndpointEntry endpoint = chosen.endpoint();
-        askedInVain = 0;
-        tried.add(endpoint.id());
-        sendings++;
-        log.sent(chosen, why, sendings, millisToObjective(), millisLeft());
+        sendings.sent(endpoint.id());
+        log.sent(chosen, why, sendings.count(), millisToObjective(), millisLeft());
         Attempt attempt = new Attempt(this, endpoint);
         current = Optional.of(attempt);
         attempt.begin();
@@ -220,12 +180,11 @@
      * takes nothing of the budget for repeats, and what may run only once goes on too.
      */
     void withheld(EndpointEntry endpoint, LastLook.Verdict.Outdated outdated) {
-        sendings--;
+        sendings.withheld();
         if (millisLeft() < AttemptPolicy.LEAST_MILLIS_LEFT) {
             cannotSend(outdated.why());
         } else if (outdated.able()) {
-            cameLate = true;
-            tried.remove(endpoint.id());
+            sendings.cameLateAt(endpoint.id());
             // Nothing was asked during a standstill, so that every agent seems silent until one has answered again.
             parts.hear(request, endpoint, () -> decideAgain(outdated.why()));
         } else {
@@ -235,7 +194,7 @@
 
     /** Whether a connection came too late once already. */
     boolean cameLate() {
-        return cameLate;
+        return sendings.cameLate();
     }
 
     private void decideAgain(String why) {
@@ -246,20 +205,19 @@
 
     /** Counts a repeat, once its first byte is about to leave. */
     void leaves() {
-        if (sendings > 1) {
+        if (sendings.count() > 1) {
             parts.metrics().repeats.inc();
         }
     }
 
     /** Decides what follows when an attempt has ended without an answer: another one, or the end of the request. */
     void again(AttemptEnd end, String why) {
-        mayHaveRun |= !end.surelyNotRun();
+        sendings.ended(end);
         if (answer.begun() && !mayGoOn()) {
             broken(why);
             return;
         }
-        AttemptPolicy.Progress progress = new AttemptPolicy.Progress(sendings, mayHaveRun, millisLeft());
-        if (AttemptPolicy.again(request.route(), progress, parts.budget()::tryRetry)) {
+        if (AttemptPolicy.again(request.route(), sendings.progress(millisLeft()), parts.budget()::tryRetry)) {
             next(why);
         } else {
             cannotSend(why);
@@ -267,14 +225,14 @@
     }
 
     /** Sends to another endpoint after {@link #mayTakeAnother} has allowed it; the one before may have run the request. */
-    void moveOn(String why) {
-        mayHaveRun = true;
+    void moveOn(AttemptEnd end, String why) {
+        sendings.ended(end);
         next(why);
     }
 
     /** Whether another endpoint may run the request although the present one has, and is there; takes one repeat if so. */
     boolean mayTakeAnother() {
-        AttemptPolicy.Progress progress = new AttemptPolicy.Progress(sendings, true, millisLeft());
+        AttemptPolicy.Progress progress = sendings.progressIfRun(millisLeft());
         return request.route().kind().repeatable()
                 && decide() instanceof Decision.Send
                 && AttemptPolicy.again(request.route(), progress, parts.budget()::tryRetry);
@@ -307,7 +265,8 @@
         if (finished) {
             return;
         }
-        boolean mayRun = mayHaveRun || current.filter(Attempt::mayRun).isPresent();
+        boolean mayRun =
+                sendings.mayHaveRun() || current.filter(Attempt::mayRun).isPresent();
         current.ifPresent(attempt -> attempt.abandon(why));
         if (answer.begun()) {
             broken(why);
@@ -358,8 +317,8 @@
         finished = true;
         parts.open().remove(this);
         current = Optional.empty();
-        place.ifPresent(parts.line()::leave);
+        room.end();
         deadline.ifPresent(XnioExecutor.Key::remove);
-        log.finished(outcome, why, sendings, millisTaken());
+        log.finished(outcome, why, sendings.count(), millisTaken());
     }
 }
--- /dev/null
+++ b/src/test/java/org/micabarrow/attempts/RequestTimesTest.java
@@ -0,0 +1,49 @@
+package org.micabarrow.attempts;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What is left of a request's times as its clock goes on. */
+class RequestTimesTest {
+
+    private static final long BEGAN = 10_000;
+
+    private static RequestTimes times(long given, long timeout, long objective, long sinceFirstTry) {
+        return new RequestTimes(BEGAN, BEGAN + given, timeout, objective, sinceFirstTry);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "3000, 1000,    0, 1000",
+        "3000, 1000,  400,  600",
+        "3000, 1000, 1000,    0",
+        "3000, 1000, 1300, -300",
+        " 700, 1000,    0,  700",
+        " 700, 1000,  900, -200",
+        "-100, 1000,    0, -100"
+    })
+    void shouldTellWhatIsLeftOfClientsAndRoutesTime(long given, long timeout, long after, long left) {
+        assertEquals(left, times(given, timeout, 500, 0).leftMillis(BEGAN + after));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"3000, 1000, 1000", "700, 1000, 700", "0, 1000, 1", "-100, 1000, 1"})
+    void shouldHoldRequestForLeftTimeAndOneMillisecondAtLeast(long given, long timeout, long held) {
+        assertEquals(held, times(given, timeout, 500, 0).heldMillis());
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "  0,   0, false, 500",
+        "200,   0, false, 300",
+        "200, 250, false,  50",
+        "200, 300, false,   0",
+        "900,   0, false, -400",
+        "900, 300, true,  500"
+    })
+    void shouldTellWhatIsLeftOfObjectiveSinceFirstTry(long sinceFirstTry, long after, boolean begun, long left) {
+        assertEquals(left, times(3_000, 1_000, 500, sinceFirstTry).toObjectiveMillis(BEGAN + after, begun));
+    }
+}
