--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -19,10 +19,6 @@
 /** One request from its arrival to its answer. All of it runs on the one thread for traffic. */
 final class ServedRequest implements OpenRequests.Open, RoomWait.Request {
 
-    private static final int BAD_GATEWAY = 502;
-    private static final int UNAVAILABLE = 503;
-    private static final int GATEWAY_TIMEOUT = 504;
-
     private final ServingParts parts;
     private final ClientRequest request;
     private final ClientAnswer answer;
@@ -50,7 +46,7 @@
     }
 
     void begin() {
-        deadline = Optional.of(thread.executeAfter(this::expired, times.heldMillis(), TimeUnit.MILLISECONDS));
+        deadline = Optional.of(thread.executeAfter(() -> end("time is up"), times.heldMillis(), TimeUnit.MILLISECONDS));
         parts.open().add(this);
         next("first");
     }
@@ -157,13 +153,7 @@
     }
 
     private void cannotSend(String why) {
-        if (answer.begun()) {
-            broken(why);
-        } else if (sendings.mayHaveRun()) {
-            unknown(why);
-        } else {
-            notRun(why);
-        }
+        conclude(Ending.withoutAnswer(answer.begun(), sendings.mayHaveRun()), why);
     }
 
     private void send(Choice.Send chosen, String why) {
@@ -213,11 +203,8 @@
     /** Decides what follows when an attempt has ended without an answer: another one, or the end of the request. */
     void again(AttemptEnd end, String why) {
         sendings.ended(end);
-        if (answer.begun() && !mayGoOn()) {
-            broken(why);
-            return;
-        }
-        if (AttemptPolicy.again(request.route(), sendings.progress(millisLeft()), parts.budget()::tryRetry)) {
+        boolean cut = answer.begun() && !mayGoOn();
+        if (!cut && AttemptPolicy.again(request.route(), sendings.progress(millisLeft()), parts.budget()::tryRetry)) {
             next(why);
         } else {
             cannotSend(why);
@@ -256,10 +243,6 @@
 
     // -- endings
 
-    private void expired() {
-        end("time is up");
-    }
-
     @Override
     public void end(String why) {
         if (finished) {
@@ -268,13 +251,7 @@
         boolean mayRun =
                 sendings.mayHaveRun() || current.filter(Attempt::mayRun).isPresent();
         current.ifPresent(attempt -> attempt.abandon(why));
-        if (answer.begun()) {
-            broken(why);
-        } else if (!mayRun) {
-            notRun(why);
-        } else {
-            own(GATEWAY_TIMEOUT, "unknown", why, 0);
-        }
+        conclude(Ending.outOfTime(answer.begun(), mayRun), why);
     }
 
     void clientGone() {
@@ -282,35 +259,23 @@
             return;
         }
         current.ifPresent(attempt -> attempt.abandon("the client left"));
-        parts.metrics().clientGone.inc();
-        finish("client_gone", "the client closed its connection");
-        answer.gone();
+        conclude(Ending.CLIENT_GONE, "the client closed its connection");
     }
 
     void answered(String what) {
-        parts.metrics().answered.inc();
-        finish("answered", what);
-    }
-
-    private void notRun(String why) {
-        parts.metrics().notRun.inc();
-        own(UNAVAILABLE, "not_run", why, parts.comeBackMillis(request));
-    }
-
-    private void unknown(String why) {
-        parts.metrics().unknown.inc();
-        own(BAD_GATEWAY, "unknown", why, 0);
-    }
-
-    private void own(int status, String outcome, String why, long retryAfterMillis) {
-        finish(outcome, why);
-        answer.own(status, why, retryAfterMillis);
-    }
-
-    private void broken(String why) {
-        parts.metrics().broken.inc();
-        finish("broken", why);
-        answer.breakOff();
+        conclude(Ending.ANSWERED, what);
+    }
+
+    private void conclude(Ending ending, String why) {
+        parts.metrics().ended(ending);
+        finish(ending.outcome(), why);
+        switch (ending) {
+            case NOT_RUN -> answer.own(ending.status(), why, parts.comeBackMillis(request));
+            case UNKNOWN, TIMED_OUT -> answer.own(ending.status(), why, 0);
+            case BROKEN -> answer.breakOff();
+            case CLIENT_GONE -> answer.gone();
+            case ANSWERED -> {}
+        }
     }
 
     private void finish(String outcome, String why) {
--- a/src/main/java/org/micabarrow/serving/ServingMetrics.java
+++ b/src/main/java/org/micabarrow/serving/ServingMetrics.java
@@ -8,11 +8,11 @@
 final class ServingMetrics {
 
     final Counter received;
-    final Counter answered;
-    final Counter notRun;
-    final Counter unknown;
-    final Counter broken;
-    final Counter clientGone;
+    private final Counter answered;
+    private final Counter notRun;
+    private final Counter unknown;
+    private final Counter broken;
+    private final Counter clientGone;
     final Counter repeats;
     final Timer firstByte;
 
@@ -26,4 +26,16 @@
         repeats = registry.counter("requests.repeats");
         firstByte = registry.timer("requests.firstByte");
     }
+
+    /** Counts a request by its end. */
+    void ended(Ending ending) {
+        switch (ending) {
+            case ANSWERED -> answered.inc();
+            case NOT_RUN -> notRun.inc();
+            case UNKNOWN -> unknown.inc();
+            case TIMED_OUT -> {}
+            case BROKEN -> broken.inc();
+            case CLIENT_GONE -> clientGone.inc();
+        }
+    }
 }
