--- a/src/main/java/org/micabarrow/serving/ServingMetrics.java
+++ b/src/main/java/org/micabarrow/serving/ServingMetrics.java
@@ -32,8 +32,7 @@
         switch (ending) {
             case ANSWERED -> answered.inc();
             case NOT_RUN -> notRun.inc();
-            case UNKNOWN -> unknown.inc();
-            case TIMED_OUT -> {}
+            case UNKNOWN, TIMED_OUT -> unknown.inc();
             case BROKEN -> broken.inc();
             case CLIENT_GONE -> clientGone.inc();
         }
