--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -2,8 +2,8 @@
 
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.micabarrow.admission.TakenRoom;
 import org.micabarrow.attempts.AttemptEnd;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.attempts.EventSplitter;
@@ -16,8 +16,6 @@
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.views.View;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.xnio.XnioExecutor;
 
 /**
@@ -26,13 +24,6 @@
  */
 final class Attempt implements HttpCaller.Listener {
 
-    private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.request");
-
-    private static final int SERVER_ERROR = 500;
-
-    /** By these a client may take a request for not run; from an endpoint that does not say so itself they prove nothing. */
-    private static final Set<Integer> PROMISES_NOT_RUN = Set.of(408, 421, 429, 503);
-
     private final ServedRequest run;
     private final ServingParts parts;
     private final ClientRequest request;
@@ -40,14 +31,14 @@
     private final EventSplitter events;
     private final EndpointEntry endpoint;
     private final EndpointLoad load;
+    private final TakenRoom room;
     private final AnswerRelay relay;
+    private final long beganMillis;
     private Optional<XnioExecutor.Key> connectTimer = Optional.empty();
     private Optional<XnioExecutor.Key> beginTimer = Optional.empty();
     private Runnable cancel = () -> {};
     private boolean over;
     private boolean sending;
-    private boolean promptRead;
-    private long beganMillis;
 
     Attempt(ServedRequest run, EndpointEntry endpoint) {
         this.run = run;
@@ -58,11 +49,12 @@
         this.endpoint = endpoint;
         this.relay = new AnswerRelay(run);
         this.load = parts.load(endpoint);
+        this.beganMillis = parts.nowMillis();
+        this.room = new TakenRoom(load, request.promptTokens(), parts.line()::roomMayBe);
     }
 
+    /** Sends the request, for which its room is taken already. */
     void begin() {
-        beganMillis = parts.nowMillis();
-        load.began(request.promptTokens());
         connectTimer = Optional.of(after(LastLook.CONNECT_MILLIS, this::notConnected));
         limitWaiting();
         cancel = parts.caller().send(call(), this);
@@ -95,17 +87,7 @@
         over = true;
         connectTimer.ifPresent(XnioExecutor.Key::remove);
         beginTimer.ifPresent(XnioExecutor.Key::remove);
-        promptDone();
-        load.ended();
-        parts.line().roomMayBe();
-    }
-
-    private void promptDone() {
-        if (!promptRead) {
-            promptRead = true;
-            load.promptRead(request.promptTokens());
-            parts.line().roomMayBe();
-        }
+        room.free();
     }
 
     /** Whether the endpoint may run the request, now or later: it has left, and nothing has ended the attempt. */
@@ -116,12 +98,7 @@
     /** Stops the attempt for good, because nobody wants its answer any more. */
     void abandon(String why) {
         if (!over) {
-            LOG.info(
-                    "event=taken_back request={} endpoint={} {} why=\"{}\"",
-                    request.id(),
-                    endpoint.id(),
-                    progress(),
-                    why);
+            run.log().takenBack(endpoint, progress(), why);
             stop();
         }
     }
@@ -139,18 +116,12 @@
     }
 
     private void logFailed(AttemptEnd end, String why) {
-        LOG.info(
-                "event=attempt_failed request={} endpoint={} end={} {} why=\"{}\"",
-                request.id(),
-                endpoint.id(),
-                end,
-                progress(),
-                why);
+        run.log().failed(endpoint, end, progress(), why);
     }
 
     /** How far the request came at the endpoint, for the log: whether a head of an answer came, and a part of it. */
     private String progress() {
-        return "afterMs=" + (parts.nowMillis() - beganMillis) + " taken=" + relay.begun() + " begun=" + promptRead;
+        return "afterMs=" + (parts.nowMillis() - beganMillis) + " taken=" + relay.begun() + " begun=" + room.begun();
     }
 
     /**
@@ -162,13 +133,13 @@
         if (over) {
             return;
         }
-        if (!promptRead && beginTimer.isEmpty()) {
+        if (!room.begun() && beginTimer.isEmpty()) {
             limitWaiting();
         }
         if (!parts.silent(endpoint)) {
             return;
         }
-        if (!promptRead && waitsInVain()) {
+        if (!room.begun() && waitsInVain()) {
             failed(AttemptEnd.UNKNOWN, "nothing is heard of the endpoint, and what waits there would begin too late");
         } else if ((!answer.begun() || run.mayGoOn()) && run.mayTakeAnother()) {
             events.dropRemainder();
@@ -208,7 +179,7 @@
     private void notBegun(View.Target newer) {
         // A still newer version may be named, or may have been, for which there is to be a time of its own.
         beginTimer = Optional.empty();
-        boolean waits = !over && !promptRead;
+        boolean waits = !over && !room.begun();
         if (waits && parts.versions().holdsOlder(request, endpoint, newer)) {
             failed(AttemptEnd.UNKNOWN, "a newer weight version is due, and the endpoint has not begun");
         }
@@ -252,35 +223,45 @@
         load.heard(parts.nowMillis());
         AnswerHead read = parts.protocol().head(request, status, headers);
         read.weightVersion().ifPresent(load::answeredBy);
-        if (read.notRun()) {
-            failed(AttemptEnd.NOT_RUN, "the endpoint refused with " + status);
-        } else if (read.misdirected()) {
-            load.failures().misdirected(parts.nowMillis());
-            failed(AttemptEnd.MISDIRECTED, "another endpoint or version is at " + endpoint.address());
-        } else if (!read.own() || !read.signed()) {
-            load.failures().broke(parts.nowMillis());
-            failed(AttemptEnd.UNKNOWN, "what came is no answer to this request");
-        } else {
-            answered(read);
+        switch (HeadVerdict.of(read, request.route().kind().repeatable(), answer.begun())) {
+            case NOT_RUN -> failed(AttemptEnd.NOT_RUN, "the endpoint refused with " + status);
+            case MISDIRECTED -> {
+                load.failures().misdirected(parts.nowMillis());
+                failed(AttemptEnd.MISDIRECTED, "another endpoint or version is at " + endpoint.address());
+            }
+            case NO_ANSWER -> {
+                load.failures().broke(parts.nowMillis());
+                failed(AttemptEnd.UNKNOWN, "what came is no answer to this request");
+            }
+            case NOT_TO_PASS -> {
+                remember(read.status());
+                failed(AttemptEnd.UNKNOWN, "the endpoint answered " + read.status() + " without saying it has not run");
+            }
+            case ERROR -> {
+                remember(read.status());
+                endpointFailed(read);
+            }
+            case ANSWER -> {
+                remember(read.status());
+                relay.begin(read, false);
+            }
         }
     }
 
-    private void answered(AnswerHead read) {
-        boolean error = read.status() >= SERVER_ERROR;
-        if (error) {
+    private void remember(int status) {
+        if (HeadVerdict.isError(status)) {
             load.failures().failed(parts.nowMillis());
         } else {
             load.failures().succeeded();
             parts.metrics().firstByte.update(run.millisTaken(), TimeUnit.MILLISECONDS);
         }
-        boolean mustNotPass = PROMISES_NOT_RUN.contains(read.status())
-                && !request.route().kind().repeatable();
-        if (mustNotPass || answer.begun() && error) {
-            failed(AttemptEnd.UNKNOWN, "the endpoint answered " + read.status() + " without saying it has not run");
-        } else if (error && run.mayTakeAnother()) {
+    }
+
+    private void endpointFailed(AnswerHead read) {
+        if (run.mayTakeAnother()) {
             moveOn(AttemptEnd.FAILED, "the endpoint failed with " + read.status());
         } else {
-            relay.begin(read, error);
+            relay.begin(read, true);
         }
     }
 
@@ -291,7 +272,7 @@
         }
         load.heard(parts.nowMillis());
         // The head may come as soon as the endpoint has taken the request; its prompt is read with the first event.
-        promptDone();
+        room.promptRead();
         relay.part(data, more);
     }
 
--- a/src/main/java/org/micabarrow/serving/RequestLog.java
+++ b/src/main/java/org/micabarrow/serving/RequestLog.java
@@ -1,6 +1,7 @@
 package org.micabarrow.serving;
 
 import org.micabarrow.admission.Admission.Decision;
+import org.micabarrow.attempts.AttemptEnd;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.routing.EndpointChoice.Choice;
 import org.micabarrow.routing.EndpointEntry;
@@ -61,6 +62,22 @@
                 endpoint.id());
     }
 
+    /** A sending is given up because nobody wants its answer any more. */
+    void takenBack(EndpointEntry endpoint, String progress, String why) {
+        LOG.info("event=taken_back request={} endpoint={} {} why=\"{}\"", request.id(), endpoint.id(), progress, why);
+    }
+
+    /** A sending ended without an answer that may be passed on. */
+    void failed(EndpointEntry endpoint, AttemptEnd end, String progress, String why) {
+        LOG.info(
+                "event=attempt_failed request={} endpoint={} end={} {} why=\"{}\"",
+                request.id(),
+                endpoint.id(),
+                end,
+                progress,
+                why);
+    }
+
     void finished(String outcome, String why, int attempts, long millis) {
         LOG.info(
                 "event=finished request={} route={} organisation={} outcome={} attempts={} sinceFirstTryMs={} firstMs={}"
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -69,6 +69,10 @@
         return events;
     }
 
+    RequestLog log() {
+        return log;
+    }
+
     XnioIoThread thread() {
         return thread;
     }
