--- a/src/main/java/org/micabarrow/coordination/admission/Room.java
+++ b/src/main/java/org/micabarrow/coordination/admission/Room.java
@@ -3,7 +3,10 @@
 /** How an instance's room is divided between short and long requests. */
 public final class Room {
 
-    /** One place in how many only short requests may take. */
+    /**
+     * One place in how many only short requests may take. At nine tenths of the load short requests then take 1.8
+     * times what they take at three tenths (docs/CAPACITY.md); other parts were not measured.
+     */
     private static final int RESERVED_ONE_IN = 5;
 
     private Room() {}
--- a/src/main/java/org/micabarrow/coordination/agents/AgentFlow.java
+++ b/src/main/java/org/micabarrow/coordination/agents/AgentFlow.java
@@ -23,7 +23,10 @@
  */
 public final class AgentFlow {
 
-    /** How long a request waits for the configuration that its entry had, before it is decided on the one in force. */
+    /**
+     * How long a request waits for the configuration that its entry had, before it is decided on the one in force.
+     * Chosen, not measured.
+     */
     private static final Duration CATCH_UP = Duration.ofSeconds(1);
 
     private final Parts parts;
--- a/src/main/java/org/micabarrow/coordination/configuration/RecordWriter.java
+++ b/src/main/java/org/micabarrow/coordination/configuration/RecordWriter.java
@@ -26,7 +26,10 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(RecordWriter.class);
 
-    /** How long a record that was appended is waited for before it is appended again under the same id. */
+    /**
+     * How long a record that was appended is waited for before it is appended again under the same id. Chosen, not
+     * measured.
+     */
     private static final Duration POLL = Duration.ofMillis(500);
 
     private final PlatformLog log;
--- a/src/main/java/org/micabarrow/coordination/requests/PlacementQueue.java
+++ b/src/main/java/org/micabarrow/coordination/requests/PlacementQueue.java
@@ -7,13 +7,19 @@
 /** Requests of one kind that wait for one placement, with how fast they get their turn. */
 final class PlacementQueue {
 
-    /** The most requests of one kind that wait for one placement; further ones are refused, so that memory is bounded. */
+    /**
+     * The most requests of one kind that wait for one placement; further ones are refused, so that memory is bounded.
+     * Chosen, not measured.
+     */
     private static final int MOST_WAITING = 256;
 
-    /** The weight of the newest gap between two turns in their moving average. */
+    /** The weight of the newest gap between two turns in their moving average. Chosen, not measured. */
     private static final double WEIGHT_OF_NEWEST = 0.1;
 
-    /** The longest gap that counts, in milliseconds, so that an idle time does not look like a slow queue. */
+    /**
+     * The longest gap that counts, in milliseconds, so that an idle time does not look like a slow queue. Chosen, not
+     * measured.
+     */
     private static final double MOST_GAP_MILLIS = 1_000;
 
     private final InstantSource clock;
--- a/src/main/java/org/micabarrow/coordination/requests/RequestFlow.java
+++ b/src/main/java/org/micabarrow/coordination/requests/RequestFlow.java
@@ -32,10 +32,10 @@
  */
 public final class RequestFlow {
 
-    /** The longest that a request waits for room. */
+    /** The longest that a request waits for room. Chosen, not measured. */
     static final Duration LONGEST_QUEUE = Duration.ofSeconds(2);
 
-    /** When a refused request may be tried again, at the soonest. */
+    /** When a refused request may be tried again, at the soonest. Chosen, not measured. */
     private static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
     private final Supplier<FoldedState> state;
--- a/src/main/java/org/micabarrow/coordination/requests/RequestRun.java
+++ b/src/main/java/org/micabarrow/coordination/requests/RequestRun.java
@@ -29,13 +29,13 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.decision.route");
 
-    /** The most attempts of one request. */
+    /** The most attempts of one request. Chosen, not measured. */
     private static final int MOST_ATTEMPTS = 3;
 
-    /** When a request may be tried again after what passes quickly. */
+    /** When a request may be tried again after what passes quickly. Chosen, not measured. */
     private static final Duration RETRY_SOON = Duration.ofMillis(500);
 
-    /** When a request may be tried again where room is missing. */
+    /** When a request may be tried again where room is missing. Chosen, not measured. */
     private static final Duration RETRY_LATER = Duration.ofSeconds(2);
 
     private final RequestFlow flow;
--- a/src/main/java/org/micabarrow/coordination/weights/OriginAllowance.java
+++ b/src/main/java/org/micabarrow/coordination/weights/OriginAllowance.java
@@ -11,7 +11,10 @@
  */
 final class OriginAllowance {
 
-    /** How much more than one copy the head of a chain may draw without asking, for chunks that came corrupted. */
+    /**
+     * How much more than one copy the head of a chain may draw without asking, for chunks that came corrupted. One
+     * corrupted chunk in a hundred took 1.01 copies (docs/CAPACITY.md).
+     */
     static final double FEED_SLACK = 1.015;
 
     private final OriginBudget budget;
