--- a/src/test/java/org/micabarrow/serving/RawAnswersTest.java
+++ b/src/test/java/org/micabarrow/serving/RawAnswersTest.java
@@ -37,12 +37,8 @@
         caller = HttpCaller.start("test", 1);
         endpoint = new ServerSocket(0);
         settings = platform.entry();
-        platform.store()
-                .append(
-                        "keyed.servers",
-                        "raw-1",
-                        "{\"service\":\"plain\",\"address\":\"127.0.0.1:" + endpoint.getLocalPort()
-                                + "\",\"zone\":\"hall-a\",\"slots\":4,\"state\":\"ready\",\"models\":[]}");
+        platform.place("raw-1", "127.0.0.1:" + endpoint.getLocalPort());
+        platform.enter("raw-1", "plain", 0, "ready");
     }
 
     @AfterEach
--- a/src/test/java/org/micabarrow/serving/SilentClientTest.java
+++ b/src/test/java/org/micabarrow/serving/SilentClientTest.java
@@ -54,12 +54,8 @@
         platform = HostedSystem.start();
         endpoint = new ServerSocket(0);
         settings = platform.entry();
-        platform.store()
-                .append(
-                        "keyed.servers",
-                        "raw-1",
-                        "{\"service\":\"plain\",\"address\":\"127.0.0.1:" + endpoint.getLocalPort()
-                                + "\",\"zone\":\"hall-a\",\"slots\":4,\"state\":\"ready\",\"models\":[]}");
+        platform.place("raw-1", "127.0.0.1:" + endpoint.getLocalPort());
+        platform.enter("raw-1", "plain", 0, "ready");
     }
 
     @AfterEach
