--- a/src/main/java/org/micabarrow/platform/KeyedRecords.java
+++ b/src/main/java/org/micabarrow/platform/KeyedRecords.java
@@ -51,10 +51,14 @@
      * @param key the key, of 255 bytes at the most
      * @param value the value; an empty one drops the key
      * @return the length of the key, the key, the value
+     * @throws IllegalArgumentException if the key is longer, since its length would read as another one
      */
     public static byte[] record(String key, byte[] value) {
         Objects.requireNonNull(value, "value is null");
         byte[] name = bytes(Objects.requireNonNull(key, "key is null"));
+        if (name.length > MOST_KEY_BYTES) {
+            throw new IllegalArgumentException("the key is over " + MOST_KEY_BYTES + " bytes");
+        }
         return ByteBuffer.allocate(1 + name.length + value.length)
                 .put((byte) name.length)
                 .put(name)
--- a/src/test/java/org/micabarrow/platform/KeyedRecordsTest.java
+++ b/src/test/java/org/micabarrow/platform/KeyedRecordsTest.java
@@ -48,6 +48,12 @@
         assertEquals(longest, KeyedRecords.read(record, 0).key());
     }
 
+    @Test
+    void shouldWriteNoKeyThatIsTooLong() {
+        String tooLong = "k".repeat(KeyedRecords.MOST_KEY_BYTES + 1);
+        assertThrows(IllegalArgumentException.class, () -> KeyedRecords.record(tooLong, new byte[0]));
+    }
+
     private static Stream<byte[]> malformed() {
         return Stream.of(
                 new byte[0], new byte[] {0}, new byte[] {0, 'v'}, new byte[] {2, 'k'}, new byte[] {1, (byte) 0xFF, 'v'
