A process that is started again in place of one that was killed waits for its address

RecoveryTest.shouldStartFromCheckpointWhenOlderRecordsAreGone failed once in ./check, beside other builds (load 24): the address of the agent killed just before was still taken; the next test then waited 40 s for it. A gRPC server that is told to stop, and says that it has ended, still holds its port for a moment.

--- a/src/main/java/org/micabarrow/bench/LocalProcesses.java
+++ b/src/main/java/org/micabarrow/bench/LocalProcesses.java
@@ -13,6 +13,7 @@
 import org.micabarrow.process.EntryProcess;
 import org.micabarrow.settings.AgentSettings;
 import org.micabarrow.settings.EntrySettings;
+import org.micabarrow.standin.Ports;
 import org.micabarrow.state.CanonicalJson;
 
 /** The entries and agents of a local system, inside this process or each as a process of its own. */
@@ -53,6 +54,8 @@
             if (binary.isPresent()) {
                 separate.put(id, launch(binary.get(), "agent", id, settings));
             } else {
+                // It may stand in for one that was killed just now.
+                Ports.awaitFree(settings.listen().peers());
                 agents.put(id, AgentProcess.start(settings, faults));
             }
         } catch (IOException e) {
--- a/src/main/java/org/micabarrow/standin/Ports.java
+++ b/src/main/java/org/micabarrow/standin/Ports.java
@@ -1,9 +1,12 @@
 package org.micabarrow.standin;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * Free addresses on loopback. Each process has a host of its own there, so that two which test the same at the same time
@@ -21,6 +24,10 @@
     private static final int FIRST = 15_000;
     private static final int COUNT = 16_000;
     private static final int BACKLOG = 1;
+
+    /** How long a server that was told to stop may keep its port, in seconds: it takes milliseconds, on a busy machine more. */
+    private static final int END_SECONDS = 5;
+
     private static final AtomicInteger NEXT =
             new AtomicInteger((int) (ProcessHandle.current().pid() * 397 % COUNT));
 
@@ -51,4 +58,28 @@
         }
         throw new IllegalStateException("no port is free on loopback");
     }
+
+    /**
+     * Waits until nobody listens at an address any more: a server that was told to stop closes its port on a thread of its own, and
+     * one that starts at the address until then finds it taken.
+     *
+     * @param address the host and port
+     * @throws IOException if somebody still listens there after some seconds
+     */
+    public static void awaitFree(String address) throws IOException {
+        int colon = address.lastIndexOf(':');
+        InetAddress host = InetAddress.getByName(address.substring(0, colon));
+        int port = Integer.parseInt(address.substring(colon + 1));
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(END_SECONDS);
+        while (true) {
+            try (ServerSocket socket = new ServerSocket(port, BACKLOG, host)) {
+                return;
+            } catch (BindException e) {
+                if (System.nanoTime() - end > 0) {
+                    throw e;
+                }
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+            }
+        }
+    }
 }
