--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -10,11 +10,6 @@
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import org.micabarrow.routing.EndpointEntry;
-import org.micabarrow.routing.RouteManifest;
-import org.micabarrow.state.Fault;
-import org.micabarrow.state.Result;
-import org.micabarrow.views.RecordDecoder.OperatorRecord;
-import org.micabarrow.views.View.Learned;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,15 +21,11 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(ViewKeeper.class);
 
-    private final RecordDecoder decoder;
     private final LongSupplier steadyMillis;
     private final Map<Topic, TopicCopy> copies = new HashMap<>();
     private final EndpointEntries entries;
-
-    private final NamedTargets targets;
-    private final Manifests manifests = new Manifests();
+    private final OperatorBeliefs operator;
     private final OperatorKnowledge knowledge = new OperatorKnowledge();
-    private boolean loaded;
     private volatile LastChanges changes = new LastChanges(0, 0, 0);
     private volatile View view = View.empty();
 
@@ -56,9 +47,10 @@
      * @param unixMillis the time of day, in milliseconds, which may be some seconds off
      */
     ViewKeeper(RecordDecoder decoder, LongSupplier steadyMillis, LongSupplier unixMillis) {
-        this.decoder = Objects.requireNonNull(decoder, "decoder is null");
+        Objects.requireNonNull(decoder, "decoder is null");
         this.steadyMillis = Objects.requireNonNull(steadyMillis, "steadyMillis is null");
-        this.targets = new NamedTargets(steadyMillis, Objects.requireNonNull(unixMillis, "unixMillis is null"));
+        this.operator =
+                new OperatorBeliefs(decoder, steadyMillis, Objects.requireNonNull(unixMillis, "unixMillis is null"));
         this.entries = new EndpointEntries(decoder);
         for (Topic topic : Topic.values()) {
             copies.put(topic, new TopicCopy());
@@ -95,7 +87,7 @@
     public synchronized void apply(Topic topic, Collection<StoredRecord> records, long readTo) {
         takeLacking(topic, records);
         publish(topic, copies.get(topic).apply(records, readTo));
-        knowledge.manifestLacking(manifests.lacking().isPresent());
+        knowledge.manifestLacking(operator.lackingManifest().isPresent());
     }
 
     /**
@@ -108,8 +100,10 @@
     public synchronized void replace(Topic topic, Collection<StoredRecord> records, long takenAt) {
         takeLacking(topic, records);
         publish(topic, copies.get(topic).replace(records, takenAt));
-        loaded |= topic == Topic.OPERATOR;
-        knowledge.manifestLacking(manifests.lacking().isPresent());
+        if (topic == Topic.OPERATOR) {
+            operator.loaded();
+        }
+        knowledge.manifestLacking(operator.lackingManifest().isPresent());
     }
 
     /**
@@ -154,7 +148,7 @@
         List<StoredRecord> records = copy.since(offset);
         return topic == Topic.OPERATOR
                 ? new TopicReader.Batch(
-                        manifests.withHidden(records, offset), copy.endFor(offset), operatorAsOfMillis())
+                        operator.withHiddenManifest(records, offset), copy.endFor(offset), operatorAsOfMillis())
                 : new TopicReader.Batch(records, copy.endFor(offset));
     }
 
@@ -199,43 +193,15 @@
                 changes = changes.withOperator(news, forAgents);
             }
             case ENDPOINTS -> endpointsSaid(news);
-            case NAMED -> versionsKept(news);
+            case NAMED -> view = operator.kept(news, view);
         }
     }
 
     /** Takes what operators wrote, and tells whether agents act on it. */
     private boolean operatorSaid(StoredRecord record) {
-        if (record.dropped()) {
-            OperatorLines.dropped(record);
-            return false;
-        }
-        return switch (decoder.operator(record)) {
-            case Result.Failure<OperatorRecord>(Fault fault) -> {
-                OperatorLines.refused(record, fault);
-                yield false;
-            }
-            case Result.Success<OperatorRecord>(OperatorRecord.ManifestSet(RouteManifest manifest)) ->
-                manifestSet(record, manifest);
-            case Result.Success<OperatorRecord>(
-                    OperatorRecord.WeightsNamed(String model, long version, OptionalLong ignored)) ->
-                weightsNamed(record, model, version);
-            case Result.Success<OperatorRecord>(OperatorRecord.ManifestKept ignored) -> unused(record);
-            case Result.Success<OperatorRecord>(OperatorRecord.Unused ignored) -> unused(record);
-        };
-    }
-
-    private static boolean unused(StoredRecord record) {
-        OperatorLines.ofOthers(record);
-        return false;
-    }
-
-    private boolean manifestSet(StoredRecord record, RouteManifest manifest) {
-        if (!manifests.take(record, manifest)) {
-            return false;
-        }
-        boolean sameServices = view.manifest().filter(manifest::sameServices).isPresent();
-        view = view.withManifest(manifest, record.offset());
-        return !sameServices;
+        OperatorBeliefs.Change change = operator.said(record, view);
+        view = change.view();
+        return change.forAgents();
     }
 
     /**
@@ -248,15 +214,6 @@
                 records.stream().filter(record -> record.offset() == offset).forEach(this::operatorSaid));
     }
 
-    private boolean weightsNamed(StoredRecord record, String model, long version) {
-        long newest = view.newestTarget(model).map(View.Target::version).orElse(0L);
-        View.Target target = targets.byOperator(model, version, loaded);
-        if (!want(model, target, "store offset=" + record.offset()) && version < newest) {
-            OperatorLines.namedLate(record, model, version, newest);
-        }
-        return true;
-    }
-
     /**
      * Takes note of a weight version that is wanted, from a peer that has heard of it.
      *
@@ -264,38 +221,14 @@
      * @param version the version; an older one than is known changes nothing
      */
     public synchronized void want(String model, long version) {
-        want(
-                model,
-                new View.Target(version, steadyMillis.getAsLong(), loaded ? Learned.SEEN_NAMED : Learned.TOLD_BY_PEER),
-                "peer");
-    }
-
-    /** Takes note of a version and tells whether it is newer than those known; the source is for the log. */
-    private boolean want(String model, View.Target target, String source) {
-        View after = view.withTarget(model, target);
-        if (after == view) {
-            return false;
-        }
-        view = after;
-        OperatorLines.named(model, target, steadyMillis.getAsLong() - target.learnedMillis(), source);
-        return true;
+        view = operator.wanted(model, version, view);
     }
 
     // -- what processes keep in the store
 
-    private void versionsKept(List<StoredRecord> news) {
-        List<OperatorRecord> said = news.stream()
-                .filter(record -> !record.dropped())
-                .map(decoder::operator)
-                .flatMap(one -> one.toOptional().stream())
-                .toList();
-        manifests.takeKept(said);
-        targets.kept(said).forEach((model, target) -> want(model, target, "kept"));
-    }
-
     /** Where a manifest stands that is known to be newer than the one in force; empty if none is. */
     synchronized OptionalLong lackingManifest() {
-        return manifests.lacking();
+        return operator.lackingManifest();
     }
 
     /**
@@ -305,7 +238,7 @@
      * @param place where it stands
      */
     public synchronized void manifestStands(ManifestPlace place) {
-        manifests.stands(place);
+        operator.manifestStands(place);
     }
 
     /**
@@ -314,22 +247,22 @@
      * @return the place, empty if none is known
      */
     public synchronized Optional<ManifestPlace> newestManifest() {
-        return manifests.newest();
+        return operator.newestManifest();
     }
 
     /** The newest manifest, if it is not known to be kept. */
     synchronized Optional<Unkept> unkeptManifest() {
-        return manifests.unkept(copies.get(Topic.NAMED));
+        return operator.unkeptManifest(copies.get(Topic.NAMED));
     }
 
     /** Whether what operators wrote has been read. */
     synchronized boolean knowsOperator() {
-        return loaded;
+        return operator.isLoaded();
     }
 
     /** The newest versions that are not known to lie in the store under a key of their own. */
     synchronized List<Unkept> unkept() {
-        return targets.unkept(copies.get(Topic.NAMED));
+        return operator.unkept(copies.get(Topic.NAMED));
     }
 
     // -- endpoints
