Test, red: a reader's question that comes late makes its knowledge younger

Seen when it ran alone (mvn test -Dtest=LoadServerTest#shouldNotMakeKnowledgeYoungerWhenQuestionOfReaderComesLate), on with the red tests before it: [ERROR] Tests run: 1, Failures: 1, Errors: 0, Skipped: 0 org.opentest4j.AssertionFailedError: the reader knew of nothing after 0, and the agent tells at 2000: Optional[ReaderNews[peer=127.0.0.1:8001, operator=17, knownMillisAgo=0]] ==> expected: <true> but was: <false>

--- a/src/test/java/org/micabarrow/transport/LoadServerTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadServerTest.java
@@ -1,6 +1,7 @@
 package org.micabarrow.transport;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.DatagramPacket;
@@ -72,15 +73,21 @@
 
         /** The same of an entry that knew all that operators wrote so long ago. */
         private Optional<String> reader(InetSocketAddress agent, long knownMillisAgo) throws IOException {
+            return send(question(knownMillisAgo), agent).map(ReaderNews::peer);
+        }
+
+        private ByteBuffer question(long knownMillisAgo) {
             StoreNews news = new StoreNews(port, new LastChanges(17, 0), Optional.empty(), knownMillisAgo, direct);
-            ByteBuffer question = LoadMessages.write(
+            return LoadMessages.write(
                     new LoadMessages.Question(name, 0, 0, 0, near, near ? Optional.of(news) : Optional.empty()));
+        }
+
+        private Optional<ReaderNews> send(ByteBuffer question, InetSocketAddress agent) throws IOException {
             socket.send(new DatagramPacket(question.array(), question.limit(), agent));
             DatagramPacket answer = new DatagramPacket(new byte[512], 512);
             socket.receive(answer);
             return LoadMessages.answer(Arrays.copyOf(answer.getData(), answer.getLength()))
-                    .reader()
-                    .map(ReaderNews::peer);
+                    .reader();
         }
     }
 
@@ -137,4 +144,22 @@
         second.reader(agent, 30);
         assertEquals(Optional.of("127.0.0.1:8002"), led.reader(agent, 30));
     }
+
+    /**
+     * The reader's question lay in a full link for two seconds: what it says of its knowledge is older by that, or else an entry
+     * takes itself to know what was written meanwhile.
+     */
+    @Test
+    void shouldNotMakeKnowledgeYoungerWhenQuestionOfReaderComesLate() throws Exception {
+        InetSocketAddress agent = agent();
+        Entry first = Entry.of("a", 8_001, true, true);
+        Entry led = Entry.of("c", 8_003, true, false);
+        ByteBuffer late = first.question(0);
+        now.addAndGet(2_000);
+        first.send(late, agent);
+        Optional<ReaderNews> told = led.send(led.question(30), agent);
+        assertTrue(
+                told.filter(reader -> now.get() - reader.knownMillisAgo() > 0).isEmpty(),
+                "the reader knew of nothing after 0, and the agent tells at " + now.get() + ": " + told);
+    }
 }
