Test, red: an entry waits up to ten seconds for a reader that answers piece by piece

Seen when it ran alone (mvn test -Dtest=NewsReaderTest#shouldReadStoreWhenReaderOfRegionDoesNotEndItsAnswerWhileItsWordCounts), on with the red tests before it: [ERROR] Tests run: 1, Failures: 1, Errors: 0, Skipped: 0 org.opentest4j.AssertionFailedError: the store is asked while the reader's answer is on its way ==> expected: <true> but was: <false>

--- a/src/test/java/org/micabarrow/views/NewsReaderTest.java
+++ b/src/test/java/org/micabarrow/views/NewsReaderTest.java
@@ -9,8 +9,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.micabarrow.state.Fault;
@@ -283,4 +286,36 @@
         long age = now.get() + waited.get() - asOf;
         assertTrue(age <= boundMillis, "all was known " + age + " ms ago when the store answers");
     }
+
+    /** A reader whose link is full or slowed gives its answer piece by piece, for as long as an answer may take: ten seconds. */
+    @Test
+    void shouldReadStoreWhenReaderOfRegionDoesNotEndItsAnswerWhileItsWordCounts() {
+        CountDownLatch storeAsked = new CountDownLatch(1);
+        TopicReader asking = new TopicReader() {
+            @Override
+            public Result<Batch> newest(Topic topic) {
+                return Result.success(new Batch(List.of(), 7));
+            }
+
+            @Override
+            public Result<Read> read(Topic topic, long from, Duration wait) {
+                storeAsked.countDown();
+                return Result.success(new Read.Records(new Batch(List.of(RECORD), 8)));
+            }
+        };
+        AtomicBoolean askedMeanwhile = new AtomicBoolean();
+        NewsReader.Peers slow = (peer, topic, from) -> {
+            try {
+                askedMeanwhile.set(storeAsked.await(10, TimeUnit.SECONDS));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return told;
+        };
+        LongSupplier realTime = () -> System.nanoTime() / 1_000_000;
+        NewsReader led = new NewsReader(asking, slow, new NewsReader.Role.Entry(SELF, TRUST_MILLIS), realTime);
+        led.told(PEER, new LastChanges(8, 0), realTime.getAsLong());
+        led.read(Topic.OPERATOR, 7, HOLD);
+        assertTrue(askedMeanwhile.get(), "the store is asked while the reader's answer is on its way");
+    }
 }
