--- a/src/test/java/org/micabarrow/views/NewsReaderTest.java
+++ b/src/test/java/org/micabarrow/views/NewsReaderTest.java
@@ -9,8 +9,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.micabarrow.state.Fault;
@@ -252,4 +255,67 @@
         assertEquals(List.of("store", "10.0.0.2:8000"), asked);
         assertFalse(entry.direct());
     }
+
+    /**
+     * What the reader of the region knew last was a whole trust ago when nobody's word counts any more. Held for a whole hold then,
+     * the read ends when that is older than a manifest may be, though the store answers all the time.
+     */
+    @Test
+    void shouldKnowWithinBoundWhenReaderOfRegionFellSilentInQuietTimes() {
+        long boundMillis = 2_000;
+        Duration hold = Duration.ofMillis(1_000);
+        AtomicLong waited = new AtomicLong();
+        TopicReader quiet = new TopicReader() {
+            @Override
+            public Result<Batch> newest(Topic topic) {
+                return Result.success(new Batch(List.of(), 7));
+            }
+
+            @Override
+            public Result<Read> read(Topic topic, long from, Duration wait) {
+                waited.set(wait.toMillis());
+                return Result.success(new Read.Records(new Batch(List.of(), from)));
+            }
+        };
+        NewsReader led = new NewsReader(
+                quiet, (peer, topic, from) -> told, new NewsReader.Role.Entry(SELF, TRUST_MILLIS), now::get);
+        long asOf = now.get();
+        led.told(PEER, new LastChanges(7, 0), asOf);
+        now.addAndGet(TRUST_MILLIS);
+        led.read(Topic.OPERATOR, 7, hold);
+        long age = now.get() + waited.get() - asOf;
+        assertTrue(age <= boundMillis, "all was known " + age + " ms ago when the store answers");
+    }
+
+    /** A reader whose link is full or slowed gives its answer piece by piece, for as long as an answer may take: ten seconds. */
+    @Test
+    void shouldReadStoreWhenReaderOfRegionDoesNotEndItsAnswerWhileItsWordCounts() {
+        CountDownLatch storeAsked = new CountDownLatch(1);
+        TopicReader asking = new TopicReader() {
+            @Override
+            public Result<Batch> newest(Topic topic) {
+                return Result.success(new Batch(List.of(), 7));
+            }
+
+            @Override
+            public Result<Read> read(Topic topic, long from, Duration wait) {
+                storeAsked.countDown();
+                return Result.success(new Read.Records(new Batch(List.of(RECORD), 8)));
+            }
+        };
+        AtomicBoolean askedMeanwhile = new AtomicBoolean();
+        NewsReader.Peers slow = (peer, topic, from) -> {
+            try {
+                askedMeanwhile.set(storeAsked.await(10, TimeUnit.SECONDS));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return told;
+        };
+        LongSupplier realTime = () -> System.nanoTime() / 1_000_000;
+        NewsReader led = new NewsReader(asking, slow, new NewsReader.Role.Entry(SELF, TRUST_MILLIS), realTime);
+        led.told(PEER, new LastChanges(8, 0), realTime.getAsLong());
+        led.read(Topic.OPERATOR, 7, HOLD);
+        assertTrue(askedMeanwhile.get(), "the store is asked while the reader's answer is on its way");
+    }
 }
