--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -86,9 +86,14 @@
 
     // -- what operators write
 
+    @Override
+    public boolean isManifest(String key) {
+        return key.equals(MANIFEST_KEY);
+    }
+
     @Override
     public Result<OperatorRecord> operator(StoredRecord record) {
-        if (record.key().equals(MANIFEST_KEY)) {
+        if (isManifest(record.key())) {
             return decode(record, json -> new OperatorRecord.ManifestSet(manifest(json)));
         }
         if (record.key().startsWith(VersionKeys.VERSIONS)) {
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -119,8 +119,12 @@
         HttpListener.Bounds usual = HttpListener.Bounds.usual();
         HttpListener.on(settings.listen().peers(), usual, node.worker(), peers);
         HttpListener.on(settings.listen().metrics(), usual, node.worker(), peers);
-        loadServer = Optional.of(
-                LoadServer.start(settings.listen().peers(), this::told, HostedNode::steadyMillis, this::heard));
+        loadServer = Optional.of(LoadServer.start(
+                settings.listen().peers(),
+                this::told,
+                HostedNode::steadyMillis,
+                this::heard,
+                HostedNode.readerTrustMillis(settings.bounds())));
         // After the listeners, so that no connection of our own takes one of their ports.
         Paces paces = new Paces(
                 new Pace(HostedNode.STORE_WAIT, Duration.ZERO), new Pace(HostedNode.STORE_WAIT, ENDPOINTS_REST));
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -54,13 +54,7 @@
      * the entry that reads for its region knows is as old as that at most, and the others must still have time to read the store
      * themselves when it falls silent.
      */
-    private static final double OPERATOR_HOLD_PART = 0.5;
-
-    /**
-     * How old what the region's reader knows may be before an entry reads the store itself, as a part of the same time: the hold,
-     * two questions to agents (0.3 s) and a round trip. The rest is for the entry's own read.
-     */
-    private static final double TRUST_PART = 0.75;
+    private static final double OPERATOR_HOLD_PART = 0.4;
 
     /** Among how many entries the users' slack for repeats is divided: more than there are, spares and restarts included. */
     private static final int ENTRIES_AT_MOST = 16;
@@ -112,8 +106,7 @@
         this.reader = new NewsReader(
                 node.store(),
                 node.peerRecords(),
-                new NewsReader.Role.Entry(
-                        settings.listen().peers(), Math.round(bounds.configurationMillis() * TRUST_PART)),
+                new NewsReader.Role.Entry(settings.listen().peers(), HostedNode.readerTrustMillis(bounds)),
                 HostedNode::steadyMillis);
         this.loadFeed = LoadFeed.open(new LoadFeed.Parts(
                 settings.instance(),
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -62,6 +62,13 @@
      */
     private static final double SHARE_BESIDE_REQUESTS = 0.85;
 
+    /**
+     * How old what the region's reader knows may be for others to go by it, as a part of the time in which a manifest must be in
+     * force: the store's hold of a read, three questions between entries and agents (0.45 s) and a round trip. The rest is for the
+     * entry's own read.
+     */
+    private static final double TRUST_PART = 0.75;
+
     private final HostedSettings settings;
     private final MetricRegistry metrics = new MetricRegistry();
     private final XnioWorker worker;
@@ -98,6 +105,11 @@
         return System.nanoTime() / 1_000_000;
     }
 
+    /** How old what the region's reader knows may be for others to go by it, in milliseconds. */
+    static long readerTrustMillis(HostedSettings.Bounds bounds) {
+        return Math.round(bounds.configurationMillis() * TRUST_PART);
+    }
+
     MetricRegistry metrics() {
         return metrics;
     }
--- a/src/main/java/org/micabarrow/transport/LoadFeed.java
+++ b/src/main/java/org/micabarrow/transport/LoadFeed.java
@@ -10,6 +10,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -45,6 +46,10 @@
     private volatile Map<String, List<EndpointStart>> endpointsByHost = Map.of();
 
     private final Map<EndpointStart, EndpointEntry> asked = new HashMap<>();
+
+    /** The stamp of the last answer from each host. */
+    private final Map<String, Long> stamps = new ConcurrentHashMap<>();
+
     private final Rounds rounds = new Rounds(NEAR_MILLIS);
     private int round;
 
@@ -140,6 +145,7 @@
         Map<String, List<EndpointEntry>> hosts = askedByHost(view);
         // Before the questions: an answer may come at once.
         endpointsByHost = startsOf(hosts);
+        stamps.keySet().retainAll(hosts.keySet());
         Optional<StoreNews> news = parts.news().get();
         hosts.forEach((host, endpoints) -> {
             boolean near = near(endpoints.getFirst());
@@ -212,7 +218,7 @@
                 .sum();
         int unmet = parts.choice().unmet().lately(parts.steadyMillis().getAsLong());
         ByteBuffer question = LoadMessages.write(
-                new LoadMessages.Question(parts.place().id(), ownPromptTokens, number, unmet, near, news));
+                new LoadMessages.Question(parts.place().id(), ownPromptTokens, number, unmet, near, news, stamp(host)));
         try {
             channel.send(question, new InetSocketAddress(host, parts.peerPort()));
         } catch (IOException e) {
@@ -221,6 +227,12 @@
         return number;
     }
 
+    /** The stamp of the last answer from a host; empty before the first. */
+    private OptionalLong stamp(String host) {
+        Long stamp = stamps.get(host);
+        return stamp == null ? OptionalLong.empty() : OptionalLong.of(stamp);
+    }
+
     // -- answers, on a thread of their own
 
     private void receive() {
@@ -241,6 +253,7 @@
 
     private void take(String host, LoadMessages.Answer answer) {
         List<EndpointStart> endpoints = endpointsByHost.getOrDefault(host, List.of());
+        stamps.put(host, answer.stampMillis());
         parts.traffic().execute(() -> tell(endpoints, answer));
     }
 
--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import org.micabarrow.routing.LoadReport;
 import org.micabarrow.views.LastChanges;
 import org.micabarrow.views.ManifestPlace;
@@ -23,7 +24,7 @@
     private static final int MOST_BYTES = 512;
 
     /** What a question takes without its news and the entry's name, in bytes. */
-    private static final int QUESTION_BYTES = 4 * Integer.BYTES + 2;
+    private static final int QUESTION_BYTES = 4 * Integer.BYTES + Long.BYTES + 3;
 
     /** What news take without the place of the manifest, in bytes. */
     private static final int NEWS_BYTES = Integer.BYTES + 4 * Long.BYTES + 2;
@@ -31,7 +32,7 @@
     private static final int PLACE_BYTES = 2 * Long.BYTES;
 
     /** What an answer takes without the start of the endpoint and the reader of the region, in bytes. */
-    private static final int ANSWER_BYTES = 4 * Integer.BYTES + Long.BYTES + 3;
+    private static final int ANSWER_BYTES = 4 * Integer.BYTES + 2 * Long.BYTES + 3;
 
     /** What the reader of the region takes without its address, in bytes. */
     private static final int READER_BYTES = Integer.BYTES + 2 * Long.BYTES;
@@ -78,8 +79,21 @@
      * @param unmet the requests for models that the entry turned away for want of room in about the last second
      * @param near whether the agent is of the entry's region
      * @param news what it tells of the store; empty to agents of other regions, and while it is out of touch
+     * @param stamp the stamp of the last answer that the entry got from the agent: the question was sent after it
      */
-    record Question(String entry, int promptTokens, int number, int unmet, boolean near, Optional<StoreNews> news) {
+    record Question(
+            String entry,
+            int promptTokens,
+            int number,
+            int unmet,
+            boolean near,
+            Optional<StoreNews> news,
+            OptionalLong stamp) {
+
+        /** A question of an entry that has got no answer yet. */
+        Question(String entry, int promptTokens, int number, int unmet, boolean near, Optional<StoreNews> news) {
+            this(entry, promptTokens, number, unmet, near, news, OptionalLong.empty());
+        }
 
         /** A question to an agent of another region, which is told nothing of the store. */
         Question(String entry, int promptTokens, int number, int unmet) {
@@ -95,6 +109,8 @@
         datagram.putInt(question.promptTokens());
         datagram.putInt(question.unmet());
         datagram.put(flag(question.near()));
+        datagram.put(flag(question.stamp().isPresent()));
+        datagram.putLong(question.stamp().orElse(0));
         datagram.put(flag(question.news().isPresent()));
         question.news().ifPresent(news -> write(datagram, news));
         datagram.putInt(entry.length);
@@ -108,9 +124,12 @@
             int promptTokens = datagram.getInt();
             int unmet = datagram.getInt();
             boolean near = flag(datagram);
+            boolean stamped = flag(datagram);
+            long stamp = datagram.getLong();
             Optional<StoreNews> news = flag(datagram) ? Optional.of(news(datagram)) : Optional.empty();
             String entry = text(datagram);
-            return new Question(entry, promptTokens, number, unmet, near, news);
+            OptionalLong answered = stamped ? OptionalLong.of(stamp) : OptionalLong.empty();
+            return new Question(entry, promptTokens, number, unmet, near, news, answered);
         });
     }
 
@@ -157,12 +176,13 @@
      * @param number the number of the entry's question; if nothing was asked, that of the last
      * @param told how the endpoint is
      * @param reader the entry that reads the store for the region; empty to that one, to entries of other regions, and if none does
+     * @param stampMillis the agent's steady clock, which the entry's next question repeats
      */
-    record Answer(int number, LoadReport told, Optional<ReaderNews> reader) {
+    record Answer(int number, LoadReport told, Optional<ReaderNews> reader, long stampMillis) {
 
         /** An answer that tells of no reader. */
         Answer(int number, LoadReport told) {
-            this(number, told, Optional.empty());
+            this(number, told, Optional.empty(), 0);
         }
     }
 
@@ -187,6 +207,7 @@
             datagram.putInt(peer.length);
             datagram.put(peer);
         });
+        datagram.putLong(answer.stampMillis());
         return datagram.flip();
     }
 
@@ -201,7 +222,7 @@
             OptionalInt start = flag(datagram) ? OptionalInt.of(datagram.getInt()) : OptionalInt.empty();
             LoadReport told = new LoadReport(requests, othersPromptTokens, loading, version, places, start);
             Optional<ReaderNews> reader = flag(datagram) ? Optional.of(reader(datagram)) : Optional.empty();
-            return new Answer(number, told, reader);
+            return new Answer(number, told, reader, datagram.getLong());
         });
     }
 
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -30,6 +30,7 @@
     private final Supplier<Optional<LoadReport>> endpoint;
     private final LongSupplier steadyMillis;
     private final BiConsumer<String, StoreNews> news;
+    private final long trustMillis;
     private final Map<String, Said> entries = new ConcurrentHashMap<>();
     private final PlaceShares shares = new PlaceShares(RandomGenerator.of("L64X128MixRandom"));
 
@@ -47,12 +48,19 @@
             return host() + ":" + news.port();
         }
 
-        /** What it knows of the store, if it reads that itself. */
+        /**
+         * What it knows of the store, if it reads that itself. Its question may have been long on its way; that it was sent after the
+         * answer whose stamp it repeats is certain, so the age is counted from there. Without a stamp nothing is certain.
+         */
         private Optional<ReaderNews> reads(long nowMillis) {
+            if (question.stamp().isEmpty() || question.stamp().getAsLong() > nowMillis) {
+                return Optional.empty();
+            }
+            long sentMillisAgo = nowMillis - question.stamp().getAsLong();
             return question.news()
                     .filter(StoreNews::direct)
                     .map(news -> new ReaderNews(
-                            peer(news), news.changes().operator(), news.knownMillisAgo() + nowMillis - atMillis));
+                            peer(news), news.changes().operator(), news.knownMillisAgo() + sentMillisAgo));
         }
     }
 
@@ -60,11 +68,13 @@
             DatagramChannel channel,
             Supplier<Optional<LoadReport>> endpoint,
             LongSupplier steadyMillis,
-            BiConsumer<String, StoreNews> news) {
+            BiConsumer<String, StoreNews> news,
+            long trustMillis) {
         this.channel = channel;
         this.endpoint = endpoint;
         this.steadyMillis = steadyMillis;
         this.news = news;
+        this.trustMillis = trustMillis;
     }
 
     /**
@@ -74,6 +84,7 @@
      * @param endpoint what is known of the endpoint, with all its free places; empty while it does not answer
      * @param steadyMillis a clock that never steps, in milliseconds
      * @param news learns what entries tell of the store, and where they can be asked for records
+     * @param trustMillis how old what an entry knows of the store may be, in milliseconds, for others to go by it
      * @return the running server
      * @throws IOException if the address cannot be used
      */
@@ -81,13 +92,14 @@
             String address,
             Supplier<Optional<LoadReport>> endpoint,
             LongSupplier steadyMillis,
-            BiConsumer<String, StoreNews> news)
+            BiConsumer<String, StoreNews> news,
+            long trustMillis)
             throws IOException {
         Objects.requireNonNull(endpoint, "endpoint is null");
         Objects.requireNonNull(steadyMillis, "steadyMillis is null");
         Objects.requireNonNull(news, "news is null");
         DatagramChannel channel = DatagramChannel.open().bind(Addresses.parse(address));
-        LoadServer server = new LoadServer(channel, endpoint, steadyMillis, news);
+        LoadServer server = new LoadServer(channel, endpoint, steadyMillis, news, trustMillis);
         Thread.ofPlatform().name("load-server").daemon().start(server::serve);
         return server;
     }
@@ -150,8 +162,8 @@
                 .filter(one -> !one.getKey().equals(said.question().entry()))
                 .mapToInt(one -> one.getValue().question().promptTokens())
                 .sum();
-        LoadMessages.Answer answer =
-                new LoadMessages.Answer(said.question().number(), told.to(others, places), readerFor(said));
+        LoadMessages.Answer answer = new LoadMessages.Answer(
+                said.question().number(), told.to(others, places), readerFor(said), steadyMillis.getAsLong());
         channel.send(LoadMessages.write(answer), said.from());
     }
 
@@ -159,7 +171,7 @@
 
     /**
      * The entry by which another entry nearby is to go, instead of reading the store: the first by its address of those that read
-     * it themselves. All agents name the same one while they hear of the same entries; where they differ for a moment, one more
+     * it themselves, and know it lately enough for others to go by. All agents name the same one while they hear of the same entries; where they differ for a moment, one more
      * reads the store, since an entry goes only by one whose address comes before its own.
      */
     private Optional<ReaderNews> readerFor(Said asker) {
@@ -170,6 +182,7 @@
         return entries.values().stream()
                 .filter(one -> now - one.atMillis() <= SAID_MILLIS)
                 .flatMap(one -> one.reads(now).stream())
+                .filter(reader -> reader.knownMillisAgo() < trustMillis)
                 .min(Comparator.comparing(ReaderNews::peer))
                 .filter(reader -> !asker.isAt(reader.peer()));
     }
--- a/src/main/java/org/micabarrow/transport/PeerRecords.java
+++ b/src/main/java/org/micabarrow/transport/PeerRecords.java
@@ -30,7 +30,7 @@
     private static final Duration WITHIN = Duration.ofMillis(400);
 
     /** How long an answer that keeps coming may take: a large manifest over a narrow link, as from the store. */
-    private static final AnswerLimits LIMITS = new AnswerLimits(WITHIN, WITHIN, Duration.ofSeconds(10));
+    private static final Duration WHOLE = Duration.ofSeconds(10);
 
     private static final int OK = 200;
 
@@ -69,10 +69,23 @@
      * @return the records, as of the moment before the question minus the age of what the peer knows
      */
     public Result<Batch> ask(String peer, Topic topic, long from) {
+        return ask(peer, topic, from, WHOLE);
+    }
+
+    /**
+     * Asks a peer for the newest records of a topic at or after an offset, if it does not take too long.
+     *
+     * @param peer the peer's host and port
+     * @param topic the topic
+     * @param from the offset
+     * @param within how long the whole answer may take
+     * @return the records, as of the moment before the question minus the age of what the peer knows
+     */
+    public Result<Batch> ask(String peer, Topic topic, long from, Duration within) {
         URI uri = URI.create("http://" + peer + PATH + "?topic=" + topic + "&from=" + from);
         HttpCall call = HttpCall.get(Step.READ, uri);
         long sent = steadyMillis.getAsLong();
-        return caller.call(call, LIMITS)
+        return caller.call(call, new AnswerLimits(WITHIN, WITHIN, within))
                 .flatMap(answer -> answer.status() == OK
                         ? read(peer, answer.body(), sent)
                         : Result.failure(
--- a/src/main/java/org/micabarrow/views/NewsReader.java
+++ b/src/main/java/org/micabarrow/views/NewsReader.java
@@ -29,6 +29,9 @@
      */
     private static final long TOLD_MILLIS = 1_000;
 
+    /** How long an answer to an agent may take, as long as it keeps coming: a large manifest over a narrow link. */
+    private static final Duration WHOLE_ANSWER = Duration.ofSeconds(10);
+
     private final TopicReader store;
     private final Peers peers;
     private final Role role;
@@ -56,9 +59,10 @@
          * @param peer the peer's host and port
          * @param topic the topic
          * @param from the offset
+         * @param within how long the whole answer may take
          * @return the records, and where to read on
          */
-        Result<Batch> ask(String peer, Topic topic, long from);
+        Result<Batch> ask(String peer, Topic topic, long from, Duration within);
     }
 
     /** Whose word a process goes by, and for what. */
@@ -229,7 +233,7 @@
 
     /** A peer that does not give what it told of may have started again, or not know all that came before. */
     private Result<Read> fromPeer(String peer, Topic topic, long from) {
-        Result<Batch> batch = peers.ask(peer, topic, from);
+        Result<Batch> batch = peers.ask(peer, topic, from, within(peer));
         if (batch.toOptional().filter(one -> one.end() > from).isPresent()) {
             return byPeer(topic, batch.map(Read.Records::new));
         }
@@ -238,12 +242,35 @@
         return readStore(topic, from, Duration.ZERO);
     }
 
+    /**
+     * How long a peer's answer may take. To an entry it must come while the peer's word counts: one that gives its answer piece by
+     * piece over a full link would keep the entry from the store for ten seconds.
+     */
+    private synchronized Duration within(String peer) {
+        return switch (role) {
+            case Role.Agent ignored -> WHOLE_ANSWER;
+            case Role.Entry ignored -> {
+                Told one = told.get(peer);
+                long left = one == null ? 0 : endOfTrust(one) - steadyMillis.getAsLong();
+                yield Duration.ofMillis(Math.max(1, left));
+            }
+        };
+    }
+
     private Result<Read> readStore(Topic topic, long from, Duration wait) {
         if (passedOver(topic, from)) {
             // One copy of the manifest instead of one of each version that was passed over.
             return fromStore(topic, store.newest(topic)).map(Read.Records::new);
         }
-        return fromStore(topic, store.read(topic, from, wait));
+        return fromStore(topic, store.read(topic, from, ownHold(topic, wait)));
+    }
+
+    /**
+     * How long the store may hold a read. The first one after others told is not held: what they knew is old by then, and with a
+     * hold on top of that the age passes the time in which a manifest must be in force.
+     */
+    private synchronized Duration ownHold(Topic topic, Duration wait) {
+        return topic == Topic.OPERATOR && !direct ? Duration.ZERO : wait;
     }
 
     /** Whether an agent was told of changes that it had no use for, and would read all of them now. */
--- a/src/main/java/org/micabarrow/views/OperatorBeliefs.java
+++ b/src/main/java/org/micabarrow/views/OperatorBeliefs.java
@@ -23,6 +23,9 @@
     private final Manifests manifests = new Manifests();
     private boolean loaded;
 
+    /** Whether a manifest came after the one in force that cannot be used: what it allows is not known. */
+    private boolean unusable;
+
     OperatorBeliefs(RecordDecoder decoder, LongSupplier steadyMillis, LongSupplier unixMillis) {
         this.decoder = decoder;
         this.steadyMillis = steadyMillis;
@@ -58,6 +61,7 @@
         return switch (decoder.operator(record)) {
             case Result.Failure<OperatorRecord>(Fault fault) -> {
                 OperatorLines.refused(record, fault);
+                unusable |= decoder.isManifest(record.key());
                 yield new Change(view, false);
             }
             case Result.Success<OperatorRecord>(OperatorRecord.ManifestSet(RouteManifest manifest)) ->
@@ -79,6 +83,7 @@
         if (!manifests.take(record, manifest)) {
             return new Change(view, false);
         }
+        unusable = false;
         boolean sameServices = view.manifest().filter(manifest::sameServices).isPresent();
         return new Change(view.withManifest(manifest, record.offset()), !sameServices);
     }
@@ -136,6 +141,11 @@
         return manifests.lacking();
     }
 
+    /** Whether a manifest must be in force that this process does not have, or cannot use. */
+    boolean misses() {
+        return unusable || manifests.lacking().isPresent();
+    }
+
     void manifestStands(ManifestPlace place) {
         manifests.stands(place);
     }
--- a/src/main/java/org/micabarrow/views/RecordDecoder.java
+++ b/src/main/java/org/micabarrow/views/RecordDecoder.java
@@ -39,6 +39,14 @@
         record Unused() implements OperatorRecord {}
     }
 
+    /**
+     * Whether an operator's record is a manifest, be it one that can be read or not.
+     *
+     * @param key the record's key
+     * @return true if it is
+     */
+    boolean isManifest(String key);
+
     /**
      * Reads an operator's record, or one that processes of this system keep.
      *
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -87,7 +87,7 @@
     public synchronized void apply(Topic topic, Collection<StoredRecord> records, long readTo) {
         takeLacking(topic, records);
         publish(topic, copies.get(topic).apply(records, readTo));
-        knowledge.manifestLacking(operator.lackingManifest().isPresent());
+        knowledge.manifestLacking(operator.misses());
     }
 
     /**
@@ -103,7 +103,7 @@
         if (topic == Topic.OPERATOR) {
             operator.loaded();
         }
-        knowledge.manifestLacking(operator.lackingManifest().isPresent());
+        knowledge.manifestLacking(operator.misses());
     }
 
     /**
--- a/src/test/java/org/micabarrow/serving/HostedEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/HostedEntryTest.java
@@ -199,7 +199,7 @@
         DatagramPacket question = new DatagramPacket(new byte[512], 512);
         agent.receive(question);
         int number = ByteBuffer.wrap(question.getData()).getInt();
-        ByteBuffer told = ByteBuffer.allocate(4 * Integer.BYTES + Long.BYTES + 3);
+        ByteBuffer told = ByteBuffer.allocate(4 * Integer.BYTES + 2 * Long.BYTES + 3);
         told.putInt(number).putInt(0).putInt(0).putInt(Integer.MAX_VALUE).putLong(1);
         agent.send(new DatagramPacket(told.array(), told.capacity(), question.getSocketAddress()));
     }
--- a/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
@@ -11,6 +11,7 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.micabarrow.routing.LoadReport;
@@ -38,7 +39,7 @@
     void shouldReadNewsOfStoreWhenQuestionTellsThem() throws IOException {
         StoreNews news = new StoreNews(
                 8_000, new LastChanges(17, 1L << 40, 16), Optional.of(new ManifestPlace(7, 16)), 30, true);
-        Question question = new Question("entry-a", 1_200, 17, 30, true, Optional.of(news));
+        Question question = new Question("entry-a", 1_200, 17, 30, true, Optional.of(news), OptionalLong.of(1L << 40));
         assertEquals(question, LoadMessages.question(bytes(LoadMessages.write(question))));
     }
 
@@ -50,7 +51,7 @@
         ReaderNews reader = new ReaderNews("10.0.0.1:8000", 17, 40);
         byte[] question = bytes(LoadMessages.write(new Question("entry-a", 1, 2, 3, true, Optional.of(news))));
         byte[] answer = bytes(LoadMessages.write(
-                new Answer(17, new LoadReport(3, 8, true, 7, 5, OptionalInt.of(9)), Optional.of(reader))));
+                new Answer(17, new LoadReport(3, 8, true, 7, 5, OptionalInt.of(9)), Optional.of(reader), 90)));
         for (int length = 0; length < question.length; length++) {
             byte[] part = Arrays.copyOf(question, length);
             assertThrows(IOException.class, () -> LoadMessages.question(part));
@@ -87,7 +88,7 @@
     @Test
     void shouldReadReaderOfRegionWhenAnswerNamesIt() throws IOException {
         ReaderNews reader = new ReaderNews("10.0.0.1:8000", 1L << 40, 250);
-        Answer answer = new Answer(17, new LoadReport(3, 800, true, 7, 5), Optional.of(reader));
+        Answer answer = new Answer(17, new LoadReport(3, 800, true, 7, 5), Optional.of(reader), 1L << 40);
         assertEquals(answer, LoadMessages.answer(bytes(LoadMessages.write(answer))));
     }
 
--- a/src/test/java/org/micabarrow/transport/LoadServerTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadServerTest.java
@@ -11,8 +11,10 @@
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.routing.LoadReport;
@@ -43,7 +45,7 @@
         try (DatagramSocket entry = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
             entry.setSoTimeout(HANG_MILLIS);
             InetSocketAddress agent = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
-            LoadServer.start("127.0.0.1:" + agent.getPort(), endpoint, () -> 0, (peer, changes) -> {});
+            LoadServer.start("127.0.0.1:" + agent.getPort(), endpoint, () -> 0, (peer, changes) -> {}, TRUST_MILLIS);
             ask(entry, agent, 1);
             ask(entry, agent, 2);
             DatagramPacket answer = new DatagramPacket(new byte[512], 512);
@@ -58,12 +60,24 @@
     // -- the reader of the region
 
     /** An entry that asks, with a socket of its own. */
-    private record Entry(String name, int port, boolean near, boolean direct, DatagramSocket socket) {
+    private record Entry(
+            String name,
+            int port,
+            boolean near,
+            boolean direct,
+            DatagramSocket socket,
+            AtomicReference<OptionalLong> stamp) {
 
         private static Entry of(String name, int port, boolean near, boolean direct) throws IOException {
             DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress());
             socket.setSoTimeout(HANG_MILLIS);
-            return new Entry(name, port, near, direct, socket);
+            return new Entry(name, port, near, direct, socket, new AtomicReference<>(OptionalLong.empty()));
+        }
+
+        /** Asks once, so that later questions can repeat a stamp of the agent. */
+        private Entry met(InetSocketAddress agent) throws IOException {
+            reader(agent);
+            return this;
         }
 
         /** Asks, and tells which entry the agent names as the one that reads the store. */
@@ -78,35 +92,41 @@
 
         private ByteBuffer question(long knownMillisAgo) {
             StoreNews news = new StoreNews(port, new LastChanges(17, 0), Optional.empty(), knownMillisAgo, direct);
-            return LoadMessages.write(
-                    new LoadMessages.Question(name, 0, 0, 0, near, near ? Optional.of(news) : Optional.empty()));
+            return LoadMessages.write(new LoadMessages.Question(
+                    name, 0, 0, 0, near, near ? Optional.of(news) : Optional.empty(), stamp.get()));
         }
 
         private Optional<ReaderNews> send(ByteBuffer question, InetSocketAddress agent) throws IOException {
             socket.send(new DatagramPacket(question.array(), question.limit(), agent));
             DatagramPacket answer = new DatagramPacket(new byte[512], 512);
             socket.receive(answer);
-            return LoadMessages.answer(Arrays.copyOf(answer.getData(), answer.getLength()))
-                    .reader();
+            LoadMessages.Answer read = LoadMessages.answer(Arrays.copyOf(answer.getData(), answer.getLength()));
+            stamp.set(OptionalLong.of(read.stampMillis()));
+            return read.reader();
         }
     }
 
+    private static final long TRUST_MILLIS = 1_500;
+
     private final AtomicLong now = new AtomicLong();
 
     private InetSocketAddress agent() throws IOException {
         InetSocketAddress agent = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
-        LoadServer.start("127.0.0.1:" + agent.getPort(), () -> Optional.of(RESTING), now::get, (peer, news) -> {});
+        LoadServer.start(
+                "127.0.0.1:" + agent.getPort(), () -> Optional.of(RESTING), now::get, (peer, news) -> {}, TRUST_MILLIS);
         return agent;
     }
 
     @Test
     void shouldNameFirstEntryThatReadsStoreItselfToOthersOfRegion() throws Exception {
         InetSocketAddress agent = agent();
-        Entry second = Entry.of("b", 8_002, true, true);
+        Entry second = Entry.of("b", 8_002, true, true).met(agent);
         Entry first = Entry.of("a", 8_001, true, true);
         Entry led = Entry.of("c", 8_000, true, false);
         Entry far = Entry.of("d", 8_003, false, false);
         assertEquals(Optional.empty(), second.reader(agent));
+        // It has no stamp of the agent yet, so that nobody knows how old its word is.
+        assertEquals(Optional.of("127.0.0.1:8002"), first.reader(agent));
         assertEquals(Optional.empty(), first.reader(agent));
         assertEquals(Optional.of("127.0.0.1:8001"), second.reader(agent));
         assertEquals(Optional.of("127.0.0.1:8001"), led.reader(agent));
@@ -116,8 +136,8 @@
     @Test
     void shouldNameNextEntryWhenFirstFellSilent() throws Exception {
         InetSocketAddress agent = agent();
-        Entry first = Entry.of("a", 8_001, true, true);
-        Entry second = Entry.of("b", 8_002, true, true);
+        Entry first = Entry.of("a", 8_001, true, true).met(agent);
+        Entry second = Entry.of("b", 8_002, true, true).met(agent);
         Entry led = Entry.of("c", 8_003, true, false);
         first.reader(agent);
         now.addAndGet(600);
@@ -137,8 +157,8 @@
     @Test
     void shouldNameReaderThatKnowsLatelyWhenFirstKnowsOfLongAgoOnly() throws Exception {
         InetSocketAddress agent = agent();
-        Entry first = Entry.of("a", 8_001, true, true);
-        Entry second = Entry.of("b", 8_002, true, true);
+        Entry first = Entry.of("a", 8_001, true, true).met(agent);
+        Entry second = Entry.of("b", 8_002, true, true).met(agent);
         Entry led = Entry.of("c", 8_003, true, false);
         first.reader(agent, 10_000);
         second.reader(agent, 30);
@@ -152,7 +172,7 @@
     @Test
     void shouldNotMakeKnowledgeYoungerWhenQuestionOfReaderComesLate() throws Exception {
         InetSocketAddress agent = agent();
-        Entry first = Entry.of("a", 8_001, true, true);
+        Entry first = Entry.of("a", 8_001, true, true).met(agent);
         Entry led = Entry.of("c", 8_003, true, false);
         ByteBuffer late = first.question(0);
         now.addAndGet(2_000);
--- a/src/test/java/org/micabarrow/views/NewsReaderTest.java
+++ b/src/test/java/org/micabarrow/views/NewsReaderTest.java
@@ -9,11 +9,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.micabarrow.state.Fault;
@@ -58,7 +55,7 @@
 
     private final NewsReader reader = new NewsReader(
             store,
-            (peer, topic, from) -> {
+            (peer, topic, from, within) -> {
                 asked.add(peer);
                 return told;
             },
@@ -167,7 +164,10 @@
     @Test
     void shouldEndWaitWhenItsTimeIsOver() {
         NewsReader onRealTime = new NewsReader(
-                store, (peer, topic, from) -> told, new NewsReader.Role.Agent(), () -> System.nanoTime() / 1_000_000);
+                store,
+                (peer, topic, from, within) -> told,
+                new NewsReader.Role.Agent(),
+                () -> System.nanoTime() / 1_000_000);
         onRealTime.told(PEER, new LastChanges(7, 0), now.get());
         assertEquals(
                 new Read.Records(new Batch(List.of(), 7)),
@@ -200,7 +200,7 @@
 
     private final NewsReader entry = new NewsReader(
             store,
-            (peer, topic, from) -> {
+            (peer, topic, from, within) -> {
                 asked.add(peer);
                 return told;
             },
@@ -278,7 +278,7 @@
             }
         };
         NewsReader led = new NewsReader(
-                quiet, (peer, topic, from) -> told, new NewsReader.Role.Entry(SELF, TRUST_MILLIS), now::get);
+                quiet, (peer, topic, from, within) -> told, new NewsReader.Role.Entry(SELF, TRUST_MILLIS), now::get);
         long asOf = now.get();
         led.told(PEER, new LastChanges(7, 0), asOf);
         now.addAndGet(TRUST_MILLIS);
@@ -287,35 +287,21 @@
         assertTrue(age <= boundMillis, "all was known " + age + " ms ago when the store answers");
     }
 
-    /** A reader whose link is full or slowed gives its answer piece by piece, for as long as an answer may take: ten seconds. */
+    /**
+     * A reader whose link is full gives its answer piece by piece, for as long as an answer may take: ten seconds. It gets no longer
+     * than its word counts, and then the store is read.
+     */
     @Test
     void shouldReadStoreWhenReaderOfRegionDoesNotEndItsAnswerWhileItsWordCounts() {
-        CountDownLatch storeAsked = new CountDownLatch(1);
-        TopicReader asking = new TopicReader() {
-            @Override
-            public Result<Batch> newest(Topic topic) {
-                return Result.success(new Batch(List.of(), 7));
-            }
-
-            @Override
-            public Result<Read> read(Topic topic, long from, Duration wait) {
-                storeAsked.countDown();
-                return Result.success(new Read.Records(new Batch(List.of(RECORD), 8)));
-            }
+        List<Duration> allowed = new ArrayList<>();
+        NewsReader.Peers slow = (peer, topic, from, within) -> {
+            allowed.add(within);
+            return Result.failure(Fault.of(Fault.Step.READ, peer, Fault.Reason.TIMEOUT, "the answer stopped"));
         };
-        AtomicBoolean askedMeanwhile = new AtomicBoolean();
-        NewsReader.Peers slow = (peer, topic, from) -> {
-            try {
-                askedMeanwhile.set(storeAsked.await(10, TimeUnit.SECONDS));
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            return told;
-        };
-        LongSupplier realTime = () -> System.nanoTime() / 1_000_000;
-        NewsReader led = new NewsReader(asking, slow, new NewsReader.Role.Entry(SELF, TRUST_MILLIS), realTime);
-        led.told(PEER, new LastChanges(8, 0), realTime.getAsLong());
+        NewsReader led = new NewsReader(store, slow, new NewsReader.Role.Entry(SELF, TRUST_MILLIS), now::get);
+        led.told(PEER, new LastChanges(8, 0), now.get() - 1_000);
         led.read(Topic.OPERATOR, 7, HOLD);
-        assertTrue(askedMeanwhile.get(), "the store is asked while the reader's answer is on its way");
+        assertEquals(List.of(Duration.ofMillis(TRUST_MILLIS - 1_000)), allowed);
+        assertEquals(List.of("store"), asked);
     }
 }
