Test, red: a process that was told a manifest's place lacks the manifest no more

Seen when it ran alone (mvn test -Dtest=OperatorKnowledgeTest#shouldLackManifestWhenPeerToldItsPlaceOnly), on with the red tests before it: [ERROR] Tests run: 1, Failures: 1, Errors: 0, Skipped: 0 org.opentest4j.AssertionFailedError: expected: <OptionalLong[5]> but was: <OptionalLong.empty>

--- a/src/test/java/org/micabarrow/views/OperatorKnowledgeTest.java
+++ b/src/test/java/org/micabarrow/views/OperatorKnowledgeTest.java
@@ -199,4 +199,18 @@
         keeper.apply(Topic.OPERATOR, List.of(manifest(3, 2)), 3);
         assertEquals(OptionalLong.of(90), keeper.operatorAsOfMillis(), "a newer one makes up for it");
     }
+
+    /**
+     * A process started after an older manifest was written late, was told where the newest stands before that was kept, and has
+     * not got it: what it knows of is no manifest that it has.
+     */
+    @Test
+    void shouldLackManifestWhenPeerToldItsPlaceOnly() {
+        keeper.replace(Topic.OPERATOR, List.of(manifest(1, 6)), 7);
+        keeper.confirmOperator(90);
+        keeper.manifestStands(new ManifestPlace(2, 5));
+        keeper.apply(Topic.NAMED, List.of(kept(2, 5)), 1);
+        assertEquals(OptionalLong.of(5), keeper.lackingManifest());
+        assertEquals(OptionalLong.empty(), keeper.operatorAsOfMillis());
+    }
 }
