--- a/src/test/java/org/micabarrow/views/NewsReaderTest.java
+++ b/src/test/java/org/micabarrow/views/NewsReaderTest.java
@@ -318,4 +318,12 @@
         led.read(Topic.OPERATOR, 7, HOLD);
         assertTrue(askedMeanwhile.get(), "the store is asked while the reader's answer is on its way");
     }
+
+    /** Entries whose own reads trickle are in touch and tell on, of what was known long ago; a weight version named since is none of it. */
+    @Test
+    void shouldReadStoreByAgentWhenWhatEntriesKnowIsOld() {
+        reader.told(PEER, new LastChanges(7, 0), now.get() - 10_000);
+        read(7);
+        assertEquals(List.of("store"), asked);
+    }
 }
