Test, red: entries that listen at names may wait for each other

Seen when it ran alone (mvn test -Dtest=NewsReaderTest#shouldNotWaitForEachOtherWhenEntriesListenAtNames), on with the red tests before it: [ERROR] Tests run: 1, Failures: 1, Errors: 0, Skipped: 0 org.opentest4j.AssertionFailedError: expected: <[store]> but was: <[]>

--- a/src/test/java/org/micabarrow/views/NewsReaderTest.java
+++ b/src/test/java/org/micabarrow/views/NewsReaderTest.java
@@ -326,4 +326,19 @@
         read(7);
         assertEquals(List.of("store"), asked);
     }
+
+    /** Agents know entries by the addresses that their questions come from, and one entry may be set to listen at a name. */
+    @Test
+    void shouldNotWaitForEachOtherWhenEntriesListenAtNames() {
+        NewsReader first = new NewsReader(
+                store, (peer, topic, from) -> told, new NewsReader.Role.Entry("front-a:8000", TRUST_MILLIS), now::get);
+        NewsReader second = new NewsReader(
+                store, (peer, topic, from) -> told, new NewsReader.Role.Entry("front-b:8000", TRUST_MILLIS), now::get);
+        // Two agents that hear of one of the two each.
+        first.told("10.0.0.2:8000", new LastChanges(7, 0), now.get());
+        second.told("10.0.0.1:8000", new LastChanges(7, 0), now.get());
+        first.read(Topic.OPERATOR, 7, Duration.ZERO);
+        second.read(Topic.OPERATOR, 7, Duration.ZERO);
+        assertEquals(List.of("store"), asked);
+    }
 }
