Test, red: an age below zero is taken from a datagram

Seen when it ran alone (mvn test -Dtest=LoadMessagesTest#shouldRefuseAnswerWhenReaderKnowsOfTimeToCome), on with the red tests before it: [ERROR] Tests run: 1, Failures: 1, Errors: 0, Skipped: 0 org.opentest4j.AssertionFailedError: Expected java.io.IOException to be thrown, but nothing was thrown.

--- a/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
@@ -108,4 +108,14 @@
             assertEquals(shorter, LoadMessages.question(second.bytes()));
         }
     }
+
+    /** What is known of a time to come makes an entry sure of what it has not heard; by HTTP such an age is refused. */
+    @Test
+    void shouldRefuseAnswerWhenReaderKnowsOfTimeToCome() {
+        ByteBuffer datagram = LoadMessages.write(new LoadMessages.Answer(
+                1, new LoadReport(0, 0, false, 1), Optional.of(new ReaderNews("10.0.0.1:8000", 17, -5_000))));
+        byte[] bytes = new byte[datagram.remaining()];
+        datagram.get(bytes);
+        assertThrows(IOException.class, () -> LoadMessages.answer(bytes));
+    }
 }
