--- /dev/null
+++ b/src/test/java/org/micabarrow/transport/callers/UnknownConfigurationTest.java
@@ -0,0 +1,71 @@
+package org.micabarrow.transport.callers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.micabarrow.ManualClock;
+import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.coordination.requests.RequestFlow;
+import org.micabarrow.coordination.routing.PrefixIndex;
+import org.micabarrow.coordination.routing.Router;
+import org.micabarrow.coordination.routing.Traffic;
+import org.micabarrow.standin.Ports;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.state.FoldedState;
+import org.micabarrow.transport.HttpCall;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.HttpListener;
+
+/** What callers are told by an entry that starts while neither the log nor a peer has given it any configuration. */
+class UnknownConfigurationTest {
+
+    private static final Duration WITHIN = Duration.ofSeconds(20);
+    private static final int UNAVAILABLE = 503;
+
+    private final ManualClock clock = new ManualClock();
+    private final Traffic traffic = new Traffic();
+
+    private CallerServer callers() {
+        RequestFlow flow = new RequestFlow(
+                FoldedState::empty,
+                Map::of,
+                new RequestFlow.Parts(
+                        new Router("norte", "norte-a", traffic, new PrefixIndex(10), new Random(1)),
+                        traffic,
+                        new PrefixIndex(10),
+                        null,
+                        key -> (claim, within) -> CompletableFuture.completedFuture(null),
+                        new RetryBudget(0.1, 10),
+                        () -> "attempt",
+                        clock,
+                        Duration.ofSeconds(1)));
+        return new CallerServer(FoldedState::empty, flow, () -> "id", clock, 1_000);
+    }
+
+    /** Tokens of all organisations stand in the configuration, of which nothing is known. */
+    @Test
+    void shouldNotSayThatTokenIsUnknownWhenNoConfigurationIsKnown() throws Exception {
+        String address = Ports.freeAddress();
+        try (HttpListener listener =
+                        HttpListener.start(address, HttpListener.Bounds.usual(), 1, Optional.empty(), callers());
+                HttpCaller caller = HttpCaller.start("test", 1)) {
+            HttpCall call = new HttpCall(
+                    Step.READ,
+                    "POST",
+                    URI.create("http://" + address + "/v1/chat/completions"),
+                    Optional.empty(),
+                    Map.of("Authorization", "Bearer token"),
+                    "{\"model\":\"m\",\"messages\":[]}".getBytes(StandardCharsets.UTF_8));
+            assertEquals(
+                    UNAVAILABLE,
+                    caller.call(call, WITHIN).toOptional().orElseThrow().status());
+        }
+    }
+}
