--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -181,7 +181,10 @@
     /** An entry told where the last changes in the store stand. */
     private void heard(String entry, StoreNews told) {
         news.told(entry, told.changes(), HostedNode.steadyMillis() - told.knownMillisAgo());
-        told.manifest().ifPresent(node.views()::manifestStands);
+        // A place beyond all that the entry has read would be kept for good, and be lacking everywhere.
+        told.manifest()
+                .filter(place -> place.offset() < told.changes().operator())
+                .ifPresent(node.views()::manifestStands);
     }
 
     /** What entries are told of the endpoint; while it does not answer, nothing is said. */
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -19,6 +19,7 @@
 import org.micabarrow.serving.ManifestAge;
 import org.micabarrow.serving.ServingHandler;
 import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.transport.Addresses;
 import org.micabarrow.transport.HostedPeerServer;
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.LoadFeed;
@@ -106,7 +107,8 @@
         this.reader = new NewsReader(
                 node.store(),
                 node.peerRecords(),
-                new NewsReader.Role.Entry(settings.listen().peers(), HostedNode.readerTrustMillis(bounds)),
+                new NewsReader.Role.Entry(
+                        Addresses.numeric(settings.listen().peers()), HostedNode.readerTrustMillis(bounds)),
                 HostedNode::steadyMillis);
         this.loadFeed = LoadFeed.open(new LoadFeed.Parts(
                 settings.instance(),
@@ -187,7 +189,7 @@
         if (asOf.isEmpty()) {
             return Optional.empty();
         }
-        long knownMillisAgo = HostedNode.steadyMillis() - asOf.getAsLong();
+        long knownMillisAgo = Math.max(0, HostedNode.steadyMillis() - asOf.getAsLong());
         return node.changesInTouch()
                 .map(changes ->
                         new StoreNews(port, changes, node.views().newestManifest(), knownMillisAgo, reader.direct()));
--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -57,9 +57,20 @@
             return message;
         } catch (BufferUnderflowException e) {
             throw new IOException("a datagram of " + bytes.length + " bytes breaks off", e);
+        } catch (IllegalArgumentException e) {
+            throw new IOException("a datagram says what cannot be: " + e.getMessage(), e);
         }
     }
 
+    /** An age; one below zero would make whoever hears it sure of what nobody knows yet. */
+    private static long age(ByteBuffer datagram) {
+        long millis = datagram.getLong();
+        if (millis < 0) {
+            throw new IllegalArgumentException("an age of " + millis + " ms");
+        }
+        return millis;
+    }
+
     private static boolean flag(ByteBuffer datagram) {
         return datagram.get() != NO;
     }
@@ -160,7 +171,7 @@
     private static StoreNews news(ByteBuffer datagram) {
         int port = datagram.getInt();
         LastChanges changes = new LastChanges(datagram.getLong(), datagram.getLong(), datagram.getLong());
-        long knownMillisAgo = datagram.getLong();
+        long knownMillisAgo = age(datagram);
         boolean direct = flag(datagram);
         Optional<ManifestPlace> manifest = flag(datagram)
                 ? Optional.of(new ManifestPlace(datagram.getLong(), datagram.getLong()))
@@ -228,7 +239,7 @@
 
     private static ReaderNews reader(ByteBuffer datagram) {
         long operator = datagram.getLong();
-        long knownMillisAgo = datagram.getLong();
+        long knownMillisAgo = age(datagram);
         return new ReaderNews(text(datagram), operator, knownMillisAgo);
     }
 
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -26,6 +26,12 @@
     /** How long what an entry said counts, in milliseconds: the longest pause between its questions, and some more. */
     private static final long SAID_MILLIS = 1_000;
 
+    /**
+     * How long an entry of the region counts as its reader after its last question, in milliseconds: three of its rounds. The others
+     * wait that long for one that ended.
+     */
+    private static final long READER_SAID_MILLIS = 450;
+
     private final DatagramChannel channel;
     private final Supplier<Optional<LoadReport>> endpoint;
     private final LongSupplier steadyMillis;
@@ -180,7 +186,7 @@
         }
         long now = steadyMillis.getAsLong();
         return entries.values().stream()
-                .filter(one -> now - one.atMillis() <= SAID_MILLIS)
+                .filter(one -> now - one.atMillis() <= READER_SAID_MILLIS)
                 .flatMap(one -> one.reads(now).stream())
                 .filter(reader -> reader.knownMillisAgo() < trustMillis)
                 .min(Comparator.comparing(ReaderNews::peer))
--- a/src/main/java/org/micabarrow/views/Manifests.java
+++ b/src/main/java/org/micabarrow/views/Manifests.java
@@ -86,9 +86,13 @@
         }
     }
 
-    /** Where a manifest stands that is known to be newer than those that were seen or told of; empty if none is. */
-    OptionalLong lacking() {
-        return kept > newestVersion() ? OptionalLong.of(keptOffset) : OptionalLong.empty();
+    /**
+     * Where a manifest stands that is known to be newer than the one in force; empty if none is. One that was told of, and stands
+     * beyond what was read, is not lacking: this process does without it.
+     */
+    OptionalLong lacking(long readTo) {
+        boolean passedOver = kept <= newestVersion() && keptOffset >= readTo;
+        return kept > inForce && !passedOver ? OptionalLong.of(keptOffset) : OptionalLong.empty();
     }
 
     /** The newest manifest, if it is not known to lie in the store under a key of its own. */
--- a/src/main/java/org/micabarrow/views/NamedVersions.java
+++ b/src/main/java/org/micabarrow/views/NamedVersions.java
@@ -111,7 +111,7 @@
         }
         recalled.set(false);
         recall();
-        return reader.newest(topic).map(this::withHiddenManifest);
+        return reader.newest(topic).map(this::withHiddenManifest).map(this::asFarAsRecalled);
     }
 
     /** Adds the newest manifest if it is not among the newest records, since an older one was written after it. */
@@ -135,7 +135,7 @@
     }
 
     private List<StoredRecord> history(long offset) {
-        return switch (reader.read(Topic.OPERATOR, offset, Duration.ZERO)) {
+        return switch (reader.history(Topic.OPERATOR, offset)) {
             case Result.Success<Read>(Read.Records(Batch batch)) ->
                 batch.records().stream()
                         .filter(record -> record.offset() == offset)
@@ -150,7 +150,24 @@
 
     @Override
     public Result<Read> read(Topic topic, long from, Duration wait) {
-        return reader.read(topic, from, wait);
+        return reader.read(topic, from, wait).map(this::asFarAsRecalled);
+    }
+
+    @Override
+    public Result<Read> history(Topic topic, long from) {
+        return reader.history(topic, from);
+    }
+
+    /** While it is not known what is kept, a newer manifest may be hidden: the records tell of no moment up to which all is known. */
+    private Read asFarAsRecalled(Read read) {
+        return switch (read) {
+            case Read.Records(Batch batch) -> new Read.Records(asFarAsRecalled(batch));
+            case Read.Expired expired -> expired;
+        };
+    }
+
+    private Batch asFarAsRecalled(Batch batch) {
+        return recalled.get() ? batch : new Batch(batch.records(), batch.end());
     }
 
     @Override
--- a/src/main/java/org/micabarrow/views/OperatorBeliefs.java
+++ b/src/main/java/org/micabarrow/views/OperatorBeliefs.java
@@ -137,13 +137,13 @@
 
     // -- manifests, see Manifests
 
-    OptionalLong lackingManifest() {
-        return manifests.lacking();
+    OptionalLong lackingManifest(long readTo) {
+        return manifests.lacking(readTo);
     }
 
     /** Whether a manifest must be in force that this process does not have, or cannot use. */
-    boolean misses() {
-        return unusable || manifests.lacking().isPresent();
+    boolean misses(long readTo) {
+        return unusable || manifests.lacking(readTo).isPresent();
     }
 
     void manifestStands(ManifestPlace place) {
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -87,7 +87,7 @@
     public synchronized void apply(Topic topic, Collection<StoredRecord> records, long readTo) {
         takeLacking(topic, records);
         publish(topic, copies.get(topic).apply(records, readTo));
-        knowledge.manifestLacking(operator.misses());
+        knowledge.manifestLacking(operator.misses(end(Topic.OPERATOR)));
     }
 
     /**
@@ -103,7 +103,7 @@
         if (topic == Topic.OPERATOR) {
             operator.loaded();
         }
-        knowledge.manifestLacking(operator.misses());
+        knowledge.manifestLacking(operator.misses(end(Topic.OPERATOR)));
     }
 
     /**
@@ -228,7 +228,7 @@
 
     /** Where a manifest stands that is known to be newer than the one in force; empty if none is. */
     synchronized OptionalLong lackingManifest() {
-        return operator.lackingManifest();
+        return operator.lackingManifest(end(Topic.OPERATOR));
     }
 
     /**
--- a/src/test/java/org/micabarrow/views/OperatorKnowledgeTest.java
+++ b/src/test/java/org/micabarrow/views/OperatorKnowledgeTest.java
@@ -199,4 +199,41 @@
         keeper.apply(Topic.OPERATOR, List.of(manifest(3, 2)), 3);
         assertEquals(OptionalLong.of(90), keeper.operatorAsOfMillis(), "a newer one makes up for it");
     }
+
+    /**
+     * A process started after an older manifest was written late, was told where the newest stands before that was kept, and has
+     * not got it: what it knows of is no manifest that it has.
+     */
+    @Test
+    void shouldLackManifestWhenPeerToldItsPlaceOnly() {
+        keeper.replace(Topic.OPERATOR, List.of(manifest(1, 6)), 7);
+        keeper.confirmOperator(90);
+        keeper.manifestStands(new ManifestPlace(2, 5));
+        keeper.apply(Topic.NAMED, List.of(kept(2, 5)), 1);
+        assertEquals(OptionalLong.of(5), keeper.lackingManifest());
+        assertEquals(OptionalLong.empty(), keeper.operatorAsOfMillis());
+    }
+
+    /** A manifest may be hidden behind an older one that was written late, which only what is kept tells. */
+    @Test
+    void shouldKnowOfNoMomentWhileWhatIsKeptCouldNotBeRead() {
+        TopicReader withoutKept = new TopicReader() {
+            @Override
+            public Result<Batch> newest(Topic topic) {
+                return topic == Topic.NAMED
+                        ? Result.failure(Fault.of(Fault.Step.LOG, "store", Fault.Reason.OVERLOADED, "refused"))
+                        : store.newest(topic);
+            }
+
+            @Override
+            public Result<Read> read(Topic topic, long from, Duration wait) {
+                return store.read(topic, from, wait);
+            }
+        };
+        NamedVersions versions = new NamedVersions(
+                withoutKept, unkept -> Result.success(List.of()), keeper, () -> NamedVersions.Duty.NONE, () -> {});
+        new StoreFollower(Topic.OPERATOR, versions, keeper, asked -> {}, new StoreFollower.Pace(HOLD, REST)).once();
+        assertEquals(1, keeper.view().manifest().orElseThrow().version());
+        assertEquals(OptionalLong.empty(), keeper.operatorAsOfMillis());
+    }
 }
