A cancelled question to a peer is waited for until its call has ended

ReadersEndTest failed once in ./check on: the cancelled call of a reader ended on a thread for calls that had been shut down meanwhile.

--- a/src/main/java/org/micabarrow/transport/grpc/SingleReply.java
+++ b/src/main/java/org/micabarrow/transport/grpc/SingleReply.java
@@ -2,12 +2,17 @@
 
 import io.grpc.stub.ClientCallStreamObserver;
 import io.grpc.stub.ClientResponseObserver;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Fault.Step;
 import org.micabarrow.state.Result;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Receives the only answer to a call.
@@ -17,6 +22,11 @@
  */
 final class SingleReply<Q, T> implements ClientResponseObserver<Q, T> {
 
+    private static final Logger LOG = LoggerFactory.getLogger(SingleReply.class);
+
+    /** How long the end of a cancelled call is waited for. It takes one task of the threads for calls; chosen, not measured. */
+    private static final Duration LONGEST_END = Duration.ofSeconds(1);
+
     private final Step step;
     private final String peer;
     private final CompletableFuture<Result<T>> result = new CompletableFuture<>();
@@ -61,10 +71,20 @@
             return result.get();
         } catch (InterruptedException e) {
             call.cancel("interrupted", null);
+            awaitEnd();
             Thread.currentThread().interrupt();
             return Result.failure(Fault.of(step, peer, Reason.CANCELLED, "interrupted"));
         } catch (ExecutionException e) {
             return Result.failure(CallFaults.of(step, peer, e.getCause()));
         }
     }
+
+    /** A cancelled call ends on the threads for calls, which may be closed as soon as nobody waits for it any more. */
+    private void awaitEnd() {
+        try {
+            result.get(LONGEST_END.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException | ExecutionException | TimeoutException e) {
+            LOG.debug("event=call_end_not_seen peer={} why=\"{}\"", peer, e.toString());
+        }
+    }
 }
