--- a/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
@@ -36,6 +36,7 @@
 
     private final Map<String, List<Entry>> topics = new HashMap<>();
     private final Map<String, Integer> firstKept = new HashMap<>();
+    private final Map<String, Integer> given = new HashMap<>();
     private int pageSize = 500;
     private Optional<Integer> refusal = Optional.empty();
     private boolean silent;
@@ -103,6 +104,16 @@
                 .anyMatch(entry -> entry.key().equals(key));
     }
 
+    /**
+     * How many records reads of a topic have been given, each as often as it was given.
+     *
+     * @param topic the topic
+     * @return the number
+     */
+    public synchronized int given(String topic) {
+        return given.getOrDefault(topic, 0);
+    }
+
     /**
      * Drops the history of a topic; the newest record of each key stays.
      *
@@ -113,7 +124,7 @@
     }
 
     /**
-     * Answers every call with a status, until told otherwise.
+     * Answers every call with a status, until told otherwise; reads that are held too.
      *
      * @param status the status; empty to answer as usual
      */
@@ -122,7 +133,7 @@
     }
 
     /**
-     * Answers nothing, until told otherwise.
+     * Answers nothing, until told otherwise; reads that are held neither.
      *
      * @param on whether to be silent
      */
@@ -143,12 +154,7 @@
 
     @Override
     public synchronized void handleRequest(HttpServerExchange exchange) {
-        if (silent) {
-            exchange.dispatch(() -> {});
-            return;
-        }
-        if (refusal.isPresent()) {
-            StandinCalls.answer(exchange, refusal.get(), new byte[0]);
+        if (unwell(exchange)) {
             return;
         }
         String topic = StandinCalls.parameter(exchange, "topic").orElse("");
@@ -167,6 +173,16 @@
         }
     }
 
+    /** Leaves a call without an answer or refuses it, if told to; a read that is held already too. */
+    private boolean unwell(HttpServerExchange exchange) {
+        if (silent) {
+            exchange.dispatch(() -> {});
+        } else if (refusal.isPresent()) {
+            StandinCalls.answer(exchange, refusal.get(), new byte[0]);
+        }
+        return silent || refusal.isPresent();
+    }
+
     private synchronized void append(HttpServerExchange exchange, String topic, byte[] body) {
         List<Entry> entries = topics.computeIfAbsent(topic, name -> new ArrayList<>());
         int offset = entries.size();
@@ -214,10 +230,14 @@
     }
 
     private synchronized void read(HttpServerExchange exchange, String topic, int from, long until) {
+        if (unwell(exchange)) {
+            return;
+        }
         List<Entry> entries = topics.getOrDefault(topic, List.of());
         if (from < firstKept.getOrDefault(topic, 0)) {
             StandinCalls.answer(exchange, GONE, new byte[0]);
         } else if (from < entries.size() || System.nanoTime() - until >= 0) {
+            given.merge(topic, Math.max(0, entries.size() - from), Integer::sum);
             StandinCalls.answer(exchange, OK, raw(entries, from, firstKept.getOrDefault(topic, 0)));
         } else {
             exchange.dispatch(
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -82,8 +82,8 @@
         this.kept = HttpCaller.on(worker, KEPT_CONNECTIONS);
         this.fresh = HttpCaller.on(worker, 0);
         this.views = new ViewKeeper(new StoreRecords(), HostedNode::steadyMillis);
-        this.peerRecords = new PeerRecords(kept);
-        this.store = new StoreClient(kept, settings.store(), STORE_ANSWER);
+        this.peerRecords = new PeerRecords(kept, HostedNode::steadyMillis);
+        this.store = new StoreClient(kept, settings.store(), STORE_ANSWER, HostedNode::steadyMillis);
         metrics.registerGauge(
                 "process.heapBytes",
                 () -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
@@ -153,18 +153,25 @@
     /**
      * Begins to follow the store; peers are asked while it does not answer.
      *
-     * @param reader reads the store, or those that tell what is new there
+     * @param operatorReader reads what operators wrote from the store, or from those that tell what is new there
+     * @param endpointsReader likewise, endpoints' entries
      * @param paces how often each topic is read
      * @param peers whom to ask
      * @param duty what this process does for named weight versions
      */
-    void follow(TopicReader reader, Paces paces, Supplier<List<String>> peers, Supplier<Duty> duty) {
+    void follow(
+            TopicReader operatorReader,
+            TopicReader endpointsReader,
+            Paces paces,
+            Supplier<List<String>> peers,
+            Supplier<Duty> duty) {
         VersionRecords records = new VersionRecords(kept, settings.store(), STORE_ANSWER);
         Consumer<Topic> askPeer = topic -> askPeer(topic, peers.get());
-        NamedVersions operator = new NamedVersions(reader, records, views, duty, () -> askPeer.accept(Topic.OPERATOR));
+        NamedVersions operator =
+                new NamedVersions(operatorReader, records, views, duty, () -> askPeer.accept(Topic.OPERATOR));
         followers = List.of(
                 new StoreFollower(Topic.OPERATOR, operator, views, askPeer, paces.operator()),
-                new StoreFollower(Topic.ENDPOINTS, reader, views, askPeer, paces.endpoints()));
+                new StoreFollower(Topic.ENDPOINTS, endpointsReader, views, askPeer, paces.endpoints()));
         followers.forEach(StoreFollower::start);
         operator.start();
     }
@@ -184,7 +191,12 @@
 
     private void askPeer(String peer, Topic topic) {
         switch (peerRecords.ask(peer, topic, views.askFrom(topic))) {
-            case Result.Success<Batch>(Batch batch) -> views.apply(topic, batch.records(), batch.end());
+            case Result.Success<Batch>(Batch batch) -> {
+                views.apply(topic, batch.records(), batch.end());
+                if (topic == Topic.OPERATOR) {
+                    batch.asOfMillis().ifPresent(views::confirmOperator);
+                }
+            }
             case Result.Failure<Batch>(Fault fault) ->
                 LOG.info("event=peer_silent topic={} peer={} why=\"{}\"", topic, peer, fault);
         }
--- a/src/main/java/org/micabarrow/views/NamedVersions.java
+++ b/src/main/java/org/micabarrow/views/NamedVersions.java
@@ -122,7 +122,7 @@
         }
         List<StoredRecord> records = new ArrayList<>(batch.records());
         records.addAll(hidden(kept.getAsLong()));
-        return new Batch(records, batch.end());
+        return new Batch(records, batch.end(), batch.asOfMillis());
     }
 
     /** The manifest at an offset, from the store's history; a peer is asked for it if the history is gone. */
@@ -153,6 +153,11 @@
         return reader.read(topic, from, wait);
     }
 
+    @Override
+    public boolean peersTell(Topic topic) {
+        return reader.peersTell(topic);
+    }
+
     private void recall() {
         switch (reader.newest(Topic.NAMED)) {
             case Result.Success<Batch>(Batch batch) -> {
--- a/src/test/java/org/micabarrow/serving/ServingFixture.java
+++ b/src/test/java/org/micabarrow/serving/ServingFixture.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
 import org.junit.jupiter.api.AfterEach;
@@ -78,7 +79,8 @@
                 new MetricRegistry(),
                 clockMillis::get,
                 questions,
-                times));
+                times,
+                new ManifestAge(OptionalLong::empty, 0)));
         HttpListener.on(clients(), HttpListener.Bounds.usual(), worker, handler);
         FollowedStore.follow(client, settings, WITHIN, views);
     }
