--- a/src/main/java/org/micabarrow/process/AgentProcess.java
+++ b/src/main/java/org/micabarrow/process/AgentProcess.java
@@ -280,7 +280,7 @@
     /** Stops at once, as if the instance had died. */
     public void kill() {
         closed = true;
-        server.shutdownNow();
+        Node.end(server);
         operators.close();
         threads.shutdownNow();
         node.close();
--- a/src/main/java/org/micabarrow/process/EntryProcess.java
+++ b/src/main/java/org/micabarrow/process/EntryProcess.java
@@ -255,7 +255,7 @@
     public void kill() {
         callerListener.close();
         operatorListener.close();
-        server.shutdownNow();
+        Node.end(server);
         claims.forEach(Claims::close);
         threads.shutdownNow();
         node.close();
--- a/src/main/java/org/micabarrow/process/Node.java
+++ b/src/main/java/org/micabarrow/process/Node.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.grpc.Server;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.time.Duration;
@@ -12,6 +13,7 @@
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
@@ -37,6 +39,9 @@
     /** How often a process that stops looks whether its work has ended, in milliseconds. */
     static final long STOP_POLL_MILLIS = 50;
 
+    /** How long the end of a server's connections is waited for. It takes some milliseconds; chosen, not measured. */
+    private static final Duration LONGEST_END = Duration.ofSeconds(1);
+
     /** The threads of the HTTP client, which never block. */
     private static final int HTTP_THREADS = 2;
 
@@ -221,6 +226,19 @@
         }
     }
 
+    /**
+     * Ends a server with its connections, which needs the threads that {@link #close} ends: a connection that was left open
+     * without them answers nothing more, and whoever waits at its other end sees that only by its own time limits.
+     */
+    static void end(Server server) {
+        server.shutdownNow();
+        try {
+            server.awaitTermination(LONGEST_END.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** The readers end first, so that none begins a call on connections or executors that are closed. */
     @Override
     public void close() {
--- a/src/main/java/org/micabarrow/standin/PlatformStandin.java
+++ b/src/main/java/org/micabarrow/standin/PlatformStandin.java
@@ -88,6 +88,15 @@
         faults = next;
     }
 
+    /**
+     * The list of instances.
+     *
+     * @return those that were listed last
+     */
+    public List<Instance> instances() {
+        return instances;
+    }
+
     /**
      * Sets the list of instances.
      *
