--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -71,6 +71,7 @@
     private final ReplicaKeeper keeper;
     private final Agent self;
     private volatile Optional<LoadServer> loadServer = Optional.empty();
+    private volatile Placed placed = new Placed(View.empty(), new ReplicaKeeper.Place(0, 1));
 
     /** Tells entries: a datagram waits while a narrow link is full, and what stops the endpoint in time must not. */
     private final NudgedThread teller = NudgedThread.start("teller", () -> loadServer.ifPresent(LoadServer::tellAll));
@@ -235,11 +236,28 @@
 
     /** The agents beside all endpoints of this agent's service; they listen at the same port on every instance. */
     private List<Agent> agents() {
-        return Agent.beside(view().endpointsOf(settings.service().orElse("")), settings.peerPort(), settings.regions());
+        return agents(view());
     }
 
+    private List<Agent> agents(View now) {
+        return Agent.beside(now.endpointsOf(settings.service().orElse("")), settings.peerPort(), settings.regions());
+    }
+
+    /** The place in a view. It is asked for twice a second and more, and views change when an endpoint does. */
+    private record Placed(View view, ReplicaKeeper.Place place) {}
+
     private ReplicaKeeper.Place place() {
-        List<String> region = Stream.concat(agents().stream(), Stream.of(self))
+        View now = view();
+        Placed known = placed;
+        if (known.view() != now) {
+            known = new Placed(now, place(now));
+            placed = known;
+        }
+        return known.place();
+    }
+
+    private ReplicaKeeper.Place place(View now) {
+        List<String> region = Stream.concat(agents(now).stream(), Stream.of(self))
                 .filter(agent -> agent.region().equals(self.region()))
                 .map(Agent::address)
                 .distinct()
