A half-taken version is not waited out behind one that cannot come: which of two is fetched first is a choice of its own

While the newest version brings nothing, or far less than the link carries, one that was named before it and may still serve is fetched, in the same turn; a half-taken version that comes no more is left for a newer one (before, an agent stayed with it for good when the version between was here).

--- a/src/main/java/org/micabarrow/weights/FetchProgress.java
+++ b/src/main/java/org/micabarrow/weights/FetchProgress.java
@@ -11,6 +11,9 @@
      */
     private static final long STALLED_MILLIS = 700;
 
+    /** How far back the pace is looked at, in milliseconds: ten chunks' time on a link at least. The pace is of one window or two. */
+    private static final long WINDOW_MILLIS = 500;
+
     private final ChunkSet set;
     private final LongSupplier steadyMillis;
     private final int presentAtFirst;
@@ -18,6 +21,14 @@
     private int present;
     private long sinceMillis;
 
+    /** The looks by which the pace is told: the later at least a window after the earlier. */
+    private Look earlier;
+
+    private Look later;
+    private double bestChunkMillis = Double.POSITIVE_INFINITY;
+
+    private record Look(long atMillis, int present) {}
+
     FetchProgress(ChunkSet set, LongSupplier steadyMillis) {
         this.set = set;
         this.steadyMillis = steadyMillis;
@@ -25,6 +36,18 @@
         this.beganMillis = steadyMillis.getAsLong();
         this.present = presentAtFirst;
         this.sinceMillis = beganMillis;
+        this.earlier = new Look(beganMillis, presentAtFirst);
+        this.later = earlier;
+    }
+
+    /** What is fetched. */
+    ChunkSet set() {
+        return set;
+    }
+
+    /** How many chunks have come since the fetching began. */
+    int came() {
+        return set.present() - presentAtFirst;
     }
 
     /** Whether it is of a version. */
@@ -44,12 +67,47 @@
 
     /** Whether no chunk has come for a while. */
     synchronized boolean stalled() {
+        return silentMillis() > STALLED_MILLIS;
+    }
+
+    /** For how long no chunk has come. */
+    synchronized long silentMillis() {
+        look();
+        return steadyMillis.getAsLong() - sinceMillis;
+    }
+
+    /** Whether chunks had the time to come: before, nothing is told by how few have. */
+    synchronized boolean tells() {
+        return steadyMillis.getAsLong() - beganMillis > STALLED_MILLIS;
+    }
+
+    /** How long a chunk takes as they come lately, in milliseconds; infinite if none has come lately. */
+    synchronized double chunkMillis() {
+        look();
+        return chunkMillis(steadyMillis.getAsLong());
+    }
+
+    /** How long a chunk took when they came fastest, in milliseconds; infinite if none has come. */
+    synchronized double bestChunkMillis() {
+        return bestChunkMillis;
+    }
+
+    private double chunkMillis(long now) {
+        int came = set.present() - earlier.present();
+        return came == 0 ? Double.POSITIVE_INFINITY : Math.max(1.0, now - earlier.atMillis()) / came;
+    }
+
+    private void look() {
         long now = steadyMillis.getAsLong();
         int here = set.present();
         if (here > present) {
             present = here;
             sinceMillis = now;
         }
-        return now - sinceMillis > STALLED_MILLIS;
+        if (now - later.atMillis() >= WINDOW_MILLIS) {
+            bestChunkMillis = Math.min(bestChunkMillis, chunkMillis(now));
+            earlier = later;
+            later = new Look(now, here);
+        }
     }
 }
--- a/src/main/java/org/micabarrow/weights/VersionDeadlines.java
+++ b/src/main/java/org/micabarrow/weights/VersionDeadlines.java
@@ -107,6 +107,14 @@
                 .orElse(Long.MIN_VALUE);
     }
 
+    /** Until when an endpoint may get new requests on a version; for ever if none newer was named. */
+    long servesUntil(String model, long version) {
+        return view.get()
+                .newerNamed(model, version)
+                .map(named -> named.learnedMillis() + retireMillis() - Cordon.MILLIS)
+                .orElse(Long.MAX_VALUE / 2);
+    }
+
     private long retireMillis() {
         return Math.round(boundMillis * RETIRE_PART);
     }
--- a/src/main/java/org/micabarrow/weights/VersionFetches.java
+++ b/src/main/java/org/micabarrow/weights/VersionFetches.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -30,6 +31,7 @@
     private final ChunkFetcher fetcher;
     private final VersionDeadlines deadlines;
     private final LongSupplier steadyMillis;
+    private final OverlapChoice overlap;
     private final Deque<ChunkSet> sets = new ArrayDeque<>();
 
     /** What is being fetched, or was last. */
@@ -39,6 +41,7 @@
         this.fetcher = fetcher;
         this.deadlines = deadlines;
         this.steadyMillis = steadyMillis;
+        this.overlap = new OverlapChoice(this, deadlines, steadyMillis);
     }
 
     // -- what is here
@@ -142,17 +145,28 @@
         }
     }
 
-    /** Fetches the newest version, until it is here or its chunks come no more; tells whether any came. */
+    /**
+     * Fetches the newest version, until it is here or an older one is to be fetched first; tells whether chunks came and none is
+     * to be.
+     */
     private boolean fetchNewest(String model, long held) throws InterruptedException {
         long newest = deadlines.newest(model);
         Optional<ChunkSet> set = begun(model, newest);
         if (set.isEmpty() || set.get().complete()) {
             return set.isPresent();
         }
-        return fetch(
+        boolean came = fetch(
                 set.get(),
-                () -> deadlines.newest(model) == newest || worthFinishing(set.get()),
-                () -> olderNeeded(model, held).isPresent());
+                progress -> deadlines.newest(model) == newest
+                        ? !overlap.olderFirst(model, held, progress, false)
+                        : goesOnWhenOvertaken(model, held, progress));
+        return came && !(deadlines.newest(model) == newest && overlap.choseOlder(model, held));
+    }
+
+    /** Whether a version is fetched to its end though a newer one was named meanwhile. */
+    private boolean goesOnWhenOvertaken(String model, long held, FetchProgress progress) {
+        return !progress.stalled()
+                && (worthFinishing(progress.set()) || overlap.olderFirst(model, held, progress, false));
     }
 
     /** Whether so much of a version is here that finishing it beats leaving the endpoint with the one before. */
@@ -166,25 +180,34 @@
      * nothing for 8.8 s of a day of 47 s on which the origin went away 0.5 s after the second of two versions was named.
      */
     private boolean fetchOlder(String model, long held) throws InterruptedException {
-        OptionalLong older = olderNeeded(model, held);
+        OptionalLong older = overlap.olderNeeded(model, held);
         Optional<ChunkSet> set = older.isPresent() ? begun(model, older.getAsLong()) : Optional.empty();
         return set.isPresent()
-                && fetch(set.get(), () -> olderNeeded(model, held).equals(older), () -> true);
+                && fetch(
+                        set.get(),
+                        progress -> overlap.olderNeeded(model, held).equals(older)
+                                && !progress.stalled()
+                                && overlap.olderFirst(model, held, progress, true));
     }
 
-    private OptionalLong olderNeeded(String model, long held) {
-        OptionalLong older = deadlines.olderThanNewest(model, held);
-        boolean here = older.isPresent()
-                && set(model, older.getAsLong()).filter(ChunkSet::complete).isPresent();
-        return here ? OptionalLong.empty() : older;
-    }
-
-    private boolean fetch(ChunkSet set, BooleanSupplier wanted, BooleanSupplier endsWithoutProgress)
-            throws InterruptedException {
+    private boolean fetch(ChunkSet set, Predicate<FetchProgress> wanted) throws InterruptedException {
         int before = set.present();
         FetchProgress progress = new FetchProgress(set, steadyMillis);
+        overlap.changes(set, fetching);
         fetching = Optional.of(progress);
-        fetcher.fetch(set, () -> wanted.getAsBoolean() && !(progress.stalled() && endsWithoutProgress.getAsBoolean()));
+        fetcher.fetch(set, untilFirstNo(() -> wanted.test(progress)));
+        overlap.ended(progress);
         return set.present() > before;
     }
+
+    /** Asks no more once it was told no: several threads ask, and a chunk that comes late would make them go on. */
+    private static BooleanSupplier untilFirstNo(BooleanSupplier wanted) {
+        AtomicBoolean told = new AtomicBoolean();
+        return () -> {
+            synchronized (told) {
+                told.compareAndSet(false, !told.get() && !wanted.getAsBoolean());
+                return !told.get();
+            }
+        };
+    }
 }
--- /dev/null
+++ b/src/test/java/org/micabarrow/weights/OverlappingFetchTest.java
@@ -0,0 +1,192 @@
+package org.micabarrow.weights;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongConsumer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.micabarrow.routing.EndpointEntry;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Result;
+import org.micabarrow.views.RecordDecoder;
+import org.micabarrow.views.StoredRecord;
+import org.micabarrow.views.ViewKeeper;
+import org.micabarrow.weights.ChunkSources.Agent;
+
+/**
+ * Two versions are named one soon after the other, and the origin goes away between them: other agents hold all chunks of the
+ * older one, and of the newest only those that left the origin in time.
+ */
+@Timeout(60)
+class OverlappingFetchTest {
+
+    private static final long BOUND = 8_000;
+    private static final Agent SELF = new Agent("10.0.0.1:7000", "region-a");
+    private static final Agent NEAR = new Agent("10.0.0.2:7000", "region-a");
+
+    /** How far the clock goes on with each question that brings nothing. */
+    private static final long QUESTION_MILLIS = 100;
+
+    private final AtomicLong now = new AtomicLong(1_000_000);
+    private final FakeOrigin origin = new FakeOrigin(now);
+    private final Peer peer = new Peer();
+    private final ViewKeeper views = new ViewKeeper(new NoRecords(), now::get);
+    private final VersionDeadlines deadlines =
+            new VersionDeadlines(views::view, () -> FakeEndpoint.LAYERS, BOUND, now::get);
+    private final VersionFetches fetches = new VersionFetches(
+            new ChunkFetcher(new ChunkFetcher.Parts(
+                    peer,
+                    origin,
+                    () -> Optional.of("origin:80"),
+                    ChunkSources.following(SELF, () -> List.of(SELF, NEAR)),
+                    bytes -> {},
+                    now::get)),
+            deadlines,
+            now::get);
+
+    private static final class NoRecords implements RecordDecoder {
+
+        @Override
+        public Result<OperatorRecord> operator(StoredRecord record) {
+            return Result.success(new OperatorRecord.Unused());
+        }
+
+        @Override
+        public Result<EndpointEntry> endpoint(StoredRecord record) {
+            return Result.failure(Fault.of(Fault.Step.FETCH, record.key(), Fault.Reason.NOT_FOUND, "none"));
+        }
+    }
+
+    /** All other agents in one: holds some of the first chunks of each version, and gives one at most each so often. */
+    private final class Peer implements ChunkPeers {
+
+        /** How long a chunk takes on the link. */
+        private long chunkMillis = 40;
+
+        private LongConsumer onAsked = version -> {};
+        private LongConsumer onGiven = version -> {};
+        private final Map<Long, Integer> holds = new ConcurrentHashMap<>();
+        private final Map<Long, Long> everyMillis = new ConcurrentHashMap<>();
+        private final Map<Long, Long> gaveMillis = new ConcurrentHashMap<>();
+
+        @Override
+        public Result<List<String>> digests(String agent, String model, long version) {
+            return Result.success(FakeOrigin.emptySet(version).digests());
+        }
+
+        @Override
+        public synchronized Result<Numbered> anyOf(String agent, String model, long version, BitSet wanted) {
+            onAsked.accept(version);
+            int index = wanted.nextSetBit(0);
+            boolean early = now.get() - gaveMillis.getOrDefault(version, Long.MIN_VALUE / 2)
+                    < everyMillis.getOrDefault(version, 0L);
+            if (index < 0 || index >= holds.getOrDefault(version, 0) || early) {
+                now.addAndGet(QUESTION_MILLIS);
+                return Result.failure(Fault.of(Fault.Step.FETCH, agent, Fault.Reason.NOT_READY, "still fetching"));
+            }
+            gaveMillis.put(version, now.get());
+            now.addAndGet(chunkMillis);
+            onGiven.accept(version);
+            return Result.success(new Numbered(index, FakeOrigin.chunk(version, index)));
+        }
+    }
+
+    private int present(long version) {
+        return fetches.set("m", version).map(ChunkSet::present).orElse(-1);
+    }
+
+    private void putFirst(long version, int chunks) {
+        ChunkSet set = fetches.setFor("m", version).toOptional().orElseThrow();
+        for (int i = 0; i < chunks; i++) {
+            set.put(i, FakeOrigin.chunk(version, i));
+        }
+    }
+
+    @BeforeEach
+    void nameTwoVersionsAndTakeOriginAway() {
+        views.want("m", 2);
+        putFirst(2, 3);
+        now.addAndGet(2_000);
+        views.want("m", 3);
+        origin.givesUpTo = 1;
+        peer.holds.put(2L, FakeOrigin.CHUNKS);
+    }
+
+    @Test
+    void shouldTurnBackToOlderVersionWhenNewestBringsNoMoreThanLeftTheOrigin() throws Exception {
+        peer.holds.put(3L, 2);
+        fetches.fetchFor("m", 1);
+        assertEquals(FakeOrigin.CHUNKS, present(2), "all of it is with other agents");
+        assertTrue(present(3) > 0 && present(3) <= 2, "chunks of the newest: " + present(3));
+    }
+
+    @Test
+    void shouldTurnBackToOlderVersionWhenNewestComesTooSlowlyToServe() throws Exception {
+        peer.holds.put(3L, FakeOrigin.CHUNKS - 1);
+        peer.everyMillis.put(3L, 600L);
+        fetches.fetchFor("m", 1);
+        assertEquals(FakeOrigin.CHUNKS, present(2));
+        assertTrue(present(3) < FakeOrigin.CHUNKS - 1, "chunks of the newest: " + present(3));
+    }
+
+    @Test
+    void shouldGoOnWithNewestOnceOlderVersionIsHere() throws Exception {
+        peer.holds.put(3L, 2);
+        fetches.fetchFor("m", 1);
+        peer.holds.put(3L, FakeOrigin.CHUNKS);
+        fetches.fetchFor("m", 1);
+        assertEquals(FakeOrigin.CHUNKS, present(3));
+    }
+
+    @Test
+    void shouldGoStraightToNewestWhenItComes() throws Exception {
+        peer.holds.put(3L, FakeOrigin.CHUNKS);
+        fetches.fetchFor("m", 1);
+        assertEquals(FakeOrigin.CHUNKS, present(3));
+        assertEquals(3, present(2));
+    }
+
+    @Test
+    void shouldTurnBackToVersionThatWasLeftForNewestWhenThatDoesNotCome() throws Exception {
+        views.want("m", 4);
+        now.addAndGet(BOUND - 500);
+        peer.chunkMillis = 400;
+        peer.holds.put(4L, FakeOrigin.CHUNKS);
+        peer.holds.put(5L, 1);
+        AtomicInteger given = new AtomicInteger();
+        peer.onGiven = version -> {
+            if (version == 4 && given.incrementAndGet() == 3) {
+                views.want("m", 5);
+            }
+        };
+        fetches.fetchFor("m", 3);
+        assertTrue(present(4) < FakeOrigin.CHUNKS / 2 + 1, "left for version 5 with " + present(4));
+        fetches.fetchFor("m", 3);
+        assertEquals(FakeOrigin.CHUNKS, present(4));
+        assertTrue(present(5) <= 1, "chunks of the newest: " + present(5));
+    }
+
+    @Test
+    void shouldNotStayWithHalfTakenVersionThatComesNoMoreWhenNewerIsNamed() throws Exception {
+        putFirst(2, FakeOrigin.CHUNKS);
+        putFirst(3, FakeOrigin.CHUNKS - 1);
+        peer.holds.put(4L, FakeOrigin.CHUNKS);
+        peer.onAsked = version -> {
+            if (version == 3) {
+                views.want("m", 4);
+            }
+        };
+        fetches.fetchFor("m", 1);
+        fetches.fetchFor("m", 1);
+        assertEquals(FakeOrigin.CHUNKS, present(4));
+    }
+}
