--- a/src/main/java/org/micabarrow/weights/VersionFetches.java
+++ b/src/main/java/org/micabarrow/weights/VersionFetches.java
@@ -155,14 +155,17 @@
         if (set.isEmpty() || set.get().complete()) {
             return set.isPresent();
         }
-        boolean came = fetch(
-                set.get(),
-                progress -> deadlines.newest(model) == newest
-                        ? !overlap.olderFirst(model, held, progress, false)
-                        : goesOnWhenOvertaken(model, held, progress));
+        boolean came = fetch(set.get(), newestWanted(model, held, newest));
         return came && !(deadlines.newest(model) == newest && overlap.choseOlder(model, held));
     }
 
+    /** Whether to go on with a version that was the newest when its fetching began. */
+    Predicate<FetchProgress> newestWanted(String model, long held, long newest) {
+        return progress -> deadlines.newest(model) == newest
+                ? !overlap.olderFirst(model, held, progress, false)
+                : goesOnWhenOvertaken(model, held, progress);
+    }
+
     /** Whether a version is fetched to its end though a newer one was named meanwhile. */
     private boolean goesOnWhenOvertaken(String model, long held, FetchProgress progress) {
         return !progress.stalled()
@@ -182,24 +185,37 @@
     private boolean fetchOlder(String model, long held) throws InterruptedException {
         OptionalLong older = overlap.olderNeeded(model, held);
         Optional<ChunkSet> set = older.isPresent() ? begun(model, older.getAsLong()) : Optional.empty();
-        return set.isPresent()
-                && fetch(
-                        set.get(),
-                        progress -> overlap.olderNeeded(model, held).equals(older)
-                                && !progress.stalled()
-                                && overlap.olderFirst(model, held, progress, true));
+        return set.isPresent() && fetch(set.get(), olderWanted(model, held, older.getAsLong()));
+    }
+
+    /** Whether to go on with a version that was named before the newest. */
+    Predicate<FetchProgress> olderWanted(String model, long held, long version) {
+        return progress -> overlap.olderNeeded(model, held).equals(OptionalLong.of(version))
+                && !progress.stalled()
+                && overlap.olderFirst(model, held, progress, true);
     }
 
     private boolean fetch(ChunkSet set, Predicate<FetchProgress> wanted) throws InterruptedException {
         int before = set.present();
-        FetchProgress progress = new FetchProgress(set, steadyMillis);
-        overlap.changes(set, fetching);
-        fetching = Optional.of(progress);
+        FetchProgress progress = begins(set);
         fetcher.fetch(set, untilFirstNo(() -> wanted.test(progress)));
         overlap.ended(progress);
         return set.present() > before;
     }
 
+    /** A version is fetched from now on. */
+    FetchProgress begins(ChunkSet set) {
+        FetchProgress progress = new FetchProgress(set, steadyMillis);
+        overlap.changes(set, fetching);
+        fetching = Optional.of(progress);
+        return progress;
+    }
+
+    /** What chooses between versions that overlap. */
+    OverlapChoice overlap() {
+        return overlap;
+    }
+
     /** Asks no more once it was told no: several threads ask, and a chunk that comes late would make them go on. */
     private static BooleanSupplier untilFirstNo(BooleanSupplier wanted) {
         AtomicBoolean told = new AtomicBoolean();
