Agents that are asked for the same chunks give different ones

Red before: ChunkSetTest. Of chunks that were given equally often each agent gave the one of the lowest number, so that an asker of many agents got each of its last chunks from all of them.

--- a/src/main/java/org/micabarrow/weights/ChunkSet.java
+++ b/src/main/java/org/micabarrow/weights/ChunkSet.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicIntegerArray;
 import org.micabarrow.state.Digest;
 
@@ -22,6 +23,9 @@
     private final List<CompletableFuture<byte[]>> chunks = new ArrayList<>();
     private final AtomicIntegerArray given;
 
+    /** Where this agent begins among chunks that it has given equally often. */
+    private final int start;
+
     /**
      * Makes an empty set.
      *
@@ -34,6 +38,7 @@
         this.version = version;
         this.digests = List.copyOf(digests);
         this.given = new AtomicIntegerArray(this.digests.size());
+        this.start = ThreadLocalRandom.current().nextInt(Math.max(1, this.digests.size()));
         this.digests.forEach(digest -> chunks.add(new CompletableFuture<>()));
     }
 
@@ -104,7 +109,8 @@
 
     /**
      * Takes, of some chunks, the one that was given away least often, so that askers get different ones and can exchange
-     * them.
+     * them. Of several, agents take different ones: whoever asks many agents for the same chunks got each of the last ones
+     * from all of them, which filled its link with what it had.
      *
      * @param wanted which chunks would do
      * @return the chunk's index, empty if none of them is here
@@ -113,13 +119,17 @@
         OptionalInt index = wanted.stream()
                 .filter(one -> one < chunks.size() && chunk(one).isPresent())
                 .boxed()
-                .min(Comparator.comparingInt(given::get))
+                .min(Comparator.<Integer>comparingInt(given::get).thenComparingInt(this::fromStart))
                 .map(OptionalInt::of)
                 .orElse(OptionalInt.empty());
         index.ifPresent(given::incrementAndGet);
         return index;
     }
 
+    private int fromStart(int index) {
+        return Math.floorMod(index - start, chunks.size());
+    }
+
     /** Whether the chunks from one index up to another, the latter not included, are here. */
     boolean hasAll(int first, int end) {
         return chunks.subList(first, end).stream().allMatch(CompletableFuture::isDone);
--- /dev/null
+++ b/src/test/java/org/micabarrow/weights/ChunkSetTest.java
@@ -0,0 +1,66 @@
+package org.micabarrow.weights;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.micabarrow.state.Digest;
+
+/** Which chunks an agent gives to those that ask it for any of some. */
+class ChunkSetTest {
+
+    private static final int CHUNKS = 64;
+    private static final int AGENTS = 16;
+
+    private static byte[] chunk(int index) {
+        return new byte[] {(byte) index};
+    }
+
+    private static ChunkSet whole() {
+        List<String> digests = IntStream.range(0, CHUNKS)
+                .mapToObj(index -> Digest.of(chunk(index)))
+                .toList();
+        ChunkSet set = new ChunkSet("m", 2, digests);
+        IntStream.range(0, CHUNKS).forEach(index -> set.put(index, chunk(index)));
+        return set;
+    }
+
+    private static BitSet upTo(int end) {
+        BitSet wanted = new BitSet();
+        wanted.set(0, end);
+        return wanted;
+    }
+
+    @Test
+    void shouldNotGiveTheSameChunkAsAllOthersWhenOneAsksManyAgents() {
+        Set<Integer> given = new HashSet<>();
+        for (int agent = 0; agent < AGENTS; agent++) {
+            given.add(whole().give(upTo(CHUNKS)).orElseThrow());
+        }
+        assertTrue(given.size() > AGENTS / 4, "chunks " + given);
+    }
+
+    @Test
+    void shouldGiveEachChunkOnceBeforeItGivesOneTwice() {
+        ChunkSet set = whole();
+        Set<Integer> given = new HashSet<>();
+        for (int i = 0; i < CHUNKS; i++) {
+            given.add(set.give(upTo(CHUNKS)).orElseThrow());
+        }
+        assertEquals(CHUNKS, given.size());
+    }
+
+    @Test
+    void shouldGiveNothingButWhatIsWanted() {
+        ChunkSet set = whole();
+        for (int i = 0; i < CHUNKS; i++) {
+            assertTrue(set.give(upTo(3)).orElseThrow() < 3);
+        }
+        assertTrue(set.give(new BitSet()).isEmpty());
+    }
+}
