--- a/src/main/java/org/micabarrow/weights/OverlapChoice.java
+++ b/src/main/java/org/micabarrow/weights/OverlapChoice.java
@@ -40,6 +40,9 @@
      */
     private static final double COPY_TIMES = 1.5;
 
+    /** How many times as fast as the newest an older version must come to be worth staying with however slow it is. */
+    private static final double FASTER_TIMES = 2;
+
     /** How many chunks of a version must have come for their pace to count as usual. */
     private static final int TELLING_CHUNKS = 4;
 
@@ -50,10 +53,17 @@
     /** How long a chunk takes, in milliseconds, when they come as they last came at their best. */
     private volatile double usualChunkMillis = FIRST_CHUNK_MILLIS;
 
-    /** The version that was last left because its chunks did not come. */
-    private volatile Left left = new Left(0, Long.MIN_VALUE / 2);
+    /** The version that was last left though it was not here. */
+    private volatile Left left = new Left(0, Long.MIN_VALUE / 2, 0);
 
-    private record Left(long version, long atMillis) {}
+    /**
+     * A version that was left.
+     *
+     * @param version its number
+     * @param atMillis when it was left
+     * @param chunkMillis how long its chunks took lately; infinite if none came
+     */
+    private record Left(long version, long atMillis, double chunkMillis) {}
 
     private volatile Optional<FetchChoice> last = Optional.empty();
 
@@ -78,7 +88,7 @@
     /** Whether a version that was named before the newest is to be fetched first. */
     boolean olderFirst(String model, long held, FetchProgress progress, boolean newestCameNot) {
         OptionalLong older = olderNeeded(model, held);
-        if (older.isEmpty() || cameNotLately(older.getAsLong(), progress)) {
+        if (older.isEmpty() || cameSlowlyLately(older.getAsLong(), progress)) {
             last = Optional.empty();
             return false;
         }
@@ -87,14 +97,31 @@
         return isOlder(choice);
     }
 
-    /** Whether a version was begun for the idle link and did not come either. */
-    private boolean cameNotLately(long older, FetchProgress progress) {
+    /** Whether a version was begun for the idle link and came slowly too, so that it is the link which is slow. */
+    private boolean cameSlowlyLately(long older, FetchProgress progress) {
         Left before = left;
         return progress.set().version() != older
                 && before.version() == older
+                && !Double.isInfinite(before.chunkMillis())
+                && slow(before.chunkMillis())
                 && steadyMillis.getAsLong() - before.atMillis() < AWAY_MILLIS;
     }
 
+    /**
+     * Whether an older version that is being fetched comes so much faster than the newest did that nothing is won by leaving it, be
+     * it as slow as it may, while it may serve.
+     */
+    boolean comesFaster(String model, FetchProgress older) {
+        Left before = left;
+        long newest = deadlines.newest(model);
+        // Of a version whose digests nobody tells nothing comes.
+        boolean faster = fetches.set(model, newest).isEmpty()
+                || before.version() == newest && older.chunkMillis() * FASTER_TIMES < before.chunkMillis();
+        return faster
+                && steadyMillis.getAsLong()
+                        < deadlines.servesUntil(model, older.set().version());
+    }
+
     private static boolean isOlder(FetchChoice choice) {
         return switch (choice) {
             case FetchChoice.OlderFirst older -> true;
@@ -166,8 +193,8 @@
 
     /** A fetch has ended; how fast chunks came at their best tells how fast those of another version may. */
     void ended(FetchProgress progress) {
-        if (!progress.set().complete() && progress.tells() && slow(progress.chunkMillis())) {
-            left = new Left(progress.set().version(), steadyMillis.getAsLong());
+        if (!progress.set().complete() && progress.tells()) {
+            left = new Left(progress.set().version(), steadyMillis.getAsLong(), progress.chunkMillis());
         }
         double best = progress.bestChunkMillis();
         if (progress.came() >= TELLING_CHUNKS && !Double.isInfinite(best)) {
--- a/src/main/java/org/micabarrow/weights/VersionFetches.java
+++ b/src/main/java/org/micabarrow/weights/VersionFetches.java
@@ -192,7 +192,7 @@
     Predicate<FetchProgress> olderWanted(String model, long held, long version) {
         return progress -> overlap.olderNeeded(model, held).equals(OptionalLong.of(version))
                 && !progress.stalled()
-                && overlap.olderFirst(model, held, progress, true);
+                && (overlap.olderFirst(model, held, progress, true) || overlap.comesFaster(model, progress));
     }
 
     private boolean fetch(ChunkSet set, Predicate<FetchProgress> wanted) throws InterruptedException {
--- a/src/test/java/org/micabarrow/weights/OverlappingFetchTest.java
+++ b/src/test/java/org/micabarrow/weights/OverlappingFetchTest.java
@@ -1,6 +1,7 @@
 package org.micabarrow.weights;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.BitSet;
@@ -36,6 +37,8 @@
     /** How far the clock goes on with each question that brings nothing. */
     private static final long QUESTION_MILLIS = 100;
 
+    private static final long LOOK_MILLIS = 50;
+
     private final AtomicLong now = new AtomicLong(1_000_000);
     private final FakeOrigin origin = new FakeOrigin(now);
     private final Peer peer = new Peer();
@@ -189,4 +192,45 @@
         fetches.fetchFor("m", 1);
         assertEquals(FakeOrigin.CHUNKS, present(4));
     }
+
+    // -- without threads: chunks are put as if they came
+
+    /** Chunks of a version come for two windows of its pace, one each so often. */
+    private FetchProgress comes(long version, long everyMillis) {
+        FetchProgress progress = fetches.begins(fetches.set("m", version).orElseThrow());
+        long next = now.get() + everyMillis;
+        for (long end = now.get() + 1_200; now.get() < end; now.addAndGet(LOOK_MILLIS)) {
+            if (now.get() >= next) {
+                ChunkSet set = progress.set();
+                set.put(set.present(), FakeOrigin.chunk(version, set.present()));
+                next += everyMillis;
+            }
+            progress.silentMillis();
+        }
+        return progress;
+    }
+
+    /** So late that four chunks at a pace of 300 ms are not here before version 2 must stop. */
+    private void letTimePass() {
+        now.addAndGet(3_500);
+        putFirst(3, 0);
+    }
+
+    @Test
+    void shouldStayWithOlderVersionThatComesSlowlyWhileNothingOfNewestComes() {
+        letTimePass();
+        fetches.overlap().ended(comes(3, 2_000));
+        FetchProgress older = comes(2, 400);
+        assertTrue(fetches.olderWanted("m", 1, 2).test(older));
+    }
+
+    @Test
+    void shouldStayWithNewestWhenItIsTheLinkThatIsSlow() {
+        letTimePass();
+        fetches.overlap().ended(comes(3, 400));
+        FetchProgress older = comes(2, 400);
+        assertFalse(fetches.olderWanted("m", 1, 2).test(older));
+        fetches.overlap().ended(older);
+        assertTrue(fetches.newestWanted("m", 1, 3).test(comes(3, 400)));
+    }
 }
