--- a/src/test/java/org/micabarrow/weights/OverlappingFetchTest.java
+++ b/src/test/java/org/micabarrow/weights/OverlappingFetchTest.java
@@ -210,15 +210,15 @@
         return progress;
     }
 
-    /** So late that four chunks at a pace of 300 ms are not here before version 2 must stop. */
-    private void letTimePass() {
-        now.addAndGet(3_500);
+    private void letTimePass(long millis) {
+        now.addAndGet(millis);
         putFirst(3, 0);
     }
 
     @Test
     void shouldStayWithOlderVersionThatComesSlowlyWhileNothingOfNewestComes() {
-        letTimePass();
+        // So late that what is missing of version 2 is not here at this pace before it must stop.
+        letTimePass(3_500);
         fetches.overlap().ended(comes(3, 2_000));
         FetchProgress older = comes(2, 400);
         assertTrue(fetches.olderWanted("m", 1, 2).test(older));
@@ -226,11 +226,12 @@
 
     @Test
     void shouldStayWithNewestWhenItIsTheLinkThatIsSlow() {
-        letTimePass();
-        fetches.overlap().ended(comes(3, 400));
-        FetchProgress older = comes(2, 400);
+        // At this pace version 2 cannot be here in time, but it could if its chunks came as fast as usual.
+        letTimePass(1_500);
+        fetches.overlap().ended(comes(3, 600));
+        FetchProgress older = comes(2, 600);
         assertFalse(fetches.olderWanted("m", 1, 2).test(older));
         fetches.overlap().ended(older);
-        assertTrue(fetches.newestWanted("m", 1, 3).test(comes(3, 400)));
+        assertTrue(fetches.newestWanted("m", 1, 3).test(comes(3, 600)));
     }
 }
