--- a/src/main/java/org/micabarrow/weights/VersionFetches.java
+++ b/src/main/java/org/micabarrow/weights/VersionFetches.java
@@ -163,13 +163,7 @@
     Predicate<FetchProgress> newestWanted(String model, long held, long newest) {
         return progress -> deadlines.newest(model) == newest
                 ? !overlap.olderFirst(model, held, progress, false)
-                : goesOnWhenOvertaken(model, held, progress);
-    }
-
-    /** Whether a version is fetched to its end though a newer one was named meanwhile. */
-    private boolean goesOnWhenOvertaken(String model, long held, FetchProgress progress) {
-        return !progress.stalled()
-                && (worthFinishing(progress.set()) || overlap.olderFirst(model, held, progress, false));
+                : !progress.stalled() && worthFinishing(progress.set());
     }
 
     /** Whether so much of a version is here that finishing it beats leaving the endpoint with the one before. */
