--- a/src/test/java/org/micabarrow/weights/OverlapPlay.java
+++ b/src/test/java/org/micabarrow/weights/OverlapPlay.java
@@ -103,6 +103,11 @@
 
     private static final class NoRecords implements RecordDecoder {
 
+        @Override
+        public boolean isManifest(String key) {
+            return false;
+        }
+
         @Override
         public Result<OperatorRecord> operator(StoredRecord record) {
             return Result.success(new OperatorRecord.Unused());
--- a/src/test/java/org/micabarrow/weights/OverlappingFetchTest.java
+++ b/src/test/java/org/micabarrow/weights/OverlappingFetchTest.java
@@ -58,6 +58,11 @@
 
     private static final class NoRecords implements RecordDecoder {
 
+        @Override
+        public boolean isManifest(String key) {
+            return false;
+        }
+
         @Override
         public Result<OperatorRecord> operator(StoredRecord record) {
             return Result.success(new OperatorRecord.Unused());
