--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -181,6 +182,21 @@
 
     // -- answers
 
+    /**
+     * What an agent tells an entry nearby of the one that reads the store for the entries of the region.
+     *
+     * @param peer the host and port at which that one can be asked for records
+     * @param operator the offset after the last change of operators that it knows of
+     * @param knownMillisAgo how long ago it knew all that operators wrote, in milliseconds
+     */
+    record ReaderNews(String peer, long operator, long knownMillisAgo) {
+
+        /** Checks that nothing is missing. */
+        ReaderNews {
+            Objects.requireNonNull(peer, "peer is null");
+        }
+    }
+
     /**
      * An agent's answer.
      *
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -15,6 +15,7 @@
 import org.micabarrow.admission.PlaceShares;
 import org.micabarrow.routing.LoadReport;
 import org.micabarrow.steps.Steps;
+import org.micabarrow.transport.LoadMessages.ReaderNews;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/src/main/java/org/micabarrow/views/NewsReader.java
+++ b/src/main/java/org/micabarrow/views/NewsReader.java
@@ -1,10 +1,7 @@
 package org.micabarrow.views;
 
 import java.time.Duration;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.LongSupplier;
@@ -13,34 +10,16 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Reads topics only when others tell that there is news, and then from them; the store itself while nobody tells. Each process
- * that read the store by itself made a call of it every second, and each manifest crossed the link of its region once a process:
- * 30 processes, 40 KB and four changes a second are twice what a link of 18.9 Mbit/s carries, and entries fell behind by more than
- * the time in which a manifest must be in force. Now one entry of a region reads the store for the other entries; agents are told
- * by all entries nearby, and of what they act on only.
+ * Reads topics only when others tell that there is news, and then from them; the store itself while nobody tells. A process
+ * that reads the store by itself makes a call of it every second, and each manifest crosses the link of its region once a process:
+ * 30 processes, 40 KB and four changes a second are twice what a link of 18.9 Mbit/s carries, and entries fall behind by more than
+ * the time in which a manifest must be in force. So one entry of a region reads the store for the other entries; agents are told by
+ * all entries nearby, and of what they act on only.
  */
 public final class NewsReader implements TopicReader {
 
     private static final Logger LOG = LoggerFactory.getLogger(NewsReader.class);
 
-    /**
-     * How long what a peer told counts, in milliseconds: entries nearby tell some seven times in it, so that a few may be lost. A
-     * peer that lost the store tells nothing.
-     */
-    private static final long TOLD_MILLIS = 1_000;
-
-    /**
-     * The same of what an entry is told of the region's reader, in milliseconds: agents tell some three times in it. They go on naming
-     * a reader that ended for as long; the two together, and a read of the store, are to fit into two seconds.
-     */
-    private static final long READER_TOLD_MILLIS = 500;
-
-    /**
-     * How old what an entry knows may be for agents to go by it, in milliseconds: a weight version is to be in use within some eight
-     * seconds, and its copy alone takes three to five.
-     */
-    private static final long AGENT_TRUST_MILLIS = 3_000;
-
     /** How long an answer to an agent may take, as long as it keeps coming: a large manifest over a narrow link. */
     private static final Duration WHOLE_ANSWER = Duration.ofSeconds(10);
 
@@ -48,19 +27,11 @@
     private final Peers peers;
     private final Role role;
     private final LongSupplier steadyMillis;
-    private final Map<String, Told> told = new HashMap<>();
-
-    /** Up to where peers told of changes of operators that agents do not act on. */
-    private long passedOverTo;
-
-    /** Whether the store answered this process when it was last asked. */
-    private boolean storeAnswers = true;
+    private final ToldNews told;
 
     /** Whether what this process knows of operators' records comes from the store itself. */
     private boolean direct;
 
-    private record Told(LastChanges changes, long asOfMillis, long atMillis) {}
-
     /** Asks peers for records. */
     @FunctionalInterface
     public interface Peers {
@@ -125,6 +96,7 @@
         this.peers = Objects.requireNonNull(peers, "peers is null");
         this.role = Objects.requireNonNull(role, "role is null");
         this.steadyMillis = Objects.requireNonNull(steadyMillis, "steadyMillis is null");
+        this.told = new ToldNews(role);
     }
 
     // -- what others tell
@@ -137,11 +109,7 @@
      * @param asOfMillis the moment on the steady clock up to which it knows all that operators wrote
      */
     public synchronized void told(String peer, LastChanges changes, long asOfMillis) {
-        Told before = told.put(peer, new Told(changes, asOfMillis, steadyMillis.getAsLong()));
-        if (changes.operator() > changes.weights()) {
-            passedOverTo = Math.max(passedOverTo, changes.operator());
-        }
-        if (before == null || !before.changes().equals(changes)) {
+        if (told.take(peer, changes, asOfMillis, steadyMillis.getAsLong())) {
             notifyAll();
         }
     }
@@ -157,81 +125,28 @@
 
     @Override
     public synchronized boolean peersTell(Topic topic) {
-        return peersTell(steadyMillis.getAsLong());
-    }
-
-    private boolean peersTell(long now) {
-        told.values().removeIf(one -> now - one.atMillis() >= toldMillis());
-        return told.entrySet().stream().anyMatch(one -> counts(one.getKey(), one.getValue(), now));
+        return told.peersTell(steadyMillis.getAsLong());
     }
 
     private synchronized News await(Topic topic, long from, long untilMillis) throws InterruptedException {
         while (true) {
             long now = steadyMillis.getAsLong();
-            if (!peersTell(now)) {
+            if (!told.peersTell(now)) {
                 return new News.Unknown();
             }
-            Optional<String> ahead = ahead(topic, from, now);
+            Optional<String> ahead = told.ahead(topic, from, now);
             if (ahead.isPresent()) {
                 return new News.At(ahead.get());
             }
             if (now >= untilMillis) {
                 return new News.Nothing();
             }
-            wait(Math.clamp(endOfTrust(now) - now, 1, untilMillis - now));
+            wait(Math.clamp(told.endOfTrust(now) - now, 1, untilMillis - now));
         }
     }
 
-    private boolean counts(String peer, Told one, long now) {
-        boolean known = now - one.asOfMillis() < trustMillis();
-        return switch (role) {
-            case Role.Agent ignored -> known;
-            case Role.Entry entry -> known && (peer.compareTo(entry.self()) < 0 || !storeAnswers);
-        };
-    }
-
-    /** When nobody's word counts any more, unless somebody tells again. */
-    private long endOfTrust(long now) {
-        return told.entrySet().stream()
-                .filter(one -> counts(one.getKey(), one.getValue(), now))
-                .mapToLong(one -> endOfTrust(one.getValue()))
-                .max()
-                .orElse(now);
-    }
-
-    private long endOfTrust(Told one) {
-        return Math.min(one.atMillis() + toldMillis(), one.asOfMillis() + trustMillis());
-    }
-
-    private long toldMillis() {
-        return switch (role) {
-            case Role.Agent ignored -> TOLD_MILLIS;
-            case Role.Entry ignored -> READER_TOLD_MILLIS;
-        };
-    }
-
-    private long trustMillis() {
-        return switch (role) {
-            case Role.Agent ignored -> AGENT_TRUST_MILLIS;
-            case Role.Entry entry -> entry.trustMillis();
-        };
-    }
-
-    private Optional<String> ahead(Topic topic, long from, long now) {
-        return told.entrySet().stream()
-                .filter(one -> counts(one.getKey(), one.getValue(), now))
-                .filter(one -> news(one.getValue().changes(), topic) > from)
-                .max(Comparator.comparingLong(one -> news(one.getValue().changes(), topic)))
-                .map(Map.Entry::getKey);
-    }
-
-    /** Where the last change stands that this process needs. */
-    private long news(LastChanges changes, Topic topic) {
-        return topic == Topic.OPERATOR && role instanceof Role.Agent ? changes.weights() : changes.of(topic);
-    }
-
     private synchronized void distrust(String peer) {
-        told.remove(peer);
+        told.forget(peer);
     }
 
     // -- reading
@@ -262,14 +177,8 @@
         return peer.isPresent() ? fromPeer(peer.get(), topic, from) : readStore(topic, from, Duration.ZERO);
     }
 
-    /** A peer that knows of a change beyond an offset, be it one that this process acts on or not. */
     private synchronized Optional<String> peerBeyond(Topic topic, long from) {
-        long now = steadyMillis.getAsLong();
-        return told.entrySet().stream()
-                .filter(one -> counts(one.getKey(), one.getValue(), now))
-                .filter(one -> one.getValue().changes().of(topic) > from)
-                .map(Map.Entry::getKey)
-                .findFirst();
+        return told.anyBeyond(topic, from, steadyMillis.getAsLong());
     }
 
     /** A peer that does not give what it told of may have started again, or not know all that came before. */
@@ -290,11 +199,7 @@
     private synchronized Duration within(String peer) {
         return switch (role) {
             case Role.Agent ignored -> WHOLE_ANSWER;
-            case Role.Entry ignored -> {
-                Told one = told.get(peer);
-                long left = one == null ? 0 : endOfTrust(one) - steadyMillis.getAsLong();
-                yield Duration.ofMillis(Math.max(1, left));
-            }
+            case Role.Entry ignored -> Duration.ofMillis(Math.max(1, told.trustLeft(peer, steadyMillis.getAsLong())));
         };
     }
 
@@ -314,15 +219,15 @@
         return topic == Topic.OPERATOR && !direct ? Duration.ZERO : wait;
     }
 
-    /** Whether an agent was told of changes that it had no use for, and would read all of them now. */
     private synchronized boolean passedOver(Topic topic, long from) {
-        return topic == Topic.OPERATOR && role instanceof Role.Agent && passedOverTo > from;
+        return topic == Topic.OPERATOR && told.passedOver(from);
     }
 
     private synchronized <T> Result<T> fromStore(Topic topic, Result<T> answer) {
         if (topic == Topic.OPERATOR) {
-            storeAnswers = answer instanceof Result.Success<T>;
-            learnedFrom(storeAnswers);
+            boolean answers = answer instanceof Result.Success<T>;
+            told.storeAnswers(answers);
+            learnedFrom(answers);
         }
         return answer;
     }
@@ -336,7 +241,10 @@
 
     private void learnedFrom(boolean store) {
         if (direct != store) {
-            LOG.info("event=operator_news_from source={} storeAnswers={}", store ? "store" : "peers", storeAnswers);
+            LOG.info(
+                    "event=operator_news_from source={} storeAnswers={}",
+                    store ? "store" : "peers",
+                    told.storeAnswers());
         }
         direct = store;
     }
--- a/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
@@ -17,6 +17,7 @@
 import org.micabarrow.routing.LoadReport;
 import org.micabarrow.transport.LoadMessages.Answer;
 import org.micabarrow.transport.LoadMessages.Question;
+import org.micabarrow.transport.LoadMessages.ReaderNews;
 import org.micabarrow.transport.LoadMessages.Received;
 import org.micabarrow.views.LastChanges;
 import org.micabarrow.views.ManifestPlace;
--- a/src/test/java/org/micabarrow/transport/LoadServerTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadServerTest.java
@@ -18,6 +18,7 @@
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.routing.LoadReport;
+import org.micabarrow.transport.LoadMessages.ReaderNews;
 import org.micabarrow.views.LastChanges;
 
 /** What an agent answers to entries, over real sockets. */
--- a/src/test/java/org/micabarrow/weights/KeeperFixture.java
+++ b/src/test/java/org/micabarrow/weights/KeeperFixture.java
@@ -52,7 +52,7 @@
     }
 
     /** Reads the offset of a record as the version that an endpoint holds, and its value as the number of layers. */
-    private static final class EndpointsOnly implements RecordDecoder {
+    static final class EndpointsOnly implements RecordDecoder {
 
         @Override
         public boolean isManifest(String key) {
--- a/src/test/java/org/micabarrow/weights/OverlapPlay.java
+++ b/src/test/java/org/micabarrow/weights/OverlapPlay.java
@@ -101,7 +101,8 @@
         }
     }
 
-    private static final class NoRecords implements RecordDecoder {
+    /** Reads nothing: versions are told to the keeper directly. */
+    static final class NoRecords implements RecordDecoder {
 
         @Override
         public boolean isManifest(String key) {
--- a/src/test/java/org/micabarrow/weights/OverlappingFetchTest.java
+++ b/src/test/java/org/micabarrow/weights/OverlappingFetchTest.java
@@ -15,11 +15,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
-import org.micabarrow.views.RecordDecoder;
-import org.micabarrow.views.StoredRecord;
 import org.micabarrow.views.ViewKeeper;
 import org.micabarrow.weights.ChunkSources.Agent;
 
@@ -42,7 +39,7 @@
     private final AtomicLong now = new AtomicLong(1_000_000);
     private final FakeOrigin origin = new FakeOrigin(now);
     private final Peer peer = new Peer();
-    private final ViewKeeper views = new ViewKeeper(new NoRecords(), now::get);
+    private final ViewKeeper views = new ViewKeeper(new OverlapPlay.NoRecords(), now::get);
     private final VersionDeadlines deadlines =
             new VersionDeadlines(views::view, () -> FakeEndpoint.LAYERS, BOUND, now::get);
     private final VersionFetches fetches = new VersionFetches(
@@ -56,24 +53,6 @@
             deadlines,
             now::get);
 
-    private static final class NoRecords implements RecordDecoder {
-
-        @Override
-        public boolean isManifest(String key) {
-            return false;
-        }
-
-        @Override
-        public Result<OperatorRecord> operator(StoredRecord record) {
-            return Result.success(new OperatorRecord.Unused());
-        }
-
-        @Override
-        public Result<EndpointEntry> endpoint(StoredRecord record) {
-            return Result.failure(Fault.of(Fault.Step.FETCH, record.key(), Fault.Reason.NOT_FOUND, "none"));
-        }
-    }
-
     /** All other agents in one: holds some of the first chunks of each version, and gives one at most each so often. */
     private final class Peer implements ChunkPeers {
 
