--- a/src/main/java/org/micabarrow/platform/StoreClient.java
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -43,8 +43,8 @@
     private static final int MOST_PAGES = 1_000;
 
     /**
-     * How long an answer that keeps coming may take, in milliseconds: the largest manifest (4 MiB, the store takes no larger one) takes 6.3 s over a link of
-     * 5.3 Mbit/s.
+     * How long an answer that keeps coming may take, in milliseconds: the largest manifest (4 MiB, the store takes no larger one)
+     * takes 6.3 s over a link of 5.3 Mbit/s.
      */
     private static final Duration WHOLE = Duration.ofMillis(10_000);
 
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -23,7 +23,6 @@
 import org.micabarrow.transport.HostedPeerServer;
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.LoadFeed;
-import org.micabarrow.transport.LoadFeed.HeardNews;
 import org.micabarrow.transport.StoreNews;
 import org.micabarrow.views.LastChanges;
 import org.micabarrow.views.NamedVersions.Duty;
@@ -196,7 +195,7 @@
     }
 
     /** An agent told of the entry that reads the store for the region. */
-    private void heard(HeardNews told) {
+    private void heard(StoreNews.Heard told) {
         reader.told(told.peer(), new LastChanges(told.operator(), 0), told.asOfMillis());
         if (node.views().end(Topic.OPERATOR) >= told.operator()) {
             // It knows of nothing that is not known here.
--- a/src/main/java/org/micabarrow/serving/ManifestAge.java
+++ b/src/main/java/org/micabarrow/serving/ManifestAge.java
@@ -8,9 +8,9 @@
  * How long ago all that operators wrote was known, by which an entry may call a request wrong or not.
  *
  * <p>A key or a path that the manifest in force does not have may be in a newer one, which this entry has not heard of, or that
- * may allow larger bodies. So it says 401, 404 and 413 only while it can prove that it knows every manifest that must be in force by now, and else that the request was
- * not run and may come again: a store that is silent or far away for a while must not turn proper clients away for good. What
- * the manifest allows is served whatever its age, since the store may be away for long.
+ * may allow larger bodies. So it says 401, 404 and 413 only while it can prove that it knows every manifest that must be in force
+ * by now, and else that the request was not run and may come again: a store that is silent or far away for a while must not turn
+ * proper clients away for good. What the manifest allows is served whatever its age, since the store may be away for long.
  *
  * <p>Callers that are really wrong pay for it: they, too, are told to come again, for as long as neither the store nor a peer
  * that knows of it answers this entry, or a manifest is lacking that nobody has any more, until operators write the next. That is
--- a/src/main/java/org/micabarrow/transport/LoadFeed.java
+++ b/src/main/java/org/micabarrow/transport/LoadFeed.java
@@ -78,7 +78,7 @@
             XnioIoThread traffic,
             LongSupplier steadyMillis,
             Supplier<Optional<StoreNews>> news,
-            Consumer<HeardNews> heard) {
+            Consumer<StoreNews.Heard> heard) {
 
         /** Checks that nothing is missing. */
         public Parts {
@@ -94,15 +94,6 @@
         }
     }
 
-    /**
-     * What an agent told of the entry that reads the store for the region.
-     *
-     * @param peer the host and port at which that one can be asked for records
-     * @param operator the offset after the last change of operators that it knows of
-     * @param asOfMillis the moment on the steady clock up to which it knows all that operators wrote
-     */
-    public record HeardNews(String peer, long operator, long asOfMillis) {}
-
     private LoadFeed(Parts parts, DatagramChannel channel) {
         this.parts = parts;
         this.channel = channel;
@@ -146,12 +137,16 @@
         // Before the questions: an answer may come at once.
         endpointsByHost = startsOf(hosts);
         stamps.keySet().retainAll(hosts.keySet());
+        // Stamps before news: an answer that comes in between, while this process stands still, is no proof of what the
+        // news tell.
+        Map<String, Long> answered = Map.copyOf(stamps);
         Optional<StoreNews> news = parts.news().get();
         hosts.forEach((host, endpoints) -> {
             boolean near = near(endpoints.getFirst());
             if (near || round % FAR_ROUNDS == 0) {
                 // Agents elsewhere hear it from entries of their region: bytes between regions are paid for.
-                ask(host, endpointsByHost.get(host), near, near ? news : Optional.empty());
+                Told told = new Told(near, stamp(answered, host), near ? news : Optional.empty());
+                ask(host, endpointsByHost.get(host), told);
             }
         });
         parts.choice().keepOnly(view.endpoints().values());
@@ -202,13 +197,14 @@
     public void ask(EndpointEntry endpoint, Consumer<Boolean> then) {
         String host = endpoint.instanceHost();
         boolean near = near(endpoint);
-        Optional<StoreNews> news = near ? parts.news().get() : Optional.empty();
-        int number = ask(host, endpointsByHost.getOrDefault(host, List.of(endpoint.start())), near, news);
+        OptionalLong stamp = stamp(stamps, host);
+        Told told = new Told(near, stamp, near ? parts.news().get() : Optional.empty());
+        int number = ask(host, endpointsByHost.getOrDefault(host, List.of(endpoint.start())), told);
         questions.await(number, then);
     }
 
     /** Asks the agent of some endpoints, which are all those at its host, and tells the question's number. */
-    private int ask(String host, List<EndpointStart> endpoints, boolean near, Optional<StoreNews> news) {
+    private int ask(String host, List<EndpointStart> endpoints, Told told) {
         int number = questions.next();
         // What waits at a start that is over is read by nobody.
         int ownPromptTokens = endpoints.stream()
@@ -217,8 +213,8 @@
                 .mapToInt(EndpointLoad::ownPromptTokens)
                 .sum();
         int unmet = parts.choice().unmet().lately(parts.steadyMillis().getAsLong());
-        ByteBuffer question = LoadMessages.write(
-                new LoadMessages.Question(parts.place().id(), ownPromptTokens, number, unmet, near, news, stamp(host)));
+        ByteBuffer question = LoadMessages.write(new LoadMessages.Question(
+                parts.place().id(), ownPromptTokens, number, unmet, told.near(), told.news(), told.stamp()));
         try {
             channel.send(question, new InetSocketAddress(host, parts.peerPort()));
         } catch (IOException e) {
@@ -227,8 +223,11 @@
         return number;
     }
 
+    /** What an agent is told of the store, with the stamp that it is newer than. */
+    private record Told(boolean near, OptionalLong stamp, Optional<StoreNews> news) {}
+
     /** The stamp of the last answer from a host; empty before the first. */
-    private OptionalLong stamp(String host) {
+    private static OptionalLong stamp(Map<String, Long> stamps, String host) {
         Long stamp = stamps.get(host);
         return stamp == null ? OptionalLong.empty() : OptionalLong.of(stamp);
     }
@@ -277,7 +276,7 @@
         // Counted from the question: the agent's word is at most that much older than it says.
         answer.reader()
                 .ifPresent(reader -> parts.heard()
-                        .accept(new HeardNews(
+                        .accept(new StoreNews.Heard(
                                 reader.peer(), reader.operator(), asked.getAsLong() - reader.knownMillisAgo())));
     }
 
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -178,8 +178,9 @@
 
     /**
      * The entry by which another entry nearby is to go, instead of reading the store: the first by its address of those that read
-     * it themselves, and know it lately enough for others to go by. All agents name the same one while they hear of the same entries; where they differ for a moment, one more
-     * reads the store, since an entry goes only by one whose address comes before its own.
+     * it themselves, and know it lately enough for others to go by. All agents name the same one while they hear of the same
+     * entries; where they differ for a moment, one more reads the store, since an entry goes only by one whose address comes
+     * before its own.
      */
     private Optional<ReaderNews> readerFor(Said asker) {
         if (!asker.question().near()) {
--- a/src/main/java/org/micabarrow/transport/StoreNews.java
+++ b/src/main/java/org/micabarrow/transport/StoreNews.java
@@ -22,4 +22,19 @@
         Objects.requireNonNull(changes, "changes is null");
         Objects.requireNonNull(manifest, "manifest is null");
     }
+
+    /**
+     * What an agent told an entry of the one that reads the store for the region.
+     *
+     * @param peer the host and port at which that one can be asked for records
+     * @param operator the offset after the last change of operators that it knows of
+     * @param asOfMillis the moment on the entry's steady clock up to which that one knows all that operators wrote
+     */
+    public record Heard(String peer, long operator, long asOfMillis) {
+
+        /** Checks that nothing is missing. */
+        public Heard {
+            Objects.requireNonNull(peer, "peer is null");
+        }
+    }
 }
--- a/src/test/java/org/micabarrow/transport/LoadFeedTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadFeedTest.java
@@ -49,7 +49,7 @@
     private final EndpointChoice choice = new EndpointChoice("region-a", Map.of("hall-a", "region-a"));
     private final EndpointEntry endpoint =
             EndpointEntry.of("a", "models", "127.0.0.1:80", "hall-a", 4, false, Map.of("m", 1L), 16);
-    private final List<LoadFeed.HeardNews> heard = new CopyOnWriteArrayList<>();
+    private final List<StoreNews.Heard> heard = new CopyOnWriteArrayList<>();
     private DatagramSocket agent;
     private XnioWorker worker;
     private LoadFeed feed;
--- a/src/test/java/org/micabarrow/views/NewsReaderTest.java
+++ b/src/test/java/org/micabarrow/views/NewsReaderTest.java
@@ -306,7 +306,7 @@
         assertEquals(List.of("store"), asked);
     }
 
-    /** Entries whose own reads trickle are in touch and tell on, of what was known long ago; a weight version named since is none of it. */
+    /** Entries whose own reads trickle are in touch and tell on, of what was known long ago, without a weight version named since. */
     @Test
     void shouldReadStoreByAgentWhenWhatEntriesKnowIsOld() {
         reader.told(PEER, new LastChanges(7, 0), now.get() - 10_000);
