--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -28,6 +29,8 @@
     private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.request");
 
     private static final int BAD_REQUEST = 400;
+    private static final int UNAUTHORIZED = 401;
+    private static final int NOT_FOUND = 404;
     private static final int TOO_LARGE = 413;
     private static final int UNAVAILABLE = 503;
 
@@ -37,6 +40,12 @@
     /** When to come back if this process stops, in milliseconds: at once, since the client then meets another entry. */
     private static final long STOPPING_MILLIS = 1;
 
+    /**
+     * When to come back to a process that may not know the newest manifest, in milliseconds: while it does not hear from the store
+     * it asks a peer every 0.3 s.
+     */
+    private static final long MAY_NOT_KNOW_MILLIS = 300;
+
     private final ServingParts parts;
     private final ClientConnections connections = new ClientConnections();
 
@@ -57,6 +66,7 @@
      * @param steadyMillis a clock that never steps, in milliseconds
      * @param questions asks endpoints' agents
      * @param versionTimes when older weight versions may answer no more
+     * @param manifestAge how long ago all that operators wrote was known
      */
     public record Parts(
             Supplier<View> view,
@@ -68,7 +78,8 @@
             MetricRegistry registry,
             LongSupplier steadyMillis,
             AgentQuestions questions,
-            VersionTimes versionTimes) {
+            VersionTimes versionTimes,
+            ManifestAge manifestAge) {
 
         /** Checks that nothing is missing. */
         public Parts {
@@ -82,6 +93,7 @@
             Objects.requireNonNull(steadyMillis, "steadyMillis is null");
             Objects.requireNonNull(questions, "questions is null");
             Objects.requireNonNull(versionTimes, "versionTimes is null");
+            Objects.requireNonNull(manifestAge, "manifestAge is null");
         }
     }
 
@@ -142,19 +154,31 @@
     public void handleRequest(HttpServerExchange exchange) {
         parts.metrics().received.inc();
         connections.begun(exchange);
+        OptionalLong knownAsOf = knownAsOf();
         parts.view().manifest().ifPresent(manifest -> exchange.setMaxEntitySize(manifest.maxBodyBytes()));
         exchange.getRequestReceiver()
                 .receiveFullBytes(
                         (same, body) -> same.dispatch(SameThreadExecutor.INSTANCE, () -> begin(exchange, body)),
-                        (same, error) -> same.dispatch(SameThreadExecutor.INSTANCE, () -> notRead(exchange, error)));
+                        (same, error) ->
+                                same.dispatch(SameThreadExecutor.INSTANCE, () -> notRead(exchange, error, knownAsOf)));
     }
 
-    private void notRead(HttpServerExchange exchange, IOException error) {
-        boolean large = error instanceof RequestTooBigException;
-        refuse(exchange, large ? TOO_LARGE : BAD_REQUEST, "the body cannot be read: " + error.getMessage(), 0);
+    /** To be taken before the view, which then holds all that was known at this moment, and perhaps more. */
+    private OptionalLong knownAsOf() {
+        return parts.manifestAge().asOfMillis().get();
+    }
+
+    private void notRead(HttpServerExchange exchange, IOException error, OptionalLong knownAsOf) {
+        String why = "the body cannot be read: " + error.getMessage();
+        if (error instanceof RequestTooBigException) {
+            refuseByManifest(exchange, TOO_LARGE, why, knownAsOf);
+        } else {
+            refuse(exchange, BAD_REQUEST, why, 0);
+        }
     }
 
     private void begin(HttpServerExchange exchange, byte[] body) {
+        OptionalLong knownAsOf = knownAsOf();
         Optional<RouteManifest> manifest = parts.view().manifest();
         if (connections.closing()) {
             refuse(exchange, UNAVAILABLE, "this entry is stopping", STOPPING_MILLIS);
@@ -165,15 +189,35 @@
             return;
         }
         if (body.length > manifest.get().maxBodyBytes()) {
-            refuse(exchange, TOO_LARGE, "the body is larger than the manifest allows", 0);
+            refuseByManifest(exchange, TOO_LARGE, "the body is larger than the manifest allows", knownAsOf);
             return;
         }
         switch (parts.reader().read(exchange, body, manifest.get(), parts.nowMillis())) {
+            case RequestReader.Reading.Refused(int status, String why)
+            when ofManifest(status) -> refuseByManifest(exchange, status, why, knownAsOf);
             case RequestReader.Reading.Refused(int status, String why) -> refuse(exchange, status, why, 0);
             case RequestReader.Reading.Understood(ClientRequest request) -> run(exchange, request);
         }
     }
 
+    /** Whether a newer manifest may take that request: one that cannot be read is wrong by each. */
+    private static boolean ofManifest(int status) {
+        return status == UNAUTHORIZED || status == NOT_FOUND;
+    }
+
+    /** Refuses what the manifest does not allow, if it is known to be one that must be in force. */
+    private void refuseByManifest(HttpServerExchange exchange, int status, String why, OptionalLong knownAsOf) {
+        if (parts.manifestAge().provesAllInForce(knownAsOf, parts.nowMillis())) {
+            refuse(exchange, status, why, 0);
+        } else {
+            refuse(
+                    exchange,
+                    UNAVAILABLE,
+                    "this entry may not know the newest manifest; by its own, " + why,
+                    MAY_NOT_KNOW_MILLIS);
+        }
+    }
+
     private void run(HttpServerExchange exchange, ClientRequest request) {
         ServedRequest run = new ServedRequest(parts, request, new ClientAnswer(exchange), exchange.getIoThread());
         ClientWatch.start(exchange, run::clientGone);
--- a/src/test/java/org/micabarrow/transport/LoadFeedTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadFeedTest.java
@@ -16,6 +16,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
@@ -47,7 +48,8 @@
 
     private final EndpointChoice choice = new EndpointChoice("region-a", Map.of("hall-a", "region-a"));
     private final EndpointEntry endpoint =
-            new EndpointEntry("a", "models", "127.0.0.1:80", "hall-a", 4, false, Map.of("m", 1L), 16);
+            EndpointEntry.of("a", "models", "127.0.0.1:80", "hall-a", 4, false, Map.of("m", 1L), 16);
+    private final List<LoadFeed.HeardNews> heard = new CopyOnWriteArrayList<>();
     private DatagramSocket agent;
     private XnioWorker worker;
     private LoadFeed feed;
@@ -67,13 +69,15 @@
     private LoadFeed feed(Supplier<View> view, EndpointChoice choice) throws IOException {
         return LoadFeed.open(new LoadFeed.Parts(
                 new Common.Place("entry-a", "region-a", "hall-a"),
+                "127.0.0.1:8000",
                 Map.of("hall-a", "region-a"),
                 agent.getLocalPort(),
                 view,
                 choice,
                 worker.getIoThread(),
                 () -> System.nanoTime() / 1_000_000,
-                Optional::empty));
+                Optional::empty,
+                heard::add));
     }
 
     @AfterEach
@@ -94,7 +98,7 @@
         RouteManifest.Service service = new RouteManifest.Service("models", 100, Optional.of(model), Optional.empty());
         RouteManifest manifest =
                 RouteManifest.of(new RouteManifest.Parts(1, List.of(), Map.of("models", service), Map.of(), false, 1));
-        EndpointEntry other = new EndpointEntry("b", "models", "127.0.0.1:81", "hall-a", 4, false, Map.of("m", 1L), 16);
+        EndpointEntry other = EndpointEntry.of("b", "models", "127.0.0.1:81", "hall-a", 4, false, Map.of("m", 1L), 16);
         return new View(Optional.of(manifest), 0, Map.of("a", endpoint, "b", other), Map.of());
     }
 
@@ -147,7 +151,7 @@
         for (int number = 0; number < 2; number++) {
             DatagramPacket packet = question();
             LoadMessages.Question question = LoadMessages.question(Arrays.copyOf(packet.getData(), packet.getLength()));
-            assertEquals(new LoadMessages.Question("entry-a", 120, number, 0), question);
+            assertEquals(new LoadMessages.Question("entry-a", 120, number, 0, true, Optional.empty()), question);
         }
     }
 
@@ -221,8 +225,8 @@
     @Test
     @Timeout(LONGEST_SECONDS)
     void shouldCountNothingThatAgentTellsOfAnotherStart() throws Exception {
-        EndpointEntry listed = new EndpointEntry(
-                "a", "models", "127.0.0.1:80", "hall-a", 4, false, Map.of(), 16, LISTED.startedMillis());
+        EndpointEntry listed = EndpointEntry.of("a", "models", "127.0.0.1:80", "hall-a", 4, false, Map.of(), 16)
+                .withStart(LISTED.startedMillis());
         View both = twoAtOneHost();
         // The feed of all tests, which lists no endpoint, makes its own choice forget them.
         EndpointChoice own = new EndpointChoice("region-a", Map.of("hall-a", "region-a"));
