--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -19,6 +19,7 @@
 import org.micabarrow.serving.ManifestAge;
 import org.micabarrow.serving.ServingHandler;
 import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.transport.Addresses;
 import org.micabarrow.transport.HostedPeerServer;
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.LoadFeed;
@@ -54,13 +55,7 @@
      * the entry that reads for its region knows is as old as that at most, and the others must still have time to read the store
      * themselves when it falls silent.
      */
-    private static final double OPERATOR_HOLD_PART = 0.5;
-
-    /**
-     * How old what the region's reader knows may be before an entry reads the store itself, as a part of the same time: the hold,
-     * two questions to agents (0.3 s) and a round trip. The rest is for the entry's own read.
-     */
-    private static final double TRUST_PART = 0.75;
+    private static final double OPERATOR_HOLD_PART = 0.4;
 
     /** Among how many entries the users' slack for repeats is divided: more than there are, spares and restarts included. */
     private static final int ENTRIES_AT_MOST = 16;
@@ -113,7 +108,7 @@
                 node.store(),
                 node.peerRecords(),
                 new NewsReader.Role.Entry(
-                        settings.listen().peers(), Math.round(bounds.configurationMillis() * TRUST_PART)),
+                        Addresses.numeric(settings.listen().peers()), HostedNode.readerTrustMillis(bounds)),
                 HostedNode::steadyMillis);
         this.loadFeed = LoadFeed.open(new LoadFeed.Parts(
                 settings.instance(),
@@ -194,7 +189,7 @@
         if (asOf.isEmpty()) {
             return Optional.empty();
         }
-        long knownMillisAgo = HostedNode.steadyMillis() - asOf.getAsLong();
+        long knownMillisAgo = Math.max(0, HostedNode.steadyMillis() - asOf.getAsLong());
         return node.changesInTouch()
                 .map(changes ->
                         new StoreNews(port, changes, node.views().newestManifest(), knownMillisAgo, reader.direct()));
--- a/src/main/java/org/micabarrow/transport/Addresses.java
+++ b/src/main/java/org/micabarrow/transport/Addresses.java
@@ -8,6 +8,17 @@
 
     private Addresses() {}
 
+    /**
+     * An address by its IP number, as others see where messages come from.
+     *
+     * @param address the host and port
+     * @return the number and port; the same address if its host has none
+     */
+    public static String numeric(String address) {
+        InetSocketAddress parsed = parse(address);
+        return parsed.isUnresolved() ? address : parsed.getAddress().getHostAddress() + ":" + parsed.getPort();
+    }
+
     /**
      * Reads an address.
      *
--- a/src/main/java/org/micabarrow/transport/callers/CallerServer.java
+++ b/src/main/java/org/micabarrow/transport/callers/CallerServer.java
@@ -176,8 +176,11 @@
         if (header == null || !header.startsWith(BEARER)) {
             return fail(Step.AUTHENTICATE, Reason.UNAUTHORISED, "the request has no bearer token");
         }
-        return state.get()
-                .organisationOf(Digest.of(header.substring(BEARER.length()).trim()))
+        FoldedState now = state.get();
+        if (now.offset() < 0) {
+            return fail(Step.AUTHENTICATE, Reason.NOT_READY, "the entry has read no configuration yet");
+        }
+        return now.organisationOf(Digest.of(header.substring(BEARER.length()).trim()))
                 .map(Result::success)
                 .orElseGet(() -> fail(Step.AUTHENTICATE, Reason.UNAUTHORISED, "no organisation has this token"));
     }
