--- a/src/main/java/org/micabarrow/views/NewsReader.java
+++ b/src/main/java/org/micabarrow/views/NewsReader.java
@@ -29,6 +29,21 @@
      */
     private static final long TOLD_MILLIS = 1_000;
 
+    /**
+     * The same of what an entry is told of the region's reader, in milliseconds: agents tell some three times in it. They go on naming
+     * a reader that ended for as long; the two together, and a read of the store, are to fit into two seconds.
+     */
+    private static final long READER_TOLD_MILLIS = 500;
+
+    /**
+     * How old what an entry knows may be for agents to go by it, in milliseconds: a weight version is to be in use within some eight
+     * seconds, and its copy alone takes three to five.
+     */
+    private static final long AGENT_TRUST_MILLIS = 3_000;
+
+    /** How long an answer to an agent may take, as long as it keeps coming: a large manifest over a narrow link. */
+    private static final Duration WHOLE_ANSWER = Duration.ofSeconds(10);
+
     private final TopicReader store;
     private final Peers peers;
     private final Role role;
@@ -56,9 +71,10 @@
          * @param peer the peer's host and port
          * @param topic the topic
          * @param from the offset
+         * @param within how long the whole answer may take
          * @return the records, and where to read on
          */
-        Result<Batch> ask(String peer, Topic topic, long from);
+        Result<Batch> ask(String peer, Topic topic, long from, Duration within);
     }
 
     /** Whose word a process goes by, and for what. */
@@ -145,7 +161,7 @@
     }
 
     private boolean peersTell(long now) {
-        told.values().removeIf(one -> now - one.atMillis() >= TOLD_MILLIS);
+        told.values().removeIf(one -> now - one.atMillis() >= toldMillis());
         return told.entrySet().stream().anyMatch(one -> counts(one.getKey(), one.getValue(), now));
     }
 
@@ -167,10 +183,10 @@
     }
 
     private boolean counts(String peer, Told one, long now) {
+        boolean known = now - one.asOfMillis() < trustMillis();
         return switch (role) {
-            case Role.Agent ignored -> true;
-            case Role.Entry(String self, long trustMillis) ->
-                now - one.asOfMillis() < trustMillis && (peer.compareTo(self) < 0 || !storeAnswers);
+            case Role.Agent ignored -> known;
+            case Role.Entry entry -> known && (peer.compareTo(entry.self()) < 0 || !storeAnswers);
         };
     }
 
@@ -184,8 +200,21 @@
     }
 
     private long endOfTrust(Told one) {
-        long told = one.atMillis() + TOLD_MILLIS;
-        return role instanceof Role.Entry entry ? Math.min(told, one.asOfMillis() + entry.trustMillis()) : told;
+        return Math.min(one.atMillis() + toldMillis(), one.asOfMillis() + trustMillis());
+    }
+
+    private long toldMillis() {
+        return switch (role) {
+            case Role.Agent ignored -> TOLD_MILLIS;
+            case Role.Entry ignored -> READER_TOLD_MILLIS;
+        };
+    }
+
+    private long trustMillis() {
+        return switch (role) {
+            case Role.Agent ignored -> AGENT_TRUST_MILLIS;
+            case Role.Entry entry -> entry.trustMillis();
+        };
     }
 
     private Optional<String> ahead(Topic topic, long from, long now) {
@@ -227,9 +256,25 @@
         }
     }
 
+    @Override
+    public Result<Read> history(Topic topic, long from) {
+        Optional<String> peer = peerBeyond(topic, from);
+        return peer.isPresent() ? fromPeer(peer.get(), topic, from) : readStore(topic, from, Duration.ZERO);
+    }
+
+    /** A peer that knows of a change beyond an offset, be it one that this process acts on or not. */
+    private synchronized Optional<String> peerBeyond(Topic topic, long from) {
+        long now = steadyMillis.getAsLong();
+        return told.entrySet().stream()
+                .filter(one -> counts(one.getKey(), one.getValue(), now))
+                .filter(one -> one.getValue().changes().of(topic) > from)
+                .map(Map.Entry::getKey)
+                .findFirst();
+    }
+
     /** A peer that does not give what it told of may have started again, or not know all that came before. */
     private Result<Read> fromPeer(String peer, Topic topic, long from) {
-        Result<Batch> batch = peers.ask(peer, topic, from);
+        Result<Batch> batch = peers.ask(peer, topic, from, within(peer));
         if (batch.toOptional().filter(one -> one.end() > from).isPresent()) {
             return byPeer(topic, batch.map(Read.Records::new));
         }
@@ -238,12 +283,35 @@
         return readStore(topic, from, Duration.ZERO);
     }
 
+    /**
+     * How long a peer's answer may take. To an entry it must come while the peer's word counts: one that gives its answer piece by
+     * piece over a full link would keep the entry from the store for ten seconds.
+     */
+    private synchronized Duration within(String peer) {
+        return switch (role) {
+            case Role.Agent ignored -> WHOLE_ANSWER;
+            case Role.Entry ignored -> {
+                Told one = told.get(peer);
+                long left = one == null ? 0 : endOfTrust(one) - steadyMillis.getAsLong();
+                yield Duration.ofMillis(Math.max(1, left));
+            }
+        };
+    }
+
     private Result<Read> readStore(Topic topic, long from, Duration wait) {
         if (passedOver(topic, from)) {
             // One copy of the manifest instead of one of each version that was passed over.
             return fromStore(topic, store.newest(topic)).map(Read.Records::new);
         }
-        return fromStore(topic, store.read(topic, from, wait));
+        return fromStore(topic, store.read(topic, from, ownHold(topic, wait)));
+    }
+
+    /**
+     * How long the store may hold a read. The first one after others told is not held: what they knew is old by then, and with a
+     * hold on top of that the age passes the time in which a manifest must be in force.
+     */
+    private synchronized Duration ownHold(Topic topic, Duration wait) {
+        return topic == Topic.OPERATOR && !direct ? Duration.ZERO : wait;
     }
 
     /** Whether an agent was told of changes that it had no use for, and would read all of them now. */
--- a/src/main/java/org/micabarrow/views/TopicReader.java
+++ b/src/main/java/org/micabarrow/views/TopicReader.java
@@ -68,6 +68,17 @@
      */
     Result<Read> read(Topic topic, long from, Duration wait);
 
+    /**
+     * The records from an offset on that was passed before, be they news or not.
+     *
+     * @param topic the topic
+     * @param from the offset
+     * @return the records
+     */
+    default Result<Read> history(Topic topic, long from) {
+        return read(topic, from, Duration.ZERO);
+    }
+
     /**
      * Whether a read needs no answer of the store now, since others tell what is new there.
      *
--- a/src/test/java/org/micabarrow/views/NewsReaderTest.java
+++ b/src/test/java/org/micabarrow/views/NewsReaderTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.micabarrow.platform.StoreRecords;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
 import org.micabarrow.views.TopicReader.Batch;
@@ -55,7 +56,7 @@
 
     private final NewsReader reader = new NewsReader(
             store,
-            (peer, topic, from) -> {
+            (peer, topic, from, within) -> {
                 asked.add(peer);
                 return told;
             },
@@ -164,7 +165,10 @@
     @Test
     void shouldEndWaitWhenItsTimeIsOver() {
         NewsReader onRealTime = new NewsReader(
-                store, (peer, topic, from) -> told, new NewsReader.Role.Agent(), () -> System.nanoTime() / 1_000_000);
+                store,
+                (peer, topic, from, within) -> told,
+                new NewsReader.Role.Agent(),
+                () -> System.nanoTime() / 1_000_000);
         onRealTime.told(PEER, new LastChanges(7, 0), now.get());
         assertEquals(
                 new Read.Records(new Batch(List.of(), 7)),
@@ -197,7 +201,7 @@
 
     private final NewsReader entry = new NewsReader(
             store,
-            (peer, topic, from) -> {
+            (peer, topic, from, within) -> {
                 asked.add(peer);
                 return told;
             },
@@ -252,4 +256,100 @@
         assertEquals(List.of("store", "10.0.0.2:8000"), asked);
         assertFalse(entry.direct());
     }
+
+    /**
+     * What the reader of the region knew last was a whole trust ago when nobody's word counts any more. Held for a whole hold then,
+     * the read ends when that is older than a manifest may be, though the store answers all the time.
+     */
+    @Test
+    void shouldKnowWithinBoundWhenReaderOfRegionFellSilentInQuietTimes() {
+        long boundMillis = 2_000;
+        Duration hold = Duration.ofMillis(1_000);
+        AtomicLong waited = new AtomicLong();
+        TopicReader quiet = new TopicReader() {
+            @Override
+            public Result<Batch> newest(Topic topic) {
+                return Result.success(new Batch(List.of(), 7));
+            }
+
+            @Override
+            public Result<Read> read(Topic topic, long from, Duration wait) {
+                waited.set(wait.toMillis());
+                return Result.success(new Read.Records(new Batch(List.of(), from)));
+            }
+        };
+        NewsReader led = new NewsReader(
+                quiet, (peer, topic, from, within) -> told, new NewsReader.Role.Entry(SELF, TRUST_MILLIS), now::get);
+        long asOf = now.get();
+        led.told(PEER, new LastChanges(7, 0), asOf);
+        now.addAndGet(TRUST_MILLIS);
+        led.read(Topic.OPERATOR, 7, hold);
+        long age = now.get() + waited.get() - asOf;
+        assertTrue(age <= boundMillis, "all was known " + age + " ms ago when the store answers");
+    }
+
+    /**
+     * A reader whose link is full gives its answer piece by piece, for as long as an answer may take: ten seconds. It gets no longer
+     * than its word counts, and then the store is read.
+     */
+    @Test
+    void shouldReadStoreWhenReaderOfRegionDoesNotEndItsAnswerWhileItsWordCounts() {
+        List<Duration> allowed = new ArrayList<>();
+        NewsReader.Peers slow = (peer, topic, from, within) -> {
+            allowed.add(within);
+            return Result.failure(Fault.of(Fault.Step.READ, peer, Fault.Reason.TIMEOUT, "the answer stopped"));
+        };
+        NewsReader led = new NewsReader(store, slow, new NewsReader.Role.Entry(SELF, TRUST_MILLIS), now::get);
+        led.told(PEER, new LastChanges(8, 0), now.get() - 1_000);
+        led.read(Topic.OPERATOR, 7, HOLD);
+        assertEquals(List.of(Duration.ofMillis(TRUST_MILLIS - 1_000)), allowed);
+        assertEquals(List.of("store"), asked);
+    }
+
+    /** Entries whose own reads trickle are in touch and tell on, of what was known long ago; a weight version named since is none of it. */
+    @Test
+    void shouldReadStoreByAgentWhenWhatEntriesKnowIsOld() {
+        reader.told(PEER, new LastChanges(7, 0), now.get() - 10_000);
+        read(7);
+        assertEquals(List.of("store"), asked);
+    }
+
+    /**
+     * Manifests 1 (other services), 2 and 3 stand at 0 to 2, and 1 was written once more, late, at 3. Entries tell that services
+     * changed at 1; an agent that starts knows from what is kept that 3 stands at 2, and that is no news by what they tell.
+     */
+    @Test
+    void shouldFindHiddenManifestByAgentWhenEntriesTellThatServicesChangedBeforeIt() {
+        ViewKeeper keeper = new ViewKeeper(new StoreRecords(), now::get);
+        StoredRecord third = new StoredRecord("config", 2, manifest(3));
+        TopicReader history = new TopicReader() {
+            @Override
+            public Result<Batch> newest(Topic topic) {
+                byte[] place = "{\"version\":3,\"offset\":2}".getBytes(StandardCharsets.UTF_8);
+                return Result.success(
+                        topic == Topic.NAMED
+                                ? new Batch(List.of(new StoredRecord(VersionKeys.ofManifest(3), 0, place)), 1)
+                                : new Batch(List.of(new StoredRecord("config", 3, manifest(1))), 4));
+            }
+
+            @Override
+            public Result<Read> read(Topic topic, long from, Duration wait) {
+                return Result.success(new Read.Records(new Batch(List.of(third), 3)));
+            }
+        };
+        NewsReader agent = new NewsReader(
+                history,
+                (peer, topic, from, within) -> Result.success(new Batch(List.of(third), 4)),
+                new NewsReader.Role.Agent(),
+                now::get);
+        NamedVersions versions = new NamedVersions(
+                agent, unkept -> Result.success(List.of()), keeper, () -> NamedVersions.Duty.NONE, () -> {});
+        agent.told(PEER, new LastChanges(4, 0, 2), now.get());
+        Batch newest = versions.newest(Topic.OPERATOR).toOptional().orElseThrow();
+        assertTrue(newest.records().contains(third), "found: " + newest.records());
+    }
+
+    private static byte[] manifest(long version) {
+        return ("{\"version\":" + version + ",\"routes\":[],\"services\":[]}").getBytes(StandardCharsets.UTF_8);
+    }
 }
