--- a/src/main/java/org/micabarrow/views/StoreFollower.java
+++ b/src/main/java/org/micabarrow/views/StoreFollower.java
@@ -110,7 +110,7 @@
      */
     public long once() {
         keeper.settleDoubts();
-        // An entry that was cut off reads at once when others tell again: by rounds it took 1.9 s, of 3 s for a
+        // An entry that was cut off reads at once when others tell again: by rounds that takes 1.9 s, of 3 s for a
         // manifest.
         if (!reachable && loaded && !reader.peersTell(topic) && ++roundsWithoutRead < ROUNDS_A_READ) {
             askPeer.accept(topic);
