A peer tells the newest weight version also when an older one was written after it

What would do it, by reading: agents learn of versions from entries, which gave the newest record of each key. If the late write of version 2 stands after version 3 before they ask (some 0.3 s), none of them learns of 3.

ViewKeeperTest.shouldLearnNewestVersionFromPeerWhenOlderOneWasWrittenLate: 2 instead of 3 before. Peers give the records of the newest versions and manifest beside the newest of each key, in the order in which they stand.

--- a/src/main/java/org/micabarrow/views/Manifests.java
+++ b/src/main/java/org/micabarrow/views/Manifests.java
@@ -1,7 +1,5 @@
 package org.micabarrow.views;
 
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -67,11 +65,9 @@
         return newest.map(ManifestPlace::version).orElse(NONE);
     }
 
-    /** Some records of operators, and the manifest in force if it is hidden from whoever reads on from an offset. */
-    List<StoredRecord> withHidden(Collection<StoredRecord> records, long offset) {
-        List<StoredRecord> all = new ArrayList<>(records);
-        record.filter(one -> one.offset() >= offset && !records.contains(one)).ifPresent(all::add);
-        return all;
+    /** The record of the manifest in force, if it stands at or after an offset. */
+    Optional<StoredRecord> newestRecord(long offset) {
+        return record.filter(one -> one.offset() >= offset);
     }
 
     // -- what processes keep in the store
--- a/src/main/java/org/micabarrow/views/NamedTargets.java
+++ b/src/main/java/org/micabarrow/views/NamedTargets.java
@@ -21,19 +21,31 @@
     /** The newest version of each model that was read from what operators wrote. */
     private final Map<String, View.Target> byOperator = new HashMap<>();
 
+    /** Their records: an older version that is written late takes their place in the copy of the topic. */
+    private final Map<String, StoredRecord> records = new HashMap<>();
+
     NamedTargets(LongSupplier steadyMillis, LongSupplier unixMillis) {
         this.steadyMillis = steadyMillis;
         this.unixMillis = unixMillis;
     }
 
     /** Takes note of a version that was read from what operators wrote. */
-    View.Target byOperator(String model, long version, boolean seenNamed) {
+    View.Target byOperator(StoredRecord record, String model, long version, boolean seenNamed) {
         Learned learned = seenNamed ? Learned.SEEN_NAMED : Learned.FOUND;
         View.Target target = new View.Target(version, steadyMillis.getAsLong(), learned);
-        byOperator.merge(model, target, (a, b) -> a.version() >= b.version() ? a : b);
+        if (byOperator.merge(model, target, (a, b) -> a.version() >= b.version() ? a : b) == target) {
+            records.put(model, record);
+        }
         return target;
     }
 
+    /** The records of the newest versions at or after an offset. */
+    List<StoredRecord> newestRecords(long offset) {
+        return records.values().stream()
+                .filter(record -> record.offset() >= offset)
+                .toList();
+    }
+
     // -- what is kept in the store
 
     /**
--- a/src/main/java/org/micabarrow/views/NewsReader.java
+++ b/src/main/java/org/micabarrow/views/NewsReader.java
@@ -204,10 +204,6 @@
     }
 
     private Result<Read> readStore(Topic topic, long from, Duration wait) {
-        if (passedOver(topic, from)) {
-            // One copy of the manifest instead of one of each version that was passed over.
-            return fromStore(topic, store.newest(topic)).map(Read.Records::new);
-        }
         return fromStore(topic, store.read(topic, from, ownHold(topic, wait)));
     }
 
@@ -219,10 +215,6 @@
         return topic == Topic.OPERATOR && !direct ? Duration.ZERO : wait;
     }
 
-    private synchronized boolean passedOver(Topic topic, long from) {
-        return topic == Topic.OPERATOR && told.passedOver(from);
-    }
-
     private synchronized <T> Result<T> fromStore(Topic topic, Result<T> answer) {
         if (topic == Topic.OPERATOR) {
             boolean answers = answer instanceof Result.Success<T>;
--- a/src/main/java/org/micabarrow/views/OperatorBeliefs.java
+++ b/src/main/java/org/micabarrow/views/OperatorBeliefs.java
@@ -1,10 +1,12 @@
 package org.micabarrow.views;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
@@ -90,7 +92,7 @@
 
     private Change weightsNamed(StoredRecord record, String model, long version, View view) {
         long newest = view.newestTarget(model).map(View.Target::version).orElse(0L);
-        View.Target target = targets.byOperator(model, version, loaded);
+        View.Target target = targets.byOperator(record, model, version, loaded);
         View after = withTarget(model, target, view, "store offset=" + record.offset());
         if (after == view && version < newest) {
             OperatorLines.namedLate(record, model, version, newest);
@@ -158,7 +160,18 @@
         return manifests.unkept(lying);
     }
 
-    List<StoredRecord> withHiddenManifest(Collection<StoredRecord> records, long offset) {
-        return manifests.withHidden(records, offset);
+    // -- for peers
+
+    /**
+     * Some records of operators, and those of the newest manifest and versions that others hide from whoever reads on from an offset:
+     * an older one that was written after them. In the order in which they stand, or the older would be taken and the newer not.
+     */
+    List<StoredRecord> withHidden(Collection<StoredRecord> records, long offset) {
+        Stream<StoredRecord> newest =
+                Stream.concat(manifests.newestRecord(offset).stream(), targets.newestRecords(offset).stream());
+        return Stream.concat(records.stream(), newest)
+                .distinct()
+                .sorted(Comparator.comparingLong(StoredRecord::offset))
+                .toList();
     }
 }
--- a/src/main/java/org/micabarrow/views/ToldNews.java
+++ b/src/main/java/org/micabarrow/views/ToldNews.java
@@ -31,9 +31,6 @@
     private final Role role;
     private final Map<String, Told> told = new HashMap<>();
 
-    /** Up to where peers told of changes of operators that agents do not act on. */
-    private long passedOverTo;
-
     /** Whether the store answered this process when it was last asked. */
     private boolean storeAnswers = true;
 
@@ -46,9 +43,6 @@
     /** Takes note of what a peer tells, and tells whether it is something else than before. */
     boolean take(String peer, LastChanges changes, long asOfMillis, long nowMillis) {
         Told before = told.put(peer, new Told(peer, changes, asOfMillis, nowMillis));
-        if (changes.operator() > changes.weights()) {
-            passedOverTo = Math.max(passedOverTo, changes.operator());
-        }
         return before == null || !before.changes().equals(changes);
     }
 
@@ -137,9 +131,4 @@
     private long needed(LastChanges changes, Topic topic) {
         return topic == Topic.OPERATOR && role instanceof Role.Agent ? changes.weights() : changes.of(topic);
     }
-
-    /** Whether an agent was told of changes beyond an offset that it had no use for, and would read all of them now. */
-    boolean passedOver(long from) {
-        return role instanceof Role.Agent && passedOverTo > from;
-    }
 }
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -147,8 +147,7 @@
         TopicCopy copy = copies.get(topic);
         List<StoredRecord> records = copy.since(offset);
         return topic == Topic.OPERATOR
-                ? new TopicReader.Batch(
-                        operator.withHiddenManifest(records, offset), copy.endFor(offset), operatorAsOfMillis())
+                ? new TopicReader.Batch(operator.withHidden(records, offset), copy.endFor(offset), operatorAsOfMillis())
                 : new TopicReader.Batch(records, copy.endFor(offset));
     }
 
--- a/src/test/java/org/micabarrow/views/ViewKeeperTest.java
+++ b/src/test/java/org/micabarrow/views/ViewKeeperTest.java
@@ -95,6 +95,29 @@
 
     // -- weights
 
+    private static StoredRecord named(long version, long offset) {
+        return record("version/m", offset, "{\"model\":\"m\",\"version\":" + version + "}");
+    }
+
+    /**
+     * Requests began on version 2 of a model 20 s after version 3 was acknowledged, when everything had started again. The late write
+     * of version 2 stood after that of version 3 before most processes had asked a peer for it, and a peer tells the newest record of
+     * a key: none of those that keep versions ever learned of version 3.
+     */
+    @Test
+    void shouldLearnNewestVersionFromPeerWhenOlderOneWasWrittenLate() {
+        keeper.apply(Topic.OPERATOR, List.of(named(3, 5), named(2, 6)), 7);
+        ViewKeeper asker = new ViewKeeper(new StoreRecords(), now::get);
+        TopicReader.Batch told = keeper.since(Topic.OPERATOR, 0);
+        asker.apply(Topic.OPERATOR, told.records(), told.end());
+        assertEquals(3, asker.view().newestTarget("m").orElseThrow().version());
+        assertEquals(
+                List.of(3L),
+                asker.unkept().stream()
+                        .map(one -> ((Unkept.Weights) one).version())
+                        .toList());
+    }
+
     @Test
     void shouldDemandVersionOnceItsTimeIsOver() {
         keeper.want("m", 2);
