--- a/src/main/java/org/micabarrow/serving/RequestLog.java
+++ b/src/main/java/org/micabarrow/serving/RequestLog.java
@@ -3,6 +3,7 @@
 import org.micabarrow.admission.Admission.Decision;
 import org.micabarrow.attempts.AttemptEnd;
 import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.crashes.RequestDigest;
 import org.micabarrow.routing.EndpointChoice.Choice;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.EndpointLoad;
@@ -68,11 +69,15 @@
         LOG.info("event=taken_back request={} endpoint={} {} why=\"{}\"", request.id(), endpoint.id(), progress, why);
     }
 
-    /** A sending ended without an answer that may be passed on. */
+    /**
+     * A sending ended without an answer that may be passed on. Where the request may have run, its digest tells whether it is one
+     * that came before, under another id or at another entry.
+     */
     void failed(EndpointEntry endpoint, AttemptEnd end, String progress, String why) {
         LOG.info(
-                "event=attempt_failed request={} endpoint={} end={} {} why=\"{}\"",
+                "event=attempt_failed request={} digest={} endpoint={} end={} {} why=\"{}\"",
                 request.id(),
+                end == AttemptEnd.UNKNOWN ? RequestDigest.of(request) : "-",
                 endpoint.id(),
                 end,
                 progress,
