Failing test: a request that ends every endpoint that runs it is sent on for ever

What callers saw: most endpoints of a service ended one after the other, 19 by one request, and up to a third of the requests got no answer in time. Stand-ins of endpoints can crash: their port is dead then and their connections end; they are back under a new id.

--- a/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
@@ -47,6 +47,7 @@
     private final AtomicInteger hanging = new AtomicInteger();
     private final AtomicInteger misdirected = new AtomicInteger();
     private final HostedWeightsStandin weights;
+    private volatile Crashing crashing = body -> false;
 
     /** How an endpoint ends. */
     public enum Ending {
@@ -56,6 +57,19 @@
         POWER_LOSS
     }
 
+    /** Says which requests end the endpoint that begins to run them, and ends it. */
+    @FunctionalInterface
+    public interface Crashing {
+
+        /**
+         * Ends the endpoint if a request does so.
+         *
+         * @param body the request's body
+         * @return whether the endpoint has ended, and answers nothing
+         */
+        boolean crashes(String body);
+    }
+
     /** What the stand-in does with a request. */
     public enum Behaviour {
         /** Answers as it should. */
@@ -113,6 +127,15 @@
         return List.copyOf(received);
     }
 
+    /**
+     * Looks at each request from now on whether the endpoint ends by it.
+     *
+     * @param by says so, and ends the endpoint
+     */
+    public void crash(Crashing by) {
+        crashing = by;
+    }
+
     /**
      * Tells from now on when it was started.
      *
@@ -166,11 +189,12 @@
         exchange.getRequestHeaders()
                 .forEach(values -> headers.put(values.getHeaderName().toString(), values.getFirst()));
         String query = exchange.getQueryString().isEmpty() ? "" : "?" + exchange.getQueryString();
-        received.add(new Received(
-                exchange.getRequestMethod().toString(),
-                exchange.getRequestURI() + query,
-                headers,
-                new String(body, StandardCharsets.UTF_8)));
+        String text = new String(body, StandardCharsets.UTF_8);
+        received.add(
+                new Received(exchange.getRequestMethod().toString(), exchange.getRequestURI() + query, headers, text));
+        if (crashing.crashes(text)) {
+            return;
+        }
         exchange.getResponseHeaders().put(new HttpString("Instance-Id"), id);
         String attempt = exchange.getRequestHeaders().getFirst(ATTEMPT);
         exchange.getResponseHeaders().put(ATTEMPT, attempt == null ? "-" : attempt);
--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -1,6 +1,8 @@
 package org.micabarrow.platform.standin;
 
 import io.undertow.server.HttpHandler;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -10,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
@@ -19,8 +22,10 @@
 import org.micabarrow.standin.Ports;
 import org.micabarrow.state.Fault;
 import org.micabarrow.transport.HttpCall;
+import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.views.VersionKeys;
+import org.xnio.XnioWorker;
 
 /** The users' platform in small, on loopback: a store, an origin and endpoints, with the settings that fit them. */
 public final class HostedSystem implements AutoCloseable {
@@ -34,11 +39,15 @@
     private final HostedStoreStandin store = new HostedStoreStandin();
     private final String storeAddress;
     private final String originAddress;
-    private final Map<String, HostedEndpointStandin> endpoints = new HashMap<>();
-    private final Map<String, String> addresses = new HashMap<>();
+    private final Map<String, HostedEndpointStandin> endpoints = new ConcurrentHashMap<>();
+    private final Map<String, String> addresses = new ConcurrentHashMap<>();
     private final Map<String, Long> starts = new HashMap<>();
     private final List<AutoCloseable> running = new ArrayList<>();
     private final AtomicInteger instances = new AtomicInteger();
+    private final Map<String, HttpListener> listeners = new ConcurrentHashMap<>();
+    private final AtomicInteger crashes = new AtomicInteger();
+    private volatile Optional<String> crashingBody = Optional.empty();
+    private volatile Optional<XnioWorker> worker = Optional.empty();
 
     private HostedSystem() {
         this.storeAddress = serve(store);
@@ -151,11 +160,80 @@
      */
     public void add(String id, String service, long version) {
         HostedEndpointStandin endpoint = new HostedEndpointStandin(id, MODEL, version, behaviours);
+        endpoint.crash(body -> crashesBy(body, id, service, version));
         endpoints.put(id, endpoint);
-        addresses.put(id, serve(endpoint));
+        addresses.put(id, serveMortal(id, endpoint));
         enter(id, service, version, "ready");
     }
 
+    /** Serves an endpoint on threads that outlive it, so that it can end while it handles a request. */
+    private String serveMortal(String id, HttpHandler handler) {
+        String address = Ports.freeAddress();
+        try {
+            HttpListener listener = HttpListener.on(address, HttpListener.Bounds.usual(), endpointThreads(), handler);
+            listeners.put(id, listener);
+            return address;
+        } catch (IOException e) {
+            throw new UncheckedIOException("no endpoint at " + address, e);
+        }
+    }
+
+    private XnioWorker endpointThreads() throws IOException {
+        if (worker.isEmpty()) {
+            XnioWorker threads = HttpCaller.worker("endpoints", 2);
+            worker = Optional.of(threads);
+            running.add(threads::shutdownNow);
+        }
+        return worker.get();
+    }
+
+    // -- crashes
+
+    /**
+     * Has every endpoint crash from now on when it begins to run a request with a body. It is back at once, under a new id and at
+     * another address.
+     *
+     * @param body the body
+     */
+    public void crashOn(String body) {
+        crashingBody = Optional.of(body);
+    }
+
+    /**
+     * How many endpoints have crashed.
+     *
+     * @return their number
+     */
+    public int crashes() {
+        return crashes.get();
+    }
+
+    private boolean crashesBy(String body, String id, String service, long version) {
+        if (!crashingBody.equals(Optional.of(body))) {
+            return false;
+        }
+        if (crash(id)) {
+            add(id + "-" + crashes.get(), service, version);
+        }
+        return true;
+    }
+
+    /**
+     * Ends an endpoint's process without a word: its port is dead, and what was under way there has no answer.
+     *
+     * @param id its id
+     * @return false if it had ended before
+     */
+    public boolean crash(String id) {
+        Optional<HttpListener> listener = Optional.ofNullable(listeners.remove(id));
+        listener.ifPresent(one -> {
+            crashes.incrementAndGet();
+            one.close();
+            store.append("keyed.servers", id, "");
+        });
+        return listener.isPresent();
+    }
+
     /**
      * Has an endpoint tell when it was started, in its entries from now on, and in its report if it runs here.
      *
