--- a/src/main/java/org/micabarrow/admission/Admission.java
+++ b/src/main/java/org/micabarrow/admission/Admission.java
@@ -59,6 +59,14 @@
 
         /** It is refused, because no endpoint can serve it at all. */
         record Unable() implements Decision {}
+
+        /**
+         * It is refused, because it ends the endpoints that run it.
+         *
+         * @param crashes how many it has ended
+         * @param forMillis for how long it is refused
+         */
+        record Culprit(int crashes, long forMillis) implements Decision {}
     }
 
     /**
@@ -73,11 +81,18 @@
         return switch (choice.choose(endpoints, wanted, nowMillis)) {
             case Choice.Send chosen -> new Decision.Send(chosen);
             case Choice.None ignored -> new Decision.Unable();
-            case Choice.Full(int full) -> waitOrRefuse(full, wanted);
+            case Choice.Full(int full) -> withoutRoom(full, wanted);
         };
     }
 
-    private Decision waitOrRefuse(int full, Wanted wanted) {
+    /**
+     * What happens to a request for which there is no room now.
+     *
+     * @param full how many endpoints could serve it if they had room
+     * @param wanted what is to be sent
+     * @return a wait, or the refusal of what cannot be in time any more
+     */
+    public Decision withoutRoom(int full, Wanted wanted) {
         long spare = choice.spareMillis(wanted);
         return spare > 0 ? new Decision.Wait(spare, full) : new Decision.Full(full);
     }
--- /dev/null
+++ b/src/main/java/org/micabarrow/platform/CrashRecords.java
@@ -0,0 +1,149 @@
+package org.micabarrow.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import org.micabarrow.crashes.CrashNews;
+import org.micabarrow.crashes.EndpointCrash;
+import org.micabarrow.crashes.RequestDigest;
+import org.micabarrow.state.CanonicalJson;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.state.Result;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.views.StoredRecord;
+
+/**
+ * Writes and reads what processes tell each other of crashes, in a topic of the system's own of the platform's store. Each process
+ * writes keys of its own, so that none hides what another told.
+ */
+public final class CrashRecords {
+
+    private static final String AT = "atMillis";
+    private static final String ENDPOINT = "endpoint";
+    private static final String ABOARD = "aboard";
+    private static final String BEGUN = "begun";
+    private static final String CLEARED = "cleared";
+    private static final String WHOLE = "whole";
+
+    /** Between what a key is of and the process that writes it. */
+    private static final String BY = " by ";
+
+    private final KeyedWriter writer;
+    private final String process;
+
+    /**
+     * Makes a writer.
+     *
+     * @param caller sends its requests
+     * @param address the store's host and port
+     * @param within how long the store may take
+     * @param process the name of this process
+     */
+    public CrashRecords(HttpCaller caller, String address, Duration within, String process) {
+        this.writer = new KeyedWriter(caller, address, WireNames.CRASHES_TOPIC, within);
+        this.process = Objects.requireNonNull(process, "process is null");
+    }
+
+    /**
+     * What a record tells.
+     *
+     * @param news what happened
+     * @param unixMillis when, by the clock of the process that wrote it
+     */
+    public record Told(CrashNews news, long unixMillis) {}
+
+    // -- writing
+
+    /**
+     * What is to be written of some news; what is told of the same thing later takes its place.
+     *
+     * @param news the news
+     * @param unixMillis the time of day
+     * @return the record, whose offset says nothing
+     */
+    public StoredRecord record(CrashNews news, long unixMillis) {
+        ObjectNode json = CanonicalJson.mapper().createObjectNode();
+        json.put(AT, unixMillis);
+        return switch (news) {
+            case CrashNews.Crashed(EndpointCrash crash) -> {
+                json.put(ENDPOINT, crash.endpoint());
+                put(json.putArray(ABOARD), crash.aboard());
+                put(json.putArray(BEGUN), crash.begun());
+                yield record("crash/" + crash.endpoint(), json);
+            }
+            case CrashNews.Cleared(RequestDigest request, boolean whole) -> {
+                json.put(CLEARED, request.hex());
+                json.put(WHOLE, whole);
+                yield record("cleared/" + request + "/" + whole, json);
+            }
+        };
+    }
+
+    private static void put(ArrayNode array, Collection<RequestDigest> requests) {
+        requests.stream().map(RequestDigest::hex).sorted().forEach(array::add);
+    }
+
+    private StoredRecord record(String of, ObjectNode json) {
+        return new StoredRecord(of + BY + process, 0, CanonicalJson.write(json));
+    }
+
+    /**
+     * Writes records, all or none.
+     *
+     * @param records the records
+     * @return the records where they lie, or why they may not lie there
+     */
+    public Result<List<StoredRecord>> write(List<StoredRecord> records) {
+        return writer.write(records);
+    }
+
+    /**
+     * What drops a record that is of use no more.
+     *
+     * @param key its key
+     * @return the record to write
+     */
+    public static StoredRecord dropping(String key) {
+        return KeyedWriter.dropping(key);
+    }
+
+    // -- reading
+
+    /**
+     * Reads a record.
+     *
+     * @param record a record that drops no key
+     * @return what it tells, or why it cannot be read
+     */
+    public static Result<Told> read(StoredRecord record) {
+        try {
+            JsonNode json = CanonicalJson.mapper().readTree(record.value());
+            return Result.success(new Told(news(json), JsonFields.whole(json, AT, 0)));
+        } catch (IOException | IllegalArgumentException | JsonFields.MalformedField e) {
+            return Result.failure(
+                    Fault.of(Step.READ, record.shownKey(), Reason.INVALID, StoredRecord.shown(e.toString())));
+        }
+    }
+
+    private static CrashNews news(JsonNode json) {
+        return json.has(CLEARED)
+                ? new CrashNews.Cleared(new RequestDigest(JsonFields.text(json, CLEARED)), JsonFields.flag(json, WHOLE))
+                : new CrashNews.Crashed(new EndpointCrash(
+                        JsonFields.text(json, ENDPOINT), requests(json, ABOARD), requests(json, BEGUN)));
+    }
+
+    private static Set<RequestDigest> requests(JsonNode json, String field) {
+        Set<RequestDigest> requests = new HashSet<>();
+        JsonFields.texts(json, field).forEach(hex -> requests.add(new RequestDigest(hex)));
+        return requests;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/platform/KeyedWriter.java
@@ -0,0 +1,102 @@
+package org.micabarrow.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import org.micabarrow.state.CanonicalJson;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.Fault.Step;
+import org.micabarrow.state.Result;
+import org.micabarrow.transport.HttpCall;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.HttpCaller.HttpAnswer;
+import org.micabarrow.views.StoredRecord;
+
+/** Writes keyed records into one of the system's own topics of the platform's store. */
+final class KeyedWriter {
+
+    private static final String OFFSET = "offset";
+
+    private static final int OK = 200;
+    private static final byte[] DROPPED = {};
+
+    private final HttpCaller caller;
+    private final URI uri;
+    private final Duration within;
+
+    /**
+     * Makes a writer.
+     *
+     * @param caller sends its requests
+     * @param address the store's host and port
+     * @param topic the topic's name on the wire
+     * @param within how long the store may take
+     */
+    KeyedWriter(HttpCaller caller, String address, String topic, Duration within) {
+        this.caller = Objects.requireNonNull(caller, "caller is null");
+        this.uri = URI.create("http://" + Objects.requireNonNull(address, "address is null") + WireNames.LOG_APPEND
+                + "?topic=" + topic + "&part=0");
+        this.within = Objects.requireNonNull(within, "within is null");
+    }
+
+    /** What drops a key. */
+    static StoredRecord dropping(String key) {
+        return new StoredRecord(key, 0, DROPPED);
+    }
+
+    /**
+     * Writes records, all or none, one after the other.
+     *
+     * @param records the records, whose offsets say nothing
+     * @return the records where they lie, or why they may not lie there
+     */
+    Result<List<StoredRecord>> write(List<StoredRecord> records) {
+        if (!records.stream().map(StoredRecord::key).allMatch(KeyedRecords::fits)) {
+            return Result.failure(Fault.of(
+                    Step.LOG,
+                    uri.getAuthority(),
+                    Reason.INVALID,
+                    "the key is over " + KeyedRecords.MOST_KEY_BYTES + " bytes"));
+        }
+        HttpCall call = HttpCall.post(Step.LOG, uri, body(records));
+        return caller.call(call, within).flatMap(answer -> offset(call, answer)).map(first -> at(first, records));
+    }
+
+    private static byte[] body(List<StoredRecord> records) {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        records.forEach(
+                record -> body.writeBytes(KeyedRecords.framed(KeyedRecords.record(record.key(), record.value()))));
+        return body.toByteArray();
+    }
+
+    private static Result<Long> offset(HttpCall call, HttpAnswer answer) {
+        if (answer.status() != OK) {
+            return Result.failure(
+                    Fault.of(call.step(), call.peer(), Reason.OVERLOADED, "the store answered " + answer.status()));
+        }
+        try {
+            JsonNode json = CanonicalJson.mapper().readTree(answer.body());
+            return json.path(OFFSET).isIntegralNumber()
+                    ? Result.success(json.path(OFFSET).asLong())
+                    : Result.failure(Fault.of(call.step(), call.peer(), Reason.CORRUPT, "the answer has no offset"));
+        } catch (IOException e) {
+            return Result.failure(
+                    Fault.of(call.step(), call.peer(), Reason.CORRUPT, "the answer is not JSON: " + e.getMessage()));
+        }
+    }
+
+    /** The records where they lie: all or none are written, one after the other. */
+    private static List<StoredRecord> at(long first, List<StoredRecord> records) {
+        List<StoredRecord> lying = new ArrayList<>();
+        for (StoredRecord record : records) {
+            lying.add(new StoredRecord(record.key(), first + lying.size(), record.value()));
+        }
+        return lying;
+    }
+}
--- a/src/main/java/org/micabarrow/platform/StoreClient.java
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -88,6 +88,7 @@
             case OPERATOR -> WireNames.OPERATOR_TOPIC;
             case ENDPOINTS -> WireNames.ENDPOINTS_TOPIC;
             case NAMED -> WireNames.NAMED_TOPIC;
+            case CRASHES -> WireNames.CRASHES_TOPIC;
         };
     }
 
--- a/src/main/java/org/micabarrow/platform/VersionRecords.java
+++ b/src/main/java/org/micabarrow/platform/VersionRecords.java
@@ -2,22 +2,13 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.net.URI;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Objects;
 import java.util.OptionalLong;
 import org.micabarrow.state.CanonicalJson;
-import org.micabarrow.state.Fault;
-import org.micabarrow.state.Fault.Reason;
-import org.micabarrow.state.Fault.Step;
 import org.micabarrow.state.Result;
-import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpCaller;
-import org.micabarrow.transport.HttpCaller.HttpAnswer;
 import org.micabarrow.views.NamedVersions;
 import org.micabarrow.views.RecordDecoder.OperatorRecord;
 import org.micabarrow.views.StoredRecord;
@@ -35,12 +26,7 @@
     private static final String VERSION = "version";
     private static final String OFFSET = "offset";
 
-    private static final int OK = 200;
-    private static final byte[] DROPPED = {};
-
-    private final HttpCaller caller;
-    private final URI uri;
-    private final Duration within;
+    private final KeyedWriter writer;
 
     /**
      * Makes a writer.
@@ -50,26 +36,15 @@
      * @param within how long the store may take
      */
     public VersionRecords(HttpCaller caller, String address, Duration within) {
-        this.caller = Objects.requireNonNull(caller, "caller is null");
-        this.uri = URI.create("http://" + Objects.requireNonNull(address, "address is null") + WireNames.LOG_APPEND
-                + "?topic=" + WireNames.NAMED_TOPIC + "&part=0");
-        this.within = Objects.requireNonNull(within, "within is null");
+        this.writer = new KeyedWriter(caller, address, WireNames.NAMED_TOPIC, within);
     }
 
     @Override
     public Result<List<StoredRecord>> write(Unkept unkept) {
         List<StoredRecord> records = new ArrayList<>();
         records.add(new StoredRecord(unkept.key(), 0, value(unkept)));
-        unkept.outdated().forEach(key -> records.add(new StoredRecord(key, 0, DROPPED)));
-        if (!records.stream().map(StoredRecord::key).allMatch(KeyedRecords::fits)) {
-            return Result.failure(Fault.of(
-                    Step.LOG,
-                    uri.getAuthority(),
-                    Reason.INVALID,
-                    "the key is over " + KeyedRecords.MOST_KEY_BYTES + " bytes"));
-        }
-        HttpCall call = HttpCall.post(Step.LOG, uri, body(records));
-        return caller.call(call, within).flatMap(answer -> offset(call, answer)).map(first -> at(first, records));
+        unkept.outdated().forEach(key -> records.add(KeyedWriter.dropping(key)));
+        return writer.write(records);
     }
 
     private static byte[] value(Unkept unkept) {
@@ -97,36 +72,4 @@
     static OptionalLong namedMillis(JsonNode json) {
         return json.has(NAMED) ? OptionalLong.of(JsonFields.whole(json, NAMED, 0)) : OptionalLong.empty();
     }
-
-    private static byte[] body(List<StoredRecord> records) {
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
-        records.forEach(
-                record -> body.writeBytes(KeyedRecords.framed(KeyedRecords.record(record.key(), record.value()))));
-        return body.toByteArray();
-    }
-
-    private static Result<Long> offset(HttpCall call, HttpAnswer answer) {
-        if (answer.status() != OK) {
-            return Result.failure(
-                    Fault.of(call.step(), call.peer(), Reason.OVERLOADED, "the store answered " + answer.status()));
-        }
-        try {
-            JsonNode json = CanonicalJson.mapper().readTree(answer.body());
-            return json.path(OFFSET).isIntegralNumber()
-                    ? Result.success(json.path(OFFSET).asLong())
-                    : Result.failure(Fault.of(call.step(), call.peer(), Reason.CORRUPT, "the answer has no offset"));
-        } catch (IOException e) {
-            return Result.failure(
-                    Fault.of(call.step(), call.peer(), Reason.CORRUPT, "the answer is not JSON: " + e.getMessage()));
-        }
-    }
-
-    /** The records where they lie: all or none are written, one after the other. */
-    private static List<StoredRecord> at(long first, List<StoredRecord> records) {
-        List<StoredRecord> lying = new ArrayList<>();
-        for (StoredRecord record : records) {
-            lying.add(new StoredRecord(record.key(), first + lying.size(), record.value()));
-        }
-        return lying;
-    }
 }
--- a/src/main/java/org/micabarrow/platform/WireNames.java
+++ b/src/main/java/org/micabarrow/platform/WireNames.java
@@ -71,5 +71,8 @@
     /** The system's own: the weight versions that its processes saw being named. */
     static final String NAMED_TOPIC = "keyed.micabarrow.versions";
 
+    /** The system's own: the endpoints that crashed, and the requests that were there. */
+    static final String CRASHES_TOPIC = "keyed.micabarrow.crashes";
+
     private WireNames() {}
 }
--- a/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
@@ -193,6 +193,8 @@
         received.add(
                 new Received(exchange.getRequestMethod().toString(), exchange.getRequestURI() + query, headers, text));
         if (crashing.crashes(text)) {
+            // Undertow answers what a handler leaves open.
+            IoUtils.safeClose(exchange.getConnection());
             return;
         }
         exchange.getResponseHeaders().put(new HttpString("Instance-Id"), id);
--- a/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
@@ -104,6 +104,21 @@
                 .anyMatch(entry -> entry.key().equals(key));
     }
 
+    /**
+     * How many keys of a topic begin so.
+     *
+     * @param topic the topic
+     * @param prefix the beginning
+     * @return their number, dropped or not
+     */
+    public synchronized int keys(String topic, String prefix) {
+        return (int) topics.getOrDefault(topic, List.of()).stream()
+                .map(Entry::key)
+                .filter(key -> key.startsWith(prefix))
+                .distinct()
+                .count();
+    }
+
     /**
      * How many records reads of a topic have been given, each as often as it was given.
      *
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -12,10 +12,12 @@
 import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
 import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.crashes.CrashBook;
 import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.RequestHeaders;
 import org.micabarrow.process.HostedNode.Paces;
 import org.micabarrow.routing.EndpointChoice;
+import org.micabarrow.serving.Crashes;
 import org.micabarrow.serving.ManifestAge;
 import org.micabarrow.serving.ServingHandler;
 import org.micabarrow.settings.HostedSettings;
@@ -27,6 +29,7 @@
 import org.micabarrow.views.LastChanges;
 import org.micabarrow.views.NamedVersions.Duty;
 import org.micabarrow.views.NewsReader;
+import org.micabarrow.views.StoreFollower;
 import org.micabarrow.views.StoreFollower.Pace;
 import org.micabarrow.views.Topic;
 import org.slf4j.Logger;
@@ -56,6 +59,12 @@
      */
     private static final double OPERATOR_HOLD_PART = 0.4;
 
+    /**
+     * How long the store may hold a read of what other entries noticed of crashes: a connection that fell silent shows after this and
+     * the answer's own time, together under the three seconds in which the users expect a process to be in touch again.
+     */
+    private static final Pace CRASHES_PACE = new Pace(Duration.ofMillis(2_000), Duration.ZERO);
+
     /** Among how many entries the users' slack for repeats is divided: more than there are, spares and restarts included. */
     private static final int ENTRIES_AT_MOST = 16;
 
@@ -95,7 +104,9 @@
     private final NewsReader reader;
     private final LoadFeed loadFeed;
     private final ServingHandler handler;
+    private final CrashSharing crashes;
     private volatile Optional<HttpListener> clients = Optional.empty();
+    private volatile Optional<StoreFollower> crashNews = Optional.empty();
     private volatile boolean leaving;
 
     private HostedEntryProcess(HostedSettings settings) throws IOException {
@@ -120,6 +131,15 @@
                 HostedNode::steadyMillis,
                 this::news,
                 this::heard));
+        CrashBook book = new CrashBook(bounds.crashMemoryMillis(), bounds.crashesKept(), this::endpoints);
+        this.crashes = new CrashSharing(
+                node.crashRecords(),
+                book,
+                bounds.crashMemoryMillis(),
+                HostedNode::steadyMillis,
+                System::currentTimeMillis);
+        node.metrics().registerGauge("crashes.known", book::known);
+        node.metrics().registerGauge("crashes.culprits", () -> book.refused().size());
         this.handler = ServingHandler.of(new ServingHandler.Parts(
                 node.views()::view,
                 choice,
@@ -134,7 +154,8 @@
                         Math.round(bounds.versionMillis() * ASK_PART),
                         Math.round(bounds.versionMillis() * DEMAND_PART),
                         Math.round(bounds.versionMillis() * CANCEL_PART)),
-                new ManifestAge(node.views()::operatorAsOfMillis, bounds.configurationMillis())));
+                new ManifestAge(node.views()::operatorAsOfMillis, bounds.configurationMillis()),
+                new Crashes(book, (endpoint, then) -> node.fresh().refuses(endpoint.address(), then), crashes::tell)));
     }
 
     /**
@@ -165,6 +186,9 @@
         // After the listeners, so that no connection of our own takes one of their ports.
         // Agents keep the versions: an entry would write what they know as well.
         node.follow(reader, node.store(), paces(settings.bounds()), this::peers, () -> Duty.NONE);
+        node.views().onCrashNews(crashes::take);
+        crashNews = Optional.of(node.followCrashes(CRASHES_PACE, this::peers));
+        crashes.start();
         loadFeed.start(handler::lookAfterRequests);
         LOG.info("event=started role=entry instance={}", settings.instance().id());
     }
@@ -215,10 +239,12 @@
     /**
      * Whether the entry takes requests.
      *
-     * @return true once it knows a manifest, until it stops
+     * @return true once it knows a manifest and has asked for the crashes that others noticed, until it stops
      */
     public boolean takesRequests() {
-        return !leaving && node.views().view().manifest().isPresent();
+        return !leaving
+                && node.views().view().manifest().isPresent()
+                && crashNews.filter(StoreFollower::hasTried).isPresent();
     }
 
     /**
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.micabarrow.platform.CrashRecords;
 import org.micabarrow.platform.StoreClient;
 import org.micabarrow.platform.StoreRecords;
 import org.micabarrow.platform.VersionRecords;
@@ -188,6 +189,20 @@
         operator.start();
     }
 
+    /** Begins to follow what entries tell each other of crashes; peers are asked while the store does not answer. */
+    StoreFollower followCrashes(Pace pace, Supplier<List<String>> peers) {
+        StoreFollower follower =
+                new StoreFollower(Topic.CRASHES, store, views, topic -> askPeer(topic, peers.get()), pace);
+        follower.start();
+        return follower;
+    }
+
+    /** Writes what this process tells others of crashes. */
+    CrashRecords crashRecords() {
+        return new CrashRecords(
+                kept, settings.store(), STORE_ANSWER, settings.instance().id());
+    }
+
     /** Asks the next peer in turn for what it knows of a topic. */
     private void askPeer(Topic topic, List<String> peers) {
         if (peers.isEmpty()) {
--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -259,6 +259,17 @@
                 && !load.loading(nowMillis);
     }
 
+    /**
+     * Whether an endpoint is left out, as long as there are others, because of how its last requests ended.
+     *
+     * @param endpoint the endpoint
+     * @param nowMillis the time on the steady clock
+     * @return true until its exclusion ends
+     */
+    public boolean failing(EndpointEntry endpoint, long nowMillis) {
+        return load(endpoint.start()).failures().excluded(nowMillis);
+    }
+
     private long version(EndpointEntry endpoint, ModelService model) {
         long entered =
                 endpoint.layers() < model.layers() ? 0 : endpoint.models().getOrDefault(model.model(), 0L);
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -13,6 +13,7 @@
 import org.micabarrow.serving.EndpointProtocol.AnswerHead;
 import org.micabarrow.serving.EndpointProtocol.Sending;
 import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.views.View;
@@ -32,6 +33,7 @@
     private final EndpointEntry endpoint;
     private final EndpointLoad load;
     private final TakenRoom room;
+    private final Runnable suspectGone;
     private final AnswerRelay relay;
     private final long beganMillis;
     private Optional<XnioExecutor.Key> connectTimer = Optional.empty();
@@ -50,6 +52,7 @@
         this.relay = new AnswerRelay(run);
         this.load = parts.load(endpoint);
         this.beganMillis = parts.nowMillis();
+        this.suspectGone = parts.suspects().sent(endpoint, run::digest, beganMillis);
         this.room = new TakenRoom(load, request.promptTokens(), parts.line()::roomMayBe);
     }
 
@@ -87,6 +90,8 @@
         over = true;
         connectTimer.ifPresent(XnioExecutor.Key::remove);
         beginTimer.ifPresent(XnioExecutor.Key::remove);
+        // Before the room: what waits for either is looked at when that is free.
+        suspectGone.run();
         room.free();
     }
 
@@ -99,7 +104,7 @@
     void abandon(String why) {
         if (!over) {
             run.log().takenBack(endpoint, progress(), why);
-            stop();
+            takeBack();
         }
     }
 
@@ -109,9 +114,17 @@
         cancel.run();
     }
 
+    /** Stops the attempt although its endpoint may still run it for a moment, and end by it. */
+    private void takeBack() {
+        if (sending) {
+            parts.crashes().takenBack(endpoint, run::digest, room.begun());
+        }
+        stop();
+    }
+
     private void failed(AttemptEnd end, String why) {
         logFailed(end, why);
-        stop();
+        takeBack();
         run.again(end, why);
     }
 
@@ -162,7 +175,7 @@
 
     private void moveOn(AttemptEnd end, String why) {
         logFailed(end, why);
-        stop();
+        takeBack();
         run.moveOn(end, why);
     }
 
@@ -271,6 +284,9 @@
             return;
         }
         load.heard(parts.nowMillis());
+        if (!room.begun()) {
+            parts.crashes().answered(run::digest, false);
+        }
         // The head may come as soon as the endpoint has taken the request; its prompt is read with the first event.
         room.promptRead();
         relay.part(data, more);
@@ -281,6 +297,7 @@
         if (over) {
             return;
         }
+        parts.crashes().answered(run::digest, true);
         release();
         relay.complete(endpoint);
     }
@@ -292,6 +309,19 @@
         }
         load.failures().broke(parts.nowMillis());
         events.dropRemainder();
-        failed(sent ? AttemptEnd.UNKNOWN : AttemptEnd.NOT_RUN, fault.message());
+        if (sent && fault.reason() == Reason.UNREACHABLE && !parts.saysThatItLeaves(endpoint)) {
+            broke(fault.message());
+        } else {
+            failed(sent ? AttemptEnd.UNKNOWN : AttemptEnd.NOT_RUN, fault.message());
+        }
+    }
+
+    /** Ends the attempt, and has the request go on when it is known whether its endpoint has ended. */
+    private void broke(String why) {
+        boolean begun = room.begun();
+        logFailed(AttemptEnd.UNKNOWN, why);
+        stop();
+        run.ended(AttemptEnd.UNKNOWN);
+        parts.crashes().broke(endpoint, run.digest(), begun, () -> run.goOn(why));
     }
 }
--- /dev/null
+++ b/src/main/java/org/micabarrow/serving/CrashWatch.java
@@ -0,0 +1,158 @@
+package org.micabarrow.serving;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.micabarrow.crashes.CrashBook;
+import org.micabarrow.crashes.CrashNews;
+import org.micabarrow.crashes.EndpointCrash;
+import org.micabarrow.crashes.PortProbe;
+import org.micabarrow.crashes.RequestDigest;
+import org.micabarrow.routing.EndpointEntry;
+import org.micabarrow.routing.EndpointStart;
+import org.micabarrow.steps.Steps;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Notices that an endpoint's process has ended, and which requests of this entry were there. Connections that break prove nothing
+ * by themselves: endpoints cut answers off and reset connections while they are well. So the port is asked; only an instance that
+ * says that nobody listens there proves the end, while one that is cut off or without power says nothing. Used by the one thread
+ * for traffic.
+ */
+final class CrashWatch {
+
+    private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.request");
+
+    /** How many ended starts are remembered, for connections to them that break late. */
+    private static final int MOST_ENDED = 64;
+
+    /** How long a request that was taken back may still be at its endpoint, in milliseconds. */
+    private static final long TAKEN_BACK_MILLIS = 1_000;
+
+    /** How many of those are remembered. */
+    private static final int MOST_TAKEN_BACK = 256;
+
+    private final CrashBook book;
+    private final PortProbe probe;
+    private final Consumer<CrashNews> sharing;
+    private final LongSupplier steadyMillis;
+    private final Map<EndpointStart, Doubt> doubted = new HashMap<>();
+    private final Map<EndpointStart, Aboard> ended = new LinkedHashMap<>();
+    private final Deque<TakenBack> takenBack = new ArrayDeque<>();
+
+    /** The requests at one start of an endpoint. */
+    private record Aboard(Set<RequestDigest> unbegun, Set<RequestDigest> begun) {
+
+        private static Aboard nobody() {
+            return new Aboard(new HashSet<>(), new HashSet<>());
+        }
+
+        private void add(RequestDigest request, boolean hasBegun) {
+            (hasBegun ? begun : unbegun).add(request);
+        }
+
+        private EndpointCrash at(EndpointStart start) {
+            return EndpointCrash.of(start, unbegun, begun);
+        }
+    }
+
+    /** What depends on whether a start of an endpoint has ended. */
+    private record Doubt(Aboard aboard, List<Runnable> waiting) {}
+
+    private record TakenBack(EndpointStart endpoint, Supplier<RequestDigest> request, boolean begun, long atMillis) {}
+
+    CrashWatch(Crashes crashes, LongSupplier steadyMillis) {
+        this.book = crashes.book();
+        this.probe = crashes.probe();
+        this.sharing = crashes.sharing();
+        this.steadyMillis = steadyMillis;
+    }
+
+    // -- what happens to requests
+
+    /**
+     * A request's connection broke before its answer was whole, though its endpoint had not said that it leaves.
+     *
+     * @param then run once it is known whether the endpoint has ended, at once or a way to its instance and back later: sent on before, the
+     *     request might end the next endpoint without being suspected
+     */
+    void broke(EndpointEntry endpoint, RequestDigest request, boolean begun, Runnable then) {
+        EndpointStart start = endpoint.start();
+        if (ended.containsKey(start)) {
+            ended.get(start).add(request, begun);
+            tell(start);
+            then.run();
+            return;
+        }
+        boolean asked = doubted.containsKey(start);
+        Doubt doubt = doubted.computeIfAbsent(start, key -> new Doubt(Aboard.nobody(), new ArrayList<>()));
+        doubt.aboard().add(request, begun);
+        doubt.waiting().add(then);
+        if (!asked) {
+            probe.ask(endpoint, refused -> settle(start, refused));
+        }
+    }
+
+    /** A request was taken back; its endpoint may have it for a moment more. */
+    void takenBack(EndpointEntry endpoint, Supplier<RequestDigest> request, boolean begun) {
+        long now = steadyMillis.getAsLong();
+        takenBack.removeIf(one -> now - one.atMillis() > TAKEN_BACK_MILLIS);
+        if (takenBack.size() == MOST_TAKEN_BACK) {
+            takenBack.removeFirst();
+        }
+        takenBack.addLast(new TakenBack(endpoint.start(), request, begun, now));
+    }
+
+    private void settle(EndpointStart start, boolean refused) {
+        Doubt doubt = doubted.remove(start);
+        if (doubt == null) {
+            return;
+        }
+        if (refused) {
+            hasEnded(start, doubt.aboard());
+        }
+        doubt.waiting().forEach(one -> Steps.guarded("after-crash", one));
+    }
+
+    private void hasEnded(EndpointStart start, Aboard aboard) {
+        long now = steadyMillis.getAsLong();
+        takenBack.stream()
+                .filter(one -> one.endpoint().equals(start) && now - one.atMillis() <= TAKEN_BACK_MILLIS)
+                .forEach(one -> aboard.add(one.request().get(), one.begun()));
+        ended.put(start, aboard);
+        if (ended.size() > MOST_ENDED) {
+            ended.remove(ended.keySet().iterator().next());
+        }
+        tell(start);
+    }
+
+    private void tell(EndpointStart start) {
+        EndpointCrash crash = ended.get(start).at(start);
+        LOG.warn(
+                "event=endpoint_crashed endpoint={} aboard={} begun={}",
+                crash.endpoint(),
+                crash.aboard(),
+                crash.begun());
+        book.crashed(crash, steadyMillis.getAsLong());
+        sharing.accept(new CrashNews.Crashed(crash));
+    }
+
+    // -- what clears them
+
+    /** An answer came, or a part of it. Others are told if the request was suspected; most never are. */
+    void answered(Supplier<RequestDigest> request, boolean whole) {
+        if (book.suspectsAny() && book.cleared(request.get(), whole) > 0) {
+            sharing.accept(new CrashNews.Cleared(request.get(), whole));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/micabarrow/serving/Crashes.java
@@ -0,0 +1,33 @@
+package org.micabarrow.serving;
+
+import java.util.Objects;
+import java.util.function.Consumer;
+import org.micabarrow.crashes.CrashBook;
+import org.micabarrow.crashes.CrashNews;
+import org.micabarrow.crashes.PortProbe;
+
+/**
+ * What a handler works with to recognise requests that end endpoints.
+ *
+ * @param book what is known of crashes
+ * @param probe finds out whether an endpoint has ended
+ * @param sharing takes what other processes are to know
+ */
+public record Crashes(CrashBook book, PortProbe probe, Consumer<CrashNews> sharing) {
+
+    /** Checks that nothing is missing. */
+    public Crashes {
+        Objects.requireNonNull(book, "book is null");
+        Objects.requireNonNull(probe, "probe is null");
+        Objects.requireNonNull(sharing, "sharing is null");
+    }
+
+    /**
+     * Parts for a handler that notices no crash.
+     *
+     * @return the parts
+     */
+    public static Crashes unnoticed() {
+        return new Crashes(new CrashBook(1, 1, () -> 1), (endpoint, then) -> {}, news -> {});
+    }
+}
--- a/src/main/java/org/micabarrow/serving/LastLook.java
+++ b/src/main/java/org/micabarrow/serving/LastLook.java
@@ -1,6 +1,7 @@
 package org.micabarrow.serving;
 
 import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.crashes.Standing;
 import org.micabarrow.routing.EndpointEntry;
 
 /**
@@ -47,6 +48,9 @@
         if (run.millisLeft() <= 0) {
             return new Verdict.Outdated("time is up", false);
         }
+        if (parts.suspects().standing(run::digest, parts.nowMillis()) instanceof Standing.Refused) {
+            return new Verdict.Outdated("it ends endpoints", false);
+        }
         if (parts.leaves(endpoint) || !parts.able(request, endpoint)) {
             return new Verdict.Outdated("the endpoint may not get it any more", false);
         }
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -10,6 +10,7 @@
 import org.micabarrow.attempts.EventSplitter;
 import org.micabarrow.attempts.RequestTimes;
 import org.micabarrow.attempts.Sendings;
+import org.micabarrow.crashes.RequestDigest;
 import org.micabarrow.routing.EndpointChoice.Choice;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.RequestKind;
@@ -29,6 +30,7 @@
     private final EventSplitter events = new EventSplitter();
     private final EventTimes eventTimes = new EventTimes();
     private final RequestLog log;
+    private Optional<RequestDigest> digest = Optional.empty();
     private boolean finished;
     private Optional<Attempt> current = Optional.empty();
     private Optional<XnioExecutor.Key> deadline = Optional.empty();
@@ -77,6 +79,14 @@
         return thread;
     }
 
+    /** What is alike in the request whenever it comes; worked out only if somebody asks. */
+    RequestDigest digest() {
+        if (digest.isEmpty()) {
+            digest = Optional.of(RequestDigest.of(request));
+        }
+        return digest.get();
+    }
+
     long millisTaken() {
         return times.takenMillis(parts.nowMillis());
     }
@@ -98,7 +108,7 @@
 
     @Override
     public Decision decide() {
-        return parts.decide(request, millisToObjective(), sendings.tried());
+        return parts.decide(request, this::digest, millisToObjective(), sendings.tried());
     }
 
     private void next(String why) {
@@ -113,9 +123,20 @@
             case Decision.Wait(long ignored, int endpoints) -> noRoom("all " + endpoints + " endpoints are full");
             case Decision.Full(int endpoints) -> noRoom("all " + endpoints + " endpoints are full");
             case Decision.Unable ignored -> cannotSend("no endpoint can serve");
+            case Decision.Culprit culprit -> refuse(culprit);
         }
     }
 
+    /**
+     * Answers a request that ends the endpoints that run it. If no endpoint had it this time it has truly not run, and the client is
+     * told for how long that stays so; a status that says that something is wrong with the request would be a guess.
+     */
+    private void refuse(Decision.Culprit culprit) {
+        parts.metrics().culprits.inc();
+        String why = "it has ended " + culprit.crashes() + " endpoints, digest " + digest();
+        conclude(Ending.withoutAnswer(answer.begun(), sendings.mayHaveRun()), why, culprit.forMillis());
+    }
+
     private void noRoom(String why) {
         parts.turnedAway(request);
         cannotSend(why);
@@ -206,7 +227,20 @@
 
     /** Decides what follows when an attempt has ended without an answer: another one, or the end of the request. */
     void again(AttemptEnd end, String why) {
+        ended(end);
+        goOn(why);
+    }
+
+    /** An attempt has ended without an answer; what follows is decided by {@link #goOn}. */
+    void ended(AttemptEnd end) {
         sendings.ended(end);
+    }
+
+    /** Sends the request again or ends it, unless it has ended meanwhile. */
+    void goOn(String why) {
+        if (finished) {
+            return;
+        }
         boolean cut = answer.begun() && !mayGoOn();
         if (!cut && AttemptPolicy.again(request.route(), sendings.progress(millisLeft()), parts.budget()::tryRetry)) {
             next(why);
@@ -242,7 +276,14 @@
 
     @Override
     public void lookAfter() {
-        current.ifPresent(Attempt::lookAfter);
+        if (current.isPresent() && !answer.begun() && decide() instanceof Decision.Culprit culprit) {
+            boolean mayRun = current.filter(Attempt::mayRun).isPresent();
+            current.ifPresent(attempt -> attempt.abandon("it ends endpoints"));
+            sendings.ended(mayRun ? AttemptEnd.UNKNOWN : AttemptEnd.NOT_RUN);
+            refuse(culprit);
+        } else {
+            current.ifPresent(Attempt::lookAfter);
+        }
     }
 
     // -- endings
@@ -271,10 +312,14 @@
     }
 
     private void conclude(Ending ending, String why) {
+        conclude(ending, why, parts.comeBackMillis(request));
+    }
+
+    private void conclude(Ending ending, String why, long comeBackMillis) {
         parts.metrics().ended(ending);
         finish(ending.outcome(), why);
         switch (ending) {
-            case NOT_RUN -> answer.own(ending.status(), why, parts.comeBackMillis(request));
+            case NOT_RUN -> answer.own(ending.status(), why, comeBackMillis);
             case UNKNOWN, TIMED_OUT -> answer.own(ending.status(), why, 0);
             case BROKEN -> answer.breakOff();
             case CLIENT_GONE -> answer.gone();
--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -67,6 +67,7 @@
      * @param questions asks endpoints' agents
      * @param versionTimes when older weight versions may answer no more
      * @param manifestAge how long ago all that operators wrote was known
+     * @param crashes what is known of endpoints that crashed
      */
     public record Parts(
             Supplier<View> view,
@@ -79,7 +80,8 @@
             LongSupplier steadyMillis,
             AgentQuestions questions,
             VersionTimes versionTimes,
-            ManifestAge manifestAge) {
+            ManifestAge manifestAge,
+            Crashes crashes) {
 
         /** Checks that nothing is missing. */
         public Parts {
@@ -94,6 +96,7 @@
             Objects.requireNonNull(questions, "questions is null");
             Objects.requireNonNull(versionTimes, "versionTimes is null");
             Objects.requireNonNull(manifestAge, "manifestAge is null");
+            Objects.requireNonNull(crashes, "crashes is null");
         }
     }
 
--- a/src/main/java/org/micabarrow/serving/ServingMetrics.java
+++ b/src/main/java/org/micabarrow/serving/ServingMetrics.java
@@ -14,6 +14,7 @@
     private final Counter broken;
     private final Counter clientGone;
     final Counter repeats;
+    final Counter culprits;
     final Timer firstByte;
 
     ServingMetrics(MetricRegistry registry) {
@@ -24,6 +25,7 @@
         broken = registry.counter("requests.broken");
         clientGone = registry.counter("requests.clientGone");
         repeats = registry.counter("requests.repeats");
+        culprits = registry.counter("requests.refusedForCrashes");
         firstByte = registry.timer("requests.firstByte");
     }
 
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -4,11 +4,13 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.micabarrow.admission.Admission;
 import org.micabarrow.admission.Admission.Decision;
 import org.micabarrow.admission.FirstTries;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.crashes.RequestDigest;
 import org.micabarrow.routing.EndpointChoice.Wanted;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.EndpointLoad;
@@ -26,6 +28,8 @@
     private final FirstTries firstTries = new FirstTries();
     private final Admission admission;
     private final RoomLine line;
+    private final SuspectCare suspects;
+    private final CrashWatch crashes;
 
     /**
      * Adds to what a handler works with what its requests share.
@@ -38,6 +42,8 @@
         this.metrics = new ServingMetrics(given.registry());
         this.admission = new Admission(given.choice());
         this.line = new RoomLine(given.steadyMillis());
+        this.suspects = new SuspectCare(given.crashes().book(), given.choice(), admission);
+        this.crashes = new CrashWatch(given.crashes(), given.steadyMillis());
     }
 
     // -- parts
@@ -82,6 +88,14 @@
         return line;
     }
 
+    SuspectCare suspects() {
+        return suspects;
+    }
+
+    CrashWatch crashes() {
+        return crashes;
+    }
+
     ManifestAge manifestAge() {
         return given.manifestAge();
     }
@@ -100,6 +114,12 @@
         return given.choice().silent(endpoint, nowMillis());
     }
 
+    /** Whether an endpoint has said that it leaves, so that its end is no crash. */
+    boolean saysThatItLeaves(EndpointEntry endpoint) {
+        EndpointEntry now = view().endpoints().getOrDefault(endpoint.id(), endpoint);
+        return now.start().equals(endpoint.start()) && now.leaving();
+    }
+
     /** Whether an endpoint says that it leaves, is listed no more, or has started again without what was sent to it. */
     boolean leaves(EndpointEntry endpoint) {
         EndpointEntry now = view().endpoints().get(endpoint.id());
@@ -114,9 +134,9 @@
     }
 
     /** What happens to a request of which so much of the objective is left. */
-    Decision decide(ClientRequest request, long millisToObjective, Set<String> tried) {
+    Decision decide(ClientRequest request, Supplier<RequestDigest> digest, long millisToObjective, Set<String> tried) {
         List<EndpointEntry> endpoints = view().endpointsOf(request.service());
-        return admission.decide(endpoints, wanted(request, millisToObjective, tried), nowMillis());
+        return suspects.decide(endpoints, wanted(request, millisToObjective, tried), digest, nowMillis());
     }
 
     private Wanted wanted(ClientRequest request, long millisToObjective, Set<String> tried) {
--- a/src/main/java/org/micabarrow/settings/HostedSettings.java
+++ b/src/main/java/org/micabarrow/settings/HostedSettings.java
@@ -51,6 +51,8 @@
      * @param graceMillis how long after SIGTERM a process is killed
      * @param retryShare repeats allowed for each request
      * @param retrySlack repeats that all entries together may save up
+     * @param crashMemoryMillis how long a crash of an endpoint is remembered, and a request that caused some refused after its last
+     * @param crashesKept how many crashes are remembered at the most
      */
     public record Bounds(
             long versionMillis,
@@ -58,5 +60,7 @@
             long drainMillis,
             long graceMillis,
             double retryShare,
-            double retrySlack) {}
+            double retrySlack,
+            long crashMemoryMillis,
+            int crashesKept) {}
 }
--- a/src/main/java/org/micabarrow/settings/SettingsReader.java
+++ b/src/main/java/org/micabarrow/settings/SettingsReader.java
@@ -95,7 +95,9 @@
                     Rule.range("/bounds/versionMillis", 100, HOUR),
                     Rule.range("/bounds/configurationMillis", 100, HOUR),
                     Rule.range("/bounds/drainMillis", 100, HOUR),
-                    Rule.range("/bounds/graceMillis", 100, HOUR)),
+                    Rule.range("/bounds/graceMillis", 100, HOUR),
+                    Rule.range("/bounds/crashMemoryMillis", 1_000, 24 * HOUR),
+                    Rule.range("/bounds/crashesKept", 10, 10_000)),
             LOG);
 
     private static final List<Rule> AGENT = List.of(
--- a/src/main/java/org/micabarrow/views/LastChanges.java
+++ b/src/main/java/org/micabarrow/views/LastChanges.java
@@ -33,7 +33,7 @@
         return switch (topic) {
             case OPERATOR -> operator;
             case ENDPOINTS -> endpoints;
-            case NAMED -> 0;
+            case NAMED, CRASHES -> 0;
         };
     }
 
--- a/src/main/java/org/micabarrow/views/StoreFollower.java
+++ b/src/main/java/org/micabarrow/views/StoreFollower.java
@@ -36,6 +36,7 @@
     private final Pace pace;
     private volatile boolean loaded;
     private volatile boolean reachable = true;
+    private volatile boolean tried;
     private int roundsWithoutRead;
 
     /**
@@ -78,6 +79,16 @@
         return loaded && reachable;
     }
 
+    /**
+     * Whether the topic was read, or could not be and a peer was asked in the store's place. A process that takes requests before does not
+     * know what the others know.
+     *
+     * @return true from then on
+     */
+    public boolean hasTried() {
+        return tried;
+    }
+
     /** Follows the topic on a thread of its own, for as long as the process runs. */
     public void start() {
         Thread.ofPlatform().name("follow-" + topic).daemon().start(this::follow);
@@ -119,10 +130,14 @@
         roundsWithoutRead = 0;
         Result<Long> rest = loaded ? readOn() : load();
         return switch (rest) {
-            case Result.Success<Long>(Long millis) -> millis;
+            case Result.Success<Long>(Long millis) -> {
+                tried = true;
+                yield millis;
+            }
             case Result.Failure<Long>(Fault fault) -> {
                 lost(fault);
                 askPeer.accept(topic);
+                tried = true;
                 yield AGAIN_MILLIS;
             }
         };
--- a/src/main/java/org/micabarrow/views/Topic.java
+++ b/src/main/java/org/micabarrow/views/Topic.java
@@ -7,5 +7,7 @@
     /** What endpoints wrote about themselves. */
     ENDPOINTS,
     /** What processes of this system keep of what operators wrote, each thing under a key of its own. */
-    NAMED
+    NAMED,
+    /** What entries tell each other of endpoints that crashed. */
+    CRASHES
 }
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.micabarrow.routing.EndpointEntry;
 import org.slf4j.Logger;
@@ -28,6 +29,7 @@
     private final OperatorKnowledge knowledge = new OperatorKnowledge();
     private volatile LastChanges changes = new LastChanges(0, 0, 0);
     private volatile View view = View.empty();
+    private volatile Consumer<List<StoredRecord>> crashNews = news -> {};
 
     /**
      * Makes a keeper that knows nothing yet.
@@ -75,6 +77,15 @@
         return changes;
     }
 
+    /**
+     * Has somebody learn of news in {@link Topic#CRASHES}, which change no view.
+     *
+     * @param learns takes the records; called under the keeper's lock, so it must not wait
+     */
+    public void onCrashNews(Consumer<List<StoredRecord>> learns) {
+        crashNews = Objects.requireNonNull(learns, "learns is null");
+    }
+
     // -- records
 
     /**
@@ -193,6 +204,7 @@
             }
             case ENDPOINTS -> endpointsSaid(news);
             case NAMED -> view = operator.kept(news, view);
+            case CRASHES -> crashNews.accept(news);
         }
     }
 
--- /dev/null
+++ b/src/test/java/org/micabarrow/crashes/CulpritsTest.java
@@ -0,0 +1,61 @@
+package org.micabarrow.crashes;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class CulpritsTest {
+
+    private static final int ENDPOINTS = 30;
+
+    static RequestDigest digest(String name) {
+        return new RequestDigest(String.format("%32s", name).replace(' ', '0'));
+    }
+
+    /** Crashes as {@code time:requests}, such as {@code 0:ab 5:ac}; capital letters are requests that had begun to be answered. */
+    private static Culprits.Evidence evidence(String crashes) {
+        Map<RequestDigest, Set<String>> at = new HashMap<>();
+        Map<String, Long> times = new HashMap<>();
+        Set<RequestDigest> begun = new HashSet<>();
+        for (String crash : crashes.split(" ")) {
+            String[] parts = crash.split(":");
+            String endpoint = "e" + times.size();
+            times.put(endpoint, Long.parseLong(parts[0]) * 1_000);
+            for (char request : parts[1].toCharArray()) {
+                RequestDigest digest = digest(String.valueOf(Character.toLowerCase(request)));
+                at.computeIfAbsent(digest, key -> new HashSet<>()).add(endpoint);
+                if (Character.isUpperCase(request)) {
+                    begun.add(digest);
+                }
+            }
+        }
+        return new Culprits.Evidence(at, begun, times);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "one after the other,                       0:ab 9:ac 18:ad,                 a",
+        "two crashes are too few,                   0:ab 9:ac,                       ''",
+        "both were at all of them,                  0:ab 9:ab 18:ab,                 ''",
+        "one was at two more without the other,     0:ab 9:ab 18:ab 27:ac 36:ad,     a",
+        "beside the culprit of each crash,          0:ax 9:ax 18:ax 27:a 36:a,       a",
+        "two culprits in turn,                      0:a 9:b 18:a 27:b 36:a 45:b,     ab",
+        "a crash that a culprit explains,           0:a 9:a 18:a 27:ab 36:b 45:b,    a",
+        "begun at three,                            0:A 9:A 18:A,                    ''",
+        "begun at four,                             0:A 9:A 18:A 27:A,               a",
+        "many others end in the same second,        0:a 0:b 0:c 0:d 0:e 0:f 0:g 0:a 0:a, ''"
+    })
+    void shouldFindThoseThatExplainTheCrashes(String what, String crashes, String culprits) {
+        Set<String> found = new TreeSet<>();
+        Culprits.of(evidence(crashes), ENDPOINTS)
+                .keySet()
+                .forEach(one -> found.add(one.hex().substring(31)));
+        assertEquals(culprits, String.join("", found), what);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/micabarrow/platform/CrashRecordsTest.java
@@ -0,0 +1,68 @@
+package org.micabarrow.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Set;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.micabarrow.crashes.CrashNews;
+import org.micabarrow.crashes.EndpointCrash;
+import org.micabarrow.crashes.RequestDigest;
+import org.micabarrow.state.Result;
+import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.views.StoredRecord;
+
+class CrashRecordsTest {
+
+    private static final RequestDigest ONE = new RequestDigest("1".repeat(32));
+    private static final RequestDigest OTHER = new RequestDigest("2".repeat(32));
+    private static final CrashNews CRASH = new CrashNews.Crashed(new EndpointCrash("e@7", Set.of(ONE), Set.of(OTHER)));
+
+    private final HttpCaller caller = HttpCaller.start("records", 1);
+
+    @AfterEach
+    void stop() {
+        caller.close();
+    }
+
+    private CrashRecords of(String process) {
+        return new CrashRecords(caller, "127.0.0.1:1", Duration.ofMillis(1), process);
+    }
+
+    @Test
+    void shouldReadWhatWasWritten() {
+        for (CrashNews news :
+                new CrashNews[] {CRASH, new CrashNews.Cleared(ONE, true), new CrashNews.Cleared(OTHER, false)}) {
+            Result<CrashRecords.Told> read = CrashRecords.read(of("entry-1").record(news, 99));
+            assertEquals(Result.success(new CrashRecords.Told(news, 99)), read);
+        }
+    }
+
+    @Test
+    void shouldHideNothingThatAnotherProcessTold() {
+        assertNotEquals(
+                of("entry-1").record(CRASH, 1).key(),
+                of("entry-2").record(CRASH, 1).key());
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "no JSON",
+                "{}",
+                "{\"atMillis\":1,\"cleared\":\"12\",\"whole\":true}",
+                "{\"atMillis\":1,\"endpoint\":\"e\",\"aboard\":[\"12\"],\"begun\":[]}",
+                "{\"atMillis\":-1,\"endpoint\":\"e\",\"aboard\":[],\"begun\":[]}"
+            })
+    void shouldRefuseWhatAnotherWriterLeft(String value) {
+        StoredRecord record = new StoredRecord("k", 0, value.getBytes(StandardCharsets.UTF_8));
+        assertTrue(CrashRecords.read(record).cause().isPresent());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/micabarrow/play/CrashPlay.java
@@ -0,0 +1,474 @@
+package org.micabarrow.play;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.micabarrow.crashes.CrashBook;
+import org.micabarrow.crashes.CrashNews;
+import org.micabarrow.crashes.EndpointCrash;
+import org.micabarrow.crashes.RequestDigest;
+import org.micabarrow.crashes.Standing;
+import org.micabarrow.crashes.SuspectPlacement;
+import org.micabarrow.routing.EndpointEntry;
+
+/**
+ * Plays requests of which some end the endpoints that run them, beside endpoints that end for other reasons, with the books and the
+ * placement of suspects that entries have in earnest. It knows which requests do it, and counts what happens to the others. Seeded,
+ * without a network.
+ */
+final class CrashPlay {
+
+    private static final int SLOTS = 16;
+    private static final double MEAN_RUN_MILLIS = 600;
+    private static final double LOAD = 0.5;
+
+    /** How long after its beginning a request ends its endpoint. */
+    private static final double CRASH_MILLIS = 80;
+
+    private static final double FIRST_EVENT_MILLIS = 150;
+
+    private static final double BACK_MILLIS = 3_000;
+
+    /** How long an entry takes to know that an endpoint whose connections broke has ended. */
+    private static final double SURE_MILLIS = 12;
+
+    /** An entry's news wait for the write before, and the store takes some milliseconds. */
+    private static final int MOST_WRITE_MILLIS = 60;
+
+    private static final int MOST_READ_MILLIS = 30;
+    private static final int TRIES = 2;
+    private static final int SENDINGS = 2;
+    private static final double KILL_EVERY_MILLIS = 10_000;
+    private static final double HOT_SHARE = 0.03;
+    private static final long MEMORY_MILLIS = 600_000;
+    private static final double WAIT_MILLIS = 400;
+
+    /**
+     * What is played.
+     *
+     * @param entries how many entries
+     * @param endpoints how many endpoints
+     * @param crashers how many requests end endpoints
+     * @param atOnce whether they all begin to come at the same time, else in turn
+     * @param killedShare the part of the endpoints that is killed each ten seconds
+     * @param hallLost whether a third of the endpoints loses its power on the way
+     * @param seed decides all that is random
+     */
+    record Setting(
+            int entries,
+            int endpoints,
+            int crashers,
+            boolean atOnce,
+            double killedShare,
+            boolean hallLost,
+            double streams,
+            long seed) {}
+
+    /** What came of it. */
+    static final class Outcome {
+        int harmless;
+        int harmlessRefused;
+        int harmlessWaitedInVain;
+        int convicted;
+        double slowestMillis;
+        final Map<String, Integer> endedByMore = new HashMap<>();
+
+        int mostEndedByMore() {
+            return endedByMore.values().stream()
+                    .mapToInt(Integer::intValue)
+                    .max()
+                    .orElse(0);
+        }
+    }
+
+    private final Setting setting;
+    private final Random random;
+    private final Events events = new Events();
+    private final List<Endpoint> endpoints = new ArrayList<>();
+    private final List<Entry> entries = new ArrayList<>();
+    private final Map<RequestDigest, Culprit> culprits = new HashMap<>();
+    private final Outcome outcome = new Outcome();
+    private int starts;
+    private long contents;
+
+    private CrashPlay(Setting setting) {
+        this.setting = setting;
+        this.random = new Random(setting.seed());
+        for (int i = 0; i < setting.endpoints(); i++) {
+            endpoints.add(new Endpoint(i));
+        }
+        for (int i = 0; i < setting.entries(); i++) {
+            entries.add(new Entry());
+        }
+    }
+
+    static Outcome play(Setting setting, double seconds) {
+        CrashPlay play = new CrashPlay(setting);
+        play.arrive();
+        play.kill();
+        for (int i = 0; i < setting.crashers(); i++) {
+            Culprit culprit = play.new Culprit("crasher-" + i);
+            play.culprits.put(culprit.request, culprit);
+            play.events.after(5_000 + (setting.atOnce() ? 0 : i * 6_000), culprit::come);
+        }
+        if (setting.hallLost()) {
+            play.events.after(seconds * 500, play::loseHall);
+        }
+        play.events.playUntil(seconds * 1_000);
+        play.culprits.values().forEach(Culprit::tell);
+        return play.outcome;
+    }
+
+    private static RequestDigest digest(String content) {
+        String hex = String.format(Locale.ROOT, "%08x%08x%016x", content.hashCode(), content.length(), 0);
+        return new RequestDigest(hex);
+    }
+
+    private double exponential(double mean) {
+        return -Math.log(1 - random.nextDouble()) * mean;
+    }
+
+    // -- requests
+
+    private void arrive() {
+        double perMilli = setting.endpoints() * SLOTS * LOAD / MEAN_RUN_MILLIS;
+        events.after(exponential(1 / perMilli), this::arrive);
+        boolean hot = random.nextDouble() < HOT_SHARE;
+        outcome.harmless++;
+        RequestDigest request = hot ? digest("hot") : digest("content " + contents++);
+        new Try(request, TRIES, entries.get(random.nextInt(entries.size()))).begin();
+    }
+
+    /** A request that ends the endpoints that run it, and comes again and again. */
+    private final class Culprit {
+
+        private final RequestDigest request;
+        private final List<Double> crashes = new ArrayList<>();
+        private final Set<Integer> runningAtThird = new HashSet<>();
+        private int more;
+
+        private Culprit(String name) {
+            request = digest(name);
+        }
+
+        private void come() {
+            new Try(request, 1, entries.get(random.nextInt(entries.size()))).begin();
+            events.after(exponential(1_000), this::come);
+        }
+
+        private void crashed(int start) {
+            crashes.add(events.now());
+            if (crashes.size() == 3) {
+                endpoints.stream()
+                        .filter(one -> one.up && one.there.stream().anyMatch(run -> run.request.equals(request)))
+                        .forEach(one -> runningAtThird.add(one.start));
+            } else if (crashes.size() > 3 && !runningAtThird.contains(start)) {
+                more++;
+            }
+        }
+
+        private void tell() {
+            outcome.endedByMore.put(request.hex(), more);
+            if (crashes.size() < 3) {
+                return;
+            }
+            double third = crashes.get(2);
+            for (Entry entry : entries) {
+                outcome.slowestMillis =
+                        Math.max(outcome.slowestMillis, entry.refusedSince.getOrDefault(request, events.now()) - third);
+            }
+            outcome.convicted++;
+        }
+    }
+
+    /** One try of a client at an entry. */
+    private final class Try {
+
+        private final RequestDigest request;
+        private final int triesLeft;
+        private final Entry entry;
+        private final Set<Integer> tried = new HashSet<>();
+        private int sendings;
+        private double waitsSince = -1;
+        private final boolean stream = random.nextDouble() < setting.streams();
+
+        private Try(RequestDigest request, int triesLeft, Entry entry) {
+            this.request = request;
+            this.triesLeft = triesLeft;
+            this.entry = entry;
+        }
+
+        private boolean harmless() {
+            return !culprits.containsKey(request);
+        }
+
+        private void begin() {
+            Standing standing = entry.book.standing(request, events.nowMillis());
+            switch (standing) {
+                case Standing.Refused ignored -> {
+                    if (harmless()) {
+                        outcome.harmlessRefused++;
+                        System.out.println(
+                                "REF " + setting + " " + (int) events.now() + " hot=" + request.equals(digest("hot"))
+                                        + " " + entry.book.standing(request, events.nowMillis()));
+                    }
+                }
+                case Standing.Unsuspected ignored -> send(entry.anywhere(tried), false);
+                case Standing.Suspected suspected -> sendSuspect(suspected);
+            }
+        }
+
+        private void sendSuspect(Standing.Suspected suspected) {
+            List<EndpointEntry> free = entry.placement.free(entry.listed(tried), request, suspected);
+            Optional<Endpoint> chosen = SuspectPlacement.apart(suspected)
+                    ? free.stream()
+                            .map(entry::endpoint)
+                            .filter(Endpoint::hasRoom)
+                            .findFirst()
+                    : entry.leastLoaded(free).or(() -> entry.anywhere(tried));
+            if (chosen.isEmpty()) {
+                waitOrGiveUp();
+            } else {
+                send(chosen, true);
+            }
+        }
+
+        private void waitOrGiveUp() {
+            if (waitsSince < 0) {
+                waitsSince = events.now();
+            }
+            if (events.now() - waitsSince < WAIT_MILLIS) {
+                events.after(20, this::begin);
+            } else if (harmless()) {
+                outcome.harmlessWaitedInVain++;
+            }
+        }
+
+        private void send(Optional<Endpoint> chosen, boolean suspect) {
+            if (chosen.isEmpty()) {
+                waitOrGiveUp();
+                return;
+            }
+            sendings++;
+            tried.add(chosen.get().start);
+            new Run(this, chosen.get(), suspect).begin();
+        }
+
+        private void broke() {
+            if (sendings < SENDINGS) {
+                begin();
+            } else if (triesLeft > 1) {
+                Entry next = entries.get(random.nextInt(entries.size()));
+                events.after(50, () -> new Try(request, triesLeft - 1, next).begin());
+            }
+        }
+    }
+
+    /** One run of a request at an endpoint. */
+    private final class Run {
+
+        private final Try of;
+        private final RequestDigest request;
+        private final Endpoint endpoint;
+        private final int start;
+        private final boolean suspect;
+        private final double beganMillis = events.now();
+
+        private Run(Try of, Endpoint endpoint, boolean suspect) {
+            this.of = of;
+            this.request = of.request;
+            this.endpoint = endpoint;
+            this.start = endpoint.start;
+            this.suspect = suspect;
+        }
+
+        private void begin() {
+            endpoint.there.add(this);
+            if (suspect) {
+                of.entry.placement.began(endpoint.entry.start(), request);
+            }
+            double millis = of.harmless() ? exponential(MEAN_RUN_MILLIS) : CRASH_MILLIS;
+            events.after(millis, this::end);
+            if (of.harmless() && of.stream && millis > FIRST_EVENT_MILLIS) {
+                events.after(FIRST_EVENT_MILLIS, () -> {
+                    if (runs()) {
+                        of.entry.cleared(request, false);
+                    }
+                });
+            }
+        }
+
+        /** Whether a part of the answer has come, as of a stream. */
+        private boolean begun() {
+            return of.harmless() && of.stream && events.now() - beganMillis > FIRST_EVENT_MILLIS;
+        }
+
+        private boolean runs() {
+            return endpoint.up && endpoint.start == start;
+        }
+
+        private void end() {
+            if (!runs()) {
+                return;
+            }
+            if (of.harmless()) {
+                endpoint.there.remove(this);
+                over();
+                of.entry.cleared(request, true);
+            } else {
+                culprits.get(request).crashed(start);
+                endpoint.crash(true);
+            }
+        }
+
+        private void over() {
+            if (suspect) {
+                of.entry.placement.ended(endpoint.entry.start(), request);
+            }
+        }
+    }
+
+    // -- endpoints
+
+    private final class Endpoint {
+
+        private final int number;
+        private final Set<Run> there = new LinkedHashSet<>();
+        private EndpointEntry entry;
+        private int start;
+        private boolean up;
+
+        private Endpoint(int number) {
+            this.number = number;
+            comeUp();
+        }
+
+        private void comeUp() {
+            start = starts++;
+            entry = EndpointEntry.of("e-" + number + "-" + start, "s", "127.0.0.1:1", "h", SLOTS, false, Map.of(), 1);
+            up = true;
+        }
+
+        private boolean hasRoom() {
+            return up && there.size() < SLOTS;
+        }
+
+        /** Ends; entries see that their connections break, and that the port is dead, unless the instance lost its power. */
+        private void crash(boolean seen) {
+            up = false;
+            List<Run> broken = List.copyOf(there);
+            there.clear();
+            EndpointEntry ended = entry;
+            events.after(BACK_MILLIS, this::comeUp);
+            if (seen) {
+                for (Entry one : entries) {
+                    Set<RequestDigest> aboard = new HashSet<>();
+                    Set<RequestDigest> begun = new HashSet<>();
+                    broken.stream()
+                            .filter(run -> run.of.entry == one)
+                            .forEach(run -> (run.begun() ? begun : aboard).add(run.request));
+                    if (!aboard.isEmpty() || !begun.isEmpty()) {
+                        events.after(SURE_MILLIS, () -> one.saw(EndpointCrash.of(ended.start(), aboard, begun)));
+                    }
+                }
+            }
+            broken.forEach(run -> {
+                run.over();
+                events.after(seen ? SURE_MILLIS : 400, run.of::broke);
+            });
+        }
+    }
+
+    private void kill() {
+        events.after(KILL_EVERY_MILLIS, this::kill);
+        int count = (int) Math.ceil(setting.endpoints() * setting.killedShare());
+        for (int i = 0; i < count && setting.killedShare() > 0; i++) {
+            Endpoint one = endpoints.get(random.nextInt(endpoints.size()));
+            events.after(random.nextDouble() * KILL_EVERY_MILLIS, () -> {
+                if (one.up) {
+                    one.crash(true);
+                }
+            });
+        }
+    }
+
+    private void loseHall() {
+        endpoints.stream().filter(one -> one.number % 3 == 0 && one.up).forEach(one -> one.crash(false));
+    }
+
+    // -- entries
+
+    private final class Entry {
+
+        private final CrashBook book = new CrashBook(MEMORY_MILLIS, 4_000, setting::endpoints);
+        private final SuspectPlacement placement = new SuspectPlacement();
+        private final Map<RequestDigest, Double> refusedSince = new HashMap<>();
+        private final double writeMillis = 5 + random.nextInt(MOST_WRITE_MILLIS);
+        private final double readMillis = 5 + random.nextInt(MOST_READ_MILLIS);
+
+        private List<EndpointEntry> listed(Set<Integer> tried) {
+            return endpoints.stream()
+                    .filter(one -> one.up && !tried.contains(one.start))
+                    .map(one -> one.entry)
+                    .toList();
+        }
+
+        private Endpoint endpoint(EndpointEntry listed) {
+            return endpoints.stream()
+                    .filter(one -> one.entry.equals(listed))
+                    .findFirst()
+                    .orElseThrow();
+        }
+
+        /** The better of two by chance; all if there are few. */
+        private Optional<Endpoint> anywhere(Set<Integer> tried) {
+            Optional<Endpoint> best = Optional.empty();
+            for (int i = 0; i < 4; i++) {
+                Endpoint one = endpoints.get(random.nextInt(endpoints.size()));
+                boolean better =
+                        best.isEmpty() || one.there.size() < best.get().there.size();
+                if (one.hasRoom() && !tried.contains(one.start) && better) {
+                    best = Optional.of(one);
+                }
+            }
+            return best;
+        }
+
+        private Optional<Endpoint> leastLoaded(List<EndpointEntry> free) {
+            return free.stream()
+                    .map(this::endpoint)
+                    .filter(Endpoint::hasRoom)
+                    .min(java.util.Comparator.comparingInt(one -> one.there.size()));
+        }
+
+        /** Tells the others as the store does: all read what was written in the order in which it was. */
+        private void tell(CrashNews news) {
+            events.after(
+                    writeMillis, () -> entries.forEach(one -> events.after(one.readMillis, () -> one.learn(news))));
+        }
+
+        private void saw(EndpointCrash crash) {
+            CrashNews news = new CrashNews.Crashed(crash);
+            learn(news);
+            tell(news);
+        }
+
+        private void learn(CrashNews news) {
+            book.take(news, events.nowMillis());
+            book.refused().forEach(request -> refusedSince.putIfAbsent(request, events.now()));
+        }
+
+        private void cleared(RequestDigest request, boolean whole) {
+            if (book.suspectsAny() && book.cleared(request, whole) > 0) {
+                tell(new CrashNews.Cleared(request, whole));
+            }
+        }
+    }
+}
--- a/src/test/java/org/micabarrow/play/LoadPlay.java
+++ b/src/test/java/org/micabarrow/play/LoadPlay.java
@@ -264,6 +264,7 @@
                 }
                 case Decision.Full ignored -> tooLate();
                 case Decision.Unable ignored -> throw new AssertionError("every engine can serve");
+                case Decision.Culprit ignored -> throw new AssertionError("no engine ends");
             }
         }
 
