Time for which an instance was suspended counts: what a process knows is as old as it is

What callers would see: the users' pages say that an instance may be suspended for seconds, which the steady clock does not count.

Cause: System.nanoTime is the clock that stands still, and timers go off by it.

Why the mend holds: ages are told by CLOCK_BOOTTIME, read from the C library on runtimes from 22 on (a class of the packaged program; a JDK of version 21 builds and runs without it and says so in its first line). All defaults that were System.nanoTime in millisecond clocks use it, since moments of one clock are handed from one class to the other. Open requests are looked after by the clock, not by their timers alone, after each round of questions. Left on nanoTime: waits for single calls and the pacing of links, which say nothing about beliefs.

Ruled out: the time of day, which steps; /proc/uptime, which costs a read of a file each time.

--- a/scripts/deploy-build.sh
+++ b/scripts/deploy-build.sh
@@ -10,7 +10,7 @@
 rm -rf target/runtime target/app.aot
 "$JAVA_HOME/bin/jlink" --output target/runtime --strip-debug --no-header-files --no-man-pages --generate-cds-archive \
     --add-modules java.base,java.logging,java.management,java.naming,java.sql,java.xml,jdk.unsupported,java.security.jgss
-target/runtime/bin/java -XX:+UseSerialGC -XX:+IgnoreUnrecognizedVMOptions -XX:AOTCacheOutput=target/app.aot -Xlog:disable \
+target/runtime/bin/java -XX:+UseSerialGC -XX:+IgnoreUnrecognizedVMOptions --enable-native-access=ALL-UNNAMED -XX:AOTCacheOutput=target/app.aot -Xlog:disable \
     -cp target/micabarrow.jar org.micabarrow.command.Main rehearse >target/rehearse.log 2>&1 || {
     cat target/rehearse.log >&2
     exit 1
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -7,6 +7,7 @@
 import java.util.OptionalInt;
 import java.util.stream.Stream;
 import org.micabarrow.admission.PlaceShares;
+import org.micabarrow.clock.SteadyClock;
 import org.micabarrow.platform.EndpointCalls;
 import org.micabarrow.platform.OriginCalls;
 import org.micabarrow.process.HostedNode.Paces;
@@ -136,7 +137,10 @@
         Steps.start("replica", LOOK_MILLIS, keeper::step);
         Steps.start("read-back", READ_BACK_MILLIS, keeper::readBack);
         Steps.start("standstill", LOOK_MILLIS, new StandstillWatch());
-        LOG.info("event=started role=agent instance={}", settings.instance().id());
+        LOG.info(
+                "event=started role=agent instance={} countsSuspensions={}",
+                settings.instance().id(),
+                SteadyClock.countsSuspensions());
     }
 
     /**
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
+import org.micabarrow.clock.SteadyClock;
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.crashes.CrashBook;
 import org.micabarrow.platform.EndpointHeaders;
@@ -190,7 +191,10 @@
         crashNews = Optional.of(node.followCrashes(CRASHES_PACE, this::peers));
         crashes.start();
         loadFeed.start(handler::lookAfterRequests);
-        LOG.info("event=started role=entry instance={}", settings.instance().id());
+        LOG.info(
+                "event=started role=entry instance={} countsSuspensions={}",
+                settings.instance().id(),
+                SteadyClock.countsSuspensions());
     }
 
     private static Paces paces(HostedSettings.Bounds bounds) {
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.micabarrow.clock.SteadyClock;
 import org.micabarrow.platform.CrashRecords;
 import org.micabarrow.platform.StoreClient;
 import org.micabarrow.platform.StoreRecords;
@@ -101,9 +102,9 @@
         metrics.registerGauge("view.endpoints", () -> views.view().endpoints().size());
     }
 
-    /** A clock that never steps, in milliseconds. */
+    /** A clock that never steps and counts suspensions, in milliseconds. */
     static long steadyMillis() {
-        return System.nanoTime() / 1_000_000;
+        return SteadyClock.millis();
     }
 
     /** How old what the region's reader knows may be for others to go by it, in milliseconds. */
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -77,8 +77,12 @@
     /** Sees to it that the request is taken back when an older weight version may begin nothing any more. */
     private void limitWaiting() {
         parts.versions().newerNamed(request, endpoint).ifPresent(newer -> {
-            long millis = Math.max(1, parts.versions().millisToBegin(newer));
-            beginTimer = Optional.of(after(millis, () -> notBegun(newer)));
+            long millis = parts.versions().millisToBegin(newer);
+            if (beginTimer.isEmpty()) {
+                beginTimer = Optional.of(after(Math.max(1, millis), () -> notBegun(newer)));
+            } else if (millis <= 0) {
+                notBegun(newer);
+            }
         });
     }
 
@@ -146,9 +150,12 @@
         if (over) {
             return;
         }
-        if (!room.begun() && beginTimer.isEmpty()) {
+        if (!room.begun()) {
             limitWaiting();
         }
+        if (over) {
+            return;
+        }
         if (!parts.silent(endpoint)) {
             return;
         }
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -274,9 +274,12 @@
         eventTimes.passed(millisTaken());
     }
 
+    /** Looks after the request by the clock: its timers do not count the time for which the instance was suspended. */
     @Override
     public void lookAfter() {
-        if (current.isPresent() && !answer.begun() && decide() instanceof Decision.Culprit culprit) {
+        if (millisLeft() <= 0) {
+            end("time is up");
+        } else if (current.isPresent() && !answer.begun() && decide() instanceof Decision.Culprit culprit) {
             boolean mayRun = current.filter(Attempt::mayRun).isPresent();
             current.ifPresent(attempt -> attempt.abandon("it ends endpoints"));
             sendings.ended(mayRun ? AttemptEnd.UNKNOWN : AttemptEnd.NOT_RUN);
--- a/src/main/java/org/micabarrow/transport/HostedPeerServer.java
+++ b/src/main/java/org/micabarrow/transport/HostedPeerServer.java
@@ -14,6 +14,7 @@
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.micabarrow.clock.SteadyClock;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.views.Topic;
 import org.micabarrow.views.ViewKeeper;
@@ -63,7 +64,7 @@
      * @param uplink holds chunks to what the instance's link can spare
      */
     public HostedPeerServer(ViewKeeper views, Sets sets, MetricRegistry registry, LinkPacer uplink) {
-        this(views, sets, registry, uplink, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+        this(views, sets, registry, uplink, SteadyClock::millis);
     }
 
     /**
--- a/src/main/java/org/micabarrow/transport/HttpCaller.java
+++ b/src/main/java/org/micabarrow/transport/HttpCaller.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
+import org.micabarrow.clock.SteadyClock;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Result;
@@ -57,7 +58,7 @@
         this.ownWorker = ownWorker;
         this.shared = new HttpExchange.Shared(
                 new DefaultByteBufferPool(true, BUFFER_BYTES, BUFFERS_KEPT, BUFFERS_KEPT_BY_THREAD),
-                new KeptConnections(mostIdle, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime())),
+                new KeptConnections(mostIdle, SteadyClock::millis),
                 new LongAdder(),
                 new LongAdder());
     }
--- a/src/main/java/org/micabarrow/transport/PeerRecords.java
+++ b/src/main/java/org/micabarrow/transport/PeerRecords.java
@@ -10,8 +10,8 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.micabarrow.clock.SteadyClock;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
@@ -46,7 +46,7 @@
      * @param caller sends its requests
      */
     public PeerRecords(HttpCaller caller) {
-        this(caller, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+        this(caller, SteadyClock::millis);
     }
 
     /**
