--- a/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
@@ -30,6 +30,7 @@
     private static final HttpString SIGNATURE = new HttpString("Server-Seal");
     private static final HttpString NOT_RUN = new HttpString("Not-Executed");
     private static final HttpString WEIGHT_VERSION = new HttpString("Weight-Versions");
+    private static final HttpString LEAVING = new HttpString("Server-Leaving");
     private static final int OK = 200;
     private static final int FAILED = 500;
     private static final int UNAVAILABLE = 503;
@@ -48,6 +49,7 @@
     private final AtomicInteger misdirected = new AtomicInteger();
     private final HostedWeightsStandin weights;
     private volatile Crashing crashing = body -> false;
+    private volatile boolean leaving;
 
     /** How an endpoint ends. */
     public enum Ending {
@@ -127,6 +129,11 @@
         return List.copyOf(received);
     }
 
+    /** Says in all its answers from now on that it leaves. */
+    public void leave() {
+        leaving = true;
+    }
+
     /**
      * Looks at each request from now on whether the endpoint ends by it.
      *
@@ -152,6 +159,7 @@
      * @param ending how it ended
      */
     public void startAgain(long startedMillis, Ending ending) {
+        leaving = false;
         weights.startAgain(startedMillis, ending == Ending.CRASH);
     }
 
@@ -176,6 +184,9 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         exchange.getRequestReceiver().receiveFullBytes((same, body) -> {
+            if (leaving) {
+                same.getResponseHeaders().put(LEAVING, "1");
+            }
             if (HostedWeightsStandin.takes(same.getRequestPath())) {
                 weights.answer(same, body);
             } else {
