What an endpoint says in an answer about leaving holds at once, and for that start of it

What callers saw: requests reached an endpoint 2.1 to 3.3 s after it had said in an answer that it leaves, while the store was away and could not tell.

Cause: who leaves was learned from the store alone; of the head of an answer only what decides about its request was read.

Why the mend holds: the head of each answer that is surely of the endpoint meant is read for it, a refusal's too, and remembered by the endpoint's start in EndpointChoice, which every decision asks: the first sending, a repeat, a stream that goes on, what waits, and the last look before the first byte. No entry of the store takes it back, be it read later or written before (the start stays remembered when it is listed no more); another start is served. The agent beside an endpoint hears it with the next report (0.15 s) and tells all entries with the next datagram, in a bit that was free, so entries learn of it while the store is away. Where starts are not told, an agent's word may be of the start before, so it holds only until the agent tells otherwise.

Ruled out: an entry that overrules the answer, sendings decided on before (no belief changed at all, and sendings were decided on seconds after).

Not built: entries learn of a plain endpoint, which has no agent, each from its own first answer.

--- a/src/main/java/org/micabarrow/platform/EndpointCalls.java
+++ b/src/main/java/org/micabarrow/platform/EndpointCalls.java
@@ -58,7 +58,7 @@
                 return refused(call, answer);
             }
             try {
-                return Result.success(report(CanonicalJson.mapper().readTree(answer.body())));
+                return Result.success(report(CanonicalJson.mapper().readTree(answer.body()), answer.headers()));
             } catch (IOException e) {
                 return Result.failure(Fault.of(Step.STATUS, base, Reason.CORRUPT, "not JSON: " + e.getMessage()));
             } catch (MalformedField e) {
@@ -68,7 +68,7 @@
     }
 
     /** An endpoint that holds some layers only holds no version. */
-    private Report report(JsonNode json) {
+    private Report report(JsonNode json, Map<String, String> headers) {
         JsonFields.object(json, "the report");
         Map<String, Long> models = EndpointFields.models(json);
         boolean whole = EndpointFields.layers(json) >= totalLayers.getAsInt();
@@ -80,7 +80,8 @@
                 JsonFields.longOr(json, "sequence", 0),
                 JsonFields.intOr(json, "queued", 0),
                 JsonFields.intOr(json, "running", 0),
-                EndpointFields.startedMillis(json));
+                EndpointFields.startedMillis(json),
+                EndpointHeaders.leaving(headers));
     }
 
     private static <T> Result<T> refused(HttpCall call, HttpAnswer answer) {
--- a/src/main/java/org/micabarrow/platform/EndpointHeaders.java
+++ b/src/main/java/org/micabarrow/platform/EndpointHeaders.java
@@ -59,9 +59,15 @@
                 headers.containsKey(WireNames.NOT_RUN),
                 status == MISDIRECTED,
                 number(headers.get(WireNames.WEIGHT_VERSION)),
+                leaving(headers),
                 passedOn);
     }
 
+    /** Whether an endpoint says in an answer, to whatever, that it leaves. */
+    static boolean leaving(Map<String, String> headers) {
+        return "1".equals(headers.get(WireNames.LEAVING));
+    }
+
     /** A whole number; what a broken endpoint writes instead counts as absent. */
     private static Optional<Long> number(String text) {
         if (text == null
--- a/src/main/java/org/micabarrow/platform/WireNames.java
+++ b/src/main/java/org/micabarrow/platform/WireNames.java
@@ -45,6 +45,9 @@
     /** The weight version that answers. */
     static final String WEIGHT_VERSION = "Weight-Versions";
 
+    /** {@code 1} in all answers of an endpoint that leaves. */
+    static final String LEAVING = "Server-Leaving";
+
     // -- calls to endpoints
 
     static final String REPORT = "/api/report";
--- a/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
@@ -50,6 +50,7 @@
     private final HostedWeightsStandin weights;
     private volatile Crashing crashing = body -> false;
     private volatile boolean leaving;
+    private volatile boolean leavingByReports;
 
     /** How an endpoint ends. */
     public enum Ending {
@@ -132,6 +133,12 @@
     /** Says in all its answers from now on that it leaves. */
     public void leave() {
         leaving = true;
+        leavingByReports = true;
+    }
+
+    /** Says so in its reports alone, as if no request had been sent to it since it does. */
+    public void leaveByReportsOnly() {
+        leavingByReports = true;
     }
 
     /**
@@ -160,6 +167,7 @@
      */
     public void startAgain(long startedMillis, Ending ending) {
         leaving = false;
+        leavingByReports = false;
         weights.startAgain(startedMillis, ending == Ending.CRASH);
     }
 
@@ -184,10 +192,11 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         exchange.getRequestReceiver().receiveFullBytes((same, body) -> {
-            if (leaving) {
+            boolean report = HostedWeightsStandin.takes(same.getRequestPath());
+            if (report ? leavingByReports : leaving) {
                 same.getResponseHeaders().put(LEAVING, "1");
             }
-            if (HostedWeightsStandin.takes(same.getRequestPath())) {
+            if (report) {
                 weights.answer(same, body);
             } else {
                 request(same, body);
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -151,12 +151,13 @@
 
         private Optional<Serving> toldLast = Optional.empty();
 
-        private record Serving(boolean loading, long version, OptionalInt start) {}
+        private record Serving(boolean loading, boolean leaving, long version, OptionalInt start) {}
 
         @Override
         public void take() {
             keeper.refresh();
-            Optional<Serving> now = told().map(told -> new Serving(told.loading(), told.version(), told.start()));
+            Optional<Serving> now =
+                    told().map(told -> new Serving(told.loading(), told.leaving(), told.version(), told.start()));
             if (!now.equals(toldLast)) {
                 toldLast = now;
                 tellEntries();
@@ -202,7 +203,8 @@
                         model().map(model -> report.models().getOrDefault(model, 0L))
                                 .orElse(0L),
                         freePlaces(report),
-                        EndpointStart.token(report.startedMillis())));
+                        EndpointStart.token(report.startedMillis()),
+                        report.leaving()));
     }
 
     /** The places that may be dealt out; any number while the manifest, which says how many there are, is not known. */
--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -28,7 +29,11 @@
     /** As above for agents of other regions, which are asked less often. */
     private static final long FAR_SILENCE_MILLIS = 1_000;
 
+    /** How many starts that said that they leave are remembered: more than leave while an entry of theirs may be written late. */
+    private static final int LEAVING_KEPT = 1_000;
+
     private final Map<EndpointStart, EndpointLoad> loads = new HashMap<>();
+    private final Set<EndpointStart> leaving = new LinkedHashSet<>();
     private final UnmetDemand unmet = new UnmetDemand();
     private final Map<String, String> regions;
     private final String region;
@@ -146,6 +151,34 @@
                         one -> !starts.contains(one.getKey()) && one.getValue().idle());
     }
 
+    // -- leaving
+
+    /**
+     * An endpoint said in an answer that it leaves. No entry takes that back, be it read later or written before: it holds for this
+     * start of the endpoint, and for no other one at its address.
+     *
+     * @param start the endpoint's start
+     * @return false if it had said so before
+     */
+    public boolean saidThatItLeaves(EndpointStart start) {
+        if (leaving.size() == LEAVING_KEPT && !leaving.contains(start)) {
+            leaving.remove(leaving.iterator().next());
+        }
+        return leaving.add(Objects.requireNonNull(start, "start is null"));
+    }
+
+    /**
+     * Whether an endpoint takes nothing new, by its entry, its answers or its agent.
+     *
+     * @param endpoint the endpoint
+     * @return true if one of them says so
+     */
+    public boolean leaves(EndpointEntry endpoint) {
+        return endpoint.leaving()
+                || leaving.contains(endpoint.start())
+                || load(endpoint.start()).toldThatItLeaves();
+    }
+
     /**
      * How many requests for models this entry lately had to turn away for want of room.
      *
@@ -239,7 +272,7 @@
      * @return false if it leaves, was tried, or does not hold a version that may answer
      */
     public boolean able(EndpointEntry endpoint, Wanted wanted, long nowMillis) {
-        if (endpoint.leaving() || wanted.tried().contains(endpoint.id())) {
+        if (leaves(endpoint) || wanted.tried().contains(endpoint.id())) {
             return false;
         }
         if (wanted.model().isEmpty()) {
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -232,6 +232,16 @@
         return told.loading() && toldLately(nowMillis);
     }
 
+    /**
+     * Whether the endpoint leaves, by what its agent told last. Where starts are not told, an agent's word may be of the start before,
+     * so it holds only until the agent tells otherwise.
+     *
+     * @return true if its agent said so
+     */
+    public boolean toldThatItLeaves() {
+        return told.leaving() && !startedAgain;
+    }
+
     /**
      * The requests at the endpoint, as far as known: what its agent told plus what was sent since.
      *
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -243,6 +243,9 @@
         load.heard(parts.nowMillis());
         AnswerHead read = parts.protocol().head(request, status, headers);
         read.weightVersion().ifPresent(load::answeredBy);
+        if (read.ofThisEndpoint() && read.leaving()) {
+            parts.saidThatItLeaves(endpoint);
+        }
         switch (HeadVerdict.of(read, request.route().kind().repeatable(), answer.begun())) {
             case NOT_RUN -> failed(AttemptEnd.NOT_RUN, "the endpoint refused with " + status);
             case MISDIRECTED -> {
--- a/src/main/java/org/micabarrow/serving/EndpointProtocol.java
+++ b/src/main/java/org/micabarrow/serving/EndpointProtocol.java
@@ -34,6 +34,7 @@
      * @param notRun whether it states that the request has not run
      * @param misdirected whether it states that another endpoint or version was meant
      * @param weightVersion the weight version that answers
+     * @param leaving whether the endpoint says that it leaves
      * @param passedOn the headers for the client
      */
     record AnswerHead(
@@ -43,7 +44,14 @@
             boolean notRun,
             boolean misdirected,
             Optional<Long> weightVersion,
-            Map<String, String> passedOn) {}
+            boolean leaving,
+            Map<String, String> passedOn) {
+
+        /** Whether the answer is surely of the endpoint that was meant; another one at its address says that it is another. */
+        boolean ofThisEndpoint() {
+            return !misdirected && (own || notRun);
+        }
+    }
 
     /**
      * Writes a request.
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -17,10 +17,14 @@
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.views.View;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** What all requests of an entry share. Used by the one thread for traffic, but for the view and the metrics. */
 final class ServingParts {
 
+    private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.request");
+
     private final ServingHandler.Parts given;
     private final WeightVersions versions;
     private final ServingMetrics metrics;
@@ -117,13 +121,22 @@
     /** Whether an endpoint has said that it leaves, so that its end is no crash. */
     boolean saysThatItLeaves(EndpointEntry endpoint) {
         EndpointEntry now = view().endpoints().getOrDefault(endpoint.id(), endpoint);
-        return now.start().equals(endpoint.start()) && now.leaving();
+        return now.start().equals(endpoint.start()) && given.choice().leaves(now);
     }
 
     /** Whether an endpoint says that it leaves, is listed no more, or has started again without what was sent to it. */
     boolean leaves(EndpointEntry endpoint) {
         EndpointEntry now = view().endpoints().get(endpoint.id());
-        return now == null || now.leaving() || !now.start().equals(endpoint.start());
+        return now == null
+                || !now.start().equals(endpoint.start())
+                || given.choice().leaves(now);
+    }
+
+    /** An endpoint said in an answer that it leaves: nothing new goes there from now on, whatever else says that it stays. */
+    void saidThatItLeaves(EndpointEntry endpoint) {
+        if (given.choice().saidThatItLeaves(endpoint.start())) {
+            LOG.info("event=endpoint_leaves endpoint={} from=answer", endpoint.id());
+        }
     }
 
     /** Counts a request that is turned away for want of room; agents divide their endpoints' places by it. */
--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -41,6 +41,11 @@
     private static final byte NO = 0;
     private static final byte YES = 1;
 
+    /** The bits of what an endpoint does. */
+    private static final int LOADING = 1;
+
+    private static final int LEAVING = 2;
+
     private LoadMessages() {}
 
     private interface Reading<T> {
@@ -224,7 +229,7 @@
         datagram.putInt(told.othersPromptTokens());
         datagram.putInt(told.places());
         datagram.putLong(told.version());
-        datagram.put(flag(told.loading()));
+        datagram.put(state(told));
         datagram.put(flag(told.start().isPresent()));
         told.start().ifPresent(datagram::putInt);
         datagram.put(flag(answer.reader().isPresent()));
@@ -238,6 +243,10 @@
         return datagram.flip();
     }
 
+    private static byte state(LoadReport told) {
+        return (byte) ((told.loading() ? LOADING : 0) | (told.leaving() ? LEAVING : 0));
+    }
+
     static Answer answer(byte[] bytes) throws IOException {
         return whole(bytes, datagram -> {
             int number = datagram.getInt();
@@ -245,9 +254,16 @@
             int othersPromptTokens = datagram.getInt();
             int places = datagram.getInt();
             long version = datagram.getLong();
-            boolean loading = flag(datagram);
+            byte state = datagram.get();
             OptionalInt start = flag(datagram) ? OptionalInt.of(datagram.getInt()) : OptionalInt.empty();
-            LoadReport told = new LoadReport(requests, othersPromptTokens, loading, version, places, start);
+            LoadReport told = new LoadReport(
+                    requests,
+                    othersPromptTokens,
+                    (state & LOADING) != 0,
+                    version,
+                    places,
+                    start,
+                    (state & LEAVING) != 0);
             Optional<ReaderNews> reader = flag(datagram) ? Optional.of(reader(datagram)) : Optional.empty();
             return new Answer(number, told, reader, datagram.getLong());
         });
--- a/src/main/java/org/micabarrow/weights/ModelEndpoint.java
+++ b/src/main/java/org/micabarrow/weights/ModelEndpoint.java
@@ -18,6 +18,7 @@
      * @param queued the requests that wait
      * @param running the requests that run
      * @param startedMillis the Unix millisecond of its start; empty if it does not tell
+     * @param leaving whether it says that it leaves
      */
     record Report(
             Map<String, Long> models,
@@ -26,10 +27,11 @@
             long orders,
             int queued,
             int running,
-            OptionalLong startedMillis) {
+            OptionalLong startedMillis,
+            boolean leaving) {
 
         /**
-         * What an endpoint says that does not tell when it was started.
+         * What an endpoint says that stays, and does not tell when it was started.
          *
          * @param models the weight version that it holds of each model, with all layers
          * @param parts the weight version of each model of which it holds some layers only
@@ -40,7 +42,7 @@
          */
         public Report(
                 Map<String, Long> models, Map<String, Long> parts, boolean busy, long orders, int queued, int running) {
-            this(models, parts, busy, orders, queued, running, OptionalLong.empty());
+            this(models, parts, busy, orders, queued, running, OptionalLong.empty(), false);
         }
     }
 
--- a/src/test/java/org/micabarrow/serving/HeadVerdictTest.java
+++ b/src/test/java/org/micabarrow/serving/HeadVerdictTest.java
@@ -43,6 +43,7 @@
                 states.contains("notRun"),
                 states.contains("misdirected"),
                 Optional.empty(),
+                false,
                 Map.of());
         assertEquals(expected, HeadVerdict.of(head, repeatable, begun));
     }
--- a/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
@@ -14,6 +14,8 @@
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.routing.LoadReport;
 import org.micabarrow.transport.LoadMessages.Answer;
 import org.micabarrow.transport.LoadMessages.Question;
@@ -30,6 +32,16 @@
         return bytes;
     }
 
+    @ParameterizedTest
+    @CsvSource({"false, false", "false, true", "true, false", "true, true"})
+    void shouldTellWhatEndpointDoes(boolean loading, boolean leaving) throws IOException {
+        LoadReport told = new LoadReport(3, 8, loading, 7, 5, OptionalInt.of(9), leaving);
+        assertEquals(
+                told,
+                LoadMessages.answer(bytes(LoadMessages.write(new Answer(17, told))))
+                        .told());
+    }
+
     @Test
     void shouldReadQuestionWhenWritten() throws IOException {
         Question question = new Question("entry-a", 1_200, 17, 30);
--- a/src/test/java/org/micabarrow/weights/FakeEndpoint.java
+++ b/src/test/java/org/micabarrow/weights/FakeEndpoint.java
@@ -54,7 +54,8 @@
         if (silent) {
             return lost(Fault.Step.STATUS);
         }
-        return Result.success(new Report(holding(held), holding(part), busy, orders.size(), 0, 0, startedMillis));
+        return Result.success(
+                new Report(holding(held), holding(part), busy, orders.size(), 0, 0, startedMillis, false));
     }
 
     /** Starts again, after a crash or a loss of power, which takes what was laid too. */
