Failing test: an endpoint that asks for rest gets request after request

What callers saw: an endpoint that had asked an entry for three seconds of rest got 7 to 20 requests of it meanwhile and turned each away; a third of the callers were told to come back. RestTest: the next request reaches it at once. Stand-ins of endpoints can ask for rest.

--- a/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
@@ -36,6 +36,8 @@
     private static final int UNAVAILABLE = 503;
     private static final int MISDIRECTED = 421;
 
+    private static final String REST_SECONDS = "3";
+
     /** How many events a whole stream has. */
     private static final int EVENTS = 3;
 
@@ -79,6 +81,8 @@
         ANSWER,
         /** Refuses, and says that the request has not run. */
         REFUSE,
+        /** Refuses so, and asks for three seconds of rest. */
+        REFUSE_AND_REST,
         /** Answers 503 without saying that the request has not run. */
         SILENT_REFUSE,
         /** Answers 500, signed. */
@@ -240,6 +244,10 @@
                 exchange.getResponseHeaders().put(NOT_RUN, "1");
                 StandinCalls.answer(exchange, UNAVAILABLE, new byte[0]);
             }
+            case REFUSE_AND_REST -> {
+                exchange.getResponseHeaders().put(Headers.RETRY_AFTER, REST_SECONDS);
+                behave(exchange, Behaviour.REFUSE);
+            }
             case SILENT_REFUSE -> {
                 exchange.getResponseHeaders().put(SIGNATURE, id);
                 StandinCalls.answer(exchange, UNAVAILABLE, new byte[0]);
--- /dev/null
+++ b/src/test/java/org/micabarrow/serving/RestTest.java
@@ -0,0 +1,58 @@
+package org.micabarrow.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.platform.EndpointHeaders;
+import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
+import org.micabarrow.serving.ServingHandler.VersionTimes;
+import org.micabarrow.transport.HttpCaller.HttpAnswer;
+
+/**
+ * An endpoint that turns a request away and asks for rest.
+ *
+ * <p>Users saw an endpoint that had asked an entry for three seconds of rest get 7, 8 and 20 requests of that entry meanwhile, each of
+ * which it turned away again; a third of the callers were told to come back. Order of events: the endpoint answers 503 with
+ * {@code Retry-After}, the entry tries the next one, and the next request finds the endpoint idle, as what is turned away does not stay
+ * there. Cause: of the head of a refusal only that the request had not run was read. Evidence: the entry's lines of that day, in which the
+ * same endpoint is chosen again and again between its refusals, with none of the entry's requests there.
+ */
+class RestTest extends ServingFixture {
+
+    private static final long REST_MILLIS = 3_000;
+
+    @BeforeEach
+    void start() {
+        platform.manifest(2, "key-a", WITHIN.toMillis());
+        platform.add("plain-1", "plain", 0);
+    }
+
+    private void serve() throws IOException {
+        VersionTimes never = new VersionTimes(NEVER_MILLIS, NEVER_MILLIS, NEVER_MILLIS);
+        serve(new EndpointHeaders(), new RetryBudget(0, 1_000), (endpoint, then) -> then.accept(true), never);
+    }
+
+    private int received(String endpoint) {
+        return platform.endpoint(endpoint).received().size();
+    }
+
+    @Test
+    void shouldSendNothingWhileEndpointRests() throws IOException {
+        serve();
+        platform.next(Behaviour.REFUSE_AND_REST);
+        assertEquals(503, ask("/again/x").status());
+        for (long passed = 100; passed < REST_MILLIS; passed += 100) {
+            clockMillis.addAndGet(100);
+            HttpAnswer refused = ask("/again/x");
+            assertEquals(503, refused.status());
+            double left = (REST_MILLIS - passed) / 1_000.0;
+            assertEquals(left, Double.parseDouble(refused.headers().get("Retry-After")), 0.001);
+        }
+        assertEquals(1, received("plain-1"), "the one that it turned away");
+        clockMillis.addAndGet(100);
+        assertEquals(200, ask("/again/x").status());
+    }
+}
