An endpoint that asks for rest gets it

What callers saw: an endpoint that had asked an entry for three seconds of rest got 7 to 20 requests of it meanwhile and turned each away; a third of the callers were told to come back, at a time that had nothing to do with the rest.

Cause: of the head of a refusal only that the request had not run was read, and what is turned away does not stay at an endpoint, so the next choice found it idle.

Why the mend holds: the rest is kept with the endpoint's load, by its start and on the clock that counts suspensions; an endpoint that rests is no candidate, also in the last look before the first byte. Where all rest, a request waits if it can still be in time afterwards, and is refused at once otherwise, with the end of the first rest as the time to come back. After a rest one request goes first, and twice as many with each answer, so that what waits does not arrive at once. Headers of endpoints that come several times are no longer cut to the first.

Ruled out: an agent's word that overrules the refusal (it says how many run, not that nothing is wanted).

--- a/src/main/java/org/micabarrow/admission/Admission.java
+++ b/src/main/java/org/micabarrow/admission/Admission.java
@@ -57,6 +57,14 @@
          */
         record Full(int endpoints) implements Decision {}
 
+        /**
+         * It is refused, because all endpoints that could serve it rest for longer than it may wait.
+         *
+         * @param endpoints how many there are
+         * @param millis how long the first of them rests
+         */
+        record Resting(int endpoints, long millis) implements Decision {}
+
         /** It is refused, because no endpoint can serve it at all. */
         record Unable() implements Decision {}
 
@@ -82,9 +90,15 @@
             case Choice.Send chosen -> new Decision.Send(chosen);
             case Choice.None ignored -> new Decision.Unable();
             case Choice.Full(int full) -> withoutRoom(full, wanted);
+            case Choice.Resting(int resting, long millis) -> whileAllRest(resting, millis, wanted);
         };
     }
 
+    private Decision whileAllRest(int resting, long millis, Wanted wanted) {
+        long spare = choice.spareMillis(wanted);
+        return spare > millis ? new Decision.Wait(spare, resting) : new Decision.Resting(resting, millis);
+    }
+
     /**
      * What happens to a request for which there is no room now.
      *
--- a/src/main/java/org/micabarrow/platform/EndpointHeaders.java
+++ b/src/main/java/org/micabarrow/platform/EndpointHeaders.java
@@ -6,7 +6,10 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.serving.EndpointProtocol;
 import org.micabarrow.state.Fault.Step;
@@ -16,6 +19,15 @@
 public final class EndpointHeaders implements EndpointProtocol {
 
     private static final int MISDIRECTED = 421;
+    private static final int UNAVAILABLE = 503;
+
+    private static final double MILLIS_A_SECOND = 1_000;
+
+    /** The longest rest that is believed, in milliseconds: a day; more would overflow a clock. */
+    private static final double MOST_REST_MILLIS = 24 * 3_600_000.0;
+
+    /** A whole number of seconds or a fraction; a date is none. */
+    private static final Pattern SECONDS = Pattern.compile("\\d{1,300}(?:\\.\\d{0,300})?");
 
     /** The last rank that endpoints are told: what ranks behind it, or comes too late for its objective, is told as this. */
     private static final int MOST_PRIORITY = 9;
@@ -60,9 +72,27 @@
                 status == MISDIRECTED,
                 number(headers.get(WireNames.WEIGHT_VERSION)),
                 leaving(headers),
+                status == UNAVAILABLE ? restMillis(headers.get(WireNames.REST)) : OptionalLong.empty(),
                 passedOn);
     }
 
+    /**
+     * For how long an endpoint asks for rest; of several times the longest. What is no time, or none above 0, counts as absent.
+     */
+    static OptionalLong restMillis(String text) {
+        if (text == null) {
+            return OptionalLong.empty();
+        }
+        return Stream.of(text.split(","))
+                .map(String::trim)
+                .filter(SECONDS.asMatchPredicate())
+                .mapToDouble(Double::parseDouble)
+                .map(seconds -> Math.min(seconds * MILLIS_A_SECOND, MOST_REST_MILLIS))
+                .mapToLong(Math::round)
+                .filter(millis -> millis > 0)
+                .max();
+    }
+
     /** Whether an endpoint says in an answer, to whatever, that it leaves. */
     static boolean leaving(Map<String, String> headers) {
         return "1".equals(headers.get(WireNames.LEAVING));
--- a/src/main/java/org/micabarrow/platform/WireNames.java
+++ b/src/main/java/org/micabarrow/platform/WireNames.java
@@ -48,6 +48,9 @@
     /** {@code 1} in all answers of an endpoint that leaves. */
     static final String LEAVING = "Server-Leaving";
 
+    /** For how many seconds an endpoint that turns a request away wants nothing of whoever sent it. */
+    static final String REST = "Retry-After";
+
     // -- calls to endpoints
 
     static final String REPORT = "/api/report";
--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -103,6 +104,14 @@
          */
         record Full(int endpoints) implements Choice {}
 
+        /**
+         * All endpoints that could serve have asked for rest.
+         *
+         * @param endpoints how many there are
+         * @param millis how long the first of them rests, in milliseconds
+         */
+        record Resting(int endpoints, long millis) implements Choice {}
+
         /** No endpoint can serve at all. */
         record None() implements Choice {}
     }
@@ -201,7 +210,13 @@
     public Choice choose(List<EndpointEntry> candidates, Wanted wanted, long nowMillis) {
         List<EndpointEntry> able =
                 candidates.stream().filter(one -> able(one, wanted, nowMillis)).toList();
-        List<EndpointEntry> pool = pool(candidates, able, nowMillis);
+        OptionalLong allRest = allRestMillis(able, nowMillis);
+        if (allRest.isPresent()) {
+            return new Choice.Resting(able.size(), allRest.getAsLong());
+        }
+        List<EndpointEntry> awake =
+                able.stream().filter(one -> !rests(one, nowMillis)).toList();
+        List<EndpointEntry> pool = pool(candidates, awake, nowMillis);
         if (pool.isEmpty()) {
             return new Choice.None();
         }
@@ -214,6 +229,38 @@
                 .orElse(new Choice.Full(pool.size()));
     }
 
+    /**
+     * Whether an endpoint has asked this process to send it nothing now.
+     *
+     * @param endpoint the endpoint
+     * @param nowMillis the time on the steady clock
+     * @return true until the rest is over
+     */
+    public boolean rests(EndpointEntry endpoint, long nowMillis) {
+        return load(endpoint.start()).rest().lasts(nowMillis);
+    }
+
+    /**
+     * How long it takes until the first of some endpoints may be sent to again.
+     *
+     * @param candidates a service's endpoints
+     * @param wanted what is to be sent
+     * @param nowMillis the time on the steady clock
+     * @return milliseconds; empty if one that may get the request does not rest, or none may get it
+     */
+    public OptionalLong allRestMillis(List<EndpointEntry> candidates, Wanted wanted, long nowMillis) {
+        return allRestMillis(
+                candidates.stream().filter(one -> able(one, wanted, nowMillis)).toList(), nowMillis);
+    }
+
+    private OptionalLong allRestMillis(List<EndpointEntry> able, long nowMillis) {
+        return able.stream().allMatch(one -> rests(one, nowMillis))
+                ? able.stream()
+                        .mapToLong(one -> load(one.start()).rest().leftMillis(nowMillis))
+                        .min()
+                : OptionalLong.empty();
+    }
+
     /**
      * The endpoints to choose among. Those with failures or a slow link do if there are no others. Those that fell silent do only if no
      * endpoint of the service is heard of at all: then it is more likely that this entry does not hear.
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -20,6 +20,7 @@
     private long version;
     private final LinkDelay link = new LinkDelay();
     private final Failures failures = new Failures();
+    private final Rest rest = new Rest();
 
     // -- own requests
 
@@ -264,6 +265,27 @@
         return !toldLately(nowMillis) || requests - requestsWhenTold < told.places();
     }
 
+    // -- rest
+
+    /**
+     * The rest that the endpoint has asked for.
+     *
+     * @return the rest, to be kept
+     */
+    public Rest rest() {
+        return rest;
+    }
+
+    /**
+     * Whether one more of the entry's requests may be sent there as far as the endpoint's rest goes.
+     *
+     * @param nowMillis the time on the steady clock
+     * @return false while it rests, and while enough are there afterwards
+     */
+    public boolean restAllows(long nowMillis) {
+        return rest.allows(requests, nowMillis);
+    }
+
     // -- failures
 
     /**
--- a/src/main/java/org/micabarrow/routing/EndpointRoom.java
+++ b/src/main/java/org/micabarrow/routing/EndpointRoom.java
@@ -48,6 +48,9 @@
 
     /** Whether an endpoint that may get a request has room for it. */
     static boolean isFor(Wanted wanted, EndpointEntry endpoint, EndpointLoad load, long nowMillis) {
+        if (!load.restAllows(nowMillis)) {
+            return false;
+        }
         int requests = load.requests(nowMillis);
         if (wanted.model().isEmpty()) {
             return requests < endpoint.slots() * PLAIN_SLOTS;
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -243,8 +243,8 @@
         load.heard(parts.nowMillis());
         AnswerHead read = parts.protocol().head(request, status, headers);
         read.weightVersion().ifPresent(load::answeredBy);
-        if (read.ofThisEndpoint() && read.leaving()) {
-            parts.saidThatItLeaves(endpoint);
+        if (read.ofThisEndpoint()) {
+            heed(read);
         }
         switch (HeadVerdict.of(read, request.route().kind().repeatable(), answer.begun())) {
             case NOT_RUN -> failed(AttemptEnd.NOT_RUN, "the endpoint refused with " + status);
@@ -271,11 +271,23 @@
         }
     }
 
+    /** Remembers what the endpoint says beside its answer, of use to all that is sent there later. */
+    private void heed(AnswerHead read) {
+        if (read.leaving()) {
+            parts.saidThatItLeaves(endpoint);
+        }
+        read.restMillis().ifPresent(millis -> {
+            load.rest().asked(millis, parts.nowMillis());
+            run.log().rests(endpoint, millis);
+        });
+    }
+
     private void remember(int status) {
         if (HeadVerdict.isError(status)) {
             load.failures().failed(parts.nowMillis());
         } else {
             load.failures().succeeded();
+            load.rest().answered(parts.nowMillis());
             parts.metrics().firstByte.update(run.millisTaken(), TimeUnit.MILLISECONDS);
         }
     }
--- a/src/main/java/org/micabarrow/serving/EndpointProtocol.java
+++ b/src/main/java/org/micabarrow/serving/EndpointProtocol.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.transport.HttpCall;
@@ -35,6 +36,7 @@
      * @param misdirected whether it states that another endpoint or version was meant
      * @param weightVersion the weight version that answers
      * @param leaving whether the endpoint says that it leaves
+     * @param restMillis for how long the endpoint wants nothing more of this process; empty if it does not say
      * @param passedOn the headers for the client
      */
     record AnswerHead(
@@ -45,6 +47,7 @@
             boolean misdirected,
             Optional<Long> weightVersion,
             boolean leaving,
+            OptionalLong restMillis,
             Map<String, String> passedOn) {
 
         /** Whether the answer is surely of the endpoint that was meant; another one at its address says that it is another. */
--- a/src/main/java/org/micabarrow/serving/LastLook.java
+++ b/src/main/java/org/micabarrow/serving/LastLook.java
@@ -54,6 +54,9 @@
         if (parts.leaves(endpoint) || !parts.able(request, endpoint)) {
             return new Verdict.Outdated("the endpoint may not get it any more", false);
         }
+        if (parts.rests(endpoint)) {
+            return new Verdict.Outdated("the endpoint has asked for rest", false);
+        }
         if (!parts.versions().mayBegin(request, endpoint)) {
             return new Verdict.Outdated("a newer weight version is due", false);
         }
--- a/src/main/java/org/micabarrow/serving/RequestLog.java
+++ b/src/main/java/org/micabarrow/serving/RequestLog.java
@@ -57,6 +57,10 @@
                 parts.viewAge());
     }
 
+    void rests(EndpointEntry endpoint, long millis) {
+        LOG.info("event=endpoint_rests request={} endpoint={} forMs={}", request.id(), endpoint.id(), millis);
+    }
+
     void notSent(EndpointEntry endpoint) {
         LOG.info(
                 "event=not_sent request={} endpoint={} why=\"its agent did not answer in time, or it closes\"",
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -123,6 +123,7 @@
             case Decision.Wait(long ignored, int endpoints) -> noRoom("all " + endpoints + " endpoints are full");
             case Decision.Full(int endpoints) -> noRoom("all " + endpoints + " endpoints are full");
             case Decision.Unable ignored -> cannotSend("no endpoint can serve");
+            case Decision.Resting(int endpoints, long millis) -> allRest(endpoints, millis);
             case Decision.Culprit culprit -> refuse(culprit);
         }
     }
@@ -137,6 +138,12 @@
         conclude(Ending.withoutAnswer(answer.begun(), sendings.mayHaveRun()), why, culprit.forMillis());
     }
 
+    /** Refuses at once, and tells when the first endpoint may be sent to again. */
+    private void allRest(int endpoints, long millis) {
+        Ending ending = Ending.withoutAnswer(answer.begun(), sendings.mayHaveRun());
+        conclude(ending, "all " + endpoints + " endpoints have asked for rest", millis);
+    }
+
     private void noRoom(String why) {
         parts.turnedAway(request);
         cannotSend(why);
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -118,6 +118,10 @@
         return given.choice().silent(endpoint, nowMillis());
     }
 
+    boolean rests(EndpointEntry endpoint) {
+        return given.choice().rests(endpoint, nowMillis());
+    }
+
     /** Whether an endpoint has said that it leaves, so that its end is no crash. */
     boolean saysThatItLeaves(EndpointEntry endpoint) {
         EndpointEntry now = view().endpoints().getOrDefault(endpoint.id(), endpoint);
@@ -194,9 +198,12 @@
 
     // -- for the client and the log
 
-    /** When a refused client is told to come back, in milliseconds from now. */
+    /** When a refused client is told to come back, in milliseconds from now: not before one endpoint has had its rest. */
     long comeBackMillis(ClientRequest request) {
-        return Admission.comeBackMillis(request.deadlineMillis() - nowMillis());
+        List<EndpointEntry> endpoints = view().endpointsOf(request.service());
+        return given.choice()
+                .allRestMillis(endpoints, wanted(request, 0, Set.of()), nowMillis())
+                .orElseGet(() -> Admission.comeBackMillis(request.deadlineMillis() - nowMillis()));
     }
 
     /** The view that decisions are made on, and how long ago all that operators wrote was known, for the log. */
--- a/src/main/java/org/micabarrow/transport/HttpExchange.java
+++ b/src/main/java/org/micabarrow/transport/HttpExchange.java
@@ -153,7 +153,7 @@
                 Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
                 exchange.getResponse()
                         .getResponseHeaders()
-                        .forEach(values -> headers.put(values.getHeaderName().toString(), values.getFirst()));
+                        .forEach(values -> headers.put(values.getHeaderName().toString(), String.join(", ", values)));
                 listener.onHead(exchange.getResponse().getResponseCode(), headers);
                 source = exchange.getResponseChannel();
                 source.getReadSetter().set(channel -> read());
--- a/src/test/java/org/micabarrow/play/LoadPlay.java
+++ b/src/test/java/org/micabarrow/play/LoadPlay.java
@@ -263,6 +263,7 @@
                     events.after(millis + 1, () -> entry.line.expire(events.nowMillis()));
                 }
                 case Decision.Full ignored -> tooLate();
+                case Decision.Resting ignored -> throw new AssertionError("no engine rests");
                 case Decision.Unable ignored -> throw new AssertionError("every engine can serve");
                 case Decision.Culprit ignored -> throw new AssertionError("no engine ends");
             }
--- a/src/test/java/org/micabarrow/serving/HeadVerdictTest.java
+++ b/src/test/java/org/micabarrow/serving/HeadVerdictTest.java
@@ -4,6 +4,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.serving.EndpointProtocol.AnswerHead;
@@ -44,6 +45,7 @@
                 states.contains("misdirected"),
                 Optional.empty(),
                 false,
+                OptionalLong.empty(),
                 Map.of());
         assertEquals(expected, HeadVerdict.of(head, repeatable, begun));
     }
--- a/src/test/java/org/micabarrow/serving/RestTest.java
+++ b/src/test/java/org/micabarrow/serving/RestTest.java
@@ -5,11 +5,14 @@
 import java.io.IOException;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.Await;
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
+import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.serving.ServingHandler.VersionTimes;
 import org.micabarrow.transport.HttpCaller.HttpAnswer;
+import org.micabarrow.transport.Ignoring;
 
 /**
  * An endpoint that turns a request away and asks for rest.
@@ -55,4 +58,49 @@
         clockMillis.addAndGet(100);
         assertEquals(200, ask("/again/x").status());
     }
+
+    @Test
+    void shouldTellWhenToComeBackWhenOnlyEndpointBeginsToRest() throws IOException {
+        serve();
+        platform.next(Behaviour.REFUSE_AND_REST);
+        HttpAnswer refused = ask("/once/x");
+        assertEquals(503, refused.status());
+        assertEquals("3.000", refused.headers().get("Retry-After"));
+    }
+
+    @Test
+    void shouldServeWithTheOtherWhileOneRests() throws IOException {
+        platform.add("plain-2", "plain", 0);
+        serve();
+        Await.until("the endpoints", () -> views.view().endpoints().size() == 2);
+        platform.next(Behaviour.REFUSE_AND_REST);
+        String awake = ask("/once/x").headers().get("Instance-Id");
+        for (int request = 0; request < 20; request++) {
+            assertEquals(awake, ask("/once/x").headers().get("Instance-Id"));
+        }
+    }
+
+    @Test
+    void shouldServeAtOnceWhenRestEndedWhileInstanceWasSuspended() throws IOException {
+        serve();
+        platform.next(Behaviour.REFUSE_AND_REST);
+        assertEquals(503, ask("/again/x").status());
+        clockMillis.addAndGet(60_000);
+        assertEquals(200, ask("/again/x").status());
+    }
+
+    @Test
+    void shouldLetOneRequestGoFirstWhenRestIsOver() throws IOException {
+        serve();
+        platform.next(Behaviour.REFUSE_AND_REST);
+        ask("/again/x");
+        clockMillis.addAndGet(REST_MILLIS);
+        platform.next(Behaviour.HANG);
+        Runnable leave = client.send(HostedSystem.request(clients(), "/again/x", "attempt-2"), new Ignoring());
+        Await.until("the first", () -> platform.endpoint("plain-1").hanging() == 1);
+        assertEquals(503, ask("/again/x").status(), "no other before the endpoint has answered");
+        leave.run();
+        Await.until("its end", () -> platform.endpoint("plain-1").hanging() == 0);
+        Await.until("an answer", () -> ask("/again/x").status() == 200);
+    }
 }
