A process that reads the log by a relay knows it as of when the relay heard of the log

What callers would see: agents that read the configuration from a relay of their data hall went on serving by it past the time after which they are to refuse, for as long as the relay answered, though it was cut off from the log (read, pinned by CutOffRelayTest: 0 ms instead of 60,000 since the log was heard).

Cause: whatever answered counted as the log: a page of a relay and a state of a peer set the moment of hearing to now.

Why the mend holds: replies carry how long ago their sender heard of the log, which adds up over relays of relays, and a reply that does not say counts for nothing. The moment never goes back.

The test's line that built by hand what the reader makes of a reply, without its age, now calls what the reader calls; the check is unchanged.

--- a/src/main/java/org/micabarrow/coordination/configuration/Configuration.java
+++ b/src/main/java/org/micabarrow/coordination/configuration/Configuration.java
@@ -59,7 +59,7 @@
      * @param state the folded state
      * @param tail the latest records, for peers that are behind
      * @param stopped why folding has stopped for good, if it has
-     * @param heardMillis when the source of records last answered, 0 for never
+     * @param heardMillis when the log was last heard of, here or by whoever told, 0 for never
      * @param checkpointMillis when the log took the newest checkpoint or first record, 0 for never
      */
     public record View(
@@ -108,7 +108,7 @@
     }
 
     /**
-     * How long ago the source of records last answered.
+     * How long ago the log was last heard of, by this process or by whoever told it.
      *
      * @return milliseconds
      */
@@ -164,13 +164,13 @@
     /**
      * Takes a peer's folded state, if it is newer, on the control thread.
      *
-     * @param state the peer's state
-     * @param digest the digest the peer gave with it
+     * @param copy the peer's state, with the digest that the peer gave and its age
      * @return done with the state now in force
      */
-    public CompletableFuture<Result<FoldedState>> adopt(FoldedState state, String digest) {
+    public CompletableFuture<Result<FoldedState>> adopt(ConfigurationReader.StateCopy copy) {
+        Objects.requireNonNull(copy, "copy is null");
         CompletableFuture<Result<FoldedState>> done = new CompletableFuture<>();
-        control.execute(() -> done.complete(adoptNow(state, digest)));
+        control.execute(() -> done.complete(adoptNow(copy)));
         return done;
     }
 
@@ -186,14 +186,15 @@
                 yield Result.failure(fault);
             }
             case Result.Success<ConfigurationFold.Step>(ConfigurationFold.Step step) -> {
-                publish(step, page.records());
+                publish(step, page.records(), page.ageMillis());
                 yield Result.success(step.state());
             }
         };
     }
 
-    private Result<FoldedState> adoptNow(FoldedState state, String digest) {
-        if (!state.digest().equals(digest)) {
+    private Result<FoldedState> adoptNow(ConfigurationReader.StateCopy copy) {
+        FoldedState state = copy.state();
+        if (!state.digest().equals(copy.digest())) {
             return Result.failure(Fault.of(
                     Fault.Step.LOG,
                     "peer",
@@ -201,12 +202,17 @@
                     "the peer's state does not have the digest it states"));
         }
         if (state.offset() > generation()) {
-            publish(new ConfigurationFold.Step(state, List.of()), List.of());
+            publish(new ConfigurationFold.Step(state, List.of()), List.of(), copy.ageMillis());
         }
         return Result.success(current());
     }
 
-    private void publish(ConfigurationFold.Step step, List<PlatformLog.Entry> records) {
+    /** The moment at which the log said what is that old; never one before the last, nor none at all. */
+    private long heardMillis(long ageMillis) {
+        return Math.max(Math.max(1, view.heardMillis()), clock.millis() - ageMillis);
+    }
+
+    private void publish(ConfigurationFold.Step step, List<PlatformLog.Entry> records, long ageMillis) {
         List<PlatformLog.Entry> tail = new ArrayList<>(view.tail());
         records.stream()
                 .filter(entry ->
@@ -218,7 +224,7 @@
                 .mapToLong(ConfigurationFold.Judged::atMillis)
                 .max()
                 .orElse(view.checkpointMillis());
-        view = new View(step.state(), List.copyOf(kept), Optional.empty(), clock.millis(), checkpoint);
+        view = new View(step.state(), List.copyOf(kept), Optional.empty(), heardMillis(ageMillis), checkpoint);
         for (ConfigurationFold.Judged judged : step.verdicts()) {
             LOG.info(
                     "configuration offset={} record={} verdict={}",
--- a/src/main/java/org/micabarrow/coordination/configuration/ConfigurationReader.java
+++ b/src/main/java/org/micabarrow/coordination/configuration/ConfigurationReader.java
@@ -79,8 +79,9 @@
      *
      * @param state the state
      * @param digest the digest that its holder gives
+     * @param ageMillis how long ago its holder heard of the log, in milliseconds; {@link PlatformLog.Page#UNKNOWN_AGE} if it does not say
      */
-    public record StateCopy(FoldedState state, String digest) {}
+    public record StateCopy(FoldedState state, String digest, long ageMillis) {}
 
     /**
      * Starts reading.
@@ -142,18 +143,15 @@
             boolean gap = !page.records().isEmpty() && page.records().getFirst().offset() > from;
             return gap || page.first() > from
                     ? peers.state(relay)
-                            .flatMap(copy -> configuration
-                                    .adopt(copy.state(), copy.digest())
-                                    .join())
+                            .flatMap(copy -> configuration.adopt(copy).join())
                     : configuration.offer(page).join();
         });
     }
 
     private Result<FoldedState> adoptFromPeer(Result<FoldedState> otherwise) {
         for (String peer : peers.known()) {
-            Result<FoldedState> adopted = peers.state(peer)
-                    .flatMap(copy ->
-                            configuration.adopt(copy.state(), copy.digest()).join());
+            Result<FoldedState> adopted =
+                    peers.state(peer).flatMap(copy -> configuration.adopt(copy).join());
             if (adopted instanceof Result.Success) {
                 LOG.info("configuration taken from peer={} generation={}", peer, configuration.generation());
                 return adopted;
--- a/src/main/java/org/micabarrow/coordination/log/PlatformLog.java
+++ b/src/main/java/org/micabarrow/coordination/log/PlatformLog.java
@@ -34,13 +34,27 @@
      *
      * @param first the first offset that the log still keeps
      * @param records the records, from the offset asked for or the first kept
+     * @param ageMillis how long ago the log said so, in milliseconds; 0 if it was read itself, {@link #UNKNOWN_AGE} if nobody knows
      */
-    record Page(long first, List<Entry> records) {
+    record Page(long first, List<Entry> records, long ageMillis) {
+
+        /** The age of what is told by a process that does not say when the log was heard. */
+        public static final long UNKNOWN_AGE = Long.MAX_VALUE;
 
         /** Copies the list. */
         public Page {
             records = List.copyOf(records);
         }
+
+        /**
+         * Records as read from the log itself.
+         *
+         * @param first the first offset that the log still keeps
+         * @param records the records, from the offset asked for or the first kept
+         */
+        public Page(long first, List<Entry> records) {
+            this(first, records, 0);
+        }
     }
 
     /**
--- a/src/main/java/org/micabarrow/transport/grpc/PeerService.java
+++ b/src/main/java/org/micabarrow/transport/grpc/PeerService.java
@@ -204,20 +204,24 @@
             return RecordsReply.getDefaultInstance();
         }
         FoldedState state = configuration.current();
-        return RecordsReply.newBuilder()
-                .setCheckpoint(ByteString.copyFrom(CanonicalJson.write(state)))
+        return aged().setCheckpoint(ByteString.copyFrom(CanonicalJson.write(state)))
                 .setCheckpointOffset(state.offset())
                 .setCheckpointDigest(state.digest())
                 .build();
     }
 
+    private RecordsReply.Builder aged() {
+        RecordsReply.Builder reply = RecordsReply.newBuilder();
+        return configuration.known() ? reply.setHeardMillisAgo(configuration.silentMillis()) : reply;
+    }
+
     /** The records from an offset on; {@code first} tells a reader that asks for older ones to take the state. */
     private RecordsReply recordsReply(long from) {
         Configuration.View view = configuration.view();
         List<PlatformLog.Entry> tail = view.tail();
         long first =
                 tail.isEmpty() ? view.state().offset() + 1 : tail.getFirst().offset();
-        RecordsReply.Builder reply = RecordsReply.newBuilder().setFirst(first);
+        RecordsReply.Builder reply = aged().setFirst(first);
         tail.stream()
                 .filter(entry -> entry.offset() >= from)
                 .limit(MOST_RECORDS)
--- a/src/main/java/org/micabarrow/transport/grpc/RecordReplies.java
+++ b/src/main/java/org/micabarrow/transport/grpc/RecordReplies.java
@@ -25,7 +25,13 @@
                                 one.getOffset(),
                                 one.getAtMillis(),
                                 one.getBody().toByteArray()))
-                        .toList());
+                        .toList(),
+                ageMillis(reply));
+    }
+
+    /** A relay that is cut off still answers, so its answer is as old as what it heard of the log. */
+    private static long ageMillis(RecordsReply reply) {
+        return reply.hasHeardMillisAgo() ? Math.max(0, reply.getHeardMillisAgo()) : PlatformLog.Page.UNKNOWN_AGE;
     }
 
     /** The folded state of a reply, with its digest as the peer told it. */
@@ -35,7 +41,8 @@
         }
         try {
             FoldedState state = CanonicalJson.read(reply.getCheckpoint().toByteArray(), FoldedState.class);
-            return Result.success(new ConfigurationReader.StateCopy(state, reply.getCheckpointDigest()));
+            return Result.success(
+                    new ConfigurationReader.StateCopy(state, reply.getCheckpointDigest(), ageMillis(reply)));
         } catch (IOException e) {
             return Result.failure(
                     Fault.of(Step.LOG, address, Reason.CORRUPT, "the state cannot be read: " + e.getMessage()));
--- a/src/test/java/org/micabarrow/coordination/agents/AgentFlowTest.java
+++ b/src/test/java/org/micabarrow/coordination/agents/AgentFlowTest.java
@@ -24,6 +24,7 @@
 import org.micabarrow.coordination.claims.Claim;
 import org.micabarrow.coordination.claims.Ledger;
 import org.micabarrow.coordination.configuration.Configuration;
+import org.micabarrow.coordination.configuration.ConfigurationReader;
 import org.micabarrow.coordination.configuration.ControlThread;
 import org.micabarrow.coordination.endpoint.EndpointCalls;
 import org.micabarrow.coordination.membership.Identity;
@@ -57,7 +58,9 @@
     void start() {
         control = ControlThread.start("test");
         Configuration configuration = new Configuration(control, clock);
-        configuration.adopt(state, state.digest()).join();
+        configuration
+                .adopt(new ConfigurationReader.StateCopy(state, state.digest(), 0))
+                .join();
         flow = new AgentFlow(new AgentFlow.Parts(
                 identity,
                 configuration,
--- a/src/test/java/org/micabarrow/coordination/configuration/ConfigurationTest.java
+++ b/src/test/java/org/micabarrow/coordination/configuration/ConfigurationTest.java
@@ -28,14 +28,18 @@
         configuration.onStep(step -> heard.set(configuration.generation()));
         CompletableFuture<Long> seenByWaiter =
                 configuration.reach(state.offset(), Duration.ofSeconds(30)).thenApply(reached -> heard.get());
-        configuration.adopt(state, state.digest()).join();
+        configuration
+                .adopt(new ConfigurationReader.StateCopy(state, state.digest(), 0))
+                .join();
         assertEquals(state.offset(), seenByWaiter.join());
     }
 
     @Test
     void shouldAnswerAtOnceWhenGenerationIsInForce() {
         FoldedState state = Samples.assistantOn(2);
-        configuration.adopt(state, state.digest()).join();
+        configuration
+                .adopt(new ConfigurationReader.StateCopy(state, state.digest(), 0))
+                .join();
         assertEquals(state, configuration.reach(0, Duration.ofSeconds(30)).join());
     }
 }
--- a/src/test/java/org/micabarrow/coordination/configuration/RecordWriterTest.java
+++ b/src/test/java/org/micabarrow/coordination/configuration/RecordWriterTest.java
@@ -112,8 +112,13 @@
     @Test
     void shouldNeverTakeLowerGeneration() {
         FoldedState newer = assistantOn(3);
-        configuration.adopt(newer, newer.digest()).join();
-        configuration.adopt(FoldedState.empty(), FoldedState.empty().digest()).join();
+        configuration
+                .adopt(new ConfigurationReader.StateCopy(newer, newer.digest(), 0))
+                .join();
+        configuration
+                .adopt(new ConfigurationReader.StateCopy(
+                        FoldedState.empty(), FoldedState.empty().digest(), 0))
+                .join();
         assertEquals(newer.offset(), configuration.generation());
     }
 
@@ -126,7 +131,7 @@
 
             @Override
             public Result<ConfigurationReader.StateCopy> state(String address) {
-                return Result.success(new ConfigurationReader.StateCopy(state, digest));
+                return Result.success(new ConfigurationReader.StateCopy(state, digest, 0));
             }
 
             @Override
--- a/src/test/java/org/micabarrow/transport/grpc/CutOffRelayTest.java
+++ b/src/test/java/org/micabarrow/transport/grpc/CutOffRelayTest.java
@@ -43,7 +43,7 @@
         clock.advance(CUT_OFF_MILLIS);
         RecordsReply reply = askRelay();
         // As the reader does with what a relay answered.
-        behind.offer(new PlatformLog.Page(reply.getFirst(), List.of())).join();
+        behind.offer(RecordReplies.page(reply)).join();
         assertTrue(
                 behind.silentMillis() >= CUT_OFF_MILLIS,
                 "the log was last heard by anybody " + relay.silentMillis() + " ms ago, and here "
