--- a/src/test/java/org/micabarrow/serving/CrashingRequestTest.java
+++ b/src/test/java/org/micabarrow/serving/CrashingRequestTest.java
@@ -7,6 +7,7 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -114,6 +115,29 @@
         assertEquals(before, platform.crashes());
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {2, 14, 50})
+    void shouldBeKnownToEveryEntryWhenOneHasSeenThreeEndpointsEnd(int count) throws Exception {
+        List<HostedSettings> entries = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            entries.add(entry());
+        }
+        while (ask(entries.getFirst(), "/again/x", CRASHING).status() != 503) {
+            assertTrue(platform.crashes() <= MOST_CRASHES, () -> "endpoints ended: " + platform.crashes());
+        }
+        Await.until("the news everywhere", () -> entries.stream().allMatch(this::refuses));
+    }
+
+    /** Whether an entry refuses a request, by its figures, so that nothing is sent for the question. */
+    private boolean refuses(HostedSettings entry) {
+        URI uri = URI.create("http://" + entry.listen().metrics() + "/metrics");
+        return client.call(HttpCall.get(Step.READ, uri), WITHIN)
+                .toOptional()
+                .map(answer -> new String(answer.body(), StandardCharsets.UTF_8))
+                .filter(figures -> figures.contains("\"crashes.culprits\":1"))
+                .isPresent();
+    }
+
     @Test
     void shouldRefuseAtEntryThatStartedWhenRequestHadEndedThreeEndpointsBefore() throws Exception {
         sendInTurn(List.of(entry()), "/again/x");
