Open requests are not decided on anew each round, and when to come back is worked out for refusals only

A request's standing is enough, which is nothing while no crash is known. Stand-ins apart by concept (EndpointHosts, HeldRequests, Received, StandinSettings, StandinStreams), no behaviour changed.

--- a/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
@@ -1,14 +1,9 @@
 package org.micabarrow.platform.standin;
 
-import io.undertow.io.IoCallback;
-import io.undertow.io.Sender;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
@@ -19,7 +14,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.micabarrow.clock.SteadyClock;
 import org.xnio.IoUtils;
-import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
  * Stands in for an endpoint on the users' platform. What it does with the next requests can be set; it keeps what it
@@ -39,16 +33,13 @@
 
     private static final String REST_SECONDS = "3";
 
-    /** How many events a whole stream has. */
-    private static final int EVENTS = 3;
-
     /** The length that the head of a cut answer promises, in bytes: more than it then sends. */
     private static final int CUT_LENGTH = 100;
 
     private final String id;
     private final Queue<Behaviour> behaviours;
     private final ConcurrentLinkedQueue<Received> received = new ConcurrentLinkedQueue<>();
-    private final AtomicInteger hanging = new AtomicInteger();
+    private final HeldRequests held = new HeldRequests();
     private final AtomicInteger misdirected = new AtomicInteger();
     private final HostedWeightsStandin weights;
     private volatile Crashing crashing = body -> false;
@@ -102,38 +93,6 @@
         HANG
     }
 
-    /**
-     * A request as it came in.
-     *
-     * @param method its method
-     * @param target its path and query
-     * @param headers its headers, the first value of each
-     * @param body its body
-     * @param atMillis when it came, on the clock of {@link SteadyClock}
-     * @param does what is done with it; empty if the endpoint ends by it
-     * @param leaving whether the endpoint said that it leaves when it answered
-     */
-    public record Received(
-            String method,
-            String target,
-            Map<String, String> headers,
-            String body,
-            long atMillis,
-            Optional<Behaviour> does,
-            boolean leaving) {
-
-        /**
-         * Whether the endpoint began to run it.
-         *
-         * @return false if it was refused, in whatever form
-         */
-        public boolean ran() {
-            return does.filter(one ->
-                            one == Behaviour.REFUSE || one == Behaviour.REFUSE_AND_REST || one == Behaviour.MISDIRECT)
-                    .isEmpty();
-        }
-    }
-
     /**
      * Makes a stand-in.
      *
@@ -145,7 +104,7 @@
     public HostedEndpointStandin(String id, String model, long version, Queue<Behaviour> behaviours) {
         this.id = id;
         this.behaviours = behaviours;
-        this.weights = new HostedWeightsStandin(model, version, hanging::get);
+        this.weights = new HostedWeightsStandin(model, version, held::count);
     }
 
     /**
@@ -289,7 +248,7 @@
             }
             case UNSIGNED -> StandinCalls.answer(exchange, OK, "plain".getBytes(StandardCharsets.UTF_8));
             case MISDIRECT -> StandinCalls.answer(exchange, MISDIRECTED, new byte[0]);
-            case HANG -> hang(exchange);
+            case HANG -> held.hold(exchange);
         }
     }
 
@@ -301,74 +260,12 @@
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
             exchange.getResponseHeaders().put(WEIGHT_VERSION, String.valueOf(weights.version()));
             String last = exchange.getRequestHeaders().getFirst("Last-Event-Id");
-            send(exchange, events(last == null ? 1 : Integer.parseInt(last) + 1, cut), cut);
+            StandinStreams.send(
+                    exchange, StandinStreams.events(id, last == null ? 1 : Integer.parseInt(last) + 1, cut), cut);
         } else {
             byte[] body = "whole".getBytes(StandardCharsets.UTF_8);
             exchange.setResponseContentLength(cut ? CUT_LENGTH : body.length);
-            send(exchange, body, cut);
-        }
-    }
-
-    /** The events from one on; of a cut stream, that one and the beginning of the next. */
-    private byte[] events(int from, boolean cut) {
-        StringBuilder text = new StringBuilder();
-        int until = cut ? from : EVENTS;
-        for (int i = from; i <= until; i++) {
-            text.append("id: ").append(i).append("\ndata: from ").append(id).append("\n\n");
-        }
-        if (cut) {
-            text.append("id: ").append(until + 1).append("\nda");
-        }
-        return text.toString().getBytes(StandardCharsets.UTF_8);
-    }
-
-    private static void send(HttpServerExchange exchange, byte[] body, boolean cut) {
-        exchange.getResponseSender().send(ByteBuffer.wrap(body), ending(cut));
-    }
-
-    private static IoCallback ending(boolean cut) {
-        if (!cut) {
-            return IoCallback.END_EXCHANGE;
-        }
-        return new IoCallback() {
-            @Override
-            public void onComplete(HttpServerExchange exchange, Sender sender) {
-                IoUtils.safeClose(exchange.getConnection());
-            }
-
-            @Override
-            public void onException(HttpServerExchange exchange, Sender sender, IOException e) {
-                IoUtils.safeClose(exchange.getConnection());
-            }
-        };
-    }
-
-    // -- requests that are never answered
-
-    /** Holds a request until its connection is closed, which shows by an attempt to read on. */
-    private void hang(HttpServerExchange exchange) {
-        hanging.incrementAndGet();
-        exchange.getConnection().addCloseListener(closed -> hanging.decrementAndGet());
-        exchange.dispatch(() -> {});
-        look(exchange);
-    }
-
-    private static void look(HttpServerExchange exchange) {
-        if (exchange.getConnection() instanceof HttpServerConnection connection) {
-            ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
-            source.setConduit(connection.getOriginalSourceConduit());
-            source.setReadListener(channel -> closeAtEnd(channel, connection));
-            source.resumeReads();
-        }
-    }
-
-    private static void closeAtEnd(ConduitStreamSourceChannel source, HttpServerConnection connection) {
-        try {
-            if (source.read(ByteBuffer.allocate(1)) < 0) {
-                IoUtils.safeClose(connection);
-            }
-        } catch (IOException e) {
-            IoUtils.safeClose(connection);
+            StandinStreams.send(exchange, body, cut);
         }
     }
 
@@ -378,6 +275,6 @@
      * @return their number
      */
     public int hanging() {
-        return hanging.get();
+        return held.count();
     }
 }
--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -1,8 +1,6 @@
 package org.micabarrow.platform.standin;
 
 import io.undertow.server.HttpHandler;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -18,24 +16,18 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Ending;
-import org.micabarrow.settings.Common;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.standin.Ports;
 import org.micabarrow.state.Fault;
 import org.micabarrow.transport.HttpCall;
-import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.views.VersionKeys;
-import org.xnio.XnioWorker;
 
 /** The users' platform in small, on loopback: a store, an origin and endpoints, with the settings that fit them. */
 public final class HostedSystem implements AutoCloseable {
 
     private static final String MODEL = "model-a";
 
-    /** What an instance's link carries, in bits a second: so much that the small chunks here are not held up. */
-    private static final double LINK_BITS_PER_SECOND = 1e9;
-
     private final Queue<Behaviour> behaviours = new ConcurrentLinkedQueue<>();
     private final HostedStoreStandin store = new HostedStoreStandin();
     private final String storeAddress;
@@ -45,14 +37,13 @@
     private final Map<String, Long> starts = new HashMap<>();
     private final List<AutoCloseable> running = new ArrayList<>();
     private final AtomicInteger instances = new AtomicInteger();
-    private final Map<String, HttpListener> listeners = new ConcurrentHashMap<>();
-    private final AtomicInteger crashes = new AtomicInteger();
+    private final EndpointHosts hosts = new EndpointHosts();
     private final Set<String> crashingBodies = ConcurrentHashMap.newKeySet();
-    private volatile Optional<XnioWorker> worker = Optional.empty();
 
     private HostedSystem() {
         this.storeAddress = serve(store);
         this.originAddress = serve(new HostedOriginStandin());
+        running.add(hosts);
     }
 
     /**
@@ -172,31 +163,10 @@
         HostedEndpointStandin endpoint = new HostedEndpointStandin(id, MODEL, version, behaviours);
         endpoint.crash(body -> crashesBy(body, id, service, version));
         endpoints.put(id, endpoint);
-        addresses.put(id, serveMortal(id, endpoint));
+        addresses.put(id, hosts.serve(id, endpoint));
         enter(id, service, version, "ready");
     }
 
-    /** Serves an endpoint on threads that outlive it, so that it can end while it handles a request. */
-    private String serveMortal(String id, HttpHandler handler) {
-        String address = Ports.freeAddress();
-        try {
-            HttpListener listener = HttpListener.on(address, HttpListener.Bounds.usual(), endpointThreads(), handler);
-            listeners.put(id, listener);
-            return address;
-        } catch (IOException e) {
-            throw new UncheckedIOException("no endpoint at " + address, e);
-        }
-    }
-
-    private XnioWorker endpointThreads() throws IOException {
-        if (worker.isEmpty()) {
-            XnioWorker threads = HttpCaller.worker("endpoints", 2);
-            worker = Optional.of(threads);
-            running.add(threads::shutdownNow);
-        }
-        return worker.get();
-    }
-
     // -- crashes
 
     /**
@@ -215,7 +185,7 @@
      * @return their number
      */
     public int crashes() {
-        return crashes.get();
+        return hosts.ended();
     }
 
     /**
@@ -232,7 +202,7 @@
             return false;
         }
         if (crash(id)) {
-            add(id + "-" + crashes.get(), service, version);
+            add(id + "-" + hosts.ended(), service, version);
         }
         return true;
     }
@@ -244,13 +214,11 @@
      * @return false if it had ended before
      */
     public boolean crash(String id) {
-        Optional<HttpListener> listener = Optional.ofNullable(listeners.remove(id));
-        listener.ifPresent(one -> {
-            crashes.incrementAndGet();
-            one.close();
+        boolean ended = hosts.end(id);
+        if (ended) {
             store.append("keyed.servers", id, "");
-        });
-        return listener.isPresent();
+        }
+        return ended;
     }
 
     /**
@@ -348,19 +316,7 @@
      * @return the settings, with free addresses otherwise
      */
     public HostedSettings entryAsking(HostedSettings agent) {
-        HostedSettings own = entry();
-        return new HostedSettings(
-                own.instance(),
-                own.regions(),
-                own.listen(),
-                agent.peerPort(),
-                own.seeds(),
-                own.store(),
-                own.endpoint(),
-                own.service(),
-                own.linkBitsPerSecond(),
-                own.bounds(),
-                own.log());
+        return StandinSettings.asking(entry(), agent.peerPort());
     }
 
     /**
@@ -374,19 +330,7 @@
     }
 
     private HostedSettings settings(Optional<String> clients, Optional<String> ready, Optional<String> endpoint) {
-        String peers = Ports.freeAddress();
-        return new HostedSettings(
-                new Common.Place("instance-" + instances.incrementAndGet(), "region-a", "hall-a"),
-                Map.of("hall-a", "region-a"),
-                new HostedSettings.Listen(clients, ready, peers, Ports.freeAddress()),
-                Integer.parseInt(peers.substring(peers.lastIndexOf(':') + 1)),
-                List.of(),
-                storeAddress,
-                endpoint,
-                endpoint.map(address -> "models"),
-                LINK_BITS_PER_SECOND,
-                new HostedSettings.Bounds(2_000, 2_000, 2_000, 1_000, 0.2, 160, 600_000, 1_000),
-                new Common.Logging("text", "info"));
+        return StandinSettings.of("instance-" + instances.incrementAndGet(), storeAddress, clients, ready, endpoint);
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/org/micabarrow/platform/standin/StandinSettings.java
@@ -0,0 +1,58 @@
+package org.micabarrow.platform.standin;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.micabarrow.settings.Common;
+import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.standin.Ports;
+
+/** Settings of processes that fit the platform in small. */
+final class StandinSettings {
+
+    /** What an instance's link carries, in bits a second: so much that the small chunks here are not held up. */
+    private static final double LINK_BITS_PER_SECOND = 1e9;
+
+    private static final HostedSettings.Bounds BOUNDS =
+            new HostedSettings.Bounds(2_000, 2_000, 2_000, 1_000, 0.2, 160, 600_000, 1_000);
+
+    private StandinSettings() {}
+
+    /** Settings with free addresses. */
+    static HostedSettings of(
+            String instance,
+            String store,
+            Optional<String> clients,
+            Optional<String> ready,
+            Optional<String> endpoint) {
+        String peers = Ports.freeAddress();
+        return new HostedSettings(
+                new Common.Place(instance, "region-a", "hall-a"),
+                Map.of("hall-a", "region-a"),
+                new HostedSettings.Listen(clients, ready, peers, Ports.freeAddress()),
+                Integer.parseInt(peers.substring(peers.lastIndexOf(':') + 1)),
+                List.of(),
+                store,
+                endpoint,
+                endpoint.map(address -> "models"),
+                LINK_BITS_PER_SECOND,
+                BOUNDS,
+                new Common.Logging("text", "info"));
+    }
+
+    /** The settings of an entry that asks agents at a port. */
+    static HostedSettings asking(HostedSettings entry, int peerPort) {
+        return new HostedSettings(
+                entry.instance(),
+                entry.regions(),
+                entry.listen(),
+                peerPort,
+                entry.seeds(),
+                entry.store(),
+                entry.endpoint(),
+                entry.service(),
+                entry.linkBitsPerSecond(),
+                entry.bounds(),
+                entry.log());
+    }
+}
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.micabarrow.admission.Admission.Decision;
 import org.micabarrow.admission.RoomWait;
 import org.micabarrow.attempts.AttemptEnd;
@@ -11,6 +12,7 @@
 import org.micabarrow.attempts.RequestTimes;
 import org.micabarrow.attempts.Sendings;
 import org.micabarrow.crashes.LazyDigest;
+import org.micabarrow.crashes.Standing;
 import org.micabarrow.routing.Choice;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.RequestKind;
@@ -123,7 +125,7 @@
             case Decision.Unable ignored -> cannotSend("no endpoint can serve");
             case Decision.Resting(int endpoints, long ignored) ->
                 cannotSend("all " + endpoints + " endpoints have asked for rest");
-            case Decision.Culprit culprit -> refuse(culprit);
+            case Decision.Culprit(int crashes, long forMillis) -> refuse(crashes, forMillis);
         }
     }
 
@@ -131,10 +133,10 @@
      * Answers a request that ends the endpoints that run it. If no endpoint had it this time it has truly not run, and the client is
      * told for how long that stays so; a status that says that something is wrong with the request would be a guess.
      */
-    private void refuse(Decision.Culprit culprit) {
+    private void refuse(int crashes, long forMillis) {
         parts.metrics().culprits.inc();
-        String why = "it has ended " + culprit.crashes() + " endpoints, digest " + digest.get();
-        conclude(Ending.withoutAnswer(answer.begun(), sendings.mayHaveRun()), why, culprit.forMillis());
+        String why = "it has ended " + crashes + " endpoints, digest " + digest.get();
+        conclude(Ending.withoutAnswer(answer.begun(), sendings.mayHaveRun()), why, () -> forMillis);
     }
 
     private void noRoom(String why) {
@@ -279,16 +281,24 @@
     public void lookAfter() {
         if (millisLeft() <= 0) {
             end("time is up");
-        } else if (current.isPresent() && !answer.begun() && decide() instanceof Decision.Culprit culprit) {
-            boolean mayRun = current.filter(Attempt::mayRun).isPresent();
-            current.ifPresent(attempt -> attempt.abandon("it ends endpoints"));
-            sendings.ended(mayRun ? AttemptEnd.UNKNOWN : AttemptEnd.NOT_RUN);
-            refuse(culprit);
+        } else if (!answer.begun() && standing() instanceof Standing.Refused(int crashes, long forMillis)) {
+            current.ifPresent(this::takeBack);
+            refuse(crashes, forMillis);
         } else {
             current.ifPresent(Attempt::lookAfter);
         }
     }
 
+    private Standing standing() {
+        return parts.suspects().standing(digest, parts.nowMillis());
+    }
+
+    /** Takes the request back from where it may be about to end another endpoint. */
+    private void takeBack(Attempt attempt) {
+        sendings.ended(attempt.mayRun() ? AttemptEnd.UNKNOWN : AttemptEnd.NOT_RUN);
+        attempt.abandon("it ends endpoints");
+    }
+
     // -- endings
 
     @Override
@@ -315,14 +325,14 @@
     }
 
     private void conclude(Ending ending, String why) {
-        conclude(ending, why, parts.comeBackMillis(request));
+        conclude(ending, why, () -> parts.comeBackMillis(request));
     }
 
-    private void conclude(Ending ending, String why, long comeBackMillis) {
+    private void conclude(Ending ending, String why, LongSupplier comeBackMillis) {
         parts.metrics().ended(ending);
         finish(ending.outcome(), why);
         switch (ending) {
-            case NOT_RUN -> answer.own(ending.status(), why, comeBackMillis);
+            case NOT_RUN -> answer.own(ending.status(), why, comeBackMillis.getAsLong());
             case UNKNOWN, TIMED_OUT -> answer.own(ending.status(), why, 0);
             case BROKEN -> answer.breakOff();
             case CLIENT_GONE -> answer.gone();
