What was taken back is remembered within a megabyte

By reading: requests that were taken back are kept for a second with their bodies, since their endpoint may still end by them; 256 of four megabytes each would have been ten times an entry's heap. Now they hold a megabyte at the most, the oldest go first, and a larger one is not kept.

--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -109,7 +109,7 @@
     /** Stops the attempt although its endpoint may still run it for a moment, and end by it. */
     private void takeBack() {
         if (sending) {
-            parts.crashes().takenBack(endpoint, run.digest(), room.begun());
+            parts.crashes().takenBack(endpoint, run.digest(), request.body().length, room.begun());
         }
         stop();
     }
--- a/src/main/java/org/micabarrow/serving/CrashWatch.java
+++ b/src/main/java/org/micabarrow/serving/CrashWatch.java
@@ -39,8 +39,11 @@
     /** How long a request that was taken back may still be at its endpoint, in milliseconds. */
     private static final long TAKEN_BACK_MILLIS = 1_000;
 
-    /** How many of those are remembered. */
-    private static final int MOST_TAKEN_BACK = 256;
+    /** The most bytes that those hold: an entry's heap is under a hundred times as large. */
+    private static final int MOST_BYTES_TAKEN_BACK = 1 << 20;
+
+    /** What a request holds besides its body, in bytes. */
+    private static final int HEAD_BYTES = 1 << 10;
 
     private final CrashBook book;
     private final PortProbe probe;
@@ -49,6 +52,7 @@
     private final Map<EndpointStart, Doubt> doubted = new HashMap<>();
     private final Map<EndpointStart, Aboard> ended = new LinkedHashMap<>();
     private final Deque<TakenBack> takenBack = new ArrayDeque<>();
+    private int bytesTakenBack;
 
     /** The requests at one start of an endpoint. */
     private record Aboard(Set<RequestDigest> unbegun, Set<RequestDigest> begun) {
@@ -69,7 +73,12 @@
     /** What depends on whether a start of an endpoint has ended. */
     private record Doubt(Aboard aboard, List<Runnable> waiting) {}
 
-    private record TakenBack(EndpointStart endpoint, LazyDigest request, boolean begun, long atMillis) {}
+    private record TakenBack(EndpointStart endpoint, LazyDigest request, int bytes, boolean begun, long atMillis) {
+
+        private boolean isOld(long nowMillis) {
+            return nowMillis - atMillis > TAKEN_BACK_MILLIS;
+        }
+    }
 
     CrashWatch(Crashes crashes, LongSupplier steadyMillis) {
         this.book = crashes.book();
@@ -103,14 +112,18 @@
         }
     }
 
-    /** A request was taken back; its endpoint may have it for a moment more. */
-    void takenBack(EndpointEntry endpoint, LazyDigest request, boolean begun) {
+    /** A request with a body of so many bytes was taken back; its endpoint may have it for a moment more. */
+    void takenBack(EndpointEntry endpoint, LazyDigest request, int bytes, boolean begun) {
+        int held = bytes + HEAD_BYTES;
+        if (held > MOST_BYTES_TAKEN_BACK) {
+            return;
+        }
         long now = steadyMillis.getAsLong();
-        takenBack.removeIf(one -> now - one.atMillis() > TAKEN_BACK_MILLIS);
-        if (takenBack.size() == MOST_TAKEN_BACK) {
-            takenBack.removeFirst();
+        takenBack.addLast(new TakenBack(endpoint.start(), request, held, begun, now));
+        bytesTakenBack += held;
+        while (takenBack.getFirst().isOld(now) || bytesTakenBack > MOST_BYTES_TAKEN_BACK) {
+            bytesTakenBack -= takenBack.removeFirst().bytes();
         }
-        takenBack.addLast(new TakenBack(endpoint.start(), request, begun, now));
     }
 
     private void settle(EndpointStart start, boolean refused) {
@@ -127,7 +140,7 @@
     private void hasEnded(EndpointStart start, Aboard aboard) {
         long now = steadyMillis.getAsLong();
         takenBack.stream()
-                .filter(one -> one.endpoint().equals(start) && now - one.atMillis() <= TAKEN_BACK_MILLIS)
+                .filter(one -> one.endpoint().equals(start) && !one.isOld(now))
                 .forEach(one -> aboard.add(one.request().get(), one.begun()));
         ended.put(start, aboard);
         if (ended.size() > MOST_ENDED) {
--- a/src/test/java/org/micabarrow/serving/CrashWatchTest.java
+++ b/src/test/java/org/micabarrow/serving/CrashWatchTest.java
@@ -68,7 +68,7 @@
 
     @Test
     void shouldCountWhatWasTakenBackJustBefore() {
-        watch.takenBack(ENDPOINT, LazyDigest.of(OTHER), false);
+        watch.takenBack(ENDPOINT, LazyDigest.of(OTHER), 100, false);
         clockMillis += 300;
         watch.broke(ENDPOINT, ONE, false, () -> goneOn++);
         asked.getFirst().accept(true);
@@ -77,13 +77,24 @@
 
     @Test
     void shouldNotCountWhatWasTakenBackLongBefore() {
-        watch.takenBack(ENDPOINT, LazyDigest.of(OTHER), false);
+        watch.takenBack(ENDPOINT, LazyDigest.of(OTHER), 100, false);
         clockMillis += 1_001;
         watch.broke(ENDPOINT, ONE, false, () -> goneOn++);
         asked.getFirst().accept(true);
         assertEquals(List.of(crash(Set.of(ONE), Set.of())), told);
     }
 
+    @Test
+    void shouldHoldNoMoreBytesThanMayBeWhenManyAreTakenBack() {
+        watch.takenBack(ENDPOINT, LazyDigest.of(OTHER), (1 << 20) - (1 << 10), false);
+        watch.takenBack(ENDPOINT, LazyDigest.of(OTHER), 1 << 20, false);
+        watch.takenBack(ENDPOINT, LazyDigest.of(ONE), 1, false);
+        RequestDigest third = new RequestDigest("3".repeat(32));
+        watch.broke(ENDPOINT, third, false, () -> goneOn++);
+        asked.getFirst().accept(true);
+        assertEquals(List.of(crash(Set.of(ONE, third), Set.of())), told);
+    }
+
     @Test
     void shouldTellOthersOfAnswerOnlyWhenRequestWasSuspected() {
         book.crashed(new EndpointCrash("a", Set.of(ONE), Set.of()), 0);
