Suspects are ranked, and requests digested, by what the project had; tests send by one request

It is worked out once an endpoint and decision, not at each comparison. CrashingRequestTest and HostedSoakTest wrote HostedSystem.request again; no assertion changed.

--- a/src/main/java/org/micabarrow/crashes/RequestDigest.java
+++ b/src/main/java/org/micabarrow/crashes/RequestDigest.java
@@ -2,11 +2,11 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.Objects;
 import java.util.zip.CRC32C;
 import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.state.Digest;
 
 /**
  * What is alike in a request however often and wherever it comes: its method, host, path, query, organisation and body. The
@@ -46,7 +46,7 @@
      */
     public static RequestDigest of(ClientRequest request) {
         Objects.requireNonNull(request, "request is null");
-        MessageDigest digest = sha256();
+        MessageDigest digest = Digest.start();
         add(digest, request.method());
         add(digest, request.host());
         add(digest, request.target());
@@ -86,14 +86,6 @@
         digest.update(BETWEEN_PARTS);
     }
 
-    private static MessageDigest sha256() {
-        try {
-            return MessageDigest.getInstance("SHA-256");
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every runtime has SHA-256", e);
-        }
-    }
-
     @Override
     public String toString() {
         return hex;
--- a/src/main/java/org/micabarrow/crashes/SuspectPlacement.java
+++ b/src/main/java/org/micabarrow/crashes/SuspectPlacement.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.EndpointStart;
+import org.micabarrow.state.Digest;
 
 /**
  * Keeps suspected requests apart, so that the next crash tells which of them causes it, and so that one of them ends no more
@@ -90,20 +91,8 @@
 
     /** An order that depends on the request and the endpoints alone, and differs from request to request. */
     private static List<EndpointEntry> inCommonOrder(List<EndpointEntry> endpoints, RequestDigest request) {
-        return endpoints.stream()
-                .sorted(Comparator.comparingLong((EndpointEntry one) -> rank(request, one))
-                        .thenComparing(EndpointEntry::id))
-                .toList();
-    }
-
-    private static long rank(RequestDigest request, EndpointEntry endpoint) {
-        return mixed(31L * request.hashCode() + endpoint.id().hashCode());
-    }
-
-    /** Spreads the bits of a number over all of it. */
-    private static long mixed(long number) {
-        long mixed = (number ^ (number >>> 33)) * 0xff51afd7ed558ccdL;
-        mixed = (mixed ^ (mixed >>> 33)) * 0xc4ceb9fe1a85ec53L;
-        return mixed ^ (mixed >>> 33);
+        Map<EndpointEntry, Long> ranks = new HashMap<>();
+        endpoints.forEach(endpoint -> ranks.put(endpoint, Digest.rank(request.hex(), endpoint.id())));
+        return endpoints.stream().sorted(Comparator.comparing(ranks::get)).toList();
     }
 }
--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -288,13 +288,26 @@
      * @return the request
      */
     public static HttpCall request(String clients, String path, String id) {
+        return request(clients, path, id, "a body");
+    }
+
+    /**
+     * A client's request with a body of its own.
+     *
+     * @param clients where the entry listens for clients
+     * @param path the path and query
+     * @param id the client's id of the attempt
+     * @param text the body
+     * @return the request
+     */
+    public static HttpCall request(String clients, String path, String id, String text) {
         Map<String, String> headers =
                 new HashMap<>(Map.of("Host", "h.example", "Key", "key-a", "Attempt-Id", id, "Deadline-Ms", "3000"));
         if (path.startsWith("/stream/")) {
             headers.put("Model", MODEL);
             headers.put("Token-Count", "100,20");
         }
-        byte[] body = "a body".getBytes(StandardCharsets.UTF_8);
+        byte[] body = text.getBytes(StandardCharsets.UTF_8);
         return new HttpCall(Fault.Step.READ, "POST", URI.create("http://" + clients), Optional.of(path), headers, body);
     }
 
--- a/src/test/java/org/micabarrow/process/HostedSoakTest.java
+++ b/src/test/java/org/micabarrow/process/HostedSoakTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.IOException;
-import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -11,7 +10,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -28,7 +26,6 @@
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.platform.standin.Received;
 import org.micabarrow.settings.HostedSettings;
-import org.micabarrow.state.Fault.Step;
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpCaller;
 import org.micabarrow.transport.HttpCaller.HttpAnswer;
@@ -224,19 +221,9 @@
 
         private void ask(int entry, String path, String body) {
             String id = nextId(entry);
-            Map<String, String> headers =
-                    new HashMap<>(Map.of("Host", "h.example", "Key", "key-a", "Attempt-Id", id, "Deadline-Ms", "2000"));
-            if (path.startsWith("/stream/")) {
-                headers.put("Model", "model-a");
-                headers.put("Token-Count", "100,20");
-            }
-            URI uri = URI.create(
-                    "http://" + settings.get(entry).listen().clients().orElseThrow());
-            byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-            HttpAnswer answer = client.call(
-                            new HttpCall(Step.READ, "POST", uri, Optional.of(path), headers, bytes), WITHIN)
-                    .toOptional()
-                    .orElse(new HttpAnswer(0, Map.of(), new byte[0]));
+            String clients = settings.get(entry).listen().clients().orElseThrow();
+            HttpCall call = HostedSystem.request(clients, path, id, body).withHeader("Deadline-Ms", "2000");
+            HttpAnswer answer = client.call(call, WITHIN).toOptional().orElse(new HttpAnswer(0, Map.of(), new byte[0]));
             statuses.put(id, answer.status());
             String text = new String(answer.body(), StandardCharsets.UTF_8);
             if (!CRASHING.contains(body) && text.contains("it has ended")) {
--- a/src/test/java/org/micabarrow/serving/CrashingRequestTest.java
+++ b/src/test/java/org/micabarrow/serving/CrashingRequestTest.java
@@ -8,10 +8,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -78,15 +76,8 @@
     /** Sends a request as a client does that tries anew: the same, under an id of its own. */
     private HttpAnswer ask(HostedSettings entry, String path, String body) {
         attempts++;
-        Map<String, String> headers = new HashMap<>(
-                Map.of("Host", "h.example", "Key", "key-a", "Attempt-Id", "try-" + attempts, "Deadline-Ms", "3000"));
-        if (path.startsWith("/stream/")) {
-            headers.put("Model", "model-a");
-            headers.put("Token-Count", "100,20");
-        }
-        URI uri = URI.create("http://" + entry.listen().clients().orElseThrow());
-        HttpCall call =
-                new HttpCall(Step.READ, "POST", uri, Optional.of(path), headers, body.getBytes(StandardCharsets.UTF_8));
+        String clients = entry.listen().clients().orElseThrow();
+        HttpCall call = HostedSystem.request(clients, path, "try-" + attempts, body);
         return client.call(call, WITHIN).toOptional().orElse(new HttpAnswer(0, Map.of(), new byte[0]));
     }
 
