An agent whose endpoint serves the newest version looks for work three times less often

While nothing is to be fetched, ordered or stopped, two threads of each agent woke twenty times a second, and a third to notice standstills of 0.4 s. They look each 150 ms now, as often as the endpoint is asked for its report, and the last one each 200 ms; as soon as a newer version is named or the endpoint takes one up it is every 50 ms again.

--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -45,9 +45,12 @@
     /** How often the endpoint beside the agent is asked for its report, in milliseconds; it answers its own for free. */
     private static final long REPORT_MILLIS = 150;
 
-    /** How often the agent looks whether there is something to fetch or to order, in milliseconds: a chunk's time. */
+    /** How often the agent looks for what to fetch or to order while there is something, in milliseconds: a chunk's time. */
     private static final long LOOK_MILLIS = 50;
 
+    /** The same while the endpoint serves the newest version: a part of a version's bound that does not count. */
+    private static final long SETTLED_LOOK_MILLIS = 150;
+
     /**
      * How often the agent looks whether the endpoint holds a version that other agents cannot have from it, in milliseconds. It
      * asks the origin and other agents for the version's digests then, which takes seconds if they do not answer.
@@ -60,6 +63,9 @@
      */
     private static final long STANDSTILL_MILLIS = 400;
 
+    /** How often the agent looks for standstills, in milliseconds. */
+    private static final long STANDSTILL_LOOK_MILLIS = 200;
+
     /** How many agents of each region keep named weight versions in the store: one may be cut off from it. */
     private static final int VERSION_KEEPERS = 2;
 
@@ -133,10 +139,10 @@
         node.follow(news, news, paces, settings::seeds, this::duty);
         node.metrics().registerGauge("weights.secondsNotRetired", keeper::secondsNotRetired);
         Steps.start("report", REPORT_MILLIS, new Reports());
-        Steps.start("fetch", LOOK_MILLIS, keeper::fetch);
-        Steps.start("replica", LOOK_MILLIS, keeper::step);
+        Steps.start("fetch", this::lookMillis, keeper::fetch);
+        Steps.start("replica", this::lookMillis, keeper::step);
         Steps.start("read-back", READ_BACK_MILLIS, keeper::readBack);
-        Steps.start("standstill", LOOK_MILLIS, new StandstillWatch());
+        Steps.start("standstill", STANDSTILL_LOOK_MILLIS, new StandstillWatch());
         LOG.info(
                 "event=started role=agent instance={} countsSuspensions={}",
                 settings.instance().id(),
@@ -173,7 +179,7 @@
         @Override
         public void take() {
             long now = HostedNode.steadyMillis();
-            long stood = now - lastMillis - LOOK_MILLIS;
+            long stood = now - lastMillis - STANDSTILL_LOOK_MILLIS;
             lastMillis = now;
             if (stood >= STANDSTILL_MILLIS) {
                 LOG.warn(
@@ -193,6 +199,10 @@
                 .ifPresent(node.views()::manifestStands);
     }
 
+    private long lookMillis() {
+        return keeper.settled() ? SETTLED_LOOK_MILLIS : LOOK_MILLIS;
+    }
+
     /** What entries are told of the endpoint; while it does not answer, nothing is said. */
     private Optional<LoadReport> told() {
         return keeper.report()
--- a/src/main/java/org/micabarrow/steps/Steps.java
+++ b/src/main/java/org/micabarrow/steps/Steps.java
@@ -1,6 +1,7 @@
 package org.micabarrow.steps;
 
 import java.util.Objects;
+import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -39,7 +40,20 @@
      * @return the running thread
      */
     public static Thread start(String name, long restMillis, Step step) {
+        return start(name, () -> restMillis, step);
+    }
+
+    /**
+     * Takes a step again and again on a thread of its own, until that is interrupted, and asks each time how long to rest.
+     *
+     * @param name the work's name, for the thread and the log
+     * @param restMillis the rest after the step that was just taken, in milliseconds
+     * @param step the step
+     * @return the running thread
+     */
+    public static Thread start(String name, LongSupplier restMillis, Step step) {
         Objects.requireNonNull(name, "name is null");
+        Objects.requireNonNull(restMillis, "restMillis is null");
         Objects.requireNonNull(step, "step is null");
         return Thread.ofPlatform().name(name).daemon().start(() -> run(name, restMillis, step));
     }
@@ -58,11 +72,11 @@
         }
     }
 
-    private static void run(String name, long restMillis, Step step) {
+    private static void run(String name, LongSupplier restMillis, Step step) {
         try {
             while (true) {
                 guarded(name, step);
-                Thread.sleep(restMillis);
+                Thread.sleep(restMillis.getAsLong());
             }
         } catch (InterruptedException e) {
             LOG.info("event=thread_stopped thread={}", name);
--- a/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaKeeper.java
@@ -111,6 +111,21 @@
                 .isPresent();
     }
 
+    /**
+     * Whether there is nothing to fetch, to order or to stop: the endpoint serves the newest version that was named.
+     *
+     * @return false also while the endpoint does not answer, takes up weights, or is closed to requests
+     */
+    public boolean settled() {
+        Optional<String> model = parts.model().get();
+        return model.isPresent()
+                && !cordon.closed()
+                && report.get()
+                        .filter(now -> !now.busy())
+                        .filter(now -> now.models().getOrDefault(model.get(), 0L) >= deadlines.newest(model.get()))
+                        .isPresent();
+    }
+
     /**
      * For how long the endpoint was to be stopped and could not be.
      *
