A client that waits for less time than others of its route counts as a first try

What one lacked to the usual time counted as time since its first try, so that a first try with less patience got only what late ones get: refused at once by half-empty engines, back after 0.3 of six seconds, answered at 1.9 s. Now a request counts as a return only if it lacks at least half of what a refused client is told to stay away, and only while a client that this entry refused may be on its way back. The reason in the log says what was lacking.

--- a/src/main/java/org/micabarrow/admission/FirstTries.java
+++ b/src/main/java/org/micabarrow/admission/FirstTries.java
@@ -5,13 +5,14 @@
 import java.util.Map;
 
 /**
- * Estimates when a client first tried, from what it will still wait. Clients of a route mostly give the same time, and one
- * that comes back after a refusal gives what is left of it; so the difference to the usual is how long ago it first tried.
- * Used by one thread.
+ * Estimates when a client first tried, from what it will still wait. Clients of a route give similar times, though not equal
+ * ones, and one that comes back after a refusal gives what is left of its time; so a request is taken for a return only if it
+ * lacks as much as a refused client was told to stay away, and only while a client that was refused here may be on its way
+ * back. Used by one thread.
  */
 public final class FirstTries {
 
-    /** How many of a route's last requests are remembered: one or two seconds' worth where a busy route has 40 a second. */
+    /** How many of a route's last requests are remembered. */
     private static final int REMEMBERED = 64;
 
     /**
@@ -20,13 +21,19 @@
      */
     private static final double SHORTER_PART = 0.75;
 
+    /** How long a client that comes back may take for its new connection, in milliseconds. */
+    private static final long CONNECT_MILLIS = 1_000;
+
     private final Map<String, Recent> routes = new HashMap<>();
 
-    /** The last times given on a route, the oldest written over first. */
+    /** What a route's clients gave and were told lately. */
     private static final class Recent {
 
+        /** The last times given, the oldest written over first. */
         private final long[] millis = new long[REMEMBERED];
+
         private long count;
+        private long returnsUntilMillis = Long.MIN_VALUE;
 
         private void add(long given) {
             millis[(int) (count % REMEMBERED)] = given;
@@ -40,16 +47,38 @@
         }
     }
 
+    /**
+     * Notes that a client was refused and told when to come back.
+     *
+     * @param route the route's name
+     * @param comeBackMillis what it was told, in milliseconds from now
+     * @param nowMillis the time on the steady clock
+     */
+    public void refused(String route, long comeBackMillis, long nowMillis) {
+        Recent recent = recent(route);
+        recent.returnsUntilMillis = Math.max(recent.returnsUntilMillis, nowMillis + comeBackMillis + CONNECT_MILLIS);
+    }
+
     /**
      * Notes a request, and estimates how long ago its client first tried.
      *
      * @param route the route's name
      * @param millisGiven how long the client will still wait, in milliseconds
+     * @param nowMillis the time on the steady clock
      * @return milliseconds since the first try; 0 for a first try
      */
-    public long millisSince(String route, long millisGiven) {
-        Recent recent = routes.computeIfAbsent(route, name -> new Recent());
+    public long millisSince(String route, long millisGiven, long nowMillis) {
+        Recent recent = recent(route);
         recent.add(millisGiven);
-        return Math.max(0, recent.usual() - millisGiven);
+        if (nowMillis > recent.returnsUntilMillis) {
+            return 0;
+        }
+        long usual = recent.usual();
+        long lacking = usual - millisGiven;
+        return lacking >= Admission.comeBackMillis(usual) / 2 ? lacking : 0;
+    }
+
+    private Recent recent(String route) {
+        return routes.computeIfAbsent(route, name -> new Recent());
     }
 }
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -44,7 +44,8 @@
         this.thread = thread;
         this.digest = LazyDigest.of(request);
         long now = parts.nowMillis();
-        long sinceFirstTry = parts.firstTries().millisSince(request.route().name(), request.deadlineMillis() - now);
+        long sinceFirstTry =
+                parts.firstTries().millisSince(request.route().name(), request.deadlineMillis() - now, now);
         this.times = RequestTimes.of(request, now, sinceFirstTry);
         this.room = new RoomWait(parts.line().on(thread), this);
         this.log = new RequestLog(parts, request, sinceFirstTry, eventTimes, digest);
@@ -120,8 +121,8 @@
         switch (decision) {
             case Decision.Send(Choice.Send chosen) -> sendOrAsk(chosen, why);
             case Decision.Wait wait when !answer.begun() -> waitForRoom(wait, why);
-            case Decision.Wait(long ignored, int endpoints) -> noRoom("all " + endpoints + " endpoints are full");
-            case Decision.Full(int endpoints) -> noRoom("all " + endpoints + " endpoints are full");
+            case Decision.Wait(long ignored, int endpoints) -> noRoom(endpoints);
+            case Decision.Full(int endpoints) -> noRoom(endpoints);
             case Decision.Unable ignored -> cannotSend("no endpoint can serve");
             case Decision.Resting(int endpoints, long ignored) ->
                 cannotSend("all " + endpoints + " endpoints have asked for rest");
@@ -136,12 +137,13 @@
     private void refuse(int crashes, long forMillis) {
         parts.metrics().culprits.inc();
         String why = "it has ended " + crashes + " endpoints, digest " + digest.get();
-        conclude(Ending.withoutAnswer(answer.begun(), sendings.mayHaveRun()), why, () -> forMillis);
+        conclude(withoutAnswer(), why, () -> forMillis);
     }
 
-    private void noRoom(String why) {
+    private void noRoom(int endpoints) {
         parts.turnedAway(request);
-        cannotSend(why);
+        String room = late() ? "room to spare for a request whose objective is over" : "room within its objective";
+        cannotSend("none of " + endpoints + " endpoints has " + room);
     }
 
     private void waitForRoom(Decision.Wait wait, String why) {
@@ -151,7 +153,7 @@
 
     @Override
     public void outOfTime() {
-        noRoom("no endpoint had room in time");
+        next("no endpoint had room in time");
     }
 
     // -- sending
@@ -180,7 +182,11 @@
     }
 
     private void cannotSend(String why) {
-        conclude(Ending.withoutAnswer(answer.begun(), sendings.mayHaveRun()), why);
+        conclude(withoutAnswer(), why);
+    }
+
+    private Ending withoutAnswer() {
+        return Ending.withoutAnswer(answer.begun(), sendings.mayHaveRun());
     }
 
     private void send(Choice.Send chosen, String why) {
@@ -329,23 +335,19 @@
     }
 
     private void conclude(Ending ending, String why, LongSupplier comeBackMillis) {
+        finished = true;
+        parts.open().remove(this);
+        current = Optional.empty();
+        room.end();
+        deadline.ifPresent(XnioExecutor.Key::remove);
         parts.metrics().ended(ending);
-        finish(ending.outcome(), why);
+        log.finished(ending.outcome(), why, sendings.count(), millisTaken());
         switch (ending) {
-            case NOT_RUN -> answer.own(ending.status(), why, comeBackMillis.getAsLong());
+            case NOT_RUN -> answer.own(ending.status(), why, parts.refused(request, comeBackMillis.getAsLong()));
             case UNKNOWN, TIMED_OUT -> answer.own(ending.status(), why, 0);
             case BROKEN -> answer.breakOff();
             case CLIENT_GONE -> answer.gone();
             case ANSWERED -> {}
         }
     }
-
-    private void finish(String outcome, String why) {
-        finished = true;
-        parts.open().remove(this);
-        current = Optional.empty();
-        room.end();
-        deadline.ifPresent(XnioExecutor.Key::remove);
-        log.finished(outcome, why, sendings.count(), millisTaken());
-    }
 }
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -205,6 +205,12 @@
                 .orElseGet(() -> Admission.comeBackMillis(request.deadlineMillis() - nowMillis()));
     }
 
+    /** Notes that a client is refused and when it is told to come back, which is returned. */
+    long refused(ClientRequest request, long comeBackMillis) {
+        firstTries.refused(request.route().name(), comeBackMillis, nowMillis());
+        return comeBackMillis;
+    }
+
     /** The view that decisions are made on, and how long ago all that operators wrote was known, for the log. */
     String viewAge() {
         View now = view();
--- a/src/test/java/org/micabarrow/play/EngineEmulator.java
+++ b/src/test/java/org/micabarrow/play/EngineEmulator.java
@@ -16,6 +16,7 @@
     private final List<Work> queued = new ArrayList<>();
     private final List<Work> running = new ArrayList<>();
     private boolean inPass;
+    private double slowness = 1;
 
     EngineEmulator(Events events, ModelService model) {
         this.events = events;
@@ -41,6 +42,11 @@
         }
     }
 
+    /** Takes so many times as long over each pass from now on. */
+    void slowness(double times) {
+        slowness = times;
+    }
+
     int requests() {
         return queued.size() + running.size();
     }
@@ -66,7 +72,7 @@
                 .mapToInt(work -> work.promptTokens)
                 .sum();
         double step = model.stepMillis() + model.stepMillisPerSequence() * running.size();
-        double millis = unread / model.prefillTokensPerMilli() + model.stride() * step;
+        double millis = slowness * (unread / model.prefillTokensPerMilli() + model.stride() * step);
         List<Work> writing = List.copyOf(running);
         events.after(millis, () -> passed(writing));
     }
--- a/src/test/java/org/micabarrow/play/LoadPlay.java
+++ b/src/test/java/org/micabarrow/play/LoadPlay.java
@@ -26,7 +26,7 @@
  */
 final class LoadPlay {
 
-    /** How long a caller waits in all, in milliseconds. */
+    /** How long callers wait in all, in the middle and in milliseconds. */
     private static final double BUDGET_MILLIS = 6_000;
 
     /** The way from an entry to an engine's agent, and back, in milliseconds: once over to another region. */
@@ -53,6 +53,8 @@
      * @param lookMillis how often an agent looks at its engine
      * @param dealt whether agents deal places out
      * @param retryAfterPart the part of its time after which a refused caller comes back
+     * @param patience how long callers wait
+     * @param slow which engines are slow for a while
      * @param seed decides all that is random
      */
     record Setting(
@@ -64,8 +66,31 @@
             long lookMillis,
             boolean dealt,
             double retryAfterPart,
+            Patience patience,
+            Optional<Slow> slow,
             long seed) {}
 
+    /**
+     * Engines that are slow for a while.
+     *
+     * @param part their part of all
+     * @param times how many times as long they take
+     * @param fromMillis when they begin to be slow
+     * @param toMillis when they are well again
+     */
+    record Slow(double part, double times, double fromMillis, double toMillis) {}
+
+    /**
+     * How long callers wait, and where they come back.
+     *
+     * @param spread by which part of the usual time a caller's own may be shorter or longer
+     * @param anywhere whether a refused caller comes back to any entry, instead of the one that refused it
+     */
+    record Patience(double spread, boolean anywhere) {
+
+        static final Patience ALIKE = new Patience(0, false);
+    }
+
     private LoadPlay(Setting setting) {
         this.setting = setting;
         this.random = new Random(setting.seed());
@@ -78,12 +103,20 @@
     static Tally play(Setting setting, double seconds) {
         LoadPlay play = new LoadPlay(setting);
         play.engines.forEach(Engine::look);
+        setting.slow().ifPresent(play::slow);
         play.entries.forEach(Entry::askAll);
         play.arrive();
         play.events.playUntil(seconds * 1_000);
         return play.tally;
     }
 
+    private void slow(Slow slow) {
+        int count = (int) Math.round(engines.size() * slow.part());
+        events.after(
+                slow.fromMillis(), () -> engines.subList(0, count).forEach(one -> one.emulator.slowness(slow.times())));
+        events.after(slow.toMillis(), () -> engines.subList(0, count).forEach(one -> one.emulator.slowness(1)));
+    }
+
     // -- callers
 
     private void arrive() {
@@ -110,6 +143,7 @@
 
         private final Entry home;
         private final double firstTry = events.now();
+        private final double budget = BUDGET_MILLIS * (1 + setting.patience().spread() * drawn(-1, 1));
         private final int kind = random.nextInt(3);
         private final long objective = kind == 2 ? 300 : 400;
         private final int promptTokens = tokens(kind == 0 ? 1_290 : kind == 1 ? 787 : 607, 1.0);
@@ -125,8 +159,13 @@
             return (int) Math.clamp(drawn, 6, MOST_TOKENS);
         }
 
+        /** Draws nothing where nothing differs, so that a play without a spread is the same as ever. */
+        private double drawn(double least, double most) {
+            return setting.patience().spread() == 0 ? 0 : random.nextDouble(least, most);
+        }
+
         private long millisGiven() {
-            return Math.round(BUDGET_MILLIS - (events.now() - firstTry));
+            return Math.round(budget - (events.now() - firstTry));
         }
 
         private void refused() {
@@ -136,7 +175,16 @@
             }
             refused = true;
             tally.refusedOnce++;
-            events.after(millisGiven() * setting.retryAfterPart(), () -> home.take(this));
+            events.after(comeBackMillis(), this::comeBack);
+        }
+
+        private long comeBackMillis() {
+            return Math.round(millisGiven() * setting.retryAfterPart());
+        }
+
+        private void comeBack() {
+            Entry entry = setting.patience().anywhere() ? entryFor(random.nextDouble()) : home;
+            entry.take(this);
         }
 
         private void began() {
@@ -223,7 +271,7 @@
         }
 
         private void take(Caller caller) {
-            new Run(this, caller, firstTries.millisSince("r", caller.millisGiven())).next();
+            new Run(this, caller, firstTries.millisSince("r", caller.millisGiven(), events.nowMillis())).next();
         }
     }
 
@@ -258,7 +306,7 @@
 
         private void next() {
             switch (decide()) {
-                case Decision.Send(Choice.Send chosen) -> send(chosen.endpoint());
+                case Decision.Send(Choice.Send chosen) -> send(chosen);
                 case Decision.Wait(long millis, int ignored) -> {
                     entry.line.join(1, events.nowMillis() + millis, this);
                     events.after(millis + 1, () -> entry.line.expire(events.nowMillis()));
@@ -270,7 +318,9 @@
             }
         }
 
-        private void send(EndpointEntry endpoint) {
+        private void send(Choice.Send chosen) {
+            EndpointEntry endpoint = chosen.endpoint();
+            long sentMillis = events.nowMillis();
             Engine engine = engines.stream()
                     .filter(one -> one.listed.id().equals(endpoint.id()))
                     .findFirst()
@@ -305,6 +355,7 @@
         @Override
         public void tooLate() {
             entry.choice.unmet().turnedAway(events.nowMillis());
+            entry.firstTries.refused("r", caller.comeBackMillis(), events.nowMillis());
             caller.refused();
         }
     }
--- a/src/test/java/org/micabarrow/play/LoadPlayTest.java
+++ b/src/test/java/org/micabarrow/play/LoadPlayTest.java
@@ -4,7 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.micabarrow.play.LoadPlay.Patience;
 import org.micabarrow.play.LoadPlay.Setting;
 import org.micabarrow.routing.ModelService;
 
@@ -18,9 +23,24 @@
     private static final List<Double> UNEVEN_ENTRIES = List.of(0.165, 0.165, 0.38, 0.145, 0.145);
     private static final double CAPACITY_PER_SECOND = 95;
     private static final double SECONDS = 30;
+    private static final double ROOMY_SECONDS = 10;
+    private static final double ROOMY_LOAD = 0.75;
 
     private static Tally play(double perSecond, boolean dealt, long seed) {
-        return LoadPlay.play(new Setting(UNEVEN_ENTRIES, 8, MODEL, perSecond, 150, 150, dealt, 0.3, seed), SECONDS);
+        return LoadPlay.play(
+                new Setting(
+                        UNEVEN_ENTRIES,
+                        8,
+                        MODEL,
+                        perSecond,
+                        150,
+                        150,
+                        dealt,
+                        0.3,
+                        Patience.ALIKE,
+                        Optional.empty(),
+                        seed),
+                SECONDS);
     }
 
     @Test
@@ -65,4 +85,40 @@
     void shouldPlayTheSameWhenSeedIsTheSame() {
         assertEquals(play(110, true, 5).toString(), play(110, true, 5).toString());
     }
+
+    /** Below eight tenths of what the engines can begin hardly any request lacks room. */
+    @ParameterizedTest(name = "{0} entries, {1} engines, patience that differs by {2}")
+    @CsvSource({
+        "5, 8, 0",
+        "5, 8, 0.15",
+        "5, 8, 0.5",
+        "13, 32, 0",
+        "13, 32, 0.15",
+        "13, 32, 0.5",
+        "60, 84, 0",
+        "60, 84, 0.15",
+        "60, 84, 0.5"
+    })
+    void shouldRefuseHardlyAnyWhenEnginesHaveRoomHoweverLongCallersWait(int entries, int engines, double spread) {
+        List<Double> alike = Stream.generate(() -> 1.0 / entries).limit(entries).toList();
+        double perSecond = CAPACITY_PER_SECOND * engines / 8 * ROOMY_LOAD;
+        for (long seed = 0; seed < 2; seed++) {
+            Tally tally = LoadPlay.play(
+                    new Setting(
+                            alike,
+                            engines,
+                            MODEL,
+                            perSecond,
+                            150,
+                            150,
+                            true,
+                            0.3,
+                            new Patience(spread, true),
+                            Optional.empty(),
+                            seed),
+                    ROOMY_SECONDS);
+            assertTrue(tally.refusedOnce < 0.01 * tally.asked, tally::toString);
+            assertTrue(tally.inTime + tally.late > 0.97 * tally.asked, tally::toString);
+        }
+    }
 }
--- a/src/test/java/org/micabarrow/play/Tally.java
+++ b/src/test/java/org/micabarrow/play/Tally.java
@@ -40,12 +40,13 @@
 
     @Override
     public String toString() {
-        return "asked=%d inTime=%.3f late=%.3f (first tries %.3f) refusedForGood=%.3f worth=%.3f entries %.2f to %.2f"
+        return "asked=%d inTime=%.3f late=%.3f (first tries %.3f) refusedOnce=%.3f refusedForGood=%.3f worth=%.3f entries %.2f to %.2f"
                 .formatted(
                         asked,
                         inTimePart(),
                         (double) late / asked,
                         (double) lateAtFirstTry / asked,
+                        (double) refusedOnce / asked,
                         (double) refusedForGood / asked,
                         worth(),
                         worstEntry(),
