What cannot be in time is sent where there is room to spare, also when its objective is not over yet

A request whose first event could not come within the objective any more was refused until the objective was over, by idle engines too, and a prompt that takes longer than the objective by itself was never served. Both are treated as late ones are: sent while a quarter of the slots is free and not behind others' prompts for half of the objective. The own prompt no longer counts as such a wait, which had shut large prompts out of every engine. What the prompt alone shows to be hopeless within its client's time is refused at once (AbsurdNumbersTest holds).

AdmissionTest: three new tests.

--- a/src/main/java/org/micabarrow/routing/EndpointRoom.java
+++ b/src/main/java/org/micabarrow/routing/EndpointRoom.java
@@ -7,12 +7,12 @@
     private static final double OBJECTIVE_KEPT = 0.2;
 
     /**
-     * The part of an endpoint's slots that is kept from requests whose objective is over: at full load their answers, worth a
+     * The part of an endpoint's slots that is kept from requests that cannot be in time any more: at full load their answers, worth a
      * quarter, would take the places of answers that can still be in time.
      */
     private static final double SLOTS_KEPT_FROM_LATE = 0.25;
 
-    /** The part of the objective that a late request may have to wait for its first event, so that it delays few others. */
+    /** The part of the objective for which a late request may wait behind others; its own prompt may take longer than that. */
     private static final double LATE_OBJECTIVE_PART = 0.5;
 
     /** How many times its slots a plain endpoint may hold, its queue included, before requests are refused. */
@@ -34,11 +34,16 @@
      */
     static long spareMillis(Wanted wanted) {
         return wanted.model()
-                .map(model -> firstEvent(model, new EndpointLoad(), wanted.promptTokens(), 0))
+                .map(model -> aloneMillis(model, wanted.promptTokens()))
                 .map(least -> Math.round(millisToBegin(wanted) - least))
                 .orElse(0L);
     }
 
+    /** Whether an answer cannot be in time any more, wherever the request is sent. */
+    private static boolean tooLate(Wanted wanted) {
+        return wanted.late() || spareMillis(wanted) <= 0;
+    }
+
     /** Within which the first event must be predicted to come. */
     private static double millisToBegin(Wanted wanted) {
         return wanted.millisToObjective() - wanted.objectiveMillis() * OBJECTIVE_KEPT;
@@ -58,9 +63,11 @@
         }
         double slots = endpoint.slots() * MODEL_SLOTS;
         double predicted = predictedMillis(wanted, endpoint, load, nowMillis);
-        if (wanted.late()) {
+        if (tooLate(wanted)) {
+            double behindOthers = predicted - aloneMillis(wanted.model().get(), wanted.promptTokens());
             return requests < slots * (1 - SLOTS_KEPT_FROM_LATE)
-                    && predicted < wanted.objectiveMillis() * LATE_OBJECTIVE_PART;
+                    && behindOthers < wanted.objectiveMillis() * LATE_OBJECTIVE_PART
+                    && predicted < wanted.millisLeft();
         }
         return requests < slots && predicted < millisToBegin(wanted);
     }
@@ -73,6 +80,11 @@
         return firstEvent(wanted.model().get(), load, wanted.promptTokens(), nowMillis);
     }
 
+    /** When the first event is expected where nothing else runs. */
+    private static double aloneMillis(ModelService model, int promptTokens) {
+        return firstEvent(model, new EndpointLoad(), promptTokens, 0);
+    }
+
     /** When the first event is expected: after the steps under way, the prompts ahead, its own, and its first steps. */
     private static double firstEvent(ModelService model, EndpointLoad load, int promptTokens, long nowMillis) {
         double step = model.stepMillis() + model.stepMillisPerSequence() * load.requests(nowMillis);
--- a/src/main/java/org/micabarrow/routing/Wanted.java
+++ b/src/main/java/org/micabarrow/routing/Wanted.java
@@ -9,6 +9,7 @@
  * @param promptTokens the tokens of its prompt, 0 for plain services
  * @param objectiveMillis the time within which it should begin to be answered
  * @param millisToObjective what is left of that time since its client first tried; 0 or less if it is over
+ * @param millisLeft how long its client will still wait
  * @param model the figures of the service's model, empty for plain services
  * @param leastVersion the weight version that must answer; 0 for any
  * @param newestVersion the newest weight version that was named; 0 if none was
@@ -18,12 +19,13 @@
         int promptTokens,
         long objectiveMillis,
         long millisToObjective,
+        long millisLeft,
         Optional<ModelService> model,
         long leastVersion,
         long newestVersion,
         Set<String> tried) {
 
-    /** A request whose client tries for the first time. */
+    /** A request whose client tries for the first time, and waits for as long as it takes. */
     Wanted(
             int promptTokens,
             long objectiveMillis,
@@ -31,7 +33,7 @@
             long leastVersion,
             long newestVersion,
             Set<String> tried) {
-        this(promptTokens, objectiveMillis, objectiveMillis, model, leastVersion, newestVersion, tried);
+        this(promptTokens, objectiveMillis, objectiveMillis, Long.MAX_VALUE, model, leastVersion, newestVersion, tried);
     }
 
     boolean late() {
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -160,6 +160,7 @@
                 request.promptTokens(),
                 request.route().objectiveMillis(),
                 millisToObjective,
+                request.deadlineMillis() - nowMillis(),
                 versions.model(request),
                 versions.least(request),
                 versions.newest(request),
--- a/src/test/java/org/micabarrow/admission/AdmissionTest.java
+++ b/src/test/java/org/micabarrow/admission/AdmissionTest.java
@@ -18,8 +18,11 @@
 /** What happens to a request now. */
 class AdmissionTest {
 
-    private static final ModelService MODEL = new ModelService("m", 4, 20, 10, 0, 5, 16, 64, 32_768);
+    private static final int MODEL_TOKENS_PER_MILLI = 20;
+    private static final ModelService MODEL =
+            new ModelService("m", 4, MODEL_TOKENS_PER_MILLI, 10, 0, 5, 16, 64, 32_768);
     private static final long OBJECTIVE = 500;
+    private static final long CLIENT_MILLIS = 6_000;
     private static final long NOW = 100_000;
 
     /** Two rounds of steps and 1,000 prompt tokens take 150 ms, and a fifth of the objective is kept. */
@@ -31,7 +34,8 @@
             EndpointEntry.of("a", "s", "10.0.0.1:80", "h", 4, false, Map.of("m", 1L), 16);
 
     private static Wanted wanted(long millisToObjective, Optional<ModelService> model) {
-        return new Wanted(model.isPresent() ? 1_000 : 0, OBJECTIVE, millisToObjective, model, 0, 0, Set.of());
+        return new Wanted(
+                model.isPresent() ? 1_000 : 0, OBJECTIVE, millisToObjective, CLIENT_MILLIS, model, 0, 0, Set.of());
     }
 
     private Decision decide(long millisToObjective) {
@@ -61,6 +65,34 @@
         assertEquals(new Decision.Full(1), decide(-1_000));
     }
 
+    @Test
+    void shouldSendWhatCannotBeInTimeWhileAQuarterOfThePlacesIsFree() {
+        requestsThere(2, 2);
+        assertInstanceOf(Decision.Send.class, decide(OBJECTIVE - SPARE));
+        requestsThere(3, 1);
+        assertEquals(new Decision.Full(1), decide(OBJECTIVE - SPARE));
+    }
+
+    /** Its prompt alone takes longer than the objective. */
+    @Test
+    void shouldSendRequestThatCanBeInTimeNowhereWhileAQuarterOfThePlacesIsFree() {
+        int promptTokens = 2 * MODEL_TOKENS_PER_MILLI * (int) OBJECTIVE;
+        Wanted large =
+                new Wanted(promptTokens, OBJECTIVE, OBJECTIVE, CLIENT_MILLIS, Optional.of(MODEL), 0, 0, Set.of());
+        requestsThere(2, 2);
+        assertInstanceOf(Decision.Send.class, admission.decide(List.of(endpoint), large, NOW));
+        requestsThere(3, 1);
+        assertEquals(new Decision.Full(1), admission.decide(List.of(endpoint), large, NOW));
+    }
+
+    @Test
+    void shouldRefuseAtOnceWhenPromptAloneTakesLongerThanClientWaits() {
+        int promptTokens = MODEL_TOKENS_PER_MILLI * (int) CLIENT_MILLIS;
+        Wanted endless =
+                new Wanted(promptTokens, OBJECTIVE, OBJECTIVE, CLIENT_MILLIS, Optional.of(MODEL), 0, 0, Set.of());
+        assertEquals(new Decision.Full(1), admission.decide(List.of(endpoint), endless, NOW));
+    }
+
     @Test
     void shouldWaitWhenFreePlacesAreThoseOfOtherEntries() {
         requestsThere(2, 0);
--- a/src/test/java/org/micabarrow/play/LoadPlay.java
+++ b/src/test/java/org/micabarrow/play/LoadPlay.java
@@ -297,6 +297,7 @@
                     caller.promptTokens,
                     caller.objective,
                     millisToObjective(),
+                    caller.millisGiven(),
                     Optional.of(setting.model()),
                     0,
                     0,
