--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -120,7 +120,22 @@
      * @param timeoutMillis the time-out of all routes
      */
     public void manifest(long version, String key, long timeoutMillis) {
-        store.append("keyed.op", "config", StandinManifest.text(version, MODEL, originAddress, key, timeoutMillis));
+        manifest(version, key, timeoutMillis, 0);
+    }
+
+    /**
+     * Writes a manifest with more routes than those.
+     *
+     * @param version its version
+     * @param key the one key
+     * @param timeoutMillis the time-out of all routes
+     * @param moreRoutes how many it has besides
+     */
+    public void manifest(long version, String key, long timeoutMillis, int moreRoutes) {
+        store.append(
+                "keyed.op",
+                "config",
+                StandinManifest.text(version, MODEL, originAddress, key, timeoutMillis, moreRoutes));
     }
 
     /**
--- a/src/main/java/org/micabarrow/platform/standin/StandinManifest.java
+++ b/src/main/java/org/micabarrow/platform/standin/StandinManifest.java
@@ -1,6 +1,8 @@
 package org.micabarrow.platform.standin;
 
 import java.util.Locale;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /** Writes the manifest of the platform in small. */
 final class StandinManifest {
@@ -15,13 +17,14 @@
      * @param origin the host and port of the origin of weights
      * @param key the one key
      * @param timeoutMillis the time-out of all routes
+     * @param moreRoutes how many routes it has besides, each to the plain service
      * @return the manifest as operators write it
      */
-    static String text(long version, String model, String origin, String key, long timeoutMillis) {
+    static String text(long version, String model, String origin, String key, long timeoutMillis, int moreRoutes) {
         return String.format(
                 Locale.ROOT,
                 """
-                {"version":%d,"routes":[%s,%s,%s],"services":[
+                {"version":%d,"routes":[%s,%s,%s%s],"services":[
                 {"name":"plain","health_path":"/healthz","max_connections":100},
                 {"name":"models","max_connections":100,"engine":{"slots":16,"stride":5,"read_per_s":19100.0,
                 "step_ms":8.9,"per_seq_ms":0.04,"layers":16,"chunks":%d,"chunk_bytes":%d,
@@ -32,6 +35,9 @@
                 route("/once/", "non_idempotent", "plain", timeoutMillis),
                 route("/again/", "idempotent", "plain", timeoutMillis),
                 route("/stream/", "streaming", "models", timeoutMillis),
+                IntStream.range(0, moreRoutes)
+                        .mapToObj(i -> "," + route("/more-" + i + "/", "idempotent", "plain", timeoutMillis))
+                        .collect(Collectors.joining()),
                 HostedOriginStandin.CHUNKS,
                 HostedOriginStandin.CHUNK_BYTES,
                 model,
