Comments say what a value guards, not how it was found

Twenty-five files said of a value that it was chosen and not measured, and six told the figures of a measurement.

--- a/src/main/java/org/micabarrow/admission/Admission.java
+++ b/src/main/java/org/micabarrow/admission/Admission.java
@@ -15,9 +15,8 @@
 
     /**
      * The part of its remaining time after which a refused client is told to come back. A request is refused when its answer
-     * cannot be in time any more, so that coming back sooner gains nothing: with 0.005 to 0.3 callers got the same at 0.8 to 1.4
-     * times the engines' rate (emulated, within 0.01 of the mean worth). Later leaves more time for what is wrong to pass: an
-     * endpoint that starts anew, or a weight version that is taken up, needs a second or two. Clients heed up to a third.
+     * cannot be in time any more, so that coming back sooner gains nothing, and later leaves more time for what is wrong to pass:
+     * an endpoint that starts anew, or a weight version that is taken up, needs a second or two. Clients heed up to a third.
      */
     private static final double COME_BACK_PART = 0.3;
 
--- a/src/main/java/org/micabarrow/admission/PlaceShares.java
+++ b/src/main/java/org/micabarrow/admission/PlaceShares.java
@@ -8,8 +8,7 @@
 /**
  * Deals the free places of an endpoint out to the entries that ask about it, in proportion to the requests that each of them
  * turned away lately. If every entry took a place that it reads of, as many requests as there are entries would be sent for it,
- * and all but one would wait inside the endpoint: at 1.4 times the engines' rate 0.47 of the requests are then in time instead
- * of 0.68 (emulated, 134 requests a second before eight engines). Used by one thread.
+ * and all but one would wait inside the endpoint. Used by one thread.
  */
 public final class PlaceShares {
 
@@ -21,9 +20,8 @@
 
     /**
      * The part of an endpoint's slots that is dealt out at once. An endpoint that takes requests again after it has changed
-     * versions is empty, and the prompts of sixteen requests that come together keep each other waiting for half a second. With
-     * this part 0.044 of the first tries were late instead of 0.075, where each of eight endpoints was out for three of eight
-     * seconds (emulated, 90 requests a second); half of it leaves places empty.
+     * versions is empty, and the prompts of sixteen requests that come together keep each other waiting. A
+     * smaller part leaves places empty.
      */
     private static final double DEALT_AT_ONCE = 0.375;
 
--- a/src/main/java/org/micabarrow/command/Main.java
+++ b/src/main/java/org/micabarrow/command/Main.java
@@ -44,8 +44,7 @@
     }
 
     /**
-     * The command that is called by its name alone, else all. Reading the parameters of every command took 0.18 of the 0.83 s
-     * until an agent had started, by its log of loaded classes.
+     * The command that is called by its name alone, else all: reading the parameters of every command slows a start down.
      */
     private static Map<String, Command> asked(Map<String, Command> commands, String... arguments) {
         return arguments.length > 0 && commands.containsKey(arguments[0])
@@ -62,8 +61,7 @@
      */
     public static ExitCode run(Console console, String... arguments) {
         Map<String, Command> commands = asked(commands(), arguments);
-        // The platform calls a process by its name alone, and reading the parameters takes a tenth of a second of a
-        // start.
+        // The platform calls a process by its name alone, which needs no parser.
         if (arguments.length == 1 && commands.get(arguments[0]) instanceof HostedCommand hosted) {
             return runGuarded(console, hosted);
         }
--- a/src/main/java/org/micabarrow/coordination/admission/ConcurrencyLimit.java
+++ b/src/main/java/org/micabarrow/coordination/admission/ConcurrencyLimit.java
@@ -12,21 +12,20 @@
  */
 public final class ConcurrencyLimit {
 
-    /** How many times the quickest beginning an answer may take before the limit falls. Chosen, not measured. */
+    /** How many times the quickest beginning an answer may take before the limit falls. */
     private static final double SLOWER_ALLOWED = 2.0;
 
-    /** What a slow beginning multiplies the limit by. Chosen, not measured. */
+    /** What a slow beginning multiplies the limit by. */
     private static final double FALL = 0.9;
 
     /**
      * How much later, in milliseconds, an answer may begin besides, so that quick endpoints do not count as slow by
-     * chance. Chosen, not measured.
+     * chance.
      */
     private static final double SLACK_MILLIS = 5;
 
     /**
      * What each answer multiplies the quickest beginning by, so that one unusually quick answer is forgotten in time.
-     * Chosen, not measured.
      */
     private static final double FLOOR_DRIFT = 1.001;
 
--- a/src/main/java/org/micabarrow/coordination/agents/AgentFlow.java
+++ b/src/main/java/org/micabarrow/coordination/agents/AgentFlow.java
@@ -25,7 +25,6 @@
 
     /**
      * How long a request waits for the configuration that its entry had, before it is decided on the one in force.
-     * Chosen, not measured.
      */
     private static final Duration CATCH_UP = Duration.ofSeconds(1);
 
--- a/src/main/java/org/micabarrow/coordination/agents/AgentRun.java
+++ b/src/main/java/org/micabarrow/coordination/agents/AgentRun.java
@@ -25,7 +25,7 @@
     private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.decision.start");
 
     /**
-     * When a request that did not run may be tried again: another agent may have room at once. Chosen, not measured.
+     * When a request that did not run may be tried again: another agent may have room at once.
      */
     private static final Duration RETRY_AFTER = Duration.ofMillis(200);
 
--- a/src/main/java/org/micabarrow/coordination/agents/StartCheck.java
+++ b/src/main/java/org/micabarrow/coordination/agents/StartCheck.java
@@ -25,7 +25,7 @@
  */
 public record StartCheck(Identity identity, long cutOffMillis) {
 
-    /** When a refused request may be tried again. Chosen, not measured. */
+    /** When a refused request may be tried again. */
     private static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
     /** Checks the parts. */
--- a/src/main/java/org/micabarrow/coordination/claims/Claims.java
+++ b/src/main/java/org/micabarrow/coordination/claims/Claims.java
@@ -35,13 +35,13 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Claims.class);
 
-    /** The most claims in one append, which bounds the size of a record. Chosen, not measured. */
+    /** The most claims in one append, which bounds the size of a record. */
     private static final int MOST_IN_BATCH = 256;
 
-    /** How long a read of the log waits for a record once all that it has was read. Chosen, not measured. */
+    /** How long a read of the log waits for a record once all that it has was read. */
     private static final Duration READ_WAIT = Duration.ofSeconds(2);
 
-    /** The pause before the log is asked again after a failure. Chosen, not measured. */
+    /** The pause before the log is asked again after a failure. */
     private static final Duration PAUSE = Duration.ofMillis(100);
 
     private final PlatformLog log;
--- a/src/main/java/org/micabarrow/coordination/configuration/Configuration.java
+++ b/src/main/java/org/micabarrow/coordination/configuration/Configuration.java
@@ -32,7 +32,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Configuration.class);
 
-    /** How many of the newest records are kept for peers that read from this process. Chosen, not measured. */
+    /** How many of the newest records are kept for peers that read from this process. */
     private static final int TAIL_KEPT = 512;
 
     private final ControlThread control;
--- a/src/main/java/org/micabarrow/coordination/configuration/ConfigurationReader.java
+++ b/src/main/java/org/micabarrow/coordination/configuration/ConfigurationReader.java
@@ -21,13 +21,13 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(ConfigurationReader.class);
 
-    /** How long a read of the log or of a relay waits for a record. Chosen, not measured. */
+    /** How long a read of the log or of a relay waits for a record. */
     private static final Duration WAIT = Duration.ofSeconds(4);
 
-    /** The pause after a first failure; it doubles with each further one. Chosen, not measured. */
+    /** The pause after a first failure; it doubles with each further one. */
     private static final Duration PAUSE = Duration.ofMillis(200);
 
-    /** The longest pause between two tries. Chosen, not measured. */
+    /** The longest pause between two tries. */
     private static final Duration LONGEST_PAUSE = Duration.ofSeconds(2);
 
     private final Configuration configuration;
--- a/src/main/java/org/micabarrow/coordination/configuration/RecordWriter.java
+++ b/src/main/java/org/micabarrow/coordination/configuration/RecordWriter.java
@@ -27,8 +27,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(RecordWriter.class);
 
     /**
-     * How long a record that was appended is waited for before it is appended again under the same id. Chosen, not
-     * measured.
+     * How long a record that was appended is waited for before it is appended again under the same id.
      */
     private static final Duration POLL = Duration.ofMillis(500);
 
--- a/src/main/java/org/micabarrow/coordination/membership/HallRelays.java
+++ b/src/main/java/org/micabarrow/coordination/membership/HallRelays.java
@@ -13,7 +13,7 @@
  */
 public final class HallRelays {
 
-    /** How many processes of each hall read the log. Chosen, not measured. */
+    /** How many processes of each hall read the log. */
     public static final int READERS = 2;
 
     private HallRelays() {}
--- a/src/main/java/org/micabarrow/coordination/membership/StatusRotation.java
+++ b/src/main/java/org/micabarrow/coordination/membership/StatusRotation.java
@@ -21,7 +21,7 @@
  */
 public final class StatusRotation {
 
-    /** The most questions a second. Chosen; what it costs an agent stands in docs/CAPACITY.md. */
+    /** The most questions a second. */
     public static final int MOST_A_SECOND = 50;
 
     private final long periodMillis;
--- a/src/main/java/org/micabarrow/coordination/requests/KeyClaim.java
+++ b/src/main/java/org/micabarrow/coordination/requests/KeyClaim.java
@@ -27,10 +27,10 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.decision.route");
 
-    /** For how long a claim counts as just being sent, in milliseconds. Chosen, not measured. */
+    /** For how long a claim counts as just being sent, in milliseconds. */
     private static final long ON_ITS_WAY_MILLIS = 1_000;
 
-    /** When a request whose key could not be claimed may be tried again. Chosen, not measured. */
+    /** When a request whose key could not be claimed may be tried again. */
     private static final Duration RETRY_AFTER = Duration.ofSeconds(2);
 
     private final RequestFlow flow;
--- a/src/main/java/org/micabarrow/coordination/requests/PlacementQueue.java
+++ b/src/main/java/org/micabarrow/coordination/requests/PlacementQueue.java
@@ -9,16 +9,14 @@
 
     /**
      * The most requests of one kind that wait for one placement; further ones are refused, so that memory is bounded.
-     * Chosen, not measured.
      */
     private static final int MOST_WAITING = 256;
 
-    /** The weight of the newest gap between two turns in their moving average. Chosen, not measured. */
+    /** The weight of the newest gap between two turns in their moving average. */
     private static final double WEIGHT_OF_NEWEST = 0.1;
 
     /**
-     * The longest gap that counts, in milliseconds, so that an idle time does not look like a slow queue. Chosen, not
-     * measured.
+     * The longest gap that counts, in milliseconds, so that an idle time does not look like a slow queue.
      */
     private static final double MOST_GAP_MILLIS = 1_000;
 
--- a/src/main/java/org/micabarrow/coordination/requests/RequestFlow.java
+++ b/src/main/java/org/micabarrow/coordination/requests/RequestFlow.java
@@ -32,10 +32,10 @@
  */
 public final class RequestFlow {
 
-    /** The longest that a request waits for room. Chosen, not measured. */
+    /** The longest that a request waits for room. */
     static final Duration LONGEST_QUEUE = Duration.ofSeconds(2);
 
-    /** When a refused request may be tried again, at the soonest. Chosen, not measured. */
+    /** When a refused request may be tried again, at the soonest. */
     private static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
     private final Supplier<FoldedState> state;
--- a/src/main/java/org/micabarrow/coordination/requests/RequestRun.java
+++ b/src/main/java/org/micabarrow/coordination/requests/RequestRun.java
@@ -29,13 +29,13 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.decision.route");
 
-    /** The most attempts of one request. Chosen, not measured. */
+    /** The most attempts of one request. */
     private static final int MOST_ATTEMPTS = 3;
 
-    /** When a request may be tried again after what passes quickly. Chosen, not measured. */
+    /** When a request may be tried again after what passes quickly. */
     private static final Duration RETRY_SOON = Duration.ofMillis(500);
 
-    /** When a request may be tried again where room is missing. Chosen, not measured. */
+    /** When a request may be tried again where room is missing. */
     private static final Duration RETRY_LATER = Duration.ofSeconds(2);
 
     private final RequestFlow flow;
--- a/src/main/java/org/micabarrow/coordination/routing/PrefixIndex.java
+++ b/src/main/java/org/micabarrow/coordination/routing/PrefixIndex.java
@@ -20,16 +20,16 @@
  */
 public final class PrefixIndex {
 
-    /** The length of a block of a prompt, in bytes of UTF-8. Chosen, not measured. */
+    /** The length of a block of a prompt, in bytes of UTF-8. */
     private static final int BLOCK_BYTES = 256;
 
-    /** The most blocks of one prompt, which bounds the work and the memory of a long one. Chosen, not measured. */
+    /** The most blocks of one prompt, which bounds the work and the memory of a long one. */
     private static final int MOST_BLOCKS = 32;
 
-    /** The time that a cached block saves, in milliseconds. Chosen, not measured. */
+    /** The time that a cached block saves, in milliseconds. */
     private static final double MILLIS_A_BLOCK = 12;
 
-    /** After how long a hint counts for half, in milliseconds. Chosen, not measured. */
+    /** After how long a hint counts for half, in milliseconds. */
     private static final double HALF_LIFE_MILLIS = 60_000;
 
     private final int capacity;
--- a/src/main/java/org/micabarrow/coordination/routing/Router.java
+++ b/src/main/java/org/micabarrow/coordination/routing/Router.java
@@ -24,19 +24,19 @@
  */
 public final class Router {
 
-    /** What another data hall of the region adds to the expected wait, in milliseconds. Chosen, not measured. */
+    /** What another data hall of the region adds to the expected wait, in milliseconds. */
     private static final double OTHER_HALL_MILLIS = 3;
 
-    /** What another region adds to the expected wait, in milliseconds. Chosen, not measured. */
+    /** What another region adds to the expected wait, in milliseconds. */
     private static final double OTHER_REGION_MILLIS = 6;
 
-    /** The time to the first byte of an instance that has not answered yet, in milliseconds. Chosen, not measured. */
+    /** The time to the first byte of an instance that has not answered yet, in milliseconds. */
     private static final double USUAL_MILLIS = 100;
 
-    /** After how long a reported load counts for half, in milliseconds. Chosen, not measured. */
+    /** After how long a reported load counts for half, in milliseconds. */
     private static final double LOAD_HALF_LIFE_MILLIS = 1_000;
 
-    /** Up to how many usable replicas all are compared; of more, two are drawn. Chosen, not measured. */
+    /** Up to how many usable replicas all are compared; of more, two are drawn. */
     private static final int MOST_EXAMINED_WHOLE = 3;
 
     private final String region;
--- a/src/main/java/org/micabarrow/coordination/routing/Traffic.java
+++ b/src/main/java/org/micabarrow/coordination/routing/Traffic.java
@@ -10,22 +10,21 @@
  */
 public final class Traffic {
 
-    /** The weight of the newest answer in the moving average of the time to the first byte. Chosen, not measured. */
+    /** The weight of the newest answer in the moving average of the time to the first byte. */
     private static final double WEIGHT_OF_NEWEST = 0.2;
 
-    /** For how long an instance that refused for want of room counts as full, in milliseconds. Chosen, not measured. */
+    /** For how long an instance that refused for want of room counts as full, in milliseconds. */
     private static final long FULL_MILLIS = 25;
 
-    /** After how many failures in a row an instance is left out. Chosen, not measured. */
+    /** After how many failures in a row an instance is left out. */
     private static final int FAILURES_TO_EJECT = 3;
 
     /**
-     * For how long it is left out the first time, in milliseconds; it doubles with each further time. Chosen, not
-     * measured.
+     * For how long it is left out the first time, in milliseconds; it doubles with each further time.
      */
     private static final long FIRST_EJECTION_MILLIS = 2_000;
 
-    /** The longest time for which an instance is left out, in milliseconds. Chosen, not measured. */
+    /** The longest time for which an instance is left out, in milliseconds. */
     private static final long LONGEST_EJECTION_MILLIS = 30_000;
 
     private final Map<String, Record> records = new ConcurrentHashMap<>();
--- a/src/main/java/org/micabarrow/coordination/weights/SourceChoice.java
+++ b/src/main/java/org/micabarrow/coordination/weights/SourceChoice.java
@@ -23,20 +23,18 @@
 
     /**
      * How long a source is left out after its first failure, in milliseconds; it doubles with each further one.
-     * Chosen, not measured.
      */
     private static final long FIRST_PENALTY_MILLIS = 400;
 
     /**
-     * The same after a first stall, which is as costly to find out again as the wait for a chunk. Chosen, not
-     * measured beside other values.
+     * The same after a first stall, which is as costly to find out again as the wait for a chunk.
      */
     private static final long FIRST_STALL_PENALTY_MILLIS = 6_400;
 
-    /** The longest time for which a source is left out, in milliseconds. Chosen, not measured. */
+    /** The longest time for which a source is left out, in milliseconds. */
     private static final long LONGEST_PENALTY_MILLIS = 12_800;
 
-    /** The longest wait for a source while all are left out, in milliseconds. Chosen, not measured. */
+    /** The longest wait for a source while all are left out, in milliseconds. */
     private static final long LONGEST_WAIT_MILLIS = 100;
 
     private final List<Source> sources;
--- a/src/main/java/org/micabarrow/coordination/weights/Transfer.java
+++ b/src/main/java/org/micabarrow/coordination/weights/Transfer.java
@@ -22,10 +22,10 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Transfer.class);
 
-    /** The pause before a manifest is asked for, or a chunk staged, again, in milliseconds. Chosen, not measured. */
+    /** The pause before a manifest is asked for, or a chunk staged, again, in milliseconds. */
     private static final int RETRY_MILLIS = 300;
 
-    /** How many times the patience the first source of the plan may wait for its own source. Chosen, not measured. */
+    /** How many times the patience the first source of the plan may wait for its own source. */
     private static final int WAITING_FACTOR = 8;
 
     private final TransferTask task;
--- a/src/main/java/org/micabarrow/coordination/weights/WeightShare.java
+++ b/src/main/java/org/micabarrow/coordination/weights/WeightShare.java
@@ -13,28 +13,27 @@
  */
 public final class WeightShare {
 
-    /** The least part of the link that weights get, so that a transfer always ends. Chosen, not measured. */
+    /** The least part of the link that weights get, so that a transfer always ends. */
     private static final double LEAST = 0.3;
 
-    /** What a slower beginning of an answer multiplies the share by. Chosen, not measured. */
+    /** What a slower beginning of an answer multiplies the share by. */
     private static final double FALL = 0.9;
 
-    /** What any other beginning adds to the share. Chosen, not measured. */
+    /** What any other beginning adds to the share. */
     private static final double RISE = 0.01;
 
-    /** How many times the usual beginning recent ones may take before the share falls. Chosen, not measured. */
+    /** How many times the usual beginning recent ones may take before the share falls. */
     private static final double SLOWER_ALLOWED = 1.25;
 
     /**
-     * How much later, in milliseconds, answers may begin besides, so that chance does not count. Chosen, not
-     * measured.
+     * How much later, in milliseconds, answers may begin besides, so that chance does not count.
      */
     private static final double SLACK_MILLIS = 10;
 
-    /** The weight of the newest answer in the usual beginning. Chosen, not measured. */
+    /** The weight of the newest answer in the usual beginning. */
     private static final double USUAL_WEIGHT = 0.01;
 
-    /** The weight of the newest answer in the recent beginning. Chosen, not measured. */
+    /** The weight of the newest answer in the recent beginning. */
     private static final double RECENT_WEIGHT = 0.1;
 
     private volatile double share = 1;
--- a/src/main/java/org/micabarrow/platform/StoreClient.java
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -39,7 +39,7 @@
     private static final int OK = 200;
     private static final int GONE = 410;
 
-    /** The most pages of newest records that are read: a bound against a store without a last page; chosen, not measured. */
+    /** The most pages of newest records that are read: a bound against a store without a last page. */
     private static final int MOST_PAGES = 1_000;
 
     /**
--- a/src/main/java/org/micabarrow/process/Node.java
+++ b/src/main/java/org/micabarrow/process/Node.java
@@ -39,7 +39,7 @@
     /** How often a process that stops looks whether its work has ended, in milliseconds. */
     static final long STOP_POLL_MILLIS = 50;
 
-    /** How long the end of a server's connections is waited for. It takes some milliseconds; chosen, not measured. */
+    /** How long the end of a server's connections is waited for. It takes some milliseconds. */
     private static final Duration LONGEST_END = Duration.ofSeconds(1);
 
     /** The threads of the HTTP client, which never block. */
--- a/src/main/java/org/micabarrow/routing/UnmetDemand.java
+++ b/src/main/java/org/micabarrow/routing/UnmetDemand.java
@@ -4,9 +4,7 @@
  * How many requests an entry lately had to turn away because no endpoint had room. Used by one thread.
  *
  * <p>By this agents deal out the free places of their endpoints. Dealt out by the requests that came, an entry with many
- * clients kept more than its part, because it always has a request waiting when one of its places falls free: of five entries
- * before eight engines at 1.4 times their rate, the one with 38 in 100 of the clients answered 0.79 of them in time and the
- * others 0.60 to 0.65; dealt out by what was turned away, 0.76 and 0.66 to 0.69 (emulated, 134 requests a second).
+ * clients would keep more than its part, because it always has a request waiting when one of its places falls free.
  */
 public final class UnmetDemand {
 
--- a/src/main/java/org/micabarrow/transport/HttpCaller.java
+++ b/src/main/java/org/micabarrow/transport/HttpCaller.java
@@ -35,7 +35,7 @@
     /** The size of a buffer, in bytes: about what Undertow's servers take by default. */
     private static final int BUFFER_BYTES = 16 * 1024;
 
-    /** How many buffers all threads together keep for later use: 4 MiB; chosen, not measured. */
+    /** How many buffers all threads together keep for later use: 4 MiB. */
     private static final int BUFFERS_KEPT = 256;
 
     /** How many of them a thread keeps for itself: as in Undertow's servers by default. */
--- a/src/main/java/org/micabarrow/transport/HttpListener.java
+++ b/src/main/java/org/micabarrow/transport/HttpListener.java
@@ -21,7 +21,7 @@
 /** An HTTP server on one address, with bounds on what it bears. */
 public final class HttpListener implements AutoCloseable {
 
-    /** How long a client may take to send the head of a request, in milliseconds; chosen, not measured. */
+    /** How long a client may take to send the head of a request, in milliseconds. */
     private static final int PARSE_MILLIS = 10_000;
 
     /** The size of a buffer in a process with a small heap, in bytes, as Undertow has it by default. */
--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -16,8 +16,7 @@
 
 /**
  * The datagrams by which entries ask agents how their endpoints are. One that is lost is made up for by the next. Numbers are
- * binary: the thread that answers 56 questions a second, as an agent of 84 endpoints and 18 entries gets, took 0.011 of a core
- * with JSON and takes 0.008 (one run each on loopback), and a question of 46 bytes takes 32 (counted).
+ * binary, since an agent is asked by every entry several times a second.
  */
 final class LoadMessages {
 
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -1,7 +1,6 @@
 package org.micabarrow.transport;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.channels.DatagramChannel;
 import java.util.Objects;
 import java.util.Optional;
@@ -74,7 +73,10 @@
             try {
                 tell(heard);
             } catch (IOException e) {
-                LOG.warn("event=load_not_told entry={} why=\"{}\"", heard.question().entry(), e.toString());
+                LOG.warn(
+                        "event=load_not_told entry={} why=\"{}\"",
+                        heard.question().entry(),
+                        e.toString());
             }
         }
     }
@@ -88,8 +90,8 @@
     private void serveOne() {
         try {
             LoadMessages.Received received = LoadMessages.receive(channel);
-            Heard heard = entries.hear(
-                    received.from(), LoadMessages.question(received.bytes()), steadyMillis.getAsLong());
+            Heard heard =
+                    entries.hear(received.from(), LoadMessages.question(received.bytes()), steadyMillis.getAsLong());
             heard.question().news().ifPresent(told -> news.accept(heard.peer(told), told));
             tell(heard);
         } catch (IOException e) {
--- a/src/main/java/org/micabarrow/transport/grpc/SingleReply.java
+++ b/src/main/java/org/micabarrow/transport/grpc/SingleReply.java
@@ -24,7 +24,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(SingleReply.class);
 
-    /** How long the end of a cancelled call is waited for. It takes one task of the threads for calls; chosen, not measured. */
+    /** How long the end of a cancelled call is waited for. It takes one task of the threads for calls. */
     private static final Duration LONGEST_END = Duration.ofSeconds(1);
 
     private final Step step;
