The prediction of a first event follows the errors of first events at its endpoint

An endpoint that is slow for a while got requests as if it were not, until its slots were taken, and prompts that several entries sent to one engine at the same time waited for each other unseen. The prediction is multiplied by a factor that each first event corrects by 0.3 of its error and that is forgotten in two seconds (FirstEventDelay).

--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -21,6 +21,7 @@
     private final LinkDelay link = new LinkDelay();
     private final Failures failures = new Failures();
     private final Rest rest = new Rest();
+    private final FirstEventDelay firstEvents = new FirstEventDelay();
 
     // -- own requests
 
@@ -286,6 +287,17 @@
         return rest.allows(requests, nowMillis);
     }
 
+    // -- first events
+
+    /**
+     * How late the first events of the endpoint's answers are.
+     *
+     * @return the record, to be kept
+     */
+    public FirstEventDelay firstEvents() {
+        return firstEvents;
+    }
+
     // -- failures
 
     /**
--- a/src/main/java/org/micabarrow/routing/EndpointRoom.java
+++ b/src/main/java/org/micabarrow/routing/EndpointRoom.java
@@ -77,7 +77,8 @@
         if (wanted.model().isEmpty()) {
             return load.requests(nowMillis) * PLAIN_ROUND_MILLIS / endpoint.slots();
         }
-        return firstEvent(wanted.model().get(), load, wanted.promptTokens(), nowMillis);
+        return firstEvent(wanted.model().get(), load, wanted.promptTokens(), nowMillis)
+                * load.firstEvents().factor(nowMillis);
     }
 
     /** When the first event is expected where nothing else runs. */
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -7,6 +7,7 @@
 import org.micabarrow.attempts.AttemptEnd;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.attempts.EventSplitter;
+import org.micabarrow.routing.Choice;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.RequestKind;
@@ -30,6 +31,7 @@
     private final ClientAnswer answer;
     private final EventSplitter events;
     private final EndpointEntry endpoint;
+    private final double predictedMillis;
     private final EndpointLoad load;
     private final TakenRoom room;
     private final Runnable suspectGone;
@@ -41,13 +43,14 @@
     private boolean over;
     private boolean sending;
 
-    Attempt(ServedRequest run, EndpointEntry endpoint) {
+    Attempt(ServedRequest run, Choice.Send chosen) {
         this.run = run;
         this.parts = run.parts();
         this.request = run.request();
         this.answer = run.answer();
         this.events = run.events();
-        this.endpoint = endpoint;
+        this.endpoint = chosen.endpoint();
+        this.predictedMillis = chosen.predictedMillis();
         this.relay = new AnswerRelay(run);
         this.beginLimit = new BeginLimit(run, endpoint, this::notBegun);
         this.load = parts.load(endpoint);
@@ -293,6 +296,7 @@
         load.heard(parts.nowMillis());
         if (!room.begun()) {
             parts.crashes().answered(run.digest(), false);
+            load.firstEvents().observed(predictedMillis, parts.nowMillis() - beganMillis, parts.nowMillis());
         }
         // The head may come as soon as the endpoint has taken the request; its prompt is read with the first event.
         room.promptRead();
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -193,7 +193,7 @@
         EndpointEntry endpoint = chosen.endpoint();
         sendings.sent(endpoint.id());
         log.sent(chosen, why, sendings.count(), millisToObjective(), millisLeft());
-        Attempt attempt = new Attempt(this, endpoint);
+        Attempt attempt = new Attempt(this, chosen);
         current = Optional.of(attempt);
         attempt.begin();
     }
--- a/src/test/java/org/micabarrow/play/LoadPlay.java
+++ b/src/test/java/org/micabarrow/play/LoadPlay.java
@@ -331,6 +331,8 @@
             int rank = millisToObjective() <= 0 ? 9 : 1;
             Runnable began = () -> events.after(WAY_MILLIS, () -> {
                 load.promptRead(caller.promptTokens);
+                load.firstEvents()
+                        .observed(chosen.predictedMillis(), events.nowMillis() - sentMillis, events.nowMillis());
                 caller.began();
                 entry.line.serve();
             });
--- a/src/test/java/org/micabarrow/play/LoadPlayTest.java
+++ b/src/test/java/org/micabarrow/play/LoadPlayTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.play.LoadPlay.Patience;
 import org.micabarrow.play.LoadPlay.Setting;
+import org.micabarrow.play.LoadPlay.Slow;
 import org.micabarrow.routing.ModelService;
 
 /**
@@ -26,6 +27,9 @@
     private static final double ROOMY_SECONDS = 10;
     private static final double ROOMY_LOAD = 0.75;
 
+    /** All but those that slow engines have when they become slow, and a few that find out whether these are well again. */
+    private static final double IN_TIME_BESIDE_SLOW_ENGINES = 0.95;
+
     private static Tally play(double perSecond, boolean dealt, long seed) {
         return LoadPlay.play(
                 new Setting(
@@ -121,4 +125,26 @@
             assertTrue(tally.inTime + tally.late > 0.97 * tally.asked, tally::toString);
         }
     }
+
+    /** A sixth of the engines take 2.6 times as long for six and a half seconds, at three quarters of what all can begin. */
+    @Test
+    void shouldAnswerInTimeWhenSomeEnginesAreSlowForAWhile() {
+        for (long seed = 0; seed < 3; seed++) {
+            Tally tally = LoadPlay.play(
+                    new Setting(
+                            Stream.generate(() -> 1.0 / 13).limit(13).toList(),
+                            32,
+                            MODEL,
+                            CAPACITY_PER_SECOND * 4 * ROOMY_LOAD,
+                            150,
+                            150,
+                            true,
+                            0.3,
+                            new Patience(0.07, true),
+                            Optional.of(new Slow(1.0 / 6, 2.6, 5_000, 11_500)),
+                            seed),
+                    15);
+            assertTrue(tally.inTimePart() > IN_TIME_BESIDE_SLOW_ENGINES, tally::toString);
+        }
+    }
 }
