A request whose endpoint sends nothing for two objectives goes on at another one that has room

An endpoint may lose requests without a word while its agent tells that all is well. What waited there waited for its deadline. Now a request that may run twice is moved, at its first part or, of a stream that can go on, at a later one; the endpoint is left out for a second. Where no other endpoint has room nothing moves: then all are slow for want of it.

--- a/src/main/java/org/micabarrow/attempts/AttemptPolicy.java
+++ b/src/main/java/org/micabarrow/attempts/AttemptPolicy.java
@@ -7,6 +7,12 @@
 /** Decides whether a request whose sending failed is sent again. */
 public final class AttemptPolicy {
 
+    /**
+     * How many objectives an endpoint has for each part of an answer: after one the answer is late wherever it comes from, and a busy
+     * endpoint may still be about to send.
+     */
+    private static final int OVERDUE_OBJECTIVES = 2;
+
     /**
      * The least time in which another endpoint could still answer, in milliseconds: a round trip to another region and a
      * short piece of work.
@@ -24,6 +30,18 @@
      */
     public record Progress(int sendings, boolean mayHaveRun, long millisLeft) {}
 
+    /**
+     * Whether the next part of an answer is so late that another endpoint may be asked, although nothing else shows that the present
+     * one has lost the request.
+     *
+     * @param route the request's route
+     * @param awaitedMillis how long ago the request or the last part of its answer went, in milliseconds
+     * @return false for what may run only once
+     */
+    public static boolean overdue(Route route, long awaitedMillis) {
+        return route.kind().repeatable() && awaitedMillis > OVERDUE_OBJECTIVES * route.objectiveMillis();
+    }
+
     /**
      * Decides.
      *
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import org.micabarrow.admission.TakenRoom;
 import org.micabarrow.attempts.AttemptEnd;
+import org.micabarrow.attempts.AttemptPolicy;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.attempts.EventSplitter;
 import org.micabarrow.routing.Choice;
@@ -38,6 +39,7 @@
     private final AnswerRelay relay;
     private final BeginLimit beginLimit;
     private final long beganMillis;
+    private final AwaitedPart awaited;
     private Optional<XnioExecutor.Key> connectTimer = Optional.empty();
     private Runnable cancel = () -> {};
     private boolean over;
@@ -55,6 +57,7 @@
         this.beginLimit = new BeginLimit(run, endpoint, this::notBegun);
         this.load = parts.load(endpoint);
         this.beganMillis = parts.nowMillis();
+        this.awaited = new AwaitedPart(parts::nowMillis);
         this.suspectGone = parts.suspects().sent(endpoint, run.digest(), beganMillis);
         this.room = new TakenRoom(load, request.promptTokens(), parts.line()::roomMayBe);
     }
@@ -148,6 +151,7 @@
             return;
         }
         if (!parts.silent(endpoint)) {
+            lookWhetherOverdue();
             return;
         }
         if (!room.begun() && waitsInVain()) {
@@ -158,6 +162,20 @@
         }
     }
 
+    /**
+     * Moves a request to another endpoint if the next part of its answer is overdue although the endpoint's instance is heard: the
+     * endpoint may have lost it without a word. Nothing moves where no other endpoint has room, since then all are slow for want of it.
+     */
+    private void lookWhetherOverdue() {
+        long dueMillis = awaited.dueMillis();
+        boolean overdue = sending && AttemptPolicy.overdue(request.route(), dueMillis);
+        if (overdue && (!answer.begun() || run.mayGoOn()) && run.mayTakeAnother()) {
+            load.failures().broke(parts.nowMillis());
+            events.dropRemainder();
+            moveOn(AttemptEnd.UNKNOWN, "the endpoint has sent nothing for " + dueMillis + " ms");
+        }
+    }
+
     /**
      * Whether nobody is served if an instance that stands still begins the request when it goes on: that would be on weights
      * that were replaced, after its endpoint left, or, of a stream that may run twice, after the objective, when another try of
@@ -300,7 +318,7 @@
         }
         // The head may come as soon as the endpoint has taken the request; its prompt is read with the first event.
         room.promptRead();
-        relay.part(data, more);
+        relay.part(data, awaited.came(more));
     }
 
     @Override
--- a/src/test/java/org/micabarrow/attempts/AttemptPolicyTest.java
+++ b/src/test/java/org/micabarrow/attempts/AttemptPolicyTest.java
@@ -41,6 +41,19 @@
         assertEquals(0, taken.get());
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "RESUMABLE_STREAM, 1000, false",
+        "RESUMABLE_STREAM, 1001, true",
+        "IDEMPOTENT,       1001, true",
+        "STREAM,           9999, false",
+        "AT_MOST_ONCE,     9999, false"
+    })
+    void shouldCallAnswerOverdueAfterTwoObjectivesWhenRequestMayRunAgain(
+            RequestKind kind, long sentMillis, boolean overdue) {
+        assertEquals(overdue, AttemptPolicy.overdue(route(kind, 2), sentMillis));
+    }
+
     @Test
     void shouldStopWhenBudgetIsSpent() {
         AttemptPolicy.Progress progress = new AttemptPolicy.Progress(1, false, 1_000);
