An entry that the store alone turned away believes that an endpoint is gone

After the store was away dropped entries are doubted for 2.3 s, since entries lapse while endpoints cannot write. Drops are doubted now only if more than half of the listed entries lapsed: otherwise the store took what the others write.

Ruled out: to believe a drop after any write of another endpoint.

--- a/src/main/java/org/micabarrow/views/EndpointEntries.java
+++ b/src/main/java/org/micabarrow/views/EndpointEntries.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
@@ -54,6 +55,16 @@
 
     // -- records
 
+    /** Records are read at once, each of which {@link #take} is given next. */
+    void read(List<StoredRecord> records, Map<String, EndpointEntry> endpoints, long nowMillis) {
+        Set<String> drops = records.stream()
+                .filter(StoredRecord::dropped)
+                .map(StoredRecord::key)
+                .filter(endpoints::containsKey)
+                .collect(Collectors.toSet());
+        doubts.read(drops, endpoints.size(), nowMillis);
+    }
+
     /** Takes a record into account, in the list that is given; returns what to log, if anything changes. */
     Optional<String> take(StoredRecord record, Map<String, EndpointEntry> endpoints, long nowMillis) {
         return record.dropped() ? dropped(record, endpoints, nowMillis) : written(record, endpoints, nowMillis);
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -283,6 +283,7 @@
         List<StoredRecord> changing = new ArrayList<>();
         List<String> lines = new ArrayList<>();
         long now = steadyMillis.getAsLong();
+        entries.read(news, endpoints, now);
         news.forEach(record -> entries.take(record, endpoints, now).ifPresent(line -> {
             changing.add(record);
             lines.add(line);
--- a/src/test/java/org/micabarrow/views/DropWhileAwayTest.java
+++ b/src/test/java/org/micabarrow/views/DropWhileAwayTest.java
@@ -45,4 +45,32 @@
         assertFalse(known("a"), "another endpoint wrote before it went");
         assertTrue(known("b"));
     }
+
+    @Test
+    void shouldDoubtDropWhenOthersOnlyCameBackAfterTheirOwn() {
+        keeper.apply(Topic.ENDPOINTS, List.of(endpoint("a", 0), endpoint("b", 1)), 2);
+        keeper.regained(Topic.ENDPOINTS);
+        keeper.apply(Topic.ENDPOINTS, List.of(record("b", 2, ""), endpoint("b", 3), record("a", 4, "")), 5);
+        assertTrue(known("a"), "the store was away for all");
+        assertTrue(known("b"));
+    }
+
+    /** What was written between this process's last read and the outage comes in the same batch as the drops after it. */
+    @Test
+    void shouldDoubtDropsOfAllWhenSomeWroteBeforeTheStoreWasAway() {
+        keeper.apply(Topic.ENDPOINTS, List.of(endpoint("a", 0), endpoint("b", 1), endpoint("c", 2)), 3);
+        keeper.regained(Topic.ENDPOINTS);
+        List<StoredRecord> lapsed =
+                List.of(endpoint("b", 3), record("a", 4, ""), record("b", 5, ""), record("c", 6, ""));
+        keeper.apply(Topic.ENDPOINTS, lapsed, 7);
+        List.of("a", "b", "c").forEach(id -> assertTrue(known(id), id));
+    }
+
+    @Test
+    void shouldBelieveDropWhenMostEntriesHaveNotLapsed() {
+        keeper.apply(Topic.ENDPOINTS, List.of(endpoint("a", 0), endpoint("b", 1), endpoint("c", 2)), 3);
+        keeper.regained(Topic.ENDPOINTS);
+        keeper.apply(Topic.ENDPOINTS, List.of(record("a", 3, "")), 4);
+        assertFalse(known("a"), "the store took what the others write");
+    }
 }
