A refused client is awaited for no longer than its route holds a request

A request that ends endpoints is refused for up to ten minutes, and a client may claim to wait for ever; either had a route's impatient first tries taken for returns for as long. Found by reading. FirstTriesTest.shouldAwaitNobodyForLongerThanRouteHoldsRequestsWhenRefusedForMinutes, not run on the code before. The settings of LoadPlay are a file of their own.

--- a/src/main/java/org/micabarrow/admission/FirstTries.java
+++ b/src/main/java/org/micabarrow/admission/FirstTries.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import org.micabarrow.routing.Route;
 
 /**
  * Estimates when a client first tried, from what it will still wait. Clients of a route give similar times, though not equal
@@ -48,15 +49,17 @@
     }
 
     /**
-     * Notes that a client was refused and told when to come back.
+     * Notes that a client was refused and told when to come back. It is not awaited for longer than its route holds a request, whatever
+     * it claims to wait or was told.
      *
-     * @param route the route's name
+     * @param route the route
      * @param comeBackMillis what it was told, in milliseconds from now
      * @param nowMillis the time on the steady clock
      */
-    public void refused(String route, long comeBackMillis, long nowMillis) {
-        Recent recent = recent(route);
-        recent.returnsUntilMillis = Math.max(recent.returnsUntilMillis, nowMillis + comeBackMillis + CONNECT_MILLIS);
+    public void refused(Route route, long comeBackMillis, long nowMillis) {
+        Recent recent = recent(route.name());
+        long awaitedMillis = Math.min(comeBackMillis, route.timeoutMillis()) + CONNECT_MILLIS;
+        recent.returnsUntilMillis = Math.max(recent.returnsUntilMillis, nowMillis + awaitedMillis);
     }
 
     /**
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -208,7 +208,7 @@
 
     /** Notes that a client is refused and when it is told to come back, which is returned. */
     long refused(ClientRequest request, long comeBackMillis) {
-        firstTries.refused(request.route().name(), comeBackMillis, nowMillis());
+        firstTries.refused(request.route(), comeBackMillis, nowMillis());
         return comeBackMillis;
     }
 
--- a/src/test/java/org/micabarrow/Samples.java
+++ b/src/test/java/org/micabarrow/Samples.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.micabarrow.routing.RequestKind;
+import org.micabarrow.routing.Route;
 import org.micabarrow.state.Artifact;
 import org.micabarrow.state.Digest;
 import org.micabarrow.state.FoldedState;
@@ -109,4 +111,19 @@
     public static Optional<FoldedState.Placed> assistant(FoldedState state) {
         return state.placed("assistant");
     }
+
+    /** A route of streams that may be resumed, on the users' platform, which holds a request for so long. */
+    public static Route resumableStreams(long timeoutMillis) {
+        return new Route(
+                "r",
+                "h",
+                "/",
+                List.of(new Route.Share("s", 1)),
+                RequestKind.RESUMABLE_STREAM,
+                timeoutMillis,
+                400,
+                1,
+                2,
+                false);
+    }
 }
--- a/src/test/java/org/micabarrow/admission/FirstTriesTest.java
+++ b/src/test/java/org/micabarrow/admission/FirstTriesTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
+import org.micabarrow.Samples;
+import org.micabarrow.routing.Route;
 
 /** When clients first tried, as far as the time that they give tells it. */
 class FirstTriesTest {
@@ -11,6 +13,8 @@
     private final FirstTries tries = new FirstTries();
 
     private static final long NOW = 100_000;
+    private static final long TIMEOUT = 6_000;
+    private static final Route ROUTE = Samples.resumableStreams(TIMEOUT);
 
     private long millisSince(String route, long millisGiven) {
         return tries.millisSince(route, millisGiven, NOW);
@@ -23,7 +27,7 @@
     }
 
     private void oneIsRefused() {
-        tries.refused("r", 1_800, NOW);
+        tries.refused(ROUTE, 1_800, NOW);
     }
 
     @Test
@@ -97,6 +101,15 @@
         assertEquals(0, tries.millisSince("r", 4_100, connected + 1));
     }
 
+    /** As a request is that ends endpoints, and one whose client claims to wait for ever. */
+    @Test
+    void shouldAwaitNobodyForLongerThanRouteHoldsRequestsWhenRefusedForMinutes() {
+        tries.refused(ROUTE, Long.MAX_VALUE, NOW);
+        come(20, 6_000);
+        assertEquals(1_900, tries.millisSince("r", 4_100, NOW + TIMEOUT));
+        assertEquals(0, tries.millisSince("r", 4_100, NOW + TIMEOUT + 1_001));
+    }
+
     @Test
     void shouldTakeRequestForFirstTryWhenItLacksLessThanAnyRefusedClientStaysAway() {
         oneIsRefused();
--- a/src/test/java/org/micabarrow/play/LoadPlay.java
+++ b/src/test/java/org/micabarrow/play/LoadPlay.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import org.micabarrow.Samples;
 import org.micabarrow.admission.Admission;
 import org.micabarrow.admission.Admission.Decision;
 import org.micabarrow.admission.FirstTries;
@@ -17,7 +18,7 @@
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.LoadReport;
-import org.micabarrow.routing.ModelService;
+import org.micabarrow.routing.Route;
 import org.micabarrow.routing.Wanted;
 
 /**
@@ -35,63 +36,16 @@
     /** The most prompt tokens and answer tokens that a request has. */
     private static final int MOST_TOKENS = 4_000;
 
+    private static final Route ROUTE = Samples.resumableStreams((long) BUDGET_MILLIS);
+
     private final Events events = new Events();
     private final Random random;
-    private final Setting setting;
+    private final LoadSetting setting;
     private final List<Engine> engines = new ArrayList<>();
     private final List<Entry> entries = new ArrayList<>();
     private final Tally tally = new Tally();
 
-    /**
-     * What is played.
-     *
-     * @param entryShares the part of the callers that each entry gets
-     * @param engines how many engines there are
-     * @param model their figures
-     * @param perSecond requests a second
-     * @param askMillis how often an entry asks an agent
-     * @param lookMillis how often an agent looks at its engine
-     * @param dealt whether agents deal places out
-     * @param retryAfterPart the part of its time after which a refused caller comes back
-     * @param patience how long callers wait
-     * @param slow which engines are slow for a while
-     * @param seed decides all that is random
-     */
-    record Setting(
-            List<Double> entryShares,
-            int engines,
-            ModelService model,
-            double perSecond,
-            long askMillis,
-            long lookMillis,
-            boolean dealt,
-            double retryAfterPart,
-            Patience patience,
-            Optional<Slow> slow,
-            long seed) {}
-
-    /**
-     * Engines that are slow for a while.
-     *
-     * @param part their part of all
-     * @param times how many times as long they take
-     * @param fromMillis when they begin to be slow
-     * @param toMillis when they are well again
-     */
-    record Slow(double part, double times, double fromMillis, double toMillis) {}
-
-    /**
-     * How long callers wait, and where they come back.
-     *
-     * @param spread by which part of the usual time a caller's own may be shorter or longer
-     * @param anywhere whether a refused caller comes back to any entry, instead of the one that refused it
-     */
-    record Patience(double spread, boolean anywhere) {
-
-        static final Patience ALIKE = new Patience(0, false);
-    }
-
-    private LoadPlay(Setting setting) {
+    private LoadPlay(LoadSetting setting) {
         this.setting = setting;
         this.random = new Random(setting.seed());
         for (int i = 0; i < setting.engines(); i++) {
@@ -100,7 +54,7 @@
         setting.entryShares().forEach(share -> entries.add(new Entry("entry-" + entries.size())));
     }
 
-    static Tally play(Setting setting, double seconds) {
+    static Tally play(LoadSetting setting, double seconds) {
         LoadPlay play = new LoadPlay(setting);
         play.engines.forEach(Engine::look);
         setting.slow().ifPresent(play::slow);
@@ -110,7 +64,7 @@
         return play.tally;
     }
 
-    private void slow(Slow slow) {
+    private void slow(LoadSetting.Slow slow) {
         int count = (int) Math.round(engines.size() * slow.part());
         events.after(
                 slow.fromMillis(), () -> engines.subList(0, count).forEach(one -> one.emulator.slowness(slow.times())));
@@ -358,7 +312,7 @@
         @Override
         public void tooLate() {
             entry.choice.unmet().turnedAway(events.nowMillis());
-            entry.firstTries.refused("r", caller.comeBackMillis(), events.nowMillis());
+            entry.firstTries.refused(ROUTE, caller.comeBackMillis(), events.nowMillis());
             caller.refused();
         }
     }
--- a/src/test/java/org/micabarrow/play/LoadPlayTest.java
+++ b/src/test/java/org/micabarrow/play/LoadPlayTest.java
@@ -9,9 +9,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.micabarrow.play.LoadPlay.Patience;
-import org.micabarrow.play.LoadPlay.Setting;
-import org.micabarrow.play.LoadPlay.Slow;
+import org.micabarrow.play.LoadSetting.Patience;
+import org.micabarrow.play.LoadSetting.Slow;
 import org.micabarrow.routing.ModelService;
 
 /**
@@ -32,7 +31,7 @@
 
     private static Tally play(double perSecond, boolean dealt, long seed) {
         return LoadPlay.play(
-                new Setting(
+                new LoadSetting(
                         UNEVEN_ENTRIES,
                         8,
                         MODEL,
@@ -108,7 +107,7 @@
         double perSecond = CAPACITY_PER_SECOND * engines / 8 * ROOMY_LOAD;
         for (long seed = 0; seed < 2; seed++) {
             Tally tally = LoadPlay.play(
-                    new Setting(
+                    new LoadSetting(
                             alike,
                             engines,
                             MODEL,
@@ -131,7 +130,7 @@
     void shouldAnswerInTimeWhenSomeEnginesAreSlowForAWhile() {
         for (long seed = 0; seed < 3; seed++) {
             Tally tally = LoadPlay.play(
-                    new Setting(
+                    new LoadSetting(
                             Stream.generate(() -> 1.0 / 13).limit(13).toList(),
                             32,
                             MODEL,
--- /dev/null
+++ b/src/test/java/org/micabarrow/play/LoadSetting.java
@@ -0,0 +1,55 @@
+package org.micabarrow.play;
+
+import java.util.List;
+import java.util.Optional;
+import org.micabarrow.routing.ModelService;
+
+/**
+ * What is played.
+ *
+ * @param entryShares the part of the callers that each entry gets
+ * @param engines how many engines there are
+ * @param model their figures
+ * @param perSecond requests a second
+ * @param askMillis how often an entry asks an agent
+ * @param lookMillis how often an agent looks at its engine
+ * @param dealt whether agents deal places out
+ * @param retryAfterPart the part of its time after which a refused caller comes back
+ * @param patience how long callers wait
+ * @param slow which engines are slow for a while
+ * @param seed decides all that is random
+ */
+record LoadSetting(
+        List<Double> entryShares,
+        int engines,
+        ModelService model,
+        double perSecond,
+        long askMillis,
+        long lookMillis,
+        boolean dealt,
+        double retryAfterPart,
+        Patience patience,
+        Optional<Slow> slow,
+        long seed) {
+
+    /**
+     * Engines that are slow for a while.
+     *
+     * @param part their part of all
+     * @param times how many times as long they take
+     * @param fromMillis when they begin to be slow
+     * @param toMillis when they are well again
+     */
+    record Slow(double part, double times, double fromMillis, double toMillis) {}
+
+    /**
+     * How long callers wait, and where they come back.
+     *
+     * @param spread by which part of the usual time a caller's own may be shorter or longer
+     * @param anywhere whether a refused caller comes back to any entry, instead of the one that refused it
+     */
+    record Patience(double spread, boolean anywhere) {
+
+        static final Patience ALIKE = new Patience(0, false);
+    }
+}
