An endpoint's load is looked up once for each decision

Each decision of an entry looked every endpoint's load up seven times and went through five streams; while requests wait, decisions are made some hundreds of times a second. KnownEndpoint carries the load, and lists are gone through without streams.

No decision changes: EndpointChoiceTest and AdmissionTest are untouched by it.

--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -1,7 +1,7 @@
 package org.micabarrow.routing;
 
+import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -108,9 +108,13 @@
      * @return true if one of them says so
      */
     public boolean leaves(EndpointEntry endpoint) {
-        return endpoint.leaving()
-                || leaving.contains(endpoint.start())
-                || load(endpoint.start()).toldThatItLeaves();
+        return leaves(known(endpoint));
+    }
+
+    private boolean leaves(KnownEndpoint one) {
+        return one.endpoint().leaving()
+                || leaving.contains(one.endpoint().start())
+                || one.load().toldThatItLeaves();
     }
 
     /**
@@ -133,25 +137,42 @@
      * @return the choice
      */
     public Choice choose(List<EndpointEntry> candidates, Wanted wanted, long nowMillis) {
-        List<EndpointEntry> able =
-                candidates.stream().filter(one -> able(one, wanted, nowMillis)).toList();
-        OptionalLong allRest = allRestMillis(able, nowMillis);
+        List<KnownEndpoint> known = known(candidates);
+        List<KnownEndpoint> able = KnownEndpoint.keep(known, one -> able(one, wanted, nowMillis));
+        OptionalLong allRest = KnownEndpoint.allRestMillis(able, nowMillis);
         if (allRest.isPresent()) {
             return new Choice.Resting(able.size(), allRest.getAsLong());
         }
-        List<EndpointEntry> awake =
-                able.stream().filter(one -> !rests(one, nowMillis)).toList();
-        List<EndpointEntry> pool = pool(candidates, awake, nowMillis);
-        if (pool.isEmpty()) {
-            return new Choice.None();
+        List<KnownEndpoint> awake = KnownEndpoint.keep(able, one -> !one.rests(nowMillis));
+        List<KnownEndpoint> pool = pool(known, awake, nowMillis);
+        return pool.isEmpty() ? new Choice.None() : first(pool, wanted, nowMillis);
+    }
+
+    /** The endpoint of some that is expected to answer first, if any of them has room. */
+    private Choice first(List<KnownEndpoint> pool, Wanted wanted, long nowMillis) {
+        Choice first = new Choice.Full(pool.size());
+        double least = Double.POSITIVE_INFINITY;
+        for (KnownEndpoint one : pool) {
+            if (EndpointRoom.isFor(wanted, one.endpoint(), one.load(), nowMillis)) {
+                double predicted = EndpointRoom.predictedMillis(wanted, one.endpoint(), one.load(), nowMillis);
+                double counted = predicted + distance(one.endpoint());
+                if (counted < least) {
+                    least = counted;
+                    first = new Choice.Send(one.endpoint(), predicted);
+                }
+            }
         }
-        return pool.stream()
-                .filter(one -> EndpointRoom.isFor(wanted, one, load(one.start()), nowMillis))
-                .map(one ->
-                        new Choice.Send(one, EndpointRoom.predictedMillis(wanted, one, load(one.start()), nowMillis)))
-                .min(Comparator.comparingDouble(send -> send.predictedMillis() + distance(send.endpoint())))
-                .map(Choice.class::cast)
-                .orElse(new Choice.Full(pool.size()));
+        return first;
+    }
+
+    private KnownEndpoint known(EndpointEntry endpoint) {
+        return new KnownEndpoint(endpoint, load(endpoint.start()));
+    }
+
+    private List<KnownEndpoint> known(List<EndpointEntry> endpoints) {
+        List<KnownEndpoint> known = new ArrayList<>(endpoints.size());
+        endpoints.forEach(endpoint -> known.add(known(endpoint)));
+        return known;
     }
 
     /**
@@ -174,33 +195,21 @@
      * @return milliseconds; empty if one that may get the request does not rest, or none may get it
      */
     public OptionalLong allRestMillis(List<EndpointEntry> candidates, Wanted wanted, long nowMillis) {
-        return allRestMillis(
-                candidates.stream().filter(one -> able(one, wanted, nowMillis)).toList(), nowMillis);
-    }
-
-    private OptionalLong allRestMillis(List<EndpointEntry> able, long nowMillis) {
-        return able.stream().allMatch(one -> rests(one, nowMillis))
-                ? able.stream()
-                        .mapToLong(one -> load(one.start()).rest().leftMillis(nowMillis))
-                        .min()
-                : OptionalLong.empty();
+        return KnownEndpoint.allRestMillis(
+                KnownEndpoint.keep(known(candidates), one -> able(one, wanted, nowMillis)), nowMillis);
     }
 
     /**
      * The endpoints to choose among. Those with failures or a slow link do if there are no others. Those that fell silent do only if no
      * endpoint of the service is heard of at all: then it is more likely that this entry does not hear.
      */
-    private List<EndpointEntry> pool(List<EndpointEntry> candidates, List<EndpointEntry> able, long nowMillis) {
-        List<EndpointEntry> heard =
-                able.stream().filter(one -> !silent(one, nowMillis)).toList();
-        List<EndpointEntry> well = heard.stream()
-                .filter(one -> !load(one.start()).failures().excluded(nowMillis))
-                .filter(one -> !load(one.start()).delayed(nowMillis))
-                .toList();
+    private List<KnownEndpoint> pool(List<KnownEndpoint> candidates, List<KnownEndpoint> able, long nowMillis) {
+        List<KnownEndpoint> heard = KnownEndpoint.keep(able, one -> !silent(one, nowMillis));
+        List<KnownEndpoint> well = KnownEndpoint.keep(heard, one -> one.well(nowMillis));
         if (!well.isEmpty()) {
             return well;
         }
-        boolean hearing = candidates.stream().anyMatch(one -> load(one.start()).toldLately(nowMillis));
+        boolean hearing = candidates.stream().anyMatch(one -> one.load().toldLately(nowMillis));
         return hearing || !heard.isEmpty() ? heard : able;
     }
 
@@ -212,7 +221,11 @@
      * @return true if its agent used to tell, and it and its agent have been silent for too long
      */
     public boolean silent(EndpointEntry endpoint, long nowMillis) {
-        return load(endpoint.start()).silent(patienceMillis(endpoint), nowMillis);
+        return silent(known(endpoint), nowMillis);
+    }
+
+    private boolean silent(KnownEndpoint one, long nowMillis) {
+        return one.load().silent(patienceMillis(one.endpoint()), nowMillis);
     }
 
     private long patienceMillis(EndpointEntry endpoint) {
@@ -231,7 +244,7 @@
     public boolean mustAsk(EndpointEntry endpoint, Wanted wanted) {
         return load(endpoint.start()).hasAgent()
                 && wanted.model()
-                        .filter(model -> version(endpoint, model) < wanted.newestVersion())
+                        .filter(model -> known(endpoint).version(model) < wanted.newestVersion())
                         .isPresent();
     }
 
@@ -244,18 +257,22 @@
      * @return false if it leaves, was tried, or does not hold a version that may answer
      */
     public boolean able(EndpointEntry endpoint, Wanted wanted, long nowMillis) {
-        if (leaves(endpoint) || wanted.tried().contains(endpoint.id())) {
+        return able(known(endpoint), wanted, nowMillis);
+    }
+
+    private boolean able(KnownEndpoint one, Wanted wanted, long nowMillis) {
+        if (leaves(one) || wanted.tried().contains(one.endpoint().id())) {
             return false;
         }
         if (wanted.model().isEmpty()) {
             return true;
         }
-        long held = version(endpoint, wanted.model().get());
-        EndpointLoad load = load(endpoint.start());
+        long held = one.version(wanted.model().get());
+        EndpointLoad load = one.load();
         // What waits in a slow link may arrive when the older version may answer no more.
         boolean linkInDoubt = load.unanswered()
                 || load.delayedLately(nowMillis)
-                || load.agentSilent(patienceMillis(endpoint), nowMillis);
+                || load.agentSilent(patienceMillis(one.endpoint()), nowMillis);
         boolean mayComeTooLate = held < wanted.newestVersion() && linkInDoubt;
         return held > 0
                 && held >= wanted.leastVersion()
@@ -275,12 +292,6 @@
         return load(endpoint.start()).failures().excluded(nowMillis);
     }
 
-    private long version(EndpointEntry endpoint, ModelService model) {
-        long entered =
-                endpoint.layers() < model.layers() ? 0 : endpoint.models().getOrDefault(model.model(), 0L);
-        return Math.max(entered, load(endpoint.start()).version());
-    }
-
     /**
      * How long a request may wait for room and still be in time.
      *
