A version that is named is fetched within 50 ms again

Orders and stops are looked for each 150 ms while the endpoint serves the newest version, as before this commit.

--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -45,10 +45,10 @@
     /** How often the endpoint beside the agent is asked for its report, in milliseconds; it answers its own for free. */
     private static final long REPORT_MILLIS = 150;
 
-    /** How often the agent looks for what to fetch or to order while there is something, in milliseconds: a chunk's time. */
+    /** How often the agent looks whether there is something to fetch or to order, in milliseconds: a chunk's time. */
     private static final long LOOK_MILLIS = 50;
 
-    /** The same while the endpoint serves the newest version: a part of a version's bound that does not count. */
+    /** How often it looks for something to order or to stop while the endpoint serves the newest version, in milliseconds. */
     private static final long SETTLED_LOOK_MILLIS = 150;
 
     /**
@@ -139,8 +139,8 @@
         node.follow(news, news, paces, settings::seeds, this::duty);
         node.metrics().registerGauge("weights.secondsNotRetired", keeper::secondsNotRetired);
         Steps.start("report", REPORT_MILLIS, new Reports());
-        Steps.start("fetch", this::lookMillis, keeper::fetch);
-        Steps.start("replica", this::lookMillis, keeper::step);
+        Steps.start("fetch", LOOK_MILLIS, keeper::fetch);
+        Steps.start("replica", this::replicaMillis, keeper::step);
         Steps.start("read-back", READ_BACK_MILLIS, keeper::readBack);
         Steps.start("standstill", STANDSTILL_LOOK_MILLIS, new StandstillWatch());
         LOG.info(
@@ -199,7 +199,8 @@
                 .ifPresent(node.views()::manifestStands);
     }
 
-    private long lookMillis() {
+    /** A version that is named is fetched at once, since the origin may go away; what follows takes seconds to come about. */
+    private long replicaMillis() {
         return keeper.settled() ? SETTLED_LOOK_MILLIS : LOOK_MILLIS;
     }
 
