--- a/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
+++ b/src/test/java/org/micabarrow/weights/ReplicaKeeperTest.java
@@ -10,6 +10,18 @@
 /** An endpoint is brought to the wanted version, and never takes up what is not whole and right. */
 class ReplicaKeeperTest extends KeeperFixture {
 
+    @Test
+    void shouldBeSettledOnlyWhileEndpointServesNewestVersion() {
+        assertFalse(keeper.settled(), "nothing is known of the endpoint");
+        keeper.refresh();
+        assertFalse(keeper.settled(), "it holds nothing");
+        endpoint.held = 1;
+        keeper.refresh();
+        assertTrue(keeper.settled());
+        views.want("m", 2);
+        assertFalse(keeper.settled(), "a newer version is named");
+    }
+
     @Test
     void shouldStartEmptyEndpointAtOnceWithFirstVersion() throws Exception {
         fetch();
