Predictions by first events choose among endpoints only; an overdue request leaves no endpoint out

By reading: where links are full every endpoint is slow, room was denied by the corrected prediction, and what waited was late for certain; and an endpoint left out for a second takes its slots away. The factor orders endpoints now and denies no room; an overdue request moves without leaving its endpoint out, and not behind a slow link.

--- a/src/main/java/org/micabarrow/routing/EndpointRoom.java
+++ b/src/main/java/org/micabarrow/routing/EndpointRoom.java
@@ -62,7 +62,7 @@
             return false;
         }
         double slots = endpoint.slots() * MODEL_SLOTS;
-        double predicted = predictedMillis(wanted, endpoint, load, nowMillis);
+        double predicted = firstEvent(wanted.model().get(), load, wanted.promptTokens(), nowMillis);
         if (tooLate(wanted)) {
             double behindOthers = predicted - aloneMillis(wanted.model().get(), wanted.promptTokens());
             return requests < slots * (1 - SLOTS_KEPT_FROM_LATE)
@@ -72,7 +72,11 @@
         return requests < slots && predicted < millisToBegin(wanted);
     }
 
-    /** When the first event of a request's answer is expected, in milliseconds from now. */
+    /**
+     * When the first event of a request's answer is expected, in milliseconds from now, by what first events at the endpoint took
+     * lately. It says which endpoint is the quickest, not whether one has room: where links are full all are slow, and a request that
+     * waits for a quick one is late for certain.
+     */
     static double predictedMillis(Wanted wanted, EndpointEntry endpoint, EndpointLoad load, long nowMillis) {
         if (wanted.model().isEmpty()) {
             return load.requests(nowMillis) * PLAIN_ROUND_MILLIS / endpoint.slots();
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -164,13 +164,14 @@
 
     /**
      * Moves a request to another endpoint if the next part of its answer is overdue although the endpoint's instance is heard: the
-     * endpoint may have lost it without a word. Nothing moves where no other endpoint has room, since then all are slow for want of it.
+     * endpoint may have lost it without a word. Nothing moves where no other endpoint has room, since then all are slow for want of it,
+     * nor behind a link that is slow: what is late there is on its way.
      */
     private void lookWhetherOverdue() {
         long dueMillis = awaited.dueMillis();
-        boolean overdue = sending && AttemptPolicy.overdue(request.route(), dueMillis);
+        boolean overdue =
+                sending && !load.delayedLately(parts.nowMillis()) && AttemptPolicy.overdue(request.route(), dueMillis);
         if (overdue && (!answer.begun() || run.mayGoOn()) && run.mayTakeAnother()) {
-            load.failures().broke(parts.nowMillis());
             events.dropRemainder();
             moveOn(AttemptEnd.UNKNOWN, "the endpoint has sent nothing for " + dueMillis + " ms");
         }
