An endpoint's room and what an entry heard are worked out without doing work twice

EndpointRoom made a whole empty EndpointLoad for each endpoint of each decision, only to know what a prompt takes where nothing else runs; that time depends on the request alone, and the prediction takes two numbers now. The address of an entry that tells of news was put together up to three times a question; Heard carries it. EndpointChoice.rests asks KnownEndpoint, which said the same beside it.

--- a/src/main/java/org/micabarrow/routing/EndpointChoice.java
+++ b/src/main/java/org/micabarrow/routing/EndpointChoice.java
@@ -183,7 +183,7 @@
      * @return true until the rest is over
      */
     public boolean rests(EndpointEntry endpoint, long nowMillis) {
-        return load(endpoint.start()).rest().lasts(nowMillis);
+        return known(endpoint).rests(nowMillis);
     }
 
     /**
--- a/src/main/java/org/micabarrow/routing/EndpointRoom.java
+++ b/src/main/java/org/micabarrow/routing/EndpointRoom.java
@@ -62,7 +62,7 @@
             return false;
         }
         double slots = endpoint.slots() * MODEL_SLOTS;
-        double predicted = firstEvent(wanted.model().get(), load, wanted.promptTokens(), nowMillis);
+        double predicted = figuresMillis(wanted, load, nowMillis);
         if (tooLate(wanted)) {
             double behindOthers = predicted - aloneMillis(wanted.model().get(), wanted.promptTokens());
             return requests < slots * (1 - SLOTS_KEPT_FROM_LATE)
@@ -81,20 +81,26 @@
         if (wanted.model().isEmpty()) {
             return load.requests(nowMillis) * PLAIN_ROUND_MILLIS / endpoint.slots();
         }
-        return firstEvent(wanted.model().get(), load, wanted.promptTokens(), nowMillis)
-                * load.firstEvents().factor(nowMillis);
+        return figuresMillis(wanted, load, nowMillis) * load.firstEvents().factor(nowMillis);
+    }
+
+    /** When the first event is expected by the figures of the service and what is known of the endpoint's load. */
+    private static double figuresMillis(Wanted wanted, EndpointLoad load, long nowMillis) {
+        return firstEvent(
+                wanted.model().get(),
+                load.requests(nowMillis),
+                load.waitingPromptTokens(nowMillis) + wanted.promptTokens());
     }
 
     /** When the first event is expected where nothing else runs. */
     private static double aloneMillis(ModelService model, int promptTokens) {
-        return firstEvent(model, new EndpointLoad(), promptTokens, 0);
+        return firstEvent(model, 0, promptTokens);
     }
 
     /** When the first event is expected: after the steps under way, the prompts ahead, its own, and its first steps. */
-    private static double firstEvent(ModelService model, EndpointLoad load, int promptTokens, long nowMillis) {
-        double step = model.stepMillis() + model.stepMillisPerSequence() * load.requests(nowMillis);
+    private static double firstEvent(ModelService model, int requests, int promptTokens) {
+        double step = model.stepMillis() + model.stepMillisPerSequence() * requests;
         double steps = model.stride() * step;
-        double prompts = (load.waitingPromptTokens(nowMillis) + promptTokens) / model.prefillTokensPerMilli();
-        return 2 * steps + prompts;
+        return 2 * steps + promptTokens / model.prefillTokensPerMilli();
     }
 }
--- a/src/main/java/org/micabarrow/transport/EntriesHeard.java
+++ b/src/main/java/org/micabarrow/transport/EntriesHeard.java
@@ -40,15 +40,16 @@
      * @param host the address of that
      * @param question the question
      * @param atMillis when it came, on the agent's steady clock
+     * @param peer the host and port at which the entry can be asked for records, if it tells of news
      * @param reader what it tells as one that reads the store itself
      */
-    record Heard(InetSocketAddress from, String host, Question question, long atMillis, Optional<Reader> reader) {
-
-        /** The host and port at which the entry that tells this can be asked for records. */
-        String peer(StoreNews news) {
-            return host + ":" + news.port();
-        }
-    }
+    record Heard(
+            InetSocketAddress from,
+            String host,
+            Question question,
+            long atMillis,
+            Optional<String> peer,
+            Optional<Reader> reader) {}
 
     /**
      * An entry that reads the store itself.
@@ -85,7 +86,8 @@
         String host = before != null && before.from().equals(from)
                 ? before.host()
                 : from.getAddress().getHostAddress();
-        Heard heard = new Heard(from, host, question, nowMillis, reader(host, question, nowMillis));
+        Optional<String> peer = question.news().map(news -> host + ":" + news.port());
+        Heard heard = new Heard(from, host, question, nowMillis, peer, reader(peer, question, nowMillis));
         entries.put(question.entry(), heard);
         return heard;
     }
@@ -94,16 +96,14 @@
      * What an entry knows of the store, if it reads that itself. Its question may have been long on its way; that it was sent after
      * the answer whose stamp it repeats is certain, so the age is counted from there. Without a stamp nothing is certain.
      */
-    private static Optional<Reader> reader(String host, Question question, long nowMillis) {
+    private static Optional<Reader> reader(Optional<String> peer, Question question, long nowMillis) {
         boolean certain = question.stamp().isPresent() && question.stamp().getAsLong() <= nowMillis;
         if (!certain || question.news().isEmpty() || !question.news().get().direct()) {
             return Optional.empty();
         }
         StoreNews news = question.news().get();
         return Optional.of(new Reader(
-                host + ":" + news.port(),
-                news.changes().operator(),
-                question.stamp().getAsLong() - news.knownMillisAgo()));
+                peer.orElseThrow(), news.changes().operator(), question.stamp().getAsLong() - news.knownMillisAgo()));
     }
 
     /**
@@ -147,7 +147,7 @@
         return new Others(
                 promptTokens,
                 Optional.ofNullable(first)
-                        .filter(reader -> !isAt(one, reader.peer()))
+                        .filter(reader -> !one.peer().equals(Optional.of(reader.peer())))
                         .map(reader -> reader.news(nowMillis)));
     }
 
@@ -156,11 +156,4 @@
                 && nowMillis - other.atMillis() <= READER_MILLIS
                 && nowMillis - other.reader().get().knownAtMillis() < trustMillis;
     }
-
-    private static boolean isAt(Heard heard, String peer) {
-        return heard.question()
-                .news()
-                .filter(news -> peer.equals(heard.peer(news)))
-                .isPresent();
-    }
 }
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -92,7 +92,7 @@
             LoadMessages.Received received = LoadMessages.receive(channel);
             Heard heard =
                     entries.hear(received.from(), LoadMessages.question(received.bytes()), steadyMillis.getAsLong());
-            heard.question().news().ifPresent(told -> news.accept(heard.peer(told), told));
+            heard.question().news().ifPresent(told -> news.accept(heard.peer().orElseThrow(), told));
             tell(heard);
         } catch (IOException e) {
             LOG.warn("event=load_question_lost why=\"{}\"", e.toString());
