--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -25,6 +25,7 @@
 import org.micabarrow.transport.LoadFeed;
 import org.micabarrow.transport.StoreNews;
 import org.micabarrow.views.LastChanges;
+import org.micabarrow.views.LeavingBound;
 import org.micabarrow.views.NamedVersions.Duty;
 import org.micabarrow.views.NewsReader;
 import org.micabarrow.views.StoreFollower;
@@ -38,17 +39,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(HostedEntryProcess.class);
 
-    /** The pause between reads of endpoints' entries, as a part of the time in which a leaving one must be left. */
-    private static final double ENDPOINTS_REST_PART = 0.25;
-
-    /**
-     * How long the store may hold a read of endpoints' entries, as a part of that time. A connection that fell silent shows after
-     * the rest, this and the answer's own time, together 2.2 s of two, well under the three seconds after which the users expect
-     * a process to be in touch again. Half as long costs a quarter more calls of the store (1,360 instead of 1,090 in 46 s of 17
-     * processes).
-     */
-    private static final double ENDPOINTS_HOLD_PART = 0.5;
-
     /**
      * How long the store may hold a read of what operators wrote, as a part of the time in which a manifest must be in force: what
      * the entry that reads for its region knows is as old as that at most, and the others must still have time to read the store
@@ -185,9 +175,7 @@
     private static Paces paces(HostedSettings.Bounds bounds) {
         return new Paces(
                 new Pace(part(bounds.configurationMillis(), OPERATOR_HOLD_PART), Duration.ZERO),
-                new Pace(
-                        part(bounds.drainMillis(), ENDPOINTS_HOLD_PART),
-                        part(bounds.drainMillis(), ENDPOINTS_REST_PART)));
+                LeavingBound.pace(Duration.ofMillis(bounds.drainMillis())));
     }
 
     private static Duration part(long millis, double part) {
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -22,6 +22,7 @@
 import org.micabarrow.transport.LinkPacer;
 import org.micabarrow.transport.PeerRecords;
 import org.micabarrow.views.LastChanges;
+import org.micabarrow.views.LeavingBound;
 import org.micabarrow.views.NamedVersions;
 import org.micabarrow.views.NamedVersions.Duty;
 import org.micabarrow.views.NewsReader;
@@ -49,12 +50,6 @@
      */
     static final Duration STORE_WAIT = Duration.ofMillis(1_500);
 
-    /**
-     * How long the store's answer may take beyond that. It answers in a few milliseconds; a slow one takes some fifty times as
-     * long, and beyond this it counts as silent.
-     */
-    private static final Duration STORE_ANSWER = Duration.ofMillis(700);
-
     /** The part of the link that weights may take where nothing else uses it; the heads of packets take the rest. */
     private static final double SHARE_ALONE = 0.96;
 
@@ -92,7 +87,7 @@
         this.fresh = HttpCaller.on(worker, 0);
         this.views = new ViewKeeper(new StoreRecords(), HostedNode::steadyMillis);
         this.peerRecords = new PeerRecords(kept, HostedNode::steadyMillis);
-        this.store = new StoreClient(kept, settings.store(), STORE_ANSWER, HostedNode::steadyMillis);
+        this.store = new StoreClient(kept, settings.store(), LeavingBound.STORE_ANSWER, HostedNode::steadyMillis);
         metrics.registerGauge(
                 "process.heapBytes",
                 () -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
@@ -179,7 +174,7 @@
             Paces paces,
             Supplier<List<String>> peers,
             Supplier<Duty> duty) {
-        VersionRecords records = new VersionRecords(kept, settings.store(), STORE_ANSWER);
+        VersionRecords records = new VersionRecords(kept, settings.store(), LeavingBound.STORE_ANSWER);
         Consumer<Topic> askPeer = topic -> askPeer(topic, peers.get());
         NamedVersions operator =
                 new NamedVersions(operatorReader, records, views, duty, () -> askPeer.accept(Topic.OPERATOR));
@@ -201,7 +196,10 @@
     /** Writes what this process tells others of crashes. */
     CrashRecords crashRecords() {
         return new CrashRecords(
-                kept, settings.store(), STORE_ANSWER, settings.instance().id());
+                kept,
+                settings.store(),
+                LeavingBound.STORE_ANSWER,
+                settings.instance().id());
     }
 
     /** Asks the next peer in turn for what it knows of a topic. */
--- a/src/main/java/org/micabarrow/transport/PeerRecords.java
+++ b/src/main/java/org/micabarrow/transport/PeerRecords.java
@@ -17,6 +17,7 @@
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Fault.Step;
 import org.micabarrow.state.Result;
+import org.micabarrow.views.LeavingBound;
 import org.micabarrow.views.StoredRecord;
 import org.micabarrow.views.Topic;
 import org.micabarrow.views.TopicReader.Batch;
@@ -26,9 +27,6 @@
 
     static final String PATH = "/records";
 
-    /** How long a peer may take: one round trip between regions and a few milliseconds of work. */
-    private static final Duration WITHIN = Duration.ofMillis(400);
-
     /** How long an answer that keeps coming may take: a large manifest over a narrow link, as from the store. */
     private static final Duration WHOLE = Duration.ofSeconds(10);
 
@@ -85,7 +83,7 @@
         URI uri = URI.create("http://" + peer + PATH + "?topic=" + topic + "&from=" + from);
         HttpCall call = HttpCall.get(Step.READ, uri);
         long sent = steadyMillis.getAsLong();
-        return caller.call(call, new AnswerLimits(WITHIN, WITHIN, within))
+        return caller.call(call, new AnswerLimits(LeavingBound.PEER_ANSWER, LeavingBound.PEER_ANSWER, within))
                 .flatMap(answer -> answer.status() == OK
                         ? read(peer, answer.body(), sent)
                         : Result.failure(
--- a/src/main/java/org/micabarrow/views/DropDoubts.java
+++ b/src/main/java/org/micabarrow/views/DropDoubts.java
@@ -20,7 +20,7 @@
      * How long after the store was away a dropped entry is doubted, in milliseconds: an endpoint that lives writes its
      * entry again within two seconds of the store's return.
      */
-    private static final long DOUBT_MILLIS = 2_300;
+    static final long DOUBT_MILLIS = 2_300;
 
     private final Map<String, Long> doubtedUntil = new HashMap<>();
     private final Set<String> dropped = new HashSet<>();
