The time in which an entry knows that an endpoint leaves is divided among all that delays it

Cause: pause, hold, time limits of the store and of peers were each chosen by themselves; together they passed the bound when the store fell silent. LeavingBound divides the bound and gives the pace; a peer is asked before the store is read a second time; two peers a round; no read is held beyond the end of a doubt.

Ruled out: a shorter limit for the store's answers, which a slow store needs. What more calls of the store this costs is not measured yet: 2.5 instead of 2 reads a second an entry by arithmetic, where endpoints write ten times a second.

--- a/src/main/java/org/micabarrow/views/DropDoubts.java
+++ b/src/main/java/org/micabarrow/views/DropDoubts.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.micabarrow.routing.EndpointEntry;
 
@@ -69,6 +70,11 @@
         doubtedUntil.remove(id);
     }
 
+    /** When the first doubt ends; empty if there is none. */
+    OptionalLong firstEndMillis() {
+        return doubtedUntil.values().stream().mapToLong(Long::longValue).min();
+    }
+
     /** Takes out the endpoints that have not come back in time. */
     List<String> takeOverdue(long nowMillis) {
         List<String> overdue = new ArrayList<>();
--- a/src/main/java/org/micabarrow/views/EndpointEntries.java
+++ b/src/main/java/org/micabarrow/views/EndpointEntries.java
@@ -1,10 +1,12 @@
 package org.micabarrow.views;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.micabarrow.routing.EndpointEntry;
@@ -53,6 +55,12 @@
         return Optional.of(left);
     }
 
+    /** A wait, or the time until the first doubt ends if that is less. */
+    Duration untilDoubtEnds(Duration wait, long nowMillis) {
+        OptionalLong end = doubts.firstEndMillis();
+        return end.isEmpty() ? wait : Duration.ofMillis(Math.clamp(end.getAsLong() - nowMillis, 0, wait.toMillis()));
+    }
+
     // -- records
 
     /** Records are read at once, each of which {@link #take} is given next. */
--- a/src/main/java/org/micabarrow/views/LeavingBound.java
+++ b/src/main/java/org/micabarrow/views/LeavingBound.java
@@ -18,23 +18,25 @@
     /** How long a peer's answer may take: one round trip between regions and a few milliseconds of work. */
     public static final Duration PEER_ANSWER = Duration.ofMillis(400);
 
-    private static final double REST_PART = 0.25;
-    private static final double HOLD_PART = 0.5;
+    /** The pause between two reads, as a part of the bound: twelve endpoints write ten times a second, and their entries come together. */
+    private static final double REST_PART = 0.2;
+
+    /** What is left for round trips and for work. */
+    private static final Duration RESERVE = Duration.ofMillis(100);
 
     private LeavingBound() {}
 
     /**
-     * How often entries read endpoints' entries.
+     * How often entries read endpoints' entries. At worst an endpoint leaves at the beginning of a pause, in which the store falls silent: its
+     * answer, that of a peer that is gone and that of the next peer are waited for in turn. The store holds a read for what these leave.
      *
      * @param bound within which an endpoint that leaves must get nothing new
      * @return the pace
      */
     public static StoreFollower.Pace pace(Duration bound) {
         Objects.requireNonNull(bound, "bound is null");
-        return new StoreFollower.Pace(part(bound, HOLD_PART), part(bound, REST_PART));
-    }
-
-    private static Duration part(Duration bound, double part) {
-        return Duration.ofMillis(Math.round(bound.toMillis() * part));
+        Duration rest = Duration.ofMillis(Math.round(bound.toMillis() * REST_PART));
+        Duration hold = bound.minus(rest).minus(STORE_ANSWER).minus(PEER_ANSWER).minus(RESERVE);
+        return new StoreFollower.Pace(hold.isNegative() ? Duration.ZERO : hold, rest);
     }
 }
--- a/src/main/java/org/micabarrow/views/StoreFollower.java
+++ b/src/main/java/org/micabarrow/views/StoreFollower.java
@@ -155,24 +155,33 @@
 
     private Result<Long> readOn() {
         boolean held = reachable && !foundWhileHeld;
-        return (reachable ? readAgainIfLost(held ? pace.hold() : Duration.ZERO) : read(Duration.ZERO)).map(read -> {
+        return (reachable ? readAgainIfLost(held ? hold() : Duration.ZERO) : read(Duration.ZERO)).map(read -> {
             regained();
             return take(read, held);
         });
     }
 
+    /** How long the store may hold the next read: no longer than until a doubt is over. */
+    private Duration hold() {
+        return topic == Topic.ENDPOINTS ? keeper.untilDoubtEnds(pace.hold()) : pace.hold();
+    }
+
     private Result<TopicReader.Read> read(Duration wait) {
         return reader.read(topic, keeper.end(topic), wait);
     }
 
     /**
      * Reads once more at once if no answer came: an open connection may be reset or fall silent for good while the store is
-     * well, and answers on a new one. Neither a peer nor a pause is in the way then, and no dropped entry is doubted.
+     * well, and answers on a new one. No pause is in the way then, and no dropped entry is doubted.
      */
     private Result<TopicReader.Read> readAgainIfLost(Duration wait) {
         Result<TopicReader.Read> first = read(wait);
         if (first instanceof Result.Failure<TopicReader.Read>(Fault fault) && ofConnection(fault)) {
             LOG.info("event=store_read_again topic={} why=\"{}\"", topic, fault);
+            if (topic == Topic.ENDPOINTS) {
+                // If the store is silent a peer knows sooner, and one more time limit would be over the bound.
+                askPeer.accept(topic);
+            }
             return read(Duration.ZERO);
         }
         return first;
@@ -191,9 +200,7 @@
                 confirm(batch);
                 foundWhileHeld =
                         topic == Topic.OPERATOR && held && !batch.records().isEmpty();
-                yield batch.records().isEmpty() || foundWhileHeld
-                        ? 0L
-                        : pace.rest().toMillis();
+                yield batch.records().isEmpty() || foundWhileHeld ? 0L : rest();
             }
             case TopicReader.Read.Expired ignored -> {
                 LOG.info("event=history_expired topic={} from={}", topic, keeper.end(topic));
@@ -203,6 +210,12 @@
         };
     }
 
+    private long rest() {
+        return topic == Topic.ENDPOINTS
+                ? keeper.untilDoubtEnds(pace.rest()).toMillis()
+                : pace.rest().toMillis();
+    }
+
     private void confirm(TopicReader.Batch batch) {
         if (topic == Topic.OPERATOR) {
             batch.asOfMillis().ifPresent(keeper::confirmOperator);
--- a/src/main/java/org/micabarrow/views/ViewKeeper.java
+++ b/src/main/java/org/micabarrow/views/ViewKeeper.java
@@ -1,5 +1,6 @@
 package org.micabarrow.views;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -190,6 +191,16 @@
                 .ifPresent(left -> view = view.withEndpoints(left));
     }
 
+    /**
+     * Shortens a wait after which doubted endpoints are to be looked at.
+     *
+     * @param wait the wait
+     * @return the wait, or the time until the first doubt ends if that is less
+     */
+    synchronized Duration untilDoubtEnds(Duration wait) {
+        return entries.untilDoubtEnds(wait, steadyMillis.getAsLong());
+    }
+
     // -- views
 
     private void publish(Topic topic, List<StoredRecord> news) {
