--- a/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -26,6 +27,7 @@
     private static final HttpString NOT_RUN = new HttpString("Not-Executed");
     private static final HttpString WEIGHT_VERSION = new HttpString("Weight-Versions");
     private static final HttpString LEAVING = new HttpString("Server-Leaving");
+    private static final HttpString LIMIT = new HttpString("Server-Limit");
     private static final int OK = 200;
     private static final int FAILED = 500;
     private static final int UNAVAILABLE = 503;
@@ -45,6 +47,7 @@
     private volatile Crashing crashing = body -> false;
     private volatile boolean leaving;
     private volatile boolean leavingByReports;
+    private volatile OptionalDouble limit = OptionalDouble.empty();
 
     /** How an endpoint ends. */
     public enum Ending {
@@ -127,6 +130,20 @@
         leavingByReports = true;
     }
 
+    /**
+     * Names a limit in all its answers to requests from now on.
+     *
+     * @param perSecond how many requests a second it takes
+     */
+    public void limit(double perSecond) {
+        limit = OptionalDouble.of(perSecond);
+    }
+
+    /** Names no limit any more. */
+    public void endLimit() {
+        limit = OptionalDouble.empty();
+    }
+
     /**
      * Looks at each request from now on whether the endpoint ends by it.
      *
@@ -154,6 +171,7 @@
     public void startAgain(long startedMillis, Ending ending) {
         leaving = false;
         leavingByReports = false;
+        endLimit();
         weights.startAgain(startedMillis, ending == Ending.CRASH);
     }
 
@@ -185,6 +203,7 @@
             if (report) {
                 weights.answer(same, body);
             } else {
+                limit.ifPresent(perSecond -> same.getResponseHeaders().put(LIMIT, String.valueOf(perSecond)));
                 request(same, body);
             }
         });
