A share is one request a period; messages about limits stand apart; a huge limit holds nothing back

EndpointLimitTest.shouldHoldNothingBackWhenLimitIsHuge: the number of entries that take part overflowed at limits over two thousand million a second, and nobody sent (by reading; the test was written with the change). The rest changes no behaviour.

--- a/src/main/java/org/micabarrow/limits/EndpointLimit.java
+++ b/src/main/java/org/micabarrow/limits/EndpointLimit.java
@@ -28,8 +28,10 @@
     private Optional<LimitNews> heard = Optional.empty();
     private Optional<LimitNews> newest = Optional.empty();
     private Optional<EntryRank> rank = Optional.empty();
-    private LimitShare share = new LimitShare.Unranked(1);
-    private boolean shared;
+
+    /** Empty while the entry takes no part. */
+    private Optional<LimitShare> share = Optional.empty();
+
     private long sinceMillis;
 
     /**
@@ -94,7 +96,7 @@
                 before.filter(known -> known instanceof LimitNews.Named(double was, long when) && was == perSecond)
                         .isEmpty();
             case LimitNews.Ended ignored -> {
-                shared = false;
+                share = Optional.empty();
                 yield before.filter(LimitNews.Named.class::isInstance).isPresent();
             }
         };
@@ -154,6 +156,9 @@
      * @return true also if there is no limit
      */
     public boolean allows(boolean agentTells, long nowMillis) {
+        if (newest.isEmpty()) {
+            return true;
+        }
         OptionalLong left = untilNextMillis(agentTells, nowMillis);
         return left.isPresent() && left.getAsLong() == 0;
     }
@@ -170,11 +175,10 @@
             return OptionalLong.of(0);
         }
         LimitNews.Named named = limit().get();
-        double perSecond = named.perSecond();
-        divide(named, agentTells, nowMillis);
-        return share.of(perSecond).isEmpty()
-                ? OptionalLong.empty()
-                : OptionalLong.of(Math.max(0, sinceMillis + periodMillis(perSecond) - nowMillis));
+        takePart(named, agentTells, nowMillis);
+        return share.isPresent()
+                ? OptionalLong.of(Math.max(0, sinceMillis + periodMillis(share.get(), named) - nowMillis))
+                : OptionalLong.empty();
     }
 
     /**
@@ -186,22 +190,28 @@
         sinceMillis = nowMillis;
     }
 
-    private long periodMillis(double perSecond) {
-        return Math.round(LimitShare.MILLIS_A_SECOND / share.of(perSecond).getAsDouble());
+    /** Works out the share. An entry that did not take part in this way before begins at a moment of its own. */
+    private void takePart(LimitNews.Named named, boolean agentTells, long nowMillis) {
+        LimitShare present = share(named, agentTells, nowMillis);
+        if (present.periodMillis(named.perSecond()).isEmpty()) {
+            share = Optional.empty();
+            return;
+        }
+        if (share.filter(before -> before.getClass() == present.getClass()).isEmpty()) {
+            long first = present.firstAfterMillis(named.perSecond(), random.nextDouble());
+            sinceMillis = nowMillis + first - periodMillis(present, named);
+        }
+        share = Optional.of(present);
     }
 
-    /** Works out the share; an entry that did not take part in this way before begins at a moment of its own. */
-    private void divide(LimitNews.Named named, boolean agentTells, long nowMillis) {
-        double perSecond = named.perSecond();
-        boolean took = shared;
-        LimitShare before = share;
+    private LimitShare share(LimitNews.Named named, boolean agentTells, long nowMillis) {
         boolean lately = nowMillis - named.atMillis() <= COUNTED_MILLIS;
-        share = agentTells && lately && rank.isPresent()
+        return agentTells && lately && rank.isPresent()
                 ? new LimitShare.Ranked(rank.get())
                 : new LimitShare.Unranked(entries.count());
-        shared = share.of(perSecond).isPresent();
-        if (shared && (!took || before.getClass() != share.getClass())) {
-            sinceMillis = nowMillis + share.firstAfterMillis(perSecond, random.nextDouble()) - periodMillis(perSecond);
-        }
+    }
+
+    private static long periodMillis(LimitShare share, LimitNews.Named named) {
+        return share.periodMillis(named.perSecond()).orElseThrow();
     }
 }
--- a/src/main/java/org/micabarrow/limits/LimitShare.java
+++ b/src/main/java/org/micabarrow/limits/LimitShare.java
@@ -1,10 +1,13 @@
 package org.micabarrow.limits;
 
-import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
-/** The part of an endpoint's limit that is one entry's. */
+/** The part of an endpoint's limit that is one entry's: one request a period. */
 public sealed interface LimitShare {
 
+    /** Milliseconds in a second. */
+    double MILLIS_A_SECOND = 1_000;
+
     /** The entries that share a limit, beyond one for each request a second: each may begin with one request in the same instant. */
     int ENTRIES_AT_ONCE = 3;
 
@@ -14,23 +17,23 @@
      */
     double UNRANKED_PART = 0.5;
 
-    /** The least that an entry's share is worked out of, in requests a second: without any request the end of a limit never shows. */
+    /** The least limit that is shared, in requests a second: without any request its end would never show. */
     double LEAST_PER_SECOND = 0.1;
 
     /**
-     * How often the entry may send.
+     * How far apart the entry's requests are.
      *
      * @param perSecond the limit
-     * @return requests a second; empty if it sends none
+     * @return milliseconds; empty if the entry sends none
      */
-    OptionalDouble of(double perSecond);
+    OptionalLong periodMillis(double perSecond);
 
     /**
      * When the entry's first request may follow what made its share.
      *
      * @param perSecond the limit
      * @param random a number from 0 to 1
-     * @return milliseconds; of no use if it sends none
+     * @return milliseconds; of no use if the entry sends none
      */
     long firstAfterMillis(double perSecond, double random);
 
@@ -41,19 +44,17 @@
      */
     record Ranked(EntryRank rank) implements LimitShare {
 
-        private int sharing(double perSecond) {
-            return Math.min(rank.entries(), ENTRIES_AT_ONCE + (int) perSecond);
-        }
-
         @Override
-        public OptionalDouble of(double perSecond) {
-            int sharing = sharing(perSecond);
-            return rank.rank() < sharing ? OptionalDouble.of(atLeast(perSecond) / sharing) : OptionalDouble.empty();
+        public OptionalLong periodMillis(double perSecond) {
+            double sharing = Math.min(rank.entries(), ENTRIES_AT_ONCE + Math.floor(perSecond));
+            return rank.rank() < sharing
+                    ? OptionalLong.of(millisFor(sharing, atLeast(perSecond)))
+                    : OptionalLong.empty();
         }
 
         @Override
         public long firstAfterMillis(double perSecond, double random) {
-            return Math.round((rank.rank() + 1) * MILLIS_A_SECOND / atLeast(perSecond));
+            return millisFor(rank.rank() + 1, atLeast(perSecond));
         }
     }
 
@@ -65,20 +66,21 @@
     record Unranked(int entries) implements LimitShare {
 
         @Override
-        public OptionalDouble of(double perSecond) {
-            return OptionalDouble.of(UNRANKED_PART * atLeast(perSecond) / entries);
+        public OptionalLong periodMillis(double perSecond) {
+            return OptionalLong.of(millisFor(entries, UNRANKED_PART * atLeast(perSecond)));
         }
 
         @Override
         public long firstAfterMillis(double perSecond, double random) {
-            return Math.round(random * MILLIS_A_SECOND / of(perSecond).getAsDouble());
+            return millisFor(random * entries, UNRANKED_PART * atLeast(perSecond));
         }
     }
 
-    /** Converts seconds. */
-    double MILLIS_A_SECOND = 1_000;
-
     private static double atLeast(double perSecond) {
         return Math.max(perSecond, LEAST_PER_SECOND);
     }
+
+    private static long millisFor(double requests, double perSecond) {
+        return Math.round(requests * MILLIS_A_SECOND / perSecond);
+    }
 }
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -312,6 +312,16 @@
         return limit;
     }
 
+    /**
+     * Whether this entry's part of the limit allows a request.
+     *
+     * @param nowMillis the time on the steady clock
+     * @return true also if there is no limit
+     */
+    public boolean limitAllows(long nowMillis) {
+        return limit.allows(toldLately(nowMillis), nowMillis);
+    }
+
     /**
      * How long it takes until this entry's part of the limit allows a request.
      *
--- a/src/main/java/org/micabarrow/routing/KnownEndpoint.java
+++ b/src/main/java/org/micabarrow/routing/KnownEndpoint.java
@@ -28,8 +28,7 @@
 
     /** Whether this process's part of its limit allows a request. */
     boolean withinLimit(long nowMillis) {
-        OptionalLong left = load.untilLimitAllowsMillis(nowMillis);
-        return left.isPresent() && left.getAsLong() == 0;
+        return load.limitAllows(nowMillis);
     }
 
     /** How long it takes until the limit of one of some allows a request; empty if all are left to other entries. */
--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -8,7 +8,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.micabarrow.limits.EntryRank;
@@ -27,7 +26,7 @@
     private static final int MOST_BYTES = 512;
 
     /** What a question takes without its news and the entry's name, in bytes. */
-    private static final int QUESTION_BYTES = 4 * Integer.BYTES + Long.BYTES + 4;
+    private static final int QUESTION_BYTES = 4 * Integer.BYTES + Long.BYTES + 3;
 
     /** What news take without the place of the manifest, in bytes. */
     private static final int NEWS_BYTES = Integer.BYTES + 4 * Long.BYTES + 2;
@@ -35,13 +34,7 @@
     private static final int PLACE_BYTES = 2 * Long.BYTES;
 
     /** What an answer takes without the start of the endpoint and the reader of the region, in bytes. */
-    private static final int ANSWER_BYTES = 4 * Integer.BYTES + 2 * Long.BYTES + 5;
-
-    /** What an entry's rank takes, in bytes. */
-    private static final int RANK_BYTES = 2 * Short.BYTES;
-
-    /** What is said of a limit takes, in bytes. */
-    private static final int LIMIT_BYTES = 2 * Integer.BYTES + Double.BYTES + 1;
+    private static final int ANSWER_BYTES = 4 * Integer.BYTES + 2 * Long.BYTES + 3;
 
     /** What the reader of the region takes without its address, in bytes. */
     private static final int READER_BYTES = Integer.BYTES + 2 * Long.BYTES;
@@ -143,7 +136,7 @@
     static ByteBuffer write(Question question) {
         byte[] entry = question.entry().getBytes(StandardCharsets.UTF_8);
         int newsBytes = question.news().map(LoadMessages::size).orElse(0);
-        int limitBytes = question.limit().isPresent() ? LIMIT_BYTES : 0;
+        int limitBytes = LimitBytes.ofLimit(question.limit());
         ByteBuffer datagram = ByteBuffer.allocate(QUESTION_BYTES + newsBytes + limitBytes + entry.length);
         datagram.putInt(question.number());
         datagram.putInt(question.promptTokens());
@@ -153,7 +146,7 @@
         datagram.putLong(question.stamp().orElse(0));
         datagram.put(flag(question.news().isPresent()));
         question.news().ifPresent(news -> write(datagram, news));
-        write(datagram, question.limit());
+        LimitBytes.writeLimit(datagram, question.limit());
         datagram.putInt(entry.length);
         datagram.put(entry);
         return datagram.flip();
@@ -168,7 +161,7 @@
             boolean stamped = flag(datagram);
             long stamp = datagram.getLong();
             Optional<StoreNews> news = flag(datagram) ? Optional.of(news(datagram)) : Optional.empty();
-            Optional<LimitWord> limit = limit(datagram);
+            Optional<LimitWord> limit = LimitBytes.readLimit(datagram);
             String entry = text(datagram);
             OptionalLong answered = stamped ? OptionalLong.of(stamp) : OptionalLong.empty();
             return new Question(entry, promptTokens, number, unmet, near, news, answered, limit);
@@ -261,9 +254,8 @@
         int startBytes = told.start().isPresent() ? Integer.BYTES : 0;
         byte[] peer = answer.reader().map(ReaderNews::peer).orElse("").getBytes(StandardCharsets.UTF_8);
         int readerBytes = answer.reader().isPresent() ? READER_BYTES + peer.length : 0;
-        int rankBytes = answer.rank().isPresent() ? RANK_BYTES : 0;
-        int limitBytes = answer.limit().isPresent() ? LIMIT_BYTES : 0;
-        ByteBuffer datagram = ByteBuffer.allocate(ANSWER_BYTES + startBytes + readerBytes + rankBytes + limitBytes);
+        int limitBytes = LimitBytes.ofRank(answer.rank()) + LimitBytes.ofLimit(answer.limit());
+        ByteBuffer datagram = ByteBuffer.allocate(ANSWER_BYTES + startBytes + readerBytes + limitBytes);
         datagram.putInt(answer.number());
         datagram.putInt(told.requests());
         datagram.putInt(told.othersPromptTokens());
@@ -280,12 +272,8 @@
             datagram.put(peer);
         });
         datagram.putLong(answer.stampMillis());
-        datagram.put(flag(answer.rank().isPresent()));
-        answer.rank().ifPresent(rank -> {
-            datagram.putShort((short) rank.rank());
-            datagram.putShort((short) rank.entries());
-        });
-        write(datagram, answer.limit());
+        LimitBytes.writeRank(datagram, answer.rank());
+        LimitBytes.writeLimit(datagram, answer.limit());
         return datagram.flip();
     }
 
@@ -312,10 +300,8 @@
                     (state & LEAVING) != 0);
             Optional<ReaderNews> reader = flag(datagram) ? Optional.of(reader(datagram)) : Optional.empty();
             long stamp = datagram.getLong();
-            Optional<EntryRank> rank = flag(datagram)
-                    ? Optional.of(new EntryRank(datagram.getShort(), datagram.getShort()))
-                    : Optional.empty();
-            return new Answer(number, told, reader, stamp, rank, limit(datagram));
+            Optional<EntryRank> rank = LimitBytes.readRank(datagram);
+            return new Answer(number, told, reader, stamp, rank, LimitBytes.readLimit(datagram));
         });
     }
 
@@ -327,27 +313,6 @@
 
     // -- either
 
-    private static void write(ByteBuffer datagram, Optional<LimitWord> limit) {
-        datagram.put(flag(limit.isPresent()));
-        limit.ifPresent(word -> {
-            datagram.putInt(word.endpoint());
-            datagram.put(flag(word.perSecond().isPresent()));
-            datagram.putDouble(word.perSecond().orElse(0));
-            datagram.putInt(word.millisAgo());
-        });
-    }
-
-    private static Optional<LimitWord> limit(ByteBuffer datagram) {
-        if (!flag(datagram)) {
-            return Optional.empty();
-        }
-        int endpoint = datagram.getInt();
-        boolean named = flag(datagram);
-        double perSecond = datagram.getDouble();
-        OptionalDouble limit = named ? OptionalDouble.of(perSecond) : OptionalDouble.empty();
-        return Optional.of(new LimitWord(endpoint, limit, datagram.getInt()));
-    }
-
     /**
      * A datagram as it came in.
      *
--- a/src/test/java/org/micabarrow/limits/EndpointLimitTest.java
+++ b/src/test/java/org/micabarrow/limits/EndpointLimitTest.java
@@ -28,9 +28,13 @@
     }
 
     private int sentIn(long millis) {
+        return sentIn(millis, AGENT_TELLS);
+    }
+
+    private int sentIn(long millis, boolean agentTells) {
         int sent = 0;
         for (long end = now + millis; now < end; now += 10) {
-            if (limit.allows(AGENT_TELLS, now)) {
+            if (limit.allows(agentTells, now)) {
                 limit.sent(now);
                 sent++;
             }
@@ -97,14 +101,7 @@
     @Test
     void shouldSendLessWhenNobodyTellsHowManyEntriesThereAre() {
         limit.named(64, now);
-        int sent = 0;
-        for (long end = now + 20_000; now < end; now += 10) {
-            if (limit.allows(!AGENT_TELLS, now)) {
-                limit.sent(now);
-                sent++;
-            }
-        }
-        assertEquals(10, sent, 1);
+        assertEquals(10, sentIn(20_000, !AGENT_TELLS), 1);
     }
 
     @Test
@@ -113,6 +110,15 @@
         assertEquals(2, sentIn(20_100));
     }
 
+    @ParameterizedTest
+    @ValueSource(doubles = {1e6, 1e12, Double.MAX_VALUE})
+    void shouldHoldNothingBackWhenLimitIsHuge(double perSecond) {
+        limit.ranked(new EntryRank(59, 60));
+        limit.named(perSecond, now);
+        now += 1;
+        assertEquals(100, sentIn(1_000));
+    }
+
     // -- what is said
 
     @Test
