--- a/src/test/java/org/micabarrow/process/HostedSoakTest.java
+++ b/src/test/java/org/micabarrow/process/HostedSoakTest.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -22,6 +23,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.micabarrow.Await;
 import org.micabarrow.clock.SteadyClock;
+import org.micabarrow.platform.standin.HostedEndpointStandin;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.platform.standin.Received;
@@ -31,8 +33,8 @@
 import org.micabarrow.transport.HttpCaller.HttpAnswer;
 
 /**
- * Entries over sockets while requests end endpoints, endpoints say that they leave, ask for rest, are killed and fail, entries start
- * again and the store is silent, in series and at once, as a seed decides. What must hold is looked up afterwards in what the endpoints
+ * Entries over sockets while requests end endpoints, endpoints say that they leave, ask for rest, name limits, are killed and fail, entries
+ * start again and the store is silent, in series and at once, as a seed decides. What must hold is looked up afterwards in what the endpoints
  * received. With the property {@code soakSeeds} more seeds are played.
  */
 class HostedSoakTest {
@@ -62,6 +64,12 @@
     private static final long REST_MILLIS = 3_000;
     private static final int MOST_WHILE_RESTING = 2;
 
+    /** From when on after it was first named a limit holds, by entries that were told of it so long before. */
+    private static final long LIMIT_HEEDED_MILLIS = 3_000;
+
+    private static final long LIMIT_TOLD_MILLIS = 500;
+    private static final long LIMIT_WINDOW_MILLIS = 4_000;
+
     private static final Set<Integer> ENDINGS = Set.of(0, 200, 500, 502, 503, 504);
 
     static Stream<Long> seeds() {
@@ -98,6 +106,17 @@
         /** In every other seed the store is there all the time. */
         private final boolean storeFalls;
 
+        private final List<Limit> limits = new ArrayList<>();
+
+        /** A limit that an endpoint named, until a moment that is the end of time at first. */
+        private record Limit(
+                String id, HostedEndpointStandin endpoint, double perSecond, long fromMillis, long untilMillis) {
+
+            private double most() {
+                return 1.5 * perSecond * LIMIT_WINDOW_MILLIS / 1_000 + 5;
+            }
+        }
+
         /** What happened when, to be shown with what did not hold. */
         private final List<String> course = new CopyOnWriteArrayList<>();
 
@@ -142,6 +161,10 @@
                     restart(random.nextInt(ENTRIES));
                 } else if (draw < 0.44 && storeFalls) {
                     silence(!silent);
+                } else if (draw < 0.46) {
+                    limit();
+                } else if (draw < 0.465) {
+                    endLimit();
                 }
                 askMany();
             }
@@ -179,6 +202,26 @@
             replace(plain);
         }
 
+        private void limit() {
+            String id = serving("plain-", "model-");
+            HostedEndpointStandin endpoint = platform.endpoint(id);
+            if (limits.stream().noneMatch(limit -> limit.endpoint() == endpoint)) {
+                double perSecond = 0.5 + 4 * random.nextDouble();
+                endpoint.limit(perSecond);
+                limits.add(new Limit(id, endpoint, perSecond, SteadyClock.millis(), Long.MAX_VALUE));
+                course.add(SteadyClock.millis() + " " + id + " takes " + perSecond + " a second");
+            }
+        }
+
+        private void endLimit() {
+            if (!limits.isEmpty()) {
+                Limit old = limits.remove(random.nextInt(limits.size()));
+                old.endpoint().endLimit();
+                limits.add(
+                        new Limit(old.id(), old.endpoint(), old.perSecond(), old.fromMillis(), SteadyClock.millis()));
+            }
+        }
+
         private void kill() {
             String id = serving("plain-", "model-");
             platform.crash(id);
@@ -246,6 +289,10 @@
                 assertEquals(List.of(), afterLeaving(endpoint.received()), id + " leaves, seed " + seed);
                 assertEquals(List.of(), whileResting(endpoint.received()), id + " rests, seed " + seed);
             });
+            limits.forEach(limit -> assertEquals(
+                    List.of(),
+                    overLimit(limit),
+                    limit.id() + " takes " + limit.perSecond() + " a second, seed " + seed + course));
         }
 
         /** While the store is silent, which it is in short turns, entries cannot tell each other: each counts what it noticed. */
@@ -334,6 +381,30 @@
             return tooMany;
         }
 
+        /** Windows in which an endpoint got more than it had said, from entries that had passed that on half a second before. */
+        private static List<String> overLimit(Limit limit) {
+            Map<String, Long> told = new HashMap<>();
+            List<Long> counted = new ArrayList<>();
+            for (Received request : limit.endpoint().received()) {
+                long at = request.atMillis();
+                Long since = told.get(entry(request));
+                if (since != null && at - since >= LIMIT_TOLD_MILLIS && at < limit.untilMillis()) {
+                    counted.add(at);
+                }
+                if (at >= limit.fromMillis() && request.does().equals(Optional.of(Behaviour.ANSWER))) {
+                    told.putIfAbsent(entry(request), at);
+                }
+            }
+            return counted.stream()
+                    .filter(from -> from >= limit.fromMillis() + LIMIT_HEEDED_MILLIS)
+                    .filter(from -> counted.stream()
+                                    .filter(at -> at >= from && at < from + LIMIT_WINDOW_MILLIS)
+                                    .count()
+                            > limit.most())
+                    .map(from -> "more than " + limit.most() + " from " + from)
+                    .toList();
+        }
+
         @Override
         public void close() throws Exception {
             stopping.forEach(CompletableFuture::join);
--- a/src/test/java/org/micabarrow/serving/LateSendingTest.java
+++ b/src/test/java/org/micabarrow/serving/LateSendingTest.java
@@ -102,10 +102,6 @@
         afterDecision.set(() -> clockMillis.addAndGet(millis));
     }
 
-    private int received(String endpoint) {
-        return platform.endpoint(endpoint).received().size();
-    }
-
     private long told(String endpoint) {
         return Long.parseLong(
                 platform.endpoint(endpoint).received().getFirst().headers().get("Deadline-Ms"));
--- a/src/test/java/org/micabarrow/serving/LimitTest.java
+++ b/src/test/java/org/micabarrow/serving/LimitTest.java
@@ -9,9 +9,6 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.Await;
-import org.micabarrow.coordination.admission.RetryBudget;
-import org.micabarrow.platform.EndpointHeaders;
-import org.micabarrow.serving.ServingHandler.VersionTimes;
 import org.micabarrow.transport.HttpCaller.HttpAnswer;
 
 /** Guards against sending an endpoint more requests a second than it says that it takes. */
@@ -26,17 +23,7 @@
 
     @BeforeEach
     void start() {
-        platform.manifest(2, "key-a", WITHIN.toMillis());
-        platform.add("plain-1", "plain", 0);
-    }
-
-    private void serve() throws IOException {
-        VersionTimes never = new VersionTimes(NEVER_MILLIS, NEVER_MILLIS, NEVER_MILLIS);
-        serve(new EndpointHeaders(), new RetryBudget(0, 1_000), (endpoint, then) -> then.accept(true), never);
-    }
-
-    private int received(String endpoint) {
-        return platform.endpoint(endpoint).received().size();
+        onePlainEndpoint();
     }
 
     /** Ten requests a second; returns their statuses. */
@@ -65,7 +52,7 @@
 
     @Test
     void shouldSendNoMoreThanEndpointTakesWhenItNamesLimit() throws IOException {
-        serve();
+        serveWithoutVersions();
         askFor(2_000);
         platform.endpoint("plain-1").limit(1);
         long namedAt = clockMillis.get();
@@ -82,7 +69,7 @@
     @Test
     void shouldServeElsewhereWhatIsOverLimit() throws IOException {
         platform.add("plain-2", "plain", 0);
-        serve();
+        serveWithoutVersions();
         Await.until("the endpoints", () -> views.view().endpoints().size() == 2);
         platform.endpoint("plain-1").limit(0.5);
         long namedAt = clockMillis.get();
@@ -96,7 +83,7 @@
 
     @Test
     void shouldTellClientWhenToComeBackWhenOverLimit() throws IOException {
-        serve();
+        serveWithoutVersions();
         platform.endpoint("plain-1").limit(0.1);
         assertEquals(200, ask("/once/x").status());
         HttpAnswer refused = ask("/once/x");
@@ -107,7 +94,7 @@
 
     @Test
     void shouldSendAsBeforeWhenEndpointNamesNoLimitAnyMore() throws IOException {
-        serve();
+        serveWithoutVersions();
         platform.endpoint("plain-1").limit(50);
         askFor(5_000);
         platform.endpoint("plain-1").endLimit();
--- a/src/test/java/org/micabarrow/serving/RestTest.java
+++ b/src/test/java/org/micabarrow/serving/RestTest.java
@@ -6,11 +6,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.Await;
-import org.micabarrow.coordination.admission.RetryBudget;
-import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.platform.standin.HostedSystem;
-import org.micabarrow.serving.ServingHandler.VersionTimes;
 import org.micabarrow.transport.HttpCaller.HttpAnswer;
 import org.micabarrow.transport.Ignoring;
 
@@ -29,22 +26,12 @@
 
     @BeforeEach
     void start() {
-        platform.manifest(2, "key-a", WITHIN.toMillis());
-        platform.add("plain-1", "plain", 0);
-    }
-
-    private void serve() throws IOException {
-        VersionTimes never = new VersionTimes(NEVER_MILLIS, NEVER_MILLIS, NEVER_MILLIS);
-        serve(new EndpointHeaders(), new RetryBudget(0, 1_000), (endpoint, then) -> then.accept(true), never);
-    }
-
-    private int received(String endpoint) {
-        return platform.endpoint(endpoint).received().size();
+        onePlainEndpoint();
     }
 
     @Test
     void shouldSendNothingWhileEndpointRests() throws IOException {
-        serve();
+        serveWithoutVersions();
         platform.next(Behaviour.REFUSE_AND_REST);
         assertEquals(503, ask("/again/x").status());
         for (long passed = 100; passed < REST_MILLIS; passed += 100) {
@@ -61,7 +48,7 @@
 
     @Test
     void shouldTellWhenToComeBackWhenOnlyEndpointBeginsToRest() throws IOException {
-        serve();
+        serveWithoutVersions();
         platform.next(Behaviour.REFUSE_AND_REST);
         HttpAnswer refused = ask("/once/x");
         assertEquals(503, refused.status());
@@ -71,7 +58,7 @@
     @Test
     void shouldServeWithTheOtherWhileOneRests() throws IOException {
         platform.add("plain-2", "plain", 0);
-        serve();
+        serveWithoutVersions();
         Await.until("the endpoints", () -> views.view().endpoints().size() == 2);
         platform.next(Behaviour.REFUSE_AND_REST);
         String awake = ask("/once/x").headers().get("Instance-Id");
@@ -82,7 +69,7 @@
 
     @Test
     void shouldServeAtOnceWhenRestEndedWhileInstanceWasSuspended() throws IOException {
-        serve();
+        serveWithoutVersions();
         platform.next(Behaviour.REFUSE_AND_REST);
         assertEquals(503, ask("/again/x").status());
         clockMillis.addAndGet(60_000);
@@ -91,7 +78,7 @@
 
     @Test
     void shouldLetOneRequestGoFirstWhenRestIsOver() throws IOException {
-        serve();
+        serveWithoutVersions();
         platform.next(Behaviour.REFUSE_AND_REST);
         ask("/again/x");
         clockMillis.addAndGet(REST_MILLIS);
--- a/src/test/java/org/micabarrow/serving/ServingFixture.java
+++ b/src/test/java/org/micabarrow/serving/ServingFixture.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.RequestHeaders;
 import org.micabarrow.platform.StoreRecords;
 import org.micabarrow.platform.standin.HostedSystem;
@@ -88,6 +89,23 @@
         FollowedStore.follow(client, settings, WITHIN, views);
     }
 
+    /** A manifest, and one plain endpoint. */
+    final void onePlainEndpoint() {
+        platform.manifest(2, "key-a", WITHIN.toMillis());
+        platform.add("plain-1", "plain", 0);
+    }
+
+    /** Serves where no weight version is ever named. */
+    final void serveWithoutVersions() throws IOException {
+        ServingHandler.VersionTimes never = new ServingHandler.VersionTimes(NEVER_MILLIS, NEVER_MILLIS, NEVER_MILLIS);
+        serve(new EndpointHeaders(), new RetryBudget(0, 1_000), (endpoint, then) -> then.accept(true), never);
+    }
+
+    /** How many requests have reached an endpoint. */
+    final int received(String endpoint) {
+        return platform.endpoint(endpoint).received().size();
+    }
+
     /** Takes a step on the thread for traffic, has the entry look after its requests there, and waits until both are done. */
     final void lookAfterRequests(Runnable before) throws Exception {
         CompletableFuture<Void> looked = new CompletableFuture<>();
