Soak names limits that hold for long; reads of endpoints' entries pause as before and are always held

LeavingBound: the pause is a quarter of the bound again, as it was before; a read is held for 0.1 s at least, or a store in which nothing changes would be read without a pause where the bound is short. Ranks are worked out when an entry comes or goes, not compared for each answer.

--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -142,7 +142,7 @@
         }
     }
 
-    /** Whether an endpoint takes one more request of this entry in this second. */
+    /** Whether an endpoint's limit allows this entry a request now. */
     boolean withinLimit(EndpointEntry endpoint) {
         return given.choice().withinLimit(endpoint, nowMillis());
     }
--- a/src/main/java/org/micabarrow/transport/EntriesHeard.java
+++ b/src/main/java/org/micabarrow/transport/EntriesHeard.java
@@ -26,6 +26,8 @@
     private final Map<String, Heard> entries = new HashMap<>();
 
     private final String agent;
+
+    /** Empty after an entry has come or gone. */
     private Map<String, EntryRank> ranks = Map.of();
 
     /** When the first entry was heard. */
@@ -98,6 +100,9 @@
                 : from.getAddress().getHostAddress();
         Optional<String> peer = question.news().map(news -> host + ":" + news.port());
         Heard heard = new Heard(from, host, question, nowMillis, peer, reader(peer, question, nowMillis));
+        if (before == null) {
+            ranks = Map.of();
+        }
         entries.put(question.entry(), heard);
         firstMillis = Math.min(firstMillis, nowMillis);
         return heard;
@@ -145,6 +150,7 @@
             Heard other = each.next();
             if (nowMillis - other.atMillis() > COUNTED_MILLIS) {
                 each.remove();
+                ranks = Map.of();
                 continue;
             }
             if (!other.question().entry().equals(one.question().entry())) {
@@ -168,7 +174,7 @@
         if (nowMillis - firstMillis < COUNTED_MILLIS) {
             return Optional.empty();
         }
-        if (!ranks.keySet().equals(entries.keySet())) {
+        if (ranks.isEmpty()) {
             ranks = EntryRank.ranks(entries.keySet(), agent);
         }
         return Optional.ofNullable(ranks.get(one.question().entry()));
--- a/src/main/java/org/micabarrow/views/LeavingBound.java
+++ b/src/main/java/org/micabarrow/views/LeavingBound.java
@@ -19,16 +19,20 @@
     public static final Duration PEER_ANSWER = Duration.ofMillis(400);
 
     /** The pause between two reads, as a part of the bound: twelve endpoints write ten times a second, and their entries come together. */
-    private static final double REST_PART = 0.2;
+    private static final double REST_PART = 0.25;
 
     /** What is left for round trips and for work. */
     private static final Duration RESERVE = Duration.ofMillis(100);
 
+    /** The least time for which a read is held. Without any, a store in which nothing changes would be read without a pause. */
+    private static final Duration LEAST_HOLD = Duration.ofMillis(100);
+
     private LeavingBound() {}
 
     /**
      * How often entries read endpoints' entries. At worst an endpoint leaves at the beginning of a pause, in which the store falls silent: its
-     * answer, that of a peer that is gone and that of the next peer are waited for in turn. The store holds a read for what these leave.
+     * answer, that of a peer that is gone and that of the next peer are waited for in turn. The store holds a read for what these leave,
+     * so that a bound of 1.8 s or more is kept.
      *
      * @param bound within which an endpoint that leaves must get nothing new
      * @return the pace
@@ -37,6 +41,6 @@
         Objects.requireNonNull(bound, "bound is null");
         Duration rest = Duration.ofMillis(Math.round(bound.toMillis() * REST_PART));
         Duration hold = bound.minus(rest).minus(STORE_ANSWER).minus(PEER_ANSWER).minus(RESERVE);
-        return new StoreFollower.Pace(hold.isNegative() ? Duration.ZERO : hold, rest);
+        return new StoreFollower.Pace(hold.compareTo(LEAST_HOLD) < 0 ? LEAST_HOLD : hold, rest);
     }
 }
--- a/src/test/java/org/micabarrow/process/HostedSoakTest.java
+++ b/src/test/java/org/micabarrow/process/HostedSoakTest.java
@@ -47,6 +47,10 @@
     private static final int REQUESTS_A_STEP = 8;
     private static final Duration WITHIN = Duration.ofSeconds(10);
     private static final List<String> CRASHING = List.of("ends whoever runs it", "does so too");
+
+    /** Endpoints that are not made to leave and not killed, so that their limits hold for long; an agent is beside the second. */
+    private static final List<String> SPARED = List.of("spared-plain", "spared-model");
+
     private static final List<String> PATHS = List.of("/once/x", "/again/x", "/stream/x");
 
     /** How many ends tell that a request causes them. */
@@ -64,10 +68,9 @@
     private static final long REST_MILLIS = 3_000;
     private static final int MOST_WHILE_RESTING = 2;
 
-    /** From when on after it was first named a limit holds, by entries that were told of it so long before. */
-    private static final long LIMIT_HEEDED_MILLIS = 3_000;
-
+    /** How long after it was told of a limit an entry keeps to it. */
     private static final long LIMIT_TOLD_MILLIS = 500;
+
     private static final long LIMIT_WINDOW_MILLIS = 4_000;
 
     private static final Set<Integer> ENDINGS = Set.of(0, 200, 500, 502, 503, 504);
@@ -127,7 +130,9 @@
             CRASHING.forEach(platform::crashOn);
             IntStream.range(0, PLAIN).forEach(i -> platform.add("plain-" + i, "plain", 0));
             IntStream.range(0, MODELS).forEach(i -> platform.add("model-" + i, "models", 1));
-            this.beside = platform.agent("model-0");
+            platform.add(SPARED.getFirst(), "plain", 0);
+            platform.add(SPARED.getLast(), "models", 1);
+            this.beside = platform.agent(SPARED.getLast());
             HostedAgentProcess.start(beside);
             for (int i = 0; i < ENTRIES; i++) {
                 settings.add(platform.entryAsking(beside));
@@ -203,23 +208,28 @@
         }
 
         private void limit() {
-            String id = serving("plain-", "model-");
-            HostedEndpointStandin endpoint = platform.endpoint(id);
-            if (limits.stream().noneMatch(limit -> limit.endpoint() == endpoint)) {
+            String id = SPARED.get(random.nextInt(SPARED.size()));
+            if (platform.endpoints().containsKey(id) && holding(id).isEmpty()) {
                 double perSecond = 0.5 + 4 * random.nextDouble();
-                endpoint.limit(perSecond);
-                limits.add(new Limit(id, endpoint, perSecond, SteadyClock.millis(), Long.MAX_VALUE));
+                platform.endpoint(id).limit(perSecond);
+                limits.add(new Limit(id, platform.endpoint(id), perSecond, SteadyClock.millis(), Long.MAX_VALUE));
                 course.add(SteadyClock.millis() + " " + id + " takes " + perSecond + " a second");
             }
         }
 
+        private Optional<Limit> holding(String id) {
+            return limits.stream()
+                    .filter(limit -> limit.id().equals(id) && limit.untilMillis() == Long.MAX_VALUE)
+                    .findFirst();
+        }
+
         private void endLimit() {
-            if (!limits.isEmpty()) {
-                Limit old = limits.remove(random.nextInt(limits.size()));
+            holding(SPARED.get(random.nextInt(SPARED.size()))).ifPresent(old -> {
                 old.endpoint().endLimit();
+                limits.remove(old);
                 limits.add(
                         new Limit(old.id(), old.endpoint(), old.perSecond(), old.fromMillis(), SteadyClock.millis()));
-            }
+            });
         }
 
         private void kill() {
@@ -396,7 +406,6 @@
                 }
             }
             return counted.stream()
-                    .filter(from -> from >= limit.fromMillis() + LIMIT_HEEDED_MILLIS)
                     .filter(from -> counted.stream()
                                     .filter(at -> at >= from && at < from + LIMIT_WINDOW_MILLIS)
                                     .count()
--- a/src/test/java/org/micabarrow/views/LeavingDelayTest.java
+++ b/src/test/java/org/micabarrow/views/LeavingDelayTest.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.micabarrow.platform.StoreRecords;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
@@ -274,4 +276,10 @@
         store.pass(0);
         assertTrue(store.knownAtMillis - regained <= most, "after " + (store.knownAtMillis - regained) + " ms");
     }
+
+    @ParameterizedTest
+    @ValueSource(longs = {0, 1, 500, 1_600, 2_000, 10_000})
+    void shouldHoldReadsWhateverTheBound(long boundMillis) {
+        assertTrue(LeavingBound.pace(Duration.ofMillis(boundMillis)).hold().toMillis() >= 100);
+    }
 }
