--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -50,9 +49,6 @@
      */
     static final Duration STORE_WAIT = Duration.ofMillis(1_500);
 
-    /** How many peers are asked in place of one read of the store. */
-    private static final int PEERS_A_ROUND = 2;
-
     /** The part of the link that weights may take where nothing else uses it; the heads of packets take the rest. */
     private static final double SHARE_ALONE = 0.96;
 
@@ -78,7 +74,7 @@
     private final PeerRecords peerRecords;
     private final StoreClient store;
     private volatile List<StoreFollower> followers = List.of();
-    private final AtomicInteger turn = new AtomicInteger();
+    private final PeersInTurn turn = new PeersInTurn();
 
     /** How often topics are read. */
     record Paces(Pace operator, Pace endpoints) {}
@@ -178,7 +174,7 @@
             Supplier<List<String>> peers,
             Supplier<Duty> duty) {
         VersionRecords records = new VersionRecords(kept, settings.store(), LeavingBound.STORE_ANSWER);
-        Consumer<Topic> askPeer = topic -> askPeer(topic, peers.get());
+        Consumer<Topic> askPeer = topic -> askPeers(topic, peers.get());
         NamedVersions operator =
                 new NamedVersions(operatorReader, records, views, duty, () -> askPeer.accept(Topic.OPERATOR));
         followers = List.of(
@@ -191,7 +187,7 @@
     /** Begins to follow what entries tell each other of crashes; peers are asked while the store does not answer. */
     StoreFollower followCrashes(Pace pace, Supplier<List<String>> peers) {
         StoreFollower follower =
-                new StoreFollower(Topic.CRASHES, store, views, topic -> askPeer(topic, peers.get()), pace);
+                new StoreFollower(Topic.CRASHES, store, views, topic -> askPeers(topic, peers.get()), pace);
         follower.start();
         return follower;
     }
@@ -205,14 +201,8 @@
                 settings.instance().id());
     }
 
-    /** Asks the next peers in turn for what they know of a topic, until one answers: one of them may be gone. */
-    private void askPeer(Topic topic, List<String> peers) {
-        for (int asked = 0; asked < Math.min(PEERS_A_ROUND, peers.size()); asked++) {
-            String peer = peers.get(Math.floorMod(turn.getAndIncrement(), peers.size()));
-            if (askPeer(peer, topic)) {
-                return;
-            }
-        }
+    private void askPeers(Topic topic, List<String> peers) {
+        turn.ask(peers, peer -> askPeer(peer, topic));
     }
 
     /** Asks a peer, and tells whether it answered. */
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -150,6 +150,7 @@
 
     /** Another entry may have its turn sooner, so that the client is never told to come back later than others are. */
     private void overLimit(int endpoints, OptionalLong millis) {
+        parts.metrics().overLimit.inc();
         String why = "all " + endpoints + " endpoints have been sent what they take a second";
         long usual = parts.comeBackMillis(request);
         conclude(withoutAnswer(), why, () -> Math.clamp(millis.orElse(usual), 1, Math.max(1, usual)));
--- a/src/main/java/org/micabarrow/serving/ServingMetrics.java
+++ b/src/main/java/org/micabarrow/serving/ServingMetrics.java
@@ -15,6 +15,7 @@
     private final Counter clientGone;
     final Counter repeats;
     final Counter culprits;
+    final Counter overLimit;
     final Timer firstByte;
 
     ServingMetrics(MetricRegistry registry) {
@@ -26,6 +27,7 @@
         clientGone = registry.counter("requests.clientGone");
         repeats = registry.counter("requests.repeats");
         culprits = registry.counter("requests.refusedForCrashes");
+        overLimit = registry.counter("requests.overLimit");
         firstByte = registry.timer("requests.firstByte");
     }
 
--- a/src/test/java/org/micabarrow/admission/AdmissionTest.java
+++ b/src/test/java/org/micabarrow/admission/AdmissionTest.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.admission.Admission.Decision;
+import org.micabarrow.limits.EntryRank;
 import org.micabarrow.routing.EndpointChoice;
 import org.micabarrow.routing.EndpointEntry;
 import org.micabarrow.routing.LoadReport;
@@ -132,4 +134,58 @@
         assertEquals(
                 new Decision.Full(1), admission.decide(List.of(endpoint), wanted(OBJECTIVE, Optional.empty()), NOW));
     }
+
+    // -- limits
+
+    private void limitOf(String id, double perSecond) {
+        choice.load(id).limit().ranked(new EntryRank(0, 1));
+        choice.load(id).limit().named(perSecond, NOW);
+    }
+
+    @Test
+    void shouldRefuseWithNextTurnWhenLimitAllowsNothingNow() {
+        requestsThere(0, 4);
+        limitOf("a", 2);
+        assertEquals(new Decision.Limited(1, OptionalLong.of(500)), decide(OBJECTIVE));
+    }
+
+    @Test
+    void shouldRefuseWithoutTimeWhenLimitIsLeftToOtherEntries() {
+        requestsThere(0, 4);
+        choice.load("a").limit().ranked(new EntryRank(10, 11));
+        choice.load("a").limit().named(2, NOW);
+        assertEquals(new Decision.Limited(1, OptionalLong.empty()), decide(OBJECTIVE));
+    }
+
+    @Test
+    void shouldSendWhenTurnHasCome() {
+        requestsThere(0, 4);
+        limitOf("a", 2);
+        Wanted wanted = wanted(OBJECTIVE, Optional.of(MODEL));
+        admission.decide(List.of(endpoint), wanted, NOW);
+        choice.load("a").told(new LoadReport(0, 0, false, 1, 4), 1, NOW + 500);
+        assertInstanceOf(Decision.Send.class, admission.decide(List.of(endpoint), wanted, NOW + 500));
+    }
+
+    @Test
+    void shouldSendToOtherEndpointWhenLimitAllowsNothingNow() {
+        EndpointEntry other = EndpointEntry.of("b", "s", "10.0.0.2:80", "h", 4, false, Map.of("m", 1L), 16);
+        limitOf("a", 2);
+        Decision decision = admission.decide(List.of(endpoint, other), wanted(OBJECTIVE, Optional.of(MODEL)), NOW);
+        assertEquals(
+                "b",
+                assertInstanceOf(Decision.Send.class, decision)
+                        .chosen()
+                        .endpoint()
+                        .id());
+    }
+
+    @Test
+    void shouldWaitForRoomWhenEndpointWithoutLimitIsFull() {
+        EndpointEntry other = EndpointEntry.of("b", "s", "10.0.0.2:80", "h", 4, false, Map.of("m", 1L), 16);
+        limitOf("a", 2);
+        choice.load("b").told(new LoadReport(4, 0, false, 1, 0), 1, NOW);
+        Decision decision = admission.decide(List.of(endpoint, other), wanted(OBJECTIVE, Optional.of(MODEL)), NOW);
+        assertEquals(new Decision.Wait(SPARE, 1), decision);
+    }
 }
--- a/src/test/java/org/micabarrow/transport/LoadServerTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadServerTest.java
@@ -11,12 +11,16 @@
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.limits.EntryRank;
+import org.micabarrow.limits.LimitWord;
 import org.micabarrow.routing.LoadReport;
 import org.micabarrow.transport.LoadMessages.ReaderNews;
 import org.micabarrow.views.LastChanges;
@@ -183,4 +187,62 @@
                 told.filter(reader -> now.get() - reader.knownMillisAgo() > 0).isEmpty(),
                 "the reader knew of nothing after 0, and the agent tells at " + now.get() + ": " + told);
     }
+
+    // -- limits
+
+    private static LoadMessages.Answer ask(
+            DatagramSocket entry, InetSocketAddress agent, LoadMessages.Question question) throws IOException {
+        ByteBuffer datagram = LoadMessages.write(question);
+        entry.send(new DatagramPacket(datagram.array(), datagram.limit(), agent));
+        DatagramPacket answer = new DatagramPacket(new byte[512], 512);
+        entry.receive(answer);
+        return LoadMessages.answer(Arrays.copyOf(answer.getData(), answer.getLength()));
+    }
+
+    private static LoadMessages.Question question(String entry, Optional<LimitWord> limit) {
+        return new LoadMessages.Question(entry, 0, 0, 0, false, Optional.empty(), OptionalLong.empty(), limit);
+    }
+
+    @Test
+    void shouldPassOnWhatAnotherEntryHeardOfLimit() throws Exception {
+        InetSocketAddress agent = agent();
+        try (DatagramSocket entry = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            entry.setSoTimeout(HANG_MILLIS);
+            assertEquals(
+                    Optional.empty(),
+                    ask(entry, agent, question("a", Optional.empty())).limit());
+            LimitWord word = new LimitWord(LimitWord.token("endpoint"), OptionalDouble.of(2), 100);
+            ask(entry, agent, question("b", Optional.of(word)));
+            now.addAndGet(50);
+            LimitWord older = new LimitWord(word.endpoint(), word.perSecond(), 150);
+            assertEquals(
+                    Optional.of(older),
+                    ask(entry, agent, question("a", Optional.empty())).limit());
+        }
+    }
+
+    @Test
+    void shouldRankEntriesOnceAllHadTimeToAsk() throws Exception {
+        InetSocketAddress agent = agent();
+        try (DatagramSocket entry = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            entry.setSoTimeout(HANG_MILLIS);
+            assertEquals(
+                    Optional.empty(),
+                    ask(entry, agent, question("a", Optional.empty())).rank());
+            now.addAndGet(900);
+            assertEquals(
+                    Optional.empty(),
+                    ask(entry, agent, question("b", Optional.empty())).rank());
+            now.addAndGet(100);
+            EntryRank first =
+                    ask(entry, agent, question("a", Optional.empty())).rank().orElseThrow();
+            EntryRank second =
+                    ask(entry, agent, question("b", Optional.empty())).rank().orElseThrow();
+            assertEquals(Set.of(new EntryRank(0, 2), new EntryRank(1, 2)), Set.of(first, second));
+            now.addAndGet(1_001);
+            Optional<EntryRank> alone =
+                    ask(entry, agent, question("a", Optional.empty())).rank();
+            assertEquals(Optional.of(new EntryRank(0, 1)), alone, "the other has not asked for a second");
+        }
+    }
 }
