--- a/src/main/java/org/micabarrow/limits/EndpointLimit.java
+++ b/src/main/java/org/micabarrow/limits/EndpointLimit.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
@@ -50,25 +51,21 @@
     // -- what is said
 
     /**
-     * An answer of the endpoint named a limit.
+     * An answer of the endpoint came.
      *
-     * @param perSecond requests a second
+     * @param perSecond the limit that it names, in requests a second; empty if none
+     * @param sentMillis when the request was sent, on the steady clock
      * @param nowMillis the time on the steady clock
      * @return whether the limit is another than before
      */
-    public boolean named(double perSecond, long nowMillis) {
-        return hear(new LimitNews.Named(perSecond, nowMillis));
+    public boolean answered(OptionalDouble perSecond, long sentMillis, long nowMillis) {
+        return perSecond.isPresent()
+                ? hear(new LimitNews.Named(perSecond.getAsDouble(), nowMillis))
+                : notNamed(sentMillis, nowMillis);
     }
 
-    /**
-     * An answer of the endpoint named none. That of a request which was sent before the limit was named may have been on its way since
-     * before, and tells nothing.
-     *
-     * @param sentMillis when the request was sent, on the steady clock
-     * @param nowMillis the time on the steady clock
-     * @return whether a limit has ended
-     */
-    public boolean notNamed(long sentMillis, long nowMillis) {
+    /** The answer to a request that was sent before the limit was named may have been on its way since before, and tells nothing. */
+    private boolean notNamed(long sentMillis, long nowMillis) {
         return limit().filter(named -> named.atMillis() <= sentMillis).isPresent()
                 && hear(new LimitNews.Ended(nowMillis));
     }
@@ -89,17 +86,12 @@
     }
 
     private boolean take(LimitNews news) {
-        Optional<LimitNews> before = newest;
+        Optional<Double> before = limit().map(LimitNews.Named::perSecond);
         newest = Optional.of(news);
-        return switch (news) {
-            case LimitNews.Named(double perSecond, long ignored) ->
-                before.filter(known -> known instanceof LimitNews.Named(double was, long when) && was == perSecond)
-                        .isEmpty();
-            case LimitNews.Ended ignored -> {
-                share = Optional.empty();
-                yield before.filter(LimitNews.Named.class::isInstance).isPresent();
-            }
-        };
+        if (limit().isEmpty()) {
+            share = Optional.empty();
+        }
+        return !before.equals(limit().map(LimitNews.Named::perSecond));
     }
 
     /**
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -288,12 +288,8 @@
             load.rest().asked(millis, parts.nowMillis());
             run.log().rests(endpoint, millis);
         });
-        long now = parts.nowMillis();
-        boolean other = read.limit().isPresent()
-                ? load.limit().named(read.limit().getAsDouble(), now)
-                : load.limit().notNamed(beganMillis, now);
-        if (other) {
-            parts.limitChanged(endpoint);
+        if (load.limit().answered(read.limit(), beganMillis, parts.nowMillis())) {
+            load.limit().logChange("answer");
         }
     }
 
--- a/src/main/java/org/micabarrow/serving/ServingParts.java
+++ b/src/main/java/org/micabarrow/serving/ServingParts.java
@@ -147,11 +147,6 @@
         return given.choice().withinLimit(endpoint, nowMillis());
     }
 
-    /** An endpoint named another limit in an answer than before, or none any more. */
-    void limitChanged(EndpointEntry endpoint) {
-        load(endpoint).limit().logChange("answer");
-    }
-
     /** Counts a request that is turned away for want of room; agents divide their endpoints' places by it. */
     void turnedAway(ClientRequest request) {
         if (versions.model(request).isPresent()) {
--- a/src/test/java/org/micabarrow/admission/AdmissionTest.java
+++ b/src/test/java/org/micabarrow/admission/AdmissionTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -139,7 +140,7 @@
 
     private void limitOf(String id, double perSecond) {
         choice.load(id).limit().ranked(new EntryRank(0, 1));
-        choice.load(id).limit().named(perSecond, NOW);
+        choice.load(id).limit().answered(OptionalDouble.of(perSecond), NOW, NOW);
     }
 
     @Test
@@ -153,7 +154,7 @@
     void shouldRefuseWithoutTimeWhenLimitIsLeftToOtherEntries() {
         requestsThere(0, 4);
         choice.load("a").limit().ranked(new EntryRank(10, 11));
-        choice.load("a").limit().named(2, NOW);
+        choice.load("a").limit().answered(OptionalDouble.of(2), NOW, NOW);
         assertEquals(new Decision.Limited(1, OptionalLong.empty()), decide(OBJECTIVE));
     }
 
--- a/src/test/java/org/micabarrow/limits/EndpointLimitTest.java
+++ b/src/test/java/org/micabarrow/limits/EndpointLimitTest.java
@@ -27,6 +27,14 @@
         limit.ranked(new EntryRank(0, 1));
     }
 
+    private boolean name(double perSecond, long atMillis) {
+        return limit.answered(OptionalDouble.of(perSecond), atMillis, atMillis);
+    }
+
+    private boolean answerWithout(long sentMillis, long atMillis) {
+        return limit.answered(OptionalDouble.empty(), sentMillis, atMillis);
+    }
+
     private int sentIn(long millis) {
         return sentIn(millis, AGENT_TELLS);
     }
@@ -52,30 +60,30 @@
 
     @Test
     void shouldAllowAsManyAsEndpointTakesWhenThereIsNoOtherEntry() {
-        limit.named(2, now);
+        name(2, now);
         assertEquals(20, sentIn(10_010));
     }
 
     @Test
     void shouldSaveNothingUpWhileNoRequestComes() {
-        limit.named(2, now);
+        name(2, now);
         sentIn(1_000);
         now += 60_000;
-        limit.named(2, now);
+        name(2, now);
         assertEquals(1, sentIn(490));
     }
 
     @Test
     void shouldFollowWhenLimitChanges() {
-        limit.named(1, now);
+        name(1, now);
         sentIn(5_000);
-        limit.named(10, now);
+        name(10, now);
         assertEquals(100, sentIn(10_000), 1);
     }
 
     @Test
     void shouldSayWhenNextRequestMayBeSent() {
-        limit.named(2, now);
+        name(2, now);
         assertEquals(OptionalLong.of(500), limit.untilNextMillis(AGENT_TELLS, now));
         now += 200;
         assertEquals(OptionalLong.of(300), limit.untilNextMillis(AGENT_TELLS, now));
@@ -84,7 +92,7 @@
     @Test
     void shouldSendNothingWhenEnoughOthersComeBefore() {
         limit.ranked(new EntryRank(4, 5));
-        limit.named(1, now);
+        name(1, now);
         assertEquals(OptionalLong.empty(), limit.untilNextMillis(AGENT_TELLS, now));
         assertEquals(0, sentIn(20_000));
     }
@@ -93,20 +101,20 @@
     void shouldTakePartWhenLimitWasNotNamedAgainForLong() {
         limit.ranked(new EntryRank(4, 5));
         entries.told(5, now);
-        limit.named(1, now);
+        name(1, now);
         now += EndpointLimit.COUNTED_MILLIS + 1;
         assertTrue(sentIn(20_000) > 0, "or it never hears of the end");
     }
 
     @Test
     void shouldSendLessWhenNobodyTellsHowManyEntriesThereAre() {
-        limit.named(64, now);
+        name(64, now);
         assertEquals(10, sentIn(20_000, !AGENT_TELLS), 1);
     }
 
     @Test
     void shouldSendOneInAWhileWhenLimitIsZero() {
-        limit.named(0, now);
+        name(0, now);
         assertEquals(2, sentIn(20_100));
     }
 
@@ -114,7 +122,7 @@
     @ValueSource(doubles = {1e6, 1e12, Double.MAX_VALUE})
     void shouldHoldNothingBackWhenLimitIsHuge(double perSecond) {
         limit.ranked(new EntryRank(59, 60));
-        limit.named(perSecond, now);
+        name(perSecond, now);
         now += 1;
         assertEquals(100, sentIn(1_000));
     }
@@ -123,15 +131,15 @@
 
     @Test
     void shouldForgetLimitWhenAnswerNamesNone() {
-        limit.named(1, now);
-        assertTrue(limit.notNamed(now, now + 100));
+        name(1, now);
+        assertTrue(answerWithout(now, now + 100));
         assertEquals(Optional.empty(), limit.limit());
     }
 
     @Test
     void shouldKeepLimitWhenAnswerIsOfRequestSentBefore() {
-        limit.named(1, now);
-        assertFalse(limit.notNamed(now - 1, now + 100));
+        name(1, now);
+        assertFalse(answerWithout(now - 1, now + 100));
         assertTrue(limit.limit().isPresent());
     }
 
@@ -148,7 +156,7 @@
     void shouldTellOthersOnlyWhatItHeardItself() {
         limit.told(new LimitNews.Named(1, now));
         assertEquals(Optional.empty(), limit.word(now));
-        limit.named(2, now);
+        name(2, now);
         LimitWord word = new LimitWord(LimitWord.token("a"), OptionalDouble.of(2), 70);
         assertEquals(Optional.of(word), limit.word(now + 70));
         assertEquals(Optional.empty(), limit.word(now + EndpointLimit.COUNTED_MILLIS + 1));
@@ -157,6 +165,6 @@
     @ParameterizedTest
     @ValueSource(doubles = {-1, Double.NaN, Double.POSITIVE_INFINITY})
     void shouldRefuseWhatIsNoLimit(double perSecond) {
-        assertThrows(IllegalArgumentException.class, () -> limit.named(perSecond, now));
+        assertThrows(IllegalArgumentException.class, () -> name(perSecond, now));
     }
 }
--- a/src/test/java/org/micabarrow/play/LimitPlay.java
+++ b/src/test/java/org/micabarrow/play/LimitPlay.java
@@ -211,11 +211,7 @@
         }
 
         private void head(OptionalDouble named, long sentMillis) {
-            if (named.isPresent()) {
-                limit.named(named.getAsDouble(), now());
-            } else {
-                limit.notNamed(sentMillis, now());
-            }
+            limit.answered(named, sentMillis, now());
         }
 
         private void ask() {
