--- a/src/main/java/org/micabarrow/views/LeavingBound.java
+++ b/src/main/java/org/micabarrow/views/LeavingBound.java
@@ -18,7 +18,7 @@
     /** How long a peer's answer may take: one round trip between regions and a few milliseconds of work. */
     public static final Duration PEER_ANSWER = Duration.ofMillis(400);
 
-    /** The pause between two reads, as a part of the bound: twelve endpoints write ten times a second, and their entries come together. */
+    /** The pause between two reads, as a part of the bound: endpoints write their entries often, and many come with one read. */
     private static final double REST_PART = 0.25;
 
     /** What is left for round trips and for work. */
