Numbers in headers are read, and waits bounded by a doubt, in one place each

Limits and rests of endpoints were read from their headers by the same four steps, written twice; a hold and a rest were shortened by the same condition, written twice.

--- a/src/main/java/org/micabarrow/platform/EndpointHeaders.java
+++ b/src/main/java/org/micabarrow/platform/EndpointHeaders.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.regex.Pattern;
+import java.util.stream.DoubleStream;
 import java.util.stream.Stream;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.serving.EndpointProtocol;
@@ -85,10 +86,7 @@
         if (text == null) {
             return OptionalLong.empty();
         }
-        return Stream.of(text.split(","))
-                .map(String::trim)
-                .filter(DECIMAL.asMatchPredicate())
-                .mapToDouble(Double::parseDouble)
+        return decimals(text)
                 .map(seconds -> Math.min(seconds * MILLIS_A_SECOND, MOST_REST_MILLIS))
                 .mapToLong(Math::round)
                 .filter(millis -> millis > 0)
@@ -105,14 +103,19 @@
      * absent.
      */
     static OptionalDouble limit(Map<String, String> headers) {
-        return Stream.of(headers.getOrDefault(WireNames.LIMIT, "").split(","))
-                .map(String::trim)
-                .filter(DECIMAL.asMatchPredicate())
-                .mapToDouble(Double::parseDouble)
+        return decimals(headers.getOrDefault(WireNames.LIMIT, ""))
                 .filter(Double::isFinite)
                 .min();
     }
 
+    /** The numbers in a header that may have been sent several times; what is no number counts as absent. */
+    private static DoubleStream decimals(String text) {
+        return Stream.of(text.split(","))
+                .map(String::trim)
+                .filter(DECIMAL.asMatchPredicate())
+                .mapToDouble(Double::parseDouble);
+    }
+
     /** A whole number; what a broken endpoint writes instead counts as absent. */
     private static Optional<Long> number(String text) {
         if (text == null
--- a/src/main/java/org/micabarrow/views/StoreFollower.java
+++ b/src/main/java/org/micabarrow/views/StoreFollower.java
@@ -155,15 +155,16 @@
 
     private Result<Long> readOn() {
         boolean held = reachable && !foundWhileHeld;
-        return (reachable ? readAgainIfLost(held ? hold() : Duration.ZERO) : read(Duration.ZERO)).map(read -> {
-            regained();
-            return take(read, held);
-        });
+        return (reachable ? readAgainIfLost(held ? untilDoubtEnds(pace.hold()) : Duration.ZERO) : read(Duration.ZERO))
+                .map(read -> {
+                    regained();
+                    return take(read, held);
+                });
     }
 
-    /** How long the store may hold the next read: no longer than until a doubt is over. */
-    private Duration hold() {
-        return topic == Topic.ENDPOINTS ? keeper.untilDoubtEnds(pace.hold()) : pace.hold();
+    /** A hold or a rest: neither lasts longer than until a doubt is over. */
+    private Duration untilDoubtEnds(Duration wait) {
+        return topic == Topic.ENDPOINTS ? keeper.untilDoubtEnds(wait) : wait;
     }
 
     private Result<TopicReader.Read> read(Duration wait) {
@@ -200,7 +201,9 @@
                 confirm(batch);
                 foundWhileHeld =
                         topic == Topic.OPERATOR && held && !batch.records().isEmpty();
-                yield batch.records().isEmpty() || foundWhileHeld ? 0L : rest();
+                yield batch.records().isEmpty() || foundWhileHeld
+                        ? 0L
+                        : untilDoubtEnds(pace.rest()).toMillis();
             }
             case TopicReader.Read.Expired ignored -> {
                 LOG.info("event=history_expired topic={} from={}", topic, keeper.end(topic));
@@ -210,12 +213,6 @@
         };
     }
 
-    private long rest() {
-        return topic == Topic.ENDPOINTS
-                ? keeper.untilDoubtEnds(pace.rest()).toMillis()
-                : pace.rest().toMillis();
-    }
-
     private void confirm(TopicReader.Batch batch) {
         if (topic == Topic.OPERATOR) {
             batch.asOfMillis().ifPresent(keeper::confirmOperator);
