Types for placement, demand by class and the condition of endpoints

What the coming parts agree on: a route and an organisation state the regions in which requests may be handled (AllowedRegions), a request its class (RequestClass) and its size (RequestSize), an endpoint how long it stays cold and, through its agent, its pace and memory (EndpointCondition), an entry the demand of its classes (EntryDemand), an agent what it grants to each of them (SlotGrants). All are decoded from the platform's records, headers and reports; nothing acts on them yet.

Datagrams end with fields that carry a tag and a length (AppendedFields), unknown ones are skipped. A former build rejects datagrams that are longer than it knows, so an agent says by a bit of its replies' state, which former builds ignore, that it reads appended fields; an entry appends its demand from then on, and only such an entry gets appended fields in replies.

--- a/src/main/java/org/micabarrow/attempts/ClientRequest.java
+++ b/src/main/java/org/micabarrow/attempts/ClientRequest.java
@@ -3,6 +3,9 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import org.micabarrow.routing.AllowedRegions;
+import org.micabarrow.routing.RequestClass;
+import org.micabarrow.routing.RequestSize;
 import org.micabarrow.routing.Route;
 
 /**
@@ -19,7 +22,8 @@
  * @param organisation the owner of the client's key; empty on open routes
  * @param priority its priority, 0 is the most urgent
  * @param deadlineMillis the time at which the client stops waiting, on the process's monotonic clock
- * @param promptTokens the tokens of its prompt; 0 for plain services
+ * @param size the size of its prompt and answer, as far as stated
+ * @param allowedRegions the regions in which it may be handled, by its route and its organisation
  */
 public record ClientRequest(
         String id,
@@ -33,12 +37,33 @@
         Optional<String> organisation,
         int priority,
         long deadlineMillis,
-        int promptTokens) {
+        RequestSize size,
+        AllowedRegions allowedRegions) {
 
     /** Copies the headers. */
     public ClientRequest {
         Objects.requireNonNull(id, "id is null");
         Objects.requireNonNull(route, "route is null");
+        Objects.requireNonNull(size, "size is null");
+        Objects.requireNonNull(allowedRegions, "allowedRegions is null");
         headers = Map.copyOf(headers);
     }
+
+    /**
+     * Returns the tokens of the prompt.
+     *
+     * @return 0 for plain services
+     */
+    public int promptTokens() {
+        return size.promptTokens();
+    }
+
+    /**
+     * Returns the class by which the request competes with others for capacity.
+     *
+     * @return its priority and organisation
+     */
+    public RequestClass requestClass() {
+        return new RequestClass(priority, organisation);
+    }
 }
--- a/src/main/java/org/micabarrow/bench/DigestBench.java
+++ b/src/main/java/org/micabarrow/bench/DigestBench.java
@@ -10,7 +10,9 @@
 import java.util.function.ToIntFunction;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.crashes.RequestDigest;
+import org.micabarrow.routing.AllowedRegions;
 import org.micabarrow.routing.RequestKind;
+import org.micabarrow.routing.RequestSize;
 import org.micabarrow.routing.Route;
 
 /**
@@ -109,6 +111,7 @@
                 Optional.of("org-a"),
                 1,
                 6_000,
-                100);
+                RequestSize.ofPrompt(100),
+                AllowedRegions.any());
     }
 }
--- a/src/main/java/org/micabarrow/platform/EndpointCalls.java
+++ b/src/main/java/org/micabarrow/platform/EndpointCalls.java
@@ -78,8 +78,7 @@
                 whole ? Map.of() : models,
                 JsonFields.flag(json, "busy"),
                 JsonFields.longOr(json, "sequence", 0),
-                JsonFields.intOr(json, "queued", 0),
-                JsonFields.intOr(json, "running", 0),
+                EndpointFields.condition(json),
                 EndpointFields.startedMillis(json),
                 EndpointHeaders.leaving(headers),
                 EndpointHeaders.limit(headers));
--- a/src/main/java/org/micabarrow/platform/EndpointFields.java
+++ b/src/main/java/org/micabarrow/platform/EndpointFields.java
@@ -4,14 +4,19 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.micabarrow.platform.JsonFields.MalformedField;
+import org.micabarrow.routing.EndpointCondition;
 
 /** Reads what endpoints write alike in their entries and in their reports. */
 final class EndpointFields {
 
     private static final String STARTED = "born";
 
+    /** The longest time, in milliseconds, for which an endpoint is taken as cold by one of its statements. */
+    private static final long MAX_COLD_MILLIS = 60_000;
+
     private EndpointFields() {}
 
     /** The weight version of each model; to be changed by whoever asked. */
@@ -65,6 +70,39 @@
         return OptionalLong.of(JsonFields.whole(json, STARTED, 1));
     }
 
+    /**
+     * How much longer the endpoint stays cold, in milliseconds; 0 where it does not say so, or says it in a form that is no
+     * number of milliseconds up to {@link #MAX_COLD_MILLIS}.
+     */
+    static long coldLeftMillis(JsonNode json) {
+        JsonNode told = json.path("cold_left_ms");
+        return told.isNumber() && told.doubleValue() > 0
+                ? (long) Math.min(Math.ceil(told.doubleValue()), MAX_COLD_MILLIS)
+                : 0;
+    }
+
+    /** Progress and memory; a number that is absent or of another form counts as not reported. */
+    static EndpointCondition condition(JsonNode json) {
+        return new EndpointCondition(
+                JsonFields.intOr(json, "running", 0),
+                JsonFields.intOr(json, "queued", 0),
+                pace(json),
+                tokens(json, "kv_used"),
+                tokens(json, "kv_total"));
+    }
+
+    private static OptionalDouble pace(JsonNode json) {
+        JsonNode told = json.path("pace");
+        return told.isNumber() ? OptionalDouble.of(told.doubleValue()) : OptionalDouble.empty();
+    }
+
+    private static OptionalLong tokens(JsonNode json, String field) {
+        JsonNode told = json.path(field);
+        return told.isIntegralNumber() && told.canConvertToLong()
+                ? OptionalLong.of(told.longValue())
+                : OptionalLong.empty();
+    }
+
     /** The count that rises with each write of an entry; empty where there is none, or it is no whole number. */
     static OptionalLong writes(JsonNode json) {
         JsonNode count = json.path("sequence");
--- a/src/main/java/org/micabarrow/platform/RequestHeaders.java
+++ b/src/main/java/org/micabarrow/platform/RequestHeaders.java
@@ -10,9 +10,12 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.routing.AllowedRegions;
+import org.micabarrow.routing.RequestSize;
 import org.micabarrow.routing.Route;
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.routing.RouteManifest.KeyOwner;
@@ -46,10 +49,10 @@
             WireNames.PRIORITY.toLowerCase(Locale.ROOT));
 
     /** The longest time that a client is believed to wait, in milliseconds: a day; more would overflow a clock. */
-    private static final long MOST_DEADLINE_MILLIS = 24 * 3_600_000L;
+    private static final long MAX_DEADLINE_MILLIS = 24 * 3_600_000L;
 
-    /** The most prompt tokens that a client is believed to send: far beyond any context, and safe to add up. */
-    private static final int MOST_PROMPT_TOKENS = 10_000_000;
+    /** The most tokens that a client is believed to send or expect: far beyond any context, and safe to add up. */
+    private static final int MAX_TOKENS = 10_000_000;
 
     private final RandomGenerator random;
 
@@ -109,7 +112,8 @@
                 owner.map(KeyOwner::organisation),
                 owner.flatMap(KeyOwner::priority).orElse(route.priority()),
                 nowMillis + deadline(headers, route),
-                promptTokens(headers));
+                size(headers),
+                route.allowedRegions().and(owner.map(KeyOwner::allowedRegions).orElse(AllowedRegions.any())));
     }
 
     /** The path as the client wrote it; what an absolute request line holds before the path is left out. */
@@ -144,16 +148,26 @@
     private static long deadline(HeaderMap headers, Route route) {
         return number(headers.getFirst(WireNames.DEADLINE))
                 .filter(millis -> millis > 0)
-                .map(millis -> Math.min(millis, MOST_DEADLINE_MILLIS))
+                .map(millis -> Math.min(millis, MAX_DEADLINE_MILLIS))
                 .orElse(route.timeoutMillis());
     }
 
-    /** The first of the two numbers; the most tokens to generate, which follow, are for the endpoint. */
-    private static int promptTokens(HeaderMap headers) {
-        return Optional.ofNullable(headers.getFirst(WireNames.TOKENS))
-                .flatMap(both -> number(both.split(",", 2)[0]))
-                .map(tokens -> Math.clamp(tokens, 0, MOST_PROMPT_TOKENS))
-                .orElse(0);
+    /** The prompt's tokens and the most tokens to generate stand in one header, divided by a comma. */
+    private static RequestSize size(HeaderMap headers) {
+        String stated = headers.getFirst(WireNames.TOKENS);
+        String[] numbers = stated == null ? new String[0] : stated.split(",", 2);
+        return new RequestSize(
+                tokens(numbers, 0).orElse(0),
+                tokens(numbers, 1),
+                tokens(new String[] {headers.getFirst(WireNames.LENGTH_HINT)}, 0));
+    }
+
+    private static OptionalInt tokens(String[] numbers, int index) {
+        return index >= numbers.length
+                ? OptionalInt.empty()
+                : number(numbers[index])
+                        .map(tokens -> OptionalInt.of(Math.clamp(tokens, 0, MAX_TOKENS)))
+                        .orElse(OptionalInt.empty());
     }
 
     private static Optional<Long> number(String text) {
--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -10,10 +10,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.micabarrow.platform.JsonFields.MalformedField;
+import org.micabarrow.routing.AllowedRegions;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.ModelProfile;
 import org.micabarrow.routing.RequestKind;
@@ -124,7 +127,8 @@
         tenants.forEach(one -> {
             KeyOwner owner = new KeyOwner(
                     JsonFields.text(one, "name"),
-                    JsonFields.numberIfPresent(one, "priority").map(Double::intValue));
+                    JsonFields.numberIfPresent(one, "priority").map(Double::intValue),
+                    allowedRegions(one));
             JsonFields.texts(one, "api_keys").forEach(key -> owners.put(key, owner));
         });
         return RouteManifest.of(new RouteManifest.Parts(
@@ -157,7 +161,17 @@
                 JsonFields.longOr(json, "target_latency_ms", timeout),
                 JsonFields.intOr(json, "priority", 0),
                 JsonFields.intOr(json, "max_attempts", 1),
-                JsonFields.flag(json, "public"));
+                JsonFields.flag(json, "public"),
+                allowedRegions(json));
+    }
+
+    /** A list without regions sets no restriction: manifests name the field on every route. */
+    private static AllowedRegions allowedRegions(JsonNode json) {
+        if (!json.hasNonNull("allowed_regions")) {
+            return AllowedRegions.any();
+        }
+        Set<String> regions = Set.copyOf(JsonFields.texts(json, "allowed_regions"));
+        return regions.isEmpty() ? AllowedRegions.any() : AllowedRegions.only(regions);
     }
 
     private static RequestKind kind(String word, boolean resumable) {
@@ -174,7 +188,14 @@
                 JsonFields.text(json, "name"),
                 JsonFields.intOr(json, "max_connections", Integer.MAX_VALUE),
                 JsonFields.objectIfPresent(json, "engine").map(StoreRecords::model),
-                JsonFields.textIfPresent(json, "origin"));
+                JsonFields.textIfPresent(json, "origin"),
+                coldPerSecond(json));
+    }
+
+    /** Empty where it is absent or 0: such a service has no cold endpoints. */
+    private static OptionalDouble coldPerSecond(JsonNode json) {
+        double perSecond = JsonFields.numberOr(json, "cold_per_s", 0);
+        return perSecond > 0 ? OptionalDouble.of(perSecond) : OptionalDouble.empty();
     }
 
     private static ModelProfile model(JsonNode engine) {
@@ -211,7 +232,8 @@
                         EndpointFields.models(json),
                         EndpointFields.layers(json),
                         EndpointFields.startedMillis(json),
-                        EndpointFields.writes(json)));
+                        EndpointFields.writes(json),
+                        EndpointFields.coldLeftMillis(json)));
     }
 
     private static String id(String key) {
--- a/src/main/java/org/micabarrow/platform/WireNames.java
+++ b/src/main/java/org/micabarrow/platform/WireNames.java
@@ -17,6 +17,9 @@
     /** The prompt's tokens and the most tokens to generate, joined by a comma. */
     static final String TOKENS = "Token-Count";
 
+    /** The client's estimate of the tokens that the answer will have; often far off. */
+    static final String LENGTH_HINT = "Length-Hint";
+
     /** The client's key; never shown to endpoints. */
     static final String KEY = "Key";
 
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -212,20 +212,21 @@
     private Optional<LoadReport> told() {
         return keeper.report()
                 .map(report -> new LoadReport(
-                        report.running() + report.queued(),
+                        report.requests(),
                         0,
                         report.busy() || keeper.isCordoned(),
                         model().map(model -> report.models().getOrDefault(model, 0L))
                                 .orElse(0L),
                         freePlaces(report),
                         EndpointStart.token(report.startedMillis()),
-                        report.draining()));
+                        report.draining(),
+                        Optional.of(report.condition())));
     }
 
     /** The places that may be dealt out; any number while the manifest, which says how many there are, is not known. */
     private int freePlaces(ModelEndpoint.Report report) {
         return modelService()
-                .map(service -> SlotAllotment.allottable(service.slots(), report.running() + report.queued()))
+                .map(service -> SlotAllotment.allottable(service.slots(), report.requests()))
                 .orElse(LoadReport.UNLIMITED_SLOTS);
     }
 
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
+import org.micabarrow.admission.EntryDemand;
 import org.micabarrow.clock.MonotonicClock;
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.crashes.CrashRegistry;
@@ -106,7 +107,8 @@
                 node.worker().getIoThread(),
                 HostedNode::steadyMillis,
                 this::news,
-                this::heard));
+                this::heard,
+                EntryDemand::none));
         CrashRegistry book = new CrashRegistry(bounds.crashMemoryMillis(), bounds.crashesKept(), this::endpoints);
         this.crashes = new CrashSharing(
                 node.crashRecords(),
--- a/src/main/java/org/micabarrow/routing/EndpointRegistration.java
+++ b/src/main/java/org/micabarrow/routing/EndpointRegistration.java
@@ -18,6 +18,7 @@
  * @param startedMillis the Unix time of its start in milliseconds; empty if it does not report it
  * @param writeCount a count that rises with each write of the registration since the start; empty if it does not report
  *     it
+ * @param coldLeftMillis how long it stayed cold when it wrote the registration, in milliseconds; 0 if it was warm
  */
 public record EndpointRegistration(
         String id,
@@ -29,7 +30,8 @@
         Map<String, Long> models,
         int layers,
         OptionalLong startedMillis,
-        OptionalLong writeCount) {
+        OptionalLong writeCount,
+        long coldLeftMillis) {
 
     /** Copies the models. */
     public EndpointRegistration {
@@ -41,6 +43,35 @@
         models = Map.copyOf(models);
     }
 
+    /**
+     * Creates the registration of a warm endpoint.
+     *
+     * @param id its id, which is the same after a restart
+     * @param service its service
+     * @param address its host and port
+     * @param dataHall its data hall
+     * @param slots the number of requests it runs concurrently
+     * @param draining whether it accepts no new requests
+     * @param models the weight version of each model that it held when it wrote the registration
+     * @param layers the number of layers it held then; the greatest number if it does not report them
+     * @param startedMillis the Unix time of its start in milliseconds; empty if it does not report it
+     * @param writeCount a count that rises with each write of the registration since the start; empty if it does not
+     *     report it
+     */
+    public EndpointRegistration(
+            String id,
+            String service,
+            String address,
+            String dataHall,
+            int slots,
+            boolean draining,
+            Map<String, Long> models,
+            int layers,
+            OptionalLong startedMillis,
+            OptionalLong writeCount) {
+        this(id, service, address, dataHall, slots, draining, models, layers, startedMillis, writeCount, 0);
+    }
+
     /**
      * Creates the registration of an endpoint that reports neither its start time nor its write count.
      *
@@ -65,7 +96,7 @@
             int layers) {
         OptionalLong unknown = OptionalLong.empty();
         return new EndpointRegistration(
-                id, service, address, dataHall, slots, draining, models, layers, unknown, unknown);
+                id, service, address, dataHall, slots, draining, models, layers, unknown, unknown, 0);
     }
 
     /**
@@ -76,12 +107,12 @@
      */
     public EndpointRegistration withStart(OptionalLong millis) {
         return new EndpointRegistration(
-                id, service, address, dataHall, slots, draining, models, layers, millis, writeCount);
+                id, service, address, dataHall, slots, draining, models, layers, millis, writeCount, coldLeftMillis);
     }
 
     private EndpointRegistration withWriteCount(OptionalLong count) {
         return new EndpointRegistration(
-                id, service, address, dataHall, slots, draining, models, layers, startedMillis, count);
+                id, service, address, dataHall, slots, draining, models, layers, startedMillis, count, coldLeftMillis);
     }
 
     /**
--- /dev/null
+++ b/src/main/java/org/micabarrow/routing/RequestSize.java
@@ -0,0 +1,43 @@
+package org.micabarrow.routing;
+
+import java.util.Objects;
+import java.util.OptionalInt;
+
+/**
+ * The size of a model request as its client states it.
+ *
+ * @param promptTokens the tokens of its prompt; 0 for plain services
+ * @param maxAnswerTokens the most tokens that its answer may have; empty if not stated
+ * @param answerHintTokens the client's estimate of the tokens of its answer, often far off; empty if not stated
+ */
+public record RequestSize(int promptTokens, OptionalInt maxAnswerTokens, OptionalInt answerHintTokens) {
+
+    private static final RequestSize NONE = ofPrompt(0);
+
+    /** Checks that no component is null. */
+    public RequestSize {
+        Objects.requireNonNull(maxAnswerTokens, "maxAnswerTokens is null");
+        Objects.requireNonNull(answerHintTokens, "answerHintTokens is null");
+    }
+
+    // -- static factories
+
+    /**
+     * Returns the size of a request to a plain service.
+     *
+     * @return a size without tokens
+     */
+    public static RequestSize none() {
+        return NONE;
+    }
+
+    /**
+     * Returns the size of a request that states nothing about its answer.
+     *
+     * @param promptTokens the tokens of its prompt
+     * @return its size
+     */
+    public static RequestSize ofPrompt(int promptTokens) {
+        return new RequestSize(promptTokens, OptionalInt.empty(), OptionalInt.empty());
+    }
+}
--- a/src/main/java/org/micabarrow/routing/Route.java
+++ b/src/main/java/org/micabarrow/routing/Route.java
@@ -16,6 +16,7 @@
  * @param priority its priority, 0 is the most urgent
  * @param maxAttempts the maximum number of endpoints to which one request may be sent
  * @param open whether requests need no key
+ * @param allowedRegions the regions in which its requests may be handled
  */
 public record Route(
         String name,
@@ -27,7 +28,8 @@
         long objectiveMillis,
         int priority,
         int maxAttempts,
-        boolean open) {
+        boolean open,
+        AllowedRegions allowedRegions) {
 
     /** Copies the services. */
     public Route {
@@ -35,9 +37,49 @@
         Objects.requireNonNull(host, "host is null");
         Objects.requireNonNull(pathPrefix, "pathPrefix is null");
         Objects.requireNonNull(kind, "kind is null");
+        Objects.requireNonNull(allowedRegions, "allowedRegions is null");
         weightedServices = List.copyOf(weightedServices);
     }
 
+    /**
+     * Creates a route whose requests may be handled in any region.
+     *
+     * @param name its name
+     * @param host the host whose requests it matches
+     * @param pathPrefix the path prefix that it matches
+     * @param weightedServices the services among which requests are divided
+     * @param kind what may be repeated
+     * @param timeoutMillis the longest time for which a request may be held
+     * @param objectiveMillis the time within which a response has its full value
+     * @param priority its priority, 0 is the most urgent
+     * @param maxAttempts the maximum number of endpoints to which one request may be sent
+     * @param open whether requests need no key
+     */
+    public Route(
+            String name,
+            String host,
+            String pathPrefix,
+            List<WeightedService> weightedServices,
+            RequestKind kind,
+            long timeoutMillis,
+            long objectiveMillis,
+            int priority,
+            int maxAttempts,
+            boolean open) {
+        this(
+                name,
+                host,
+                pathPrefix,
+                weightedServices,
+                kind,
+                timeoutMillis,
+                objectiveMillis,
+                priority,
+                maxAttempts,
+                open,
+                AllowedRegions.any());
+    }
+
     /**
      * A service's fraction of a route's requests.
      *
--- a/src/main/java/org/micabarrow/routing/RouteManifest.java
+++ b/src/main/java/org/micabarrow/routing/RouteManifest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /** One version of the operators' manifest: routes, services, keys and request limits. Immutable. */
 public final class RouteManifest {
@@ -52,16 +53,48 @@
      * @param maxConnections the connections that each endpoint accepts from all callers together
      * @param model the profile of its model, empty for plain services
      * @param origin the host and port of the origin of weights, empty for all other services
+     * @param coldPerSecond the requests per second that a cold endpoint of the service bears from all entries together;
+     *     empty if cold endpoints bear as many as warm ones
      */
-    public record Service(String name, int maxConnections, Optional<ModelProfile> model, Optional<String> origin) {}
+    public record Service(
+            String name,
+            int maxConnections,
+            Optional<ModelProfile> model,
+            Optional<String> origin,
+            OptionalDouble coldPerSecond) {
+
+        /**
+         * Creates a service whose cold endpoints bear as many requests as warm ones.
+         *
+         * @param name its name
+         * @param maxConnections the connections that each endpoint accepts from all callers together
+         * @param model the profile of its model, empty for plain services
+         * @param origin the host and port of the origin of weights, empty for all other services
+         */
+        public Service(String name, int maxConnections, Optional<ModelProfile> model, Optional<String> origin) {
+            this(name, maxConnections, model, origin, OptionalDouble.empty());
+        }
+    }
 
     /**
      * The owner of a key.
      *
      * @param organisation the organisation's name
      * @param priority its priority, which takes precedence over that of the route; empty if it has none
+     * @param allowedRegions the regions in which its requests may be handled, in addition to the route's restriction
      */
-    public record KeyOwner(String organisation, Optional<Integer> priority) {}
+    public record KeyOwner(String organisation, Optional<Integer> priority, AllowedRegions allowedRegions) {
+
+        /**
+         * Creates an owner whose requests may be handled in any region.
+         *
+         * @param organisation the organisation's name
+         * @param priority its priority, which takes precedence over that of the route; empty if it has none
+         */
+        public KeyOwner(String organisation, Optional<Integer> priority) {
+            this(organisation, priority, AllowedRegions.any());
+        }
+    }
 
     /**
      * Creates a manifest.
--- a/src/main/java/org/micabarrow/serving/ServingContext.java
+++ b/src/main/java/org/micabarrow/serving/ServingContext.java
@@ -168,14 +168,16 @@
 
     private RoutingRequest routingRequest(ClientRequest request, long millisUntilObjective, Set<String> tried) {
         return new RoutingRequest(
-                request.promptTokens(),
+                request.size(),
                 request.route().objectiveMillis(),
                 millisUntilObjective,
                 request.deadlineMillis() - nowMillis(),
                 versions.model(request),
                 versions.minVersion(request),
                 versions.newestNamed(request),
-                tried);
+                tried,
+                request.allowedRegions(),
+                request.requestClass());
     }
 
     /** Whether an endpoint's agent must be queried before the request is sent there. */
--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import org.micabarrow.admission.EntryDemand;
+import org.micabarrow.admission.SlotGrants;
 import org.micabarrow.limits.EntryRank;
 import org.micabarrow.limits.RateLimitUpdate;
 import org.micabarrow.routing.LoadReport;
@@ -47,21 +49,26 @@
 
     private static final int DRAINING = 2;
 
+    /** Set by agents that read fields appended to queries; builds that know no appended fields ignore this bit. */
+    private static final int READS_APPENDED_FIELDS = 4;
+
+    /** The tags of appended fields. A tag is never used again for another field. */
+    private static final byte DEMAND = 1;
+
+    private static final byte CONDITION = 2;
+    private static final byte GRANTS = 3;
+
     private LoadMessages() {}
 
     private interface Decoder<T> {
         T decode(ByteBuffer datagram);
     }
 
-    /** Decodes a complete datagram. Whatever another program sends to the port is rejected with a reason. */
+    /** Decodes a datagram. Whatever another program sends to the port is rejected with a reason. */
     private static <T> T decode(byte[] bytes, Decoder<T> decoder) throws IOException {
         try {
             ByteBuffer datagram = ByteBuffer.wrap(bytes);
-            T message = decoder.decode(datagram);
-            if (datagram.hasRemaining()) {
-                throw new IOException("a datagram is longer than its message by " + datagram.remaining() + " bytes");
-            }
-            return message;
+            return decoder.decode(datagram);
         } catch (BufferUnderflowException e) {
             throw new IOException("a datagram of " + bytes.length + " bytes is truncated", e);
         } catch (IllegalArgumentException e) {
@@ -103,6 +110,7 @@
      *     after it
      * @param rateLimit what the entry knows of the rate limit of the endpoint next to the agent; empty if it received
      *     nothing recently
+     * @param demand the demand of the entry's clients; empty until the agent is known to read appended fields
      */
     record Query(
             String entry,
@@ -112,7 +120,30 @@
             boolean sameRegion,
             Optional<StoreUpdate> storeUpdate,
             OptionalLong replyTimestamp,
-            Optional<RateLimitUpdate> rateLimit) {
+            Optional<RateLimitUpdate> rateLimit,
+            Optional<EntryDemand> demand) {
+
+        /** Creates a query without appended fields. */
+        Query(
+                String entry,
+                int promptTokens,
+                int number,
+                int unmetRequests,
+                boolean sameRegion,
+                Optional<StoreUpdate> storeUpdate,
+                OptionalLong replyTimestamp,
+                Optional<RateLimitUpdate> rateLimit) {
+            this(
+                    entry,
+                    promptTokens,
+                    number,
+                    unmetRequests,
+                    sameRegion,
+                    storeUpdate,
+                    replyTimestamp,
+                    rateLimit,
+                    Optional.empty());
+        }
 
         /** Creates a query of an entry that knows of no rate limit. */
         Query(
@@ -147,7 +178,10 @@
         byte[] entry = query.entry().getBytes(StandardCharsets.UTF_8);
         int updateSize = query.storeUpdate().map(LoadMessages::updateSize).orElse(0);
         int limitSize = RateLimitCodec.limitSize(query.rateLimit());
-        ByteBuffer datagram = ByteBuffer.allocate(QUERY_BYTES + updateSize + limitSize + entry.length);
+        AppendedFields appended = AppendedFields.empty();
+        query.demand().ifPresent(demand -> appended.with(DEMAND, DemandCodec.write(demand)));
+        ByteBuffer datagram =
+                ByteBuffer.allocate(QUERY_BYTES + updateSize + limitSize + entry.length + appended.size());
         datagram.putInt(query.number());
         datagram.putInt(query.promptTokens());
         datagram.putInt(query.unmetRequests());
@@ -159,6 +193,7 @@
         RateLimitCodec.writeLimit(datagram, query.rateLimit());
         datagram.putInt(entry.length);
         datagram.put(entry);
+        appended.write(datagram);
         return datagram.flip();
     }
 
@@ -174,9 +209,18 @@
                     readFlag(datagram) ? Optional.of(readUpdate(datagram)) : Optional.empty();
             Optional<RateLimitUpdate> rateLimit = RateLimitCodec.readLimit(datagram);
             String entry = readText(datagram);
+            Optional<EntryDemand> demand = AppendedFields.read(datagram).field(DEMAND, DemandCodec::readDemand);
             OptionalLong replyTimestamp = hasTimestamp ? OptionalLong.of(timestampMillis) : OptionalLong.empty();
             return new Query(
-                    entry, promptTokens, number, unmetRequests, sameRegion, storeUpdate, replyTimestamp, rateLimit);
+                    entry,
+                    promptTokens,
+                    number,
+                    unmetRequests,
+                    sameRegion,
+                    storeUpdate,
+                    replyTimestamp,
+                    rateLimit,
+                    demand);
         });
     }
 
@@ -232,6 +276,25 @@
         }
     }
 
+    /**
+     * The appended fields of a reply.
+     *
+     * @param grants the slots granted to each class of the entry's requests; empty if the agent does not divide them by
+     *     class
+     */
+    record ReplyExtension(Optional<SlotGrants> grants) {
+
+        /** Checks that no component is null. */
+        ReplyExtension {
+            Objects.requireNonNull(grants, "grants is null");
+        }
+
+        /** Creates an extension of an agent that does not divide slots by class. */
+        static ReplyExtension withoutGrants() {
+            return new ReplyExtension(Optional.empty());
+        }
+    }
+
     /**
      * An agent's reply.
      *
@@ -243,6 +306,7 @@
      * @param rank the entry's rank among those that query the agent; empty until the agent has listened for long enough
      *     to know it
      * @param rateLimit what is known of the endpoint's rate limit; empty if nothing was received recently
+     * @param extension the appended fields; empty from an agent of a build that does not read any
      */
     record Reply(
             int number,
@@ -250,13 +314,30 @@
             Optional<ReaderUpdate> reader,
             long timestampMillis,
             Optional<EntryRank> rank,
-            Optional<RateLimitUpdate> rateLimit) {
+            Optional<RateLimitUpdate> rateLimit,
+            Optional<ReplyExtension> extension) {
+
+        /** Creates a reply without appended fields. */
+        Reply(
+                int number,
+                LoadReport report,
+                Optional<ReaderUpdate> reader,
+                long timestampMillis,
+                Optional<EntryRank> rank,
+                Optional<RateLimitUpdate> rateLimit) {
+            this(number, report, reader, timestampMillis, rank, rateLimit, Optional.of(ReplyExtension.withoutGrants()));
+        }
 
         /** Creates a reply of an agent that knows neither ranks nor rate limits. */
         Reply(int number, LoadReport report, Optional<ReaderUpdate> reader, long timestampMillis) {
             this(number, report, reader, timestampMillis, Optional.empty(), Optional.empty());
         }
 
+        /** Returns this reply without appended fields, for an entry of a build that does not read any. */
+        Reply withoutAppendedFields() {
+            return new Reply(number, report.withCondition(Optional.empty()), reader, timestampMillis, rank, rateLimit);
+        }
+
         /** Creates a reply that names no reader. */
         Reply(int number, LoadReport report) {
             this(number, report, Optional.empty(), 0);
@@ -269,13 +350,14 @@
         byte[] peer = reply.reader().map(ReaderUpdate::peer).orElse("").getBytes(StandardCharsets.UTF_8);
         int readerSize = reply.reader().isPresent() ? READER_BYTES + peer.length : 0;
         int limitSize = RateLimitCodec.rankSize(reply.rank()) + RateLimitCodec.limitSize(reply.rateLimit());
-        ByteBuffer datagram = ByteBuffer.allocate(REPLY_BYTES + startSize + readerSize + limitSize);
+        AppendedFields appended = appendedFields(reply);
+        ByteBuffer datagram = ByteBuffer.allocate(REPLY_BYTES + startSize + readerSize + limitSize + appended.size());
         datagram.putInt(reply.number());
         datagram.putInt(report.requests());
         datagram.putInt(report.othersPromptTokens());
         datagram.putInt(report.allottedSlots());
         datagram.putLong(report.version());
-        datagram.put(state(report));
+        datagram.put(state(reply));
         datagram.put(toByte(report.start().isPresent()));
         report.start().ifPresent(datagram::putInt);
         datagram.put(toByte(reply.reader().isPresent()));
@@ -288,11 +370,24 @@
         datagram.putLong(reply.timestampMillis());
         RateLimitCodec.writeRank(datagram, reply.rank());
         RateLimitCodec.writeLimit(datagram, reply.rateLimit());
+        appended.write(datagram);
         return datagram.flip();
     }
 
-    private static byte state(LoadReport report) {
-        return (byte) ((report.loading() ? LOADING : 0) | (report.draining() ? DRAINING : 0));
+    private static AppendedFields appendedFields(Reply reply) {
+        AppendedFields appended = AppendedFields.empty();
+        reply.report().condition().ifPresent(condition -> appended.with(CONDITION, ConditionCodec.write(condition)));
+        reply.extension()
+                .flatMap(ReplyExtension::grants)
+                .ifPresent(grants -> appended.with(GRANTS, DemandCodec.write(grants)));
+        return appended;
+    }
+
+    private static byte state(Reply reply) {
+        LoadReport report = reply.report();
+        return (byte) ((report.loading() ? LOADING : 0)
+                | (report.draining() ? DRAINING : 0)
+                | (reply.extension().isPresent() ? READS_APPENDED_FIELDS : 0));
     }
 
     static Reply readReply(byte[] bytes) throws IOException {
@@ -315,10 +410,25 @@
             Optional<ReaderUpdate> reader = readFlag(datagram) ? Optional.of(readReader(datagram)) : Optional.empty();
             long timestampMillis = datagram.getLong();
             Optional<EntryRank> rank = RateLimitCodec.readRank(datagram);
-            return new Reply(number, report, reader, timestampMillis, rank, RateLimitCodec.readLimit(datagram));
+            Optional<RateLimitUpdate> rateLimit = RateLimitCodec.readLimit(datagram);
+            AppendedFields appended = AppendedFields.read(datagram);
+            return new Reply(
+                    number,
+                    report.withCondition(appended.field(CONDITION, ConditionCodec::read)),
+                    reader,
+                    timestampMillis,
+                    rank,
+                    rateLimit,
+                    extension(state, appended));
         });
     }
 
+    private static Optional<ReplyExtension> extension(byte state, AppendedFields appended) {
+        return (state & READS_APPENDED_FIELDS) == 0
+                ? Optional.empty()
+                : Optional.of(new ReplyExtension(appended.field(GRANTS, DemandCodec::readGrants)));
+    }
+
     private static ReaderUpdate readReader(ByteBuffer datagram) {
         long operatorOffset = datagram.getLong();
         long knownMillisAgo = readAge(datagram);
--- a/src/main/java/org/micabarrow/transport/LoadPoller.java
+++ b/src/main/java/org/micabarrow/transport/LoadPoller.java
@@ -11,12 +11,14 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import org.micabarrow.admission.EntryDemand;
 import org.micabarrow.limits.RateLimitUpdate;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
@@ -60,6 +62,9 @@
     /** The timestamp of the last reply from each host. */
     private final Map<String, Long> replyTimestamps = new ConcurrentHashMap<>();
 
+    /** The hosts whose agents read appended fields. */
+    private final Set<String> extensibleHosts = ConcurrentHashMap.newKeySet();
+
     private final PauseDetector pauseDetector = new PauseDetector(ROUND_MILLIS);
     private int roundNumber;
     private boolean queriedBefore;
@@ -80,6 +85,7 @@
      * @param storeUpdate what agents of the region are informed of about the store; empty while this entry has no
      *     contact with the store
      * @param onReader receives what agents report about the entry that reads the store for the region
+     * @param demand the demand of the entry's clients, which agents divide their slots by; called on the traffic thread
      */
     public record Dependencies(
             Common.Place place,
@@ -91,7 +97,8 @@
             XnioIoThread traffic,
             LongSupplier monotonicMillis,
             Supplier<Optional<StoreUpdate>> storeUpdate,
-            Consumer<StoreUpdate.ReaderState> onReader) {
+            Consumer<StoreUpdate.ReaderState> onReader,
+            Supplier<EntryDemand> demand) {
 
         /** Checks that no component is null. */
         public Dependencies {
@@ -104,6 +111,7 @@
             Objects.requireNonNull(monotonicMillis, "monotonicMillis is null");
             Objects.requireNonNull(storeUpdate, "storeUpdate is null");
             Objects.requireNonNull(onReader, "onReader is null");
+            Objects.requireNonNull(demand, "demand is null");
         }
     }
 
@@ -160,6 +168,7 @@
         // Set before the queries are sent, since a reply may arrive immediately.
         endpointsByHost = startsOf(hosts);
         replyTimestamps.keySet().retainAll(hosts.keySet());
+        extensibleHosts.retainAll(hosts.keySet());
         // The timestamps are read before the store update: a reply that arrived in between, while this process was
         // paused, would make the update appear newer than it is.
         Map<String, Long> timestamps = Map.copyOf(replyTimestamps);
@@ -257,7 +266,10 @@
                 storeStatus.sameRegion(),
                 storeStatus.storeUpdate(),
                 storeStatus.replyTimestamp(),
-                rateLimit(endpoints)));
+                rateLimit(endpoints),
+                extensibleHosts.contains(host)
+                        ? Optional.of(dependencies.demand().get())
+                        : Optional.empty()));
         try {
             channel.send(datagram, new InetSocketAddress(host, dependencies.peerPort()));
         } catch (IOException e) {
@@ -308,6 +320,11 @@
     private void accept(String host, LoadMessages.Reply reply) {
         List<EndpointStart> endpoints = endpointsByHost.getOrDefault(host, List.of());
         replyTimestamps.put(host, reply.timestampMillis());
+        if (reply.extension().isPresent()) {
+            extensibleHosts.add(host);
+        } else {
+            extensibleHosts.remove(host);
+        }
         dependencies.traffic().execute(() -> apply(endpoints, reply));
     }
 
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -148,6 +148,9 @@
                 now,
                 others.rank(),
                 limitRelay.update(now));
-        channel.send(LoadMessages.write(reply), entryQuery.from());
+        // An entry appends fields as soon as it knows that the agent reads them; a former build appends none.
+        boolean readsAppendedFields = entryQuery.query().demand().isPresent();
+        channel.send(
+                LoadMessages.write(readsAppendedFields ? reply : reply.withoutAppendedFields()), entryQuery.from());
     }
 }
--- a/src/main/java/org/micabarrow/weights/ModelEndpoint.java
+++ b/src/main/java/org/micabarrow/weights/ModelEndpoint.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import org.micabarrow.routing.EndpointCondition;
 import org.micabarrow.state.Result;
 
 /** The weight operations of the endpoint beside an agent. */
@@ -16,19 +17,17 @@
      * @param partialModels the weight version of each model of which it holds only some layers
      * @param busy whether it is loading weights
      * @param orderCount the number of orders that it has accepted since its start
-     * @param queued the number of waiting requests
-     * @param running the number of running requests
+     * @param condition its running and waiting requests, speed and memory
      * @param startedMillis its start time as a Unix timestamp in milliseconds; empty if not reported
      * @param draining whether it reports that it is draining
-     * @param limit the requests per second that it accepts from all entries together; empty if not reported
+     * @param rateLimit the requests per second that it accepts from all entries together; empty if not reported
      */
     record Report(
             Map<String, Long> models,
             Map<String, Long> partialModels,
             boolean busy,
             long orderCount,
-            int queued,
-            int running,
+            EndpointCondition condition,
             OptionalLong startedMillis,
             boolean draining,
             OptionalDouble rateLimit) {
@@ -55,12 +54,21 @@
                     partialModels,
                     busy,
                     orderCount,
-                    queued,
-                    running,
+                    new EndpointCondition(
+                            running, queued, OptionalDouble.empty(), OptionalLong.empty(), OptionalLong.empty()),
                     OptionalLong.empty(),
                     false,
                     OptionalDouble.empty());
         }
+
+        /**
+         * Returns the number of requests at the endpoint, its queue included.
+         *
+         * @return the running and the waiting requests
+         */
+        public int requests() {
+            return condition.running() + condition.queued();
+        }
     }
 
     /** The outcome of an order. */
--- a/src/main/java/org/micabarrow/weights/ReplicaController.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaController.java
@@ -120,7 +120,7 @@
      */
     public boolean mayHaveRequests() {
         return report.get()
-                .filter(latest -> !latest.models().isEmpty() || latest.running() + latest.queued() > 0)
+                .filter(latest -> !latest.models().isEmpty() || latest.requests() > 0)
                 .isPresent();
     }
 
--- a/src/test/java/org/micabarrow/crashes/RequestDigestTest.java
+++ b/src/test/java/org/micabarrow/crashes/RequestDigestTest.java
@@ -12,7 +12,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.routing.AllowedRegions;
 import org.micabarrow.routing.RequestKind;
+import org.micabarrow.routing.RequestSize;
 import org.micabarrow.routing.Route;
 
 class RequestDigestTest {
@@ -24,7 +26,19 @@
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         Map<String, String> headers = Map.of("Attempt-Id", id);
         return new ClientRequest(
-                id, method, target, host, headers, bytes, route, "s", Optional.of(org), 1, id.length(), 0);
+                id,
+                method,
+                target,
+                host,
+                headers,
+                bytes,
+                route,
+                "s",
+                Optional.of(org),
+                1,
+                id.length(),
+                RequestSize.none(),
+                AllowedRegions.any());
     }
 
     private static final ClientRequest ONE = request("1", "POST", "h", "/x?q=1", "org-a", "body");
--- a/src/test/java/org/micabarrow/platform/StoreRecordsTest.java
+++ b/src/test/java/org/micabarrow/platform/StoreRecordsTest.java
@@ -10,10 +10,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.micabarrow.routing.AllowedRegions;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.RequestKind;
 import org.micabarrow.routing.RouteManifest;
@@ -90,6 +92,39 @@
         assertTrue(read.cause().orElseThrow().message().contains(named), () -> read.toString());
     }
 
+    @Test
+    void shouldReadAllowedRegionsOfRoutesAndOrganisations() {
+        RouteManifest manifest = manifest("""
+                {"version":1,"services":[],"routes":[
+                {"name":"a","host":"h","path_prefix":"/a/","kind":"idempotent","service":"s","allowed_regions":["west"]},
+                {"name":"b","host":"h","path_prefix":"/b/","kind":"idempotent","service":"s","allowed_regions":[]},
+                {"name":"c","host":"h","path_prefix":"/c/","kind":"idempotent","service":"s"}],
+                "tenants":[{"name":"o","api_keys":["k"],"allowed_regions":["east","west"]}]}""");
+        assertEquals(
+                AllowedRegions.only(Set.of("west")),
+                manifest.route("h", "/a/").orElseThrow().allowedRegions());
+        assertEquals(
+                AllowedRegions.any(), manifest.route("h", "/b/").orElseThrow().allowedRegions());
+        assertEquals(
+                AllowedRegions.any(), manifest.route("h", "/c/").orElseThrow().allowedRegions());
+        assertEquals(
+                AllowedRegions.only(Set.of("east", "west")),
+                manifest.owner("k").orElseThrow().allowedRegions());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 0", "2500, 2500", "-3, 0", "1e300, 60000", "'\"soon\"', 0", "null, 0"})
+    void shouldReadTimeForWhichEndpointStaysCold(String told, long millis) {
+        String json = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":1,"
+                + "\"state\":\"ready\",\"cold_left_ms\":" + told + "}";
+        assertEquals(
+                millis,
+                records.decodeEndpointRegistration(record("e", json))
+                        .toOptional()
+                        .orElseThrow()
+                        .coldLeftMillis());
+    }
+
     @Test
     void shouldPassOverFieldsThatAreNotKnown() {
         RouteManifest manifest = manifest("{\"version\":9,\"routes\":[],\"services\":[],\"novelty\":{\"a\":[1]}}");
--- a/src/test/java/org/micabarrow/transport/LoadPollerTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadPollerTest.java
@@ -26,6 +26,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.micabarrow.admission.EntryDemand;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.EndpointSelector;
@@ -77,7 +78,8 @@
                 worker.getIoThread(),
                 () -> System.nanoTime() / 1_000_000,
                 Optional::empty,
-                readers::add));
+                readers::add,
+                EntryDemand::none));
     }
 
     @AfterEach
--- a/src/test/java/org/micabarrow/weights/FakeEndpoint.java
+++ b/src/test/java/org/micabarrow/weights/FakeEndpoint.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import org.micabarrow.routing.EndpointCondition;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
 
@@ -60,8 +61,7 @@
                 modelsOf(partialVersion),
                 busy,
                 orders.size(),
-                0,
-                0,
+                new EndpointCondition(0, 0, OptionalDouble.empty(), OptionalLong.empty(), OptionalLong.empty()),
                 startedMillis,
                 false,
                 OptionalDouble.empty()));
