--- a/src/main/java/org/micabarrow/bench/Caller.java
+++ b/src/main/java/org/micabarrow/bench/Caller.java
@@ -18,7 +18,7 @@
 /** Sends requests to entries as a caller does, and judges what comes back. */
 final class Caller implements AutoCloseable {
 
-    private static final Duration WITHIN = Duration.ofSeconds(60);
+    private static final Duration TIMEOUT = Duration.ofSeconds(60);
     private static final int TRIES = 100;
     private static final long PAUSE_MILLIS = 200;
 
@@ -78,7 +78,7 @@
             call = call.withHeader(header.getKey(), header.getValue());
         }
         long start = System.nanoTime();
-        Result<HttpResponse> answer = http.call(call, WITHIN);
+        Result<HttpResponse> answer = http.call(call, TIMEOUT);
         double millis = (System.nanoTime() - start) / 1e6;
         return answer.toOptional()
                 .map(one -> seen(one, millis))
@@ -111,10 +111,10 @@
 
     /** Reads an answer; a process that is still starting is asked again. */
     private <T> T read(HttpCall call, Class<T> type) {
-        Result<HttpResponse> answer = http.call(call, WITHIN);
+        Result<HttpResponse> answer = http.call(call, TIMEOUT);
         for (int i = 0; i < TRIES && answer instanceof Result.Failure; i++) {
             pause();
-            answer = http.call(call, WITHIN);
+            answer = http.call(call, TIMEOUT);
         }
         try {
             return CanonicalJson.read(answer.toOptional().orElseThrow().body(), type);
--- a/src/main/java/org/micabarrow/bench/OpenLoop.java
+++ b/src/main/java/org/micabarrow/bench/OpenLoop.java
@@ -20,11 +20,11 @@
     static final int LONG_TOKENS = 100;
 
     private static final double SHORT_PART = 0.8;
-    private static final long MOST_MICROS = 120_000_000;
+    private static final long MAX_MICROS = 120_000_000;
 
     private final Target target;
-    private final Histogram shortMicros = new ConcurrentHistogram(MOST_MICROS, 3);
-    private final Histogram longMicros = new ConcurrentHistogram(MOST_MICROS, 3);
+    private final Histogram shortMicros = new ConcurrentHistogram(MAX_MICROS, 3);
+    private final Histogram longMicros = new ConcurrentHistogram(MAX_MICROS, 3);
     private final Map<Caller.Ending, Integer> endings = new TreeMap<>();
     private final Map<String, int[]> byOrganisation = new TreeMap<>();
     private double seconds;
@@ -89,7 +89,7 @@
         Caller.Seen seen = target.send(number, due.organisation(), due.isShort() ? SHORT_TOKENS : LONG_TOKENS);
         long micros = (System.nanoTime() - start - due.nanos()) / 1000;
         if (seen.ending() == Caller.Ending.ANSWERED) {
-            (due.isShort() ? shortMicros : longMicros).recordValue(Math.min(MOST_MICROS, micros));
+            (due.isShort() ? shortMicros : longMicros).recordValue(Math.min(MAX_MICROS, micros));
         }
         synchronized (this) {
             endings.merge(seen.ending(), 1, Integer::sum);
--- a/src/main/java/org/micabarrow/bench/OperatorCalls.java
+++ b/src/main/java/org/micabarrow/bench/OperatorCalls.java
@@ -14,7 +14,7 @@
 /** What a benchmark asks of an entry as an operator. */
 final class OperatorCalls implements AutoCloseable {
 
-    private static final Duration WITHIN = Duration.ofSeconds(60);
+    private static final Duration TIMEOUT = Duration.ofSeconds(60);
     private static final long LOOK_MILLIS = 20;
 
     private final HttpClient http = HttpClient.start("operator", 1);
@@ -44,7 +44,7 @@
                         Map.of(),
                         body.getBytes(StandardCharsets.UTF_8))
                 .withHeader("Authorization", "Bearer " + LocalSystem.OPERATOR_TOKEN);
-        HttpClient.HttpResponse answer = http.call(call, WITHIN).toOptional().orElseThrow();
+        HttpClient.HttpResponse answer = http.call(call, TIMEOUT).toOptional().orElseThrow();
         if (answer.status() != 200) {
             throw new IllegalStateException(new String(answer.body(), StandardCharsets.UTF_8));
         }
--- a/src/main/java/org/micabarrow/command/OperatorCommand.java
+++ b/src/main/java/org/micabarrow/command/OperatorCommand.java
@@ -29,7 +29,7 @@
 abstract class OperatorCommand extends Command {
 
     /** How long an entry may take for an answer; a confirmation waits until the plan is in force. */
-    private static final Duration WITHIN = Duration.ofSeconds(30);
+    private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
     private static final String TOKEN_VARIABLE = "MICABARROW_TOKEN";
 
@@ -57,7 +57,7 @@
         try (HttpClient caller = HttpClient.start("command", 1)) {
             HttpCall call = new HttpCall(Step.READ, method, URI.create(entry + path), headers, body)
                     .withHeader("Authorization", "Bearer " + token());
-            return caller.call(call, WITHIN).flatMap(answer -> read(answer, type));
+            return caller.call(call, TIMEOUT).flatMap(answer -> read(answer, type));
         }
     }
 
--- a/src/main/java/org/micabarrow/coordination/membership/StatusRotation.java
+++ b/src/main/java/org/micabarrow/coordination/membership/StatusRotation.java
@@ -22,7 +22,7 @@
 public final class StatusRotation {
 
     /** The most questions a second. */
-    public static final int MOST_A_SECOND = 50;
+    public static final int MAX_PER_SECOND = 50;
 
     private final long periodMillis;
     private final Map<String, Long> asked = new HashMap<>();
@@ -53,7 +53,7 @@
     }
 
     private int mostNow() {
-        return (int) Math.max(1, MOST_A_SECOND * periodMillis / 1000);
+        return (int) Math.max(1, MAX_PER_SECOND * periodMillis / 1000);
     }
 
     /**
--- a/src/main/java/org/micabarrow/platform/AskedRead.java
+++ b/src/main/java/org/micabarrow/platform/AskedRead.java
@@ -3,29 +3,29 @@
 import java.util.OptionalLong;
 
 /**
- * A question for the records of a topic.
+ * A read of a topic's records that the store was asked for.
  *
- * @param from the offset from which on records are wanted
- * @param sentMillis a moment before the question was sent
- * @param waitMillis how long the store may hold the answer if there is no record yet
+ * @param from the first offset to read
+ * @param sentMillis a time before the read was sent
+ * @param waitMillis how long the store may delay its answer while there is no record
  */
 record AskedRead(long from, long sentMillis, long waitMillis) {
 
     /**
-     * Up to which moment an answer tells all that was written. One that reaches the topic's end tells all until the question was
-     * sent. One without a record that comes after the whole wait was held that long, and tells all until the wait's end. One that
-     * breaks off before the end, as the store's long ones do, tells of no moment.
+     * Returns the time up to which an answer contains everything that was written. If the answer reaches the topic's end, that is
+     * when the read was sent. If it contains no record and arrived after the whole wait, the store delayed it that long, and the
+     * time is the end of the wait. If it ends before the topic's end, as long answers of the store do, there is no such time.
      *
      * @param readTo the offset after the last record of the answer
-     * @param end the topic's end, as the answer names it
-     * @param nowMillis when the answer had come
-     * @return the moment, empty if there is none
+     * @param end the topic's end as stated in the answer
+     * @param nowMillis the time at which the answer arrived
+     * @return the time, empty if there is none
      */
     OptionalLong asOf(long readTo, long end, long nowMillis) {
         if (readTo < end) {
             return OptionalLong.empty();
         }
-        boolean heldToTheEnd = readTo == from && nowMillis - sentMillis >= waitMillis;
-        return OptionalLong.of(heldToTheEnd ? sentMillis + waitMillis : sentMillis);
+        boolean delayedForWholeWait = readTo == from && nowMillis - sentMillis >= waitMillis;
+        return OptionalLong.of(delayedForWholeWait ? sentMillis + waitMillis : sentMillis);
     }
 }
--- a/src/main/java/org/micabarrow/platform/CrashRecords.java
+++ b/src/main/java/org/micabarrow/platform/CrashRecords.java
@@ -22,8 +22,8 @@
 import org.micabarrow.views.StoredRecord;
 
 /**
- * Writes and reads what processes tell each other of crashes, in a topic of the system's own of the platform's store. Each process
- * writes keys of its own, so that none hides what another told.
+ * Writes and reads records of crashes in a topic of the platform's store that belongs to the system. Each process writes its own
+ * keys, so that no record replaces one of another process.
  */
 public final class CrashRecords {
 
@@ -34,18 +34,18 @@
     private static final String CLEARED = "cleared";
     private static final String WHOLE = "whole";
 
-    /** Between what a key is of and the process that writes it. */
+    /** Separates the subject of a key from the process that writes it. */
     private static final String BY = " by ";
 
     private final KeyedWriter writer;
     private final String process;
 
     /**
-     * Makes a writer.
+     * Creates a writer.
      *
      * @param caller sends its requests
      * @param address the store's host and port
-     * @param within how long the store may take
+     * @param within the timeout of a call to the store
      * @param process the name of this process
      */
     public CrashRecords(HttpClient caller, String address, Duration within, String process) {
@@ -54,26 +54,26 @@
     }
 
     /**
-     * What a record tells.
+     * The content of a record.
      *
-     * @param news what happened
+     * @param update what happened
      * @param unixMillis when, by the clock of the process that wrote it
      */
-    public record Told(CrashUpdate news, long unixMillis) {}
+    public record DatedUpdate(CrashUpdate update, long unixMillis) {}
 
     // -- writing
 
     /**
-     * What is to be written of some news; what is told of the same thing later takes its place.
+     * Encodes an update. A later record on the same subject replaces it.
      *
-     * @param news the news
-     * @param unixMillis the time of day
-     * @return the record, whose offset says nothing
+     * @param update the update
+     * @param unixMillis the current Unix time
+     * @return the record, with a meaningless offset
      */
-    public StoredRecord record(CrashUpdate news, long unixMillis) {
+    public StoredRecord record(CrashUpdate update, long unixMillis) {
         ObjectNode json = CanonicalJson.mapper().createObjectNode();
         json.put(AT, unixMillis);
-        return switch (news) {
+        return switch (update) {
             case CrashUpdate.Crashed(EndpointCrash crash) -> {
                 json.put(ENDPOINT, crash.endpoint());
                 put(json.putArray(ABOARD), crash.unanswered());
@@ -100,41 +100,41 @@
      * Writes records, all or none.
      *
      * @param records the records
-     * @return the records where they lie, or why they may not lie there
+     * @return the records with their offsets, or why they may not have been written
      */
     public Result<List<StoredRecord>> write(List<StoredRecord> records) {
         return writer.write(records);
     }
 
     /**
-     * What drops a record that is of use no more.
+     * Returns the record that deletes a key.
      *
-     * @param key its key
-     * @return the record to write
+     * @param key the key
+     * @return the tombstone to write
      */
-    public static StoredRecord dropping(String key) {
-        return KeyedWriter.dropping(key);
+    public static StoredRecord tombstone(String key) {
+        return KeyedWriter.tombstone(key);
     }
 
     // -- reading
 
     /**
-     * Reads a record.
+     * Decodes a record.
      *
-     * @param record a record that drops no key
-     * @return what it tells, or why it cannot be read
+     * @param record a record that is not a tombstone
+     * @return its content, or why it is invalid
      */
-    public static Result<Told> read(StoredRecord record) {
+    public static Result<DatedUpdate> read(StoredRecord record) {
         try {
             JsonNode json = CanonicalJson.mapper().readTree(record.value());
-            return Result.success(new Told(news(json), JsonFields.whole(json, AT, 0)));
+            return Result.success(new DatedUpdate(update(json), JsonFields.whole(json, AT, 0)));
         } catch (IOException | IllegalArgumentException | JsonFields.MalformedField e) {
             return Result.failure(
                     Fault.of(Step.READ, record.loggableKey(), Reason.INVALID, StoredRecord.loggable(e.toString())));
         }
     }
 
-    private static CrashUpdate news(JsonNode json) {
+    private static CrashUpdate update(JsonNode json) {
         return json.has(CLEARED)
                 ? new CrashUpdate.Cleared(
                         new RequestDigest(JsonFields.text(json, CLEARED)), JsonFields.flag(json, WHOLE))
--- a/src/main/java/org/micabarrow/platform/EndpointCalls.java
+++ b/src/main/java/org/micabarrow/platform/EndpointCalls.java
@@ -23,8 +23,8 @@
 /** The platform's calls to the endpoint on the agent's own instance. */
 public final class EndpointCalls implements ModelEndpoint {
 
-    /** How long a call within the instance may take; the endpoint answers in a millisecond or so. */
-    private static final Duration WITHIN = Duration.ofMillis(1_000);
+    /** Timeout of a call within the instance; the endpoint answers in about a millisecond. */
+    private static final Duration TIMEOUT = Duration.ofMillis(1_000);
 
     private static final int OK = 200;
     private static final int CREATED = 201;
@@ -38,7 +38,7 @@
     private final IntSupplier totalLayers;
 
     /**
-     * Makes a client.
+     * Creates a client.
      *
      * @param caller sends its requests
      * @param address the endpoint's host and port
@@ -53,7 +53,7 @@
     @Override
     public Result<Report> report() {
         HttpCall call = HttpCall.get(Step.STATUS, URI.create(base + WireNames.REPORT));
-        return caller.call(call, WITHIN).flatMap(answer -> {
+        return caller.call(call, TIMEOUT).flatMap(answer -> {
             if (answer.status() != OK) {
                 return refused(call, answer);
             }
@@ -67,7 +67,7 @@
         });
     }
 
-    /** An endpoint that holds some layers only holds no version. */
+    /** An endpoint that holds only some of the layers holds no version. */
     private Report report(JsonNode json, Map<String, String> headers) {
         JsonFields.object(json, "the report");
         Map<String, Long> models = EndpointFields.models(json);
@@ -99,7 +99,7 @@
                 URI.create(base + WireNames.STAGE_PUT + model + "?sample_count=" + index),
                 Map.of("Content-Type", "application/octet-stream"),
                 bytes);
-        return caller.call(call, WITHIN).flatMap(answer -> switch (answer.status()) {
+        return caller.call(call, TIMEOUT).flatMap(answer -> switch (answer.status()) {
             case OK, CREATED, NO_CONTENT -> Result.success(true);
             default -> refused(call, answer);
         });
@@ -109,7 +109,7 @@
     public Result<Optional<byte[]>> readStaged(String model, int index) {
         HttpCall call =
                 HttpCall.get(Step.STAGE, URI.create(base + WireNames.STAGE_GET + model + "?sample_count=" + index));
-        return caller.call(call, WITHIN).flatMap(answer -> switch (answer.status()) {
+        return caller.call(call, TIMEOUT).flatMap(answer -> switch (answer.status()) {
             case OK -> Result.success(Optional.of(answer.body()));
             case NOT_FOUND -> Result.success(Optional.empty());
             default -> refused(call, answer);
@@ -145,7 +145,7 @@
     private Result<OrderOutcome> order(ObjectNode order) {
         HttpCall call = HttpCall.post(Step.ORDER, URI.create(base + WireNames.ORDER), CanonicalJson.write(order))
                 .withHeader("Content-Type", "application/json");
-        return caller.call(call, WITHIN).flatMap(answer -> switch (answer.status()) {
+        return caller.call(call, TIMEOUT).flatMap(answer -> switch (answer.status()) {
             case ACCEPTED -> Result.success(OrderOutcome.BEGUN);
             case OK -> Result.success(OrderOutcome.HELD);
             case CONFLICT -> Result.success(OrderOutcome.CONFLICT);
--- a/src/main/java/org/micabarrow/platform/EndpointHeaders.java
+++ b/src/main/java/org/micabarrow/platform/EndpointHeaders.java
@@ -17,25 +17,25 @@
 import org.micabarrow.state.Fault.Step;
 import org.micabarrow.transport.HttpCall;
 
-/** Writes requests to endpoints, and reads the beginning of their answers, as the platform has them. */
+/** Encodes requests to endpoints and decodes the heads of their responses. */
 public final class EndpointHeaders implements EndpointProtocol {
 
     private static final int MISDIRECTED = 421;
     private static final int UNAVAILABLE = 503;
 
-    private static final double MILLIS_A_SECOND = 1_000;
+    private static final double MILLIS_PER_SECOND = 1_000;
 
-    /** The longest rest that is believed, in milliseconds: a day; more would overflow a clock. */
-    private static final double MOST_REST_MILLIS = 24 * 3_600_000.0;
+    /** The longest accepted backoff, in milliseconds: one day; more could overflow a clock. */
+    private static final double MAX_BACKOFF_MILLIS = 24 * 3_600_000.0;
 
-    /** A whole number or a fraction, not below 0; a date is none. */
+    /** A non-negative decimal number; dates do not match. */
     private static final Pattern DECIMAL = Pattern.compile("\\d{1,300}(?:\\.\\d{0,300})?");
 
-    /** The last rank that endpoints are told: what ranks behind it, or comes too late for its objective, is told as this. */
-    private static final int MOST_PRIORITY = 9;
+    /** The least urgent priority that endpoints know; also used for less urgent requests and for those that missed their objective. */
+    private static final int MAX_PRIORITY = 9;
 
-    /** The most digits of a number that surely fits. */
-    private static final int MOST_DIGITS = 18;
+    /** The number of digits that always fits into a long. */
+    private static final int MAX_DIGITS = 18;
 
     /** Headers that belong to the endpoint's connection only. */
     private static final Set<String> NOT_PASSED_ON =
@@ -51,7 +51,7 @@
         sending.requiredVersion().ifPresent(version -> headers.put(WireNames.EXPECTED_VERSION, Long.toString(version)));
         sending.lastEventId().ifPresent(id -> headers.put(WireNames.LAST_EVENT, id));
         if (request.promptTokens() > 0) {
-            int rank = sending.objectiveMissed() ? MOST_PRIORITY : Math.clamp(request.priority(), 0, MOST_PRIORITY);
+            int rank = sending.objectiveMissed() ? MAX_PRIORITY : Math.clamp(request.priority(), 0, MAX_PRIORITY);
             headers.put(WireNames.PRIORITY, Integer.toString(rank));
         }
         URI uri = URI.create("http://" + sending.endpoint().address());
@@ -74,33 +74,33 @@
                 status == MISDIRECTED,
                 number(headers.get(WireNames.WEIGHT_VERSION)),
                 leaving(headers),
-                status == UNAVAILABLE ? restMillis(headers.get(WireNames.REST)) : OptionalLong.empty(),
+                status == UNAVAILABLE ? backoffMillis(headers.get(WireNames.REST)) : OptionalLong.empty(),
                 limit(headers),
                 passedOn);
     }
 
     /**
-     * For how long an endpoint asks for rest; of several times the longest. What is no time, or none above 0, counts as absent.
+     * The backoff that an endpoint asks for, the longest if there are several. Values that are not positive numbers are ignored.
      */
-    static OptionalLong restMillis(String text) {
+    static OptionalLong backoffMillis(String text) {
         if (text == null) {
             return OptionalLong.empty();
         }
         return decimals(text)
-                .map(seconds -> Math.min(seconds * MILLIS_A_SECOND, MOST_REST_MILLIS))
+                .map(seconds -> Math.min(seconds * MILLIS_PER_SECOND, MAX_BACKOFF_MILLIS))
                 .mapToLong(Math::round)
                 .filter(millis -> millis > 0)
                 .max();
     }
 
-    /** Whether an endpoint says in an answer, to whatever, that it leaves. */
+    /** Whether an endpoint states in a response that it is draining. */
     static boolean leaving(Map<String, String> headers) {
         return "1".equals(headers.get(WireNames.LEAVING));
     }
 
     /**
-     * The requests a second that an endpoint takes from all entries together; of several numbers the least. What is no number counts as
-     * absent.
+     * The requests per second that an endpoint accepts from all entries together, the lowest if there are several. Values that are
+     * not numbers are ignored.
      */
     static OptionalDouble limit(Map<String, String> headers) {
         return decimals(headers.getOrDefault(WireNames.LIMIT, ""))
@@ -108,7 +108,7 @@
                 .min();
     }
 
-    /** The numbers in a header that may have been sent several times; what is no number counts as absent. */
+    /** The numbers in a header that may occur several times; other values are ignored. */
     private static DoubleStream decimals(String text) {
         return Stream.of(text.split(","))
                 .map(String::trim)
@@ -116,11 +116,11 @@
                 .mapToDouble(Double::parseDouble);
     }
 
-    /** A whole number; what a broken endpoint writes instead counts as absent. */
+    /** A whole number; any other value is ignored. */
     private static Optional<Long> number(String text) {
         if (text == null
                 || text.isEmpty()
-                || text.length() > MOST_DIGITS
+                || text.length() > MAX_DIGITS
                 || !text.chars().allMatch(Character::isDigit)) {
             return Optional.empty();
         }
--- a/src/main/java/org/micabarrow/platform/JsonFields.java
+++ b/src/main/java/org/micabarrow/platform/JsonFields.java
@@ -5,14 +5,14 @@
 import java.util.Optional;
 
 /**
- * Reads the fields of what others write. Nothing is turned into another type: a field that is not as the platform's pages
- * say comes from a writer whose other fields mean nothing either.
+ * Reads fields of JSON that other programs wrote, without converting types: if one field has an unexpected type, the others cannot
+ * be relied on either.
  */
 final class JsonFields {
 
     private JsonFields() {}
 
-    /** A field is missing, or is not what it must be. */
+    /** Thrown if a field is missing or has an unexpected type or value. */
     static final class MalformedField extends RuntimeException {
 
         private static final long serialVersionUID = 1;
@@ -34,7 +34,7 @@
         return present(json, field).orElseThrow(() -> new MalformedField("field " + field + " is missing"));
     }
 
-    // -- what must be there
+    // -- required fields
 
     static JsonNode object(JsonNode json, String what) {
         if (!json.isObject()) {
@@ -83,7 +83,7 @@
         return all;
     }
 
-    // -- what may be left out; of a wrong type it may not be
+    // -- optional fields, which must have the expected type if present
 
     static Optional<String> textIfPresent(JsonNode json, String field) {
         return present(json, field).map(value -> text(json, field));
@@ -105,12 +105,12 @@
         return numberIfPresent(json, field).orElse(otherwise);
     }
 
-    /** A number without its fraction. */
+    /** A number, truncated to an integer. */
     static int intOr(JsonNode json, String field, int otherwise) {
         return (int) numberOr(json, field, otherwise);
     }
 
-    /** A number without its fraction. */
+    /** A number, truncated to an integer. */
     static long longOr(JsonNode json, String field, long otherwise) {
         return (long) numberOr(json, field, otherwise);
     }
@@ -127,7 +127,7 @@
         return present(json, field).map(list -> objects(json, field)).orElse(List.of());
     }
 
-    /** The texts of a list, none if it is left out. */
+    /** The strings of a list, none if the field is absent. */
     static List<String> texts(JsonNode json, String field) {
         Optional<JsonNode> list = present(json, field);
         if (list.filter(one -> !one.isArray()).isPresent()) {
--- a/src/main/java/org/micabarrow/platform/KeyedRecords.java
+++ b/src/main/java/org/micabarrow/platform/KeyedRecords.java
@@ -8,8 +8,8 @@
 import org.micabarrow.views.StoredRecord;
 
 /**
- * The form of keyed records on the platform's wire: the length of all that follows in four bytes, the length of the key in one,
- * the key in UTF-8, the value.
+ * The wire format of keyed records: the length of the rest in four bytes, the length of the key in one byte, the key in UTF-8, and
+ * the value.
  *
  * <pre>{@code
  * byte[] body = KeyedRecords.framed(KeyedRecords.record("version/m/2", value));
@@ -18,12 +18,12 @@
  */
 public final class KeyedRecords {
 
-    /** The most bytes of a key: its length is one byte on the wire. */
-    static final int MOST_KEY_BYTES = 255;
+    /** The maximum length of a key in bytes, since its length is one byte on the wire. */
+    static final int MAX_KEY_BYTES = 255;
 
     private KeyedRecords() {}
 
-    /** A record that is no key and value. */
+    /** Thrown for bytes that are not a key and a value. */
     public static final class MalformedRecordException extends Exception {
 
         private static final long serialVersionUID = 1;
@@ -36,28 +36,28 @@
     // -- writing
 
     /**
-     * Whether a key fits into a record.
+     * Returns whether a key fits into a record.
      *
      * @param key the key
-     * @return true if its bytes are not too many
+     * @return true if it is not too long
      */
     static boolean fits(String key) {
-        return bytes(key).length <= MOST_KEY_BYTES;
+        return bytes(key).length <= MAX_KEY_BYTES;
     }
 
     /**
-     * A record without the length that stands before it.
+     * Encodes a record without its length.
      *
-     * @param key the key, of 255 bytes at the most
-     * @param value the value; an empty one drops the key
-     * @return the length of the key, the key, the value
-     * @throws IllegalArgumentException if the key is longer, since its length would read as another one
+     * @param key the key, of at most 255 bytes
+     * @param value the value; an empty one deletes the key
+     * @return the length of the key, the key, and the value
+     * @throws IllegalArgumentException if the key is longer, since its length would be decoded as another one
      */
     public static byte[] record(String key, byte[] value) {
         Objects.requireNonNull(value, "value is null");
         byte[] name = bytes(Objects.requireNonNull(key, "key is null"));
-        if (name.length > MOST_KEY_BYTES) {
-            throw new IllegalArgumentException("the key is over " + MOST_KEY_BYTES + " bytes");
+        if (name.length > MAX_KEY_BYTES) {
+            throw new IllegalArgumentException("the key is over " + MAX_KEY_BYTES + " bytes");
         }
         return ByteBuffer.allocate(1 + name.length + value.length)
                 .put((byte) name.length)
@@ -67,10 +67,10 @@
     }
 
     /**
-     * Bytes with their length before them.
+     * Prefixes bytes with their length.
      *
-     * @param record a record, or whatever bytes stand in its place
-     * @return the length, the bytes
+     * @param record a record, or other bytes in its place
+     * @return the length and the bytes
      */
     public static byte[] framed(byte[] record) {
         Objects.requireNonNull(record, "record is null");
@@ -87,9 +87,9 @@
     // -- reading
 
     /**
-     * Takes the next record out of a run of them.
+     * Reads the next of several records.
      *
-     * @param bytes stands before the record's length, and after the record afterwards
+     * @param bytes positioned at the record's length; afterwards positioned after the record
      * @return the record without its length
      * @throws BufferUnderflowException if the bytes end within the record
      */
@@ -104,12 +104,12 @@
     }
 
     /**
-     * Reads a record.
+     * Decodes a record.
      *
      * @param record the record without its length
-     * @param offset where it lies
+     * @param offset its offset in the topic
      * @return its key and value
-     * @throws MalformedRecordException if it has no key, is shorter than its key, or its key is no text
+     * @throws MalformedRecordException if it has no key, is shorter than its key, or its key is not valid UTF-8
      */
     public static StoredRecord read(ByteBuffer record, long offset) throws MalformedRecordException {
         int keyLength = record.hasRemaining() ? record.get() & 0xFF : 0;
@@ -122,7 +122,7 @@
         return new StoredRecord(text(key), offset, value);
     }
 
-    /** A key that is no text is refused; a replaced character would make one key of two. */
+    /** Rejects invalid UTF-8: with a replacement character, different keys would become equal. */
     private static String text(ByteBuffer key) throws MalformedRecordException {
         try {
             return StandardCharsets.UTF_8.newDecoder().decode(key).toString();
--- a/src/main/java/org/micabarrow/platform/KeyedWriter.java
+++ b/src/main/java/org/micabarrow/platform/KeyedWriter.java
@@ -18,25 +18,25 @@
 import org.micabarrow.transport.HttpClient.HttpResponse;
 import org.micabarrow.views.StoredRecord;
 
-/** Writes keyed records into one of the system's own topics of the platform's store. */
+/** Writes keyed records into a topic of the platform's store that belongs to the system. */
 final class KeyedWriter {
 
     private static final String OFFSET = "offset";
 
     private static final int OK = 200;
-    private static final byte[] DROPPED = {};
+    private static final byte[] NO_VALUE = {};
 
     private final HttpClient caller;
     private final URI uri;
     private final Duration within;
 
     /**
-     * Makes a writer.
+     * Creates a writer.
      *
      * @param caller sends its requests
      * @param address the store's host and port
      * @param topic the topic's name on the wire
-     * @param within how long the store may take
+     * @param within the timeout of a call to the store
      */
     KeyedWriter(HttpClient caller, String address, String topic, Duration within) {
         this.caller = Objects.requireNonNull(caller, "caller is null");
@@ -45,16 +45,16 @@
         this.within = Objects.requireNonNull(within, "within is null");
     }
 
-    /** What drops a key. */
-    static StoredRecord dropping(String key) {
-        return new StoredRecord(key, 0, DROPPED);
+    /** Returns the record that deletes a key. */
+    static StoredRecord tombstone(String key) {
+        return new StoredRecord(key, 0, NO_VALUE);
     }
 
     /**
-     * Writes records, all or none, one after the other.
+     * Writes records, all or none, at consecutive offsets.
      *
-     * @param records the records, whose offsets say nothing
-     * @return the records where they lie, or why they may not lie there
+     * @param records the records, whose offsets are ignored
+     * @return the records with their offsets, or why they may not have been written
      */
     Result<List<StoredRecord>> write(List<StoredRecord> records) {
         if (!records.stream().map(StoredRecord::key).allMatch(KeyedRecords::fits)) {
@@ -62,7 +62,7 @@
                     Step.LOG,
                     uri.getAuthority(),
                     Reason.INVALID,
-                    "the key is over " + KeyedRecords.MOST_KEY_BYTES + " bytes"));
+                    "the key is over " + KeyedRecords.MAX_KEY_BYTES + " bytes"));
         }
         HttpCall call = HttpCall.post(Step.LOG, uri, body(records));
         return caller.call(call, within).flatMap(answer -> offset(call, answer)).map(first -> at(first, records));
@@ -91,12 +91,11 @@
         }
     }
 
-    /** The records where they lie: all or none are written, one after the other. */
     private static List<StoredRecord> at(long first, List<StoredRecord> records) {
-        List<StoredRecord> lying = new ArrayList<>();
+        List<StoredRecord> placed = new ArrayList<>();
         for (StoredRecord record : records) {
-            lying.add(new StoredRecord(record.key(), first + lying.size(), record.value()));
+            placed.add(new StoredRecord(record.key(), first + placed.size(), record.value()));
         }
-        return lying;
+        return placed;
     }
 }
--- a/src/main/java/org/micabarrow/platform/OriginCalls.java
+++ b/src/main/java/org/micabarrow/platform/OriginCalls.java
@@ -19,15 +19,15 @@
 /** The platform's calls to the origin of weights. */
 public final class OriginCalls implements WeightOrigin {
 
-    /** How long a chunk may take: some dozens at once share the origin's link, on which one takes a few tens of ms. */
-    private static final Duration WITHIN = Duration.ofMillis(2_500);
+    /** Timeout of a call: some dozens of chunks share the origin's link at once, on which one takes a few tens of ms. */
+    private static final Duration TIMEOUT = Duration.ofMillis(2_500);
 
     private static final int OK = 200;
 
     private final HttpClient caller;
 
     /**
-     * Makes a client.
+     * Creates a client.
      *
      * @param caller sends its requests
      */
@@ -37,7 +37,7 @@
 
     private Result<byte[]> get(String address, String pathAndQuery) {
         HttpCall call = HttpCall.get(Step.FETCH, URI.create("http://" + address + pathAndQuery));
-        return caller.call(call, WITHIN)
+        return caller.call(call, TIMEOUT)
                 .flatMap(answer -> answer.status() == OK
                         ? Result.success(answer.body())
                         : Result.failure(Fault.of(
--- a/src/main/java/org/micabarrow/platform/StoreClient.java
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -31,7 +31,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** The one client of the platform's store: reads keyed topics. */
+/** Reads keyed topics of the platform's store. */
 public final class StoreClient implements TopicReader {
 
     private static final Logger LOG = LoggerFactory.getLogger(StoreClient.class);
@@ -39,42 +39,42 @@
     private static final int OK = 200;
     private static final int GONE = 410;
 
-    /** The most pages of newest records that are read: a bound against a store without a last page. */
-    private static final int MOST_PAGES = 1_000;
+    /** The maximum number of pages of newest records: guards against a store that never returns a last page. */
+    private static final int MAX_PAGES = 1_000;
 
     /**
-     * How long an answer that keeps coming may take, in milliseconds: the largest manifest (4 MiB, the store takes no larger one)
-     * takes 6.3 s over a link of 5.3 Mbit/s.
+     * Timeout of an answer whose data keeps arriving: the largest manifest that the store accepts (4 MiB) takes 6.3 s over a link
+     * of 5.3 Mbit/s.
      */
-    private static final Duration WHOLE = Duration.ofMillis(10_000);
+    private static final Duration TOTAL_TIMEOUT = Duration.ofMillis(10_000);
 
-    /** The name suggests a secret; it is a record's key. */
+    /** A record's key, despite its name. */
     private static final String KEY = "private_key";
 
     private final HttpClient caller;
     private final String base;
     private final Duration within;
     private final LongSupplier steadyMillis;
-    private final AtomicLong passedOver = new AtomicLong();
+    private final AtomicLong skipped = new AtomicLong();
 
     /**
-     * Makes a client.
+     * Creates a client.
      *
      * @param caller sends its requests
      * @param address the store's host and port
-     * @param within how long the store may be silent beyond the wait that was asked for
+     * @param within how long the store may send nothing beyond the requested wait
      */
     public StoreClient(HttpClient caller, String address, Duration within) {
         this(caller, address, within, MonotonicClock::millis);
     }
 
     /**
-     * Makes a client that has a clock of its own.
+     * Creates a client with a given clock.
      *
      * @param caller sends its requests
      * @param address the store's host and port
-     * @param within how long the store may be silent beyond the wait that was asked for
-     * @param steadyMillis a clock that never steps, in milliseconds
+     * @param within how long the store may send nothing beyond the requested wait
+     * @param steadyMillis a monotonic clock, in milliseconds
      */
     public StoreClient(HttpClient caller, String address, Duration within, LongSupplier steadyMillis) {
         this.caller = Objects.requireNonNull(caller, "caller is null");
@@ -93,7 +93,8 @@
     }
 
     private ResponseTimeouts limits(Duration wait) {
-        return new ResponseTimeouts(wait.plus(within), within, wait.plus(WHOLE.compareTo(within) > 0 ? WHOLE : within));
+        return new ResponseTimeouts(
+                wait.plus(within), within, wait.plus(TOTAL_TIMEOUT.compareTo(within) > 0 ? TOTAL_TIMEOUT : within));
     }
 
     // -- the newest of each key
@@ -103,9 +104,9 @@
         List<StoredRecord> records = new ArrayList<>();
         String after = "";
         long end = -1;
-        // The pages are no snapshot: what is written after the first was asked for may be missing from all.
+        // The pages are no snapshot: records written after the first page was requested may be missing from all.
         OptionalLong asOf = OptionalLong.of(steadyMillis.getAsLong());
-        for (int page = 0; page < MOST_PAGES; page++) {
+        for (int page = 0; page < MAX_PAGES; page++) {
             Result<JsonNode> answer = newestPage(topic, after);
             if (answer instanceof Result.Failure<JsonNode>(Fault fault)) {
                 return Result.failure(fault);
@@ -124,7 +125,7 @@
         return Result.failure(Fault.of(Step.LOG, base, Reason.TOO_LARGE, "the newest records have no last page"));
     }
 
-    /** The last key that a page names, after which the next one begins; empty if there is none. */
+    /** The last key of a page, after which the next page begins; empty if the page has none. */
     private static String lastKey(JsonNode page) {
         String last = "";
         for (JsonNode item : page.path("items")) {
@@ -143,12 +144,12 @@
                         isPage(page) ? Result.success(page) : corrupt(call, "the answer is no page of records"));
     }
 
-    /** Keys that are not listed count as dropped, so that what lists none by mistake must not be taken for a page. */
+    /** Keys that are not listed count as deleted, so an answer that lists none by mistake must not be accepted as a page. */
     private static boolean isPage(JsonNode json) {
         return json.path("items").isArray() && json.path("end").isIntegralNumber();
     }
 
-    /** A record of a page; empty if it cannot be read, which costs no other record. */
+    /** A record of a page; empty if it is invalid, which does not affect other records. */
     private Optional<StoredRecord> record(Topic topic, JsonNode item) {
         JsonNode offset = item.path("offset");
         try {
@@ -158,19 +159,18 @@
                 byte[] value = item.path("value").binaryValue();
                 return Optional.of(new StoredRecord(item.path(KEY).textValue(), offset.longValue(), value));
             }
-            passOver(topic, offset.asLong(-1), "a field is missing or of another type");
+            skip(topic, offset.asLong(-1), "a field is missing or of another type");
         } catch (IOException e) {
-            passOver(topic, offset.asLong(-1), e.getMessage());
+            skip(topic, offset.asLong(-1), e.getMessage());
         }
         return Optional.empty();
     }
 
     /**
-     * Says that a record cannot be read. One that is written again and again must not fill the log: the first is told, then the
-     * second, the fourth, and so on.
+     * Logs that a record is invalid. To bound the log, only the first, second, fourth, eighth one and so on are logged.
      */
-    private void passOver(Topic topic, long offset, String why) {
-        long count = passedOver.incrementAndGet();
+    private void skip(Topic topic, long offset, String why) {
+        long count = skipped.incrementAndGet();
         if (Long.bitCount(count) == 1) {
             LOG.error(
                     "event=record_passed_over topic={} offset={} sofar={} why=\"{}\"",
@@ -213,7 +213,7 @@
         });
     }
 
-    /** An answer to a read: the topic's end, the first offset that is kept, and the records from the offset asked for. */
+    /** Parses an answer to a read: the topic's end, the first retained offset, and the records from the requested offset on. */
     private Result<Read> parse(Topic topic, HttpCall call, AskedRead asked, byte[] body) {
         try {
             ByteBuffer bytes = ByteBuffer.wrap(body);
@@ -236,7 +236,7 @@
         return Result.failure(Fault.of(call.step(), call.peer(), Reason.CORRUPT, why));
     }
 
-    /** Every record counts as an offset, one that cannot be read too: without that it would be asked for again for ever. */
+    /** Invalid records count as offsets too; otherwise they would be requested again forever. */
     private Batch batch(Topic topic, ByteBuffer bytes, long from) {
         List<StoredRecord> records = new ArrayList<>();
         long offset = from;
@@ -244,7 +244,7 @@
             try {
                 records.add(KeyedRecords.read(KeyedRecords.next(bytes), offset));
             } catch (KeyedRecords.MalformedRecordException e) {
-                passOver(topic, offset, e.getMessage());
+                skip(topic, offset, e.getMessage());
             }
             offset++;
         }
--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -37,7 +37,7 @@
 public final class StoreRecords implements RecordDecoder {
 
     private static final String MANIFEST_KEY = "config";
-    private static final double MILLIS_A_SECOND = 1_000;
+    private static final double MILLIS_PER_SECOND = 1_000;
 
     /** What a route's timeout and objective are if the manifest names none: longer than any client waits. */
     private static final long NO_TIMEOUT_MILLIS = 60_000;
@@ -59,8 +59,8 @@
     /** An address, whose parts may still be too great. */
     private static final Pattern ADDRESS = Pattern.compile("(" + OCTET + "(?:\\." + OCTET + "){3}):([1-9]\\d{0,4})");
 
-    private static final int MOST_OCTET = 255;
-    private static final int MOST_PORT = 65_535;
+    private static final int MAX_OCTET = 255;
+    private static final int MAX_PORT = 65_535;
 
     // -- decoding
 
@@ -108,7 +108,7 @@
                             VersionRecords.namedMillis(json)));
         }
         if (record.key().startsWith(VersionKeys.MANIFEST_PREFIX)) {
-            return decode(record, VersionRecords::manifestKept);
+            return decode(record, VersionRecords::savedManifest);
         }
         return Result.success(new OperatorRecord.UnusedRecord());
     }
@@ -203,7 +203,7 @@
         return new ModelProfile(
                 models.isEmpty() ? "" : JsonFields.text(models.getFirst(), "name"),
                 JsonFields.intOr(engine, "slots", 1),
-                JsonFields.numberOr(engine, "read_per_s", 1) / MILLIS_A_SECOND,
+                JsonFields.numberOr(engine, "read_per_s", 1) / MILLIS_PER_SECOND,
                 JsonFields.numberOr(engine, "step_ms", 0),
                 JsonFields.numberOr(engine, "per_seq_ms", 0),
                 JsonFields.intOr(engine, "stride", 1),
@@ -246,8 +246,8 @@
     private static String address(String text) {
         Matcher parts = ADDRESS.matcher(text);
         boolean right = parts.matches()
-                && Stream.of(parts.group(1).split("\\.")).allMatch(octet -> Integer.parseInt(octet) <= MOST_OCTET)
-                && Integer.parseInt(parts.group(2)) <= MOST_PORT;
+                && Stream.of(parts.group(1).split("\\.")).allMatch(octet -> Integer.parseInt(octet) <= MAX_OCTET)
+                && Integer.parseInt(parts.group(2)) <= MAX_PORT;
         if (!right) {
             throw new MalformedField("field address is not of the form IPv4:port");
         }
--- a/src/main/java/org/micabarrow/platform/VersionRecords.java
+++ b/src/main/java/org/micabarrow/platform/VersionRecords.java
@@ -15,12 +15,12 @@
 import org.micabarrow.views.VersionPersistence;
 
 /**
- * Writes named weight versions into the system's own topic of the platform's store, as operators write them into theirs, and
- * where the newest manifest stands.
+ * Writes named weight versions and the position of the newest manifest into a topic of the platform's store that belongs to the
+ * system, versions in the form in which operators write them.
  */
 public final class VersionRecords implements VersionPersistence.VersionWriter {
 
-    /** Operators' records have no such field. */
+    /** Absent in records that operators wrote. */
     private static final String NAMED = "namedMillis";
 
     private static final String VERSION = "version";
@@ -29,27 +29,27 @@
     private final KeyedWriter writer;
 
     /**
-     * Makes a writer.
+     * Creates a writer.
      *
      * @param caller sends its requests
      * @param address the store's host and port
-     * @param within how long the store may take
+     * @param within the timeout of a call to the store
      */
     public VersionRecords(HttpClient caller, String address, Duration within) {
         this.writer = new KeyedWriter(caller, address, WireNames.NAMED_TOPIC, within);
     }
 
     @Override
-    public Result<List<StoredRecord>> write(UnsavedItem unkept) {
+    public Result<List<StoredRecord>> write(UnsavedItem unsaved) {
         List<StoredRecord> records = new ArrayList<>();
-        records.add(new StoredRecord(unkept.key(), 0, value(unkept)));
-        unkept.outdated().forEach(key -> records.add(KeyedWriter.dropping(key)));
+        records.add(new StoredRecord(unsaved.key(), 0, value(unsaved)));
+        unsaved.outdated().forEach(key -> records.add(KeyedWriter.tombstone(key)));
         return writer.write(records);
     }
 
-    private static byte[] value(UnsavedItem unkept) {
+    private static byte[] value(UnsavedItem unsaved) {
         ObjectNode json = CanonicalJson.mapper().createObjectNode();
-        switch (unkept) {
+        switch (unsaved) {
             case UnsavedItem.Weights weights -> {
                 json.put("model", weights.model());
                 json.put(VERSION, weights.version());
@@ -63,12 +63,12 @@
         return CanonicalJson.write(json);
     }
 
-    /** Reads what says where a manifest stands. */
-    static OperatorRecord manifestKept(JsonNode json) {
+    /** Decodes the position of a manifest. */
+    static OperatorRecord savedManifest(JsonNode json) {
         return new OperatorRecord.SavedManifest(JsonFields.whole(json, VERSION, 0), JsonFields.whole(json, OFFSET, 0));
     }
 
-    /** The Unix millisecond at which the writer of a record learned of its version; empty if it does not tell. */
+    /** The Unix time in milliseconds at which the writer of a record learned of its version; empty if not stated. */
     static OptionalLong namedMillis(JsonNode json) {
         return json.has(NAMED) ? OptionalLong.of(JsonFields.whole(json, NAMED, 0)) : OptionalLong.empty();
     }
--- a/src/main/java/org/micabarrow/process/AgentProcess.java
+++ b/src/main/java/org/micabarrow/process/AgentProcess.java
@@ -45,14 +45,14 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(AgentProcess.class);
 
-    /** How often an agent reads the platform's list of instances, in milliseconds. */
+    /** The interval between reads of the platform's list of instances, in milliseconds. */
     private static final long LIST_MILLIS = 30_000;
 
-    /** Which part of the window of chunks may be on its way from the store at once: one in this many. */
-    private static final int AHEAD_PART = 4;
+    /** The window of chunks divided by what may be in transit from the store at once. */
+    private static final int PREFETCH_DIVISOR = 4;
 
-    /** The least time after which a source counts as stalled, in milliseconds, however quick the link is. */
-    private static final long LEAST_PATIENCE_MILLIS = 100;
+    /** The shortest time after which a source counts as stalled, in milliseconds, however fast the link is. */
+    private static final long MIN_STALL_MILLIS = 100;
 
     private final AgentSettings settings;
     private final Node node;
@@ -87,12 +87,12 @@
                 node.peers()::chunks,
                 linkIn,
                 node.configuration()::generation,
-                settings.weights().windowBytes() / AHEAD_PART));
+                settings.weights().windowBytes() / PREFETCH_DIVISOR));
         this.replicas = new ReplicaControl(
                 node.identity(),
                 new ReplicaControl.Options(
                         settings.weights().windowBytes(),
-                        patience(settings),
+                        stallTimeout(settings),
                         Duration.ofMillis(settings.weights().lingerMillis())),
                 this::startTransfer,
                 this::runningOn,
@@ -126,10 +126,10 @@
     }
 
     /**
-     * Starts an agent whose reading of weights is tampered with, to see how it bears faults.
+     * Starts an agent with faults injected into its reads of weights.
      *
      * @param settings its settings
-     * @param faults put between the agent and its sources
+     * @param faults wraps the sources of weights
      * @return the running agent
      * @throws IOException if one of its addresses cannot be used
      */
@@ -140,7 +140,7 @@
     }
 
     /**
-     * What the agent's control thread publishes.
+     * Returns the state that the control thread publishes.
      *
      * @return the view
      */
@@ -148,12 +148,12 @@
         return replicas.view();
     }
 
-    /** A source must be left while others still hold the chunk that is missing, so half a window's time is the most. */
-    private static Duration patience(AgentSettings settings) {
+    /** A stalled source must be abandoned while others still hold the missing chunk: after half a window's time at most. */
+    private static Duration stallTimeout(AgentSettings settings) {
         long halfWindow =
                 500 * settings.weights().windowBytes() / settings.links().instanceBytesPerSecond();
         return Duration.ofMillis(
-                Math.clamp(halfWindow, LEAST_PATIENCE_MILLIS, settings.weights().patienceMillis()));
+                Math.clamp(halfWindow, MIN_STALL_MILLIS, settings.weights().patienceMillis()));
     }
 
     private int runningOn(String version) {
@@ -186,7 +186,7 @@
                 node.identity().epoch());
     }
 
-    // -- what others are told
+    // -- status
 
     private Load load() {
         AgentView view = replicas.view();
@@ -206,11 +206,11 @@
 
     // -- the endpoint
 
-    /** Asks for reports and gives the orders that follow, on a thread of its own. */
+    /** Polls the endpoint's reports and sends the resulting orders, on a separate thread. */
     private void pollReports() {
         while (!closed) {
             Result<Endpoint.Report> report = endpoint.report();
-            report.toOptional().ifPresent(told -> concurrency.initialize(told.slots()));
+            report.toOptional().ifPresent(reported -> concurrency.initialize(reported.slots()));
             node.control().execute(() -> {
                 List<Endpoint.Order> orders = replicas.reported(report.toOptional());
                 orders.forEach(order -> threads.execute(() -> give(order)));
@@ -238,7 +238,7 @@
         return transfer;
     }
 
-    /** Asks the log for bytes from the origin, within the placement's envelope. */
+    /** Reserves bytes to read from the origin, within the placement's envelope, by a record in the log. */
     private Result<Long> draw(String placement, long bytes) {
         Record record = new Record.OriginDrawn(
                 Node.newId(),
@@ -260,7 +260,7 @@
 
     // -- stopping
 
-    /** Takes no new work, waits for what runs, and stops. */
+    /** Accepts no new requests, waits for running ones, and stops. */
     @Override
     public void close() {
         LOG.info("agent instance={} leaves, open={}", node.identity().instance(), flow.open());
@@ -277,7 +277,7 @@
         LOG.info("agent instance={} has stopped", node.identity().instance());
     }
 
-    /** Stops at once, as if the instance had died. */
+    /** Stops immediately, as if the instance had failed. */
     public void kill() {
         closed = true;
         Node.end(server);
--- a/src/main/java/org/micabarrow/process/AgentStatuses.java
+++ b/src/main/java/org/micabarrow/process/AgentStatuses.java
@@ -13,7 +13,7 @@
 import org.micabarrow.state.FoldedState;
 import org.micabarrow.state.Replica;
 
-/** Asks the agents that this entry routes to for their status, each in its turn. Runs on the control thread. */
+/** Polls the status of the agents that this entry routes to, round-robin. Runs on the control thread. */
 final class AgentStatuses {
 
     private final Node node;
@@ -22,11 +22,11 @@
     private final Consumer<PeerView> listener;
 
     /**
-     * Makes the poll of agents.
+     * Creates the poll.
      *
-     * @param node reaches the agents
-     * @param table tells which agents this entry routes to
-     * @param statusMillis how often an agent is asked while there are few of them, in milliseconds
+     * @param node provides the client and the configuration
+     * @param table the agents that this entry routes to
+     * @param statusMillis the interval between polls of an agent while there are few, in milliseconds
      * @param listener receives each status, on the control thread
      */
     AgentStatuses(Node node, PeerTable table, long statusMillis, Consumer<PeerView> listener) {
@@ -36,8 +36,8 @@
         this.listener = listener;
     }
 
-    /** Asks those whose turn it is. */
-    void ask() {
+    /** Polls the agents that are due. */
+    void poll() {
         FoldedState state = node.configuration().current();
         List<Replica> wanted = table.wanted(state);
         table.askedEvery(rotation.rotationMillis(wanted.size()));
--- a/src/main/java/org/micabarrow/process/CrashSharing.java
+++ b/src/main/java/org/micabarrow/process/CrashSharing.java
@@ -17,68 +17,68 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Shares what is known of crashes through the platform's store: writes what this process noticed, and takes what all processes wrote,
- * also what was written before this one started. A crash costs one write of each process that had requests there.
+ * Shares detected crashes through the platform's store: writes those that this process detected and applies those of all processes,
+ * including those written before this one started. A crash causes one write of each process that had requests at the endpoint.
  */
 final class CrashSharing {
 
     private static final Logger LOG = LoggerFactory.getLogger(CrashSharing.class);
 
-    /** The rest between writes, in milliseconds: what comes meanwhile goes into one call, and a store that refuses is asked again. */
-    private static final long WRITE_REST_MILLIS = 50;
+    /** The interval between writes, in milliseconds: updates that arrive in between are written in one call. */
+    private static final long WRITE_INTERVAL_MILLIS = 50;
 
-    /** The rest after a write that failed, in milliseconds, as after a read that did. */
-    private static final long AGAIN_MILLIS = 300;
+    /** The delay after a failed write, in milliseconds; the same as after a failed read. */
+    private static final long RETRY_MILLIS = 300;
 
-    /** The rest between looks for what is of use no more, in milliseconds. */
-    private static final long TIDY_REST_MILLIS = 10_000;
+    /** The interval between removals of outdated records, in milliseconds. */
+    private static final long CLEANUP_INTERVAL_MILLIS = 10_000;
 
-    /** The most records in one call: with 256 digests each, well under what the store takes at once. */
-    private static final int MOST_A_CALL = 50;
+    /** The maximum number of records in one call: with 256 digests each, well below the store's limit. */
+    private static final int MAX_RECORDS_PER_CALL = 50;
 
-    /** The most records that wait while the store does not answer; the oldest go first. */
-    private static final int MOST_WAITING = 1_000;
+    /** The maximum number of records that wait while the store is unavailable; the oldest are dropped first. */
+    private static final int MAX_WAITING_RECORDS = 1_000;
 
     private final CrashRecords records;
-    private final CrashRegistry book;
+    private final CrashRegistry registry;
     private final long memoryMillis;
     private final LongSupplier steadyMillis;
     private final LongSupplier unixMillis;
     private final Map<String, StoredRecord> waiting = new LinkedHashMap<>();
 
-    /** When what lies in the store was written, by its key. */
-    private final Map<String, Long> lying = new LinkedHashMap<>();
+    /** When each record in the store was written, by key. */
+    private final Map<String, Long> storedAtMillis = new LinkedHashMap<>();
 
     CrashSharing(
             CrashRecords records,
-            CrashRegistry book,
+            CrashRegistry registry,
             long memoryMillis,
             LongSupplier steadyMillis,
             LongSupplier unixMillis) {
         this.records = records;
-        this.book = book;
+        this.registry = registry;
         this.memoryMillis = memoryMillis;
         this.steadyMillis = steadyMillis;
         this.unixMillis = unixMillis;
     }
 
-    /** Begins to write, and to tidy up. */
+    /** Starts the threads that write records and remove outdated ones. */
     void start() {
-        RepeatedTasks.start("crash-news", WRITE_REST_MILLIS, this::write);
-        RepeatedTasks.start("crash-tidying", TIDY_REST_MILLIS, this::tidy);
+        RepeatedTasks.start("crash-updates", WRITE_INTERVAL_MILLIS, this::write);
+        RepeatedTasks.start("crash-cleanup", CLEANUP_INTERVAL_MILLIS, this::cleanUp);
     }
 
     // -- writing
 
-    /** Tells the other processes; whoever calls never waits. */
-    synchronized void tell(CrashUpdate news) {
-        put(records.record(news, unixMillis.getAsLong()));
+    /** Queues an update for the other processes. Does not block on the store. */
+    synchronized void publish(CrashUpdate update) {
+        put(records.record(update, unixMillis.getAsLong()));
     }
 
     private synchronized void put(StoredRecord record) {
         waiting.remove(record.key());
         waiting.put(record.key(), record);
-        if (waiting.size() > MOST_WAITING) {
+        if (waiting.size() > MAX_WAITING_RECORDS) {
             waiting.remove(waiting.keySet().iterator().next());
         }
         notifyAll();
@@ -89,7 +89,7 @@
         if (records.write(next) instanceof Result.Failure<List<StoredRecord>>(Fault fault)) {
             LOG.warn("event=crashes_not_told records={} why=\"{}\"", next.size(), fault);
             putBack(next);
-            Thread.sleep(AGAIN_MILLIS);
+            Thread.sleep(RETRY_MILLIS);
         }
     }
 
@@ -97,53 +97,54 @@
         while (waiting.isEmpty()) {
             wait();
         }
-        List<StoredRecord> next = waiting.values().stream().limit(MOST_A_CALL).toList();
+        List<StoredRecord> next =
+                waiting.values().stream().limit(MAX_RECORDS_PER_CALL).toList();
         next.forEach(record -> waiting.remove(record.key()));
         return next;
     }
 
-    /** A write without an answer may have been done; done once more it changes nothing. */
+    /** A write without an answer may have taken effect; repeating it changes nothing. */
     private synchronized void putBack(List<StoredRecord> failed) {
         failed.forEach(record -> waiting.putIfAbsent(record.key(), record));
     }
 
     // -- reading
 
-    /** Takes what lies in the store. */
-    synchronized void take(List<StoredRecord> news) {
-        news.stream().sorted(Comparator.comparingLong(StoredRecord::offset)).forEach(this::take);
+    /** Applies records read from the store. */
+    synchronized void apply(List<StoredRecord> batch) {
+        batch.stream().sorted(Comparator.comparingLong(StoredRecord::offset)).forEach(this::apply);
     }
 
-    private void take(StoredRecord record) {
+    private void apply(StoredRecord record) {
         if (record.isTombstone()) {
-            lying.remove(record.key());
+            storedAtMillis.remove(record.key());
             return;
         }
         switch (CrashRecords.read(record)) {
-            case Result.Success<CrashRecords.Told>(CrashRecords.Told told) -> {
-                lying.put(record.key(), told.unixMillis());
-                long age = Math.clamp(unixMillis.getAsLong() - told.unixMillis(), 0, memoryMillis);
+            case Result.Success<CrashRecords.DatedUpdate>(CrashRecords.DatedUpdate dated) -> {
+                storedAtMillis.put(record.key(), dated.unixMillis());
+                long age = Math.clamp(unixMillis.getAsLong() - dated.unixMillis(), 0, memoryMillis);
                 if (age < memoryMillis) {
-                    book.apply(told.news(), steadyMillis.getAsLong() - age);
+                    registry.apply(dated.update(), steadyMillis.getAsLong() - age);
                 }
             }
-            case Result.Failure<CrashRecords.Told>(Fault fault) ->
+            case Result.Failure<CrashRecords.DatedUpdate>(Fault fault) ->
                 LOG.warn("event=crash_record_refused key={} why=\"{}\"", record.loggableKey(), fault.message());
         }
     }
 
-    // -- tidying
+    // -- cleanup
 
-    /** Forgets what is too old, and drops it from the store if nobody else has after as long again. */
-    private void tidy() {
-        book.expire(steadyMillis.getAsLong());
-        outdated().forEach(key -> put(CrashRecords.dropping(key)));
+    /** Forgets expired crashes, and deletes records from the store that no other process has deleted after twice that time. */
+    private void cleanUp() {
+        registry.expire(steadyMillis.getAsLong());
+        outdated().forEach(key -> put(CrashRecords.tombstone(key)));
     }
 
     private synchronized List<String> outdated() {
         long oldest = unixMillis.getAsLong() - 2 * memoryMillis;
         List<String> outdated = new ArrayList<>();
-        lying.forEach((key, writtenMillis) -> {
+        storedAtMillis.forEach((key, writtenMillis) -> {
             if (writtenMillis < oldest) {
                 outdated.add(key);
             }
--- a/src/main/java/org/micabarrow/process/EntryProcess.java
+++ b/src/main/java/org/micabarrow/process/EntryProcess.java
@@ -43,26 +43,26 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(EntryProcess.class);
 
-    /** How often the table of agents is published and waiting requests are tried again. */
+    /** How often the table of agents is published and waiting requests are dispatched. */
     private static final Duration TICK = Duration.ofMillis(50);
 
-    /** How long the log may take for a record that an entry writes on its own. */
-    private static final Duration WRITE_WITHIN = Duration.ofSeconds(5);
+    /** Timeout of writing a record that no request waits for. */
+    private static final Duration WRITE_TIMEOUT = Duration.ofSeconds(5);
 
     /** The threads that read callers' requests. */
     private static final int CALLER_THREADS = 2;
 
-    /** How many beginnings of prompts are remembered, which bounds the memory. */
-    private static final int PREFIXES = 50_000;
+    /** The number of prompt prefixes in the index, which bounds its memory. */
+    private static final int MAX_PREFIXES = 50_000;
 
-    /** How many retries may be saved up while there is little traffic. */
-    private static final double RETRIES_SAVED = 20;
+    /** The number of retries that may accumulate while there is little traffic. */
+    private static final double MAX_SAVED_RETRIES = 20;
 
     private final EntrySettings settings;
     private final Node node;
     private final PeerTable table;
     private final InstanceStats traffic = new InstanceStats();
-    private final PrefixIndex prefixes = new PrefixIndex(PREFIXES);
+    private final PrefixIndex prefixes = new PrefixIndex(MAX_PREFIXES);
     private final Router router;
     private final Duties duties;
     private final AgentStatuses statuses;
@@ -86,7 +86,7 @@
                 traffic,
                 prefixes,
                 RandomGenerator.of("L64X128MixRandom"));
-        this.statuses = new AgentStatuses(node, table, timing.statusMillis(), this::heard);
+        this.statuses = new AgentStatuses(node, table, timing.statusMillis(), this::statusReceived);
         this.duties = new Duties(
                 settings.instance().id(), timing.repairMillis(), timing.checkpointMillis(), Node::newId, node.clock());
         EntrySettings.Limits limits = settings.limits();
@@ -103,7 +103,7 @@
                         prefixes,
                         node.peers(),
                         claimsByKey(),
-                        new RetryBudget(limits.retryShare(), RETRIES_SAVED),
+                        new RetryBudget(limits.retryShare(), MAX_SAVED_RETRIES),
                         Node::newId,
                         node.clock(),
                         Duration.ofMillis(limits.claimMillis())));
@@ -147,9 +147,9 @@
                         new PeerService(node.configuration(), this::status, Optional.empty()));
         node.peers().setLoadListener((instance, load) -> node.control().execute(() -> table.loaded(instance, load)));
         node.start();
-        node.control().every(Duration.ofMillis(settings.peers().statusMillis()), statuses::ask);
+        node.control().every(Duration.ofMillis(settings.peers().statusMillis()), statuses::poll);
         node.control().every(TICK, this::tick);
-        node.control().every(Duration.ofMillis(settings.peers().listMillis()), this::doDuties);
+        node.control().every(Duration.ofMillis(settings.peers().listMillis()), this::runDuties);
         listen();
         LOG.info("entry instance={} listens", node.identity().instance());
     }
@@ -211,7 +211,7 @@
 
     // -- on the control thread
 
-    private void heard(PeerView view) {
+    private void statusReceived(PeerView view) {
         table.heard(view);
         threads.execute(flow::dispatchWaiting);
     }
@@ -223,7 +223,7 @@
         }
     }
 
-    private void doDuties() {
+    private void runDuties() {
         table.listed(node.instances());
         duties.repairs(node.configuration().current(), node.instances(), this::silent)
                 .forEach(this::write);
@@ -239,12 +239,12 @@
         threads.execute(() -> LOG.info(
                 "duty record={} result={}",
                 record.getClass().getSimpleName(),
-                node.writer().write(record, WRITE_WITHIN)));
+                node.writer().write(record, WRITE_TIMEOUT)));
     }
 
     // -- stopping
 
-    /** Takes no new requests, waits for those that are open, and stops. */
+    /** Accepts no new requests, waits for open ones, and stops. */
     @Override
     public void close() {
         LOG.info("entry instance={} leaves, open={}", node.identity().instance(), callers.openRequests());
@@ -254,7 +254,7 @@
         LOG.info("entry instance={} has stopped", node.identity().instance());
     }
 
-    /** Stops at once, as if the instance had died. */
+    /** Stops immediately, as if the instance had failed. */
     public void kill() {
         callerListener.close();
         operatorListener.close();
--- a/src/main/java/org/micabarrow/process/EntryStop.java
+++ b/src/main/java/org/micabarrow/process/EntryStop.java
@@ -9,21 +9,24 @@
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioIoThread;
 
-/** The planned stop of an entry: what it has read is answered, and nothing is read that would not be. */
+/** The planned stop of an entry: requests that were read are answered, and none is read that could not be. */
 final class EntryStop {
 
     private static final Logger LOG = LoggerFactory.getLogger(HostedEntryProcess.class);
 
-    /** How long after SIGTERM new connections may still come, in milliseconds: two questions, a second apart. */
-    private static final long STILL_CHOSEN_MILLIS = 2_500;
+    /**
+     * How long new connections may still arrive after SIGTERM, in milliseconds: the platform removes an instance after two failed
+     * readiness checks, one second apart.
+     */
+    private static final long READINESS_LAG_MILLIS = 2_500;
 
-    /** What is left of the grace when the process ends by itself, in milliseconds. */
-    private static final long GRACE_LEFT_MILLIS = 700;
+    /** The remainder of the grace period when the process ends on its own, in milliseconds. */
+    private static final long GRACE_RESERVE_MILLIS = 700;
 
-    private static final long LOOK_MILLIS = 50;
+    private static final long POLL_MILLIS = 50;
 
-    /** How long a look for open requests may take, in milliseconds: two must fit into what is left of the grace. */
-    private static final long LOOK_LIMIT_MILLIS = 250;
+    /** Timeout of a check for open requests, in milliseconds: two must fit into the reserve of the grace period. */
+    private static final long CHECK_TIMEOUT_MILLIS = 250;
 
     private final ServingHandler handler;
     private final Runnable closeListener;
@@ -35,42 +38,42 @@
         this.traffic = traffic;
     }
 
-    /** Stops within a grace, after which the process would be killed. */
+    /** Stops within a grace period, after which the process would be killed. */
     void within(long graceMillis) throws InterruptedException {
-        long latest = HostedNode.steadyMillis() + graceMillis - GRACE_LEFT_MILLIS;
+        long latest = HostedNode.steadyMillis() + graceMillis - GRACE_RESERVE_MILLIS;
         handler.connections().startDraining();
         LOG.info("event=leaving open={}", handler.connections().inFlightCount());
-        Thread.sleep(Math.min(STILL_CHOSEN_MILLIS, graceMillis / 2));
+        Thread.sleep(Math.min(READINESS_LAG_MILLIS, graceMillis / 2));
         handler.connections().closeIdle();
-        boolean closed = closedAtRest();
+        boolean closed = closeIfIdle();
         while (!closed && HostedNode.steadyMillis() < latest) {
-            Thread.sleep(LOOK_MILLIS);
-            closed = closedAtRest();
+            Thread.sleep(POLL_MILLIS);
+            closed = closeIfIdle();
         }
         if (!closed) {
-            // What was read and is still open is told so, instead of ending with the process.
+            // Requests that are still open get a response before the process ends.
             traffic.execute(handler::endRequests);
-            closedAtRest();
+            closeIfIdle();
         }
         LOG.info("event=stopped open={}", handler.connections().inFlightCount());
     }
 
     /**
-     * Closes all connections of clients if no request is open. It looks on the thread on which alone they are read: what is read
-     * between a look and the end of the process would have its connection closed without an answer.
+     * Closes all client connections if no request is open. Runs on the thread that reads requests: a request that is read between the
+     * check and the end of the process would have its connection closed without a response.
      */
-    private boolean closedAtRest() throws InterruptedException {
+    private boolean closeIfIdle() throws InterruptedException {
         CompletableFuture<Boolean> closed = new CompletableFuture<>();
         traffic.execute(() -> {
-            boolean rests = handler.connections().inFlightCount() == 0;
-            if (rests) {
+            boolean idle = handler.connections().inFlightCount() == 0;
+            if (idle) {
                 closeListener.run();
             }
-            // Each connection is closed by a step of its own on this thread, and those come before this one.
-            traffic.execute(() -> closed.complete(rests));
+            // Each connection is closed by its own task on this thread, all of which are queued before this one.
+            traffic.execute(() -> closed.complete(idle));
         });
         try {
-            return closed.get(LOOK_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+            return closed.get(CHECK_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         } catch (ExecutionException | TimeoutException e) {
             LOG.warn("event=not_closed why=\"{}\"", e.toString());
             return false;
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -81,7 +81,8 @@
     private volatile Placed placed = new Placed(View.empty(), new ReplicaController.RegionPosition(0, 1));
 
     /** Tells entries: a datagram waits while a narrow link is full, and what stops the endpoint in time must not. */
-    private final NudgedThread teller = NudgedThread.start("teller", () -> loadServer.ifPresent(LoadServer::sendToAll));
+    private final SignalledThread teller =
+            SignalledThread.start("teller", () -> loadServer.ifPresent(LoadServer::sendToAll));
 
     private HostedAgentProcess(HostedSettings settings) throws IOException {
         this.settings = settings;
@@ -132,7 +133,7 @@
                 this::told,
                 HostedNode::steadyMillis,
                 this::heard,
-                HostedNode.readerTrustMillis(settings.bounds())));
+                HostedNode.readerMaxAgeMillis(settings.bounds())));
         // After the listeners, so that no connection of our own takes one of their ports.
         Paces paces = new Paces(
                 new PollTiming(HostedNode.STORE_WAIT, Duration.ZERO),
@@ -235,7 +236,7 @@
     }
 
     private void tellEntries() {
-        teller.nudge();
+        teller.signal();
     }
 
     private View view() {
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -95,7 +95,7 @@
                 node.store(),
                 node.peerRecords(),
                 new PeerFirstReader.Role.Entry(
-                        Addresses.numeric(settings.listen().peers()), HostedNode.readerTrustMillis(bounds)),
+                        Addresses.numeric(settings.listen().peers()), HostedNode.readerMaxAgeMillis(bounds)),
                 HostedNode::steadyMillis);
         this.loadFeed = LoadPoller.open(new LoadPoller.Dependencies(
                 settings.instance(),
@@ -133,7 +133,7 @@
                         Math.round(bounds.versionMillis() * DEMAND_PART),
                         Math.round(bounds.versionMillis() * CANCEL_PART)),
                 new ManifestAge(node.views()::operatorAsOfMillis, bounds.configurationMillis()),
-                new CrashTracking(book, new ListenerProbe(node.worker()), crashes::tell)));
+                new CrashTracking(book, new ListenerProbe(node.worker()), crashes::publish)));
     }
 
     /**
@@ -164,7 +164,7 @@
         // After the listeners, so that no connection of our own takes one of their ports.
         // Agents keep the versions: an entry would write what they know as well.
         node.follow(reader, node.store(), paces(settings.bounds()), this::peers, () -> WriteRole.NONE);
-        node.views().onCrashRecords(crashes::take);
+        node.views().onCrashRecords(crashes::apply);
         crashNews = Optional.of(node.followCrashes(CRASHES_PACE, this::peers));
         crashes.start();
         loadFeed.start(handler::checkRequests);
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -35,35 +35,35 @@
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioWorker;
 
-/** What entries and agents on the users' platform have alike: the view of the store, and the threads. */
+/** The parts that entries and agents on the users' platform have in common: the view of the store, clients and threads. */
 final class HostedNode {
 
     private static final Logger LOG = LoggerFactory.getLogger(HostedNode.class);
 
-    /** How many connections to one place are kept: one each for the two topics and a few for peers. */
+    /** The number of connections kept per destination: one for each of the two topics and a few for peers. */
     private static final int KEPT_CONNECTIONS = 8;
 
     /**
-     * How long the store may hold a read that finds nothing. A lost answer shows after this and the answer's own
-     * time, which together stay well under the three seconds in which the users expect a process to be in touch again.
+     * How long the store may delay its answer to a read that finds nothing. A lost answer is noticed after this time plus the
+     * response timeout, together well below the three seconds within which a process must have contact again.
      */
     static final Duration STORE_WAIT = Duration.ofMillis(1_500);
 
-    /** The part of the link that weights may take where nothing else uses it; the heads of packets take the rest. */
-    private static final double SHARE_ALONE = 0.96;
+    /** The fraction of the link that weights may use if nothing else does; packet headers take the rest. */
+    private static final double WEIGHTS_ONLY_FRACTION = 0.96;
 
     /**
-     * The part of the link that weights may take beside requests. These and their answers take some four hundredths of it (six
-     * a second of some 3 KB each); with as much again and more to spare, the queue in which they wait does not grow.
+     * The fraction of the link that weights may use beside requests. Requests and responses take about 0.04 of it (six per second of
+     * about 3 KB each); with more than twice that left to them, their queue does not grow.
      */
-    private static final double SHARE_BESIDE_REQUESTS = 0.85;
+    private static final double WEIGHTS_BESIDE_REQUESTS_FRACTION = 0.85;
 
     /**
-     * How old what the region's reader knows may be for others to go by it, as a part of the time in which a manifest must be in
-     * force: the store's hold of a read, three questions between entries and agents (0.45 s) and a round trip. The rest is for the
-     * entry's own read.
+     * The age up to which other entries may rely on what the region's reader knows, as a fraction of the time within which a manifest
+     * must be in force: the store's delay of a read, three load queries (0.45 s) and a round trip. The rest is for the entry's own
+     * read.
      */
-    private static final double TRUST_PART = 0.75;
+    private static final double READER_MAX_AGE_FRACTION = 0.75;
 
     private final HostedSettings settings;
     private final MetricRegistry metrics = new MetricRegistry();
@@ -74,7 +74,7 @@
     private final PeerRecordClient peerRecords;
     private final StoreClient store;
     private volatile List<StoreFollower> followers = List.of();
-    private final PeersInTurn turn = new PeersInTurn();
+    private final PeerRotation rotation = new PeerRotation();
 
     /** How often topics are read. */
     record Paces(PollTiming operator, PollTiming endpoints) {}
@@ -97,14 +97,14 @@
         metrics.registerGauge("view.endpoints", () -> views.view().endpoints().size());
     }
 
-    /** A clock that never steps and counts suspensions, in milliseconds. */
+    /** The monotonic clock, which includes suspended time, in milliseconds. */
     static long steadyMillis() {
         return MonotonicClock.millis();
     }
 
-    /** How old what the region's reader knows may be for others to go by it, in milliseconds. */
-    static long readerTrustMillis(HostedSettings.Bounds bounds) {
-        return Math.round(bounds.configurationMillis() * TRUST_PART);
+    /** The age up to which other entries may rely on what the region's reader knows, in milliseconds. */
+    static long readerMaxAgeMillis(HostedSettings.Bounds bounds) {
+        return Math.round(bounds.configurationMillis() * READER_MAX_AGE_FRACTION);
     }
 
     MetricRegistry metrics() {
@@ -115,12 +115,12 @@
         return worker;
     }
 
-    /** Keeps connections for later requests. */
+    /** The client that reuses connections. */
     HttpClient kept() {
         return kept;
     }
 
-    /** Opens a connection for each request. */
+    /** The client that opens a connection for each request. */
     HttpClient fresh() {
         return fresh;
     }
@@ -130,29 +130,29 @@
     }
 
     /**
-     * What weights may take of the instance's link, in either direction.
+     * Limits how much of the instance's link weights use, in either direction.
      *
-     * @param requests whether requests use the link too just now
+     * @param requests whether requests use the link at the moment
      */
     LinkPacer weightPacer(BooleanSupplier requests) {
         return new LinkPacer(
                 settings.linkBitsPerSecond() / Byte.SIZE,
-                () -> requests.getAsBoolean() ? SHARE_BESIDE_REQUESTS : SHARE_ALONE);
+                () -> requests.getAsBoolean() ? WEIGHTS_BESIDE_REQUESTS_FRACTION : WEIGHTS_ONLY_FRACTION);
     }
 
     // -- the store
 
-    /** Reads the store itself. */
+    /** Reads the store directly. */
     TopicReader store() {
         return store;
     }
 
-    /** Asks processes that tell of news for the records. */
+    /** Requests records from peers that reported changes. */
     PeerFirstReader.PeerSource peerRecords() {
         return peerRecords::request;
     }
 
-    /** What is known of the store, while it answers; empty while it does not, and before it was read. */
+    /** The offsets of the last known changes; empty before the store was read and while it is unavailable. */
     Optional<ChangeOffsets> changesInTouch() {
         return !followers.isEmpty() && followers.stream().allMatch(StoreFollower::isConnected)
                 ? Optional.of(views.changes())
@@ -160,13 +160,13 @@
     }
 
     /**
-     * Begins to follow the store; peers are asked while it does not answer.
+     * Starts to follow the store; peers are queried while it is unavailable.
      *
-     * @param operatorReader reads what operators wrote from the store, or from those that tell what is new there
-     * @param endpointsReader likewise, endpoints' entries
+     * @param operatorReader reads operator records from the store or from peers that reported changes
+     * @param endpointsReader likewise, registrations of endpoints
      * @param paces how often each topic is read
-     * @param peers whom to ask
-     * @param duty what this process does for named weight versions
+     * @param peers the peers to query
+     * @param duty the role of this process in saving named weight versions
      */
     void follow(
             TopicReader operatorReader,
@@ -185,7 +185,7 @@
         operator.start();
     }
 
-    /** Begins to follow what entries tell each other of crashes; peers are asked while the store does not answer. */
+    /** Starts to follow the crash records; peers are queried while the store is unavailable. */
     StoreFollower followCrashes(PollTiming pace, Supplier<List<String>> peers) {
         StoreFollower follower =
                 new StoreFollower(Topic.CRASHES, store, views, topic -> askPeers(topic, peers.get()), pace);
@@ -193,7 +193,7 @@
         return follower;
     }
 
-    /** Writes what this process tells others of crashes. */
+    /** Writes the crash records of this process. */
     CrashRecords crashRecords() {
         return new CrashRecords(
                 kept,
@@ -203,19 +203,19 @@
     }
 
     private void askPeers(Topic topic, List<String> peers) {
-        turn.ask(peers, peer -> askPeer(peer, topic));
+        rotation.query(peers, peer -> askPeer(peer, topic));
     }
 
-    /** Asks a peer, and tells whether it answered. */
+    /** Queries a peer and returns whether it answered. */
     private boolean askPeer(String peer, Topic topic) {
         if (topic == Topic.OPERATOR) {
-            // What is kept tells more than the newest record of a model.
-            return takeFrom(peer, Topic.NAMED) && takeFrom(peer, topic);
+            // Saved versions contain more than the newest record of a model.
+            return requestFrom(peer, Topic.NAMED) && requestFrom(peer, topic);
         }
-        return takeFrom(peer, topic);
+        return requestFrom(peer, topic);
     }
 
-    private boolean takeFrom(String peer, Topic topic) {
+    private boolean requestFrom(String peer, Topic topic) {
         return switch (peerRecords.request(peer, topic, views.peerReadOffset(topic))) {
             case Result.Success<Batch>(Batch batch) -> {
                 views.apply(topic, batch.records(), batch.end());
--- a/src/main/java/org/micabarrow/process/Node.java
+++ b/src/main/java/org/micabarrow/process/Node.java
@@ -33,20 +33,20 @@
 import org.micabarrow.transport.grpc.PeerChannels;
 import org.micabarrow.transport.grpc.PeerClient;
 
-/** The parts that an entry and an agent have alike. */
+/** The parts that an entry and an agent have in common. */
 final class Node implements AutoCloseable {
 
-    /** How often a process that stops looks whether its work has ended, in milliseconds. */
+    /** How often a stopping process checks whether its requests have ended, in milliseconds. */
     static final long STOP_POLL_MILLIS = 50;
 
-    /** How long the end of a server's connections is waited for. It takes some milliseconds. */
-    private static final Duration LONGEST_END = Duration.ofSeconds(1);
+    /** The longest wait for a server's connections to close, which usually takes some milliseconds. */
+    private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
 
     /** The threads of the HTTP client, which never block. */
     private static final int HTTP_THREADS = 2;
 
-    /** How often the list of instances is read while it is still empty, at the most. */
-    private static final Duration LIST_AT_START = Duration.ofSeconds(2);
+    /** The longest interval between reads of the list of instances while it is empty. */
+    private static final Duration EMPTY_LIST_INTERVAL = Duration.ofSeconds(2);
 
     private final Identity identity;
     private final InstantSource clock = InstantSource.system();
@@ -71,14 +71,14 @@
         this.peers = new PeerClient(place.id(), clock, channels::connect, this::knownPeers, metrics);
         this.writer = new RecordWriter(platform, configuration, clock);
         this.listMillis = listMillis;
-        registerFigures();
+        registerGauges();
     }
 
     static Optional<TlsFiles> open(Optional<Common.Tls> files) throws IOException {
         return files.isPresent() ? Optional.of(TlsFiles.open(files.get())) : Optional.empty();
     }
 
-    private void registerFigures() {
+    private void registerGauges() {
         gauge(
                 "process.cpuMillis",
                 () -> ProcessHandle.current()
@@ -150,7 +150,7 @@
         return UUID.randomUUID().toString();
     }
 
-    /** Threads for work that may block; none of them keeps the process alive. */
+    /** Daemon threads for work that may block. */
     static ExecutorService workers(String name) {
         return Executors.newCachedThreadPool(work -> {
             Thread thread = new Thread(work, name);
@@ -159,14 +159,14 @@
         });
     }
 
-    // -- what others are told
+    // -- status
 
     /** Whether the configuration is known and followed. */
     boolean healthy() {
         return configuration.known() && configuration.view().stopped().isEmpty();
     }
 
-    /** The part of the status that every process tells. */
+    /** The part of the status that every process reports. */
     StatusReply.Builder status() {
         return StatusReply.newBuilder()
                 .setGeneration(configuration.current().offset())
@@ -178,7 +178,7 @@
 
     // -- running
 
-    /** Begins to read the list of instances and the configuration. */
+    /** Starts to read the list of instances and the configuration. */
     void start() {
         readList();
         list.start();
@@ -188,7 +188,7 @@
     private void pollList() {
         while (!list.isClosing()) {
             list.pause(Duration.ofMillis(
-                    instances().isEmpty() ? Math.min(listMillis, LIST_AT_START.toMillis()) : listMillis));
+                    instances().isEmpty() ? Math.min(listMillis, EMPTY_LIST_INTERVAL.toMillis()) : listMillis));
             if (!list.isClosing()) {
                 readList();
             }
@@ -203,7 +203,7 @@
         return HallRelays.of(identity.instance(), identity.hall(), instances());
     }
 
-    /** Other processes, the nearest first. */
+    /** The other processes, those of the same data hall first. */
     private List<String> knownPeers() {
         Stream<Instance> near = instances().stream().filter(one -> one.hall().equals(identity.hall()));
         Stream<Instance> far = instances().stream().filter(one -> !one.hall().equals(identity.hall()));
@@ -215,7 +215,7 @@
 
     // -- stopping
 
-    /** Waits while there is still work, unless the thread is interrupted. */
+    /** Waits until there are no more requests, or until the thread is interrupted. */
     static void awaitIdle(BooleanSupplier busy) {
         while (busy.getAsBoolean()) {
             try {
@@ -227,19 +227,19 @@
     }
 
     /**
-     * Ends a server with its connections, which needs the threads that {@link #close} ends: a connection that was left open
-     * without them answers nothing more, and whoever waits at its other end sees that only by its own time limits.
+     * Closes a server and its connections, for which the threads that {@link #close} ends are needed: a connection left open without
+     * them never answers, which the peer notices only by its own timeouts.
      */
     static void end(Server server) {
         server.shutdownNow();
         try {
-            server.awaitTermination(LONGEST_END.toMillis(), TimeUnit.MILLISECONDS);
+            server.awaitTermination(CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    /** The readers end first, so that none begins a call on connections or executors that are closed. */
+    /** Closes the readers first, so that none starts a call on closed connections or executors. */
     @Override
     public void close() {
         list.close();
--- a/src/main/java/org/micabarrow/standin/LogStandin.java
+++ b/src/main/java/org/micabarrow/standin/LogStandin.java
@@ -10,7 +10,7 @@
 /** An append-only log with offsets, in memory. */
 public final class LogStandin {
 
-    private static final int MOST_IN_PAGE = 500;
+    private static final int MAX_PAGE_RECORDS = 500;
 
     private final Map<String, Stream> streams = new ConcurrentHashMap<>();
 
@@ -61,7 +61,7 @@
             }
             List<PlatformMessages.LogEntry> page = new ArrayList<>();
             for (PlatformMessages.LogEntry entry : stream.records) {
-                if (entry.offset() >= from && page.size() < MOST_IN_PAGE) {
+                if (entry.offset() >= from && page.size() < MAX_PAGE_RECORDS) {
                     page.add(entry);
                 }
             }
--- a/src/main/java/org/micabarrow/standin/Ports.java
+++ b/src/main/java/org/micabarrow/standin/Ports.java
@@ -19,7 +19,7 @@
     private static final String HOST = host(ProcessHandle.current().pid());
 
     /** The least second byte of a host: away from 127.0.0.1, which others use. */
-    private static final int LEAST_SECOND_BYTE = 64;
+    private static final int MIN_SECOND_BYTE = 64;
 
     private static final int FIRST = 15_000;
     private static final int COUNT = 16_000;
@@ -35,7 +35,7 @@
 
     /** The host that follows from a process's id, which has 22 bits at most on Linux. */
     private static String host(long pid) {
-        long second = LEAST_SECOND_BYTE + (pid >> 16 & 0x3f);
+        long second = MIN_SECOND_BYTE + (pid >> 16 & 0x3f);
         long third = pid >> 8 & 0xff;
         long fourth = pid & 0xff;
         return "127." + second + "." + third + "." + fourth;
--- a/src/test/java/org/micabarrow/coordination/membership/StatusRotationTest.java
+++ b/src/test/java/org/micabarrow/coordination/membership/StatusRotationTest.java
@@ -23,7 +23,7 @@
         Set<Replica> asked = new HashSet<>();
         for (int tick = 0; tick < 9; tick++) {
             List<Replica> due = rotation.due(many, 1000 * tick + 1);
-            assertTrue(due.size() <= StatusRotation.MOST_A_SECOND);
+            assertTrue(due.size() <= StatusRotation.MAX_PER_SECOND);
             asked.addAll(due);
         }
         assertEquals(420, asked.size());
--- a/src/test/java/org/micabarrow/platform/CrashRecordsTest.java
+++ b/src/test/java/org/micabarrow/platform/CrashRecordsTest.java
@@ -40,8 +40,9 @@
     void shouldReadWhatWasWritten() {
         for (CrashUpdate news :
                 new CrashUpdate[] {CRASH, new CrashUpdate.Cleared(ONE, true), new CrashUpdate.Cleared(OTHER, false)}) {
-            Result<CrashRecords.Told> read = CrashRecords.read(of("entry-1").record(news, 99));
-            assertEquals(Result.success(new CrashRecords.Told(news, 99)), read);
+            Result<CrashRecords.DatedUpdate> read =
+                    CrashRecords.read(of("entry-1").record(news, 99));
+            assertEquals(Result.success(new CrashRecords.DatedUpdate(news, 99)), read);
         }
     }
 
--- a/src/test/java/org/micabarrow/platform/EndpointHeadersTest.java
+++ b/src/test/java/org/micabarrow/platform/EndpointHeadersTest.java
@@ -36,7 +36,7 @@
     })
     void shouldReadForHowLongEndpointRests(String text, Long millis) {
         OptionalLong expected = millis == null ? OptionalLong.empty() : OptionalLong.of(millis);
-        assertEquals(expected, EndpointHeaders.restMillis(text));
+        assertEquals(expected, EndpointHeaders.backoffMillis(text));
     }
 
     @ParameterizedTest
@@ -65,6 +65,6 @@
 
     @Test
     void shouldReadNoRestWhenEndpointAsksForNone() {
-        assertEquals(OptionalLong.empty(), EndpointHeaders.restMillis(null));
+        assertEquals(OptionalLong.empty(), EndpointHeaders.backoffMillis(null));
     }
 }
--- a/src/test/java/org/micabarrow/platform/KeyedRecordsTest.java
+++ b/src/test/java/org/micabarrow/platform/KeyedRecordsTest.java
@@ -40,17 +40,17 @@
 
     @Test
     void shouldReadLongestKeyAndSayWhichFits() throws MalformedRecordException {
-        String longest = "k".repeat(KeyedRecords.MOST_KEY_BYTES);
+        String longest = "k".repeat(KeyedRecords.MAX_KEY_BYTES);
         assertTrue(KeyedRecords.fits(longest));
         assertFalse(KeyedRecords.fits(longest + "k"));
-        assertFalse(KeyedRecords.fits("é".repeat(KeyedRecords.MOST_KEY_BYTES / 2 + 1)));
+        assertFalse(KeyedRecords.fits("é".repeat(KeyedRecords.MAX_KEY_BYTES / 2 + 1)));
         ByteBuffer record = ByteBuffer.wrap(KeyedRecords.record(longest, new byte[0]));
         assertEquals(longest, KeyedRecords.read(record, 0).key());
     }
 
     @Test
     void shouldWriteNoKeyThatIsTooLong() {
-        String tooLong = "k".repeat(KeyedRecords.MOST_KEY_BYTES + 1);
+        String tooLong = "k".repeat(KeyedRecords.MAX_KEY_BYTES + 1);
         assertThrows(IllegalArgumentException.class, () -> KeyedRecords.record(tooLong, new byte[0]));
     }
 
--- a/src/test/java/org/micabarrow/platform/SilentStoreTest.java
+++ b/src/test/java/org/micabarrow/platform/SilentStoreTest.java
@@ -27,7 +27,7 @@
     private static final Duration HOLD = Duration.ofMillis(50);
 
     /** So long that a busy machine is hardly taken for a silent store; each silent connection costs it once. */
-    private static final Duration WITHIN = Duration.ofSeconds(3);
+    private static final Duration TIMEOUT = Duration.ofSeconds(3);
 
     private final HostedStoreStandin store = new HostedStoreStandin();
     private final ViewMaintainer keeper = new ViewMaintainer(new StoreRecords(), () -> System.nanoTime() / 1_000_000);
@@ -60,7 +60,7 @@
     }
 
     private StoreFollower follower(Topic topic) {
-        StoreClient client = new StoreClient(caller, relay.address(), WITHIN);
+        StoreClient client = new StoreClient(caller, relay.address(), TIMEOUT);
         return new StoreFollower(topic, client, keeper, asked::add, new StoreFollower.PollTiming(HOLD, Duration.ZERO));
     }
 
--- a/src/test/java/org/micabarrow/platform/StoreClientTest.java
+++ b/src/test/java/org/micabarrow/platform/StoreClientTest.java
@@ -41,7 +41,7 @@
     private static final String OPERATOR = "keyed.op";
 
     /** So long that a busy machine is never taken for a silent store. */
-    private static final Duration WITHIN = Duration.ofSeconds(30);
+    private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
     private final HostedStoreStandin store = new HostedStoreStandin();
     private HttpClient caller;
@@ -55,7 +55,7 @@
     }
 
     private StoreClient serve(HttpHandler handler) {
-        return serve(handler, WITHIN);
+        return serve(handler, TIMEOUT);
     }
 
     private StoreClient serve(HttpHandler handler, Duration within) {
--- a/src/test/java/org/micabarrow/platform/VersionRecordsTest.java
+++ b/src/test/java/org/micabarrow/platform/VersionRecordsTest.java
@@ -14,7 +14,7 @@
 /** How weight versions that were named are written into the store. */
 class VersionRecordsTest {
 
-    private static final Duration WITHIN = Duration.ofSeconds(10);
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
     /** An operator's key {@code version/MODEL} is good to 255 bytes, for the length of a key is one byte. */
     private static final String LONGEST_MODEL = "m".repeat(255 - "version/".length());
@@ -24,7 +24,7 @@
         try (HostedSystem platform = HostedSystem.start();
                 HttpClient caller = HttpClient.start("test", 1)) {
             String store = platform.entry().store();
-            boolean written = new VersionRecords(caller, store, WITHIN)
+            boolean written = new VersionRecords(caller, store, TIMEOUT)
                     .write(new UnsavedItem.Weights(LONGEST_MODEL, 2, OptionalLong.empty(), List.of()))
                     .toOptional()
                     .isPresent();
--- a/src/test/java/org/micabarrow/play/CrashPlay.java
+++ b/src/test/java/org/micabarrow/play/CrashPlay.java
@@ -40,9 +40,9 @@
     private static final double SURE_MILLIS = 12;
 
     /** An entry's news wait for the write before, and the store takes some milliseconds. */
-    private static final int MOST_WRITE_MILLIS = 60;
+    private static final int MAX_WRITE_MILLIS = 60;
 
-    private static final int MOST_READ_MILLIS = 30;
+    private static final int MAX_READ_MILLIS = 30;
     private static final int TRIES = 2;
     private static final int SENDINGS = 2;
     private static final double KILL_EVERY_MILLIS = 10_000;
@@ -412,8 +412,8 @@
         private final CrashRegistry book = new CrashRegistry(MEMORY_MILLIS, 4_000, setting::endpoints);
         private final SuspectIsolation placement = new SuspectIsolation();
         private final Map<RequestDigest, Double> refusedSince = new HashMap<>();
-        private final double writeMillis = 5 + random.nextInt(MOST_WRITE_MILLIS);
-        private final double readMillis = 5 + random.nextInt(MOST_READ_MILLIS);
+        private final double writeMillis = 5 + random.nextInt(MAX_WRITE_MILLIS);
+        private final double readMillis = 5 + random.nextInt(MAX_READ_MILLIS);
 
         private List<EndpointRegistration> listed(Set<Integer> tried) {
             return endpoints.stream()
--- a/src/test/java/org/micabarrow/play/CrashPlayTest.java
+++ b/src/test/java/org/micabarrow/play/CrashPlayTest.java
@@ -27,7 +27,7 @@
     private static final int HARMLESS_A_REFUSAL = 10_000;
 
     /** How many endpoints a request may end beyond those that run it when the third has ended. */
-    private static final int MOST_MORE = 3;
+    private static final int MAX_MORE = 3;
 
     /** Half of the time within which a process that was out of touch is in touch again, in milliseconds. */
     private static final double REFUSED_WITHIN_MILLIS = 1_500;
@@ -40,7 +40,7 @@
             Outcome outcome = CrashPlay.play(setting, SECONDS);
             harmless += outcome.harmless;
             refused += outcome.harmlessRefused;
-            assertTrue(outcome.mostEndedByMore() <= MOST_MORE, () -> setting + ": " + outcome.endedByMore);
+            assertTrue(outcome.mostEndedByMore() <= MAX_MORE, () -> setting + ": " + outcome.endedByMore);
         }
         assertTrue(refused * HARMLESS_A_REFUSAL <= harmless, refused + " of " + harmless + " harmless ones refused");
     }
--- a/src/test/java/org/micabarrow/process/LateWriteTest.java
+++ b/src/test/java/org/micabarrow/process/LateWriteTest.java
@@ -33,7 +33,7 @@
  */
 class LateWriteTest {
 
-    private static final Duration WITHIN = Duration.ofSeconds(10);
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
     private static final int UNAVAILABLE = 503;
     private static final int UNAUTHORIZED = 401;
 
@@ -136,7 +136,7 @@
     /** The weight version that an endpoint says it holds. */
     private Optional<Long> held(String endpoint) {
         HttpCall call = HttpCall.get(Step.STATUS, URI.create("http://" + platform.address(endpoint) + "/api/report"));
-        return caller.call(call, WITHIN).toOptional().flatMap(answer -> {
+        return caller.call(call, TIMEOUT).toOptional().flatMap(answer -> {
             try {
                 return Optional.of(CanonicalJson.mapper()
                                 .readTree(answer.body())
@@ -154,6 +154,6 @@
     private int status(HostedSettings entry) {
         HttpCall request =
                 HostedSystem.request(entry.listen().clients().orElseThrow(), "/stream/x", "id-" + System.nanoTime());
-        return caller.call(request, WITHIN).toOptional().orElseThrow().status();
+        return caller.call(request, TIMEOUT).toOptional().orElseThrow().status();
     }
 }
--- a/src/test/java/org/micabarrow/process/OldManifestTest.java
+++ b/src/test/java/org/micabarrow/process/OldManifestTest.java
@@ -40,7 +40,7 @@
  */
 class OldManifestTest {
 
-    private static final Duration WITHIN = Duration.ofSeconds(10);
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
     private static final int OK = 200;
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
@@ -197,7 +197,7 @@
         String clients = settings.listen().clients().orElseThrow();
         HttpCall call =
                 new HttpCall(Step.READ, "POST", URI.create("http://" + clients), Optional.of(path), headers, body);
-        return caller.call(call, WITHIN).toOptional().orElseThrow();
+        return caller.call(call, TIMEOUT).toOptional().orElseThrow();
     }
 
     /** Writes manifest 2, which has a key and a route more than manifest 1. */
--- a/src/test/java/org/micabarrow/process/RegionalReadingTest.java
+++ b/src/test/java/org/micabarrow/process/RegionalReadingTest.java
@@ -27,7 +27,7 @@
  */
 class RegionalReadingTest {
 
-    private static final Duration WITHIN = Duration.ofSeconds(10);
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
     private static final String OPERATORS = "keyed.op";
     private static final int ENTRIES = 3;
     private static final int CHANGES = 4;
@@ -97,6 +97,6 @@
     private boolean refusesKey(HostedSettings entry) {
         HttpCall request =
                 HostedSystem.request(entry.listen().clients().orElseThrow(), "/stream/x", "id-" + System.nanoTime());
-        return caller.call(request, WITHIN).toOptional().orElseThrow().status() == UNAUTHORIZED;
+        return caller.call(request, TIMEOUT).toOptional().orElseThrow().status() == UNAUTHORIZED;
     }
 }
--- a/src/test/java/org/micabarrow/process/SharedLimitTest.java
+++ b/src/test/java/org/micabarrow/process/SharedLimitTest.java
@@ -17,7 +17,7 @@
 /** What one entry hears of an endpoint's limit reaches the others through the agent beside it. */
 class SharedLimitTest {
 
-    private static final Duration WITHIN = Duration.ofSeconds(10);
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
     private HostedSystem platform;
     private HttpClient client;
@@ -47,7 +47,7 @@
 
     private int ask(HostedSettings entry) {
         String clients = entry.listen().clients().orElseThrow();
-        return client.call(HostedSystem.request(clients, "/stream/x", "attempt-1"), WITHIN)
+        return client.call(HostedSystem.request(clients, "/stream/x", "attempt-1"), TIMEOUT)
                 .toOptional()
                 .orElse(new HttpResponse(0, Map.of(), new byte[0]))
                 .status();
--- a/src/test/java/org/micabarrow/process/NudgedThreadTest.java
+++ b/src/test/java/org/micabarrow/process/SignalledThreadTest.java
@@ -9,18 +9,17 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
-/** Whoever nudges a thread does not wait for its step. */
-class NudgedThreadTest {
+class SignalledThreadTest {
 
-    private static final int NUDGES = 5;
+    private static final int SIGNALS = 5;
 
-    private final AtomicInteger taken = new AtomicInteger();
+    private final AtomicInteger runs = new AtomicInteger();
     private final CountDownLatch begun = new CountDownLatch(1);
     private final Semaphore mayEnd = new Semaphore(0);
     private final Semaphore ended = new Semaphore(0);
 
-    private void step() {
-        taken.incrementAndGet();
+    private void runTask() {
+        runs.incrementAndGet();
         begun.countDown();
         mayEnd.acquireUninterruptibly();
         ended.release();
@@ -31,31 +30,31 @@
     }
 
     @Test
-    void shouldTakeOneMoreStepWhenNudgedWhileOneIsHeldUp() throws Exception {
-        NudgedThread thread = NudgedThread.start("test", this::step);
-        thread.nudge();
+    void shouldRunOnceMoreWhenSignalledWhileRunning() throws Exception {
+        SignalledThread thread = SignalledThread.start("test", this::runTask);
+        thread.signal();
         begun.await();
-        for (int i = 0; i < NUDGES; i++) {
-            thread.nudge();
+        for (int i = 0; i < SIGNALS; i++) {
+            thread.signal();
         }
-        assertEquals(1, taken.get(), "the nudges came back while the step was held up");
+        assertEquals(1, runs.get(), "signals returned while the task was running");
         mayEnd.release(2);
         awaitEnd();
         awaitEnd();
-        assertEquals(2, taken.get());
+        assertEquals(2, runs.get());
     }
 
     @Test
-    void shouldGoOnWhenStepFails() throws Exception {
-        NudgedThread thread = NudgedThread.start("test", () -> {
-            step();
-            throw new IllegalStateException("a step that fails");
+    void shouldRunAgainWhenTaskFailed() throws Exception {
+        SignalledThread thread = SignalledThread.start("test", () -> {
+            runTask();
+            throw new IllegalStateException("a task that fails");
         });
         mayEnd.release(2);
-        thread.nudge();
+        thread.signal();
         awaitEnd();
-        thread.nudge();
+        thread.signal();
         awaitEnd();
-        assertEquals(2, taken.get());
+        assertEquals(2, runs.get());
     }
 }
--- a/src/test/java/org/micabarrow/process/SystemFixture.java
+++ b/src/test/java/org/micabarrow/process/SystemFixture.java
@@ -25,7 +25,7 @@
     static final String VANS = "token-of-vans";
     static final List<String> ENGINES = List.of("norte-a-1", "norte-a-2", "sur-a-1", "sur-a-2");
 
-    private static final Duration WITHIN = Duration.ofSeconds(60);
+    private static final Duration TIMEOUT = Duration.ofSeconds(60);
 
     final LocalSystem system;
     final HttpClient http = HttpClient.start("test-caller", 2);
@@ -74,7 +74,7 @@
                         Map.of("X-File", "intent.jsonc"),
                         body.getBytes(StandardCharsets.UTF_8))
                 .withHeader("Authorization", "Bearer " + token);
-        return http.call(call, WITHIN).toOptional().orElseThrow();
+        return http.call(call, TIMEOUT).toOptional().orElseThrow();
     }
 
     OperatorMessages.PlanResponse plan(String entry, String intent) throws IOException {
@@ -108,7 +108,7 @@
 
     Double metric(String base, String name) {
         HttpCall call = HttpCall.get(Fault.Step.READ, URI.create(base + "/metrics"));
-        return http.call(call, WITHIN)
+        return http.call(call, TIMEOUT)
                 .toOptional()
                 .map(answer -> {
                     try {
@@ -176,7 +176,7 @@
                 URI.create(system.callers(entry) + path),
                 all,
                 body.getBytes(StandardCharsets.UTF_8));
-        return http.call(call, WITHIN).toOptional().orElseThrow();
+        return http.call(call, TIMEOUT).toOptional().orElseThrow();
     }
 
     HttpClient.HttpResponse chat(String entry, String token, int tokens, boolean stream) {
