Handle restricted requests only in the regions that they allow

Routes and organisations name allowed regions; the entry decoded them but sent requests to any endpoint. The selector's eligibility now asks PlacementFilter, so first tries, retries, resumed streams, waiting requests and the check before the first byte all follow it.

--- a/src/main/java/org/micabarrow/routing/EndpointSelector.java
+++ b/src/main/java/org/micabarrow/routing/EndpointSelector.java
@@ -39,7 +39,7 @@
     private final UnmetDemand unmetDemand = new UnmetDemand();
     private final EntryCount entryCount = new EntryCount();
     private final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
-    private final Map<String, String> regions;
+    private final PlacementFilter placement;
     private final String region;
 
     /**
@@ -49,8 +49,27 @@
      * @param regions the region of each data hall
      */
     public EndpointSelector(String region, Map<String, String> regions) {
+        this(region, PlacementFilter.of(regions));
+    }
+
+    /**
+     * Creates a selector without any load information.
+     *
+     * @param region the entry's region
+     * @param placement decides at which endpoints requests may be handled
+     */
+    public EndpointSelector(String region, PlacementFilter placement) {
         this.region = Objects.requireNonNull(region, "region is null");
-        this.regions = Map.copyOf(regions);
+        this.placement = Objects.requireNonNull(placement, "placement is null");
+    }
+
+    /**
+     * Returns what decides at which endpoints requests may be handled.
+     *
+     * @return the filter
+     */
+    public PlacementFilter placement() {
+        return placement;
     }
 
     /**
@@ -302,7 +321,8 @@
      * @param endpoint the endpoint
      * @param request the request to send
      * @param nowMillis the time on the monotonic clock
-     * @return false if it is draining, was tried, or does not hold a version that may respond
+     * @return false if it is draining, was tried, is in a place that is not allowed, or does not hold a version that
+     *     may respond
      */
     public boolean eligible(EndpointRegistration endpoint, RoutingRequest request, long nowMillis) {
         return eligible(withLoad(endpoint), request, nowMillis);
@@ -310,7 +330,8 @@
 
     private boolean eligible(EndpointCandidate candidate, RoutingRequest request, long nowMillis) {
         if (isDraining(candidate)
-                || request.triedEndpoints().contains(candidate.endpoint().id())) {
+                || request.triedEndpoints().contains(candidate.endpoint().id())
+                || !placement.allows(candidate.endpoint(), request.allowedRegions())) {
             return false;
         }
         if (request.model().isEmpty()) {
@@ -357,6 +378,6 @@
     }
 
     private boolean inOwnRegion(EndpointRegistration endpoint) {
-        return region.equals(regions.get(endpoint.dataHall()));
+        return placement.region(endpoint.dataHall()).filter(region::equals).isPresent();
     }
 }
--- a/src/main/java/org/micabarrow/routing/RouteManifest.java
+++ b/src/main/java/org/micabarrow/routing/RouteManifest.java
@@ -1,6 +1,7 @@
 package org.micabarrow.routing;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -8,6 +9,9 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** One version of the operators' manifest: routes, services, keys and request limits. Immutable. */
 public final class RouteManifest {
@@ -18,6 +22,8 @@
     private final Map<String, KeyOwner> owners;
     private final boolean keysRequired;
     private final long maxBodyBytes;
+    private final Map<String, AllowedRegions> regionsByOrganisation;
+    private final Set<String> namedRegions;
 
     private RouteManifest(Parts parts) {
         this.version = parts.version();
@@ -26,6 +32,12 @@
         this.owners = Map.copyOf(parts.owners());
         this.keysRequired = parts.keysRequired();
         this.maxBodyBytes = parts.maxBodyBytes();
+        this.regionsByOrganisation = byOrganisation(parts.owners().values());
+        this.namedRegions = Stream.concat(
+                        parts.routes().stream().map(Route::allowedRegions), regionsByOrganisation.values().stream())
+                .flatMap(allowed -> allowed.regions().stream())
+                .flatMap(Set::stream)
+                .collect(Collectors.toUnmodifiableSet());
     }
 
     /**
@@ -116,6 +128,12 @@
         return grouped;
     }
 
+    private static Map<String, AllowedRegions> byOrganisation(Collection<KeyOwner> owners) {
+        Map<String, AllowedRegions> regions = new HashMap<>();
+        owners.forEach(owner -> regions.merge(owner.organisation(), owner.allowedRegions(), AllowedRegions::and));
+        return regions;
+    }
+
     // -- queries
 
     /**
@@ -140,6 +158,31 @@
                 .findFirst();
     }
 
+    /**
+     * Returns the regions in which a request may be handled, by its route and its organisation, which both bind.
+     *
+     * @param host the requested host
+     * @param path the requested path
+     * @param organisation the request's organisation, empty if it has none
+     * @return the regions; any if this manifest has neither the route nor the organisation
+     */
+    public AllowedRegions allowedRegions(String host, String path, Optional<String> organisation) {
+        if (namedRegions.isEmpty()) {
+            return AllowedRegions.any();
+        }
+        AllowedRegions ofRoute = route(host, path).map(Route::allowedRegions).orElse(AllowedRegions.any());
+        return organisation.map(regionsByOrganisation::get).map(ofRoute::and).orElse(ofRoute);
+    }
+
+    /**
+     * Returns the regions that routes and organisations name as allowed.
+     *
+     * @return the regions, empty if nothing is restricted to regions
+     */
+    public Set<String> namedRegions() {
+        return namedRegions;
+    }
+
     /**
      * Returns a service by its name.
      *
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -125,7 +125,7 @@
             case Decision.Wait wait when !response.started() -> waitForSlot(wait, reason);
             case Decision.Wait(long ignored, int endpoints) -> refuseWithoutSlot(endpoints);
             case Decision.Full(int endpoints) -> refuseWithoutSlot(endpoints);
-            case Decision.Unable ignored -> concludeWithoutResponse("no endpoint can serve");
+            case Decision.Unable ignored -> concludeWithoutResponse(context.unableReason(request));
             case Decision.BackingOff(int endpoints, long ignored) ->
                 concludeWithoutResponse("all " + endpoints + " endpoints have asked for rest");
             case Decision.RateLimited(int endpoints, OptionalLong millis) -> refuseOverRateLimit(endpoints, millis);
--- a/src/main/java/org/micabarrow/serving/ServingContext.java
+++ b/src/main/java/org/micabarrow/serving/ServingContext.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.micabarrow.admission.AdmissionControl;
@@ -36,6 +37,7 @@
     private final EntryWaitQueue waitQueue;
     private final SuspectAdmission suspects;
     private final CrashDetector crashes;
+    private final RequestPlacement placement;
 
     /**
      * Creates the shared state.
@@ -50,6 +52,8 @@
         this.waitQueue = new EntryWaitQueue(dependencies.monotonicMillis());
         this.suspects = new SuspectAdmission(dependencies.crashes().registry(), dependencies.selector(), admission);
         this.crashes = new CrashDetector(dependencies.crashes(), dependencies.monotonicMillis());
+        this.placement = new RequestPlacement(
+                dependencies.view(), dependencies.selector().placement());
     }
 
     // -- components
@@ -160,6 +164,13 @@
         }
     }
 
+    /** Why no endpoint can serve a request, for the client and the log; counts refusals for placement. */
+    String unableReason(ClientRequest request) {
+        Optional<String> reason = placement.refusalReason(request);
+        reason.ifPresent(ignored -> metrics.placementRefused.inc());
+        return reason.orElse("no endpoint can serve");
+    }
+
     /** Decides how to handle a request, given the time that is left until its objective. */
     Decision decide(ClientRequest request, LazyDigest digest, long millisUntilObjective, Set<String> tried) {
         List<EndpointRegistration> endpoints = view().endpointsOf(request.service());
@@ -176,7 +187,7 @@
                 versions.minVersion(request),
                 versions.newestNamed(request),
                 tried,
-                request.allowedRegions(),
+                placement.allowedRegions(request),
                 request.requestClass());
     }
 
--- a/src/main/java/org/micabarrow/serving/ServingMetrics.java
+++ b/src/main/java/org/micabarrow/serving/ServingMetrics.java
@@ -16,6 +16,7 @@
     final Counter retries;
     final Counter poisonRequests;
     final Counter rateLimited;
+    final Counter placementRefused;
     final Timer firstByte;
 
     ServingMetrics(MetricRegistry registry) {
@@ -28,6 +29,7 @@
         retries = registry.counter("requests.repeats");
         poisonRequests = registry.counter("requests.refusedForCrashes");
         rateLimited = registry.counter("requests.overLimit");
+        placementRefused = registry.counter("requests.refusedForPlacement");
         firstByte = registry.timer("requests.firstByte");
     }
 
--- a/src/test/java/org/micabarrow/serving/ServingFixture.java
+++ b/src/test/java/org/micabarrow/serving/ServingFixture.java
@@ -36,7 +36,8 @@
     static final long NEVER_MILLIS = 1_000_000;
 
     final AtomicLong clockMillis = new AtomicLong(1_000_000);
-    final EndpointSelector selector = new EndpointSelector("region-a", Map.of("hall-a", "region-a"));
+    final EndpointSelector selector =
+            new EndpointSelector("region-a", Map.of("hall-a", "region-a", "hall-b", "region-b"));
     final ViewMaintainer views = new ViewMaintainer(new StoreRecords(), clockMillis::get);
 
     HostedSystem platform;
