Send nothing new to endpoints of an evacuated data hall

Operators write evacuate/HALL and delete it to take it back. The view keeps the evacuated halls by the offsets of the records, so late, repeated and forgotten records, peers and restarts give the same answer; any value counts, an unknown hall is logged and has no effect. The placement filter passes over these endpoints wherever it is asked. Operator records of one read are published as one view. The bounds evacuateMillis, coldOvershoot and coldSlack are optional settings; what operators write is read for the shorter of the two bounds.

--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.regex.Matcher;
@@ -37,6 +38,7 @@
 public final class StoreRecords implements RecordDecoder {
 
     private static final String MANIFEST_KEY = "config";
+    private static final String EVACUATION_PREFIX = "evacuate/";
     private static final double MILLIS_A_SECOND = 1_000;
 
     /** What a route's timeout and objective are if the manifest names none: longer than any client waits. */
@@ -94,6 +96,13 @@
         return key.equals(MANIFEST_KEY);
     }
 
+    @Override
+    public Optional<String> evacuatedHall(String key) {
+        return key.startsWith(EVACUATION_PREFIX)
+                ? Optional.of(key.substring(EVACUATION_PREFIX.length()))
+                : Optional.empty();
+    }
+
     @Override
     public Result<OperatorRecord> decodeOperatorRecord(StoredRecord record) {
         if (isManifest(record.key())) {
--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -34,6 +34,7 @@
     private final String originAddress;
     private final Map<String, HostedEndpointStandin> endpoints = new ConcurrentHashMap<>();
     private final Map<String, String> addresses = new ConcurrentHashMap<>();
+    private final Map<String, String> dataHalls = new ConcurrentHashMap<>();
     private final Map<String, Long> starts = new HashMap<>();
     private final List<AutoCloseable> running = new ArrayList<>();
     private final AtomicInteger instances = new AtomicInteger();
@@ -182,6 +183,37 @@
         enter(id, service, version, "ready");
     }
 
+    /**
+     * Starts an endpoint in a data hall and enters it in the store.
+     *
+     * @param dataHall the data hall
+     * @param id its id
+     * @param service its service
+     * @param version the weight version that it holds; 0 for none
+     */
+    public void addIn(String dataHall, String id, String service, long version) {
+        dataHalls.put(id, dataHall);
+        add(id, service, version);
+    }
+
+    /**
+     * Evacuates a data hall.
+     *
+     * @param dataHall the data hall
+     */
+    public void evacuate(String dataHall) {
+        store.append("keyed.op", "evacuate/" + dataHall, "{}");
+    }
+
+    /**
+     * Takes the evacuation of a data hall back.
+     *
+     * @param dataHall the data hall
+     */
+    public void takeBack(String dataHall) {
+        store.append("keyed.op", "evacuate/" + dataHall, "");
+    }
+
     // -- crashes
 
     /**
@@ -285,10 +317,11 @@
                 id,
                 String.format(
                         Locale.ROOT,
-                        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"hall-a\",\"slots\":16,\"state\":\"%s\","
+                        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"slots\":16,\"state\":\"%s\","
                                 + "\"models\":[%s]%s}",
                         service,
                         addresses.get(id),
+                        dataHalls.getOrDefault(id, "hall-a"),
                         state,
                         models,
                         started));
--- a/src/main/java/org/micabarrow/platform/standin/StandinSettings.java
+++ b/src/main/java/org/micabarrow/platform/standin/StandinSettings.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import org.micabarrow.settings.Common;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.standin.Ports;
@@ -13,8 +15,18 @@
     /** What an instance's link carries, in bits a second: so much that the small chunks here are not held up. */
     private static final double LINK_BITS_PER_SECOND = 1e9;
 
-    private static final HostedSettings.Bounds BOUNDS =
-            new HostedSettings.Bounds(2_000, 2_000, 2_000, 1_000, 0.2, 160, 600_000, 1_000);
+    private static final HostedSettings.Bounds BOUNDS = new HostedSettings.Bounds(
+            2_000,
+            2_000,
+            2_000,
+            1_000,
+            0.2,
+            160,
+            600_000,
+            1_000,
+            OptionalLong.of(2_000),
+            OptionalDouble.empty(),
+            OptionalDouble.empty());
 
     private StandinSettings() {}
 
@@ -28,7 +40,7 @@
         String peers = Ports.freeAddress();
         return new HostedSettings(
                 new Common.Place(instance, "region-a", "hall-a"),
-                Map.of("hall-a", "region-a"),
+                Map.of("hall-a", "region-a", "hall-b", "region-b"),
                 new HostedSettings.Listen(clients, ready, peers, Ports.freeAddress()),
                 Integer.parseInt(peers.substring(peers.lastIndexOf(':') + 1)),
                 List.of(),
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -15,6 +15,7 @@
 import org.micabarrow.platform.RequestHeaders;
 import org.micabarrow.process.HostedNode.Paces;
 import org.micabarrow.routing.EndpointSelector;
+import org.micabarrow.routing.PlacementFilter;
 import org.micabarrow.serving.CrashTracking;
 import org.micabarrow.serving.ManifestAge;
 import org.micabarrow.serving.ServingHandler;
@@ -89,7 +90,9 @@
     private HostedEntryProcess(HostedSettings settings) throws IOException {
         this.settings = settings;
         this.node = new HostedNode(settings);
-        this.choice = new EndpointSelector(settings.instance().region(), settings.regions());
+        this.choice = new EndpointSelector(
+                settings.instance().region(),
+                PlacementFilter.of(settings.regions(), () -> node.views().view().evacuatedHalls()));
         HostedSettings.Bounds bounds = settings.bounds();
         this.reader = new PeerFirstReader(
                 node.store(),
@@ -176,7 +179,7 @@
 
     private static Paces paces(HostedSettings.Bounds bounds) {
         return new Paces(
-                new PollTiming(part(bounds.configurationMillis(), OPERATOR_HOLD_PART), Duration.ZERO),
+                new PollTiming(part(bounds.operatorMillis(), OPERATOR_HOLD_PART), Duration.ZERO),
                 DrainTimeBudget.pollTiming(Duration.ofMillis(bounds.drainMillis())));
     }
 
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -84,7 +84,8 @@
         this.worker = HttpClient.worker("traffic", 1);
         this.kept = HttpClient.onWorker(worker, KEPT_CONNECTIONS);
         this.fresh = HttpClient.onWorker(worker, 0);
-        this.views = new ViewMaintainer(new StoreRecords(), HostedNode::steadyMillis);
+        this.views = new ViewMaintainer(
+                new StoreRecords(), HostedNode::steadyMillis, settings.regions().keySet());
         this.peerRecords = new PeerRecordClient(kept, HostedNode::steadyMillis);
         this.store = new StoreClient(
                 kept, settings.store(), DrainTimeBudget.STORE_RESPONSE_TIMEOUT, HostedNode::steadyMillis);
@@ -94,6 +95,8 @@
         metrics.registerGauge(
                 "view.manifest",
                 () -> views.view().manifest().map(one -> one.version()).orElse(-1L));
+        metrics.registerGauge(
+                "view.evacuatedHalls", () -> views.view().evacuatedHalls().size());
         metrics.registerGauge("view.endpoints", () -> views.view().endpoints().size());
     }
 
@@ -104,7 +107,7 @@
 
     /** How old what the region's reader knows may be for others to go by it, in milliseconds. */
     static long readerTrustMillis(HostedSettings.Bounds bounds) {
-        return Math.round(bounds.configurationMillis() * TRUST_PART);
+        return Math.round(bounds.operatorMillis() * TRUST_PART);
     }
 
     MetricRegistry metrics() {
--- a/src/main/java/org/micabarrow/routing/PlacementFilter.java
+++ b/src/main/java/org/micabarrow/routing/PlacementFilter.java
@@ -1,32 +1,48 @@
 package org.micabarrow.routing;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Supplier;
 
 /**
  * Decides at which endpoints a request may be handled, by the data halls in which they are. An endpoint in a data hall
- * of unknown region gets no request that is restricted to regions. Immutable.
+ * of unknown region gets no request that is restricted to regions. An endpoint in an evacuated data hall gets no new
+ * request; what runs there ends by itself.
  */
 public final class PlacementFilter {
 
     private final Map<String, String> regions;
+    private final Supplier<Set<String>> evacuatedHalls;
 
-    private PlacementFilter(Map<String, String> regions) {
+    private PlacementFilter(Map<String, String> regions, Supplier<Set<String>> evacuatedHalls) {
         this.regions = Map.copyOf(Objects.requireNonNull(regions, "regions is null"));
+        this.evacuatedHalls = Objects.requireNonNull(evacuatedHalls, "evacuatedHalls is null");
     }
 
     /**
-     * Creates a filter.
+     * Creates a filter for a deployment in which no data hall is ever evacuated.
      *
      * @param regions the region of each data hall
      * @return the filter
      */
     public static PlacementFilter of(Map<String, String> regions) {
-        return new PlacementFilter(regions);
+        return new PlacementFilter(regions, Set::of);
+    }
+
+    /**
+     * Creates a filter.
+     *
+     * @param regions the region of each data hall
+     * @param evacuatedHalls supplies the data halls that are evacuated now
+     * @return the filter
+     */
+    public static PlacementFilter of(Map<String, String> regions, Supplier<Set<String>> evacuatedHalls) {
+        return new PlacementFilter(regions, evacuatedHalls);
     }
 
     /**
@@ -44,12 +60,20 @@
      *
      * @param endpoint the endpoint
      * @param allowed the regions in which the request may be handled
-     * @return true if its data hall is in one of them
+     * @return true if its data hall is in one of them and is not evacuated
      */
     public boolean allows(EndpointRegistration endpoint, AllowedRegions allowed) {
+        return inAllowedRegion(endpoint, allowed) && !evacuated(endpoint);
+    }
+
+    private boolean inAllowedRegion(EndpointRegistration endpoint, AllowedRegions allowed) {
         return allowed.allows(regions.get(endpoint.dataHall()));
     }
 
+    private boolean evacuated(EndpointRegistration endpoint) {
+        return evacuatedHalls.get().contains(endpoint.dataHall());
+    }
+
     /**
      * Returns why none of a service's endpoints may get a request, for the client and the log.
      *
@@ -61,8 +85,14 @@
         if (endpoints.isEmpty() || endpoints.stream().anyMatch(endpoint -> allows(endpoint, allowed))) {
             return Optional.empty();
         }
-        return Optional.of("no endpoint is in a region that is allowed for it, allowed are "
-                + new TreeSet<>(allowed.regions().orElse(Set.of())));
+        List<EndpointRegistration> inAllowedRegion = endpoints.stream()
+                .filter(endpoint -> inAllowedRegion(endpoint, allowed))
+                .toList();
+        return Optional.of(
+                inAllowedRegion.isEmpty()
+                        ? "no endpoint is in a region that is allowed for it, allowed are "
+                                + new TreeSet<>(allowed.regions().orElse(Set.of()))
+                        : "the data halls of all " + inAllowedRegion.size() + " endpoints are evacuated");
     }
 
     /**
--- a/src/main/java/org/micabarrow/settings/HostedSettings.java
+++ b/src/main/java/org/micabarrow/settings/HostedSettings.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 /**
  * The settings of a process on the users' platform, which fills them into a template of ours.
@@ -53,6 +55,10 @@
      * @param retrySlack repeats that all entries together may save up
      * @param crashMemoryMillis how long a crash of an endpoint is remembered, and a request that caused some refused after its last
      * @param crashesKept how many crashes are remembered at the most
+     * @param evacuateMillis how long after the evacuation of a data hall its endpoints may still get requests; empty if the users
+     *     evacuate none
+     * @param coldOvershoot how many times a cold endpoint's requests a second it may get; empty if the users name no such limit
+     * @param coldSlack how many more it may get in one second; empty if the users name no such limit
      */
     public record Bounds(
             long versionMillis,
@@ -62,5 +68,18 @@
             double retryShare,
             double retrySlack,
             long crashMemoryMillis,
-            int crashesKept) {}
+            int crashesKept,
+            OptionalLong evacuateMillis,
+            OptionalDouble coldOvershoot,
+            OptionalDouble coldSlack) {
+
+        /**
+         * How long after an operator wrote something it must be in force everywhere, whatever it is.
+         *
+         * @return milliseconds
+         */
+        public long operatorMillis() {
+            return Math.min(configurationMillis, evacuateMillis.orElse(configurationMillis));
+        }
+    }
 }
--- a/src/main/java/org/micabarrow/settings/SettingsReader.java
+++ b/src/main/java/org/micabarrow/settings/SettingsReader.java
@@ -96,6 +96,7 @@
                     Rule.range("/bounds/configurationMillis", 100, HOUR),
                     Rule.range("/bounds/drainMillis", 100, HOUR),
                     Rule.range("/bounds/graceMillis", 100, HOUR),
+                    Rule.range("/bounds/evacuateMillis", 100, HOUR),
                     Rule.range("/bounds/crashMemoryMillis", 1_000, 24 * HOUR),
                     Rule.range("/bounds/crashesKept", 10, 10_000)),
             LOG);
--- a/src/main/java/org/micabarrow/views/OperatorLog.java
+++ b/src/main/java/org/micabarrow/views/OperatorLog.java
@@ -19,6 +19,18 @@
         LOG.warn("event=operator_record_dropped key={} offset={} kept=last", record.key(), record.offset());
     }
 
+    static void evacuation(StoredRecord record, String hall) {
+        LOG.warn(
+                "event={} hall={} offset={}",
+                record.isTombstone() ? "hall_returned" : "hall_evacuated",
+                hall,
+                record.offset());
+    }
+
+    static void unknownHall(StoredRecord record) {
+        LOG.warn("event=hall_unknown key={} offset={} effect=none", record.loggableKey(), record.offset());
+    }
+
     static void invalidRecord(StoredRecord record, Fault fault) {
         LOG.error("event=record_refused key={} offset={} why=\"{}\"", record.loggableKey(), record.offset(), fault);
     }
--- a/src/main/java/org/micabarrow/views/OperatorState.java
+++ b/src/main/java/org/micabarrow/views/OperatorState.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.state.Fault;
@@ -18,6 +19,7 @@
 
     private final RecordDecoder decoder;
     private final LongSupplier monotonicMillis;
+    private final Predicate<String> isKnownHall;
     private final WeightTargets targets;
     private final ManifestTracker manifests = new ManifestTracker();
     private boolean loaded;
@@ -25,8 +27,13 @@
     /** Whether an invalid manifest followed the active one, so that the rules that apply now are unknown. */
     private boolean manifestInvalid;
 
-    OperatorState(RecordDecoder decoder, LongSupplier monotonicMillis, LongSupplier unixMillis) {
+    OperatorState(
+            RecordDecoder decoder,
+            LongSupplier monotonicMillis,
+            LongSupplier unixMillis,
+            Predicate<String> isKnownHall) {
         this.decoder = decoder;
+        this.isKnownHall = isKnownHall;
         this.monotonicMillis = monotonicMillis;
         this.targets = new WeightTargets(monotonicMillis, unixMillis);
     }
@@ -55,6 +62,10 @@
 
     /** Applies an operator record. */
     Change apply(StoredRecord record, View view) {
+        Optional<String> hall = decoder.evacuatedHall(record.key());
+        if (hall.isPresent()) {
+            return new Change(applyEvacuation(record, hall.get(), view), false);
+        }
         if (record.isTombstone()) {
             OperatorLog.ignoredDeletion(record);
             return new Change(view, false);
@@ -75,6 +86,19 @@
         };
     }
 
+    private View applyEvacuation(StoredRecord record, String hall, View view) {
+        if (!isKnownHall.test(hall)) {
+            OperatorLog.unknownHall(record);
+            return view;
+        }
+        boolean evacuated = !record.isTombstone();
+        if (view.evacuatedHalls().contains(hall) == evacuated) {
+            return view;
+        }
+        OperatorLog.evacuation(record, hall);
+        return view.withEvacuation(hall, evacuated);
+    }
+
     private static Change ignore(StoredRecord record, View view) {
         OperatorLog.unusedRecord(record);
         return new Change(view, false);
--- a/src/main/java/org/micabarrow/views/RecordDecoder.java
+++ b/src/main/java/org/micabarrow/views/RecordDecoder.java
@@ -1,5 +1,6 @@
 package org.micabarrow.views;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.RouteManifest;
@@ -48,6 +49,17 @@
      */
     boolean isManifest(String key);
 
+    /**
+     * The data hall that an operator record evacuates. It is evacuated while the record's key has a value, whichever,
+     * and gets requests again once the key is deleted.
+     *
+     * @param key the key of the record
+     * @return the data hall, known or not; empty if the record is about something else
+     */
+    default Optional<String> evacuatedHall(String key) {
+        return Optional.empty();
+    }
+
     /**
      * Decodes an operator record, or a record that processes of this system saved about one.
      *
--- a/src/main/java/org/micabarrow/views/View.java
+++ b/src/main/java/org/micabarrow/views/View.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.RouteManifest;
@@ -25,7 +27,8 @@
         long manifestOffset,
         Map<String, EndpointRegistration> endpoints,
         Map<String, List<Target>> targets,
-        Map<String, Target> supersededTargets) {
+        Map<String, Target> supersededTargets,
+        Set<String> evacuatedHalls) {
 
     /** The maximum number of targets that are remembered per model: there are never more in transit at once. */
     private static final int MAX_TARGETS = 8;
@@ -65,7 +68,7 @@
     }
 
     /**
-     * Creates a view without superseded targets.
+     * Creates a view without superseded targets and evacuations.
      *
      * @param manifest the active manifest, empty until one is known
      * @param manifestOffset the offset of its record in the store
@@ -77,7 +80,7 @@
             long manifestOffset,
             Map<String, EndpointRegistration> endpoints,
             Map<String, List<Target>> targets) {
-        this(manifest, manifestOffset, endpoints, targets, Map.of());
+        this(manifest, manifestOffset, endpoints, targets, Map.of(), Set.of());
     }
 
     /** Copies the maps. */
@@ -86,6 +89,7 @@
         endpoints = Map.copyOf(endpoints);
         targets = Map.copyOf(targets);
         supersededTargets = Map.copyOf(supersededTargets);
+        evacuatedHalls = Set.copyOf(evacuatedHalls);
     }
 
     /**
@@ -159,11 +163,21 @@
     // -- derived views
 
     View withManifest(RouteManifest newManifest, long offset) {
-        return new View(Optional.of(newManifest), offset, endpoints, targets, supersededTargets);
+        return new View(Optional.of(newManifest), offset, endpoints, targets, supersededTargets, evacuatedHalls);
     }
 
     View withEndpoints(Map<String, EndpointRegistration> newEndpoints) {
-        return new View(manifest, manifestOffset, newEndpoints, targets, supersededTargets);
+        return new View(manifest, manifestOffset, newEndpoints, targets, supersededTargets, evacuatedHalls);
+    }
+
+    View withEvacuation(String hall, boolean evacuated) {
+        Set<String> halls = new HashSet<>(evacuatedHalls);
+        if (evacuated) {
+            halls.add(hall);
+        } else {
+            halls.remove(hall);
+        }
+        return new View(manifest, manifestOffset, endpoints, targets, supersededTargets, halls);
     }
 
     /**
@@ -192,6 +206,6 @@
         updated.add(target);
         Map<String, List<Target>> allTargets = new HashMap<>(targets);
         allTargets.put(model, List.copyOf(updated.subList(Math.max(0, updated.size() - MAX_TARGETS), updated.size())));
-        return new View(manifest, manifestOffset, endpoints, allTargets, superseded);
+        return new View(manifest, manifestOffset, endpoints, allTargets, superseded, evacuatedHalls);
     }
 }
--- a/src/main/java/org/micabarrow/views/ViewMaintainer.java
+++ b/src/main/java/org/micabarrow/views/ViewMaintainer.java
@@ -9,8 +9,10 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.micabarrow.routing.EndpointRegistration;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -42,6 +44,17 @@
         this(decoder, monotonicMillis, System::currentTimeMillis);
     }
 
+    /**
+     * Creates an instance without any records, for a deployment whose data halls are known.
+     *
+     * @param decoder decodes records
+     * @param monotonicMillis a monotonic clock, in milliseconds
+     * @param dataHalls the data halls; evacuations of others have no effect
+     */
+    public ViewMaintainer(RecordDecoder decoder, LongSupplier monotonicMillis, Set<String> dataHalls) {
+        this(decoder, monotonicMillis, System::currentTimeMillis, Set.copyOf(dataHalls)::contains);
+    }
+
     /**
      * Creates an instance without any records, with a given time of day.
      *
@@ -50,10 +63,18 @@
      * @param unixMillis the time of day, in milliseconds, which may be off by some seconds
      */
     ViewMaintainer(RecordDecoder decoder, LongSupplier monotonicMillis, LongSupplier unixMillis) {
+        this(decoder, monotonicMillis, unixMillis, hall -> true);
+    }
+
+    private ViewMaintainer(
+            RecordDecoder decoder,
+            LongSupplier monotonicMillis,
+            LongSupplier unixMillis,
+            Predicate<String> isKnownHall) {
         Objects.requireNonNull(decoder, "decoder is null");
         this.monotonicMillis = Objects.requireNonNull(monotonicMillis, "monotonicMillis is null");
-        this.operatorState =
-                new OperatorState(decoder, monotonicMillis, Objects.requireNonNull(unixMillis, "unixMillis is null"));
+        this.operatorState = new OperatorState(
+                decoder, monotonicMillis, Objects.requireNonNull(unixMillis, "unixMillis is null"), isKnownHall);
         this.endpointList = new EndpointListUpdater(decoder);
         for (Topic topic : Topic.values()) {
             copies.put(topic, new TopicCopy());
@@ -211,22 +232,33 @@
             return;
         }
         switch (topic) {
-            case OPERATOR -> {
-                List<StoredRecord> agentRecords =
-                        newRecords.stream().filter(this::applyOperatorRecord).toList();
-                changes = changes.withOperator(newRecords, agentRecords);
-            }
+            case OPERATOR -> applyOperatorRecords(newRecords);
             case ENDPOINTS -> applyEndpointRecords(newRecords);
             case NAMED -> view = operatorState.applySaved(newRecords, view);
             case CRASHES -> crashListener.accept(newRecords);
         }
     }
 
-    /** Applies an operator record, and returns whether agents use it. */
-    private boolean applyOperatorRecord(StoredRecord record) {
-        OperatorState.Change change = operatorState.apply(record, view);
-        view = change.view();
-        return change.relevantToAgents();
+    /**
+     * Applies operator records, and publishes one view of all of them: a process that starts while a data hall is
+     * evacuated would otherwise take requests for a moment with the manifest alone.
+     */
+    private void applyOperatorRecords(List<StoredRecord> records) {
+        View updated = view;
+        List<StoredRecord> agentRecords = new ArrayList<>();
+        for (StoredRecord record : records) {
+            OperatorState.Change change = operatorState.apply(record, updated);
+            updated = change.view();
+            if (change.relevantToAgents()) {
+                agentRecords.add(record);
+            }
+        }
+        view = updated;
+        changes = changes.withOperator(records, agentRecords);
+    }
+
+    private void applyOperatorRecord(StoredRecord record) {
+        view = operatorState.apply(record, view).view();
     }
 
     /**
--- a/src/test/java/org/micabarrow/serving/AllowedRegionsRequestTest.java
+++ b/src/test/java/org/micabarrow/serving/AllowedRegionsRequestTest.java
@@ -28,25 +28,6 @@
 
     private long manifestVersion = 10;
 
-    /** Adds an endpoint in a data hall; the entry is in region-a, to which hall-a belongs. */
-    private void add(String id, String service, String dataHall) {
-        long version = service.equals("models") ? 1 : 0;
-        platform.add(id, service, version);
-        String models = version == 0 ? "" : "{\"name\":\"" + MODEL + "\",\"version\":1}";
-        platform.store()
-                .append(
-                        "keyed.servers",
-                        id,
-                        String.format(
-                                Locale.ROOT,
-                                "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"slots\":16,"
-                                        + "\"state\":\"ready\",\"models\":[%s]}",
-                                service,
-                                platform.address(id),
-                                dataHall,
-                                models));
-    }
-
     /** Writes a manifest with restrictions; the lists are JSON texts, divided by commas. */
     private void manifest(String ofRoutes, String ofOrganisation) {
         String route = "{\"host\":\"h.example\",\"path_prefix\":\"/%s/\",\"kind\":\"%s\",\"timeout_ms\":10000,"
@@ -73,10 +54,10 @@
     }
 
     private void start(String ofRoutes, String ofOrganisation) throws IOException {
-        add("plain-a", "plain", "hall-a");
-        add("plain-b", "plain", "hall-b");
-        add("model-a", "models", "hall-a");
-        add("model-b", "models", "hall-b");
+        platform.addIn("hall-a", "plain-a", "plain", 0);
+        platform.addIn("hall-b", "plain-b", "plain", 0);
+        platform.addIn("hall-a", "model-a", "models", 1);
+        platform.addIn("hall-b", "model-b", "models", 1);
         manifest(ofRoutes, ofOrganisation);
         serveWithoutVersions();
         awaitManifest();
--- a/src/test/java/org/micabarrow/serving/ServingFixture.java
+++ b/src/test/java/org/micabarrow/serving/ServingFixture.java
@@ -18,6 +18,7 @@
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.routing.EndpointSelector;
 import org.micabarrow.routing.LoadReport;
+import org.micabarrow.routing.PlacementFilter;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.transport.HttpClient;
 import org.micabarrow.transport.HttpClient.HttpResponse;
@@ -35,10 +36,12 @@
     static final String MODEL = "model-a";
     static final long NEVER_MILLIS = 1_000_000;
 
+    private static final Map<String, String> REGIONS = Map.of("hall-a", "region-a", "hall-b", "region-b");
+
     final AtomicLong clockMillis = new AtomicLong(1_000_000);
-    final EndpointSelector selector =
-            new EndpointSelector("region-a", Map.of("hall-a", "region-a", "hall-b", "region-b"));
-    final ViewMaintainer views = new ViewMaintainer(new StoreRecords(), clockMillis::get);
+    final ViewMaintainer views = new ViewMaintainer(new StoreRecords(), clockMillis::get, REGIONS.keySet());
+    final EndpointSelector selector = new EndpointSelector(
+            "region-a", PlacementFilter.of(REGIONS, () -> views.view().evacuatedHalls()));
 
     HostedSystem platform;
     HostedSettings settings;
--- a/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
@@ -169,7 +169,10 @@
                         usual.retryShare(),
                         usual.retrySlack(),
                         usual.crashMemoryMillis(),
-                        usual.crashesKept()),
+                        usual.crashesKept(),
+                        usual.evacuateMillis(),
+                        usual.coldOvershoot(),
+                        usual.coldSlack()),
                 settings.log());
         HostedEntryProcess entry = startEntry();
         platform.next(Behaviour.HANG);
