Weight versions: fixed allowances before the bound instead of fractions of it

Cause: the stop, the cordon, orders, and what entries query, require and cancel were fractions of the bound. What they guard against (a late naming, a pause, a request's way, the order itself) does not grow with it, so at bounds of 10.3 and 13.4 s a cordon closed 2.1 and 2.6 s before the bound (1.78 s at 8 s).

Change: VersionMoments turns the bound into moments for agents and entries together, each at a named distance in milliseconds, limited to the former fraction for bounds under 8 s. At 8 s all moments are the same as before. The first order comes 3.6 s after the naming whatever the bound is. Allowances are chosen so that those at 8 s stay, not measured.

A fetch of which no chunk came for 0.7 s has no expected end any more: with the last chunk missing, the cordon stayed closed until the chunk came.

Log: cordon_closed and retired name the bound, the time left and the allowances. Gauge weights.stopBeforeBoundMillis. OrderScheduleTest follows the changed signature; its checks stand.

--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -139,6 +139,7 @@
                 new PollTiming(HostedNode.STORE_WAIT, ENDPOINTS_REST));
         node.follow(news, news, paces, settings::seeds, this::duty);
         node.metrics().registerGauge("weights.secondsNotRetired", keeper::secondsNotRetired);
+        node.metrics().registerGauge("weights.stopBeforeBoundMillis", keeper::lastStopBeforeBoundMillis);
         RepeatedTasks.start("report", REPORT_MILLIS, new Reports());
         RepeatedTasks.start("fetch", LOOK_MILLIS, keeper::fetch);
         RepeatedTasks.start("replica", this::replicaMillis, keeper::step);
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -32,6 +32,7 @@
 import org.micabarrow.views.StoreFollower.PollTiming;
 import org.micabarrow.views.Topic;
 import org.micabarrow.views.VersionPersistence.WriteRole;
+import org.micabarrow.weights.VersionMoments;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -56,22 +57,6 @@
     /** Among how many entries the users' slack for repeats is divided: more than there are, spares and restarts included. */
     private static final int ENTRIES_AT_MOST = 16;
 
-    /**
-     * The part of {@code version_ms} after which agents are asked before requests are sent to an older version. Until then the
-     * chunks fill the links, so that a question would take as long as the request itself; an instance that stands still from
-     * then on must do so for over half of the bound to begin something too late.
-     */
-    private static final double ASK_PART = 0.45;
-
-    /** The part of {@code version_ms} after which entries demand the named weight version themselves. */
-    private static final double DEMAND_PART = 0.88;
-
-    /**
-     * The part of {@code version_ms} after which requests that an older weight version has not begun are cancelled there. The
-     * rest is for what the entry heard late of the naming, and for the way to the endpoint.
-     */
-    private static final double CANCEL_PART = 0.97;
-
     private static final int UNAVAILABLE = 503;
     private static final int OK = 200;
 
@@ -128,14 +113,16 @@
                 node.metrics(),
                 HostedNode::steadyMillis,
                 loadFeed::query,
-                new ServingHandler.VersionTimes(
-                        Math.round(bounds.versionMillis() * ASK_PART),
-                        Math.round(bounds.versionMillis() * DEMAND_PART),
-                        Math.round(bounds.versionMillis() * CANCEL_PART)),
+                versionTimes(bounds.versionMillis()),
                 new ManifestAge(node.views()::operatorAsOfMillis, bounds.configurationMillis()),
                 new CrashTracking(book, new ListenerProbe(node.worker()), crashes::tell)));
     }
 
+    private static ServingHandler.VersionTimes versionTimes(long boundMillis) {
+        VersionMoments moments = new VersionMoments(boundMillis);
+        return new ServingHandler.VersionTimes(moments.queryMillis(), moments.requireMillis(), moments.cancelMillis());
+    }
+
     /**
      * Starts an entry.
      *
--- a/src/main/java/org/micabarrow/weights/Cordon.java
+++ b/src/main/java/org/micabarrow/weights/Cordon.java
@@ -38,11 +38,29 @@
         return closedAtMillis.isPresent();
     }
 
-    /** Closes the cordon if it is open. Returns whether it has been closed for long enough that all entries know. */
-    boolean closeAndCheckElapsed(long nowMillis) {
+    /** Why a cordon closes. */
+    enum Reason {
+        /** A newer version is complete, or will be soon. */
+        ORDER,
+        /** No newer version is complete, and the one that the endpoint holds reaches its bound. */
+        STOP
+    }
+
+    /**
+     * Closes the cordon if it is open. Returns whether it has been closed for long enough that all entries know.
+     *
+     * @param nowMillis the current time
+     * @param reason why it closes
+     * @param boundInMillis how long the version that the endpoint holds may still be served; empty if not limited
+     */
+    boolean closeAndCheckElapsed(long nowMillis, Reason reason, OptionalLong boundInMillis) {
         if (closedAtMillis.isEmpty()) {
             closedAtMillis = OptionalLong.of(nowMillis);
-            LOG.info("event=cordon_closed orderInMs={}", LEAD_MILLIS);
+            LOG.info(
+                    "event=cordon_closed for={} orderInMs={} boundInMs={}",
+                    reason,
+                    LEAD_MILLIS,
+                    boundInMillis.isPresent() ? boundInMillis.getAsLong() : "-");
             notifyEntries.run();
         }
         return nowMillis - closedAtMillis.getAsLong() >= LEAD_MILLIS;
--- a/src/main/java/org/micabarrow/weights/FetchProgress.java
+++ b/src/main/java/org/micabarrow/weights/FetchProgress.java
@@ -60,7 +60,7 @@
 
     /**
      * The expected time for some chunks at the average rate so far, in milliseconds; {@link Long#MAX_VALUE} if none has
-     * arrived.
+     * arrived, or none for a while: it is then not known when the next one comes.
      */
     synchronized long expectedMillis(int chunks) {
         int fetched = set.presentCount() - initialPresent;
@@ -68,7 +68,7 @@
         if (chunks == 0) {
             return 0;
         }
-        return fetched == 0 ? Long.MAX_VALUE : elapsedMillis * chunks / fetched;
+        return fetched == 0 || isStalled() ? Long.MAX_VALUE : elapsedMillis * chunks / fetched;
     }
 
     /** Whether no chunk has arrived for a while. */
--- a/src/main/java/org/micabarrow/weights/ReplicaController.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaController.java
@@ -149,6 +149,15 @@
         return retirement.impossibleCount();
     }
 
+    /**
+     * How long before its bound the endpoint last stopped serving a version without a complete newer one.
+     *
+     * @return the milliseconds, negative if it stopped after the bound; 0 before the first stop
+     */
+    public long lastStopBeforeBoundMillis() {
+        return retirement.lastStopBeforeBoundMillis();
+    }
+
     /** Requests a new report from the endpoint. */
     public void refresh() {
         Optional<Report> before = report.get();
@@ -238,7 +247,10 @@
         // An endpoint that serves nothing gets no requests, so there is no need to wait for the cordon; and an agent
         // that has just started may have no time to wait.
         boolean cordonElapsed = held == 0
-                || cordon.closeAndCheckElapsed(dependencies.monotonicMillis().getAsLong())
+                || cordon.closeAndCheckElapsed(
+                        dependencies.monotonicMillis().getAsLong(),
+                        orderDue ? Cordon.Reason.ORDER : Cordon.Reason.STOP,
+                        deadlines.millisUntilBound(model, held))
                 || retireDue && lastOrderPassed;
         if (cordonElapsed && staged.filter(stagedChunks::verifyAndRepair).isPresent()) {
             order(staged.get(), latest);
--- a/src/main/java/org/micabarrow/weights/Retirement.java
+++ b/src/main/java/org/micabarrow/weights/Retirement.java
@@ -55,6 +55,7 @@
 
     private long lastLoggedMillis = Long.MIN_VALUE / 2;
     private final AtomicLong logCount = new AtomicLong();
+    private volatile long lastStopBeforeBoundMillis;
 
     Retirement(
             ModelEndpoint endpoint,
@@ -145,20 +146,38 @@
     private void orderLayer(String model, long held, long version, int layer, Report report) {
         switch (endpoint.loadLayer(model, version, layer, report.orderCount())) {
             case Result.Success<OrderOutcome>(OrderOutcome outcome)
-            when outcome == OrderOutcome.BEGUN ->
-                LOG.warn(
-                        "event=retired model={} from={} towards={} layer={} whole={}",
-                        model,
-                        held,
-                        version,
-                        layer,
-                        !unverifiedLayerVersions.contains(version));
+            when outcome == OrderOutcome.BEGUN -> onStopped(model, held, version, layer);
             case Result.Success<OrderOutcome>(OrderOutcome outcome) ->
                 logImpossible(model, held, "the endpoint answered " + outcome);
             case Result.Failure<OrderOutcome>(Fault fault) -> logImpossible(model, held, fault.toString());
         }
     }
 
+    private void onStopped(String model, long held, long version, int layer) {
+        lastStopBeforeBoundMillis = deadlines.millisUntilBound(model, held).orElse(0);
+        VersionMoments moments = deadlines.moments();
+        LOG.warn(
+                "event=retired model={} from={} towards={} layer={} whole={} beforeBoundMs={} boundMs={} allowanceMs={}"
+                        + " learningMs={} pauseMs={} transitMs={} orderMs={}",
+                model,
+                held,
+                version,
+                layer,
+                !unverifiedLayerVersions.contains(version),
+                lastStopBeforeBoundMillis,
+                moments.boundMillis(),
+                moments.stopAllowanceMillis(),
+                VersionMoments.LEARNING_MILLIS,
+                VersionMoments.PAUSE_MILLIS,
+                VersionMoments.TRANSIT_MILLIS,
+                VersionMoments.ORDER_MILLIS);
+    }
+
+    /** How long before its bound the last version was stopped, in milliseconds; 0 before the first stop. */
+    long lastStopBeforeBoundMillis() {
+        return lastStopBeforeBoundMillis;
+    }
+
     private OptionalInt firstCompleteLayer(ChunkSet set) {
         for (int layer = 0; layer < layers.getAsInt(); layer++) {
             if (set.hasRange(firstChunk(set, layer), endChunk(set, layer))) {
--- a/src/main/java/org/micabarrow/weights/VersionDeadlines.java
+++ b/src/main/java/org/micabarrow/weights/VersionDeadlines.java
@@ -13,12 +13,6 @@
     /** The version of a model before any was named. */
     private static final long FIRST_VERSION = 1;
 
-    /**
-     * The fraction of the staleness limit after which an endpoint must stop serving the older version if no newer one
-     * is complete.
-     */
-    private static final double RETIRE_FRACTION = 0.84;
-
     /** The position of the agent that gives its order last. */
     private static final ReplicaController.RegionPosition LAST_POSITION = new ReplicaController.RegionPosition(1, 2);
 
@@ -30,7 +24,7 @@
 
     private final Supplier<View> view;
     private final IntSupplier layers;
-    private final long maxStalenessMillis;
+    private final VersionMoments moments;
     private final LongSupplier monotonicMillis;
 
     /**
@@ -52,7 +46,7 @@
     VersionDeadlines(Supplier<View> view, IntSupplier layers, long maxStalenessMillis, LongSupplier monotonicMillis) {
         this.view = view;
         this.layers = layers;
-        this.maxStalenessMillis = maxStalenessMillis;
+        this.moments = new VersionMoments(maxStalenessMillis);
         this.monotonicMillis = monotonicMillis;
     }
 
@@ -64,7 +58,7 @@
     /** The minimum version that an endpoint may serve or load after {@code aheadMillis} milliseconds. */
     long minAllowedVersion(String model, long aheadMillis) {
         View current = view.get();
-        long minVersion = current.minVersion(model, retireAfterMillis(), monotonicMillis.getAsLong() + aheadMillis);
+        long minVersion = current.minVersion(model, moments.stopMillis(), monotonicMillis.getAsLong() + aheadMillis);
         return sawNewestBeingNamed(current, model) ? minVersion : Math.max(minVersion, newestInUse(current, model));
     }
 
@@ -74,8 +68,8 @@
 
     /**
      * The newest version of which any endpoint holds all layers. A process that found versions already named at its
-     * start, or has not read of any yet, cannot know how long ago they were named; an endpoint needs at least 0.45 of
-     * the staleness limit to load a new version.
+     * start, or has not read of any yet, cannot know how long ago they were named; an endpoint is not ordered to load a
+     * new version before the first of the {@linkplain VersionMoments moments}.
      */
     private long newestInUse(View current, String model) {
         InUse cached = inUse;
@@ -118,7 +112,7 @@
     long retireAt(String model, long version) {
         return view.get()
                 .nextTarget(model, version - 1)
-                .map(target -> target.learnedAtMillis() + retireAfterMillis())
+                .map(target -> target.learnedAtMillis() + moments.stopMillis())
                 .orElse(Long.MIN_VALUE);
     }
 
@@ -128,12 +122,22 @@
     long servesUntil(String model, long version) {
         return view.get()
                 .nextTarget(model, version)
-                .map(target -> target.learnedAtMillis() + retireAfterMillis() - Cordon.LEAD_MILLIS)
+                .map(target -> target.learnedAtMillis() + moments.cordonMillis())
                 .orElse(Long.MAX_VALUE / 2);
     }
 
-    private long retireAfterMillis() {
-        return Math.round(maxStalenessMillis * RETIRE_FRACTION);
+    /**
+     * How long a version may still be served, in milliseconds, negative if no longer; empty if no newer one was named.
+     */
+    OptionalLong millisUntilBound(String model, long version) {
+        return view.get().nextTarget(model, version).stream()
+                .mapToLong(target -> target.learnedAtMillis() + moments.boundMillis() - monotonicMillis.getAsLong())
+                .findFirst();
+    }
+
+    /** The moments at which older versions end. */
+    VersionMoments moments() {
+        return moments;
     }
 
     /**
@@ -143,7 +147,7 @@
     OptionalLong oldestUsableBeforeNewest(String model, long held) {
         View current = view.get();
         long newest = newest(model);
-        long minVersion = current.minVersion(model, maxStalenessMillis, monotonicMillis.getAsLong());
+        long minVersion = current.minVersion(model, moments.boundMillis(), monotonicMillis.getAsLong());
         return current.nextTarget(model, held).stream()
                 .mapToLong(View.Target::version)
                 .filter(version -> version < newest && version >= minVersion)
@@ -163,7 +167,7 @@
         return view.get()
                 .nextTarget(model, held)
                 .map(target -> OrderSchedule.orderMillis(
-                        target.learnedAtMillis(), maxStalenessMillis, position.index(), position.count()))
+                        target.learnedAtMillis(), moments, position.index(), position.count()))
                 .orElse(Long.MIN_VALUE);
     }
 }
--- a/src/test/java/org/micabarrow/weights/OrderScheduleTest.java
+++ b/src/test/java/org/micabarrow/weights/OrderScheduleTest.java
@@ -13,7 +13,7 @@
     private static final int AGENTS = 5;
 
     private static long orderMillis(int position) {
-        return OrderSchedule.orderMillis(0, MAX_STALENESS_MILLIS, position, AGENTS);
+        return OrderSchedule.orderMillis(0, new VersionMoments(MAX_STALENESS_MILLIS), position, AGENTS);
     }
 
     @Test
@@ -32,6 +32,6 @@
 
     @Test
     void shouldOrderAtFirstTimeWhenRegionHasOneAgent() {
-        assertEquals(orderMillis(0), OrderSchedule.orderMillis(0, MAX_STALENESS_MILLIS, 0, 1));
+        assertEquals(orderMillis(0), OrderSchedule.orderMillis(0, new VersionMoments(MAX_STALENESS_MILLIS), 0, 1));
     }
 }
--- a/src/test/java/org/micabarrow/weights/ReplicaControllerFixture.java
+++ b/src/test/java/org/micabarrow/weights/ReplicaControllerFixture.java
@@ -31,6 +31,11 @@
     final ReplicaController controller = newController();
     private final List<Thread> fetchThreads = new ArrayList<>();
 
+    /** The bound of the controllers. Constant, since the first controller is created before a subclass's fields. */
+    long maxStalenessMillis() {
+        return MAX_STALENESS_MILLIS;
+    }
+
     /** Creates a controller without any state of a previous one. */
     final ReplicaController newController() {
         return new ReplicaController(new ReplicaController.Dependencies(
@@ -47,7 +52,7 @@
                 views::view,
                 () -> position,
                 () -> cordonNotifications++,
-                MAX_STALENESS_MILLIS,
+                maxStalenessMillis(),
                 now::get));
     }
 
