Limit what cold endpoints get from all entries together

A service's manifest may name how many requests a second a cold endpoint bears. Endpoints state for how long they stay cold in each registration, and perhaps in answers; the time is counted from when a statement is read, and only time ends it. Meanwhile the endpoint has a limit that entries divide like one that it states itself (ColdLimit over EndpointRateLimit: ranks from agents, half of it without), beside such a limit. What is over it goes to other endpoints, waits while a turn comes in time, or is refused.

--- a/src/main/java/org/micabarrow/admission/AdmissionControl.java
+++ b/src/main/java/org/micabarrow/admission/AdmissionControl.java
@@ -67,7 +67,8 @@
         record BackingOff(int endpoints, long millis) implements Decision {}
 
         /**
-         * The request is refused, because this entry has used up its quota share at all eligible endpoints.
+         * The request is refused, because this entry has used up its quota share at all eligible endpoints, and it
+         * cannot wait until a cold one may be sent another request.
          *
          * @param endpoints the number of eligible endpoints
          * @param millis the time until one of them may be sent another request, in milliseconds; empty if their rate
@@ -102,11 +103,19 @@
             case EndpointSelection.Full(int full) -> withoutFreeSlot(full, request);
             case EndpointSelection.RateLimited(int limited, OptionalLong millis) ->
                 new Decision.RateLimited(limited, millis);
+            case EndpointSelection.Cold(int limited, OptionalLong millis) -> whileCold(limited, millis, request);
             case EndpointSelection.BackingOff(int inBackoff, long millis) ->
                 whileAllBackOff(inBackoff, millis, request);
         };
     }
 
+    private Decision whileCold(int limited, OptionalLong millis, RoutingRequest request) {
+        long maxWaitMillis = selector.maxSlotWaitMillis(request);
+        return millis.isPresent() && maxWaitMillis > millis.getAsLong()
+                ? new Decision.Wait(maxWaitMillis, limited)
+                : new Decision.RateLimited(limited, millis);
+    }
+
     private Decision whileAllBackOff(int inBackoff, long millis, RoutingRequest request) {
         long maxWaitMillis = selector.maxSlotWaitMillis(request);
         return maxWaitMillis > millis
--- a/src/main/java/org/micabarrow/limits/EndpointRateLimit.java
+++ b/src/main/java/org/micabarrow/limits/EndpointRateLimit.java
@@ -49,6 +49,15 @@
         this.random = Objects.requireNonNull(random, "random is null");
     }
 
+    /**
+     * Creates the state of another limit of the same endpoint, which is divided in the same way.
+     *
+     * @return the state without a limit
+     */
+    EndpointRateLimit another() {
+        return new EndpointRateLimit(endpoint, entryCount, random);
+    }
+
     // -- observations
 
     /**
--- a/src/main/java/org/micabarrow/platform/EndpointFields.java
+++ b/src/main/java/org/micabarrow/platform/EndpointFields.java
@@ -76,9 +76,12 @@
      */
     static long coldLeftMillis(JsonNode json) {
         JsonNode told = json.path("cold_left_ms");
-        return told.isNumber() && told.doubleValue() > 0
-                ? (long) Math.min(Math.ceil(told.doubleValue()), MAX_COLD_MILLIS)
-                : 0;
+        return told.isNumber() ? coldMillis(told.doubleValue()) : 0;
+    }
+
+    /** A time for which an endpoint is taken as cold; 0 for what is no time above 0. */
+    static long coldMillis(double millis) {
+        return millis > 0 ? (long) Math.min(Math.ceil(millis), MAX_COLD_MILLIS) : 0;
     }
 
     /** Progress and memory; a number that is absent or of another form counts as not reported. */
--- a/src/main/java/org/micabarrow/platform/EndpointHeaders.java
+++ b/src/main/java/org/micabarrow/platform/EndpointHeaders.java
@@ -76,6 +76,7 @@
                 leaving(headers),
                 status == UNAVAILABLE ? restMillis(headers.get(WireNames.REST)) : OptionalLong.empty(),
                 limit(headers),
+                coldMillis(headers.get(WireNames.COLD)),
                 passedOn);
     }
 
@@ -93,6 +94,19 @@
                 .max();
     }
 
+    /**
+     * How much longer an endpoint stays cold, as it says in an answer; of several times the longest. What is no time, or none above
+     * 0, counts as absent.
+     */
+    static OptionalLong coldMillis(String text) {
+        return text == null
+                ? OptionalLong.empty()
+                : decimals(text)
+                        .mapToLong(EndpointFields::coldMillis)
+                        .filter(millis -> millis > 0)
+                        .max();
+    }
+
     /** Whether an endpoint says in an answer, to whatever, that it leaves. */
     static boolean leaving(Map<String, String> headers) {
         return "1".equals(headers.get(WireNames.LEAVING));
--- a/src/main/java/org/micabarrow/platform/WireNames.java
+++ b/src/main/java/org/micabarrow/platform/WireNames.java
@@ -57,6 +57,9 @@
     /** How many requests a second an endpoint takes from all entries together, in each answer for as long as that holds. */
     static final String LIMIT = "Server-Limit";
 
+    /** How much longer the endpoint stays cold, in milliseconds. */
+    static final String COLD = "Cold-Ms";
+
     // -- calls to endpoints
 
     static final String REPORT = "/api/report";
--- a/src/main/java/org/micabarrow/platform/standin/StandinSettings.java
+++ b/src/main/java/org/micabarrow/platform/standin/StandinSettings.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.micabarrow.settings.Common;
 import org.micabarrow.settings.HostedSettings;
@@ -15,18 +14,8 @@
     /** What an instance's link carries, in bits a second: so much that the small chunks here are not held up. */
     private static final double LINK_BITS_PER_SECOND = 1e9;
 
-    private static final HostedSettings.Bounds BOUNDS = new HostedSettings.Bounds(
-            2_000,
-            2_000,
-            2_000,
-            1_000,
-            0.2,
-            160,
-            600_000,
-            1_000,
-            OptionalLong.of(2_000),
-            OptionalDouble.empty(),
-            OptionalDouble.empty());
+    private static final HostedSettings.Bounds BOUNDS =
+            new HostedSettings.Bounds(2_000, 2_000, 2_000, 1_000, 0.2, 160, 600_000, 1_000, OptionalLong.of(2_000));
 
     private StandinSettings() {}
 
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.micabarrow.admission.EntryDemand;
@@ -14,8 +15,10 @@
 import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.RequestHeaders;
 import org.micabarrow.process.HostedNode.Paces;
+import org.micabarrow.routing.ColdEndpoints;
 import org.micabarrow.routing.EndpointSelector;
 import org.micabarrow.routing.PlacementFilter;
+import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.serving.CrashTracking;
 import org.micabarrow.serving.ManifestAge;
 import org.micabarrow.serving.ServingHandler;
@@ -90,9 +93,18 @@
     private HostedEntryProcess(HostedSettings settings) throws IOException {
         this.settings = settings;
         this.node = new HostedNode(settings);
+        ColdEndpoints cold = new ColdEndpoints(this::coldPerSecond);
+        node.views()
+                .onColdRegistration(registration -> cold.stated(
+                        registration.start(),
+                        registration.coldLeftMillis(),
+                        "registration",
+                        HostedNode.steadyMillis()));
+        node.metrics().registerGauge("endpoints.cold", () -> cold.count(HostedNode.steadyMillis()));
         this.choice = new EndpointSelector(
                 settings.instance().region(),
-                PlacementFilter.of(settings.regions(), () -> node.views().view().evacuatedHalls()));
+                PlacementFilter.of(settings.regions(), () -> node.views().view().evacuatedHalls()),
+                cold);
         HostedSettings.Bounds bounds = settings.bounds();
         this.reader = new PeerFirstReader(
                 node.store(),
@@ -204,6 +216,15 @@
                         reader.readsStoreDirectly()));
     }
 
+    private OptionalDouble coldPerSecond(String service) {
+        return node.views()
+                .view()
+                .manifest()
+                .flatMap(manifest -> manifest.service(service))
+                .map(RouteManifest.Service::coldPerSecond)
+                .orElse(OptionalDouble.empty());
+    }
+
     /** An agent told of the entry that reads the store for the region. */
     private void heard(StoreUpdate.ReaderState told) {
         reader.onUpdate(told.peer(), new ChangeOffsets(told.operatorOffset(), 0), told.asOfMillis());
--- a/src/main/java/org/micabarrow/routing/EndpointCandidate.java
+++ b/src/main/java/org/micabarrow/routing/EndpointCandidate.java
@@ -11,8 +11,9 @@
  *
  * @param endpoint the endpoint
  * @param load its known load
+ * @param cold the endpoints that are cold
  */
-record EndpointCandidate(EndpointRegistration endpoint, EndpointLoad load) {
+record EndpointCandidate(EndpointRegistration endpoint, EndpointLoad load, ColdEndpoints cold) {
 
     /**
      * Returns the weight version of a model that the endpoint holds, from its registration or from later reports and
@@ -29,18 +30,35 @@
         return load.backoff().active(nowMillis);
     }
 
-    /** Returns whether this process's quota share of the endpoint's rate limit allows a request now. */
-    boolean withinRateLimit(long nowMillis) {
-        return load.rateLimitAllows(nowMillis);
+    /** Returns whether this process's quota shares of the endpoint's limits allow a request now. */
+    boolean withinLimits(long nowMillis) {
+        return load.rateLimitAllows(nowMillis)
+                && load.coldLimit()
+                        .allows(cold.perSecond(endpoint, nowMillis), load.hasRecentReport(nowMillis), nowMillis);
+    }
+
+    /** Returns whether the endpoint could be sent a request if it were warm. */
+    boolean limitedOnlyByCold(long nowMillis) {
+        return load.rateLimitAllows(nowMillis) && !withinLimits(nowMillis);
+    }
+
+    private OptionalLong untilLimitsAllowMillis(long nowMillis) {
+        OptionalLong stated = load.untilRateLimitAllowsMillis(nowMillis);
+        OptionalLong whileCold = load.coldLimit()
+                .untilNextRequestMillis(
+                        cold.perSecond(endpoint, nowMillis), load.hasRecentReport(nowMillis), nowMillis);
+        return stated.isPresent() && whileCold.isPresent()
+                ? OptionalLong.of(Math.max(stated.getAsLong(), whileCold.getAsLong()))
+                : OptionalLong.empty();
     }
 
     /**
-     * Returns the shortest time until the rate limit of a candidate allows a request; empty if all limits are left to
-     * other entries.
+     * Returns the shortest time until the limits of a candidate allow a request; empty if all are left to other
+     * entries.
      */
-    static OptionalLong untilRateLimitAllowsMillis(List<EndpointCandidate> candidates, long nowMillis) {
+    static OptionalLong untilLimitsAllowMillis(List<EndpointCandidate> candidates, long nowMillis) {
         return candidates.stream()
-                .map(candidate -> candidate.load().untilRateLimitAllowsMillis(nowMillis))
+                .map(candidate -> candidate.untilLimitsAllowMillis(nowMillis))
                 .filter(OptionalLong::isPresent)
                 .mapToLong(OptionalLong::getAsLong)
                 .min();
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -2,7 +2,9 @@
 
 import java.util.Objects;
 import java.util.OptionalLong;
+import org.micabarrow.limits.ColdLimit;
 import org.micabarrow.limits.EndpointRateLimit;
+import org.micabarrow.limits.EntryRank;
 
 /**
  * What an entry knows about the load of one start of an endpoint: its own requests in flight there, the last report of
@@ -27,6 +29,7 @@
     private final Backoff backoff = new Backoff();
     private final FirstEventDelay firstEventDelay = new FirstEventDelay();
     private final EndpointRateLimit rateLimit;
+    private final ColdLimit coldLimit;
 
     /**
      * Creates a load without requests and without a report.
@@ -35,6 +38,7 @@
      */
     public EndpointLoad(EndpointRateLimit rateLimit) {
         this.rateLimit = Objects.requireNonNull(rateLimit, "rateLimit is null");
+        this.coldLimit = new ColdLimit(rateLimit);
     }
 
     // -- own requests
@@ -318,6 +322,25 @@
         return rateLimit;
     }
 
+    /**
+     * Returns the limit that applies while the endpoint is cold.
+     *
+     * @return the mutable limit
+     */
+    public ColdLimit coldLimit() {
+        return coldLimit;
+    }
+
+    /**
+     * Records the entry's rank, by which it gets its shares of the endpoint's limits.
+     *
+     * @param rank the rank as reported by the endpoint's agent
+     */
+    public void rankReported(EntryRank rank) {
+        rateLimit.rankReported(rank);
+        coldLimit.rankReported(rank);
+    }
+
     /**
      * Returns whether this entry's quota share allows a request now.
      *
--- a/src/main/java/org/micabarrow/routing/EndpointRegistration.java
+++ b/src/main/java/org/micabarrow/routing/EndpointRegistration.java
@@ -110,19 +110,20 @@
                 id, service, address, dataHall, slots, draining, models, layers, millis, writeCount, coldLeftMillis);
     }
 
-    private EndpointRegistration withWriteCount(OptionalLong count) {
+    private EndpointRegistration with(OptionalLong count, long coldMillis) {
         return new EndpointRegistration(
-                id, service, address, dataHall, slots, draining, models, layers, startedMillis, count, coldLeftMillis);
+                id, service, address, dataHall, slots, draining, models, layers, startedMillis, count, coldMillis);
     }
 
     /**
-     * Returns whether another registration has the same content, regardless of the write counts.
+     * Returns whether another registration has the same content, regardless of what differs with each write: the write
+     * counts and the cold times.
      *
      * @param other the other registration
-     * @return true if they differ by their write counts at most
+     * @return true if they differ by these at most
      */
     public boolean sameContentAs(EndpointRegistration other) {
-        return equals(other.withWriteCount(writeCount));
+        return equals(other.with(writeCount, coldLeftMillis));
     }
 
     /**
--- a/src/main/java/org/micabarrow/routing/EndpointSelection.java
+++ b/src/main/java/org/micabarrow/routing/EndpointSelection.java
@@ -37,6 +37,16 @@
      */
     record RateLimited(int endpoints, OptionalLong millis) implements EndpointSelection {}
 
+    /**
+     * This entry has used up its quota share at all eligible endpoints, some of which only bear few requests because
+     * they are cold.
+     *
+     * @param endpoints the number of eligible endpoints
+     * @param millis the time until one of the cold ones may be sent another request, in milliseconds; empty if they are
+     *     left entirely to other entries
+     */
+    record Cold(int endpoints, OptionalLong millis) implements EndpointSelection {}
+
     /** No endpoint is eligible. */
     record NoneEligible() implements EndpointSelection {}
 }
--- a/src/main/java/org/micabarrow/routing/EndpointSelector.java
+++ b/src/main/java/org/micabarrow/routing/EndpointSelector.java
@@ -40,6 +40,7 @@
     private final EntryCount entryCount = new EntryCount();
     private final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
     private final PlacementFilter placement;
+    private final ColdEndpoints cold;
     private final String region;
 
     /**
@@ -49,7 +50,7 @@
      * @param regions the region of each data hall
      */
     public EndpointSelector(String region, Map<String, String> regions) {
-        this(region, PlacementFilter.of(regions));
+        this(region, PlacementFilter.of(regions), ColdEndpoints.unlimited());
     }
 
     /**
@@ -57,10 +58,21 @@
      *
      * @param region the entry's region
      * @param placement decides at which endpoints requests may be handled
+     * @param cold the endpoints that are cold
      */
-    public EndpointSelector(String region, PlacementFilter placement) {
+    public EndpointSelector(String region, PlacementFilter placement, ColdEndpoints cold) {
         this.region = Objects.requireNonNull(region, "region is null");
         this.placement = Objects.requireNonNull(placement, "placement is null");
+        this.cold = Objects.requireNonNull(cold, "cold is null");
+    }
+
+    /**
+     * Returns the endpoints that are cold.
+     *
+     * @return the mutable set
+     */
+    public ColdEndpoints cold() {
+        return cold;
     }
 
     /**
@@ -167,14 +179,14 @@
     // -- selection
 
     /**
-     * Returns whether an endpoint's rate limit allows this entry a request now.
+     * Returns whether an endpoint's limits allow this entry a request now.
      *
      * @param endpoint the endpoint
      * @param nowMillis the time on the monotonic clock
-     * @return true also if the endpoint has no rate limit
+     * @return true also if the endpoint has no limit
      */
     public boolean withinRateLimit(EndpointRegistration endpoint, long nowMillis) {
-        return withLoad(endpoint).withinRateLimit(nowMillis);
+        return withLoad(endpoint).withinLimits(nowMillis);
     }
 
     /**
@@ -196,13 +208,29 @@
         List<EndpointCandidate> available =
                 EndpointCandidate.filter(eligible, candidate -> !candidate.inBackoff(nowMillis));
         List<EndpointCandidate> withinLimit =
-                EndpointCandidate.filter(available, candidate -> candidate.withinRateLimit(nowMillis));
+                EndpointCandidate.filter(available, candidate -> candidate.withinLimits(nowMillis));
         if (withinLimit.isEmpty() && !available.isEmpty()) {
-            return new EndpointSelection.RateLimited(
-                    available.size(), EndpointCandidate.untilRateLimitAllowsMillis(available, nowMillis));
+            return limited(available, nowMillis);
         }
         List<EndpointCandidate> pool = pool(all, withinLimit, nowMillis);
-        return pool.isEmpty() ? new EndpointSelection.NoneEligible() : selectFastest(pool, request, nowMillis);
+        if (!pool.isEmpty()) {
+            return selectFastest(pool, request, nowMillis);
+        }
+        List<EndpointCandidate> onlyCold = pool(
+                all,
+                EndpointCandidate.filter(available, candidate -> candidate.limitedOnlyByCold(nowMillis)),
+                nowMillis);
+        return onlyCold.isEmpty() ? new EndpointSelection.NoneEligible() : limited(onlyCold, nowMillis);
+    }
+
+    private static EndpointSelection limited(List<EndpointCandidate> limited, long nowMillis) {
+        List<EndpointCandidate> onlyCold =
+                EndpointCandidate.filter(limited, candidate -> candidate.limitedOnlyByCold(nowMillis));
+        return onlyCold.isEmpty()
+                ? new EndpointSelection.RateLimited(
+                        limited.size(), EndpointCandidate.untilLimitsAllowMillis(limited, nowMillis))
+                : new EndpointSelection.Cold(
+                        limited.size(), EndpointCandidate.untilLimitsAllowMillis(onlyCold, nowMillis));
     }
 
     /** Selects the endpoint with the shortest predicted time to the first event among those with capacity. */
@@ -224,7 +252,7 @@
     }
 
     private EndpointCandidate withLoad(EndpointRegistration endpoint) {
-        return new EndpointCandidate(endpoint, load(endpoint.start()));
+        return new EndpointCandidate(endpoint, load(endpoint.start()), cold);
     }
 
     private List<EndpointCandidate> withLoad(List<EndpointRegistration> endpoints) {
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -61,6 +61,7 @@
         this.stallTimer = new ResponseStallTimer(context::nowMillis);
         this.releaseSuspect = context.suspects().onSent(endpoint, served.digest(), startMillis);
         load.rateLimit().sent(startMillis);
+        load.coldLimit().sent(startMillis);
         this.slot = new OccupiedSlot(load, request.promptTokens(), context.waitQueue()::onSlotFreed);
     }
 
@@ -301,6 +302,7 @@
             load.backoff().requested(millis, context.nowMillis());
             served.log().backoffRequested(endpoint, millis);
         });
+        head.coldMillis().ifPresent(millis -> context.coldStated(endpoint, millis));
         if (load.rateLimit().responseReceived(head.rateLimit(), startMillis, context.nowMillis())) {
             load.rateLimit().logChange("answer");
         }
--- a/src/main/java/org/micabarrow/serving/EndpointProtocol.java
+++ b/src/main/java/org/micabarrow/serving/EndpointProtocol.java
@@ -39,6 +39,7 @@
      * @param draining whether the endpoint states that it is draining
      * @param backoffMillis how long the endpoint asks to get no requests from this process; empty if unspecified
      * @param rateLimit the endpoint's rate limit in requests per second over all entries; empty if unspecified
+     * @param coldMillis how much longer the endpoint stays cold, in milliseconds; empty if it does not state that
      * @param forwardedHeaders the headers to forward to the client
      */
     record ResponseHead(
@@ -51,6 +52,7 @@
             boolean draining,
             OptionalLong backoffMillis,
             OptionalDouble rateLimit,
+            OptionalLong coldMillis,
             Map<String, String> forwardedHeaders) {
 
         /**
--- a/src/main/java/org/micabarrow/serving/ServingContext.java
+++ b/src/main/java/org/micabarrow/serving/ServingContext.java
@@ -157,6 +157,11 @@
         return dependencies.selector().withinRateLimit(endpoint, nowMillis());
     }
 
+    /** Records that a response stated how much longer its endpoint stays cold. */
+    void coldStated(EndpointRegistration endpoint, long leftMillis) {
+        dependencies.selector().cold().stated(endpoint.start(), leftMillis, "answer", nowMillis());
+    }
+
     /** Counts a request that is refused for lack of a free slot; agents allot their endpoints' slots by this count. */
     void countRefusedForCapacity(ClientRequest request) {
         if (versions.model(request).isPresent()) {
--- a/src/main/java/org/micabarrow/settings/HostedSettings.java
+++ b/src/main/java/org/micabarrow/settings/HostedSettings.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /**
@@ -57,8 +56,6 @@
      * @param crashesKept how many crashes are remembered at the most
      * @param evacuateMillis how long after the evacuation of a data hall its endpoints may still get requests; empty if the users
      *     evacuate none
-     * @param coldOvershoot how many times a cold endpoint's requests a second it may get; empty if the users name no such limit
-     * @param coldSlack how many more it may get in one second; empty if the users name no such limit
      */
     public record Bounds(
             long versionMillis,
@@ -69,9 +66,7 @@
             double retrySlack,
             long crashMemoryMillis,
             int crashesKept,
-            OptionalLong evacuateMillis,
-            OptionalDouble coldOvershoot,
-            OptionalDouble coldSlack) {
+            OptionalLong evacuateMillis) {
 
         /**
          * How long after an operator wrote something it must be in force everywhere, whatever it is.
--- a/src/main/java/org/micabarrow/transport/LoadPoller.java
+++ b/src/main/java/org/micabarrow/transport/LoadPoller.java
@@ -344,7 +344,7 @@
             EndpointLoad load = dependencies.selector().load(start);
             if (start.mayHaveToken(reply.report().start())) {
                 load.reported(reply.report(), delay, now);
-                reply.rank().ifPresent(load.rateLimit()::rankReported);
+                reply.rank().ifPresent(load::rankReported);
                 reply.rateLimit()
                         .filter(rateLimit -> rateLimit.concerns(start.id()))
                         .filter(rateLimit ->
--- a/src/main/java/org/micabarrow/views/EndpointListUpdater.java
+++ b/src/main/java/org/micabarrow/views/EndpointListUpdater.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.state.Fault;
@@ -30,10 +31,17 @@
     /** Keys with an invalid entry. An invalid entry is logged once per key, however often it is written. */
     private final Set<String> invalidKeys = new HashSet<>();
 
+    private volatile Consumer<EndpointRegistration> coldListener = registration -> {};
+
     EndpointListUpdater(RecordDecoder decoder) {
         this.decoder = decoder;
     }
 
+    /** Sets the listener for registrations that state a cold time, called before the endpoint is listed. */
+    void onColdRegistration(Consumer<EndpointRegistration> listener) {
+        coldListener = listener;
+    }
+
     // -- store outages
 
     /** Records that the store is reachable again after an outage. */
@@ -133,6 +141,9 @@
             StoredRecord record, EndpointRegistration entry, Map<String, EndpointRegistration> endpoints) {
         pendingRemovals.cancel(entry.id());
         invalidKeys.remove(entry.id());
+        if (entry.coldLeftMillis() > 0) {
+            coldListener.accept(entry);
+        }
         EndpointRegistration previous = endpoints.put(entry.id(), entry);
         if (previous != null && entry.sameContentAs(previous)) {
             return Optional.empty();
--- a/src/main/java/org/micabarrow/views/ViewMaintainer.java
+++ b/src/main/java/org/micabarrow/views/ViewMaintainer.java
@@ -108,6 +108,16 @@
         crashListener = Objects.requireNonNull(listener, "listener is null");
     }
 
+    /**
+     * Sets the listener for registrations that state a cold time. It is called before the endpoint is listed, and also
+     * if nothing else in the registration has changed, since the cold time is counted from each statement.
+     *
+     * @param listener receives the registrations; it is called under the lock of this object and must not block
+     */
+    public void onColdRegistration(Consumer<EndpointRegistration> listener) {
+        endpointList.onColdRegistration(Objects.requireNonNull(listener, "listener is null"));
+    }
+
     // -- records
 
     /**
--- a/src/test/java/org/micabarrow/platform/EndpointHeadersTest.java
+++ b/src/test/java/org/micabarrow/platform/EndpointHeadersTest.java
@@ -39,6 +39,29 @@
         assertEquals(expected, EndpointHeaders.restMillis(text));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "3000,         3000",
+        "0.5,          1",
+        "' 20 , 700',  700",
+        "0,            ",
+        "-1,           ",
+        "'',           ",
+        "soon,         ",
+        "NaN,          ",
+        "1e9,          ",
+        "9999999999999999999999999, 60000"
+    })
+    void shouldReadForHowLongEndpointStaysCold(String text, Long millis) {
+        OptionalLong expected = millis == null ? OptionalLong.empty() : OptionalLong.of(millis);
+        assertEquals(expected, EndpointHeaders.coldMillis(text));
+    }
+
+    @Test
+    void shouldTakeEndpointAsWarmWhenItStatesNoColdTime() {
+        assertEquals(OptionalLong.empty(), EndpointHeaders.coldMillis(null));
+    }
+
     @ParameterizedTest
     @CsvSource({
         "1,        1",
--- a/src/test/java/org/micabarrow/serving/HeadClassificationTest.java
+++ b/src/test/java/org/micabarrow/serving/HeadClassificationTest.java
@@ -48,6 +48,7 @@
                 false,
                 OptionalLong.empty(),
                 OptionalDouble.empty(),
+                OptionalLong.empty(),
                 Map.of());
         assertEquals(expected, HeadClassification.classify(head, repeatable, responseStarted));
     }
--- a/src/test/java/org/micabarrow/serving/ServingFixture.java
+++ b/src/test/java/org/micabarrow/serving/ServingFixture.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -16,9 +17,11 @@
 import org.micabarrow.platform.RequestHeaders;
 import org.micabarrow.platform.StoreRecords;
 import org.micabarrow.platform.standin.HostedSystem;
+import org.micabarrow.routing.ColdEndpoints;
 import org.micabarrow.routing.EndpointSelector;
 import org.micabarrow.routing.LoadReport;
 import org.micabarrow.routing.PlacementFilter;
+import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.transport.HttpClient;
 import org.micabarrow.transport.HttpClient.HttpResponse;
@@ -40,8 +43,13 @@
 
     final AtomicLong clockMillis = new AtomicLong(1_000_000);
     final ViewMaintainer views = new ViewMaintainer(new StoreRecords(), clockMillis::get, REGIONS.keySet());
+    final ColdEndpoints cold = new ColdEndpoints(service -> views.view()
+            .manifest()
+            .flatMap(manifest -> manifest.service(service))
+            .map(RouteManifest.Service::coldPerSecond)
+            .orElse(OptionalDouble.empty()));
     final EndpointSelector selector = new EndpointSelector(
-            "region-a", PlacementFilter.of(REGIONS, () -> views.view().evacuatedHalls()));
+            "region-a", PlacementFilter.of(REGIONS, () -> views.view().evacuatedHalls()), cold);
 
     HostedSystem platform;
     HostedSettings settings;
@@ -51,6 +59,8 @@
 
     @BeforeEach
     final void startPlatform() throws IOException {
+        views.onColdRegistration(registration ->
+                cold.stated(registration.start(), registration.coldLeftMillis(), "registration", clockMillis.get()));
         platform = HostedSystem.start();
         settings = platform.entry();
         worker = HttpClient.worker("serving", 1);
--- a/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
@@ -170,9 +170,7 @@
                         usual.retrySlack(),
                         usual.crashMemoryMillis(),
                         usual.crashesKept(),
-                        usual.evacuateMillis(),
-                        usual.coldOvershoot(),
-                        usual.coldSlack()),
+                        usual.evacuateMillis()),
                 settings.log());
         HostedEntryProcess entry = startEntry();
         platform.next(Behaviour.HANG);
--- a/src/test/java/org/micabarrow/settings/HostedBoundsTest.java
+++ b/src/test/java/org/micabarrow/settings/HostedBoundsTest.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -48,18 +47,14 @@
     void shouldReadAbsentBoundsAsEmpty() throws IOException {
         Bounds bounds = bounds("");
         assertEquals(OptionalLong.empty(), bounds.evacuateMillis());
-        assertEquals(OptionalDouble.empty(), bounds.coldOvershoot());
-        assertEquals(OptionalDouble.empty(), bounds.coldSlack());
         assertEquals(3_000, bounds.operatorMillis());
     }
 
     @ParameterizedTest
     @CsvSource({"5000, 3000", "2000, 2000"})
     void shouldTakeShorterBoundForWhatOperatorsWrite(long evacuateMillis, long expectedMillis) throws IOException {
-        Bounds bounds = bounds("\"evacuateMillis\": " + evacuateMillis + ", \"coldOvershoot\": 1.5, \"coldSlack\": 5,");
+        Bounds bounds = bounds("\"evacuateMillis\": " + evacuateMillis + ",");
         assertEquals(OptionalLong.of(evacuateMillis), bounds.evacuateMillis());
-        assertEquals(OptionalDouble.of(1.5), bounds.coldOvershoot());
-        assertEquals(OptionalDouble.of(5), bounds.coldSlack());
         assertEquals(expectedMillis, bounds.operatorMillis());
     }
 
