--- a/src/main/java/org/micabarrow/platform/EndpointHeaders.java
+++ b/src/main/java/org/micabarrow/platform/EndpointHeaders.java
@@ -76,6 +76,7 @@
                 leaving(headers),
                 status == UNAVAILABLE ? backoffMillis(headers.get(WireNames.REST)) : OptionalLong.empty(),
                 limit(headers),
+                coldMillis(headers.get(WireNames.COLD)),
                 passedOn);
     }
 
@@ -93,6 +94,19 @@
                 .max();
     }
 
+    /**
+     * How much longer an endpoint stays cold by a response, in milliseconds, the longest time if there are several. Values that are
+     * not positive numbers are ignored.
+     */
+    static OptionalLong coldMillis(String text) {
+        return text == null
+                ? OptionalLong.empty()
+                : decimals(text)
+                        .mapToLong(EndpointFields::coldMillis)
+                        .filter(millis -> millis > 0)
+                        .max();
+    }
+
     /** Whether an endpoint states in a response that it is draining. */
     static boolean leaving(Map<String, String> headers) {
         return "1".equals(headers.get(WireNames.LEAVING));
