--- a/src/main/java/org/micabarrow/command/RehearseCommand.java
+++ b/src/main/java/org/micabarrow/command/RehearseCommand.java
@@ -1,12 +1,15 @@
 package org.micabarrow.command;
 
+import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.micabarrow.platform.SettingsFile;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.state.CanonicalJson;
@@ -16,8 +19,8 @@
 import org.micabarrow.transport.HttpClient.HttpResponse;
 
 /**
- * Runs an entry and an agent against stand-ins on loopback and sends a few requests, so that the build can archive the
- * classes that processes load.
+ * Starts an entry and an agent as processes of their own against stand-ins on loopback, sends a few requests and stops
+ * them, so that the build can archive the classes that each of them loads.
  */
 @Parameters(commandDescription = "Run an entry and an agent against stand-ins for a moment; the build archives classes")
 final class RehearseCommand extends Command {
@@ -26,19 +29,28 @@
     private static final Duration WITHIN = Duration.ofSeconds(5);
 
     /** How often a request is sent until it is answered well: the entry first has to find the endpoints. */
-    private static final int TRIES = 100;
+    private static final int TRIES = 200;
 
-    /** The pause between these, in milliseconds; all together they take ten seconds. */
+    /** The pause between these, in milliseconds; all together they take twenty seconds. */
     private static final long AGAIN_MILLIS = 100;
 
     /** How long until the entry has told the agent of a change and was asked for it, in milliseconds: three of its questions. */
     private static final long TOLD_MILLIS = 450;
 
+    /** How long a process may take to end, in seconds: it writes its archive then, which takes some five. */
+    private static final long END_SECONDS = 120;
+
     private static final int OK = 200;
 
+    @Parameter(names = "--entry", required = true, description = "The command of an entry, split at spaces")
+    private String entryCommand;
+
+    @Parameter(names = "--agent", required = true, description = "The command of an agent, split at spaces")
+    private String agentCommand;
+
     @Override
     String example() {
-        return "micabarrow rehearse";
+        return "micabarrow rehearse --entry 'micabarrow hosted-entry' --agent 'micabarrow hosted-agent'";
     }
 
     @Override
@@ -49,34 +61,40 @@
             platform.add("model-1", "models", 1);
             HostedSettings agent = platform.agent("model-1");
             HostedSettings entry = platform.entryAsking(agent);
-            begin(console, new HostedCommand.Entry(), entry);
-            begin(console, new HostedCommand.Agent(), agent);
-            platform.nameWeights(2);
-            String clients = entry.listen().clients().orElseThrow();
-            boolean served = true;
-            for (String path : List.of("/once/1", "/again/2", "/stream/3")) {
-                served &= served(caller, clients, path);
+            List<Process> processes = List.of(begin(entryCommand, entry), begin(agentCommand, agent));
+            boolean played = played(platform, caller, entry.listen().clients().orElseThrow());
+            boolean ended = true;
+            for (Process process : processes) {
+                process.destroy();
+                ended &= process.waitFor(END_SECONDS, TimeUnit.SECONDS);
             }
-            boolean taken = holds(() -> platform.endpoint("model-1").version() == 2);
-            platform.enter("plain-1", "plain", 0, "draining");
-            Thread.sleep(TOLD_MILLIS);
-            console.out().println(served && taken ? "rehearsed" : "not served or not taken up");
-            return served && taken ? ExitCode.OK : ExitCode.REFUSED;
+            console.out().println(played && ended ? "rehearsed" : "not served, not taken up or not ended");
+            return played && ended ? ExitCode.OK : ExitCode.REFUSED;
         }
     }
 
-    /** Runs a process as the platform does, until the virtual machine ends, which stops it as SIGTERM does. */
-    private static void begin(Console console, HostedCommand command, HostedSettings settings) throws IOException {
+    /** Has both processes do what they do in service, and tells whether all of it was done. */
+    private static boolean played(HostedSystem platform, HttpClient caller, String clients)
+            throws InterruptedException {
+        platform.nameWeights(2);
+        boolean served = true;
+        for (String path : List.of("/once/1", "/again/2", "/stream/3")) {
+            served &= served(caller, clients, path);
+        }
+        boolean taken = holds(() -> platform.endpoint("model-1").version() == 2);
+        platform.enter("plain-1", "plain", 0, "draining");
+        Thread.sleep(TOLD_MILLIS);
+        return served && taken;
+    }
+
+    /** Starts a process as the platform does; SIGTERM stops it. */
+    private static Process begin(String command, HostedSettings settings) throws IOException {
         Path file = Files.createTempFile("rehearsal", ".jsonc");
         file.toFile().deleteOnExit();
         Files.write(file, CanonicalJson.write(settings));
-        Thread.ofPlatform().name(command.example()).daemon().start(() -> {
-            try {
-                command.with(file).run(console);
-            } catch (IOException | InterruptedException e) {
-                console.err().println("rehearsal: " + command.example() + ": " + e);
-            }
-        });
+        ProcessBuilder process = new ProcessBuilder(List.of(command.trim().split(" +"))).inheritIO();
+        process.environment().put(SettingsFile.VARIABLE, file.toString());
+        return process.start();
     }
 
     private static boolean holds(BooleanSupplier what) throws InterruptedException {
--- a/src/main/java/org/micabarrow/settings/JsonDocument.java
+++ b/src/main/java/org/micabarrow/settings/JsonDocument.java
@@ -16,6 +16,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -53,13 +54,13 @@
     private final String file;
     private final Fault.Step step;
     private final JsonNode root;
-    private final Map<String, Integer> lines;
+    private final byte[] text;
 
-    private JsonDocument(String file, Fault.Step step, JsonNode root, Map<String, Integer> lines) {
+    private JsonDocument(String file, Fault.Step step, JsonNode root, byte[] text) {
         this.file = file;
         this.step = step;
         this.root = root;
-        this.lines = lines;
+        this.text = text;
     }
 
     /**
@@ -77,7 +78,7 @@
             if (root == null || !root.isObject()) {
                 return Result.failure(Fault.of(step, file, Reason.INVALID, file + ": the text is not a JSON object"));
             }
-            return Result.success(new JsonDocument(file, step, root, linesOf(bytes)));
+            return Result.success(new JsonDocument(file, step, root, bytes));
         } catch (JsonProcessingException e) {
             int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
             return Result.failure(
@@ -87,17 +88,6 @@
         }
     }
 
-    private static Map<String, Integer> linesOf(byte[] bytes) throws IOException {
-        Map<String, Integer> lines = new HashMap<>();
-        try (JsonParser parser = MAPPER.createParser(bytes)) {
-            for (JsonToken token = parser.nextToken(); token != null; token = parser.nextToken()) {
-                String pointer = parser.getParsingContext().pathAsPointer().toString();
-                lines.putIfAbsent(pointer, parser.currentTokenLocation().getLineNr());
-            }
-        }
-        return lines;
-    }
-
     /**
      * A condition on a field.
      *
@@ -142,7 +132,7 @@
      * @return the completed document
      */
     public JsonDocument withDefaults(JsonDocument defaults) {
-        return new JsonDocument(file, step, merged(defaults.root, root), lines);
+        return new JsonDocument(file, step, merged(defaults.root, root), text);
     }
 
     private static JsonNode merged(JsonNode below, JsonNode above) {
@@ -229,6 +219,7 @@
 
     /** The line of a field, or of the nearest thing around it that stands in the file. */
     private int lineOf(String pointer) {
+        Map<String, Integer> lines = lines();
         for (String at = pointer; !at.isEmpty(); at = at.substring(0, at.lastIndexOf('/'))) {
             Integer line = lines.get(at);
             if (line != null) {
@@ -237,4 +228,18 @@
         }
         return 1;
     }
+
+    /** The line of each field. Read only for errors: most texts have none. */
+    private Map<String, Integer> lines() {
+        Map<String, Integer> lines = new HashMap<>();
+        try (JsonParser parser = MAPPER.createParser(text)) {
+            for (JsonToken token = parser.nextToken(); token != null; token = parser.nextToken()) {
+                String pointer = parser.getParsingContext().pathAsPointer().toString();
+                lines.putIfAbsent(pointer, parser.currentTokenLocation().getLineNr());
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException("a text that was parsed before cannot be parsed again", e);
+        }
+        return lines;
+    }
 }
