Endpoints' speed: one model of reported pace, steps, first events and cold starts

Cause: one of six requests was late because a seventh of the engines is slower by moments, which first events alone show too late. Change: EndpointSpeed replaces FirstEventDelay; the engine's own slowness, relative to most endpoints, also decides about free slots.

--- a/src/main/java/org/micabarrow/routing/EndpointCandidate.java
+++ b/src/main/java/org/micabarrow/routing/EndpointCandidate.java
@@ -1,6 +1,7 @@
 package org.micabarrow.routing;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.function.Predicate;
@@ -24,6 +25,11 @@
         return Math.max(registered, load.version());
     }
 
+    /** Passes the cold start that the registration states on to the prediction. */
+    void noteColdStart(long nowMillis) {
+        load.speed().coldFor(endpoint.coldLeftMillis(), nowMillis);
+    }
+
     /** Returns whether the endpoint has asked this process for a backoff that is still active. */
     boolean inBackoff(long nowMillis) {
         return load.backoff().active(nowMillis);
@@ -51,6 +57,19 @@
         return !load.failures().ejected(nowMillis) && !load.linkSlow(nowMillis);
     }
 
+    /**
+     * Returns the median of the factors by which the candidates' engines are slow. Reports that call most of them slow
+     * do not tell which are fast.
+     */
+    static double usualEngineFactor(List<EndpointCandidate> candidates, long nowMillis) {
+        double[] factors = new double[candidates.size()];
+        for (int i = 0; i < factors.length; i++) {
+            factors[i] = candidates.get(i).load().speed().engineFactor(nowMillis);
+        }
+        Arrays.sort(factors);
+        return factors.length == 0 ? 1 : factors[(factors.length - 1) / 2];
+    }
+
     /** Returns the candidates that match a condition. */
     static List<EndpointCandidate> filter(List<EndpointCandidate> candidates, Predicate<EndpointCandidate> condition) {
         List<EndpointCandidate> matching = new ArrayList<>(candidates.size());
--- a/src/main/java/org/micabarrow/routing/EndpointCapacity.java
+++ b/src/main/java/org/micabarrow/routing/EndpointCapacity.java
@@ -56,9 +56,18 @@
         return request.millisToObjective() - request.objectiveMillis() * OBJECTIVE_RESERVE_FRACTION;
     }
 
-    /** Returns whether an eligible endpoint has capacity for a request. */
+    /**
+     * Returns whether an eligible endpoint has capacity for a request.
+     *
+     * @param usualFactor the slowness of most endpoints that could serve it, see {@link EndpointSpeed#engineFactor}: if
+     *     all are slow, a request that waits for a faster one is certainly late
+     */
     static boolean hasCapacity(
-            RoutingRequest request, EndpointRegistration endpoint, EndpointLoad load, long nowMillis) {
+            RoutingRequest request,
+            EndpointRegistration endpoint,
+            EndpointLoad load,
+            double usualFactor,
+            long nowMillis) {
         if (!load.backoffAllows(nowMillis)) {
             return false;
         }
@@ -70,7 +79,8 @@
             return false;
         }
         double maxRequests = endpoint.slots() * MODEL_REQUESTS_PER_SLOT;
-        double predictedMillis = modelledMillis(request, load, nowMillis);
+        double slowness = Math.max(1, load.speed().engineFactor(nowMillis) / usualFactor);
+        double predictedMillis = modelledMillis(request, load, nowMillis) * slowness;
         if (cannotBeInTime(request)) {
             double queueMillis = predictedMillis - idleMillis(request.model().get(), request.promptTokens());
             return requests < maxRequests * (1 - SLOT_RESERVE_FRACTION)
@@ -81,16 +91,16 @@
     }
 
     /**
-     * Predicts the time until the first event of a request's response, in milliseconds, corrected by the recent delays
-     * of first events at the endpoint. Used to compare endpoints, not to decide about capacity: when links are
-     * saturated all endpoints are slow, and a request that waits for a fast one is certainly late.
+     * Predicts the time until the first event of a request's response, in milliseconds, corrected by all that is known
+     * of the endpoint's speed. Used to compare endpoints. Capacity is decided by the engine's own slowness alone: when
+     * links are saturated all endpoints are slow, and a request that waits for a fast one is certainly late.
      */
     static double predictedMillis(
             RoutingRequest request, EndpointRegistration endpoint, EndpointLoad load, long nowMillis) {
         if (request.model().isEmpty()) {
             return load.requests(nowMillis) * PLAIN_MILLIS_PER_ROUND / endpoint.slots();
         }
-        return modelledMillis(request, load, nowMillis) * load.firstEventDelay().factor(nowMillis);
+        return modelledMillis(request, load, nowMillis) * load.speed().factor(nowMillis);
     }
 
     /** Predicts the time until the first event from the service's model profile and the known load of the endpoint. */
@@ -111,8 +121,6 @@
      * and its first steps.
      */
     private static double firstEventMillis(ModelProfile model, int requests, int promptTokens) {
-        double stepMillis = model.stepMillis() + model.stepMillisPerSequence() * requests;
-        double strideMillis = model.stride() * stepMillis;
-        return 2 * strideMillis + promptTokens / model.prefillTokensPerMilli();
+        return 2 * model.passMillis(requests) + promptTokens / model.prefillTokensPerMilli();
     }
 }
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -1,6 +1,7 @@
 package org.micabarrow.routing;
 
 import java.util.Objects;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.micabarrow.limits.EndpointRateLimit;
 
@@ -25,7 +26,7 @@
     private final LinkLatency link = new LinkLatency();
     private final FailureTracker failures = new FailureTracker();
     private final Backoff backoff = new Backoff();
-    private final FirstEventDelay firstEventDelay = new FirstEventDelay();
+    private final EndpointSpeed speed;
     private final EndpointRateLimit rateLimit;
 
     /**
@@ -34,7 +35,13 @@
      * @param rateLimit the endpoint's rate limit, to be updated
      */
     public EndpointLoad(EndpointRateLimit rateLimit) {
+        this(rateLimit, new EndpointSpeed("-"));
+    }
+
+    /** Creates a load without requests and without a report, with the endpoint's speed, to be updated. */
+    EndpointLoad(EndpointRateLimit rateLimit, EndpointSpeed speed) {
         this.rateLimit = Objects.requireNonNull(rateLimit, "rateLimit is null");
+        this.speed = Objects.requireNonNull(speed, "speed is null");
     }
 
     // -- own requests
@@ -129,6 +136,7 @@
         queryUnanswered = false;
         restarted = false;
         version = Math.max(version, newReport.version());
+        speed.reported(newReport.condition().map(EndpointCondition::pace).orElseGet(OptionalDouble::empty), nowMillis);
     }
 
     /**
@@ -338,15 +346,15 @@
         return rateLimit.untilNextRequestMillis(hasRecentReport(nowMillis), nowMillis);
     }
 
-    // -- first events
+    // -- speed
 
     /**
-     * Returns the measured delay of the endpoint's first events.
+     * Returns the endpoint's speed.
      *
-     * @return the mutable measurement
+     * @return the mutable speed
      */
-    public FirstEventDelay firstEventDelay() {
-        return firstEventDelay;
+    public EndpointSpeed speed() {
+        return speed;
     }
 
     // -- failures
--- a/src/main/java/org/micabarrow/routing/EndpointSelector.java
+++ b/src/main/java/org/micabarrow/routing/EndpointSelector.java
@@ -61,7 +61,9 @@
      */
     public EndpointLoad load(EndpointStart start) {
         return loads.computeIfAbsent(
-                start, key -> new EndpointLoad(new EndpointRateLimit(key.id(), entryCount, random)));
+                start,
+                key -> new EndpointLoad(
+                        new EndpointRateLimit(key.id(), entryCount, random), new EndpointSpeed(key.id())));
     }
 
     /**
@@ -168,6 +170,7 @@
      */
     public EndpointSelection select(List<EndpointRegistration> candidates, RoutingRequest request, long nowMillis) {
         List<EndpointCandidate> all = withLoad(candidates);
+        all.forEach(candidate -> candidate.noteColdStart(nowMillis));
         List<EndpointCandidate> eligible =
                 EndpointCandidate.filter(all, candidate -> eligible(candidate, request, nowMillis));
         OptionalLong untilBackoffEnds = EndpointCandidate.untilBackoffEndsMillis(eligible, nowMillis);
@@ -190,8 +193,9 @@
     private EndpointSelection selectFastest(List<EndpointCandidate> pool, RoutingRequest request, long nowMillis) {
         EndpointSelection best = new EndpointSelection.Full(pool.size());
         double lowestCost = Double.POSITIVE_INFINITY;
+        double usualFactor = EndpointCandidate.usualEngineFactor(pool, nowMillis);
         for (EndpointCandidate candidate : pool) {
-            if (EndpointCapacity.hasCapacity(request, candidate.endpoint(), candidate.load(), nowMillis)) {
+            if (EndpointCapacity.hasCapacity(request, candidate.endpoint(), candidate.load(), usualFactor, nowMillis)) {
                 double predictedMillis =
                         EndpointCapacity.predictedMillis(request, candidate.endpoint(), candidate.load(), nowMillis);
                 double cost = predictedMillis + regionPenaltyMillis(candidate.endpoint());
--- a/src/main/java/org/micabarrow/routing/ModelProfile.java
+++ b/src/main/java/org/micabarrow/routing/ModelProfile.java
@@ -22,4 +22,15 @@
         int stride,
         int layers,
         int chunks,
-        int chunkBytes) {}
+        int chunkBytes) {
+
+    /**
+     * Returns the duration of a pass that reads no prompt: the interval between two events of a stream.
+     *
+     * @param requests the number of running requests
+     * @return milliseconds
+     */
+    public double passMillis(int requests) {
+        return stride * (stepMillis + stepMillisPerSequence * requests);
+    }
+}
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -332,7 +332,7 @@
         load.dataReceived(context.nowMillis());
         if (!slot.started()) {
             context.crashes().onResponse(served.digest(), false);
-            load.firstEventDelay().observed(predictedMillis, context.nowMillis() - startMillis, context.nowMillis());
+            load.speed().firstEvent(predictedMillis, context.nowMillis() - startMillis, context.nowMillis());
         }
         // The head may arrive as soon as the endpoint accepts the request; only the first event shows that it has read
         // the prompt.
--- a/src/test/java/org/micabarrow/play/LoadPlay.java
+++ b/src/test/java/org/micabarrow/play/LoadPlay.java
@@ -13,6 +13,7 @@
 import org.micabarrow.admission.FirstAttemptEstimator;
 import org.micabarrow.admission.SlotAllotment;
 import org.micabarrow.admission.WaitQueue;
+import org.micabarrow.routing.EndpointCondition;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.EndpointSelection;
@@ -57,10 +58,12 @@
     static Tally play(LoadSetting setting, double seconds) {
         LoadPlay play = new LoadPlay(setting);
         play.engines.forEach(Engine::look);
+        play.engines.forEach(engine -> engine.uneven.begin(play.engines.indexOf(engine)));
         setting.slow().ifPresent(play::slow);
         play.entries.forEach(Entry::askAll);
         play.arrive();
         play.events.playUntil(seconds * 1_000);
+        play.engines.forEach(engine -> play.tally.preempted += engine.emulator.preempted());
         return play.tally;
     }
 
@@ -76,7 +79,7 @@
     private void arrive() {
         events.after(-Math.log(1 - random.nextDouble()) * 1_000 / setting.perSecond(), this::arrive);
         Entry entry = entryFor(random.nextDouble());
-        tally.asked++;
+        tally.asked(events.now());
         tally.askedAt.merge(entry.name, 1, Integer::sum);
         entry.take(new Caller(entry));
     }
@@ -101,7 +104,8 @@
         private final int kind = random.nextInt(3);
         private final long objective = kind == 2 ? 300 : 400;
         private final int promptTokens = tokens(kind == 0 ? 1_290 : kind == 1 ? 787 : 607, 1.0);
-        private final int answerTokens = tokens(kind == 2 ? 70 : 144, 0.8);
+        private final int answerTokens =
+                tokens(kind == 2 ? 70 : 144, setting.uneven().answerSpread());
         private boolean refused;
 
         private Caller(Entry home) {
@@ -143,7 +147,7 @@
 
         private void began() {
             if (events.now() - firstTry <= objective) {
-                tally.inTime++;
+                tally.inTime(firstTry);
                 tally.inTimeAt.merge(home.name, 1, Integer::sum);
             } else {
                 tally.late++;
@@ -156,8 +160,11 @@
 
     private final class Engine {
 
-        private final EngineEmulator emulator = new EngineEmulator(events, setting.model());
+        private final EngineEmulator emulator =
+                new EngineEmulator(events, setting.model(), setting.uneven().kvTokens());
         private final SlotAllotment shares = new SlotAllotment(new Random(random.nextLong()));
+        private final UnevenEngine uneven = new UnevenEngine(events, emulator, setting, engines.size());
+        private Optional<EndpointCondition> condition = Optional.empty();
         private final EndpointRegistration listed;
         private final Map<String, Integer> said = new HashMap<>();
         private int reported;
@@ -176,6 +183,7 @@
 
         private void look() {
             reported = emulator.requests();
+            condition = uneven.condition();
             events.after(setting.lookMillis(), this::look);
         }
 
@@ -189,7 +197,7 @@
             int places = setting.dealt()
                     ? shares.allot(entry.name, unmet, free, events.nowMillis())
                     : LoadReport.UNLIMITED_SLOTS;
-            return new LoadReport(reported, others, false, 1, places);
+            return UnevenEngine.with(new LoadReport(reported, others, false, 1, places), condition);
         }
     }
 
@@ -288,19 +296,32 @@
             int rank = millisToObjective() <= 0 ? 9 : 1;
             Runnable began = () -> events.after(WAY_MILLIS, () -> {
                 load.promptRead(caller.promptTokens);
-                load.firstEventDelay()
-                        .observed(chosen.predictedMillis(), events.nowMillis() - sentMillis, events.nowMillis());
+                load.speed().firstEvent(chosen.predictedMillis(), events.nowMillis() - sentMillis, events.nowMillis());
                 caller.began();
                 entry.line.dispatch();
             });
+            double[] lastStep = {0};
+            Runnable stepped = () -> {
+                double tookMillis = lastStep[0] == 0 ? 0 : events.now() - lastStep[0];
+                lastStep[0] = events.now();
+                events.after(WAY_MILLIS, () -> {
+                    if (tookMillis > 0) {
+                        load.speed()
+                                .stepped(
+                                        setting.model().passMillis(load.requests(events.nowMillis())),
+                                        Math.round(tookMillis),
+                                        events.nowMillis());
+                    }
+                });
+            };
             Runnable ended = () -> events.after(WAY_MILLIS, () -> {
                 load.requestEnded();
                 entry.line.dispatch();
             });
             events.after(
                     WAY_MILLIS,
-                    () -> engine.emulator.take(
-                            new EngineEmulator.Work(rank, caller.promptTokens, caller.answerTokens, began, ended)));
+                    () -> engine.emulator.take(new EngineEmulator.Work(
+                            rank, caller.promptTokens, caller.answerTokens, began, stepped, ended)));
         }
 
         @Override
--- a/src/test/java/org/micabarrow/play/LoadSetting.java
+++ b/src/test/java/org/micabarrow/play/LoadSetting.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.micabarrow.routing.ModelProfile;
 
 /**
@@ -17,6 +18,7 @@
  * @param retryAfterPart the part of its time after which a refused caller comes back
  * @param patience how long callers wait
  * @param slow which engines are slow for a while
+ * @param uneven what else differs between engines
  * @param seed decides all that is random
  */
 record LoadSetting(
@@ -30,8 +32,36 @@
         double retryAfterPart,
         Patience patience,
         Optional<Slow> slow,
+        Uneven uneven,
         long seed) {
 
+    LoadSetting(
+            List<Double> entryShares,
+            int engines,
+            ModelProfile model,
+            double perSecond,
+            long askMillis,
+            long lookMillis,
+            boolean dealt,
+            double retryAfterPart,
+            Patience patience,
+            Optional<Slow> slow,
+            long seed) {
+        this(
+                entryShares,
+                engines,
+                model,
+                perSecond,
+                askMillis,
+                lookMillis,
+                dealt,
+                retryAfterPart,
+                patience,
+                slow,
+                Uneven.NONE,
+                seed);
+    }
+
     /**
      * Engines that are slow for a while.
      *
@@ -52,4 +82,63 @@
 
         static final Patience ALIKE = new Patience(0, false);
     }
+
+    /**
+     * In which ways engines differ, and what they tell of it.
+     *
+     * @param moments by which some are slow, at any time others
+     * @param pace what they tell of their speed
+     * @param mute which fall silent while their agents answer
+     * @param kvTokens the tokens that an engine's memory holds; empty if it never runs out
+     * @param answerSpread how far the answers' lengths differ, as the standard deviation of their logarithm
+     */
+    record Uneven(
+            Optional<Moments> moments, ToldPace pace, Optional<Mute> mute, OptionalInt kvTokens, double answerSpread) {
+
+        static final Uneven NONE =
+                new Uneven(Optional.empty(), ToldPace.NOTHING, Optional.empty(), OptionalInt.empty(), 0.8);
+
+        Uneven with(Moments slow, ToldPace told) {
+            return new Uneven(Optional.of(slow), told, mute, kvTokens, answerSpread);
+        }
+
+        Uneven with(Mute silent) {
+            return new Uneven(moments, pace, Optional.of(silent), kvTokens, answerSpread);
+        }
+
+        Uneven with(int memoryTokens, double spread) {
+            return new Uneven(moments, pace, mute, OptionalInt.of(memoryTokens), spread);
+        }
+    }
+
+    /**
+     * Engines that are slow by moments.
+     *
+     * @param part the part of its time for which an engine is slow
+     * @param times how many times as long it takes then
+     * @param leastMillis the shortest moment
+     * @param mostMillis the longest moment
+     */
+    record Moments(double part, double times, double leastMillis, double mostMillis) {}
+
+    /**
+     * Engines that keep what they have and send nothing for a while, although their agents answer.
+     *
+     * @param count how many
+     * @param fromMillis when they fall silent
+     * @param toMillis when they go on
+     */
+    record Mute(int count, double fromMillis, double toMillis) {}
+
+    /** What engines tell of their speed. */
+    enum ToldPace {
+        NOTHING,
+        TRUE,
+        /** The usual pace, also while slow. */
+        ALWAYS_USUAL,
+        /** The usual pace while slow, and five times as slow while fast. */
+        INVERTED,
+        /** Numbers that are no pace. */
+        ABSURD
+    }
 }
--- a/src/test/java/org/micabarrow/play/Tally.java
+++ b/src/test/java/org/micabarrow/play/Tally.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 
 /** What callers got. */
 final class Tally {
@@ -12,6 +13,9 @@
     int refusedOnce;
     int refusedForGood;
     int lateAtFirstTry;
+    int moved;
+    int preempted;
+    private final Map<Integer, int[]> bySecond = new TreeMap<>();
     final Map<String, Integer> askedAt = new HashMap<>();
     final Map<String, Integer> inTimeAt = new HashMap<>();
 
@@ -19,6 +23,30 @@
         return (double) inTime / asked;
     }
 
+    /** Counts a request by the second in which it was first tried. */
+    void asked(double firstTryMillis) {
+        asked++;
+        second(firstTryMillis)[0]++;
+    }
+
+    void inTime(double firstTryMillis) {
+        inTime++;
+        second(firstTryMillis)[1]++;
+    }
+
+    private int[] second(double millis) {
+        return bySecond.computeIfAbsent((int) (millis / 1_000), ignored -> new int[2]);
+    }
+
+    /** The part in time of the worst second, without the last two, whose requests may still be under way. */
+    double worstSecond() {
+        return bySecond.values().stream()
+                .limit(Math.max(1, bySecond.size() - 2))
+                .mapToDouble(counts -> (double) counts[1] / counts[0])
+                .min()
+                .orElse(1);
+    }
+
     /** The part of the first tries at the worst-served entry that were answered in time. */
     double worstEntry() {
         return askedAt.keySet().stream().mapToDouble(this::inTimePartAt).min().orElse(1);
@@ -40,7 +68,7 @@
 
     @Override
     public String toString() {
-        return "asked=%d inTime=%.3f late=%.3f (first tries %.3f) refusedOnce=%.3f refusedForGood=%.3f worth=%.3f entries %.2f to %.2f"
+        return "asked=%d inTime=%.3f late=%.3f (first tries %.3f) refusedOnce=%.3f refusedForGood=%.3f worth=%.3f entries %.2f to %.2f worstSecond=%.2f moved=%d preempted=%d"
                 .formatted(
                         asked,
                         inTimePart(),
@@ -50,6 +78,9 @@
                         (double) refusedForGood / asked,
                         worth(),
                         worstEntry(),
-                        bestEntry());
+                        bestEntry(),
+                        worstSecond(),
+                        moved,
+                        preempted);
     }
 }
