--- a/src/main/java/org/micabarrow/routing/EndpointSelector.java
+++ b/src/main/java/org/micabarrow/routing/EndpointSelector.java
@@ -25,23 +25,12 @@
      */
     private static final double OTHER_REGION_PENALTY_MILLIS = 60;
 
-    /**
-     * Time without contact after which an endpoint of the entry's own region is passed over, in milliseconds: two lost
-     * queries.
-     */
-    private static final long OWN_REGION_CONTACT_TIMEOUT_MILLIS = 400;
-
-    /** As above for other regions, whose agents are queried less often. */
-    private static final long OTHER_REGION_CONTACT_TIMEOUT_MILLIS = 1_000;
-
     private final Map<EndpointStart, EndpointLoad> loads = new HashMap<>();
-    private final DrainingEndpoints draining = new DrainingEndpoints();
     private final UnmetDemand unmetDemand = new UnmetDemand();
     private final EntryCount entryCount = new EntryCount();
     private final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
-    private final PlacementFilter placement;
+    private final EndpointEligibility eligibility;
     private final ColdEndpoints cold;
-    private final String region;
 
     /**
      * Creates a selector without any load information.
@@ -61,8 +50,7 @@
      * @param cold the endpoints that are cold
      */
     public EndpointSelector(String region, PlacementFilter placement, ColdEndpoints cold) {
-        this.region = Objects.requireNonNull(region, "region is null");
-        this.placement = Objects.requireNonNull(placement, "placement is null");
+        this.eligibility = new EndpointEligibility(region, placement);
         this.cold = Objects.requireNonNull(cold, "cold is null");
     }
 
@@ -81,7 +69,7 @@
      * @return the filter
      */
     public PlacementFilter placement() {
-        return placement;
+        return eligibility.placement();
     }
 
     /**
@@ -139,7 +127,7 @@
      * @return false if this was recorded before
      */
     public boolean markDraining(EndpointStart start) {
-        return draining.add(start);
+        return eligibility.markDraining(start);
     }
 
     /**
@@ -149,13 +137,7 @@
      * @return true if any of them reports it as draining
      */
     public boolean isDraining(EndpointRegistration endpoint) {
-        return isDraining(withLoad(endpoint));
-    }
-
-    private boolean isDraining(EndpointCandidate candidate) {
-        return candidate.endpoint().draining()
-                || draining.contains(candidate.endpoint().start())
-                || candidate.load().reportedDraining();
+        return eligibility.isDraining(withLoad(endpoint));
     }
 
     /**
@@ -200,7 +182,7 @@
     public EndpointSelection select(List<EndpointRegistration> candidates, RoutingRequest request, long nowMillis) {
         List<EndpointCandidate> all = withLoad(candidates);
         List<EndpointCandidate> eligible =
-                EndpointCandidate.filter(all, candidate -> eligible(candidate, request, nowMillis));
+                EndpointCandidate.filter(all, candidate -> eligibility.eligible(candidate, request, nowMillis));
         OptionalLong untilBackoffEnds = EndpointCandidate.untilBackoffEndsMillis(eligible, nowMillis);
         if (untilBackoffEnds.isPresent()) {
             return new EndpointSelection.BackingOff(eligible.size(), untilBackoffEnds.getAsLong());
@@ -283,7 +265,8 @@
     public OptionalLong untilBackoffEndsMillis(
             List<EndpointRegistration> candidates, RoutingRequest request, long nowMillis) {
         return EndpointCandidate.untilBackoffEndsMillis(
-                EndpointCandidate.filter(withLoad(candidates), candidate -> eligible(candidate, request, nowMillis)),
+                EndpointCandidate.filter(
+                        withLoad(candidates), candidate -> eligibility.eligible(candidate, request, nowMillis)),
                 nowMillis);
     }
 
@@ -295,7 +278,7 @@
     private List<EndpointCandidate> pool(
             List<EndpointCandidate> candidates, List<EndpointCandidate> eligible, long nowMillis) {
         List<EndpointCandidate> responsive =
-                EndpointCandidate.filter(eligible, candidate -> !unresponsive(candidate, nowMillis));
+                EndpointCandidate.filter(eligible, candidate -> !eligibility.unresponsive(candidate, nowMillis));
         List<EndpointCandidate> healthy =
                 EndpointCandidate.filter(responsive, candidate -> candidate.healthy(nowMillis));
         if (!healthy.isEmpty()) {
@@ -315,15 +298,7 @@
      *     the timeout
      */
     public boolean unresponsive(EndpointRegistration endpoint, long nowMillis) {
-        return unresponsive(withLoad(endpoint), nowMillis);
-    }
-
-    private boolean unresponsive(EndpointCandidate candidate, long nowMillis) {
-        return candidate.load().unresponsive(contactTimeoutMillis(candidate.endpoint()), nowMillis);
-    }
-
-    private long contactTimeoutMillis(EndpointRegistration endpoint) {
-        return inOwnRegion(endpoint) ? OWN_REGION_CONTACT_TIMEOUT_MILLIS : OTHER_REGION_CONTACT_TIMEOUT_MILLIS;
+        return eligibility.unresponsive(withLoad(endpoint), nowMillis);
     }
 
     /**
@@ -353,30 +328,7 @@
      *     may respond
      */
     public boolean eligible(EndpointRegistration endpoint, RoutingRequest request, long nowMillis) {
-        return eligible(withLoad(endpoint), request, nowMillis);
-    }
-
-    private boolean eligible(EndpointCandidate candidate, RoutingRequest request, long nowMillis) {
-        if (isDraining(candidate)
-                || request.triedEndpoints().contains(candidate.endpoint().id())
-                || !placement.allows(candidate.endpoint(), request.allowedRegions())) {
-            return false;
-        }
-        if (request.model().isEmpty()) {
-            return true;
-        }
-        long heldVersion = candidate.version(request.model().get());
-        EndpointLoad load = candidate.load();
-        // Requests delayed by a slow link may arrive when the older version may no longer respond.
-        boolean linkUncertain = load.hasUnansweredQuery()
-                || load.linkRecentlySlow(nowMillis)
-                || load.agentUnresponsive(contactTimeoutMillis(candidate.endpoint()), nowMillis);
-        boolean mayArriveTooLate = heldVersion < request.newestVersion() && linkUncertain;
-        return heldVersion > 0
-                && heldVersion >= request.minVersion()
-                && !mayArriveTooLate
-                && !load.restarted()
-                && !load.loading(nowMillis);
+        return eligibility.eligible(withLoad(endpoint), request, nowMillis);
     }
 
     /**
@@ -402,10 +354,6 @@
     }
 
     private double regionPenaltyMillis(EndpointRegistration endpoint) {
-        return inOwnRegion(endpoint) ? 0 : OTHER_REGION_PENALTY_MILLIS;
-    }
-
-    private boolean inOwnRegion(EndpointRegistration endpoint) {
-        return placement.region(endpoint.dataHall()).filter(region::equals).isPresent();
+        return eligibility.inOwnRegion(endpoint) ? 0 : OTHER_REGION_PENALTY_MILLIS;
     }
 }
