Weights: chunks leave the origin in turn; agents turn to the newest version when the origin is back

Change: - While an older version is fetched because none of the newest comes, the origin is probed for the newest (OriginProbe). Once it delivers, the decision goes by the service that is lost, and half of a version is no reason of its own. - Chunks are requested from the origin in turn (OriginTurns) instead of all at once, as all agents share its link. - An agent that leads for no chunk probes the origin before it passes over agents that are still fetching, and waits while chunks arrive from anywhere.

--- a/src/main/java/org/micabarrow/weights/ChunkFetcher.java
+++ b/src/main/java/org/micabarrow/weights/ChunkFetcher.java
@@ -1,5 +1,6 @@
 package org.micabarrow.weights;
 
+import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -59,11 +60,7 @@
      * @return an empty chunk set of the version; a failure if no source has the digests
      */
     public Result<ChunkSet> createSet(String model, long version) {
-        Optional<String> from = dependencies.originAddress().get();
-        Result<List<String>> result = from.isPresent()
-                ? dependencies.origin().digests(from.get(), model, version)
-                : Result.failure(
-                        Fault.of(Fault.Step.FETCH, "origin", Fault.Reason.NOT_FOUND, "the manifest names no origin"));
+        Result<List<String>> result = digestsFromOrigin(model, version);
         for (String agent : dependencies.sources().sameRegionFirst()) {
             if (!(result instanceof Result.Failure<List<String>>(Fault fault))) {
                 break;
@@ -74,6 +71,56 @@
         return result.map(digests -> new ChunkSet(model, version, digests));
     }
 
+    /**
+     * Fetches the digests of a version that the origin did not deliver before: from the agent that obtains the first
+     * chunk before this one, so that the digests of all agents do not hold up the chunks on the origin's link.
+     *
+     * @param model the model
+     * @param version the version
+     * @param direct whether to use the origin in any case, since that agent may have failed
+     * @return an empty chunk set of the version; a failure if the source does not have the digests
+     */
+    Result<ChunkSet> createSetOnReturn(String model, long version, boolean direct) {
+        List<String> before = dependencies.sources().apply(1).of(0);
+        Result<List<String>> digests = direct || before.isEmpty()
+                ? digestsFromOrigin(model, version)
+                : dependencies.peers().digests(before.getFirst(), model, version);
+        return digests.map(known -> new ChunkSet(model, version, known));
+    }
+
+    private Result<List<String>> digestsFromOrigin(String model, long version) {
+        Optional<String> from = dependencies.originAddress().get();
+        return from.isPresent()
+                ? dependencies.origin().digests(from.get(), model, version)
+                : Result.failure(
+                        Fault.of(Fault.Step.FETCH, "origin", Fault.Reason.NOT_FOUND, "the manifest names no origin"));
+    }
+
+    /**
+     * Fetches one of the chunks for which this agent leads from the origin, or only the digests if it leads for none.
+     *
+     * @param set the set to fill
+     * @return whether the origin delivered
+     */
+    boolean originDelivers(ChunkSet set) {
+        BitSet own = newSelector(set).chunksWantedFrom(SourceSelector.ORIGIN);
+        Optional<String> from = dependencies.originAddress().get();
+        if (own.isEmpty() || from.isEmpty()) {
+            return digestsFromOrigin(set.model(), set.version()).toOptional().isPresent();
+        }
+        int index = own.nextSetBit(0);
+        return dependencies
+                .origin()
+                .chunk(from.get(), set.model(), set.version(), index)
+                .toOptional()
+                .filter(bytes -> set.put(index, bytes))
+                .isPresent();
+    }
+
+    private SourceSelector newSelector(ChunkSet set) {
+        return new SourceSelector(dependencies.sources(), set, unresponsiveUntil, dependencies.monotonicMillis());
+    }
+
     /**
      * Fetches all missing chunks. Returns once the set is complete or the version is no longer wanted.
      *
@@ -83,9 +130,7 @@
      */
     public void fetch(ChunkSet set, BooleanSupplier wanted) throws InterruptedException {
         long startMillis = dependencies.monotonicMillis().getAsLong();
-        SourceSelector selector =
-                new SourceSelector(dependencies.sources(), set, unresponsiveUntil, dependencies.monotonicMillis());
-        new FetchRun(dependencies, selector, set, wanted).run();
+        new FetchRun(dependencies, newSelector(set), set, wanted).run();
         LOG.info(
                 "event=fetched model={} version={} chunks={} of={} ms={}",
                 set.model(),
--- a/src/main/java/org/micabarrow/weights/FetchDecision.java
+++ b/src/main/java/org/micabarrow/weights/FetchDecision.java
@@ -70,10 +70,6 @@
             double transferMillis = missing == 0 ? 0 : missing * chunkMillis;
             return Math.round(fromMillis + Math.min(HORIZON_MILLIS, transferMillis));
         }
-
-        private boolean isHalfPresent() {
-            return missing * 2 <= chunks;
-        }
     }
 
     /**
@@ -129,10 +125,6 @@
             long idleMillis = readyMillis - Math.max(untilMillis, nowMillis);
             return Math.clamp(idleMillis + IDLE_SWITCH_MILLIS, SWITCH_MILLIS, HORIZON_MILLIS);
         }
-
-        private boolean isOlderHalfFetched() {
-            return current == older.version() && older.isHalfPresent();
-        }
     }
 
     /**
@@ -144,8 +136,7 @@
     static FetchDecision of(Situation situation) {
         long lostByNewest = situation.lostByNewest();
         long lostByOlder = situation.lostByOlder();
-        boolean olderFirst = situation.isOlderUsable()
-                && (situation.isOlderHalfFetched() || lostByOlder <= lostByNewest + margin(situation));
+        boolean olderFirst = situation.isOlderUsable() && lostByOlder <= lostByNewest + margin(situation);
         return olderFirst
                 ? new OlderFirst(situation.older().version(), lostByOlder, lostByNewest)
                 : new Newest(situation.newest().version(), lostByNewest, lostByOlder);
--- a/src/main/java/org/micabarrow/weights/FetchRun.java
+++ b/src/main/java/org/micabarrow/weights/FetchRun.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
 import java.util.function.BooleanSupplier;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
@@ -19,11 +20,17 @@
     private static final Logger LOG = LoggerFactory.getLogger(FetchRun.class);
 
     /**
-     * How long to wait for an agent that is still fetching, in milliseconds: a version takes some three seconds on an
-     * agent's link, and another copy from the origin costs more than the wait.
+     * How long to wait for an agent that is still fetching while no chunk arrives from any source, in milliseconds: a
+     * version takes some three seconds on an agent's link, and another copy from the origin costs more than the wait.
      */
     private static final long FETCHING_TIMEOUT_MILLIS = 3_500;
 
+    /**
+     * How long a chunk from the origin shows that it delivers, in milliseconds: all threads that wait for agents check
+     * at least this often.
+     */
+    private static final long PROBE_VALID_MILLIS = 1_000;
+
     /**
      * How long to wait for an agent that has not started to fetch, in milliseconds: it may learn of the version later.
      */
@@ -42,15 +49,20 @@
     private final ChunkSet set;
     private final BooleanSupplier wanted;
     private final SourceSelector selector;
+    private final OriginTurns originTurns;
     private final Set<String> runningSources = ConcurrentHashMap.newKeySet();
     private volatile int originCursor;
     private volatile long originFailedAtMillis = Long.MIN_VALUE / 2;
+    private volatile long lastChunkAtMillis = Long.MIN_VALUE / 2;
+    private volatile long originProbedAtMillis = Long.MIN_VALUE / 2;
+    private final Semaphore originProbe = new Semaphore(1);
 
     FetchRun(ChunkFetcher.Dependencies dependencies, SourceSelector selector, ChunkSet set, BooleanSupplier wanted) {
         this.dependencies = dependencies;
         this.selector = selector;
         this.set = set;
         this.wanted = wanted;
+        this.originTurns = new OriginTurns(set, dependencies.monotonicMillis());
     }
 
     /** Fetches until all chunks are present or the version is no longer wanted. */
@@ -74,14 +86,12 @@
     // -- one source
 
     private void fetchFrom(String source) {
-        long lastChunkAtMillis = now();
+        long startedMillis = now();
         try {
             BitSet indexes = selector.chunksWantedFrom(source);
             while (!indexes.isEmpty() && wanted.getAsBoolean()) {
-                if (fetchOnce(source, indexes, waitedMillis(lastChunkAtMillis))) {
-                    lastChunkAtMillis = now();
-                } else {
-                    Thread.sleep(source.equals(SourceSelector.ORIGIN) ? ORIGIN_RETRY_MILLIS : RETRY_MILLIS);
+                if (!fetchOnce(source, indexes, waitedMillis(startedMillis))) {
+                    Thread.sleep(pauseMillis(source));
                 }
                 indexes = selector.chunksWantedFrom(source);
             }
@@ -92,19 +102,26 @@
         }
     }
 
+    private long pauseMillis(String source) {
+        boolean originFailed =
+                source.equals(SourceSelector.ORIGIN) && now() - originFailedAtMillis < ORIGIN_RETRY_MILLIS;
+        return originFailed ? ORIGIN_RETRY_MILLIS : RETRY_MILLIS;
+    }
+
     /**
-     * How long an agent has failed to deliver its chunks, in milliseconds. While the origin is unavailable no agent can
-     * get them, so the wait restarts at the last failure of the origin. Otherwise all agents request all chunks from
-     * the origin once it is back, and its link, which carries one copy in 1.7 s, is saturated for seconds: a version
-     * took 6.6 s after the origin's return instead of the usual 4.4 s.
+     * How long no chunk has arrived from any source, in milliseconds. Chunks leave the origin in turn, so an agent gets
+     * the last of its own only when nearly the whole copy has left it. While the origin is unavailable no agent can get
+     * any, so the wait restarts at the last failure of the origin. Otherwise all agents request chunks of others from
+     * the origin as well, whose link is then saturated for seconds.
      */
-    private long waitedMillis(long lastChunkAtMillis) {
-        return now() - Math.max(lastChunkAtMillis, originFailedAtMillis);
+    private long waitedMillis(long startedMillis) {
+        return now() - Math.max(startedMillis, Math.max(lastChunkAtMillis, originFailedAtMillis));
     }
 
     private boolean fetchOnce(String source, BitSet indexes, long waitedMillis) {
         if (source.equals(SourceSelector.ORIGIN)) {
-            return fetchFromOrigin(nextOriginChunk(indexes));
+            BitSet due = originTurns.due(indexes);
+            return !due.isEmpty() && fetchFromOrigin(nextOriginChunk(due));
         }
         return switch (dependencies.peers().fetchAnyOf(source, set.model(), set.version(), indexes)) {
             case Result.Success<ChunkPeers.IndexedChunk>(ChunkPeers.IndexedChunk(int index, byte[] bytes)) ->
@@ -133,6 +150,7 @@
             case Result.Success<byte[]>(byte[] bytes) -> addChunk(SourceSelector.ORIGIN, index, bytes);
             case Result.Failure<byte[]>(Fault fault) -> {
                 originFailedAtMillis = now();
+                originTurns.onOriginFailed();
                 logMissed(SourceSelector.ORIGIN, 1, fault.toString());
                 // Other agents may have the chunk by now.
                 selector.useFirstSource(index);
@@ -148,6 +166,7 @@
             selector.useNextSource(Math.clamp(index, 0, chunks - 1));
             return false;
         }
+        lastChunkAtMillis = now();
         LOG.debug("event=chunk_here model={} version={} chunk={} from={}", set.model(), set.version(), index, source);
         // Chunks of the origin are not throttled here: they are few, the link of the origin, which all agents share,
         // limits them already, and the origin may become unavailable.
@@ -159,7 +178,7 @@
 
     private void handleFailure(String source, BitSet indexes, Fault fault, long waitedMillis) {
         boolean reassign = switch (fault.reason()) {
-            case NOT_READY -> waitedMillis > FETCHING_TIMEOUT_MILLIS;
+            case NOT_READY -> waitedMillis > FETCHING_TIMEOUT_MILLIS && originDelivers(indexes);
             case NOT_FOUND -> waitedMillis > NOT_STARTED_TIMEOUT_MILLIS;
             default -> {
                 selector.markUnresponsive(source);
@@ -172,6 +191,29 @@
         }
     }
 
+    /**
+     * Whether the origin delivers a chunk, so that an agent that still lacks its own is to be passed over. An agent that
+     * leads for no chunk does not notice otherwise that the origin is unavailable, and when it is back would request
+     * from it what others already do.
+     */
+    private boolean originDelivers(BitSet indexes) {
+        if (now() - originProbedAtMillis <= PROBE_VALID_MILLIS) {
+            return true;
+        }
+        if (!originProbe.tryAcquire()) {
+            return false;
+        }
+        try {
+            boolean delivers = fetchFromOrigin(indexes.nextSetBit(0));
+            if (delivers) {
+                originProbedAtMillis = now();
+            }
+            return delivers;
+        } finally {
+            originProbe.release();
+        }
+    }
+
     private void logMissed(String source, int chunks, String reason) {
         LOG.info(
                 "event=chunks_missed model={} version={} chunks={} from={} why=\"{}\"",
--- a/src/main/java/org/micabarrow/weights/OverlapPolicy.java
+++ b/src/main/java/org/micabarrow/weights/OverlapPolicy.java
@@ -131,6 +131,14 @@
                         < deadlines.servesUntil(model, older.set().version());
     }
 
+    /** Whether no chunk of the newest version arrived when it was last fetched, or its digests are missing. */
+    boolean isNewestAway(String model) {
+        AbandonedFetch abandoned = lastAbandoned;
+        long newest = deadlines.newest(model);
+        return fetches.chunkSet(model, newest).isEmpty()
+                || abandoned.version() == newest && Double.isInfinite(abandoned.chunkMillis());
+    }
+
     private static boolean isOlder(FetchDecision decision) {
         return switch (decision) {
             case FetchDecision.OlderFirst older -> true;
--- a/src/main/java/org/micabarrow/weights/VersionFetches.java
+++ b/src/main/java/org/micabarrow/weights/VersionFetches.java
@@ -34,6 +34,12 @@
      */
     private static final long RETRY_MILLIS = 300;
 
+    /**
+     * Every how many probes the digests of an unavailable version are requested from the origin by agents that get them
+     * from another one: a second and a half.
+     */
+    private static final int DIRECT_PROBE_INTERVAL = 8;
+
     private final ChunkFetcher fetcher;
     private final VersionDeadlines deadlines;
     private final LongSupplier monotonicMillis;
@@ -195,15 +201,47 @@
     private boolean fetchOlder(String model, long held) throws InterruptedException {
         OptionalLong older = overlapPolicy.olderToFetch(model, held);
         Optional<ChunkSet> set = older.isPresent() ? findOrCreateLogged(model, older.getAsLong()) : Optional.empty();
-        return set.isPresent() && fetch(set.get(), shouldContinueOlder(model, held, older.getAsLong()));
+        if (set.isEmpty()) {
+            return false;
+        }
+        try (OriginProbe probe = probeNewest(model)) {
+            return fetch(set.get(), shouldContinueOlder(model, held, older.getAsLong(), probe::delivers));
+        }
     }
 
-    /** Whether to continue fetching a version that was named before the newest. */
+    /** Probes the newest version if none of it arrived last. One that arrived slowly was not abandoned for an outage. */
+    private OriginProbe probeNewest(String model) {
+        long newest = deadlines.newest(model);
+        return overlapPolicy.isNewestAway(model)
+                ? OriginProbe.start(newest, attempt -> originDelivers(model, newest, attempt))
+                : OriginProbe.none();
+    }
+
+    private boolean originDelivers(String model, long version, int attempt) {
+        Optional<ChunkSet> set = chunkSet(model, version);
+        return set.isPresent()
+                ? fetcher.originDelivers(set.get())
+                : fetcher.createSetOnReturn(model, version, attempt % DIRECT_PROBE_INTERVAL == 0)
+                        .map(this::putIfAbsent)
+                        .toOptional()
+                        .isPresent();
+    }
+
+    /** Whether to continue fetching a version that was named before the newest, which is unavailable. */
     Predicate<FetchProgress> shouldContinueOlder(String model, long held, long version) {
-        return progress -> overlapPolicy.olderToFetch(model, held).equals(OptionalLong.of(version))
-                && !progress.isStalled()
-                && (overlapPolicy.shouldFetchOlderFirst(model, held, progress, true)
-                        || overlapPolicy.isMuchFaster(model, progress));
+        return shouldContinueOlder(model, held, version, () -> false);
+    }
+
+    /** Whether to continue fetching a version that was named before the newest. */
+    Predicate<FetchProgress> shouldContinueOlder(
+            String model, long held, long version, BooleanSupplier newestAvailable) {
+        return progress -> {
+            boolean available = newestAvailable.getAsBoolean();
+            return overlapPolicy.olderToFetch(model, held).equals(OptionalLong.of(version))
+                    && !progress.isStalled()
+                    && (overlapPolicy.shouldFetchOlderFirst(model, held, progress, !available)
+                            || !available && overlapPolicy.isMuchFaster(model, progress));
+        };
     }
 
     private boolean fetch(ChunkSet set, Predicate<FetchProgress> wanted) throws InterruptedException {
--- a/src/test/java/org/micabarrow/weights/OverlappingFetchTest.java
+++ b/src/test/java/org/micabarrow/weights/OverlappingFetchTest.java
@@ -62,6 +62,7 @@
         /** The time for a chunk on the link. */
         private long chunkMillis = 40;
 
+        private volatile long maxKnownVersion = Long.MAX_VALUE;
         private LongConsumer onRequest = version -> {};
         private LongConsumer onServed = version -> {};
         private final Map<Long, Integer> heldChunks = new ConcurrentHashMap<>();
@@ -70,7 +71,9 @@
 
         @Override
         public Result<List<String>> digests(String agent, String model, long version) {
-            return Result.success(FakeOrigin.emptySet(version).digests());
+            return version > maxKnownVersion
+                    ? Result.failure(Fault.of(Fault.Step.FETCH, agent, Fault.Reason.NOT_FOUND, "unknown"))
+                    : Result.success(FakeOrigin.emptySet(version).digests());
         }
 
         @Override
@@ -180,6 +183,34 @@
         assertEquals(FakeOrigin.CHUNKS, presentCount(4));
     }
 
+    /**
+     * Agents that stayed with the older version, of which chunks arrived again, and those that turned to the newest
+     * waited for each other's chunks, and neither version became complete in time.
+     */
+    @Test
+    void shouldTurnToNewestWhenOriginDeliversItAgainAndOlderLosesMore() throws Exception {
+        putFirst(3, 1);
+        now.addAndGet(5_500);
+        views.addPeerTarget("m", 4);
+        now.addAndGet(500);
+        origin.maxKnownVersion = 3;
+        origin.maxServedVersion = Long.MAX_VALUE;
+        origin.servedEnd = 0;
+        peer.maxKnownVersion = 3;
+        peer.heldChunks.put(3L, FakeOrigin.CHUNKS);
+        peer.intervalMillis.put(3L, 600L);
+        peer.onServed = version -> {
+            origin.maxKnownVersion = Long.MAX_VALUE;
+            peer.maxKnownVersion = Long.MAX_VALUE;
+        };
+        fetches.fetchNewerThan("m", 2);
+        assertTrue(presentCount(3) < FakeOrigin.CHUNKS, "the older version was fetched to its end");
+        origin.servedEnd = Integer.MAX_VALUE;
+        peer.heldChunks.put(4L, FakeOrigin.CHUNKS);
+        fetches.fetchNewerThan("m", 2);
+        assertEquals(FakeOrigin.CHUNKS, presentCount(4));
+    }
+
     // -- without threads: chunks are added as if they had been fetched
 
     /** Adds chunks of a version at a fixed rate for two measuring windows. */
