Requests go elsewhere before their objective when their endpoint is slow or mute

Cause: a request caught at an endpoint that becomes slow or mute stayed for two objectives. Change: EarlySwitch decides, at each round of reports, by what is known of the endpoint now; StreamSilence finds a mute endpoint by its streams while others' streams step on; both inside the retry budget and never for requests that may run once. Attempts record steps of their streams; a histogram shows first events over their predictions.

--- a/src/main/java/org/micabarrow/routing/EndpointCandidate.java
+++ b/src/main/java/org/micabarrow/routing/EndpointCandidate.java
@@ -52,9 +52,11 @@
                 .min();
     }
 
-    /** Returns whether the endpoint is neither ejected nor behind a slow link. */
-    boolean healthy(long nowMillis) {
-        return !load.failures().ejected(nowMillis) && !load.linkSlow(nowMillis);
+    /** Returns whether the endpoint is neither ejected nor mute nor behind a slow link. */
+    boolean healthy(long objectiveMillis, long nowMillis) {
+        return !load.failures().ejected(nowMillis)
+                && !load.linkSlow(nowMillis)
+                && !load.silence().mute(objectiveMillis, nowMillis);
     }
 
     /**
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -27,6 +27,7 @@
     private final FailureTracker failures = new FailureTracker();
     private final Backoff backoff = new Backoff();
     private final EndpointSpeed speed;
+    private final StreamSilence silence;
     private final EndpointRateLimit rateLimit;
 
     /**
@@ -35,13 +36,14 @@
      * @param rateLimit the endpoint's rate limit, to be updated
      */
     public EndpointLoad(EndpointRateLimit rateLimit) {
-        this(rateLimit, new EndpointSpeed("-"));
+        this(rateLimit, new EndpointSpeed("-"), new StreamSilence(new StreamGaps()));
     }
 
-    /** Creates a load without requests and without a report, with the endpoint's speed, to be updated. */
-    EndpointLoad(EndpointRateLimit rateLimit, EndpointSpeed speed) {
+    /** Creates a load without requests and without a report, with what is to be updated. */
+    EndpointLoad(EndpointRateLimit rateLimit, EndpointSpeed speed, StreamSilence silence) {
         this.rateLimit = Objects.requireNonNull(rateLimit, "rateLimit is null");
         this.speed = Objects.requireNonNull(speed, "speed is null");
+        this.silence = Objects.requireNonNull(silence, "silence is null");
     }
 
     // -- own requests
@@ -357,6 +359,15 @@
         return speed;
     }
 
+    /**
+     * Returns for how long the endpoint's streams have been silent.
+     *
+     * @return the mutable silence
+     */
+    public StreamSilence silence() {
+        return silence;
+    }
+
     // -- failures
 
     /**
--- a/src/main/java/org/micabarrow/routing/EndpointSelector.java
+++ b/src/main/java/org/micabarrow/routing/EndpointSelector.java
@@ -38,6 +38,7 @@
     private final DrainingEndpoints draining = new DrainingEndpoints();
     private final UnmetDemand unmetDemand = new UnmetDemand();
     private final EntryCount entryCount = new EntryCount();
+    private final StreamGaps streamGaps = new StreamGaps();
     private final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
     private final Map<String, String> regions;
     private final String region;
@@ -63,7 +64,9 @@
         return loads.computeIfAbsent(
                 start,
                 key -> new EndpointLoad(
-                        new EndpointRateLimit(key.id(), entryCount, random), new EndpointSpeed(key.id())));
+                        new EndpointRateLimit(key.id(), entryCount, random),
+                        new EndpointSpeed(key.id()),
+                        new StreamSilence(streamGaps)));
     }
 
     /**
@@ -185,7 +188,7 @@
             return new EndpointSelection.RateLimited(
                     available.size(), EndpointCandidate.untilRateLimitAllowsMillis(available, nowMillis));
         }
-        List<EndpointCandidate> pool = pool(all, withinLimit, nowMillis);
+        List<EndpointCandidate> pool = pool(all, withinLimit, request.objectiveMillis(), nowMillis);
         return pool.isEmpty() ? new EndpointSelection.NoneEligible() : selectFastest(pool, request, nowMillis);
     }
 
@@ -245,16 +248,19 @@
     }
 
     /**
-     * Returns the endpoints to select from. Endpoints with failures or a slow link are used only if there are no
+     * Returns the endpoints to select from. Endpoints with failures or a slow link and mute ones are used only if there are no
      * others. Unresponsive endpoints are used only if there is no recent contact with any endpoint of the service: then
      * it is more likely that this entry itself is cut off.
      */
     private List<EndpointCandidate> pool(
-            List<EndpointCandidate> candidates, List<EndpointCandidate> eligible, long nowMillis) {
+            List<EndpointCandidate> candidates,
+            List<EndpointCandidate> eligible,
+            long objectiveMillis,
+            long nowMillis) {
         List<EndpointCandidate> responsive =
                 EndpointCandidate.filter(eligible, candidate -> !unresponsive(candidate, nowMillis));
         List<EndpointCandidate> healthy =
-                EndpointCandidate.filter(responsive, candidate -> candidate.healthy(nowMillis));
+                EndpointCandidate.filter(responsive, candidate -> candidate.healthy(objectiveMillis, nowMillis));
         if (!healthy.isEmpty()) {
             return healthy;
         }
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -33,14 +33,13 @@
     private final ClientResponse response;
     private final EventSplitter events;
     private final EndpointRegistration endpoint;
-    private final double predictedMillis;
     private final EndpointLoad load;
     private final OccupiedSlot slot;
     private final Runnable releaseSuspect;
     private final ResponseRelay relay;
     private final StartDeadline startDeadline;
     private final long startMillis;
-    private final ResponseStallTimer stallTimer;
+    private final AttemptProgress progress;
     private Optional<XnioExecutor.Key> connectTimer = Optional.empty();
     private Runnable cancel = () -> {};
     private boolean closed;
@@ -53,12 +52,11 @@
         this.response = served.response();
         this.events = served.events();
         this.endpoint = selected.endpoint();
-        this.predictedMillis = selected.predictedMillis();
         this.relay = new ResponseRelay(served);
         this.startDeadline = new StartDeadline(served, endpoint, this::onStartDeadline);
         this.load = context.load(endpoint);
         this.startMillis = context.nowMillis();
-        this.stallTimer = new ResponseStallTimer(context::nowMillis);
+        this.progress = new AttemptProgress(served, selected);
         this.releaseSuspect = context.suspects().onSent(endpoint, served.digest(), startMillis);
         load.rateLimit().sent(startMillis);
         this.slot = new OccupiedSlot(load, request.promptTokens(), context.waitQueue()::onSlotFreed);
@@ -88,6 +86,7 @@
 
     private void release() {
         closed = true;
+        progress.ended();
         connectTimer.ifPresent(XnioExecutor.Key::remove);
         startDeadline.cancel();
         // Before the slot is freed: requests that wait for either are reconsidered as soon as the slot is free.
@@ -103,7 +102,7 @@
     /** Cancels the attempt because its response is no longer needed. */
     void abandon(String reason) {
         if (!closed) {
-            served.log().cancelled(endpoint, progress(), reason);
+            served.log().cancelled(endpoint, progressForLog(), reason);
             cancelAndRecord();
         }
     }
@@ -129,14 +128,14 @@
     }
 
     private void logFailed(AttemptOutcome outcome, String reason) {
-        served.log().attemptFailed(endpoint, outcome, progress(), reason);
+        served.log().attemptFailed(endpoint, outcome, progressForLog(), reason);
     }
 
     /**
      * The progress of the request at the endpoint for the log: whether a response head has arrived, and whether any of
      * the body has.
      */
-    private String progress() {
+    private String progressForLog() {
         return "afterMs=" + (context.nowMillis() - startMillis) + " taken=" + relay.hasHead() + " begun="
                 + slot.started();
     }
@@ -158,6 +157,7 @@
         }
         if (!context.isUnresponsive(endpoint)) {
             switchIfOverdue();
+            switchIfLate();
             return;
         }
         if (!slot.started() && wouldStartTooLate()) {
@@ -177,7 +177,7 @@
      * probably in transit.
      */
     private void switchIfOverdue() {
-        long waitingMillis = stallTimer.waitingMillis();
+        long waitingMillis = progress.waitingMillis();
         boolean overdue = sendStarted
                 && !load.linkRecentlySlow(context.nowMillis())
                 && AttemptPolicy.overdue(request.route(), waitingMillis);
@@ -187,6 +187,13 @@
         }
     }
 
+    /** Moves the request to another endpoint if its first event would be in time there and not here. */
+    private void switchIfLate() {
+        if (!closed && sendStarted && !slot.started() && served.reserveEarlySwitch(progress)) {
+            switchEndpoint(AttemptOutcome.UNKNOWN, "the endpoint is slow, and another one would still be in time");
+        }
+    }
+
     /**
      * Whether it would be of no use for a paused instance to start the request once it resumes: it would run on weights
      * that have been replaced, after its endpoint has drained, or, for a stream that may run twice, after the
@@ -332,12 +339,11 @@
         load.dataReceived(context.nowMillis());
         if (!slot.started()) {
             context.crashes().onResponse(served.digest(), false);
-            load.speed().firstEvent(predictedMillis, context.nowMillis() - startMillis, context.nowMillis());
         }
         // The head may arrive as soon as the endpoint accepts the request; only the first event shows that it has read
         // the prompt.
         slot.promptRead();
-        relay.forward(data, stallTimer.onReceived(more));
+        relay.forward(data, progress.onReceived(more));
     }
 
     @Override
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -4,12 +4,14 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.micabarrow.admission.AdmissionControl.Decision;
 import org.micabarrow.admission.SlotWait;
 import org.micabarrow.attempts.AttemptHistory;
 import org.micabarrow.attempts.AttemptOutcome;
 import org.micabarrow.attempts.AttemptPolicy;
 import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.attempts.EarlySwitch;
 import org.micabarrow.attempts.EventSplitter;
 import org.micabarrow.attempts.RequestTimes;
 import org.micabarrow.crashes.LazyDigest;
@@ -288,9 +290,21 @@
      * so.
      */
     boolean reserveRetry() {
+        return reserveRetry(selected -> true);
+    }
+
+    /** As above, for a request that has not begun and would be in time at the other endpoint only. */
+    boolean reserveEarlySwitch(AttemptProgress progress) {
+        EarlySwitch.Waiting waiting = progress.waiting(millisUntilObjective());
+        return EarlySwitch.due(request.route(), waiting)
+                && reserveRetry(other -> EarlySwitch.inTimeElsewhere(waiting, other.predictedMillis()));
+    }
+
+    private boolean reserveRetry(Predicate<EndpointSelection.Selected> acceptable) {
         AttemptPolicy.Progress progress = attempts.progressIfRun(remainingMillis());
         return request.route().kind().repeatable()
-                && decide() instanceof Decision.Send
+                && decide() instanceof Decision.Send(EndpointSelection.Selected other)
+                && acceptable.test(other)
                 && AttemptPolicy.allowsAnotherAttempt(request.route(), progress, context.budget()::tryRetry);
     }
 
--- a/src/main/java/org/micabarrow/serving/ServingMetrics.java
+++ b/src/main/java/org/micabarrow/serving/ServingMetrics.java
@@ -1,6 +1,7 @@
 package org.micabarrow.serving;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 
@@ -17,6 +18,7 @@
     final Counter poisonRequests;
     final Counter rateLimited;
     final Timer firstByte;
+    private final Histogram firstEventOverPredicted;
 
     ServingMetrics(MetricRegistry registry) {
         received = registry.counter("requests.received");
@@ -29,6 +31,12 @@
         poisonRequests = registry.counter("requests.refusedForCrashes");
         rateLimited = registry.counter("requests.overLimit");
         firstByte = registry.timer("requests.firstByte");
+        firstEventOverPredicted = registry.histogram("requests.firstEventOverPredictedPercent");
+    }
+
+    /** Records by how much a first event differed from its prediction: 100 is as predicted. */
+    void recordFirstEvent(double predictedMillis, long tookMillis) {
+        firstEventOverPredicted.update(Math.round(100 * tookMillis / Math.max(1, predictedMillis)));
     }
 
     /** Counts a request by its outcome. */
--- a/src/test/java/org/micabarrow/play/LoadPlay.java
+++ b/src/test/java/org/micabarrow/play/LoadPlay.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,6 +14,7 @@
 import org.micabarrow.admission.FirstAttemptEstimator;
 import org.micabarrow.admission.SlotAllotment;
 import org.micabarrow.admission.WaitQueue;
+import org.micabarrow.attempts.EarlySwitch;
 import org.micabarrow.routing.EndpointCondition;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
@@ -245,6 +247,7 @@
         private final Entry entry;
         private final Caller caller;
         private final long firstTryMillis;
+        private final Set<String> tried = new HashSet<>();
 
         private Run(Entry entry, Caller caller, long sinceFirstTry) {
             this.entry = entry;
@@ -265,7 +268,7 @@
                     Optional.of(setting.model()),
                     0,
                     0,
-                    Set.of());
+                    tried);
             return entry.admission.decide(entry.candidates, wanted, events.nowMillis());
         }
 
@@ -294,34 +297,13 @@
             EndpointLoad load = entry.choice.load(endpoint.id());
             load.requestSent(caller.promptTokens);
             int rank = millisToObjective() <= 0 ? 9 : 1;
-            Runnable began = () -> events.after(WAY_MILLIS, () -> {
-                load.promptRead(caller.promptTokens);
-                load.speed().firstEvent(chosen.predictedMillis(), events.nowMillis() - sentMillis, events.nowMillis());
-                caller.began();
-                entry.line.dispatch();
-            });
-            double[] lastStep = {0};
-            Runnable stepped = () -> {
-                double tookMillis = lastStep[0] == 0 ? 0 : events.now() - lastStep[0];
-                lastStep[0] = events.now();
-                events.after(WAY_MILLIS, () -> {
-                    if (tookMillis > 0) {
-                        load.speed()
-                                .stepped(
-                                        setting.model().passMillis(load.requests(events.nowMillis())),
-                                        Math.round(tookMillis),
-                                        events.nowMillis());
-                    }
-                });
-            };
-            Runnable ended = () -> events.after(WAY_MILLIS, () -> {
-                load.requestEnded();
-                entry.line.dispatch();
-            });
-            events.after(
-                    WAY_MILLIS,
-                    () -> engine.emulator.take(new EngineEmulator.Work(
-                            rank, caller.promptTokens, caller.answerTokens, began, stepped, ended)));
+            tried.add(endpoint.id());
+            Sent sent = new Sent(this, chosen, engine.emulator, load, sentMillis);
+            EngineEmulator.Work work = new EngineEmulator.Work(
+                    rank, caller.promptTokens, caller.answerTokens, sent::began, sent::stepped, sent::ended);
+            sent.work = work;
+            events.after(WAY_MILLIS, () -> engine.emulator.take(work));
+            events.after(setting.askMillis(), sent::look);
         }
 
         @Override
@@ -340,4 +322,95 @@
             caller.refused();
         }
     }
+
+    /** A sending of a request. */
+    private final class Sent {
+
+        private final Run run;
+        private final EndpointSelection.Selected chosen;
+        private final EngineEmulator emulator;
+        private final EndpointLoad load;
+        private final long sentMillis;
+        private final double factorThen;
+        private EngineEmulator.Work work;
+        private double lastEvent;
+        private boolean begun;
+        private boolean over;
+
+        private Sent(
+                Run run,
+                EndpointSelection.Selected chosen,
+                EngineEmulator emulator,
+                EndpointLoad load,
+                long sentMillis) {
+            this.run = run;
+            this.chosen = chosen;
+            this.emulator = emulator;
+            this.load = load;
+            this.sentMillis = sentMillis;
+            this.factorThen = load.speed().factor(sentMillis);
+        }
+
+        private void began() {
+            lastEvent = events.now();
+            events.after(WAY_MILLIS, () -> {
+                if (over) {
+                    return;
+                }
+                begun = true;
+                load.promptRead(run.caller.promptTokens);
+                long now = events.nowMillis();
+                load.speed().firstEvent(chosen.predictedMillis(), now - sentMillis, now);
+                load.silence().awaits(now);
+                run.caller.began();
+                run.entry.line.dispatch();
+            });
+        }
+
+        private void stepped() {
+            long tookMillis = Math.round(events.now() - lastEvent);
+            lastEvent = events.now();
+            events.after(WAY_MILLIS, () -> {
+                double usualMillis = setting.model().passMillis(load.requests(events.nowMillis()));
+                load.speed().stepped(usualMillis, tookMillis, events.nowMillis());
+                load.silence().arrived(tookMillis, events.nowMillis());
+                load.silence().awaits(events.nowMillis());
+            });
+        }
+
+        private void ended() {
+            events.after(WAY_MILLIS, () -> {
+                if (!over) {
+                    over = true;
+                    load.silence().ended();
+                    load.requestEnded();
+                    run.entry.line.dispatch();
+                }
+            });
+        }
+
+        /** Goes to another engine if the first event would be in time there and not here. */
+        private void look() {
+            if (begun || over) {
+                return;
+            }
+            EarlySwitch.Waiting waiting = new EarlySwitch.Waiting(
+                    events.nowMillis() - sentMillis,
+                    chosen.predictedMillis() * Math.max(1, load.speed().factor(events.nowMillis()) / factorThen),
+                    run.millisToObjective(),
+                    load.silence().mute(run.caller.objective, events.nowMillis()));
+            if (EarlySwitch.due(ROUTE, waiting)
+                    && run.decide() instanceof Decision.Send(EndpointSelection.Selected other)
+                    && EarlySwitch.inTimeElsewhere(waiting, other.predictedMillis())) {
+                tally.moved++;
+                over = true;
+                load.promptRead(run.caller.promptTokens);
+                load.requestEnded();
+                events.after(WAY_MILLIS, () -> emulator.cancel(work));
+                run.send(other);
+            } else {
+                events.after(setting.askMillis(), this::look);
+            }
+        }
+    }
 }
