--- a/src/main/java/org/micabarrow/routing/EndpointCandidate.java
+++ b/src/main/java/org/micabarrow/routing/EndpointCandidate.java
@@ -70,9 +70,11 @@
                 .min();
     }
 
-    /** Returns whether the endpoint is neither ejected nor behind a slow link. */
-    boolean healthy(long nowMillis) {
-        return !load.failures().ejected(nowMillis) && !load.linkSlow(nowMillis);
+    /** Returns whether the endpoint is neither ejected nor mute nor behind a slow link. */
+    boolean healthy(long objectiveMillis, long nowMillis) {
+        return !load.failures().ejected(nowMillis)
+                && !load.linkSlow(nowMillis)
+                && !load.silence().mute(objectiveMillis, nowMillis);
     }
 
     /**
--- a/src/main/java/org/micabarrow/routing/EndpointSelector.java
+++ b/src/main/java/org/micabarrow/routing/EndpointSelector.java
@@ -28,6 +28,7 @@
     private final Map<EndpointStart, EndpointLoad> loads = new HashMap<>();
     private final UnmetDemand unmetDemand = new UnmetDemand();
     private final EntryCount entryCount = new EntryCount();
+    private final StreamGaps streamGaps = new StreamGaps();
     private final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
     private final EndpointEligibility eligibility;
     private final ColdEndpoints cold;
@@ -82,7 +83,9 @@
         return loads.computeIfAbsent(
                 start,
                 key -> new EndpointLoad(
-                        new EndpointRateLimit(key.id(), entryCount, random), new EndpointSpeed(key.id())));
+                        new EndpointRateLimit(key.id(), entryCount, random),
+                        new EndpointSpeed(key.id()),
+                        new StreamSilence(streamGaps)));
     }
 
     /**
@@ -197,13 +200,14 @@
         if (withinLimit.isEmpty() && !available.isEmpty()) {
             return limited(available, nowMillis);
         }
-        List<EndpointCandidate> pool = pool(all, withinLimit, nowMillis);
+        List<EndpointCandidate> pool = pool(all, withinLimit, request.objectiveMillis(), nowMillis);
         if (!pool.isEmpty()) {
             return selectFastest(pool, request, nowMillis);
         }
         List<EndpointCandidate> onlyCold = pool(
                 all,
                 EndpointCandidate.filter(available, candidate -> candidate.limitedOnlyByCold(nowMillis)),
+                request.objectiveMillis(),
                 nowMillis);
         return onlyCold.isEmpty() ? new EndpointSelection.NoneEligible() : limited(onlyCold, nowMillis);
     }
@@ -275,16 +279,19 @@
     }
 
     /**
-     * Returns the endpoints to select from. Endpoints with failures or a slow link are used only if there are no
+     * Returns the endpoints to select from. Endpoints with failures or a slow link and mute ones are used only if there are no
      * others. Unresponsive endpoints are used only if there is no recent contact with any endpoint of the service: then
      * it is more likely that this entry itself is cut off.
      */
     private List<EndpointCandidate> pool(
-            List<EndpointCandidate> candidates, List<EndpointCandidate> eligible, long nowMillis) {
+            List<EndpointCandidate> candidates,
+            List<EndpointCandidate> eligible,
+            long objectiveMillis,
+            long nowMillis) {
         List<EndpointCandidate> responsive =
                 EndpointCandidate.filter(eligible, candidate -> !eligibility.unresponsive(candidate, nowMillis));
         List<EndpointCandidate> healthy =
-                EndpointCandidate.filter(responsive, candidate -> candidate.healthy(nowMillis));
+                EndpointCandidate.filter(responsive, candidate -> candidate.healthy(objectiveMillis, nowMillis));
         if (!healthy.isEmpty()) {
             return healthy;
         }
--- a/src/main/java/org/micabarrow/serving/ServingMetrics.java
+++ b/src/main/java/org/micabarrow/serving/ServingMetrics.java
@@ -1,6 +1,7 @@
 package org.micabarrow.serving;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 
@@ -18,6 +19,7 @@
     final Counter rateLimited;
     final Counter placementRefused;
     final Timer firstByte;
+    private final Histogram firstEventOverPredicted;
 
     ServingMetrics(MetricRegistry registry) {
         received = registry.counter("requests.received");
@@ -31,6 +33,12 @@
         rateLimited = registry.counter("requests.overLimit");
         placementRefused = registry.counter("requests.refusedForPlacement");
         firstByte = registry.timer("requests.firstByte");
+        firstEventOverPredicted = registry.histogram("requests.firstEventOverPredictedPercent");
+    }
+
+    /** Records by how much a first event differed from its prediction: 100 is as predicted. */
+    void recordFirstEvent(double predictedMillis, long tookMillis) {
+        firstEventOverPredicted.update(Math.round(100 * tookMillis / Math.max(1, predictedMillis)));
     }
 
     /** Counts a request by its outcome. */
