Tell retries from first attempts when clients' patience differs by 15 in 100

Cause: a request counted as a retry when its stated time was shorter than usual by half of the delay that refused clients are told (0.15 of the usual time). Where clients wait for 0.85 to 1.15 of the mean, the upper quartile is taken as usual, so that every fifth first attempt counted as a retry once an entry had refused anybody, and got only what late requests get.

Change: three quarters of the delay (0.225). The shortest first attempt then lacks 0.22, a retry 0.25 and more.

--- a/src/main/java/org/micabarrow/admission/FirstAttemptEstimator.java
+++ b/src/main/java/org/micabarrow/admission/FirstAttemptEstimator.java
@@ -8,8 +8,8 @@
 /**
  * Estimates when a client made its first attempt from the time that it will still wait. Clients of a route state
  * similar but not equal times, and a client that retries after a refusal states what remains of its time. A request is
- * therefore taken for a retry only if its time is shorter than usual by at least half of the delay that a refused
- * client is told to wait, and only while the retry of a client refused here may still arrive. Not thread-safe: confined
+ * therefore taken for a retry only if its time is shorter than usual by most of the delay that a refused client is told
+ * to wait, and only while the retry of a client refused here may still arrive. Not thread-safe: confined
  * to one thread.
  */
 public final class FirstAttemptEstimator {
@@ -24,6 +24,13 @@
      */
     private static final double FIRST_ATTEMPT_QUANTILE = 0.75;
 
+    /**
+     * The part of the delay that a refused client is told to wait by which the time of a retry is at least shorter than
+     * usual. It separates retries from first attempts while the times of clients differ by up to a sixth of the usual
+     * one: the shortest first attempt then lacks 0.22 of the usual time, and a retry 0.25.
+     */
+    private static final double MIN_MISSING_FRACTION = 0.75;
+
     /** Time that a retrying client may need for its new connection, in milliseconds. */
     private static final long CONNECT_MILLIS = 1_000;
 
@@ -80,7 +87,8 @@
         }
         long usualMillis = samples.usualMillis();
         long missingMillis = usualMillis - statedMillis;
-        return missingMillis >= AdmissionControl.retryAfterMillis(usualMillis) / 2 ? missingMillis : 0;
+        double leastMissingMillis = AdmissionControl.retryAfterMillis(usualMillis) * MIN_MISSING_FRACTION;
+        return missingMillis >= leastMissingMillis ? missingMillis : 0;
     }
 
     private RouteSamples samplesOf(String route) {
