Divide the slots of endpoints by class over all entries

Cause: a slot that an entry's request leaves is taken by the entry's own queue, the most urgent first. With 14 entries an entry sees a slot some 22 times a second, so that an urgent request waits for one longer than its objective allows while other entries give theirs to work that has time. Of the most urgent class every sixth request was refused.

Change: entries measure arrivals and waiting requests by class (DemandMeter) and tell agents, which keep as many slots free as urgent requests arrive at all entries in a quarter of a second, at most a quarter of the slots (ClassAllotment); what is free beyond it goes by what entries turned away, as before. EndpointLoad applies the grants (SlotLimits). A class is the priority of the organisation, then that of the route; within it, organisations over their max-min part rank behind (OrganisationShares, with the use that agents add up over entries); classes, organisations and large prompts below their floor rank first (ServedFractions). Prompts of less urgent classes take up at most half of a more urgent objective at an endpoint. Less urgent requests that would wait in vain are refused at once (WaitForecast).

While an entry sees one priority it tells nothing, and agents allot as before: the plays with and without division are equal (ClassPlayTest), and so is each allotment (ClassAllotmentTest).

--- a/src/main/java/org/micabarrow/admission/SlotGrants.java
+++ b/src/main/java/org/micabarrow/admission/SlotGrants.java
@@ -2,12 +2,13 @@
 
 import java.util.List;
 import java.util.Objects;
+import org.micabarrow.routing.SlotLimits;
 
 /**
  * How an agent divides the free slots of its endpoint that it allots to one entry.
  *
  * @param classes the slots granted to each priority class, the most urgent first; a request may use slots of its own
- *     class and of less urgent ones
+ *     class and of less urgent ones, and none if neither its class nor a less urgent one is listed
  * @param organisations the organisations that use most over all entries, the heaviest first
  */
 public record SlotGrants(List<ClassSlots> classes, List<OrganisationUsage> organisations) {
@@ -27,6 +28,17 @@
         }
     }
 
+    /**
+     * Returns how many requests of each class may be sent.
+     *
+     * @return the limits, by class
+     */
+    public SlotLimits limits() {
+        return SlotLimits.of(classes.stream()
+                .map(one -> new SlotLimits.Limit(one.priority(), one.slots()))
+                .toList());
+    }
+
     /** Copies the lists, which must not be longer than what is told. */
     public SlotGrants {
         classes = List.copyOf(Objects.requireNonNull(classes, "classes is null"));
--- a/src/main/java/org/micabarrow/admission/WaitQueue.java
+++ b/src/main/java/org/micabarrow/admission/WaitQueue.java
@@ -2,7 +2,9 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
@@ -13,8 +15,8 @@
 public final class WaitQueue {
 
     /**
-     * Number of requests that may fail to start in one pass, before the rest are left for the next pass. Usually all of
-     * them lack the same thing, but a short prompt may find capacity where a long one does not.
+     * Number of requests of one priority that may fail to start in one pass, before the rest are left for the next
+     * pass. Usually all of them lack the same thing, but a short prompt may find capacity where a long one does not.
      */
     private static final int MAX_FAILED_STARTS = 4;
 
@@ -83,6 +85,17 @@
         return queue.size();
     }
 
+    /**
+     * Returns the number of requests that wait, by priority.
+     *
+     * @return a copy
+     */
+    public Map<Integer, Integer> sizeByPriority() {
+        Map<Integer, Integer> sizes = new TreeMap<>();
+        queue.forEach(queued -> sizes.merge(queued.priority(), 1, Integer::sum));
+        return sizes;
+    }
+
     /**
      * Starts the requests that find capacity, in order. Called when a slot may have become free; a reentrant call does
      * nothing.
@@ -101,11 +114,13 @@
 
     private void dispatchInOrder() {
         int failedStarts = 0;
+        int priority = Integer.MIN_VALUE;
         for (QueuedRequest queued : List.copyOf(queue)) {
-            if (failedStarts == MAX_FAILED_STARTS) {
-                return;
+            if (queued.priority() != priority) {
+                priority = queued.priority();
+                failedStarts = 0;
             }
-            if (!queue.contains(queued)) {
+            if (failedStarts == MAX_FAILED_STARTS || !queue.contains(queued)) {
                 continue;
             }
             if (queued.waiter().tryStart()) {
--- a/src/main/java/org/micabarrow/attempts/ClientRequest.java
+++ b/src/main/java/org/micabarrow/attempts/ClientRequest.java
@@ -61,9 +61,9 @@
     /**
      * Returns the class by which the request competes with others for capacity.
      *
-     * @return its priority and organisation
+     * @return its rank and organisation
      */
     public RequestClass requestClass() {
-        return new RequestClass(priority, organisation);
+        return new RequestClass(RequestClass.rank(priority, route.priority()), organisation);
     }
 }
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.stream.Stream;
+import org.micabarrow.admission.ClassAllotment;
 import org.micabarrow.admission.SlotAllotment;
 import org.micabarrow.clock.MonotonicClock;
 import org.micabarrow.platform.EndpointCalls;
@@ -130,6 +131,7 @@
         loadServer = Optional.of(LoadServer.start(
                 settings.listen().peers(),
                 this::told,
+                this::pool,
                 HostedNode::steadyMillis,
                 this::heard,
                 HostedNode.readerTrustMillis(settings.bounds())));
@@ -230,6 +232,14 @@
                 .orElse(LoadReport.UNLIMITED_SLOTS);
     }
 
+    /** The endpoints among which the requests of this agent's service are divided. */
+    private ClassAllotment.Pool pool() {
+        long endpoints = view().endpoints().values().stream()
+                .filter(one -> settings.service().filter(one.service()::equals).isPresent())
+                .count();
+        return new ClassAllotment.Pool(modelService().map(ModelProfile::slots).orElse(1), (int) endpoints);
+    }
+
     private boolean serves() {
         return keeper.mayHaveRequests();
     }
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.micabarrow.admission.EntryDemand;
+import org.micabarrow.admission.SlotGrants;
 import org.micabarrow.clock.MonotonicClock;
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.crashes.CrashRegistry;
@@ -108,7 +109,8 @@
                 HostedNode::steadyMillis,
                 this::news,
                 this::heard,
-                EntryDemand::none));
+                this::demand,
+                this::granted));
         CrashRegistry book = new CrashRegistry(bounds.crashMemoryMillis(), bounds.crashesKept(), this::endpoints);
         this.crashes = new CrashSharing(
                 node.crashRecords(),
@@ -201,6 +203,14 @@
                         reader.readsStoreDirectly()));
     }
 
+    private EntryDemand demand() {
+        return handler.demand();
+    }
+
+    private void granted(SlotGrants grants) {
+        handler.granted(grants);
+    }
+
     /** An agent told of the entry that reads the store for the region. */
     private void heard(StoreUpdate.ReaderState told) {
         reader.onUpdate(told.peer(), new ChangeOffsets(told.operatorOffset(), 0), told.asOfMillis());
--- a/src/main/java/org/micabarrow/routing/EndpointCapacity.java
+++ b/src/main/java/org/micabarrow/routing/EndpointCapacity.java
@@ -66,7 +66,7 @@
         if (request.model().isEmpty()) {
             return requests < endpoint.slots() * PLAIN_REQUESTS_PER_SLOT;
         }
-        if (!load.hasAllottedSlot(nowMillis)) {
+        if (!load.hasAllottedSlot(request.requestClass().priority(), nowMillis)) {
             return false;
         }
         double maxRequests = endpoint.slots() * MODEL_REQUESTS_PER_SLOT;
@@ -77,7 +77,9 @@
                     && queueMillis < request.objectiveMillis() * LATE_WAIT_FRACTION
                     && predictedMillis < request.remainingMillis();
         }
-        return requests < maxRequests && predictedMillis < firstEventLimitMillis(request);
+        return requests < maxRequests
+                && predictedMillis < firstEventLimitMillis(request)
+                && request.requestClass().delaysNoneMoreUrgent(predictedMillis, loadedMillis(request, requests));
     }
 
     /**
@@ -106,6 +108,11 @@
         return firstEventMillis(model, 0, promptTokens);
     }
 
+    /** Predicts the time until the first event at an endpoint that has processed all prompts. */
+    private static double loadedMillis(RoutingRequest request, int requests) {
+        return firstEventMillis(request.model().get(), requests, request.promptTokens());
+    }
+
     /**
      * Predicts the time until the first event: the steps in progress, the prompts ahead and the request's own prompt,
      * and its first steps.
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -16,6 +16,7 @@
     private int inFlight;
     private int pendingPromptTokens;
     private LoadReport report = new LoadReport(0, 0, false, 0);
+    private SlotLimits slotLimits = SlotLimits.undivided();
     private int inFlightWhenReported;
     private long reportedAtMillis = -REPORT_EXPIRY_MILLIS - 1;
     private long lastDataMillis;
@@ -123,6 +124,7 @@
      */
     public void reported(LoadReport newReport, long delayMillis, long nowMillis) {
         report = newReport;
+        slotLimits = SlotLimits.undivided();
         link.measured(delayMillis, nowMillis);
         inFlightWhenReported = inFlight;
         reportedAtMillis = nowMillis;
@@ -131,6 +133,15 @@
         version = Math.max(version, newReport.version());
     }
 
+    /**
+     * Records how the agent divides the slots of its last report by class.
+     *
+     * @param limits the limits, which hold until the next report
+     */
+    public void slotsDivided(SlotLimits limits) {
+        slotLimits = Objects.requireNonNull(limits, "limits is null");
+    }
+
     /**
      * Records that the agent reported another start of the endpoint. Nothing known about this start is used until the
      * agent reports this start again.
@@ -279,11 +290,13 @@
      * occupy, which it may reuse when they end, and the free ones that the agent allotted to it. Without allotment all
      * entries would use the same reported free slot, and all but the first request would wait inside the endpoint.
      *
+     * @param priority the priority of the request's class, 0 is the most urgent
      * @param nowMillis the time on the monotonic clock
      * @return true also if the agent does not allot slots or has not reported recently
      */
-    public boolean hasAllottedSlot(long nowMillis) {
-        return !hasRecentReport(nowMillis) || inFlight - inFlightWhenReported < report.allottedSlots();
+    public boolean hasAllottedSlot(int priority, long nowMillis) {
+        return !hasRecentReport(nowMillis)
+                || slotLimits.allow(priority, inFlight - inFlightWhenReported, report.allottedSlots());
     }
 
     // -- backoff
--- a/src/main/java/org/micabarrow/serving/EntryWaitQueue.java
+++ b/src/main/java/org/micabarrow/serving/EntryWaitQueue.java
@@ -1,5 +1,6 @@
 package org.micabarrow.serving;
 
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.micabarrow.admission.SlotWait;
@@ -62,6 +63,10 @@
         return queue.size();
     }
 
+    Map<Integer, Integer> sizeByPriority() {
+        return queue.sizeByPriority();
+    }
+
     /**
      * Serves the queue after a response has begun or a request has left its endpoint. Exceptions of waiting requests
      * are not propagated to that request.
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -56,6 +56,7 @@
         deadlineTimer =
                 Optional.of(thread.executeAfter(() -> end("time is up"), times.maxHoldMillis(), TimeUnit.MILLISECONDS));
         context.inFlight().add(this);
+        context.recordArrival(request, objectiveMissed());
         decideNext("first");
     }
 
@@ -122,7 +123,8 @@
     public void decided(Decision decision, String reason) {
         switch (decision) {
             case Decision.Send(EndpointSelection.Selected selected) -> sendOrQueryAgent(selected, reason);
-            case Decision.Wait wait when !response.started() -> waitForSlot(wait, reason);
+            case Decision.Wait wait
+            when !response.started() && !context.classes().waitsInVain(request, wait) -> waitForSlot(wait, reason);
             case Decision.Wait(long ignored, int endpoints) -> refuseWithoutSlot(endpoints);
             case Decision.Full(int endpoints) -> refuseWithoutSlot(endpoints);
             case Decision.Unable ignored -> concludeWithoutResponse("no endpoint can serve");
@@ -144,10 +146,8 @@
     }
 
     private void refuseWithoutSlot(int endpoints) {
-        context.countRefusedForCapacity(request);
-        String capacity =
-                objectiveMissed() ? "room to spare for a request whose objective is over" : "room within its objective";
-        concludeWithoutResponse("none of " + endpoints + " endpoints has " + capacity);
+        concludeWithoutResponse(context.recordRefusedForCapacity(
+                request, millisUntilObjective(), endpoints, attempts.triedEndpoints()));
     }
 
     /**
@@ -163,7 +163,8 @@
 
     private void waitForSlot(Decision.Wait wait, String reason) {
         log.waitsForSlot(wait, millisUntilObjective());
-        slotWait.begin(request.priority(), context.nowMillis() + wait.millis(), reason);
+        slotWait.begin(
+                context.classes().competing(request, false).priority(), context.nowMillis() + wait.millis(), reason);
     }
 
     @Override
@@ -207,6 +208,7 @@
     private void send(EndpointSelection.Selected selected, String reason) {
         EndpointRegistration endpoint = selected.endpoint();
         attempts.sent(endpoint.id());
+        context.recordAttempt(request, attempts.count(), objectiveMissed());
         log.sent(selected, reason, attempts.count(), millisUntilObjective(), remainingMillis());
         Attempt attempt = new Attempt(this, selected);
         currentAttempt = Optional.of(attempt);
--- a/src/main/java/org/micabarrow/serving/ServingContext.java
+++ b/src/main/java/org/micabarrow/serving/ServingContext.java
@@ -12,6 +12,7 @@
 import org.micabarrow.crashes.LazyDigest;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
+import org.micabarrow.routing.RequestClass;
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.routing.RoutingRequest;
 import org.micabarrow.transport.HttpClient;
@@ -34,6 +35,7 @@
     private final FirstAttemptEstimator firstAttempts = new FirstAttemptEstimator();
     private final AdmissionControl admission;
     private final EntryWaitQueue waitQueue;
+    private final RequestClasses classes;
     private final SuspectAdmission suspects;
     private final CrashDetector crashes;
 
@@ -48,6 +50,8 @@
         this.metrics = new ServingMetrics(dependencies.registry());
         this.admission = new AdmissionControl(dependencies.selector());
         this.waitQueue = new EntryWaitQueue(dependencies.monotonicMillis());
+        this.classes = new RequestClasses(
+                dependencies.selector(), waitQueue, dependencies.registry(), dependencies.monotonicMillis());
         this.suspects = new SuspectAdmission(dependencies.crashes().registry(), dependencies.selector(), admission);
         this.crashes = new CrashDetector(dependencies.crashes(), dependencies.monotonicMillis());
     }
@@ -94,6 +98,10 @@
         return waitQueue;
     }
 
+    RequestClasses classes() {
+        return classes;
+    }
+
     SuspectAdmission suspects() {
         return suspects;
     }
@@ -153,13 +161,40 @@
         return dependencies.selector().withinRateLimit(endpoint, nowMillis());
     }
 
-    /** Counts a request that is refused for lack of a free slot; agents allot their endpoints' slots by this count. */
-    void countRefusedForCapacity(ClientRequest request) {
+    // -- classes
+
+    /** Records the arrival of a request; only requests for models compete by class. */
+    void recordArrival(ClientRequest request, boolean late) {
         if (versions.model(request).isPresent()) {
-            dependencies.selector().unmetDemand().refused(nowMillis());
+            classes.arrived(request, late);
+        }
+    }
+
+    /** Records an attempt of a request; only the first one takes a slot from its class. */
+    void recordAttempt(ClientRequest request, int number, boolean late) {
+        if (number == 1 && versions.model(request).isPresent()) {
+            classes.sent(request, late);
         }
     }
 
+    /** Records a refusal for lack of a free slot, and returns the reason for it. */
+    String recordRefusedForCapacity(
+            ClientRequest request, long millisUntilObjective, int endpoints, Set<String> tried) {
+        if (versions.model(request).isEmpty()) {
+            return "none of " + endpoints + " endpoints has room";
+        }
+        return classes.refused(
+                request,
+                millisUntilObjective <= 0,
+                endpoints,
+                requestClass -> admission.decide(
+                        view().endpointsOf(request.service()),
+                        routingRequest(request, millisUntilObjective, tried, requestClass),
+                        nowMillis()));
+    }
+
+    // -- decisions
+
     /** Decides how to handle a request, given the time that is left until its objective. */
     Decision decide(ClientRequest request, LazyDigest digest, long millisUntilObjective, Set<String> tried) {
         List<EndpointRegistration> endpoints = view().endpointsOf(request.service());
@@ -167,6 +202,14 @@
     }
 
     private RoutingRequest routingRequest(ClientRequest request, long millisUntilObjective, Set<String> tried) {
+        RequestClass competing = versions.model(request).isPresent()
+                ? classes.competing(request, millisUntilObjective <= 0)
+                : request.requestClass();
+        return routingRequest(request, millisUntilObjective, tried, competing);
+    }
+
+    private RoutingRequest routingRequest(
+            ClientRequest request, long millisUntilObjective, Set<String> tried, RequestClass requestClass) {
         return new RoutingRequest(
                 request.size(),
                 request.route().objectiveMillis(),
@@ -177,7 +220,7 @@
                 versions.newestNamed(request),
                 tried,
                 request.allowedRegions(),
-                request.requestClass());
+                requestClass);
     }
 
     /** Whether an endpoint's agent must be queried before the request is sent there. */
@@ -221,7 +264,8 @@
         return dependencies
                 .selector()
                 .untilBackoffEndsMillis(endpoints, routingRequest(request, 0, Set.of()), nowMillis())
-                .orElseGet(() -> AdmissionControl.retryAfterMillis(request.deadlineMillis() - nowMillis()));
+                .orElseGet(() -> classes.retryAfterMillis(
+                        request, AdmissionControl.retryAfterMillis(request.deadlineMillis() - nowMillis())));
     }
 
     /** Records that a client is refused and when it is told to retry; returns the retry delay. */
--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -13,6 +13,8 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.micabarrow.admission.EntryDemand;
+import org.micabarrow.admission.SlotGrants;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.routing.EndpointRegistration;
@@ -157,6 +159,26 @@
         context.inFlight().endAll("this entry stops");
     }
 
+    // -- agents
+
+    /**
+     * Returns the demand that agents are told; on the traffic thread.
+     *
+     * @return the demand of the requests for models
+     */
+    public EntryDemand demand() {
+        return context.classes().demand();
+    }
+
+    /**
+     * Records what an agent grants; on the traffic thread.
+     *
+     * @param grants the grants
+     */
+    public void granted(SlotGrants grants) {
+        context.classes().granted(grants);
+    }
+
     // -- requests
 
     @Override
--- a/src/main/java/org/micabarrow/transport/LoadPoller.java
+++ b/src/main/java/org/micabarrow/transport/LoadPoller.java
@@ -19,6 +19,7 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.micabarrow.admission.EntryDemand;
+import org.micabarrow.admission.SlotGrants;
 import org.micabarrow.limits.RateLimitUpdate;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
@@ -86,6 +87,7 @@
      *     contact with the store
      * @param onReader receives what agents report about the entry that reads the store for the region
      * @param demand the demand of the entry's clients, which agents divide their slots by; called on the traffic thread
+     * @param onGrants receives what agents grant; called on the traffic thread
      */
     public record Dependencies(
             Common.Place place,
@@ -98,7 +100,8 @@
             LongSupplier monotonicMillis,
             Supplier<Optional<StoreUpdate>> storeUpdate,
             Consumer<StoreUpdate.ReaderState> onReader,
-            Supplier<EntryDemand> demand) {
+            Supplier<EntryDemand> demand,
+            Consumer<SlotGrants> onGrants) {
 
         /** Checks that no component is null. */
         public Dependencies {
@@ -112,6 +115,7 @@
             Objects.requireNonNull(storeUpdate, "storeUpdate is null");
             Objects.requireNonNull(onReader, "onReader is null");
             Objects.requireNonNull(demand, "demand is null");
+            Objects.requireNonNull(onGrants, "onGrants is null");
         }
     }
 
@@ -340,10 +344,13 @@
         long now = dependencies.monotonicMillis().getAsLong();
         long delay = now - sentMillis.getAsLong();
         reply.rank().ifPresent(rank -> dependencies.selector().entryCount().reported(rank.entries(), now));
+        Optional<SlotGrants> grants = reply.extension().flatMap(LoadMessages.ReplyExtension::grants);
+        grants.ifPresent(dependencies.onGrants());
         for (EndpointStart start : endpoints) {
             EndpointLoad load = dependencies.selector().load(start);
             if (start.mayHaveToken(reply.report().start())) {
                 load.reported(reply.report(), delay, now);
+                grants.map(SlotGrants::limits).ifPresent(load::slotsDivided);
                 reply.rank().ifPresent(load.rateLimit()::rankReported);
                 reply.rateLimit()
                         .filter(rateLimit -> rateLimit.concerns(start.id()))
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -8,11 +8,12 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import org.micabarrow.admission.SlotAllotment;
+import org.micabarrow.admission.ClassAllotment;
 import org.micabarrow.limits.RateLimitRelay;
 import org.micabarrow.routing.LoadReport;
 import org.micabarrow.steps.RepeatedTasks;
 import org.micabarrow.transport.EntryQueries.EntryQuery;
+import org.micabarrow.transport.LoadMessages.ReplyExtension;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -23,21 +24,24 @@
 
     private final DatagramChannel channel;
     private final Supplier<Optional<LoadReport>> endpoint;
+    private final Supplier<ClassAllotment.Pool> pool;
     private final LongSupplier monotonicMillis;
     private final BiConsumer<String, StoreUpdate> onStoreUpdate;
     private final EntryQueries entries;
     private final RateLimitRelay limitRelay = new RateLimitRelay();
-    private final SlotAllotment slotAllotment = new SlotAllotment(RandomGenerator.of("L64X128MixRandom"));
+    private final ClassAllotment slotAllotment = new ClassAllotment(RandomGenerator.of("L64X128MixRandom"));
 
     private LoadServer(
             DatagramChannel channel,
             String address,
             Supplier<Optional<LoadReport>> endpoint,
+            Supplier<ClassAllotment.Pool> pool,
             LongSupplier monotonicMillis,
             BiConsumer<String, StoreUpdate> onStoreUpdate,
             long maxStoreAgeMillis) {
         this.channel = channel;
         this.endpoint = endpoint;
+        this.pool = pool;
         this.monotonicMillis = monotonicMillis;
         this.onStoreUpdate = onStoreUpdate;
         this.entries = new EntryQueries(maxStoreAgeMillis, address);
@@ -48,6 +52,7 @@
      *
      * @param address the host and port
      * @param endpoint what is known of the endpoint, with all its free slots; empty while it does not respond
+     * @param pool the endpoints of the same service
      * @param monotonicMillis a monotonic clock, in milliseconds
      * @param onStoreUpdate receives the store updates of entries, each with the host and port at which the entry serves
      *     records
@@ -59,16 +64,18 @@
     public static LoadServer start(
             String address,
             Supplier<Optional<LoadReport>> endpoint,
+            Supplier<ClassAllotment.Pool> pool,
             LongSupplier monotonicMillis,
             BiConsumer<String, StoreUpdate> onStoreUpdate,
             long maxStoreAgeMillis)
             throws IOException {
         Objects.requireNonNull(endpoint, "endpoint is null");
+        Objects.requireNonNull(pool, "pool is null");
         Objects.requireNonNull(monotonicMillis, "monotonicMillis is null");
         Objects.requireNonNull(onStoreUpdate, "onStoreUpdate is null");
         DatagramChannel channel = DatagramChannel.open().bind(Addresses.parse(address));
         LoadServer server =
-                new LoadServer(channel, address, endpoint, monotonicMillis, onStoreUpdate, maxStoreAgeMillis);
+                new LoadServer(channel, address, endpoint, pool, monotonicMillis, onStoreUpdate, maxStoreAgeMillis);
         Thread.ofPlatform().name("load-server").daemon().start(server::serve);
         return server;
     }
@@ -124,30 +131,37 @@
     private void sendReply(EntryQuery entryQuery) throws IOException {
         Optional<LoadReport> report = endpoint.get();
         if (report.isPresent()) {
-            sendReply(entryQuery, report.get(), allottedSlots(entryQuery.query(), report.get()));
+            sendReply(entryQuery, report.get(), allotment(entryQuery.query(), report.get()));
         }
     }
 
-    private int allottedSlots(LoadMessages.Query query, LoadReport report) {
+    private ClassAllotment.Allotment allotment(LoadMessages.Query query, LoadReport report) {
         if (report.allottedSlots() == LoadReport.UNLIMITED_SLOTS) {
-            return LoadReport.UNLIMITED_SLOTS;
+            return new ClassAllotment.Allotment(LoadReport.UNLIMITED_SLOTS, Optional.empty());
         }
         synchronized (slotAllotment) {
             return slotAllotment.allot(
-                    query.entry(), query.unmetRequests(), report.allottedSlots(), monotonicMillis.getAsLong());
+                    query.entry(),
+                    query.unmetRequests(),
+                    query.demand(),
+                    report.allottedSlots(),
+                    pool,
+                    monotonicMillis.getAsLong());
         }
     }
 
-    private void sendReply(EntryQuery entryQuery, LoadReport report, int slots) throws IOException {
+    private void sendReply(EntryQuery entryQuery, LoadReport report, ClassAllotment.Allotment allotment)
+            throws IOException {
         long now = monotonicMillis.getAsLong();
         EntryQueries.OtherEntries others = entries.others(entryQuery, now);
         LoadMessages.Reply reply = new LoadMessages.Reply(
                 entryQuery.query().number(),
-                report.forEntry(others.promptTokens(), slots),
+                report.forEntry(others.promptTokens(), allotment.slots()),
                 others.reader(),
                 now,
                 others.rank(),
-                limitRelay.update(now));
+                limitRelay.update(now),
+                Optional.of(new ReplyExtension(allotment.grants())));
         // An entry appends fields as soon as it knows that the agent reads them; a former build appends none.
         boolean readsAppendedFields = entryQuery.query().demand().isPresent();
         channel.send(
--- a/src/test/java/org/micabarrow/play/LoadSetting.java
+++ b/src/test/java/org/micabarrow/play/LoadSetting.java
@@ -17,6 +17,9 @@
  * @param retryAfterPart the part of its time after which a refused caller comes back
  * @param patience how long callers wait
  * @param slow which engines are slow for a while
+ * @param streams who calls; empty for requests of three kinds and one priority, {@code perSecond} of them
+ * @param divided whether agents divide slots by class
+ * @param faults what fails
  * @param seed decides all that is random
  */
 record LoadSetting(
@@ -30,8 +33,40 @@
         double retryAfterPart,
         Patience patience,
         Optional<Slow> slow,
+        List<CallerStream> streams,
+        boolean divided,
+        Faults faults,
         long seed) {
 
+    LoadSetting(
+            List<Double> entryShares,
+            int engines,
+            ModelProfile model,
+            double perSecond,
+            long askMillis,
+            long lookMillis,
+            boolean dealt,
+            double retryAfterPart,
+            Patience patience,
+            Optional<Slow> slow,
+            long seed) {
+        this(
+                entryShares,
+                engines,
+                model,
+                perSecond,
+                askMillis,
+                lookMillis,
+                dealt,
+                retryAfterPart,
+                patience,
+                slow,
+                List.of(),
+                false,
+                Faults.NONE,
+                seed);
+    }
+
     /**
      * Engines that are slow for a while.
      *
@@ -42,6 +77,20 @@
      */
     record Slow(double part, double times, double fromMillis, double toMillis) {}
 
+    /**
+     * What fails.
+     *
+     * @param lostPart the part of the questions to agents that gets lost
+     * @param silentAgents the number of agents that stop answering
+     * @param formerEntries the number of entries of the build before, which tell no demand
+     * @param dyingEntries the number of entries that stop without a word, with what was granted to them
+     * @param fromMillis when agents fall silent and entries stop
+     */
+    record Faults(double lostPart, int silentAgents, int formerEntries, int dyingEntries, double fromMillis) {
+
+        static final Faults NONE = new Faults(0, 0, 0, 0, Double.POSITIVE_INFINITY);
+    }
+
     /**
      * How long callers wait, and where they come back.
      *
--- a/src/test/java/org/micabarrow/play/Tally.java
+++ b/src/test/java/org/micabarrow/play/Tally.java
@@ -15,6 +15,43 @@
     final Map<String, Integer> askedAt = new HashMap<>();
     final Map<String, Integer> inTimeAt = new HashMap<>();
 
+    /** What callers got by kind, by kind and organisation, by kind and second, and by kind and size. */
+    private final Map<String, Part> parts = new HashMap<>();
+
+    /** What some of the callers got. */
+    static final class Part {
+        int asked;
+        int inTime;
+        int late;
+        int refusedForGood;
+
+        double inTimePart() {
+            return asked == 0 ? 1 : (double) inTime / asked;
+        }
+
+        double servedPart() {
+            return asked == 0 ? 1 : (double) (inTime + late) / asked;
+        }
+
+        @Override
+        public String toString() {
+            return "%d asked, %.3f in time, %.3f served".formatted(asked, inTimePart(), servedPart());
+        }
+    }
+
+    Part of(String label) {
+        return parts.computeIfAbsent(label, name -> new Part());
+    }
+
+    /** The least part in time of a kind of request in any second in which some were asked for. */
+    double worstSecond(String kind) {
+        return parts.entrySet().stream()
+                .filter(one -> one.getKey().startsWith(kind + "@"))
+                .mapToDouble(one -> one.getValue().inTimePart())
+                .min()
+                .orElse(1);
+    }
+
     double inTimePart() {
         return (double) inTime / asked;
     }
--- a/src/test/java/org/micabarrow/transport/LoadPollerTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadPollerTest.java
@@ -79,7 +79,8 @@
                 () -> System.nanoTime() / 1_000_000,
                 Optional::empty,
                 readers::add,
-                EntryDemand::none));
+                EntryDemand::none,
+                grants -> {}));
     }
 
     @AfterEach
--- a/src/test/java/org/micabarrow/transport/LoadServerTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadServerTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.admission.ClassAllotment;
 import org.micabarrow.limits.EntryRank;
 import org.micabarrow.limits.RateLimitUpdate;
 import org.micabarrow.routing.LoadReport;
@@ -38,6 +39,8 @@
         entry.send(new DatagramPacket(query.array(), query.limit(), agent));
     }
 
+    private static final Supplier<ClassAllotment.Pool> POOL = () -> new ClassAllotment.Pool(12, 1);
+
     @Test
     void shouldKeepReplyingWhenOneReplyFails() throws Exception {
         AtomicBoolean failed = new AtomicBoolean();
@@ -51,7 +54,12 @@
             entry.setSoTimeout(HANG_MILLIS);
             InetSocketAddress agent = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
             LoadServer.start(
-                    "127.0.0.1:" + agent.getPort(), endpoint, () -> 0, (peer, update) -> {}, MAX_STORE_AGE_MILLIS);
+                    "127.0.0.1:" + agent.getPort(),
+                    endpoint,
+                    POOL,
+                    () -> 0,
+                    (peer, update) -> {},
+                    MAX_STORE_AGE_MILLIS);
             sendQuery(entry, agent, 1);
             sendQuery(entry, agent, 2);
             DatagramPacket packet = new DatagramPacket(new byte[512], 512);
@@ -128,6 +136,7 @@
         LoadServer.start(
                 "127.0.0.1:" + agent.getPort(),
                 () -> Optional.of(IDLE),
+                POOL,
                 now::get,
                 (peer, storeUpdate) -> {},
                 MAX_STORE_AGE_MILLIS);
