--- a/src/main/java/org/micabarrow/admission/ClassAdmission.java
+++ b/src/main/java/org/micabarrow/admission/ClassAdmission.java
@@ -64,7 +64,7 @@
      */
     public RequestClass competing(RequestClass requestClass, RequestSize size, boolean late, long nowMillis) {
         if (!divided) {
-            return requestClass;
+            return new RequestClass(level(requestClass, Standing.USUAL), requestClass.organisation());
         }
         return new RequestClass(
                 late ? LEAST_URGENT : level(requestClass, standing(requestClass, size, nowMillis)),
--- a/src/main/java/org/micabarrow/serving/RequestClasses.java
+++ b/src/main/java/org/micabarrow/serving/RequestClasses.java
@@ -51,12 +51,14 @@
         return admission.competing(request.requestClass(), request.size(), late, now());
     }
 
-    /** Whether a request that arrives would wait in vain, so that it is refused at once. */
-    boolean waitsInVain(ClientRequest request, Decision.Wait wait) {
-        return admission
+    /** Whether a request without a free slot waits; it is refused at once if it would probably wait in vain. */
+    boolean waits(ClientRequest request, Decision.Wait wait) {
+        boolean inVain = admission
                         .expectedWaitMillis(competing(request, false), waitQueue.sizeByPriority(), now())
                         .orElse(0)
                 > wait.millis();
+        counter(request, inVain ? "refusedEarly" : "waiting").inc();
+        return !inVain;
     }
 
     /** The delay after which a refused client is told to retry, given the usual one. */
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -124,7 +124,7 @@
         switch (decision) {
             case Decision.Send(EndpointSelection.Selected selected) -> sendOrQueryAgent(selected, reason);
             case Decision.Wait wait
-            when !response.started() && !context.classes().waitsInVain(request, wait) -> waitForSlot(wait, reason);
+            when !response.started() && context.classes().waits(request, wait) -> waitForSlot(wait, reason);
             case Decision.Wait(long ignored, int endpoints) -> refuseWithoutSlot(endpoints);
             case Decision.Full(int endpoints) -> refuseWithoutSlot(endpoints);
             case Decision.Unable ignored -> concludeWithoutResponse("no endpoint can serve");
--- a/src/test/java/org/micabarrow/admission/ClassAdmissionTest.java
+++ b/src/test/java/org/micabarrow/admission/ClassAdmissionTest.java
@@ -51,8 +51,10 @@
     void shouldChangeNothingWhenAllHaveOnePriority() {
         arrive(BATCH, 100);
         end(BATCH, SIZE, 1, 99);
-        assertEquals(BATCH, admission.competing(BATCH, SIZE, false, NOW));
-        assertEquals(BATCH, admission.competing(BATCH, SIZE, true, NOW));
+        RequestClass competing = admission.competing(BATCH, SIZE, false, NOW);
+        assertEquals(competing, admission.competing(BATCH, SIZE, true, NOW));
+        assertEquals(competing, admission.competing(of(2, "a"), RequestSize.ofPrompt(4_000), false, NOW));
+        assertEquals(OptionalLong.empty(), competing.maxFirstEventMillis());
         assertEquals(EntryDemand.none(), admission.demand(Map.of(2, 5), NOW));
         assertEquals(OptionalLong.empty(), admission.expectedWaitMillis(BATCH, Map.of(2, 50), NOW));
         assertEquals(1_800, admission.retryAfterMillis(BATCH, Map.of(2, 50), 1_800, NOW));
@@ -73,6 +75,12 @@
         arrive(URGENT, 10);
         assertTrue(level(URGENT) < level(BATCH));
         assertEquals(LEAST_URGENT, admission.competing(URGENT, SIZE, true, NOW).priority());
+        assertEquals(
+                OptionalLong.empty(),
+                admission.competing(URGENT, SIZE, false, NOW).maxFirstEventMillis());
+        assertEquals(
+                OptionalLong.of(200),
+                admission.competing(BATCH, SIZE, false, NOW).maxFirstEventMillis());
     }
 
     @Test
--- a/src/test/java/org/micabarrow/admission/WaitQueueTest.java
+++ b/src/test/java/org/micabarrow/admission/WaitQueueTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.admission.WaitQueue.QueuedRequest;
 
@@ -96,6 +97,26 @@
         assertEquals(1, queue.size());
     }
 
+    @Test
+    void shouldTryOtherPrioritiesWhenMoreUrgentOnesFindNoCapacity() {
+        for (int i = 0; i < 6; i++) {
+            queue.enqueue(0, 100 + i, new WaitQueue.Waiter() {
+                @Override
+                public boolean tryStart() {
+                    return false;
+                }
+
+                @Override
+                public void expired() {}
+            });
+        }
+        enqueue("less urgent", 1, 200);
+        freeSlots = 1;
+        queue.dispatch();
+        assertEquals(List.of("less urgent"), started);
+        assertEquals(Map.of(0, 6), queue.sizeByPriority());
+    }
+
     @Test
     void shouldDispatchOnceWhenStartingRequestFreesCapacity() {
         queue.enqueue(1, 100, new WaitQueue.Waiter() {
--- a/src/test/java/org/micabarrow/transport/LoadPollerTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadPollerTest.java
@@ -27,6 +27,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.micabarrow.admission.EntryDemand;
+import org.micabarrow.admission.SlotGrants;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.EndpointSelector;
@@ -47,6 +48,7 @@
     /** The same for the timeout of a socket, in milliseconds. */
     private static final int HANG_MILLIS = 10_000;
 
+    private final List<SlotGrants> granted = new CopyOnWriteArrayList<>();
     private final EndpointSelector selector = new EndpointSelector("region-a", Map.of("hall-a", "region-a"));
     private final EndpointRegistration endpoint =
             EndpointRegistration.of("a", "models", "127.0.0.1:80", "hall-a", 4, false, Map.of("m", 1L), 16);
@@ -80,7 +82,7 @@
                 Optional::empty,
                 readers::add,
                 EntryDemand::none,
-                grants -> {}));
+                granted::add));
     }
 
     @AfterEach
@@ -245,4 +247,35 @@
                 .execute(() -> version.complete(ownSelector.load(LISTED).version()));
         assertEquals(2L, version.get(MAX_SECONDS, TimeUnit.SECONDS));
     }
+
+    @Test
+    @Timeout(MAX_SECONDS)
+    void shouldApplyGrantsWhenAgentDividesSlots() throws Exception {
+        SlotGrants grants = new SlotGrants(List.of(new SlotGrants.ClassSlots(0, 2)), List.of());
+        EndpointSelector ownSelector = new EndpointSelector("region-a", Map.of("hall-a", "region-a"));
+        poller(twoAtOneHost(), ownSelector).start(() -> {});
+        agent.setSoTimeout((int) TimeUnit.SECONDS.toMillis(MAX_SECONDS));
+        while (granted.isEmpty()) {
+            DatagramPacket query = receiveQuery();
+            int number = LoadMessages.readQuery(Arrays.copyOf(query.getData(), query.getLength()))
+                    .number();
+            ByteBuffer reply = LoadMessages.write(new LoadMessages.Reply(
+                    number,
+                    new LoadReport(1, 0, false, 1, 2),
+                    Optional.empty(),
+                    0,
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.of(new LoadMessages.ReplyExtension(Optional.of(grants)))));
+            agent.send(new DatagramPacket(reply.array(), reply.limit(), query.getSocketAddress()));
+        }
+        assertEquals(grants, granted.getFirst());
+        CompletableFuture<List<Boolean>> allowed = new CompletableFuture<>();
+        worker.getIoThread().execute(() -> {
+            EndpointLoad load = ownSelector.load("a");
+            long now = System.nanoTime() / 1_000_000;
+            allowed.complete(List.of(load.hasAllottedSlot(0, now), load.hasAllottedSlot(1, now)));
+        });
+        assertEquals(List.of(true, false), allowed.get(MAX_SECONDS, TimeUnit.SECONDS));
+    }
 }
--- a/src/test/java/org/micabarrow/transport/LoadServerTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadServerTest.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -20,6 +21,10 @@
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.admission.ClassAllotment;
+import org.micabarrow.admission.ClassDemand;
+import org.micabarrow.admission.EntryDemand;
+import org.micabarrow.admission.OrganisationUsage;
+import org.micabarrow.admission.SlotGrants;
 import org.micabarrow.limits.EntryRank;
 import org.micabarrow.limits.RateLimitUpdate;
 import org.micabarrow.routing.LoadReport;
@@ -71,6 +76,43 @@
         }
     }
 
+    // -- classes
+
+    @Test
+    void shouldDivideSlotsByClassWhenEntryTellsDemand() throws Exception {
+        try (DatagramSocket entry = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            entry.setSoTimeout(HANG_MILLIS);
+            InetSocketAddress agent = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
+            LoadReport twoFree = new LoadReport(10, 0, false, 1, 2);
+            LoadServer.start(
+                    "127.0.0.1:" + agent.getPort(),
+                    () -> Optional.of(twoFree),
+                    POOL,
+                    () -> 0,
+                    (peer, update) -> {},
+                    MAX_STORE_AGE_MILLIS);
+            EntryDemand demand = new EntryDemand(
+                    List.of(new ClassDemand(0, 8, 0), new ClassDemand(4, 50, 3)),
+                    List.of(new OrganisationUsage(17, 900)));
+            LoadMessages.Reply divided = exchange(entry, agent, Optional.of(demand));
+            SlotGrants grants = divided.extension().orElseThrow().grants().orElseThrow();
+            assertEquals(List.of(new OrganisationUsage(17, 900)), grants.organisations());
+            assertEquals(0, grants.classes().getFirst().priority());
+            LoadMessages.Reply former = exchange(entry, agent, Optional.empty());
+            assertEquals(Optional.empty(), former.extension().orElseThrow().grants(), "a former build tells no demand");
+        }
+    }
+
+    private static LoadMessages.Reply exchange(
+            DatagramSocket entry, InetSocketAddress agent, Optional<EntryDemand> demand) throws IOException {
+        ByteBuffer query = LoadMessages.write(new LoadMessages.Query(
+                "entry", 0, 1, 0, false, Optional.empty(), OptionalLong.empty(), Optional.empty(), demand));
+        entry.send(new DatagramPacket(query.array(), query.limit(), agent));
+        DatagramPacket packet = new DatagramPacket(new byte[512], 512);
+        entry.receive(packet);
+        return LoadMessages.readReply(Arrays.copyOf(packet.getData(), packet.getLength()));
+    }
+
     // -- reader of the region
 
     /** An entry that sends queries from its own socket. */
