--- a/src/test/java/org/micabarrow/play/LoadSetting.java
+++ b/src/test/java/org/micabarrow/play/LoadSetting.java
@@ -19,6 +19,9 @@
  * @param patience how long callers wait
  * @param slow which engines are slow for a while
  * @param uneven what else differs between engines
+ * @param streams who calls; empty for requests of three kinds and one priority, {@code perSecond} of them
+ * @param divided whether agents divide slots by class
+ * @param faults what fails
  * @param seed decides all that is random
  */
 record LoadSetting(
@@ -33,6 +36,9 @@
         Patience patience,
         Optional<Slow> slow,
         Uneven uneven,
+        List<CallerStream> streams,
+        boolean divided,
+        Faults faults,
         long seed) {
 
     LoadSetting(
@@ -59,6 +65,9 @@
                 patience,
                 slow,
                 Uneven.NONE,
+                List.of(),
+                false,
+                Faults.NONE,
                 seed);
     }
 
@@ -72,6 +81,20 @@
      */
     record Slow(double part, double times, double fromMillis, double toMillis) {}
 
+    /**
+     * What fails.
+     *
+     * @param lostPart the part of the questions to agents that gets lost
+     * @param silentAgents the number of agents that stop answering
+     * @param formerEntries the number of entries of the build before, which tell no demand
+     * @param dyingEntries the number of entries that stop without a word, with what was granted to them
+     * @param fromMillis when agents fall silent and entries stop
+     */
+    record Faults(double lostPart, int silentAgents, int formerEntries, int dyingEntries, double fromMillis) {
+
+        static final Faults NONE = new Faults(0, 0, 0, 0, Double.POSITIVE_INFINITY);
+    }
+
     /**
      * How long callers wait, and where they come back.
      *
--- a/src/test/java/org/micabarrow/play/UnevenLoadPlayTest.java
+++ b/src/test/java/org/micabarrow/play/UnevenLoadPlayTest.java
@@ -41,6 +41,9 @@
                         new Patience(0.07, true),
                         Optional.empty(),
                         uneven,
+                        List.of(),
+                        false,
+                        LoadSetting.Faults.NONE,
                         seed),
                 20);
     }
