--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.micabarrow.clock.MonotonicClock;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Ending;
 import org.micabarrow.settings.HostedSettings;
@@ -35,6 +36,7 @@
     private final Map<String, HostedEndpointStandin> endpoints = new ConcurrentHashMap<>();
     private final Map<String, String> addresses = new ConcurrentHashMap<>();
     private final Map<String, String> dataHalls = new ConcurrentHashMap<>();
+    private final Map<String, Long> coldUntilMillis = new ConcurrentHashMap<>();
     private final Map<String, Long> starts = new HashMap<>();
     private final List<AutoCloseable> running = new ArrayList<>();
     private final AtomicInteger instances = new AtomicInteger();
@@ -196,6 +198,26 @@
         add(id, service, version);
     }
 
+    /**
+     * Where an endpoint is.
+     *
+     * @param id its id
+     * @return its data hall
+     */
+    public String dataHall(String id) {
+        return dataHalls.getOrDefault(id, "hall-a");
+    }
+
+    /**
+     * Has an endpoint state in its entries that it is cold.
+     *
+     * @param id its id
+     * @param millis for how long from now on
+     */
+    public void coldFor(String id, long millis) {
+        coldUntilMillis.put(id, MonotonicClock.millis() + millis);
+    }
+
     /**
      * Evacuates a data hall.
      *
@@ -249,7 +271,7 @@
             return false;
         }
         if (crash(id)) {
-            add(id + "-" + hosts.ended(), service, version);
+            addIn(dataHall(id), id + "-" + hosts.ended(), service, version);
         }
         return true;
     }
@@ -318,13 +340,19 @@
                 String.format(
                         Locale.ROOT,
                         "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"slots\":16,\"state\":\"%s\","
-                                + "\"models\":[%s]%s}",
+                                + "\"models\":[%s]%s%s}",
                         service,
                         addresses.get(id),
-                        dataHalls.getOrDefault(id, "hall-a"),
+                        dataHall(id),
                         state,
                         models,
-                        started));
+                        started,
+                        cold(id)));
+    }
+
+    private String cold(String id) {
+        long leftMillis = coldUntilMillis.getOrDefault(id, 0L) - MonotonicClock.millis();
+        return leftMillis > 0 ? ",\"cold_left_ms\":" + leftMillis : "";
     }
 
     /**
--- a/src/main/java/org/micabarrow/platform/standin/StandinManifest.java
+++ b/src/main/java/org/micabarrow/platform/standin/StandinManifest.java
@@ -25,8 +25,8 @@
                 Locale.ROOT,
                 """
                 {"version":%d,"routes":[%s,%s,%s%s],"services":[
-                {"name":"plain","health_path":"/healthz","max_connections":100},
-                {"name":"models","max_connections":100,"engine":{"slots":16,"stride":5,"read_per_s":19100.0,
+                {"name":"plain","health_path":"/healthz","max_connections":100,"cold_per_s":5.0},
+                {"name":"models","max_connections":100,"cold_per_s":5.0,"engine":{"slots":16,"stride":5,"read_per_s":19100.0,
                 "step_ms":8.9,"per_seq_ms":0.04,"layers":16,"chunks":%d,"chunk_bytes":%d,
                 "models":[{"name":"%s"}]}},
                 {"name":"weights","origin":"%s"}],
--- a/src/test/java/org/micabarrow/process/HostedSoakTest.java
+++ b/src/test/java/org/micabarrow/process/HostedSoakTest.java
@@ -34,7 +34,7 @@
 
 /**
  * Entries over sockets while requests end endpoints, endpoints say that they leave, ask for rest, name limits, are killed and fail, entries
- * start again and the store is silent, in series and at once, as a seed decides. What must hold is looked up afterwards in what the endpoints
+ * start again, data halls are evacuated, endpoints start cold and the store is silent, in series and at once, as a seed decides. What must hold is looked up afterwards in what the endpoints
  * received. With the property {@code soakSeeds} more seeds are played.
  */
 class HostedSoakTest {
@@ -120,6 +120,8 @@
             }
         }
 
+        private final SoakPlacement placement = new SoakPlacement(platform);
+
         /** What happened when, to be shown with what did not hold. */
         private final List<String> course = new CopyOnWriteArrayList<>();
 
@@ -130,6 +132,10 @@
             CRASHING.forEach(platform::crashOn);
             IntStream.range(0, PLAIN).forEach(i -> platform.add("plain-" + i, "plain", 0));
             IntStream.range(0, MODELS).forEach(i -> platform.add("model-" + i, "models", 1));
+            IntStream.range(0, 2).forEach(i -> {
+                platform.addIn("hall-b", "plain-b" + i, "plain", 0);
+                platform.addIn("hall-b", "model-b" + i, "models", 1);
+            });
             platform.add(SPARED.getFirst(), "plain", 0);
             platform.add(SPARED.getLast(), "models", 1);
             this.beside = platform.agent(SPARED.getLast());
@@ -170,6 +176,8 @@
                     limit();
                 } else if (draw < 0.465) {
                     endLimit();
+                } else if (draw < 0.485 && !silent) {
+                    placement.evacuateOrTakeBack(hall());
                 }
                 askMany();
             }
@@ -178,10 +186,15 @@
 
         private void silence(boolean on) {
             silent = on;
+            placement.storeSilent(on);
             platform.store().silent(on);
             course.add(MonotonicClock.millis() + " the store is " + (on ? "silent" : "there"));
         }
 
+        private String hall() {
+            return random.nextBoolean() ? "hall-a" : "hall-b";
+        }
+
         private String path() {
             return PATHS.get(random.nextInt(PATHS.size()));
         }
@@ -240,7 +253,8 @@
 
         private void replace(boolean plain) {
             added++;
-            platform.add((plain ? "plain-new-" : "model-new-") + added, plain ? "plain" : "models", plain ? 0 : 1);
+            placement.addCold(
+                    hall(), (plain ? "plain-new-" : "model-new-") + added, plain ? "plain" : "models", plain ? 0 : 1);
         }
 
         private String serving(String... prefixes) {
@@ -300,6 +314,9 @@
                 assertEquals(List.of(), afterLeaving(endpoint.received()), id + " leaves, seed " + seed);
                 assertEquals(List.of(), whileResting(endpoint.received()), id + " rests, seed " + seed);
             });
+            assertEquals(
+                    List.of(), placement.receivedInEvacuatedHalls(), "data halls are evacuated, seed " + seed + course);
+            assertEquals(List.of(), placement.secondsOverColdLimit(), "endpoints are cold, seed " + seed + course);
             limits.forEach(limit -> assertEquals(
                     List.of(),
                     overLimit(limit),
