--- a/src/main/java/org/micabarrow/limits/ColdLimit.java
+++ b/src/main/java/org/micabarrow/limits/ColdLimit.java
@@ -15,6 +15,9 @@
 
     private final EndpointRateLimit limit;
 
+    /** Spares decisions, which ask for all endpoints, the division while there is nothing to divide. */
+    private boolean inForce;
+
     /**
      * Creates the limit of a warm endpoint.
      *
@@ -53,7 +56,7 @@
      */
     public boolean allows(OptionalDouble perSecond, boolean ranksAvailable, long nowMillis) {
         apply(perSecond, nowMillis);
-        return limit.allows(ranksAvailable, nowMillis);
+        return !inForce || limit.allows(ranksAvailable, nowMillis);
     }
 
     /**
@@ -70,11 +73,15 @@
     }
 
     private void apply(OptionalDouble perSecond, long nowMillis) {
+        if (perSecond.isEmpty() && !inForce) {
+            return;
+        }
         if (perSecond.isEmpty()) {
-            limit.current().ifPresent(ignored -> limit.updated(new RateLimitObservation.Lifted(nowMillis)));
+            limit.updated(new RateLimitObservation.Lifted(nowMillis));
         } else if (needsRecording(perSecond.getAsDouble(), nowMillis)) {
             limit.updated(new RateLimitObservation.Stated(perSecond.getAsDouble(), nowMillis));
         }
+        inForce = limit.current().isPresent();
     }
 
     private boolean needsRecording(double perSecond, long nowMillis) {
--- a/src/main/java/org/micabarrow/routing/EndpointEligibility.java
+++ b/src/main/java/org/micabarrow/routing/EndpointEligibility.java
@@ -31,7 +31,7 @@
     }
 
     boolean inOwnRegion(EndpointRegistration endpoint) {
-        return placement.region(endpoint.dataHall()).filter(region::equals).isPresent();
+        return placement.isIn(endpoint.dataHall(), region);
     }
 
     // -- draining
--- a/src/main/java/org/micabarrow/routing/PlacementFilter.java
+++ b/src/main/java/org/micabarrow/routing/PlacementFilter.java
@@ -45,14 +45,9 @@
         return new PlacementFilter(regions, evacuatedHalls);
     }
 
-    /**
-     * Returns the region of a data hall.
-     *
-     * @param dataHall the data hall
-     * @return its region, empty for an unknown data hall
-     */
-    public Optional<String> region(String dataHall) {
-        return Optional.ofNullable(regions.get(dataHall));
+    /** Returns whether a data hall is in a region; false for an unknown data hall. */
+    boolean isIn(String dataHall, String region) {
+        return region.equals(regions.get(dataHall));
     }
 
     /**
@@ -67,7 +62,7 @@
     }
 
     private boolean inAllowedRegion(EndpointRegistration endpoint, AllowedRegions allowed) {
-        return allowed.allows(regions.get(endpoint.dataHall()));
+        return allowed.regions().isEmpty() || allowed.allows(regions.get(endpoint.dataHall()));
     }
 
     private boolean evacuated(EndpointRegistration endpoint) {
