Requests for chunks that are held are checked together, and only when chunks have arrived

Cause: while the origin is away each agent holds a request of every other agent of its region, and looked for each of them every 15 ms, with all wanted chunks compared each time. Change: HeldChunkRequests looks for all requests of a thread in one timer, and compares only when the number of arrivals of the set has changed.

--- a/src/main/java/org/micabarrow/transport/HostedPeerServer.java
+++ b/src/main/java/org/micabarrow/transport/HostedPeerServer.java
@@ -7,20 +7,22 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
 import java.nio.ByteBuffer;
-import java.util.BitSet;
 import java.util.Deque;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalInt;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.micabarrow.clock.MonotonicClock;
 import org.micabarrow.state.CanonicalJson;
+import org.micabarrow.transport.HeldChunkRequests.ChunkRequest;
 import org.micabarrow.views.Topic;
 import org.micabarrow.views.ViewMaintainer;
 import org.micabarrow.weights.ChunkSet;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.XnioIoThread;
 
 /** Serves records of the store, chunks of weights, and metrics to other processes. */
 public final class HostedPeerServer implements HttpHandler {
@@ -33,12 +35,6 @@
      */
     private static final long MAX_HOLD_MILLIS = 500;
 
-    /**
-     * How often a waiting request checks for a chunk, in milliseconds: short compared with the 50 ms that a chunk takes
-     * on a link.
-     */
-    private static final long POLL_MILLIS = 15;
-
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
 
@@ -47,6 +43,7 @@
     private final MetricRegistry registry;
     private final LinkPacer uplink;
     private final LongSupplier monotonicMillis;
+    private final Map<XnioIoThread, HeldChunkRequests> heldRequests = new ConcurrentHashMap<>();
 
     /** Finds the chunks that an agent holds. */
     public interface ChunkSets {
@@ -165,25 +162,20 @@
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> sendWhenAvailable(exchange, request, deadlineNanos));
     }
 
-    private record ChunkRequest(String model, long version, BitSet indexes) {}
-
     private void sendWhenAvailable(HttpServerExchange exchange, ChunkRequest request, long deadlineNanos) {
-        Optional<ChunkSet> set = chunkSets.find(request.model(), request.version());
-        OptionalInt index = set.isEmpty() ? OptionalInt.empty() : set.get().pickLeastServed(request.indexes());
-        if (index.isPresent()) {
-            sendChunk(
-                    exchange,
-                    index.getAsInt(),
-                    set.get().chunk(index.getAsInt()).orElseThrow());
-        } else if (System.nanoTime() - deadlineNanos > 0) {
-            fail(exchange, set.isPresent() ? PeerChunkClient.FETCHING : NOT_FOUND);
-        } else {
-            exchange.getIoThread()
-                    .executeAfter(
-                            () -> sendWhenAvailable(exchange, request, deadlineNanos),
-                            POLL_MILLIS,
-                            TimeUnit.MILLISECONDS);
-        }
+        heldRequests
+                .computeIfAbsent(exchange.getIoThread(), thread -> new HeldChunkRequests(thread, chunkSets))
+                .add(request, deadlineNanos, new HeldChunkRequests.Callback() {
+                    @Override
+                    public void onChunk(int index, byte[] bytes) {
+                        sendChunk(exchange, index, bytes);
+                    }
+
+                    @Override
+                    public void onTimeout(boolean known) {
+                        fail(exchange, known ? PeerChunkClient.FETCHING : NOT_FOUND);
+                    }
+                });
     }
 
     private void sendChunk(HttpServerExchange exchange, int index, byte[] bytes) {
--- a/src/main/java/org/micabarrow/weights/ChunkSet.java
+++ b/src/main/java/org/micabarrow/weights/ChunkSet.java
@@ -9,6 +9,7 @@
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicIntegerArray;
 import org.micabarrow.state.Digest;
 
@@ -20,6 +21,7 @@
     private final List<String> digests;
     private final List<CompletableFuture<byte[]>> chunks = new ArrayList<>();
     private final AtomicIntegerArray servedCounts;
+    private final AtomicInteger arrivals = new AtomicInteger();
 
     /** The index at which this agent starts among chunks that it has served equally often. */
     private final int startIndex;
@@ -81,9 +83,19 @@
             return false;
         }
         chunks.get(index).complete(bytes);
+        arrivals.incrementAndGet();
         return true;
     }
 
+    /**
+     * How many chunks have arrived. While the number is the same, no chunk has become present.
+     *
+     * @return the number, chunks that arrived repeatedly included
+     */
+    public int arrivals() {
+        return arrivals.get();
+    }
+
     /**
      * Whether some content matches the digest of a chunk.
      *
