Agents compare the list of agents only when it changes, and hold requests for chunks for a second

Cause: while a version is fetched, an agent looked up its sources some eighty times a second, and each time listed the agents of the view and compared them as records with those before; their methods are made by method handles, which the first compiler does not see through. Change: the agents of a view are listed once; ranks of agents are numbers, in the order of the digests before; a request for chunks states its hold (1 s; one that states none, of an earlier build, is held for 0.5 s as before), and is given up 1 s after it. EndpointStart compares without method handles.

--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -79,6 +79,7 @@
     private final ReplicaController keeper;
     private final Agent self;
     private volatile Optional<LoadServer> loadServer = Optional.empty();
+    private volatile KnownAgents knownAgents = new KnownAgents(View.empty(), List.of());
     private volatile Placed placed = new Placed(View.empty(), new ReplicaController.RegionPosition(0, 1));
 
     /** Tells entries: a datagram waits while a narrow link is full, and what stops the endpoint in time must not. */
@@ -260,9 +261,18 @@
         return modelService().map(ModelProfile::layers).orElse(0);
     }
 
+    /** The agents in a view. They are needed many times a second while a version is fetched. */
+    private record KnownAgents(View view, List<Agent> agents) {}
+
     /** The agents beside all endpoints of this agent's service; they listen at the same port on every instance. */
     private List<Agent> agents() {
-        return agents(view());
+        View now = view();
+        KnownAgents known = knownAgents;
+        if (known.view() != now) {
+            known = new KnownAgents(now, agents(now));
+            knownAgents = known;
+        }
+        return known.agents();
     }
 
     private List<Agent> agents(View now) {
--- a/src/main/java/org/micabarrow/routing/EndpointStart.java
+++ b/src/main/java/org/micabarrow/routing/EndpointStart.java
@@ -19,11 +19,27 @@
      */
     private static final int TOKEN_COUNT = 1_000_000;
 
+    private static final int HASH_FACTOR = 31;
+
     public EndpointStart {
         Objects.requireNonNull(id, "id is null");
         Objects.requireNonNull(startedMillis, "startedMillis is null");
     }
 
+    // Written out, since starts are looked up for each endpoint of each decision, and the methods that a record is
+    // given
+    // take several times as long where only the first compiler runs.
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof EndpointStart start && id.equals(start.id) && startedMillis.equals(start.startedMillis);
+    }
+
+    @Override
+    public int hashCode() {
+        return id.hashCode() * HASH_FACTOR + startedMillis.hashCode();
+    }
+
     /**
      * Returns the start of an endpoint that does not report its start time.
      *
--- a/src/main/java/org/micabarrow/transport/HostedPeerServer.java
+++ b/src/main/java/org/micabarrow/transport/HostedPeerServer.java
@@ -30,10 +30,13 @@
     private static final Logger LOG = LoggerFactory.getLogger(HostedPeerServer.class);
 
     /**
-     * How long a request waits for a chunk that is still being fetched, in milliseconds: the time of a few chunks on a
-     * link.
+     * How long a request waits for a chunk that is still being fetched if it does not state a time, in milliseconds:
+     * builds whose requests state none wait for a response for 1.5 s.
      */
-    private static final long MAX_HOLD_MILLIS = 500;
+    private static final long DEFAULT_HOLD_MILLIS = 500;
+
+    /** The longest time for which a request may be held, in milliseconds: clients need to notice a silent agent. */
+    private static final long MAX_HOLD_MILLIS = 5_000;
 
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
@@ -158,10 +161,15 @@
                 new ChunkRequest(parts[0], Long.parseLong(parts[1]), PeerChunkClient.parseChunks(parts[2]));
         // A request for a version shows that it is wanted, which this agent may not know yet.
         views.addPeerTarget(request.model(), request.version());
-        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_HOLD_MILLIS);
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(holdMillis(exchange));
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> sendWhenAvailable(exchange, request, deadlineNanos));
     }
 
+    private static long holdMillis(HttpServerExchange exchange) {
+        Deque<String> stated = exchange.getQueryParameters().get(PeerChunkClient.HOLD);
+        return stated == null ? DEFAULT_HOLD_MILLIS : Math.clamp(Long.parseLong(stated.getFirst()), 0, MAX_HOLD_MILLIS);
+    }
+
     private void sendWhenAvailable(HttpServerExchange exchange, ChunkRequest request, long deadlineNanos) {
         heldRequests
                 .computeIfAbsent(exchange.getIoThread(), thread -> new HeldChunkRequests(thread, chunkSets))
--- a/src/main/java/org/micabarrow/transport/PeerChunkClient.java
+++ b/src/main/java/org/micabarrow/transport/PeerChunkClient.java
@@ -35,8 +35,17 @@
     /** The response status of an agent that is still fetching the chunks itself. */
     static final int FETCHING = 503;
 
-    /** The timeout for a response: a peer holds a request for a while, and its link serves several clients in turn. */
-    private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(1_500);
+    /** The parameter of a request for chunks that states how long it may be held, in milliseconds. */
+    static final String HOLD = "hold";
+
+    /** How long a request for chunks may be held, in milliseconds; each that finds none costs both sides a call. */
+    private static final long HOLD_MILLIS = 1_000;
+
+    /** The timeout for a chunk: beyond the hold, a peer's link serves several clients in turn. */
+    private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(HOLD_MILLIS + 1_000);
+
+    /** The timeout for digests, which are not held: a link may be filled by chunks. */
+    private static final Duration DIGESTS_TIMEOUT = Duration.ofMillis(1_500);
 
     /** The timeout for a response on a new connection: a round trip between regions and a few milliseconds of work. */
     private static final Duration NEW_CONNECTION_TIMEOUT = Duration.ofMillis(400);
@@ -63,7 +72,7 @@
      * Creates a client with given timeouts.
      *
      * @param client sends its requests
-     * @param responseTimeout the timeout for a response
+     * @param responseTimeout the timeout for a chunk
      * @param newConnectionTimeout the timeout for a response on a new connection, after a request without a response
      */
     PeerChunkClient(HttpClient client, Duration responseTimeout, Duration newConnectionTimeout) {
@@ -72,9 +81,9 @@
         this.newConnectionTimeout = newConnectionTimeout;
     }
 
-    private Result<HttpResponse> get(String peer, String path) {
+    private Result<HttpResponse> get(String peer, String path, Duration timeout) {
         HttpCall call = HttpCall.get(Step.FETCH, URI.create("http://" + peer + path));
-        return client.call(call, responseTimeout).flatMap(response -> switch (response.status()) {
+        return client.call(call, timeout).flatMap(response -> switch (response.status()) {
             case OK -> Result.success(response);
             case FETCHING -> Result.failure(Fault.of(Step.FETCH, peer, Reason.NOT_READY, "it is still fetching"));
             default ->
@@ -84,7 +93,7 @@
 
     @Override
     public Result<List<String>> digests(String agent, String model, long version) {
-        return get(agent, DIGESTS + model + "/" + version).flatMap(response -> {
+        return get(agent, DIGESTS + model + "/" + version, DIGESTS_TIMEOUT).flatMap(response -> {
             try {
                 JsonNode json = CanonicalJson.mapper().readTree(response.body());
                 List<String> digests = new ArrayList<>();
@@ -98,7 +107,10 @@
 
     @Override
     public Result<IndexedChunk> fetchAnyOf(String agent, String model, long version, BitSet wanted) {
-        Result<HttpResponse> response = get(agent, CHUNKS + model + "/" + version + "/" + formatChunks(wanted));
+        Result<HttpResponse> response = get(
+                agent,
+                CHUNKS + model + "/" + version + "/" + formatChunks(wanted) + "?" + HOLD + "=" + HOLD_MILLIS,
+                responseTimeout);
         if (response instanceof Result.Failure<HttpResponse>(Fault fault) && lacksResponse(fault)) {
             return Result.failure(excuseIfResponsive(agent, model, version) ? connectionFault(agent, fault) : fault);
         }
--- a/src/main/java/org/micabarrow/weights/ChunkLeaders.java
+++ b/src/main/java/org/micabarrow/weights/ChunkLeaders.java
@@ -1,7 +1,6 @@
 package org.micabarrow.weights;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,11 +43,16 @@
     }
 
     private static List<Agent> rankedFor(List<Agent> agents, int index) {
-        Map<Agent, String> ranks = new HashMap<>();
-        agents.forEach(agent -> ranks.put(agent, Digest.of(agent.address() + "/" + index)));
-        return agents.stream().sorted(Comparator.comparing(ranks::get)).toList();
+        return agents.stream()
+                .map(agent -> new Ranked(Digest.rank(agent.address() + "/" + index), agent))
+                .sorted((a, b) -> Long.compareUnsigned(a.rank(), b.rank()))
+                .map(Ranked::agent)
+                .toList();
     }
 
+    /** An agent, and the beginning of its digest as an unsigned number. */
+    private record Ranked(long rank, Agent agent) {}
+
     /**
      * Returns the same ranking restricted to the agents of one region.
      *
--- a/src/main/java/org/micabarrow/weights/ChunkSourcesCache.java
+++ b/src/main/java/org/micabarrow/weights/ChunkSourcesCache.java
@@ -17,6 +17,7 @@
 
     private final Agent self;
     private final Supplier<List<Agent>> agents;
+    private List<Agent> lastAgents = List.of();
     private Set<Agent> cachedAgents = Set.of();
     private Optional<ChunkSources> cached = Optional.empty();
 
@@ -24,7 +25,8 @@
      * Creates an empty cache.
      *
      * @param self the agent
-     * @param agents supplies all agents currently known, in any order
+     * @param agents supplies all agents currently known, in any order; the same unmodifiable list as before if nothing
+     *     has changed, else the agents are compared each time
      */
     ChunkSourcesCache(Agent self, Supplier<List<Agent>> agents) {
         this.self = Objects.requireNonNull(self, "self is null");
@@ -32,7 +34,8 @@
     }
 
     /**
-     * The sources for the agents currently known.
+     * The sources for the agents currently known. Called many times a second while a version is fetched, so agents are
+     * compared only when their supplier returns another list.
      *
      * @param chunks the number of chunks of a version
      * @return the sources
@@ -40,10 +43,14 @@
     @Override
     public synchronized ChunkSources apply(int chunks) {
         List<Agent> now = agents.get();
+        boolean sameChunks =
+                cached.filter(sources -> sources.chunks() == chunks).isPresent();
+        if (now == lastAgents && sameChunks) {
+            return cached.orElseThrow();
+        }
+        lastAgents = now;
         Set<Agent> currentAgents = Set.copyOf(now);
-        boolean valid = currentAgents.equals(cachedAgents)
-                && cached.filter(sources -> sources.chunks() == chunks).isPresent();
-        if (!valid) {
+        if (!sameChunks || !currentAgents.equals(cachedAgents)) {
             cachedAgents = currentAgents;
             cached = Optional.of(ChunkSources.of(self, now, chunks));
         }
--- a/src/test/java/org/micabarrow/transport/HeldChunkRequestsTest.java
+++ b/src/test/java/org/micabarrow/transport/HeldChunkRequestsTest.java
@@ -32,6 +32,9 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
     private static final int CHUNKS = 8;
     private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final long DEFAULT_HOLD_NANOS = 500_000_000;
 
     /** As many as one agent holds when the origin is away: one of each other agent of a region. */
     private static final int REQUESTS = 24;
@@ -122,9 +125,26 @@
         assertEquals(PeerChunkClient.FETCHING, response(call).status());
     }
 
+    /** A request of an earlier build states no hold. */
+    @Test
+    void shouldHoldRequestForAsLongAsItStates() {
+        begin(2);
+        String chunk = "http://" + address + "/chunks/m/2/01";
+        HttpCall stated = HttpCall.get(Step.FETCH, URI.create(chunk + "?hold=0"));
+        HttpCall unstated = HttpCall.get(Step.FETCH, URI.create(chunk));
+        long startNanos = System.nanoTime();
+        assertEquals(
+                PeerChunkClient.FETCHING, response(client.callAsync(unstated)).status());
+        assertTrue(System.nanoTime() - startNanos >= DEFAULT_HOLD_NANOS, "a request without a hold was not held");
+        assertEquals(
+                PeerChunkClient.FETCHING, response(client.callAsync(stated)).status());
+        HttpCall invalid = HttpCall.get(Step.FETCH, URI.create(chunk + "?hold=soon"));
+        assertEquals(BAD_REQUEST, response(client.callAsync(invalid)).status());
+    }
+
     @Test
     void shouldSayThatVersionIsUnknownWhenItIsNotBegun() {
-        assertEquals(404, response(request(9, 1)).status());
+        assertEquals(NOT_FOUND, response(request(9, 1)).status());
     }
 
     /** A request that is held on the connection of one that was answered from the same check. */
