--- a/src/main/java/org/micabarrow/transport/HostedPeerServer.java
+++ b/src/main/java/org/micabarrow/transport/HostedPeerServer.java
@@ -7,20 +7,22 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
 import java.nio.ByteBuffer;
-import java.util.BitSet;
 import java.util.Deque;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalInt;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.micabarrow.clock.MonotonicClock;
 import org.micabarrow.state.CanonicalJson;
+import org.micabarrow.transport.HeldChunkRequests.ChunkRequest;
 import org.micabarrow.views.Topic;
 import org.micabarrow.views.ViewMaintainer;
 import org.micabarrow.weights.ChunkSet;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.XnioIoThread;
 
 /** Serves records of the store, chunks of weights, and metrics to other processes. */
 public final class HostedPeerServer implements HttpHandler {
@@ -28,16 +30,13 @@
     private static final Logger LOG = LoggerFactory.getLogger(HostedPeerServer.class);
 
     /**
-     * How long a request waits for a chunk that is still being fetched, in milliseconds: the time of a few chunks on a
-     * link.
+     * How long a request waits for a chunk that is still being fetched if it does not state a time, in milliseconds:
+     * builds whose requests state none wait for a response for 1.5 s.
      */
-    private static final long MAX_HOLD_MILLIS = 500;
+    private static final long DEFAULT_HOLD_MILLIS = 500;
 
-    /**
-     * How often a waiting request checks for a chunk, in milliseconds: short compared with the 50 ms that a chunk takes
-     * on a link.
-     */
-    private static final long POLL_MILLIS = 15;
+    /** The longest time for which a request may be held, in milliseconds: clients need to notice a silent agent. */
+    private static final long MAX_HOLD_MILLIS = 5_000;
 
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
@@ -47,6 +46,7 @@
     private final MetricRegistry registry;
     private final LinkPacer uplink;
     private final LongSupplier monotonicMillis;
+    private final Map<XnioIoThread, HeldChunkRequests> heldRequests = new ConcurrentHashMap<>();
 
     /** Finds the chunks that an agent holds. */
     public interface ChunkSets {
@@ -161,29 +161,29 @@
                 new ChunkRequest(parts[0], Long.parseLong(parts[1]), PeerChunkClient.parseChunks(parts[2]));
         // A request for a version shows that it is wanted, which this agent may not know yet.
         views.addPeerTarget(request.model(), request.version());
-        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_HOLD_MILLIS);
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(holdMillis(exchange));
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> sendWhenAvailable(exchange, request, deadlineNanos));
     }
 
-    private record ChunkRequest(String model, long version, BitSet indexes) {}
+    private static long holdMillis(HttpServerExchange exchange) {
+        Deque<String> stated = exchange.getQueryParameters().get(PeerChunkClient.HOLD);
+        return stated == null ? DEFAULT_HOLD_MILLIS : Math.clamp(Long.parseLong(stated.getFirst()), 0, MAX_HOLD_MILLIS);
+    }
 
     private void sendWhenAvailable(HttpServerExchange exchange, ChunkRequest request, long deadlineNanos) {
-        Optional<ChunkSet> set = chunkSets.find(request.model(), request.version());
-        OptionalInt index = set.isEmpty() ? OptionalInt.empty() : set.get().pickLeastServed(request.indexes());
-        if (index.isPresent()) {
-            sendChunk(
-                    exchange,
-                    index.getAsInt(),
-                    set.get().chunk(index.getAsInt()).orElseThrow());
-        } else if (System.nanoTime() - deadlineNanos > 0) {
-            fail(exchange, set.isPresent() ? PeerChunkClient.FETCHING : NOT_FOUND);
-        } else {
-            exchange.getIoThread()
-                    .executeAfter(
-                            () -> sendWhenAvailable(exchange, request, deadlineNanos),
-                            POLL_MILLIS,
-                            TimeUnit.MILLISECONDS);
-        }
+        heldRequests
+                .computeIfAbsent(exchange.getIoThread(), thread -> new HeldChunkRequests(thread, chunkSets))
+                .add(request, deadlineNanos, new HeldChunkRequests.Callback() {
+                    @Override
+                    public void onChunk(int index, byte[] bytes) {
+                        sendChunk(exchange, index, bytes);
+                    }
+
+                    @Override
+                    public void onTimeout(boolean known) {
+                        fail(exchange, known ? PeerChunkClient.FETCHING : NOT_FOUND);
+                    }
+                });
     }
 
     private void sendChunk(HttpServerExchange exchange, int index, byte[] bytes) {
