Placing by memory and by the expected length of answers

Cause: an endpoint whose memory runs out drops its newest request and reads it again. Change: agents deal out no more places than the memory holds, entries count what their own requests add (EndpointMemory), with answers as long as the route's earlier ones make expected (AnswerLengths: ratio to Length-Hint, or to the second number of Token-Count). A slow endpoint gets nothing that would not end in its client's time.

--- a/src/main/java/org/micabarrow/attempts/EventSplitter.java
+++ b/src/main/java/org/micabarrow/attempts/EventSplitter.java
@@ -14,6 +14,7 @@
 
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private Optional<String> lastId = Optional.empty();
+    private int count;
 
     /**
      * Appends the next bytes of the stream.
@@ -32,7 +33,7 @@
         pending.write(buffered, end, buffered.length - end);
         byte[] events = new byte[end];
         System.arraycopy(buffered, 0, events, 0, end);
-        recordIds(events);
+        recordEvents(events);
         return events;
     }
 
@@ -48,14 +49,25 @@
         return 0;
     }
 
-    private void recordIds(byte[] events) {
-        for (String line : new String(events, StandardCharsets.UTF_8).split("\r?\n")) {
-            if (line.startsWith(ID_FIELD)) {
+    private void recordEvents(byte[] events) {
+        for (String line : (Iterable<String>) new String(events, StandardCharsets.UTF_8).lines()::iterator) {
+            if (line.isEmpty()) {
+                count++;
+            } else if (line.startsWith(ID_FIELD)) {
                 lastId = Optional.of(line.substring(ID_FIELD.length()).trim());
             }
         }
     }
 
+    /**
+     * Returns the number of complete events.
+     *
+     * @return the number so far
+     */
+    public int count() {
+        return count;
+    }
+
     /**
      * Returns the bytes of an event that is not yet complete.
      *
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -223,10 +223,12 @@
                         Optional.of(report.condition())));
     }
 
-    /** The places that may be dealt out; any number while the manifest, which says how many there are, is not known. */
+    /** The places that may be dealt out, as far as the endpoint's memory holds them; any number while the manifest, which says how many there are, is not known. */
     private int freePlaces(ModelEndpoint.Report report) {
         return modelService()
-                .map(service -> SlotAllotment.allottable(service.slots(), report.requests()))
+                .map(service -> Math.min(
+                        SlotAllotment.allottable(service.slots(), report.requests()),
+                        report.condition().requestsThatFit()))
                 .orElse(LoadReport.UNLIMITED_SLOTS);
     }
 
--- a/src/main/java/org/micabarrow/routing/EndpointCapacity.java
+++ b/src/main/java/org/micabarrow/routing/EndpointCapacity.java
@@ -75,14 +75,19 @@
         if (request.model().isEmpty()) {
             return requests < endpoint.slots() * PLAIN_REQUESTS_PER_SLOT;
         }
-        if (!load.hasAllottedSlot(nowMillis)) {
+        ModelProfile model = request.model().get();
+        if (!load.hasAllottedSlot(nowMillis) || !load.memory().fits(request.size(), model.layers())) {
             return false;
         }
         double maxRequests = endpoint.slots() * MODEL_REQUESTS_PER_SLOT;
         double slowness = Math.max(1, load.speed().engineFactor(nowMillis) / usualFactor);
         double predictedMillis = modelledMillis(request, load, nowMillis) * slowness;
+        if (slowness > 1
+                && predictedMillis + answerMillis(request, load, slowness, nowMillis) > request.remainingMillis()) {
+            return false;
+        }
         if (cannotBeInTime(request)) {
-            double queueMillis = predictedMillis - idleMillis(request.model().get(), request.promptTokens());
+            double queueMillis = predictedMillis - idleMillis(model, request.promptTokens());
             return requests < maxRequests * (1 - SLOT_RESERVE_FRACTION)
                     && queueMillis < request.objectiveMillis() * LATE_WAIT_FRACTION
                     && predictedMillis < request.remainingMillis();
@@ -111,6 +116,13 @@
                 load.pendingPromptTokens(nowMillis) + request.promptTokens());
     }
 
+    /** Predicts the time from the first event of a response to its end; 0 if nothing is known of its length. */
+    private static double answerMillis(RoutingRequest request, EndpointLoad load, double slowness, long nowMillis) {
+        ModelProfile model = request.model().get();
+        double passes = (double) request.size().expectedAnswerTokens() / Math.max(1, model.stride());
+        return passes * model.passMillis(load.requests(nowMillis)) * slowness;
+    }
+
     /** Predicts the time until the first event at an idle endpoint. */
     private static double idleMillis(ModelProfile model, int promptTokens) {
         return firstEventMillis(model, 0, promptTokens);
--- a/src/main/java/org/micabarrow/routing/EndpointCondition.java
+++ b/src/main/java/org/micabarrow/routing/EndpointCondition.java
@@ -19,6 +19,9 @@
     /** The slowest accepted pace: an endpoint that is slower is as good as unresponsive. */
     public static final double MAX_PACE = 100;
 
+    /** Fraction of the memory that running requests are left to grow into. */
+    private static final double MEMORY_RESERVE_FRACTION = 0.05;
+
     /**
      * Creates a condition. A pace that is no positive number is taken as not reported, a slower one than
      * {@link #MAX_PACE} as that; negative numbers are taken as 0.
@@ -32,4 +35,30 @@
         kvUsed = kvUsed.isPresent() ? OptionalLong.of(Math.max(0, kvUsed.getAsLong())) : kvUsed;
         kvTotal = kvTotal.isPresent() && kvTotal.getAsLong() > 0 ? kvTotal : OptionalLong.empty();
     }
+
+    /**
+     * Returns the memory in use as a fraction of all of it.
+     *
+     * @return the fraction; empty if it is not reported, or in numbers that cannot be
+     */
+    public OptionalDouble memoryFraction() {
+        return kvUsed.isPresent() && kvTotal.isPresent() && kvUsed.getAsLong() <= kvTotal.getAsLong()
+                ? OptionalDouble.of((double) kvUsed.getAsLong() / kvTotal.getAsLong())
+                : OptionalDouble.empty();
+    }
+
+    /**
+     * Returns how many more requests of the running ones' mean size the memory holds. An endpoint whose memory runs out
+     * drops its newest request and reads it again later.
+     *
+     * @return the number, those that wait in the endpoint deducted; the greatest number if nothing is known
+     */
+    public int requestsThatFit() {
+        OptionalDouble used = memoryFraction();
+        if (running == 0 || used.isEmpty() || used.getAsDouble() == 0) {
+            return Integer.MAX_VALUE;
+        }
+        double more = running * (1 - MEMORY_RESERVE_FRACTION - used.getAsDouble()) / used.getAsDouble() - queued;
+        return (int) Math.clamp(more, 0, Integer.MAX_VALUE);
+    }
 }
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -28,6 +28,7 @@
     private final Backoff backoff = new Backoff();
     private final EndpointSpeed speed;
     private final StreamSilence silence;
+    private final EndpointMemory memory = new EndpointMemory();
     private final EndpointRateLimit rateLimit;
 
     /**
@@ -368,6 +369,15 @@
         return silence;
     }
 
+    /**
+     * Returns what is known of the endpoint's memory.
+     *
+     * @return the mutable memory
+     */
+    public EndpointMemory memory() {
+        return memory;
+    }
+
     // -- failures
 
     /**
--- a/src/main/java/org/micabarrow/routing/RequestSize.java
+++ b/src/main/java/org/micabarrow/routing/RequestSize.java
@@ -40,4 +40,14 @@
     public static RequestSize ofPrompt(int promptTokens) {
         return new RequestSize(promptTokens, OptionalInt.empty(), OptionalInt.empty());
     }
+
+    /**
+     * Returns the tokens that the answer is expected to have.
+     *
+     * @return the estimate, at most the stated limit; the limit if there is no estimate, and 0 if neither is stated
+     */
+    public int expectedAnswerTokens() {
+        int limit = maxAnswerTokens.orElse(Integer.MAX_VALUE);
+        return Math.max(0, Math.min(limit, answerHintTokens.orElse(maxAnswerTokens.orElse(0))));
+    }
 }
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -59,7 +59,7 @@
         this.progress = new AttemptProgress(served, selected);
         this.releaseSuspect = context.suspects().onSent(endpoint, served.digest(), startMillis);
         load.rateLimit().sent(startMillis);
-        this.slot = new OccupiedSlot(load, request.promptTokens(), context.waitQueue()::onSlotFreed);
+        this.slot = new OccupiedSlot(load, context.expectedSize(request), context.waitQueue()::onSlotFreed);
     }
 
     /** Sends the request, whose slot the constructor has already taken. */
@@ -352,6 +352,7 @@
             return;
         }
         context.crashes().onResponse(served.digest(), true);
+        progress.completed();
         release();
         relay.complete(endpoint);
     }
--- a/src/main/java/org/micabarrow/serving/AttemptProgress.java
+++ b/src/main/java/org/micabarrow/serving/AttemptProgress.java
@@ -12,6 +12,7 @@
  */
 final class AttemptProgress {
 
+    private final ServedRequest served;
     private final ServingContext context;
     private final EndpointLoad load;
     private final Optional<ModelProfile> model;
@@ -20,12 +21,15 @@
     private final double factorWhenSent;
     private final long startMillis;
     private final ResponseStallTimer stallTimer;
+    private final boolean resumed;
     private boolean begun;
     private boolean awaiting;
     private boolean ended;
 
     AttemptProgress(ServedRequest served, EndpointSelection.Selected selected) {
+        this.served = served;
         this.context = served.context();
+        this.resumed = served.events().lastId().isPresent();
         this.load = context.load(selected.endpoint());
         this.model = served.request().route().kind().stream()
                 ? context.versions().model(served.request())
@@ -77,6 +81,17 @@
         }
     }
 
+    /** Learns the length of an answer that came whole from this endpoint. */
+    void completed() {
+        if (!resumed) {
+            model.ifPresent(profile -> context.answerLengths()
+                    .observed(
+                            served.request().route().name(),
+                            served.request().size(),
+                            served.events().count() * profile.stride()));
+        }
+    }
+
     /** Records that the attempt has ended. */
     void ended() {
         ended = true;
--- a/src/main/java/org/micabarrow/serving/ServingContext.java
+++ b/src/main/java/org/micabarrow/serving/ServingContext.java
@@ -10,8 +10,10 @@
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.crashes.LazyDigest;
+import org.micabarrow.routing.AnswerLengths;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
+import org.micabarrow.routing.RequestSize;
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.routing.RoutingRequest;
 import org.micabarrow.transport.HttpClient;
@@ -32,6 +34,7 @@
     private final ServingMetrics metrics;
     private final InFlightRequests inFlight = new InFlightRequests();
     private final FirstAttemptEstimator firstAttempts = new FirstAttemptEstimator();
+    private final AnswerLengths answerLengths = new AnswerLengths();
     private final AdmissionControl admission;
     private final EntryWaitQueue waitQueue;
     private final SuspectAdmission suspects;
@@ -112,6 +115,15 @@
 
     // -- routing
 
+    AnswerLengths answerLengths() {
+        return answerLengths;
+    }
+
+    /** The size of a request with the answer that is to be expected by its route's earlier answers. */
+    RequestSize expectedSize(ClientRequest request) {
+        return answerLengths.expected(request.route().name(), request.size());
+    }
+
     EndpointLoad load(EndpointRegistration endpoint) {
         return dependencies.selector().load(endpoint.start());
     }
@@ -168,7 +180,7 @@
 
     private RoutingRequest routingRequest(ClientRequest request, long millisUntilObjective, Set<String> tried) {
         return new RoutingRequest(
-                request.size(),
+                expectedSize(request),
                 request.route().objectiveMillis(),
                 millisUntilObjective,
                 request.deadlineMillis() - nowMillis(),
--- a/src/test/java/org/micabarrow/attempts/EventSplitterTest.java
+++ b/src/test/java/org/micabarrow/attempts/EventSplitterTest.java
@@ -32,6 +32,15 @@
         assertEquals(Optional.of("7"), splitter.lastId());
     }
 
+    @Test
+    void shouldCountCompleteEvents() {
+        EventSplitter splitter = new EventSplitter();
+        splitter.append(bytes("id: 1\n\nid: 2\r\n\r\nid: 3\nda"));
+        assertEquals(2, splitter.count());
+        splitter.append(bytes("ta\n\n"));
+        assertEquals(3, splitter.count());
+    }
+
     @Test
     void shouldDiscardRemainderWhenConnectionBroke() {
         EventSplitter splitter = new EventSplitter();
--- a/src/test/java/org/micabarrow/play/LoadPlay.java
+++ b/src/test/java/org/micabarrow/play/LoadPlay.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
 import org.micabarrow.Samples;
@@ -15,12 +16,16 @@
 import org.micabarrow.admission.SlotAllotment;
 import org.micabarrow.admission.WaitQueue;
 import org.micabarrow.attempts.EarlySwitch;
+import org.micabarrow.routing.AllowedRegions;
+import org.micabarrow.routing.AnswerLengths;
 import org.micabarrow.routing.EndpointCondition;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.EndpointSelection;
 import org.micabarrow.routing.EndpointSelector;
 import org.micabarrow.routing.LoadReport;
+import org.micabarrow.routing.RequestClass;
+import org.micabarrow.routing.RequestSize;
 import org.micabarrow.routing.Route;
 import org.micabarrow.routing.RoutingRequest;
 
@@ -108,6 +113,7 @@
         private final int promptTokens = tokens(kind == 0 ? 1_290 : kind == 1 ? 787 : 607, 1.0);
         private final int answerTokens =
                 tokens(kind == 2 ? 70 : 144, setting.uneven().answerSpread());
+        private final RequestSize stated = stated();
         private boolean refused;
 
         private Caller(Entry home) {
@@ -119,6 +125,15 @@
             return (int) Math.clamp(drawn, 6, MOST_TOKENS);
         }
 
+        /** States an estimate that is twice too long in the middle, and further off than that for a third. */
+        private RequestSize stated() {
+            if (setting.uneven().kvTokens().isEmpty()) {
+                return RequestSize.ofPrompt(promptTokens);
+            }
+            int estimate = (int) Math.clamp(2 * answerTokens * Math.exp(random.nextGaussian()), 1, MOST_TOKENS);
+            return new RequestSize(promptTokens, OptionalInt.of(MOST_TOKENS), OptionalInt.of(estimate));
+        }
+
         /** Draws nothing where nothing differs, so that a play without a spread is the same as ever. */
         private double drawn(double least, double most) {
             return setting.patience().spread() == 0 ? 0 : random.nextDouble(least, most);
@@ -195,7 +210,9 @@
                     .filter(one -> !one.getKey().equals(entry.name))
                     .mapToInt(Map.Entry::getValue)
                     .sum();
-            int free = SlotAllotment.allottable(setting.model().slots(), reported);
+            int free = Math.min(
+                    SlotAllotment.allottable(setting.model().slots(), reported),
+                    condition.map(EndpointCondition::requestsThatFit).orElse(Integer.MAX_VALUE));
             int places = setting.dealt()
                     ? shares.allot(entry.name, unmet, free, events.nowMillis())
                     : LoadReport.UNLIMITED_SLOTS;
@@ -210,6 +227,7 @@
         private final String name;
         private final EndpointSelector choice = new EndpointSelector("region", Map.of("hall", "region"));
         private final AdmissionControl admission = new AdmissionControl(choice);
+        private final AnswerLengths answers = new AnswerLengths();
         private final WaitQueue line = new WaitQueue();
         private final FirstAttemptEstimator firstTries = new FirstAttemptEstimator();
         private final List<EndpointRegistration> candidates =
@@ -259,16 +277,22 @@
             return caller.objective - (events.nowMillis() - firstTryMillis);
         }
 
+        private RequestSize size() {
+            return entry.answers.expected("r" + caller.kind, caller.stated);
+        }
+
         private Decision decide() {
             RoutingRequest wanted = new RoutingRequest(
-                    caller.promptTokens,
+                    size(),
                     caller.objective,
                     millisToObjective(),
                     caller.millisGiven(),
                     Optional.of(setting.model()),
                     0,
                     0,
-                    tried);
+                    tried,
+                    AllowedRegions.any(),
+                    RequestClass.usual());
             return entry.admission.decide(entry.candidates, wanted, events.nowMillis());
         }
 
@@ -295,10 +319,12 @@
                     .findFirst()
                     .orElseThrow();
             EndpointLoad load = entry.choice.load(endpoint.id());
-            load.requestSent(caller.promptTokens);
+            RequestSize size = size();
+            load.requestSent(size.promptTokens());
+            load.memory().sent(size);
             int rank = millisToObjective() <= 0 ? 9 : 1;
             tried.add(endpoint.id());
-            Sent sent = new Sent(this, chosen, engine.emulator, load, sentMillis);
+            Sent sent = new Sent(this, chosen, engine.emulator, load, size, sentMillis);
             EngineEmulator.Work work = new EngineEmulator.Work(
                     rank, caller.promptTokens, caller.answerTokens, sent::began, sent::stepped, sent::ended);
             sent.work = work;
@@ -330,6 +356,7 @@
         private final EndpointSelection.Selected chosen;
         private final EngineEmulator emulator;
         private final EndpointLoad load;
+        private final RequestSize size;
         private final long sentMillis;
         private final double factorThen;
         private EngineEmulator.Work work;
@@ -342,11 +369,13 @@
                 EndpointSelection.Selected chosen,
                 EngineEmulator emulator,
                 EndpointLoad load,
+                RequestSize size,
                 long sentMillis) {
             this.run = run;
             this.chosen = chosen;
             this.emulator = emulator;
             this.load = load;
+            this.size = size;
             this.sentMillis = sentMillis;
             this.factorThen = load.speed().factor(sentMillis);
         }
@@ -384,6 +413,8 @@
                     over = true;
                     load.silence().ended();
                     load.requestEnded();
+                    load.memory().ended(size);
+                    run.entry.answers.observed("r" + run.caller.kind, run.caller.stated, run.caller.answerTokens);
                     run.entry.line.dispatch();
                 }
             });
@@ -406,6 +437,7 @@
                 over = true;
                 load.promptRead(run.caller.promptTokens);
                 load.requestEnded();
+                load.memory().ended(size);
                 events.after(WAY_MILLIS, () -> emulator.cancel(work));
                 run.send(other);
             } else {
--- a/src/test/java/org/micabarrow/play/LoadSetting.java
+++ b/src/test/java/org/micabarrow/play/LoadSetting.java
@@ -90,24 +90,34 @@
      * @param pace what they tell of their speed
      * @param mute which fall silent while their agents answer
      * @param kvTokens the tokens that an engine's memory holds; empty if it never runs out
+     * @param memoryReported whether they tell of it
      * @param answerSpread how far the answers' lengths differ, as the standard deviation of their logarithm
      */
     record Uneven(
-            Optional<Moments> moments, ToldPace pace, Optional<Mute> mute, OptionalInt kvTokens, double answerSpread) {
+            Optional<Moments> moments,
+            ToldPace pace,
+            Optional<Mute> mute,
+            OptionalInt kvTokens,
+            boolean memoryReported,
+            double answerSpread) {
 
         static final Uneven NONE =
-                new Uneven(Optional.empty(), ToldPace.NOTHING, Optional.empty(), OptionalInt.empty(), 0.8);
+                new Uneven(Optional.empty(), ToldPace.NOTHING, Optional.empty(), OptionalInt.empty(), true, 0.8);
 
         Uneven with(Moments slow, ToldPace told) {
-            return new Uneven(Optional.of(slow), told, mute, kvTokens, answerSpread);
+            return new Uneven(Optional.of(slow), told, mute, kvTokens, memoryReported, answerSpread);
         }
 
         Uneven with(Mute silent) {
-            return new Uneven(moments, pace, Optional.of(silent), kvTokens, answerSpread);
+            return new Uneven(moments, pace, Optional.of(silent), kvTokens, memoryReported, answerSpread);
         }
 
         Uneven with(int memoryTokens, double spread) {
-            return new Uneven(moments, pace, mute, OptionalInt.of(memoryTokens), spread);
+            return new Uneven(moments, pace, mute, OptionalInt.of(memoryTokens), memoryReported, spread);
+        }
+
+        Uneven withoutMemoryReports() {
+            return new Uneven(moments, pace, mute, kvTokens, false, answerSpread);
         }
     }
 
--- a/src/test/java/org/micabarrow/play/UnevenEngine.java
+++ b/src/test/java/org/micabarrow/play/UnevenEngine.java
@@ -54,7 +54,7 @@
         if (uneven.pace() == LoadSetting.ToldPace.NOTHING && uneven.kvTokens().isEmpty()) {
             return Optional.empty();
         }
-        OptionalLong kvTotal = uneven.kvTokens().isEmpty()
+        OptionalLong kvTotal = uneven.kvTokens().isEmpty() || !uneven.memoryReported()
                 ? OptionalLong.empty()
                 : OptionalLong.of((long) uneven.kvTokens().getAsInt() * layers);
         return Optional.of(new EndpointCondition(
--- a/src/test/java/org/micabarrow/serving/ServingMetricsTest.java
+++ b/src/test/java/org/micabarrow/serving/ServingMetricsTest.java
@@ -4,6 +4,7 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -24,4 +25,15 @@
                 .sum();
         assertEquals(1, all, "counted once");
     }
+
+    @Test
+    void shouldRecordFirstEventsOverTheirPredictions() {
+        MetricRegistry registry = new MetricRegistry();
+        new ServingMetrics(registry).recordFirstEvent(200, 300);
+        assertEquals(
+                150,
+                registry.histogram("requests.firstEventOverPredictedPercent")
+                        .getSnapshot()
+                        .getMax());
+    }
 }
