A mute endpoint that never begins is found within an objective

Cause: it was found by its streams only, and got the next request as soon as one was given up. Change: requests without a first event count as silence after an objective while others' streams step on; one that is given up at a mute endpoint ejects it as a broken connection does.

--- a/src/main/java/org/micabarrow/routing/StreamGaps.java
+++ b/src/main/java/org/micabarrow/routing/StreamGaps.java
@@ -38,18 +38,16 @@
         }
     }
 
+    /** Returns the silence, in milliseconds, from which on an endpoint whose streams have begun is mute. */
+    long limitMillis() {
+        return limitMillis;
+    }
+
     /**
-     * Returns whether an endpoint is mute: its streams have been silent for much longer than usual while others step
-     * on. Without many streams nothing is known.
-     *
-     * @param silentMillis the time for which it has sent nothing to any stream
-     * @param objectiveMillis the objective, the longest time that is waited for
-     * @param nowMillis the time on the monotonic clock
-     * @return false also if no stream gets events, since the entry itself may be cut off
+     * Returns whether streams get events. Without many of them nothing is known; if none gets any, the entry itself may
+     * be cut off.
      */
-    boolean mute(long silentMillis, long objectiveMillis, long nowMillis) {
-        return recorded >= REMEMBERED
-                && silentMillis > Math.min(limitMillis, objectiveMillis)
-                && nowMillis - lastEventMillis < MIN_SILENCE_MILLIS;
+    boolean stepping(long nowMillis) {
+        return recorded >= REMEMBERED && nowMillis - lastEventMillis < MIN_SILENCE_MILLIS;
     }
 }
--- a/src/main/java/org/micabarrow/routing/StreamSilence.java
+++ b/src/main/java/org/micabarrow/routing/StreamSilence.java
@@ -3,12 +3,13 @@
 import java.util.Objects;
 
 /**
- * For how long an endpoint has sent nothing to any of this entry's streams there that await an event. Streams whose
- * clients do not read, and requests that have not begun, do not count. Not thread-safe: confined to one thread.
+ * For how long an endpoint has sent nothing to any of this entry's requests there: neither a first event nor the next
+ * one. Streams whose clients do not read do not count. Not thread-safe: confined to one thread.
  */
 public final class StreamSilence {
 
     private final StreamGaps gaps;
+    private int pending;
     private int awaiting;
     private long silentSinceMillis;
 
@@ -22,14 +23,43 @@
     }
 
     /**
-     * Records that a stream that has begun awaits its next event.
+     * Records that a request was sent to the endpoint.
      *
      * @param nowMillis the time on the monotonic clock
      */
-    public void awaits(long nowMillis) {
-        if (awaiting == 0) {
+    public void sent(long nowMillis) {
+        beginSilence(nowMillis);
+        pending++;
+    }
+
+    /**
+     * Records the first event of a response.
+     *
+     * @param nowMillis the time on the monotonic clock
+     */
+    public void begun(long nowMillis) {
+        pending--;
+        silentSinceMillis = nowMillis;
+    }
+
+    /** Records that a request ended whose response had not begun. */
+    public void withdrawn() {
+        pending--;
+    }
+
+    private void beginSilence(long nowMillis) {
+        if (pending + awaiting == 0) {
             silentSinceMillis = nowMillis;
         }
+    }
+
+    /**
+     * Records that a stream that has begun awaits its next event.
+     *
+     * @param nowMillis the time on the monotonic clock
+     */
+    public void awaits(long nowMillis) {
+        beginSilence(nowMillis);
         awaiting++;
     }
 
@@ -53,11 +83,14 @@
     /**
      * Returns whether the endpoint is mute.
      *
-     * @param objectiveMillis the objective, the longest time that is waited for
+     * @param objectiveMillis the objective: the longest silence between events, and from the sending to a first event
      * @param nowMillis the time on the monotonic clock
-     * @return true if its streams are silent while streams of others step on
+     * @return true if it is silent while streams of others step on
      */
     public boolean mute(long objectiveMillis, long nowMillis) {
-        return awaiting > 0 && gaps.mute(nowMillis - silentSinceMillis, objectiveMillis, nowMillis);
+        long silentMillis = nowMillis - silentSinceMillis;
+        boolean streamsSilent = awaiting > 0 && silentMillis > Math.min(gaps.limitMillis(), objectiveMillis);
+        boolean requestsSilent = pending > 0 && silentMillis > objectiveMillis;
+        return (streamsSilent || requestsSilent) && gaps.stepping(nowMillis);
     }
 }
--- a/src/main/java/org/micabarrow/serving/AttemptProgress.java
+++ b/src/main/java/org/micabarrow/serving/AttemptProgress.java
@@ -39,6 +39,7 @@
         this.startMillis = context.nowMillis();
         this.factorWhenSent = load.speed().factor(startMillis);
         this.stallTimer = new ResponseStallTimer(context::nowMillis);
+        model.ifPresent(profile -> load.silence().sent(startMillis));
     }
 
     /** How long the next part has been awaited, in milliseconds; 0 if none is. */
@@ -56,6 +57,7 @@
             model.ifPresent(profile -> recordStep(profile, now));
         } else {
             begun = true;
+            model.ifPresent(profile -> load.silence().begun(now));
             load.speed().firstEvent(predictedMillis, now - startMillis, now);
             context.metrics().recordFirstEvent(predictedMillis, now - startMillis);
         }
@@ -98,6 +100,12 @@
         if (awaiting) {
             awaiting = false;
             load.silence().ended();
+        } else if (!begun && model.isPresent()) {
+            // Otherwise a mute endpoint would get the next request as soon as this one is given up.
+            if (load.silence().mute(objectiveMillis, context.nowMillis())) {
+                load.failures().connectionFailed(context.nowMillis());
+            }
+            load.silence().withdrawn();
         }
     }
 
--- a/src/test/java/org/micabarrow/play/LoadPlay.java
+++ b/src/test/java/org/micabarrow/play/LoadPlay.java
@@ -378,6 +378,7 @@
             this.size = size;
             this.sentMillis = sentMillis;
             this.factorThen = load.speed().factor(sentMillis);
+            load.silence().sent(sentMillis);
         }
 
         private void began() {
@@ -390,6 +391,7 @@
                 load.promptRead(run.caller.promptTokens);
                 long now = events.nowMillis();
                 load.speed().firstEvent(chosen.predictedMillis(), now - sentMillis, now);
+                load.silence().begun(now);
                 load.silence().awaits(now);
                 run.caller.began();
                 run.entry.line.dispatch();
@@ -435,6 +437,7 @@
                     && EarlySwitch.inTimeElsewhere(waiting, other.predictedMillis())) {
                 tally.moved++;
                 over = true;
+                load.silence().withdrawn();
                 load.promptRead(run.caller.promptTokens);
                 load.requestEnded();
                 load.memory().ended(size);
--- a/src/test/java/org/micabarrow/routing/StreamSilenceTest.java
+++ b/src/test/java/org/micabarrow/routing/StreamSilenceTest.java
@@ -65,4 +65,24 @@
         silence.awaits(0);
         assertFalse(silence.mute(OBJECTIVE_MILLIS, 1_000));
     }
+
+    @Test
+    void shouldFindEndpointMuteThatNeverBegins() {
+        otherSteps(0, 10_000);
+        silence.sent(10_000);
+        otherSteps(10_000, 10_400);
+        assertFalse(silence.mute(OBJECTIVE_MILLIS, 10_400));
+        otherSteps(10_400, 10_450);
+        assertTrue(silence.mute(OBJECTIVE_MILLIS, 10_450));
+        silence.begun(10_460);
+        assertFalse(silence.mute(OBJECTIVE_MILLIS, 10_460));
+    }
+
+    @Test
+    void shouldKnowNothingOfEndpointWhoseRequestsHaveEnded() {
+        otherSteps(0, 10_000);
+        silence.sent(5_000);
+        silence.withdrawn();
+        assertFalse(silence.mute(OBJECTIVE_MILLIS, 10_000));
+    }
 }
