--- a/src/main/java/org/micabarrow/attempts/EventSplitter.java
+++ b/src/main/java/org/micabarrow/attempts/EventSplitter.java
@@ -14,6 +14,7 @@
 
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private Optional<String> lastId = Optional.empty();
+    private int count;
 
     /**
      * Appends the next bytes of the stream.
@@ -32,7 +33,7 @@
         pending.write(buffered, end, buffered.length - end);
         byte[] events = new byte[end];
         System.arraycopy(buffered, 0, events, 0, end);
-        recordIds(events);
+        recordEvents(events);
         return events;
     }
 
@@ -48,19 +49,23 @@
         return 0;
     }
 
-    private void recordIds(byte[] events) {
+    /** Records complete events, the last of which ends with a line break. */
+    private void recordEvents(byte[] events) {
         int start = 0;
         for (int i = 0; i < events.length; i++) {
             if (events[i] == '\n') {
-                recordId(events, start, i);
+                recordLine(events, start, i);
                 start = i + 1;
             }
         }
-        recordId(events, start, events.length);
     }
 
-    /** Records the id that a line states, if it states one. Every event passes here, so lines are not made texts. */
-    private void recordId(byte[] events, int start, int end) {
+    /** Records the end of an event, or the id that a line states. Every event passes here, so lines are not made texts. */
+    private void recordLine(byte[] events, int start, int end) {
+        if (isEmpty(events, start, end)) {
+            count++;
+            return;
+        }
         if (end - start < ID_FIELD.length) {
             return;
         }
@@ -73,6 +78,19 @@
         lastId = Optional.of(new String(events, from, end - from, StandardCharsets.UTF_8).trim());
     }
 
+    private static boolean isEmpty(byte[] events, int start, int end) {
+        return start == end || (end - start == 1 && events[start] == '\r');
+    }
+
+    /**
+     * Returns the number of complete events.
+     *
+     * @return the number so far
+     */
+    public int count() {
+        return count;
+    }
+
     /**
      * Returns the bytes of an event that is not yet complete.
      *
--- a/src/main/java/org/micabarrow/serving/AttemptProgress.java
+++ b/src/main/java/org/micabarrow/serving/AttemptProgress.java
@@ -1,17 +1,21 @@
 package org.micabarrow.serving;
 
 import java.util.Optional;
+import org.micabarrow.attempts.AttemptPolicy;
 import org.micabarrow.attempts.EarlySwitch;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointSelection;
 import org.micabarrow.routing.ModelProfile;
 
 /**
- * What one attempt shows of its endpoint's speed: the time until its first event, and the intervals between the others.
- * Used by the traffic thread.
+ * What one attempt shows of its endpoint's speed: the time until its first event, and the intervals between the others;
+ * and whether the request goes elsewhere because of it. Used by the traffic thread.
  */
 final class AttemptProgress {
 
+    private static final String SWITCHED_EARLY = "the endpoint is slow, and another one would still be in time";
+
+    private final ServedRequest served;
     private final ServingContext context;
     private final EndpointLoad load;
     private final Optional<ModelProfile> model;
@@ -20,12 +24,15 @@
     private final double factorWhenSent;
     private final long startMillis;
     private final ResponseStallTimer stallTimer;
+    private final boolean resumed;
     private boolean begun;
     private boolean awaiting;
     private boolean ended;
 
     AttemptProgress(ServedRequest served, EndpointSelection.Selected selected) {
+        this.served = served;
         this.context = served.context();
+        this.resumed = served.events().lastId().isPresent();
         this.load = context.load(selected.endpoint());
         this.model = served.request().route().kind().stream()
                 ? context.versions().model(served.request())
@@ -35,11 +42,7 @@
         this.startMillis = context.nowMillis();
         this.factorWhenSent = load.speed().factor(startMillis);
         this.stallTimer = new ResponseStallTimer(context::nowMillis);
-    }
-
-    /** How long the next part has been awaited, in milliseconds; 0 if none is. */
-    long waitingMillis() {
-        return stallTimer.waitingMillis();
+        model.ifPresent(profile -> load.silence().sent(startMillis));
     }
 
     /**
@@ -52,6 +55,7 @@
             model.ifPresent(profile -> recordStep(profile, now));
         } else {
             begun = true;
+            model.ifPresent(profile -> load.silence().begun(now));
             load.speed().firstEvent(predictedMillis, now - startMillis, now);
             context.metrics().recordFirstEvent(predictedMillis, now - startMillis);
         }
@@ -77,23 +81,65 @@
         }
     }
 
+    /** Learns the length of an answer that came whole from this endpoint. */
+    void completed() {
+        if (!resumed) {
+            model.ifPresent(profile -> context.answerLengths()
+                    .observed(
+                            served.request().route().name(),
+                            served.request().size(),
+                            served.events().count() * profile.stride()));
+        }
+    }
+
     /** Records that the attempt has ended. */
     void ended() {
         ended = true;
         if (awaiting) {
             awaiting = false;
             load.silence().ended();
+        } else if (!begun && model.isPresent()) {
+            // Otherwise a mute endpoint would get the next request as soon as this one is given up.
+            if (load.silence().mute(objectiveMillis, context.nowMillis())) {
+                load.failures().connectionFailed(context.nowMillis());
+            }
+            load.silence().withdrawn();
         }
     }
 
-    /** The state of the request at the endpoint while its first event has not come. */
-    EarlySwitch.Waiting waiting(long millisToObjective) {
+    /**
+     * Decides whether the request goes to another endpoint, and takes one retry from the budget if so. Returns the
+     * reason.
+     */
+    Optional<String> reserveSwitch() {
+        if (overdue() && (!served.response().started() || served.canResume()) && served.reserveRetry()) {
+            return Optional.of("the endpoint has sent nothing for " + stallTimer.waitingMillis() + " ms");
+        }
+        return reserveEarlySwitch() ? Optional.of(SWITCHED_EARLY) : Optional.empty();
+    }
+
+    /**
+     * Whether the next part is overdue although the endpoint's instance responds: the endpoint may have lost the
+     * request. If the link was slow lately, the data is probably in transit.
+     */
+    private boolean overdue() {
+        return !load.linkRecentlySlow(context.nowMillis())
+                && AttemptPolicy.overdue(served.request().route(), stallTimer.waitingMillis());
+    }
+
+    /** Whether the response has not begun and would be in time at another endpoint only. */
+    private boolean reserveEarlySwitch() {
+        if (begun) {
+            return false;
+        }
         long now = context.nowMillis();
         double slower = Math.max(1, load.speed().factor(now) / factorWhenSent);
-        return new EarlySwitch.Waiting(
+        EarlySwitch.Waiting waiting = new EarlySwitch.Waiting(
                 now - startMillis,
                 predictedMillis * slower,
-                millisToObjective,
+                served.millisUntilObjective(),
                 load.silence().mute(objectiveMillis, now));
+        return EarlySwitch.due(served.request().route(), waiting)
+                && served.reserveRetry(other -> EarlySwitch.inTimeElsewhere(waiting, other.predictedMillis()));
     }
 }
--- a/src/main/java/org/micabarrow/serving/ServingContext.java
+++ b/src/main/java/org/micabarrow/serving/ServingContext.java
@@ -11,9 +11,11 @@
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.crashes.LazyDigest;
+import org.micabarrow.routing.AnswerLengths;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.RequestClass;
+import org.micabarrow.routing.RequestSize;
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.routing.RoutingRequest;
 import org.micabarrow.transport.HttpClient;
@@ -34,6 +36,7 @@
     private final ServingMetrics metrics;
     private final InFlightRequests inFlight = new InFlightRequests();
     private final FirstAttemptEstimator firstAttempts = new FirstAttemptEstimator();
+    private final AnswerLengths answerLengths = new AnswerLengths();
     private final AdmissionControl admission;
     private final EntryWaitQueue waitQueue;
     private final RequestClasses classes;
@@ -124,6 +127,15 @@
 
     // -- routing
 
+    AnswerLengths answerLengths() {
+        return answerLengths;
+    }
+
+    /** The size of a request with the answer that is to be expected by its route's earlier answers. */
+    RequestSize expectedSize(ClientRequest request) {
+        return answerLengths.expected(request.route().name(), request.size());
+    }
+
     EndpointLoad load(EndpointRegistration endpoint) {
         return dependencies.selector().load(endpoint.start());
     }
@@ -227,7 +239,7 @@
     private RoutingRequest routingRequest(
             ClientRequest request, long millisUntilObjective, Set<String> tried, RequestClass requestClass) {
         return new RoutingRequest(
-                request.size(),
+                expectedSize(request),
                 request.route().objectiveMillis(),
                 millisUntilObjective,
                 request.deadlineMillis() - nowMillis(),
--- a/src/test/java/org/micabarrow/play/LoadPlay.java
+++ b/src/test/java/org/micabarrow/play/LoadPlay.java
@@ -18,6 +18,7 @@
 import org.micabarrow.admission.WaitQueue;
 import org.micabarrow.attempts.EarlySwitch;
 import org.micabarrow.routing.AllowedRegions;
+import org.micabarrow.routing.AnswerLengths;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.EndpointSelection;
@@ -138,7 +139,7 @@
         private final long objective;
         private final int promptTokens;
         private final int answerTokens;
-        private final RequestSize size;
+        private final RequestSize stated;
         private final List<Tally.Part> parts;
         private boolean refused;
 
@@ -150,7 +151,7 @@
             objective = drawn == 2 ? 300 : 400;
             promptTokens = tokens(drawn == 0 ? 1_290 : drawn == 1 ? 787 : 607, 1.0);
             answerTokens = tokens(drawn == 2 ? 70 : 144, setting.uneven().answerSpread());
-            size = RequestSize.ofPrompt(promptTokens);
+            stated = stated();
             parts = List.of();
         }
 
@@ -163,7 +164,7 @@
             objective = stream.kind().objectiveMillis();
             promptTokens = tokens(stream.kind().promptTokens(), 1.0);
             answerTokens = tokens(stream.kind().answerTokens(), 0.8);
-            size = new RequestSize(promptTokens, OptionalInt.of(answerTokens), OptionalInt.empty());
+            stated = new RequestSize(promptTokens, OptionalInt.of(answerTokens), OptionalInt.empty());
             String band = promptTokens > 2.1 * stream.kind().promptTokens() ? "large" : "usual";
             parts = List.of(
                     tally.of(kind),
@@ -178,6 +179,15 @@
             return (int) Math.clamp(drawn, 6, MAX_TOKENS);
         }
 
+        /** States an estimate that is twice too long in the middle, and further off than that for a third. */
+        private RequestSize stated() {
+            if (setting.uneven().kvTokens().isEmpty()) {
+                return RequestSize.ofPrompt(promptTokens);
+            }
+            int estimate = (int) Math.clamp(2 * answerTokens * Math.exp(random.nextGaussian()), 1, MAX_TOKENS);
+            return new RequestSize(promptTokens, OptionalInt.of(MAX_TOKENS), OptionalInt.of(estimate));
+        }
+
         /** Draws nothing where nothing differs, so that a play without a spread is the same as ever. */
         private double drawn(double least, double most) {
             return setting.patience().spread() == 0 ? 0 : random.nextDouble(least, most);
@@ -227,6 +237,7 @@
         private final String name;
         private final EndpointSelector choice = new EndpointSelector("region", Map.of("hall", "region"));
         private final AdmissionControl admission = new AdmissionControl(choice);
+        private final AnswerLengths answers = new AnswerLengths();
         private final WaitQueue line = new WaitQueue();
         private final FirstAttemptEstimator firstTries = new FirstAttemptEstimator();
         private final List<EndpointRegistration> candidates =
@@ -290,7 +301,7 @@
             if (tellsDemand) {
                 classes.arrived(
                         caller.requestClass,
-                        caller.size,
+                        caller.stated,
                         caller.objective,
                         run.millisToObjective() <= 0,
                         events.nowMillis());
@@ -318,13 +329,16 @@
         }
 
         private RequestClass competing() {
-            return entry.classes.competing(
-                    caller.requestClass, caller.size, millisToObjective() <= 0, events.nowMillis());
+            return entry.classes.competing(caller.requestClass, size(), millisToObjective() <= 0, events.nowMillis());
+        }
+
+        private RequestSize size() {
+            return entry.answers.expected("r" + caller.kind, caller.stated);
         }
 
         private Decision decide() {
             RoutingRequest wanted = new RoutingRequest(
-                    caller.size,
+                    size(),
                     caller.objective,
                     millisToObjective(),
                     caller.millisGiven(),
@@ -367,11 +381,13 @@
                     .findFirst()
                     .orElseThrow();
             EndpointLoad load = entry.choice.load(endpoint.id());
-            load.requestSent(caller.promptTokens);
-            entry.classes.sent(caller.requestClass, competing(), caller.size, events.nowMillis());
+            RequestSize size = size();
+            load.requestSent(size.promptTokens());
+            load.memory().sent(size);
+            entry.classes.sent(caller.requestClass, competing(), size, events.nowMillis());
             int rank = millisToObjective() <= 0 ? 9 : caller.requestClass.priority();
             tried.add(endpoint.id());
-            Sent sent = new Sent(this, chosen, engine.emulator(), load, sentMillis);
+            Sent sent = new Sent(this, chosen, engine.emulator(), load, size, sentMillis);
             EngineEmulator.Work work = new EngineEmulator.Work(
                     rank, caller.promptTokens, caller.answerTokens, sent::began, sent::stepped, sent::ended);
             sent.work = work;
@@ -391,7 +407,7 @@
         @Override
         public void expired() {
             entry.choice.unmetDemand().refused(events.nowMillis());
-            entry.classes.refused(caller.requestClass, caller.size, events.nowMillis());
+            entry.classes.refused(caller.requestClass, caller.stated, events.nowMillis());
             entry.firstTries.refused(ROUTE, caller.comeBackMillis(), events.nowMillis());
             caller.refused();
         }
@@ -404,6 +420,7 @@
         private final EndpointSelection.Selected chosen;
         private final EngineEmulator emulator;
         private final EndpointLoad load;
+        private final RequestSize size;
         private final long sentMillis;
         private final double factorThen;
         private EngineEmulator.Work work;
@@ -416,13 +433,16 @@
                 EndpointSelection.Selected chosen,
                 EngineEmulator emulator,
                 EndpointLoad load,
+                RequestSize size,
                 long sentMillis) {
             this.run = run;
             this.chosen = chosen;
             this.emulator = emulator;
             this.load = load;
+            this.size = size;
             this.sentMillis = sentMillis;
             this.factorThen = load.speed().factor(sentMillis);
+            load.silence().sent(sentMillis);
         }
 
         private void began() {
@@ -435,6 +455,7 @@
                 load.promptRead(run.caller.promptTokens);
                 long now = events.nowMillis();
                 load.speed().firstEvent(chosen.predictedMillis(), now - sentMillis, now);
+                load.silence().begun(now);
                 load.silence().awaits(now);
                 run.caller.began();
                 run.entry.line.dispatch();
@@ -458,6 +479,8 @@
                     over = true;
                     load.silence().ended();
                     load.requestEnded();
+                    load.memory().ended(size);
+                    run.entry.answers.observed("r" + run.caller.kind, run.caller.stated, run.caller.answerTokens);
                     run.entry.line.dispatch();
                 }
             });
@@ -478,8 +501,10 @@
                     && EarlySwitch.inTimeElsewhere(waiting, other.predictedMillis())) {
                 tally.moved++;
                 over = true;
+                load.silence().withdrawn();
                 load.promptRead(run.caller.promptTokens);
                 load.requestEnded();
+                load.memory().ended(size);
                 events.after(WAY_MILLIS, () -> emulator.cancel(work));
                 run.send(other);
             } else {
--- a/src/test/java/org/micabarrow/play/PlayedEngine.java
+++ b/src/test/java/org/micabarrow/play/PlayedEngine.java
@@ -80,7 +80,9 @@
                 .filter(one -> !one.getKey().equals(entry))
                 .mapToInt(Map.Entry::getValue)
                 .sum();
-        int free = SlotAllotment.allottable(setting.model().slots(), reported);
+        int free = Math.min(
+                SlotAllotment.allottable(setting.model().slots(), reported),
+                condition.map(EndpointCondition::requestsThatFit).orElse(Integer.MAX_VALUE));
         ClassAllotment.Allotment allotment = setting.dealt()
                 ? shares.allot(entry, unmet, demand, free, () -> pool, events.nowMillis())
                 : new ClassAllotment.Allotment(LoadReport.UNLIMITED_SLOTS, Optional.empty());
