--- a/src/main/java/org/micabarrow/platform/EndpointHeaders.java
+++ b/src/main/java/org/micabarrow/platform/EndpointHeaders.java
@@ -95,8 +95,8 @@
     }
 
     /**
-     * Returns how much longer an endpoint stays cold as stated in a response; of several times the longest. Values that
-     * are no time above 0 count as absent.
+     * How much longer an endpoint stays cold by a response, in milliseconds, the longest time if there are several. Values that are
+     * not positive numbers are ignored.
      */
     static OptionalLong coldMillis(String text) {
         return text == null
