--- a/src/test/java/org/micabarrow/routing/EndpointSelectorTest.java
+++ b/src/test/java/org/micabarrow/routing/EndpointSelectorTest.java
@@ -73,6 +73,27 @@
         assertEquals("b", selectedId(select(near, far)));
     }
 
+    /** Nothing is known of an endpoint whose agent is not queried, so it would seem to be idle. */
+    @Test
+    void shouldPreferQueriedEndpointsWhenThereAreTooManyToQueryAll() {
+        EndpointRegistration queried = endpoint("a", "h2", false, 1, 16);
+        EndpointRegistration unqueried = endpoint("b", "h1", false, 2, 16);
+        assertEquals("b", selectedId(select(queried, unqueried)));
+        selector.setUnqueried(Set.of(unqueried.start()));
+        assertEquals("a", selectedId(select(queried, unqueried)));
+        selector.load("a").requestSent(8_000);
+        assertInstanceOf(EndpointSelection.Full.class, select(queried, unqueried));
+    }
+
+    @Test
+    void shouldSelectUnqueriedEndpointWhenNoOtherIsEligible() {
+        EndpointRegistration old = endpoint("a", "h1", false, 1, 16);
+        EndpointRegistration renewed = endpoint("b", "h1", false, 2, 16);
+        selector.setUnqueried(Set.of(renewed.start()));
+        assertEquals("b", selectedId(selector.select(List.of(old, renewed), request(2, Set.of()), NOW)));
+        assertEquals("b", selectedId(select(renewed)));
+    }
+
     @Test
     void shouldReturnFullWhenObjectiveCannotBeMet() {
         selector.load("a").requestSent(8_000);
