--- a/src/main/java/org/micabarrow/routing/EndpointSelector.java
+++ b/src/main/java/org/micabarrow/routing/EndpointSelector.java
@@ -32,6 +32,7 @@
     private final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
     private final EndpointEligibility eligibility;
     private final ColdEndpoints cold;
+    private Set<EndpointStart> unqueried = Set.of();
 
     /**
      * Creates a selector without any load information.
@@ -176,6 +177,16 @@
         return withLoad(endpoint).withinLimits(nowMillis);
     }
 
+    /**
+     * Sets the endpoints whose agents this entry does not query, since there are too many. They are selected only while
+     * no other endpoint is eligible.
+     *
+     * @param starts the endpoints' starts, empty if all agents are queried
+     */
+    public void setUnqueried(Set<EndpointStart> starts) {
+        unqueried = Set.copyOf(starts);
+    }
+
     /**
      * Selects an endpoint.
      *
@@ -185,6 +196,20 @@
      * @return the selection
      */
     public EndpointSelection select(List<EndpointRegistration> candidates, RoutingRequest request, long nowMillis) {
+        if (!unqueried.isEmpty()) {
+            List<EndpointRegistration> queried = candidates.stream()
+                    .filter(endpoint -> !unqueried.contains(endpoint.start()))
+                    .toList();
+            EndpointSelection selection = selectAmong(queried, request, nowMillis);
+            if (!(selection instanceof EndpointSelection.NoneEligible)) {
+                return selection;
+            }
+        }
+        return selectAmong(candidates, request, nowMillis);
+    }
+
+    private EndpointSelection selectAmong(
+            List<EndpointRegistration> candidates, RoutingRequest request, long nowMillis) {
         List<EndpointCandidate> all = withLoad(candidates);
         all.forEach(candidate -> candidate.noteColdStart(nowMillis));
         List<EndpointCandidate> eligible =
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -211,6 +211,7 @@
         attempts.sent(endpoint.id());
         context.recordAttempt(request, attempts.count(), objectiveMissed());
         log.sent(selected, reason, attempts.count(), millisUntilObjective(), remainingMillis());
+        context.recordReportAge(endpoint);
         Attempt attempt = new Attempt(this, selected);
         currentAttempt = Optional.of(attempt);
         attempt.begin();
--- a/src/main/java/org/micabarrow/serving/ServingMetrics.java
+++ b/src/main/java/org/micabarrow/serving/ServingMetrics.java
@@ -21,6 +21,9 @@
     final Timer firstByte;
     private final Histogram firstEventOverPredicted;
 
+    /** The age of the report by which an endpoint was selected. */
+    final Timer reportAge;
+
     ServingMetrics(MetricRegistry registry) {
         received = registry.counter("requests.received");
         answered = registry.counter("requests.answered");
@@ -33,6 +36,7 @@
         rateLimited = registry.counter("requests.overLimit");
         placementRefused = registry.counter("requests.refusedForPlacement");
         firstByte = registry.timer("requests.firstByte");
+        reportAge = registry.timer("load.reportAge");
         firstEventOverPredicted = registry.histogram("requests.firstEventOverPredictedPercent");
     }
 
