Agents use the one HTTP client again; the load play's attempts are a class of their own

A blocking HTTP client that parses responses itself came with the cheaper agents. What else came with it stays: held requests for chunks, reports decoded once, schedules of queries.

--- a/src/main/java/org/micabarrow/platform/EndpointCalls.java
+++ b/src/main/java/org/micabarrow/platform/EndpointCalls.java
@@ -17,7 +17,7 @@
 import org.micabarrow.state.Fault.Step;
 import org.micabarrow.state.Result;
 import org.micabarrow.transport.HttpCall;
-import org.micabarrow.transport.HttpCaller;
+import org.micabarrow.transport.HttpClient;
 import org.micabarrow.transport.HttpClient.HttpResponse;
 import org.micabarrow.weights.ModelEndpoint;
 
@@ -34,7 +34,7 @@
     private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
 
-    private final HttpCaller caller;
+    private final HttpClient caller;
     private final String base;
     private final IntSupplier totalLayers;
     private volatile Optional<Decoded> lastDecoded = Optional.empty();
@@ -57,7 +57,7 @@
      * @param address the endpoint's host and port
      * @param totalLayers how many layers the model has, 0 while that is not known
      */
-    public EndpointCalls(HttpCaller caller, String address, IntSupplier totalLayers) {
+    public EndpointCalls(HttpClient caller, String address, IntSupplier totalLayers) {
         this.caller = Objects.requireNonNull(caller, "caller is null");
         this.base = "http://" + Objects.requireNonNull(address, "address is null");
         this.totalLayers = Objects.requireNonNull(totalLayers, "totalLayers is null");
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -18,7 +18,6 @@
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.steps.RepeatedTasks;
-import org.micabarrow.transport.BlockingHttpClient;
 import org.micabarrow.transport.HostedPeerServer;
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.LoadServer;
@@ -68,15 +67,6 @@
     /** How often the agent looks for standstills, in milliseconds. */
     private static final long STANDSTILL_LOOK_MILLIS = 200;
 
-    /** How long a connection to the endpoint may be idle and still be reused: several reports. */
-    private static final long ENDPOINT_IDLE_MILLIS = 1_000;
-
-    /**
-     * How long a connection to another agent may be idle and still be reused: a request for chunks may be made a second
-     * after the last one, and an unresponsive connection costs it its full timeout.
-     */
-    private static final long PEER_IDLE_MILLIS = 4_000;
-
     /** How many agents of each region keep named weight versions in the store: one may be cut off from it. */
     private static final int VERSION_KEEPERS = 2;
 
@@ -103,7 +93,7 @@
                 node.store(), node.peerRecords(), new PeerFirstReader.Role.Agent(), HostedNode::steadyMillis);
         this.self = new Agent(settings.listen().peers(), settings.instance().region());
         ChunkFetcher fetcher = new ChunkFetcher(new ChunkFetcher.Dependencies(
-                new PeerChunkClient(new BlockingHttpClient(PEER_IDLE_MILLIS)),
+                new PeerChunkClient(node.kept()),
                 new OriginCalls(node.fresh()),
                 () -> view().manifest().flatMap(RouteManifest::origin),
                 ChunkSources.cached(self, this::agents),
@@ -112,10 +102,7 @@
         this.keeper = new ReplicaController(new ReplicaController.Dependencies(
                 this::model,
                 this::layers,
-                new EndpointCalls(
-                        new BlockingHttpClient(ENDPOINT_IDLE_MILLIS),
-                        settings.endpoint().orElseThrow(),
-                        this::layers),
+                new EndpointCalls(node.kept(), settings.endpoint().orElseThrow(), this::layers),
                 fetcher,
                 this::view,
                 this::place,
--- a/src/main/java/org/micabarrow/transport/HttpClient.java
+++ b/src/main/java/org/micabarrow/transport/HttpClient.java
@@ -30,7 +30,7 @@
  * Result<HttpResponse> response = client.call(HttpCall.get(Fault.Step.INSTANCES, uri), Duration.ofSeconds(2));
  * }</pre>
  */
-public final class HttpClient implements HttpCaller, AutoCloseable {
+public final class HttpClient implements AutoCloseable {
 
     /** The size of a buffer, in bytes: about the default of Undertow's servers. */
     private static final int BUFFER_BYTES = 16 * 1024;
@@ -177,7 +177,13 @@
 
     // -- complete responses
 
-    @Override
+    /**
+     * Sends a request and waits for the complete response.
+     *
+     * @param call the request
+     * @param timeout the timeout for the complete response
+     * @return the response, whatever its status
+     */
     public Result<HttpResponse> call(HttpCall call, Duration timeout) {
         return call(call, ResponseTimeouts.total(timeout));
     }
--- a/src/main/java/org/micabarrow/transport/PeerChunkClient.java
+++ b/src/main/java/org/micabarrow/transport/PeerChunkClient.java
@@ -52,7 +52,7 @@
 
     private static final int OK = 200;
 
-    private final HttpCaller client;
+    private final HttpClient client;
     private final Duration responseTimeout;
     private final Duration newConnectionTimeout;
 
@@ -64,7 +64,7 @@
      *
      * @param client sends its requests
      */
-    public PeerChunkClient(HttpCaller client) {
+    public PeerChunkClient(HttpClient client) {
         this(Objects.requireNonNull(client, "client is null"), RESPONSE_TIMEOUT, NEW_CONNECTION_TIMEOUT);
     }
 
@@ -75,7 +75,7 @@
      * @param responseTimeout the timeout for a chunk
      * @param newConnectionTimeout the timeout for a response on a new connection, after a request without a response
      */
-    PeerChunkClient(HttpCaller client, Duration responseTimeout, Duration newConnectionTimeout) {
+    PeerChunkClient(HttpClient client, Duration responseTimeout, Duration newConnectionTimeout) {
         this.client = client;
         this.responseTimeout = responseTimeout;
         this.newConnectionTimeout = newConnectionTimeout;
--- a/src/test/java/org/micabarrow/play/LoadPlay.java
+++ b/src/test/java/org/micabarrow/play/LoadPlay.java
@@ -16,7 +16,6 @@
 import org.micabarrow.admission.EntryDemand;
 import org.micabarrow.admission.FirstAttemptEstimator;
 import org.micabarrow.admission.WaitQueue;
-import org.micabarrow.attempts.EarlySwitch;
 import org.micabarrow.routing.AllowedRegions;
 import org.micabarrow.routing.AnswerLengths;
 import org.micabarrow.routing.EndpointLoad;
@@ -38,12 +37,12 @@
     private static final double BUDGET_MILLIS = 6_000;
 
     /** The way from an entry to an engine's agent, and back, in milliseconds: once over to another region. */
-    private static final double WAY_MILLIS = 3;
+    static final double WAY_MILLIS = 3;
 
     /** The most prompt tokens and answer tokens that a request has. */
     private static final int MAX_TOKENS = 4_000;
 
-    private static final Route ROUTE = Samples.resumableStreams((long) BUDGET_MILLIS);
+    static final Route ROUTE = Samples.resumableStreams((long) BUDGET_MILLIS);
 
     private final Events events = new Events();
     private final Random random;
@@ -311,7 +310,7 @@
     }
 
     /** A request at an entry. */
-    private final class Run implements WaitQueue.Waiter {
+    private final class Run implements WaitQueue.Waiter, PlayedAttempt.Request {
 
         private final Entry entry;
         private final Caller caller;
@@ -324,7 +323,8 @@
             this.firstTryMillis = events.nowMillis() - sinceFirstTry;
         }
 
-        private long millisToObjective() {
+        @Override
+        public long millisToObjective() {
             return caller.objective - (events.nowMillis() - firstTryMillis);
         }
 
@@ -336,7 +336,8 @@
             return entry.answers.expected("r" + caller.kind, caller.stated);
         }
 
-        private Decision decide() {
+        @Override
+        public Decision decide() {
             RoutingRequest wanted = new RoutingRequest(
                     size(),
                     caller.objective,
@@ -375,7 +376,6 @@
 
         private void send(EndpointSelection.Selected chosen) {
             EndpointRegistration endpoint = chosen.endpoint();
-            long sentMillis = events.nowMillis();
             PlayedEngine engine = engines.stream()
                     .filter(one -> one.listed().id().equals(endpoint.id()))
                     .findFirst()
@@ -387,12 +387,31 @@
             entry.classes.sent(caller.requestClass, competing(), size, events.nowMillis());
             int rank = millisToObjective() <= 0 ? 9 : caller.requestClass.priority();
             tried.add(endpoint.id());
-            Sent sent = new Sent(this, chosen, engine.emulator(), load, size, sentMillis);
-            EngineEmulator.Work work = new EngineEmulator.Work(
-                    rank, caller.promptTokens, caller.answerTokens, sent::began, sent::stepped, sent::ended);
-            sent.work = work;
-            events.after(WAY_MILLIS, () -> engine.emulator().take(work));
-            events.after(setting.askMillis(), sent::look);
+            new PlayedAttempt(events, setting, this, chosen, engine.emulator(), load, size)
+                    .begin(rank, caller.answerTokens);
+        }
+
+        @Override
+        public long objective() {
+            return caller.objective;
+        }
+
+        @Override
+        public void began() {
+            caller.began();
+            entry.line.dispatch();
+        }
+
+        @Override
+        public void completed() {
+            entry.answers.observed("r" + caller.kind, caller.stated, caller.answerTokens);
+            entry.line.dispatch();
+        }
+
+        @Override
+        public void moveTo(EndpointSelection.Selected other) {
+            tally.moved++;
+            send(other);
         }
 
         @Override
@@ -412,104 +431,4 @@
             caller.refused();
         }
     }
-
-    /** A sending of a request. */
-    private final class Sent {
-
-        private final Run run;
-        private final EndpointSelection.Selected chosen;
-        private final EngineEmulator emulator;
-        private final EndpointLoad load;
-        private final RequestSize size;
-        private final long sentMillis;
-        private final double factorThen;
-        private EngineEmulator.Work work;
-        private double lastEvent;
-        private boolean begun;
-        private boolean over;
-
-        private Sent(
-                Run run,
-                EndpointSelection.Selected chosen,
-                EngineEmulator emulator,
-                EndpointLoad load,
-                RequestSize size,
-                long sentMillis) {
-            this.run = run;
-            this.chosen = chosen;
-            this.emulator = emulator;
-            this.load = load;
-            this.size = size;
-            this.sentMillis = sentMillis;
-            this.factorThen = load.speed().factor(sentMillis);
-            load.silence().sent(sentMillis);
-        }
-
-        private void began() {
-            lastEvent = events.now();
-            events.after(WAY_MILLIS, () -> {
-                if (over) {
-                    return;
-                }
-                begun = true;
-                load.promptRead(run.caller.promptTokens);
-                long now = events.nowMillis();
-                load.speed().firstEvent(chosen.predictedMillis(), now - sentMillis, now);
-                load.silence().begun(now);
-                load.silence().awaits(now);
-                run.caller.began();
-                run.entry.line.dispatch();
-            });
-        }
-
-        private void stepped() {
-            long tookMillis = Math.round(events.now() - lastEvent);
-            lastEvent = events.now();
-            events.after(WAY_MILLIS, () -> {
-                double usualMillis = setting.model().passMillis(load.requests(events.nowMillis()));
-                load.speed().stepped(usualMillis, tookMillis, events.nowMillis());
-                load.silence().arrived(tookMillis, events.nowMillis());
-                load.silence().awaits(events.nowMillis());
-            });
-        }
-
-        private void ended() {
-            events.after(WAY_MILLIS, () -> {
-                if (!over) {
-                    over = true;
-                    load.silence().ended();
-                    load.requestEnded();
-                    load.memory().ended(size);
-                    run.entry.answers.observed("r" + run.caller.kind, run.caller.stated, run.caller.answerTokens);
-                    run.entry.line.dispatch();
-                }
-            });
-        }
-
-        /** Goes to another engine if the first event would be in time there and not here. */
-        private void look() {
-            if (begun || over) {
-                return;
-            }
-            EarlySwitch.Waiting waiting = new EarlySwitch.Waiting(
-                    events.nowMillis() - sentMillis,
-                    chosen.predictedMillis() * Math.max(1, load.speed().factor(events.nowMillis()) / factorThen),
-                    run.millisToObjective(),
-                    load.silence().mute(run.caller.objective, events.nowMillis()));
-            if (EarlySwitch.due(ROUTE, waiting)
-                    && run.decide() instanceof Decision.Send(EndpointSelection.Selected other)
-                    && EarlySwitch.inTimeElsewhere(waiting, other.predictedMillis())) {
-                tally.moved++;
-                over = true;
-                load.silence().withdrawn();
-                load.promptRead(run.caller.promptTokens);
-                load.requestEnded();
-                load.memory().ended(size);
-                events.after(WAY_MILLIS, () -> emulator.cancel(work));
-                run.send(other);
-            } else {
-                events.after(setting.askMillis(), this::look);
-            }
-        }
-    }
 }
--- a/src/test/java/org/micabarrow/transport/PeerChunkClientTest.java
+++ b/src/test/java/org/micabarrow/transport/PeerChunkClientTest.java
@@ -29,7 +29,7 @@
 
     private HttpListener agent;
     private SilentRelay relay;
-    private BlockingHttpClient client;
+    private HttpClient client;
     private volatile boolean sendsChunks = true;
     private volatile boolean sendsDigests = true;
 
@@ -38,7 +38,7 @@
         String address = Ports.freeAddress();
         agent = HttpListener.start(address, HttpListener.Limits.defaults(), 1, Optional.empty(), this::respond);
         relay = SilentRelay.to(address);
-        client = new BlockingHttpClient(LONG_TIMEOUT.toMillis());
+        client = HttpClient.start("test", 1);
     }
 
     @AfterEach
