--- a/src/main/java/org/micabarrow/weights/VersionMoments.java
+++ b/src/main/java/org/micabarrow/weights/VersionMoments.java
@@ -66,12 +66,13 @@
      */
     private static final long FIRST_ORDER_MILLIS = 3_600;
 
-    // -- the limits for short bounds, as fractions of the bound
+    // -- the limits for short bounds, as fractions of the bound: half of it is left to serve, in the order of the
+    // moments
 
-    private static final double MAX_STOP_FRACTION = 0.16;
-    private static final double MAX_REQUIRE_FRACTION = 0.12;
-    private static final double MAX_LAST_ORDER_FRACTION = 0.07;
-    private static final double MAX_CANCEL_FRACTION = 0.03;
+    private static final double MAX_STOP_FRACTION = 0.5;
+    private static final double MAX_REQUIRE_FRACTION = 0.4;
+    private static final double MAX_LAST_ORDER_FRACTION = 0.25;
+    private static final double MAX_CANCEL_FRACTION = 0.12;
     private static final double MAX_QUERY_FRACTION = 0.55;
     private static final double MAX_FIRST_ORDER_FRACTION = 0.45;
 
