--- a/src/main/java/org/micabarrow/serving/ServingContext.java
+++ b/src/main/java/org/micabarrow/serving/ServingContext.java
@@ -264,8 +264,12 @@
         return dependencies
                 .selector()
                 .untilBackoffEndsMillis(endpoints, routingRequest(request, 0, Set.of()), nowMillis())
-                .orElseGet(() -> classes.retryAfterMillis(
-                        request, AdmissionControl.retryAfterMillis(request.deadlineMillis() - nowMillis())));
+                .orElseGet(() -> retryAfterShortageMillis(request));
+    }
+
+    private long retryAfterShortageMillis(ClientRequest request) {
+        long usualMillis = AdmissionControl.retryAfterMillis(request.deadlineMillis() - nowMillis());
+        return versions.model(request).isPresent() ? classes.retryAfterMillis(request, usualMillis) : usualMillis;
     }
 
     /** Records that a client is refused and when it is told to retry; returns the retry delay. */
