--- a/src/main/java/org/micabarrow/weights/FetchRun.java
+++ b/src/main/java/org/micabarrow/weights/FetchRun.java
@@ -29,9 +29,12 @@
      */
     private static final long NOT_STARTED_TIMEOUT_MILLIS = 700;
 
-    /** The pause after a request that returned no chunk, and between checks for missing chunks, in milliseconds. */
+    /** The pause after a request that returned no chunk, in milliseconds. */
     private static final long RETRY_MILLIS = 30;
 
+    /** The pause between checks for missing chunks and for sources without a thread, in milliseconds: a chunk's time. */
+    private static final long CHECK_MILLIS = 60;
+
     /**
      * The pause after a failed request to the origin, in milliseconds: while it is unavailable, every agent retries
      * repeatedly.
@@ -57,7 +60,7 @@
     void run() throws InterruptedException {
         while (!set.isComplete() && wanted.getAsBoolean()) {
             selector.activeSources().forEach(this::startSource);
-            Thread.sleep(RETRY_MILLIS);
+            Thread.sleep(CHECK_MILLIS);
         }
     }
 
