--- a/src/main/java/org/micabarrow/transport/LoadPoller.java
+++ b/src/main/java/org/micabarrow/transport/LoadPoller.java
@@ -11,9 +11,12 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -63,6 +66,10 @@
     /** The view from which the hosts were derived; empty while endpoints that it does not list are queried too. */
     private Optional<View> hostsView = Optional.empty();
 
+    /** Replies that the traffic thread has not applied yet. */
+    private final Queue<Accepted> accepted = new ConcurrentLinkedQueue<>();
+
+    private final AtomicBoolean applyScheduled = new AtomicBoolean();
     private final LongAdder sentQueries = new LongAdder();
     private final LongAdder receivedReplies = new LongAdder();
 
@@ -352,6 +359,9 @@
                 .min(Comparator.comparingInt(RateLimitUpdate::ageMillis));
     }
 
+    /** A reply, and the endpoints at the host from which it came. */
+    private record Accepted(List<EndpointStart> endpoints, LoadMessages.Reply reply) {}
+
     /** What a query reports about the store, with the timestamp of the reply that precedes it. */
     private record StoreStatus(boolean sameRegion, OptionalLong replyTimestamp, Optional<StoreUpdate> storeUpdate) {}
 
@@ -388,7 +398,19 @@
         } else {
             extensibleHosts.remove(host);
         }
-        dependencies.traffic().execute(() -> apply(endpoints, reply));
+        accepted.add(new Accepted(endpoints, reply));
+        // The replies of a round arrive together, and each task would wake the traffic thread.
+        if (applyScheduled.compareAndSet(false, true)) {
+            dependencies.traffic().execute(this::applyAccepted);
+        }
+    }
+
+    private void applyAccepted() {
+        applyScheduled.set(false);
+        for (Accepted next = accepted.poll(); next != null; next = accepted.poll()) {
+            Accepted reply = next;
+            RepeatedTasks.runGuarded("load-feed", () -> apply(reply.endpoints(), reply.reply()));
+        }
     }
 
     /**
