--- a/src/test/java/org/micabarrow/play/ClassPlayTest.java
+++ b/src/test/java/org/micabarrow/play/ClassPlayTest.java
@@ -3,11 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongConsumer;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -72,6 +74,11 @@
         return play(even, streams, true, Faults.NONE, seed);
     }
 
+    /** Plays of different seeds share nothing, so they run at the same time. */
+    private static void forEachSeed(LongConsumer check) {
+        LongStream.range(0, 2).parallel().forEach(check);
+    }
+
     private static CallerStream all(Kind kind, double perSecond) {
         return new CallerStream(kind, ORGANISATIONS, perSecond, 0, SECONDS * 1_000);
     }
@@ -101,7 +108,7 @@
     @ParameterizedTest(name = "entries alike: {0}")
     @CsvSource({"true", "false"})
     void shouldServeUrgentAsIfAloneWhenBatchWorkSurges(boolean even) {
-        for (long seed = 0; seed < 2; seed++) {
+        forEachSeed(seed -> {
             List<CallerStream> streams = batchSurge(1.3);
             Tally tally = play(even, streams, seed);
             Tally alone = play(even, streams.subList(0, 1), seed);
@@ -111,20 +118,20 @@
                             >= URGENT_PART * alone.of("urgent").inTimePart(),
                     figures);
             assertServedInOrder(tally);
-        }
+        });
     }
 
     /** Undivided: 0.81 to 0.84 of the urgent in time, 0.59 to 0.62 of the usual, 0.42 to 0.45 of the batch work. */
     @Test
     void shouldKeepFloorOfBatchWorkWhenTwiceTheCapacityIsAskedFor() {
-        for (long seed = 0; seed < 2; seed++) {
+        forEachSeed(seed -> {
             Tally tally = play(true, batchSurge(2), seed);
             Tally before = play(true, batchSurge(2), false, Faults.NONE, seed);
             assertServedInOrder(tally);
             assertTrue(
                     tally.of("urgent").inTimePart() > before.of("urgent").inTimePart() + MAX_HURT,
                     () -> told(tally) + "; undivided " + told(before));
-        }
+        });
     }
 
     /** Each class is served no less often than a less urgent one, and none below the floor, whatever its size. */
@@ -144,11 +151,11 @@
     void shouldDecideAsBeforeWhenAllHaveOnePriority() {
         List<CallerStream> streams = List.of(
                 all(BATCH, 150), all(new Kind("other", 2, 400, 607, 70), 150), surge(BATCH, List.of("o0"), 100));
-        for (long seed = 0; seed < 2; seed++) {
+        forEachSeed(seed -> {
             assertEquals(
                     play(true, streams, false, Faults.NONE, seed).toString(),
                     play(true, streams, seed).toString());
-        }
+        });
     }
 
     // -- organisations
@@ -163,7 +170,7 @@
         List<CallerStream> quiet = List.of(all(URGENT, 106), all(USUAL, 58), all(BATCH, 84));
         List<CallerStream> loud = Stream.concat(quiet.stream(), Stream.of(surge(BATCH, List.of("o0"), 9 * 84 / 8.0)))
                 .toList();
-        for (long seed = 0; seed < 2; seed++) {
+        forEachSeed(seed -> {
             Tally without = play(even, quiet, seed);
             Tally tally = play(even, loud, seed);
             double others = othersServed(tally);
@@ -173,7 +180,7 @@
             assertTrue(
                     tally.of("batch/o0").servedPart() >= FLOOR_PART * (tally.inTime + tally.late) / tally.asked,
                     figures);
-        }
+        });
     }
 
     private static double othersServed(Tally tally) {
@@ -186,7 +193,7 @@
 
     // -- failures
 
-    private static final Map<Long, Tally> SOUND = new HashMap<>();
+    private static final Map<Long, Tally> SOUND = new ConcurrentHashMap<>();
 
     /** The surge of batch work without failures, played once a seed. */
     private static Tally sound(long seed) {
@@ -201,7 +208,7 @@
     @CsvSource({"0.2, 0, 0", "0, 8, 0", "0, 0, 2"})
     void shouldServeUrgentWhenPartsFail(double lost, int silent, int dying) {
         List<CallerStream> streams = batchSurge(1.3);
-        for (long seed = 0; seed < 2; seed++) {
+        forEachSeed(seed -> {
             Faults faults = new Faults(lost, silent, 0, dying, FROM_MILLIS);
             Tally sound = sound(seed);
             Tally tally = play(true, streams, true, faults, seed);
@@ -211,14 +218,14 @@
                             >= URGENT_PART * sound.of("urgent").inTimePart(),
                     figures);
             assertTrue(tally.of("batch").servedPart() >= FLOOR_PART * tally.inTimePart(), figures);
-        }
+        });
     }
 
     /** Builds side by side serve each class at most 0.03 less often than the worse of them alone. */
     @Test
     void shouldServeNoWorseThanEitherBuildAloneWhenHalfOfTheEntriesAreFormer() {
         List<CallerStream> streams = batchSurge(1.3);
-        for (long seed = 0; seed < 2; seed++) {
+        forEachSeed(seed -> {
             Tally mixed = play(true, streams, true, new Faults(0, 0, ENTRIES / 2, 0, FROM_MILLIS), seed);
             Tally now = sound(seed);
             Tally before = play(true, streams, false, Faults.NONE, seed);
@@ -228,6 +235,6 @@
                         Math.min(now.of(kind).inTimePart(), before.of(kind).inTimePart());
                 assertTrue(mixed.of(kind).inTimePart() >= worse - 0.03, () -> kind + ": " + figures);
             }
-        }
+        });
     }
 }
