Requests that wait for a full region do not hold up those of other regions

Cause: a pass over the wait queue ended after four requests of a priority that found no capacity, and requests that are restricted to a full region come first as often as others. Change: the four count for each set of allowed regions. WaitQueueTest.shouldStartRequestOfOtherRegionWhenManyWaitForFullRegion (nothing started before).

--- a/src/main/java/org/micabarrow/admission/SlotWait.java
+++ b/src/main/java/org/micabarrow/admission/SlotWait.java
@@ -5,6 +5,7 @@
 import org.micabarrow.admission.AdmissionControl.Decision;
 import org.micabarrow.admission.WaitQueue.QueuedRequest;
 import org.micabarrow.admission.WaitQueue.Waiter;
+import org.micabarrow.routing.AllowedRegions;
 
 /**
  * The wait of a request for a free slot. It ends when a later decision sends or refuses the request, when its time
@@ -48,6 +49,15 @@
          */
         Decision decide();
 
+        /**
+         * Returns the regions in which the request may be handled.
+         *
+         * @return the regions
+         */
+        default AllowedRegions allowedRegions() {
+            return AllowedRegions.any();
+        }
+
         /**
          * Called when the wait ends because the request no longer needs to wait.
          *
@@ -103,6 +113,11 @@
         return true;
     }
 
+    @Override
+    public AllowedRegions allowedRegions() {
+        return request.allowedRegions();
+    }
+
     @Override
     public void expired() {
         queued = Optional.empty();
--- a/src/main/java/org/micabarrow/admission/WaitQueue.java
+++ b/src/main/java/org/micabarrow/admission/WaitQueue.java
@@ -1,11 +1,13 @@
 package org.micabarrow.admission;
 
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import org.micabarrow.routing.AllowedRegions;
 
 /**
  * A queue of requests for which no endpoint has capacity and whose responses can still be in time. Slots become free
@@ -15,8 +17,9 @@
 public final class WaitQueue {
 
     /**
-     * Number of requests of one priority that may fail to start in one pass, before the rest are left for the next
-     * pass. Usually all of them lack the same thing, but a short prompt may find capacity where a long one does not.
+     * Number of requests of one priority and the same regions that may fail to start in one pass, before the rest of them
+     * are left for the next pass. Usually all of them lack the same thing, but a short prompt may find capacity where a
+     * long one does not.
      */
     private static final int MAX_FAILED_STARTS = 4;
 
@@ -38,6 +41,16 @@
          */
         boolean tryStart();
 
+        /**
+         * Returns the regions in which the request may be handled: one that waits for a full region does not hold up
+         * those that may start in another.
+         *
+         * @return the regions
+         */
+        default AllowedRegions allowedRegions() {
+            return AllowedRegions.any();
+        }
+
         /** Called after the request was removed from the queue because it can no longer meet its objective. */
         void expired();
     }
@@ -113,20 +126,21 @@
     }
 
     private void dispatchInOrder() {
-        int failedStarts = 0;
+        Map<AllowedRegions, Integer> failedStarts = new HashMap<>();
         int priority = Integer.MIN_VALUE;
         for (QueuedRequest queued : List.copyOf(queue)) {
             if (queued.priority() != priority) {
                 priority = queued.priority();
-                failedStarts = 0;
+                failedStarts.clear();
             }
-            if (failedStarts == MAX_FAILED_STARTS || !queue.contains(queued)) {
+            AllowedRegions regions = queued.waiter().allowedRegions();
+            if (failedStarts.getOrDefault(regions, 0) == MAX_FAILED_STARTS || !queue.contains(queued)) {
                 continue;
             }
             if (queued.waiter().tryStart()) {
                 queue.remove(queued);
             } else {
-                failedStarts++;
+                failedStarts.merge(regions, 1, Integer::sum);
             }
         }
     }
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -15,6 +15,7 @@
 import org.micabarrow.attempts.RequestTimes;
 import org.micabarrow.crashes.LazyDigest;
 import org.micabarrow.crashes.SuspicionLevel;
+import org.micabarrow.routing.AllowedRegions;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.EndpointSelection;
 import org.micabarrow.routing.RequestKind;
@@ -111,6 +112,11 @@
 
     // -- routing
 
+    @Override
+    public AllowedRegions allowedRegions() {
+        return request.allowedRegions();
+    }
+
     @Override
     public Decision decide() {
         return context.decide(request, digest, millisUntilObjective(), attempts.triedEndpoints());
--- a/src/test/java/org/micabarrow/admission/WaitQueueTest.java
+++ b/src/test/java/org/micabarrow/admission/WaitQueueTest.java
@@ -5,8 +5,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.admission.WaitQueue.QueuedRequest;
+import org.micabarrow.routing.AllowedRegions;
 
 class WaitQueueTest {
 
@@ -47,6 +49,36 @@
         assertEquals(1, queue.size());
     }
 
+    /** A waiter for one region, which starts if the region is not full. */
+    private record Regional(String region, boolean full, List<String> started) implements WaitQueue.Waiter {
+
+        @Override
+        public boolean tryStart() {
+            if (!full) {
+                started.add(region);
+            }
+            return !full;
+        }
+
+        @Override
+        public AllowedRegions allowedRegions() {
+            return AllowedRegions.only(Set.of(region));
+        }
+
+        @Override
+        public void expired() {}
+    }
+
+    @Test
+    void shouldStartRequestOfOtherRegionWhenManyWaitForFullRegion() {
+        for (int i = 0; i < 20; i++) {
+            queue.enqueue(1, 100, new Regional("full", true, started));
+        }
+        queue.enqueue(1, 200, new Regional("other", false, started));
+        queue.dispatch();
+        assertEquals(List.of("other"), started);
+    }
+
     @Test
     void shouldStartInOrderOfArrivalWhenAllElseIsEqual() {
         enqueue("first", 1, 200);
