Forecast waits by the rate of the class itself

The forecast took the rate of more urgent classes as well, most of which are sent without waiting, so that it hardly ever refused at once.

Change: the rate of the class itself, which is what more urgent ones left to it; only for waits of 300 ms and more.

--- a/src/main/java/org/micabarrow/admission/ClassAdmission.java
+++ b/src/main/java/org/micabarrow/admission/ClassAdmission.java
@@ -31,6 +31,9 @@
     /** The part of a class that is served while a shortage passes by itself. */
     private static final double PASSING_SHORTAGE_FRACTION = 0.9;
 
+    /** The shortest wait that is forecast, in milliseconds: sparing a client less than that is not worth an error. */
+    private static final long MIN_FORECAST_WAIT_MILLIS = 300;
+
     /** The shortest delay that a client is told, in milliseconds: its connection takes some of it. */
     private static final long MIN_RETRY_MILLIS = 100;
 
@@ -110,15 +113,19 @@
     }
 
     /**
-     * Predicts how long a request would wait for a slot.
+     * Returns whether a request would wait for longer than it may, at the rate at which its class was sent lately.
      *
      * @param competing the class with which it competes
      * @param waiting the number of requests that wait, by priority
+     * @param maxWaitMillis how long it may wait, in milliseconds
      * @param nowMillis the time on the monotonic clock
-     * @return milliseconds; empty if not known, or while requests do not differ in priority
+     * @return false also for short waits, for the most urgent class, and while requests do not differ in priority
      */
-    public OptionalLong expectedWaitMillis(RequestClass competing, Map<Integer, Integer> waiting, long nowMillis) {
-        return divided ? forecast.millis(competing.priority(), waiting, nowMillis) : OptionalLong.empty();
+    public boolean waitsInVain(
+            RequestClass competing, Map<Integer, Integer> waiting, long maxWaitMillis, long nowMillis) {
+        return divided
+                && maxWaitMillis >= MIN_FORECAST_WAIT_MILLIS
+                && forecast.millis(competing.priority(), waiting, nowMillis).orElse(0) > maxWaitMillis;
     }
 
     /**
--- a/src/main/java/org/micabarrow/admission/WaitForecast.java
+++ b/src/main/java/org/micabarrow/admission/WaitForecast.java
@@ -5,8 +5,8 @@
 import java.util.TreeMap;
 
 /**
- * Predicts how long a request would wait in the queue from the rate at which requests of its class and of more urgent
- * ones were sent. Not thread-safe: confined to one thread.
+ * Predicts how long a request would wait in the queue from the rate at which requests of its class were sent, which is
+ * what more urgent ones left to it. Not thread-safe: confined to one thread.
  */
 final class WaitForecast {
 
@@ -22,23 +22,19 @@
         sent.computeIfAbsent(priority, key -> new DecayedCount(DECAY_MILLIS)).add(1, nowMillis);
     }
 
-    /** Returns the time until all that wait before a request of a class have been sent; empty if that is not known. */
+    /**
+     * Returns the time until those of the same class that wait before a request have been sent; empty if that is not
+     * known, and for the most urgent class, to which slots are given first.
+     */
     OptionalLong millis(int priority, Map<Integer, Integer> waiting, long nowMillis) {
         if (sent.keySet().stream().allMatch(other -> other >= priority)) {
             return OptionalLong.empty();
         }
-        double ahead = 0;
-        for (Map.Entry<Integer, Integer> one : waiting.entrySet()) {
-            ahead += one.getKey() <= priority ? one.getValue() : 0;
-        }
+        int ahead = waiting.getOrDefault(priority, 0);
         DecayedCount own = sent.get(priority);
         if (ahead == 0 || own == null || own.value(nowMillis) < MIN_SENT) {
             return OptionalLong.empty();
         }
-        double perSecond = 0;
-        for (Map.Entry<Integer, DecayedCount> one : sent.entrySet()) {
-            perSecond += one.getKey() <= priority ? one.getValue().perSecond(nowMillis) : 0;
-        }
-        return OptionalLong.of(Math.round(ahead * 1_000 / perSecond));
+        return OptionalLong.of(Math.round(ahead * 1_000 / own.perSecond(nowMillis)));
     }
 }
--- a/src/main/java/org/micabarrow/serving/RequestClasses.java
+++ b/src/main/java/org/micabarrow/serving/RequestClasses.java
@@ -53,10 +53,8 @@
 
     /** Whether a request without a free slot waits; it is refused at once if it would probably wait in vain. */
     boolean waits(ClientRequest request, Decision.Wait wait) {
-        boolean inVain = admission
-                        .expectedWaitMillis(competing(request, false), waitQueue.sizeByPriority(), now())
-                        .orElse(0)
-                > wait.millis();
+        boolean inVain =
+                admission.waitsInVain(competing(request, false), waitQueue.sizeByPriority(), wait.millis(), now());
         counter(request, inVain ? "refusedEarly" : "waiting").inc();
         return !inVain;
     }
