--- a/src/main/java/org/micabarrow/weights/OriginTurns.java
+++ b/src/main/java/org/micabarrow/weights/OriginTurns.java
@@ -13,10 +13,10 @@
 final class OriginTurns {
 
     /**
-     * The number of missing chunks that may be requested by all agents together: what an origin of 10 Mbit/s sends in
-     * the half second after which a chunk has been passed on within a region. Fewer leave its link idle.
+     * The number of missing chunks that may be requested by all agents together: what an origin of some 5 Mbit/s sends
+     * in the second and more after which a chunk has been passed on to all. Fewer leave its link idle.
      */
-    private static final int MAX_REQUESTED = 24;
+    private static final int MAX_REQUESTED = 32;
 
     /**
      * The number of chunks that may be requested at first. More take so long together that links are idle meanwhile.
