Entries count what they hold for clients, read slow clients' streams on, and refuse large bodies near the limit

Cause: nothing counted request bodies and unread answers; an endpoint waited for the client of its stream, and endpoints cut off what stays unread for seconds. The thresholds are chosen, not measured.

--- /dev/null
+++ b/src/main/java/org/micabarrow/memory/HeldBytes.java
@@ -0,0 +1,139 @@
+package org.micabarrow.memory;
+
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.IdentityHashMap;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Counts the bytes that a process holds for its clients: request bodies, and answers that clients have not taken yet. When the
+ * count exceeds its limit, the answer that holds most is cut. Changed by the traffic thread only; {@link #bytes} may be read by
+ * any thread.
+ *
+ * <pre>{@code
+ * HeldBytes.Hold answer = held.holdAnswer(() -> closeConnection());
+ * answer.set(4_096);
+ * answer.release();
+ * }</pre>
+ */
+public final class HeldBytes {
+
+    private static final Runnable NEVER_CUT = () -> {};
+
+    private final long limitBytes;
+    private final AtomicLong total = new AtomicLong();
+    private final Set<Hold> answers = Collections.newSetFromMap(new IdentityHashMap<>());
+
+    /**
+     * Creates a count of nothing.
+     *
+     * @param limitBytes how much may be held
+     */
+    public HeldBytes(long limitBytes) {
+        this.limitBytes = limitBytes;
+    }
+
+    /**
+     * The limit.
+     *
+     * @return bytes
+     */
+    public long limitBytes() {
+        return limitBytes;
+    }
+
+    /**
+     * What is held now.
+     *
+     * @return bytes
+     */
+    public long bytes() {
+        return total.get();
+    }
+
+    /**
+     * Starts counting a request body, which is never cut.
+     *
+     * @return its count, zero at first
+     */
+    public Hold holdBody() {
+        return new Hold(NEVER_CUT);
+    }
+
+    /**
+     * Starts counting an answer.
+     *
+     * @param cut ends the answer; called when the limit is exceeded and no other answer holds more, also while this answer's own
+     *     count is being set
+     * @return its count, zero at first
+     */
+    public Hold holdAnswer(Runnable cut) {
+        return new Hold(Objects.requireNonNull(cut, "cut is null"));
+    }
+
+    private void cutLargest() {
+        while (total.get() > limitBytes) {
+            Optional<Hold> largest = answers.stream().max(Comparator.comparingLong(Hold::bytes));
+            if (largest.isEmpty()) {
+                return;
+            }
+            largest.get().release();
+            largest.get().cut.run();
+        }
+    }
+
+    /** The count of one request body or answer. */
+    public final class Hold {
+
+        private final Runnable cut;
+        private long bytes;
+        private boolean released;
+
+        private Hold(Runnable cut) {
+            this.cut = cut;
+        }
+
+        /**
+         * What is held.
+         *
+         * @return bytes
+         */
+        public long bytes() {
+            return bytes;
+        }
+
+        /**
+         * Sets what is held; without effect after {@link #release}.
+         *
+         * @param now bytes
+         */
+        public void set(long now) {
+            if (released) {
+                return;
+            }
+            long growth = now - bytes;
+            bytes = now;
+            total.addAndGet(growth);
+            if (cut == NEVER_CUT) {
+                return;
+            }
+            if (now > 0) {
+                answers.add(this);
+            } else {
+                answers.remove(this);
+            }
+            if (growth > 0) {
+                cutLargest();
+            }
+        }
+
+        /** Ends the count; repeated calls have no effect. */
+        public void release() {
+            set(0);
+            released = true;
+        }
+    }
+}
--- a/src/main/java/org/micabarrow/platform/standin/StandinSettings.java
+++ b/src/main/java/org/micabarrow/platform/standin/StandinSettings.java
@@ -37,6 +37,7 @@
                 endpoint,
                 endpoint.map(address -> "models"),
                 LINK_BITS_PER_SECOND,
+                OptionalLong.empty(),
                 BOUNDS,
                 new Common.Logging("text", "info"));
     }
@@ -53,6 +54,7 @@
                 entry.endpoint(),
                 entry.service(),
                 entry.linkBitsPerSecond(),
+                entry.memoryMegabytes(),
                 entry.bounds(),
                 entry.log());
     }
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -13,6 +13,8 @@
 import org.micabarrow.clock.MonotonicClock;
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.crashes.CrashRegistry;
+import org.micabarrow.memory.HeldBytes;
+import org.micabarrow.memory.MemoryLimit;
 import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.RequestHeaders;
 import org.micabarrow.process.HostedNode.Paces;
@@ -118,10 +120,7 @@
                 bounds.crashMemoryMillis(),
                 HostedNode::steadyMillis,
                 System::currentTimeMillis);
-        node.metrics().registerGauge("load.queriesSent", loadFeed::sentQueries);
-        node.metrics().registerGauge("load.repliesReceived", loadFeed::receivedReplies);
-        node.metrics().registerGauge("crashes.known", book::crashCount);
-        node.metrics().registerGauge("crashes.culprits", () -> book.refused().size());
+        registerGauges(book);
         this.handler = ServingHandler.of(new ServingHandler.Dependencies(
                 node.views()::view,
                 choice,
@@ -134,7 +133,19 @@
                 loadFeed::query,
                 versionTimes(bounds.versionMillis()),
                 new ManifestAge(node.views()::operatorAsOfMillis, bounds.configurationMillis()),
-                new CrashTracking(book, new ListenerProbe(node.worker()), crashes::publish)));
+                new CrashTracking(book, new ListenerProbe(node.worker()), crashes::publish),
+                heldBytes(settings)));
+    }
+
+    private void registerGauges(CrashRegistry book) {
+        node.metrics().registerGauge("load.queriesSent", loadFeed::sentQueries);
+        node.metrics().registerGauge("load.repliesReceived", loadFeed::receivedReplies);
+        node.metrics().registerGauge("crashes.known", book::crashCount);
+        node.metrics().registerGauge("crashes.culprits", () -> book.refused().size());
+    }
+
+    private static HeldBytes heldBytes(HostedSettings settings) {
+        return new HeldBytes(MemoryLimit.bytes(Runtime.getRuntime().maxMemory(), settings.memoryMegabytes()));
     }
 
     private static ServingHandler.VersionTimes versionTimes(long boundMillis) {
--- a/src/main/java/org/micabarrow/serving/ClientResponse.java
+++ b/src/main/java/org/micabarrow/serving/ClientResponse.java
@@ -1,15 +1,13 @@
 package org.micabarrow.serving;
 
-import io.undertow.io.IoCallback;
-import io.undertow.io.Sender;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.micabarrow.memory.HeldBytes;
 import org.micabarrow.serving.EndpointProtocol.ResponseHead;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -26,18 +24,34 @@
     private static final double MILLIS_PER_SECOND = 1_000;
 
     /**
-     * How long a client may take to receive the end of a response, in milliseconds: as long as it may take to send a
+     * How long a client may take nothing of the end of a response, in milliseconds: as long as it may take to send a
      * request head. Without this limit, a client that stops reading would keep the response in memory and its request
      * open, and a stopping entry waits for open requests.
      */
     private static final long UNREAD_TIMEOUT_MILLIS = 10_000;
 
     private final HttpServerExchange exchange;
+    private final ClientMemory memory;
+    private final HeldBytes.Hold buffered;
+    private final UnreadAnswer unread;
+    private Consumer<String> onCut = reason -> {};
+    private Runnable onDisconnect = () -> {};
     private boolean started;
     private boolean finished;
 
-    ClientResponse(HttpServerExchange exchange) {
+    ClientResponse(HttpServerExchange exchange, ClientMemory memory) {
         this.exchange = exchange;
+        this.memory = memory;
+        this.buffered = memory.holdAnswer(exchange, () -> cut("the process holds too much, and most for this client"));
+        HeldBytes.Hold queued =
+                memory.holdAnswer(exchange, () -> cut("the process holds too much, and most for this client"));
+        this.unread = new UnreadAnswer(exchange, queued, new UnreadEvents());
+    }
+
+    /** Sets what runs when the answer is cut, with the reason, and when the client has disconnected. */
+    void onEnd(Consumer<String> whenCut, Runnable whenDisconnected) {
+        onCut = whenCut;
+        onDisconnect = whenDisconnected;
     }
 
     /** Whether a response head has been sent to the client. */
@@ -55,6 +69,36 @@
         abort();
     }
 
+    /** Ends the request for the sake of memory; a response that has begun is visibly incomplete. */
+    private void cut(String reason) {
+        memory.recordCut(exchange, unread.bytes(), reason);
+        boolean begun = started;
+        onCut.accept(reason);
+        if (begun) {
+            abort();
+        }
+    }
+
+    /** Reacts to what happens to the parts that the client has not taken. */
+    private final class UnreadEvents implements UnreadAnswer.Events {
+
+        @Override
+        public void onTaken() {
+            exchange.endExchange();
+        }
+
+        @Override
+        public void onDisconnected() {
+            onDisconnect.run();
+            abort();
+        }
+
+        @Override
+        public void onTooSlow() {
+            cut("the client takes the answer too slowly");
+        }
+    }
+
     // -- responses of endpoints
 
     /** Starts a response; its body follows. */
@@ -65,48 +109,47 @@
                 .forEach((name, value) -> exchange.getResponseHeaders().put(new HttpString(name), value));
     }
 
-    /**
-     * Writes a part of the body. {@code onWritten} runs when the next part may be written, {@code onDisconnect} if the
-     * client has disconnected.
-     */
-    void write(byte[] data, Runnable onWritten, Runnable onDisconnect) {
-        exchange.getResponseSender().send(ByteBuffer.wrap(data), new IoCallback() {
-            @Override
-            public void onComplete(HttpServerExchange same, Sender sender) {
-                onWritten.run();
-            }
-
-            @Override
-            public void onException(HttpServerExchange same, Sender sender, IOException e) {
-                onDisconnect.run();
-            }
-        });
-    }
-
-    /** Ends a response whose body has been written. */
-    void end() {
+    /** Counts what is buffered of a response that has not started. */
+    void buffering(long bytes) {
+        buffered.set(bytes);
+    }
+
+    /** Writes a part of the body; {@code more} runs when the next part may be read from the endpoint. */
+    void write(byte[] data, Runnable more) {
+        unread.append(data, more);
+    }
+
+    /** Ends a response with the last part of its body. */
+    void end(byte[] data) {
         finished = true;
-        exchange.endExchange();
+        unread.end(data);
+        closeUnlessTaken();
     }
 
     /** Sends a response that is already complete. */
     void sendWhole(ResponseHead head, byte[] body) {
         start(head);
-        finished = true;
         exchange.setResponseContentLength(body.length);
-        sendRemaining(body);
+        buffered.release();
+        end(body);
     }
 
-    /** Writes the end of the response, and closes the connection if the client does not receive it in time. */
-    private void sendRemaining(byte[] body) {
-        exchange.getResponseSender().send(ByteBuffer.wrap(body), IoCallback.END_EXCHANGE);
+    /** Closes the connection unless the client goes on taking the end of the response. */
+    private void closeUnlessTaken() {
         if (!exchange.isResponseComplete()) {
-            exchange.getIoThread().executeAfter(this::closeUnread, UNREAD_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            long leftBytes = unread.bytes();
+            exchange.getIoThread()
+                    .executeAfter(() -> checkTaken(leftBytes), UNREAD_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
-    private void closeUnread() {
-        if (!exchange.isResponseComplete()) {
+    private void checkTaken(long beforeBytes) {
+        if (exchange.isResponseComplete()) {
+            return;
+        }
+        if (unread.bytes() < beforeBytes) {
+            closeUnlessTaken();
+        } else {
             LOG.info("event=answer_not_taken path={}", exchange.getRequestPath());
             abort();
         }
@@ -115,6 +158,8 @@
     /** Closes the connection during the response, so that the client can detect that it is incomplete. */
     void abort() {
         finished = true;
+        unread.close();
+        buffered.release();
         IoUtils.safeClose(exchange.getConnection());
     }
 
@@ -122,7 +167,6 @@
 
     /** Sends a response of the entry itself, with a Retry-After header if the time is positive. */
     void sendOwn(int status, String reason, long retryAfterMillis) {
-        finished = true;
         started = true;
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
@@ -130,6 +174,9 @@
             exchange.getResponseHeaders()
                     .put(Headers.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterMillis / MILLIS_PER_SECOND));
         }
-        sendRemaining((reason + "\n").getBytes(StandardCharsets.UTF_8));
+        byte[] body = (reason + "\n").getBytes(StandardCharsets.UTF_8);
+        exchange.setResponseContentLength(body.length);
+        buffered.release();
+        end(body);
     }
 }
--- a/src/main/java/org/micabarrow/serving/ResponseRelay.java
+++ b/src/main/java/org/micabarrow/serving/ResponseRelay.java
@@ -61,13 +61,14 @@
             more.run();
         } else {
             served.onEventsForwarded();
-            response.write(wholeEvents, more, served::onClientDisconnected);
+            response.write(wholeEvents, more);
         }
     }
 
     private void buffer(byte[] data, Runnable more) {
         buffered.writeBytes(data);
         if (buffered.size() <= MAX_BUFFERED_BYTES) {
+            response.buffering(buffered.size());
             more.run();
             return;
         }
@@ -75,7 +76,8 @@
         response.start(head.orElseThrow());
         byte[] bufferedSoFar = buffered.toByteArray();
         buffered.reset();
-        response.write(bufferedSoFar, more, served::onClientDisconnected);
+        response.buffering(0);
+        response.write(bufferedSoFar, more);
     }
 
     /** Finishes the response after its last byte has arrived. */
@@ -87,11 +89,7 @@
         }
         byte[] remainder = events.remainder();
         concludeRequest(endpoint);
-        if (remainder.length == 0) {
-            response.end();
-        } else {
-            response.write(remainder, response::end, response::onDisconnect);
-        }
+        response.end(remainder);
     }
 
     private void concludeRequest(EndpointRegistration endpoint) {
--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -17,6 +17,7 @@
 import org.micabarrow.admission.SlotGrants;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.memory.HeldBytes;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.EndpointSelector;
 import org.micabarrow.routing.RouteManifest;
@@ -53,11 +54,16 @@
      */
     private static final long STALE_MANIFEST_RETRY_MILLIS = 300;
 
+    /** The retry delay while there is no room for a body, in milliseconds: in a second, answers under way free some. */
+    private static final long MEMORY_RETRY_MILLIS = 1_000;
+
     private final ServingContext context;
+    private final ClientMemory memory;
     private final ClientConnections connections = new ClientConnections();
 
-    private ServingHandler(ServingContext context) {
-        this.context = context;
+    private ServingHandler(Dependencies dependencies) {
+        this.context = new ServingContext(dependencies);
+        this.memory = new ClientMemory(dependencies.held(), dependencies.registry());
     }
 
     /**
@@ -75,6 +81,7 @@
      * @param versionTimes when older weight versions may no longer serve requests
      * @param manifestAge how up to date the knowledge of operator changes is
      * @param crashes detects endpoint crashes
+     * @param held counts the memory that is held for clients
      */
     public record Dependencies(
             Supplier<View> view,
@@ -88,7 +95,8 @@
             AgentQueries agentQueries,
             VersionTimes versionTimes,
             ManifestAge manifestAge,
-            CrashTracking crashes) {
+            CrashTracking crashes,
+            HeldBytes held) {
 
         /** Checks that no component is null. */
         public Dependencies {
@@ -104,6 +112,7 @@
             Objects.requireNonNull(versionTimes, "versionTimes is null");
             Objects.requireNonNull(manifestAge, "manifestAge is null");
             Objects.requireNonNull(crashes, "crashes is null");
+            Objects.requireNonNull(held, "held is null");
         }
     }
 
@@ -137,7 +146,7 @@
      * @return the handler
      */
     public static ServingHandler of(Dependencies dependencies) {
-        return new ServingHandler(new ServingContext(dependencies));
+        return new ServingHandler(dependencies);
     }
 
     /**
@@ -187,6 +196,10 @@
         connections.requestStarted(exchange);
         OptionalLong knownAsOf = knownAsOf();
         context.view().manifest().ifPresent(manifest -> exchange.setMaxEntitySize(manifest.maxBodyBytes()));
+        if (!memory.admitBody(exchange)) {
+            refuse(exchange, UNAVAILABLE, "this entry has no memory for the body now", MEMORY_RETRY_MILLIS);
+            return;
+        }
         exchange.getRequestReceiver()
                 .receiveFullBytes(
                         (same, body) -> same.dispatch(SameThreadExecutor.INSTANCE, () -> handleBody(exchange, body)),
@@ -209,6 +222,7 @@
     }
 
     private void handleBody(HttpServerExchange exchange, byte[] body) {
+        memory.bodyRead(exchange, body.length);
         OptionalLong knownAsOf = knownAsOf();
         Optional<RouteManifest> manifest = context.view().manifest();
         if (connections.closing()) {
@@ -250,8 +264,9 @@
     }
 
     private void serve(HttpServerExchange exchange, ClientRequest request) {
-        ServedRequest served =
-                new ServedRequest(context, request, new ClientResponse(exchange), exchange.getIoThread());
+        ClientResponse response = new ClientResponse(exchange, memory);
+        ServedRequest served = new ServedRequest(context, request, response, exchange.getIoThread());
+        response.onEnd(served::end, served::onClientDisconnected);
         ClientDisconnectDetector.start(exchange, served::onClientDisconnected);
         served.begin();
     }
@@ -265,6 +280,6 @@
                 status,
                 context.viewAge(),
                 reason);
-        new ClientResponse(exchange).sendOwn(status, reason, retryAfterMillis);
+        new ClientResponse(exchange, memory).sendOwn(status, reason, retryAfterMillis);
     }
 }
--- a/src/main/java/org/micabarrow/settings/HostedSettings.java
+++ b/src/main/java/org/micabarrow/settings/HostedSettings.java
@@ -17,6 +17,7 @@
  * @param endpoint the host and port of the endpoint beside an agent
  * @param service the service of that endpoint
  * @param linkBitsPerSecond what the instance's link carries, in either direction
+ * @param memoryMegabytes the memory of the instance; empty if not stated
  * @param bounds what the users allow
  * @param log how it logs
  */
@@ -30,6 +31,7 @@
         Optional<String> endpoint,
         Optional<String> service,
         double linkBitsPerSecond,
+        OptionalLong memoryMegabytes,
         Bounds bounds,
         Common.Logging log) {
 
--- a/src/test/java/org/micabarrow/process/LateWriteTest.java
+++ b/src/test/java/org/micabarrow/process/LateWriteTest.java
@@ -116,6 +116,7 @@
                 own.endpoint(),
                 own.service(),
                 own.linkBitsPerSecond(),
+                own.memoryMegabytes(),
                 own.bounds(),
                 own.log());
     }
--- a/src/test/java/org/micabarrow/process/OldManifestTest.java
+++ b/src/test/java/org/micabarrow/process/OldManifestTest.java
@@ -167,6 +167,7 @@
                 own.endpoint(),
                 own.service(),
                 own.linkBitsPerSecond(),
+                own.memoryMegabytes(),
                 own.bounds(),
                 own.log());
     }
--- a/src/test/java/org/micabarrow/serving/ManifestAgeTest.java
+++ b/src/test/java/org/micabarrow/serving/ManifestAgeTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.memory.HeldBytes;
 import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.RequestHeaders;
 import org.micabarrow.platform.StoreRecords;
@@ -79,7 +80,8 @@
                         (endpoint, then) -> then.accept(true),
                         new ServingHandler.VersionTimes(TIMEOUT.toMillis(), TIMEOUT.toMillis(), TIMEOUT.toMillis()),
                         new ManifestAge(views::operatorAsOfMillis, MAX_AGE_MILLIS),
-                        CrashTracking.disabled())));
+                        CrashTracking.disabled(),
+                        new HeldBytes(Runtime.getRuntime().maxMemory()))));
         views.apply(Topic.OPERATOR, List.of(manifest(1, LATE_OFFSET)), LATE_OFFSET + 1);
     }
 
--- a/src/test/java/org/micabarrow/serving/ServingFixture.java
+++ b/src/test/java/org/micabarrow/serving/ServingFixture.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.memory.HeldBytes;
 import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.RequestHeaders;
 import org.micabarrow.platform.StoreRecords;
@@ -51,6 +52,9 @@
     final EndpointSelector selector = new EndpointSelector(
             "region-a", PlacementFilter.of(REGIONS, () -> views.view().evacuatedHalls()), cold);
 
+    /** What the handler holds; a test may set a small limit before it serves. */
+    HeldBytes held = new HeldBytes(Runtime.getRuntime().maxMemory());
+
     HostedSystem platform;
     HostedSettings settings;
     XnioWorker worker;
@@ -98,7 +102,8 @@
                 agentQueries,
                 times,
                 new ManifestAge(OptionalLong::empty, 0),
-                CrashTracking.disabled()));
+                CrashTracking.disabled(),
+                held));
         HttpListener.startOnWorker(clientAddress(), HttpListener.Limits.defaults(), worker, handler);
         TopicFollowers.startAndAwaitView(client, settings, TIMEOUT, views);
     }
--- a/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
@@ -25,6 +25,7 @@
 import org.micabarrow.Await;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.memory.HeldBytes;
 import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.RequestHeaders;
 import org.micabarrow.platform.StoreRecords;
@@ -161,6 +162,7 @@
                 settings.endpoint(),
                 settings.service(),
                 settings.linkBitsPerSecond(),
+                settings.memoryMegabytes(),
                 new HostedSettings.Bounds(
                         usual.versionMillis(),
                         usual.configurationMillis(),
@@ -248,7 +250,8 @@
                 (endpoint, then) -> then.accept(true),
                 new ServingHandler.VersionTimes(GRACE_MILLIS, GRACE_MILLIS, GRACE_MILLIS),
                 new ManifestAge(OptionalLong::empty, 0),
-                CrashTracking.disabled()));
+                CrashTracking.disabled(),
+                new HeldBytes(Runtime.getRuntime().maxMemory())));
         protocol.onFirstResponse.set(handler.connections()::startDraining);
         String clients = settings.listen().clients().orElseThrow();
         HttpListener.startOnWorker(clients, HttpListener.Limits.defaults(), worker, handler);
