--- a/src/main/java/org/micabarrow/transport/LoadPoller.java
+++ b/src/main/java/org/micabarrow/transport/LoadPoller.java
@@ -21,7 +21,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 import org.micabarrow.admission.EntryDemand;
 import org.micabarrow.limits.RateLimitUpdate;
 import org.micabarrow.routing.EndpointLoad;
@@ -52,19 +51,9 @@
     private final DatagramChannel channel;
     private final LoadQueries queries;
 
-    /**
-     * The endpoints at each host. After a restart there are two for a while, until no request is in flight at the
-     * former one.
-     */
-    private volatile Map<String, List<EndpointStart>> endpointsByHost = Map.of();
-
-    private final Map<EndpointStart, EndpointRegistration> polled = new HashMap<>();
+    private final PolledHosts hosts;
     private final QuerySchedule schedule;
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
-    private List<QuerySchedule.Host> hosts = List.of();
-
-    /** The view from which the hosts were derived; empty while endpoints that it does not list are queried too. */
-    private Optional<View> hostsView = Optional.empty();
 
     /** Replies that the traffic thread has not applied yet. */
     private final Queue<Accepted> accepted = new ConcurrentLinkedQueue<>();
@@ -134,6 +123,7 @@
         this.channel = channel;
         this.queries = new LoadQueries(dependencies.traffic(), dependencies.monotonicMillis());
         this.schedule = new QuerySchedule(dependencies.place().id());
+        this.hosts = new PolledHosts(dependencies.selector()::hasRequestsInFlight, this::isSameRegion);
     }
 
     /**
@@ -202,88 +192,33 @@
         // paused, would make the update appear newer than it is.
         Map<String, Long> timestamps = Map.copyOf(replyTimestamps);
         Optional<StoreUpdate> storeUpdate = dependencies.storeUpdate().get();
-        schedule.due(hosts, this::hasRequestsInFlight, roundNumber).forEach(host -> {
+        schedule.due(hosts.all(), hosts::hasRequestsInFlight, roundNumber).forEach(host -> {
             // Agents of other regions get store updates from entries of their own region, since traffic between
             // regions is paid for.
             StoreStatus storeStatus = new StoreStatus(
                     host.sameRegion(),
                     lastTimestamp(timestamps, host.address()),
                     host.sameRegion() ? storeUpdate : Optional.empty());
-            sendQuery(host.address(), endpointsByHost.get(host.address()), storeStatus);
+            sendQuery(host.address(), hosts.endpointsAt(host.address()), storeStatus);
         });
         dependencies.selector().retainOnly(view.endpoints().values());
         repliesDue = repliesDue || queriedBefore || roundNumber >= MAX_ROUNDS_WITHOUT_ENDPOINTS;
-        queriedBefore = !hosts.isEmpty();
+        queriedBefore = !hosts.all().isEmpty();
         roundNumber++;
         if (onTime) {
             afterRound.run();
         }
     }
 
-    /** Derives the hosts from the view, unless it is the one from which they were derived last. */
     private void updateHosts(View view) {
-        if (hostsView.filter(last -> last == view).isPresent()) {
+        if (!hosts.update(view)) {
             return;
         }
-        Map<String, List<EndpointRegistration>> byHost = polledByHost(view);
-        // Set before queries are sent, since a reply may arrive immediately.
-        endpointsByHost = startsOf(byHost);
-        replyTimestamps.keySet().retainAll(byHost.keySet());
-        extensibleHosts.retainAll(byHost.keySet());
-        addresses.keySet().retainAll(byHost.keySet());
-        hosts = byHost.entrySet().stream()
-                .map(host -> new QuerySchedule.Host(
-                        host.getKey(), isSameRegion(host.getValue().getFirst())))
-                .toList();
-        schedule.update(hosts);
-        dependencies.selector().setUnqueried(unqueried(byHost));
-        boolean allListed = view.endpoints().values().stream()
-                        .map(EndpointRegistration::start)
-                        .filter(polled::containsKey)
-                        .count()
-                == polled.size();
-        hostsView = allListed ? Optional.of(view) : Optional.empty();
-    }
-
-    private Set<EndpointStart> unqueried(Map<String, List<EndpointRegistration>> byHost) {
-        return byHost.entrySet().stream()
-                .filter(host -> !schedule.isChosen(host.getKey()))
-                .flatMap(host -> host.getValue().stream())
-                .map(EndpointRegistration::start)
-                .collect(Collectors.toUnmodifiableSet());
-    }
-
-    private boolean hasRequestsInFlight(String host) {
-        return endpointsByHost.getOrDefault(host, List.of()).stream()
-                .anyMatch(dependencies.selector()::hasRequestsInFlight);
-    }
-
-    /**
-     * The endpoints to query: those that are listed for models, and those that are no longer listed but have requests
-     * in flight, since an endpoint that is not queried would seem unresponsive.
-     */
-    private Map<String, List<EndpointRegistration>> polledByHost(View view) {
-        polled.keySet().removeIf(start -> !dependencies.selector().hasRequestsInFlight(start));
-        view.endpoints().values().stream()
-                .filter(endpoint -> isModel(view, endpoint))
-                .forEach(endpoint -> polled.put(endpoint.start(), endpoint));
-        return polled.values().stream().collect(Collectors.groupingBy(EndpointRegistration::instanceHost));
-    }
-
-    private static Map<String, List<EndpointStart>> startsOf(Map<String, List<EndpointRegistration>> hosts) {
-        return hosts.entrySet().stream()
-                .collect(Collectors.toUnmodifiableMap(
-                        Map.Entry::getKey,
-                        host -> host.getValue().stream()
-                                .map(EndpointRegistration::start)
-                                .toList()));
-    }
-
-    private static boolean isModel(View view, EndpointRegistration endpoint) {
-        return view.manifest()
-                .flatMap(manifest -> manifest.service(endpoint.service()))
-                .filter(service -> service.model().isPresent())
-                .isPresent();
+        replyTimestamps.keySet().retainAll(hosts.addresses());
+        extensibleHosts.retainAll(hosts.addresses());
+        addresses.keySet().retainAll(hosts.addresses());
+        schedule.update(hosts.all());
+        dependencies.selector().setUnqueried(hosts.startsAt(host -> !schedule.isChosen(host)));
     }
 
     private boolean isSameRegion(EndpointRegistration endpoint) {
@@ -304,7 +239,8 @@
                 sameRegion,
                 replyTimestamp,
                 sameRegion ? dependencies.storeUpdate().get() : Optional.empty());
-        int number = sendQuery(host, endpointsByHost.getOrDefault(host, List.of(endpoint.start())), storeStatus);
+        List<EndpointStart> endpoints = hosts.endpointsAt(host);
+        int number = sendQuery(host, endpoints.isEmpty() ? List.of(endpoint.start()) : endpoints, storeStatus);
         queries.await(number, callback);
     }
 
@@ -391,7 +327,7 @@
 
     private void accept(String host, LoadMessages.Reply reply) {
         receivedReplies.increment();
-        List<EndpointStart> endpoints = endpointsByHost.getOrDefault(host, List.of());
+        List<EndpointStart> endpoints = hosts.endpointsAt(host);
         replyTimestamps.put(host, reply.timestampMillis());
         if (reply.extension().isPresent()) {
             extensibleHosts.add(host);
