What prompts add at a slow endpoint is compared at that endpoint's speed

The limit on prompts of less urgent classes took the prediction of a slow endpoint against one at the usual speed, so that slowness itself counted as prompts.

--- a/src/main/java/org/micabarrow/routing/EndpointCapacity.java
+++ b/src/main/java/org/micabarrow/routing/EndpointCapacity.java
@@ -95,7 +95,8 @@
         }
         return requests < maxRequests
                 && predictedMillis < firstEventLimitMillis(request)
-                && request.requestClass().delaysNoneMoreUrgent(predictedMillis, loadedMillis(request, requests));
+                && request.requestClass()
+                        .delaysNoneMoreUrgent(predictedMillis, loadedMillis(request, requests) * slowness);
     }
 
     /**
