Endpoint speed: cheaper, for model services only, cold starts that are told again

An expired report of memory no longer counts; a cold start that a registration tells again falls on from its first value; plain services take no part in early switches and in the speed log, which is bounded to one line in five seconds for each endpoint; no exponentials for endpoints at their usual speed.

--- a/src/main/java/org/micabarrow/routing/EndpointCapacity.java
+++ b/src/main/java/org/micabarrow/routing/EndpointCapacity.java
@@ -76,7 +76,7 @@
             return requests < endpoint.slots() * PLAIN_REQUESTS_PER_SLOT;
         }
         ModelProfile model = request.model().get();
-        if (!load.hasAllottedSlot(nowMillis) || !load.memory().fits(request.size(), model.layers())) {
+        if (!load.hasAllottedSlot(nowMillis) || !fitsMemory(request, load, nowMillis)) {
             return false;
         }
         double maxRequests = endpoint.slots() * MODEL_REQUESTS_PER_SLOT;
@@ -116,6 +116,12 @@
                 load.pendingPromptTokens(nowMillis) + request.promptTokens());
     }
 
+    /** Returns whether the endpoint's memory holds the request; a report that has expired does not count. */
+    private static boolean fitsMemory(RoutingRequest request, EndpointLoad load, long nowMillis) {
+        return !load.hasRecentReport(nowMillis)
+                || load.memory().fits(request.size(), request.model().get().layers());
+    }
+
     /** Predicts the time from the first event of a response to its end; 0 if nothing is known of its length. */
     private static double answerMillis(RoutingRequest request, EndpointLoad load, double slowness, long nowMillis) {
         ModelProfile model = request.model().get();
--- a/src/main/java/org/micabarrow/routing/EndpointSelector.java
+++ b/src/main/java/org/micabarrow/routing/EndpointSelector.java
@@ -248,8 +248,8 @@
     }
 
     /**
-     * Returns the endpoints to select from. Endpoints with failures or a slow link and mute ones are used only if there are no
-     * others. Unresponsive endpoints are used only if there is no recent contact with any endpoint of the service: then
+     * Returns the endpoints to select from. Mute endpoints and those with failures or a slow link are used only if there
+     * are no others. Unresponsive endpoints are used only if there is no recent contact with any endpoint of the service: then
      * it is more likely that this entry itself is cut off.
      */
     private List<EndpointCandidate> pool(
--- a/src/main/java/org/micabarrow/routing/EndpointSpeed.java
+++ b/src/main/java/org/micabarrow/routing/EndpointSpeed.java
@@ -27,12 +27,13 @@
     private static final long MAX_COLD_MILLIS = 60_000;
 
     /** Shortest time between two log lines about an endpoint, in milliseconds. */
-    private static final long MIN_LOG_INTERVAL_MILLIS = 1_000;
+    private static final long MIN_LOG_INTERVAL_MILLIS = 5_000;
 
     private final String endpoint;
     private final ReportedPace pace = new ReportedPace();
     private final StepPace steps = new StepPace();
     private final FirstEventError firstEvents = new FirstEventError();
+    private long coldMillis;
     private long coldLeftMillis;
     private long coldSeenMillis;
     private SpeedClass loggedClass = SpeedClass.USUAL;
@@ -119,6 +120,7 @@
     public void coldFor(long leftMillis, long nowMillis) {
         long left = Math.clamp(leftMillis, 0, MAX_COLD_MILLIS);
         if (left != coldLeftMillis) {
+            coldMillis = Math.max(coldMillis, left);
             coldLeftMillis = left;
             coldSeenMillis = nowMillis;
         }
@@ -149,6 +151,9 @@
     }
 
     private double logEngineFactor(long nowMillis) {
+        if (coldLeftMillis == 0 && pace.logFactor() == 0 && steps.logFactor(MAX_LOG_FACTOR) == 0) {
+            return 0;
+        }
         double paceConfidence = pace.confidence(nowMillis);
         double stepConfidence = steps.confidence(nowMillis);
         double total = paceConfidence + stepConfidence;
@@ -163,7 +168,7 @@
         if (coldLeftMillis == 0) {
             return 1;
         }
-        double left = Math.clamp(1 - (double) (nowMillis - coldSeenMillis) / coldLeftMillis, 0, 1);
+        double left = Math.clamp((double) (coldLeftMillis - (nowMillis - coldSeenMillis)) / coldMillis, 0, 1);
         return 1 + (COLD_FACTOR - 1) * left;
     }
 
--- a/src/main/java/org/micabarrow/routing/StepPace.java
+++ b/src/main/java/org/micabarrow/routing/StepPace.java
@@ -18,6 +18,7 @@
     private static final double DECAY_MILLIS = 500;
 
     private final double[] ratios = new double[PASSES];
+    private double logShortest;
     private int passes;
     private long passedAtMillis;
 
@@ -35,12 +36,13 @@
         ratios[passes % PASSES] = tookMillis / expectedMillis;
         passes++;
         passedAtMillis = nowMillis;
+        double shortest = Arrays.stream(ratios).min().orElse(0);
+        logShortest = shortest < MIN_RATIO ? 0 : Math.log(shortest);
     }
 
     /** Returns the logarithm of the slowness that all of the last passes showed; 0 if one was not slow. */
     double logFactor(double maxLogFactor) {
-        double shortest = Arrays.stream(ratios).min().orElse(0);
-        return shortest < MIN_RATIO ? 0 : Math.min(Math.log(shortest), maxLogFactor);
+        return Math.min(logShortest, maxLogFactor);
     }
 
     /** Returns how far the passes are to be believed: between 0 for not at all, and 1. */
--- a/src/main/java/org/micabarrow/serving/AttemptProgress.java
+++ b/src/main/java/org/micabarrow/serving/AttemptProgress.java
@@ -19,6 +19,7 @@
     private final ServingContext context;
     private final EndpointLoad load;
     private final Optional<ModelProfile> model;
+    private final Optional<ModelProfile> streamedModel;
     private final long objectiveMillis;
     private final double predictedMillis;
     private final double factorWhenSent;
@@ -34,15 +35,14 @@
         this.context = served.context();
         this.resumed = served.events().lastId().isPresent();
         this.load = context.load(selected.endpoint());
-        this.model = served.request().route().kind().stream()
-                ? context.versions().model(served.request())
-                : Optional.empty();
+        this.model = context.versions().model(served.request());
+        this.streamedModel = served.request().route().kind().stream() ? model : Optional.empty();
         this.objectiveMillis = served.request().route().objectiveMillis();
         this.predictedMillis = selected.predictedMillis();
         this.startMillis = context.nowMillis();
         this.factorWhenSent = load.speed().factor(startMillis);
         this.stallTimer = new ResponseStallTimer(context::nowMillis);
-        model.ifPresent(profile -> load.silence().sent(startMillis));
+        streamedModel.ifPresent(profile -> load.silence().sent(startMillis));
     }
 
     /**
@@ -52,12 +52,11 @@
     Runnable onReceived(Runnable more) {
         long now = context.nowMillis();
         if (begun) {
-            model.ifPresent(profile -> recordStep(profile, now));
+            streamedModel.ifPresent(profile -> recordStep(profile, now));
         } else {
             begun = true;
-            model.ifPresent(profile -> load.silence().begun(now));
-            load.speed().firstEvent(predictedMillis, now - startMillis, now);
-            context.metrics().recordFirstEvent(predictedMillis, now - startMillis);
+            streamedModel.ifPresent(profile -> load.silence().begun(now));
+            model.ifPresent(profile -> recordFirstEvent(now));
         }
         return stallTimer.onReceived(() -> {
             awaitNext();
@@ -65,6 +64,11 @@
         });
     }
 
+    private void recordFirstEvent(long now) {
+        load.speed().firstEvent(predictedMillis, now - startMillis, now);
+        context.metrics().recordFirstEvent(predictedMillis, now - startMillis);
+    }
+
     private void recordStep(ModelProfile profile, long now) {
         if (awaiting) {
             awaiting = false;
@@ -75,7 +79,7 @@
     }
 
     private void awaitNext() {
-        if (model.isPresent() && !ended && !awaiting) {
+        if (streamedModel.isPresent() && !ended && !awaiting) {
             awaiting = true;
             load.silence().awaits(context.nowMillis());
         }
@@ -84,7 +88,7 @@
     /** Learns the length of an answer that came whole from this endpoint. */
     void completed() {
         if (!resumed) {
-            model.ifPresent(profile -> context.answerLengths()
+            streamedModel.ifPresent(profile -> context.answerLengths()
                     .observed(
                             served.request().route().name(),
                             served.request().size(),
@@ -98,7 +102,7 @@
         if (awaiting) {
             awaiting = false;
             load.silence().ended();
-        } else if (!begun && model.isPresent()) {
+        } else if (!begun && streamedModel.isPresent()) {
             // Otherwise a mute endpoint would get the next request as soon as this one is given up.
             if (load.silence().mute(objectiveMillis, context.nowMillis())) {
                 load.failures().connectionFailed(context.nowMillis());
@@ -129,7 +133,7 @@
 
     /** Whether the response has not begun and would be in time at another endpoint only. */
     private boolean reserveEarlySwitch() {
-        if (begun) {
+        if (begun || model.isEmpty()) {
             return false;
         }
         long now = context.nowMillis();
--- a/src/test/java/org/micabarrow/routing/EndpointSpeedTest.java
+++ b/src/test/java/org/micabarrow/routing/EndpointSpeedTest.java
@@ -121,7 +121,9 @@
         speed.coldFor(4_000, 1_000);
         assertEquals(2, speed.factor(1_000), 0.01);
         speed.coldFor(4_000, 3_000);
-        assertEquals(1.5, speed.factor(3_000), 0.01);
+        assertEquals(1.5, speed.factor(3_000), 0.01, "its registration has not been written since");
+        speed.coldFor(1_000, 4_000);
+        assertEquals(1.25, speed.factor(4_000), 0.01, "what it says later counts from the same beginning");
         assertEquals(1, speed.factor(5_000));
     }
 }
