--- a/src/main/java/org/micabarrow/routing/EndpointCapacity.java
+++ b/src/main/java/org/micabarrow/routing/EndpointCapacity.java
@@ -77,7 +77,7 @@
         }
         ModelProfile model = request.model().get();
         if (!load.hasAllottedSlot(request.requestClass().priority(), nowMillis)
-                || !load.memory().fits(request.size(), model.layers())) {
+                || !fitsMemory(request, load, nowMillis)) {
             return false;
         }
         double maxRequests = endpoint.slots() * MODEL_REQUESTS_PER_SLOT;
@@ -120,6 +120,12 @@
                 load.pendingPromptTokens(nowMillis) + request.promptTokens());
     }
 
+    /** Returns whether the endpoint's memory holds the request; a report that has expired does not count. */
+    private static boolean fitsMemory(RoutingRequest request, EndpointLoad load, long nowMillis) {
+        return !load.hasRecentReport(nowMillis)
+                || load.memory().fits(request.size(), request.model().get().layers());
+    }
+
     /** Predicts the time from the first event of a response to its end; 0 if nothing is known of its length. */
     private static double answerMillis(RoutingRequest request, EndpointLoad load, double slowness, long nowMillis) {
         ModelProfile model = request.model().get();
--- a/src/main/java/org/micabarrow/routing/EndpointSpeed.java
+++ b/src/main/java/org/micabarrow/routing/EndpointSpeed.java
@@ -27,7 +27,7 @@
     private static final long MAX_COLD_MILLIS = 60_000;
 
     /** Shortest time between two log lines about an endpoint, in milliseconds. */
-    private static final long MIN_LOG_INTERVAL_MILLIS = 1_000;
+    private static final long MIN_LOG_INTERVAL_MILLIS = 5_000;
 
     private final String endpoint;
     private final ReportedPace pace = new ReportedPace();
@@ -147,6 +147,9 @@
     }
 
     private double logEngineFactor(long nowMillis) {
+        if (coldLeftMillis == 0 && pace.logFactor() == 0 && steps.logFactor(MAX_LOG_FACTOR) == 0) {
+            return 0;
+        }
         double paceConfidence = pace.confidence(nowMillis);
         double stepConfidence = steps.confidence(nowMillis);
         double total = paceConfidence + stepConfidence;
