--- a/src/main/java/org/micabarrow/routing/EndpointSpeed.java
+++ b/src/main/java/org/micabarrow/routing/EndpointSpeed.java
@@ -147,7 +147,7 @@
     }
 
     private double logEngineFactor(long nowMillis) {
-        if (coldLeftMillis == 0 && pace.logFactor() == 0 && steps.logFactor(MAX_LOG_FACTOR) == 0) {
+        if (coldTotalMillis == 0 && pace.logFactor() == 0 && steps.logFactor(MAX_LOG_FACTOR) == 0) {
             return 0;
         }
         double paceConfidence = pace.confidence(nowMillis);
--- a/src/test/java/org/micabarrow/routing/EndpointSpeedTest.java
+++ b/src/test/java/org/micabarrow/routing/EndpointSpeedTest.java
@@ -122,6 +122,8 @@
         assertEquals(2, speed.factor(1_000), 0.01);
         speed.coldFor(2_000, 3_000);
         assertEquals(1.5, speed.factor(3_000), 0.01);
+        speed.coldFor(1_000, 4_000);
+        assertEquals(1.25, speed.factor(4_000), 0.01, "the cold start has lasted from the first statement on");
         assertEquals(1, speed.factor(5_000));
     }
 }
