--- a/src/main/java/org/micabarrow/bench/Baselines.java
+++ b/src/main/java/org/micabarrow/bench/Baselines.java
@@ -14,36 +14,36 @@
 
     private final long bytes;
     private final int chunkBytes;
-    private final long instanceRate;
+    private final long instanceBytesPerSecond;
     private final LinkPacer origin;
 
     Baselines(long bytes, int chunkBytes, long originRate, long instanceRate) {
         this.bytes = bytes;
         this.chunkBytes = chunkBytes;
-        this.instanceRate = instanceRate;
+        this.instanceBytesPerSecond = instanceRate;
         this.origin = new LinkPacer(originRate, () -> 1);
     }
 
     private LinkPacer link() {
-        return new LinkPacer(instanceRate, () -> 1);
+        return new LinkPacer(instanceBytesPerSecond, () -> 1);
     }
 
     private void copy(LinkPacer from, LinkPacer to) {
-        for (long done = 0; done < bytes; done += chunkBytes) {
+        for (long copiedBytes = 0; copiedBytes < bytes; copiedBytes += chunkBytes) {
             from.acquire(chunkBytes);
             to.acquire(chunkBytes);
         }
     }
 
-    private double bound() {
-        return (double) bytes / instanceRate;
+    private double lowerBoundSeconds() {
+        return (double) bytes / instanceBytesPerSecond;
     }
 
     RolloutRow fromOrigin(int replicas) {
         long start = System.nanoTime();
         List<CompletableFuture<Void>> copies = new ArrayList<>();
         for (int i = 0; i < replicas; i++) {
-            copies.add(onThread(() -> copy(origin, link())));
+            copies.add(runOnThread(() -> copy(origin, link())));
         }
         copies.forEach(CompletableFuture::join);
         return row("baseline: each from the origin", replicas, start, replicas);
@@ -51,37 +51,37 @@
 
     RolloutRow storeAndForward(int replicas) {
         long start = System.nanoTime();
-        List<CountDownLatch> whole = new ArrayList<>();
-        List<LinkPacer> out = new ArrayList<>();
+        List<CountDownLatch> completed = new ArrayList<>();
+        List<LinkPacer> uplinks = new ArrayList<>();
         for (int i = 0; i < replicas; i++) {
-            whole.add(new CountDownLatch(1));
-            out.add(link());
+            completed.add(new CountDownLatch(1));
+            uplinks.add(link());
         }
         List<CompletableFuture<Void>> copies = new ArrayList<>();
         for (int i = 0; i < replicas; i++) {
-            int me = i;
-            copies.add(onThread(() -> receiveWhole(me, whole, out)));
+            int index = i;
+            copies.add(runOnThread(() -> receiveFromParent(index, completed, uplinks)));
         }
         copies.forEach(CompletableFuture::join);
         return row("baseline: store and forward", replicas, start, 1);
     }
 
-    private void receiveWhole(int me, List<CountDownLatch> whole, List<LinkPacer> out) {
+    private void receiveFromParent(int index, List<CountDownLatch> completed, List<LinkPacer> uplinks) {
         try {
-            if (me == 0) {
+            if (index == 0) {
                 copy(origin, link());
             } else {
-                int parent = (me - 1) / 2;
-                whole.get(parent).await();
-                copy(out.get(parent), link());
+                int parent = (index - 1) / 2;
+                completed.get(parent).await();
+                copy(uplinks.get(parent), link());
             }
-            whole.get(me).countDown();
+            completed.get(index).countDown();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private static CompletableFuture<Void> onThread(Runnable work) {
+    private static CompletableFuture<Void> runOnThread(Runnable work) {
         CompletableFuture<Void> done = new CompletableFuture<>();
         Thread.ofPlatform().daemon().start(() -> {
             work.run();
@@ -91,6 +91,6 @@
     }
 
     private RolloutRow row(String name, int replicas, long start, double copies) {
-        return new RolloutRow(name, replicas, "-", (System.nanoTime() - start) / 1e9, bound(), copies);
+        return new RolloutRow(name, replicas, "-", (System.nanoTime() - start) / 1e9, lowerBoundSeconds(), copies);
     }
 }
--- a/src/main/java/org/micabarrow/bench/Quiet.java
+++ b/src/main/java/org/micabarrow/bench/BenchLogging.java
@@ -5,11 +5,11 @@
 import org.slf4j.LoggerFactory;
 
 /** Keeps the log of processes under test out of a benchmark's output. */
-final class Quiet {
+final class BenchLogging {
 
-    private Quiet() {}
+    private BenchLogging() {}
 
-    static void logs() {
+    static void disable() {
         if (LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) instanceof Logger root) {
             root.setLevel(Level.OFF);
         }
--- a/src/main/java/org/micabarrow/bench/Caller.java
+++ b/src/main/java/org/micabarrow/bench/ClientCalls.java
@@ -16,20 +16,20 @@
 import org.micabarrow.transport.HttpClient.HttpResponse;
 
 /** Sends requests to entries as a caller does, and judges what comes back. */
-final class Caller implements AutoCloseable {
+final class ClientCalls implements AutoCloseable {
 
     private static final Duration TIMEOUT = Duration.ofSeconds(60);
-    private static final int TRIES = 100;
-    private static final long PAUSE_MILLIS = 200;
+    private static final int MAX_ATTEMPTS = 100;
+    private static final long RETRY_DELAY_MILLIS = 200;
 
     private final HttpClient http;
 
-    Caller(String name) {
+    ClientCalls(String name) {
         this.http = HttpClient.start(name, 2);
     }
 
     /** How a request ended, as its caller sees it. */
-    enum Ending {
+    enum Outcome {
         ANSWERED,
         NOT_RUN,
         UNKNOWN,
@@ -46,7 +46,7 @@
      * @param text the body
      * @param millis how long it took
      */
-    record Seen(Ending ending, String hall, String instance, String version, String text, double millis) {}
+    record Response(Outcome outcome, String hall, String instance, String version, String text, double millis) {}
 
     static Map<String, Object> chatBody(String model, String prompt, int tokens, boolean stream) {
         Map<String, Object> body = new HashMap<>();
@@ -57,20 +57,28 @@
         return body;
     }
 
-    Seen chat(String entry, String token, Map<String, Object> body) {
-        Seen seen = send(entry + "/v1/chat/completions", token, CanonicalJson.write(body), Map.of());
+    Response chat(String entry, String token, Map<String, Object> body) {
+        Response response = send(entry + "/v1/chat/completions", token, CanonicalJson.write(body), Map.of());
         boolean stream = Boolean.TRUE.equals(body.get("stream"));
-        boolean cut = stream && seen.ending() == Ending.ANSWERED && !seen.text().contains("data: [DONE]");
-        return cut
-                ? new Seen(Ending.LOST, seen.hall(), seen.instance(), seen.version(), seen.text(), seen.millis())
-                : seen;
+        boolean truncated = stream
+                && response.outcome() == Outcome.ANSWERED
+                && !response.text().contains("data: [DONE]");
+        return truncated
+                ? new Response(
+                        Outcome.LOST,
+                        response.hall(),
+                        response.instance(),
+                        response.version(),
+                        response.text(),
+                        response.millis())
+                : response;
     }
 
-    Seen charge(String entry, String token, String service, String key, byte[] body) {
+    Response charge(String entry, String token, String service, String key, byte[] body) {
         return send(entry + "/services/" + service + "/charges", token, body, Map.of("Idempotency-Key", key));
     }
 
-    Seen send(String url, String token, byte[] body, Map<String, String> headers) {
+    Response send(String url, String token, byte[] body, Map<String, String> headers) {
         HttpCall call = HttpCall.post(Fault.Step.READ, URI.create(url), body)
                 .withHeader("Authorization", "Bearer " + token)
                 .withHeader("Content-Type", "application/json");
@@ -78,26 +86,26 @@
             call = call.withHeader(header.getKey(), header.getValue());
         }
         long start = System.nanoTime();
-        Result<HttpResponse> answer = http.call(call, TIMEOUT);
+        Result<HttpResponse> result = http.call(call, TIMEOUT);
         double millis = (System.nanoTime() - start) / 1e6;
-        return answer.toOptional()
-                .map(one -> seen(one, millis))
-                .orElseGet(() -> new Seen(Ending.LOST, "", "", "", String.valueOf(answer.cause()), millis));
+        return result.toOptional()
+                .map(one -> toResponse(one, millis))
+                .orElseGet(() -> new Response(Outcome.LOST, "", "", "", String.valueOf(result.cause()), millis));
     }
 
-    private static Seen seen(HttpResponse answer, double millis) {
-        Optional<String> outcome = Optional.ofNullable(answer.headers().get("X-Micabarrow-Outcome"));
-        Ending ending = switch (outcome.orElse("answered")) {
-            case "not_run" -> Ending.NOT_RUN;
-            case "unknown" -> Ending.UNKNOWN;
-            default -> Ending.ANSWERED;
+    private static Response toResponse(HttpResponse httpResponse, double millis) {
+        Optional<String> header = Optional.ofNullable(httpResponse.headers().get("X-Micabarrow-Outcome"));
+        Outcome result = switch (header.orElse("answered")) {
+            case "not_run" -> Outcome.NOT_RUN;
+            case "unknown" -> Outcome.UNKNOWN;
+            default -> Outcome.ANSWERED;
         };
-        return new Seen(
-                ending,
-                answer.headers().getOrDefault("X-Micabarrow-Hall", ""),
-                answer.headers().getOrDefault("X-Micabarrow-Instance", ""),
-                answer.headers().getOrDefault("X-Micabarrow-Version", ""),
-                new String(answer.body(), StandardCharsets.UTF_8),
+        return new Response(
+                result,
+                httpResponse.headers().getOrDefault("X-Micabarrow-Hall", ""),
+                httpResponse.headers().getOrDefault("X-Micabarrow-Instance", ""),
+                httpResponse.headers().getOrDefault("X-Micabarrow-Version", ""),
+                new String(httpResponse.body(), StandardCharsets.UTF_8),
                 millis);
     }
 
@@ -111,21 +119,21 @@
 
     /** Reads an answer; a process that is still starting is asked again. */
     private <T> T read(HttpCall call, Class<T> type) {
-        Result<HttpResponse> answer = http.call(call, TIMEOUT);
-        for (int i = 0; i < TRIES && answer instanceof Result.Failure; i++) {
-            pause();
-            answer = http.call(call, TIMEOUT);
+        Result<HttpResponse> result = http.call(call, TIMEOUT);
+        for (int i = 0; i < MAX_ATTEMPTS && result instanceof Result.Failure; i++) {
+            waitBeforeRetry();
+            result = http.call(call, TIMEOUT);
         }
         try {
-            return CanonicalJson.read(answer.toOptional().orElseThrow().body(), type);
+            return CanonicalJson.read(result.toOptional().orElseThrow().body(), type);
         } catch (IOException e) {
             throw new IllegalStateException(call.uri() + " gave what cannot be read", e);
         }
     }
 
-    private static void pause() {
+    private static void waitBeforeRetry() {
         try {
-            Thread.sleep(PAUSE_MILLIS);
+            Thread.sleep(RETRY_DELAY_MILLIS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/org/micabarrow/bench/ControlBench.java
+++ b/src/main/java/org/micabarrow/bench/ControlBench.java
@@ -51,10 +51,10 @@
      * @throws Exception if the system does not come up
      */
     public static void main(String[] arguments) throws Exception {
-        Quiet.logs();
+        BenchLogging.disable();
         ControlBench bench = new ControlBench();
         JCommander.newBuilder().addObject(bench).build().parse(arguments);
-        reducer();
+        measureReducer();
         for (int count : bench.nodes) {
             bench.measure(count);
         }
@@ -65,15 +65,15 @@
 
     private void measure(int count) throws Exception {
         try (LocalSystem system = LocalSystem.start(LocalOptions.quick())) {
-            system.statusEvery(STATUS_MILLIS);
-            system.separate(Path.of(System.getenv("MICABARROW_BINARY")));
+            system.setStatusIntervalMillis(STATUS_MILLIS);
+            system.useSeparateProcesses(Path.of(System.getenv("MICABARROW_BINARY")));
             system.addEntry("entry-1", "centro", "centro-a");
             for (int i = 0; i < count; i++) {
                 String hall = HALLS.get(i % HALLS.size());
                 system.addEngine(hall + "-" + i, hall.substring(0, hall.indexOf('-')), hall);
             }
-            system.listAll();
-            try (OperatorCalls operator = new OperatorCalls(system.operators("entry-1"))) {
+            system.publishInstances();
+            try (OperatorCalls operator = new OperatorCalls(system.operatorAddress("entry-1"))) {
                 operator.awaitListed(count + 1);
                 WeightsStandin.Done weights =
                         system.platform().weights().make(new WeightsStandin.Wish("bench", 1 << 20, 64 << 10, count));
@@ -81,8 +81,8 @@
                         operator.plan(intent(weights.version(), count, 0)).id());
                 operator.awaitReady(count);
                 Thread.sleep(SETTLE_MILLIS);
-                atRest(system, operator, count);
-                changing(system, operator, weights.version(), count);
+                measureAtRest(system, operator, count);
+                measureChanges(system, operator, weights.version(), count);
             }
         }
     }
@@ -106,7 +106,7 @@
     private static Sample sample(LocalSystem system, OperatorCalls operator, List<String> ids) throws IOException {
         Sample sum = new Sample(0, 0, 0, 0);
         for (String id : ids) {
-            String address = id.startsWith("entry") ? system.operators(id) : system.watching(id);
+            String address = id.startsWith("entry") ? system.operatorAddress(id) : system.metricsAddress(id);
             Map<?, ?> metrics = operator.metrics(address);
             double peers = metrics.keySet().stream()
                     .map(String::valueOf)
@@ -138,7 +138,7 @@
         }
     }
 
-    private void atRest(LocalSystem system, OperatorCalls operator, int count) throws Exception {
+    private void measureAtRest(LocalSystem system, OperatorCalls operator, int count) throws Exception {
         Sample agentsBefore = sample(system, operator, system.engineIds());
         Sample entryBefore = sample(system, operator, List.of("entry-1"));
         Thread.sleep((long) (restSeconds * 1000));
@@ -164,7 +164,8 @@
                 sample.rssMegabytes()));
     }
 
-    private void changing(LocalSystem system, OperatorCalls operator, String version, int count) throws Exception {
+    private void measureChanges(LocalSystem system, OperatorCalls operator, String version, int count)
+            throws Exception {
         Sample before = sample(system, operator, system.engineIds());
         Sample entryBefore = sample(system, operator, List.of("entry-1"));
         long slowest = 0;
@@ -211,13 +212,13 @@
 
     // -- the reducer
 
-    private static void reducer() throws IOException {
+    private static void measureReducer() throws IOException {
         for (int placements : new int[] {10, 100, 1000}) {
-            reducer(placements);
+            measureReducer(placements);
         }
     }
 
-    private static void reducer(int placements) throws IOException {
+    private static void measureReducer(int placements) throws IOException {
         FoldedState state = FoldedState.empty();
         for (int i = 0; i < placements; i++) {
             state = change(state, i, 8);
--- a/src/main/java/org/micabarrow/bench/Demo.java
+++ b/src/main/java/org/micabarrow/bench/Demo.java
@@ -31,22 +31,22 @@
     private static final Set<String> NOTES_HALLS = Set.of("sur-a");
 
     /** The token of an organisation's callers. */
-    static final String RIDERS = "token-of-riders";
+    static final String RIDERS_TOKEN = "token-of-riders";
 
     /** The token of another organisation's callers. */
-    static final String VANS = "token-of-vans";
+    static final String VANS_TOKEN = "token-of-vans";
 
     private static final int CHATS = 40;
     private static final int CHARGES = 10;
     private static final int LONG_TOKENS = 300;
-    private static final long AFTER_LOST_ANSWER_MILLIS = 1_500;
-    private static final long READY_WITHIN_MILLIS = 60_000;
+    private static final long RESEND_DELAY_MILLIS = 1_500;
+    private static final long READY_TIMEOUT_MILLIS = 60_000;
 
     private final Setup setup;
     private final Map<String, Long> processes;
     private final DemoOperator operator;
-    private final Caller caller = new Caller("demo");
-    private final Tally tally = new Tally();
+    private final ClientCalls clientCalls = new ClientCalls("demo");
+    private final OutcomeCounts outcomes = new OutcomeCounts();
     private final PrintStream out = System.out;
     private long readyReplicas;
 
@@ -87,8 +87,8 @@
     public static void main(String[] arguments) throws Exception {
         Path directory = Path.of(arguments[0]);
         Setup setup = CanonicalJson.read(Files.readAllBytes(directory.resolve("setup.json")), Setup.class);
-        boolean good = new Demo(setup, processes(directory.resolve("processes"))).run();
-        System.exit(good ? 0 : 1);
+        boolean succeeded = new Demo(setup, processes(directory.resolve("processes"))).run();
+        System.exit(succeeded ? 0 : 1);
     }
 
     /** The processes' numbers, as the script has written them. */
@@ -102,57 +102,60 @@
     }
 
     private boolean run() throws Exception {
-        say("1. the platform lists " + setup.instances().size() + " instances; the origin gets two models");
-        caller.post(setup.platform() + "/instances", setup.instances(), Instance[].class);
-        awaitHealth();
-        WeightsStandin.Done assistant = make("assistant", ASSISTANT_BYTES, 1);
-        WeightsStandin.Done notes = make("notes", NOTES_BYTES, 2);
+        printStep("1. the platform lists " + setup.instances().size() + " instances; the origin gets two models");
+        clientCalls.post(setup.platform() + "/instances", setup.instances(), Instance[].class);
+        awaitInstancesListed();
+        WeightsStandin.Done assistant = generateWeights("assistant", ASSISTANT_BYTES, 1);
+        WeightsStandin.Done notes = generateWeights("notes", NOTES_BYTES, 2);
 
-        say("2. an operator asks for a plan; nothing moves until it is confirmed");
+        printStep("2. an operator asks for a plan; nothing moves until it is confirmed");
         String planId = operator.plan(assistant, notes);
         Thread.sleep(500);
         if (originBytes() != 0) {
             throw new IllegalStateException("weights moved before the confirmation");
         }
 
-        say("3. the operator confirms it through the other entry");
+        printStep("3. the operator confirms it through the other entry");
         long start = System.nanoTime();
-        operator.command(1, "confirm", planId);
+        operator.runAndPrint(1, "confirm", planId);
         double seconds = awaitReady(start);
-        operator.command(0, "status");
+        operator.runAndPrint(0, "status");
 
-        say("4. callers ask through both entries");
-        Map<String, Integer> charges = traffic(assistant.fingerprint(), notes.fingerprint());
+        printStep("4. callers ask through both entries");
+        Map<String, Integer> charges = sendRequests(assistant.fingerprint(), notes.fingerprint());
 
-        say("5. an agent and an entry are told to stop while streams are open");
-        drain(assistant.fingerprint());
+        printStep("5. an agent and an entry are told to stop while streams are open");
+        drainWithOpenStreams(assistant.fingerprint());
         countRuns(charges);
-        return report(seconds);
+        return printReport(seconds);
     }
 
-    private void say(String line) {
+    private void printStep(String line) {
         out.println();
         out.println("== " + line);
     }
 
-    private WeightsStandin.Done make(String name, long bytes, long seed) {
-        return caller.post(
+    private WeightsStandin.Done generateWeights(String name, long bytes, long seed) {
+        return clientCalls.post(
                 setup.platform() + "/make",
                 new WeightsStandin.Wish(name, bytes, CHUNK_BYTES, seed),
                 WeightsStandin.Done.class);
     }
 
     private long originBytes() {
-        return ((Number) caller.fetch(setup.platform() + "/counts", Map.class).get("originBytes")).longValue();
+        return ((Number) clientCalls
+                        .fetch(setup.platform() + "/counts", Map.class)
+                        .get("originBytes"))
+                .longValue();
     }
 
     // -- plan and confirmation
 
-    private void awaitHealth() throws InterruptedException {
+    private void awaitInstancesListed() throws InterruptedException {
         for (String operators : setup.operators()) {
-            long end = System.currentTimeMillis() + READY_WITHIN_MILLIS;
+            long end = System.currentTimeMillis() + READY_TIMEOUT_MILLIS;
             while (System.currentTimeMillis() < end) {
-                Map<?, ?> metrics = caller.fetch(operators + "/metrics", Map.class);
+                Map<?, ?> metrics = clientCalls.fetch(operators + "/metrics", Map.class);
                 if (((Number) metrics.get("instances.listed")).intValue()
                         == setup.instances().size()) {
                     break;
@@ -163,22 +166,22 @@
     }
 
     private double awaitReady(long start) throws IOException, InterruptedException {
-        long end = System.currentTimeMillis() + READY_WITHIN_MILLIS;
+        long end = System.currentTimeMillis() + READY_TIMEOUT_MILLIS;
         while (System.currentTimeMillis() < end) {
             OperatorMessages.Status status = operator.status();
-            readyReplicas = DemoOperator.ready(status);
+            readyReplicas = DemoOperator.readyReplicaCount(status);
             if (!status.replicas().isEmpty()
                     && readyReplicas == status.replicas().size()) {
                 return (System.nanoTime() - start) / 1e9;
             }
             Thread.sleep(50);
         }
-        throw new IllegalStateException("not ready within " + READY_WITHIN_MILLIS + " ms: " + operator.status());
+        throw new IllegalStateException("not ready within " + READY_TIMEOUT_MILLIS + " ms: " + operator.status());
     }
 
     // -- requests
 
-    private Map<String, Integer> traffic(String assistant, String notes) {
+    private Map<String, Integer> sendRequests(String assistant, String notes) {
         List<CompletableFuture<Void>> open = new ArrayList<>();
         for (int i = 0; i < CHATS; i++) {
             int n = i;
@@ -202,20 +205,21 @@
     private void chat(int n, String assistant, String notes) {
         boolean forNotes = n % 4 == 3;
         Map<String, Object> body =
-                Caller.chatBody(forNotes ? "notes" : "assistant", "dock " + n + " is jammed", 20, n % 2 == 0);
-        Caller.Seen seen = caller.chat(entry(n), forNotes ? VANS : RIDERS, body);
-        tally.model(seen, Set.of(forNotes ? notes : assistant), forNotes ? NOTES_HALLS : ASSISTANT_HALLS);
+                ClientCalls.chatBody(forNotes ? "notes" : "assistant", "dock " + n + " is jammed", 20, n % 2 == 0);
+        ClientCalls.Response response = clientCalls.chat(entry(n), forNotes ? VANS_TOKEN : RIDERS_TOKEN, body);
+        outcomes.countModelRequest(
+                response, Set.of(forNotes ? notes : assistant), forNotes ? NOTES_HALLS : ASSISTANT_HALLS);
     }
 
     /** The same charge through one entry and then, as if its answer had been lost, through the other. */
     private void charge(int n, byte[] body) {
         Set<String> anywhere = Set.of("norte-a", "centro-a", "sur-a");
-        tally.count(caller.charge(entry(n), RIDERS, "billing", "charge-" + n, body), anywhere);
-        pause(AFTER_LOST_ANSWER_MILLIS);
-        tally.count(caller.charge(entry(n + 1), RIDERS, "billing", "charge-" + n, body), anywhere);
+        outcomes.countRequest(clientCalls.charge(entry(n), RIDERS_TOKEN, "billing", "charge-" + n, body), anywhere);
+        sleep(RESEND_DELAY_MILLIS);
+        outcomes.countRequest(clientCalls.charge(entry(n + 1), RIDERS_TOKEN, "billing", "charge-" + n, body), anywhere);
     }
 
-    private static void pause(long millis) {
+    private static void sleep(long millis) {
         try {
             Thread.sleep(millis);
         } catch (InterruptedException e) {
@@ -226,22 +230,24 @@
     private void countRuns(Map<String, Integer> charges) {
         Map<String, Integer> runs = new HashMap<>();
         setup.endpoints().forEach((instance, address) -> {
-            Map<?, ?> counts = caller.fetch(address + "/runs", Map.class);
+            Map<?, ?> counts = clientCalls.fetch(address + "/runs", Map.class);
             counts.forEach((key, count) -> runs.merge((String) key, (Integer) count, Integer::sum));
         });
-        runs.values().forEach(tally::runs);
+        runs.values().forEach(outcomes::countDuplicateRuns);
         long charged = charges.keySet().stream().filter(runs::containsKey).count();
         out.println("charges run: " + charged + " of " + charges.size() + ", each sent twice");
     }
 
     // -- stopping
 
-    private void drain(String fingerprint) throws InterruptedException {
-        List<CompletableFuture<Caller.Seen>> streams = new ArrayList<>();
+    private void drainWithOpenStreams(String fingerprint) throws InterruptedException {
+        List<CompletableFuture<ClientCalls.Response>> streams = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             int n = i;
-            streams.add(CompletableFuture.supplyAsync(() -> caller.chat(
-                    entry(n), RIDERS, Caller.chatBody("assistant", "a long answer " + n, LONG_TOKENS, true))));
+            streams.add(CompletableFuture.supplyAsync(() -> clientCalls.chat(
+                    entry(n),
+                    RIDERS_TOKEN,
+                    ClientCalls.chatBody("assistant", "a long answer " + n, LONG_TOKENS, true))));
         }
         Thread.sleep(400);
         String agent = setup.instances().stream()
@@ -250,30 +256,32 @@
                 .findFirst()
                 .orElseThrow()
                 .id();
-        stop(agent);
-        stop("entry-2");
+        terminate(agent);
+        terminate("entry-2");
         for (int i = 0; i < 4; i++) {
-            Caller.Seen seen = caller.chat(entry(0), RIDERS, Caller.chatBody("assistant", "after " + i, 8, false));
-            tally.model(seen, Set.of(fingerprint), ASSISTANT_HALLS);
-            if (seen.ending() == Caller.Ending.ANSWERED && seen.instance().equals(agent)) {
+            ClientCalls.Response response =
+                    clientCalls.chat(entry(0), RIDERS_TOKEN, ClientCalls.chatBody("assistant", "after " + i, 8, false));
+            outcomes.countModelRequest(response, Set.of(fingerprint), ASSISTANT_HALLS);
+            if (response.outcome() == ClientCalls.Outcome.ANSWERED
+                    && response.instance().equals(agent)) {
                 out.println("note: " + agent + " answered after it was told to stop");
             }
         }
-        streams.forEach(stream -> tally.model(stream.join(), Set.of(fingerprint), ASSISTANT_HALLS));
-        long whole = streams.stream()
-                .filter(stream -> stream.join().ending() == Caller.Ending.ANSWERED)
+        streams.forEach(stream -> outcomes.countModelRequest(stream.join(), Set.of(fingerprint), ASSISTANT_HALLS));
+        long completed = streams.stream()
+                .filter(stream -> stream.join().outcome() == ClientCalls.Outcome.ANSWERED)
                 .count();
-        out.println("streams that ended whole: " + whole + " of " + streams.size());
+        out.println("streams that ended whole: " + completed + " of " + streams.size());
     }
 
-    private void stop(String instance) {
+    private void terminate(String instance) {
         out.println("$ kill -TERM (" + instance + ")");
         ProcessHandle.of(processes.get(instance)).ifPresent(ProcessHandle::destroy);
     }
 
     // -- figures
 
-    private boolean report(double seconds) {
+    private boolean printReport(double seconds) {
         long distinct = ASSISTANT_BYTES + NOTES_BYTES;
         double bound = (double) ASSISTANT_BYTES / setup.instanceRate();
         long replicas = setup.instances().stream()
@@ -287,7 +295,7 @@
                 seconds,
                 bound,
                 (double) originBytes() / distinct,
-                tally.json()));
-        return tally.clean() && readyReplicas == replicas;
+                outcomes.json()));
+        return outcomes.hasNoViolations() && readyReplicas == replicas;
     }
 }
--- a/src/main/java/org/micabarrow/bench/DemoOperator.java
+++ b/src/main/java/org/micabarrow/bench/DemoOperator.java
@@ -54,30 +54,30 @@
                   ]
                 }
                 """.formatted(
-                        Digest.of(Demo.RIDERS), Digest.of(Demo.VANS), assistant.version(), notes.version()));
-        command(0, "plan", "-f", file.toString());
-        return answer(OperatorMessages.PlanResponse.class, "plan", "-f", file.toString(), "--json")
+                Digest.of(Demo.RIDERS_TOKEN), Digest.of(Demo.VANS_TOKEN), assistant.version(), notes.version()));
+        runAndPrint(0, "plan", "-f", file.toString());
+        return runJson(OperatorMessages.PlanResponse.class, "plan", "-f", file.toString(), "--json")
                 .id();
     }
 
     /** What a command gives as JSON. */
-    private <T> T answer(Class<T> type, String... words) throws IOException {
+    private <T> T runJson(Class<T> type, String... arguments) throws IOException {
         ByteArrayOutputStream json = new ByteArrayOutputStream();
         Console quiet = new Console(new PrintStream(json, true, StandardCharsets.UTF_8), System.err);
-        Main.run(quiet, words(0, words));
+        Main.run(quiet, withConnectionOptions(0, arguments));
         return CanonicalJson.read(json.toByteArray(), type);
     }
 
-    private String[] words(int entry, String... words) {
-        List<String> all = new ArrayList<>(List.of(words));
+    private String[] withConnectionOptions(int entry, String... arguments) {
+        List<String> all = new ArrayList<>(List.of(arguments));
         all.addAll(List.of("--entry", setup.operators().get(entry), "--token", setup.operatorToken()));
         return all.toArray(String[]::new);
     }
 
     /** Runs a command against an entry, and shows it. */
-    void command(int entry, String... words) {
-        out.println("$ micabarrow " + String.join(" ", words));
-        ExitCode code = Main.run(new Console(out, out), words(entry, words));
+    void runAndPrint(int entry, String... arguments) {
+        out.println("$ micabarrow " + String.join(" ", arguments));
+        ExitCode code = Main.run(new Console(out, out), withConnectionOptions(entry, arguments));
         if (code != ExitCode.OK) {
             throw new IllegalStateException("the command ended with " + code);
         }
@@ -85,11 +85,11 @@
 
     /** The status of all replicas, without showing it. */
     OperatorMessages.Status status() throws IOException {
-        return answer(OperatorMessages.Status.class, "status", "--json");
+        return runJson(OperatorMessages.Status.class, "status", "--json");
     }
 
     /** How many replicas are ready. */
-    static long ready(OperatorMessages.Status status) {
+    static long readyReplicaCount(OperatorMessages.Status status) {
         return status.replicas().stream()
                 .filter(replica -> replica.state().equals("ready"))
                 .count();
--- a/src/main/java/org/micabarrow/bench/DigestBench.java
+++ b/src/main/java/org/micabarrow/bench/DigestBench.java
@@ -22,14 +22,14 @@
 public final class DigestBench {
 
     private static final List<Integer> BODY_BYTES = List.of(0, 1 << 10, 16 << 10, 256 << 10, 4 << 20);
-    private static final double NANOS_A_SECOND = 1e9;
-    private static final double NANOS_A_MICRO = 1e3;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double NANOS_PER_MICRO = 1e3;
 
     @Parameter(names = "--seconds", description = "How long each row lasts")
-    private double lasting = 2;
+    private double durationSeconds = 2;
 
     @Parameter(names = "--rate", description = "Requests a second of which the share of a core is told")
-    private double perSecond = 100;
+    private double requestsPerSecond = 100;
 
     /**
      * Runs the benchmark.
@@ -49,40 +49,40 @@
                 "part",
                 "body bytes",
                 "micros each",
-                "core at " + perSecond + "/s");
-        rows("quick", RequestDigest::quickOf);
-        rows("whole", request -> RequestDigest.of(request).hashCode());
+                "core at " + requestsPerSecond + "/s");
+        measure("quick", RequestDigest::quickOf);
+        measure("whole", request -> RequestDigest.of(request).hashCode());
     }
 
-    private void rows(String part, ToIntFunction<ClientRequest> digest) {
-        BODY_BYTES.forEach(bytes -> nanosEach(request(bytes), digest));
+    private void measure(String part, ToIntFunction<ClientRequest> digest) {
+        BODY_BYTES.forEach(bytes -> nanosPerDigest(request(bytes), digest));
         for (int bytes : BODY_BYTES) {
-            double nanos = nanosEach(request(bytes), digest);
-            double share = nanos * perSecond / NANOS_A_SECOND;
-            System.out.printf(Locale.ROOT, "%8s %12d %12.2f %22.5f%n", part, bytes, nanos / NANOS_A_MICRO, share);
+            double nanos = nanosPerDigest(request(bytes), digest);
+            double share = nanos * requestsPerSecond / NANOS_PER_SECOND;
+            System.out.printf(Locale.ROOT, "%8s %12d %12.2f %22.5f%n", part, bytes, nanos / NANOS_PER_MICRO, share);
             System.out.printf(
                     Locale.ROOT,
                     "{\"part\":\"%s\",\"bodyBytes\":%d,\"microsEach\":%.3f,\"perSecond\":%.1f,\"coreShare\":%.6f}%n",
                     part,
                     bytes,
-                    nanos / NANOS_A_MICRO,
-                    perSecond,
+                    nanos / NANOS_PER_MICRO,
+                    requestsPerSecond,
                     share);
         }
     }
 
-    private double nanosEach(ClientRequest request, ToIntFunction<ClientRequest> digest) {
-        long began = System.nanoTime();
+    private double nanosPerDigest(ClientRequest request, ToIntFunction<ClientRequest> digest) {
+        long startNanos = System.nanoTime();
         long count = 0;
-        int different = 0;
-        while (System.nanoTime() - began < lasting * NANOS_A_SECOND) {
-            different |= digest.applyAsInt(request);
+        int combined = 0;
+        while (System.nanoTime() - startNanos < durationSeconds * NANOS_PER_SECOND) {
+            combined |= digest.applyAsInt(request);
             count++;
         }
-        if (different == 0) {
+        if (combined == 0) {
             throw new IllegalStateException("a digest of nothing but zeros");
         }
-        return (double) (System.nanoTime() - began) / count;
+        return (double) (System.nanoTime() - startNanos) / count;
     }
 
     private static ClientRequest request(int bytes) {
--- a/src/main/java/org/micabarrow/bench/DirectCalls.java
+++ b/src/main/java/org/micabarrow/bench/DirectCalls.java
@@ -9,10 +9,10 @@
 /** Sends requests straight to the engines, past entry and agents, for the baselines. */
 final class DirectCalls {
 
-    private final Caller caller;
+    private final ClientCalls client;
     private final LocalSystem system;
     private final String version;
-    private final int engines;
+    private final int engineCount;
 
     /**
      * Makes the calls.
@@ -22,40 +22,40 @@
      * @param version the version of the weights to ask for
      * @param engines how many engines there are
      */
-    DirectCalls(Caller caller, LocalSystem system, String version, int engines) {
-        this.caller = caller;
+    DirectCalls(ClientCalls caller, LocalSystem system, String version, int engines) {
+        this.client = caller;
         this.system = system;
         this.version = version;
-        this.engines = engines;
+        this.engineCount = engines;
     }
 
     /** Sends a request to one engine. */
-    Caller.Seen send(int engine, int number, int tokens) {
-        return caller.send(
+    ClientCalls.Response send(int engine, int number, int tokens) {
+        return client.send(
                 system.engineAddress("engine-" + engine) + "/v1/chat/completions",
                 "-",
-                CanonicalJson.write(Caller.chatBody("bench", "request " + number, tokens, false)),
+                CanonicalJson.write(ClientCalls.chatBody("bench", "request " + number, tokens, false)),
                 Map.of("X-Weights-Version", version, "X-Attempt", "direct-" + System.nanoTime()));
     }
 
     /** Sends to the engines in turn. */
-    OpenLoop.Target roundRobin() {
+    OpenLoopLoad.Target roundRobin() {
         AtomicInteger next = new AtomicInteger();
-        return (number, organisation, tokens) -> send(next.getAndIncrement() % engines, number, tokens);
+        return (number, organisation, tokens) -> send(next.getAndIncrement() % engineCount, number, tokens);
     }
 
     /** Sends to the engine with the fewest requests in flight. */
-    OpenLoop.Target leastInFlight() {
-        AtomicIntegerArray open = new AtomicIntegerArray(engines);
+    OpenLoopLoad.Target leastInFlight() {
+        AtomicIntegerArray inFlight = new AtomicIntegerArray(engineCount);
         return (number, organisation, tokens) -> {
-            int least = IntStream.range(0, engines)
-                    .reduce((a, b) -> open.get(b) < open.get(a) ? b : a)
+            int leastLoaded = IntStream.range(0, engineCount)
+                    .reduce((a, b) -> inFlight.get(b) < inFlight.get(a) ? b : a)
                     .orElse(0);
-            open.incrementAndGet(least);
+            inFlight.incrementAndGet(leastLoaded);
             try {
-                return send(least, number, tokens);
+                return send(leastLoaded, number, tokens);
             } finally {
-                open.decrementAndGet(least);
+                inFlight.decrementAndGet(leastLoaded);
             }
         };
     }
--- a/src/main/java/org/micabarrow/bench/FaultyWeights.java
+++ b/src/main/java/org/micabarrow/bench/FaultInjectingWeights.java
@@ -12,10 +12,10 @@
 import org.micabarrow.state.Result;
 
 /** Corrupts some of the chunks that agents read, and lets the links of some instances stall. */
-final class FaultyWeights {
+final class FaultInjectingWeights {
 
-    private final AtomicInteger chunks = new AtomicInteger();
-    private final Set<String> stalled = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger chunksRead = new AtomicInteger();
+    private final Set<String> stalledInstances = ConcurrentHashMap.newKeySet();
     private volatile int corruptOneIn;
 
     void corruptOneIn(int count) {
@@ -24,16 +24,16 @@
 
     /** Nothing more comes from an instance, though it stays alive. */
     void stall(String instance) {
-        stalled.add(instance);
+        stalledInstances.add(instance);
     }
 
-    void none() {
+    void clear() {
         corruptOneIn = 0;
-        stalled.clear();
+        stalledInstances.clear();
     }
 
     /** Puts the faults between an agent and its sources. */
-    Weights around(Weights weights) {
+    Weights wrap(Weights weights) {
         return new Weights() {
             @Override
             public Result<Manifest> manifest(String artifact) {
@@ -42,18 +42,18 @@
 
             @Override
             public Feed open(Source source, String artifact, int from, int to) {
-                return new Tampered(weights.open(source, artifact, from, to), source);
+                return new FaultInjectingFeed(weights.open(source, artifact, from, to), source);
             }
         };
     }
 
     /** A feed with faults. */
-    private final class Tampered implements Weights.Feed {
+    private final class FaultInjectingFeed implements Weights.Feed {
 
         private final Weights.Feed feed;
         private final Source source;
 
-        private Tampered(Weights.Feed feed, Source source) {
+        private FaultInjectingFeed(Weights.Feed feed, Source source) {
             this.feed = Objects.requireNonNull(feed, "feed is null");
             this.source = source;
         }
@@ -61,15 +61,15 @@
         @Override
         public Result<byte[]> next(Weights.Patience patience) {
             if (source instanceof Source.Peer peer
-                    && stalled.contains(peer.replica().instance())) {
+                    && stalledInstances.contains(peer.replica().instance())) {
                 return stall(patience.silence());
             }
-            return feed.next(patience).map(this::perhapsCorrupted);
+            return feed.next(patience).map(this::maybeCorrupt);
         }
 
-        private Result<byte[]> stall(Duration patience) {
+        private Result<byte[]> stall(Duration timeout) {
             try {
-                Thread.sleep(patience);
+                Thread.sleep(timeout);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
@@ -77,11 +77,11 @@
                     Fault.of(Fault.Step.FETCH, source.toString(), Fault.Reason.STALLED, "the link stalls"));
         }
 
-        private byte[] perhapsCorrupted(byte[] data) {
-            if (corruptOneIn > 0 && chunks.incrementAndGet() % corruptOneIn == 0) {
-                byte[] bad = data.clone();
-                bad[bad.length / 2] ^= 1;
-                return bad;
+        private byte[] maybeCorrupt(byte[] data) {
+            if (corruptOneIn > 0 && chunksRead.incrementAndGet() % corruptOneIn == 0) {
+                byte[] corrupted = data.clone();
+                corrupted[corrupted.length / 2] ^= 1;
+                return corrupted;
             }
             return data;
         }
--- a/src/main/java/org/micabarrow/bench/LineFigure.java
+++ b/src/main/java/org/micabarrow/bench/LineFigure.java
@@ -34,26 +34,26 @@
                 HEIGHT + legend));
         for (int i = 0; i < panels.size(); i++) {
             svg.append(String.format(Locale.ROOT, "<g transform=\"translate(%d,0)\">%n", i * WIDTH));
-            panel(svg, panels.get(i));
+            drawPanel(svg, panels.get(i));
             svg.append("</g>\n");
         }
-        legend(svg, panels.getFirst());
+        drawLegend(svg, panels.getFirst());
         return svg.append("</svg>\n").toString();
     }
 
-    private static void panel(StringBuilder svg, Panel panel) {
-        double least = Math.min(0.9, extreme(panel, true) * 0.9);
-        double most = extreme(panel, false) * 1.15;
+    private static void drawPanel(StringBuilder svg, Panel panel) {
+        double min = Math.min(0.9, minOrMax(panel, true) * 0.9);
+        double max = minOrMax(panel, false) * 1.15;
         int first = panel.lines().values().stream()
                 .mapToInt(TreeMap::firstKey)
                 .min()
                 .orElse(1);
         int last =
                 panel.lines().values().stream().mapToInt(TreeMap::lastKey).max().orElse(2);
-        Scale scale = new Scale(first, Math.max(last, first + 1), least, most);
+        Scale scale = new Scale(first, Math.max(last, first + 1), min, max);
         text(svg, WIDTH / 2.0, TOP - 18, "middle", panel.title());
         text(svg, WIDTH / 2.0, HEIGHT - 8, "middle", panel.across());
-        for (double mark = 1; mark <= most; mark *= 2) {
+        for (double mark = 1; mark <= max; mark *= 2) {
             svg.append(String.format(
                     Locale.ROOT,
                     "<line x1=\"%d\" x2=\"%d\" y1=\"%.1f\" y2=\"%.1f\" stroke=\"#dddddd\"/>%n",
@@ -68,30 +68,31 @@
                 .distinct()
                 .forEach(count -> text(svg, scale.x(count), HEIGHT - BOTTOM + 18, "middle", count.toString()));
         panel.lines()
-                .forEach((name, line) -> line(svg, scale, line, panel.colours().get(name)));
+                .forEach((name, line) ->
+                        drawLine(svg, scale, line, panel.colours().get(name)));
     }
 
-    private static double extreme(Panel panel, boolean least) {
+    private static double minOrMax(Panel panel, boolean minimum) {
         var values = panel.lines().values().stream()
                 .flatMap(line -> line.values().stream())
                 .mapToDouble(Double::doubleValue);
-        return Math.max(0.01, (least ? values.min() : values.max()).orElse(1));
+        return Math.max(0.01, (minimum ? values.min() : values.max()).orElse(1));
     }
 
     /** Maps values to places. */
-    private record Scale(double first, double last, double least, double most) {
+    private record Scale(double first, double last, double min, double max) {
 
         double x(double value) {
             return LEFT + 10 + (WIDTH - LEFT - RIGHT - 20) * Math.log(value / first) / Math.log(last / first);
         }
 
         double y(double value) {
-            double part = Math.log(Math.max(value, least) / least) / Math.log(most / least);
-            return HEIGHT - BOTTOM - (HEIGHT - TOP - BOTTOM) * part;
+            double fraction = Math.log(Math.max(value, min) / min) / Math.log(max / min);
+            return HEIGHT - BOTTOM - (HEIGHT - TOP - BOTTOM) * fraction;
         }
     }
 
-    private static void line(StringBuilder svg, Scale scale, TreeMap<Integer, Double> line, String colour) {
+    private static void drawLine(StringBuilder svg, Scale scale, TreeMap<Integer, Double> line, String colour) {
         StringBuilder points = new StringBuilder();
         line.forEach((count, value) ->
                 points.append(String.format(Locale.ROOT, "%.1f,%.1f ", scale.x(count), scale.y(value))));
@@ -102,7 +103,7 @@
                 points.toString().trim()));
     }
 
-    private static void legend(StringBuilder svg, Panel panel) {
+    private static void drawLegend(StringBuilder svg, Panel panel) {
         int y = HEIGHT + 8;
         for (String name : panel.lines().keySet()) {
             svg.append(String.format(
--- a/src/main/java/org/micabarrow/bench/LocalOptions.java
+++ b/src/main/java/org/micabarrow/bench/LocalOptions.java
@@ -17,16 +17,16 @@
  * @param cutOffMillis after how long an instance counts as cut off
  */
 public record LocalOptions(
-        long originRate,
-        long storeRate,
-        long instanceRate,
+        long originBytesPerSecond,
+        long storeBytesPerSecond,
+        long instanceBytesPerSecond,
         EngineStandin.Timing engine,
-        long patienceMillis,
+        long chunkTimeoutMillis,
         long windowBytes,
-        long claimMillis,
-        long repairMillis,
-        long checkpointMillis,
-        long cutOffMillis) {
+        long claimTimeoutMillis,
+        long repairDelayMillis,
+        long checkpointIntervalMillis,
+        long isolationTimeoutMillis) {
 
     /**
      * Options for tests: quick links and engines.
@@ -61,11 +61,11 @@
                 store,
                 instance,
                 engine,
-                patienceMillis,
+                chunkTimeoutMillis,
                 windowBytes,
-                claimMillis,
-                repairMillis,
-                checkpointMillis,
-                cutOffMillis);
+                claimTimeoutMillis,
+                repairDelayMillis,
+                checkpointIntervalMillis,
+                isolationTimeoutMillis);
     }
 }
--- a/src/main/java/org/micabarrow/bench/LocalProcesses.java
+++ b/src/main/java/org/micabarrow/bench/LocalProcesses.java
@@ -21,18 +21,18 @@
 
     private final Map<String, EntryProcess> entries = new LinkedHashMap<>();
     private final Map<String, AgentProcess> agents = new LinkedHashMap<>();
-    private final Map<String, Process> separate = new LinkedHashMap<>();
+    private final Map<String, Process> processesById = new LinkedHashMap<>();
     private Optional<Path> binary = Optional.empty();
-    private UnaryOperator<Weights> faults = UnaryOperator.identity();
+    private UnaryOperator<Weights> weightsWrapper = UnaryOperator.identity();
 
     /** Lets what is started from now on run as processes of their own. */
-    void separate(Path program) {
+    void processesById(Path program) {
         binary = Optional.of(program);
     }
 
     /** Tampers with the weights that agents started from now on read. */
-    void tamper(UnaryOperator<Weights> tampering) {
-        faults = tampering;
+    void wrapWeights(UnaryOperator<Weights> wrapper) {
+        weightsWrapper = wrapper;
     }
 
     // -- starting
@@ -40,7 +40,7 @@
     void startEntry(String id, EntrySettings settings) {
         try {
             if (binary.isPresent()) {
-                separate.put(id, launch(binary.get(), "entry", id, settings));
+                processesById.put(id, launch(binary.get(), "entry", id, settings));
             } else {
                 entries.put(id, EntryProcess.start(settings));
             }
@@ -52,11 +52,11 @@
     void startAgent(String id, AgentSettings settings) {
         try {
             if (binary.isPresent()) {
-                separate.put(id, launch(binary.get(), "agent", id, settings));
+                processesById.put(id, launch(binary.get(), "agent", id, settings));
             } else {
                 // It may stand in for one that was killed just now.
                 Ports.awaitFree(settings.listen().peers());
-                agents.put(id, AgentProcess.start(settings, faults));
+                agents.put(id, AgentProcess.start(settings, weightsWrapper));
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -84,13 +84,13 @@
     }
 
     /** A process of its own. */
-    Process separate(String id) {
-        return separate.get(id);
+    Process processesById(String id) {
+        return processesById.get(id);
     }
 
     @Override
     public void close() {
-        separate.values().forEach(Process::destroyForcibly);
+        processesById.values().forEach(Process::destroyForcibly);
         entries.values().forEach(EntryProcess::kill);
         agents.values().forEach(AgentProcess::kill);
     }
--- a/src/main/java/org/micabarrow/bench/LocalSettings.java
+++ b/src/main/java/org/micabarrow/bench/LocalSettings.java
@@ -25,11 +25,16 @@
                 new EntrySettings.Listen(Ports.freeAddress(), Ports.freeAddress(), Ports.freeAddress()),
                 platformServices(),
                 List.of(new EntrySettings.Operator("ana", Digest.of(LocalSystem.OPERATOR_TOKEN))),
-                new Common.LinkRates(options.originRate(), options.instanceRate()),
+                new Common.LinkRates(options.originBytesPerSecond(), options.instanceBytesPerSecond()),
                 new EntrySettings.Limits(
-                        1 << 20, 16 << 10, 1000, 60_000, 60_000, options.claimMillis(), 3_600_000, 2, 0.1),
+                        1 << 20, 16 << 10, 1000, 60_000, 60_000, options.claimTimeoutMillis(), 3_600_000, 2, 0.1),
                 new EntrySettings.Peers(
-                        statusMillis, 15 * statusMillis, 200, options.repairMillis(), options.checkpointMillis(), 64),
+                        statusMillis,
+                        15 * statusMillis,
+                        200,
+                        options.repairDelayMillis(),
+                        options.checkpointIntervalMillis(),
+                        64),
                 new Common.Logging("text", "info"),
                 new Common.Security(Optional.empty(), Optional.empty()));
     }
@@ -43,9 +48,9 @@
                 platformServices(),
                 new AgentSettings.EndpointAddress(
                         engine ? "engine" : "service", "http://" + endpoint, statusMillis / 2),
-                new Common.LinkRates(options.originRate(), options.instanceRate()),
-                new AgentSettings.Weights(options.windowBytes(), options.patienceMillis(), 5_000, 3_000),
-                new AgentSettings.Limits(2, 64, 1000, 1 << 20, 60_000, options.cutOffMillis(), 30_000),
+                new Common.LinkRates(options.originBytesPerSecond(), options.instanceBytesPerSecond()),
+                new AgentSettings.Weights(options.windowBytes(), options.chunkTimeoutMillis(), 5_000, 3_000),
+                new AgentSettings.Limits(2, 64, 1000, 1 << 20, 60_000, options.isolationTimeoutMillis(), 30_000),
                 new Common.Logging("text", "info"),
                 new Common.Security(Optional.empty(), Optional.empty()));
     }
--- a/src/main/java/org/micabarrow/bench/LocalSystem.java
+++ b/src/main/java/org/micabarrow/bench/LocalSystem.java
@@ -42,7 +42,8 @@
     private LocalSystem(LocalOptions options) {
         this.options = Objects.requireNonNull(options, "options is null");
         this.platformAddress = Ports.freeAddress();
-        this.platform = PlatformStandin.start(platformAddress, options.originRate(), options.storeRate());
+        this.platform =
+                PlatformStandin.start(platformAddress, options.originBytesPerSecond(), options.storeBytesPerSecond());
     }
 
     /**
@@ -50,8 +51,8 @@
      *
      * @param program the product's binary
      */
-    public void separate(Path program) {
-        processes.separate(program);
+    public void useSeparateProcesses(Path program) {
+        processes.processesById(program);
     }
 
     /**
@@ -61,7 +62,7 @@
      * @return the process
      */
     public Process process(String id) {
-        return processes.separate(id);
+        return processes.processesById(id);
     }
 
     /**
@@ -69,7 +70,7 @@
      *
      * @param millis the period, 100 unless set
      */
-    public void statusEvery(long millis) {
+    public void setStatusIntervalMillis(long millis) {
         statusMillis = millis;
     }
 
@@ -78,8 +79,8 @@
      *
      * @param tampering put between each agent and its sources
      */
-    public void tamper(UnaryOperator<Weights> tampering) {
-        processes.tamper(tampering);
+    public void wrapWeights(UnaryOperator<Weights> wrapper) {
+        processes.wrapWeights(wrapper);
     }
 
     /**
@@ -175,7 +176,7 @@
     }
 
     /** Puts all that has been added on the platform's list. */
-    public void listAll() {
+    public void publishInstances() {
         platform.list(List.copyOf(instances.values()));
     }
 
@@ -186,7 +187,7 @@
      */
     public void unlist(String id) {
         instances.remove(id);
-        listAll();
+        publishInstances();
     }
 
     // -- reaching
@@ -265,7 +266,7 @@
      * @param id the entry
      * @return the base address
      */
-    public String callers(String id) {
+    public String clientAddress(String id) {
         return "http://" + entrySettings.get(id).listen().callers();
     }
 
@@ -275,7 +276,7 @@
      * @param id the entry
      * @return the base address
      */
-    public String operators(String id) {
+    public String operatorAddress(String id) {
         return "http://" + entrySettings.get(id).listen().operators();
     }
 
@@ -285,7 +286,7 @@
      * @param id the agent
      * @return the base address
      */
-    public String watching(String id) {
+    public String metricsAddress(String id) {
         return "http://" + agentSettings.get(id).listen().operators();
     }
 
--- a/src/main/java/org/micabarrow/bench/OperatorCalls.java
+++ b/src/main/java/org/micabarrow/bench/OperatorCalls.java
@@ -15,32 +15,32 @@
 final class OperatorCalls implements AutoCloseable {
 
     private static final Duration TIMEOUT = Duration.ofSeconds(60);
-    private static final long LOOK_MILLIS = 20;
+    private static final long POLL_MILLIS = 20;
 
     private final HttpClient http = HttpClient.start("operator", 1);
-    private final String base;
+    private final String baseUrl;
 
     OperatorCalls(String base) {
-        this.base = base;
+        this.baseUrl = base;
     }
 
     OperatorMessages.PlanResponse plan(String intent) {
-        return ask("POST", "/plan", intent, OperatorMessages.PlanResponse.class);
+        return request("POST", "/plan", intent, OperatorMessages.PlanResponse.class);
     }
 
     OperatorMessages.ConfirmResponse confirm(String id) {
-        return ask("POST", "/confirm", "{\"id\":\"" + id + "\"}", OperatorMessages.ConfirmResponse.class);
+        return request("POST", "/confirm", "{\"id\":\"" + id + "\"}", OperatorMessages.ConfirmResponse.class);
     }
 
     OperatorMessages.Status status() {
-        return ask("GET", "/status", "", OperatorMessages.Status.class);
+        return request("GET", "/status", "", OperatorMessages.Status.class);
     }
 
-    private <T> T ask(String method, String path, String body, Class<T> type) {
+    private <T> T request(String method, String path, String body, Class<T> type) {
         HttpCall call = new HttpCall(
                         Fault.Step.READ,
                         method,
-                        URI.create(base + path),
+                        URI.create(baseUrl + path),
                         Map.of(),
                         body.getBytes(StandardCharsets.UTF_8))
                 .withHeader("Authorization", "Bearer " + LocalSystem.OPERATOR_TOKEN);
@@ -65,8 +65,8 @@
     }
 
     void awaitListed(int instances) throws InterruptedException {
-        while (number(metrics(base), "instances.listed") != instances) {
-            Thread.sleep(LOOK_MILLIS);
+        while (number(metrics(baseUrl), "instances.listed") != instances) {
+            Thread.sleep(POLL_MILLIS);
         }
     }
 
@@ -80,7 +80,7 @@
             if (ready) {
                 return;
             }
-            Thread.sleep(LOOK_MILLIS);
+            Thread.sleep(POLL_MILLIS);
         }
     }
 
--- a/src/main/java/org/micabarrow/bench/Tally.java
+++ b/src/main/java/org/micabarrow/bench/OutcomeCounts.java
@@ -5,50 +5,50 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Counts how requests ended, and what must never happen. */
-final class Tally {
+final class OutcomeCounts {
 
     private final AtomicInteger requests = new AtomicInteger();
     private final AtomicInteger answered = new AtomicInteger();
     private final AtomicInteger notRun = new AtomicInteger();
     private final AtomicInteger unknown = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
-    private final AtomicInteger doubled = new AtomicInteger();
+    private final AtomicInteger duplicateRuns = new AtomicInteger();
     private final AtomicInteger wrongVersion = new AtomicInteger();
     private final AtomicInteger outsidePlacement = new AtomicInteger();
 
     /** Counts a request to a model, whose answer must carry one fingerprint and come from certain halls. */
-    void model(Caller.Seen seen, Set<String> fingerprints, Set<String> halls) {
-        count(seen, halls);
-        if (seen.ending() == Caller.Ending.ANSWERED && !hasOneOf(seen.text(), fingerprints)) {
+    void countModelRequest(ClientCalls.Response response, Set<String> fingerprints, Set<String> halls) {
+        countRequest(response, halls);
+        if (response.outcome() == ClientCalls.Outcome.ANSWERED && !containsExactlyOne(response.text(), fingerprints)) {
             wrongVersion.incrementAndGet();
         }
     }
 
-    private static boolean hasOneOf(String text, Set<String> fingerprints) {
+    private static boolean containsExactlyOne(String text, Set<String> fingerprints) {
         return fingerprints.stream().filter(text::contains).count() == 1;
     }
 
     /** Counts a request whose answer must come from certain halls. */
-    void count(Caller.Seen seen, Set<String> halls) {
+    void countRequest(ClientCalls.Response response, Set<String> halls) {
         requests.incrementAndGet();
-        switch (seen.ending()) {
+        switch (response.outcome()) {
             case ANSWERED -> answered.incrementAndGet();
             case NOT_RUN -> notRun.incrementAndGet();
             case UNKNOWN -> unknown.incrementAndGet();
             case LOST -> lost.incrementAndGet();
         }
-        if (seen.ending() == Caller.Ending.ANSWERED && !halls.contains(seen.hall())) {
+        if (response.outcome() == ClientCalls.Outcome.ANSWERED && !halls.contains(response.hall())) {
             outsidePlacement.incrementAndGet();
         }
     }
 
     /** Counts runs beyond the first. */
-    void runs(int count) {
-        doubled.addAndGet(Math.max(0, count - 1));
+    void countDuplicateRuns(int executions) {
+        duplicateRuns.addAndGet(Math.max(0, executions - 1));
     }
 
-    boolean clean() {
-        return lost.get() + doubled.get() + wrongVersion.get() + outsidePlacement.get() == 0;
+    boolean hasNoViolations() {
+        return lost.get() + duplicateRuns.get() + wrongVersion.get() + outsidePlacement.get() == 0;
     }
 
     /** The counts as fields of a JSON object. */
@@ -62,7 +62,7 @@
                 notRun.get(),
                 unknown.get(),
                 lost.get(),
-                doubled.get(),
+                duplicateRuns.get(),
                 wrongVersion.get(),
                 outsidePlacement.get());
     }
--- a/src/main/java/org/micabarrow/bench/RequestRows.java
+++ b/src/main/java/org/micabarrow/bench/RequestRows.java
@@ -14,8 +14,8 @@
 final class RequestRows {
 
     private final List<String> json = new ArrayList<>();
-    private final Map<String, TreeMap<Integer, Double>> shortLines = new LinkedHashMap<>();
-    private final Map<String, TreeMap<Integer, Double>> goodLines = new LinkedHashMap<>();
+    private final Map<String, TreeMap<Integer, Double>> shortLatencyLines = new LinkedHashMap<>();
+    private final Map<String, TreeMap<Integer, Double>> goodputLines = new LinkedHashMap<>();
 
     /** Prints the heads of the columns. */
     void header() {
@@ -40,16 +40,16 @@
      * @param loop the requests
      * @param attempts the attempts for each request
      */
-    void row(String name, OpenLoop loop, double attempts) {
+    void addRow(String name, OpenLoopLoad loop, double attempts) {
         System.out.println(String.format(
                 Locale.ROOT,
                 "%-34s %6d %8d %8.0f %8.0f %8.0f %9.2f %7.3f %7.3f",
                 name,
-                loop.sent(),
-                loop.count(Caller.Ending.ANSWERED),
-                loop.shortMillis(95),
-                loop.longMillis(95),
-                loop.goodput(),
+                loop.requestCount(),
+                loop.outcomeCount(ClientCalls.Outcome.ANSWERED),
+                loop.shortPercentileMillis(95),
+                loop.longPercentileMillis(95),
+                loop.goodputTokensPerSecond(),
                 attempts,
                 loop.answeredShare("large"),
                 loop.answeredShare("small")));
@@ -59,15 +59,15 @@
                         + "\"short_p50_ms\":%.1f,\"short_p95_ms\":%.1f,\"long_p95_ms\":%.1f,\"tokens_per_s\":%.0f,"
                         + "\"attempts_per_request\":%.3f}",
                 name,
-                loop.sent(),
-                loop.count(Caller.Ending.ANSWERED),
-                loop.count(Caller.Ending.NOT_RUN),
-                loop.count(Caller.Ending.UNKNOWN),
-                loop.count(Caller.Ending.LOST),
-                loop.shortMillis(50),
-                loop.shortMillis(95),
-                loop.longMillis(95),
-                loop.goodput(),
+                loop.requestCount(),
+                loop.outcomeCount(ClientCalls.Outcome.ANSWERED),
+                loop.outcomeCount(ClientCalls.Outcome.NOT_RUN),
+                loop.outcomeCount(ClientCalls.Outcome.UNKNOWN),
+                loop.outcomeCount(ClientCalls.Outcome.LOST),
+                loop.shortPercentileMillis(50),
+                loop.shortPercentileMillis(95),
+                loop.longPercentileMillis(95),
+                loop.goodputTokensPerSecond(),
                 attempts));
     }
 
@@ -78,16 +78,17 @@
      * @param load the load, 1 for the capacity
      * @param loop the requests
      */
-    void point(String name, double load, OpenLoop loop) {
+    void addPoint(String name, double load, OpenLoopLoad loop) {
         int percent = (int) Math.round(load * 100);
-        shortLines.computeIfAbsent(name, key -> new TreeMap<>()).put(percent, loop.shortMillis(95));
-        goodLines.computeIfAbsent(name, key -> new TreeMap<>()).put(percent, loop.goodput());
+        shortLatencyLines.computeIfAbsent(name, key -> new TreeMap<>()).put(percent, loop.shortPercentileMillis(95));
+        goodputLines.computeIfAbsent(name, key -> new TreeMap<>()).put(percent, loop.goodputTokensPerSecond());
     }
 
     /** Prints two figures in words, and keeps them under their names. */
-    void say(String words, String first, String second, double one, double other) {
-        System.out.println(String.format(Locale.ROOT, words, one, other));
-        json.add(String.format(Locale.ROOT, "{\"%s\":%.3f,\"%s\":%.3f}", first, one, second, other));
+    void addPair(String format, String firstName, String secondName, double firstValue, double secondValue) {
+        System.out.println(String.format(Locale.ROOT, format, firstValue, secondValue));
+        json.add(String.format(
+                Locale.ROOT, "{\"%s\":%.3f,\"%s\":%.3f}", firstName, firstValue, secondName, secondValue));
     }
 
     /** Keeps a JSON object for the end. */
@@ -105,7 +106,11 @@
                 file,
                 LineFigure.draw(List.of(
                         new LineFigure.Panel(
-                                "95th percentile of short requests (ms)", "load, % of capacity", shortLines, colours),
-                        new LineFigure.Panel("answered tokens a second", "load, % of capacity", goodLines, colours))));
+                                "95th percentile of short requests (ms)",
+                                "load, % of capacity",
+                                shortLatencyLines,
+                                colours),
+                        new LineFigure.Panel(
+                                "answered tokens a second", "load, % of capacity", goodputLines, colours))));
     }
 }
--- a/src/main/java/org/micabarrow/bench/RolloutBench.java
+++ b/src/main/java/org/micabarrow/bench/RolloutBench.java
@@ -23,7 +23,7 @@
 public final class RolloutBench {
 
     private static final List<String> HALLS = List.of("norte-a", "centro-a", "sur-a");
-    private static final long LIMIT_MILLIS = 180_000;
+    private static final long TIMEOUT_MILLIS = 180_000;
 
     @Parameter(names = "--replicas", description = "The numbers of replicas to measure")
     private List<Integer> replicas = new ArrayList<>(List.of(8, 16, 32, 64));
@@ -54,23 +54,23 @@
      * @throws Exception if a rollout does not end
      */
     public static void main(String[] arguments) throws Exception {
-        Quiet.logs();
+        BenchLogging.disable();
         RolloutBench bench = new RolloutBench();
         JCommander.newBuilder().addObject(bench).build().parse(arguments);
         bench.run();
         System.exit(0);
     }
 
-    private long originRate() {
+    private long originBytesPerSecond() {
         return (long) (4 * bytes / windowSeconds);
     }
 
-    private long instanceRate() {
+    private long instanceBytesPerSecond() {
         return (long) (2 * bytes / windowSeconds);
     }
 
-    private double bound() {
-        return (double) bytes / instanceRate();
+    private double lowerBoundSeconds() {
+        return (double) bytes / instanceBytesPerSecond();
     }
 
     private void run() throws Exception {
@@ -78,7 +78,7 @@
         for (int count : replicas) {
             measure(count);
         }
-        baselines();
+        measureBaselines();
         Files.createDirectories(Path.of(image).toAbsolutePath().getParent());
         Files.writeString(Path.of(image), RolloutFigure.draw(rows));
         rows.forEach(row -> System.out.println(row.json()));
@@ -93,9 +93,9 @@
 
     private LocalOptions options() {
         return new LocalOptions(
-                originRate(),
-                originRate(),
-                instanceRate(),
+                originBytesPerSecond(),
+                originBytesPerSecond(),
+                instanceBytesPerSecond(),
                 new EngineStandin.Timing(8, 5, 2),
                 1_000,
                 5 << 20,
@@ -106,59 +106,67 @@
     }
 
     private void measure(int count) throws Exception {
-        FaultyWeights faulty = new FaultyWeights();
+        FaultInjectingWeights faultInjection = new FaultInjectingWeights();
         try (LocalSystem system = LocalSystem.start(options())) {
-            system.tamper(faulty::around);
+            system.wrapWeights(faultInjection::wrap);
             system.addEntry("entry-1", "centro", "centro-a");
             for (int i = 0; i < count; i++) {
                 String hall = HALLS.get(i % HALLS.size());
                 system.addEngine(hall + "-" + i, hall.substring(0, hall.indexOf('-')), hall);
             }
-            system.listAll();
-            operator = new OperatorCalls(system.operators("entry-1"));
+            system.publishInstances();
+            operator = new OperatorCalls(system.operatorAddress("entry-1"));
             operator.awaitListed(count + 1);
-            rollOut(system, count, "warm-up", Placement.RolloutPreference.TIME, () -> {}, Set.of());
+            measureRollout(system, count, "warm-up", Placement.RolloutPreference.TIME, () -> {}, Set.of());
             rows.removeLast();
-            rollOut(system, count, "no fault", Placement.RolloutPreference.TIME, () -> {}, Set.of());
-            rollOut(system, count, "no fault", Placement.RolloutPreference.ORIGIN_BYTES, () -> {}, Set.of());
+            measureRollout(system, count, "no fault", Placement.RolloutPreference.TIME, () -> {}, Set.of());
+            measureRollout(system, count, "no fault", Placement.RolloutPreference.ORIGIN_BYTES, () -> {}, Set.of());
             if (withFaults) {
-                measureFaults(system, faulty, count);
+                measureFaults(system, faultInjection, count);
             }
         }
     }
 
-    private void measureFaults(LocalSystem system, FaultyWeights faulty, int count) throws Exception {
+    private void measureFaults(LocalSystem system, FaultInjectingWeights faultInjection, int count) throws Exception {
         List<String> ids = system.engineIds();
         for (Placement.RolloutPreference prefer : Placement.RolloutPreference.values()) {
-            rollOut(system, count, "1% of chunks corrupted", prefer, () -> faulty.corruptOneIn(100), Set.of());
-            faulty.none();
-            rollOut(system, count, "one link stalled", prefer, () -> faulty.stall(ids.get(1)), Set.of());
-            faulty.none();
-            rollOut(system, count, "store slow", prefer, () -> slowStore(system, false), Set.of());
-            rollOut(system, count, "log out after the confirmation", prefer, () -> slowStore(system, true), Set.of());
+            measureRollout(
+                    system, count, "1% of chunks corrupted", prefer, () -> faultInjection.corruptOneIn(100), Set.of());
+            faultInjection.clear();
+            measureRollout(system, count, "one link stalled", prefer, () -> faultInjection.stall(ids.get(1)), Set.of());
+            faultInjection.clear();
+            measureRollout(system, count, "store slow", prefer, () -> injectStoreFaults(system, false), Set.of());
+            measureRollout(
+                    system,
+                    count,
+                    "log out after the confirmation",
+                    prefer,
+                    () -> injectStoreFaults(system, true),
+                    Set.of());
             system.platform().fail(Faults.none());
-            Set<String> dead = everyEighth(ids);
-            rollOut(system, count, "one death in eight", prefer, () -> killSoon(system, dead), dead);
-            revive(system, dead);
-            rollOut(
+            Set<String> killed = everyEighth(ids);
+            measureRollout(
+                    system, count, "one death in eight", prefer, () -> killDuringTransfer(system, killed), killed);
+            restartAgents(system, killed);
+            measureRollout(
                     system,
                     count,
                     "all faults together",
                     prefer,
                     () -> {
-                        faulty.corruptOneIn(100);
-                        faulty.stall(ids.get(1));
-                        slowStore(system, true);
-                        killSoon(system, dead);
+                        faultInjection.corruptOneIn(100);
+                        faultInjection.stall(ids.get(1));
+                        injectStoreFaults(system, true);
+                        killDuringTransfer(system, killed);
                     },
-                    dead);
-            faulty.none();
+                    killed);
+            faultInjection.clear();
             system.platform().fail(Faults.none());
-            revive(system, dead);
+            restartAgents(system, killed);
         }
     }
 
-    private static void slowStore(LocalSystem system, boolean logDown) {
+    private static void injectStoreFaults(LocalSystem system, boolean logDown) {
         system.platform().fail(new Faults(logDown, 0, false, false, 200, 0, false));
     }
 
@@ -171,11 +179,11 @@
     }
 
     /** Kills instances a third of the way through the transfer. */
-    private void killSoon(LocalSystem system, Set<String> dead) {
+    private void killDuringTransfer(LocalSystem system, Set<String> ids) {
         Thread killer = new Thread(() -> {
             try {
-                Thread.sleep((long) (bound() * 1000 / 3));
-                dead.forEach(id -> system.agent(id).kill());
+                Thread.sleep((long) (lowerBoundSeconds() * 1000 / 3));
+                ids.forEach(id -> system.agent(id).kill());
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
@@ -184,9 +192,9 @@
         killer.start();
     }
 
-    private static void revive(LocalSystem system, Set<String> dead) throws InterruptedException {
-        dead.forEach(system::startAgent);
-        for (String id : dead) {
+    private static void restartAgents(LocalSystem system, Set<String> ids) throws InterruptedException {
+        ids.forEach(system::startAgent);
+        for (String id : ids) {
             while (system.agent(id).view().report().isEmpty()) {
                 Thread.sleep(20);
             }
@@ -194,13 +202,13 @@
     }
 
     /** One rollout: the time runs from the confirmation until every replica that lives is ready. */
-    private void rollOut(
+    private void measureRollout(
             LocalSystem system,
             int count,
             String name,
             Placement.RolloutPreference prefer,
             Runnable afterConfirmation,
-            Set<String> dead)
+            Set<String> killed)
             throws Exception {
         WeightsStandin.Done weights =
                 system.platform().weights().make(new WeightsStandin.Wish("bench", bytes, chunkBytes, seed++));
@@ -208,16 +216,16 @@
         long originBefore = system.platform().originBytes();
         long start = System.nanoTime();
         Thread confirmation = Thread.ofPlatform().start(() -> operator.confirm(plan));
-        awaitGeneration(system, weights.version());
+        awaitRolloutStart(system, weights.version());
         afterConfirmation.run();
-        awaitReady(system, weights.version(), dead);
+        awaitReady(system, weights.version(), killed);
         double seconds = (System.nanoTime() - start) / 1e9;
-        confirmation.join(LIMIT_MILLIS);
+        confirmation.join(TIMEOUT_MILLIS);
         double copies = (double) (system.platform().originBytes() - originBefore) / bytes;
-        add(new RolloutRow(name, count, name(prefer), seconds, bound(), copies));
+        add(new RolloutRow(name, count, name(prefer), seconds, lowerBoundSeconds(), copies));
     }
 
-    private static void awaitGeneration(LocalSystem system, String version) throws InterruptedException {
+    private static void awaitRolloutStart(LocalSystem system, String version) throws InterruptedException {
         String first = system.engineIds().getFirst();
         while (system.agent(first).view().replicas().values().stream()
                 .noneMatch(replica -> replica.version().equals(version))) {
@@ -225,10 +233,10 @@
         }
     }
 
-    private static void awaitReady(LocalSystem system, String version, Set<String> dead) throws InterruptedException {
-        long end = System.currentTimeMillis() + LIMIT_MILLIS;
+    private static void awaitReady(LocalSystem system, String version, Set<String> killed) throws InterruptedException {
+        long end = System.currentTimeMillis() + TIMEOUT_MILLIS;
         List<String> waiting = new ArrayList<>(system.engineIds());
-        waiting.removeAll(dead);
+        waiting.removeAll(killed);
         while (!waiting.isEmpty()) {
             waiting.removeIf(id -> system.agent(id).view().replicas().values().stream()
                     .anyMatch(replica ->
@@ -259,17 +267,18 @@
     // -- baselines
 
     /** They are paced and cost nothing else, so all of them run at once. */
-    private void baselines() {
+    private void measureBaselines() {
         List<CompletableFuture<RolloutRow>> measured = new ArrayList<>();
         for (int count : replicas) {
-            measured.add(CompletableFuture.supplyAsync(() -> baseline().fromOrigin(count), Thread::startVirtualThread));
             measured.add(
-                    CompletableFuture.supplyAsync(() -> baseline().storeAndForward(count), Thread::startVirtualThread));
+                    CompletableFuture.supplyAsync(() -> newBaselines().fromOrigin(count), Thread::startVirtualThread));
+            measured.add(CompletableFuture.supplyAsync(
+                    () -> newBaselines().storeAndForward(count), Thread::startVirtualThread));
         }
         measured.forEach(row -> add(row.join()));
     }
 
-    private Baselines baseline() {
-        return new Baselines(bytes, chunkBytes, originRate(), instanceRate());
+    private Baselines newBaselines() {
+        return new Baselines(bytes, chunkBytes, originBytesPerSecond(), instanceBytesPerSecond());
     }
 }
--- a/src/main/java/org/micabarrow/bench/RolloutRow.java
+++ b/src/main/java/org/micabarrow/bench/RolloutRow.java
@@ -12,11 +12,12 @@
  * @param bound the least time that the links allow, in seconds
  * @param originCopies how many copies the origin gave
  */
-record RolloutRow(String name, int replicas, String prefer, double seconds, double bound, double originCopies) {
+record RolloutRow(
+        String name, int replicas, String prefer, double seconds, double lowerBoundSeconds, double originCopies) {
 
     /** How many times the lower bound it took. */
     double ratio() {
-        return seconds / bound;
+        return seconds / lowerBoundSeconds;
     }
 
     /** The rollout as a JSON object. */
@@ -29,7 +30,7 @@
                 replicas,
                 prefer,
                 seconds,
-                bound,
+                lowerBoundSeconds,
                 ratio(),
                 originCopies);
     }
@@ -57,7 +58,7 @@
                 replicas,
                 prefer,
                 seconds,
-                bound,
+                lowerBoundSeconds,
                 ratio(),
                 originCopies);
     }
--- a/src/test/java/org/micabarrow/process/ConnectionsEndTest.java
+++ b/src/test/java/org/micabarrow/process/ConnectionsEndTest.java
@@ -53,7 +53,7 @@
         for (int round = 0; round < ROUNDS; round++) {
             String id = "entry-" + round;
             system.addEntry(id, "norte", "norte-a");
-            system.listAll();
+            system.publishInstances();
             ManagedChannel channel = channels.connect(address(id));
             CountDownLatch answered = new CountDownLatch(CALLERS);
             List<CompletableFuture<Status.Code>> ends = new ArrayList<>();
--- a/src/test/java/org/micabarrow/process/ReadersEndTest.java
+++ b/src/test/java/org/micabarrow/process/ReadersEndTest.java
@@ -62,7 +62,7 @@
     private void endOneEntry(String id) {
         Set<Thread> others = readers();
         system.addEntry(id, "norte", "norte-a");
-        system.listAll();
+        system.publishInstances();
         Set<Thread> own = new HashSet<>(readers());
         own.removeAll(others);
         system.entry(id).kill();
--- a/src/test/java/org/micabarrow/process/RecoveryTest.java
+++ b/src/test/java/org/micabarrow/process/RecoveryTest.java
@@ -36,16 +36,16 @@
     static void start() throws IOException {
         LocalOptions quick = LocalOptions.quick();
         fixture = new SystemFixture(new LocalOptions(
-                quick.originRate(),
-                quick.storeRate(),
-                quick.instanceRate(),
+                quick.originBytesPerSecond(),
+                quick.storeBytesPerSecond(),
+                quick.instanceBytesPerSecond(),
                 new EngineStandin.Timing(16, 2, 1),
-                quick.patienceMillis(),
+                quick.chunkTimeoutMillis(),
                 quick.windowBytes(),
-                quick.claimMillis(),
+                quick.claimTimeoutMillis(),
                 300,
                 400,
-                quick.cutOffMillis()));
+                quick.isolationTimeoutMillis()));
     }
 
     @AfterAll
@@ -54,7 +54,7 @@
     }
 
     private static double generation(String agent) {
-        return fixture.metric(fixture.system.watching(agent), "configuration.generation");
+        return fixture.metric(fixture.system.metricsAddress(agent), "configuration.generation");
     }
 
     private static Set<String> replicas() {
@@ -113,7 +113,7 @@
         fixture.system.agent("billing-1").kill();
         fixture.system.startAgent("billing-1");
         Await.until("the generation", () -> generation("billing-1") >= 6);
-        assertEquals(0, fixture.metric(fixture.system.watching("billing-1"), "configuration.stopped"));
+        assertEquals(0, fixture.metric(fixture.system.metricsAddress("billing-1"), "configuration.stopped"));
     }
 
     @Test
--- a/src/test/java/org/micabarrow/process/SystemFixture.java
+++ b/src/test/java/org/micabarrow/process/SystemFixture.java
@@ -42,7 +42,7 @@
         system.addEngine("sur-a-2", "sur", "sur-a");
         system.addService("billing-1", "norte", "norte-a", "billing", 5);
         system.addService("billing-2", "sur", "sur-a", "billing", 5);
-        system.listAll();
+        system.publishInstances();
     }
 
     WeightsStandin.Done make(String name, long seed) {
@@ -70,7 +70,7 @@
         HttpCall call = new HttpCall(
                         Fault.Step.READ,
                         method,
-                        URI.create(system.operators(entry) + path),
+                        URI.create(system.operatorAddress(entry) + path),
                         Map.of("X-File", "intent.jsonc"),
                         body.getBytes(StandardCharsets.UTF_8))
                 .withHeader("Authorization", "Bearer " + token);
@@ -102,7 +102,7 @@
 
     void awaitListed() {
         for (String entry : List.of("entry-1", "entry-2")) {
-            Await.until("the list", () -> metric(system.operators(entry), "instances.listed") >= 8);
+            Await.until("the list", () -> metric(system.operatorAddress(entry), "instances.listed") >= 8);
         }
     }
 
@@ -173,7 +173,7 @@
         HttpCall call = new HttpCall(
                 Fault.Step.READ,
                 "POST",
-                URI.create(system.callers(entry) + path),
+                URI.create(system.clientAddress(entry) + path),
                 all,
                 body.getBytes(StandardCharsets.UTF_8));
         return http.call(call, TIMEOUT).toOptional().orElseThrow();
--- a/src/test/java/org/micabarrow/process/WholePathTest.java
+++ b/src/test/java/org/micabarrow/process/WholePathTest.java
@@ -65,7 +65,8 @@
         Await.until(
                 "the proposal everywhere",
                 () -> SystemFixture.ENGINES.stream()
-                        .allMatch(id -> fixture.metric(fixture.system.watching(id), "configuration.generation") >= 0));
+                        .allMatch(id ->
+                                fixture.metric(fixture.system.metricsAddress(id), "configuration.generation") >= 0));
         assertEquals(0, fixture.system.platform().originBytes());
         assertEquals(
                 401, fixture.chat("entry-1", SystemFixture.RIDERS, 1, false).status());
@@ -273,6 +274,6 @@
     }
 
     private boolean streaming(String instance) {
-        return fixture.metric(fixture.system.watching(instance), "requests.open") > 0;
+        return fixture.metric(fixture.system.metricsAddress(instance), "requests.open") > 0;
     }
 }
