--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -35,61 +35,64 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** An agent on the users' platform: keeps the endpoint beside it at the weight version that is wanted. */
+/** Agent process on the users' platform: keeps the endpoint on its instance at the desired weight version. */
 public final class HostedAgentProcess implements AutoCloseable {
 
     private static final Logger LOG = LoggerFactory.getLogger(HostedAgentProcess.class);
 
-    /** The pause between reads of endpoints' entries: agents only need them to know each other. */
-    private static final Duration ENDPOINTS_REST = Duration.ofSeconds(3);
+    /** Pause between reads of endpoint registrations, which agents need only to discover each other. */
+    private static final Duration ENDPOINT_POLL_PAUSE = Duration.ofSeconds(3);
 
-    /** How often the endpoint beside the agent is asked for its report, in milliseconds; it answers its own for free. */
-    private static final long REPORT_MILLIS = 150;
+    /** Interval at which the endpoint's report is requested, in milliseconds; reports to its own agent cost the endpoint nothing. */
+    private static final long REPORT_INTERVAL_MILLIS = 150;
 
-    /** How often the agent looks whether there is something to fetch or to order, in milliseconds: a chunk's time. */
-    private static final long LOOK_MILLIS = 50;
+    /** Interval between checks for chunks to fetch or orders to send, in milliseconds; about the transfer time of a chunk. */
+    private static final long ACTIVE_INTERVAL_MILLIS = 50;
 
-    /** How often it looks for something to order or to stop while the endpoint serves the newest version, in milliseconds. */
-    private static final long SETTLED_LOOK_MILLIS = 150;
+    /** Interval between checks for orders or stops while the endpoint serves the newest version, in milliseconds. */
+    private static final long IDLE_INTERVAL_MILLIS = 150;
 
     /**
-     * How often the agent looks whether the endpoint holds a version that other agents cannot have from it, in milliseconds. It
-     * asks the origin and other agents for the version's digests then, which takes seconds if they do not answer.
+     * Interval between checks whether the endpoint holds a version that other agents cannot fetch from this one, in
+     * milliseconds. A check that finds one requests the version's digests from the origin and other agents, which takes
+     * seconds if they do not answer.
      */
-    private static final long READ_BACK_MILLIS = 300;
+    private static final long READ_BACK_INTERVAL_MILLIS = 300;
 
     /**
-     * From when on a pause counts as a standstill, in milliseconds: the shortest for which entries bear an agent's silence. A
-     * process that only waits for its turn pauses for less.
+     * Minimum pause of the process that is logged, in milliseconds: the shortest silence of an agent that entries tolerate.
+     * Ordinary scheduling delays are shorter.
      */
-    private static final long STANDSTILL_MILLIS = 400;
+    private static final long MIN_REPORTED_PAUSE_MILLIS = 400;
 
-    /** How often the agent looks for standstills, in milliseconds. */
-    private static final long STANDSTILL_LOOK_MILLIS = 200;
+    /** Interval between checks for pauses of the process, in milliseconds. */
+    private static final long PAUSE_CHECK_INTERVAL_MILLIS = 200;
 
-    /** How many agents of each region keep named weight versions in the store: one may be cut off from it. */
-    private static final int VERSION_KEEPERS = 2;
+    /** Number of agents per region that record published weight versions in the store; one may be disconnected from it. */
+    private static final int PRIMARY_WRITERS = 2;
 
-    /** How many agents of each region do so or stand in for those: their whole instances may be lost together. */
-    private static final int KEEPERS_AND_STAND_INS = 4;
+    /** Number of agents per region that record versions or act as backups; several instances may be lost together. */
+    private static final int PRIMARY_AND_BACKUP_WRITERS = 4;
 
     private final HostedSettings settings;
     private final HostedNode node;
-    private final PeerFirstReader news;
-    private final ReplicaController keeper;
+    private final PeerFirstReader reader;
+    private final ReplicaController replica;
     private final Agent self;
     private volatile Optional<LoadServer> loadServer = Optional.empty();
     private volatile KnownAgents knownAgents = new KnownAgents(View.empty(), List.of());
-    private volatile Placed placed = new Placed(View.empty(), new ReplicaController.RegionPosition(0, 1));
+    private volatile CachedPosition cachedPosition =
+            new CachedPosition(View.empty(), new ReplicaController.RegionPosition(0, 1));
 
-    /** Tells entries: a datagram waits while a narrow link is full, and what stops the endpoint in time must not. */
-    private final SignalledThread teller =
+    /** Sends load reports to entries on its own thread: a datagram blocks while a slow link is saturated, and stopping the endpoint
+     * in time must not wait for that. */
+    private final SignalledThread loadSender =
             SignalledThread.start("teller", () -> loadServer.ifPresent(LoadServer::sendToAll));
 
     private HostedAgentProcess(HostedSettings settings) throws IOException {
         this.settings = settings;
         this.node = new HostedNode(settings);
-        this.news = new PeerFirstReader(
+        this.reader = new PeerFirstReader(
                 node.store(), node.peerRecords(), new PeerFirstReader.Role.Agent(), HostedNode::steadyMillis);
         this.self = new Agent(settings.listen().peers(), settings.instance().region());
         ChunkFetcher fetcher = new ChunkFetcher(new ChunkFetcher.Dependencies(
@@ -97,16 +100,16 @@
                 new OriginCalls(node.fresh()),
                 () -> view().manifest().flatMap(RouteManifest::origin),
                 ChunkSources.cached(self, this::agents),
-                node.weightPacer(this::serves)::acquire,
+                node.weightPacer(this::mayServe)::acquire,
                 HostedNode::steadyMillis));
-        this.keeper = new ReplicaController(new ReplicaController.Dependencies(
+        this.replica = new ReplicaController(new ReplicaController.Dependencies(
                 this::model,
                 this::layers,
                 new EndpointCalls(node.kept(), settings.endpoint().orElseThrow(), this::layers),
                 fetcher,
                 this::view,
-                this::place,
-                this::tellEntries,
+                this::regionPosition,
+                this::sendLoadToEntries,
                 settings.bounds().versionMillis(),
                 HostedNode::steadyMillis));
     }
@@ -120,38 +123,38 @@
      */
     public static HostedAgentProcess start(HostedSettings settings) throws IOException {
         HostedAgentProcess agent = new HostedAgentProcess(settings);
-        agent.begin();
+        agent.run();
         return agent;
     }
 
-    private void begin() throws IOException {
+    private void run() throws IOException {
         HostedPeerServer peers =
-                new HostedPeerServer(node.views(), keeper::chunkSet, node.metrics(), node.weightPacer(this::serves));
-        HttpListener.Limits usual = HttpListener.Limits.defaults();
-        HttpListener.startOnWorker(settings.listen().peers(), usual, node.worker(), peers);
-        HttpListener.startOnWorker(settings.listen().metrics(), usual, node.worker(), peers);
+                new HostedPeerServer(node.views(), replica::chunkSet, node.metrics(), node.weightPacer(this::mayServe));
+        HttpListener.Limits limits = HttpListener.Limits.defaults();
+        HttpListener.startOnWorker(settings.listen().peers(), limits, node.worker(), peers);
+        HttpListener.startOnWorker(settings.listen().metrics(), limits, node.worker(), peers);
         loadServer = Optional.of(LoadServer.start(
                 settings.listen().peers(),
-                this::told,
+                this::loadReport,
                 this::pool,
                 HostedNode::steadyMillis,
-                this::heard,
+                this::onStoreUpdate,
                 HostedNode.readerMaxAgeMillis(settings.bounds())));
-        // After the listeners, so that no connection of our own takes one of their ports.
-        Paces paces = new Paces(
+        // Opens connections only after the listeners, so that none of them occupies a listening port.
+        Paces pollTimings = new Paces(
                 new PollTiming(HostedNode.STORE_WAIT, Duration.ZERO),
-                new PollTiming(HostedNode.STORE_WAIT, ENDPOINTS_REST));
-        node.follow(news, news, paces, settings::seeds, this::duty);
-        LoadServer loads = loadServer.orElseThrow();
-        node.metrics().registerGauge("load.queriesReceived", loads::receivedQueries);
-        node.metrics().registerGauge("load.repliesSent", loads::sentReplies);
-        node.metrics().registerGauge("weights.secondsNotRetired", keeper::secondsNotRetired);
-        node.metrics().registerGauge("weights.stopBeforeBoundMillis", keeper::lastStopBeforeBoundMillis);
-        RepeatedTasks.start("report", REPORT_MILLIS, new Reports());
-        RepeatedTasks.start("fetch", LOOK_MILLIS, keeper::fetch);
-        RepeatedTasks.start("replica", this::replicaMillis, keeper::step);
-        RepeatedTasks.start("read-back", READ_BACK_MILLIS, keeper::readBack);
-        RepeatedTasks.start("standstill", STANDSTILL_LOOK_MILLIS, new StandstillWatch());
+                new PollTiming(HostedNode.STORE_WAIT, ENDPOINT_POLL_PAUSE));
+        node.follow(reader, reader, pollTimings, settings::seeds, this::writeRole);
+        LoadServer server = loadServer.orElseThrow();
+        node.metrics().registerGauge("load.queriesReceived", server::receivedQueries);
+        node.metrics().registerGauge("load.repliesSent", server::sentReplies);
+        node.metrics().registerGauge("weights.secondsNotRetired", replica::secondsNotRetired);
+        node.metrics().registerGauge("weights.stopBeforeBoundMillis", replica::lastStopBeforeBoundMillis);
+        RepeatedTasks.start("report", REPORT_INTERVAL_MILLIS, new ReportTask());
+        RepeatedTasks.start("fetch", ACTIVE_INTERVAL_MILLIS, replica::fetch);
+        RepeatedTasks.start("replica", this::replicaIntervalMillis, replica::step);
+        RepeatedTasks.start("read-back", READ_BACK_INTERVAL_MILLIS, replica::readBack);
+        RepeatedTasks.start("standstill", PAUSE_CHECK_INTERVAL_MILLIS, new PauseDetector());
         LOG.info(
                 "event=started role=agent instance={} countsSuspensions={}",
                 settings.instance().id(),
@@ -159,80 +162,85 @@
     }
 
     /**
-     * Asks the endpoint how it is, and tells entries at once when it takes requests again, or no more. Asked by an entry of
-     * another region only every 450 ms, it would stand idle for half of that after each change of versions.
+     * Polls the endpoint's report and notifies entries immediately when the endpoint starts or stops accepting requests. Entries
+     * of other regions poll only every 450 ms; without the notification, the endpoint would be idle for half of that on
+     * average after each version change.
      */
-    private final class Reports implements RepeatedTasks.Task {
+    private final class ReportTask implements RepeatedTasks.Task {
 
-        private Optional<Serving> toldLast = Optional.empty();
+        private Optional<ServingState> lastSent = Optional.empty();
 
-        private record Serving(boolean loading, boolean leaving, long version, OptionalInt start) {}
+        private record ServingState(boolean loading, boolean draining, long version, OptionalInt start) {}
 
         @Override
         public void run() {
-            keeper.refresh();
-            keeper.report()
+            replica.refresh();
+            replica.report()
                     .ifPresent(report -> loadServer.ifPresent(
                             server -> server.limitRelay().reported(report.rateLimit(), HostedNode.steadyMillis())));
-            Optional<Serving> now =
-                    told().map(told -> new Serving(told.loading(), told.draining(), told.version(), told.start()));
-            if (!now.equals(toldLast)) {
-                toldLast = now;
-                tellEntries();
+            Optional<ServingState> now = loadReport()
+                    .map(told -> new ServingState(told.loading(), told.draining(), told.version(), told.start()));
+            if (!now.equals(lastSent)) {
+                lastSent = now;
+                sendLoadToEntries();
             }
         }
     }
 
-    /** Says that the instance stood still, so that what entries and endpoints tell of that time can be explained. */
-    private final class StandstillWatch implements RepeatedTasks.Task {
+    /** Logs pauses of the process, for example when the instance was suspended, to explain the reports of entries and endpoints for
+     * that time. */
+    private final class PauseDetector implements RepeatedTasks.Task {
 
         private long lastMillis = HostedNode.steadyMillis();
 
         @Override
         public void run() {
             long now = HostedNode.steadyMillis();
-            long stood = now - lastMillis - STANDSTILL_LOOK_MILLIS;
+            long pauseMillis = now - lastMillis - PAUSE_CHECK_INTERVAL_MILLIS;
             lastMillis = now;
-            if (stood >= STANDSTILL_MILLIS) {
+            if (pauseMillis >= MIN_REPORTED_PAUSE_MILLIS) {
                 LOG.warn(
                         "event=stood_still ms={} endpoint={}",
-                        stood,
+                        pauseMillis,
                         settings.endpoint().orElse("-"));
             }
         }
     }
 
-    /** An entry told where the last changes in the store stand. */
-    private void heard(String entry, StoreUpdate told) {
-        news.onUpdate(entry, told.changes(), HostedNode.steadyMillis() - told.knownMillisAgo());
-        // A place beyond all that the entry has read would be kept for good, and be lacking everywhere.
-        told.manifest()
-                .filter(place -> place.offset() < told.changes().operator())
+    /** Handles the newest store offsets that an entry announced. */
+    private void onStoreUpdate(String entry, StoreUpdate update) {
+        reader.onUpdate(entry, update.changes(), HostedNode.steadyMillis() - update.knownMillisAgo());
+        // A position beyond the records that the entry has read would be recorded permanently although no such record
+        // exists.
+        update.manifest()
+                .filter(place -> place.offset() < update.changes().operator())
                 .ifPresent(node.views()::recordManifestPosition);
     }
 
-    /** A version that is named is fetched at once, since the origin may go away; what follows takes seconds to come about. */
-    private long replicaMillis() {
-        return keeper.isUpToDate() ? SETTLED_LOOK_MILLIS : LOOK_MILLIS;
+    /** Returns the interval between replica steps: longer once the endpoint is up to date. Published versions are fetched
+     * immediately by a separate task, since the origin may become unavailable; later steps take seconds to become due. */
+    private long replicaIntervalMillis() {
+        return replica.isUpToDate() ? IDLE_INTERVAL_MILLIS : ACTIVE_INTERVAL_MILLIS;
     }
 
-    /** What entries are told of the endpoint; while it does not answer, nothing is said. */
-    private Optional<LoadReport> told() {
-        return keeper.report()
+    /** Returns the load report for entries; empty while the endpoint does not answer. */
+    private Optional<LoadReport> loadReport() {
+        return replica.report()
                 .map(report -> new LoadReport(
                         report.requests(),
                         0,
-                        report.busy() || keeper.isCordoned(),
+                        report.busy() || replica.isCordoned(),
                         model().map(model -> report.models().getOrDefault(model, 0L))
                                 .orElse(0L),
-                        freePlaces(report),
+                        allottableSlots(report),
                         EndpointStart.token(report.startedMillis()),
                         report.draining(),
                         Optional.of(report.condition())));
     }
 
-    /** The places that may be dealt out, as far as the endpoint's memory holds them; any number while the manifest, which says how many there are, is not known. */
-    private int freePlaces(ModelEndpoint.Report report) {
+    /** Returns the slots that may be granted, limited by the endpoint's memory. Unlimited until the manifest, which states the
+     * number of slots, is known. */
+    private int allottableSlots(ModelEndpoint.Report report) {
         return modelService()
                 .map(service -> Math.min(
                         SlotAllotment.allottable(service.slots(), report.requests()),
@@ -240,7 +248,7 @@
                 .orElse(LoadReport.UNLIMITED_SLOTS);
     }
 
-    /** The endpoints among which the requests of this agent's service are divided. */
+    /** Returns the slots per endpoint and the number of endpoints that share the requests of this agent's service. */
     private ClassAllotment.Pool pool() {
         long endpoints = view().endpoints().values().stream()
                 .filter(one -> settings.service().filter(one.service()::equals).isPresent())
@@ -248,12 +256,12 @@
         return new ClassAllotment.Pool(modelService().map(ModelProfile::slots).orElse(1), (int) endpoints);
     }
 
-    private boolean serves() {
-        return keeper.mayHaveRequests();
+    private boolean mayServe() {
+        return replica.mayHaveRequests();
     }
 
-    private void tellEntries() {
-        teller.signal();
+    private void sendLoadToEntries() {
+        loadSender.signal();
     }
 
     private View view() {
@@ -274,40 +282,41 @@
         return modelService().map(ModelProfile::layers).orElse(0);
     }
 
-    /** The agents in a view. They are needed many times a second while a version is fetched. */
+    /** Caches the agents of a view, which are looked up many times per second while a version is fetched. */
     private record KnownAgents(View view, List<Agent> agents) {}
 
-    /** The agents beside all endpoints of this agent's service; they listen at the same port on every instance. */
+    /** Returns the agents of all endpoints of this agent's service; they listen on the same port on every instance. */
     private List<Agent> agents() {
-        View now = view();
-        KnownAgents known = knownAgents;
-        if (known.view() != now) {
-            known = new KnownAgents(now, agents(now));
-            knownAgents = known;
+        View currentView = view();
+        KnownAgents cached = knownAgents;
+        if (cached.view() != currentView) {
+            cached = new KnownAgents(currentView, agents(currentView));
+            knownAgents = cached;
         }
-        return known.agents();
+        return cached.agents();
     }
 
-    private List<Agent> agents(View now) {
+    private List<Agent> agents(View currentView) {
         return Agent.besideEndpoints(
-                now.endpointsOf(settings.service().orElse("")), settings.peerPort(), settings.regions());
+                currentView.endpointsOf(settings.service().orElse("")), settings.peerPort(), settings.regions());
     }
 
-    /** The place in a view. It is asked for twice a second and more, and views change when an endpoint does. */
-    private record Placed(View view, ReplicaController.RegionPosition place) {}
+    /** Caches the region position for a view. It is needed at least twice per second, whereas views change only when an endpoint
+     * does. */
+    private record CachedPosition(View view, ReplicaController.RegionPosition position) {}
 
-    private ReplicaController.RegionPosition place() {
-        View now = view();
-        Placed known = placed;
-        if (known.view() != now) {
-            known = new Placed(now, place(now));
-            placed = known;
+    private ReplicaController.RegionPosition regionPosition() {
+        View currentView = view();
+        CachedPosition cached = cachedPosition;
+        if (cached.view() != currentView) {
+            cached = new CachedPosition(currentView, regionPosition(currentView));
+            cachedPosition = cached;
         }
-        return known.place();
+        return cached.position();
     }
 
-    private ReplicaController.RegionPosition place(View now) {
-        List<String> region = Stream.concat(agents(now).stream(), Stream.of(self))
+    private ReplicaController.RegionPosition regionPosition(View currentView) {
+        List<String> region = Stream.concat(agents(currentView).stream(), Stream.of(self))
                 .filter(agent -> agent.region().equals(self.region()))
                 .map(Agent::address)
                 .distinct()
@@ -316,12 +325,12 @@
         return new ReplicaController.RegionPosition(region.indexOf(self.address()), region.size());
     }
 
-    private WriteRole duty() {
-        int position = place().index();
-        if (position < VERSION_KEEPERS) {
+    private WriteRole writeRole() {
+        int position = regionPosition().index();
+        if (position < PRIMARY_WRITERS) {
             return WriteRole.PRIMARY;
         }
-        return position < KEEPERS_AND_STAND_INS ? WriteRole.BACKUP : WriteRole.NONE;
+        return position < PRIMARY_AND_BACKUP_WRITERS ? WriteRole.BACKUP : WriteRole.NONE;
     }
 
     @Override
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -41,40 +41,40 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** An entry on the users' platform: takes clients' requests and passes each straight to an endpoint. */
+/** Entry process on the users' platform: accepts client requests and forwards each directly to an endpoint. */
 public final class HostedEntryProcess implements AutoCloseable {
 
     private static final Logger LOG = LoggerFactory.getLogger(HostedEntryProcess.class);
 
     /**
-     * How long the store may hold a read of what operators wrote, as a part of the time in which a manifest must be in force: what
-     * the entry that reads for its region knows is as old as that at most, and the others must still have time to read the store
-     * themselves when it falls silent.
+     * Long-poll wait for operator records, as a fraction of the time within which a manifest must be in force. It bounds the
+     * age of the data of the region's reader entry; the remaining time lets the other entries read the store themselves
+     * when the reader becomes silent.
      */
-    private static final double OPERATOR_HOLD_PART = 0.4;
+    private static final double OPERATOR_POLL_FRACTION = 0.4;
 
     /**
-     * How long the store may hold a read of what other entries noticed of crashes: a connection that fell silent shows after this and
-     * the answer's own time, together under the three seconds in which the users expect a process to be in touch again.
+     * Long-poll timing for crash records of other entries. A dead connection is detected after this wait plus the response
+     * time, together less than the three seconds within which the users expect a process to reconnect.
      */
-    private static final PollTiming CRASHES_PACE = new PollTiming(Duration.ofMillis(2_000), Duration.ZERO);
+    private static final PollTiming CRASH_POLL_TIMING = new PollTiming(Duration.ofMillis(2_000), Duration.ZERO);
 
-    /** Among how many entries the users' slack for repeats is divided: more than there are, spares and restarts included. */
-    private static final int ENTRIES_AT_MOST = 16;
+    /** Upper bound on the number of entries, including spares and restarts; the users' retry slack is divided by it. */
+    private static final int MAX_ENTRY_COUNT = 16;
 
     private static final int UNAVAILABLE = 503;
     private static final int OK = 200;
 
     private final HostedSettings settings;
     private final HostedNode node;
-    private final EndpointSelector choice;
+    private final EndpointSelector selector;
     private final PeerFirstReader reader;
-    private final LoadPoller loadFeed;
+    private final LoadPoller loadPoller;
     private final ServingHandler handler;
-    private final CrashSharing crashes;
+    private final CrashSharing crashSharing;
     private volatile Optional<HttpListener> clients = Optional.empty();
-    private volatile Optional<StoreFollower> crashNews = Optional.empty();
-    private volatile boolean leaving;
+    private volatile Optional<StoreFollower> crashFollower = Optional.empty();
+    private volatile boolean stopping;
 
     private HostedEntryProcess(HostedSettings settings) throws IOException {
         this.settings = settings;
@@ -87,7 +87,7 @@
                         "registration",
                         HostedNode.steadyMillis()));
         node.metrics().registerGauge("endpoints.cold", () -> cold.count(HostedNode.steadyMillis()));
-        this.choice = new EndpointSelector(
+        this.selector = new EndpointSelector(
                 settings.instance().region(),
                 PlacementFilter.of(settings.regions(), () -> node.views().view().evacuatedHalls()),
                 cold);
@@ -98,43 +98,43 @@
                 new PeerFirstReader.Role.Entry(
                         Addresses.numeric(settings.listen().peers()), HostedNode.readerMaxAgeMillis(bounds)),
                 HostedNode::steadyMillis);
-        this.loadFeed = LoadPoller.open(new LoadPoller.Dependencies(
+        this.loadPoller = LoadPoller.open(new LoadPoller.Dependencies(
                 settings.instance(),
                 settings.listen().peers(),
                 settings.regions(),
                 settings.peerPort(),
                 node.views()::view,
-                choice,
+                selector,
                 node.worker().getIoThread(),
                 HostedNode::steadyMillis,
-                this::news,
-                this::heard,
+                this::storeUpdate,
+                this::onReaderState,
                 this::demand,
-                this::granted));
+                this::applyGrants));
         CrashRegistry book = new CrashRegistry(bounds.crashMemoryMillis(), bounds.crashesKept(), this::endpoints);
-        this.crashes = new CrashSharing(
+        this.crashSharing = new CrashSharing(
                 node.crashRecords(),
                 book,
                 bounds.crashMemoryMillis(),
                 HostedNode::steadyMillis,
                 System::currentTimeMillis);
-        node.metrics().registerGauge("load.queriesSent", loadFeed::sentQueries);
-        node.metrics().registerGauge("load.repliesReceived", loadFeed::receivedReplies);
+        node.metrics().registerGauge("load.queriesSent", loadPoller::sentQueries);
+        node.metrics().registerGauge("load.repliesReceived", loadPoller::receivedReplies);
         node.metrics().registerGauge("crashes.known", book::crashCount);
         node.metrics().registerGauge("crashes.culprits", () -> book.refused().size());
         this.handler = ServingHandler.of(new ServingHandler.Dependencies(
                 node.views()::view,
-                choice,
+                selector,
                 node.fresh(),
                 new EndpointHeaders(),
                 new RequestHeaders(RandomGenerator.of("L64X128MixRandom")),
-                new RetryBudget(bounds.retryShare(), bounds.retrySlack() / ENTRIES_AT_MOST),
+                new RetryBudget(bounds.retryShare(), bounds.retrySlack() / MAX_ENTRY_COUNT),
                 node.metrics(),
                 HostedNode::steadyMillis,
-                loadFeed::query,
+                loadPoller::query,
                 versionTimes(bounds.versionMillis()),
                 new ManifestAge(node.views()::operatorAsOfMillis, bounds.configurationMillis()),
-                new CrashTracking(book, new ListenerProbe(node.worker()), crashes::publish)));
+                new CrashTracking(book, new ListenerProbe(node.worker()), crashSharing::publish)));
     }
 
     private static ServingHandler.VersionTimes versionTimes(long boundMillis) {
@@ -151,46 +151,47 @@
      */
     public static HostedEntryProcess start(HostedSettings settings) throws IOException {
         HostedEntryProcess entry = new HostedEntryProcess(settings);
-        entry.begin();
+        entry.run();
         return entry;
     }
 
-    private void begin() throws IOException {
-        HttpListener.Limits usual = HttpListener.Limits.defaults();
+    private void run() throws IOException {
+        HttpListener.Limits limits = HttpListener.Limits.defaults();
         HostedPeerServer peers = new HostedPeerServer(
                 node.views(),
                 (model, version) -> Optional.empty(),
                 node.metrics(),
                 node.weightPacer(this::takesRequests));
-        HttpListener.startOnWorker(settings.listen().peers(), usual, node.worker(), peers);
-        HttpListener.startOnWorker(settings.listen().metrics(), usual, node.worker(), peers);
-        HttpListener.startOnWorker(settings.listen().ready().orElseThrow(), usual, node.worker(), this::ready);
+        HttpListener.startOnWorker(settings.listen().peers(), limits, node.worker(), peers);
+        HttpListener.startOnWorker(settings.listen().metrics(), limits, node.worker(), peers);
+        HttpListener.startOnWorker(
+                settings.listen().ready().orElseThrow(), limits, node.worker(), this::handleReadiness);
         clients = Optional.of(
-                HttpListener.startOnWorker(settings.listen().clients().orElseThrow(), usual, node.worker(), handler));
-        // After the listeners, so that no connection of our own takes one of their ports.
-        // Agents keep the versions: an entry would write what they know as well.
-        node.follow(reader, node.store(), paces(settings.bounds()), this::peers, () -> WriteRole.NONE);
-        node.views().onCrashRecords(crashes::apply);
-        crashNews = Optional.of(node.followCrashes(CRASHES_PACE, this::peers));
-        crashes.start();
-        loadFeed.start(handler::checkRequests);
+                HttpListener.startOnWorker(settings.listen().clients().orElseThrow(), limits, node.worker(), handler));
+        // Opens connections only after the listeners, so that none of them occupies a listening port.
+        // Agents record weight versions in the store; an entry would only write the same records again.
+        node.follow(reader, node.store(), pollTimings(settings.bounds()), this::otherSeeds, () -> WriteRole.NONE);
+        node.views().onCrashRecords(crashSharing::apply);
+        crashFollower = Optional.of(node.followCrashes(CRASH_POLL_TIMING, this::otherSeeds));
+        crashSharing.start();
+        loadPoller.start(handler::checkRequests);
         LOG.info(
                 "event=started role=entry instance={} countsSuspensions={}",
                 settings.instance().id(),
                 MonotonicClock.includesSuspendedTime());
     }
 
-    private static Paces paces(HostedSettings.Bounds bounds) {
+    private static Paces pollTimings(HostedSettings.Bounds bounds) {
         return new Paces(
-                new PollTiming(part(bounds.operatorMillis(), OPERATOR_HOLD_PART), Duration.ZERO),
+                new PollTiming(fractionOf(bounds.operatorMillis(), OPERATOR_POLL_FRACTION), Duration.ZERO),
                 DrainTimeBudget.pollTiming(Duration.ofMillis(bounds.drainMillis())));
     }
 
-    private static Duration part(long millis, double part) {
-        return Duration.ofMillis(Math.round(millis * part));
+    private static Duration fractionOf(long millis, double fraction) {
+        return Duration.ofMillis(Math.round(millis * fraction));
     }
 
-    private Optional<StoreUpdate> news() {
+    private Optional<StoreUpdate> storeUpdate() {
         String control = settings.listen().peers();
         int port = Integer.parseInt(control.substring(control.lastIndexOf(':') + 1));
         OptionalLong asOf = node.views().operatorAsOfMillis();
@@ -220,21 +221,22 @@
         return handler.demand();
     }
 
-    private void granted(SlotGrants grants) {
+    private void applyGrants(SlotGrants grants) {
         handler.granted(grants);
     }
 
-    /** An agent told of the entry that reads the store for the region. */
-    private void heard(StoreUpdate.ReaderState told) {
-        reader.onUpdate(told.peer(), new ChangeOffsets(told.operatorOffset(), 0), told.asOfMillis());
-        if (node.views().end(Topic.OPERATOR) >= told.operatorOffset()) {
-            // It knows of nothing that is not known here.
-            node.views().confirmOperator(told.asOfMillis());
+    /** Handles the state of the region's reader entry, as relayed by an agent. */
+    private void onReaderState(StoreUpdate.ReaderState state) {
+        reader.onUpdate(state.peer(), new ChangeOffsets(state.operatorOffset(), 0), state.asOfMillis());
+        if (node.views().end(Topic.OPERATOR) >= state.operatorOffset()) {
+            // The reader has seen no operator record that this entry lacks, so its confirmation time applies here as
+            // well.
+            node.views().confirmOperator(state.asOfMillis());
         }
     }
 
     /**
-     * The requests that are open.
+     * Returns the number of requests in flight.
      *
      * @return their number
      */
@@ -243,19 +245,19 @@
     }
 
     /**
-     * Whether the entry takes requests.
+     * Returns whether the entry accepts requests.
      *
-     * @return true once it knows a manifest, has asked for the crashes that others noticed and has asked agents, until it stops
+     * @return true once it has a manifest, has read the crash records of other entries and has polled agents, until it stops
      */
     public boolean takesRequests() {
-        return !leaving
+        return !stopping
                 && node.views().view().manifest().isPresent()
-                && loadFeed.repliesDue()
-                && crashNews.filter(StoreFollower::isInitialized).isPresent();
+                && loadPoller.repliesDue()
+                && crashFollower.filter(StoreFollower::isInitialized).isPresent();
     }
 
     /**
-     * The endpoints that the entry knows.
+     * Returns the number of known endpoints.
      *
      * @return their number
      */
@@ -263,21 +265,21 @@
         return node.views().view().endpoints().size();
     }
 
-    private List<String> peers() {
+    private List<String> otherSeeds() {
         return settings.seeds().stream()
                 .filter(seed -> !seed.equals(settings.listen().peers()))
                 .toList();
     }
 
-    private void ready(HttpServerExchange exchange) {
+    private void handleReadiness(HttpServerExchange exchange) {
         exchange.setStatusCode(takesRequests() ? OK : UNAVAILABLE);
         exchange.endExchange();
     }
 
-    /** Takes no new connections once the platform has noticed, and ends when no request is open. */
+    /** Stops accepting connections once the platform has noticed, and terminates when no request is in flight. */
     @Override
     public void close() throws InterruptedException {
-        leaving = true;
+        stopping = true;
         new EntryStop(
                         handler,
                         () -> clients.ifPresent(HttpListener::close),
--- a/src/main/java/org/micabarrow/settings/Common.java
+++ b/src/main/java/org/micabarrow/settings/Common.java
@@ -17,7 +17,7 @@
     public record Place(String id, String region, String hall) {}
 
     /**
-     * Where the platform's services are.
+     * Base addresses of the platform's services.
      *
      * @param log the base address of the log service
      * @param instances the base address of the list of instances
@@ -27,35 +27,35 @@
     public record Platform(String log, String instances, String store, String origin) {}
 
     /**
-     * What the links carry.
+     * Link bandwidths.
      *
-     * @param originBytesPerSecond the origin's link
-     * @param instanceBytesPerSecond each instance's link, in either direction
+     * @param originBytesPerSecond bandwidth of the origin's link
+     * @param instanceBytesPerSecond bandwidth of each instance's link, per direction
      */
     public record LinkRates(long originBytesPerSecond, long instanceBytesPerSecond) {}
 
     /**
-     * How the process logs.
+     * Logging configuration.
      *
      * @param format {@code text} or {@code json}
-     * @param level the least level shown
+     * @param level the minimum level that is logged
      */
     public record Logging(String format, String level) {}
 
     /**
-     * The PEM files for transport security; they are read again when they change.
+     * PEM files for TLS. They are reloaded when they change.
      *
      * @param certificate the certificate chain
      * @param key the private key in PKCS#8
-     * @param authorities the certificates that other processes' certificates must descend from; needed between processes
+     * @param authorities the CA certificates that the certificates of other processes are verified against; required between processes
      */
     public record Tls(String certificate, String key, Optional<String> authorities) {}
 
     /**
-     * Transport security between the system's processes and towards callers.
+     * TLS between the system's processes and towards callers.
      *
-     * @param peers both sides show certificates; absent for plain connections
-     * @param callers the certificate shown to callers; absent for plain connections
+     * @param peers mutual TLS between processes; absent for unencrypted connections
+     * @param callers the server certificate for callers; absent for unencrypted connections
      */
     public record Security(Optional<Tls> peers, Optional<Tls> callers) {}
 }
--- a/src/main/java/org/micabarrow/settings/EntrySettings.java
+++ b/src/main/java/org/micabarrow/settings/EntrySettings.java
@@ -5,15 +5,15 @@
 /**
  * The settings of an entry.
  *
- * @param instance where it runs
+ * @param instance the instance it runs on
  * @param listen the addresses on which it listens
- * @param platform where the platform's services are
- * @param operators who may plan and confirm
- * @param links what the links carry, for plans
- * @param limits what it bears
- * @param peers how it keeps in touch with agents
- * @param log how it logs
- * @param tls transport security
+ * @param platform the addresses of the platform's services
+ * @param operators the operators who may plan and confirm
+ * @param links the link bandwidths, for planning
+ * @param limits the resource limits
+ * @param peers the timing of communication with agents
+ * @param log the logging configuration
+ * @param tls the TLS configuration
  */
 public record EntrySettings(
         Common.Place instance,
@@ -36,7 +36,7 @@
     public record Listen(String callers, String operators, String peers) {}
 
     /**
-     * Someone who may plan and confirm.
+     * An operator who may plan and confirm.
      *
      * @param name the name, for the log
      * @param tokenDigest the SHA-256 of the bearer token
@@ -44,17 +44,17 @@
     public record Operator(String name, String tokenDigest) {}
 
     /**
-     * What an entry bears.
+     * Resource limits of an entry.
      *
-     * @param bodyBytes the greatest body of a request
-     * @param headerBytes the greatest head of a request
-     * @param connections the most connections of callers at once
-     * @param idleMillis how long a connection may be silent
-     * @param deadlineMillis the deadline of a request that states none
-     * @param claimMillis how long the log may take for a claim
+     * @param bodyBytes the maximum size of a request body
+     * @param headerBytes the maximum size of a request head
+     * @param connections the maximum number of concurrent caller connections
+     * @param idleMillis the idle timeout of a connection
+     * @param deadlineMillis the default deadline of a request
+     * @param claimMillis the timeout for appending a claim to the log
      * @param claimKeptMillis how long an idempotency key is remembered
-     * @param claimStreams over how many streams of the log claims are spread
-     * @param retryShare retries allowed for each request
+     * @param claimStreams the number of log streams that claims are distributed over
+     * @param retryShare the retry budget as retries per request
      */
     public record Limits(
             int bodyBytes,
@@ -68,14 +68,14 @@
             double retryShare) {}
 
     /**
-     * How an entry keeps in touch.
+     * Timing of an entry's communication.
      *
-     * @param statusMillis how often it asks each agent for its status
-     * @param unreachableMillis after how long a silent agent gets no requests
-     * @param listMillis how often it reads the list of instances
-     * @param repairMillis after how long a lost replica is replaced
-     * @param checkpointMillis how often the folded state is written to the log again
-     * @param agentsPerPlacement how many replicas of each placement it uses
+     * @param statusMillis the status polling interval per agent
+     * @param unreachableMillis the time without contact after which an agent gets no requests
+     * @param listMillis the polling interval of the instance list
+     * @param repairMillis the delay until a lost replica is replaced
+     * @param checkpointMillis the interval between checkpoints of the folded state in the log
+     * @param agentsPerPlacement the maximum number of replicas per placement that it uses
      */
     public record Peers(
             long statusMillis,
--- a/src/main/java/org/micabarrow/settings/HostedSettings.java
+++ b/src/main/java/org/micabarrow/settings/HostedSettings.java
@@ -6,19 +6,19 @@
 import java.util.OptionalLong;
 
 /**
- * The settings of a process on the users' platform, which fills them into a template of ours.
+ * Settings of a process on the users' platform, which generates them from a template in this project.
  *
- * @param instance where the process runs
+ * @param instance the instance the process runs on
  * @param regions the region of each data hall
- * @param listen where it listens
- * @param peerPort the port at which agents listen for other processes, the same on every instance
+ * @param listen the listening addresses
+ * @param peerPort the port on which agents listen for other processes, the same on every instance
  * @param seeds addresses of entries that may be stale
  * @param store the host and port of the platform's store
- * @param endpoint the host and port of the endpoint beside an agent
+ * @param endpoint the host and port of the endpoint on the agent's instance; agents only
  * @param service the service of that endpoint
- * @param linkBitsPerSecond what the instance's link carries, in either direction
- * @param bounds what the users allow
- * @param log how it logs
+ * @param linkBitsPerSecond the bandwidth of the instance's link, per direction
+ * @param bounds the limits set by the users
+ * @param log the logging configuration
  */
 public record HostedSettings(
         Common.Place instance,
@@ -34,28 +34,29 @@
         Common.Logging log) {
 
     /**
-     * Where a process listens.
+     * Listening addresses of a process.
      *
      * @param clients for clients' requests; entries only
-     * @param ready for the question whether it takes requests; entries only
+     * @param ready for readiness checks; entries only
      * @param peers for other processes of the system
-     * @param metrics for figures
+     * @param metrics for metrics
      */
     public record Listen(Optional<String> clients, Optional<String> ready, String peers, String metrics) {}
 
     /**
-     * What the users allow.
+     * Limits set by the users.
      *
-     * @param versionMillis how long after a weight version was named older ones may answer
-     * @param configurationMillis how long after a manifest was set it must be in force everywhere
-     * @param drainMillis how long after an endpoint said that it leaves it may still get requests
-     * @param graceMillis how long after SIGTERM a process is killed
-     * @param retryShare repeats allowed for each request
-     * @param retrySlack repeats that all entries together may save up
-     * @param crashMemoryMillis how long a crash of an endpoint is remembered, and a request that caused some refused after its last
-     * @param crashesKept how many crashes are remembered at the most
-     * @param evacuateMillis how long after the evacuation of a data hall its endpoints may still get requests; empty if the users
-     *     evacuate none
+     * @param versionMillis the time after the publication of a weight version during which older versions may answer
+     * @param configurationMillis the time after the publication of a manifest within which it must be in force everywhere
+     * @param drainMillis the time after an endpoint announced draining during which it may still get requests
+     * @param graceMillis the time after SIGTERM at which a process is killed
+     * @param retryShare the retry budget as retries per request
+     * @param retrySlack the maximum retries that all entries together may accumulate
+     * @param crashMemoryMillis how long an endpoint crash is remembered, and how long a request that caused crashes is refused after
+     *     the last one
+     * @param crashesKept the maximum number of crashes remembered
+     * @param evacuateMillis the time after the evacuation of a data hall during which its endpoints may still get requests;
+     *     empty if the users evacuate none
      */
     public record Bounds(
             long versionMillis,
@@ -69,7 +70,7 @@
             OptionalLong evacuateMillis) {
 
         /**
-         * How long after an operator wrote something it must be in force everywhere, whatever it is.
+         * Returns the time within which any operator record must be in force everywhere.
          *
          * @return milliseconds
          */
--- a/src/main/java/org/micabarrow/settings/IntentReader.java
+++ b/src/main/java/org/micabarrow/settings/IntentReader.java
@@ -47,7 +47,7 @@
      *
      * @param file the file's name, for errors
      * @param bytes the text
-     * @return the intent, or everything that is wrong with it
+     * @return the intent, or all errors in it
      */
     public static Result<Intent> read(String file, byte[] bytes) {
         return JsonDocument.parse(file, bytes, Fault.Step.INTENT)
@@ -55,7 +55,7 @@
                 .map(Form::intent);
     }
 
-    /** The form in which an intent is written. */
+    /** JSON form of an intent. */
     record Form(Optional<List<OrganisationForm>> organisations, Optional<List<PlacementForm>> placements) {
 
         Intent intent() {
@@ -69,7 +69,7 @@
         }
     }
 
-    /** An organisation as written. */
+    /** JSON form of an organisation. */
     record OrganisationForm(String name, String tokenDigest, Optional<Integer> weight) {
 
         Organisation organisation() {
@@ -77,7 +77,7 @@
         }
     }
 
-    /** A placement as written. */
+    /** JSON form of a placement. */
     record PlacementForm(
             String name,
             TargetForm target,
@@ -110,10 +110,10 @@
         }
     }
 
-    /** An envelope as written. */
+    /** JSON form of an envelope. */
     record EnvelopeForm(Optional<Integer> replacements, Optional<Long> originBytes) {}
 
-    /** What is placed, as written. */
+    /** JSON form of the target of a placement. */
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
     @JsonSubTypes({
         @JsonSubTypes.Type(value = ModelForm.class, name = "model"),
@@ -121,11 +121,11 @@
     })
     sealed interface TargetForm {
 
-        /** The target as the planner takes it. */
+        /** Converts the target to the form used by the planner. */
         Intent.Target target();
     }
 
-    /** A model as written. */
+    /** JSON form of a model. */
     record ModelForm(String name, String version, Optional<List<String>> adapters) implements TargetForm {
 
         @Override
@@ -134,7 +134,7 @@
         }
     }
 
-    /** A service as written. */
+    /** JSON form of a service. */
     record ServiceForm(String name, Optional<Boolean> repeatable) implements TargetForm {
 
         @Override
--- a/src/main/java/org/micabarrow/settings/JsonDocument.java
+++ b/src/main/java/org/micabarrow/settings/JsonDocument.java
@@ -29,7 +29,7 @@
 import org.micabarrow.state.Result;
 
 /**
- * A JSON text with comments that knows on which line each field stands.
+ * A JSON document with comments that can report the line number of each field.
  *
  * <pre>{@code
  * Result<AgentSettings> settings = JsonDocument.parse("agent.jsonc", bytes, Fault.Step.SETTINGS)
@@ -64,12 +64,12 @@
     }
 
     /**
-     * Parses a text.
+     * Parses a document.
      *
      * @param file the file's name, for errors
      * @param bytes the text in UTF-8
      * @param step the step to name in faults
-     * @return the document, or where it is broken
+     * @return the document, or the position of the syntax error
      */
     public static Result<JsonDocument> parse(String file, byte[] bytes, Fault.Step step) {
         Objects.requireNonNull(file, "file is null");
@@ -89,35 +89,35 @@
     }
 
     /**
-     * A condition on a field.
+     * A constraint on a field.
      *
      * @param pointer the field, as in {@code /limits/bodyBytes}; {@code *} stands for each element of a list
      * @param test the condition
-     * @param allowed what is allowed, for the error
+     * @param allowed a description of the allowed values, for error messages
      */
     public record Rule(String pointer, Predicate<JsonNode> test, String allowed) {
 
         /**
-         * A whole number between two bounds.
+         * Returns a rule that requires an integer in a range.
          *
          * @param pointer the field
-         * @param least the least value
-         * @param most the greatest value
+         * @param min the minimum
+         * @param max the maximum
          * @return the rule
          */
-        public static Rule range(String pointer, long least, long most) {
+        public static Rule range(String pointer, long min, long max) {
             return new Rule(
                     pointer,
-                    node -> node.isIntegralNumber() && node.asLong() >= least && node.asLong() <= most,
-                    "a whole number from " + least + " to " + most);
+                    node -> node.isIntegralNumber() && node.asLong() >= min && node.asLong() <= max,
+                    "a whole number from " + min + " to " + max);
         }
 
         /**
-         * A text of a form.
+         * Returns a rule that requires a string matching a pattern.
          *
          * @param pointer the field
          * @param pattern the regular expression
-         * @param allowed what it stands for
+         * @param allowed a description of the allowed values
          * @return the rule
          */
         public static Rule pattern(String pointer, String pattern, String allowed) {
@@ -126,7 +126,7 @@
     }
 
     /**
-     * Puts defaults under the document: fields that it lacks are taken from them.
+     * Merges defaults into the document for fields that are absent.
      *
      * @param defaults the defaults
      * @return the completed document
@@ -148,12 +148,12 @@
     }
 
     /**
-     * Binds the document to a type and checks it.
+     * Binds the document to a type and validates it.
      *
      * @param type the type
-     * @param rules the conditions
+     * @param rules the constraints
      * @param <T> the type
-     * @return the value, or everything that is wrong
+     * @return the value, or all errors found
      */
     public <T> Result<T> bind(Class<T> type, List<Rule> rules) {
         List<String> errors = new ArrayList<>();
@@ -199,7 +199,7 @@
         }
     }
 
-    /** Replaces each star by the indices that there are. */
+    /** Expands each {@code *} in a pointer to the existing list indices. */
     private List<String> expand(String pointer) {
         int star = pointer.indexOf("/*");
         if (star < 0) {
@@ -217,7 +217,7 @@
         return file + ":" + lineOf(pointer) + ": " + (pointer.isEmpty() ? "/" : pointer);
     }
 
-    /** The line of a field, or of the nearest thing around it that stands in the file. */
+    /** Returns the line of a field, or of its nearest ancestor that is present in the file. */
     private int lineOf(String pointer) {
         Map<String, Integer> lines = lines();
         for (String at = pointer; !at.isEmpty(); at = at.substring(0, at.lastIndexOf('/'))) {
@@ -229,7 +229,7 @@
         return 1;
     }
 
-    /** The line of each field. Read only for errors: most texts have none. */
+    /** Maps each field to its line. Computed only when there are errors, which most documents do not have. */
     private Map<String, Integer> lines() {
         Map<String, Integer> lines = new HashMap<>();
         try (JsonParser parser = MAPPER.createParser(text)) {
--- a/src/main/java/org/micabarrow/settings/SettingsReader.java
+++ b/src/main/java/org/micabarrow/settings/SettingsReader.java
@@ -14,7 +14,7 @@
 import org.micabarrow.state.Result;
 
 /**
- * Reads and checks settings files.
+ * Reads and validates settings files.
  *
  * <pre>{@code
  * Result<EntrySettings> settings = SettingsReader.entry(Path.of("entry.jsonc"));
@@ -128,7 +128,7 @@
      * Reads an entry's settings.
      *
      * @param file the file
-     * @return the settings, or everything that is wrong with them
+     * @return the settings, or all errors in them
      */
     public static Result<EntrySettings> entry(Path file) {
         return read(file, "entry-defaults.jsonc", EntrySettings.class, ENTRY);
@@ -138,7 +138,7 @@
      * Reads an agent's settings.
      *
      * @param file the file
-     * @return the settings, or everything that is wrong with them
+     * @return the settings, or all errors in them
      */
     public static Result<AgentSettings> agent(Path file) {
         return read(file, "agent-defaults.jsonc", AgentSettings.class, AGENT);
@@ -148,7 +148,7 @@
      * Reads the settings of a process on the users' platform.
      *
      * @param file the file
-     * @return the settings, or everything that is wrong with them
+     * @return the settings, or all errors in them
      */
     public static Result<HostedSettings> hosted(Path file) {
         return bytes(file, Fault.Step.SETTINGS)
@@ -161,7 +161,7 @@
      *
      * @param file the file
      * @param step the step to name in faults
-     * @return its bytes, or why it cannot be read
+     * @return its bytes, or the reason why it cannot be read
      */
     public static Result<byte[]> bytes(Path file, Fault.Step step) {
         Objects.requireNonNull(file, "file is null");
@@ -174,7 +174,7 @@
     }
 
     /**
-     * The fields that have a rule.
+     * Returns the fields that have a rule.
      *
      * @return their pointers
      */
--- a/src/main/java/org/micabarrow/settings/package-info.java
+++ b/src/main/java/org/micabarrow/settings/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Files that people write: settings of a process and operators' intents, in JSON with comments. Every field is checked,
- * and an error names the file, the line, the field, the value and what is allowed.
+ * Files written by people: process settings and operators' intents, in JSON with comments. Every field is validated; errors
+ * name the file, line, field, value and allowed values.
  */
 package org.micabarrow.settings;
