--- a/src/main/java/org/micabarrow/bench/BenchLogging.java
+++ b/src/main/java/org/micabarrow/bench/BenchLogging.java
@@ -4,7 +4,7 @@
 import ch.qos.logback.classic.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Keeps the log of processes under test out of a benchmark's output. */
+/** Disables logging, so that in-process entries and agents do not write into a benchmark's output. */
 final class BenchLogging {
 
     private BenchLogging() {}
--- a/src/main/java/org/micabarrow/bench/ClientCalls.java
+++ b/src/main/java/org/micabarrow/bench/ClientCalls.java
@@ -15,7 +15,7 @@
 import org.micabarrow.transport.HttpClient;
 import org.micabarrow.transport.HttpClient.HttpResponse;
 
-/** Sends requests to entries as a caller does, and judges what comes back. */
+/** HTTP client that sends requests to entries as callers do and classifies the responses. */
 final class ClientCalls implements AutoCloseable {
 
     private static final Duration TIMEOUT = Duration.ofSeconds(60);
@@ -28,7 +28,7 @@
         this.http = HttpClient.start(name, 2);
     }
 
-    /** How a request ended, as its caller sees it. */
+    /** Outcome of a request as observed by its caller. */
     enum Outcome {
         ANSWERED,
         NOT_RUN,
@@ -37,14 +37,14 @@
     }
 
     /**
-     * A request's end.
+     * A response with its classification.
      *
-     * @param ending how it ended
-     * @param hall where it was handled, empty if the answer does not say
-     * @param instance the instance that handled it
-     * @param version the version that answered
-     * @param text the body
-     * @param millis how long it took
+     * @param outcome the outcome
+     * @param hall the data hall that handled the request, empty if not stated
+     * @param instance the instance that handled the request
+     * @param version the weight version that produced the answer
+     * @param text the response body
+     * @param millis the latency
      */
     record Response(Outcome outcome, String hall, String instance, String version, String text, double millis) {}
 
@@ -117,7 +117,7 @@
         return read(HttpCall.post(Fault.Step.READ, URI.create(url), CanonicalJson.write(body)), type);
     }
 
-    /** Reads an answer; a process that is still starting is asked again. */
+    /** Sends a call and parses the response, retrying while the process is still starting. */
     private <T> T read(HttpCall call, Class<T> type) {
         Result<HttpResponse> result = http.call(call, TIMEOUT);
         for (int i = 0; i < MAX_ATTEMPTS && result instanceof Result.Failure; i++) {
@@ -127,7 +127,7 @@
         try {
             return CanonicalJson.read(result.toOptional().orElseThrow().body(), type);
         } catch (IOException e) {
-            throw new IllegalStateException(call.uri() + " gave what cannot be read", e);
+            throw new IllegalStateException(call.uri() + " returned a body that cannot be parsed", e);
         }
     }
 
--- a/src/main/java/org/micabarrow/bench/ControlBench.java
+++ b/src/main/java/org/micabarrow/bench/ControlBench.java
@@ -26,8 +26,9 @@
 import org.micabarrow.state.Workload;
 
 /**
- * Measures what control costs: memory, processor time and bytes of real processes at rest and while configurations
- * change, for several numbers of nodes; and the reducer's speed and sizes. docs/CAPACITY.md is made from its lines.
+ * Measures the overhead of the control plane: memory, CPU time and network traffic of real processes, idle and during
+ * configuration changes, for several cluster sizes; and the throughput and record sizes of the reducer.
+ * docs/CAPACITY.md is written from its output.
  */
 public final class ControlBench {
 
@@ -35,7 +36,7 @@
     private static final int CHANGES = 10;
     private static final long SETTLE_MILLIS = 15_000;
 
-    /** The default of the settings. */
+    /** The default interval in the settings. */
     private static final long STATUS_MILLIS = 1_000;
 
     @Parameter(names = "--nodes", description = "The numbers of agents to measure")
@@ -48,7 +49,7 @@
      * Runs the benchmark.
      *
      * @param arguments the command line
-     * @throws Exception if the system does not come up
+     * @throws Exception if the system does not start
      */
     public static void main(String[] arguments) throws Exception {
         BenchLogging.disable();
@@ -75,8 +76,9 @@
             system.publishInstances();
             try (OperatorCalls operator = new OperatorCalls(system.operatorAddress("entry-1"))) {
                 operator.awaitListed(count + 1);
-                WeightsStandin.Done weights =
-                        system.platform().weights().make(new WeightsStandin.Wish("bench", 1 << 20, 64 << 10, count));
+                WeightsStandin.GeneratedWeights weights = system.platform()
+                        .weights()
+                        .generate(new WeightsStandin.WeightsSpec("bench", 1 << 20, 64 << 10, count));
                 operator.confirm(
                         operator.plan(intent(weights.version(), count, 0)).id());
                 operator.awaitReady(count);
@@ -87,7 +89,7 @@
         }
     }
 
-    /** The sums over some processes at one moment. */
+    /** Resource usage of a set of processes at one point in time. */
     private record Sample(double cpuMillis, double peerBytes, double httpBytes, double rssMegabytes) {
 
         Sample minus(Sample before) {
@@ -248,7 +250,7 @@
                 heapBytes(written)));
     }
 
-    /** The heap that ten copies of a state take, over ten. */
+    /** Returns the heap size of one state, averaged over ten copies. */
     private static long heapBytes(byte[] written) throws IOException {
         long before = usedHeap();
         List<FoldedState> copies = new ArrayList<>();
--- a/src/main/java/org/micabarrow/bench/Demo.java
+++ b/src/main/java/org/micabarrow/bench/Demo.java
@@ -19,8 +19,8 @@
 import org.micabarrow.state.Instance;
 
 /**
- * Walks the whole path on processes that the script {@code demo} has started, and prints what it does. The last line is
- * one JSON object of measured figures.
+ * End-to-end demonstration on the processes started by the script {@code demo}. Prints each step; the last line of output is a
+ * JSON object with the measurements.
  */
 public final class Demo {
 
@@ -30,10 +30,10 @@
     private static final Set<String> ASSISTANT_HALLS = Set.of("norte-a", "centro-a");
     private static final Set<String> NOTES_HALLS = Set.of("sur-a");
 
-    /** The token of an organisation's callers. */
+    /** Caller token of the organisation "riders". */
     static final String RIDERS_TOKEN = "token-of-riders";
 
-    /** The token of another organisation's callers. */
+    /** Caller token of the organisation "vans". */
     static final String VANS_TOKEN = "token-of-vans";
 
     private static final int CHATS = 40;
@@ -57,16 +57,16 @@
     }
 
     /**
-     * What the script has started.
+     * The processes that the script started.
      *
-     * @param directory where files may be written
+     * @param directory a directory for temporary files
      * @param platform the platform's base address
      * @param callers the entries' addresses for callers
      * @param operators the entries' addresses for operators
      * @param operatorToken an operator's token
-     * @param instanceRate what each instance's link carries, in bytes a second
-     * @param instances the instances to list
-     * @param endpoints the endpoints' addresses by instance
+     * @param instanceRate bandwidth of each instance's link, in bytes per second
+     * @param instances the instances to publish in the platform's list
+     * @param endpoints the addresses of the endpoints by instance
      */
     public record Setup(
             String directory,
@@ -81,8 +81,8 @@
     /**
      * Runs the demonstration.
      *
-     * @param arguments the directory that describes what has been started
-     * @throws Exception if anything goes wrong; the exit code tells too
+     * @param arguments the directory with the description of the started processes
+     * @throws Exception if a step fails; the exit code is nonzero as well
      */
     public static void main(String[] arguments) throws Exception {
         Path directory = Path.of(arguments[0]);
@@ -91,7 +91,7 @@
         System.exit(succeeded ? 0 : 1);
     }
 
-    /** The processes' numbers, as the script has written them. */
+    /** Reads the process ids that the script wrote, by instance. */
     private static Map<String, Long> processes(Path file) throws IOException {
         Map<String, Long> processes = new HashMap<>();
         for (String line : Files.readAllLines(file)) {
@@ -105,8 +105,8 @@
         printStep("1. the platform lists " + setup.instances().size() + " instances; the origin gets two models");
         clientCalls.post(setup.platform() + "/instances", setup.instances(), Instance[].class);
         awaitInstancesListed();
-        WeightsStandin.Done assistant = generateWeights("assistant", ASSISTANT_BYTES, 1);
-        WeightsStandin.Done notes = generateWeights("notes", NOTES_BYTES, 2);
+        WeightsStandin.GeneratedWeights assistant = generateWeights("assistant", ASSISTANT_BYTES, 1);
+        WeightsStandin.GeneratedWeights notes = generateWeights("notes", NOTES_BYTES, 2);
 
         printStep("2. an operator asks for a plan; nothing moves until it is confirmed");
         String planId = operator.plan(assistant, notes);
@@ -135,11 +135,11 @@
         out.println("== " + line);
     }
 
-    private WeightsStandin.Done generateWeights(String name, long bytes, long seed) {
+    private WeightsStandin.GeneratedWeights generateWeights(String name, long bytes, long seed) {
         return clientCalls.post(
                 setup.platform() + "/make",
-                new WeightsStandin.Wish(name, bytes, CHUNK_BYTES, seed),
-                WeightsStandin.Done.class);
+                new WeightsStandin.WeightsSpec(name, bytes, CHUNK_BYTES, seed),
+                WeightsStandin.GeneratedWeights.class);
     }
 
     private long originBytes() {
@@ -211,7 +211,7 @@
                 response, Set.of(forNotes ? notes : assistant), forNotes ? NOTES_HALLS : ASSISTANT_HALLS);
     }
 
-    /** The same charge through one entry and then, as if its answer had been lost, through the other. */
+    /** Sends a charge through one entry and then again through the other, as a client does that lost the first response. */
     private void charge(int n, byte[] body) {
         Set<String> anywhere = Set.of("norte-a", "centro-a", "sur-a");
         outcomes.countRequest(clientCalls.charge(entry(n), RIDERS_TOKEN, "billing", "charge-" + n, body), anywhere);
--- a/src/main/java/org/micabarrow/bench/DemoOperator.java
+++ b/src/main/java/org/micabarrow/bench/DemoOperator.java
@@ -16,25 +16,25 @@
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Digest;
 
-/** The operator of the demonstration: runs the product's commands against its entries and prints them. */
+/** Runs operator commands against the entries of the demonstration and prints them. */
 final class DemoOperator {
 
     private final Demo.Setup setup;
     private final PrintStream out;
 
     /**
-     * Makes the operator.
+     * Creates the operator.
      *
-     * @param setup what the script has started
-     * @param out where commands and their output go
+     * @param setup the processes that the script started
+     * @param out the stream that commands and their output are printed to
      */
     DemoOperator(Demo.Setup setup, PrintStream out) {
         this.setup = setup;
         this.out = out;
     }
 
-    /** Asks the first entry for a plan of the demonstration's placements, and gives its id. */
-    String plan(WeightsStandin.Done assistant, WeightsStandin.Done notes) throws IOException {
+    /** Requests a plan of the demonstration's placements from the first entry and returns the plan's id. */
+    String plan(WeightsStandin.GeneratedWeights assistant, WeightsStandin.GeneratedWeights notes) throws IOException {
         Path file = Path.of(setup.directory(), "intent.jsonc");
         Files.writeString(file, """
                 // The placements of the demonstration.
@@ -60,7 +60,7 @@
                 .id();
     }
 
-    /** What a command gives as JSON. */
+    /** Runs a command without printing it and parses its JSON output. */
     private <T> T runJson(Class<T> type, String... arguments) throws IOException {
         ByteArrayOutputStream json = new ByteArrayOutputStream();
         Console quiet = new Console(new PrintStream(json, true, StandardCharsets.UTF_8), System.err);
@@ -74,21 +74,21 @@
         return all.toArray(String[]::new);
     }
 
-    /** Runs a command against an entry, and shows it. */
+    /** Prints a command, runs it against an entry, and fails unless it succeeds. */
     void runAndPrint(int entry, String... arguments) {
         out.println("$ micabarrow " + String.join(" ", arguments));
         ExitCode code = Main.run(new Console(out, out), withConnectionOptions(entry, arguments));
         if (code != ExitCode.OK) {
-            throw new IllegalStateException("the command ended with " + code);
+            throw new IllegalStateException("command exited with " + code);
         }
     }
 
-    /** The status of all replicas, without showing it. */
+    /** Returns the status of all replicas without printing it. */
     OperatorMessages.Status status() throws IOException {
         return runJson(OperatorMessages.Status.class, "status", "--json");
     }
 
-    /** How many replicas are ready. */
+    /** Counts the replicas that are ready. */
     static long readyReplicaCount(OperatorMessages.Status status) {
         return status.replicas().stream()
                 .filter(replica -> replica.state().equals("ready"))
--- a/src/main/java/org/micabarrow/bench/DemoSettings.java
+++ b/src/main/java/org/micabarrow/bench/DemoSettings.java
@@ -12,13 +12,13 @@
 import org.micabarrow.state.Digest;
 import org.micabarrow.state.Instance;
 
-/** Writes the settings of the demonstration's processes, on ports that are free. */
+/** Writes settings files for the demonstration's processes, using free ports. */
 public final class DemoSettings {
 
     static final String OPERATOR_TOKEN = "token-of-an-operator";
 
-    private static final long INSTANCE_RATE = 16L << 20;
-    private static final long ORIGIN_RATE = 32L << 20;
+    private static final long INSTANCE_BYTES_PER_SECOND = 16L << 20;
+    private static final long ORIGIN_BYTES_PER_SECOND = 32L << 20;
     private static final long CAPACITY_BYTES = 256L << 20;
     private static final int ENTRIES = 2;
 
@@ -27,25 +27,25 @@
     private final Map<String, String> endpoints = new LinkedHashMap<>();
     private final List<String> callers = new ArrayList<>();
     private final List<String> operators = new ArrayList<>();
-    private final List<String> standin = new ArrayList<>();
+    private final List<String> standinArguments = new ArrayList<>();
     private String platform = "";
 
     private DemoSettings(Path directory) {
         this.directory = directory;
     }
 
-    /** An agent to be: its place and its endpoint. */
-    private record Wanted(String id, String region, String hall, String kind) {}
+    /** Location and endpoint kind of an agent to configure. */
+    private record AgentSpec(String id, String region, String hall, String kind) {}
 
-    private static final List<Wanted> AGENTS = List.of(
-            new Wanted("norte-a-1", "norte", "norte-a", Instance.ENGINE),
-            new Wanted("norte-a-2", "norte", "norte-a", Instance.ENGINE),
-            new Wanted("centro-a-1", "centro", "centro-a", Instance.ENGINE),
-            new Wanted("centro-a-2", "centro", "centro-a", Instance.ENGINE),
-            new Wanted("sur-a-1", "sur", "sur-a", Instance.ENGINE),
-            new Wanted("sur-a-2", "sur", "sur-a", Instance.ENGINE),
-            new Wanted("norte-a-3", "norte", "norte-a", "service:billing"),
-            new Wanted("sur-a-3", "sur", "sur-a", "service:billing"));
+    private static final List<AgentSpec> AGENTS = List.of(
+            new AgentSpec("norte-a-1", "norte", "norte-a", Instance.ENGINE),
+            new AgentSpec("norte-a-2", "norte", "norte-a", Instance.ENGINE),
+            new AgentSpec("centro-a-1", "centro", "centro-a", Instance.ENGINE),
+            new AgentSpec("centro-a-2", "centro", "centro-a", Instance.ENGINE),
+            new AgentSpec("sur-a-1", "sur", "sur-a", Instance.ENGINE),
+            new AgentSpec("sur-a-2", "sur", "sur-a", Instance.ENGINE),
+            new AgentSpec("norte-a-3", "norte", "norte-a", "service:billing"),
+            new AgentSpec("sur-a-3", "sur", "sur-a", "service:billing"));
 
     /**
      * Writes the files.
@@ -59,21 +59,22 @@
 
     private void write() throws IOException {
         platform = Ports.freeAddress();
-        standin.addAll(List.of("--platform", platform, "--origin-rate", Long.toString(ORIGIN_RATE)));
+        standinArguments.addAll(
+                List.of("--platform", platform, "--origin-rate", Long.toString(ORIGIN_BYTES_PER_SECOND)));
         for (int i = 1; i <= ENTRIES; i++) {
-            entry("entry-" + i);
+            writeEntrySettings("entry-" + i);
         }
-        for (Wanted wanted : AGENTS) {
-            agent(wanted);
+        for (AgentSpec spec : AGENTS) {
+            writeAgentSettings(spec);
         }
-        Files.writeString(directory.resolve("standin.args"), String.join(" ", standin));
+        Files.writeString(directory.resolve("standin.args"), String.join(" ", standinArguments));
         Demo.Setup setup = new Demo.Setup(
                 directory.toString(),
                 "http://" + platform,
                 callers,
                 operators,
                 OPERATOR_TOKEN,
-                INSTANCE_RATE,
+                INSTANCE_BYTES_PER_SECOND,
                 instances,
                 endpoints);
         Files.write(directory.resolve("setup.json"), CanonicalJson.write(setup));
@@ -93,40 +94,41 @@
     }
 
     private static Map<String, Long> links() {
-        return Map.of("originBytesPerSecond", ORIGIN_RATE, "instanceBytesPerSecond", INSTANCE_RATE);
+        return Map.of(
+                "originBytesPerSecond", ORIGIN_BYTES_PER_SECOND, "instanceBytesPerSecond", INSTANCE_BYTES_PER_SECOND);
     }
 
-    private void entry(String id) throws IOException {
-        String callersAt = Ports.freeAddress();
-        String operatorsAt = Ports.freeAddress();
-        String peersAt = Ports.freeAddress();
-        callers.add("http://" + callersAt);
-        operators.add("http://" + operatorsAt);
-        instances.add(new Instance(id, "centro", "centro-a", peersAt, Instance.ENTRY, 0, false));
+    private void writeEntrySettings(String id) throws IOException {
+        String callerAddress = Ports.freeAddress();
+        String operatorAddress = Ports.freeAddress();
+        String peerAddress = Ports.freeAddress();
+        callers.add("http://" + callerAddress);
+        operators.add("http://" + operatorAddress);
+        instances.add(new Instance(id, "centro", "centro-a", peerAddress, Instance.ENTRY, 0, false));
         write(
                 id + ".jsonc",
                 Map.of(
                         "instance", Map.of("id", id, "region", "centro", "hall", "centro-a"),
-                        "listen", Map.of("callers", callersAt, "operators", operatorsAt, "peers", peersAt),
+                        "listen", Map.of("callers", callerAddress, "operators", operatorAddress, "peers", peerAddress),
                         "platform", platformSettings(),
                         "operators", List.of(Map.of("name", "demo", "tokenDigest", Digest.of(OPERATOR_TOKEN))),
                         "links", links(),
                         "peers", Map.of("statusMillis", 200)));
     }
 
-    private void agent(Wanted wanted) throws IOException {
+    private void writeAgentSettings(AgentSpec spec) throws IOException {
         String endpoint = Ports.freeAddress();
-        String peersAt = Ports.freeAddress();
-        boolean engine = wanted.kind().equals(Instance.ENGINE);
-        standin.addAll(List.of(engine ? "--engine" : "--service", endpoint));
-        endpoints.put(wanted.id(), "http://" + endpoint);
-        instances.add(new Instance(
-                wanted.id(), wanted.region(), wanted.hall(), peersAt, wanted.kind(), CAPACITY_BYTES, false));
+        String peerAddress = Ports.freeAddress();
+        boolean engine = spec.kind().equals(Instance.ENGINE);
+        standinArguments.addAll(List.of(engine ? "--engine" : "--service", endpoint));
+        endpoints.put(spec.id(), "http://" + endpoint);
+        instances.add(
+                new Instance(spec.id(), spec.region(), spec.hall(), peerAddress, spec.kind(), CAPACITY_BYTES, false));
         write(
-                "agent-" + wanted.id() + ".jsonc",
+                "agent-" + spec.id() + ".jsonc",
                 Map.of(
-                        "instance", Map.of("id", wanted.id(), "region", wanted.region(), "hall", wanted.hall()),
-                        "listen", Map.of("operators", Ports.freeAddress(), "peers", peersAt),
+                        "instance", Map.of("id", spec.id(), "region", spec.region(), "hall", spec.hall()),
+                        "listen", Map.of("operators", Ports.freeAddress(), "peers", peerAddress),
                         "platform", platformSettings(),
                         "endpoint", Map.of("kind", engine ? "engine" : "service", "url", "http://" + endpoint),
                         "links", links()));
--- a/src/main/java/org/micabarrow/bench/DigestBench.java
+++ b/src/main/java/org/micabarrow/bench/DigestBench.java
@@ -16,8 +16,9 @@
 import org.micabarrow.routing.Route;
 
 /**
- * Measures what it costs to recognise a request, by the size of its body, and what share of a core that is at a rate of requests. An entry
- * works out the quick part of requests that come while a crash is known, and the whole of those that may have been there.
+ * Measures the cost of request digests by body size, and the share of a core they take at a given request rate. While
+ * a crash is known, an entry computes the quick digest of every request and the full digest only of requests that may
+ * have been involved in the crash.
  */
 public final class DigestBench {
 
@@ -80,7 +81,7 @@
             count++;
         }
         if (combined == 0) {
-            throw new IllegalStateException("a digest of nothing but zeros");
+            throw new IllegalStateException("every digest was zero");
         }
         return (double) (System.nanoTime() - startNanos) / count;
     }
--- a/src/main/java/org/micabarrow/bench/DirectCalls.java
+++ b/src/main/java/org/micabarrow/bench/DirectCalls.java
@@ -6,7 +6,7 @@
 import java.util.stream.IntStream;
 import org.micabarrow.state.CanonicalJson;
 
-/** Sends requests straight to the engines, past entry and agents, for the baselines. */
+/** Sends requests directly to the engines, bypassing entry and agents, as a baseline. */
 final class DirectCalls {
 
     private final ClientCalls client;
@@ -15,21 +15,21 @@
     private final int engineCount;
 
     /**
-     * Makes the calls.
+     * Creates the calls.
      *
-     * @param caller sends them
-     * @param system has the engines {@code engine-0}, {@code engine-1} and so on
-     * @param version the version of the weights to ask for
-     * @param engines how many engines there are
+     * @param caller the client that sends the requests
+     * @param system the system with the engines {@code engine-0}, {@code engine-1} and so on
+     * @param version the weight version that requests name
+     * @param engineCount the number of engines
      */
-    DirectCalls(ClientCalls caller, LocalSystem system, String version, int engines) {
-        this.client = caller;
+    DirectCalls(ClientCalls client, LocalSystem system, String version, int engineCount) {
+        this.client = client;
         this.system = system;
         this.version = version;
-        this.engineCount = engines;
+        this.engineCount = engineCount;
     }
 
-    /** Sends a request to one engine. */
+    /** Sends a request to the given engine. */
     ClientCalls.Response send(int engine, int number, int tokens) {
         return client.send(
                 system.engineAddress("engine-" + engine) + "/v1/chat/completions",
@@ -38,13 +38,13 @@
                 Map.of("X-Weights-Version", version, "X-Attempt", "direct-" + System.nanoTime()));
     }
 
-    /** Sends to the engines in turn. */
+    /** Distributes requests over the engines round robin. */
     OpenLoopLoad.Target roundRobin() {
         AtomicInteger next = new AtomicInteger();
         return (number, organisation, tokens) -> send(next.getAndIncrement() % engineCount, number, tokens);
     }
 
-    /** Sends to the engine with the fewest requests in flight. */
+    /** Sends each request to the engine with the fewest requests in flight. */
     OpenLoopLoad.Target leastInFlight() {
         AtomicIntegerArray inFlight = new AtomicIntegerArray(engineCount);
         return (number, organisation, tokens) -> {
--- a/src/main/java/org/micabarrow/bench/FaultInjectingWeights.java
+++ b/src/main/java/org/micabarrow/bench/FaultInjectingWeights.java
@@ -11,7 +11,7 @@
 import org.micabarrow.state.Manifest;
 import org.micabarrow.state.Result;
 
-/** Corrupts some of the chunks that agents read, and lets the links of some instances stall. */
+/** Injects faults into weight transfers: corrupts chunks that agents read and stalls reads from chosen instances. */
 final class FaultInjectingWeights {
 
     private final AtomicInteger chunksRead = new AtomicInteger();
@@ -22,7 +22,7 @@
         corruptOneIn = count;
     }
 
-    /** Nothing more comes from an instance, though it stays alive. */
+    /** Stalls all reads from an instance, while its process stays alive. */
     void stall(String instance) {
         stalledInstances.add(instance);
     }
@@ -32,7 +32,7 @@
         stalledInstances.clear();
     }
 
-    /** Puts the faults between an agent and its sources. */
+    /** Wraps a weights client so that its reads are subject to the faults. */
     Weights wrap(Weights weights) {
         return new Weights() {
             @Override
@@ -47,7 +47,7 @@
         };
     }
 
-    /** A feed with faults. */
+    /** A feed whose reads are subject to the faults. */
     private final class FaultInjectingFeed implements Weights.Feed {
 
         private final Weights.Feed feed;
@@ -73,8 +73,8 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-            return Result.failure(
-                    Fault.of(Fault.Step.FETCH, source.toString(), Fault.Reason.STALLED, "the link stalls"));
+            return Result.failure(Fault.of(
+                    Fault.Step.FETCH, source.toString(), Fault.Reason.STALLED, "link stalled by fault injection"));
         }
 
         private byte[] maybeCorrupt(byte[] data) {
--- a/src/main/java/org/micabarrow/bench/LineFigure.java
+++ b/src/main/java/org/micabarrow/bench/LineFigure.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** Draws line charts side by side as SVG; both axes are logarithmic. */
+/** Renders line charts side by side as SVG, with logarithmic axes. */
 final class LineFigure {
 
     private static final int WIDTH = 460;
@@ -79,7 +79,7 @@
         return Math.max(0.01, (minimum ? values.min() : values.max()).orElse(1));
     }
 
-    /** Maps values to places. */
+    /** Maps values to pixel coordinates on logarithmic axes. */
     private record Scale(double first, double last, double min, double max) {
 
         double x(double value) {
--- a/src/main/java/org/micabarrow/bench/LocalOptions.java
+++ b/src/main/java/org/micabarrow/bench/LocalOptions.java
@@ -3,18 +3,18 @@
 import org.micabarrow.standin.EngineStandin;
 
 /**
- * How a {@link LocalSystem} is set up.
+ * Configuration of a {@link LocalSystem}.
  *
- * @param originRate bytes a second of the origin's link
- * @param storeRate bytes a second of the store
- * @param instanceRate bytes a second of each instance's link
- * @param engine how fast engines are
- * @param patienceMillis the longest wait for a chunk
- * @param windowBytes how many bytes of chunks an agent holds
- * @param claimMillis how long the log may take for a claim
- * @param repairMillis after how long a lost replica is replaced
- * @param checkpointMillis how often checkpoints are written
- * @param cutOffMillis after how long an instance counts as cut off
+ * @param originBytesPerSecond bandwidth of the origin's link
+ * @param storeBytesPerSecond bandwidth of the store
+ * @param instanceBytesPerSecond bandwidth of each instance's link
+ * @param engine concurrency and latencies of the engines
+ * @param chunkTimeoutMillis maximum wait for a chunk
+ * @param windowBytes maximum bytes of chunks that an agent buffers
+ * @param claimTimeoutMillis timeout for appending a claim to the log
+ * @param repairDelayMillis delay until a lost replica is replaced
+ * @param checkpointIntervalMillis interval between checkpoints
+ * @param isolationTimeoutMillis time without contact after which an instance is treated as cut off
  */
 public record LocalOptions(
         long originBytesPerSecond,
@@ -29,7 +29,7 @@
         long isolationTimeoutMillis) {
 
     /**
-     * Options for tests: quick links and engines.
+     * Returns options for tests, with fast links and engines.
      *
      * @return the options
      */
@@ -48,11 +48,11 @@
     }
 
     /**
-     * The same with other links.
+     * Returns a copy with other bandwidths.
      *
-     * @param origin bytes a second of the origin's link
-     * @param store bytes a second of the store
-     * @param instance bytes a second of each instance's link
+     * @param origin bandwidth of the origin's link, in bytes per second
+     * @param store bandwidth of the store, in bytes per second
+     * @param instance bandwidth of each instance's link, in bytes per second
      * @return the options
      */
     public LocalOptions withLinks(long origin, long store, long instance) {
--- a/src/main/java/org/micabarrow/bench/LocalProcesses.java
+++ b/src/main/java/org/micabarrow/bench/LocalProcesses.java
@@ -16,7 +16,7 @@
 import org.micabarrow.standin.Ports;
 import org.micabarrow.state.CanonicalJson;
 
-/** The entries and agents of a local system, inside this process or each as a process of its own. */
+/** Starts the entries and agents of a local system, either inside this process or as separate processes. */
 final class LocalProcesses implements AutoCloseable {
 
     private final Map<String, EntryProcess> entries = new LinkedHashMap<>();
@@ -25,12 +25,12 @@
     private Optional<Path> binary = Optional.empty();
     private UnaryOperator<Weights> weightsWrapper = UnaryOperator.identity();
 
-    /** Lets what is started from now on run as processes of their own. */
-    void processesById(Path program) {
+    /** Starts all further entries and agents as separate processes. */
+    void useSeparateProcesses(Path program) {
         binary = Optional.of(program);
     }
 
-    /** Tampers with the weights that agents started from now on read. */
+    /** Wraps the weights clients of all agents started later. */
     void wrapWeights(UnaryOperator<Weights> wrapper) {
         weightsWrapper = wrapper;
     }
@@ -54,7 +54,7 @@
             if (binary.isPresent()) {
                 processesById.put(id, launch(binary.get(), "agent", id, settings));
             } else {
-                // It may stand in for one that was killed just now.
+                // A replaced agent that was just killed may still be closing its port.
                 Ports.awaitFree(settings.listen().peers());
                 agents.put(id, AgentProcess.start(settings, weightsWrapper));
             }
@@ -73,7 +73,7 @@
                 .start();
     }
 
-    // -- reaching
+    // -- access
 
     EntryProcess entry(String id) {
         return entries.get(id);
@@ -83,8 +83,8 @@
         return agents.get(id);
     }
 
-    /** A process of its own. */
-    Process processesById(String id) {
+    /** Returns the separate process of an instance. */
+    Process process(String id) {
         return processesById.get(id);
     }
 
--- a/src/main/java/org/micabarrow/bench/LocalSettings.java
+++ b/src/main/java/org/micabarrow/bench/LocalSettings.java
@@ -10,15 +10,15 @@
 import org.micabarrow.state.Instance;
 
 /**
- * The settings of a local system's entries and agents, on ports that are free.
+ * Creates the settings of a local system's entries and agents, with free ports.
  *
- * @param options how the system is set up
- * @param platformAddress the host and port of the platform's stand-in
- * @param statusMillis how often entries ask for status; reports are asked for twice as often
+ * @param options the configuration
+ * @param platformAddress the host and port of the platform stand-in
+ * @param statusMillis status polling interval; endpoint reports are polled twice as often
  */
 record LocalSettings(LocalOptions options, String platformAddress, long statusMillis) {
 
-    /** The settings of an entry. */
+    /** Creates the settings of an entry. */
     EntrySettings entry(Common.Place place) {
         return new EntrySettings(
                 place,
@@ -39,7 +39,7 @@
                 new Common.Security(Optional.empty(), Optional.empty()));
     }
 
-    /** The settings of an agent beside an endpoint of a kind. */
+    /** Creates the settings of an agent with an endpoint of the given kind. */
     AgentSettings agent(Common.Place place, String kind, String endpoint) {
         boolean engine = kind.equals(Instance.ENGINE);
         return new AgentSettings(
--- a/src/main/java/org/micabarrow/bench/LocalSystem.java
+++ b/src/main/java/org/micabarrow/bench/LocalSystem.java
@@ -20,12 +20,12 @@
 import org.micabarrow.state.Instance;
 
 /**
- * Entries, agents and stand-ins in one process, on loopback. Each speaks over its own sockets, as separate processes
- * would; tests and benchmarks that need many nodes use it.
+ * Runs entries, agents and stand-ins on loopback, by default in one process. Nodes communicate over real sockets as
+ * separate processes would. For tests and benchmarks that need many nodes.
  */
 public final class LocalSystem implements AutoCloseable {
 
-    /** The token of the one operator. */
+    /** The bearer token of the only operator. */
     public static final String OPERATOR_TOKEN = "token-of-an-operator";
 
     private final LocalOptions options;
@@ -47,46 +47,47 @@
     }
 
     /**
-     * Lets entries and agents that are added from now on run as processes of their own.
+     * Starts entries and agents that are added later as separate processes.
      *
-     * @param program the product's binary
+     * @param program the path of the executable
      */
     public void useSeparateProcesses(Path program) {
-        processes.processesById(program);
+        processes.useSeparateProcesses(program);
     }
 
     /**
-     * A process of its own.
+     * Returns the separate process of an instance.
      *
      * @param id its instance
      * @return the process
      */
     public Process process(String id) {
-        return processes.processesById(id);
+        return processes.process(id);
     }
 
     /**
-     * How often entries and agents that are added from now on ask for status; reports are asked for twice as often.
+     * Sets the status polling interval of entries and agents that are added later. Endpoint reports are polled twice as
+     * often.
      *
-     * @param millis the period, 100 unless set
+     * @param millis the interval, 100 by default
      */
     public void setStatusIntervalMillis(long millis) {
         statusMillis = millis;
     }
 
     /**
-     * Tampers with the weights that agents started from now on read.
+     * Wraps the weights clients of agents started later, for example to inject faults.
      *
-     * @param tampering put between each agent and its sources
+     * @param wrapper wraps the weights client of an agent
      */
     public void wrapWeights(UnaryOperator<Weights> wrapper) {
         processes.wrapWeights(wrapper);
     }
 
     /**
-     * Starts the platform's stand-in; entries and agents are added afterwards.
+     * Starts the platform stand-in. Entries and agents are added afterwards.
      *
-     * @param options how the system is set up
+     * @param options the configuration
      * @return the system
      */
     public static LocalSystem start(LocalOptions options) {
@@ -114,7 +115,7 @@
     }
 
     /**
-     * Starts an entry that has been added, again.
+     * Restarts an entry that has been added.
      *
      * @param id its name
      */
@@ -142,7 +143,7 @@
      * @param region its region
      * @param hall its data hall
      * @param service the service
-     * @param millis how long a call takes
+     * @param millis the duration of a call
      */
     public void addService(String id, String region, String hall, String service, long millis) {
         String address = Ports.freeAddress();
@@ -167,7 +168,7 @@
     }
 
     /**
-     * Starts an agent that has been added, again.
+     * Restarts an agent that has been added.
      *
      * @param id its name
      */
@@ -175,13 +176,13 @@
         processes.startAgent(id, agentSettings.get(id));
     }
 
-    /** Puts all that has been added on the platform's list. */
+    /** Publishes all added instances in the platform's instance list. */
     public void publishInstances() {
-        platform.list(List.copyOf(instances.values()));
+        platform.setInstances(List.copyOf(instances.values()));
     }
 
     /**
-     * Takes an instance off the platform's list.
+     * Removes an instance from the platform's instance list.
      *
      * @param id the instance
      */
@@ -190,10 +191,10 @@
         publishInstances();
     }
 
-    // -- reaching
+    // -- access
 
     /**
-     * The platform's stand-in.
+     * Returns the platform stand-in.
      *
      * @return the stand-in
      */
@@ -212,7 +213,7 @@
     }
 
     /**
-     * An engine's address.
+     * Returns the base address of an engine.
      *
      * @param id its instance
      * @return the base address
@@ -222,7 +223,7 @@
     }
 
     /**
-     * The names of the engines' instances.
+     * Returns the ids of the instances with an engine.
      *
      * @return the names
      */
@@ -261,7 +262,7 @@
     }
 
     /**
-     * An entry's address for callers.
+     * Returns the address on which an entry serves callers.
      *
      * @param id the entry
      * @return the base address
@@ -271,7 +272,7 @@
     }
 
     /**
-     * An entry's address for operators.
+     * Returns the address on which an entry serves operators.
      *
      * @param id the entry
      * @return the base address
@@ -281,7 +282,7 @@
     }
 
     /**
-     * An agent's address for metrics.
+     * Returns the address on which an agent serves metrics.
      *
      * @param id the agent
      * @return the base address
--- a/src/main/java/org/micabarrow/bench/OpenLoopLoad.java
+++ b/src/main/java/org/micabarrow/bench/OpenLoopLoad.java
@@ -11,8 +11,8 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Sends requests at times drawn beforehand from a seed, whether or not earlier ones have ended, and measures each from
- * the time at which it was due.
+ * Open-loop load generator with Poisson arrivals drawn from a seed. Requests are sent on schedule whether or not
+ * earlier ones have completed, and latency is measured from the scheduled arrival time.
  */
 final class OpenLoopLoad {
 
@@ -33,16 +33,16 @@
         this.target = target;
     }
 
-    /** Takes one request and tells how it ended. */
+    /** Sends one request and returns its response. */
     interface Target {
 
         ClientCalls.Response send(int number, int organisation, int tokens);
     }
 
-    /** One request to come. */
+    /** A request and its scheduled arrival, relative to the start of the run. */
     private record ScheduledRequest(long arrivalNanos, int organisation, boolean isShort) {}
 
-    /** Organisation 0 and 1 are large; the eight others are small. */
+    /** Draws an organisation: 0 and 1 are large and send 70% of the requests, the other eight are small. */
     private static int drawOrganisation(Random random) {
         double draw = random.nextDouble();
         if (draw < 0.7) {
@@ -120,7 +120,7 @@
         return outcomeCounts.values().stream().mapToInt(Integer::intValue).sum();
     }
 
-    /** Answered tokens a second: what the engines' work was good for. */
+    /** Returns the tokens of answered requests per second. */
     double goodputTokensPerSecond() {
         return (shortLatencies.getTotalCount() * SHORT_TOKENS + longLatencies.getTotalCount() * LONG_TOKENS)
                 / elapsedSeconds;
--- a/src/main/java/org/micabarrow/bench/OperatorCalls.java
+++ b/src/main/java/org/micabarrow/bench/OperatorCalls.java
@@ -11,7 +11,7 @@
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpClient;
 
-/** What a benchmark asks of an entry as an operator. */
+/** Client of the operator API for benchmarks. */
 final class OperatorCalls implements AutoCloseable {
 
     private static final Duration TIMEOUT = Duration.ofSeconds(60);
@@ -51,7 +51,7 @@
         return read(answer.body(), type);
     }
 
-    /** A process's metrics, empty while it does not answer. */
+    /** Fetches the metrics of a process; empty if it does not respond. */
     Map<?, ?> metrics(String process) {
         HttpCall call = HttpCall.get(Fault.Step.READ, URI.create(process + "/metrics"));
         return http.call(call, Duration.ofSeconds(5))
@@ -70,7 +70,7 @@
         }
     }
 
-    /** Waits until every replica of the configuration is ready. */
+    /** Waits until the given number of replicas is configured and all are ready. */
     void awaitReady(int replicas) throws InterruptedException {
         while (true) {
             OperatorMessages.Status status = status();
--- a/src/main/java/org/micabarrow/bench/OutcomeCounts.java
+++ b/src/main/java/org/micabarrow/bench/OutcomeCounts.java
@@ -4,7 +4,8 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Counts how requests ended, and what must never happen. */
+/** Counts request outcomes and violations of the guarantees: lost requests, duplicate runs, wrong versions and answers from
+ * outside the placement. */
 final class OutcomeCounts {
 
     private final AtomicInteger requests = new AtomicInteger();
@@ -16,7 +17,7 @@
     private final AtomicInteger wrongVersion = new AtomicInteger();
     private final AtomicInteger outsidePlacement = new AtomicInteger();
 
-    /** Counts a request to a model, whose answer must carry one fingerprint and come from certain halls. */
+    /** Counts a model request; its answer must contain exactly one of the fingerprints and come from one of the halls. */
     void countModelRequest(ClientCalls.Response response, Set<String> fingerprints, Set<String> halls) {
         countRequest(response, halls);
         if (response.outcome() == ClientCalls.Outcome.ANSWERED && !containsExactlyOne(response.text(), fingerprints)) {
@@ -28,7 +29,7 @@
         return fingerprints.stream().filter(text::contains).count() == 1;
     }
 
-    /** Counts a request whose answer must come from certain halls. */
+    /** Counts a request; its answer must come from one of the halls. */
     void countRequest(ClientCalls.Response response, Set<String> halls) {
         requests.incrementAndGet();
         switch (response.outcome()) {
@@ -42,7 +43,7 @@
         }
     }
 
-    /** Counts runs beyond the first. */
+    /** Counts executions of a request beyond the first. */
     void countDuplicateRuns(int executions) {
         duplicateRuns.addAndGet(Math.max(0, executions - 1));
     }
@@ -51,7 +52,7 @@
         return lost.get() + duplicateRuns.get() + wrongVersion.get() + outsidePlacement.get() == 0;
     }
 
-    /** The counts as fields of a JSON object. */
+    /** Formats the counts as the fields of a JSON object, without braces. */
     String json() {
         return String.format(
                 Locale.ROOT,
--- a/src/main/java/org/micabarrow/bench/RequestRows.java
+++ b/src/main/java/org/micabarrow/bench/RequestRows.java
@@ -10,14 +10,14 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** The rows that {@link RequestsBench} measures: as lines of a table, as JSON and as points of a figure. */
+/** Collects the results of {@link RequestsBench} and writes them as table rows, JSON and a chart. */
 final class RequestRows {
 
     private final List<String> json = new ArrayList<>();
     private final Map<String, TreeMap<Integer, Double>> shortLatencyLines = new LinkedHashMap<>();
     private final Map<String, TreeMap<Integer, Double>> goodputLines = new LinkedHashMap<>();
 
-    /** Prints the heads of the columns. */
+    /** Prints the column headers. */
     void header() {
         System.out.println(String.format(
                 Locale.ROOT,
@@ -34,11 +34,11 @@
     }
 
     /**
-     * Prints and keeps a row.
+     * Prints a row and stores it for the JSON output.
      *
-     * @param name what was measured
-     * @param loop the requests
-     * @param attempts the attempts for each request
+     * @param name the name of the measurement
+     * @param loop the completed load run
+     * @param attempts the mean number of attempts per request
      */
     void addRow(String name, OpenLoopLoad loop, double attempts) {
         System.out.println(String.format(
@@ -72,11 +72,11 @@
     }
 
     /**
-     * Adds a point to the figure.
+     * Adds a point to the chart.
      *
-     * @param name the line it belongs to
-     * @param load the load, 1 for the capacity
-     * @param loop the requests
+     * @param name the name of the line
+     * @param load the load as a fraction of the capacity
+     * @param loop the completed load run
      */
     void addPoint(String name, double load, OpenLoopLoad loop) {
         int percent = (int) Math.round(load * 100);
@@ -84,19 +84,19 @@
         goodputLines.computeIfAbsent(name, key -> new TreeMap<>()).put(percent, loop.goodputTokensPerSecond());
     }
 
-    /** Prints two figures in words, and keeps them under their names. */
+    /** Prints two values with a format string and stores them as JSON fields. */
     void addPair(String format, String firstName, String secondName, double firstValue, double secondValue) {
         System.out.println(String.format(Locale.ROOT, format, firstValue, secondValue));
         json.add(String.format(
                 Locale.ROOT, "{\"%s\":%.3f,\"%s\":%.3f}", firstName, firstValue, secondName, secondValue));
     }
 
-    /** Keeps a JSON object for the end. */
+    /** Stores a JSON object for the final output. */
     void json(String object) {
         json.add(object);
     }
 
-    /** Prints all that was kept and draws the figure. */
+    /** Prints the stored JSON and writes the chart. */
     void finish(Path file) throws IOException {
         json.forEach(System.out::println);
         Map<String, String> colours =
--- a/src/main/java/org/micabarrow/bench/RequestsBench.java
+++ b/src/main/java/org/micabarrow/bench/RequestsBench.java
@@ -21,8 +21,8 @@
 import org.micabarrow.state.Digest;
 
 /**
- * Measures requests under load and faults through one entry and four agents, against round robin and least in flight
- * straight to the engines in the same run.
+ * Measures request latency and goodput under load and faults through one entry and four agents. Baselines of the same run
+ * send directly to the engines, round robin or by least requests in flight.
  */
 public final class RequestsBench {
 
@@ -45,13 +45,13 @@
     private LocalSystem system;
     private OperatorCalls operator;
     private DirectCalls engineCalls;
-    private WeightsStandin.Done weights;
+    private WeightsStandin.GeneratedWeights weights;
 
     /**
      * Runs the benchmark.
      *
      * @param arguments the command line
-     * @throws Exception if the system does not come up
+     * @throws Exception if the system does not start
      */
     public static void main(String[] arguments) throws Exception {
         BenchLogging.disable();
@@ -61,7 +61,7 @@
         System.exit(bench.outcomes.hasNoViolations() ? 0 : 1);
     }
 
-    /** Requests a second that the engines' places carry at most, with no cost of the path counted. */
+    /** Returns the maximum request rate of the engines' slots, without the overhead of entry and agents. */
     private static double capacityRequestsPerSecond() {
         double shortMillis = TIMING.prefillMillis() + TIMING.tokenMillis() * OpenLoopLoad.SHORT_TOKENS;
         double longMillis = TIMING.prefillMillis() + TIMING.tokenMillis() * OpenLoopLoad.LONG_TOKENS;
@@ -100,7 +100,7 @@
                 quick.repairDelayMillis(),
                 quick.checkpointIntervalMillis(),
                 quick.isolationTimeoutMillis()));
-        weights = system.platform().weights().make(new WeightsStandin.Wish("bench", 1 << 20, 64 << 10, 7));
+        weights = system.platform().weights().generate(new WeightsStandin.WeightsSpec("bench", 1 << 20, 64 << 10, 7));
         system.addEntry("entry-1", "norte", "norte-a");
         for (int i = 0; i < ENGINES; i++) {
             String region = i % 2 == 0 ? "norte" : "sur";
@@ -175,9 +175,9 @@
 
     private void measureFaults() throws InterruptedException {
         measureSystem("no fault at 0.5", 0.5, 3);
-        system.engine("engine-1").slow(10);
+        system.engine("engine-1").setSlowdownFactor(10);
         measureSystem("one engine ten times slow at 0.5", 0.5, 3);
-        system.engine("engine-1").slow(1);
+        system.engine("engine-1").setSlowdownFactor(1);
         Thread.sleep(1000);
         CompletableFuture<Void> burst = CompletableFuture.runAsync(this::sendBurst);
         measureSystem("burst of 5x for a second at 0.3", 0.3, 4);
@@ -211,7 +211,7 @@
         }
     }
 
-    // -- costs of the path
+    // -- overhead of entry and agents
 
     private void measureOverhead() {
         double[] direct = sequentialLatencyMillis(i -> engineCalls.send(0, i, 1));
@@ -244,7 +244,7 @@
         rows.addPair(
                 "claims: %.0f a second in %.0f appends a second",
                 "claims_per_s", "appends_per_s", CHARGES / seconds, appends / seconds);
-        system.service("billing-1").runs().values().forEach(outcomes::countDuplicateRuns);
+        system.service("billing-1").runsByDigest().values().forEach(outcomes::countDuplicateRuns);
     }
 
     private void charge(AtomicInteger next) {
@@ -257,8 +257,9 @@
 
     private void finish() throws IOException {
         system.engineIds()
-                .forEach(
-                        id -> system.engine(id).runs().forEach((attempt, count) -> outcomes.countDuplicateRuns(count)));
+                .forEach(id -> system.engine(id)
+                        .runsByAttempt()
+                        .forEach((attempt, count) -> outcomes.countDuplicateRuns(count)));
         rows.json("{" + outcomes.json() + "}");
         rows.finish(Path.of(image));
         operator.close();
--- a/src/main/java/org/micabarrow/bench/RolloutBench.java
+++ b/src/main/java/org/micabarrow/bench/RolloutBench.java
@@ -17,8 +17,9 @@
 import org.micabarrow.state.Placement;
 
 /**
- * Measures how long new weights take to N replicas and how much the origin gives, on real sockets with paced links: the
- * origin carries four copies in the time W, each instance two. Times are given over the lower bound of the same run.
+ * Measures the time to distribute new weights to N replicas and the bytes sent by the origin, on real sockets with
+ * rate-limited links: in the window W the origin's link carries four copies and each instance's link two. Times are
+ * reported relative to the lower bound of the same run.
  */
 public final class RolloutBench {
 
@@ -51,7 +52,7 @@
      * Runs the benchmark.
      *
      * @param arguments the command line
-     * @throws Exception if a rollout does not end
+     * @throws Exception if a rollout does not complete
      */
     public static void main(String[] arguments) throws Exception {
         BenchLogging.disable();
@@ -143,7 +144,7 @@
                     prefer,
                     () -> injectStoreFaults(system, true),
                     Set.of());
-            system.platform().fail(Faults.none());
+            system.platform().setFaults(Faults.none());
             Set<String> killed = everyEighth(ids);
             measureRollout(
                     system, count, "one death in eight", prefer, () -> killDuringTransfer(system, killed), killed);
@@ -161,13 +162,13 @@
                     },
                     killed);
             faultInjection.clear();
-            system.platform().fail(Faults.none());
+            system.platform().setFaults(Faults.none());
             restartAgents(system, killed);
         }
     }
 
     private static void injectStoreFaults(LocalSystem system, boolean logDown) {
-        system.platform().fail(new Faults(logDown, 0, false, false, 200, 0, false));
+        system.platform().setFaults(new Faults(logDown, 0, false, false, 200, 0, false));
     }
 
     private static Set<String> everyEighth(List<String> ids) {
@@ -178,7 +179,7 @@
         return chosen;
     }
 
-    /** Kills instances a third of the way through the transfer. */
+    /** Kills instances after a third of the minimum transfer time. */
     private void killDuringTransfer(LocalSystem system, Set<String> ids) {
         Thread killer = new Thread(() -> {
             try {
@@ -201,7 +202,7 @@
         }
     }
 
-    /** One rollout: the time runs from the confirmation until every replica that lives is ready. */
+    /** Measures one rollout, from the confirmation until every surviving replica is ready. */
     private void measureRollout(
             LocalSystem system,
             int count,
@@ -210,8 +211,9 @@
             Runnable afterConfirmation,
             Set<String> killed)
             throws Exception {
-        WeightsStandin.Done weights =
-                system.platform().weights().make(new WeightsStandin.Wish("bench", bytes, chunkBytes, seed++));
+        WeightsStandin.GeneratedWeights weights = system.platform()
+                .weights()
+                .generate(new WeightsStandin.WeightsSpec("bench", bytes, chunkBytes, seed++));
         String plan = operator.plan(intent(weights.version(), count, prefer)).id();
         long originBefore = system.platform().originBytes();
         long start = System.nanoTime();
@@ -266,7 +268,7 @@
 
     // -- baselines
 
-    /** They are paced and cost nothing else, so all of them run at once. */
+    /** Runs all baselines concurrently: they only wait for rate limiters, so they do not affect each other. */
     private void measureBaselines() {
         List<CompletableFuture<RolloutRow>> measured = new ArrayList<>();
         for (int count : replicas) {
--- a/src/main/java/org/micabarrow/bench/RolloutFigure.java
+++ b/src/main/java/org/micabarrow/bench/RolloutFigure.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** Draws time over the lower bound, and copies from the origin, over the number of replicas. */
+/** Plots the time relative to the lower bound and the copies sent by the origin against the number of replicas. */
 final class RolloutFigure {
 
     private static final Map<String, String> COLOURS = new LinkedHashMap<>();
--- a/src/main/java/org/micabarrow/bench/RolloutRow.java
+++ b/src/main/java/org/micabarrow/bench/RolloutRow.java
@@ -3,24 +3,24 @@
 import java.util.Locale;
 
 /**
- * One measured rollout.
+ * Result of one measured rollout.
  *
- * @param name what was measured
- * @param replicas how many replicas received the weights
- * @param prefer what the plan preferred
- * @param seconds from the confirmation until every replica that lives was ready
- * @param bound the least time that the links allow, in seconds
- * @param originCopies how many copies the origin gave
+ * @param name name of the measurement
+ * @param replicas number of replicas that received the weights
+ * @param prefer preference given in the plan
+ * @param seconds time from the confirmation until every surviving replica was ready
+ * @param lowerBoundSeconds minimum time that the link bandwidths allow
+ * @param originCopies bytes sent by the origin, as a multiple of the size of the weights
  */
 record RolloutRow(
         String name, int replicas, String prefer, double seconds, double lowerBoundSeconds, double originCopies) {
 
-    /** How many times the lower bound it took. */
+    /** Returns the duration as a multiple of the lower bound. */
     double ratio() {
         return seconds / lowerBoundSeconds;
     }
 
-    /** The rollout as a JSON object. */
+    /** Formats the result as a JSON object. */
     String json() {
         return String.format(
                 Locale.ROOT,
@@ -35,7 +35,7 @@
                 originCopies);
     }
 
-    /** The heads of the columns of {@link #line}. */
+    /** Returns the column headers for {@link #line}. */
     static String header() {
         return String.format(
                 Locale.ROOT,
@@ -49,7 +49,7 @@
                 "copies");
     }
 
-    /** The rollout as a line of a table. */
+    /** Formats the result as a table row. */
     String line() {
         return String.format(
                 Locale.ROOT,
--- a/src/main/java/org/micabarrow/bench/package-info.java
+++ b/src/main/java/org/micabarrow/bench/package-info.java
@@ -1,2 +1,2 @@
-/** Drivers of the demonstration and of the benchmarks. They use the product from outside, as callers and operators do. */
+/** Drivers of the demonstration and the benchmarks. They use only the public interfaces for callers and operators. */
 package org.micabarrow.bench;
--- a/src/main/java/org/micabarrow/command/RehearseCommand.java
+++ b/src/main/java/org/micabarrow/command/RehearseCommand.java
@@ -57,10 +57,10 @@
     ExitCode run(Console console) throws Exception {
         try (HostedSystem platform = HostedSystem.start();
                 HttpClient caller = HttpClient.start("rehearsal", 1)) {
-            platform.add("plain-1", "plain", 0);
-            platform.add("model-1", "models", 1);
-            HostedSettings agent = platform.agent("model-1");
-            HostedSettings entry = platform.entryAsking(agent);
+            platform.addEndpoint("plain-1", "plain", 0);
+            platform.addEndpoint("model-1", "models", 1);
+            HostedSettings agent = platform.agentSettings("model-1");
+            HostedSettings entry = platform.entrySettingsPolling(agent);
             List<Process> processes = List.of(begin(entryCommand, entry), begin(agentCommand, agent));
             boolean played = played(platform, caller, entry.listen().clients().orElseThrow());
             boolean ended = true;
@@ -76,13 +76,13 @@
     /** Has both processes do what they do in service, and tells whether all of it was done. */
     private static boolean played(HostedSystem platform, HttpClient caller, String clients)
             throws InterruptedException {
-        platform.nameWeights(2);
+        platform.publishWeightVersion(2);
         boolean served = true;
         for (String path : List.of("/once/1", "/again/2", "/stream/3")) {
             served &= served(caller, clients, path);
         }
         boolean taken = holds(() -> platform.endpoint("model-1").version() == 2);
-        platform.enter("plain-1", "plain", 0, "draining");
+        platform.register("plain-1", "plain", 0, "draining");
         Thread.sleep(TOLD_MILLIS);
         return served && taken;
     }
--- a/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
@@ -17,8 +17,8 @@
 import org.xnio.IoUtils;
 
 /**
- * Stands in for an endpoint on the users' platform. What it does with the next requests can be set; it keeps what it
- * received. Safe for any number of threads.
+ * Simulated endpoint on the users' platform. Its behaviour for the next requests can be configured, and it records the
+ * requests received. Thread-safe.
  */
 public final class HostedEndpointStandin implements HttpHandler {
 
@@ -26,157 +26,157 @@
     private static final HttpString SIGNATURE = new HttpString("Server-Seal");
     private static final HttpString NOT_RUN = new HttpString("Not-Executed");
     private static final HttpString WEIGHT_VERSION = new HttpString("Weight-Versions");
-    private static final HttpString LEAVING = new HttpString("Server-Leaving");
-    private static final HttpString LIMIT = new HttpString("Server-Limit");
+    private static final HttpString DRAINING = new HttpString("Server-Leaving");
+    private static final HttpString RATE_LIMIT = new HttpString("Server-Limit");
     private static final int OK = 200;
-    private static final int FAILED = 500;
+    private static final int INTERNAL_ERROR = 500;
     private static final int UNAVAILABLE = 503;
     private static final int MISDIRECTED = 421;
 
-    private static final String REST_SECONDS = "3";
+    private static final String RETRY_AFTER_SECONDS = "3";
 
-    /** The length that the head of a cut answer promises, in bytes: more than it then sends. */
-    private static final int CUT_LENGTH = 100;
+    /** Content length announced for a truncated answer, in bytes; larger than the body sent. */
+    private static final int TRUNCATED_CONTENT_LENGTH = 100;
 
     private final String id;
     private final Queue<Behaviour> behaviours;
-    private final ConcurrentLinkedQueue<Received> received = new ConcurrentLinkedQueue<>();
-    private final HeldRequests held = new HeldRequests();
-    private final AtomicInteger misdirected = new AtomicInteger();
+    private final ConcurrentLinkedQueue<ReceivedRequest> received = new ConcurrentLinkedQueue<>();
+    private final UnansweredRequests unanswered = new UnansweredRequests();
+    private final AtomicInteger misdirectedCount = new AtomicInteger();
     private final HostedWeightsStandin weights;
-    private volatile Crashing crashing = body -> false;
-    private volatile boolean leaving;
-    private volatile boolean leavingByReports;
-    private volatile OptionalDouble limit = OptionalDouble.empty();
+    private volatile CrashTrigger crashTrigger = body -> false;
+    private volatile boolean draining;
+    private volatile boolean drainingInReports;
+    private volatile OptionalDouble rateLimit = OptionalDouble.empty();
 
-    /** How an endpoint ends. */
-    public enum Ending {
-        /** Its process ends; what was staged beside it stays. */
+    /** How an endpoint shuts down. */
+    public enum Shutdown {
+        /** The process crashes; staged chunks survive. */
         CRASH,
-        /** Its instance loses power; what was staged is lost too. */
+        /** The instance loses power; staged chunks are lost. */
         POWER_LOSS
     }
 
-    /** Says which requests end the endpoint that begins to run them, and ends it. */
+    /** Crashes the endpoint when it starts to execute certain requests. */
     @FunctionalInterface
-    public interface Crashing {
+    public interface CrashTrigger {
 
         /**
-         * Ends the endpoint if a request does so.
+         * Crashes the endpoint if the request triggers a crash.
          *
          * @param body the request's body
-         * @return whether the endpoint has ended, and answers nothing
+         * @return whether the endpoint crashed and sends no answer
          */
-        boolean crashes(String body);
+        boolean crashIfTriggered(String body);
     }
 
-    /** What the stand-in does with a request. */
+    /** How the stand-in responds to a request. */
     public enum Behaviour {
-        /** Answers as it should. */
+        /** Sends the expected answer. */
         ANSWER,
-        /** Refuses, and says that the request has not run. */
+        /** Refuses the request and states that it was not executed. */
         REFUSE,
-        /** Refuses so, and asks for three seconds of rest. */
-        REFUSE_AND_REST,
-        /** Answers 503 without saying that the request has not run. */
-        SILENT_REFUSE,
-        /** Answers 500, signed. */
+        /** Refuses likewise, with a Retry-After of three seconds. */
+        REFUSE_WITH_RETRY_AFTER,
+        /** Answers 503 without stating that the request was not executed. */
+        UNAVAILABLE,
+        /** Answers 500 with a signature. */
         FAIL,
-        /** Closes the connection before any answer. */
+        /** Closes the connection without answering. */
         RESET,
-        /** Closes the connection in the middle of the answer. */
-        CUT,
-        /** Gives the answer to another request. */
-        OTHER_ANSWER,
-        /** Gives an answer without its signature. */
+        /** Closes the connection in the middle of the answer body. */
+        TRUNCATE,
+        /** Answers with the attempt id of another request. */
+        WRONG_ATTEMPT,
+        /** Answers without a signature. */
         UNSIGNED,
-        /** Says that another endpoint is here. */
+        /** Answers 421, as if another endpoint had this address. */
         MISDIRECT,
         /** Never answers. */
-        HANG
+        NEVER_ANSWER
     }
 
     /**
-     * Makes a stand-in.
+     * Creates a stand-in.
      *
      * @param id the endpoint's id
      * @param model its model
-     * @param version the weight version that it holds; 0 for none
-     * @param behaviours what to do with the next requests; once empty, requests are answered as they should be
+     * @param version the loaded weight version; 0 for none
+     * @param behaviours the behaviours for the next requests; when empty, expected answers are sent
      */
     public HostedEndpointStandin(String id, String model, long version, Queue<Behaviour> behaviours) {
         this.id = id;
         this.behaviours = behaviours;
-        this.weights = new HostedWeightsStandin(model, version, held::count);
+        this.weights = new HostedWeightsStandin(model, version, unanswered::count);
     }
 
     /**
      * The requests received.
      *
-     * @return the requests, in order
+     * @return the requests in order of arrival
      */
-    public List<Received> received() {
+    public List<ReceivedRequest> received() {
         return List.copyOf(received);
     }
 
-    /** Says in all its answers from now on that it leaves. */
-    public void leave() {
-        leaving = true;
-        leavingByReports = true;
+    /** Announces in all further answers and reports that the endpoint is draining. */
+    public void startDraining() {
+        draining = true;
+        drainingInReports = true;
     }
 
-    /** Says so in its reports alone, as if no request had been sent to it since it does. */
-    public void leaveByReportsOnly() {
-        leavingByReports = true;
+    /** Announces draining only in reports, as seen by an entry that has sent no request since. */
+    public void startDrainingInReportsOnly() {
+        drainingInReports = true;
     }
 
     /**
-     * Names a limit in all its answers to requests from now on.
+     * States a rate limit in all further answers to requests.
      *
-     * @param perSecond how many requests a second it takes
+     * @param perSecond the limit, in requests per second
      */
-    public void limit(double perSecond) {
-        limit = OptionalDouble.of(perSecond);
+    public void rateLimit(double perSecond) {
+        rateLimit = OptionalDouble.of(perSecond);
     }
 
-    /** Names no limit any more. */
-    public void endLimit() {
-        limit = OptionalDouble.empty();
+    /** Stops stating a rate limit. */
+    public void clearRateLimit() {
+        rateLimit = OptionalDouble.empty();
     }
 
     /**
-     * Looks at each request from now on whether the endpoint ends by it.
+     * Sets a trigger that is checked for each further request.
      *
-     * @param by says so, and ends the endpoint
+     * @param trigger crashes the endpoint for certain requests
      */
-    public void crash(Crashing by) {
-        crashing = by;
+    public void setCrashTrigger(CrashTrigger trigger) {
+        crashTrigger = trigger;
     }
 
     /**
-     * Tells from now on when it was started.
+     * Sets the start time stated in reports.
      *
-     * @param startedMillis the Unix millisecond of its start
+     * @param startedMillis the start time, in Unix milliseconds
      */
-    public void startedAt(long startedMillis) {
-        weights.startedAt(startedMillis);
+    public void setStartedMillis(long startedMillis) {
+        weights.setStartedMillis(startedMillis);
     }
 
     /**
-     * Ends, and starts again under the same id; it holds nothing then.
+     * Restarts the endpoint under the same id, without loaded weights.
      *
-     * @param startedMillis the Unix millisecond of the new start
-     * @param ending how it ended
+     * @param startedMillis the new start time, in Unix milliseconds
+     * @param shutdown how it was shut down
      */
-    public void startAgain(long startedMillis, Ending ending) {
-        leaving = false;
-        leavingByReports = false;
-        endLimit();
-        weights.startAgain(startedMillis, ending == Ending.CRASH);
+    public void restart(long startedMillis, Shutdown shutdown) {
+        draining = false;
+        drainingInReports = false;
+        clearRateLimit();
+        weights.restart(startedMillis, shutdown == Shutdown.CRASH);
     }
 
     /**
-     * The weight version that it holds.
+     * Returns the loaded weight version.
      *
      * @return the version; 0 for none
      */
@@ -185,31 +185,31 @@
     }
 
     /**
-     * The requests for its model that came while it held no weights, and were not run.
+     * Counts the model requests that arrived while no weights were loaded and were not executed.
      *
      * @return their number
      */
-    public int misdirected() {
-        return misdirected.get();
+    public int misdirectedCount() {
+        return misdirectedCount.get();
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         exchange.getRequestReceiver().receiveFullBytes((same, body) -> {
-            boolean report = HostedWeightsStandin.takes(same.getRequestPath());
-            if (report ? leavingByReports : leaving) {
-                same.getResponseHeaders().put(LEAVING, "1");
+            boolean report = HostedWeightsStandin.handles(same.getRequestPath());
+            if (report ? drainingInReports : draining) {
+                same.getResponseHeaders().put(DRAINING, "1");
             }
             if (report) {
                 weights.answer(same, body);
             } else {
-                limit.ifPresent(perSecond -> same.getResponseHeaders().put(LIMIT, String.valueOf(perSecond)));
-                request(same, body);
+                rateLimit.ifPresent(perSecond -> same.getResponseHeaders().put(RATE_LIMIT, String.valueOf(perSecond)));
+                handleClientRequest(same, body);
             }
         });
     }
 
-    private void request(HttpServerExchange exchange, byte[] body) {
+    private void handleClientRequest(HttpServerExchange exchange, byte[] body) {
         Map<String, String> headers = new HashMap<>();
         exchange.getRequestHeaders()
                 .forEach(values -> headers.put(values.getHeaderName().toString(), values.getFirst()));
@@ -218,82 +218,85 @@
         String method = exchange.getRequestMethod().toString();
         String target = exchange.getRequestURI() + query;
         long now = MonotonicClock.millis();
-        boolean crashes = crashing.crashes(text);
-        Optional<Behaviour> does = crashes ? Optional.empty() : Optional.of(behaviour(exchange));
-        received.add(new Received(method, target, headers, text, now, does, leaving));
+        boolean crashes = crashTrigger.crashIfTriggered(text);
+        Optional<Behaviour> behaviour = crashes ? Optional.empty() : Optional.of(nextBehaviour(exchange));
+        received.add(new ReceivedRequest(method, target, headers, text, now, behaviour, draining));
         if (crashes) {
-            // Undertow answers what a handler leaves open.
+            // Undertow sends a response for every exchange that a handler leaves open, so the connection is closed
+            // instead.
             IoUtils.safeClose(exchange.getConnection());
             return;
         }
         exchange.getResponseHeaders().put(new HttpString("Instance-Id"), id);
         String attempt = exchange.getRequestHeaders().getFirst(ATTEMPT);
         exchange.getResponseHeaders().put(ATTEMPT, attempt == null ? "-" : attempt);
-        behave(exchange, does.get());
+        respond(exchange, behaviour.get());
     }
 
-    private Behaviour behaviour(HttpServerExchange exchange) {
+    private Behaviour nextBehaviour(HttpServerExchange exchange) {
         if (exchange.getRequestHeaders().contains("Model") && weights.version() == 0) {
-            misdirected.incrementAndGet();
+            misdirectedCount.incrementAndGet();
             return Behaviour.MISDIRECT;
         }
         return Optional.ofNullable(behaviours.poll()).orElse(Behaviour.ANSWER);
     }
 
-    private void behave(HttpServerExchange exchange, Behaviour behaviour) {
+    private void respond(HttpServerExchange exchange, Behaviour behaviour) {
         switch (behaviour) {
-            case ANSWER -> good(exchange, false);
-            case CUT -> good(exchange, true);
+            case ANSWER -> sendExpectedAnswer(exchange, false);
+            case TRUNCATE -> sendExpectedAnswer(exchange, true);
             case FAIL -> {
                 exchange.getResponseHeaders().put(SIGNATURE, id);
-                StandinCalls.answer(exchange, FAILED, "failed".getBytes(StandardCharsets.UTF_8));
+                StandinCalls.answer(exchange, INTERNAL_ERROR, "failed".getBytes(StandardCharsets.UTF_8));
             }
             case REFUSE -> {
                 exchange.getResponseHeaders().put(NOT_RUN, "1");
                 StandinCalls.answer(exchange, UNAVAILABLE, new byte[0]);
             }
-            case REFUSE_AND_REST -> {
-                exchange.getResponseHeaders().put(Headers.RETRY_AFTER, REST_SECONDS);
-                behave(exchange, Behaviour.REFUSE);
+            case REFUSE_WITH_RETRY_AFTER -> {
+                exchange.getResponseHeaders().put(Headers.RETRY_AFTER, RETRY_AFTER_SECONDS);
+                respond(exchange, Behaviour.REFUSE);
             }
-            case SILENT_REFUSE -> {
+            case UNAVAILABLE -> {
                 exchange.getResponseHeaders().put(SIGNATURE, id);
                 StandinCalls.answer(exchange, UNAVAILABLE, new byte[0]);
             }
             case RESET -> IoUtils.safeClose(exchange.getConnection());
-            case OTHER_ANSWER -> {
+            case WRONG_ATTEMPT -> {
                 exchange.getResponseHeaders().put(ATTEMPT, "another");
-                good(exchange, false);
+                sendExpectedAnswer(exchange, false);
             }
             case UNSIGNED -> StandinCalls.answer(exchange, OK, "plain".getBytes(StandardCharsets.UTF_8));
             case MISDIRECT -> StandinCalls.answer(exchange, MISDIRECTED, new byte[0]);
-            case HANG -> held.hold(exchange);
+            case NEVER_ANSWER -> unanswered.hold(exchange);
         }
     }
 
-    // -- good answers, whole or cut
+    // -- expected answers, complete or truncated
 
-    private void good(HttpServerExchange exchange, boolean cut) {
+    private void sendExpectedAnswer(HttpServerExchange exchange, boolean truncated) {
         exchange.getResponseHeaders().put(SIGNATURE, id);
         if (exchange.getRequestHeaders().contains("Model")) {
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
             exchange.getResponseHeaders().put(WEIGHT_VERSION, String.valueOf(weights.version()));
-            String last = exchange.getRequestHeaders().getFirst("Last-Event-Id");
+            String lastEventId = exchange.getRequestHeaders().getFirst("Last-Event-Id");
             StandinStreams.send(
-                    exchange, StandinStreams.events(id, last == null ? 1 : Integer.parseInt(last) + 1, cut), cut);
+                    exchange,
+                    StandinStreams.events(id, lastEventId == null ? 1 : Integer.parseInt(lastEventId) + 1, truncated),
+                    truncated);
         } else {
             byte[] body = "whole".getBytes(StandardCharsets.UTF_8);
-            exchange.setResponseContentLength(cut ? CUT_LENGTH : body.length);
-            StandinStreams.send(exchange, body, cut);
+            exchange.setResponseContentLength(truncated ? TRUNCATED_CONTENT_LENGTH : body.length);
+            StandinStreams.send(exchange, body, truncated);
         }
     }
 
     /**
-     * The requests that are held without an answer.
+     * Counts the requests kept open without an answer.
      *
      * @return their number
      */
-    public int hanging() {
-        return held.count();
+    public int unansweredCount() {
+        return unanswered.count();
     }
 }
--- a/src/main/java/org/micabarrow/platform/standin/HostedOriginStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedOriginStandin.java
@@ -9,19 +9,19 @@
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Digest;
 
-/** Stands in for the origin of weights: any version of any model is there, in a few small chunks. */
+/** Simulated origin of weights. Serves every version of every model in a few small generated chunks. */
 final class HostedOriginStandin implements HttpHandler {
 
-    /** How many chunks a version has. */
+    /** Number of chunks per version. */
     static final int CHUNKS = 4;
 
-    /** The size of a chunk, in bytes: so small that a rehearsal takes no time over it. */
+    /** Chunk size in bytes; small enough that transfers take negligible time in rehearsals. */
     static final int CHUNK_BYTES = 1024;
 
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
 
-    /** A chunk, of bytes that are all alike and differ from those of the version's other chunks. */
+    /** Generates a chunk: one byte value repeated, different for each chunk of a version. */
     private static byte[] chunk(long version, int index) {
         byte[] bytes = new byte[CHUNK_BYTES];
         Arrays.fill(bytes, (byte) (version * 16 + index));
@@ -40,11 +40,11 @@
     public void handleRequest(HttpServerExchange exchange) {
         String path = exchange.getRequestPath();
         if (path.startsWith("/api/manifest/")) {
-            List<String> digests = digests(StandinCalls.number(exchange, "version"));
+            List<String> digests = digests(StandinCalls.longParameter(exchange, "version"));
             StandinCalls.answer(exchange, OK, CanonicalJson.write(Map.of("digests", digests)));
         } else if (path.startsWith("/api/piece/")) {
-            int index = (int) StandinCalls.number(exchange, "sample_count");
-            StandinCalls.answer(exchange, OK, chunk(StandinCalls.number(exchange, "version"), index));
+            int index = (int) StandinCalls.longParameter(exchange, "sample_count");
+            StandinCalls.answer(exchange, OK, chunk(StandinCalls.longParameter(exchange, "version"), index));
         } else {
             StandinCalls.answer(exchange, NOT_FOUND, new byte[0]);
         }
--- a/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
@@ -21,8 +21,8 @@
 import org.micabarrow.views.StoredRecord;
 
 /**
- * Stands in for the users' store: keyed topics that can be read on and whose newest records can be listed. Faults are set
- * from outside. Safe for any number of threads.
+ * Simulated store of the users' platform: keyed topics that support reads from an offset and listing the newest record per
+ * key. Supports fault injection. Thread-safe.
  */
 public final class HostedStoreStandin implements HttpHandler {
 
@@ -31,17 +31,17 @@
     private static final int NOT_FOUND = 404;
     private static final int GONE = 410;
 
-    /** How often a held read looks for records, in milliseconds: little beside the second or so that it is held. */
-    private static final long LOOK_MILLIS = 5;
+    /** Polling interval of long-poll reads, in milliseconds; short compared to their usual wait of about a second. */
+    private static final long POLL_MILLIS = 5;
 
     private final Map<String, List<Entry>> topics = new HashMap<>();
-    private final Map<String, Integer> firstKept = new HashMap<>();
-    private final Map<String, Integer> given = new HashMap<>();
+    private final Map<String, Integer> firstRetainedOffsets = new HashMap<>();
+    private final Map<String, Integer> deliveredCounts = new HashMap<>();
     private int pageSize = 500;
-    private Optional<Integer> refusal = Optional.empty();
-    private boolean silent;
+    private Optional<Integer> refusalStatus = Optional.empty();
+    private boolean unresponsive;
 
-    /** A record: its key, its value, and its bytes in an answer to a read. */
+    /** A record: its key, its value, and its encoded form in read responses. */
     private record Entry(String key, byte[] value, byte[] raw) {
 
         private static Entry of(String key, byte[] value) {
@@ -49,14 +49,14 @@
         }
     }
 
-    // -- what tests do
+    // -- control by tests
 
     /**
      * Appends a record.
      *
      * @param topic the topic
      * @param key the key
-     * @param value the value; an empty one drops the key
+     * @param value the value; an empty value deletes the key
      * @return the record's offset
      */
     public synchronized long append(String topic, String key, String value) {
@@ -64,7 +64,7 @@
     }
 
     /**
-     * Appends a record, as any writer may.
+     * Appends a record with a binary value.
      *
      * @param topic the topic
      * @param key the key
@@ -76,7 +76,7 @@
     }
 
     /**
-     * Appends a record of any bytes, which are no key and value perhaps.
+     * Appends arbitrary bytes as a record, which need not encode a key and a value.
      *
      * @param topic the topic
      * @param raw the bytes of the record
@@ -93,25 +93,25 @@
     }
 
     /**
-     * Whether a key was written to a topic.
+     * Returns whether a key was ever written to a topic.
      *
      * @param topic the topic
      * @param key the key
-     * @return true if a record of the key is there, dropped or not
+     * @return true if the topic has a record with the key, including deletions
      */
-    public synchronized boolean written(String topic, String key) {
+    public synchronized boolean containsKey(String topic, String key) {
         return topics.getOrDefault(topic, List.of()).stream()
                 .anyMatch(entry -> entry.key().equals(key));
     }
 
     /**
-     * How many keys of a topic begin so.
+     * Counts the keys of a topic with a prefix.
      *
      * @param topic the topic
-     * @param prefix the beginning
-     * @return their number, dropped or not
+     * @param prefix the prefix
+     * @return the number of keys, including deleted ones
      */
-    public synchronized int keys(String topic, String prefix) {
+    public synchronized int countKeys(String topic, String prefix) {
         return (int) topics.getOrDefault(topic, List.of()).stream()
                 .map(Entry::key)
                 .filter(key -> key.startsWith(prefix))
@@ -120,56 +120,57 @@
     }
 
     /**
-     * How many records reads of a topic have been given, each as often as it was given.
+     * Returns how many records were delivered to reads of a topic, counting repeated deliveries.
      *
      * @param topic the topic
      * @return the number
      */
-    public synchronized int given(String topic) {
-        return given.getOrDefault(topic, 0);
+    public synchronized int deliveredCount(String topic) {
+        return deliveredCounts.getOrDefault(topic, 0);
     }
 
     /**
-     * Drops the history of a topic; the newest record of each key stays.
+     * Drops the history of a topic, so that older offsets can no longer be read. The newest record of each key can still be
+     * listed.
      *
      * @param topic the topic
      */
-    public synchronized void forgetHistory(String topic) {
-        firstKept.put(topic, topics.getOrDefault(topic, List.of()).size());
+    public synchronized void dropHistory(String topic) {
+        firstRetainedOffsets.put(topic, topics.getOrDefault(topic, List.of()).size());
     }
 
     /**
-     * Answers every call with a status, until told otherwise; reads that are held too.
+     * Answers every call with a status, including pending long-poll reads.
      *
-     * @param status the status; empty to answer as usual
+     * @param status the status; empty to respond normally
      */
-    public synchronized void refuse(Optional<Integer> status) {
-        refusal = status;
+    public synchronized void setRefusalStatus(Optional<Integer> status) {
+        refusalStatus = status;
     }
 
     /**
-     * Answers nothing, until told otherwise; reads that are held neither.
+     * Sets whether calls, including pending long-poll reads, are left without an answer.
      *
-     * @param on whether to be silent
+     * @param on whether to leave calls unanswered
      */
-    public synchronized void silent(boolean on) {
-        silent = on;
+    public synchronized void setUnresponsive(boolean on) {
+        unresponsive = on;
     }
 
     /**
-     * How many records a page of newest records holds.
+     * Sets the page size of listings of newest records.
      *
-     * @param size the number
+     * @param size the maximum number of records per page
      */
-    public synchronized void pageSize(int size) {
+    public synchronized void setPageSize(int size) {
         pageSize = size;
     }
 
-    // -- answers
+    // -- request handling
 
     @Override
     public synchronized void handleRequest(HttpServerExchange exchange) {
-        if (unwell(exchange)) {
+        if (applyFault(exchange)) {
             return;
         }
         String topic = StandinCalls.parameter(exchange, "topic").orElse("");
@@ -188,14 +189,14 @@
         }
     }
 
-    /** Leaves a call without an answer or refuses it, if told to; a read that is held already too. */
-    private boolean unwell(HttpServerExchange exchange) {
-        if (silent) {
+    /** Leaves a call unanswered or refuses it if a fault is set. Returns whether a fault was applied. */
+    private boolean applyFault(HttpServerExchange exchange) {
+        if (unresponsive) {
             exchange.dispatch(() -> {});
-        } else if (refusal.isPresent()) {
-            StandinCalls.answer(exchange, refusal.get(), new byte[0]);
+        } else if (refusalStatus.isPresent()) {
+            StandinCalls.answer(exchange, refusalStatus.get(), new byte[0]);
         }
-        return silent || refusal.isPresent();
+        return unresponsive || refusalStatus.isPresent();
     }
 
     private synchronized void append(HttpServerExchange exchange, String topic, byte[] body) {
@@ -244,34 +245,36 @@
         StandinCalls.answer(exchange, OK, CanonicalJson.write(json));
     }
 
-    private synchronized void read(HttpServerExchange exchange, String topic, int from, long until) {
-        if (unwell(exchange)) {
+    private synchronized void read(HttpServerExchange exchange, String topic, int from, long deadlineNanos) {
+        if (applyFault(exchange)) {
             return;
         }
         List<Entry> entries = topics.getOrDefault(topic, List.of());
-        if (from < firstKept.getOrDefault(topic, 0)) {
+        if (from < firstRetainedOffsets.getOrDefault(topic, 0)) {
             StandinCalls.answer(exchange, GONE, new byte[0]);
-        } else if (from < entries.size() || System.nanoTime() - until >= 0) {
-            given.merge(topic, Math.max(0, entries.size() - from), Integer::sum);
-            StandinCalls.answer(exchange, OK, raw(entries, from, firstKept.getOrDefault(topic, 0)));
+        } else if (from < entries.size() || System.nanoTime() - deadlineNanos >= 0) {
+            deliveredCounts.merge(topic, Math.max(0, entries.size() - from), Integer::sum);
+            StandinCalls.answer(exchange, OK, encodePage(entries, from, firstRetainedOffsets.getOrDefault(topic, 0)));
         } else {
             exchange.dispatch(
                     SameThreadExecutor.INSTANCE,
                     () -> exchange.getIoThread()
                             .executeAfter(
-                                    () -> read(exchange, topic, from, until), LOOK_MILLIS, TimeUnit.MILLISECONDS));
+                                    () -> read(exchange, topic, from, deadlineNanos),
+                                    POLL_MILLIS,
+                                    TimeUnit.MILLISECONDS));
         }
     }
 
-    /** The answer to a read: the topic's end, the first offset that is kept, and the records asked for. */
-    private static byte[] raw(List<Entry> entries, int from, int first) {
-        List<Entry> asked = entries.subList(Math.min(from, entries.size()), entries.size());
+    /** Encodes a read response: the end offset, the first retained offset, and the records from the requested offset. */
+    private static byte[] encodePage(List<Entry> entries, int from, int firstRetained) {
+        List<Entry> page = entries.subList(Math.min(from, entries.size()), entries.size());
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         bytes.writeBytes(ByteBuffer.allocate(2 * Long.BYTES)
                 .putLong(entries.size())
-                .putLong(first)
+                .putLong(firstRetained)
                 .array());
-        asked.forEach(entry -> bytes.writeBytes(KeyedRecords.framed(entry.raw())));
+        page.forEach(entry -> bytes.writeBytes(KeyedRecords.framed(entry.raw())));
         return bytes.toByteArray();
     }
 }
--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -16,7 +16,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.micabarrow.clock.MonotonicClock;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
-import org.micabarrow.platform.standin.HostedEndpointStandin.Ending;
+import org.micabarrow.platform.standin.HostedEndpointStandin.Shutdown;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.standin.Ports;
 import org.micabarrow.state.Fault;
@@ -24,7 +24,7 @@
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.views.VersionKeys;
 
-/** The users' platform in small, on loopback: a store, an origin and endpoints, with the settings that fit them. */
+/** Simulates the users' platform on loopback with a store, an origin and endpoints, and creates matching settings. */
 public final class HostedSystem implements AutoCloseable {
 
     private static final String MODEL = "model-a";
@@ -37,36 +37,36 @@
     private final Map<String, String> addresses = new ConcurrentHashMap<>();
     private final Map<String, String> dataHalls = new ConcurrentHashMap<>();
     private final Map<String, Long> coldUntilMillis = new ConcurrentHashMap<>();
-    private final Map<String, Long> starts = new HashMap<>();
-    private final List<AutoCloseable> running = new ArrayList<>();
+    private final Map<String, Long> startMillis = new HashMap<>();
+    private final List<AutoCloseable> closeables = new ArrayList<>();
     private final AtomicInteger instances = new AtomicInteger();
-    private final EndpointHosts hosts = new EndpointHosts();
+    private final EndpointListeners listeners = new EndpointListeners();
     private final Set<String> crashingBodies = ConcurrentHashMap.newKeySet();
 
     private HostedSystem() {
         this.storeAddress = serve(store);
         this.originAddress = serve(new HostedOriginStandin());
-        running.add(hosts);
+        closeables.add(listeners);
     }
 
     /**
-     * Starts a platform with a manifest and no endpoints.
+     * Starts a platform with a manifest and without endpoints.
      *
      * @return the running platform
      */
     public static HostedSystem start() {
         HostedSystem system = new HostedSystem();
-        system.manifest(1, "key-a", 2_000);
+        system.publishManifest(1, "key-a", 2_000);
         return system;
     }
 
     private String serve(HttpHandler handler) {
         String address = Ports.freeAddress();
-        running.add(HttpListener.start(address, HttpListener.Limits.defaults(), 1, Optional.empty(), handler));
+        closeables.add(HttpListener.start(address, HttpListener.Limits.defaults(), 1, Optional.empty(), handler));
         return address;
     }
 
-    // -- what the platform holds
+    // -- platform state
 
     /**
      * The store.
@@ -78,12 +78,12 @@
     }
 
     /**
-     * What the next endpoint that receives a request does with it, whichever that is.
+     * Enqueues a behaviour for the next request that any endpoint receives.
      *
-     * @param next the behaviour
+     * @param behaviour the behaviour
      */
-    public void next(Behaviour next) {
-        behaviours.add(next);
+    public void enqueueBehaviour(Behaviour behaviour) {
+        behaviours.add(behaviour);
     }
 
     /**
@@ -97,7 +97,7 @@
     }
 
     /**
-     * All endpoints that have ever been there.
+     * Returns all endpoints, including those that have stopped.
      *
      * @return the stand-ins by their ids
      */
@@ -116,86 +116,86 @@
     }
 
     /**
-     * Writes a manifest with one route of each kind: {@code /once/}, {@code /again/} and {@code /stream/}.
+     * Publishes a manifest with one route of each kind: {@code /once/}, {@code /again/} and {@code /stream/}.
      *
      * @param version its version
-     * @param key the one key
-     * @param timeoutMillis the time-out of all routes
+     * @param key the only API key
+     * @param timeoutMillis the timeout of all routes
      */
-    public void manifest(long version, String key, long timeoutMillis) {
-        manifest(version, key, timeoutMillis, 0);
+    public void publishManifest(long version, String key, long timeoutMillis) {
+        publishManifest(version, key, timeoutMillis, 0);
     }
 
     /**
-     * Writes a manifest with more routes than those.
+     * Publishes a manifest with additional routes.
      *
      * @param version its version
-     * @param key the one key
-     * @param timeoutMillis the time-out of all routes
-     * @param moreRoutes how many it has besides
+     * @param key the only API key
+     * @param timeoutMillis the timeout of all routes
+     * @param extraRoutes the number of additional routes
      */
-    public void manifest(long version, String key, long timeoutMillis, int moreRoutes) {
+    public void publishManifest(long version, String key, long timeoutMillis, int extraRoutes) {
         store.append(
                 "keyed.op",
                 "config",
-                StandinManifest.text(version, MODEL, originAddress, key, timeoutMillis, moreRoutes));
+                StandinManifest.render(version, MODEL, originAddress, key, timeoutMillis, extraRoutes));
     }
 
     /**
-     * Names a weight version of the model that is wanted.
+     * Publishes the desired weight version of the model.
      *
      * @param version the version
      */
-    public void nameWeights(long version) {
+    public void publishWeightVersion(long version) {
         store.append("keyed.op", "version/" + MODEL, "{\"model\":\"" + MODEL + "\",\"version\":" + version + "}");
     }
 
     /**
-     * Whether a process has kept in the store that a weight version was named.
+     * Returns whether a process has recorded the publication of a weight version in the store.
      *
      * @param version the version
-     * @return true once it is kept
+     * @return true once it is recorded
      */
-    public boolean keepsWeights(long version) {
-        return store.written("keyed.micabarrow.versions", VersionKeys.ofVersion(MODEL, version));
+    public boolean hasStoredWeightVersion(long version) {
+        return store.containsKey("keyed.micabarrow.versions", VersionKeys.ofVersion(MODEL, version));
     }
 
     /**
-     * Whether a process has kept in the store where a manifest stands.
+     * Returns whether a process has recorded the position of a manifest in the store.
      *
      * @param version the manifest's version
-     * @return true once it is kept
+     * @return true once it is recorded
      */
-    public boolean keepsManifest(long version) {
-        return store.written("keyed.micabarrow.versions", VersionKeys.ofManifest(version));
+    public boolean hasStoredManifestPosition(long version) {
+        return store.containsKey("keyed.micabarrow.versions", VersionKeys.ofManifest(version));
     }
 
     /**
-     * Starts an endpoint and enters it in the store.
+     * Starts an endpoint and registers it in the store.
      *
      * @param id its id
      * @param service its service
-     * @param version the weight version that it holds; 0 for none
+     * @param version the loaded weight version; 0 for none
      */
-    public void add(String id, String service, long version) {
+    public void addEndpoint(String id, String service, long version) {
         HostedEndpointStandin endpoint = new HostedEndpointStandin(id, MODEL, version, behaviours);
-        endpoint.crash(body -> crashesBy(body, id, service, version));
+        endpoint.setCrashTrigger(body -> crashIfTriggered(body, id, service, version));
         endpoints.put(id, endpoint);
-        addresses.put(id, hosts.serve(id, endpoint));
-        enter(id, service, version, "ready");
+        addresses.put(id, listeners.start(id, endpoint));
+        register(id, service, version, "ready");
     }
 
     /**
-     * Starts an endpoint in a data hall and enters it in the store.
+     * Starts an endpoint in a data hall and registers it in the store.
      *
      * @param dataHall the data hall
      * @param id its id
      * @param service its service
-     * @param version the weight version that it holds; 0 for none
+     * @param version the loaded weight version; 0 for none
      */
-    public void addIn(String dataHall, String id, String service, long version) {
+    public void addEndpointIn(String dataHall, String id, String service, long version) {
         dataHalls.put(id, dataHall);
-        add(id, service, version);
+        addEndpoint(id, service, version);
     }
 
     /**
@@ -209,12 +209,12 @@
     }
 
     /**
-     * Has an endpoint state in its entries that it is cold.
+     * Makes further registrations of an endpoint state that it is cold.
      *
      * @param id its id
-     * @param millis for how long from now on
+     * @param millis how long it stays cold, in milliseconds
      */
-    public void coldFor(String id, long millis) {
+    public void setColdFor(String id, long millis) {
         coldUntilMillis.put(id, MonotonicClock.millis() + millis);
     }
 
@@ -228,62 +228,63 @@
     }
 
     /**
-     * Takes the evacuation of a data hall back.
+     * Cancels the evacuation of a data hall.
      *
      * @param dataHall the data hall
      */
-    public void takeBack(String dataHall) {
+    public void cancelEvacuation(String dataHall) {
         store.append("keyed.op", "evacuate/" + dataHall, "");
     }
 
     // -- crashes
 
     /**
-     * Has every endpoint crash from now on when it begins to run a request with a body. It is back at once, under a new id and at
-     * another address.
+     * Makes every endpoint crash when it starts to execute a request with the given body. A replacement registers immediately
+     * under a new id and address.
      *
      * @param body the body
      */
-    public void crashOn(String body) {
+    public void crashOnBody(String body) {
         crashingBodies.add(body);
     }
 
     /**
-     * How many endpoints have crashed.
+     * Returns the number of endpoints that have crashed.
      *
      * @return their number
      */
-    public int crashes() {
-        return hosts.ended();
+    public int crashCount() {
+        return listeners.stoppedCount();
     }
 
     /**
-     * How many crashes processes have told each other of through the store.
+     * Returns the number of crash records that processes have published in the store.
      *
-     * @return their number, each counted once for each process that told it
+     * @return the number of records, one per crash and publishing process
      */
-    public int crashesTold() {
-        return store.keys("keyed.micabarrow.crashes", "crash/");
+    public int publishedCrashCount() {
+        return store.countKeys("keyed.micabarrow.crashes", "crash/");
     }
 
-    private boolean crashesBy(String body, String id, String service, long version) {
+    private boolean crashIfTriggered(String body, String id, String service, long version) {
         if (!crashingBodies.contains(body)) {
             return false;
         }
         if (crash(id)) {
-            addIn(dataHall(id), id + "-" + hosts.ended(), service, version);
+            addEndpointIn(dataHall(id), id + "-" + listeners.stoppedCount(), service, version);
         }
         return true;
     }
 
     /**
-     * Ends an endpoint's process without a word: its port is dead, and what was under way there has no answer.
+     * Crashes an endpoint: closes its port and connections, so that requests in flight get no answer, and deletes its
+     * registration.
      *
      * @param id its id
-     * @return false if it had ended before
+     * @return false if it was already stopped
      */
     public boolean crash(String id) {
-        boolean ended = hosts.end(id);
+        boolean ended = listeners.stop(id);
         if (ended) {
             store.append("keyed.servers", id, "");
         }
@@ -291,49 +292,49 @@
     }
 
     /**
-     * Has an endpoint tell when it was started, in its entries from now on, and in its report if it runs here.
+     * Sets the start time that an endpoint states in further registrations, and in its reports if it runs in this process.
      *
      * @param id its id
-     * @param startedMillis the Unix millisecond of its start
+     * @param startedMillis the start time, in Unix milliseconds
      */
-    public void startedAt(String id, long startedMillis) {
-        Optional.ofNullable(endpoints.get(id)).ifPresent(endpoint -> endpoint.startedAt(startedMillis));
-        starts.put(id, startedMillis);
+    public void setStartedMillis(String id, long startedMillis) {
+        Optional.ofNullable(endpoints.get(id)).ifPresent(endpoint -> endpoint.setStartedMillis(startedMillis));
+        startMillis.put(id, startedMillis);
     }
 
     /**
-     * Ends an endpoint and starts it again under its id, at its address. It enters itself in the store when told so.
+     * Restarts an endpoint under the same id and address, without registering it in the store.
      *
      * @param id its id
-     * @param startedMillis the Unix millisecond of the new start
-     * @param ending how it ended
+     * @param startedMillis the new start time, in Unix milliseconds
+     * @param shutdown how it was shut down
      */
-    public void startAgain(String id, long startedMillis, Ending ending) {
-        endpoints.get(id).startAgain(startedMillis, ending);
-        starts.put(id, startedMillis);
+    public void restart(String id, long startedMillis, Shutdown shutdown) {
+        endpoints.get(id).restart(startedMillis, shutdown);
+        startMillis.put(id, startedMillis);
     }
 
     /**
-     * Says where an endpoint is that somebody else runs.
+     * Sets the address of an endpoint that runs outside this object.
      *
      * @param id its id
      * @param address its host and port
      */
-    public void place(String id, String address) {
+    public void setAddress(String id, String address) {
         addresses.put(id, address);
     }
 
     /**
-     * Writes an endpoint's entry, with its start if it started again.
+     * Registers an endpoint in the store, with its start time if one was set.
      *
      * @param id its id
      * @param service its service
-     * @param version the weight version that it holds; 0 for none
+     * @param version the loaded weight version; 0 for none
      * @param state {@code ready} or {@code draining}
      */
-    public void enter(String id, String service, long version, String state) {
+    public void register(String id, String service, long version, String state) {
         String models = version == 0 ? "" : "{\"name\":\"" + MODEL + "\",\"version\":" + version + "}";
-        String started = starts.containsKey(id) ? ",\"born\":" + starts.get(id) : "";
+        String started = startMillis.containsKey(id) ? ",\"born\":" + startMillis.get(id) : "";
         store.append(
                 "keyed.servers",
                 id,
@@ -347,20 +348,20 @@
                         state,
                         models,
                         started,
-                        cold(id)));
+                        coldField(id)));
     }
 
-    private String cold(String id) {
+    private String coldField(String id) {
         long leftMillis = coldUntilMillis.getOrDefault(id, 0L) - MonotonicClock.millis();
         return leftMillis > 0 ? ",\"cold_left_ms\":" + leftMillis : "";
     }
 
     /**
-     * A client's request, with the one key and the headers that its path needs.
+     * Creates a client request with the default API key and the headers required by its path.
      *
-     * @param clients where the entry listens for clients
+     * @param clients the client address of the entry
      * @param path the path and query
-     * @param id the client's id of the attempt
+     * @param id the attempt id set by the client
      * @return the request
      */
     public static HttpCall request(String clients, String path, String id) {
@@ -368,11 +369,11 @@
     }
 
     /**
-     * A client's request with a body of its own.
+     * Creates a client request with the given body.
      *
-     * @param clients where the entry listens for clients
+     * @param clients the client address of the entry
      * @param path the path and query
-     * @param id the client's id of the attempt
+     * @param id the attempt id set by the client
      * @param text the body
      * @return the request
      */
@@ -387,44 +388,45 @@
         return new HttpCall(Fault.Step.READ, "POST", URI.create("http://" + clients), Optional.of(path), headers, body);
     }
 
-    // -- settings that fit
+    // -- matching settings
 
     /**
-     * The settings of an entry.
+     * Creates the settings of an entry.
      *
      * @return the settings, with free addresses
      */
-    public HostedSettings entry() {
+    public HostedSettings entrySettings() {
         return settings(Optional.of(Ports.freeAddress()), Optional.of(Ports.freeAddress()), Optional.empty());
     }
 
     /**
-     * The settings of an entry that asks an agent how its endpoint is.
+     * Creates the settings of an entry that polls an agent for the state of its endpoint.
      *
      * @param agent the agent's settings
-     * @return the settings, with free addresses otherwise
+     * @return the settings, otherwise with free addresses
      */
-    public HostedSettings entryAsking(HostedSettings agent) {
-        return StandinSettings.asking(entry(), agent.peerPort());
+    public HostedSettings entrySettingsPolling(HostedSettings agent) {
+        return StandinSettings.withPeerPort(entrySettings(), agent.peerPort());
     }
 
     /**
-     * The settings of an agent.
+     * Creates the settings of an agent.
      *
-     * @param endpoint the id of the endpoint beside it
+     * @param endpoint the id of the endpoint on its instance
      * @return the settings, with free addresses
      */
-    public HostedSettings agent(String endpoint) {
+    public HostedSettings agentSettings(String endpoint) {
         return settings(Optional.empty(), Optional.empty(), Optional.of(addresses.get(endpoint)));
     }
 
     private HostedSettings settings(Optional<String> clients, Optional<String> ready, Optional<String> endpoint) {
-        return StandinSettings.of("instance-" + instances.incrementAndGet(), storeAddress, clients, ready, endpoint);
+        return StandinSettings.withFreeAddresses(
+                "instance-" + instances.incrementAndGet(), storeAddress, clients, ready, endpoint);
     }
 
     @Override
     public void close() throws Exception {
-        for (AutoCloseable one : running) {
+        for (AutoCloseable one : closeables) {
             one.close();
         }
     }
--- a/src/main/java/org/micabarrow/platform/standin/HostedWeightsStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedWeightsStandin.java
@@ -12,8 +12,8 @@
 import org.micabarrow.state.CanonicalJson;
 
 /**
- * Stands in for what an endpoint does with its model's weights: it reports what it holds, keeps staged chunks, and takes
- * up at once whatever version it is ordered to. Safe for any number of threads.
+ * Simulated weight handling of an endpoint: reports the loaded version, stores staged chunks, and loads an ordered version
+ * immediately. Thread-safe.
  */
 final class HostedWeightsStandin {
 
@@ -29,17 +29,17 @@
 
     private final String model;
     private final IntSupplier running;
-    private final Map<Integer, byte[]> staged = new HashMap<>();
+    private final Map<Integer, byte[]> stagedChunks = new HashMap<>();
     private long version;
-    private int orders;
+    private int orderCount;
     private OptionalLong startedMillis = OptionalLong.empty();
 
     /**
-     * Makes a stand-in.
+     * Creates a stand-in.
      *
      * @param model the endpoint's model
-     * @param version the weight version that it holds; 0 for none
-     * @param running how many requests it says that it runs
+     * @param version the loaded weight version; 0 for none
+     * @param running the number of running requests to report
      */
     HostedWeightsStandin(String model, long version, IntSupplier running) {
         this.model = model;
@@ -47,12 +47,12 @@
         this.running = running;
     }
 
-    /** Whether a call is about weights. */
-    static boolean takes(String path) {
+    /** Returns whether the path belongs to the weights API. */
+    static boolean handles(String path) {
         return path.equals(REPORT) || path.equals(ORDER) || path.startsWith(STAGE);
     }
 
-    /** Answers a call that is about weights. */
+    /** Handles a call to the weights API. */
     synchronized void answer(HttpServerExchange exchange, byte[] body) {
         switch (exchange.getRequestPath()) {
             case REPORT -> StandinCalls.answer(exchange, OK, report());
@@ -61,22 +61,22 @@
         }
     }
 
-    /** Tells from now on when it was started. */
-    synchronized void startedAt(long millis) {
+    /** Sets the start time stated in reports. */
+    synchronized void setStartedMillis(long millis) {
         startedMillis = OptionalLong.of(millis);
     }
 
-    /** Holds nothing any more and has taken no order, as after a restart. */
-    synchronized void startAgain(long atMillis, boolean keepsStaged) {
+    /** Resets the loaded version and the order count, as after a restart. */
+    synchronized void restart(long atMillis, boolean keepsStaged) {
         startedMillis = OptionalLong.of(atMillis);
         version = 0;
-        orders = 0;
+        orderCount = 0;
         if (!keepsStaged) {
-            staged.clear();
+            stagedChunks.clear();
         }
     }
 
-    /** The weight version that it holds; 0 for none. */
+    /** Returns the loaded weight version; 0 for none. */
     synchronized long version() {
         return version;
     }
@@ -85,7 +85,7 @@
         List<Map<String, Object>> models =
                 version == 0 ? List.of() : List.of(Map.of("name", model, "version", version, "adapters", List.of()));
         Map<String, Object> report = new HashMap<>(Map.of(
-                "models", models, "busy", false, "sequence", orders, "queued", 0, "running", running.getAsInt()));
+                "models", models, "busy", false, "sequence", orderCount, "queued", 0, "running", running.getAsInt()));
         startedMillis.ifPresent(millis -> report.put("born", millis));
         return CanonicalJson.write(report);
     }
@@ -94,7 +94,7 @@
         try {
             JsonNode json = CanonicalJson.mapper().readTree(body);
             version = json.path("version").asLong();
-            orders++;
+            orderCount++;
             StandinCalls.answer(exchange, ACCEPTED, new byte[0]);
         } catch (IOException e) {
             StandinCalls.answer(exchange, BAD_REQUEST, e.toString().getBytes(StandardCharsets.UTF_8));
@@ -102,12 +102,12 @@
     }
 
     private void stage(HttpServerExchange exchange, byte[] body) {
-        int index = (int) StandinCalls.number(exchange, "sample_count");
+        int index = (int) StandinCalls.longParameter(exchange, "sample_count");
         if (exchange.getRequestPath().startsWith(STAGE_PUT)) {
-            staged.put(index, body);
+            stagedChunks.put(index, body);
             StandinCalls.answer(exchange, OK, new byte[0]);
-        } else if (staged.containsKey(index)) {
-            StandinCalls.answer(exchange, OK, staged.get(index));
+        } else if (stagedChunks.containsKey(index)) {
+            StandinCalls.answer(exchange, OK, stagedChunks.get(index));
         } else {
             StandinCalls.answer(exchange, NOT_FOUND, new byte[0]);
         }
--- a/src/main/java/org/micabarrow/platform/standin/StandinCalls.java
+++ b/src/main/java/org/micabarrow/platform/standin/StandinCalls.java
@@ -6,18 +6,18 @@
 import java.util.Deque;
 import java.util.Optional;
 
-/** Reads the parameters of calls to stand-ins, and answers them. */
+/** Helpers that read query parameters and send responses. */
 final class StandinCalls {
 
     private StandinCalls() {}
 
-    /** The first value of a parameter, empty if the call has none of that name. */
+    /** Returns the first value of a query parameter; empty if absent. */
     static Optional<String> parameter(HttpServerExchange exchange, String name) {
         return Optional.ofNullable(exchange.getQueryParameters().get(name)).map(Deque::getFirst);
     }
 
-    /** The value of a parameter that must be there. */
-    static long number(HttpServerExchange exchange, String name) {
+    /** Returns the value of a required numeric query parameter. */
+    static long longParameter(HttpServerExchange exchange, String name) {
         return Long.parseLong(parameter(exchange, name).orElseThrow());
     }
 
--- a/src/main/java/org/micabarrow/platform/standin/StandinManifest.java
+++ b/src/main/java/org/micabarrow/platform/standin/StandinManifest.java
@@ -4,23 +4,23 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
-/** Writes the manifest of the platform in small. */
+/** Renders the manifest of the simulated platform. */
 final class StandinManifest {
 
     private StandinManifest() {}
 
     /**
-     * A manifest with one route of each kind, a plain service, a service whose endpoints run a model, and an origin.
+     * Renders a manifest with one route of each kind, a plain service, a service whose endpoints run a model, and an origin.
      *
      * @param version its version
      * @param model the model
      * @param origin the host and port of the origin of weights
-     * @param key the one key
-     * @param timeoutMillis the time-out of all routes
-     * @param moreRoutes how many routes it has besides, each to the plain service
-     * @return the manifest as operators write it
+     * @param key the only API key
+     * @param timeoutMillis the timeout of all routes
+     * @param extraRoutes the number of additional routes, each to the plain service
+     * @return the manifest in the form written by operators
      */
-    static String text(long version, String model, String origin, String key, long timeoutMillis, int moreRoutes) {
+    static String render(long version, String model, String origin, String key, long timeoutMillis, int extraRoutes) {
         return String.format(
                 Locale.ROOT,
                 """
@@ -35,7 +35,7 @@
                 route("/once/", "non_idempotent", "plain", timeoutMillis),
                 route("/again/", "idempotent", "plain", timeoutMillis),
                 route("/stream/", "streaming", "models", timeoutMillis),
-                IntStream.range(0, moreRoutes)
+                IntStream.range(0, extraRoutes)
                         .mapToObj(i -> "," + route("/more-" + i + "/", "idempotent", "plain", timeoutMillis))
                         .collect(Collectors.joining()),
                 HostedOriginStandin.CHUNKS,
--- a/src/main/java/org/micabarrow/platform/standin/StandinSettings.java
+++ b/src/main/java/org/micabarrow/platform/standin/StandinSettings.java
@@ -8,10 +8,10 @@
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.standin.Ports;
 
-/** Settings of processes that fit the platform in small. */
+/** Creates settings of processes for the simulated platform. */
 final class StandinSettings {
 
-    /** What an instance's link carries, in bits a second: so much that the small chunks here are not held up. */
+    /** Bandwidth of an instance's link; high enough that the small chunks are not delayed. */
     private static final double LINK_BITS_PER_SECOND = 1e9;
 
     private static final HostedSettings.Bounds BOUNDS =
@@ -19,8 +19,8 @@
 
     private StandinSettings() {}
 
-    /** Settings with free addresses. */
-    static HostedSettings of(
+    /** Creates settings with free addresses. */
+    static HostedSettings withFreeAddresses(
             String instance,
             String store,
             Optional<String> clients,
@@ -41,8 +41,8 @@
                 new Common.Logging("text", "info"));
     }
 
-    /** The settings of an entry that asks agents at a port. */
-    static HostedSettings asking(HostedSettings entry, int peerPort) {
+    /** Returns settings of an entry that contacts agents on the given port. */
+    static HostedSettings withPeerPort(HostedSettings entry, int peerPort) {
         return new HostedSettings(
                 entry.instance(),
                 entry.regions(),
--- a/src/main/java/org/micabarrow/platform/standin/StandinStreams.java
+++ b/src/main/java/org/micabarrow/platform/standin/StandinStreams.java
@@ -8,34 +8,34 @@
 import java.nio.charset.StandardCharsets;
 import org.xnio.IoUtils;
 
-/** What stand-ins of endpoints answer with, whole or cut. */
+/** Response bodies of endpoint stand-ins, complete or truncated. */
 final class StandinStreams {
 
-    /** How many events a whole stream has. */
+    /** Number of events in a complete stream. */
     private static final int EVENTS = 3;
 
     private StandinStreams() {}
 
-    /** The events from one on; of a cut stream, that one and the beginning of the next. */
-    static byte[] events(String id, int from, boolean cut) {
+    /** Returns the events from the given one; for a truncated stream, that event and the beginning of the next. */
+    static byte[] events(String id, int from, boolean truncated) {
         StringBuilder text = new StringBuilder();
-        int until = cut ? from : EVENTS;
+        int until = truncated ? from : EVENTS;
         for (int i = from; i <= until; i++) {
             text.append("id: ").append(i).append("\ndata: from ").append(id).append("\n\n");
         }
-        if (cut) {
+        if (truncated) {
             text.append("id: ").append(until + 1).append("\nda");
         }
         return text.toString().getBytes(StandardCharsets.UTF_8);
     }
 
-    /** Sends a body, and closes the connection after it if the answer is to look cut. */
-    static void send(HttpServerExchange exchange, byte[] body, boolean cut) {
-        exchange.getResponseSender().send(ByteBuffer.wrap(body), ending(cut));
+    /** Sends a body, and for a truncated answer closes the connection afterwards. */
+    static void send(HttpServerExchange exchange, byte[] body, boolean truncated) {
+        exchange.getResponseSender().send(ByteBuffer.wrap(body), completionCallback(truncated));
     }
 
-    private static IoCallback ending(boolean cut) {
-        if (!cut) {
+    private static IoCallback completionCallback(boolean truncated) {
+        if (!truncated) {
             return IoCallback.END_EXCHANGE;
         }
         return new IoCallback() {
--- a/src/main/java/org/micabarrow/platform/standin/HeldRequests.java
+++ b/src/main/java/org/micabarrow/platform/standin/UnansweredRequests.java
@@ -8,34 +8,34 @@
 import org.xnio.IoUtils;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
-/** Requests that are never answered. */
-final class HeldRequests {
+/** Keeps requests open without answering them. */
+final class UnansweredRequests {
 
     private final AtomicInteger count = new AtomicInteger();
 
-    /** The requests that are held. */
+    /** Returns the number of open requests. */
     int count() {
         return count.get();
     }
 
-    /** Holds a request until its connection is closed, which shows by an attempt to read on. */
+    /** Keeps a request open until its client closes the connection, which is detected by reading from the connection. */
     void hold(HttpServerExchange exchange) {
         count.incrementAndGet();
         exchange.getConnection().addCloseListener(closed -> count.decrementAndGet());
         exchange.dispatch(() -> {});
-        look(exchange);
+        watchForClose(exchange);
     }
 
-    private static void look(HttpServerExchange exchange) {
+    private static void watchForClose(HttpServerExchange exchange) {
         if (exchange.getConnection() instanceof HttpServerConnection connection) {
             ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
             source.setConduit(connection.getOriginalSourceConduit());
-            source.setReadListener(channel -> closeAtEnd(channel, connection));
+            source.setReadListener(channel -> closeAtEndOfStream(channel, connection));
             source.resumeReads();
         }
     }
 
-    private static void closeAtEnd(ConduitStreamSourceChannel source, HttpServerConnection connection) {
+    private static void closeAtEndOfStream(ConduitStreamSourceChannel source, HttpServerConnection connection) {
         try {
             if (source.read(ByteBuffer.allocate(1)) < 0) {
                 IoUtils.safeClose(connection);
--- a/src/main/java/org/micabarrow/platform/standin/package-info.java
+++ b/src/main/java/org/micabarrow/platform/standin/package-info.java
@@ -1,2 +1,2 @@
-/** The users' platform in small, for tests and for the build's rehearsal: its store, its endpoints and its origin. */
+/** Simulation of the users' platform for tests and the build's rehearsal: store, endpoints and origin. */
 package org.micabarrow.platform.standin;
--- a/src/main/java/org/micabarrow/standin/EngineStandin.java
+++ b/src/main/java/org/micabarrow/standin/EngineStandin.java
@@ -23,22 +23,22 @@
 import org.micabarrow.transport.HttpListener;
 
 /**
- * A model engine. Its answers carry a fingerprint of the bytes that were really staged when the version was loaded, so
- * that partial or mixed weights show.
+ * Simulated model engine. Its answers contain a fingerprint of the chunks that were staged when the version was loaded, so
+ * that tests detect partial or mixed weights.
  */
 public final class EngineStandin implements AutoCloseable {
 
-    private static final int USUAL_TOKENS = 16;
+    private static final int DEFAULT_TOKENS = 16;
 
     private final Timing timing;
-    private final Map<String, TreeMap<Integer, String>> staged = new ConcurrentHashMap<>();
-    private final Map<String, String> loaded = new ConcurrentHashMap<>();
-    private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+    private final Map<String, TreeMap<Integer, String>> stagedDigests = new ConcurrentHashMap<>();
+    private final Map<String, String> loadedFingerprints = new ConcurrentHashMap<>();
+    private final Map<String, Integer> runsByAttempt = new ConcurrentHashMap<>();
     private final PrioritySlots slots;
-    private final AtomicInteger refusedOrders = new AtomicInteger();
+    private final AtomicInteger rejectedOrders = new AtomicInteger();
     private final HttpListener listener;
-    private Endpoint.Fence highest = new Endpoint.Fence(0, -1);
-    private volatile int slowness = 1;
+    private Endpoint.Fence highestFence = new Endpoint.Fence(0, -1);
+    private volatile int slowdownFactor = 1;
 
     private EngineStandin(String address, Timing timing) {
         this.timing = timing;
@@ -52,16 +52,16 @@
                         .addExactPath("/report", this::report)
                         .addPrefixPath("/weights", this::stage)
                         .addExactPath("/orders", this::order)
-                        .addExactPath("/runs", exchange -> Replies.json(exchange, runs))
+                        .addExactPath("/runs", exchange -> JsonExchanges.sendJson(exchange, runsByAttempt))
                         .addExactPath("/v1/chat/completions", this::chat)));
     }
 
     /**
-     * How fast an engine is.
+     * Concurrency and latencies of an engine.
      *
-     * @param slots how many requests run at once
-     * @param prefillMillis the time until the first token
-     * @param tokenMillis the time between tokens
+     * @param slots number of requests that run concurrently
+     * @param prefillMillis time to first token
+     * @param tokenMillis time per output token
      */
     public record Timing(int slots, long prefillMillis, long tokenMillis) {}
 
@@ -69,7 +69,7 @@
      * Starts an engine.
      *
      * @param address the host and port
-     * @param timing how fast it is
+     * @param timing its concurrency and latencies
      * @return the running engine
      */
     public static EngineStandin start(String address, Timing timing) {
@@ -77,74 +77,76 @@
     }
 
     /**
-     * How often each attempt has run.
+     * Returns how many times each attempt was executed.
      *
      * @return the counts by attempt
      */
-    public Map<String, Integer> runs() {
-        return Map.copyOf(runs);
+    public Map<String, Integer> runsByAttempt() {
+        return Map.copyOf(runsByAttempt);
     }
 
     /**
-     * Makes the engine slower.
+     * Slows the engine down by a factor.
      *
-     * @param times how many times slower than its timing
+     * @param factor the factor by which latencies exceed the configured timing
      */
-    public void slow(int times) {
-        slowness = times;
+    public void setSlowdownFactor(int factor) {
+        slowdownFactor = factor;
     }
 
     /**
-     * The versions loaded, with their fingerprints.
+     * Returns the loaded versions with their fingerprints.
      *
      * @return the fingerprints by version
      */
-    public Map<String, String> loaded() {
-        return Map.copyOf(loaded);
+    public Map<String, String> loadedFingerprints() {
+        return Map.copyOf(loadedFingerprints);
     }
 
     // -- orders
 
     private void report(HttpServerExchange exchange) {
-        Replies.json(
+        JsonExchanges.sendJson(
                 exchange,
-                new Endpoint.Report(List.copyOf(loaded.keySet()), slots.running(), slots.waiting(), timing.slots()));
+                new Endpoint.Report(
+                        List.copyOf(loadedFingerprints.keySet()), slots.running(), slots.waiting(), timing.slots()));
     }
 
     private void stage(HttpServerExchange exchange) throws IOException {
-        String[] path = Replies.path(exchange);
+        String[] path = JsonExchanges.pathSegments(exchange);
         byte[] data = exchange.getInputStream().readAllBytes();
-        TreeMap<Integer, String> chunks = staged.computeIfAbsent(path[1], key -> new TreeMap<>());
+        TreeMap<Integer, String> chunks = stagedDigests.computeIfAbsent(path[1], key -> new TreeMap<>());
         synchronized (chunks) {
             chunks.put(Integer.parseInt(path[3]), Digest.of(data));
-            Replies.json(exchange, new PlatformMessages.StagedChunkCount(chunks.size()));
+            JsonExchanges.sendJson(exchange, new PlatformMessages.StagedChunkCount(chunks.size()));
         }
     }
 
     private synchronized void order(HttpServerExchange exchange) throws IOException {
-        Endpoint.Order order = Replies.body(exchange, Endpoint.Order.class);
-        if (order.fence().compareTo(highest) < 0) {
-            refusedOrders.incrementAndGet();
-            Replies.json(exchange, new PlatformMessages.OrderResponse(false, "the fence is lower than " + highest));
+        Endpoint.Order order = JsonExchanges.readBody(exchange, Endpoint.Order.class);
+        if (order.fence().compareTo(highestFence) < 0) {
+            rejectedOrders.incrementAndGet();
+            JsonExchanges.sendJson(
+                    exchange, new PlatformMessages.OrderResponse(false, "the fence is lower than " + highestFence));
             return;
         }
-        highest = order.fence();
+        highestFence = order.fence();
         switch (order.action()) {
             case LOAD -> load(order);
-            case UNLOAD -> loaded.remove(order.version());
+            case UNLOAD -> loadedFingerprints.remove(order.version());
         }
-        Replies.json(exchange, new PlatformMessages.OrderResponse(true, ""));
+        JsonExchanges.sendJson(exchange, new PlatformMessages.OrderResponse(true, ""));
     }
 
     private void load(Endpoint.Order order) {
         List<String> digests = new ArrayList<>();
         for (String artifact : order.artifacts()) {
-            TreeMap<Integer, String> chunks = staged.getOrDefault(artifact, new TreeMap<>());
+            TreeMap<Integer, String> chunks = stagedDigests.getOrDefault(artifact, new TreeMap<>());
             synchronized (chunks) {
                 digests.addAll(chunks.values());
             }
         }
-        loaded.put(order.version(), WeightsStandin.fingerprint(digests));
+        loadedFingerprints.put(order.version(), WeightsStandin.fingerprint(digests));
     }
 
     // -- requests
@@ -154,69 +156,71 @@
                 .orElse("");
         String version = Optional.ofNullable(exchange.getRequestHeaders().getFirst(EndpointClient.VERSION))
                 .orElse("");
-        Optional<String> fingerprint = Optional.ofNullable(loaded.get(version));
+        Optional<String> fingerprint = Optional.ofNullable(loadedFingerprints.get(version));
         if (fingerprint.isEmpty()) {
             exchange.getResponseHeaders().put(new HttpString(EndpointClient.NOT_RUN), "true");
-            Replies.status(exchange, 503);
+            JsonExchanges.sendStatus(exchange, 503);
             return;
         }
-        Map<?, ?> body = Replies.body(exchange, Map.class);
-        int tokens = body.get("max_tokens") instanceof Integer count ? count : USUAL_TOKENS;
+        Map<?, ?> body = JsonExchanges.readBody(exchange, Map.class);
+        int tokens = body.get("max_tokens") instanceof Integer count ? count : DEFAULT_TOKENS;
         boolean stream = Boolean.TRUE.equals(body.get("stream"));
         boolean urgent = "0".equals(exchange.getRequestHeaders().getFirst(EndpointClient.PRIORITY));
-        runs.merge(attempt, 1, Integer::sum);
-        slots.take(urgent);
+        runsByAttempt.merge(attempt, 1, Integer::sum);
+        slots.acquire(urgent);
         try {
             exchange.getResponseHeaders().put(new HttpString(EndpointClient.ATTEMPT), attempt);
             exchange.getResponseHeaders().put(new HttpString(EndpointClient.VERSION), version);
-            Thread.sleep(timing.prefillMillis() * slowness);
-            String last = String.valueOf(body.get("messages"));
+            Thread.sleep(timing.prefillMillis() * slowdownFactor);
+            String prompt = String.valueOf(body.get("messages"));
             if (stream) {
-                streamed(exchange, attempt, fingerprint.get(), tokens, last);
+                streamCompletion(exchange, attempt, fingerprint.get(), tokens, prompt);
             } else {
-                whole(exchange, attempt, fingerprint.get(), tokens, last);
+                sendCompletion(exchange, attempt, fingerprint.get(), tokens, prompt);
             }
         } finally {
-            slots.give();
+            slots.release();
         }
     }
 
-    private void whole(HttpServerExchange exchange, String attempt, String fingerprint, int tokens, String asked)
+    private void sendCompletion(
+            HttpServerExchange exchange, String attempt, String fingerprint, int tokens, String prompt)
             throws InterruptedException {
-        Thread.sleep(timing.tokenMillis() * tokens * slowness);
+        Thread.sleep(timing.tokenMillis() * tokens * slowdownFactor);
         StringBuilder text = new StringBuilder();
         for (int i = 0; i < tokens; i++) {
             text.append(token(fingerprint, i));
         }
-        Replies.json(
+        JsonExchanges.sendJson(
                 exchange,
                 Map.of(
                         "id", attempt,
-                        "echo", Digest.of(asked),
+                        "echo", Digest.of(prompt),
                         "choices",
                                 List.of(Map.of("message", Map.of("role", "assistant", "content", text.toString())))));
     }
 
-    private void streamed(HttpServerExchange exchange, String attempt, String fingerprint, int tokens, String asked)
+    private void streamCompletion(
+            HttpServerExchange exchange, String attempt, String fingerprint, int tokens, String prompt)
             throws IOException, InterruptedException {
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
         OutputStream out = exchange.getOutputStream();
         for (int i = 0; i < tokens; i++) {
-            event(
+            writeEvent(
                     out,
                     new String(
                             CanonicalJson.write(Map.of(
                                     "id", attempt,
-                                    "echo", Digest.of(asked),
+                                    "echo", Digest.of(prompt),
                                     "choices", List.of(Map.of("delta", Map.of("content", token(fingerprint, i)))))),
                             StandardCharsets.UTF_8));
-            Thread.sleep(timing.tokenMillis() * slowness);
+            Thread.sleep(timing.tokenMillis() * slowdownFactor);
         }
-        event(out, "[DONE]");
+        writeEvent(out, "[DONE]");
         out.close();
     }
 
-    private static void event(OutputStream out, String data) throws IOException {
+    private static void writeEvent(OutputStream out, String data) throws IOException {
         out.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
         out.flush();
     }
--- a/src/main/java/org/micabarrow/standin/Faults.java
+++ b/src/main/java/org/micabarrow/standin/Faults.java
@@ -1,15 +1,15 @@
 package org.micabarrow.standin;
 
 /**
- * What goes wrong at the platform's stand-in.
+ * Faults injected into the platform stand-in.
  *
- * @param logDown whether the log refuses everything
- * @param logSlowMillis how long each append takes
- * @param loseAppendAnswers whether appends take effect but are answered with an error
- * @param storeDown whether the weight store refuses everything
- * @param storeSlowMillis how long each chunk of the store takes
- * @param corruptOneIn one chunk in so many is corrupted, 0 for none
- * @param listDown whether the list of instances refuses everything
+ * @param logDown whether the log rejects all requests
+ * @param logSlowMillis delay added to each append
+ * @param loseAppendAnswers whether appends are stored but answered with an error
+ * @param storeDown whether the weight store rejects all requests
+ * @param storeSlowMillis delay added to each chunk read from the store
+ * @param corruptOneIn corrupts every n-th chunk; 0 for none
+ * @param listDown whether the instance list rejects all requests
  */
 public record Faults(
         boolean logDown,
@@ -21,7 +21,7 @@
         boolean listDown) {
 
     /**
-     * Nothing goes wrong.
+     * Returns a configuration without faults.
      *
      * @return no faults
      */
--- a/src/main/java/org/micabarrow/standin/Replies.java
+++ b/src/main/java/org/micabarrow/standin/JsonExchanges.java
@@ -7,16 +7,16 @@
 import java.util.Deque;
 import org.micabarrow.state.CanonicalJson;
 
-/** Reads requests and writes answers in JSON. */
-final class Replies {
+/** Reads JSON request bodies and sends JSON responses. */
+final class JsonExchanges {
 
-    private Replies() {}
+    private JsonExchanges() {}
 
-    static void json(HttpServerExchange exchange, Object value) {
-        json(exchange, 200, value);
+    static void sendJson(HttpServerExchange exchange, Object value) {
+        sendJson(exchange, 200, value);
     }
 
-    static void json(HttpServerExchange exchange, int status, Object value) {
+    static void sendJson(HttpServerExchange exchange, int status, Object value) {
         if (exchange.isResponseStarted()) {
             return;
         }
@@ -25,22 +25,22 @@
         exchange.getResponseSender().send(ByteBuffer.wrap(CanonicalJson.write(value)));
     }
 
-    static void status(HttpServerExchange exchange, int status) {
+    static void sendStatus(HttpServerExchange exchange, int status) {
         exchange.setStatusCode(status);
         exchange.endExchange();
     }
 
-    static <T> T body(HttpServerExchange exchange, Class<T> type) throws IOException {
+    static <T> T readBody(HttpServerExchange exchange, Class<T> type) throws IOException {
         return CanonicalJson.read(exchange.getInputStream().readAllBytes(), type);
     }
 
-    static long number(HttpServerExchange exchange, String name, long otherwise) {
+    static long longParameter(HttpServerExchange exchange, String name, long defaultValue) {
         Deque<String> values = exchange.getQueryParameters().get(name);
-        return values == null ? otherwise : Long.parseLong(values.getFirst());
+        return values == null ? defaultValue : Long.parseLong(values.getFirst());
     }
 
-    /** The parts of the path. */
-    static String[] path(HttpServerExchange exchange) {
+    /** Returns the segments of the request path. */
+    static String[] pathSegments(HttpServerExchange exchange) {
         return exchange.getRequestPath().substring(1).split("/");
     }
 }
--- a/src/main/java/org/micabarrow/standin/LogStandin.java
+++ b/src/main/java/org/micabarrow/standin/LogStandin.java
@@ -7,17 +7,17 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.micabarrow.protocol.PlatformMessages;
 
-/** An append-only log with offsets, in memory. */
+/** In-memory append-only log with several streams, each with its own offsets. */
 public final class LogStandin {
 
     private static final int MAX_PAGE_RECORDS = 500;
 
     private final Map<String, Stream> streams = new ConcurrentHashMap<>();
 
-    /** One stream. */
+    /** The retained records of a stream and its next offset. */
     private static final class Stream {
         private final ArrayDeque<PlatformMessages.LogEntry> records = new ArrayDeque<>();
-        private long next;
+        private long nextOffset;
     }
 
     private Stream stream(String name) {
@@ -34,7 +34,7 @@
     public long append(String name, byte[] body) {
         Stream stream = stream(name);
         synchronized (stream) {
-            long offset = stream.next++;
+            long offset = stream.nextOffset++;
             stream.records.addLast(new PlatformMessages.LogEntry(offset, System.currentTimeMillis(), body));
             stream.notifyAll();
             return offset;
@@ -45,19 +45,19 @@
      * Reads a page.
      *
      * @param name the stream
-     * @param from the first offset wanted
-     * @param waitMillis how long to wait for a record
+     * @param from the first offset to return
+     * @param waitMillis maximum time to wait for a record, in milliseconds
      * @return the page
      * @throws InterruptedException if the thread is interrupted
      */
     public PlatformMessages.LogPage read(String name, long from, long waitMillis) throws InterruptedException {
         Stream stream = stream(name);
         synchronized (stream) {
-            long end = System.currentTimeMillis() + waitMillis;
-            long left = waitMillis;
-            while (stream.next <= from && left > 0) {
-                stream.wait(left);
-                left = end - System.currentTimeMillis();
+            long deadlineMillis = System.currentTimeMillis() + waitMillis;
+            long remainingMillis = waitMillis;
+            while (stream.nextOffset <= from && remainingMillis > 0) {
+                stream.wait(remainingMillis);
+                remainingMillis = deadlineMillis - System.currentTimeMillis();
             }
             List<PlatformMessages.LogEntry> page = new ArrayList<>();
             for (PlatformMessages.LogEntry entry : stream.records) {
@@ -66,22 +66,22 @@
                 }
             }
             long first = stream.records.isEmpty()
-                    ? stream.next
+                    ? stream.nextOffset
                     : stream.records.getFirst().offset();
             return new PlatformMessages.LogPage(first, page);
         }
     }
 
     /**
-     * Lets old records go.
+     * Drops the oldest records of a stream.
      *
      * @param name the stream
-     * @param kept how many of the newest are kept
+     * @param count how many of the newest records are retained
      */
-    public void retain(String name, int kept) {
+    public void retainNewest(String name, int count) {
         Stream stream = stream(name);
         synchronized (stream) {
-            while (stream.records.size() > kept) {
+            while (stream.records.size() > count) {
                 stream.records.removeFirst();
             }
         }
--- a/src/main/java/org/micabarrow/standin/PlatformStandin.java
+++ b/src/main/java/org/micabarrow/standin/PlatformStandin.java
@@ -17,8 +17,9 @@
 import org.micabarrow.transport.LinkPacer;
 
 /**
- * The platform: log under {@code /log}, list under {@code /list}, store under {@code /store}, origin under
- * {@code /origin}; and for tests {@code /make}, {@code /faults}, {@code /instances} and {@code /counts}.
+ * Simulated platform. Serves the log under {@code /log}, the instance list under {@code /list}, the store under
+ * {@code /store} and the origin under {@code /origin}. Tests control it through {@code /make}, {@code /faults},
+ * {@code /instances} and {@code /counts}.
  */
 public final class PlatformStandin implements AutoCloseable {
 
@@ -47,20 +48,22 @@
                 Optional.empty(),
                 new BlockingHandler(Handlers.path()
                         .addPrefixPath("/log", this::log)
-                        .addPrefixPath("/list", this::list)
+                        .addPrefixPath("/list", this::setInstances)
                         .addPrefixPath("/store", exchange -> weights(exchange, false))
                         .addPrefixPath("/origin", exchange -> weights(exchange, true))
                         .addExactPath(
                                 "/make",
-                                exchange -> Replies.json(
-                                        exchange, weights.make(Replies.body(exchange, WeightsStandin.Wish.class))))
+                                exchange -> JsonExchanges.sendJson(
+                                        exchange,
+                                        weights.generate(
+                                                JsonExchanges.readBody(exchange, WeightsStandin.WeightsSpec.class))))
                         .addExactPath("/faults", exchange -> {
-                            faults = Replies.body(exchange, Faults.class);
-                            Replies.json(exchange, faults);
+                            faults = JsonExchanges.readBody(exchange, Faults.class);
+                            JsonExchanges.sendJson(exchange, faults);
                         })
                         .addExactPath("/instances", exchange -> {
-                            instances = List.of(Replies.body(exchange, Instance[].class));
-                            Replies.json(exchange, instances);
+                            instances = List.of(JsonExchanges.readBody(exchange, Instance[].class));
+                            JsonExchanges.sendJson(exchange, instances);
                         })
                         .addExactPath("/counts", this::counts)));
     }
@@ -69,8 +72,8 @@
      * Starts the stand-in.
      *
      * @param address the host and port
-     * @param originBytesPerSecond what the origin's link carries
-     * @param storeBytesPerSecond what the store gives
+     * @param originBytesPerSecond bandwidth of the origin's link
+     * @param storeBytesPerSecond bandwidth of the store
      * @return the running stand-in
      */
     public static PlatformStandin start(String address, long originBytesPerSecond, long storeBytesPerSecond) {
@@ -80,30 +83,30 @@
     // -- for tests in the same process
 
     /**
-     * Sets what goes wrong from now on.
+     * Replaces the injected faults.
      *
-     * @param next the faults
+     * @param newFaults the faults
      */
-    public void fail(Faults next) {
-        faults = next;
+    public void setFaults(Faults newFaults) {
+        faults = newFaults;
     }
 
     /**
-     * The list of instances.
+     * Returns the published instances.
      *
-     * @return those that were listed last
+     * @return the instances set most recently
      */
     public List<Instance> instances() {
         return instances;
     }
 
     /**
-     * Sets the list of instances.
+     * Replaces the published instances.
      *
-     * @param listed the instances
+     * @param newInstances the instances
      */
-    public void list(List<Instance> listed) {
-        instances = List.copyOf(listed);
+    public void setInstances(List<Instance> newInstances) {
+        instances = List.copyOf(newInstances);
     }
 
     /**
@@ -125,7 +128,7 @@
     }
 
     /**
-     * Bytes drawn from the origin.
+     * Returns the number of chunk bytes served by the origin.
      *
      * @return their number
      */
@@ -134,7 +137,7 @@
     }
 
     /**
-     * Appends to the log so far, of all streams.
+     * Returns the number of appends to all streams of the log.
      *
      * @return their number
      */
@@ -142,74 +145,76 @@
         return appends.get();
     }
 
-    // -- answering
+    // -- request handling
 
     private void log(HttpServerExchange exchange) throws IOException, InterruptedException {
-        Faults now = faults;
-        if (now.logDown()) {
-            Replies.status(exchange, 503);
+        Faults activeFaults = faults;
+        if (activeFaults.logDown()) {
+            JsonExchanges.sendStatus(exchange, 503);
             return;
         }
-        String stream = Replies.path(exchange)[2];
+        String stream = JsonExchanges.pathSegments(exchange)[2];
         if (exchange.getRequestMethod().toString().equals("POST")) {
-            append(exchange, now, stream);
+            append(exchange, activeFaults, stream);
         } else {
             reads.incrementAndGet();
-            long wait = Math.min(10_000, Replies.number(exchange, "wait", 0));
-            Replies.json(exchange, log.read(stream, Replies.number(exchange, "from", 0), wait));
+            long wait = Math.min(10_000, JsonExchanges.longParameter(exchange, "wait", 0));
+            JsonExchanges.sendJson(exchange, log.read(stream, JsonExchanges.longParameter(exchange, "from", 0), wait));
         }
     }
 
-    private void append(HttpServerExchange exchange, Faults now, String stream)
+    private void append(HttpServerExchange exchange, Faults activeFaults, String stream)
             throws IOException, InterruptedException {
         byte[] body = exchange.getInputStream().readAllBytes();
-        Thread.sleep(now.logSlowMillis());
+        Thread.sleep(activeFaults.logSlowMillis());
         appends.incrementAndGet();
         long offset = log.append(stream, body);
-        if (now.loseAppendAnswers()) {
-            Replies.status(exchange, 504);
+        if (activeFaults.loseAppendAnswers()) {
+            JsonExchanges.sendStatus(exchange, 504);
         } else {
-            Replies.json(exchange, new PlatformMessages.AppendResponse(offset));
+            JsonExchanges.sendJson(exchange, new PlatformMessages.AppendResponse(offset));
         }
     }
 
-    private void list(HttpServerExchange exchange) {
+    private void setInstances(HttpServerExchange exchange) {
         if (faults.listDown()) {
-            Replies.status(exchange, 503);
+            JsonExchanges.sendStatus(exchange, 503);
         } else {
-            Replies.json(exchange, instances);
+            JsonExchanges.sendJson(exchange, instances);
         }
     }
 
-    /** Answers {@code weights/VERSION/manifest} and {@code weights/VERSION/chunks/INDEX}. */
+    /** Serves {@code weights/VERSION/manifest} and {@code weights/VERSION/chunks/INDEX}. */
     private void weights(HttpServerExchange exchange, boolean origin) throws InterruptedException {
-        Faults now = faults;
-        if (!origin && now.storeDown()) {
-            Replies.status(exchange, 503);
+        Faults activeFaults = faults;
+        if (!origin && activeFaults.storeDown()) {
+            JsonExchanges.sendStatus(exchange, 503);
             return;
         }
-        String[] path = Replies.path(exchange);
+        String[] path = JsonExchanges.pathSegments(exchange);
         String version = path[2];
         if (path[3].equals("manifest")) {
             Optional<Manifest> manifest = weights.manifest(version);
-            manifest.ifPresentOrElse(found -> Replies.json(exchange, found), () -> Replies.status(exchange, 404));
+            manifest.ifPresentOrElse(
+                    found -> JsonExchanges.sendJson(exchange, found), () -> JsonExchanges.sendStatus(exchange, 404));
             return;
         }
         Optional<byte[]> chunk = weights.chunk(version, Integer.parseInt(path[4]));
         if (chunk.isEmpty()) {
-            Replies.status(exchange, 404);
+            JsonExchanges.sendStatus(exchange, 404);
             return;
         }
         if (!origin) {
-            Thread.sleep(now.storeSlowMillis());
+            Thread.sleep(activeFaults.storeSlowMillis());
         }
         (origin ? originLink : storeLink).acquire(chunk.get().length);
         (origin ? originBytes : storeBytes).addAndGet(chunk.get().length);
-        exchange.getResponseSender().send(ByteBuffer.wrap(perhapsCorrupted(chunk.get(), now)));
+        exchange.getResponseSender().send(ByteBuffer.wrap(maybeCorrupt(chunk.get(), activeFaults)));
     }
 
-    private byte[] perhapsCorrupted(byte[] chunk, Faults now) {
-        boolean corrupt = now.corruptOneIn() > 0 && chunksServed.incrementAndGet() % now.corruptOneIn() == 0;
+    private byte[] maybeCorrupt(byte[] chunk, Faults activeFaults) {
+        boolean corrupt =
+                activeFaults.corruptOneIn() > 0 && chunksServed.incrementAndGet() % activeFaults.corruptOneIn() == 0;
         if (corrupt) {
             chunk[chunk.length / 2] ^= 1;
         }
@@ -217,7 +222,7 @@
     }
 
     private void counts(HttpServerExchange exchange) {
-        Replies.json(
+        JsonExchanges.sendJson(
                 exchange,
                 Map.of(
                         "originBytes", originBytes.get(),
--- a/src/main/java/org/micabarrow/standin/Ports.java
+++ b/src/main/java/org/micabarrow/standin/Ports.java
@@ -9,31 +9,31 @@
 import java.util.concurrent.locks.LockSupport;
 
 /**
- * Free addresses on loopback. Each process has a host of its own there, so that two which test the same at the same time
- * never meet. The ports lie below the range from which the operating system takes those of outgoing connections, so that
- * none of those takes one before its server has begun to listen.
+ * Allocates free addresses on loopback. Each process uses its own host address, so that concurrent test runs do not
+ * conflict. Ports are taken from below the ephemeral range, so that no outgoing connection can occupy a port before its
+ * server listens on it.
  */
 public final class Ports {
 
-    /** The host of this process; all of 127.0.0.0/8 is loopback. */
+    /** The host address of this process; all of 127.0.0.0/8 is loopback. */
     private static final String HOST = host(ProcessHandle.current().pid());
 
-    /** The least second byte of a host: away from 127.0.0.1, which others use. */
+    /** Lowest second byte of a host address, so that 127.0.0.1, which other programs use, is never chosen. */
     private static final int MIN_SECOND_BYTE = 64;
 
-    private static final int FIRST = 15_000;
-    private static final int COUNT = 16_000;
+    private static final int FIRST_PORT = 15_000;
+    private static final int PORT_COUNT = 16_000;
     private static final int BACKLOG = 1;
 
-    /** How long a server that was told to stop may keep its port, in seconds: it takes milliseconds, on a busy machine more. */
-    private static final int END_SECONDS = 5;
+    /** Maximum time that a stopping server may keep its port. Closing takes milliseconds, longer on a busy machine. */
+    private static final int MAX_CLOSE_SECONDS = 5;
 
-    private static final AtomicInteger NEXT =
-            new AtomicInteger((int) (ProcessHandle.current().pid() * 397 % COUNT));
+    private static final AtomicInteger NEXT_PORT_INDEX =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 397 % PORT_COUNT));
 
     private Ports() {}
 
-    /** The host that follows from a process's id, which has 22 bits at most on Linux. */
+    /** Derives the host address from a process id, which has at most 22 bits on Linux. */
     private static String host(long pid) {
         long second = MIN_SECOND_BYTE + (pid >> 16 & 0x3f);
         long third = pid >> 8 & 0xff;
@@ -42,17 +42,17 @@
     }
 
     /**
-     * An address that nobody listens on, and that this process gives out only once.
+     * Returns an address that no server listens on and that this process has not returned before.
      *
      * @return the host and port
      */
     public static String freeAddress() {
-        for (int i = 0; i < COUNT; i++) {
-            int port = FIRST + Math.floorMod(NEXT.getAndIncrement(), COUNT);
+        for (int i = 0; i < PORT_COUNT; i++) {
+            int port = FIRST_PORT + Math.floorMod(NEXT_PORT_INDEX.getAndIncrement(), PORT_COUNT);
             try (ServerSocket socket = new ServerSocket(port, BACKLOG, InetAddress.getByName(HOST))) {
                 return HOST + ":" + socket.getLocalPort();
             } catch (IOException e) {
-                // Somebody listens there; the next one may be free.
+                // The port is in use; tries the next one.
                 continue;
             }
         }
@@ -60,22 +60,22 @@
     }
 
     /**
-     * Waits until nobody listens at an address any more: a server that was told to stop closes its port on a thread of its own, and
-     * one that starts at the address until then finds it taken.
+     * Waits until no server listens on an address. A stopping server closes its port asynchronously, and a server started on
+     * the same address before that fails to bind.
      *
      * @param address the host and port
-     * @throws IOException if somebody still listens there after some seconds
+     * @throws IOException if the address is still in use after {@value #MAX_CLOSE_SECONDS} seconds
      */
     public static void awaitFree(String address) throws IOException {
         int colon = address.lastIndexOf(':');
         InetAddress host = InetAddress.getByName(address.substring(0, colon));
         int port = Integer.parseInt(address.substring(colon + 1));
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(END_SECONDS);
+        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(MAX_CLOSE_SECONDS);
         while (true) {
             try (ServerSocket socket = new ServerSocket(port, BACKLOG, host)) {
                 return;
             } catch (BindException e) {
-                if (System.nanoTime() - end > 0) {
+                if (System.nanoTime() - deadlineNanos > 0) {
                     throw e;
                 }
                 LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
--- a/src/main/java/org/micabarrow/standin/PrioritySlots.java
+++ b/src/main/java/org/micabarrow/standin/PrioritySlots.java
@@ -3,11 +3,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 
-/** The places of an engine; urgent requests get the next one that comes free. */
+/** Concurrency slots of an engine. Urgent requests take precedence over normal ones; each class is served in FIFO order. */
 final class PrioritySlots {
 
     private final Deque<Object> urgentWaiting = new ArrayDeque<>();
-    private final Deque<Object> otherWaiting = new ArrayDeque<>();
+    private final Deque<Object> normalWaiting = new ArrayDeque<>();
     private int free;
     private int running;
 
@@ -15,24 +15,24 @@
         free = places;
     }
 
-    synchronized void take(boolean urgent) throws InterruptedException {
-        Object me = new Object();
-        Deque<Object> mine = urgent ? urgentWaiting : otherWaiting;
-        mine.addLast(me);
-        while (free == 0 || next() != me) {
+    synchronized void acquire(boolean urgent) throws InterruptedException {
+        Object ticket = new Object();
+        Deque<Object> queue = urgent ? urgentWaiting : normalWaiting;
+        queue.addLast(ticket);
+        while (free == 0 || next() != ticket) {
             wait();
         }
-        mine.remove(me);
+        queue.remove(ticket);
         free--;
         running++;
         notifyAll();
     }
 
     private Object next() {
-        return urgentWaiting.isEmpty() ? otherWaiting.peekFirst() : urgentWaiting.peekFirst();
+        return urgentWaiting.isEmpty() ? normalWaiting.peekFirst() : urgentWaiting.peekFirst();
     }
 
-    synchronized void give() {
+    synchronized void release() {
         free++;
         running--;
         notifyAll();
@@ -43,6 +43,6 @@
     }
 
     synchronized int waiting() {
-        return urgentWaiting.size() + otherWaiting.size();
+        return urgentWaiting.size() + normalWaiting.size();
     }
 }
--- a/src/main/java/org/micabarrow/standin/ServiceStandin.java
+++ b/src/main/java/org/micabarrow/standin/ServiceStandin.java
@@ -13,38 +13,38 @@
 import org.micabarrow.state.Digest;
 import org.micabarrow.transport.HttpListener;
 
-/** A plain service that counts how often each body has been run, as a billing service would charge it. */
+/** Simulated plain service that counts how many times each request body was executed, as a billing service would charge it. */
 public final class ServiceStandin implements AutoCloseable {
 
     private static final int THREADS = 4;
     private static final int SLOTS = 32;
-    private static final long LOOK_MILLIS = 20;
+    private static final long POLL_MILLIS = 20;
 
-    private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+    private final Map<String, Integer> runsByDigest = new ConcurrentHashMap<>();
     private final AtomicInteger running = new AtomicInteger();
-    private volatile long millis;
+    private volatile long callMillis;
     private final HttpListener listener;
 
     private ServiceStandin(String address, long millis) {
-        this.millis = millis;
+        this.callMillis = millis;
         this.listener = HttpListener.start(
                 address,
                 HttpListener.Limits.defaults(),
                 THREADS,
                 Optional.empty(),
-                new BlockingHandler(Handlers.path(this::run)
+                new BlockingHandler(Handlers.path(this::handleCall)
                         .addExactPath(
                                 "/report",
-                                exchange ->
-                                        Replies.json(exchange, new Endpoint.Report(List.of(), running.get(), 0, SLOTS)))
-                        .addExactPath("/runs", exchange -> Replies.json(exchange, runs))));
+                                exchange -> JsonExchanges.sendJson(
+                                        exchange, new Endpoint.Report(List.of(), running.get(), 0, SLOTS)))
+                        .addExactPath("/runs", exchange -> JsonExchanges.sendJson(exchange, runsByDigest))));
     }
 
     /**
      * Starts a service.
      *
      * @param address the host and port
-     * @param millis how long each call takes
+     * @param millis the duration of each call
      * @return the running service
      */
     public static ServiceStandin start(String address, long millis) {
@@ -52,46 +52,46 @@
     }
 
     /**
-     * How often each body has been run.
+     * Returns how many times each body was executed.
      *
      * @return the counts by the body's digest
      */
-    public Map<String, Integer> runs() {
-        return Map.copyOf(runs);
+    public Map<String, Integer> runsByDigest() {
+        return Map.copyOf(runsByDigest);
     }
 
     /**
-     * Makes calls take another time from now on.
+     * Sets the duration of calls, including those in progress.
      *
-     * @param callMillis how long each call takes
+     * @param millis the duration of each call
      */
-    public void slow(long callMillis) {
-        millis = callMillis;
+    public void setCallMillis(long millis) {
+        callMillis = millis;
     }
 
-    private void run(HttpServerExchange exchange) throws IOException, InterruptedException {
+    private void handleCall(HttpServerExchange exchange) throws IOException, InterruptedException {
         byte[] body = exchange.getInputStream().readAllBytes();
         running.incrementAndGet();
         try {
-            int count = runs.merge(Digest.of(body), 1, Integer::sum);
-            waitForAsLongAsCallsTake();
-            Replies.json(exchange, Map.of("done", Digest.of(body), "count", count));
+            int count = runsByDigest.merge(Digest.of(body), 1, Integer::sum);
+            sleepForCallDuration();
+            JsonExchanges.sendJson(exchange, Map.of("done", Digest.of(body), "count", count));
         } finally {
             running.decrementAndGet();
         }
     }
 
-    /** Looks at the time again and again, so that a slow call ends when calls are made quick again. */
-    private void waitForAsLongAsCallsTake() throws InterruptedException {
+    /** Polls the configured duration, so that slow calls in progress end when the duration is reduced. */
+    private void sleepForCallDuration() throws InterruptedException {
         long start = System.currentTimeMillis();
-        while (System.currentTimeMillis() - start < millis) {
-            Thread.sleep(Math.min(millis, LOOK_MILLIS));
+        while (System.currentTimeMillis() - start < callMillis) {
+            Thread.sleep(Math.min(callMillis, POLL_MILLIS));
         }
     }
 
     @Override
     public void close() {
-        millis = 0;
+        callMillis = 0;
         listener.close();
     }
 }
--- a/src/main/java/org/micabarrow/standin/WeightsStandin.java
+++ b/src/main/java/org/micabarrow/standin/WeightsStandin.java
@@ -10,51 +10,51 @@
 import org.micabarrow.state.Digest;
 import org.micabarrow.state.Manifest;
 
-/** Weights made from seeds: each chunk can be made again at any time, so that none need be kept. */
+/** Generates weights from seeds. Chunks are regenerated on each read, so their content is not stored. */
 public final class WeightsStandin {
 
-    private final Map<String, Made> made = new ConcurrentHashMap<>();
+    private final Map<String, StoredWeights> storedByVersion = new ConcurrentHashMap<>();
 
     /**
-     * Weights to be made.
+     * Parameters of weights to generate.
      *
-     * @param name a name for people
-     * @param bytes the size
+     * @param name a descriptive name
+     * @param bytes the total size
      * @param chunkBytes the size of a chunk
-     * @param seed decides the content
+     * @param seed the seed of the content
      */
-    public record Wish(String name, long bytes, int chunkBytes, long seed) {}
+    public record WeightsSpec(String name, long bytes, int chunkBytes, long seed) {}
 
     /**
-     * Weights that have been made.
+     * Identity of generated weights.
      *
      * @param version the digest of the manifest
-     * @param fingerprint what an engine that loaded exactly these weights puts into its answers
+     * @param fingerprint the fingerprint in answers of an engine that loaded exactly these weights
      */
-    public record Done(String version, String fingerprint) {}
+    public record GeneratedWeights(String version, String fingerprint) {}
 
-    /** A manifest with the seed of its content. */
-    private record Made(Manifest manifest, Wish wish) {}
+    /** A manifest and the parameters that generate its content. */
+    private record StoredWeights(Manifest manifest, WeightsSpec spec) {}
 
     /**
-     * Makes weights.
+     * Generates weights.
      *
-     * @param wish what to make
+     * @param spec the parameters
      * @return their version and fingerprint
      */
-    public Done make(Wish wish) {
+    public GeneratedWeights generate(WeightsSpec spec) {
         List<String> digests = new ArrayList<>();
-        int count = (int) ((wish.bytes() + wish.chunkBytes() - 1) / wish.chunkBytes());
+        int count = (int) ((spec.bytes() + spec.chunkBytes() - 1) / spec.chunkBytes());
         for (int i = 0; i < count; i++) {
-            digests.add(Digest.of(content(wish, i)));
+            digests.add(Digest.of(content(spec, i)));
         }
-        Manifest manifest = new Manifest(wish.name(), wish.bytes(), wish.chunkBytes(), digests);
-        made.put(manifest.version(), new Made(manifest, wish));
-        return new Done(manifest.version(), fingerprint(digests));
+        Manifest manifest = new Manifest(spec.name(), spec.bytes(), spec.chunkBytes(), digests);
+        storedByVersion.put(manifest.version(), new StoredWeights(manifest, spec));
+        return new GeneratedWeights(manifest.version(), fingerprint(digests));
     }
 
     /**
-     * What an engine that loaded these chunks puts into its answers.
+     * Computes the fingerprint in answers of an engine that loaded these chunks.
      *
      * @param digests the digests of the chunks in order
      * @return a short digest over them
@@ -63,10 +63,10 @@
         return Digest.of(String.join("\n", digests)).substring(0, 16);
     }
 
-    private static byte[] content(Wish wish, int index) {
-        long left = wish.bytes() - (long) index * wish.chunkBytes();
-        byte[] content = new byte[(int) Math.min(wish.chunkBytes(), left)];
-        RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(wish.seed() * 1_000_003 + index);
+    private static byte[] content(WeightsSpec spec, int index) {
+        long remainingBytes = spec.bytes() - (long) index * spec.chunkBytes();
+        byte[] content = new byte[(int) Math.min(spec.chunkBytes(), remainingBytes)];
+        RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(spec.seed() * 1_000_003 + index);
         random.nextBytes(content);
         return content;
     }
@@ -74,23 +74,23 @@
     /**
      * A manifest.
      *
-     * @param version its digest
+     * @param version the digest of the manifest
      * @return the manifest, if there is one
      */
     public Optional<Manifest> manifest(String version) {
-        return Optional.ofNullable(made.get(version)).map(Made::manifest);
+        return Optional.ofNullable(storedByVersion.get(version)).map(StoredWeights::manifest);
     }
 
     /**
      * A chunk.
      *
      * @param version the manifest's digest
-     * @param index the chunk's place
+     * @param index the index of the chunk
      * @return its bytes, if there is such a chunk
      */
     public Optional<byte[]> chunk(String version, int index) {
-        return Optional.ofNullable(made.get(version))
+        return Optional.ofNullable(storedByVersion.get(version))
                 .filter(one -> index >= 0 && index < one.manifest().chunks().size())
-                .map(one -> content(one.wish(), index));
+                .map(one -> content(one.spec(), index));
     }
 }
--- a/src/main/java/org/micabarrow/standin/package-info.java
+++ b/src/main/java/org/micabarrow/standin/package-info.java
@@ -1,6 +1,5 @@
 /**
- * Stand-ins for what lies outside the system: the platform's log, list, store and origin, model engines and a plain
- * service. They speak the protocols of docs/PLATFORM.md on loopback, and have knobs for faults. Nothing in the product
- * depends on them.
+ * Simulated external systems: the platform's log, instance list, store and origin, model engines and a plain service. They
+ * implement the protocols of docs/PLATFORM.md on loopback and can inject faults. Production code does not depend on them.
  */
 package org.micabarrow.standin;
--- a/src/test/java/org/micabarrow/platform/KnownMomentTest.java
+++ b/src/test/java/org/micabarrow/platform/KnownMomentTest.java
@@ -120,7 +120,7 @@
 
     @Test
     void shouldKnowAllUntilItAskedForFirstPageOfNewest() {
-        store.pageSize(1);
+        store.setPageSize(1);
         store.append(OPERATOR, "a", "1");
         store.append(OPERATOR, "b", "1");
         store.append(OPERATOR, "c", "1");
--- a/src/test/java/org/micabarrow/platform/StoreClientTest.java
+++ b/src/test/java/org/micabarrow/platform/StoreClientTest.java
@@ -119,7 +119,7 @@
 
     @Test
     void shouldReadNewestRecordOfEachKeyOverAllPages() {
-        store.pageSize(2);
+        store.setPageSize(2);
         for (String key : List.of("a", "b", "c", "d", "e", "a")) {
             store.append(OPERATOR, key, "value of " + key);
         }
@@ -165,7 +165,7 @@
     void shouldSayExpiredWhenHistoryIsGone() {
         store.append(OPERATOR, "a", "1");
         store.append(OPERATOR, "a", "2");
-        store.forgetHistory(OPERATOR);
+        store.dropHistory(OPERATOR);
         Read read = client.read(Topic.OPERATOR, 0, Duration.ZERO).toOptional().orElseThrow();
         assertInstanceOf(Read.Expired.class, read);
         assertEquals(List.of("a"), keys(newest()));
@@ -174,14 +174,14 @@
     @ParameterizedTest
     @ValueSource(ints = {429, 503, 500, 400})
     void shouldFailWhenStoreRefuses(int status) {
-        store.refuse(Optional.of(status));
+        store.setRefusalStatus(Optional.of(status));
         assertTrue(client.readLatest(Topic.OPERATOR).cause().isPresent());
         assertTrue(client.read(Topic.OPERATOR, 0, Duration.ZERO).cause().isPresent());
     }
 
     @Test
     void shouldFailInTimeWhenStoreIsSilent() {
-        store.silent(true);
+        store.setUnresponsive(true);
         assertEquals(
                 Fault.Reason.TIMEOUT,
                 client.read(Topic.OPERATOR, 0, Duration.ZERO)
--- a/src/test/java/org/micabarrow/platform/VersionRecordsTest.java
+++ b/src/test/java/org/micabarrow/platform/VersionRecordsTest.java
@@ -23,13 +23,13 @@
     void shouldNotTakeVersionForKeptWhenKeyIsTooLong() throws Exception {
         try (HostedSystem platform = HostedSystem.start();
                 HttpClient caller = HttpClient.start("test", 1)) {
-            String store = platform.entry().store();
+            String store = platform.entrySettings().store();
             boolean written = new VersionRecords(caller, store, TIMEOUT)
                     .write(new UnsavedItem.Weights(LONGEST_MODEL, 2, OptionalLong.empty(), List.of()))
                     .toOptional()
                     .isPresent();
             boolean there =
-                    platform.store().written("keyed.micabarrow.versions", VersionKeys.ofVersion(LONGEST_MODEL, 2));
+                    platform.store().containsKey("keyed.micabarrow.versions", VersionKeys.ofVersion(LONGEST_MODEL, 2));
             assertTrue(!written || there, "said to be written, and not there under its key");
         }
     }
--- a/src/test/java/org/micabarrow/process/HostedSoakTest.java
+++ b/src/test/java/org/micabarrow/process/HostedSoakTest.java
@@ -26,7 +26,7 @@
 import org.micabarrow.platform.standin.HostedEndpointStandin;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.platform.standin.HostedSystem;
-import org.micabarrow.platform.standin.Received;
+import org.micabarrow.platform.standin.ReceivedRequest;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpClient;
@@ -129,19 +129,19 @@
             this.seed = seed;
             this.random = new Random(seed);
             this.storeFalls = seed % 2 == 1;
-            CRASHING.forEach(platform::crashOn);
-            IntStream.range(0, PLAIN).forEach(i -> platform.add("plain-" + i, "plain", 0));
-            IntStream.range(0, MODELS).forEach(i -> platform.add("model-" + i, "models", 1));
+            CRASHING.forEach(platform::crashOnBody);
+            IntStream.range(0, PLAIN).forEach(i -> platform.addEndpoint("plain-" + i, "plain", 0));
+            IntStream.range(0, MODELS).forEach(i -> platform.addEndpoint("model-" + i, "models", 1));
             IntStream.range(0, 2).forEach(i -> {
-                platform.addIn("hall-b", "plain-b" + i, "plain", 0);
-                platform.addIn("hall-b", "model-b" + i, "models", 1);
+                platform.addEndpointIn("hall-b", "plain-b" + i, "plain", 0);
+                platform.addEndpointIn("hall-b", "model-b" + i, "models", 1);
             });
-            platform.add(SPARED.getFirst(), "plain", 0);
-            platform.add(SPARED.getLast(), "models", 1);
-            this.beside = platform.agent(SPARED.getLast());
+            platform.addEndpoint(SPARED.getFirst(), "plain", 0);
+            platform.addEndpoint(SPARED.getLast(), "models", 1);
+            this.beside = platform.agentSettings(SPARED.getLast());
             HostedAgentProcess.start(beside);
             for (int i = 0; i < ENTRIES; i++) {
-                settings.add(platform.entryAsking(beside));
+                settings.add(platform.entrySettingsPolling(beside));
                 entries.add(begin(i));
             }
         }
@@ -163,11 +163,11 @@
                 } else if (draw < 0.21) {
                     leave();
                 } else if (draw < 0.28) {
-                    platform.next(Behaviour.REFUSE_AND_REST);
+                    platform.enqueueBehaviour(Behaviour.REFUSE_WITH_RETRY_AFTER);
                 } else if (draw < 0.32) {
                     kill();
                 } else if (draw < 0.38) {
-                    platform.next(random.nextBoolean() ? Behaviour.CUT : Behaviour.RESET);
+                    platform.enqueueBehaviour(random.nextBoolean() ? Behaviour.TRUNCATE : Behaviour.RESET);
                 } else if (draw < 0.40) {
                     restart(random.nextInt(ENTRIES));
                 } else if (draw < 0.44 && storeFalls) {
@@ -187,7 +187,7 @@
         private void silence(boolean on) {
             silent = on;
             placement.storeSilent(on);
-            platform.store().silent(on);
+            platform.store().setUnresponsive(on);
             course.add(MonotonicClock.millis() + " the store is " + (on ? "silent" : "there"));
         }
 
@@ -212,10 +212,10 @@
 
         private void leave() {
             String id = serving("plain-", "model-");
-            platform.endpoint(id).leave();
+            platform.endpoint(id).startDraining();
             boolean plain = id.startsWith("plain");
             if (random.nextBoolean()) {
-                platform.enter(id, plain ? "plain" : "models", plain ? 0 : 1, "draining");
+                platform.register(id, plain ? "plain" : "models", plain ? 0 : 1, "draining");
             }
             replace(plain);
         }
@@ -224,7 +224,7 @@
             String id = SPARED.get(random.nextInt(SPARED.size()));
             if (platform.endpoints().containsKey(id) && holding(id).isEmpty()) {
                 double perSecond = 0.5 + 4 * random.nextDouble();
-                platform.endpoint(id).limit(perSecond);
+                platform.endpoint(id).rateLimit(perSecond);
                 limits.add(new Limit(id, platform.endpoint(id), perSecond, MonotonicClock.millis(), Long.MAX_VALUE));
                 course.add(MonotonicClock.millis() + " " + id + " takes " + perSecond + " a second");
             }
@@ -238,7 +238,7 @@
 
         private void endLimit() {
             holding(SPARED.get(random.nextInt(SPARED.size()))).ifPresent(old -> {
-                old.endpoint().endLimit();
+                old.endpoint().clearRateLimit();
                 limits.remove(old);
                 limits.add(new Limit(
                         old.id(), old.endpoint(), old.perSecond(), old.fromMillis(), MonotonicClock.millis()));
@@ -270,7 +270,7 @@
                 return;
             }
             HostedEntryProcess old = entries.get(entry);
-            settings.set(entry, platform.entryAsking(beside));
+            settings.set(entry, platform.entrySettingsPolling(beside));
             entries.set(entry, begin(entry));
             stopping.add(CompletableFuture.runAsync(() -> {
                 try {
@@ -334,22 +334,22 @@
                     .collect(Collectors.toSet());
         }
 
-        private Stream<Received> received() {
+        private Stream<ReceivedRequest> received() {
             return platform.endpoints().values().stream().flatMap(one -> one.received().stream());
         }
 
-        private static String id(Received request) {
+        private static String id(ReceivedRequest request) {
             return request.headers().get("Attempt-Id");
         }
 
-        private static String entry(Received request) {
+        private static String entry(ReceivedRequest request) {
             String id = id(request);
             return id.substring(0, id.indexOf('/'));
         }
 
         private List<String> ranTwice() {
             Map<String, Long> runs = received()
-                    .filter(request -> request.target().startsWith("/once/") && request.ran())
+                    .filter(request -> request.target().startsWith("/once/") && request.wasExecuted())
                     .collect(Collectors.groupingBy(Soak::id, Collectors.counting()));
             return runs.entrySet().stream()
                     .filter(one -> one.getValue() > 1)
@@ -359,7 +359,7 @@
 
         private List<String> refusedThoughRun() {
             return received()
-                    .filter(request -> request.target().startsWith("/once/") && request.ran())
+                    .filter(request -> request.target().startsWith("/once/") && request.wasExecuted())
                     .map(Soak::id)
                     .filter(id -> statuses.getOrDefault(id, 0) == 503)
                     .toList();
@@ -369,39 +369,41 @@
             return received()
                     .filter(request -> request.target().equals(path))
                     .filter(request -> request.body().equals(body))
-                    .filter(request -> request.does().isEmpty())
-                    .sorted(Comparator.comparingLong(Received::atMillis))
-                    .map(request -> request.atMillis() + " " + id(request))
+                    .filter(request -> request.behaviour().isEmpty())
+                    .sorted(Comparator.comparingLong(ReceivedRequest::receivedMillis))
+                    .map(request -> request.receivedMillis() + " " + id(request))
                     .toList();
         }
 
-        private static List<String> afterLeaving(List<Received> received) {
+        private static List<String> afterLeaving(List<ReceivedRequest> received) {
             Map<String, Long> told = new HashMap<>();
             List<String> late = new ArrayList<>();
-            for (Received request : received) {
+            for (ReceivedRequest request : received) {
                 Long since = told.get(entry(request));
-                if (since != null && request.atMillis() - since > DRAIN_MILLIS) {
+                if (since != null && request.receivedMillis() - since > DRAIN_MILLIS) {
                     late.add(id(request));
-                } else if (request.leaving()
-                        && request.does().filter(one -> one == Behaviour.ANSWER).isPresent()) {
-                    told.putIfAbsent(entry(request), request.atMillis());
+                } else if (request.draining()
+                        && request.behaviour()
+                                .filter(one -> one == Behaviour.ANSWER)
+                                .isPresent()) {
+                    told.putIfAbsent(entry(request), request.receivedMillis());
                 }
             }
             return late;
         }
 
-        private static List<String> whileResting(List<Received> received) {
+        private static List<String> whileResting(List<ReceivedRequest> received) {
             List<String> tooMany = new ArrayList<>();
-            for (Received refused : received) {
-                if (refused.does()
-                        .filter(one -> one == Behaviour.REFUSE_AND_REST)
+            for (ReceivedRequest refused : received) {
+                if (refused.behaviour()
+                        .filter(one -> one == Behaviour.REFUSE_WITH_RETRY_AFTER)
                         .isEmpty()) {
                     continue;
                 }
                 received.stream()
                         .filter(request -> entry(request).equals(entry(refused)))
-                        .filter(request -> request.atMillis() > refused.atMillis() + REST_AFTER_MILLIS)
-                        .filter(request -> request.atMillis() < refused.atMillis() + REST_MILLIS)
+                        .filter(request -> request.receivedMillis() > refused.receivedMillis() + REST_AFTER_MILLIS)
+                        .filter(request -> request.receivedMillis() < refused.receivedMillis() + REST_MILLIS)
                         .skip(MOST_WHILE_RESTING)
                         .map(Soak::id)
                         .forEach(tooMany::add);
@@ -413,13 +415,13 @@
         private static List<String> overLimit(Limit limit) {
             Map<String, Long> told = new HashMap<>();
             List<Long> counted = new ArrayList<>();
-            for (Received request : limit.endpoint().received()) {
-                long at = request.atMillis();
+            for (ReceivedRequest request : limit.endpoint().received()) {
+                long at = request.receivedMillis();
                 Long since = told.get(entry(request));
                 if (since != null && at - since >= LIMIT_TOLD_MILLIS && at < limit.untilMillis()) {
                     counted.add(at);
                 }
-                if (at >= limit.fromMillis() && request.does().equals(Optional.of(Behaviour.ANSWER))) {
+                if (at >= limit.fromMillis() && request.behaviour().equals(Optional.of(Behaviour.ANSWER))) {
                     told.putIfAbsent(entry(request), at);
                 }
             }
--- a/src/test/java/org/micabarrow/process/LateWriteTest.java
+++ b/src/test/java/org/micabarrow/process/LateWriteTest.java
@@ -55,8 +55,8 @@
     @Test
     void shouldTakeUpNewestVersionWhenOlderOneWasWrittenLate() throws Exception {
         nameVersionsAndWriteOlderOneLate();
-        platform.add("b", "models", 0);
-        HostedAgentProcess.start(platform.agent("b"));
+        platform.addEndpoint("b", "models", 0);
+        HostedAgentProcess.start(platform.agentSettings("b"));
         Await.until("the endpoint holds a version", () -> held("b").isPresent());
         assertEquals(Optional.of(3L), held("b"));
     }
@@ -64,9 +64,9 @@
     @Test
     void shouldDemandNewestVersionWhenOlderOneWasWrittenLate() throws Exception {
         nameVersionsAndWriteOlderOneLate();
-        platform.add("b", "models", 2);
-        platform.enter("a", "models", 2, "draining");
-        HostedSettings entry = platform.entry();
+        platform.addEndpoint("b", "models", 2);
+        platform.register("a", "models", 2, "draining");
+        HostedSettings entry = platform.entrySettings();
         try (HostedEntryProcess running = HostedEntryProcess.start(entry)) {
             Await.until("the entry knows the endpoints", () -> running.endpoints() == 2);
             Await.until("the older version answers no more", () -> status(entry) == UNAVAILABLE);
@@ -77,9 +77,9 @@
     @Test
     void shouldTakeUpNewestVersionWhenOnlyPeerTellsOfVersions() throws Exception {
         HostedSettings peer = nameVersionsAndWriteOlderOneLate();
-        platform.add("b", "models", 0);
-        platform.store().refuse(Optional.of(UNAVAILABLE));
-        HostedAgentProcess.start(asking(platform.agent("b"), peer));
+        platform.addEndpoint("b", "models", 0);
+        platform.store().setRefusalStatus(Optional.of(UNAVAILABLE));
+        HostedAgentProcess.start(asking(platform.agentSettings("b"), peer));
         Await.until("the endpoint holds a version", () -> held("b").isPresent());
         assertEquals(Optional.of(3L), held("b"));
     }
@@ -87,12 +87,12 @@
     /** The same of manifests: the older one still has a key that the newest took away. */
     @Test
     void shouldRefuseKeyThatNewestManifestTookAwayWhenOlderOneWasWrittenLate() throws Exception {
-        platform.add("a", "models", 1);
-        HostedAgentProcess.start(platform.agent("a"));
-        platform.manifest(2, "key-b", 2_000);
-        Await.until("the agent has kept where the newest manifest stands", () -> platform.keepsManifest(2));
-        platform.manifest(1, "key-a", 2_000);
-        HostedSettings entry = platform.entry();
+        platform.addEndpoint("a", "models", 1);
+        HostedAgentProcess.start(platform.agentSettings("a"));
+        platform.publishManifest(2, "key-b", 2_000);
+        Await.until("the agent has kept where the newest manifest stands", () -> platform.hasStoredManifestPosition(2));
+        platform.publishManifest(1, "key-a", 2_000);
+        HostedSettings entry = platform.entrySettings();
         try (HostedEntryProcess running = HostedEntryProcess.start(entry)) {
             Await.until("the entry takes requests", running::takesRequests);
             // Until it has noted that it read all, it says that it may not know; it never goes by the older manifest.
@@ -122,14 +122,14 @@
 
     /** A process that runs sees versions 2 and 3 being named, and the write of version 2 that comes after. */
     private HostedSettings nameVersionsAndWriteOlderOneLate() throws IOException {
-        platform.add("a", "models", 1);
-        HostedSettings agent = platform.agent("a");
+        platform.addEndpoint("a", "models", 1);
+        HostedSettings agent = platform.agentSettings("a");
         HostedAgentProcess.start(agent);
-        platform.nameWeights(2);
-        platform.nameWeights(3);
+        platform.publishWeightVersion(2);
+        platform.publishWeightVersion(3);
         Await.until("the endpoint holds version 3", () -> held("a").equals(Optional.of(3L)));
-        Await.until("the agent has kept that version 3 was named", () -> platform.keepsWeights(3));
-        platform.nameWeights(2);
+        Await.until("the agent has kept that version 3 was named", () -> platform.hasStoredWeightVersion(3));
+        platform.publishWeightVersion(2);
         return agent;
     }
 
--- a/src/test/java/org/micabarrow/process/OldManifestTest.java
+++ b/src/test/java/org/micabarrow/process/OldManifestTest.java
@@ -59,14 +59,14 @@
         SILENT {
             @Override
             void set(HostedStoreStandin store, boolean on) {
-                store.silent(on);
+                store.setUnresponsive(on);
             }
         },
         /** It refuses every call. */
         REFUSES {
             @Override
             void set(HostedStoreStandin store, boolean on) {
-                store.refuse(on ? Optional.of(UNAVAILABLE) : Optional.empty());
+                store.setRefusalStatus(on ? Optional.of(UNAVAILABLE) : Optional.empty());
             }
         };
 
@@ -76,9 +76,9 @@
     @BeforeEach
     void start() {
         platform = HostedSystem.start();
-        platform.add("plain-1", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
         caller = HttpClient.start("test", 1);
-        settings = platform.entry();
+        settings = platform.entrySettings();
     }
 
     @AfterEach
@@ -137,19 +137,19 @@
     void shouldGoByAgeOfPeersKnowledgeWhenEntryCannotReachTheStore() throws Exception {
         try (HostedEntryProcess peer = HostedEntryProcess.start(settings)) {
             Await.until("the peer serves", () -> peer.endpoints() == 1 && status("/once/x", "key-a") == OK);
-            settings = withoutStore(platform.entry(), settings.listen().peers());
+            settings = withoutStore(platform.entrySettings(), settings.listen().peers());
             try (HostedEntryProcess running = HostedEntryProcess.start(settings)) {
                 Await.until("the entry serves", () -> running.endpoints() == 1 && status("/once/x", "key-a") == OK);
                 awaitStatus(UNAUTHORIZED, "/once/x", "key-b");
                 awaitStatus(NOT_FOUND, "/new/x", "key-a");
-                platform.store().silent(true);
+                platform.store().setUnresponsive(true);
                 addKeyAndRoute();
                 awaitStatus(UNAVAILABLE, "/once/x", "key-b");
                 for (int i = 0; i < TIMES; i++) {
                     assertEquals(UNAVAILABLE, status("/once/x", "key-b"));
                     assertEquals(UNAVAILABLE, status("/new/x", "key-a"));
                 }
-                platform.store().silent(false);
+                platform.store().setUnresponsive(false);
                 awaitStatus(OK, "/once/x", "key-b");
                 awaitStatus(UNAUTHORIZED, "/once/x", "key-c");
             }
--- a/src/test/java/org/micabarrow/process/RecoveryTest.java
+++ b/src/test/java/org/micabarrow/process/RecoveryTest.java
@@ -68,12 +68,12 @@
     @Order(1)
     void shouldPutPlanInForceOnceWhenAnswersOfTheLogAreLost() throws IOException {
         fixture.awaitListed();
-        fixture.system.platform().fail(ANSWERS_LOST);
+        fixture.system.platform().setFaults(ANSWERS_LOST);
         String plan = fixture.plan("entry-1", fixture.intent(fixture.weights.version(), BOTH_HALLS, 3))
                 .id();
         HttpResponse confirmed = fixture.confirm("entry-2", plan);
         assertEquals(200, confirmed.status(), SystemFixture.text(confirmed));
-        fixture.system.platform().fail(Faults.none());
+        fixture.system.platform().setFaults(Faults.none());
         fixture.awaitReady(fixture.weights.version());
     }
 
@@ -109,7 +109,7 @@
             double before = generation("billing-1");
             return before > 6;
         });
-        fixture.system.platform().log().retain("configuration", 3);
+        fixture.system.platform().log().retainNewest("configuration", 3);
         fixture.system.agent("billing-1").kill();
         fixture.system.startAgent("billing-1");
         Await.until("the generation", () -> generation("billing-1") >= 6);
@@ -119,12 +119,12 @@
     @Test
     @Order(4)
     void shouldStartFromPeerWhenLogIsOut() {
-        fixture.system.platform().fail(LOG_DOWN);
+        fixture.system.platform().setFaults(LOG_DOWN);
         double others = generation("billing-1");
         fixture.system.agent("billing-2").kill();
         fixture.system.startAgent("billing-2");
         Await.until("the generation", () -> generation("billing-2") >= others);
-        fixture.system.platform().fail(Faults.none());
+        fixture.system.platform().setFaults(Faults.none());
     }
 
     // -- requests that may not be repeated
@@ -150,8 +150,8 @@
                         .filter(replica -> replica.placement().equals("billing"))
                         .allMatch(replica -> replica.state().equals("ready")));
         awaitNewProcessesKnown();
-        fixture.system.service("billing-1").slow(600_000);
-        fixture.system.service("billing-2").slow(600_000);
+        fixture.system.service("billing-1").setCallMillis(600_000);
+        fixture.system.service("billing-2").setCallMillis(600_000);
         CompletableFuture<HttpResponse> first =
                 CompletableFuture.supplyAsync(() -> fixture.charge("entry-1", "key", "charge"));
         Await.until("the run", () -> {
@@ -159,7 +159,7 @@
             assertTrue(ran || !first.isDone(), () -> "ended without a run: " + SystemFixture.text(first.join()));
             return ran;
         });
-        boolean atFirst = fixture.system.service("billing-1").runs().containsKey(Digest.of("charge"));
+        boolean atFirst = fixture.system.service("billing-1").runsByDigest().containsKey(Digest.of("charge"));
         String running = atFirst ? "billing-1" : "billing-2";
         HttpResponse meanwhile = fixture.charge("entry-2", "key", "charge");
         assertEquals(409, meanwhile.status());
@@ -174,7 +174,7 @@
             assertEquals("unknown", again.headers().get("X-Micabarrow-Outcome"), SystemFixture.text(again));
         }
         assertEquals(1, fixture.runsOf("charge"));
-        fixture.system.service("billing-1").slow(1);
-        fixture.system.service("billing-2").slow(1);
+        fixture.system.service("billing-1").setCallMillis(1);
+        fixture.system.service("billing-2").setCallMillis(1);
     }
 }
--- a/src/test/java/org/micabarrow/process/RegionalReadingTest.java
+++ b/src/test/java/org/micabarrow/process/RegionalReadingTest.java
@@ -43,11 +43,11 @@
     void start() throws IOException {
         platform = HostedSystem.start();
         caller = HttpClient.start("test", 1);
-        platform.add("a", "models", 1);
-        HostedSettings agent = platform.agent("a");
+        platform.addEndpoint("a", "models", 1);
+        HostedSettings agent = platform.agentSettings("a");
         HostedAgentProcess.start(agent);
         for (int i = 0; i < ENTRIES; i++) {
-            HostedSettings entry = platform.entryAsking(agent);
+            HostedSettings entry = platform.entrySettingsPolling(agent);
             settings.add(entry);
             entries.add(HostedEntryProcess.start(entry));
         }
@@ -86,12 +86,12 @@
     private int copiesOfNextManifest() {
         version++;
         boolean taken = version % 2 == 0;
-        int before = platform.store().given(OPERATORS);
-        platform.manifest(version, taken ? "key-b" : "key-a", 2_000);
+        int before = platform.store().deliveredCount(OPERATORS);
+        platform.publishManifest(version, taken ? "key-b" : "key-a", 2_000);
         Await.until(
                 "every entry goes by the manifest",
                 () -> settings.stream().allMatch(entry -> refusesKey(entry) == taken));
-        return platform.store().given(OPERATORS) - before;
+        return platform.store().deliveredCount(OPERATORS) - before;
     }
 
     private boolean refusesKey(HostedSettings entry) {
--- a/src/test/java/org/micabarrow/process/SharedLimitTest.java
+++ b/src/test/java/org/micabarrow/process/SharedLimitTest.java
@@ -27,8 +27,8 @@
     void start() throws IOException {
         platform = HostedSystem.start();
         client = HttpClient.start("client", 1);
-        platform.add("model-1", "models", 1);
-        beside = platform.agent("model-1");
+        platform.addEndpoint("model-1", "models", 1);
+        beside = platform.agentSettings("model-1");
         HostedAgentProcess.start(beside);
     }
 
@@ -39,7 +39,7 @@
     }
 
     private HostedSettings begin() throws IOException {
-        HostedSettings settings = platform.entryAsking(beside);
+        HostedSettings settings = platform.entrySettingsPolling(beside);
         HostedEntryProcess entry = HostedEntryProcess.start(settings);
         Await.until("the endpoint", () -> entry.takesRequests() && entry.endpoints() == 1);
         return settings;
@@ -60,7 +60,7 @@
     /** A limit so small that its next turn does not come while a test runs. */
     private void limit(HostedSettings entry) {
         Await.until("an answer", () -> ask(entry) == 200);
-        platform.endpoint("model-1").limit(0.001);
+        platform.endpoint("model-1").rateLimit(0.001);
         assertEquals(200, ask(entry));
     }
 
