--- a/src/test/java/org/micabarrow/process/SoakPlacement.java
+++ b/src/test/java/org/micabarrow/process/SoakPlacement.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import org.micabarrow.clock.MonotonicClock;
 import org.micabarrow.platform.standin.HostedSystem;
-import org.micabarrow.platform.standin.Received;
+import org.micabarrow.platform.standin.ReceivedRequest;
 
 /** Evacuates data halls and has endpoints start cold in the soak, and looks up what these endpoints got meanwhile. */
 final class SoakPlacement {
@@ -55,7 +55,7 @@
             current.ifPresent(evacuations::add);
         } else if (MonotonicClock.millis() > current.get().knownMillis + MIN_EVACUATED_MILLIS) {
             current.get().untilMillis = MonotonicClock.millis();
-            platform.takeBack(current.get().hall);
+            platform.cancelEvacuation(current.get().hall);
             current = Optional.empty();
         }
     }
@@ -70,8 +70,8 @@
     /** Adds an endpoint that starts cold. */
     void addCold(String hall, String id, String service, long version) {
         coldSinceMillis.put(id, MonotonicClock.millis());
-        platform.coldFor(id, COLD_MILLIS);
-        platform.addIn(hall, id, service, version);
+        platform.setColdFor(id, COLD_MILLIS);
+        platform.addEndpointIn(hall, id, service, version);
     }
 
     // -- what must hold
@@ -83,9 +83,9 @@
                 .forEach((id, endpoint) -> endpoint.received().stream()
                         .filter(request -> evacuations.stream()
                                 .anyMatch(one -> one.hall.equals(platform.dataHall(id))
-                                        && request.atMillis() > one.knownMillis
-                                        && request.atMillis() < one.untilMillis))
-                        .forEach(request -> wrong.add(id + " at " + request.atMillis())));
+                                        && request.receivedMillis() > one.knownMillis
+                                        && request.receivedMillis() < one.untilMillis))
+                        .forEach(request -> wrong.add(id + " at " + request.receivedMillis())));
         return wrong;
     }
 
@@ -94,7 +94,7 @@
         List<String> wrong = new ArrayList<>();
         coldSinceMillis.forEach((id, since) -> {
             List<Long> arrivals = platform.endpoint(id).received().stream()
-                    .map(Received::atMillis)
+                    .map(ReceivedRequest::receivedMillis)
                     .filter(at -> at < since + COLD_MILLIS)
                     .toList();
             arrivals.stream()
--- a/src/test/java/org/micabarrow/process/SystemFixture.java
+++ b/src/test/java/org/micabarrow/process/SystemFixture.java
@@ -29,7 +29,7 @@
 
     final LocalSystem system;
     final HttpClient http = HttpClient.start("test-caller", 2);
-    final WeightsStandin.Done weights;
+    final WeightsStandin.GeneratedWeights weights;
 
     SystemFixture(LocalOptions options) {
         system = LocalSystem.start(options);
@@ -45,8 +45,8 @@
         system.publishInstances();
     }
 
-    WeightsStandin.Done make(String name, long seed) {
-        return system.platform().weights().make(new WeightsStandin.Wish(name, 2 << 20, 64 << 10, seed));
+    WeightsStandin.GeneratedWeights make(String name, long seed) {
+        return system.platform().weights().generate(new WeightsStandin.WeightsSpec(name, 2 << 20, 64 << 10, seed));
     }
 
     // -- operators
@@ -201,8 +201,8 @@
 
     int runsOf(String body) {
         String digest = Digest.of(body);
-        return system.service("billing-1").runs().getOrDefault(digest, 0)
-                + system.service("billing-2").runs().getOrDefault(digest, 0);
+        return system.service("billing-1").runsByDigest().getOrDefault(digest, 0)
+                + system.service("billing-2").runsByDigest().getOrDefault(digest, 0);
     }
 
     static String text(HttpClient.HttpResponse answer) {
--- a/src/test/java/org/micabarrow/process/WholePathTest.java
+++ b/src/test/java/org/micabarrow/process/WholePathTest.java
@@ -71,7 +71,7 @@
         assertEquals(
                 401, fixture.chat("entry-1", SystemFixture.RIDERS, 1, false).status());
         SystemFixture.ENGINES.forEach(
-                id -> assertTrue(fixture.system.engine(id).loaded().isEmpty()));
+                id -> assertTrue(fixture.system.engine(id).loadedFingerprints().isEmpty()));
     }
 
     @ParameterizedTest
@@ -123,7 +123,7 @@
             assertTrue(answer.headers().containsKey("X-Micabarrow-Attempt"));
             assertTrue(answer.headers().containsKey("X-Micabarrow-Generation"));
         }
-        assertTrue(fixture.system.engine("sur-a-1").loaded().isEmpty());
+        assertTrue(fixture.system.engine("sur-a-1").loadedFingerprints().isEmpty());
     }
 
     @Test
@@ -211,12 +211,12 @@
     @Test
     @Order(11)
     void shouldSayNotRunWhenLogIsOutAndServeModelsOn() throws IOException {
-        fixture.system.platform().fail(new Faults(true, 0, false, false, 0, 0, false));
+        fixture.system.platform().setFaults(new Faults(true, 0, false, false, 0, 0, false));
         HttpResponse charge = fixture.charge("entry-1", "key-d", "charge d");
         assertEquals("not_run", error(charge, "type"), SystemFixture.text(charge));
         assertEquals(
                 200, fixture.chat("entry-1", SystemFixture.RIDERS, 2, false).status());
-        fixture.system.platform().fail(Faults.none());
+        fixture.system.platform().setFaults(Faults.none());
         assertEquals(0, fixture.runsOf("charge d"));
     }
 
@@ -225,7 +225,7 @@
     @Test
     @Order(12)
     void shouldAnswerEachRequestByOneVersionWhileVersionsChange() throws IOException {
-        WeightsStandin.Done next = fixture.make("assistant", 2);
+        WeightsStandin.GeneratedWeights next = fixture.make("assistant", 2);
         CompletableFuture<Void> rollOut = CompletableFuture.runAsync(() -> {
             try {
                 fixture.rollOut(next.version(), "\"norte-a\"", 2);
@@ -247,7 +247,11 @@
         rollOut.join();
         Await.until(
                 "the old version dropped",
-                () -> fixture.system.engine("norte-a-1").loaded().keySet().equals(Set.of(next.version())));
+                () -> fixture.system
+                        .engine("norte-a-1")
+                        .loadedFingerprints()
+                        .keySet()
+                        .equals(Set.of(next.version())));
     }
 
     // -- stopping
--- a/src/test/java/org/micabarrow/serving/AllowedRegionsRequestTest.java
+++ b/src/test/java/org/micabarrow/serving/AllowedRegionsRequestTest.java
@@ -54,10 +54,10 @@
     }
 
     private void start(String ofRoutes, String ofOrganisation) throws IOException {
-        platform.addIn("hall-a", "plain-a", "plain", 0);
-        platform.addIn("hall-b", "plain-b", "plain", 0);
-        platform.addIn("hall-a", "model-a", "models", 1);
-        platform.addIn("hall-b", "model-b", "models", 1);
+        platform.addEndpointIn("hall-a", "plain-a", "plain", 0);
+        platform.addEndpointIn("hall-b", "plain-b", "plain", 0);
+        platform.addEndpointIn("hall-a", "model-a", "models", 1);
+        platform.addEndpointIn("hall-b", "model-b", "models", 1);
         manifest(ofRoutes, ofOrganisation);
         serveWithoutVersions();
         awaitManifest();
@@ -121,10 +121,10 @@
     // -- retries
 
     @ParameterizedTest
-    @CsvSource({"FAIL, /again/x", "RESET, /again/x", "REFUSE, /once/x", "CUT, /stream/x", "RESET, /stream/x"})
+    @CsvSource({"FAIL, /again/x", "RESET, /again/x", "REFUSE, /once/x", "TRUNCATE, /stream/x", "RESET, /stream/x"})
     void shouldNotRetryInOtherRegionWhenRestricted(Behaviour first, String path) throws IOException {
         start(B, ANY);
-        platform.next(first);
+        platform.enqueueBehaviour(first);
         sendRequest(path);
         assertEquals(1, receivedIn("b"));
         assertEquals(0, receivedIn("a"));
@@ -133,7 +133,7 @@
     @Test
     void shouldNotMoveRequestToOtherRegionWhenEndpointIsSilent() throws Exception {
         start(B, ANY);
-        platform.next(Behaviour.HANG);
+        platform.enqueueBehaviour(Behaviour.NEVER_ANSWER);
         selector.load("model-b").reported(new LoadReport(0, 0, false, 1), 0, clockMillis.get());
         selector.load("model-a").reported(new LoadReport(0, 0, false, 1), 0, clockMillis.get());
         CompletableFuture<HttpResponse> response = CompletableFuture.supplyAsync(() -> sendRequest("/stream/x"));
--- a/src/test/java/org/micabarrow/serving/ColdEndpointTest.java
+++ b/src/test/java/org/micabarrow/serving/ColdEndpointTest.java
@@ -45,7 +45,7 @@
     }
 
     private void start(double coldPerSecond) throws IOException {
-        platform.add("plain-1", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
         manifest(coldPerSecond);
         serveWithoutVersions();
         Await.until("the manifest", () -> views.view().manifest().orElseThrow().version() == 9);
@@ -113,7 +113,7 @@
     @ValueSource(strings = {"0", "-1", "\"soon\"", "null", "{}", "[3000]", "true"})
     void shouldServeAsUsualWhenColdTimeIsNone(String coldLeft) throws IOException {
         start(PER_SECOND);
-        platform.add("plain-2", "plain", 0);
+        platform.addEndpoint("plain-2", "plain", 0);
         register("plain-1", coldLeft, 1);
         register("plain-2", "1", 1);
         awaitCold();
--- a/src/test/java/org/micabarrow/serving/ConcurrentClientsTest.java
+++ b/src/test/java/org/micabarrow/serving/ConcurrentClientsTest.java
@@ -87,8 +87,8 @@
 
     @Test
     void shouldRespondToClientsThatConnectedWhileTrafficThreadWasPaused() throws Exception {
-        platform.manifest(2, "key-a", TIMEOUT_MILLIS);
-        platform.add("plain-1", "plain", 0);
+        platform.publishManifest(2, "key-a", TIMEOUT_MILLIS);
+        platform.addEndpoint("plain-1", "plain", 0);
         serve(
                 new EndpointHeaders(),
                 new RetryBudget(0.2, 10),
@@ -108,8 +108,8 @@
 
     @Test
     void shouldAcceptManyClientsAsSoonAsReady() throws Exception {
-        platform.manifest(2, "key-a", TIMEOUT_MILLIS, LARGE_ROUTES);
-        platform.add("plain-1", "plain", 0);
+        platform.publishManifest(2, "key-a", TIMEOUT_MILLIS, LARGE_ROUTES);
+        platform.addEndpoint("plain-1", "plain", 0);
         HostedEntryProcess entry = HostedEntryProcess.start(settings);
         try {
             Await.until("the entry is ready", () -> isReady(settings));
@@ -121,13 +121,13 @@
 
     @Test
     void shouldAcceptManyClientsWhileLargeManifestsAreRead() throws Exception {
-        platform.manifest(2, "key-a", TIMEOUT_MILLIS);
-        platform.add("plain-1", "plain", 0);
+        platform.publishManifest(2, "key-a", TIMEOUT_MILLIS);
+        platform.addEndpoint("plain-1", "plain", 0);
         HostedEntryProcess entry = HostedEntryProcess.start(settings);
         try {
             Await.until("the entry is ready", () -> isReady(settings));
             for (int i = 0; i < LARGE_MANIFESTS; i++) {
-                platform.manifest(3 + i, "key-a", TIMEOUT_MILLIS, LARGE_ROUTES);
+                platform.publishManifest(3 + i, "key-a", TIMEOUT_MILLIS, LARGE_ROUTES);
                 assertResponses(connectClients(clientAddress()));
             }
         } finally {
--- a/src/test/java/org/micabarrow/serving/DrainingEndpointTest.java
+++ b/src/test/java/org/micabarrow/serving/DrainingEndpointTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.micabarrow.Await;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
-import org.micabarrow.platform.standin.HostedEndpointStandin.Ending;
+import org.micabarrow.platform.standin.HostedEndpointStandin.Shutdown;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.process.HostedAgentProcess;
 import org.micabarrow.process.HostedEntryProcess;
@@ -81,7 +81,7 @@
 
     /** Makes an endpoint drain, and lets it send one more response. */
     private void drain(HostedSettings entry, String path, String endpoint) {
-        platform.endpoint(endpoint).leave();
+        platform.endpoint(endpoint).startDraining();
         assertEquals(endpoint, chosen(entry, path, endpoint));
     }
 
@@ -95,23 +95,23 @@
 
     @Test
     void shouldSendNothingMoreWhenResponseStatesDraining() throws Exception {
-        platform.add("plain-1", "plain", 0);
-        platform.add("plain-2", "plain", 0);
-        HostedSettings entry = platform.entry();
+        platform.addEndpoint("plain-1", "plain", 0);
+        platform.addEndpoint("plain-2", "plain", 0);
+        HostedSettings entry = platform.entrySettings();
         startEntry(entry, 2);
         String drainingEndpoint = chosen(entry, "/again/x", "plain-1", "plain-2");
-        platform.store().silent(true);
+        platform.store().setUnresponsive(true);
         drain(entry, "/again/x", drainingEndpoint);
         assertServedWithout(entry, "/again/x", drainingEndpoint);
     }
 
     @Test
     void shouldSendNothingMoreWhenRefusalStatesDraining() throws Exception {
-        platform.add("plain-1", "plain", 0);
-        HostedSettings entry = platform.entry();
+        platform.addEndpoint("plain-1", "plain", 0);
+        HostedSettings entry = platform.entrySettings();
         startEntry(entry, 1);
-        platform.endpoint("plain-1").leave();
-        platform.next(Behaviour.REFUSE);
+        platform.endpoint("plain-1").startDraining();
+        platform.enqueueBehaviour(Behaviour.REFUSE);
         assertEquals(503, sendRequest(entry, "/once/x"));
         int before = received("plain-1");
         assertEquals(503, sendRequest(entry, "/once/x"));
@@ -120,30 +120,30 @@
 
     @Test
     void shouldStayDrainingWhenOlderRecordIsReadAfterResponse() throws Exception {
-        platform.add("plain-1", "plain", 0);
-        platform.add("plain-2", "plain", 0);
-        HostedSettings settings = platform.entry();
+        platform.addEndpoint("plain-1", "plain", 0);
+        platform.addEndpoint("plain-2", "plain", 0);
+        HostedSettings settings = platform.entrySettings();
         HostedEntryProcess entry = startEntry(settings, 2);
         String drainingEndpoint = chosen(settings, "/again/x", "plain-1", "plain-2");
         drain(settings, "/again/x", drainingEndpoint);
         platform.store().append("keyed.servers", drainingEndpoint, "");
         Await.until("the removal", () -> entry.endpoints() == 1);
-        platform.enter(drainingEndpoint, "plain", 0, "ready");
+        platform.register(drainingEndpoint, "plain", 0, "ready");
         Await.until("the late record", () -> entry.endpoints() == 2);
         assertServedWithout(settings, "/again/x", drainingEndpoint);
     }
 
     @Test
     void shouldSendAgainWhenEndpointRestarts() throws Exception {
-        platform.add("plain-1", "plain", 0);
-        platform.startedAt("plain-1", FIRST_START);
-        platform.enter("plain-1", "plain", 0, "ready");
-        HostedSettings settings = platform.entry();
+        platform.addEndpoint("plain-1", "plain", 0);
+        platform.setStartedMillis("plain-1", FIRST_START);
+        platform.register("plain-1", "plain", 0, "ready");
+        HostedSettings settings = platform.entrySettings();
         startEntry(settings, 1);
         drain(settings, "/again/x", "plain-1");
         assertEquals(503, sendRequest(settings, "/again/x"));
-        platform.startAgain("plain-1", FIRST_START + 5_000, Ending.CRASH);
-        platform.enter("plain-1", "plain", 0, "ready");
+        platform.restart("plain-1", FIRST_START + 5_000, Shutdown.CRASH);
+        platform.register("plain-1", "plain", 0, "ready");
         Await.until("a response of the new process", () -> sendRequest(settings, "/again/x") == 200);
     }
 
@@ -153,14 +153,14 @@
      */
     @Test
     void shouldSendNothingMoreWhenAgentReportsDraining() throws Exception {
-        platform.add("model-1", "models", 1);
-        platform.add("model-2", "models", 1);
-        HostedSettings agent = platform.agent("model-1");
+        platform.addEndpoint("model-1", "models", 1);
+        platform.addEndpoint("model-2", "models", 1);
+        HostedSettings agent = platform.agentSettings("model-1");
         HostedAgentProcess.start(agent);
-        HostedSettings settings = platform.entryAsking(agent);
+        HostedSettings settings = platform.entrySettingsPolling(agent);
         startEntry(settings, 2);
-        platform.store().silent(true);
-        platform.endpoint("model-1").leaveByReportsOnly();
+        platform.store().setUnresponsive(true);
+        platform.endpoint("model-1").startDrainingInReportsOnly();
         Await.until("the agent's report", () -> {
             int before = received("model-1");
             for (int request = 0; request < 10; request++) {
@@ -172,13 +172,13 @@
 
     @Test
     void shouldSendToEndpointWithAgentUntilItDrains() throws Exception {
-        platform.add("model-1", "models", 1);
-        HostedSettings agent = platform.agent("model-1");
+        platform.addEndpoint("model-1", "models", 1);
+        HostedSettings agent = platform.agentSettings("model-1");
         HostedAgentProcess.start(agent);
-        HostedSettings settings = platform.entryAsking(agent);
+        HostedSettings settings = platform.entrySettingsPolling(agent);
         startEntry(settings, 1);
         Await.until("a response", () -> sendRequest(settings, "/stream/x") == 200);
-        platform.endpoint("model-1").leaveByReportsOnly();
+        platform.endpoint("model-1").startDrainingInReportsOnly();
         Await.until("a refusal", () -> sendRequest(settings, "/stream/x") == 503);
     }
 }
--- a/src/test/java/org/micabarrow/serving/EndpointBackoffTest.java
+++ b/src/test/java/org/micabarrow/serving/EndpointBackoffTest.java
@@ -33,7 +33,7 @@
     @Test
     void shouldSendNothingDuringBackoff() throws IOException {
         serveWithoutVersions();
-        platform.next(Behaviour.REFUSE_AND_REST);
+        platform.enqueueBehaviour(Behaviour.REFUSE_WITH_RETRY_AFTER);
         assertEquals(503, sendRequest("/again/x").status());
         for (long elapsed = 100; elapsed < BACKOFF_MILLIS; elapsed += 100) {
             clockMillis.addAndGet(100);
@@ -50,7 +50,7 @@
     @Test
     void shouldSendRetryDelayWhenOnlyEndpointBacksOff() throws IOException {
         serveWithoutVersions();
-        platform.next(Behaviour.REFUSE_AND_REST);
+        platform.enqueueBehaviour(Behaviour.REFUSE_WITH_RETRY_AFTER);
         HttpResponse refused = sendRequest("/once/x");
         assertEquals(503, refused.status());
         assertEquals("3.000", refused.headers().get("Retry-After"));
@@ -58,10 +58,10 @@
 
     @Test
     void shouldServeFromOtherEndpointDuringBackoff() throws IOException {
-        platform.add("plain-2", "plain", 0);
+        platform.addEndpoint("plain-2", "plain", 0);
         serveWithoutVersions();
         Await.until("the endpoints", () -> views.view().endpoints().size() == 2);
-        platform.next(Behaviour.REFUSE_AND_REST);
+        platform.enqueueBehaviour(Behaviour.REFUSE_WITH_RETRY_AFTER);
         String available = sendRequest("/once/x").headers().get("Instance-Id");
         for (int request = 0; request < 20; request++) {
             assertEquals(available, sendRequest("/once/x").headers().get("Instance-Id"));
@@ -71,7 +71,7 @@
     @Test
     void shouldServeImmediatelyWhenBackoffEndedDuringSuspension() throws IOException {
         serveWithoutVersions();
-        platform.next(Behaviour.REFUSE_AND_REST);
+        platform.enqueueBehaviour(Behaviour.REFUSE_WITH_RETRY_AFTER);
         assertEquals(503, sendRequest("/again/x").status());
         clockMillis.addAndGet(60_000);
         assertEquals(200, sendRequest("/again/x").status());
@@ -80,16 +80,16 @@
     @Test
     void shouldSendSingleRequestFirstWhenBackoffEnds() throws IOException {
         serveWithoutVersions();
-        platform.next(Behaviour.REFUSE_AND_REST);
+        platform.enqueueBehaviour(Behaviour.REFUSE_WITH_RETRY_AFTER);
         sendRequest("/again/x");
         clockMillis.addAndGet(BACKOFF_MILLIS);
-        platform.next(Behaviour.HANG);
+        platform.enqueueBehaviour(Behaviour.NEVER_ANSWER);
         Runnable cancel =
                 client.send(HostedSystem.request(clientAddress(), "/again/x", "attempt-2"), new IgnoringListener());
-        Await.until("the first request", () -> platform.endpoint("plain-1").hanging() == 1);
+        Await.until("the first request", () -> platform.endpoint("plain-1").unansweredCount() == 1);
         assertEquals(503, sendRequest("/again/x").status(), "no other request before the endpoint has responded");
         cancel.run();
-        Await.until("its cancellation", () -> platform.endpoint("plain-1").hanging() == 0);
+        Await.until("its cancellation", () -> platform.endpoint("plain-1").unansweredCount() == 0);
         Await.until("a response", () -> sendRequest("/again/x").status() == 200);
     }
 }
--- a/src/test/java/org/micabarrow/serving/EvacuatedHallTest.java
+++ b/src/test/java/org/micabarrow/serving/EvacuatedHallTest.java
@@ -25,11 +25,11 @@
 class EvacuatedHallTest extends ServingFixture {
 
     private void addEndpoints() {
-        platform.manifest(2, "key-a", TIMEOUT.toMillis());
-        platform.addIn("hall-a", "plain-a", "plain", 0);
-        platform.addIn("hall-b", "plain-b", "plain", 0);
-        platform.addIn("hall-a", "model-a", "models", 1);
-        platform.addIn("hall-b", "model-b", "models", 1);
+        platform.publishManifest(2, "key-a", TIMEOUT.toMillis());
+        platform.addEndpointIn("hall-a", "plain-a", "plain", 0);
+        platform.addEndpointIn("hall-b", "plain-b", "plain", 0);
+        platform.addEndpointIn("hall-a", "model-a", "models", 1);
+        platform.addEndpointIn("hall-b", "model-b", "models", 1);
     }
 
     private void start() throws IOException {
@@ -64,18 +64,18 @@
             assertEquals(200, sendRequest(path).status());
         }
         assertEquals(before, receivedIn("a"));
-        platform.takeBack("hall-a");
+        platform.cancelEvacuation("hall-a");
         Await.until("the return", () -> views.view().evacuatedHalls().isEmpty());
         assertEquals(200, sendRequest(path).status());
         assertEquals(1, received("plain-a") + received("model-a") - before, "the own region's endpoint is used again");
     }
 
     @ParameterizedTest
-    @CsvSource({"FAIL, /again/x", "RESET, /again/x", "REFUSE, /once/x", "CUT, /stream/x", "RESET, /stream/x"})
+    @CsvSource({"FAIL, /again/x", "RESET, /again/x", "REFUSE, /once/x", "TRUNCATE, /stream/x", "RESET, /stream/x"})
     void shouldNotRetryInEvacuatedHall(Behaviour first, String path) throws IOException {
         start();
         evacuate("hall-a");
-        platform.next(first);
+        platform.enqueueBehaviour(first);
         sendRequest(path);
         assertEquals(1, receivedIn("b"));
         assertEquals(0, receivedIn("a"));
@@ -110,12 +110,12 @@
     @Test
     void shouldLetRequestsInProgressEndByThemselves() throws Exception {
         start();
-        platform.next(Behaviour.HANG);
+        platform.enqueueBehaviour(Behaviour.NEVER_ANSWER);
         CompletableFuture<HttpResponse> response = CompletableFuture.supplyAsync(() -> sendRequest("/again/x"));
-        Await.until("the request", () -> platform.endpoint("plain-a").hanging() == 1);
+        Await.until("the request", () -> platform.endpoint("plain-a").unansweredCount() == 1);
         evacuate("hall-a");
         checkRequests(() -> {});
-        assertEquals(1, platform.endpoint("plain-a").hanging());
+        assertEquals(1, platform.endpoint("plain-a").unansweredCount());
         assertEquals(0, receivedIn("b"));
         checkRequests(() -> clockMillis.addAndGet(60_000));
         response.get(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
@@ -125,7 +125,7 @@
     void shouldServeAsBeforeWhenUnknownHallIsEvacuated() throws IOException {
         start();
         platform.evacuate("hall-z");
-        platform.manifest(3, "key-a", TIMEOUT.toMillis());
+        platform.publishManifest(3, "key-a", TIMEOUT.toMillis());
         Await.until("the manifest", () -> views.view().manifest().orElseThrow().version() == 3);
         assertEquals(200, sendRequest("/once/x").status());
         assertEquals(1, receivedIn("a"));
@@ -137,14 +137,14 @@
     void shouldStayEvacuatedWhenStoreIsAway() throws IOException {
         start();
         evacuate("hall-a");
-        platform.store().refuse(Optional.of(503));
+        platform.store().setRefusalStatus(Optional.of(503));
         for (int request = 0; request < 10; request++) {
             assertEquals(200, sendRequest("/again/x").status());
         }
         assertEquals(0, receivedIn("a"));
-        platform.store().forgetHistory("keyed.op");
-        platform.store().refuse(Optional.empty());
-        platform.takeBack("hall-a");
+        platform.store().dropHistory("keyed.op");
+        platform.store().setRefusalStatus(Optional.empty());
+        platform.cancelEvacuation("hall-a");
         Await.until("the return", () -> views.view().evacuatedHalls().isEmpty());
     }
 
@@ -152,9 +152,9 @@
     void shouldStayEvacuatedWhenEntryStartsAgain() throws Exception {
         addEndpoints();
         platform.evacuate("hall-a");
-        platform.store().forgetHistory("keyed.op");
+        platform.store().dropHistory("keyed.op");
         for (int starts = 0; starts < 2; starts++) {
-            HostedSettings entry = platform.entry();
+            HostedSettings entry = platform.entrySettings();
             try (HostedEntryProcess process = HostedEntryProcess.start(entry)) {
                 Await.until("the endpoints", () -> process.takesRequests() && process.endpoints() == 4);
                 String clients = entry.listen().clients().orElseThrow();
--- a/src/test/java/org/micabarrow/serving/HostedEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/HostedEntryTest.java
@@ -32,7 +32,7 @@
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.platform.standin.HostedStoreStandin;
 import org.micabarrow.platform.standin.HostedSystem;
-import org.micabarrow.platform.standin.Received;
+import org.micabarrow.platform.standin.ReceivedRequest;
 import org.micabarrow.process.HostedEntryProcess;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.state.Fault.Step;
@@ -63,7 +63,7 @@
     void start() throws IOException {
         platform = HostedSystem.start();
         caller = HttpClient.start("test", 1);
-        settings = platform.entry();
+        settings = platform.entrySettings();
     }
 
     @AfterEach
@@ -79,24 +79,24 @@
         "ANSWER,        /once/x,  200, 1",
         "REFUSE,        /once/x,  200, 2",
         "MISDIRECT,     /once/x,  200, 2",
-        "SILENT_REFUSE, /once/x,  502, 1",
+        "UNAVAILABLE,   /once/x,  502, 1",
         "FAIL,          /once/x,  500, 1",
         "RESET,         /once/x,  502, 1",
-        "CUT,           /once/x,  502, 1",
-        "OTHER_ANSWER,  /once/x,  502, 1",
+        "TRUNCATE,      /once/x,  502, 1",
+        "WRONG_ATTEMPT, /once/x,  502, 1",
         "UNSIGNED,      /once/x,  502, 1",
         "FAIL,          /again/x, 200, 2",
         "RESET,         /again/x, 200, 2",
-        "CUT,           /again/x, 200, 2",
-        "OTHER_ANSWER,  /again/x, 200, 2",
+        "TRUNCATE,      /again/x, 200, 2",
+        "WRONG_ATTEMPT, /again/x, 200, 2",
         "UNSIGNED,      /again/x, 200, 2"
     })
     void shouldRetryOnlyRequestsThatMayRunAgain(Behaviour first, String path, int status, int attempts)
             throws Exception {
-        platform.add("plain-1", "plain", 0);
-        platform.add("plain-2", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
+        platform.addEndpoint("plain-2", "plain", 0);
         startEntry(2);
-        platform.next(first);
+        platform.enqueueBehaviour(first);
         HttpResponse response = sendRequest(path, Map.of());
         assertEquals(status, response.status(), () -> "received: " + received());
         assertEquals(attempts, received().size());
@@ -104,10 +104,10 @@
 
     @Test
     void shouldAvoidEndpointWhenAnotherIsAtItsAddress() throws Exception {
-        platform.add("plain-1", "plain", 0);
-        platform.add("plain-2", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
+        platform.addEndpoint("plain-2", "plain", 0);
         startEntry(2);
-        platform.next(Behaviour.MISDIRECT);
+        platform.enqueueBehaviour(Behaviour.MISDIRECT);
         HttpResponse first = sendRequest("/once/x", Map.of());
         HttpResponse second = sendRequest("/once/x", Map.of());
         assertEquals(200, first.status());
@@ -120,31 +120,31 @@
 
     @Test
     void shouldNotRetryNonIdempotentRequestWhenItsConnectionBreaks() throws Exception {
-        platform.add("plain-1", "plain", 0);
-        platform.add("plain-2", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
+        platform.addEndpoint("plain-2", "plain", 0);
         startEntry(2);
-        platform.next(Behaviour.RESET);
+        platform.enqueueBehaviour(Behaviour.RESET);
         assertEquals(502, sendRequest("/once/x", Map.of()).status());
         assertEquals(1, received().size());
     }
 
     @Test
     void shouldNotReportNotRunWhenRequestRanAndFailed() throws Exception {
-        platform.add("plain-1", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
         startEntry(1);
-        platform.next(Behaviour.FAIL);
+        platform.enqueueBehaviour(Behaviour.FAIL);
         assertEquals(500, sendRequest("/again/x", Map.of()).status(), "no other endpoint: the response is forwarded");
-        platform.next(Behaviour.RESET);
+        platform.enqueueBehaviour(Behaviour.RESET);
         assertEquals(502, sendRequest("/again/x", Map.of()).status(), "no other endpoint, and it may have run");
     }
 
     @Test
     void shouldForwardRequestUnchanged() throws Exception {
-        platform.add("plain-1", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
         startEntry(1);
         sendRequest(
                 "/once/a%20b//c?q=%2F&q=2", Map.of("X-Other", "kept", "Tenant", "forged", "Expect-Instance", "forged"));
-        Received received = received().getFirst();
+        ReceivedRequest received = received().getFirst();
         assertEquals("/once/a%20b//c?q=%2F&q=2", received.target());
         assertEquals("a body", received.body());
         assertEquals("kept", received.headers().get("X-Other"));
@@ -155,10 +155,10 @@
 
     @Test
     void shouldResumeAfterLastCompleteEventWhenStreamBreaks() throws Exception {
-        platform.add("model-1", "models", 1);
-        platform.add("model-2", "models", 1);
+        platform.addEndpoint("model-1", "models", 1);
+        platform.addEndpoint("model-2", "models", 1);
         startEntry(2);
-        platform.next(Behaviour.CUT);
+        platform.enqueueBehaviour(Behaviour.TRUNCATE);
         HttpResponse response = sendRequest("/stream/x", Map.of("Model", "model-a", "Token-Count", "100,20"));
         String body = new String(response.body(), StandardCharsets.UTF_8);
         assertEquals(
@@ -168,11 +168,11 @@
 
     @Test
     void shouldBreakResponseOffWhenStreamBreaksTooOften() throws Exception {
-        platform.add("model-1", "models", 1);
-        platform.add("model-2", "models", 1);
+        platform.addEndpoint("model-1", "models", 1);
+        platform.addEndpoint("model-2", "models", 1);
         startEntry(2);
-        platform.next(Behaviour.CUT);
-        platform.next(Behaviour.CUT);
+        platform.enqueueBehaviour(Behaviour.TRUNCATE);
+        platform.enqueueBehaviour(Behaviour.TRUNCATE);
         assertEquals(
                 0,
                 sendRequest("/stream/x", Map.of("Model", "model-a", "Token-Count", "100,20"))
@@ -181,9 +181,9 @@
 
     @Test
     void shouldSwitchEndpointWhenInstanceBecomesUnresponsive() throws Exception {
-        platform.manifest(2, "key-a", TIMEOUT.toMillis());
-        platform.add("model-1", "models", 1);
-        platform.next(Behaviour.HANG);
+        platform.publishManifest(2, "key-a", TIMEOUT.toMillis());
+        platform.addEndpoint("model-1", "models", 1);
+        platform.enqueueBehaviour(Behaviour.NEVER_ANSWER);
         InetAddress instance = Addresses.parse(platform.address("model-1")).getAddress();
         try (DatagramSocket agent = new DatagramSocket(settings.peerPort(), instance)) {
             startEntry(1);
@@ -191,12 +191,12 @@
             Map<String, String> headers = Map.of("Model", "model-a", "Token-Count", "100,20", "Deadline-Ms", "9000");
             CompletableFuture<HttpResponse> response =
                     CompletableFuture.supplyAsync(() -> sendRequest("/stream/x", headers));
-            waitUntil(() -> platform.endpoint("model-1").hanging() == 1);
-            platform.add("model-2", "models", 1);
+            waitUntil(() -> platform.endpoint("model-1").unansweredCount() == 1);
+            platform.addEndpoint("model-2", "models", 1);
             // The agent replies to no further queries, and the endpoint sends nothing.
             assertEquals(
                     200, response.get(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS).status());
-            waitUntil(() -> platform.endpoint("model-1").hanging() == 0);
+            waitUntil(() -> platform.endpoint("model-1").unansweredCount() == 0);
         }
     }
 
@@ -221,7 +221,7 @@
     })
     void shouldRefuseRequestsThatManifestDoesNotAllow(String host, String path, String key, int status)
             throws Exception {
-        platform.add("plain-1", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
         startEntry(1);
         Map<String, String> headers = new HashMap<>(Map.of("Host", host, "Key", key));
         assertEquals(status, sendRequest(path, headers).status());
@@ -230,7 +230,7 @@
 
     @Test
     void shouldRefuseBodyAboveManifestLimit() throws Exception {
-        platform.add("plain-1", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
         startEntry(1);
         assertEquals(413, sendRequest("/once/x", Map.of(), "x".repeat(1_001)).status());
         assertEquals(0, received().size());
@@ -238,16 +238,16 @@
 
     @Test
     void shouldCancelAtEndpointWhenClientDisconnects() throws Exception {
-        platform.add("plain-1", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
         HostedEntryProcess entry = startWithLongTimeouts();
-        platform.next(Behaviour.HANG);
+        platform.enqueueBehaviour(Behaviour.NEVER_ANSWER);
         HttpClient disconnectingClient = HttpClient.start("disconnecting", 1);
         HttpCall call = call("/again/x", Map.of("Key", LONG_TIMEOUT_KEY, "Deadline-Ms", LONG_TIMEOUT_MILLIS), "a body");
         assertTrue(
                 disconnectingClient.call(call, Duration.ofMillis(300)).cause().isPresent());
         disconnectingClient.close();
         waitUntil(() -> entry.open() == 0);
-        waitUntil(() -> platform.endpoint("plain-1").hanging() == 0);
+        waitUntil(() -> platform.endpoint("plain-1").unansweredCount() == 0);
     }
 
     /** Combines each way to send a body with each way to disconnect. */
@@ -267,9 +267,9 @@
         "CHUNKED, RESET"
     })
     void shouldCancelAtEndpointWhenClientDisconnectsAfterAnyBody(Body body, Disconnect disconnect) throws Exception {
-        platform.add("plain-1", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
         HostedEntryProcess entry = startWithLongTimeouts();
-        platform.next(Behaviour.HANG);
+        platform.enqueueBehaviour(Behaviour.NEVER_ANSWER);
         InetSocketAddress clients = Addresses.parse(settings.listen().clients().orElseThrow());
         try (Socket client = new Socket(clients.getAddress(), clients.getPort())) {
             String head = "POST /again/x HTTP/1.1\r\nHost: h.example\r\nKey: " + LONG_TIMEOUT_KEY
@@ -277,10 +277,10 @@
             client.getOutputStream().write((head + body.first).getBytes(StandardCharsets.US_ASCII));
             waitUntil(() -> entry.open() == 1);
             client.getOutputStream().write(body.remainder.getBytes(StandardCharsets.US_ASCII));
-            waitUntil(() -> platform.endpoint("plain-1").hanging() == 1);
+            waitUntil(() -> platform.endpoint("plain-1").unansweredCount() == 1);
             disconnect.apply(client);
             waitUntil(() -> entry.open() == 0);
-            waitUntil(() -> platform.endpoint("plain-1").hanging() == 0);
+            waitUntil(() -> platform.endpoint("plain-1").unansweredCount() == 0);
         }
     }
 
@@ -325,7 +325,7 @@
 
     @Test
     void shouldCloseIdleConnectionsWhenStopping() throws Exception {
-        platform.add("plain-1", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
         HostedEntryProcess entry = startEntry(1);
         InetSocketAddress clients = Addresses.parse(settings.listen().clients().orElseThrow());
         try (Socket idle = new Socket(clients.getAddress(), clients.getPort())) {
@@ -352,27 +352,27 @@
 
     @Test
     void shouldRefuseKeyWhenManifestRemovesIt() throws Exception {
-        platform.add("plain-1", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
         startEntry(1);
         assertEquals(200, sendRequest("/once/x", Map.of()).status());
-        platform.manifest(2, "key-b", 2_000);
+        platform.publishManifest(2, "key-b", 2_000);
         waitUntil(() -> sendRequest("/once/x", Map.of()).status() == 401);
     }
 
     @Test
     void shouldKeepLastManifestWhenNewOneCannotBeRead() throws Exception {
-        platform.add("plain-1", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
         startEntry(1);
         platform.store().append("keyed.op", "config", "{\"version\":3}");
-        platform.add("plain-2", "plain", 0);
+        platform.addEndpoint("plain-2", "plain", 0);
         assertEquals(200, sendRequest("/once/x", Map.of()).status());
     }
 
     @Test
     void shouldSendNothingToDrainingEndpoint() throws Exception {
-        platform.add("plain-1", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
         startEntry(1);
-        platform.enter("plain-1", "plain", 0, "draining");
+        platform.register("plain-1", "plain", 0, "draining");
         waitUntil(() -> sendRequest("/once/x", Map.of()).status() == 503);
         int before = received().size();
         HttpResponse refused = sendRequest("/once/x", Map.of());
@@ -383,8 +383,8 @@
 
     @Test
     void shouldServeFromOtherEndpointsWhenAnotherWriterCorruptsRecords() throws Exception {
-        platform.add("plain-1", "plain", 0);
-        platform.add("plain-2", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
+        platform.addEndpoint("plain-2", "plain", 0);
         HostedEntryProcess entry = startEntry(2);
         HostedStoreStandin store = platform.store();
         store.appendRaw("keyed.servers", new byte[0]);
@@ -396,15 +396,15 @@
             assertEquals(200, sendRequest("/once/x", Map.of()).status());
         }
         assertEquals(List.of(), platform.endpoint("plain-1").received());
-        platform.enter("plain-1", "plain", 0, "ready");
+        platform.register("plain-1", "plain", 0, "ready");
         waitUntil(() -> entry.endpoints() == 2);
     }
 
     @Test
     void shouldKeepServingWhenStoreRefuses() throws Exception {
-        platform.add("plain-1", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
         startEntry(1);
-        platform.store().refuse(Optional.of(503));
+        platform.store().setRefusalStatus(Optional.of(503));
         assertEquals(200, sendRequest("/once/x", Map.of()).status());
     }
 
@@ -418,14 +418,14 @@
 
     /** Starts an entry with one endpoint and with routes whose timeout is far longer than any wait of a test. */
     private HostedEntryProcess startWithLongTimeouts() throws Exception {
-        platform.manifest(2, LONG_TIMEOUT_KEY, Long.parseLong(LONG_TIMEOUT_MILLIS));
+        platform.publishManifest(2, LONG_TIMEOUT_KEY, Long.parseLong(LONG_TIMEOUT_MILLIS));
         HostedEntryProcess entry = startEntry(1);
         waitUntil(() -> sendRequest("/again/x", Map.of("Key", LONG_TIMEOUT_KEY)).status() == 200);
         waitUntil(() -> entry.open() == 0);
         return entry;
     }
 
-    private List<Received> received() {
+    private List<ReceivedRequest> received() {
         return Stream.of("plain-1", "plain-2")
                 .map(platform::endpoint)
                 .filter(Objects::nonNull)
--- a/src/test/java/org/micabarrow/serving/InvalidHeaderValuesTest.java
+++ b/src/test/java/org/micabarrow/serving/InvalidHeaderValuesTest.java
@@ -34,8 +34,8 @@
     void start() throws IOException {
         platform = HostedSystem.start();
         caller = HttpClient.start("test", 1);
-        settings = platform.entry();
-        platform.add("model-1", "models", 1);
+        settings = platform.entrySettings();
+        platform.addEndpoint("model-1", "models", 1);
         HostedEntryProcess entry = HostedEntryProcess.start(settings);
         Await.until("the entry knows its endpoint", () -> entry.takesRequests() && entry.endpoints() == 1);
     }
--- a/src/test/java/org/micabarrow/serving/OlderVersionTest.java
+++ b/src/test/java/org/micabarrow/serving/OlderVersionTest.java
@@ -32,7 +32,7 @@
 
     @BeforeEach
     void start() {
-        platform.add("model-1", "models", 1);
+        platform.addEndpoint("model-1", "models", 1);
         reportIdle("model-1", 1);
     }
 
@@ -95,23 +95,23 @@
 
     @Test
     void shouldSwitchEndpointWhenRequestHasNotBegunInTime() throws Exception {
-        platform.manifest(2, "key-a", TIMEOUT.toMillis());
+        platform.publishManifest(2, "key-a", TIMEOUT.toMillis());
         serve(0, 400);
         views.addPeerTarget(MODEL, 2);
-        platform.next(Behaviour.HANG);
+        platform.enqueueBehaviour(Behaviour.NEVER_ANSWER);
         CompletableFuture<HttpResponse> response = CompletableFuture.supplyAsync(this::sendRequest);
-        Await.until("the request", () -> platform.endpoint("model-1").hanging() == 1);
-        platform.add("model-2", "models", 2);
+        Await.until("the request", () -> platform.endpoint("model-1").unansweredCount() == 1);
+        platform.addEndpoint("model-2", "models", 2);
         assertEquals(200, response.join().status());
         Await.until(
                 "the cancellation of the first attempt",
-                () -> platform.endpoint("model-1").hanging() == 0);
+                () -> platform.endpoint("model-1").unansweredCount() == 0);
     }
 
     @Test
     void shouldReportNotRunWhenDeadlinePassesAndEveryAttemptWasRefused() throws Exception {
-        platform.manifest(2, "key-a", TIMEOUT_MILLIS);
-        platform.add("model-2", "models", 2);
+        platform.publishManifest(2, "key-a", TIMEOUT_MILLIS);
+        platform.addEndpoint("model-2", "models", 2);
         serve(0, NEVER_MILLIS);
         Await.until("both", () -> views.view().endpoints().size() == 2);
         reportIdle("model-2", 2);
@@ -121,7 +121,7 @@
         for (int i = 0; i < FEW_REQUESTS; i++) {
             selector.load("model-1").requestSent(0);
         }
-        platform.next(Behaviour.REFUSE);
+        platform.enqueueBehaviour(Behaviour.REFUSE);
         assertEquals(503, sendRequest().status());
         assertEquals(1, platform.endpoint("model-2").received().size());
         assertEquals(1, queries.get());
--- a/src/test/java/org/micabarrow/serving/OverdueResponseTest.java
+++ b/src/test/java/org/micabarrow/serving/OverdueResponseTest.java
@@ -45,10 +45,10 @@
 
     @BeforeEach
     void start() throws IOException {
-        platform.manifest(2, "key-a", TIMEOUT.toMillis());
+        platform.publishManifest(2, "key-a", TIMEOUT.toMillis());
         unresponsive = PausedEndpoint.start();
-        platform.place("model-1", unresponsive.address());
-        platform.enter("model-1", "models", 1, "ready");
+        platform.setAddress("model-1", unresponsive.address());
+        platform.register("model-1", "models", 1, "ready");
         reportIdle("model-1", 1);
         serve(
                 new EndpointHeaders(),
@@ -66,7 +66,7 @@
     private CompletableFuture<HttpResponse> sendToUnresponsive(String path) {
         CompletableFuture<HttpResponse> response = CompletableFuture.supplyAsync(() -> sendRequest(path));
         Await.until("the request", () -> unresponsive.pendingRequests() == 1);
-        platform.add("model-2", "models", 1);
+        platform.addEndpoint("model-2", "models", 1);
         Await.until("the other endpoint", () -> views.view().endpoints().containsKey("model-2"));
         return response;
     }
@@ -106,8 +106,8 @@
     @Test
     void shouldResumeElsewhereWhenStreamStalls() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            platform.place("model-1", "127.0.0.1:" + server.getLocalPort());
-            platform.enter("model-1", "models", 1, "ready");
+            platform.setAddress("model-1", "127.0.0.1:" + server.getLocalPort());
+            platform.register("model-1", "models", 1, "ready");
             Await.until(
                     "its new address",
                     () -> views.view().endpoints().get("model-1").address().endsWith(":" + server.getLocalPort()));
@@ -119,7 +119,7 @@
             try (Socket stalled = server.accept()) {
                 stalled.getOutputStream().write(FIRST_EVENT.getBytes(StandardCharsets.US_ASCII));
                 Await.until("the first event", () -> selector.load("model-1").ownPendingPromptTokens() == 0);
-                platform.add("model-2", "models", 1);
+                platform.addEndpoint("model-2", "models", 1);
                 Await.until("the other endpoint", () -> views.view().endpoints().containsKey("model-2"));
                 advance(LATE_MILLIS, 0);
                 assertFalse(response.isDone());
--- a/src/test/java/org/micabarrow/serving/PausedEndpointTest.java
+++ b/src/test/java/org/micabarrow/serving/PausedEndpointTest.java
@@ -55,10 +55,10 @@
 
     @BeforeEach
     void start() throws IOException {
-        platform.manifest(2, "key-a", TIMEOUT.toMillis());
+        platform.publishManifest(2, "key-a", TIMEOUT.toMillis());
         paused = PausedEndpoint.start();
-        platform.place("model-1", paused.address());
-        platform.enter("model-1", "models", 1, "ready");
+        platform.setAddress("model-1", paused.address());
+        platform.register("model-1", "models", 1, "ready");
         reportIdle("model-1", 1);
     }
 
@@ -126,7 +126,7 @@
     void shouldCancelWaitingRequestWhenEndpointDrains() throws Exception {
         serve(NEVER_MILLIS);
         CompletableFuture<HttpResponse> response = sendToPaused();
-        platform.enter("model-1", "models", 1, "draining");
+        platform.register("model-1", "models", 1, "draining");
         Await.until(
                 "its draining state",
                 () -> views.view().endpoints().get("model-1").draining());
@@ -151,8 +151,8 @@
     void shouldCancelWaitingRequestWhenEndpointRestarts() throws Exception {
         serve(NEVER_MILLIS);
         CompletableFuture<HttpResponse> response = sendToPaused();
-        platform.startedAt("model-1", 1_764_718_674_123L);
-        platform.enter("model-1", "models", 1, "ready");
+        platform.setStartedMillis("model-1", 1_764_718_674_123L);
+        platform.register("model-1", "models", 1, "ready");
         Await.until(
                 "its new start time",
                 () -> views.view().endpoints().get("model-1").startedMillis().isPresent());
--- a/src/test/java/org/micabarrow/serving/PausedInstanceTest.java
+++ b/src/test/java/org/micabarrow/serving/PausedInstanceTest.java
@@ -34,10 +34,10 @@
 
     @BeforeEach
     void start() {
-        platform.manifest(2, "key-a", LONG_TIMEOUT_MILLIS);
-        platform.add("model-1", "models", 1);
+        platform.publishManifest(2, "key-a", LONG_TIMEOUT_MILLIS);
+        platform.addEndpoint("model-1", "models", 1);
         reportIdle("model-1", 1);
-        platform.next(Behaviour.HANG);
+        platform.enqueueBehaviour(Behaviour.NEVER_ANSWER);
     }
 
     private void serve() throws IOException {
@@ -52,7 +52,7 @@
                         TIMEOUT)
                 .toOptional()
                 .orElseThrow());
-        Await.until("the open request", () -> platform.endpoint("model-1").hanging() == 1);
+        Await.until("the open request", () -> platform.endpoint("model-1").unansweredCount() == 1);
         return response;
     }
 
@@ -71,7 +71,7 @@
         assertEquals(504, response.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS).status());
         Await.until(
                 "the cancellation at the endpoint",
-                () -> platform.endpoint("model-1").hanging() == 0);
+                () -> platform.endpoint("model-1").unansweredCount() == 0);
     }
 
     @Test
@@ -82,7 +82,7 @@
         resumeAfter(CANCEL_MILLIS + 1);
         Await.until(
                 "the cancellation at the endpoint",
-                () -> platform.endpoint("model-1").hanging() == 0);
+                () -> platform.endpoint("model-1").unansweredCount() == 0);
         assertEquals(502, response.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS).status());
     }
 }
--- a/src/test/java/org/micabarrow/serving/PoisonRequestTest.java
+++ b/src/test/java/org/micabarrow/serving/PoisonRequestTest.java
@@ -57,9 +57,9 @@
     void start() {
         platform = HostedSystem.start();
         client = HttpClient.start("client", 1);
-        IntStream.range(0, ENDPOINTS).forEach(number -> platform.add("plain-" + number, "plain", 0));
-        IntStream.range(0, ENDPOINTS).forEach(number -> platform.add("model-" + number, "models", 1));
-        platform.crashOn(CRASHING);
+        IntStream.range(0, ENDPOINTS).forEach(number -> platform.addEndpoint("plain-" + number, "plain", 0));
+        IntStream.range(0, ENDPOINTS).forEach(number -> platform.addEndpoint("model-" + number, "models", 1));
+        platform.crashOnBody(CRASHING);
     }
 
     @AfterEach
@@ -69,7 +69,7 @@
     }
 
     private HostedSettings entry() throws IOException {
-        HostedSettings settings = platform.entry();
+        HostedSettings settings = platform.entrySettings();
         HostedEntryProcess entry = HostedEntryProcess.start(settings);
         Await.until("the endpoints", () -> entry.takesRequests() && entry.endpoints() == 2 * ENDPOINTS);
         return settings;
@@ -96,8 +96,8 @@
     void shouldRefuseAtEveryEntryWhenRequestHasCrashedThreeEndpoints(String path) throws Exception {
         List<HostedSettings> entries = List.of(entry(), entry());
         sendInTurn(entries, path);
-        assertTrue(platform.crashes() <= MAX_CRASHES, () -> "crashed endpoints: " + platform.crashes());
-        int before = platform.crashes();
+        assertTrue(platform.crashCount() <= MAX_CRASHES, () -> "crashed endpoints: " + platform.crashCount());
+        int before = platform.crashCount();
         for (HostedSettings entry : entries) {
             assertEquals(503, sendRequest(entry, path, CRASHING).status(), "a response that it was not run");
             // The entry may still have to read the updates about crashed endpoints and their replacements.
@@ -105,7 +105,7 @@
                     "a response to another body",
                     () -> sendRequest(entry, path, HARMLESS).status() == 200);
         }
-        assertEquals(before, platform.crashes());
+        assertEquals(before, platform.crashCount());
     }
 
     @ParameterizedTest
@@ -116,7 +116,7 @@
             entries.add(entry());
         }
         while (sendRequest(entries.getFirst(), "/again/x", CRASHING).status() != 503) {
-            assertTrue(platform.crashes() <= MAX_CRASHES, () -> "crashed endpoints: " + platform.crashes());
+            assertTrue(platform.crashCount() <= MAX_CRASHES, () -> "crashed endpoints: " + platform.crashCount());
         }
         Await.until("the update at every entry", () -> entries.stream().allMatch(this::refuses));
     }
@@ -134,11 +134,11 @@
     @Test
     void shouldRefuseAtNewEntryWhenRequestCrashedThreeEndpointsBefore() throws Exception {
         sendInTurn(List.of(entry()), "/again/x");
-        Await.until("the crashes in the store", () -> platform.crashesTold() == platform.crashes());
-        int before = platform.crashes();
+        Await.until("the crashes in the store", () -> platform.publishedCrashCount() == platform.crashCount());
+        int before = platform.crashCount();
         HostedSettings newEntry = entry();
         assertEquals(
                 503, sendRequest(newEntry, "/again/x", CRASHING).status(), "it has never received the request before");
-        assertEquals(before, platform.crashes());
+        assertEquals(before, platform.crashCount());
     }
 }
--- a/src/test/java/org/micabarrow/serving/PreSendCheckTest.java
+++ b/src/test/java/org/micabarrow/serving/PreSendCheckTest.java
@@ -61,8 +61,8 @@
 
     @BeforeEach
     void start() {
-        platform.manifest(2, "key-a", TIMEOUT.toMillis());
-        platform.add("model-1", "models", 1);
+        platform.publishManifest(2, "key-a", TIMEOUT.toMillis());
+        platform.addEndpoint("model-1", "models", 1);
         reportIdle("model-1", 1);
     }
 
@@ -135,8 +135,8 @@
     @Test
     void shouldDecideAgainWithoutRetryWhenConnectionIsLate() throws IOException {
         serve(NEVER_MILLIS, NEVER_MILLIS);
-        platform.add("plain-1", "plain", 0);
-        platform.add("plain-2", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
+        platform.addEndpoint("plain-2", "plain", 0);
         Await.until("the endpoints", () -> views.view().endpoints().size() == 3);
         afterDecision.set(() -> {
             clockMillis.addAndGet(PAUSE_MILLIS);
@@ -154,7 +154,7 @@
     @Test
     void shouldSendAnywayWhenEveryConnectionIsLate() throws IOException {
         serve(NEVER_MILLIS, NEVER_MILLIS);
-        platform.add("plain-1", "plain", 0);
+        platform.addEndpoint("plain-1", "plain", 0);
         Await.until("the endpoints", () -> views.view().endpoints().size() == 2);
         everyDecision.set(() -> clockMillis.addAndGet(SLOW_MILLIS));
         assertEquals(200, sendRequest("/again/x").status());
@@ -192,7 +192,7 @@
         views.addPeerTarget(MODEL, 2);
         afterDecision.set(() -> {
             clockMillis.addAndGet(SHORT_MILLIS);
-            platform.add("model-2", "models", 2);
+            platform.addEndpoint("model-2", "models", 2);
             Await.until("the other endpoint", () -> views.view().endpoints().containsKey("model-2"));
         });
         assertEquals(200, sendRequest("/stream/x").status());
@@ -204,7 +204,7 @@
     void shouldSendNothingWhenEndpointBeganToDrainMeanwhile() throws IOException {
         serve(NEVER_MILLIS, NEVER_MILLIS);
         afterDecision.set(() -> {
-            platform.enter("model-1", "models", 1, "draining");
+            platform.register("model-1", "models", 1, "draining");
             Await.until(
                     "its draining state",
                     () -> views.view().endpoints().get("model-1").draining());
--- a/src/test/java/org/micabarrow/serving/RawResponsesTest.java
+++ b/src/test/java/org/micabarrow/serving/RawResponsesTest.java
@@ -36,9 +36,9 @@
         platform = HostedSystem.start();
         caller = HttpClient.start("test", 1);
         endpoint = new ServerSocket(0);
-        settings = platform.entry();
-        platform.place("raw-1", "127.0.0.1:" + endpoint.getLocalPort());
-        platform.enter("raw-1", "plain", 0, "ready");
+        settings = platform.entrySettings();
+        platform.setAddress("raw-1", "127.0.0.1:" + endpoint.getLocalPort());
+        platform.register("raw-1", "plain", 0, "ready");
     }
 
     @AfterEach
--- a/src/test/java/org/micabarrow/serving/RestartedEndpointTest.java
+++ b/src/test/java/org/micabarrow/serving/RestartedEndpointTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.micabarrow.Await;
 import org.micabarrow.platform.standin.HostedEndpointStandin;
-import org.micabarrow.platform.standin.HostedEndpointStandin.Ending;
+import org.micabarrow.platform.standin.HostedEndpointStandin.Shutdown;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.process.HostedAgentProcess;
 import org.micabarrow.process.HostedEntryProcess;
@@ -35,13 +35,13 @@
     @BeforeEach
     void start() throws IOException {
         platform = HostedSystem.start();
-        platform.add(ID, "models", 1);
-        platform.startedAt(ID, FIRST_START);
-        platform.enter(ID, "models", 1, "ready");
+        platform.addEndpoint(ID, "models", 1);
+        platform.setStartedMillis(ID, FIRST_START);
+        platform.register(ID, "models", 1, "ready");
         endpoint = platform.endpoint(ID);
         caller = HttpClient.start("test", 1);
-        HostedSettings agent = platform.agent(ID);
-        settings = platform.entryAsking(agent);
+        HostedSettings agent = platform.agentSettings(ID);
+        settings = platform.entrySettingsPolling(agent);
         HostedAgentProcess.start(agent);
         HostedEntryProcess.start(settings);
         Await.until("a response of version 1", () -> sendRequest() == 200);
@@ -66,33 +66,34 @@
      * refused.
      */
     private boolean refusesWithoutSending() {
-        int before = endpoint.misdirected();
-        return sendRequest() == 503 && endpoint.misdirected() == before;
+        int before = endpoint.misdirectedCount();
+        return sendRequest() == 503 && endpoint.misdirectedCount() == before;
     }
 
     private void nameVersion(long version) {
         platform.store().append("keyed.op", "version/model-a", "{\"model\":\"model-a\",\"version\":" + version + "}");
     }
 
-    private void restart(Ending ending) {
-        platform.startAgain(ID, SECOND_START, ending);
-        platform.enter(ID, "models", 0, "ready");
+    private void restart(Shutdown ending) {
+        platform.restart(ID, SECOND_START, ending);
+        platform.register(ID, "models", 0, "ready");
     }
 
     @Test
     void shouldSendNothingToRestartedEndpointWithoutWeights() {
-        restart(Ending.CRASH);
+        restart(Shutdown.CRASH);
         Await.until("no endpoint to send to", this::refusesWithoutSending);
-        int before = endpoint.misdirected();
+        int before = endpoint.misdirectedCount();
         for (int request = 0; request < 5; request++) {
             assertEquals(503, sendRequest());
         }
-        assertEquals(before, endpoint.misdirected(), "requests that were sent although the endpoint holds no weights");
+        assertEquals(
+                before, endpoint.misdirectedCount(), "requests that were sent although the endpoint holds no weights");
     }
 
     @ParameterizedTest
-    @EnumSource(Ending.class)
-    void shouldRestoreNamedVersionAtRestartedEndpoint(Ending ending) {
+    @EnumSource(Shutdown.class)
+    void shouldRestoreNamedVersionAtRestartedEndpoint(Shutdown ending) {
         nameVersion(2);
         Await.until("version 2", () -> endpoint.version() == 2);
         Await.until("a response of version 2", () -> sendRequest() == 200);
--- a/src/test/java/org/micabarrow/serving/ServingFixture.java
+++ b/src/test/java/org/micabarrow/serving/ServingFixture.java
@@ -62,7 +62,7 @@
         views.onColdRegistration(registration ->
                 cold.stated(registration.start(), registration.coldLeftMillis(), "registration", clockMillis.get()));
         platform = HostedSystem.start();
-        settings = platform.entry();
+        settings = platform.entrySettings();
         worker = HttpClient.worker("serving", 1);
         client = HttpClient.start("client", 1);
     }
@@ -105,8 +105,8 @@
 
     /** Adds a manifest and one plain endpoint. */
     final void addPlainEndpoint() {
-        platform.manifest(2, "key-a", TIMEOUT.toMillis());
-        platform.add("plain-1", "plain", 0);
+        platform.publishManifest(2, "key-a", TIMEOUT.toMillis());
+        platform.addEndpoint("plain-1", "plain", 0);
     }
 
     /** Starts the handler without weight versions ever being required. */
--- a/src/test/java/org/micabarrow/serving/SlowEndpointTest.java
+++ b/src/test/java/org/micabarrow/serving/SlowEndpointTest.java
@@ -32,10 +32,10 @@
 
     @BeforeEach
     void start() throws IOException {
-        platform.manifest(2, "key-a", TIMEOUT.toMillis());
+        platform.publishManifest(2, "key-a", TIMEOUT.toMillis());
         slow = PausedEndpoint.start();
-        platform.place("model-1", slow.address());
-        platform.enter("model-1", "models", 1, "ready");
+        platform.setAddress("model-1", slow.address());
+        platform.register("model-1", "models", 1, "ready");
         reportIdle("model-1", 1);
     }
 
@@ -55,7 +55,7 @@
     private CompletableFuture<HttpResponse> sendToSlow(String path) {
         CompletableFuture<HttpResponse> response = CompletableFuture.supplyAsync(() -> sendRequest(path));
         Await.until("the request", () -> slow.pendingRequests() == 1);
-        platform.add("model-2", "models", 1);
+        platform.addEndpoint("model-2", "models", 1);
         Await.until("the other endpoint", () -> views.view().endpoints().containsKey("model-2"));
         return response;
     }
--- a/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
@@ -62,9 +62,9 @@
     @BeforeEach
     void start() {
         platform = HostedSystem.start();
-        platform.manifest(2, "key-a", TIMEOUT.toMillis());
-        platform.add("plain-1", "plain", 0);
-        settings = platform.entry();
+        platform.publishManifest(2, "key-a", TIMEOUT.toMillis());
+        platform.addEndpoint("plain-1", "plain", 0);
+        settings = platform.entrySettings();
         client = HttpClient.start("client", 1);
     }
 
@@ -173,11 +173,11 @@
                         usual.evacuateMillis()),
                 settings.log());
         HostedEntryProcess entry = startEntry();
-        platform.next(Behaviour.HANG);
+        platform.enqueueBehaviour(Behaviour.NEVER_ANSWER);
         String clients = settings.listen().clients().orElseThrow();
         HttpCall open = HostedSystem.request(clients, "/again/x", "attempt-1").withHeader("Deadline-Ms", "9000");
         Runnable cancel = client.send(open, new IgnoringListener());
-        Await.until("the open request", () -> platform.endpoint("plain-1").hanging() == 1);
+        Await.until("the open request", () -> platform.endpoint("plain-1").unansweredCount() == 1);
         CompletableFuture<Void> stopped = closeAsync(entry);
         HttpCall other = HostedSystem.request(clients, "/once/x", "attempt-2");
         Await.until(
@@ -194,18 +194,18 @@
     @Test
     void shouldReportUnknownOutcomeWhenGracePeriodEnds() throws Exception {
         HostedEntryProcess entry = startEntry();
-        platform.next(Behaviour.HANG);
+        platform.enqueueBehaviour(Behaviour.NEVER_ANSWER);
         String clients = settings.listen().clients().orElseThrow();
         HttpCall open = HostedSystem.request(clients, "/once/x", "attempt-1").withHeader("Deadline-Ms", "9000");
         CompletableFuture<Integer> status = CompletableFuture.supplyAsync(
                 () -> client.call(open, TIMEOUT).toOptional().orElseThrow().status());
-        Await.until("the open request", () -> platform.endpoint("plain-1").hanging() == 1);
+        Await.until("the open request", () -> platform.endpoint("plain-1").unansweredCount() == 1);
         entry.close();
         assertEquals(0, entry.open(), "no request ends with the process without a response");
         assertEquals(504, status.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS));
         Await.until(
                 "the cancellation at the endpoint",
-                () -> platform.endpoint("plain-1").hanging() == 0);
+                () -> platform.endpoint("plain-1").unansweredCount() == 0);
     }
 
     // -- connections
