--- a/src/main/java/org/micabarrow/bench/DirectCalls.java
+++ b/src/main/java/org/micabarrow/bench/DirectCalls.java
@@ -17,7 +17,7 @@
     /**
      * Creates the calls.
      *
-     * @param caller the client that sends the requests
+     * @param client the client that sends the requests
      * @param system the system with the engines {@code engine-0}, {@code engine-1} and so on
      * @param version the weight version that requests name
      * @param engineCount the number of engines
--- a/src/main/java/org/micabarrow/bench/LocalSystem.java
+++ b/src/main/java/org/micabarrow/bench/LocalSystem.java
@@ -202,8 +202,7 @@
         return platform;
     }
 
-    /**
-     * An engine.
+    /** Returns the engine stand-in of an instance.
      *
      * @param id its instance
      * @return the stand-in
@@ -225,14 +224,13 @@
     /**
      * Returns the ids of the instances with an engine.
      *
-     * @return the names
+     * @return the ids
      */
     public List<String> engineIds() {
         return new ArrayList<>(engines.keySet());
     }
 
-    /**
-     * A service.
+    /** Returns the service stand-in of an instance.
      *
      * @param id its instance
      * @return the stand-in
@@ -241,8 +239,7 @@
         return services.get(id);
     }
 
-    /**
-     * An agent.
+    /** Returns the agent of an instance, if it runs in this process.
      *
      * @param id its instance
      * @return the process
@@ -251,8 +248,7 @@
         return processes.agent(id);
     }
 
-    /**
-     * An entry.
+    /** Returns the entry of an instance, if it runs in this process.
      *
      * @param id its instance
      * @return the process
--- a/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
@@ -110,8 +110,7 @@
         this.weights = new HostedWeightsStandin(model, version, unanswered::count);
     }
 
-    /**
-     * The requests received.
+    /** Returns the requests received so far.
      *
      * @return the requests in order of arrival
      */
@@ -133,10 +132,10 @@
     /**
      * States a rate limit in all further answers to requests.
      *
-     * @param perSecond the limit, in requests per second
+     * @param requestsPerSecond the limit, in requests per second
      */
-    public void rateLimit(double perSecond) {
-        rateLimit = OptionalDouble.of(perSecond);
+    public void setRateLimit(double requestsPerSecond) {
+        rateLimit = OptionalDouble.of(requestsPerSecond);
     }
 
     /** Stops stating a rate limit. */
--- a/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
@@ -151,10 +151,10 @@
     /**
      * Sets whether calls, including pending long-poll reads, are left without an answer.
      *
-     * @param on whether to leave calls unanswered
+     * @param enabled whether to leave calls unanswered
      */
-    public synchronized void setUnresponsive(boolean on) {
-        unresponsive = on;
+    public synchronized void setUnresponsive(boolean enabled) {
+        unresponsive = enabled;
     }
 
     /**
@@ -175,7 +175,7 @@
         }
         String topic = StandinCalls.parameter(exchange, "topic").orElse("");
         switch (exchange.getRequestPath()) {
-            case "/api/log-newest" -> newest(exchange, topic);
+            case "/api/log-newest" -> listNewest(exchange, topic);
             case "/api/log-read" -> {
                 int from = Integer.parseInt(
                         StandinCalls.parameter(exchange, "from").orElse("0"));
@@ -203,14 +203,14 @@
         List<Entry> entries = topics.computeIfAbsent(topic, name -> new ArrayList<>());
         int offset = entries.size();
         try {
-            entries.addAll(entries(body));
+            entries.addAll(decodeEntries(body));
             StandinCalls.answer(exchange, OK, CanonicalJson.write(Map.of("offset", offset, "end", entries.size())));
         } catch (KeyedRecords.MalformedRecordException | BufferUnderflowException e) {
             StandinCalls.answer(exchange, BAD_REQUEST, new byte[0]);
         }
     }
 
-    private static List<Entry> entries(byte[] body) throws KeyedRecords.MalformedRecordException {
+    private static List<Entry> decodeEntries(byte[] body) throws KeyedRecords.MalformedRecordException {
         List<Entry> entries = new ArrayList<>();
         ByteBuffer bytes = ByteBuffer.wrap(body);
         while (bytes.hasRemaining()) {
@@ -220,7 +220,7 @@
         return entries;
     }
 
-    private void newest(HttpServerExchange exchange, String topic) {
+    private void listNewest(HttpServerExchange exchange, String topic) {
         String after = StandinCalls.parameter(exchange, "after_revision").orElse("");
         List<Entry> entries = topics.getOrDefault(topic, List.of());
         Map<String, Integer> offsets = new LinkedHashMap<>();
--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -44,8 +44,8 @@
     private final Set<String> crashingBodies = ConcurrentHashMap.newKeySet();
 
     private HostedSystem() {
-        this.storeAddress = serve(store);
-        this.originAddress = serve(new HostedOriginStandin());
+        this.storeAddress = startListener(store);
+        this.originAddress = startListener(new HostedOriginStandin());
         closeables.add(listeners);
     }
 
@@ -60,7 +60,7 @@
         return system;
     }
 
-    private String serve(HttpHandler handler) {
+    private String startListener(HttpHandler handler) {
         String address = Ports.freeAddress();
         closeables.add(HttpListener.start(address, HttpListener.Limits.defaults(), 1, Optional.empty(), handler));
         return address;
@@ -68,8 +68,7 @@
 
     // -- platform state
 
-    /**
-     * The store.
+    /** Returns the store stand-in.
      *
      * @return the stand-in
      */
@@ -86,8 +85,7 @@
         behaviours.add(behaviour);
     }
 
-    /**
-     * An endpoint.
+    /** Returns the stand-in of an endpoint.
      *
      * @param id its id
      * @return the stand-in
@@ -105,8 +103,7 @@
         return Map.copyOf(endpoints);
     }
 
-    /**
-     * Where an endpoint is.
+    /** Returns the location of an endpoint.
      *
      * @param id its id
      * @return its host and port
@@ -198,8 +195,7 @@
         addEndpoint(id, service, version);
     }
 
-    /**
-     * Where an endpoint is.
+    /** Returns the location of an endpoint.
      *
      * @param id its id
      * @return its data hall
--- a/src/main/java/org/micabarrow/platform/standin/HostedWeightsStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedWeightsStandin.java
@@ -56,8 +56,8 @@
     synchronized void answer(HttpServerExchange exchange, byte[] body) {
         switch (exchange.getRequestPath()) {
             case REPORT -> StandinCalls.answer(exchange, OK, report());
-            case ORDER -> order(exchange, body);
-            default -> stage(exchange, body);
+            case ORDER -> handleOrder(exchange, body);
+            default -> handleStagedChunk(exchange, body);
         }
     }
 
@@ -90,7 +90,7 @@
         return CanonicalJson.write(report);
     }
 
-    private void order(HttpServerExchange exchange, byte[] body) {
+    private void handleOrder(HttpServerExchange exchange, byte[] body) {
         try {
             JsonNode json = CanonicalJson.mapper().readTree(body);
             version = json.path("version").asLong();
@@ -101,7 +101,7 @@
         }
     }
 
-    private void stage(HttpServerExchange exchange, byte[] body) {
+    private void handleStagedChunk(HttpServerExchange exchange, byte[] body) {
         int index = (int) StandinCalls.longParameter(exchange, "sample_count");
         if (exchange.getRequestPath().startsWith(STAGE_PUT)) {
             stagedChunks.put(index, body);
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -111,17 +111,17 @@
                 this::onReaderState,
                 this::demand,
                 this::applyGrants));
-        CrashRegistry book = new CrashRegistry(bounds.crashMemoryMillis(), bounds.crashesKept(), this::endpoints);
+        CrashRegistry crashes = new CrashRegistry(bounds.crashMemoryMillis(), bounds.crashesKept(), this::endpoints);
         this.crashSharing = new CrashSharing(
                 node.crashRecords(),
-                book,
+                crashes,
                 bounds.crashMemoryMillis(),
                 HostedNode::steadyMillis,
                 System::currentTimeMillis);
         node.metrics().registerGauge("load.queriesSent", loadPoller::sentQueries);
         node.metrics().registerGauge("load.repliesReceived", loadPoller::receivedReplies);
-        node.metrics().registerGauge("crashes.known", book::crashCount);
-        node.metrics().registerGauge("crashes.culprits", () -> book.refused().size());
+        node.metrics().registerGauge("crashes.known", crashes::crashCount);
+        node.metrics().registerGauge("crashes.culprits", () -> crashes.refused().size());
         this.handler = ServingHandler.of(new ServingHandler.Dependencies(
                 node.views()::view,
                 selector,
@@ -134,7 +134,7 @@
                 loadPoller::query,
                 versionTimes(bounds.versionMillis()),
                 new ManifestAge(node.views()::operatorAsOfMillis, bounds.configurationMillis()),
-                new CrashTracking(book, new ListenerProbe(node.worker()), crashSharing::publish)));
+                new CrashTracking(crashes, new ListenerProbe(node.worker()), crashSharing::publish)));
     }
 
     private static ServingHandler.VersionTimes versionTimes(long boundMillis) {
--- a/src/main/java/org/micabarrow/settings/AgentSettings.java
+++ b/src/main/java/org/micabarrow/settings/AgentSettings.java
@@ -3,15 +3,15 @@
 /**
  * The settings of an agent.
  *
- * @param instance where it runs
+ * @param instance the instance it runs on
  * @param listen the addresses on which it listens
- * @param platform where the platform's services are
- * @param endpoint the endpoint beside it
- * @param links what the links carry
- * @param weights how it moves weights
- * @param limits what it bears
- * @param log how it logs
- * @param tls transport security
+ * @param platform the addresses of the platform's services
+ * @param endpoint the endpoint on its instance
+ * @param links the link bandwidths
+ * @param weights the configuration of weight transfers
+ * @param limits the resource limits
+ * @param log the logging configuration
+ * @param tls the TLS configuration
  */
 public record AgentSettings(
         Common.Place instance,
@@ -33,34 +33,34 @@
     public record Listen(String operators, String peers) {}
 
     /**
-     * The endpoint beside an agent.
+     * The endpoint on an agent's instance.
      *
      * @param kind {@code engine} or {@code service}
      * @param url its base address
-     * @param reportMillis how often it is asked for a report
+     * @param reportMillis the polling interval of its report
      */
     public record EndpointAddress(String kind, String url, long reportMillis) {}
 
     /**
-     * How weights are moved.
+     * Configuration of weight transfers.
      *
-     * @param windowBytes how many bytes of chunks each transfer holds for others
-     * @param patienceMillis the longest wait for a chunk before its source counts as stalled
-     * @param lingerMillis how long a finished transfer's chunks are held
-     * @param budgetMillis how long the log may take to grant bytes from the origin
+     * @param windowBytes the maximum bytes of chunks that each transfer buffers for others
+     * @param patienceMillis the time without a chunk after which its source counts as stalled
+     * @param lingerMillis how long the chunks of a completed transfer are kept
+     * @param budgetMillis the timeout for a grant of origin bytes from the log
      */
     public record Weights(long windowBytes, long patienceMillis, long lingerMillis, long budgetMillis) {}
 
     /**
-     * What an agent bears.
+     * Resource limits of an agent.
      *
-     * @param leastConcurrency the learned limit of requests at once never falls below this
-     * @param mostConcurrency it never rises above this
-     * @param ledgerKeys how many keys of requests that may not be repeated are remembered
-     * @param ledgerBytes how many bytes of their answers are kept
+     * @param leastConcurrency the minimum of the adaptive concurrency limit
+     * @param mostConcurrency the maximum of the adaptive concurrency limit
+     * @param ledgerKeys the maximum number of remembered keys of non-idempotent requests
+     * @param ledgerBytes the maximum bytes of their stored answers
      * @param ledgerKeptMillis how long a key is remembered after its latest start
-     * @param cutOffMillis after how long without a word of the log the instance counts as cut off
-     * @param stopMillis how long a planned stop waits for requests in progress
+     * @param cutOffMillis the time without contact to the log after which the instance counts as cut off
+     * @param stopMillis how long a planned shutdown waits for requests in progress
      */
     public record Limits(
             int leastConcurrency,
--- a/src/main/java/org/micabarrow/settings/IntentReader.java
+++ b/src/main/java/org/micabarrow/settings/IntentReader.java
@@ -21,19 +21,19 @@
 public final class IntentReader {
 
     private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
-    private static final String A_NAME = "1 to 63 letters, digits, '.', '_' or '-'";
+    private static final String NAME_DESCRIPTION = "1 to 63 letters, digits, '.', '_' or '-'";
     private static final String DIGEST = "[0-9a-f]{64}";
-    private static final String A_DIGEST = "a SHA-256 of 64 hexadecimal digits";
+    private static final String DIGEST_DESCRIPTION = "a SHA-256 of 64 hexadecimal digits";
 
     private static final List<Rule> RULES = List.of(
-            Rule.pattern("/organisations/*/name", NAME, A_NAME),
-            Rule.pattern("/organisations/*/tokenDigest", DIGEST, A_DIGEST),
+            Rule.pattern("/organisations/*/name", NAME, NAME_DESCRIPTION),
+            Rule.pattern("/organisations/*/tokenDigest", DIGEST, DIGEST_DESCRIPTION),
             Rule.range("/organisations/*/weight", 1, 1000),
-            Rule.pattern("/placements/*/name", NAME, A_NAME),
+            Rule.pattern("/placements/*/name", NAME, NAME_DESCRIPTION),
             Rule.pattern("/placements/*/target/type", "model|service", "model or service"),
-            Rule.pattern("/placements/*/target/name", NAME, A_NAME),
-            Rule.pattern("/placements/*/target/version", DIGEST, A_DIGEST),
-            Rule.pattern("/placements/*/target/adapters/*", DIGEST, A_DIGEST),
+            Rule.pattern("/placements/*/target/name", NAME, NAME_DESCRIPTION),
+            Rule.pattern("/placements/*/target/version", DIGEST, DIGEST_DESCRIPTION),
+            Rule.pattern("/placements/*/target/adapters/*", DIGEST, DIGEST_DESCRIPTION),
             Rule.range("/placements/*/replicas", 0, 100_000),
             Rule.pattern("/placements/*/prefer", "time|originBytes", "time or originBytes"),
             Rule.pattern("/placements/*/whenCutOff", "serve|refuse", "serve or refuse"),
--- a/src/main/java/org/micabarrow/settings/JsonDocument.java
+++ b/src/main/java/org/micabarrow/settings/JsonDocument.java
@@ -132,17 +132,17 @@
      * @return the completed document
      */
     public JsonDocument withDefaults(JsonDocument defaults) {
-        return new JsonDocument(file, step, merged(defaults.root, root), text);
+        return new JsonDocument(file, step, merge(defaults.root, root), text);
     }
 
-    private static JsonNode merged(JsonNode below, JsonNode above) {
-        if (!below.isObject() || !above.isObject()) {
-            return above;
+    private static JsonNode merge(JsonNode defaults, JsonNode overrides) {
+        if (!defaults.isObject() || !overrides.isObject()) {
+            return overrides;
         }
-        ObjectNode result = below.deepCopy();
-        above.properties().forEach(field -> {
-            JsonNode under = below.get(field.getKey());
-            result.set(field.getKey(), under == null ? field.getValue() : merged(under, field.getValue()));
+        ObjectNode result = defaults.deepCopy();
+        overrides.properties().forEach(field -> {
+            JsonNode defaultValue = defaults.get(field.getKey());
+            result.set(field.getKey(), defaultValue == null ? field.getValue() : merge(defaultValue, field.getValue()));
         });
         return result;
     }
@@ -162,9 +162,9 @@
         try {
             value = Optional.of(MAPPER.treeToValue(root, type));
         } catch (PropertyBindingException e) {
-            errors.add(place(pointerOf(e)) + ": unknown field; allowed here: " + e.getKnownPropertyIds());
+            errors.add(locationOf(pointerOf(e)) + ": unknown field; allowed here: " + e.getKnownPropertyIds());
         } catch (JsonMappingException e) {
-            errors.add(place(pointerOf(e)) + ": " + reason(e.getOriginalMessage()));
+            errors.add(locationOf(pointerOf(e)) + ": " + reason(e.getOriginalMessage()));
         } catch (JsonProcessingException e) {
             errors.add(file + ": " + firstLine(e.getOriginalMessage()));
         }
@@ -194,7 +194,7 @@
         for (String pointer : expand(rule.pointer())) {
             JsonNode node = root.at(pointer);
             if (!node.isMissingNode() && !rule.test().test(node)) {
-                errors.add(place(pointer) + ": " + node + " is not allowed; allowed: " + rule.allowed());
+                errors.add(locationOf(pointer) + ": " + node + " is not allowed; allowed: " + rule.allowed());
             }
         }
     }
@@ -213,15 +213,17 @@
         return expanded;
     }
 
-    private String place(String pointer) {
+    private String locationOf(String pointer) {
         return file + ":" + lineOf(pointer) + ": " + (pointer.isEmpty() ? "/" : pointer);
     }
 
     /** Returns the line of a field, or of its nearest ancestor that is present in the file. */
     private int lineOf(String pointer) {
-        Map<String, Integer> lines = lines();
-        for (String at = pointer; !at.isEmpty(); at = at.substring(0, at.lastIndexOf('/'))) {
-            Integer line = lines.get(at);
+        Map<String, Integer> lineNumbers = lineNumbers();
+        for (String ancestor = pointer;
+                !ancestor.isEmpty();
+                ancestor = ancestor.substring(0, ancestor.lastIndexOf('/'))) {
+            Integer line = lineNumbers.get(ancestor);
             if (line != null) {
                 return line;
             }
@@ -230,7 +232,7 @@
     }
 
     /** Maps each field to its line. Computed only when there are errors, which most documents do not have. */
-    private Map<String, Integer> lines() {
+    private Map<String, Integer> lineNumbers() {
         Map<String, Integer> lines = new HashMap<>();
         try (JsonParser parser = MAPPER.createParser(text)) {
             for (JsonToken token = parser.nextToken(); token != null; token = parser.nextToken()) {
--- a/src/main/java/org/micabarrow/settings/SettingsReader.java
+++ b/src/main/java/org/micabarrow/settings/SettingsReader.java
@@ -25,16 +25,16 @@
     private static final String ADDRESS = "[0-9A-Za-z.:\\[\\]-]+:[0-9]{1,5}";
     private static final String URL = "https?://[0-9A-Za-z.:\\[\\]-]+:[0-9]{1,5}(/[^\\s]*)?";
     private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
-    private static final String A_NAME = "1 to 63 letters, digits, '.', '_' or '-'";
-    private static final String AN_ADDRESS = "host:port";
-    private static final String A_URL = "http://host:port, with or without a path";
-    private static final long HOUR = 3_600_000;
+    private static final String NAME_DESCRIPTION = "1 to 63 letters, digits, '.', '_' or '-'";
+    private static final String ADDRESS_DESCRIPTION = "host:port";
+    private static final String URL_DESCRIPTION = "http://host:port, with or without a path";
+    private static final long HOUR_MILLIS = 3_600_000;
     private static final long TERABYTE = 1_000_000_000_000L;
 
     private static final List<Rule> PLACE = List.of(
-            Rule.pattern("/instance/id", NAME, A_NAME),
-            Rule.pattern("/instance/region", NAME, A_NAME),
-            Rule.pattern("/instance/hall", NAME, A_NAME));
+            Rule.pattern("/instance/id", NAME, NAME_DESCRIPTION),
+            Rule.pattern("/instance/region", NAME, NAME_DESCRIPTION),
+            Rule.pattern("/instance/hall", NAME, NAME_DESCRIPTION));
 
     private static final List<Rule> LOG = List.of(
             Rule.pattern("/log/format", "text|json", "text or json"),
@@ -43,12 +43,12 @@
     private static final List<Rule> COMMON = rules(
             PLACE,
             List.of(
-                    Rule.pattern("/listen/operators", ADDRESS, AN_ADDRESS),
-                    Rule.pattern("/listen/peers", ADDRESS, AN_ADDRESS),
-                    Rule.pattern("/platform/log", URL, A_URL),
-                    Rule.pattern("/platform/instances", URL, A_URL),
-                    Rule.pattern("/platform/store", URL, A_URL),
-                    Rule.pattern("/platform/origin", URL, A_URL),
+                    Rule.pattern("/listen/operators", ADDRESS, ADDRESS_DESCRIPTION),
+                    Rule.pattern("/listen/peers", ADDRESS, ADDRESS_DESCRIPTION),
+                    Rule.pattern("/platform/log", URL, URL_DESCRIPTION),
+                    Rule.pattern("/platform/instances", URL, URL_DESCRIPTION),
+                    Rule.pattern("/platform/store", URL, URL_DESCRIPTION),
+                    Rule.pattern("/platform/origin", URL, URL_DESCRIPTION),
                     Rule.range("/links/originBytesPerSecond", 1, TERABYTE),
                     Rule.range("/links/instanceBytesPerSecond", 1, TERABYTE),
                     Rule.pattern("/tls/peers/authorities", "(?s).+", "a PEM file"),
@@ -59,16 +59,16 @@
             LOG);
 
     private static final List<Rule> ENTRY = List.of(
-            Rule.pattern("/listen/callers", ADDRESS, AN_ADDRESS),
-            Rule.pattern("/operators/*/name", NAME, A_NAME),
+            Rule.pattern("/listen/callers", ADDRESS, ADDRESS_DESCRIPTION),
+            Rule.pattern("/operators/*/name", NAME, NAME_DESCRIPTION),
             Rule.pattern("/operators/*/tokenDigest", "[0-9a-f]{64}", "the SHA-256 of a token, 64 hexadecimal digits"),
             Rule.range("/limits/bodyBytes", 1, 64 << 20),
             Rule.range("/limits/headerBytes", 1024, 1 << 20),
             Rule.range("/limits/connections", 1, 1_000_000),
-            Rule.range("/limits/idleMillis", 100, HOUR),
-            Rule.range("/limits/deadlineMillis", 1, HOUR),
+            Rule.range("/limits/idleMillis", 100, HOUR_MILLIS),
+            Rule.range("/limits/deadlineMillis", 1, HOUR_MILLIS),
             Rule.range("/limits/claimMillis", 10, 60_000),
-            Rule.range("/limits/claimKeptMillis", 1_000, 7 * 24 * HOUR),
+            Rule.range("/limits/claimKeptMillis", 1_000, 7 * 24 * HOUR_MILLIS),
             Rule.range("/limits/claimStreams", 1, 64),
             new Rule(
                     "/limits/retryShare",
@@ -77,45 +77,45 @@
             Rule.range("/peers/statusMillis", 50, 60_000),
             Rule.range("/peers/unreachableMillis", 100, 600_000),
             Rule.range("/peers/listMillis", 50, 600_000),
-            Rule.range("/peers/repairMillis", 100, HOUR),
-            Rule.range("/peers/checkpointMillis", 100, 24 * HOUR),
+            Rule.range("/peers/repairMillis", 100, HOUR_MILLIS),
+            Rule.range("/peers/checkpointMillis", 100, 24 * HOUR_MILLIS),
             Rule.range("/peers/agentsPerPlacement", 1, 10_000));
 
     private static final List<Rule> HOSTED = rules(
             PLACE,
             List.of(
-                    Rule.pattern("/listen/clients", ADDRESS, AN_ADDRESS),
-                    Rule.pattern("/listen/ready", ADDRESS, AN_ADDRESS),
-                    Rule.pattern("/listen/peers", ADDRESS, AN_ADDRESS),
-                    Rule.pattern("/listen/metrics", ADDRESS, AN_ADDRESS),
+                    Rule.pattern("/listen/clients", ADDRESS, ADDRESS_DESCRIPTION),
+                    Rule.pattern("/listen/ready", ADDRESS, ADDRESS_DESCRIPTION),
+                    Rule.pattern("/listen/peers", ADDRESS, ADDRESS_DESCRIPTION),
+                    Rule.pattern("/listen/metrics", ADDRESS, ADDRESS_DESCRIPTION),
                     Rule.range("/peerPort", 1, 65_535),
-                    Rule.pattern("/seeds/*", ADDRESS, AN_ADDRESS),
-                    Rule.pattern("/store", ADDRESS, AN_ADDRESS),
-                    Rule.pattern("/endpoint", ADDRESS, AN_ADDRESS),
-                    Rule.range("/bounds/versionMillis", 100, HOUR),
-                    Rule.range("/bounds/configurationMillis", 100, HOUR),
-                    Rule.range("/bounds/drainMillis", 100, HOUR),
-                    Rule.range("/bounds/graceMillis", 100, HOUR),
-                    Rule.range("/bounds/evacuateMillis", 100, HOUR),
-                    Rule.range("/bounds/crashMemoryMillis", 1_000, 24 * HOUR),
+                    Rule.pattern("/seeds/*", ADDRESS, ADDRESS_DESCRIPTION),
+                    Rule.pattern("/store", ADDRESS, ADDRESS_DESCRIPTION),
+                    Rule.pattern("/endpoint", ADDRESS, ADDRESS_DESCRIPTION),
+                    Rule.range("/bounds/versionMillis", 100, HOUR_MILLIS),
+                    Rule.range("/bounds/configurationMillis", 100, HOUR_MILLIS),
+                    Rule.range("/bounds/drainMillis", 100, HOUR_MILLIS),
+                    Rule.range("/bounds/graceMillis", 100, HOUR_MILLIS),
+                    Rule.range("/bounds/evacuateMillis", 100, HOUR_MILLIS),
+                    Rule.range("/bounds/crashMemoryMillis", 1_000, 24 * HOUR_MILLIS),
                     Rule.range("/bounds/crashesKept", 10, 10_000)),
             LOG);
 
     private static final List<Rule> AGENT = List.of(
             Rule.pattern("/endpoint/kind", "engine|service", "engine or service"),
-            Rule.pattern("/endpoint/url", URL, A_URL),
+            Rule.pattern("/endpoint/url", URL, URL_DESCRIPTION),
             Rule.range("/endpoint/reportMillis", 20, 60_000),
             Rule.range("/weights/windowBytes", 1, 1L << 30),
             Rule.range("/weights/patienceMillis", 10, 600_000),
-            Rule.range("/weights/lingerMillis", 0, HOUR),
+            Rule.range("/weights/lingerMillis", 0, HOUR_MILLIS),
             Rule.range("/weights/budgetMillis", 10, 60_000),
             Rule.range("/limits/leastConcurrency", 1, 10_000),
             Rule.range("/limits/mostConcurrency", 1, 10_000),
             Rule.range("/limits/ledgerKeys", 1, 1_000_000),
             Rule.range("/limits/ledgerBytes", 0, 1L << 30),
-            Rule.range("/limits/ledgerKeptMillis", 0, 24 * HOUR),
-            Rule.range("/limits/cutOffMillis", 100, 24 * HOUR),
-            Rule.range("/limits/stopMillis", 0, 24 * HOUR));
+            Rule.range("/limits/ledgerKeptMillis", 0, 24 * HOUR_MILLIS),
+            Rule.range("/limits/cutOffMillis", 100, 24 * HOUR_MILLIS),
+            Rule.range("/limits/stopMillis", 0, 24 * HOUR_MILLIS));
 
     private SettingsReader() {}
 
--- a/src/main/java/org/micabarrow/standin/EngineStandin.java
+++ b/src/main/java/org/micabarrow/standin/EngineStandin.java
@@ -49,11 +49,11 @@
                 Math.max(1, timing.slots() / 2),
                 Optional.empty(),
                 new BlockingHandler(Handlers.path()
-                        .addExactPath("/report", this::report)
-                        .addPrefixPath("/weights", this::stage)
-                        .addExactPath("/orders", this::order)
+                        .addExactPath("/report", this::handleReport)
+                        .addPrefixPath("/weights", this::handleStagedChunk)
+                        .addExactPath("/orders", this::handleOrder)
                         .addExactPath("/runs", exchange -> JsonExchanges.sendJson(exchange, runsByAttempt))
-                        .addExactPath("/v1/chat/completions", this::chat)));
+                        .addExactPath("/v1/chat/completions", this::handleChat)));
     }
 
     /**
@@ -105,14 +105,14 @@
 
     // -- orders
 
-    private void report(HttpServerExchange exchange) {
+    private void handleReport(HttpServerExchange exchange) {
         JsonExchanges.sendJson(
                 exchange,
                 new Endpoint.Report(
                         List.copyOf(loadedFingerprints.keySet()), slots.running(), slots.waiting(), timing.slots()));
     }
 
-    private void stage(HttpServerExchange exchange) throws IOException {
+    private void handleStagedChunk(HttpServerExchange exchange) throws IOException {
         String[] path = JsonExchanges.pathSegments(exchange);
         byte[] data = exchange.getInputStream().readAllBytes();
         TreeMap<Integer, String> chunks = stagedDigests.computeIfAbsent(path[1], key -> new TreeMap<>());
@@ -122,7 +122,7 @@
         }
     }
 
-    private synchronized void order(HttpServerExchange exchange) throws IOException {
+    private synchronized void handleOrder(HttpServerExchange exchange) throws IOException {
         Endpoint.Order order = JsonExchanges.readBody(exchange, Endpoint.Order.class);
         if (order.fence().compareTo(highestFence) < 0) {
             rejectedOrders.incrementAndGet();
@@ -151,7 +151,7 @@
 
     // -- requests
 
-    private void chat(HttpServerExchange exchange) throws IOException, InterruptedException {
+    private void handleChat(HttpServerExchange exchange) throws IOException, InterruptedException {
         String attempt = Optional.ofNullable(exchange.getRequestHeaders().getFirst(EndpointClient.ATTEMPT))
                 .orElse("");
         String version = Optional.ofNullable(exchange.getRequestHeaders().getFirst(EndpointClient.VERSION))
--- a/src/main/java/org/micabarrow/standin/PlatformStandin.java
+++ b/src/main/java/org/micabarrow/standin/PlatformStandin.java
@@ -47,10 +47,10 @@
                 THREADS,
                 Optional.empty(),
                 new BlockingHandler(Handlers.path()
-                        .addPrefixPath("/log", this::log)
-                        .addPrefixPath("/list", this::setInstances)
-                        .addPrefixPath("/store", exchange -> weights(exchange, false))
-                        .addPrefixPath("/origin", exchange -> weights(exchange, true))
+                        .addPrefixPath("/log", this::serveLog)
+                        .addPrefixPath("/list", this::serveInstances)
+                        .addPrefixPath("/store", exchange -> serveWeights(exchange, false))
+                        .addPrefixPath("/origin", exchange -> serveWeights(exchange, true))
                         .addExactPath(
                                 "/make",
                                 exchange -> JsonExchanges.sendJson(
@@ -65,7 +65,7 @@
                             instances = List.of(JsonExchanges.readBody(exchange, Instance[].class));
                             JsonExchanges.sendJson(exchange, instances);
                         })
-                        .addExactPath("/counts", this::counts)));
+                        .addExactPath("/counts", this::serveCounts)));
     }
 
     /**
@@ -109,8 +109,7 @@
         instances = List.copyOf(newInstances);
     }
 
-    /**
-     * The log.
+    /** Returns the log stand-in.
      *
      * @return the log
      */
@@ -118,8 +117,7 @@
         return log;
     }
 
-    /**
-     * The weights.
+    /** Returns the weights stand-in.
      *
      * @return the weights
      */
@@ -147,7 +145,7 @@
 
     // -- request handling
 
-    private void log(HttpServerExchange exchange) throws IOException, InterruptedException {
+    private void serveLog(HttpServerExchange exchange) throws IOException, InterruptedException {
         Faults activeFaults = faults;
         if (activeFaults.logDown()) {
             JsonExchanges.sendStatus(exchange, 503);
@@ -176,7 +174,7 @@
         }
     }
 
-    private void setInstances(HttpServerExchange exchange) {
+    private void serveInstances(HttpServerExchange exchange) {
         if (faults.listDown()) {
             JsonExchanges.sendStatus(exchange, 503);
         } else {
@@ -185,7 +183,7 @@
     }
 
     /** Serves {@code weights/VERSION/manifest} and {@code weights/VERSION/chunks/INDEX}. */
-    private void weights(HttpServerExchange exchange, boolean origin) throws InterruptedException {
+    private void serveWeights(HttpServerExchange exchange, boolean origin) throws InterruptedException {
         Faults activeFaults = faults;
         if (!origin && activeFaults.storeDown()) {
             JsonExchanges.sendStatus(exchange, 503);
@@ -221,7 +219,7 @@
         return chunk;
     }
 
-    private void counts(HttpServerExchange exchange) {
+    private void serveCounts(HttpServerExchange exchange) {
         JsonExchanges.sendJson(
                 exchange,
                 Map.of(
--- a/src/main/java/org/micabarrow/standin/PrioritySlots.java
+++ b/src/main/java/org/micabarrow/standin/PrioritySlots.java
@@ -19,7 +19,7 @@
         Object ticket = new Object();
         Deque<Object> queue = urgent ? urgentWaiting : normalWaiting;
         queue.addLast(ticket);
-        while (free == 0 || next() != ticket) {
+        while (free == 0 || nextTicket() != ticket) {
             wait();
         }
         queue.remove(ticket);
@@ -28,7 +28,7 @@
         notifyAll();
     }
 
-    private Object next() {
+    private Object nextTicket() {
         return urgentWaiting.isEmpty() ? normalWaiting.peekFirst() : urgentWaiting.peekFirst();
     }
 
--- a/src/main/java/org/micabarrow/standin/WeightsStandin.java
+++ b/src/main/java/org/micabarrow/standin/WeightsStandin.java
@@ -71,8 +71,7 @@
         return content;
     }
 
-    /**
-     * A manifest.
+    /** Returns the manifest of a version.
      *
      * @param version the digest of the manifest
      * @return the manifest, if there is one
@@ -81,8 +80,7 @@
         return Optional.ofNullable(storedByVersion.get(version)).map(StoredWeights::manifest);
     }
 
-    /**
-     * A chunk.
+    /** Returns a chunk of a version.
      *
      * @param version the manifest's digest
      * @param index the index of the chunk
--- a/src/test/java/org/micabarrow/process/HostedSoakTest.java
+++ b/src/test/java/org/micabarrow/process/HostedSoakTest.java
@@ -224,7 +224,7 @@
             String id = SPARED.get(random.nextInt(SPARED.size()));
             if (platform.endpoints().containsKey(id) && holding(id).isEmpty()) {
                 double perSecond = 0.5 + 4 * random.nextDouble();
-                platform.endpoint(id).rateLimit(perSecond);
+                platform.endpoint(id).setRateLimit(perSecond);
                 limits.add(new Limit(id, platform.endpoint(id), perSecond, MonotonicClock.millis(), Long.MAX_VALUE));
                 course.add(MonotonicClock.millis() + " " + id + " takes " + perSecond + " a second");
             }
--- a/src/test/java/org/micabarrow/process/SharedLimitTest.java
+++ b/src/test/java/org/micabarrow/process/SharedLimitTest.java
@@ -60,7 +60,7 @@
     /** A limit so small that its next turn does not come while a test runs. */
     private void limit(HostedSettings entry) {
         Await.until("an answer", () -> ask(entry) == 200);
-        platform.endpoint("model-1").rateLimit(0.001);
+        platform.endpoint("model-1").setRateLimit(0.001);
         assertEquals(200, ask(entry));
     }
 
--- a/src/test/java/org/micabarrow/serving/RateLimitedEndpointTest.java
+++ b/src/test/java/org/micabarrow/serving/RateLimitedEndpointTest.java
@@ -54,7 +54,7 @@
     void shouldStayWithinRateLimitWhenEndpointNamesOne() throws IOException {
         serveWithoutVersions();
         sendRequestsFor(2_000);
-        platform.endpoint("plain-1").rateLimit(1);
+        platform.endpoint("plain-1").setRateLimit(1);
         long limitedAt = clockMillis.get();
         List<Integer> statuses = sendRequestsFor(30_000);
         long max = maxInWindow(limitedAt + APPLIED_AFTER_MILLIS);
@@ -71,7 +71,7 @@
         platform.addEndpoint("plain-2", "plain", 0);
         serveWithoutVersions();
         Await.until("the endpoints", () -> views.view().endpoints().size() == 2);
-        platform.endpoint("plain-1").rateLimit(0.5);
+        platform.endpoint("plain-1").setRateLimit(0.5);
         long limitedAt = clockMillis.get();
         List<Integer> statuses = sendRequestsFor(20_000);
         assertEquals(
@@ -84,7 +84,7 @@
     @Test
     void shouldSendRetryDelayWhenOverRateLimit() throws IOException {
         serveWithoutVersions();
-        platform.endpoint("plain-1").rateLimit(0.1);
+        platform.endpoint("plain-1").setRateLimit(0.1);
         assertEquals(200, sendRequest("/once/x").status());
         HttpResponse refused = sendRequest("/once/x");
         assertEquals(503, refused.status());
@@ -95,7 +95,7 @@
     @Test
     void shouldSendAsBeforeWhenRateLimitIsRemoved() throws IOException {
         serveWithoutVersions();
-        platform.endpoint("plain-1").rateLimit(50);
+        platform.endpoint("plain-1").setRateLimit(50);
         sendRequestsFor(5_000);
         platform.endpoint("plain-1").clearRateLimit();
         sendRequestsFor(60_000);
