--- a/src/main/java/org/micabarrow/bench/Baselines.java
+++ b/src/main/java/org/micabarrow/bench/Baselines.java
@@ -7,8 +7,8 @@
 import org.micabarrow.transport.LinkPacer;
 
 /**
- * Simulates two simple ways to distribute weights to N instances over links of the same bandwidth, in memory and without
- * processing costs: each instance fetches from the origin, or a binary tree forwards only complete copies.
+ * Simulates two simple ways to distribute weights to N instances over links of the same bandwidth, in memory and
+ * without processing costs: each instance fetches from the origin, or a binary tree forwards only complete copies.
  */
 final class Baselines {
 
--- a/src/main/java/org/micabarrow/bench/Demo.java
+++ b/src/main/java/org/micabarrow/bench/Demo.java
@@ -19,8 +19,8 @@
 import org.micabarrow.state.Instance;
 
 /**
- * End-to-end demonstration on the processes started by the script {@code demo}. Prints each step; the last line of output is a
- * JSON object with the measurements.
+ * End-to-end demonstration on the processes started by the script {@code demo}. Prints each step; the last line of
+ * output is a JSON object with the measurements.
  */
 public final class Demo {
 
@@ -211,7 +211,9 @@
                 response, Set.of(forNotes ? notes : assistant), forNotes ? NOTES_HALLS : ASSISTANT_HALLS);
     }
 
-    /** Sends a charge through one entry and then again through the other, as a client does that lost the first response. */
+    /**
+     * Sends a charge through one entry and then again through the other, as a client does that lost the first response.
+     */
     private void charge(int n, byte[] body) {
         Set<String> anywhere = Set.of("norte-a", "centro-a", "sur-a");
         outcomes.countRequest(clientCalls.charge(entry(n), RIDERS_TOKEN, "billing", "charge-" + n, body), anywhere);
--- a/src/main/java/org/micabarrow/bench/LocalSystem.java
+++ b/src/main/java/org/micabarrow/bench/LocalSystem.java
@@ -202,7 +202,8 @@
         return platform;
     }
 
-    /** Returns the engine stand-in of an instance.
+    /**
+     * Returns the engine stand-in of an instance.
      *
      * @param id its instance
      * @return the stand-in
@@ -230,7 +231,8 @@
         return new ArrayList<>(engines.keySet());
     }
 
-    /** Returns the service stand-in of an instance.
+    /**
+     * Returns the service stand-in of an instance.
      *
      * @param id its instance
      * @return the stand-in
@@ -239,7 +241,8 @@
         return services.get(id);
     }
 
-    /** Returns the agent of an instance, if it runs in this process.
+    /**
+     * Returns the agent of an instance, if it runs in this process.
      *
      * @param id its instance
      * @return the process
@@ -248,7 +251,8 @@
         return processes.agent(id);
     }
 
-    /** Returns the entry of an instance, if it runs in this process.
+    /**
+     * Returns the entry of an instance, if it runs in this process.
      *
      * @param id its instance
      * @return the process
--- a/src/main/java/org/micabarrow/bench/OutcomeCounts.java
+++ b/src/main/java/org/micabarrow/bench/OutcomeCounts.java
@@ -4,8 +4,10 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Counts request outcomes and violations of the guarantees: lost requests, duplicate runs, wrong versions and answers from
- * outside the placement. */
+/**
+ * Counts request outcomes and violations of the guarantees: lost requests, duplicate runs, wrong versions and answers
+ * from outside the placement.
+ */
 final class OutcomeCounts {
 
     private final AtomicInteger requests = new AtomicInteger();
@@ -17,7 +19,9 @@
     private final AtomicInteger wrongVersion = new AtomicInteger();
     private final AtomicInteger outsidePlacement = new AtomicInteger();
 
-    /** Counts a model request; its answer must contain exactly one of the fingerprints and come from one of the halls. */
+    /**
+     * Counts a model request; its answer must contain exactly one of the fingerprints and come from one of the halls.
+     */
     void countModelRequest(ClientCalls.Response response, Set<String> fingerprints, Set<String> halls) {
         countRequest(response, halls);
         if (response.outcome() == ClientCalls.Outcome.ANSWERED && !containsExactlyOne(response.text(), fingerprints)) {
--- a/src/main/java/org/micabarrow/bench/RequestsBench.java
+++ b/src/main/java/org/micabarrow/bench/RequestsBench.java
@@ -21,8 +21,8 @@
 import org.micabarrow.state.Digest;
 
 /**
- * Measures request latency and goodput under load and faults through one entry and four agents. Baselines of the same run
- * send directly to the engines, round robin or by least requests in flight.
+ * Measures request latency and goodput under load and faults through one entry and four agents. Baselines of the same
+ * run send directly to the engines, round robin or by least requests in flight.
  */
 public final class RequestsBench {
 
--- a/src/main/java/org/micabarrow/platform/standin/EndpointListeners.java
+++ b/src/main/java/org/micabarrow/platform/standin/EndpointListeners.java
@@ -12,8 +12,10 @@
 import org.micabarrow.transport.HttpListener;
 import org.xnio.XnioWorker;
 
-/** HTTP listeners of endpoint stand-ins on a shared worker. The worker outlives each listener, so that an endpoint can be
- * stopped from within a request it is handling. */
+/**
+ * HTTP listeners of endpoint stand-ins on a shared worker. The worker outlives each listener, so that an endpoint can
+ * be stopped from within a request it is handling.
+ */
 final class EndpointListeners implements AutoCloseable {
 
     private static final int THREADS = 2;
--- a/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
@@ -110,7 +110,8 @@
         this.weights = new HostedWeightsStandin(model, version, unanswered::count);
     }
 
-    /** Returns the requests received so far.
+    /**
+     * Returns the requests received so far.
      *
      * @return the requests in order of arrival
      */
--- a/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
@@ -21,8 +21,8 @@
 import org.micabarrow.views.StoredRecord;
 
 /**
- * Simulated store of the users' platform: keyed topics that support reads from an offset and listing the newest record per
- * key. Supports fault injection. Thread-safe.
+ * Simulated store of the users' platform: keyed topics that support reads from an offset and listing the newest record
+ * per key. Supports fault injection. Thread-safe.
  */
 public final class HostedStoreStandin implements HttpHandler {
 
@@ -130,8 +130,8 @@
     }
 
     /**
-     * Drops the history of a topic, so that older offsets can no longer be read. The newest record of each key can still be
-     * listed.
+     * Drops the history of a topic, so that older offsets can no longer be read. The newest record of each key can
+     * still be listed.
      *
      * @param topic the topic
      */
@@ -266,7 +266,9 @@
         }
     }
 
-    /** Encodes a read response: the end offset, the first retained offset, and the records from the requested offset. */
+    /**
+     * Encodes a read response: the end offset, the first retained offset, and the records from the requested offset.
+     */
     private static byte[] encodePage(List<Entry> entries, int from, int firstRetained) {
         List<Entry> page = entries.subList(Math.min(from, entries.size()), entries.size());
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -68,7 +68,8 @@
 
     // -- platform state
 
-    /** Returns the store stand-in.
+    /**
+     * Returns the store stand-in.
      *
      * @return the stand-in
      */
@@ -85,7 +86,8 @@
         behaviours.add(behaviour);
     }
 
-    /** Returns the stand-in of an endpoint.
+    /**
+     * Returns the stand-in of an endpoint.
      *
      * @param id its id
      * @return the stand-in
@@ -103,7 +105,8 @@
         return Map.copyOf(endpoints);
     }
 
-    /** Returns the location of an endpoint.
+    /**
+     * Returns the location of an endpoint.
      *
      * @param id its id
      * @return its host and port
@@ -195,7 +198,8 @@
         addEndpoint(id, service, version);
     }
 
-    /** Returns the location of an endpoint.
+    /**
+     * Returns the location of an endpoint.
      *
      * @param id its id
      * @return its data hall
@@ -235,8 +239,8 @@
     // -- crashes
 
     /**
-     * Makes every endpoint crash when it starts to execute a request with the given body. A replacement registers immediately
-     * under a new id and address.
+     * Makes every endpoint crash when it starts to execute a request with the given body. A replacement registers
+     * immediately under a new id and address.
      *
      * @param body the body
      */
@@ -288,7 +292,8 @@
     }
 
     /**
-     * Sets the start time that an endpoint states in further registrations, and in its reports if it runs in this process.
+     * Sets the start time that an endpoint states in further registrations, and in its reports if it runs in this
+     * process.
      *
      * @param id its id
      * @param startedMillis the start time, in Unix milliseconds
--- a/src/main/java/org/micabarrow/platform/standin/HostedWeightsStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedWeightsStandin.java
@@ -12,8 +12,8 @@
 import org.micabarrow.state.CanonicalJson;
 
 /**
- * Simulated weight handling of an endpoint: reports the loaded version, stores staged chunks, and loads an ordered version
- * immediately. Thread-safe.
+ * Simulated weight handling of an endpoint: reports the loaded version, stores staged chunks, and loads an ordered
+ * version immediately. Thread-safe.
  */
 final class HostedWeightsStandin {
 
--- a/src/main/java/org/micabarrow/platform/standin/StandinManifest.java
+++ b/src/main/java/org/micabarrow/platform/standin/StandinManifest.java
@@ -10,7 +10,8 @@
     private StandinManifest() {}
 
     /**
-     * Renders a manifest with one route of each kind, a plain service, a service whose endpoints run a model, and an origin.
+     * Renders a manifest with one route of each kind, a plain service, a service whose endpoints run a model, and an
+     * origin.
      *
      * @param version its version
      * @param model the model
--- a/src/main/java/org/micabarrow/platform/standin/UnansweredRequests.java
+++ b/src/main/java/org/micabarrow/platform/standin/UnansweredRequests.java
@@ -18,7 +18,9 @@
         return count.get();
     }
 
-    /** Keeps a request open until its client closes the connection, which is detected by reading from the connection. */
+    /**
+     * Keeps a request open until its client closes the connection, which is detected by reading from the connection.
+     */
     void hold(HttpServerExchange exchange) {
         count.incrementAndGet();
         exchange.getConnection().addCloseListener(closed -> count.decrementAndGet());
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -43,10 +43,16 @@
     /** Pause between reads of endpoint registrations, which agents need only to discover each other. */
     private static final Duration ENDPOINT_POLL_PAUSE = Duration.ofSeconds(3);
 
-    /** Interval at which the endpoint's report is requested, in milliseconds; reports to its own agent cost the endpoint nothing. */
+    /**
+     * Interval at which the endpoint's report is requested, in milliseconds; reports to its own agent cost the endpoint
+     * nothing.
+     */
     private static final long REPORT_INTERVAL_MILLIS = 150;
 
-    /** Interval between checks for chunks to fetch or orders to send, in milliseconds; about the transfer time of a chunk. */
+    /**
+     * Interval between checks for chunks to fetch or orders to send, in milliseconds; about the transfer time of a
+     * chunk.
+     */
     private static final long ACTIVE_INTERVAL_MILLIS = 50;
 
     /** Interval between checks for orders or stops while the endpoint serves the newest version, in milliseconds. */
@@ -60,15 +66,17 @@
     private static final long READ_BACK_INTERVAL_MILLIS = 300;
 
     /**
-     * Minimum pause of the process that is logged, in milliseconds: the shortest silence of an agent that entries tolerate.
-     * Ordinary scheduling delays are shorter.
+     * Minimum pause of the process that is logged, in milliseconds: the shortest silence of an agent that entries
+     * tolerate. Ordinary scheduling delays are shorter.
      */
     private static final long MIN_REPORTED_PAUSE_MILLIS = 400;
 
     /** Interval between checks for pauses of the process, in milliseconds. */
     private static final long PAUSE_CHECK_INTERVAL_MILLIS = 200;
 
-    /** Number of agents per region that record published weight versions in the store; one may be disconnected from it. */
+    /**
+     * Number of agents per region that record published weight versions in the store; one may be disconnected from it.
+     */
     private static final int PRIMARY_WRITERS = 2;
 
     /** Number of agents per region that record versions or act as backups; several instances may be lost together. */
@@ -84,8 +92,10 @@
     private volatile CachedPosition cachedPosition =
             new CachedPosition(View.empty(), new ReplicaController.RegionPosition(0, 1));
 
-    /** Sends load reports to entries on its own thread: a datagram blocks while a slow link is saturated, and stopping the endpoint
-     * in time must not wait for that. */
+    /**
+     * Sends load reports to entries on its own thread: a datagram blocks while a slow link is saturated, and stopping
+     * the endpoint in time must not wait for that.
+     */
     private final SignalledThread loadSender =
             SignalledThread.start("teller", () -> loadServer.ifPresent(LoadServer::sendToAll));
 
@@ -162,9 +172,9 @@
     }
 
     /**
-     * Polls the endpoint's report and notifies entries immediately when the endpoint starts or stops accepting requests. Entries
-     * of other regions poll only every 450 ms; without the notification, the endpoint would be idle for half of that on
-     * average after each version change.
+     * Polls the endpoint's report and notifies entries immediately when the endpoint starts or stops accepting
+     * requests. Entries of other regions poll only every 450 ms; without the notification, the endpoint would be idle
+     * for half of that on average after each version change.
      */
     private final class ReportTask implements RepeatedTasks.Task {
 
@@ -179,7 +189,8 @@
                     .ifPresent(report -> loadServer.ifPresent(
                             server -> server.limitRelay().reported(report.rateLimit(), HostedNode.steadyMillis())));
             Optional<ServingState> now = loadReport()
-                    .map(told -> new ServingState(told.loading(), told.draining(), told.version(), told.start()));
+                    .map(report ->
+                            new ServingState(report.loading(), report.draining(), report.version(), report.start()));
             if (!now.equals(lastSent)) {
                 lastSent = now;
                 sendLoadToEntries();
@@ -187,8 +198,10 @@
         }
     }
 
-    /** Logs pauses of the process, for example when the instance was suspended, to explain the reports of entries and endpoints for
-     * that time. */
+    /**
+     * Logs pauses of the process, for example when the instance was suspended, to explain the reports of entries and
+     * endpoints for that time.
+     */
     private final class PauseDetector implements RepeatedTasks.Task {
 
         private long lastMillis = HostedNode.steadyMillis();
@@ -210,15 +223,18 @@
     /** Handles the newest store offsets that an entry announced. */
     private void onStoreUpdate(String entry, StoreUpdate update) {
         reader.onUpdate(entry, update.changes(), HostedNode.steadyMillis() - update.knownMillisAgo());
-        // A position beyond the records that the entry has read would be recorded permanently although no such record
-        // exists.
+        // A position beyond the records that the entry has read would be recorded permanently although no process
+        // has read a record there.
         update.manifest()
-                .filter(place -> place.offset() < update.changes().operator())
+                .filter(position -> position.offset() < update.changes().operator())
                 .ifPresent(node.views()::recordManifestPosition);
     }
 
-    /** Returns the interval between replica steps: longer once the endpoint is up to date. Published versions are fetched
-     * immediately by a separate task, since the origin may become unavailable; later steps take seconds to become due. */
+    /**
+     * Returns the interval between replica steps: longer once the endpoint is up to date. Published versions are
+     * fetched immediately by a separate task, since the origin may become unavailable; later steps take seconds to
+     * become due.
+     */
     private long replicaIntervalMillis() {
         return replica.isUpToDate() ? IDLE_INTERVAL_MILLIS : ACTIVE_INTERVAL_MILLIS;
     }
@@ -238,8 +254,10 @@
                         Optional.of(report.condition())));
     }
 
-    /** Returns the slots that may be granted, limited by the endpoint's memory. Unlimited until the manifest, which states the
-     * number of slots, is known. */
+    /**
+     * Returns the slots that may be granted, limited by the endpoint's memory. Unlimited until the manifest, which
+     * states the number of slots, is known.
+     */
     private int allottableSlots(ModelEndpoint.Report report) {
         return modelService()
                 .map(service -> Math.min(
@@ -301,8 +319,10 @@
                 currentView.endpointsOf(settings.service().orElse("")), settings.peerPort(), settings.regions());
     }
 
-    /** Caches the region position for a view. It is needed at least twice per second, whereas views change only when an endpoint
-     * does. */
+    /**
+     * Caches the region position for a view. It is needed at least twice per second, whereas views change only when an
+     * endpoint does.
+     */
     private record CachedPosition(View view, ReplicaController.RegionPosition position) {}
 
     private ReplicaController.RegionPosition regionPosition() {
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -47,15 +47,15 @@
     private static final Logger LOG = LoggerFactory.getLogger(HostedEntryProcess.class);
 
     /**
-     * Long-poll wait for operator records, as a fraction of the time within which a manifest must be in force. It bounds the
-     * age of the data of the region's reader entry; the remaining time lets the other entries read the store themselves
-     * when the reader becomes silent.
+     * Long-poll wait for operator records, as a fraction of the time within which a manifest must be in force. It
+     * bounds the age of the data of the region's reader entry; the remaining time lets the other entries read the store
+     * themselves when the reader becomes silent.
      */
     private static final double OPERATOR_POLL_FRACTION = 0.4;
 
     /**
-     * Long-poll timing for crash records of other entries. A dead connection is detected after this wait plus the response
-     * time, together less than the three seconds within which the users expect a process to reconnect.
+     * Long-poll timing for crash records of other entries. A dead connection is detected after this wait plus the
+     * response time, together less than the three seconds within which the users expect a process to reconnect.
      */
     private static final PollTiming CRASH_POLL_TIMING = new PollTiming(Duration.ofMillis(2_000), Duration.ZERO);
 
@@ -247,7 +247,8 @@
     /**
      * Returns whether the entry accepts requests.
      *
-     * @return true once it has a manifest, has read the crash records of other entries and has polled agents, until it stops
+     * @return true once it has a manifest, has read the crash records of other entries and has polled agents, until it
+     *     stops
      */
     public boolean takesRequests() {
         return !stopping
--- a/src/main/java/org/micabarrow/settings/Common.java
+++ b/src/main/java/org/micabarrow/settings/Common.java
@@ -47,7 +47,8 @@
      *
      * @param certificate the certificate chain
      * @param key the private key in PKCS#8
-     * @param authorities the CA certificates that the certificates of other processes are verified against; required between processes
+     * @param authorities the CA certificates that the certificates of other processes are verified against; required
+     *     between processes
      */
     public record Tls(String certificate, String key, Optional<String> authorities) {}
 
--- a/src/main/java/org/micabarrow/settings/HostedSettings.java
+++ b/src/main/java/org/micabarrow/settings/HostedSettings.java
@@ -47,16 +47,17 @@
      * Limits set by the users.
      *
      * @param versionMillis the time after the publication of a weight version during which older versions may answer
-     * @param configurationMillis the time after the publication of a manifest within which it must be in force everywhere
+     * @param configurationMillis the time after the publication of a manifest within which it must be in force
+     *     everywhere
      * @param drainMillis the time after an endpoint announced draining during which it may still get requests
      * @param graceMillis the time after SIGTERM at which a process is killed
      * @param retryShare the retry budget as retries per request
      * @param retrySlack the maximum retries that all entries together may accumulate
-     * @param crashMemoryMillis how long an endpoint crash is remembered, and how long a request that caused crashes is refused after
-     *     the last one
+     * @param crashMemoryMillis how long an endpoint crash is remembered, and how long a request that caused crashes is
+     *     refused after the last one
      * @param crashesKept the maximum number of crashes remembered
-     * @param evacuateMillis the time after the evacuation of a data hall during which its endpoints may still get requests;
-     *     empty if the users evacuate none
+     * @param evacuateMillis the time after the evacuation of a data hall during which its endpoints may still get
+     *     requests; empty if the users evacuate none
      */
     public record Bounds(
             long versionMillis,
--- a/src/main/java/org/micabarrow/standin/EngineStandin.java
+++ b/src/main/java/org/micabarrow/standin/EngineStandin.java
@@ -23,8 +23,8 @@
 import org.micabarrow.transport.HttpListener;
 
 /**
- * Simulated model engine. Its answers contain a fingerprint of the chunks that were staged when the version was loaded, so
- * that tests detect partial or mixed weights.
+ * Simulated model engine. Its answers contain a fingerprint of the chunks that were staged when the version was loaded,
+ * so that tests detect partial or mixed weights.
  */
 public final class EngineStandin implements AutoCloseable {
 
--- a/src/main/java/org/micabarrow/standin/PlatformStandin.java
+++ b/src/main/java/org/micabarrow/standin/PlatformStandin.java
@@ -109,7 +109,8 @@
         instances = List.copyOf(newInstances);
     }
 
-    /** Returns the log stand-in.
+    /**
+     * Returns the log stand-in.
      *
      * @return the log
      */
@@ -117,7 +118,8 @@
         return log;
     }
 
-    /** Returns the weights stand-in.
+    /**
+     * Returns the weights stand-in.
      *
      * @return the weights
      */
--- a/src/main/java/org/micabarrow/standin/Ports.java
+++ b/src/main/java/org/micabarrow/standin/Ports.java
@@ -60,8 +60,8 @@
     }
 
     /**
-     * Waits until no server listens on an address. A stopping server closes its port asynchronously, and a server started on
-     * the same address before that fails to bind.
+     * Waits until no server listens on an address. A stopping server closes its port asynchronously, and a server
+     * started on the same address before that fails to bind.
      *
      * @param address the host and port
      * @throws IOException if the address is still in use after {@value #MAX_CLOSE_SECONDS} seconds
--- a/src/main/java/org/micabarrow/standin/PrioritySlots.java
+++ b/src/main/java/org/micabarrow/standin/PrioritySlots.java
@@ -3,7 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 
-/** Concurrency slots of an engine. Urgent requests take precedence over normal ones; each class is served in FIFO order. */
+/**
+ * Concurrency slots of an engine. Urgent requests take precedence over normal ones; each class is served in FIFO order.
+ */
 final class PrioritySlots {
 
     private final Deque<Object> urgentWaiting = new ArrayDeque<>();
--- a/src/main/java/org/micabarrow/standin/ServiceStandin.java
+++ b/src/main/java/org/micabarrow/standin/ServiceStandin.java
@@ -13,7 +13,10 @@
 import org.micabarrow.state.Digest;
 import org.micabarrow.transport.HttpListener;
 
-/** Simulated plain service that counts how many times each request body was executed, as a billing service would charge it. */
+/**
+ * Simulated plain service that counts how many times each request body was executed, as a billing service would charge
+ * it.
+ */
 public final class ServiceStandin implements AutoCloseable {
 
     private static final int THREADS = 4;
--- a/src/main/java/org/micabarrow/standin/WeightsStandin.java
+++ b/src/main/java/org/micabarrow/standin/WeightsStandin.java
@@ -71,7 +71,8 @@
         return content;
     }
 
-    /** Returns the manifest of a version.
+    /**
+     * Returns the manifest of a version.
      *
      * @param version the digest of the manifest
      * @return the manifest, if there is one
@@ -80,7 +81,8 @@
         return Optional.ofNullable(storedByVersion.get(version)).map(StoredWeights::manifest);
     }
 
-    /** Returns a chunk of a version.
+    /**
+     * Returns a chunk of a version.
      *
      * @param version the manifest's digest
      * @param index the index of the chunk
