--- a/src/main/java/org/micabarrow/bench/Quiet.java
+++ b/src/main/java/org/micabarrow/bench/BenchLogging.java
@@ -4,12 +4,12 @@
 import ch.qos.logback.classic.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Keeps the log of processes under test out of a benchmark's output. */
-final class Quiet {
+/** Disables logging, so that in-process entries and agents do not write into a benchmark's output. */
+final class BenchLogging {
 
-    private Quiet() {}
+    private BenchLogging() {}
 
-    static void logs() {
+    static void disable() {
         if (LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) instanceof Logger root) {
             root.setLevel(Level.OFF);
         }
--- a/src/main/java/org/micabarrow/bench/ControlBench.java
+++ b/src/main/java/org/micabarrow/bench/ControlBench.java
@@ -26,8 +26,9 @@
 import org.micabarrow.state.Workload;
 
 /**
- * Measures what control costs: memory, processor time and bytes of real processes at rest and while configurations
- * change, for several numbers of nodes; and the reducer's speed and sizes. docs/CAPACITY.md is made from its lines.
+ * Measures the overhead of the control plane: memory, CPU time and network traffic of real processes, idle and during
+ * configuration changes, for several cluster sizes; and the throughput and record sizes of the reducer.
+ * docs/CAPACITY.md is written from its output.
  */
 public final class ControlBench {
 
@@ -35,7 +36,7 @@
     private static final int CHANGES = 10;
     private static final long SETTLE_MILLIS = 15_000;
 
-    /** The default of the settings. */
+    /** The default interval in the settings. */
     private static final long STATUS_MILLIS = 1_000;
 
     @Parameter(names = "--nodes", description = "The numbers of agents to measure")
@@ -48,13 +49,13 @@
      * Runs the benchmark.
      *
      * @param arguments the command line
-     * @throws Exception if the system does not come up
+     * @throws Exception if the system does not start
      */
     public static void main(String[] arguments) throws Exception {
-        Quiet.logs();
+        BenchLogging.disable();
         ControlBench bench = new ControlBench();
         JCommander.newBuilder().addObject(bench).build().parse(arguments);
-        reducer();
+        measureReducer();
         for (int count : bench.nodes) {
             bench.measure(count);
         }
@@ -65,29 +66,30 @@
 
     private void measure(int count) throws Exception {
         try (LocalSystem system = LocalSystem.start(LocalOptions.quick())) {
-            system.statusEvery(STATUS_MILLIS);
-            system.separate(Path.of(System.getenv("MICABARROW_BINARY")));
+            system.setStatusIntervalMillis(STATUS_MILLIS);
+            system.useSeparateProcesses(Path.of(System.getenv("MICABARROW_BINARY")));
             system.addEntry("entry-1", "centro", "centro-a");
             for (int i = 0; i < count; i++) {
                 String hall = HALLS.get(i % HALLS.size());
                 system.addEngine(hall + "-" + i, hall.substring(0, hall.indexOf('-')), hall);
             }
-            system.listAll();
-            try (OperatorCalls operator = new OperatorCalls(system.operators("entry-1"))) {
+            system.publishInstances();
+            try (OperatorCalls operator = new OperatorCalls(system.operatorAddress("entry-1"))) {
                 operator.awaitListed(count + 1);
-                WeightsStandin.Done weights =
-                        system.platform().weights().make(new WeightsStandin.Wish("bench", 1 << 20, 64 << 10, count));
+                WeightsStandin.GeneratedWeights weights = system.platform()
+                        .weights()
+                        .generate(new WeightsStandin.WeightsSpec("bench", 1 << 20, 64 << 10, count));
                 operator.confirm(
                         operator.plan(intent(weights.version(), count, 0)).id());
                 operator.awaitReady(count);
                 Thread.sleep(SETTLE_MILLIS);
-                atRest(system, operator, count);
-                changing(system, operator, weights.version(), count);
+                measureAtRest(system, operator, count);
+                measureChanges(system, operator, weights.version(), count);
             }
         }
     }
 
-    /** The sums over some processes at one moment. */
+    /** Resource usage of a set of processes at one point in time. */
     private record Sample(double cpuMillis, double peerBytes, double httpBytes, double rssMegabytes) {
 
         Sample minus(Sample before) {
@@ -106,7 +108,7 @@
     private static Sample sample(LocalSystem system, OperatorCalls operator, List<String> ids) throws IOException {
         Sample sum = new Sample(0, 0, 0, 0);
         for (String id : ids) {
-            String address = id.startsWith("entry") ? system.operators(id) : system.watching(id);
+            String address = id.startsWith("entry") ? system.operatorAddress(id) : system.metricsAddress(id);
             Map<?, ?> metrics = operator.metrics(address);
             double peers = metrics.keySet().stream()
                     .map(String::valueOf)
@@ -138,7 +140,7 @@
         }
     }
 
-    private void atRest(LocalSystem system, OperatorCalls operator, int count) throws Exception {
+    private void measureAtRest(LocalSystem system, OperatorCalls operator, int count) throws Exception {
         Sample agentsBefore = sample(system, operator, system.engineIds());
         Sample entryBefore = sample(system, operator, List.of("entry-1"));
         Thread.sleep((long) (restSeconds * 1000));
@@ -164,7 +166,8 @@
                 sample.rssMegabytes()));
     }
 
-    private void changing(LocalSystem system, OperatorCalls operator, String version, int count) throws Exception {
+    private void measureChanges(LocalSystem system, OperatorCalls operator, String version, int count)
+            throws Exception {
         Sample before = sample(system, operator, system.engineIds());
         Sample entryBefore = sample(system, operator, List.of("entry-1"));
         long slowest = 0;
@@ -211,13 +214,13 @@
 
     // -- the reducer
 
-    private static void reducer() throws IOException {
+    private static void measureReducer() throws IOException {
         for (int placements : new int[] {10, 100, 1000}) {
-            reducer(placements);
+            measureReducer(placements);
         }
     }
 
-    private static void reducer(int placements) throws IOException {
+    private static void measureReducer(int placements) throws IOException {
         FoldedState state = FoldedState.empty();
         for (int i = 0; i < placements; i++) {
             state = change(state, i, 8);
@@ -247,7 +250,7 @@
                 heapBytes(written)));
     }
 
-    /** The heap that ten copies of a state take, over ten. */
+    /** Returns the heap size of one state, averaged over ten copies. */
     private static long heapBytes(byte[] written) throws IOException {
         long before = usedHeap();
         List<FoldedState> copies = new ArrayList<>();
--- a/src/main/java/org/micabarrow/bench/LocalSystem.java
+++ b/src/main/java/org/micabarrow/bench/LocalSystem.java
@@ -20,12 +20,12 @@
 import org.micabarrow.state.Instance;
 
 /**
- * Entries, agents and stand-ins in one process, on loopback. Each speaks over its own sockets, as separate processes
- * would; tests and benchmarks that need many nodes use it.
+ * Runs entries, agents and stand-ins on loopback, by default in one process. Nodes communicate over real sockets as
+ * separate processes would. For tests and benchmarks that need many nodes.
  */
 public final class LocalSystem implements AutoCloseable {
 
-    /** The token of the one operator. */
+    /** The bearer token of the only operator. */
     public static final String OPERATOR_TOKEN = "token-of-an-operator";
 
     private final LocalOptions options;
@@ -42,50 +42,52 @@
     private LocalSystem(LocalOptions options) {
         this.options = Objects.requireNonNull(options, "options is null");
         this.platformAddress = Ports.freeAddress();
-        this.platform = PlatformStandin.start(platformAddress, options.originRate(), options.storeRate());
+        this.platform =
+                PlatformStandin.start(platformAddress, options.originBytesPerSecond(), options.storeBytesPerSecond());
     }
 
     /**
-     * Lets entries and agents that are added from now on run as processes of their own.
+     * Starts entries and agents that are added later as separate processes.
      *
-     * @param program the product's binary
+     * @param program the path of the executable
      */
-    public void separate(Path program) {
-        processes.separate(program);
+    public void useSeparateProcesses(Path program) {
+        processes.useSeparateProcesses(program);
     }
 
     /**
-     * A process of its own.
+     * Returns the separate process of an instance.
      *
      * @param id its instance
      * @return the process
      */
     public Process process(String id) {
-        return processes.separate(id);
+        return processes.process(id);
     }
 
     /**
-     * How often entries and agents that are added from now on ask for status; reports are asked for twice as often.
+     * Sets the status polling interval of entries and agents that are added later. Endpoint reports are polled twice as
+     * often.
      *
-     * @param millis the period, 100 unless set
+     * @param millis the interval, 100 by default
      */
-    public void statusEvery(long millis) {
+    public void setStatusIntervalMillis(long millis) {
         statusMillis = millis;
     }
 
     /**
-     * Tampers with the weights that agents started from now on read.
+     * Wraps the weights clients of agents started later, for example to inject faults.
      *
-     * @param tampering put between each agent and its sources
+     * @param wrapper wraps the weights client of an agent
      */
-    public void tamper(UnaryOperator<Weights> tampering) {
-        processes.tamper(tampering);
+    public void wrapWeights(UnaryOperator<Weights> wrapper) {
+        processes.wrapWeights(wrapper);
     }
 
     /**
-     * Starts the platform's stand-in; entries and agents are added afterwards.
+     * Starts the platform stand-in. Entries and agents are added afterwards.
      *
-     * @param options how the system is set up
+     * @param options the configuration
      * @return the system
      */
     public static LocalSystem start(LocalOptions options) {
@@ -113,7 +115,7 @@
     }
 
     /**
-     * Starts an entry that has been added, again.
+     * Restarts an entry that has been added.
      *
      * @param id its name
      */
@@ -141,7 +143,7 @@
      * @param region its region
      * @param hall its data hall
      * @param service the service
-     * @param millis how long a call takes
+     * @param millis the duration of a call
      */
     public void addService(String id, String region, String hall, String service, long millis) {
         String address = Ports.freeAddress();
@@ -166,7 +168,7 @@
     }
 
     /**
-     * Starts an agent that has been added, again.
+     * Restarts an agent that has been added.
      *
      * @param id its name
      */
@@ -174,25 +176,25 @@
         processes.startAgent(id, agentSettings.get(id));
     }
 
-    /** Puts all that has been added on the platform's list. */
-    public void listAll() {
-        platform.list(List.copyOf(instances.values()));
+    /** Publishes all added instances in the platform's instance list. */
+    public void publishInstances() {
+        platform.setInstances(List.copyOf(instances.values()));
     }
 
     /**
-     * Takes an instance off the platform's list.
+     * Removes an instance from the platform's instance list.
      *
      * @param id the instance
      */
     public void unlist(String id) {
         instances.remove(id);
-        listAll();
+        publishInstances();
     }
 
-    // -- reaching
+    // -- access
 
     /**
-     * The platform's stand-in.
+     * Returns the platform stand-in.
      *
      * @return the stand-in
      */
@@ -201,7 +203,7 @@
     }
 
     /**
-     * An engine.
+     * Returns the engine stand-in of an instance.
      *
      * @param id its instance
      * @return the stand-in
@@ -211,7 +213,7 @@
     }
 
     /**
-     * An engine's address.
+     * Returns the base address of an engine.
      *
      * @param id its instance
      * @return the base address
@@ -221,16 +223,16 @@
     }
 
     /**
-     * The names of the engines' instances.
+     * Returns the ids of the instances with an engine.
      *
-     * @return the names
+     * @return the ids
      */
     public List<String> engineIds() {
         return new ArrayList<>(engines.keySet());
     }
 
     /**
-     * A service.
+     * Returns the service stand-in of an instance.
      *
      * @param id its instance
      * @return the stand-in
@@ -240,7 +242,7 @@
     }
 
     /**
-     * An agent.
+     * Returns the agent of an instance, if it runs in this process.
      *
      * @param id its instance
      * @return the process
@@ -250,7 +252,7 @@
     }
 
     /**
-     * An entry.
+     * Returns the entry of an instance, if it runs in this process.
      *
      * @param id its instance
      * @return the process
@@ -260,32 +262,32 @@
     }
 
     /**
-     * An entry's address for callers.
+     * Returns the address on which an entry serves callers.
      *
      * @param id the entry
      * @return the base address
      */
-    public String callers(String id) {
+    public String clientAddress(String id) {
         return "http://" + entrySettings.get(id).listen().callers();
     }
 
     /**
-     * An entry's address for operators.
+     * Returns the address on which an entry serves operators.
      *
      * @param id the entry
      * @return the base address
      */
-    public String operators(String id) {
+    public String operatorAddress(String id) {
         return "http://" + entrySettings.get(id).listen().operators();
     }
 
     /**
-     * An agent's address for metrics.
+     * Returns the address on which an agent serves metrics.
      *
      * @param id the agent
      * @return the base address
      */
-    public String watching(String id) {
+    public String metricsAddress(String id) {
         return "http://" + agentSettings.get(id).listen().operators();
     }
 
--- a/src/main/java/org/micabarrow/settings/IntentReader.java
+++ b/src/main/java/org/micabarrow/settings/IntentReader.java
@@ -21,19 +21,19 @@
 public final class IntentReader {
 
     private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
-    private static final String A_NAME = "1 to 63 letters, digits, '.', '_' or '-'";
+    private static final String NAME_DESCRIPTION = "1 to 63 letters, digits, '.', '_' or '-'";
     private static final String DIGEST = "[0-9a-f]{64}";
-    private static final String A_DIGEST = "a SHA-256 of 64 hexadecimal digits";
+    private static final String DIGEST_DESCRIPTION = "a SHA-256 of 64 hexadecimal digits";
 
     private static final List<Rule> RULES = List.of(
-            Rule.pattern("/organisations/*/name", NAME, A_NAME),
-            Rule.pattern("/organisations/*/tokenDigest", DIGEST, A_DIGEST),
+            Rule.pattern("/organisations/*/name", NAME, NAME_DESCRIPTION),
+            Rule.pattern("/organisations/*/tokenDigest", DIGEST, DIGEST_DESCRIPTION),
             Rule.range("/organisations/*/weight", 1, 1000),
-            Rule.pattern("/placements/*/name", NAME, A_NAME),
+            Rule.pattern("/placements/*/name", NAME, NAME_DESCRIPTION),
             Rule.pattern("/placements/*/target/type", "model|service", "model or service"),
-            Rule.pattern("/placements/*/target/name", NAME, A_NAME),
-            Rule.pattern("/placements/*/target/version", DIGEST, A_DIGEST),
-            Rule.pattern("/placements/*/target/adapters/*", DIGEST, A_DIGEST),
+            Rule.pattern("/placements/*/target/name", NAME, NAME_DESCRIPTION),
+            Rule.pattern("/placements/*/target/version", DIGEST, DIGEST_DESCRIPTION),
+            Rule.pattern("/placements/*/target/adapters/*", DIGEST, DIGEST_DESCRIPTION),
             Rule.range("/placements/*/replicas", 0, 100_000),
             Rule.pattern("/placements/*/prefer", "time|originBytes", "time or originBytes"),
             Rule.pattern("/placements/*/whenCutOff", "serve|refuse", "serve or refuse"),
@@ -47,7 +47,7 @@
      *
      * @param file the file's name, for errors
      * @param bytes the text
-     * @return the intent, or everything that is wrong with it
+     * @return the intent, or all errors in it
      */
     public static Result<Intent> read(String file, byte[] bytes) {
         return JsonDocument.parse(file, bytes, Fault.Step.INTENT)
@@ -55,7 +55,7 @@
                 .map(Form::intent);
     }
 
-    /** The form in which an intent is written. */
+    /** JSON form of an intent. */
     record Form(Optional<List<OrganisationForm>> organisations, Optional<List<PlacementForm>> placements) {
 
         Intent intent() {
@@ -69,7 +69,7 @@
         }
     }
 
-    /** An organisation as written. */
+    /** JSON form of an organisation. */
     record OrganisationForm(String name, String tokenDigest, Optional<Integer> weight) {
 
         Organisation organisation() {
@@ -77,7 +77,7 @@
         }
     }
 
-    /** A placement as written. */
+    /** JSON form of a placement. */
     record PlacementForm(
             String name,
             TargetForm target,
@@ -110,10 +110,10 @@
         }
     }
 
-    /** An envelope as written. */
+    /** JSON form of an envelope. */
     record EnvelopeForm(Optional<Integer> replacements, Optional<Long> originBytes) {}
 
-    /** What is placed, as written. */
+    /** JSON form of the target of a placement. */
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
     @JsonSubTypes({
         @JsonSubTypes.Type(value = ModelForm.class, name = "model"),
@@ -121,11 +121,11 @@
     })
     sealed interface TargetForm {
 
-        /** The target as the planner takes it. */
+        /** Converts the target to the form used by the planner. */
         Intent.Target target();
     }
 
-    /** A model as written. */
+    /** JSON form of a model. */
     record ModelForm(String name, String version, Optional<List<String>> adapters) implements TargetForm {
 
         @Override
@@ -134,7 +134,7 @@
         }
     }
 
-    /** A service as written. */
+    /** JSON form of a service. */
     record ServiceForm(String name, Optional<Boolean> repeatable) implements TargetForm {
 
         @Override
