--- a/src/main/java/org/micabarrow/admission/ClassAdmission.java
+++ b/src/main/java/org/micabarrow/admission/ClassAdmission.java
@@ -14,10 +14,10 @@
 public final class ClassAdmission {
 
     /** The priority with which requests compete that are owed a slot because they are below their floor. */
-    private static final int MOST_URGENT = 0;
+    private static final int HIGHEST_PRIORITY = 0;
 
     /** The priority with which requests compete whose objective has passed. */
-    private static final int LEAST_URGENT = 255;
+    private static final int LOWEST_PRIORITY = 255;
 
     /** Each class has two levels, the second for organisations that are over their part. */
     private static final int LEVELS_PER_CLASS = 2;
@@ -70,7 +70,7 @@
             return new RequestClass(level(requestClass, Standing.USUAL), requestClass.organisation());
         }
         return new RequestClass(
-                late ? LEAST_URGENT : level(requestClass, standing(requestClass, size, nowMillis)),
+                late ? LOWEST_PRIORITY : level(requestClass, standing(requestClass, size, nowMillis)),
                 requestClass.organisation(),
                 maxFirstEventMillis(requestClass.priority(), nowMillis));
     }
@@ -87,7 +87,7 @@
         return switch (standing) {
             case USUAL -> first;
             case OVER_ITS_PART -> first + 1;
-            case BELOW_ITS_FLOOR -> MOST_URGENT;
+            case BELOW_ITS_FLOOR -> HIGHEST_PRIORITY;
         };
     }
 
--- a/src/main/java/org/micabarrow/admission/ClassAllotment.java
+++ b/src/main/java/org/micabarrow/admission/ClassAllotment.java
@@ -38,7 +38,7 @@
     private static final int WAITING_WEIGHT = 4;
 
     /** The class of requests that are less urgent than all others. */
-    private static final int LEAST_URGENT = 255;
+    private static final int LOWEST_PRIORITY = 255;
 
     private final SlotAllotment undivided;
     private final RandomGenerator random;
@@ -112,7 +112,7 @@
         List<ClassSlots> granted = new ArrayList<>();
         int reserved = reservedSlots(entry, priorities, freeSlots, pool, granted);
         if (freeSlots >= reservedForOthers) {
-            granted.add(new ClassSlots(LEAST_URGENT, general));
+            granted.add(new ClassSlots(LOWEST_PRIORITY, general));
         }
         return new Allotment(
                 reserved + general, Optional.of(new SlotGrants(granted, OrganisationTotals.heaviest(recent()))));
--- a/src/test/java/org/micabarrow/admission/ClassAdmissionTest.java
+++ b/src/test/java/org/micabarrow/admission/ClassAdmissionTest.java
@@ -19,7 +19,7 @@
     private static final RequestSize SIZE = RequestSize.ofPrompt(100);
     private static final RequestClass URGENT = new RequestClass(0, Optional.of("a"));
     private static final RequestClass BATCH = new RequestClass(2, Optional.of("a"));
-    private static final int LEAST_URGENT = 255;
+    private static final int LOWEST_PRIORITY = 255;
 
     private final ClassAdmission admission = new ClassAdmission();
 
@@ -75,7 +75,8 @@
         arrive(BATCH, 10);
         arrive(URGENT, 10);
         assertTrue(level(URGENT) < level(BATCH));
-        assertEquals(LEAST_URGENT, admission.competing(URGENT, SIZE, true, NOW).priority());
+        assertEquals(
+                LOWEST_PRIORITY, admission.competing(URGENT, SIZE, true, NOW).priority());
         assertEquals(
                 OptionalLong.empty(),
                 admission.competing(URGENT, SIZE, false, NOW).maxFirstEventMillis());
--- a/src/test/java/org/micabarrow/play/LimitPlay.java
+++ b/src/test/java/org/micabarrow/play/LimitPlay.java
@@ -25,10 +25,10 @@
     /** How often an entry has a request that it would send there. */
     private static final double WANTED_EVERY_MILLIS = 100;
 
-    private static final double MOST_WAY_MILLIS = 40;
+    private static final double MAX_LATENCY_MILLIS = 40;
 
     /** How long an answer takes to begin. */
-    private static final double MOST_ANSWER_MILLIS = 300;
+    private static final double MAX_RESPONSE_MILLIS = 300;
 
     /** An entry takes requests one round of questions after its start. */
     private static final double READY_AFTER_MILLIS = 150;
@@ -107,7 +107,7 @@
     }
 
     private double way() {
-        return random.nextDouble() * MOST_WAY_MILLIS;
+        return random.nextDouble() * MAX_LATENCY_MILLIS;
     }
 
     private void addEntry() {
@@ -207,7 +207,7 @@
         private void arrive(long sentMillis) {
             arrivals.add(events.now());
             OptionalDouble named = named();
-            events.after(random.nextDouble() * MOST_ANSWER_MILLIS + way(), () -> head(named, sentMillis));
+            events.after(random.nextDouble() * MAX_RESPONSE_MILLIS + way(), () -> head(named, sentMillis));
         }
 
         private void head(OptionalDouble named, long sentMillis) {
--- a/src/test/java/org/micabarrow/process/HostedSoakTest.java
+++ b/src/test/java/org/micabarrow/process/HostedSoakTest.java
@@ -66,7 +66,7 @@
     private static final long REST_AFTER_MILLIS = 500;
 
     private static final long REST_MILLIS = 3_000;
-    private static final int MOST_WHILE_RESTING = 2;
+    private static final int MAX_DURING_BACKOFF = 2;
 
     /** How long after it was told of a limit an entry keeps to it. */
     private static final long LIMIT_TOLD_MILLIS = 500;
@@ -404,7 +404,7 @@
                         .filter(request -> entry(request).equals(entry(refused)))
                         .filter(request -> request.receivedMillis() > refused.receivedMillis() + REST_AFTER_MILLIS)
                         .filter(request -> request.receivedMillis() < refused.receivedMillis() + REST_MILLIS)
-                        .skip(MOST_WHILE_RESTING)
+                        .skip(MAX_DURING_BACKOFF)
                         .map(Soak::id)
                         .forEach(tooMany::add);
             }
