Contact with an endpoint and its agent is a class of its own

EndpointLoad had grown to 427 lines; when the agent reported, whether a query is unanswered and how slow the link is are AgentContact. No behaviour changes.

--- a/src/main/java/org/micabarrow/routing/EndpointCandidate.java
+++ b/src/main/java/org/micabarrow/routing/EndpointCandidate.java
@@ -40,7 +40,10 @@
     boolean withinLimits(long nowMillis) {
         return load.rateLimitAllows(nowMillis)
                 && load.coldLimit()
-                        .allows(cold.perSecond(endpoint, nowMillis), load.hasRecentReport(nowMillis), nowMillis);
+                        .allows(
+                                cold.perSecond(endpoint, nowMillis),
+                                load.contact().hasRecentReport(nowMillis),
+                                nowMillis);
     }
 
     /** Returns whether the endpoint could be sent a request if it were warm. */
@@ -52,7 +55,7 @@
         OptionalLong stated = load.untilRateLimitAllowsMillis(nowMillis);
         OptionalLong whileCold = load.coldLimit()
                 .untilNextRequestMillis(
-                        cold.perSecond(endpoint, nowMillis), load.hasRecentReport(nowMillis), nowMillis);
+                        cold.perSecond(endpoint, nowMillis), load.contact().hasRecentReport(nowMillis), nowMillis);
         return stated.isPresent() && whileCold.isPresent()
                 ? OptionalLong.of(Math.max(stated.getAsLong(), whileCold.getAsLong()))
                 : OptionalLong.empty();
@@ -73,7 +76,7 @@
     /** Returns whether the endpoint is neither ejected nor mute nor behind a slow link. */
     boolean healthy(long objectiveMillis, long nowMillis) {
         return !load.failures().ejected(nowMillis)
-                && !load.linkSlow(nowMillis)
+                && !load.contact().linkSlow(nowMillis)
                 && !load.silence().mute(objectiveMillis, nowMillis);
     }
 
--- a/src/main/java/org/micabarrow/routing/EndpointCapacity.java
+++ b/src/main/java/org/micabarrow/routing/EndpointCapacity.java
@@ -122,7 +122,7 @@
 
     /** Returns whether the endpoint's memory holds the request; a report that has expired does not count. */
     private static boolean fitsMemory(RoutingRequest request, EndpointLoad load, long nowMillis) {
-        return !load.hasRecentReport(nowMillis)
+        return !load.contact().hasRecentReport(nowMillis)
                 || load.memory().fits(request.size(), request.model().get().layers());
     }
 
--- a/src/main/java/org/micabarrow/routing/EndpointEligibility.java
+++ b/src/main/java/org/micabarrow/routing/EndpointEligibility.java
@@ -52,7 +52,7 @@
 
     /** Returns whether contact with an endpoint and its agent is lost. */
     boolean unresponsive(EndpointCandidate candidate, long nowMillis) {
-        return candidate.load().unresponsive(contactTimeoutMillis(candidate.endpoint()), nowMillis);
+        return candidate.load().contact().unresponsive(contactTimeoutMillis(candidate.endpoint()), nowMillis);
     }
 
     private long contactTimeoutMillis(EndpointRegistration endpoint) {
@@ -77,9 +77,9 @@
         long heldVersion = candidate.version(request.model().get());
         EndpointLoad load = candidate.load();
         // Requests delayed by a slow link may arrive when the older version may no longer respond.
-        boolean linkUncertain = load.hasUnansweredQuery()
-                || load.linkRecentlySlow(nowMillis)
-                || load.agentUnresponsive(contactTimeoutMillis(candidate.endpoint()), nowMillis);
+        boolean linkUncertain = load.contact().hasUnansweredQuery()
+                || load.contact().linkRecentlySlow(nowMillis)
+                || load.contact().agentUnresponsive(contactTimeoutMillis(candidate.endpoint()), nowMillis);
         boolean mayArriveTooLate = heldVersion < request.newestVersion() && linkUncertain;
         return heldVersion > 0
                 && heldVersion >= request.minVersion()
--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -13,20 +13,14 @@
  */
 public final class EndpointLoad {
 
-    /** Time after which an agent's report is no longer used, in milliseconds. */
-    private static final long REPORT_EXPIRY_MILLIS = 2_000;
-
     private int inFlight;
     private int pendingPromptTokens;
     private LoadReport report = new LoadReport(0, 0, false, 0);
     private SlotLimits slotLimits = SlotLimits.undivided();
     private int inFlightWhenReported;
-    private long reportedAtMillis = -REPORT_EXPIRY_MILLIS - 1;
-    private long lastDataMillis;
-    private boolean queryUnanswered;
     private boolean restarted;
     private long version;
-    private final LinkLatency link = new LinkLatency();
+    private final AgentContact contact = new AgentContact();
     private final FailureTracker failures = new FailureTracker();
     private final Backoff backoff = new Backoff();
     private final EndpointSpeed speed;
@@ -103,32 +97,20 @@
      * @return the number of tokens
      */
     public int pendingPromptTokens(long nowMillis) {
-        return pendingPromptTokens + (hasRecentReport(nowMillis) ? report.othersPromptTokens() : 0);
+        return pendingPromptTokens + (contact.hasRecentReport(nowMillis) ? report.othersPromptTokens() : 0);
     }
 
-    /**
-     * Returns whether the endpoint's agent has reported before but neither the agent nor the endpoint has been in
-     * contact within a timeout. Their instance may be paused or cut off.
-     *
-     * @param timeoutMillis the longest accepted time without contact
-     * @param nowMillis the time on the monotonic clock
-     * @return true if the last contact is older
-     */
-    public boolean unresponsive(long timeoutMillis, long nowMillis) {
-        return agentUnresponsive(timeoutMillis, nowMillis) && nowMillis - lastDataMillis > timeoutMillis;
-    }
+    // -- reports of the agent
 
     /**
-     * Records that data of a response arrived from the endpoint.
+     * Returns the contact with the endpoint and its agent.
      *
-     * @param nowMillis the time on the monotonic clock
+     * @return the mutable contact
      */
-    public void dataReceived(long nowMillis) {
-        lastDataMillis = nowMillis;
+    public AgentContact contact() {
+        return contact;
     }
 
-    // -- reports of the agent
-
     /**
      * Records a report of the endpoint's agent.
      *
@@ -139,10 +121,8 @@
     public void reported(LoadReport newReport, long delayMillis, long nowMillis) {
         report = newReport;
         slotLimits = SlotLimits.undivided();
-        link.measured(delayMillis, nowMillis);
         inFlightWhenReported = inFlight;
-        reportedAtMillis = nowMillis;
-        queryUnanswered = false;
+        contact.reported(delayMillis, nowMillis);
         restarted = false;
         version = Math.max(version, newReport.version());
         speed.reported(newReport.condition().map(EndpointCondition::pace).orElseGet(OptionalDouble::empty), nowMillis);
@@ -174,81 +154,6 @@
         return restarted;
     }
 
-    /** Records that the agent did not reply to a query in time. */
-    public void queryTimedOut() {
-        queryUnanswered = true;
-    }
-
-    /**
-     * Returns whether the agent has left a query without a reply and has not reported since.
-     *
-     * @return true until its next report
-     */
-    public boolean hasUnansweredQuery() {
-        return queryUnanswered;
-    }
-
-    /**
-     * Returns whether the endpoint's agent has ever reported.
-     *
-     * @return false for an endpoint without an agent
-     */
-    public boolean hasAgent() {
-        return reportedAtMillis >= 0;
-    }
-
-    /**
-     * Returns whether the last report of the endpoint's agent is recent enough to be used.
-     *
-     * @param nowMillis the time on the monotonic clock
-     * @return true until the report expires
-     */
-    public boolean hasRecentReport(long nowMillis) {
-        return nowMillis - reportedAtMillis <= REPORT_EXPIRY_MILLIS;
-    }
-
-    /**
-     * Returns the age of the last report of the endpoint's agent.
-     *
-     * @param nowMillis the time on the monotonic clock
-     * @return milliseconds
-     */
-    public long millisSinceReport(long nowMillis) {
-        return nowMillis - reportedAtMillis;
-    }
-
-    /**
-     * Returns whether the endpoint's agent has reported before but not within a timeout, regardless of contact with the
-     * endpoint itself: queries or replies may get lost on a saturated link.
-     *
-     * @param timeoutMillis the longest accepted time without a report
-     * @param nowMillis the time on the monotonic clock
-     * @return true if the last report is older
-     */
-    public boolean agentUnresponsive(long timeoutMillis, long nowMillis) {
-        return hasAgent() && nowMillis - reportedAtMillis > timeoutMillis;
-    }
-
-    /**
-     * Returns whether the round trip to the endpoint is slow because its instance's link is narrow or saturated.
-     *
-     * @param nowMillis the time on the monotonic clock
-     * @return true if the agent's last reply has not expired and was late
-     */
-    public boolean linkSlow(long nowMillis) {
-        return hasRecentReport(nowMillis) && link.slow();
-    }
-
-    /**
-     * Returns whether the round trip to the endpoint was slow recently and may therefore become slow again.
-     *
-     * @param nowMillis the time on the monotonic clock
-     * @return true for a while after each late reply of its agent
-     */
-    public boolean linkRecentlySlow(long nowMillis) {
-        return link.recentlySlow(nowMillis);
-    }
-
     /**
      * Records the weight version that a response came from.
      *
@@ -274,7 +179,7 @@
      * @return true if its agent reported so recently
      */
     public boolean loading(long nowMillis) {
-        return report.loading() && hasRecentReport(nowMillis);
+        return report.loading() && contact.hasRecentReport(nowMillis);
     }
 
     /**
@@ -295,7 +200,7 @@
      * @return at least the number of this entry's own requests
      */
     public int requests(long nowMillis) {
-        return hasRecentReport(nowMillis)
+        return contact.hasRecentReport(nowMillis)
                 ? Math.max(inFlight, report.requests() + inFlight - inFlightWhenReported)
                 : inFlight;
     }
@@ -310,7 +215,7 @@
      * @return true also if the agent does not allot slots or has not reported recently
      */
     public boolean hasAllottedSlot(int priority, long nowMillis) {
-        return !hasRecentReport(nowMillis)
+        return !contact.hasRecentReport(nowMillis)
                 || slotLimits.allow(priority, inFlight - inFlightWhenReported, report.allottedSlots());
     }
 
@@ -372,7 +277,7 @@
      * @return true also if there is no rate limit
      */
     public boolean rateLimitAllows(long nowMillis) {
-        return rateLimit.allows(hasRecentReport(nowMillis), nowMillis);
+        return rateLimit.allows(contact.hasRecentReport(nowMillis), nowMillis);
     }
 
     /**
@@ -382,7 +287,7 @@
      * @return milliseconds, 0 also if there is no rate limit; empty if the limit is left to other entries
      */
     public OptionalLong untilRateLimitAllowsMillis(long nowMillis) {
-        return rateLimit.untilNextRequestMillis(hasRecentReport(nowMillis), nowMillis);
+        return rateLimit.untilNextRequestMillis(contact.hasRecentReport(nowMillis), nowMillis);
     }
 
     // -- speed
--- a/src/main/java/org/micabarrow/routing/EndpointSelector.java
+++ b/src/main/java/org/micabarrow/routing/EndpointSelector.java
@@ -320,8 +320,8 @@
         if (!healthy.isEmpty()) {
             return healthy;
         }
-        boolean anyRecentReport =
-                candidates.stream().anyMatch(candidate -> candidate.load().hasRecentReport(nowMillis));
+        boolean anyRecentReport = candidates.stream()
+                .anyMatch(candidate -> candidate.load().contact().hasRecentReport(nowMillis));
         return anyRecentReport || !responsive.isEmpty() ? responsive : eligible;
     }
 
@@ -348,7 +348,7 @@
      * @return whether the endpoint holds an older version and has an agent
      */
     public boolean mustQueryAgent(EndpointRegistration endpoint, RoutingRequest request) {
-        return load(endpoint.start()).hasAgent()
+        return load(endpoint.start()).contact().hasAgent()
                 && request.model()
                         .filter(model -> withLoad(endpoint).version(model) < request.newestVersion())
                         .isPresent();
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -251,7 +251,7 @@
         if (closed) {
             return;
         }
-        load.dataReceived(context.nowMillis());
+        load.contact().dataReceived(context.nowMillis());
         ResponseHead head = context.protocol().decodeHead(request, status, headers);
         head.weightVersion().ifPresent(load::respondedWithVersion);
         if (head.isFromIntendedEndpoint()) {
@@ -322,7 +322,7 @@
         if (closed) {
             return;
         }
-        load.dataReceived(context.nowMillis());
+        load.contact().dataReceived(context.nowMillis());
         if (!slot.started()) {
             context.crashes().onResponse(served.digest(), false);
         }
--- a/src/main/java/org/micabarrow/serving/AttemptProgress.java
+++ b/src/main/java/org/micabarrow/serving/AttemptProgress.java
@@ -127,7 +127,7 @@
      * request. If the link was slow lately, the data is probably in transit.
      */
     private boolean overdue() {
-        return !load.linkRecentlySlow(context.nowMillis())
+        return !load.contact().linkRecentlySlow(context.nowMillis())
                 && AttemptPolicy.overdue(served.request().route(), stallTimer.waitingMillis());
     }
 
--- a/src/main/java/org/micabarrow/serving/RequestLog.java
+++ b/src/main/java/org/micabarrow/serving/RequestLog.java
@@ -63,7 +63,7 @@
                 reason,
                 Math.round(selected.predictedMillis()),
                 load.requests(now),
-                load.hasAgent() ? load.millisSinceReport(now) : "-",
+                load.contact().hasAgent() ? load.contact().millisSinceReport(now) : "-",
                 millisUntilObjective,
                 remainingMillis,
                 context.viewAge());
--- a/src/main/java/org/micabarrow/serving/ServingContext.java
+++ b/src/main/java/org/micabarrow/serving/ServingContext.java
@@ -97,8 +97,8 @@
     /** Records how old the agent's report is by which an endpoint was selected. */
     void recordReportAge(EndpointRegistration endpoint) {
         EndpointLoad load = load(endpoint);
-        if (load.hasAgent()) {
-            metrics.reportAge.update(load.millisSinceReport(nowMillis()), TimeUnit.MILLISECONDS);
+        if (load.contact().hasAgent()) {
+            metrics.reportAge.update(load.contact().millisSinceReport(nowMillis()), TimeUnit.MILLISECONDS);
         }
     }
 
@@ -270,7 +270,7 @@
     void queryAgent(ClientRequest request, EndpointRegistration endpoint, Consumer<Boolean> callback) {
         dependencies.agentQueries().query(endpoint, inTime -> {
             if (!inTime) {
-                load(endpoint).queryTimedOut();
+                load(endpoint).contact().queryTimedOut();
             }
             callback.accept(inTime && canReceive(request, endpoint));
         });
@@ -278,7 +278,7 @@
 
     /** Runs an action once an endpoint's agent has replied or timed out; at once if there is no agent. */
     void awaitAgentReply(ClientRequest request, EndpointRegistration endpoint, Runnable callback) {
-        if (load(endpoint).hasAgent()) {
+        if (load(endpoint).contact().hasAgent()) {
             queryAgent(request, endpoint, ignored -> callback.run());
         } else {
             callback.run();
--- a/src/test/java/org/micabarrow/routing/EndpointLoadTest.java
+++ b/src/test/java/org/micabarrow/routing/EndpointLoadTest.java
@@ -18,14 +18,14 @@
     @ParameterizedTest
     @ValueSource(longs = {0, 1, 999, 1_000, 100_000})
     void shouldNotReportLinkRecentlySlowWhenAgentHasNotReported(long nowMillis) {
-        assertFalse(load.linkRecentlySlow(nowMillis), "a monotonic clock may start near 0");
-        assertFalse(load.hasRecentReport(nowMillis));
+        assertFalse(load.contact().linkRecentlySlow(nowMillis), "a monotonic clock may start near 0");
+        assertFalse(load.contact().hasRecentReport(nowMillis));
     }
 
     @Test
     void shouldReportLinkRecentlySlowForAWhileAfterLateReply() {
         load.reported(new LoadReport(0, 0, false, 1), 401, 10);
-        assertTrue(load.linkRecentlySlow(3_010));
-        assertFalse(load.linkRecentlySlow(3_011));
+        assertTrue(load.contact().linkRecentlySlow(3_010));
+        assertFalse(load.contact().linkRecentlySlow(3_011));
     }
 }
--- a/src/test/java/org/micabarrow/routing/EndpointSelectorTest.java
+++ b/src/test/java/org/micabarrow/routing/EndpointSelectorTest.java
@@ -158,7 +158,7 @@
     @Test
     void shouldSendNothingToUnresponsiveAgentsEndpointWhenNewerVersionIsAnnounced() {
         selector.load("a").reported(new LoadReport(0, 0, false, 1), 10, NOW - 1_000);
-        selector.load("a").dataReceived(NOW - 50);
+        selector.load("a").contact().dataReceived(NOW - 50);
         RoutingRequest request = new RoutingRequest(1_000, 500, Optional.of(MODEL), 0, 2, Set.of());
         assertInstanceOf(EndpointSelection.NoneEligible.class, selector.select(List.of(endpoint("a")), request, NOW));
         assertEquals("a", selectedId(select(endpoint("a"))), "no newer version is announced");
@@ -177,7 +177,7 @@
     @Test
     void shouldUseEndpointThatRespondsWhenItsAgentIsUnresponsive() {
         selector.load("a").reported(new LoadReport(0, 0, false, 1), 10, NOW - 1_000);
-        selector.load("a").dataReceived(NOW - 50);
+        selector.load("a").contact().dataReceived(NOW - 50);
         selector.load("b").reported(new LoadReport(0, 0, true, 1), 10, NOW - 100);
         assertEquals("a", selectedId(select(endpoint("a"), endpoint("b"))));
     }
@@ -232,7 +232,7 @@
         RoutingRequest newer = new RoutingRequest(1_000, 500, Optional.of(MODEL), 0, 2, Set.of());
         EndpointRegistration old = endpoint("a", "h1", false, 1, 16);
         selector.load("a").reported(new LoadReport(0, 0, false, 1), 10, NOW);
-        selector.load("a").queryTimedOut();
+        selector.load("a").contact().queryTimedOut();
         assertFalse(selector.eligible(old, newer, NOW));
         assertTrue(selector.eligible(old, request(0, Set.of()), NOW), "any version may respond");
         selector.load("a").reported(new LoadReport(0, 0, false, 1), 10, NOW);
