--- a/src/main/java/org/micabarrow/transport/EntryQueries.java
+++ b/src/main/java/org/micabarrow/transport/EntryQueries.java
@@ -7,8 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.micabarrow.limits.EntryRank;
-import org.micabarrow.transport.LoadMessages.Query;
-import org.micabarrow.transport.LoadMessages.ReaderUpdate;
+import org.micabarrow.transport.LoadReply.ReaderUpdate;
 
 /** The last query of each entry that queried an agent recently. Thread-safe. */
 final class EntryQueries {
@@ -61,7 +60,7 @@
     record EntryQuery(
             InetSocketAddress from,
             String host,
-            Query query,
+            LoadQuery query,
             long atMillis,
             Optional<String> peer,
             Optional<StoreReader> reader) {}
@@ -99,7 +98,7 @@
      * @param nowMillis the time on the agent's monotonic clock
      * @return the query as recorded
      */
-    synchronized EntryQuery add(InetSocketAddress from, Query query, long nowMillis) {
+    synchronized EntryQuery add(InetSocketAddress from, LoadQuery query, long nowMillis) {
         EntryQuery previous = lastQueries.get(query.entry());
         String host = previous != null && previous.from().equals(from)
                 ? previous.host()
@@ -119,7 +118,7 @@
      * way, but it was certainly sent after the reply whose timestamp it repeats, so the age is counted from that
      * timestamp. Without a timestamp the age is unknown, and the result is empty.
      */
-    private static Optional<StoreReader> reader(Optional<String> peer, Query query, long nowMillis) {
+    private static Optional<StoreReader> reader(Optional<String> peer, LoadQuery query, long nowMillis) {
         boolean ageKnown =
                 query.replyTimestamp().isPresent() && query.replyTimestamp().getAsLong() <= nowMillis;
         if (!ageKnown
--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -6,12 +6,10 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
 import java.nio.charset.StandardCharsets;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.micabarrow.admission.EntryDemand;
-import org.micabarrow.admission.SlotGrants;
 import org.micabarrow.limits.EntryRank;
 import org.micabarrow.limits.RateLimitUpdate;
 import org.micabarrow.routing.LoadReport;
@@ -95,86 +93,7 @@
 
     // -- queries
 
-    /**
-     * An entry's query, which also reports the entry's own requests at the endpoint.
-     *
-     * @param entry the entry's name
-     * @param promptTokens the prompt tokens of its requests whose responses have not begun
-     * @param number distinguishes it from the entry's other queries
-     * @param unmetRequests the requests for models that the entry rejected for lack of free slots in about the last
-     *     second
-     * @param sameRegion whether the agent is in the entry's region
-     * @param storeUpdate what the entry knows of the store; empty for agents of other regions, and while the entry has
-     *     no contact with the store
-     * @param replyTimestamp the timestamp of the last reply that the entry received from the agent; the query was sent
-     *     after it
-     * @param rateLimit what the entry knows of the rate limit of the endpoint next to the agent; empty if it received
-     *     nothing recently
-     * @param demand the demand of the entry's clients; empty until the agent is known to read appended fields
-     */
-    record Query(
-            String entry,
-            int promptTokens,
-            int number,
-            int unmetRequests,
-            boolean sameRegion,
-            Optional<StoreUpdate> storeUpdate,
-            OptionalLong replyTimestamp,
-            Optional<RateLimitUpdate> rateLimit,
-            Optional<EntryDemand> demand) {
-
-        /** Creates a query without appended fields. */
-        Query(
-                String entry,
-                int promptTokens,
-                int number,
-                int unmetRequests,
-                boolean sameRegion,
-                Optional<StoreUpdate> storeUpdate,
-                OptionalLong replyTimestamp,
-                Optional<RateLimitUpdate> rateLimit) {
-            this(
-                    entry,
-                    promptTokens,
-                    number,
-                    unmetRequests,
-                    sameRegion,
-                    storeUpdate,
-                    replyTimestamp,
-                    rateLimit,
-                    Optional.empty());
-        }
-
-        /** Creates a query of an entry that knows of no rate limit. */
-        Query(
-                String entry,
-                int promptTokens,
-                int number,
-                int unmetRequests,
-                boolean sameRegion,
-                Optional<StoreUpdate> storeUpdate,
-                OptionalLong replyTimestamp) {
-            this(entry, promptTokens, number, unmetRequests, sameRegion, storeUpdate, replyTimestamp, Optional.empty());
-        }
-
-        /** Creates a query of an entry that has received no reply yet. */
-        Query(
-                String entry,
-                int promptTokens,
-                int number,
-                int unmetRequests,
-                boolean sameRegion,
-                Optional<StoreUpdate> storeUpdate) {
-            this(entry, promptTokens, number, unmetRequests, sameRegion, storeUpdate, OptionalLong.empty());
-        }
-
-        /** Creates a query to an agent of another region, which gets no store update. */
-        Query(String entry, int promptTokens, int number, int unmetRequests) {
-            this(entry, promptTokens, number, unmetRequests, false, Optional.empty());
-        }
-    }
-
-    static ByteBuffer write(Query query) {
+    static ByteBuffer write(LoadQuery query) {
         byte[] entry = query.entry().getBytes(StandardCharsets.UTF_8);
         int updateSize = query.storeUpdate().map(LoadMessages::updateSize).orElse(0);
         int limitSize = RateLimitCodec.limitSize(query.rateLimit());
@@ -197,7 +116,7 @@
         return datagram.flip();
     }
 
-    static Query readQuery(byte[] bytes) throws IOException {
+    static LoadQuery readQuery(byte[] bytes) throws IOException {
         return decode(bytes, datagram -> {
             int number = datagram.getInt();
             int promptTokens = datagram.getInt();
@@ -211,7 +130,7 @@
             String entry = readText(datagram);
             Optional<EntryDemand> demand = AppendedFields.read(datagram).field(DEMAND, DemandCodec::readDemand);
             OptionalLong replyTimestamp = hasTimestamp ? OptionalLong.of(timestampMillis) : OptionalLong.empty();
-            return new Query(
+            return new LoadQuery(
                     entry,
                     promptTokens,
                     number,
@@ -261,93 +180,11 @@
 
     // -- replies
 
-    /**
-     * What an agent reports to an entry of its region about the entry that reads the store for that region.
-     *
-     * @param peer the host and port at which that entry serves records
-     * @param operatorOffset the offset after the last operator change that it knows of
-     * @param knownMillisAgo how long ago it knew everything that operators had written, in milliseconds
-     */
-    record ReaderUpdate(String peer, long operatorOffset, long knownMillisAgo) {
-
-        /** Checks that no component is null. */
-        ReaderUpdate {
-            Objects.requireNonNull(peer, "peer is null");
-        }
-    }
-
-    /**
-     * The appended fields of a reply.
-     *
-     * @param grants the slots granted to each class of the entry's requests; empty if the agent does not divide them by
-     *     class
-     */
-    record ReplyExtension(Optional<SlotGrants> grants) {
-
-        /** Checks that no component is null. */
-        ReplyExtension {
-            Objects.requireNonNull(grants, "grants is null");
-        }
-
-        /** Creates an extension of an agent that does not divide slots by class. */
-        static ReplyExtension withoutGrants() {
-            return new ReplyExtension(Optional.empty());
-        }
-    }
-
-    /**
-     * An agent's reply.
-     *
-     * @param number the number of the entry's query; for an unsolicited reply, that of the last query
-     * @param report the endpoint's load
-     * @param reader the entry that reads the store for the region; empty for that entry, for entries of other regions,
-     *     and if there is none
-     * @param timestampMillis the time on the agent's monotonic clock, which the entry's next query repeats
-     * @param rank the entry's rank among those that query the agent; empty until the agent has listened for long enough
-     *     to know it
-     * @param rateLimit what is known of the endpoint's rate limit; empty if nothing was received recently
-     * @param extension the appended fields; empty from an agent of a build that does not read any
-     */
-    record Reply(
-            int number,
-            LoadReport report,
-            Optional<ReaderUpdate> reader,
-            long timestampMillis,
-            Optional<EntryRank> rank,
-            Optional<RateLimitUpdate> rateLimit,
-            Optional<ReplyExtension> extension) {
-
-        /** Creates a reply without appended fields. */
-        Reply(
-                int number,
-                LoadReport report,
-                Optional<ReaderUpdate> reader,
-                long timestampMillis,
-                Optional<EntryRank> rank,
-                Optional<RateLimitUpdate> rateLimit) {
-            this(number, report, reader, timestampMillis, rank, rateLimit, Optional.of(ReplyExtension.withoutGrants()));
-        }
-
-        /** Creates a reply of an agent that knows neither ranks nor rate limits. */
-        Reply(int number, LoadReport report, Optional<ReaderUpdate> reader, long timestampMillis) {
-            this(number, report, reader, timestampMillis, Optional.empty(), Optional.empty());
-        }
-
-        /** Returns this reply without appended fields, for an entry of a build that does not read any. */
-        Reply withoutAppendedFields() {
-            return new Reply(number, report.withCondition(Optional.empty()), reader, timestampMillis, rank, rateLimit);
-        }
-
-        /** Creates a reply that names no reader. */
-        Reply(int number, LoadReport report) {
-            this(number, report, Optional.empty(), 0);
-        }
-    }
-
-    static ByteBuffer write(Reply reply) {
+    static ByteBuffer write(LoadReply reply) {
         LoadReport report = reply.report();
         int startSize = report.start().isPresent() ? Integer.BYTES : 0;
-        byte[] peer = reply.reader().map(ReaderUpdate::peer).orElse("").getBytes(StandardCharsets.UTF_8);
+        byte[] peer =
+                reply.reader().map(LoadReply.ReaderUpdate::peer).orElse("").getBytes(StandardCharsets.UTF_8);
         int readerSize = reply.reader().isPresent() ? READER_BYTES + peer.length : 0;
         int limitSize = RateLimitCodec.rankSize(reply.rank()) + RateLimitCodec.limitSize(reply.rateLimit());
         AppendedFields appended = appendedFields(reply);
@@ -374,23 +211,23 @@
         return datagram.flip();
     }
 
-    private static AppendedFields appendedFields(Reply reply) {
+    private static AppendedFields appendedFields(LoadReply reply) {
         AppendedFields appended = AppendedFields.empty();
         reply.report().condition().ifPresent(condition -> appended.with(CONDITION, ConditionCodec.write(condition)));
         reply.extension()
-                .flatMap(ReplyExtension::grants)
+                .flatMap(LoadReply.ReplyExtension::grants)
                 .ifPresent(grants -> appended.with(GRANTS, DemandCodec.write(grants)));
         return appended;
     }
 
-    private static byte state(Reply reply) {
+    private static byte state(LoadReply reply) {
         LoadReport report = reply.report();
         return (byte) ((report.loading() ? LOADING : 0)
                 | (report.draining() ? DRAINING : 0)
                 | (reply.extension().isPresent() ? READS_APPENDED_FIELDS : 0));
     }
 
-    static Reply readReply(byte[] bytes) throws IOException {
+    static LoadReply readReply(byte[] bytes) throws IOException {
         return decode(bytes, datagram -> {
             int number = datagram.getInt();
             int requests = datagram.getInt();
@@ -407,12 +244,13 @@
                     slots,
                     start,
                     (state & DRAINING) != 0);
-            Optional<ReaderUpdate> reader = readFlag(datagram) ? Optional.of(readReader(datagram)) : Optional.empty();
+            Optional<LoadReply.ReaderUpdate> reader =
+                    readFlag(datagram) ? Optional.of(readReader(datagram)) : Optional.empty();
             long timestampMillis = datagram.getLong();
             Optional<EntryRank> rank = RateLimitCodec.readRank(datagram);
             Optional<RateLimitUpdate> rateLimit = RateLimitCodec.readLimit(datagram);
             AppendedFields appended = AppendedFields.read(datagram);
-            return new Reply(
+            return new LoadReply(
                     number,
                     report.withCondition(appended.field(CONDITION, ConditionCodec::read)),
                     reader,
@@ -423,16 +261,16 @@
         });
     }
 
-    private static Optional<ReplyExtension> extension(byte state, AppendedFields appended) {
+    private static Optional<LoadReply.ReplyExtension> extension(byte state, AppendedFields appended) {
         return (state & READS_APPENDED_FIELDS) == 0
                 ? Optional.empty()
-                : Optional.of(new ReplyExtension(appended.field(GRANTS, DemandCodec::readGrants)));
+                : Optional.of(new LoadReply.ReplyExtension(appended.field(GRANTS, DemandCodec::readGrants)));
     }
 
-    private static ReaderUpdate readReader(ByteBuffer datagram) {
+    private static LoadReply.ReaderUpdate readReader(ByteBuffer datagram) {
         long operatorOffset = datagram.getLong();
         long knownMillisAgo = readAge(datagram);
-        return new ReaderUpdate(readText(datagram), operatorOffset, knownMillisAgo);
+        return new LoadReply.ReaderUpdate(readText(datagram), operatorOffset, knownMillisAgo);
     }
 
     // -- both
--- a/src/main/java/org/micabarrow/transport/LoadPoller.java
+++ b/src/main/java/org/micabarrow/transport/LoadPoller.java
@@ -264,7 +264,7 @@
                 .selector()
                 .unmetDemand()
                 .recent(dependencies.monotonicMillis().getAsLong());
-        ByteBuffer datagram = LoadMessages.write(new LoadMessages.Query(
+        ByteBuffer datagram = LoadMessages.write(new LoadQuery(
                 dependencies.place().id(),
                 ownPromptTokens,
                 number,
@@ -300,7 +300,7 @@
     }
 
     /** A reply, and the endpoints at the host from which it came. */
-    private record Accepted(List<EndpointStart> endpoints, LoadMessages.Reply reply) {}
+    private record Accepted(List<EndpointStart> endpoints, LoadReply reply) {}
 
     /** What a query reports about the store, with the timestamp of the reply that precedes it. */
     private record StoreStatus(boolean sameRegion, OptionalLong replyTimestamp, Optional<StoreUpdate> storeUpdate) {}
@@ -329,7 +329,7 @@
         }
     }
 
-    private void accept(String host, LoadMessages.Reply reply) {
+    private void accept(String host, LoadReply reply) {
         receivedReplies.increment();
         List<EndpointStart> endpoints = hosts.endpointsAt(host);
         replyTimestamps.put(host, reply.timestampMillis());
@@ -357,7 +357,7 @@
      * Applies a reply to the endpoint selector before the callbacks that wait for it run, so that they decide with its
      * content.
      */
-    private void apply(List<EndpointStart> endpoints, LoadMessages.Reply reply) {
+    private void apply(List<EndpointStart> endpoints, LoadReply reply) {
         OptionalLong sentMillis = queries.sentMillis(reply.number());
         if (sentMillis.isEmpty()) {
             return;
@@ -365,7 +365,7 @@
         long now = dependencies.monotonicMillis().getAsLong();
         long delay = now - sentMillis.getAsLong();
         reply.rank().ifPresent(rank -> dependencies.selector().entryCount().reported(rank.entries(), now));
-        Optional<SlotGrants> grants = reply.extension().flatMap(LoadMessages.ReplyExtension::grants);
+        Optional<SlotGrants> grants = reply.extension().flatMap(LoadReply.ReplyExtension::grants);
         grants.ifPresent(dependencies.onGrants());
         for (EndpointStart start : endpoints) {
             EndpointLoad load = dependencies.selector().load(start);
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -14,7 +14,7 @@
 import org.micabarrow.routing.LoadReport;
 import org.micabarrow.steps.RepeatedTasks;
 import org.micabarrow.transport.EntryQueries.EntryQuery;
-import org.micabarrow.transport.LoadMessages.ReplyExtension;
+import org.micabarrow.transport.LoadReply.ReplyExtension;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -157,7 +157,7 @@
         }
     }
 
-    private ClassAllotment.Allotment allotment(LoadMessages.Query query, LoadReport report) {
+    private ClassAllotment.Allotment allotment(LoadQuery query, LoadReport report) {
         if (report.allottedSlots() == LoadReport.UNLIMITED_SLOTS) {
             return new ClassAllotment.Allotment(LoadReport.UNLIMITED_SLOTS, Optional.empty());
         }
@@ -176,7 +176,7 @@
             throws IOException {
         long now = monotonicMillis.getAsLong();
         EntryQueries.OtherEntries others = entries.others(entryQuery, now);
-        LoadMessages.Reply reply = new LoadMessages.Reply(
+        LoadReply reply = new LoadReply(
                 entryQuery.query().number(),
                 report.forEntry(others.promptTokens(), allotment.slots()),
                 others.reader(),
--- a/src/test/java/org/micabarrow/transport/AppendedFieldsTest.java
+++ b/src/test/java/org/micabarrow/transport/AppendedFieldsTest.java
@@ -24,10 +24,8 @@
 import org.micabarrow.limits.RateLimitUpdate;
 import org.micabarrow.routing.EndpointCondition;
 import org.micabarrow.routing.LoadReport;
-import org.micabarrow.transport.LoadMessages.Query;
-import org.micabarrow.transport.LoadMessages.ReaderUpdate;
-import org.micabarrow.transport.LoadMessages.Reply;
-import org.micabarrow.transport.LoadMessages.ReplyExtension;
+import org.micabarrow.transport.LoadReply.ReaderUpdate;
+import org.micabarrow.transport.LoadReply.ReplyExtension;
 import org.micabarrow.views.ChangeOffsets;
 import org.micabarrow.views.ManifestPosition;
 
@@ -59,14 +57,14 @@
         return bytes;
     }
 
-    private static Query query(Optional<EntryDemand> demand) {
+    private static LoadQuery query(Optional<EntryDemand> demand) {
         StoreUpdate update = new StoreUpdate(
                 8_000, new ChangeOffsets(17, 18, 16), Optional.of(new ManifestPosition(7, 16)), 30, true);
-        return new Query("entry-a", 1_200, 17, 30, true, Optional.of(update), OptionalLong.of(99), LIMIT, demand);
+        return new LoadQuery("entry-a", 1_200, 17, 30, true, Optional.of(update), OptionalLong.of(99), LIMIT, demand);
     }
 
-    private static Reply reply(LoadReport report, Optional<ReplyExtension> extension) {
-        return new Reply(
+    private static LoadReply reply(LoadReport report, Optional<ReplyExtension> extension) {
+        return new LoadReply(
                 17,
                 report,
                 Optional.of(new ReaderUpdate("10.0.0.1:8000", 17, 250)),
@@ -103,7 +101,7 @@
     /** The former build rejects longer replies, and ignores the bit of the state that it does not know. */
     @Test
     void shouldDifferByOneBitOnlyWhenReplyGoesToFormerBuild() {
-        Reply reply = reply(
+        LoadReply reply = reply(
                 report().withCondition(Optional.of(CONDITION)),
                 Optional.of(new ReplyExtension(
                         Optional.of(new SlotGrants(List.of(new SlotGrants.ClassSlots(0, 2)), List.of())))));
@@ -120,7 +118,7 @@
 
     @Test
     void shouldReadDemandWhenAppended() throws IOException {
-        Query read = LoadMessages.readQuery(bytes(LoadMessages.write(query(Optional.of(DEMAND)))));
+        LoadQuery read = LoadMessages.readQuery(bytes(LoadMessages.write(query(Optional.of(DEMAND)))));
         EntryDemand limited = new EntryDemand(
                 List.of(new ClassDemand(0, 120, 3), new ClassDemand(2, 65_535, 0)), DEMAND.organisations());
         assertEquals(query(Optional.of(limited)), read);
@@ -128,7 +126,7 @@
 
     @Test
     void shouldReadConditionAndGrantsWhenAppended() throws IOException {
-        Reply reply = reply(
+        LoadReply reply = reply(
                 report().withCondition(Optional.of(CONDITION)),
                 Optional.of(new ReplyExtension(Optional.of(
                         new SlotGrants(List.of(new SlotGrants.ClassSlots(0, 2)), DEMAND.organisations())))));
--- a/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
@@ -21,10 +21,8 @@
 import org.micabarrow.limits.EntryRank;
 import org.micabarrow.limits.RateLimitUpdate;
 import org.micabarrow.routing.LoadReport;
-import org.micabarrow.transport.LoadMessages.Query;
-import org.micabarrow.transport.LoadMessages.ReaderUpdate;
 import org.micabarrow.transport.LoadMessages.Received;
-import org.micabarrow.transport.LoadMessages.Reply;
+import org.micabarrow.transport.LoadReply.ReaderUpdate;
 import org.micabarrow.views.ChangeOffsets;
 import org.micabarrow.views.ManifestPosition;
 
@@ -42,13 +40,13 @@
         LoadReport report = new LoadReport(3, 8, loading, 7, 5, OptionalInt.of(9), draining);
         assertEquals(
                 report,
-                LoadMessages.readReply(bytes(LoadMessages.write(new Reply(17, report))))
+                LoadMessages.readReply(bytes(LoadMessages.write(new LoadReply(17, report))))
                         .report());
     }
 
     @Test
     void shouldReadQueryWhenWritten() throws IOException {
-        Query query = new Query("entry-a", 1_200, 17, 30);
+        LoadQuery query = new LoadQuery("entry-a", 1_200, 17, 30);
         assertEquals(query, LoadMessages.readQuery(bytes(LoadMessages.write(query))));
     }
 
@@ -56,7 +54,8 @@
     void shouldReadStoreUpdateWhenQueryContainsIt() throws IOException {
         StoreUpdate storeUpdate = new StoreUpdate(
                 8_000, new ChangeOffsets(17, 1L << 40, 16), Optional.of(new ManifestPosition(7, 16)), 30, true);
-        Query query = new Query("entry-a", 1_200, 17, 30, true, Optional.of(storeUpdate), OptionalLong.of(1L << 40));
+        LoadQuery query =
+                new LoadQuery("entry-a", 1_200, 17, 30, true, Optional.of(storeUpdate), OptionalLong.of(1L << 40));
         assertEquals(query, LoadMessages.readQuery(bytes(LoadMessages.write(query))));
     }
 
@@ -66,10 +65,10 @@
         OptionalDouble limit = perSecond < 0 ? OptionalDouble.empty() : OptionalDouble.of(perSecond);
         Optional<RateLimitUpdate> rateLimit =
                 Optional.of(new RateLimitUpdate(RateLimitUpdate.token("a"), limit, 1_200));
-        Query query = new Query("entry-a", 0, 17, 0, false, Optional.empty(), OptionalLong.empty(), rateLimit);
+        LoadQuery query = new LoadQuery("entry-a", 0, 17, 0, false, Optional.empty(), OptionalLong.empty(), rateLimit);
         assertEquals(query, LoadMessages.readQuery(bytes(LoadMessages.write(query))));
         Optional<EntryRank> rank = Optional.of(new EntryRank(59, 60));
-        Reply reply = new Reply(17, new LoadReport(3, 8, true, 7, 5), Optional.empty(), 90, rank, rateLimit);
+        LoadReply reply = new LoadReply(17, new LoadReport(3, 8, true, 7, 5), Optional.empty(), 90, rank, rateLimit);
         assertEquals(reply, LoadMessages.readReply(bytes(LoadMessages.write(reply))));
     }
 
@@ -83,8 +82,8 @@
         Optional<EntryRank> rank = Optional.of(new EntryRank(1, 2));
         LoadReport report = new LoadReport(3, 8, true, 7, 5, OptionalInt.of(9));
         byte[] query = bytes(LoadMessages.write(
-                new Query("entry-a", 1, 2, 3, true, Optional.of(storeUpdate), OptionalLong.empty(), rateLimit)));
-        byte[] reply = bytes(LoadMessages.write(new Reply(17, report, Optional.of(reader), 90, rank, rateLimit)));
+                new LoadQuery("entry-a", 1, 2, 3, true, Optional.of(storeUpdate), OptionalLong.empty(), rateLimit)));
+        byte[] reply = bytes(LoadMessages.write(new LoadReply(17, report, Optional.of(reader), 90, rank, rateLimit)));
         for (int length = 0; length < query.length; length++) {
             byte[] truncated = Arrays.copyOf(query, length);
             assertThrows(IOException.class, () -> LoadMessages.readQuery(truncated));
@@ -99,7 +98,7 @@
 
     @Test
     void shouldRejectQueryWhenLengthOfEntryIsInvalid() {
-        byte[] query = bytes(LoadMessages.write(new Query("entry-a", 1, 2, 3)));
+        byte[] query = bytes(LoadMessages.write(new LoadQuery("entry-a", 1, 2, 3)));
         for (int length : new int[] {-1, Integer.MIN_VALUE, Integer.MAX_VALUE, 513}) {
             ByteBuffer.wrap(query).putInt(query.length - "entry-a".length() - Integer.BYTES, length);
             assertThrows(IOException.class, () -> LoadMessages.readQuery(query));
@@ -108,20 +107,20 @@
 
     @Test
     void shouldReadReplyWhenWritten() throws IOException {
-        Reply reply = new Reply(17, new LoadReport(3, 800, true, 7, 5));
+        LoadReply reply = new LoadReply(17, new LoadReport(3, 800, true, 7, 5));
         assertEquals(reply, LoadMessages.readReply(bytes(LoadMessages.write(reply))));
     }
 
     @Test
     void shouldReadStartOfEndpointWhenReplyContainsIt() throws IOException {
-        Reply reply = new Reply(17, new LoadReport(3, 800, true, 7, 5, OptionalInt.of(674_123)));
+        LoadReply reply = new LoadReply(17, new LoadReport(3, 800, true, 7, 5, OptionalInt.of(674_123)));
         assertEquals(reply, LoadMessages.readReply(bytes(LoadMessages.write(reply))));
     }
 
     @Test
     void shouldReadReaderOfRegionWhenReplyContainsIt() throws IOException {
         ReaderUpdate reader = new ReaderUpdate("10.0.0.1:8000", 1L << 40, 250);
-        Reply reply = new Reply(17, new LoadReport(3, 800, true, 7, 5), Optional.of(reader), 1L << 40);
+        LoadReply reply = new LoadReply(17, new LoadReport(3, 800, true, 7, 5), Optional.of(reader), 1L << 40);
         assertEquals(reply, LoadMessages.readReply(bytes(LoadMessages.write(reply))));
     }
 
@@ -131,8 +130,8 @@
         InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         try (DatagramChannel receiver = DatagramChannel.open().bind(anyPort);
                 DatagramChannel sender = DatagramChannel.open().bind(anyPort)) {
-            Query longer = new Query("entry-with-a-longer-name", 1_200, 17, 30);
-            Query shorter = new Query("e", 0, 0, 0);
+            LoadQuery longer = new LoadQuery("entry-with-a-longer-name", 1_200, 17, 30);
+            LoadQuery shorter = new LoadQuery("e", 0, 0, 0);
             sender.send(LoadMessages.write(longer), receiver.getLocalAddress());
             sender.send(LoadMessages.write(shorter), receiver.getLocalAddress());
             Received first = LoadMessages.receive(receiver);
@@ -149,7 +148,7 @@
      */
     @Test
     void shouldRejectReplyWhenAgeOfReaderIsNegative() {
-        ByteBuffer datagram = LoadMessages.write(new LoadMessages.Reply(
+        ByteBuffer datagram = LoadMessages.write(new LoadReply(
                 1, new LoadReport(0, 0, false, 1), Optional.of(new ReaderUpdate("10.0.0.1:8000", 17, -5_000)), 0));
         byte[] bytes = new byte[datagram.remaining()];
         datagram.get(bytes);
--- a/src/test/java/org/micabarrow/transport/LoadPollerTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadPollerTest.java
@@ -117,7 +117,7 @@
     private void reply(DatagramPacket query, int numberOffset) throws IOException {
         byte[] bytes = Arrays.copyOf(query.getData(), query.getLength());
         int number = LoadMessages.readQuery(bytes).number() + numberOffset;
-        ByteBuffer reply = LoadMessages.write(new LoadMessages.Reply(number, new LoadReport(1, 0, false, 1)));
+        ByteBuffer reply = LoadMessages.write(new LoadReply(number, new LoadReport(1, 0, false, 1)));
         agent.send(new DatagramPacket(reply.array(), reply.limit(), query.getSocketAddress()));
     }
 
@@ -156,8 +156,8 @@
         pollerOfTwo.start(() -> pollerOfTwo.query(endpoint, inTime -> {}));
         for (int number = 0; number < 2; number++) {
             DatagramPacket packet = receiveQuery();
-            LoadMessages.Query query = LoadMessages.readQuery(Arrays.copyOf(packet.getData(), packet.getLength()));
-            assertEquals(new LoadMessages.Query("entry-a", 120, number, 0, true, Optional.empty()), query);
+            LoadQuery query = LoadMessages.readQuery(Arrays.copyOf(packet.getData(), packet.getLength()));
+            assertEquals(new LoadQuery("entry-a", 120, number, 0, true, Optional.empty()), query);
         }
     }
 
@@ -211,8 +211,8 @@
 
     private void reply(DatagramPacket query, LoadReport report) throws IOException {
         byte[] bytes = Arrays.copyOf(query.getData(), query.getLength());
-        ByteBuffer reply = LoadMessages.write(
-                new LoadMessages.Reply(LoadMessages.readQuery(bytes).number(), report));
+        ByteBuffer reply =
+                LoadMessages.write(new LoadReply(LoadMessages.readQuery(bytes).number(), report));
         agent.send(new DatagramPacket(reply.array(), reply.limit(), query.getSocketAddress()));
     }
 
@@ -259,14 +259,14 @@
             DatagramPacket query = receiveQuery();
             int number = LoadMessages.readQuery(Arrays.copyOf(query.getData(), query.getLength()))
                     .number();
-            ByteBuffer reply = LoadMessages.write(new LoadMessages.Reply(
+            ByteBuffer reply = LoadMessages.write(new LoadReply(
                     number,
                     new LoadReport(1, 0, false, 1, 2),
                     Optional.empty(),
                     0,
                     Optional.empty(),
                     Optional.empty(),
-                    Optional.of(new LoadMessages.ReplyExtension(Optional.of(grants)))));
+                    Optional.of(new LoadReply.ReplyExtension(Optional.of(grants)))));
             agent.send(new DatagramPacket(reply.array(), reply.limit(), query.getSocketAddress()));
         }
         assertEquals(grants, granted.getFirst());
--- a/src/test/java/org/micabarrow/transport/LoadServerTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadServerTest.java
@@ -28,7 +28,7 @@
 import org.micabarrow.limits.EntryRank;
 import org.micabarrow.limits.RateLimitUpdate;
 import org.micabarrow.routing.LoadReport;
-import org.micabarrow.transport.LoadMessages.ReaderUpdate;
+import org.micabarrow.transport.LoadReply.ReaderUpdate;
 import org.micabarrow.views.ChangeOffsets;
 
 /** The replies that an agent sends to entries, over real sockets. */
@@ -40,7 +40,7 @@
     private static final LoadReport IDLE = new LoadReport(0, 0, false, 1);
 
     private static void sendQuery(DatagramSocket entry, InetSocketAddress agent, int number) throws IOException {
-        ByteBuffer query = LoadMessages.write(new LoadMessages.Query("entry-a", 0, number, 0));
+        ByteBuffer query = LoadMessages.write(new LoadQuery("entry-a", 0, number, 0));
         entry.send(new DatagramPacket(query.array(), query.limit(), agent));
     }
 
@@ -94,18 +94,18 @@
             EntryDemand demand = new EntryDemand(
                     List.of(new ClassDemand(0, 8, 0), new ClassDemand(4, 50, 3)),
                     List.of(new OrganisationUsage(17, 900)));
-            LoadMessages.Reply divided = exchange(entry, agent, Optional.of(demand));
+            LoadReply divided = exchange(entry, agent, Optional.of(demand));
             SlotGrants grants = divided.extension().orElseThrow().grants().orElseThrow();
             assertEquals(List.of(new OrganisationUsage(17, 900)), grants.organisations());
             assertEquals(0, grants.classes().getFirst().priority());
-            LoadMessages.Reply former = exchange(entry, agent, Optional.empty());
+            LoadReply former = exchange(entry, agent, Optional.empty());
             assertEquals(Optional.empty(), former.extension().orElseThrow().grants(), "a former build tells no demand");
         }
     }
 
-    private static LoadMessages.Reply exchange(
-            DatagramSocket entry, InetSocketAddress agent, Optional<EntryDemand> demand) throws IOException {
-        ByteBuffer query = LoadMessages.write(new LoadMessages.Query(
+    private static LoadReply exchange(DatagramSocket entry, InetSocketAddress agent, Optional<EntryDemand> demand)
+            throws IOException {
+        ByteBuffer query = LoadMessages.write(new LoadQuery(
                 "entry", 0, 1, 0, false, Optional.empty(), OptionalLong.empty(), Optional.empty(), demand));
         entry.send(new DatagramPacket(query.array(), query.limit(), agent));
         DatagramPacket packet = new DatagramPacket(new byte[512], 512);
@@ -149,7 +149,7 @@
         private ByteBuffer query(long knownMillisAgo) {
             StoreUpdate storeUpdate =
                     new StoreUpdate(port, new ChangeOffsets(17, 0), Optional.empty(), knownMillisAgo, direct);
-            return LoadMessages.write(new LoadMessages.Query(
+            return LoadMessages.write(new LoadQuery(
                     name,
                     0,
                     0,
@@ -163,7 +163,7 @@
             socket.send(new DatagramPacket(query.array(), query.limit(), agent));
             DatagramPacket packet = new DatagramPacket(new byte[512], 512);
             socket.receive(packet);
-            LoadMessages.Reply reply = LoadMessages.readReply(Arrays.copyOf(packet.getData(), packet.getLength()));
+            LoadReply reply = LoadMessages.readReply(Arrays.copyOf(packet.getData(), packet.getLength()));
             replyTimestamp.set(OptionalLong.of(reply.timestampMillis()));
             return reply.reader();
         }
@@ -256,7 +256,7 @@
 
     // -- rate limits
 
-    private static LoadMessages.Reply exchange(DatagramSocket entry, InetSocketAddress agent, LoadMessages.Query query)
+    private static LoadReply exchange(DatagramSocket entry, InetSocketAddress agent, LoadQuery query)
             throws IOException {
         ByteBuffer datagram = LoadMessages.write(query);
         entry.send(new DatagramPacket(datagram.array(), datagram.limit(), agent));
@@ -265,8 +265,8 @@
         return LoadMessages.readReply(Arrays.copyOf(packet.getData(), packet.getLength()));
     }
 
-    private static LoadMessages.Query query(String entry, Optional<RateLimitUpdate> rateLimit) {
-        return new LoadMessages.Query(entry, 0, 0, 0, false, Optional.empty(), OptionalLong.empty(), rateLimit);
+    private static LoadQuery query(String entry, Optional<RateLimitUpdate> rateLimit) {
+        return new LoadQuery(entry, 0, 0, 0, false, Optional.empty(), OptionalLong.empty(), rateLimit);
     }
 
     @Test
