--- a/src/main/java/org/micabarrow/memory/HeldBytes.java
+++ b/src/main/java/org/micabarrow/memory/HeldBytes.java
@@ -4,13 +4,12 @@
 import java.util.Comparator;
 import java.util.IdentityHashMap;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Counts the bytes that a process holds for its clients: request bodies, and answers that clients have not taken yet. When the
- * count exceeds its limit, the answer that holds most is cut. Changed by the traffic thread only; {@link #bytes} may be read by
+ * Counts the bytes that a process holds for its clients: request bodies, and answers that clients have not taken yet. Before an
+ * answer exceeds the limit, the one that holds most is cut. Changed by the traffic thread only; {@link #bytes} may be read by
  * any thread.
  *
  * <pre>{@code
@@ -74,15 +73,20 @@
         return new Hold(Objects.requireNonNull(cut, "cut is null"));
     }
 
-    private void cutLargest() {
-        while (total.get() > limitBytes) {
-            Optional<Hold> largest = answers.stream().max(Comparator.comparingLong(Hold::bytes));
-            if (largest.isEmpty()) {
-                return;
+    /** Cuts the answers that hold most until a growing one fits; false if it holds most itself and was cut. */
+    private boolean makeRoom(Hold growing, long bytes) {
+        while (total.get() - growing.bytes + bytes > limitBytes) {
+            Hold largest = answers.stream()
+                    .filter(answer -> answer != growing && answer.bytes > bytes)
+                    .max(Comparator.comparingLong(Hold::bytes))
+                    .orElse(growing);
+            largest.release();
+            largest.cut.run();
+            if (largest == growing) {
+                return false;
             }
-            largest.get().release();
-            largest.get().cut.run();
         }
+        return true;
     }
 
     /** The count of one request body or answer. */
@@ -114,20 +118,17 @@
             if (released) {
                 return;
             }
-            long growth = now - bytes;
-            bytes = now;
-            total.addAndGet(growth);
-            if (cut == NEVER_CUT) {
+            boolean answer = cut != NEVER_CUT;
+            if (answer && now > bytes && !makeRoom(this, now)) {
                 return;
             }
-            if (now > 0) {
+            total.addAndGet(now - bytes);
+            bytes = now;
+            if (answer && now > 0) {
                 answers.add(this);
             } else {
                 answers.remove(this);
             }
-            if (growth > 0) {
-                cutLargest();
-            }
         }
 
         /** Ends the count; repeated calls have no effect. */
