--- a/src/test/java/org/micabarrow/serving/SlowClientTest.java
+++ b/src/test/java/org/micabarrow/serving/SlowClientTest.java
@@ -36,6 +36,9 @@
 
     private static final int SLOW_CLIENTS = 40;
 
+    /** So many endpoints of 16 slots that no client is refused for lack of one. All of them are the same server. */
+    private static final int ENDPOINTS = 4;
+
     /** A limit that the answers of so many slow clients exceed. */
     private static final long SMALL_LIMIT_BYTES = 4L << 20;
 
@@ -48,8 +51,10 @@
     private void start() throws IOException {
         endpoint = new SizedEndpoint();
         platform.manifest(2, "key-a", TIMEOUT.toMillis());
-        platform.place("raw-1", endpoint.address());
-        platform.enter("raw-1", "plain", 0, "ready");
+        for (int i = 0; i < ENDPOINTS; i++) {
+            platform.place("raw-" + i, endpoint.address());
+            platform.enter("raw-" + i, "plain", 0, "ready");
+        }
         serveWithoutVersions();
         // The first request of a process also loads its classes.
         assertEquals(200, sendRequest("/again/100").status());
