Endpoints of the slow clients' test have addresses of their own

Change: one server at four addresses. Measured: SlowClientTest passes; the trial with makeRoom disabled was not repeated after this.

--- a/src/test/java/org/micabarrow/serving/SlowClientTest.java
+++ b/src/test/java/org/micabarrow/serving/SlowClientTest.java
@@ -36,7 +36,7 @@
 
     private static final int SLOW_CLIENTS = 40;
 
-    /** So many endpoints of 16 slots that no client is refused for lack of one. All of them are the same server. */
+    /** So many endpoints of 16 slots that no client is refused for lack of one. All are one server, at addresses of their own. */
     private static final int ENDPOINTS = 4;
 
     /** A limit that the answers of so many slow clients exceed. */
@@ -52,7 +52,7 @@
         endpoint = new SizedEndpoint();
         platform.manifest(2, "key-a", TIMEOUT.toMillis());
         for (int i = 0; i < ENDPOINTS; i++) {
-            platform.place("raw-" + i, endpoint.address());
+            platform.place("raw-" + i, endpoint.address().replace("127.0.0.1", "127.0.0." + (i + 1)));
             platform.enter("raw-" + i, "plain", 0, "ready");
         }
         serveWithoutVersions();
