--- a/src/test/java/org/micabarrow/serving/LargeBodiesTest.java
+++ b/src/test/java/org/micabarrow/serving/LargeBodiesTest.java
@@ -58,8 +58,8 @@
         held = new HeldBytes(LIMIT_BYTES);
         endpoint = new SizedEndpoint();
         platform.store().append("keyed.op", "config", MANIFEST);
-        platform.place("raw-1", endpoint.address());
-        platform.enter("raw-1", "plain", 0, "ready");
+        platform.setAddress("raw-1", endpoint.address());
+        platform.register("raw-1", "plain", 0, "ready");
         serveWithoutVersions();
         List<CompletableFuture<Void>> ends = new ArrayList<>();
         List<Future<String>> heads = new ArrayList<>();
--- a/src/test/java/org/micabarrow/serving/SlowClientTest.java
+++ b/src/test/java/org/micabarrow/serving/SlowClientTest.java
@@ -36,11 +36,11 @@
 
     private static final int SLOW_CLIENTS = 40;
 
-    /** So many endpoints of 16 slots that no client is refused for lack of one. All are one server, at addresses of their own. */
+    /** Endpoints of 16 slots each; all are one server, at addresses of their own. */
     private static final int ENDPOINTS = 4;
 
-    /** A limit that the answers of so many slow clients exceed. */
-    private static final long SMALL_LIMIT_BYTES = 4L << 20;
+    /** A limit that the answers of eight slow clients exceed. */
+    private static final long SMALL_LIMIT_BYTES = 2L << 20;
 
     private static final int BYTES_AT_ONE_A_SECOND = 4;
 
@@ -50,10 +50,10 @@
 
     private void start() throws IOException {
         endpoint = new SizedEndpoint();
-        platform.manifest(2, "key-a", TIMEOUT.toMillis());
+        platform.publishManifest(2, "key-a", TIMEOUT.toMillis());
         for (int i = 0; i < ENDPOINTS; i++) {
-            platform.place("raw-" + i, endpoint.address().replace("127.0.0.1", "127.0.0." + (i + 1)));
-            platform.enter("raw-" + i, "plain", 0, "ready");
+            platform.setAddress("raw-" + i, endpoint.address().replace("127.0.0.1", "127.0.0." + (i + 1)));
+            platform.register("raw-" + i, "plain", 0, "ready");
         }
         serveWithoutVersions();
         // The first request of a process also loads its classes.
