Class shares only where routes carry priorities; early switch by the engine's own slowness

Change: the division between classes is on where a route's configuration holds a priority; the early switch compares with the slowness of the engine itself, not with what is queued in front of a request.

--- a/src/main/java/org/micabarrow/admission/ClassAdmission.java
+++ b/src/main/java/org/micabarrow/admission/ClassAdmission.java
@@ -8,7 +8,7 @@
 /**
  * Decides with which priority the requests of an entry compete for slots, and measures the demand that it tells agents.
  * Within a class, organisations that are over their part rank behind the others; what has been served less often than
- * its floor competes with the most urgent. While all requests have one priority, it changes nothing. Not thread-safe:
+ * its floor competes with the most urgent. While the routes of all requests have one priority, it changes nothing. Not thread-safe:
  * confined to one thread.
  */
 public final class ClassAdmission {
@@ -72,7 +72,7 @@
         return new RequestClass(
                 late ? LOWEST_PRIORITY : level(requestClass, standing(requestClass, size, nowMillis)),
                 requestClass.organisation(),
-                maxFirstEventMillis(requestClass.priority(), nowMillis));
+                maxFirstEventMillis(requestClass.routePriority(), nowMillis));
     }
 
     private OptionalLong maxFirstEventMillis(int priority, long nowMillis) {
@@ -163,7 +163,7 @@
      */
     public void arrived(
             RequestClass requestClass, RequestSize size, long objectiveMillis, boolean late, long nowMillis) {
-        mix.arrived(requestClass.priority(), objectiveMillis, nowMillis);
+        mix.arrived(requestClass.routePriority(), objectiveMillis, nowMillis);
         divided = mix.differs(nowMillis);
         if (divided && !late) {
             meter.arrived(competing(requestClass, size, false, nowMillis).priority(), nowMillis);
--- a/src/main/java/org/micabarrow/admission/PriorityMix.java
+++ b/src/main/java/org/micabarrow/admission/PriorityMix.java
@@ -4,7 +4,7 @@
 import java.util.OptionalLong;
 import java.util.TreeMap;
 
-/** Finds out whether the requests that arrive differ in priority. Not thread-safe: confined to one thread. */
+/** Finds out whether the routes of the requests that arrive differ in priority. Not thread-safe: confined to one thread. */
 final class PriorityMix {
 
     /** Decay time of the arrivals, in milliseconds: classes that call only now and then still count. */
--- a/src/main/java/org/micabarrow/routing/RequestClass.java
+++ b/src/main/java/org/micabarrow/routing/RequestClass.java
@@ -54,6 +54,15 @@
         return Math.clamp(priority, 0, MAX_PRIORITY) * (MAX_PRIORITY + 1) + Math.clamp(routePriority, 0, MAX_PRIORITY);
     }
 
+    /**
+     * Returns the priority of the request's route, by which requests of one organisation differ.
+     *
+     * @return the priority, 0 is the most urgent
+     */
+    public int routePriority() {
+        return priority % (MAX_PRIORITY + 1);
+    }
+
     /**
      * Returns the class of requests where neither priorities nor organisations differ.
      *
--- a/src/main/java/org/micabarrow/serving/AttemptProgress.java
+++ b/src/main/java/org/micabarrow/serving/AttemptProgress.java
@@ -22,7 +22,7 @@
     private final Optional<ModelProfile> streamedModel;
     private final long objectiveMillis;
     private final double predictedMillis;
-    private final double factorWhenSent;
+    private final double engineFactorWhenSent;
     private final long startMillis;
     private final ResponseStallTimer stallTimer;
     private final boolean resumed;
@@ -40,7 +40,7 @@
         this.objectiveMillis = served.request().route().objectiveMillis();
         this.predictedMillis = selected.predictedMillis();
         this.startMillis = context.nowMillis();
-        this.factorWhenSent = load.speed().factor(startMillis);
+        this.engineFactorWhenSent = load.speed().engineFactor(startMillis);
         this.stallTimer = new ResponseStallTimer(context::nowMillis);
         streamedModel.ifPresent(profile -> load.silence().sent(startMillis));
     }
@@ -137,7 +137,8 @@
             return false;
         }
         long now = context.nowMillis();
-        double slower = Math.max(1, load.speed().factor(now) / factorWhenSent);
+        // Queues of a busy moment are as long elsewhere; what was read of the prompt would be read again.
+        double slower = Math.max(1, load.speed().engineFactor(now) / engineFactorWhenSent);
         EarlySwitch.Waiting waiting = new EarlySwitch.Waiting(
                 now - startMillis,
                 predictedMillis * slower,
--- a/src/test/java/org/micabarrow/play/PlayedAttempt.java
+++ b/src/test/java/org/micabarrow/play/PlayedAttempt.java
@@ -33,7 +33,7 @@
     private final EndpointLoad load;
     private final RequestSize size;
     private final long sentMillis;
-    private final double factorWhenSent;
+    private final double engineFactorWhenSent;
     private EngineEmulator.Work work;
     private double lastEvent;
     private boolean begun;
@@ -55,7 +55,7 @@
         this.load = load;
         this.size = size;
         this.sentMillis = events.nowMillis();
-        this.factorWhenSent = load.speed().factor(sentMillis);
+        this.engineFactorWhenSent = load.speed().engineFactor(sentMillis);
         load.silence().sent(sentMillis);
     }
 
@@ -112,7 +112,8 @@
         }
         EarlySwitch.Waiting waiting = new EarlySwitch.Waiting(
                 events.nowMillis() - sentMillis,
-                chosen.predictedMillis() * Math.max(1, load.speed().factor(events.nowMillis()) / factorWhenSent),
+                chosen.predictedMillis()
+                        * Math.max(1, load.speed().engineFactor(events.nowMillis()) / engineFactorWhenSent),
                 request.millisToObjective(),
                 load.silence().mute(request.objective(), events.nowMillis()));
         if (EarlySwitch.due(LoadPlay.ROUTE, waiting)
