--- a/src/main/java/org/micabarrow/admission/ClassAdmission.java
+++ b/src/main/java/org/micabarrow/admission/ClassAdmission.java
@@ -97,7 +97,7 @@
      * @param requestClass the class by its route and organisation
      * @param size its size
      * @param nowMillis the time on the monotonic clock
-     * @return its standing; usual while requests do not differ in priority
+     * @return its standing; usual while routes do not differ in priority
      */
     public Standing standing(RequestClass requestClass, RequestSize size, long nowMillis) {
         if (!divided) {
@@ -119,7 +119,7 @@
      * @param waiting the number of requests that wait, by priority
      * @param maxWaitMillis how long it may wait, in milliseconds
      * @param nowMillis the time on the monotonic clock
-     * @return false also for short waits, for the most urgent class, and while requests do not differ in priority
+     * @return false also for short waits, for the most urgent class, and while routes do not differ in priority
      */
     public boolean waitsInVain(
             RequestClass competing, Map<Integer, Integer> waiting, long maxWaitMillis, long nowMillis) {
@@ -211,7 +211,7 @@
      *
      * @param waiting the number of requests that wait, by priority
      * @param nowMillis the time on the monotonic clock
-     * @return the demand; none while requests do not differ in priority
+     * @return the demand; none while routes do not differ in priority
      */
     public EntryDemand demand(Map<Integer, Integer> waiting, long nowMillis) {
         return divided
--- a/src/main/java/org/micabarrow/coordination/admission/ReservedSlots.java
+++ b/src/main/java/org/micabarrow/coordination/admission/ReservedSlots.java
@@ -5,7 +5,7 @@
 
     /**
      * One out of this number of slots is reserved for short requests. With it, short requests at 90 % load take 1.8 times as
-     * long as at 30 % load (docs/CAPACITY.md); other fractions were not measured.
+     * long as at 30 % load (docs/CAPACITY.md).
      */
     private static final int RESERVED_RATIO = 5;
 
