A request whose responses had begun is refused only when three crashes are sole

Cause: a crash after the response had begun counts against a request with fewer than three others, and two sole ones of four sufficed. A content that runs everywhere is involved in most crashes; two sole ones come about by chance.

Change: three sole crashes, as many as the rule for requests without any response asks for.

The new row of PoisonRequestDetectorTest (two of four shared) was seen to find "a" before.

--- a/src/main/java/org/micabarrow/crashes/PoisonRequestDetector.java
+++ b/src/main/java/org/micabarrow/crashes/PoisonRequestDetector.java
@@ -103,7 +103,7 @@
 
         private boolean isPoison() {
             if (partlyAnswered) {
-                return conclusive() && crashes > MIN_CRASHES;
+                return conclusive() && soleCrashes >= MIN_CRASHES && crashes > MIN_CRASHES;
             }
             return conclusive()
                     || crashes >= MIN_CRASHES_WITH_ONE_SOLE && soleCrashes > 0
--- a/src/test/java/org/micabarrow/crashes/PoisonRequestDetectorTest.java
+++ b/src/test/java/org/micabarrow/crashes/PoisonRequestDetectorTest.java
@@ -58,6 +58,8 @@
         "a crash that a poison request explains,         0:a 9:a 18:a 27:ab 36:b 45:b,        a",
         "responses had begun at three,                   0:A 9:A 18:A,                        ''",
         "responses had begun at four,                    0:A 9:A 18:A 27:A,                   a",
+        "one of five is shared and responses began,     0:A 9:A 18:A 27:Ab 36:b,             a",
+        "two of four are shared and responses began,   0:A 9:A 18:Ab 27:Ab,                 ''",
         "many other endpoints crash in the same second,  0:a 0:b 0:c 0:d 0:e 0:f 0:g 0:a 0:a, ''"
     })
     void shouldDetectPoisonRequests(String description, String crashes, String poisonRequests) {
