A poison request stays refused when another one explains its crashes; suspects wait until all know of a crash

Cause, from a line for each crash with its cause and each entry's verdicts: each crash was attributed to one request, so that finding a second poison request took the crashes of the first away and it was served again. Entries that did not know of a crash yet sent the request once more. An entry judged by its own report alone.

Change: RecurrentRequests judges by all crashes without any answer; its verdict stays. Crashes count as sole once all reports are in (200 ms). A suspect of two crashes waits as long, at most as long as its client. The verdicts move to PoisonRequests. The rule "five crashes whoever was there" of the detector is replaced by it.

--- a/src/main/java/org/micabarrow/crashes/CrashRegistry.java
+++ b/src/main/java/org/micabarrow/crashes/CrashRegistry.java
@@ -10,8 +10,6 @@
 import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * The endpoint crashes that a process knows of, and the poison requests inferred from them. A request that was answered
@@ -19,14 +17,18 @@
  */
 public final class CrashRegistry {
 
-    private static final Logger LOG = LoggerFactory.getLogger(CrashRegistry.class);
-
     /** Maximum number of requests remembered per crash: more than an endpoint runs and queues. */
     private static final int MAX_REQUESTS_PER_CRASH = 256;
 
     private final long memoryMillis;
     private final int maxCrashes;
-    private final IntSupplier endpointCount;
+    private final PoisonRequests poisonRequests;
+
+    /** The latest time of any event, on the monotonic clock. */
+    private long nowMillis = Long.MIN_VALUE;
+
+    /** When the reports of the latest crash have arrived, so that poison requests are to be detected again. */
+    private long reportsCompleteMillis = Long.MAX_VALUE;
 
     /** The crashes in the order in which they became known. */
     private final Map<String, KnownCrash> crashes = new LinkedHashMap<>();
@@ -37,8 +39,6 @@
     /** For each request, all crashes at which it was in flight. */
     private final Map<RequestDigest, Set<String>> involved = new HashMap<>();
 
-    private Map<RequestDigest, Set<String>> poisonRequests = Map.of();
-
     /** The quick digests of all requests that were in flight at a crash. */
     private volatile Set<Integer> quickDigests = Set.of();
 
@@ -65,7 +65,7 @@
     public CrashRegistry(long memoryMillis, int maxCrashes, IntSupplier endpointCount) {
         this.memoryMillis = memoryMillis;
         this.maxCrashes = maxCrashes;
-        this.endpointCount = Objects.requireNonNull(endpointCount, "endpointCount is null");
+        this.poisonRequests = new PoisonRequests(endpointCount);
     }
 
     // -- events
@@ -78,6 +78,10 @@
      */
     public synchronized void crashed(EndpointCrash crash, long atMillis) {
         Objects.requireNonNull(crash, "crash is null");
+        advance(atMillis);
+        if (!crashes.containsKey(crash.endpoint())) {
+            reportsCompleteMillis = atMillis + RecurrentRequests.REPORT_DELAY_MILLIS;
+        }
         KnownCrash known = crashes.computeIfAbsent(
                 crash.endpoint(), endpoint -> new KnownCrash(new HashSet<>(), new HashSet<>(), atMillis));
         for (RequestDigest request : crash.unanswered()) {
@@ -92,6 +96,10 @@
         detectPoisonRequests();
     }
 
+    private void advance(long millis) {
+        nowMillis = Math.max(nowMillis, millis);
+    }
+
     private boolean addInvolved(KnownCrash known, RequestDigest request, String endpoint) {
         return known.accepts(request) && known.involved().add(request) && add(involved, request, endpoint);
     }
@@ -141,8 +149,8 @@
      * @param nowMillis the time on the monotonic clock
      */
     public synchronized void expire(long nowMillis) {
-        List<String> expired = crashes.entrySet().stream()
-                .map(Map.Entry::getKey)
+        advance(nowMillis);
+        List<String> expired = crashes.keySet().stream()
                 .filter(endpoint -> nowMillis - rememberedFromMillis(endpoint) >= memoryMillis)
                 .toList();
         expired.forEach(this::forget);
@@ -156,8 +164,8 @@
      * crash of that request.
      */
     private long rememberedFromMillis(String endpoint) {
-        return poisonRequests.values().stream()
-                .filter(explained -> explained.contains(endpoint))
+        return poisonRequests
+                .explaining(endpoint)
                 .mapToLong(this::lastMillis)
                 .max()
                 .orElse(crashes.get(endpoint).atMillis());
@@ -180,44 +188,7 @@
 
     private void detectPoisonRequests() {
         quickDigests = involved.keySet().stream().map(RequestDigest::quick).collect(Collectors.toUnmodifiableSet());
-        boolean enough = involved.values().stream()
-                .anyMatch(crashedEndpoints -> crashedEndpoints.size() >= PoisonRequestDetector.MIN_CRASHES);
-        Map<RequestDigest, Set<String>> before = poisonRequests;
-        poisonRequests = enough ? PoisonRequestDetector.detect(evidence(), endpointCount.getAsInt()) : Map.of();
-        logChanges(before);
-    }
-
-    private void logChanges(Map<RequestDigest, Set<String>> before) {
-        poisonRequests.forEach((request, crashedEndpoints) -> {
-            if (!before.containsKey(request)) {
-                LOG.warn(
-                        "event=culprit_found digest={} crashes={} endpoints={}",
-                        request,
-                        crashedEndpoints.size(),
-                        crashedEndpoints);
-            }
-        });
-        before.keySet().stream()
-                .filter(request -> !poisonRequests.containsKey(request))
-                .forEach(request ->
-                        LOG.info("event=culprit_cleared digest={} crashesKnown={}", request, crashes.size()));
-    }
-
-    /**
-     * Determines the crashes that count against each request. If part of the response had arrived, the endpoint had
-     * survived the start of the request; such crashes count only against requests with fewer than three others.
-     */
-    private PoisonRequestDetector.Evidence evidence() {
-        Map<RequestDigest, Set<String>> counted = new HashMap<>(unanswered);
-        Set<RequestDigest> partlyAnswered = new HashSet<>();
-        involved.forEach((request, crashedEndpoints) -> {
-            boolean enough = unanswered.getOrDefault(request, Set.of()).size() >= PoisonRequestDetector.MIN_CRASHES;
-            if (!enough && crashedEndpoints.size() > PoisonRequestDetector.MIN_CRASHES) {
-                counted.put(request, crashedEndpoints);
-                partlyAnswered.add(request);
-            }
-        });
-        return new PoisonRequestDetector.Evidence(counted, partlyAnswered, times());
+        poisonRequests.detect(new PoisonRequests.Involvement(unanswered, involved, times()), nowMillis);
     }
 
     private Map<String, Long> times() {
@@ -256,13 +227,28 @@
      * @return the level of suspicion
      */
     public synchronized SuspicionLevel suspicion(RequestDigest request, long nowMillis) {
-        Set<String> explained = poisonRequests.get(Objects.requireNonNull(request, "request is null"));
-        if (explained != null) {
-            long left = memoryMillis - (nowMillis - lastMillis(explained));
-            return left > 0 ? new SuspicionLevel.Refused(explained.size(), left) : new SuspicionLevel.Unsuspected();
+        Objects.requireNonNull(request, "request is null");
+        advance(nowMillis);
+        if (nowMillis >= reportsCompleteMillis) {
+            reportsCompleteMillis = Long.MAX_VALUE;
+            detectPoisonRequests();
+        }
+        Optional<Set<String>> attributed = poisonRequests.crashes(request);
+        if (attributed.isPresent()) {
+            long left = memoryMillis - (nowMillis - lastMillis(attributed.get()));
+            return left > 0
+                    ? new SuspicionLevel.Refused(attributed.get().size(), left)
+                    : new SuspicionLevel.Unsuspected();
         }
-        int unexplained = unexplained(request);
-        return unexplained == 0 ? new SuspicionLevel.Unsuspected() : new SuspicionLevel.Suspected(unexplained);
+        Set<String> own = unanswered.getOrDefault(request, Set.of());
+        int unexplained = unexplained(own);
+        return unexplained == 0
+                ? new SuspicionLevel.Unsuspected()
+                : new SuspicionLevel.Suspected(unexplained, untilReportedMillis(own));
+    }
+
+    private long untilReportedMillis(Set<String> crashedEndpoints) {
+        return Math.max(0, lastMillis(crashedEndpoints) + RecurrentRequests.REPORT_DELAY_MILLIS - nowMillis);
     }
 
     private long lastMillis(Set<String> crashedEndpoints) {
@@ -272,10 +258,10 @@
                 .orElseThrow();
     }
 
-    private int unexplained(RequestDigest request) {
-        return (int) unanswered.getOrDefault(request, Set.of()).stream()
+    private int unexplained(Set<String> crashedEndpoints) {
+        return (int) crashedEndpoints.stream()
                 .filter(endpoint ->
-                        poisonRequests.values().stream().noneMatch(explained -> explained.contains(endpoint)))
+                        poisonRequests.explaining(endpoint).findAny().isEmpty())
                 .count();
     }
 
@@ -285,7 +271,7 @@
      * @return their digests
      */
     public synchronized Set<RequestDigest> refused() {
-        return Set.copyOf(poisonRequests.keySet());
+        return poisonRequests.digests();
     }
 
     /**
--- a/src/main/java/org/micabarrow/crashes/PoisonRequestDetector.java
+++ b/src/main/java/org/micabarrow/crashes/PoisonRequestDetector.java
@@ -26,11 +26,6 @@
     /** Number of crashes from which a single one without another suspect suffices. */
     private static final int MIN_CRASHES_WITH_ONE_SOLE = 4;
 
-    /**
-     * Number of crashes that suffices on its own, for a request without any part of a response since the first of them.
-     */
-    private static final int MIN_CRASHES_WITHOUT_SOLE = 5;
-
     /**
      * Time before a crash within which other crashes count as simultaneous, in milliseconds: roughly the duration of a
      * request.
@@ -42,15 +37,19 @@
 
     private final Map<String, Long> times;
     private final int endpointCount;
-    private final Map<RequestDigest, Set<String>> unexplained;
+    private final Map<RequestDigest, Set<String>> unexplained = new HashMap<>();
     private final Set<RequestDigest> partlyAnswered;
     private final Set<String> explained = new HashSet<>();
 
-    private PoisonRequestDetector(Evidence evidence, int endpointCount, Map<RequestDigest, Set<String>> unexplained) {
+    private PoisonRequestDetector(Evidence evidence, int endpointCount) {
         this.times = evidence.times();
         this.partlyAnswered = evidence.partlyAnswered();
         this.endpointCount = Math.max(1, endpointCount);
-        this.unexplained = unexplained;
+        evidence.crashes().forEach((request, crashes) -> {
+            if (crashes.size() > 1) {
+                unexplained.put(request, new HashSet<>(crashes));
+            }
+        });
     }
 
     /**
@@ -67,17 +66,24 @@
      * Detects poison requests. The result does not depend on the order in which the crashes became known.
      *
      * @param evidence the known crashes
+     * @param certain the requests that are poison for certain, and their crashes, which they explain
      * @param endpointCount the number of endpoints
      * @return the poison requests, and the crashes that each of them explains
      */
-    static Map<RequestDigest, Set<String>> detect(Evidence evidence, int endpointCount) {
-        Map<RequestDigest, Set<String>> repeated = new HashMap<>();
-        evidence.crashes().forEach((request, at) -> {
-            if (at.size() > 1) {
-                repeated.put(request, new HashSet<>(at));
-            }
-        });
-        return new PoisonRequestDetector(evidence, endpointCount, repeated).detectAll();
+    static Map<RequestDigest, Set<String>> detect(
+            Evidence evidence, Map<RequestDigest, Set<String>> certain, int endpointCount) {
+        PoisonRequestDetector detector = new PoisonRequestDetector(evidence, endpointCount);
+        detector.unexplained.keySet().removeAll(certain.keySet());
+        certain.values().forEach(detector::explain);
+        Map<RequestDigest, Set<String>> found = new LinkedHashMap<>(certain);
+        found.putAll(detector.detectAll());
+        return found;
+    }
+
+    private void explain(Set<String> crashes) {
+        explained.addAll(crashes);
+        unexplained.values().forEach(others -> others.removeAll(crashes));
+        unexplained.values().removeIf(others -> others.size() < 2);
     }
 
     private Map<RequestDigest, Set<String>> detectAll() {
@@ -86,9 +92,7 @@
             Suspect poisonRequest = next.get();
             Set<String> ownCrashes = unexplained.remove(poisonRequest.request());
             found.put(poisonRequest.request(), ownCrashes);
-            explained.addAll(ownCrashes);
-            unexplained.values().forEach(crashes -> crashes.removeAll(ownCrashes));
-            unexplained.values().removeIf(crashes -> crashes.size() < 2);
+            explain(ownCrashes);
         }
         return found;
     }
@@ -105,9 +109,7 @@
             if (partlyAnswered) {
                 return conclusive() && soleCrashes >= MIN_CRASHES && crashes > MIN_CRASHES;
             }
-            return conclusive()
-                    || crashes >= MIN_CRASHES_WITH_ONE_SOLE && soleCrashes > 0
-                    || crashes >= MIN_CRASHES_WITHOUT_SOLE;
+            return conclusive() || crashes >= MIN_CRASHES_WITH_ONE_SOLE && soleCrashes > 0;
         }
     }
 
--- a/src/main/java/org/micabarrow/crashes/SuspectIsolation.java
+++ b/src/main/java/org/micabarrow/crashes/SuspectIsolation.java
@@ -66,7 +66,8 @@
 
     /**
      * Returns the endpoints without other suspects, in the order in which they are to be tried. Returns none for a
-     * request that must be isolated while it is already in flight.
+     * request that must be isolated while it is already in flight, or while another process may not know of its last
+     * crash and would try it at the same time.
      *
      * @param endpoints all endpoints
      * @param request the request
@@ -76,7 +77,7 @@
     public List<EndpointRegistration> withoutOtherSuspects(
             List<EndpointRegistration> endpoints, RequestDigest request, SuspicionLevel.Suspected suspected) {
         Objects.requireNonNull(request, "request is null");
-        if (mustIsolate(suspected) && isInFlight(request)) {
+        if (mustIsolate(suspected) && (suspected.untilReportedMillis() > 0 || isInFlight(request))) {
             return List.of();
         }
         List<EndpointRegistration> available = endpoints.stream()
--- a/src/main/java/org/micabarrow/crashes/SuspicionLevel.java
+++ b/src/main/java/org/micabarrow/crashes/SuspicionLevel.java
@@ -10,8 +10,9 @@
      * The request was involved in crashes and may have caused them.
      *
      * @param crashes the number of crashes
+     * @param untilReportedMillis the time until all processes know of the last of them, in milliseconds; 0 if they do
      */
-    record Suspected(int crashes) implements SuspicionLevel {}
+    record Suspected(int crashes, long untilReportedMillis) implements SuspicionLevel {}
 
     /**
      * The request is considered a poison request.
--- a/src/main/java/org/micabarrow/serving/SuspectAdmission.java
+++ b/src/main/java/org/micabarrow/serving/SuspectAdmission.java
@@ -52,6 +52,9 @@
         return switch (suspicion(digest, nowMillis)) {
             case SuspicionLevel.Unsuspected ignored -> admission.decide(endpoints, routingRequest, nowMillis);
             case SuspicionLevel.Refused(int crashes, long forMillis) -> new Decision.PoisonRequest(crashes, forMillis);
+            case SuspicionLevel.Suspected suspected
+            when SuspectIsolation.mustIsolate(suspected) && suspected.untilReportedMillis() > 0 ->
+                untilReported(suspected, endpoints.size(), routingRequest);
             case SuspicionLevel.Suspected suspected -> {
                 List<EndpointRegistration> available =
                         isolation.withoutOtherSuspects(endpoints, digest.get(), suspected);
@@ -62,6 +65,12 @@
         };
     }
 
+    private static Decision untilReported(
+            SuspicionLevel.Suspected suspected, int endpoints, RoutingRequest routingRequest) {
+        long maxWaitMillis = Math.min(suspected.untilReportedMillis(), routingRequest.remainingMillis());
+        return maxWaitMillis > 0 ? new Decision.Wait(maxWaitMillis, endpoints) : new Decision.Full(endpoints);
+    }
+
     private Decision decidePreferring(
             List<EndpointRegistration> available,
             List<EndpointRegistration> endpoints,
--- a/src/test/java/org/micabarrow/crashes/CrashRegistryTest.java
+++ b/src/test/java/org/micabarrow/crashes/CrashRegistryTest.java
@@ -38,17 +38,32 @@
     @Test
     void shouldClearOthersWhenPoisonRequestExplainsTheirCrash() {
         crash("e1", 0, POISON, HARMLESS);
-        assertEquals(new SuspicionLevel.Suspected(1), registry.suspicion(HARMLESS, 100));
+        assertEquals(new SuspicionLevel.Suspected(1, 100), registry.suspicion(HARMLESS, 100));
         threeCrashes();
         assertInstanceOf(SuspicionLevel.Unsuspected.class, registry.suspicion(HARMLESS, 10_000));
     }
 
+    /** Guards against a poison request that is served again, since another one was in flight at most of its crashes. */
+    @Test
+    void shouldRefuseStillWhenAnotherPoisonRequestExplainsItsCrashes() {
+        RequestDigest other = digest("other");
+        crash("e1", 0, POISON);
+        crash("e2", 2_000, POISON);
+        crash("e3", 4_000, POISON, other);
+        crash("e4", 6_000, POISON, other);
+        assertInstanceOf(SuspicionLevel.Refused.class, registry.suspicion(POISON, 7_000));
+        for (int i = 0; i < 5; i++) {
+            crash("others-" + i, 8_000 + 2_000 * i, other);
+        }
+        assertEquals(Set.of(POISON, other), registry.refused());
+    }
+
     @Test
     void shouldCountCrashOnceWhenSeveralProcessesReportIt() {
         crash("e1", 0, POISON);
         crash("e1", 50, POISON, HARMLESS);
-        assertEquals(new SuspicionLevel.Suspected(1), registry.suspicion(POISON, 100));
-        assertEquals(new SuspicionLevel.Suspected(1), registry.suspicion(HARMLESS, 100));
+        assertEquals(new SuspicionLevel.Suspected(1, 100), registry.suspicion(POISON, 100));
+        assertEquals(new SuspicionLevel.Suspected(1, 100), registry.suspicion(HARMLESS, 100));
     }
 
     @Test
@@ -57,7 +72,7 @@
         crash("e2", 5_000, POISON);
         assertEquals(2, registry.cleared(POISON, true));
         crash("e3", 9_000, POISON);
-        assertEquals(new SuspicionLevel.Suspected(1), registry.suspicion(POISON, 10_000));
+        assertEquals(new SuspicionLevel.Suspected(1, 0), registry.suspicion(POISON, 10_000));
     }
 
     @Test
@@ -75,7 +90,7 @@
         assertEquals(2, registry.cleared(POISON, false));
         assertInstanceOf(SuspicionLevel.Unsuspected.class, registry.suspicion(POISON, 6_000));
         crash("e3", 9_000, POISON);
-        assertEquals(new SuspicionLevel.Suspected(1), registry.suspicion(POISON, 10_000));
+        assertEquals(new SuspicionLevel.Suspected(1, 0), registry.suspicion(POISON, 10_000));
     }
 
     @Test
--- a/src/test/java/org/micabarrow/crashes/PoisonRequestDetectorTest.java
+++ b/src/test/java/org/micabarrow/crashes/PoisonRequestDetectorTest.java
@@ -20,7 +20,7 @@
         return new RequestDigest(String.format("%032x", new BigInteger(1, name.getBytes(StandardCharsets.UTF_8))));
     }
 
-    private static String name(RequestDigest digest) {
+    static String name(RequestDigest digest) {
         return new String(new BigInteger(digest.hex(), 16).toByteArray(), StandardCharsets.UTF_8);
     }
 
@@ -28,7 +28,7 @@
      * Parses crashes given as {@code time:requests}, such as {@code 0:ab 5:ac}. Capital letters denote requests
      * whose responses had begun.
      */
-    private static PoisonRequestDetector.Evidence evidence(String crashes) {
+    static PoisonRequestDetector.Evidence evidence(String crashes) {
         Map<RequestDigest, Set<String>> at = new HashMap<>();
         Map<String, Long> times = new HashMap<>();
         Set<RequestDigest> partlyResponded = new HashSet<>();
@@ -64,7 +64,9 @@
     })
     void shouldDetectPoisonRequests(String description, String crashes, String poisonRequests) {
         Set<String> found = new TreeSet<>();
-        PoisonRequestDetector.detect(evidence(crashes), ENDPOINT_COUNT).keySet().forEach(one -> found.add(name(one)));
+        PoisonRequestDetector.detect(evidence(crashes), Map.of(), ENDPOINT_COUNT)
+                .keySet()
+                .forEach(one -> found.add(name(one)));
         assertEquals(poisonRequests, String.join("", found), description);
     }
 }
--- /dev/null
+++ b/src/test/java/org/micabarrow/crashes/RecurrentRequestsTest.java
@@ -0,0 +1,53 @@
+package org.micabarrow.crashes;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class RecurrentRequestsTest {
+
+    private static final long REPORTS_COMPLETE_MILLIS = 200;
+
+    private static String names(Set<RequestDigest> digests) {
+        Set<String> names = new TreeSet<>();
+        digests.forEach(digest -> names.add(PoisonRequestDetectorTest.name(digest)));
+        return String.join("", names);
+    }
+
+    /** Crashes are given as {@code seconds:requests}; the last one is {@code sinceLastMillis} ago. */
+    private static RecurrentRequests requests(String crashes, long sinceLastMillis) {
+        PoisonRequestDetector.Evidence evidence = PoisonRequestDetectorTest.evidence(crashes);
+        long last = evidence.times().values().stream()
+                .mapToLong(Long::longValue)
+                .max()
+                .orElseThrow();
+        return new RecurrentRequests(evidence.crashes(), evidence.times(), last + sinceLastMillis);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "three alone are left to the detector,     0:a 9:a 18:a,                        ''",
+        "four of which two are sole,               0:ab 9:ab 18:a 27:a 36:b,            a",
+        "four of which two sole are simultaneous,  0:ab 9:ab 18:a 18:a 27:b,            ''",
+        "five shared,                              0:ab 9:ab 18:ab 27:ab 36:ab,         ''",
+        "five of which one is sole,                0:ab 9:ab 18:ab 27:ab 36:a,          a",
+        "six shared,                               0:ab 9:ab 18:ab 27:ab 36:ab 45:ab,   ab",
+        "six in the same second,                   0:a 0:a 0:a 0:a 0:a 1:a,             ''",
+        "shared only with retries of one attempt,  0:ab 0:ab 9:acd 9:acd 18:ad,         a"
+    })
+    void shouldDetectPoisonRequestsByAllTheirCrashes(String description, String crashes, String poison) {
+        assertEquals(poison, names(requests(crashes, REPORTS_COMPLETE_MILLIS).poison()), description);
+    }
+
+    /** Guards against a harmless request that is refused before another process reports the poison request beside it. */
+    @ParameterizedTest
+    @CsvSource({"0, ''", "199, ''", "200, a"})
+    void shouldCountCrashAsSoleOnlyWhenReportsAreComplete(long sinceLastMillis, String poison) {
+        assertEquals(
+                poison,
+                names(requests("0:ab 9:ab 18:ab 27:ab 36:a", sinceLastMillis).poison()));
+    }
+}
--- a/src/test/java/org/micabarrow/crashes/SuspectIsolationTest.java
+++ b/src/test/java/org/micabarrow/crashes/SuspectIsolationTest.java
@@ -12,8 +12,8 @@
 
 class SuspectIsolationTest {
 
-    private static final SuspicionLevel.Suspected ONCE = new SuspicionLevel.Suspected(1);
-    private static final SuspicionLevel.Suspected TWICE = new SuspicionLevel.Suspected(2);
+    private static final SuspicionLevel.Suspected ONCE = new SuspicionLevel.Suspected(1, 0);
+    private static final SuspicionLevel.Suspected TWICE = new SuspicionLevel.Suspected(2, 0);
     private static final RequestDigest ONE = digest("1");
     private static final RequestDigest OTHER = digest("2");
 
@@ -39,6 +39,13 @@
         assertEquals(6, isolation.withoutOtherSuspects(endpoints, ONE, TWICE).size());
     }
 
+    /** Guards against a suspect that is sent again by processes that do not know of its last crash yet. */
+    @Test
+    void shouldWaitUntilOthersKnowOfLastCrashWhenInvolvedInMoreThanOneCrash() {
+        assertEquals(List.of(), isolation.withoutOtherSuspects(endpoints, ONE, new SuspicionLevel.Suspected(2, 1)));
+        assertEquals(endpoints, isolation.withoutOtherSuspects(endpoints, ONE, new SuspicionLevel.Suspected(1, 1)));
+    }
+
     @Test
     void shouldTryEndpointsInSameOrderEverywhereWhenInvolvedInMoreThanOneCrash() {
         List<EndpointRegistration> order = isolation.withoutOtherSuspects(endpoints, ONE, TWICE);
