The steps of one selection are a class of their own; EndpointSelector keeps state and doors

EndpointSelector held the loads of all endpoints and, in the same class, the steps that rule endpoints out for one request, each of which took the request and the time along. FastestEndpoint has these steps, for one request at one time; what rules out the last endpoints is still the result.

--- a/src/main/java/org/micabarrow/routing/EndpointSelector.java
+++ b/src/main/java/org/micabarrow/routing/EndpointSelector.java
@@ -19,12 +19,6 @@
  */
 public final class EndpointSelector {
 
-    /**
-     * Penalty for sending a request to another region, in milliseconds of delay. Traffic between regions is billed;
-     * relative to the value of a request its price corresponds to a few hundredths of the objective.
-     */
-    private static final double OTHER_REGION_PENALTY_MILLIS = 60;
-
     private final Map<EndpointStart, EndpointLoad> loads = new HashMap<>();
     private final UnmetDemand unmetDemand = new UnmetDemand();
     private final EntryCount entryCount = new EntryCount();
@@ -200,70 +194,16 @@
             List<EndpointRegistration> queried = candidates.stream()
                     .filter(endpoint -> !unqueried.contains(endpoint.start()))
                     .toList();
-            EndpointSelection selection = selectAmong(queried, request, nowMillis);
+            EndpointSelection selection = selection(request, nowMillis).among(withLoad(queried));
             if (!(selection instanceof EndpointSelection.NoneEligible)) {
                 return selection;
             }
         }
-        return selectAmong(candidates, request, nowMillis);
+        return selection(request, nowMillis).among(withLoad(candidates));
     }
 
-    private EndpointSelection selectAmong(
-            List<EndpointRegistration> candidates, RoutingRequest request, long nowMillis) {
-        List<EndpointCandidate> all = withLoad(candidates);
-        all.forEach(candidate -> candidate.noteColdStart(nowMillis));
-        List<EndpointCandidate> eligible =
-                EndpointCandidate.filter(all, candidate -> eligibility.eligible(candidate, request, nowMillis));
-        OptionalLong untilBackoffEnds = EndpointCandidate.untilBackoffEndsMillis(eligible, nowMillis);
-        if (untilBackoffEnds.isPresent()) {
-            return new EndpointSelection.BackingOff(eligible.size(), untilBackoffEnds.getAsLong());
-        }
-        List<EndpointCandidate> available =
-                EndpointCandidate.filter(eligible, candidate -> !candidate.inBackoff(nowMillis));
-        List<EndpointCandidate> withinLimit =
-                EndpointCandidate.filter(available, candidate -> candidate.withinLimits(nowMillis));
-        if (withinLimit.isEmpty() && !available.isEmpty()) {
-            return limited(available, nowMillis);
-        }
-        List<EndpointCandidate> pool = pool(all, withinLimit, request.objectiveMillis(), nowMillis);
-        if (!pool.isEmpty()) {
-            return selectFastest(pool, request, nowMillis);
-        }
-        List<EndpointCandidate> onlyCold = pool(
-                all,
-                EndpointCandidate.filter(available, candidate -> candidate.limitedOnlyByCold(nowMillis)),
-                request.objectiveMillis(),
-                nowMillis);
-        return onlyCold.isEmpty() ? new EndpointSelection.NoneEligible() : limited(onlyCold, nowMillis);
-    }
-
-    private static EndpointSelection limited(List<EndpointCandidate> limited, long nowMillis) {
-        List<EndpointCandidate> onlyCold =
-                EndpointCandidate.filter(limited, candidate -> candidate.limitedOnlyByCold(nowMillis));
-        return onlyCold.isEmpty()
-                ? new EndpointSelection.RateLimited(
-                        limited.size(), EndpointCandidate.untilLimitsAllowMillis(limited, nowMillis))
-                : new EndpointSelection.Cold(
-                        limited.size(), EndpointCandidate.untilLimitsAllowMillis(onlyCold, nowMillis));
-    }
-
-    /** Selects the endpoint with the shortest predicted time to the first event among those with capacity. */
-    private EndpointSelection selectFastest(List<EndpointCandidate> pool, RoutingRequest request, long nowMillis) {
-        EndpointSelection best = new EndpointSelection.Full(pool.size());
-        double lowestCost = Double.POSITIVE_INFINITY;
-        double usualFactor = EndpointCandidate.usualEngineFactor(pool, nowMillis);
-        for (EndpointCandidate candidate : pool) {
-            if (EndpointCapacity.hasCapacity(request, candidate.endpoint(), candidate.load(), usualFactor, nowMillis)) {
-                double predictedMillis =
-                        EndpointCapacity.predictedMillis(request, candidate.endpoint(), candidate.load(), nowMillis);
-                double cost = predictedMillis + regionPenaltyMillis(candidate.endpoint());
-                if (cost < lowestCost) {
-                    lowestCost = cost;
-                    best = new EndpointSelection.Selected(candidate.endpoint(), predictedMillis);
-                }
-            }
-        }
-        return best;
+    private FastestEndpoint selection(RoutingRequest request, long nowMillis) {
+        return new FastestEndpoint(eligibility, request, nowMillis);
     }
 
     private EndpointCandidate withLoad(EndpointRegistration endpoint) {
@@ -303,28 +243,6 @@
                 nowMillis);
     }
 
-    /**
-     * Returns the endpoints to select from. Mute endpoints and those with failures or a slow link are used only if there
-     * are no others. Unresponsive endpoints are used only if there is no recent contact with any endpoint of the service: then
-     * it is more likely that this entry itself is cut off.
-     */
-    private List<EndpointCandidate> pool(
-            List<EndpointCandidate> candidates,
-            List<EndpointCandidate> eligible,
-            long objectiveMillis,
-            long nowMillis) {
-        List<EndpointCandidate> responsive =
-                EndpointCandidate.filter(eligible, candidate -> !eligibility.unresponsive(candidate, nowMillis));
-        List<EndpointCandidate> healthy =
-                EndpointCandidate.filter(responsive, candidate -> candidate.healthy(objectiveMillis, nowMillis));
-        if (!healthy.isEmpty()) {
-            return healthy;
-        }
-        boolean anyRecentReport = candidates.stream()
-                .anyMatch(candidate -> candidate.load().contact().hasRecentReport(nowMillis));
-        return anyRecentReport || !responsive.isEmpty() ? responsive : eligible;
-    }
-
     /**
      * Returns whether contact with an endpoint is lost.
      *
@@ -388,8 +306,4 @@
     public long maxSlotWaitMillis(RoutingRequest request) {
         return EndpointCapacity.maxSlotWaitMillis(request);
     }
-
-    private double regionPenaltyMillis(EndpointRegistration endpoint) {
-        return eligibility.inOwnRegion(endpoint) ? 0 : OTHER_REGION_PENALTY_MILLIS;
-    }
 }
