Chunks are requested from the origin while its link is idle, also where agents pass them on slowly

Cause: since an agent asked the origin for a chunk only when at most 32 before it were missing here. Where the origin is faster than the agents' links (27 ms a chunk) it was idle, and when it went down 2.5 s after the naming, chunks had been asked for by nobody: whole copies after 9.1 to 9.8 s instead of 3.8 to 4.3 s.

Change: the limit holds only while the origin takes 0.7 s or more for a chunk, so that requests wait there. Test: OriginTurnsTest, an origin that responds quickly (32 due before, by the limit).

--- a/src/main/java/org/micabarrow/routing/FastestEndpoint.java
+++ b/src/main/java/org/micabarrow/routing/FastestEndpoint.java
@@ -30,8 +30,8 @@
     /** Selects one of the service's endpoints. */
     EndpointSelection among(List<EndpointCandidate> candidates) {
         candidates.forEach(candidate -> candidate.noteColdStart(nowMillis));
-        List<EndpointCandidate> eligible = EndpointCandidate.filter(
-                candidates, candidate -> eligibility.eligible(candidate, request, nowMillis));
+        List<EndpointCandidate> eligible =
+                EndpointCandidate.filter(candidates, candidate -> eligibility.eligible(candidate, request, nowMillis));
         OptionalLong untilBackoffEnds = EndpointCandidate.untilBackoffEndsMillis(eligible, nowMillis);
         if (untilBackoffEnds.isPresent()) {
             return new EndpointSelection.BackingOff(eligible.size(), untilBackoffEnds.getAsLong());
@@ -51,8 +51,7 @@
 
     private EndpointSelection limitedOnlyByCold(List<EndpointCandidate> candidates, List<EndpointCandidate> available) {
         List<EndpointCandidate> onlyCold = usable(
-                candidates,
-                EndpointCandidate.filter(available, candidate -> candidate.limitedOnlyByCold(nowMillis)));
+                candidates, EndpointCandidate.filter(available, candidate -> candidate.limitedOnlyByCold(nowMillis)));
         return onlyCold.isEmpty() ? new EndpointSelection.NoneEligible() : limited(onlyCold);
     }
 
--- a/src/main/java/org/micabarrow/weights/FetchRun.java
+++ b/src/main/java/org/micabarrow/weights/FetchRun.java
@@ -149,8 +149,12 @@
         if (address.isEmpty()) {
             return false;
         }
+        long requestedMillis = now();
         return switch (dependencies.origin().chunk(address.get(), set.model(), set.version(), index)) {
-            case Result.Success<byte[]>(byte[] bytes) -> addChunk(SourceSelector.ORIGIN, index, bytes);
+            case Result.Success<byte[]>(byte[] bytes) -> {
+                originTurns.onOriginDelivered(now() - requestedMillis);
+                yield addChunk(SourceSelector.ORIGIN, index, bytes);
+            }
             case Result.Failure<byte[]>(Fault fault) -> {
                 originFailedAtMillis = now();
                 originTurns.onOriginFailed();
--- a/src/main/java/org/micabarrow/weights/OriginTurns.java
+++ b/src/main/java/org/micabarrow/weights/OriginTurns.java
@@ -18,6 +18,12 @@
      */
     private static final int MAX_REQUESTED = 32;
 
+    /**
+     * The response time below which the origin has few requests waiting, in milliseconds. The chunks that are missing
+     * here are then not missing there: other agents have them, and the links between agents are what takes time.
+     */
+    private static final long QUICK_RESPONSE_MILLIS = 700;
+
     /**
      * The number of chunks that may be requested at first. More take so long together that links are idle meanwhile.
      */
@@ -45,6 +51,7 @@
 
     private int lastPresent;
     private long lastChunkAtMillis;
+    private long responseMillis = Long.MAX_VALUE;
 
     OriginTurns(ChunkSet set, LongSupplier monotonicMillis) {
         this.set = set;
@@ -60,6 +67,15 @@
         presentBefore = set.presentCount();
     }
 
+    /**
+     * Called when the origin has delivered a chunk.
+     *
+     * @param tookMillis the time from the request to the whole chunk, in milliseconds
+     */
+    synchronized void onOriginDelivered(long tookMillis) {
+        responseMillis = tookMillis;
+    }
+
     /** The chunks of an agent that are due now. */
     synchronized BitSet due(BitSet assigned) {
         long now = monotonicMillis.getAsLong();
@@ -81,7 +97,8 @@
     /** Grows with each chunk that arrives, so that its agent need not know how fast the origin is. */
     private long requestable(long now) {
         int arrived = set.presentCount() - presentBefore;
-        return Math.min(MAX_REQUESTED, FIRST_REQUESTED + arrived + (now - availableSinceMillis) / PACE_MILLIS);
+        int max = responseMillis < QUICK_RESPONSE_MILLIS ? set.digests().size() : MAX_REQUESTED;
+        return Math.min(max, FIRST_REQUESTED + arrived + (now - availableSinceMillis) / PACE_MILLIS);
     }
 
     private boolean isIdle(long now) {
--- a/src/test/java/org/micabarrow/weights/OriginTurnsTest.java
+++ b/src/test/java/org/micabarrow/weights/OriginTurnsTest.java
@@ -80,6 +80,24 @@
         assertEquals(first, turns.due(all()).cardinality());
     }
 
+    /**
+     * Guards against an origin whose link is idle while agents pass chunks on more slowly than it delivers them: when it
+     * becomes unavailable, nobody has the chunks that it could have delivered.
+     */
+    @Test
+    void shouldRequestAllChunksInTimeOfOriginsLinkWhenItRespondsQuickly() {
+        OriginTurns turns = new OriginTurns(set, now::get);
+        now.addAndGet(CHUNKS / 8 * Math.round(ORIGIN_CHUNK_MILLIS));
+        IntStream.range(0, 2).forEach(index -> set.put(index, chunk(index)));
+        turns.onOriginDelivered(400);
+        assertTrue(turns.due(all()).cardinality() < CHUNKS / 2);
+        now.addAndGet(CHUNKS / 8 * 7 * Math.round(ORIGIN_CHUNK_MILLIS));
+        set.put(2, chunk(2));
+        assertEquals(CHUNKS - 3, turns.due(all()).cardinality());
+        turns.onOriginDelivered(1_500);
+        assertTrue(turns.due(all()).cardinality() < CHUNKS / 2, "the origin has requests waiting");
+    }
+
     /**
      * Agents that share an origin fairly get all chunks within 1.3 times the time of its link, and the first ones well
      * before its end, however long chunks take to be passed on.
