--- a/src/main/java/org/micabarrow/crashes/CrashRegistry.java
+++ b/src/main/java/org/micabarrow/crashes/CrashRegistry.java
@@ -27,8 +27,11 @@
     /** The latest time of any event, on the monotonic clock. */
     private long nowMillis = Long.MIN_VALUE;
 
-    /** When the reports of the latest crash have arrived, so that poison requests are to be detected again. */
-    private long reportsCompleteMillis = Long.MAX_VALUE;
+    /** When all reports of the latest crash have arrived. */
+    private long reportsCompleteMillis = Long.MIN_VALUE;
+
+    /** Whether poison requests are to be detected again then. */
+    private boolean reportsPending;
 
     /** The crashes in the order in which they became known. */
     private final Map<String, KnownCrash> crashes = new LinkedHashMap<>();
@@ -80,7 +83,8 @@
         Objects.requireNonNull(crash, "crash is null");
         advance(atMillis);
         if (!crashes.containsKey(crash.endpoint())) {
-            reportsCompleteMillis = atMillis + RecurrentRequests.REPORT_DELAY_MILLIS;
+            reportsCompleteMillis = Math.max(reportsCompleteMillis, atMillis + RecurrentRequests.REPORT_DELAY_MILLIS);
+            reportsPending = true;
         }
         KnownCrash known = crashes.computeIfAbsent(
                 crash.endpoint(), endpoint -> new KnownCrash(new HashSet<>(), new HashSet<>(), atMillis));
@@ -229,8 +233,8 @@
     public synchronized SuspicionLevel suspicion(RequestDigest request, long nowMillis) {
         Objects.requireNonNull(request, "request is null");
         advance(nowMillis);
-        if (nowMillis >= reportsCompleteMillis) {
-            reportsCompleteMillis = Long.MAX_VALUE;
+        if (reportsPending && nowMillis >= reportsCompleteMillis) {
+            reportsPending = false;
             detectPoisonRequests();
         }
         Optional<Set<String>> attributed = poisonRequests.crashes(request);
