--- /dev/null
+++ b/src/test/java/org/micabarrow/serving/BrokenStreamTest.java
@@ -0,0 +1,133 @@
+package org.micabarrow.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.micabarrow.Await;
+import org.micabarrow.platform.standin.HostedSystem;
+import org.micabarrow.process.HostedEntryProcess;
+import org.micabarrow.settings.HostedSettings;
+import org.micabarrow.state.Result;
+import org.micabarrow.transport.HttpCall;
+import org.micabarrow.transport.HttpClient;
+import org.micabarrow.transport.HttpClient.HttpResponse;
+
+/** A stream that ends within an event, or whose connection ends before its first event, was broken off. */
+class BrokenStreamTest {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final String EVENT = "id: 1\ndata: one\n\n";
+    private static final String HALF_EVENT = "id: 2\ndata: t";
+
+    private HostedSystem platform;
+    private HttpClient caller;
+    private ServerSocket endpoint;
+    private HostedSettings settings;
+
+    /** How the endpoint delimits the body. */
+    private enum Framing {
+        CONNECTION {
+            @Override
+            String frame(String body) {
+                return "\r\n" + body;
+            }
+        },
+        LENGTH {
+            @Override
+            String frame(String body) {
+                return "Content-Length: " + body.length() + "\r\n\r\n" + body;
+            }
+        },
+        CHUNKS {
+            @Override
+            String frame(String body) {
+                String chunk = body.isEmpty() ? "" : Integer.toHexString(body.length()) + "\r\n" + body + "\r\n";
+                return "Transfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n";
+            }
+        };
+
+        abstract String frame(String body);
+    }
+
+    @BeforeEach
+    void start() throws IOException {
+        platform = HostedSystem.start();
+        caller = HttpClient.start("test", 1);
+        endpoint = new ServerSocket(0);
+        settings = platform.entrySettings();
+        platform.setAddress("raw-1", "127.0.0.1:" + endpoint.getLocalPort());
+        platform.register("raw-1", "models", 1, "ready");
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        endpoint.close();
+        caller.close();
+        platform.close();
+    }
+
+    /** Responds to each request with the same bytes, and closes the connection gracefully. */
+    private void respond(String response) {
+        Thread.ofPlatform().daemon().start(() -> {
+            while (!endpoint.isClosed()) {
+                try (Socket socket = endpoint.accept()) {
+                    readRequest(socket);
+                    socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+                    socket.shutdownOutput();
+                    socket.getInputStream().readAllBytes();
+                } catch (IOException e) {
+                    // The entry has reset the connection, or the test has ended.
+                    continue;
+                }
+            }
+        });
+    }
+
+    private static void readRequest(Socket socket) throws IOException {
+        StringBuilder request = new StringBuilder();
+        while (!request.toString().endsWith("a body")) {
+            int next = socket.getInputStream().read();
+            if (next < 0) {
+                throw new IOException("the request broke off");
+            }
+            request.append((char) next);
+        }
+    }
+
+    private static String response(Framing framing, String body) {
+        return "HTTP/1.1 200 OK\r\nAttempt-Id: attempt-1\r\nServer-Seal: s\r\nWeight-Versions: 1\r\n"
+                + "Content-Type: text/event-stream\r\n" + framing.frame(body);
+    }
+
+    private Result<HttpResponse> call(int endpoints) throws Exception {
+        HostedEntryProcess entry = HostedEntryProcess.start(settings);
+        Await.until("a manifest and the endpoints", () -> entry.takesRequests() && entry.endpoints() == endpoints);
+        HttpCall request =
+                HostedSystem.request(settings.listen().clients().orElseThrow(), "/stream/x", "attempt-1");
+        return caller.call(request, TIMEOUT);
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void shouldBreakResponseOffWhenStreamEndsWithinEvent(Framing framing) throws Exception {
+        respond(response(framing, EVENT + HALF_EVENT));
+        assertInstanceOf(Result.Failure.class, call(1));
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void shouldCompleteResponseWhenStreamEndsAfterWholeEvents(Framing framing) throws Exception {
+        respond(response(framing, EVENT + "id: 2\ndata: two\n\n"));
+        HttpResponse complete = call(1).toOptional().orElseThrow();
+        assertEquals(EVENT + "id: 2\ndata: two\n\n", new String(complete.body(), StandardCharsets.UTF_8));
+    }
+}
