A stream that ends within an event is broken off, whatever ended its body

Cause: the end of a connection was taken for the end of its content. A body without a length or chunks counted as whole; the relay wrote the begun event and the last chunk, and the attempt counted as answered, so that nothing resumed, no crash was counted and the endpoint was not doubted. A stream that its endpoint ended within an event by a length or a last chunk went the same way.

Change: BodyEnd tells how the end of a body was recognised. A stream that ends within an event, or by its connection before its first event, takes the way of a broken connection, in entries and in agents of the other adapter. A connection with which a body ended is not reused. A body of another type or status on such a route is sent whole.

--- a/src/main/java/org/micabarrow/attempts/EventSplitter.java
+++ b/src/main/java/org/micabarrow/attempts/EventSplitter.java
@@ -12,10 +12,22 @@
 
     private static final byte[] ID_FIELD = {'i', 'd', ':'};
 
+    private static final String CONTENT_TYPE = "text/event-stream";
+
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private Optional<String> lastId = Optional.empty();
     private int count;
 
+    /**
+     * Returns whether a body is a stream of events.
+     *
+     * @param contentType the body's type as stated in its head
+     * @return true for {@code text/event-stream} with any parameters
+     */
+    public static boolean isEventStream(String contentType) {
+        return contentType.regionMatches(true, 0, CONTENT_TYPE, 0, CONTENT_TYPE.length());
+    }
+
     /**
      * Appends the next bytes of the stream.
      *
@@ -100,6 +112,18 @@
         return pending.toByteArray();
     }
 
+    /**
+     * Returns whether a stream that has ended here was cut: within an event, or before its first event with nothing but
+     * the end of its connection.
+     *
+     * @param endStated whether the body stated its end, by a length or by a last chunk
+     * @param eventsBefore the number of events that earlier bodies of the same stream have contributed
+     * @return false if the stream may be whole
+     */
+    public boolean isCut(boolean endStated, int eventsBefore) {
+        return pending.size() > 0 || (!endStated && count == eventsBefore);
+    }
+
     /** Discards the bytes of an event that will not be completed because its connection broke. */
     public void discardRemainder() {
         pending.reset();
--- a/src/main/java/org/micabarrow/coordination/agents/AgentRun.java
+++ b/src/main/java/org/micabarrow/coordination/agents/AgentRun.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.micabarrow.attempts.EventSplitter;
 import org.micabarrow.coordination.calls.AgentRequest;
 import org.micabarrow.coordination.calls.Outcome;
 import org.micabarrow.coordination.calls.ResponseHead;
@@ -35,11 +36,13 @@
     private final ResponseListener listener;
     private final AtomicBoolean ended = new AtomicBoolean();
     private final ByteArrayOutputStream kept = new ByteArrayOutputStream();
+    private final EventSplitter events = new EventSplitter();
     private volatile Runnable cancelCall = () -> {};
     private volatile boolean cancelled;
     private String version = "";
     private long startedMillis;
     private Optional<ResponseHead> head = Optional.empty();
+    private boolean eventStream;
 
     AgentRun(AgentFlow flow, AgentFlow.Parts parts, AgentRequest request, ResponseListener listener) {
         this.flow = flow;
@@ -130,6 +133,7 @@
             return;
         }
         learn(parts.clock().millis() - startedMillis);
+        eventStream = EventSplitter.isEventStream(contentType);
         head = Optional.of(new ResponseHead(
                 request.attempt(),
                 status,
@@ -155,15 +159,20 @@
         if (request.claim().isPresent() && kept.size() <= parts.answerBytes()) {
             kept.writeBytes(data);
         }
-        if (ended.get()) {
+        byte[] passedOn = eventStream ? events.append(data) : data;
+        if (ended.get() || passedOn.length == 0) {
             more.run();
         } else {
-            listener.onData(data, more);
+            listener.onData(passedOn, more);
         }
     }
 
     @Override
-    public void onComplete() {
+    public void onComplete(boolean endStated) {
+        if (eventStream && events.isCut(endStated, 0)) {
+            onFailed(fault(Reason.UNREACHABLE, "the endpoint's stream was cut"), true);
+            return;
+        }
         request.claim().ifPresent(claim -> parts.ledger().recordEnd(claim.key(), answer()));
         finish(Outcome.answered());
     }
--- a/src/main/java/org/micabarrow/coordination/endpoint/EndpointCalls.java
+++ b/src/main/java/org/micabarrow/coordination/endpoint/EndpointCalls.java
@@ -56,8 +56,13 @@
          */
         void onData(byte[] data, Runnable more);
 
-        /** The whole answer has come. */
-        void onComplete();
+        /**
+         * The answer has ended without an error of the connection.
+         *
+         * @param endStated whether its body stated its end; otherwise it ended with the connection, and only its content
+         *     can show whether it is whole
+         */
+        void onComplete(boolean endStated);
 
         /**
          * The answer broke off or never began.
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -15,6 +15,7 @@
 import org.micabarrow.serving.EndpointProtocol.ResponseHead;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.transport.BodyEnd;
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpClient;
 import org.xnio.XnioExecutor;
@@ -333,10 +334,15 @@
     }
 
     @Override
-    public void onComplete() {
+    public void onComplete(BodyEnd end) {
         if (closed) {
             return;
         }
+        Optional<String> truncation = relay.truncation(end);
+        if (truncation.isPresent()) {
+            onBrokenOff(truncation.get());
+            return;
+        }
         context.crashes().onResponse(served.digest(), true);
         progress.completed();
         release();
@@ -348,17 +354,26 @@
         if (closed) {
             return;
         }
-        load.failures().connectionFailed(context.nowMillis());
-        events.discardRemainder();
-        if (sent && fault.reason() == Reason.UNREACHABLE && !context.isDraining(endpoint)) {
-            onConnectionBroken(fault.message());
+        if (sent && fault.reason() == Reason.UNREACHABLE) {
+            onBrokenOff(fault.message());
         } else {
+            load.failures().connectionFailed(context.nowMillis());
+            events.discardRemainder();
             failAttempt(sent ? AttemptOutcome.UNKNOWN : AttemptOutcome.NOT_RUN, fault.message());
         }
     }
 
-    /** Ends the attempt, and continues the request once it is known whether the endpoint has crashed. */
-    private void onConnectionBroken(String reason) {
+    /**
+     * Ends the attempt, whose response or connection broke off. Unless the endpoint is draining, the request continues
+     * once it is known whether the endpoint has crashed.
+     */
+    private void onBrokenOff(String reason) {
+        load.failures().connectionFailed(context.nowMillis());
+        events.discardRemainder();
+        if (context.isDraining(endpoint)) {
+            failAttempt(AttemptOutcome.UNKNOWN, reason);
+            return;
+        }
         boolean begun = slot.started();
         logFailed(AttemptOutcome.UNKNOWN, reason);
         stop();
--- a/src/main/java/org/micabarrow/serving/EndpointProtocol.java
+++ b/src/main/java/org/micabarrow/serving/EndpointProtocol.java
@@ -5,6 +5,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.attempts.EventSplitter;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.transport.HttpCall;
 
@@ -55,6 +56,18 @@
             OptionalLong coldMillis,
             Map<String, String> forwardedHeaders) {
 
+        private static final int SUCCESS_CLASS = 2;
+        private static final int STATUSES_PER_CLASS = 100;
+        private static final String CONTENT_TYPE = "Content-Type";
+
+        /** Whether the body is a stream of events, if the route's responses are: unless it states another type. */
+        boolean isEventStream() {
+            return status / STATUSES_PER_CLASS == SUCCESS_CLASS
+                    && forwardedHeaders.entrySet().stream()
+                            .filter(header -> header.getKey().equalsIgnoreCase(CONTENT_TYPE))
+                            .allMatch(header -> EventSplitter.isEventStream(header.getValue()));
+        }
+
         /**
          * Whether the response certainly comes from the intended endpoint; another endpoint at its address states that
          * it is another.
--- a/src/main/java/org/micabarrow/serving/ResponseRelay.java
+++ b/src/main/java/org/micabarrow/serving/ResponseRelay.java
@@ -5,10 +5,11 @@
 import org.micabarrow.attempts.EventSplitter;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.serving.EndpointProtocol.ResponseHead;
+import org.micabarrow.transport.BodyEnd;
 
 /**
- * Forwards an endpoint's response to the client. A stream is forwarded event by event; any other response is buffered
- * until it is complete or exceeds the buffer limit.
+ * Forwards an endpoint's response to the client. A stream of events is forwarded event by event; any other response is
+ * buffered until it is complete or exceeds the buffer limit.
  */
 final class ResponseRelay {
 
@@ -18,19 +19,22 @@
      */
     private static final int MAX_BUFFERED_BYTES = 256 * 1024;
 
+    private static final byte[] NO_BYTES = {};
+
     private final ServedRequest served;
     private final ClientResponse response;
     private final EventSplitter events;
-    private final boolean stream;
+    private final int eventsBefore;
     private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
     private Optional<ResponseHead> head = Optional.empty();
+    private boolean eventStream;
     private boolean forwarding;
 
     ResponseRelay(ServedRequest served) {
         this.served = served;
         this.response = served.response();
         this.events = served.events();
-        this.stream = served.request().route().kind().stream();
+        this.eventsBefore = events.count();
     }
 
     /** Whether a response head that may be forwarded has arrived. */
@@ -39,12 +43,13 @@
     }
 
     /**
-     * Accepts the response head. The head of a stream is forwarded at once, unless the client already has one or the
-     * endpoint reported an error.
+     * Accepts the response head. The head of a stream of events is forwarded at once, unless the client already has one
+     * or the endpoint reported an error.
      */
     void start(ResponseHead responseHead, boolean error) {
         head = Optional.of(responseHead);
-        forwarding = stream && !error;
+        eventStream = served.request().route().kind().stream() && !error && responseHead.isEventStream();
+        forwarding = eventStream;
         if (forwarding && !response.started()) {
             response.start(responseHead);
         }
@@ -56,7 +61,7 @@
             buffer(data, more);
             return;
         }
-        byte[] wholeEvents = stream ? events.append(data) : data;
+        byte[] wholeEvents = eventStream ? events.append(data) : data;
         if (wholeEvents.length == 0) {
             more.run();
         } else {
@@ -80,6 +85,14 @@
         response.write(bufferedSoFar, more);
     }
 
+    /** Why a body that ended without an error of the connection is incomplete all the same; empty if it may be whole. */
+    Optional<String> truncation(BodyEnd end) {
+        return eventStream && events.isCut(end == BodyEnd.STATED, eventsBefore)
+                ? Optional.of("the stream ended by " + end + " after " + (events.count() - eventsBefore)
+                        + " events and " + events.remainder().length + " bytes of the next")
+                : Optional.empty();
+    }
+
     /** Finishes the response after its last byte has arrived. */
     void complete(EndpointRegistration endpoint) {
         if (!forwarding) {
@@ -87,9 +100,8 @@
             response.sendWhole(head.orElseThrow(), buffered.toByteArray());
             return;
         }
-        byte[] remainder = events.remainder();
         concludeRequest(endpoint);
-        response.end(remainder);
+        response.end(NO_BYTES);
     }
 
     private void concludeRequest(EndpointRegistration endpoint) {
--- a/src/main/java/org/micabarrow/transport/EndpointClient.java
+++ b/src/main/java/org/micabarrow/transport/EndpointClient.java
@@ -138,12 +138,12 @@
         }
 
         @Override
-        public void onComplete() {
+        public void onComplete(BodyEnd end) {
             if (notExecuted) {
                 Fault fault = Fault.of(Step.RUN, call.peer(), Reason.OVERLOADED, "the endpoint refused the request");
                 listener.onFailed(fault, false);
             } else {
-                listener.onComplete();
+                listener.onComplete(end == BodyEnd.STATED);
             }
         }
 
--- a/src/main/java/org/micabarrow/transport/HttpClient.java
+++ b/src/main/java/org/micabarrow/transport/HttpClient.java
@@ -111,8 +111,21 @@
      * @param status the HTTP status
      * @param headers the headers by their names, which are compared without case
      * @param body the body
+     * @param end how the end of the body was recognised
      */
-    public record HttpResponse(int status, Map<String, String> headers, byte[] body) {}
+    public record HttpResponse(int status, Map<String, String> headers, byte[] body, BodyEnd end) {
+
+        /**
+         * Creates a response whose body is whole.
+         *
+         * @param status the HTTP status
+         * @param headers the headers by their names, which are compared without case
+         * @param body the body
+         */
+        public HttpResponse(int status, Map<String, String> headers, byte[] body) {
+            this(status, headers, body, BodyEnd.STATED);
+        }
+    }
 
     /** Receives a response part by part, on an I/O thread that must not block. */
     public interface Listener {
@@ -145,8 +158,12 @@
          */
         void onData(byte[] data, Runnable requestMore);
 
-        /** Called when the response is complete. */
-        void onComplete();
+        /**
+         * Called when the response has ended without an error of the connection.
+         *
+         * @param end how its end was recognised
+         */
+        void onComplete(BodyEnd end);
 
         /**
          * Called when no response arrived, or when it broke off.
--- a/src/main/java/org/micabarrow/transport/HttpExchange.java
+++ b/src/main/java/org/micabarrow/transport/HttpExchange.java
@@ -27,8 +27,8 @@
 import org.xnio.channels.StreamSourceChannel;
 
 /**
- * One request and its response. The connection returns to the pool once the response has been read completely, and is
- * reset if anything fails before.
+ * One request and its response. The connection returns to the pool once the response has been read completely, unless
+ * the response ended with it, and is reset if anything fails before.
  */
 final class HttpExchange {
 
@@ -42,6 +42,7 @@
     private volatile boolean sent;
     private volatile boolean cancelled;
     private StreamSourceChannel source;
+    private BodyEnd bodyEnd = BodyEnd.CONNECTION;
     private boolean mayRead = true;
     private boolean delivering;
 
@@ -154,6 +155,7 @@
                 exchange.getResponse()
                         .getResponseHeaders()
                         .forEach(values -> headers.put(values.getHeaderName().toString(), String.join(", ", values)));
+                bodyEnd = BodyEnd.of(exchange.getResponse());
                 listener.onHead(exchange.getResponse().getResponseCode(), headers);
                 source = exchange.getResponseChannel();
                 source.getReadSetter().set(channel -> read());
@@ -217,8 +219,11 @@
     private void complete() {
         if (ended.compareAndSet(false, true)) {
             setResetOnClose(false);
-            shared.connections().release(call.authority(), connection);
-            listener.onComplete();
+            switch (bodyEnd) {
+                case STATED -> shared.connections().release(call.authority(), connection);
+                case CONNECTION -> IoUtils.safeClose(connection);
+            }
+            listener.onComplete(bodyEnd);
         }
     }
 
--- a/src/main/java/org/micabarrow/transport/ResponseCollector.java
+++ b/src/main/java/org/micabarrow/transport/ResponseCollector.java
@@ -66,8 +66,8 @@
     }
 
     @Override
-    public void onComplete() {
-        done.complete(Result.success(new HttpResponse(status, headers, body.toByteArray())));
+    public void onComplete(BodyEnd end) {
+        done.complete(Result.success(new HttpResponse(status, headers, body.toByteArray(), end)));
     }
 
     @Override
--- a/src/main/java/org/micabarrow/transport/callers/CallerResponse.java
+++ b/src/main/java/org/micabarrow/transport/callers/CallerResponse.java
@@ -14,6 +14,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.micabarrow.attempts.EventSplitter;
 import org.micabarrow.coordination.calls.Outcome;
 import org.micabarrow.coordination.calls.ResponseHead;
 import org.micabarrow.coordination.calls.ResponseListener;
@@ -32,7 +33,6 @@
 
     private static final Logger AUDIT = LoggerFactory.getLogger("org.micabarrow.audit");
     private static final String HEADER_PREFIX = "X-Micabarrow-";
-    private static final String EVENT_STREAM = "text/event-stream";
 
     private final HttpServerExchange exchange;
     private final String requestId;
@@ -161,7 +161,7 @@
             sendError("unknown", fault.reason() == Fault.Reason.CONFLICT ? 409 : 502, fault);
             return;
         }
-        if (head.get().contentType().startsWith(EVENT_STREAM)
+        if (EventSplitter.isEventStream(head.get().contentType())
                 && exchange.getConnection().isOpen()) {
             byte[] event = ("data: " + new String(errorBody("unknown", fault), StandardCharsets.UTF_8) + "\n\n")
                     .getBytes(StandardCharsets.UTF_8);
--- a/src/test/java/org/micabarrow/attempts/EventSplitterTest.java
+++ b/src/test/java/org/micabarrow/attempts/EventSplitterTest.java
@@ -1,6 +1,8 @@
 package org.micabarrow.attempts;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
@@ -41,6 +43,18 @@
         assertEquals(3, splitter.count());
     }
 
+    @Test
+    void shouldTellCutStreamsWhenTheyEnd() {
+        EventSplitter splitter = new EventSplitter();
+        assertTrue(splitter.isCut(false, 0), "the connection ended before the first event");
+        assertFalse(splitter.isCut(true, 0), "a stated end without events");
+        splitter.append(bytes("id: 1\n\n"));
+        assertFalse(splitter.isCut(false, 0));
+        assertTrue(splitter.isCut(false, 1), "another body contributed the event");
+        splitter.append(bytes("id: 2\nda"));
+        assertTrue(splitter.isCut(true, 0), "within an event");
+    }
+
     @Test
     void shouldDiscardRemainderWhenConnectionBroke() {
         EventSplitter splitter = new EventSplitter();
--- a/src/test/java/org/micabarrow/coordination/agents/AgentFlowTest.java
+++ b/src/test/java/org/micabarrow/coordination/agents/AgentFlowTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.micabarrow.Samples.WEIGHTS;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -189,11 +190,33 @@
                     ignoring());
             clock.advance(priority == 0 ? 50 : 900);
             running.getLast().onHead(200, "text/plain", Optional.of("attempt"), Optional.of(WEIGHTS.digest()));
-            running.getLast().onComplete();
+            running.getLast().onComplete(true);
         }
         assertEquals(4, flow.mostOpen());
     }
 
+    /** A stream that ends within an event was broken off, however the endpoint ended it. */
+    @ParameterizedTest
+    @CsvSource({"true, id: 1", "false, id: 1", "false, ''"})
+    void shouldNotAnswerWhenStreamEndsWithinEvent(boolean endStated, String cut) {
+        begin();
+        running.getLast()
+                .onHead(200, "text/event-stream; charset=utf-8", Optional.of("attempt"), Optional.of(WEIGHTS.digest()));
+        running.getLast().onData(cut.getBytes(StandardCharsets.UTF_8), () -> {});
+        running.getLast().onComplete(endStated);
+        assertInstanceOf(Outcome.Unknown.class, ends.getFirst());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true, text/event-stream", "false, text/event-stream", "false, text/plain"})
+    void shouldAnswerWhenBodyMayBeWhole(boolean endStated, String contentType) {
+        begin();
+        running.getLast().onHead(200, contentType, Optional.of("attempt"), Optional.of(WEIGHTS.digest()));
+        running.getLast().onData("id: 1\n\n".getBytes(StandardCharsets.UTF_8), () -> {});
+        running.getLast().onComplete(endStated);
+        assertInstanceOf(Outcome.Answered.class, ends.getFirst());
+    }
+
     private static ResponseListener ignoring() {
         return new ResponseListener() {
             @Override
--- a/src/test/java/org/micabarrow/serving/BrokenStreamTest.java
+++ b/src/test/java/org/micabarrow/serving/BrokenStreamTest.java
@@ -8,8 +8,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.micabarrow.Await;
@@ -111,11 +113,16 @@
     private Result<HttpResponse> call(int endpoints) throws Exception {
         HostedEntryProcess entry = HostedEntryProcess.start(settings);
         Await.until("a manifest and the endpoints", () -> entry.takesRequests() && entry.endpoints() == endpoints);
-        HttpCall request =
-                HostedSystem.request(settings.listen().clients().orElseThrow(), "/stream/x", "attempt-1");
+        HttpCall request = HostedSystem.request(settings.listen().clients().orElseThrow(), "/stream/x", "attempt-1");
         return caller.call(request, TIMEOUT);
     }
 
+    private static void assertBrokenOff(Result<HttpResponse> response) {
+        if (response instanceof Result.Success<HttpResponse>(HttpResponse complete)) {
+            assertEquals(502, complete.status(), () -> new String(complete.body(), StandardCharsets.UTF_8));
+        }
+    }
+
     @ParameterizedTest
     @EnumSource
     void shouldBreakResponseOffWhenStreamEndsWithinEvent(Framing framing) throws Exception {
@@ -123,6 +130,26 @@
         assertInstanceOf(Result.Failure.class, call(1));
     }
 
+    @ParameterizedTest
+    @EnumSource
+    void shouldBreakResponseOffWhenStreamEndsWithinFirstEvent(Framing framing) throws Exception {
+        respond(response(framing, HALF_EVENT));
+        assertBrokenOff(call(1));
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void shouldBreakResponseOffWhenBlankLineIsMissing(Framing framing) throws Exception {
+        respond(response(framing, EVENT + "id: 2\ndata: two\n"));
+        assertInstanceOf(Result.Failure.class, call(1));
+    }
+
+    @Test
+    void shouldBreakResponseOffWhenConnectionEndsBeforeFirstEvent() throws Exception {
+        respond(response(Framing.CONNECTION, ""));
+        assertBrokenOff(call(1));
+    }
+
     @ParameterizedTest
     @EnumSource
     void shouldCompleteResponseWhenStreamEndsAfterWholeEvents(Framing framing) throws Exception {
@@ -130,4 +157,28 @@
         HttpResponse complete = call(1).toOptional().orElseThrow();
         assertEquals(EVENT + "id: 2\ndata: two\n\n", new String(complete.body(), StandardCharsets.UTF_8));
     }
+
+    @ParameterizedTest
+    @EnumSource
+    void shouldResumeElsewhereWhenStreamEndsWithinEvent(Framing framing) throws Exception {
+        respond(response(framing, EVENT + HALF_EVENT));
+        HttpCall request = HostedSystem.request(settings.listen().clients().orElseThrow(), "/stream/x", "attempt-1");
+        HostedEntryProcess entry = HostedEntryProcess.start(settings);
+        Await.until("a manifest and the endpoint", () -> entry.takesRequests() && entry.endpoints() == 1);
+        Await.until("the first attempt fails", () -> caller.call(request, TIMEOUT) instanceof Result.Failure);
+        platform.addEndpoint("model-2", "models", 1);
+        Await.until("the other endpoint", () -> entry.endpoints() == 2);
+        HttpResponse complete = caller.call(request, TIMEOUT).toOptional().orElseThrow();
+        String body = new String(complete.body(), StandardCharsets.UTF_8);
+        assertEquals(
+                List.of("id: 1", "id: 2", "id: 3"),
+                body.lines().filter(line -> line.startsWith("id:")).toList());
+    }
+
+    @Test
+    void shouldForwardOtherContentUnchanged() throws Exception {
+        String json = "{\"text\":\"one\"}";
+        respond(response(Framing.LENGTH, json).replace("text/event-stream", "application/json"));
+        assertEquals(json, new String(call(1).toOptional().orElseThrow().body(), StandardCharsets.UTF_8));
+    }
 }
--- a/src/test/java/org/micabarrow/transport/HttpClientTest.java
+++ b/src/test/java/org/micabarrow/transport/HttpClientTest.java
@@ -60,6 +60,31 @@
         }
     }
 
+    /** A body that ends with its connection leaves nothing to reuse, also where the server goes on reading. */
+    @Test
+    void shouldOpenNewConnectionWhenResponseEndedWithItsConnection() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                HttpClient client = HttpClient.start("test", 1)) {
+            URI uri = URI.create("http://127.0.0.1:" + server.getLocalPort());
+            HttpCall call =
+                    HttpCall.post(Fault.Step.RUN, uri, WaitingClientProcess.BODY.getBytes(StandardCharsets.US_ASCII));
+            for (int i = 0; i < 2; i++) {
+                HttpClient.PendingCall pending = client.callAsync(call);
+                try (Socket connection = server.accept()) {
+                    readRequest(connection.getInputStream());
+                    connection
+                            .getOutputStream()
+                            .write("HTTP/1.1 200 OK\r\n\r\nwhole".getBytes(StandardCharsets.US_ASCII));
+                    connection.shutdownOutput();
+                    HttpClient.HttpResponse response =
+                            pending.await(HANG_TIMEOUT).toOptional().orElseThrow();
+                    assertEquals("whole", new String(response.body(), StandardCharsets.US_ASCII));
+                    assertEquals(BodyEnd.CONNECTION, response.end());
+                }
+            }
+        }
+    }
+
     @Test
     void shouldResetConnectionWhenCancelledBeforeResponse() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
--- a/src/test/java/org/micabarrow/transport/IgnoringListener.java
+++ b/src/test/java/org/micabarrow/transport/IgnoringListener.java
@@ -16,7 +16,7 @@
     }
 
     @Override
-    public void onComplete() {}
+    public void onComplete(BodyEnd end) {}
 
     @Override
     public void onFailed(Fault fault, boolean sent) {}
