A response that breaks off resets the connection of a client with HTTP/1.0

HTTP/1.0 has no chunks, so a response without a length ends with its connection: the graceful close by which an entry breaks a response off was the end of a whole body for such a client.

BrokenStreamTest.shouldResetConnectionOfOldClientWhenStreamBreaksOff reads the half body until a reset now.

--- a/src/main/java/org/micabarrow/serving/ClientResponse.java
+++ b/src/main/java/org/micabarrow/serving/ClientResponse.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.micabarrow.memory.HeldBytes;
 import org.micabarrow.serving.EndpointProtocol.ResponseHead;
+import org.micabarrow.transport.ResponseAbort;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
@@ -158,6 +159,7 @@
     /** Closes the connection during the response, so that the client can detect that it is incomplete. */
     void abort() {
         finished = true;
+        ResponseAbort.resetUnlessDelimited(exchange);
         unread.close();
         buffered.release();
         IoUtils.safeClose(exchange.getConnection());
--- a/src/main/java/org/micabarrow/transport/callers/CallerResponse.java
+++ b/src/main/java/org/micabarrow/transport/callers/CallerResponse.java
@@ -21,6 +21,7 @@
 import org.micabarrow.coordination.requests.CallerRequest;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
+import org.micabarrow.transport.ResponseAbort;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
@@ -116,7 +117,7 @@
 
             @Override
             public void onException(HttpServerExchange current, Sender sender, IOException e) {
-                IoUtils.safeClose(current.getConnection());
+                closeIncomplete();
                 more.run();
             }
         });
@@ -165,12 +166,17 @@
                 && exchange.getConnection().isOpen()) {
             byte[] event = ("data: " + new String(errorBody("unknown", fault), StandardCharsets.UTF_8) + "\n\n")
                     .getBytes(StandardCharsets.UTF_8);
-            onData(event, () -> IoUtils.safeClose(exchange.getConnection()));
+            onData(event, this::closeIncomplete);
         } else {
-            IoUtils.safeClose(exchange.getConnection());
+            closeIncomplete();
         }
     }
 
+    private void closeIncomplete() {
+        ResponseAbort.resetUnlessDelimited(exchange);
+        IoUtils.safeClose(exchange.getConnection());
+    }
+
     private void sendError(String outcome, int status, Fault fault) {
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
--- a/src/test/java/org/micabarrow/serving/BrokenStreamTest.java
+++ b/src/test/java/org/micabarrow/serving/BrokenStreamTest.java
@@ -2,10 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -19,6 +21,7 @@
 import org.micabarrow.process.HostedEntryProcess;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.state.Result;
+import org.micabarrow.transport.Addresses;
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpClient;
 import org.micabarrow.transport.HttpClient.HttpResponse;
@@ -175,6 +178,21 @@
                 body.lines().filter(line -> line.startsWith("id:")).toList());
     }
 
+    /** HTTP/1.0 has no chunks: a graceful close would end the body. */
+    @Test
+    void shouldResetConnectionOfOldClientWhenStreamBreaksOff() throws Exception {
+        respond(response(Framing.CONNECTION, EVENT + HALF_EVENT));
+        HostedEntryProcess entry = HostedEntryProcess.start(settings);
+        Await.until("a manifest and the endpoint", () -> entry.takesRequests() && entry.endpoints() == 1);
+        try (Socket client = new Socket()) {
+            client.connect(Addresses.parse(settings.listen().clients().orElseThrow()));
+            String request = "POST /stream/x HTTP/1.0\r\nHost: h.example\r\nKey: key-a\r\nAttempt-Id: attempt-1\r\n"
+                    + "Model: model-a\r\nToken-Count: 100,20\r\nDeadline-Ms: 3000\r\nContent-Length: 6\r\n\r\na body";
+            client.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            assertThrows(SocketException.class, () -> client.getInputStream().readAllBytes());
+        }
+    }
+
     @Test
     void shouldForwardOtherContentUnchanged() throws Exception {
         String json = "{\"text\":\"one\"}";
