A resumed stream continues only with a stream of events

Where the endpoint at which a begun stream was resumed answered with a 4xx or with a body of another type, its bytes were appended to the events and the response ended as complete. Such a head fails the attempt now, as a 5xx did.

--- a/src/main/java/org/micabarrow/serving/HeadClassification.java
+++ b/src/main/java/org/micabarrow/serving/HeadClassification.java
@@ -54,7 +54,7 @@
             return NO_ANSWER;
         }
         boolean suggestsNotRun = STATUSES_SUGGESTING_NOT_RUN.contains(head.status()) && !repeatable;
-        if (suggestsNotRun || responseStarted && isError(head.status())) {
+        if (suggestsNotRun || responseStarted && !head.isEventStream()) {
             return NOT_TO_PASS;
         }
         return isError(head.status()) ? ERROR : ANSWER;
--- a/src/test/java/org/micabarrow/serving/HeadClassificationTest.java
+++ b/src/test/java/org/micabarrow/serving/HeadClassificationTest.java
@@ -22,6 +22,7 @@
         "own signed,             500, true,  false, ERROR",
         "own signed,             500, true,  true,  NOT_TO_PASS",
         "own signed,             200, true,  true,  ANSWER",
+        "own signed,             404, true,  true,  NOT_TO_PASS",
         "own signed,             503, false, false, NOT_TO_PASS",
         "own signed,             503, true,  false, ERROR",
         "own signed,             429, false, false, NOT_TO_PASS",
