--- a/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
 import java.io.ByteArrayOutputStream;
 import java.nio.BufferUnderflowException;
@@ -27,6 +28,7 @@
 public final class HostedStoreStandin implements HttpHandler {
 
     private static final int OK = 200;
+    private static final HttpString ERA = new HttpString("Store-Era");
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
     private static final int GONE = 410;
@@ -37,7 +39,10 @@
     private final Map<String, List<Entry>> topics = new HashMap<>();
     private final Map<String, Integer> firstRetainedOffsets = new HashMap<>();
     private final Map<String, Integer> deliveredCounts = new HashMap<>();
+    private final Map<String, List<Entry>> lost = new HashMap<>();
     private int pageSize = 500;
+    private long era;
+    private long callCount;
     private Optional<Integer> refusalStatus = Optional.empty();
     private boolean unresponsive;
 
@@ -166,10 +171,56 @@
         pageSize = size;
     }
 
+    /**
+     * Continues from an older copy, as after a restore: the newest records of each topic are lost, their offsets are
+     * given out again, and the era rises.
+     *
+     * @param lostCounts how many records each topic loses; topics that are not listed lose none
+     */
+    public synchronized void restore(Map<String, Integer> lostCounts) {
+        lostCounts.forEach((topic, count) -> {
+            List<Entry> entries = topics.getOrDefault(topic, new ArrayList<>());
+            List<Entry> newest = entries.subList(Math.max(0, entries.size() - count), entries.size());
+            lost.put(topic, List.copyOf(newest));
+            newest.clear();
+        });
+        era++;
+    }
+
+    /**
+     * Writes the records of a topic again that the last restore lost, as operators and endpoints do.
+     *
+     * @param topic the topic
+     */
+    public synchronized void writeAgain(String topic) {
+        lost.getOrDefault(topic, List.of()).forEach(entry -> append(topic, entry));
+        lost.remove(topic);
+    }
+
+    /**
+     * Returns how many records a topic holds.
+     *
+     * @param topic the topic
+     * @return the number, including replaced and deleted ones
+     */
+    public synchronized int recordCount(String topic) {
+        return topics.getOrDefault(topic, List.of()).size();
+    }
+
+    /**
+     * Returns how many calls have arrived.
+     *
+     * @return the number, including those that were refused or left unanswered
+     */
+    public synchronized long callCount() {
+        return callCount;
+    }
+
     // -- request handling
 
     @Override
     public synchronized void handleRequest(HttpServerExchange exchange) {
+        callCount++;
         if (applyFault(exchange)) {
             return;
         }
@@ -185,7 +236,7 @@
             }
             case "/api/log-append" ->
                 exchange.getRequestReceiver().receiveFullBytes((same, body) -> append(same, topic, body));
-            default -> StandinCalls.answer(exchange, NOT_FOUND, new byte[0]);
+            default -> answer(exchange, NOT_FOUND, new byte[0]);
         }
     }
 
@@ -194,19 +245,24 @@
         if (unresponsive) {
             exchange.dispatch(() -> {});
         } else if (refusalStatus.isPresent()) {
-            StandinCalls.answer(exchange, refusalStatus.get(), new byte[0]);
+            answer(exchange, refusalStatus.get(), new byte[0]);
         }
         return unresponsive || refusalStatus.isPresent();
     }
 
+    private void answer(HttpServerExchange exchange, int status, byte[] body) {
+        exchange.getResponseHeaders().put(ERA, era);
+        StandinCalls.answer(exchange, status, body);
+    }
+
     private synchronized void append(HttpServerExchange exchange, String topic, byte[] body) {
         List<Entry> entries = topics.computeIfAbsent(topic, name -> new ArrayList<>());
         int offset = entries.size();
         try {
             entries.addAll(decodeEntries(body));
-            StandinCalls.answer(exchange, OK, CanonicalJson.write(Map.of("offset", offset, "end", entries.size())));
+            answer(exchange, OK, CanonicalJson.write(Map.of("offset", offset, "end", entries.size())));
         } catch (KeyedRecords.MalformedRecordException | BufferUnderflowException e) {
-            StandinCalls.answer(exchange, BAD_REQUEST, new byte[0]);
+            answer(exchange, BAD_REQUEST, new byte[0]);
         }
     }
 
@@ -242,7 +298,7 @@
         });
         json.put("has_more", keys.size() > pageSize);
         json.put("end", entries.size());
-        StandinCalls.answer(exchange, OK, CanonicalJson.write(json));
+        answer(exchange, OK, CanonicalJson.write(json));
     }
 
     private synchronized void read(HttpServerExchange exchange, String topic, int from, long deadlineNanos) {
@@ -250,11 +306,11 @@
             return;
         }
         List<Entry> entries = topics.getOrDefault(topic, List.of());
-        if (from < firstRetainedOffsets.getOrDefault(topic, 0)) {
-            StandinCalls.answer(exchange, GONE, new byte[0]);
+        if (from < firstRetainedOffsets.getOrDefault(topic, 0) || from > entries.size()) {
+            answer(exchange, GONE, new byte[0]);
         } else if (from < entries.size() || System.nanoTime() - deadlineNanos >= 0) {
             deliveredCounts.merge(topic, Math.max(0, entries.size() - from), Integer::sum);
-            StandinCalls.answer(exchange, OK, encodePage(entries, from, firstRetainedOffsets.getOrDefault(topic, 0)));
+            answer(exchange, OK, encodePage(entries, from, firstRetainedOffsets.getOrDefault(topic, 0)));
         } else {
             exchange.dispatch(
                     SameThreadExecutor.INSTANCE,
--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -40,6 +40,10 @@
     private final Map<String, Long> startMillis = new HashMap<>();
     private final List<AutoCloseable> closeables = new ArrayList<>();
     private final AtomicInteger instances = new AtomicInteger();
+
+    /** Counts the registrations of all endpoints, so that later ones of an endpoint have a greater sequence. */
+    private final AtomicInteger registrations = new AtomicInteger();
+
     private final EndpointListeners listeners = new EndpointListeners();
     private final Set<String> crashingBodies = ConcurrentHashMap.newKeySet();
 
@@ -342,11 +346,12 @@
                 String.format(
                         Locale.ROOT,
                         "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"slots\":16,\"state\":\"%s\","
-                                + "\"models\":[%s]%s%s}",
+                                + "\"sequence\":%d,\"models\":[%s]%s%s}",
                         service,
                         addresses.get(id),
                         dataHall(id),
                         state,
+                        registrations.incrementAndGet(),
                         models,
                         started,
                         coldField(id)));
