--- a/src/main/java/org/micabarrow/platform/KeyedWriter.java
+++ b/src/main/java/org/micabarrow/platform/KeyedWriter.java
@@ -16,6 +16,7 @@
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpClient;
 import org.micabarrow.transport.HttpClient.HttpResponse;
+import org.micabarrow.views.EraOffset;
 import org.micabarrow.views.StoredRecord;
 
 /** Writes keyed records into a topic of the platform's store that belongs to the system. */
@@ -65,7 +66,10 @@
                     "the key is over " + KeyedRecords.MAX_KEY_BYTES + " bytes"));
         }
         HttpCall call = HttpCall.post(Step.LOG, uri, body(records));
-        return caller.call(call, within).flatMap(answer -> offset(call, answer)).map(first -> at(first, records));
+        return caller.call(call, within)
+                .flatMap(answer -> offset(call, answer)
+                        .flatMap(first -> StoreEra.of(call, answer).map(era -> EraOffset.of(era, first))))
+                .map(first -> at(first, records));
     }
 
     private static byte[] body(List<StoredRecord> records) {
@@ -83,6 +87,7 @@
         try {
             JsonNode json = CanonicalJson.mapper().readTree(answer.body());
             return json.path(OFFSET).isIntegralNumber()
+                            && EraOffset.isOffset(json.path(OFFSET).longValue())
                     ? Result.success(json.path(OFFSET).asLong())
                     : Result.failure(Fault.of(call.step(), call.peer(), Reason.CORRUPT, "the answer has no offset"));
         } catch (IOException e) {
--- a/src/main/java/org/micabarrow/platform/StoreClient.java
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -25,6 +25,7 @@
 import org.micabarrow.transport.HttpClient;
 import org.micabarrow.transport.HttpClient.HttpResponse;
 import org.micabarrow.transport.ResponseTimeouts;
+import org.micabarrow.views.EraOffset;
 import org.micabarrow.views.StoredRecord;
 import org.micabarrow.views.Topic;
 import org.micabarrow.views.TopicReader;
@@ -103,21 +104,27 @@
     public Result<Batch> readLatest(Topic topic) {
         List<StoredRecord> records = new ArrayList<>();
         String after = "";
+        long era = -1;
         long end = -1;
         // The pages are no snapshot: records written after the first page was requested may be missing from all.
         OptionalLong asOf = OptionalLong.of(steadyMillis.getAsLong());
         for (int page = 0; page < MAX_PAGES; page++) {
-            Result<JsonNode> answer = newestPage(topic, after);
-            if (answer instanceof Result.Failure<JsonNode>(Fault fault)) {
+            Result<Page> answer = newestPage(topic, after);
+            if (answer instanceof Result.Failure<Page>(Fault fault)) {
                 return Result.failure(fault);
             }
-            JsonNode json = answer.toOptional().orElseThrow();
-            end = end < 0 ? json.path("end").longValue() : end;
-            json.path("items").forEach(item -> record(topic, item).ifPresent(records::add));
-            if (!json.path("has_more").asBoolean(false)) {
+            Page read = answer.toOptional().orElseThrow();
+            if (era >= 0 && era != read.era()) {
+                return Result.failure(Fault.of(
+                        Step.LOG, base, Reason.CONFLICT, "pages are of the eras " + era + " and " + read.era()));
+            }
+            era = read.era();
+            end = end < 0 ? read.end() : end;
+            read.items().forEach(item -> record(topic, read.era(), item).ifPresent(records::add));
+            if (!read.hasMore()) {
                 return Result.success(new Batch(records, end, asOf));
             }
-            after = lastKey(json);
+            after = lastKey(read);
             if (after.isEmpty()) {
                 return Result.failure(Fault.of(Step.LOG, base, Reason.CORRUPT, "a page of records names no key"));
             }
@@ -125,39 +132,60 @@
         return Result.failure(Fault.of(Step.LOG, base, Reason.TOO_LARGE, "the newest records have no last page"));
     }
 
+    /** A page of newest records, and the store's era when it was read. */
+    private record Page(long era, JsonNode json) {
+
+        private JsonNode items() {
+            return json.path("items");
+        }
+
+        private long end() {
+            return EraOffset.of(era, json.path("end").longValue());
+        }
+
+        private boolean hasMore() {
+            return json.path("has_more").asBoolean(false);
+        }
+    }
+
     /** The last key of a page, after which the next page begins; empty if the page has none. */
-    private static String lastKey(JsonNode page) {
+    private static String lastKey(Page page) {
         String last = "";
-        for (JsonNode item : page.path("items")) {
+        for (JsonNode item : page.items()) {
             last = item.path(KEY).isTextual() ? item.path(KEY).textValue() : last;
         }
         return last;
     }
 
-    private Result<JsonNode> newestPage(Topic topic, String after) {
+    private Result<Page> newestPage(Topic topic, String after) {
         String more = after.isEmpty() ? "" : "&after_revision=" + URLEncoder.encode(after, StandardCharsets.UTF_8);
         HttpCall call = HttpCall.get(
                 Step.LOG, URI.create(base + WireNames.LOG_NEWEST + "?topic=" + topicName(topic) + "&part=0" + more));
         return caller.call(call, limits(Duration.ZERO))
-                .flatMap(answer -> json(call, answer))
-                .flatMap(page ->
-                        isPage(page) ? Result.success(page) : corrupt(call, "the answer is no page of records"));
+                .flatMap(answer -> json(call, answer)
+                        .flatMap(json -> isPage(json)
+                                ? StoreEra.of(call, answer).map(era -> new Page(era, json))
+                                : corrupt(call, "the answer is no page of records")));
     }
 
     /** Keys that are not listed count as deleted, so an answer that lists none by mistake must not be accepted as a page. */
     private static boolean isPage(JsonNode json) {
-        return json.path("items").isArray() && json.path("end").isIntegralNumber();
+        return json.path("items").isArray()
+                && json.path("end").isIntegralNumber()
+                && EraOffset.isOffset(json.path("end").longValue());
     }
 
     /** A record of a page; empty if it is invalid, which does not affect other records. */
-    private Optional<StoredRecord> record(Topic topic, JsonNode item) {
+    private Optional<StoredRecord> record(Topic topic, long era, JsonNode item) {
         JsonNode offset = item.path("offset");
         try {
             if (item.path(KEY).isTextual()
                     && offset.isIntegralNumber()
+                    && EraOffset.isOffset(offset.longValue())
                     && item.path("value").isTextual()) {
                 byte[] value = item.path("value").binaryValue();
-                return Optional.of(new StoredRecord(item.path(KEY).textValue(), offset.longValue(), value));
+                return Optional.of(
+                        new StoredRecord(item.path(KEY).textValue(), EraOffset.of(era, offset.longValue()), value));
             }
             skip(topic, offset.asLong(-1), "a field is missing or of another type");
         } catch (IOException e) {
@@ -203,22 +231,39 @@
     public Result<Read> read(Topic topic, long from, Duration wait) {
         HttpCall call = HttpCall.get(
                 Step.LOG,
-                URI.create(base + WireNames.LOG_READ + "?topic=" + topicName(topic) + "&part=0&from=" + from
-                        + "&wait_ms=" + wait.toMillis()));
+                URI.create(base + WireNames.LOG_READ + "?topic=" + topicName(topic) + "&part=0&from="
+                        + EraOffset.offset(from) + "&wait_ms=" + wait.toMillis()));
         AskedRead asked = new AskedRead(from, steadyMillis.getAsLong(), wait.toMillis());
         return caller.call(call, limits(wait)).flatMap(answer -> switch (answer.status()) {
-            case OK -> parse(topic, call, asked, answer.body());
-            case GONE -> Result.success(new Read.Expired());
+            case OK, GONE -> StoreEra.of(call, answer).flatMap(era -> inEra(era, topic, call, asked, answer));
             default -> refused(call, answer);
         });
     }
 
+    /**
+     * Interprets an answer to a read. In a later era the store may have given out the requested offset again, for
+     * another record; an answer of an earlier era has been overtaken by others.
+     */
+    private Result<Read> inEra(long era, Topic topic, HttpCall call, AskedRead asked, HttpResponse answer) {
+        long knownEra = EraOffset.era(asked.from());
+        if (era < knownEra) {
+            return Result.failure(Fault.of(
+                    call.step(), call.peer(), Reason.CONFLICT, "an answer of era " + era + " after era " + knownEra));
+        }
+        if (era > knownEra) {
+            LOG.info("event=store_restored topic={} era={} before={}", topic, era, knownEra);
+            return Result.success(new Read.Expired());
+        }
+        return answer.status() == GONE ? Result.success(new Read.Expired()) : parse(topic, call, asked, answer);
+    }
+
     /** Parses an answer to a read: the topic's end, the first retained offset, and the records from the requested offset on. */
-    private Result<Read> parse(Topic topic, HttpCall call, AskedRead asked, byte[] body) {
+    private Result<Read> parse(Topic topic, HttpCall call, AskedRead asked, HttpResponse answer) {
         try {
-            ByteBuffer bytes = ByteBuffer.wrap(body);
-            long end = bytes.getLong();
-            long first = bytes.getLong();
+            ByteBuffer bytes = ByteBuffer.wrap(answer.body());
+            long era = EraOffset.era(asked.from());
+            long end = EraOffset.of(era, bytes.getLong());
+            long first = EraOffset.of(era, bytes.getLong());
             if (first > asked.from()) {
                 return Result.success(new Read.Expired());
             }
@@ -229,6 +274,8 @@
                     : Result.success(new Read.Records(new Batch(batch.records(), batch.end(), asOf)));
         } catch (BufferUnderflowException e) {
             return corrupt(call, "the answer breaks off within a record");
+        } catch (IllegalArgumentException e) {
+            return corrupt(call, e.getMessage());
         }
     }
 
--- a/src/main/java/org/micabarrow/platform/VersionRecords.java
+++ b/src/main/java/org/micabarrow/platform/VersionRecords.java
@@ -9,6 +9,7 @@
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Result;
 import org.micabarrow.transport.HttpClient;
+import org.micabarrow.views.EraOffset;
 import org.micabarrow.views.RecordDecoder.OperatorRecord;
 import org.micabarrow.views.StoredRecord;
 import org.micabarrow.views.UnsavedItem;
@@ -26,6 +27,9 @@
     private static final String VERSION = "version";
     private static final String OFFSET = "offset";
 
+    /** The store's era in which the offset was given out; 0 in records of builds that knew no eras. */
+    private static final String ERA = "era";
+
     private final KeyedWriter writer;
 
     /**
@@ -57,7 +61,8 @@
             }
             case UnsavedItem.Manifest manifest -> {
                 json.put(VERSION, manifest.version());
-                json.put(OFFSET, manifest.offset());
+                json.put(OFFSET, EraOffset.offset(manifest.offset()));
+                json.put(ERA, EraOffset.era(manifest.offset()));
             }
         }
         return CanonicalJson.write(json);
@@ -65,7 +70,9 @@
 
     /** Decodes the position of a manifest. */
     static OperatorRecord savedManifest(JsonNode json) {
-        return new OperatorRecord.SavedManifest(JsonFields.whole(json, VERSION, 0), JsonFields.whole(json, OFFSET, 0));
+        return new OperatorRecord.SavedManifest(
+                JsonFields.whole(json, VERSION, 0),
+                EraOffset.of(JsonFields.longOr(json, ERA, 0), JsonFields.whole(json, OFFSET, 0)));
     }
 
     /** The Unix time in milliseconds at which the writer of a record learned of its version; empty if not stated. */
--- a/src/main/java/org/micabarrow/platform/WireNames.java
+++ b/src/main/java/org/micabarrow/platform/WireNames.java
@@ -78,6 +78,9 @@
     static final String LOG_READ = "/api/log-read";
     static final String LOG_APPEND = "/api/log-append";
 
+    /** In all answers of the store: how many times it has continued from an older copy, which gives out offsets again. */
+    static final String STORE_ERA = "Store-Era";
+
     // -- topics of the store
 
     static final String OPERATOR_TOPIC = "keyed.op";
--- a/src/main/java/org/micabarrow/process/CrashSharing.java
+++ b/src/main/java/org/micabarrow/process/CrashSharing.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.micabarrow.crashes.CrashRegistry;
 import org.micabarrow.crashes.CrashUpdate;
@@ -36,8 +37,11 @@
     /** The maximum number of records in one call: with 256 digests each, well below the store's limit. */
     private static final int MAX_RECORDS_PER_CALL = 50;
 
-    /** The maximum number of records that wait while the store is unavailable; the oldest are dropped first. */
-    private static final int MAX_WAITING_RECORDS = 1_000;
+    /**
+     * The maximum number of records that wait while the store is unavailable, and of those that are kept to be written
+     * again; the oldest are dropped first.
+     */
+    private static final int MAX_RECORDS = 1_000;
 
     private final CrashRecords records;
     private final CrashRegistry registry;
@@ -46,6 +50,9 @@
     private final LongSupplier unixMillis;
     private final Map<String, StoredRecord> waiting = new LinkedHashMap<>();
 
+    /** The records of this process that others may still need, by key. */
+    private final Map<String, StoredRecord> own = new LinkedHashMap<>();
+
     /** When each record in the store was written, by key. */
     private final Map<String, Long> storedAtMillis = new LinkedHashMap<>();
 
@@ -72,18 +79,26 @@
 
     /** Queues an update for the other processes. Does not block on the store. */
     synchronized void publish(CrashUpdate update) {
-        put(records.record(update, unixMillis.getAsLong()));
+        StoredRecord record = records.record(update, unixMillis.getAsLong());
+        own.put(record.key(), record);
+        limit(own);
+        put(record);
     }
 
     private synchronized void put(StoredRecord record) {
         waiting.remove(record.key());
         waiting.put(record.key(), record);
-        if (waiting.size() > MAX_WAITING_RECORDS) {
-            waiting.remove(waiting.keySet().iterator().next());
-        }
+        limit(waiting);
         notifyAll();
     }
 
+    /** Drops the oldest record if there are too many. */
+    private static void limit(Map<String, StoredRecord> byKey) {
+        if (byKey.size() > MAX_RECORDS) {
+            byKey.remove(byKey.keySet().iterator().next());
+        }
+    }
+
     private void write() throws InterruptedException {
         List<StoredRecord> next = next();
         if (records.write(next) instanceof Result.Failure<List<StoredRecord>>(Fault fault)) {
@@ -117,7 +132,7 @@
 
     private void apply(StoredRecord record) {
         if (record.isTombstone()) {
-            storedAtMillis.remove(record.key());
+            applyTombstone(record.key());
             return;
         }
         switch (CrashRecords.read(record)) {
@@ -133,14 +148,33 @@
         }
     }
 
+    /** A record that is still needed is deleted only where the store has lost it. Its writer writes it again. */
+    private void applyTombstone(String key) {
+        storedAtMillis.remove(key);
+        Optional.ofNullable(own.get(key)).ifPresent(lost -> {
+            LOG.info("event=crash_told_again key={}", lost.loggableKey());
+            put(lost);
+        });
+    }
+
     // -- cleanup
 
     /** Forgets expired crashes, and deletes records from the store that no other process has deleted after twice that time. */
     private void cleanUp() {
         registry.expire(steadyMillis.getAsLong());
+        forgetOwn();
         outdated().forEach(key -> put(CrashRecords.tombstone(key)));
     }
 
+    private synchronized void forgetOwn() {
+        long oldest = unixMillis.getAsLong() - memoryMillis;
+        own.values()
+                .removeIf(record -> CrashRecords.read(record)
+                        .toOptional()
+                        .filter(dated -> dated.unixMillis() >= oldest)
+                        .isEmpty());
+    }
+
     private synchronized List<String> outdated() {
         long oldest = unixMillis.getAsLong() - 2 * memoryMillis;
         List<String> outdated = new ArrayList<>();
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -37,7 +37,6 @@
 import org.micabarrow.views.PeerFirstReader;
 import org.micabarrow.views.StoreFollower;
 import org.micabarrow.views.StoreFollower.PollTiming;
-import org.micabarrow.views.Topic;
 import org.micabarrow.views.VersionPersistence.WriteRole;
 import org.micabarrow.weights.VersionMoments;
 import org.slf4j.Logger;
@@ -239,11 +238,9 @@
     /** Handles the state of the region's reader entry, as relayed by an agent. */
     private void onReaderState(StoreUpdate.ReaderState state) {
         reader.onUpdate(state.peer(), new ChangeOffsets(state.operatorOffset(), 0), state.asOfMillis());
-        if (node.views().end(Topic.OPERATOR) >= state.operatorOffset()) {
-            // The reader has seen no operator record that this entry lacks, so its confirmation time applies here as
-            // well.
-            node.views().confirmOperator(state.asOfMillis());
-        }
+        // Where the reader has seen no operator record that this entry lacks, its confirmation time applies here as
+        // well.
+        node.views().confirmOperator(state.operatorOffset(), state.asOfMillis());
     }
 
     /**
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -223,7 +223,7 @@
             case Result.Success<Batch>(Batch batch) -> {
                 views.apply(topic, batch.records(), batch.end());
                 if (topic == Topic.OPERATOR) {
-                    batch.asOfMillis().ifPresent(views::confirmOperator);
+                    batch.asOfMillis().ifPresent(asOf -> views.confirmOperator(batch.end(), asOf));
                 }
                 yield true;
             }
--- a/src/main/java/org/micabarrow/transport/HostedPeerServer.java
+++ b/src/main/java/org/micabarrow/transport/HostedPeerServer.java
@@ -17,6 +17,7 @@
 import org.micabarrow.clock.MonotonicClock;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.transport.HeldChunkRequests.ChunkRequest;
+import org.micabarrow.views.EraOffset;
 import org.micabarrow.views.Topic;
 import org.micabarrow.views.ViewMaintainer;
 import org.micabarrow.weights.ChunkSet;
@@ -133,10 +134,17 @@
 
     private void handleRecords(HttpServerExchange exchange) {
         Topic topic = Topic.valueOf(parameter(exchange, "topic"));
-        long from = Long.parseLong(parameter(exchange, "from"));
+        long from = EraOffset.of(era(exchange, topic), Long.parseLong(parameter(exchange, "from")));
         send(exchange, PeerRecordClient.write(views.since(topic, from), monotonicMillis.getAsLong()));
     }
 
+    /** The era of the requested offset; a build that knows none sends offsets of the era that it shares with others. */
+    private long era(HttpServerExchange exchange, Topic topic) {
+        return exchange.getQueryParameters().containsKey(PeerRecordClient.ERA)
+                ? Long.parseLong(parameter(exchange, PeerRecordClient.ERA))
+                : EraOffset.era(views.end(topic));
+    }
+
     private static String parameter(HttpServerExchange exchange, String name) {
         Deque<String> values = exchange.getQueryParameters().get(name);
         if (values == null) {
--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -14,6 +14,7 @@
 import org.micabarrow.limits.RateLimitUpdate;
 import org.micabarrow.routing.LoadReport;
 import org.micabarrow.views.ChangeOffsets;
+import org.micabarrow.views.EraOffset;
 import org.micabarrow.views.ManifestPosition;
 
 /**
@@ -56,6 +57,12 @@
     private static final byte CONDITION = 2;
     private static final byte GRANTS = 3;
 
+    /** The eras of the offsets of a store update; absent while all are of the first era. */
+    private static final byte UPDATE_ERAS = 4;
+
+    /** The era of the offset of the region's reader; absent while it is of the first era. */
+    private static final byte READER_ERA = 5;
+
     private LoadMessages() {}
 
     private interface Decoder<T> {
@@ -98,7 +105,12 @@
         int updateSize = query.storeUpdate().map(LoadMessages::updateSize).orElse(0);
         int limitSize = RateLimitCodec.limitSize(query.rateLimit());
         AppendedFields appended = AppendedFields.empty();
-        query.demand().ifPresent(demand -> appended.with(DEMAND, DemandCodec.write(demand)));
+        query.demand().ifPresent(demand -> {
+            appended.with(DEMAND, DemandCodec.write(demand));
+            query.storeUpdate()
+                    .filter(StoreEraCodec::isOfLaterEra)
+                    .ifPresent(update -> appended.with(UPDATE_ERAS, StoreEraCodec.write(update)));
+        });
         ByteBuffer datagram =
                 ByteBuffer.allocate(QUERY_BYTES + updateSize + limitSize + entry.length + appended.size());
         datagram.putInt(query.number());
@@ -128,18 +140,14 @@
                     readFlag(datagram) ? Optional.of(readUpdate(datagram)) : Optional.empty();
             Optional<RateLimitUpdate> rateLimit = RateLimitCodec.readLimit(datagram);
             String entry = readText(datagram);
-            Optional<EntryDemand> demand = AppendedFields.read(datagram).field(DEMAND, DemandCodec::readDemand);
+            AppendedFields appended = AppendedFields.read(datagram);
+            Optional<EntryDemand> demand = appended.field(DEMAND, DemandCodec::readDemand);
+            Optional<StoreUpdate> update = storeUpdate.map(
+                    received -> appended.field(UPDATE_ERAS, eras -> StoreEraCodec.inEras(received, eras))
+                            .orElse(received));
             OptionalLong replyTimestamp = hasTimestamp ? OptionalLong.of(timestampMillis) : OptionalLong.empty();
             return new LoadQuery(
-                    entry,
-                    promptTokens,
-                    number,
-                    unmetRequests,
-                    sameRegion,
-                    storeUpdate,
-                    replyTimestamp,
-                    rateLimit,
-                    demand);
+                    entry, promptTokens, number, unmetRequests, sameRegion, update, replyTimestamp, rateLimit, demand);
         });
     }
 
@@ -155,15 +163,15 @@
 
     private static void write(ByteBuffer datagram, StoreUpdate storeUpdate) {
         datagram.putInt(storeUpdate.port());
-        datagram.putLong(storeUpdate.changes().operator());
-        datagram.putLong(storeUpdate.changes().endpoints());
-        datagram.putLong(storeUpdate.changes().weights());
+        datagram.putLong(EraOffset.offset(storeUpdate.changes().operator()));
+        datagram.putLong(EraOffset.offset(storeUpdate.changes().endpoints()));
+        datagram.putLong(EraOffset.offset(storeUpdate.changes().weights()));
         datagram.putLong(storeUpdate.knownMillisAgo());
         datagram.put(toByte(storeUpdate.direct()));
         datagram.put(toByte(storeUpdate.manifest().isPresent()));
         storeUpdate.manifest().ifPresent(position -> {
             datagram.putLong(position.version());
-            datagram.putLong(position.offset());
+            datagram.putLong(EraOffset.offset(position.offset()));
         });
     }
 
@@ -199,7 +207,7 @@
         report.start().ifPresent(datagram::putInt);
         datagram.put(toByte(reply.reader().isPresent()));
         reply.reader().ifPresent(reader -> {
-            datagram.putLong(reader.operatorOffset());
+            datagram.putLong(EraOffset.offset(reader.operatorOffset()));
             datagram.putLong(reader.knownMillisAgo());
             datagram.putInt(peer.length);
             datagram.put(peer);
@@ -217,6 +225,10 @@
         reply.extension()
                 .flatMap(LoadReply.ReplyExtension::grants)
                 .ifPresent(grants -> appended.with(GRANTS, DemandCodec.write(grants)));
+        reply.reader()
+                .map(LoadReply.ReaderUpdate::operatorOffset)
+                .filter(offset -> EraOffset.era(offset) > 0)
+                .ifPresent(offset -> appended.with(READER_ERA, StoreEraCodec.write(offset)));
         return appended;
     }
 
@@ -244,12 +256,15 @@
                     slots,
                     start,
                     (state & DRAINING) != 0);
-            Optional<LoadReply.ReaderUpdate> reader =
+            Optional<LoadReply.ReaderUpdate> firstEraReader =
                     readFlag(datagram) ? Optional.of(readReader(datagram)) : Optional.empty();
             long timestampMillis = datagram.getLong();
             Optional<EntryRank> rank = RateLimitCodec.readRank(datagram);
             Optional<RateLimitUpdate> rateLimit = RateLimitCodec.readLimit(datagram);
             AppendedFields appended = AppendedFields.read(datagram);
+            Optional<LoadReply.ReaderUpdate> reader =
+                    firstEraReader.map(received -> appended.field(READER_ERA, era -> StoreEraCodec.inEra(received, era))
+                            .orElse(received));
             return new LoadReply(
                     number,
                     report.withCondition(appended.field(CONDITION, ConditionCodec::read)),
--- a/src/main/java/org/micabarrow/transport/LoadReply.java
+++ b/src/main/java/org/micabarrow/transport/LoadReply.java
@@ -6,6 +6,7 @@
 import org.micabarrow.limits.EntryRank;
 import org.micabarrow.limits.RateLimitUpdate;
 import org.micabarrow.routing.LoadReport;
+import org.micabarrow.views.EraOffset;
 
 /**
  * An agent's reply.
@@ -45,9 +46,14 @@
         this(number, report, reader, timestampMillis, Optional.empty(), Optional.empty());
     }
 
-    /** Returns this reply without appended fields, for an entry of a build that does not read any. */
+    /**
+     * Returns this reply without appended fields, for an entry of a build that does not read any. It names no reader
+     * whose offset would need its era.
+     */
     LoadReply withoutAppendedFields() {
-        return new LoadReply(number, report.withCondition(Optional.empty()), reader, timestampMillis, rank, rateLimit);
+        Optional<ReaderUpdate> firstEraReader = reader.filter(update -> EraOffset.era(update.operatorOffset()) == 0);
+        return new LoadReply(
+                number, report.withCondition(Optional.empty()), firstEraReader, timestampMillis, rank, rateLimit);
     }
 
     /** Creates a reply that names no reader. */
--- a/src/main/java/org/micabarrow/transport/PeerRecordClient.java
+++ b/src/main/java/org/micabarrow/transport/PeerRecordClient.java
@@ -18,6 +18,7 @@
 import org.micabarrow.state.Fault.Step;
 import org.micabarrow.state.Result;
 import org.micabarrow.views.DrainTimeBudget;
+import org.micabarrow.views.EraOffset;
 import org.micabarrow.views.StoredRecord;
 import org.micabarrow.views.Topic;
 import org.micabarrow.views.TopicReader.Batch;
@@ -33,6 +34,12 @@
      */
     private static final Duration TOTAL_TIMEOUT = Duration.ofSeconds(10);
 
+    /**
+     * The store's era of an offset, in requests and in responses. Builds that know no eras send none and skip it; in a
+     * response without it, offsets are of the first era.
+     */
+    static final String ERA = "era";
+
     private static final int OK = 200;
 
     /**
@@ -86,7 +93,8 @@
      * @return the records, valid as of the time of sending the request minus the age of the peer's knowledge
      */
     public Result<Batch> request(String peer, Topic topic, long from, Duration timeout) {
-        URI uri = URI.create("http://" + peer + PATH + "?topic=" + topic + "&from=" + from);
+        URI uri = URI.create("http://" + peer + PATH + "?topic=" + topic + "&from=" + EraOffset.offset(from) + "&" + ERA
+                + "=" + EraOffset.era(from));
         HttpCall call = HttpCall.get(Step.READ, uri);
         long sentMillis = monotonicMillis.getAsLong();
         return client.call(
@@ -106,12 +114,16 @@
             for (JsonNode node : json.path("records")) {
                 records.add(new StoredRecord(
                         node.path("key").asText(),
-                        node.path("offset").asLong(),
+                        EraOffset.of(
+                                node.path(ERA).asLong(), node.path("offset").asLong()),
                         node.path("value").binaryValue()));
             }
-            return Result.success(new Batch(records, json.path("end").asLong(), asOf(json, sentMillis)));
+            long end = EraOffset.of(json.path(ERA).asLong(), json.path("end").asLong());
+            return Result.success(new Batch(records, end, asOf(json, sentMillis)));
         } catch (IOException e) {
             return Result.failure(Fault.of(Step.READ, peer, Reason.CORRUPT, "not JSON: " + e.getMessage()));
+        } catch (IllegalArgumentException e) {
+            return Result.failure(Fault.of(Step.READ, peer, Reason.CORRUPT, e.getMessage()));
         }
     }
 
@@ -130,13 +142,15 @@
     /** Writes the response to {@link #request}; {@code nowMillis} is on the same clock as the time of the batch. */
     static byte[] write(Batch batch, long nowMillis) {
         ObjectNode json = CanonicalJson.mapper().createObjectNode();
-        json.put("end", batch.end());
+        json.put("end", EraOffset.offset(batch.end()));
+        json.put(ERA, EraOffset.era(batch.end()));
         batch.asOfMillis().ifPresent(asOf -> json.put(KNOWN_MILLIS_AGO, Math.max(0, nowMillis - asOf)));
         ArrayNode records = json.putArray("records");
         for (StoredRecord record : batch.records()) {
             ObjectNode node = records.addObject();
             node.put("key", record.key());
-            node.put("offset", record.offset());
+            node.put("offset", EraOffset.offset(record.offset()));
+            node.put(ERA, EraOffset.era(record.offset()));
             node.put("value", record.value());
         }
         return CanonicalJson.write(json);
--- a/src/main/java/org/micabarrow/views/ChangeOffsets.java
+++ b/src/main/java/org/micabarrow/views/ChangeOffsets.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /**
- * Offsets up to which a process knows the records that changed its view. Endpoints rewrite their entries regularly,
+ * Offsets, with their eras, up to which a process knows the records that changed its view. Endpoints rewrite their entries regularly,
  * mostly without a change, and most manifests change nothing that agents use.
  *
  * @param operator the offset after the last operator record that changed the view
@@ -55,6 +55,19 @@
         };
     }
 
+    /**
+     * Returns offsets of a topic that are of an era at least, so that processes that follow them notice that the store
+     * has continued from an older copy. What agents use of the operator records need not have changed.
+     */
+    ChangeOffsets inEra(Topic topic, long era) {
+        long first = EraOffset.of(era, 0);
+        return switch (topic) {
+            case OPERATOR -> new ChangeOffsets(Math.max(operator, first), endpoints, weights);
+            case ENDPOINTS -> new ChangeOffsets(operator, Math.max(endpoints, first), weights);
+            case NAMED, CRASHES -> this;
+        };
+    }
+
     ChangeOffsets withOperator(List<StoredRecord> changed, List<StoredRecord> changedWeights) {
         return new ChangeOffsets(offsetAfter(operator, changed), endpoints, offsetAfter(weights, changedWeights));
     }
--- a/src/main/java/org/micabarrow/views/EndpointListUpdater.java
+++ b/src/main/java/org/micabarrow/views/EndpointListUpdater.java
@@ -1,6 +1,7 @@
 package org.micabarrow.views;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -25,12 +26,23 @@
     private static final Logger LOG = LoggerFactory.getLogger(EndpointListUpdater.class);
 
     private final RecordDecoder decoder;
+    /**
+     * How long an entry of a restored store has to last before an endpoint that is known to be gone counts as running
+     * again, in milliseconds. The platform removes the entry of an endpoint that is silent for three of its intervals.
+     */
+    static final long UNCONFIRMED_MILLIS = 5_000;
+
     private final PendingRemovals pendingRemovals = new PendingRemovals();
     private final LateEntryFilter lateEntries = new LateEntryFilter();
 
     /** Keys with an invalid entry. An invalid entry is logged once per key, however often it is written. */
     private final Set<String> invalidKeys = new HashSet<>();
 
+    /** Entries of a restored store whose endpoints are known to be gone, and when they count all the same. */
+    private final Map<String, UnconfirmedEntry> unconfirmed = new HashMap<>();
+
+    private record UnconfirmedEntry(StoredRecord record, long dueMillis) {}
+
     private volatile Consumer<EndpointRegistration> coldListener = registration -> {};
 
     EndpointListUpdater(RecordDecoder decoder) {
@@ -49,19 +61,34 @@
         pendingRemovals.onStoreReachable(nowMillis);
     }
 
-    /** Returns the list without the endpoints whose pending removal is due; empty if none is due. */
-    Optional<Map<String, EndpointRegistration>> withoutDueRemovals(
+    /**
+     * Returns the list without the endpoints whose pending removal is due, and with those whose entries of a restored
+     * store have lasted; empty if there are none.
+     */
+    Optional<Map<String, EndpointRegistration>> withDueChanges(
             Map<String, EndpointRegistration> endpoints, long nowMillis) {
-        List<String> due = pendingRemovals.removeDue(nowMillis);
-        if (due.isEmpty()) {
+        List<String> removed = pendingRemovals.removeDue(nowMillis);
+        List<StoredRecord> lasting = lastingEntries(nowMillis);
+        if (removed.isEmpty() && lasting.isEmpty()) {
             return Optional.empty();
         }
-        Map<String, EndpointRegistration> remaining = new HashMap<>(endpoints);
-        due.forEach(id -> {
-            remaining.remove(id);
+        Map<String, EndpointRegistration> after = new HashMap<>(endpoints);
+        removed.forEach(id -> {
+            after.remove(id);
             LOG.info("event=endpoint_gone endpoint={} after=doubt", id);
         });
-        return Optional.of(remaining);
+        lasting.forEach(
+                record -> apply(record, Continuity.CONTINUED, after, nowMillis).ifPresent(LOG::info));
+        return Optional.of(after);
+    }
+
+    private List<StoredRecord> lastingEntries(long nowMillis) {
+        List<StoredRecord> lasting = unconfirmed.values().stream()
+                .filter(entry -> entry.dueMillis() <= nowMillis)
+                .map(UnconfirmedEntry::record)
+                .toList();
+        lasting.forEach(record -> unconfirmed.remove(record.key()));
+        return lasting;
     }
 
     /** Returns the given wait, shortened to the time until the first pending removal is due. */
@@ -74,8 +101,38 @@
 
     // -- records
 
-    /** Prepares for a batch of records, each of which is passed to {@link #apply} afterwards. */
-    void prepareBatch(List<StoredRecord> records, Map<String, EndpointRegistration> endpoints, long nowMillis) {
+    /**
+     * The effect of a batch of records.
+     *
+     * @param endpoints the resulting list
+     * @param changed the records that changed anything
+     * @param logLines what to log about them
+     */
+    record Update(Map<String, EndpointRegistration> endpoints, List<StoredRecord> changed, List<String> logLines) {}
+
+    /** Applies a batch of records to a list of endpoints, which stays as it is. */
+    Update apply(
+            List<StoredRecord> records,
+            Continuity continuity,
+            Map<String, EndpointRegistration> listed,
+            long nowMillis) {
+        if (continuity == Continuity.RESTORED) {
+            pendingRemovals.onStoreReachable(nowMillis);
+            lateEntries.onStoreRestored(nowMillis);
+        }
+        prepareBatch(records, listed, nowMillis);
+        Map<String, EndpointRegistration> endpoints = new HashMap<>(listed);
+        List<StoredRecord> changed = new ArrayList<>();
+        List<String> logLines = new ArrayList<>();
+        records.forEach(
+                record -> apply(record, continuity, endpoints, nowMillis).ifPresent(line -> {
+                    changed.add(record);
+                    logLines.add(line);
+                }));
+        return new Update(endpoints, changed, logLines);
+    }
+
+    private void prepareBatch(List<StoredRecord> records, Map<String, EndpointRegistration> endpoints, long nowMillis) {
         Set<String> removedIds = records.stream()
                 .filter(StoredRecord::isTombstone)
                 .map(StoredRecord::key)
@@ -85,42 +142,64 @@
     }
 
     /** Applies a record to the given endpoints. Returns the line to log if anything changed. */
-    Optional<String> apply(StoredRecord record, Map<String, EndpointRegistration> endpoints, long nowMillis) {
+    private Optional<String> apply(
+            StoredRecord record, Continuity continuity, Map<String, EndpointRegistration> endpoints, long nowMillis) {
+        unconfirmed.remove(record.key());
         return record.isTombstone()
-                ? applyTombstone(record, endpoints, nowMillis)
-                : applyEntry(record, endpoints, nowMillis);
+                ? applyTombstone(record, continuity, endpoints, nowMillis)
+                : applyEntry(record, continuity, endpoints, nowMillis);
     }
 
     private Optional<String> applyTombstone(
-            StoredRecord record, Map<String, EndpointRegistration> endpoints, long nowMillis) {
+            StoredRecord record, Continuity continuity, Map<String, EndpointRegistration> endpoints, long nowMillis) {
         String id = record.key();
         EndpointRegistration listed = endpoints.get(id);
-        if (listed != null && pendingRemovals.defer(listed, nowMillis)) {
-            return Optional.of("event=endpoint_doubted endpoint=" + id + " offset=" + record.offset());
+        if (listed != null && pendingRemovals.defer(listed, continuity, nowMillis)) {
+            return Optional.of("event=endpoint_doubted endpoint=" + id + " " + EraOffset.toLog(record.offset()));
         }
         pendingRemovals.cancel(id);
         invalidKeys.remove(id);
         return endpoints.remove(id) == null
                 ? Optional.empty()
-                : Optional.of("event=endpoint_gone endpoint=" + id + " offset=" + record.offset());
+                : Optional.of("event=endpoint_gone endpoint=" + id + " " + EraOffset.toLog(record.offset()));
     }
 
     private Optional<String> applyEntry(
-            StoredRecord record, Map<String, EndpointRegistration> endpoints, long nowMillis) {
+            StoredRecord record, Continuity continuity, Map<String, EndpointRegistration> endpoints, long nowMillis) {
         return switch (decoder.decodeEndpointRegistration(record)) {
             case Result.Failure<EndpointRegistration>(Fault fault) -> removeInvalid(record, fault.message(), endpoints);
             case Result.Success<EndpointRegistration>(EndpointRegistration entry)
             when lateEntries.lacksStart(entry) ->
                 removeInvalid(record, "the start time of the endpoint is missing", endpoints);
             case Result.Success<EndpointRegistration>(EndpointRegistration entry)
+            when continuity == Continuity.RESTORED && lateEntries.isNotNewer(entry) ->
+                keepKnown(record, entry, endpoints, nowMillis);
+            case Result.Success<EndpointRegistration>(EndpointRegistration entry)
             when lateEntries.isSuperseded(entry, nowMillis) ->
                 Optional.of("event=entry_written_late endpoint=" + entry.id() + " started=" + startedText(entry)
-                        + " leaving=" + entry.draining() + " offset=" + record.offset());
+                        + " leaving=" + entry.draining() + " " + EraOffset.toLog(record.offset()));
             case Result.Success<EndpointRegistration>(EndpointRegistration entry) ->
                 applyValid(record, entry, endpoints);
         };
     }
 
+    /** Keeps what is known of an endpoint, which an older copy of the store does not know better. */
+    private Optional<String> keepKnown(
+            StoredRecord record,
+            EndpointRegistration entry,
+            Map<String, EndpointRegistration> endpoints,
+            long nowMillis) {
+        EndpointRegistration listed = endpoints.get(entry.id());
+        if (listed == null) {
+            unconfirmed.put(entry.id(), new UnconfirmedEntry(record, nowMillis + UNCONFIRMED_MILLIS));
+        } else if (entry.sameContentAs(listed)) {
+            pendingRemovals.cancel(entry.id());
+            return Optional.empty();
+        }
+        return Optional.of("event=entry_outdated endpoint=" + entry.id() + " leaving=" + entry.draining() + " listed="
+                + (listed != null) + " " + EraOffset.toLog(record.offset()));
+    }
+
     /**
      * Removes an endpoint whose new entry is invalid. Its previous entry is outdated, and it is unknown whether the
      * endpoint is still running or draining.
@@ -132,8 +211,8 @@
         boolean firstTime = invalidKeys.add(id);
         boolean listed = endpoints.remove(id) != null;
         return firstTime || listed
-                ? Optional.of("event=entry_refused endpoint=" + record.loggableKey() + " known=" + listed + " offset="
-                        + record.offset() + " why=\"" + why + "\"")
+                ? Optional.of("event=entry_refused endpoint=" + record.loggableKey() + " known=" + listed + " "
+                        + EraOffset.toLog(record.offset()) + " why=\"" + why + "\"")
                 : Optional.empty();
     }
 
@@ -152,8 +231,8 @@
         String event = restarted ? "endpoint_restarted" : "endpoint_changed";
         return Optional.of("event=" + event + " endpoint=" + entry.id() + " address=" + entry.address() + " leaving="
                 + entry.draining() + " models="
-                + StoredRecord.loggable(entry.models().toString()) + " started=" + startedText(entry) + " offset="
-                + record.offset());
+                + StoredRecord.loggable(entry.models().toString()) + " started=" + startedText(entry) + " "
+                + EraOffset.toLog(record.offset()));
     }
 
     private static String startedText(EndpointRegistration entry) {
--- a/src/main/java/org/micabarrow/views/LateEntryFilter.java
+++ b/src/main/java/org/micabarrow/views/LateEntryFilter.java
@@ -29,11 +29,22 @@
     private record SeenEntry(long startedMillis, OptionalLong writeCount, long seenAtMillis) {
 
         private boolean isAfter(EndpointRegistration entry, long started) {
-            boolean sameStart = startedMillis == started
+            return startedMillis > started
+                    || countsWrites(entry, started)
+                            && writeCount.getAsLong() > entry.writeCount().getAsLong();
+        }
+
+        private boolean isBefore(EndpointRegistration entry, long started) {
+            return startedMillis < started
+                    || countsWrites(entry, started)
+                            && writeCount.getAsLong() < entry.writeCount().getAsLong();
+        }
+
+        /** Whether the order of two entries of the same start shows by their write counters. */
+        private boolean countsWrites(EndpointRegistration entry, long started) {
+            return startedMillis == started
                     && writeCount.isPresent()
                     && entry.writeCount().isPresent();
-            return startedMillis > started
-                    || sameStart && writeCount.getAsLong() > entry.writeCount().getAsLong();
         }
     }
 
@@ -45,13 +56,28 @@
         return entry.startedMillis().isEmpty() && hasKnownStart(entry.id());
     }
 
+    private static long startedMillis(EndpointRegistration entry) {
+        return entry.startedMillis().orElse(UNKNOWN_START);
+    }
+
     private boolean hasKnownStart(String id) {
         return newestById.containsKey(id) && newestById.get(id).startedMillis() != UNKNOWN_START;
     }
 
+    /** Lets the entries that were read so far take precedence for as long again. */
+    void onStoreRestored(long nowMillis) {
+        newestById.replaceAll((id, newest) -> new SeenEntry(newest.startedMillis(), newest.writeCount(), nowMillis));
+    }
+
+    /** Whether an entry of the endpoint was read before that is as new as the given one, or may be. */
+    boolean isNotNewer(EndpointRegistration entry) {
+        SeenEntry newest = newestById.get(entry.id());
+        return newest != null && !newest.isBefore(entry, startedMillis(entry));
+    }
+
     /** Returns whether an entry is older than one that was read recently; otherwise records it as the newest. */
     boolean isSuperseded(EndpointRegistration entry, long nowMillis) {
-        long started = entry.startedMillis().orElse(UNKNOWN_START);
+        long started = startedMillis(entry);
         SeenEntry newest = newestById.get(entry.id());
         if (newest != null
                 && newest.isAfter(entry, started)
--- a/src/main/java/org/micabarrow/views/ManifestTracker.java
+++ b/src/main/java/org/micabarrow/views/ManifestTracker.java
@@ -41,22 +41,30 @@
         long version = manifest.version();
         if (version < activeVersion) {
             LOG.warn(
-                    "event=manifest_written_late version={} offset={} kept={}",
+                    "event=manifest_written_late version={} {} kept={}",
                     version,
-                    record.offset(),
+                    EraOffset.toLog(record.offset()),
                     activeVersion);
             return false;
         }
-        LOG.info("event=manifest_in_force version={} offset={} before={}", version, record.offset(), activeVersion);
+        LOG.info(
+                "event=manifest_in_force version={} {} before={}",
+                version,
+                EraOffset.toLog(record.offset()),
+                activeVersion);
         activeVersion = version;
         activeRecord = Optional.of(record);
         recordPosition(new ManifestPosition(version, record.offset()));
         return true;
     }
 
-    /** Records the position of a manifest. */
+    /** Records the position of a manifest. A restored store has it at another one once it is written again. */
     void recordPosition(ManifestPosition position) {
-        if (newestVersion() <= position.version()) {
+        boolean known = newestPosition
+                .filter(newest -> newest.version() > position.version()
+                        || newest.version() == position.version() && newest.offset() >= position.offset())
+                .isPresent();
+        if (!known) {
             newestPosition = Optional.of(position);
         }
     }
--- a/src/main/java/org/micabarrow/views/OperatorState.java
+++ b/src/main/java/org/micabarrow/views/OperatorState.java
@@ -19,7 +19,7 @@
 
     private final RecordDecoder decoder;
     private final LongSupplier monotonicMillis;
-    private final Predicate<String> isKnownHall;
+    private final Evacuations evacuations;
     private final WeightTargets targets;
     private final ManifestTracker manifests = new ManifestTracker();
     private boolean loaded;
@@ -33,7 +33,7 @@
             LongSupplier unixMillis,
             Predicate<String> isKnownHall) {
         this.decoder = decoder;
-        this.isKnownHall = isKnownHall;
+        this.evacuations = new Evacuations(isKnownHall);
         this.monotonicMillis = monotonicMillis;
         this.targets = new WeightTargets(monotonicMillis, unixMillis);
     }
@@ -61,10 +61,11 @@
     // -- operator records
 
     /** Applies an operator record. */
-    Change apply(StoredRecord record, View view) {
+    Change apply(StoredRecord record, Continuity continuity, View view) {
         Optional<String> hall = decoder.evacuatedHall(record.key());
         if (hall.isPresent()) {
-            return new Change(applyEvacuation(record, hall.get(), view), false);
+            View after = evacuations.apply(record, hall.get(), continuity, view, monotonicMillis.getAsLong());
+            return new Change(after, false);
         }
         if (record.isTombstone()) {
             OperatorLog.ignoredDeletion(record);
@@ -86,17 +87,9 @@
         };
     }
 
-    private View applyEvacuation(StoredRecord record, String hall, View view) {
-        if (!isKnownHall.test(hall)) {
-            OperatorLog.unknownHall(record);
-            return view;
-        }
-        boolean evacuated = !record.isTombstone();
-        if (view.evacuatedHalls().contains(hall) == evacuated) {
-            return view;
-        }
-        OperatorLog.evacuation(record, hall);
-        return view.withEvacuation(hall, evacuated);
+    /** Ends the evacuations that a restored store lacks and that no operator has confirmed in time. */
+    View withoutUnconfirmedEvacuations(View view) {
+        return evacuations.withoutUnconfirmed(view, monotonicMillis.getAsLong());
     }
 
     private static Change ignore(StoredRecord record, View view) {
@@ -115,12 +108,13 @@
 
     private Change applyWeights(StoredRecord record, String model, long version, View view) {
         long newest = view.newestTarget(model).map(View.Target::version).orElse(0L);
+        boolean relevantToAgents = targets.isNewer(model, version);
         View.Target target = targets.recordNamed(record, model, version, loaded);
-        View after = withTarget(model, target, view, "store offset=" + record.offset());
+        View after = withTarget(model, target, view, "store " + EraOffset.toLog(record.offset()));
         if (after == view && version < newest) {
             OperatorLog.outdatedTargetNamed(record, model, version, newest);
         }
-        return new Change(after, true);
+        return new Change(after, relevantToAgents);
     }
 
     /** Adds a weight version that a peer reported. */
--- a/src/main/java/org/micabarrow/views/PeerFirstReader.java
+++ b/src/main/java/org/micabarrow/views/PeerFirstReader.java
@@ -128,13 +128,14 @@
 
     @Override
     public synchronized boolean hasPeerUpdates(Topic topic) {
-        return updates.hasValidUpdate(monotonicMillis.getAsLong());
+        return updates.hasValidUpdate(topic, monotonicMillis.getAsLong());
     }
 
     private synchronized Availability awaitNewer(Topic topic, long from, long untilMillis) throws InterruptedException {
+        updates.requireEra(topic, EraOffset.era(from));
         while (true) {
             long now = monotonicMillis.getAsLong();
-            if (!updates.hasValidUpdate(now)) {
+            if (!updates.hasValidUpdate(topic, now)) {
                 return new Availability.NoUpdates();
             }
             Optional<String> newerPeer = updates.newestPeer(topic, from, now);
@@ -144,7 +145,7 @@
             if (now >= untilMillis) {
                 return new Availability.NothingNewer();
             }
-            wait(Math.clamp(updates.lastExpiryMillis(now) - now, 1, untilMillis - now));
+            wait(Math.clamp(updates.lastExpiryMillis(topic, now) - now, 1, untilMillis - now));
         }
     }
 
@@ -193,7 +194,7 @@
         if (batch.toOptional().filter(received -> received.end() > from).isPresent()) {
             return recordPeerResult(topic, batch.map(Read.Records::new));
         }
-        LOG.info("event=news_not_given topic={} from={} peer={} next=store", topic, from, peer);
+        LOG.info("event=news_not_given topic={} {} peer={} next=store", topic, EraOffset.toLog(from), peer);
         ignore(peer);
         return readStore(topic, from, Duration.ZERO);
     }
--- a/src/main/java/org/micabarrow/views/PeerUpdates.java
+++ b/src/main/java/org/micabarrow/views/PeerUpdates.java
@@ -1,6 +1,7 @@
 package org.micabarrow.views;
 
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -35,6 +36,9 @@
     /** Whether the store responded to this process at the last read. */
     private boolean storeResponds = true;
 
+    /** The era of the store in which this process knows each topic. */
+    private final Map<Topic, Long> eras = new EnumMap<>(Topic.class);
+
     private record Update(String peer, ChangeOffsets changes, long asOfMillis, long receivedAtMillis) {}
 
     PeerUpdates(Role role) {
@@ -52,6 +56,11 @@
         updates.remove(peer);
     }
 
+    /** Excludes peers that know a topic only as it was before the store continued from an older copy. */
+    void requireEra(Topic topic, long era) {
+        eras.merge(topic, era, Math::max);
+    }
+
     /** Records whether the store responds to this process. */
     void setStoreResponds(boolean responds) {
         storeResponds = responds;
@@ -65,26 +74,27 @@
     // -- expiry
 
     /** Whether any update is valid now. */
-    boolean hasValidUpdate(long nowMillis) {
+    boolean hasValidUpdate(Topic topic, long nowMillis) {
         updates.values().removeIf(update -> nowMillis - update.receivedAtMillis() >= expiryMillis());
-        return validUpdates(nowMillis).findAny().isPresent();
+        return validUpdates(topic, nowMillis).findAny().isPresent();
     }
 
-    private Stream<Update> validUpdates(long nowMillis) {
-        return updates.values().stream().filter(update -> isValid(update, nowMillis));
+    private Stream<Update> validUpdates(Topic topic, long nowMillis) {
+        return updates.values().stream().filter(update -> isValid(update, topic, nowMillis));
     }
 
-    private boolean isValid(Update update, long nowMillis) {
-        boolean recent = nowMillis - update.asOfMillis() < maxAgeMillis();
+    private boolean isValid(Update update, Topic topic, long nowMillis) {
+        boolean usable = nowMillis - update.asOfMillis() < maxAgeMillis()
+                && EraOffset.era(update.changes().of(topic)) >= eras.getOrDefault(topic, 0L);
         return switch (role) {
-            case Role.Agent ignored -> recent;
-            case Role.Entry entry -> recent && (update.peer().compareTo(entry.self()) < 0 || !storeResponds);
+            case Role.Agent ignored -> usable;
+            case Role.Entry entry -> usable && (update.peer().compareTo(entry.self()) < 0 || !storeResponds);
         };
     }
 
     /** The time at which the last valid update expires, unless another one arrives. */
-    long lastExpiryMillis(long nowMillis) {
-        return validUpdates(nowMillis)
+    long lastExpiryMillis(Topic topic, long nowMillis) {
+        return validUpdates(topic, nowMillis)
                 .mapToLong(update ->
                         Math.min(update.receivedAtMillis() + expiryMillis(), update.asOfMillis() + maxAgeMillis()))
                 .max()
@@ -117,7 +127,7 @@
 
     /** The peer with the newest records that this process needs beyond an offset. */
     Optional<String> newestPeer(Topic topic, long from, long nowMillis) {
-        return validUpdates(nowMillis)
+        return validUpdates(topic, nowMillis)
                 .filter(update -> neededOffset(update.changes(), topic) > from)
                 .max(Comparator.comparingLong(update -> neededOffset(update.changes(), topic)))
                 .map(Update::peer);
@@ -125,7 +135,7 @@
 
     /** A peer that knows of a change beyond an offset, whether or not this process needs it. */
     Optional<String> anyPeerBeyond(Topic topic, long from, long nowMillis) {
-        return validUpdates(nowMillis)
+        return validUpdates(topic, nowMillis)
                 .filter(update -> update.changes().of(topic) > from)
                 .map(Update::peer)
                 .findFirst();
--- a/src/main/java/org/micabarrow/views/PendingRemovals.java
+++ b/src/main/java/org/micabarrow/views/PendingRemovals.java
@@ -57,12 +57,13 @@
     }
 
     /**
-     * Defers the removal of an endpoint if the store may have been unreachable for all endpoints. Returns whether it
-     * was deferred.
+     * Defers the removal of an endpoint if the store may have been unreachable for all endpoints, or has lost the entry
+     * because it continues from an older copy. Returns whether it was deferred.
      */
-    boolean defer(EndpointRegistration entry, long nowMillis) {
+    boolean defer(EndpointRegistration entry, Continuity continuity, long nowMillis) {
         long dueMillis = reachableSinceMillis + REMOVAL_DELAY_MILLIS;
-        if (entry.draining() || nowMillis >= dueMillis || !storeWasDownForAll()) {
+        boolean mayBeWrittenAgain = continuity == Continuity.RESTORED || storeWasDownForAll();
+        if (entry.draining() || nowMillis >= dueMillis || !mayBeWrittenAgain) {
             return false;
         }
         dueAtMillis.put(entry.id(), dueMillis);
--- a/src/main/java/org/micabarrow/views/StoreFollower.java
+++ b/src/main/java/org/micabarrow/views/StoreFollower.java
@@ -41,6 +41,9 @@
     private volatile boolean initialized;
     private int roundsWithoutRead;
 
+    /** Whether all latest records were read just before. If they have expired again, the next read is not hurried. */
+    private boolean justLoaded;
+
     /**
      * Whether the last read was held and returned operator records. Such a read proves that all records are known only
      * up to the time at which it was sent, which may be a whole hold ago. The next read is therefore not held, or the
@@ -127,7 +130,7 @@
      * @return how long to wait before the next read, in milliseconds
      */
     public long readOnce() {
-        views.removeDueEndpoints();
+        views.applyDueChanges();
         // An entry that was disconnected reads at once when peers send updates again: waiting for its turn would take
         // up to 1.9 s of the 3 s allowed for a manifest.
         if (!reachable && loaded && !reader.hasPeerUpdates(topic) && ++roundsWithoutRead < ROUNDS_PER_READ) {
@@ -156,6 +159,7 @@
             views.replace(topic, batch.records(), batch.end());
             confirm(batch);
             loaded = true;
+            justLoaded = true;
             return 0L;
         });
     }
@@ -205,6 +209,7 @@
         heldReadFoundRecords = false;
         return switch (read) {
             case TopicReader.Read.Records(TopicReader.Batch batch) -> {
+                justLoaded = false;
                 views.apply(topic, batch.records(), batch.end());
                 confirm(batch);
                 heldReadFoundRecords =
@@ -214,16 +219,18 @@
                         : untilNextRemoval(timing.pause()).toMillis();
             }
             case TopicReader.Read.Expired ignored -> {
-                LOG.info("event=history_expired topic={} from={}", topic, views.end(topic));
+                LOG.info("event=history_expired topic={} {}", topic, EraOffset.toLog(views.end(topic)));
                 loaded = false;
-                yield 0L;
+                long pause = justLoaded ? RETRY_MILLIS : 0L;
+                justLoaded = false;
+                yield pause;
             }
         };
     }
 
     private void confirm(TopicReader.Batch batch) {
         if (topic == Topic.OPERATOR) {
-            batch.asOfMillis().ifPresent(views::confirmOperator);
+            batch.asOfMillis().ifPresent(asOf -> views.confirmOperator(batch.end(), asOf));
         }
     }
 
@@ -236,7 +243,7 @@
 
     private void onStoreReachable() {
         if (!reachable) {
-            LOG.info("event=store_regained topic={} end={}", topic, views.end(topic));
+            LOG.info("event=store_regained topic={} {}", topic, EraOffset.toLog(views.end(topic)));
             views.onStoreReachable(topic);
         }
         reachable = true;
--- a/src/main/java/org/micabarrow/views/TopicCopy.java
+++ b/src/main/java/org/micabarrow/views/TopicCopy.java
@@ -14,7 +14,8 @@
 /**
  * A copy of the latest record of each key of a topic. It never goes back to an older record: a record is accepted only
  * if its offset is greater than that of the current record of its key, regardless of the order and source of the
- * records. Not thread-safe.
+ * records. Offsets include the era of the store, so that every record of a later era is greater than those of earlier
+ * ones. Not thread-safe.
  */
 public final class TopicCopy {
 
@@ -27,13 +28,18 @@
     private long contiguousFrom;
 
     /**
-     * Applies records that were read from the topic or received from a peer.
+     * Applies records that were read from the topic or received from a peer. Those that reach into a later era are the
+     * latest of all keys, since every offset of this copy is before them.
      *
      * @param records the records
      * @param readTo the offset up to which everything that is still in the topic is now known
      * @return the records that were new
      */
     public List<StoredRecord> apply(Collection<StoredRecord> records, long readTo) {
+        return isOfLaterEra(readTo) ? replace(records, readTo) : applyNewer(records, readTo);
+    }
+
+    private List<StoredRecord> applyNewer(Collection<StoredRecord> records, long readTo) {
         List<StoredRecord> accepted = new ArrayList<>();
         for (StoredRecord record : records) {
             if (isNewer(record)) {
@@ -47,7 +53,7 @@
 
     /**
      * Applies the latest records of all keys. Keys that are not among them were deleted, unless a newer record of the
-     * key is already known.
+     * key is already known. Records of an earlier era than this copy have no effect.
      *
      * @param records the latest record of each key
      * @param endBeforeRead the end of the topic before the first of them was read
@@ -65,7 +71,7 @@
         if (endBeforeRead > end) {
             contiguousFrom = endBeforeRead;
         }
-        return apply(updates, endBeforeRead);
+        return applyNewer(updates, endBeforeRead);
     }
 
     private boolean isNewer(StoredRecord record) {
@@ -77,7 +83,18 @@
     // -- queries
 
     /**
-     * The offset to read from next.
+     * Whether records up to an offset come from a store that has continued from an older copy since those of this copy
+     * were read.
+     *
+     * @param readTo the offset
+     * @return false also while this copy is empty
+     */
+    public boolean isOfLaterEra(long readTo) {
+        return !latest.isEmpty() && EraOffset.era(readTo) > EraOffset.era(end);
+    }
+
+    /**
+     * The offset to read from next, in the era of the last read.
      *
      * @return the first unknown offset
      */
@@ -90,10 +107,11 @@
      * from this copy. Deletions before the first record that was read here are not part of this copy.
      *
      * @param offset the offset
-     * @return the end of this copy, or the offset itself if records between the two were not read here
+     * @return the end of this copy, or the offset itself if records between the two were not read here; a process whose
+     *     offset is of an earlier era has received all keys, and takes the others for deleted
      */
     public long continueFrom(long offset) {
-        return offset >= contiguousFrom ? end : offset;
+        return offset >= contiguousFrom || EraOffset.era(offset) < EraOffset.era(end) ? end : offset;
     }
 
     /**
--- a/src/main/java/org/micabarrow/views/VersionPersistence.java
+++ b/src/main/java/org/micabarrow/views/VersionPersistence.java
@@ -162,7 +162,7 @@
                         .toList();
             case Result.Success<Read>(Read.Expired ignored) -> List.of();
             case Result.Failure<Read>(Fault fault) -> {
-                LOG.info("event=manifest_not_in_history offset={} why=\"{}\"", offset, fault);
+                LOG.info("event=manifest_not_in_history {} why=\"{}\"", EraOffset.toLog(offset), fault);
                 yield List.of();
             }
         };
@@ -223,11 +223,13 @@
         checks++;
         boolean anyUnsaved =
                 !views.unsavedVersions().isEmpty() || views.unsavedManifest().isPresent();
-        WriteRole activeRole = anyUnsaved ? role.get() : WriteRole.NONE;
+        boolean savedOutdated = views.isSavedOutdated();
+        WriteRole activeRole = anyUnsaved || savedOutdated ? role.get() : WriteRole.NONE;
         boolean versionsUnsaved =
                 activeRole != WriteRole.NONE && !views.unsavedVersions().isEmpty();
         checksWithUnsaved = versionsUnsaved ? checksWithUnsaved + 1 : 0;
-        if (!restored.get() || restoreDueAfterStartup() || checksWithUnsaved == BACKUP_DELAY_CHECKS) {
+        boolean writerOutdated = savedOutdated && activeRole != WriteRole.NONE;
+        if (!restored.get() || restoreDueAfterStartup() || writerOutdated || checksWithUnsaved == BACKUP_DELAY_CHECKS) {
             restore();
         }
         if (restored.get()) {
@@ -255,7 +257,10 @@
         OptionalLong missingOffset = views.missingManifestOffset();
         checksWithoutManifest = missingOffset.isPresent() ? checksWithoutManifest + 1 : 0;
         if (missingOffset.isPresent() && Long.bitCount(checksWithoutManifest) == 1) {
-            LOG.warn("event=manifest_lacking offset={} looks={}", missingOffset.getAsLong(), checksWithoutManifest);
+            LOG.warn(
+                    "event=manifest_lacking {} looks={}",
+                    EraOffset.toLog(missingOffset.getAsLong()),
+                    checksWithoutManifest);
             views.apply(Topic.OPERATOR, readManifest(missingOffset.getAsLong()), 0);
         }
     }
--- a/src/main/java/org/micabarrow/views/ViewMaintainer.java
+++ b/src/main/java/org/micabarrow/views/ViewMaintainer.java
@@ -129,8 +129,9 @@
      */
     public synchronized void apply(Topic topic, Collection<StoredRecord> records, long readTo) {
         applyMissingManifest(topic, records);
-        publish(topic, copies.get(topic).apply(records, readTo));
-        freshness.setManifestMissing(operatorState.lacksManifest(end(Topic.OPERATOR)));
+        Continuity continuity = continuity(topic, readTo);
+        publish(topic, copies.get(topic).apply(records, readTo), continuity);
+        onRead(topic, readTo);
     }
 
     /**
@@ -142,20 +143,43 @@
      */
     public synchronized void replace(Topic topic, Collection<StoredRecord> records, long endBeforeRead) {
         applyMissingManifest(topic, records);
-        publish(topic, copies.get(topic).replace(records, endBeforeRead));
+        Continuity continuity = continuity(topic, endBeforeRead);
+        publish(topic, copies.get(topic).replace(records, endBeforeRead), continuity);
         if (topic == Topic.OPERATOR) {
             operatorState.markLoaded();
         }
+        onRead(topic, endBeforeRead);
+    }
+
+    private Continuity continuity(Topic topic, long readTo) {
+        if (!copies.get(topic).isOfLaterEra(readTo)) {
+            return Continuity.CONTINUED;
+        }
+        LOG.warn(
+                "event=topic_restored topic={} {} before=\"{}\"",
+                topic,
+                EraOffset.toLog(readTo),
+                EraOffset.toLog(end(topic)));
+        return Continuity.RESTORED;
+    }
+
+    private void onRead(Topic topic, long readTo) {
+        changes = changes.inEra(topic, EraOffset.era(readTo));
         freshness.setManifestMissing(operatorState.lacksManifest(end(Topic.OPERATOR)));
     }
 
     /**
-     * Records that all operator records up to a time have been applied. Must be called after the records were applied.
+     * Records that all operator records up to a time are among those before an offset. Must be called after the records
+     * were applied; has no effect if they are not all known here, or are of another era of the store.
      *
+     * @param readTo the offset
      * @param asOfMillis the time on the monotonic clock; an earlier time than the known one has no effect
      */
-    public void confirmOperator(long asOfMillis) {
-        freshness.confirm(asOfMillis);
+    public synchronized void confirmOperator(long readTo, long asOfMillis) {
+        long end = end(Topic.OPERATOR);
+        if (readTo <= end && EraOffset.era(readTo) == EraOffset.era(end)) {
+            freshness.confirm(asOfMillis);
+        }
     }
 
     /**
@@ -218,11 +242,12 @@
         }
     }
 
-    /** Removes the endpoints whose pending removal is due. */
-    public synchronized void removeDueEndpoints() {
+    /** Applies what was deferred and is due: removals of endpoints, and what a restored store left in doubt. */
+    public synchronized void applyDueChanges() {
         endpointList
-                .withoutDueRemovals(view.endpoints(), monotonicMillis.getAsLong())
-                .ifPresent(remaining -> view = view.withEndpoints(remaining));
+                .withDueChanges(view.endpoints(), monotonicMillis.getAsLong())
+                .ifPresent(endpoints -> view = view.withEndpoints(endpoints));
+        view = operatorState.withoutUnconfirmedEvacuations(view);
     }
 
     /**
@@ -237,13 +262,13 @@
 
     // -- updates of the view
 
-    private void publish(Topic topic, List<StoredRecord> newRecords) {
+    private void publish(Topic topic, List<StoredRecord> newRecords, Continuity continuity) {
         if (newRecords.isEmpty()) {
             return;
         }
         switch (topic) {
-            case OPERATOR -> applyOperatorRecords(newRecords);
-            case ENDPOINTS -> applyEndpointRecords(newRecords);
+            case OPERATOR -> applyOperatorRecords(newRecords, continuity);
+            case ENDPOINTS -> applyEndpointRecords(newRecords, continuity);
             case NAMED -> view = operatorState.applySaved(newRecords, view);
             case CRASHES -> crashListener.accept(newRecords);
         }
@@ -253,11 +278,11 @@
      * Applies operator records, and publishes one view of all of them: a process that starts while a data hall is
      * evacuated would otherwise take requests for a moment with the manifest alone.
      */
-    private void applyOperatorRecords(List<StoredRecord> records) {
+    private void applyOperatorRecords(List<StoredRecord> records, Continuity continuity) {
         View updated = view;
         List<StoredRecord> agentRecords = new ArrayList<>();
         for (StoredRecord record : records) {
-            OperatorState.Change change = operatorState.apply(record, updated);
+            OperatorState.Change change = operatorState.apply(record, continuity, updated);
             updated = change.view();
             if (change.relevantToAgents()) {
                 agentRecords.add(record);
@@ -268,7 +293,7 @@
     }
 
     private void applyOperatorRecord(StoredRecord record) {
-        view = operatorState.apply(record, view).view();
+        view = operatorState.apply(record, Continuity.CONTINUED, view).view();
     }
 
     /**
@@ -293,6 +318,12 @@
 
     // -- records saved by processes
 
+    /** Whether the store has continued from an older copy since the saved records were read. */
+    synchronized boolean isSavedOutdated() {
+        long known = Math.max(EraOffset.era(end(Topic.OPERATOR)), EraOffset.era(end(Topic.ENDPOINTS)));
+        return EraOffset.era(end(Topic.NAMED)) < known;
+    }
+
     /** The offset of a manifest known to be newer than the active one; empty if there is none. */
     synchronized OptionalLong missingManifestOffset() {
         return operatorState.missingManifestOffset(end(Topic.OPERATOR));
@@ -334,20 +365,13 @@
 
     // -- endpoints
 
-    private void applyEndpointRecords(List<StoredRecord> newRecords) {
-        Map<String, EndpointRegistration> endpoints = new HashMap<>(view.endpoints());
-        List<StoredRecord> changedRecords = new ArrayList<>();
-        List<String> logLines = new ArrayList<>();
-        long now = monotonicMillis.getAsLong();
-        endpointList.prepareBatch(newRecords, endpoints, now);
-        newRecords.forEach(record -> endpointList.apply(record, endpoints, now).ifPresent(line -> {
-            changedRecords.add(record);
-            logLines.add(line);
-        }));
-        if (!changedRecords.isEmpty()) {
-            view = view.withEndpoints(endpoints);
-            changes = changes.withEndpoints(changedRecords);
-            logLines.forEach(LOG::info);
+    private void applyEndpointRecords(List<StoredRecord> newRecords, Continuity continuity) {
+        EndpointListUpdater.Update update =
+                endpointList.apply(newRecords, continuity, view.endpoints(), monotonicMillis.getAsLong());
+        if (!update.changed().isEmpty()) {
+            view = view.withEndpoints(update.endpoints());
+            changes = changes.withEndpoints(update.changed());
+            update.logLines().forEach(LOG::info);
         }
     }
 }
--- a/src/main/java/org/micabarrow/views/WeightTargets.java
+++ b/src/main/java/org/micabarrow/views/WeightTargets.java
@@ -29,6 +29,12 @@
         this.unixMillis = unixMillis;
     }
 
+    /** Whether a version is newer than those that were read from operator records. */
+    boolean isNewer(String model, long version) {
+        View.Target newest = newestByModel.get(model);
+        return newest == null || newest.version() < version;
+    }
+
     /** Records a version that was read from an operator record. */
     View.Target recordNamed(StoredRecord record, String model, long version, boolean namingObserved) {
         TargetSource source = namingObserved ? TargetSource.OBSERVED : TargetSource.FOUND_WITHOUT_TIME;
--- a/src/test/java/org/micabarrow/platform/StoreClientTest.java
+++ b/src/test/java/org/micabarrow/platform/StoreClientTest.java
@@ -8,6 +8,7 @@
 import io.undertow.io.Sender;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -16,8 +17,10 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -30,6 +33,7 @@
 import org.micabarrow.state.Result;
 import org.micabarrow.transport.HttpClient;
 import org.micabarrow.transport.HttpListener;
+import org.micabarrow.views.EraOffset;
 import org.micabarrow.views.StoredRecord;
 import org.micabarrow.views.Topic;
 import org.micabarrow.views.TopicReader.Batch;
@@ -47,6 +51,7 @@
     private HttpClient caller;
     private final List<HttpListener> listeners = new ArrayList<>();
     private StoreClient client;
+    private String address;
 
     @BeforeEach
     void start() throws Exception {
@@ -59,7 +64,7 @@
     }
 
     private StoreClient serve(HttpHandler handler, Duration within) {
-        String address = Ports.freeAddress();
+        address = Ports.freeAddress();
         listeners.add(HttpListener.start(address, HttpListener.Limits.defaults(), 1, Optional.empty(), handler));
         return new StoreClient(caller, address, within);
     }
@@ -141,6 +146,52 @@
         assertEquals(2, batch.end());
     }
 
+    // -- a store that continues from an older copy
+
+    private Result<Read> readFrom(long from) {
+        return client.read(Topic.OPERATOR, from, Duration.ZERO);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 4})
+    void shouldReadNewestRecordsAgainWhenStoreWasRestored(int writtenSince) {
+        IntStream.range(0, 5).forEach(i -> store.append(OPERATOR, "a", "value " + i));
+        long end = newest().end();
+        store.restore(Map.of(OPERATOR, 3));
+        IntStream.range(0, writtenSince).forEach(i -> store.append(OPERATOR, "b", "value " + i));
+        assertInstanceOf(Read.Expired.class, readFrom(end).toOptional().orElseThrow());
+        Batch batch = newest();
+        assertEquals(EraOffset.of(1, 2 + writtenSince), batch.end());
+        assertEquals(EraOffset.of(1, 1), batch.records().getFirst().offset());
+        assertInstanceOf(Read.Records.class, readFrom(batch.end()).toOptional().orElseThrow());
+    }
+
+    @Test
+    void shouldRejectAnswerOfEarlierEra() {
+        store.append(OPERATOR, "a", "1");
+        assertInstanceOf(Result.Failure.class, readFrom(EraOffset.of(1, 1)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "-1", "x", "32768", "99999999999999999999"})
+    void shouldRejectAnswerWhenEraIsInvalid(String era) {
+        StoreClient other = serve(exchange -> {
+            exchange.getResponseHeaders().put(new HttpString("Store-Era"), era);
+            exchange.getResponseSender().send(ByteBuffer.allocate(2 * Long.BYTES));
+        });
+        assertInstanceOf(Result.Failure.class, other.read(Topic.OPERATOR, 0, Duration.ZERO));
+    }
+
+    @Test
+    void shouldReturnWrittenRecordsWithTheirEra() {
+        store.restore(Map.of());
+        KeyedWriter writer = new KeyedWriter(caller, address, OPERATOR, TIMEOUT);
+        List<StoredRecord> written = writer.write(List.of(new StoredRecord("a", 0, new byte[] {1})))
+                .toOptional()
+                .orElseThrow();
+        assertEquals(EraOffset.of(1, 0), written.getFirst().offset());
+    }
+
     @Test
     void shouldReadDroppedKeyAsRecordWithoutValue() {
         store.append(OPERATOR, "a", "");
@@ -267,10 +318,12 @@
 
     @Test
     void shouldFailWhenTopicEndsBeforeWhatIsKnown() {
-        store.append(OPERATOR, "a", "1");
+        ByteBuffer endsAtOne =
+                ByteBuffer.allocate(2 * Long.BYTES).putLong(1).putLong(0).flip();
+        StoreClient shorter = serve(exchange -> exchange.getResponseSender().send(endsAtOne, IoCallback.END_EXCHANGE));
         assertEquals(
                 Fault.Reason.CORRUPT,
-                client.read(Topic.OPERATOR, 9, Duration.ZERO)
+                shorter.read(Topic.OPERATOR, 9, Duration.ZERO)
                         .cause()
                         .orElseThrow()
                         .reason());
--- a/src/test/java/org/micabarrow/process/HostedSoakTest.java
+++ b/src/test/java/org/micabarrow/process/HostedSoakTest.java
@@ -53,6 +53,9 @@
 
     private static final List<String> PATHS = List.of("/once/x", "/again/x", "/stream/x");
 
+    private static final String OPERATOR_TOPIC = "keyed.op";
+    private static final String ENDPOINTS_TOPIC = "keyed.servers";
+
     /** How many ends tell that a request causes them. */
     private static final int TELLING = 3;
 
@@ -178,6 +181,8 @@
                     endLimit();
                 } else if (draw < 0.485 && !silent) {
                     placement.evacuateOrTakeBack(hall());
+                } else if (draw < 0.5 && storeFalls && !silent) {
+                    restoreStore();
                 }
                 askMany();
             }
@@ -191,6 +196,27 @@
             course.add(MonotonicClock.millis() + " the store is " + (on ? "silent" : "there"));
         }
 
+        /** The store continues from an older copy, sometimes without having been away; others write again a moment later. */
+        private void restoreStore() {
+            boolean away = random.nextBoolean();
+            platform.store().setUnresponsive(away);
+            platform.store()
+                    .restore(Map.of(
+                            OPERATOR_TOPIC,
+                            random.nextInt(4),
+                            ENDPOINTS_TOPIC,
+                            random.nextInt(30),
+                            "keyed.micabarrow.versions",
+                            random.nextInt(3),
+                            "keyed.micabarrow.crashes",
+                            random.nextInt(10)));
+            platform.store().setUnresponsive(false);
+            course.add(MonotonicClock.millis() + " the store is restored, away=" + away);
+            askMany();
+            platform.store().writeAgain(OPERATOR_TOPIC);
+            platform.store().writeAgain(ENDPOINTS_TOPIC);
+        }
+
         private String hall() {
             return random.nextBoolean() ? "hall-a" : "hall-b";
         }
--- a/src/test/java/org/micabarrow/serving/ManifestAgeTest.java
+++ b/src/test/java/org/micabarrow/serving/ManifestAgeTest.java
@@ -148,23 +148,23 @@
     @ParameterizedTest
     @CsvSource({"0", "1", "1999", "2000"})
     void shouldRejectWhenAllChangesAreKnownWithinLimit(long millis) {
-        views.confirmOperator(ago(millis));
+        views.confirmOperator(views.end(Topic.OPERATOR), ago(millis));
         assertRejected();
     }
 
     @ParameterizedTest
     @CsvSource({"2001", "60000"})
     void shouldTellClientToRetryWhenStoreIsUnresponsiveForLonger(long millis) {
-        views.confirmOperator(ago(0));
+        views.confirmOperator(views.end(Topic.OPERATOR), ago(0));
         clock.addAndGet(millis);
         assertToldToRetry();
     }
 
     @Test
     void shouldRejectAgainWhenStoreIsBack() {
-        views.confirmOperator(ago(60_000));
+        views.confirmOperator(views.end(Topic.OPERATOR), ago(60_000));
         assertToldToRetry();
-        views.confirmOperator(ago(10));
+        views.confirmOperator(views.end(Topic.OPERATOR), ago(10));
         assertRejected();
     }
 
@@ -172,16 +172,16 @@
 
     @Test
     void shouldNotRejectWhenPeerReportIsOld() {
-        views.confirmOperator(ago(2_500));
+        views.confirmOperator(views.end(Topic.OPERATOR), ago(2_500));
         clock.addAndGet(100);
-        views.confirmOperator(ago(2_200));
+        views.confirmOperator(views.end(Topic.OPERATOR), ago(2_200));
         assertToldToRetry();
     }
 
     @Test
     void shouldRejectWhenRecentPeerReportIsFollowedByOlderOne() {
-        views.confirmOperator(ago(1_200));
-        views.confirmOperator(ago(9_000));
+        views.confirmOperator(views.end(Topic.OPERATOR), ago(1_200));
+        views.confirmOperator(views.end(Topic.OPERATOR), ago(9_000));
         assertRejected();
     }
 
@@ -198,7 +198,7 @@
 
     @Test
     void shouldTellClientToRetryWhileManifestIsMissing() {
-        views.confirmOperator(ago(0));
+        views.confirmOperator(views.end(Topic.OPERATOR), ago(0));
         views.apply(
                 Topic.NAMED,
                 List.of(new StoredRecord(
--- a/src/test/java/org/micabarrow/transport/HostedPeerServerTest.java
+++ b/src/test/java/org/micabarrow/transport/HostedPeerServerTest.java
@@ -4,7 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.JsonNode;
 import io.undertow.server.HttpHandler;
+import java.net.URI;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -15,6 +18,9 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.micabarrow.platform.StoreRecords;
 import org.micabarrow.standin.Ports;
+import org.micabarrow.state.CanonicalJson;
+import org.micabarrow.state.Fault;
+import org.micabarrow.views.EraOffset;
 import org.micabarrow.views.StoredRecord;
 import org.micabarrow.views.Topic;
 import org.micabarrow.views.TopicReader.Batch;
@@ -94,16 +100,67 @@
         }
     }
 
+    // -- eras of the store
+
+    private Batch request(long from) throws Exception {
+        String address = Ports.freeAddress();
+        HostedPeerServer server = new HostedPeerServer(
+                views, (model, version) -> Optional.empty(), new MetricRegistry(), new LinkPacer(1e9, () -> 1));
+        try (HttpListener listener =
+                        HttpListener.start(address, HttpListener.Limits.defaults(), 1, Optional.empty(), server);
+                HttpClient client = HttpClient.start("test", 1)) {
+            return new PeerRecordClient(client)
+                    .request(address, Topic.OPERATOR, from)
+                    .toOptional()
+                    .orElseThrow();
+        }
+    }
+
+    @Test
+    void shouldServeRecordsWithTheirEras() throws Exception {
+        StoredRecord record = new StoredRecord("key", EraOffset.of(2, 4), new byte[] {1});
+        views.replace(Topic.OPERATOR, List.of(record), EraOffset.of(2, 5));
+        Batch whole = request(900);
+        assertEquals(EraOffset.of(2, 5), whole.end());
+        assertEquals(EraOffset.of(2, 4), whole.records().getFirst().offset());
+        assertEquals(List.of(), request(EraOffset.of(2, 5)).records());
+    }
+
+    /** A client of a build that knows no eras sends and reads offsets without them. */
+    @Test
+    void shouldServeRecordsOfItsEraWhenClientKnowsNone() throws Exception {
+        StoredRecord first = new StoredRecord("a", EraOffset.of(2, 4), new byte[] {1});
+        StoredRecord second = new StoredRecord("b", EraOffset.of(2, 9), new byte[] {1});
+        views.replace(Topic.OPERATOR, List.of(first), EraOffset.of(2, 5));
+        views.apply(Topic.OPERATOR, List.of(second), EraOffset.of(2, 10));
+        String address = Ports.freeAddress();
+        HostedPeerServer server = new HostedPeerServer(
+                views, (model, version) -> Optional.empty(), new MetricRegistry(), new LinkPacer(1e9, () -> 1));
+        try (HttpListener listener =
+                        HttpListener.start(address, HttpListener.Limits.defaults(), 1, Optional.empty(), server);
+                HttpClient client = HttpClient.start("test", 1)) {
+            URI uri = URI.create("http://" + address + "/records?topic=OPERATOR&from=5");
+            byte[] body = client.call(HttpCall.get(Fault.Step.READ, uri), Duration.ofSeconds(10))
+                    .toOptional()
+                    .orElseThrow()
+                    .body();
+            JsonNode json = CanonicalJson.mapper().readTree(body);
+            assertEquals(10, json.path("end").asLong());
+            assertEquals(1, json.path("records").size());
+            assertEquals(9, json.path("records").get(0).path("offset").asLong());
+        }
+    }
+
     /** The peer's knowledge is from before its response, and its response from after the request. */
     @Test
     void shouldSubtractStatedAgeFromTimeOfRequest() throws Exception {
-        views.confirmOperator(peerClock.get() - 300);
+        views.confirmOperator(views.end(Topic.OPERATOR), peerClock.get() - 300);
         assertEquals(OptionalLong.of(SENT_MILLIS - 300), request(Topic.OPERATOR).asOfMillis());
     }
 
     @Test
     void shouldCountFromRequestWhenResponseTakesLong() throws Exception {
-        views.confirmOperator(peerClock.get());
+        views.confirmOperator(views.end(Topic.OPERATOR), peerClock.get());
         HostedPeerServer server = new HostedPeerServer(
                 views,
                 (model, version) -> Optional.empty(),
@@ -124,7 +181,7 @@
 
     @Test
     void shouldHaveNoTimeWhenOtherTopicIsRequested() throws Exception {
-        views.confirmOperator(peerClock.get());
+        views.confirmOperator(views.end(Topic.OPERATOR), peerClock.get());
         assertEquals(OptionalLong.empty(), request(Topic.ENDPOINTS).asOfMillis());
         assertEquals(OptionalLong.empty(), request(Topic.NAMED).asOfMillis());
     }
--- a/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
@@ -18,12 +18,14 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.micabarrow.admission.EntryDemand;
 import org.micabarrow.limits.EntryRank;
 import org.micabarrow.limits.RateLimitUpdate;
 import org.micabarrow.routing.LoadReport;
 import org.micabarrow.transport.LoadMessages.Received;
 import org.micabarrow.transport.LoadReply.ReaderUpdate;
 import org.micabarrow.views.ChangeOffsets;
+import org.micabarrow.views.EraOffset;
 import org.micabarrow.views.ManifestPosition;
 
 class LoadMessagesTest {
@@ -59,6 +61,45 @@
         assertEquals(query, LoadMessages.readQuery(bytes(LoadMessages.write(query))));
     }
 
+    private static StoreUpdate updateOfLaterEra() {
+        ChangeOffsets changes = new ChangeOffsets(EraOffset.of(3, 17), EraOffset.of(2, 40), EraOffset.of(0, 16));
+        return new StoreUpdate(8_000, changes, Optional.of(new ManifestPosition(7, EraOffset.of(3, 16))), 30, true);
+    }
+
+    private static LoadQuery queryWith(StoreUpdate update, Optional<EntryDemand> demand) {
+        return new LoadQuery(
+                "entry-a", 0, 17, 0, true, Optional.of(update), OptionalLong.empty(), Optional.empty(), demand);
+    }
+
+    @Test
+    void shouldReadErasWhenWritten() throws IOException {
+        LoadQuery query = queryWith(updateOfLaterEra(), Optional.of(EntryDemand.none()));
+        assertEquals(
+                query.storeUpdate(),
+                LoadMessages.readQuery(bytes(LoadMessages.write(query))).storeUpdate());
+        Optional<ReaderUpdate> reader = Optional.of(new ReaderUpdate("10.0.0.1:8000", EraOffset.of(3, 17), 40));
+        LoadReply reply = new LoadReply(17, new LoadReport(3, 800, true, 7, 5), reader, 90);
+        assertEquals(reply, LoadMessages.readReply(bytes(LoadMessages.write(reply))));
+    }
+
+    /** An agent of a build that reads no appended fields gets the offsets as the store states them. */
+    @Test
+    void shouldWriteOffsetsWithoutErasWhenReceiverReadsNone() throws IOException {
+        LoadQuery read =
+                LoadMessages.readQuery(bytes(LoadMessages.write(queryWith(updateOfLaterEra(), Optional.empty()))));
+        StoreUpdate update = read.storeUpdate().orElseThrow();
+        assertEquals(new ChangeOffsets(17, 40, 16), update.changes());
+        assertEquals(Optional.of(new ManifestPosition(7, 16)), update.manifest());
+    }
+
+    /** An entry of such a build would take the offset for one of the era that it knows. */
+    @Test
+    void shouldNameNoReaderOfLaterEraWhenEntryReadsNoAppendedFields() {
+        Optional<ReaderUpdate> reader = Optional.of(new ReaderUpdate("10.0.0.1:8000", EraOffset.of(3, 17), 40));
+        LoadReply reply = new LoadReply(17, new LoadReport(3, 800, true, 7, 5), reader, 90);
+        assertEquals(Optional.empty(), reply.withoutAppendedFields().reader());
+    }
+
     @ParameterizedTest
     @ValueSource(doubles = {0, 0.3, 1e9, -1})
     void shouldReadRateLimitWhenWritten(double perSecond) throws IOException {
--- a/src/test/java/org/micabarrow/views/FakeKeyedStore.java
+++ b/src/test/java/org/micabarrow/views/FakeKeyedStore.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
 
@@ -19,13 +20,24 @@
     boolean refuseWrites;
     boolean historyExpired;
     int writeCount;
+    long era;
 
     synchronized long append(Topic topic, String key, String value) {
         List<StoredRecord> records = topics.computeIfAbsent(topic, name -> new ArrayList<>());
-        records.add(new StoredRecord(key, records.size(), value.getBytes(StandardCharsets.UTF_8)));
+        records.add(new StoredRecord(key, EraOffset.of(era, records.size()), value.getBytes(StandardCharsets.UTF_8)));
         return records.size() - 1L;
     }
 
+    /** Continues from an older copy, which lacks all records of a topic. */
+    synchronized void restoreWithout(Topic lost) {
+        era++;
+        topics.remove(lost);
+        topics.replaceAll((topic, records) -> records.stream()
+                .map(record -> new StoredRecord(
+                        record.key(), EraOffset.of(era, EraOffset.offset(record.offset())), record.value()))
+                .collect(Collectors.toCollection(ArrayList::new)));
+    }
+
     @Override
     public Result<Batch> readLatest(Topic topic) {
         latestReads.add(topic);
@@ -36,17 +48,18 @@
         Map<String, StoredRecord> latest = new LinkedHashMap<>();
         all.forEach(record -> latest.put(record.key(), record));
         latest.values().removeIf(StoredRecord::isTombstone);
-        return Result.success(new Batch(List.copyOf(latest.values()), all.size()));
+        return Result.success(new Batch(List.copyOf(latest.values()), EraOffset.of(era, all.size())));
     }
 
     @Override
     public Result<Read> read(Topic topic, long from, Duration wait) {
-        if (historyExpired) {
+        if (historyExpired || EraOffset.era(from) < era) {
             return Result.success(new Read.Expired());
         }
         List<StoredRecord> all = topics.getOrDefault(topic, List.of());
         return Result.success(new Read.Records(new Batch(
-                all.subList((int) Math.min(from, all.size()), all.size()), all.size())));
+                all.subList((int) Math.min(EraOffset.offset(from), all.size()), all.size()),
+                EraOffset.of(era, all.size()))));
     }
 
     @Override
--- a/src/test/java/org/micabarrow/views/OperatorFreshnessTest.java
+++ b/src/test/java/org/micabarrow/views/OperatorFreshnessTest.java
@@ -43,10 +43,10 @@
 
     @Test
     void shouldKeepLatestTimeWhenEarlierOneIsConfirmedLater() {
-        views.confirmOperator(-7);
+        views.confirmOperator(views.end(Topic.OPERATOR), -7);
         assertEquals(OptionalLong.of(-7), views.operatorAsOfMillis());
-        views.confirmOperator(90);
-        views.confirmOperator(40);
+        views.confirmOperator(views.end(Topic.OPERATOR), 90);
+        views.confirmOperator(views.end(Topic.OPERATOR), 40);
         assertEquals(OptionalLong.of(90), views.operatorAsOfMillis());
     }
 
@@ -57,10 +57,10 @@
     @Test
     void shouldHaveNoTimeWhileManifestIsMissing() {
         views.apply(Topic.OPERATOR, List.of(manifest(1, 6)), 7);
-        views.confirmOperator(90);
+        views.confirmOperator(views.end(Topic.OPERATOR), 90);
         views.apply(Topic.NAMED, List.of(savedPosition(2, 5)), 1);
         assertEquals(OptionalLong.empty(), views.operatorAsOfMillis());
-        views.confirmOperator(95);
+        views.confirmOperator(views.end(Topic.OPERATOR), 95);
         assertEquals(OptionalLong.empty(), views.operatorAsOfMillis());
         views.apply(Topic.OPERATOR, List.of(manifest(2, 5)), 0);
         assertEquals(OptionalLong.of(95), views.operatorAsOfMillis());
@@ -70,7 +70,7 @@
     void shouldHaveNoTimeWhenMissingManifestIsKnownAtStartup() {
         views.replace(Topic.NAMED, List.of(savedPosition(2, 5)), 1);
         views.replace(Topic.OPERATOR, List.of(manifest(1, 6)), 7);
-        views.confirmOperator(90);
+        views.confirmOperator(views.end(Topic.OPERATOR), 90);
         assertEquals(OptionalLong.empty(), views.operatorAsOfMillis());
         views.apply(Topic.OPERATOR, List.of(manifest(3, 7)), 8);
         assertEquals(OptionalLong.of(90), views.operatorAsOfMillis(), "a newer manifest replaces the missing one");
@@ -78,7 +78,7 @@
 
     @Test
     void shouldReturnTimeToPeersForOperatorRecordsOnly() {
-        views.confirmOperator(90);
+        views.confirmOperator(views.end(Topic.OPERATOR), 90);
         assertEquals(OptionalLong.of(90), views.since(Topic.OPERATOR, 0).asOfMillis());
         assertEquals(OptionalLong.empty(), views.since(Topic.ENDPOINTS, 0).asOfMillis());
         assertEquals(OptionalLong.empty(), views.since(Topic.NAMED, 0).asOfMillis());
@@ -204,7 +204,7 @@
     void shouldHaveNoTimeWhileNewestManifestIsInvalid() {
         views.apply(Topic.OPERATOR, List.of(manifest(1, 0)), 1);
         views.apply(Topic.OPERATOR, List.of(new StoredRecord("config", 1, "{".getBytes(StandardCharsets.UTF_8))), 2);
-        views.confirmOperator(90);
+        views.confirmOperator(views.end(Topic.OPERATOR), 90);
         assertEquals(OptionalLong.empty(), views.operatorAsOfMillis());
         views.apply(Topic.OPERATOR, List.of(manifest(3, 2)), 3);
         assertEquals(OptionalLong.of(90), views.operatorAsOfMillis(), "a newer manifest replaces the missing one");
@@ -218,7 +218,7 @@
     @Test
     void shouldLackManifestWhenPeerReportedOnlyItsPosition() {
         views.replace(Topic.OPERATOR, List.of(manifest(1, 6)), 7);
-        views.confirmOperator(90);
+        views.confirmOperator(views.end(Topic.OPERATOR), 90);
         views.recordManifestPosition(new ManifestPosition(2, 5));
         views.apply(Topic.NAMED, List.of(savedPosition(2, 5)), 1);
         assertEquals(OptionalLong.of(5), views.missingManifestOffset());
--- a/src/test/java/org/micabarrow/views/PeerFirstReaderTest.java
+++ b/src/test/java/org/micabarrow/views/PeerFirstReaderTest.java
@@ -86,6 +86,24 @@
         assertEquals(List.of(), requests);
     }
 
+    @Test
+    void shouldReadStoreWhenPeerIsOfEarlierEra() {
+        reader.onUpdate(PEER, new ChangeOffsets(9, 90), now.get());
+        read(EraOffset.of(1, 3));
+        assertEquals(List.of("store"), requests);
+        reader.onUpdate(PEER, new ChangeOffsets(EraOffset.of(1, 2), 90), now.get());
+        read(EraOffset.of(1, 3));
+        assertEquals(List.of("store"), requests, "the peer knows nothing newer");
+    }
+
+    @Test
+    void shouldReadFromPeerOfLaterEra() {
+        peerResponse = Result.success(new Batch(List.of(RECORD), EraOffset.of(1, 2)));
+        reader.onUpdate(PEER, new ChangeOffsets(EraOffset.of(1, 2), 0), now.get());
+        assertEquals(EraOffset.of(1, 2), read(90).end());
+        assertEquals(List.of(PEER), requests);
+    }
+
     @Test
     void shouldReadFromPeerWithNewestRecords() {
         reader.onUpdate(OTHER_PEER, new ChangeOffsets(8, 0), now.get());
--- a/src/test/java/org/micabarrow/views/StoreFollowerTest.java
+++ b/src/test/java/org/micabarrow/views/StoreFollowerTest.java
@@ -38,6 +38,21 @@
         return views.view().manifest().orElseThrow().version();
     }
 
+    /** A store whose history never reaches its own end would otherwise be read without a pause. */
+    @Test
+    void shouldPauseWhenHistoryExpiresAgainAtOnce() {
+        FakeReader reader = new FakeReader();
+        reader.expired = true;
+        StoreFollower follower = new StoreFollower(
+                Topic.OPERATOR,
+                reader,
+                views,
+                topic -> {},
+                new StoreFollower.PollTiming(Duration.ofMillis(10), Duration.ofMillis(5)));
+        assertEquals(0, follower.readOnce(), "loaded");
+        assertTrue(follower.readOnce() > 0, "expired at once");
+    }
+
     private final class FakeReader implements TopicReader {
 
         private boolean down;
--- a/src/test/java/org/micabarrow/views/TopicCopyTest.java
+++ b/src/test/java/org/micabarrow/views/TopicCopyTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
@@ -50,6 +51,39 @@
         assertTrue(copy.record("a").isPresent());
     }
 
+    @Test
+    void shouldTakeRecordsOfLaterEraWhateverTheirOffsets() {
+        TopicCopy copy = new TopicCopy();
+        copy.apply(List.of(record("a", 30, "x"), record("b", 31, "x")), 32);
+        long end = EraOffset.of(1, 8);
+        assertTrue(copy.isOfLaterEra(end));
+        List<StoredRecord> accepted = copy.apply(List.of(record("a", EraOffset.of(1, 7), "y")), end);
+        assertEquals(2, accepted.size(), "the new record, and the end of the key that is missing");
+        assertArrayEquals("y".getBytes(), copy.record("a").orElseThrow().value());
+        assertTrue(copy.record("b").isEmpty());
+        assertEquals(end, copy.end());
+        assertFalse(copy.isOfLaterEra(end));
+    }
+
+    @Test
+    void shouldIgnoreRecordsOfEarlierEraWhenTheyComeLater() {
+        TopicCopy copy = new TopicCopy();
+        copy.replace(List.of(record("a", EraOffset.of(2, 3), "x")), EraOffset.of(2, 4));
+        assertEquals(List.of(), copy.apply(List.of(record("a", 90, "old")), 92));
+        assertEquals(List.of(), copy.replace(List.of(record("a", EraOffset.of(1, 90), "old")), EraOffset.of(1, 92)));
+        assertArrayEquals("x".getBytes(), copy.record("a").orElseThrow().value());
+        assertEquals(EraOffset.of(2, 4), copy.end());
+    }
+
+    @Test
+    void shouldLetProcessOfEarlierEraContinueFromEnd() {
+        TopicCopy copy = new TopicCopy();
+        copy.replace(List.of(record("a", EraOffset.of(1, 3), "x")), EraOffset.of(1, 4));
+        assertEquals(EraOffset.of(1, 4), copy.continueFrom(500));
+        assertEquals(EraOffset.of(1, 2), copy.continueFrom(EraOffset.of(1, 2)));
+        assertEquals(1, copy.since(500).size());
+    }
+
     @Test
     void shouldReturnTombstonesToPeers() {
         TopicCopy copy = new TopicCopy();
--- a/src/test/java/org/micabarrow/views/VersionPersistenceTest.java
+++ b/src/test/java/org/micabarrow/views/VersionPersistenceTest.java
@@ -125,6 +125,56 @@
         assertEquals(2, new TestProcess().newestVersion());
     }
 
+    @Test
+    void shouldSaveVersionOnceMoreWhenRestoredStoreLacksIt() {
+        writeNamedVersion(2);
+        TestProcess node = new TestProcess();
+        node.checkUntilNoLongerRead();
+        store.restoreWithout(Topic.NAMED);
+        node.follower.readOnce();
+        node.follower.readOnce();
+        node.persistence.check();
+        node.persistence.check();
+        assertEquals(2, store.writeCount);
+        assertEquals(2, new TestProcess().newestVersion());
+    }
+
+    /** A writer that learns of the restore from a peer has not read what is saved since. */
+    @Test
+    void shouldReadSavedVersionsWhenPeerReportsLaterEra() {
+        writeNamedVersion(2);
+        TestProcess node = new TestProcess();
+        node.checkUntilNoLongerRead();
+        store.restoreWithout(Topic.NAMED);
+        node.views.replace(Topic.ENDPOINTS, List.of(), EraOffset.of(1, 4));
+        node.persistence.check();
+        assertEquals(2, store.writeCount);
+    }
+
+    @Test
+    void shouldNotReadSavedVersionsAgainWhenProcessNeverSaves() {
+        writeNamedVersion(2);
+        ViewMaintainer views = new ViewMaintainer(new StoreRecords(), monotonic::get, unix::get);
+        VersionPersistence persistence =
+                new VersionPersistence(store, store, views, () -> VersionPersistence.WriteRole.NONE, () -> {});
+        views.replace(
+                Topic.OPERATOR,
+                persistence
+                        .readLatest(Topic.OPERATOR)
+                        .toOptional()
+                        .orElseThrow()
+                        .records(),
+                1);
+        store.restoreWithout(Topic.NAMED);
+        views.replace(Topic.ENDPOINTS, List.of(), EraOffset.of(1, 4));
+        for (int i = 0; i < 40; i++) {
+            persistence.check();
+        }
+        store.latestReads.clear();
+        persistence.check();
+        assertEquals(List.of(), store.latestReads);
+    }
+
     @Test
     void shouldSaveNothingWhenNotPrimary() {
         primary.set(false);
--- a/src/test/java/org/micabarrow/views/ViewMaintainerTest.java
+++ b/src/test/java/org/micabarrow/views/ViewMaintainerTest.java
@@ -158,7 +158,7 @@
         assertTrue(isListed("a"));
         endpoints(3, endpoint("a", 2));
         now.addAndGet(5_000);
-        views.removeDueEndpoints();
+        views.applyDueChanges();
         assertTrue(isListed("a"), "its entry was written again");
     }
 
@@ -168,7 +168,7 @@
         views.onStoreReachable(Topic.ENDPOINTS);
         endpoints(2, record("a", 1, ""));
         now.addAndGet(2_400);
-        views.removeDueEndpoints();
+        views.applyDueChanges();
         assertFalse(isListed("a"));
     }
 
