--- a/src/main/java/org/micabarrow/attempts/EventSplitter.java
+++ b/src/main/java/org/micabarrow/attempts/EventSplitter.java
@@ -12,6 +12,8 @@
 
     private static final byte[] ID_FIELD = {'i', 'd', ':'};
 
+    private static final char COMMENT = ':';
+
     private static final String CONTENT_TYPE = "text/event-stream";
 
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
@@ -121,7 +123,14 @@
      * @return false if the stream may be whole
      */
     public boolean isCut(boolean endStated, int eventsBefore) {
-        return pending.size() > 0 || (!endStated && count == eventsBefore);
+        return isWithinEvent() || (!endStated && count == eventsBefore);
+    }
+
+    /** Whether the pending bytes begin an event; line breaks and comments belong to none. */
+    private boolean isWithinEvent() {
+        return pending.toString(StandardCharsets.UTF_8)
+                .lines()
+                .anyMatch(line -> !line.isEmpty() && line.charAt(0) != COMMENT);
     }
 
     /** Discards the bytes of an event that will not be completed because its connection broke. */
--- a/src/main/java/org/micabarrow/coordination/agents/AgentRun.java
+++ b/src/main/java/org/micabarrow/coordination/agents/AgentRun.java
@@ -174,7 +174,12 @@
             return;
         }
         request.claim().ifPresent(claim -> parts.ledger().recordEnd(claim.key(), answer()));
-        finish(Outcome.answered());
+        byte[] remainder = events.remainder();
+        if (remainder.length > 0 && !ended.get()) {
+            listener.onData(remainder, () -> finish(Outcome.answered()));
+        } else {
+            finish(Outcome.answered());
+        }
     }
 
     private Optional<Ledger.StoredResponse> answer() {
--- a/src/main/java/org/micabarrow/serving/ResponseRelay.java
+++ b/src/main/java/org/micabarrow/serving/ResponseRelay.java
@@ -19,8 +19,6 @@
      */
     private static final int MAX_BUFFERED_BYTES = 256 * 1024;
 
-    private static final byte[] NO_BYTES = {};
-
     private final ServedRequest served;
     private final ClientResponse response;
     private final EventSplitter events;
@@ -100,8 +98,9 @@
             response.sendWhole(head.orElseThrow(), buffered.toByteArray());
             return;
         }
+        byte[] remainder = events.remainder();
         concludeRequest(endpoint);
-        response.end(NO_BYTES);
+        response.end(remainder);
     }
 
     private void concludeRequest(EndpointRegistration endpoint) {
--- a/src/test/java/org/micabarrow/attempts/EventSplitterTest.java
+++ b/src/test/java/org/micabarrow/attempts/EventSplitterTest.java
@@ -12,6 +12,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class EventSplitterTest {
 
@@ -55,6 +57,17 @@
         assertTrue(splitter.isCut(true, 0), "within an event");
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", "\r\n", ": the end", ": the end\n"})
+    void shouldNotTakeCommentsAndLineBreaksForBeginOfEvent(String rest) {
+        EventSplitter splitter = new EventSplitter();
+        splitter.append(bytes("id: 1\n\n"));
+        splitter.append(bytes(rest));
+        assertFalse(splitter.isCut(false, 0));
+        splitter.append(bytes("\nid: 2"));
+        assertTrue(splitter.isCut(true, 0));
+    }
+
     @Test
     void shouldDiscardRemainderWhenConnectionBroke() {
         EventSplitter splitter = new EventSplitter();
--- a/src/test/java/org/micabarrow/coordination/agents/AgentFlowTest.java
+++ b/src/test/java/org/micabarrow/coordination/agents/AgentFlowTest.java
@@ -48,6 +48,7 @@
     private final Ledger ledger = new Ledger("7", 10, 1000, 1000);
     private final List<EndpointCalls.Listener> running = new ArrayList<>();
     private final List<Outcome> ends = new ArrayList<>();
+    private final StringBuilder passedOn = new StringBuilder();
     private final List<ResponseHead> heads = new ArrayList<>();
     private boolean endpointCancelled;
     private boolean leaving;
@@ -100,6 +101,7 @@
 
             @Override
             public void onData(byte[] data, Runnable more) {
+                passedOn.append(new String(data, StandardCharsets.UTF_8));
                 more.run();
             }
 
@@ -217,6 +219,16 @@
         assertInstanceOf(Outcome.Answered.class, ends.getFirst());
     }
 
+    @Test
+    void shouldPassOnWhatFollowsLastEvent() {
+        begin();
+        running.getLast().onHead(200, "text/event-stream", Optional.of("attempt"), Optional.of(WEIGHTS.digest()));
+        running.getLast().onData("id: 1\n\n: the end".getBytes(StandardCharsets.UTF_8), () -> {});
+        running.getLast().onComplete(true);
+        assertEquals("id: 1\n\n: the end", passedOn.toString());
+        assertInstanceOf(Outcome.Answered.class, ends.getFirst());
+    }
+
     private static ResponseListener ignoring() {
         return new ResponseListener() {
             @Override
--- a/src/test/java/org/micabarrow/serving/BrokenStreamTest.java
+++ b/src/test/java/org/micabarrow/serving/BrokenStreamTest.java
@@ -156,9 +156,10 @@
     @ParameterizedTest
     @EnumSource
     void shouldCompleteResponseWhenStreamEndsAfterWholeEvents(Framing framing) throws Exception {
-        respond(response(framing, EVENT + "id: 2\ndata: two\n\n"));
+        String whole = EVENT + "id: 2\ndata: two\n\n: the end\n";
+        respond(response(framing, whole));
         HttpResponse complete = call(1).toOptional().orElseThrow();
-        assertEquals(EVENT + "id: 2\ndata: two\n\n", new String(complete.body(), StandardCharsets.UTF_8));
+        assertEquals(whole, new String(complete.body(), StandardCharsets.UTF_8));
     }
 
     @ParameterizedTest
