Entries of a restored store that wait for confirmation are a class of their own

UnconfirmedEntries stands beside PendingRemovals; EndpointListUpdater keeps the order of decisions. RestoredVersionTest plays an agent: it saves again what the store lost, and takes up a version at an offset that was given out before.

--- a/src/main/java/org/micabarrow/views/ChangeOffsets.java
+++ b/src/main/java/org/micabarrow/views/ChangeOffsets.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /**
- * Offsets, with their eras, up to which a process knows the records that changed its view. Endpoints rewrite their entries regularly,
- * mostly without a change, and most manifests change nothing that agents use.
+ * Offsets, with their eras, up to which a process knows the records that changed its view. Endpoints rewrite their
+ * entries regularly, mostly without a change, and most manifests change nothing that agents use.
  *
  * @param operator the offset after the last operator record that changed the view
  * @param endpoints the offset after the last endpoint record that changed the view
--- a/src/main/java/org/micabarrow/views/EndpointListUpdater.java
+++ b/src/main/java/org/micabarrow/views/EndpointListUpdater.java
@@ -26,23 +26,13 @@
     private static final Logger LOG = LoggerFactory.getLogger(EndpointListUpdater.class);
 
     private final RecordDecoder decoder;
-    /**
-     * How long an entry of a restored store has to last before an endpoint that is known to be gone counts as running
-     * again, in milliseconds. The platform removes the entry of an endpoint that is silent for three of its intervals.
-     */
-    static final long UNCONFIRMED_MILLIS = 5_000;
-
     private final PendingRemovals pendingRemovals = new PendingRemovals();
     private final LateEntryFilter lateEntries = new LateEntryFilter();
+    private final UnconfirmedEntries unconfirmed = new UnconfirmedEntries();
 
     /** Keys with an invalid entry. An invalid entry is logged once per key, however often it is written. */
     private final Set<String> invalidKeys = new HashSet<>();
 
-    /** Entries of a restored store whose endpoints are known to be gone, and when they count all the same. */
-    private final Map<String, UnconfirmedEntry> unconfirmed = new HashMap<>();
-
-    private record UnconfirmedEntry(StoredRecord record, long dueMillis) {}
-
     private volatile Consumer<EndpointRegistration> coldListener = registration -> {};
 
     EndpointListUpdater(RecordDecoder decoder) {
@@ -68,8 +58,8 @@
     Optional<Map<String, EndpointRegistration>> withDueChanges(
             Map<String, EndpointRegistration> endpoints, long nowMillis) {
         List<String> removed = pendingRemovals.removeDue(nowMillis);
-        List<StoredRecord> lasting = lastingEntries(nowMillis);
-        if (removed.isEmpty() && lasting.isEmpty()) {
+        List<StoredRecord> confirmed = unconfirmed.removeConfirmed(nowMillis);
+        if (removed.isEmpty() && confirmed.isEmpty()) {
             return Optional.empty();
         }
         Map<String, EndpointRegistration> after = new HashMap<>(endpoints);
@@ -77,20 +67,11 @@
             after.remove(id);
             LOG.info("event=endpoint_gone endpoint={} after=doubt", id);
         });
-        lasting.forEach(
+        confirmed.forEach(
                 record -> apply(record, Continuity.CONTINUED, after, nowMillis).ifPresent(LOG::info));
         return Optional.of(after);
     }
 
-    private List<StoredRecord> lastingEntries(long nowMillis) {
-        List<StoredRecord> lasting = unconfirmed.values().stream()
-                .filter(entry -> entry.dueMillis() <= nowMillis)
-                .map(UnconfirmedEntry::record)
-                .toList();
-        lasting.forEach(record -> unconfirmed.remove(record.key()));
-        return lasting;
-    }
-
     /** Returns the given wait, shortened to the time until the first pending removal is due. */
     Duration untilNextRemoval(Duration wait, long nowMillis) {
         OptionalLong dueMillis = pendingRemovals.nextDueMillis();
@@ -117,7 +98,7 @@
             Map<String, EndpointRegistration> listed,
             long nowMillis) {
         if (continuity == Continuity.RESTORED) {
-            pendingRemovals.onStoreReachable(nowMillis);
+            onStoreReachable(nowMillis);
             lateEntries.onStoreRestored(nowMillis);
         }
         prepareBatch(records, listed, nowMillis);
@@ -191,7 +172,7 @@
             long nowMillis) {
         EndpointRegistration listed = endpoints.get(entry.id());
         if (listed == null) {
-            unconfirmed.put(entry.id(), new UnconfirmedEntry(record, nowMillis + UNCONFIRMED_MILLIS));
+            unconfirmed.add(record, nowMillis);
         } else if (entry.sameContentAs(listed)) {
             pendingRemovals.cancel(entry.id());
             return Optional.empty();
