A crash record that a restored store gives out again is applied once

Every record of a later era counts as new, so a clearing that was applied before was applied again and cleared crashes that had followed it: a request that crashes endpoints would have been served again after a restore. CrashSharing keeps when the applied records were written, for as long as crashes are remembered; CrashSharingTest has the case.

--- a/src/main/java/org/micabarrow/process/CrashSharing.java
+++ b/src/main/java/org/micabarrow/process/CrashSharing.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import org.micabarrow.crashes.CrashRegistry;
 import org.micabarrow.crashes.CrashUpdate;
@@ -56,6 +58,12 @@
     /** When each record in the store was written, by key. */
     private final Map<String, Long> storedAtMillis = new LinkedHashMap<>();
 
+    /**
+     * When the records that were applied were written, by key. A restored store gives records out again, and a clearing
+     * that is applied once more would clear crashes that followed it.
+     */
+    private final Map<String, Set<Long>> appliedMillis = new LinkedHashMap<>();
+
     CrashSharing(
             CrashRecords records,
             CrashRegistry registry,
@@ -139,7 +147,10 @@
             case Result.Success<CrashRecords.DatedUpdate>(CrashRecords.DatedUpdate dated) -> {
                 storedAtMillis.put(record.key(), dated.unixMillis());
                 long age = Math.clamp(unixMillis.getAsLong() - dated.unixMillis(), 0, memoryMillis);
-                if (age < memoryMillis) {
+                boolean applied = !appliedMillis
+                        .computeIfAbsent(record.key(), key -> new HashSet<>())
+                        .add(dated.unixMillis());
+                if (age < memoryMillis && !applied) {
                     registry.apply(dated.update(), steadyMillis.getAsLong() - age);
                 }
             }
@@ -162,17 +173,18 @@
     /** Forgets expired crashes, and deletes records from the store that no other process has deleted after twice that time. */
     private void cleanUp() {
         registry.expire(steadyMillis.getAsLong());
-        forgetOwn();
+        forgetOutdated();
         outdated().forEach(key -> put(CrashRecords.tombstone(key)));
     }
 
-    private synchronized void forgetOwn() {
+    private synchronized void forgetOutdated() {
         long oldest = unixMillis.getAsLong() - memoryMillis;
         own.values()
                 .removeIf(record -> CrashRecords.read(record)
                         .toOptional()
                         .filter(dated -> dated.unixMillis() >= oldest)
                         .isEmpty());
+        appliedMillis.values().removeIf(written -> written.stream().allMatch(millis -> millis < oldest));
     }
 
     private synchronized List<String> outdated() {
--- a/src/test/java/org/micabarrow/process/CrashSharingTest.java
+++ b/src/test/java/org/micabarrow/process/CrashSharingTest.java
@@ -15,11 +15,13 @@
 import org.micabarrow.crashes.CrashRegistry;
 import org.micabarrow.crashes.CrashUpdate;
 import org.micabarrow.crashes.EndpointCrash;
+import org.micabarrow.crashes.RequestDigest;
 import org.micabarrow.platform.CrashRecords;
 import org.micabarrow.platform.standin.HostedStoreStandin;
 import org.micabarrow.standin.Ports;
 import org.micabarrow.transport.HttpClient;
 import org.micabarrow.transport.HttpListener;
+import org.micabarrow.views.EraOffset;
 import org.micabarrow.views.StoredRecord;
 
 /** What a process writes again when a restored store lacks its crash records. */
@@ -35,6 +37,7 @@
     private HttpClient client;
     private HttpListener listener;
     private CrashRecords records;
+    private CrashRegistry registry;
     private CrashSharing sharing;
 
     @BeforeEach
@@ -43,7 +46,7 @@
         listener = HttpListener.start(address, HttpListener.Limits.defaults(), 1, Optional.empty(), store);
         client = HttpClient.start("test", 1);
         records = new CrashRecords(client, address, Duration.ofSeconds(10), "entry-a");
-        CrashRegistry registry = new CrashRegistry(MEMORY_MILLIS, 100, () -> 4);
+        registry = new CrashRegistry(MEMORY_MILLIS, 100, () -> 4);
         sharing = new CrashSharing(records, registry, MEMORY_MILLIS, unix::get, unix::get);
         sharing.start();
         sharing.publish(UPDATE);
@@ -56,6 +59,25 @@
         listener.close();
     }
 
+    private StoredRecord stored(CrashUpdate update, long offset) {
+        StoredRecord record = records.record(update, unix.get());
+        return new StoredRecord(record.key(), offset, record.value());
+    }
+
+    /** A restored store gives out again what was read before. */
+    @Test
+    void shouldNotClearLaterCrashesWhenClearingIsReadAgain() {
+        RequestDigest request = new RequestDigest("ab".repeat(16));
+        CrashUpdate cleared = new CrashUpdate.Cleared(request, true);
+        CrashUpdate crashed = new CrashUpdate.Crashed(new EndpointCrash("endpoint-2", Set.of(request), Set.of()));
+        StoredRecord clearing = stored(cleared, 3);
+        sharing.apply(List.of(clearing));
+        unix.addAndGet(1_000);
+        sharing.apply(List.of(stored(crashed, 4)));
+        sharing.apply(List.of(new StoredRecord(clearing.key(), EraOffset.of(1, 3), clearing.value())));
+        assertEquals(1, registry.cleared(request, false), "the crash that followed the clearing counts");
+    }
+
     private StoredRecord lost() {
         return CrashRecords.tombstone(records.record(UPDATE, 0).key());
     }
