Stand-in endpoints count their registrations each for itself

The counter that came with the restored store was shared by all endpoints, so an endpoint's first registration could state 2, and registrations that ColdEndpointTest writes with 1 counted as late: seven cases of it never came to an end within 40 s.

--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -41,8 +41,8 @@
     private final List<AutoCloseable> closeables = new ArrayList<>();
     private final AtomicInteger instances = new AtomicInteger();
 
-    /** Counts the registrations of all endpoints, so that later ones of an endpoint have a greater sequence. */
-    private final AtomicInteger registrations = new AtomicInteger();
+    /** How many times each endpoint has registered, which its registrations state. */
+    private final Map<String, Integer> registrations = new ConcurrentHashMap<>();
 
     private final EndpointListeners listeners = new EndpointListeners();
     private final Set<String> crashingBodies = ConcurrentHashMap.newKeySet();
@@ -351,7 +351,7 @@
                         addresses.get(id),
                         dataHall(id),
                         state,
-                        registrations.incrementAndGet(),
+                        registrations.merge(id, 1, Integer::sum),
                         models,
                         started,
                         coldField(id)));
