--- a/src/main/java/org/micabarrow/transport/HttpClient.java
+++ b/src/main/java/org/micabarrow/transport/HttpClient.java
@@ -111,21 +111,8 @@
      * @param status the HTTP status
      * @param headers the headers by their names, which are compared without case
      * @param body the body
-     * @param end how the end of the body was recognised
      */
-    public record HttpResponse(int status, Map<String, String> headers, byte[] body, BodyEnd end) {
-
-        /**
-         * Creates a response whose body is whole.
-         *
-         * @param status the HTTP status
-         * @param headers the headers by their names, which are compared without case
-         * @param body the body
-         */
-        public HttpResponse(int status, Map<String, String> headers, byte[] body) {
-            this(status, headers, body, BodyEnd.STATED);
-        }
-    }
+    public record HttpResponse(int status, Map<String, String> headers, byte[] body) {}
 
     /** Receives a response part by part, on an I/O thread that must not block. */
     public interface Listener {
--- a/src/main/java/org/micabarrow/transport/ResponseCollector.java
+++ b/src/main/java/org/micabarrow/transport/ResponseCollector.java
@@ -65,9 +65,13 @@
         requestMore.run();
     }
 
+    /**
+     * Accepts a body that ended with its connection too: what is read through this class, JSON, records with their
+     * lengths and chunks with their digests, shows by itself whether it is whole.
+     */
     @Override
     public void onComplete(BodyEnd end) {
-        done.complete(Result.success(new HttpResponse(status, headers, body.toByteArray(), end)));
+        done.complete(Result.success(new HttpResponse(status, headers, body.toByteArray())));
     }
 
     @Override
