--- a/src/main/java/org/micabarrow/views/ViewMaintainer.java
+++ b/src/main/java/org/micabarrow/views/ViewMaintainer.java
@@ -168,6 +168,95 @@
         freshness.setManifestMissing(operatorState.lacksManifest(end(Topic.OPERATOR)));
     }
 
+    // -- updates of the view
+
+    private void publish(Topic topic, List<StoredRecord> newRecords, Continuity continuity) {
+        if (newRecords.isEmpty()) {
+            return;
+        }
+        switch (topic) {
+            case OPERATOR -> applyOperatorRecords(newRecords, continuity);
+            case ENDPOINTS -> applyEndpointRecords(newRecords, continuity);
+            case NAMED -> view = operatorState.applySaved(newRecords, view);
+            case CRASHES -> crashListener.accept(newRecords);
+        }
+    }
+
+    /**
+     * Applies operator records, and publishes one view of all of them: a process that starts while a data hall is
+     * evacuated would otherwise take requests for a moment with the manifest alone.
+     */
+    private void applyOperatorRecords(List<StoredRecord> records, Continuity continuity) {
+        View updated = view;
+        List<StoredRecord> agentRecords = new ArrayList<>();
+        for (StoredRecord record : records) {
+            OperatorState.Change change = operatorState.apply(record, continuity, updated);
+            updated = change.view();
+            if (change.relevantToAgents()) {
+                agentRecords.add(record);
+            }
+        }
+        view = updated;
+        changes = changes.withOperator(records, agentRecords);
+    }
+
+    /**
+     * Applies a missing manifest, which the topic copy ignores because it holds an older one with a greater offset.
+     * This happens before the other records are applied, so that the older one is never active, not even briefly.
+     */
+    private void applyMissingManifest(Topic topic, Collection<StoredRecord> records) {
+        OptionalLong missingOffset = topic == Topic.OPERATOR ? missingManifestOffset() : OptionalLong.empty();
+        missingOffset.ifPresent(offset ->
+                records.stream().filter(record -> record.offset() == offset).forEach(this::applyOperatorRecord));
+    }
+
+    private void applyOperatorRecord(StoredRecord record) {
+        view = operatorState.apply(record, Continuity.CONTINUED, view).view();
+    }
+
+    private void applyEndpointRecords(List<StoredRecord> newRecords, Continuity continuity) {
+        EndpointListUpdater.Update update =
+                endpointList.apply(newRecords, continuity, view.endpoints(), monotonicMillis.getAsLong());
+        if (!update.changed().isEmpty()) {
+            view = view.withEndpoints(update.endpoints());
+            changes = changes.withEndpoints(update.changed());
+            update.logLines().forEach(LOG::info);
+        }
+    }
+
+    // -- deferred changes
+
+    /**
+     * Records that a topic of the store is readable again after an outage.
+     *
+     * @param topic the topic
+     */
+    public synchronized void onStoreReachable(Topic topic) {
+        if (topic == Topic.ENDPOINTS) {
+            endpointList.onStoreReachable(monotonicMillis.getAsLong());
+        }
+    }
+
+    /** Applies what was deferred and is due: removals of endpoints, and what a restored store left in doubt. */
+    public synchronized void applyDueChanges() {
+        endpointList
+                .withDueChanges(view.endpoints(), monotonicMillis.getAsLong())
+                .ifPresent(endpoints -> view = view.withEndpoints(endpoints));
+        view = operatorState.withoutUnconfirmedEvacuations(view);
+    }
+
+    /**
+     * Shortens a wait so that it ends when the first pending removal is due.
+     *
+     * @param wait the wait
+     * @return the wait, or the time until the first pending removal is due if that is less
+     */
+    synchronized Duration untilNextRemoval(Duration wait) {
+        return endpointList.untilNextRemoval(wait, monotonicMillis.getAsLong());
+    }
+
+    // -- the time up to which operator records are known
+
     /**
      * Records that all operator records up to a time are among those before an offset. Must be called after the records
      * were applied; has no effect if they are not all known here, or are of another era of the store.
@@ -191,6 +280,8 @@
         return freshness.asOf();
     }
 
+    // -- peers
+
     /**
      * The offset from which a topic is to be read next.
      *
@@ -231,81 +322,6 @@
         return topic == Topic.OPERATOR ? Math.min(end, missingManifestOffset().orElse(end)) : end;
     }
 
-    /**
-     * Records that a topic of the store is readable again after an outage.
-     *
-     * @param topic the topic
-     */
-    public synchronized void onStoreReachable(Topic topic) {
-        if (topic == Topic.ENDPOINTS) {
-            endpointList.onStoreReachable(monotonicMillis.getAsLong());
-        }
-    }
-
-    /** Applies what was deferred and is due: removals of endpoints, and what a restored store left in doubt. */
-    public synchronized void applyDueChanges() {
-        endpointList
-                .withDueChanges(view.endpoints(), monotonicMillis.getAsLong())
-                .ifPresent(endpoints -> view = view.withEndpoints(endpoints));
-        view = operatorState.withoutUnconfirmedEvacuations(view);
-    }
-
-    /**
-     * Shortens a wait so that it ends when the first pending removal is due.
-     *
-     * @param wait the wait
-     * @return the wait, or the time until the first pending removal is due if that is less
-     */
-    synchronized Duration untilNextRemoval(Duration wait) {
-        return endpointList.untilNextRemoval(wait, monotonicMillis.getAsLong());
-    }
-
-    // -- updates of the view
-
-    private void publish(Topic topic, List<StoredRecord> newRecords, Continuity continuity) {
-        if (newRecords.isEmpty()) {
-            return;
-        }
-        switch (topic) {
-            case OPERATOR -> applyOperatorRecords(newRecords, continuity);
-            case ENDPOINTS -> applyEndpointRecords(newRecords, continuity);
-            case NAMED -> view = operatorState.applySaved(newRecords, view);
-            case CRASHES -> crashListener.accept(newRecords);
-        }
-    }
-
-    /**
-     * Applies operator records, and publishes one view of all of them: a process that starts while a data hall is
-     * evacuated would otherwise take requests for a moment with the manifest alone.
-     */
-    private void applyOperatorRecords(List<StoredRecord> records, Continuity continuity) {
-        View updated = view;
-        List<StoredRecord> agentRecords = new ArrayList<>();
-        for (StoredRecord record : records) {
-            OperatorState.Change change = operatorState.apply(record, continuity, updated);
-            updated = change.view();
-            if (change.relevantToAgents()) {
-                agentRecords.add(record);
-            }
-        }
-        view = updated;
-        changes = changes.withOperator(records, agentRecords);
-    }
-
-    private void applyOperatorRecord(StoredRecord record) {
-        view = operatorState.apply(record, Continuity.CONTINUED, view).view();
-    }
-
-    /**
-     * Applies a missing manifest, which the topic copy ignores because it holds an older one with a greater offset.
-     * This happens before the other records are applied, so that the older one is never active, not even briefly.
-     */
-    private void applyMissingManifest(Topic topic, Collection<StoredRecord> records) {
-        OptionalLong missingOffset = topic == Topic.OPERATOR ? missingManifestOffset() : OptionalLong.empty();
-        missingOffset.ifPresent(offset ->
-                records.stream().filter(record -> record.offset() == offset).forEach(this::applyOperatorRecord));
-    }
-
     /**
      * Adds a weight version that a peer reported as a target.
      *
@@ -316,19 +332,6 @@
         view = operatorState.addPeerTarget(model, version, view);
     }
 
-    // -- records saved by processes
-
-    /** Whether the store has continued from an older copy since the saved records were read. */
-    synchronized boolean isSavedOutdated() {
-        long known = Math.max(EraOffset.era(end(Topic.OPERATOR)), EraOffset.era(end(Topic.ENDPOINTS)));
-        return EraOffset.era(end(Topic.NAMED)) < known;
-    }
-
-    /** The offset of a manifest known to be newer than the active one; empty if there is none. */
-    synchronized OptionalLong missingManifestOffset() {
-        return operatorState.missingManifestOffset(end(Topic.OPERATOR));
-    }
-
     /**
      * Records the position of the newest manifest as reported by a peer that has it. A process that does not need the
      * manifest itself still saves its position for others.
@@ -348,30 +351,31 @@
         return operatorState.newestManifestPosition();
     }
 
-    /** The newest manifest, if it is not known to be saved. */
-    synchronized Optional<UnsavedItem> unsavedManifest() {
-        return operatorState.unsavedManifest(copies.get(Topic.NAMED));
-    }
+    // -- records saved by processes
 
     /** Whether the operator records have been read. */
     synchronized boolean isOperatorLoaded() {
         return operatorState.isLoaded();
     }
 
+    /** The offset of a manifest known to be newer than the active one; empty if there is none. */
+    synchronized OptionalLong missingManifestOffset() {
+        return operatorState.missingManifestOffset(end(Topic.OPERATOR));
+    }
+
+    /** The newest manifest, if it is not known to be saved. */
+    synchronized Optional<UnsavedItem> unsavedManifest() {
+        return operatorState.unsavedManifest(copies.get(Topic.NAMED));
+    }
+
     /** The newest versions that are not known to be saved in the store under their own keys. */
     synchronized List<UnsavedItem> unsavedVersions() {
         return operatorState.unsavedVersions(copies.get(Topic.NAMED));
     }
 
-    // -- endpoints
-
-    private void applyEndpointRecords(List<StoredRecord> newRecords, Continuity continuity) {
-        EndpointListUpdater.Update update =
-                endpointList.apply(newRecords, continuity, view.endpoints(), monotonicMillis.getAsLong());
-        if (!update.changed().isEmpty()) {
-            view = view.withEndpoints(update.endpoints());
-            changes = changes.withEndpoints(update.changed());
-            update.logLines().forEach(LOG::info);
-        }
+    /** Whether the store has continued from an older copy since the saved records were read. */
+    synchronized boolean isSavedOutdated() {
+        long known = Math.max(EraOffset.era(end(Topic.OPERATOR)), EraOffset.era(end(Topic.ENDPOINTS)));
+        return EraOffset.era(end(Topic.NAMED)) < known;
     }
 }
