A changed rate limit reaches the agent at once

Cause: an entry that hears of a limit in a response told the agent beside the endpoint with its next round of queries, up to 150 ms later. An entry that started in between was told of no limit, and sent a request over it.

In the traces the late entry's first reply preceded the first query that named the limit, whose age was 133 to 143 ms.

Change: the response that changes the limit sends a query to the agent on the spot, before the client gets the response. The agent answers queries in order of arrival, so that every later one is told of the limit. Cost: one datagram for each change of a limit at each entry that sees it.

--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -297,6 +297,7 @@
         head.coldMillis().ifPresent(millis -> context.coldStated(endpoint, millis));
         if (load.rateLimit().responseReceived(head.rateLimit(), startMillis, context.nowMillis())) {
             load.rateLimit().logChange("answer");
+            context.reportRateLimit(endpoint);
         }
     }
 
--- a/src/main/java/org/micabarrow/serving/ServingContext.java
+++ b/src/main/java/org/micabarrow/serving/ServingContext.java
@@ -186,6 +186,15 @@
         return dependencies.selector().withinRateLimit(endpoint, nowMillis());
     }
 
+    /**
+     * Sends a changed rate limit to the endpoint's agent without waiting for the next round of queries, so that other
+     * entries do not use up the limit in the meantime.
+     */
+    void reportRateLimit(EndpointRegistration endpoint) {
+        // Each query contains the limit; a lost one is repeated by the next round.
+        dependencies.agentQueries().query(endpoint, ignored -> {});
+    }
+
     /** Records that a response stated how much longer its endpoint stays cold. */
     void coldStated(EndpointRegistration endpoint, long leftMillis) {
         dependencies.selector().cold().stated(endpoint.start(), leftMillis, "answer", nowMillis());
--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -116,7 +116,7 @@
         }
     }
 
-    /** Queries the agent of an endpoint to learn whether it responds. */
+    /** Queries the agent of an endpoint; the query also contains what the entry knows of the endpoint's rate limit. */
     @FunctionalInterface
     public interface AgentQueries {
 
