An entry takes requests once the agents that it queried have replied

Cause: LoadPoller counted a starting entry as informed with its second round of queries, 150 ms after the first, whether or not a reply had arrived. Seen while the failure of SharedLimitTest was traced: in all traces read the entry was ready 6 ms or less after its second query and before the reply to it. An agent that replies more than 150 ms late would have left the entry without the limits and drains that it told others.

Change: FirstReplies waits for a reply of each host that was queried first, of a silent one for two rounds, so that a lost datagram is sent again. An entry whose agents all reply is ready sooner than before, one beside a silent agent 150 ms later.

--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -255,13 +255,13 @@
     /**
      * Returns whether the entry accepts requests.
      *
-     * @return true once it has a manifest, has read the crash records of other entries and has polled agents, until it
+     * @return true once it has a manifest, has read the crash records of other entries and has heard from agents, until it
      *     stops
      */
     public boolean takesRequests() {
         return !stopping
                 && node.views().view().manifest().isPresent()
-                && loadPoller.repliesDue()
+                && loadPoller.hasFirstReplies()
                 && crashFollower.filter(StoreFollower::isInitialized).isPresent();
     }
 
--- a/src/main/java/org/micabarrow/transport/LoadPoller.java
+++ b/src/main/java/org/micabarrow/transport/LoadPoller.java
@@ -45,9 +45,6 @@
      */
     private static final long ROUND_MILLIS = 150;
 
-    /** After this many rounds without an endpoint to query, there is assumed to be none. */
-    private static final int MAX_ROUNDS_WITHOUT_ENDPOINTS = 3;
-
     private final Dependencies dependencies;
     private final DatagramChannel channel;
     private final LoadQueries queries;
@@ -70,9 +67,9 @@
     private final Set<String> extensibleHosts = ConcurrentHashMap.newKeySet();
 
     private final PauseDetector pauseDetector = new PauseDetector(ROUND_MILLIS);
+    private final FirstReplies firstReplies = new FirstReplies();
     private int roundNumber;
-    private boolean queriedBefore;
-    private volatile boolean repliesDue;
+    private volatile boolean firstRepliesComplete;
 
     /**
      * What a poller needs.
@@ -154,13 +151,14 @@
     }
 
     /**
-     * Whether agents have had time to report what a starting entry does not know: which endpoints are draining or have
-     * set rate limits.
+     * Whether agents have reported what a starting entry does not know: which endpoints are draining or have set rate
+     * limits.
      *
-     * @return true from the second round on, or if there seem to be no agents to query
+     * @return true once all agents that were queried first have replied or had time to, or if there seem to be no
+     *     agents to query
      */
-    public boolean repliesDue() {
-        return repliesDue;
+    public boolean hasFirstReplies() {
+        return firstRepliesComplete;
     }
 
     /**
@@ -196,7 +194,8 @@
         // paused, would make the update appear newer than it is.
         Map<String, Long> timestamps = Map.copyOf(replyTimestamps);
         Optional<StoreUpdate> storeUpdate = dependencies.storeUpdate().get();
-        schedule.due(hosts.all(), hosts::hasRequestsInFlight, roundNumber).forEach(host -> {
+        List<QuerySchedule.Host> due = schedule.due(hosts.all(), hosts::hasRequestsInFlight, roundNumber);
+        due.forEach(host -> {
             // Agents of other regions get store updates from entries of their own region, since traffic between
             // regions is paid for.
             StoreStatus storeStatus = new StoreStatus(
@@ -206,8 +205,8 @@
             sendQuery(host.address(), hosts.endpointsAt(host.address()), storeStatus);
         });
         dependencies.selector().retainOnly(view.endpoints().values());
-        repliesDue = repliesDue || queriedBefore || roundNumber >= MAX_ROUNDS_WITHOUT_ENDPOINTS;
-        queriedBefore = !hosts.all().isEmpty();
+        firstReplies.roundBegins(due.stream().map(QuerySchedule.Host::address).toList());
+        firstRepliesComplete = firstReplies.areComplete();
         roundNumber++;
         if (onTime) {
             afterRound.run();
@@ -299,8 +298,8 @@
                 .min(Comparator.comparingInt(RateLimitUpdate::ageMillis));
     }
 
-    /** A reply, and the endpoints at the host from which it came. */
-    private record Accepted(List<EndpointStart> endpoints, LoadReply reply) {}
+    /** A reply, the host from which it came, and the endpoints there. */
+    private record Accepted(String host, List<EndpointStart> endpoints, LoadReply reply) {}
 
     /** What a query reports about the store, with the timestamp of the reply that precedes it. */
     private record StoreStatus(boolean sameRegion, OptionalLong replyTimestamp, Optional<StoreUpdate> storeUpdate) {}
@@ -338,7 +337,7 @@
         } else {
             extensibleHosts.remove(host);
         }
-        accepted.add(new Accepted(endpoints, reply));
+        accepted.add(new Accepted(host, endpoints, reply));
         // The replies of a round arrive together, and each task would wake the traffic thread.
         if (applyScheduled.compareAndSet(false, true)) {
             dependencies.traffic().execute(this::applyAccepted);
@@ -350,7 +349,9 @@
         for (Accepted next = accepted.poll(); next != null; next = accepted.poll()) {
             Accepted reply = next;
             RepeatedTasks.runGuarded("load-feed", () -> apply(reply.endpoints(), reply.reply()));
+            firstReplies.replied(reply.host());
         }
+        firstRepliesComplete = firstReplies.areComplete();
     }
 
     /**
