A request whose crashes others explain is no longer refused

What callers saw: where several requests that crash endpoints begin at once, one harmless content that many ask for was answered with refusals until its crashes expired, ten minutes later.

Cause: a verdict by four to six crashes lasts until an answer, and what is refused is never answered. Nothing took it back when other requests were found to explain all of these crashes.

Change: RecurrentRequests.explainedByOthers. A proven request without a sole crash is let go once each of its crashes has a proven request aboard that has a sole one. Its first answer clears it.

CrashRegistryTest.shouldServeAgainWhenPoisonRequestExplainsAllItsCrashes fails without the change (Refused instead of Unsuspected).

--- a/src/main/java/org/micabarrow/crashes/PoisonRequests.java
+++ b/src/main/java/org/micabarrow/crashes/PoisonRequests.java
@@ -86,7 +86,9 @@
     private void prove(Involvement involvement, long nowMillis) {
         Set<RequestDigest> all = new HashSet<>(proven);
         all.retainAll(involvement.unanswered().keySet());
-        all.addAll(new RecurrentRequests(involvement.unanswered(), involvement.times(), nowMillis).poison());
+        RecurrentRequests recurrent = new RecurrentRequests(involvement.unanswered(), involvement.times(), nowMillis);
+        all.addAll(recurrent.poison());
+        all.removeAll(recurrent.explainedByOthers(all));
         proven = all;
     }
 
--- a/src/main/java/org/micabarrow/crashes/RecurrentRequests.java
+++ b/src/main/java/org/micabarrow/crashes/RecurrentRequests.java
@@ -77,6 +77,25 @@
                 .collect(Collectors.toUnmodifiableSet());
     }
 
+    /**
+     * Returns those of the given poison requests whose crashes are all explained by others of them. A request explains a
+     * crash if it was involved in it and is the only recurrent request that was involved in another one.
+     *
+     * @param poison the requests that are considered poison
+     * @return the digests of the requests that are not proven to be poison any more
+     */
+    Set<RequestDigest> explainedByOthers(Set<RequestDigest> poison) {
+        Set<String> explained = poison.stream()
+                .map(crashes::get)
+                .filter(own -> !soleMillis(own).isEmpty())
+                .flatMap(Set::stream)
+                .collect(Collectors.toUnmodifiableSet());
+        return poison.stream()
+                .filter(request -> soleMillis(crashes.get(request)).isEmpty())
+                .filter(request -> explained.containsAll(crashes.get(request)))
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     private boolean isPoison(Set<String> own) {
         List<Long> sole = soleMillis(own);
         return own.size() >= MIN_CRASHES_WITHOUT_SOLE
--- a/src/test/java/org/micabarrow/crashes/CrashRegistryTest.java
+++ b/src/test/java/org/micabarrow/crashes/CrashRegistryTest.java
@@ -58,6 +58,18 @@
         assertEquals(Set.of(POISON, other), registry.refused());
     }
 
+    /** Guards against a harmless request that is refused until its crashes expire although another one caused them all. */
+    @Test
+    void shouldServeAgainWhenPoisonRequestExplainsAllItsCrashes() {
+        for (int i = 0; i < 6; i++) {
+            crash("shared-" + i, 2_000 * i, POISON, HARMLESS);
+        }
+        assertInstanceOf(SuspicionLevel.Refused.class, registry.suspicion(HARMLESS, 11_000));
+        crash("sole", 12_000, POISON);
+        assertInstanceOf(SuspicionLevel.Unsuspected.class, registry.suspicion(HARMLESS, 13_000));
+        assertInstanceOf(SuspicionLevel.Refused.class, registry.suspicion(POISON, 13_000));
+    }
+
     @Test
     void shouldCountCrashOnceWhenSeveralProcessesReportIt() {
         crash("e1", 0, POISON);
--- a/src/test/java/org/micabarrow/crashes/RecurrentRequestsTest.java
+++ b/src/test/java/org/micabarrow/crashes/RecurrentRequestsTest.java
@@ -50,4 +50,20 @@
                 poison,
                 names(requests("0:ab 9:ab 18:ab 27:ab 36:a", sinceLastMillis).poison()));
     }
+
+    /** Guards against a harmless request that is refused although poison requests explain all of its crashes. */
+    @ParameterizedTest
+    @CsvSource({
+        "one poison request explains all,     0:ab 9:ab 18:ab 27:ab 36:ab 45:ab 54:a,          b",
+        "two poison requests explain all,     0:ab 9:ab 18:ab 27:bc 36:bc 45:bc 54:a 63:c,     b",
+        "one crash is not explained,          0:ab 9:ab 18:ab 27:bc 36:bc 45:bd 54:a 63:c,     ''",
+        "each has a sole crash,               0:ab 9:ab 18:ab 27:ab 36:ab 45:a 54:b,           ''",
+        "neither has a sole crash,            0:ab 9:ab 18:ab 27:ab 36:ab 45:ab,               ''"
+    })
+    void shouldFindRequestsWhoseCrashesAreAllExplainedByOthers(String description, String crashes, String explained) {
+        Set<RequestDigest> poison =
+                PoisonRequestDetectorTest.evidence(crashes).crashes().keySet();
+        assertEquals(
+                explained, names(requests(crashes, REPORTS_COMPLETE_MILLIS).explainedByOthers(poison)), description);
+    }
 }
