The copies of all topics are one type

ViewMaintainer held a map of copies and decided itself whether a read continues one. No change of behaviour; view, topic and restore tests pass.

--- a/src/main/java/org/micabarrow/views/ViewMaintainer.java
+++ b/src/main/java/org/micabarrow/views/ViewMaintainer.java
@@ -3,9 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -26,7 +24,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(ViewMaintainer.class);
 
     private final LongSupplier monotonicMillis;
-    private final Map<Topic, TopicCopy> copies = new HashMap<>();
+    private final TopicCopies copies = new TopicCopies();
     private final EndpointListUpdater endpointList;
     private final OperatorState operatorState;
     private final OperatorFreshness freshness = new OperatorFreshness();
@@ -76,9 +74,6 @@
         this.operatorState = new OperatorState(
                 decoder, monotonicMillis, Objects.requireNonNull(unixMillis, "unixMillis is null"), isKnownHall);
         this.endpointList = new EndpointListUpdater(decoder);
-        for (Topic topic : Topic.values()) {
-            copies.put(topic, new TopicCopy());
-        }
     }
 
     /**
@@ -129,8 +124,8 @@
      */
     public synchronized void apply(Topic topic, Collection<StoredRecord> records, long readTo) {
         applyMissingManifest(topic, records);
-        Continuity continuity = continuity(topic, readTo);
-        publish(topic, copies.get(topic).apply(records, readTo), continuity);
+        Continuity continuity = copies.continuity(topic, readTo);
+        publish(topic, copies.of(topic).apply(records, readTo), continuity);
         onRead(topic, readTo);
     }
 
@@ -143,26 +138,14 @@
      */
     public synchronized void replace(Topic topic, Collection<StoredRecord> records, long endBeforeRead) {
         applyMissingManifest(topic, records);
-        Continuity continuity = continuity(topic, endBeforeRead);
-        publish(topic, copies.get(topic).replace(records, endBeforeRead), continuity);
+        Continuity continuity = copies.continuity(topic, endBeforeRead);
+        publish(topic, copies.of(topic).replace(records, endBeforeRead), continuity);
         if (topic == Topic.OPERATOR) {
             operatorState.markLoaded();
         }
         onRead(topic, endBeforeRead);
     }
 
-    private Continuity continuity(Topic topic, long readTo) {
-        if (!copies.get(topic).isOfLaterEra(readTo)) {
-            return Continuity.CONTINUED;
-        }
-        LOG.warn(
-                "event=topic_restored topic={} {} before=\"{}\"",
-                topic,
-                EraOffset.toLog(readTo),
-                EraOffset.toLog(end(topic)));
-        return Continuity.RESTORED;
-    }
-
     private void onRead(Topic topic, long readTo) {
         changes = changes.inEra(topic, EraOffset.era(readTo));
         freshness.setManifestMissing(operatorState.lacksManifest(end(Topic.OPERATOR)));
@@ -289,7 +272,7 @@
      * @return the offset
      */
     public synchronized long end(Topic topic) {
-        return copies.get(topic).end();
+        return copies.end(topic);
     }
 
     /**
@@ -302,7 +285,7 @@
      * @return the records, and the offset before which that process then knows all of them
      */
     public synchronized TopicReader.Batch since(Topic topic, long offset) {
-        TopicCopy copy = copies.get(topic);
+        TopicCopy copy = copies.of(topic);
         List<StoredRecord> records = copy.since(offset);
         return topic == Topic.OPERATOR
                 ? new TopicReader.Batch(
@@ -365,17 +348,16 @@
 
     /** The newest manifest, if it is not known to be saved. */
     synchronized Optional<UnsavedItem> unsavedManifest() {
-        return operatorState.unsavedManifest(copies.get(Topic.NAMED));
+        return operatorState.unsavedManifest(copies.of(Topic.NAMED));
     }
 
     /** The newest versions that are not known to be saved in the store under their own keys. */
     synchronized List<UnsavedItem> unsavedVersions() {
-        return operatorState.unsavedVersions(copies.get(Topic.NAMED));
+        return operatorState.unsavedVersions(copies.of(Topic.NAMED));
     }
 
     /** Whether the store has continued from an older copy since the saved records were read. */
     synchronized boolean isSavedOutdated() {
-        long known = Math.max(EraOffset.era(end(Topic.OPERATOR)), EraOffset.era(end(Topic.ENDPOINTS)));
-        return EraOffset.era(end(Topic.NAMED)) < known;
+        return copies.isSavedOutdated();
     }
 }
