--- a/src/main/java/org/micabarrow/transport/LoadMessages.java
+++ b/src/main/java/org/micabarrow/transport/LoadMessages.java
@@ -1,10 +1,8 @@
 package org.micabarrow.transport;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
-import java.nio.channels.DatagramChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -23,9 +21,6 @@
  */
 final class LoadMessages {
 
-    /** The maximum size of a datagram, in bytes; actual ones are well under a hundred. */
-    private static final int MAX_BYTES = 512;
-
     /** The size of a query without its store update and the entry's name, in bytes. */
     private static final int QUERY_BYTES = 4 * Integer.BYTES + Long.BYTES + 3;
 
@@ -152,7 +147,7 @@
     }
 
     private static String readText(ByteBuffer datagram) {
-        byte[] bytes = new byte[Math.clamp(datagram.getInt(), 0, MAX_BYTES)];
+        byte[] bytes = new byte[Math.clamp(datagram.getInt(), 0, ReceivedDatagram.MAX_BYTES)];
         datagram.get(bytes);
         return new String(bytes, StandardCharsets.UTF_8);
     }
@@ -287,24 +282,4 @@
         long knownMillisAgo = readAge(datagram);
         return new LoadReply.ReaderUpdate(readText(datagram), operatorOffset, knownMillisAgo);
     }
-
-    // -- both
-
-    /**
-     * A received datagram.
-     *
-     * @param from the sender's address
-     * @param bytes its content
-     */
-    record Received(InetSocketAddress from, byte[] bytes) {}
-
-    /** Waits for the next datagram. */
-    static Received receive(DatagramChannel channel) throws IOException {
-        ByteBuffer buffer = ByteBuffer.allocate(MAX_BYTES);
-        InetSocketAddress from = (InetSocketAddress) channel.receive(buffer);
-        buffer.flip();
-        byte[] bytes = new byte[buffer.remaining()];
-        buffer.get(bytes);
-        return new Received(from, bytes);
-    }
 }
--- a/src/main/java/org/micabarrow/transport/LoadPoller.java
+++ b/src/main/java/org/micabarrow/transport/LoadPoller.java
@@ -48,6 +48,7 @@
     private final Dependencies dependencies;
     private final DatagramChannel channel;
     private final LoadQueries queries;
+    private final LoadReplyHandler replyHandler;
 
     private final PolledHosts hosts;
     private final QuerySchedule schedule;
@@ -123,6 +124,7 @@
         this.dependencies = dependencies;
         this.channel = channel;
         this.queries = new LoadQueries(dependencies.traffic(), dependencies.monotonicMillis());
+        this.replyHandler = new LoadReplyHandler(dependencies, queries);
         this.schedule = new QuerySchedule(dependencies.place().id());
         this.hosts = new PolledHosts(dependencies.selector()::hasRequestsInFlight, this::isSameRegion);
     }
@@ -320,7 +322,7 @@
 
     private void receiveOne() {
         try {
-            LoadMessages.Received received = LoadMessages.receive(channel);
+            ReceivedDatagram received = ReceivedDatagram.receive(channel);
             String host = received.from().getAddress().getHostAddress();
             accept(host, LoadMessages.readReply(received.bytes()));
         } catch (IOException e) {
@@ -348,63 +350,9 @@
         applyScheduled.set(false);
         for (Accepted next = accepted.poll(); next != null; next = accepted.poll()) {
             Accepted reply = next;
-            RepeatedTasks.runGuarded("load-feed", () -> apply(reply.endpoints(), reply.reply()));
+            RepeatedTasks.runGuarded("load-feed", () -> replyHandler.apply(reply.endpoints(), reply.reply()));
             firstReplies.replied(reply.host());
         }
         firstRepliesComplete = firstReplies.areComplete();
     }
-
-    /**
-     * Applies a reply to the endpoint selector before the callbacks that wait for it run, so that they decide with its
-     * content.
-     */
-    private void apply(List<EndpointStart> endpoints, LoadReply reply) {
-        OptionalLong sentMillis = queries.sentMillis(reply.number());
-        if (sentMillis.isEmpty()) {
-            return;
-        }
-        long now = dependencies.monotonicMillis().getAsLong();
-        long delay = now - sentMillis.getAsLong();
-        reply.rank().ifPresent(rank -> dependencies.selector().entryCount().reported(rank.entries(), now));
-        Optional<SlotGrants> grants = reply.extension().flatMap(LoadReply.ReplyExtension::grants);
-        grants.ifPresent(dependencies.onGrants());
-        for (EndpointStart start : endpoints) {
-            EndpointLoad load = dependencies.selector().load(start);
-            if (start.mayHaveToken(reply.report().start())) {
-                load.reported(reply.report(), delay, now);
-                grants.map(SlotGrants::limits).ifPresent(load::slotsDivided);
-                reply.rank().ifPresent(load::rankReported);
-                reply.rateLimit()
-                        .filter(rateLimit -> rateLimit.concerns(start.id()))
-                        .filter(rateLimit ->
-                                load.rateLimit().updated(rateLimit.toObservation(sentMillis.getAsLong(), now)))
-                        .ifPresent(rateLimit -> load.rateLimit().logChange("agent"));
-            } else {
-                handleReportOfAnotherStart(start, load);
-            }
-        }
-        queries.onReply(reply.number());
-        // Counted from the time of the query: the information is at most that much older than the agent reports.
-        reply.reader()
-                .ifPresent(reader -> dependencies
-                        .onReader()
-                        .accept(new StoreUpdate.ReaderState(
-                                reader.peer(),
-                                reader.operatorOffset(),
-                                sentMillis.getAsLong() - reader.knownMillisAgo())));
-    }
-
-    /**
-     * The agent is ahead of the endpoint's entry in the store, or behind it, for a moment. A report on one start must
-     * not be applied to another, which may hold nothing of the version that the report names.
-     */
-    private static void handleReportOfAnotherStart(EndpointStart start, EndpointLoad load) {
-        if (!load.restarted()) {
-            LOG.info(
-                    "event=agent_tells_of_another_start endpoint={} listed={}",
-                    start.id(),
-                    start.startedMillis().orElse(-1));
-        }
-        load.otherStartReported();
-    }
 }
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -132,7 +132,7 @@
 
     private void serveOne() {
         try {
-            LoadMessages.Received received = LoadMessages.receive(channel);
+            ReceivedDatagram received = ReceivedDatagram.receive(channel);
             receivedQueries.increment();
             EntryQuery entryQuery =
                     entries.add(received.from(), LoadMessages.readQuery(received.bytes()), monotonicMillis.getAsLong());
--- a/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadMessagesTest.java
@@ -22,7 +22,6 @@
 import org.micabarrow.limits.EntryRank;
 import org.micabarrow.limits.RateLimitUpdate;
 import org.micabarrow.routing.LoadReport;
-import org.micabarrow.transport.LoadMessages.Received;
 import org.micabarrow.transport.LoadReply.ReaderUpdate;
 import org.micabarrow.views.ChangeOffsets;
 import org.micabarrow.views.EraOffset;
@@ -175,8 +174,8 @@
             LoadQuery shorter = new LoadQuery("e", 0, 0, 0);
             sender.send(LoadMessages.write(longer), receiver.getLocalAddress());
             sender.send(LoadMessages.write(shorter), receiver.getLocalAddress());
-            Received first = LoadMessages.receive(receiver);
-            Received second = LoadMessages.receive(receiver);
+            ReceivedDatagram first = ReceivedDatagram.receive(receiver);
+            ReceivedDatagram second = ReceivedDatagram.receive(receiver);
             assertEquals(sender.getLocalAddress(), first.from());
             assertEquals(longer, LoadMessages.readQuery(first.bytes()));
             assertEquals(shorter, LoadMessages.readQuery(second.bytes()));
