--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -40,6 +40,7 @@
     private final StartDeadline startDeadline;
     private final long startMillis;
     private final AttemptProgress progress;
+    private final EndpointObserver observer;
     private Optional<XnioExecutor.Key> connectTimer = Optional.empty();
     private Runnable cancel = () -> {};
     private boolean closed;
@@ -57,6 +58,7 @@
         this.load = context.load(endpoint);
         this.startMillis = context.nowMillis();
         this.progress = new AttemptProgress(served, selected);
+        this.observer = new EndpointObserver(served, endpoint, startMillis);
         this.releaseSuspect = context.suspects().onSent(endpoint, served.digest(), startMillis);
         load.rateLimit().sent(startMillis);
         load.coldLimit().sent(startMillis);
@@ -256,7 +258,7 @@
         ResponseHead head = context.protocol().decodeHead(request, status, headers);
         head.weightVersion().ifPresent(load::respondedWithVersion);
         if (head.isFromIntendedEndpoint()) {
-            applyEndpointState(head);
+            observer.headReceived(head);
         }
         switch (HeadClassification.classify(head, request.route().kind().repeatable(), response.started())) {
             case NOT_RUN -> failAttempt(AttemptOutcome.NOT_RUN, "the endpoint refused with " + status);
@@ -269,48 +271,22 @@
                 failAttempt(AttemptOutcome.UNKNOWN, "what came is no answer to this request");
             }
             case NOT_TO_PASS -> {
-                recordStatus(head.status());
+                observer.statusReceived(head.status());
                 failAttempt(
                         AttemptOutcome.UNKNOWN,
                         "the endpoint answered " + head.status() + " without saying it has not run");
             }
             case ERROR -> {
-                recordStatus(head.status());
+                observer.statusReceived(head.status());
                 onEndpointError(head);
             }
             case ANSWER -> {
-                recordStatus(head.status());
+                observer.statusReceived(head.status());
                 relay.start(head, false);
             }
         }
     }
 
-    /** Records what the response states about the endpoint itself, which later routing decisions use. */
-    private void applyEndpointState(ResponseHead head) {
-        if (head.draining()) {
-            context.markDraining(endpoint);
-        }
-        head.backoffMillis().ifPresent(millis -> {
-            load.backoff().requested(millis, context.nowMillis());
-            served.log().backoffRequested(endpoint, millis);
-        });
-        head.coldMillis().ifPresent(millis -> context.coldStated(endpoint, millis));
-        if (load.rateLimit().responseReceived(head.rateLimit(), startMillis, context.nowMillis())) {
-            load.rateLimit().logChange("answer");
-            context.reportRateLimit(endpoint);
-        }
-    }
-
-    private void recordStatus(int status) {
-        if (HeadClassification.isError(status)) {
-            load.failures().errorReceived(context.nowMillis());
-        } else {
-            load.failures().succeeded();
-            load.backoff().responded(context.nowMillis());
-            context.metrics().firstByte.update(served.elapsedMillis(), TimeUnit.MILLISECONDS);
-        }
-    }
-
     private void onEndpointError(ResponseHead head) {
         if (served.reserveRetry()) {
             switchEndpoint(AttemptOutcome.FAILED, "the endpoint failed with " + head.status());
