--- a/src/test/java/org/micabarrow/play/CrashPlay.java
+++ b/src/test/java/org/micabarrow/play/CrashPlay.java
@@ -215,9 +215,6 @@
                 case SuspicionLevel.Refused ignored -> {
                     if (harmless()) {
                         outcome.harmlessRefused++;
-                        System.out.println(
-                                "REF " + setting + " " + (int) events.now() + " hot=" + request.equals(digest("hot"))
-                                        + " " + entry.book.suspicion(request, events.nowMillis()));
                     }
                 }
                 case SuspicionLevel.Unsuspected ignored -> send(entry.anywhere(tried), false);
