--- a/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
@@ -13,6 +13,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 import org.micabarrow.clock.MonotonicClock;
 import org.xnio.IoUtils;
 
@@ -22,6 +23,7 @@
  */
 public final class HostedEndpointStandin implements HttpHandler {
 
+    private static final String PROMPT_PREFIX = "Prompt-Prefix";
     private static final HttpString ATTEMPT = new HttpString("Attempt-Id");
     private static final HttpString SIGNATURE = new HttpString("Server-Seal");
     private static final HttpString NOT_RUN = new HttpString("Not-Executed");
@@ -44,7 +46,7 @@
     private final UnansweredRequests unanswered = new UnansweredRequests();
     private final AtomicInteger misdirectedCount = new AtomicInteger();
     private final HostedWeightsStandin weights;
-    private volatile CrashTrigger crashTrigger = body -> false;
+    private volatile CrashTrigger crashTrigger = (body, promptParts) -> false;
     private volatile boolean draining;
     private volatile boolean drainingInReports;
     private volatile OptionalDouble rateLimit = OptionalDouble.empty();
@@ -65,9 +67,10 @@
          * Crashes the endpoint if the request triggers a crash.
          *
          * @param body the request's body
+         * @param promptParts the ids of the parts of its prompt, in order
          * @return whether the endpoint crashed and sends no answer
          */
-        boolean crashIfTriggered(String body);
+        boolean crashIfTriggered(String body, List<String> promptParts);
     }
 
     /** How the stand-in responds to a request. */
@@ -218,7 +221,7 @@
         String method = exchange.getRequestMethod().toString();
         String target = exchange.getRequestURI() + query;
         long now = MonotonicClock.millis();
-        boolean crashes = crashTrigger.crashIfTriggered(text);
+        boolean crashes = crashTrigger.crashIfTriggered(text, promptParts(headers));
         Optional<Behaviour> behaviour = crashes ? Optional.empty() : Optional.of(nextBehaviour(exchange));
         received.add(new ReceivedRequest(method, target, headers, text, now, behaviour, draining));
         if (crashes) {
@@ -233,6 +236,11 @@
         respond(exchange, behaviour.get());
     }
 
+    private static List<String> promptParts(Map<String, String> headers) {
+        String listed = headers.getOrDefault(PROMPT_PREFIX, "");
+        return Stream.of(listed.split(",")).map(part -> part.split(":")[0]).toList();
+    }
+
     private Behaviour nextBehaviour(HttpServerExchange exchange) {
         if (exchange.getRequestHeaders().contains("Model") && weights.version() == 0) {
             misdirectedCount.incrementAndGet();
--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -4,6 +4,7 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -46,6 +47,7 @@
 
     private final EndpointListeners listeners = new EndpointListeners();
     private final Set<String> crashingBodies = ConcurrentHashMap.newKeySet();
+    private final Set<String> crashingParts = ConcurrentHashMap.newKeySet();
 
     private HostedSystem() {
         this.storeAddress = startListener(store);
@@ -183,7 +185,7 @@
      */
     public void addEndpoint(String id, String service, long version) {
         HostedEndpointStandin endpoint = new HostedEndpointStandin(id, MODEL, version, behaviours);
-        endpoint.setCrashTrigger(body -> crashIfTriggered(body, id, service, version));
+        endpoint.setCrashTrigger((body, promptParts) -> crashIfTriggered(body, promptParts, id, service, version));
         endpoints.put(id, endpoint);
         addresses.put(id, listeners.start(id, endpoint));
         register(id, service, version, "ready");
@@ -252,6 +254,16 @@
         crashingBodies.add(body);
     }
 
+    /**
+     * Makes every endpoint crash when it starts to execute a request whose prompt holds a part, other than as its last
+     * part. A replacement registers immediately under a new id and address.
+     *
+     * @param id the id of the part
+     */
+    public void crashOnPromptPart(String id) {
+        crashingParts.add(id);
+    }
+
     /**
      * Returns the number of endpoints that have crashed.
      *
@@ -270,8 +282,9 @@
         return store.countKeys("keyed.micabarrow.crashes", "crash/");
     }
 
-    private boolean crashIfTriggered(String body, String id, String service, long version) {
-        if (!crashingBodies.contains(body)) {
+    private boolean crashIfTriggered(String body, List<String> promptParts, String id, String service, long version) {
+        List<String> shared = promptParts.subList(0, Math.max(0, promptParts.size() - 1));
+        if (!crashingBodies.contains(body) && Collections.disjoint(shared, crashingParts)) {
             return false;
         }
         if (crash(id)) {
