Crash registry in three parts; an attempt that waits for its first data is cancelled; soak with a poison part

An endpoint sends the head as soon as it accepts a request, and crashes when it begins to write. A request whose cause is found in between was left there because its response had begun. It is cancelled now until its first data has come; the client's response is broken off, as by the crash.

HostedSoakTest draws requests with a poison part, with a random sequence of its own so that the course of a seed stays, and the same bound as for a request.

--- a/src/main/java/org/micabarrow/crashes/CrashRegistry.java
+++ b/src/main/java/org/micabarrow/crashes/CrashRegistry.java
@@ -1,24 +1,19 @@
 package org.micabarrow.crashes;
 
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.IntSupplier;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 /**
  * The endpoint crashes that a process knows of, and the poison causes inferred from them. A cause on which an endpoint
  * has answered is cleared of all crashes known by then, since a request with a poison cause never gets a response. A
- * part of prompts on which endpoints have answered before is refused only after more crashes, and never isolated: nearly
- * all requests may hold it. Thread-safe.
+ * part of prompts on which endpoints have answered before is refused only after more crashes, and never isolated, since
+ * nearly all requests may hold it. Thread-safe.
  */
 public final class CrashRegistry {
 
@@ -26,8 +21,9 @@
 
     private final long memoryMillis;
     private final int maxCrashes;
-    private final PoisonCauses poisonCauses;
+    private final KnownCrashes crashes = new KnownCrashes();
     private final AnsweredParts answeredParts = new AnsweredParts();
+    private final PoisonCauses poisonCauses;
 
     /** The latest time of any event, on the monotonic clock. */
     private long nowMillis = Long.MIN_VALUE;
@@ -38,42 +34,8 @@
     /** Whether poison causes are to be detected again then. */
     private boolean reportsPending;
 
-    /** The crashes in the order in which they became known. */
-    private final Map<String, KnownCrash> crashes = new LinkedHashMap<>();
-
-    /** For each cause, the crashes at which no part of a response to it had arrived. */
-    private final Map<Cause, Set<String>> unanswered = new HashMap<>();
-
-    /** For each cause, all crashes at which it was in flight. */
-    private final Map<Cause, Set<String>> involved = new HashMap<>();
-
-    /** The shared parts of the prompts of requests that were in flight at a crash. */
-    private final Map<RequestDigest, Set<PromptPart>> parts = new HashMap<>();
-
     private volatile SuspectFilter filter = SuspectFilter.NONE;
 
-    /**
-     * What rules out most requests without a lock.
-     *
-     * @param quickDigests the quick digests of all requests that were in flight at a crash
-     * @param involvedParts the parts of prompts that were in flight at a crash
-     * @param suspectParts those of them that may be isolated or refused
-     */
-    private record SuspectFilter(
-            Set<Integer> quickDigests, Set<PromptPart> involvedParts, Set<PromptPart> suspectParts) {
-
-        private static final SuspectFilter NONE = new SuspectFilter(Set.of(), Set.of(), Set.of());
-
-        private boolean isEmpty() {
-            return quickDigests.isEmpty() && involvedParts.isEmpty();
-        }
-
-        private boolean mayBeSuspect(RequestCauses request) {
-            return !quickDigests.isEmpty() && quickDigests.contains(request.quick())
-                    || !suspectParts.isEmpty() && request.parts().stream().anyMatch(suspectParts::contains);
-        }
-    }
-
     /**
      * Creates a registry without crashes.
      *
@@ -99,15 +61,12 @@
     public synchronized void crashed(EndpointCrash crash, long atMillis) {
         Objects.requireNonNull(crash, "crash is null");
         advance(atMillis);
-        if (!crashes.containsKey(crash.endpoint())) {
+        if (crashes.add(crash, atMillis)) {
             reportsCompleteMillis = Math.max(reportsCompleteMillis, atMillis + RecurrentCauses.REPORT_DELAY_MILLIS);
             reportsPending = true;
         }
-        crashes.computeIfAbsent(crash.endpoint(), endpoint -> new KnownCrash(atMillis));
-        crash.unanswered().forEach(request -> addInvolved(crash, request, true));
-        crash.partlyAnswered().forEach(request -> addInvolved(crash, request, false));
         if (crashes.size() > maxCrashes) {
-            forget(crashes.keySet().iterator().next());
+            crashes.forgetOldest();
         }
         detectPoisonCauses();
     }
@@ -116,86 +75,6 @@
         nowMillis = Math.max(nowMillis, millis);
     }
 
-    private void addInvolved(EndpointCrash crash, RequestDigest request, boolean isUnanswered) {
-        Set<PromptPart> own = crash.partsOf(request);
-        if (!own.isEmpty()) {
-            parts.computeIfAbsent(request, key -> new HashSet<>()).addAll(own);
-        }
-        KnownCrash known = crashes.get(crash.endpoint());
-        Stream.concat(Stream.of(request), own.stream()).filter(known::add).forEach(cause -> {
-            add(involved, cause, crash.endpoint());
-            if (isUnanswered) {
-                add(unanswered, cause, crash.endpoint());
-            }
-        });
-    }
-
-    private static void add(Map<Cause, Set<String>> crashesByCause, Cause cause, String endpoint) {
-        crashesByCause.computeIfAbsent(cause, key -> new HashSet<>()).add(endpoint);
-    }
-
-    // -- responses
-
-    /**
-     * Records that an endpoint responded to a request, which clears its causes of the crashes known by now. Part of a
-     * response clears only of crashes at which no part had arrived.
-     *
-     * @param request the request
-     * @param whole whether the response is complete
-     * @return the causes of whose clearing other processes must know
-     */
-    public Set<Cause> answered(RequestCauses request, boolean whole) {
-        Objects.requireNonNull(request, "request is null");
-        SuspectFilter current = filter;
-        boolean mayClear = !current.isEmpty()
-                && (current.quickDigests().contains(request.quick())
-                        || request.parts().stream().anyMatch(current.involvedParts()::contains));
-        return mayClear || !request.parts().isEmpty() ? recordAnswer(request, whole, mayClear) : Set.of();
-    }
-
-    private synchronized Set<Cause> recordAnswer(RequestCauses request, boolean whole, boolean mayClear) {
-        request.parts().forEach(answeredParts::add);
-        if (!mayClear) {
-            return Set.of();
-        }
-        Set<Cause> toPublish = new HashSet<>();
-        if (filter.quickDigests().contains(request.quick()) && cleared(request.digest(), whole) > 0) {
-            toPublish.add(request.digest());
-        }
-        for (PromptPart part : request.parts()) {
-            // Part of a response is not published: hundreds of requests may share the part.
-            boolean publishes = whole && involved.containsKey(part);
-            cleared(part, whole);
-            if (publishes) {
-                toPublish.add(part);
-            }
-        }
-        return toPublish;
-    }
-
-    /**
-     * Clears a cause on which an endpoint answered of the crashes known by now.
-     *
-     * @param cause the cause
-     * @param whole whether the response is complete; if not, it clears only of crashes at which no part had arrived
-     * @return the number of crashes at which it had been without any part of a response
-     */
-    public synchronized int cleared(Cause cause, boolean whole) {
-        Objects.requireNonNull(cause, "cause is null");
-        if (cause instanceof PromptPart part) {
-            answeredParts.add(part);
-        }
-        Set<String> suspected = Optional.ofNullable(unanswered.remove(cause)).orElse(Set.of());
-        Set<String> crashedEndpoints = whole ? involved.remove(cause) : null;
-        if (crashedEndpoints != null) {
-            crashedEndpoints.stream().map(crashes::get).forEach(known -> known.clear(cause));
-        }
-        if (crashedEndpoints != null || !suspected.isEmpty()) {
-            detectPoisonCauses();
-        }
-        return suspected.size();
-    }
-
     /**
      * Applies an update of another process.
      *
@@ -209,8 +88,6 @@
         }
     }
 
-    // -- expiry
-
     /**
      * Removes expired crashes.
      *
@@ -218,10 +95,10 @@
      */
     public synchronized void expire(long nowMillis) {
         advance(nowMillis);
-        List<String> expired = crashes.keySet().stream()
+        List<String> expired = crashes.endpoints().stream()
                 .filter(endpoint -> nowMillis - rememberedFromMillis(endpoint) >= memoryMillis)
                 .toList();
-        expired.forEach(this::forget);
+        expired.forEach(crashes::forget);
         if (!expired.isEmpty()) {
             detectPoisonCauses();
         }
@@ -234,58 +111,70 @@
     private long rememberedFromMillis(String endpoint) {
         return poisonCauses
                 .explaining(endpoint)
-                .mapToLong(poison -> lastMillis(poison.crashes()))
+                .mapToLong(poison -> crashes.lastMillis(poison.crashes()))
                 .max()
-                .orElse(crashes.get(endpoint).atMillis());
-    }
-
-    private void forget(String endpoint) {
-        KnownCrash forgotten = crashes.remove(endpoint);
-        for (Cause cause : forgotten.involved()) {
-            remove(unanswered, cause, endpoint);
-            remove(involved, cause, endpoint);
-        }
-        forgotten.requests().stream()
-                .filter(request -> crashes.values().stream()
-                        .noneMatch(known -> known.requests().contains(request)))
-                .forEach(parts::remove);
+                .orElse(crashes.atMillis(endpoint));
     }
 
-    private static void remove(Map<Cause, Set<String>> crashesByCause, Cause cause, String endpoint) {
-        crashesByCause.computeIfPresent(cause, (same, crashedEndpoints) -> {
-            crashedEndpoints.remove(endpoint);
-            return crashedEndpoints.isEmpty() ? null : crashedEndpoints;
-        });
+    private void detectPoisonCauses() {
+        Set<Cause> answered = crashes.involvedCauses().stream()
+                .filter(answeredParts::contains)
+                .collect(Collectors.toUnmodifiableSet());
+        poisonCauses.detect(crashes.involvement(answered), nowMillis);
+        Set<Cause> suspects = new HashSet<>(crashes.involvedCauses());
+        suspects.removeAll(answered);
+        suspects.addAll(poisonCauses.all());
+        filter = SuspectFilter.of(crashes.involvedCauses(), suspects);
     }
 
-    // -- detection
+    // -- responses
 
-    private void detectPoisonCauses() {
-        Set<Cause> answered =
-                involved.keySet().stream().filter(answeredParts::contains).collect(Collectors.toUnmodifiableSet());
-        poisonCauses.detect(new PoisonCauses.Involvement(unanswered, involved, answered, times(), parts), nowMillis);
-        Set<Cause> poison = poisonCauses.all();
-        filter = new SuspectFilter(
-                involved.keySet().stream()
-                        .filter(RequestDigest.class::isInstance)
-                        .map(cause -> ((RequestDigest) cause).quick())
-                        .collect(Collectors.toUnmodifiableSet()),
-                parts(cause -> true),
-                parts(cause -> poison.contains(cause) || unanswered.containsKey(cause) && !answered.contains(cause)));
+    /**
+     * Records that an endpoint responded to a request, which clears its causes of the crashes known by now. Part of a
+     * response clears only of crashes at which no part had arrived.
+     *
+     * @param request the request
+     * @param whole whether the response is complete
+     * @return the causes of whose clearing other processes must know
+     */
+    public Set<Cause> answered(RequestCauses request, boolean whole) {
+        Objects.requireNonNull(request, "request is null");
+        return request.parts().isEmpty() && !filter.mayBeInvolved(request) ? Set.of() : recordAnswer(request, whole);
     }
 
-    private Set<PromptPart> parts(Predicate<Cause> condition) {
-        return involved.keySet().stream()
-                .filter(PromptPart.class::isInstance)
-                .filter(condition)
-                .map(PromptPart.class::cast)
-                .collect(Collectors.toUnmodifiableSet());
+    private synchronized Set<Cause> recordAnswer(RequestCauses request, boolean whole) {
+        Set<Cause> toPublish = new HashSet<>();
+        if (filter.containsDigest(request) && cleared(request.digest(), whole) > 0) {
+            toPublish.add(request.digest());
+        }
+        for (PromptPart part : request.parts()) {
+            // Part of a response is not published, since hundreds of requests a second may share the part.
+            if (whole && crashes.isInvolved(part)) {
+                toPublish.add(part);
+            }
+            cleared(part, whole);
+        }
+        return toPublish;
     }
 
-    private Map<String, Long> times() {
-        Map<String, Long> times = new HashMap<>();
-        crashes.forEach((endpoint, known) -> times.put(endpoint, known.atMillis()));
-        return times;
+    /**
+     * Clears a cause on which an endpoint answered of the crashes known by now.
+     *
+     * @param cause the cause
+     * @param whole whether the response is complete; if not, it clears only of crashes at which no part had arrived
+     * @return the number of crashes at which it had been without any part of a response
+     */
+    public synchronized int cleared(Cause cause, boolean whole) {
+        Objects.requireNonNull(cause, "cause is null");
+        if (cause instanceof PromptPart part) {
+            answeredParts.add(part);
+        }
+        int unanswered = crashes.clearUnanswered(cause);
+        boolean changed = whole && crashes.clear(cause);
+        if (changed || unanswered > 0) {
+            detectPoisonCauses();
+        }
+        return unanswered;
     }
 
     // -- queries
@@ -334,7 +223,7 @@
     }
 
     private SuspicionLevel.Refused refused(PoisonCause poison) {
-        long sinceLastMillis = nowMillis - lastMillis(poison.crashes());
+        long sinceLastMillis = nowMillis - crashes.lastMillis(poison.crashes());
         return new SuspicionLevel.Refused(poison.causes(), poison.crashes().size(), memoryMillis - sinceLastMillis);
     }
 
@@ -343,32 +232,26 @@
         SuspicionLevel level = UNSUSPECTED;
         int most = 0;
         for (PromptPart part : request.parts()) {
-            int crashCount = answeredParts.contains(part) ? 0 : unexplained(part);
-            if (crashCount > most) {
-                most = crashCount;
-                level = new SuspicionLevel.Suspected(part, crashCount, untilReportedMillis(part));
+            int unexplained = answeredParts.contains(part) ? 0 : unexplained(part);
+            if (unexplained > most) {
+                most = unexplained;
+                level = new SuspicionLevel.Suspected(part, unexplained, untilReportedMillis(part));
             }
         }
-        int own = filter.quickDigests().contains(request.quick()) ? unexplained(request.digest()) : 0;
+        int own = filter.containsDigest(request) ? unexplained(request.digest()) : 0;
         return own > most
                 ? new SuspicionLevel.Suspected(request.digest(), own, untilReportedMillis(request.digest()))
                 : level;
     }
 
     private long untilReportedMillis(Cause cause) {
-        return Math.max(0, lastMillis(unanswered.get(cause)) + RecurrentCauses.REPORT_DELAY_MILLIS - nowMillis);
-    }
-
-    private long lastMillis(Set<String> crashedEndpoints) {
-        return crashedEndpoints.stream()
-                .mapToLong(endpoint -> crashes.get(endpoint).atMillis())
-                .max()
-                .orElseThrow();
+        long lastMillis = crashes.lastMillis(crashes.unanswered(cause));
+        return Math.max(0, lastMillis + RecurrentCauses.REPORT_DELAY_MILLIS - nowMillis);
     }
 
     /** Returns the number of a cause's crashes that no other poison cause explains. */
     private int unexplained(Cause cause) {
-        return (int) unanswered.getOrDefault(cause, Set.of()).stream()
+        return (int) crashes.unanswered(cause).stream()
                 .filter(endpoint -> poisonCauses
                         .explaining(endpoint)
                         .allMatch(poison -> poison.causes().contains(cause)))
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -102,6 +102,11 @@
         return sendStarted && !closed;
     }
 
+    /** Whether the request has been sent, and none of the response's body has arrived. */
+    boolean awaitsFirstData() {
+        return mayRun() && !slot.started();
+    }
+
     /** Cancels the attempt because its response is no longer needed. */
     void abandon(String reason) {
         if (!closed) {
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -329,7 +329,7 @@
     public void check() {
         if (remainingMillis() <= 0) {
             end("time is up");
-        } else if (!response.started() && suspicion() instanceof SuspicionLevel.Refused refused) {
+        } else if (awaitsFirstData() && suspicion() instanceof SuspicionLevel.Refused refused) {
             currentAttempt.ifPresent(this::cancelAttempt);
             refusePoisonRequest(SuspectAdmission.refusal(refused));
         } else {
@@ -337,6 +337,12 @@
         }
     }
 
+    /** Whether its endpoint may yet crash on it. The client may have the head, which shows only that it was accepted. */
+    private boolean awaitsFirstData() {
+        return !response.started()
+                || currentAttempt.filter(Attempt::awaitsFirstData).isPresent();
+    }
+
     private SuspicionLevel suspicion() {
         return context.suspects().suspicion(causes, context.nowMillis());
     }
--- a/src/test/java/org/micabarrow/process/HostedSoakTest.java
+++ b/src/test/java/org/micabarrow/process/HostedSoakTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -48,6 +49,9 @@
     private static final Duration WITHIN = Duration.ofSeconds(10);
     private static final List<String> CRASHING = List.of("ends whoever runs it", "does so too");
 
+    /** A part of prompts that ends whoever runs a request with it; harmless ones share the others. */
+    private static final String CRASHING_PART = "dead0001";
+
     /** Endpoints that are not made to leave and not killed, so that their limits hold for long; an agent is beside the second. */
     private static final List<String> SPARED = List.of("spared-plain", "spared-model");
 
@@ -96,6 +100,7 @@
 
         private final long seed;
         private final Random random;
+        private final Random promptRandom;
         private final HostedSystem platform = HostedSystem.start();
         private final HttpClient client = HttpClient.start("client", 2);
         private final HostedSettings beside;
@@ -131,8 +136,10 @@
         private Soak(long seed) throws IOException {
             this.seed = seed;
             this.random = new Random(seed);
+            this.promptRandom = new Random(~seed);
             this.storeFalls = seed % 2 == 1;
             CRASHING.forEach(platform::crashOnBody);
+            platform.crashOnPromptPart(CRASHING_PART);
             IntStream.range(0, PLAIN).forEach(i -> platform.addEndpoint("plain-" + i, "plain", 0));
             IntStream.range(0, MODELS).forEach(i -> platform.addEndpoint("model-" + i, "models", 1));
             IntStream.range(0, 2).forEach(i -> {
@@ -162,7 +169,7 @@
             for (int step = 0; step < STEPS; step++) {
                 double draw = random.nextDouble();
                 if (draw < 0.15) {
-                    ask(random.nextInt(ENTRIES), path(), CRASHING.get(random.nextInt(CRASHING.size())));
+                    ask(random.nextInt(ENTRIES), path(), CRASHING.get(random.nextInt(CRASHING.size())), harmlessPart());
                 } else if (draw < 0.21) {
                     leave();
                 } else if (draw < 0.28) {
@@ -184,6 +191,10 @@
                 } else if (draw < 0.5 && storeFalls && !silent) {
                     restoreStore();
                 }
+                if (promptRandom.nextDouble() < 0.15) {
+                    String path = PATHS.get(promptRandom.nextInt(PATHS.size()));
+                    ask(promptRandom.nextInt(ENTRIES), path, "prompt " + step, CRASHING_PART);
+                }
                 askMany();
             }
             silence(false);
@@ -221,6 +232,10 @@
             return random.nextBoolean() ? "hall-a" : "hall-b";
         }
 
+        private String harmlessPart() {
+            return "bbbb000" + promptRandom.nextInt(3);
+        }
+
         private String path() {
             return PATHS.get(random.nextInt(PATHS.size()));
         }
@@ -231,7 +246,8 @@
                 int entry = random.nextInt(ENTRIES);
                 String path = path();
                 String body = "harmless " + random.nextInt(1_000_000);
-                all.add(CompletableFuture.runAsync(() -> ask(entry, path, body)));
+                String part = harmlessPart();
+                all.add(CompletableFuture.runAsync(() -> ask(entry, path, body, part)));
             }
             all.forEach(CompletableFuture::join);
         }
@@ -312,15 +328,17 @@
             return settings.get(entry).instance().id() + "/" + requests;
         }
 
-        private void ask(int entry, String path, String body) {
+        private void ask(int entry, String path, String body, String part) {
             String id = nextId(entry);
             String clients = settings.get(entry).listen().clients().orElseThrow();
-            HttpCall call = HostedSystem.request(clients, path, id, body).withHeader("Deadline-Ms", "2000");
+            HttpCall call = HostedSystem.request(clients, path, id, body)
+                    .withHeader("Deadline-Ms", "2000")
+                    .withHeader("Prompt-Prefix", "aaaa0001:9," + part + ":9,cccc0001:9");
             HttpResponse answer =
                     client.call(call, WITHIN).toOptional().orElse(new HttpResponse(0, Map.of(), new byte[0]));
             statuses.put(id, answer.status());
             String text = new String(answer.body(), StandardCharsets.UTF_8);
-            if (!CRASHING.contains(body) && text.contains("it has ended")) {
+            if (!CRASHING.contains(body) && !part.equals(CRASHING_PART) && text.contains("it has ended")) {
                 wronglyRefused.add(id);
             }
         }
@@ -336,6 +354,10 @@
                     List.of(),
                     endedBy(path, body).stream().skip(mostEnds()).toList(),
                     "ended by " + path + ", seed " + seed + ", all " + endedBy(path, body) + course)));
+            assertEquals(
+                    List.of(),
+                    endedByPart().stream().skip(mostEnds()).toList(),
+                    "ended by the part, seed " + seed + ", all " + endedByPart() + course);
             platform.endpoints().forEach((id, endpoint) -> {
                 assertEquals(List.of(), afterLeaving(endpoint.received()), id + " leaves, seed " + seed);
                 assertEquals(List.of(), whileResting(endpoint.received()), id + " rests, seed " + seed);
@@ -392,9 +414,17 @@
         }
 
         private List<String> endedBy(String path, String body) {
+            return ended(
+                    request -> request.target().equals(path) && request.body().equals(body));
+        }
+
+        private List<String> endedByPart() {
+            return ended(request -> request.headers().get("Prompt-Prefix").contains(CRASHING_PART));
+        }
+
+        private List<String> ended(Predicate<ReceivedRequest> by) {
             return received()
-                    .filter(request -> request.target().equals(path))
-                    .filter(request -> request.body().equals(body))
+                    .filter(by)
                     .filter(request -> request.behaviour().isEmpty())
                     .sorted(Comparator.comparingLong(ReceivedRequest::receivedMillis))
                     .map(request -> request.receivedMillis() + " " + id(request))
