A response that reports an error clears nothing of crashes

Found by reading: the body of a 500 counted as the begin of an answer. An endpoint that fails a request before it begins to write would clear a poison part each time, and the count began anew.

Stand-in endpoints that are told to fail do so before they could crash.

--- a/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedEndpointStandin.java
@@ -83,7 +83,7 @@
         REFUSE_WITH_RETRY_AFTER,
         /** Answers 503 without stating that the request was not executed. */
         UNAVAILABLE,
-        /** Answers 500 with a signature. */
+        /** Answers 500 with a signature, before anything that could crash it. */
         FAIL,
         /** Closes the connection without answering. */
         RESET,
@@ -221,7 +221,8 @@
         String method = exchange.getRequestMethod().toString();
         String target = exchange.getRequestURI() + query;
         long now = MonotonicClock.millis();
-        boolean crashes = crashTrigger.crashIfTriggered(text, promptParts(headers));
+        boolean failsEarly = behaviours.peek() == Behaviour.FAIL;
+        boolean crashes = !failsEarly && crashTrigger.crashIfTriggered(text, promptParts(headers));
         Optional<Behaviour> behaviour = crashes ? Optional.empty() : Optional.of(nextBehaviour(exchange));
         received.add(new ReceivedRequest(method, target, headers, text, now, behaviour, draining));
         if (crashes) {
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -307,7 +307,7 @@
         }
         load.contact().dataReceived(context.nowMillis());
         if (!slot.started()) {
-            context.crashes().onResponse(served.causes(), false);
+            clearCauses(false);
         }
         // The head may arrive as soon as the endpoint accepts the request; only the first event shows that it has read
         // the prompt.
@@ -325,12 +325,19 @@
             onBrokenOff(truncation.get());
             return;
         }
-        context.crashes().onResponse(served.causes(), true);
+        clearCauses(true);
         progress.completed();
         release();
         relay.complete(endpoint);
     }
 
+    /** Records a response, unless it reports an error: the endpoint may have failed before it began to write an answer. */
+    private void clearCauses(boolean whole) {
+        if (!relay.reportsError()) {
+            context.crashes().onResponse(served.causes(), whole);
+        }
+    }
+
     @Override
     public void onFailed(Fault fault, boolean sent) {
         if (closed) {
--- a/src/main/java/org/micabarrow/serving/ResponseRelay.java
+++ b/src/main/java/org/micabarrow/serving/ResponseRelay.java
@@ -40,6 +40,11 @@
         return head.isPresent();
     }
 
+    /** Whether the response reports an error of the endpoint. */
+    boolean reportsError() {
+        return head.filter(known -> HeadClassification.isError(known.status())).isPresent();
+    }
+
     /**
      * Accepts the response head. The head of a stream of events is forwarded at once, unless the client already has one
      * or the endpoint reported an error.
--- a/src/test/java/org/micabarrow/serving/PoisonPromptPartTest.java
+++ b/src/test/java/org/micabarrow/serving/PoisonPromptPartTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.micabarrow.Await;
+import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.process.HostedEntryProcess;
 import org.micabarrow.settings.HostedSettings;
@@ -111,6 +112,20 @@
         assertEquals(before, platform.crashCount());
     }
 
+    /** Guards against a part being cleared by an endpoint that failed before it began to write an answer. */
+    @Test
+    void shouldRefuseAllTheSameWhenEndpointsFailInBetween() throws Exception {
+        HostedSettings entry = entry();
+        for (int round = 0; round < 10; round++) {
+            sendWith(entry, "aaaa0001", POISON);
+            platform.enqueueBehaviour(Behaviour.FAIL);
+            sendWith(entry, "aaaa0001", POISON);
+            assertServed(entry, "aaaa0001");
+        }
+        assertTrue(platform.crashCount() <= MAX_CRASHES, () -> "crashed endpoints: " + platform.crashCount());
+        assertEquals(503, sendWith(entry, "aaaa0001", POISON));
+    }
+
     /** The last part belongs to the request, and a single one is the last. */
     @Test
     void shouldServeWhenPartIsTheLastOfItsPrompt() throws Exception {
