Only whole answers make a part known as harmless; parts are refused on conclusive crashes only

An endpoint may send an event before it crashes. A part of an answer still clears the crashes without any, as for requests, but no longer makes its part one that is never isolated.

Four crashes with one sole suffice for a request, which runs at one endpoint at a time; a part runs at several, so that only conclusive crashes count against it.

--- a/src/main/java/org/micabarrow/crashes/AnsweredParts.java
+++ b/src/main/java/org/micabarrow/crashes/AnsweredParts.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /**
- * The parts of prompts that endpoints have responded to, the most recent ones. Not thread-safe: guarded by its {@link
+ * The parts of prompts on which endpoints have given whole answers, the most recent ones. Not thread-safe: guarded by its {@link
  * CrashRegistry}.
  */
 final class AnsweredParts {
--- a/src/main/java/org/micabarrow/crashes/CompetingCauses.java
+++ b/src/main/java/org/micabarrow/crashes/CompetingCauses.java
@@ -46,16 +46,16 @@
     /**
      * A part explains the crashes of all requests that hold it, and the crashes of other suspects if it was involved in
      * more than these. Parts that were involved in the same crashes are judged together. A part that endpoints have
-     * responded to has no such precedence.
+     * answered on has no such precedence.
      */
     private boolean competesWithPart(Cause other, PromptPart part) {
         if (other instanceof RequestDigest request && evidence.holds(request, part)) {
             return false;
         }
-        if (evidence.answered().contains(part)) {
+        if (evidence.answeredParts().contains(part)) {
             return true;
         }
-        if (other instanceof PromptPart && evidence.answered().contains(other)) {
+        if (evidence.answeredParts().contains(other)) {
             return false;
         }
         Set<String> own = suspects.getOrDefault(part, Set.of());
--- a/src/main/java/org/micabarrow/crashes/CrashEvidence.java
+++ b/src/main/java/org/micabarrow/crashes/CrashEvidence.java
@@ -7,14 +7,15 @@
  * The known crashes, by the possible causes that were involved in them.
  *
  * @param crashes the crashes that count against each cause
- * @param answered the causes on which a part of a response has arrived: before the first of these crashes for a part of
- *     prompts, since then for a request
+ * @param partlyAnswered the causes to which a part of a response has arrived since the first of these crashes
+ * @param answeredParts the parts of prompts on which endpoints have answered at any time
  * @param times the time of each crash on the monotonic clock, in milliseconds
  * @param parts the shared parts of the prompts of the requests involved
  */
 record CrashEvidence(
         Map<Cause, Set<String>> crashes,
-        Set<Cause> answered,
+        Set<Cause> partlyAnswered,
+        Set<Cause> answeredParts,
         Map<String, Long> times,
         Map<RequestDigest, Set<PromptPart>> parts) {
 
@@ -29,6 +30,7 @@
      */
     boolean isNarrowedToOneRequest(PromptPart part, Set<String> involved) {
         return crashes.entrySet().stream()
+                .filter(entry -> entry.getValue().size() >= involved.size())
                 .anyMatch(entry -> entry.getKey() instanceof RequestDigest request
                         && holds(request, part)
                         && entry.getValue().containsAll(involved));
--- a/src/main/java/org/micabarrow/crashes/CrashRegistry.java
+++ b/src/main/java/org/micabarrow/crashes/CrashRegistry.java
@@ -139,7 +139,8 @@
      */
     public Set<Cause> answered(RequestCauses request, boolean whole) {
         Objects.requireNonNull(request, "request is null");
-        return request.parts().isEmpty() && !filter.mayBeInvolved(request) ? Set.of() : recordAnswer(request, whole);
+        boolean isNews = whole && !request.parts().isEmpty();
+        return isNews || filter.mayBeInvolved(request) ? recordAnswer(request, whole) : Set.of();
     }
 
     private synchronized Set<Cause> recordAnswer(RequestCauses request, boolean whole) {
@@ -166,7 +167,7 @@
      */
     public synchronized int cleared(Cause cause, boolean whole) {
         Objects.requireNonNull(cause, "cause is null");
-        if (cause instanceof PromptPart part) {
+        if (whole && cause instanceof PromptPart part) {
             answeredParts.add(part);
         }
         int unanswered = crashes.clearUnanswered(cause);
--- a/src/main/java/org/micabarrow/crashes/KnownCrashes.java
+++ b/src/main/java/org/micabarrow/crashes/KnownCrashes.java
@@ -137,7 +137,7 @@
     /**
      * Returns a view of all causes and their crashes.
      *
-     * @param answeredParts the parts of prompts that endpoints have responded to at any time
+     * @param answeredParts the parts of prompts on which endpoints have answered at any time
      */
     PoisonCauses.Involvement involvement(Set<Cause> answeredParts) {
         Map<String, Long> times = new HashMap<>();
--- a/src/main/java/org/micabarrow/crashes/PoisonCauses.java
+++ b/src/main/java/org/micabarrow/crashes/PoisonCauses.java
@@ -35,7 +35,7 @@
      *
      * @param unanswered for each cause, the crashes since any part of a response to it
      * @param involved for each cause, the crashes since its last complete response
-     * @param answeredParts the parts of prompts that endpoints have responded to at any time
+     * @param answeredParts the parts of prompts on which endpoints have answered at any time
      * @param times the time of each crash on the monotonic clock, in milliseconds
      * @param parts the shared parts of the prompts of the requests involved
      */
@@ -51,7 +51,7 @@
         }
 
         private CrashEvidence sinceAnyResponse() {
-            return new CrashEvidence(unanswered, answeredParts, times, parts);
+            return new CrashEvidence(unanswered, Set.of(), answeredParts, times, parts);
         }
 
         /**
@@ -60,15 +60,15 @@
          */
         private CrashEvidence counted() {
             Map<Cause, Set<String>> counted = new HashMap<>(unanswered);
-            Set<Cause> answered = new HashSet<>(answeredParts);
+            Set<Cause> partlyAnswered = new HashSet<>();
             involved.forEach((cause, crashes) -> {
                 boolean enough = unanswered.getOrDefault(cause, Set.of()).size() >= PoisonDetector.MIN_CRASHES;
                 if (!enough && crashes.size() > PoisonDetector.MIN_CRASHES) {
                     counted.put(cause, crashes);
-                    answered.add(cause);
+                    partlyAnswered.add(cause);
                 }
             });
-            return new CrashEvidence(counted, answered, times, parts);
+            return new CrashEvidence(counted, partlyAnswered, answeredParts, times, parts);
         }
     }
 
--- a/src/main/java/org/micabarrow/crashes/PoisonDetector.java
+++ b/src/main/java/org/micabarrow/crashes/PoisonDetector.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 /**
  * Detects the causes that explain endpoint crashes. A crash affects all requests in flight at the endpoint, so harmless
@@ -25,10 +24,10 @@
     /** Minimum number of these crashes without a competing cause that was involved in several crashes. */
     private static final int MIN_SOLE_CRASHES = 2;
 
-    /** Number of crashes from which a single one without another suspect suffices. */
+    /** Number of crashes of a request, which runs at one endpoint at a time, from which a single sole one suffices. */
     private static final int MIN_CRASHES_WITH_ONE_SOLE = 4;
 
-    /** Minimum time between the first and the last crash if endpoints have responded to the cause, in milliseconds. */
+    /** Minimum time between the first and the last crash of a part on which endpoints have answered, in milliseconds. */
     private static final long MIN_ANSWERED_SPAN_MILLIS = 2_000;
 
     /**
@@ -95,24 +94,33 @@
     /** Joins a part with those that were involved in the same crashes. */
     private PoisonCause withInseparable(Cause cause) {
         Set<String> crashes = unexplained.get(cause);
-        if (cause instanceof RequestDigest) {
-            return new PoisonCause(Set.of(cause), crashes);
-        }
-        Set<Cause> causes = unexplained.entrySet().stream()
-                .filter(other ->
-                        other.getKey() instanceof PromptPart && other.getValue().equals(crashes))
-                .map(Map.Entry::getKey)
-                .filter(other -> evidence.answered().contains(other)
-                        == evidence.answered().contains(cause))
-                .collect(Collectors.toSet());
+        Set<Cause> causes = new HashSet<>(Set.of(cause));
+        unexplained.forEach((other, others) -> {
+            if (others.equals(crashes) && areAlike(cause, other)) {
+                causes.add(other);
+            }
+        });
         return new PoisonCause(causes, crashes);
     }
 
+    private boolean areAlike(Cause cause, Cause other) {
+        return cause instanceof PromptPart
+                && other instanceof PromptPart
+                && evidence.answeredParts().contains(cause)
+                        == evidence.answeredParts().contains(other);
+    }
+
     // -- suspects
 
     /** A cause that was involved in several unexplained crashes. */
     private record Suspect(
-            Cause cause, int crashes, int soleCrashes, double chance, boolean answered, long spanMillis) {
+            Cause cause,
+            int crashes,
+            int soleCrashes,
+            double chance,
+            boolean partlyAnswered,
+            boolean answeredPart,
+            long spanMillis) {
 
         /** Whether the cause is unlikely to have been involved by chance or only because of another suspect. */
         private boolean conclusive() {
@@ -120,13 +128,14 @@
         }
 
         private boolean isPoison() {
-            if (answered) {
+            if (partlyAnswered || answeredPart) {
                 return conclusive()
                         && soleCrashes >= MIN_CRASHES
                         && crashes > MIN_CRASHES
-                        && spanMillis >= MIN_ANSWERED_SPAN_MILLIS;
+                        && (!answeredPart || spanMillis >= MIN_ANSWERED_SPAN_MILLIS);
             }
-            return conclusive() || crashes >= MIN_CRASHES_WITH_ONE_SOLE && soleCrashes > 0;
+            boolean isRequest = cause instanceof RequestDigest;
+            return conclusive() || isRequest && crashes >= MIN_CRASHES_WITH_ONE_SOLE && soleCrashes > 0;
         }
     }
 
@@ -136,17 +145,13 @@
                 .filter(candidate -> candidate.getValue().size() >= MIN_CRASHES)
                 .map(candidate -> suspect(candidate.getKey(), candidate.getValue(), competing))
                 .filter(Suspect::isPoison)
-                .max(Comparator.comparing((Suspect suspect) -> !isAnsweredPart(suspect.cause()))
+                .max(Comparator.comparing((Suspect suspect) -> !suspect.answeredPart())
                         .thenComparing(Suspect::conclusive)
                         .thenComparingInt(Suspect::crashes)
                         .thenComparingInt(Suspect::soleCrashes)
                         .thenComparing(suspect -> suspect.cause().description()));
     }
 
-    private boolean isAnsweredPart(Cause cause) {
-        return cause instanceof PromptPart && evidence.answered().contains(cause);
-    }
-
     private Suspect suspect(Cause cause, Set<String> crashes, CompetingCauses competing) {
         int soleCrashes = (int)
                 crashes.stream().filter(crash -> competing.isSole(cause, crash)).count();
@@ -155,7 +160,8 @@
                 crashes.size(),
                 soleCrashes,
                 chance(crashes),
-                evidence.answered().contains(cause),
+                evidence.partlyAnswered().contains(cause),
+                evidence.answeredParts().contains(cause),
                 evidence.spanMillis(crashes));
     }
 
--- a/src/main/java/org/micabarrow/crashes/RecurrentCauses.java
+++ b/src/main/java/org/micabarrow/crashes/RecurrentCauses.java
@@ -11,7 +11,7 @@
  * The causes that were involved in endpoint crashes again and again without any part of a response since. They are
  * judged by all of their crashes, including those that another poison cause explains: where several poison causes crash
  * the same endpoints, attributing each crash to one of them leaves too few to the others. Parts of prompts that
- * endpoints have responded to are not among them.
+ * endpoints have answered on are not among them.
  */
 final class RecurrentCauses {
 
@@ -59,7 +59,7 @@
         return crashes.size() > 1
                 && evidence.spanMillis(crashes) >= MIN_SPAN_MILLIS
                 && !(cause instanceof PromptPart part
-                        && (evidence.answered().contains(part) || evidence.isNarrowedToOneRequest(part, crashes)));
+                        && (evidence.answeredParts().contains(part) || evidence.isNarrowedToOneRequest(part, crashes)));
     }
 
     /**
--- a/src/main/java/org/micabarrow/crashes/SuspectIsolation.java
+++ b/src/main/java/org/micabarrow/crashes/SuspectIsolation.java
@@ -14,7 +14,7 @@
  * crashes endpoints only one at a time. A request that was involved in one crash is sent to an endpoint without other
  * suspects of this process if possible; most such requests are harmless and must not wait. A request that was involved
  * in more crashes is sent only to such endpoints, one attempt at a time, and all processes try endpoints for it in the
- * same order. The same holds from the first crash for requests with a part that no endpoint has responded to. Not
+ * same order. The same holds from the first crash for requests with a part on which no endpoint has answered. Not
  * thread-safe: confined to one thread.
  */
 public final class SuspectIsolation {
--- a/src/main/java/org/micabarrow/process/CrashSharing.java
+++ b/src/main/java/org/micabarrow/process/CrashSharing.java
@@ -36,7 +36,7 @@
     /** The interval between removals of outdated records, in milliseconds. */
     private static final long CLEANUP_INTERVAL_MILLIS = 10_000;
 
-    /** The maximum number of records in one call: with 256 digests each, well below the store's limit. */
+    /** The maximum number of records in one call: with 256 digests and 1,024 parts each, half of the store's limit. */
     private static final int MAX_RECORDS_PER_CALL = 50;
 
     /**
--- a/src/test/java/org/micabarrow/play/PromptPartPlayTest.java
+++ b/src/test/java/org/micabarrow/play/PromptPartPlayTest.java
@@ -67,6 +67,12 @@
         assertAim(endpoints, 0, new PlayedPrompts.Setting(true, 1, false, 1));
     }
 
+    @ParameterizedTest
+    @CsvSource({"12", "30"})
+    void shouldRefusePromptsWithPoisonPartsWhenEndpointsBeginAnswersBeforeTheyEnd(int endpoints) {
+        assertAim(endpoints, 0, new PlayedPrompts.Setting(true, 1, false, 0, true));
+    }
+
     private static void assertAim(int endpoints, int crashers, PlayedPrompts.Setting prompts) {
         long harmless = 0;
         long refused = 0;
