Parts on which endpoints have answered do not stand beside other causes; a part that was begun on is not counted

Found by reading. A part that nearly all prompts hold is at every crash of a poison request, and at others. Until its next answer it competed with the request for all of its crashes, so that none was sole (PromptPartCrashesTest.shouldRefuseRequestWhenItsPartsArePopular). And whether a crash counted against a part of which one request was unanswered and another begun there depended on which process reported first (shouldNotCountCrashWhenEndpointHadBegunAnotherAnswerOnPart); the endpoint had survived it, so that it does not count.

Both tests were not run without the change.

--- a/src/main/java/org/micabarrow/crashes/CompetingCauses.java
+++ b/src/main/java/org/micabarrow/crashes/CompetingCauses.java
@@ -32,34 +32,39 @@
                 .noneMatch(other -> !other.equals(cause) && competes(other, cause));
     }
 
+    /**
+     * Returns whether another suspect is as good an explanation of a crash as a cause. A part on which endpoints have
+     * answered is none beside causes on which none has.
+     */
     private boolean competes(Cause other, Cause cause) {
+        boolean isAnswered = evidence.answeredParts().contains(cause);
+        if (!isAnswered && evidence.answeredParts().contains(other)) {
+            return false;
+        }
         return switch (cause) {
             case RequestDigest request ->
-                !(other instanceof PromptPart part)
-                        || !evidence.holds(request, part)
-                        || suspects.get(part).size()
-                                > suspects.getOrDefault(request, Set.of()).size();
-            case PromptPart part -> competesWithPart(other, part);
+                !(other instanceof PromptPart part) || !evidence.holds(request, part) || explainsMore(part, request);
+            case PromptPart part ->
+                !(other instanceof RequestDigest request && evidence.holds(request, part))
+                        && (isAnswered || !explainsAllOf(part, other));
         };
     }
 
+    /** Returns whether a part was involved in more crashes than a request that holds it. */
+    private boolean explainsMore(PromptPart part, RequestDigest request) {
+        return crashes(part).size() > crashes(request).size();
+    }
+
     /**
-     * A part explains the crashes of all requests that hold it, and the crashes of other suspects if it was involved in
-     * more than these. Parts that were involved in the same crashes are judged together. A part that endpoints have
-     * answered on has no such precedence.
+     * Returns whether a part was involved in all crashes of another cause and in more, or in the same as another part;
+     * such parts are judged together.
      */
-    private boolean competesWithPart(Cause other, PromptPart part) {
-        if (other instanceof RequestDigest request && evidence.holds(request, part)) {
-            return false;
-        }
-        if (evidence.answeredParts().contains(part)) {
-            return true;
-        }
-        if (evidence.answeredParts().contains(other)) {
-            return false;
-        }
-        Set<String> own = suspects.getOrDefault(part, Set.of());
-        Set<String> others = suspects.get(other);
-        return !own.containsAll(others) || others.size() == own.size() && other instanceof RequestDigest;
+    private boolean explainsAllOf(PromptPart part, Cause other) {
+        boolean hasMore = crashes(part).size() > crashes(other).size();
+        return crashes(part).containsAll(crashes(other)) && (hasMore || other instanceof PromptPart);
+    }
+
+    private Set<String> crashes(Cause cause) {
+        return suspects.getOrDefault(cause, Set.of());
     }
 }
--- a/src/main/java/org/micabarrow/crashes/KnownCrashes.java
+++ b/src/main/java/org/micabarrow/crashes/KnownCrashes.java
@@ -34,23 +34,35 @@
     boolean add(EndpointCrash crash, long atMillis) {
         boolean isNew = !byEndpoint.containsKey(crash.endpoint());
         byEndpoint.computeIfAbsent(crash.endpoint(), endpoint -> new KnownCrash(atMillis));
-        crash.unanswered().forEach(request -> addInvolved(crash, request, true));
-        crash.partlyAnswered().forEach(request -> addInvolved(crash, request, false));
+        crash.unanswered().forEach(request -> addUnanswered(crash, request));
+        crash.partlyAnswered().forEach(request -> addPartlyAnswered(crash, request));
         return isNew;
     }
 
-    private void addInvolved(EndpointCrash crash, RequestDigest request, boolean isUnanswered) {
+    private void addUnanswered(EndpointCrash crash, RequestDigest request) {
+        addInvolved(crash, request).forEach(cause -> add(unanswered, cause, crash.endpoint()));
+    }
+
+    /** The endpoint had survived the parts of such a request's prompt, whatever other requests with them were there. */
+    private void addPartlyAnswered(EndpointCrash crash, RequestDigest request) {
+        addInvolved(crash, request);
+        crash.partsOf(request).forEach(part -> remove(unanswered, part, crash.endpoint()));
+    }
+
+    /** Adds the causes in a request, and returns those that were not known to be involved. */
+    private List<Cause> addInvolved(EndpointCrash crash, RequestDigest request) {
         Set<PromptPart> own = crash.partsOf(request);
         if (!own.isEmpty()) {
             parts.computeIfAbsent(request, key -> new HashSet<>()).addAll(own);
         }
         KnownCrash known = byEndpoint.get(crash.endpoint());
-        Stream.concat(Stream.of(request), own.stream()).filter(known::add).forEach(cause -> {
-            add(involved, cause, crash.endpoint());
-            if (isUnanswered) {
-                add(unanswered, cause, crash.endpoint());
-            }
-        });
+        List<Cause> added = causes(crash, request).filter(known::add).toList();
+        added.forEach(cause -> add(involved, cause, crash.endpoint()));
+        return added;
+    }
+
+    private static Stream<Cause> causes(EndpointCrash crash, RequestDigest request) {
+        return Stream.concat(Stream.of(request), crash.partsOf(request).stream());
     }
 
     private static void add(Map<Cause, Set<String>> crashesByCause, Cause cause, String endpoint) {
--- a/src/test/java/org/micabarrow/crashes/PromptPartCrashesTest.java
+++ b/src/test/java/org/micabarrow/crashes/PromptPartCrashesTest.java
@@ -11,6 +11,8 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Parts of prompts as causes of crashes, beside the requests that hold them. */
 class PromptPartCrashesTest {
@@ -134,6 +136,35 @@
         assertInstanceOf(SuspicionLevel.Refused.class, suspicion(500, request("other", POISON)));
     }
 
+    /** Guards against a verdict that depends on which process reports a crash first. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void shouldNotCountCrashWhenEndpointHadBegunAnotherAnswerOnPart(boolean begunFirst) {
+        for (int i = 0; i < 3; i++) {
+            RequestCauses request = request("begun " + i, SELDOM);
+            EndpointCrash begun = new EndpointCrash(
+                    "e" + i, Set.of(), Set.of(request.digest()), Map.of(request.digest(), request.parts()));
+            if (begunFirst) {
+                registry.crashed(begun, 100 * i);
+            }
+            crash("e" + i, 100 * i, request("unanswered " + i, SELDOM));
+            registry.crashed(begun, 100 * i);
+        }
+        assertEquals(Set.of(), registry.refused());
+        assertUnsuspected(300, request("new", SELDOM));
+    }
+
+    /** Guards against a poison request being served on since parts that nearly all prompts hold were beside it. */
+    @Test
+    void shouldRefuseRequestWhenItsPartsArePopular() {
+        registry.answered(request("earlier", POPULAR), true);
+        for (int i = 0; i < 3; i++) {
+            crash("e" + i, 100 * i, request("poison", POPULAR));
+        }
+        crash("killed", 250, request("another", POPULAR));
+        assertEquals(Set.of(digest("poison")), registry.refused());
+    }
+
     @Test
     void shouldTellApartWhenOneOfTwoPartsCrashesWithoutTheOther() {
         threeCrashes(POISON, SELDOM);
