--- a/src/main/java/org/micabarrow/crashes/EndpointCrash.java
+++ b/src/main/java/org/micabarrow/crashes/EndpointCrash.java
@@ -41,31 +41,24 @@
         this(endpoint, unanswered, partlyAnswered, Map.of());
     }
 
-    /**
-     * Returns the id under which the crash of one start of an endpoint is known.
-     *
-     * @param start the start
-     * @return the endpoint's id, with the time of the start if that is known
-     */
-    public static String idOf(EndpointStart start) {
-        Objects.requireNonNull(start, "start is null");
-        return start.id()
-                + (start.startedMillis().isPresent()
-                        ? "@" + start.startedMillis().getAsLong()
-                        : "");
-    }
-
     /**
      * Creates the crash of one start of an endpoint.
      *
      * @param start the start
      * @param unanswered the requests in flight of whose responses nothing had arrived
      * @param partlyAnswered those of whose responses a part had arrived
+     * @param parts the shared parts of their prompts
      * @return the crash
      */
     public static EndpointCrash of(
-            EndpointStart start, Set<RequestDigest> unanswered, Set<RequestDigest> partlyAnswered) {
-        return new EndpointCrash(idOf(start), unanswered, partlyAnswered);
+            EndpointStart start,
+            Set<RequestDigest> unanswered,
+            Set<RequestDigest> partlyAnswered,
+            Map<RequestDigest, Set<PromptPart>> parts) {
+        Objects.requireNonNull(start, "start is null");
+        String startSuffix =
+                start.startedMillis().isPresent() ? "@" + start.startedMillis().getAsLong() : "";
+        return new EndpointCrash(start.id() + startSuffix, unanswered, partlyAnswered, parts);
     }
 
     /**
--- a/src/main/java/org/micabarrow/serving/CrashDetector.java
+++ b/src/main/java/org/micabarrow/serving/CrashDetector.java
@@ -81,7 +81,7 @@
         }
 
         private EndpointCrash toCrash(EndpointStart start) {
-            return new EndpointCrash(EndpointCrash.idOf(start), notBegun, begun, parts);
+            return EndpointCrash.of(start, notBegun, begun, parts);
         }
     }
 
--- a/src/test/java/org/micabarrow/play/CrashPlay.java
+++ b/src/test/java/org/micabarrow/play/CrashPlay.java
@@ -381,8 +381,7 @@
                         parts.put(run.request.digest(), run.request.parts());
                     });
                     if (!aboard.isEmpty() || !begun.isEmpty()) {
-                        EndpointCrash crash =
-                                new EndpointCrash(EndpointCrash.idOf(ended.start()), aboard, begun, parts);
+                        EndpointCrash crash = EndpointCrash.of(ended.start(), aboard, begun, parts);
                         events.after(SURE_MILLIS, () -> one.saw(crash));
                     }
                 }
