Plays of prompt parts say what callers saw; a malformed list is forwarded as it came

The message of a failing play names the endpoints ended in all, the harmless requests served, those without room and those that were isolated, beside the bound. Checks and bounds as they were.

PoisonPromptPartTest.shouldForwardListAsItCameWhenItIsMalformed passes (no failure before: a guard).

--- a/src/test/java/org/micabarrow/play/PromptPartPlayTest.java
+++ b/src/test/java/org/micabarrow/play/PromptPartPlayTest.java
@@ -30,14 +30,19 @@
     /** The part of harmless requests that begin at once although poison ones still come. */
     private static final double BEGUN = 0.95;
 
+    /** What callers feel, whatever holds. */
+    private static String describe(CrashSetting setting, CrashOutcome outcome) {
+        return setting + ": ended " + outcome.endedByPart + ", sent late " + outcome.sentLate + ", served "
+                + outcome.harmlessServed + " of " + outcome.harmless + " harmless ones, without room "
+                + outcome.harmlessWaitedInVain + ", of these isolated " + outcome.harmlessIsolatedInVain
+                + ", begun at once " + outcome.harmlessLateBegun + " of " + outcome.harmlessLate;
+    }
+
     private static void assertAim(CrashSetting setting, CrashOutcome outcome) {
-        outcome.sentLate.forEach(
-                (part, sent) -> assertTrue(sent <= MAX_SENT_LATE, () -> setting + ": " + outcome.sentLate));
-        outcome.endedByPart.forEach(
-                (part, ended) -> assertTrue(ended <= MAX_ENDED, () -> setting + ": " + outcome.endedByPart));
-        assertTrue(
-                outcome.harmlessLateBegun >= BEGUN * outcome.harmlessLate,
-                () -> setting + ": " + outcome.harmlessLateBegun + " of " + outcome.harmlessLate + " begun at once");
+        String seen = describe(setting, outcome);
+        outcome.sentLate.values().forEach(sent -> assertTrue(sent <= MAX_SENT_LATE, seen));
+        outcome.endedByPart.values().forEach(ended -> assertTrue(ended <= MAX_ENDED, seen));
+        assertTrue(outcome.harmlessLateBegun >= BEGUN * outcome.harmlessLate, seen);
     }
 
     @ParameterizedTest
--- a/src/test/java/org/micabarrow/serving/PoisonPromptPartTest.java
+++ b/src/test/java/org/micabarrow/serving/PoisonPromptPartTest.java
@@ -126,6 +126,20 @@
         assertEquals(503, sendWith(entry, "aaaa0001", POISON));
     }
 
+    @Test
+    void shouldForwardListAsItCameWhenItIsMalformed() throws Exception {
+        HostedSettings entry = entry();
+        String list = "aaaa0001:100,,no part," + "bbbb0001:1,".repeat(200) + "cccc0001:20";
+        HttpCall call = HostedSystem.request(entry.listen().clients().orElseThrow(), "/stream/x", "odd", "odd")
+                .withHeader("Prompt-Prefix", list);
+        assertEquals(200, client.call(call, TIMEOUT).toOptional().orElseThrow().status());
+        List<String> received = platform.endpoints().values().stream()
+                .flatMap(endpoint -> endpoint.received().stream())
+                .map(request -> request.headers().get("Prompt-Prefix"))
+                .toList();
+        assertEquals(List.of(list), received);
+    }
+
     /** The last part belongs to the request, and a single one is the last. */
     @Test
     void shouldServeWhenPartIsTheLastOfItsPrompt() throws Exception {
