--- a/src/main/java/org/micabarrow/platform/AskedRead.java
+++ b/src/main/java/org/micabarrow/platform/AskedRead.java
@@ -1,6 +1,7 @@
 package org.micabarrow.platform;
 
 import java.util.OptionalLong;
+import org.micabarrow.views.NamingTime;
 
 /**
  * A read of a topic's records that the store was asked for.
@@ -28,4 +29,19 @@
         boolean delayedForWholeWait = readTo == from && nowMillis - sentMillis >= waitMillis;
         return OptionalLong.of(delayedForWholeWait ? sentMillis + waitMillis : sentMillis);
     }
+
+    /**
+     * Returns a time before which none of the records of an answer was written. The store answers as soon as there is a record, so
+     * if it took longer than a delivery does, there was none when the read arrived; and a process that was not paused has the
+     * answer within the time of a delivery.
+     *
+     * @param nowMillis the time at which the answer arrived
+     * @param attentiveUntilMillis the time until which the process had handled what reached it
+     * @return the time, empty if the records may have been there when the read arrived
+     */
+    OptionalLong notBefore(long nowMillis, long attentiveUntilMillis) {
+        return waitMillis > 0 && nowMillis - sentMillis >= NamingTime.MAX_DELIVERY_MILLIS
+                ? OptionalLong.of(Math.max(sentMillis, attentiveUntilMillis - NamingTime.MAX_DELIVERY_MILLIS))
+                : OptionalLong.empty();
+    }
 }
--- a/src/main/java/org/micabarrow/platform/StoreClient.java
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -15,6 +15,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
+import java.util.function.LongUnaryOperator;
 import org.micabarrow.clock.MonotonicClock;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
@@ -56,6 +57,7 @@
     private final String base;
     private final Duration within;
     private final LongSupplier steadyMillis;
+    private final LongUnaryOperator attentiveUntil;
     private final AtomicLong skipped = new AtomicLong();
 
     /**
@@ -66,7 +68,7 @@
      * @param within how long the store may send nothing beyond the requested wait
      */
     public StoreClient(HttpClient caller, String address, Duration within) {
-        this(caller, address, within, MonotonicClock::millis);
+        this(caller, address, within, MonotonicClock::millis, now -> now);
     }
 
     /**
@@ -76,12 +78,19 @@
      * @param address the store's host and port
      * @param within how long the store may send nothing beyond the requested wait
      * @param steadyMillis a monotonic clock, in milliseconds
+     * @param attentiveUntil returns until when, as of a time on that clock, this process had handled what reached it
      */
-    public StoreClient(HttpClient caller, String address, Duration within, LongSupplier steadyMillis) {
+    public StoreClient(
+            HttpClient caller,
+            String address,
+            Duration within,
+            LongSupplier steadyMillis,
+            LongUnaryOperator attentiveUntil) {
         this.caller = Objects.requireNonNull(caller, "caller is null");
         this.base = "http://" + Objects.requireNonNull(address, "address is null");
         this.within = Objects.requireNonNull(within, "within is null");
         this.steadyMillis = Objects.requireNonNull(steadyMillis, "steadyMillis is null");
+        this.attentiveUntil = Objects.requireNonNull(attentiveUntil, "attentiveUntil is null");
     }
 
     private static String topicName(Topic topic) {
@@ -268,10 +277,13 @@
                 return Result.success(new Read.Expired());
             }
             Batch batch = batch(topic, bytes, asked.from());
-            OptionalLong asOf = asked.asOf(batch.end(), end, steadyMillis.getAsLong());
+            long now = steadyMillis.getAsLong();
+            OptionalLong asOf = asked.asOf(batch.end(), end, now);
+            OptionalLong notBefore = asked.notBefore(now, attentiveUntil.applyAsLong(now));
             return end < asked.from()
                     ? corrupt(call, "the topic ends at " + end + ", before " + asked.from())
-                    : Result.success(new Read.Records(new Batch(batch.records(), batch.end(), asOf)));
+                    : Result.success(
+                            new Read.Records(new Batch(batch.records(), batch.end(), asOf, notBefore, List.of())));
         } catch (BufferUnderflowException e) {
             return corrupt(call, "the answer breaks off within a record");
         } catch (IllegalArgumentException e) {
--- a/src/main/java/org/micabarrow/platform/VersionRecords.java
+++ b/src/main/java/org/micabarrow/platform/VersionRecords.java
@@ -75,7 +75,7 @@
                 EraOffset.of(JsonFields.longOr(json, ERA, 0), JsonFields.whole(json, OFFSET, 0)));
     }
 
-    /** The Unix time in milliseconds at which the writer of a record learned of its version; empty if not stated. */
+    /** The Unix time in milliseconds at which the version was named, as far as the writer knew; empty if not stated. */
     static OptionalLong namedMillis(JsonNode json) {
         return json.has(NAMED) ? OptionalLong.of(JsonFields.whole(json, NAMED, 0)) : OptionalLong.empty();
     }
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.stream.Stream;
 import org.micabarrow.admission.ClassAllotment;
 import org.micabarrow.admission.SlotAllotment;
@@ -65,15 +66,6 @@
      */
     private static final long READ_BACK_INTERVAL_MILLIS = 300;
 
-    /**
-     * Minimum pause of the process that is logged, in milliseconds: the shortest silence of an agent that entries
-     * tolerate. Ordinary scheduling delays are shorter.
-     */
-    private static final long MIN_REPORTED_PAUSE_MILLIS = 400;
-
-    /** Interval between checks for pauses of the process, in milliseconds. */
-    private static final long PAUSE_CHECK_INTERVAL_MILLIS = 200;
-
     /**
      * Number of agents per region that record published weight versions in the store; one may be disconnected from it.
      */
@@ -164,7 +156,6 @@
         RepeatedTasks.start("fetch", ACTIVE_INTERVAL_MILLIS, replica::fetch);
         RepeatedTasks.start("replica", this::replicaIntervalMillis, replica::step);
         RepeatedTasks.start("read-back", READ_BACK_INTERVAL_MILLIS, replica::readBack);
-        RepeatedTasks.start("standstill", PAUSE_CHECK_INTERVAL_MILLIS, new PauseDetector());
         LOG.info(
                 "event=started role=agent instance={} countsSuspensions={}",
                 settings.instance().id(),
@@ -198,31 +189,13 @@
         }
     }
 
-    /**
-     * Logs pauses of the process, for example when the instance was suspended, to explain the reports of entries and
-     * endpoints for that time.
-     */
-    private final class PauseDetector implements RepeatedTasks.Task {
-
-        private long lastMillis = HostedNode.steadyMillis();
-
-        @Override
-        public void run() {
-            long now = HostedNode.steadyMillis();
-            long pauseMillis = now - lastMillis - PAUSE_CHECK_INTERVAL_MILLIS;
-            lastMillis = now;
-            if (pauseMillis >= MIN_REPORTED_PAUSE_MILLIS) {
-                LOG.warn(
-                        "event=stood_still ms={} endpoint={}",
-                        pauseMillis,
-                        settings.endpoint().orElse("-"));
-            }
-        }
-    }
-
     /** Handles the newest store offsets that an entry announced. */
-    private void onStoreUpdate(String entry, StoreUpdate update) {
-        reader.onUpdate(entry, update.changes(), HostedNode.steadyMillis() - update.knownMillisAgo());
+    private void onStoreUpdate(String entry, StoreUpdate update, OptionalLong asOfMillis) {
+        asOfMillis.ifPresent(asOf -> {
+            reader.onUpdate(entry, update.changes(), asOf);
+            // Where the entry knows of no weight version that this agent lacks, none was named until then.
+            node.views().confirmTargets(update.changes().weights(), asOf);
+        });
         // A position beyond the records that the entry has read would be recorded permanently although no process
         // has read a record there.
         update.manifest()
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.micabarrow.clock.MonotonicClock;
+import org.micabarrow.clock.PauseMonitor;
 import org.micabarrow.platform.CrashRecords;
 import org.micabarrow.platform.StoreClient;
 import org.micabarrow.platform.StoreRecords;
@@ -17,11 +18,13 @@
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
+import org.micabarrow.steps.RepeatedTasks;
 import org.micabarrow.transport.HttpClient;
 import org.micabarrow.transport.LinkPacer;
 import org.micabarrow.transport.PeerRecordClient;
 import org.micabarrow.views.ChangeOffsets;
 import org.micabarrow.views.DrainTimeBudget;
+import org.micabarrow.views.NamingTime;
 import org.micabarrow.views.PeerFirstReader;
 import org.micabarrow.views.StoreFollower;
 import org.micabarrow.views.StoreFollower.PollTiming;
@@ -65,7 +68,17 @@
      */
     private static final double READER_MAX_AGE_FRACTION = 0.75;
 
+    /** The interval at which this process records that it runs, in milliseconds. */
+    private static final long PAUSE_CHECK_INTERVAL_MILLIS = 50;
+
+    /**
+     * The shortest pause of the process that is logged, in milliseconds: the shortest silence of an agent that entries do not
+     * tolerate. Ordinary scheduling delays are shorter.
+     */
+    private static final long MIN_REPORTED_PAUSE_MILLIS = 400;
+
     private final HostedSettings settings;
+    private final PauseMonitor pauses = new PauseMonitor(NamingTime.MAX_DELIVERY_MILLIS, steadyMillis());
     private final MetricRegistry metrics = new MetricRegistry();
     private final XnioWorker worker;
     private final HttpClient kept;
@@ -88,7 +101,11 @@
                 new StoreRecords(), HostedNode::steadyMillis, settings.regions().keySet());
         this.peerRecords = new PeerRecordClient(kept, HostedNode::steadyMillis);
         this.store = new StoreClient(
-                kept, settings.store(), DrainTimeBudget.STORE_RESPONSE_TIMEOUT, HostedNode::steadyMillis);
+                kept,
+                settings.store(),
+                DrainTimeBudget.STORE_RESPONSE_TIMEOUT,
+                HostedNode::steadyMillis,
+                pauses::attentiveUntil);
         metrics.registerGauge(
                 "process.heapBytes",
                 () -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
@@ -177,6 +194,7 @@
             Paces paces,
             Supplier<List<String>> peers,
             Supplier<WriteRole> duty) {
+        RepeatedTasks.start("pauses", PAUSE_CHECK_INTERVAL_MILLIS, this::checkForPause);
         VersionRecords records = new VersionRecords(kept, settings.store(), DrainTimeBudget.STORE_RESPONSE_TIMEOUT);
         Consumer<Topic> askPeer = topic -> askPeers(topic, peers.get());
         VersionPersistence operator =
@@ -188,6 +206,20 @@
         operator.start();
     }
 
+    /**
+     * Logs pauses of the process, for example when the instance was suspended, to explain the reports of others for that
+     * time.
+     */
+    private void checkForPause() {
+        long pauseMillis = pauses.tick(steadyMillis()) - PAUSE_CHECK_INTERVAL_MILLIS;
+        if (pauseMillis >= MIN_REPORTED_PAUSE_MILLIS) {
+            LOG.warn(
+                    "event=stood_still ms={} instance={}",
+                    pauseMillis,
+                    settings.instance().id());
+        }
+    }
+
     /** Starts to follow the crash records; peers are queried while the store is unavailable. */
     StoreFollower followCrashes(PollTiming pace, Supplier<List<String>> peers) {
         StoreFollower follower =
@@ -221,7 +253,7 @@
     private boolean requestFrom(String peer, Topic topic) {
         return switch (peerRecords.request(peer, topic, views.peerReadOffset(topic))) {
             case Result.Success<Batch>(Batch batch) -> {
-                views.apply(topic, batch.records(), batch.end());
+                views.apply(topic, batch);
                 if (topic == Topic.OPERATOR) {
                     batch.asOfMillis().ifPresent(asOf -> views.confirmOperator(batch.end(), asOf));
                 }
--- a/src/main/java/org/micabarrow/serving/WeightVersions.java
+++ b/src/main/java/org/micabarrow/serving/WeightVersions.java
@@ -95,7 +95,7 @@
      */
     boolean agentQueryDue(ClientRequest request, EndpointRegistration endpoint) {
         return newerNamed(request, endpoint)
-                .filter(newer -> monotonicMillis.getAsLong() - newer.learnedAtMillis() >= times.queryAfterMillis())
+                .filter(newer -> monotonicMillis.getAsLong() - newer.namedAtMillis() >= times.queryAfterMillis())
                 .isPresent();
     }
 
@@ -128,7 +128,7 @@
      * longer.
      */
     long millisUntilStartDeadline(View.Target newer) {
-        return newer.learnedAtMillis() + times.cancelAfterMillis() - monotonicMillis.getAsLong();
+        return newer.namedAtMillis() + times.cancelAfterMillis() - monotonicMillis.getAsLong();
     }
 
     /**
--- a/src/main/java/org/micabarrow/transport/EntryQueries.java
+++ b/src/main/java/org/micabarrow/transport/EntryQueries.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.micabarrow.limits.EntryRank;
 import org.micabarrow.transport.LoadReply.ReaderUpdate;
 
@@ -55,6 +56,8 @@
      * @param query the query
      * @param atMillis when it arrived, on the agent's monotonic clock
      * @param peer the host and port at which the entry serves records, if the query carries a store update
+     * @param storeKnownAtMillis the time on the agent's monotonic clock up to which the entry knew everything that
+     *     operators had written; empty if the query does not tell it
      * @param reader what the entry knows of the store, if it reads the store itself
      */
     record EntryQuery(
@@ -63,6 +66,7 @@
             LoadQuery query,
             long atMillis,
             Optional<String> peer,
+            OptionalLong storeKnownAtMillis,
             Optional<StoreReader> reader) {}
 
     /**
@@ -104,7 +108,9 @@
                 ? previous.host()
                 : from.getAddress().getHostAddress();
         Optional<String> peer = query.storeUpdate().map(update -> host + ":" + update.port());
-        EntryQuery recorded = new EntryQuery(from, host, query, nowMillis, peer, reader(peer, query, nowMillis));
+        OptionalLong storeKnownAtMillis = storeKnownAt(query, nowMillis);
+        EntryQuery recorded = new EntryQuery(
+                from, host, query, nowMillis, peer, storeKnownAtMillis, reader(peer, query, storeKnownAtMillis));
         if (previous == null) {
             ranks = Map.of();
         }
@@ -114,23 +120,26 @@
     }
 
     /**
-     * Returns what an entry knows of the store, if it reads the store itself. The query may have been delayed on its
-     * way, but it was certainly sent after the reply whose timestamp it repeats, so the age is counted from that
-     * timestamp. Without a timestamp the age is unknown, and the result is empty.
+     * Returns the time up to which an entry knew everything that operators had written. The query may have been delayed
+     * on its way, or while the agent was paused, but it was certainly sent after the reply whose timestamp it repeats,
+     * so the age is counted from that timestamp. Without a timestamp the age is unknown.
      */
-    private static Optional<StoreReader> reader(Optional<String> peer, LoadQuery query, long nowMillis) {
+    private static OptionalLong storeKnownAt(LoadQuery query, long nowMillis) {
         boolean ageKnown =
                 query.replyTimestamp().isPresent() && query.replyTimestamp().getAsLong() <= nowMillis;
-        if (!ageKnown
-                || query.storeUpdate().isEmpty()
-                || !query.storeUpdate().get().direct()) {
-            return Optional.empty();
-        }
-        StoreUpdate update = query.storeUpdate().get();
-        return Optional.of(new StoreReader(
-                peer.orElseThrow(),
-                update.changes().operator(),
-                query.replyTimestamp().getAsLong() - update.knownMillisAgo()));
+        return query.storeUpdate().isPresent() && ageKnown
+                ? OptionalLong.of(query.replyTimestamp().getAsLong()
+                        - query.storeUpdate().get().knownMillisAgo())
+                : OptionalLong.empty();
+    }
+
+    /** Returns what an entry knows of the store, if it reads the store itself and the age of its knowledge is known. */
+    private static Optional<StoreReader> reader(
+            Optional<String> peer, LoadQuery query, OptionalLong storeKnownAtMillis) {
+        return query.storeUpdate()
+                .filter(update -> update.direct() && storeKnownAtMillis.isPresent())
+                .map(update -> new StoreReader(
+                        peer.orElseThrow(), update.changes().operator(), storeKnownAtMillis.getAsLong()));
     }
 
     /**
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -4,8 +4,8 @@
 import java.nio.channels.DatagramChannel;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.LongAdder;
-import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -27,20 +27,35 @@
     private final Supplier<Optional<LoadReport>> endpoint;
     private final Supplier<ClassAllotment.Pool> pool;
     private final LongSupplier monotonicMillis;
-    private final BiConsumer<String, StoreUpdate> onStoreUpdate;
+    private final StoreUpdateListener onStoreUpdate;
     private final EntryQueries entries;
     private final RateLimitRelay limitRelay = new RateLimitRelay();
     private final ClassAllotment slotAllotment = new ClassAllotment(RandomGenerator.of("L64X128MixRandom"));
     private final LongAdder receivedQueries = new LongAdder();
     private final LongAdder sentReplies = new LongAdder();
 
+    /** Receives what entries report about the store. */
+    @FunctionalInterface
+    public interface StoreUpdateListener {
+
+        /**
+         * Handles a store update.
+         *
+         * @param peer the host and port at which the entry serves records
+         * @param update the update
+         * @param asOfMillis the time on the agent's monotonic clock up to which the entry knew everything that
+         *     operators had written; empty if the update does not tell it
+         */
+        void onUpdate(String peer, StoreUpdate update, OptionalLong asOfMillis);
+    }
+
     private LoadServer(
             DatagramChannel channel,
             String address,
             Supplier<Optional<LoadReport>> endpoint,
             Supplier<ClassAllotment.Pool> pool,
             LongSupplier monotonicMillis,
-            BiConsumer<String, StoreUpdate> onStoreUpdate,
+            StoreUpdateListener onStoreUpdate,
             long maxStoreAgeMillis) {
         this.channel = channel;
         this.endpoint = endpoint;
@@ -57,8 +72,7 @@
      * @param endpoint what is known of the endpoint, with all its free slots; empty while it does not respond
      * @param pool the endpoints of the same service
      * @param monotonicMillis a monotonic clock, in milliseconds
-     * @param onStoreUpdate receives the store updates of entries, each with the host and port at which the entry serves
-     *     records
+     * @param onStoreUpdate receives the store updates of entries
      * @param maxStoreAgeMillis the age, in milliseconds, from which on other entries may not rely on what an entry
      *     knows of the store
      * @return the running server
@@ -69,7 +83,7 @@
             Supplier<Optional<LoadReport>> endpoint,
             Supplier<ClassAllotment.Pool> pool,
             LongSupplier monotonicMillis,
-            BiConsumer<String, StoreUpdate> onStoreUpdate,
+            StoreUpdateListener onStoreUpdate,
             long maxStoreAgeMillis)
             throws IOException {
         Objects.requireNonNull(endpoint, "endpoint is null");
@@ -143,7 +157,8 @@
             entryQuery
                     .query()
                     .storeUpdate()
-                    .ifPresent(update -> onStoreUpdate.accept(entryQuery.peer().orElseThrow(), update));
+                    .ifPresent(update -> onStoreUpdate.onUpdate(
+                            entryQuery.peer().orElseThrow(), update, entryQuery.storeKnownAtMillis()));
             sendReply(entryQuery);
         } catch (IOException e) {
             LOG.warn("event=load_question_lost why=\"{}\"", e.toString());
--- a/src/main/java/org/micabarrow/transport/PeerRecordClient.java
+++ b/src/main/java/org/micabarrow/transport/PeerRecordClient.java
@@ -19,6 +19,7 @@
 import org.micabarrow.state.Result;
 import org.micabarrow.views.DrainTimeBudget;
 import org.micabarrow.views.EraOffset;
+import org.micabarrow.views.NamingAccount;
 import org.micabarrow.views.StoredRecord;
 import org.micabarrow.views.Topic;
 import org.micabarrow.views.TopicReader.Batch;
@@ -48,6 +49,15 @@
      */
     private static final String KNOWN_MILLIS_AGO = "knownMsAgo";
 
+    /** The list of what the peer knows of when weight versions were named; builds that know none send and read none. */
+    private static final String ACCOUNTS = "accounts";
+
+    private static final String MODEL = "model";
+    private static final String VERSION = "version";
+
+    /** The field of an account that states how long ago the version was not named yet, in milliseconds. */
+    private static final String NOT_BEFORE_MILLIS_AGO = "notBeforeMsAgo";
+
     private final HttpClient client;
     private final LongSupplier monotonicMillis;
 
@@ -119,7 +129,8 @@
                         node.path("value").binaryValue()));
             }
             long end = EraOffset.of(json.path(ERA).asLong(), json.path("end").asLong());
-            return Result.success(new Batch(records, end, asOf(json, sentMillis)));
+            return Result.success(
+                    new Batch(records, end, asOf(json, sentMillis), OptionalLong.empty(), accounts(json, sentMillis)));
         } catch (IOException e) {
             return Result.failure(Fault.of(Step.READ, peer, Reason.CORRUPT, "not JSON: " + e.getMessage()));
         } catch (IllegalArgumentException e) {
@@ -139,7 +150,27 @@
                 : OptionalLong.empty();
     }
 
-    /** Writes the response to {@link #request}; {@code nowMillis} is on the same clock as the time of the batch. */
+    /**
+     * What the peer knows of when versions were named. As for {@link #asOf}, the time of sending minus the age is never
+     * too late. Incomplete items are skipped.
+     */
+    private static List<NamingAccount> accounts(JsonNode json, long sentMillis) {
+        List<NamingAccount> accounts = new ArrayList<>();
+        for (JsonNode node : json.path(ACCOUNTS)) {
+            JsonNode age = node.path(NOT_BEFORE_MILLIS_AGO);
+            if (node.path(MODEL).isTextual()
+                    && node.path(VERSION).canConvertToLong()
+                    && age.isIntegralNumber()
+                    && age.canConvertToLong()
+                    && age.longValue() >= 0) {
+                accounts.add(new NamingAccount(
+                        node.path(MODEL).textValue(), node.path(VERSION).longValue(), sentMillis - age.longValue()));
+            }
+        }
+        return accounts;
+    }
+
+    /** Writes the response to {@link #request}; {@code nowMillis} is on the same clock as the times of the batch. */
     static byte[] write(Batch batch, long nowMillis) {
         ObjectNode json = CanonicalJson.mapper().createObjectNode();
         json.put("end", EraOffset.offset(batch.end()));
@@ -153,6 +184,13 @@
             node.put(ERA, EraOffset.era(record.offset()));
             node.put("value", record.value());
         }
+        ArrayNode accounts = json.putArray(ACCOUNTS);
+        for (NamingAccount account : batch.accounts()) {
+            ObjectNode node = accounts.addObject();
+            node.put(MODEL, account.model());
+            node.put(VERSION, account.version());
+            node.put(NOT_BEFORE_MILLIS_AGO, Math.max(0, nowMillis - account.notBeforeMillis()));
+        }
         return CanonicalJson.write(json);
     }
 }
--- a/src/main/java/org/micabarrow/views/OperatorFreshness.java
+++ b/src/main/java/org/micabarrow/views/OperatorFreshness.java
@@ -23,6 +23,11 @@
         asOfMillis.accumulateAndGet(millis, Math::max);
     }
 
+    /** Forgets the time, so that none is known until it is confirmed again. */
+    void forget() {
+        asOfMillis.set(NEVER);
+    }
+
     /**
      * Sets whether a manifest is known to be newer than the active one and was replaced by an older one that was
      * written late.
--- a/src/main/java/org/micabarrow/views/OperatorLog.java
+++ b/src/main/java/org/micabarrow/views/OperatorLog.java
@@ -61,6 +61,14 @@
                 source);
     }
 
+    static void accountTaken(NamingAccount account, long notBeforeMillisAgo) {
+        LOG.info(
+                "event=weights_named_account model={} version={} notBeforeMsAgo={}",
+                account.model(),
+                account.version(),
+                notBeforeMillisAgo);
+    }
+
     static void outdatedTargetNamed(StoredRecord record, String model, long version, long newest) {
         LOG.warn("event=weights_named_late model={} version={} {} newest={}", model, version, position(record), newest);
     }
--- a/src/main/java/org/micabarrow/views/OperatorState.java
+++ b/src/main/java/org/micabarrow/views/OperatorState.java
@@ -60,8 +60,17 @@
 
     // -- operator records
 
-    /** Applies an operator record. */
-    Change apply(StoredRecord record, Continuity continuity, View view) {
+    /**
+     * Applies an operator record.
+     *
+     * @param record the record
+     * @param continuity whether it continues what was read before
+     * @param view the view to change
+     * @param notBeforeMillis a time on the monotonic clock before which a weight version that the record names, and
+     *     that is not known yet, was not named; empty if none is known
+     * @return the resulting change
+     */
+    Change apply(StoredRecord record, Continuity continuity, View view, OptionalLong notBeforeMillis) {
         Optional<String> hall = decoder.evacuatedHall(record.key());
         if (hall.isPresent()) {
             View after = evacuations.apply(record, hall.get(), continuity, view, monotonicMillis.getAsLong());
@@ -81,7 +90,7 @@
                 applyManifest(record, manifest, view);
             case Result.Success<OperatorRecord>(
                     OperatorRecord.WeightsNamed(String model, long version, OptionalLong ignored)) ->
-                applyWeights(record, model, version, view);
+                applyWeights(record, model, version, view, notBeforeMillis);
             case Result.Success<OperatorRecord>(OperatorRecord.SavedManifest ignored) -> ignore(record, view);
             case Result.Success<OperatorRecord>(OperatorRecord.UnusedRecord ignored) -> ignore(record, view);
         };
@@ -106,10 +115,13 @@
         return new Change(view.withManifest(manifest, record.offset()), !sameServices);
     }
 
-    private Change applyWeights(StoredRecord record, String model, long version, View view) {
+    private Change applyWeights(
+            StoredRecord record, String model, long version, View view, OptionalLong notBeforeMillis) {
         long newest = view.newestTarget(model).map(View.Target::version).orElse(0L);
         boolean relevantToAgents = targets.isNewer(model, version);
-        View.Target target = targets.recordNamed(record, model, version, loaded);
+        targets.recordNamed(record, model, version);
+        TargetSource source = loaded ? TargetSource.OBSERVED : TargetSource.FOUND_WITHOUT_TIME;
+        View.Target target = new View.Target(version, namingTime(notBeforeMillis), source);
         View after = withTarget(model, target, view, "store " + EraOffset.toLog(record.offset()));
         if (after == view && version < newest) {
             OperatorLog.outdatedTargetNamed(record, model, version, newest);
@@ -117,17 +129,43 @@
         return new Change(after, relevantToAgents);
     }
 
+    /**
+     * Returns when a version was named of which this process learns now. One that was found at startup may have been
+     * named at any time before.
+     */
+    private NamingTime namingTime(OptionalLong notBeforeMillis) {
+        return new NamingTime(monotonicMillis.getAsLong(), loaded ? notBeforeMillis : OptionalLong.empty());
+    }
+
     /** Adds a weight version that a peer reported. */
-    View addPeerTarget(String model, long version, View view) {
+    View addPeerTarget(String model, long version, View view, OptionalLong notBeforeMillis) {
         TargetSource source = loaded ? TargetSource.OBSERVED : TargetSource.REPORTED_BY_PEER;
-        return withTarget(model, new View.Target(version, monotonicMillis.getAsLong(), source), view, "peer");
+        return withTarget(model, new View.Target(version, namingTime(notBeforeMillis), source), view, "peer");
+    }
+
+    /** Adds what a peer knows of when versions were named. A process that is starting relies on the store alone. */
+    View applyAccounts(List<NamingAccount> accounts, View view) {
+        View after = view;
+        for (NamingAccount account : loaded ? accounts : List.<NamingAccount>of()) {
+            View updated = after.withNamingAccount(account, monotonicMillis.getAsLong());
+            if (updated != after) {
+                OperatorLog.accountTaken(account, monotonicMillis.getAsLong() - account.notBeforeMillis());
+            }
+            after = updated;
+        }
+        return after;
+    }
+
+    /** What this process can tell others of when versions were named, of which it has read the operator's record. */
+    List<NamingAccount> accounts(View view) {
+        return targets.accounts(view);
     }
 
     /** Returns the view with a target added, or the same view if the target is not newer. The source is only logged. */
     private View withTarget(String model, View.Target target, View view, String source) {
         View after = view.withTarget(model, target);
         if (after != view) {
-            OperatorLog.targetNamed(model, target, monotonicMillis.getAsLong() - target.learnedAtMillis(), source);
+            OperatorLog.targetNamed(model, target, monotonicMillis.getAsLong() - target.namedAtMillis(), source);
         }
         return after;
     }
@@ -143,15 +181,15 @@
                 .toList();
         manifests.applySaved(saved);
         View after = view;
-        for (var newest : targets.newestSaved(saved).entrySet()) {
-            after = withTarget(newest.getKey(), newest.getValue(), after, "kept");
+        for (WeightTargets.SavedTarget item : targets.saved(saved)) {
+            after = withTarget(item.model(), item.target(), after, "kept");
         }
         return after;
     }
 
-    /** The newest versions that are not known to be saved in the store under their own keys. */
-    List<UnsavedItem> unsavedVersions(TopicCopy savedCopy) {
-        return targets.unsaved(savedCopy);
+    /** The versions that are not known to be saved in the store under their own keys. */
+    List<UnsavedItem> unsavedVersions(TopicCopy savedCopy, View view) {
+        return targets.unsaved(savedCopy, view);
     }
 
     // -- manifests, see ManifestTracker
--- a/src/main/java/org/micabarrow/views/RecordDecoder.java
+++ b/src/main/java/org/micabarrow/views/RecordDecoder.java
@@ -24,8 +24,8 @@
          *
          * @param model the model
          * @param version the version
-         * @param namedMillis the Unix time in milliseconds at which a process learned of the version; empty in records
-         *     that operators wrote
+         * @param namedMillis the Unix time in milliseconds from which the process that saved the record counted the
+         *     bound of older versions; empty in records that operators wrote
          */
         record WeightsNamed(String model, long version, OptionalLong namedMillis) implements OperatorRecord {}
 
--- a/src/main/java/org/micabarrow/views/StoreFollower.java
+++ b/src/main/java/org/micabarrow/views/StoreFollower.java
@@ -210,7 +210,7 @@
         return switch (read) {
             case TopicReader.Read.Records(TopicReader.Batch batch) -> {
                 justLoaded = false;
-                views.apply(topic, batch.records(), batch.end());
+                views.apply(topic, batch);
                 confirm(batch);
                 heldReadFoundRecords =
                         topic == Topic.OPERATOR && held && !batch.records().isEmpty();
@@ -239,6 +239,7 @@
             LOG.warn("event=store_lost topic={} why=\"{}\"", topic, fault);
         }
         reachable = false;
+        views.onStoreLost(topic);
     }
 
     private void onStoreReachable() {
--- a/src/main/java/org/micabarrow/views/TopicReader.java
+++ b/src/main/java/org/micabarrow/views/TopicReader.java
@@ -1,6 +1,7 @@
 package org.micabarrow.views;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.OptionalLong;
@@ -16,13 +17,33 @@
      * @param end the offset after the last record known to the store
      * @param asOfMillis the time on this process's monotonic clock up to which everything that was written is in this
      *     batch or before it; empty if unknown
+     * @param notBeforeMillis a time on the same clock before which none of the records was written; empty if unknown
+     * @param accounts what a peer knows of when weight versions were named; empty if the batch is not from a peer
      */
-    record Batch(List<StoredRecord> records, long end, OptionalLong asOfMillis) {
+    record Batch(
+            List<StoredRecord> records,
+            long end,
+            OptionalLong asOfMillis,
+            OptionalLong notBeforeMillis,
+            List<NamingAccount> accounts) {
 
         /** Validates the components. */
         public Batch {
             Objects.requireNonNull(records, "records is null");
             Objects.requireNonNull(asOfMillis, "asOfMillis is null");
+            Objects.requireNonNull(notBeforeMillis, "notBeforeMillis is null");
+            accounts = List.copyOf(accounts);
+        }
+
+        /**
+         * Creates a batch for which it is unknown when its records were written.
+         *
+         * @param records the records
+         * @param end the offset after the last record known to the store
+         * @param asOfMillis the time up to which everything that was written is known; empty if unknown
+         */
+        public Batch(List<StoredRecord> records, long end, OptionalLong asOfMillis) {
+            this(records, end, asOfMillis, OptionalLong.empty(), List.of());
         }
 
         /**
@@ -34,6 +55,18 @@
         public Batch(List<StoredRecord> records, long end) {
             this(records, end, OptionalLong.empty());
         }
+
+        /** Returns this batch without the time up to which everything is known. */
+        Batch withoutTime() {
+            return new Batch(records, end, OptionalLong.empty(), notBeforeMillis, accounts);
+        }
+
+        /** Returns this batch with more records, which may have been written at any time. */
+        Batch withRecords(List<StoredRecord> moreRecords) {
+            List<StoredRecord> all = new ArrayList<>(records);
+            all.addAll(moreRecords);
+            return new Batch(all, end, asOfMillis, OptionalLong.empty(), accounts);
+        }
     }
 
     /** The result of a read. */
--- a/src/main/java/org/micabarrow/views/UnsavedItem.java
+++ b/src/main/java/org/micabarrow/views/UnsavedItem.java
@@ -26,8 +26,8 @@
      *
      * @param model the model
      * @param version the version
-     * @param namedMillis the Unix time in milliseconds at which this process observed that the version was named; empty
-     *     if it was already named when this process first read it
+     * @param namedMillis the Unix time in milliseconds from which this process counts the bound of older versions;
+     *     empty if the version was already named when this process first read it
      * @param outdated keys of versions of the model that are no longer needed
      */
     record Weights(String model, long version, OptionalLong namedMillis, List<String> outdated) implements UnsavedItem {
--- a/src/main/java/org/micabarrow/views/VersionPersistence.java
+++ b/src/main/java/org/micabarrow/views/VersionPersistence.java
@@ -1,7 +1,6 @@
 package org.micabarrow.views;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.OptionalLong;
@@ -137,9 +136,7 @@
                 || batch.records().stream().anyMatch(record -> record.offset() == missingOffset.getAsLong())) {
             return batch;
         }
-        List<StoredRecord> records = new ArrayList<>(batch.records());
-        records.addAll(readManifest(missingOffset.getAsLong()));
-        return new Batch(records, batch.end(), batch.asOfMillis());
+        return batch.withRecords(readManifest(missingOffset.getAsLong()));
     }
 
     /**
@@ -190,7 +187,7 @@
     }
 
     private Batch withTimeIfRestored(Batch batch) {
-        return restored.get() ? batch : new Batch(batch.records(), batch.end());
+        return restored.get() ? batch : batch.withoutTime();
     }
 
     @Override
@@ -229,7 +226,9 @@
                 activeRole != WriteRole.NONE && !views.unsavedVersions().isEmpty();
         checksWithUnsaved = versionsUnsaved ? checksWithUnsaved + 1 : 0;
         boolean writerOutdated = savedOutdated && activeRole != WriteRole.NONE;
-        if (!restored.get() || restoreDueAfterStartup() || writerOutdated || checksWithUnsaved == BACKUP_DELAY_CHECKS) {
+        // Another process may have saved the version with a more accurate time than this one knows.
+        boolean writeDue = checksWithUnsaved == (activeRole == WriteRole.PRIMARY ? 1 : BACKUP_DELAY_CHECKS);
+        if (!restored.get() || restoreDueAfterStartup() || writerOutdated || writeDue) {
             restore();
         }
         if (restored.get()) {
--- a/src/main/java/org/micabarrow/views/View.java
+++ b/src/main/java/org/micabarrow/views/View.java
@@ -1,6 +1,7 @@
 package org.micabarrow.views;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -37,10 +38,25 @@
      * A weight version that endpoints should load.
      *
      * @param version the version
-     * @param learnedAtMillis when this process learned of it, on its monotonic clock
+     * @param naming when it was named, as far as this process knows
      * @param source how this process learned of it
      */
-    public record Target(long version, long learnedAtMillis, TargetSource source) {
+    public record Target(long version, NamingTime naming, TargetSource source) {
+
+        /** Checks that no component is null. */
+        public Target {
+            Objects.requireNonNull(naming, "naming is null");
+            Objects.requireNonNull(source, "source is null");
+        }
+
+        /**
+         * The time from which the bound of older versions is counted.
+         *
+         * @return the time on this process's monotonic clock
+         */
+        public long namedAtMillis() {
+            return naming.assumedMillis();
+        }
 
         /**
          * Whether this process observed that the version was named, as opposed to reading at startup that it was
@@ -51,6 +67,10 @@
         public boolean namingObserved() {
             return source == TargetSource.OBSERVED;
         }
+
+        private Target withNotBefore(long notBeforeMillis) {
+            return new Target(version, naming.withNotBefore(notBeforeMillis), source);
+        }
     }
 
     /** How a process learned of a target. */
@@ -125,7 +145,7 @@
      */
     public long minVersion(String model, long boundMillis, long nowMillis) {
         return Stream.concat(targetsOf(model).stream(), Optional.ofNullable(supersededTargets.get(model)).stream())
-                .filter(target -> nowMillis - target.learnedAtMillis() > boundMillis)
+                .filter(target -> nowMillis - target.namedAtMillis() > boundMillis)
                 .mapToLong(Target::version)
                 .max()
                 .orElse(0);
@@ -204,8 +224,39 @@
             updated.removeIf(knownTarget -> knownTarget.source() == TargetSource.FOUND_WITHOUT_TIME);
         }
         updated.add(target);
+        return withTargets(model, updated, superseded);
+    }
+
+    /**
+     * Returns this view with what another process knows of when a version was named. A version that this process does
+     * not know is added, also before newer ones: it determines by when earlier versions must have stopped.
+     *
+     * @param account the other process's account
+     * @param nowMillis the time on the monotonic clock
+     * @return the new view; this one if the account says nothing new
+     */
+    View withNamingAccount(NamingAccount account, long nowMillis) {
+        List<Target> existing = targetsOf(account.model());
+        List<Target> updated = new ArrayList<>();
+        boolean known = false;
+        for (Target target : existing) {
+            boolean concerned = target.version() == account.version();
+            known |= concerned;
+            updated.add(concerned ? target.withNotBefore(account.notBeforeMillis()) : target);
+        }
+        if (!known) {
+            NamingTime naming = NamingTime.at(nowMillis).withNotBefore(account.notBeforeMillis());
+            updated.add(new Target(account.version(), naming, TargetSource.OBSERVED));
+            updated.sort(Comparator.comparingLong(Target::version));
+        }
+        return updated.equals(existing) ? this : withTargets(account.model(), updated, supersededTargets);
+    }
+
+    private View withTargets(String model, List<Target> newTargets, Map<String, Target> superseded) {
         Map<String, List<Target>> allTargets = new HashMap<>(targets);
-        allTargets.put(model, List.copyOf(updated.subList(Math.max(0, updated.size() - MAX_TARGETS), updated.size())));
+        allTargets.put(
+                model,
+                List.copyOf(newTargets.subList(Math.max(0, newTargets.size() - MAX_TARGETS), newTargets.size())));
         return new View(manifest, manifestOffset, endpoints, allTargets, superseded, evacuatedHalls);
     }
 }
--- a/src/main/java/org/micabarrow/views/ViewMaintainer.java
+++ b/src/main/java/org/micabarrow/views/ViewMaintainer.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import java.util.stream.LongStream;
 import org.micabarrow.routing.EndpointRegistration;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -28,6 +29,10 @@
     private final EndpointListUpdater endpointList;
     private final OperatorState operatorState;
     private final OperatorFreshness freshness = new OperatorFreshness();
+
+    /** The time up to which all named weight versions are known; agents skip other operator records. */
+    private final OperatorFreshness targetFreshness = new OperatorFreshness();
+
     private volatile ChangeOffsets changes = new ChangeOffsets(0, 0, 0);
     private volatile View view = View.empty();
     private volatile Consumer<List<StoredRecord>> crashListener = newRecords -> {};
@@ -123,9 +128,24 @@
      * @param readTo the offset up to which the topic is now known
      */
     public synchronized void apply(Topic topic, Collection<StoredRecord> records, long readTo) {
+        apply(topic, records, readTo, OptionalLong.empty());
+    }
+
+    /**
+     * Applies a batch of records of a topic.
+     *
+     * @param topic the topic
+     * @param batch the records, with what is known of when they were written
+     */
+    public synchronized void apply(Topic topic, TopicReader.Batch batch) {
+        apply(topic, batch.records(), batch.end(), batch.notBeforeMillis());
+        view = operatorState.applyAccounts(batch.accounts(), view);
+    }
+
+    private void apply(Topic topic, Collection<StoredRecord> records, long readTo, OptionalLong notBeforeMillis) {
         applyMissingManifest(topic, records);
         Continuity continuity = copies.continuity(topic, readTo);
-        publish(topic, copies.of(topic).apply(records, readTo), continuity);
+        publish(topic, copies.of(topic).apply(records, readTo), continuity, notBeforeMillis);
         onRead(topic, readTo);
     }
 
@@ -139,7 +159,7 @@
     public synchronized void replace(Topic topic, Collection<StoredRecord> records, long endBeforeRead) {
         applyMissingManifest(topic, records);
         Continuity continuity = copies.continuity(topic, endBeforeRead);
-        publish(topic, copies.of(topic).replace(records, endBeforeRead), continuity);
+        publish(topic, copies.of(topic).replace(records, endBeforeRead), continuity, OptionalLong.empty());
         if (topic == Topic.OPERATOR) {
             operatorState.markLoaded();
         }
@@ -153,12 +173,13 @@
 
     // -- updates of the view
 
-    private void publish(Topic topic, List<StoredRecord> newRecords, Continuity continuity) {
+    private void publish(
+            Topic topic, List<StoredRecord> newRecords, Continuity continuity, OptionalLong notBeforeMillis) {
         if (newRecords.isEmpty()) {
             return;
         }
         switch (topic) {
-            case OPERATOR -> applyOperatorRecords(newRecords, continuity);
+            case OPERATOR -> applyOperatorRecords(newRecords, continuity, notBeforeMillis);
             case ENDPOINTS -> applyEndpointRecords(newRecords, continuity);
             case NAMED -> view = operatorState.applySaved(newRecords, view);
             case CRASHES -> crashListener.accept(newRecords);
@@ -169,11 +190,12 @@
      * Applies operator records, and publishes one view of all of them: a process that starts while a data hall is
      * evacuated would otherwise take requests for a moment with the manifest alone.
      */
-    private void applyOperatorRecords(List<StoredRecord> records, Continuity continuity) {
+    private void applyOperatorRecords(List<StoredRecord> records, Continuity continuity, OptionalLong notBeforeMillis) {
+        OptionalLong targetsNotBefore = latest(notBeforeMillis, targetFreshness.asOf());
         View updated = view;
         List<StoredRecord> agentRecords = new ArrayList<>();
         for (StoredRecord record : records) {
-            OperatorState.Change change = operatorState.apply(record, continuity, updated);
+            OperatorState.Change change = operatorState.apply(record, continuity, updated, targetsNotBefore);
             updated = change.view();
             if (change.relevantToAgents()) {
                 agentRecords.add(record);
@@ -194,7 +216,13 @@
     }
 
     private void applyOperatorRecord(StoredRecord record) {
-        view = operatorState.apply(record, Continuity.CONTINUED, view).view();
+        view = operatorState
+                .apply(record, Continuity.CONTINUED, view, targetFreshness.asOf())
+                .view();
+    }
+
+    private static OptionalLong latest(OptionalLong first, OptionalLong second) {
+        return LongStream.concat(first.stream(), second.stream()).max();
     }
 
     private void applyEndpointRecords(List<StoredRecord> newRecords, Continuity continuity) {
@@ -251,6 +279,33 @@
         long end = end(Topic.OPERATOR);
         if (readTo <= end && EraOffset.era(readTo) == EraOffset.era(end)) {
             freshness.confirm(asOfMillis);
+            targetFreshness.confirm(asOfMillis);
+        }
+    }
+
+    /**
+     * Records that all weight versions that were named up to a time are among the records before an offset. Has no
+     * effect if those are not all known here, or are of another era of the store.
+     *
+     * @param readTo the offset
+     * @param asOfMillis the time on the monotonic clock; an earlier time than the known one has no effect
+     */
+    public synchronized void confirmTargets(long readTo, long asOfMillis) {
+        long end = end(Topic.OPERATOR);
+        if (readTo <= end && EraOffset.era(readTo) == EraOffset.era(end)) {
+            targetFreshness.confirm(asOfMillis);
+        }
+    }
+
+    /**
+     * Records that a topic cannot be read, neither from the store nor from a peer. While that is so, the time that
+     * passes says nothing about when a version is named of which this process learns afterwards.
+     *
+     * @param topic the topic
+     */
+    public void onStoreLost(Topic topic) {
+        if (topic == Topic.OPERATOR) {
+            targetFreshness.forget();
         }
     }
 
@@ -289,7 +344,11 @@
         List<StoredRecord> records = copy.since(offset);
         return topic == Topic.OPERATOR
                 ? new TopicReader.Batch(
-                        operatorState.withReplaced(records, offset), copy.continueFrom(offset), operatorAsOfMillis())
+                        operatorState.withReplaced(records, offset),
+                        copy.continueFrom(offset),
+                        operatorAsOfMillis(),
+                        OptionalLong.empty(),
+                        operatorState.accounts(view))
                 : new TopicReader.Batch(records, copy.continueFrom(offset));
     }
 
@@ -312,7 +371,7 @@
      * @param version the version; has no effect if a newer one is known
      */
     public synchronized void addPeerTarget(String model, long version) {
-        view = operatorState.addPeerTarget(model, version, view);
+        view = operatorState.addPeerTarget(model, version, view, targetFreshness.asOf());
     }
 
     /**
@@ -353,7 +412,7 @@
 
     /** The newest versions that are not known to be saved in the store under their own keys. */
     synchronized List<UnsavedItem> unsavedVersions() {
-        return operatorState.unsavedVersions(copies.of(Topic.NAMED));
+        return operatorState.unsavedVersions(copies.of(Topic.NAMED), view);
     }
 
     /** Whether the store has continued from an older copy since the saved records were read. */
--- a/src/main/java/org/micabarrow/views/WeightTargets.java
+++ b/src/main/java/org/micabarrow/views/WeightTargets.java
@@ -5,24 +5,36 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import org.micabarrow.views.RecordDecoder.OperatorRecord;
 import org.micabarrow.views.View.TargetSource;
 
 /**
  * Target weight versions as named by operators, and as saved in the store by processes together with the time of day at
- * which they learned of them. Not thread-safe.
+ * which they were named. Not thread-safe.
  */
 final class WeightTargets {
 
+    /** How many versions of a model are remembered as read from operator records: as many as a view holds. */
+    private static final int MAX_REMEMBERED = 8;
+
     private final LongSupplier monotonicMillis;
     private final LongSupplier unixMillis;
 
-    /** The newest version of each model that was read from operator records. */
-    private final Map<String, View.Target> newestByModel = new HashMap<>();
+    /**
+     * The records from which versions were read, by model and version. The topic copy loses a record when an older
+     * version is written late.
+     */
+    private final Map<String, TreeMap<Long, StoredRecord>> recordsByModel = new HashMap<>();
 
-    /** The records of those versions. The topic copy loses a record when an older version is written late. */
-    private final Map<String, StoredRecord> recordsByModel = new HashMap<>();
+    /**
+     * A version that a process saved.
+     *
+     * @param model the model
+     * @param target the version, with the time at which it was named if that was saved
+     */
+    record SavedTarget(String model, View.Target target) {}
 
     WeightTargets(LongSupplier monotonicMillis, LongSupplier unixMillis) {
         this.monotonicMillis = monotonicMillis;
@@ -31,47 +43,84 @@
 
     /** Whether a version is newer than those that were read from operator records. */
     boolean isNewer(String model, long version) {
-        View.Target newest = newestByModel.get(model);
-        return newest == null || newest.version() < version;
+        TreeMap<Long, StoredRecord> read = recordsByModel.get(model);
+        return read == null || read.lastKey() < version;
     }
 
-    /** Records a version that was read from an operator record. */
-    View.Target recordNamed(StoredRecord record, String model, long version, boolean namingObserved) {
-        TargetSource source = namingObserved ? TargetSource.OBSERVED : TargetSource.FOUND_WITHOUT_TIME;
-        View.Target target = new View.Target(version, monotonicMillis.getAsLong(), source);
-        if (newestByModel.merge(model, target, (a, b) -> a.version() >= b.version() ? a : b) == target) {
-            recordsByModel.put(model, record);
+    /** Records that a version was read from an operator record. */
+    void recordNamed(StoredRecord record, String model, long version) {
+        TreeMap<Long, StoredRecord> read = recordsByModel.computeIfAbsent(model, key -> new TreeMap<>());
+        read.putIfAbsent(version, record);
+        if (read.size() > MAX_REMEMBERED) {
+            read.pollFirstEntry();
         }
-        return target;
     }
 
     /** The records of the newest versions, where their offset is at or after the given one. */
     List<StoredRecord> newestRecords(long offset) {
         return recordsByModel.values().stream()
+                .map(read -> read.lastEntry().getValue())
                 .filter(record -> record.offset() >= offset)
                 .toList();
     }
 
+    /** The versions of a view that were read from operator records, in the order in which they were named. */
+    private List<View.Target> readTargets(String model, View view) {
+        TreeMap<Long, StoredRecord> read = recordsByModel.get(model);
+        return view.targets().getOrDefault(model, List.of()).stream()
+                .filter(target -> read.containsKey(target.version()))
+                .toList();
+    }
+
+    // -- accounts for other processes
+
+    /**
+     * What is known of when versions were named. Versions that were reported only by a peer are excluded, since a wrong
+     * report would be passed on for good.
+     */
+    List<NamingAccount> accounts(View view) {
+        List<NamingAccount> accounts = new ArrayList<>();
+        recordsByModel
+                .keySet()
+                .forEach(model -> readTargets(model, view).stream()
+                        .filter(View.Target::namingObserved)
+                        .forEach(target -> target.naming()
+                                .notBeforeMillis()
+                                .ifPresent(notBefore ->
+                                        accounts.add(new NamingAccount(model, target.version(), notBefore)))));
+        return accounts;
+    }
+
     // -- records saved by processes
 
     /**
-     * Returns only the newest saved version of each model. It is not known when the others were named, and they must
-     * not appear to be still allowed to serve.
+     * Returns the newest saved version of each model, and the earlier ones whose time of naming was saved, which
+     * determine by when still earlier versions must have stopped. It is not known when the others were named, and they
+     * must not appear to be still allowed to serve.
+     *
+     * @param savedRecords the decoded records
+     * @return the versions, those of a model in the order in which they were named
      */
-    Map<String, View.Target> newestSaved(List<OperatorRecord> savedRecords) {
-        Map<String, View.Target> newest = new HashMap<>();
+    List<SavedTarget> saved(List<OperatorRecord> savedRecords) {
+        Map<String, TreeMap<Long, OperatorRecord.WeightsNamed>> savedByModel = new HashMap<>();
         for (OperatorRecord item : savedRecords) {
             if (item instanceof OperatorRecord.WeightsNamed named) {
-                newest.merge(named.model(), toTarget(named), (a, b) -> a.version() >= b.version() ? a : b);
+                savedByModel
+                        .computeIfAbsent(named.model(), model -> new TreeMap<>())
+                        .put(named.version(), named);
             }
         }
-        return newest;
+        List<SavedTarget> saved = new ArrayList<>();
+        savedByModel.forEach((model, versions) -> versions.values().stream()
+                .filter(named -> named.namedMillis().isPresent() || named.version() == versions.lastKey())
+                .forEach(named -> saved.add(new SavedTarget(model, toTarget(named)))));
+        return saved;
     }
 
     private View.Target toTarget(OperatorRecord.WeightsNamed named) {
         TargetSource source =
                 named.namedMillis().isPresent() ? TargetSource.FOUND_WITH_TIME : TargetSource.FOUND_WITHOUT_TIME;
-        return new View.Target(named.version(), learnedAtMillis(named), source);
+        return new View.Target(named.version(), NamingTime.at(namedAtMillis(named)), source);
     }
 
     /**
@@ -79,29 +128,43 @@
      * version is due would allow older versions for the whole bound once more: when an agent and its entries restarted
      * 5 s after a version was named, it took up to 13 s instead of 8.
      */
-    private long learnedAtMillis(OperatorRecord.WeightsNamed named) {
+    private long namedAtMillis(OperatorRecord.WeightsNamed named) {
         long unixNow = unixMillis.getAsLong();
         long elapsedMillis = unixNow - named.namedMillis().orElse(unixNow);
         return monotonicMillis.getAsLong() - Math.max(0, elapsedMillis);
     }
 
     /**
-     * The newest versions that are not known to be saved in the store under their own keys. Versions that were reported
-     * only by a peer are excluded: a wrong report would outlive all processes.
+     * The newest versions, and those named shortly before them, that are not known to be saved in the store under their
+     * own keys. Versions that were reported only by a peer are excluded: a wrong report would outlive all processes.
      */
-    List<UnsavedItem> unsaved(TopicCopy savedCopy) {
+    List<UnsavedItem> unsaved(TopicCopy savedCopy, View view) {
         List<UnsavedItem> unsaved = new ArrayList<>();
-        newestByModel.forEach((model, newest) -> {
-            if (savedCopy.record(VersionKeys.ofVersion(model, newest.version())).isEmpty()) {
-                List<String> outdated = VersionKeys.outdatedVersions(savedCopy.keys(), model, newest.version());
-                unsaved.add(new UnsavedItem.Weights(model, newest.version(), namedMillis(newest), outdated));
+        recordsByModel.forEach((model, read) -> {
+            for (View.Target target : readTargets(model, view)) {
+                boolean needed = target.namingObserved() || target.version() == read.lastKey();
+                if (needed && isUnsaved(savedCopy, model, target.version())) {
+                    unsaved.add(unsaved(savedCopy, model, target));
+                }
             }
         });
         return unsaved;
     }
 
-    private OptionalLong namedMillis(View.Target target) {
-        long elapsedMillis = monotonicMillis.getAsLong() - target.learnedAtMillis();
+    private static boolean isUnsaved(TopicCopy savedCopy, String model, long version) {
+        return savedCopy.record(VersionKeys.ofVersion(model, version)).isEmpty();
+    }
+
+    private UnsavedItem unsaved(TopicCopy savedCopy, String model, View.Target target) {
+        return new UnsavedItem.Weights(
+                model,
+                target.version(),
+                namedUnixMillis(target),
+                VersionKeys.outdatedVersions(savedCopy.keys(), model, target.version()));
+    }
+
+    private OptionalLong namedUnixMillis(View.Target target) {
+        long elapsedMillis = monotonicMillis.getAsLong() - target.namedAtMillis();
         return target.namingObserved() ? OptionalLong.of(unixMillis.getAsLong() - elapsedMillis) : OptionalLong.empty();
     }
 }
--- a/src/main/java/org/micabarrow/weights/VersionDeadlines.java
+++ b/src/main/java/org/micabarrow/weights/VersionDeadlines.java
@@ -112,7 +112,7 @@
     long retireAt(String model, long version) {
         return view.get()
                 .nextTarget(model, version - 1)
-                .map(target -> target.learnedAtMillis() + moments.stopMillis())
+                .map(target -> target.namedAtMillis() + moments.stopMillis())
                 .orElse(Long.MIN_VALUE);
     }
 
@@ -122,7 +122,7 @@
     long servesUntil(String model, long version) {
         return view.get()
                 .nextTarget(model, version)
-                .map(target -> target.learnedAtMillis() + moments.cordonMillis())
+                .map(target -> target.namedAtMillis() + moments.cordonMillis())
                 .orElse(Long.MAX_VALUE / 2);
     }
 
@@ -131,7 +131,7 @@
      */
     OptionalLong millisUntilBound(String model, long version) {
         return view.get().nextTarget(model, version).stream()
-                .mapToLong(target -> target.learnedAtMillis() + moments.boundMillis() - monotonicMillis.getAsLong())
+                .mapToLong(target -> target.namedAtMillis() + moments.boundMillis() - monotonicMillis.getAsLong())
                 .findFirst();
     }
 
@@ -166,8 +166,8 @@
     long orderAt(String model, long held, ReplicaController.RegionPosition position) {
         return view.get()
                 .nextTarget(model, held)
-                .map(target -> OrderSchedule.orderMillis(
-                        target.learnedAtMillis(), moments, position.index(), position.count()))
+                .map(target ->
+                        OrderSchedule.orderMillis(target.namedAtMillis(), moments, position.index(), position.count()))
                 .orElse(Long.MIN_VALUE);
     }
 }
--- a/src/test/java/org/micabarrow/platform/KnownMomentTest.java
+++ b/src/test/java/org/micabarrow/platform/KnownMomentTest.java
@@ -31,6 +31,7 @@
 
     private final HostedStoreStandin store = new HostedStoreStandin();
     private final AtomicLong clock = new AtomicLong(SENT);
+    private OptionalLong attentiveUntil = OptionalLong.empty();
     private long answerMillis;
     private Optional<byte[]> answer = Optional.empty();
     private HttpClient caller;
@@ -42,7 +43,8 @@
         caller = HttpClient.start("test", 1);
         String address = Ports.freeAddress();
         listener = HttpListener.start(address, HttpListener.Limits.defaults(), 1, Optional.empty(), this::answer);
-        client = new StoreClient(caller, address, Duration.ofSeconds(30), clock::get);
+        client =
+                new StoreClient(caller, address, Duration.ofSeconds(30), clock::get, now -> attentiveUntil.orElse(now));
     }
 
     /** Lets time pass with each answer. */
@@ -118,6 +120,43 @@
         return bytes.array();
     }
 
+    // -- when records were written
+
+    private static final Duration LONG_WAIT = Duration.ofMillis(1_000);
+
+    @Test
+    void shouldKnowThatRecordWasWrittenJustNowWhenHeldReadIsAnswered() {
+        store.append(OPERATOR, "a", "1");
+        answerMillis = 600;
+        assertEquals(OptionalLong.of(SENT + 600 - 150), read(0, LONG_WAIT).notBeforeMillis());
+    }
+
+    /** The answer waited for this process to go on. */
+    @Test
+    void shouldKnowThatRecordMayBeAsOldAsPauseWhenProcessWasPaused() {
+        store.append(OPERATOR, "a", "1");
+        answerMillis = 6_000;
+        attentiveUntil = OptionalLong.of(SENT + 400);
+        assertEquals(OptionalLong.of(SENT + 400 - 150), read(0, LONG_WAIT).notBeforeMillis());
+    }
+
+    @Test
+    void shouldKnowThatRecordIsYoungerThanReadWhenProcessWasPausedBefore() {
+        store.append(OPERATOR, "a", "1");
+        answerMillis = 200;
+        attentiveUntil = OptionalLong.of(SENT - 3_000);
+        assertEquals(OptionalLong.of(SENT), read(0, LONG_WAIT).notBeforeMillis());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"149, 1000", "600, 0"})
+    void shouldNotKnowWhenRecordWasWrittenWhenItMayHaveBeenThereBefore(long millis, long waitMillis) {
+        store.append(OPERATOR, "a", "1");
+        answerMillis = millis;
+        assertEquals(
+                OptionalLong.empty(), read(0, Duration.ofMillis(waitMillis)).notBeforeMillis());
+    }
+
     @Test
     void shouldKnowAllUntilItAskedForFirstPageOfNewest() {
         store.setPageSize(1);
--- a/src/test/java/org/micabarrow/transport/HostedPeerServerTest.java
+++ b/src/test/java/org/micabarrow/transport/HostedPeerServerTest.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.undertow.server.HttpHandler;
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -21,6 +22,7 @@
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
 import org.micabarrow.views.EraOffset;
+import org.micabarrow.views.NamingAccount;
 import org.micabarrow.views.StoredRecord;
 import org.micabarrow.views.Topic;
 import org.micabarrow.views.TopicReader.Batch;
@@ -100,6 +102,35 @@
         }
     }
 
+    // -- when versions were named
+
+    @Test
+    void shouldTellWhenVersionsWereNamedOnClientsClock() throws Exception {
+        String named = "{\"model\":\"m\",\"version\":2}";
+        views.replace(Topic.OPERATOR, List.of(), 0);
+        views.apply(
+                Topic.OPERATOR,
+                new Batch(
+                        List.of(new StoredRecord("version/m", 0, named.getBytes(StandardCharsets.UTF_8))),
+                        1,
+                        OptionalLong.empty(),
+                        OptionalLong.of(peerClock.get() - 250),
+                        List.of()));
+        assertEquals(
+                List.of(new NamingAccount("m", 2, clientClock.get() - 250)),
+                request(Topic.OPERATOR).accounts());
+    }
+
+    @Test
+    void shouldSkipAccountWhenItIsIncomplete() throws Exception {
+        String response = "{\"end\":1,\"records\":[],\"accounts\":[{\"model\":\"m\",\"version\":2},{\"version\":2,"
+                + "\"notBeforeMsAgo\":3},{\"model\":\"m\",\"version\":2,\"notBeforeMsAgo\":-3},7]}";
+        Batch batch =
+                request(Topic.OPERATOR, exchange -> exchange.getResponseSender().send(response));
+        assertEquals(List.of(), batch.accounts());
+        assertEquals(1, batch.end());
+    }
+
     // -- eras of the store
 
     private Batch request(long from) throws Exception {
--- a/src/test/java/org/micabarrow/transport/LoadServerTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadServerTest.java
@@ -15,6 +15,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
@@ -63,7 +64,7 @@
                     endpoint,
                     POOL,
                     () -> 0,
-                    (peer, update) -> {},
+                    (peer, update, asOf) -> {},
                     MAX_STORE_AGE_MILLIS);
             sendQuery(entry, agent, 1);
             sendQuery(entry, agent, 2);
@@ -89,7 +90,7 @@
                     () -> Optional.of(twoFree),
                     POOL,
                     () -> 0,
-                    (peer, update) -> {},
+                    (peer, update, asOf) -> {},
                     MAX_STORE_AGE_MILLIS);
             EntryDemand demand = new EntryDemand(
                     List.of(new ClassDemand(0, 8, 0), new ClassDemand(4, 50, 3)),
@@ -173,6 +174,9 @@
 
     private final AtomicLong now = new AtomicLong();
 
+    /** The times up to which entries knew the store, as reported by the agent. */
+    private final List<OptionalLong> storeKnownAt = new CopyOnWriteArrayList<>();
+
     private InetSocketAddress agent() throws IOException {
         InetSocketAddress agent = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
         LoadServer.start(
@@ -180,7 +184,7 @@
                 () -> Optional.of(IDLE),
                 POOL,
                 now::get,
-                (peer, storeUpdate) -> {},
+                (peer, storeUpdate, asOf) -> storeKnownAt.add(asOf),
                 MAX_STORE_AGE_MILLIS);
         return agent;
     }
@@ -236,6 +240,18 @@
         assertEquals(Optional.of("127.0.0.1:8002"), follower.reader(agent, 30));
     }
 
+    /** A query that waited in the socket of a paused agent is as old as the reply that it repeats. */
+    @Test
+    void shouldCountAgeFromRepeatedReplyWhenQueryIsReadLate() throws Exception {
+        now.set(50_000);
+        InetSocketAddress agent = agent();
+        Entry entry = Entry.of("a", 8_001, true, true);
+        entry.reader(agent, 30);
+        now.addAndGet(6_000);
+        entry.reader(agent, 30);
+        assertEquals(List.of(OptionalLong.empty(), OptionalLong.of(50_000 - 30)), storeKnownAt);
+    }
+
     /**
      * The reader's query is delayed in a full link for two seconds. The age that it states must be increased by that
      * time, or else an entry assumes that it knows what was written meanwhile.
--- a/src/test/java/org/micabarrow/views/VersionPersistenceTest.java
+++ b/src/test/java/org/micabarrow/views/VersionPersistenceTest.java
@@ -5,65 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.platform.StoreRecords;
 
 /** Tests how named weight versions are saved and restored with late writes, lost responses and restarting processes. */
-class VersionPersistenceTest {
-
-    private final FakeKeyedStore store = new FakeKeyedStore();
-    private final AtomicBoolean primary = new AtomicBoolean(true);
-    private final AtomicLong monotonic = new AtomicLong(1_000_000);
-    private final AtomicLong unix = new AtomicLong(1_764_718_674_123L);
-
-    private static String named(String model, long version) {
-        return FakeKeyedStore.named(model, version);
-    }
-
-    private void writeNamedVersion(long version) {
-        store.append(Topic.OPERATOR, "version/m", named("m", version));
-    }
-
-    /** A process that has read the operator records. */
-    private final class TestProcess {
-
-        private final ViewMaintainer views = new ViewMaintainer(new StoreRecords(), monotonic::get, unix::get);
-        private final VersionPersistence persistence = new VersionPersistence(store, store, views, primary::get);
-        private final StoreFollower follower = new StoreFollower(
-                Topic.OPERATOR,
-                persistence,
-                views,
-                topic -> {},
-                new StoreFollower.PollTiming(Duration.ofMillis(10), Duration.ofMillis(5)));
-
-        private TestProcess() {
-            follower.readOnce();
-        }
-
-        /** The saved versions are read several times after startup. */
-        private void checkUntilNoLongerRead() {
-            for (int i = 0; i < 40; i++) {
-                persistence.check();
-            }
-        }
-
-        /** Reads the record of a version that was just named. */
-        private void readNaming(long version) {
-            writeNamedVersion(version);
-            StoredRecord record = store.topics.get(Topic.OPERATOR).getLast();
-            views.apply(Topic.OPERATOR, List.of(record), record.offset() + 1);
-        }
-
-        private long newestVersion() {
-            return views.view().newestTarget("m").map(View.Target::version).orElse(0L);
-        }
-    }
+class VersionPersistenceTest extends VersionPersistenceFixture {
 
     @Test
     void shouldKnowNewestVersionWhenOlderOneIsWrittenAfterIt() {
@@ -249,58 +198,6 @@
         assertTrue(fresh.views.view().newestTarget("m").orElseThrow().namingObserved());
     }
 
-    // -- the time at which a version was named
-
-    private void advance(long millis) {
-        monotonic.addAndGet(millis);
-        unix.addAndGet(millis);
-    }
-
-    private long minVersion(TestProcess node) {
-        return node.views.view().minVersion("m", 8_000, monotonic.get());
-    }
-
-    /** A running process observes that version 2 is named, and saves it. */
-    private void saveObservedVersionTwo() {
-        TestProcess running = new TestProcess();
-        running.views.apply(
-                Topic.OPERATOR,
-                List.of(new StoredRecord("version/m", 3, named("m", 2).getBytes(StandardCharsets.UTF_8))),
-                4);
-        advance(400);
-        running.persistence.check();
-    }
-
-    @Test
-    void shouldCountTimeSinceNamingWhenProcessStartsWhileVersionIsDue() {
-        saveObservedVersionTwo();
-        advance(5_000);
-        monotonic.set(70);
-        TestProcess fresh = new TestProcess();
-        assertEquals(0, minVersion(fresh));
-        advance(2_700);
-        assertEquals(2, minVersion(fresh), "8.1 s after the version was named");
-    }
-
-    @Test
-    void shouldCountFromStartupWhenClockIsBehind() {
-        saveObservedVersionTwo();
-        unix.addAndGet(-9_000);
-        TestProcess fresh = new TestProcess();
-        advance(7_900);
-        assertEquals(0, minVersion(fresh));
-        advance(200);
-        assertEquals(2, minVersion(fresh));
-    }
-
-    @Test
-    void shouldNotSaveTimeOfNamingWhenNamingWasNotObserved() {
-        writeNamedVersion(2);
-        new TestProcess().persistence.check();
-        advance(60_000);
-        assertEquals(0, minVersion(new TestProcess()), "the time at which the version was named is unknown");
-    }
-
     // -- effects that saved versions must not have
 
     /** A version is saved half a second after it was named at the earliest, and a process may start before that. */
--- a/src/test/java/org/micabarrow/weights/VersionBoundSimulation.java
+++ b/src/test/java/org/micabarrow/weights/VersionBoundSimulation.java
@@ -10,6 +10,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
+import org.micabarrow.views.NamingAccount;
+import org.micabarrow.views.Topic;
+import org.micabarrow.views.TopicReader.Batch;
 import org.micabarrow.views.View;
 import org.micabarrow.views.ViewMaintainer;
 import org.micabarrow.weights.ChunkSources.Agent;
@@ -41,9 +44,31 @@
     private static final int IDLE_BUSY_MILLIS = 300;
     private static final int REQUESTS_PER_STEP = 3;
 
-    /** Pauses last between this and twice as long. */
+    /** Pauses around the stop last between this and twice as long. */
     private static final int MIN_PAUSE_MILLIS = 750;
 
+    /** How long before a naming pauses begin, at most, and how long they last. */
+    private static final int PAUSED_BEFORE_NAMING_MILLIS = 50;
+
+    private static final int ENTRY_PAUSE_MILLIS = 4_000;
+    private static final int AGENT_PAUSE_MILLIS = 6_000;
+
+    /** How late an entry learns whose source is paused: until it reads the store itself. */
+    private static final int MIN_UNINFORMED_MILLIS = 450;
+
+    private static final int MAX_UNINFORMED_MILLIS = 1_100;
+
+    /** How old what a process knows of the store is at most, while all sources run. */
+    private static final int MAX_KNOWLEDGE_AGE_MILLIS = 1_200;
+
+    /** When instances, agents and entries are paused. */
+    enum Pauses {
+        /** Instances or only their agents, around the stop. */
+        AROUND_STOP,
+        /** Agents and entries, while the first version is named; the other entries learn of it late. */
+        AT_NAMING
+    }
+
     /**
      * The parameters of a simulation.
      *
@@ -51,7 +76,7 @@
      * @param boundMillis how long a version may be served after a newer one was named
      * @param namedMillis when each version from 2 on is named
      * @param copiedMillis when the copies of each version from 2 on are complete; none for a version without a source
-     * @param pauses whether instances and agents are paused around the stop
+     * @param pauses when instances, agents and entries are paused
      * @param lossOfPowerMillis when an instance of three loses its power; none if none does
      */
     record Scenario(
@@ -59,7 +84,7 @@
             long boundMillis,
             List<Long> namedMillis,
             List<Long> copiedMillis,
-            boolean pauses,
+            Pauses pauses,
             OptionalLong lossOfPowerMillis) {}
 
     private record State(long atMillis, long held, boolean open) {}
@@ -68,6 +93,7 @@
 
     private final Scenario scenario;
     private final Random random;
+    private final Random knowledgeRandom;
     private final AtomicLong now = new AtomicLong(1_000_000);
     private final long startMillis = now.get();
     private final VersionMoments moments;
@@ -84,12 +110,13 @@
     VersionBoundSimulation(Scenario scenario, int instances, int entries) {
         this.scenario = scenario;
         this.random = new Random(scenario.seed());
+        this.knowledgeRandom = new Random(~scenario.seed());
         this.moments = new VersionMoments(scenario.boundMillis());
         for (int i = 0; i < instances; i++) {
             this.instances.add(new Instance(i, instances));
         }
         for (int i = 0; i < entries; i++) {
-            this.entries.add(new Entry());
+            this.entries.add(new Entry(i));
         }
     }
 
@@ -121,10 +148,16 @@
     private class Process {
 
         private final int learningMillis;
+        private final int knowledgeAgeMillis = knowledgeRandom.nextInt(MAX_KNOWLEDGE_AGE_MILLIS);
+
+        /** Whether another process that was not paused tells this one when versions were named. */
+        private final boolean isTold = scenario.pauses() == Pauses.AROUND_STOP || knowledgeRandom.nextBoolean();
+
         ViewMaintainer views = newViews();
 
-        private Process(int maxLearningMillis) {
-            this.learningMillis = random.nextInt(maxLearningMillis + 1);
+        private Process(int learningMillis) {
+            this.learningMillis = learningMillis;
+            views.replace(Topic.OPERATOR, List.of(), 0);
         }
 
         final ViewMaintainer newViews() {
@@ -132,13 +165,38 @@
         }
 
         final void learn() {
+            views.confirmTargets(0, knownUntilMillis());
             namedAtMillis.forEach((version, at) -> {
                 if (now.get() >= at + learningMillis) {
                     views.addPeerTarget("m", version);
+                    tell(version, at);
                 }
             });
         }
 
+        private void tell(long version, long notBeforeMillis) {
+            if (isTold) {
+                views.apply(
+                        Topic.OPERATOR,
+                        new Batch(
+                                List.of(),
+                                0,
+                                OptionalLong.empty(),
+                                OptionalLong.empty(),
+                                List.of(new NamingAccount("m", version, notBeforeMillis))));
+            }
+        }
+
+        /** Until when the sources of this process knew of everything that was named. */
+        private long knownUntilMillis() {
+            long newest =
+                    views.view().newestTarget("m").map(View.Target::version).orElse(1L);
+            return namedAtMillis.tailMap(newest, false).values().stream()
+                    .mapToLong(unknown -> Math.min(unknown, now.get()) - knowledgeAgeMillis)
+                    .min()
+                    .orElse(now.get() - knowledgeAgeMillis);
+        }
+
         final View view() {
             return views.view();
         }
@@ -160,24 +218,28 @@
         private ReplicaController controller;
 
         private Instance(int position, int count) {
-            super(AGENT_LEARNING_MILLIS);
+            super(random.nextInt(AGENT_LEARNING_MILLIS + 1));
             this.position = position;
             this.count = count;
             endpoint.held = 1;
             for (int i = 0; i < FakeOrigin.CHUNKS; i++) {
                 endpoint.staged.put(i, FakeOrigin.chunk(1, i));
             }
-            boolean pauses = scenario.pauses() && position % 2 == 1;
-            pausedFromMillis = startMillis
-                    + scenario.namedMillis().getFirst()
-                    + moments.stopMillis()
-                    - MIN_PAUSE_MILLIS
-                    + random.nextInt(1_000);
-            pausedUntilMillis = pauses ? pausedFromMillis + MIN_PAUSE_MILLIS + random.nextInt(MIN_PAUSE_MILLIS) : 0;
+            boolean isPausedOnce = position % 2 == 1;
+            long firstNamedMillis = startMillis + scenario.namedMillis().getFirst();
+            pausedFromMillis = switch (scenario.pauses()) {
+                case AROUND_STOP -> firstNamedMillis + moments.stopMillis() - MIN_PAUSE_MILLIS + random.nextInt(1_000);
+                case AT_NAMING -> firstNamedMillis - knowledgeRandom.nextInt(PAUSED_BEFORE_NAMING_MILLIS);
+            };
+            long pauseMillis = switch (scenario.pauses()) {
+                case AROUND_STOP -> MIN_PAUSE_MILLIS + random.nextInt(MIN_PAUSE_MILLIS);
+                case AT_NAMING -> AGENT_PAUSE_MILLIS;
+            };
+            pausedUntilMillis = isPausedOnce ? pausedFromMillis + pauseMillis : 0;
             // Such an agent learns as late as its pause ends; the entries alone take care of its endpoint.
-            isPausedWhileLearning = pauses
-                    && pausedFromMillis - startMillis - scenario.namedMillis().getFirst()
-                            <= AGENT_LEARNING_MILLIS + CONTROLLER_STEP_MILLIS;
+            isPausedWhileLearning = isPausedOnce
+                    && scenario.pauses() == Pauses.AROUND_STOP
+                    && pausedFromMillis - firstNamedMillis <= AGENT_LEARNING_MILLIS + CONTROLLER_STEP_MILLIS;
             startAgent();
         }
 
@@ -323,11 +385,26 @@
                 .map(lost -> lost == 0 ? POLLED_MILLIS : NOTIFIED_MILLIS)
                 .toArray();
 
-        private Entry() {
-            super(ENTRY_LEARNING_MILLIS);
+        private final long pausedFromMillis =
+                startMillis + scenario.namedMillis().getFirst() - knowledgeRandom.nextInt(PAUSED_BEFORE_NAMING_MILLIS);
+        private final boolean isPausedOnce;
+
+        private Entry(int position) {
+            super(
+                    scenario.pauses() == Pauses.AT_NAMING
+                            ? knowledgeRandom.nextInt(MIN_UNINFORMED_MILLIS, MAX_UNINFORMED_MILLIS)
+                            : random.nextInt(ENTRY_LEARNING_MILLIS + 1));
+            this.isPausedOnce = scenario.pauses() == Pauses.AT_NAMING && position % 2 == 1;
+        }
+
+        private boolean isPaused() {
+            return isPausedOnce && now.get() >= pausedFromMillis && now.get() < pausedFromMillis + ENTRY_PAUSE_MILLIS;
         }
 
         private void step() {
+            if (isPaused()) {
+                return;
+            }
             learn();
             for (int i = 0; i < REQUESTS_PER_STEP; i++) {
                 send(random.nextInt(instances.size()));
@@ -344,7 +421,7 @@
             }
             long held = known.get().held();
             boolean queries = view().nextTarget("m", held)
-                    .filter(newer -> now.get() - newer.learnedAtMillis() >= moments.queryMillis())
+                    .filter(newer -> now.get() - newer.namedAtMillis() >= moments.queryMillis())
                     .isPresent();
             if (queries && instance.isPaused()) {
                 return;
@@ -356,8 +433,7 @@
         private void cancel(Instance instance) {
             instance.arriving.removeIf(request -> request.entry() == this
                     && view().nextTarget("m", request.sentHeld())
-                            .filter(newer ->
-                                    now.get() >= newer.learnedAtMillis() + moments.cancelMillis() + resetMillis)
+                            .filter(newer -> now.get() >= newer.namedAtMillis() + moments.cancelMillis() + resetMillis)
                             .isPresent());
         }
     }
--- a/src/test/java/org/micabarrow/weights/VersionBoundTest.java
+++ b/src/test/java/org/micabarrow/weights/VersionBoundTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.micabarrow.weights.VersionBoundSimulation.Pauses;
 import org.micabarrow.weights.VersionBoundSimulation.Scenario;
 
 /**
@@ -57,15 +58,24 @@
     @MethodSource("seedsAndBounds")
     void shouldBeginNothingTooLateWhenInstancesArePaused(long seed, long bound) {
         play(
-                new Scenario(seed, bound, List.of(NAMED_MILLIS), List.of(), true, OptionalLong.empty()),
+                new Scenario(seed, bound, List.of(NAMED_MILLIS), List.of(), Pauses.AROUND_STOP, OptionalLong.empty()),
                 NAMED_MILLIS + bound + 4_000);
     }
 
+    /** Agents and the sources of the entries are paused for longer than any allowance. */
+    @ParameterizedTest
+    @MethodSource("seedsAndBounds")
+    void shouldBeginNothingTooLateWhenAgentsAndEntriesArePausedAtNaming(long seed, long bound) {
+        play(
+                new Scenario(seed, bound, List.of(NAMED_MILLIS), List.of(), Pauses.AT_NAMING, OptionalLong.empty()),
+                NAMED_MILLIS + bound + 8_000);
+    }
+
     @ParameterizedTest
     @MethodSource("seedsAndLongBounds")
     void shouldServeUntilBoundLessAllowancesWhenNewerVersionHasNoSource(long seed, long bound) {
         VersionBoundSimulation simulation = play(
-                new Scenario(seed, bound, List.of(NAMED_MILLIS), List.of(), true, OptionalLong.empty()),
+                new Scenario(seed, bound, List.of(NAMED_MILLIS), List.of(), Pauses.AROUND_STOP, OptionalLong.empty()),
                 NAMED_MILLIS + bound + 2_000);
         long servedMillis = simulation.lastBegunOnFirstMillis() - NAMED_MILLIS;
         assertTrue(servedMillis >= bound - MAX_GIVEN_AWAY_MILLIS, "served for " + servedMillis + " ms of " + bound);
@@ -76,7 +86,13 @@
     void shouldServeAgainAtOnceWhenCopyComesAfterBound(long seed, long bound) {
         long copiedMillis = NAMED_MILLIS + bound + 3_000;
         VersionBoundSimulation simulation = play(
-                new Scenario(seed, bound, List.of(NAMED_MILLIS), List.of(copiedMillis), true, OptionalLong.empty()),
+                new Scenario(
+                        seed,
+                        bound,
+                        List.of(NAMED_MILLIS),
+                        List.of(copiedMillis),
+                        Pauses.AROUND_STOP,
+                        OptionalLong.empty()),
                 copiedMillis + 4_000);
         long neededMillis = copiedMillis - NAMED_MILLIS - bound + MAX_GIVEN_AWAY_MILLIS + MAX_TAKE_UP_MILLIS;
         assertTrue(
@@ -92,7 +108,7 @@
                 LongStream.range(0, 5).mapToObj(i -> NAMED_MILLIS + 2_000 * i).toList();
         List<Long> copied = named.stream().map(at -> at + 4_300).toList();
         VersionBoundSimulation simulation = play(
-                new Scenario(seed, bound, named, copied, true, OptionalLong.of(NAMED_MILLIS + 3_000)),
+                new Scenario(seed, bound, named, copied, Pauses.AROUND_STOP, OptionalLong.of(NAMED_MILLIS + 3_000)),
                 NAMED_MILLIS + 2_000 * 5 + bound + 4_000);
         assertTrue(
                 simulation.longestGapMillis() <= SWITCH_MILLIS,
