Let the read-back of staged chunks expire, and confirm a load whose order was taken late

Cause: an agent read all staged chunks back and then ordered the endpoint to load them, however much time had passed in between.

Change: a pass is valid from its beginning for twice the endpoint's shortest pass, 500 to 2,000 ms: the platform's three seconds less the second that an order may take; the lower end is chosen as ten passes of the 50 ms seen. The order is checked against it on the I/O thread, where it is written. If its answer comes later or not at all, the cordon stays closed while the chunks are read once more; if one is corrupted, the layers are given up and loaded again.

Where nobody is paused no call is added.

--- a/src/main/java/org/micabarrow/platform/EndpointCalls.java
+++ b/src/main/java/org/micabarrow/platform/EndpointCalls.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import org.micabarrow.platform.JsonFields.MalformedField;
 import org.micabarrow.state.CanonicalJson;
@@ -144,8 +145,8 @@
     // -- orders
 
     @Override
-    public Result<OrderOutcome> load(String model, long version, long expectedOrders) {
-        return order(startOrder(model, version, expectedOrders));
+    public Result<OrderOutcome> load(String model, long version, long expectedOrders, BooleanSupplier stillDue) {
+        return order(startOrder(model, version, expectedOrders), stillDue);
     }
 
     @Override
@@ -154,7 +155,7 @@
         order.put("from", layer);
         // The end of the range of layers, not a version.
         order.put("target_version", layer + 1);
-        return order(order);
+        return order(order, () -> true);
     }
 
     private static ObjectNode startOrder(String model, long version, long expectedOrders) {
@@ -167,10 +168,14 @@
         return order;
     }
 
-    private Result<OrderOutcome> order(ObjectNode order) {
+    private Result<OrderOutcome> order(ObjectNode order, BooleanSupplier stillDue) {
         HttpCall call = HttpCall.post(Step.ORDER, URI.create(base + WireNames.ORDER), CanonicalJson.write(order))
                 .withHeader("Content-Type", "application/json");
-        return caller.call(call, TIMEOUT).flatMap(answer -> switch (answer.status()) {
+        Result<HttpResponse> response = caller.call(call, TIMEOUT, stillDue);
+        if (response.cause().filter(fault -> fault.reason() == Reason.TOO_LATE).isPresent()) {
+            return Result.success(OrderOutcome.WITHHELD);
+        }
+        return response.flatMap(answer -> switch (answer.status()) {
             case ACCEPTED -> Result.success(OrderOutcome.BEGUN);
             case OK -> Result.success(OrderOutcome.HELD);
             case CONFLICT -> Result.success(OrderOutcome.CONFLICT);
--- a/src/main/java/org/micabarrow/transport/HttpClient.java
+++ b/src/main/java/org/micabarrow/transport/HttpClient.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.BooleanSupplier;
 import org.micabarrow.clock.MonotonicClock;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
@@ -203,6 +204,19 @@
         return callAsync(call).await(timeouts);
     }
 
+    /**
+     * Sends a request and waits for the complete response, unless the request is no longer due when it is about to be
+     * written: the process may have been paused since the caller decided to send it.
+     *
+     * @param call the request
+     * @param timeout the timeout for the complete response
+     * @param stillDue whether the request is to be sent; called on an I/O thread and must not block
+     * @return the response, whatever its status; a fault for {@link Reason#TOO_LATE} if nothing was sent
+     */
+    public Result<HttpResponse> call(HttpCall call, Duration timeout, BooleanSupplier stillDue) {
+        return callAsync(call, stillDue).await(timeout);
+    }
+
     /**
      * Sends a request whose response is awaited later.
      *
@@ -210,7 +224,11 @@
      * @return the call in progress
      */
     PendingCall callAsync(HttpCall call) {
-        ResponseCollector collector = new ResponseCollector();
+        return callAsync(call, () -> true);
+    }
+
+    private PendingCall callAsync(HttpCall call, BooleanSupplier stillDue) {
+        ResponseCollector collector = new ResponseCollector(stillDue);
         Runnable cancel = send(call, collector);
         return new PendingCall(
                 call, collector, cancel, () -> shared.connections().closeIdle(call.authority()));
--- a/src/main/java/org/micabarrow/transport/ResponseCollector.java
+++ b/src/main/java/org/micabarrow/transport/ResponseCollector.java
@@ -2,17 +2,21 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import org.micabarrow.state.Fault;
+import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Result;
 import org.micabarrow.transport.HttpClient.HttpResponse;
 
-/** Collects a response until it is complete. */
+/** Collects a response until it is complete. The request is not sent if it is no longer due when it could be. */
 final class ResponseCollector implements HttpClient.Listener {
 
+    private final BooleanSupplier stillDue;
     private final CompletableFuture<Result<HttpResponse>> done = new CompletableFuture<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private volatile boolean begun;
@@ -20,6 +24,15 @@
     private int status;
     private Map<String, String> headers = Map.of();
 
+    /**
+     * Creates a collector.
+     *
+     * @param stillDue whether the request is to be sent; called on an I/O thread just before it is
+     */
+    ResponseCollector(BooleanSupplier stillDue) {
+        this.stillDue = stillDue;
+    }
+
     /** Whether any part of the response has arrived. */
     boolean hasBegun() {
         return begun;
@@ -51,6 +64,16 @@
         begun = true;
     }
 
+    @Override
+    public Optional<HttpCall> beforeSend(HttpCall call) {
+        if (stillDue.getAsBoolean()) {
+            return Optional.of(call);
+        }
+        done.complete(Result.failure(
+                Fault.of(call.step(), call.peer(), Reason.TOO_LATE, "it was no longer due and was not sent")));
+        return Optional.empty();
+    }
+
     @Override
     public void onHead(int receivedStatus, Map<String, String> receivedHeaders) {
         onPart();
--- a/src/main/java/org/micabarrow/weights/Cordon.java
+++ b/src/main/java/org/micabarrow/weights/Cordon.java
@@ -43,7 +43,9 @@
         /** A newer version is complete, or will be soon. */
         ORDER,
         /** No newer version is complete, and the one that the endpoint holds reaches its bound. */
-        STOP
+        STOP,
+        /** The endpoint may have loaded a version from corrupted chunks. */
+        CHECK
     }
 
     /**
--- a/src/main/java/org/micabarrow/weights/ModelEndpoint.java
+++ b/src/main/java/org/micabarrow/weights/ModelEndpoint.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import org.micabarrow.routing.EndpointCondition;
 import org.micabarrow.state.Result;
 
@@ -78,7 +79,9 @@
         /** The endpoint already holds the version. */
         HELD,
         /** The order does not match the endpoint's state. */
-        CONFLICT
+        CONFLICT,
+        /** The order was not sent, since it was no longer due. */
+        WITHHELD
     }
 
     /**
@@ -113,9 +116,10 @@
      * @param model the model
      * @param version the weight version
      * @param expectedOrders the number of orders in the last report; the endpoint refuses if it has accepted more since
+     * @param stillDue whether the order is to be sent, checked just before it is; must not block
      * @return the outcome
      */
-    Result<OrderOutcome> load(String model, long version, long expectedOrders);
+    Result<OrderOutcome> load(String model, long version, long expectedOrders, BooleanSupplier stillDue);
 
     /**
      * Orders the endpoint to load a single layer, after which it serves no other version any more.
@@ -123,7 +127,7 @@
      * @param model the model
      * @param version the weight version
      * @param layer the index of the layer, from 0
-     * @param expectedOrders as for {@link #load}
+     * @param expectedOrders the number of orders in the last report; the endpoint refuses if it has accepted more since
      * @return the outcome
      */
     Result<OrderOutcome> loadLayer(String model, long version, int layer, long expectedOrders);
--- a/src/main/java/org/micabarrow/weights/ReplicaController.java
+++ b/src/main/java/org/micabarrow/weights/ReplicaController.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
@@ -9,7 +10,6 @@
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
 import org.micabarrow.views.View;
-import org.micabarrow.weights.ModelEndpoint.OrderOutcome;
 import org.micabarrow.weights.ModelEndpoint.Report;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -34,6 +34,7 @@
     private final VersionDeadlines deadlines;
     private final VersionFetches fetches;
     private final Retirement retirement;
+    private final VerifiedLoad load;
     private final TargetVersionSelector versionSelector;
     private final AtomicReference<Optional<Report>> report = new AtomicReference<>(Optional.empty());
 
@@ -77,7 +78,7 @@
     public ReplicaController(Dependencies dependencies) {
         this.dependencies = Objects.requireNonNull(dependencies, "dependencies is null");
         this.cordon = new Cordon(dependencies.notifyEntries());
-        this.stagedChunks = new StagedChunks(dependencies.endpoint());
+        this.stagedChunks = new StagedChunks(dependencies.endpoint(), dependencies.monotonicMillis());
         this.deadlines = new VersionDeadlines(
                 dependencies.view(),
                 dependencies.layers(),
@@ -93,6 +94,7 @@
                 fetches,
                 deadlines,
                 dependencies.monotonicMillis());
+        this.load = new VerifiedLoad(dependencies.endpoint(), stagedChunks, retirement, dependencies.monotonicMillis());
     }
 
     /**
@@ -226,10 +228,17 @@
             // A closed cordon was for an order to the endpoint before its restart.
             cordon.lift();
             retirement.onRestart();
+            load.onRestart();
+        }
+        long held = latest.get().models().getOrDefault(model.get(), 0L);
+        if (!load.confirm(latest.get()) && !retirement.isDue(model.get(), held)) {
+            cordon.closeAndCheckElapsed(
+                    dependencies.monotonicMillis().getAsLong(), Cordon.Reason.CHECK, OptionalLong.empty());
+            refresh();
+            return;
         }
         // A busy endpoint accepts no requests on its previous version.
         if (!latest.get().busy()) {
-            long held = latest.get().models().getOrDefault(model.get(), 0L);
             advance(model.get(), versionSelector.select(model.get(), held), held, latest.get());
         }
     }
@@ -252,8 +261,9 @@
                         orderDue ? Cordon.Reason.ORDER : Cordon.Reason.STOP,
                         deadlines.millisUntilBound(model, held))
                 || retireDue && lastOrderPassed;
-        if (cordonElapsed && staged.filter(stagedChunks::verifyAndRepair).isPresent()) {
-            order(staged.get(), latest);
+        if (cordonElapsed
+                && staged.filter(set -> load.orderIfIntact(set, latest)).isPresent()) {
+            refresh();
         } else if (cordonElapsed && retireDue) {
             retirement.retire(model, held, latest);
             refresh();
@@ -292,17 +302,6 @@
                 : deadlines.orderAt(model, held, dependencies.regionPosition().get());
     }
 
-    private void order(ChunkSet set, Report latest) {
-        if (retirement.mayHoldUnverifiedLayers(set, latest)) {
-            retirement.discardLayers(set, latest);
-            refresh();
-            return;
-        }
-        Result<OrderOutcome> outcome = dependencies.endpoint().load(set.model(), set.version(), latest.orderCount());
-        LOG.info("event=ordered model={} version={} end={}", set.model(), set.version(), outcome);
-        refresh();
-    }
-
     // -- serving chunks that the endpoint held before this agent started
 
     /** Reads the staged chunks of the version that the endpoint holds, so that other agents can fetch them. */
--- a/src/main/java/org/micabarrow/weights/Retirement.java
+++ b/src/main/java/org/micabarrow/weights/Retirement.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -122,10 +123,17 @@
     void retire(String model, long held, Report report) {
         for (ChunkSet set : fetches.newerThan(model, held)) {
             OptionalInt layer = firstCompleteLayer(set);
-            if (layer.isPresent()
-                    && stagedChunks.restage(set, firstChunk(set, layer.getAsInt()), endChunk(set, layer.getAsInt()))) {
+            Optional<ReadBack> restaged = layer.isPresent()
+                    ? stagedChunks.restage(set, firstChunk(set, layer.getAsInt()), endChunk(set, layer.getAsInt()))
+                    : Optional.empty();
+            if (restaged.isPresent()) {
                 completeLayerVersions.add(set.version());
                 orderLayer(model, held, set.version(), layer.getAsInt(), report);
+                // The endpoint must stop in any case, but a chunk may have become corrupted before it took the order.
+                if (!restaged.get().isValidAt(monotonicMillis.getAsLong())) {
+                    LOG.warn("event=layer_unverified model={} version={}", model, set.version());
+                    unverifiedLayerVersions.add(set.version());
+                }
                 return;
             }
         }
@@ -205,15 +213,18 @@
                 && !(completeLayerVersions.contains(set.version()) && !unverifiedLayerVersions.contains(set.version()));
     }
 
-    /** Makes the endpoint discard its layers of a version, so that it loads all of them again. */
-    void discardLayers(ChunkSet set, Report report) {
+    /**
+     * Makes the endpoint discard its layers of a version, so that it loads all of them again. Returns whether it has
+     * accepted the order.
+     */
+    boolean discardLayers(ChunkSet set, Report report) {
         OptionalLong otherVersion = deadlines.anyOtherVersion(set.model(), set.version());
         if (otherVersion.isEmpty()) {
             logImpossible(
                     set.model(),
                     0,
                     "no other version is known to replace the unverified layers of version " + set.version());
-            return;
+            return false;
         }
         unverifiedLayerVersions.add(otherVersion.getAsLong());
         Result<OrderOutcome> outcome =
@@ -224,5 +235,6 @@
                 set.version(),
                 otherVersion.getAsLong(),
                 outcome);
+        return outcome.toOptional().filter(OrderOutcome.BEGUN::equals).isPresent();
     }
 }
--- a/src/main/java/org/micabarrow/weights/StagedChunks.java
+++ b/src/main/java/org/micabarrow/weights/StagedChunks.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntConsumer;
+import java.util.function.LongSupplier;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
 import org.slf4j.Logger;
@@ -20,17 +22,34 @@
     private static final Logger LOG = LoggerFactory.getLogger(StagedChunks.class);
 
     private final ModelEndpoint endpoint;
+    private final LongSupplier monotonicMillis;
     private final BitSet stagedChunks = new BitSet();
     private Optional<ChunkSet> stagedSet = Optional.empty();
     private OptionalLong startedMillis = OptionalLong.empty();
+    private OptionalLong shortestPassMillis = OptionalLong.empty();
+
+    /** The result of reading all chunks of a version back. */
+    sealed interface Verification {
+
+        /** All of them were intact. */
+        record Intact(ReadBack readBack) implements Verification {}
+
+        /** Some were corrupted or missing. */
+        record Corrupted(int chunks) implements Verification {}
+
+        /** The endpoint did not return them. */
+        record Unreadable(Fault fault) implements Verification {}
+    }
 
     /**
      * Creates the staging state of an endpoint. Nothing is known to be staged.
      *
      * @param endpoint the endpoint
+     * @param monotonicMillis a monotonic clock, in milliseconds
      */
-    StagedChunks(ModelEndpoint endpoint) {
+    StagedChunks(ModelEndpoint endpoint, LongSupplier monotonicMillis) {
         this.endpoint = Objects.requireNonNull(endpoint, "endpoint is null");
+        this.monotonicMillis = Objects.requireNonNull(monotonicMillis, "monotonicMillis is null");
     }
 
     // -- restarts
@@ -78,17 +97,21 @@
         }
     }
 
-    /** Stages chunks again, since staged ones may be corrupted. Returns whether all of them were staged. */
-    boolean restage(ChunkSet set, int first, int end) {
+    /**
+     * Stages chunks again, since staged ones may be corrupted. Returns for how long they may be relied on; empty if not
+     * all of them were staged.
+     */
+    Optional<ReadBack> restage(ChunkSet set, int first, int end) {
+        long beganAtMillis = monotonicMillis.getAsLong();
         if (stagedSet.filter(set::equals).isEmpty()) {
             stagedChunks.clear(first, end);
         }
         for (int i = first; i < end; i++) {
             if (!stageChunk(set, i)) {
-                return false;
+                return Optional.empty();
             }
         }
-        return true;
+        return Optional.of(ReadBack.of(beganAtMillis, shortestPassMillis.orElse(0)));
     }
 
     private boolean stageChunk(ChunkSet set, int index) {
@@ -118,14 +141,28 @@
 
     // -- reading back
 
-    /** Reads all chunks back and stages corrupted ones again. Returns whether all were intact in this pass. */
-    boolean verifyAndRepair(ChunkSet set) {
-        int repaired = 0;
+    /** Reads all chunks back. */
+    Verification verify(ChunkSet set) {
+        return verify(set, index -> {});
+    }
+
+    /** Reads all chunks back and stages corrupted ones again. */
+    Verification verifyAndRepair(ChunkSet set) {
+        Verification result = verify(set, index -> stageChunk(set, index));
+        if (result instanceof Verification.Corrupted(int chunks)) {
+            LOG.info("event=chunks_mended model={} version={} chunks={}", set.model(), set.version(), chunks);
+        }
+        return result;
+    }
+
+    private Verification verify(ChunkSet set, IntConsumer onCorrupted) {
+        long beganAtMillis = monotonicMillis.getAsLong();
+        int corrupted = 0;
         for (int i = 0; i < set.digests().size(); i++) {
             Result<Optional<byte[]>> readBack = endpoint.readStaged(set.model(), i);
             if (readBack instanceof Result.Failure<Optional<byte[]>>(Fault fault)) {
                 LOG.warn("event=read_back_failed chunk={} why=\"{}\"", i, fault);
-                return false;
+                return new Verification.Unreadable(fault);
             }
             int index = i;
             boolean intact = readBack.toOptional()
@@ -133,14 +170,17 @@
                     .filter(bytes -> set.matchesDigest(index, bytes))
                     .isPresent();
             if (!intact) {
-                repaired++;
-                stageChunk(set, i);
+                corrupted++;
+                onCorrupted.accept(index);
             }
         }
-        if (repaired > 0) {
-            LOG.info("event=chunks_mended model={} version={} chunks={}", set.model(), set.version(), repaired);
+        if (corrupted > 0) {
+            return new Verification.Corrupted(corrupted);
         }
-        return repaired == 0;
+        long passMillis = monotonicMillis.getAsLong() - beganAtMillis;
+        long shortestMillis = Math.min(passMillis, shortestPassMillis.orElse(passMillis));
+        shortestPassMillis = OptionalLong.of(shortestMillis);
+        return new Verification.Intact(ReadBack.of(beganAtMillis, shortestMillis));
     }
 
     /** Adds those staged chunks to a set that match its digests. */
--- a/src/test/java/org/micabarrow/KnownRedTest.java
+++ b/src/test/java/org/micabarrow/KnownRedTest.java
@@ -13,7 +13,8 @@
 
     @Test
     void shouldCountTestsAlone() {
-        List<String> lines = List.of("ATest.a: x", "", "BTest.b: y", "review/: cases", "CTest.c: z", "review/2: a case");
+        List<String> lines =
+                List.of("ATest.a: x", "", "BTest.b: y", "review/: cases", "CTest.c: z", "review/2: a case");
         assertEquals(THREE, KnownRed.tests(lines));
     }
 
--- a/src/test/java/org/micabarrow/platform/EndpointCallsTest.java
+++ b/src/test/java/org/micabarrow/platform/EndpointCallsTest.java
@@ -9,12 +9,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.standin.Ports;
+import org.micabarrow.state.Result;
 import org.micabarrow.transport.HttpClient;
 import org.micabarrow.transport.HttpListener;
+import org.micabarrow.weights.ModelEndpoint.OrderOutcome;
 import org.micabarrow.weights.ModelEndpoint.Report;
 
 /** What is read from an endpoint's report. */
@@ -24,6 +27,7 @@
 
     private static final HttpString LEAVING = new HttpString("Server-Leaving");
 
+    private final AtomicInteger received = new AtomicInteger();
     private volatile String report = "";
     private volatile Optional<String> leaving = Optional.empty();
     private volatile int layers = LAYERS;
@@ -35,6 +39,7 @@
     void start() throws Exception {
         address = Ports.freeAddress();
         listener = HttpListener.start(address, HttpListener.Limits.defaults(), 1, Optional.empty(), exchange -> {
+            received.incrementAndGet();
             leaving.ifPresent(stated -> exchange.getResponseHeaders().put(LEAVING, stated));
             exchange.getResponseSender().send(report, StandardCharsets.UTF_8);
         });
@@ -75,6 +80,17 @@
         assertEquals(Map.of("m", 2L), read("").models());
     }
 
+    // -- orders
+
+    @Test
+    void shouldSendNothingWhenOrderIsNoLongerDue() {
+        EndpointCalls calls = new EndpointCalls(caller, address, () -> LAYERS);
+        assertEquals(Result.success(OrderOutcome.WITHHELD), calls.load("m", 2, 0, () -> false));
+        assertEquals(0, received.get());
+        assertEquals(Result.success(OrderOutcome.HELD), calls.load("m", 2, 0, () -> true));
+        assertEquals(1, received.get());
+    }
+
     // -- the same answer again
 
     private static Report next(EndpointCalls calls) {
--- a/src/test/java/org/micabarrow/weights/FakeEndpoint.java
+++ b/src/test/java/org/micabarrow/weights/FakeEndpoint.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
+import java.util.function.IntConsumer;
 import org.micabarrow.routing.EndpointCondition;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
@@ -42,6 +44,17 @@
     int lostResponses;
     Runnable onStage = () -> {};
 
+    /** Called with the index of each chunk after it was read, before the caller has it. */
+    IntConsumer onRead = index -> {};
+
+    /** Called before an order is checked for the last time, and between that check and its being taken. */
+    Runnable beforeOrder = () -> {};
+
+    Runnable whileOrderIsSent = () -> {};
+
+    /** The orders for a whole version that it took while one of its chunks was of another version. */
+    final List<String> takenUnverified = new ArrayList<>();
+
     private OptionalLong startedMillis = OptionalLong.of(5_000);
     private final BitSet loadedLayers = new BitSet();
     private final BitSet unverifiedLayers = new BitSet();
@@ -97,11 +110,17 @@
 
     @Override
     public Result<Optional<byte[]>> readStaged(String model, int index) {
-        return readable ? Result.success(Optional.ofNullable(staged.get(index))) : noResponse(Fault.Step.STAGE);
+        Optional<byte[]> chunk = Optional.ofNullable(staged.get(index));
+        onRead.accept(index);
+        return readable ? Result.success(chunk) : noResponse(Fault.Step.STAGE);
     }
 
     @Override
-    public Result<OrderOutcome> load(String model, long version, long expectedOrders) {
+    public Result<OrderOutcome> load(String model, long version, long expectedOrders, BooleanSupplier stillDue) {
+        beforeOrder.run();
+        if (!stillDue.getAsBoolean()) {
+            return Result.success(OrderOutcome.WITHHELD);
+        }
         return acceptOrder("start " + version, version, 0, LAYERS, expectedOrders);
     }
 
@@ -111,6 +130,7 @@
     }
 
     private Result<OrderOutcome> acceptOrder(String description, long version, int from, int end, long expectedOrders) {
+        whileOrderIsSent.run();
         if (unresponsive) {
             return noResponse(Fault.Step.ORDER);
         }
@@ -120,6 +140,9 @@
         }
         orders.add(description);
         loadLayers(version, from, end);
+        if (servesUnverifiedLayer()) {
+            takenUnverified.add(description);
+        }
         return lostResponses-- > 0 ? noResponse(Fault.Step.ORDER) : Result.success(OrderOutcome.BEGUN);
     }
 
--- a/src/test/java/org/micabarrow/weights/StagedChunksTest.java
+++ b/src/test/java/org/micabarrow/weights/StagedChunksTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashMap;
@@ -9,11 +10,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.state.Digest;
 import org.micabarrow.state.Result;
+import org.micabarrow.weights.StagedChunks.Verification;
 
 /** Staged chunks count only until the endpoint restarts. */
 class StagedChunksTest {
@@ -22,8 +26,10 @@
     private static final OptionalLong FIRST_START = OptionalLong.of(5_000);
     private static final OptionalLong SECOND_START = OptionalLong.of(9_000);
 
+    private final AtomicLong now = new AtomicLong(70_000);
     private final Map<Integer, byte[]> staged = new HashMap<>();
-    private final StagedChunks stagedChunks = new StagedChunks(new MapEndpoint());
+    private long readMillis;
+    private final StagedChunks stagedChunks = new StagedChunks(new MapEndpoint(), now::get);
     private final ChunkSet set = new ChunkSet(
             "m",
             2,
@@ -49,11 +55,12 @@
 
         @Override
         public Result<Optional<byte[]>> readStaged(String model, int index) {
+            now.addAndGet(readMillis);
             return Result.success(Optional.ofNullable(staged.get(index)));
         }
 
         @Override
-        public Result<OrderOutcome> load(String model, long version, long expectedOrders) {
+        public Result<OrderOutcome> load(String model, long version, long expectedOrders, BooleanSupplier stillDue) {
             return Result.success(OrderOutcome.BEGUN);
         }
 
@@ -78,7 +85,7 @@
         assertEquals(CHUNKS, stagedChunks.missingCount(set));
         assertFalse(stagedChunks.isComplete(set));
         stagedChunks.stageNew(set, () -> true);
-        assertTrue(stagedChunks.verifyAndRepair(set));
+        assertInstanceOf(Verification.Intact.class, stagedChunks.verifyAndRepair(set));
     }
 
     @Test
@@ -90,9 +97,51 @@
         assertEquals(0, staged.size());
     }
 
+    // -- for how long a pass is relied on
+
+    private ReadBack pass(long millisForEachChunk) {
+        readMillis = millisForEachChunk;
+        return assertInstanceOf(Verification.Intact.class, stagedChunks.verify(set))
+                .readBack();
+    }
+
+    @Test
+    void shouldCountAgeOfPassFromItsBeginning() {
+        ReadBack pass = pass(20);
+        assertTrue(pass.isValidAt(70_000 + 500));
+        assertFalse(pass.isValidAt(70_000 + 501));
+    }
+
+    @Test
+    void shouldRelyOnPassOfSlowEndpointForLongerButLessThanTolerated() {
+        assertTrue(pass(200).isValidAt(now.get()), "a pass that is not interrupted is valid when it ends");
+        assertEquals(1_600, pass(200).maxAgeMillis());
+        assertEquals(500, pass(20).maxAgeMillis());
+        StagedChunks slower = new StagedChunks(new MapEndpoint(), now::get);
+        readMillis = 600;
+        ReadBack slowest =
+                assertInstanceOf(Verification.Intact.class, slower.verify(set)).readBack();
+        assertFalse(slowest.isValidAt(now.get()));
+    }
+
+    /** A pass that was interrupted takes longer, but that is not the endpoint's speed. */
+    @Test
+    void shouldNotRelyOnInterruptedPassWhenOthersWereShort() {
+        pass(20);
+        assertFalse(pass(200).isValidAt(now.get()));
+    }
+
+    @Test
+    void shouldLeaveCorruptedChunksWhenOnlyVerifying() {
+        staged.put(1, new byte[] {0});
+        assertEquals(new Verification.Corrupted(1), stagedChunks.verify(set));
+        assertEquals(new Verification.Corrupted(1), stagedChunks.verifyAndRepair(set));
+        assertInstanceOf(Verification.Intact.class, stagedChunks.verify(set));
+    }
+
     @Test
     void shouldNotDetectRestartWhenFirstStartTimeIsReported() {
-        StagedChunks fresh = new StagedChunks(new MapEndpoint());
+        StagedChunks fresh = new StagedChunks(new MapEndpoint(), now::get);
         assertFalse(fresh.detectRestart(OptionalLong.empty()));
         assertFalse(fresh.detectRestart(FIRST_START));
     }
