An agent relays no rate limit from a query that may have been sent long before it was read

A query that waited in the socket of a paused agent was dated by its reading, so that a limit that had been lifted or replaced meanwhile could pass for the newest.

LoadServerTest.shouldRelayRateLimitOnlyWhenQueryIsRecent, one of two cases red before.

--- a/src/main/java/org/micabarrow/transport/EntryQueries.java
+++ b/src/main/java/org/micabarrow/transport/EntryQueries.java
@@ -67,7 +67,17 @@
             long atMillis,
             Optional<String> peer,
             OptionalLong storeKnownAtMillis,
-            Optional<StoreReader> reader) {}
+            Optional<StoreReader> reader) {
+
+        /**
+         * Whether the query may have been sent long before it was read, for example while the agent was paused. What it
+         * states of the present may have been followed by something else that the agent knows already.
+         */
+        boolean mayBeOutdated() {
+            return query.replyTimestamp().isPresent()
+                    && atMillis - query.replyTimestamp().getAsLong() > QUERY_VALID_MILLIS;
+        }
+    }
 
     /**
      * An entry that reads the store itself.
--- a/src/main/java/org/micabarrow/transport/LoadServer.java
+++ b/src/main/java/org/micabarrow/transport/LoadServer.java
@@ -153,6 +153,7 @@
             entryQuery
                     .query()
                     .rateLimit()
+                    .filter(rateLimit -> !entryQuery.mayBeOutdated())
                     .ifPresent(rateLimit -> limitRelay.received(rateLimit, entryQuery.atMillis()));
             entryQuery
                     .query()
--- a/src/test/java/org/micabarrow/transport/LoadServerTest.java
+++ b/src/test/java/org/micabarrow/transport/LoadServerTest.java
@@ -21,6 +21,8 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.admission.ClassAllotment;
 import org.micabarrow.admission.ClassDemand;
 import org.micabarrow.admission.EntryDemand;
@@ -281,6 +283,24 @@
         return LoadMessages.readReply(Arrays.copyOf(packet.getData(), packet.getLength()));
     }
 
+    /** Queries wait in the socket of a paused agent; limits in them may have been lifted since. */
+    @ParameterizedTest
+    @CsvSource({"900, true", "6000, false"})
+    void shouldRelayRateLimitOnlyWhenQueryIsRecent(long pauseMillis, boolean relayed) throws Exception {
+        now.set(50_000);
+        InetSocketAddress agent = agent();
+        try (DatagramSocket entry = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            entry.setSoTimeout(HANG_MILLIS);
+            long timestamp =
+                    exchange(entry, agent, query("a", Optional.empty())).timestampMillis();
+            now.addAndGet(pauseMillis);
+            RateLimitUpdate rateLimit = new RateLimitUpdate(RateLimitUpdate.token("e"), OptionalDouble.of(2), 100);
+            LoadQuery late = new LoadQuery(
+                    "b", 0, 0, 0, false, Optional.empty(), OptionalLong.of(timestamp), Optional.of(rateLimit));
+            assertEquals(relayed, exchange(entry, agent, late).rateLimit().isPresent());
+        }
+    }
+
     private static LoadQuery query(String entry, Optional<RateLimitUpdate> rateLimit) {
         return new LoadQuery(entry, 0, 0, 0, false, Optional.empty(), OptionalLong.empty(), rateLimit);
     }
