--- a/src/test/java/org/micabarrow/weights/VersionBoundSimulation.java
+++ b/src/test/java/org/micabarrow/weights/VersionBoundSimulation.java
@@ -231,11 +231,7 @@
                 case AROUND_STOP -> firstNamedMillis + moments.stopMillis() - MIN_PAUSE_MILLIS + random.nextInt(1_000);
                 case AT_NAMING -> firstNamedMillis - knowledgeRandom.nextInt(PAUSED_BEFORE_NAMING_MILLIS);
             };
-            long pauseMillis = switch (scenario.pauses()) {
-                case AROUND_STOP -> MIN_PAUSE_MILLIS + random.nextInt(MIN_PAUSE_MILLIS);
-                case AT_NAMING -> AGENT_PAUSE_MILLIS;
-            };
-            pausedUntilMillis = isPausedOnce ? pausedFromMillis + pauseMillis : 0;
+            pausedUntilMillis = isPausedOnce ? pausedFromMillis + pauseMillis() : 0;
             // Such an agent learns as late as its pause ends; the entries alone take care of its endpoint.
             isPausedWhileLearning = isPausedOnce
                     && scenario.pauses() == Pauses.AROUND_STOP
@@ -262,6 +258,13 @@
                     now::get));
         }
 
+        private long pauseMillis() {
+            return switch (scenario.pauses()) {
+                case AROUND_STOP -> MIN_PAUSE_MILLIS + random.nextInt(MIN_PAUSE_MILLIS);
+                case AT_NAMING -> AGENT_PAUSE_MILLIS;
+            };
+        }
+
         private boolean isPaused() {
             return now.get() >= pausedFromMillis && now.get() < pausedUntilMillis;
         }
