--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -72,7 +72,7 @@
     private static final long PAUSE_CHECK_INTERVAL_MILLIS = 50;
 
     /**
-     * The shortest pause of the process that is logged, in milliseconds: the shortest silence of an agent that entries do not
+     * The shortest pause of the process that is logged, in milliseconds: the shortest silence of an agent that entries
      * tolerate. Ordinary scheduling delays are shorter.
      */
     private static final long MIN_REPORTED_PAUSE_MILLIS = 400;
