--- a/src/main/java/org/micabarrow/admission/ServedFractions.java
+++ b/src/main/java/org/micabarrow/admission/ServedFractions.java
@@ -1,6 +1,6 @@
 package org.micabarrow.admission;
 
-import java.util.Arrays;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -23,12 +23,6 @@
     /** The decayed number of requests below which a fraction says nothing. */
     private static final double MIN_REQUESTS = 3;
 
-    /** Number of a class's recent prompts whose sizes are kept. */
-    private static final int SAMPLE_COUNT = 64;
-
-    private static final double LARGEST_QUANTILE = 0.9;
-    private static final double LARGE_QUANTILE = 0.7;
-
     private final Counts all = new Counts();
     private final Map<Integer, Counts> byClass = new HashMap<>();
     private final Map<String, Counts> byOrganisation = new HashMap<>();
@@ -50,42 +44,13 @@
         }
     }
 
-    /** The largest tenth of a class's prompts, and the fifth beneath it. */
-    private enum Band {
-        USUAL,
-        LARGE,
-        LARGEST
-    }
-
     private static final class PromptSizes {
 
-        private final int[] samples = new int[SAMPLE_COUNT];
-        private final Map<Band, Counts> byBand = new HashMap<>();
-        private int[] sorted = new int[0];
-        private int count;
-
-        private void add(int tokens) {
-            samples[count % SAMPLE_COUNT] = tokens;
-            count++;
-            if (count % (SAMPLE_COUNT / 4) == 0) {
-                sorted = Arrays.copyOf(samples, Math.min(count, SAMPLE_COUNT));
-                Arrays.sort(sorted);
-            }
-        }
-
-        private Band band(int tokens) {
-            if (sorted.length == 0 || tokens <= quantile(LARGE_QUANTILE)) {
-                return Band.USUAL;
-            }
-            return tokens > quantile(LARGEST_QUANTILE) ? Band.LARGEST : Band.LARGE;
-        }
-
-        private int quantile(double fraction) {
-            return sorted[(int) (fraction * (sorted.length - 1))];
-        }
+        private final SizeDistribution sizes = new SizeDistribution();
+        private final Map<SizeBand, Counts> byBand = new EnumMap<>(SizeBand.class);
 
         private Counts counts(int tokens) {
-            return byBand.computeIfAbsent(band(tokens), band -> new Counts());
+            return byBand.computeIfAbsent(sizes.band(tokens), band -> new Counts());
         }
     }
 
@@ -97,7 +62,7 @@
         organisation.ifPresent(name ->
                 byOrganisation.computeIfAbsent(name, key -> new Counts()).add(served, nowMillis));
         PromptSizes ofClass = sizes.computeIfAbsent(priority, key -> new PromptSizes());
-        ofClass.add(promptTokens);
+        ofClass.sizes.add(promptTokens);
         ofClass.counts(promptTokens).add(served, nowMillis);
     }
 
--- a/src/main/java/org/micabarrow/routing/RequestSize.java
+++ b/src/main/java/org/micabarrow/routing/RequestSize.java
@@ -12,6 +12,9 @@
  */
 public record RequestSize(int promptTokens, OptionalInt maxAnswerTokens, OptionalInt answerHintTokens) {
 
+    /** How many prompt tokens an answer token counts for: it takes a step of its own. */
+    private static final int ANSWER_TOKEN_WEIGHT = 10;
+
     private static final RequestSize NONE = ofPrompt(0);
 
     /** Checks that no component is null. */
@@ -50,4 +53,14 @@
         int limit = maxAnswerTokens.orElse(Integer.MAX_VALUE);
         return Math.max(0, Math.min(limit, answerHintTokens.orElse(maxAnswerTokens.orElse(0))));
     }
+
+    /**
+     * Returns the size by which requests of one kind are compared.
+     *
+     * @return the prompt tokens, and ten for each answer token that it may have
+     */
+    public int weight() {
+        long weight = promptTokens + (long) ANSWER_TOKEN_WEIGHT * maxAnswerTokens.orElse(0);
+        return (int) Math.min(weight, Integer.MAX_VALUE);
+    }
 }
--- a/src/main/java/org/micabarrow/serving/EventTimes.java
+++ b/src/main/java/org/micabarrow/serving/EventTimes.java
@@ -7,6 +7,7 @@
 final class EventTimes {
 
     private boolean hasEvents;
+    private int forwarded;
     private long firstMillis = -1;
     private long lastMillis;
     private long longestPauseMillis;
@@ -20,6 +21,7 @@
             firstMillis = sinceRequestMillis;
         }
         lastMillis = sinceRequestMillis;
+        forwarded++;
     }
 
     /** Whether any event has been forwarded, so that another endpoint would have to resume after the last one. */
@@ -27,6 +29,11 @@
         return hasEvents;
     }
 
+    /** How often events were forwarded, one or more at a time. */
+    int forwarded() {
+        return forwarded;
+    }
+
     /** When the first event was forwarded, in milliseconds after the request arrived; -1 if none was. */
     long firstMillis() {
         return firstMillis;
--- a/src/main/java/org/micabarrow/serving/RequestLog.java
+++ b/src/main/java/org/micabarrow/serving/RequestLog.java
@@ -1,12 +1,15 @@
 package org.micabarrow.serving;
 
+import java.util.Optional;
 import org.micabarrow.admission.AdmissionControl.Decision;
+import org.micabarrow.admission.SizeBand;
 import org.micabarrow.attempts.AttemptOutcome;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.crashes.RequestCauses;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.EndpointSelection;
+import org.micabarrow.routing.RequestSize;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -20,14 +23,17 @@
     private final long sinceFirstAttemptMillis;
     private final EventTimes eventTimes;
     private final RequestCauses causes;
+    private final String band;
 
     RequestLog(
             ServingContext context,
             ClientRequest request,
             long sinceFirstAttemptMillis,
             EventTimes eventTimes,
-            RequestCauses causes) {
+            RequestCauses causes,
+            Optional<SizeBand> band) {
         this.causes = causes;
+        this.band = band.map(SizeBand::logName).orElse("-");
         this.context = context;
         this.request = request;
         this.sinceFirstAttemptMillis = sinceFirstAttemptMillis;
@@ -36,8 +42,10 @@
 
     void waitsForSlot(Decision.Wait wait, long millisUntilObjective) {
         LOG.info(
-                "event=waits request={} endpoints={} toObjectiveMs={} spareMs={} ahead={} {}",
+                "event=waits request={} promptTokens={} size={} endpoints={} toObjectiveMs={} spareMs={} ahead={} {}",
                 request.id(),
+                request.promptTokens(),
+                band,
                 wait.endpoints(),
                 millisUntilObjective,
                 wait.millis(),
@@ -54,13 +62,14 @@
         EndpointLoad load = context.load(selected.endpoint());
         long now = context.nowMillis();
         LOG.info(
-                "event=sent request={} endpoint={} hall={} attempt={} why=\"{}\" predictedMs={} requestsThere={}"
-                        + " toldMsAgo={} toObjectiveMs={} leftMs={} {}",
+                "event=sent request={} endpoint={} hall={} attempt={} why=\"{}\" promptTokens={} predictedMs={}"
+                        + " requestsThere={} toldMsAgo={} toObjectiveMs={} leftMs={} {}",
                 request.id(),
                 selected.endpoint().id(),
                 selected.endpoint().dataHall(),
                 attempt,
                 reason,
+                request.promptTokens(),
                 Math.round(selected.predictedMillis()),
                 load.requests(now),
                 load.contact().hasAgent() ? load.contact().millisSinceReport(now) : "-",
@@ -101,19 +110,26 @@
                 reason);
     }
 
-    void finished(String outcome, String reason, int attempts, long millis) {
+    void finished(String outcome, String reason, int attempts, long millis, long remainingMillis) {
+        RequestSize size = request.size();
         LOG.info(
-                "event=finished request={} route={} organisation={} outcome={} attempts={} sinceFirstTryMs={} firstMs={}"
-                        + " pauseMs={} ms={} why=\"{}\"",
+                "event=finished request={} route={} organisation={} outcome={} attempts={} promptTokens={}"
+                        + " maxAnswerTokens={} size={} sinceFirstTryMs={} firstMs={} pauseMs={} forwarded={} ms={}"
+                        + " leftMs={} why=\"{}\"",
                 request.id(),
                 request.route().name(),
                 request.organisation().orElse("-"),
                 outcome,
                 attempts,
+                size.promptTokens(),
+                size.maxAnswerTokens().isPresent() ? size.maxAnswerTokens().getAsInt() : "-",
+                band,
                 sinceFirstAttemptMillis,
                 eventTimes.firstMillis(),
                 eventTimes.longestPauseMillis(),
+                eventTimes.forwarded(),
                 millis,
+                remainingMillis,
                 reason);
     }
 }
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -6,6 +6,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.micabarrow.admission.AdmissionControl.Decision;
+import org.micabarrow.admission.SizeBand;
 import org.micabarrow.admission.SlotWait;
 import org.micabarrow.attempts.AttemptHistory;
 import org.micabarrow.attempts.AttemptOutcome;
@@ -36,6 +37,7 @@
     private final EventTimes eventTimes = new EventTimes();
     private final RequestLog log;
     private final RequestCauses causes;
+    private final Optional<SizeBand> band;
     private boolean finished;
     private Optional<Attempt> currentAttempt = Optional.empty();
     private Optional<XnioExecutor.Key> deadlineTimer = Optional.empty();
@@ -51,7 +53,8 @@
                 .millisSinceFirstAttempt(request.route().name(), request.deadlineMillis() - now, now);
         this.times = RequestTimes.of(request, now, sinceFirstAttemptMillis);
         this.slotWait = new SlotWait(context.waitQueue().forThread(thread), this);
-        this.log = new RequestLog(context, request, sinceFirstAttemptMillis, eventTimes, causes);
+        this.band = context.recordSize(request);
+        this.log = new RequestLog(context, request, sinceFirstAttemptMillis, eventTimes, causes, band);
     }
 
     void begin() {
@@ -389,7 +392,8 @@
         slotWait.end();
         deadlineTimer.ifPresent(XnioExecutor.Key::remove);
         context.metrics().countOutcome(outcome);
-        log.finished(outcome.logName(), reason, attempts.count(), elapsedMillis());
+        band.ifPresent(one -> context.metrics().countSize(one, outcome.logName()));
+        log.finished(outcome.logName(), reason, attempts.count(), elapsedMillis(), remainingMillis());
         switch (outcome) {
             case NOT_RUN ->
                 response.sendOwn(
--- a/src/main/java/org/micabarrow/serving/ServingContext.java
+++ b/src/main/java/org/micabarrow/serving/ServingContext.java
@@ -9,6 +9,8 @@
 import org.micabarrow.admission.AdmissionControl;
 import org.micabarrow.admission.AdmissionControl.Decision;
 import org.micabarrow.admission.FirstAttemptEstimator;
+import org.micabarrow.admission.RouteSizes;
+import org.micabarrow.admission.SizeBand;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.crashes.RequestCauses;
@@ -38,6 +40,7 @@
     private final InFlightRequests inFlight = new InFlightRequests();
     private final FirstAttemptEstimator firstAttempts = new FirstAttemptEstimator();
     private final AnswerLengths answerLengths = new AnswerLengths();
+    private final RouteSizes sizes = new RouteSizes();
     private final AdmissionControl admission;
     private final EntryWaitQueue waitQueue;
     private final RequestClasses classes;
@@ -209,6 +212,14 @@
         }
     }
 
+    /** Records the size of a request, and returns how large it is among those of its route; empty for plain services. */
+    Optional<SizeBand> recordSize(ClientRequest request) {
+        Optional<SizeBand> band = versions.model(request)
+                .map(model -> sizes.arrived(request.route().name(), request.size()));
+        band.ifPresent(one -> metrics.countSize(one, "received"));
+        return band;
+    }
+
     /** Why no endpoint can serve a request, for the client and the log; counts refusals for placement. */
     String unableReason(ClientRequest request) {
         Optional<String> reason = placement.refusalReason(request);
--- a/src/main/java/org/micabarrow/serving/ServingMetrics.java
+++ b/src/main/java/org/micabarrow/serving/ServingMetrics.java
@@ -4,10 +4,12 @@
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import org.micabarrow.admission.SizeBand;
 
 /** Counters and latencies of an entry's requests. */
 final class ServingMetrics {
 
+    private final MetricRegistry registry;
     final Counter received;
     private final Counter answered;
     private final Counter notRun;
@@ -25,6 +27,7 @@
     final Timer reportAge;
 
     ServingMetrics(MetricRegistry registry) {
+        this.registry = registry;
         received = registry.counter("requests.received");
         answered = registry.counter("requests.answered");
         notRun = registry.counter("requests.notRun");
@@ -45,6 +48,11 @@
         firstEventOverPredicted.update(Math.round(100 * tookMillis / Math.max(1, predictedMillis)));
     }
 
+    /** Counts a request for a model by its size among those of its route, and by what became of it. */
+    void countSize(SizeBand band, String event) {
+        registry.counter("requests.size." + band.logName() + "." + event).inc();
+    }
+
     /** Counts a request by its outcome. */
     void countOutcome(RequestOutcome outcome) {
         switch (outcome) {
--- a/src/test/java/org/micabarrow/serving/ServingMetricsTest.java
+++ b/src/test/java/org/micabarrow/serving/ServingMetricsTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.micabarrow.admission.SizeBand;
 
 /** Checks which counter each outcome increments. */
 class ServingMetricsTest {
@@ -26,6 +27,13 @@
         assertEquals(1, all, "counted once");
     }
 
+    @Test
+    void shouldCountRequestBySize() {
+        MetricRegistry registry = new MetricRegistry();
+        new ServingMetrics(registry).countSize(SizeBand.LARGEST, RequestOutcome.NOT_RUN.logName());
+        assertEquals(1, registry.counter("requests.size.largest.not_run").getCount());
+    }
+
     @Test
     void shouldRecordFirstEventsOverTheirPredictions() {
         MetricRegistry registry = new MetricRegistry();
