--- a/src/test/java/org/micabarrow/play/LoadSetting.java
+++ b/src/test/java/org/micabarrow/play/LoadSetting.java
@@ -22,6 +22,7 @@
  * @param streams who calls; empty for requests of three kinds and one priority, {@code perSecond} of them
  * @param divided whether agents divide slots by class
  * @param faults what fails
+ * @param delays how late entries learn and act
  * @param seed decides all that is random
  */
 record LoadSetting(
@@ -39,8 +40,44 @@
         List<CallerStream> streams,
         boolean divided,
         Faults faults,
+        Delays delays,
         long seed) {
 
+    LoadSetting(
+            List<Double> entryShares,
+            int engines,
+            ModelProfile model,
+            double perSecond,
+            long askMillis,
+            long lookMillis,
+            boolean dealt,
+            double retryAfterPart,
+            Patience patience,
+            Optional<Slow> slow,
+            Uneven uneven,
+            List<CallerStream> streams,
+            boolean divided,
+            Faults faults,
+            long seed) {
+        this(
+                entryShares,
+                engines,
+                model,
+                perSecond,
+                askMillis,
+                lookMillis,
+                dealt,
+                retryAfterPart,
+                patience,
+                slow,
+                uneven,
+                streams,
+                divided,
+                faults,
+                Delays.NONE,
+                seed);
+    }
+
     LoadSetting(
             List<Double> entryShares,
             int engines,
@@ -95,6 +132,25 @@
         static final Faults NONE = new Faults(0, 0, 0, 0, Double.POSITIVE_INFINITY);
     }
 
+    /**
+     * How late entries learn of engines, and how long they stand still for lack of processor.
+     *
+     * @param wayMillis the way from an entry to an engine or its agent, and back
+     * @param runMillis for how long an entry runs in each period
+     * @param periodMillis the period
+     */
+    record Delays(double wayMillis, double runMillis, double periodMillis) {
+
+        /** Once over to another region, and all the processor that is needed. */
+        static final Delays NONE = new Delays(3, 1, 1);
+
+        /** Returns how long an entry stands still from a moment on. */
+        double stillMillis(double atMillis) {
+            double sinceRun = atMillis % periodMillis;
+            return sinceRun < runMillis ? 0 : periodMillis - sinceRun;
+        }
+    }
+
     /**
      * How long callers wait, and where they come back.
      *
--- a/src/test/java/org/micabarrow/play/Tally.java
+++ b/src/test/java/org/micabarrow/play/Tally.java
@@ -1,6 +1,9 @@
 package org.micabarrow.play;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -43,6 +46,38 @@
         }
     }
 
+    /** The requests of each kind with their sizes. */
+    private final Map<String, List<Sized>> sizes = new HashMap<>();
+
+    /** A request with its size. */
+    static final class Sized {
+        private final int tokens;
+        private boolean served;
+
+        private Sized(int tokens) {
+            this.tokens = tokens;
+        }
+
+        void served() {
+            served = true;
+        }
+    }
+
+    Sized sized(String kind, int tokens) {
+        Sized one = new Sized(tokens);
+        sizes.computeIfAbsent(kind, name -> new ArrayList<>()).add(one);
+        return one;
+    }
+
+    /** The part of a kind's requests that was served, of those between two quantiles of their sizes. */
+    double servedBySize(String kind, double from, double to) {
+        List<Sized> sorted = sizes.get(kind).stream()
+                .sorted(Comparator.comparingInt(one -> one.tokens))
+                .toList();
+        List<Sized> between = sorted.subList((int) (from * sorted.size()), (int) (to * sorted.size()));
+        return (double) between.stream().filter(one -> one.served).count() / between.size();
+    }
+
     Part of(String label) {
         return parts.computeIfAbsent(label, name -> new Part());
     }
