A request whose prompt makes it late waits as long as one with a usual prompt when its route is short of slots

The entry held the reading of its own prompt against a request, in its wait and in the room that it needed. Of an objective of 400 ms the largest prompts of a kind had 19 to 60 ms left to wait, usual ones 200; once an entry that stood still, an old report or a full link had used that up, the large one was refused at once, while smaller ones that came later went on waiting and took each slot. The class of fault is a wait that is bounded by the size of the one who waits.

In a shortage a request now waits on once its own prompt makes it late, and is sent to where one with a shorter, competing prompt would be. While it can still be in time nothing changes: it waits in front by its own latest start. A late request behind a slow engine is no longer charged for its own reading as if others were in front of it. No priority, deployment or history of large requests takes part.

LoadPlay decides anew when a wait has ended, as entries do.

--- a/src/main/java/org/micabarrow/admission/SizeDistribution.java
+++ b/src/main/java/org/micabarrow/admission/SizeDistribution.java
@@ -1,6 +1,7 @@
 package org.micabarrow.admission;
 
 import java.util.Arrays;
+import java.util.OptionalInt;
 
 /** The distribution of the sizes of recent requests of one kind. Not thread-safe: confined to one thread. */
 final class SizeDistribution {
@@ -15,6 +16,7 @@
 
     private static final double LARGEST_QUANTILE = 0.9;
     private static final double LARGE_QUANTILE = 0.7;
+    private static final double MEDIAN_QUANTILE = 0.5;
 
     /** Ring buffer of the last sizes. */
     private final int[] samples = new int[SAMPLE_COUNT];
@@ -38,6 +40,11 @@
         return tokens > quantile(LARGEST_QUANTILE) ? SizeBand.LARGEST : SizeBand.LARGE;
     }
 
+    /** Returns a size that half of the samples exceed; empty while quantiles are not known. */
+    OptionalInt median() {
+        return sorted.length == 0 ? OptionalInt.empty() : OptionalInt.of(quantile(MEDIAN_QUANTILE));
+    }
+
     private int quantile(double fraction) {
         return sorted[(int) (fraction * (sorted.length - 1))];
     }
--- a/src/main/java/org/micabarrow/routing/EndpointCapacity.java
+++ b/src/main/java/org/micabarrow/routing/EndpointCapacity.java
@@ -2,7 +2,8 @@
 
 /**
  * Decides whether an endpoint has capacity for a request: a model endpoint has, while the first event is predicted
- * within the objective and a slot is free.
+ * within the objective and a slot is free. A request whose own prompt makes it late waits on and is sent as if it had
+ * its shorter competing prompt: otherwise requests that came after it, with shorter prompts, would take every slot.
  */
 final class EndpointCapacity {
 
@@ -34,23 +35,44 @@
 
     /**
      * Returns how long a request may wait for a free slot and still meet its objective, assuming that it then gets an
-     * idle endpoint.
+     * idle endpoint; once it cannot, for how much longer a request with its competing prompt could wait.
      *
      * @param request the request to send
      * @return milliseconds; 0 or less if it must not wait, as for plain services, whose requests are short
      */
     static long maxSlotWaitMillis(RoutingRequest request) {
-        return request.model()
-                .map(model -> idleMillis(model, request.promptTokens()))
-                .map(idleMillis -> Math.round(firstEventLimitMillis(request) - idleMillis))
-                .orElse(0L);
+        if (request.model().isEmpty()) {
+            return 0;
+        }
+        ModelProfile model = request.model().get();
+        double idleMillis = idleMillis(model, request.promptTokens());
+        long untilLate = Math.round(firstEventLimitMillis(request) - idleMillis);
+        if (untilLate > 0) {
+            return untilLate;
+        }
+        double limitMillis =
+                Math.min(firstEventLimitMillis(request) + extensionMillis(request, model), request.remainingMillis());
+        return Math.round(limitMillis - idleMillis);
     }
 
-    /** Returns whether a response cannot meet its objective at any endpoint. */
-    private static boolean cannotBeInTime(RoutingRequest request) {
+    /** Returns whether a request may wait no longer, so that it gets only what others leave. */
+    private static boolean hasWaitedTooLong(RoutingRequest request) {
         return request.objectivePassed() || maxSlotWaitMillis(request) <= 0;
     }
 
+    /** Returns by how much a request may exceed its objective, because its prompt takes longer than the competing one. */
+    private static double extensionMillis(RoutingRequest request, ModelProfile model) {
+        return (request.promptTokens() - request.competingPromptTokens()) / model.prefillTokensPerMilli();
+    }
+
+    /** Returns the time within which the first event must be predicted now: in time, or else within the extension. */
+    private static double capacityLimitMillis(RoutingRequest request, ModelProfile model) {
+        double inTime = firstEventLimitMillis(request);
+        return inTime > idleMillis(model, request.promptTokens())
+                ? inTime
+                : Math.min(inTime + extensionMillis(request, model), request.remainingMillis());
+    }
+
     /** Returns the time within which the first event must be predicted, in milliseconds. */
     private static double firstEventLimitMillis(RoutingRequest request) {
         return request.millisToObjective() - request.objectiveMillis() * OBJECTIVE_RESERVE_FRACTION;
@@ -87,14 +109,14 @@
                 && predictedMillis + answerMillis(request, load, slowness, nowMillis) > request.remainingMillis()) {
             return false;
         }
-        if (cannotBeInTime(request)) {
-            double queueMillis = predictedMillis - idleMillis(model, request.promptTokens());
+        if (hasWaitedTooLong(request)) {
+            double queueMillis = predictedMillis - idleMillis(model, request.promptTokens()) * slowness;
             return requests < maxRequests * (1 - SLOT_RESERVE_FRACTION)
                     && queueMillis < request.objectiveMillis() * LATE_WAIT_FRACTION
                     && predictedMillis < request.remainingMillis();
         }
         return requests < maxRequests
-                && predictedMillis < firstEventLimitMillis(request)
+                && predictedMillis < capacityLimitMillis(request, model)
                 && request.requestClass()
                         .delaysNoneMoreUrgent(predictedMillis, loadedMillis(request, requests) * slowness);
     }
--- a/src/main/java/org/micabarrow/routing/RoutingRequest.java
+++ b/src/main/java/org/micabarrow/routing/RoutingRequest.java
@@ -8,6 +8,8 @@
  * The properties of a request on which the selection of its endpoint depends.
  *
  * @param size the size of its prompt and answer, as far as stated
+ * @param competingPromptTokens the tokens of the prompt by which it competes, at most those of its own: once it cannot
+ *     be in time, it may still wait as long as a request with such a prompt
  * @param objectiveMillis the time within which its response should begin
  * @param millisToObjective the remainder of that time since its client's first attempt; 0 or less if it has passed
  * @param remainingMillis how long its client will still wait, in milliseconds
@@ -21,6 +23,7 @@
  */
 public record RoutingRequest(
         RequestSize size,
+        int competingPromptTokens,
         long objectiveMillis,
         long millisToObjective,
         long remainingMillis,
@@ -31,17 +34,21 @@
         AllowedRegions allowedRegions,
         RequestClass requestClass) {
 
-    /** Checks that no component is null. */
+    /** Checks that no component is null, and that the competing prompt is not longer than the request's own. */
     public RoutingRequest {
         Objects.requireNonNull(size, "size is null");
         Objects.requireNonNull(model, "model is null");
         Objects.requireNonNull(triedEndpoints, "triedEndpoints is null");
         Objects.requireNonNull(allowedRegions, "allowedRegions is null");
         Objects.requireNonNull(requestClass, "requestClass is null");
+        if (competingPromptTokens > size.promptTokens()) {
+            throw new IllegalArgumentException("competingPromptTokens is " + competingPromptTokens + ", more than the "
+                    + size.promptTokens() + " of the prompt");
+        }
     }
 
     /**
-     * Creates a request that may be handled in any region and of which only the prompt is known.
+     * Creates a request that may be handled in any region and of which only the prompt is known, by which it competes.
      *
      * @param promptTokens the tokens of its prompt, 0 for plain services
      * @param objectiveMillis the time within which its response should begin
@@ -63,6 +70,7 @@
             Set<String> triedEndpoints) {
         this(
                 RequestSize.ofPrompt(promptTokens),
+                promptTokens,
                 objectiveMillis,
                 millisToObjective,
                 remainingMillis,
--- a/src/main/java/org/micabarrow/serving/ServingContext.java
+++ b/src/main/java/org/micabarrow/serving/ServingContext.java
@@ -9,7 +9,7 @@
 import org.micabarrow.admission.AdmissionControl;
 import org.micabarrow.admission.AdmissionControl.Decision;
 import org.micabarrow.admission.FirstAttemptEstimator;
-import org.micabarrow.admission.RouteSizes;
+import org.micabarrow.admission.RecentRequests;
 import org.micabarrow.admission.SizeBand;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.admission.RetryBudget;
@@ -40,7 +40,7 @@
     private final InFlightRequests inFlight = new InFlightRequests();
     private final FirstAttemptEstimator firstAttempts = new FirstAttemptEstimator();
     private final AnswerLengths answerLengths = new AnswerLengths();
-    private final RouteSizes sizes = new RouteSizes();
+    private final RecentRequests recent = new RecentRequests();
     private final AdmissionControl admission;
     private final EntryWaitQueue waitQueue;
     private final RequestClasses classes;
@@ -215,7 +215,7 @@
     /** Records the size of a request, and returns how large it is among those of its route; empty for plain services. */
     Optional<SizeBand> recordSize(ClientRequest request) {
         Optional<SizeBand> band = versions.model(request)
-                .map(model -> sizes.arrived(request.route().name(), request.size()));
+                .map(model -> recent.arrived(request.route().name(), request.size()));
         band.ifPresent(one -> metrics.countSize(one, "received"));
         return band;
     }
@@ -231,6 +231,7 @@
     void recordAttempt(ClientRequest request, int number, boolean late) {
         if (number == 1 && versions.model(request).isPresent()) {
             classes.sent(request, late);
+            recent.sent(request.route().name(), nowMillis());
         }
     }
 
@@ -240,6 +241,7 @@
         if (versions.model(request).isEmpty()) {
             return RequestClasses.withoutCapacity(millisUntilObjective <= 0, endpoints);
         }
+        recent.refused(request.route().name(), nowMillis());
         return classes.refused(
                 request,
                 millisUntilObjective <= 0,
@@ -269,6 +271,7 @@
             ClientRequest request, long millisUntilObjective, Set<String> tried, RequestClass requestClass) {
         return new RoutingRequest(
                 expectedSize(request),
+                recent.competingPromptTokens(request.route().name(), request.promptTokens(), nowMillis()),
                 request.route().objectiveMillis(),
                 millisUntilObjective,
                 request.deadlineMillis() - nowMillis(),
--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -168,6 +168,11 @@
         context.inFlight().endAll("this entry stops");
     }
 
+    /** The number of requests that wait for a slot; on the traffic thread. */
+    int waitingRequests() {
+        return context.waitQueue().size();
+    }
+
     // -- agents
 
     /**
--- a/src/test/java/org/micabarrow/admission/AdmissionControlTest.java
+++ b/src/test/java/org/micabarrow/admission/AdmissionControlTest.java
@@ -12,10 +12,14 @@
 import org.junit.jupiter.api.Test;
 import org.micabarrow.admission.AdmissionControl.Decision;
 import org.micabarrow.limits.EntryRank;
+import org.micabarrow.routing.AllowedRegions;
+import org.micabarrow.routing.EndpointCondition;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.EndpointSelector;
 import org.micabarrow.routing.LoadReport;
 import org.micabarrow.routing.ModelProfile;
+import org.micabarrow.routing.RequestClass;
+import org.micabarrow.routing.RequestSize;
 import org.micabarrow.routing.RoutingRequest;
 
 class AdmissionControlTest {
@@ -95,6 +99,68 @@
         assertEquals(new Decision.Full(1), admission.decide(List.of(endpoint), endless, NOW));
     }
 
+    // -- long prompts
+
+    /** Its prompt alone takes 600 ms, a usual one 50 ms, besides 100 ms for two rounds of steps. */
+    private static RoutingRequest longPrompt(long millisToObjective, long remainingMillis) {
+        return new RoutingRequest(
+                RequestSize.ofPrompt(12_000),
+                1_000,
+                OBJECTIVE,
+                millisToObjective,
+                remainingMillis,
+                Optional.of(MODEL),
+                0,
+                0,
+                Set.of(),
+                AllowedRegions.any(),
+                RequestClass.usual());
+    }
+
+    private Decision decide(RoutingRequest request) {
+        return admission.decide(List.of(endpoint), request, NOW);
+    }
+
+    @Test
+    void shouldWaitAsLongAsCompetingPromptWhenOwnPromptCannotBeInTime() {
+        reportLoad(4, 0);
+        assertEquals(new Decision.Wait(MAX_WAIT, 1), decide(longPrompt(OBJECTIVE, CLIENT_MILLIS)));
+        assertEquals(new Decision.Full(1), decide(longPrompt(OBJECTIVE - MAX_WAIT, CLIENT_MILLIS)));
+    }
+
+    @Test
+    void shouldSendWithAnyFreeSlotWhenCompetingPromptWouldBeInTime() {
+        reportLoad(3, 1);
+        assertInstanceOf(Decision.Send.class, decide(longPrompt(OBJECTIVE, CLIENT_MILLIS)));
+        assertEquals(new Decision.Full(1), decide(longPrompt(OBJECTIVE - MAX_WAIT, CLIENT_MILLIS)));
+        selector.load("a").requestSent(MODEL_TOKENS_PER_MILLI * (int) MAX_WAIT);
+        reportLoad(3, 1);
+        assertInstanceOf(Decision.Wait.class, decide(longPrompt(OBJECTIVE, CLIENT_MILLIS)));
+    }
+
+    @Test
+    void shouldWaitNoLongerThanClientWhenOwnPromptCannotBeInTime() {
+        reportLoad(4, 0);
+        assertEquals(new Decision.Wait(30, 1), decide(longPrompt(OBJECTIVE, 730)));
+        assertEquals(new Decision.Full(1), decide(longPrompt(OBJECTIVE, 700)));
+    }
+
+    /** An idle endpoint that is twice as slow as others makes a long prompt no more than a short one wait behind others. */
+    @Test
+    void shouldSendLateRequestWithLongPromptWhenSlowEndpointIsIdle() {
+        EndpointRegistration fast =
+                EndpointRegistration.of("b", "s", "10.0.0.2:80", "h", 4, false, Map.of("m", 1L), 16);
+        EndpointRegistration alsoFast =
+                EndpointRegistration.of("c", "s", "10.0.0.3:80", "h", 4, false, Map.of("m", 1L), 16);
+        EndpointCondition slow =
+                new EndpointCondition(1, 0, OptionalDouble.of(2), OptionalLong.empty(), OptionalLong.empty());
+        selector.load("a").reported(new LoadReport(1, 0, false, 1, 3).withCondition(Optional.of(slow)), 1, NOW);
+        selector.load("b").reported(new LoadReport(4, 0, false, 1, 0), 1, NOW);
+        selector.load("c").reported(new LoadReport(4, 0, false, 1, 0), 1, NOW);
+        Decision decision = admission.decide(List.of(endpoint, fast, alsoFast), longPrompt(-1, CLIENT_MILLIS), NOW);
+        assertInstanceOf(Decision.Send.class, decision);
+    }
+
     @Test
     void shouldWaitWhenFreeSlotsAreAllottedToOtherEntries() {
         reportLoad(2, 0);
--- a/src/test/java/org/micabarrow/play/LoadPlay.java
+++ b/src/test/java/org/micabarrow/play/LoadPlay.java
@@ -15,6 +15,7 @@
 import org.micabarrow.admission.ClassAllotment;
 import org.micabarrow.admission.EntryDemand;
 import org.micabarrow.admission.FirstAttemptEstimator;
+import org.micabarrow.admission.RecentRequests;
 import org.micabarrow.admission.WaitQueue;
 import org.micabarrow.routing.AllowedRegions;
 import org.micabarrow.routing.AnswerLengths;
@@ -243,6 +244,7 @@
         private final AdmissionControl admission = new AdmissionControl(choice);
         private final AnswerLengths answers = new AnswerLengths();
         private final WaitQueue line = new WaitQueue();
+        private final RecentRequests recent = new RecentRequests();
         private final FirstAttemptEstimator firstTries = new FirstAttemptEstimator();
         private final List<EndpointRegistration> candidates =
                 engines.stream().map(engine -> engine.listed()).toList();
@@ -318,6 +320,7 @@
         }
 
         private void begin(Caller caller) {
+            recent.arrived(caller.kind, caller.stated);
             Run run = new Run(
                     this, caller, firstTries.millisSinceFirstAttempt("r", caller.millisGiven(), events.nowMillis()));
             if (tellsDemand) {
@@ -363,6 +366,7 @@
         public Decision decide() {
             RoutingRequest wanted = new RoutingRequest(
                     size(),
+                    entry.recent.competingPromptTokens(caller.kind, caller.promptTokens, events.nowMillis()),
                     caller.objective,
                     millisToObjective(),
                     caller.millisGiven(),
@@ -381,12 +385,12 @@
                 case Decision.Wait(long millis, int ignored)
                 when arriving
                         && entry.classes.waitsInVain(
-                                competing(), entry.line.sizeByPriority(), millis, events.nowMillis()) -> expired();
+                                competing(), entry.line.sizeByPriority(), millis, events.nowMillis()) -> refused();
                 case Decision.Wait(long millis, int ignored) -> {
                     entry.line.enqueue(competing().priority(), events.nowMillis() + millis, this);
                     events.after(millis + 1, () -> whenRunning(() -> entry.line.expire(events.nowMillis())));
                 }
-                case Decision.Full ignored -> expired();
+                case Decision.Full ignored -> refused();
                 case Decision.BackingOff ignored -> throw new AssertionError("no engine rests");
                 case Decision.RateLimited ignored -> throw new AssertionError("no engine names a limit");
                 case Decision.Unable ignored -> unable();
@@ -399,7 +403,7 @@
             if (setting.delays() == LoadSetting.Delays.NONE) {
                 throw new AssertionError("every engine can serve");
             }
-            expired();
+            refused();
         }
 
         private void send(EndpointSelection.Selected chosen) {
@@ -412,6 +416,9 @@
             RequestSize size = size();
             load.requestSent(size.promptTokens());
             load.memory().sent(size);
+            if (tried.isEmpty()) {
+                entry.recent.sent(caller.kind, events.nowMillis());
+            }
             entry.classes.sent(caller.requestClass, competing(), size, events.nowMillis());
             int rank = millisToObjective() <= 0 ? 9 : caller.requestClass.priority();
             tried.add(endpoint.id());
@@ -458,7 +465,12 @@
 
         @Override
         public void expired() {
+            next(false);
+        }
+
+        private void refused() {
             entry.choice.unmetDemand().refused(events.nowMillis());
+            entry.recent.refused(caller.kind, events.nowMillis());
             entry.classes.refused(caller.requestClass, caller.stated, events.nowMillis());
             entry.firstTries.refused(ROUTE, caller.comeBackMillis(), events.nowMillis());
             caller.refused();
