An answer without an end costs neither the memory nor the thread of all other requests

A server in trouble may send bytes that are no answer until its caller closes. In a head, a chunk header or a trailer Undertow's client kept them: 0.6 GB were taken in 1.6 s, until the heap of the test was full. In a body that is collected 0.5 GB in 10 s. A chunk extension kept the thread that serves all requests for as long as it came, and the event of a stream was kept and copied anew with each part.

The reading thread lets other work run after 16 buffers. Collected bodies end at 16 MiB, events at 256 KiB. A body that is passed on ends with its route's time, as before.

--- a/src/main/java/org/micabarrow/attempts/EventSplitter.java
+++ b/src/main/java/org/micabarrow/attempts/EventSplitter.java
@@ -10,6 +10,9 @@
  */
 public final class EventSplitter {
 
+    /** The longest event that is waited for, in bytes: as much as is held of a response that is sent whole. */
+    private static final int MAX_EVENT_BYTES = 256 * 1024;
+
     private static final byte[] ID_FIELD = {'i', 'd', ':'};
 
     private static final char COMMENT = ':';
@@ -51,6 +54,15 @@
         return events;
     }
 
+    /**
+     * Returns whether the event that is not yet complete is longer than any that is waited for.
+     *
+     * @return true if the stream is to be given up
+     */
+    public boolean isEndless() {
+        return pending.size() > MAX_EVENT_BYTES;
+    }
+
     private static int endOfLastEvent(byte[] buffered) {
         for (int i = buffered.length - 1; i > 0; i--) {
             if (buffered[i] != '\n') {
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -313,6 +313,9 @@
         // the prompt.
         slot.promptRead();
         relay.forward(data, progress.onReceived(more));
+        if (!closed && events.isEndless()) {
+            onBrokenOff("the stream goes on without the end of an event");
+        }
     }
 
     @Override
--- a/src/main/java/org/micabarrow/transport/HttpClient.java
+++ b/src/main/java/org/micabarrow/transport/HttpClient.java
@@ -1,5 +1,6 @@
 package org.micabarrow.transport;
 
+import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
@@ -45,6 +46,10 @@
     /** How many idle connections per address a client keeps by default. */
     private static final int DEFAULT_MAX_IDLE = 64;
 
+    /** The statistics tell how many bytes came on a connection. */
+    private static final OptionMap CONNECTION_OPTIONS =
+            OptionMap.create(Options.TCP_NODELAY, true, UndertowOptions.ENABLE_STATISTICS, true);
+
     private final XnioWorker worker;
     private final boolean ownsWorker;
     private final HttpExchange.Shared shared;
@@ -56,7 +61,8 @@
                 new DefaultByteBufferPool(true, BUFFER_BYTES, POOLED_BUFFERS, BUFFERS_PER_THREAD),
                 new ConnectionPool(maxIdle, MonotonicClock::millis),
                 new LongAdder(),
-                new LongAdder());
+                new LongAdder(),
+                new UnaccountedBytesWatch());
     }
 
     /**
@@ -228,7 +234,7 @@
     }
 
     private PendingCall callAsync(HttpCall call, BooleanSupplier stillDue) {
-        ResponseCollector collector = new ResponseCollector(stillDue);
+        ResponseCollector collector = new ResponseCollector(call, stillDue);
         Runnable cancel = send(call, collector);
         return new PendingCall(
                 call, collector, cancel, () -> shared.connections().closeIdle(call.authority()));
@@ -251,7 +257,11 @@
         Result<HttpResponse> await(ResponseTimeouts timeouts) {
             long startNanos = System.nanoTime();
             try {
-                return collector.await(timeouts);
+                Result<HttpResponse> result = collector.await(timeouts);
+                if (collector.tooLarge()) {
+                    cancel.run();
+                }
+                return result;
             } catch (InterruptedException e) {
                 cancel.run();
                 Thread.currentThread().interrupt();
@@ -313,11 +323,12 @@
                         target,
                         worker,
                         shared.buffers(),
-                        OptionMap.create(Options.TCP_NODELAY, true));
+                        CONNECTION_OPTIONS);
     }
 
     @Override
     public void close() {
+        shared.watch().close();
         shared.connections().close();
         if (ownsWorker) {
             worker.shutdownNow();
--- a/src/main/java/org/micabarrow/transport/HttpExchange.java
+++ b/src/main/java/org/micabarrow/transport/HttpExchange.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.LongAdder;
@@ -30,17 +31,24 @@
  * One request and its response. The connection returns to the pool once the response has been read completely, unless
  * the response ended with it, and is reset if anything fails before.
  */
-final class HttpExchange {
+final class HttpExchange implements UnaccountedBytesWatch.Exchange {
 
     private static final Logger LOG = LoggerFactory.getLogger(HttpExchange.class);
 
+    /** How many buffers are read before other work of the thread goes on. */
+    private static final int MAX_READS_AT_ONCE = 16;
+
     private final HttpCall call;
     private final Listener listener;
     private final Shared shared;
     private final AtomicBoolean ended = new AtomicBoolean();
+    private final AtomicBoolean aborted = new AtomicBoolean();
     private volatile ClientConnection connection;
     private volatile boolean sent;
     private volatile boolean cancelled;
+    private volatile long deliveredBytes;
+    private volatile Optional<String> tooManyBytes = Optional.empty();
+    private long receivedBefore;
     private StreamSourceChannel source;
     private BodyEnd bodyEnd = BodyEnd.CONNECTION;
     private boolean mayRead = true;
@@ -53,8 +61,14 @@
      * @param connections the pool of idle connections
      * @param sentBytes counts the bytes of request bodies sent
      * @param receivedBytes counts the bytes of response bodies received
+     * @param watch ends exchanges on which bytes come that belong to no body
      */
-    record Shared(ByteBufferPool buffers, ConnectionPool connections, LongAdder sentBytes, LongAdder receivedBytes) {}
+    record Shared(
+            ByteBufferPool buffers,
+            ConnectionPool connections,
+            LongAdder sentBytes,
+            LongAdder receivedBytes,
+            UnaccountedBytesWatch watch) {}
 
     HttpExchange(HttpCall call, Listener listener, Shared shared) {
         this.call = call;
@@ -90,6 +104,8 @@
     private void send(HttpCall current) {
         setResetOnClose(true);
         sent = true;
+        receivedBefore = connection.getStatistics().getRead();
+        shared.watch().add(this);
         shared.sentBytes().add(current.body().length);
         try {
             submit(toClientRequest(current), current.body());
@@ -172,7 +188,12 @@
     private void read() {
         try (PooledByteBuffer pooled = shared.buffers().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
-            while (mayRead && !ended.get()) {
+            for (int reads = 0; mayRead && !ended.get(); reads++) {
+                if (reads == MAX_READS_AT_ONCE) {
+                    // Lets the other exchanges and timers of this thread run.
+                    source.getIoThread().execute(this::read);
+                    break;
+                }
                 buffer.clear();
                 int count = source.read(buffer);
                 if (count < 0) {
@@ -187,6 +208,7 @@
                 byte[] data = new byte[buffer.remaining()];
                 buffer.get(data);
                 shared.receivedBytes().add(count);
+                deliveredBytes += count;
                 deliver(data);
             }
             source.suspendReads();
@@ -217,7 +239,13 @@
     }
 
     private void complete() {
+        if (tooManyBytes.isPresent()) {
+            // A connection that was closed meanwhile looks like the end of the body.
+            fail(Reason.UNREACHABLE, tooManyBytes.get());
+            return;
+        }
         if (ended.compareAndSet(false, true)) {
+            shared.watch().remove(this);
             setResetOnClose(false);
             switch (bodyEnd) {
                 case STATED -> shared.connections().release(call.authority(), connection);
@@ -248,12 +276,44 @@
 
     /** Ends the exchange without a complete response, unless it has already ended. */
     void fail(Reason reason, String message) {
+        if (tooManyBytes.isPresent() && Thread.currentThread() != connection.getIoThread()) {
+            // The watch has closed the connection on its own thread, on which listeners do not expect to be called.
+            connection.getIoThread().execute(() -> fail(reason, message));
+            return;
+        }
         if (ended.compareAndSet(false, true)) {
+            shared.watch().remove(this);
+            abortOnce();
+            listener.onFailed(Fault.of(call.step(), call.peer(), reason, tooManyBytes.orElse(message)), sent);
+        }
+    }
+
+    private void abortOnce() {
+        if (aborted.compareAndSet(false, true)) {
             abort(connection);
-            listener.onFailed(Fault.of(call.step(), call.peer(), reason, message), sent);
         }
     }
 
+    // -- bytes without an end
+
+    @Override
+    public long receivedBytes() {
+        return connection.getStatistics().getRead() - receivedBefore;
+    }
+
+    @Override
+    public long deliveredBytes() {
+        return deliveredBytes;
+    }
+
+    /** Closes the connection first: the thread that reads it does nothing else until then. */
+    @Override
+    public void onTooManyBytes(String reason) {
+        tooManyBytes = Optional.of(reason);
+        abortOnce();
+        connection.getIoThread().execute(() -> fail(Reason.UNREACHABLE, reason));
+    }
+
     /**
      * Closes the connection immediately, which resets it. Undertow's client closes gracefully and waits for the
      * response to a request in progress, so the underlying connection is detached from it and closed.
--- a/src/main/java/org/micabarrow/transport/ResponseCollector.java
+++ b/src/main/java/org/micabarrow/transport/ResponseCollector.java
@@ -16,10 +16,15 @@
 /** Collects a response until it is complete. The request is not sent if it is no longer due when it could be. */
 final class ResponseCollector implements HttpClient.Listener {
 
+    /** The longest body that is collected, in bytes: four times as long as the longest manifest. */
+    private static final int MAX_BODY_BYTES = 16 << 20;
+
+    private final HttpCall call;
     private final BooleanSupplier stillDue;
     private final CompletableFuture<Result<HttpResponse>> done = new CompletableFuture<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private volatile boolean begun;
+    private volatile boolean tooLarge;
     private volatile long lastPartNanos;
     private int status;
     private Map<String, String> headers = Map.of();
@@ -27,9 +32,11 @@
     /**
      * Creates a collector.
      *
+     * @param call the request
      * @param stillDue whether the request is to be sent; called on an I/O thread just before it is
      */
-    ResponseCollector(BooleanSupplier stillDue) {
+    ResponseCollector(HttpCall call, BooleanSupplier stillDue) {
+        this.call = call;
         this.stillDue = stillDue;
     }
 
@@ -38,6 +45,11 @@
         return begun;
     }
 
+    /** Whether the response was given up because its body is too long; the rest of it is not read. */
+    boolean tooLarge() {
+        return tooLarge;
+    }
+
     /**
      * Waits for the complete response.
      *
@@ -65,9 +77,9 @@
     }
 
     @Override
-    public Optional<HttpCall> beforeSend(HttpCall call) {
+    public Optional<HttpCall> beforeSend(HttpCall decided) {
         if (stillDue.getAsBoolean()) {
-            return Optional.of(call);
+            return Optional.of(decided);
         }
         done.complete(Result.failure(
                 Fault.of(call.step(), call.peer(), Reason.TOO_LATE, "it was no longer due and was not sent")));
@@ -84,6 +96,15 @@
     @Override
     public void onData(byte[] data, Runnable requestMore) {
         onPart();
+        if (body.size() + data.length > MAX_BODY_BYTES) {
+            tooLarge = true;
+            done.complete(Result.failure(Fault.of(
+                    call.step(),
+                    call.peer(),
+                    Reason.TOO_LARGE,
+                    "the body is longer than " + MAX_BODY_BYTES + " bytes")));
+            return;
+        }
         body.writeBytes(data);
         requestMore.run();
     }
--- a/src/test/java/org/micabarrow/attempts/EventSplitterTest.java
+++ b/src/test/java/org/micabarrow/attempts/EventSplitterTest.java
@@ -99,4 +99,17 @@
         assertEquals(text.toString(), out.toString());
         assertEquals(Optional.of(Integer.toString(events)), splitter.lastId());
     }
+
+    @Test
+    void shouldBeEndlessWhenEventExceedsWhatIsWaitedFor() {
+        EventSplitter events = new EventSplitter();
+        byte[] part = "x".repeat(256 * 1024).getBytes(StandardCharsets.UTF_8);
+        events.append(part);
+        assertFalse(events.isEndless());
+        events.append("\n\n".getBytes(StandardCharsets.UTF_8));
+        events.append(part);
+        assertFalse(events.isEndless(), "the first event has ended");
+        events.append(part);
+        assertTrue(events.isEndless());
+    }
 }
