--- a/src/main/java/org/micabarrow/transport/UnaccountedBytesWatch.java
+++ b/src/main/java/org/micabarrow/transport/UnaccountedBytesWatch.java
@@ -22,13 +22,13 @@
     /** How many bytes each byte of a body may come with: a chunk of a single byte has a header of about six. */
     private static final long MAX_BYTES_PER_BODY_BYTE = 16;
 
-    /** Interval between checks in milliseconds, in which a link of 1 Gbit/s carries six megabytes. */
-    private static final long CHECK_MILLIS = 50;
+    /** Interval between checks in milliseconds, in which a link of 1 Gbit/s carries twelve megabytes. */
+    private static final long CHECK_MILLIS = 100;
 
     private final Set<Exchange> exchanges = ConcurrentHashMap.newKeySet();
     private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().name("http-watch").daemon().factory());
-    private ScheduledFuture<?> checks;
+    private volatile ScheduledFuture<?> checks;
 
     /** An exchange that is watched while its response is read. */
     interface Exchange {
@@ -45,7 +45,9 @@
 
     void add(Exchange exchange) {
         exchanges.add(Objects.requireNonNull(exchange, "exchange is null"));
-        update();
+        if (checks == null) {
+            update();
+        }
     }
 
     void remove(Exchange exchange) {
@@ -54,18 +56,21 @@
 
     /** Runs checks only while there are exchanges. */
     private synchronized void update() {
-        boolean due = !exchanges.isEmpty();
-        if (due && checks == null && !thread.isShutdown()) {
-            checks = thread.scheduleWithFixedDelay(this::check, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
-        } else if (!due && checks != null) {
+        if (exchanges.isEmpty() && checks != null) {
             checks.cancel(false);
             checks = null;
         }
+        // Looked at again: an exchange may have been added before it could see that the checks have ended.
+        if (!exchanges.isEmpty() && checks == null && !thread.isShutdown()) {
+            checks = thread.scheduleWithFixedDelay(this::check, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        }
     }
 
     private void check() {
         RepeatedTasks.runGuarded("http-watch", () -> exchanges.forEach(UnaccountedBytesWatch::check));
-        update();
+        if (exchanges.isEmpty()) {
+            update();
+        }
     }
 
     private static void check(Exchange exchange) {
