--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -272,13 +272,17 @@
                 "retryShare": 0.2, "retrySlack": 106, "crashMemoryMillis": 600000, "crashesKept": 1000}
 
     def spawn(self, role, name, settings):
-        path = os.path.join(self.temp, name + ".json")
-        with open(path, "w") as out:
+        with open(os.path.join(self.temp, name + ".json"), "w") as out:
             json.dump(settings, out)
+        return self.respawn(role, name)
+
+    def respawn(self, role, name):
+        """Starts a process, again with the same settings if it ran before."""
+        path = os.path.join(self.temp, name + ".json")
         words = shlex.split(self.deploy["roles"][role]["run"])
         if not os.path.exists(os.path.join(ROOT, words[0])):
             raise Cannot(words[0] + " is not built")
-        log = open(os.path.join(self.temp, name + ".log"), "w")
+        log = open(os.path.join(self.temp, name + ".log"), "a")
         environment = {k: v for k, v in os.environ.items() if k in ("PATH", "HOME", "JAVA_HOME", "LANG")}
         process = subprocess.Popen(words, cwd=ROOT, env={**environment, "MICABARROW_BOOT": path}, stdout=log,
                                    stderr=log, stdin=subprocess.DEVNULL)
