--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,199 +1,103 @@
-"""New weights are named while all processes are down, and an older naming is done late; see claim.txt."""
+"""Consumers resume streams with their field names in lower case; one server crashes within the answers. See claim.txt."""
 
 import asyncio
-import hashlib
 import json
 import os
+import random
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins-2"))
 
-from rig import MODEL_SERVICE, Server, answer, attempt_id, header, manifest, now_ms, read_body, read_head, run_case  # noqa: E402
+from rig import MODEL_FIELDS, MODEL_SERVICE, Server, answer, attempt_id, header, manifest, read_head, run_case  # noqa: E402
 
-MODEL, CHUNKS, LAYERS = "daka510000", 64, 16
-CONTACT_MS, VERSION_MS = 3000, 8000
-FIRST_S, AGAIN_S, KILL_S, NAMED_S, LATE_S, START_S, END_S = 2.0, 2.5, 4.0, 4.2, 4.6, 5.3, 21.0
+ENTRIES, SERVERS, STREAMS = 4, 6, 72
+FIRST, LAST = 6, 30  # each consumer has the events up to 5 already
 
-
-def piece(version, index):
-    return hashlib.sha256(f"{version}/{index}".encode()).digest() * 1024
+# What ordinary clients send besides what the platform asks for; none of it has a meaning here.
+USUAL = ["accept: text/event-stream", "accept-language: es", "cache-control: no-store", "content-type: application/json",
+         "user-agent: node", "x-request-id: 7", "sec-fetch-mode: cors", "origin: http://jepu9.example", "priority: u=1"]
 
 
 async def case(rig, trouble):
-    begun = []
-
-    class Weights:
-        """What lies beside a server, and the layers that it holds."""
-
-        def __init__(self):
-            self.version, self.start, self.end, self.sequence, self.staged = 1, 0, LAYERS, 0, {}
-            self.staged = {i: piece(1, i) for i in range(CHUNKS)}
 
-    def fields(weights):
-        return {"stage": "both", "models": [{"name": MODEL, "version": weights.version, "adapters": []}],
-                "layers": {"from": weights.start, "target_version": weights.end, "version": weights.version}}
-
-    async def serves(server, line, headers, body, reader, writer):
-        method, target, _ = line.split(" ")
-        path, _, query = target.partition("?")
-        index = int(query.split("sample_count=")[1].split("&")[0]) if "sample_count" in query else 0
-        weights = server.weights
-        if path == "/api/report":
-            report = {**fields(weights), "busy": False, "sequence": weights.sequence, "queued": 0, "running": 0,
-                      "kv_used": 0, "kv_total": 18880000, "handles": 0, "born": server.born}
+    async def run(server, line, headers, body, reader, writer):
+        if line.startswith("GET /api/report"):
+            report = {**MODEL_FIELDS, "busy": False, "sequence": 0, "queued": 0, "running": 0, "kv_used": 0,
+                      "kv_total": 18880000, "handles": 0, "born": server.born}
             writer.write(answer(200, [("Content-Type", "application/json")], json.dumps(report).encode()))
-        elif path.startswith("/api/stage-put/"):
-            weights.staged[index] = body
-            writer.write(answer(200))
-        elif path.startswith("/api/stage-get/"):
-            writer.write(answer(200, (), weights.staged[index]) if index in weights.staged else answer(404))
-        elif path == "/api/order":
-            order = json.loads(body)
-            if order.get("expected_revision", weights.sequence) != weights.sequence:
-                writer.write(answer(409))
-                return
-            weights.sequence += 1
-            weights.version = order["version"]
-            weights.start, weights.end = order.get("from", 0), order.get("target_version", LAYERS)
-            rig.record(f"{server.name} takes {order}")
-            server.fields = fields(weights)
-            server.register()
-            writer.write(answer(202))
-        elif header(headers, "Model"):
-            attempt = header(headers, "Attempt-Id")
-            wanted = header(headers, "Expect-Version")
-            if weights.end - weights.start < LAYERS or wanted not in (None, str(weights.version)):
-                writer.write(answer(421, [("Attempt-Id", attempt)]))
-                return
-            begun.append((now_ms(), attempt, weights.version))
-            rig.record(f"{server.name} begins {attempt} on version {weights.version}")
-            text = b"id: 1\ndata: piece\n\n"
-            writer.write(answer(200, [("Attempt-Id", attempt), ("Server-Seal", "seal"), ("Weight-Versions", "1"),
-                                      ("Content-Type", "text/event-stream")], text))
-        else:
+            return
+        if not line.startswith("POST"):
             writer.write(answer(404))
+            return
+        attempt = header(headers, "Attempt-Id")
+        after = int(header(headers, "Last-Event-Id", "0"))
+        rig.record(f"{server.name} runs {attempt} with Last-Event-Id {after}")
+        writer.write((f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Seal: seal-{attempt}\r\nWeight-Versions: 1\r\n"
+                      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
+        for event in range(after + 1, LAST + 1):
+            text = f"id: {event}\ndata: piece-{event}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(text), text))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        writer.write(b"0\r\n\r\n")
 
-    async def origin(reader, writer):
-        try:
-            while True:
-                line, headers = await read_head(reader)
-                await read_body(reader, headers)
-                path, _, query = line.split(" ")[1].partition("?")
-                values = dict(one.split("=") for one in query.split("&"))
-                version = int(values.get("version", "3"))
-                if path.startswith("/api/manifest/"):
-                    digests = [hashlib.sha256(piece(version, i)).hexdigest() for i in range(CHUNKS)]
-                    out = {"model": MODEL, "version": version, "chunk_bytes": 32768, "layers": LAYERS,
-                           "digests": digests}
-                    writer.write(answer(200, [("Content-Type", "application/json")], json.dumps(out).encode()))
-                else:
-                    await asyncio.sleep(32768 * 8 / 9.9e6)
-                    writer.write(answer(200, (), piece(version, int(values["sample_count"]))))
-                await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            writer.close()
-
-    at_origin = await asyncio.start_server(origin, rig.net + ".3", 0)
-    address = "%s:%d" % at_origin.sockets[0].getsockname()[:2]
     rig.store.put("keyed.op", "config", manifest(
         [{"name": "r1", "path_prefix": "/lepu270/", "kind": "streaming", "service": "huvo11a", "sticky": True,
-          "resumable": True, "gap_aim_ms": 400}],
-        [MODEL_SERVICE, {"name": "kafi81c", "origin": address, "zone": "norte-a", "link_mbps": 9.9,
-                         "max_connections": 48}]))
-    servers = []
-    for number in (1, 2, 3):
-        weights = Weights()
-        server = Server(rig, f"i-{number}", "huvo11a", serves, **fields(weights))
-        server.weights = weights
+          "resumable": True, "gap_aim_ms": 400}], [MODEL_SERVICE]))
+    servers, fronts = [], []
+    for number in range(SERVERS):
+        server = Server(rig, f"i-{number}", "huvo11a", run, **MODEL_FIELDS)
         await server.start(f"{rig.net}.{10 + number}")
+        rig.agent(number, server)
         servers.append(server)
-    starts = []
-    entry, front, ready = rig.entry(1)
-    agents = [rig.agent(number, server) for number, server in enumerate(servers)]
-    await rig.until_ready(ready)
-    await asyncio.sleep(2)
-    zero = now_ms()
-    rig.record("traffic begins")
-
-    def since():
-        return (now_ms() - zero) / 1000
-
-    async def at(seconds):
-        await asyncio.sleep(max(0, seconds - since()))
-
-    kept = {"entry": entry, "agents": agents, "since": zero - 5000, "late": zero - 5000}
-
-    async def kill():
-        if not trouble:
-            return
-        await at(KILL_S)
-        kept["since"] = 1 << 60
-        for process in [kept["entry"], *kept["agents"]]:
-            process.kill()
-        rig.record("all processes of the system are killed")
-        await at(START_S)
-        kept["entry"] = rig.respawn("entry", "front-1")
-        kept["agents"] = [rig.respawn("agent", f"side-{number}") for number in range(3)]
-        kept["since"] = now_ms()
-        rig.record("all processes are started again")
-
-    def name(version):
-        rig.store.put("keyed.op", "version/" + MODEL, {"model": MODEL, "version": version})
-
-    async def naming():
-        await at(FIRST_S)
-        if trouble:
-            rig.record("the operator names version 2; the call gets no answer and is not done yet")
-            await at(AGAIN_S)
-        name(2)
-        rig.record("version 2 is named and acknowledged")
-        await at(NAMED_S)
-        name(3)
-        kept["named"] = now_ms()
-        rig.record("version 3 is named and acknowledged")
-        if trouble:
-            await at(LATE_S)
-            name(2)
-            rig.record(f"the store does the call that named version 2, {LATE_S - FIRST_S:.1f} s after it was sent")
-            kept["late"] = now_ms()
-
-    late = []
-
-    async def consume():
+    for number in range(ENTRIES):
+        _, front, ready = rig.entry(number)
+        fronts.append((front, ready))
+    for _, ready in fronts:
+        await rig.until_ready(ready)
+    await asyncio.sleep(3)
+
+    chance = random.Random(4)
+
+    async def consume(number):
+        usual = "".join(line + "\r\n" for line in USUAL if chance.random() < 0.5)
+        body = f"draft {number}".encode()
         attempt = attempt_id()
-        sent, touch = now_ms(), kept["since"]
+        await asyncio.sleep(0.005 * number)
+        reader, writer = await asyncio.open_connection(*fronts[number % ENTRIES][0])
+        # Field names of HTTP/1.1 mean the same in any case (RFC 9110, 5.1).
+        writer.write(("POST /lepu270/2f HTTP/1.1\r\nhost: jepu9.example\r\nattempt-id: " + attempt + "\r\n"
+                      f"last-event-id: {FIRST - 1}\r\nmodel: daka510000\r\ntoken-count: 146,80\r\n"
+                      f"prompt-prefix: 5c1e07a2:80,{number:08x}:66\r\ndeadline-ms: 6000\r\n"
+                      f"key: jnbanfqasnmgkcuyj8pj\r\n{usual}content-length: {len(body)}\r\n\r\n").encode() + body)
+        data, whole, line = b"", False, "-"
         try:
-            reader, writer = await asyncio.open_connection(*front)
-            writer.write(("POST /lepu270/2f HTTP/1.1\r\nHost: jepu9.example\r\nAttempt-Id: " + attempt + "\r\n"
-                          f"Model: {MODEL}\r\nToken-Count: 146,80\r\nPrompt-Prefix: {attempt[:8]}:146\r\n"
-                          "Deadline-Ms: 6000\r\nKey: jnbanfqasnmgkcuyj8pj\r\nContent-Length: 5\r\n\r\nhello").encode())
             line, _ = await asyncio.wait_for(read_head(reader), 8)
-            writer.close()
-        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as e:
-            line = repr(e)
-        if "named" not in kept or sent < kept["named"]:
-            return
-        # The strictest reading: the time counts from when the store is stable and the entry in touch again.
-        bound = max(kept["named"], kept["late"] + CONTACT_MS, touch + CONTACT_MS) + VERSION_MS
-        for moment, one, version in begun:
-            if one == attempt and version < 3 and moment > bound:
-                late.append(attempt)
-                rig.record(f"{attempt} began on version {version}, {moment - kept['named']} ms after the naming, its entry was in "
-                           f"touch; answered {line}")
-
-    async def load():
-        tasks = []
-        while since() < END_S:
-            tasks.append(asyncio.create_task(consume()))
-            await asyncio.sleep(0.1)
-        await asyncio.gather(*tasks)
+            while " 200 " in line:
+                size = int(await asyncio.wait_for(reader.readline(), 8), 16)
+                data += await reader.readexactly(size)
+                await reader.readline()
+                if size == 0:
+                    whole = True
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError, asyncio.TimeoutError):
+            pass
+        writer.close()
+        ids = [int(part[4:]) for part in data.decode().split("\n") if part.startswith("id: ")]
+        order = ids == list(range(FIRST, FIRST + len(ids))) and (not whole or ids[-1:] == [LAST])
+        rig.record(f"{attempt}: {line}, events {ids}, whole={whole}{'' if order else ', NOT IN ORDER'}")
+        return order
+
+    async def crash():
+        await asyncio.sleep(1.0)
+        if trouble:
+            rig.record("i-0 crashes")
+            servers[0].crash()
 
-    await asyncio.gather(load(), kill(), naming())
-    newest = [version for moment, _, version in begun if moment > kept["named"] + VERSION_MS]
-    rig.record(f"{len(late)} requests began on a version before 3 more than {VERSION_MS} ms after version 3 was named "
-               f"(of {len(newest)} that began then); servers hold {[server.weights.version for server in servers]}")
-    return not late
+    results, _ = await asyncio.gather(asyncio.gather(*(consume(number) for number in range(STREAMS))), crash())
+    rig.record(f"{results.count(False)} of {STREAMS} streams lack a piece or carry one twice")
+    return all(results)
 
 
 run_case(FOLDER, case)
