--- a/src/main/java/org/micabarrow/serving/RequestLog.java
+++ b/src/main/java/org/micabarrow/serving/RequestLog.java
@@ -10,6 +10,7 @@
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.EndpointSelection;
 import org.micabarrow.routing.RequestSize;
+import org.micabarrow.views.StoredRecord;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -57,17 +58,19 @@
             EndpointSelection.Selected selected,
             String reason,
             int attempt,
+            Optional<String> resumesAfter,
             long millisUntilObjective,
             long remainingMillis) {
         EndpointLoad load = context.load(selected.endpoint());
         long now = context.nowMillis();
         LOG.info(
-                "event=sent request={} endpoint={} hall={} attempt={} why=\"{}\" promptTokens={} predictedMs={}"
-                        + " requestsThere={} toldMsAgo={} toObjectiveMs={} leftMs={} {}",
+                "event=sent request={} endpoint={} hall={} attempt={} resumesAfter={} why=\"{}\" promptTokens={}"
+                        + " predictedMs={} requestsThere={} toldMsAgo={} toObjectiveMs={} leftMs={} {}",
                 request.id(),
                 selected.endpoint().id(),
                 selected.endpoint().dataHall(),
                 attempt,
+                resumesAfter.map(StoredRecord::loggable).orElse("-"),
                 reason,
                 request.promptTokens(),
                 Math.round(selected.predictedMillis()),
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -219,7 +219,7 @@
         EndpointRegistration endpoint = selected.endpoint();
         attempts.sent(endpoint.id());
         context.recordAttempt(request, attempts.count(), objectiveMissed());
-        log.sent(selected, reason, attempts.count(), millisUntilObjective(), remainingMillis());
+        log.sent(selected, reason, attempts.count(), events.lastId(), millisUntilObjective(), remainingMillis());
         context.recordReportAge(endpoint);
         Attempt attempt = new Attempt(this, selected);
         currentAttempt = Optional.of(attempt);
