--- a/src/main/java/org/micabarrow/attempts/ClientRequest.java
+++ b/src/main/java/org/micabarrow/attempts/ClientRequest.java
@@ -1,9 +1,9 @@
 package org.micabarrow.attempts;
 
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.routing.AllowedRegions;
 import org.micabarrow.routing.RequestClass;
 import org.micabarrow.routing.RequestSize;
@@ -32,7 +32,7 @@
         String method,
         String target,
         String host,
-        Map<String, String> headers,
+        HeaderFields headers,
         byte[] body,
         Route route,
         String service,
@@ -43,13 +43,13 @@
         Set<String> sharedPromptParts,
         AllowedRegions allowedRegions) {
 
-    /** Copies the headers and the parts. */
+    /** Copies the parts. */
     public ClientRequest {
         Objects.requireNonNull(id, "id is null");
         Objects.requireNonNull(route, "route is null");
+        Objects.requireNonNull(headers, "headers is null");
         Objects.requireNonNull(size, "size is null");
         Objects.requireNonNull(allowedRegions, "allowedRegions is null");
-        headers = Map.copyOf(headers);
         sharedPromptParts = Set.copyOf(sharedPromptParts);
     }
 
--- a/src/main/java/org/micabarrow/bench/ClientCalls.java
+++ b/src/main/java/org/micabarrow/bench/ClientCalls.java
@@ -94,7 +94,7 @@
     }
 
     private static Response toResponse(HttpResponse httpResponse, double millis) {
-        Optional<String> header = Optional.ofNullable(httpResponse.headers().get("X-Micabarrow-Outcome"));
+        Optional<String> header = httpResponse.headers().first("X-Micabarrow-Outcome");
         Outcome result = switch (header.orElse("answered")) {
             case "not_run" -> Outcome.NOT_RUN;
             case "unknown" -> Outcome.UNKNOWN;
@@ -102,9 +102,9 @@
         };
         return new Response(
                 result,
-                httpResponse.headers().getOrDefault("X-Micabarrow-Hall", ""),
-                httpResponse.headers().getOrDefault("X-Micabarrow-Instance", ""),
-                httpResponse.headers().getOrDefault("X-Micabarrow-Version", ""),
+                httpResponse.headers().first("X-Micabarrow-Hall").orElse(""),
+                httpResponse.headers().first("X-Micabarrow-Instance").orElse(""),
+                httpResponse.headers().first("X-Micabarrow-Version").orElse(""),
                 new String(httpResponse.body(), StandardCharsets.UTF_8),
                 millis);
     }
--- a/src/main/java/org/micabarrow/bench/DigestBench.java
+++ b/src/main/java/org/micabarrow/bench/DigestBench.java
@@ -4,13 +4,13 @@
 import com.beust.jcommander.Parameter;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.ToIntFunction;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.crashes.RequestDigest;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.routing.AllowedRegions;
 import org.micabarrow.routing.RequestKind;
 import org.micabarrow.routing.RequestSize;
@@ -106,7 +106,7 @@
                 "POST",
                 "/stream/x",
                 "h.example",
-                Map.of(),
+                HeaderFields.empty(),
                 body,
                 route,
                 "models",
--- a/src/main/java/org/micabarrow/bench/OperatorCalls.java
+++ b/src/main/java/org/micabarrow/bench/OperatorCalls.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.protocol.OperatorMessages;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
@@ -41,7 +42,7 @@
                         Fault.Step.READ,
                         method,
                         URI.create(baseUrl + path),
-                        Map.of(),
+                        HeaderFields.empty(),
                         body.getBytes(StandardCharsets.UTF_8))
                 .withHeader("Authorization", "Bearer " + LocalSystem.OPERATOR_TOKEN);
         HttpClient.HttpResponse answer = http.call(call, TIMEOUT).toOptional().orElseThrow();
--- a/src/main/java/org/micabarrow/command/OperatorCommand.java
+++ b/src/main/java/org/micabarrow/command/OperatorCommand.java
@@ -11,9 +11,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.protocol.OperatorMessages;
 import org.micabarrow.settings.SettingsReader;
 import org.micabarrow.state.CanonicalJson;
@@ -53,7 +53,7 @@
     }
 
     /** Asks the entry and reads its answer. */
-    <T> Result<T> ask(String method, String path, byte[] body, Map<String, String> headers, Class<T> type) {
+    <T> Result<T> ask(String method, String path, byte[] body, HeaderFields headers, Class<T> type) {
         try (HttpClient caller = HttpClient.start("command", 1)) {
             HttpCall call = new HttpCall(Step.READ, method, URI.create(entry + path), headers, body)
                     .withHeader("Authorization", "Bearer " + token());
@@ -111,8 +111,12 @@
         @Override
         ExitCode run(Console console) {
             Result<OperatorMessages.PlanResponse> planned = SettingsReader.bytes(Path.of(file), Step.INTENT)
-                    .flatMap(bytes ->
-                            ask("POST", "/plan", bytes, Map.of("X-File", file), OperatorMessages.PlanResponse.class));
+                    .flatMap(bytes -> ask(
+                            "POST",
+                            "/plan",
+                            bytes,
+                            HeaderFields.of("X-File", file),
+                            OperatorMessages.PlanResponse.class));
             return print(console, planned, answer -> show(console, answer));
         }
 
@@ -179,7 +183,7 @@
         ExitCode run(Console console) {
             byte[] body = CanonicalJson.write(new OperatorMessages.ConfirmRequest(plan.getFirst()));
             Result<OperatorMessages.ConfirmResponse> confirmed =
-                    ask("POST", "/confirm", body, Map.of(), OperatorMessages.ConfirmResponse.class);
+                    ask("POST", "/confirm", body, HeaderFields.empty(), OperatorMessages.ConfirmResponse.class);
             return print(console, confirmed, answer -> console.out().println(sentence(answer)));
         }
 
@@ -221,7 +225,7 @@
                     "GET",
                     "/explain?organisation=" + encode(organisation) + workload,
                     new byte[0],
-                    Map.of(),
+                    HeaderFields.empty(),
                     OperatorMessages.ExplainResponse.class);
             return print(console, explained, answer -> {
                 console.out().println(answer.verdict());
--- a/src/main/java/org/micabarrow/command/StatusCommand.java
+++ b/src/main/java/org/micabarrow/command/StatusCommand.java
@@ -3,7 +3,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.util.Locale;
-import java.util.Map;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.protocol.OperatorMessages;
 import org.micabarrow.state.Result;
 
@@ -32,7 +32,7 @@
     ExitCode run(Console console) throws InterruptedException {
         while (true) {
             Result<OperatorMessages.Status> status =
-                    ask("GET", "/status", new byte[0], Map.of(), OperatorMessages.Status.class);
+                    ask("GET", "/status", new byte[0], HeaderFields.empty(), OperatorMessages.Status.class);
             ExitCode code = print(console, status, answer -> show(console, answer));
             boolean done = status.toOptional()
                     .map(answer -> answer.replicas().stream()
--- a/src/main/java/org/micabarrow/platform/EndpointCalls.java
+++ b/src/main/java/org/micabarrow/platform/EndpointCalls.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.platform.JsonFields.MalformedField;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
@@ -43,7 +44,7 @@
     /** A report, and the body and the number of layers from which it was decoded. */
     private record Decoded(byte[] body, int layers, Report report) {
 
-        private boolean isFrom(byte[] otherBody, int otherLayers, Map<String, String> headers) {
+        private boolean isFrom(byte[] otherBody, int otherLayers, HeaderFields headers) {
             return layers == otherLayers
                     && report.draining() == EndpointHeaders.leaving(headers)
                     && report.rateLimit().equals(EndpointHeaders.limit(headers))
@@ -94,7 +95,7 @@
     }
 
     /** An endpoint that holds only some of the layers holds no version. */
-    private static Report report(JsonNode json, int totalLayers, Map<String, String> headers) {
+    private static Report report(JsonNode json, int totalLayers, HeaderFields headers) {
         JsonFields.object(json, "the report");
         Map<String, Long> models = EndpointFields.models(json);
         boolean whole = EndpointFields.layers(json) >= totalLayers;
@@ -123,7 +124,7 @@
                 Step.STAGE,
                 "PUT",
                 URI.create(base + WireNames.STAGE_PUT + model + "?sample_count=" + index),
-                Map.of("Content-Type", "application/octet-stream"),
+                HeaderFields.of("Content-Type", "application/octet-stream"),
                 bytes);
         return caller.call(call, TIMEOUT).flatMap(answer -> switch (answer.status()) {
             case OK, CREATED, NO_CONTENT -> Result.success(true);
--- a/src/main/java/org/micabarrow/platform/PromptPartList.java
+++ b/src/main/java/org/micabarrow/platform/PromptPartList.java
@@ -23,14 +23,11 @@
      * session. A part that is listed twice counts once. A list with a malformed part has none, since the order of the
      * others is unknown.
      *
-     * @param lists the values of the header, null if there is none
+     * @param lists the values of the header
      * @return the ids in lower case
      */
     static Set<String> shared(Collection<String> lists) {
         Set<String> shared = new LinkedHashSet<>();
-        if (lists == null) {
-            return shared;
-        }
         Optional<String> last = Optional.empty();
         for (String part : String.join(",", lists).split(",", -1)) {
             Matcher matcher = PART.matcher(part);
--- a/src/main/java/org/micabarrow/platform/StoreEra.java
+++ b/src/main/java/org/micabarrow/platform/StoreEra.java
@@ -20,7 +20,7 @@
     /** The era in which the store gave an answer; a store that states none is in its first. */
     static Result<Long> of(HttpCall call, HttpResponse answer) {
         String stated =
-                answer.headers().getOrDefault(WireNames.STORE_ERA, FIRST).trim();
+                answer.headers().joined(WireNames.STORE_ERA).orElse(FIRST).trim();
         return DECIMAL.matcher(stated).matches() && EraOffset.isEra(Long.parseLong(stated))
                 ? Result.success(Long.parseLong(stated))
                 : Result.failure(Fault.of(call.step(), call.peer(), Reason.CORRUPT, "the store states no valid era"));
--- a/src/main/java/org/micabarrow/platform/WireNames.java
+++ b/src/main/java/org/micabarrow/platform/WireNames.java
@@ -14,6 +14,9 @@
     /** The id of the last event received, from which a resumed stream goes on. */
     static final String LAST_EVENT = "Last-Event-Id";
 
+    /** The model that is to answer. */
+    static final String MODEL = "Model";
+
     /** The prompt's tokens and the most tokens to generate, joined by a comma. */
     static final String TOKENS = "Token-Count";
 
--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.micabarrow.clock.MonotonicClock;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Shutdown;
 import org.micabarrow.settings.HostedSettings;
@@ -404,7 +405,13 @@
             headers.put("Token-Count", "100,20");
         }
         byte[] body = text.getBytes(StandardCharsets.UTF_8);
-        return new HttpCall(Fault.Step.READ, "POST", URI.create("http://" + clients), Optional.of(path), headers, body);
+        return new HttpCall(
+                Fault.Step.READ,
+                "POST",
+                URI.create("http://" + clients),
+                Optional.of(path),
+                HeaderFields.of(headers),
+                body);
     }
 
     // -- matching settings
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -1,12 +1,12 @@
 package org.micabarrow.serving;
 
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.micabarrow.admission.OccupiedSlot;
 import org.micabarrow.attempts.AttemptOutcome;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.attempts.EventSplitter;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.EndpointSelection;
@@ -255,7 +255,7 @@
     // -- response
 
     @Override
-    public void onHead(int status, Map<String, String> headers) {
+    public void onHead(int status, HeaderFields headers) {
         if (closed) {
             return;
         }
--- a/src/main/java/org/micabarrow/serving/ClientResponse.java
+++ b/src/main/java/org/micabarrow/serving/ClientResponse.java
@@ -2,13 +2,13 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
-import io.undertow.util.HttpString;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.micabarrow.memory.HeldBytes;
 import org.micabarrow.serving.EndpointProtocol.ResponseHead;
+import org.micabarrow.transport.HeaderMaps;
 import org.micabarrow.transport.ResponseAbort;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -106,8 +106,7 @@
     void start(ResponseHead head) {
         started = true;
         exchange.setStatusCode(head.status());
-        head.forwardedHeaders()
-                .forEach((name, value) -> exchange.getResponseHeaders().put(new HttpString(name), value));
+        HeaderMaps.putAll(exchange.getResponseHeaders(), head.forwardedHeaders());
     }
 
     /** Counts what is buffered of a response that has not started. */
--- a/src/main/java/org/micabarrow/serving/EndpointProtocol.java
+++ b/src/main/java/org/micabarrow/serving/EndpointProtocol.java
@@ -1,11 +1,11 @@
 package org.micabarrow.serving;
 
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.attempts.EventSplitter;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.transport.HttpCall;
 
@@ -54,7 +54,7 @@
             OptionalLong backoffMillis,
             OptionalDouble rateLimit,
             OptionalLong coldMillis,
-            Map<String, String> forwardedHeaders) {
+            HeaderFields forwardedHeaders) {
 
         private static final int SUCCESS_CLASS = 2;
         private static final int STATUSES_PER_CLASS = 100;
@@ -63,9 +63,7 @@
         /** Whether the body is a stream of events, if the route's responses are: unless it states another type. */
         boolean isEventStream() {
             return status / STATUSES_PER_CLASS == SUCCESS_CLASS
-                    && forwardedHeaders.entrySet().stream()
-                            .filter(header -> header.getKey().equalsIgnoreCase(CONTENT_TYPE))
-                            .allMatch(header -> EventSplitter.isEventStream(header.getValue()));
+                    && forwardedHeaders.all(CONTENT_TYPE).stream().allMatch(EventSplitter::isEventStream);
         }
 
         /**
@@ -94,5 +92,5 @@
      * @param headers the headers as received
      * @return the decoded head
      */
-    ResponseHead decodeHead(ClientRequest request, int status, Map<String, String> headers);
+    ResponseHead decodeHead(ClientRequest request, int status, HeaderFields headers);
 }
--- a/src/main/java/org/micabarrow/transport/EndpointClient.java
+++ b/src/main/java/org/micabarrow/transport/EndpointClient.java
@@ -2,11 +2,10 @@
 
 import java.net.URI;
 import java.time.Duration;
-import java.util.Map;
 import java.util.Objects;
-import java.util.Optional;
 import org.micabarrow.coordination.endpoint.Endpoint;
 import org.micabarrow.coordination.endpoint.EndpointCalls;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.protocol.PlatformMessages;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
@@ -65,7 +64,7 @@
     @Override
     public Result<Integer> stage(String artifact, int index, byte[] data) {
         URI uri = URI.create(url + "/weights/" + artifact + "/chunks/" + index);
-        HttpCall call = new HttpCall(Step.STAGE, "PUT", uri, Map.of(), data);
+        HttpCall call = new HttpCall(Step.STAGE, "PUT", uri, HeaderFields.empty(), data);
         return client.call(call, STAGE_TIMEOUT)
                 .flatMap(response -> PlatformClient.read(call, response, PlatformMessages.StagedChunkCount.class))
                 .map(PlatformMessages.StagedChunkCount::chunks);
@@ -89,15 +88,10 @@
                 Step.RUN,
                 call.method(),
                 URI.create(url + call.path()),
-                Map.of(
-                        "Content-Type",
-                        call.contentType(),
-                        ATTEMPT,
-                        call.attempt(),
-                        VERSION,
-                        call.version(),
-                        PRIORITY,
-                        Integer.toString(call.priority())),
+                HeaderFields.of("Content-Type", call.contentType())
+                        .with(ATTEMPT, call.attempt())
+                        .with(VERSION, call.version())
+                        .with(PRIORITY, Integer.toString(call.priority())),
                 call.body());
         return client.send(request, new ResponseForwarder(request, listener));
     }
@@ -117,14 +111,14 @@
         }
 
         @Override
-        public void onHead(int status, Map<String, String> headers) {
-            notExecuted = status == SERVICE_UNAVAILABLE && headers.containsKey(NOT_RUN);
+        public void onHead(int status, HeaderFields headers) {
+            notExecuted = status == SERVICE_UNAVAILABLE && headers.contains(NOT_RUN);
             if (!notExecuted) {
                 listener.onHead(
                         status,
-                        headers.getOrDefault("Content-Type", "application/octet-stream"),
-                        Optional.ofNullable(headers.get(ATTEMPT)),
-                        Optional.ofNullable(headers.get(VERSION)));
+                        headers.first("Content-Type").orElse("application/octet-stream"),
+                        headers.joined(ATTEMPT),
+                        headers.joined(VERSION));
             }
         }
 
--- a/src/main/java/org/micabarrow/transport/HttpCall.java
+++ b/src/main/java/org/micabarrow/transport/HttpCall.java
@@ -1,10 +1,9 @@
 package org.micabarrow.transport;
 
 import java.net.URI;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.state.Fault;
 
 /**
@@ -22,15 +21,15 @@
  * @param body the body, empty for none
  */
 public record HttpCall(
-        Fault.Step step, String method, URI uri, Optional<String> rawTarget, Map<String, String> headers, byte[] body) {
+        Fault.Step step, String method, URI uri, Optional<String> rawTarget, HeaderFields headers, byte[] body) {
 
     private static final byte[] EMPTY_BODY = {};
 
-    /** Checks the step and the URI, and copies the headers. */
+    /** Checks the step, the URI and the headers. */
     public HttpCall {
         Objects.requireNonNull(step, "step is null");
         Objects.requireNonNull(uri, "uri is null");
-        headers = Map.copyOf(headers);
+        Objects.requireNonNull(headers, "headers is null");
     }
 
     /**
@@ -42,7 +41,7 @@
      * @param headers the headers
      * @param body the body, empty for none
      */
-    public HttpCall(Fault.Step step, String method, URI uri, Map<String, String> headers, byte[] body) {
+    public HttpCall(Fault.Step step, String method, URI uri, HeaderFields headers, byte[] body) {
         this(step, method, uri, Optional.empty(), headers, body);
     }
 
@@ -54,7 +53,7 @@
      * @return the request
      */
     public static HttpCall get(Fault.Step step, URI uri) {
-        return new HttpCall(step, "GET", uri, Map.of(), EMPTY_BODY);
+        return new HttpCall(step, "GET", uri, HeaderFields.empty(), EMPTY_BODY);
     }
 
     /**
@@ -66,20 +65,18 @@
      * @return the request
      */
     public static HttpCall post(Fault.Step step, URI uri, byte[] body) {
-        return new HttpCall(step, "POST", uri, Map.of(), body);
+        return new HttpCall(step, "POST", uri, HeaderFields.empty(), body);
     }
 
     /**
-     * Returns a copy of this request with one more header.
+     * Returns a copy of this request with a header, in the place of all headers of its name.
      *
      * @param name the header
      * @param value its value
      * @return the request
      */
     public HttpCall withHeader(String name, String value) {
-        Map<String, String> extended = new HashMap<>(headers);
-        extended.put(name, value);
-        return new HttpCall(step, method, uri, rawTarget, extended, body);
+        return new HttpCall(step, method, uri, rawTarget, headers.with(name, value), body);
     }
 
     /** The host and port of the target. */
--- a/src/main/java/org/micabarrow/transport/HttpClient.java
+++ b/src/main/java/org/micabarrow/transport/HttpClient.java
@@ -8,7 +8,6 @@
 import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
@@ -17,6 +16,7 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BooleanSupplier;
 import org.micabarrow.clock.MonotonicClock;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Result;
@@ -116,10 +116,10 @@
      * A complete response.
      *
      * @param status the HTTP status
-     * @param headers the headers by their names, which are compared without case
+     * @param headers the headers
      * @param body the body
      */
-    public record HttpResponse(int status, Map<String, String> headers, byte[] body) {}
+    public record HttpResponse(int status, HeaderFields headers, byte[] body) {}
 
     /** Receives a response part by part, on an I/O thread that must not block. */
     public interface Listener {
@@ -140,9 +140,9 @@
          * Called when the response has begun.
          *
          * @param status the HTTP status
-         * @param headers the headers by their names, which are compared without case
+         * @param headers the headers
          */
-        void onHead(int status, Map<String, String> headers);
+        void onHead(int status, HeaderFields headers);
 
         /**
          * Called when the next part of the body has arrived.
--- a/src/main/java/org/micabarrow/transport/HttpExchange.java
+++ b/src/main/java/org/micabarrow/transport/HttpExchange.java
@@ -6,13 +6,12 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.LongAdder;
 import org.micabarrow.state.Fault;
@@ -113,9 +112,10 @@
     private static ClientRequest toClientRequest(HttpCall call) {
         ClientRequest request =
                 new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.pathAndQuery());
-        request.getRequestHeaders().put(Headers.HOST, call.authority());
-        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
-        call.headers().forEach((name, value) -> request.getRequestHeaders().put(new HttpString(name), value));
+        HeaderMap headers = request.getRequestHeaders();
+        headers.put(Headers.HOST, call.authority());
+        HeaderMaps.putAll(headers, call.headers());
+        headers.put(Headers.CONTENT_LENGTH, call.body().length);
         return request;
     }
 
@@ -162,12 +162,10 @@
         return new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
-                Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-                exchange.getResponse()
-                        .getResponseHeaders()
-                        .forEach(values -> headers.put(values.getHeaderName().toString(), String.join(", ", values)));
                 bodyEnd = BodyEnd.of(exchange.getResponse());
-                listener.onHead(exchange.getResponse().getResponseCode(), headers);
+                listener.onHead(
+                        exchange.getResponse().getResponseCode(),
+                        HeaderMaps.fields(exchange.getResponse().getResponseHeaders()));
                 source = exchange.getResponseChannel();
                 source.getReadSetter().set(channel -> read());
                 read();
--- a/src/main/java/org/micabarrow/transport/PeerChunkClient.java
+++ b/src/main/java/org/micabarrow/transport/PeerChunkClient.java
@@ -120,7 +120,7 @@
 
     private static Result<IndexedChunk> parseChunk(String agent, HttpResponse response) {
         try {
-            int index = Integer.parseInt(response.headers().getOrDefault(INDEX, ""));
+            int index = Integer.parseInt(response.headers().joined(INDEX).orElse(""));
             return Result.success(new IndexedChunk(index, response.body()));
         } catch (NumberFormatException e) {
             return Result.failure(Fault.of(Step.FETCH, agent, Reason.CORRUPT, "the chunk has no index"));
--- a/src/main/java/org/micabarrow/transport/ResponseCollector.java
+++ b/src/main/java/org/micabarrow/transport/ResponseCollector.java
@@ -1,13 +1,13 @@
 package org.micabarrow.transport;
 
 import java.io.ByteArrayOutputStream;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Result;
@@ -27,7 +27,7 @@
     private volatile boolean tooLarge;
     private volatile long lastPartNanos;
     private int status;
-    private Map<String, String> headers = Map.of();
+    private HeaderFields headers = HeaderFields.empty();
 
     /**
      * Creates a collector.
@@ -87,7 +87,7 @@
     }
 
     @Override
-    public void onHead(int receivedStatus, Map<String, String> receivedHeaders) {
+    public void onHead(int receivedStatus, HeaderFields receivedHeaders) {
         onPart();
         status = receivedStatus;
         headers = receivedHeaders;
--- a/src/test/java/org/micabarrow/ArchitectureTest.java
+++ b/src/test/java/org/micabarrow/ArchitectureTest.java
@@ -82,6 +82,7 @@
                     "org.micabarrow.routing..",
                     "org.micabarrow.views..",
                     "org.micabarrow.attempts..",
+                    "org.micabarrow.headers..",
                     "org.micabarrow.limits..",
                     "org.micabarrow.weights..")
             .should()
--- a/src/test/java/org/micabarrow/crashes/RequestDigestTest.java
+++ b/src/test/java/org/micabarrow/crashes/RequestDigestTest.java
@@ -6,13 +6,13 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.routing.AllowedRegions;
 import org.micabarrow.routing.RequestKind;
 import org.micabarrow.routing.RequestSize;
@@ -25,7 +25,7 @@
         Route route = new Route(
                 "r", host, "/", List.of(new Route.WeightedService("s", 1)), RequestKind.IDEMPOTENT, 1, 1, 1, 1, false);
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        Map<String, String> headers = Map.of("Attempt-Id", id);
+        HeaderFields headers = HeaderFields.of("Attempt-Id", id);
         return new ClientRequest(
                 id,
                 method,
--- a/src/test/java/org/micabarrow/platform/EndpointHeadersTest.java
+++ b/src/test/java/org/micabarrow/platform/EndpointHeadersTest.java
@@ -2,12 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.micabarrow.headers.HeaderFields;
 
 class EndpointHeadersTest {
 
@@ -36,7 +37,7 @@
     })
     void shouldReadForHowLongEndpointRests(String text, Long millis) {
         OptionalLong expected = millis == null ? OptionalLong.empty() : OptionalLong.of(millis);
-        assertEquals(expected, EndpointHeaders.backoffMillis(text));
+        assertEquals(expected, EndpointHeaders.backoffMillis(Optional.of(text)));
     }
 
     @ParameterizedTest
@@ -54,12 +55,12 @@
     })
     void shouldReadForHowLongEndpointStaysCold(String text, Long millis) {
         OptionalLong expected = millis == null ? OptionalLong.empty() : OptionalLong.of(millis);
-        assertEquals(expected, EndpointHeaders.coldMillis(text));
+        assertEquals(expected, EndpointHeaders.coldMillis(Optional.of(text)));
     }
 
     @Test
     void shouldTakeEndpointAsWarmWhenItStatesNoColdTime() {
-        assertEquals(OptionalLong.empty(), EndpointHeaders.coldMillis(null));
+        assertEquals(OptionalLong.empty(), EndpointHeaders.coldMillis(Optional.empty()));
     }
 
     @ParameterizedTest
@@ -78,16 +79,16 @@
     })
     void shouldReadLimitWhenEndpointNamesOne(String text, Double perSecond) {
         OptionalDouble expected = perSecond == null ? OptionalDouble.empty() : OptionalDouble.of(perSecond);
-        assertEquals(expected, EndpointHeaders.limit(Map.of("Server-Limit", text)));
+        assertEquals(expected, EndpointHeaders.limit(HeaderFields.of("Server-Limit", text)));
     }
 
     @Test
     void shouldReadNoLimitWhenEndpointNamesNone() {
-        assertEquals(OptionalDouble.empty(), EndpointHeaders.limit(Map.of()));
+        assertEquals(OptionalDouble.empty(), EndpointHeaders.limit(HeaderFields.empty()));
     }
 
     @Test
     void shouldReadNoRestWhenEndpointAsksForNone() {
-        assertEquals(OptionalLong.empty(), EndpointHeaders.backoffMillis(null));
+        assertEquals(OptionalLong.empty(), EndpointHeaders.backoffMillis(Optional.empty()));
     }
 }
--- a/src/test/java/org/micabarrow/platform/PromptPartListTest.java
+++ b/src/test/java/org/micabarrow/platform/PromptPartListTest.java
@@ -35,7 +35,7 @@
     @Test
     void shouldReadSeveralHeadersAsOneListAndNoneAsNoParts() {
         assertEquals(Set.of("aa", "bb"), PromptPartList.shared(List.of("aa:1", "bb:2,cc:3")));
-        assertEquals(Set.of(), PromptPartList.shared(null));
+        assertEquals(Set.of(), PromptPartList.shared(List.of()));
     }
 
     @Test
--- a/src/test/java/org/micabarrow/process/HostedSoakTest.java
+++ b/src/test/java/org/micabarrow/process/HostedSoakTest.java
@@ -334,10 +334,10 @@
             HttpCall call = HostedSystem.request(clients, path, id, body)
                     .withHeader("Deadline-Ms", "2000")
                     .withHeader("Prompt-Prefix", "aaaa0001:9," + part + ":9,cccc0001:9");
-            HttpResponse answer =
-                    client.call(call, WITHIN).toOptional().orElse(new HttpResponse(0, Map.of(), new byte[0]));
-            statuses.put(id, answer.status());
-            String text = new String(answer.body(), StandardCharsets.UTF_8);
+            Optional<HttpResponse> answer = client.call(call, WITHIN).toOptional();
+            statuses.put(id, answer.map(HttpResponse::status).orElse(0));
+            String text = answer.map(one -> new String(one.body(), StandardCharsets.UTF_8))
+                    .orElse("");
             if (!CRASHING.contains(body) && !part.equals(CRASHING_PART) && text.contains("it has ended")) {
                 wronglyRefused.add(id);
             }
--- a/src/test/java/org/micabarrow/process/OldManifestTest.java
+++ b/src/test/java/org/micabarrow/process/OldManifestTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.Await;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.platform.standin.HostedStoreStandin;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.settings.HostedSettings;
@@ -107,7 +108,7 @@
             for (int i = 0; i < TIMES; i++) {
                 HttpResponse answer = ask(path, key);
                 assertEquals(UNAVAILABLE, answer.status());
-                assertTrue(answer.headers().containsKey("Retry-After"), "when to come back");
+                assertTrue(answer.headers().contains("Retry-After"), "when to come back");
                 assertEquals(OK, status("/once/x", "key-a"), "what its manifest allows is served on");
             }
             ailment.set(platform.store(), false);
@@ -196,8 +197,8 @@
                 Map.of("Host", "h.example", "Key", key, "Attempt-Id", "id-" + System.nanoTime(), "Deadline-Ms", "3000");
         byte[] body = "a body".getBytes(StandardCharsets.UTF_8);
         String clients = settings.listen().clients().orElseThrow();
-        HttpCall call =
-                new HttpCall(Step.READ, "POST", URI.create("http://" + clients), Optional.of(path), headers, body);
+        HttpCall call = new HttpCall(
+                Step.READ, "POST", URI.create("http://" + clients), Optional.of(path), HeaderFields.of(headers), body);
         return caller.call(call, TIMEOUT).toOptional().orElseThrow();
     }
 
--- a/src/test/java/org/micabarrow/process/RecoveryTest.java
+++ b/src/test/java/org/micabarrow/process/RecoveryTest.java
@@ -163,15 +163,18 @@
         String running = atFirst ? "billing-1" : "billing-2";
         HttpResponse meanwhile = fixture.charge("entry-2", "key", "charge");
         assertEquals(409, meanwhile.status());
-        assertEquals("unknown", meanwhile.headers().get("X-Micabarrow-Outcome"));
+        assertEquals(
+                "unknown", meanwhile.headers().first("X-Micabarrow-Outcome").orElseThrow());
         fixture.system.agent(running).kill();
         assertEquals(502, first.join().status(), SystemFixture.text(first.join()));
-        assertEquals("unknown", first.join().headers().get("X-Micabarrow-Outcome"));
+        assertEquals(
+                "unknown", first.join().headers().first("X-Micabarrow-Outcome").orElseThrow());
         fixture.system.startAgent(running);
         Await.until("the new process", () -> generation(running) >= 6);
         for (String entry : List.of("entry-1", "entry-2")) {
             HttpResponse again = fixture.charge(entry, "key", "charge");
-            assertEquals("unknown", again.headers().get("X-Micabarrow-Outcome"), SystemFixture.text(again));
+            assertEquals(
+                    "unknown", again.headers().first("X-Micabarrow-Outcome").orElseThrow(), SystemFixture.text(again));
         }
         assertEquals(1, fixture.runsOf("charge"));
         fixture.system.service("billing-1").setCallMillis(1);
--- a/src/test/java/org/micabarrow/process/SharedLimitTest.java
+++ b/src/test/java/org/micabarrow/process/SharedLimitTest.java
@@ -4,11 +4,11 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.Await;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.transport.HttpClient;
@@ -49,7 +49,7 @@
         String clients = entry.listen().clients().orElseThrow();
         return client.call(HostedSystem.request(clients, "/stream/x", "attempt-1"), TIMEOUT)
                 .toOptional()
-                .orElse(new HttpResponse(0, Map.of(), new byte[0]))
+                .orElse(new HttpResponse(0, HeaderFields.empty(), new byte[0]))
                 .status();
     }
 
--- a/src/test/java/org/micabarrow/process/SystemFixture.java
+++ b/src/test/java/org/micabarrow/process/SystemFixture.java
@@ -10,6 +10,7 @@
 import org.micabarrow.Await;
 import org.micabarrow.bench.LocalOptions;
 import org.micabarrow.bench.LocalSystem;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.protocol.OperatorMessages;
 import org.micabarrow.standin.WeightsStandin;
 import org.micabarrow.state.CanonicalJson;
@@ -71,7 +72,7 @@
                         Fault.Step.READ,
                         method,
                         URI.create(system.operatorAddress(entry) + path),
-                        Map.of("X-File", "intent.jsonc"),
+                        HeaderFields.of("X-File", "intent.jsonc"),
                         body.getBytes(StandardCharsets.UTF_8))
                 .withHeader("Authorization", "Bearer " + token);
         return http.call(call, TIMEOUT).toOptional().orElseThrow();
@@ -174,7 +175,7 @@
                 Fault.Step.READ,
                 "POST",
                 URI.create(system.clientAddress(entry) + path),
-                all,
+                HeaderFields.of(all),
                 body.getBytes(StandardCharsets.UTF_8));
         return http.call(call, TIMEOUT).toOptional().orElseThrow();
     }
--- a/src/test/java/org/micabarrow/process/WholePathTest.java
+++ b/src/test/java/org/micabarrow/process/WholePathTest.java
@@ -117,11 +117,13 @@
             HttpResponse answer = fixture.chat("entry-" + (1 + i % 2), SystemFixture.RIDERS, 4, i % 3 == 0);
             assertEquals(200, answer.status(), SystemFixture.text(answer));
             assertTrue(SystemFixture.text(answer).contains(fixture.weights.fingerprint()));
-            assertEquals("norte-a", answer.headers().get("X-Micabarrow-Hall"));
-            assertEquals("norte", answer.headers().get("X-Micabarrow-Region"));
-            assertEquals(fixture.weights.version(), answer.headers().get("X-Micabarrow-Version"));
-            assertTrue(answer.headers().containsKey("X-Micabarrow-Attempt"));
-            assertTrue(answer.headers().containsKey("X-Micabarrow-Generation"));
+            assertEquals("norte-a", answer.headers().first("X-Micabarrow-Hall").orElseThrow());
+            assertEquals("norte", answer.headers().first("X-Micabarrow-Region").orElseThrow());
+            assertEquals(
+                    fixture.weights.version(),
+                    answer.headers().first("X-Micabarrow-Version").orElseThrow());
+            assertTrue(answer.headers().contains("X-Micabarrow-Attempt"));
+            assertTrue(answer.headers().contains("X-Micabarrow-Generation"));
         }
         assertTrue(fixture.system.engine("sur-a-1").loadedFingerprints().isEmpty());
     }
@@ -155,8 +157,8 @@
             String path, String organisation, String body, int status, String code) throws IOException {
         HttpResponse answer = fixture.call("entry-1", path, "token-of-" + organisation, body, Map.of());
         assertEquals(status, answer.status(), SystemFixture.text(answer));
-        assertEquals("not_run", answer.headers().get("X-Micabarrow-Outcome"));
-        assertTrue(answer.headers().containsKey("Retry-After"));
+        assertEquals("not_run", answer.headers().first("X-Micabarrow-Outcome").orElseThrow());
+        assertTrue(answer.headers().contains("Retry-After"));
         assertEquals(code, error(answer, "code"));
         assertFalse(error(answer, "step").isEmpty() || error(answer, "peer").isEmpty());
     }
@@ -241,7 +243,7 @@
             boolean old = SystemFixture.text(answer).contains(fixture.weights.fingerprint());
             boolean young = SystemFixture.text(answer).contains(next.fingerprint());
             assertTrue(old ^ young, "exactly one version answers");
-            String said = answer.headers().get("X-Micabarrow-Version");
+            String said = answer.headers().first("X-Micabarrow-Version").orElseThrow();
             assertEquals(young ? next.version() : fixture.weights.version(), said);
         }
         rollOut.join();
@@ -274,7 +276,7 @@
             assertTrue(SystemFixture.text(stream.join()).endsWith("data: [DONE]\n\n"));
         });
         Optional<HttpResponse> after = Optional.of(fixture.chat("entry-1", SystemFixture.RIDERS, 2, false));
-        assertEquals(other, after.get().headers().get("X-Micabarrow-Instance"));
+        assertEquals(other, after.get().headers().first("X-Micabarrow-Instance").orElseThrow());
     }
 
     private boolean streaming(String instance) {
--- a/src/test/java/org/micabarrow/serving/AllowedRegionsRequestTest.java
+++ b/src/test/java/org/micabarrow/serving/AllowedRegionsRequestTest.java
@@ -107,7 +107,7 @@
         HttpResponse refused = sendRequest(path);
         assertEquals(503, refused.status());
         assertTrue(text(refused).contains("[region-c]"), text(refused));
-        assertTrue(Double.parseDouble(refused.headers().get("Retry-After")) > 0);
+        assertTrue(Double.parseDouble(refused.headers().first("Retry-After").orElseThrow()) > 0);
         assertEquals(0, receivedIn("a") + receivedIn("b"));
     }
 
--- a/src/test/java/org/micabarrow/serving/ColdEndpointTest.java
+++ b/src/test/java/org/micabarrow/serving/ColdEndpointTest.java
@@ -106,7 +106,7 @@
         HttpResponse refused = sendRequest("/again/x");
         assertEquals(503, refused.status());
         assertTrue(new String(refused.body(), StandardCharsets.UTF_8).contains("what they take a second"));
-        assertTrue(Double.parseDouble(refused.headers().get("Retry-After")) > 0);
+        assertTrue(Double.parseDouble(refused.headers().first("Retry-After").orElseThrow()) > 0);
     }
 
     @ParameterizedTest
--- a/src/test/java/org/micabarrow/serving/DrainingEndpointTest.java
+++ b/src/test/java/org/micabarrow/serving/DrainingEndpointTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.Await;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Shutdown;
 import org.micabarrow.platform.standin.HostedSystem;
@@ -60,7 +61,7 @@
         String clients = entry.listen().clients().orElseThrow();
         return client.call(HostedSystem.request(clients, path, "attempt-1"), TIMEOUT)
                 .toOptional()
-                .orElse(new HttpResponse(0, Map.of(), new byte[0]))
+                .orElse(new HttpResponse(0, HeaderFields.empty(), new byte[0]))
                 .status();
     }
 
--- a/src/test/java/org/micabarrow/serving/EndpointBackoffTest.java
+++ b/src/test/java/org/micabarrow/serving/EndpointBackoffTest.java
@@ -40,7 +40,10 @@
             HttpResponse refused = sendRequest("/again/x");
             assertEquals(503, refused.status());
             double remaining = (BACKOFF_MILLIS - elapsed) / 1_000.0;
-            assertEquals(remaining, Double.parseDouble(refused.headers().get("Retry-After")), 0.001);
+            assertEquals(
+                    remaining,
+                    Double.parseDouble(refused.headers().first("Retry-After").orElseThrow()),
+                    0.001);
         }
         assertEquals(1, received("plain-1"), "the refused request only");
         clockMillis.addAndGet(100);
@@ -53,7 +56,7 @@
         platform.enqueueBehaviour(Behaviour.REFUSE_WITH_RETRY_AFTER);
         HttpResponse refused = sendRequest("/once/x");
         assertEquals(503, refused.status());
-        assertEquals("3.000", refused.headers().get("Retry-After"));
+        assertEquals("3.000", refused.headers().first("Retry-After").orElseThrow());
     }
 
     @Test
@@ -62,9 +65,11 @@
         serveWithoutVersions();
         Await.until("the endpoints", () -> views.view().endpoints().size() == 2);
         platform.enqueueBehaviour(Behaviour.REFUSE_WITH_RETRY_AFTER);
-        String available = sendRequest("/once/x").headers().get("Instance-Id");
+        String available = sendRequest("/once/x").headers().first("Instance-Id").orElseThrow();
         for (int request = 0; request < 20; request++) {
-            assertEquals(available, sendRequest("/once/x").headers().get("Instance-Id"));
+            assertEquals(
+                    available,
+                    sendRequest("/once/x").headers().first("Instance-Id").orElseThrow());
         }
     }
 
--- a/src/test/java/org/micabarrow/serving/HeadClassificationTest.java
+++ b/src/test/java/org/micabarrow/serving/HeadClassificationTest.java
@@ -2,12 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.serving.EndpointProtocol.ResponseHead;
 
 /** Checks the classification of response heads. */
@@ -50,7 +50,7 @@
                 OptionalLong.empty(),
                 OptionalDouble.empty(),
                 OptionalLong.empty(),
-                Map.of());
+                HeaderFields.empty());
         assertEquals(expected, HeadClassification.classify(head, repeatable, responseStarted));
     }
 }
--- a/src/test/java/org/micabarrow/serving/HostedEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/HostedEntryTest.java
@@ -29,6 +29,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.platform.standin.HostedStoreStandin;
 import org.micabarrow.platform.standin.HostedSystem;
@@ -112,8 +113,8 @@
         HttpResponse second = sendRequest("/once/x", Map.of());
         assertEquals(200, first.status());
         assertEquals(
-                first.headers().get("Instance-Id"),
-                second.headers().get("Instance-Id"),
+                first.headers().first("Instance-Id").orElseThrow(),
+                second.headers().first("Instance-Id").orElseThrow(),
                 "the misdirected endpoint is not used for the second request");
         assertEquals(3, received().size());
     }
@@ -377,7 +378,7 @@
         int before = received().size();
         HttpResponse refused = sendRequest("/once/x", Map.of());
         assertEquals(503, refused.status());
-        assertTrue(Optional.ofNullable(refused.headers().get("Retry-After")).isPresent());
+        assertTrue(refused.headers().contains("Retry-After"));
         assertEquals(before, received().size());
     }
 
@@ -438,7 +439,13 @@
                 Map.of("Host", "h.example", "Key", "key-a", "Attempt-Id", "attempt-1", "Deadline-Ms", "3000"));
         headers.putAll(more);
         URI uri = URI.create("http://" + settings.listen().clients().orElseThrow());
-        return new HttpCall(Step.READ, "POST", uri, Optional.of(path), headers, body.getBytes(StandardCharsets.UTF_8));
+        return new HttpCall(
+                Step.READ,
+                "POST",
+                uri,
+                Optional.of(path),
+                HeaderFields.of(headers),
+                body.getBytes(StandardCharsets.UTF_8));
     }
 
     private HttpResponse sendRequest(String path, Map<String, String> more) {
@@ -448,7 +455,7 @@
     private HttpResponse sendRequest(String path, Map<String, String> more, String body) {
         return caller.call(call(path, more, body), TIMEOUT)
                 .toOptional()
-                .orElse(new HttpResponse(0, Map.of(), new byte[0]));
+                .orElse(new HttpResponse(0, HeaderFields.empty(), new byte[0]));
     }
 
     private static void waitUntil(BooleanSupplier condition) {
--- a/src/test/java/org/micabarrow/serving/LargeRequestTest.java
+++ b/src/test/java/org/micabarrow/serving/LargeRequestTest.java
@@ -4,12 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.nio.charset.StandardCharsets;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.Await;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.routing.LoadReport;
 import org.micabarrow.transport.HttpCall;
@@ -46,8 +46,8 @@
         HttpCall call = HostedSystem.request(clientAddress(), "/stream/x", id)
                 .withHeader("Token-Count", promptTokens + ",20")
                 .withHeader("Deadline-Ms", String.valueOf(TIMEOUT.toMillis()));
-        return CompletableFuture.supplyAsync(
-                () -> client.call(call, TIMEOUT).toOptional().orElse(new HttpResponse(0, Map.of(), new byte[0])));
+        return CompletableFuture.supplyAsync(() ->
+                client.call(call, TIMEOUT).toOptional().orElse(new HttpResponse(0, HeaderFields.empty(), new byte[0])));
     }
 
     /** Reports how many slots are taken, on the traffic thread. */
--- a/src/test/java/org/micabarrow/serving/ManifestAgeTest.java
+++ b/src/test/java/org/micabarrow/serving/ManifestAgeTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.memory.HeldBytes;
 import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.RequestHeaders;
@@ -109,7 +110,7 @@
                 "POST",
                 URI.create("http://" + clients),
                 Optional.of(path),
-                headers,
+                HeaderFields.of(headers),
                 body.getBytes(StandardCharsets.UTF_8));
         return caller.call(call, TIMEOUT).toOptional().orElseThrow();
     }
@@ -133,7 +134,7 @@
         for (HttpResponse response :
                 List.of(sendRequest("/once/x", "key-b"), sendRequest("/new/x", "key-a"), sendLargeBody())) {
             assertEquals(UNAVAILABLE, response.status());
-            assertEquals("0.300", response.headers().get("Retry-After"));
+            assertEquals("0.300", response.headers().first("Retry-After").orElseThrow());
             String reason = new String(response.body(), StandardCharsets.UTF_8);
             assertEquals("this entry may not know the newest manifest", reason.substring(0, reason.indexOf(';')));
         }
--- a/src/test/java/org/micabarrow/serving/OlderVersionTest.java
+++ b/src/test/java/org/micabarrow/serving/OlderVersionTest.java
@@ -89,7 +89,7 @@
         agentRepliesInTime.set(false);
         HttpResponse refused = sendRequest();
         assertEquals(503, refused.status());
-        assertTrue(refused.headers().containsKey("Retry-After"));
+        assertTrue(refused.headers().contains("Retry-After"));
         assertEquals(0, platform.endpoint("model-1").received().size());
     }
 
--- a/src/test/java/org/micabarrow/serving/PoisonPromptPartTest.java
+++ b/src/test/java/org/micabarrow/serving/PoisonPromptPartTest.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -14,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.micabarrow.Await;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.process.HostedEntryProcess;
@@ -67,7 +67,7 @@
                 .withHeader("Prompt-Prefix", parts);
         return client.call(call, TIMEOUT)
                 .toOptional()
-                .orElse(new HttpResponse(0, Map.of(), new byte[0]))
+                .orElse(new HttpResponse(0, HeaderFields.empty(), new byte[0]))
                 .status();
     }
 
--- a/src/test/java/org/micabarrow/serving/PoisonRequestTest.java
+++ b/src/test/java/org/micabarrow/serving/PoisonRequestTest.java
@@ -9,7 +9,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -17,6 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.micabarrow.Await;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.process.HostedEntryProcess;
 import org.micabarrow.settings.HostedSettings;
@@ -80,7 +80,7 @@
         attempts++;
         String clients = entry.listen().clients().orElseThrow();
         HttpCall call = HostedSystem.request(clients, path, "try-" + attempts, body);
-        return client.call(call, TIMEOUT).toOptional().orElse(new HttpResponse(0, Map.of(), new byte[0]));
+        return client.call(call, TIMEOUT).toOptional().orElse(new HttpResponse(0, HeaderFields.empty(), new byte[0]));
     }
 
     private void sendInTurn(List<HostedSettings> entries, String path) {
--- a/src/test/java/org/micabarrow/serving/PreSendCheckTest.java
+++ b/src/test/java/org/micabarrow/serving/PreSendCheckTest.java
@@ -10,7 +10,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -20,6 +19,7 @@
 import org.micabarrow.Await;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.serving.ServingHandler.AgentQueries;
@@ -83,7 +83,7 @@
         }
 
         @Override
-        public ResponseHead decodeHead(ClientRequest request, int status, Map<String, String> received) {
+        public ResponseHead decodeHead(ClientRequest request, int status, HeaderFields received) {
             return headers.decodeHead(request, status, received);
         }
     }
@@ -231,7 +231,7 @@
         pauseAfterDecision(CLIENT_MILLIS);
         HttpResponse refused = sendRequest("/stream/x");
         assertEquals(503, refused.status());
-        assertTrue(refused.headers().containsKey("Retry-After"));
+        assertTrue(refused.headers().contains("Retry-After"));
         assertEquals(0, received("model-1"));
     }
 
--- a/src/test/java/org/micabarrow/serving/RateLimitedEndpointTest.java
+++ b/src/test/java/org/micabarrow/serving/RateLimitedEndpointTest.java
@@ -88,7 +88,7 @@
         assertEquals(200, sendRequest("/once/x").status());
         HttpResponse refused = sendRequest("/once/x");
         assertEquals(503, refused.status());
-        assertTrue(Double.parseDouble(refused.headers().get("Retry-After")) > 0);
+        assertTrue(Double.parseDouble(refused.headers().first("Retry-After").orElseThrow()) > 0);
         assertEquals(1, received("plain-1"));
     }
 
--- a/src/test/java/org/micabarrow/serving/RawResponsesTest.java
+++ b/src/test/java/org/micabarrow/serving/RawResponsesTest.java
@@ -8,12 +8,12 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.Await;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.process.HostedEntryProcess;
 import org.micabarrow.settings.HostedSettings;
@@ -115,7 +115,7 @@
                         HostedSystem.request(settings.listen().clients().orElseThrow(), "/once/x", "attempt-1"),
                         Duration.ofSeconds(5))
                 .toOptional()
-                .orElse(new HttpResponse(0, Map.of(), new byte[0]));
+                .orElse(new HttpResponse(0, HeaderFields.empty(), new byte[0]));
         assertEquals(status, response.status());
         if (status == 200) {
             assertEquals("whole", new String(response.body(), StandardCharsets.US_ASCII));
--- a/src/test/java/org/micabarrow/serving/RequestClassesTest.java
+++ b/src/test/java/org/micabarrow/serving/RequestClassesTest.java
@@ -15,6 +15,7 @@
 import org.micabarrow.admission.AdmissionControl.Decision;
 import org.micabarrow.admission.EntryDemand;
 import org.micabarrow.attempts.ClientRequest;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.routing.AllowedRegions;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.EndpointSelection;
@@ -53,7 +54,7 @@
                 "POST",
                 "/",
                 "h",
-                Map.of(),
+                HeaderFields.empty(),
                 new byte[0],
                 route,
                 "s",
--- a/src/test/java/org/micabarrow/serving/ServingFixture.java
+++ b/src/test/java/org/micabarrow/serving/ServingFixture.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.memory.HeldBytes;
 import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.RequestHeaders;
@@ -145,6 +146,6 @@
     final HttpResponse sendRequest(String path) {
         return client.call(HostedSystem.request(clientAddress(), path, "attempt-1"), TIMEOUT)
                 .toOptional()
-                .orElse(new HttpResponse(0, Map.of(), new byte[0]));
+                .orElse(new HttpResponse(0, HeaderFields.empty(), new byte[0]));
     }
 }
--- a/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
@@ -25,6 +25,7 @@
 import org.micabarrow.Await;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.admission.RetryBudget;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.memory.HeldBytes;
 import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.RequestHeaders;
@@ -224,7 +225,7 @@
         }
 
         @Override
-        public ResponseHead decodeHead(ClientRequest request, int status, Map<String, String> received) {
+        public ResponseHead decodeHead(ClientRequest request, int status, HeaderFields received) {
             onFirstResponse.getAndSet(() -> {}).run();
             return headers.decodeHead(request, status, received);
         }
--- a/src/test/java/org/micabarrow/transport/EndlessAnswersTest.java
+++ b/src/test/java/org/micabarrow/transport/EndlessAnswersTest.java
@@ -7,7 +7,6 @@
 import io.undertow.util.Headers;
 import java.net.URI;
 import java.time.Duration;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +16,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.Await;
 import org.micabarrow.EndlessEndpoint;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.standin.Ports;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
@@ -85,7 +85,7 @@
             HttpCall call = HttpCall.get(Fault.Step.READ, URI.create("http://" + endless.address() + "/"));
             client.send(call, new HttpClient.Listener() {
                 @Override
-                public void onHead(int status, Map<String, String> headers) {}
+                public void onHead(int status, HeaderFields headers) {}
 
                 @Override
                 public void onData(byte[] data, Runnable requestMore) {}
--- a/src/test/java/org/micabarrow/transport/HeldChunkRequestsTest.java
+++ b/src/test/java/org/micabarrow/transport/HeldChunkRequestsTest.java
@@ -104,7 +104,9 @@
         for (int i = 0; i < REQUESTS; i++) {
             HttpResponse response = response(calls.get(i));
             assertEquals(OK, response.status());
-            assertEquals(String.valueOf(i % CHUNKS), response.headers().get(PeerChunkClient.INDEX));
+            assertEquals(
+                    String.valueOf(i % CHUNKS),
+                    response.headers().first(PeerChunkClient.INDEX).orElseThrow());
         }
     }
 
@@ -114,7 +116,7 @@
         ChunkSet set = begin(3);
         assertTrue(set.put(2, chunk(2)));
         HttpResponse response = response(call);
-        assertEquals("2", response.headers().get(PeerChunkClient.INDEX));
+        assertEquals("2", response.headers().first(PeerChunkClient.INDEX).orElseThrow());
     }
 
     @Test
--- a/src/test/java/org/micabarrow/transport/HttpClientTest.java
+++ b/src/test/java/org/micabarrow/transport/HttpClientTest.java
@@ -14,12 +14,12 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.SilentRelay;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.standin.Ports;
 import org.micabarrow.state.Fault;
 
@@ -90,7 +90,7 @@
                 HttpClient client = HttpClient.start("test", 1)) {
             URI uri = URI.create("http://127.0.0.1:" + server.getLocalPort());
             byte[] body = WaitingClientProcess.BODY.getBytes(StandardCharsets.US_ASCII);
-            HttpCall call = new HttpCall(Fault.Step.RUN, "POST", uri, Optional.of("/x"), Map.of(), body);
+            HttpCall call = new HttpCall(Fault.Step.RUN, "POST", uri, Optional.of("/x"), HeaderFields.empty(), body);
             Runnable cancel = client.send(call, new IgnoringListener());
             try (Socket connection = server.accept()) {
                 connection.setSoTimeout(HANG_MILLIS);
--- a/src/test/java/org/micabarrow/transport/IgnoringListener.java
+++ b/src/test/java/org/micabarrow/transport/IgnoringListener.java
@@ -1,6 +1,6 @@
 package org.micabarrow.transport;
 
-import java.util.Map;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.state.Fault;
 import org.micabarrow.transport.HttpClient.Listener;
 
@@ -8,7 +8,7 @@
 public class IgnoringListener implements Listener {
 
     @Override
-    public void onHead(int status, Map<String, String> headers) {}
+    public void onHead(int status, HeaderFields headers) {}
 
     @Override
     public void onData(byte[] data, Runnable requestMore) {
--- a/src/test/java/org/micabarrow/transport/WaitingClientProcess.java
+++ b/src/test/java/org/micabarrow/transport/WaitingClientProcess.java
@@ -2,8 +2,8 @@
 
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
-import java.util.Map;
 import java.util.Optional;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.state.Fault;
 
 /** A process that sends one request and waits for its response until it is killed. */
@@ -23,7 +23,7 @@
     public static void main(String[] arguments) throws InterruptedException {
         URI uri = URI.create("http://127.0.0.1:" + arguments[0]);
         byte[] body = BODY.getBytes(StandardCharsets.US_ASCII);
-        HttpCall call = new HttpCall(Fault.Step.RUN, "POST", uri, Optional.of("/x"), Map.of(), body);
+        HttpCall call = new HttpCall(Fault.Step.RUN, "POST", uri, Optional.of("/x"), HeaderFields.empty(), body);
         HttpClient.start("waiting", 1).send(call, new IgnoringListener());
         Thread.currentThread().join();
     }
--- a/src/test/java/org/micabarrow/transport/callers/UnknownConfigurationTest.java
+++ b/src/test/java/org/micabarrow/transport/callers/UnknownConfigurationTest.java
@@ -16,6 +16,7 @@
 import org.micabarrow.coordination.routing.InstanceStats;
 import org.micabarrow.coordination.routing.PrefixIndex;
 import org.micabarrow.coordination.routing.Router;
+import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.standin.Ports;
 import org.micabarrow.state.Fault.Step;
 import org.micabarrow.state.FoldedState;
@@ -64,7 +65,7 @@
                     "POST",
                     URI.create("http://" + address + "/v1/chat/completions"),
                     Optional.empty(),
-                    Map.of("Authorization", "Bearer token"),
+                    HeaderFields.of("Authorization", "Bearer token"),
                     "{\"model\":\"m\",\"messages\":[]}".getBytes(StandardCharsets.UTF_8));
             assertEquals(
                     UNAVAILABLE,
