Hosts of routes and of request digests are compared without case

A caller that wrote its Host in another case than the manifest got 404, and a request that ends endpoints counted as another one. StoreRecordsTest.shouldTakeRouteOfHostInAnyCase and RequestDigestTest.shouldBeEqualWhenHostIsWrittenInAnotherCase failed before.

--- a/src/main/java/org/micabarrow/crashes/RequestDigest.java
+++ b/src/main/java/org/micabarrow/crashes/RequestDigest.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.HexFormat;
+import java.util.Locale;
 import java.util.Objects;
 import java.util.zip.CRC32C;
 import org.micabarrow.attempts.ClientRequest;
@@ -48,7 +49,7 @@
         Objects.requireNonNull(request, "request is null");
         MessageDigest digest = Digest.newSha256();
         add(digest, request.method());
-        add(digest, request.host());
+        add(digest, request.host().toLowerCase(Locale.ROOT));
         add(digest, request.target());
         add(digest, request.organisation().orElse(""));
         digest.update(request.body());
--- a/src/main/java/org/micabarrow/routing/RouteManifest.java
+++ b/src/main/java/org/micabarrow/routing/RouteManifest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -119,7 +120,7 @@
     }
 
     private static Map<String, List<Route>> byHost(List<Route> routes) {
-        Map<String, List<Route>> grouped = new HashMap<>();
+        Map<String, List<Route>> grouped = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
         routes.forEach(route ->
                 grouped.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route));
         Comparator<Route> longestFirst =
--- a/src/test/java/org/micabarrow/crashes/RequestDigestTest.java
+++ b/src/test/java/org/micabarrow/crashes/RequestDigestTest.java
@@ -52,6 +52,13 @@
         assertEquals(RequestDigest.of(ONE), RequestCauses.of(again).digest());
     }
 
+    @Test
+    void shouldBeEqualWhenHostIsWrittenInAnotherCase() {
+        ClientRequest again = request("another", "POST", "H", "/x?q=1", "org-a", "body");
+        assertEquals(RequestDigest.of(ONE), RequestDigest.of(again));
+        assertEquals(RequestDigest.of(ONE), RequestCauses.of(again).digest());
+    }
+
     @ParameterizedTest
     @CsvSource({
         "GET,  h,  /x?q=1, org-a, body",
--- a/src/test/java/org/micabarrow/platform/StoreRecordsTest.java
+++ b/src/test/java/org/micabarrow/platform/StoreRecordsTest.java
@@ -69,6 +69,17 @@
         assertTrue(manifest.route("h", "/p").isEmpty());
     }
 
+    /** Host names have no case (RFC 9110, 4.2.3). */
+    @Test
+    void shouldTakeRouteOfHostInAnyCase() {
+        RouteManifest manifest = manifest("""
+                {"version":1,"services":[],"routes":[
+                {"name":"r","host":"Api.Example","path_prefix":"/p/","kind":"idempotent","service":"s"}]}""");
+        assertEquals("r", manifest.route("api.example", "/p/x").orElseThrow().name());
+        assertEquals("r", manifest.route("API.EXAMPLE", "/p/x").orElseThrow().name());
+        assertTrue(manifest.route("api.example", "/P/x").isEmpty());
+    }
+
     @Test
     void shouldReadOwnersOfKeys() {
         RouteManifest manifest = manifest("""
