The scheme of an Authorization field is compared without case

A caller or operator that wrote 'bearer' was refused although names of schemes have no case (RFC 9110, 11.1).

--- a/src/main/java/org/micabarrow/transport/callers/CallerHandler.java
+++ b/src/main/java/org/micabarrow/transport/callers/CallerHandler.java
@@ -30,6 +30,7 @@
 import org.micabarrow.state.FoldedState;
 import org.micabarrow.state.Organisation;
 import org.micabarrow.state.Result;
+import org.micabarrow.transport.BearerToken;
 
 /**
  * Handles callers' HTTP requests: chat completions for models under {@code /v1/chat/completions}, and plain HTTP for
@@ -39,7 +40,6 @@
 
     private static final String CHAT_PATH = "/v1/chat/completions";
     private static final String SERVICES_PREFIX = "/services/";
-    private static final String BEARER_PREFIX = "Bearer ";
     private static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
     private static final HttpString AT_MOST_ONCE = new HttpString("X-At-Most-Once");
     private static final HttpString DEADLINE = new HttpString("X-Deadline-Millis");
@@ -178,16 +178,15 @@
     }
 
     private Result<Organisation> authenticate(HttpServerExchange exchange) {
-        String header = exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION);
-        if (header == null || !header.startsWith(BEARER_PREFIX)) {
+        Optional<String> token = BearerToken.of(exchange.getRequestHeaders());
+        if (token.isEmpty()) {
             return fail(Step.AUTHENTICATE, Reason.UNAUTHORISED, "the request has no bearer token");
         }
         FoldedState current = state.get();
         if (current.offset() < 0) {
             return fail(Step.AUTHENTICATE, Reason.NOT_READY, "the entry has read no configuration yet");
         }
-        return current.organisationOf(
-                        Digest.of(header.substring(BEARER_PREFIX.length()).trim()))
+        return current.organisationOf(Digest.of(token.get()))
                 .map(Result::success)
                 .orElseGet(() -> fail(Step.AUTHENTICATE, Reason.UNAUTHORISED, "no organisation has this token"));
     }
--- a/src/main/java/org/micabarrow/transport/operators/OperatorHandlers.java
+++ b/src/main/java/org/micabarrow/transport/operators/OperatorHandlers.java
@@ -24,6 +24,7 @@
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Fault.Step;
 import org.micabarrow.state.Result;
+import org.micabarrow.transport.BearerToken;
 import org.micabarrow.transport.Metrics;
 
 /**
@@ -32,7 +33,6 @@
  */
 public final class OperatorHandlers {
 
-    private static final String BEARER_PREFIX = "Bearer ";
     private static final HttpString FILE_HEADER = new HttpString("X-File");
 
     private OperatorHandlers() {}
@@ -153,15 +153,12 @@
         }
 
         private Optional<String> authenticate(HttpServerExchange exchange) {
-            String header = exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION);
-            if (header == null || !header.startsWith(BEARER_PREFIX)) {
-                return Optional.empty();
-            }
-            String digest = Digest.of(header.substring(BEARER_PREFIX.length()).trim());
-            return operators.stream()
-                    .filter(operator -> operator.tokenDigest().equals(digest))
-                    .map(EntrySettings.Operator::name)
-                    .findFirst();
+            return BearerToken.of(exchange.getRequestHeaders())
+                    .map(Digest::of)
+                    .flatMap(digest -> operators.stream()
+                            .filter(operator -> operator.tokenDigest().equals(digest))
+                            .map(EntrySettings.Operator::name)
+                            .findFirst());
         }
     }
 
