--- a/src/main/java/org/micabarrow/views/VersionPersistence.java
+++ b/src/main/java/org/micabarrow/views/VersionPersistence.java
@@ -126,7 +126,16 @@
         }
         restored.set(false);
         restore();
-        return reader.readLatest(topic).map(this::withReplacedManifest).map(this::withTimeIfRestored);
+        return reader.readLatest(topic)
+                .map(this::logUnexamined)
+                .map(this::withReplacedManifest)
+                .map(this::withTimeIfRestored);
+    }
+
+    private Batch logUnexamined(Batch latest) {
+        HistoryGap.between(latest.records(), views.end(Topic.OPERATOR), latest.end())
+                .ifPresent(gap -> LOG.info("event=history_unexamined {}", gap.toLog()));
+        return latest;
     }
 
     /** Adds the newest manifest if it is missing from the latest records because an older one was written after it. */
