A process that starts also knows the namings that an older one, written late, hides

The operator's first naming of version 2 was done after that of version 3.

Cause: a process that starts read the newest record of each key and what others had saved; version 3 was in neither, as nobody ran when it was named. Evidence: all four processes log history_unexamined from=1 to=3 at their start, and version 3 lies at offset 2.

Now the records that the newest ones do not account for are read, from the position up to which somebody states that everything was read and saved (readTo, in records that are saved anyway). On a calm start there are none, and no call is made. Up to 8 records each process reads itself, before the older record reaches its view; of more, those agents that save versions. If the history is gone these ask the origin, whose answer counts if it has the same digests under that version; service goes on until then, and the bound of older versions counts from the start, since the naming was before it. Manifests are found in the history alike; 410s and later eras go the same way.

LateWriteTest: the three cases in which nobody ran failed on the code before (2 held instead of 3, twice never 3), and pass. OperatorFreshnessTest and PeerFirstReaderTest: the writer's signature alone. StoreClientTest also expects the first offset of a 410 now; the stand-in states it as PROTOCOL.md says, and its origin answers without a version.

--- a/src/main/java/org/micabarrow/platform/OriginCalls.java
+++ b/src/main/java/org/micabarrow/platform/OriginCalls.java
@@ -14,10 +14,12 @@
 import org.micabarrow.state.Result;
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpClient;
+import org.micabarrow.weights.OriginVersions;
+import org.micabarrow.weights.OriginVersions.VersionDigests;
 import org.micabarrow.weights.WeightOrigin;
 
 /** The platform's calls to the origin of weights. */
-public final class OriginCalls implements WeightOrigin {
+public final class OriginCalls implements WeightOrigin, OriginVersions.Origin {
 
     /** Timeout of a call: some dozens of chunks share the origin's link at once, on which one takes a few tens of ms. */
     private static final Duration TIMEOUT = Duration.ofMillis(2_500);
@@ -46,18 +48,35 @@
 
     @Override
     public Result<List<String>> digests(String address, String model, long version) {
-        return get(address, WireNames.DIGESTS + model + "?version=" + version).flatMap(body -> {
+        return list(address, WireNames.DIGESTS + model + "?version=" + version).flatMap(json -> digests(address, json));
+    }
+
+    @Override
+    public Result<VersionDigests> newest(String address, String model) {
+        return list(address, WireNames.DIGESTS + model).flatMap(json -> {
+            JsonNode version = json.path("version");
+            return version.isIntegralNumber() && version.canConvertToLong() && version.longValue() > 0
+                    ? digests(address, json).map(digests -> new VersionDigests(version.longValue(), digests))
+                    : broken(address, "it states no version");
+        });
+    }
+
+    private Result<JsonNode> list(String address, String pathAndQuery) {
+        return get(address, pathAndQuery).flatMap(body -> {
             try {
-                List<String> digests = new ArrayList<>();
-                JsonNode json = CanonicalJson.mapper().readTree(body);
-                json.path("digests").forEach(one -> digests.add(one.asText()));
-                return digests.isEmpty() ? broken(address, "it lists no digest") : Result.success(digests);
+                return Result.success(CanonicalJson.mapper().readTree(body));
             } catch (IOException e) {
                 return broken(address, "it is not JSON: " + e.getMessage());
             }
         });
     }
 
+    private static Result<List<String>> digests(String address, JsonNode json) {
+        List<String> digests = new ArrayList<>();
+        json.path("digests").forEach(one -> digests.add(one.asText()));
+        return digests.isEmpty() ? broken(address, "it lists no digest") : Result.success(digests);
+    }
+
     private static <T> Result<T> broken(String address, String why) {
         return Result.failure(Fault.of(Step.FETCH, address, Reason.CORRUPT, "the list of digests: " + why));
     }
--- a/src/main/java/org/micabarrow/platform/StoreClient.java
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -263,7 +263,22 @@
             LOG.info("event=store_restored topic={} era={} before={}", topic, era, knownEra);
             return Result.success(new Read.Expired());
         }
-        return answer.status() == GONE ? Result.success(new Read.Expired()) : parse(topic, call, asked, answer);
+        return answer.status() == GONE
+                ? Result.success(new Read.Expired(first(era, answer)))
+                : parse(topic, call, asked, answer);
+    }
+
+    /** The first retained offset that an answer states; empty if it states none. */
+    private static OptionalLong first(long era, HttpResponse answer) {
+        try {
+            JsonNode first = CanonicalJson.mapper().readTree(answer.body()).path("first");
+            return first.isIntegralNumber() && EraOffset.isOffset(first.longValue())
+                    ? OptionalLong.of(EraOffset.of(era, first.longValue()))
+                    : OptionalLong.empty();
+        } catch (IOException e) {
+            LOG.info("event=first_offset_unknown why=\"{}\"", StoredRecord.loggable(String.valueOf(e.getMessage())));
+            return OptionalLong.empty();
+        }
     }
 
     /** Parses an answer to a read: the topic's end, the first retained offset, and the records from the requested offset on. */
@@ -274,7 +289,7 @@
             long end = EraOffset.of(era, bytes.getLong());
             long first = EraOffset.of(era, bytes.getLong());
             if (first > asked.from()) {
-                return Result.success(new Read.Expired());
+                return Result.success(new Read.Expired(OptionalLong.of(first)));
             }
             Batch batch = batch(topic, bytes, asked.from());
             long now = steadyMillis.getAsLong();
--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -122,6 +123,11 @@
         return Result.success(new OperatorRecord.UnusedRecord());
     }
 
+    @Override
+    public OptionalLong savedReadTo(StoredRecord record) {
+        return decode(record, VersionRecords::readTo).toOptional().orElse(OptionalLong.empty());
+    }
+
     private static RouteManifest manifest(JsonNode json) {
         List<Route> routes = new ArrayList<>();
         JsonFields.objects(json, "routes").forEach(route -> routes.add(route(route)));
--- a/src/main/java/org/micabarrow/platform/VersionRecords.java
+++ b/src/main/java/org/micabarrow/platform/VersionRecords.java
@@ -30,6 +30,11 @@
     /** The store's era in which the offset was given out; 0 in records of builds that knew no eras. */
     private static final String ERA = "era";
 
+    /** The offset before which all operator records are known and saved, and its era. */
+    private static final String READ_TO = "readTo";
+
+    private static final String READ_TO_ERA = "readToEra";
+
     private final KeyedWriter writer;
 
     /**
@@ -44,14 +49,14 @@
     }
 
     @Override
-    public Result<List<StoredRecord>> write(UnsavedItem unsaved) {
+    public Result<List<StoredRecord>> write(UnsavedItem unsaved, OptionalLong readTo) {
         List<StoredRecord> records = new ArrayList<>();
-        records.add(new StoredRecord(unsaved.key(), 0, value(unsaved)));
+        records.add(new StoredRecord(unsaved.key(), 0, value(unsaved, readTo)));
         unsaved.outdated().forEach(key -> records.add(KeyedWriter.tombstone(key)));
         return writer.write(records);
     }
 
-    private static byte[] value(UnsavedItem unsaved) {
+    private static byte[] value(UnsavedItem unsaved, OptionalLong readTo) {
         ObjectNode json = CanonicalJson.mapper().createObjectNode();
         switch (unsaved) {
             case UnsavedItem.Weights weights -> {
@@ -65,6 +70,10 @@
                 json.put(ERA, EraOffset.era(manifest.offset()));
             }
         }
+        readTo.ifPresent(offset -> {
+            json.put(READ_TO, EraOffset.offset(offset));
+            json.put(READ_TO_ERA, EraOffset.era(offset));
+        });
         return CanonicalJson.write(json);
     }
 
@@ -75,6 +84,14 @@
                 EraOffset.of(JsonFields.longOr(json, ERA, 0), JsonFields.whole(json, OFFSET, 0)));
     }
 
+    /** The offset before which all operator records were known and saved; empty if not stated. */
+    static OptionalLong readTo(JsonNode json) {
+        return json.has(READ_TO)
+                ? OptionalLong.of(
+                        EraOffset.of(JsonFields.whole(json, READ_TO_ERA, 0), JsonFields.whole(json, READ_TO, 0)))
+                : OptionalLong.empty();
+    }
+
     /** The Unix time in milliseconds at which the version was named, as far as the writer knew; empty if not stated. */
     static OptionalLong namedMillis(JsonNode json) {
         return json.has(NAMED) ? OptionalLong.of(JsonFields.whole(json, NAMED, 0)) : OptionalLong.empty();
--- a/src/main/java/org/micabarrow/platform/standin/HostedOriginStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedOriginStandin.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Digest;
 
@@ -21,6 +22,17 @@
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
 
+    private final LongSupplier newestVersion;
+
+    /**
+     * Creates an origin.
+     *
+     * @param newestVersion the version for requests that name none
+     */
+    HostedOriginStandin(LongSupplier newestVersion) {
+        this.newestVersion = newestVersion;
+    }
+
     /** Generates a chunk: one byte value repeated, different for each chunk of a version. */
     private static byte[] chunk(long version, int index) {
         byte[] bytes = new byte[CHUNK_BYTES];
@@ -40,8 +52,11 @@
     public void handleRequest(HttpServerExchange exchange) {
         String path = exchange.getRequestPath();
         if (path.startsWith("/api/manifest/")) {
-            List<String> digests = digests(StandinCalls.longParameter(exchange, "version"));
-            StandinCalls.answer(exchange, OK, CanonicalJson.write(Map.of("digests", digests)));
+            long version = StandinCalls.parameter(exchange, "version")
+                    .map(Long::parseLong)
+                    .orElseGet(newestVersion::getAsLong);
+            StandinCalls.answer(
+                    exchange, OK, CanonicalJson.write(Map.of("version", version, "digests", digests(version))));
         } else if (path.startsWith("/api/piece/")) {
             int index = (int) StandinCalls.longParameter(exchange, "sample_count");
             StandinCalls.answer(exchange, OK, chunk(StandinCalls.longParameter(exchange, "version"), index));
--- a/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedStoreStandin.java
@@ -306,11 +306,12 @@
             return;
         }
         List<Entry> entries = topics.getOrDefault(topic, List.of());
-        if (from < firstRetainedOffsets.getOrDefault(topic, 0) || from > entries.size()) {
-            answer(exchange, GONE, new byte[0]);
+        int first = firstRetainedOffsets.getOrDefault(topic, 0);
+        if (from < first || from > entries.size()) {
+            answer(exchange, GONE, CanonicalJson.write(Map.of("first", first)));
         } else if (from < entries.size() || System.nanoTime() - deadlineNanos >= 0) {
             deliveredCounts.merge(topic, Math.max(0, entries.size() - from), Integer::sum);
-            answer(exchange, OK, encodePage(entries, from, firstRetainedOffsets.getOrDefault(topic, 0)));
+            answer(exchange, OK, encodePage(entries, from, first));
         } else {
             exchange.dispatch(
                     SameThreadExecutor.INSTANCE,
--- a/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
+++ b/src/main/java/org/micabarrow/platform/standin/HostedSystem.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.micabarrow.clock.MonotonicClock;
 import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
@@ -47,12 +48,13 @@
     private final Map<String, Integer> registrations = new ConcurrentHashMap<>();
 
     private final EndpointListeners listeners = new EndpointListeners();
+    private final AtomicLong newestVersion = new AtomicLong();
     private final Set<String> crashingBodies = ConcurrentHashMap.newKeySet();
     private final Set<String> crashingParts = ConcurrentHashMap.newKeySet();
 
     private HostedSystem() {
         this.storeAddress = startListener(store);
-        this.originAddress = startListener(new HostedOriginStandin());
+        this.originAddress = startListener(new HostedOriginStandin(newestVersion::get));
         closeables.add(listeners);
     }
 
@@ -154,6 +156,7 @@
      * @param version the version
      */
     public void publishWeightVersion(long version) {
+        newestVersion.accumulateAndGet(version, Math::max);
         store.append("keyed.op", "version/" + MODEL, "{\"model\":\"" + MODEL + "\",\"version\":" + version + "}");
     }
 
--- a/src/main/java/org/micabarrow/process/HostedAgentProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedAgentProcess.java
@@ -200,7 +200,12 @@
         // has read a record there.
         update.manifest()
                 .filter(position -> position.offset() < update.changes().operator())
-                .ifPresent(node.views()::recordManifestPosition);
+                .ifPresent(position -> {
+                    node.views().recordManifestPosition(position);
+                    node.views()
+                            .recordReadTo(
+                                    update.changes().weights(), update.changes().operator());
+                });
     }
 
     /**
--- a/src/main/java/org/micabarrow/process/HostedEntryProcess.java
+++ b/src/main/java/org/micabarrow/process/HostedEntryProcess.java
@@ -213,7 +213,7 @@
                 .map(changes -> new StoreUpdate(
                         port,
                         changes,
-                        node.views().newestManifestPosition(),
+                        node.isHistoryExamined() ? node.views().newestManifestPosition() : Optional.empty(),
                         knownMillisAgo,
                         reader.readsStoreDirectly()));
     }
--- a/src/main/java/org/micabarrow/process/HostedNode.java
+++ b/src/main/java/org/micabarrow/process/HostedNode.java
@@ -12,9 +12,11 @@
 import org.micabarrow.clock.MonotonicClock;
 import org.micabarrow.clock.PauseMonitor;
 import org.micabarrow.platform.CrashRecords;
+import org.micabarrow.platform.OriginCalls;
 import org.micabarrow.platform.StoreClient;
 import org.micabarrow.platform.StoreRecords;
 import org.micabarrow.platform.VersionRecords;
+import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.settings.HostedSettings;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
@@ -34,6 +36,7 @@
 import org.micabarrow.views.VersionPersistence;
 import org.micabarrow.views.VersionPersistence.WriteRole;
 import org.micabarrow.views.ViewMaintainer;
+import org.micabarrow.weights.OriginVersions;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioWorker;
@@ -86,6 +89,7 @@
     private final ViewMaintainer views;
     private final PeerRecordClient peerRecords;
     private final StoreClient store;
+    private volatile Optional<VersionPersistence> operatorPersistence = Optional.empty();
     private volatile List<StoreFollower> followers = List.of();
     private final PeerRotation rotation = new PeerRotation();
 
@@ -194,18 +198,26 @@
             Paces paces,
             Supplier<List<String>> peers,
             Supplier<WriteRole> duty) {
+        OriginVersions origin = new OriginVersions(
+                new OriginCalls(fresh), () -> views.view().manifest().flatMap(RouteManifest::origin));
         RepeatedTasks.start("pauses", PAUSE_CHECK_INTERVAL_MILLIS, this::checkForPause);
         VersionRecords records = new VersionRecords(kept, settings.store(), DrainTimeBudget.STORE_RESPONSE_TIMEOUT);
         Consumer<Topic> askPeer = topic -> askPeers(topic, peers.get());
-        VersionPersistence operator =
-                new VersionPersistence(operatorReader, records, views, duty, () -> askPeer.accept(Topic.OPERATOR));
+        VersionPersistence operator = new VersionPersistence(
+                operatorReader, records, views, duty, () -> askPeer.accept(Topic.OPERATOR), origin);
         followers = List.of(
                 new StoreFollower(Topic.OPERATOR, operator, views, askPeer, paces.operator()),
                 new StoreFollower(Topic.ENDPOINTS, endpointsReader, views, askPeer, paces.endpoints()));
+        operatorPersistence = Optional.of(operator);
         followers.forEach(StoreFollower::start);
         operator.start();
     }
 
+    /** Whether every weight version and manifest that operators published is known; see {@link VersionPersistence}. */
+    boolean isHistoryExamined() {
+        return operatorPersistence.filter(VersionPersistence::isHistoryExamined).isPresent();
+    }
+
     /**
      * Logs pauses of the process, for example when the instance was suspended, to explain the reports of others for that
      * time.
--- a/src/main/java/org/micabarrow/views/ManifestTracker.java
+++ b/src/main/java/org/micabarrow/views/ManifestTracker.java
@@ -106,13 +106,14 @@
 
     /** The newest manifest, if it is not known to be saved in the store under its own key. */
     Optional<UnsavedItem> unsaved(TopicCopy savedCopy) {
-        return newestPosition
-                .filter(position -> savedCopy
-                        .record(VersionKeys.ofManifest(position.version()))
-                        .isEmpty())
-                .map(position -> new UnsavedItem.Manifest(
-                        position.version(),
-                        position.offset(),
-                        VersionKeys.outdatedManifests(savedCopy.keys(), position.version())));
+        return newest(savedCopy).filter(newest -> savedCopy.record(newest.key()).isEmpty());
+    }
+
+    /** The newest manifest as it is to be saved, whether or not it is. */
+    Optional<UnsavedItem> newest(TopicCopy savedCopy) {
+        return newestPosition.map(position -> new UnsavedItem.Manifest(
+                position.version(),
+                position.offset(),
+                VersionKeys.outdatedManifests(savedCopy.keys(), position.version())));
     }
 }
--- a/src/main/java/org/micabarrow/views/OperatorState.java
+++ b/src/main/java/org/micabarrow/views/OperatorState.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.micabarrow.routing.RouteManifest;
 import org.micabarrow.state.Fault;
@@ -24,6 +26,11 @@
     private final ManifestTracker manifests = new ManifestTracker();
     private boolean loaded;
 
+    /** When the latest operator records were read last; what they replaced was written before. */
+    private long loadedAtMillis;
+
+    private OptionalLong savedReadTo = OptionalLong.empty();
+
     /** Whether an invalid manifest followed the active one, so that the rules that apply now are unknown. */
     private boolean manifestInvalid;
 
@@ -47,10 +54,11 @@
     record Change(View view, boolean relevantToAgents) {}
 
     /**
-     * Marks that all operator records have been read once: from now on, this process observes when a version is named.
+     * Marks that the latest operator records have been read: from now on, this process observes when a version is named.
      */
     void markLoaded() {
         loaded = true;
+        loadedAtMillis = monotonicMillis.getAsLong();
     }
 
     /** Whether all operator records have been read once. */
@@ -143,6 +151,49 @@
         return withTarget(model, new View.Target(version, namingTime(notBeforeMillis), source), view, "peer");
     }
 
+    /**
+     * Applies a record that the latest one of its key had replaced when that was read. What has no order of its own,
+     * such as an evacuation, is left out.
+     */
+    Change applyReplaced(StoredRecord record, View view) {
+        if (record.isTombstone() || decoder.evacuatedHall(record.key()).isPresent()) {
+            return new Change(view, false);
+        }
+        return switch (decoder.decodeOperatorRecord(record)) {
+            case Result.Success<OperatorRecord>(OperatorRecord.ManifestPublished(RouteManifest manifest)) ->
+                applyManifest(record, manifest, view);
+            case Result.Success<OperatorRecord>(
+                    OperatorRecord.WeightsNamed(String model, long version, OptionalLong ignored)) -> {
+                boolean relevantToAgents = targets.isNewer(model, version);
+                targets.recordNamed(record, model, version);
+                View after =
+                        withTarget(model, replacedTarget(version), view, "history " + EraOffset.toLog(record.offset()));
+                yield new Change(after, relevantToAgents);
+            }
+            case Result.Success<OperatorRecord> ignored -> new Change(view, false);
+            case Result.Failure<OperatorRecord>(Fault fault) -> {
+                OperatorLog.invalidRecord(record, fault);
+                yield new Change(view, false);
+            }
+        };
+    }
+
+    /** A version that was named before the latest records were read, and that they do not show. */
+    private View.Target replacedTarget(long version) {
+        return new View.Target(version, NamingTime.at(loadedAtMillis), TargetSource.FOUND_WITHOUT_TIME);
+    }
+
+    /** Adds a weight version that another source than the store knows. It is saved like one that operators named. */
+    View addConfirmedTarget(String model, long version, View view) {
+        targets.recordConfirmed(model, version);
+        return withTarget(model, replacedTarget(version), view, "origin");
+    }
+
+    /** The models of which operators named a weight version. */
+    Set<String> namedModels() {
+        return targets.namedModels();
+    }
+
     /** Adds what a peer knows of when versions were named. A process that is starting relies on the store alone. */
     View applyAccounts(List<NamingAccount> accounts, View view) {
         View after = view;
@@ -180,6 +231,12 @@
                 .flatMap(result -> result.toOptional().stream())
                 .toList();
         manifests.applySaved(saved);
+        savedReadTo = LongStream.concat(
+                        savedReadTo.stream(),
+                        records.stream()
+                                .filter(record -> !record.isTombstone())
+                                .flatMapToLong(record -> decoder.savedReadTo(record).stream()))
+                .max();
         View after = view;
         for (WeightTargets.SavedTarget item : targets.saved(saved)) {
             after = withTarget(item.model(), item.target(), after, "kept");
@@ -187,6 +244,11 @@
         return after;
     }
 
+    /** The offset before which a process knew all operator records when it saved; empty if none has stated one. */
+    OptionalLong savedReadTo() {
+        return savedReadTo;
+    }
+
     /** The versions that are not known to be saved in the store under their own keys. */
     List<UnsavedItem> unsavedVersions(TopicCopy savedCopy, View view) {
         return targets.unsaved(savedCopy, view);
@@ -215,6 +277,10 @@
         return manifests.unsaved(savedCopy);
     }
 
+    Optional<UnsavedItem> newestManifest(TopicCopy savedCopy) {
+        return manifests.newest(savedCopy);
+    }
+
     // -- peers
 
     /**
--- a/src/main/java/org/micabarrow/views/RecordDecoder.java
+++ b/src/main/java/org/micabarrow/views/RecordDecoder.java
@@ -68,6 +68,16 @@
      */
     Result<OperatorRecord> decodeOperatorRecord(StoredRecord record);
 
+    /**
+     * The offset of operator records before which everything was known and saved when a process saved a record.
+     *
+     * @param record the saved record, which must not be a tombstone
+     * @return the offset, empty if the record states none
+     */
+    default OptionalLong savedReadTo(StoredRecord record) {
+        return OptionalLong.empty();
+    }
+
     /**
      * Decodes the entry of an endpoint.
      *
--- a/src/main/java/org/micabarrow/views/TopicReader.java
+++ b/src/main/java/org/micabarrow/views/TopicReader.java
@@ -2,9 +2,13 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.micabarrow.state.Result;
 
 /** Reads topics of the store. */
@@ -61,6 +65,21 @@
             return new Batch(records, end, OptionalLong.empty(), notBeforeMillis, accounts);
         }
 
+        /**
+         * Returns this batch, which has the latest record of each key, with records of the same keys that were replaced.
+         * They are in order of offset: a record of a key has no effect after a later one.
+         */
+        Batch withReplaced(List<StoredRecord> replaced) {
+            Map<String, Long> latest =
+                    records.stream().collect(Collectors.toMap(StoredRecord::key, StoredRecord::offset, Math::max));
+            Stream<StoredRecord> earlier = replaced.stream()
+                    .filter(record -> record.offset() < latest.getOrDefault(record.key(), Long.MIN_VALUE));
+            List<StoredRecord> all = Stream.concat(records.stream(), earlier)
+                    .sorted(Comparator.comparingLong(StoredRecord::offset))
+                    .toList();
+            return new Batch(all, end, asOfMillis, OptionalLong.empty(), accounts);
+        }
+
         /** Returns this batch with more records, which may have been written at any time. */
         Batch withRecords(List<StoredRecord> moreRecords) {
             List<StoredRecord> all = new ArrayList<>(records);
@@ -79,8 +98,18 @@
          */
         record Records(Batch batch) implements Read {}
 
-        /** The requested records are no longer stored: the latest records of all keys must be read. */
-        record Expired() implements Read {}
+        /**
+         * The requested records are no longer stored: the latest records of all keys must be read.
+         *
+         * @param first the offset of the first record that is still stored; empty if unknown
+         */
+        record Expired(OptionalLong first) implements Read {
+
+            /** Creates a result that does not tell what is still stored. */
+            public Expired() {
+                this(OptionalLong.empty());
+            }
+        }
     }
 
     /**
--- a/src/main/java/org/micabarrow/views/VersionPersistence.java
+++ b/src/main/java/org/micabarrow/views/VersionPersistence.java
@@ -1,6 +1,7 @@
 package org.micabarrow.views;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.OptionalLong;
@@ -19,7 +20,8 @@
  * whose response was lost may take effect seconds later, after the write of a newer version, so that the latest record
  * names an older version. A set of keys ends up the same regardless of the order and number of writes. This prevents
  * endpoints from loading an older version and serving it after all processes have restarted, and prevents processes
- * from starting with an older manifest than the others use.
+ * from starting with an older manifest than the others use. What no process has saved is found by
+ * {@link OperatorHistory}; each saved item states up to where nothing is left to find.
  */
 public final class VersionPersistence implements TopicReader {
 
@@ -37,6 +39,9 @@
      */
     private static final long LAST_STARTUP_CHECK = 16;
 
+    /** While history is unexamined, the saved versions are read again once in this many checks, that is every 2 s. */
+    private static final long CHECKS_PER_RESTORE = 4;
+
     /**
      * How many checks a backup waits for the primary writers: 5 s. A primary may be disconnected or gone and still be
      * listed.
@@ -48,6 +53,7 @@
     private final ViewMaintainer views;
     private final Supplier<WriteRole> role;
     private final Runnable requestFromPeer;
+    private final OperatorHistory history;
     private final AtomicBoolean restored = new AtomicBoolean();
     private long checks;
     private long checksWithUnsaved;
@@ -74,9 +80,11 @@
          * Saves that a version was named and deletes outdated keys. The operation is idempotent.
          *
          * @param item the version or manifest position to save
+         * @param readTo the offset before which all operator records are known and saved with this item; empty if they
+         *     are not
          * @return the records as stored in the topic, or why they may not have been stored
          */
-        Result<List<StoredRecord>> write(UnsavedItem item);
+        Result<List<StoredRecord>> write(UnsavedItem item, OptionalLong readTo);
     }
 
     /**
@@ -92,7 +100,7 @@
     }
 
     /**
-     * Creates an instance.
+     * Creates an instance for a process without an origin of weights.
      *
      * @param reader reads the store
      * @param writer saves versions
@@ -106,11 +114,32 @@
             ViewMaintainer views,
             Supplier<WriteRole> role,
             Runnable requestFromPeer) {
+        this(reader, writer, views, role, requestFromPeer, NewestVersionSource.none());
+    }
+
+    /**
+     * Creates an instance.
+     *
+     * @param reader reads the store
+     * @param writer saves versions
+     * @param views knows which versions were named
+     * @param role whether this process saves versions
+     * @param requestFromPeer requests operator records from a peer, starting at {@link ViewMaintainer#peerReadOffset}
+     * @param origin knows the newest weight version if the store's history does not show it
+     */
+    public VersionPersistence(
+            TopicReader reader,
+            VersionWriter writer,
+            ViewMaintainer views,
+            Supplier<WriteRole> role,
+            Runnable requestFromPeer,
+            NewestVersionSource origin) {
         this.reader = Objects.requireNonNull(reader, "reader is null");
         this.writer = Objects.requireNonNull(writer, "writer is null");
         this.views = Objects.requireNonNull(views, "views is null");
         this.role = Objects.requireNonNull(role, "role is null");
         this.requestFromPeer = Objects.requireNonNull(requestFromPeer, "requestFromPeer is null");
+        this.history = new OperatorHistory(reader, views, role, origin);
     }
 
     // -- reading
@@ -127,17 +156,11 @@
         restored.set(false);
         restore();
         return reader.readLatest(topic)
-                .map(this::logUnexamined)
+                .map(latest -> history.withReplaced(latest, restored.get()))
                 .map(this::withReplacedManifest)
                 .map(this::withTimeIfRestored);
     }
 
-    private Batch logUnexamined(Batch latest) {
-        HistoryGap.between(latest.records(), views.end(Topic.OPERATOR), latest.end())
-                .ifPresent(gap -> LOG.info("event=history_unexamined {}", gap.toLog()));
-        return latest;
-    }
-
     /** Adds the newest manifest if it is missing from the latest records because an older one was written after it. */
     private Batch withReplacedManifest(Batch batch) {
         OptionalLong missingOffset = views.missingManifestOffset();
@@ -219,6 +242,23 @@
     /** Starts periodic checks on a separate thread, which run until the process ends. */
     public void start() {
         RepeatedTasks.start("named-versions", CHECK_INTERVAL_MILLIS, this::check);
+        // Its calls may take seconds, for which a version must not stay unsaved.
+        RepeatedTasks.start("operator-history", CHECK_INTERVAL_MILLIS, history::check);
+    }
+
+    /**
+     * Whether every weight version and manifest that operators published before the end of the records read is known, as
+     * far as any source can tell.
+     *
+     * @return false while a newer one may be hidden by an older one that was written late
+     */
+    public boolean isHistoryExamined() {
+        return history.isExamined();
+    }
+
+    /** Examines the history that was not examined when the latest records were read. */
+    void checkHistory() {
+        history.check();
     }
 
     /** Restores the saved versions when due, and saves those that are not known to be in the store. */
@@ -227,17 +267,18 @@
             return;
         }
         checks++;
-        boolean anyUnsaved =
-                !views.unsavedVersions().isEmpty() || views.unsavedManifest().isPresent();
+        Unsaved unsaved = views.unsaved();
+        boolean anyUnsaved = !unsaved.isEmpty() || isReadToOutdated(unsaved);
         boolean savedOutdated = views.isSavedOutdated();
         WriteRole activeRole = anyUnsaved || savedOutdated ? role.get() : WriteRole.NONE;
         boolean versionsUnsaved =
-                activeRole != WriteRole.NONE && !views.unsavedVersions().isEmpty();
+                activeRole != WriteRole.NONE && !unsaved.versions().isEmpty();
         checksWithUnsaved = versionsUnsaved ? checksWithUnsaved + 1 : 0;
         boolean writerOutdated = savedOutdated && activeRole != WriteRole.NONE;
         // Another process may have saved the version with a more accurate time than this one knows.
         boolean writeDue = checksWithUnsaved == (activeRole == WriteRole.PRIMARY ? 1 : BACKUP_DELAY_CHECKS);
-        if (!restored.get() || restoreDueAfterStartup() || writerOutdated || writeDue) {
+        boolean othersExamine = !history.isExamined() && checks % CHECKS_PER_RESTORE == 0;
+        if (!restored.get() || restoreDueAfterStartup() || writerOutdated || writeDue || othersExamine) {
             restore();
         }
         if (restored.get()) {
@@ -247,15 +288,37 @@
     }
 
     private void save(WriteRole activeRole) {
+        Unsaved unsaved = views.unsaved();
+        List<UnsavedItem> items = new ArrayList<>();
         if (activeRole == WriteRole.PRIMARY
                 || activeRole == WriteRole.BACKUP && checksWithUnsaved > BACKUP_DELAY_CHECKS) {
-            views.unsavedVersions().forEach(this::write);
+            items.addAll(unsaved.versions());
         }
         if (activeRole == WriteRole.PRIMARY) {
-            views.unsavedManifest().ifPresent(this::write);
+            unsaved.manifest().ifPresent(items::add);
+            if (items.isEmpty() && isReadToOutdated(unsaved)) {
+                views.newestManifest().ifPresent(items::add);
+            }
+        }
+        boolean allSaved = history.isExamined()
+                && items.containsAll(unsaved.versions())
+                && items.containsAll(unsaved.manifest().stream().toList());
+        for (int i = 0; i < items.size(); i++) {
+            boolean last = i == items.size() - 1;
+            allSaved &=
+                    write(items.get(i), last && allSaved ? OptionalLong.of(unsaved.knownTo()) : OptionalLong.empty());
         }
     }
 
+    /**
+     * Whether processes that start would find more history unexamined than each of them reads, because records such as
+     * evacuations are not saved.
+     */
+    private boolean isReadToOutdated(Unsaved unsaved) {
+        long savedReadTo = views.savedReadTo().orElse(0);
+        return history.isExamined() && unsaved.knownTo() - savedReadTo > OperatorHistory.MAX_RECORDS;
+    }
+
     /**
      * Tries to read a manifest that is known to be newer than the active one: at the first check at which it is
      * missing, then at the second, the fourth and so on, because it may be lost together with all processes that had
@@ -284,14 +347,21 @@
                 && Long.numberOfTrailingZeros(checks) % 2 == 0;
     }
 
-    private void write(UnsavedItem item) {
-        switch (writer.write(item)) {
+    /** Saves an item and returns whether it is known to be saved. */
+    private boolean write(UnsavedItem item, OptionalLong readTo) {
+        return switch (writer.write(item, readTo)) {
             case Result.Success<List<StoredRecord>>(List<StoredRecord> records) -> {
                 views.apply(Topic.NAMED, records, 0);
-                LOG.info("event=version_kept key={}", item.key());
+                LOG.info(
+                        "event=version_kept key={} readTo={}",
+                        item.key(),
+                        readTo.isPresent() ? EraOffset.offset(readTo.getAsLong()) : "-");
+                yield true;
             }
-            case Result.Failure<List<StoredRecord>>(Fault fault) ->
+            case Result.Failure<List<StoredRecord>>(Fault fault) -> {
                 LOG.warn("event=version_not_kept key={} why=\"{}\"", item.key(), fault);
-        }
+                yield false;
+            }
+        };
     }
 }
--- a/src/main/java/org/micabarrow/views/ViewMaintainer.java
+++ b/src/main/java/org/micabarrow/views/ViewMaintainer.java
@@ -33,6 +33,9 @@
     /** The time up to which all named weight versions are known; agents skip other operator records. */
     private final OperatorFreshness targetFreshness = new OperatorFreshness();
 
+    /** The offset before which a peer knows all operator records, where this process lacks no weight version. */
+    private long reportedTo;
+
     private volatile ChangeOffsets changes = new ChangeOffsets(0, 0, 0);
     private volatile View view = View.empty();
     private volatile Consumer<List<StoredRecord>> crashListener = newRecords -> {};
@@ -205,6 +208,24 @@
         changes = changes.withOperator(records, agentRecords);
     }
 
+    /**
+     * Applies records that the latest ones of their keys had replaced when these were read: a newer manifest or weight
+     * version takes effect, anything else does not.
+     *
+     * @param records the records, of offsets before the end at which the latest ones were read
+     */
+    synchronized void applyReplaced(List<StoredRecord> records) {
+        List<StoredRecord> agentRecords = new ArrayList<>();
+        for (StoredRecord record : records) {
+            OperatorState.Change change = operatorState.applyReplaced(record, view);
+            view = change.view();
+            if (change.relevantToAgents()) {
+                agentRecords.add(record);
+            }
+        }
+        changes = changes.withOperator(records, agentRecords);
+    }
+
     /**
      * Applies a missing manifest, which the topic copy ignores because it holds an older one with a greater offset.
      * This happens before the other records are applied, so that the older one is never active, not even briefly.
@@ -297,6 +318,20 @@
         }
     }
 
+    /**
+     * Records that a peer, which knows all operator records before an offset, knows of no weight version after those that
+     * are known here. The position of its newest manifest must be recorded before.
+     *
+     * @param weightsTo the offset after the last record of a weight version
+     * @param operatorTo the offset before which the peer knows all records
+     */
+    public synchronized void recordReadTo(long weightsTo, long operatorTo) {
+        long end = end(Topic.OPERATOR);
+        if (weightsTo <= end && EraOffset.era(operatorTo) == EraOffset.era(end)) {
+            reportedTo = Math.max(reportedTo, operatorTo);
+        }
+    }
+
     /**
      * Records that a topic cannot be read, neither from the store nor from a peer. While that is so, the time that
      * passes says nothing about when a version is named of which this process learns afterwards.
@@ -374,6 +409,22 @@
         view = operatorState.addPeerTarget(model, version, view, targetFreshness.asOf());
     }
 
+    /**
+     * Adds a weight version of which a source other than the store states that it was named before the latest operator
+     * records were read.
+     *
+     * @param model the model
+     * @param version the version; has no effect if a newer one is known
+     */
+    synchronized void addConfirmedTarget(String model, long version) {
+        view = operatorState.addConfirmedTarget(model, version, view);
+    }
+
+    /** The models of which operators named a weight version. */
+    synchronized Set<String> namedModels() {
+        return operatorState.namedModels();
+    }
+
     /**
      * Records the position of the newest manifest as reported by a peer that has it. A process that does not need the
      * manifest itself still saves its position for others.
@@ -410,6 +461,23 @@
         return operatorState.unsavedManifest(copies.of(Topic.NAMED));
     }
 
+    /** The newest manifest as it is to be saved, whether or not it is. */
+    synchronized Optional<UnsavedItem> newestManifest() {
+        return operatorState.newestManifest(copies.of(Topic.NAMED));
+    }
+
+    /** The offset before which a process knew all operator records when it saved; empty if none has stated one. */
+    synchronized OptionalLong savedReadTo() {
+        return operatorState.savedReadTo();
+    }
+
+    /** Everything that is not known to be saved, and the offset before which all operator records are known. */
+    synchronized Unsaved unsaved() {
+        long end = end(Topic.OPERATOR);
+        boolean sameEra = EraOffset.era(reportedTo) == EraOffset.era(end);
+        return new Unsaved(unsavedVersions(), unsavedManifest(), sameEra ? Math.max(end, reportedTo) : end);
+    }
+
     /** The newest versions that are not known to be saved in the store under their own keys. */
     synchronized List<UnsavedItem> unsavedVersions() {
         return operatorState.unsavedVersions(copies.of(Topic.NAMED), view);
--- a/src/main/java/org/micabarrow/views/WeightTargets.java
+++ b/src/main/java/org/micabarrow/views/WeightTargets.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import org.micabarrow.views.RecordDecoder.OperatorRecord;
@@ -28,6 +29,9 @@
      */
     private final Map<String, TreeMap<Long, StoredRecord>> recordsByModel = new HashMap<>();
 
+    /** The newest version of each model that a source other than the store confirmed. */
+    private final Map<String, Long> confirmedByModel = new HashMap<>();
+
     /**
      * A version that a process saved.
      *
@@ -56,6 +60,16 @@
         }
     }
 
+    /** Records that a version was confirmed by a source that knows what operators named. */
+    void recordConfirmed(String model, long version) {
+        confirmedByModel.merge(model, version, Math::max);
+    }
+
+    /** The models of which versions were read from operator records. */
+    Set<String> namedModels() {
+        return Set.copyOf(recordsByModel.keySet());
+    }
+
     /** The records of the newest versions, where their offset is at or after the given one. */
     List<StoredRecord> newestRecords(long offset) {
         return recordsByModel.values().stream()
@@ -64,11 +78,12 @@
                 .toList();
     }
 
-    /** The versions of a view that were read from operator records, in the order in which they were named. */
-    private List<View.Target> readTargets(String model, View view) {
+    /** The versions of a view that operators named for certain, in the order in which they were named. */
+    private List<View.Target> certainTargets(String model, View view) {
         TreeMap<Long, StoredRecord> read = recordsByModel.get(model);
         return view.targets().getOrDefault(model, List.of()).stream()
-                .filter(target -> read.containsKey(target.version()))
+                .filter(target -> read.containsKey(target.version())
+                        || target.version() == confirmedByModel.getOrDefault(model, 0L))
                 .toList();
     }
 
@@ -82,7 +97,7 @@
         List<NamingAccount> accounts = new ArrayList<>();
         recordsByModel
                 .keySet()
-                .forEach(model -> readTargets(model, view).stream()
+                .forEach(model -> certainTargets(model, view).stream()
                         .filter(View.Target::namingObserved)
                         .forEach(target -> target.naming()
                                 .notBeforeMillis()
@@ -141,8 +156,9 @@
     List<UnsavedItem> unsaved(TopicCopy savedCopy, View view) {
         List<UnsavedItem> unsaved = new ArrayList<>();
         recordsByModel.forEach((model, read) -> {
-            for (View.Target target : readTargets(model, view)) {
-                boolean needed = target.namingObserved() || target.version() == read.lastKey();
+            long newest = Math.max(read.lastKey(), confirmedByModel.getOrDefault(model, 0L));
+            for (View.Target target : certainTargets(model, view)) {
+                boolean needed = target.namingObserved() || target.version() == newest;
                 if (needed && isUnsaved(savedCopy, model, target.version())) {
                     unsaved.add(unsaved(savedCopy, model, target));
                 }
--- a/src/test/java/org/micabarrow/platform/StoreClientTest.java
+++ b/src/test/java/org/micabarrow/platform/StoreClientTest.java
@@ -19,6 +19,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
@@ -218,7 +219,7 @@
         store.append(OPERATOR, "a", "2");
         store.dropHistory(OPERATOR);
         Read read = client.read(Topic.OPERATOR, 0, Duration.ZERO).toOptional().orElseThrow();
-        assertInstanceOf(Read.Expired.class, read);
+        assertEquals(new Read.Expired(OptionalLong.of(2)), read);
         assertEquals(List.of("a"), keys(newest()));
     }
 
--- a/src/test/java/org/micabarrow/platform/VersionRecordsTest.java
+++ b/src/test/java/org/micabarrow/platform/VersionRecordsTest.java
@@ -1,5 +1,6 @@
 package org.micabarrow.platform;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
@@ -8,6 +9,8 @@
 import org.junit.jupiter.api.Test;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.transport.HttpClient;
+import org.micabarrow.views.EraOffset;
+import org.micabarrow.views.StoredRecord;
 import org.micabarrow.views.UnsavedItem;
 import org.micabarrow.views.VersionKeys;
 
@@ -25,7 +28,9 @@
                 HttpClient caller = HttpClient.start("test", 1)) {
             String store = platform.entrySettings().store();
             boolean written = new VersionRecords(caller, store, TIMEOUT)
-                    .write(new UnsavedItem.Weights(LONGEST_MODEL, 2, OptionalLong.empty(), List.of()))
+                    .write(
+                            new UnsavedItem.Weights(LONGEST_MODEL, 2, OptionalLong.empty(), List.of()),
+                            OptionalLong.empty())
                     .toOptional()
                     .isPresent();
             boolean there =
@@ -33,4 +38,19 @@
             assertTrue(!written || there, "said to be written, and not there under its key");
         }
     }
+
+    @Test
+    void shouldStateUpToWhereRecordsWereReadWhenThatIsKnown() throws Exception {
+        try (HostedSystem platform = HostedSystem.start();
+                HttpClient caller = HttpClient.start("test", 1)) {
+            VersionRecords records =
+                    new VersionRecords(caller, platform.entrySettings().store(), TIMEOUT);
+            UnsavedItem item = new UnsavedItem.Manifest(7, EraOffset.of(1, 3), List.of());
+            for (OptionalLong readTo : List.of(OptionalLong.of(EraOffset.of(1, 5)), OptionalLong.empty())) {
+                StoredRecord saved =
+                        records.write(item, readTo).toOptional().orElseThrow().getFirst();
+                assertEquals(readTo, new StoreRecords().savedReadTo(saved));
+            }
+        }
+    }
 }
--- a/src/test/java/org/micabarrow/process/LateWriteTest.java
+++ b/src/test/java/org/micabarrow/process/LateWriteTest.java
@@ -73,6 +73,41 @@
         }
     }
 
+    /** No process runs while version 3 is named, so that nobody can save it. */
+    @Test
+    void shouldTakeUpNewestVersionWhenItWasNamedWhileNobodyRan() throws Exception {
+        hideNewestVersionWhileNobodyRuns();
+        platform.addEndpoint("b", "models", 0);
+        HostedAgentProcess.start(platform.agentSettings("b"));
+        Await.until("the endpoint holds a version", () -> held("b").isPresent());
+        assertEquals(Optional.of(3L), held("b"));
+    }
+
+    @Test
+    void shouldTakeUpNewestVersionWhenItWasNamedWhileNobodyRanAndHistoryIsGone() throws Exception {
+        hideNewestVersionWhileNobodyRuns();
+        platform.store().dropHistory("keyed.op");
+        platform.addEndpoint("b", "models", 2);
+        HostedAgentProcess.start(platform.agentSettings("b"));
+        Await.until("the endpoint holds the newest version", () -> held("b").equals(Optional.of(3L)));
+    }
+
+    @Test
+    void shouldDemandNewestVersionWhenItWasNamedWhileNobodyRan() throws Exception {
+        hideNewestVersionWhileNobodyRuns();
+        platform.addEndpoint("b", "models", 2);
+        HostedSettings entry = platform.entrySettings();
+        try (HostedEntryProcess running = HostedEntryProcess.start(entry)) {
+            Await.until("the entry knows the endpoint", () -> running.endpoints() == 1);
+            Await.until("the older version answers no more", () -> status(entry) == UNAVAILABLE);
+        }
+    }
+
+    private void hideNewestVersionWhileNobodyRuns() {
+        platform.publishWeightVersion(3);
+        platform.publishWeightVersion(2);
+    }
+
     /** A process that cannot reach the store has all it knows from peers, which know the newest version. */
     @Test
     void shouldTakeUpNewestVersionWhenOnlyPeerTellsOfVersions() throws Exception {
--- a/src/test/java/org/micabarrow/views/FakeKeyedStore.java
+++ b/src/test/java/org/micabarrow/views/FakeKeyedStore.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
@@ -19,6 +20,12 @@
     boolean loseResponses;
     boolean refuseWrites;
     boolean historyExpired;
+    boolean failReads;
+
+    /** The first offset of operator records that can still be read. */
+    long firstRetained;
+
+    int operatorReads;
     int writeCount;
     long era;
 
@@ -53,9 +60,16 @@
 
     @Override
     public Result<Read> read(Topic topic, long from, Duration wait) {
+        operatorReads += topic == Topic.OPERATOR ? 1 : 0;
+        if (failReads) {
+            return failure();
+        }
         if (historyExpired || EraOffset.era(from) < era) {
             return Result.success(new Read.Expired());
         }
+        if (topic == Topic.OPERATOR && EraOffset.offset(from) < firstRetained) {
+            return Result.success(new Read.Expired(OptionalLong.of(EraOffset.of(era, firstRetained))));
+        }
         List<StoredRecord> all = topics.getOrDefault(topic, List.of());
         return Result.success(new Read.Records(new Batch(
                 all.subList((int) Math.min(EraOffset.offset(from), all.size()), all.size()),
@@ -63,13 +77,13 @@
     }
 
     @Override
-    public Result<List<StoredRecord>> write(UnsavedItem item) {
+    public Result<List<StoredRecord>> write(UnsavedItem item, OptionalLong readTo) {
         writeCount++;
         if (down || refuseWrites) {
             return failure();
         }
         List<StoredRecord> saved = new ArrayList<>();
-        long offset = append(Topic.NAMED, item.key(), json(item));
+        long offset = append(Topic.NAMED, item.key(), json(item, readTo));
         saved.add(topics.get(Topic.NAMED).get((int) offset));
         for (String outdated : item.outdated()) {
             saved.add(topics.get(Topic.NAMED).get((int) append(Topic.NAMED, outdated, "")));
@@ -81,6 +95,14 @@
         return Result.failure(Fault.of(Fault.Step.LOG, "store", Fault.Reason.TIMEOUT, "no answer"));
     }
 
+    private static String json(UnsavedItem item, OptionalLong readTo) {
+        String json = json(item);
+        return readTo.isEmpty()
+                ? json
+                : json.substring(0, json.length() - 1) + ",\"readTo\":" + EraOffset.offset(readTo.getAsLong())
+                        + ",\"readToEra\":" + EraOffset.era(readTo.getAsLong()) + "}";
+    }
+
     private static String json(UnsavedItem item) {
         return switch (item) {
             case UnsavedItem.Weights weights -> {
--- a/src/test/java/org/micabarrow/views/OperatorFreshnessTest.java
+++ b/src/test/java/org/micabarrow/views/OperatorFreshnessTest.java
@@ -116,7 +116,11 @@
 
     private StoreFollower follower(Topic topic) {
         VersionPersistence versions = new VersionPersistence(
-                store, item -> Result.success(List.of()), views, () -> VersionPersistence.WriteRole.NONE, () -> {});
+                store,
+                (item, readTo) -> Result.success(List.of()),
+                views,
+                () -> VersionPersistence.WriteRole.NONE,
+                () -> {});
         return new StoreFollower(topic, versions, views, queried -> {}, new StoreFollower.PollTiming(HOLD, PAUSE));
     }
 
@@ -243,7 +247,7 @@
         };
         VersionPersistence versions = new VersionPersistence(
                 withoutSaved,
-                item -> Result.success(List.of()),
+                (item, readTo) -> Result.success(List.of()),
                 views,
                 () -> VersionPersistence.WriteRole.NONE,
                 () -> {});
--- a/src/test/java/org/micabarrow/views/PeerFirstReaderTest.java
+++ b/src/test/java/org/micabarrow/views/PeerFirstReaderTest.java
@@ -384,7 +384,11 @@
                 new PeerFirstReader.Role.Agent(),
                 now::get);
         VersionPersistence persistence = new VersionPersistence(
-                agent, item -> Result.success(List.of()), views, () -> VersionPersistence.WriteRole.NONE, () -> {});
+                agent,
+                (item, readTo) -> Result.success(List.of()),
+                views,
+                () -> VersionPersistence.WriteRole.NONE,
+                () -> {});
         agent.onUpdate(PEER, new ChangeOffsets(4, 0, 2), now.get());
         Batch newest = persistence.readLatest(Topic.OPERATOR).toOptional().orElseThrow();
         assertTrue(newest.records().contains(third), "found: " + newest.records());
