A hidden naming that is learned late is saved with the latest time at which it can have been named

Where the history was gone and the origin answered late, processes that learned of the version from what others had saved counted the bound of older ones from then: entries could go on with an older version for up to 8 s more than the agents that had asked. The version was named before the newest records were read. That time is saved with it (namedByMillis) and counted by whoever reads it. OperatorHistoryTest.shouldCountBoundFromStartWhenVersionIsLearnedFromWhatOthersSaved fails without the use of that time (version 2 still allowed, expected 3). A version found named among the newest records is saved without a time as before.

--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -115,7 +115,8 @@
                     json -> new OperatorRecord.WeightsNamed(
                             JsonFields.text(json, "model"),
                             JsonFields.whole(json, "version", 1),
-                            VersionRecords.namedMillis(json)));
+                            VersionRecords.namedMillis(json),
+                            VersionRecords.namedByMillis(json)));
         }
         if (record.key().startsWith(VersionKeys.MANIFEST_PREFIX)) {
             return decode(record, VersionRecords::savedManifest);
--- a/src/main/java/org/micabarrow/platform/VersionRecords.java
+++ b/src/main/java/org/micabarrow/platform/VersionRecords.java
@@ -24,6 +24,9 @@
     /** Absent in records that operators wrote. */
     private static final String NAMED = "namedMillis";
 
+    /** The latest time of a naming that the writer did not see in time. */
+    private static final String NAMED_BY = "namedByMillis";
+
     private static final String VERSION = "version";
     private static final String OFFSET = "offset";
 
@@ -63,6 +66,7 @@
                 json.put("model", weights.model());
                 json.put(VERSION, weights.version());
                 weights.namedMillis().ifPresent(at -> json.put(NAMED, at));
+                weights.namedByMillis().ifPresent(at -> json.put(NAMED_BY, at));
             }
             case UnsavedItem.Manifest manifest -> {
                 json.put(VERSION, manifest.version());
@@ -94,6 +98,15 @@
 
     /** The Unix time in milliseconds at which the version was named, as far as the writer knew; empty if not stated. */
     static OptionalLong namedMillis(JsonNode json) {
-        return json.has(NAMED) ? OptionalLong.of(JsonFields.whole(json, NAMED, 0)) : OptionalLong.empty();
+        return wholeIfPresent(json, NAMED);
+    }
+
+    /** The Unix time in milliseconds by which the version was named, at the latest; empty if not stated. */
+    static OptionalLong namedByMillis(JsonNode json) {
+        return wholeIfPresent(json, NAMED_BY);
+    }
+
+    private static OptionalLong wholeIfPresent(JsonNode json, String name) {
+        return json.has(name) ? OptionalLong.of(JsonFields.whole(json, name, 0)) : OptionalLong.empty();
     }
 }
--- a/src/main/java/org/micabarrow/views/OperatorState.java
+++ b/src/main/java/org/micabarrow/views/OperatorState.java
@@ -96,9 +96,8 @@
             }
             case Result.Success<OperatorRecord>(OperatorRecord.ManifestPublished(RouteManifest manifest)) ->
                 applyManifest(record, manifest, view);
-            case Result.Success<OperatorRecord>(
-                    OperatorRecord.WeightsNamed(String model, long version, OptionalLong ignored)) ->
-                applyWeights(record, model, version, view, notBeforeMillis);
+            case Result.Success<OperatorRecord>(OperatorRecord.WeightsNamed named) ->
+                applyWeights(record, named.model(), named.version(), view, notBeforeMillis);
             case Result.Success<OperatorRecord>(OperatorRecord.SavedManifest ignored) -> ignore(record, view);
             case Result.Success<OperatorRecord>(OperatorRecord.UnusedRecord ignored) -> ignore(record, view);
         };
@@ -162,12 +161,15 @@
         return switch (decoder.decodeOperatorRecord(record)) {
             case Result.Success<OperatorRecord>(OperatorRecord.ManifestPublished(RouteManifest manifest)) ->
                 applyManifest(record, manifest, view);
-            case Result.Success<OperatorRecord>(
-                    OperatorRecord.WeightsNamed(String model, long version, OptionalLong ignored)) -> {
-                boolean relevantToAgents = targets.isNewer(model, version);
-                targets.recordNamed(record, model, version);
-                View after =
-                        withTarget(model, replacedTarget(version), view, "history " + EraOffset.toLog(record.offset()));
+            case Result.Success<OperatorRecord>(OperatorRecord.WeightsNamed named) -> {
+                boolean relevantToAgents = targets.isNewer(named.model(), named.version());
+                targets.recordNamed(record, named.model(), named.version());
+                targets.recordReplaced(named.model(), named.version());
+                View after = withTarget(
+                        named.model(),
+                        replacedTarget(named.version()),
+                        view,
+                        "history " + EraOffset.toLog(record.offset()));
                 yield new Change(after, relevantToAgents);
             }
             case Result.Success<OperatorRecord> ignored -> new Change(view, false);
@@ -185,7 +187,7 @@
 
     /** Adds a weight version that another source than the store knows. It is saved like one that operators named. */
     View addConfirmedTarget(String model, long version, View view) {
-        targets.recordConfirmed(model, version);
+        targets.recordReplaced(model, version);
         return withTarget(model, replacedTarget(version), view, "origin");
     }
 
--- a/src/main/java/org/micabarrow/views/RecordDecoder.java
+++ b/src/main/java/org/micabarrow/views/RecordDecoder.java
@@ -26,8 +26,11 @@
          * @param version the version
          * @param namedMillis the Unix time in milliseconds from which the process that saved the record counted the
          *     bound of older versions; empty in records that operators wrote
+         * @param namedByMillis the Unix time in milliseconds by which the version was named, at the latest; empty if
+         *     the process that saved the record did not know
          */
-        record WeightsNamed(String model, long version, OptionalLong namedMillis) implements OperatorRecord {}
+        record WeightsNamed(String model, long version, OptionalLong namedMillis, OptionalLong namedByMillis)
+                implements OperatorRecord {}
 
         /**
          * The position of a manifest that was active, as saved by a process of this system.
--- a/src/main/java/org/micabarrow/views/UnsavedItem.java
+++ b/src/main/java/org/micabarrow/views/UnsavedItem.java
@@ -28,14 +28,19 @@
      * @param version the version
      * @param namedMillis the Unix time in milliseconds from which this process counts the bound of older versions;
      *     empty if the version was already named when this process first read it
+     * @param namedByMillis the Unix time in milliseconds by which it was named, at the latest; empty unless this process
+     *     learned of it after it had read records that did not show it
      * @param outdated keys of versions of the model that are no longer needed
      */
-    record Weights(String model, long version, OptionalLong namedMillis, List<String> outdated) implements UnsavedItem {
+    record Weights(
+            String model, long version, OptionalLong namedMillis, OptionalLong namedByMillis, List<String> outdated)
+            implements UnsavedItem {
 
         /** Copies the keys. */
         public Weights {
             Objects.requireNonNull(model, "model is null");
             Objects.requireNonNull(namedMillis, "namedMillis is null");
+            Objects.requireNonNull(namedByMillis, "namedByMillis is null");
             outdated = List.copyOf(outdated);
         }
 
--- a/src/main/java/org/micabarrow/views/WeightTargets.java
+++ b/src/main/java/org/micabarrow/views/WeightTargets.java
@@ -29,8 +29,10 @@
      */
     private final Map<String, TreeMap<Long, StoredRecord>> recordsByModel = new HashMap<>();
 
-    /** The newest version of each model that a source other than the store confirmed. */
-    private final Map<String, Long> confirmedByModel = new HashMap<>();
+    /**
+     * The newest version of each model that was named before the latest records were read, and that these did not show.
+     */
+    private final Map<String, Long> replacedByModel = new HashMap<>();
 
     /**
      * A version that a process saved.
@@ -60,9 +62,9 @@
         }
     }
 
-    /** Records that a version was confirmed by a source that knows what operators named. */
-    void recordConfirmed(String model, long version) {
-        confirmedByModel.merge(model, version, Math::max);
+    /** Records that a version was named before the latest records were read, which did not show it. */
+    void recordReplaced(String model, long version) {
+        replacedByModel.merge(model, version, Math::max);
     }
 
     /** The models of which versions were read from operator records. */
@@ -82,8 +84,7 @@
     private List<View.Target> certainTargets(String model, View view) {
         TreeMap<Long, StoredRecord> read = recordsByModel.get(model);
         return view.targets().getOrDefault(model, List.of()).stream()
-                .filter(target -> read.containsKey(target.version())
-                        || target.version() == confirmedByModel.getOrDefault(model, 0L))
+                .filter(target -> read.containsKey(target.version()) || isReplaced(model, target))
                 .toList();
     }
 
@@ -139,13 +140,14 @@
     }
 
     /**
-     * Returns when a version was named, on the monotonic clock. Without the saved time, a process that starts while a
+     * Returns when a version was named, on the monotonic clock, or the latest time at which that may have been. Without the saved time, a process that starts while a
      * version is due would allow older versions for the whole bound once more: when an agent and its entries restarted
      * 5 s after a version was named, it took up to 13 s instead of 8.
      */
     private long namedAtMillis(OperatorRecord.WeightsNamed named) {
         long unixNow = unixMillis.getAsLong();
-        long elapsedMillis = unixNow - named.namedMillis().orElse(unixNow);
+        long namedMillis = named.namedMillis().orElse(named.namedByMillis().orElse(unixNow));
+        long elapsedMillis = unixNow - namedMillis;
         return monotonicMillis.getAsLong() - Math.max(0, elapsedMillis);
     }
 
@@ -156,7 +158,7 @@
     List<UnsavedItem> unsaved(TopicCopy savedCopy, View view) {
         List<UnsavedItem> unsaved = new ArrayList<>();
         recordsByModel.forEach((model, read) -> {
-            long newest = Math.max(read.lastKey(), confirmedByModel.getOrDefault(model, 0L));
+            long newest = Math.max(read.lastKey(), replacedByModel.getOrDefault(model, 0L));
             for (View.Target target : certainTargets(model, view)) {
                 boolean needed = target.namingObserved() || target.version() == newest;
                 if (needed && isUnsaved(savedCopy, model, target.version())) {
@@ -167,6 +169,10 @@
         return unsaved;
     }
 
+    private boolean isReplaced(String model, View.Target target) {
+        return target.version() == replacedByModel.getOrDefault(model, 0L);
+    }
+
     private static boolean isUnsaved(TopicCopy savedCopy, String model, long version) {
         return savedCopy.record(VersionKeys.ofVersion(model, version)).isEmpty();
     }
@@ -175,12 +181,13 @@
         return new UnsavedItem.Weights(
                 model,
                 target.version(),
-                namedUnixMillis(target),
+                target.namingObserved() ? namedUnixMillis(target) : OptionalLong.empty(),
+                isReplaced(model, target) ? namedUnixMillis(target) : OptionalLong.empty(),
                 VersionKeys.outdatedVersions(savedCopy.keys(), model, target.version()));
     }
 
     private OptionalLong namedUnixMillis(View.Target target) {
         long elapsedMillis = monotonicMillis.getAsLong() - target.namedAtMillis();
-        return target.namingObserved() ? OptionalLong.of(unixMillis.getAsLong() - elapsedMillis) : OptionalLong.empty();
+        return OptionalLong.of(unixMillis.getAsLong() - elapsedMillis);
     }
 }
--- a/src/test/java/org/micabarrow/platform/StoreRecordsTest.java
+++ b/src/test/java/org/micabarrow/platform/StoreRecordsTest.java
@@ -147,7 +147,7 @@
         OperatorRecord read = records.decodeOperatorRecord(record("version/m", "{\"model\":\"m\",\"version\":3}"))
                 .toOptional()
                 .orElseThrow();
-        assertEquals(new OperatorRecord.WeightsNamed("m", 3, OptionalLong.empty()), read);
+        assertEquals(new OperatorRecord.WeightsNamed("m", 3, OptionalLong.empty(), OptionalLong.empty()), read);
     }
 
     @ParameterizedTest
--- a/src/test/java/org/micabarrow/platform/VersionRecordsTest.java
+++ b/src/test/java/org/micabarrow/platform/VersionRecordsTest.java
@@ -29,7 +29,8 @@
             String store = platform.entrySettings().store();
             boolean written = new VersionRecords(caller, store, TIMEOUT)
                     .write(
-                            new UnsavedItem.Weights(LONGEST_MODEL, 2, OptionalLong.empty(), List.of()),
+                            new UnsavedItem.Weights(
+                                    LONGEST_MODEL, 2, OptionalLong.empty(), OptionalLong.empty(), List.of()),
                             OptionalLong.empty())
                     .toOptional()
                     .isPresent();
--- a/src/test/java/org/micabarrow/views/FakeKeyedStore.java
+++ b/src/test/java/org/micabarrow/views/FakeKeyedStore.java
@@ -108,7 +108,10 @@
             case UnsavedItem.Weights weights -> {
                 String named = weights.namedMillis().isPresent()
                         ? ",\"namedMillis\":" + weights.namedMillis().getAsLong()
-                        : "";
+                        : weights.namedByMillis().isPresent()
+                                ? ",\"namedByMillis\":"
+                                        + weights.namedByMillis().getAsLong()
+                                : "";
                 yield named(weights.model(), weights.version()).replace("}", named + "}");
             }
             case UnsavedItem.Manifest manifest ->
--- a/src/test/java/org/micabarrow/views/OperatorHistoryTest.java
+++ b/src/test/java/org/micabarrow/views/OperatorHistoryTest.java
@@ -218,6 +218,22 @@
         assertEquals(3, primary.minVersion());
     }
 
+    /** Processes that do not ask the origin learn later still. */
+    @Test
+    void shouldCountBoundFromStartWhenVersionIsLearnedFromWhatOthersSaved() {
+        hideVersionThree();
+        store.firstRetained = 3;
+        Process primary = started(WriteRole.PRIMARY);
+        Process entry = started(WriteRole.NONE);
+        primary.check(2);
+        clock.addAndGet(BOUND_MILLIS + 1);
+        newestAtOrigin = Optional.of(3L);
+        primary.check(32);
+        entry.check(4);
+        assertEquals(3, entry.newestVersion());
+        assertEquals(3, entry.minVersion());
+    }
+
     @Test
     void shouldNotClaimToKnowHistoryWhileOriginIsAway() {
         hideVersionThree();
