The unexamined part of the history shrinks when saved records are read after the start

A process that could not read the saved records at its start, but later, read the history from the first record on, or left it to others if it was long, although others had saved up to where it is known. The gap is narrowed by that position now (OperatorHistoryTest.shouldReadOnlyWhatNobodyKnowsWhenSavedRecordsAreReadLater, HistoryGapTest). Older manifests in the history are passed over without the warning of a late write, failed reads are logged at the first, second, fourth time and so on.

--- a/src/main/java/org/micabarrow/views/HistoryGap.java
+++ b/src/main/java/org/micabarrow/views/HistoryGap.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -35,6 +36,20 @@
         return from < to ? Optional.of(new HistoryGap(from, to)) : Optional.empty();
     }
 
+    /**
+     * The part of the gap that is not known to others.
+     *
+     * @param savedReadTo the offset before which another process knew all records; ignored if it is of another era
+     * @return the part, empty if others know all of it
+     */
+    Optional<HistoryGap> after(OptionalLong savedReadTo) {
+        long known = savedReadTo.stream()
+                .filter(offset -> EraOffset.era(offset) == EraOffset.era(to))
+                .findFirst()
+                .orElse(from);
+        return known < to ? Optional.of(new HistoryGap(Math.max(from, known), to)) : Optional.empty();
+    }
+
     /** The number of offsets. */
     long size() {
         return to - from;
--- a/src/main/java/org/micabarrow/views/ManifestTracker.java
+++ b/src/main/java/org/micabarrow/views/ManifestTracker.java
@@ -58,6 +58,11 @@
         return true;
     }
 
+    /** Whether a manifest is newer than the active one. */
+    boolean isNewer(RouteManifest manifest) {
+        return manifest.version() > activeVersion;
+    }
+
     /** Records the position of a manifest. A restored store has it at another one once it is written again. */
     void recordPosition(ManifestPosition position) {
         boolean known = newestPosition
--- a/src/main/java/org/micabarrow/views/OperatorHistory.java
+++ b/src/main/java/org/micabarrow/views/OperatorHistory.java
@@ -1,14 +1,12 @@
 package org.micabarrow.views;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
-import java.util.stream.Stream;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
 import org.micabarrow.views.TopicReader.Batch;
@@ -46,7 +44,7 @@
     private final Supplier<WriteRole> role;
     private final NewestVersionSource origin;
     private final AtomicReference<Optional<Unexamined>> unexamined = new AtomicReference<>(Optional.empty());
-    private long checks;
+    private volatile long checks;
 
     /**
      * A gap in what this process knows.
@@ -90,7 +88,8 @@
      * @return the records to apply
      */
     Batch withReplaced(Batch latest, boolean savedKnown) {
-        Optional<Unexamined> found = HistoryGap.between(latest.records(), examinedTo(latest.end()), latest.end())
+        Optional<Unexamined> found = HistoryGap.between(latest.records(), knownTo(), latest.end())
+                .flatMap(gap -> gap.after(views.savedReadTo()))
                 .map(gap -> new Unexamined(gap, false));
         unexamined.set(found);
         found.ifPresent(
@@ -104,13 +103,9 @@
                 .orElse(latest);
     }
 
-    /** The offset before which everything is known, to this process or to those that saved what they knew. */
-    private long examinedTo(long end) {
-        long own = unexamined.get().map(one -> one.gap().from()).orElseGet(() -> views.end(Topic.OPERATOR));
-        return Stream.of(own, views.savedReadTo().orElse(0L))
-                .filter(offset -> EraOffset.era(offset) == EraOffset.era(end))
-                .max(Comparator.naturalOrder())
-                .orElse(0L);
+    /** The offset before which this process knows all records. */
+    private long knownTo() {
+        return unexamined.get().map(open -> open.gap().from()).orElseGet(() -> views.end(Topic.OPERATOR));
     }
 
     // -- later
@@ -124,23 +119,16 @@
         }
         checks++;
         Unexamined open = current.get();
-        if (isSaved(open.gap())) {
+        Optional<HistoryGap> left = open.gap().after(views.savedReadTo());
+        if (left.isEmpty()) {
             close(current, "saved");
         } else if (!open.expired()) {
-            readLater(current);
+            readLater(current, left.get());
         } else if (isOwnTurn() && isQuestionDue()) {
             askOrigin(current);
         }
     }
 
-    /** Whether another process has examined a gap, and has saved what it found. */
-    private boolean isSaved(HistoryGap gap) {
-        OptionalLong readTo = views.savedReadTo();
-        return readTo.isPresent()
-                && EraOffset.era(readTo.getAsLong()) == EraOffset.era(gap.to())
-                && readTo.getAsLong() >= gap.to();
-    }
-
     private boolean isOwnTurn() {
         return switch (role.get()) {
             case PRIMARY -> true;
@@ -153,8 +141,7 @@
         return Long.bitCount(checks) == 1 || checks % CHECKS_PER_QUESTION == 0;
     }
 
-    private void readLater(Optional<Unexamined> current) {
-        HistoryGap gap = current.orElseThrow().gap();
+    private void readLater(Optional<Unexamined> current, HistoryGap gap) {
         if (gap.size() <= MAX_RECORDS || isOwnTurn()) {
             read(gap).ifPresent(history -> {
                 views.applyReplaced(history.records());
@@ -216,8 +203,11 @@
         return Optional.of(new History(records, complete));
     }
 
-    private static Optional<History> notRead(HistoryGap gap, String reason) {
-        LOG.warn("event=history_not_read {} why=\"{}\"", gap.toLog(), reason);
+    /** Logs the first, second, fourth read that fails and so on. */
+    private Optional<History> notRead(HistoryGap gap, String reason) {
+        if (Long.bitCount(checks) <= 1) {
+            LOG.warn("event=history_not_read {} checks={} why=\"{}\"", gap.toLog(), checks, reason);
+        }
         return Optional.empty();
     }
 
--- a/src/main/java/org/micabarrow/views/OperatorState.java
+++ b/src/main/java/org/micabarrow/views/OperatorState.java
@@ -160,17 +160,12 @@
         }
         return switch (decoder.decodeOperatorRecord(record)) {
             case Result.Success<OperatorRecord>(OperatorRecord.ManifestPublished(RouteManifest manifest)) ->
-                applyManifest(record, manifest, view);
+                manifests.isNewer(manifest) ? applyManifest(record, manifest, view) : new Change(view, false);
             case Result.Success<OperatorRecord>(OperatorRecord.WeightsNamed named) -> {
                 boolean relevantToAgents = targets.isNewer(named.model(), named.version());
                 targets.recordNamed(record, named.model(), named.version());
-                targets.recordReplaced(named.model(), named.version());
-                View after = withTarget(
-                        named.model(),
-                        replacedTarget(named.version()),
-                        view,
-                        "history " + EraOffset.toLog(record.offset()));
-                yield new Change(after, relevantToAgents);
+                String source = "history " + EraOffset.toLog(record.offset());
+                yield new Change(withReplacedTarget(named.model(), named.version(), view, source), relevantToAgents);
             }
             case Result.Success<OperatorRecord> ignored -> new Change(view, false);
             case Result.Failure<OperatorRecord>(Fault fault) -> {
@@ -180,15 +175,20 @@
         };
     }
 
-    /** A version that was named before the latest records were read, and that they do not show. */
-    private View.Target replacedTarget(long version) {
-        return new View.Target(version, NamingTime.at(loadedAtMillis), TargetSource.FOUND_WITHOUT_TIME);
-    }
-
     /** Adds a weight version that another source than the store knows. It is saved like one that operators named. */
     View addConfirmedTarget(String model, long version, View view) {
-        targets.recordReplaced(model, version);
-        return withTarget(model, replacedTarget(version), view, "origin");
+        return withReplacedTarget(model, version, view, "origin");
+    }
+
+    /** Adds a version that was named before the latest records were read, and that they do not show. */
+    private View withReplacedTarget(String model, long version, View view, String source) {
+        NamingTime atTheLatest = NamingTime.at(loadedAtMillis);
+        View after =
+                withTarget(model, new View.Target(version, atTheLatest, TargetSource.FOUND_WITHOUT_TIME), view, source);
+        if (after != view) {
+            targets.recordReplaced(model, version);
+        }
+        return after;
     }
 
     /** The models of which operators named a weight version. */
--- a/src/test/java/org/micabarrow/views/HistoryGapTest.java
+++ b/src/test/java/org/micabarrow/views/HistoryGapTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
@@ -48,4 +49,16 @@
         assertEquals(
                 Optional.of(new HistoryGap(EraOffset.of(1, 0), EraOffset.of(1, 2))), gap(2, end, EraOffset.of(1, 2)));
     }
+
+    @Test
+    void shouldBeNarrowedByWhatOthersKnowInSameEra() {
+        HistoryGap gap = new HistoryGap(EraOffset.of(1, 2), EraOffset.of(1, 6));
+        assertEquals(Optional.of(gap), gap.after(OptionalLong.empty()));
+        assertEquals(Optional.of(gap), gap.after(OptionalLong.of(9)), "of another era");
+        assertEquals(Optional.of(gap), gap.after(OptionalLong.of(EraOffset.of(1, 1))));
+        assertEquals(
+                Optional.of(new HistoryGap(EraOffset.of(1, 4), EraOffset.of(1, 6))),
+                gap.after(OptionalLong.of(EraOffset.of(1, 4))));
+        assertEquals(Optional.empty(), gap.after(OptionalLong.of(EraOffset.of(1, 6))));
+    }
 }
--- a/src/test/java/org/micabarrow/views/OperatorHistoryTest.java
+++ b/src/test/java/org/micabarrow/views/OperatorHistoryTest.java
@@ -185,6 +185,27 @@
         assertEquals(3, fresh.newestVersion());
     }
 
+    /** The saved records could not be read at the start, and with them up to where the history is known. */
+    @Test
+    void shouldReadOnlyWhatNobodyKnowsWhenSavedRecordsAreReadLater() {
+        for (int version = 1; version <= 40; version++) {
+            writeManifest(version);
+        }
+        name(2);
+        started(WriteRole.PRIMARY).check(1);
+        newestAtOrigin = Optional.of(2L);
+        started(WriteRole.PRIMARY).check(2);
+        name(3);
+        name(2);
+        store.down = true;
+        Process fresh = started(WriteRole.NONE);
+        store.down = false;
+        store.operatorReads = 0;
+        fresh.check(2);
+        assertEquals(3, fresh.newestVersion());
+        assertEquals(1, store.operatorReads);
+    }
+
     // -- the history is gone
 
     @Test
