--- a/src/main/java/org/micabarrow/views/Unsaved.java
+++ b/src/main/java/org/micabarrow/views/Unsaved.java
@@ -16,4 +16,10 @@
     boolean isEmpty() {
         return versions.isEmpty() && manifest.isEmpty();
     }
+
+    /** Whether saving some items leaves nothing else to save. */
+    boolean isCoveredBy(List<UnsavedItem> items) {
+        return items.containsAll(versions)
+                && manifest.filter(item -> !items.contains(item)).isEmpty();
+    }
 }
--- a/src/main/java/org/micabarrow/views/VersionPersistence.java
+++ b/src/main/java/org/micabarrow/views/VersionPersistence.java
@@ -287,8 +287,22 @@
         readMissingManifest();
     }
 
+    /**
+     * Saves what is not known to be saved. The last record states how far everything is known, if nothing before it was
+     * left out or may have failed.
+     */
     private void save(WriteRole activeRole) {
         Unsaved unsaved = views.unsaved();
+        List<UnsavedItem> items = itemsToSave(activeRole, unsaved);
+        boolean allSaved = history.isExamined() && unsaved.isCoveredBy(items);
+        for (int i = 0; i < items.size(); i++) {
+            boolean last = i == items.size() - 1;
+            OptionalLong readTo = last && allSaved ? OptionalLong.of(unsaved.knownTo()) : OptionalLong.empty();
+            allSaved &= write(items.get(i), readTo);
+        }
+    }
+
+    private List<UnsavedItem> itemsToSave(WriteRole activeRole, Unsaved unsaved) {
         List<UnsavedItem> items = new ArrayList<>();
         if (activeRole == WriteRole.PRIMARY
                 || activeRole == WriteRole.BACKUP && checksWithUnsaved > BACKUP_DELAY_CHECKS) {
@@ -300,14 +314,7 @@
                 views.newestManifest().ifPresent(items::add);
             }
         }
-        boolean allSaved = history.isExamined()
-                && items.containsAll(unsaved.versions())
-                && items.containsAll(unsaved.manifest().stream().toList());
-        for (int i = 0; i < items.size(); i++) {
-            boolean last = i == items.size() - 1;
-            allSaved &=
-                    write(items.get(i), last && allSaved ? OptionalLong.of(unsaved.knownTo()) : OptionalLong.empty());
-        }
+        return items;
     }
 
     /**
