OperatorHistoryTest: two tests assert what their names say

One refused all writes where it speaks of an earlier one, the other saw the missing claim only by its effect on a later process. Both fail now if the conditions of the claim are taken out of VersionPersistence.save (tried), and pass with them. No check is narrower; src/main is unchanged.

--- a/src/test/java/org/micabarrow/views/FakeKeyedStore.java
+++ b/src/test/java/org/micabarrow/views/FakeKeyedStore.java
@@ -19,6 +19,10 @@
     boolean down;
     boolean loseResponses;
     boolean refuseWrites;
+
+    /** How many of the next writes are refused. */
+    int writesToRefuse;
+
     boolean historyExpired;
     boolean failReads;
 
@@ -79,7 +83,7 @@
     @Override
     public Result<List<StoredRecord>> write(UnsavedItem item, OptionalLong readTo) {
         writeCount++;
-        if (down || refuseWrites) {
+        if (down || refuseWrites || writesToRefuse-- > 0) {
             return failure();
         }
         List<StoredRecord> saved = new ArrayList<>();
--- a/src/test/java/org/micabarrow/views/OperatorHistoryTest.java
+++ b/src/test/java/org/micabarrow/views/OperatorHistoryTest.java
@@ -264,6 +264,9 @@
         writeManifest(2);
         primary.follower.readOnce();
         primary.check(40);
+        assertTrue(store.topics.get(Topic.NAMED).stream()
+                .anyMatch(record -> record.key().equals("manifest/2")));
+        assertEquals(2, primary.views.savedReadTo().orElseThrow(), "as it was saved before");
         newestAtOrigin = Optional.of(3L);
         Process later = started(WriteRole.PRIMARY);
         later.check(16);
@@ -331,10 +334,11 @@
         writeManifest(1);
         name(2);
         Process primary = started(WriteRole.PRIMARY);
-        store.refuseWrites = true;
+        store.writesToRefuse = 1;
         primary.check(1);
-        store.refuseWrites = false;
-        assertEquals(List.of(), store.topics.getOrDefault(Topic.NAMED, List.of()));
+        assertEquals(
+                List.of("manifest/1"),
+                store.topics.get(Topic.NAMED).stream().map(StoredRecord::key).toList());
         assertTrue(primary.views.savedReadTo().isEmpty());
         primary.check(1);
         assertEquals(2, primary.views.savedReadTo().orElseThrow());
