--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -331,7 +331,7 @@
         clearCauses(true);
         progress.completed();
         release();
-        relay.complete(endpoint);
+        relay.complete(endpoint, end);
     }
 
     /** Records a response, unless it reports an error: the endpoint may have failed before it began to write an answer. */
--- a/src/main/java/org/micabarrow/serving/ResponseRelay.java
+++ b/src/main/java/org/micabarrow/serving/ResponseRelay.java
@@ -27,6 +27,7 @@
     private Optional<ResponseHead> head = Optional.empty();
     private boolean eventStream;
     private boolean forwarding;
+    private long bytes;
 
     ResponseRelay(ServedRequest served) {
         this.served = served;
@@ -60,6 +61,7 @@
 
     /** Forwards or buffers a chunk of the body; {@code more} runs when the next chunk may be read. */
     void forward(byte[] data, Runnable more) {
+        bytes += data.length;
         if (!forwarding) {
             buffer(data, more);
             return;
@@ -96,21 +98,26 @@
                 : Optional.empty();
     }
 
+    /** How the body ended and how much of it has arrived, for the log. */
+    String describe(BodyEnd end) {
+        return "end=" + end + " events=" + (events.count() - eventsBefore) + " bytes=" + bytes;
+    }
+
     /** Finishes the response after its last byte has arrived. */
-    void complete(EndpointRegistration endpoint) {
+    void complete(EndpointRegistration endpoint, BodyEnd end) {
         if (!forwarding) {
-            concludeRequest(endpoint);
+            concludeRequest(endpoint, end);
             response.sendWhole(head.orElseThrow(), buffered.toByteArray());
             return;
         }
         byte[] remainder = events.remainder();
-        concludeRequest(endpoint);
+        concludeRequest(endpoint, end);
         response.end(remainder);
     }
 
-    private void concludeRequest(EndpointRegistration endpoint) {
+    private void concludeRequest(EndpointRegistration endpoint, BodyEnd end) {
         served.onResponseComplete("endpoint=" + endpoint.id() + " hall=" + endpoint.dataHall() + " status="
                 + head.map(ResponseHead::status).orElse(0) + " weights="
-                + head.flatMap(ResponseHead::weightVersion).map(String::valueOf).orElse("-"));
+                + head.flatMap(ResponseHead::weightVersion).map(String::valueOf).orElse("-") + " " + describe(end));
     }
 }
