An answer that ends with its connection is complete only if its endpoint is found to run afterwards

Callers got streams and plain bodies as complete that their endpoints had not finished: an answer with neither a length nor chunks ends with its connection, and the system closes the connections of a process that has died in the same way. Whatever ended so counted as whole.

Ruled out: framing of events and kind of route (all three forms are struck), the entry's own stop (no entry was restarted in the record).

Why this works: the end, and only the end, is held back until the endpoint was asked which one it is (package liveness). Only what arrives on a connection that was opened afterwards counts, so bytes in transit and a port that is about to close prove nothing. A closed port, another id or another start say that the endpoint has ended: the request goes the way of a broken connection (a resumable stream goes on from its last event, what may be repeated is asked for elsewhere, anything else is broken off or gets 502), and the crash is recorded unless the endpoint was draining. An instance that is not reached leaves it open, and such an answer does not look complete either. Answers that state their end cost nothing.

--- a/src/main/java/org/micabarrow/platform/EndpointHeaders.java
+++ b/src/main/java/org/micabarrow/platform/EndpointHeaders.java
@@ -1,5 +1,7 @@
 package org.micabarrow.platform;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
 import java.net.URI;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -9,13 +11,24 @@
 import java.util.stream.Stream;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.headers.HeaderFields;
+import org.micabarrow.liveness.EndpointIdentity;
+import org.micabarrow.platform.JsonFields.MalformedField;
+import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.serving.EndpointProtocol;
+import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault.Step;
 import org.micabarrow.transport.HttpCall;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Encodes requests to endpoints and decodes the heads of their responses. */
 public final class EndpointHeaders implements EndpointProtocol {
 
+    private static final Logger LOG = LoggerFactory.getLogger(EndpointHeaders.class);
+
+    /** Before an endpoint's id, this makes the id of no endpoint that states the id itself. */
+    private static final String NOT_ENDPOINT = "not-";
+
     private static final int MISDIRECTED = 421;
     private static final int UNAVAILABLE = 503;
 
@@ -57,6 +70,34 @@
         return Optional.of(sending.objectiveMissed() ? MAX_PRIORITY : Math.clamp(request.priority(), 0, MAX_PRIORITY));
     }
 
+    /**
+     * Model endpoints answer a query for their report without a slot, and state their start in it. Any other endpoint is
+     * asked at its health path, in the name of an endpoint that it is not: it states its id in refusing, and runs
+     * nothing.
+     */
+    @Override
+    public HttpCall encodeIdentityQuery(EndpointRegistration endpoint, Optional<String> healthPath) {
+        URI uri = URI.create("http://" + endpoint.address());
+        HeaderFields headers = healthPath.isPresent()
+                ? HeaderFields.of(WireNames.EXPECTED_ENDPOINT, NOT_ENDPOINT + endpoint.id())
+                : HeaderFields.empty();
+        return new HttpCall(
+                Step.STATUS, "GET", uri, Optional.of(healthPath.orElse(WireNames.REPORT)), headers, new byte[0]);
+    }
+
+    /** A body that is not a JSON object states nothing: health paths answer in any form. */
+    @Override
+    public EndpointIdentity decodeIdentity(HeaderFields headers, byte[] body) {
+        Optional<String> id = headers.first(WireNames.INSTANCE).map(String::trim);
+        try {
+            JsonNode json = JsonFields.object(CanonicalJson.mapper().readTree(body), "the answer");
+            return new EndpointIdentity(id, EndpointFields.startedMillis(json));
+        } catch (IOException | MalformedField e) {
+            LOG.debug("event=start_not_stated id={} why=\"{}\"", id.orElse("-"), e.getMessage());
+            return new EndpointIdentity(id, OptionalLong.empty());
+        }
+    }
+
     @Override
     public ResponseHead decodeHead(ClientRequest request, int status, HeaderFields headers) {
         return new ResponseHead(
--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -57,6 +57,9 @@
     /** An endpoint's id: it goes into a header of requests, and into lines of the log. */
     private static final Pattern ID = Pattern.compile("[!-~]+");
 
+    /** The target of a request, without a query or a fragment. */
+    private static final Pattern PATH = Pattern.compile("/[!-~&&[^?#]]*");
+
     private static final String OCTET = "(?:0|[1-9]\\d{0,2})";
 
     /** An address, whose parts may still be too great. */
@@ -205,7 +208,13 @@
                 JsonFields.intOr(json, "max_connections", Integer.MAX_VALUE),
                 JsonFields.objectIfPresent(json, "engine").map(StoreRecords::model),
                 JsonFields.textIfPresent(json, "origin"),
-                coldPerSecond(json));
+                coldPerSecond(json),
+                healthPath(json));
+    }
+
+    /** A path that can be requested; any other value counts as absent. */
+    private static Optional<String> healthPath(JsonNode json) {
+        return Optional.ofNullable(json.path("health_path").textValue()).filter(PATH.asMatchPredicate());
     }
 
     /** Empty where it is absent or 0: such a service has no cold endpoints. */
--- a/src/main/java/org/micabarrow/platform/WireNames.java
+++ b/src/main/java/org/micabarrow/platform/WireNames.java
@@ -45,6 +45,9 @@
 
     // -- headers of answers
 
+    /** The id of the endpoint that answers. */
+    static final String INSTANCE = "Instance-Id";
+
     /** Present if the endpoint states that it has not run the request. */
     static final String NOT_RUN = "Not-Executed";
 
--- a/src/main/java/org/micabarrow/routing/RouteManifest.java
+++ b/src/main/java/org/micabarrow/routing/RouteManifest.java
@@ -68,16 +68,18 @@
      * @param origin the host and port of the origin of weights, empty for all other services
      * @param coldPerSecond the requests per second that a cold endpoint of the service bears from all entries together;
      *     empty if cold endpoints bear as many as warm ones
+     * @param healthPath the path at which its endpoints tell that they are well; empty if the manifest names none
      */
     public record Service(
             String name,
             int maxConnections,
             Optional<ModelProfile> model,
             Optional<String> origin,
-            OptionalDouble coldPerSecond) {
+            OptionalDouble coldPerSecond,
+            Optional<String> healthPath) {
 
         /**
-         * Creates a service whose cold endpoints bear as many requests as warm ones.
+         * Creates a service without a health path whose cold endpoints bear as many requests as warm ones.
          *
          * @param name its name
          * @param maxConnections the connections that each endpoint accepts from all callers together
@@ -85,7 +87,7 @@
          * @param origin the host and port of the origin of weights, empty for all other services
          */
         public Service(String name, int maxConnections, Optional<ModelProfile> model, Optional<String> origin) {
-            this(name, maxConnections, model, origin, OptionalDouble.empty());
+            this(name, maxConnections, model, origin, OptionalDouble.empty(), Optional.empty());
         }
     }
 
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -7,6 +7,7 @@
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.attempts.EventSplitter;
 import org.micabarrow.headers.HeaderFields;
+import org.micabarrow.liveness.Liveness;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.EndpointSelection;
@@ -328,10 +329,69 @@
             onBrokenOff(truncation.get());
             return;
         }
+        switch (end) {
+            case STATED -> {
+                recordComplete();
+                release();
+                relay.complete(endpoint, end);
+            }
+            case CONNECTION -> {
+                release();
+                checkEnd();
+            }
+        }
+    }
+
+    private void recordComplete() {
         clearCauses(true);
         progress.completed();
-        release();
-        relay.complete(endpoint, end);
+    }
+
+    /**
+     * Holds the end of the response back until it is known whether the endpoint still runs: the connections of a process
+     * that has died end in the same way.
+     */
+    private void checkEnd() {
+        context.metrics().endedByConnection.inc();
+        served.recordAttemptOutcome(AttemptOutcome.UNKNOWN);
+        long endedMillis = context.nowMillis();
+        context.checkLiveness(endpoint, served.thread(), liveness -> {
+            if (!served.finished()) {
+                served.log()
+                        .endChecked(
+                                endpoint,
+                                relay.describe(BodyEnd.CONNECTION),
+                                liveness,
+                                context.nowMillis() - endedMillis);
+                onEndChecked(liveness);
+            }
+        });
+    }
+
+    private void onEndChecked(Liveness liveness) {
+        switch (liveness) {
+            case Liveness.Running ignored -> {
+                recordComplete();
+                relay.complete(endpoint, BodyEnd.CONNECTION);
+            }
+            case Liveness.Ended(String evidence) -> {
+                if (!context.isDraining(endpoint)) {
+                    context.crashes().endpointEnded(endpoint, served.causes(), true);
+                }
+                onEndUnproven("the answer ended with its connection, and its endpoint has ended: " + evidence);
+            }
+            case Liveness.Unconfirmed(String evidence) ->
+                onEndUnproven("the answer ended with its connection, and its endpoint may have ended: " + evidence);
+        }
+    }
+
+    /** Continues as after a broken connection; what the attempt held has been released. */
+    private void onEndUnproven(String reason) {
+        context.metrics().endUnproven.inc();
+        load.failures().connectionFailed(context.nowMillis());
+        events.discardRemainder();
+        logFailed(AttemptOutcome.UNKNOWN, reason);
+        served.retryOrConclude(reason);
     }
 
     /** Records a response, unless it reports an error: the endpoint may have failed before it began to write an answer. */
--- a/src/main/java/org/micabarrow/serving/CrashDetector.java
+++ b/src/main/java/org/micabarrow/serving/CrashDetector.java
@@ -117,9 +117,7 @@
      */
     void connectionBroke(EndpointRegistration endpoint, RequestCauses request, boolean begun, Runnable continuation) {
         EndpointStart start = endpoint.start();
-        if (crashed.containsKey(start)) {
-            crashed.get(start).add(request, begun);
-            publishCrash(start);
+        if (addToCrash(start, request, begun)) {
             continuation.run();
             return;
         }
@@ -133,6 +131,33 @@
         }
     }
 
+    /**
+     * Records that an endpoint has ended before the response to a request was complete, as has been found out otherwise.
+     *
+     * @param endpoint the endpoint
+     * @param request the request
+     * @param begun whether its response had begun
+     */
+    void endpointEnded(EndpointRegistration endpoint, RequestCauses request, boolean begun) {
+        EndpointStart start = endpoint.start();
+        if (addToCrash(start, request, begun)) {
+            return;
+        }
+        RequestsAtEndpoint requests = new RequestsAtEndpoint();
+        requests.add(request, begun);
+        recordCrash(start, requests);
+    }
+
+    /** Adds a request to a crash that is known already; false if there is none. */
+    private boolean addToCrash(EndpointStart start, RequestCauses request, boolean begun) {
+        if (!crashed.containsKey(start)) {
+            return false;
+        }
+        crashed.get(start).add(request, begun);
+        publishCrash(start);
+        return true;
+    }
+
     /**
      * Records that a request with a body of the given size was cancelled; it may still be at its endpoint for a moment.
      */
--- a/src/main/java/org/micabarrow/serving/EndpointProtocol.java
+++ b/src/main/java/org/micabarrow/serving/EndpointProtocol.java
@@ -6,6 +6,7 @@
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.attempts.EventSplitter;
 import org.micabarrow.headers.HeaderFields;
+import org.micabarrow.liveness.EndpointIdentity;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.transport.HttpCall;
 
@@ -93,4 +94,22 @@
      * @return the decoded head
      */
     ResponseHead decodeHead(ClientRequest request, int status, HeaderFields headers);
+
+    /**
+     * Encodes a query to which an endpoint answers which one it is, without running anything.
+     *
+     * @param endpoint the endpoint that is expected at the address
+     * @param healthPath the health path of its service; empty if it runs a model or names no such path
+     * @return the query as sent
+     */
+    HttpCall encodeIdentityQuery(EndpointRegistration endpoint, Optional<String> healthPath);
+
+    /**
+     * Decodes the answer to such a query, whatever its status.
+     *
+     * @param headers the headers as received
+     * @param body the body
+     * @return what the endpoint states of itself
+     */
+    EndpointIdentity decodeIdentity(HeaderFields headers, byte[] body);
 }
--- a/src/main/java/org/micabarrow/serving/RequestLog.java
+++ b/src/main/java/org/micabarrow/serving/RequestLog.java
@@ -6,6 +6,7 @@
 import org.micabarrow.attempts.AttemptOutcome;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.crashes.RequestCauses;
+import org.micabarrow.liveness.Liveness;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.EndpointSelection;
@@ -113,6 +114,23 @@
                 reason);
     }
 
+    /**
+     * Logs what was found out of an endpoint whose response ended with its connection.
+     *
+     * @param end how the response ended, and how much of it had arrived
+     * @param millis how long its end was held back
+     */
+    void endChecked(EndpointRegistration endpoint, String end, Liveness liveness, long millis) {
+        LOG.info(
+                "event=end_checked request={} endpoint={} {} found={} checkMs={} why=\"{}\"",
+                request.id(),
+                endpoint.id(),
+                end,
+                liveness.getClass().getSimpleName(),
+                millis,
+                liveness.evidence());
+    }
+
     void finished(String outcome, String reason, int attempts, long millis, long remainingMillis) {
         RequestSize size = request.size();
         LOG.info(
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -243,6 +243,11 @@
         }
     }
 
+    /** Whether the request has been concluded. */
+    boolean finished() {
+        return finished;
+    }
+
     /** Whether a connection of this request has come too late before. */
     boolean hadLateConnection() {
         return attempts.connectedLate();
--- a/src/main/java/org/micabarrow/serving/ServingContext.java
+++ b/src/main/java/org/micabarrow/serving/ServingContext.java
@@ -14,6 +14,9 @@
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.crashes.RequestCauses;
+import org.micabarrow.liveness.IdentityQuery;
+import org.micabarrow.liveness.Liveness;
+import org.micabarrow.liveness.LivenessCheck;
 import org.micabarrow.routing.AnswerLengths;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
@@ -25,6 +28,7 @@
 import org.micabarrow.views.View;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.XnioIoThread;
 
 /**
  * State and services shared by all requests of an entry. Used by the traffic thread, except for the view and the
@@ -203,6 +207,22 @@
         dependencies.selector().cold().stated(endpoint.start(), leftMillis, "answer", nowMillis());
     }
 
+    /**
+     * Finds out whether an endpoint's start still runs.
+     *
+     * @param endpoint the endpoint
+     * @param thread the traffic thread
+     * @param callback receives the result on that thread
+     */
+    void checkLiveness(EndpointRegistration endpoint, XnioIoThread thread, Consumer<Liveness> callback) {
+        Optional<String> healthPath = view().manifest()
+                .flatMap(manifest -> manifest.service(endpoint.service()))
+                .filter(service -> service.model().isEmpty())
+                .flatMap(RouteManifest.Service::healthPath);
+        IdentityQuery query = new IdentityQueries(caller(), protocol(), thread, healthPath);
+        LivenessCheck.begin(query, dependencies.crashes().probe(), endpoint, callback);
+    }
+
     // -- classes
 
     /** Records the arrival of a request; only requests for models compete by class. */
--- a/src/main/java/org/micabarrow/serving/ServingMetrics.java
+++ b/src/main/java/org/micabarrow/serving/ServingMetrics.java
@@ -17,6 +17,11 @@
     private final Counter broken;
     private final Counter clientGone;
     final Counter retries;
+
+    /** Responses that ended with their connection, and those of them whose endpoint was not found to run afterwards. */
+    final Counter endedByConnection;
+
+    final Counter endUnproven;
     final Counter poisonRequests;
     final Counter rateLimited;
     final Counter placementRefused;
@@ -35,6 +40,8 @@
         broken = registry.counter("requests.broken");
         clientGone = registry.counter("requests.clientGone");
         retries = registry.counter("requests.repeats");
+        endedByConnection = registry.counter("requests.endedByConnection");
+        endUnproven = registry.counter("requests.endUnproven");
         poisonRequests = registry.counter("requests.refusedForCrashes");
         rateLimited = registry.counter("requests.overLimit");
         placementRefused = registry.counter("requests.refusedForPlacement");
--- a/src/test/java/org/micabarrow/platform/EndpointHeadersTest.java
+++ b/src/test/java/org/micabarrow/platform/EndpointHeadersTest.java
@@ -1,7 +1,10 @@
 package org.micabarrow.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -9,6 +12,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.headers.HeaderFields;
+import org.micabarrow.liveness.EndpointIdentity;
+import org.micabarrow.routing.EndpointRegistration;
+import org.micabarrow.transport.HttpCall;
 
 class EndpointHeadersTest {
 
@@ -91,4 +97,41 @@
     void shouldReadNoRestWhenEndpointAsksForNone() {
         assertEquals(OptionalLong.empty(), EndpointHeaders.backoffMillis(Optional.empty()));
     }
+
+    // -- identity
+
+    private static final EndpointRegistration ENDPOINT =
+            EndpointRegistration.of("i-1", "s", "127.0.0.1:1", "h", 16, false, Map.of(), 1);
+
+    @Test
+    void shouldAskForReportWhenServiceHasNoHealthPath() {
+        HttpCall query = new EndpointHeaders().encodeIdentityQuery(ENDPOINT, Optional.empty());
+        assertEquals(Optional.of("/api/report"), query.rawTarget());
+        assertFalse(query.headers().contains("Expect-Instance"));
+    }
+
+    @Test
+    void shouldAskInNameOfNoEndpointWhenServiceHasHealthPath() {
+        HttpCall query = new EndpointHeaders().encodeIdentityQuery(ENDPOINT, Optional.of("/healthz"));
+        assertEquals(Optional.of("/healthz"), query.rawTarget());
+        assertEquals(Optional.of("not-i-1"), query.headers().first("Expect-Instance"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "i-1, '{\"born\":1000}',     i-1, 1000",
+        ",    '{\"born\":1000}',     ,    1000",
+        "i-1, '{\"running\":1}',     i-1, ",
+        "i-1, ok,                    i-1, ",
+        "i-1, '',                    i-1, ",
+        "i-1, '{\"born\":\"1000\"}', i-1, ",
+        "i-1, '{\"born\":1e999999}', i-1, ",
+        "i-1, '[1',                  i-1, "
+    })
+    void shouldReadWhatEndpointStatesOfItself(String header, String body, String id, Long startedMillis) {
+        HeaderFields headers = header == null ? HeaderFields.empty() : HeaderFields.of("Instance-Id", header);
+        EndpointIdentity expected = new EndpointIdentity(
+                Optional.ofNullable(id), startedMillis == null ? OptionalLong.empty() : OptionalLong.of(startedMillis));
+        assertEquals(expected, new EndpointHeaders().decodeIdentity(headers, body.getBytes(StandardCharsets.UTF_8)));
+    }
 }
--- a/src/test/java/org/micabarrow/platform/StoreRecordsTest.java
+++ b/src/test/java/org/micabarrow/platform/StoreRecordsTest.java
@@ -103,6 +103,23 @@
         assertTrue(read.cause().orElseThrow().message().contains(named), () -> read.toString());
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "'\"/healthz\"', /healthz",
+        "'\"/a/b-c\"',   /a/b-c",
+        "'\"healthz\"',  ",
+        "'\"/a b\"',     ",
+        "'\"/a?b\"',     ",
+        "7,              ",
+        "null,           "
+    })
+    void shouldReadHealthPathWhenItCanBeRequested(String told, String path) {
+        RouteManifest manifest =
+                manifest("{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\",\"health_path\":" + told + "}]}");
+        assertEquals(
+                Optional.ofNullable(path), manifest.service("s").orElseThrow().healthPath());
+    }
+
     @Test
     void shouldReadAllowedRegionsOfRoutesAndOrganisations() {
         RouteManifest manifest = manifest("""
--- a/src/test/java/org/micabarrow/serving/PreSendCheckTest.java
+++ b/src/test/java/org/micabarrow/serving/PreSendCheckTest.java
@@ -19,8 +19,6 @@
 import org.micabarrow.Await;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.admission.RetryBudget;
-import org.micabarrow.headers.HeaderFields;
-import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.serving.ServingHandler.AgentQueries;
 import org.micabarrow.serving.ServingHandler.VersionTimes;
@@ -70,22 +68,15 @@
      * Encodes requests as the platform does; encoding the first request runs the action that is set for after the
      * decision.
      */
-    private final class PausingProtocol implements EndpointProtocol {
-
-        private final EndpointHeaders headers = new EndpointHeaders();
+    private final class PausingProtocol extends ForwardingProtocol {
 
         @Override
         public HttpCall encode(ClientRequest request, AttemptParameters parameters) {
-            HttpCall call = headers.encode(request, parameters);
+            HttpCall call = super.encode(request, parameters);
             afterDecision.getAndSet(() -> {}).run();
             everyDecision.get().run();
             return call;
         }
-
-        @Override
-        public ResponseHead decodeHead(ClientRequest request, int status, HeaderFields received) {
-            return headers.decodeHead(request, status, received);
-        }
     }
 
     /**
--- a/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
@@ -27,7 +27,6 @@
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.memory.HeldBytes;
-import org.micabarrow.platform.EndpointHeaders;
 import org.micabarrow.platform.RequestHeaders;
 import org.micabarrow.platform.StoreRecords;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
@@ -214,20 +213,14 @@
     // -- connections
 
     /** Runs an action when the first response of an endpoint has arrived, before it is forwarded to the client. */
-    private static final class FirstResponseHook implements EndpointProtocol {
+    private static final class FirstResponseHook extends ForwardingProtocol {
 
-        private final EndpointHeaders headers = new EndpointHeaders();
         private final AtomicReference<Runnable> onFirstResponse = new AtomicReference<>(() -> {});
 
-        @Override
-        public HttpCall encode(ClientRequest request, AttemptParameters parameters) {
-            return headers.encode(request, parameters);
-        }
-
         @Override
         public ResponseHead decodeHead(ClientRequest request, int status, HeaderFields received) {
             onFirstResponse.getAndSet(() -> {}).run();
-            return headers.decodeHead(request, status, received);
+            return super.decodeHead(request, status, received);
         }
     }
 
--- a/src/test/java/org/micabarrow/serving/UnstatedEndTest.java
+++ b/src/test/java/org/micabarrow/serving/UnstatedEndTest.java
@@ -7,8 +7,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.Await;
@@ -61,41 +63,185 @@
         }
     }
 
-    /** Answers one request, and ends as a killed process does: nothing listens any more, connections are closed. */
-    private void respondAndDie(String response) {
+    /** What the endpoint does after the last byte of its answer, before it closes the connection. */
+    @FunctionalInterface
+    private interface Afterwards {
+        void run() throws IOException;
+    }
+
+    /** Answers one request. */
+    private void respond(String response, Afterwards afterwards) {
         Thread.ofPlatform().daemon().start(() -> {
             try (Socket socket = endpoint.accept()) {
                 readRequest(socket);
                 socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
-                endpoint.close();
+                afterwards.run();
             } catch (IOException e) {
                 throw new IllegalStateException("the endpoint did not get its request", e);
             }
         });
     }
 
-    private Result<HttpResponse> call(String path) throws Exception {
+    /** Ends as a killed process does: nothing listens any more, then the connection is closed. */
+    private void die() throws IOException {
+        endpoint.close();
+    }
+
+    /** Answers all further requests, in the place of the endpoint or of one that was started at its address. */
+    private void answerQueries(String response) {
+        Thread.ofPlatform().daemon().start(() -> {
+            while (!endpoint.isClosed()) {
+                try (Socket socket = endpoint.accept()) {
+                    readHead(socket);
+                    socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+                } catch (IOException e) {
+                    // The test has ended.
+                    return;
+                }
+            }
+        });
+    }
+
+    private static void readHead(Socket socket) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            head.append((char) socket.getInputStream().read());
+        }
+    }
+
+    private HostedEntryProcess serve(String path) throws Exception {
+        boolean stream = path.startsWith("/stream/");
+        platform.register("raw-1", stream ? "models" : "plain", stream ? 1 : 0, "ready");
         HostedEntryProcess entry = HostedEntryProcess.start(settings);
         Await.until("a manifest and the endpoint", () -> entry.takesRequests() && entry.endpoints() == 1);
+        return entry;
+    }
+
+    private Result<HttpResponse> call(String path) {
         HttpCall request = HostedSystem.request(settings.listen().clients().orElseThrow(), path, "attempt-1");
         return caller.call(request, TIMEOUT);
     }
 
+    private static String bodyOf(String path) {
+        return path.startsWith("/stream/") ? "id: 1\ndata: one\n\n" : "half of a b";
+    }
+
     private static String responseTo(String path) {
-        return path.startsWith("/stream/") ? STREAM_HEAD + "id: 1\ndata: one\n\n" : PLAIN_HEAD + "half of a b";
+        return (path.startsWith("/stream/") ? STREAM_HEAD : PLAIN_HEAD) + bodyOf(path);
     }
 
-    private static String serviceOf(String path) {
-        return path.startsWith("/stream/") ? "models" : "plain";
+    private static void assertNotComplete(Result<HttpResponse> response) {
+        if (response instanceof Result.Success<HttpResponse>(HttpResponse complete)) {
+            assertEquals(502, complete.status(), () -> new String(complete.body(), StandardCharsets.UTF_8));
+        }
     }
 
+    // -- endpoints that have died
+
     @ParameterizedTest
     @CsvSource({"/stream/x", "/again/x", "/once/x"})
     void shouldNotCompleteAnswerWhenEndpointDiesBetweenItsParts(String path) throws Exception {
-        platform.register("raw-1", serviceOf(path), path.startsWith("/stream/") ? 1 : 0, "ready");
-        respondAndDie(responseTo(path));
-        if (call(path) instanceof Result.Success<HttpResponse>(HttpResponse complete)) {
-            assertEquals(502, complete.status(), () -> new String(complete.body(), StandardCharsets.UTF_8));
-        }
+        serve(path);
+        respond(responseTo(path), this::die);
+        assertNotComplete(call(path));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"/stream/x", "/again/x", "/once/x"})
+    void shouldNotCompleteAnswerWhenAnotherEndpointListensAtItsAddress(String path) throws Exception {
+        serve(path);
+        respond(
+                responseTo(path),
+                () -> answerQueries("HTTP/1.1 421 X\r\nInstance-Id: raw-2\r\nContent-Length: 0\r\n\r\n"));
+        assertNotComplete(call(path));
+    }
+
+    @Test
+    void shouldNotCompleteStreamWhenSameEndpointHasStartedAgain() throws Exception {
+        platform.setStartedMillis("raw-1", 1_000);
+        serve("/stream/x");
+        respond(
+                responseTo("/stream/x"),
+                () -> answerQueries(
+                        "HTTP/1.1 200 OK\r\nInstance-Id: raw-1\r\nContent-Length: 13\r\n\r\n{\"born\":2000}"));
+        assertNotComplete(call("/stream/x"));
+    }
+
+    @Test
+    void shouldResumeStreamElsewhereWhenEndpointDiesBetweenEvents() throws Exception {
+        HostedEntryProcess entry = serve("/stream/x");
+        respond(responseTo("/stream/x"), () -> {
+            platform.addEndpoint("model-2", "models", 1);
+            Await.until("the other endpoint", () -> entry.endpoints() == 2);
+            die();
+        });
+        String body = new String(call("/stream/x").toOptional().orElseThrow().body(), StandardCharsets.UTF_8);
+        assertEquals(
+                List.of("id: 1", "id: 2", "id: 3"),
+                body.lines().filter(line -> line.startsWith("id:")).toList());
+    }
+
+    @Test
+    void shouldRepeatRequestElsewhereWhenEndpointDiesWithinItsBody() throws Exception {
+        HostedEntryProcess entry = serve("/again/x");
+        respond(responseTo("/again/x"), () -> {
+            platform.addEndpoint("plain-2", "plain", 0);
+            Await.until("the other endpoint", () -> entry.endpoints() == 2);
+            die();
+        });
+        HttpResponse complete = call("/again/x").toOptional().orElseThrow();
+        assertEquals("whole", new String(complete.body(), StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void shouldPublishCrashWhenEndpointDiesBetweenEvents() throws Exception {
+        serve("/stream/x");
+        respond(responseTo("/stream/x"), this::die);
+        assertNotComplete(call("/stream/x"));
+        Await.until("the record of the crash", () -> platform.publishedCrashCount() == 1);
+    }
+
+    @Test
+    void shouldPublishNoCrashWhenDrainingEndpointEndsBetweenEvents() throws Exception {
+        HostedEntryProcess entry = serve("/stream/x");
+        respond(responseTo("/stream/x").replace("Connection", "Server-Leaving: 1\r\nConnection"), this::die);
+        assertNotComplete(call("/stream/x"));
+        endpoint = new ServerSocket(0);
+        platform.setAddress("raw-2", "127.0.0.1:" + endpoint.getLocalPort());
+        platform.register("raw-2", "models", 1, "ready");
+        Await.until("the other endpoint", () -> entry.endpoints() == 2);
+        respond(responseTo("/stream/x"), this::die);
+        assertNotComplete(call("/stream/x"));
+        Await.until("the record of the later crash", () -> crashRecords("raw-2") == 1);
+        assertEquals(0, crashRecords("raw-1"));
+    }
+
+    private int crashRecords(String id) {
+        return platform.store().countKeys("keyed.micabarrow.crashes", "crash/" + id);
+    }
+
+    // -- endpoints that live
+
+    @ParameterizedTest
+    @CsvSource({"/stream/x", "/again/x", "/once/x"})
+    void shouldCompleteAnswerWhenItsEndpointAnswersAfterwards(String path) throws Exception {
+        serve(path);
+        respond(
+                responseTo(path),
+                () -> answerQueries("HTTP/1.1 503 X\r\nInstance-Id: raw-1\r\nContent-Length: 0\r\n\r\n"));
+        HttpResponse complete = call(path).toOptional().orElseThrow();
+        assertEquals(200, complete.status());
+        assertEquals(bodyOf(path), new String(complete.body(), StandardCharsets.UTF_8));
+    }
+
+    /** Also one that reads no query: its connections stay open, which those of a process that has died do not. */
+    @ParameterizedTest
+    @CsvSource({"/stream/x", "/again/x", "/once/x"})
+    void shouldCompleteAnswerWhenItsEndpointListensAfterwards(String path) throws Exception {
+        serve(path);
+        respond(responseTo(path), () -> {});
+        HttpResponse complete = call(path).toOptional().orElseThrow();
+        assertEquals(200, complete.status());
+        assertEquals(bodyOf(path), new String(complete.body(), StandardCharsets.UTF_8));
     }
 }
