Serving tests: the store's reader goes by the clock of the test, whatever the uptime of the machine

Four tests (PreSendCheckTest.shouldSwitchEndpointWhenOlderVersionMayNoLongerBegin, two of OlderVersionTest, one of PausedEndpointTest) failed on untouched code on a machine that had started less than 1,000 s before: the fixture's clock begins at 1,000 s, and its reader of the store stamped what it read by the machine's own. A version seemed to be named up to 1,000 s ago, and its deadlines had passed.

No check or bound is changed.

--- a/src/test/java/org/micabarrow/serving/ServingFixture.java
+++ b/src/test/java/org/micabarrow/serving/ServingFixture.java
@@ -106,7 +106,7 @@
                 CrashTracking.disabled(),
                 held));
         HttpListener.startOnWorker(clientAddress(), HttpListener.Limits.defaults(), worker, handler);
-        TopicFollowers.startAndAwaitView(client, settings, TIMEOUT, views);
+        TopicFollowers.startAndAwaitView(client, settings, TIMEOUT, views, clockMillis::get);
     }
 
     /** Adds a manifest and one plain endpoint. */
--- a/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
@@ -249,7 +249,7 @@
         protocol.onFirstResponse.set(handler.connections()::startDraining);
         String clients = settings.listen().clients().orElseThrow();
         HttpListener.startOnWorker(clients, HttpListener.Limits.defaults(), worker, handler);
-        TopicFollowers.startAndAwaitView(client, settings, TIMEOUT, views);
+        TopicFollowers.startAndAwaitView(client, settings, TIMEOUT, views, StoppingEntryTest::monotonicMillis);
         try (Socket connection = connect()) {
             send(connection, requests);
             return read(connection);
--- a/src/test/java/org/micabarrow/serving/TopicFollowers.java
+++ b/src/test/java/org/micabarrow/serving/TopicFollowers.java
@@ -1,6 +1,7 @@
 package org.micabarrow.serving;
 
 import java.time.Duration;
+import java.util.function.LongSupplier;
 import org.micabarrow.Await;
 import org.micabarrow.platform.StoreClient;
 import org.micabarrow.settings.HostedSettings;
@@ -14,9 +15,14 @@
 
     private TopicFollowers() {}
 
-    /** Follows both topics, and waits until a manifest and an endpoint are known. */
-    static void startAndAwaitView(HttpClient caller, HostedSettings settings, Duration timeout, ViewMaintainer views) {
-        StoreClient store = new StoreClient(caller, settings.store(), timeout);
+    /** Follows both topics by the clock of the views, and waits until a manifest and an endpoint are known. */
+    static void startAndAwaitView(
+            HttpClient caller,
+            HostedSettings settings,
+            Duration timeout,
+            ViewMaintainer views,
+            LongSupplier monotonicMillis) {
+        StoreClient store = new StoreClient(caller, settings.store(), timeout, monotonicMillis, now -> now);
         StoreFollower.PollTiming timing = new StoreFollower.PollTiming(Duration.ofMillis(200), Duration.ZERO);
         new StoreFollower(Topic.OPERATOR, store, views, topic -> {}, timing).start();
         new StoreFollower(Topic.ENDPOINTS, store, views, topic -> {}, timing).start();
