An agent too takes an answer that ends with its connection as complete only if its endpoint still runs

The agent asks the endpoint beside it for its report now; no answer within a second, or a closed port, ends the attempt as unknown, and a claimed key is not kept as answered. The endpoint's report does not tell its start, so another start that listens at once is not told apart here.

AgentFlowTest.shouldNotAnswerWhenEndpointDiesBetweenPartsOfItsAnswer: by the code before, onComplete(false) ended each of the three as answered. shouldAnswerWhenBodyMayBeWhole now also asks that nothing is answered before the endpoint is.

--- a/src/main/java/org/micabarrow/coordination/agents/AgentRun.java
+++ b/src/main/java/org/micabarrow/coordination/agents/AgentRun.java
@@ -171,8 +171,26 @@
     public void onComplete(boolean endStated) {
         if (eventStream && events.isCut(endStated, 0)) {
             onFailed(fault(Reason.UNREACHABLE, "the endpoint's stream was cut"), true);
-            return;
+        } else if (endStated) {
+            complete();
+        } else {
+            // The connections of an endpoint that has died end in the same way.
+            parts.endpoint().askWhetherRunning(this::completeIfRunning);
+        }
+    }
+
+    private void completeIfRunning(boolean running) {
+        log("end_checked running=" + running);
+        if (running) {
+            complete();
+        } else {
+            onFailed(
+                    fault(Reason.UNREACHABLE, "the answer ended with its connection, and the endpoint is silent"),
+                    true);
         }
+    }
+
+    private void complete() {
         request.claim().ifPresent(claim -> parts.ledger().recordEnd(claim.key(), answer()));
         byte[] remainder = events.remainder();
         if (remainder.length > 0 && !ended.get()) {
--- a/src/main/java/org/micabarrow/coordination/endpoint/EndpointCalls.java
+++ b/src/main/java/org/micabarrow/coordination/endpoint/EndpointCalls.java
@@ -1,6 +1,7 @@
 package org.micabarrow.coordination.endpoint;
 
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.micabarrow.state.Fault;
 
 /** Requests from an agent to the endpoint beside it. */
@@ -15,6 +16,14 @@
      */
     Runnable send(Call call, Listener listener);
 
+    /**
+     * Asks whether the endpoint still runs.
+     *
+     * @param callback receives once, on any thread, whether it answered a query that was sent now; false after a second
+     *     without an answer
+     */
+    void askWhetherRunning(Consumer<Boolean> callback);
+
     /**
      * A request to an endpoint.
      *
@@ -59,8 +68,8 @@
         /**
          * The answer has ended without an error of the connection.
          *
-         * @param endStated whether its body stated its end; otherwise it ended with the connection, and only its content
-         *     can show whether it is whole
+         * @param endStated whether its body stated its end; otherwise it ended with the connection, as it also does if the
+         *     endpoint has died
          */
         void onComplete(boolean endStated);
 
--- a/src/main/java/org/micabarrow/transport/EndpointClient.java
+++ b/src/main/java/org/micabarrow/transport/EndpointClient.java
@@ -3,6 +3,9 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.micabarrow.coordination.endpoint.Endpoint;
 import org.micabarrow.coordination.endpoint.EndpointCalls;
 import org.micabarrow.headers.HeaderFields;
@@ -12,10 +15,14 @@
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Fault.Step;
 import org.micabarrow.state.Result;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Calls the endpoint next to an agent over HTTP. */
 public final class EndpointClient implements Endpoint, EndpointCalls {
 
+    private static final Logger LOG = LoggerFactory.getLogger(EndpointClient.class);
+
     /** The id of the attempt; an endpoint that supports the header returns it in the response. */
     public static final String ATTEMPT = "X-Attempt";
 
@@ -96,6 +103,50 @@
         return client.send(request, new ResponseForwarder(request, listener));
     }
 
+    @Override
+    public void askWhetherRunning(Consumer<Boolean> callback) {
+        HttpCall call = HttpCall.get(Step.STATUS, URI.create(url + "/report"));
+        AnswerAwaiter answer = new AnswerAwaiter();
+        Runnable cancel = client.send(call, answer);
+        answer.arrived()
+                .completeOnTimeout(false, REPORT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .thenAccept(arrived -> {
+                    cancel.run();
+                    callback.accept(arrived);
+                });
+    }
+
+    /** Waits for an answer of any status. */
+    private static final class AnswerAwaiter implements HttpClient.Listener {
+
+        private final CompletableFuture<Boolean> arrived = new CompletableFuture<>();
+
+        private CompletableFuture<Boolean> arrived() {
+            return arrived;
+        }
+
+        @Override
+        public void onHead(int status, HeaderFields headers) {
+            LOG.debug("event=endpoint_runs status={}", status);
+        }
+
+        @Override
+        public void onData(byte[] data, Runnable requestMore) {
+            requestMore.run();
+        }
+
+        @Override
+        public void onComplete(BodyEnd end) {
+            arrived.complete(true);
+        }
+
+        @Override
+        public void onFailed(Fault fault, boolean sent) {
+            LOG.info("event=endpoint_silent why=\"{}\"", fault);
+            arrived.complete(false);
+        }
+    }
+
     /**
      * Forwards a response to the listener, and reports one that states that the request was not executed as a failure.
      */
--- a/src/test/java/org/micabarrow/coordination/agents/AgentFlowTest.java
+++ b/src/test/java/org/micabarrow/coordination/agents/AgentFlowTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -47,6 +48,7 @@
     private final ConcurrencyLimit limit = new ConcurrencyLimit(1, 4, 4);
     private final Ledger ledger = new Ledger("7", 10, 1000, 1000);
     private final List<EndpointCalls.Listener> running = new ArrayList<>();
+    private final List<Consumer<Boolean>> asking = new ArrayList<>();
     private final List<Outcome> ends = new ArrayList<>();
     private final StringBuilder passedOn = new StringBuilder();
     private final List<ResponseHead> heads = new ArrayList<>();
@@ -70,10 +72,7 @@
                 new StartCheck(identity, 1000),
                 limit,
                 ledger,
-                (call, listener) -> {
-                    running.add(listener);
-                    return () -> endpointCancelled = true;
-                },
+                new StubEndpoint(),
                 new WeightShare(),
                 clock,
                 1000));
@@ -84,6 +83,21 @@
         control.close();
     }
 
+    /** Keeps the listeners of its requests and the callbacks of those who ask whether it runs. */
+    private final class StubEndpoint implements EndpointCalls {
+
+        @Override
+        public Runnable send(Call call, Listener listener) {
+            running.add(listener);
+            return () -> endpointCancelled = true;
+        }
+
+        @Override
+        public void askWhetherRunning(Consumer<Boolean> callback) {
+            asking.add(callback);
+        }
+    }
+
     private AgentView view() {
         ReplicaView replica = new ReplicaView(
                 "assistant", WEIGHTS.digest(), ReplicaView.State.READY, 1, 1, serving, Optional.empty());
@@ -216,9 +230,23 @@
         running.getLast().onHead(200, contentType, Optional.of("attempt"), Optional.of(WEIGHTS.digest()));
         running.getLast().onData("id: 1\n\n".getBytes(StandardCharsets.UTF_8), () -> {});
         running.getLast().onComplete(endStated);
+        assertEquals(endStated ? 1 : 0, ends.size(), "an end that was not stated waits for the endpoint");
+        asking.forEach(callback -> callback.accept(true));
         assertInstanceOf(Outcome.Answered.class, ends.getFirst());
     }
 
+    @ParameterizedTest
+    @CsvSource({"text/event-stream, false", "text/plain, false", "text/plain, true"})
+    void shouldNotAnswerWhenEndpointDiesBetweenPartsOfItsAnswer(String contentType, boolean claimed) {
+        begin("assistant", "riders", claimed ? Optional.of(claim("7")) : Optional.empty());
+        running.getLast().onHead(200, contentType, Optional.of("attempt"), Optional.of(WEIGHTS.digest()));
+        running.getLast().onData("id: 1\n\n".getBytes(StandardCharsets.UTF_8), () -> {});
+        running.getLast().onComplete(false);
+        asking.forEach(callback -> callback.accept(false));
+        assertInstanceOf(Outcome.Unknown.class, ends.getFirst());
+        assertEquals(0, flow.open());
+    }
+
     @Test
     void shouldPassOnWhatFollowsLastEvent() {
         begin();
