A client with HTTP/1.0 sees that its entry was killed within a stream

What callers saw: the stream of a client with HTTP/1.0 ends with its connection. An entry that is killed within it left a graceful close, which is a whole body to that client.

The connection was set to be reset only when the entry broke a response off itself; the system closes the connections of a killed process gracefully. It is set from the head of the response to its last byte now, on both adapters.

BrokenStreamTest.shouldCloseConnectionOfOldClientGracefullyWhenStreamIsWhole holds on both.

--- a/src/main/java/org/micabarrow/serving/ClientResponse.java
+++ b/src/main/java/org/micabarrow/serving/ClientResponse.java
@@ -85,6 +85,7 @@
 
         @Override
         public void onTaken() {
+            ResponseAbort.closeGracefully(exchange);
             exchange.endExchange();
         }
 
@@ -105,6 +106,7 @@
     /** Starts a response; its body follows. */
     void start(ResponseHead head) {
         started = true;
+        ResponseAbort.resetUnlessDelimited(exchange);
         exchange.setStatusCode(head.status());
         HeaderMaps.putAll(exchange.getResponseHeaders(), head.forwardedHeaders());
     }
--- a/src/main/java/org/micabarrow/transport/callers/CallerResponse.java
+++ b/src/main/java/org/micabarrow/transport/callers/CallerResponse.java
@@ -92,6 +92,7 @@
     @Override
     public void onHead(ResponseHead newHead) {
         head = Optional.of(newHead);
+        ResponseAbort.resetUnlessDelimited(exchange);
         exchange.setStatusCode(newHead.status());
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, newHead.contentType());
         setHeader("Request", requestId);
@@ -128,7 +129,10 @@
         ended = true;
         logAudit(outcome);
         switch (outcome) {
-            case Outcome.Answered ignored -> exchange.endExchange();
+            case Outcome.Answered ignored -> {
+                ResponseAbort.closeGracefully(exchange);
+                exchange.endExchange();
+            }
             case Outcome.NotRun(Fault fault, Duration retryAfter) -> sendNotRun(fault, retryAfter);
             case Outcome.Unknown(Fault fault) -> sendUnknown(fault);
         }
--- a/src/test/java/org/micabarrow/serving/BrokenStreamTest.java
+++ b/src/test/java/org/micabarrow/serving/BrokenStreamTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.ServerSocket;
@@ -183,6 +184,17 @@
     @Test
     void shouldResetConnectionOfOldClientWhenStreamBreaksOff() throws Exception {
         respond(response(Framing.CONNECTION, EVENT + HALF_EVENT));
+        assertThrows(SocketException.class, this::callAsOldClient);
+    }
+
+    @Test
+    void shouldCloseConnectionOfOldClientGracefullyWhenStreamIsWhole() throws Exception {
+        respond(response(Framing.CHUNKS, EVENT));
+        assertTrue(callAsOldClient().endsWith("\r\n\r\n" + EVENT));
+    }
+
+    /** Sends a request with HTTP/1.0 and reads until the connection ends. */
+    private String callAsOldClient() throws Exception {
         HostedEntryProcess entry = HostedEntryProcess.start(settings);
         Await.until("a manifest and the endpoint", () -> entry.takesRequests() && entry.endpoints() == 1);
         try (Socket client = new Socket()) {
@@ -190,7 +202,7 @@
             String request = "POST /stream/x HTTP/1.0\r\nHost: h.example\r\nKey: key-a\r\nAttempt-Id: attempt-1\r\n"
                     + "Model: model-a\r\nToken-Count: 100,20\r\nDeadline-Ms: 3000\r\nContent-Length: 6\r\n\r\na body";
             client.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-            assertThrows(SocketException.class, () -> client.getInputStream().readAllBytes());
+            return new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
         }
     }
 
