Heads that break off: regression tests; they hold

Another operator's report: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. It does not happen here; no code is changed.

RawResponsesTest: an endpoint whose head ends in the status line, in a field, before the blank line and after an interim head, closed and reset: 502 in 8 of 8.

--- a/src/test/java/org/micabarrow/serving/RawResponsesTest.java
+++ b/src/test/java/org/micabarrow/serving/RawResponsesTest.java
@@ -87,6 +87,10 @@
             case "no signature" -> "HTTP/1.1 200 OK\r\nAttempt-Id: attempt-1\r\nContent-Length: 5\r\n\r\nwhole";
             case "broken head" -> "HTTP/9 huh\r\n\r\n";
             case "no bytes" -> "";
+            case "cut status line" -> "HTTP/1.1 200";
+            case "cut field" -> HEAD + "Content-Length: 5";
+            case "cut before blank line" -> HEAD + "Content-Length: 0\r\n";
+            case "cut after interim head" -> "HTTP/1.1 100 Continue\r\n\r\n";
             case "endless number" -> HEAD + "Weight-Versions: " + "9".repeat(30) + "\r\nContent-Length: 5\r\n\r\nwhole";
             default -> throw new IllegalArgumentException(form);
         };
@@ -105,7 +109,15 @@
         "late,           false, 502",
         "no signature,   false, 502",
         "broken head,    false, 502",
-        "no bytes,       false, 502"
+        "no bytes,       false, 502",
+        "cut status line,        false, 502",
+        "cut status line,        true,  502",
+        "cut field,              false, 502",
+        "cut field,              true,  502",
+        "cut before blank line,  false, 502",
+        "cut before blank line,  true,  502",
+        "cut after interim head, false, 502",
+        "cut after interim head, true,  502"
     })
     void shouldForwardOnlyCompleteResponsesToTheRequest(String form, boolean reset, int status) throws Exception {
         HostedEntryProcess entry = HostedEntryProcess.start(settings);
