An endpoint that answers without its start is not the same one if its other connections broke off at that moment

What callers could still see: an answer without a length, cut by the death of its endpoint, as complete, where another start with the same id listens at the address at once and does not tell when it began. Its id alone says nothing then.

A process that dies takes all its connections with it. If one broke off at the moment at which the answer ended, and no request that was sent before is still in progress there, the start has ended; so it has if the store lists another one. A reply that states the same start is not doubted, and one earlier request in progress shows that the process lives.

--- a/src/main/java/org/micabarrow/liveness/EndpointIdentity.java
+++ b/src/main/java/org/micabarrow/liveness/EndpointIdentity.java
@@ -19,6 +19,16 @@
         Objects.requireNonNull(startedMillis, "startedMillis is null");
     }
 
+    /**
+     * Returns whether this is certainly the given start.
+     *
+     * @param start the start
+     * @return false if either does not tell when it began
+     */
+    public boolean confirms(EndpointStart start) {
+        return !contradicts(start) && startedMillis.isPresent() && startedMillis.equals(start.startedMillis());
+    }
+
     /**
      * Returns whether this is certainly not the given start: another endpoint, or the same one started at another time.
      *
--- a/src/main/java/org/micabarrow/liveness/LivenessCheck.java
+++ b/src/main/java/org/micabarrow/liveness/LivenessCheck.java
@@ -1,7 +1,9 @@
 package org.micabarrow.liveness;
 
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.micabarrow.crashes.PortProbe;
 import org.micabarrow.liveness.IdentityQuery.Reply;
 import org.micabarrow.routing.EndpointRegistration;
@@ -19,14 +21,20 @@
     private final IdentityQuery query;
     private final PortProbe probe;
     private final EndpointRegistration endpoint;
+    private final Supplier<Optional<String>> replaced;
     private final Consumer<Liveness> callback;
     private int queries;
 
     private LivenessCheck(
-            IdentityQuery query, PortProbe probe, EndpointRegistration endpoint, Consumer<Liveness> callback) {
+            IdentityQuery query,
+            PortProbe probe,
+            EndpointRegistration endpoint,
+            Supplier<Optional<String>> replaced,
+            Consumer<Liveness> callback) {
         this.query = query;
         this.probe = probe;
         this.endpoint = endpoint;
+        this.replaced = replaced;
         this.callback = callback;
     }
 
@@ -36,15 +44,22 @@
      * @param query asks the endpoint which one it is
      * @param probe checks whether anything listens on the endpoint's port
      * @param endpoint the endpoint with the start in question
+     * @param replaced what suggests that another start listens there, if anything does; asked after the endpoint's reply,
+     *     and only unless the reply tells its start
      * @param callback called once with the result, on the traffic thread
      */
     public static void begin(
-            IdentityQuery query, PortProbe probe, EndpointRegistration endpoint, Consumer<Liveness> callback) {
+            IdentityQuery query,
+            PortProbe probe,
+            EndpointRegistration endpoint,
+            Supplier<Optional<String>> replaced,
+            Consumer<Liveness> callback) {
         Objects.requireNonNull(query, "query is null");
         Objects.requireNonNull(probe, "probe is null");
         Objects.requireNonNull(endpoint, "endpoint is null");
+        Objects.requireNonNull(replaced, "replaced is null");
         Objects.requireNonNull(callback, "callback is null");
-        new LivenessCheck(query, probe, endpoint, callback).send();
+        new LivenessCheck(query, probe, endpoint, replaced, callback).send();
     }
 
     private void send() {
@@ -57,30 +72,38 @@
             case Reply.Answered(EndpointIdentity identity) -> callback.accept(compared(identity));
             case Reply.Unanswered ignored ->
                 // The system closes the port of a process that ends, and with it the connections that wait there.
-                callback.accept(new Liveness.Running("a process listens there and has not answered yet"));
+                callback.accept(runningUnlessReplaced("a process listens there and has not answered yet"));
             case Reply.Dropped(String reason) ->
-                probePort(new Liveness.Running("a process listens there and closes connections: " + reason));
+                probePort(() -> runningUnlessReplaced("a process listens there and closes connections: " + reason));
             case Reply.NotConnected(String reason) ->
-                probePort(new Liveness.Unconfirmed("its instance was not reached: " + reason));
+                probePort(() -> new Liveness.Unconfirmed("its instance was not reached: " + reason));
         }
     }
 
     private Liveness compared(EndpointIdentity identity) {
-        return identity.contradicts(endpoint.start())
-                ? new Liveness.Ended(
-                        "another start answers there: " + identity.id().orElse("-"))
-                : new Liveness.Running("it answers");
+        if (identity.contradicts(endpoint.start())) {
+            return new Liveness.Ended(
+                    "another start answers there: " + identity.id().orElse("-"));
+        }
+        return identity.confirms(endpoint.start())
+                ? new Liveness.Running("it answers, and states its start")
+                : runningUnlessReplaced(
+                        "it answers, and states " + identity.id().orElse("no id") + " without its start");
+    }
+
+    private Liveness runningUnlessReplaced(String evidence) {
+        return replaced.get().<Liveness>map(Liveness.Ended::new).orElseGet(() -> new Liveness.Running(evidence));
     }
 
     /** Ends the check if nothing listens on the port. Otherwise asks again, or gives the result that is left. */
-    private void probePort(Liveness otherwise) {
+    private void probePort(Supplier<Liveness> otherwise) {
         probe.probe(endpoint, refused -> {
             if (refused) {
                 callback.accept(new Liveness.Ended("nothing listens on its port"));
             } else if (queries < MAX_QUERIES) {
                 send();
             } else {
-                callback.accept(otherwise);
+                callback.accept(otherwise.get());
             }
         });
     }
--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -46,6 +46,7 @@
     private Runnable cancel = () -> {};
     private boolean closed;
     private boolean sendStarted;
+    private long sentMillis;
 
     Attempt(ServedRequest served, EndpointSelection.Selected selected) {
         this.served = served;
@@ -90,6 +91,9 @@
 
     private void release() {
         closed = true;
+        if (sendStarted) {
+            context.openAttempts().ended(endpoint.start(), sentMillis);
+        }
         progress.ended();
         connectTimer.ifPresent(XnioExecutor.Key::remove);
         startDeadline.cancel();
@@ -236,6 +240,8 @@
         return switch (PreSendCheck.check(served, endpoint, startMillis)) {
             case PreSendCheck.Result.Valid ignored -> {
                 sendStarted = true;
+                sentMillis = context.nowMillis();
+                context.openAttempts().sent(endpoint.start(), sentMillis);
                 served.countIfRetry();
                 connectTimer.ifPresent(XnioExecutor.Key::remove);
                 yield Optional.of(call());
@@ -355,7 +361,7 @@
         context.metrics().endedByConnection.inc();
         served.recordAttemptOutcome(AttemptOutcome.UNKNOWN);
         long endedMillis = context.nowMillis();
-        context.checkLiveness(endpoint, served.thread(), liveness -> {
+        context.checkLiveness(endpoint, endedMillis, served.thread(), liveness -> {
             if (!served.finished()) {
                 served.log()
                         .endChecked(
@@ -420,6 +426,7 @@
      * once it is known whether the endpoint has crashed.
      */
     private void onBrokenOff(String reason) {
+        context.openAttempts().brokeOff(endpoint.start(), context.nowMillis());
         load.failures().connectionFailed(context.nowMillis());
         events.discardRemainder();
         if (context.isDraining(endpoint)) {
--- a/src/main/java/org/micabarrow/serving/ServingContext.java
+++ b/src/main/java/org/micabarrow/serving/ServingContext.java
@@ -17,6 +17,7 @@
 import org.micabarrow.liveness.IdentityQuery;
 import org.micabarrow.liveness.Liveness;
 import org.micabarrow.liveness.LivenessCheck;
+import org.micabarrow.liveness.OpenAttempts;
 import org.micabarrow.routing.AnswerLengths;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
@@ -43,6 +44,7 @@
     private final ServingMetrics metrics;
     private final InFlightRequests inFlight = new InFlightRequests();
     private final FirstAttemptEstimator firstAttempts = new FirstAttemptEstimator();
+    private final OpenAttempts openAttempts = new OpenAttempts();
     private final AnswerLengths answerLengths = new AnswerLengths();
     private final RecentRequests recent = new RecentRequests();
     private final AdmissionControl admission;
@@ -133,6 +135,10 @@
         return crashes;
     }
 
+    OpenAttempts openAttempts() {
+        return openAttempts;
+    }
+
     ManifestAge manifestAge() {
         return dependencies.manifestAge();
     }
@@ -211,16 +217,29 @@
      * Finds out whether an endpoint's start still runs.
      *
      * @param endpoint the endpoint
+     * @param endedMillis when the connection ended that gives reason to ask
      * @param thread the traffic thread
      * @param callback receives the result on that thread
      */
-    void checkLiveness(EndpointRegistration endpoint, XnioIoThread thread, Consumer<Liveness> callback) {
+    void checkLiveness(
+            EndpointRegistration endpoint, long endedMillis, XnioIoThread thread, Consumer<Liveness> callback) {
         Optional<String> healthPath = view().manifest()
                 .flatMap(manifest -> manifest.service(endpoint.service()))
                 .filter(service -> service.model().isEmpty())
                 .flatMap(RouteManifest.Service::healthPath);
         IdentityQuery query = new IdentityQueries(caller(), protocol(), thread, healthPath);
-        LivenessCheck.begin(query, dependencies.crashes().probe(), endpoint, callback);
+        LivenessCheck.begin(
+                query, dependencies.crashes().probe(), endpoint, () -> replacement(endpoint, endedMillis), callback);
+    }
+
+    private Optional<String> replacement(EndpointRegistration endpoint, long endedMillis) {
+        EndpointRegistration now = view().endpoints().getOrDefault(endpoint.id(), endpoint);
+        if (!now.start().equals(endpoint.start())) {
+            return Optional.of("another start of it is listed");
+        }
+        return openAttempts.allEndedAt(endpoint.start(), endedMillis)
+                ? Optional.of("its other connections broke off at the same moment, and none is left")
+                : Optional.empty();
     }
 
     // -- classes
--- a/src/test/java/org/micabarrow/liveness/LivenessCheckTest.java
+++ b/src/test/java/org/micabarrow/liveness/LivenessCheckTest.java
@@ -24,6 +24,7 @@
             .withStart(OptionalLong.of(1_000));
     private final Queue<Reply> replies = new ArrayDeque<>();
     private final Queue<Boolean> refusals = new ArrayDeque<>();
+    private Optional<String> replaced = Optional.empty();
     private final List<Liveness> results = new ArrayList<>();
 
     private Liveness check(Reply first, Object... further) {
@@ -39,6 +40,7 @@
                 (asked, callback) -> callback.accept(replies.remove()),
                 (asked, callback) -> callback.accept(refusals.remove()),
                 endpoint,
+                () -> replaced,
                 results::add);
         assertEquals(1, results.size());
         assertEquals(0, replies.size() + refusals.size(), "everything was asked for");
@@ -60,6 +62,23 @@
         assertInstanceOf(Liveness.Running.class, check(silent));
     }
 
+    @Test
+    void shouldHaveEndedWhenItSeemsReplacedAndReplyDoesNotTellStart() {
+        replaced = Optional.of("its other connections broke off");
+        Reply idOnly = new Reply.Answered(new EndpointIdentity(Optional.of("e"), OptionalLong.empty()));
+        assertInstanceOf(Liveness.Ended.class, check(idOnly));
+        results.clear();
+        assertInstanceOf(Liveness.Ended.class, check(new Reply.Unanswered()));
+        results.clear();
+        assertInstanceOf(Liveness.Ended.class, check(DROPPED, false, DROPPED, false));
+    }
+
+    @Test
+    void shouldBeRunningWhenReplyTellsSameStartWhateverElseSuggests() {
+        replaced = Optional.of("its other connections broke off");
+        assertInstanceOf(Liveness.Running.class, check(answered("e", 1_000)));
+    }
+
     @Test
     void shouldHaveEndedWhenAnotherEndpointAnswers() {
         assertInstanceOf(Liveness.Ended.class, check(answered("f", 1_000)));
--- a/src/test/java/org/micabarrow/serving/UnstatedEndTest.java
+++ b/src/test/java/org/micabarrow/serving/UnstatedEndTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -167,6 +168,28 @@
         assertNotComplete(call("/stream/x"));
     }
 
+    /** The start that follows has the same id and does not tell when it began; the other connection tells that one has ended. */
+    @Test
+    void shouldNotCompleteAnswerWhenOtherConnectionBreaksOffToo() throws Exception {
+        serve("/once/x");
+        Thread.ofPlatform().daemon().start(() -> {
+            try (Socket first = endpoint.accept();
+                    Socket second = endpoint.accept()) {
+                readRequest(first);
+                readRequest(second);
+                String chunked = PLAIN_HEAD.replace("Connection: close", "Transfer-Encoding: chunked") + "4\r\nhalf";
+                first.getOutputStream().write(chunked.getBytes(StandardCharsets.US_ASCII));
+                second.getOutputStream().write(responseTo("/once/x").getBytes(StandardCharsets.US_ASCII));
+                answerQueries("HTTP/1.1 421 X\r\nInstance-Id: raw-1\r\nContent-Length: 0\r\n\r\n");
+            } catch (IOException e) {
+                throw new IllegalStateException("the endpoint did not get its requests", e);
+            }
+        });
+        CompletableFuture<Result<HttpResponse>> other = CompletableFuture.supplyAsync(() -> call("/once/x"));
+        assertNotComplete(call("/once/x"));
+        assertNotComplete(other.join());
+    }
+
     @Test
     void shouldResumeStreamElsewhereWhenEndpointDiesBetweenEvents() throws Exception {
         HostedEntryProcess entry = serve("/stream/x");
