The end of a response without a length is checked in a class of its own

Attempt holds what an attempt is; what follows from an end that was not stated is UnstatedEnd. A crash record also tells a response of which no byte of the body has arrived from one that had begun, as for broken connections.

--- a/src/main/java/org/micabarrow/serving/Attempt.java
+++ b/src/main/java/org/micabarrow/serving/Attempt.java
@@ -7,7 +7,6 @@
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.attempts.EventSplitter;
 import org.micabarrow.headers.HeaderFields;
-import org.micabarrow.liveness.Liveness;
 import org.micabarrow.routing.EndpointLoad;
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.EndpointSelection;
@@ -342,8 +341,9 @@
                 relay.complete(endpoint, end);
             }
             case CONNECTION -> {
+                boolean begun = slot.started();
                 release();
-                checkEnd();
+                checkEnd(begun);
             }
         }
     }
@@ -353,47 +353,20 @@
         progress.completed();
     }
 
-    /**
-     * Holds the end of the response back until it is known whether the endpoint still runs: the connections of a process
-     * that has died end in the same way.
-     */
-    private void checkEnd() {
-        context.metrics().endedByConnection.inc();
+    /** Completes or continues the request once it is known whether the endpoint still runs. */
+    private void checkEnd(boolean begun) {
         served.recordAttemptOutcome(AttemptOutcome.UNKNOWN);
-        long endedMillis = context.nowMillis();
-        context.checkLiveness(endpoint, endedMillis, served.thread(), liveness -> {
-            if (!served.finished()) {
-                served.log()
-                        .endChecked(
-                                endpoint,
-                                relay.describe(BodyEnd.CONNECTION),
-                                liveness,
-                                context.nowMillis() - endedMillis);
-                onEndChecked(liveness);
-            }
-        });
+        new UnstatedEnd(served, endpoint, begun, relay.describe(BodyEnd.CONNECTION))
+                .check(this::onEndConfirmed, this::onEndUnproven);
     }
 
-    private void onEndChecked(Liveness liveness) {
-        switch (liveness) {
-            case Liveness.Running ignored -> {
-                recordComplete();
-                relay.complete(endpoint, BodyEnd.CONNECTION);
-            }
-            case Liveness.Ended(String evidence) -> {
-                if (!context.isDraining(endpoint)) {
-                    context.crashes().endpointEnded(endpoint, served.causes(), true);
-                }
-                onEndUnproven("the answer ended with its connection, and its endpoint has ended: " + evidence);
-            }
-            case Liveness.Unconfirmed(String evidence) ->
-                onEndUnproven("the answer ended with its connection, and its endpoint may have ended: " + evidence);
-        }
+    private void onEndConfirmed() {
+        recordComplete();
+        relay.complete(endpoint, BodyEnd.CONNECTION);
     }
 
     /** Continues as after a broken connection; what the attempt held has been released. */
     private void onEndUnproven(String reason) {
-        context.metrics().endUnproven.inc();
         load.failures().connectionFailed(context.nowMillis());
         events.discardRemainder();
         logFailed(AttemptOutcome.UNKNOWN, reason);
