Open attempts: starts without a break are forgotten with their last attempt; ids of other starts are made loggable

Read again before the landing: with more endpoints than 64 the idle starts were searched at the end of each attempt.

--- a/src/main/java/org/micabarrow/liveness/LivenessCheck.java
+++ b/src/main/java/org/micabarrow/liveness/LivenessCheck.java
@@ -7,6 +7,7 @@
 import org.micabarrow.crashes.PortProbe;
 import org.micabarrow.liveness.IdentityQuery.Reply;
 import org.micabarrow.routing.EndpointRegistration;
+import org.micabarrow.views.StoredRecord;
 
 /**
  * Finds out whether an endpoint's start still runs. Only what arrives on a connection after the check has begun counts:
@@ -82,13 +83,15 @@
 
     private Liveness compared(EndpointIdentity identity) {
         if (identity.contradicts(endpoint.start())) {
-            return new Liveness.Ended(
-                    "another start answers there: " + identity.id().orElse("-"));
+            return new Liveness.Ended("another start answers there: " + loggableId(identity));
         }
         return identity.confirms(endpoint.start())
                 ? new Liveness.Running("it answers, and states its start")
-                : runningUnlessReplaced(
-                        "it answers, and states " + identity.id().orElse("no id") + " without its start");
+                : runningUnlessReplaced("it answers, and states " + loggableId(identity) + " without its start");
+    }
+
+    private static String loggableId(EndpointIdentity identity) {
+        return identity.id().map(StoredRecord::loggable).orElse("no id");
     }
 
     private Liveness runningUnlessReplaced(String evidence) {
--- a/src/main/java/org/micabarrow/liveness/OpenAttempts.java
+++ b/src/main/java/org/micabarrow/liveness/OpenAttempts.java
@@ -20,14 +20,17 @@
      */
     private static final long SAME_MOMENT_MILLIS = 250;
 
-    /** How many starts are remembered without an open attempt. */
-    private static final int MAX_IDLE_STARTS = 64;
+    /** The number of starts from which on those without an open attempt are forgotten when a connection breaks off. */
+    private static final int MAX_STARTS = 1_000;
+
+    /** Earlier than any time; a monotonic clock may start at any value. */
+    private static final long NEVER = Long.MIN_VALUE;
 
     private final Map<EndpointStart, StartAttempts> byStart = new HashMap<>();
 
     private static final class StartAttempts {
         private final List<Long> sentMillis = new ArrayList<>();
-        private long lastBreakMillis = Long.MIN_VALUE;
+        private long lastBreakMillis = NEVER;
     }
 
     /**
@@ -54,8 +57,8 @@
             return;
         }
         attempts.sentMillis.remove(Long.valueOf(sentMillis));
-        if (attempts.sentMillis.isEmpty() && byStart.size() > MAX_IDLE_STARTS) {
-            byStart.values().removeIf(idle -> idle.sentMillis.isEmpty());
+        if (attempts.sentMillis.isEmpty() && attempts.lastBreakMillis == NEVER) {
+            byStart.remove(start);
         }
     }
 
@@ -66,6 +69,9 @@
      * @param nowMillis the time on the same clock
      */
     public void brokeOff(EndpointStart start, long nowMillis) {
+        if (byStart.size() >= MAX_STARTS) {
+            byStart.values().removeIf(attempts -> attempts.sentMillis.isEmpty());
+        }
         byStart.computeIfAbsent(start, key -> new StartAttempts()).lastBreakMillis = nowMillis;
     }
 
--- a/src/main/java/org/micabarrow/platform/EndpointHeaders.java
+++ b/src/main/java/org/micabarrow/platform/EndpointHeaders.java
@@ -26,8 +26,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(EndpointHeaders.class);
 
-    /** Before an endpoint's id, this makes the id of no endpoint that states the id itself. */
-    private static final String NOT_ENDPOINT = "not-";
+    /** Prefixed to an endpoint's id, gives an id that this endpoint does not have. */
+    private static final String OTHER_ID_PREFIX = "not-";
 
     private static final int MISDIRECTED = 421;
     private static final int UNAVAILABLE = 503;
@@ -79,7 +79,7 @@
     public HttpCall encodeIdentityQuery(EndpointRegistration endpoint, Optional<String> healthPath) {
         URI uri = URI.create("http://" + endpoint.address());
         HeaderFields headers = healthPath.isPresent()
-                ? HeaderFields.of(WireNames.EXPECTED_ENDPOINT, NOT_ENDPOINT + endpoint.id())
+                ? HeaderFields.of(WireNames.EXPECTED_ENDPOINT, OTHER_ID_PREFIX + endpoint.id())
                 : HeaderFields.empty();
         return new HttpCall(
                 Step.STATUS, "GET", uri, Optional.of(healthPath.orElse(WireNames.REPORT)), headers, new byte[0]);
@@ -93,7 +93,7 @@
             JsonNode json = JsonFields.object(CanonicalJson.mapper().readTree(body), "the answer");
             return new EndpointIdentity(id, EndpointFields.startedMillis(json));
         } catch (IOException | MalformedField e) {
-            LOG.debug("event=start_not_stated id={} why=\"{}\"", id.orElse("-"), e.getMessage());
+            LOG.debug("event=start_not_stated why=\"{}\"", e.getMessage());
             return new EndpointIdentity(id, OptionalLong.empty());
         }
     }
--- a/src/main/java/org/micabarrow/transport/EndpointClient.java
+++ b/src/main/java/org/micabarrow/transport/EndpointClient.java
@@ -127,7 +127,7 @@
 
         @Override
         public void onHead(int status, HeaderFields headers) {
-            LOG.debug("event=endpoint_runs status={}", status);
+            // Any status shows that it runs, but only the end of the answer that it went on.
         }
 
         @Override
--- a/src/test/java/org/micabarrow/liveness/OpenAttemptsTest.java
+++ b/src/test/java/org/micabarrow/liveness/OpenAttemptsTest.java
@@ -48,6 +48,18 @@
         assertTrue(attempts.allEndedAt(START, ENDED_MILLIS));
     }
 
+    @Test
+    void shouldKeepOpenAttemptsWhenManyOtherStartsBreakOff() {
+        attempts.sent(START, 9_000);
+        for (int i = 0; i < 2_000; i++) {
+            attempts.brokeOff(new EndpointStart("other-" + i, OptionalLong.empty()), ENDED_MILLIS);
+        }
+        attempts.brokeOff(START, ENDED_MILLIS);
+        assertFalse(attempts.allEndedAt(START, ENDED_MILLIS));
+        attempts.ended(START, 9_000);
+        assertTrue(attempts.allEndedAt(START, ENDED_MILLIS));
+    }
+
     @Test
     void shouldNotHaveEndedTogetherWhenBreakWasLongBefore() {
         attempts.brokeOff(START, ENDED_MILLIS - 250);
