Tests of raw sockets: a connection that ends early ends the reading thread

A stand-in that waited for a head read on after the connection had ended, which a probe of the port brings about: its thread would have filled the heap of the run. One reader serves the four tests now. UnstatedEndTest, EndpointClientTest, CutHeadTest and KilledEntryTest: green.

--- /dev/null
+++ b/src/test/java/org/micabarrow/SocketText.java
@@ -0,0 +1,28 @@
+package org.micabarrow;
+
+import java.io.IOException;
+import java.io.InputStream;
+
+/** Reads from sockets up to a known text. */
+public final class SocketText {
+
+    private SocketText() {}
+
+    /**
+     * Reads until what has been read ends with a text.
+     *
+     * @param in the socket's input
+     * @param end the text
+     * @throws IOException if the connection ends before
+     */
+    public static void readUntil(InputStream in, String end) throws IOException {
+        StringBuilder text = new StringBuilder();
+        while (text.length() < end.length() || text.lastIndexOf(end) != text.length() - end.length()) {
+            int next = in.read();
+            if (next < 0) {
+                throw new IOException("the connection ended after " + text.length() + " bytes");
+            }
+            text.append((char) next);
+        }
+    }
+}
--- a/src/test/java/org/micabarrow/serving/KilledEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/KilledEntryTest.java
@@ -4,13 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.SocketText;
 
 /** A response of an entry that is killed must not look complete to its client. */
 class KilledEntryTest {
@@ -30,13 +30,6 @@
         return process;
     }
 
-    private static void readUntil(InputStream in, String end) throws IOException {
-        StringBuilder text = new StringBuilder();
-        while (!text.toString().endsWith(end)) {
-            text.append((char) in.read());
-        }
-    }
-
     /** HTTP/1.0 has no chunks: the system's graceful close would end the body. */
     @Test
     void shouldResetConnectionOfOldClientWhenEntryIsKilledWithinStream() throws Exception {
@@ -48,7 +41,7 @@
         try (Socket client = new Socket("127.0.0.1", port)) {
             client.setSoTimeout(HANG_MILLIS);
             client.getOutputStream().write("GET / HTTP/1.0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-            readUntil(client.getInputStream(), StreamingProcess.FIRST_PART);
+            SocketText.readUntil(client.getInputStream(), StreamingProcess.FIRST_PART);
             process.destroyForcibly();
             SocketException reset = assertThrows(
                     SocketException.class, () -> client.getInputStream().read());
--- a/src/test/java/org/micabarrow/serving/UnstatedEndTest.java
+++ b/src/test/java/org/micabarrow/serving/UnstatedEndTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.Await;
+import org.micabarrow.SocketText;
 import org.micabarrow.platform.standin.HostedSystem;
 import org.micabarrow.process.HostedEntryProcess;
 import org.micabarrow.settings.HostedSettings;
@@ -54,14 +55,7 @@
     }
 
     private static void readRequest(Socket socket) throws IOException {
-        StringBuilder request = new StringBuilder();
-        while (!request.toString().endsWith("a body")) {
-            int next = socket.getInputStream().read();
-            if (next < 0) {
-                throw new IOException("the request broke off");
-            }
-            request.append((char) next);
-        }
+        SocketText.readUntil(socket.getInputStream(), "a body");
     }
 
     /** What the endpoint does after the last byte of its answer, before it closes the connection. */
@@ -93,23 +87,16 @@
         Thread.ofPlatform().daemon().start(() -> {
             while (!endpoint.isClosed()) {
                 try (Socket socket = endpoint.accept()) {
-                    readHead(socket);
+                    SocketText.readUntil(socket.getInputStream(), "\r\n\r\n");
                     socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
                 } catch (IOException e) {
-                    // The test has ended.
-                    return;
+                    // Nothing was asked on this connection, or the test has ended.
+                    continue;
                 }
             }
         });
     }
 
-    private static void readHead(Socket socket) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            head.append((char) socket.getInputStream().read());
-        }
-    }
-
     private HostedEntryProcess serve(String path) throws Exception {
         boolean stream = path.startsWith("/stream/");
         platform.register("raw-1", stream ? "models" : "plain", stream ? 1 : 0, "ready");
--- a/src/test/java/org/micabarrow/transport/CutHeadTest.java
+++ b/src/test/java/org/micabarrow/transport/CutHeadTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.micabarrow.SocketText;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Result;
 import org.micabarrow.transport.HttpClient.HttpResponse;
@@ -46,10 +47,7 @@
     }
 
     private static void readRequest(Socket socket) throws IOException {
-        StringBuilder request = new StringBuilder();
-        while (!request.toString().endsWith("a body")) {
-            request.append((char) socket.getInputStream().read());
-        }
+        SocketText.readUntil(socket.getInputStream(), "a body");
     }
 
     /** What the client makes of the last of several responses on one connection, after which the connection ends. */
--- a/src/test/java/org/micabarrow/transport/EndpointClientTest.java
+++ b/src/test/java/org/micabarrow/transport/EndpointClientTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.SocketText;
 import org.micabarrow.coordination.endpoint.EndpointCalls;
 import org.micabarrow.state.Fault;
 
@@ -44,7 +45,7 @@
         Thread.ofPlatform().daemon().start(() -> {
             for (int i = 0; i < responses.length; i++) {
                 try (Socket socket = endpoint.accept()) {
-                    readHead(socket);
+                    SocketText.readUntil(socket.getInputStream(), "\r\n\r\n");
                     socket.getOutputStream().write(responses[i].getBytes(StandardCharsets.US_ASCII));
                     if (i == responses.length - 1) {
                         endpoint.close();
@@ -56,13 +57,6 @@
         });
     }
 
-    private static void readHead(Socket socket) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            head.append((char) socket.getInputStream().read());
-        }
-    }
-
     /** Whether the endpoint is found to run after its answer has ended with its connection. */
     private boolean runningAfterAnswer() throws Exception {
         CompletableFuture<Boolean> running = new CompletableFuture<>();
