Dropped log lines are counted each, and told of at the stop too

Cause, by the trace of ten failures: "there is room now" was false. The thread that writes had taken 500 lines or more before the queue filled, so the line logged "after" found the queue full as well and was dropped; no line followed, and nothing told of the drops. Two faults of the appender behind it:

- What was dropped before the last line was told only with a next line; at the stop of a process, just when its reader is slow, the count was lost.
The thread that writes now tells at its end.
Places are reserved first: whoever is let in has left room for all who reserved before.

--- a/src/main/java/org/micabarrow/command/DroppingAppender.java
+++ b/src/main/java/org/micabarrow/command/DroppingAppender.java
@@ -6,12 +6,14 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.classic.spi.LoggingEvent;
 import ch.qos.logback.core.Appender;
+import ch.qos.logback.core.AppenderBase;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.slf4j.Logger;
 
 /**
  * Hands lines to a thread that writes them, so that whoever logs never waits for the reader of the output. Lines that find
- * the queue full are dropped and counted; once there is room again, one line tells how many were dropped.
+ * the queue full are dropped and counted; once there is room again, or at the stop, one line tells how many were dropped.
  */
 final class DroppingAppender extends AsyncAppender {
 
@@ -21,6 +23,9 @@
     /** How long lines that wait may be written for when the process stops, in milliseconds. */
     private static final int FLUSH_MILLIS = 300;
 
+    /** Lines that a caller is about to put into the queue: the queue's own count doesn't hold them yet. */
+    private final AtomicInteger reserved = new AtomicInteger();
+
     private final AtomicLong dropped = new AtomicLong();
 
     private DroppingAppender() {}
@@ -39,22 +44,25 @@
         appender.setDiscardingThreshold(0);
         appender.setNeverBlock(true);
         appender.setMaxFlushTime(FLUSH_MILLIS);
-        appender.addAppender(to);
+        appender.addAppender(appender.new Writer(to));
         appender.start();
         return appender;
     }
 
     @Override
     protected void append(ILoggingEvent event) {
-        if (getRemainingCapacity() == 0) {
+        // Two places: the line may be preceded by the one that tells of lines dropped.
+        int places = reserved.addAndGet(2);
+        if (getRemainingCapacity() < places) {
             dropped.incrementAndGet();
-            return;
-        }
-        long lost = dropped.getAndSet(0);
-        if (lost > 0) {
-            super.append(droppedLines(lost));
+        } else {
+            long lost = dropped.getAndSet(0);
+            if (lost > 0) {
+                super.append(droppedLines(lost));
+            }
+            super.append(event);
         }
-        super.append(event);
+        reserved.addAndGet(-2);
     }
 
     /** The line that tells how many others were dropped. */
@@ -63,4 +71,31 @@
         String message = "event=log_lines_dropped lines={} why=\"the output was not read fast enough\"";
         return new LoggingEvent(DroppingAppender.class.getName(), root, Level.WARN, message, null, new Object[] {lost});
     }
+
+    /** Writes the lines, on the thread that takes them from the queue, and at its end tells of those dropped since. */
+    private final class Writer extends AppenderBase<ILoggingEvent> {
+
+        private final Appender<ILoggingEvent> to;
+
+        private Writer(Appender<ILoggingEvent> to) {
+            this.to = to;
+            setContext(DroppingAppender.this.getContext());
+            start();
+        }
+
+        @Override
+        protected void append(ILoggingEvent event) {
+            to.doAppend(event);
+        }
+
+        @Override
+        public void stop() {
+            long lost = dropped.getAndSet(0);
+            if (lost > 0) {
+                to.doAppend(droppedLines(lost));
+            }
+            to.stop();
+            super.stop();
+        }
+    }
 }
