Heads and trailers are bounded by what they become in memory, and together

Cause: the watch allowed 256 KiB of bytes that belong to no body, and 16 more for each byte of a body, for each exchange by itself. A field of five bytes takes 190 to 260 bytes of heap (measured), so sixteen connections filled 64 MB. Undertow bounds heads at its server only (16 KiB, 200 fields, as before), and neither trailers nor all messages together.

Change: bytes are counted where they are read, before anything else sees them, and a message past its bound is not read on: 64 KiB and 1,000 fields for a head with its interim responses and for a trailer. Clients and listeners alike. The watch, its thread and Undertow's statistics are gone.

--- a/src/main/java/org/micabarrow/serving/ClientMemory.java
+++ b/src/main/java/org/micabarrow/serving/ClientMemory.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import org.micabarrow.memory.BodyAdmission;
 import org.micabarrow.memory.HeldBytes;
+import org.micabarrow.memory.MessageMemory;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,6 +39,7 @@
         this.refusedBodies = registry.counter("memory.refusedBodies");
         this.cutAnswers = registry.counter("memory.cutAnswers");
         registry.register("memory.heldBytes", (Gauge<Long>) held::bytes);
+        registry.register("memory.messageBytes", (Gauge<Long>) MessageMemory.ofProcess()::bytes);
         registry.register("memory.limitBytes", (Gauge<Long>) held::limitBytes);
     }
 
--- a/src/main/java/org/micabarrow/transport/BodyEnd.java
+++ b/src/main/java/org/micabarrow/transport/BodyEnd.java
@@ -16,10 +16,14 @@
 
     static BodyEnd of(ClientResponse response) {
         HeaderMap headers = response.getResponseHeaders();
-        String encoding = headers.getLast(Headers.TRANSFER_ENCODING);
-        boolean stated = Headers.CHUNKED.toString().equalsIgnoreCase(encoding)
+        boolean stated = isChunked(headers)
                 || headers.contains(Headers.CONTENT_LENGTH)
                 || !Connectors.isEntityBodyAllowed(response.getResponseCode());
         return stated ? STATED : CONNECTION;
     }
+
+    /** Whether a message's body consists of chunks. */
+    static boolean isChunked(HeaderMap headers) {
+        return Headers.CHUNKED.toString().equalsIgnoreCase(headers.getLast(Headers.TRANSFER_ENCODING));
+    }
 }
--- a/src/main/java/org/micabarrow/transport/ConnectionPool.java
+++ b/src/main/java/org/micabarrow/transport/ConnectionPool.java
@@ -1,6 +1,5 @@
 package org.micabarrow.transport;
 
-import io.undertow.client.ClientConnection;
 import java.util.Deque;
 import java.util.Map;
 import java.util.Optional;
@@ -28,10 +27,10 @@
     private final LongSupplier monotonicMillis;
 
     /** A connection, and when it became idle on the monotonic clock. */
-    private record IdleConnection(ClientConnection connection, long idleSinceMillis) {
+    private record IdleConnection(HttpConnection connection, long idleSinceMillis) {
 
         private void close() {
-            IoUtils.safeClose(connection);
+            IoUtils.safeClose(connection.client());
         }
     }
 
@@ -49,7 +48,7 @@
     /**
      * Removes and returns a connection that is still open and was not idle for long, the most recently used one first.
      */
-    Optional<ClientConnection> acquire(String authority) {
+    Optional<HttpConnection> acquire(String authority) {
         Deque<IdleConnection> connections = idle.get(authority);
         if (connections == null) {
             return Optional.empty();
@@ -68,12 +67,12 @@
     }
 
     /** Keeps a connection whose response was read completely, or closes it if enough are kept. */
-    void release(String authority, ClientConnection connection) {
+    void release(String authority, HttpConnection connection) {
         Deque<IdleConnection> connections = idle.computeIfAbsent(authority, key -> new ConcurrentLinkedDeque<>());
-        if (connection.isOpen() && !connection.isUpgraded() && connections.size() < maxIdle) {
+        if (connection.isOpen() && !connection.client().isUpgraded() && connections.size() < maxIdle) {
             connections.addFirst(new IdleConnection(connection, monotonicMillis.getAsLong()));
         } else {
-            IoUtils.safeClose(connection);
+            IoUtils.safeClose(connection.client());
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/micabarrow/transport/CountedRequests.java
@@ -0,0 +1,59 @@
+package org.micabarrow.transport;
+
+import io.undertow.server.AbstractServerConnection;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import org.xnio.ChannelListener;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+
+/** Has the requests counted that come on a listener's connections. */
+final class CountedRequests implements ChannelListener<StreamConnection>, HttpHandler {
+
+    private final Map<StreamConnection, MessageBytes> open = new ConcurrentHashMap<>();
+    private final ChannelListener<StreamConnection> next;
+    private final HttpHandler handler;
+
+    CountedRequests(ChannelListener<StreamConnection> next, HttpHandler handler) {
+        this.next = Objects.requireNonNull(next, "next is null");
+        this.handler = Objects.requireNonNull(handler, "handler is null");
+    }
+
+    /** Called when a connection is open. */
+    @Override
+    public void handleEvent(StreamConnection connection) {
+        MessageBytes bytes = CountedSource.countRequests(connection);
+        open.put(connection, bytes);
+        bytes.begin(() -> IoUtils.safeClose(connection));
+        next.handleEvent(connection);
+        // Added to the listener of the server, which has set its own.
+        connection.setCloseListener(this::remove);
+    }
+
+    private void remove(StreamConnection connection) {
+        MessageBytes bytes = open.remove(connection);
+        if (bytes != null) {
+            bytes.end();
+        }
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) throws Exception {
+        StreamConnection connection = ((AbstractServerConnection) exchange.getConnection()).getChannel();
+        MessageBytes bytes = open.get(connection);
+        if (bytes != null) {
+            bytes.headRead(BodyEnd.isChunked(exchange.getRequestHeaders()));
+            exchange.addExchangeCompleteListener((completed, following) -> {
+                if (open.containsKey(connection)) {
+                    bytes.end();
+                    bytes.begin(() -> IoUtils.safeClose(connection));
+                }
+                following.proceed();
+            });
+        }
+        handler.handleRequest(exchange);
+    }
+}
--- a/src/main/java/org/micabarrow/transport/HttpClient.java
+++ b/src/main/java/org/micabarrow/transport/HttpClient.java
@@ -1,6 +1,5 @@
 package org.micabarrow.transport;
 
-import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
@@ -13,6 +12,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BooleanSupplier;
 import org.micabarrow.clock.MonotonicClock;
@@ -46,9 +46,7 @@
     /** How many idle connections per address a client keeps by default. */
     private static final int DEFAULT_MAX_IDLE = 64;
 
-    /** The statistics tell how many bytes came on a connection. */
-    private static final OptionMap CONNECTION_OPTIONS =
-            OptionMap.create(Options.TCP_NODELAY, true, UndertowOptions.ENABLE_STATISTICS, true);
+    private static final OptionMap CONNECTION_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
     private final XnioWorker worker;
     private final boolean ownsWorker;
@@ -61,8 +59,7 @@
                 new DefaultByteBufferPool(true, BUFFER_BYTES, POOLED_BUFFERS, BUFFERS_PER_THREAD),
                 new ConnectionPool(maxIdle, MonotonicClock::millis),
                 new LongAdder(),
-                new LongAdder(),
-                new UnaccountedBytesWatch());
+                new LongAdder());
     }
 
     /**
@@ -296,7 +293,7 @@
     public Runnable send(HttpCall call, Listener listener) {
         Objects.requireNonNull(call, "call is null");
         HttpExchange exchange = new HttpExchange(call, listener, shared);
-        Optional<ClientConnection> idleConnection = shared.connections().acquire(call.authority());
+        Optional<HttpConnection> idleConnection = shared.connections().acquire(call.authority());
         if (idleConnection.isPresent()) {
             exchange.start(idleConnection.get());
         } else {
@@ -307,12 +304,13 @@
 
     private void connect(HttpCall call, HttpExchange exchange) {
         URI target = URI.create(call.uri().getScheme() + "://" + call.authority());
+        AtomicReference<MessageBytes> bytes = new AtomicReference<>();
         UndertowClient.getInstance()
                 .connect(
                         new ClientCallback<>() {
                             @Override
                             public void completed(ClientConnection connection) {
-                                exchange.start(connection);
+                                exchange.start(new HttpConnection(connection, bytes.get()));
                             }
 
                             @Override
@@ -321,14 +319,14 @@
                             }
                         },
                         target,
-                        worker,
+                        new CountedConnections(
+                                worker, opened -> bytes.set(CountedSource.countResponses(opened, call.peer()))),
                         shared.buffers(),
                         CONNECTION_OPTIONS);
     }
 
     @Override
     public void close() {
-        shared.watch().close();
         shared.connections().close();
         if (ownsWorker) {
             worker.shutdownNow();
--- a/src/main/java/org/micabarrow/transport/ExchangeConnection.java
+++ b/src/main/java/org/micabarrow/transport/HttpConnection.java
@@ -10,28 +10,31 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 
-/** The connection of one exchange, which counts what comes on it and can be reset by any thread. */
-final class ExchangeConnection {
+/** A client's connection, which serves one exchange at a time and can be reset by any thread. */
+final class HttpConnection {
 
-    private static final Logger LOG = LoggerFactory.getLogger(ExchangeConnection.class);
+    private static final Logger LOG = LoggerFactory.getLogger(HttpConnection.class);
 
     private final ClientConnection connection;
-    private final long receivedBefore;
+    private final MessageBytes bytes;
     private final AtomicBoolean reset = new AtomicBoolean();
 
-    /** Takes an open connection whose statistics are enabled. */
-    ExchangeConnection(ClientConnection connection) {
+    /** Takes an open connection and what counts its messages. */
+    HttpConnection(ClientConnection connection, MessageBytes bytes) {
         this.connection = Objects.requireNonNull(connection, "connection is null");
-        this.receivedBefore = connection.getStatistics().getRead();
+        this.bytes = Objects.requireNonNull(bytes, "bytes is null");
     }
 
     ClientConnection client() {
         return connection;
     }
 
-    /** The bytes that have come since the exchange began. */
-    long receivedBytes() {
-        return connection.getStatistics().getRead() - receivedBefore;
+    MessageBytes bytes() {
+        return bytes;
+    }
+
+    boolean isOpen() {
+        return connection.isOpen();
     }
 
     /**
--- a/src/main/java/org/micabarrow/transport/HttpExchange.java
+++ b/src/main/java/org/micabarrow/transport/HttpExchange.java
@@ -1,7 +1,6 @@
 package org.micabarrow.transport;
 
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.connector.ByteBufferPool;
@@ -26,7 +25,7 @@
  * One request and its response. The connection returns to the pool once the response has been read completely, unless
  * the response ended with it, and is reset if anything fails before.
  */
-final class HttpExchange implements UnaccountedBytesWatch.Exchange {
+final class HttpExchange {
 
     /** How many buffers are read before other work of the thread goes on. */
     private static final int MAX_READS_AT_ONCE = 16;
@@ -35,11 +34,9 @@
     private final Listener listener;
     private final Shared shared;
     private final AtomicBoolean ended = new AtomicBoolean();
-    private volatile ExchangeConnection connection;
+    private volatile HttpConnection connection;
     private volatile boolean sent;
     private volatile boolean cancelled;
-    private volatile long deliveredBytes;
-    private volatile Optional<String> tooManyBytes = Optional.empty();
     private StreamSourceChannel source;
     private BodyEnd bodyEnd = BodyEnd.CONNECTION;
     private boolean mayRead = true;
@@ -52,14 +49,8 @@
      * @param connections the pool of idle connections
      * @param sentBytes counts the bytes of request bodies sent
      * @param receivedBytes counts the bytes of response bodies received
-     * @param watch ends exchanges on which bytes come that belong to no body
      */
-    record Shared(
-            ByteBufferPool buffers,
-            ConnectionPool connections,
-            LongAdder sentBytes,
-            LongAdder receivedBytes,
-            UnaccountedBytesWatch watch) {}
+    record Shared(ByteBufferPool buffers, ConnectionPool connections, LongAdder sentBytes, LongAdder receivedBytes) {}
 
     HttpExchange(HttpCall call, Listener listener, Shared shared) {
         this.call = call;
@@ -70,13 +61,13 @@
     // -- request
 
     /** Sends the request over a connection. */
-    void start(ClientConnection opened) {
-        connection = new ExchangeConnection(opened);
+    void start(HttpConnection opened) {
+        connection = opened;
         if (cancelled) {
             fail(Reason.CANCELLED, "cancelled");
             return;
         }
-        opened.getIoThread().execute(this::sendRequest);
+        opened.client().getIoThread().execute(this::sendRequest);
     }
 
     private void sendRequest() {
@@ -88,17 +79,17 @@
     /** Ends the exchange without sending anything. */
     private void withhold() {
         if (ended.compareAndSet(false, true)) {
-            shared.connections().release(call.authority(), connection.client());
+            shared.connections().release(call.authority(), connection);
         }
     }
 
     private void send(HttpCall current) {
         connection.setResetOnClose(true);
         sent = true;
-        shared.watch().add(this);
+        connection.bytes().begin(this::onRefused);
         if (ended.get()) {
             // Cancelled on another thread meanwhile.
-            shared.watch().remove(this);
+            connection.bytes().end();
         }
         shared.sentBytes().add(current.body().length);
         try {
@@ -163,6 +154,9 @@
             @Override
             public void completed(ClientExchange exchange) {
                 bodyEnd = BodyEnd.of(exchange.getResponse());
+                connection
+                        .bytes()
+                        .headRead(BodyEnd.isChunked(exchange.getResponse().getResponseHeaders()));
                 listener.onHead(
                         exchange.getResponse().getResponseCode(),
                         HeaderMaps.fields(exchange.getResponse().getResponseHeaders()));
@@ -201,7 +195,6 @@
                 byte[] data = new byte[buffer.remaining()];
                 buffer.get(data);
                 shared.receivedBytes().add(count);
-                deliveredBytes += count;
                 deliver(data);
             }
             source.suspendReads();
@@ -232,16 +225,17 @@
     }
 
     private void complete() {
-        if (tooManyBytes.isPresent()) {
+        Optional<String> refusal = connection.bytes().refusal();
+        if (refusal.isPresent()) {
             // A connection that was closed meanwhile looks like the end of the body.
-            fail(Reason.UNREACHABLE, tooManyBytes.get());
+            fail(Reason.UNREACHABLE, refusal.get());
             return;
         }
         if (ended.compareAndSet(false, true)) {
-            shared.watch().remove(this);
+            connection.bytes().end();
             connection.setResetOnClose(false);
             switch (bodyEnd) {
-                case STATED -> shared.connections().release(call.authority(), connection.client());
+                case STATED -> shared.connections().release(call.authority(), connection);
                 case CONNECTION -> IoUtils.safeClose(connection.client());
             }
             listener.onComplete(bodyEnd);
@@ -252,42 +246,19 @@
 
     /** Ends the exchange without a complete response, unless it has already ended. */
     void fail(Reason reason, String message) {
-        if (tooManyBytes.isPresent()
-                && Thread.currentThread() != connection.client().getIoThread()) {
-            // The watch has closed the connection on its own thread, on which listeners do not expect to be called.
-            connection.client().getIoThread().execute(() -> fail(reason, message));
-            return;
-        }
         if (ended.compareAndSet(false, true)) {
-            shared.watch().remove(this);
+            String why = message;
             if (connection != null) {
+                why = connection.bytes().refusal().orElse(message);
+                connection.bytes().end();
                 connection.reset();
             }
-            listener.onFailed(Fault.of(call.step(), call.peer(), reason, tooManyBytes.orElse(message)), sent);
+            listener.onFailed(Fault.of(call.step(), call.peer(), reason, why), sent);
         }
     }
 
-    // -- bytes without an end
-
-    @Override
-    public long receivedBytes() {
-        return connection.receivedBytes();
-    }
-
-    @Override
-    public long deliveredBytes() {
-        return deliveredBytes;
-    }
-
-    /** Closes the connection first: the thread that reads it does nothing else until then. */
-    @Override
-    public void onTooManyBytes(String reason) {
-        if (ended.get()) {
-            return;
-        }
-        tooManyBytes = Optional.of(reason);
-        connection.reset();
-        connection.client().getIoThread().execute(() -> fail(Reason.UNREACHABLE, reason));
+    private void onRefused() {
+        fail(Reason.UNREACHABLE, "the answer is not read on");
     }
 
     /** Cancels the exchange, immediately or as soon as its connection is open. */
--- a/src/main/java/org/micabarrow/transport/HttpListener.java
+++ b/src/main/java/org/micabarrow/transport/HttpListener.java
@@ -110,10 +110,11 @@
         HttpOpenListener connections = new HttpOpenListener(
                 new DefaultByteBufferPool(true, bufferBytes(), POOLED_BUFFERS, BUFFERS_PER_THREAD),
                 serverOptions(limits));
-        connections.setRootHandler(handler);
+        CountedRequests counted = new CountedRequests(connections, handler);
+        connections.setRootHandler(counted);
         AcceptingChannel<StreamConnection> accepting = worker.createStreamConnectionServer(
                 Addresses.parse(address),
-                ChannelListeners.openListenerAdapter(connections),
+                ChannelListeners.openListenerAdapter(counted),
                 OptionMap.builder()
                         .set(Options.WORKER_IO_THREADS, worker.getIoThreadCount())
                         .set(Options.REUSE_ADDRESSES, true)
--- /dev/null
+++ b/src/main/java/org/micabarrow/transport/MessageBytes.java
@@ -0,0 +1,185 @@
+package org.micabarrow.transport;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.Supplier;
+import org.micabarrow.memory.MessageMemory;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Counts what the messages that come on one connection consist of besides their bodies: heads, interim responses, chunk headers
+ * and trailers. Undertow's client keeps these in memory for as long as they come, in which a field of five bytes becomes some
+ * hundred; its server bounds heads only, each for itself. Messages that exceed a bound are not read on. Used on the thread of the
+ * connection, except for {@link #refusal} and {@link #end}.
+ */
+final class MessageBytes {
+
+    /** The longest head, interim responses included, and the longest trailer, in bytes: four times that of a request. */
+    static final int MAX_BYTES = 64 * 1024;
+
+    /** The most fields of a head or trailer: five times as many as Undertow's server takes. */
+    static final int MAX_FIELDS = 1_000;
+
+    /** The most bytes of chunk headers besides those that the data allows for, in bytes. */
+    private static final long MAX_CHUNK_HEADER_BYTES = 256 * 1024;
+
+    /** How many bytes of chunk headers each byte of data may come with: a chunk of a single byte has about six. */
+    private static final long CHUNK_HEADER_BYTES_PER_BYTE = 16;
+
+    private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
+    private static final Logger LOG = LoggerFactory.getLogger(MessageBytes.class);
+
+    private final HeadLines head;
+    private final ChunkFraming chunks = new ChunkFraming(new HeadLines(HeadLines.Kind.TRAILER));
+    private final Supplier<String> peer;
+    private final Executor thread;
+    private final MessageMemory.Share share;
+    private volatile Runnable close = () -> {};
+    private volatile Optional<String> refusal = Optional.empty();
+    private volatile Part part = Part.NONE;
+
+    /** What came after the end of a head, until it is known to be the body's. */
+    private ByteBuffer following = NOTHING;
+
+    private enum Part {
+        NONE,
+        HEAD,
+        CHUNKS,
+        BODY
+    }
+
+    /**
+     * Starts counting for a connection.
+     *
+     * @param kind the kind of heads that come
+     * @param memory counts what all messages take up
+     * @param thread the connection's thread
+     * @param peer tells the address of the other end
+     */
+    MessageBytes(HeadLines.Kind kind, MessageMemory memory, Executor thread, Supplier<String> peer) {
+        this.head = new HeadLines(kind);
+        this.thread = Objects.requireNonNull(thread, "thread is null");
+        this.peer = Objects.requireNonNull(peer, "peer is null");
+        this.share = memory.share(this::onNoRoom);
+    }
+
+    /** Why the connection is closed, if it is for what came on it. */
+    Optional<String> refusal() {
+        return refusal;
+    }
+
+    // -- messages
+
+    /**
+     * Counts what comes from now on as the head of a message.
+     *
+     * @param onRefused closes the connection if the message is refused while nothing of it is being read
+     */
+    void begin(Runnable onRefused) {
+        close = Objects.requireNonNull(onRefused, "onRefused is null");
+        head.clear();
+        chunks.clear();
+        following = NOTHING;
+        part = Part.HEAD;
+    }
+
+    /** Counts what follows the head as its body. */
+    void headRead(boolean chunked) {
+        share.read(head.memoryBytes());
+        if (chunked) {
+            chunks.scan(following);
+        }
+        following = NOTHING;
+        part = chunked ? Part.CHUNKS : Part.BODY;
+    }
+
+    /** Counts nothing any longer: the exchange has ended. */
+    void end() {
+        part = Part.NONE;
+        share.release();
+    }
+
+    // -- bytes
+
+    /**
+     * Counts bytes that came.
+     *
+     * @param bytes the bytes, none if there are no more for now
+     * @throws IOException if they belong to a message that is not to be read on
+     */
+    void received(ByteBuffer bytes) throws IOException {
+        if (refusal.isPresent()) {
+            throw new IOException(refusal.get());
+        }
+        switch (part) {
+            case HEAD -> receivedInHead(bytes);
+            case CHUNKS -> receivedInChunks(bytes);
+            case NONE, BODY -> {}
+        }
+    }
+
+    private void receivedInHead(ByteBuffer bytes) throws IOException {
+        while (following.hasRemaining()) {
+            // It is no body, or its head would have been taken by now.
+            head.scan(following);
+        }
+        head.scan(bytes);
+        following = bytes.hasRemaining() ? copy(bytes) : NOTHING;
+        check("head", head);
+        take(head.memoryBytes());
+    }
+
+    private void receivedInChunks(ByteBuffer bytes) throws IOException {
+        chunks.scan(bytes);
+        if (chunks.overhead() > MAX_CHUNK_HEADER_BYTES + CHUNK_HEADER_BYTES_PER_BYTE * chunks.data()) {
+            refuse("chunk headers of " + chunks.overhead() + " bytes came with " + chunks.data() + " bytes of data");
+        }
+        HeadLines trailer = chunks.trailer();
+        if (trailer.bytes() > 0) {
+            check("trailer", trailer);
+            take(head.memoryBytes() + trailer.memoryBytes());
+        }
+    }
+
+    private static ByteBuffer copy(ByteBuffer bytes) {
+        return ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
+    }
+
+    // -- refusals
+
+    private void check(String what, HeadLines lines) throws IOException {
+        if (lines.bytes() > MAX_BYTES || lines.fields() > MAX_FIELDS) {
+            refuse("a " + what + " of more than " + (lines.bytes() - 1) + " bytes and " + lines.fields() + " fields");
+        }
+    }
+
+    private void take(long memoryBytes) throws IOException {
+        if (!share.reading(memoryBytes)) {
+            throw new IOException(refusal.orElse("no memory is left for its message"));
+        }
+    }
+
+    private void refuse(String reason) throws IOException {
+        refusal = Optional.of(reason);
+        log(reason);
+        end();
+        throw new IOException(reason);
+    }
+
+    /** Called by whichever thread needs the memory. */
+    private void onNoRoom() {
+        String reason =
+                "no memory is left for a message of " + head.bytes() + " bytes and " + head.fields() + " fields";
+        refusal = Optional.of(reason);
+        log(reason);
+        thread.execute(close);
+    }
+
+    private void log(String reason) {
+        LOG.warn("event=message_refused peer={} action=closed why=\"{}\"", peer.get(), reason);
+    }
+}
--- a/src/test/java/org/micabarrow/transport/ConnectionPoolTest.java
+++ b/src/test/java/org/micabarrow/transport/ConnectionPoolTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
+import org.micabarrow.memory.MessageMemory;
 
 /** Which idle connections are reused. */
 class ConnectionPoolTest {
@@ -19,9 +20,9 @@
     private final ConnectionPool pool = new ConnectionPool(4, now::get);
 
     /** A connection that is open until it is closed, and does nothing. */
-    private static ClientConnection connection() {
+    private static HttpConnection connection() {
         AtomicBoolean open = new AtomicBoolean(true);
-        return (ClientConnection) Proxy.newProxyInstance(
+        ClientConnection client = (ClientConnection) Proxy.newProxyInstance(
                 ClientConnection.class.getClassLoader(),
                 new Class<?>[] {ClientConnection.class},
                 (self, method, arguments) -> switch (method.getName()) {
@@ -35,12 +36,15 @@
                     case "hashCode" -> System.identityHashCode(self);
                     default -> throw new UnsupportedOperationException(method.getName());
                 });
+        MessageBytes bytes =
+                new MessageBytes(HeadLines.Kind.RESPONSE, MessageMemory.ofProcess(), Runnable::run, () -> ADDRESS);
+        return new HttpConnection(client, bytes);
     }
 
     @Test
     void shouldReuseMostRecentlyUsedConnectionFirst() {
-        ClientConnection first = connection();
-        ClientConnection last = connection();
+        HttpConnection first = connection();
+        HttpConnection last = connection();
         pool.release(ADDRESS, first);
         pool.release(ADDRESS, last);
         assertEquals(Optional.of(last), pool.acquire(ADDRESS));
@@ -50,10 +54,10 @@
 
     @Test
     void shouldCloseConnectionWhenIdleForTooLong() {
-        ClientConnection stale = connection();
+        HttpConnection stale = connection();
         pool.release(ADDRESS, stale);
         now.addAndGet(4_000);
-        ClientConnection fresh = connection();
+        HttpConnection fresh = connection();
         pool.release(ADDRESS, fresh);
         now.addAndGet(1);
         assertEquals(Optional.of(fresh), pool.acquire(ADDRESS));
@@ -63,8 +67,8 @@
 
     @Test
     void shouldCloseAllConnectionsToAddressWhenOneWasUnresponsive() {
-        ClientConnection idle = connection();
-        ClientConnection otherAddress = connection();
+        HttpConnection idle = connection();
+        HttpConnection otherAddress = connection();
         pool.release(ADDRESS, idle);
         pool.release("10.0.0.2:80", otherAddress);
         pool.closeIdle(ADDRESS);
--- /dev/null
+++ b/src/test/java/org/micabarrow/transport/SmallHeapProcess.java
@@ -0,0 +1,84 @@
+package org.micabarrow.transport;
+
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import org.micabarrow.state.Fault;
+import org.micabarrow.state.Result;
+import org.xnio.XnioWorker;
+
+/** A process with a small heap that sends requests to servers, some of which answer without an end, or serves clients. */
+final class SmallHeapProcess {
+
+    /** How many requests are in progress at each server whose answers have no end. */
+    private static final int HELD_PER_SERVER = 16;
+
+    /** Sound requests, one after the other. */
+    private static final int SOUND_REQUESTS = 50;
+
+    private static final long PAUSE_MILLIS = 20;
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    private SmallHeapProcess() {}
+
+    /**
+     * Runs until all sound requests are answered, or serves until its input ends.
+     *
+     * @param arguments "calls", the sound server's address and those of the others; or "serves" and an address
+     * @throws Exception if it is interrupted or cannot serve
+     */
+    public static void main(String[] arguments) throws Exception {
+        XnioWorker worker = HttpClient.worker("traffic", 1);
+        if (arguments[0].equals("serves")) {
+            serve(arguments[1], worker);
+        } else {
+            call(List.of(arguments).subList(1, arguments.length), worker);
+        }
+    }
+
+    private static void serve(String address, XnioWorker worker) throws IOException {
+        HttpListener.startOnWorker(
+                address,
+                HttpListener.Limits.defaults(),
+                worker,
+                exchange -> exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, 0));
+        System.out.println("serves");
+        while (System.in.read() >= 0) {
+            Thread.onSpinWait();
+        }
+        System.exit(0);
+    }
+
+    private static void call(List<String> addresses, XnioWorker worker) throws InterruptedException {
+        HttpClient client = HttpClient.onWorker(worker, HELD_PER_SERVER);
+        for (String address : addresses.subList(1, addresses.size())) {
+            for (int i = 0; i < HELD_PER_SERVER; i++) {
+                sendAgainAndAgain(client, get(address));
+            }
+        }
+        int answered = 0;
+        for (int i = 0; i < SOUND_REQUESTS; i++) {
+            if (client.call(get(addresses.getFirst()), TIMEOUT) instanceof Result.Success) {
+                answered++;
+            }
+            Thread.sleep(PAUSE_MILLIS);
+        }
+        System.out.println("answered " + answered + " of " + SOUND_REQUESTS);
+        System.exit(0);
+    }
+
+    private static HttpCall get(String address) {
+        return HttpCall.get(Fault.Step.RUN, URI.create("http://" + address + "/"));
+    }
+
+    private static void sendAgainAndAgain(HttpClient client, HttpCall call) {
+        client.send(call, new IgnoringListener() {
+            @Override
+            public void onFailed(Fault fault, boolean sent) {
+                sendAgainAndAgain(client, call);
+            }
+        });
+    }
+}
