What an endpoint stated is kept while it is not listed

Cause: EndpointSelector.retainOnly, in each round of the poller, forgot the load of every start that was not listed at that moment: backoff, limits, failures, speed and version.

The contact with its agent, which is not asked meanwhile, begins anew when it is listed again.

--- a/src/main/java/org/micabarrow/routing/EndpointLoad.java
+++ b/src/main/java/org/micabarrow/routing/EndpointLoad.java
@@ -20,7 +20,7 @@
     private int inFlightWhenReported;
     private boolean restarted;
     private long version;
-    private final AgentContact contact = new AgentContact();
+    private AgentContact contact = new AgentContact();
     private final FailureTracker failures = new FailureTracker();
     private final Backoff backoff = new Backoff();
     private final EndpointSpeed speed;
@@ -111,6 +111,11 @@
         return contact;
     }
 
+    /** Records that the endpoint's agent is no longer queried: its silence says nothing from now on. */
+    void contactEnded() {
+        contact = new AgentContact();
+    }
+
     /**
      * Records a report of the endpoint's agent.
      *
--- a/src/main/java/org/micabarrow/routing/EndpointSelector.java
+++ b/src/main/java/org/micabarrow/routing/EndpointSelector.java
@@ -3,13 +3,14 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 import org.micabarrow.limits.EndpointRateLimit;
 import org.micabarrow.limits.EntryCount;
 
@@ -19,7 +20,14 @@
  */
 public final class EndpointSelector {
 
+    /** Maximum number of starts remembered that are not listed: about a megabyte, and more than come and go within minutes. */
+    private static final int MAX_UNLISTED = 1_000;
+
     private final Map<EndpointStart, EndpointLoad> loads = new HashMap<>();
+
+    /** The starts that are not listed and have no request in flight, in the order in which they left. */
+    private final Set<EndpointStart> unlisted = new LinkedHashSet<>();
+
     private final UnmetDemand unmetDemand = new UnmetDemand();
     private final EntryCount entryCount = new EntryCount();
     private final StreamGaps streamGaps = new StreamGaps();
@@ -105,17 +113,39 @@
     }
 
     /**
-     * Forgets endpoints that are no longer listed or have restarted, once no request is in flight there. Endpoints with
-     * requests in flight are kept, so that their unresponsiveness can still be detected.
+     * Ends the contact with endpoints that are no longer listed, once no request is in flight there: until then their
+     * unresponsiveness can still be detected. What they have stated and what was learned of them is kept, since the same
+     * start may be listed again: an endpoint that loses its contact to the store stays in the backoff that it asked for.
+     * It is forgotten when a later start is listed, or when too many others have left since.
      *
      * @param present the listed endpoints
      */
     public void retainOnly(Collection<EndpointRegistration> present) {
-        Set<EndpointStart> starts =
-                present.stream().map(EndpointRegistration::start).collect(Collectors.toSet());
-        loads.entrySet()
-                .removeIf(entry ->
-                        !starts.contains(entry.getKey()) && entry.getValue().idle());
+        Map<String, EndpointStart> listed = new HashMap<>();
+        present.forEach(endpoint -> listed.put(endpoint.id(), endpoint.start()));
+        unlisted.removeAll(listed.values());
+        loads.entrySet().removeIf(entry -> {
+            Optional<EndpointStart> current =
+                    Optional.ofNullable(listed.get(entry.getKey().id()));
+            return entry.getValue().idle() && !current.equals(Optional.of(entry.getKey())) && leave(entry, current);
+        });
+        while (unlisted.size() > MAX_UNLISTED) {
+            EndpointStart earliest = unlisted.iterator().next();
+            unlisted.remove(earliest);
+            loads.remove(earliest);
+        }
+    }
+
+    /** Records that a start is not listed, and returns whether it is to be forgotten. */
+    private boolean leave(Map.Entry<EndpointStart, EndpointLoad> left, Optional<EndpointStart> current) {
+        if (current.filter(start -> start.isLaterThan(left.getKey())).isPresent()) {
+            unlisted.remove(left.getKey());
+            return true;
+        }
+        if (unlisted.add(left.getKey())) {
+            left.getValue().contactEnded();
+        }
+        return false;
     }
 
     // -- draining
--- a/src/main/java/org/micabarrow/routing/EndpointStart.java
+++ b/src/main/java/org/micabarrow/routing/EndpointStart.java
@@ -50,6 +50,18 @@
         return new EndpointStart(id, OptionalLong.empty());
     }
 
+    /**
+     * Returns whether this start came after another.
+     *
+     * @param other another start of the same endpoint
+     * @return false also if one of the two times is not reported
+     */
+    public boolean isLaterThan(EndpointStart other) {
+        return startedMillis.isPresent()
+                && other.startedMillis.isPresent()
+                && startedMillis.getAsLong() > other.startedMillis.getAsLong();
+    }
+
     /**
      * Returns the token by which an agent identifies the start of its endpoint.
      *
--- a/src/test/java/org/micabarrow/routing/EndpointSelectorTest.java
+++ b/src/test/java/org/micabarrow/routing/EndpointSelectorTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -10,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 class EndpointSelectorTest {
@@ -290,4 +292,76 @@
         selector.retainOnly(List.of(started(9_000, 1)));
         assertEquals(0, selector.load(former).version());
     }
+
+    // -- endpoints that are not listed for a while
+
+    @Test
+    void shouldStayInBackoffWhenSameStartIsListedAgain() {
+        selector.load(started(5_000, 1).start()).backoff().requested(20_000, NOW);
+        selector.retainOnly(List.of());
+        selector.retainOnly(List.of(started(5_000, 1)));
+        assertTrue(selector.inBackoff(started(5_000, 1), NOW + 19_999));
+        assertFalse(selector.inBackoff(started(5_000, 1), NOW + 20_000));
+    }
+
+    @Test
+    void shouldStayInBackoffWhenEndpointWithoutStartTimeIsListedAgain() {
+        selector.load("a").backoff().requested(20_000, NOW);
+        selector.retainOnly(List.of(endpoint("b")));
+        selector.retainOnly(List.of(endpoint("a"), endpoint("b")));
+        assertTrue(selector.inBackoff(endpoint("a"), NOW + 19_999));
+    }
+
+    @Test
+    void shouldStayEjectedAndLimitedWhenSameStartIsListedAgain() {
+        EndpointLoad load = selector.load(started(5_000, 1).start());
+        load.failures().connectionFailed(NOW);
+        load.respondedWithVersion(3);
+        selector.retainOnly(List.of());
+        selector.retainOnly(List.of(started(5_000, 1)));
+        assertTrue(selector.ejected(started(5_000, 1), NOW + 500));
+        assertSame(load.rateLimit(), selector.load(started(5_000, 1).start()).rateLimit());
+        assertEquals(3, selector.load(started(5_000, 1).start()).version());
+    }
+
+    @Test
+    void shouldStayInBackoffWhenOlderStartIsListedMeanwhile() {
+        selector.load(started(9_000, 1).start()).backoff().requested(20_000, NOW);
+        selector.retainOnly(List.of(started(5_000, 1)));
+        selector.retainOnly(List.of(started(9_000, 1)));
+        assertTrue(selector.inBackoff(started(9_000, 1), NOW + 19_999));
+    }
+
+    @Test
+    void shouldNotSeemUnresponsiveWhenListedAgain() {
+        EndpointLoad load = selector.load(started(5_000, 1).start());
+        load.reported(new LoadReport(0, 0, false, 1), 10, NOW);
+        selector.retainOnly(List.of());
+        selector.retainOnly(List.of(started(5_000, 1)));
+        assertFalse(selector.unresponsive(started(5_000, 1), NOW + 60_000));
+    }
+
+    @Test
+    void shouldSeemUnresponsiveWhenUnlistedWithRequestInFlight() {
+        EndpointLoad load = selector.load(started(5_000, 1).start());
+        load.requestSent(10);
+        load.reported(new LoadReport(0, 0, false, 1), 10, NOW);
+        selector.retainOnly(List.of());
+        assertTrue(selector.unresponsive(started(5_000, 1), NOW + 60_000));
+    }
+
+    @Test
+    void shouldForgetThoseThatLeftFirstWhenThousandsComeAndGo() {
+        int starts = 3_000;
+        for (int i = 0; i < starts; i++) {
+            selector.load(String.valueOf(i)).backoff().requested(20_000, NOW);
+            selector.retainOnly(List.of());
+        }
+        List<Integer> kept = IntStream.range(0, starts)
+                .filter(i -> selector.inBackoff(endpoint(String.valueOf(i)), NOW))
+                .boxed()
+                .toList();
+        assertEquals(1_000, kept.size());
+        assertEquals(starts - 1_000, kept.getFirst());
+    }
 }
