A client's leaving is noticed behind the requests that it sent ahead

Cause: ClientDisconnectDetector suspended reads at the first byte of a next request, and read nothing where some were there already, so the end of the connection behind them was not seen.

Change: the connection is read on; what comes is kept in order, up to 256 KiB and counted as held for the client, and dropped when the connection ends. A request is begun only after one more look at its connection.

--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -58,6 +58,10 @@
     }
 
     void begin() {
+        if (finished) {
+            // Its client left before it was reached.
+            return;
+        }
         deadlineTimer =
                 Optional.of(thread.executeAfter(() -> end("time is up"), times.maxHoldMillis(), TimeUnit.MILLISECONDS));
         context.inFlight().add(this);
--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -272,7 +272,7 @@
         ClientResponse response = new ClientResponse(exchange, memory);
         ServedRequest served = new ServedRequest(context, request, response, exchange.getIoThread());
         response.onEnd(served::end, served::onClientDisconnected);
-        ClientDisconnectDetector.start(exchange, served::onClientDisconnected);
+        ClientDisconnectDetector.start(exchange, memory, served::onClientDisconnected);
         served.begin();
     }
 
