A client's leaving is noticed also while no memory is left

Seen in reading the change before: where as much was held as may be, reads were suspended for every client, not only for those that had sent requests ahead, so none of their leavings was noticed.

Change: the limit ends reading ahead only where something was read ahead.

Evidence: RequestsSentAheadTest.shouldCancelWhenClientLeavesAndNoMemoryIsLeft, not noticed in 40 s before; the class is green after.

--- a/src/main/java/org/micabarrow/serving/ClientMemory.java
+++ b/src/main/java/org/micabarrow/serving/ClientMemory.java
@@ -88,13 +88,15 @@
 
     /** Sets what was read of the requests that follow an exchange's own; false if there is no room for more. */
     boolean holdAhead(HttpServerExchange exchange, long aheadBytes) {
-        if (aheadBytes > 0) {
-            CurrentHolds holds = holds(exchange);
-            if (holds.ahead.isEmpty()) {
-                holds.ahead = Optional.of(held.holdBody());
-            }
-            holds.ahead.get().set(aheadBytes);
+        if (aheadBytes == 0) {
+            // Only by reading does the end of the connection show.
+            return true;
         }
+        CurrentHolds holds = holds(exchange);
+        if (holds.ahead.isEmpty()) {
+            holds.ahead = Optional.of(held.holdBody());
+        }
+        holds.ahead.get().set(aheadBytes);
         return held.bytes() < held.limitBytes();
     }
 
--- a/src/test/java/org/micabarrow/serving/RequestsSentAheadTest.java
+++ b/src/test/java/org/micabarrow/serving/RequestsSentAheadTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.micabarrow.Await;
 import org.micabarrow.SocketText;
+import org.micabarrow.memory.HeldBytes;
 import org.micabarrow.platform.standin.HostedEndpointStandin.Behaviour;
 import org.micabarrow.transport.Addresses;
 
@@ -89,6 +90,20 @@
         assertEquals(2, received("plain-1"), "none of those sent ahead");
     }
 
+    @Test
+    void shouldCancelWhenClientLeavesAndNoMemoryIsLeft() throws Exception {
+        held = new HeldBytes(0);
+        addEndpoint();
+        serveWithoutVersions();
+        platform.enqueueBehaviour(Behaviour.NEVER_ANSWER);
+        try (Socket leaving = connect()) {
+            leaving.getOutputStream().write(request("first", 0));
+            Await.until("the first request", () -> received("plain-1") == 1);
+        }
+        Await.until(
+                "its end at the endpoint", () -> platform.endpoint("plain-1").unansweredCount() == 0);
+    }
+
     /** All come in one packet, so the second is there when the first is begun. */
     @Test
     void shouldCancelWhenClientLeavesThatSentRequestsTogether() throws Exception {
