An exchange of which nothing has come is not closed for want of memory

Seen: in a harder form of SmallFieldsTest (256 parts of heads below the bounds of one message, sent again whenever they are closed) one of 200 sound calls failed in two of four runs: "no memory is left for a message of 0 bytes and 0 fields".

Cause: a read that found nothing entered the exchange among those that are not read to their end, as the one begun first, so a sound one that waited for its answer was closed before those that filled the memory.

Change: with nothing read an exchange is not entered; unfinished messages of ordinary size come last, after the larger ones, unfinished or read.

--- a/src/main/java/org/micabarrow/memory/MessageMemory.java
+++ b/src/main/java/org/micabarrow/memory/MessageMemory.java
@@ -6,11 +6,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 
 /**
  * Counts what the heads and trailers of all messages that a process reads, or whose exchange goes on, take up in memory. When
  * they exceed the limit, messages are ended: first those that are not read to their end, the one begun earliest first, since a
- * sound one ends at once; then the largest of those read, unless they have an ordinary size. Thread-safe.
+ * sound one ends at once; then the largest of those read; then those of ordinary size that are not read to their end. One of
+ * ordinary size that was read is never ended. Thread-safe.
  *
  * <pre>{@code
  * MessageMemory.Share share = memory.share(() -> closeConnection());
@@ -90,12 +92,12 @@
         /**
          * Sets what a message takes up that is not read to its end.
          *
-         * @param now bytes
+         * @param now bytes; with 0 nothing of it has come
          * @return false if it was ended to make room
          */
         public boolean reading(long now) {
             synchronized (MessageMemory.this) {
-                if (!ended) {
+                if (!ended && now > 0) {
                     set(now);
                     large.remove(this);
                     unfinished.add(this);
@@ -162,14 +164,17 @@
         }
     }
 
-    /** Spares the growing message while it has an ordinary size: it may be a sound one that has just begun. */
+    /** Those of ordinary size come last, and never the growing one: it may be a sound one that has just begun. */
     private Optional<Share> nextToEnd(Share growing) {
         if (total.get() <= limitBytes) {
             return Optional.empty();
         }
-        Optional<Share> earliest = unfinished.stream()
-                .filter(share -> share != growing || share.bytes > ORDINARY_BYTES)
-                .findFirst();
-        return earliest.or(() -> large.stream().max(Comparator.comparingLong(share -> share.bytes)));
+        return earliestUnfinished(share -> share.bytes > ORDINARY_BYTES)
+                .or(() -> large.stream().max(Comparator.comparingLong(share -> share.bytes)))
+                .or(() -> earliestUnfinished(share -> share != growing));
+    }
+
+    private Optional<Share> earliestUnfinished(Predicate<Share> condition) {
+        return unfinished.stream().filter(condition).findFirst();
     }
 }
