Logs tell how the answer to a client is framed, and whether its connection is kept

A broken stream was logged as outcome=broken, whether its client saw chunks without the last one or a graceful end. finished has toClient=LENGTH, CHUNKS or CONNECTION and kept=true or false now, the audit line of the own path toCaller and kept.

--- a/src/main/java/org/micabarrow/serving/ClientResponse.java
+++ b/src/main/java/org/micabarrow/serving/ClientResponse.java
@@ -10,6 +10,7 @@
 import org.micabarrow.serving.EndpointProtocol.ResponseHead;
 import org.micabarrow.transport.HeaderMaps;
 import org.micabarrow.transport.ResponseAbort;
+import org.micabarrow.transport.ResponseFraming;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
@@ -60,6 +61,13 @@
         return started;
     }
 
+    /** How the client recognises the end of the response, and whether its connection is kept, for the log. */
+    String describe() {
+        // What has not begun is sent with its length.
+        ResponseFraming framing = started ? ResponseFraming.of(exchange) : ResponseFraming.LENGTH;
+        return "toClient=" + framing + " kept=" + exchange.isPersistent();
+    }
+
     /** Whether nothing more can be written. */
     boolean finished() {
         return finished;
--- a/src/main/java/org/micabarrow/serving/RequestLog.java
+++ b/src/main/java/org/micabarrow/serving/RequestLog.java
@@ -131,12 +131,17 @@
                 liveness.evidence());
     }
 
-    void finished(String outcome, String reason, int attempts, long millis, long remainingMillis) {
+    /**
+     * Logs the end of the request.
+     *
+     * @param toClient how the client recognises the end of its response
+     */
+    void finished(String outcome, String reason, int attempts, long millis, long remainingMillis, String toClient) {
         RequestSize size = request.size();
         LOG.info(
                 "event=finished request={} route={} organisation={} outcome={} attempts={} promptTokens={}"
                         + " maxAnswerTokens={} size={} sinceFirstTryMs={} firstMs={} pauseMs={} forwarded={} ms={}"
-                        + " leftMs={} why=\"{}\"",
+                        + " leftMs={} {} why=\"{}\"",
                 request.id(),
                 request.route().name(),
                 request.organisation().orElse("-"),
@@ -151,6 +156,7 @@
                 eventTimes.forwarded(),
                 millis,
                 remainingMillis,
+                toClient,
                 reason);
     }
 }
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -402,7 +402,8 @@
         deadlineTimer.ifPresent(XnioExecutor.Key::remove);
         context.metrics().countOutcome(outcome);
         band.ifPresent(one -> context.metrics().countSize(one, outcome.logName()));
-        log.finished(outcome.logName(), reason, attempts.count(), elapsedMillis(), remainingMillis());
+        log.finished(
+                outcome.logName(), reason, attempts.count(), elapsedMillis(), remainingMillis(), response.describe());
         switch (outcome) {
             case NOT_RUN ->
                 response.sendOwn(
--- a/src/main/java/org/micabarrow/transport/callers/CallerResponse.java
+++ b/src/main/java/org/micabarrow/transport/callers/CallerResponse.java
@@ -22,6 +22,7 @@
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
 import org.micabarrow.transport.ResponseAbort;
+import org.micabarrow.transport.ResponseFraming;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
@@ -205,7 +206,7 @@
     private void logAudit(Outcome outcome) {
         AUDIT.info(
                 "request={} organisation={} workload={} outcome={} instance={} hall={} region={} version={} "
-                        + "generation={} attempt={}{}",
+                        + "generation={} attempt={} toCaller={} kept={}{}",
                 requestId,
                 request.map(parsed -> parsed.organisation().name()).orElse("-"),
                 request.map(CallerRequest::workload).orElse("-"),
@@ -216,6 +217,8 @@
                 head.map(ResponseHead::version).orElse("-"),
                 head.map(ResponseHead::generation).orElse(-1L),
                 head.map(ResponseHead::attempt).orElse("-"),
+                head.isPresent() ? ResponseFraming.of(exchange) : ResponseFraming.LENGTH,
+                exchange.isPersistent(),
                 reasonSuffix(outcome));
     }
 
