An answer that breaks off looks incomplete also if its connection is not kept

What callers saw: streams, and plain bodies of over 256 KiB, that ended with 200 and a graceful close in the middle, so that they took them for whole. Callers that send Connection: close, and callers with any connection whose request came after the entry began to stop; whether the endpoint broke off, the entry was killed, the grace was over or the caller's time was up.

Cause: the server sends an answer without a length in chunks only if its connection is kept. Otherwise the end of the connection is the end of the answer, and an abort looks like it. The reset that makes it visible was set for HTTP/1.0 alone.

Why it works: with HTTP/1.1 each answer without a stated length goes in chunks, whether its connection is kept or not, so that only the last chunk completes it, whatever closes the connection. What has no chunks, HTTP/1.0 and versions that are not known, is reset as before.

--- a/src/main/java/org/micabarrow/serving/ClientResponse.java
+++ b/src/main/java/org/micabarrow/serving/ClientResponse.java
@@ -9,7 +9,6 @@
 import org.micabarrow.memory.HeldBytes;
 import org.micabarrow.serving.EndpointProtocol.ResponseHead;
 import org.micabarrow.transport.HeaderMaps;
-import org.micabarrow.transport.ResponseAbort;
 import org.micabarrow.transport.ResponseFraming;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -93,7 +92,7 @@
 
         @Override
         public void onTaken() {
-            ResponseAbort.closeGracefully(exchange);
+            ResponseFraming.complete(exchange);
             exchange.endExchange();
         }
 
@@ -113,8 +112,12 @@
 
     /** Starts a response; its body follows. */
     void start(ResponseHead head) {
+        setHead(head);
+        ResponseFraming.begin(exchange);
+    }
+
+    private void setHead(ResponseHead head) {
         started = true;
-        ResponseAbort.resetUnlessDelimited(exchange);
         exchange.setStatusCode(head.status());
         HeaderMaps.putAll(exchange.getResponseHeaders(), head.forwardedHeaders());
     }
@@ -138,7 +141,7 @@
 
     /** Sends a response that is already complete. */
     void sendWhole(ResponseHead head, byte[] body) {
-        start(head);
+        setHead(head);
         exchange.setResponseContentLength(body.length);
         buffered.release();
         end(body);
@@ -168,7 +171,6 @@
     /** Closes the connection during the response, so that the client can detect that it is incomplete. */
     void abort() {
         finished = true;
-        ResponseAbort.resetUnlessDelimited(exchange);
         unread.close();
         buffered.release();
         IoUtils.safeClose(exchange.getConnection());
--- a/src/main/java/org/micabarrow/transport/callers/CallerResponse.java
+++ b/src/main/java/org/micabarrow/transport/callers/CallerResponse.java
@@ -21,7 +21,6 @@
 import org.micabarrow.coordination.requests.CallerRequest;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
-import org.micabarrow.transport.ResponseAbort;
 import org.micabarrow.transport.ResponseFraming;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -93,7 +92,7 @@
     @Override
     public void onHead(ResponseHead newHead) {
         head = Optional.of(newHead);
-        ResponseAbort.resetUnlessDelimited(exchange);
+        ResponseFraming.begin(exchange);
         exchange.setStatusCode(newHead.status());
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, newHead.contentType());
         setHeader("Request", requestId);
@@ -131,7 +130,7 @@
         logAudit(outcome);
         switch (outcome) {
             case Outcome.Answered ignored -> {
-                ResponseAbort.closeGracefully(exchange);
+                ResponseFraming.complete(exchange);
                 exchange.endExchange();
             }
             case Outcome.NotRun(Fault fault, Duration retryAfter) -> sendNotRun(fault, retryAfter);
@@ -178,7 +177,6 @@
     }
 
     private void closeIncomplete() {
-        ResponseAbort.resetUnlessDelimited(exchange);
         IoUtils.safeClose(exchange.getConnection());
     }
 
