--- a/src/test/java/org/micabarrow/AnswerReader.java
+++ b/src/test/java/org/micabarrow/AnswerReader.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
@@ -25,11 +24,10 @@
     /**
      * Creates a reader.
      *
-     * @param connection a connection on which a request has been sent; its timeout ends a test that hangs
-     * @throws IOException if the connection is closed
+     * @param in the input of a connection on which a request has been sent; its timeout ends a test that hangs
      */
-    public AnswerReader(Socket connection) throws IOException {
-        this.in = Objects.requireNonNull(connection, "connection is null").getInputStream();
+    public AnswerReader(InputStream in) {
+        this.in = Objects.requireNonNull(in, "in is null");
     }
 
     /**
--- a/src/test/java/org/micabarrow/serving/IncompleteAnswerTest.java
+++ b/src/test/java/org/micabarrow/serving/IncompleteAnswerTest.java
@@ -160,7 +160,7 @@
                 + "Model: model-a\r\nToken-Count: 100,20\r\nDeadline-Ms: " + deadlineMillis + "\r\n" + asking.fields
                 + "Content-Length: 6\r\n\r\na body";
         client.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-        return new AnswerReader(client);
+        return new AnswerReader(client.getInputStream());
     }
 
     private AnswerReader ask(Socket client, Asking asking, Content content, long deadlineMillis) throws Exception {
--- a/src/test/java/org/micabarrow/serving/KilledEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/KilledEntryTest.java
@@ -1,6 +1,7 @@
 package org.micabarrow.serving;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
@@ -10,6 +11,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.micabarrow.AnswerReader;
 import org.micabarrow.SocketText;
 
 /** A response of an entry that is killed must not look complete to its client. */
@@ -30,13 +34,38 @@
         return process;
     }
 
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0)) {
+            return free.getLocalPort();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+                "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"
+            })
+    void shouldNotLookCompleteWhenEntryIsKilledWithinStream(String request) throws Exception {
+        int port = freePort();
+        Process process = startStreamingProcess(port);
+        try (Socket client = new Socket("127.0.0.1", port)) {
+            client.setSoTimeout(HANG_MILLIS);
+            client.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            AnswerReader answer = new AnswerReader(client.getInputStream());
+            answer.readUntil(StreamingProcess.FIRST_PART);
+            process.destroyForcibly();
+            assertFalse(answer.readsComplete(), answer::text);
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     /** HTTP/1.0 has no chunks: the system's graceful close would end the body. */
     @Test
     void shouldResetConnectionOfOldClientWhenEntryIsKilledWithinStream() throws Exception {
-        int port;
-        try (ServerSocket free = new ServerSocket(0)) {
-            port = free.getLocalPort();
-        }
+        int port = freePort();
         Process process = startStreamingProcess(port);
         try (Socket client = new Socket("127.0.0.1", port)) {
             client.setSoTimeout(HANG_MILLIS);
