--- a/src/main/java/org/micabarrow/transport/callers/CallerResponse.java
+++ b/src/main/java/org/micabarrow/transport/callers/CallerResponse.java
@@ -21,7 +21,7 @@
 import org.micabarrow.coordination.requests.CallerRequest;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
-import org.micabarrow.transport.ResponseAbort;
+import org.micabarrow.transport.ResponseFraming;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
@@ -92,7 +92,7 @@
     @Override
     public void onHead(ResponseHead newHead) {
         head = Optional.of(newHead);
-        ResponseAbort.resetUnlessDelimited(exchange);
+        ResponseFraming.begin(exchange);
         exchange.setStatusCode(newHead.status());
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, newHead.contentType());
         setHeader("Request", requestId);
@@ -130,7 +130,7 @@
         logAudit(outcome);
         switch (outcome) {
             case Outcome.Answered ignored -> {
-                ResponseAbort.closeGracefully(exchange);
+                ResponseFraming.complete(exchange);
                 exchange.endExchange();
             }
             case Outcome.NotRun(Fault fault, Duration retryAfter) -> sendNotRun(fault, retryAfter);
@@ -177,7 +177,6 @@
     }
 
     private void closeIncomplete() {
-        ResponseAbort.resetUnlessDelimited(exchange);
         IoUtils.safeClose(exchange.getConnection());
     }
 
@@ -205,7 +204,7 @@
     private void logAudit(Outcome outcome) {
         AUDIT.info(
                 "request={} organisation={} workload={} outcome={} instance={} hall={} region={} version={} "
-                        + "generation={} attempt={}{}",
+                        + "generation={} attempt={} toCaller={} kept={}{}",
                 requestId,
                 request.map(parsed -> parsed.organisation().name()).orElse("-"),
                 request.map(CallerRequest::workload).orElse("-"),
@@ -216,6 +215,8 @@
                 head.map(ResponseHead::version).orElse("-"),
                 head.map(ResponseHead::generation).orElse(-1L),
                 head.map(ResponseHead::attempt).orElse("-"),
+                head.isPresent() ? ResponseFraming.of(exchange) : ResponseFraming.LENGTH,
+                exchange.isPersistent(),
                 reasonSuffix(outcome));
     }
 
