A connection holds its current request alone

What callers saw: nothing at first. An entry's memory grew with each request on a connection that its client keeps open, and was free again only when the client closed it. Bodies held so are not counted (memory.heldBytes).

Cause: for each request ClientDisconnectDetector added a close listener to the connection, which the server keeps until the close. Each held its request with its body, its exchange and its response.

Evidence: after 1,000 requests on one connection a class histogram shows 1,000 of ServedRequest, 1,000 of ClientRequest and 1,002 of HttpServerExchange (a trial).

Why it works: a connection serves one request at a time. One listener for each connection tells the current request, as ClientMemory and CallerHandler do.

--- a/src/main/java/org/micabarrow/serving/ClientDisconnectDetector.java
+++ b/src/main/java/org/micabarrow/serving/ClientDisconnectDetector.java
@@ -2,7 +2,9 @@
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
 import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.AttachmentKey;
 import io.undertow.util.ImmediatePooledByteBuffer;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -24,6 +26,7 @@
     static final int MAX_AHEAD_BYTES = 256 * 1024;
 
     private static final Logger LOG = LoggerFactory.getLogger("org.micabarrow.request");
+    private static final AttachmentKey<Runnable> CURRENT = AttachmentKey.create(Runnable.class);
 
     private final HttpServerExchange exchange;
     private final HttpServerConnection connection;
@@ -47,7 +50,7 @@
      *     when its client has left
      */
     static void start(HttpServerExchange exchange, ClientMemory memory, Runnable onDisconnect) {
-        exchange.getConnection().addCloseListener(closed -> onDisconnect.run());
+        observeClose(exchange.getConnection(), onDisconnect);
         if (exchange.getConnection() instanceof HttpServerConnection connection) {
             ClientDisconnectDetector detector =
                     new ClientDisconnectDetector(exchange, connection, memory, onDisconnect);
@@ -60,6 +63,15 @@
         }
     }
 
+    /** A connection keeps its close listeners, and serves one exchange at a time, so one listener is enough for all of them. */
+    private static void observeClose(ServerConnection connection, Runnable onDisconnect) {
+        boolean first = connection.getAttachment(CURRENT) == null;
+        connection.putAttachment(CURRENT, onDisconnect);
+        if (first) {
+            connection.addCloseListener(closed -> closed.getAttachment(CURRENT).run());
+        }
+    }
+
     private void onReadable(ConduitStreamSourceChannel source) {
         try {
             boolean mayHaveMore = hasRoom(source);
