A caller's leaving is noticed while its request runs, also with TLS

What callers saw: on the project's own path a request ran on at its agent after its caller had left, until the answer was written. Requests sent ahead by a caller that had left ran too.

Cause: CallerHandler heard of a connection that was closed, and nothing read the connection while a request ran, so its end was not seen. The detector that the users' path has was part of the serving package, which transport does not know.

What was changed: serving.ClientDisconnectDetector is transport.DisconnectDetector, used by both. It is given the count of held bytes and counts itself what it reads ahead (before: ClientMemory). The own path hands in a twelfth of the heap for all callers; 256 KiB on a connection, as before. A request is begun only after a look at its connection. ThreadedResponse hands what agents answer to the thread of the connection: that thread reads now, and a connection with TLS can't be read by one thread and written by another; the server would also begin a request that was sent ahead on a third one.

A caller that ends its side alone counts as gone, as on the users' path. Past 256 KiB sent ahead the leaving is noticed when the current request is answered, and what was read of the next is begun. A claimed attempt runs on, as before.

--- a/src/main/java/org/micabarrow/memory/HeldBytes.java
+++ b/src/main/java/org/micabarrow/memory/HeldBytes.java
@@ -9,8 +9,8 @@
 
 /**
  * Counts the bytes that a process holds for its clients: request bodies, and answers that clients have not taken yet. Before an
- * answer exceeds the limit, the one that holds most is cut. Changed by the traffic thread only; {@link #bytes} may be read by
- * any thread.
+ * answer exceeds the limit, the one that holds most is cut. Answers are counted by the traffic thread only, each body by one
+ * thread at a time; {@link #bytes} may be read by any thread.
  *
  * <pre>{@code
  * HeldBytes.Hold answer = held.holdAnswer(() -> closeConnection());
@@ -126,7 +126,7 @@
             bytes = now;
             if (answer && now > 0) {
                 answers.add(this);
-            } else {
+            } else if (answer) {
                 answers.remove(this);
             }
         }
--- a/src/main/java/org/micabarrow/process/EntryProcess.java
+++ b/src/main/java/org/micabarrow/process/EntryProcess.java
@@ -23,6 +23,7 @@
 import org.micabarrow.coordination.routing.InstanceStats;
 import org.micabarrow.coordination.routing.PrefixIndex;
 import org.micabarrow.coordination.routing.Router;
+import org.micabarrow.memory.HeldBytes;
 import org.micabarrow.protocol.wire.StatusReply;
 import org.micabarrow.settings.EntrySettings;
 import org.micabarrow.state.Links;
@@ -58,6 +59,9 @@
     /** The number of retries that may accumulate while there is little traffic. */
     private static final double MAX_SAVED_RETRIES = 20;
 
+    /** The part of the heap, as a divisor, that requests may take up which callers send before an earlier answer. */
+    private static final long AHEAD_HEAP_DIVISOR = 12;
+
     private final EntrySettings settings;
     private final Node node;
     private final PeerTable table;
@@ -108,7 +112,11 @@
                         node.clock(),
                         Duration.ofMillis(limits.claimMillis())));
         this.callers = new CallerHandler(
-                node.configuration()::current, flow, Node::newId, node.clock(), limits.deadlineMillis());
+                node.configuration()::current, flow, Node::newId, node.clock(), limits.deadlineMillis(), aheadBytes());
+    }
+
+    private static HeldBytes aheadBytes() {
+        return new HeldBytes(Runtime.getRuntime().maxMemory() / AHEAD_HEAP_DIVISOR);
     }
 
     private Function<String, ClaimWriter> claimsByKey() {
--- a/src/main/java/org/micabarrow/serving/ClientMemory.java
+++ b/src/main/java/org/micabarrow/serving/ClientMemory.java
@@ -8,7 +8,6 @@
 import io.undertow.util.AttachmentKey;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import org.micabarrow.memory.BodyAdmission;
 import org.micabarrow.memory.HeldBytes;
 import org.micabarrow.memory.MessageMemory;
@@ -86,20 +85,6 @@
         return answer;
     }
 
-    /** Sets what was read of the requests that follow an exchange's own; false if there is no room for more. */
-    boolean holdAhead(HttpServerExchange exchange, long aheadBytes) {
-        if (aheadBytes == 0) {
-            // Only by reading does the end of the connection show.
-            return true;
-        }
-        CurrentHolds holds = holds(exchange);
-        if (holds.ahead.isEmpty()) {
-            holds.ahead = Optional.of(held.holdBody());
-        }
-        holds.ahead.get().set(aheadBytes);
-        return held.bytes() < held.limitBytes();
-    }
-
     /** Records that an answer was cut. */
     void recordCut(HttpServerExchange exchange, long unreadBytes, String reason) {
         cutAnswers.inc();
@@ -138,7 +123,6 @@
 
         private HttpServerExchange exchange;
         private HeldBytes.Hold body;
-        private Optional<HeldBytes.Hold> ahead = Optional.empty();
         private final List<HeldBytes.Hold> answers = new ArrayList<>();
 
         private CurrentHolds(HeldBytes.Hold body) {
@@ -147,8 +131,6 @@
 
         private void release() {
             body.release();
-            ahead.ifPresent(HeldBytes.Hold::release);
-            ahead = Optional.empty();
             answers.forEach(HeldBytes.Hold::release);
             answers.clear();
             exchange = null;
--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -21,6 +21,7 @@
 import org.micabarrow.routing.EndpointRegistration;
 import org.micabarrow.routing.EndpointSelector;
 import org.micabarrow.routing.RouteManifest;
+import org.micabarrow.transport.DisconnectDetector;
 import org.micabarrow.transport.HttpClient;
 import org.micabarrow.views.View;
 import org.slf4j.Logger;
@@ -58,12 +59,14 @@
     private static final long MEMORY_RETRY_MILLIS = 1_000;
 
     private final ServingContext context;
+    private final HeldBytes held;
     private final ClientMemory memory;
     private final ClientConnections connections = new ClientConnections();
 
     private ServingHandler(Dependencies dependencies) {
         this.context = new ServingContext(dependencies);
-        this.memory = new ClientMemory(dependencies.held(), dependencies.registry());
+        this.held = dependencies.held();
+        this.memory = new ClientMemory(held, dependencies.registry());
     }
 
     /**
@@ -272,7 +275,7 @@
         ClientResponse response = new ClientResponse(exchange, memory);
         ServedRequest served = new ServedRequest(context, request, response, exchange.getIoThread());
         response.onEnd(served::end, served::onClientDisconnected);
-        ClientDisconnectDetector.start(exchange, memory, served::onClientDisconnected);
+        DisconnectDetector.start(exchange, held, served::onClientDisconnected);
         served.begin();
     }
 
--- a/src/main/java/org/micabarrow/transport/callers/CallerHandler.java
+++ b/src/main/java/org/micabarrow/transport/callers/CallerHandler.java
@@ -22,6 +22,7 @@
 import org.micabarrow.coordination.requests.CallerRequest;
 import org.micabarrow.coordination.requests.RequestFlow;
 import org.micabarrow.coordination.routing.PrefixIndex;
+import org.micabarrow.memory.HeldBytes;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Digest;
 import org.micabarrow.state.Fault;
@@ -31,6 +32,7 @@
 import org.micabarrow.state.Organisation;
 import org.micabarrow.state.Result;
 import org.micabarrow.transport.BearerToken;
+import org.micabarrow.transport.DisconnectDetector;
 
 /**
  * Handles callers' HTTP requests: chat completions for models under {@code /v1/chat/completions}, and plain HTTP for
@@ -60,6 +62,7 @@
     private final Supplier<String> requestIds;
     private final InstantSource clock;
     private final long defaultDeadlineMillis;
+    private final HeldBytes aheadBytes;
     private final AtomicInteger openRequests = new AtomicInteger();
     private volatile boolean draining;
 
@@ -71,18 +74,21 @@
      * @param requestIds generates request ids
      * @param clock the time source
      * @param defaultDeadlineMillis the deadline of a request that states none, in milliseconds
+     * @param aheadBytes counts what is read of requests that callers send before the answer to an earlier one
      */
     public CallerHandler(
             Supplier<FoldedState> state,
             RequestFlow flow,
             Supplier<String> requestIds,
             InstantSource clock,
-            long defaultDeadlineMillis) {
+            long defaultDeadlineMillis,
+            HeldBytes aheadBytes) {
         this.state = Objects.requireNonNull(state, "state is null");
         this.flow = Objects.requireNonNull(flow, "flow is null");
         this.requestIds = Objects.requireNonNull(requestIds, "requestIds is null");
         this.clock = Objects.requireNonNull(clock, "clock is null");
         this.defaultDeadlineMillis = defaultDeadlineMillis;
+        this.aheadBytes = Objects.requireNonNull(aheadBytes, "aheadBytes is null");
     }
 
     /** Starts draining: new requests are refused, open requests continue. */
@@ -156,11 +162,22 @@
             case Result.Failure<CallerRequest>(Fault fault) -> response.onEnd(Outcome.notRun(fault, RETRY_AFTER));
             case Result.Success<CallerRequest>(CallerRequest request) -> {
                 response.setRequest(request);
-                response.setCancelAction(flow.begin(request, response));
+                beginRequest(exchange, request, response);
             }
         }
     }
 
+    /** Begins a request unless its caller has left: one that was sent ahead may be reached only then. */
+    private void beginRequest(HttpServerExchange exchange, CallerRequest request, CallerResponse response) {
+        DisconnectDetector.start(exchange, aheadBytes, response::onConnectionClosed);
+        if (response.connectionClosed()) {
+            response.onEnd(Outcome.notRun(
+                    Fault.of(Step.READ, "caller", Reason.CANCELLED, "the caller has gone"), RETRY_AFTER));
+        } else {
+            response.setCancelAction(flow.begin(request, new ThreadedResponse(exchange.getIoThread(), response)));
+        }
+    }
+
     // -- parsing of requests
 
     private Result<CallerRequest> parseRequest(HttpServerExchange exchange, byte[] body, CallerResponse response) {
--- a/src/main/java/org/micabarrow/transport/callers/CallerResponse.java
+++ b/src/main/java/org/micabarrow/transport/callers/CallerResponse.java
@@ -78,7 +78,12 @@
         }
     }
 
-    /** Cancels the request if its outcome is not known when the caller's connection closes. */
+    /** Whether the caller has left. */
+    boolean connectionClosed() {
+        return connectionClosed;
+    }
+
+    /** Cancels the request if its outcome is not known when the caller leaves or the connection closes. */
     void onConnectionClosed() {
         connectionClosed = true;
         if (!ended) {
--- a/src/test/java/org/micabarrow/serving/RequestsSentAheadTest.java
+++ b/src/test/java/org/micabarrow/serving/RequestsSentAheadTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -22,6 +23,9 @@
     /** Longer than a test waits, so that no timeout ends a request before. */
     private static final long ROUTE_MILLIS = 60_000;
 
+    /** Less than the head of a request. */
+    private static final int PART_BYTES = 20;
+
     /** How a client disconnects. */
     private enum Disconnect {
         CLOSE,
@@ -122,6 +126,23 @@
         assertEquals(2, received("plain-1"), "the second never");
     }
 
+    /** The rest comes when the server waits for it. */
+    @Test
+    void shouldAnswerRequestOfWhichPartCameBeforeAnswerToEarlierOne() throws Exception {
+        addEndpoint();
+        serveWithoutVersions();
+        byte[] second = request("second", 10);
+        try (Socket client = connect()) {
+            ByteArrayOutputStream together = new ByteArrayOutputStream();
+            together.write(request("first", 0));
+            together.write(second, 0, PART_BYTES);
+            client.getOutputStream().write(together.toByteArray());
+            SocketText.readUntil(client.getInputStream(), "first\r\n");
+            client.getOutputStream().write(second, PART_BYTES, second.length - PART_BYTES);
+            SocketText.readUntil(client.getInputStream(), "second\r\n");
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"1, 0", "20, 0", "20, 1000", "400, 1000"})
     void shouldAnswerAllInOrderWhenClientStays(int ahead, int bodyBytes) throws Exception {
--- a/src/test/java/org/micabarrow/transport/TlsTest.java
+++ b/src/test/java/org/micabarrow/transport/TlsTest.java
@@ -10,9 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
-import java.security.KeyStore;
 import java.time.InstantSource;
-import java.util.Base64;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
@@ -36,10 +34,13 @@
     @TempDir
     private Path directory;
 
+    private TestCertificates certificates;
+
     @BeforeEach
     void createCertificates() throws Exception {
+        certificates = new TestCertificates(directory);
         for (String name : List.of("one", "other", "stranger")) {
-            createCertificate(name);
+            certificates.create(name);
         }
         Files.writeString(authorities(), Files.readString(pem("one", "crt")) + Files.readString(pem("other", "crt")));
     }
@@ -49,44 +50,7 @@
     }
 
     private Path pem(String name, String kind) {
-        return directory.resolve(name + "." + kind);
-    }
-
-    private void createCertificate(String name) throws Exception {
-        Path store = directory.resolve(name + ".p12");
-        String keytool =
-                Path.of(System.getProperty("java.home"), "bin", "keytool").toString();
-        Process process = new ProcessBuilder(
-                        keytool,
-                        "-genkeypair",
-                        "-alias",
-                        "k",
-                        "-keyalg",
-                        "EC",
-                        "-dname",
-                        "CN=" + name,
-                        "-validity",
-                        "3650",
-                        "-storetype",
-                        "PKCS12",
-                        "-storepass",
-                        "password",
-                        "-keystore",
-                        store.toString())
-                .inheritIO()
-                .start();
-        assertEquals(0, process.waitFor());
-        KeyStore keys = KeyStore.getInstance(store.toFile(), "password".toCharArray());
-        write(
-                pem(name, "key"),
-                "PRIVATE KEY",
-                keys.getKey("k", "password".toCharArray()).getEncoded());
-        write(pem(name, "crt"), "CERTIFICATE", keys.getCertificate("k").getEncoded());
-    }
-
-    private static void write(Path file, String kind, byte[] bytes) throws IOException {
-        String body = Base64.getMimeEncoder(64, new byte[] {'\n'}).encodeToString(bytes);
-        Files.writeString(file, "-----BEGIN " + kind + "-----\n" + body + "\n-----END " + kind + "-----\n");
+        return certificates.pem(name, kind);
     }
 
     private Optional<TlsFiles> files(String name) throws IOException {
--- a/src/test/java/org/micabarrow/transport/callers/UnknownConfigurationTest.java
+++ b/src/test/java/org/micabarrow/transport/callers/UnknownConfigurationTest.java
@@ -17,6 +17,7 @@
 import org.micabarrow.coordination.routing.PrefixIndex;
 import org.micabarrow.coordination.routing.Router;
 import org.micabarrow.headers.HeaderFields;
+import org.micabarrow.memory.HeldBytes;
 import org.micabarrow.standin.Ports;
 import org.micabarrow.state.Fault.Step;
 import org.micabarrow.state.FoldedState;
@@ -50,7 +51,7 @@
                         () -> "attempt",
                         clock,
                         Duration.ofSeconds(1)));
-        return new CallerHandler(FoldedState::empty, flow, () -> "id", clock, 1_000);
+        return new CallerHandler(FoldedState::empty, flow, () -> "id", clock, 1_000, new HeldBytes(0));
     }
 
     /** The organisations' tokens are part of the configuration, so without one no token can be judged invalid. */
