A long chunked request that was sent ahead is taken

Callers that send requests ahead saw their connection reset when a further request had a chunked body of more than about 256 KiB. What is read of a request together with the one before it went past the count of chunk headers, which then began within the data of a chunk and took the data itself for headers.

What was read ahead is counted now when its turn comes, before anything else of the request is read.

ChunkedMessagesTest: 3 of 4 red before (600,000 bytes in 1, 60 and 600 chunks; 100,000 bytes were taken), 4 of 4 green after.

--- a/src/main/java/org/micabarrow/transport/CountedRequests.java
+++ b/src/main/java/org/micabarrow/transport/CountedRequests.java
@@ -3,6 +3,8 @@
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import java.io.IOException;
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
@@ -50,10 +52,23 @@
                 if (open.containsKey(connection)) {
                     bytes.end();
                     bytes.begin(() -> IoUtils.safeClose(connection));
+                    countAhead(completed, bytes);
                 }
                 following.proceed();
             });
         }
         handler.handleRequest(exchange);
     }
+
+    /** Counts what was read ahead of the next request: its chunks are told apart by what came before them. */
+    private static void countAhead(HttpServerExchange completed, MessageBytes bytes) {
+        if (completed.getConnection() instanceof HttpServerConnection http && http.getExtraBytes() != null) {
+            try {
+                bytes.received(http.getExtraBytes().getBuffer().duplicate());
+            } catch (IOException e) {
+                // Its reason has been logged.
+                IoUtils.safeClose(http);
+            }
+        }
+    }
 }
