A chunk without a size is not taken for the last one

An answer in chunks with a size line that holds no number, an empty line among them, reached callers as whole, and a request of a caller with one was passed on and run as whole. Undertow, as client and as server, adds up the digits of a size line and takes none for 0, the last chunk.

The count of chunk headers goes over every byte before Undertow reads it; it refuses such messages now. An endpoint's answer counts as one that broke off; a caller gets 400 if the chunk came with the head, and has its connection closed without an answer otherwise, which is what Undertow does with other malformed chunks. Sizes with leading zeros, blanks after them and extensions are taken as before.

Listeners that are not counted (those of the second adapter and of stand-ins) take such requests still.

--- a/src/main/java/org/micabarrow/transport/ChunkFraming.java
+++ b/src/main/java/org/micabarrow/transport/ChunkFraming.java
@@ -5,7 +5,8 @@
 
 /**
  * Counts what a chunked body consists of besides its data (RFC 9112, 7.1). Bytes are given as they come, in any parts. It checks
- * nothing: whoever reads the body refuses what is malformed. Not thread-safe.
+ * the sizes alone, since Undertow takes a chunk without a size for the last one: whoever reads the body refuses what is malformed
+ * otherwise. Not thread-safe.
  */
 final class ChunkFraming {
 
@@ -17,6 +18,8 @@
     private final HeadLines trailer;
     private Part part = Part.SIZE;
     private long size;
+    private boolean sized;
+    private boolean malformed;
     private long data;
     private long overhead;
 
@@ -38,6 +41,8 @@
         trailer.clear();
         part = Part.SIZE;
         size = 0;
+        sized = false;
+        malformed = false;
         data = 0;
         overhead = 0;
     }
@@ -52,6 +57,11 @@
         return overhead;
     }
 
+    /** Whether a chunk states no size, or one that is no number. */
+    boolean malformed() {
+        return malformed;
+    }
+
     /** The lines after the last chunk. */
     HeadLines trailer() {
         return trailer;
@@ -75,11 +85,21 @@
         int digit = Character.digit(next, HEX);
         if (digit >= 0) {
             size = Math.min(size, MAX_SIZE) * HEX + digit;
+            sized = true;
         } else {
+            malformed |= !sized || !mayFollowSize(next);
             part = next == '\n' ? afterHeader() : Part.EXTENSION;
         }
     }
 
+    /** Whether a character ends a size: that of a line's end, of an extension, or a blank before either. */
+    private static boolean mayFollowSize(byte next) {
+        return switch (next) {
+            case '\r', '\n', ';', ' ', '\t' -> true;
+            default -> false;
+        };
+    }
+
     private void scanExtension(byte next) {
         overhead++;
         if (next == '\n') {
@@ -88,6 +108,7 @@
     }
 
     private Part afterHeader() {
+        sized = false;
         return size == 0 ? Part.TRAILER : Part.DATA;
     }
 
--- a/src/main/java/org/micabarrow/transport/CountedRequests.java
+++ b/src/main/java/org/micabarrow/transport/CountedRequests.java
@@ -1,6 +1,7 @@
 package org.micabarrow.transport;
 
 import io.undertow.server.AbstractServerConnection;
+import io.undertow.server.Connectors;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
@@ -15,6 +16,8 @@
 /** Has the requests counted that come on a listener's connections. */
 final class CountedRequests implements ChannelListener<StreamConnection>, HttpHandler {
 
+    private static final int BAD_REQUEST = 400;
+
     private final Map<StreamConnection, MessageBytes> open = new ConcurrentHashMap<>();
     private final ChannelListener<StreamConnection> next;
     private final HttpHandler handler;
@@ -48,6 +51,10 @@
         MessageBytes bytes = open.get(connection);
         if (bytes != null) {
             bytes.headRead(BodyEnd.isChunked(exchange.getRequestHeaders()));
+            if (bytes.refusal().isPresent()) {
+                refuse(exchange);
+                return;
+            }
             exchange.addExchangeCompleteListener((completed, following) -> {
                 if (open.containsKey(connection)) {
                     bytes.end();
@@ -60,6 +67,12 @@
         handler.handleRequest(exchange);
     }
 
+    /** Answers a request whose body is not read on. */
+    private static void refuse(HttpServerExchange exchange) {
+        Connectors.terminateRequest(exchange);
+        exchange.setStatusCode(BAD_REQUEST).setPersistent(false).endExchange();
+    }
+
     /** Counts what was read ahead of the next request: its chunks are told apart by what came before them. */
     private static void countAhead(HttpServerExchange completed, MessageBytes bytes) {
         if (completed.getConnection() instanceof HttpServerConnection http && http.getExtraBytes() != null) {
--- a/src/main/java/org/micabarrow/transport/MessageBytes.java
+++ b/src/main/java/org/micabarrow/transport/MessageBytes.java
@@ -13,8 +13,9 @@
 /**
  * Counts what the messages that come on one connection consist of besides their bodies: heads, interim responses, chunk headers
  * and trailers. Undertow's client keeps these in memory for as long as they come, in which a field of five bytes becomes some
- * hundred; its server bounds heads only, each for itself. Messages that exceed a bound are not read on. Used on the thread of the
- * connection, except for {@link #refusal} and {@link #end}.
+ * hundred; its server bounds heads only, each for itself. Messages that exceed a bound are not read on, nor are those with a chunk
+ * that states no size: it would be taken for the last one. Used on the thread of the connection, except for {@link #refusal} and
+ * {@link #end}.
  */
 final class MessageBytes {
 
@@ -30,6 +31,8 @@
     /** How many bytes of chunk headers each byte of data may come with: a chunk of a single byte has about six. */
     private static final long CHUNK_HEADER_BYTES_PER_BYTE = 16;
 
+    private static final String MALFORMED_CHUNK = "a chunk states no size";
+
     private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
     private static final Logger LOG = LoggerFactory.getLogger(MessageBytes.class);
 
@@ -87,14 +90,17 @@
         part = Part.HEAD;
     }
 
-    /** Counts what follows the head as its body. */
+    /** Counts what follows the head as its body; what came together with the head may be refused already. */
     void headRead(boolean chunked) {
         share.read(head.memoryBytes());
+        part = chunked ? Part.CHUNKS : Part.BODY;
         if (chunked) {
             chunks.scan(following);
+            if (chunks.malformed()) {
+                markRefused(MALFORMED_CHUNK);
+            }
         }
         following = NOTHING;
-        part = chunked ? Part.CHUNKS : Part.BODY;
     }
 
     /** Counts nothing any longer: the exchange has ended. */
@@ -135,6 +141,9 @@
 
     private void receivedInChunks(ByteBuffer bytes) throws IOException {
         chunks.scan(bytes);
+        if (chunks.malformed()) {
+            refuse(MALFORMED_CHUNK);
+        }
         if (chunks.overhead() > MAX_CHUNK_HEADER_BYTES + CHUNK_HEADER_BYTES_PER_BYTE * chunks.data()) {
             refuse("chunk headers of " + chunks.overhead() + " bytes came with " + chunks.data() + " bytes of data");
         }
@@ -164,10 +173,14 @@
     }
 
     private void refuse(String reason) throws IOException {
+        markRefused(reason);
+        throw new IOException(reason);
+    }
+
+    private void markRefused(String reason) {
         refusal = Optional.of(reason);
         log(reason);
         end();
-        throw new IOException(reason);
     }
 
     /** Called by whichever thread needs the memory. */
