A connection whose bytes always come no longer keeps the traffic thread

What callers saw: while one endpoint sent without a pause and its caller took all of it, nobody else was answered, deadlines passed without an answer, and the entry's knowledge aged, so that paths without a route got 503 instead of 404. The same came from a client that sends requests ahead without end, all of which are refused at once.

Cause: a thread of XNIO runs its tasks until there are none before it looks at its timers and its selector. An exchange that had read 16 buffers queued itself as a task, which runs before either; Undertow queues a request that was sent ahead in the same way. Both read the socket again within that task, so the queue was never empty for as long as bytes came.

FairSource ends a connection's turn on the socket: after a buffer's worth of bytes it reads as empty until the selector reports it again, which it does once all others have had theirs. Readers need no task of their own for it. What is kept above the connection, as chunks pushed back, is not held back, so nothing waits for an event that never comes; a wakeup, which is a task, begins no turn. It stands below every connection of the listeners and clients of entries and agents: answers of endpoints, of the store, the origin and agents, requests and their bodies, and what clients send ahead.

--- a/src/main/java/org/micabarrow/transport/CountedSource.java
+++ b/src/main/java/org/micabarrow/transport/CountedSource.java
@@ -10,7 +10,7 @@
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import org.xnio.conduits.StreamSourceConduit;
 
-/** Has the bytes counted that are read from a connection, before anything else reads them. */
+/** Has the bytes counted that are read from a connection in its turns, before anything else reads them. */
 final class CountedSource extends AbstractStreamSourceConduit<StreamSourceConduit> {
 
     private final MessageBytes bytes;
@@ -33,7 +33,7 @@
     private static MessageBytes count(StreamConnection connection, HeadLines.Kind kind, Supplier<String> peer) {
         MessageBytes bytes = new MessageBytes(kind, MessageMemory.ofProcess(), connection.getIoThread(), peer);
         ConduitStreamSourceChannel source = connection.getSourceChannel();
-        source.setConduit(new CountedSource(source.getConduit(), bytes));
+        source.setConduit(new CountedSource(FairSource.of(source), bytes));
         return bytes;
     }
 
--- a/src/main/java/org/micabarrow/transport/HttpExchange.java
+++ b/src/main/java/org/micabarrow/transport/HttpExchange.java
@@ -27,9 +27,6 @@
  */
 final class HttpExchange {
 
-    /** How many buffers are read before other work of the thread goes on. */
-    private static final int MAX_READS_AT_ONCE = 16;
-
     private final HttpCall call;
     private final Listener listener;
     private final Shared shared;
@@ -175,12 +172,7 @@
     private void read() {
         try (PooledByteBuffer pooled = shared.buffers().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
-            for (int reads = 0; mayRead && !ended.get(); reads++) {
-                if (reads == MAX_READS_AT_ONCE) {
-                    // Lets the other exchanges and timers of this thread run.
-                    source.getIoThread().execute(this::read);
-                    break;
-                }
+            while (mayRead && !ended.get()) {
                 buffer.clear();
                 int count = source.read(buffer);
                 if (count < 0) {
--- a/src/test/java/org/micabarrow/EndlessEndpoint.java
+++ b/src/test/java/org/micabarrow/EndlessEndpoint.java
@@ -5,10 +5,10 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** A server that answers its first connection with some bytes, and then sends others until its peer closes. */
+/** A server that answers its first connections with some bytes, and then sends others until its peers close. */
 public final class EndlessEndpoint implements AutoCloseable {
 
     private static final int WRITE_BYTES = 16 * 1024;
@@ -17,28 +17,37 @@
     private final byte[] first;
     private final byte[] repeated;
     private final AtomicLong sentBytes = new AtomicLong();
-    private final AtomicBoolean closedByPeer = new AtomicBoolean();
+    private final int connections;
+    private final AtomicInteger closedByPeer = new AtomicInteger();
     private volatile boolean stopped;
 
     public EndlessEndpoint(String first, String repeated) throws IOException {
+        this(first, repeated, 1);
+    }
+
+    public EndlessEndpoint(String first, String repeated, int connections) throws IOException {
+        this.connections = connections;
         this.first = first.getBytes(StandardCharsets.US_ASCII);
         this.repeated =
                 repeated.repeat(Math.max(1, WRITE_BYTES / repeated.length())).getBytes(StandardCharsets.US_ASCII);
         this.server = new ServerSocket(0);
-        Thread.ofPlatform().daemon().start(this::serve);
+        for (int i = 0; i < connections; i++) {
+            Thread.ofPlatform().daemon().start(this::serve);
+        }
     }
 
     public String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
 
-    /** How much the peer took, what lies in buffers of the system included. */
+    /** How much the peers took, what lies in buffers of the system included. */
     public long sentBytes() {
         return sentBytes.get();
     }
 
+    /** Whether each of the connections has been closed by its peer. */
     public boolean isClosedByPeer() {
-        return closedByPeer.get();
+        return closedByPeer.get() == connections;
     }
 
     private void serve() {
@@ -51,7 +60,7 @@
                 sentBytes.addAndGet(repeated.length);
             }
         } catch (IOException e) {
-            closedByPeer.set(true);
+            closedByPeer.incrementAndGet();
         }
     }
 
