Small chunks of an answer are passed on together

Cause: a read of Undertow's client ends with its chunk, and each read was delivered, and written to the caller, by itself.

An exchange reads until its buffer is full or nothing more has come. A failure in between is told after what came before it has been delivered: read again, a reset connection may look like the end of its body.

Evidence: FairSourceTest.shouldDeliverSmallChunksTogether, 2000 parts for 2000 chunks before in 3 of 3 runs, green after; shouldDeliverWhatCameBeforeResetAndFail held before and holds.

--- a/src/main/java/org/micabarrow/transport/HttpExchange.java
+++ b/src/main/java/org/micabarrow/transport/HttpExchange.java
@@ -38,6 +38,7 @@
     private BodyEnd bodyEnd = BodyEnd.CONNECTION;
     private boolean mayRead = true;
     private boolean delivering;
+    private Optional<IOException> failure = Optional.empty();
 
     /**
      * What the exchanges of a client share.
@@ -171,23 +172,18 @@
 
     private void read() {
         try (PooledByteBuffer pooled = shared.buffers().allocate()) {
-            ByteBuffer buffer = pooled.getBuffer();
             while (mayRead && !ended.get()) {
-                buffer.clear();
-                int count = source.read(buffer);
-                if (count < 0) {
+                ByteBuffer part = pooled.getBuffer().clear();
+                int count = fill(part);
+                if (part.position() > 0) {
+                    deliver(copy(part.flip()));
+                } else if (count < 0) {
                     complete();
                     return;
-                }
-                if (count == 0) {
+                } else {
                     source.resumeReads();
                     return;
                 }
-                buffer.flip();
-                byte[] data = new byte[buffer.remaining()];
-                buffer.get(data);
-                shared.receivedBytes().add(count);
-                deliver(data);
             }
             source.suspendReads();
         } catch (IOException e) {
@@ -195,6 +191,32 @@
         }
     }
 
+    /**
+     * Reads until a part is full or nothing more has come, so that small chunks are not delivered one by one. What came before a
+     * failure is delivered before it.
+     */
+    private int fill(ByteBuffer part) throws IOException {
+        if (failure.isPresent()) {
+            throw failure.get();
+        }
+        int count = source.read(part);
+        try {
+            while (count > 0 && part.hasRemaining()) {
+                count = source.read(part);
+            }
+        } catch (IOException e) {
+            failure = Optional.of(e);
+        }
+        return count;
+    }
+
+    private byte[] copy(ByteBuffer part) {
+        byte[] data = new byte[part.remaining()];
+        part.get(data);
+        shared.receivedBytes().add(data.length);
+        return data;
+    }
+
     /** Delivers a part to the listener. Reading continues when the listener requests more, immediately or later. */
     private void deliver(byte[] data) {
         mayRead = false;
--- a/src/test/java/org/micabarrow/transport/FairSourceTest.java
+++ b/src/test/java/org/micabarrow/transport/FairSourceTest.java
@@ -1,22 +1,34 @@
 package org.micabarrow.transport;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.micabarrow.Await;
 import org.micabarrow.EndlessEndpoint;
+import org.micabarrow.SocketText;
 import org.micabarrow.headers.HeaderFields;
 import org.micabarrow.state.Fault;
 import org.xnio.XnioWorker;
 
-/** Guards against an answer that keeps the thread of all others. */
+/** Guards against an answer that keeps the thread of all others, and against one that is delivered in needlessly many parts. */
 class FairSourceTest {
 
     /** Some turns of bytes, besides the first one. */
@@ -25,6 +37,9 @@
     /** How many parts are looked at; all come from bytes that wait. */
     private static final int PARTS = 4;
 
+    private static final int SMALL_CHUNKS = 2_000;
+
+    private static final int HANG_SECONDS = 20;
     private static final String HEAD = "HTTP/1.1 200 OK\r\n";
 
     private final List<String> order = new CopyOnWriteArrayList<>();
@@ -47,6 +62,9 @@
 
         private final String name;
         private final AtomicReference<Runnable> first = new AtomicReference<>();
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final CompletableFuture<String> ended = new CompletableFuture<>();
+        private final AtomicInteger received = new AtomicInteger();
 
         private Parts(String name) {
             this.name = name;
@@ -57,6 +75,8 @@
 
         @Override
         public void onData(byte[] data, Runnable requestMore) {
+            body.writeBytes(data);
+            received.addAndGet(data.length);
             if (!first.compareAndSet(null, requestMore)) {
                 order.add(name);
                 requestMore.run();
@@ -64,10 +84,14 @@
         }
 
         @Override
-        public void onComplete(BodyEnd end) {}
+        public void onComplete(BodyEnd end) {
+            ended.complete("whole, to " + end);
+        }
 
         @Override
-        public void onFailed(Fault fault, boolean sent) {}
+        public void onFailed(Fault fault, boolean sent) {
+            ended.complete(fault.message());
+        }
     }
 
     private void send(String address, Parts parts) {
@@ -93,4 +117,41 @@
         List<String> firstParts = order.subList(0, PARTS);
         assertTrue(firstParts.contains("one") && firstParts.contains("other"), firstParts::toString);
     }
+
+    @Test
+    void shouldDeliverSmallChunksTogether() throws Exception {
+        Parts parts = new Parts("chunks");
+        parts.first.set(() -> {});
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            send("127.0.0.1:" + server.getLocalPort(), parts);
+            try (Socket socket = server.accept()) {
+                SocketText.readUntil(socket.getInputStream(), "\r\n\r\n");
+                String answer =
+                        HEAD + "Transfer-Encoding: chunked\r\n\r\n" + "1\r\ny\r\n".repeat(SMALL_CHUNKS) + "0\r\n\r\n";
+                socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+                assertEquals("whole, to STATED", parts.ended.get(HANG_SECONDS, TimeUnit.SECONDS));
+            }
+        }
+        assertEquals("y".repeat(SMALL_CHUNKS), parts.body.toString(StandardCharsets.US_ASCII));
+        assertTrue(order.size() <= SMALL_CHUNKS / 10, () -> order.size() + " parts");
+    }
+
+    /** A body to the end of its connection looks whole if the reset is read as its end. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 1_000, 200_000})
+    void shouldDeliverWhatCameBeforeResetAndFail(int bytes) throws Exception {
+        Parts parts = new Parts("reset");
+        parts.first.set(() -> {});
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            send("127.0.0.1:" + server.getLocalPort(), parts);
+            try (Socket socket = server.accept()) {
+                SocketText.readUntil(socket.getInputStream(), "\r\n\r\n");
+                socket.getOutputStream().write((HEAD + "\r\n" + "y".repeat(bytes)).getBytes(StandardCharsets.US_ASCII));
+                Await.until("all bytes", () -> parts.received.get() == bytes);
+                socket.setSoLinger(true, 0);
+            }
+            String end = parts.ended.get(HANG_SECONDS, TimeUnit.SECONDS);
+            assertTrue(end.startsWith("the answer broke off"), end);
+        }
+    }
 }
