Collected bodies are bounded together, by what they become in memory

What was seen: an agent or an entry whose store, origin, peers and endpoint send long bodies at once ended with "Java heap space". Each body that is collected was bounded by 16 MiB, while an agent collects some twelve at a time in a heap of 64 MB; and JSON of empty objects, seven megabytes long, became far more as a tree.

Cause: the bound stood for one body, and for its bytes instead of what these become.

Now HeldBytes counts them, as it does answers of clients. Records, which all duties rest on, have four ninths of the heap, and chunks, lists of digests and reports an eighth, so that none of these takes the room of the others; one of the latter has a quarter of it. Before the limit is exceeded, the one that holds most is given up, with a message_refused line of peer and size. One that has come whole is not given up any longer; those that still grow make room for it, and for its tree, which is estimated by its marks before it is made (JsonMemory). The count lasts until the answer has been read (HttpClient.read). Records decoded later claim their room too. The body is collected in blocks instead of an array that doubles.

A record whose tree would take up over four ninths of the heap is refused, which a process without anything else to hold might just have read.

--- a/src/main/java/org/micabarrow/memory/HeldBytes.java
+++ b/src/main/java/org/micabarrow/memory/HeldBytes.java
@@ -8,9 +8,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Counts the bytes that a process holds for its clients: request bodies, and answers that clients have not taken yet. Before an
- * answer exceeds the limit, the one that holds most is cut. Changed by the traffic thread only; {@link #bytes} may be read by
- * any thread.
+ * Counts the bytes that a process holds: request bodies, answers that clients have not taken yet, and answers that it collects.
+ * Before an answer exceeds the limit, the one that holds most is cut. Thread-safe.
  *
  * <pre>{@code
  * HeldBytes.Hold answer = held.holdAnswer(() -> closeConnection());
@@ -22,6 +21,17 @@
 
     private static final Runnable NEVER_CUT = () -> {};
 
+    /** The part of the heap for records, as a divisor: the longest manifest takes up some 22 MB while it is read. */
+    private static final double RECORDS_DIVISOR = 2.25;
+
+    /** The part of the heap for what is collected besides, as a divisor: chunks, lists of digests, reports. */
+    private static final long OTHERS_DIVISOR = 8;
+
+    private static final HeldBytes RECORDS =
+            new HeldBytes((long) (Runtime.getRuntime().maxMemory() / RECORDS_DIVISOR));
+
+    private static final HeldBytes OTHERS = new HeldBytes(Runtime.getRuntime().maxMemory() / OTHERS_DIVISOR);
+
     private final long limitBytes;
     private final AtomicLong total = new AtomicLong();
     private final Set<Hold> answers = Collections.newSetFromMap(new IdentityHashMap<>());
@@ -35,6 +45,24 @@
         this.limitBytes = limitBytes;
     }
 
+    /**
+     * The count of the records that this process reads from the store and from peers.
+     *
+     * @return the count
+     */
+    public static HeldBytes ofRecords() {
+        return RECORDS;
+    }
+
+    /**
+     * The count of everything else that this process collects, which takes nothing of the room for records.
+     *
+     * @return the count
+     */
+    public static HeldBytes ofOthers() {
+        return OTHERS;
+    }
+
     /**
      * The limit.
      *
@@ -62,11 +90,20 @@
         return new Hold(NEVER_CUT);
     }
 
+    /**
+     * Starts counting what an answer becomes while it is read.
+     *
+     * @return its count, zero at first; {@link Hold#complete} claims the room for it
+     */
+    public Hold holdComplete() {
+        return new Hold(NEVER_CUT);
+    }
+
     /**
      * Starts counting an answer.
      *
      * @param cut ends the answer; called when the limit is exceeded and no other answer holds more, also while this answer's own
-     *     count is being set
+     *     count is being set; by any thread that counts, so it must not block
      * @return its count, zero at first
      */
     public Hold holdAnswer(Runnable cut) {
@@ -115,26 +152,58 @@
          * @param now bytes
          */
         public void set(long now) {
-            if (released) {
-                return;
+            synchronized (HeldBytes.this) {
+                if (released) {
+                    return;
+                }
+                boolean answer = cut != NEVER_CUT;
+                if (answer && now > bytes && !makeRoom(this, now)) {
+                    return;
+                }
+                change(now);
+                if (answer && now > 0) {
+                    answers.add(this);
+                } else {
+                    answers.remove(this);
+                }
             }
-            boolean answer = cut != NEVER_CUT;
-            if (answer && now > bytes && !makeRoom(this, now)) {
-                return;
+        }
+
+        /**
+         * Sets what is held of an answer that has come to its end, and is not cut any longer. Others are cut for it, the one
+         * that holds most first.
+         *
+         * @param now bytes
+         * @return false if there is no room for it, or if it was cut or released before; nothing is held of it then
+         */
+        public boolean complete(long now) {
+            synchronized (HeldBytes.this) {
+                answers.remove(this);
+                while (!released && total.get() - bytes + now > limitBytes) {
+                    Hold largest = answers.stream()
+                            .max(Comparator.comparingLong(Hold::bytes))
+                            .orElse(this);
+                    largest.release();
+                    largest.cut.run();
+                }
+                if (!released) {
+                    change(now);
+                }
+                return !released;
             }
+        }
+
+        private void change(long now) {
             total.addAndGet(now - bytes);
             bytes = now;
-            if (answer && now > 0) {
-                answers.add(this);
-            } else {
-                answers.remove(this);
-            }
         }
 
         /** Ends the count; repeated calls have no effect. */
         public void release() {
-            set(0);
-            released = true;
+            synchronized (HeldBytes.this) {
+                set(0);
+                released = true;
+            }
         }
     }
 }
--- a/src/main/java/org/micabarrow/platform/EndpointCalls.java
+++ b/src/main/java/org/micabarrow/platform/EndpointCalls.java
@@ -29,6 +29,9 @@
     /** Timeout of a call within the instance; the endpoint answers in about a millisecond. */
     private static final Duration TIMEOUT = Duration.ofMillis(1_000);
 
+    /** The longest body of a report that is kept, in bytes; usual ones have under one KiB. */
+    private static final int MAX_KEPT_BYTES = 16 * 1024;
+
     private static final int OK = 200;
     private static final int CREATED = 201;
     private static final int ACCEPTED = 202;
@@ -68,7 +71,7 @@
     @Override
     public Result<Report> report() {
         HttpCall call = HttpCall.get(Step.STATUS, URI.create(base + WireNames.REPORT));
-        return caller.call(call, TIMEOUT).flatMap(answer -> {
+        return caller.read(call, TIMEOUT, answer -> {
             if (answer.status() != OK) {
                 return refused(call, answer);
             }
@@ -82,15 +85,19 @@
         });
     }
 
-    /** The report in an answer. An endpoint at rest answers the same several times a second, which is decoded once. */
+    /**
+     * The report in an answer. An endpoint at rest answers the same several times a second, which is decoded once, unless it is
+     * too long to be kept.
+     */
     private Report decoded(HttpResponse answer) throws IOException, MalformedField {
         int layers = totalLayers.getAsInt();
         Optional<Decoded> same = lastDecoded.filter(last -> last.isFrom(answer.body(), layers, answer.headers()));
         if (same.isPresent()) {
             return same.get().report();
         }
-        Report report = report(CanonicalJson.mapper().readTree(answer.body()), layers, answer.headers());
-        lastDecoded = Optional.of(new Decoded(answer.body(), layers, report));
+        Report report = report(CanonicalJson.mapper().readTree(answer.json()), layers, answer.headers());
+        lastDecoded = Optional.of(new Decoded(answer.body(), layers, report))
+                .filter(decoded -> decoded.body().length <= MAX_KEPT_BYTES);
         return report;
     }
 
--- a/src/main/java/org/micabarrow/platform/KeyedWriter.java
+++ b/src/main/java/org/micabarrow/platform/KeyedWriter.java
@@ -66,9 +66,11 @@
                     "the key is over " + KeyedRecords.MAX_KEY_BYTES + " bytes"));
         }
         HttpCall call = HttpCall.post(Step.LOG, uri, body(records));
-        return caller.call(call, within)
-                .flatMap(answer -> offset(call, answer)
-                        .flatMap(first -> StoreEra.of(call, answer).map(era -> EraOffset.of(era, first))))
+        return caller.read(
+                        call,
+                        within,
+                        answer -> offset(call, answer)
+                                .flatMap(first -> StoreEra.of(call, answer).map(era -> EraOffset.of(era, first))))
                 .map(first -> at(first, records));
     }
 
@@ -85,7 +87,7 @@
                     Fault.of(call.step(), call.peer(), Reason.OVERLOADED, "the store answered " + answer.status()));
         }
         try {
-            JsonNode json = CanonicalJson.mapper().readTree(answer.body());
+            JsonNode json = CanonicalJson.mapper().readTree(answer.json());
             return json.path(OFFSET).isIntegralNumber()
                             && EraOffset.isOffset(json.path(OFFSET).longValue())
                     ? Result.success(json.path(OFFSET).asLong())
--- a/src/main/java/org/micabarrow/platform/OriginCalls.java
+++ b/src/main/java/org/micabarrow/platform/OriginCalls.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.Function;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
@@ -14,6 +15,7 @@
 import org.micabarrow.state.Result;
 import org.micabarrow.transport.HttpCall;
 import org.micabarrow.transport.HttpClient;
+import org.micabarrow.transport.HttpClient.HttpResponse;
 import org.micabarrow.weights.OriginVersions;
 import org.micabarrow.weights.OriginVersions.VersionDigests;
 import org.micabarrow.weights.WeightOrigin;
@@ -37,23 +39,25 @@
         this.caller = Objects.requireNonNull(caller, "caller is null");
     }
 
-    private Result<byte[]> get(String address, String pathAndQuery) {
+    private <T> Result<T> get(String address, String pathAndQuery, Function<HttpResponse, Result<T>> reader) {
         HttpCall call = HttpCall.get(Step.FETCH, URI.create("http://" + address + pathAndQuery));
-        return caller.call(call, TIMEOUT)
-                .flatMap(answer -> answer.status() == OK
-                        ? Result.success(answer.body())
+        return caller.read(
+                call,
+                TIMEOUT,
+                answer -> answer.status() == OK
+                        ? reader.apply(answer)
                         : Result.failure(Fault.of(
                                 Step.FETCH, address, Reason.NOT_FOUND, "the origin answered " + answer.status())));
     }
 
     @Override
     public Result<List<String>> digests(String address, String model, long version) {
-        return list(address, WireNames.DIGESTS + model + "?version=" + version).flatMap(json -> digests(address, json));
+        return list(address, WireNames.DIGESTS + model + "?version=" + version, json -> digests(address, json));
     }
 
     @Override
     public Result<VersionDigests> newest(String address, String model) {
-        return list(address, WireNames.DIGESTS + model).flatMap(json -> {
+        return list(address, WireNames.DIGESTS + model, json -> {
             JsonNode version = json.path("version");
             return version.isIntegralNumber() && version.canConvertToLong() && version.longValue() > 0
                     ? digests(address, json).map(digests -> new VersionDigests(version.longValue(), digests))
@@ -61,10 +65,10 @@
         });
     }
 
-    private Result<JsonNode> list(String address, String pathAndQuery) {
-        return get(address, pathAndQuery).flatMap(body -> {
+    private <T> Result<T> list(String address, String pathAndQuery, Function<JsonNode, Result<T>> reader) {
+        return get(address, pathAndQuery, answer -> {
             try {
-                return Result.success(CanonicalJson.mapper().readTree(body));
+                return reader.apply(CanonicalJson.mapper().readTree(answer.json()));
             } catch (IOException e) {
                 return broken(address, "it is not JSON: " + e.getMessage());
             }
@@ -84,6 +88,9 @@
     @Override
     public Result<byte[]> chunk(String address, String model, long version, int index) {
         // The index of a chunk is called "sample_count" on the wire.
-        return get(address, WireNames.CHUNK + model + "?sample_count=" + index + "&version=" + version);
+        return get(
+                address,
+                WireNames.CHUNK + model + "?sample_count=" + index + "&version=" + version,
+                answer -> Result.success(answer.body()));
     }
 }
--- a/src/main/java/org/micabarrow/platform/StoreClient.java
+++ b/src/main/java/org/micabarrow/platform/StoreClient.java
@@ -170,8 +170,10 @@
         String more = after.isEmpty() ? "" : "&after_revision=" + URLEncoder.encode(after, StandardCharsets.UTF_8);
         HttpCall call = HttpCall.get(
                 Step.LOG, URI.create(base + WireNames.LOG_NEWEST + "?topic=" + topicName(topic) + "&part=0" + more));
-        return caller.call(call, limits(Duration.ZERO))
-                .flatMap(answer -> json(call, answer)
+        return caller.read(
+                call,
+                limits(Duration.ZERO),
+                answer -> json(call, answer)
                         .flatMap(json -> isPage(json)
                                 ? StoreEra.of(call, answer).map(era -> new Page(era, json))
                                 : corrupt(call, "the answer is no page of records")));
@@ -223,7 +225,7 @@
             return refused(call, answer);
         }
         try {
-            return Result.success(CanonicalJson.mapper().readTree(answer.body()));
+            return Result.success(CanonicalJson.mapper().readTree(answer.json()));
         } catch (IOException e) {
             return corrupt(call, "the answer is not JSON: " + e.getMessage());
         }
@@ -243,7 +245,7 @@
                 URI.create(base + WireNames.LOG_READ + "?topic=" + topicName(topic) + "&part=0&from="
                         + EraOffset.offset(from) + "&wait_ms=" + wait.toMillis()));
         AskedRead asked = new AskedRead(from, steadyMillis.getAsLong(), wait.toMillis());
-        return caller.call(call, limits(wait)).flatMap(answer -> switch (answer.status()) {
+        return caller.read(call, limits(wait), answer -> switch (answer.status()) {
             case OK, GONE -> StoreEra.of(call, answer).flatMap(era -> inEra(era, topic, call, asked, answer));
             default -> refused(call, answer);
         });
@@ -271,7 +273,7 @@
     /** The first retained offset that an answer states; empty if it states none. */
     private static OptionalLong first(long era, HttpResponse answer) {
         try {
-            JsonNode first = CanonicalJson.mapper().readTree(answer.body()).path("first");
+            JsonNode first = CanonicalJson.mapper().readTree(answer.json()).path("first");
             return first.isIntegralNumber() && EraOffset.isOffset(first.longValue())
                     ? OptionalLong.of(EraOffset.of(era, first.longValue()))
                     : OptionalLong.empty();
--- a/src/main/java/org/micabarrow/platform/StoreRecords.java
+++ b/src/main/java/org/micabarrow/platform/StoreRecords.java
@@ -17,6 +17,8 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
+import org.micabarrow.memory.HeldBytes;
+import org.micabarrow.memory.JsonMemory;
 import org.micabarrow.platform.JsonFields.MalformedField;
 import org.micabarrow.routing.AllowedRegions;
 import org.micabarrow.routing.EndpointRegistration;
@@ -76,7 +78,11 @@
 
     /** Whatever another writer left in the store is refused here, with a reason; it never ends the thread that reads on. */
     private static <T> Result<T> decode(StoredRecord record, Reading<T> reading) {
+        HeldBytes.Hold tree = HeldBytes.ofRecords().holdComplete();
         try {
+            if (!tree.complete(JsonMemory.treeBytes(record.value()))) {
+                return refused(record, "no memory is left for the JSON of " + record.value().length + " bytes");
+            }
             return Result.success(reading.read(JsonFields.object(WHOLE.readTree(record.value()), "the record")));
         } catch (JsonProcessingException e) {
             return refused(record, "not JSON: " + e.getOriginalMessage());
@@ -86,6 +92,8 @@
             return refused(record, e.getMessage());
         } catch (RuntimeException e) {
             return refused(record, "it cannot be read: " + e);
+        } finally {
+            tree.release();
         }
     }
 
--- a/src/main/java/org/micabarrow/transport/EndpointClient.java
+++ b/src/main/java/org/micabarrow/transport/EndpointClient.java
@@ -65,23 +65,27 @@
     @Override
     public Result<Report> report() {
         HttpCall call = HttpCall.get(Step.STATUS, URI.create(url + "/report"));
-        return client.call(call, REPORT_TIMEOUT).flatMap(response -> PlatformClient.read(call, response, Report.class));
+        return client.read(call, REPORT_TIMEOUT, response -> PlatformClient.read(call, response, Report.class));
     }
 
     @Override
     public Result<Integer> stage(String artifact, int index, byte[] data) {
         URI uri = URI.create(url + "/weights/" + artifact + "/chunks/" + index);
         HttpCall call = new HttpCall(Step.STAGE, "PUT", uri, HeaderFields.empty(), data);
-        return client.call(call, STAGE_TIMEOUT)
-                .flatMap(response -> PlatformClient.read(call, response, PlatformMessages.StagedChunkCount.class))
+        return client.read(
+                        call,
+                        STAGE_TIMEOUT,
+                        response -> PlatformClient.read(call, response, PlatformMessages.StagedChunkCount.class))
                 .map(PlatformMessages.StagedChunkCount::chunks);
     }
 
     @Override
     public Result<Boolean> order(Order order) {
         HttpCall call = HttpCall.post(Step.ORDER, URI.create(url + "/orders"), CanonicalJson.write(order));
-        return client.call(call, ORDER_TIMEOUT)
-                .flatMap(response -> PlatformClient.read(call, response, PlatformMessages.OrderResponse.class))
+        return client.read(
+                        call,
+                        ORDER_TIMEOUT,
+                        response -> PlatformClient.read(call, response, PlatformMessages.OrderResponse.class))
                 .flatMap(ordered -> ordered.accepted()
                         ? Result.success(true)
                         : Result.failure(Fault.of(Step.ORDER, call.peer(), Reason.CONFLICT, ordered.reason())));
--- a/src/main/java/org/micabarrow/transport/HttpClient.java
+++ b/src/main/java/org/micabarrow/transport/HttpClient.java
@@ -15,8 +15,11 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import java.util.function.LongPredicate;
 import org.micabarrow.clock.MonotonicClock;
 import org.micabarrow.headers.HeaderFields;
+import org.micabarrow.memory.JsonMemory;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Result;
@@ -115,8 +118,37 @@
      * @param status the HTTP status
      * @param headers the headers
      * @param body the body
+     * @param room claims memory for the body and what it becomes while it is read, in bytes; false if none is left
      */
-    public record HttpResponse(int status, HeaderFields headers, byte[] body) {}
+    public record HttpResponse(int status, HeaderFields headers, byte[] body, LongPredicate room) {
+
+        /** Up to this size, a body is read without a claim, in bytes: a report, or some dozen records. */
+        private static final int SMALL_BYTES = 16 * 1024;
+
+        /**
+         * Creates a response whose memory is not counted.
+         *
+         * @param status the HTTP status
+         * @param headers the headers
+         * @param body the body
+         */
+        public HttpResponse(int status, HeaderFields headers, byte[] body) {
+            this(status, headers, body, bytes -> true);
+        }
+
+        /**
+         * The body that is about to be read as JSON, of which each byte may become dozens in memory.
+         *
+         * @return the body
+         * @throws IOException if no memory is left for what it becomes
+         */
+        public byte[] json() throws IOException {
+            if (body.length > SMALL_BYTES && !room.test(body.length + JsonMemory.treeBytes(body))) {
+                throw new IOException("no memory is left for the JSON of " + body.length + " bytes");
+            }
+            return body;
+        }
+    }
 
     /** Receives a response part by part, on an I/O thread that must not block. */
     public interface Listener {
@@ -207,6 +239,32 @@
         return callAsync(call).await(timeouts);
     }
 
+    /**
+     * Sends a request, waits for the complete response and reads it. As long as it is read, its memory is counted.
+     *
+     * @param call the request
+     * @param timeouts the timeouts for the response
+     * @param reader reads the response, whatever its status
+     * @param <T> the type of what is read
+     * @return what was read
+     */
+    public <T> Result<T> read(HttpCall call, ResponseTimeouts timeouts, Function<HttpResponse, Result<T>> reader) {
+        return callAsync(call).await(timeouts, reader);
+    }
+
+    /**
+     * Sends a request, waits for the complete response and reads it. As long as it is read, its memory is counted.
+     *
+     * @param call the request
+     * @param timeout the timeout for the complete response
+     * @param reader reads the response, whatever its status
+     * @param <T> the type of what is read
+     * @return what was read
+     */
+    public <T> Result<T> read(HttpCall call, Duration timeout, Function<HttpResponse, Result<T>> reader) {
+        return read(call, ResponseTimeouts.total(timeout), reader);
+    }
+
     /**
      * Sends a request and waits for the complete response, unless the request is no longer due when it is about to be
      * written: the process may have been paused since the caller decided to send it.
@@ -234,7 +292,13 @@
         ResponseCollector collector = new ResponseCollector(call, stillDue);
         Runnable cancel = send(call, collector);
         return new PendingCall(
-                call, collector, cancel, () -> shared.connections().closeIdle(call.authority()));
+                call,
+                collector,
+                () -> {
+                    cancel.run();
+                    collector.release();
+                },
+                () -> shared.connections().closeIdle(call.authority()));
     }
 
     /**
@@ -252,10 +316,22 @@
         }
 
         Result<HttpResponse> await(ResponseTimeouts timeouts) {
+            return await(timeouts, Result::success);
+        }
+
+        <T> Result<T> await(ResponseTimeouts timeouts, Function<HttpResponse, Result<T>> reader) {
+            try {
+                return collected(timeouts).flatMap(reader);
+            } finally {
+                collector.release();
+            }
+        }
+
+        private Result<HttpResponse> collected(ResponseTimeouts timeouts) {
             long startNanos = System.nanoTime();
             try {
                 Result<HttpResponse> result = collector.await(timeouts);
-                if (collector.tooLarge()) {
+                if (collector.refused()) {
                     cancel.run();
                 }
                 return result;
--- a/src/main/java/org/micabarrow/transport/PeerChunkClient.java
+++ b/src/main/java/org/micabarrow/transport/PeerChunkClient.java
@@ -11,6 +11,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
 import org.micabarrow.state.CanonicalJson;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
@@ -81,10 +82,10 @@
         this.newConnectionTimeout = newConnectionTimeout;
     }
 
-    private Result<HttpResponse> get(String peer, String path, Duration timeout) {
+    private <T> Result<T> get(String peer, String path, Duration timeout, Function<HttpResponse, Result<T>> reader) {
         HttpCall call = HttpCall.get(Step.FETCH, URI.create("http://" + peer + path));
-        return client.call(call, timeout).flatMap(response -> switch (response.status()) {
-            case OK -> Result.success(response);
+        return client.read(call, timeout, response -> switch (response.status()) {
+            case OK -> reader.apply(response);
             case FETCHING -> Result.failure(Fault.of(Step.FETCH, peer, Reason.NOT_READY, "it is still fetching"));
             default ->
                 Result.failure(Fault.of(Step.FETCH, peer, Reason.NOT_FOUND, "it returned status " + response.status()));
@@ -93,9 +94,9 @@
 
     @Override
     public Result<List<String>> digests(String agent, String model, long version) {
-        return get(agent, DIGESTS + model + "/" + version, DIGESTS_TIMEOUT).flatMap(response -> {
+        return get(agent, DIGESTS + model + "/" + version, DIGESTS_TIMEOUT, response -> {
             try {
-                JsonNode json = CanonicalJson.mapper().readTree(response.body());
+                JsonNode json = CanonicalJson.mapper().readTree(response.json());
                 List<String> digests = new ArrayList<>();
                 json.forEach(digest -> digests.add(digest.asText()));
                 return Result.success(digests);
@@ -110,7 +111,8 @@
         Result<HttpResponse> response = get(
                 agent,
                 CHUNKS + model + "/" + version + "/" + formatChunks(wanted) + "?" + HOLD + "=" + HOLD_MILLIS,
-                responseTimeout);
+                responseTimeout,
+                Result::success);
         if (response instanceof Result.Failure<HttpResponse>(Fault fault) && lacksResponse(fault)) {
             return Result.failure(excuseIfResponsive(agent, model, version) ? connectionFault(agent, fault) : fault);
         }
--- a/src/main/java/org/micabarrow/transport/PeerRecordClient.java
+++ b/src/main/java/org/micabarrow/transport/PeerRecordClient.java
@@ -17,6 +17,7 @@
 import org.micabarrow.state.Fault.Reason;
 import org.micabarrow.state.Fault.Step;
 import org.micabarrow.state.Result;
+import org.micabarrow.transport.HttpClient.HttpResponse;
 import org.micabarrow.views.DrainTimeBudget;
 import org.micabarrow.views.EraOffset;
 import org.micabarrow.views.NamingAccount;
@@ -107,19 +108,19 @@
                 + "=" + EraOffset.era(from));
         HttpCall call = HttpCall.get(Step.READ, uri);
         long sentMillis = monotonicMillis.getAsLong();
-        return client.call(
-                        call,
-                        new ResponseTimeouts(
-                                DrainTimeBudget.PEER_RESPONSE_TIMEOUT, DrainTimeBudget.PEER_RESPONSE_TIMEOUT, timeout))
-                .flatMap(response -> response.status() == OK
-                        ? parse(peer, response.body(), sentMillis)
+        return client.read(
+                call,
+                new ResponseTimeouts(
+                        DrainTimeBudget.PEER_RESPONSE_TIMEOUT, DrainTimeBudget.PEER_RESPONSE_TIMEOUT, timeout),
+                response -> response.status() == OK
+                        ? parse(peer, response, sentMillis)
                         : Result.failure(Fault.of(
                                 Step.READ, peer, Reason.NOT_READY, "it returned status " + response.status())));
     }
 
-    private static Result<Batch> parse(String peer, byte[] body, long sentMillis) {
+    private static Result<Batch> parse(String peer, HttpResponse response, long sentMillis) {
         try {
-            JsonNode json = CanonicalJson.mapper().readTree(body);
+            JsonNode json = CanonicalJson.mapper().readTree(response.json());
             List<StoredRecord> records = new ArrayList<>();
             for (JsonNode node : json.path("records")) {
                 records.add(new StoredRecord(
--- a/src/main/java/org/micabarrow/transport/PlatformClient.java
+++ b/src/main/java/org/micabarrow/transport/PlatformClient.java
@@ -48,8 +48,8 @@
     @Override
     public Result<Long> append(String stream, byte[] body) {
         HttpCall call = HttpCall.post(Step.LOG, URI.create(platform.log() + "/streams/" + stream), body);
-        return client.call(call, APPEND_TIMEOUT)
-                .flatMap(response -> read(call, response, PlatformMessages.AppendResponse.class))
+        return client.read(
+                        call, APPEND_TIMEOUT, response -> read(call, response, PlatformMessages.AppendResponse.class))
                 .map(PlatformMessages.AppendResponse::offset);
     }
 
@@ -58,16 +58,15 @@
         URI uri = URI.create(
                 platform.log() + "/streams/" + stream + "?from=" + Math.max(0, from) + "&wait=" + wait.toMillis());
         HttpCall call = HttpCall.get(Step.LOG, uri);
-        return client.call(call, wait.plus(READ_SLACK))
-                .flatMap(response -> read(call, response, PlatformMessages.LogPage.class))
+        return client.read(
+                        call, wait.plus(READ_SLACK), response -> read(call, response, PlatformMessages.LogPage.class))
                 .map(PlatformMessages.LogPage::page);
     }
 
     @Override
     public Result<List<Instance>> read() {
         HttpCall call = HttpCall.get(Step.INSTANCES, URI.create(platform.instances() + "/instances"));
-        return client.call(call, LIST_TIMEOUT)
-                .flatMap(response -> read(call, response, Instance[].class))
+        return client.read(call, LIST_TIMEOUT, response -> read(call, response, Instance[].class))
                 .map(List::of);
     }
 
@@ -89,7 +88,7 @@
                     call.method() + " " + call.pathAndQuery() + " returned status " + response.status()));
         }
         try {
-            return Result.success(CanonicalJson.read(response.body(), type));
+            return Result.success(CanonicalJson.read(response.json(), type));
         } catch (IOException e) {
             return Result.failure(Fault.of(
                     call.step(), call.peer(), Reason.CORRUPT, "the response cannot be read: " + e.getMessage()));
--- a/src/main/java/org/micabarrow/transport/ResponseCollector.java
+++ b/src/main/java/org/micabarrow/transport/ResponseCollector.java
@@ -1,6 +1,6 @@
 package org.micabarrow.transport;
 
-import java.io.ByteArrayOutputStream;
+import com.fasterxml.jackson.core.util.ByteArrayBuilder;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -8,23 +8,38 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import org.micabarrow.headers.HeaderFields;
+import org.micabarrow.memory.HeldBytes;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
+import org.micabarrow.state.Fault.Step;
 import org.micabarrow.state.Result;
 import org.micabarrow.transport.HttpClient.HttpResponse;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/** Collects a response until it is complete. The request is not sent if it is no longer due when it could be. */
+/**
+ * Collects a response until it is complete. The request is not sent if it is no longer due when it could be. What all of them hold
+ * is bounded together: the part of the heap that answers of the store have is not taken by those of others.
+ */
 final class ResponseCollector implements HttpClient.Listener {
 
-    /** The longest body that is collected, in bytes: four times as long as the longest manifest. */
-    private static final int MAX_BODY_BYTES = 16 << 20;
+    /** The longest body of records that is collected, in bytes: four times as long as the longest manifest. */
+    private static final long MAX_RECORDS_BYTES = 16 << 20;
+
+    /** The part of what all others may hold that one of them may, as a divisor: with 64 MB, dozens of usual chunks. */
+    private static final long OTHER_DIVISOR = 4;
+
+    private static final Logger LOG = LoggerFactory.getLogger(ResponseCollector.class);
 
     private final HttpCall call;
     private final BooleanSupplier stillDue;
     private final CompletableFuture<Result<HttpResponse>> done = new CompletableFuture<>();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final HeldBytes.Hold held;
+    private final long maxBytes;
+    private volatile ByteArrayBuilder body = new ByteArrayBuilder();
     private volatile boolean begun;
-    private volatile boolean tooLarge;
+    private volatile boolean refused;
+    private volatile long received;
     private volatile long lastPartNanos;
     private int status;
     private HeaderFields headers = HeaderFields.empty();
@@ -38,6 +53,10 @@
     ResponseCollector(HttpCall call, BooleanSupplier stillDue) {
         this.call = call;
         this.stillDue = stillDue;
+        boolean records = call.step() == Step.LOG || call.step() == Step.READ;
+        HeldBytes all = records ? HeldBytes.ofRecords() : HeldBytes.ofOthers();
+        this.held = all.holdAnswer(this::onNoRoom);
+        this.maxBytes = Math.min(MAX_RECORDS_BYTES, records ? all.limitBytes() : all.limitBytes() / OTHER_DIVISOR);
     }
 
     /** Whether any part of the response has arrived. */
@@ -45,9 +64,15 @@
         return begun;
     }
 
-    /** Whether the response was given up because its body is too long; the rest of it is not read. */
-    boolean tooLarge() {
-        return tooLarge;
+    /** Whether the response was given up because of the length of its body; the rest of it is not read. */
+    boolean refused() {
+        return refused;
+    }
+
+    /** Ends the count of what is held, also of a response that is still to come. */
+    void release() {
+        held.release();
+        body = new ByteArrayBuilder(0);
     }
 
     /**
@@ -96,17 +121,29 @@
     @Override
     public void onData(byte[] data, Runnable requestMore) {
         onPart();
-        if (body.size() + data.length > MAX_BODY_BYTES) {
-            tooLarge = true;
-            done.complete(Result.failure(Fault.of(
-                    call.step(),
-                    call.peer(),
-                    Reason.TOO_LARGE,
-                    "the body is longer than " + MAX_BODY_BYTES + " bytes")));
+        received += data.length;
+        if (received > maxBytes) {
+            refuse("the body is longer than " + maxBytes + " bytes");
             return;
         }
-        body.writeBytes(data);
-        requestMore.run();
+        ByteArrayBuilder growing = body;
+        held.set(received);
+        if (!refused) {
+            growing.write(data);
+            requestMore.run();
+        }
+    }
+
+    /** Called by whichever thread needs the memory. */
+    private void onNoRoom() {
+        refuse("no memory is left for a body of " + received + " bytes");
+    }
+
+    private void refuse(String reason) {
+        refused = true;
+        release();
+        LOG.warn("event=message_refused peer={} action=closed why=\"{}\"", call.peer(), reason);
+        done.complete(Result.failure(Fault.of(call.step(), call.peer(), Reason.TOO_LARGE, reason)));
     }
 
     /**
@@ -115,11 +152,16 @@
      */
     @Override
     public void onComplete(BodyEnd end) {
-        done.complete(Result.success(new HttpResponse(status, headers, body.toByteArray())));
+        if (held.complete(received)) {
+            byte[] whole = body.toByteArray();
+            body = new ByteArrayBuilder(0);
+            done.complete(Result.success(new HttpResponse(status, headers, whole, held::complete)));
+        }
     }
 
     @Override
     public void onFailed(Fault fault, boolean sent) {
+        release();
         done.complete(Result.failure(fault));
     }
 }
--- a/src/main/java/org/micabarrow/transport/WeightsClient.java
+++ b/src/main/java/org/micabarrow/transport/WeightsClient.java
@@ -86,8 +86,7 @@
 
     private Result<Manifest> manifestFrom(String base, String artifact) {
         HttpCall call = HttpCall.get(Step.FETCH, URI.create(base + "/weights/" + artifact + "/manifest"));
-        return client.call(call, MANIFEST_TIMEOUT)
-                .flatMap(response -> PlatformClient.read(call, response, Manifest.class))
+        return client.read(call, MANIFEST_TIMEOUT, response -> PlatformClient.read(call, response, Manifest.class))
                 .flatMap(manifest -> manifest.version().equals(artifact)
                         ? Result.success(manifest)
                         : Result.failure(Fault.of(
--- a/src/test/java/org/micabarrow/memory/HeldBytesTest.java
+++ b/src/test/java/org/micabarrow/memory/HeldBytesTest.java
@@ -1,6 +1,8 @@
 package org.micabarrow.memory;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -69,4 +71,30 @@
         answer("late").set(1);
         assertEquals(List.of("late"), cut);
     }
+
+    @Test
+    void shouldCutOthersButNotCompleteAnswerWhenLimitIsExceeded() {
+        HeldBytes.Hold complete = answer("complete");
+        complete.set(30);
+        answer("small").set(20);
+        answer("large").set(40);
+        assertTrue(complete.complete(50));
+        assertEquals(List.of("large"), cut);
+        answer("later").set(31);
+        assertEquals(List.of("large", "later"), cut);
+        assertEquals(70, held.bytes());
+        complete.release();
+        assertEquals(20, held.bytes());
+    }
+
+    @Test
+    void shouldRefuseCompleteAnswerWhenOthersThatAreCompleteLeaveNoRoom() {
+        assertTrue(answer("first").complete(60));
+        HeldBytes.Hold second = answer("second");
+        assertTrue(second.complete(40));
+        assertFalse(second.complete(41));
+        assertEquals(List.of("second"), cut);
+        assertFalse(second.complete(1));
+        assertEquals(60, held.bytes());
+    }
 }
