A stopping entry answers what its clients have sent ahead

What callers saw: a client sends further requests behind one that is still open when the grace ends. The open one gets 504, the next one 503, and the connection ends without an answer to the others, although the entry has read them.

Cause: after the open requests had been ended, the entry looked once whether any was in flight. A connection that goes from one request to the next has none for a moment, and the process ended in it.

A connection with a request that was read ahead does not count as idle, and the entry goes on looking for 0.3 s, within the reserve of 0.7 s that the grace keeps for the end.

--- a/src/main/java/org/micabarrow/process/EntryStop.java
+++ b/src/main/java/org/micabarrow/process/EntryStop.java
@@ -20,9 +20,12 @@
      */
     private static final long READINESS_LAG_MILLIS = 2_500;
 
-    /** The remainder of the grace period when the process ends on its own, in milliseconds. */
+    /** The remainder of the grace period when requests in flight are ended, in milliseconds. */
     private static final long GRACE_RESERVE_MILLIS = 700;
 
+    /** How long their responses may then take to leave, in milliseconds; the rest is for the end of the process. */
+    private static final long FLUSH_MILLIS = 300;
+
     private static final long POLL_MILLIS = 50;
 
     /** Timeout of a check for open requests, in milliseconds: two must fit into the reserve of the grace period. */
@@ -40,22 +43,29 @@
 
     /** Stops within a grace period, after which the process would be killed. */
     void within(long graceMillis) throws InterruptedException {
-        long latest = HostedNode.steadyMillis() + graceMillis - GRACE_RESERVE_MILLIS;
+        long begun = HostedNode.steadyMillis();
+        long readinessMillis = Math.min(READINESS_LAG_MILLIS, graceMillis / 2);
+        long latest = begun + graceMillis - GRACE_RESERVE_MILLIS;
         handler.connections().startDraining();
         LOG.info("event=leaving open={}", handler.connections().inFlightCount());
-        Thread.sleep(Math.min(READINESS_LAG_MILLIS, graceMillis / 2));
+        Thread.sleep(readinessMillis);
         handler.connections().closeIdle();
+        if (!closeUntil(latest)) {
+            // Requests that are still open, and those sent behind them, get a response before the process ends.
+            traffic.execute(handler::endRequests);
+            closeUntil(latest + FLUSH_MILLIS);
+        }
+        LOG.info("event=stopped open={}", handler.connections().inFlightCount());
+    }
+
+    /** Closes all client connections as soon as no request is open; false if that did not come in time. */
+    private boolean closeUntil(long latestMillis) throws InterruptedException {
         boolean closed = closeIfIdle();
-        while (!closed && HostedNode.steadyMillis() < latest) {
+        while (!closed && HostedNode.steadyMillis() < latestMillis) {
             Thread.sleep(POLL_MILLIS);
             closed = closeIfIdle();
         }
-        if (!closed) {
-            // Requests that are still open get a response before the process ends.
-            traffic.execute(handler::endRequests);
-            closeIfIdle();
-        }
-        LOG.info("event=stopped open={}", handler.connections().inFlightCount());
+        return closed;
     }
 
     /**
@@ -64,14 +74,16 @@
      */
     private boolean closeIfIdle() throws InterruptedException {
         CompletableFuture<Boolean> closed = new CompletableFuture<>();
-        traffic.execute(() -> {
-            boolean idle = handler.connections().inFlightCount() == 0;
-            if (idle) {
-                closeListener.run();
-            }
-            // Each connection is closed by its own task on this thread, all of which are queued before this one.
-            traffic.execute(() -> closed.complete(idle));
-        });
+        handler.connections()
+                .ifIdle(
+                        traffic,
+                        () -> {
+                            closeListener.run();
+                            // Each connection is closed by its own task on this thread, all of which are queued before
+                            // this one.
+                            traffic.execute(() -> closed.complete(true));
+                        },
+                        () -> closed.complete(false));
         try {
             return closed.get(CHECK_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         } catch (ExecutionException | TimeoutException e) {
--- a/src/main/java/org/micabarrow/serving/ClientConnections.java
+++ b/src/main/java/org/micabarrow/serving/ClientConnections.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.xnio.IoUtils;
+import org.xnio.XnioIoThread;
 
 /**
  * The connections of clients, each with a flag whether it has a request in flight. The entry shuts down in two steps:
@@ -68,6 +69,21 @@
         }
     }
 
+    /**
+     * Runs a step if no request is in flight and none has been read ahead.
+     *
+     * @param thread the I/O thread of all connections
+     * @param whenIdle runs on that thread if so
+     * @param otherwise runs on that thread if not
+     */
+    public void ifIdle(XnioIoThread thread, Runnable whenIdle, Runnable otherwise) {
+        thread.execute(() -> (isIdle() ? whenIdle : otherwise).run());
+    }
+
+    private boolean isIdle() {
+        return inFlightCount() == 0 && open.keySet().stream().noneMatch(ClientConnections::hasBufferedRequest);
+    }
+
     /**
      * Whether new requests are refused.
      *
