--- a/src/main/java/org/micabarrow/serving/ClientConnections.java
+++ b/src/main/java/org/micabarrow/serving/ClientConnections.java
@@ -6,6 +6,7 @@
 import io.undertow.util.Headers;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
 
@@ -16,6 +17,12 @@
  */
 public final class ClientConnections {
 
+    /**
+     * How long an I/O thread goes on reading before it closes connections on which it sees no request, in milliseconds.
+     * Requests that arrived while the thread was busy are read meanwhile.
+     */
+    private static final long READ_MILLIS = 5;
+
     private final Map<ServerConnection, Boolean> open = new ConcurrentHashMap<>();
     private volatile boolean draining;
     private volatile boolean closing;
@@ -58,7 +65,7 @@
         closing = true;
         open.forEach((connection, busy) -> {
             if (!busy) {
-                connection.getIoThread().execute(() -> closeIfIdle(connection));
+                afterReading(connection.getIoThread(), () -> closeIfIdle(connection));
             }
         });
     }
@@ -69,15 +76,28 @@
         }
     }
 
+    /** Runs a step on an I/O thread after what has arrived at its connections has been read. */
+    private static void afterReading(XnioIoThread thread, Runnable step) {
+        // The delay counts from when the thread gets there: a thread that was busy runs all steps that are due before
+        // it reads.
+        thread.execute(() -> thread.executeAfter(step, READ_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
     /**
-     * Runs a step if no request is in flight and none has been read ahead.
+     * Runs a step once no request is in flight, none has arrived in the meantime and none has been read ahead.
      *
      * @param thread the I/O thread of all connections
      * @param whenIdle runs on that thread if so
      * @param otherwise runs on that thread if not
      */
     public void ifIdle(XnioIoThread thread, Runnable whenIdle, Runnable otherwise) {
-        thread.execute(() -> (isIdle() ? whenIdle : otherwise).run());
+        thread.execute(() -> {
+            if (isIdle()) {
+                afterReading(thread, () -> (isIdle() ? whenIdle : otherwise).run());
+            } else {
+                otherwise.run();
+            }
+        });
     }
 
     private boolean isIdle() {
