An interim response is not taken for the answer

An interim response with a status other than 100 was taken for the whole answer, with an empty body. An endpoint that repeats its Attempt-Id and Server-Seal in one had its 101 or 103 passed on, and a caller that keeps its connection then waited for the answer for good. Undertow's client waits for another head after 100 alone.

Such a response fails the call now, and its connection is reset. A sound answer that follows a 102 or 103 is lost as before (502): to read on, the client would have to skip the head itself.

--- a/src/main/java/org/micabarrow/transport/HttpExchange.java
+++ b/src/main/java/org/micabarrow/transport/HttpExchange.java
@@ -3,6 +3,7 @@
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderMap;
@@ -153,16 +154,10 @@
         return new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
-                bodyEnd = BodyEnd.of(exchange.getResponse());
-                connection
-                        .bytes()
-                        .headRead(BodyEnd.isChunked(exchange.getResponse().getResponseHeaders()));
-                listener.onHead(
-                        exchange.getResponse().getResponseCode(),
-                        HeaderMaps.fields(exchange.getResponse().getResponseHeaders()));
-                source = exchange.getResponseChannel();
-                source.getReadSetter().set(channel -> read());
-                read();
+                ResponseHeads.fault(exchange.getResponse())
+                        .ifPresentOrElse(
+                                why -> fail(Reason.UNREACHABLE, "the answer is not readable: " + why),
+                                () -> onHead(exchange));
             }
 
             @Override
@@ -172,6 +167,16 @@
         };
     }
 
+    private void onHead(ClientExchange exchange) {
+        ClientResponse response = exchange.getResponse();
+        bodyEnd = BodyEnd.of(response);
+        connection.bytes().headRead(BodyEnd.isChunked(response.getResponseHeaders()));
+        listener.onHead(response.getResponseCode(), HeaderMaps.fields(response.getResponseHeaders()));
+        source = exchange.getResponseChannel();
+        source.getReadSetter().set(channel -> read());
+        read();
+    }
+
     private void read() {
         try (PooledByteBuffer pooled = shared.buffers().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
