--- a/src/test/java/org/micabarrow/transport/ResponseHeadsTest.java
+++ b/src/test/java/org/micabarrow/transport/ResponseHeadsTest.java
@@ -78,4 +78,56 @@
             assertEquals(Optional.of("first"), body(pending.await(TIMEOUT)));
         }
     }
+
+    /** The body is one chunk and no last one, and the connection ends. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Transfer-Encoding: gzip, chunked",
+                "Transfer-Encoding: chunked, chunked",
+                "Transfer-Encoding: chunked;q=1",
+                "Transfer-Encoding: gzip",
+                "Transfer-Encoding: gzip|Transfer-Encoding: chunked",
+                "Transfer-Encoding: chunked|Transfer-Encoding: identity",
+                "Content-Length: 10|Content-Length: 100"
+            })
+    void shouldNotTakeAnswerWhoseEndIsNotKnown(String fields) throws Exception {
+        HttpClient.PendingCall pending = client.callAsync(call);
+        try (Socket socket = server.accept()) {
+            answer(socket, "HTTP/1.1 200 OK\r\n" + fields.replace("|", "\r\n") + "\r\n\r\n5\r\nwhole\r\n");
+        }
+        assertEquals(Optional.empty(), body(pending.await(TIMEOUT)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Transfer-Encoding: CHUNKED",
+                "Transfer-Encoding: chunked|Transfer-Encoding: chunked",
+                "Transfer-Encoding: chunked|Content-Length: 3"
+            })
+    void shouldTakeAnswerInChunks(String fields) throws Exception {
+        assertTaken(fields, "5\r\nwhole\r\n0\r\n\r\n");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "A: b",
+                "Content-Length: 5",
+                "Content-Length: 5|Content-Length: 5",
+                "Transfer-Encoding: identity",
+                "Transfer-Encoding: Identity|Content-Length: 5"
+            })
+    void shouldTakeAnswerWithOrWithoutLength(String fields) throws Exception {
+        assertTaken(fields, "whole");
+    }
+
+    private void assertTaken(String fields, String content) throws Exception {
+        HttpClient.PendingCall pending = client.callAsync(call);
+        try (Socket socket = server.accept()) {
+            answer(socket, "HTTP/1.1 200 OK\r\n" + fields.replace("|", "\r\n") + "\r\n\r\n" + content);
+        }
+        assertEquals(Optional.of("whole"), body(pending.await(TIMEOUT)));
+    }
 }
