A response that is ended too early does not look complete

When a task of an exchange throws after a part of a response was written, Undertow ends the exchange, which writes the last chunk: the caller of a broken response without a length took it for complete. With HTTP/1.0 the end is graceful too, since the output is shut down before the connection is reset. No handler of today was found to throw then; nothing guarded those to come.

From its beginning such a response is marked as incomplete until it is completed, and an exchange that is ended before has its connection closed, with a log line.

ResponseFramingTest: 8 of 16 red before (a task that throws, an exchange that is ended early, in each of HTTP/1.1 kept and closed, HTTP/1.0 closed and kept), all green after; whole and empty responses are complete before and after. IncompleteResponseTest (51), IncompleteAnswerTest (42), KilledEntryTest, HostedEntryTest, StalledClientTest and SlowClientTest pass.

--- a/src/main/java/org/micabarrow/transport/ResponseFraming.java
+++ b/src/main/java/org/micabarrow/transport/ResponseFraming.java
@@ -1,12 +1,14 @@
 package org.micabarrow.transport;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.AttachmentKey;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.util.Objects;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.IoUtils;
 import org.xnio.Options;
 
 /**
@@ -26,6 +28,9 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(ResponseFraming.class);
 
+    /** Present from the beginning of a response whose length is not known until it is complete. */
+    private static final AttachmentKey<Boolean> INCOMPLETE = AttachmentKey.create(Boolean.class);
+
     /**
      * Returns the framing of a response.
      *
@@ -47,7 +52,9 @@
      * @param exchange the exchange whose response begins
      */
     public static void begin(HttpServerExchange exchange) {
-        if (Objects.requireNonNull(exchange, "exchange is null").isHttp11()) {
+        Objects.requireNonNull(exchange, "exchange is null").putAttachment(INCOMPLETE, true);
+        exchange.addDefaultResponseListener(ResponseFraming::closeIfIncomplete);
+        if (exchange.isHttp11()) {
             // Undertow sends chunks by itself only if the connection is kept.
             exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
         } else {
@@ -56,16 +63,30 @@
     }
 
     /**
-     * Makes the connection end gracefully when it is closed. To be called when the last byte of the response has been written.
+     * Allows the response to end, and makes its connection end gracefully when it is closed. To be called when the last byte of the
+     * response has been written.
      *
      * @param exchange the exchange whose response is complete
      */
     public static void complete(HttpServerExchange exchange) {
+        Objects.requireNonNull(exchange, "exchange is null").removeAttachment(INCOMPLETE);
         if (of(exchange) == CONNECTION) {
             setResetOnClose(exchange, false);
         }
     }
 
+    /** Called when the exchange is ended, which writes the last chunk. Undertow ends it by itself if a handler throws. */
+    private static boolean closeIfIncomplete(HttpServerExchange exchange) {
+        boolean begun = exchange.isResponseStarted() && exchange.getAttachment(INCOMPLETE) != null;
+        // A connection that was closed during the response ends its exchange too, and nothing more is written.
+        if (!begun || !exchange.getConnection().isOpen()) {
+            return false;
+        }
+        LOG.warn("event=response_ended_too_early path={}", exchange.getRequestPath());
+        IoUtils.safeClose(exchange.getConnection());
+        return true;
+    }
+
     private static void setResetOnClose(HttpServerExchange exchange, boolean reset) {
         try {
             exchange.getConnection().setOption(Options.CLOSE_ABORT, reset);
