--- a/src/main/java/org/micabarrow/transport/ResponseFraming.java
+++ b/src/main/java/org/micabarrow/transport/ResponseFraming.java
@@ -77,7 +77,9 @@
 
     /** Called when the exchange is ended, which writes the last chunk. Undertow ends it by itself if a handler throws. */
     private static boolean closeIfIncomplete(HttpServerExchange exchange) {
-        if (!exchange.isResponseStarted() || exchange.getAttachment(INCOMPLETE) == null) {
+        boolean begun = exchange.isResponseStarted() && exchange.getAttachment(INCOMPLETE) != null;
+        // A connection that was closed during the response ends its exchange too, and nothing more is written.
+        if (!begun || !exchange.getConnection().isOpen()) {
             return false;
         }
         LOG.warn("event=response_ended_too_early path={}", exchange.getRequestPath());
