A stopping entry reads what has arrived before it closes, and refuses by the clock

What callers saw: a request that was sent whole on a resting connection while the entry's traffic thread was busy, or the process suspended within its grace, ended with a reset. After a suspension it could also be taken late in the grace.

Cause: closing a connection, or all of them, is a task on the traffic thread. Tasks run before the thread selects, so that a thread that was held up closed connections whose requests lay in their buffers. And it was the stopping thread that began to refuse: a process that goes on has both threads run at once, and until the stopping one got there, the other took requests.

An idle connection is now read by a step of its own before the step that closes it; before all are closed, the thread goes on for 5 ms more, for connections that have brought no request before. Whether requests are refused is decided by the clock.

PlannedStopTest: the two of busy threads are red without that (a reset; taken as idle), the one by the clock without it (200 for 503). A second SIGTERM within the grace cut nothing before either; its test stays.

What it costs: a planned stop takes 5 ms more for each look that finds nothing open.

--- a/src/main/java/org/micabarrow/serving/ClientConnections.java
+++ b/src/main/java/org/micabarrow/serving/ClientConnections.java
@@ -6,6 +6,7 @@
 import io.undertow.util.Headers;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
 
@@ -16,6 +17,12 @@
  */
 public final class ClientConnections {
 
+    /**
+     * How long an I/O thread goes on before it closes all connections, in milliseconds: requests on connections that have
+     * brought none before are read meanwhile.
+     */
+    private static final long READ_MILLIS = 5;
+
     private final Map<ServerConnection, Boolean> open = new ConcurrentHashMap<>();
     private volatile boolean draining;
     private volatile boolean closing;
@@ -58,7 +65,7 @@
         closing = true;
         open.forEach((connection, busy) -> {
             if (!busy) {
-                connection.getIoThread().execute(() -> closeIfIdle(connection));
+                connection.getIoThread().execute(() -> closeAfterReading(connection));
             }
         });
     }
@@ -69,15 +76,37 @@
         }
     }
 
+    private void closeAfterReading(ServerConnection connection) {
+        read(connection);
+        connection.getIoThread().execute(() -> closeIfIdle(connection));
+    }
+
+    /**
+     * Has an idle connection read before any step that is given to its thread afterwards: the thread runs all such steps
+     * before it looks for what has arrived.
+     */
+    private void read(ServerConnection connection) {
+        if (Boolean.FALSE.equals(open.get(connection)) && connection instanceof HttpServerConnection http) {
+            http.getChannel().getSourceChannel().wakeupReads();
+        }
+    }
+
     /**
-     * Runs a step if no request is in flight and none has been read ahead.
+     * Runs a step once no request is in flight, none has arrived in the meantime and none has been read ahead.
      *
      * @param thread the I/O thread of all connections
      * @param whenIdle runs on that thread if so
      * @param otherwise runs on that thread if not
      */
     public void ifIdle(XnioIoThread thread, Runnable whenIdle, Runnable otherwise) {
-        thread.execute(() -> (isIdle() ? whenIdle : otherwise).run());
+        thread.execute(() -> {
+            if (isIdle()) {
+                open.keySet().forEach(this::read);
+                thread.executeAfter(() -> (isIdle() ? whenIdle : otherwise).run(), READ_MILLIS, TimeUnit.MILLISECONDS);
+            } else {
+                otherwise.run();
+            }
+        });
     }
 
     private boolean isIdle() {
--- a/src/main/java/org/micabarrow/serving/ServingContext.java
+++ b/src/main/java/org/micabarrow/serving/ServingContext.java
@@ -53,6 +53,7 @@
     private final SuspectAdmission suspects;
     private final CrashDetector crashes;
     private final RequestPlacement placement;
+    private final PlannedStop stop = new PlannedStop();
 
     /**
      * Creates the shared state.
@@ -111,6 +112,10 @@
         }
     }
 
+    PlannedStop stop() {
+        return stop;
+    }
+
     InFlightRequests inFlight() {
         return inFlight;
     }
--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -163,6 +163,16 @@
         context.inFlight().checkAll();
     }
 
+    /**
+     * Begins a planned stop: each response asks its client to close the connection.
+     *
+     * @param refuseFromMillis the time on the monotonic clock from which all requests are refused, in milliseconds
+     */
+    public void startStopping(long refuseFromMillis) {
+        context.stop().begin(refuseFromMillis);
+        connections.startDraining();
+    }
+
     /** Ends all requests in flight with the outcome known so far, because the process stops; on the traffic thread. */
     public void endRequests() {
         context.inFlight().endAll("this entry stops");
@@ -230,7 +240,7 @@
         memory.bodyRead(exchange, body.length);
         OptionalLong knownAsOf = knownAsOf();
         Optional<RouteManifest> manifest = context.view().manifest();
-        if (connections.closing()) {
+        if (connections.closing() || context.stop().refusesAll(context.nowMillis())) {
             refuse(exchange, UNAVAILABLE, "this entry is stopping", STOPPING_RETRY_MILLIS);
             return;
         }
