A stopping entry does not send what it would probably cut at its end

What callers saw: a request that a stopping entry took, or repeated, or gave a slot late in its grace ran at an endpoint, and its answer was cut at the end: 504, "unknown outcome", which nobody may ask again for if the request may run once, or a stream that breaks off.

A request is now sent, sent again or left waiting only if its own time ends before the stop does, or if its route's recent answers (the last 32, from arrival to end) took no longer than what is left: half of them for requests that may run again, 95 of 100 for the others. Otherwise it gets 503 (502 if an earlier attempt may have run it) with a Retry-After of 0.1 s, so that its client has nearly all of its time left at another entry. A route of which no answer is known is sent as before, and an answer that has begun goes on. The timeout of the route does not decide by itself: with 30 s of timeout and answers of 0.3 s nothing is refused.

PlannedStopTest: without the rule a request of each kind whose route takes too long, a repetition late in the grace and a waiting request are sent or kept.

What it costs: 128 bytes and one store for each answer a route; in a stop, requests of a route with few slow answers among 32 are refused although most would have been answered in time, and a client that has no other entry, or meets this one again before the platform has noticed, has spent a try.

--- a/src/main/java/org/micabarrow/process/EntryStop.java
+++ b/src/main/java/org/micabarrow/process/EntryStop.java
@@ -46,7 +46,7 @@
         long begun = HostedNode.steadyMillis();
         long readinessMillis = Math.min(READINESS_LAG_MILLIS, graceMillis / 2);
         long latest = begun + graceMillis - GRACE_RESERVE_MILLIS;
-        handler.startStopping(begun + readinessMillis);
+        handler.startStopping(begun + readinessMillis, latest);
         LOG.info("event=leaving open={}", handler.connections().inFlightCount());
         Thread.sleep(readinessMillis);
         handler.connections().closeIdle();
--- a/src/main/java/org/micabarrow/serving/ServedRequest.java
+++ b/src/main/java/org/micabarrow/serving/ServedRequest.java
@@ -26,6 +26,12 @@
 /** A client request from its arrival to the end of its response. All methods run on the traffic thread. */
 final class ServedRequest implements InFlightRequests.InFlightRequest, SlotWait.Request {
 
+    /**
+     * The retry delay of a request whose answer would be cut by the stop of this process, in milliseconds: until the
+     * platform has noticed the stop, another attempt at once could come here again.
+     */
+    private static final long STOPPING_RETRY_MILLIS = 100;
+
     private final ServingContext context;
     private final ClientRequest request;
     private final ClientResponse response;
@@ -136,6 +142,8 @@
     @Override
     public void decided(Decision decision, String reason) {
         switch (decision) {
+            case Decision.Send ignored when stopsBeforeAnswer() -> refuseForStop();
+            case Decision.Wait ignored when stopsBeforeAnswer() -> refuseForStop();
             case Decision.Send(EndpointSelection.Selected selected) -> sendOrQueryAgent(selected, reason);
             case Decision.Wait wait
             when !response.started() && context.classes().waits(request, wait) -> waitForSlot(wait, reason);
@@ -175,6 +183,20 @@
         conclude(outcomeWithoutResponse(), reason, () -> Math.clamp(millis.orElse(usual), 1, Math.max(1, usual)));
     }
 
+    private boolean stopsBeforeAnswer() {
+        return !response.started()
+                && context.stop().endsBeforeAnswer(request.route(), remainingMillis(), context.nowMillis());
+    }
+
+    /** Ends the request before an attempt whose answer would be cut: its client reaches another entry in the meantime. */
+    private void refuseForStop() {
+        context.metrics().stopRefused.inc();
+        conclude(
+                outcomeWithoutResponse(),
+                "this entry is stopping, and an answer would probably come too late",
+                () -> STOPPING_RETRY_MILLIS);
+    }
+
     private void waitForSlot(Decision.Wait wait, String reason) {
         log.waitsForSlot(wait, millisUntilObjective());
         slotWait.begin(
@@ -317,6 +339,7 @@
     boolean reserveRetry(Predicate<EndpointSelection.Selected> acceptable) {
         AttemptPolicy.Progress progress = attempts.progressIfRun(remainingMillis());
         return request.route().kind().repeatable()
+                && !stopsBeforeAnswer()
                 && decide() instanceof Decision.Send(EndpointSelection.Selected other)
                 && acceptable.test(other)
                 && AttemptPolicy.allowsAnotherAttempt(request.route(), progress, context.budget()::tryRetry);
@@ -344,6 +367,8 @@
         } else if (awaitsFirstData() && suspicion() instanceof SuspicionLevel.Refused refused) {
             currentAttempt.ifPresent(this::cancelAttempt);
             refusePoisonRequest(SuspectAdmission.refusal(refused));
+        } else if (slotWait.isWaiting() && stopsBeforeAnswer()) {
+            refuseForStop();
         } else {
             currentAttempt.ifPresent(Attempt::check);
         }
@@ -387,6 +412,7 @@
     }
 
     void onResponseComplete(String details) {
+        context.stop().answered(request.route(), elapsedMillis());
         conclude(RequestOutcome.ANSWERED, details);
     }
 
--- a/src/main/java/org/micabarrow/serving/ServingHandler.java
+++ b/src/main/java/org/micabarrow/serving/ServingHandler.java
@@ -164,12 +164,14 @@
     }
 
     /**
-     * Begins a planned stop: each response asks its client to close the connection.
+     * Begins a planned stop: each response asks its client to close the connection, and requests whose answers would
+     * probably be cut are refused.
      *
      * @param refuseFromMillis the time on the monotonic clock from which all requests are refused, in milliseconds
+     * @param endMillis the time at which {@link #endRequests} is called
      */
-    public void startStopping(long refuseFromMillis) {
-        context.stop().begin(refuseFromMillis);
+    public void startStopping(long refuseFromMillis, long endMillis) {
+        context.stop().begin(refuseFromMillis, endMillis);
         connections.startDraining();
     }
 
--- a/src/main/java/org/micabarrow/serving/ServingMetrics.java
+++ b/src/main/java/org/micabarrow/serving/ServingMetrics.java
@@ -25,6 +25,7 @@
     final Counter poisonRequests;
     final Counter rateLimited;
     final Counter placementRefused;
+    final Counter stopRefused;
     final Timer firstByte;
     private final Histogram firstEventOverPredicted;
 
@@ -45,6 +46,7 @@
         poisonRequests = registry.counter("requests.refusedForCrashes");
         rateLimited = registry.counter("requests.overLimit");
         placementRefused = registry.counter("requests.refusedForPlacement");
+        stopRefused = registry.counter("requests.refusedForStop");
         firstByte = registry.timer("requests.firstByte");
         reportAge = registry.timer("load.reportAge");
         firstEventOverPredicted = registry.histogram("requests.firstEventOverPredictedPercent");
