--- a/src/test/java/org/micabarrow/process/WholePathTest.java
+++ b/src/test/java/org/micabarrow/process/WholePathTest.java
@@ -279,6 +279,27 @@
         assertEquals(other, after.get().headers().first("X-Micabarrow-Instance").orElseThrow());
     }
 
+    @Test
+    @Order(14)
+    void shouldCutNothingAndTakeNothingWhenEntryIsStopped() {
+        List<CompletableFuture<HttpResponse>> streams = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            streams.add(CompletableFuture.supplyAsync(() -> fixture.chat("entry-2", SystemFixture.RIDERS, 400, true)));
+        }
+        Await.until(
+                "open streams",
+                () -> fixture.metric(fixture.system.operatorAddress("entry-2"), "requests.open") == streams.size());
+        CompletableFuture<Void> stopped = CompletableFuture.runAsync(fixture.system.entry("entry-2")::close);
+        Await.until(
+                "a refusal",
+                () -> fixture.chat("entry-2", SystemFixture.RIDERS, 2, false).status() == 503);
+        streams.forEach(stream -> {
+            assertEquals(200, stream.join().status());
+            assertTrue(SystemFixture.text(stream.join()).endsWith("data: [DONE]\n\n"));
+        });
+        stopped.join();
+    }
+
     private boolean streaming(String instance) {
         return fixture.metric(fixture.system.metricsAddress(instance), "requests.open") > 0;
     }
