--- a/src/main/java/org/micabarrow/serving/ClientConnections.java
+++ b/src/main/java/org/micabarrow/serving/ClientConnections.java
@@ -18,8 +18,8 @@
 public final class ClientConnections {
 
     /**
-     * How long an I/O thread goes on reading before it closes connections on which it sees no request, in milliseconds.
-     * Requests that arrived while the thread was busy are read meanwhile.
+     * How long an I/O thread goes on before it closes all connections, in milliseconds: requests on connections that have
+     * brought none before are read meanwhile.
      */
     private static final long READ_MILLIS = 5;
 
@@ -65,7 +65,7 @@
         closing = true;
         open.forEach((connection, busy) -> {
             if (!busy) {
-                afterReading(connection.getIoThread(), () -> closeIfIdle(connection));
+                connection.getIoThread().execute(() -> closeAfterReading(connection));
             }
         });
     }
@@ -76,11 +76,19 @@
         }
     }
 
-    /** Runs a step on an I/O thread after what has arrived at its connections has been read. */
-    private static void afterReading(XnioIoThread thread, Runnable step) {
-        // The delay counts from when the thread gets there: a thread that was busy runs all steps that are due before
-        // it reads.
-        thread.execute(() -> thread.executeAfter(step, READ_MILLIS, TimeUnit.MILLISECONDS));
+    private void closeAfterReading(ServerConnection connection) {
+        read(connection);
+        connection.getIoThread().execute(() -> closeIfIdle(connection));
+    }
+
+    /**
+     * Has an idle connection read before any step that is given to its thread afterwards: the thread runs all such steps
+     * before it looks for what has arrived.
+     */
+    private void read(ServerConnection connection) {
+        if (Boolean.FALSE.equals(open.get(connection)) && connection instanceof HttpServerConnection http) {
+            http.getChannel().getSourceChannel().wakeupReads();
+        }
     }
 
     /**
@@ -93,7 +101,8 @@
     public void ifIdle(XnioIoThread thread, Runnable whenIdle, Runnable otherwise) {
         thread.execute(() -> {
             if (isIdle()) {
-                afterReading(thread, () -> (isIdle() ? whenIdle : otherwise).run());
+                open.keySet().forEach(this::read);
+                thread.executeAfter(() -> (isIdle() ? whenIdle : otherwise).run(), READ_MILLIS, TimeUnit.MILLISECONDS);
             } else {
                 otherwise.run();
             }
