The buffer of a long plain answer is freed when the answer is passed on

What was seen: with 96 clients that read nothing of plain answers without an end, to the close or in one great chunk, an entry in a heap of 64 MB ended with "Java heap space", although what it holds for clients is bounded by a third of the heap.

Cause: the first 256 KiB of a plain answer are buffered, and the buffer had doubled to 512 KiB by then. It was emptied when the answer was passed on, which keeps its array for as long as the answer lasts; only the 256 KiB that the client had not taken were counted. The same for an answer that is sent whole, until its client has read it.

Now the buffer is given up together with what it held.

Evidence: UnreadEndlessAnswersTest, a whole entry in a process of 64 MB, 96 clients, four endpoints, beside sound requests to another service: 2 of 3 forms ended the process before (the plain ones; events held), none after.

--- a/src/main/java/org/micabarrow/serving/ResponseRelay.java
+++ b/src/main/java/org/micabarrow/serving/ResponseRelay.java
@@ -23,7 +23,7 @@
     private final ClientResponse response;
     private final EventSplitter events;
     private final int eventsBefore;
-    private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+    private ByteArrayOutputStream buffered = new ByteArrayOutputStream();
     private Optional<ResponseHead> head = Optional.empty();
     private boolean eventStream;
     private boolean forwarding;
@@ -84,12 +84,18 @@
         }
         forwarding = true;
         response.start(head.orElseThrow());
-        byte[] bufferedSoFar = buffered.toByteArray();
-        buffered.reset();
+        byte[] bufferedSoFar = takeBuffered();
         response.buffering(0);
         response.write(bufferedSoFar, more);
     }
 
+    /** Takes what is buffered, and frees the buffer: it may be twice as large, and the client may take long to read. */
+    private byte[] takeBuffered() {
+        byte[] taken = buffered.toByteArray();
+        buffered = new ByteArrayOutputStream(0);
+        return taken;
+    }
+
     /** Why a body that ended without an error of the connection is incomplete all the same; empty if it may be whole. */
     Optional<String> truncation(BodyEnd end) {
         return eventStream && events.isCut(end == BodyEnd.STATED, eventsBefore)
@@ -107,7 +113,7 @@
     void complete(EndpointRegistration endpoint, BodyEnd end) {
         if (!forwarding) {
             concludeRequest(endpoint, end);
-            response.sendWhole(head.orElseThrow(), buffered.toByteArray());
+            response.sendWhole(head.orElseThrow(), takeBuffered());
             return;
         }
         byte[] remainder = events.remainder();
