Answer times are remembered for 4,096 routes at most

A manifest may rename its routes again and again, and each name kept 32 times for good. AnswerTimesTest.shouldForgetRouteAnsweredLongestAgoWhenThereAreTooMany was red before.

--- a/src/main/java/org/micabarrow/attempts/AnswerTimes.java
+++ b/src/main/java/org/micabarrow/attempts/AnswerTimes.java
@@ -1,18 +1,27 @@
 package org.micabarrow.attempts;
 
 import java.util.Arrays;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.OptionalLong;
 
-/** How long the recent answers of each route took. Not thread-safe: confined to one thread. */
+/** How long the recent answers of routes took. Not thread-safe: confined to one thread. */
 public final class AnswerTimes {
 
     /** Number of answers that are remembered for a route: older ones are forgotten as new ones end. */
     private static final int REMEMBERED = 32;
 
-    private final Map<String, Times> byRoute = new HashMap<>();
+    /** Number of routes that are remembered, those answered last: manifests may rename routes without end. */
+    static final int MAX_ROUTES = 4_096;
+
+    private final Map<String, Times> byRoute = new LinkedHashMap<>(16, 0.75f, true) {
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Times> eldest) {
+            return size() > MAX_ROUTES;
+        }
+    };
 
     private static final class Times {
 
--- a/src/test/java/org/micabarrow/attempts/AnswerTimesTest.java
+++ b/src/test/java/org/micabarrow/attempts/AnswerTimesTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.OptionalLong;
+import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -39,4 +40,11 @@
         LongStream.range(0, 32).forEach(i -> times.answered("route", 300));
         assertEquals(OptionalLong.of(300), times.quantile("route", 1));
     }
+
+    @Test
+    void shouldForgetRouteAnsweredLongestAgoWhenThereAreTooMany() {
+        IntStream.rangeClosed(0, AnswerTimes.MAX_ROUTES).forEach(i -> times.answered("route-" + i, i));
+        assertEquals(OptionalLong.empty(), times.quantile("route-0", 1));
+        assertEquals(OptionalLong.of(1), times.quantile("route-1", 1));
+    }
 }
