--- a/src/main/java/org/micabarrow/transport/FairSource.java
+++ b/src/main/java/org/micabarrow/transport/FairSource.java
@@ -22,7 +22,7 @@
      * What ends a turn, in bytes: a buffer. Larger turns pass large bodies on hardly faster, and in small chunks they take the thread
      * for long.
      */
-    private static final int TURN_BYTES = 16 * 1024;
+    static final int TURN_BYTES = 16 * 1024;
 
     private int left = TURN_BYTES;
     private ReadReadyHandler reader;
