--- a/src/test/java/org/micabarrow/SocketText.java
+++ b/src/test/java/org/micabarrow/SocketText.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.SocketException;
 
 /** Reads from sockets up to a known text. */
 public final class SocketText {
@@ -25,4 +26,23 @@
             text.append((char) next);
         }
     }
+
+    /**
+     * Reads until the connection ends, orderly or not.
+     *
+     * @param in the socket's input
+     * @return what came; "(reset)" stands at the end if the connection was reset
+     * @throws IOException if nothing comes for as long as the socket's timeout
+     */
+    public static String readToEnd(InputStream in) throws IOException {
+        StringBuilder read = new StringBuilder();
+        try {
+            for (int next = in.read(); next >= 0; next = in.read()) {
+                read.append((char) next);
+            }
+        } catch (SocketException e) {
+            read.append("(reset)");
+        }
+        return read.toString();
+    }
 }
--- a/src/test/java/org/micabarrow/serving/GraceEndTest.java
+++ b/src/test/java/org/micabarrow/serving/GraceEndTest.java
@@ -55,7 +55,7 @@
         platform.publishManifest(2, "key-a", TIMEOUT.toMillis());
         platform.addEndpoint("plain-1", "plain", 0);
         platform.addEndpoint("plain-2", "plain", 0);
-        settings = withGrace(platform.entrySettings());
+        settings = GracePeriods.withGrace(platform.entrySettings(), GRACE_MILLIS);
         entry = HostedEntryProcess.start(settings);
         Await.until("a manifest and the endpoints", () -> entry.takesRequests() && entry.endpoints() == 2);
     }
@@ -65,32 +65,6 @@
         platform.close();
     }
 
-    private static HostedSettings withGrace(HostedSettings usual) {
-        HostedSettings.Bounds bounds = usual.bounds();
-        return new HostedSettings(
-                usual.instance(),
-                usual.regions(),
-                usual.listen(),
-                usual.peerPort(),
-                usual.seeds(),
-                usual.store(),
-                usual.endpoint(),
-                usual.service(),
-                usual.linkBitsPerSecond(),
-                usual.memoryMegabytes(),
-                new HostedSettings.Bounds(
-                        bounds.versionMillis(),
-                        bounds.configurationMillis(),
-                        bounds.drainMillis(),
-                        GRACE_MILLIS,
-                        bounds.retryShare(),
-                        bounds.retrySlack(),
-                        bounds.crashMemoryMillis(),
-                        bounds.crashesKept(),
-                        bounds.evacuateMillis()),
-                usual.log());
-    }
-
     private CompletableFuture<Void> closeAsync() {
         return CompletableFuture.runAsync(() -> {
             try {
@@ -126,18 +100,11 @@
     }
 
     /** The statuses on a connection until its end, orderly or not. */
-    private static List<String> statuses(Socket connection) {
-        StringBuilder read = new StringBuilder();
-        try {
-            for (int next = connection.getInputStream().read();
-                    next >= 0;
-                    next = connection.getInputStream().read()) {
-                read.append((char) next);
-            }
-        } catch (IOException e) {
-            read.append("(reset)");
-        }
-        return STATUS.matcher(read).results().map(match -> match.group(1)).toList();
+    private static List<String> statuses(Socket connection) throws IOException {
+        return STATUS.matcher(SocketText.readToEnd(connection.getInputStream()))
+                .results()
+                .map(match -> match.group(1))
+                .toList();
     }
 
     @Test
--- a/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
+++ b/src/test/java/org/micabarrow/serving/StoppingEntryTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.micabarrow.Await;
+import org.micabarrow.SocketText;
 import org.micabarrow.attempts.ClientRequest;
 import org.micabarrow.coordination.admission.RetryBudget;
 import org.micabarrow.headers.HeaderFields;
@@ -90,21 +91,6 @@
         connection.getOutputStream().write(request.repeat(requests).getBytes(StandardCharsets.US_ASCII));
     }
 
-    /** Reads a connection until its end, orderly or not. */
-    private static String read(Socket connection) throws IOException {
-        StringBuilder read = new StringBuilder();
-        try {
-            for (int next = connection.getInputStream().read();
-                    next >= 0;
-                    next = connection.getInputStream().read()) {
-                read.append((char) next);
-            }
-        } catch (SocketException e) {
-            read.append("(reset)");
-        }
-        return read.toString();
-    }
-
     private static long count(Pattern pattern, String text) {
         return pattern.matcher(text).results().count();
     }
@@ -146,34 +132,12 @@
         } catch (SocketException e) {
             return "(reset)";
         }
-        return read(connection);
+        return SocketText.readToEnd(connection.getInputStream());
     }
 
     @Test
     void shouldRefuseNewRequestsUntilLastOneInFlightHasResponse() throws Exception {
-        HostedSettings.Bounds usual = settings.bounds();
-        settings = new HostedSettings(
-                settings.instance(),
-                settings.regions(),
-                settings.listen(),
-                settings.peerPort(),
-                settings.seeds(),
-                settings.store(),
-                settings.endpoint(),
-                settings.service(),
-                settings.linkBitsPerSecond(),
-                settings.memoryMegabytes(),
-                new HostedSettings.Bounds(
-                        usual.versionMillis(),
-                        usual.configurationMillis(),
-                        usual.drainMillis(),
-                        GRACE_MILLIS,
-                        usual.retryShare(),
-                        usual.retrySlack(),
-                        usual.crashMemoryMillis(),
-                        usual.crashesKept(),
-                        usual.evacuateMillis()),
-                settings.log());
+        settings = GracePeriods.withGrace(settings, GRACE_MILLIS);
         HostedEntryProcess entry = startEntry();
         platform.enqueueBehaviour(Behaviour.NEVER_ANSWER);
         String clients = settings.listen().clients().orElseThrow();
@@ -252,7 +216,7 @@
         TopicFollowers.startAndAwaitView(client, settings, TIMEOUT, views, StoppingEntryTest::monotonicMillis);
         try (Socket connection = connect()) {
             send(connection, requests);
-            return read(connection);
+            return SocketText.readToEnd(connection.getInputStream());
         } finally {
             worker.shutdownNow();
         }
--- a/src/test/java/org/micabarrow/transport/CountedListenerTest.java
+++ b/src/test/java/org/micabarrow/transport/CountedListenerTest.java
@@ -16,7 +16,6 @@
 import org.micabarrow.Await;
 import org.micabarrow.SocketText;
 import org.micabarrow.memory.MessageMemory;
-import org.micabarrow.settings.Common;
 import org.micabarrow.standin.Ports;
 
 /** Guards against listeners whose requests are not counted together with all other messages of the process. */
@@ -47,15 +46,11 @@
 
     private void serve(boolean tls) throws IOException {
         address = Ports.freeAddress();
-        Common.Tls files = new Common.Tls(
-                certificates.pem("entry", "crt").toString(),
-                certificates.pem("entry", "key").toString(),
-                Optional.empty());
         listener = HttpListener.start(
                 address,
                 HttpListener.Limits.defaults(),
                 2,
-                tls ? Optional.of(TlsFiles.open(files).context()) : Optional.empty(),
+                tls ? Optional.of(certificates.serverContext("entry")) : Optional.empty(),
                 exchange -> exchange.getRequestReceiver().receiveFullBytes((same, body) -> {
                     same.getResponseHeaders().put(Headers.CONTENT_LENGTH, 0);
                     same.endExchange();
--- a/src/test/java/org/micabarrow/transport/LongRequestsTest.java
+++ b/src/test/java/org/micabarrow/transport/LongRequestsTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -10,14 +9,12 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
-import javax.net.ssl.SSLContext;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.micabarrow.AnswerReader;
-import org.micabarrow.settings.Common;
 import org.micabarrow.standin.Ports;
 
 /** A request of several turns of its connection is received whole, also if what is left of it lies above the socket. */
@@ -44,14 +41,6 @@
                                 .map(bytes -> Arguments.of(tls, chunked, bytes))));
     }
 
-    private static SSLContext context() throws IOException {
-        return TlsFiles.open(new Common.Tls(
-                        certificates.pem("entry", "crt").toString(),
-                        certificates.pem("entry", "key").toString(),
-                        Optional.empty()))
-                .context();
-    }
-
     private static byte[] request(boolean chunked, int bytes) {
         String body = "x".repeat(bytes);
         String framed = chunked
@@ -81,7 +70,7 @@
                 address,
                 HttpListener.Limits.defaults(),
                 1,
-                tls ? Optional.of(context()) : Optional.empty(),
+                tls ? Optional.of(certificates.serverContext("entry")) : Optional.empty(),
                 exchange -> exchange.getRequestReceiver()
                         .receiveFullBytes(
                                 (same, body) -> same.getResponseSender().send(Integer.toString(body.length))))) {
--- a/src/test/java/org/micabarrow/transport/TestCertificates.java
+++ b/src/test/java/org/micabarrow/transport/TestCertificates.java
@@ -8,6 +8,9 @@
 import java.security.KeyStore;
 import java.util.Base64;
 import java.util.Objects;
+import java.util.Optional;
+import javax.net.ssl.SSLContext;
+import org.micabarrow.settings.Common;
 
 /** Certificates that sign themselves, in PEM files. */
 public final class TestCertificates {
@@ -23,6 +26,13 @@
         return directory.resolve(name + "." + kind);
     }
 
+    /** The context of a server that has a certificate. */
+    public SSLContext serverContext(String name) throws IOException {
+        return TlsFiles.open(new Common.Tls(
+                        pem(name, "crt").toString(), pem(name, "key").toString(), Optional.empty()))
+                .context();
+    }
+
     public void create(String name) throws Exception {
         Path store = directory.resolve(name + ".p12");
         String keytool =
--- a/src/test/java/org/micabarrow/transport/callers/CallerLeavesTest.java
+++ b/src/test/java/org/micabarrow/transport/callers/CallerLeavesTest.java
@@ -7,7 +7,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Optional;
-import javax.net.ssl.SSLContext;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.io.TempDir;
@@ -17,13 +16,11 @@
 import org.micabarrow.Await;
 import org.micabarrow.SocketText;
 import org.micabarrow.memory.HeldBytes;
-import org.micabarrow.settings.Common;
 import org.micabarrow.standin.Ports;
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.TestCertificates;
 import org.micabarrow.transport.TestClient;
 import org.micabarrow.transport.TestClient.Leaving;
-import org.micabarrow.transport.TlsFiles;
 
 /** Guards against callers whose leaving is noticed only when their answer is written. */
 class CallerLeavesTest {
@@ -57,18 +54,10 @@
                 address,
                 HttpListener.Limits.defaults(),
                 CALLER_THREADS,
-                tls ? Optional.of(context()) : Optional.empty(),
+                tls ? Optional.of(certificates.serverContext("entry")) : Optional.empty(),
                 handler);
     }
 
-    private static SSLContext context() throws IOException {
-        return TlsFiles.open(new Common.Tls(
-                        certificates.pem("entry", "crt").toString(),
-                        certificates.pem("entry", "key").toString(),
-                        Optional.empty()))
-                .context();
-    }
-
     @AfterEach
     void stop() {
         listener.close();
--- a/src/test/java/org/micabarrow/transport/callers/IncompleteResponseTest.java
+++ b/src/test/java/org/micabarrow/transport/callers/IncompleteResponseTest.java
@@ -13,7 +13,6 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.stream.Stream;
-import javax.net.ssl.SSLContext;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -23,7 +22,6 @@
 import org.micabarrow.AnswerReader;
 import org.micabarrow.coordination.calls.Outcome;
 import org.micabarrow.coordination.calls.ResponseHead;
-import org.micabarrow.settings.Common;
 import org.micabarrow.standin.Ports;
 import org.micabarrow.state.Fault;
 import org.micabarrow.state.Fault.Reason;
@@ -31,7 +29,6 @@
 import org.micabarrow.transport.HttpListener;
 import org.micabarrow.transport.TestCertificates;
 import org.micabarrow.transport.TestClient;
-import org.micabarrow.transport.TlsFiles;
 
 /** A response that breaks off must not look complete, and one that does not must, however the caller asks. */
 class IncompleteResponseTest {
@@ -91,14 +88,6 @@
                                 Arrays.stream(Ending.values()).map(ending -> Arguments.of(tls, asking, ending))));
     }
 
-    private static SSLContext context() throws IOException {
-        return TlsFiles.open(new Common.Tls(
-                        certificates.pem("entry", "crt").toString(),
-                        certificates.pem("entry", "key").toString(),
-                        Optional.empty()))
-                .context();
-    }
-
     private static ResponseHead head(int status, String contentType) {
         return new ResponseHead("attempt-1", status, contentType, "1", "agent-1", "region-a", "hall-a", 1);
     }
@@ -117,7 +106,11 @@
 
     private static HttpListener serve(String address, boolean tls, HttpHandler handler) throws IOException {
         return HttpListener.start(
-                address, HttpListener.Limits.defaults(), 1, tls ? Optional.of(context()) : Optional.empty(), handler);
+                address,
+                HttpListener.Limits.defaults(),
+                1,
+                tls ? Optional.of(certificates.serverContext("entry")) : Optional.empty(),
+                handler);
     }
 
     private static TestClient connect(String address, boolean tls) throws Exception {
