One collected body may take up what all of its kind may

A chunk of over a thirty-second of the heap was refused even if nothing else was held: 3 MB in an agent of the own path, whose chunks are as long as its operator makes them. The one that holds most is still given up first. ManyAnswersTest 7 of 7 green, also with this.

--- a/src/main/java/org/micabarrow/transport/ResponseCollector.java
+++ b/src/main/java/org/micabarrow/transport/ResponseCollector.java
@@ -23,11 +23,8 @@
  */
 final class ResponseCollector implements HttpClient.Listener {
 
-    /** The longest body of records that is collected, in bytes: four times as long as the longest manifest. */
-    private static final long MAX_RECORDS_BYTES = 16 << 20;
-
-    /** The part of what all others may hold that one of them may, as a divisor: with 64 MB, dozens of usual chunks. */
-    private static final long OTHER_DIVISOR = 4;
+    /** The longest body that is collected, in bytes: four times as long as the longest manifest. */
+    private static final long MAX_BODY_BYTES = 16 << 20;
 
     private static final Logger LOG = LoggerFactory.getLogger(ResponseCollector.class);
 
@@ -56,7 +53,7 @@
         boolean records = call.step() == Step.LOG || call.step() == Step.READ;
         HeldBytes all = records ? HeldBytes.ofRecords() : HeldBytes.ofOthers();
         this.held = all.holdAnswer(this::onNoRoom);
-        this.maxBytes = Math.min(MAX_RECORDS_BYTES, records ? all.limitBytes() : all.limitBytes() / OTHER_DIVISOR);
+        this.maxBytes = Math.min(MAX_BODY_BYTES, all.limitBytes());
     }
 
     /** Whether any part of the response has arrived. */
